Set up the workspace, the error kinds, the protocols and the daemon's ports

Cause: an empty repository. Ruled out: one package with folders, since the house style asks for small packages with one purpose each. Conclusion: the thin path can be built on it.

--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+/** The command-line tool `azureshunt`. */
+export {};
--- /dev/null
+++ b/packages/core/src/ErrorKind.ts
@@ -0,0 +1,43 @@
+/**
+ * The closed list of error kinds. `answerOf` gives for each kind what the caller is told; a kind that is missing there
+ * does not compile.
+ */
+export type ErrorKind =
+    // The request itself.
+    | "bad-request"
+    | "body-too-large"
+    | "unsupported-media-type"
+    | "not-found"
+    | "method-not-allowed"
+    | "unknown-model"
+    | "unknown-service"
+    // Keys.
+    | "missing-key"
+    | "unknown-key"
+    | "withdrawn-key"
+    | "not-allowed"
+    // Allowances.
+    | "over-rate"
+    | "over-burst"
+    | "allowance-unreachable"
+    // Endpoints.
+    | "no-endpoint"
+    | "overloaded"
+    | "deadline-exceeded"
+    | "endpoint-failed"
+    | "stream-broken"
+    | "answer-lost"
+    | "request-crashes-endpoints"
+    // Requests that may not be repeated.
+    | "intent-running"
+    | "intent-outcome-unknown"
+    | "intent-key-reused"
+    | "intent-window-lost"
+    | "log-unavailable"
+    // The daemon.
+    | "no-configuration"
+    | "configuration-too-old"
+    | "shutting-down"
+    | "too-many-connections"
+    | "caller-gone"
+    | "internal";
--- /dev/null
+++ b/packages/daemon/src/ports/IntentPort.ts
@@ -0,0 +1,11 @@
+import type { Refusal } from "@azureshunt/core";
+import type { Either } from "purify-ts";
+
+import type { Call } from "./Call.js";
+import type { IntentAdmission } from "./IntentAdmission.js";
+
+/** Decides whether a request that may not be repeated may be dispatched. */
+export type IntentPort = {
+    /** Settles once this daemon knows that its intent is the first one, or that it is not. */
+    readonly admit: (call: Call) => Promise<Either<Refusal, IntentAdmission>>;
+};
--- /dev/null
+++ b/packages/daemon/src/ports/Reservation.ts
@@ -0,0 +1,7 @@
+import type { OrganisationId, Tokens } from "@azureshunt/core";
+
+/** Tokens taken from an organisation's allowance for one request before it is dispatched. */
+export type Reservation = {
+    readonly organisation: OrganisationId;
+    readonly tokens: Tokens;
+};
--- /dev/null
+++ b/packages/fleet/src/index.ts
@@ -0,0 +1,2 @@
+/** Orders that bring endpoints to what the configuration declares. */
+export {};
--- /dev/null
+++ b/packages/intent/src/index.ts
@@ -0,0 +1,2 @@
+/** Whether a request that may not be repeated may be dispatched. */
+export {};
--- /dev/null
+++ b/packages/membership/src/index.ts
@@ -0,0 +1,2 @@
+/** Which VMs exist, and which of them is home for what. */
+export {};
--- /dev/null
+++ b/packages/organisation/src/index.ts
@@ -0,0 +1,2 @@
+/** Keys of organisations and of administrators, and who a key belongs to. */
+export {};
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,2 @@
+/** Client of the platform: its log, its list of VMs, its weight store. */
+export {};
--- /dev/null
+++ b/packages/release/src/index.ts
@@ -0,0 +1,2 @@
+/** Release notes and the configuration that folding them gives. */
+export {};
--- /dev/null
+++ b/packages/standins/src/index.ts
@@ -0,0 +1,2 @@
+/** Small stand-ins for the platform, model engines, the KV cache store, plain services and a network link. */
+export {};
--- /dev/null
+++ b/scripts/verify.mjs
@@ -0,0 +1,38 @@
+// `npm run verify`: formatter, linter, build, tests and model checks, closed by one line with the counts.
+import { spawnSync } from "node:child_process";
+import { existsSync, readFileSync } from "node:fs";
+
+import { run, setUp, setUpModelChecker } from "./setup.mjs";
+
+setUp();
+setUpModelChecker();
+run("node_modules/.bin/dprint", ["check"]);
+run("node_modules/.bin/eslint", ["packages"]);
+
+const KNOWN_RED_FILE = "KNOWN-RED.txt";
+const knownRed = existsSync(KNOWN_RED_FILE)
+    ? readFileSync(KNOWN_RED_FILE, "utf8").split("\n").filter(line => line.trim() !== "")
+    : [];
+const isKnownRed = title => knownRed.some(line => line.startsWith(`${title},`));
+
+const ava = spawnSync("node_modules/.bin/ava", ["--tap"], { encoding: "utf8", maxBuffer: 1 << 28 });
+const tap = ava.stdout.split("\n");
+const passed = tap.filter(line => line.startsWith("ok ")).length;
+const failures = tap
+    .filter(line => line.startsWith("not ok "))
+    .map(line => line.replace(/^not ok \d+ - /, ""));
+const red = failures.filter(isKnownRed);
+const failed = failures.filter(title => !isKnownRed(title));
+
+if (failures.length > 0 || ava.status !== 0) {
+    console.log(ava.stdout);
+    console.log(ava.stderr);
+}
+red.forEach(title => console.log(`known red: ${title}`));
+
+const models = existsSync("scripts/checkModels.mjs")
+    ? spawnSync("node", ["scripts/checkModels.mjs"], { stdio: "inherit" }).status ?? 1
+    : 0;
+const broken = failed.length + (models === 0 ? 0 : 1) + (ava.status !== 0 && failures.length === 0 ? 1 : 0);
+console.log(`${passed} passed, ${broken} failed`);
+process.exit(broken === 0 && passed > 0 ? 0 : 1);
