--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,2 +1,4 @@
-/** Client of the platform: its log, its list of VMs, its weight store. */
-export {};
+/** Client of the platform: its log and its list of VMs. */
+export { createLogClient } from "./createLogClient.js";
+export { listVms } from "./listVms.js";
+export type { LogPort } from "./LogPort.js";
--- /dev/null
+++ b/packages/platform/src/listVms.ts
@@ -0,0 +1,32 @@
+import { FailureDomain, VmId } from "@azureshunt/core";
+import { EitherAsync } from "purify-ts";
+import { request } from "undici";
+import { z } from "zod";
+
+const CALL_TIMEOUT_MS = 2_000;
+
+const VmList = z.object({
+    vms: z.array(z.object({
+        vm: VmId,
+        failureDomain: FailureDomain,
+        state: z.enum(["live", "leaving"]),
+        peer: z.string(),
+        admin: z.string(),
+    })),
+});
+
+/** One VM as the platform's list shows it. */
+type ListedVm = z.infer<typeof VmList>["vms"][number];
+
+/**
+ * Reads the platform's list of live and leaving VMs. The list lags behind what is so.
+ *
+ * @param url base URL of the platform
+ * @returns Left when the platform can't be reached or answers nonsense
+ */
+export function listVms(url: string): EitherAsync<Error, readonly ListedVm[]> {
+    return EitherAsync(async () => {
+        const res = await request(`${url}/vms`, { signal: AbortSignal.timeout(CALL_TIMEOUT_MS) });
+        return VmList.parse(await res.body.json()).vms;
+    }).mapLeft(err => err instanceof Error ? err : new Error(String(err)));
+}
