--- /dev/null
+++ b/packages/daemon/src/dispatch/DispatchParts.ts
@@ -0,0 +1,19 @@
+import type { Refusal } from "@azureshunt/core";
+import type { Either } from "purify-ts";
+import type { Dispatcher } from "undici";
+
+import type { Call } from "../ports/Call.js";
+import type { DaemonContext } from "../ports/DaemonContext.js";
+import type { PlacementPort } from "../ports/PlacementPort.js";
+import type { SuspectPort } from "../ports/SuspectPort.js";
+
+/** What sending requests to endpoints needs. */
+export type DispatchParts = {
+    readonly ctx: DaemonContext;
+    readonly placement: PlacementPort;
+    readonly suspects: SuspectPort;
+    /** Pool of connections to endpoints. */
+    readonly dispatcher: Dispatcher;
+    /** Checks again, right before each try, that the call's key is still valid. */
+    readonly recheck: (call: Call) => Either<Refusal, Call>;
+};
--- /dev/null
+++ b/packages/daemon/src/gateway/readBody.ts
@@ -0,0 +1,34 @@
+import type { IncomingMessage } from "node:http";
+
+import type { Refusal } from "@azureshunt/core";
+import { refusalOf } from "@azureshunt/core";
+import type { Either } from "purify-ts";
+import { Left, Right } from "purify-ts";
+
+/**
+ * Reads a request's body.
+ *
+ * @param req the request
+ * @param limit most bytes that are taken
+ * @returns Left with `body-too-large`, or with `caller-gone` when the caller went away meanwhile
+ */
+export async function readBody(req: IncomingMessage, limit: number): Promise<Either<Refusal, Buffer>> {
+    const chunks: Buffer[] = [];
+    const size = { bytes: 0 };
+    if (Number(req.headers["content-length"] ?? 0) > limit) {
+        return Left(refusalOf("body-too-large", `at most ${limit} bytes`));
+    }
+    try {
+        for await (const chunk of req as AsyncIterable<Buffer>) {
+            size.bytes += chunk.length;
+            if (size.bytes > limit) {
+                return Left(refusalOf("body-too-large", `at most ${limit} bytes`));
+            }
+            chunks.push(chunk);
+        }
+    }
+    catch {
+        return Left(refusalOf("caller-gone", undefined, { ran: "no" }));
+    }
+    return Right(Buffer.concat(chunks));
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/startHttpServer.ts
@@ -0,0 +1,53 @@
+import { readFileSync } from "node:fs";
+import { createServer as createHttpServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { createServer as createHttpsServer } from "node:https";
+
+import type { Settings } from "../Settings.js";
+
+const HEADERS_TIMEOUT_MS = 10_000;
+const REQUEST_TIMEOUT_MS = 60_000;
+const KEEP_ALIVE_MS = 65_000;
+
+/** Answers one HTTP request; must not reject. */
+type HttpHandler = (req: IncomingMessage, res: ServerResponse) => void;
+
+/** What one HTTP listener is started with. */
+type HttpServerParts = {
+    /** `host:port`. */
+    readonly address: string;
+    readonly tls: Settings["tls"]["caller"];
+    readonly limits: Settings["limits"];
+    readonly handler: HttpHandler;
+};
+
+const withTls = (tls: NonNullable<Settings["tls"]["caller"]>, options: object, handler: HttpHandler): Server =>
+    createHttpsServer({
+        ...options,
+        cert: readFileSync(tls.certificateFile),
+        key: readFileSync(tls.privateKeyFile),
+        ca: tls.authorityFile === undefined ? undefined : readFileSync(tls.authorityFile),
+        requestCert: tls.authorityFile !== undefined,
+        rejectUnauthorized: tls.authorityFile !== undefined,
+    }, handler);
+
+/**
+ * Starts an HTTP listener with bounds on headers, connections and time, with TLS where settings give certificates.
+ *
+ * @throws Error when the address cannot be bound or a certificate cannot be read
+ */
+export async function startHttpServer(parts: HttpServerParts): Promise<Server> {
+    const { address, tls, limits, handler } = parts;
+    const options = { maxHeaderSize: limits.headerBytes };
+    const server = tls === undefined ? createHttpServer(options, handler) : withTls(tls, options, handler);
+    server.maxConnections = limits.connections;
+    server.headersTimeout = HEADERS_TIMEOUT_MS;
+    server.requestTimeout = REQUEST_TIMEOUT_MS;
+    server.keepAliveTimeout = KEEP_ALIVE_MS;
+    const split = address.lastIndexOf(":");
+    await new Promise<void>((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(Number(address.slice(split + 1)), address.slice(0, split), resolve);
+    });
+    return server;
+}
--- /dev/null
+++ b/packages/daemon/src/peers/createPeerPort.ts
@@ -0,0 +1,85 @@
+import { readFileSync } from "node:fs";
+
+import type { Incarnation, VmId } from "@azureshunt/core";
+import { credentials, ServerCredentials } from "@grpc/grpc-js";
+import { Left } from "purify-ts";
+
+import type { PeerPort } from "../ports/PeerPort.js";
+import type { Settings } from "../Settings.js";
+import { createPeerClients } from "./createPeerClients.js";
+import { loadPeerSchema } from "./loadPeerSchema.js";
+import { signEnvelope } from "./signEnvelope.js";
+import { startPeerServer } from "./startPeerServer.js";
+
+type Handler = (body: object, from: VmId) => Promise<object>;
+
+const credentialsOf = (settings: Settings) => {
+    const { peer } = settings.tls;
+    if (peer === undefined) {
+        return { client: credentials.createInsecure(), server: ServerCredentials.createInsecure() };
+    }
+    const certificate = readFileSync(peer.certificateFile);
+    const privateKey = readFileSync(peer.privateKeyFile);
+    const authority = peer.authorityFile === undefined ? null : readFileSync(peer.authorityFile);
+    return {
+        client: credentials.createSsl(authority, privateKey, certificate),
+        server: ServerCredentials.createSsl(
+            authority,
+            [{ cert_chain: certificate, private_key: privateKey }],
+            authority !== null,
+        ),
+    };
+};
+
+/**
+ * Starts the exchange of messages with other daemons.
+ *
+ * @param settings this daemon's
+ * @param incarnation this run of the daemon
+ * @param peers the other daemons as known now
+ * @throws Error when the peer address cannot be bound or a certificate cannot be read
+ */
+export async function createPeerPort(
+    settings: Settings,
+    incarnation: Incarnation,
+    peers: PeerPort["peers"],
+): Promise<PeerPort & { readonly stop: () => void; }> {
+    const schema = loadPeerSchema();
+    const { client, server } = credentialsOf(settings);
+    const { secret } = settings.peers;
+    const clients = createPeerClients(schema.path, client);
+    const handlers = new Map<string, Handler>();
+
+    const stopServer = await startPeerServer({
+        schema,
+        address: settings.listen.peer,
+        vm: settings.vm,
+        incarnation,
+        secret,
+        credentials: server,
+        answer: async (kind, body, from) => await handlers.get(kind)?.(body, from),
+    });
+
+    const exchange: PeerPort["exchange"] = async (to, kind, body, timeoutMs) => {
+        const peer = peers().find(candidate => candidate.vm === to);
+        if (peer === undefined) {
+            return Left(new Error(`${to} is no known VM`));
+        }
+        const bytes = schema.encode({ fromVm: settings.vm, fromIncarnation: incarnation, [kind]: body });
+        const answer = await clients.send(peer.address, bytes, signEnvelope(secret, to, bytes), timeoutMs);
+        return answer.map(reply => schema.decode(reply)[`${kind}Answer`] as object | undefined ?? {});
+    };
+
+    const handle: PeerPort["handle"] = (kind, answer) => {
+        handlers.set(kind, answer);
+        return () => {
+            handlers.delete(kind);
+        };
+    };
+
+    const stop = (): void => {
+        stopServer();
+        clients.close();
+    };
+    return { peers, exchange, handle, stop };
+}
--- /dev/null
+++ b/packages/daemon/src/peers/startPeerServer.ts
@@ -0,0 +1,87 @@
+import { timingSafeEqual } from "node:crypto";
+
+import type { VmId } from "@azureshunt/core";
+import { Server, status } from "@grpc/grpc-js";
+import type { handleUnaryCall, Metadata, ServerCredentials } from "@grpc/grpc-js";
+
+import type { loadPeerSchema } from "./loadPeerSchema.js";
+import { signEnvelope } from "./signEnvelope.js";
+
+const MAX_MESSAGE_BYTES = 16_777_216;
+const KEEPALIVE_MS = 5_000;
+
+/** What answers a message: `kind` is the field of the `oneof`; undefined where nothing handles it. */
+type AnswerMessage = (kind: string, body: object, from: VmId) => Promise<object | undefined>;
+
+/** What the server of peers' messages is started with. */
+type PeerServerParts = {
+    readonly schema: ReturnType<typeof loadPeerSchema>;
+    readonly address: string;
+    readonly vm: VmId;
+    readonly incarnation: string;
+    readonly secret: string;
+    readonly credentials: ServerCredentials;
+    readonly answer: AnswerMessage;
+};
+
+const signatureOf = (metadata: Metadata): Buffer => Buffer.from(String(metadata.get("x-signature")[0] ?? ""), "hex");
+
+/**
+ * Starts the gRPC server that other daemons talk to. A message without a valid signature is refused.
+ *
+ * @returns a function that stops the server
+ * @throws Error when the address cannot be bound
+ */
+export async function startPeerServer(parts: PeerServerParts): Promise<() => void> {
+    const { schema, vm, incarnation, secret } = parts;
+    const server = new Server({
+        "grpc.max_receive_message_length": MAX_MESSAGE_BYTES,
+        "grpc.keepalive_time_ms": KEEPALIVE_MS,
+        "grpc.so_reuseport": 0,
+    });
+
+    const isSigned = (bytes: Buffer, metadata: Metadata): boolean => {
+        const expected = Buffer.from(signEnvelope(secret, vm, bytes), "hex");
+        const found = signatureOf(metadata);
+        return found.length === expected.length && timingSafeEqual(found, expected);
+    };
+
+    const exchange: handleUnaryCall<Buffer, Buffer> = (call, done) => {
+        if (!isSigned(call.request, call.metadata)) {
+            done({ code: status.UNAUTHENTICATED, details: "bad signature" });
+            return;
+        }
+        const envelope = schema.decode(call.request);
+        const kind = envelope.body ?? "";
+        const body = envelope[kind] as object | undefined ?? {};
+        parts.answer(kind, body, envelope.fromVm as VmId).then(
+            answer =>
+                answer === undefined
+                    ? done({ code: status.UNIMPLEMENTED, details: `no handler of ${kind}` })
+                    : done(
+                        null,
+                        schema.encode({ fromVm: vm, fromIncarnation: incarnation, [`${kind}Answer`]: answer }),
+                    ),
+            (err: unknown) => done({ code: status.INTERNAL, details: String(err) }),
+        );
+    };
+
+    server.addService(
+        {
+            exchange: {
+                path: schema.path,
+                requestStream: false,
+                responseStream: false,
+                requestSerialize: (bytes: Buffer) => bytes,
+                requestDeserialize: (bytes: Buffer) => bytes,
+                responseSerialize: (bytes: Buffer) => bytes,
+                responseDeserialize: (bytes: Buffer) => bytes,
+            },
+        },
+        { exchange },
+    );
+    await new Promise<void>((resolve, reject) =>
+        server.bindAsync(parts.address, parts.credentials, err => err === null ? resolve() : reject(err))
+    );
+    return () => server.forceShutdown();
+}
