--- a/packages/daemon/src/dispatch/dispatchService.ts
+++ b/packages/daemon/src/dispatch/dispatchService.ts
@@ -66,6 +66,7 @@
  * Serves a call to a plain service. A call that may not be repeated is tried again only where no byte went out or the
  * service refused it.
  *
+ * @param begin called right before a first byte can go out; the call is not sent when it gives false
  * @returns the service's answer, or the refusal that the caller is to get
  */
 export async function dispatchService(
@@ -73,6 +74,7 @@
     call: Call,
     target: ServiceCall,
     timeoutMs: number,
+    begin: () => boolean,
 ): Promise<Either<Refusal, RecordedAnswer>> {
     const tried: EndpointName[] = [];
 
@@ -86,6 +88,10 @@
         }
         const placement = placed.unsafeCoerce();
         tried.push(placement.endpoint);
+        if (!begin()) {
+            placement.end("cancelled");
+            return Left(refusalOf("intent-running", undefined, { ran: "no" }));
+        }
         const ended = await tryOnce(parts, call, target, placement, timeoutMs);
         placement.end(ended.caseOf({
             Left: failure => failure === "unreached" ? "died" : failure,
--- /dev/null
+++ b/packages/daemon/src/gateway/GatewayParts.ts
@@ -0,0 +1,21 @@
+import type { Refusal } from "@azureshunt/core";
+import type { Configuration } from "@azureshunt/release";
+import type { Either } from "purify-ts";
+
+import type { DispatchParts } from "../dispatch/DispatchParts.js";
+import type { AllowancePort } from "../ports/AllowancePort.js";
+import type { IntentPort } from "../ports/IntentPort.js";
+import type { TracePort } from "../ports/TracePort.js";
+import type { Caller } from "./Caller.js";
+
+/** What serving callers needs. */
+export type GatewayParts = {
+    readonly dispatch: DispatchParts;
+    readonly allowance: AllowancePort;
+    readonly intents: IntentPort;
+    readonly trace: TracePort;
+    /** Finds out whose key came with a request; Left with `missing-key`, `unknown-key` or `withdrawn-key`. */
+    readonly authenticate: (cfg: Configuration, authorization: string | undefined) => Either<Refusal, Caller>;
+    /** Whether new requests are still taken. */
+    readonly isDraining: () => boolean;
+};
--- a/packages/daemon/src/gateway/parseModelCall.ts
+++ b/packages/daemon/src/gateway/parseModelCall.ts
@@ -1,4 +1,4 @@
-import type { AdapterName, OrganisationId, Refusal , ModelName} from "@azureshunt/core";
+import type { AdapterName, ModelName, OrganisationId, Refusal } from "@azureshunt/core";
 import { approximateTokens, cacheSalt, pieceHashes, refusalOf, renderPrompt } from "@azureshunt/core";
 import type { Configuration, ModelSpec } from "@azureshunt/release";
 import type { Either } from "purify-ts";
--- /dev/null
+++ b/packages/daemon/src/gateway/serveService.ts
@@ -0,0 +1,95 @@
+import type { ServerResponse } from "node:http";
+
+import type { Refusal } from "@azureshunt/core";
+import type { Configuration } from "@azureshunt/release";
+import type { Either } from "purify-ts";
+import { Left, Right } from "purify-ts";
+
+import { dispatchService } from "../dispatch/dispatchService.js";
+import type { Call } from "../ports/Call.js";
+import type { IntentAdmission } from "../ports/IntentAdmission.js";
+import type { RecordedAnswer } from "../ports/RecordedAnswer.js";
+import type { Reservation } from "../ports/Reservation.js";
+import type { ServiceCall } from "../ports/ServiceCall.js";
+import type { GatewayParts } from "./GatewayParts.js";
+
+const DEFAULT_TIMEOUT_MS = 10_000;
+
+const send = (call: Call, res: ServerResponse, answer: RecordedAnswer, replayed: boolean): void => {
+    res.writeHead(answer.status, {
+        "x-request-id": call.id,
+        ...answer.contentType === undefined ? {} : { "content-type": answer.contentType },
+        ...replayed ? { "x-replayed": "1" } : {},
+    });
+    res.end(Buffer.from(answer.body, "base64"));
+};
+
+/** Dispatches under an intent: the outcome is recorded before the caller gets it. */
+async function dispatchOnce(
+    parts: GatewayParts,
+    call: Call,
+    target: ServiceCall,
+    timeoutMs: number,
+    admission: Extract<IntentAdmission, { readonly kind: "dispatch"; }>,
+): Promise<Either<Refusal, RecordedAnswer>> {
+    const answered = await dispatchService(parts.dispatch, call, target, timeoutMs, admission.begin);
+    await answered.caseOf({
+        Left: refused => refused.ran === "no" ? admission.withdraw() : admission.complete(undefined),
+        Right: answer => admission.complete(answer),
+    });
+    return answered;
+}
+
+/**
+ * Serves one call to a plain service. A call that may not be repeated and has an idempotency key runs only under an
+ * intent of this daemon.
+ *
+ * @returns Right when the caller has its whole answer
+ */
+export async function serveService(
+    parts: GatewayParts,
+    cfg: Configuration,
+    call: Call,
+    target: ServiceCall,
+    res: ServerResponse,
+): Promise<Either<Refusal, void>> {
+    const spec = cfg.services.get(target.service);
+    const timeoutMs = spec?.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+    const cost = spec?.costTokens ?? 0;
+    const reserved = await parts.allowance.reserve(call.organisation, cost, call.deadline, call.signal);
+    if (reserved.isLeft()) {
+        return Left(reserved.extract() as Refusal);
+    }
+    const reservation = reserved.extract() as Reservation;
+    const needsIntent = !target.repeatable && target.idempotencyKey !== undefined;
+    const answered = needsIntent
+        ? await serveUnderIntent(parts, call, target, timeoutMs, res)
+        : (await dispatchService(parts.dispatch, call, target, timeoutMs, () => true))
+            .map(answer => send(call, res, answer, false));
+    parts.allowance.settle(
+        reservation,
+        answered.caseOf({ Left: refused => refused.ran === "no" ? 0 : cost, Right: () => cost }),
+    );
+    return answered;
+}
+
+async function serveUnderIntent(
+    parts: GatewayParts,
+    call: Call,
+    target: ServiceCall,
+    timeoutMs: number,
+    res: ServerResponse,
+): Promise<Either<Refusal, void>> {
+    const admitted = await parts.intents.admit(call);
+    return admitted.caseOf<Promise<Either<Refusal, void>>>({
+        Left: refused => Promise.resolve(Left(refused)),
+        Right: async admission => {
+            if (admission.kind === "recorded") {
+                send(call, res, admission.answer, true);
+                return Right(undefined);
+            }
+            const answered = await dispatchOnce(parts, call, target, timeoutMs, admission);
+            return answered.map(answer => send(call, res, answer, false));
+        },
+    });
+}
