Choose endpoints by estimated time to the first token

Cause: nothing chose an endpoint yet. Change: packages/endpoint holds the endpoint aggregate, the prefix index, the estimate, four policies of one signature and the fair queue, all without clock or socket. Ruled out: a map of strings for the index; a table of typed arrays takes less than 8 MiB for 100,000 blocks (tested).

--- /dev/null
+++ b/packages/endpoint/src/__tests__/unit/PrefixIndex.test.ts
@@ -0,0 +1,177 @@
+import { EndpointName, Incarnation, PieceHash } from "@azureshunt/core";
+import test from "ava";
+import fc from "fast-check";
+
+import type { CacheEvent } from "../../cache/CacheEvent.js";
+import { partitionOf } from "../../cache/partitionOf.js";
+import { PrefixIndex } from "../../cache/PrefixIndex.js";
+
+const SEED = 20_261_202;
+const PIECES = 12;
+const ENGINE = EndpointName.parse("engine-1");
+const RUNS = ["run-a", "run-b", "run-c"].map(run => Incarnation.parse(run));
+const piece = (n: number) => PieceHash.parse(n.toString(16).padStart(32, "0"));
+const event = (seq: number, kind: CacheEvent["kind"], numbers: number[], run = RUNS[0]!): CacheEvent => ({
+    incarnation: run,
+    seq,
+    kind,
+    hashes: numbers.map(piece),
+});
+const held = (index: PrefixIndex, now = 0) =>
+    Array.from({ length: PIECES }, (_, n) => n).filter(n => index.match([piece(n)], [ENGINE], now)[0] === 1);
+const started = (run = RUNS[0]!) => {
+    const index = new PrefixIndex();
+    index.begin(ENGINE, run);
+    index.resync(ENGINE, { incarnation: run, seq: 0, hashes: [] });
+    return index;
+};
+
+test("index: late events of a crashed engine never match again", t => {
+    // The engine crashes and comes back on the same address with an empty cache. Events of the former run were held up
+    // and arrive after the new run was seen. A caller would wait for a whole prefill behind a prefix that is not there.
+    const index = started();
+    index.apply(ENGINE, event(1, "stored", [1, 2]));
+    index.begin(ENGINE, RUNS[1]!);
+    t.is(index.apply(ENGINE, event(2, "stored", [3])), "other-incarnation");
+    index.assume(ENGINE, RUNS[0]!, [piece(4)], Infinity);
+    t.false(index.resync(ENGINE, { incarnation: RUNS[0]!, seq: 9, hashes: [piece(5)] }));
+    t.deepEqual(held(index), []);
+});
+
+[
+    { name: "in order", events: [event(1, "stored", [1]), event(2, "stored", [2])], outcome: "applied", holds: [1, 2] },
+    { name: "repeated", events: [event(1, "stored", [1]), event(1, "removed", [1])], outcome: "repeated", holds: [1] },
+    { name: "after a gap", events: [event(1, "stored", [1]), event(3, "removed", [1])], outcome: "gap", holds: [] },
+    { name: "cleared", events: [event(1, "stored", [1, 2]), event(2, "cleared", [])], outcome: "applied", holds: [] },
+].forEach(({ name, events, outcome, holds }) =>
+    test(`index: events ${name}`, t => {
+        const index = started();
+        t.is(events.map(each => index.apply(ENGINE, each)).at(-1) as string, outcome);
+        t.deepEqual(held(index), holds);
+        t.is(index.isDoubtful(ENGINE), outcome === "gap");
+    })
+);
+
+test("index: an assumed piece counts until it expires, a confirmed one for good", t => {
+    const index = started();
+    index.assume(ENGINE, RUNS[0]!, [piece(1), piece(2)], 100);
+    index.apply(ENGINE, event(1, "stored", [2]));
+    t.deepEqual(held(index, 99), [1, 2]);
+    t.deepEqual(held(index, 100), [2]);
+    index.sweep(100);
+    t.is(index.size, 1);
+});
+
+test("index: a match ends at the first missing piece", t => {
+    const index = started();
+    index.apply(ENGINE, event(1, "stored", [1, 2, 4]));
+    t.deepEqual(index.match([1, 2, 3, 4].map(piece), [ENGINE], 0), [2]);
+});
+
+/** What the test does to the index and to the oracle. */
+const steps = fc.array(
+    fc.oneof(
+        { weight: 6, arbitrary: fc.record({ do: fc.constant("change" as const), lost: fc.boolean(), n: fc.nat(5) }) },
+        { weight: 2, arbitrary: fc.record({ do: fc.constant("snapshot" as const) }) },
+        { weight: 2, arbitrary: fc.record({ do: fc.constant("resync" as const) }) },
+        { weight: 1, arbitrary: fc.record({ do: fc.constant("crash" as const) }) },
+        { weight: 1, arbitrary: fc.record({ do: fc.constant("replay" as const) }) },
+    ),
+    { maxLength: 60 },
+);
+
+test("index: equals the engine's cache whenever it is not doubtful, whatever is lost, late or repeated", t => {
+    fc.assert(
+        fc.property(steps, fc.array(fc.nat(PIECES - 1), { minLength: 60, maxLength: 60 }), (plan, numbers) => {
+            const index = started();
+            const engine = { run: 0, seq: 0, cache: new Set<number>() };
+            // What the engine's current run held after each of its events.
+            let heldAfter: number[][] = [[]];
+            const seen: CacheEvent[] = [];
+            let snapshot = { incarnation: RUNS[0]!, seq: 0, hashes: [] as PieceHash[] };
+            const takeSnapshot = () => ({
+                incarnation: RUNS[engine.run]!,
+                seq: engine.seq,
+                hashes: [...engine.cache].map(piece),
+            });
+            plan.forEach((each, i) => {
+                const number = numbers[i]!;
+                switch (each.do) {
+                    case "change": {
+                        const kind = each.n === 0 ? "cleared" : engine.cache.has(number) ? "removed" : "stored";
+                        engine.seq++;
+                        if (kind === "cleared") {
+                            engine.cache.clear();
+                        }
+                        else if (kind === "removed") {
+                            engine.cache.delete(number);
+                        }
+                        else {
+                            engine.cache.add(number);
+                        }
+                        const change = event(engine.seq, kind, kind === "cleared" ? [] : [number], RUNS[engine.run]);
+                        seen.push(change);
+                        heldAfter.push([...engine.cache].sort((a, b) => a - b));
+                        if (!each.lost) {
+                            index.apply(ENGINE, change);
+                        }
+                        break;
+                    }
+                    case "snapshot":
+                        snapshot = takeSnapshot();
+                        break;
+                    case "resync":
+                        index.resync(ENGINE, snapshot);
+                        break;
+                    case "crash":
+                        if (engine.run < RUNS.length - 1) {
+                            engine.run++;
+                            engine.seq = 0;
+                            engine.cache.clear();
+                            heldAfter = [[]];
+                            index.begin(ENGINE, RUNS[engine.run]!);
+                        }
+                        break;
+                    case "replay":
+                        seen.filter(old => old.incarnation !== RUNS[engine.run]).forEach(old =>
+                            index.apply(ENGINE, old)
+                        );
+                        break;
+                }
+                if (!index.isDoubtful(ENGINE)) {
+                    t.deepEqual(held(index), heldAfter[index.seqOf(ENGINE)]);
+                }
+            });
+            index.resync(ENGINE, takeSnapshot());
+            t.false(index.isDoubtful(ENGINE));
+            t.deepEqual(held(index), [...engine.cache].sort((a, b) => a - b));
+        }),
+        { seed: SEED, numRuns: 300 },
+    );
+});
+
+test("index: 100,000 cached blocks take less than 8 MiB", t => {
+    const index = started();
+    index.apply(ENGINE, event(1, "stored", Array.from({ length: 100_000 }, (_, n) => n * 7_919)));
+    t.is(index.size, 100_000);
+    t.true(index.bytes < 8 * 1_048_576, `${index.bytes} bytes`);
+});
+
+test("index: removed rows are reused rather than piling up", t => {
+    const index = started();
+    Array.from({ length: 20_000 }, (_, n) => n).forEach(n => {
+        index.apply(ENGINE, event(2 * n + 1, "stored", [n]));
+        index.apply(ENGINE, event(2 * n + 2, "removed", [n]));
+    });
+    t.is(index.size, 0);
+    t.true(index.bytes <= 26 * 1_024);
+});
+
+test("index: the first pieces share the partitions out", t => {
+    const firstPieces = Array.from(
+        { length: 4_000 },
+        (_, n) => PieceHash.parse(n.toString(16).padStart(8, "0").padEnd(32, "0")),
+    );
+    const counts = firstPieces.map(first => partitionOf(first, 4));
+    [0, 1, 2, 3].forEach(partition => t.is(counts.filter(each => each === partition).length, 1_000));
+});
--- /dev/null
+++ b/packages/endpoint/src/__tests__/unit/stepEndpoint.test.ts
@@ -0,0 +1,148 @@
+import {
+    AdapterName,
+    DispatchId,
+    EndpointName,
+    FailureDomain,
+    Incarnation,
+    ModelName,
+    WeightsVersion,
+} from "@azureshunt/core";
+import test from "ava";
+
+import type { EndpointEvent } from "../../state/EndpointEvent.js";
+import type { EndpointState } from "../../state/EndpointState.js";
+import { isEligible } from "../../state/isEligible.js";
+import { loadOf } from "../../state/loadOf.js";
+import { newEndpoint } from "../../state/newEndpoint.js";
+import { prefillRate } from "../../state/prefillRate.js";
+import { stepEndpoint } from "../../state/stepEndpoint.js";
+
+type Timed = { readonly at: number; readonly event: EndpointEvent; };
+
+const RUN_A = Incarnation.parse("run-a");
+const RUN_B = Incarnation.parse("run-b");
+const MODEL = ModelName.parse("advisor");
+const V1 = WeightsVersion.parse("v1");
+const V2 = WeightsVersion.parse("v2");
+const HELD = [{ model: MODEL, adapter: undefined, version: V1 }];
+const WANTED = { model: MODEL, adapter: undefined, version: V1 };
+const DOMAIN = FailureDomain.parse("fd-1");
+const URL = "http://127.0.0.1:1";
+const FRESH = newEndpoint(EndpointName.parse("engine-1"), DOMAIN, URL, false);
+
+const run = (state: EndpointState, events: readonly Timed[]) =>
+    events.reduce((current, { at, event }) => stepEndpoint(current, event, at).state, state);
+const state = (at: number, incarnation = RUN_A, askedAt = at, ready = true): Timed => ({
+    at,
+    event: { kind: "state-reported", incarnation, ready, holds: HELD, askedAt },
+});
+const load = (at: number, running: number, waiting: number, waitingTokens: number, measuredAt = at): Timed => ({
+    at,
+    event: {
+        kind: "load-reported",
+        report: { incarnation: RUN_A, running, waiting, waitingTokens, measuredAt },
+        askedAt: at,
+    },
+});
+const dispatch = (at: number, id: string, prefillTokens: number, expectedWait = 0): Timed => ({
+    at,
+    event: { kind: "dispatched", dispatchId: DispatchId.parse(id), prefillTokens, expectedWait },
+});
+const start = (at: number, id: string, incarnation = RUN_A, computedTokens?: number): Timed => ({
+    at,
+    event: { kind: "started", dispatchId: DispatchId.parse(id), incarnation, computedTokens, networkMs: 1 },
+});
+const end = (at: number, id: string, outcome: "complete" | "died" | "refused" = "complete"): Timed => ({
+    at,
+    event: { kind: "ended", dispatchId: DispatchId.parse(id), outcome },
+});
+const declared = (leaving: boolean): Timed => ({
+    at: 9,
+    event: { kind: "declared", url: URL, failureDomain: DOMAIN, leaving },
+});
+
+[
+    { name: "never heard of", events: [], eligible: false },
+    { name: "ready", events: [state(0)], eligible: true },
+    { name: "not ready", events: [state(0, RUN_A, 0, false)], eligible: false },
+    { name: "leaving", events: [state(0), declared(true)], eligible: false },
+    { name: "no longer leaving", events: [state(0), declared(true), declared(false)], eligible: true },
+    { name: "died under a request", events: [state(0), dispatch(1, "d", 1), end(2, "d", "died")], eligible: false },
+    { name: "probed after", events: [state(0), dispatch(1, "d", 1), end(2, "d", "died"), state(3)], eligible: true },
+    { name: "refused one request", events: [state(0), dispatch(1, "d", 1), end(2, "d", "refused")], eligible: true },
+    { name: "restarted", events: [state(0), dispatch(1, "d", 1), start(2, "d", RUN_B)], eligible: false },
+].forEach(({ name, events, eligible }) =>
+    test(`eligible: ${name}`, t => {
+        t.is(isEligible(run(FRESH, events), WANTED), eligible);
+    })
+);
+
+[
+    { name: "older weights", wanted: { ...WANTED, version: V2 } },
+    { name: "another adapter", wanted: { ...WANTED, adapter: AdapterName.parse("tags") } },
+].forEach(({ name, wanted }) =>
+    test(`eligible: not for ${name} than it holds`, t => {
+        t.false(isEligible(run(FRESH, [state(0)]), wanted));
+    })
+);
+
+test("run: a late answer of the former run does not bring it back", t => {
+    // An engine is asked for its state, its answer is held up, it crashes and comes back, and is asked again. The first
+    // answer arrives last. If it counted, entries of the dead run would match until the next probe.
+    const restarted = run(FRESH, [state(0), state(20, RUN_B, 15)]);
+    const late = stepEndpoint(restarted, state(30, RUN_A, 5).event, 30);
+    t.is(late.state.incarnation, RUN_B);
+    t.deepEqual(late.effects, []);
+});
+
+test("run: a new run voids the cache and asks for a probe, also when a caller's answer shows it first", t => {
+    const before = run(FRESH, [state(0), dispatch(1, "d", 100)]);
+    const { effects } = stepEndpoint(before, start(5, "d", RUN_B).event, 5);
+    t.deepEqual(effects, [{ kind: "begin-cache", incarnation: RUN_B }, { kind: "probe" }]);
+});
+
+[
+    { name: "idle", events: [], requests: 0, tokens: 0 },
+    { name: "own only", events: [dispatch(10, "a", 100)], requests: 1, tokens: 100 },
+    {
+        name: "own, begun",
+        events: [dispatch(10, "a", 100), start(10, "a")],
+        requests: 1,
+        tokens: 0,
+    },
+    { name: "others only", events: [load(10, 2, 1, 300)], requests: 3, tokens: 300 },
+    {
+        name: "a report that counts what this VM sent is not added to it",
+        events: [dispatch(1, "a", 100), load(10, 1, 0, 100)],
+        requests: 1,
+        tokens: 91,
+    },
+    {
+        name: "a report measured before the dispatch leaves it out",
+        events: [dispatch(8, "a", 100), load(10, 2, 0, 50, 5)],
+        requests: 3,
+        tokens: 143,
+    },
+].forEach(({ name, events, requests, tokens }) =>
+    test(`load: ${name}`, t => {
+        t.deepEqual(loadOf(run(FRESH, [state(0), ...events]), 1, 10), { requests, prefillTokens: tokens });
+    })
+);
+
+test("load: an old report is left out", t => {
+    t.is(loadOf(run(FRESH, [state(0), load(10, 9, 9, 900)]), 1, 5_000).requests, 0);
+});
+
+test("rate: the median of clear samples, which one odd sample does not move", t => {
+    const events = [2, 2, 40, 2].flatMap((msPerToken, i) => [
+        dispatch(i * 1e6, `d${i}`, 1_000),
+        start(i * 1e6 + 1_000 * msPerToken + 1, `d${i}`, RUN_A, 1_000),
+        end(i * 1e6 + 1e5, `d${i}`),
+    ]);
+    t.is(prefillRate(run(FRESH, [state(0), ...events]), []), 2);
+});
+
+test("rate: a dispatch that had to queue gives no sample", t => {
+    const queued = run(FRESH, [state(0), dispatch(0, "d", 1_000, 900), start(1_001, "d", RUN_A, 1_000)]);
+    t.deepEqual(queued.prefillSamples, []);
+});
--- /dev/null
+++ b/packages/endpoint/src/cache/CacheSnapshot.ts
@@ -0,0 +1,8 @@
+import type { Incarnation, PieceHash } from "@azureshunt/core";
+
+/** All of an engine's cache after its event number `seq`. */
+export type CacheSnapshot = {
+    readonly incarnation: Incarnation;
+    readonly seq: number;
+    readonly hashes: readonly PieceHash[];
+};
--- /dev/null
+++ b/packages/endpoint/src/estimate/estimateFirstToken.ts
@@ -0,0 +1,28 @@
+import type { Millis, Tokens } from "@azureshunt/core";
+
+import type { EndpointLoad } from "../state/EndpointLoad.js";
+import type { Estimate } from "./Estimate.js";
+
+/** What the estimate is made from. */
+type EstimateInput = {
+    readonly load: EndpointLoad;
+    /** Requests that the endpoint runs at once; undefined when it never had to queue. */
+    readonly slots: number | undefined;
+    /** Milliseconds a token of a prompt. */
+    readonly msPerToken: number;
+    /** Tokens of the prompt that are not cached there. */
+    readonly uncachedTokens: Tokens;
+    readonly network: Millis;
+    readonly coldStart: Millis;
+    /** Milliseconds until one running request of a full endpoint ends. */
+    readonly slotMs: Millis;
+};
+
+/** Estimates the time to the first token: queue, prefill of the uncached part, network and cold start. */
+export function estimateFirstToken(input: EstimateInput): Estimate {
+    const { load, slots, msPerToken, uncachedTokens, network, coldStart, slotMs } = input;
+    const over = slots === undefined ? 0 : Math.max(0, load.requests + 1 - slots);
+    const wait = load.prefillTokens * msPerToken + over * slotMs;
+    const prefill = uncachedTokens * msPerToken;
+    return { wait, prefill, network, coldStart, total: wait + prefill + network + coldStart };
+}
--- /dev/null
+++ b/packages/endpoint/src/policies/policyOf.ts
@@ -0,0 +1,18 @@
+import { leastLoaded } from "./leastLoaded.js";
+import { lowestEstimate } from "./lowestEstimate.js";
+import type { Policy } from "./Policy.js";
+import type { PolicyName } from "./PolicyName.js";
+import { prefixAffinity } from "./prefixAffinity.js";
+import { roundRobin } from "./roundRobin.js";
+
+const POLICIES: Readonly<Record<PolicyName, Policy>> = {
+    "azureshunt": lowestEstimate,
+    "prefix-affinity": prefixAffinity,
+    "least-loaded": leastLoaded,
+    "round-robin": roundRobin,
+};
+
+/** Gives the policy of a name. */
+export function policyOf(name: PolicyName): Policy {
+    return POLICIES[name];
+}
--- /dev/null
+++ b/packages/endpoint/src/queue/QueueTake.ts
@@ -0,0 +1,8 @@
+import type { FairQueue } from "./FairQueue.js";
+import type { QueueItem } from "./QueueItem.js";
+
+/** A request taken from a queue, and the queue without it. */
+export type QueueTake = {
+    readonly queue: FairQueue;
+    readonly item: QueueItem | undefined;
+};
--- /dev/null
+++ b/packages/endpoint/src/state/EndpointEvent.ts
@@ -0,0 +1,42 @@
+import type { DispatchId, FailureDomain, Incarnation, Millis, Tokens } from "@azureshunt/core";
+
+import type { HeldWeights } from "./HeldWeights.js";
+import type { LoadReport } from "./LoadReport.js";
+
+/** What happens to an endpoint. Answers name the time of asking, so that a late one cannot bring back a former run. */
+export type EndpointEvent =
+    | {
+        readonly kind: "declared";
+        readonly url: string;
+        readonly failureDomain: FailureDomain;
+        readonly leaving: boolean;
+    }
+    | {
+        readonly kind: "dispatched";
+        readonly dispatchId: DispatchId;
+        readonly prefillTokens: Tokens;
+        readonly expectedWait: Millis;
+    }
+    | {
+        readonly kind: "started";
+        readonly dispatchId: DispatchId;
+        readonly incarnation: Incarnation | undefined;
+        /** Tokens of the prompt that the endpoint really computed, where it said so. */
+        readonly computedTokens: Tokens | undefined;
+        /** Milliseconds that the network took of the time to the first token. */
+        readonly networkMs: Millis;
+    }
+    | {
+        readonly kind: "ended";
+        readonly dispatchId: DispatchId;
+        readonly outcome: "complete" | "refused" | "died" | "cancelled";
+    }
+    | { readonly kind: "load-reported"; readonly report: LoadReport; readonly askedAt: Millis; }
+    | {
+        readonly kind: "state-reported";
+        readonly incarnation: Incarnation | undefined;
+        readonly ready: boolean;
+        readonly holds: readonly HeldWeights[];
+        readonly askedAt: Millis;
+    }
+    | { readonly kind: "probe-failed"; };
--- /dev/null
+++ b/packages/endpoint/src/state/EndpointState.ts
@@ -0,0 +1,34 @@
+import type { EndpointName, FailureDomain, Incarnation, Millis } from "@azureshunt/core";
+
+import type { HeldWeights } from "./HeldWeights.js";
+import type { InFlight } from "./InFlight.js";
+import type { LoadReport } from "./LoadReport.js";
+import type { OwnLoad } from "./OwnLoad.js";
+
+/** What this VM knows of one endpoint. */
+export type EndpointState = {
+    readonly name: EndpointName;
+    readonly failureDomain: FailureDomain;
+    readonly url: string;
+    /** A leaving endpoint gets no new work; its streams finish. */
+    readonly leaving: boolean;
+    /** The current run; undefined until the endpoint has told it, and always for plain services. */
+    readonly incarnation: Incarnation | undefined;
+    /** When an answer first showed the current run. */
+    readonly incarnationSeenAt: Millis;
+    /** `unknown` before the first answer. A `down` endpoint gets no work until a probe succeeds. */
+    readonly health: "unknown" | "up" | "down";
+    /** Whether the endpoint says that it takes work. */
+    readonly ready: boolean;
+    /** Times of failures within the window, the oldest first. */
+    readonly failures: readonly Millis[];
+    readonly holds: readonly HeldWeights[];
+    readonly inFlight: readonly InFlight[];
+    readonly report: LoadReport | undefined;
+    /** This VM's own part of the load over the last seconds, the oldest first. */
+    readonly ownHistory: readonly OwnLoad[];
+    /** Milliseconds to compute one token of a prompt, of recent dispatches, the oldest first. */
+    readonly prefillSamples: readonly number[];
+    /** Most requests that were seen running while others waited; undefined while none had to wait. */
+    readonly slots: number | undefined;
+};
