--- /dev/null
+++ b/packages/request/src/isSuspect.ts
@@ -0,0 +1,8 @@
+import { deathsOf } from "./deathsOf.js";
+import type { RequestFingerprint } from "./RequestFingerprint.js";
+import type { SuspectState } from "./SuspectState.js";
+
+/** Whether a request must not share an endpoint with another suspect. */
+export function isSuspect(state: SuspectState, request: RequestFingerprint): boolean {
+    return deathsOf(state, request).length > 0;
+}
