Start and drain a whole daemon

Cause: the thin path needs one process that listens to callers, operators and peers. Ruled out: a branch for the thin parts; each stands behind its port and is replaced whole. Change: startDaemon, graceful shutdown, health, thin ports.

--- /dev/null
+++ b/packages/daemon/src/Stopping.ts
@@ -0,0 +1,5 @@
+/** A part of the daemon that can be stopped. */
+export type Stopping = {
+    /** Ends timers, connections and actors of the part at once. */
+    readonly stop: () => void | Promise<void>;
+};
--- /dev/null
+++ b/packages/daemon/src/gateway/serveHealth.ts
@@ -0,0 +1,35 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+
+const STATUS_OK = 200;
+const STATUS_UNAVAILABLE = 503;
+
+/** What the health answers are made from. */
+type Health = {
+    readonly isReady: () => boolean;
+    readonly isDraining: () => boolean;
+};
+
+/**
+ * Answers `/healthz` (the process lives) and `/readyz` (the balancer may send requests here).
+ *
+ * @returns whether the request was one of these
+ */
+export function serveHealth(req: IncomingMessage, res: ServerResponse, health: Health): boolean {
+    const send = (status: number, text: string): boolean => {
+        res.writeHead(status, { "content-type": "text/plain" });
+        res.end(`${text}\n`);
+        return true;
+    };
+    switch (req.url) {
+        case "/healthz":
+            return send(STATUS_OK, "ok");
+        case "/readyz":
+            return health.isDraining()
+                ? send(STATUS_UNAVAILABLE, "draining")
+                : health.isReady()
+                ? send(STATUS_OK, "ready")
+                : send(STATUS_UNAVAILABLE, "no configuration");
+        default:
+            return false;
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/startDaemon.ts
@@ -0,0 +1,99 @@
+import { randomUUID } from "node:crypto";
+
+import type { Incarnation } from "@azureshunt/core";
+import { createLogClient } from "@azureshunt/platform";
+import { start, stop as stopSystem } from "nact";
+import { Agent } from "undici";
+
+import { startAdminListener } from "./admin/startAdminListener.js";
+import { createAllowancePort } from "./allowance/createAllowancePort.js";
+import { createReleasePort } from "./configuration/createReleasePort.js";
+import { createClock } from "./createClock.js";
+import { createTracePort } from "./createTracePort.js";
+import { authenticateCaller } from "./gateway/authenticateCaller.js";
+import { startCallerListener } from "./gateway/startCallerListener.js";
+import { createIntentPort } from "./intent/createIntentPort.js";
+import { createLoggers } from "./logging/createLoggers.js";
+import { createMembershipPort } from "./membership/createMembershipPort.js";
+import { createMetrics } from "./metrics/createMetrics.js";
+import { createPeerPort } from "./peers/createPeerPort.js";
+import { createPlacementPort } from "./placement/createPlacementPort.js";
+import type { DaemonContext } from "./ports/DaemonContext.js";
+import { recheckCall } from "./gateway/recheckCall.js";
+import type { Settings } from "./Settings.js";
+import { createSuspectPort } from "./suspects/createSuspectPort.js";
+
+const ENDPOINT_CONNECT_MS = 1_000;
+const ENDPOINT_KEEP_ALIVE_MS = 4_000;
+const ENDPOINT_CONNECTIONS = 512;
+
+/** A running daemon. */
+type Daemon = {
+    /** Stops taking requests, lets those that run finish, hands allowances over, and ends all parts. */
+    readonly shutDown: () => Promise<void>;
+};
+
+/**
+ * Starts all parts of a daemon.
+ *
+ * @param settings checked settings
+ * @throws Error when a listener cannot be bound or a certificate cannot be read
+ */
+export async function startDaemon(settings: Settings): Promise<Daemon> {
+    const incarnation = randomUUID() as string as Incarnation;
+    const clock = createClock();
+    const logger = createLoggers(settings.logging.level, {
+        vm: settings.vm,
+        failureDomain: settings.failureDomain,
+        incarnation,
+    });
+    const metrics = createMetrics();
+    const system = start(`azureshunt-${settings.vm}`);
+    const log = createLogClient(settings.platform.url);
+    const membership = createMembershipPort(settings, incarnation);
+    const peers = await createPeerPort(settings, incarnation, () =>
+        membership.members()
+            .filter(member => member.vm !== settings.vm)
+            .map(({ vm, failureDomain, peer }) => ({ vm, failureDomain, address: peer })));
+    const base = { settings, incarnation, system, clock, random: Math.random, logger, metrics, membership, peers, log };
+    const release = createReleasePort(base);
+    const ctx: DaemonContext = { ...base, release };
+
+    const dispatcher = new Agent({
+        connect: { timeout: ENDPOINT_CONNECT_MS },
+        keepAliveTimeout: ENDPOINT_KEEP_ALIVE_MS,
+        connections: ENDPOINT_CONNECTIONS,
+        pipelining: 1,
+    });
+    const trace = createTracePort(clock.epoch);
+    const allowance = createAllowancePort(ctx);
+    const placement = createPlacementPort(ctx);
+    const intents = createIntentPort(ctx);
+    const suspects = createSuspectPort(ctx);
+    const draining = { is: false };
+    const isDraining = (): boolean => draining.is;
+    const callers = await startCallerListener({
+        dispatch: { ctx, placement, suspects, dispatcher, recheck: recheckCall(release) },
+        allowance,
+        intents,
+        trace,
+        authenticate: authenticateCaller,
+        isDraining,
+    });
+    const admin = await startAdminListener({ ctx, release, allowance, placement, trace, isDraining });
+    logger("daemon").info({ listen: settings.listen }, "Started.");
+
+    const shutDown = async (): Promise<void> => {
+        draining.is = true;
+        logger("daemon").info("Draining.");
+        await callers.drain(settings.limits.drainMs);
+        await allowance.drain();
+        [allowance, placement, intents, suspects, release, membership, peers].forEach(part => void part.stop());
+        await admin.stop();
+        await dispatcher.destroy();
+        await log.close();
+        stopSystem(system);
+        logger("daemon").info("Stopped.");
+    };
+    return { shutDown };
+}
