Add the stand-ins: platform, model engine, plain service, KV cache store, link

Cause: the daemon's outside half (docs/PROTOCOLS.md) had no other end to run against. Ruled out: sharing the core's piece hashes. Shown by: a shell walk over every route by hand (append, read, wait, lost answer, stream, cache hit on repetition, orders with an old fencing number, cut link, crash on a text) gave what docs/PROTOCOLS.md says.

--- /dev/null
+++ b/packages/standins/bin/standin.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../dist/main.js";
--- /dev/null
+++ b/packages/standins/src/common/sendJson.ts
@@ -0,0 +1,17 @@
+import type { ServerResponse } from "node:http";
+
+/** Answers with JSON. */
+export function sendJson(
+    res: ServerResponse,
+    status: number,
+    body: unknown,
+    headers: Readonly<Record<string, string>> = {},
+): void {
+    const text = JSON.stringify(body);
+    res.writeHead(status, {
+        ...headers,
+        "content-type": "application/json",
+        "content-length": Buffer.byteLength(text),
+    });
+    res.end(text);
+}
--- /dev/null
+++ b/packages/standins/src/engine/EngineEntry.ts
@@ -0,0 +1,41 @@
+/** A request that joined the batch. */
+type RunEntry = {
+    readonly kind: "run";
+    readonly organisation: string | undefined;
+    readonly dispatchId: string | undefined;
+    readonly model: string;
+    readonly adapter: string | undefined;
+    readonly version: string;
+    readonly promptTokens: number;
+    readonly cachedTokens: number;
+    readonly resumeFrom: number;
+    readonly priority: number;
+    readonly pieces: readonly string[];
+    /** Milliseconds since the epoch. */
+    readonly at: number;
+};
+
+/** A request that left the engine, after `tokens` of its answer were generated here. */
+type EndEntry = {
+    readonly kind: "end";
+    readonly dispatchId: string | undefined;
+    readonly outcome: "complete" | "cancelled";
+    readonly tokens: number;
+    readonly at: number;
+};
+
+/** A change of the cache, told here at once and without loss. */
+type CacheEntry = {
+    readonly kind: "cache";
+    readonly stored: readonly string[];
+    readonly removed: readonly string[];
+    readonly at: number;
+};
+
+/** The start of a process; everything before it in a file belongs to an earlier incarnation. */
+type StartEntry = { readonly kind: "start"; readonly incarnation: string; readonly at: number; };
+
+/** One line of a model engine's history. */
+type EngineEntry = RunEntry | EndEntry | CacheEntry | StartEntry;
+
+export type { EngineEntry, RunEntry };
--- /dev/null
+++ b/packages/standins/src/engine/LoadReport.ts
@@ -0,0 +1,11 @@
+/** An engine's report of its load. */
+export type LoadReport = {
+    readonly incarnation: string;
+    readonly running: number;
+    readonly waiting: number;
+    /** Prompt tokens still to compute, over all requests. */
+    readonly waitingTokens: number;
+    readonly cachedPieces: number;
+    readonly maxPieces: number;
+    readonly at: number;
+};
--- /dev/null
+++ b/packages/standins/src/engine/Sequence.ts
@@ -0,0 +1,20 @@
+/** One request in the engine: a prompt to compute, then tokens to generate. */
+export type Sequence = {
+    readonly id: string;
+    /** Lower goes first. */
+    readonly priority: number;
+    /** Order of arrival, among equal priorities. */
+    readonly order: number;
+    readonly pieces: readonly string[];
+    readonly pieceTokens: number;
+    /** Tokens to compute before the first new token: the prompt, and the output before the position asked for. */
+    readonly promptTokens: number;
+    /** Tokens computed, or found in the cache, so far. */
+    readonly computedTokens: number;
+    /** Tokens found in the cache when the request joined the batch. */
+    readonly cachedTokens: number;
+    /** Position of the next token to generate. */
+    readonly position: number;
+    /** Position after the last token to generate. */
+    readonly endPosition: number;
+};
--- /dev/null
+++ b/packages/standins/src/engine/answerHeaders.ts
@@ -0,0 +1,10 @@
+import type { AnswerContext } from "./AnswerContext.js";
+
+/** The headers of every answer that ran. */
+export function answerHeaders(context: AnswerContext, cachedTokens: number): Readonly<Record<string, string>> {
+    return {
+        "x-dispatch-id": context.identity.dispatchId,
+        "x-incarnation": context.incarnation,
+        "x-cached-tokens": String(cachedTokens),
+    };
+}
--- /dev/null
+++ b/packages/standins/src/engine/endLoad.ts
@@ -0,0 +1,13 @@
+import type { Holding } from "./Holding.js";
+import { sameHolding } from "./sameHolding.js";
+import type { Weights } from "./Weights.js";
+
+/** Ends a load. Weights that were unloaded while they loaded are not held. */
+export function endLoad(weights: Weights, holding: Holding, succeeded: boolean): Weights {
+    const wanted = weights.loading.some(other => sameHolding(other, holding));
+    return {
+        ...weights,
+        loading: weights.loading.filter(other => !sameHolding(other, holding)),
+        holds: wanted && succeeded ? [...weights.holds, holding] : weights.holds,
+    };
+}
--- /dev/null
+++ b/packages/standins/src/engine/renderMessages.ts
@@ -0,0 +1,7 @@
+/** One message of a chat. */
+type Message = { readonly role: string; readonly content: string; };
+
+/** Renders a chat into the text that piece hashes are taken of. */
+export function renderMessages(messages: readonly Message[]): string {
+    return messages.map(({ role, content }) => `<${role}>\n${content}\n`).join("");
+}
--- /dev/null
+++ b/packages/standins/src/engine/touchPieces.ts
@@ -0,0 +1,14 @@
+import type { PieceCache } from "./PieceCache.js";
+
+/**
+ * Marks cached pieces as used now. The chain's last piece counts as used first, so that eviction takes a chain from its
+ * end: a piece whose predecessors are gone could never be found again.
+ */
+export function touchPieces(cache: PieceCache, pieces: readonly string[], now: number): PieceCache {
+    const next = new Map(cache);
+    pieces.toReversed().filter(piece => next.has(piece)).forEach(piece => {
+        next.delete(piece);
+        next.set(piece, now);
+    });
+    return next;
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,2 +1,3 @@
 /** Small stand-ins for the platform, model engines, the KV cache store, plain services and a network link. */
-export {};
+export type { EngineEntry } from "./engine/EngineEntry.js";
+export type { ServiceRun } from "./service/ServiceRun.js";
--- /dev/null
+++ b/packages/standins/src/link/LinkFlags.ts
@@ -0,0 +1,12 @@
+import { z } from "zod";
+
+import { CommonFlags } from "../common/CommonFlags.js";
+
+/** Flags of the link. */
+const LinkFlags = CommonFlags.extend({
+    /** Routes as `name=host:port`, one or more. */
+    route: z.union([z.string(), z.array(z.string())]).default([]).transform(value => [value].flat()),
+});
+type LinkFlags = z.infer<typeof LinkFlags>;
+
+export { LinkFlags };
--- /dev/null
+++ b/packages/standins/src/service/startService.ts
@@ -0,0 +1,97 @@
+import { createSwitches } from "../common/createSwitches.js";
+import { header } from "../common/header.js";
+import { HttpError } from "../common/HttpError.js";
+import type { HttpRequest } from "../common/HttpRequest.js";
+import { openHistory } from "../common/openHistory.js";
+import { readBody } from "../common/readBody.js";
+import { sendJson } from "../common/sendJson.js";
+import { serve } from "../common/serve.js";
+import { sleep } from "../common/sleep.js";
+import { systemClock } from "../common/systemClock.js";
+import type { ServiceFlags } from "./ServiceFlags.js";
+import type { ServiceRun } from "./ServiceRun.js";
+import { ServiceSwitches } from "./ServiceSwitches.js";
+
+/** What a call is answered with; kept so that the next answer can be crossed with it. */
+type ServiceAnswer = { readonly dispatchId: string; readonly body: object; };
+
+type Countdown = "loseAnswers" | "refuse" | "fail" | "crossAnswers";
+
+/**
+ * Starts a plain service that takes any call, runs it as often as it comes, and counts.
+ *
+ * @returns the base URL
+ */
+export function startService(flags: ServiceFlags): Promise<string> {
+    const switches = createSwitches(ServiceSwitches);
+    switches.update({ delayMs: flags.delayMs, crashOn: flags.crashOn });
+    const history = openHistory<ServiceRun>(flags.history);
+    let previous: ServiceAnswer | undefined;
+
+    const take = (countdown: Countdown): boolean => {
+        const left = switches.current()[countdown];
+        if (left > 0) {
+            switches.update({ [countdown]: left - 1 });
+        }
+        return left > 0;
+    };
+    const crashes = (path: string, body: string): boolean => {
+        const { crashOn } = switches.current();
+        return crashOn !== "" && (path.includes(crashOn) || body.includes(crashOn));
+    };
+    const record = ({ req, method, path }: HttpRequest): ServiceRun => {
+        const run: ServiceRun = {
+            method,
+            path,
+            organisation: header(req, "x-organisation"),
+            idempotencyKey: header(req, "idempotency-key"),
+            dispatchId: header(req, "x-dispatch-id"),
+            at: systemClock.now(),
+        };
+        history.add(run);
+        return run;
+    };
+    const call = async (request: HttpRequest): Promise<void> => {
+        const { req, res } = request;
+        const body = (await readBody(req)).toString("utf8");
+        if (take("refuse")) {
+            throw new HttpError(503, "Refused before running.", { "x-not-run": "1" });
+        }
+        const run = record(request);
+        if (crashes(run.path, body)) {
+            process.exit(1);
+        }
+        await sleep(systemClock, switches.current().delayMs);
+        if (switches.current().hang) {
+            return;
+        }
+        if (take("loseAnswers")) {
+            req.socket.destroy();
+            return;
+        }
+        if (take("fail")) {
+            throw new HttpError(500, "Failed while running.", { "x-dispatch-id": run.dispatchId ?? "" });
+        }
+        const own: ServiceAnswer = {
+            dispatchId: run.dispatchId ?? "",
+            body: { service: flags.name, method: run.method, path: run.path, run: history.entries().length },
+        };
+        const sent = take("crossAnswers") ? previous ?? own : own;
+        previous = own;
+        sendJson(res, 200, sent.body, { "x-dispatch-id": sent.dispatchId });
+    };
+
+    return serve({
+        ...flags,
+        switches,
+        routes: [
+            { method: "GET", pattern: /^\/health$/, handle: ({ res }) => sendJson(res, 200, { ok: true }) },
+            {
+                method: "GET",
+                pattern: /^\/runs$/,
+                handle: ({ res }) => sendJson(res, 200, { runs: history.entries() }),
+            },
+            { method: undefined, pattern: /^\//, handle: call },
+        ],
+    });
+}
