Start a whole installation as processes on free ports

Cause: demo, measurements and histories need the same processes. Ruled out: fixed ports. Change: packages/bench topology.

--- /dev/null
+++ b/packages/bench/src/topology/startDaemonProcess.ts
@@ -0,0 +1,66 @@
+import { writeFileSync } from "node:fs";
+
+import { stringify } from "yaml";
+
+import type { DaemonProcess } from "./DaemonProcess.js";
+import type { ManagedProcess } from "./ManagedProcess.js";
+import { startProcess } from "./startProcess.js";
+
+/** What a daemon is started with. */
+type DaemonPlan = {
+    readonly vm: string;
+    readonly failureDomain: string;
+    readonly callerPort: number;
+    readonly adminPort: number;
+    readonly peerPort: number;
+    readonly platformUrl: string;
+    readonly secret: string;
+    readonly adminKeyDigest: string;
+    readonly policy: string;
+    readonly logLevel: string;
+    readonly folder: string;
+};
+
+const HOST = "127.0.0.1";
+
+/** Writes the settings of a daemon and starts it. */
+export function startDaemonProcess(plan: DaemonPlan): DaemonProcess {
+    const settingsFile = `${plan.folder}/${plan.vm}.yaml`;
+    const logFile = `${plan.folder}/${plan.vm}.log`;
+    const peer = `${HOST}:${plan.peerPort}`;
+    writeFileSync(
+        settingsFile,
+        stringify({
+            vm: plan.vm,
+            failureDomain: plan.failureDomain,
+            listen: { caller: `${HOST}:${plan.callerPort}`, admin: `${HOST}:${plan.adminPort}`, peer },
+            platform: { url: plan.platformUrl },
+            peers: { secret: plan.secret },
+            adminKeyDigests: [plan.adminKeyDigest],
+            logging: { level: plan.logLevel },
+            policy: plan.policy,
+        }),
+    );
+    const launch = (): ManagedProcess =>
+        startProcess({
+            name: plan.vm,
+            script: "daemon/bin/azureshuntd.js",
+            args: ["--settings", settingsFile],
+            logFile,
+            onLine: () => undefined,
+        });
+    const newest = { process: launch() };
+    return {
+        vm: plan.vm,
+        failureDomain: plan.failureDomain,
+        caller: `http://${HOST}:${plan.callerPort}`,
+        admin: `http://${HOST}:${plan.adminPort}`,
+        peer,
+        settingsFile,
+        logFile,
+        process: () => newest.process,
+        restart: () => {
+            newest.process = launch();
+        },
+    };
+}
--- /dev/null
+++ b/packages/bench/src/topology/startTopology.ts
@@ -0,0 +1,85 @@
+import { createHash, randomBytes } from "node:crypto";
+
+import { callHttp } from "./callHttp.js";
+import type { DaemonProcess } from "./DaemonProcess.js";
+import { freePorts } from "./freePorts.js";
+import type { ManagedProcess } from "./ManagedProcess.js";
+import { startDaemonProcess } from "./startDaemonProcess.js";
+import { startStandIn } from "./startStandIn.js";
+import type { Topology } from "./Topology.js";
+import type { TopologyPlan } from "./TopologyPlan.js";
+import { waitUntil } from "./waitUntil.js";
+
+const PORTS_PER_DAEMON = 3;
+const START_BOUND_MS = 20_000;
+const STOP_BOUND_MS = 5_000;
+const STANDIN_KINDS = { model: "engine", service: "service", cache: "cache" } as const;
+
+const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms).unref());
+
+const endProcess = async (target: ManagedProcess): Promise<void> => {
+    target.signal("SIGCONT");
+    target.signal("SIGTERM");
+    await Promise.race([target.exited, sleep(STOP_BOUND_MS)]);
+    target.signal("SIGKILL");
+    await target.exited;
+};
+
+const declareVm = (platformUrl: string, daemon: DaemonProcess): Promise<unknown> =>
+    callHttp({
+        method: "PUT",
+        url: `${platformUrl}/vms/${daemon.vm}`,
+        body: {
+            vm: daemon.vm,
+            failureDomain: daemon.failureDomain,
+            state: "live",
+            peer: daemon.peer,
+            admin: new URL(daemon.admin).host,
+        },
+    });
+
+/** Starts a platform, endpoints and daemons as processes of their own on free ports, and waits until all listen. */
+export async function startTopology(plan: TopologyPlan): Promise<Topology> {
+    const platform = await startStandIn("platform", "platform", plan.platformFlags);
+    const endpoints = await Promise.all(plan.endpoints.map(async endpoint => {
+        const flags = { "failure-domain": endpoint.failureDomain, ...endpoint.flags };
+        const withWeights = endpoint.kind === "model" ? { ...flags, "weights-url": platform.url } : flags;
+        const started = await startStandIn(STANDIN_KINDS[endpoint.kind], endpoint.name, withWeights);
+        return { ...started, kind: endpoint.kind, failureDomain: endpoint.failureDomain };
+    }));
+    const adminKey = `asa_${randomBytes(32).toString("base64url")}`;
+    const vms = plan.failureDomains.flatMap(failureDomain =>
+        Array.from({ length: plan.daemonsPerDomain }, (_, i) => ({ failureDomain, vm: `vm-${failureDomain}-${i + 1}` }))
+    );
+    const ports = await freePorts(vms.length * PORTS_PER_DAEMON);
+    const secret = randomBytes(32).toString("base64url");
+    const daemons = vms.map(({ vm, failureDomain }, i) =>
+        startDaemonProcess({
+            vm,
+            failureDomain,
+            callerPort: ports[i * PORTS_PER_DAEMON] ?? 0,
+            adminPort: ports[i * PORTS_PER_DAEMON + 1] ?? 0,
+            peerPort: ports[i * PORTS_PER_DAEMON + 2] ?? 0,
+            platformUrl: platform.url,
+            secret,
+            adminKeyDigest: createHash("sha256").update(adminKey).digest("hex"),
+            policy: plan.policy,
+            logLevel: plan.logLevel,
+            folder: plan.folder,
+        })
+    );
+    await Promise.all(daemons.map(daemon => declareVm(platform.url, daemon)));
+    await Promise.all(daemons.map(daemon =>
+        waitUntil(`${daemon.vm} to listen`, START_BOUND_MS, async () => {
+            if (daemon.process().hasExited()) {
+                throw new Error(daemon.process().errors());
+            }
+            return (await callHttp({ method: "GET", url: `${daemon.caller}/healthz` })).status === 200;
+        })
+    ));
+    const stop = async (): Promise<void> => {
+        await Promise.all(daemons.map(daemon => endProcess(daemon.process())));
+        await Promise.all([...endpoints, platform].map(endProcess));
+    };
+    return { platform, endpoints, daemons, adminKey, stop };
+}
--- a/packages/daemon/src/gateway/startCallerListener.ts
+++ b/packages/daemon/src/gateway/startCallerListener.ts
@@ -26,7 +26,12 @@
     ctx.metrics.gauge("azureshunt_requests_running", "Callers' requests that run now.", () => running.requests);
 
     const handler = (req: IncomingMessage, res: ServerResponse): void => {
-        if (serveHealth(req, res, { isDraining: parts.isDraining, isReady: () => ctx.release.current() !== undefined })) {
+        if (
+            serveHealth(req, res, {
+                isDraining: parts.isDraining,
+                isReady: () => ctx.release.current() !== undefined,
+            })
+        ) {
             return;
         }
         running.requests += 1;
--- a/packages/daemon/src/membership/createMembershipPort.ts
+++ b/packages/daemon/src/membership/createMembershipPort.ts
@@ -16,7 +16,7 @@
 export function createMembershipPort(
     settings: Settings,
     incarnation: MembershipPort["self"]["incarnation"],
-): MembershipPort & { readonly stop: () => void } {
+): MembershipPort & { readonly stop: () => void; } {
     const self: MembershipPort["self"] = {
         vm: settings.vm,
         failureDomain: settings.failureDomain,
@@ -35,7 +35,7 @@
             admin: "",
             incarnation: undefined,
         }));
-    const known: { members: Members } = { members: [self, ...seeds] };
+    const known: { members: Members; } = { members: [self, ...seeds] };
     const listeners = new Set<Listener>();
 
     const poll = async (): Promise<void> => {
--- a/packages/daemon/src/startDaemon.ts
+++ b/packages/daemon/src/startDaemon.ts
@@ -11,6 +11,7 @@
 import { createClock } from "./createClock.js";
 import { createTracePort } from "./createTracePort.js";
 import { authenticateCaller } from "./gateway/authenticateCaller.js";
+import { recheckCall } from "./gateway/recheckCall.js";
 import { startCallerListener } from "./gateway/startCallerListener.js";
 import { createIntentPort } from "./intent/createIntentPort.js";
 import { createLoggers } from "./logging/createLoggers.js";
@@ -19,7 +20,6 @@
 import { createPeerPort } from "./peers/createPeerPort.js";
 import { createPlacementPort } from "./placement/createPlacementPort.js";
 import type { DaemonContext } from "./ports/DaemonContext.js";
-import { recheckCall } from "./gateway/recheckCall.js";
 import type { Settings } from "./Settings.js";
 import { createSuspectPort } from "./suspects/createSuspectPort.js";
 
