Add release notes, the fold of the configuration stream, and keys

Cause: every VM needs the same configuration from the same log records, operators need all faults of a note at once, and callers need their keys checked.

The JSON Schema is generated from zod.

Weighed: changed items as partial patches were ruled out, since two racing patches of one item would merge without either operator having seen the result; a changed item is given whole.

--- /dev/null
+++ b/packages/organisation/src/authenticate.ts
@@ -0,0 +1,32 @@
+import { type Refusal, refusalOf } from "@azureshunt/core";
+import type { Configuration, KeySpec } from "@azureshunt/release";
+import { type Either, Left, Right } from "purify-ts";
+
+import { bucketOf } from "./bucketOf.js";
+import type { Caller } from "./Caller.js";
+import { digestOf } from "./digestOf.js";
+import { isSameDigest } from "./isSameDigest.js";
+import { keyIndexOf } from "./keyIndexOf.js";
+
+const find = (keys: ReadonlyMap<string, readonly KeySpec[]>, digest: string): KeySpec | undefined =>
+    keys.get(bucketOf(digest))?.find(key => isSameDigest(key.digest, digest));
+
+/**
+ * Tells which organisation a key belongs to.
+ *
+ * @param cfg the configuration in force
+ * @param key the key as the caller showed it; undefined when it showed none
+ * @returns left `missing-key`, `unknown-key` or `withdrawn-key`; an admin key is unknown to callers' listeners
+ */
+export function authenticate(cfg: Configuration, key: string | undefined): Either<Refusal, Caller> {
+    if (key === undefined || key === "") {
+        return Left(refusalOf("missing-key"));
+    }
+    const digest = digestOf(key);
+    const index = keyIndexOf(cfg);
+    const spec = find(index.valid, digest);
+    if (spec?.kind === "caller" && spec.organisation !== undefined) {
+        return Right({ keyId: spec.id, organisation: spec.organisation });
+    }
+    return Left(refusalOf(find(index.withdrawn, digest) === undefined ? "unknown-key" : "withdrawn-key"));
+}
--- /dev/null
+++ b/packages/organisation/src/authenticateAdmin.ts
@@ -0,0 +1,40 @@
+import { KeyId, type Refusal, refusalOf } from "@azureshunt/core";
+import type { Configuration } from "@azureshunt/release";
+import { type Either, Left, Right } from "purify-ts";
+
+import { bucketOf } from "./bucketOf.js";
+import { digestOf } from "./digestOf.js";
+import { isSameDigest } from "./isSameDigest.js";
+import { keyIndexOf } from "./keyIndexOf.js";
+
+/** Id that the records of an action show when its key came from the settings. */
+const SETTINGS_KEY = KeyId.parse("settings");
+
+/**
+ * Tells whether a key is one of an administrator's.
+ *
+ * @param cfg the configuration in force; undefined when there is none yet
+ * @param settingsDigests digests that the settings declare valid, for the time before the first release note
+ * @param key the key as it was shown; undefined when none was
+ * @returns the key's id; left `missing-key`, `unknown-key` or `withdrawn-key`; a caller's key is unknown here
+ */
+export function authenticateAdmin(
+    cfg: Configuration | undefined,
+    settingsDigests: readonly string[],
+    key: string | undefined,
+): Either<Refusal, KeyId> {
+    if (key === undefined || key === "") {
+        return Left(refusalOf("missing-key"));
+    }
+    const digest = digestOf(key);
+    const index = cfg === undefined ? undefined : keyIndexOf(cfg);
+    const spec = index?.valid.get(bucketOf(digest))?.find(each => isSameDigest(each.digest, digest));
+    if (spec?.kind === "admin") {
+        return Right(spec.id);
+    }
+    if (settingsDigests.some(known => isSameDigest(known, digest))) {
+        return Right(SETTINGS_KEY);
+    }
+    const isWithdrawn = index?.withdrawn.get(bucketOf(digest))?.some(each => isSameDigest(each.digest, digest));
+    return Left(refusalOf(isWithdrawn === true ? "withdrawn-key" : "unknown-key"));
+}
--- /dev/null
+++ b/packages/organisation/src/isSameDigest.ts
@@ -0,0 +1,10 @@
+import { timingSafeEqual } from "node:crypto";
+
+/**
+ * Compares two digests in constant time. Guards against a caller that learns a valid digest bit by bit from how long a
+ * comparison takes.
+ */
+export function isSameDigest(a: string, b: string): boolean {
+    const [left, right] = [Buffer.from(a), Buffer.from(b)];
+    return left.length === right.length && timingSafeEqual(left, right);
+}
--- a/packages/release/src/KeySpec.ts
+++ b/packages/release/src/KeySpec.ts
@@ -8,7 +8,7 @@
     kind: z.enum(["caller", "admin"]).default("caller"),
     organisation: OrganisationId.optional(),
     /** SHA-256 of the key in hexadecimal. */
-    digest: z.string().regex(/^[0-9a-f]{64}$/),
+    digest: z.string().regex(/^[0-9a-f]{64}$/, "use 64 hexadecimal digits"),
 });
 type KeySpec = z.infer<typeof KeySpec>;
 
--- /dev/null
+++ b/packages/release/src/exportNote.ts
@@ -0,0 +1,16 @@
+import type { Configuration } from "./Configuration.js";
+import { ReleaseNote } from "./ReleaseNote.js";
+
+/** Gives the whole configuration as one note: applied to an empty configuration, it brings about the same items. */
+export function exportNote(cfg: Configuration): ReleaseNote {
+    return ReleaseNote.parse({
+        note: `Configuration at revision ${cfg.revision}`,
+        added: {
+            organisations: [...cfg.organisations.values()],
+            keys: [...cfg.keys.values()],
+            models: [...cfg.models.values()],
+            services: [...cfg.services.values()],
+            endpoints: [...cfg.endpoints.values()],
+        },
+    });
+}
--- /dev/null
+++ b/packages/release/src/itemText.ts
@@ -0,0 +1,14 @@
+import type { ItemKind } from "./ItemKind.js";
+
+const SINGULAR: Readonly<Record<ItemKind, string>> = {
+    organisations: "organisation",
+    keys: "key",
+    models: "model",
+    services: "service",
+    endpoints: "endpoint",
+};
+
+/** Names an item for people, such as `model llama`. */
+export function itemText(kind: ItemKind, id: string): string {
+    return `${SINGULAR[kind]} ${id}`;
+}
--- /dev/null
+++ b/scripts/generateSchemas.mjs
@@ -0,0 +1,15 @@
+// Writes the committed schemas from the zod definitions. A test of each package checks that they are up to date.
+import { mkdirSync, writeFileSync } from "node:fs";
+import { dirname } from "node:path";
+
+import { releaseNoteSchema } from "@azureshunt/release";
+
+const FILES = [
+    { file: "packages/release/schema/release-note.schema.json", value: releaseNoteSchema() },
+];
+
+FILES.forEach(({ file, value }) => {
+    mkdirSync(dirname(file), { recursive: true });
+    writeFileSync(file, `${JSON.stringify(value, undefined, 4)}\n`);
+    console.log(`wrote ${file}`);
+});
