Run the demonstration end to end as separate processes

Ruled out: a child process for the demonstration itself, which a signal to its parent would have left running. Conclusion: the thin path stands; parts are now made deep one by one.

--- /dev/null
+++ b/packages/bench/src/demo/runSteps.ts
@@ -0,0 +1,129 @@
+import { spawnSync } from "node:child_process";
+import { writeFileSync } from "node:fs";
+import { fileURLToPath } from "node:url";
+
+import { stringify } from "yaml";
+
+import { callHttp } from "../topology/callHttp.js";
+import type { Topology } from "../topology/Topology.js";
+import { waitUntil } from "../topology/waitUntil.js";
+import type { demoNote } from "./demoNote.js";
+import { expectThat } from "./expectThat.js";
+import { longPrompt } from "./longPrompt.js";
+import { streamChat } from "./streamChat.js";
+
+const TOOL = fileURLToPath(new URL("../../../cli/bin/azureshunt.js", import.meta.url));
+const IN_FORCE_BOUND_MS = 7_000;
+const MAX_TOKENS = 16;
+
+/** What the steps of the demonstration work on. */
+type DemoParts = {
+    readonly topology: Topology;
+    readonly demo: ReturnType<typeof demoNote>;
+    readonly folder: string;
+    readonly say: (line: string) => void;
+};
+
+const ms = (value: number): string => `${value.toFixed(1)} ms`;
+
+/** Applies a release note with the command-line tool and waits until every daemon has it in force. */
+export async function runSteps(parts: DemoParts): Promise<void> {
+    await applyNote(parts, "first release", parts.demo.note, 1);
+    await streamTwice(parts);
+    await bookTwice(parts);
+    await withdrawKey(parts);
+}
+
+async function applyNote(parts: DemoParts, name: string, note: object, revision: number): Promise<void> {
+    const { topology, folder, say } = parts;
+    const file = `${folder}/${name.replaceAll(" ", "-")}.yaml`;
+    writeFileSync(file, stringify(note));
+    const args = [
+        TOOL,
+        "release",
+        "apply",
+        file,
+        "--url",
+        topology.daemons[0]?.admin ?? "",
+        "--key",
+        topology.adminKey,
+    ];
+    const begun = performance.now();
+    const { status, stdout, stderr } = spawnSync(process.execPath, args, { encoding: "utf8" });
+    expectThat(status === 0, `azureshunt release apply of ${name} to exit with 0`, { status, stdout, stderr });
+    await waitUntil(`revision ${revision} on every daemon`, IN_FORCE_BOUND_MS, async () => {
+        const revisions = await Promise.all(topology.daemons.map(async daemon => {
+            const res = await callHttp({
+                method: "GET",
+                url: `${daemon.admin}/admin/v1/status`,
+                key: topology.adminKey,
+            });
+            return (JSON.parse(res.text) as { readonly revision?: number; }).revision;
+        }));
+        return revisions.every(found => found === revision);
+    });
+    say(`release note "${name}": in force on ${topology.daemons.length} daemons after ${
+        ms(performance.now() - begun)
+    }`);
+}
+
+async function streamTwice({ topology, demo, say }: DemoParts): Promise<void> {
+    const caller = topology.daemons[0]?.caller ?? "";
+    const key = demo.organisations[0]?.key ?? "";
+    const ask = (question: string) => streamChat(caller, key, demo.model, longPrompt(question), MAX_TOKENS);
+    const first = await ask("Which chain fits 205/55 R16?");
+    expectThat(first.complete && first.tokens > 0, "a whole stream", first);
+    // The engines publish their cache events late.
+    await new Promise(resolve => setTimeout(resolve, 300));
+    const second = await ask("Which chain fits 225/45 R17?");
+    expectThat(second.complete && second.tokens > 0, "a whole stream", second);
+    const runs = await Promise.all(
+        topology.endpoints.filter(endpoint => endpoint.kind === "model").map(async endpoint => {
+            const res = await callHttp({ method: "GET", url: `${endpoint.url}/runs` });
+            return (JSON.parse(res.text) as { readonly runs: readonly { readonly cachedTokens: number; }[]; }).runs;
+        }),
+    );
+    const cached = Math.max(...runs.flat().map(run => run.cachedTokens));
+    expectThat(cached > 0, "the second prompt to find its prefix in a cache", runs.flat());
+    say(`streamed chat, new prefix: first token after ${ms(first.firstTokenMs ?? NaN)}, ${first.tokens} tokens`);
+    say(
+        `streamed chat, same prefix: first token after ${
+            ms(second.firstTokenMs ?? NaN)
+        }, ${cached} prompt tokens from cache`,
+    );
+}
+
+async function bookTwice({ topology, demo, say }: DemoParts): Promise<void> {
+    const key = demo.organisations[0]?.key ?? "";
+    const daemons = [topology.daemons[0], topology.daemons.at(-1)];
+    const answers = await Promise.all(daemons.map(daemon =>
+        callHttp({
+            method: "POST",
+            url: `${daemon?.caller ?? ""}/v1/services/${demo.service}/bookings`,
+            key,
+            headers: { "idempotency-key": "booking-1" },
+            body: { vehicle: "B 123 ABC", chain: "KN-90" },
+        })
+    ));
+    const services = topology.endpoints.filter(endpoint => endpoint.kind === "service");
+    const runs = await Promise.all(services.map(async endpoint => {
+        const res = await callHttp({ method: "GET", url: `${endpoint.url}/runs` });
+        return (JSON.parse(res.text) as { readonly runs: readonly unknown[]; }).runs;
+    }));
+    expectThat(runs.flat().length === 1, "the booking to have run once", { runs: runs.flat(), answers });
+    expectThat(answers.some(answer => answer.status === 200), "one of both calls to be answered with 200", answers);
+    say(`one booking through two daemons: answered ${answers.map(answer => answer.status).join(" and ")}, ran once`);
+}
+
+async function withdrawKey(parts: DemoParts): Promise<void> {
+    const { topology, demo, say } = parts;
+    const organisation = demo.organisations[2];
+    const caller = topology.daemons.at(-1)?.caller ?? "";
+    const models = () => callHttp({ method: "GET", url: `${caller}/v1/models`, key: organisation?.key ?? "" });
+    expectThat((await models()).status === 200, "the key to be valid before it is withdrawn", await models());
+    const note = { note: "withdraw a key", withdrawn: { keys: [`key-${organisation?.id ?? ""}`] } };
+    const begun = performance.now();
+    await applyNote(parts, "withdraw a key", note, 2);
+    await waitUntil("the withdrawn key to be refused", IN_FORCE_BOUND_MS, async () => (await models()).status === 401);
+    say(`withdrawn key: refused with 401 after ${ms(performance.now() - begun)}`);
+}
--- a/packages/bench/src/topology/startProcess.ts
+++ b/packages/bench/src/topology/startProcess.ts
@@ -1,4 +1,5 @@
 import { spawn } from "node:child_process";
+import type { ChildProcess } from "node:child_process";
 import { once } from "node:events";
 import { createWriteStream } from "node:fs";
 import { fileURLToPath } from "node:url";
@@ -8,6 +9,10 @@
 const PACKAGES = fileURLToPath(new URL("../../../", import.meta.url));
 const KEPT_ERRORS = 4_096;
 
+/** Children that run now; none may outlive this process, however it ends. */
+const running = new Set<ChildProcess>();
+process.once("exit", () => running.forEach(child => child.kill("SIGKILL")));
+
 /** What a process is started with. */
 type ProcessPlan = {
     readonly name: string;
@@ -36,10 +41,9 @@
     child.stderr.on("data", (data: Buffer) => {
         kept.errors = (kept.errors + data.toString("utf8")).slice(-KEPT_ERRORS);
     });
-    const killWithParent = (): boolean => child.kill("SIGKILL");
-    process.once("exit", killWithParent);
+    running.add(child);
     const exited = once(child, "exit").then(() => {
-        process.removeListener("exit", killWithParent);
+        running.delete(child);
         log?.end();
     });
     const hasExited = (): boolean => child.exitCode !== null || child.signalCode !== null;
--- a/packages/daemon/src/admin/startAdminListener.ts
+++ b/packages/daemon/src/admin/startAdminListener.ts
@@ -36,7 +36,7 @@
         );
         await note.caseOf<Promise<void>>({
             Left: refused => Promise.resolve(refuse(res, refused)),
-            Right: async valid => sendJson(res, 200, await release.accept(valid) ?? { kind: "unknown" }),
+            Right: async valid => sendJson(res, 200, await release.accept(valid.value) ?? { kind: "unknown" }),
         });
     };
 
--- a/packages/daemon/src/gateway/serveHealth.ts
+++ b/packages/daemon/src/gateway/serveHealth.ts
@@ -20,16 +20,14 @@
         res.end(`${text}\n`);
         return true;
     };
-    switch (req.url) {
-        case "/healthz":
-            return send(STATUS_OK, "ok");
-        case "/readyz":
-            return health.isDraining()
-                ? send(STATUS_UNAVAILABLE, "draining")
-                : health.isReady()
-                ? send(STATUS_OK, "ready")
-                : send(STATUS_UNAVAILABLE, "no configuration");
-        default:
-            return false;
+    if (req.url === "/healthz") {
+        return send(STATUS_OK, "ok");
     }
+    if (req.url !== "/readyz") {
+        return false;
+    }
+    if (health.isDraining()) {
+        return send(STATUS_UNAVAILABLE, "draining");
+    }
+    return health.isReady() ? send(STATUS_OK, "ready") : send(STATUS_UNAVAILABLE, "no configuration");
 }
