Decide fleet orders under a lease that the log alone arbitrates

Ruled out: a lease judged by the log's time stamps (clocks differ) and one whose validity depends on former records (these expire). A record counts only right behind the last one that its writer knew, which each reader can tell from it alone. Conclusion: the rule holds in the model; real processes are next.

--- /dev/null
+++ b/packages/fleet/src/LeaseEffect.ts
@@ -0,0 +1,6 @@
+import type { RecordId } from "@azureshunt/core";
+
+import type { LeaseRecord } from "./LeaseRecord.js";
+
+/** A record to be appended to the lease stream. */
+export type LeaseEffect = { readonly kind: "append"; readonly id: RecordId; readonly data: LeaseRecord; };
--- /dev/null
+++ b/packages/fleet/src/wantedWeights.ts
@@ -0,0 +1,13 @@
+import type { Configuration, EndpointSpec } from "@azureshunt/release";
+
+import type { Weights } from "./Weights.js";
+
+/** The weights that the configuration declares for an engine: each of its models, and each adapter of these. */
+export function wantedWeights(cfg: Configuration, endpoint: EndpointSpec): readonly Weights[] {
+    return endpoint.models
+        .map(name => cfg.models.get(name))
+        .filter(model => model !== undefined)
+        .flatMap(model =>
+            [undefined, ...model.adapters].map(adapter => ({ model: model.name, adapter, version: model.version }))
+        );
+}
