--- /dev/null
+++ b/packages/standins/src/__tests__/unit/scheduler.test.ts
@@ -0,0 +1,101 @@
+import test from "ava";
+
+import { createScheduler } from "../../engine/createScheduler.js";
+import type { PieceCache } from "../../engine/PieceCache.js";
+import { storePieces } from "../../engine/storePieces.js";
+import { manualClock } from "../manualClock.js";
+
+const COSTS = { prefillUsPerToken: 1_000, decodeMsPerToken: 10, prefillChunk: 100 };
+const MAX_PIECES = 10;
+
+type Told = { readonly id: string; readonly at: number; readonly what: string; };
+
+const start = (frozen: () => boolean = () => false) => {
+    const clock = manualClock();
+    const told: Told[] = [];
+    let cache: PieceCache = new Map();
+    const scheduler = createScheduler({
+        clock,
+        maxBatch: 2,
+        costs: () => COSTS,
+        frozen,
+        cache: {
+            current: () => cache,
+            touched: next => {
+                cache = next;
+            },
+            store: chain => {
+                cache = storePieces(cache, chain, MAX_PIECES, clock.now()).cache;
+            },
+        },
+        changed: () => undefined,
+    });
+    const submit = (id: string, promptTokens: number, answerTokens: number) =>
+        scheduler.submit({
+            id,
+            priority: 5,
+            order: told.length,
+            pieces: ["p1"],
+            pieceTokens: 20,
+            promptTokens,
+            computedTokens: 0,
+            cachedTokens: 0,
+            position: 0,
+            endPosition: answerTokens,
+        }, {
+            started: ({ cachedTokens }) => told.push({ id, at: clock.now(), what: `started ${cachedTokens}` }),
+            token: (position, last) => told.push({ id, at: clock.now(), what: `${position}${last ? " last" : ""}` }),
+        });
+    return { clock, told, submit, scheduler };
+};
+
+test("scheduler: prompt, tokens, end", t => {
+    const { clock, told, submit, scheduler } = start();
+    submit("a", 30, 2);
+    clock.advance(100);
+    t.deepEqual(told, [
+        { id: "a", at: 0, what: "started 0" },
+        { id: "a", at: 30, what: "0" },
+        { id: "a", at: 40, what: "1 last" },
+    ]);
+    t.is(scheduler.batch().running.length, 0);
+});
+
+test("scheduler: the second request finds the first one's prefix and joins its batch", t => {
+    const { clock, told, submit } = start();
+    submit("a", 30, 3);
+    clock.advance(30);
+    submit("b", 30, 1);
+    clock.advance(100);
+    t.deepEqual(told.slice(2), [
+        { id: "a", at: 40, what: "1" },
+        { id: "b", at: 40, what: "started 20" },
+        { id: "a", at: 60, what: "2 last" },
+        { id: "b", at: 60, what: "0 last" },
+    ]);
+});
+
+test("scheduler: a cancelled request gives its place to the next one and hears nothing more", t => {
+    const { clock, told, submit } = start();
+    const cancel = submit("a", 30, 100);
+    submit("b", 30, 100);
+    submit("c", 30, 1);
+    clock.advance(35);
+    cancel();
+    const heard = told.filter(({ id }) => id === "a").length;
+    clock.advance(200);
+    t.is(told.filter(({ id }) => id === "a").length, heard);
+    t.true(told.some(({ id, what }) => id === "c" && what === "0 last"));
+});
+
+test("scheduler: a frozen engine goes on where it stopped", t => {
+    const state = { frozen: true };
+    const { clock, told, submit, scheduler } = start(() => state.frozen);
+    submit("a", 30, 1);
+    clock.advance(1_000);
+    t.deepEqual(told, []);
+    state.frozen = false;
+    scheduler.resume();
+    clock.advance(1_000);
+    t.deepEqual(told.map(({ what }) => what), ["started 0", "0 last"]);
+});
--- a/packages/standins/src/engine/EngineSwitches.ts
+++ b/packages/standins/src/engine/EngineSwitches.ts
@@ -23,6 +23,8 @@
     skipTokens: z.number().int().min(0).default(0),
     /** The next streams send the token at `cutAfterTokens` twice. */
     repeatTokens: z.number().int().min(0).default(0),
+    /** Every part of an answer comes this many milliseconds late. */
+    answerDelayMs: z.number().min(0).default(0),
     eventLagMs: z.number().min(0).default(0),
     eventLoss: z.number().min(0).max(1).default(0),
     loadLagMs: z.number().min(0).default(0),
--- a/packages/standins/src/engine/completionRoutes.ts
+++ b/packages/standins/src/engine/completionRoutes.ts
@@ -8,6 +8,7 @@
 import type { AnswerIdentity } from "./AnswerIdentity.js";
 import { answerSeed } from "./answerSeed.js";
 import { CompletionBody } from "./CompletionBody.js";
+import { delayWriter } from "./delayWriter.js";
 import type { Engine } from "./Engine.js";
 import { findHolding } from "./findHolding.js";
 import { hashPieces } from "./hashPieces.js";
@@ -84,10 +85,10 @@
         const dispatchId = header(req, "x-dispatch-id") ?? randomUUID();
         const sequence = sequenceOf(body, prompt);
         const seed = answerSeed({ prompt, ...holding, adapter: holding.adapter ?? "" });
-        const { crashOn } = switches.current();
+        const { crashOn, answerDelayMs } = switches.current();
         const crashes = crashOn !== "" && prompt.includes(crashOn);
         const asked = body.max_completion_tokens ?? body.max_tokens ?? DEFAULT_MAX_TOKENS;
-        const writer = (body.stream ? streamAnswer : wholeAnswer)({
+        const direct = (body.stream ? streamAnswer : wholeAnswer)({
             res,
             identity: identityOf({ dispatchId, seed }),
             incarnation: engine.incarnation,
@@ -97,6 +98,7 @@
             finishReason: sequence.endPosition < asked ? "stop" : "length",
             fault: takeStreamFault(switches),
         });
+        const writer = delayWriter(direct, clock, answerDelayMs);
         let tokens = 0;
         let ended = false;
         const end = (outcome: "complete" | "cancelled"): void => {
