Order engines to what the configuration declares, and move traffic after the weights

Ruled out: orders from every VM (they undo each other) and switching traffic with the note (queued requests would ask for weights that no engine holds yet).

--- a/packages/daemon/src/Settings.ts
+++ b/packages/daemon/src/Settings.ts
@@ -42,6 +42,16 @@
         /** Time that a graceful shutdown gives running requests. */
         drainMs: z.number().int().positive().default(60_000),
     }).default({}),
+    /** Orders to the engines of the failure domain. */
+    fleet: z.strictObject({
+        /** Time that the order lease holds without a renewal. */
+        leaseMs: z.number().int().positive().default(5_000),
+        /** Longest time of one order. */
+        orderMs: z.number().int().positive().default(1_000),
+        pollMs: z.number().int().positive().default(500),
+        /** Loads that run at once in a failure domain. */
+        concurrentLoads: z.number().int().positive().default(2),
+    }).default({}),
     tls: z.strictObject({ caller: Tls.optional(), admin: Tls.optional(), peer: Tls.optional() }).default({}),
     logging: z.strictObject({ level: z.enum(["debug", "info", "warn", "error"]).default("info") }).default({}),
     /** Which function chooses endpoints; the others are baselines for measurements. */
--- /dev/null
+++ b/packages/daemon/src/fleet/EngineState.ts
@@ -0,0 +1,17 @@
+import { AdapterName, ModelName, WeightsVersion } from "@azureshunt/core";
+import { z } from "zod";
+
+const Weights = z.object({
+    model: ModelName,
+    adapter: AdapterName.nullish(),
+    version: WeightsVersion,
+}).transform(({ model, adapter, version }) => ({ model, adapter: adapter ?? undefined, version }));
+
+/** What an engine says of the weights that it holds. */
+const EngineState = z.object({
+    holds: z.array(Weights),
+    loading: z.array(Weights).default([]),
+});
+type EngineState = z.infer<typeof EngineState>;
+
+export { EngineState };
--- a/packages/daemon/src/gateway/GatewayParts.ts
+++ b/packages/daemon/src/gateway/GatewayParts.ts
@@ -1,5 +1,5 @@
-import type { Refusal } from "@azureshunt/core";
-import type { Configuration } from "@azureshunt/release";
+import type { Refusal, WeightsVersion } from "@azureshunt/core";
+import type { Configuration, ModelSpec } from "@azureshunt/release";
 import type { Either } from "purify-ts";
 
 import type { DispatchParts } from "../dispatch/DispatchParts.js";
@@ -16,6 +16,8 @@
     readonly trace: TracePort;
     /** Finds out whose key came with a request; Left with `missing-key`, `unknown-key` or `withdrawn-key`. */
     readonly authenticate: (cfg: Configuration, authorization: string | undefined) => Either<Refusal, Caller>;
+    /** The version of a model that new requests get. */
+    readonly versionOf: (cfg: Configuration, spec: ModelSpec) => WeightsVersion;
     /** Whether new requests are still taken. */
     readonly isDraining: () => boolean;
 };
--- a/packages/daemon/src/gateway/createCallerHandler.ts
+++ b/packages/daemon/src/gateway/createCallerHandler.ts
@@ -90,7 +90,9 @@
             return Left(refusalOf("unsupported-media-type"));
         }
         const body = await readBody(req, limits.bodyBytes);
-        const target = body.chain(bytes => parseModelCall(who.cfg, who.caller.organisation, path, bytes));
+        const target = body.chain(bytes =>
+            parseModelCall(who.cfg, who.caller.organisation, parts.versionOf, path, bytes)
+        );
         return target.caseOf<Promise<Either<Refusal, void>>>({
             Left: refused => Promise.resolve(Left(refused)),
             Right: model => serveModel(parts, callOf(who, req, res, model), model, res),
--- a/packages/daemon/src/gateway/parseModelCall.ts
+++ b/packages/daemon/src/gateway/parseModelCall.ts
@@ -1,4 +1,4 @@
-import type { AdapterName, ModelName, OrganisationId, Refusal } from "@azureshunt/core";
+import type { AdapterName, ModelName, OrganisationId, Refusal, WeightsVersion } from "@azureshunt/core";
 import { approximateTokens, cacheSalt, pieceHashes, refusalOf, renderPrompt } from "@azureshunt/core";
 import type { Configuration, ModelSpec } from "@azureshunt/release";
 import type { Either } from "purify-ts";
@@ -60,6 +60,7 @@
  *
  * @param cfg configuration in force
  * @param organisation whose key came with the call
+ * @param versionOf the version of a model that new requests get
  * @param path `/v1/chat/completions` or `/v1/completions`
  * @param body the body as it came
  * @returns Left with `bad-request`, `unknown-model` or `not-allowed`
@@ -67,6 +68,7 @@
 export function parseModelCall(
     cfg: Configuration,
     organisation: OrganisationId,
+    versionOf: (cfg: Configuration, spec: ModelSpec) => WeightsVersion,
     path: string,
     body: Uint8Array,
 ): Either<Refusal, ModelCall> {
@@ -80,12 +82,13 @@
         if (!mayUse(cfg, organisation, spec.name)) {
             return Left(refusalOf("not-allowed"));
         }
-        const salt = cacheSalt({ organisation, model: spec.name, adapter, version: spec.version });
+        const version = versionOf(cfg, spec);
+        const salt = cacheSalt({ organisation, model: spec.name, adapter, version });
         return Right<ModelCall>({
             kind: "model",
             path,
             model: spec.name,
-            version: spec.version,
+            version,
             adapter,
             cacheSalt: salt,
             pieces: pieceHashes(salt, prompted.prompt, spec.pieceTokens),
--- a/packages/daemon/src/startDaemon.ts
+++ b/packages/daemon/src/startDaemon.ts
@@ -10,6 +10,8 @@
 import { createReleasePort } from "./configuration/createReleasePort.js";
 import { createClock } from "./createClock.js";
 import { createTracePort } from "./createTracePort.js";
+import { createTrafficVersions } from "./fleet/createTrafficVersions.js";
+import { startFleet } from "./fleet/startFleet.js";
 import { authenticateCaller } from "./gateway/authenticateCaller.js";
 import { recheckCall } from "./gateway/recheckCall.js";
 import { startCallerListener } from "./gateway/startCallerListener.js";
@@ -68,6 +70,8 @@
     const trace = createTracePort(clock.epoch);
     const allowance = createAllowancePort(ctx);
     const placement = createPlacementPort(ctx);
+    const versionOf = createTrafficVersions(() => []);
+    const fleet = startFleet(ctx, versionOf);
     const intents = createIntentPort(ctx);
     const suspects = createSuspectPort(ctx);
     const draining = { is: false };
@@ -78,6 +82,7 @@
         intents,
         trace,
         authenticate: authenticateCaller,
+        versionOf,
         isDraining,
     });
     const admin = await startAdminListener({ ctx, release, allowance, placement, trace, isDraining });
@@ -88,7 +93,7 @@
         logger("daemon").info("Draining.");
         await callers.drain(settings.limits.drainMs);
         await allowance.drain();
-        [allowance, placement, intents, suspects, release, membership, peers].forEach(part => void part.stop());
+        [fleet, allowance, placement, intents, suspects, release, membership, peers].forEach(part => void part.stop());
         await admin.stop();
         await dispatcher.destroy();
         await log.close();
