--- /dev/null
+++ b/packages/bench/src/load/sendModelRequest.ts
@@ -0,0 +1,78 @@
+import type { Dispatcher } from "undici";
+
+import type { Arrival } from "../workload/Arrival.js";
+import { promptOf } from "../workload/promptOf.js";
+import type { Workload } from "../workload/Workload.js";
+import type { LoadTarget } from "./LoadTarget.js";
+import type { Outcome } from "./Outcome.js";
+import { readStreamText } from "./readStreamText.js";
+import type { StreamReading } from "./StreamReading.js";
+
+const START: StreamReading = {
+    nextPosition: 0,
+    inOrder: true,
+    done: false,
+    errorCode: undefined,
+    ran: undefined,
+    rest: "",
+};
+
+type ErrorBody = { readonly error?: { readonly code?: string; readonly ran?: string; }; };
+
+/** What came back, without the times that the caller adds. */
+type Answer = Pick<Outcome, "status" | "errorCode" | "ran" | "complete" | "tokens">;
+
+const refusal = async (status: number, body: Dispatcher.ResponseData["body"]): Promise<Answer> => {
+    const text = await body.text();
+    const error = (JSON.parse(text || "{}") as ErrorBody).error;
+    return { status, errorCode: error?.code ?? "unknown", ran: error?.ran, complete: false, tokens: 0 };
+};
+
+/**
+ * Sends one streamed request and reads its answer to the end.
+ *
+ * @param onFirst called when the first token has come
+ * @throws Error when the connection fails
+ */
+export async function sendModelRequest(
+    dispatcher: Dispatcher,
+    target: LoadTarget,
+    workload: Workload,
+    arrival: Arrival,
+    onFirst: () => void,
+): Promise<Answer> {
+    const maxTokens = arrival.kind === "long" ? workload.longAnswerTokens : workload.shortAnswerTokens;
+    const answer = await dispatcher.request({
+        origin: target.daemons[arrival.daemon] ?? "",
+        path: "/v1/completions",
+        method: "POST",
+        headers: {
+            "content-type": "application/json",
+            "authorization": `Bearer ${target.keyOf(arrival.organisation)}`,
+        },
+        body: JSON.stringify({
+            model: target.model,
+            prompt: promptOf(workload, arrival),
+            max_tokens: maxTokens,
+            stream: true,
+        }),
+    });
+    if (answer.statusCode !== 200) {
+        return refusal(answer.statusCode, answer.body);
+    }
+    let reading = START;
+    for await (const part of answer.body) {
+        const before = reading.nextPosition;
+        reading = readStreamText(reading, (part as Buffer).toString("utf8"));
+        if (before === 0 && reading.nextPosition > 0) {
+            onFirst();
+        }
+    }
+    return {
+        status: answer.statusCode,
+        errorCode: reading.errorCode,
+        ran: reading.ran,
+        complete: reading.done && reading.inOrder && reading.nextPosition === maxTokens,
+        tokens: reading.nextPosition,
+    };
+}
--- /dev/null
+++ b/packages/bench/src/load/sendServiceRequest.ts
@@ -0,0 +1,43 @@
+import type { Dispatcher } from "undici";
+
+import type { Arrival } from "../workload/Arrival.js";
+import type { LoadTarget } from "./LoadTarget.js";
+import type { Outcome } from "./Outcome.js";
+
+type ErrorBody = { readonly error?: { readonly code?: string; readonly ran?: string; }; };
+
+/**
+ * Sends one call of the plain service. Calls that may not be repeated carry an idempotency key.
+ *
+ * @throws Error when the connection fails
+ */
+export async function sendServiceRequest(
+    dispatcher: Dispatcher,
+    target: LoadTarget,
+    arrival: Arrival,
+): Promise<Pick<Outcome, "status" | "errorCode" | "ran" | "complete" | "tokens">> {
+    const booking = arrival.kind === "booking";
+    const path = booking ? target.bookingPath : target.lookupPath;
+    const answer = await dispatcher.request({
+        origin: target.daemons[arrival.daemon] ?? "",
+        path: `/v1/services/${target.service}${path}`,
+        method: booking ? "POST" : "GET",
+        headers: {
+            "authorization": `Bearer ${target.keyOf(arrival.organisation)}`,
+            ...booking
+                ? { "idempotency-key": `${arrival.organisation}-${arrival.id}`, "content-type": "application/json" }
+                : {},
+        },
+        body: booking ? "{}" : null,
+    });
+    const text = await answer.body.text();
+    const complete = answer.statusCode === 200;
+    const error = complete ? undefined : (JSON.parse(text || "{}") as ErrorBody).error;
+    return {
+        status: answer.statusCode,
+        errorCode: complete ? undefined : error?.code ?? "unknown",
+        ran: error?.ran,
+        complete,
+        tokens: 0,
+    };
+}
--- /dev/null
+++ b/packages/bench/src/workload/Phase.ts
@@ -0,0 +1,9 @@
+/** A part of a run. Figures are given for each. */
+export type Phase = {
+    readonly name: "warm-up" | "steady" | "noisy" | "shifted";
+    readonly seconds: number;
+    /** Whether the noisy organisation sends several times its rate. */
+    readonly noisy: boolean;
+    /** By how many places the ranking of hot prefixes is turned. */
+    readonly shift: number;
+};
--- /dev/null
+++ b/packages/bench/src/workload/costOf.ts
@@ -0,0 +1,19 @@
+import type { Arrival } from "./Arrival.js";
+import type { Workload } from "./Workload.js";
+
+/** Tokens that a request may use at most: its prompt and the answer it asks for. Calls of plain services use none. */
+export function costOf(workload: Workload, kind: Arrival["kind"]): number {
+    const { prefixes, engine, questionTokens, longAnswerTokens, shortAnswerTokens } = workload;
+    const { instructionPieces, standardPieces, manualPieces } = prefixes;
+    switch (kind) {
+        case "long":
+            return (instructionPieces + standardPieces + manualPieces) * engine.pieceTokens
+                + questionTokens
+                + longAnswerTokens;
+        case "short":
+            return instructionPieces * engine.pieceTokens + questionTokens + shortAnswerTokens;
+        case "booking":
+        case "lookup":
+            return 0;
+    }
+}
