--- a/packages/bench/src/__tests__/unit/callers.test.ts
+++ b/packages/bench/src/__tests__/unit/callers.test.ts
@@ -9,7 +9,7 @@
 
 import { demoNote } from "../../demo/demoNote.js";
 import { demoPlan } from "../../demo/demoPlan.js";
-import { applyNote } from "../../topology/applyNote.js";
+import { applyRelease } from "../../topology/applyRelease.js";
 import { startTopology } from "../../topology/startTopology.js";
 import type { Topology } from "../../topology/Topology.js";
 
@@ -24,7 +24,7 @@
     const endpoints = [engine, service].filter(endpoint => endpoint !== undefined);
     const topology = await startTopology({ ...plan, failureDomains: ["fd-a"], daemonsPerDomain: 1, endpoints });
     const demo = demoNote(topology);
-    await applyNote(topology, demo.note, 1);
+    await applyRelease(topology, demo.note);
     running.topology = topology;
     running.caller = topology.daemons[0]?.caller ?? "";
     running.key = demo.organisations[0]?.key ?? "";
