Measure a release of new weights on running processes

Ruled out: a test with a bound in seconds. Figures: none yet; it needs endpoints to be watched. Conclusion: to be run next.

--- /dev/null
+++ b/packages/bench/src/fleet/main.ts
@@ -0,0 +1,65 @@
+/** Measures a release of new weights on running processes: from the note accepted to every engine matching. */
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+
+import { demoNote } from "../demo/demoNote.js";
+import { demoPlan } from "../demo/demoPlan.js";
+import { applyRelease } from "../topology/applyRelease.js";
+import { startTopology } from "../topology/startTopology.js";
+import { waitUntil } from "../topology/waitUntil.js";
+import { engineHoldings } from "./engineHoldings.js";
+import { startTraffic } from "./startTraffic.js";
+
+const REQUEST_EVERY_MS = 40;
+const LOADED_BOUND_MS = 30_000;
+const UNLOADED_BOUND_MS = 60_000;
+const SETTLE_MS = 2_000;
+
+const seconds = (ms: number): string => `${(ms / 1_000).toFixed(2)} s`;
+
+const run = async (): Promise<void> => {
+    const folder = mkdtempSync(join(tmpdir(), "azureshunt-fleet-"));
+    const plan = demoPlan(folder);
+    // Every second engine refuses orders with an old fencing number, the others ignore it.
+    const endpoints = plan.endpoints.map((endpoint, i) =>
+        endpoint.kind === "model" && i % 2 === 0
+            ? { ...endpoint, flags: { ...endpoint.flags, "checks-fencing": "" } }
+            : endpoint
+    );
+    const topology = await startTopology({ ...plan, endpoints });
+    try {
+        const demo = demoNote(topology);
+        await applyRelease(topology, demo.note);
+        await new Promise(resolve => setTimeout(resolve, SETTLE_MS));
+        const traffic = startTraffic(topology, demo, REQUEST_EVERY_MS);
+        const inForce = await applyRelease(topology, {
+            note: "second version",
+            changed: { models: [{ name: demo.model, version: "v2", pieceTokens: 256, defaultMaxTokens: 32 }] },
+        });
+        const holdAll = async (wanted: string): Promise<boolean> =>
+            (await engineHoldings(topology)).every(engine => engine.versions.includes(wanted));
+        const holdOnly = async (wanted: string): Promise<boolean> =>
+            (await engineHoldings(topology)).every(engine => engine.versions.join() === wanted);
+        const loaded = await waitUntil("v2 on every engine", LOADED_BOUND_MS, () => holdAll("v2"));
+        const unloaded = await waitUntil("v1 gone from every engine", UNLOADED_BOUND_MS, () => holdOnly("v2"));
+        await new Promise(resolve => setTimeout(resolve, SETTLE_MS));
+        const { complete, refused, broken } = await traffic.stop();
+        console.log(`note in force on ${topology.daemons.length} daemons after ${seconds(inForce)}`);
+        console.log(`v2 held by every engine after ${seconds(inForce + loaded)}`);
+        console.log(`v1 gone from every engine after ${seconds(inForce + loaded + unloaded)}`);
+        console.log(`requests meanwhile: ${complete} complete, ${refused} refused, ${broken} broken`);
+    }
+    finally {
+        await topology.stop();
+        rmSync(folder, { recursive: true, force: true });
+    }
+};
+
+run().then(
+    () => process.exit(0),
+    (err: unknown) => {
+        console.error(`measure:fleet: ${err instanceof Error ? err.message : String(err)}`);
+        process.exit(1);
+    },
+);
--- /dev/null
+++ b/packages/bench/src/fleet/startTraffic.ts
@@ -0,0 +1,58 @@
+import type { demoNote } from "../demo/demoNote.js";
+import { streamChat } from "../demo/streamChat.js";
+import type { Topology } from "../topology/Topology.js";
+
+const MAX_TOKENS = 8;
+
+/** How the requests of the traffic have ended so far. */
+type TrafficCounts = { readonly complete: number; readonly refused: number; readonly broken: number; };
+
+/** Requests that go on in the background. */
+type Traffic = {
+    /** Sends no more, waits for the last answers, and counts. */
+    readonly stop: () => Promise<TrafficCounts>;
+};
+
+/**
+ * Sends streamed chats at a steady pace, each through the next daemon.
+ *
+ * @param everyMs milliseconds between two requests
+ */
+export function startTraffic(topology: Topology, demo: ReturnType<typeof demoNote>, everyMs: number): Traffic {
+    const counts = { complete: 0, refused: 0, broken: 0, sent: 0 };
+    const running = new Set<Promise<void>>();
+
+    const send = async (n: number): Promise<void> => {
+        const daemon = topology.daemons[n % topology.daemons.length];
+        const organisation = demo.organisations[n % demo.organisations.length];
+        const content = `question ${n}: which chain fits?`;
+        try {
+            const messages = [{ role: "user", content }];
+            const chat = await streamChat(
+                daemon?.caller ?? "",
+                organisation?.key ?? "",
+                demo.model,
+                messages,
+                MAX_TOKENS,
+            );
+            const outcome = chat.status !== 200 ? "refused" : chat.complete ? "complete" : "broken";
+            counts[outcome] += 1;
+        }
+        catch {
+            counts.broken += 1;
+        }
+    };
+    const timer = setInterval(() => {
+        counts.sent += 1;
+        const one = send(counts.sent).finally(() => running.delete(one));
+        running.add(one);
+    }, everyMs);
+
+    return {
+        stop: async () => {
+            clearInterval(timer);
+            await Promise.all(running);
+            return counts;
+        },
+    };
+}
--- a/packages/bench/src/topology/startStandIn.ts
+++ b/packages/bench/src/topology/startStandIn.ts
@@ -21,11 +21,13 @@
  *
  * @param kind `platform`, `engine`, `service`, `cache` or `link`
  * @param name name of the endpoint
- * @param flags its flags without the leading dashes
+ * @param flags its flags without the leading dashes; one that is a switch has an empty value
  * @throws Error when it does not start
  */
 export function startStandIn(kind: string, name: string, flags: Readonly<Record<string, string>>): Promise<StandIn> {
-    const args = Object.entries({ name, ...flags }).flatMap(([flag, value]) => [`--${flag}`, value]);
+    const args = Object.entries({ name, ...flags }).flatMap(([flag, value]) =>
+        value === "" ? [`--${flag}`] : [`--${flag}`, value]
+    );
     return new Promise((resolve, reject) => {
         const started = startProcess({
             name,
