Place requests from a daemon: watch endpoints, queue fairly, choose

Cause: the daemon had a thin placement by rendezvous of the first piece. Placement gains firstToken, as the head of an answer comes before its prompt is computed.

--- /dev/null
+++ b/packages/daemon/src/__tests__/fakes/fakeContext.ts
@@ -0,0 +1,79 @@
+import { FailureDomain, Incarnation, VmId } from "@azureshunt/core";
+import type { Configuration, EndpointSpec } from "@azureshunt/release";
+import { start } from "nact";
+import { pino } from "pino";
+import { Left } from "purify-ts";
+
+import { createClock } from "../../createClock.js";
+import { createMetrics } from "../../metrics/createMetrics.js";
+import type { DaemonContext } from "../../ports/DaemonContext.js";
+import { Settings } from "../../Settings.js";
+
+/** A daemon's context without a network of its own, whose configuration the test declares. */
+type FakeContext = {
+    readonly ctx: DaemonContext;
+    /** Puts a configuration with these endpoints in force. */
+    readonly declare: (endpoints: readonly EndpointSpec[]) => void;
+};
+
+const configurationOf = (revision: number, endpoints: readonly EndpointSpec[]): Configuration => ({
+    revision,
+    organisations: new Map(),
+    keys: new Map(),
+    models: new Map(),
+    services: new Map(),
+    endpoints: new Map(endpoints.map(spec => [spec.name, spec])),
+    withdrawnKeys: new Map(),
+});
+
+/** Makes a context for tests of one part of the daemon. */
+export function fakeContext(): FakeContext {
+    const vm = VmId.parse("vm-1");
+    const failureDomain = FailureDomain.parse("fd-1");
+    const listeners = new Set<(cfg: Configuration) => void>();
+    let current: Configuration | undefined;
+    const self = {
+        vm,
+        failureDomain,
+        state: "live" as const,
+        peer: "127.0.0.1:1",
+        admin: "127.0.0.1:2",
+        incarnation: undefined,
+    };
+    const unused = () => Promise.resolve(Left({ kind: "unreachable" as const }));
+    const ctx: DaemonContext = {
+        settings: Settings.parse({
+            vm,
+            failureDomain,
+            listen: { caller: "127.0.0.1:0", admin: "127.0.0.1:0", peer: "127.0.0.1:0" },
+            platform: { url: "http://127.0.0.1:1" },
+            peers: { secret: "0123456789abcdef" },
+        }),
+        incarnation: Incarnation.parse("daemon-run-1"),
+        system: start(),
+        clock: createClock(),
+        random: () => 0.5,
+        logger: () => pino({ level: "silent" }),
+        metrics: createMetrics(),
+        release: {
+            current: () => current,
+            subscribe: onChange => {
+                listeners.add(onChange);
+                return () => listeners.delete(onChange);
+            },
+            staleness: () => 0,
+        },
+        membership: { self, members: () => [self], subscribe: () => () => undefined },
+        peers: {
+            peers: () => [],
+            exchange: () => Promise.resolve(Left(new Error("no peers"))),
+            handle: () => () => undefined,
+        },
+        log: { append: unused, read: unused },
+    };
+    const declare: FakeContext["declare"] = endpoints => {
+        current = configurationOf((current?.revision ?? 0) + 1, endpoints);
+        listeners.forEach(listener => listener(current!));
+    };
+    return { ctx, declare };
+}
--- /dev/null
+++ b/packages/daemon/src/__tests__/unit/placement.test.ts
@@ -0,0 +1,233 @@
+import { setTimeout as sleep } from "node:timers/promises";
+
+import {
+    Incarnation,
+    KeyId,
+    ModelName,
+    OrganisationId,
+    PieceHash,
+    RequestId,
+    ServiceName,
+    WeightsVersion,
+} from "@azureshunt/core";
+import { EndpointSpec } from "@azureshunt/release";
+import test from "ava";
+import type { ExecutionContext } from "ava";
+
+import { createPlacementPort } from "../../placement/createPlacementPort.js";
+import type { Call } from "../../ports/Call.js";
+import type { Placement } from "../../ports/Placement.js";
+import { fakeContext } from "../fakes/fakeContext.js";
+import { startFakeEngine } from "../fakes/FakeEngine.js";
+
+const PIECE_TOKENS = 4_096;
+const PATIENCE_MS = 10_000;
+const pieces = (...numbers: number[]) => numbers.map(n => PieceHash.parse(n.toString(16).padStart(32, "0")));
+
+/** Two fake engines and a placement that watches them. */
+const setUp = async (t: ExecutionContext) => {
+    const engines = await Promise.all(["run-1", "run-2"].map(startFakeEngine));
+    const { ctx, declare } = fakeContext();
+    const placement = createPlacementPort(ctx);
+    t.teardown(async () => {
+        placement.stop();
+        await Promise.all(engines.map(engine => engine.stop()));
+    });
+    const specs = engines.map((engine, i) =>
+        EndpointSpec.parse({ name: `engine-${i + 1}`, kind: "model", failureDomain: "fd-1", url: engine.url })
+    );
+    declare(specs);
+    const infoOf = (name: string) => placement.inspect().find(info => info.name === name);
+    const call = (id: string, hashes: readonly PieceHash[], more: Partial<Call> = {}): Call => ({
+        id: RequestId.parse(id),
+        organisation: OrganisationId.parse("hut"),
+        keyId: KeyId.parse("key"),
+        arrivedAt: ctx.clock.now(),
+        deadline: ctx.clock.now() + PATIENCE_MS,
+        priority: 5,
+        target: {
+            kind: "model",
+            path: "/v1/completions",
+            model: ModelName.parse("advisor"),
+            version: WeightsVersion.parse("v1"),
+            adapter: undefined,
+            cacheSalt: "",
+            pieces: hashes,
+            pieceTokens: PIECE_TOKENS,
+            promptTokens: hashes.length * PIECE_TOKENS + 100,
+            maxTokens: 10,
+            stream: true,
+            body: {},
+        },
+        signal: new AbortController().signal,
+        ...more,
+    });
+    const place = async (one: Call) => (await placement.place(one, [])).unsafeCoerce();
+    const until = async (holds: () => boolean): Promise<void> => {
+        if (!holds()) {
+            await sleep(5);
+            await until(holds);
+        }
+    };
+    const up = () =>
+        until(() => placement.inspect().filter(info => info.health === "up" && !info.cacheDoubtful).length === 2);
+    return { ctx, engines, declare, specs, placement, infoOf, call, place, until, up };
+};
+const matchedAt = (setup: Awaited<ReturnType<typeof setUp>>, id: string, endpoint: string) =>
+    setup.placement.explain(RequestId.parse(id))?.at(-1)?.candidates.find(each => each.endpoint === endpoint)
+        ?.matchedPieces;
+const finish = (placement: Placement) => {
+    placement.started(placement.incarnation, 0);
+    placement.firstToken();
+    placement.end("complete");
+};
+
+test("placement: a request goes where its prefix is cached", async t => {
+    const setup = await setUp(t);
+    await setup.up();
+    setup.engines[1]!.publish({ seq: 1, kind: "stored", hashes: pieces(1, 2) });
+    const probe = async (n: number): Promise<void> => {
+        finish(await setup.place(setup.call(`warm-${n}`, pieces(1, 2))));
+        if (matchedAt(setup, `warm-${n}`, "engine-2") !== 2) {
+            await sleep(5);
+            await probe(n + 1);
+        }
+    };
+    await probe(0);
+    t.is((await setup.place(setup.call("r", pieces(1, 2, 3)))).endpoint as string, "engine-2");
+});
+
+test("placement: entries of a crashed engine's former run never count again", async t => {
+    // An engine with a hot prefix crashes and comes back at once, on the same address and with an empty cache. The
+    // stream of events held on to some of the former run's events and delivers them now. Requests that were sent there
+    // for the prefix would wait for the whole prompt to be computed.
+    const setup = await setUp(t);
+    await setup.up();
+    const [engine] = setup.engines;
+    engine!.view.cache = { seq: 1, hashes: pieces(1, 2) };
+    engine!.publish({ seq: 1, kind: "stored", hashes: pieces(1, 2) });
+    engine!.view.incarnation = "run-1b";
+    engine!.view.cache = { seq: 0, hashes: [] };
+    const first = await setup.placement.place(
+        setup.call("sees-new-run", pieces(9)),
+        setup.specs.slice(1).map(s => s.name),
+    );
+    first.unsafeCoerce().started(Incarnation.parse("run-1b"), 0);
+    first.unsafeCoerce().end("complete");
+    await setup.until(() => setup.infoOf("engine-1")?.incarnation as string === "run-1b");
+    engine!.view.incarnation = "run-1";
+    engine!.publish({ seq: 2, kind: "stored", hashes: pieces(1, 2) });
+    engine!.view.incarnation = "run-1b";
+    await setup.until(() => setup.infoOf("engine-1")?.ready === true && !setup.infoOf("engine-1")!.cacheDoubtful);
+    finish(await setup.place(setup.call("r", pieces(1, 2))));
+    t.is(matchedAt(setup, "r", "engine-1"), 0);
+});
+
+test("placement: a leaving endpoint gets no new work", async t => {
+    const setup = await setUp(t);
+    await setup.up();
+    setup.declare(setup.specs.map((spec, i) => ({ ...spec, leaving: i === 0 })));
+    await setup.until(() => setup.infoOf("engine-1")?.leaving === true);
+    const chosen = await Array.from({ length: 20 }, (_, n) => n).reduce(async (before, n) => {
+        const others = await before;
+        const placed = await setup.place(setup.call(`r${n}`, pieces(n)));
+        finish(placed);
+        return [...others, placed.endpoint as string];
+    }, Promise.resolve<string[]>([]));
+    t.deepEqual([...new Set(chosen)], ["engine-2"]);
+});
+
+test("placement: an engine that died under a request gets work again once it answers", async t => {
+    const setup = await setUp(t);
+    await setup.up();
+    setup.declare(setup.specs.slice(0, 1));
+    await setup.until(() => setup.placement.inspect().length === 1);
+    const placed = await setup.place(setup.call("r1", pieces(1)));
+    setup.engines[0]!.view.answers = false;
+    placed.end("died");
+    const refused = await setup.placement.place(setup.call("r2", pieces(1)), []);
+    t.is(refused.swap().unsafeCoerce().kind, "no-endpoint");
+    t.is(refused.swap().unsafeCoerce().ran, "no");
+    setup.engines[0]!.view.answers = true;
+    await setup.until(() => setup.infoOf("engine-1")?.health === "up");
+    t.is((await setup.place(setup.call("r3", pieces(1)))).endpoint as string, "engine-1");
+});
+
+test("placement: a request for pieces that are being computed waits for them", async t => {
+    // Two callers send the same new prompt one after the other. An engine does not share the computation that is under
+    // way: sent at once, the second request would compute the same pieces again and keep the engine busy twice as long.
+    const setup = await setUp(t);
+    await setup.up();
+    const short = (id: string): Call => {
+        const call = setup.call(id, pieces(1, 2));
+        // So little to compute that the engine's queue alone would hold nothing up.
+        const target = { ...call.target, pieceTokens: 100, promptTokens: 300 } as Call["target"];
+        return { ...call, target };
+    };
+    const first = await setup.place(short("first"));
+    const second = { placed: false };
+    const waiting = setup.place(short("second")).then(placed => {
+        second.placed = true;
+        return placed;
+    });
+    await sleep(30);
+    t.false(second.placed);
+    first.started(first.incarnation, 0);
+    first.firstToken();
+    t.is((await waiting).endpoint, first.endpoint);
+});
+
+test("placement: a request that cannot start by its deadline is refused at once", async t => {
+    const setup = await setUp(t);
+    await setup.up();
+    setup.engines.forEach(engine => {
+        engine.view.load = { running: 4, waiting: 4, waitingTokens: 1_000_000 };
+    });
+    await setup.until(() => setup.placement.inspect().every(info => info.load.prefillTokens > 900_000));
+    const refused = await setup.placement.place(
+        setup.call("r", pieces(1), { deadline: setup.ctx.clock.now() + 1_000 }),
+        [],
+    );
+    const refusal = refused.swap().unsafeCoerce();
+    t.is(refusal.kind, "overloaded");
+    t.is(refusal.ran, "no");
+    t.true(refusal.retryAfterSeconds! > 1);
+});
+
+test("placement: a waiting request whose caller is gone is dropped", async t => {
+    const setup = await setUp(t);
+    await setup.up();
+    const caller = new AbortController();
+    const first = await setup.place(setup.call("first", pieces(1)));
+    const waiting = setup.placement.place(setup.call("second", pieces(1), { signal: caller.signal }), []);
+    caller.abort();
+    t.is((await waiting).swap().unsafeCoerce().kind, "caller-gone");
+    finish(first);
+});
+
+test("placement: a call to a service goes to a replica that answers", async t => {
+    const setup = await setUp(t);
+    const services = setup.engines.map((engine, i) =>
+        EndpointSpec.parse({
+            name: `booking-${i + 1}`,
+            kind: "service",
+            service: "booking",
+            failureDomain: "fd-1",
+            url: engine.url,
+        })
+    );
+    setup.engines[0]!.view.answers = false;
+    setup.declare(services);
+    await setup.until(() => setup.infoOf("booking-2")?.health === "up");
+    const target: Call["target"] = {
+        kind: "service",
+        service: ServiceName.parse("booking"),
+        method: "POST",
+        path: "/book",
+        repeatable: false,
+        idempotencyKey: undefined,
+        contentType: undefined,
+        body: new Uint8Array(),
+    };
+    t.is((await setup.place(setup.call("r", [], { target }))).endpoint as string, "booking-2");
+});
--- a/packages/daemon/src/dispatch/dispatchModel.ts
+++ b/packages/daemon/src/dispatch/dispatchModel.ts
@@ -39,6 +39,7 @@
     progress: Progress,
     answer: ModelAnswer,
 ): Promise<void> {
+    const first = progress.next;
     for await (const data of readServerSentEvents(body)) {
         if (data === DONE) {
             return;
@@ -47,6 +48,9 @@
         if (chunk.id !== placement.dispatchId || chunk.position < progress.next) {
             continue;
         }
+        if (progress.next === first) {
+            placement.firstToken();
+        }
         if (chunk.position > progress.next) {
             throw new Error("gap in the stream");
         }
--- /dev/null
+++ b/packages/daemon/src/placement/PlacementModel.ts
@@ -0,0 +1,266 @@
+import { randomUUID } from "node:crypto";
+
+import type { DispatchId, EndpointName, Incarnation, Millis, Refusal } from "@azureshunt/core";
+import { refusalOf } from "@azureshunt/core";
+import type { Candidate, EndpointEvent, PrefixIndex } from "@azureshunt/endpoint";
+import { refusalFor } from "@azureshunt/endpoint";
+import { Left, Right } from "purify-ts";
+
+import type { Placement } from "../ports/Placement.js";
+import type { PlacementOutcome } from "../ports/PlacementOutcome.js";
+import type { ChoiceLog } from "./ChoiceLog.js";
+import type { Chooser } from "./Chooser.js";
+import type { ComputingPieces } from "./ComputingPieces.js";
+import type { EndpointBook } from "./EndpointBook.js";
+import type { PlacementMessage } from "./PlacementMessage.js";
+import type { placementMetrics } from "./placementMetrics.js";
+import type { Waiter } from "./Waiter.js";
+import type { WaitingCalls } from "./WaitingCalls.js";
+
+/** How long assumed entries of the index live beyond the estimated first token, until the engine's event confirms them. */
+const ASSUMED_MS = 2_000;
+/** How long a call waits for any endpoint to come up before it is refused. */
+const NO_ENDPOINT_MS = 1_000;
+/** Milliseconds a token of queued work while nothing was observed. */
+const FIRST_PACE = 0.02;
+
+/** What the model works with. */
+type PlacementParts = {
+    readonly book: EndpointBook;
+    readonly index: PrefixIndex;
+    readonly computing: ComputingPieces;
+    readonly waiting: WaitingCalls;
+    readonly chooser: Chooser;
+    readonly choices: ChoiceLog;
+    readonly metrics: ReturnType<typeof placementMetrics>;
+    readonly now: () => Millis;
+    /** Brings what happens to a placement back as a message. */
+    readonly tell: (message: PlacementMessage) => void;
+    /** Asks an endpoint for its state now. */
+    readonly probe: (endpoint: EndpointName) => void;
+    /** Starts and stops watching endpoints after a new configuration. */
+    readonly configured: (gone: readonly EndpointName[]) => void;
+    /** Asks an endpoint for its whole cache. */
+    readonly resync: (endpoint: EndpointName, isNewRun: boolean) => void;
+    /** Tells other VMs that this one makes an endpoint compute pieces. */
+    readonly announce: (endpoint: EndpointName, incarnation: Incarnation, waiter: Waiter, chosen: Candidate) => void;
+};
+
+/** Takes the placement actor's messages one at a time: keeps what is known of endpoints, and gives waiting calls theirs. */
+export class PlacementModel {
+    readonly #parts: PlacementParts;
+
+    constructor(parts: PlacementParts) {
+        this.#parts = parts;
+    }
+
+    /** Handles one message. */
+    handle(message: PlacementMessage): void {
+        const { book, index, waiting } = this.#parts;
+        switch (message.kind) {
+            case "configured": {
+                const gone = book.configure(message.cfg, this.#parts.now());
+                gone.forEach(name => index.forget(name));
+                this.#parts.configured(gone);
+                break;
+            }
+            case "place":
+                this.#place(message.waiter);
+                return;
+            case "abandoned":
+                waiting.remove(message.id)?.settle(Left(refusalOf("caller-gone", undefined, { ran: "no" })));
+                return;
+            case "endpoint":
+                this.#apply(message.endpoint, message.event);
+                break;
+            case "cache-event": {
+                const outcome = index.apply(message.endpoint, message.event);
+                this.#parts.metrics.cacheEvent(outcome);
+                if (outcome === "gap") {
+                    this.#parts.resync(message.endpoint, false);
+                }
+                break;
+            }
+            case "cache-snapshot":
+                index.resync(message.endpoint, message.snapshot);
+                break;
+            case "tick":
+                this.#expire();
+                break;
+            case "sweep":
+                this.#sweep();
+                break;
+        }
+        this.#drain();
+    }
+
+    #apply(endpoint: EndpointName, event: EndpointEvent): void {
+        const { book, index, metrics, probe, computing } = this.#parts;
+        if (event.kind === "first-token" || event.kind === "ended") {
+            computing.end(event.dispatchId);
+        }
+        book.apply(endpoint, event, this.#parts.now()).forEach(effect => {
+            switch (effect.kind) {
+                case "begin-cache":
+                    metrics.runChanged();
+                    index.begin(endpoint, effect.incarnation);
+                    this.#parts.resync(endpoint, true);
+                    break;
+                case "probe":
+                    probe(endpoint);
+                    break;
+            }
+        });
+    }
+
+    #place(waiter: Waiter): void {
+        this.#parts.waiting.add(waiter);
+        this.#drain();
+        if (this.#parts.waiting.has(waiter.item.id)) {
+            this.#refuseIfLate(waiter);
+        }
+    }
+
+    /** Starts waiting calls in the queue's order until none can start. */
+    #drain(): void {
+        const { waiting, chooser, now } = this.#parts;
+        const started = { candidates: [] as readonly Candidate[], chosen: undefined as Candidate | undefined };
+        const canStart = (waiter: Waiter): boolean => {
+            const choice = chooser.choose(waiter.call, waiter.tried, now());
+            started.candidates = choice?.candidates ?? [];
+            started.chosen = choice?.chosen;
+            return choice?.startsNow === true;
+        };
+        const before = now();
+        const waiter = waiting.size === 0 ? undefined : waiting.take(canStart, before);
+        if (waiter !== undefined && started.chosen !== undefined) {
+            this.#start(waiter, started.chosen, started.candidates, now() - before);
+            this.#drain();
+        }
+    }
+
+    #start(waiter: Waiter, chosen: Candidate, candidates: readonly Candidate[], choiceMs: Millis): void {
+        const { book, chooser, choices, metrics, now } = this.#parts;
+        const { call } = waiter;
+        const waitedMs = now() - waiter.item.arrivedAt;
+        const dispatchId = randomUUID() as string as DispatchId;
+        const state = book.stateOf(chosen.endpoint)!;
+        chooser.took();
+        metrics.placed(waitedMs, choiceMs, chosen.estimate.total);
+        choices.add(call.id, { at: now(), waitedMs, chosen: chosen.endpoint, candidates });
+        this.#apply(chosen.endpoint, {
+            kind: "dispatched",
+            dispatchId,
+            prefillTokens: this.#uncached(waiter, chosen),
+            expectedWait: chosen.estimate.wait,
+        });
+        if (state.incarnation !== undefined) {
+            this.#expectPieces(waiter, chosen, dispatchId, state.incarnation);
+        }
+        waiter.settle(Right(this.#placement(waiter, chosen, dispatchId, state.url, state.incarnation)));
+    }
+
+    #uncached(waiter: Waiter, chosen: Candidate): number {
+        const { target } = waiter.call;
+        return target.kind === "service" ? 0 : Math.max(
+            1,
+            target.promptTokens - chosen.matchedPieces * target.pieceTokens,
+        );
+    }
+
+    #expectPieces(waiter: Waiter, chosen: Candidate, dispatchId: DispatchId, incarnation: Incarnation): void {
+        const { target } = waiter.call;
+        if (target.kind === "service") {
+            return;
+        }
+        const { index, computing, now, announce } = this.#parts;
+        const expiresAt = now() + chosen.estimate.total + ASSUMED_MS;
+        const missing = target.pieces.slice(chosen.matchedPieces);
+        index.assume(chosen.endpoint, incarnation, target.pieces, expiresAt);
+        computing.begin(dispatchId, chosen.endpoint, missing, expiresAt);
+        if (missing.length > 0) {
+            announce(chosen.endpoint, incarnation, waiter, chosen);
+        }
+    }
+
+    #placement(
+        waiter: Waiter,
+        chosen: Candidate,
+        dispatchId: DispatchId,
+        url: string,
+        incarnation: Incarnation | undefined,
+    ): Placement {
+        const { metrics, now, tell } = this.#parts;
+        const { target } = waiter.call;
+        const { endpoint } = chosen;
+        const dispatchedAt = now();
+        const promptTokens = target.kind === "service" ? 0 : target.promptTokens;
+        const expectedCached = target.kind === "service" ? 0 : chosen.matchedPieces * target.pieceTokens;
+        const send = (event: EndpointEvent): void => tell({ kind: "endpoint", endpoint, event });
+        return {
+            dispatchId,
+            endpoint,
+            url,
+            incarnation,
+            estimate: chosen.estimate.total,
+            started: (answering, cached) => {
+                metrics.accepted(promptTokens, expectedCached, cached);
+                const prefillTokens = cached === undefined ? undefined : promptTokens - cached;
+                send({ kind: "accepted", dispatchId, incarnation: answering, prefillTokens });
+            },
+            firstToken: () => {
+                metrics.firstToken(chosen.estimate.total, now() - dispatchedAt);
+                send({ kind: "first-token", dispatchId });
+            },
+            end: (outcome: PlacementOutcome) => send({ kind: "ended", dispatchId, outcome }),
+        };
+    }
+
+    /** Refuses the calls whose deadline is over. */
+    #expire(): void {
+        const { waiting, now } = this.#parts;
+        waiting.all()
+            .filter(waiter => waiter.call.deadline <= now())
+            .forEach(waiter => {
+                waiting.remove(waiter.item.id);
+                this.#refuse(waiter, refusalOf("deadline-exceeded"));
+            });
+    }
+
+    #sweep(): void {
+        const { computing, waiting, index, now } = this.#parts;
+        computing.sweep(now());
+        index.sweep(now());
+        waiting.all().forEach(waiter => this.#refuseIfLate(waiter));
+    }
+
+    /** Refuses a waiting call as soon as it is known that it cannot start in time. */
+    #refuseIfLate(waiter: Waiter): void {
+        const refusal = this.#refusalOf(waiter);
+        if (refusal !== undefined) {
+            this.#parts.waiting.remove(waiter.item.id);
+            this.#refuse(waiter, refusal);
+        }
+    }
+
+    #refusalOf(waiter: Waiter): Refusal | undefined {
+        const { chooser, waiting, now } = this.#parts;
+        const { call } = waiter;
+        const choice = chooser.choose(call, waiter.tried, now());
+        if (choice === undefined) {
+            const isPatient = now() < Math.min(call.deadline, waiter.item.arrivedAt + NO_ENDPOINT_MS);
+            return isPatient ? undefined : refusalOf("no-endpoint");
+        }
+        return refusalFor({
+            now: now(),
+            deadline: call.deadline,
+            queueWait: waiting.waitOf(waiter, FIRST_PACE),
+            endpointWait: Math.min(...choice.candidates.map(each => each.estimate.wait)),
+        });
+    }
+
+    #refuse(waiter: Waiter, refusal: Refusal): void {
+        this.#parts.metrics.refused(refusal.kind);
+        waiter.settle(Left(refusal));
+    }
+}
--- a/packages/daemon/src/ports/Placement.ts
+++ b/packages/daemon/src/ports/Placement.ts
@@ -11,8 +11,10 @@
     readonly incarnation: Incarnation | undefined;
     /** Estimated time to the first token in milliseconds. */
     readonly estimate: Millis;
-    /** To be called when the first byte of the answer has come. */
+    /** To be called when the head of the answer has come: the endpoint has taken the request up. */
     readonly started: (incarnation: Incarnation | undefined, cachedTokens: number | undefined) => void;
+    /** To be called when the first token has come, so that the endpoint's speed is learned. */
+    readonly firstToken: () => void;
     /** To be called exactly once, when the try is over. */
     readonly end: (outcome: PlacementOutcome) => void;
 };
--- a/packages/endpoint/src/__tests__/unit/FairQueue.test.ts
+++ b/packages/endpoint/src/__tests__/unit/FairQueue.test.ts
@@ -80,6 +80,17 @@
     t.is(takeNext(queue, () => false).item, undefined);
 });
 
+test("queue: a request that cannot start does not hold up its own organisation either", t => {
+    const queue = queueOf([item("a", "x"), item("a", "y", { arrivedAt: 1 })]);
+    t.is(takeNext(queue, each => each.id !== "x").item?.id as string, "y");
+});
+
+test("queue: forgets organisations without work", t => {
+    const queue = queueOf([item("a", "x"), item("b", "y")]);
+    const empty = [1, 2].reduce<FairQueue>(left => takeNext(left, () => true).queue, queue);
+    t.is(empty.lanes.size, 0);
+});
+
 test("queue: removed requests are gone and empty lanes with them", t => {
     const queue = removeWhere(queueOf([item("a", "x"), item("b", "y")]), each => each.id === "x");
     t.deepEqual([...queue.lanes.keys()] as string[], ["b"]);
--- a/packages/endpoint/src/__tests__/unit/stepEndpoint.test.ts
+++ b/packages/endpoint/src/__tests__/unit/stepEndpoint.test.ts
@@ -48,10 +48,15 @@
     at,
     event: { kind: "dispatched", dispatchId: DispatchId.parse(id), prefillTokens, expectedWait },
 });
-const start = (at: number, id: string, incarnation = RUN_A, computedTokens?: number): Timed => ({
+const accept = (at: number, id: string, incarnation = RUN_A, prefillTokens?: number): Timed => ({
     at,
-    event: { kind: "started", dispatchId: DispatchId.parse(id), incarnation, computedTokens, networkMs: 1 },
+    event: { kind: "accepted", dispatchId: DispatchId.parse(id), incarnation, prefillTokens },
 });
+const start = (at: number, id: string): Timed => ({
+    at,
+    event: { kind: "first-token", dispatchId: DispatchId.parse(id) },
+});
+const probeFailed = (at: number): Timed => ({ at, event: { kind: "probe-failed" } });
 const end = (at: number, id: string, outcome: "complete" | "died" | "refused" = "complete"): Timed => ({
     at,
     event: { kind: "ended", dispatchId: DispatchId.parse(id), outcome },
@@ -70,7 +75,31 @@
     { name: "died under a request", events: [state(0), dispatch(1, "d", 1), end(2, "d", "died")], eligible: false },
     { name: "probed after", events: [state(0), dispatch(1, "d", 1), end(2, "d", "died"), state(3)], eligible: true },
     { name: "refused one request", events: [state(0), dispatch(1, "d", 1), end(2, "d", "refused")], eligible: true },
-    { name: "restarted", events: [state(0), dispatch(1, "d", 1), start(2, "d", RUN_B)], eligible: false },
+    { name: "restarted", events: [state(0), dispatch(1, "d", 1), accept(2, "d", RUN_B)], eligible: false },
+    {
+        name: "fails again and again while its probes succeed",
+        events: [
+            state(0),
+            ...[1_000, 2_000, 3_000].flatMap(at => [dispatch(at, `d${at}`, 1), end(at, `d${at}`, "died")]),
+        ]
+            .concat(state(3_100)),
+        eligible: false,
+    },
+    {
+        name: "left alone long enough after repeated failures",
+        events: [
+            state(0),
+            ...[1_000, 2_000, 3_000].flatMap(at => [dispatch(at, `d${at}`, 1), end(at, `d${at}`, "died")]),
+        ]
+            .concat(state(4_001)),
+        eligible: true,
+    },
+    {
+        name: "one crash that broke several streams",
+        events: [state(0), ...["a", "b", "c"].flatMap(id => [dispatch(1, id, 1), end(2, id, "died")]), state(3)],
+        eligible: true,
+    },
+    { name: "failed probes count once", events: [probeFailed(1), probeFailed(900), state(901)], eligible: true },
 ].forEach(({ name, events, eligible }) =>
     test(`eligible: ${name}`, t => {
         t.is(isEligible(run(FRESH, events), WANTED), eligible);
@@ -97,7 +126,7 @@
 
 test("run: a new run voids the cache and asks for a probe, also when a caller's answer shows it first", t => {
     const before = run(FRESH, [state(0), dispatch(1, "d", 100)]);
-    const { effects } = stepEndpoint(before, start(5, "d", RUN_B).event, 5);
+    const { effects } = stepEndpoint(before, accept(5, "d", RUN_B).event, 5);
     t.deepEqual(effects, [{ kind: "begin-cache", incarnation: RUN_B }, { kind: "probe" }]);
 });
 
@@ -136,13 +165,14 @@
 test("rate: the median of clear samples, which one odd sample does not move", t => {
     const events = [2, 2, 40, 2].flatMap((msPerToken, i) => [
         dispatch(i * 1e6, `d${i}`, 1_000),
-        start(i * 1e6 + 1_000 * msPerToken + 1, `d${i}`, RUN_A, 1_000),
+        accept(i * 1e6 + 1, `d${i}`, RUN_A, 1_000),
+        start(i * 1e6 + 1_000 * msPerToken, `d${i}`),
         end(i * 1e6 + 1e5, `d${i}`),
     ]);
     t.is(prefillRate(run(FRESH, [state(0), ...events]), []), 2);
 });
 
 test("rate: a dispatch that had to queue gives no sample", t => {
-    const queued = run(FRESH, [state(0), dispatch(0, "d", 1_000, 900), start(1_001, "d", RUN_A, 1_000)]);
+    const queued = run(FRESH, [state(0), dispatch(0, "d", 1_000, 900), accept(1, "d"), start(1_001, "d")]);
     t.deepEqual(queued.prefillSamples, []);
 });
--- a/packages/endpoint/src/cache/PrefixIndex.ts
+++ b/packages/endpoint/src/cache/PrefixIndex.ts
@@ -155,6 +155,12 @@
         return endpoints.map(endpoint => this.#matchOne(chain, this.#runs.get(endpoint), now));
     }
 
+    /** Whether the endpoint itself has said that it holds all of these pieces. */
+    isConfirmed(pieces: readonly PieceHash[], endpoint: EndpointName): boolean {
+        // Only confirmed entries outlast every time.
+        return this.#matchOne(pieces.map(wordsOfHash), this.#runs.get(endpoint), Number.MAX_VALUE) === pieces.length;
+    }
+
     /** Removes expired entries. */
     sweep(now: Millis): void {
         this.#partition.sweep(now);
--- a/packages/endpoint/src/queue/takeNext.ts
+++ b/packages/endpoint/src/queue/takeNext.ts
@@ -1,28 +1,44 @@
+import type { OrganisationId } from "@azureshunt/core";
+
+import { emptyQueue } from "./emptyQueue.js";
 import type { FairQueue } from "./FairQueue.js";
 import type { QueueItem } from "./QueueItem.js";
+import type { QueueLane } from "./QueueLane.js";
 import type { QueueTake } from "./QueueTake.js";
 
+/** Requests of one lane that are looked at; one that cannot start yet does not hold up those behind it. */
+const LOOK_AHEAD = 8;
+
+/** Lanes that say nothing any more are dropped, so that a queue is as large as its work. */
+function pruned(lanes: readonly (readonly [OrganisationId, QueueLane])[], virtualTime: number): FairQueue {
+    if (lanes.every(([, lane]) => lane.items.length === 0)) {
+        return emptyQueue();
+    }
+    return { virtualTime, lanes: new Map(lanes.filter(([, l]) => l.items.length > 0 || l.virtualTime > virtualTime)) };
+}
+
 /**
  * Takes the next request by start-time fair queueing: the organisation that was given least, measured in work by
  * weight, goes first. An organisation that sends several times its share only lengthens its own lane.
  *
- * @param canStart whether the first request of a lane can be placed now
+ * @param canStart whether a request can be placed now
  */
 export function takeNext(queue: FairQueue, canStart: (item: QueueItem) => boolean): QueueTake {
-    const lane = [...queue.lanes.values()]
-        .filter(each => each.items.length > 0)
+    const item = [...queue.lanes.values()]
+        .filter(lane => lane.items.length > 0)
         .sort((a, b) => a.virtualTime - b.virtualTime)
-        .find(each => canStart(each.items[0]!));
-    const item = lane?.items[0];
+        .flatMap(lane => lane.items.slice(0, LOOK_AHEAD))
+        .find(canStart);
+    const lane = item === undefined ? undefined : queue.lanes.get(item.organisation);
     if (lane === undefined || item === undefined) {
         return { queue, item: undefined };
     }
-    const rest = { virtualTime: lane.virtualTime + item.cost / item.weight, items: lane.items.slice(1) };
-    return {
-        queue: {
-            virtualTime: Math.max(queue.virtualTime, lane.virtualTime),
-            lanes: new Map(queue.lanes).set(item.organisation, rest),
-        },
-        item,
+    const rest = {
+        virtualTime: lane.virtualTime + item.cost / item.weight,
+        items: lane.items.filter(each => each !== item),
     };
+    const lanes = [...queue.lanes].map(([organisation, each]) =>
+        [organisation, organisation === item.organisation ? rest : each] as const
+    );
+    return { queue: pruned(lanes, Math.max(queue.virtualTime, lane.virtualTime)), item };
 }
--- a/packages/endpoint/src/state/EndpointEvent.ts
+++ b/packages/endpoint/src/state/EndpointEvent.ts
@@ -18,20 +18,21 @@
         readonly expectedWait: Millis;
     }
     | {
-        readonly kind: "started";
+        /** The head of the answer came: the endpoint has taken the request up. */
+        readonly kind: "accepted";
         readonly dispatchId: DispatchId;
         readonly incarnation: Incarnation | undefined;
-        /** Tokens of the prompt that the endpoint really computed, where it said so. */
-        readonly computedTokens: Tokens | undefined;
-        /** Milliseconds that the network took of the time to the first token. */
-        readonly networkMs: Millis;
+        /** Tokens of the prompt that the endpoint really computes, where it said so. */
+        readonly prefillTokens: Tokens | undefined;
     }
+    | { readonly kind: "first-token"; readonly dispatchId: DispatchId; }
     | {
         readonly kind: "ended";
         readonly dispatchId: DispatchId;
         readonly outcome: "complete" | "refused" | "died" | "cancelled";
     }
     | { readonly kind: "load-reported"; readonly report: LoadReport; readonly askedAt: Millis; }
+    | { readonly kind: "round-trip"; readonly ms: Millis; }
     | {
         readonly kind: "state-reported";
         readonly incarnation: Incarnation | undefined;
--- a/packages/endpoint/src/state/EndpointState.ts
+++ b/packages/endpoint/src/state/EndpointState.ts
@@ -20,7 +20,7 @@
     readonly health: "unknown" | "up" | "down";
     /** Whether the endpoint says that it takes work. */
     readonly ready: boolean;
-    /** Times of failures within the window, the oldest first. */
+    /** Times of failures within the window, the oldest first; failures close together count once. */
     readonly failures: readonly Millis[];
     readonly holds: readonly HeldWeights[];
     readonly inFlight: readonly InFlight[];
@@ -29,6 +29,10 @@
     readonly ownHistory: readonly OwnLoad[];
     /** Milliseconds to compute one token of a prompt, of recent dispatches, the oldest first. */
     readonly prefillSamples: readonly number[];
+    /** Milliseconds from dispatch to end, of recent complete dispatches, the oldest first. */
+    readonly durations: readonly Millis[];
+    /** Milliseconds there and back, of recent polls, the oldest first. */
+    readonly roundTrips: readonly Millis[];
     /** Most requests that were seen running while others waited; undefined while none had to wait. */
     readonly slots: number | undefined;
 };
--- a/packages/endpoint/src/state/InFlight.ts
+++ b/packages/endpoint/src/state/InFlight.ts
@@ -8,6 +8,8 @@
     readonly prefillTokens: Tokens;
     /** Milliseconds of queue that were expected before the prefill began. */
     readonly expectedWait: Millis;
-    /** When the first byte of the answer came; undefined while the endpoint waits or computes the prompt. */
+    /** Whether the endpoint has said how much it computes. */
+    readonly accepted: boolean;
+    /** When the first token came; undefined while the request waits or its prompt is computed. */
     readonly startedAt: Millis | undefined;
 };
--- a/packages/endpoint/src/state/newEndpoint.ts
+++ b/packages/endpoint/src/state/newEndpoint.ts
@@ -24,6 +24,8 @@
         report: undefined,
         ownHistory: [],
         prefillSamples: [],
+        durations: [],
+        roundTrips: [],
         slots: undefined,
     };
 }
--- a/packages/endpoint/src/state/prefillSample.ts
+++ b/packages/endpoint/src/state/prefillSample.ts
@@ -1,4 +1,4 @@
-import type { Millis, Tokens } from "@azureshunt/core";
+import type { Millis } from "@azureshunt/core";
 
 import type { InFlight } from "./InFlight.js";
 
@@ -11,16 +11,11 @@
  * Derives milliseconds a token from one observed first token. Dispatches that had to queue or had little to compute
  * give no sample, as they would blur the engine's speed with its load.
  *
- * @param computedTokens tokens that the engine computed; undefined when it did not say
  * @param elapsed milliseconds to the first token without the network's part
  * @returns no or one sample
  */
-export function prefillSample(
-    dispatch: InFlight,
-    computedTokens: Tokens | undefined,
-    elapsed: Millis,
-): readonly number[] {
-    const tokens = computedTokens ?? dispatch.prefillTokens;
-    const isClear = tokens >= MIN_TOKENS && elapsed > 0 && dispatch.expectedWait <= elapsed * MAX_WAIT_PART;
-    return isClear ? [elapsed / tokens] : [];
+export function prefillSample(dispatch: InFlight, elapsed: Millis): readonly number[] {
+    const { prefillTokens, expectedWait, accepted } = dispatch;
+    const isClear = accepted && prefillTokens >= MIN_TOKENS && elapsed > 0 && expectedWait <= elapsed * MAX_WAIT_PART;
+    return isClear ? [elapsed / prefillTokens] : [];
 }
--- a/packages/endpoint/src/state/stepEndpoint.ts
+++ b/packages/endpoint/src/state/stepEndpoint.ts
@@ -5,6 +5,8 @@
 import type { EndpointState } from "./EndpointState.js";
 import { prefillSample } from "./prefillSample.js";
 import { recordOwnLoad } from "./recordOwnLoad.js";
+import { retryAt } from "./retryAt.js";
+import { roundTripOf } from "./roundTripOf.js";
 
 type EndpointStep = Step<EndpointState, EndpointEffect>;
 type EventOf<Kind extends EndpointEvent["kind"]> = Extract<EndpointEvent, { readonly kind: Kind; }>;
@@ -12,15 +14,19 @@
 /** Failures older than this are forgotten. */
 const FAILURE_WINDOW_MS = 60_000;
 const MAX_FAILURES = 16;
+const SAME_FAILURE_MS = 250;
 const MAX_SAMPLES = 15;
 
 const step = (state: EndpointState, effects: readonly EndpointEffect[] = []): EndpointStep => ({ state, effects });
 
-const withFailure = (state: EndpointState, now: Millis): EndpointState => ({
-    ...state,
-    health: "down",
-    failures: [...state.failures.filter(at => at > now - FAILURE_WINDOW_MS), now].slice(-MAX_FAILURES),
-});
+const lastOf = <Item>(items: readonly Item[]): readonly Item[] => items.slice(-MAX_SAMPLES);
+
+/** One crash breaks many streams at the same moment; they count as one failure. */
+function withFailure(state: EndpointState, now: Millis): EndpointState {
+    const recent = state.failures.filter(at => at > now - FAILURE_WINDOW_MS);
+    const isSame = now - (recent.at(-1) ?? -Infinity) < SAME_FAILURE_MS;
+    return { ...state, health: "down", failures: isSame ? recent : [...recent, now].slice(-MAX_FAILURES) };
+}
 
 /**
  * Takes note of the run that answered. An answer asked for before the current run was first seen may come from the run
@@ -44,22 +50,36 @@
 
 function dispatched(state: EndpointState, event: EventOf<"dispatched">, now: Millis): EndpointStep {
     const { dispatchId, prefillTokens, expectedWait } = event;
-    const added = { dispatchId, prefillTokens, expectedWait, dispatchedAt: now, startedAt: undefined };
+    const entry = { dispatchId, prefillTokens, expectedWait, dispatchedAt: now };
+    const added = { ...entry, accepted: false, startedAt: undefined };
     return step(recordOwnLoad({ ...state, inFlight: [...state.inFlight, added] }, now));
 }
 
-function started(state: EndpointState, event: EventOf<"started">, now: Millis): EndpointStep {
+function accepted(state: EndpointState, event: EventOf<"accepted">, now: Millis): EndpointStep {
     const dispatch = state.inFlight.find(each => each.dispatchId === event.dispatchId);
-    if (dispatch === undefined || dispatch.startedAt !== undefined) {
+    if (dispatch === undefined || dispatch.accepted) {
         return step(state);
     }
     const observed = observeRun(state, event.incarnation, dispatch.dispatchedAt, now);
-    const sample = prefillSample(dispatch, event.computedTokens, now - dispatch.dispatchedAt - event.networkMs);
+    const known = { ...dispatch, accepted: true, prefillTokens: event.prefillTokens ?? dispatch.prefillTokens };
+    const inFlight = state.inFlight.map(each => each === dispatch ? known : each);
+    return step(recordOwnLoad({ ...observed.state, inFlight }, now), observed.effects);
+}
+
+function firstToken(state: EndpointState, event: EventOf<"first-token">, now: Millis): EndpointStep {
+    const dispatch = state.inFlight.find(each => each.dispatchId === event.dispatchId);
+    if (dispatch === undefined || dispatch.startedAt !== undefined) {
+        return step(state);
+    }
+    const sample = prefillSample(dispatch, now - dispatch.dispatchedAt - roundTripOf(state));
     const inFlight = state.inFlight.map(each => each === dispatch ? { ...each, startedAt: now } : each);
-    const prefillSamples = [...state.prefillSamples, ...sample].slice(-MAX_SAMPLES);
-    return step(recordOwnLoad({ ...observed.state, inFlight, prefillSamples }, now), observed.effects);
+    const prefillSamples = lastOf([...state.prefillSamples, ...sample]);
+    return step(recordOwnLoad({ ...state, inFlight, prefillSamples }, now));
 }
 
+const durationOf = (state: EndpointState, event: EventOf<"ended">, now: Millis): readonly Millis[] =>
+    state.inFlight.filter(each => each.dispatchId === event.dispatchId).map(each => now - each.dispatchedAt);
+
 function ended(state: EndpointState, event: EventOf<"ended">, now: Millis): EndpointStep {
     const inFlight = state.inFlight.filter(each => each.dispatchId !== event.dispatchId);
     const without = recordOwnLoad({ ...state, inFlight }, now);
@@ -69,6 +89,7 @@
         case "refused":
             return step(without, [{ kind: "probe" }]);
         case "complete":
+            return step({ ...without, durations: lastOf([...state.durations, ...durationOf(state, event, now)]) });
         case "cancelled":
             return step(without);
     }
@@ -91,7 +112,8 @@
     }
     const { ready, holds } = event;
     const effects = observed.effects.filter(effect => effect.kind !== "probe");
-    return step({ ...observed.state, health: "up", ready, holds }, effects);
+    const health = now >= retryAt(state.failures) ? "up" : "down";
+    return step({ ...observed.state, health, ready, holds }, effects);
 }
 
 /** Applies one event to an endpoint. */
@@ -101,15 +123,19 @@
             return step({ ...state, url: event.url, failureDomain: event.failureDomain, leaving: event.leaving });
         case "dispatched":
             return dispatched(state, event, now);
-        case "started":
-            return started(state, event, now);
+        case "accepted":
+            return accepted(state, event, now);
+        case "first-token":
+            return firstToken(state, event, now);
         case "ended":
             return ended(state, event, now);
         case "load-reported":
             return loadReported(state, event, now);
         case "state-reported":
             return stateReported(state, event, now);
+        case "round-trip":
+            return step({ ...state, roundTrips: lastOf([...state.roundTrips, event.ms]) });
         case "probe-failed":
-            return step(withFailure(state, now));
+            return step(state.health === "down" ? state : withFailure(state, now));
     }
 }
