--- a/packages/daemon/src/startDaemon.ts
+++ b/packages/daemon/src/startDaemon.ts
@@ -69,11 +69,12 @@
     });
     const trace = createTracePort(clock.epoch);
     const allowance = createAllowancePort(ctx);
-    const placement = createPlacementPort(ctx);
+
     const versionOf = createTrafficVersions(() => []);
     const fleet = startFleet(ctx, versionOf);
     const intents = createIntentPort(ctx);
     const suspects = createSuspectPort(ctx);
+    const placement = createPlacementPort(ctx, { mayShare: suspects.mayShare });
     const draining = { is: false };
     const isDraining = (): boolean => draining.is;
     const callers = await startCallerListener({
