Choose versions by what live endpoints hold

Cause: traffic versions need to know what endpoints hold; looking at every endpoint for each request would grow with the fleet. Ruled out: a poll of their own. Change: holdings come from the placement's watch, a decision stands for 100 ms.

--- a/packages/bench/src/fleet/main.ts
+++ b/packages/bench/src/fleet/main.ts
@@ -14,6 +14,8 @@
 const REQUEST_EVERY_MS = 40;
 const LOADED_BOUND_MS = 30_000;
 const UNLOADED_BOUND_MS = 60_000;
+/** Lets daemons claim the order leases first, as they have in a running installation. */
+const LEASE_MS = 8_000;
 const SETTLE_MS = 2_000;
 
 const seconds = (ms: number): string => `${(ms / 1_000).toFixed(2)} s`;
@@ -31,7 +33,7 @@
     try {
         const demo = demoNote(topology);
         await applyRelease(topology, demo.note);
-        await new Promise(resolve => setTimeout(resolve, SETTLE_MS));
+        await new Promise(resolve => setTimeout(resolve, LEASE_MS));
         const traffic = startTraffic(topology, demo, REQUEST_EVERY_MS);
         const inForce = await applyRelease(topology, {
             note: "second version",
--- a/packages/daemon/src/fleet/createTrafficVersions.ts
+++ b/packages/daemon/src/fleet/createTrafficVersions.ts
@@ -1,8 +1,14 @@
-import type { EndpointName, ModelName, WeightsVersion } from "@azureshunt/core";
+import type { EndpointName, Millis, ModelName, WeightsVersion } from "@azureshunt/core";
 import type { Weights } from "@azureshunt/fleet";
 import { trafficVersion } from "@azureshunt/fleet";
 import type { Configuration, ModelSpec } from "@azureshunt/release";
 
+/** How long a decision stands, so that a request does not look at every endpoint. */
+const STANDS_MS = 100;
+
+/** A version as it was decided, for one configuration. */
+type Decision = { readonly version: WeightsVersion; readonly revision: number; readonly at: Millis; };
+
 /** What a live endpoint holds, as this daemon last saw it. */
 type Holding = { readonly name: EndpointName; readonly holds: readonly Weights[]; };
 
@@ -22,9 +28,13 @@
  *
  * @param observe live endpoints as seen now
  */
-export function createTrafficVersions(observe: () => readonly Holding[]): TrafficVersions {
-    const current = new Map<ModelName, WeightsVersion>();
+export function createTrafficVersions(observe: () => readonly Holding[], now: () => Millis): TrafficVersions {
+    const decisions = new Map<ModelName, Decision>();
     return (cfg, spec) => {
+        const last = decisions.get(spec.name);
+        if (last?.revision === cfg.revision && now() - last.at < STANDS_MS) {
+            return last.version;
+        }
         const replicas = replicasOf(cfg, spec.name);
         const holders = observe()
             .filter(endpoint => replicas.has(endpoint.name))
@@ -34,8 +44,8 @@
                 (counts, held) => counts.set(held.version, (counts.get(held.version) ?? 0) + 1),
                 new Map<WeightsVersion, number>(),
             );
-        const version = trafficVersion(spec, replicas.size, holders, current.get(spec.name));
-        current.set(spec.name, version);
+        const version = trafficVersion(spec, replicas.size, holders, last?.version);
+        decisions.set(spec.name, { version, revision: cfg.revision, at: now() });
         return version;
     };
 }
--- a/packages/daemon/src/startDaemon.ts
+++ b/packages/daemon/src/startDaemon.ts
@@ -70,7 +70,10 @@
     const trace = createTracePort(clock.epoch);
     const allowance = createAllowancePort(ctx);
 
-    const versionOf = createTrafficVersions(() => []);
+    const versionOf = createTrafficVersions(
+        () => placement.inspect().filter(endpoint => endpoint.health === "up"),
+        clock.now,
+    );
     const fleet = startFleet(ctx, versionOf);
     const intents = createIntentPort(ctx);
     const suspects = createSuspectPort(ctx);
