--- a/packages/bench/src/topology/startTopology.ts
+++ b/packages/bench/src/topology/startTopology.ts
@@ -38,6 +38,17 @@
         },
     });
 
+const isListening = async (daemon: DaemonProcess): Promise<boolean> =>
+    (await callHttp({ method: "GET", url: `${daemon.caller}/healthz` })).status === 200;
+
+/** Settles when a daemon listens, and rejects with what it wrote when it ends before. */
+const untilListening = async (daemon: DaemonProcess): Promise<void> => {
+    const { exited, errors } = daemon.process();
+    const ended = exited.then(() => Promise.reject(new Error(`${daemon.vm} ended: ${errors()}`)));
+    await Promise.race([ended, waitUntil(`${daemon.vm} to listen`, START_BOUND_MS, () => isListening(daemon))]);
+    ended.catch(() => undefined);
+};
+
 /** Starts a platform, endpoints and daemons as processes of their own on free ports, and waits until all listen. */
 export async function startTopology(plan: TopologyPlan): Promise<Topology> {
     const platform = await startStandIn("platform", "platform", plan.platformFlags);
@@ -69,14 +80,7 @@
         })
     );
     await Promise.all(daemons.map(daemon => declareVm(platform.url, daemon)));
-    await Promise.all(daemons.map(daemon =>
-        waitUntil(`${daemon.vm} to listen`, START_BOUND_MS, async () => {
-            if (daemon.process().hasExited()) {
-                throw new Error(daemon.process().errors());
-            }
-            return (await callHttp({ method: "GET", url: `${daemon.caller}/healthz` })).status === 200;
-        })
-    ));
+    await Promise.all(daemons.map(untilListening));
     const stop = async (): Promise<void> => {
         await Promise.all(daemons.map(daemon => endProcess(daemon.process())));
         await Promise.all([...endpoints, platform].map(endProcess));
