--- /dev/null
+++ b/spec/intent.pml
@@ -0,0 +1,114 @@
+/*
+ * Intents of requests that may not be repeated: at most one run of a key.
+ *
+ * Models packages/intent: foldIntents (the first intent since the key was free owns it), standingOf (only the owner is
+ * free to go), beginIntent, withdrawIntent, verdictOfTaken (nobody takes over). Daemons pause between any two steps, die
+ * and come back with nothing; the log drops appends, takes them late and in any order, and the answer tells nothing: a
+ * daemon goes by what it reads back.
+ *
+ * Companion runs, each with one guard removed, have to find the violation:
+ *   ANY_INTENT          the last intent owns the key, not the first
+ *   TAKE_OVER           a daemon dispatches in the place of an owner that does not answer
+ *   BEGIN_WITHDRAWN     an intent may begin after its withdrawal has been sent
+ *   WITHDRAW_BEGUN      an intent may be withdrawn after it has begun
+ */
+#ifndef DAEMONS
+#define DAEMONS 2
+#endif
+#define INTENTS 3
+#define RECORDS 7
+
+#ifdef TAKE_OVER
+#define OWNS true
+#else
+#define OWNS (ownerAt[seen] == mine)
+#endif
+#ifdef BEGIN_WITHDRAWN
+#define MAY_BEGIN (phase == open || phase == withdrawn)
+#else
+#define MAY_BEGIN (phase == open)
+#endif
+#ifdef WITHDRAW_BEGUN
+#define MAY_WITHDRAW (phase == open || phase == begun)
+#else
+#define MAY_WITHDRAW (phase == open)
+#endif
+
+mtype = { none, open, begun, withdrawn };
+
+byte intents;               /* intents written so far; their ids count from 1 */
+bit sentIntent[4];          /* appends on their way to the log */
+bit sentWithdrawal[4];
+byte end;                   /* records in the log */
+byte ownerAt[RECORDS];      /* owner of the key after folding that many records; 0 is none */
+bit logged[4];              /* whether the intent is among the records */
+byte loggedAt[4];
+byte runs;
+
+inline appendIntent(id) {
+    d_step {
+        sentIntent[id] = 0;
+        logged[id] = 1;
+#ifdef ANY_INTENT
+        ownerAt[end + 1] = id;
+#else
+        ownerAt[end + 1] = (ownerAt[end] == 0 -> id : ownerAt[end]);
+#endif
+        end++;
+        loggedAt[id] = end
+    }
+}
+
+inline appendWithdrawal(id) {
+    d_step {
+        sentWithdrawal[id] = 0;
+        ownerAt[end + 1] = (ownerAt[end] == id -> 0 : ownerAt[end]);
+        end++
+    }
+}
+
+/* An append that is dropped is one that this process never takes. */
+active proctype Log() {
+end_log:
+    do
+    :: atomic { (end < RECORDS - 1 && sentIntent[1]) -> appendIntent(1) }
+    :: atomic { (end < RECORDS - 1 && sentIntent[2]) -> appendIntent(2) }
+    :: atomic { (end < RECORDS - 1 && sentIntent[3]) -> appendIntent(3) }
+    :: atomic { (end < RECORDS - 1 && sentWithdrawal[1]) -> appendWithdrawal(1) }
+    :: atomic { (end < RECORDS - 1 && sentWithdrawal[2]) -> appendWithdrawal(2) }
+    :: atomic { (end < RECORDS - 1 && sentWithdrawal[3]) -> appendWithdrawal(3) }
+    od
+}
+
+active [DAEMONS] proctype Daemon() {
+    byte mine;              /* its intent; 0 is none */
+    mtype phase = none;
+    byte seen;              /* records folded */
+
+end_daemon:
+    do
+    :: atomic { mine == 0 && intents < INTENTS ->
+        intents++;
+        mine = intents;
+        phase = open;
+        sentIntent[mine] = 1
+       }
+    :: seen < end -> seen = end
+    /* beginIntent: the intent has been read back and owns the key as far as this daemon has read. */
+    :: atomic { (mine != 0 && logged[mine] && loggedAt[mine] <= seen && OWNS && MAY_BEGIN) -> phase = begun };
+    /* It may stop here for any time, or die. */
+       if
+       :: atomic { runs++; assert(runs <= 1) }
+       :: mine = 0; phase = none; seen = 0
+       fi
+    /* withdrawIntent: first here, then by record. */
+    :: atomic { (mine != 0 && MAY_WITHDRAW) ->
+        phase = withdrawn;
+        sentWithdrawal[mine] = 1
+       }
+    /* Done with a withdrawn intent: a repeated call may write a new one. */
+    :: atomic { mine != 0 && phase == withdrawn -> mine = 0; phase = none }
+    /* The process dies; the next one on this VM knows nothing and reads the log anew. */
+    :: atomic { mine != 0 -> mine = 0; phase = none; seen = 0 }
+    od
+}
