--- /dev/null
+++ b/packages/daemon/src/__tests__/support/createFakeLog.ts
@@ -0,0 +1,54 @@
+import { RecordId } from "@azureshunt/core";
+import type { LogPort } from "@azureshunt/platform";
+import { Left, Right } from "purify-ts";
+
+type Fault = "none" | "unreachable" | "lost" | "swallowed";
+
+/** A log in memory whose next appends may fail. */
+type FakeLog = LogPort & {
+    /** What the next append does: nothing, its effect without an answer, or neither effect nor answer. */
+    readonly failNext: (fault: Fault) => void;
+    readonly setDown: (isDown: boolean) => void;
+};
+
+/** Makes a log in memory, shared by the daemons of a test. */
+export function createFakeLog(): FakeLog {
+    const streams = new Map<string, { offset: number; id: RecordId; at: number; data: unknown; }[]>();
+    const faults: Fault[] = [];
+    const down = { is: false };
+    const of = (stream: string) => streams.get(stream) ?? [];
+
+    const append: LogPort["append"] = (stream, records) => {
+        const fault = down.is ? "unreachable" : faults.shift() ?? "none";
+        if (fault === "unreachable" || fault === "swallowed") {
+            return Promise.resolve(Left({ kind: fault === "swallowed" ? "lost" as const : "unreachable" as const }));
+        }
+        const known = of(stream);
+        const added = records.map(({ id, data }, index) => ({
+            offset: known.length + index,
+            id: RecordId.parse(id),
+            at: known.length + index,
+            data: JSON.parse(JSON.stringify(data)) as unknown,
+        }));
+        streams.set(stream, [...known, ...added]);
+        return Promise.resolve(
+            fault === "lost" ? Left({ kind: "lost" as const }) : Right(added.map(({ offset }) => offset)),
+        );
+    };
+    const read: LogPort["read"] = (stream, from, limit) => {
+        const known = of(stream);
+        return Promise.resolve(
+            down.is
+                ? Left({ kind: "unreachable" as const })
+                : Right({ start: 0, end: known.length, records: known.slice(from, from + limit) }),
+        );
+    };
+    return {
+        append,
+        read,
+        failNext: fault => void faults.push(fault),
+        setDown: isDown => {
+            down.is = isDown;
+        },
+    };
+}
