Announce a stop before refusing anything, so that a graceful shutdown cuts no request

A draining daemon refused new requests at once, while the balancer still sent them. Ruled out: refusing as 'not run', which is true but a refusal. Change: readiness goes red, requests are served on for announceMs with answers that close their connections, then no new connections, then what runs is waited for.

--- /dev/null
+++ b/packages/bench/src/__tests__/unit/shutdown.test.ts
@@ -0,0 +1,75 @@
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+
+import test from "ava";
+import { Agent, request } from "undici";
+
+import { demoNote } from "../../demo/demoNote.js";
+import { demoPlan } from "../../demo/demoPlan.js";
+import { streamChat } from "../../demo/streamChat.js";
+import { applyRelease } from "../../topology/applyRelease.js";
+import { startTopology } from "../../topology/startTopology.js";
+import { waitUntil } from "../../topology/waitUntil.js";
+
+const STREAMS = 6;
+/** More than the time of the announcement, so that streams still run when no new connections are taken. */
+const TOKENS = 1_200;
+const BOUND_MS = 20_000;
+
+test("a daemon that is asked to stop finishes its streams and serves what still comes", async t => {
+    // An operator replaces a VM. Drivers read long answers over it, and the balancer sends requests there for a moment
+    // longer, over kept-open connections. A daemon that exits or refuses at once cuts these: the cause is that the
+    // balancer learns of the stop only by the next check of readiness.
+    const folder = mkdtempSync(join(tmpdir(), "azureshunt-shutdown-"));
+    const plan = demoPlan(folder);
+    const endpoints = plan.endpoints.filter(endpoint => endpoint.kind === "model").slice(0, 1);
+    const topology = await startTopology({ ...plan, failureDomains: ["fd-a"], daemonsPerDomain: 1, endpoints });
+    const keptOpen = new Agent({ connections: 1 });
+    try {
+        const demo = demoNote(topology);
+        await applyRelease(topology, demo.note);
+        const [daemon] = topology.daemons;
+        const { caller } = daemon!;
+        const key = demo.organisations[0]!.key;
+        const models = () =>
+            request(`${caller}/v1/models`, { dispatcher: keptOpen, headers: { authorization: `Bearer ${key}` } })
+                .then(async res => {
+                    await res.body.dump();
+                    return res.statusCode;
+                });
+        await waitUntil("the engine to be watched", BOUND_MS, async () => {
+            const chat = await streamChat(caller, key, demo.model, [{ role: "user", content: "ready?" }], 1);
+            return chat.complete;
+        });
+        t.is(await models(), 200);
+        const streams = Array.from(
+            { length: STREAMS },
+            (_, i) => streamChat(caller, key, demo.model, [{ role: "user", content: `question ${i}` }], TOKENS),
+        );
+        const { signal, exited } = daemon!.process();
+        signal("SIGTERM");
+        await waitUntil("readiness to go red", BOUND_MS, async () => {
+            const res = await request(`${caller}/readyz`);
+            await res.body.dump();
+            return res.statusCode === 503;
+        });
+        t.is(await models(), 200);
+        const late = await streamChat(caller, key, demo.model, [{ role: "user", content: "late" }], TOKENS);
+        const ended = await Promise.all(streams);
+        t.deepEqual(
+            [...ended, late].map(({ complete, tokens }) => ({ complete, tokens })),
+            [...ended, late].map(() => ({
+                complete: true,
+                tokens: TOKENS,
+            })),
+        );
+        await exited;
+        t.is(daemon!.process().errors(), "");
+    }
+    finally {
+        await keptOpen.close();
+        await topology.stop();
+        rmSync(folder, { recursive: true, force: true });
+    }
+});
--- a/packages/daemon/src/Settings.ts
+++ b/packages/daemon/src/Settings.ts
@@ -40,7 +40,9 @@
         /** Silence on a stream or connection after which it counts as dead. */
         idleMs: z.number().int().positive().default(2_000),
         /** Time that a graceful shutdown gives running requests. */
-        drainMs: z.number().int().positive().default(60_000),
+        drainMs: z.number().int().positive().default(300_000),
+        /** How long a stopping daemon shows that it is not ready, and serves on, before it takes no new connections. */
+        announceMs: z.number().int().min(0).default(3_000),
     }).default({}),
     /** Orders to the engines of the failure domain. */
     fleet: z.strictObject({
--- a/packages/daemon/src/gateway/GatewayParts.ts
+++ b/packages/daemon/src/gateway/GatewayParts.ts
@@ -18,6 +18,6 @@
     readonly authenticate: (cfg: Configuration, authorization: string | undefined) => Either<Refusal, Caller>;
     /** The version of a model that new requests get. */
     readonly versionOf: (cfg: Configuration, spec: ModelSpec) => WeightsVersion;
-    /** Whether new requests are still taken. */
+    /** Whether this daemon is stopping; requests are still served, and each answer closes its connection. */
     readonly isDraining: () => boolean;
 };
--- a/packages/daemon/src/gateway/createCallerHandler.ts
+++ b/packages/daemon/src/gateway/createCallerHandler.ts
@@ -34,8 +34,15 @@
     return Array.isArray(value) ? value[0] : value;
 };
 
-/** Makes the function that answers callers' requests; each ends in an answer or in a refusal from the closed list. */
-export function createCallerHandler(parts: GatewayParts): (req: IncomingMessage, res: ServerResponse) => void {
+/**
+ * Makes the function that answers callers' requests; each ends in an answer or in a refusal from the closed list.
+ *
+ * @param isShutDown whether the time that running requests were given is over
+ */
+export function createCallerHandler(
+    parts: GatewayParts,
+    isShutDown: () => boolean,
+): (req: IncomingMessage, res: ServerResponse) => void {
     const { ctx } = parts.dispatch;
     const logger = ctx.logger("gateway");
     const { limits } = ctx.settings;
@@ -47,7 +54,7 @@
 
     const authenticate = (req: IncomingMessage, id: RequestId): Either<Refusal, Authenticated> => {
         const cfg = ctx.release.current();
-        if (parts.isDraining()) {
+        if (isShutDown()) {
             return Left(refusalOf("shutting-down"));
         }
         if (cfg === undefined) {
--- a/packages/daemon/src/gateway/startCallerListener.ts
+++ b/packages/daemon/src/gateway/startCallerListener.ts
@@ -1,5 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 
+import type { Millis } from "@azureshunt/core";
+
 import { createCallerHandler } from "./createCallerHandler.js";
 import type { GatewayParts } from "./GatewayParts.js";
 import { serveHealth } from "./serveHealth.js";
@@ -9,8 +11,14 @@
 
 /** The listener that callers reach. */
 type CallerListener = {
-    /** Takes no new connections, closes each one after its running request, and settles when all are done or late. */
-    readonly drain: (boundMs: number) => Promise<void>;
+    /**
+     * Ends the listener without cutting a request, and settles when all are done or the bound of the settings is over.
+     *
+     * Failure: the balancer sends requests here for a moment after this daemon has begun to stop, over kept-open
+     * connections too; they would be refused or cut. Guard: readiness goes red first, while requests are still served
+     * and each answer closes its connection; only then no new connections are taken, and what runs is waited for.
+     */
+    readonly drain: () => Promise<void>;
 };
 
 /**
@@ -21,7 +29,8 @@
 export async function startCallerListener(parts: GatewayParts): Promise<CallerListener> {
     const { ctx } = parts.dispatch;
     const { settings } = ctx;
-    const serve = createCallerHandler(parts);
+    const serving = { refuses: false };
+    const serve = createCallerHandler(parts, () => serving.refuses);
     const running = { requests: 0 };
     ctx.metrics.gauge("azureshunt_requests_running", "Callers' requests that run now.", () => running.requests);
 
@@ -34,6 +43,9 @@
         ) {
             return;
         }
+        if (parts.isDraining()) {
+            res.setHeader("connection", "close");
+        }
         running.requests += 1;
         res.once("close", () => {
             running.requests -= 1;
@@ -47,18 +59,24 @@
         handler,
     });
 
-    const drain: CallerListener["drain"] = boundMs =>
+    const untilIdle = (giveUpAt: Millis): Promise<void> =>
         new Promise(resolve => {
-            const giveUpAt = ctx.clock.now() + boundMs;
             const timer = setInterval(() => {
                 server.closeIdleConnections();
                 if (running.requests === 0 || ctx.clock.now() > giveUpAt) {
                     clearInterval(timer);
-                    server.close();
-                    server.closeAllConnections();
                     resolve();
                 }
             }, IDLE_CHECK_MS);
         });
+
+    const drain: CallerListener["drain"] = async () => {
+        const { announceMs, drainMs } = settings.limits;
+        await new Promise(resolve => setTimeout(resolve, announceMs));
+        server.close();
+        await untilIdle(ctx.clock.now() + drainMs);
+        serving.refuses = true;
+        server.closeAllConnections();
+    };
     return { drain };
 }
--- a/packages/daemon/src/startDaemon.ts
+++ b/packages/daemon/src/startDaemon.ts
@@ -95,7 +95,7 @@
     const shutDown = async (): Promise<void> => {
         draining.is = true;
         logger("daemon").info("Draining.");
-        await callers.drain(settings.limits.drainMs);
+        await callers.drain();
         await allowance.drain();
         [fleet, allowance, placement, intents, suspects, release, membership, peers].forEach(part => void part.stop());
         await admin.stop();
