Tell the other daemons of dispatches at once

Cause: daemons choose at the same time on load reports that lag, so they pick the same idle engine and make two engines compute the same new prefix. Ruled out: spreading by chance, which cannot keep two engines from computing the same prefix.

--- /dev/null
+++ b/packages/daemon/src/__tests__/fakes/FakePeers.ts
@@ -0,0 +1,35 @@
+import type { VmId } from "@azureshunt/core";
+import { FailureDomain } from "@azureshunt/core";
+import { Left, Right } from "purify-ts";
+
+import type { PeerPort } from "../../ports/PeerPort.js";
+
+type Handler = Parameters<PeerPort["handle"]>[1];
+
+/** Daemons of one process that exchange messages without a network. */
+export class FakePeers {
+    readonly #handlers = new Map<VmId, Map<string, Handler>>();
+    /** VMs that nobody reaches. */
+    readonly cut = new Set<VmId>();
+
+    /** The peer port of one daemon. */
+    portOf(vm: VmId): PeerPort {
+        const own = new Map<string, Handler>();
+        this.#handlers.set(vm, own);
+        return {
+            peers: () =>
+                [...this.#handlers.keys()]
+                    .filter(each => each !== vm)
+                    .map(each => ({ vm: each, failureDomain: FailureDomain.parse("fd-1"), address: each })),
+            exchange: async (to, kind, body) => {
+                const handler = this.#handlers.get(to)?.get(kind);
+                const isReached = handler !== undefined && !this.cut.has(to) && !this.cut.has(vm);
+                return isReached ? Right(await handler(body, vm)) : Left(new Error("unreachable"));
+            },
+            handle: (kind, answer) => {
+                own.set(kind, answer);
+                return () => own.delete(kind);
+            },
+        };
+    }
+}
--- a/packages/daemon/src/__tests__/fakes/fakeContext.ts
+++ b/packages/daemon/src/__tests__/fakes/fakeContext.ts
@@ -8,6 +8,7 @@
 import { createMetrics } from "../../metrics/createMetrics.js";
 import type { DaemonContext } from "../../ports/DaemonContext.js";
 import { Settings } from "../../Settings.js";
+import { FakePeers } from "./FakePeers.js";
 
 /** A daemon's context without a network of its own, whose configuration the test declares. */
 type FakeContext = {
@@ -27,8 +28,8 @@
 });
 
 /** Makes a context for tests of one part of the daemon. */
-export function fakeContext(): FakeContext {
-    const vm = VmId.parse("vm-1");
+export function fakeContext(name = "vm-1", peers = new FakePeers()): FakeContext {
+    const vm = VmId.parse(name);
     const failureDomain = FailureDomain.parse("fd-1");
     const listeners = new Set<(cfg: Configuration) => void>();
     let current: Configuration | undefined;
@@ -64,11 +65,7 @@
             staleness: () => 0,
         },
         membership: { self, members: () => [self], subscribe: () => () => undefined },
-        peers: {
-            peers: () => [],
-            exchange: () => Promise.resolve(Left(new Error("no peers"))),
-            handle: () => () => undefined,
-        },
+        peers: peers.portOf(vm),
         log: { append: unused, read: unused },
     };
     const declare: FakeContext["declare"] = endpoints => {
--- a/packages/daemon/src/__tests__/unit/placement.test.ts
+++ b/packages/daemon/src/__tests__/unit/placement.test.ts
@@ -19,15 +19,23 @@
 import type { Placement } from "../../ports/Placement.js";
 import { fakeContext } from "../fakes/fakeContext.js";
 import { startFakeEngine } from "../fakes/FakeEngine.js";
+import { FakePeers } from "../fakes/FakePeers.js";
 
 const PIECE_TOKENS = 4_096;
 const PATIENCE_MS = 10_000;
 const pieces = (...numbers: number[]) => numbers.map(n => PieceHash.parse(n.toString(16).padStart(32, "0")));
 
+/** What several daemons of one test have in common. */
+type Shared = {
+    readonly vm: string;
+    readonly peers: FakePeers;
+    readonly engines: readonly Awaited<ReturnType<typeof startFakeEngine>>[];
+};
+
 /** Two fake engines and a placement that watches them. */
-const setUp = async (t: ExecutionContext) => {
-    const engines = await Promise.all(["run-1", "run-2"].map(startFakeEngine));
-    const { ctx, declare } = fakeContext();
+const setUp = async (t: ExecutionContext, shared?: Shared) => {
+    const engines = shared?.engines ?? await Promise.all(["run-1", "run-2"].map(startFakeEngine));
+    const { ctx, declare } = fakeContext(shared?.vm, shared?.peers);
     const placement = createPlacementPort(ctx);
     t.teardown(async () => {
         placement.stop();
@@ -231,3 +239,32 @@
     };
     t.is((await setup.place(setup.call("r", [], { target }))).endpoint as string, "booking-2");
 });
+
+test("placement: daemons count what others have just sent, before any engine reports it", async t => {
+    // Two daemons get requests for two new prompts at the same time. The last load report shows both engines idle; both
+    // daemons would pick the same engine, and the second prompt would wait for the whole first one.
+    // Long enough that its computation does not end during the test.
+    const prompt = pieces(...Array.from({ length: 20 }, (_, n) => n + 1));
+    const peers = new FakePeers();
+    const engines = await Promise.all(["run-1", "run-2"].map(startFakeEngine));
+    const [one, other] = [
+        await setUp(t, { vm: "vm-1", peers, engines }),
+        await setUp(t, { vm: "vm-2", peers, engines }),
+    ];
+    await Promise.all([one.up(), other.up()]);
+    const first = await one.place(one.call("first", prompt));
+    const isCounted = () => (other.infoOf(first.endpoint)?.load.prefillTokens ?? 0) > 0;
+    await other.until(isCounted);
+    t.not((await other.place(other.call("second", pieces(30, 31)))).endpoint, first.endpoint);
+    const third = other.call("third", prompt);
+    const isPlaced = { is: false };
+    const waiting = other.place(third).then(placed => {
+        isPlaced.is = true;
+        return placed;
+    });
+    await sleep(30);
+    t.false(isPlaced.is, "the pieces are being computed for the other daemon");
+    first.started(first.incarnation, 0);
+    engines.forEach(engine => engine.publish({ seq: 1, kind: "stored", hashes: [...prompt] }));
+    t.is((await waiting).endpoint, first.endpoint);
+});
--- a/packages/daemon/src/placement/PlacementMessage.ts
+++ b/packages/daemon/src/placement/PlacementMessage.ts
@@ -1,4 +1,4 @@
-import type { EndpointName, RequestId } from "@azureshunt/core";
+import type { EndpointName, Incarnation, Millis, PieceHash, RequestId } from "@azureshunt/core";
 import type { CacheEvent, CacheSnapshot, EndpointEvent } from "@azureshunt/endpoint";
 import type { Configuration } from "@azureshunt/release";
 
@@ -13,6 +13,14 @@
     | { readonly kind: "endpoint"; readonly endpoint: EndpointName; readonly event: EndpointEvent; }
     | { readonly kind: "cache-event"; readonly endpoint: EndpointName; readonly event: CacheEvent; }
     | { readonly kind: "cache-snapshot"; readonly endpoint: EndpointName; readonly snapshot: CacheSnapshot; }
+    /** Another VM makes an endpoint compute pieces, which are there from `expectedAt` on. */
+    | {
+        readonly kind: "computing-elsewhere";
+        readonly endpoint: EndpointName;
+        readonly incarnation: Incarnation;
+        readonly pieces: readonly PieceHash[];
+        readonly expectedAt: Millis;
+    }
     /** Time has passed: work that an engine had before may be done. */
     | { readonly kind: "tick"; }
     /** Time to forget what has expired, and to refuse calls that cannot start in time. */
--- a/packages/daemon/src/placement/PlacementModel.ts
+++ b/packages/daemon/src/placement/PlacementModel.ts
@@ -14,6 +14,7 @@
 import type { EndpointBook } from "./EndpointBook.js";
 import type { PlacementMessage } from "./PlacementMessage.js";
 import type { placementMetrics } from "./placementMetrics.js";
+import type { shareDispatches } from "./shareDispatches.js";
 import type { Waiter } from "./Waiter.js";
 import type { WaitingCalls } from "./WaitingCalls.js";
 
@@ -42,8 +43,8 @@
     readonly configured: (gone: readonly EndpointName[]) => void;
     /** Asks an endpoint for its whole cache. */
     readonly resync: (endpoint: EndpointName, isNewRun: boolean) => void;
-    /** Tells other VMs that this one makes an endpoint compute pieces. */
-    readonly announce: (endpoint: EndpointName, incarnation: Incarnation, waiter: Waiter, chosen: Candidate) => void;
+    /** Tells other VMs what this one sends to an endpoint. */
+    readonly announce: ReturnType<typeof shareDispatches>["announce"];
 };
 
 /** Takes the placement actor's messages one at a time: keeps what is known of endpoints, and gives waiting calls theirs. */
@@ -84,6 +85,10 @@
             case "cache-snapshot":
                 index.resync(message.endpoint, message.snapshot);
                 break;
+            case "computing-elsewhere":
+                index.assume(message.endpoint, message.incarnation, message.pieces, message.expectedAt + ASSUMED_MS);
+                this.#parts.computing.heard(message.endpoint, message.pieces, message.expectedAt);
+                break;
             case "tick":
                 this.#expire();
                 break;
@@ -178,9 +183,14 @@
         const missing = target.pieces.slice(chosen.matchedPieces);
         index.assume(chosen.endpoint, incarnation, target.pieces, expiresAt);
         computing.begin(dispatchId, chosen.endpoint, missing, expiresAt);
-        if (missing.length > 0) {
-            announce(chosen.endpoint, incarnation, waiter, chosen);
-        }
+        announce({
+            endpoint: chosen.endpoint,
+            incarnation,
+            prefillTokens: this.#uncached(waiter, chosen),
+            pieces: missing,
+            sentAt: now(),
+            expectedMs: chosen.estimate.total,
+        });
     }
 
     #placement(
--- a/packages/daemon/src/placement/createPlacementPort.ts
+++ b/packages/daemon/src/placement/createPlacementPort.ts
@@ -20,6 +20,7 @@
 import type { PlacementMessage } from "./PlacementMessage.js";
 import { placementMetrics } from "./placementMetrics.js";
 import { PlacementModel } from "./PlacementModel.js";
+import { shareDispatches } from "./shareDispatches.js";
 import { startWatch } from "./startWatch.js";
 import type { Waiter } from "./Waiter.js";
 import { WaitingCalls } from "./WaitingCalls.js";
@@ -109,7 +110,7 @@
         probe: name => watches.get(name)?.probe(),
         configured,
         resync: (name, isNewRun) => watches.get(name)?.resync(isNewRun),
-        announce: () => undefined,
+        announce: work => sharing.announce(work),
     });
 
     const actor = spawn(
@@ -129,6 +130,11 @@
     const tell = (message: PlacementMessage): void => dispatch(actor, message);
 
     const tickets = { next: 0 };
+    const sharing = shareDispatches(ctx, ({ endpoint, incarnation, prefillTokens, pieces, sentAt, expectedMs }) => {
+        tell({ kind: "endpoint", endpoint, event: { kind: "dispatched-elsewhere", prefillTokens, sentAt } });
+        tell({ kind: "computing-elsewhere", endpoint, incarnation, pieces, expectedAt: sentAt + expectedMs });
+    });
+
     const place: PlacementPort["place"] = (call, tried) =>
         new Promise<Either<Refusal, Placement>>(resolve => {
             // A hedged request waits twice at once, so the call's own id would not do.
@@ -178,6 +184,7 @@
         clearInterval(sweeps);
         unregister.forEach(each => each());
         watches.forEach(each => each.stop());
+        sharing.stop();
         stopActor(actor);
         void dispatcher.destroy();
         void streams.destroy();
--- a/packages/endpoint/src/__tests__/unit/stepEndpoint.test.ts
+++ b/packages/endpoint/src/__tests__/unit/stepEndpoint.test.ts
@@ -56,6 +56,10 @@
     at,
     event: { kind: "first-token", dispatchId: DispatchId.parse(id) },
 });
+const announce = (sentAt: number, prefillTokens: number): Timed => ({
+    at: sentAt,
+    event: { kind: "dispatched-elsewhere", prefillTokens, sentAt },
+});
 const probeFailed = (at: number): Timed => ({ at, event: { kind: "probe-failed" } });
 const end = (at: number, id: string, outcome: "complete" | "died" | "refused" = "complete"): Timed => ({
     at,
@@ -152,6 +156,19 @@
         requests: 3,
         tokens: 143,
     },
+    { name: "announced by another VM", events: [announce(10, 500)], requests: 1, tokens: 500 },
+    {
+        name: "announced since the report was measured",
+        events: [load(9, 1, 0, 40, 5), announce(8, 100)],
+        requests: 2,
+        tokens: 135,
+    },
+    {
+        name: "announced before the report was measured, which contains it",
+        events: [announce(3, 100), load(9, 1, 0, 40, 5)],
+        requests: 1,
+        tokens: 35,
+    },
 ].forEach(({ name, events, requests, tokens }) =>
     test(`load: ${name}`, t => {
         t.deepEqual(loadOf(run(FRESH, [state(0), ...events]), 1, 10), { requests, prefillTokens: tokens });
--- a/packages/endpoint/src/state/EndpointEvent.ts
+++ b/packages/endpoint/src/state/EndpointEvent.ts
@@ -32,6 +32,8 @@
         readonly outcome: "complete" | "refused" | "died" | "cancelled";
     }
     | { readonly kind: "load-reported"; readonly report: LoadReport; readonly askedAt: Millis; }
+    /** Another VM has sent the endpoint work. */
+    | { readonly kind: "dispatched-elsewhere"; readonly prefillTokens: Tokens; readonly sentAt: Millis; }
     | { readonly kind: "round-trip"; readonly ms: Millis; }
     | {
         readonly kind: "state-reported";
--- a/packages/endpoint/src/state/EndpointState.ts
+++ b/packages/endpoint/src/state/EndpointState.ts
@@ -3,6 +3,7 @@
 import type { HeldWeights } from "./HeldWeights.js";
 import type { InFlight } from "./InFlight.js";
 import type { LoadReport } from "./LoadReport.js";
+import type { OtherDispatch } from "./OtherDispatch.js";
 import type { OwnLoad } from "./OwnLoad.js";
 
 /** What this VM knows of one endpoint. */
@@ -25,6 +26,8 @@
     readonly holds: readonly HeldWeights[];
     readonly inFlight: readonly InFlight[];
     readonly report: LoadReport | undefined;
+    /** Work that other VMs sent lately, the oldest first; a report that was measured later contains it. */
+    readonly others: readonly OtherDispatch[];
     /** This VM's own part of the load over the last seconds, the oldest first. */
     readonly ownHistory: readonly OwnLoad[];
     /** Milliseconds to compute one token of a prompt, of recent dispatches, the oldest first. */
--- a/packages/endpoint/src/state/loadOf.ts
+++ b/packages/endpoint/src/state/loadOf.ts
@@ -18,21 +18,42 @@
     return waiting.reduce((sum, each) => sum + each.prefillTokens, 0) - progress;
 }
 
+/** Work of others at a time. */
+type Backlog = { readonly at: Millis; readonly tokens: Tokens; };
+
+const drained = (backlog: Backlog, until: Millis, msPerToken: number): Tokens =>
+    Math.max(0, backlog.tokens - Math.max(0, until - backlog.at) / msPerToken);
+
+/** Others' work, reported and announced since, that is not computed yet. */
+function othersLoad(state: EndpointState, msPerToken: number, now: Millis): EndpointLoad {
+    const report = state.report !== undefined && now - state.report.measuredAt <= MAX_REPORT_AGE_MS
+        ? state.report
+        : { running: 0, waiting: 0, waitingTokens: 0, measuredAt: now - MAX_REPORT_AGE_MS };
+    const ownThen = state.ownHistory.findLast(each => each.from <= report.measuredAt) ?? { count: 0, tokens: 0 };
+    const reported = { at: report.measuredAt, tokens: Math.max(0, report.waitingTokens - ownThen.tokens) };
+    const announced = state.others.filter(each => each.sentAt > report.measuredAt);
+    const backlog = announced.reduce<Backlog>(
+        (before, each) => ({
+            at: each.sentAt,
+            tokens: drained(before, each.sentAt, msPerToken) + each.prefillTokens,
+        }),
+        reported,
+    );
+    return {
+        requests: Math.max(0, report.running + report.waiting - ownThen.count) + announced.length,
+        prefillTokens: drained(backlog, now, msPerToken),
+    };
+}
+
 /**
  * Estimates an endpoint's load now. Own dispatches are known exactly; the report, which lags, stands only for those of
- * others, after this VM's own part at the time that it was measured is taken out.
+ * others, after this VM's own part at the time that it was measured is taken out. What others announced since is added,
+ * so that daemons do not all send their work to the engine that looked idle in the last report.
  */
 export function loadOf(state: EndpointState, msPerToken: number, now: Millis): EndpointLoad {
-    const own = { requests: state.inFlight.length, prefillTokens: ownTokensLeft(state, msPerToken, now) };
-    const { report } = state;
-    if (report === undefined || now - report.measuredAt > MAX_REPORT_AGE_MS) {
-        return own;
-    }
-    const ownThen = state.ownHistory.findLast(each => each.from <= report.measuredAt) ?? { count: 0, tokens: 0 };
-    const othersTokens = Math.max(0, report.waitingTokens - ownThen.tokens);
-    const sinceReport = (now - report.measuredAt) / msPerToken;
+    const others = othersLoad(state, msPerToken, now);
     return {
-        requests: own.requests + Math.max(0, report.running + report.waiting - ownThen.count),
-        prefillTokens: own.prefillTokens + Math.max(0, othersTokens - sinceReport),
+        requests: state.inFlight.length + others.requests,
+        prefillTokens: ownTokensLeft(state, msPerToken, now) + others.prefillTokens,
     };
 }
--- a/packages/endpoint/src/state/newEndpoint.ts
+++ b/packages/endpoint/src/state/newEndpoint.ts
@@ -22,6 +22,7 @@
         holds: [],
         inFlight: [],
         report: undefined,
+        others: [],
         ownHistory: [],
         prefillSamples: [],
         durations: [],
--- a/packages/endpoint/src/state/stepEndpoint.ts
+++ b/packages/endpoint/src/state/stepEndpoint.ts
@@ -3,6 +3,7 @@
 import type { EndpointEffect } from "./EndpointEffect.js";
 import type { EndpointEvent } from "./EndpointEvent.js";
 import type { EndpointState } from "./EndpointState.js";
+import type { OtherDispatch } from "./OtherDispatch.js";
 import { prefillSample } from "./prefillSample.js";
 import { recordOwnLoad } from "./recordOwnLoad.js";
 import { retryAt } from "./retryAt.js";
@@ -14,6 +15,8 @@
 /** Failures older than this are forgotten. */
 const FAILURE_WINDOW_MS = 60_000;
 const MAX_FAILURES = 16;
+/** Work sent elsewhere is remembered until any report contains it. */
+const OTHERS_MS = 3_000;
 const SAME_FAILURE_MS = 250;
 const MAX_SAMPLES = 15;
 
@@ -48,6 +51,15 @@
 const isOfCurrentRun = (state: EndpointState, incarnation: Incarnation | undefined): boolean =>
     incarnation === state.incarnation;
 
+function withOther(
+    state: EndpointState,
+    event: EventOf<"dispatched-elsewhere">,
+    now: Millis,
+): readonly OtherDispatch[] {
+    const { prefillTokens, sentAt } = event;
+    return [...state.others.filter(each => each.sentAt > now - OTHERS_MS), { prefillTokens, sentAt }];
+}
+
 function dispatched(state: EndpointState, event: EventOf<"dispatched">, now: Millis): EndpointStep {
     const { dispatchId, prefillTokens, expectedWait } = event;
     const entry = { dispatchId, prefillTokens, expectedWait, dispatchedAt: now };
@@ -133,6 +145,8 @@
             return loadReported(state, event, now);
         case "state-reported":
             return stateReported(state, event, now);
+        case "dispatched-elsewhere":
+            return step({ ...state, others: withOther(state, event, now) });
         case "round-trip":
             return step({ ...state, roundTrips: lastOf([...state.roundTrips, event.ms]) });
         case "probe-failed":
