Keep organisations to their rate and burst over all VMs, as pure aggregates

Cause: nothing bounded what an organisation spends over several VMs. Ruled out: grants passed on from home to home, as a passed-on grant needs a second expiry inside the first; every VM asks the homes of other domains itself. Holding refunds back from accrual, as long streams would then starve the rate.

--- /dev/null
+++ b/packages/allowance/src/Outlook.ts
@@ -0,0 +1,18 @@
+import type { Tokens } from "@azureshunt/core";
+
+/** What this VM knows about tokens to come. */
+export type Outlook = {
+    /** Whether every home has told, or failed to, lately enough to decide. */
+    readonly informed: boolean;
+    /** Tokens free in reachable homes' buckets by now. */
+    readonly free: Tokens;
+    /** Tokens that other VMs hold and may hand back. */
+    readonly recallable: Tokens;
+    /** Tokens that requests waiting at other VMs lack. */
+    readonly unmet: Tokens;
+    /** Tokens a second that reachable homes accrue. */
+    readonly rate: Tokens;
+    /** Burst and rate held by homes out of reach. */
+    readonly unreachableBurst: Tokens;
+    readonly unreachableRate: Tokens;
+};
--- /dev/null
+++ b/packages/allowance/src/Waiter.ts
@@ -0,0 +1,13 @@
+import type { Millis, Tokens } from "@azureshunt/core";
+
+/** A request that waits for tokens. */
+export type Waiter = {
+    /** Number that the caller of the aggregate gave it. */
+    readonly id: number;
+    readonly tokens: Tokens;
+    readonly since: Millis;
+    /** When it must have been admitted. */
+    readonly until: Millis;
+    /** Rounds of asking that have been sent since it came. */
+    readonly rounds: number;
+};
--- /dev/null
+++ b/packages/allowance/src/judgeWaiter.ts
@@ -0,0 +1,60 @@
+import type { Millis, Tokens } from "@azureshunt/core";
+
+import type { Outlook } from "./Outlook.js";
+import { timing } from "./timing.js";
+import type { Waiter } from "./Waiter.js";
+
+const MS_PER_SECOND = 1_000;
+const FRUITLESS_ROUNDS = 2;
+const LONGEST_RETRY_SECONDS = 3_600;
+/** When no home is in reach, nothing is known but that outages last. */
+const OUTAGE_RETRY_SECONDS = 2;
+
+/** `wait`: the tokens will come in time, or it is not known yet. */
+type Verdict =
+    | { readonly kind: "wait"; readonly expectedMs: Millis; }
+    | {
+        readonly kind: "refuse";
+        readonly reason: "over-rate" | "allowance-unreachable";
+        readonly retryAfterSeconds: number;
+    };
+
+const secondsUntil = (missing: Tokens, rate: Tokens): number =>
+    rate > 0 ? Math.min(LONGEST_RETRY_SECONDS, Math.max(1, Math.ceil(missing / rate))) : OUTAGE_RETRY_SECONDS;
+
+/**
+ * Decides at once whether a waiting request can get its tokens in time.
+ *
+ * @param waiter the request
+ * @param missing tokens that it and those before it lack on this VM
+ * @param outlook what is known of the homes
+ * @param strained whether calling back tokens from other VMs was in vain a moment ago
+ */
+export function judgeWaiter(
+    waiter: Waiter,
+    missing: Tokens,
+    outlook: Outlook,
+    strained: boolean,
+    now: Millis,
+): Verdict {
+    if (!outlook.informed && now < waiter.until) {
+        return { kind: "wait", expectedMs: timing.askAgainMs };
+    }
+    const recallable = strained || waiter.rounds > FRUITLESS_ROUNDS ? 0 : outlook.recallable;
+    const lacking = missing + outlook.unmet - outlook.free;
+    const patience = Math.max(0, waiter.until - now);
+    const expectedMs = lacking <= recallable
+        ? timing.askAgainMs
+        : (lacking - recallable) * MS_PER_SECOND / Math.max(outlook.rate, Number.MIN_VALUE);
+    if (expectedMs <= patience) {
+        return { kind: "wait", expectedMs };
+    }
+    const wholeRate = outlook.rate + outlook.unreachableRate;
+    const withAllMs = (lacking - outlook.unreachableBurst) * MS_PER_SECOND / Math.max(wholeRate, Number.MIN_VALUE);
+    const cutOff = outlook.unreachableRate > 0 && withAllMs <= timing.maxWaitMs;
+    return {
+        kind: "refuse",
+        reason: cutOff ? "allowance-unreachable" : "over-rate",
+        retryAfterSeconds: secondsUntil(lacking, outlook.rate),
+    };
+}
--- /dev/null
+++ b/packages/allowance/src/openAllowance.ts
@@ -0,0 +1,30 @@
+import type { FailureDomain, Incarnation, Millis, VmId } from "@azureshunt/core";
+
+import type { Allowance } from "./Allowance.js";
+import type { Home } from "./Home.js";
+import type { Limits } from "./Limits.js";
+
+/** What an allowance starts from. */
+type Start = {
+    readonly vm: VmId;
+    readonly run: Incarnation;
+    readonly domain: FailureDomain;
+    readonly limits: Limits;
+    readonly homes: readonly Home[];
+    readonly servesFrom: Millis | undefined;
+};
+
+/** Begins to keep an organisation's allowance on this VM, without any tokens. */
+export function openAllowance(start: Start): Allowance {
+    return {
+        ...start,
+        bucket: undefined,
+        held: [],
+        waiters: [],
+        debt: 0,
+        inFlight: 0,
+        demand: 0,
+        spentAt: -Infinity,
+        strainedAt: undefined,
+    };
+}
--- /dev/null
+++ b/packages/allowance/src/serveWaiters.ts
@@ -0,0 +1,52 @@
+import type { Millis, Step } from "@azureshunt/core";
+
+import type { Allowance } from "./Allowance.js";
+import type { AllowanceEffect } from "./AllowanceEffect.js";
+import { availableTokens } from "./availableTokens.js";
+import { charge } from "./charge.js";
+import { judgeWaiter } from "./judgeWaiter.js";
+import { outlookOf } from "./outlookOf.js";
+import { timing } from "./timing.js";
+
+const admitFirst = (before: Allowance, now: Millis): Step<Allowance, AllowanceEffect> => {
+    const [first, ...rest] = before.waiters;
+    const charged = first === undefined ? undefined : charge(before, first.tokens, now);
+    if (first === undefined || charged === undefined) {
+        return { state: before, effects: [] };
+    }
+    const later = admitFirst({ ...charged.allowance, waiters: rest }, now);
+    return { state: later.state, effects: [{ kind: "admit", id: first.id, parts: charged.parts }, ...later.effects] };
+};
+
+const wasRecentlyStrained = ({ strainedAt }: Allowance, now: Millis): boolean =>
+    strainedAt !== undefined && strainedAt + timing.maxWaitMs > now;
+
+/**
+ * Admits waiting requests in order as far as the tokens here go, and refuses at once each one that cannot be served in
+ * time. A refusal is never kept back until the request's deadline: its caller could go elsewhere meanwhile.
+ */
+export function serveWaiters(before: Allowance, now: Millis): Step<Allowance, AllowanceEffect> {
+    const admitted = admitFirst(before, now);
+    const allowance = admitted.state;
+    if (allowance.waiters.length === 0) {
+        return admitted;
+    }
+    const outlook = outlookOf(allowance, now);
+    const strained = wasRecentlyStrained(allowance, now);
+    const here = availableTokens(allowance, now) - allowance.debt;
+    const judged = allowance.waiters.reduce<{
+        readonly missing: number;
+        readonly waiters: Allowance["waiters"];
+        readonly effects: readonly AllowanceEffect[];
+    }>((sofar, waiter) => {
+        const missing = sofar.missing + waiter.tokens;
+        const verdict = judgeWaiter(waiter, missing, outlook, strained, now);
+        return verdict.kind === "wait"
+            ? { ...sofar, missing, waiters: [...sofar.waiters, waiter] }
+            : { ...sofar, effects: [...sofar.effects, { ...verdict, id: waiter.id }] };
+    }, { missing: -here, waiters: [], effects: [] });
+    const strainedAt = judged.effects.length > 0 ? now : allowance.strainedAt;
+    // A large request that was refused may have stood before small ones that can be served.
+    const rest = admitFirst({ ...allowance, waiters: judged.waiters, strainedAt }, now);
+    return { state: rest.state, effects: [...admitted.effects, ...judged.effects, ...rest.effects] };
+}
--- /dev/null
+++ b/packages/allowance/src/stepAllowance.ts
@@ -0,0 +1,120 @@
+import type { Millis, Step } from "@azureshunt/core";
+
+import { advanceBucket } from "./advanceBucket.js";
+import type { Allowance } from "./Allowance.js";
+import type { AllowanceEffect } from "./AllowanceEffect.js";
+import type { AllowanceEvent } from "./AllowanceEvent.js";
+import { answerAsk } from "./answerAsk.js";
+import { applyAnswer } from "./applyAnswer.js";
+import { askHomes } from "./askHomes.js";
+import { charge } from "./charge.js";
+import { handOverBucket } from "./handOverBucket.js";
+import { keepHouse } from "./keepHouse.js";
+import { openBucket } from "./openBucket.js";
+import { placeAllowance } from "./placeAllowance.js";
+import { receiveBucket } from "./receiveBucket.js";
+import { serveWaiters } from "./serveWaiters.js";
+import { settleCharge } from "./settleCharge.js";
+import { timing } from "./timing.js";
+
+type AllowanceStep = Step<Allowance, AllowanceEffect>;
+type EventOf<Kind extends AllowanceEvent["kind"]> = Extract<AllowanceEvent, { readonly kind: Kind; }>;
+
+/** Opens the own bucket where this VM may serve, and brings it to now. */
+const refresh = (allowance: Allowance, now: Millis): Allowance => {
+    const { servesFrom, bucket, homes, vm } = allowance;
+    const share = homes.find(home => home.vm === vm)?.limits;
+    if (bucket !== undefined) {
+        return { ...allowance, bucket: advanceBucket(bucket, now) };
+    }
+    return servesFrom === undefined || share === undefined
+        ? allowance
+        : { ...allowance, bucket: openBucket(share, servesFrom, now) };
+};
+
+/** Serves whoever waits, then asks for what is lacking. */
+const serve = (before: Allowance, now: Millis): AllowanceStep => {
+    const served = serveWaiters(before, now);
+    const asked = askHomes(served.state, now);
+    return { state: asked.state, effects: [...served.effects, ...asked.effects] };
+};
+
+const reserve = (before: Allowance, event: EventOf<"reserve">, now: Millis): AllowanceStep => {
+    const { id, tokens, deadline } = event;
+    if (tokens > before.limits.burst) {
+        return { state: before, effects: [{ kind: "refuse", id, reason: "over-burst", retryAfterSeconds: undefined }] };
+    }
+    const charged = before.waiters.length === 0 ? charge(before, tokens, now) : undefined;
+    if (charged !== undefined) {
+        const asked = askHomes(charged.allowance, now);
+        return { state: asked.state, effects: [{ kind: "admit", id, parts: charged.parts }, ...asked.effects] };
+    }
+    const until = Math.min(deadline, now + timing.maxWaitMs);
+    return serve({ ...before, waiters: [...before.waiters, { id, tokens, since: now, until, rounds: 0 }] }, now);
+};
+
+const ask = (before: Allowance, event: EventOf<"ask">, now: Millis): AllowanceStep => {
+    const to = event.from;
+    if (before.servesFrom === undefined || before.bucket === undefined) {
+        return { state: before, effects: [{ kind: "decline", to }] };
+    }
+    const { bucket, answer, recalls } = answerAsk(before.bucket, to, event.ask, before.run, now);
+    const reply: AllowanceEffect = answer === undefined ? { kind: "decline", to } : { kind: "answer", to, answer };
+    const calls = recalls.map(vm => ({ kind: "recall", to: vm }) as const);
+    const served = serveWaiters({ ...before, bucket }, now);
+    return { state: served.state, effects: [reply, ...calls, ...served.effects] };
+};
+
+const answered = (before: Allowance, event: EventOf<"answer">, now: Millis): AllowanceStep => {
+    const held = before.held.map(entry => entry.home === event.from ? applyAnswer(entry, event.answer, now) : entry);
+    return serve({ ...before, held }, now);
+};
+
+const unanswered = (before: Allowance, event: EventOf<"unanswered">, now: Millis): AllowanceStep => {
+    const held = before.held.map(entry =>
+        entry.home === event.from && entry.seq === event.seq && entry.pendingSince !== undefined
+            ? { ...entry, pendingSince: undefined, failedAt: now }
+            : entry
+    );
+    return serve({ ...before, held }, now);
+};
+
+const tick = (before: Allowance, now: Millis): AllowanceStep => {
+    const served = serve(before, now);
+    const kept = keepHouse(served.state, false, now);
+    return { state: kept.state, effects: [...served.effects, ...kept.effects] };
+};
+
+const step = (before: Allowance, event: AllowanceEvent, now: Millis): AllowanceStep => {
+    switch (event.kind) {
+        case "reserve":
+            return reserve(before, event, now);
+        case "abandon":
+            return serve({ ...before, waiters: before.waiters.filter(waiter => waiter.id !== event.id) }, now);
+        case "settle":
+            return serve(settleCharge(before, event.parts, event.used, now), now);
+        case "ask":
+            return ask(before, event, now);
+        case "answer":
+            return answered(before, event, now);
+        case "unanswered":
+            return unanswered(before, event, now);
+        case "recall":
+            return keepHouse(before, true, now);
+        case "drain":
+            return keepHouse({ ...before, waiters: [] }, true, now);
+        case "placed":
+            return serve(refresh(placeAllowance(before, event, now), now), now);
+        case "handed":
+            return serve(receiveBucket(before, event.bucket, now), now);
+        case "hand-over":
+            return handOverBucket(before, event.to, now);
+        case "tick":
+            return tick(before, now);
+    }
+};
+
+/** The rule of an organisation's allowance on one VM: as taker of grants, and as home where it is one. */
+export function stepAllowance(before: Allowance, event: AllowanceEvent, now: Millis): AllowanceStep {
+    return step(refresh(before, now), event, now);
+}
--- /dev/null
+++ b/packages/membership/src/ListedVm.ts
@@ -0,0 +1,10 @@
+import type { FailureDomain, VmId } from "@azureshunt/core";
+
+/** A VM in the platform's list. */
+export type ListedVm = {
+    readonly vm: VmId;
+    readonly failureDomain: FailureDomain;
+    readonly state: "live" | "leaving";
+    readonly peer: string;
+    readonly admin: string;
+};
--- /dev/null
+++ b/packages/membership/src/openMembership.ts
@@ -0,0 +1,32 @@
+import type { Millis } from "@azureshunt/core";
+
+import type { Membership } from "./Membership.js";
+import type { MembershipRecord } from "./MembershipRecord.js";
+
+/**
+ * Begins with no members known.
+ *
+ * @param self this VM's join record
+ * @param keepMs time that a giver of grants counts them as unspent
+ */
+export function openMembership(self: MembershipRecord, keepMs: Millis, now: Millis): Membership {
+    return {
+        self,
+        startedAt: now,
+        keepMs,
+        offset: 0,
+        complete: true,
+        caughtUp: false,
+        members: new Map(),
+        hadDepartures: false,
+        joinedAt: undefined,
+        appendedAt: undefined,
+        awaiting: [],
+        departures: [],
+        emptyFrom: now + keepMs,
+        handedTo: [],
+        tickedAt: now,
+        confirmedByLog: true,
+        confirmedByList: true,
+    };
+}
