Spend by grants in the daemon, and serve the longest waiting first

Cause: the daemon gave each VM an equal part of an organisation's rate; waiting requests at several VMs each hoarded a part and were all refused. Change: membership over the log stream, allowance port with grants, recalls and hand-overs between daemons; homes serve the oldest request first; asks go to the fullest home.

--- a/packages/allowance/src/Allowance.ts
+++ b/packages/allowance/src/Allowance.ts
@@ -17,6 +17,8 @@
     readonly homes: readonly Home[];
     /** Set while this VM may act as home in its domain: the moment from which a bucket opened anew has accrued. */
     readonly servesFrom: Millis | undefined;
+    /** Since when this VM is home but may not serve. */
+    readonly barredSince: Millis | undefined;
     readonly bucket: Bucket | undefined;
     readonly held: readonly HeldGrant[];
     /** First come, first served. */
@@ -28,6 +30,6 @@
     /** Tokens a second spent here lately, as of `spentAt`. */
     readonly demand: Tokens;
     readonly spentAt: Millis;
-    /** When a request was last refused after tokens held elsewhere had been called back in vain. */
+    /** When a request was last refused; homes are asked less often for a moment after it. */
     readonly strainedAt: Millis | undefined;
 };
--- a/packages/allowance/src/AllowanceEffect.ts
+++ b/packages/allowance/src/AllowanceEffect.ts
@@ -18,8 +18,9 @@
     | { readonly kind: "ask"; readonly to: VmId; readonly ask: GrantAsk; }
     | { readonly kind: "answer"; readonly to: VmId; readonly answer: GrantAnswer; }
     /** The ask gets no answer that counts: this VM is not home, or the ask was a repetition. */
-    | { readonly kind: "decline"; readonly to: VmId; }
-    | { readonly kind: "recall"; readonly to: VmId; }
+    | { readonly kind: "decline"; readonly to: VmId; readonly seq: number; }
+    /** Requests that have waited for `waitedMs` lack tokens that this VM holds. */
+    | { readonly kind: "recall"; readonly to: VmId; readonly waitedMs: Millis; }
     | { readonly kind: "hand-over"; readonly to: VmId; readonly bucket: HandedBucket; }
     /** A tick is wanted at this moment. */
     | { readonly kind: "wake"; readonly at: Millis; };
--- a/packages/allowance/src/AllowanceEvent.ts
+++ b/packages/allowance/src/AllowanceEvent.ts
@@ -19,10 +19,12 @@
     | { readonly kind: "ask"; readonly from: VmId; readonly ask: GrantAsk; }
     /** A home answers. */
     | { readonly kind: "answer"; readonly from: VmId; readonly answer: GrantAnswer; }
-    /** A home declined, or did not answer in time. */
+    /** A home did not answer in time. */
     | { readonly kind: "unanswered"; readonly from: VmId; readonly seq: number; }
+    /** A VM answered that it does not serve as home now. */
+    | { readonly kind: "declined"; readonly from: VmId; readonly seq: number; }
     /** A home wants back what is not needed here. */
-    | { readonly kind: "recall"; readonly from: VmId; }
+    | { readonly kind: "recall"; readonly from: VmId; readonly waitedMs: Millis; }
     /** Homes or limits have changed. */
     | {
         readonly kind: "placed";
--- a/packages/allowance/src/GrantAnswer.ts
+++ b/packages/allowance/src/GrantAnswer.ts
@@ -17,6 +17,6 @@
     readonly rate: Tokens;
     /** Tokens that other VMs hold and were just asked to hand back. */
     readonly elsewhere: Tokens;
-    /** Tokens that requests waiting at other VMs lack. */
+    /** Tokens lacking to requests at other VMs that came before the asker's. */
     readonly unmet: Tokens;
 };
--- a/packages/allowance/src/GrantAsk.ts
+++ b/packages/allowance/src/GrantAsk.ts
@@ -1,4 +1,4 @@
-import type { Incarnation, Tokens } from "@azureshunt/core";
+import type { Incarnation, Millis, Tokens } from "@azureshunt/core";
 
 /** A VM's ask for tokens. Each one reports all that the VM holds of this home, so that a lost one does no lasting harm. */
 export type GrantAsk = {
@@ -16,6 +16,8 @@
     readonly giveBack: Tokens;
     /** Tokens that waiting requests lack. */
     readonly need: Tokens;
+    /** Milliseconds that the oldest of these requests has waited. */
+    readonly waitedMs: Millis;
     /** Tokens wanted besides, ahead of need. */
     readonly ahead: Tokens;
     /** Tokens charged and not used, by the slot that the grant's answer named. */
--- a/packages/allowance/src/HeldGrant.ts
+++ b/packages/allowance/src/HeldGrant.ts
@@ -19,6 +19,8 @@
     readonly heardAt: Millis;
     /** When the latest ask failed; undefined once an answer came. */
     readonly failedAt: Millis | undefined;
+    /** Since when the home has declined to serve, as its hand-over is under way; undefined once an answer came. */
+    readonly decliningSince: Millis | undefined;
     readonly refunds: readonly { readonly slot: number; readonly tokens: Tokens; }[];
     readonly free: Tokens;
     readonly rate: Tokens;
--- a/packages/allowance/src/Outlook.ts
+++ b/packages/allowance/src/Outlook.ts
@@ -8,7 +8,7 @@
     readonly free: Tokens;
     /** Tokens that other VMs hold and may hand back. */
     readonly recallable: Tokens;
-    /** Tokens that requests waiting at other VMs lack. */
+    /** Tokens lacking to requests at other VMs that came before the ones here. */
     readonly unmet: Tokens;
     /** Tokens a second that reachable homes accrue. */
     readonly rate: Tokens;
--- a/packages/allowance/src/TakerAccount.ts
+++ b/packages/allowance/src/TakerAccount.ts
@@ -13,6 +13,8 @@
     readonly lastGrant: Tokens;
     /** Tokens that waiting requests of the taker lacked after the latest answer. */
     readonly unmet: Tokens;
+    /** When the oldest of these requests came, on the home's clock. */
+    readonly waitingSince: Millis;
     readonly seenAt: Millis;
     readonly recalledAt: Millis;
 };
--- a/packages/allowance/src/__tests__/fleet/simulateFleet.ts
+++ b/packages/allowance/src/__tests__/fleet/simulateFleet.ts
@@ -23,9 +23,8 @@
 const READ_MS = 40;
 const LIST_MS = 300;
 const LIST_LAG_MS = 600;
-const LOST = 0.04;
-const REPEATED = 0.04;
-const LATE = 0.04;
+const FLOOD_MS = 1_000;
+const TRICKLE = 0.05;
 const LATE_MS = 5_000;
 /** `freeze`: the VM is paused and dropped from the list meanwhile, and comes back to life all the same. */
 const FAULTS = ["restart", "restart", "replace", "pause", "freeze", "cut", "cut"] as const;
@@ -38,6 +37,7 @@
     const spends: Spend[] = [];
     const refusals: (Spend & { readonly reason: string; readonly waitedMs: number; })[] = [];
     const faults: string[] = [];
+    const odds = options.messageFaults ?? 0;
     const counts = { messages: 0, unanswered: 0, request: 0 };
     const log: { readonly record: MembershipRecord; readonly at: number; }[] = [];
     const listChanges: { readonly at: number; readonly vm: VmId; readonly present: boolean; }[] = [];
@@ -71,14 +71,13 @@
     /** Delivers a message: lost, late or repeated now and then, and never across a cut. */
     const send = (from: SimulatedVm, to: SimulatedVm, deliver: () => void): void => {
         counts.messages++;
-        const faulty = options.faults > 0;
         const cut = from.domain !== to.domain && (isCut(from.domain) || isCut(to.domain));
-        if (cut || (faulty && random() < LOST)) {
+        if (cut || (random() < odds)) {
             return;
         }
-        const delay = 0.5 + random() + (faulty && random() < LATE ? random() * LATE_MS : 0);
+        const delay = 0.5 + random() + (random() < odds ? random() * LATE_MS : 0);
         onProcess(to, to.process, agenda.now() + delay, deliver);
-        if (faulty && random() < REPEATED) {
+        if (random() < odds) {
             onProcess(to, to.process, agenda.now() + delay + random() * LATE_MS, deliver);
         }
     };
@@ -151,13 +150,13 @@
             case "answer":
                 return send(vm, to, () => tell(to, { kind: "answer", from: vm.vm, answer: effect.answer }));
             case "recall":
-                return send(vm, to, () => tell(to, { kind: "recall", from: vm.vm }));
+                return send(vm, to, () => tell(to, { kind: "recall", from: vm.vm, waitedMs: effect.waitedMs }));
             case "hand-over":
                 return send(vm, to, () => tell(to, { kind: "handed", bucket: effect.bucket }));
             case "wake":
                 return wake(vm, effect.at / vm.clockRate);
             case "decline":
-                return;
+                return send(vm, to, () => tell(to, { kind: "declined", from: vm.vm, seq: effect.seq }));
         }
     };
 
@@ -250,6 +249,7 @@
             limits,
             homes: [],
             servesFrom: undefined,
+            now: clockOf(vm),
         });
         listChanges.push({ at: agenda.now(), vm: vm.vm, present: true });
         every(vm, process, READ_MS, () => readLog(vm));
@@ -322,7 +322,10 @@
     const arrivals = (time: number): void =>
         agenda.at(time, () => {
             request();
-            arrivals(time - Math.log(1 - random()) * 1_000 * (options.maxTokens / 2) / options.demand);
+            const { floodEveryMs } = options;
+            const calm = floodEveryMs !== undefined && time % floodEveryMs > FLOOD_MS;
+            const demand = options.demand * (calm ? TRICKLE : 1);
+            arrivals(time - Math.log(1 - random()) * 1_000 * (options.maxTokens / 2) / demand);
         });
     arrivals(1_000);
     const nextFault = (time: number): void =>
--- a/packages/allowance/src/answerAsk.ts
+++ b/packages/allowance/src/answerAsk.ts
@@ -2,6 +2,7 @@
 
 import { advanceBucket } from "./advanceBucket.js";
 import type { Bucket } from "./Bucket.js";
+import { claimedBefore } from "./claimedBefore.js";
 import type { GrantAnswer } from "./GrantAnswer.js";
 import type { GrantAsk } from "./GrantAsk.js";
 import { notePeak } from "./notePeak.js";
@@ -18,6 +19,9 @@
     readonly recalls: readonly VmId[];
 };
 
+/** What the home's own waiting requests lack, and when the oldest of them came. */
+type OwnClaim = { readonly unmet: Tokens; readonly since: Millis; };
+
 const settle = (bucket: Bucket, ask: GrantAsk, before: TakerAccount | undefined, now: Millis): Bucket => {
     const outstanding = before?.outstanding ?? 0;
     const voided = before !== undefined && ask.applied < before.seq ? before.lastGrant : 0;
@@ -32,18 +36,28 @@
     [...bucket.takers].filter(([other]) => other !== vm);
 
 const grantFrom = (free: Tokens, ask: GrantAsk): Tokens => {
+    if (free <= 0) {
+        return 0;
+    }
     const needed = Math.min(free, ask.need);
     const ahead = Math.min(ask.ahead, (free - needed) / 2);
     return Math.max(0, Math.floor(needed + ahead));
 };
 
 /**
- * Answers a VM's ask for tokens, or its handing back of some.
+ * Answers a VM's ask for tokens, or its handing back of some. Whoever has waited longest is served first.
  *
  * Failures guarded against: a repeated or overtaken ask would credit its tokens twice (its sequence number is not
  * higher than the last one); a restarted taker's former run may still hold tokens (they lapse on their own).
  */
-export function answerAsk(before: Bucket, vm: VmId, ask: GrantAsk, run: Incarnation, now: Millis): Answered {
+export function answerAsk(
+    before: Bucket,
+    vm: VmId,
+    ask: GrantAsk,
+    run: Incarnation,
+    own: OwnClaim,
+    now: Millis,
+): Answered {
     const advanced = advanceBucket(before, now);
     const known = advanced.takers.get(vm);
     if (known !== undefined && known.run === ask.run && ask.seq <= known.seq) {
@@ -64,7 +78,10 @@
         extended ? account : undefined,
         now,
     );
-    const granted = grantFrom(settled.balance, ask);
+    const waitingSince = now - ask.waitedMs;
+    const ownClaim = own.since < waitingSince ? own.unmet : 0;
+    const claimed = claimedBefore(settled, waitingSince, vm, now) + ownClaim;
+    const granted = grantFrom(settled.balance - claimed, ask);
     const unmet = Math.max(0, ask.need - granted);
     const others = othersOf(settled, vm);
     const recalls = unmet === 0
@@ -79,6 +96,7 @@
         until: now + timing.keepMs,
         lastGrant: granted,
         unmet,
+        waitingSince,
         seenAt: now,
         recalledAt: account?.recalledAt ?? now - timing.recallMs,
     };
@@ -101,9 +119,7 @@
             free: Math.max(0, bucket.balance),
             rate: bucket.limits.rate,
             elsewhere: outstandingOf({ ...bucket, takers: new Map(others) }),
-            unmet: others
-                .filter(([, taker]) => taker.seenAt + timing.freshMs > now)
-                .reduce((sum, [, taker]) => sum + taker.unmet, 0),
+            unmet: claimed,
         },
     };
 }
--- a/packages/allowance/src/applyAnswer.ts
+++ b/packages/allowance/src/applyAnswer.ts
@@ -26,6 +26,7 @@
         pendingSince: undefined,
         heardAt: now,
         failedAt: undefined,
+        decliningSince: undefined,
         refunds: sameRun ? held.refunds : [],
         free: answer.free,
         rate: answer.rate,
--- a/packages/allowance/src/availableTokens.ts
+++ b/packages/allowance/src/availableTokens.ts
@@ -1,10 +1,15 @@
 import type { Millis, Tokens } from "@azureshunt/core";
 
 import type { Allowance } from "./Allowance.js";
+import { claimedBefore } from "./claimedBefore.js";
 import { usableTokens } from "./usableTokens.js";
 
 /** Tokens that this VM may spend now without asking anybody. The bucket has to be advanced to now. */
 export function availableTokens(allowance: Allowance, now: Millis): Tokens {
-    const own = allowance.servesFrom === undefined ? 0 : allowance.bucket?.balance ?? 0;
+    const { bucket, servesFrom, waiters } = allowance;
+    const since = waiters[0]?.since ?? now;
+    const own = servesFrom === undefined || bucket === undefined
+        ? 0
+        : Math.max(0, bucket.balance - claimedBefore(bucket, since, undefined, now));
     return allowance.held.reduce((sum, held) => sum + usableTokens(held, now), own);
 }
--- a/packages/allowance/src/keepHouse.ts
+++ b/packages/allowance/src/keepHouse.ts
@@ -3,7 +3,6 @@
 import type { Allowance } from "./Allowance.js";
 import type { AllowanceEffect } from "./AllowanceEffect.js";
 import { askHome } from "./askHome.js";
-import { availableTokens } from "./availableTokens.js";
 import { demandAt } from "./demandAt.js";
 import type { HeldGrant } from "./HeldGrant.js";
 import { timing } from "./timing.js";
@@ -54,13 +53,11 @@
  */
 export function keepHouse(before: Allowance, everything: boolean, now: Millis): AllowanceStep {
     const allowance = dropSpent(before, now);
-    const idle = allowance.spentAt + timing.idleMs <= now;
-    const target = everything || idle ? 0 : 2 * demandAt(allowance, now) * timing.aheadMs / 1_000;
-    const waiting = allowance.waiters.length > 0;
-    const own = allowance.servesFrom === undefined ? 0 : allowance.bucket?.balance ?? 0;
-    const heldHere = availableTokens(allowance, now) - own;
-    const spare = waiting ? 0 : Math.max(0, Math.floor(heldHere - target));
-    const handed = handBack(allowance, everything || idle ? heldHere * (waiting ? 0 : 1) : spare, now);
+    const idle = allowance.spentAt + timing.idleMs <= now && allowance.waiters.length === 0;
+    const target = 2 * demandAt(allowance, now) * timing.aheadMs / 1_000;
+    const heldHere = allowance.held.reduce((sum, held) => sum + usableTokens(held, now), 0);
+    const beyond = allowance.waiters.length > 0 ? 0 : Math.max(0, Math.floor(heldHere - target));
+    const handed = handBack(allowance, everything || idle ? heldHere : beyond, now);
     const renewed = renewals(handed.state, now);
     return { state: renewed.state, effects: [...handed.effects, ...renewed.effects] };
 }
--- a/packages/allowance/src/openAllowance.ts
+++ b/packages/allowance/src/openAllowance.ts
@@ -12,12 +12,15 @@
     readonly limits: Limits;
     readonly homes: readonly Home[];
     readonly servesFrom: Millis | undefined;
+    readonly now: Millis;
 };
 
 /** Begins to keep an organisation's allowance on this VM, without any tokens. */
-export function openAllowance(start: Start): Allowance {
+export function openAllowance({ now, ...start }: Start): Allowance {
+    const isHome = start.homes.some(home => home.vm === start.vm);
     return {
         ...start,
+        barredSince: isHome && start.servesFrom === undefined ? now : undefined,
         bucket: undefined,
         held: [],
         waiters: [],
--- a/packages/allowance/src/outlookOf.ts
+++ b/packages/allowance/src/outlookOf.ts
@@ -1,6 +1,7 @@
 import type { Millis } from "@azureshunt/core";
 
 import type { Allowance } from "./Allowance.js";
+import { claimedBefore } from "./claimedBefore.js";
 import type { HeldGrant } from "./HeldGrant.js";
 import type { Home } from "./Home.js";
 import type { Outlook } from "./Outlook.js";
@@ -24,14 +25,23 @@
     if (bucket === undefined) {
         return NOTHING;
     }
-    const unmet = [...bucket.takers.values()]
-        .filter(taker => taker.seenAt + timing.freshMs > now)
-        .reduce((sum, taker) => sum + taker.unmet, 0);
+    const unmet = claimedBefore(bucket, allowance.waiters[0]?.since ?? now, undefined, now);
     return { ...NOTHING, recallable: outstandingOf(bucket), unmet, rate: bucket.limits.rate };
 };
 
+/** A home that does not serve yet may do so within a moment; one that goes on declining waits for grants to run out. */
+const movingOutlook = ({ limits }: Home, since: Millis, now: Millis): Outlook => ({
+    ...NOTHING,
+    informed: since + timing.maxWaitMs <= now,
+    unreachableBurst: limits.burst,
+    unreachableRate: limits.rate,
+});
+
 const homeOutlook = (home: Home, held: HeldGrant | undefined, now: Millis): Outlook => {
     const { rate, burst } = home.limits;
+    if (held?.decliningSince !== undefined) {
+        return movingOutlook(home, held.decliningSince, now);
+    }
     if (held?.failedAt !== undefined && held.failedAt + timing.unreachableMs > now) {
         return { ...NOTHING, unreachableBurst: burst, unreachableRate: rate };
     }
@@ -49,10 +59,11 @@
     const others = allowance.homes
         .filter(home => home.vm !== allowance.vm)
         .map(home => homeOutlook(home, allowance.held.find(held => held.home === home.vm), now));
-    // The own VM as home that may not serve yet: its share is out of reach like that of a cut domain.
     const barred = allowance.homes
         .filter(home => home.vm === allowance.vm && allowance.servesFrom === undefined)
-        .map(({ limits }) => ({ ...NOTHING, unreachableBurst: limits.burst, unreachableRate: limits.rate }));
+        .map(home => movingOutlook(home, allowance.barredSince ?? now, now));
+    // Right after the start of a process no VM is known yet.
+    const known = { ...NOTHING, informed: allowance.homes.length > 0 };
     return [...own, ...others, ...barred].reduce((sum, one) => ({
         informed: sum.informed && one.informed,
         free: sum.free + one.free,
@@ -62,5 +73,5 @@
         rate: sum.rate + one.rate,
         unreachableBurst: sum.unreachableBurst + one.unreachableBurst,
         unreachableRate: sum.unreachableRate + one.unreachableRate,
-    }), NOTHING);
+    }), known);
 }
--- a/packages/allowance/src/placeAllowance.ts
+++ b/packages/allowance/src/placeAllowance.ts
@@ -13,5 +13,12 @@
     const bucket = before.bucket === undefined || share === undefined
         ? before.bucket
         : relimitBucket(before.bucket, share, now);
-    return { ...before, limits, homes, servesFrom, bucket };
+    const known = new Set(before.homes.map(home => home.vm));
+    const moved = homes.some(home => !known.has(home.vm));
+    // A home that declined before the members changed may serve by now.
+    const held = moved
+        ? before.held.map(entry => ({ ...entry, failedAt: undefined, decliningSince: undefined }))
+        : before.held;
+    const barredSince = share === undefined || servesFrom !== undefined ? undefined : before.barredSince ?? now;
+    return { ...before, limits, homes, servesFrom, barredSince, bucket, held };
 }
--- /dev/null
+++ b/packages/allowance/src/probeHomes.ts
@@ -0,0 +1,22 @@
+import type { Millis, Step } from "@azureshunt/core";
+
+import type { Allowance } from "./Allowance.js";
+import type { AllowanceEffect } from "./AllowanceEffect.js";
+import { askHome } from "./askHome.js";
+import { timing } from "./timing.js";
+
+/**
+ * Asks homes again that failed to answer, for nothing: requests are refused at once meanwhile, and would not find out
+ * that such a home is back.
+ */
+export function probeHomes(allowance: Allowance, now: Millis): Step<Allowance, AllowanceEffect> {
+    const failed = allowance.held.filter(held =>
+        (held.failedAt ?? held.decliningSince) !== undefined && held.askedAt + timing.askTimeoutMs <= now
+    );
+    return allowance.homes
+        .filter(home => failed.some(held => held.home === home.vm))
+        .reduce<Step<Allowance, AllowanceEffect>>((sofar, home) => {
+            const step = askHome(sofar.state, home, { need: 0, ahead: 0, giveBack: 0 }, now);
+            return { state: step.state, effects: [...sofar.effects, ...step.effects] };
+        }, { state: allowance, effects: [] });
+}
--- a/packages/allowance/src/serveWaiters.ts
+++ b/packages/allowance/src/serveWaiters.ts
@@ -6,7 +6,6 @@
 import { charge } from "./charge.js";
 import { judgeWaiter } from "./judgeWaiter.js";
 import { outlookOf } from "./outlookOf.js";
-import { timing } from "./timing.js";
 
 const admitFirst = (before: Allowance, now: Millis): Step<Allowance, AllowanceEffect> => {
     const [first, ...rest] = before.waiters;
@@ -18,9 +17,6 @@
     return { state: later.state, effects: [{ kind: "admit", id: first.id, parts: charged.parts }, ...later.effects] };
 };
 
-const wasRecentlyStrained = ({ strainedAt }: Allowance, now: Millis): boolean =>
-    strainedAt !== undefined && strainedAt + timing.maxWaitMs > now;
-
 /**
  * Admits waiting requests in order as far as the tokens here go, and refuses at once each one that cannot be served in
  * time. A refusal is never kept back until the request's deadline: its caller could go elsewhere meanwhile.
@@ -32,7 +28,6 @@
         return admitted;
     }
     const outlook = outlookOf(allowance, now);
-    const strained = wasRecentlyStrained(allowance, now);
     const here = availableTokens(allowance, now) - allowance.debt;
     const judged = allowance.waiters.reduce<{
         readonly missing: number;
@@ -40,7 +35,7 @@
         readonly effects: readonly AllowanceEffect[];
     }>((sofar, waiter) => {
         const missing = sofar.missing + waiter.tokens;
-        const verdict = judgeWaiter(waiter, missing, outlook, strained, now);
+        const verdict = judgeWaiter(waiter, missing, outlook, now);
         return verdict.kind === "wait"
             ? { ...sofar, missing, waiters: [...sofar.waiters, waiter] }
             : { ...sofar, effects: [...sofar.effects, { ...verdict, id: waiter.id }] };
--- a/packages/allowance/src/shareOf.ts
+++ b/packages/allowance/src/shareOf.ts
@@ -3,7 +3,7 @@
 import type { Limits } from "./Limits.js";
 
 /** An organisation's limits and how the failure domains share them; equal parts when `shares` is left out. */
-type Shared = Limits & { readonly shares?: Readonly<Record<string, number>> | undefined; };
+type Shared = Limits & { readonly shares?: Readonly<Partial<Record<FailureDomain, number>>> | undefined; };
 
 /**
  * Gives the part of an organisation's limits that one failure domain holds.
--- a/packages/allowance/src/stepAllowance.ts
+++ b/packages/allowance/src/stepAllowance.ts
@@ -7,11 +7,13 @@
 import { answerAsk } from "./answerAsk.js";
 import { applyAnswer } from "./applyAnswer.js";
 import { askHomes } from "./askHomes.js";
+import { availableTokens } from "./availableTokens.js";
 import { charge } from "./charge.js";
 import { handOverBucket } from "./handOverBucket.js";
 import { keepHouse } from "./keepHouse.js";
 import { openBucket } from "./openBucket.js";
 import { placeAllowance } from "./placeAllowance.js";
+import { probeHomes } from "./probeHomes.js";
 import { receiveBucket } from "./receiveBucket.js";
 import { serveWaiters } from "./serveWaiters.js";
 import { settleCharge } from "./settleCharge.js";
@@ -36,7 +38,9 @@
 const serve = (before: Allowance, now: Millis): AllowanceStep => {
     const served = serveWaiters(before, now);
     const asked = askHomes(served.state, now);
-    return { state: asked.state, effects: [...served.effects, ...asked.effects] };
+    const refused = served.effects.some(effect => effect.kind === "refuse");
+    const probed = refused ? probeHomes(asked.state, now) : { state: asked.state, effects: [] };
+    return { state: probed.state, effects: [...served.effects, ...asked.effects, ...probed.effects] };
 };
 
 const reserve = (before: Allowance, event: EventOf<"reserve">, now: Millis): AllowanceStep => {
@@ -56,11 +60,15 @@
 const ask = (before: Allowance, event: EventOf<"ask">, now: Millis): AllowanceStep => {
     const to = event.from;
     if (before.servesFrom === undefined || before.bucket === undefined) {
-        return { state: before, effects: [{ kind: "decline", to }] };
+        return { state: before, effects: [{ kind: "decline", to, seq: event.ask.seq }] };
     }
-    const { bucket, answer, recalls } = answerAsk(before.bucket, to, event.ask, before.run, now);
-    const reply: AllowanceEffect = answer === undefined ? { kind: "decline", to } : { kind: "answer", to, answer };
-    const calls = recalls.map(vm => ({ kind: "recall", to: vm }) as const);
+    const lacking = before.waiters.reduce((sum, waiter) => sum + waiter.tokens, 0) - availableTokens(before, now);
+    const own = { unmet: Math.max(0, lacking), since: before.waiters[0]?.since ?? now };
+    const { bucket, answer, recalls } = answerAsk(before.bucket, to, event.ask, before.run, own, now);
+    const reply: AllowanceEffect = answer === undefined
+        ? { kind: "decline", to, seq: event.ask.seq }
+        : { kind: "answer", to, answer };
+    const calls = recalls.map(vm => ({ kind: "recall", to: vm, waitedMs: event.ask.waitedMs }) as const);
     const served = serveWaiters({ ...before, bucket }, now);
     return { state: served.state, effects: [reply, ...calls, ...served.effects] };
 };
@@ -79,6 +87,22 @@
     return serve({ ...before, held }, now);
 };
 
+const declined = (before: Allowance, event: EventOf<"declined">, now: Millis): AllowanceStep => {
+    const held = before.held.map(entry =>
+        entry.home === event.from && entry.seq === event.seq && entry.pendingSince !== undefined
+            ? { ...entry, pendingSince: undefined, decliningSince: entry.decliningSince ?? now }
+            : entry
+    );
+    return serve({ ...before, held }, now);
+};
+
+/** Hands all back, unless a request waits here that came before those that lack the tokens. */
+const recalled = (before: Allowance, event: EventOf<"recall">, now: Millis): AllowanceStep => {
+    const oldest = before.waiters[0]?.since;
+    const waitsLonger = oldest !== undefined && now - oldest >= event.waitedMs;
+    return waitsLonger ? { state: before, effects: [] } : keepHouse(before, true, now);
+};
+
 const tick = (before: Allowance, now: Millis): AllowanceStep => {
     const served = serve(before, now);
     const kept = keepHouse(served.state, false, now);
@@ -99,8 +123,10 @@
             return answered(before, event, now);
         case "unanswered":
             return unanswered(before, event, now);
+        case "declined":
+            return declined(before, event, now);
         case "recall":
-            return keepHouse(before, true, now);
+            return recalled(before, event, now);
         case "drain":
             return keepHouse({ ...before, waiters: [] }, true, now);
         case "placed":
--- a/packages/allowance/src/timing.ts
+++ b/packages/allowance/src/timing.ts
@@ -22,6 +22,8 @@
     askTimeoutMs: 250,
     /** A home that failed to answer counts as out of reach for this long; it is asked again meanwhile. */
     unreachableMs: 1_000,
+    /** A home that failed or declined is asked again after this long. */
+    askFailedMs: 50,
     /** What another VM told about its bucket counts as current for this long. */
     freshMs: 250,
     /** Asks ahead of need keep this distance. */
--- a/packages/daemon/src/allowance/createAllowancePort.ts
+++ b/packages/daemon/src/allowance/createAllowancePort.ts
@@ -1,47 +1,171 @@
-import type { OrganisationId, Tokens } from "@azureshunt/core";
+import { setTimeout as delay } from "node:timers/promises";
+
+import type { ChargePart } from "@azureshunt/allowance";
+import { availableTokens, timing } from "@azureshunt/allowance";
+import type { OrganisationId, Refusal, VmId } from "@azureshunt/core";
 import { refusalOf } from "@azureshunt/core";
+import { dispatch, spawnStateless, stop as stopActor } from "nact";
+import type { Either } from "purify-ts";
 import { Left, Right } from "purify-ts";
 
+import type { HomePort } from "../membership/HomePort.js";
 import type { AllowancePort } from "../ports/AllowancePort.js";
 import type { DaemonContext } from "../ports/DaemonContext.js";
+import type { Reservation } from "../ports/Reservation.js";
+import type { AllowanceMessage } from "./AllowanceMessage.js";
+import type { AllowanceReport } from "./AllowanceReport.js";
+import { createAllowanceStore } from "./createAllowanceStore.js";
+import { createHandOvers } from "./createHandOvers.js";
+import { exchangeAsk } from "./exchangeAsk.js";
+import { handleAsk } from "./handleAsk.js";
+import { RecallBody } from "./RecallBody.js";
+
+const TICK_MS = 100;
+
+type Decision = Either<Refusal, readonly ChargePart[]>;
+
+/** The allowances of this daemon, with what the shell and the administration API need besides. */
+type AllowanceParty = AllowancePort & {
+    readonly stop: () => void;
+    /** Hands all tokens back and all buckets over, when the daemon stops. */
+    readonly drain: () => Promise<void>;
+    /** Undefined while the organisation is not in use here. */
+    readonly inspect: (organisation: OrganisationId) => AllowanceReport | undefined;
+};
 
-const MILLIS_PER_SECOND = 1_000;
+/** Spends organisations' rate and burst together with the other VMs, by grants from home VMs. */
+export function createAllowancePort(ctx: DaemonContext, homes: HomePort): AllowanceParty {
+    const { clock, metrics } = ctx;
+    const parts = new WeakMap<Reservation, readonly ChargePart[]>();
+    const numbers = { next: 0 };
+
+    const perform = async (message: AllowanceMessage): Promise<void> => {
+        switch (message.kind) {
+            case "ask": {
+                const event = await exchangeAsk(ctx, message);
+                const entry = store.get(message.organisation);
+                if (entry !== undefined) {
+                    store.tell(entry, event);
+                }
+                return;
+            }
+            case "recall": {
+                const { organisation, to, waitedMs } = message;
+                metrics.count(
+                    "azureshunt_allowance_recalls_total",
+                    "Times that tokens held elsewhere were called back.",
+                );
+                await ctx.peers.exchange(to, "allowanceRecall", { organisation, waitedMs }, timing.askTimeoutMs);
+                return;
+            }
+            case "ask-hand-over":
+                return await handOvers.ask(message.of, message.joinedAt);
+        }
+    };
+    const actor = spawnStateless(ctx.system, (message: AllowanceMessage) => perform(message), "allowance-messages");
+    const store = createAllowanceStore(ctx, homes, message => dispatch(actor, message));
+    const handOvers = createHandOvers(ctx, homes, store);
 
-type Bucket = { readonly tokens: Tokens; readonly at: number; };
+    const recalled = (body: object, from: VmId): void => {
+        const recall = RecallBody.safeParse(body);
+        const entry = recall.success ? store.get(recall.data.organisation) : undefined;
+        if (recall.success && entry !== undefined) {
+            store.tell(entry, { kind: "recall", from, waitedMs: recall.data.waitedMs });
+        }
+    };
+    const placeAll = (): void => store.entries().forEach(store.place);
+    const unregister = [
+        ctx.peers.handle("allowanceAsk", (body, from) => Promise.resolve(handleAsk(store, body, from))),
+        ctx.peers.handle("allowanceRecall", (body, from) => {
+            recalled(body, from);
+            return Promise.resolve({});
+        }),
+        ctx.release.subscribe(placeAll),
+        metrics.gauge(
+            "azureshunt_allowance_organisations",
+            "Organisations whose allowance this daemon keeps.",
+            () => store.entries().length,
+        ),
+    ];
+    homes.onHomesChanged(placeAll);
+    homes.onHandOverDue((of, joinedAt) => dispatch(actor, { kind: "ask-hand-over", of, joinedAt }));
+    const timer = setInterval(store.tick, TICK_MS);
 
-/** Spends an equal part of each organisation's rate and burst on this VM. */
-export function createAllowancePort(
-    ctx: DaemonContext,
-): AllowancePort & { readonly stop: () => void; readonly drain: () => Promise<void>; } {
-    const buckets = new Map<OrganisationId, Bucket>();
+    const reserve: AllowancePort["reserve"] = async (organisation, tokens, deadline, signal) => {
+        if (tokens <= 0) {
+            return Right({ organisation, tokens: 0 });
+        }
+        const entry = store.open(organisation);
+        if (entry === undefined) {
+            return Left(refusalOf("not-allowed"));
+        }
+        const id = numbers.next++;
+        const since = clock.now();
+        const decided = new Promise<Decision>(resolve => {
+            entry.waiting.set(id, resolve);
+            store.tell(entry, { kind: "reserve", id, tokens, deadline });
+        });
+        const abandon = (): void => {
+            entry.waiting.get(id)?.(Left(refusalOf("caller-gone", undefined, { ran: "no" })));
+            entry.waiting.delete(id);
+            store.tell(entry, { kind: "abandon", id });
+        };
+        if (entry.waiting.has(id)) {
+            signal.addEventListener("abort", abandon, { once: true });
+        }
+        const decision = await decided;
+        signal.removeEventListener("abort", abandon);
+        metrics.record("azureshunt_allowance_wait_ms", "Wait of requests for tokens.", clock.now() - since);
+        return decision.map(charged => {
+            const reservation: Reservation = { organisation, tokens };
+            parts.set(reservation, charged);
+            return reservation;
+        });
+    };
 
-    const bucketOf = (organisation: OrganisationId): Bucket => {
-        const spec = ctx.release.current()?.organisations.get(organisation);
-        const part = 1 / Math.max(1, ctx.membership.members().length);
-        const now = ctx.clock.now();
-        const burst = (spec?.burst ?? 0) * part;
-        const known = buckets.get(organisation) ?? { tokens: burst, at: now };
-        const accrued = (now - known.at) / MILLIS_PER_SECOND * (spec?.rate ?? 0) * part;
-        return { tokens: Math.min(burst, known.tokens + accrued), at: now };
+    const settle: AllowancePort["settle"] = (reservation, used) => {
+        const charged = parts.get(reservation);
+        const entry = charged === undefined ? undefined : store.get(reservation.organisation);
+        parts.delete(reservation);
+        if (charged !== undefined && entry !== undefined) {
+            store.tell(entry, { kind: "settle", parts: charged, used });
+        }
     };
 
-    const add = (organisation: OrganisationId, tokens: Tokens): void => {
-        const bucket = bucketOf(organisation);
-        buckets.set(organisation, { ...bucket, tokens: bucket.tokens + tokens });
+    const drain = async (): Promise<void> => {
+        store.entries().forEach(entry => store.tell(entry, { kind: "drain" }));
+        await delay(timing.askTimeoutMs);
+        await handOvers.leave();
     };
 
-    const reserve: AllowancePort["reserve"] = (organisation, tokens) => {
-        if (bucketOf(organisation).tokens < tokens) {
-            return Promise.resolve(Left(refusalOf("over-rate")));
+    const inspect = (organisation: OrganisationId): AllowanceReport | undefined => {
+        const entry = store.get(organisation);
+        if (entry === undefined) {
+            return undefined;
         }
-        add(organisation, -tokens);
-        return Promise.resolve(Right({ organisation, tokens }));
+        const { allowance, charged: spent, refused, waiting } = entry;
+        return {
+            organisation,
+            ...allowance.limits,
+            here: availableTokens(allowance, clock.now()),
+            spent,
+            refused,
+            waiting: waiting.size,
+            homes: allowance.homes.map(home => `${home.domain} ${home.vm}`),
+        };
     };
 
     return {
         reserve,
-        settle: (reservation, used) => add(reservation.organisation, reservation.tokens - used),
-        stop: () => buckets.clear(),
-        drain: () => Promise.resolve(),
+        settle,
+        drain,
+        inspect,
+        stop: () => {
+            clearInterval(timer);
+            unregister.forEach(remove => remove());
+            handOvers.stop();
+            store.clear();
+            stopActor(actor);
+        },
     };
 }
--- a/packages/daemon/src/membership/createMembershipPort.ts
+++ b/packages/daemon/src/membership/createMembershipPort.ts
@@ -1,22 +1,38 @@
+import { randomUUID } from "node:crypto";
+import { setTimeout as delay } from "node:timers/promises";
+
+import { timing } from "@azureshunt/allowance";
+import type { RecordId } from "@azureshunt/core";
+import type { ListedVm, MembershipEffect, MembershipRecord } from "@azureshunt/membership";
+import { openMembership, stepMembership } from "@azureshunt/membership";
 import { listVms } from "@azureshunt/platform";
+import { dispatch, spawnStateless } from "nact";
 
+import { runAggregate } from "../actors/runAggregate.js";
 import type { MembershipPort } from "../ports/MembershipPort.js";
-import type { Settings } from "../Settings.js";
+import { followMembershipLog } from "./followMembershipLog.js";
+import type { HomePort } from "./HomePort.js";
+import type { MembershipParts } from "./MembershipParts.js";
+import { membersOf } from "./membersOf.js";
 
-const POLL_MS = 1_000;
+const STREAM = "membership";
+const LIST_MS = 1_000;
+const TICK_MS = 100;
+const LEAVE_MS = 2_000;
+const LEAVE_POLL_MS = 20;
 
 type Members = ReturnType<MembershipPort["members"]>;
-type Listener = (members: Members) => void;
+
+/** The membership of this daemon: what others see of it, and what its allowances need. */
+type MembershipParty = MembershipPort & HomePort & { readonly stop: () => void; };
 
 /**
- * Follows the platform's list of VMs. While the platform cannot be reached, the last list stands.
- *
- * @param settings this daemon's; its seeds stand until the first list is read
+ * Follows the membership stream of the log and the platform's list of VMs. While neither can be read, what was known
+ * last stands.
  */
-export function createMembershipPort(
-    settings: Settings,
-    incarnation: MembershipPort["self"]["incarnation"],
-): MembershipPort & { readonly stop: () => void; } {
+export function createMembershipPort(parts: MembershipParts): MembershipParty {
+    const { settings, incarnation, clock, log, metrics } = parts;
+    const logger = parts.logger("membership");
     const self: MembershipPort["self"] = {
         vm: settings.vm,
         failureDomain: settings.failureDomain,
@@ -25,37 +41,102 @@
         admin: settings.listen.admin,
         incarnation,
     };
-    const seeds = settings.peers.seeds
-        .filter(seed => seed.vm !== settings.vm)
-        .map(({ vm, failureDomain, address }) => ({
-            vm,
-            failureDomain,
-            state: "live" as const,
-            peer: address,
-            admin: "",
-            incarnation: undefined,
-        }));
-    const known: { members: Members; } = { members: [self, ...seeds] };
-    const listeners = new Set<Listener>();
+    const record: MembershipRecord = {
+        kind: "join",
+        vm: settings.vm,
+        run: incarnation,
+        failureDomain: settings.failureDomain,
+        peer: self.peer,
+        admin: self.admin,
+    };
+    const known: { listed: readonly ListedVm[]; } = { listed: [] };
+    const listeners = new Set<(members: Members) => void>();
+    const homeListeners: (() => void)[] = [];
+    const handOverListeners: Parameters<HomePort["onHandOverDue"]>[0][] = [];
+
+    const appender = spawnStateless(parts.system, async (data: MembershipRecord) => {
+        const appended = await log.append(STREAM, [{ id: randomUUID() as string as RecordId, data }]);
+        const outcome = appended.caseOf<string>({ Left: failure => failure.kind, Right: () => "done" });
+        metrics.count("azureshunt_membership_appends_total", "Membership records written, by outcome.", {
+            kind: data.kind,
+            outcome,
+        });
+    }, "membership-appender");
 
+    const members = (): Members => membersOf(self, aggregate.state(), known.listed, settings.peers.seeds);
+    const announce = (): void => {
+        listeners.forEach(listener => listener(members()));
+        homeListeners.forEach(listener => listener());
+    };
+    const perform = (effect: MembershipEffect): void => {
+        switch (effect.kind) {
+            case "append":
+                dispatch(appender, effect.record);
+                return;
+            case "ask-hand-over":
+                handOverListeners.forEach(listener => listener(effect.of, effect.joinedAt));
+                return;
+            case "changed":
+                announce();
+                return;
+        }
+    };
+    const aggregate = runAggregate({
+        initial: openMembership(record, timing.keepMs, clock.now()),
+        now: clock.now,
+        reduce: stepMembership,
+        perform,
+    });
+    const leaving = { is: false };
     const poll = async (): Promise<void> => {
         const listed = await listVms(settings.platform.url).run();
         listed.ifRight(vms => {
-            const others = vms.filter(vm => vm.vm !== settings.vm).map(vm => ({ ...vm, incarnation: undefined }));
-            known.members = [self, ...others];
-            listeners.forEach(listener => listener(known.members));
+            known.listed = vms;
+            aggregate.tell({ kind: "listed", vms });
+            listeners.forEach(listener => listener(members()));
         });
     };
+    const ending = new AbortController();
+    const timers = [
+        setInterval(() => void poll(), LIST_MS),
+        setInterval(() => {
+            if (!leaving.is) {
+                aggregate.tell({ kind: "tick" });
+            }
+        }, TICK_MS),
+    ];
     void poll();
-    const timer = setInterval(() => void poll(), POLL_MS);
+    followMembershipLog(parts, aggregate.tell, ending.signal)
+        .catch((err: unknown) => logger.error({ err }, "Stopped following the log."));
+
+    const hasLeft = (): boolean => !aggregate.state().members.has(settings.vm);
+    const waitUntilLeft = async (deadline: number): Promise<boolean> => {
+        if (hasLeft() || clock.now() >= deadline) {
+            return hasLeft();
+        }
+        await delay(LEAVE_POLL_MS);
+        return await waitUntilLeft(deadline);
+    };
 
     return {
         self,
-        members: () => known.members,
+        members,
+        membership: aggregate.state,
+        tell: aggregate.tell,
+        onHomesChanged: listener => void homeListeners.push(listener),
+        onHandOverDue: listener => void handOverListeners.push(listener),
+        leave: async () => {
+            leaving.is = true;
+            dispatch(appender, { ...record, kind: "leave" });
+            return await waitUntilLeft(clock.now() + LEAVE_MS);
+        },
         subscribe: onChange => {
             listeners.add(onChange);
             return () => void listeners.delete(onChange);
         },
-        stop: () => clearInterval(timer),
+        stop: () => {
+            timers.forEach(clearInterval);
+            ending.abort();
+        },
     };
 }
--- a/packages/daemon/src/startDaemon.ts
+++ b/packages/daemon/src/startDaemon.ts
@@ -50,7 +50,16 @@
     const metrics = createMetrics();
     const system = start(`azureshunt-${settings.vm}`);
     const log = createLogClient(settings.platform.url);
-    const membership = createMembershipPort(settings, incarnation);
+    const membership = createMembershipPort({
+        settings,
+        incarnation,
+        clock,
+        random: Math.random,
+        logger,
+        log,
+        system,
+        metrics,
+    });
     const peers = await createPeerPort(settings, incarnation, () =>
         membership.members()
             .filter(member => member.vm !== settings.vm)
@@ -66,7 +75,7 @@
         pipelining: 1,
     });
     const trace = createTracePort(clock.epoch);
-    const allowance = createAllowancePort(ctx);
+    const allowance = createAllowancePort(ctx, membership);
     const placement = createPlacementPort(ctx);
     const intents = createIntentPort(ctx);
     const suspects = createSuspectPort(ctx);
--- a/packages/membership/src/stepMembership.ts
+++ b/packages/membership/src/stepMembership.ts
@@ -18,6 +18,12 @@
         ? []
         : membership.awaiting.map(of => ({ kind: "ask-hand-over", of, joinedAt: membership.joinedAt ?? 0 }));
 
+const joinIsDue = (membership: Membership, now: Millis): boolean => {
+    const { appendedAt, joinedAt } = membership;
+    const pause = joinedAt === undefined ? timing.rejoinMs : timing.refreshMs;
+    return membership.caughtUp && (appendedAt === undefined || appendedAt + pause <= now);
+};
+
 const read = (before: Membership, event: EventOf<"read">, now: Millis): MembershipStep => {
     const folded = event.records.reduce(
         (membership, { record, offset }) => foldRecord(membership, record, offset, now),
@@ -32,9 +38,14 @@
         confirmedByLog: before.confirmedByLog || (event.atEnd && isMember),
     };
     const joined = before.joinedAt === undefined ? askHandOvers(state) : [];
+    const due = joinIsDue(state, now);
+    const append: readonly MembershipEffect[] = due ? [{ kind: "append", record: state.self }] : [];
     const changed = state.members !== before.members || state.confirmedByLog !== before.confirmedByLog ||
         state.caughtUp !== before.caughtUp;
-    return { state, effects: [...joined, ...changed ? [CHANGED] : []] };
+    return {
+        state: { ...state, appendedAt: due ? now : state.appendedAt },
+        effects: [...append, ...joined, ...changed ? [CHANGED] : []],
+    };
 };
 
 const missingOf = (member: MemberEntry, present: boolean, now: Millis): Millis | undefined => {
@@ -96,12 +107,6 @@
     return { state: { ...before, departures }, effects: [CHANGED] };
 };
 
-const joinIsDue = (membership: Membership, now: Millis): boolean => {
-    const { appendedAt, joinedAt } = membership;
-    const pause = joinedAt === undefined ? timing.rejoinMs : timing.refreshMs;
-    return membership.caughtUp && (appendedAt === undefined || appendedAt + pause <= now);
-};
-
 /**
  * Notices a pause of this process. Failure guarded against: a paused process wakes up, holds itself for home still, and
  * spends beside the VM that has become home meanwhile. The jump between two ticks shows the pause, and all spending as
