--- a/packages/allowance/src/HeldGrant.ts
+++ b/packages/allowance/src/HeldGrant.ts
@@ -6,6 +6,8 @@
     readonly home: VmId;
     readonly homeRun: Incarnation | undefined;
     readonly left: Tokens;
+    /** What the home counts as unspent here. */
+    readonly counted: Tokens;
     /** On this VM's clock, counted from when it asked. */
     readonly expiresAt: Millis;
     /** Slot of the home's clock at its latest answer. */
--- /dev/null
+++ b/packages/allowance/src/__tests__/unit/fleet.test.ts
@@ -0,0 +1,98 @@
+import test from "ava";
+import fc from "fast-check";
+
+import type { FleetOptions } from "../fleet/FleetOptions.js";
+import { mostOver } from "../fleet/mostOver.js";
+import { simulateFleet } from "../fleet/simulateFleet.js";
+
+// What a user sees: an organisation's bill or its engines show more tokens than its rate and burst allow. Six VMs in
+// three failure domains spend at once, while grants are lost, late and repeated, VMs are killed, restarted, replaced,
+// paused and frozen, and failure domains are cut off. Cause: the same token is spent at two VMs, or accrued twice.
+const FAULTY: readonly (Omit<FleetOptions, "seed"> & { readonly name: string; })[] = [
+    {
+        name: "several times the rate",
+        rate: 10_000,
+        burst: 20_000,
+        demand: 60_000,
+        maxTokens: 2_000,
+        leastUsed: 1,
+        faults: 1.5,
+        messageFaults: 0.1,
+        lengthMs: 15_000,
+    },
+    {
+        name: "floods, with messages lost and late",
+        rate: 4_000,
+        burst: 20_000,
+        demand: 60_000,
+        maxTokens: 800,
+        leastUsed: 1,
+        faults: 0.4,
+        messageFaults: 0.1,
+        lengthMs: 30_000,
+        floodEveryMs: 7_000,
+    },
+    {
+        name: "floods, with estimates far too high",
+        rate: 10_000,
+        burst: 10_000,
+        demand: 80_000,
+        maxTokens: 1_500,
+        leastUsed: 0.05,
+        faults: 0.1,
+        lengthMs: 15_000,
+        floodEveryMs: 3_000,
+    },
+    {
+        name: "floods, while homes move",
+        rate: 2_000,
+        burst: 20_000,
+        demand: 60_000,
+        maxTokens: 800,
+        leastUsed: 1,
+        faults: 0.6,
+        lengthMs: 40_000,
+        floodEveryMs: 12_000,
+    },
+];
+
+FAULTY.forEach(({ name, ...options }) =>
+    test(`allowance: all VMs together keep to rate and burst: ${name}`, t => {
+        fc.assert(
+            fc.property(fc.integer({ min: 1, max: 1_000_000 }), seed => {
+                const { spends, unanswered } = simulateFleet({ seed, ...options });
+                return mostOver(spends, options.rate, options.burst) <= 0 && spends.length > 0 && unanswered === 0;
+            }),
+            { seed: 4_711, numRuns: 8 },
+        );
+        t.pass();
+    })
+);
+
+// What a user sees: a filing refused with 429 although the organisation has sent less than it may. Cause: the tokens
+// stand at another VM.
+const CALM = { rate: 10_000, burst: 20_000, maxTokens: 2_000, leastUsed: 1, faults: 0, lengthMs: 20_000 };
+[
+    { name: "at 0.7 of the rate, over all failure domains", demand: 7_000 },
+    { name: "at 0.7 of the rate, in one failure domain", demand: 7_000, calledDomains: ["north"] },
+    { name: "at half the rate, requests of up to 0.3 of the burst", demand: 5_000, maxTokens: 6_000 },
+    { name: "at 0.7 of the rate, half of each charge not used", demand: 7_000, leastUsed: 0.4 },
+].forEach(({ name, ...options }) =>
+    test(`allowance: nothing is refused ${name}`, t => {
+        [1, 2, 3, 4, 5, 6].forEach(seed => {
+            const { spends, refusals } = simulateFleet({ seed, ...CALM, ...options });
+            t.is(refusals.length, 0, `seed ${seed}`);
+            t.true(spends.length > 0);
+        });
+    })
+);
+
+// What a user sees: callers over their rate hang until their deadline, ten seconds, and only then learn of it.
+test("allowance: requests over the rate are refused soon, and the whole rate is served", t => {
+    const options = { ...CALM, demand: 50_000 };
+    const { spends, refusals } = simulateFleet({ seed: 3, ...options });
+    const served = spends.reduce((sum, spend) => sum + spend.tokens, 0);
+    t.true(refusals.length > 0);
+    t.true(refusals.every(refusal => refusal.reason === "over-rate" && refusal.waitedMs <= 600));
+    t.true(served >= options.rate * (options.lengthMs - 1_000) / 1_000);
+});
--- a/packages/allowance/src/applyAnswer.ts
+++ b/packages/allowance/src/applyAnswer.ts
@@ -20,6 +20,7 @@
         ...held,
         homeRun: answer.run,
         left: (answer.extended ? held.left : 0) + answer.granted,
+        counted: (answer.extended ? held.counted : 0) + answer.granted,
         expiresAt: held.pendingSince + timing.grantMs,
         slot: answer.slot,
         applied: answer.seq,
--- a/packages/allowance/src/askHome.ts
+++ b/packages/allowance/src/askHome.ts
@@ -14,6 +14,7 @@
     home: vm,
     homeRun: undefined,
     left: 0,
+    counted: 0,
     expiresAt: -Infinity,
     slot: 0,
     seq: 0,
@@ -42,7 +43,7 @@
     const giveBack = Math.min(wish.giveBack, usableTokens(held, now));
     const left = usableTokens(held, now) - giveBack;
     const seq = held.seq + 1;
-    const asked: HeldGrant = { ...held, left, seq, refunds: [], pendingSince: now, askedAt: now };
+    const asked: HeldGrant = { ...held, left, counted: left, seq, refunds: [], pendingSince: now, askedAt: now };
     const others = allowance.held.filter(entry => entry.home !== home.vm);
     return {
         state: { ...allowance, held: [...others, asked] },
--- a/packages/allowance/src/keepHouse.ts
+++ b/packages/allowance/src/keepHouse.ts
@@ -30,9 +30,19 @@
         };
     }, { state: allowance, effects: [], spare });
 
+/**
+ * Whether a home is to hear of what is held here: before it expires, and soon after some was spent, since a home accrues
+ * nothing for tokens that it counts as unspent.
+ */
+const isDue = (held: HeldGrant, now: Millis): boolean => {
+    const expires = usableTokens(held, now) > 0 && held.askedAt + timing.grantMs / 2 <= now;
+    const spent = held.counted > held.left && held.askedAt + timing.reportMs <= now;
+    return expires || spent;
+};
+
 const renewals = (allowance: Allowance, now: Millis): AllowanceStep =>
     allowance.held
-        .filter(held => usableTokens(held, now) > 0 && held.askedAt + timing.grantMs / 2 <= now)
+        .filter(held => isDue(held, now))
         .reduce<AllowanceStep>((sofar, held) => {
             const step = askHome(sofar.state, homeOf(allowance, held), { need: 0, ahead: 0, giveBack: 0 }, now);
             return { state: step.state, effects: [...sofar.effects, ...step.effects] };
--- a/packages/allowance/src/timing.ts
+++ b/packages/allowance/src/timing.ts
@@ -27,9 +27,11 @@
     /** What another VM told about its bucket counts as current for this long. */
     freshMs: 250,
     /** Asks ahead of need keep this distance. */
-    askAheadMs: 100,
+    askAheadMs: 50,
+    /** A home hears of tokens spent after this long at the latest. */
+    reportMs: 100,
     /** Tokens are held ahead for this long of recent spending. */
-    aheadMs: 500,
+    aheadMs: 200,
     /** A VM hands back its tokens when it has not spent any for this long. */
     idleMs: 1_000,
     /** A holder is asked to hand tokens back at most this often. */
