--- a/packages/daemon/src/startDaemon.ts
+++ b/packages/daemon/src/startDaemon.ts
@@ -10,6 +10,8 @@
 import { createReleasePort } from "./configuration/createReleasePort.js";
 import { createClock } from "./createClock.js";
 import { createTracePort } from "./createTracePort.js";
+import { createTrafficVersions } from "./fleet/createTrafficVersions.js";
+import { startFleet } from "./fleet/startFleet.js";
 import { authenticateCaller } from "./gateway/authenticateCaller.js";
 import { recheckCall } from "./gateway/recheckCall.js";
 import { startCallerListener } from "./gateway/startCallerListener.js";
@@ -76,9 +78,14 @@
     });
     const trace = createTracePort(clock.epoch);
     const allowance = createAllowancePort(ctx, membership);
-    const placement = createPlacementPort(ctx);
+    const versionOf = createTrafficVersions(
+        () => placement.inspect().filter(endpoint => endpoint.health === "up"),
+        clock.now,
+    );
+    const fleet = startFleet(ctx, versionOf);
     const intents = createIntentPort(ctx);
     const suspects = createSuspectPort(ctx);
+    const placement = createPlacementPort(ctx, { mayShare: suspects.mayShare });
     const draining = { is: false };
     const isDraining = (): boolean => draining.is;
     const callers = await startCallerListener({
@@ -87,6 +94,7 @@
         intents,
         trace,
         authenticate: authenticateCaller,
+        versionOf,
         isDraining,
     });
     const admin = await startAdminListener({ ctx, release, allowance, placement, trace, isDraining });
@@ -97,7 +105,7 @@
         logger("daemon").info("Draining.");
         await callers.drain(settings.limits.drainMs);
         await allowance.drain();
-        [allowance, placement, intents, suspects, release, membership, peers].forEach(part => void part.stop());
+        [fleet, allowance, placement, intents, suspects, release, membership, peers].forEach(part => void part.stop());
         await admin.stop();
         await dispatcher.destroy();
         await log.close();
