Check the configuration protocol with Spin

Not modelled: a restarted reader; it forgets what it served, and what it takes first is bounded only by whom it reaches.

--- /dev/null
+++ b/scripts/checkModels.mjs
@@ -0,0 +1,83 @@
+// Checks every specification with Spin: as it stands, and with one guard removed, where the violation must be found.
+// Prints a line for each run and exits 1 when one does not end as expected. `node scripts/checkModels.mjs NAME` runs
+// the rows whose file contains NAME.
+import { spawnSync } from "node:child_process";
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join, resolve } from "node:path";
+
+import { setUpModelChecker } from "./setup.mjs";
+
+// One row a run: the guards removed by `defines`, and what the run must find. A row may name more options of pan,
+// such as `pan: ["-a", "-f", "-N", "claim"]` for a claim of liveness.
+const CONFIGURATION = "spec/configuration.pml";
+const ROWS = [
+    { file: CONFIGURATION, defines: [], expected: "clean" },
+    { file: CONFIGURATION, defines: ["NO_BASE"], expected: "violation" },
+    { file: CONFIGURATION, defines: ["NO_REPEAT"], expected: "violation" },
+    { file: CONFIGURATION, defines: ["NO_GAP"], expected: "violation" },
+    { file: CONFIGURATION, defines: ["NO_FURTHER"], expected: "violation" },
+    { file: CONFIGURATION, defines: ["NO_IDS"], expected: "violation" },
+    { file: CONFIGURATION, defines: ["NO_REFRESH"], expected: "violation" },
+];
+
+const MAX_DEPTH = "1000000";
+const MEMORY_MB = 4_096;
+const TIMEOUT_MS = 120_000;
+
+const call = (cwd, command, args) => {
+    const { status, stdout, stderr, error } = spawnSync(command, args, {
+        cwd,
+        encoding: "utf8",
+        maxBuffer: 1 << 26,
+        timeout: TIMEOUT_MS,
+    });
+    return { status, text: `${stdout ?? ""}${stderr ?? ""}${error?.message ?? ""}` };
+};
+
+/** Builds and runs the verifier of a row in a folder of its own. */
+function search(row, folder) {
+    const defines = row.defines.map(name => `-D${name}`);
+    const generated = call(folder, "spin", ["-a", ...defines, resolve(row.file)]);
+    if (generated.status !== 0) {
+        return { outcome: "spin failed", text: generated.text };
+    }
+    const options = [...(row.gcc ?? []), "-DCOLLAPSE", `-DMEMLIM=${MEMORY_MB}`];
+    const safety = row.pan === undefined ? ["-DSAFETY"] : [];
+    const built = call(folder, "gcc", ["-O2", "-w", ...options, ...safety, "-o", "pan", "pan.c"]);
+    if (built.status !== 0) {
+        return { outcome: "gcc failed", text: built.text };
+    }
+    const { text } = call(folder, "./pan", [`-m${MAX_DEPTH}`, ...(row.pan ?? [])]);
+    const errors = /errors: (\d+)/.exec(text)?.[1];
+    // An unfinished search proves nothing: the memory ran out or paths were cut at the greatest depth.
+    if (errors === "0" && /Search not completed|max search depth too small|out of memory/.test(text)) {
+        return { outcome: "unfinished", text };
+    }
+    return { outcome: errors === undefined ? "pan failed" : errors === "0" ? "clean" : "violation", text };
+}
+
+/** Runs one row and prints its line. */
+function check(row) {
+    const folder = mkdtempSync(join(tmpdir(), "azureshunt-model-"));
+    const started = Date.now();
+    const { outcome, text } = search(row, folder);
+    rmSync(folder, { recursive: true, force: true });
+    const seconds = ((Date.now() - started) / 1000).toFixed(1);
+    const states = /([\d.e+]+) states, stored/.exec(text)?.[1] ?? "no";
+    const found = outcome === "violation" ? ` (${/pan:\d+: (.*?)(?: \(at depth|$)/m.exec(text)?.[1] ?? ""})` : "";
+    const verdict = outcome === row.expected ? "ok" : `EXPECTED ${row.expected}`;
+    const run = [row.file, ...row.defines.map(name => `-D${name}`)].join(" ");
+    console.log(`model: ${run}: ${outcome}${found}, ${states} states, ${seconds} s: ${verdict}`);
+    if (outcome !== row.expected) {
+        console.log(text);
+    }
+    return outcome === row.expected;
+}
+
+setUpModelChecker();
+const only = process.argv[2] ?? "";
+const rows = ROWS.filter(row => row.file.includes(only));
+const bad = rows.filter(row => !check(row));
+console.log(`${rows.length - bad.length} model checks as expected, ${bad.length} not`);
+process.exit(bad.length === 0 && rows.length > 0 ? 0 : 1);
