--- a/packages/daemon/src/Settings.ts
+++ b/packages/daemon/src/Settings.ts
@@ -2,6 +2,7 @@
 import { z } from "zod";
 
 const MIB = 1_048_576;
+const DEFAULT_SNAPSHOT_MS = 600_000;
 
 const Address = z.string().regex(/^[^:\s]+:\d{1,5}$/, "use host:port");
 const Sha256 = z.string().regex(/^[0-9a-f]{64}$/, "use 64 hexadecimal digits");
@@ -22,7 +23,11 @@
         admin: Address,
         peer: Address,
     }),
-    platform: z.strictObject({ url: z.string().url() }),
+    platform: z.strictObject({
+        url: z.string().url(),
+        /** How often the configuration is appended anew as a snapshot: a quarter of the log's retention, or less. */
+        snapshotEveryMs: z.number().int().positive().default(DEFAULT_SNAPSHOT_MS),
+    }),
     peers: z.strictObject({
         /** Secret that all daemons share and prove to one another. */
         secret: z.string().min(16),
--- /dev/null
+++ b/packages/daemon/src/__tests__/unit/stepReader.test.ts
@@ -0,0 +1,163 @@
+import type { RecordId } from "@azureshunt/core";
+import {
+    type ConfigurationRecord,
+    type ConfigurationState,
+    foldRecord,
+    initialState,
+    ReleaseNote,
+    releaseRecord,
+    snapshotRecord,
+} from "@azureshunt/release";
+import test from "ava";
+
+import { gossipOf } from "../../configuration/gossipOf.js";
+import { initialReader } from "../../configuration/initialReader.js";
+import { isSnapshotDue } from "../../configuration/isSnapshotDue.js";
+import type { ReaderEvent } from "../../configuration/ReaderEvent.js";
+import type { ReaderState } from "../../configuration/ReaderState.js";
+import { stepReader } from "../../configuration/stepReader.js";
+
+const model = (name: string): object =>
+    releaseRecord(ReleaseNote.parse({
+        note: name,
+        added: { models: [{ name, version: "v1" }] },
+    }));
+const record = (offset: number, data: unknown): ConfigurationRecord => ({
+    offset,
+    id: `r${offset}` as RecordId,
+    at: 0,
+    data,
+});
+const foldAll = (records: readonly ConfigurationRecord[]): ConfigurationState =>
+    records.reduce((state, each) => foldRecord(state, each).state, initialState);
+
+const NOTES = ["a", "b", "c", "d"].map((name, offset) => record(offset, model(name)));
+const AFTER_TWO = foldAll(NOTES.slice(0, 2));
+const AFTER_FOUR = foldAll(NOTES);
+const page = (from: number, start: number, records: readonly ConfigurationRecord[], end: number): ReaderEvent => ({
+    kind: "page",
+    from,
+    start,
+    end,
+    records,
+});
+
+/** Steps through events, one a millisecond, and notes which revisions came into force. */
+const drive = (events: readonly ReaderEvent[], from: ReaderState = initialReader) =>
+    events.reduce<
+        { readonly state: ReaderState; readonly published: readonly number[]; readonly reads: readonly number[]; }
+    >(
+        (at, event, now) => {
+            const { state, effects } = stepReader(at.state, event, now);
+            const published = effects.flatMap(each => each.kind === "publish" ? [each.configuration.revision] : []);
+            const reads = effects.flatMap(each => each.kind === "read" ? [each.from] : []);
+            return { state, published: [...at.published, ...published], reads: [...at.reads, ...reads] };
+        },
+        { state: from, published: [], reads: [] },
+    );
+
+test("a restarted daemon holds back what a lagging peer told until the log has answered", t => {
+    // A daemon restarts; the first peer that answers has been cut off since before a withdrawal. Served at once, its
+    // state would let the withdrawn key work again here, until the log's answer comes.
+    const { published } = drive([{ kind: "pulled", fold: AFTER_TWO }, page(0, 0, NOTES, 4), { kind: "started" }]);
+    t.deepEqual(published, [4]);
+});
+
+test("with the log down, a restarted daemon serves the furthest of its peers' states", t => {
+    const { published, state } = drive([
+        { kind: "failed" },
+        { kind: "pulled", fold: AFTER_FOUR },
+        { kind: "pulled", fold: AFTER_TWO },
+        { kind: "started" },
+    ]);
+    t.deepEqual(published, [4]);
+    t.is(state.confirmedAt, undefined);
+});
+
+test("behind expired records a reader finds the snapshot and reads on where it stands", t => {
+    // A daemon starts after the log dropped the first notes. It must not fold the remaining ones onto nothing.
+    const snapshot = record(5, JSON.parse(JSON.stringify(snapshotRecord(AFTER_FOUR))));
+    const later = record(4, model("e"));
+    const { reads, state } = drive([
+        { kind: "expired", start: 2 },
+        page(2, 2, [...NOTES.slice(2), later, snapshot], 6),
+        page(4, 2, [later, snapshot], 6),
+    ]);
+    t.deepEqual(reads, [2, 4, 6]);
+    t.is(state.fold.configuration.revision, 5);
+});
+
+test("without a snapshot a reader goes on looking, confirms nothing and asks its peers for one", t => {
+    const { reads, state, published } = drive([{ kind: "expired", start: 2 }, page(2, 2, NOTES.slice(2), 4)]);
+    t.deepEqual(reads, [2, 4]);
+    t.deepEqual(published, []);
+    t.is(state.confirmedAt, undefined);
+    t.true(gossipOf(state, 9).wantsSnapshot);
+});
+
+test("a peer's older state changes nothing, and a further one moves the reads on", t => {
+    const caughtUp = drive([page(0, 0, NOTES, 4)]);
+    t.is(drive([{ kind: "pulled", fold: AFTER_TWO }], caughtUp.state).state.fold, caughtUp.state.fold);
+    const behind = drive([page(0, 0, NOTES.slice(0, 2), 2), { kind: "pulled", fold: AFTER_FOUR }, page(2, 0, [], 4)]);
+    t.deepEqual(behind.published, [2, 4]);
+    t.is(behind.reads.at(-1), 4);
+});
+
+test("daemons that are cut off together do not vouch for each other", t => {
+    // Two daemons lose the log at the same time and go on exchanging gossip. Were hearing the same revision a
+    // confirmation, an organisation's bound on staleness would never take effect.
+    const [one, two] = [drive([page(0, 0, NOTES, 4)]).state, drive([page(0, 0, NOTES, 4)]).state];
+    const hear = (own: ReaderState, other: ReaderState, now: number): ReaderState => {
+        const told = gossipOf(other, now);
+        const at = now - told.confirmedWithinMs;
+        return stepReader(own, { kind: "confirmed", revision: told.revision, digest: told.digest, at }, now).state;
+    };
+    const [first, second] = [1_000, 2_000, 3_000].reduce<readonly [ReaderState, ReaderState]>(
+        ([a, b], now) => [hear(a, b, now), hear(b, a, now)],
+        [one, two],
+    );
+    t.deepEqual([first.confirmedAt, second.confirmedAt], [0, 0]);
+});
+
+test("a confirmation counts for the very state only", t => {
+    const state = { ...drive([page(0, 0, NOTES, 4)]).state, confirmedAt: 1 };
+    const { revision } = state.fold.configuration;
+    const at = (given: { revision: number; digest: string; }): number | undefined =>
+        stepReader(state, { kind: "confirmed", at: 50, ...given }, 60).state.confirmedAt;
+    t.is(at({ revision, digest: state.fold.digest }), 50);
+    t.is(at({ revision, digest: "f".repeat(64) }), 1);
+    t.is(at({ revision: revision - 1, digest: AFTER_TWO.digest }), 1);
+});
+
+const CAUGHT_UP: ReaderState = { ...drive([page(0, 0, NOTES, 4)]).state, snapshotOffset: 3, snapshotAt: 100 };
+const farOn = (offset: number): ReaderState => ({
+    ...CAUGHT_UP,
+    cursor: offset,
+    fold: { ...CAUGHT_UP.fold, offset },
+});
+const DUE = [
+    { title: "a fresh one", state: CAUGHT_UP, now: 500, due: false },
+    { title: "an old one", state: CAUGHT_UP, now: 1_100, due: true },
+    {
+        title: "one of unknown age, soon after the start",
+        state: { ...CAUGHT_UP, snapshotAt: undefined },
+        now: 900,
+        due: false,
+    },
+    {
+        title: "one of unknown age, long after the start",
+        state: { ...CAUGHT_UP, snapshotAt: undefined },
+        now: 1_000,
+        due: true,
+    },
+    { title: "many records after it", state: farOn(200), now: 500, due: true },
+    { title: "it stands in the older half of the log", state: { ...farOn(20), logStart: 2 }, now: 500, due: true },
+    { title: "never confirmed", state: { ...farOn(200), confirmedAt: undefined }, now: 5_000, due: false },
+    { title: "nothing released yet", state: { ...initialReader, confirmedAt: 1 }, now: 5_000, due: false },
+];
+
+DUE.forEach(({ title, state, now, due }) =>
+    test(`a new snapshot: ${title}`, t => {
+        t.is(isSnapshotDue(state, now, 0, 1_000), due);
+    })
+);
--- a/packages/daemon/src/configuration/createReleasePort.ts
+++ b/packages/daemon/src/configuration/createReleasePort.ts
@@ -1,68 +1,160 @@
 import { randomUUID } from "node:crypto";
 
 import type { RecordId } from "@azureshunt/core";
-import type { Configuration, ReleaseNote, Verdict } from "@azureshunt/release";
-import { foldRecord, initialState, releaseRecord } from "@azureshunt/release";
+import type { Configuration, ConfigurationState, ReleaseNote, Verdict } from "@azureshunt/release";
 
+import { spawnAggregate } from "../actors/spawnAggregate.js";
 import type { DaemonContext } from "../ports/DaemonContext.js";
 import type { ReleasePort } from "../ports/ReleasePort.js";
+import { acceptNote } from "./acceptNote.js";
+import type { AcceptOutcome } from "./AcceptOutcome.js";
+import { configurationStream } from "./configurationStream.js";
+import { initialReader } from "./initialReader.js";
+import type { ReaderEffect } from "./ReaderEffect.js";
+import type { ReaderEvent } from "./ReaderEvent.js";
+import type { ReaderState } from "./ReaderState.js";
+import { startGossip } from "./startGossip.js";
+import { startSnapshots } from "./startSnapshots.js";
+import { stepReader } from "./stepReader.js";
 
-const STREAM = "configuration";
 const PAGE = 256;
-const WAIT_MS = 1_000;
-const RETRY_MS = 200;
-const ACCEPT_POLL_MS = 10;
-const ACCEPT_BOUND_MS = 3_000;
+const BACKOFF_MS = 100;
+const MAX_BACKOFF_MS = 2_000;
+const START_BOUND_MS = 1_000;
 
 type Listener = (cfg: Configuration) => void;
+type Waiter = { readonly id: RecordId; readonly settle: (verdict: Verdict | undefined) => void; };
 
-/** Follows the configuration stream of the platform's log and folds it. */
-export function createReleasePort(
-    ctx: Omit<DaemonContext, "release">,
-): ReleasePort & { readonly accept: (note: ReleaseNote) => Promise<Verdict | undefined>; readonly stop: () => void; } {
-    const known = { state: initialState, confirmedAt: ctx.clock.now() };
+/** The configuration on this daemon, and the way to change it. */
+type Release = ReleasePort & {
+    /** How far the stream is folded, and what is known about it; for status and gossip. */
+    readonly reader: () => ReaderState;
+    /** Appends a note under a record id, a fresh one unless given, and tells what became of it. */
+    readonly accept: (note: ReleaseNote, id?: RecordId) => Promise<AcceptOutcome>;
+    readonly stop: () => void;
+};
+
+/**
+ * Follows the configuration stream of the platform's log, exchanges it with peers and appends release notes to it.
+ *
+ * @param ctx all but the port itself
+ */
+export function createReleasePort(ctx: Omit<DaemonContext, "release">): Release {
+    const { clock, log, random, metrics } = ctx;
+    const logger = ctx.logger("configuration");
     const listeners = new Set<Listener>();
+    const waiters = new Set<Waiter>();
     const stopped = new AbortController();
-    const current = (): Configuration | undefined =>
-        known.state.configuration.revision === 0 ? undefined : known.state.configuration;
 
-    const follow = async (): Promise<void> => {
-        const page = await ctx.log.read(STREAM, known.state.offset, PAGE, WAIT_MS, stopped.signal);
-        const before = known.state.configuration;
-        page.ifRight(({ records }) => {
-            known.confirmedAt = ctx.clock.now();
-            known.state = records.reduce(
-                (state, record) => foldRecord(state, { ...record, data: record.data }).state,
-                known.state,
-            );
-        });
-        if (known.state.configuration !== before) {
-            listeners.forEach(listener => listener(known.state.configuration));
+    const read = async (effect: Extract<ReaderEffect, { kind: "read"; }>): Promise<ReaderEvent> => {
+        const { from, waitMs, failures } = effect;
+        if (failures > 0) {
+            const backoff = Math.min(MAX_BACKOFF_MS, BACKOFF_MS * 2 ** Math.min(failures, 10));
+            await new Promise(resolve => setTimeout(resolve, backoff * (0.5 + random() / 2)));
         }
-        if (!stopped.signal.aborted) {
-            setTimeout(() => void follow(), page.isLeft() ? RETRY_MS : 0);
+        const page = await log.read(configurationStream, from, PAGE, waitMs, stopped.signal);
+        return page.caseOf<ReaderEvent>({
+            Left: failure =>
+                failure.kind === "expired" ? { kind: "expired", start: failure.start } : { kind: "failed" },
+            Right: ({ start, end, records }) => ({
+                kind: "page",
+                from,
+                start,
+                end,
+                records: records.map(record => ({ ...record, data: record.data })),
+            }),
+        });
+    };
+
+    const settle = (fold: ConfigurationState): void =>
+        [...waiters].forEach(waiter => {
+            const verdict = fold.recent.get(waiter.id);
+            if (verdict !== undefined) {
+                waiters.delete(waiter);
+                waiter.settle(verdict);
+            }
+        });
+
+    const publish = (configuration: Configuration): void => {
+        logger.info({ revision: configuration.revision }, "Configuration in force.");
+        listeners.forEach(listener => listener(configuration));
+    };
+
+    const perform = (effect: ReaderEffect, tell: (event: ReaderEvent) => void): void => {
+        switch (effect.kind) {
+            case "read":
+                void read(effect).then(event => stopped.signal.aborted || tell(event));
+                return;
+            case "advanced":
+                settle(effect.fold);
+                return;
+            case "publish":
+                publish(effect.configuration);
         }
     };
-    void follow();
 
-    const accept = async (note: ReleaseNote): Promise<Verdict | undefined> => {
-        const id = randomUUID() as string as RecordId;
-        await ctx.log.append(STREAM, [{ id, data: releaseRecord(note) }]);
-        const giveUpAt = ctx.clock.now() + ACCEPT_BOUND_MS;
-        while (!known.state.recent.has(id) && ctx.clock.now() < giveUpAt) {
-            await new Promise(resolve => setTimeout(resolve, ACCEPT_POLL_MS));
+    const reader = spawnAggregate<ReaderState, ReaderEvent, ReaderEffect>(ctx.system, {
+        name: "configuration",
+        initial: initialReader,
+        now: clock.now,
+        reduce: stepReader,
+        perform,
+    });
+    perform({ kind: "read", from: 0, waitMs: 0, failures: 0 }, reader.tell);
+
+    const gossip = startGossip({ ctx, state: reader.state, tell: reader.tell });
+    const snapshots = startSnapshots(ctx, reader.state);
+    const started = (): void => reader.tell({ kind: "started" });
+    const startBound = setTimeout(started, START_BOUND_MS);
+    const hasConfiguration = (): boolean => reader.state().fold.configuration.revision > 0;
+    void gossip.askedAll.then(() => hasConfiguration() && started());
+
+    const verdictOf = (id: RecordId, waitMs: number): Promise<Verdict | undefined> => {
+        const known = reader.state().fold.recent.get(id);
+        if (known !== undefined || waitMs <= 0) {
+            return Promise.resolve(known);
         }
-        return known.state.recent.get(id);
+        return new Promise(resolve => {
+            const timer = setTimeout(() => waiter.settle(undefined), waitMs);
+            const waiter: Waiter = {
+                id,
+                settle: verdict => {
+                    clearTimeout(timer);
+                    waiters.delete(waiter);
+                    resolve(verdict);
+                },
+            };
+            waiters.add(waiter);
+        });
     };
 
+    const current = (): Configuration | undefined => {
+        const { fold, isStarting } = reader.state();
+        return isStarting || fold.configuration.revision === 0 ? undefined : fold.configuration;
+    };
+    const staleness = (): number => {
+        const { confirmedAt } = reader.state();
+        return confirmedAt === undefined ? Number.POSITIVE_INFINITY : clock.now() - confirmedAt;
+    };
+    metrics.gauge("azureshunt_configuration_revision", "Revision in force here", () => current()?.revision ?? 0);
+    metrics.gauge("azureshunt_configuration_staleness_ms", "Milliseconds since the revision was confirmed", staleness);
+
     return {
         current,
-        accept,
+        staleness,
+        reader: reader.state,
+        accept: (note, id = randomUUID() as string as RecordId) =>
+            acceptNote({ append: log.append, verdictOf, now: clock.now }, id, note),
         subscribe: onChange => {
             listeners.add(onChange);
             return () => void listeners.delete(onChange);
         },
-        staleness: () => ctx.clock.now() - known.confirmedAt,
-        stop: () => stopped.abort(),
+        stop: () => {
+            clearTimeout(startBound);
+            stopped.abort();
+            void gossip.stop();
+            void snapshots.stop();
+            reader.stop();
+        },
     };
 }
