Take an engine for full only after several reports in a row

Cause: requests wait for the next step of any engine, so one report with waiting requests set the number of slots to what ran then, 1 to 3; estimates then held seconds of queue that was not there and sent requests away from their prefixes. Change: slots count only while three reports in a row show the highest number running and others waiting.

--- a/packages/endpoint/src/__tests__/unit/stepEndpoint.test.ts
+++ b/packages/endpoint/src/__tests__/unit/stepEndpoint.test.ts
@@ -15,6 +15,7 @@
 import { loadOf } from "../../state/loadOf.js";
 import { newEndpoint } from "../../state/newEndpoint.js";
 import { prefillRate } from "../../state/prefillRate.js";
+import { slotsOf } from "../../state/slotsOf.js";
 import { stepEndpoint } from "../../state/stepEndpoint.js";
 
 type Timed = { readonly at: number; readonly event: EndpointEvent; };
@@ -193,3 +194,15 @@
     const queued = run(FRESH, [state(0), dispatch(0, "d", 1_000, 900), accept(1, "d"), start(1_001, "d")]);
     t.deepEqual(queued.prefillSamples, []);
 });
+
+[
+    { name: "one report with waiting requests", reports: [[3, 1]], slots: undefined },
+    { name: "three in a row", reports: [[24, 1], [24, 2], [24, 5]], slots: 24 },
+    { name: "three with different numbers running", reports: [[3, 1], [4, 2], [2, 1]], slots: undefined },
+    { name: "no longer full", reports: [[24, 1], [24, 2], [24, 5], [20, 0]], slots: undefined },
+].forEach(({ name, reports, slots }) =>
+    test(`slots: ${name}`, t => {
+        const events = reports.map(([running, waiting], i) => load(i, running!, waiting!, 0));
+        t.is(slotsOf(run(FRESH, [state(0), ...events])), slots);
+    })
+);
--- a/packages/endpoint/src/choice/candidatesOf.ts
+++ b/packages/endpoint/src/choice/candidatesOf.ts
@@ -7,6 +7,7 @@
 import { prefillRate } from "../state/prefillRate.js";
 import { roundTripOf } from "../state/roundTripOf.js";
 import { slotMsOf } from "../state/slotMsOf.js";
+import { slotsOf } from "../state/slotsOf.js";
 
 /** What candidates are made from. */
 type CandidatesInput = {
@@ -28,7 +29,7 @@
         const matchedPieces = matched[i] ?? 0;
         const estimate = estimateFirstToken({
             load,
-            slots: state.slots,
+            slots: slotsOf(state),
             msPerToken,
             uncachedTokens: Math.max(1, promptTokens - matchedPieces * pieceTokens),
             network: roundTripOf(state),
--- a/packages/endpoint/src/state/EndpointState.ts
+++ b/packages/endpoint/src/state/EndpointState.ts
@@ -36,6 +36,8 @@
     readonly durations: readonly Millis[];
     /** Milliseconds there and back, of recent polls, the oldest first. */
     readonly roundTrips: readonly Millis[];
-    /** Most requests that were seen running while others waited; undefined while none had to wait. */
-    readonly slots: number | undefined;
+    /** Most requests that reports showed running. */
+    readonly maxRunning: number;
+    /** Reports in a row that showed so many running and others waiting. */
+    readonly fullReports: number;
 };
--- a/packages/endpoint/src/state/newEndpoint.ts
+++ b/packages/endpoint/src/state/newEndpoint.ts
@@ -27,6 +27,7 @@
         prefillSamples: [],
         durations: [],
         roundTrips: [],
-        slots: undefined,
+        maxRunning: 0,
+        fullReports: 0,
     };
 }
--- a/packages/endpoint/src/state/slotMsOf.ts
+++ b/packages/endpoint/src/state/slotMsOf.ts
@@ -8,5 +8,5 @@
 
 /** Milliseconds until a full endpoint has a free slot: a request's usual duration over the number of slots. */
 export function slotMsOf(state: EndpointState): Millis {
-    return (median(state.durations) ?? FIRST_GUESS_MS) / Math.max(1, state.slots ?? 1);
+    return (median(state.durations) ?? FIRST_GUESS_MS) / Math.max(1, state.maxRunning);
 }
--- a/packages/endpoint/src/state/stepEndpoint.ts
+++ b/packages/endpoint/src/state/stepEndpoint.ts
@@ -3,6 +3,7 @@
 import type { EndpointEffect } from "./EndpointEffect.js";
 import type { EndpointEvent } from "./EndpointEvent.js";
 import type { EndpointState } from "./EndpointState.js";
+import type { LoadReport } from "./LoadReport.js";
 import type { OtherDispatch } from "./OtherDispatch.js";
 import { prefillSample } from "./prefillSample.js";
 import { recordOwnLoad } from "./recordOwnLoad.js";
@@ -107,14 +108,21 @@
     }
 }
 
+/** Requests wait for the engine's next step even when it is not full; only several reports in a row tell that it is. */
+function fullnessAfter(state: EndpointState, report: LoadReport): Pick<EndpointState, "maxRunning" | "fullReports"> {
+    const maxRunning = Math.max(state.maxRunning, report.running);
+    const isFull = report.waiting > 0 && report.running === maxRunning;
+    const before = maxRunning > state.maxRunning ? 0 : state.fullReports;
+    return { maxRunning, fullReports: isFull ? before + 1 : 0 };
+}
+
 function loadReported(state: EndpointState, event: EventOf<"load-reported">, now: Millis): EndpointStep {
     const { report } = event;
     const observed = observeRun(state, report.incarnation, event.askedAt, now);
     if (!isOfCurrentRun(observed.state, report.incarnation)) {
         return observed;
     }
-    const slots = report.waiting > 0 ? Math.max(state.slots ?? 0, report.running) : state.slots;
-    return step({ ...observed.state, report, slots }, observed.effects);
+    return step({ ...observed.state, report, ...fullnessAfter(observed.state, report) }, observed.effects);
 }
 
 function stateReported(state: EndpointState, event: EventOf<"state-reported">, now: Millis): EndpointStep {
