Learn an engine's speed from recent first tokens, backlog included

Cause: the speed was a median of 15 clear dispatches without time limit; a daemon sees few of them, so after engines had slowed down by a factor of 20 (end of the warm-up) estimates stayed ten times too low for many seconds and waits were taken for zero. Change: samples carry their time and count the backlog before the request; an engine's own samples of the last 5 s go first, then those of its siblings, then older ones.

--- a/packages/daemon/src/placement/PlacementModel.ts
+++ b/packages/daemon/src/placement/PlacementModel.ts
@@ -157,7 +157,7 @@
             kind: "dispatched",
             dispatchId,
             prefillTokens: this.#uncached(waiter, chosen),
-            expectedWait: chosen.estimate.wait,
+            backlogTokens: chosen.load.prefillTokens,
         });
         if (state.incarnation !== undefined) {
             this.#expectPieces(waiter, chosen, dispatchId, state.incarnation);
--- a/packages/daemon/src/placement/describeEndpoint.ts
+++ b/packages/daemon/src/placement/describeEndpoint.ts
@@ -1,6 +1,6 @@
 import type { Millis } from "@azureshunt/core";
 import type { EndpointState } from "@azureshunt/endpoint";
-import { loadOf, prefillRate } from "@azureshunt/endpoint";
+import { loadOf, prefillRates } from "@azureshunt/endpoint";
 import type { EndpointSpec } from "@azureshunt/release";
 
 import type { EndpointInfo } from "./EndpointInfo.js";
@@ -12,7 +12,7 @@
     cacheDoubtful: boolean,
     now: Millis,
 ): EndpointInfo {
-    const msPerToken = prefillRate(state, []);
+    const msPerToken = prefillRates([state], now)[0]!;
     return {
         name: spec.name,
         kind: spec.kind,
--- a/packages/endpoint/src/__tests__/unit/stepEndpoint.test.ts
+++ b/packages/endpoint/src/__tests__/unit/stepEndpoint.test.ts
@@ -14,7 +14,7 @@
 import { isEligible } from "../../state/isEligible.js";
 import { loadOf } from "../../state/loadOf.js";
 import { newEndpoint } from "../../state/newEndpoint.js";
-import { prefillRate } from "../../state/prefillRate.js";
+import { prefillRates } from "../../state/prefillRates.js";
 import { slotsOf } from "../../state/slotsOf.js";
 import { stepEndpoint } from "../../state/stepEndpoint.js";
 
@@ -45,9 +45,9 @@
         askedAt: at,
     },
 });
-const dispatch = (at: number, id: string, prefillTokens: number, expectedWait = 0): Timed => ({
+const dispatch = (at: number, id: string, prefillTokens: number, backlogTokens = 0): Timed => ({
     at,
-    event: { kind: "dispatched", dispatchId: DispatchId.parse(id), prefillTokens, expectedWait },
+    event: { kind: "dispatched", dispatchId: DispatchId.parse(id), prefillTokens, backlogTokens },
 });
 const accept = (at: number, id: string, incarnation = RUN_A, prefillTokens?: number): Timed => ({
     at,
@@ -180,18 +180,44 @@
     t.is(loadOf(run(FRESH, [state(0), load(10, 9, 9, 900)]), 1, 5_000).requests, 0);
 });
 
-test("rate: the median of clear samples, which one odd sample does not move", t => {
-    const events = [2, 2, 40, 2].flatMap((msPerToken, i) => [
-        dispatch(i * 1e6, `d${i}`, 1_000),
-        accept(i * 1e6 + 1, `d${i}`, RUN_A, 1_000),
-        start(i * 1e6 + 1_000 * msPerToken, `d${i}`),
-        end(i * 1e6 + 1e5, `d${i}`),
-    ]);
-    t.is(prefillRate(run(FRESH, [state(0), ...events]), []), 2);
-});
+const observed = (at: number, msPerToken: number) => [
+    dispatch(at, `d${at}`, 2_000),
+    accept(at + 1, `d${at}`, RUN_A, 2_000),
+    start(at + 2_000 * msPerToken, `d${at}`),
+    end(at + 2_000 * msPerToken, `d${at}`),
+];
+const seen = (samples: readonly (readonly [number, number])[]) =>
+    run(FRESH, [state(0), ...samples.flatMap(([at, msPerToken]) => observed(at, msPerToken))]);
+
+[
+    {
+        name: "an odd one does not move the median",
+        own: seen([[0, 0.1], [300, 2], [4_400, 0.1]]),
+        other: FRESH,
+        rate: 0.1,
+    },
+    {
+        name: "an engine that has become slower",
+        own: seen([[0, 0.1], [1_000, 0.1], [2_000, 0.1], [9_000, 0.2], [9_500, 0.2], [10_000, 0.2]]),
+        other: FRESH,
+        rate: 0.2,
+    },
+    {
+        name: "too few own ones: those of the others",
+        own: seen([[10_000, 0.1]]),
+        other: seen([[8_000, 0.3], [9_000, 0.3], [10_000, 0.3]]),
+        rate: 0.3,
+    },
+    { name: "only old ones", own: seen([[0, 0.1]]), other: FRESH, rate: 0.1 },
+    { name: "none", own: FRESH, other: FRESH, rate: 0.05 },
+].forEach(({ name, own, other, rate }) =>
+    test(`rate: ${name}`, t => {
+        t.is(prefillRates([own, other], 10_500)[0], rate);
+    })
+);
 
-test("rate: a dispatch that had to queue gives no sample", t => {
-    const queued = run(FRESH, [state(0), dispatch(0, "d", 1_000, 900), accept(1, "d"), start(1_001, "d")]);
+test("rate: a dispatch with more before it than of its own gives no sample", t => {
+    const queued = run(FRESH, [state(0), dispatch(0, "d", 1_000, 1_001), accept(1, "d"), start(1_001, "d")]);
     t.deepEqual(queued.prefillSamples, []);
 });
 
--- a/packages/endpoint/src/choice/candidatesOf.ts
+++ b/packages/endpoint/src/choice/candidatesOf.ts
@@ -4,7 +4,7 @@
 import type { Candidate } from "../policies/Candidate.js";
 import type { EndpointState } from "../state/EndpointState.js";
 import { loadOf } from "../state/loadOf.js";
-import { prefillRate } from "../state/prefillRate.js";
+import { prefillRates } from "../state/prefillRates.js";
 import { roundTripOf } from "../state/roundTripOf.js";
 import { slotMsOf } from "../state/slotMsOf.js";
 import { slotsOf } from "../state/slotsOf.js";
@@ -23,8 +23,9 @@
 /** Estimates the time to the first token at each endpoint. */
 export function candidatesOf(input: CandidatesInput): readonly Candidate[] {
     const { endpoints, matched, promptTokens, pieceTokens, now } = input;
+    const rates = prefillRates(endpoints, now);
     return endpoints.map((state, i) => {
-        const msPerToken = prefillRate(state, endpoints);
+        const msPerToken = rates[i]!;
         const load = loadOf(state, msPerToken, now);
         const matchedPieces = matched[i] ?? 0;
         const estimate = estimateFirstToken({
--- a/packages/endpoint/src/index.ts
+++ b/packages/endpoint/src/index.ts
@@ -32,7 +32,7 @@
 export { loadOf } from "./state/loadOf.js";
 export type { LoadReport } from "./state/LoadReport.js";
 export { newEndpoint } from "./state/newEndpoint.js";
-export { prefillRate } from "./state/prefillRate.js";
+export { prefillRates } from "./state/prefillRates.js";
 export { roundTripOf } from "./state/roundTripOf.js";
 export { slotMsOf } from "./state/slotMsOf.js";
 export { stepEndpoint } from "./state/stepEndpoint.js";
--- a/packages/endpoint/src/state/EndpointEvent.ts
+++ b/packages/endpoint/src/state/EndpointEvent.ts
@@ -15,7 +15,8 @@
         readonly kind: "dispatched";
         readonly dispatchId: DispatchId;
         readonly prefillTokens: Tokens;
-        readonly expectedWait: Millis;
+        /** Tokens that stand before it at the endpoint, as estimated. */
+        readonly backlogTokens: Tokens;
     }
     | {
         /** The head of the answer came: the endpoint has taken the request up. */
--- a/packages/endpoint/src/state/EndpointState.ts
+++ b/packages/endpoint/src/state/EndpointState.ts
@@ -5,6 +5,7 @@
 import type { LoadReport } from "./LoadReport.js";
 import type { OtherDispatch } from "./OtherDispatch.js";
 import type { OwnLoad } from "./OwnLoad.js";
+import type { PrefillSample } from "./PrefillSample.js";
 
 /** What this VM knows of one endpoint. */
 export type EndpointState = {
@@ -30,8 +31,8 @@
     readonly others: readonly OtherDispatch[];
     /** This VM's own part of the load over the last seconds, the oldest first. */
     readonly ownHistory: readonly OwnLoad[];
-    /** Milliseconds to compute one token of a prompt, of recent dispatches, the oldest first. */
-    readonly prefillSamples: readonly number[];
+    /** Observations of the engine's speed, the oldest first. */
+    readonly prefillSamples: readonly PrefillSample[];
     /** Milliseconds from dispatch to end, of recent complete dispatches, the oldest first. */
     readonly durations: readonly Millis[];
     /** Milliseconds there and back, of recent polls, the oldest first. */
--- a/packages/endpoint/src/state/InFlight.ts
+++ b/packages/endpoint/src/state/InFlight.ts
@@ -6,8 +6,8 @@
     readonly dispatchedAt: Millis;
     /** Tokens of the prompt that the endpoint was expected to compute. */
     readonly prefillTokens: Tokens;
-    /** Milliseconds of queue that were expected before the prefill began. */
-    readonly expectedWait: Millis;
+    /** Tokens that stood before it at the endpoint, as estimated. */
+    readonly backlogTokens: Tokens;
     /** Whether the endpoint has said how much it computes. */
     readonly accepted: boolean;
     /** When the first token came; undefined while the request waits or its prompt is computed. */
--- a/packages/endpoint/src/state/stepEndpoint.ts
+++ b/packages/endpoint/src/state/stepEndpoint.ts
@@ -5,7 +5,7 @@
 import type { EndpointState } from "./EndpointState.js";
 import type { LoadReport } from "./LoadReport.js";
 import type { OtherDispatch } from "./OtherDispatch.js";
-import { prefillSample } from "./prefillSample.js";
+import { prefillSamples } from "./prefillSamples.js";
 import { recordOwnLoad } from "./recordOwnLoad.js";
 import { retryAt } from "./retryAt.js";
 import { roundTripOf } from "./roundTripOf.js";
@@ -62,8 +62,8 @@
 }
 
 function dispatched(state: EndpointState, event: EventOf<"dispatched">, now: Millis): EndpointStep {
-    const { dispatchId, prefillTokens, expectedWait } = event;
-    const entry = { dispatchId, prefillTokens, expectedWait, dispatchedAt: now };
+    const { dispatchId, prefillTokens, backlogTokens } = event;
+    const entry = { dispatchId, prefillTokens, backlogTokens, dispatchedAt: now };
     const added = { ...entry, accepted: false, startedAt: undefined };
     return step(recordOwnLoad({ ...state, inFlight: [...state.inFlight, added] }, now));
 }
@@ -84,10 +84,10 @@
     if (dispatch === undefined || dispatch.startedAt !== undefined) {
         return step(state);
     }
-    const sample = prefillSample(dispatch, now - dispatch.dispatchedAt - roundTripOf(state));
+    const sample = prefillSamples(dispatch, now - dispatch.dispatchedAt - roundTripOf(state), now);
     const inFlight = state.inFlight.map(each => each === dispatch ? { ...each, startedAt: now } : each);
-    const prefillSamples = lastOf([...state.prefillSamples, ...sample]);
-    return step(recordOwnLoad({ ...state, inFlight, prefillSamples }, now));
+    const next = { ...state, inFlight, prefillSamples: lastOf([...state.prefillSamples, ...sample]) };
+    return step(recordOwnLoad(next, now));
 }
 
 const durationOf = (state: EndpointState, event: EventOf<"ended">, now: Millis): readonly Millis[] =>
