Measure what a daemon adds to the first token, and runs with failures

Engines report their load after requests joined the batch, as real ones publish their gauges: before, a request that came during a step looked like one that did not fit, and the chooser took the engine for full.

--- a/packages/bench/src/__tests__/unit/analysis.test.ts
+++ b/packages/bench/src/__tests__/unit/analysis.test.ts
@@ -42,6 +42,7 @@
     resumeFrom: 0,
     priority: 5,
     pieces,
+    arrivedAt: at,
     at,
 });
 const change = (at: number, stored: readonly string[], removed: readonly string[]) => ({
--- a/packages/bench/src/analysis/PhaseFigures.ts
+++ b/packages/bench/src/analysis/PhaseFigures.ts
@@ -18,6 +18,10 @@
     readonly refused: number;
     /** Refused though inside the organisation's rate and burst. */
     readonly wrongful: number;
+    /** Refused as strictness demands while something is out of reach; counted apart from the wrongful ones. */
+    readonly unavoidable: number;
+    /** Refusals by the code of their error. */
+    readonly refusedBy: Readonly<Record<string, number>>;
     /** Neither complete nor truthfully refused as not run. */
     readonly broken: number;
     /** From the intended time to the first token. */
--- a/packages/bench/src/analysis/figuresOfPhase.ts
+++ b/packages/bench/src/analysis/figuresOfPhase.ts
@@ -14,6 +14,17 @@
 
 const isRefusal = ({ status, ran }: Outcome): boolean => status >= 400 && ran === "no";
 
+/** Without the log no intent can be recorded, and without other VMs no grant be had; running all the same would be worse. */
+const UNAVOIDABLE_CODES: readonly string[] = ["log-unavailable", "intent-window-lost", "allowance-unreachable"];
+
+const isUnavoidable = (outcome: Outcome): boolean =>
+    isRefusal(outcome) && UNAVOIDABLE_CODES.includes(outcome.errorCode ?? "");
+
+const countByCode = (refusals: readonly Outcome[]): Readonly<Record<string, number>> => {
+    const codes = refusals.map(({ errorCode }) => errorCode ?? "unknown");
+    return Object.fromEntries([...new Set(codes)].map(code => [code, codes.filter(one => one === code).length]));
+};
+
 const isBroken = (outcome: Outcome): boolean => !outcome.complete && !isRefusal(outcome);
 
 const firstTokens = (outcomes: readonly Outcome[]): readonly number[] =>
@@ -38,7 +49,8 @@
         organisation: id,
         ...allowanceOf(workload, share),
     }));
-    const spendings: readonly Spending[] = run.outcomes.filter(({ arrival }) => arrival.at < until).map(outcome => ({
+    const offered = run.outcomes.filter(outcome => outcome.arrival.at < until && !isUnavoidable(outcome));
+    const spendings: readonly Spending[] = offered.map(outcome => ({
         organisation: outcome.arrival.organisation,
         at: outcome.arrival.at,
         cost: costOf(workload, outcome.arrival.kind),
@@ -49,8 +61,8 @@
 
     const ofOrganisation = (one: Allowed): OrganisationFigures => {
         const own = outcomes.filter(({ arrival }) => arrival.organisation === one.organisation);
-        const offered = spendings.filter(({ organisation }) => organisation === one.organisation);
-        const due = acceptWithin(one, offered).filter(({ at }) => at >= from).length;
+        const spent = spendings.filter(({ organisation }) => organisation === one.organisation);
+        const due = acceptWithin(one, spent).filter(({ at }) => at >= from).length;
         const complete = own.filter(outcome => outcome.complete).length;
         return {
             organisation: one.organisation,
@@ -67,6 +79,8 @@
         complete: outcomes.filter(outcome => outcome.complete).length,
         refused: outcomes.filter(isRefusal).length,
         wrongful,
+        unavoidable: outcomes.filter(isUnavoidable).length,
+        refusedBy: countByCode(outcomes.filter(isRefusal)),
         broken: outcomes.filter(isBroken).length,
         firstToken: percentilesOf(firstTokens(outcomes)),
         hitRate: part(sumOf(uses, use => use.cachedTokens), promptTokens),
--- a/packages/bench/src/report/summaryRows.ts
+++ b/packages/bench/src/report/summaryRows.ts
@@ -16,6 +16,7 @@
     "worst served",
     "refused",
     "wrongful",
+    "unavoidable",
     "broken",
 ];
 
@@ -45,6 +46,7 @@
         ratio(served),
         String(phase.refused),
         String(phase.wrongful),
+        String(phase.unavoidable),
         String(phase.broken),
     ];
 };
--- a/packages/bench/src/slopes/withTopology.ts
+++ b/packages/bench/src/slopes/withTopology.ts
@@ -13,10 +13,14 @@
 
 const SEED = 1;
 
-/** Starts a workload's installation with its configuration in force, uses it, and ends all that was started. */
+/**
+ * Starts a workload's installation with its configuration in force, uses it, and ends all that was started.
+ *
+ * @param use gets the folder with the histories of the engines as well
+ */
 export async function withTopology<T>(
     workload: Workload,
-    use: (topology: Topology, target: LoadTarget) => Promise<T>,
+    use: (topology: Topology, target: LoadTarget, folder: string) => Promise<T>,
 ): Promise<T> {
     const folder = mkdtempSync(join(tmpdir(), "azureshunt-slopes-"));
     const topology = await startTopology(measurePlan(workload, "azureshunt", SEED, folder));
@@ -27,7 +31,7 @@
             daemons: topology.daemons.map(({ caller }) => caller),
             keyOf: organisation => keys.get(organisation) ?? "",
             ...measureNames,
-        });
+        }, folder);
     }
     finally {
         await topology.stop();
--- a/packages/bench/src/workload/Phase.ts
+++ b/packages/bench/src/workload/Phase.ts
@@ -1,6 +1,6 @@
 /** A part of a run. Figures are given for each. */
 export type Phase = {
-    readonly name: "warm-up" | "steady" | "noisy" | "shifted";
+    readonly name: string;
     readonly seconds: number;
     /** How many times the workload's usual requests come. */
     readonly intensity: number;
--- a/packages/standins/src/engine/EngineEntry.ts
+++ b/packages/standins/src/engine/EngineEntry.ts
@@ -11,7 +11,9 @@
     readonly resumeFrom: number;
     readonly priority: number;
     readonly pieces: readonly string[];
-    /** Milliseconds since the epoch. */
+    /** When its last byte had come, in milliseconds since the epoch. */
+    readonly arrivedAt: number;
+    /** When it joined the batch. */
     readonly at: number;
 };
 
@@ -21,6 +23,8 @@
     readonly dispatchId: string | undefined;
     readonly outcome: "complete" | "cancelled";
     readonly tokens: number;
+    /** When the first of them was generated; undefined when none was. */
+    readonly firstTokenAt: number | undefined;
     readonly at: number;
 };
 
--- a/packages/standins/src/engine/createEngine.ts
+++ b/packages/standins/src/engine/createEngine.ts
@@ -77,7 +77,7 @@
         },
         frozen: () => switches.current().frozen,
         cache,
-        changed: batch => {
+        scheduled: batch => {
             const sample = { at: clock.now(), value: report(batch) };
             samples = addSample(samples, sample, sample.at - switches.current().loadLagMs);
         },
--- /dev/null
+++ b/scripts/measureOverhead.mjs
@@ -0,0 +1,5 @@
+// `npm run measure:overhead`: sets up what is missing, then measures in this process, so that signals reach it.
+import { setUp } from "./setup.mjs";
+
+setUp();
+await import("../packages/bench/dist/overhead/main.js");
