Add the administration API

Cause: the listener knew two paths only; operators need the whole configuration, keys, VMs, endpoints and requests.

Change: a table of routes, each with the schemas that the OpenAPI document is generated from; a release is checked against the configuration first (all faults with their places), can be tried dry, may name the base revision that its writer saw, and is answered as done where everything it asks for holds already.

--- a/packages/daemon/src/admin/AdminParts.ts
+++ b/packages/daemon/src/admin/AdminParts.ts
@@ -1,6 +1,8 @@
-import type { createAllowancePort } from "../allowance/createAllowancePort.js";
+import type { OrganisationId } from "@azureshunt/core";
+
 import type { createReleasePort } from "../configuration/createReleasePort.js";
 import type { createPlacementPort } from "../placement/createPlacementPort.js";
+import type { AllowancePort } from "../ports/AllowancePort.js";
 import type { DaemonContext } from "../ports/DaemonContext.js";
 import type { TracePort } from "../ports/TracePort.js";
 
@@ -8,8 +10,11 @@
 export type AdminParts = {
     readonly ctx: DaemonContext;
     readonly release: ReturnType<typeof createReleasePort>;
-    readonly allowance: ReturnType<typeof createAllowancePort>;
-    readonly placement: ReturnType<typeof createPlacementPort>;
+    readonly allowance: AllowancePort & {
+        /** What this VM knows of an organisation's allowance. */
+        readonly inspect?: (organisation: OrganisationId) => object | undefined;
+    };
+    readonly placement: Pick<ReturnType<typeof createPlacementPort>, "inspect" | "explain">;
     readonly trace: TracePort;
     readonly isDraining: () => boolean;
 };
--- a/packages/daemon/src/admin/startAdminListener.ts
+++ b/packages/daemon/src/admin/startAdminListener.ts
@@ -4,16 +4,20 @@
 import type { Refusal, RequestId } from "@azureshunt/core";
 import { refusalOf } from "@azureshunt/core";
 import { authenticateAdmin } from "@azureshunt/organisation";
-import { parseReleaseNote } from "@azureshunt/release";
+import { EitherAsync } from "purify-ts";
 
 import { readBody } from "../gateway/readBody.js";
 import { sendRefusal } from "../gateway/sendRefusal.js";
 import { serveHealth } from "../gateway/serveHealth.js";
 import { startHttpServer } from "../gateway/startHttpServer.js";
 import type { Stopping } from "../Stopping.js";
+import type { AdminAnswer } from "./AdminAnswer.js";
 import type { AdminParts } from "./AdminParts.js";
+import { findRoute } from "./findRoute.js";
+import { openApi } from "./openApi.js";
 
 const BEARER = /^Bearer +([\x21-\x7e]+)$/i;
+const BASE = "http://admin";
 
 const sendJson = (res: ServerResponse, status: number, body: unknown): void => {
     res.writeHead(status, { "content-type": "application/json" });
@@ -21,27 +25,41 @@
 };
 
 /**
- * Starts the administration listener.
+ * Starts the administration listener: health, metrics, and the API under `/admin/v1`.
  *
+ * @returns with the port that was bound, for settings that leave the choice to the system
  * @throws Error when the address cannot be bound
  */
-export async function startAdminListener(parts: AdminParts): Promise<Stopping> {
+export async function startAdminListener(parts: AdminParts): Promise<Stopping & { readonly port: number; }> {
     const { ctx, release } = parts;
     const { settings } = ctx;
+    const logger = ctx.logger("admin");
 
-    const postRelease = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
-        const body = await readBody(req, settings.limits.bodyBytes);
-        const note = body.chain(bytes =>
-            parseReleaseNote(bytes.toString("utf8")).mapLeft(faults => refusalOf("bad-request", JSON.stringify(faults)))
-        );
-        await note.caseOf<Promise<void>>({
-            Left: refused => Promise.resolve(refuse(res, refused)),
-            Right: async valid => sendJson(res, 200, await release.accept(valid.value) ?? { kind: "unknown" }),
+    const refuse = (res: ServerResponse, refused: Refusal): void => {
+        ctx.metrics.count("azureshunt_admin_refusals_total", "Refused calls of the administration API", {
+            kind: refused.kind,
         });
+        sendRefusal(res, randomUUID() as string as RequestId, refused);
     };
 
-    const refuse = (res: ServerResponse, refused: Refusal): void =>
-        sendRefusal(res, randomUUID() as string as RequestId, refused);
+    const answer = (req: IncomingMessage, url: URL): EitherAsync<Refusal, AdminAnswer> =>
+        EitherAsync(async ({ liftEither, fromPromise }) => {
+            const key = BEARER.exec(req.headers.authorization ?? "")?.[1];
+            const keyId = await liftEither(authenticateAdmin(release.current(), settings.adminKeyDigests, key));
+            if (url.pathname === "/admin/v1/openapi.json") {
+                return { status: 200, body: openApi() };
+            }
+            const { route, params } = await liftEither(findRoute(req.method ?? "", url.pathname));
+            const body = await fromPromise(readBody(req, settings.limits.bodyBytes));
+            const header = req.headers["idempotency-key"];
+            const idempotencyKey = typeof header === "string" ? header : undefined;
+            if (route.method !== "GET") {
+                logger.info({ keyId, method: route.method, path: url.pathname }, "Change asked for.");
+            }
+            return await fromPromise(
+                route.handle(parts, { params, query: url.searchParams, idempotencyKey, body, keyId }),
+            );
+        });
 
     const serve = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
         if (serveHealth(req, res, { isDraining: parts.isDraining, isReady: () => release.current() !== undefined })) {
@@ -52,21 +70,21 @@
             res.end(ctx.metrics.render());
             return;
         }
-        const key = BEARER.exec(req.headers.authorization ?? "")?.[1];
-        const admin = authenticateAdmin(release.current(), settings.adminKeyDigests, key);
-        if (admin.isLeft()) {
-            refuse(res, admin.extract() as Refusal);
-            return;
-        }
-        if (req.method === "POST" && req.url === "/admin/v1/releases") {
-            await postRelease(req, res);
-            return;
-        }
-        if (req.method === "GET" && req.url === "/admin/v1/status") {
-            sendJson(res, 200, { vm: settings.vm, revision: release.current()?.revision ?? 0 });
+        const url = URL.canParse(req.url ?? "", BASE) ? new URL(req.url ?? "", BASE) : undefined;
+        if (url === undefined) {
+            refuse(res, refusalOf("bad-request", "the path cannot be read"));
             return;
         }
-        refuse(res, refusalOf("not-found"));
+        (await answer(req, url)).caseOf({
+            Left: refused => {
+                // A handler that throws ends here as well; that is a fault of the daemon, and no refusal.
+                if (refused instanceof Error) {
+                    throw refused;
+                }
+                refuse(res, refused);
+            },
+            Right: ({ status, body }) => sendJson(res, status, body),
+        });
     };
 
     const server = await startHttpServer({
@@ -75,12 +93,14 @@
         limits: settings.limits,
         handler: (req, res) => {
             serve(req, res).catch((err: unknown) => {
-                ctx.logger("admin").error({ err }, "Request failed.");
+                logger.error({ err }, "Request failed.");
                 refuse(res, refusalOf("internal"));
             });
         },
     });
+    const bound = server.address();
     return {
+        port: typeof bound === "object" ? bound?.port ?? 0 : 0,
         stop: () => {
             server.close();
             server.closeAllConnections();
--- /dev/null
+++ b/packages/daemon/src/admin/verdictAnswer.ts
@@ -0,0 +1,19 @@
+import type { Refusal } from "@azureshunt/core";
+import type { Either } from "purify-ts";
+import { Right } from "purify-ts";
+
+import type { AcceptOutcome } from "../configuration/AcceptOutcome.js";
+import type { AdminAnswer } from "./AdminAnswer.js";
+
+const STATUS: Readonly<Record<AcceptOutcome["kind"], number>> = {
+    "accepted": 200,
+    "conflict": 409,
+    "invalid": 400,
+    "not-appended": 503,
+    "not-known": 504,
+};
+
+/** Answers a change of the configuration with what became of it; `more` goes beside the outcome. */
+export function verdictAnswer(outcome: AcceptOutcome, more: object = {}): Either<Refusal, AdminAnswer> {
+    return Right({ status: STATUS[outcome.kind], body: { ...outcome, ...more } });
+}
--- a/scripts/generateSchemas.mjs
+++ b/scripts/generateSchemas.mjs
@@ -4,8 +4,11 @@
 
 import { releaseNoteSchema } from "@azureshunt/release";
 
+import { openApi } from "../packages/daemon/dist/admin/openApi.js";
+
 const FILES = [
     { file: "packages/release/schema/release-note.schema.json", value: releaseNoteSchema() },
+    { file: "packages/daemon/openapi/admin.openapi.json", value: openApi() },
 ];
 
 FILES.forEach(({ file, value }) => {
