Let requests wait for homes when a whole installation has just started

Cause: the first requests after a start were refused as allowance-unreachable: the only home is barred for 1.6 s until former grants have run out, and requests waited 0.5 s. Ruled out: waiting whenever a home settles (two tests of the simulated fleet then showed refusals that came late: 'unanswered'), so only while no home serves.

--- a/packages/allowance/src/Outlook.ts
+++ b/packages/allowance/src/Outlook.ts
@@ -4,6 +4,8 @@
 export type Outlook = {
     /** Whether every home has told, or failed to, lately enough to decide. */
     readonly informed: boolean;
+    /** Whether a home has just taken over and does not serve yet. */
+    readonly settling: boolean;
     /** Tokens free in reachable homes' buckets by now. */
     readonly free: Tokens;
     /** Tokens that other VMs hold and may hand back. */
--- a/packages/allowance/src/Waiter.ts
+++ b/packages/allowance/src/Waiter.ts
@@ -8,6 +8,8 @@
     readonly since: Millis;
     /** When it must have been admitted. */
     readonly until: Millis;
+    /** Until when it may wait for a home that has just taken over and does not serve yet. */
+    readonly settledBy: Millis;
     /** Rounds of asking that have been sent since it came. */
     readonly rounds: number;
 };
--- a/packages/allowance/src/outlookOf.ts
+++ b/packages/allowance/src/outlookOf.ts
@@ -12,6 +12,7 @@
 
 const NOTHING: Outlook = {
     informed: true,
+    settling: false,
     free: 0,
     recallable: 0,
     unmet: 0,
@@ -33,6 +34,7 @@
 const movingOutlook = ({ limits }: Home, since: Millis, now: Millis): Outlook => ({
     ...NOTHING,
     informed: since + timing.maxWaitMs <= now,
+    settling: since + timing.settleMs > now,
     unreachableBurst: limits.burst,
     unreachableRate: limits.rate,
 });
@@ -63,9 +65,10 @@
         .filter(home => home.vm === allowance.vm && allowance.servesFrom === undefined)
         .map(home => movingOutlook(home, allowance.barredSince ?? now, now));
     // Right after the start of a process no VM is known yet.
-    const known = { ...NOTHING, informed: allowance.homes.length > 0 };
+    const known = { ...NOTHING, informed: allowance.homes.length > 0, settling: allowance.homes.length === 0 };
     return [...own, ...others, ...barred].reduce((sum, one) => ({
         informed: sum.informed && one.informed,
+        settling: sum.settling || one.settling,
         free: sum.free + one.free,
         recallable: sum.recallable + one.recallable,
         // Requests that wait elsewhere ask several homes for the same tokens.
--- a/packages/allowance/src/stepAllowance.ts
+++ b/packages/allowance/src/stepAllowance.ts
@@ -54,7 +54,9 @@
         return { state: asked.state, effects: [{ kind: "admit", id, parts: charged.parts }, ...asked.effects] };
     }
     const until = Math.min(deadline, now + timing.maxWaitMs);
-    return serve({ ...before, waiters: [...before.waiters, { id, tokens, since: now, until, rounds: 0 }] }, now);
+    const settledBy = Math.min(deadline, now + timing.settleMs);
+    const waiter = { id, tokens, since: now, until, settledBy, rounds: 0 };
+    return serve({ ...before, waiters: [...before.waiters, waiter] }, now);
 };
 
 const ask = (before: Allowance, event: EventOf<"ask">, now: Millis): AllowanceStep => {
--- a/packages/allowance/src/timing.ts
+++ b/packages/allowance/src/timing.ts
@@ -16,6 +16,11 @@
     slotMs: 1_000,
     /** A request may wait this long for tokens. */
     maxWaitMs: 500,
+    /**
+     * A home that has just taken over serves within this time: it reads the membership, and former grants run out. A
+     * request may wait for it this long, since refusing it would blame its organisation for a restart.
+     */
+    settleMs: 3_000,
     /** Pause between asking homes again while requests wait. */
     askAgainMs: 20,
     /** An ask without an answer is given up after this long. */
