--- a/packages/daemon/src/placement/Chooser.ts
+++ b/packages/daemon/src/placement/Chooser.ts
@@ -5,6 +5,7 @@
 import type { Call } from "../ports/Call.js";
 import type { ComputingPieces } from "./ComputingPieces.js";
 import type { EndpointBook } from "./EndpointBook.js";
+import type { FetchCost } from "./FetchCost.js";
 
 /** Milliseconds of work that an engine is given ahead; more waits here, where the fair queue orders it. */
 const MAX_ENGINE_QUEUE_MS = 100;
@@ -14,6 +15,7 @@
     readonly book: EndpointBook;
     readonly index: PrefixIndex;
     readonly computing: ComputingPieces;
+    readonly fetches: FetchCost;
     readonly policy: Policy;
     /** Whether work is held here while engines are full; the baselines pass everything on at once. */
     readonly holds: boolean;
@@ -63,12 +65,16 @@
     #candidates(call: Call, endpoints: readonly EndpointState[], now: Millis): readonly Candidate[] {
         const { target } = call;
         if (target.kind === "service") {
-            return candidatesOf({ endpoints, matched: [], promptTokens: 0, pieceTokens: 1, now });
+            const none = { matched: [], confirmed: [], fetchMsPerPiece: undefined };
+            return candidatesOf({ endpoints, ...none, promptTokens: 0, pieceTokens: 1, now });
         }
-        const matched = this.#parts.index.match(target.pieces, endpoints.map(each => each.name), now);
+        const { index, holds, fetches } = this.#parts;
+        const names = endpoints.map(each => each.name);
         return candidatesOf({
             endpoints,
-            matched,
+            matched: index.match(target.pieces, names, now),
+            confirmed: holds ? index.matchConfirmed(target.pieces, names) : [],
+            fetchMsPerPiece: holds ? fetches.msPerPiece() : undefined,
             promptTokens: target.promptTokens,
             pieceTokens: target.pieceTokens,
             now,
--- a/packages/daemon/src/placement/PlacementModel.ts
+++ b/packages/daemon/src/placement/PlacementModel.ts
@@ -2,7 +2,7 @@
 
 import type { DispatchId, EndpointName, Incarnation, Millis, Refusal } from "@azureshunt/core";
 import { refusalOf } from "@azureshunt/core";
-import type { Candidate, EndpointEvent, PrefixIndex } from "@azureshunt/endpoint";
+import type { CacheFetch, Candidate, EndpointEvent, PrefixIndex } from "@azureshunt/endpoint";
 import { refusalFor } from "@azureshunt/endpoint";
 import { Left, Right } from "purify-ts";
 
@@ -12,6 +12,8 @@
 import type { Chooser } from "./Chooser.js";
 import type { ComputingPieces } from "./ComputingPieces.js";
 import type { EndpointBook } from "./EndpointBook.js";
+import type { FetchCost } from "./FetchCost.js";
+import type { fetchPieces } from "./fetchPieces.js";
 import type { PlacementMessage } from "./PlacementMessage.js";
 import type { placementMetrics } from "./placementMetrics.js";
 import type { shareDispatches } from "./shareDispatches.js";
@@ -20,6 +22,9 @@
 
 /** How long assumed entries of the index live beyond the estimated first token, until the engine's event confirms them. */
 const ASSUMED_MS = 2_000;
+/** Bound of a fetch: some time for the connection, and this times what it is expected to take. */
+const MIN_FETCH_MS = 100;
+const FETCH_FACTOR = 3;
 /** How long a call waits for any endpoint to come up before it is refused. */
 const NO_ENDPOINT_MS = 1_000;
 /** Milliseconds a token of queued work while nothing was observed. */
@@ -43,6 +48,9 @@
     readonly configured: (gone: readonly EndpointName[]) => void;
     /** Asks an endpoint for its whole cache. */
     readonly resync: (endpoint: EndpointName, isNewRun: boolean) => void;
+    readonly fetches: FetchCost;
+    /** Makes an engine fetch cached pieces; gives how many leading pieces it holds then. */
+    readonly fetch: (fetch: Parameters<typeof fetchPieces>[1]) => Promise<number>;
     /** Tells other VMs what this one sends to an endpoint. */
     readonly announce: ReturnType<typeof shareDispatches>["announce"];
 };
@@ -162,15 +170,37 @@
         if (state.incarnation !== undefined) {
             this.#expectPieces(waiter, chosen, dispatchId, state.incarnation);
         }
-        waiter.settle(Right(this.#placement(waiter, chosen, dispatchId, state.url, state.incarnation)));
+        const placement = this.#placement(waiter, chosen, dispatchId, state.url, state.incarnation);
+        if (chosen.fetch === undefined) {
+            waiter.settle(Right(placement));
+        }
+        else {
+            void this.#fetch(waiter, chosen, chosen.fetch).then(() => waiter.settle(Right(placement)));
+        }
+    }
+
+    /** Lets the chosen endpoint fetch cached pieces, for no longer than computing them would take. */
+    async #fetch(waiter: Waiter, chosen: Candidate, fetch: CacheFetch): Promise<void> {
+        const { book, metrics, now } = this.#parts;
+        const { target } = waiter.call;
+        const to = book.stateOf(chosen.endpoint);
+        const from = book.stateOf(fetch.from);
+        if (target.kind === "service" || to === undefined || from === undefined) {
+            return;
+        }
+        const begun = now();
+        const pieces = target.pieces.slice(0, fetch.pieces);
+        const timeoutMs = MIN_FETCH_MS + FETCH_FACTOR * chosen.estimate.fetch;
+        const held = await this.#parts.fetch({ url: to.url, from: from.url, pieces, timeoutMs });
+        const fetched = Math.max(0, held - chosen.matchedPieces);
+        this.#parts.fetches.observe(fetched, now() - begun);
+        metrics.fetched(fetched, fetch.pieces - chosen.matchedPieces, now() - begun);
     }
 
     #uncached(waiter: Waiter, chosen: Candidate): number {
         const { target } = waiter.call;
-        return target.kind === "service" ? 0 : Math.max(
-            1,
-            target.promptTokens - chosen.matchedPieces * target.pieceTokens,
-        );
+        const heldPieces = chosen.fetch?.pieces ?? chosen.matchedPieces;
+        return target.kind === "service" ? 0 : Math.max(1, target.promptTokens - heldPieces * target.pieceTokens);
     }
 
     #expectPieces(waiter: Waiter, chosen: Candidate, dispatchId: DispatchId, incarnation: Incarnation): void {
@@ -205,7 +235,9 @@
         const { endpoint } = chosen;
         const dispatchedAt = now();
         const promptTokens = target.kind === "service" ? 0 : target.promptTokens;
-        const expectedCached = target.kind === "service" ? 0 : chosen.matchedPieces * target.pieceTokens;
+        const expectedCached = target.kind === "service"
+            ? 0
+            : (chosen.fetch?.pieces ?? chosen.matchedPieces) * target.pieceTokens;
         const send = (event: EndpointEvent): void => tell({ kind: "endpoint", endpoint, event });
         return {
             dispatchId,
--- a/packages/daemon/src/placement/createPlacementPort.ts
+++ b/packages/daemon/src/placement/createPlacementPort.ts
@@ -17,6 +17,8 @@
 import { describeEndpoint } from "./describeEndpoint.js";
 import { EndpointBook } from "./EndpointBook.js";
 import type { EndpointInfo } from "./EndpointInfo.js";
+import { FetchCost } from "./FetchCost.js";
+import { fetchPieces } from "./fetchPieces.js";
 import type { PlacementMessage } from "./PlacementMessage.js";
 import { placementMetrics } from "./placementMetrics.js";
 import { PlacementModel } from "./PlacementModel.js";
@@ -59,8 +61,11 @@
     const watches = new Map<EndpointName, ReturnType<typeof startWatch>>();
     const dispatcher = new Agent({ connections: POLL_CONNECTIONS });
     const streams = new Agent();
+    const fetching = new Agent();
 
+    const fetches = new FetchCost();
     const chooser = new Chooser({
+        fetches,
         book,
         index,
         computing,
@@ -110,6 +115,8 @@
         probe: name => watches.get(name)?.probe(),
         configured,
         resync: (name, isNewRun) => watches.get(name)?.resync(isNewRun),
+        fetches,
+        fetch: one => fetchPieces(fetching, one),
         announce: work => sharing.announce(work),
     });
 
@@ -188,6 +195,7 @@
         stopActor(actor);
         void dispatcher.destroy();
         void streams.destroy();
+        void fetching.destroy();
     };
     return { place, stop, inspect, explain: id => choices.get(id) };
 }
--- a/packages/daemon/src/placement/placementMetrics.ts
+++ b/packages/daemon/src/placement/placementMetrics.ts
@@ -9,6 +9,8 @@
     /** The head of an answer came: tokens of the prompt, and those found cached, expected and true. */
     readonly accepted: (promptTokens: number, expectedCached: number, cached: number | undefined) => void;
     readonly firstToken: (estimate: Millis, observed: Millis) => void;
+    /** An engine fetched cached pieces from another one. */
+    readonly fetched: (pieces: number, expected: number, ms: Millis) => void;
     readonly cacheEvent: (outcome: string) => void;
     readonly runChanged: () => void;
 };
@@ -39,6 +41,11 @@
                 Math.abs(estimate - observed),
             );
         },
+        fetched: (pieces, expected, ms) => {
+            count("azureshunt_pieces_fetched_total", "Cached pieces that engines fetched from others.", {}, pieces);
+            count("azureshunt_pieces_not_fetched_total", "Pieces that a fetch did not bring.", {}, expected - pieces);
+            record("azureshunt_fetch_ms", "Milliseconds that a fetch of cached pieces took.", ms);
+        },
         cacheEvent: outcome =>
             count("azureshunt_cache_events_total", "Cache events of engines, by what became of them.", { outcome }),
         runChanged: () => count("azureshunt_endpoint_runs_total", "Runs of endpoints that were seen to begin."),
--- a/packages/endpoint/src/__tests__/unit/policies.test.ts
+++ b/packages/endpoint/src/__tests__/unit/policies.test.ts
@@ -10,7 +10,8 @@
     endpoint: EndpointName.parse(name),
     load: { requests, prefillTokens: 0 },
     matchedPieces,
-    estimate: { wait: 0, prefill: total, network: 0, coldStart: 0, total },
+    fetch: undefined,
+    estimate: { wait: 0, fetch: 0, prefill: total, network: 0, coldStart: 0, total },
 });
 const request = (pieces: number[], turn = 0, random = 0.5) => ({ pieces: pieces.map(piece), turn, random });
 
--- a/packages/endpoint/src/cache/PrefixIndex.ts
+++ b/packages/endpoint/src/cache/PrefixIndex.ts
@@ -155,10 +155,15 @@
         return endpoints.map(endpoint => this.#matchOne(chain, this.#runs.get(endpoint), now));
     }
 
+    /** Counts the leading pieces of a prompt that each endpoint itself has said it holds, as `match` does. */
+    matchConfirmed(pieces: readonly PieceHash[], endpoints: readonly EndpointName[]): readonly number[] {
+        // Only confirmed entries outlast every time.
+        return this.match(pieces, endpoints, Number.MAX_VALUE);
+    }
+
     /** Whether the endpoint itself has said that it holds all of these pieces. */
     isConfirmed(pieces: readonly PieceHash[], endpoint: EndpointName): boolean {
-        // Only confirmed entries outlast every time.
-        return this.#matchOne(pieces.map(wordsOfHash), this.#runs.get(endpoint), Number.MAX_VALUE) === pieces.length;
+        return this.matchConfirmed(pieces, [endpoint])[0] === pieces.length;
     }
 
     /** Removes expired entries. */
--- a/packages/endpoint/src/estimate/Estimate.ts
+++ b/packages/endpoint/src/estimate/Estimate.ts
@@ -4,12 +4,14 @@
 export type Estimate = {
     /** Work that the endpoint has before this request. */
     readonly wait: Millis;
+    /** Fetching cached pieces from elsewhere; the queue goes on meanwhile. */
+    readonly fetch: Millis;
     /** Computing the part of the prompt that is not cached. */
     readonly prefill: Millis;
     /** Way there and back. */
     readonly network: Millis;
     /** Loading weights first. */
     readonly coldStart: Millis;
-    /** Sum of all. */
+    /** All together. */
     readonly total: Millis;
 };
--- a/packages/endpoint/src/estimate/estimateFirstToken.ts
+++ b/packages/endpoint/src/estimate/estimateFirstToken.ts
@@ -12,6 +12,8 @@
     readonly msPerToken: number;
     /** Tokens of the prompt that are not cached there. */
     readonly uncachedTokens: Tokens;
+    /** Milliseconds of fetching cached pieces first; 0 for none. */
+    readonly fetch: Millis;
     readonly network: Millis;
     readonly coldStart: Millis;
     /** Milliseconds until one running request of a full endpoint ends. */
@@ -20,9 +22,10 @@
 
 /** Estimates the time to the first token: queue, prefill of the uncached part, network and cold start. */
 export function estimateFirstToken(input: EstimateInput): Estimate {
-    const { load, slots, msPerToken, uncachedTokens, network, coldStart, slotMs } = input;
+    const { load, slots, msPerToken, uncachedTokens, fetch, network, coldStart, slotMs } = input;
     const over = slots === undefined ? 0 : Math.max(0, load.requests + 1 - slots);
     const wait = load.prefillTokens * msPerToken + over * slotMs;
     const prefill = uncachedTokens * msPerToken;
-    return { wait, prefill, network, coldStart, total: wait + prefill + network + coldStart };
+    const total = Math.max(wait, fetch) + prefill + network + coldStart;
+    return { wait, fetch, prefill, network, coldStart, total };
 }
--- a/packages/endpoint/src/index.ts
+++ b/packages/endpoint/src/index.ts
@@ -7,6 +7,7 @@
 export { candidatesOf } from "./choice/candidatesOf.js";
 export type { Estimate } from "./estimate/Estimate.js";
 export { estimateFirstToken } from "./estimate/estimateFirstToken.js";
+export type { CacheFetch } from "./policies/CacheFetch.js";
 export type { Candidate } from "./policies/Candidate.js";
 export type { Policy } from "./policies/Policy.js";
 export type { PolicyName } from "./policies/PolicyName.js";
