--- a/packages/daemon/src/placement/Chooser.ts
+++ b/packages/daemon/src/placement/Chooser.ts
@@ -74,7 +74,7 @@
             endpoints,
             matched: index.match(target.pieces, names, now),
             confirmed: holds ? index.matchConfirmed(target.pieces, names) : [],
-            fetchMsPerPiece: holds ? fetches.msPerPiece() : undefined,
+            fetchMsPerPiece: holds ? fetches.msPerPiece(now) : undefined,
             promptTokens: target.promptTokens,
             pieceTokens: target.pieceTokens,
             now,
--- a/packages/daemon/src/placement/PlacementModel.ts
+++ b/packages/daemon/src/placement/PlacementModel.ts
@@ -48,6 +48,8 @@
     readonly configured: (gone: readonly EndpointName[]) => void;
     /** Asks an endpoint for its whole cache. */
     readonly resync: (endpoint: EndpointName, isNewRun: boolean) => void;
+    /** Tells other VMs of an endpoint's observed speed. */
+    readonly shareSpeed: ReturnType<typeof shareDispatches>["shareSpeed"];
     readonly fetches: FetchCost;
     /** Makes an engine fetch cached pieces; gives how many leading pieces it holds then. */
     readonly fetch: (fetch: Parameters<typeof fetchPieces>[1]) => Promise<number>;
@@ -122,6 +124,9 @@
                 case "probe":
                     probe(endpoint);
                     break;
+                case "share-speed":
+                    this.#parts.shareSpeed(endpoint, effect.msPerToken);
+                    break;
             }
         });
     }
@@ -190,10 +195,10 @@
         }
         const begun = now();
         const pieces = target.pieces.slice(0, fetch.pieces);
-        const timeoutMs = MIN_FETCH_MS + FETCH_FACTOR * chosen.estimate.fetch;
+        const timeoutMs = Math.ceil(MIN_FETCH_MS + FETCH_FACTOR * chosen.estimate.fetch);
         const held = await this.#parts.fetch({ url: to.url, from: from.url, pieces, timeoutMs });
         const fetched = Math.max(0, held - chosen.matchedPieces);
-        this.#parts.fetches.observe(fetched, now() - begun);
+        this.#parts.fetches.observe(fetched, now() - begun, now());
         metrics.fetched(fetched, fetch.pieces - chosen.matchedPieces, now() - begun);
     }
 
--- a/packages/daemon/src/placement/createPlacementPort.ts
+++ b/packages/daemon/src/placement/createPlacementPort.ts
@@ -115,6 +115,7 @@
         probe: name => watches.get(name)?.probe(),
         configured,
         resync: (name, isNewRun) => watches.get(name)?.resync(isNewRun),
+        shareSpeed: (name, msPerToken) => sharing.shareSpeed(name, msPerToken),
         fetches,
         fetch: one => fetchPieces(fetching, one),
         announce: work => sharing.announce(work),
@@ -137,9 +138,13 @@
     const tell = (message: PlacementMessage): void => dispatch(actor, message);
 
     const tickets = { next: 0 };
-    const sharing = shareDispatches(ctx, ({ endpoint, incarnation, prefillTokens, pieces, sentAt, expectedMs }) => {
-        tell({ kind: "endpoint", endpoint, event: { kind: "dispatched-elsewhere", prefillTokens, sentAt } });
-        tell({ kind: "computing-elsewhere", endpoint, incarnation, pieces, expectedAt: sentAt + expectedMs });
+    const sharing = shareDispatches(ctx, {
+        dispatched: ({ endpoint, incarnation, prefillTokens, pieces, sentAt, expectedMs }) => {
+            tell({ kind: "endpoint", endpoint, event: { kind: "dispatched-elsewhere", prefillTokens, sentAt } });
+            tell({ kind: "computing-elsewhere", endpoint, incarnation, pieces, expectedAt: sentAt + expectedMs });
+        },
+        observed: (endpoint, msPerToken) =>
+            tell({ kind: "endpoint", endpoint, event: { kind: "speed-observed", msPerToken } }),
     });
 
     const place: PlacementPort["place"] = (call, tried) =>
--- a/packages/daemon/src/placement/shareDispatches.ts
+++ b/packages/daemon/src/placement/shareDispatches.ts
@@ -1,4 +1,5 @@
-import type { EndpointName, Incarnation, Millis, PieceHash, Tokens } from "@azureshunt/core";
+import type { Incarnation, Millis, PieceHash, Tokens } from "@azureshunt/core";
+import { EndpointName } from "@azureshunt/core";
 import { z } from "zod";
 
 import type { DaemonContext } from "../ports/DaemonContext.js";
@@ -10,7 +11,12 @@
 /** Notices that come within this time go out together. */
 const BATCH_MS = 4;
 const TIMEOUT_MS = 500;
-const Dispatches = z.object({ dispatches: z.array(DispatchNotice).default([]) });
+const NANOS_PER_MILLI = 1_000_000;
+const SpeedNotice = z.object({ endpoint: EndpointName, nanosPerToken: z.number().int().positive() });
+const Dispatches = z.object({
+    dispatches: z.array(DispatchNotice).default([]),
+    speeds: z.array(SpeedNotice).default([]),
+});
 
 /** Work sent to an endpoint. */
 type SentWork = {
@@ -24,9 +30,16 @@
     readonly expectedMs: Millis;
 };
 
-/** Tells other daemons of dispatches. */
+/** What is heard from other daemons. */
+type SharingListener = {
+    readonly dispatched: (work: SentWork) => void;
+    readonly observed: (endpoint: EndpointName, msPerToken: number) => void;
+};
+
+/** Tells other daemons of dispatches and of the speed of endpoints. */
 type DispatchSharing = {
     readonly announce: (work: SentWork) => void;
+    readonly shareSpeed: (endpoint: EndpointName, msPerToken: number) => void;
     readonly stop: () => void;
 };
 
@@ -49,29 +62,38 @@
 });
 
 /**
- * Shares dispatches with the other daemons. Best effort: a notice that is lost costs some accuracy of an estimate.
- *
- * @param heard called for each dispatch of another daemon
+ * Shares dispatches and observed speeds with the other daemons. Best effort: a notice that is lost costs some accuracy
+ * of an estimate.
  */
-export function shareDispatches(ctx: DaemonContext, heard: (work: SentWork) => void): DispatchSharing {
+export function shareDispatches(ctx: DaemonContext, listener: SharingListener): DispatchSharing {
     const { clock, peers } = ctx;
     let batch: readonly SentWork[] = [];
+    let speeds: readonly z.infer<typeof SpeedNotice>[] = [];
 
     const flush = (): void => {
-        const dispatches = batch.map(work => noticeOf(work, clock.now()));
+        const body = { dispatches: batch.map(work => noticeOf(work, clock.now())), speeds };
         batch = [];
-        peers.peers().forEach(peer => void peers.exchange(peer.vm, KIND, { dispatches }, TIMEOUT_MS));
+        speeds = [];
+        peers.peers().forEach(peer => void peers.exchange(peer.vm, KIND, body, TIMEOUT_MS));
     };
-    const announce = (work: SentWork): void => {
-        if (batch.length === 0) {
+    const flushSoon = (): void => {
+        if (batch.length + speeds.length === 0) {
             setTimeout(flush, BATCH_MS);
         }
+    };
+    const announce: DispatchSharing["announce"] = work => {
+        flushSoon();
         batch = [...batch, work];
     };
+    const shareSpeed: DispatchSharing["shareSpeed"] = (endpoint, msPerToken) => {
+        flushSoon();
+        speeds = [...speeds, { endpoint, nanosPerToken: Math.max(1, Math.round(msPerToken * NANOS_PER_MILLI)) }];
+    };
     const unregister = peers.handle(KIND, body => {
         const parsed = Dispatches.safeParse(body);
-        (parsed.data?.dispatches ?? []).forEach(notice => heard(workOf(notice, clock.now())));
+        parsed.data?.dispatches.forEach(notice => listener.dispatched(workOf(notice, clock.now())));
+        parsed.data?.speeds.forEach(each => listener.observed(each.endpoint, each.nanosPerToken / NANOS_PER_MILLI));
         return Promise.resolve({});
     });
-    return { announce, stop: unregister };
+    return { announce, shareSpeed, stop: unregister };
 }
--- a/packages/endpoint/src/__tests__/unit/stepEndpoint.test.ts
+++ b/packages/endpoint/src/__tests__/unit/stepEndpoint.test.ts
@@ -209,6 +209,18 @@
         rate: 0.3,
     },
     { name: "only old ones", own: seen([[0, 0.1]]), other: FRESH, rate: 0.1 },
+    {
+        name: "too few own ones: those that other VMs observed there",
+        own: run(
+            FRESH,
+            [8, 9, 10].map(second => ({
+                at: second * 1_000,
+                event: { kind: "speed-observed" as const, msPerToken: 0.4 },
+            })),
+        ),
+        other: FRESH,
+        rate: 0.4,
+    },
     { name: "none", own: FRESH, other: FRESH, rate: 0.05 },
 ].forEach(({ name, own, other, rate }) =>
     test(`rate: ${name}`, t => {
--- a/packages/endpoint/src/state/EndpointEvent.ts
+++ b/packages/endpoint/src/state/EndpointEvent.ts
@@ -35,6 +35,8 @@
     | { readonly kind: "load-reported"; readonly report: LoadReport; readonly askedAt: Millis; }
     /** Another VM has sent the endpoint work. */
     | { readonly kind: "dispatched-elsewhere"; readonly prefillTokens: Tokens; readonly sentAt: Millis; }
+    /** Another VM observed the endpoint's speed. */
+    | { readonly kind: "speed-observed"; readonly msPerToken: number; }
     | { readonly kind: "round-trip"; readonly ms: Millis; }
     | {
         readonly kind: "state-reported";
--- a/packages/endpoint/src/state/stepEndpoint.ts
+++ b/packages/endpoint/src/state/stepEndpoint.ts
@@ -87,7 +87,8 @@
     const sample = prefillSamples(dispatch, now - dispatch.dispatchedAt - roundTripOf(state), now);
     const inFlight = state.inFlight.map(each => each === dispatch ? { ...each, startedAt: now } : each);
     const next = { ...state, inFlight, prefillSamples: lastOf([...state.prefillSamples, ...sample]) };
-    return step(recordOwnLoad(next, now));
+    const effects = sample.map(({ msPerToken }) => ({ kind: "share-speed" as const, msPerToken }));
+    return step(recordOwnLoad(next, now), effects);
 }
 
 const durationOf = (state: EndpointState, event: EventOf<"ended">, now: Millis): readonly Millis[] =>
@@ -155,6 +156,11 @@
             return stateReported(state, event, now);
         case "dispatched-elsewhere":
             return step({ ...state, others: withOther(state, event, now) });
+        case "speed-observed":
+            return step({
+                ...state,
+                prefillSamples: lastOf([...state.prefillSamples, { at: now, msPerToken: event.msPerToken }]),
+            });
         case "round-trip":
             return step({ ...state, roundTrips: lastOf([...state.roundTrips, event.ms]) });
         case "probe-failed":
