--- a/packages/daemon/src/placement/createPlacementPort.ts
+++ b/packages/daemon/src/placement/createPlacementPort.ts
@@ -17,6 +17,8 @@
 import { describeEndpoint } from "./describeEndpoint.js";
 import { EndpointBook } from "./EndpointBook.js";
 import type { EndpointInfo } from "./EndpointInfo.js";
+import { FetchCost } from "./FetchCost.js";
+import { fetchPieces } from "./fetchPieces.js";
 import type { PlacementMessage } from "./PlacementMessage.js";
 import { placementMetrics } from "./placementMetrics.js";
 import { PlacementModel } from "./PlacementModel.js";
@@ -59,8 +61,11 @@
     const watches = new Map<EndpointName, ReturnType<typeof startWatch>>();
     const dispatcher = new Agent({ connections: POLL_CONNECTIONS });
     const streams = new Agent();
+    const fetching = new Agent();
 
+    const fetches = new FetchCost();
     const chooser = new Chooser({
+        fetches,
         book,
         index,
         computing,
@@ -110,6 +115,9 @@
         probe: name => watches.get(name)?.probe(),
         configured,
         resync: (name, isNewRun) => watches.get(name)?.resync(isNewRun),
+        shareSpeed: (name, msPerToken) => sharing.shareSpeed(name, msPerToken),
+        fetches,
+        fetch: one => fetchPieces(fetching, one),
         announce: work => sharing.announce(work),
     });
 
@@ -130,9 +138,13 @@
     const tell = (message: PlacementMessage): void => dispatch(actor, message);
 
     const tickets = { next: 0 };
-    const sharing = shareDispatches(ctx, ({ endpoint, incarnation, prefillTokens, pieces, sentAt, expectedMs }) => {
-        tell({ kind: "endpoint", endpoint, event: { kind: "dispatched-elsewhere", prefillTokens, sentAt } });
-        tell({ kind: "computing-elsewhere", endpoint, incarnation, pieces, expectedAt: sentAt + expectedMs });
+    const sharing = shareDispatches(ctx, {
+        dispatched: ({ endpoint, incarnation, prefillTokens, pieces, sentAt, expectedMs }) => {
+            tell({ kind: "endpoint", endpoint, event: { kind: "dispatched-elsewhere", prefillTokens, sentAt } });
+            tell({ kind: "computing-elsewhere", endpoint, incarnation, pieces, expectedAt: sentAt + expectedMs });
+        },
+        observed: (endpoint, msPerToken) =>
+            tell({ kind: "endpoint", endpoint, event: { kind: "speed-observed", msPerToken } }),
     });
 
     const place: PlacementPort["place"] = (call, tried) =>
@@ -188,6 +200,7 @@
         stopActor(actor);
         void dispatcher.destroy();
         void streams.destroy();
+        void fetching.destroy();
     };
     return { place, stop, inspect, explain: id => choices.get(id) };
 }
