Give the command-line tool its verbs

Cause: the tool knew one verb. Operators need releases, keys, VMs, endpoints and requests, with documented exit codes.

Applying shows the difference first and appends with the revision that the difference was shown against.

--- /dev/null
+++ b/packages/cli/src/findTarget.ts
@@ -0,0 +1,62 @@
+import { readFileSync, statSync } from "node:fs";
+import { join } from "node:path";
+
+import { type Either, Left, Right } from "purify-ts";
+import { parse } from "yaml";
+import { z } from "zod";
+
+import type { CliFailure } from "./CliFailure.js";
+import { failure } from "./failure.js";
+import type { Target } from "./Target.js";
+
+const DEFAULT_FILE = ".azureshunt.yaml";
+/** Bits of a file's mode that let others than its owner at it. */
+const OTHERS = 0o077;
+
+const ConfigFile = z.strictObject({ url: z.string().url().optional(), key: z.string().optional() });
+type ConfigFile = z.infer<typeof ConfigFile>;
+
+const text = (value: unknown): string | undefined => typeof value === "string" && value !== "" ? value : undefined;
+
+const readConfig = (file: string, isRequired: boolean): Either<CliFailure, ConfigFile> => {
+    try {
+        const { mode } = statSync(file);
+        if ((mode & OTHERS) !== 0) {
+            return Left(failure("usage", [`${file}: others can read it; allowed: mode 0600 (chmod 600 ${file})`]));
+        }
+        const parsed = ConfigFile.safeParse(parse(readFileSync(file, "utf8")));
+        return parsed.success
+            ? Right(parsed.data)
+            : Left(failure("usage", [`${file}: allowed: the fields url and key, both texts`]));
+    }
+    catch {
+        return isRequired ? Left(failure("usage", [`${file}: cannot be read`])) : Right({});
+    }
+};
+
+/**
+ * Finds address and key: flags go before the environment, and that before the file.
+ *
+ * @param options `url`, `key` and `config` as given by flags
+ * @param env AZURESHUNT_URL, AZURESHUNT_KEY, AZURESHUNT_CONFIG, HOME
+ */
+export function findTarget(
+    options: Readonly<Record<string, unknown>>,
+    env: Readonly<Record<string, string | undefined>>,
+): Either<CliFailure, Target> {
+    const named = text(options["config"]) ?? env["AZURESHUNT_CONFIG"];
+    const file = named ?? join(env["HOME"] ?? ".", DEFAULT_FILE);
+    return readConfig(file, named !== undefined).chain(config => {
+        const url = text(options["url"]) ?? env["AZURESHUNT_URL"] ?? config.url;
+        const key = text(options["key"]) ?? env["AZURESHUNT_KEY"] ?? config.key;
+        if (url === undefined || key === undefined) {
+            const missing = url === undefined
+                ? "address: give --url or AZURESHUNT_URL"
+                : "key: give --key or AZURESHUNT_KEY";
+            return Left(failure("usage", [`no ${missing}, or a file of mode 0600 by --config`]));
+        }
+        return URL.canParse(url) && /^https?:/.test(url)
+            ? Right({ url: url.replace(/\/+$/, ""), key })
+            : Left(failure("usage", [`--url: found ${JSON.stringify(url)}; allowed: an http or https URL`]));
+    });
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,2 +1,3 @@
 /** The command-line tool `azureshunt`. */
-export {};
+export { exitCodes } from "./exitCodes.js";
+export { runCli } from "./runCli.js";
--- /dev/null
+++ b/packages/cli/src/table.ts
@@ -0,0 +1,15 @@
+const GAP = "  ";
+
+/** Lays rows out in columns under a heading. Colours in cells don't count as width. */
+export function table(heading: readonly string[], rows: readonly (readonly unknown[])[]): readonly string[] {
+    const cells = [heading, ...rows.map(row => row.map(cell => cell === undefined ? "-" : String(cell)))];
+    const widthOf = (cell: string): number => cell.replace(ANSI, "").length;
+    const widths = heading.map((_, column) => Math.max(...cells.map(row => widthOf(row[column] ?? ""))));
+    return cells.map(row =>
+        row.map((cell, column) => cell + " ".repeat(Math.max((widths[column] ?? 0) - widthOf(cell), 0)))
+            .join(GAP)
+            .trimEnd()
+    );
+}
+
+const ANSI = /\u001b\[\d+m/g;
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,2 +1,2 @@
 /** The daemon `azureshuntd`: listeners, actors and the effects of the aggregates. */
-export {};
+export { loadSettings } from "./loadSettings.js";
