Test the command-line tool, and show why a request went where it went

Cause: the tool's outcomes and exit codes were tried by hand only. That showed `key give` saying "not accepted: caller" although the key was given: the kind of key overwrote the outcome's kind in the daemon's answer.

Change: a table of command lines with a daemon's answers, what is said and the exit code; the API's answer names the kind of key apart, and its test now looks at the outcome; faults come in the order of the text; `why` is a table.

--- a/packages/cli/src/commands/keyCommands.ts
+++ b/packages/cli/src/commands/keyCommands.ts
@@ -37,7 +37,7 @@
 
 const giveKey: Command = {
     usage: "key give",
-    summary: "Give a key and show it once; without an organisation, an administration key",
+    summary: "Give a key of an organisation or an administration key, and show it once",
     example: "azureshunt key give --organisation chains --id chains-2",
     options: [
         { flag: "--organisation <id>", description: "organisation that the key belongs to" },
--- a/packages/cli/src/commands/showCommands.ts
+++ b/packages/cli/src/commands/showCommands.ts
@@ -8,6 +8,7 @@
 import type { Command } from "../Command.js";
 import { listRows } from "../listRows.js";
 import { table } from "../table.js";
+import { whyRequest } from "../whyRequest.js";
 
 const DEFAULT_INTERVAL_S = 2;
 const MS = 1_000;
@@ -118,7 +119,7 @@
         summary: "Show what was considered for a request, each try, and what ended it; ask the VM that answered it",
         example: "azureshunt why 6f1c2c9e-0d0f-4a53-9d43-0a7f5b0f7a11",
         needsTarget: true,
-        run: ctx => shown(ctx, `/admin/v1/requests/${encodeURIComponent(ctx.args[0] ?? "")}`),
+        run: whyRequest,
     },
     {
         usage: "watch",
--- a/packages/cli/src/findTarget.ts
+++ b/packages/cli/src/findTarget.ts
@@ -44,11 +44,11 @@
     options: Readonly<Record<string, unknown>>,
     env: Readonly<Record<string, string | undefined>>,
 ): Either<CliFailure, Target> {
-    const named = text(options["config"]) ?? env["AZURESHUNT_CONFIG"];
+    const named = text(options["config"]) ?? text(env["AZURESHUNT_CONFIG"]);
     const file = named ?? join(env["HOME"] ?? ".", DEFAULT_FILE);
     return readConfig(file, named !== undefined).chain(config => {
-        const url = text(options["url"]) ?? env["AZURESHUNT_URL"] ?? config.url;
-        const key = text(options["key"]) ?? env["AZURESHUNT_KEY"] ?? config.key;
+        const url = text(options["url"]) ?? text(env["AZURESHUNT_URL"]) ?? config.url;
+        const key = text(options["key"]) ?? text(env["AZURESHUNT_KEY"]) ?? config.key;
         if (url === undefined || key === undefined) {
             const missing = url === undefined
                 ? "address: give --url or AZURESHUNT_URL"
--- a/packages/daemon/src/__tests__/unit/admin.test.ts
+++ b/packages/daemon/src/__tests__/unit/admin.test.ts
@@ -161,6 +161,7 @@
     const given = await ask("POST", "/admin/v1/keys", { organisation: "chains", id: "k1" });
     const key = String(given.body["key"]);
     t.is(given.status, 200);
+    t.like(given.body, { kind: "accepted", keyKind: "caller", id: "k1", revision: 2 });
     t.is(authenticate(release.reader().fold.configuration, key).isRight(), true);
     t.false(JSON.stringify(await ask("GET", "/admin/v1/keys")).includes(key));
     t.false(JSON.stringify(await ask("GET", "/admin/v1/releases/2")).includes(key));
--- a/packages/daemon/src/admin/adminRoutes.ts
+++ b/packages/daemon/src/admin/adminRoutes.ts
@@ -91,7 +91,13 @@
         path: "/admin/v1/keys",
         summary: "Give a key; the answer shows it once.",
         body: KeyRequest,
-        answer: z.object({ kind: z.string(), revision: z.number().int().optional(), id: KeyId, key: z.string() }),
+        answer: z.object({
+            kind: z.literal("accepted"),
+            keyKind: z.enum(["caller", "admin"]),
+            revision: z.number().int().optional(),
+            id: KeyId,
+            key: z.string(),
+        }),
         handle: giveKey,
     },
     {
--- a/packages/daemon/src/admin/giveKey.ts
+++ b/packages/daemon/src/admin/giveKey.ts
@@ -40,7 +40,7 @@
         return Left(refusalOf("bad-request", faults.map(faultText).join("; ")));
     }
     const outcome = await parts.release.accept(note);
-    return verdictAnswer(outcome, outcome.kind === "accepted" ? { id, kind, organisation, key } : { id });
+    return verdictAnswer(outcome, outcome.kind === "accepted" ? { id, keyKind: kind, organisation, key } : { id });
 }
 
 export { giveKey, KeyRequest };
--- a/packages/daemon/src/admin/postRelease.ts
+++ b/packages/daemon/src/admin/postRelease.ts
@@ -1,6 +1,14 @@
 import { RecordId, type Refusal, refusalOf } from "@azureshunt/core";
 import type { Configuration, LocatedFault, ParsedDocument, ReleaseNote } from "@azureshunt/release";
-import { applyNote, diffConfiguration, isInForce, parseReleaseNote, pathText, validateNote } from "@azureshunt/release";
+import {
+    applyNote,
+    diffConfiguration,
+    isInForce,
+    parseReleaseNote,
+    pathText,
+    sortFaults,
+    validateNote,
+} from "@azureshunt/release";
 import { type Either, Left, Right } from "purify-ts";
 
 import type { AdminAnswer } from "./AdminAnswer.js";
@@ -52,7 +60,7 @@
     const faults = validateNote(cfg, note);
     const isStale = note.base !== undefined && note.base !== revision;
     if (faults.length > 0 && !isStale) {
-        return invalid(faults.map(parsed.locate));
+        return invalid(sortFaults(faults.map(parsed.locate)));
     }
     if (isDryRun) {
         const changes = isStale ? [] : diffConfiguration(cfg, applyNote(cfg, note));
--- a/packages/daemon/src/admin/verdictAnswer.ts
+++ b/packages/daemon/src/admin/verdictAnswer.ts
@@ -15,5 +15,5 @@
 
 /** Answers a change of the configuration with what became of it; `more` goes beside the outcome. */
 export function verdictAnswer(outcome: AcceptOutcome, more: object = {}): Either<Refusal, AdminAnswer> {
-    return Right({ status: STATUS[outcome.kind], body: { ...outcome, ...more } });
+    return Right({ status: STATUS[outcome.kind], body: { ...more, ...outcome } });
 }
--- a/packages/release/src/__tests__/unit/parseReleaseNote.test.ts
+++ b/packages/release/src/__tests__/unit/parseReleaseNote.test.ts
@@ -90,10 +90,10 @@
     organisations: [o]
 `,
         faults: [
-            "8:21 withdrawn.organisations[0]: found organisation o again, after added; allowed: each item once in a "
-            + "note",
             "4:39 added.organisations[0].shares: found shares that sum to 0.9; allowed: shares that sum to 1",
             "6:11 added.keys[0].organisation: found nothing; allowed: the organisation of a caller's key",
+            "8:21 withdrawn.organisations[0]: found organisation o again, after added; allowed: each item once in a "
+            + "note",
         ],
     },
     {
--- a/packages/release/src/index.ts
+++ b/packages/release/src/index.ts
@@ -35,6 +35,7 @@
 export { ServiceSpec } from "./ServiceSpec.js";
 export { SnapshotData } from "./SnapshotData.js";
 export { snapshotRecord } from "./snapshotRecord.js";
+export { sortFaults } from "./sortFaults.js";
 export { stateOfSnapshot } from "./stateOfSnapshot.js";
 export { touchedItems } from "./touchedItems.js";
 export { validateNote } from "./validateNote.js";
--- a/packages/release/src/parseDocument.ts
+++ b/packages/release/src/parseDocument.ts
@@ -7,6 +7,7 @@
 import type { NoteFault } from "./NoteFault.js";
 import type { ParsedDocument } from "./ParsedDocument.js";
 import { schemaFaults } from "./schemaFaults.js";
+import { sortFaults } from "./sortFaults.js";
 
 type Found = { readonly node: unknown; readonly start: number; };
 
@@ -66,6 +67,6 @@
             const parsed = schema.safeParse(value);
             return parsed.success
                 ? Right({ value: parsed.data as z.output<Schema>, locate, positionOf })
-                : Left(schemaFaults(schema, value, parsed.error).map(locate));
+                : Left(sortFaults(schemaFaults(schema, value, parsed.error).map(locate)));
         });
 }
