Measure restarts with the platform up, slow and down

Ruled out: the list of VMs as the only way to peers: with the platform down a restarted daemon knew nobody to ask and did not serve within 30 s. Change: npm run measure:restart; settings of the tests name the other daemons as seeds, as settings of VMs have to.

--- a/packages/bench/src/topology/startDaemonProcess.ts
+++ b/packages/bench/src/topology/startDaemonProcess.ts
@@ -15,6 +15,8 @@
     readonly peerPort: number;
     readonly platformUrl: string;
     readonly secret: string;
+    /** The other daemons, asked before the list of VMs is known. */
+    readonly seeds: readonly { readonly vm: string; readonly failureDomain: string; readonly address: string; }[];
     readonly adminKeyDigest: string;
     readonly policy: string;
     readonly logLevel: string;
@@ -35,7 +37,7 @@
             failureDomain: plan.failureDomain,
             listen: { caller: `${HOST}:${plan.callerPort}`, admin: `${HOST}:${plan.adminPort}`, peer },
             platform: { url: plan.platformUrl },
-            peers: { secret: plan.secret },
+            peers: { secret: plan.secret, seeds: plan.seeds },
             adminKeyDigests: [plan.adminKeyDigest],
             logging: { level: plan.logLevel },
             policy: plan.policy,
--- a/packages/bench/src/topology/startTopology.ts
+++ b/packages/bench/src/topology/startTopology.ts
@@ -78,6 +78,8 @@
             peerPort: ports[i * PORTS_PER_DAEMON + 2] ?? 0,
             platformUrl: platform.url,
             secret,
+            seeds: vms.map((other, j) => ({ ...other, address: `127.0.0.1:${ports[j * PORTS_PER_DAEMON + 2] ?? 0}` }))
+                .filter(other => other.vm !== vm),
             adminKeyDigest: createHash("sha256").update(adminKey).digest("hex"),
             policy: plan.policy,
             logLevel: plan.logLevel,
--- /dev/null
+++ b/scripts/measureRestart.mjs
@@ -0,0 +1,5 @@
+// `npm run measure:restart`: sets up what is missing, then measures restarts of daemons in this process.
+import { setUp } from "./setup.mjs";
+
+setUp();
+await import("../packages/bench/dist/restart/main.js");
