Resume, retry and refuse by the request's rules; stop requests that crash endpoints

Cause: the thin path retried by kind of error alone, took a pooled connection for what may not be repeated (`reset` closes it afterwards, but does not open a new one), started queued work for a withdrawn key, left every connection destroyed after a stream, and let every request crash on.

Ruled out: an undici retry agent (it repeats what may have run); cutting running streams when their key is withdrawn (they were admitted under it).

Change: further tries by planAfterFailure and one retry budget; pieces by acceptPiece; a connection of its own for what may not be repeated, and new pools after silence; the key and the quarantine checked before, during and after the wait for an endpoint. A death of an engine is confirmed by its port or its new incarnation, and judged with what all VMs ran there.

--- a/packages/daemon/src/dispatch/dispatchModel.ts
+++ b/packages/daemon/src/dispatch/dispatchModel.ts
@@ -1,5 +1,6 @@
-import type { EndpointName, ErrorKind, Refusal, Tokens } from "@azureshunt/core";
-import { answerOf, refusalOf } from "@azureshunt/core";
+import type { EndpointName, Refusal, Tokens } from "@azureshunt/core";
+import { openStream } from "@azureshunt/request";
+import type { RequestState } from "@azureshunt/request";
 import type { Either } from "purify-ts";
 import { Left, Right } from "purify-ts";
 
@@ -7,99 +8,73 @@
 import type { ModelCall } from "../ports/ModelCall.js";
 import type { Placement } from "../ports/Placement.js";
 import type { DispatchParts } from "./DispatchParts.js";
-import { EngineChunk } from "./EngineChunk.js";
 import type { ModelAnswer } from "./ModelAnswer.js";
 import { openEngineStream } from "./openEngineStream.js";
-import { readServerSentEvents } from "./readServerSentEvents.js";
-import type { TryFailure } from "./TryFailure.js";
+import { outcomeOfTry } from "./outcomeOfTry.js";
+import { passStream } from "./passStream.js";
+import { placeTry } from "./placeTry.js";
+import type { TryEnd } from "./TryEnd.js";
 
-const DONE = "[DONE]";
-const MAX_TRIES = 4;
+/** Wait for the head of an answer, in multiples of the estimated time to the first token, beyond the idle bound. */
 const FIRST_BYTE_FACTOR = 4;
 
-/** Positions passed on so far. */
-type Progress = { next: number; finished: boolean; ranSomewhere: boolean; };
+/** Time to find another endpoint for a stream that has begun; the deadline for its start has passed then. */
+const RESUME_WAIT_MS = 10_000;
 
-const kindAfter = (failure: TryFailure, progress: Progress): ErrorKind => {
-    switch (failure) {
-        case "cancelled":
-            return "caller-gone";
-        case "refused":
-        case "unreached":
-            return progress.ranSomewhere ? "stream-broken" : "overloaded";
-        case "died":
-            return progress.next > 0 ? "stream-broken" : "endpoint-failed";
-    }
-};
-
-/** Passes the pieces of one try on; only the next position goes out, so pieces are never doubled or out of order. */
-async function passOn(
-    body: AsyncIterable<Uint8Array>,
-    placement: Placement,
-    progress: Progress,
-    answer: ModelAnswer,
-): Promise<void> {
-    const first = progress.next;
-    for await (const data of readServerSentEvents(body)) {
-        if (data === DONE) {
-            return;
-        }
-        const chunk = EngineChunk.parse(JSON.parse(data));
-        if (chunk.id !== placement.dispatchId || chunk.position < progress.next) {
-            continue;
-        }
-        if (progress.next === first) {
-            placement.firstToken();
-        }
-        if (chunk.position > progress.next) {
-            throw new Error("gap in the stream");
-        }
-        progress.next += 1;
-        progress.finished = typeof chunk.choices[0]?.finish_reason === "string";
-        await answer.piece(chunk);
-    }
-}
+/** How a try ended, and the position of the first piece that the caller still lacks. */
+type TryResult = { readonly next: number; readonly failure: TryEnd | undefined; };
 
 async function tryOnce(
     parts: DispatchParts,
     call: Call,
     target: ModelCall,
     placement: Placement,
-    progress: Progress,
+    from: number,
     answer: ModelAnswer,
-): Promise<Either<TryFailure, void>> {
-    const { idleMs } = parts.ctx.settings.limits;
-    const endRunning = parts.suspects.running(call, placement.endpoint);
+): Promise<TryResult> {
+    const { metrics, settings } = parts.ctx;
+    const { idleMs } = settings.limits;
     const opened = await openEngineStream({
-        dispatcher: parts.dispatcher,
+        dispatcher: parts.connections.pooled(placement.url),
         call,
         target,
         placement,
-        resumeFrom: progress.next,
+        resumeFrom: from,
         firstMs: idleMs + FIRST_BYTE_FACTOR * placement.estimate,
         idleMs,
         signal: call.signal,
     });
-    const ended = await opened.caseOf<Promise<Either<TryFailure, void>>>({
-        Left: failure => Promise.resolve(Left(failure)),
+    return opened.caseOf<Promise<TryResult>>({
+        Left: failure => Promise.resolve({ next: from, failure }),
         Right: async stream => {
-            progress.ranSomewhere = true;
-            placement.started(stream.incarnation as Placement["incarnation"], stream.cachedTokens);
-            try {
-                await passOn(stream.body, placement, progress, answer);
-            }
-            catch {
-                return Left(call.signal.aborted ? "cancelled" : "died");
-            }
-            return progress.finished ? Right(undefined) : Left("died");
+            placement.started(stream.incarnation, stream.cachedTokens);
+            const passed = await passStream(
+                { body: stream.body, call, answer, metrics },
+                openStream(placement.dispatchId, from),
+            );
+            return { next: passed.state.next, failure: passed.failure };
         },
     });
-    endRunning(ended.extract() === "died");
-    placement.end(ended.caseOf({
-        Left: failure => failure === "unreached" ? "died" : failure,
-        Right: () => "complete" as const,
-    }));
-    return ended;
+}
+
+async function tryAndReport(
+    parts: DispatchParts,
+    call: Call,
+    target: ModelCall,
+    placement: Placement,
+    from: number,
+    answer: ModelAnswer,
+): Promise<TryResult> {
+    const endRunning = parts.suspects.running(call, placement);
+    const result = await tryOnce(parts, call, target, placement, from, answer);
+    const { failure } = result;
+    if (failure?.kind === "silent") {
+        parts.connections.distrust(placement.url);
+    }
+    const outcome = failure === undefined ? "complete" : outcomeOfTry(failure);
+    placement.end(outcome);
+    await endRunning(outcome);
+    return result;
 }
 
 /**
@@ -114,27 +89,29 @@
     target: ModelCall,
     answer: ModelAnswer,
 ): Promise<Either<Refusal, Tokens>> {
-    const progress: Progress = { next: 0, finished: false, ranSomewhere: false };
     const tried: EndpointName[] = [];
 
-    const attempt = async (): Promise<Either<Refusal, Tokens>> => {
-        const placed = await parts.recheck(call).caseOf({
-            Left: refused => Promise.resolve(Left<Refusal, Placement>(refused)),
-            Right: valid => parts.placement.place(valid, tried),
+    const afterFailure = (request: RequestState, end: TryEnd): Promise<Either<Refusal, Tokens>> =>
+        parts.tries.after(request, end).caseOf<Promise<Either<Refusal, Tokens>>>({
+            Left: refused => Promise.resolve(Left(refused)),
+            Right: again => attempt(again),
         });
+
+    const attempt = async (request: RequestState): Promise<Either<Refusal, Tokens>> => {
+        const deadline = request.next > 0 ? parts.ctx.clock.now() + RESUME_WAIT_MS : call.deadline;
+        const placed = await placeTry(parts, { ...call, deadline }, tried);
         if (placed.isLeft()) {
-            return placed.mapLeft(refused => progress.next === 0 ? refused : refusalOf("stream-broken"));
+            return afterFailure(request, { kind: "unplaced", refusal: placed.extract() as Refusal });
         }
         const placement = placed.unsafeCoerce();
         tried.push(placement.endpoint);
-        const ended = await tryOnce(parts, call, target, placement, progress, answer);
-        if (ended.isRight()) {
+        const { next, failure } = await tryAndReport(parts, call, target, placement, request.next, answer);
+        if (failure === undefined) {
             answer.complete();
-            return Right(target.promptTokens + progress.next);
+            return Right(target.promptTokens + next);
         }
-        const kind = kindAfter(ended.extract() as TryFailure, progress);
-        parts.ctx.metrics.count("azureshunt_retries_total", "Tries that failed, by kind of error.", { kind });
-        return answerOf(kind).retried && tried.length < MAX_TRIES ? attempt() : Left(refusalOf(kind));
+        const ran = next > 0 ? "yes" : request.ran;
+        return afterFailure({ ...request, next, ran, tries: request.tries + 1 }, failure);
     };
-    return attempt();
+    return attempt(parts.tries.arrive(call));
 }
--- a/packages/daemon/src/dispatch/dispatchService.ts
+++ b/packages/daemon/src/dispatch/dispatchService.ts
@@ -1,5 +1,6 @@
 import type { EndpointName, Refusal } from "@azureshunt/core";
 import { refusalOf } from "@azureshunt/core";
+import type { RequestState } from "@azureshunt/request";
 import type { Either } from "purify-ts";
 import { Left, Right } from "purify-ts";
 import { request } from "undici";
@@ -9,32 +10,37 @@
 import type { RecordedAnswer } from "../ports/RecordedAnswer.js";
 import type { ServiceCall } from "../ports/ServiceCall.js";
 import type { DispatchParts } from "./DispatchParts.js";
-import type { TryFailure } from "./TryFailure.js";
+import type { DispatchPermit } from "./DispatchPermit.js";
+import { failureOfError } from "./failureOfError.js";
+import { outcomeOfTry } from "./outcomeOfTry.js";
+import { placeTry } from "./placeTry.js";
+import type { TryEnd } from "./TryEnd.js";
 
-const MAX_TRIES = 3;
+const STATUS_TOO_MANY = 429;
 
 const headerOf = (value: string | string[] | undefined): string | undefined => Array.isArray(value) ? value[0] : value;
 
-const neverSent = (err: unknown): boolean =>
-    err instanceof Error && "code" in err && (err.code === "ECONNREFUSED" || err.code === "UND_ERR_CONNECT_TIMEOUT");
-
+/**
+ * Sends a call to a replica and reads its answer. What may not be repeated goes out on a connection opened for it, and
+ * goes on when its caller is gone, so that its outcome is known when the caller comes back.
+ */
 async function tryOnce(
     parts: DispatchParts,
     call: Call,
     target: ServiceCall,
     placement: Placement,
     timeoutMs: number,
-): Promise<Either<TryFailure, RecordedAnswer>> {
+): Promise<Either<TryEnd, RecordedAnswer>> {
+    const { connections } = parts;
+    const signal = target.repeatable ? call.signal : undefined;
+    const dispatcher = target.repeatable ? connections.pooled(placement.url) : connections.fresh(placement.url);
     try {
         const res = await request(`${placement.url}${target.path}`, {
             method: target.method as "GET",
-            dispatcher: parts.dispatcher,
-            // A call that may not be repeated goes out on a connection of its own: a pooled one may have gone silent,
-            // and then it would not be known whether the call ran.
-            reset: !target.repeatable,
+            dispatcher,
             headersTimeout: timeoutMs,
             bodyTimeout: timeoutMs,
-            signal: call.signal,
+            signal,
             headers: {
                 "x-dispatch-id": placement.dispatchId,
                 "x-organisation": call.organisation,
@@ -44,12 +50,12 @@
             body: target.body.length === 0 ? undefined : target.body,
         });
         if (headerOf(res.headers["x-dispatch-id"]) !== placement.dispatchId) {
-            res.body.destroy();
-            return Left("died");
+            res.body.on("error", () => undefined).destroy();
+            return Left({ kind: "crossed" });
         }
         const body = Buffer.from(await res.body.arrayBuffer());
         if (headerOf(res.headers["x-not-run"]) === "1") {
-            return Left("refused");
+            return Left({ kind: "refused", full: res.statusCode === STATUS_TOO_MANY });
         }
         return Right({
             status: res.statusCode,
@@ -58,7 +64,12 @@
         });
     }
     catch (err) {
-        return Left(call.signal.aborted ? "cancelled" : neverSent(err) ? "unreached" : "died");
+        return Left(failureOfError(err, signal));
+    }
+    finally {
+        if (!target.repeatable) {
+            void dispatcher.destroy();
+        }
     }
 }
 
@@ -66,7 +77,7 @@
  * Serves a call to a plain service. A call that may not be repeated is tried again only where no byte went out or the
  * service refused it.
  *
- * @param begin called right before a first byte can go out; the call is not sent when it gives false
+ * @param permit asked before each try
  * @returns the service's answer, or the refusal that the caller is to get
  */
 export async function dispatchService(
@@ -74,41 +85,40 @@
     call: Call,
     target: ServiceCall,
     timeoutMs: number,
-    begin: () => boolean,
+    permit: DispatchPermit,
 ): Promise<Either<Refusal, RecordedAnswer>> {
     const tried: EndpointName[] = [];
 
-    const attempt = async (): Promise<Either<Refusal, RecordedAnswer>> => {
-        const placed = await parts.recheck(call).caseOf({
-            Left: refused => Promise.resolve(Left<Refusal, Placement>(refused)),
-            Right: valid => parts.placement.place(valid, tried),
+    const afterFailure = (before: RequestState, end: TryEnd): Promise<Either<Refusal, RecordedAnswer>> =>
+        parts.tries.after(before, end).caseOf<Promise<Either<Refusal, RecordedAnswer>>>({
+            Left: refused => Promise.resolve(Left(refused)),
+            Right: again => attempt(again),
         });
+
+    const attempt = async (state: RequestState): Promise<Either<Refusal, RecordedAnswer>> => {
+        const placed = await placeTry(parts, call, tried);
         if (placed.isLeft()) {
-            return Left(placed.extract() as Refusal);
+            return afterFailure(state, { kind: "unplaced", refusal: placed.extract() as Refusal });
         }
         const placement = placed.unsafeCoerce();
         tried.push(placement.endpoint);
-        if (!begin()) {
+        if (!permit.begin()) {
             placement.end("cancelled");
-            return Left(refusalOf("intent-running", undefined, { ran: "no" }));
+            return afterFailure(state, { kind: "stopped", refusal: refusalOf("deadline-exceeded") });
         }
         const ended = await tryOnce(parts, call, target, placement, timeoutMs);
-        placement.end(ended.caseOf({
-            Left: failure => failure === "unreached" ? "died" : failure,
-            Right: () => "complete" as const,
-        }));
+        placement.end(ended.caseOf({ Left: outcomeOfTry, Right: () => "complete" as const }));
         if (ended.isRight()) {
-            return ended as Either<Refusal, RecordedAnswer>;
+            return Right(ended.extract() as RecordedAnswer);
+        }
+        const end = ended.extract() as TryEnd;
+        if (end.kind === "silent") {
+            parts.connections.distrust(placement.url);
         }
-        const failure = ended.extract() as TryFailure;
-        const hasNotRun = failure === "refused" || failure === "unreached";
-        if ((target.repeatable || hasNotRun) && failure !== "cancelled" && tried.length < MAX_TRIES) {
-            parts.ctx.metrics.count("azureshunt_retries_total", "Tries that failed, by kind of error.", {
-                kind: failure,
-            });
-            return attempt();
+        if (end.kind === "refused" || end.kind === "unreached") {
+            permit.notRun();
         }
-        return Left(refusalOf(hasNotRun ? "no-endpoint" : target.repeatable ? "endpoint-failed" : "answer-lost"));
+        return afterFailure({ ...state, tries: state.tries + 1 }, end);
     };
-    return attempt();
+    return attempt(parts.tries.arrive(call));
 }
--- a/packages/daemon/src/dispatch/openEngineStream.ts
+++ b/packages/daemon/src/dispatch/openEngineStream.ts
@@ -1,3 +1,4 @@
+import type { Incarnation } from "@azureshunt/core";
 import type { Either } from "purify-ts";
 import { Left, Right } from "purify-ts";
 import { request } from "undici";
@@ -6,13 +7,15 @@
 import type { Call } from "../ports/Call.js";
 import type { ModelCall } from "../ports/ModelCall.js";
 import type { Placement } from "../ports/Placement.js";
-import type { TryFailure } from "./TryFailure.js";
+import { failureOfError } from "./failureOfError.js";
+import type { TryEnd } from "./TryEnd.js";
 
 const STATUS_OK = 200;
+const STATUS_TOO_MANY = 429;
 
 /** The answer of an engine that has begun to stream. */
 type EngineStream = {
-    readonly incarnation: string | undefined;
+    readonly incarnation: Incarnation | undefined;
     readonly cachedTokens: number | undefined;
     readonly body: AsyncIterable<Uint8Array>;
 };
@@ -28,26 +31,20 @@
     /** Milliseconds until the headers must have come, and of silence between two pieces. */
     readonly firstMs: number;
     readonly idleMs: number;
+    /** Ends the try; the engine sees the connection closed and stops. */
     readonly signal: AbortSignal;
 };
 
 const headerOf = (value: string | string[] | undefined): string | undefined => Array.isArray(value) ? value[0] : value;
 
-/** Whether an error shows that no byte of the request can have reached the endpoint. */
-const neverSent = (err: unknown): boolean =>
-    err instanceof Error && "code" in err && (err.code === "ECONNREFUSED" || err.code === "UND_ERR_CONNECT_TIMEOUT");
-
-const failureOf = (err: unknown, call: Call): TryFailure =>
-    call.signal.aborted ? "cancelled" : neverSent(err) ? "unreached" : "died";
-
 /**
  * Sends a call to an engine and waits for the head of its answer. Always asks for a stream, so that an answer can be
  * resumed elsewhere, whether the caller wants a stream or not.
  *
  * Failure: an answer that belongs to another dispatch arrives on this connection. It shows as another or no dispatch id.
- * Guard: such an answer counts as `died` and its connection is destroyed with the body.
+ * Guard: such an answer counts as `crossed` and its connection is destroyed with the body.
  */
-export async function openEngineStream(one: EngineTry): Promise<Either<TryFailure, EngineStream>> {
+export async function openEngineStream(one: EngineTry): Promise<Either<TryEnd, EngineStream>> {
     const { call, target, placement } = one;
     try {
         const res = await request(`${placement.url}${target.path}`, {
@@ -74,21 +71,25 @@
             }),
         });
         if (headerOf(res.headers["x-dispatch-id"]) !== placement.dispatchId) {
-            res.body.destroy();
-            return Left("died");
+            res.body.on("error", () => undefined).destroy();
+            return Left({ kind: "crossed" });
         }
         if (res.statusCode !== STATUS_OK) {
             await res.body.dump();
-            return Left(headerOf(res.headers["x-not-run"]) === "1" ? "refused" : "died");
+            return Left(
+                headerOf(res.headers["x-not-run"]) === "1"
+                    ? { kind: "refused", full: res.statusCode === STATUS_TOO_MANY }
+                    : { kind: "failed" },
+            );
         }
         const cached = headerOf(res.headers["x-cached-tokens"]);
         return Right({
-            incarnation: headerOf(res.headers["x-incarnation"]),
+            incarnation: headerOf(res.headers["x-incarnation"]) as Incarnation | undefined,
             cachedTokens: cached === undefined ? undefined : Number(cached),
             body: res.body,
         });
     }
     catch (err) {
-        return Left(failureOf(err, call));
+        return Left(failureOfError(err, call.signal));
     }
 }
--- /dev/null
+++ b/packages/daemon/src/dispatch/passStream.ts
@@ -0,0 +1,101 @@
+import { DispatchId } from "@azureshunt/core";
+import { acceptPiece } from "@azureshunt/request";
+import type { StreamState } from "@azureshunt/request";
+
+import type { Call } from "../ports/Call.js";
+import type { Metrics } from "../ports/Metrics.js";
+import { EngineChunk } from "./EngineChunk.js";
+import { failureOfError } from "./failureOfError.js";
+import type { ModelAnswer } from "./ModelAnswer.js";
+import { readServerSentEvents } from "./readServerSentEvents.js";
+import type { TryEnd } from "./TryEnd.js";
+
+const DONE = "[DONE]";
+
+/** How far a try has come; `failure` is undefined when the answer is complete. */
+type PassedStream = { readonly state: StreamState; readonly failure: TryEnd | undefined; };
+
+/** What passing a stream on needs. */
+type StreamParts = {
+    readonly body: AsyncIterable<Uint8Array>;
+    readonly call: Call;
+    readonly answer: ModelAnswer;
+    readonly metrics: Metrics;
+};
+
+const toPiece = (chunk: EngineChunk) => ({
+    dispatchId: DispatchId.parse(chunk.id),
+    position: chunk.position,
+    last: typeof chunk.choices[0]?.finish_reason === "string",
+});
+
+/** Reads what is left after the last piece, so that the connection can be used again. */
+async function readToEnd(events: AsyncGenerator<string>): Promise<void> {
+    try {
+        const { done } = await events.next();
+        return done === true ? undefined : await readToEnd(events);
+    }
+    catch {
+        // The answer is complete; a connection that breaks now has been destroyed and is not used again.
+    }
+}
+
+/**
+ * Passes the pieces of one try on to the caller, each once and in order, and no faster than the caller takes them.
+ *
+ * Failure: the engine's connection ends cleanly in the middle of an answer. It shows as an end without the last piece.
+ * Guard: only the last piece completes an answer, never the end of a connection.
+ */
+export async function passStream(parts: StreamParts, from: StreamState): Promise<PassedStream> {
+    const { call, answer, metrics } = parts;
+    const events = readServerSentEvents(parts.body);
+    const progress = { state: from };
+
+    const step = async (): Promise<TryEnd | "more" | "complete"> => {
+        const next = await events.next();
+        if (next.done === true || next.value === DONE) {
+            return { kind: "died" };
+        }
+        const chunk = EngineChunk.parse(JSON.parse(next.value));
+        const { state, effects } = acceptPiece(progress.state, toPiece(chunk));
+        progress.state = state;
+        const [effect] = effects;
+        if (effect?.kind === "pass") {
+            await answer.piece(chunk);
+        }
+        if (effect?.kind === "discard") {
+            metrics.count("azureshunt_pieces_discarded_total", "Pieces of streams dropped, by reason.", {
+                reason: effect.reason,
+            });
+        }
+        if (state.phase === "broken") {
+            return { kind: "gap" };
+        }
+        if (state.phase === "complete") {
+            return "complete";
+        }
+        return call.signal.aborted ? { kind: "cancelled" } : "more";
+    };
+
+    const run = async (): Promise<TryEnd | undefined> => {
+        let ended = await step();
+        while (ended === "more") {
+            ended = await step();
+        }
+        return ended === "complete" ? undefined : ended;
+    };
+
+    try {
+        const failure = await run();
+        if (failure === undefined) {
+            void readToEnd(events);
+        }
+        else {
+            await events.return(undefined);
+        }
+        return { state: progress.state, failure };
+    }
+    catch (err) {
+        return { state: progress.state, failure: failureOfError(err, call.signal) };
+    }
+}
--- a/packages/daemon/src/gateway/serveModel.ts
+++ b/packages/daemon/src/gateway/serveModel.ts
@@ -33,7 +33,10 @@
     }
     const reservation = reserved.extract() as Reservation;
     const answer = createModelAnswer(call, target, res, ctx.clock.epoch());
-    const used = await dispatchModel(parts.dispatch, call, target, answer);
+    const used = await dispatchModel(parts.dispatch, call, target, answer).catch((err: unknown) => {
+        parts.allowance.settle(reservation, estimate);
+        throw err;
+    });
     parts.allowance.settle(reservation, used.caseOf({ Left: usedAfterRefusal(estimate), Right: tokens => tokens }));
     return used.map(() => undefined);
 }
--- a/packages/daemon/src/gateway/serveService.ts
+++ b/packages/daemon/src/gateway/serveService.ts
@@ -5,6 +5,7 @@
 import type { Either } from "purify-ts";
 import { Left, Right } from "purify-ts";
 
+import type { DispatchPermit } from "../dispatch/DispatchPermit.js";
 import { dispatchService } from "../dispatch/dispatchService.js";
 import type { Call } from "../ports/Call.js";
 import type { IntentAdmission } from "../ports/IntentAdmission.js";
@@ -15,6 +16,9 @@
 
 const DEFAULT_TIMEOUT_MS = 10_000;
 
+/** Without a key there is no intent; the decision on further tries alone keeps the call to one run. */
+const ONE_TRY_AT_A_TIME: DispatchPermit = { begin: () => true, notRun: () => undefined };
+
 const send = (call: Call, res: ServerResponse, answer: RecordedAnswer, replayed: boolean): void => {
     res.writeHead(answer.status, {
         "x-request-id": call.id,
@@ -32,7 +36,11 @@
     timeoutMs: number,
     admission: Extract<IntentAdmission, { readonly kind: "dispatch"; }>,
 ): Promise<Either<Refusal, RecordedAnswer>> {
-    const answered = await dispatchService(parts.dispatch, call, target, timeoutMs, admission.begin);
+    const answered = await dispatchService(parts.dispatch, call, target, timeoutMs, admission)
+        .catch(async (err: unknown) => {
+            await admission.complete(undefined);
+            throw err;
+        });
     await answered.caseOf({
         Left: refused => refused.ran === "no" ? admission.withdraw() : admission.complete(undefined),
         Right: answer => admission.complete(answer),
@@ -64,7 +72,7 @@
     const needsIntent = !target.repeatable && target.idempotencyKey !== undefined;
     const answered = needsIntent
         ? await serveUnderIntent(parts, call, target, timeoutMs, res)
-        : (await dispatchService(parts.dispatch, call, target, timeoutMs, () => true))
+        : (await dispatchService(parts.dispatch, call, target, timeoutMs, ONE_TRY_AT_A_TIME))
             .map(answer => send(call, res, answer, false));
     parts.allowance.settle(
         reservation,
--- a/packages/daemon/src/intent/OwnIntents.ts
+++ b/packages/daemon/src/intent/OwnIntents.ts
@@ -8,6 +8,8 @@
     readonly running: (key: KeyDigest) => OwnIntent | undefined;
     /** Marks as begun; false when the intent may not be used any more. */
     readonly begin: (intentId: RecordId, now: Millis) => boolean;
+    /** Takes the begin back, after a try that surely did not run the request. */
+    readonly reopen: (intentId: RecordId) => void;
     /** Marks as withdrawn; false when it has begun. */
     readonly withdraw: (intentId: RecordId) => boolean;
     readonly end: (intentId: RecordId, outcome: IntentOutcome) => void;
--- a/packages/daemon/src/intent/admitIntent.ts
+++ b/packages/daemon/src/intent/admitIntent.ts
@@ -88,6 +88,7 @@
     return Right({
         kind: "dispatch",
         begin: () => own.begin(intentId, ctx.clock.now()),
+        notRun: () => own.reopen(intentId),
         complete: answer => recorder.end(intentId, key, outcomeOf(answer)),
         withdraw: () => recorder.withdraw(intentId, key),
     });
--- a/packages/daemon/src/intent/createOwnIntents.ts
+++ b/packages/daemon/src/intent/createOwnIntents.ts
@@ -1,5 +1,5 @@
 import type { RecordId } from "@azureshunt/core";
-import { beginIntent, withdrawIntent } from "@azureshunt/intent";
+import { beginIntent, reopenIntent, withdrawIntent } from "@azureshunt/intent";
 import type { OwnIntent } from "@azureshunt/intent";
 
 import type { OwnIntents } from "./OwnIntents.js";
@@ -26,6 +26,7 @@
             void replace({ intentId, key, fingerprint, since: now, phase: "open", outcome: undefined }),
         running: key => [...intents.values()].find(own => own.key === key && isRunning(own)),
         begin: (id, now) => change(id, own => beginIntent(own, now)),
+        reopen: id => void change(id, reopenIntent),
         withdraw: id => change(id, withdrawIntent),
         end: (id, outcome) => void change(id, own => ({ ...own, phase: "ended", outcome })),
         forget: id => void intents.delete(id),
--- a/packages/daemon/src/startDaemon.ts
+++ b/packages/daemon/src/startDaemon.ts
@@ -3,13 +3,14 @@
 import type { Incarnation } from "@azureshunt/core";
 import { createLogClient } from "@azureshunt/platform";
 import { start, stop as stopSystem } from "nact";
-import { Agent } from "undici";
 
 import { startAdminListener } from "./admin/startAdminListener.js";
 import { createAllowancePort } from "./allowance/createAllowancePort.js";
 import { createReleasePort } from "./configuration/createReleasePort.js";
 import { createClock } from "./createClock.js";
 import { createTracePort } from "./createTracePort.js";
+import { createEndpointConnections } from "./dispatch/createEndpointConnections.js";
+import { createTries } from "./dispatch/createTries.js";
 import { createTrafficVersions } from "./fleet/createTrafficVersions.js";
 import { startFleet } from "./fleet/startFleet.js";
 import { authenticateCaller } from "./gateway/authenticateCaller.js";
@@ -25,10 +26,6 @@
 import type { Settings } from "./Settings.js";
 import { createSuspectPort } from "./suspects/createSuspectPort.js";
 
-const ENDPOINT_CONNECT_MS = 1_000;
-const ENDPOINT_KEEP_ALIVE_MS = 4_000;
-const ENDPOINT_CONNECTIONS = 512;
-
 /** A running daemon. */
 type Daemon = {
     /** Stops taking requests, lets those that run finish, hands allowances over, and ends all parts. */
@@ -61,12 +58,7 @@
     const release = createReleasePort(base);
     const ctx: DaemonContext = { ...base, release };
 
-    const dispatcher = new Agent({
-        connect: { timeout: ENDPOINT_CONNECT_MS },
-        keepAliveTimeout: ENDPOINT_KEEP_ALIVE_MS,
-        connections: ENDPOINT_CONNECTIONS,
-        pipelining: 1,
-    });
+    const connections = createEndpointConnections();
     const trace = createTracePort(clock.epoch);
     const allowance = createAllowancePort(ctx);
 
@@ -81,7 +73,14 @@
     const draining = { is: false };
     const isDraining = (): boolean => draining.is;
     const callers = await startCallerListener({
-        dispatch: { ctx, placement, suspects, dispatcher, recheck: recheckCall(release) },
+        dispatch: {
+            ctx,
+            placement,
+            suspects,
+            connections,
+            tries: createTries(clock, metrics),
+            recheck: recheckCall(release),
+        },
         allowance,
         intents,
         trace,
@@ -99,7 +98,7 @@
         await allowance.drain();
         [fleet, allowance, placement, intents, suspects, release, membership, peers].forEach(part => void part.stop());
         await admin.stop();
-        await dispatcher.destroy();
+        await connections.stop();
         await log.close();
         stopSystem(system);
         logger("daemon").info("Stopped.");
--- a/packages/intent/src/index.ts
+++ b/packages/intent/src/index.ts
@@ -15,6 +15,7 @@
 export type { OwnerReply } from "./OwnerReply.js";
 export type { OwnIntent } from "./OwnIntent.js";
 export { partitionOf } from "./partitionOf.js";
+export { reopenIntent } from "./reopenIntent.js";
 export { snapshotRecords } from "./snapshotRecords.js";
 export { standingOf } from "./standingOf.js";
 export type { TakenVerdict } from "./TakenVerdict.js";
--- /dev/null
+++ b/packages/request/src/clearSuspect.ts
@@ -0,0 +1,10 @@
+import type { RequestFingerprint } from "./RequestFingerprint.js";
+import type { SuspectState } from "./SuspectState.js";
+
+/** Takes a request off all suspicion, as it has run to its end. */
+export function clearSuspect(state: SuspectState, request: RequestFingerprint): SuspectState {
+    const deaths = state.deaths
+        .map(death => ({ ...death, running: death.running.filter(other => other !== request) }))
+        .filter(death => death.running.length > 0);
+    return { ...state, deaths };
+}
--- a/packages/request/src/index.ts
+++ b/packages/request/src/index.ts
@@ -1,5 +1,6 @@
 /** One caller's request: stream positions, retries, and requests that crash endpoints. */
 export { acceptPiece } from "./acceptPiece.js";
+export { clearSuspect } from "./clearSuspect.js";
 export type { DeathReport } from "./DeathReport.js";
 export { decideHedge } from "./decideHedge.js";
 export { earnRetry } from "./earnRetry.js";
@@ -9,6 +10,7 @@
 export { fullRetryBudget } from "./fullRetryBudget.js";
 export type { HedgeDecision } from "./HedgeDecision.js";
 export type { HedgeQuestion } from "./HedgeQuestion.js";
+export { isSpreadTo } from "./isSpreadTo.js";
 export { isSuspect } from "./isSuspect.js";
 export { MAX_TRIES } from "./MAX_TRIES.js";
 export { mayShareEndpoint } from "./mayShareEndpoint.js";
