--- a/packages/bench/src/topology/startTopology.ts
+++ b/packages/bench/src/topology/startTopology.ts
@@ -25,18 +25,21 @@
     await target.exited;
 };
 
-const declareVm = (platformUrl: string, daemon: DaemonProcess): Promise<unknown> =>
-    callHttp({
+const declareVm = async (platformUrl: string, daemon: DaemonProcess): Promise<void> => {
+    const { status, text } = await callHttp({
         method: "PUT",
         url: `${platformUrl}/vms/${daemon.vm}`,
         body: {
-            vm: daemon.vm,
             failureDomain: daemon.failureDomain,
             state: "live",
             peer: daemon.peer,
             admin: new URL(daemon.admin).host,
         },
     });
+    if (status !== 200) {
+        throw new Error(`${daemon.vm} is not declared: ${status} ${text}`);
+    }
+};
 
 const isListening = async (daemon: DaemonProcess): Promise<boolean> =>
     (await callHttp({ method: "GET", url: `${daemon.caller}/healthz` })).status === 200;
--- a/packages/daemon/src/dispatch/dispatchModel.ts
+++ b/packages/daemon/src/dispatch/dispatchModel.ts
@@ -73,7 +73,8 @@
     }
     const outcome = failure === undefined ? "complete" : outcomeOfTry(failure);
     placement.end(outcome);
-    await endRunning(outcome);
+    // A request that never left cannot have been the end of the endpoint.
+    await endRunning(failure?.kind === "unreached" ? "cancelled" : outcome);
     return result;
 }
 
@@ -101,7 +102,7 @@
         const deadline = request.next > 0 ? parts.ctx.clock.now() + RESUME_WAIT_MS : call.deadline;
         const placed = await placeTry(parts, { ...call, deadline }, tried);
         if (placed.isLeft()) {
-            return afterFailure(request, { kind: "unplaced", refusal: placed.extract() as Refusal });
+            return afterFailure(request, placed.extract() as TryEnd);
         }
         const placement = placed.unsafeCoerce();
         tried.push(placement.endpoint);
--- a/packages/daemon/src/dispatch/dispatchService.ts
+++ b/packages/daemon/src/dispatch/dispatchService.ts
@@ -98,7 +98,7 @@
     const attempt = async (state: RequestState): Promise<Either<Refusal, RecordedAnswer>> => {
         const placed = await placeTry(parts, call, tried);
         if (placed.isLeft()) {
-            return afterFailure(state, { kind: "unplaced", refusal: placed.extract() as Refusal });
+            return afterFailure(state, placed.extract() as TryEnd);
         }
         const placement = placed.unsafeCoerce();
         tried.push(placement.endpoint);
--- a/packages/daemon/src/suspects/createSuspectPort.ts
+++ b/packages/daemon/src/suspects/createSuspectPort.ts
@@ -35,7 +35,11 @@
     switch (event.kind) {
         case "death": {
             const step = noteDeath(state, event.report, now);
-            return { state: step.state, effects: [...step.effects, { kind: "judged", judged: event.judged }] };
+            const { judged } = event;
+            return {
+                state: step.state,
+                effects: judged === undefined ? [] : [...step.effects, { kind: "judged", judged }],
+            };
         }
         case "quarantine":
             return { state: quarantine(state, event.request, now + event.remainingMs), effects: [] };
@@ -79,6 +83,9 @@
 
     const judge = async (id: string, placement: Placement): Promise<void> => {
         const { endpoint, url, incarnation } = placement;
+        if (state().deaths.some(death => death.id === id)) {
+            return;
+        }
         const running = calls.lately(endpoint, clock.now()).map(fingerprintModel);
         if (!await hasDied(url, incarnation)) {
             return;
@@ -87,7 +94,7 @@
         const report = await gatherDeath(ctx, id, endpoint, running);
         const { death, complete } = report;
         tellPeers("endpointDeath", { id, endpoint, running: death.running, gathered: true, complete });
-        logger.info({ endpoint, running: death.running.length, complete }, "An endpoint has died.");
+        logger.info({ id, running: death.running.length, complete }, "An endpoint has died.");
         await new Promise<void>(judged => tell({ kind: "death", report, judged }));
     };
 
--- a/packages/daemon/src/suspects/gatherDeath.ts
+++ b/packages/daemon/src/suspects/gatherDeath.ts
@@ -25,6 +25,7 @@
     const all = [...running, ...told.flatMap(answer => answer.orDefault([]))];
     return {
         death: { id, endpoint, at: ctx.clock.now(), running: [...new Set(all)] },
-        complete: told.every(answer => answer.isRight()),
+        // A daemon that has just started may not know its peers yet.
+        complete: told.length > 0 && told.every(answer => answer.isRight()),
     };
 }
--- a/packages/history/src/index.ts
+++ b/packages/history/src/index.ts
@@ -1,2 +1,4 @@
 /** A checker of histories of concurrent runs. It shares no code with what it checks. */
-export {};
+export { checkRequests } from "./requests/checkRequests.js";
+export type { RequestEvent } from "./requests/RequestEvent.js";
+export type { Violation } from "./requests/Violation.js";
--- a/packages/intent/src/INTENT_LIMITS.ts
+++ b/packages/intent/src/INTENT_LIMITS.ts
@@ -11,6 +11,8 @@
     beginMs: 30 * SECOND_MS,
     /** Age after which a request that was begun cannot be running any more. */
     runningMs: 2 * MINUTE_MS,
+    /** The same where the VM is not on the list, which lags: a VM that has just come is not on it either. */
+    unlistedMs: 15 * SECOND_MS,
     /** Interval between snapshots of a partition. The log has to keep records for several of these. */
     snapshotMs: 5 * MINUTE_MS,
     /** Entries in one snapshot record. */
--- a/packages/intent/src/verdictOfTaken.ts
+++ b/packages/intent/src/verdictOfTaken.ts
@@ -11,7 +11,7 @@
  *
  * @param entry the intent that holds the key
  * @param reply what its VM says; undefined when it gave no answer
- * @param isListed whether its VM is still a member
+ * @param isListed whether its VM is a member; a VM that has just started is none yet
  * @param lastAt the log's time of the newest record read
  */
 export function verdictOfTaken(
@@ -20,9 +20,9 @@
     isListed: boolean,
     lastAt: number,
 ): TakenVerdict {
-    const isOld = lastAt - entry.at > INTENT_LIMITS.runningMs;
     if (reply === undefined) {
-        return isListed && !isOld ? { kind: "running" } : UNKNOWN;
+        const bound = isListed ? INTENT_LIMITS.runningMs : INTENT_LIMITS.unlistedMs;
+        return lastAt - entry.at > bound ? UNKNOWN : { kind: "running" };
     }
     if (reply.incarnation !== entry.incarnation || reply.phase === "absent") {
         return UNKNOWN;
