--- a/packages/intent/src/__tests__/unit/intents.test.ts
+++ b/packages/intent/src/__tests__/unit/intents.test.ts
@@ -15,6 +15,7 @@
 import type { OwnerReply } from "../../OwnerReply.js";
 import type { OwnIntent } from "../../OwnIntent.js";
 import { partitionOf } from "../../partitionOf.js";
+import { reopenIntent } from "../../reopenIntent.js";
 import { snapshotRecords } from "../../snapshotRecords.js";
 import { standingOf } from "../../standingOf.js";
 import { verdictOfTaken } from "../../verdictOfTaken.js";
@@ -189,6 +190,13 @@
     })
 );
 
+test("intent: a try that surely did not run takes the begin back", t => {
+    const reopened = reopenIntent(beginIntent(OWN, 1) ?? OWN) ?? OWN;
+    t.is(reopened.phase, "open");
+    t.is(beginIntent(reopened, INTENT_LIMITS.beginMs), undefined, "the bound still counts from the append");
+    t.is(reopenIntent({ ...OWN, phase: "withdrawn" }), undefined);
+});
+
 test("intent: what has begun is not withdrawn", t => {
     t.is(withdrawIntent(beginIntent(OWN, 1) ?? OWN), undefined);
 });
--- a/packages/request/src/__tests__/unit/suspects.test.ts
+++ b/packages/request/src/__tests__/unit/suspects.test.ts
@@ -2,7 +2,9 @@
 import test from "ava";
 import fc from "fast-check";
 
+import { clearSuspect } from "../../clearSuspect.js";
 import { fingerprintOf } from "../../fingerprintOf.js";
+import { isSpreadTo } from "../../isSpreadTo.js";
 import { isSuspect } from "../../isSuspect.js";
 import { mayShareEndpoint } from "../../mayShareEndpoint.js";
 import { noSuspects } from "../../noSuspects.js";
@@ -158,3 +160,22 @@
     );
     t.is(many.quarantined.size, SUSPECT_LIMITS.quarantined);
 });
+
+test("suspects: right after a death its suspects are dealt out to different endpoints, and later go anywhere", t => {
+    const endpoints = ["engine-0", "engine-1", "engine-2", "engine-3"].map(name => EndpointName.parse(name));
+    const state = after([{ running: ["killer", "a"] }]);
+    const dealt = (name: Name, at: number) =>
+        endpoints.filter(endpoint => isSpreadTo(state, id(name), endpoint, endpoints, at));
+    const [killer, other] = [dealt("killer", 0), dealt("a", 0)];
+    t.false(killer.some(endpoint => other.includes(endpoint)));
+    t.true(killer.length > 0 && other.length > 0);
+    t.is(killer.length + other.length, endpoints.length - 1, "the dead endpoint is nobody's");
+    t.deepEqual(dealt("killer", 2_001), endpoints);
+    t.deepEqual(dealt("b", 0), endpoints, "others are not bound");
+});
+
+test("suspects: a request that has run to its end is a suspect no longer", t => {
+    const state = clearSuspect(after([{ running: ["killer", "a"] }]), id("a"));
+    t.false(isSuspect(state, id("a")));
+    t.true(isSuspect(state, id("killer")));
+});
