Wait for the judgement of a second death, not of a first

Ruled out: waiting long at each death (an innocent's first token waits). Change: peers have 2 s to answer; a request goes on 300 ms after its first death, and waits for the judgement after a second.

--- a/packages/daemon/src/suspects/createSuspectPort.ts
+++ b/packages/daemon/src/suspects/createSuspectPort.ts
@@ -1,3 +1,5 @@
+import { setTimeout as sleep } from "node:timers/promises";
+
 import { refusalOf } from "@azureshunt/core";
 import type { EndpointName, Millis, Step } from "@azureshunt/core";
 import {
@@ -27,6 +29,8 @@
 import type { SuspectEvent } from "./SuspectEvent.js";
 
 const TELL_BOUND_MS = 1_000;
+const FIRST_DEATH_WAIT_MS = 300;
+const SECOND_DEATH_WAIT_MS = 5_000;
 const MILLIS_PER_SECOND = 1_000;
 
 type Effect = SuspectEffect | { readonly kind: "judged"; readonly judged: () => void; };
@@ -53,6 +57,7 @@
     const { clock, peers, metrics } = ctx;
     const logger = ctx.logger("suspects");
     const calls = createRunningCalls(clock.now);
+    const presentBefore = new WeakSet<Call["target"]>();
     const judging = new Map<string, Promise<void>>();
 
     const tellPeers = (kind: string, body: object): void =>
@@ -106,6 +111,16 @@
         return known;
     };
 
+    /**
+     * A request that was present at one death goes on soon even if some VM is slow to say what it ran. One that was present
+     * at an earlier death already waits for the judgement, as it may be the one that is stopped by it.
+     */
+    const waitForJudgement = async (call: Call, judgement: Promise<void>): Promise<void> => {
+        const bound = presentBefore.has(call.target) ? SECOND_DEATH_WAIT_MS : FIRST_DEATH_WAIT_MS;
+        presentBefore.add(call.target);
+        await Promise.race([judgement, sleep(bound, undefined, { ref: false })]);
+    };
+
     const clear = (request: RequestFingerprint): void => {
         if (isSuspect(state(), request)) {
             tell({ kind: "cleared", request });
@@ -144,7 +159,7 @@
         return async outcome => {
             remove(outcome === "died");
             if (outcome === "died" && call.target.kind === "model") {
-                await judgeOnce(placement);
+                await waitForJudgement(call, judgeOnce(placement));
             }
             if (outcome === "complete" && state().deaths.length > 0) {
                 clear(fingerprintModel(call));
--- a/packages/daemon/src/suspects/gatherDeath.ts
+++ b/packages/daemon/src/suspects/gatherDeath.ts
@@ -5,7 +5,7 @@
 
 import type { DaemonContext } from "../ports/DaemonContext.js";
 
-const ASK_BOUND_MS = 300;
+const ASK_BOUND_MS = 2_000;
 
 const Answer = z.object({ running: z.array(RequestFingerprint).default([]) });
 
