--- a/packages/daemon/src/__tests__/fakes/FakePeers.ts
+++ b/packages/daemon/src/__tests__/fakes/FakePeers.ts
@@ -6,6 +6,9 @@
 
 type Handler = Parameters<PeerPort["handle"]>[1];
 
+/** Bodies pass a codec between real daemons, so neither side sees what the other changes later. */
+const copied = (body: object): object => structuredClone(body);
+
 /** Daemons of one process that exchange messages without a network. */
 export class FakePeers {
     readonly #handlers = new Map<VmId, Map<string, Handler>>();
@@ -24,7 +27,9 @@
             exchange: async (to, kind, body) => {
                 const handler = this.#handlers.get(to)?.get(kind);
                 const isReached = handler !== undefined && !this.cut.has(to) && !this.cut.has(vm);
-                return isReached ? Right(await handler(body, vm)) : Left(new Error("unreachable"));
+                return isReached
+                    ? Right(copied(await handler(copied(body), vm)))
+                    : Left(new Error("unreachable"));
             },
             handle: (kind, answer) => {
                 own.set(kind, answer);
