--- a/packages/daemon/src/suspects/hasDied.ts
+++ b/packages/daemon/src/suspects/hasDied.ts
@@ -2,7 +2,7 @@
 import { request } from "undici";
 import { z } from "zod";
 
-const PROBE_BOUND_MS = 500;
+const PROBE_BOUND_MS = 2_000;
 
 const State = z.object({ incarnation: z.string() });
 
--- a/scripts/checkModels.mjs
+++ b/scripts/checkModels.mjs
@@ -11,6 +11,7 @@
 // One row a run: the guards removed by `defines`, and what the run must find. A row may name more options of pan,
 // such as `pan: ["-a", "-f", "-N", "claim"]` for a claim of liveness.
 const CONFIGURATION = "spec/configuration.pml";
+const INTENT = "spec/intent.pml";
 const ROWS = [
     { file: CONFIGURATION, defines: [], expected: "clean" },
     { file: CONFIGURATION, defines: ["NO_BASE"], expected: "violation" },
@@ -19,6 +20,11 @@
     { file: CONFIGURATION, defines: ["NO_FURTHER"], expected: "violation" },
     { file: CONFIGURATION, defines: ["NO_IDS"], expected: "violation" },
     { file: CONFIGURATION, defines: ["NO_REFRESH"], expected: "violation" },
+    { file: INTENT, defines: [], expected: "clean" },
+    { file: INTENT, defines: ["ANY_INTENT"], expected: "violation" },
+    { file: INTENT, defines: ["TAKE_OVER"], expected: "violation" },
+    { file: INTENT, defines: ["BEGIN_WITHDRAWN"], expected: "violation" },
+    { file: INTENT, defines: ["WITHDRAW_BEGUN"], expected: "violation" },
 ];
 
 const MAX_DEPTH = "1000000";
