--- a/packages/daemon/src/startDaemon.ts
+++ b/packages/daemon/src/startDaemon.ts
@@ -52,7 +52,16 @@
     const metrics = createMetrics();
     const system = start(`azureshunt-${settings.vm}`);
     const log = createLogClient(settings.platform.url);
-    const membership = createMembershipPort(settings, incarnation);
+    const membership = createMembershipPort({
+        settings,
+        incarnation,
+        clock,
+        random: Math.random,
+        logger,
+        log,
+        system,
+        metrics,
+    });
     const peers = await createPeerPort(settings, incarnation, () =>
         membership.members()
             .filter(member => member.vm !== settings.vm)
@@ -68,8 +77,7 @@
         pipelining: 1,
     });
     const trace = createTracePort(clock.epoch);
-    const allowance = createAllowancePort(ctx);
-
+    const allowance = createAllowancePort(ctx, membership);
     const versionOf = createTrafficVersions(
         () => placement.inspect().filter(endpoint => endpoint.health === "up"),
         clock.now,
@@ -95,7 +103,7 @@
     const shutDown = async (): Promise<void> => {
         draining.is = true;
         logger("daemon").info("Draining.");
-        await callers.drain(settings.limits.drainMs);
+        await callers.drain();
         await allowance.drain();
         [fleet, allowance, placement, intents, suspects, release, membership, peers].forEach(part => void part.stop());
         await admin.stop();
