--- a/packages/bench/src/analysis/Allowed.ts
+++ b/packages/bench/src/analysis/Allowed.ts
@@ -4,4 +4,6 @@
     /** Tokens a second. */
     readonly rate: number;
     readonly burst: number;
+    /** Tokens that it may spend at the start of the run. An allowance begins empty and fills at its rate. */
+    readonly atStart: number;
 };
--- a/packages/bench/src/faults/main.ts
+++ b/packages/bench/src/faults/main.ts
@@ -5,6 +5,7 @@
 
 import type { RunFigures } from "../analysis/RunFigures.js";
 import { measureRun } from "../measure/measureRun.js";
+import { exitOnSignals } from "../process/exitOnSignals.js";
 import { costRows } from "../report/costRows.js";
 import { formatTable } from "../report/formatTable.js";
 import { summaryRows } from "../report/summaryRows.js";
@@ -56,6 +57,7 @@
 cli.help();
 const { options } = cli.parse();
 if (options["help"] !== true) {
+    exitOnSignals();
     run(options as Options).then(
         () => process.exit(0),
         (err: unknown) => {
--- a/packages/bench/src/measure/main.ts
+++ b/packages/bench/src/measure/main.ts
@@ -4,6 +4,7 @@
 import { cac } from "cac";
 
 import type { RunFigures } from "../analysis/RunFigures.js";
+import { exitOnSignals } from "../process/exitOnSignals.js";
 import { costRows } from "../report/costRows.js";
 import { formatTable } from "../report/formatTable.js";
 import { summaryRows } from "../report/summaryRows.js";
@@ -90,6 +91,7 @@
 cli.help();
 const { options } = cli.parse();
 if (options["help"] !== true) {
+    exitOnSignals();
     run(options as Options).then(
         () => process.exit(0),
         (err: unknown) => {
--- a/packages/bench/src/overhead/main.ts
+++ b/packages/bench/src/overhead/main.ts
@@ -4,6 +4,7 @@
 import { cac } from "cac";
 
 import type { Percentiles } from "../analysis/Percentiles.js";
+import { exitOnSignals } from "../process/exitOnSignals.js";
 import { formatTable } from "../report/formatTable.js";
 import { measureOverhead } from "./measureOverhead.js";
 
@@ -38,6 +39,7 @@
 cli.help();
 const { options } = cli.parse();
 if (options["help"] !== true) {
+    exitOnSignals();
     run(options as Options).then(
         () => process.exit(0),
         (err: unknown) => {
--- a/packages/bench/src/slopes/main.ts
+++ b/packages/bench/src/slopes/main.ts
@@ -3,6 +3,7 @@
 
 import { cac } from "cac";
 
+import { exitOnSignals } from "../process/exitOnSignals.js";
 import { formatTable } from "../report/formatTable.js";
 import { processSlopes } from "./processSlopes.js";
 import type { Slope } from "./Slope.js";
@@ -38,6 +39,7 @@
 cli.help();
 const { options } = cli.parse();
 if (options["help"] !== true) {
+    exitOnSignals();
     run(options).then(
         () => process.exit(0),
         (err: unknown) => {
