--- a/packages/bench/src/measure/main.ts
+++ b/packages/bench/src/measure/main.ts
@@ -30,6 +30,15 @@
     readonly json?: string;
 };
 
+/** Beyond this the machine was too busy: what is measured is the generator, not the daemons. */
+const MAX_LATENESS_MS = 50;
+
+const warnOfLateness = (runs: readonly RunFigures[]): void =>
+    runs.filter(({ generatorLateness }) => generatorLateness.p99 > MAX_LATENESS_MS).forEach(run => {
+        const late = run.generatorLateness.p99.toFixed(0);
+        console.log(`not valid: ${run.workload} ${run.policy}: requests left up to ${late} ms late (p99)`);
+    });
+
 const noFailure = (): Promise<void> => Promise.resolve();
 
 const listOf = (value: string | readonly string[] | undefined, all: readonly string[]): readonly string[] =>
@@ -76,6 +85,7 @@
     console.log(formatTable(summaryRows(runs, noisyOf)));
     console.log();
     console.log(formatTable(costRows(runs)));
+    warnOfLateness(runs);
     if (options.json !== undefined) {
         writeFileSync(options.json, `${JSON.stringify({ workloads: chosen, runs }, undefined, 4)}\n`);
     }
