--- a/packages/endpoint/src/state/EndpointEvent.ts
+++ b/packages/endpoint/src/state/EndpointEvent.ts
@@ -15,7 +15,8 @@
         readonly kind: "dispatched";
         readonly dispatchId: DispatchId;
         readonly prefillTokens: Tokens;
-        readonly expectedWait: Millis;
+        /** Tokens that stand before it at the endpoint, as estimated. */
+        readonly backlogTokens: Tokens;
     }
     | {
         /** The head of the answer came: the endpoint has taken the request up. */
@@ -34,6 +35,8 @@
     | { readonly kind: "load-reported"; readonly report: LoadReport; readonly askedAt: Millis; }
     /** Another VM has sent the endpoint work. */
     | { readonly kind: "dispatched-elsewhere"; readonly prefillTokens: Tokens; readonly sentAt: Millis; }
+    /** Another VM observed the endpoint's speed. */
+    | { readonly kind: "speed-observed"; readonly msPerToken: number; }
     | { readonly kind: "round-trip"; readonly ms: Millis; }
     | {
         readonly kind: "state-reported";
