--- a/packages/allowance/src/__tests__/unit/guards.test.ts
+++ b/packages/allowance/src/__tests__/unit/guards.test.ts
@@ -4,10 +4,12 @@
 import { advanceBucket } from "../../advanceBucket.js";
 import { answerAsk } from "../../answerAsk.js";
 import { applyAnswer } from "../../applyAnswer.js";
+import { askHome } from "../../askHome.js";
 import type { GrantAnswer } from "../../GrantAnswer.js";
 import type { GrantAsk } from "../../GrantAsk.js";
 import type { HeldGrant } from "../../HeldGrant.js";
 import { levelOf } from "../../levelOf.js";
+import { openAllowance } from "../../openAllowance.js";
 import { openBucket } from "../../openBucket.js";
 import { refundToBucket } from "../../refundToBucket.js";
 import { slotAt } from "../../slotAt.js";
@@ -123,6 +125,16 @@
     })
 );
 
+// A message that hands tokens back is lost, or comes late. Still held here, they would be spent at two VMs.
+test("grant: tokens that are handed back are gone before the message leaves", t => {
+    const home = { domain: HELD.domain, vm: HELD.home, limits: LIMITS };
+    const start = { vm: TAKER, run: ASK.run, domain: HELD.domain, limits: LIMITS, homes: [home], now: 0 };
+    const held = { ...HELD, pendingSince: undefined };
+    const allowance = { ...openAllowance({ ...start, servesFrom: undefined }), held: [held] };
+    const { state } = askHome(allowance, home, { need: 0, ahead: 0, giveBack: 60 }, 400);
+    t.is(state.held[0]?.left, 40);
+});
+
 // The answer stays in a queue for most of a grant's time. Counted from the answer, the tokens would be spendable after
 // the home has forgotten them and accrued new ones.
 test("grant: it expires counted from when it was asked for", t => {
