--- a/packages/allowance/src/__tests__/fleet/simulateFleet.ts
+++ b/packages/allowance/src/__tests__/fleet/simulateFleet.ts
@@ -172,7 +172,7 @@
             return;
         }
         const again = vm.membership.handedTo.includes(run);
-        const ageMs = again ? 0 : vouchedAge(vm.membership, clockOf(vm));
+        const ageMs = again ? -timing.keepMs : vouchedAge(vm.membership, clockOf(vm));
         tell(vm, placedEvent(vm));
         tellMembership(vm, { kind: "gave", to: run });
         const isTheirs = homeOf(vm.membership.members.values(), ORGANISATION, vm.domain) === asker.vm;
--- a/packages/daemon/src/allowance/createHandOvers.ts
+++ b/packages/daemon/src/allowance/createHandOvers.ts
@@ -32,8 +32,8 @@
  * Hands buckets over between the homes of one failure domain.
  *
  * Failure guarded against: a hand-over whose answer is lost is asked for again, and the second answer, without the
- * buckets, would vouch for their organisations as never spent. So each run is vouched for once; after that this VM tells
- * an age of zero, and the new home starts empty.
+ * buckets, would vouch for their organisations as never spent. So each run is vouched for once; after that the new home
+ * starts empty, and not before the grants that the lost buckets had given have run out.
  */
 export function createHandOvers(
     ctx: DaemonContext,
@@ -81,7 +81,11 @@
         const again = membership.handedTo.includes(run);
         homes.tell({ kind: "gave", to: run as Incarnation });
         count(again ? "given again" : "given");
-        return { ready: true, ageMs: again ? 0 : vouchedAge(membership, clock.now()), buckets: takeOut(from) };
+        return {
+            ready: true,
+            ageMs: again ? -membership.keepMs : vouchedAge(membership, clock.now()),
+            buckets: takeOut(from),
+        };
     };
 
     const receive = (body: object, from: VmId): object => {
