--- a/packages/daemon/src/allowance/createHandOvers.ts
+++ b/packages/daemon/src/allowance/createHandOvers.ts
@@ -41,6 +41,7 @@
     store: ReturnType<typeof createAllowanceStore>,
 ): HandOvers {
     const { clock, metrics, settings } = ctx;
+    const asked = new Set<VmId>();
 
     const count = (outcome: string): void =>
         metrics.count("azureshunt_allowance_hand_overs_total", "Hand-overs between homes, by outcome.", { outcome });
@@ -126,7 +127,12 @@
     };
 
     const ask = async (of: VmId, joinedAt: number): Promise<void> => {
+        if (asked.has(of)) {
+            return;
+        }
+        asked.add(of);
         const answered = await ctx.peers.exchange(of, "handOver", { run: ctx.incarnation, joinedAt }, EXCHANGE_MS);
+        asked.delete(of);
         answered.ifRight(answer => {
             const handed = HandedBody.safeParse(answer);
             const ready = "ready" in answer && answer.ready === true;
