--- a/packages/bench/src/topology/startTopology.ts
+++ b/packages/bench/src/topology/startTopology.ts
@@ -12,6 +12,7 @@
 
 const PORTS_PER_DAEMON = 3;
 const START_BOUND_MS = 20_000;
+const STATUS_OK = 200;
 const STOP_BOUND_MS = 5_000;
 const STANDIN_KINDS = { model: "engine", service: "service", cache: "cache" } as const;
 
@@ -25,18 +26,22 @@
     await target.exited;
 };
 
-const declareVm = (platformUrl: string, daemon: DaemonProcess): Promise<unknown> =>
-    callHttp({
+/** Declares a daemon's VM to the platform, as a machine provider would; without it the daemons have no peers. */
+const declareVm = async (platformUrl: string, daemon: DaemonProcess): Promise<void> => {
+    const { status, text } = await callHttp({
         method: "PUT",
         url: `${platformUrl}/vms/${daemon.vm}`,
         body: {
-            vm: daemon.vm,
             failureDomain: daemon.failureDomain,
             state: "live",
             peer: daemon.peer,
             admin: new URL(daemon.admin).host,
         },
     });
+    if (status !== STATUS_OK) {
+        throw new Error(`declaring ${daemon.vm}: expected 200, seen ${status} ${text}`);
+    }
+};
 
 const isListening = async (daemon: DaemonProcess): Promise<boolean> =>
     (await callHttp({ method: "GET", url: `${daemon.caller}/healthz` })).status === 200;
--- a/packages/endpoint/src/state/EndpointState.ts
+++ b/packages/endpoint/src/state/EndpointState.ts
@@ -5,6 +5,7 @@
 import type { LoadReport } from "./LoadReport.js";
 import type { OtherDispatch } from "./OtherDispatch.js";
 import type { OwnLoad } from "./OwnLoad.js";
+import type { PrefillSample } from "./PrefillSample.js";
 
 /** What this VM knows of one endpoint. */
 export type EndpointState = {
@@ -30,12 +31,14 @@
     readonly others: readonly OtherDispatch[];
     /** This VM's own part of the load over the last seconds, the oldest first. */
     readonly ownHistory: readonly OwnLoad[];
-    /** Milliseconds to compute one token of a prompt, of recent dispatches, the oldest first. */
-    readonly prefillSamples: readonly number[];
+    /** Observations of the engine's speed, the oldest first. */
+    readonly prefillSamples: readonly PrefillSample[];
     /** Milliseconds from dispatch to end, of recent complete dispatches, the oldest first. */
     readonly durations: readonly Millis[];
     /** Milliseconds there and back, of recent polls, the oldest first. */
     readonly roundTrips: readonly Millis[];
-    /** Most requests that were seen running while others waited; undefined while none had to wait. */
-    readonly slots: number | undefined;
+    /** Most requests that reports showed running. */
+    readonly maxRunning: number;
+    /** Reports in a row that showed so many running and others waiting. */
+    readonly fullReports: number;
 };
