--- a/packages/allowance/src/__tests__/unit/guards.test.ts
+++ b/packages/allowance/src/__tests__/unit/guards.test.ts
@@ -4,10 +4,12 @@
 import { advanceBucket } from "../../advanceBucket.js";
 import { answerAsk } from "../../answerAsk.js";
 import { applyAnswer } from "../../applyAnswer.js";
+import { askHome } from "../../askHome.js";
 import type { GrantAnswer } from "../../GrantAnswer.js";
 import type { GrantAsk } from "../../GrantAsk.js";
 import type { HeldGrant } from "../../HeldGrant.js";
 import { levelOf } from "../../levelOf.js";
+import { openAllowance } from "../../openAllowance.js";
 import { openBucket } from "../../openBucket.js";
 import { refundToBucket } from "../../refundToBucket.js";
 import { slotAt } from "../../slotAt.js";
@@ -89,8 +91,26 @@
 
 // An answer gets lost after the home has granted. The taker's next ask says so, and the tokens are not lost for good.
 test("bucket: a grant whose answer never came is void", t => {
-    const next = answerAsk(granted, TAKER, { ...ASK, seq: 2, applied: 0, need: 0 }, HOME_RUN, NOBODY, 0).bucket;
-    t.is(next.balance, LIMITS.burst);
+    const second = answerAsk(granted, TAKER, { ...ASK, seq: 2, applied: 1, need: 1_000 }, HOME_RUN, NOBODY, 0).bucket;
+    t.is(second.balance, 5_000);
+    const third = answerAsk(second, TAKER, { ...ASK, seq: 3, applied: 1, need: 0 }, HOME_RUN, NOBODY, 0).bucket;
+    t.is(third.balance, 6_000);
+});
+
+// An organisation is idle at a VM for a second, is forgotten there, and comes back. Its asks would be taken for
+// repetitions of the earlier ones, and its requests refused; or its last grant, long spent, taken for one that got lost.
+test("bucket: a taker that had forgotten the organisation is served, and its spent grant stays spent", t => {
+    const home = { domain: HELD.domain, vm: HELD.home, limits: LIMITS };
+    const start = { vm: TAKER, run: ASK.run, domain: HELD.domain, limits: LIMITS, homes: [home], now: 0 };
+    const forgotten = openAllowance({ ...start, servesFrom: undefined });
+    const asks = [1, 1_300].map(now => {
+        const [effect] = askHome(forgotten, home, { need: 1_000, ahead: 0, giveBack: 0 }, now).effects;
+        return effect?.kind === "ask" ? effect.ask : ASK;
+    });
+    const first = answerAsk(full, TAKER, asks[0]!, HOME_RUN, NOBODY, 1).bucket;
+    const second = answerAsk(first, TAKER, asks[1]!, HOME_RUN, NOBODY, 1_300);
+    t.is(second.answer?.granted, 1_000);
+    t.is(second.bucket.balance, 8_000);
 });
 
 // A VM is restarted: its new process asks for the first time. What the former one held may still be on its way out.
@@ -123,6 +143,16 @@
     })
 );
 
+// A message that hands tokens back is lost, or comes late. Still held here, they would be spent at two VMs.
+test("grant: tokens that are handed back are gone before the message leaves", t => {
+    const home = { domain: HELD.domain, vm: HELD.home, limits: LIMITS };
+    const start = { vm: TAKER, run: ASK.run, domain: HELD.domain, limits: LIMITS, homes: [home], now: 0 };
+    const held = { ...HELD, pendingSince: undefined };
+    const allowance = { ...openAllowance({ ...start, servesFrom: undefined }), held: [held] };
+    const { state } = askHome(allowance, home, { need: 0, ahead: 0, giveBack: 60 }, 400);
+    t.is(state.held[0]?.left, 40);
+});
+
 // The answer stays in a queue for most of a grant's time. Counted from the answer, the tokens would be spendable after
 // the home has forgotten them and accrued new ones.
 test("grant: it expires counted from when it was asked for", t => {
--- a/packages/history/src/index.ts
+++ b/packages/history/src/index.ts
@@ -2,3 +2,7 @@
 export { checkRequests } from "./requests/checkRequests.js";
 export type { RequestEvent } from "./requests/RequestEvent.js";
 export type { Violation } from "./requests/Violation.js";
+export { judgeSpending } from "./judgeSpending.js";
+export type { ModelRun } from "./ModelRun.js";
+export type { SpendingLimit } from "./SpendingLimit.js";
+export type { SpendingVerdict } from "./SpendingVerdict.js";
