Follow each engine from one VM of a failure domain and forward its news

Cause: every daemon followed every engine's load and cache events; at the size to design for that is 210,000 events a second at every VM of a failure domain. Test: two daemons, one follower; the follower stops, the other takes over.

--- a/packages/daemon/src/__tests__/fakes/FakeEngine.ts
+++ b/packages/daemon/src/__tests__/fakes/FakeEngine.ts
@@ -27,6 +27,8 @@
     readonly url: string;
     readonly view: EngineView;
     readonly publish: (event: Published) => void;
+    /** How many follow its cache events. */
+    readonly followers: () => number;
     readonly stop: () => Promise<void>;
 };
 
@@ -74,5 +76,5 @@
         server.closeAllConnections();
         await new Promise(resolve => server.close(resolve));
     };
-    return { url: `http://127.0.0.1:${port}`, view, publish, stop };
+    return { url: `http://127.0.0.1:${port}`, view, publish, followers: () => followers.size, stop };
 }
--- a/packages/daemon/src/__tests__/fakes/fakeContext.ts
+++ b/packages/daemon/src/__tests__/fakes/fakeContext.ts
@@ -41,6 +41,7 @@
         admin: "127.0.0.1:2",
         incarnation: undefined,
     };
+    const port = peers.portOf(vm);
     const unused = () => Promise.resolve(Left({ kind: "unreachable" as const }));
     const ctx: DaemonContext = {
         settings: Settings.parse({
@@ -64,8 +65,12 @@
             },
             staleness: () => 0,
         },
-        membership: { self, members: () => [self], subscribe: () => () => undefined },
-        peers: peers.portOf(vm),
+        membership: {
+            self,
+            members: () => [self, ...port.peers().map(peer => ({ ...self, vm: peer.vm }))],
+            subscribe: () => () => undefined,
+        },
+        peers: port,
         log: { append: unused, read: unused },
     };
     const declare: FakeContext["declare"] = endpoints => {
--- a/packages/daemon/src/__tests__/unit/placement.test.ts
+++ b/packages/daemon/src/__tests__/unit/placement.test.ts
@@ -6,8 +6,10 @@
     ModelName,
     OrganisationId,
     PieceHash,
+    rendezvousOrder,
     RequestId,
     ServiceName,
+    VmId,
     WeightsVersion,
 } from "@azureshunt/core";
 import { EndpointSpec } from "@azureshunt/release";
@@ -268,3 +270,33 @@
     engines.forEach(engine => engine.publish({ seq: 1, kind: "stored", hashes: [...prompt] }));
     t.is((await waiting).endpoint, first.endpoint);
 });
+
+test("placement: one daemon follows an engine for its failure domain, and another takes over when it dies", async t => {
+    // The VM that forwards an engine's cache events dies. The others would go on with what they heard last, and send
+    // requests to prefixes that the engine has long dropped.
+    const peers = new FakePeers();
+    const engines = await Promise.all(["run-1", "run-2"].map(startFakeEngine));
+    const shared = ["vm-1", "vm-2"].map(vm => ({ vm, peers, engines }));
+    shared.forEach(({ vm }) => peers.portOf(VmId.parse(vm)));
+    const daemons = [await setUp(t, shared[0]), await setUp(t, shared[1])];
+    await Promise.all(daemons.map(daemon => daemon.up()));
+    const [engine] = engines;
+    await daemons[0]!.until(() => engine!.followers() === 1);
+    const holds = async (daemon: typeof daemons[number], id: string, hashes: readonly PieceHash[]): Promise<void> => {
+        finish(await daemon.place(daemon.call(id, hashes)));
+        if (matchedAt(daemon, id, "engine-1") !== hashes.length) {
+            await sleep(10);
+            await holds(daemon, `${id}.`, hashes);
+        }
+    };
+    engine!.publish({ seq: 1, kind: "stored", hashes: pieces(1) });
+    await Promise.all(daemons.map(daemon => holds(daemon, "before", pieces(1))));
+    t.is(engine!.followers(), 1);
+    const first = rendezvousOrder("engine-1", ["vm-1", "vm-2"])[0] === "vm-1" ? 0 : 1;
+    daemons[first]!.placement.stop();
+    await daemons[0]!.until(() => engine!.followers() === 0);
+    await daemons[0]!.until(() => engine!.followers() === 1);
+    engine!.publish({ seq: 2, kind: "stored", hashes: pieces(2) });
+    await holds(daemons[1 - first]!, "after", pieces(1, 2));
+    t.pass();
+});
--- a/packages/daemon/src/placement/EndpointWatch.ts
+++ b/packages/daemon/src/placement/EndpointWatch.ts
@@ -18,6 +18,8 @@
     readonly onEvent: (event: EndpointEvent) => void;
     readonly onCacheEvent: (event: CacheEvent) => void;
     readonly onCacheSnapshot: (snapshot: CacheSnapshot) => void;
+    /** Whether this VM follows the engine itself; another one forwards its load and cache events otherwise. */
+    readonly follows: () => boolean;
     /** The run whose cache is followed, the last event known, and whether entries wait for a resync. */
     readonly cursor: () => {
         readonly incarnation: Incarnation | undefined;
--- a/packages/daemon/src/placement/PlacementModel.ts
+++ b/packages/daemon/src/placement/PlacementModel.ts
@@ -6,14 +6,13 @@
 import { refusalFor } from "@azureshunt/endpoint";
 import { Left, Right } from "purify-ts";
 
-import type { Placement } from "../ports/Placement.js";
-import type { PlacementOutcome } from "../ports/PlacementOutcome.js";
 import type { ChoiceLog } from "./ChoiceLog.js";
 import type { Chooser } from "./Chooser.js";
 import type { ComputingPieces } from "./ComputingPieces.js";
 import type { EndpointBook } from "./EndpointBook.js";
 import type { FetchCost } from "./FetchCost.js";
 import type { fetchPieces } from "./fetchPieces.js";
+import { makePlacement } from "./makePlacement.js";
 import type { PlacementMessage } from "./PlacementMessage.js";
 import type { placementMetrics } from "./placementMetrics.js";
 import type { shareDispatches } from "./shareDispatches.js";
@@ -175,7 +174,16 @@
         if (state.incarnation !== undefined) {
             this.#expectPieces(waiter, chosen, dispatchId, state.incarnation);
         }
-        const placement = this.#placement(waiter, chosen, dispatchId, state.url, state.incarnation);
+        const placement = makePlacement({
+            call,
+            chosen,
+            dispatchId,
+            url: state.url,
+            incarnation: state.incarnation,
+            metrics,
+            now,
+            tell: event => this.#parts.tell({ kind: "endpoint", endpoint: chosen.endpoint, event }),
+        });
         if (chosen.fetch === undefined) {
             waiter.settle(Right(placement));
         }
@@ -228,41 +236,6 @@
         });
     }
 
-    #placement(
-        waiter: Waiter,
-        chosen: Candidate,
-        dispatchId: DispatchId,
-        url: string,
-        incarnation: Incarnation | undefined,
-    ): Placement {
-        const { metrics, now, tell } = this.#parts;
-        const { target } = waiter.call;
-        const { endpoint } = chosen;
-        const dispatchedAt = now();
-        const promptTokens = target.kind === "service" ? 0 : target.promptTokens;
-        const expectedCached = target.kind === "service"
-            ? 0
-            : (chosen.fetch?.pieces ?? chosen.matchedPieces) * target.pieceTokens;
-        const send = (event: EndpointEvent): void => tell({ kind: "endpoint", endpoint, event });
-        return {
-            dispatchId,
-            endpoint,
-            url,
-            incarnation,
-            estimate: chosen.estimate.total,
-            started: (answering, cached) => {
-                metrics.accepted(promptTokens, expectedCached, cached);
-                const prefillTokens = cached === undefined ? undefined : promptTokens - cached;
-                send({ kind: "accepted", dispatchId, incarnation: answering, prefillTokens });
-            },
-            firstToken: () => {
-                metrics.firstToken(chosen.estimate.total, now() - dispatchedAt);
-                send({ kind: "first-token", dispatchId });
-            },
-            end: (outcome: PlacementOutcome) => send({ kind: "ended", dispatchId, outcome }),
-        };
-    }
-
     /** Refuses the calls whose deadline is over. */
     #expire(): void {
         const { waiting, now } = this.#parts;
--- a/packages/daemon/src/placement/createPlacementPort.ts
+++ b/packages/daemon/src/placement/createPlacementPort.ts
@@ -23,6 +23,7 @@
 import { placementMetrics } from "./placementMetrics.js";
 import { PlacementModel } from "./PlacementModel.js";
 import { shareDispatches } from "./shareDispatches.js";
+import { shareEngineNews } from "./shareEngineNews.js";
 import { startWatch } from "./startWatch.js";
 import type { Waiter } from "./Waiter.js";
 import { WaitingCalls } from "./WaitingCalls.js";
@@ -75,6 +76,14 @@
         mayShare: options.mayShare ?? (() => true),
     });
 
+    const engines = (): readonly EndpointName[] =>
+        book.specs().filter(spec => spec.kind === "model").map(spec => spec.name);
+    const news = shareEngineNews(ctx, engines, {
+        onCacheEvent: (endpoint, event) => tell({ kind: "cache-event", endpoint, event }),
+        onLoad: (endpoint, report, askedAt) =>
+            tell({ kind: "endpoint", endpoint, event: { kind: "load-reported", report, askedAt } }),
+    });
+
     const watch = (spec: EndpointSpec): ReturnType<typeof startWatch> =>
         startWatch({
             spec,
@@ -82,8 +91,17 @@
             random: ctx.random,
             dispatcher,
             streams,
-            onEvent: event => tell({ kind: "endpoint", endpoint: spec.name, event }),
-            onCacheEvent: event => tell({ kind: "cache-event", endpoint: spec.name, event }),
+            follows: () => news.follows(spec.name),
+            onEvent: event => {
+                tell({ kind: "endpoint", endpoint: spec.name, event });
+                if (event.kind === "load-reported") {
+                    news.forwardLoad(spec.name, event.report, event.askedAt);
+                }
+            },
+            onCacheEvent: event => {
+                tell({ kind: "cache-event", endpoint: spec.name, event });
+                news.forwardChange(spec.name, event);
+            },
             onCacheSnapshot: snapshot => tell({ kind: "cache-snapshot", endpoint: spec.name, snapshot }),
             cursor: () => ({
                 incarnation: index.incarnationOf(spec.name),
@@ -197,6 +215,7 @@
         unregister.forEach(each => each());
         watches.forEach(each => each.stop());
         sharing.stop();
+        news.stop();
         stopActor(actor);
         void dispatcher.destroy();
         void streams.destroy();
--- a/packages/daemon/src/placement/pollLoad.ts
+++ b/packages/daemon/src/placement/pollLoad.ts
@@ -25,7 +25,6 @@
     answer.ifRight(({ incarnation, running, waiting, waitingTokens, at }) => {
         const now = clock.now();
         const measuredAt = now - lagOf(at, clock.epoch());
-        onEvent({ kind: "round-trip", ms: now - askedAt });
         onEvent({
             kind: "load-reported",
             askedAt,
--- a/packages/daemon/src/placement/pollState.ts
+++ b/packages/daemon/src/placement/pollState.ts
@@ -31,6 +31,9 @@
 export async function pollState(watch: EndpointWatch): Promise<number> {
     const askedAt = watch.clock.now();
     const answer = await ask(watch);
+    if (answer.isRight()) {
+        watch.onEvent({ kind: "round-trip", ms: watch.clock.now() - askedAt });
+    }
     watch.onEvent(answer.caseOf<EndpointEvent>({
         Left: () => ({ kind: "probe-failed" }),
         Right: state => ({ kind: "state-reported", askedAt, ...state }),
--- a/packages/daemon/src/placement/startWatch.ts
+++ b/packages/daemon/src/placement/startWatch.ts
@@ -7,6 +7,8 @@
 
 /** Snapshots are asked for no more often than this. */
 const MIN_RESYNC_MS = 200;
+/** How often it is looked at who follows an engine. */
+const DUTY_CHECK_MS = 100;
 
 /** What keeps the knowledge of one endpoint fresh. */
 type RunningWatch = {
@@ -24,10 +26,18 @@
         return { probe: state.hurry, resync: () => undefined, stop: state.stop };
     }
     const stream = { ended: new AbortController() };
-    const load = repeat(() => pollLoad(watch));
+    const load = repeat(() => watch.follows() ? pollLoad(watch) : Promise.resolve(DUTY_CHECK_MS));
     const events = repeat(signal => {
         stream.ended = new AbortController();
-        return followCache(watch, AbortSignal.any([signal, stream.ended.signal]));
+        return watch.follows()
+            ? followCache(watch, AbortSignal.any([signal, stream.ended.signal]))
+            : Promise.resolve(DUTY_CHECK_MS);
+    });
+    const duty = repeat(() => {
+        if (!watch.follows()) {
+            stream.ended.abort();
+        }
+        return Promise.resolve(DUTY_CHECK_MS);
     });
     const snapshots = { isWanted: true };
     const resyncs = repeat(async () => {
@@ -46,6 +56,6 @@
                 resyncs.hurry();
             }
         },
-        stop: () => [state, load, events, resyncs].forEach(each => each.stop()),
+        stop: () => [state, load, events, duty, resyncs].forEach(each => each.stop()),
     };
 }
