Bound the time that choosing takes while calls wait

Cause: each message to the placement actor tried to start every waiting call. On a machine at load 45 to 53 of 12 cores, up to 40 choices of 0.1 ms and more a message took all of a daemon's time; its answers to peers came late too.

--- a/packages/daemon/src/placement/PlacementModel.ts
+++ b/packages/daemon/src/placement/PlacementModel.ts
@@ -21,6 +21,8 @@
 
 /** How long assumed entries of the index live beyond the estimated first token, until the engine's event confirms them. */
 const ASSUMED_MS = 2_000;
+/** Calls that one round of starting looks at. */
+const CHOICES_A_ROUND = 16;
 /** Bound of a fetch: some time for the connection, and this times what it is expected to take. */
 const MIN_FETCH_MS = 100;
 const FETCH_FACTOR = 3;
@@ -59,7 +61,6 @@
 /** Takes the placement actor's messages one at a time: keeps what is known of endpoints, and gives waiting calls theirs. */
 export class PlacementModel {
     readonly #parts: PlacementParts;
-
     constructor(parts: PlacementParts) {
         this.#parts = parts;
     }
@@ -100,12 +101,12 @@
                 break;
             case "tick":
                 this.#expire();
+                this.#drain();
                 break;
             case "sweep":
                 this.#sweep();
                 break;
         }
-        this.#drain();
     }
 
     #apply(endpoint: EndpointName, event: EndpointEvent): void {
@@ -131,29 +132,45 @@
     }
 
     #place(waiter: Waiter): void {
-        this.#parts.waiting.add(waiter);
-        this.#drain();
-        if (this.#parts.waiting.has(waiter.item.id)) {
-            this.#refuseIfLate(waiter);
+        const { waiting, chooser, now } = this.#parts;
+        const isFirst = waiting.size === 0;
+        waiting.add(waiter);
+        if (isFirst) {
+            this.#drain();
+        }
+        if (waiting.has(waiter.item.id)) {
+            const choice = chooser.choose(waiter.call, waiter.tried, now());
+            this.#refuseIfLate(waiter, Math.min(...choice?.candidates.map(each => each.estimate.wait) ?? [0]));
         }
     }
 
-    /** Starts waiting calls in the queue's order until none can start. */
+    /**
+     * Starts waiting calls in the queue's order until none can start. With many waiting, choices would take all of the
+     * daemon's time, so a round looks at some of them only; what is behind those comes later anyway.
+     */
     #drain(): void {
         const { waiting, chooser, now } = this.#parts;
+        const round = { left: CHOICES_A_ROUND };
         const started = { candidates: [] as readonly Candidate[], chosen: undefined as Candidate | undefined };
         const canStart = (waiter: Waiter): boolean => {
+            if (round.left === 0) {
+                return false;
+            }
+            round.left--;
             const choice = chooser.choose(waiter.call, waiter.tried, now());
             started.candidates = choice?.candidates ?? [];
             started.chosen = choice?.chosen;
             return choice?.startsNow === true;
         };
-        const before = now();
-        const waiter = waiting.size === 0 ? undefined : waiting.take(canStart, before);
-        if (waiter !== undefined && started.chosen !== undefined) {
-            this.#start(waiter, started.chosen, started.candidates, now() - before);
-            this.#drain();
-        }
+        const startNext = (): void => {
+            const before = now();
+            const waiter = waiting.take(canStart, before);
+            if (waiter !== undefined && started.chosen !== undefined) {
+                this.#start(waiter, started.chosen, started.candidates, now() - before);
+                startNext();
+            }
+        };
+        startNext();
     }
 
     #start(waiter: Waiter, chosen: Candidate, candidates: readonly Candidate[], choiceMs: Millis): void {
@@ -251,32 +268,31 @@
         const { computing, waiting, index, now } = this.#parts;
         computing.sweep(now());
         index.sweep(now());
-        waiting.all().forEach(waiter => this.#refuseIfLate(waiter));
+        waiting.all().forEach(waiter => this.#refuseIfLate(waiter, 0));
     }
 
-    /** Refuses a waiting call as soon as it is known that it cannot start in time. */
-    #refuseIfLate(waiter: Waiter): void {
-        const refusal = this.#refusalOf(waiter);
+    /**
+     * Refuses a waiting call as soon as it is known that it cannot start in time.
+     *
+     * @param endpointWait estimated milliseconds of queue at the best endpoint, with nothing waiting here
+     */
+    #refuseIfLate(waiter: Waiter, endpointWait: Millis): void {
+        const refusal = this.#refusalOf(waiter, endpointWait);
         if (refusal !== undefined) {
             this.#parts.waiting.remove(waiter.item.id);
             this.#refuse(waiter, refusal);
         }
     }
 
-    #refusalOf(waiter: Waiter): Refusal | undefined {
-        const { chooser, waiting, now } = this.#parts;
+    #refusalOf(waiter: Waiter, endpointWait: Millis): Refusal | undefined {
+        const { book, waiting, now } = this.#parts;
         const { call } = waiter;
-        const choice = chooser.choose(call, waiter.tried, now());
-        if (choice === undefined) {
-            const isPatient = now() < Math.min(call.deadline, waiter.item.arrivedAt + NO_ENDPOINT_MS);
-            return isPatient ? undefined : refusalOf("no-endpoint");
+        if (book.eligibleFor(call).length === 0) {
+            const until = Math.min(call.deadline, waiter.item.arrivedAt + NO_ENDPOINT_MS);
+            return now() < until ? undefined : refusalOf("no-endpoint");
         }
-        return refusalFor({
-            now: now(),
-            deadline: call.deadline,
-            queueWait: waiting.waitOf(waiter, FIRST_PACE),
-            endpointWait: Math.min(...choice.candidates.map(each => each.estimate.wait)),
-        });
+        const queueWait = waiting.waitOf(waiter, FIRST_PACE);
+        return refusalFor({ now: now(), deadline: call.deadline, queueWait, endpointWait });
     }
 
     #refuse(waiter: Waiter, refusal: Refusal): void {
--- a/packages/daemon/src/placement/createPlacementPort.ts
+++ b/packages/daemon/src/placement/createPlacementPort.ts
@@ -28,7 +28,7 @@
 import type { Waiter } from "./Waiter.js";
 import { WaitingCalls } from "./WaitingCalls.js";
 
-const TICK_MS = 10;
+const TICK_MS = 5;
 const SWEEP_MS = 250;
 /** Connections for polls; they are short. */
 const POLL_CONNECTIONS = 2;
--- a/packages/endpoint/src/cache/IndexPartition.ts
+++ b/packages/endpoint/src/cache/IndexPartition.ts
@@ -93,7 +93,9 @@
 
     #holds(row: number, hash: HashWords): boolean {
         const at = row * WORDS;
-        return hash.every((word, i) => this.#hashes[at + i] === word);
+        const hashes = this.#hashes;
+        return hashes[at] === hash[0] && hashes[at + 1] === hash[1] && hashes[at + 2] === hash[2]
+            && hashes[at + 3] === hash[3];
     }
 
     /** Rows of one hash but different slots start apart, so that a very hot piece makes no long run of rows. */
--- a/packages/endpoint/src/queue/takeNext.ts
+++ b/packages/endpoint/src/queue/takeNext.ts
@@ -7,7 +7,7 @@
 import type { QueueTake } from "./QueueTake.js";
 
 /** Requests of one lane that are looked at; one that cannot start yet does not hold up those behind it. */
-const LOOK_AHEAD = 8;
+const LOOK_AHEAD = 4;
 
 /** Lanes that say nothing any more are dropped, so that a queue is as large as its work. */
 function pruned(lanes: readonly (readonly [OrganisationId, QueueLane])[], virtualTime: number): FairQueue {
