--- a/packages/daemon/src/__tests__/unit/placement.test.ts
+++ b/packages/daemon/src/__tests__/unit/placement.test.ts
@@ -125,10 +125,19 @@
     first.unsafeCoerce().started(Incarnation.parse("run-1b"), 0);
     first.unsafeCoerce().end("complete");
     await setup.until(() => setup.infoOf("engine-1")?.incarnation as string === "run-1b");
+    const marker = pieces(77);
     engine!.view.incarnation = "run-1";
-    engine!.publish({ seq: 2, kind: "stored", hashes: pieces(1, 2) });
+    engine!.publish({ seq: 1, kind: "stored", hashes: pieces(1, 2) });
     engine!.view.incarnation = "run-1b";
-    await setup.until(() => setup.infoOf("engine-1")?.ready === true && !setup.infoOf("engine-1")!.cacheDoubtful);
+    engine!.publish({ seq: 2, kind: "stored", hashes: marker });
+    const seesMarker = async (id: string): Promise<void> => {
+        finish(await setup.place(setup.call(id, marker)));
+        if (matchedAt(setup, id, "engine-1") !== 1) {
+            await sleep(10);
+            await seesMarker(`${id}.`);
+        }
+    };
+    await seesMarker("marker");
     finish(await setup.place(setup.call("r", pieces(1, 2))));
     t.is(matchedAt(setup, "r", "engine-1"), 0);
 });
--- a/packages/daemon/src/placement/PlacementModel.ts
+++ b/packages/daemon/src/placement/PlacementModel.ts
@@ -2,22 +2,14 @@
 
 import type { DispatchId, EndpointName, Incarnation, Millis, Refusal } from "@azureshunt/core";
 import { refusalOf } from "@azureshunt/core";
-import type { CacheFetch, Candidate, EndpointEvent, PrefixIndex } from "@azureshunt/endpoint";
+import type { CacheFetch, Candidate, EndpointEvent } from "@azureshunt/endpoint";
 import { refusalFor } from "@azureshunt/endpoint";
 import { Left, Right } from "purify-ts";
 
-import type { ChoiceLog } from "./ChoiceLog.js";
-import type { Chooser } from "./Chooser.js";
-import type { ComputingPieces } from "./ComputingPieces.js";
-import type { EndpointBook } from "./EndpointBook.js";
-import type { FetchCost } from "./FetchCost.js";
-import type { fetchPieces } from "./fetchPieces.js";
 import { makePlacement } from "./makePlacement.js";
 import type { PlacementMessage } from "./PlacementMessage.js";
-import type { placementMetrics } from "./placementMetrics.js";
-import type { shareDispatches } from "./shareDispatches.js";
+import type { PlacementParts } from "./PlacementParts.js";
 import type { Waiter } from "./Waiter.js";
-import type { WaitingCalls } from "./WaitingCalls.js";
 
 /** How long assumed entries of the index live beyond the estimated first token, until the engine's event confirms them. */
 const ASSUMED_MS = 2_000;
@@ -31,36 +23,10 @@
 /** Milliseconds a token of queued work while nothing was observed. */
 const FIRST_PACE = 0.02;
 
-/** What the model works with. */
-type PlacementParts = {
-    readonly book: EndpointBook;
-    readonly index: PrefixIndex;
-    readonly computing: ComputingPieces;
-    readonly waiting: WaitingCalls;
-    readonly chooser: Chooser;
-    readonly choices: ChoiceLog;
-    readonly metrics: ReturnType<typeof placementMetrics>;
-    readonly now: () => Millis;
-    /** Brings what happens to a placement back as a message. */
-    readonly tell: (message: PlacementMessage) => void;
-    /** Asks an endpoint for its state now. */
-    readonly probe: (endpoint: EndpointName) => void;
-    /** Starts and stops watching endpoints after a new configuration. */
-    readonly configured: (gone: readonly EndpointName[]) => void;
-    /** Asks an endpoint for its whole cache. */
-    readonly resync: (endpoint: EndpointName, isNewRun: boolean) => void;
-    /** Tells other VMs of an endpoint's observed speed. */
-    readonly shareSpeed: ReturnType<typeof shareDispatches>["shareSpeed"];
-    readonly fetches: FetchCost;
-    /** Makes an engine fetch cached pieces; gives how many leading pieces it holds then. */
-    readonly fetch: (fetch: Parameters<typeof fetchPieces>[1]) => Promise<number>;
-    /** Tells other VMs what this one sends to an endpoint. */
-    readonly announce: ReturnType<typeof shareDispatches>["announce"];
-};
-
 /** Takes the placement actor's messages one at a time: keeps what is known of endpoints, and gives waiting calls theirs. */
 export class PlacementModel {
     readonly #parts: PlacementParts;
+
     constructor(parts: PlacementParts) {
         this.#parts = parts;
     }
