--- a/packages/daemon/src/__tests__/unit/stepReader.test.ts
+++ b/packages/daemon/src/__tests__/unit/stepReader.test.ts
@@ -103,6 +103,15 @@
     t.is(behind.reads.at(-1), 4);
 });
 
+test("a daemon that the log answers asks its peers for no snapshot, any other does", t => {
+    const { state } = drive([page(0, 0, NOTES, 4)]);
+    const wants = (each: ReaderState, now: number): boolean => gossipOf(each, now).wantsSnapshot === true;
+    t.false(wants(state, 1_500));
+    t.true(wants(state, 2_500));
+    t.true(wants({ ...state, failures: 1 }, 1_500));
+    t.true(wants(initialReader, 0));
+});
+
 test("daemons that are cut off together do not vouch for each other", t => {
     // Two daemons lose the log at the same time and go on exchanging gossip. Were hearing the same revision a
     // confirmation, an organisation's bound on staleness would never take effect.
--- a/packages/daemon/src/admin/fleetStatus.ts
+++ b/packages/daemon/src/admin/fleetStatus.ts
@@ -19,7 +19,7 @@
 
 /** Asks all VMs at once which revision they have in force. */
 export async function fleetStatus({ ctx, release }: AdminParts): Promise<readonly VmStatus[]> {
-    const own = gossipOf(release.reader(), ctx.clock.now());
+    const own = { ...gossipOf(release.reader(), ctx.clock.now()), wantsSnapshot: false };
     const answerOf = async (vm: VmId): Promise<GossipMessage | undefined> => {
         if (vm === ctx.settings.vm) {
             return own;
--- a/packages/daemon/src/configuration/gossipOf.ts
+++ b/packages/daemon/src/configuration/gossipOf.ts
@@ -1,16 +1,17 @@
 import type { Millis } from "@azureshunt/core";
 
 import type { GossipMessage } from "./GossipMessage.js";
+import { needsPeers } from "./needsPeers.js";
 import type { ReaderState } from "./ReaderState.js";
 
 /** Tells peers what this daemon knows. */
 export function gossipOf(state: ReaderState, now: Millis): GossipMessage {
-    const { fold, confirmedAt, cursor } = state;
+    const { fold, confirmedAt } = state;
     return {
         revision: fold.configuration.revision,
         offset: fold.offset,
         digest: fold.digest,
         confirmedWithinMs: confirmedAt === undefined ? 0 : Math.max(1, Math.ceil(now - confirmedAt)),
-        wantsSnapshot: cursor > fold.offset,
+        wantsSnapshot: needsPeers(state, now),
     };
 }
--- a/packages/daemon/src/configuration/startGossip.ts
+++ b/packages/daemon/src/configuration/startGossip.ts
@@ -5,6 +5,7 @@
 import type { Stopping } from "../Stopping.js";
 import type { GossipMessage } from "./GossipMessage.js";
 import { gossipOf } from "./gossipOf.js";
+import { needsPeers } from "./needsPeers.js";
 import type { ReaderEvent } from "./ReaderEvent.js";
 import type { ReaderState } from "./ReaderState.js";
 
@@ -81,13 +82,13 @@
         const now = clock.now();
         const own = state();
         const { revision } = own.fold.configuration;
-        if (heard.revision > revision) {
+        if (heard.revision > revision && needsPeers(own, now)) {
             void ask(from);
         }
         // How long the message was on its way is not known, but no more than the asker waits for an answer.
         learn(from, { ...heard, snapshot: "" }, now - TIMEOUT_MS);
-        const isBehind = heard.revision < revision || (heard.wantsSnapshot === true && heard.offset < own.fold.offset);
-        const snapshot = isBehind ? JSON.stringify(snapshotRecord(own.fold)) : "";
+        const isHelped = heard.wantsSnapshot === true && heard.offset < own.fold.offset && heard.revision <= revision;
+        const snapshot = isHelped ? JSON.stringify(snapshotRecord(own.fold)) : "";
         return Promise.resolve({ ...gossipOf(own, now), snapshot });
     });
 
--- a/packages/organisation/src/authenticate.ts
+++ b/packages/organisation/src/authenticate.ts
@@ -1,15 +1,10 @@
 import { type Refusal, refusalOf } from "@azureshunt/core";
-import type { Configuration, KeySpec } from "@azureshunt/release";
+import type { Configuration } from "@azureshunt/release";
 import { type Either, Left, Right } from "purify-ts";
 
-import { bucketOf } from "./bucketOf.js";
 import type { Caller } from "./Caller.js";
 import { digestOf } from "./digestOf.js";
-import { isSameDigest } from "./isSameDigest.js";
-import { keyIndexOf } from "./keyIndexOf.js";
-
-const find = (keys: ReadonlyMap<string, readonly KeySpec[]>, digest: string): KeySpec | undefined =>
-    keys.get(bucketOf(digest))?.find(key => isSameDigest(key.digest, digest));
+import { findKey } from "./findKey.js";
 
 /**
  * Tells which organisation a key belongs to.
@@ -23,10 +18,9 @@
         return Left(refusalOf("missing-key"));
     }
     const digest = digestOf(key);
-    const index = keyIndexOf(cfg);
-    const spec = find(index.valid, digest);
+    const spec = findKey(cfg.keys, digest);
     if (spec?.kind === "caller" && spec.organisation !== undefined) {
         return Right({ keyId: spec.id, organisation: spec.organisation });
     }
-    return Left(refusalOf(find(index.withdrawn, digest) === undefined ? "unknown-key" : "withdrawn-key"));
+    return Left(refusalOf(findKey(cfg.withdrawnKeys, digest) === undefined ? "unknown-key" : "withdrawn-key"));
 }
--- a/packages/organisation/src/authenticateAdmin.ts
+++ b/packages/organisation/src/authenticateAdmin.ts
@@ -2,10 +2,9 @@
 import type { Configuration } from "@azureshunt/release";
 import { type Either, Left, Right } from "purify-ts";
 
-import { bucketOf } from "./bucketOf.js";
 import { digestOf } from "./digestOf.js";
+import { findKey } from "./findKey.js";
 import { isSameDigest } from "./isSameDigest.js";
-import { keyIndexOf } from "./keyIndexOf.js";
 
 /** Id that the records of an action show when its key came from the settings. */
 const SETTINGS_KEY = KeyId.parse("settings");
@@ -27,14 +26,13 @@
         return Left(refusalOf("missing-key"));
     }
     const digest = digestOf(key);
-    const index = cfg === undefined ? undefined : keyIndexOf(cfg);
-    const spec = index?.valid.get(bucketOf(digest))?.find(each => isSameDigest(each.digest, digest));
+    const spec = cfg === undefined ? undefined : findKey(cfg.keys, digest);
     if (spec?.kind === "admin") {
         return Right(spec.id);
     }
     if (settingsDigests.some(known => isSameDigest(known, digest))) {
         return Right(SETTINGS_KEY);
     }
-    const isWithdrawn = index?.withdrawn.get(bucketOf(digest))?.some(each => isSameDigest(each.digest, digest));
-    return Left(refusalOf(isWithdrawn === true ? "withdrawn-key" : "unknown-key"));
+    const isWithdrawn = cfg !== undefined && findKey(cfg.withdrawnKeys, digest) !== undefined;
+    return Left(refusalOf(isWithdrawn ? "withdrawn-key" : "unknown-key"));
 }
--- a/packages/organisation/src/keyIndexOf.ts
+++ b/packages/organisation/src/keyIndexOf.ts
@@ -1,27 +1,22 @@
-import type { Configuration, KeySpec } from "@azureshunt/release";
+import type { KeySpec } from "@azureshunt/release";
 
-import { bucketOf } from "./bucketOf.js";
-import type { KeyIndex } from "./KeyIndex.js";
+type Keys = ReadonlyMap<string, KeySpec>;
 
-const indexes = new WeakMap<Configuration, KeyIndex>();
+const indexes = new WeakMap<Keys, ReadonlyMap<string, KeySpec>>();
 
-const byBucket = (keys: ReadonlyMap<string, KeySpec>): ReadonlyMap<string, readonly KeySpec[]> => {
-    const buckets = new Map<string, KeySpec[]>();
-    keys.forEach(key => {
-        const bucket = buckets.get(bucketOf(key.digest)) ?? [];
-        bucket.push(key);
-        buckets.set(bucketOf(key.digest), bucket);
-    });
-    return buckets;
-};
-
-/** Gives the index of a configuration's keys, built once for each configuration. */
-export function keyIndexOf(cfg: Configuration): KeyIndex {
-    const known = indexes.get(cfg);
+/**
+ * Gives the index of some keys by their digests, built once for each set of keys: configurations that differ in other
+ * things share it.
+ *
+ * @param keys the valid or the withdrawn keys of a configuration
+ */
+export function keyIndexOf(keys: Keys): ReadonlyMap<string, KeySpec> {
+    const known = indexes.get(keys);
     if (known !== undefined) {
         return known;
     }
-    const index = { valid: byBucket(cfg.keys), withdrawn: byBucket(cfg.withdrawnKeys) };
-    indexes.set(cfg, index);
+    const index = new Map<string, KeySpec>();
+    keys.forEach(key => index.set(key.digest, key));
+    indexes.set(keys, index);
     return index;
 }
--- a/packages/release/src/dependentFaults.ts
+++ b/packages/release/src/dependentFaults.ts
@@ -23,6 +23,9 @@
 
 /** Lists withdrawn models and services that endpoints or organisations would go on naming. */
 export function dependentFaults(next: Configuration, note: ReleaseNote): readonly NoteFault[] {
+    if (note.withdrawn.models.length === 0 && note.withdrawn.services.length === 0) {
+        return [];
+    }
     const endpoints = [...next.endpoints.values()];
     const organisations = [...next.organisations.values()];
     const ofModel = (id: string): readonly string[] => [
--- a/packages/release/src/foldRecord.ts
+++ b/packages/release/src/foldRecord.ts
@@ -3,6 +3,7 @@
 
 import { adoptState } from "./adoptState.js";
 import { applyNote } from "./applyNote.js";
+import type { Configuration } from "./Configuration.js";
 import type { ConfigurationRecord } from "./ConfigurationRecord.js";
 import type { ConfigurationState } from "./ConfigurationState.js";
 import { faultText } from "./faultText.js";
@@ -42,8 +43,12 @@
     return { kind: "conflict", base, revision, changed: [...new Set(changed)].slice(0, MAX_TOUCHED) };
 };
 
-const accept = (state: ConfigurationState, record: ConfigurationRecord, note: ReleaseNote): FoldStep => {
-    const configuration = applyNote(state.configuration, note);
+const accept = (
+    state: ConfigurationState,
+    record: ConfigurationRecord,
+    note: ReleaseNote,
+    configuration: Configuration,
+): FoldStep => {
     const { revision } = configuration;
     const touched = touchedItems(note);
     // Of the record as written, so that versions of the daemon that know other default values agree on it.
@@ -83,8 +88,11 @@
     if (base !== undefined && base !== state.configuration.revision) {
         return judged(state, record.id, conflictSince(state, base));
     }
-    const faults = validateNote(state.configuration, parsed.data);
-    return faults.length > 0 ? judged(state, record.id, invalid(faults)) : accept(state, record, parsed.data);
+    const configuration = applyNote(state.configuration, parsed.data);
+    const faults = validateNote(state.configuration, parsed.data, configuration);
+    return faults.length > 0
+        ? judged(state, record.id, invalid(faults))
+        : accept(state, record, parsed.data, configuration);
 };
 
 const takeSnapshot = (state: ConfigurationState, record: ConfigurationRecord): FoldStep => {
--- a/packages/release/src/referenceFaults.ts
+++ b/packages/release/src/referenceFaults.ts
@@ -76,11 +76,29 @@
     ];
 };
 
-const firstOwners = <Spec>(
-    specs: Iterable<Spec>,
+/** Finds the first item that has each of the wanted values. */
+const ownersOf = <Spec>(
+    wanted: readonly string[],
+    specs: readonly Iterable<Spec>[],
     field: (spec: Spec) => string,
     owner: (spec: Spec) => string,
-): ReadonlyMap<string, string> => new Map([...specs].reverse().map(spec => [field(spec), owner(spec)]));
+): ReadonlyMap<string, string> => {
+    const owners = new Map<string, string>();
+    const values = new Set(wanted);
+    if (values.size === 0) {
+        return owners;
+    }
+    // A loop without copies: this runs over all keys of the fleet while requests wait.
+    specs.forEach(each => {
+        for (const spec of each) {
+            const value = field(spec);
+            if (values.has(value) && !owners.has(value)) {
+                owners.set(value, owner(spec));
+            }
+        }
+    });
+    return owners;
+};
 
 /**
  * Lists references of a note's items that lead nowhere, digests and urls that belong to another item, and items left
@@ -90,10 +108,23 @@
  * @param next the configuration after it
  */
 export function referenceFaults(cfg: Configuration, next: Configuration, note: ReleaseNote): readonly NoteFault[] {
-    const domains = new Set<string>([...next.endpoints.values()].map(spec => spec.failureDomain));
-    const keys = [...cfg.withdrawnKeys.values(), ...next.keys.values()];
-    const digests = firstOwners(keys, spec => spec.digest, spec => spec.id);
-    const urls = firstOwners(next.endpoints.values(), spec => spec.url, spec => spec.name);
+    const put = [note.added, note.changed];
+    const hasShares = put.some(items => items.organisations.some(spec => spec.shares !== undefined));
+    const domains = new Set<string>(
+        hasShares ? [...next.endpoints.values()].map(spec => spec.failureDomain) : [],
+    );
+    const digests = ownersOf(
+        put.flatMap(items => items.keys.map(spec => spec.digest)),
+        [cfg.withdrawnKeys.values(), next.keys.values()],
+        spec => spec.digest,
+        spec => spec.id,
+    );
+    const urls = ownersOf(
+        put.flatMap(items => items.endpoints.map(spec => spec.url)),
+        [next.endpoints.values()],
+        spec => spec.url,
+        spec => spec.name,
+    );
     const faultsOf = (section: Section, items: NoteItems): readonly NoteFault[] => [
         ...items.organisations.flatMap((spec, index) =>
             organisationFaults(next, domains, [section, "organisations", index], spec)
--- a/packages/release/src/validateNote.ts
+++ b/packages/release/src/validateNote.ts
@@ -36,11 +36,13 @@
 /**
  * Lists every fault of a note against the configuration that it would change. A note without faults gives, by
  * `applyNote`, a configuration in which every reference leads somewhere.
+ *
+ * @param next the configuration after the note, where the caller has it already: copying large maps twice shows
  */
-export function validateNote(cfg: Configuration, note: ReleaseNote): readonly NoteFault[] {
+export function validateNote(cfg: Configuration, note: ReleaseNote, next = applyNote(cfg, note)): readonly NoteFault[] {
     return [
         ...checkNote(note),
         ...itemKinds.flatMap(kind => presenceFaults(cfg, note, kind)),
-        ...referenceFaults(cfg, applyNote(cfg, note), note),
+        ...referenceFaults(cfg, next, note),
     ];
 }
