--- a/packages/endpoint/src/choice/candidatesOf.ts
+++ b/packages/endpoint/src/choice/candidatesOf.ts
@@ -4,9 +4,10 @@
 import type { Candidate } from "../policies/Candidate.js";
 import type { EndpointState } from "../state/EndpointState.js";
 import { loadOf } from "../state/loadOf.js";
-import { prefillRate } from "../state/prefillRate.js";
+import { prefillRates } from "../state/prefillRates.js";
 import { roundTripOf } from "../state/roundTripOf.js";
 import { slotMsOf } from "../state/slotMsOf.js";
+import { slotsOf } from "../state/slotsOf.js";
 
 /** What candidates are made from. */
 type CandidatesInput = {
@@ -22,13 +23,14 @@
 /** Estimates the time to the first token at each endpoint. */
 export function candidatesOf(input: CandidatesInput): readonly Candidate[] {
     const { endpoints, matched, promptTokens, pieceTokens, now } = input;
+    const rates = prefillRates(endpoints, now);
     return endpoints.map((state, i) => {
-        const msPerToken = prefillRate(state, endpoints);
+        const msPerToken = rates[i]!;
         const load = loadOf(state, msPerToken, now);
         const matchedPieces = matched[i] ?? 0;
         const estimate = estimateFirstToken({
             load,
-            slots: state.slots,
+            slots: slotsOf(state),
             msPerToken,
             uncachedTokens: Math.max(1, promptTokens - matchedPieces * pieceTokens),
             network: roundTripOf(state),
