Bound the wait of simulated requests by what the rule allows them

Ruled out: a higher bound for all. Change: the check asks the rule whether the VM is starting; every other request keeps the bound of 1 s, and starting ones get 3.5 s. Conclusion: as strict for all others.

--- a/packages/allowance/src/__tests__/fleet/simulateFleet.ts
+++ b/packages/allowance/src/__tests__/fleet/simulateFleet.ts
@@ -5,6 +5,7 @@
 import type { AllowanceEffect } from "../../AllowanceEffect.js";
 import type { AllowanceEvent } from "../../AllowanceEvent.js";
 import { openAllowance } from "../../openAllowance.js";
+import { outlookOf } from "../../outlookOf.js";
 import { shareOf } from "../../shareOf.js";
 import { stepAllowance } from "../../stepAllowance.js";
 import { timing } from "../../timing.js";
@@ -337,9 +338,14 @@
         nextFault(1_500);
     }
     agenda.run(options.lengthMs);
-    const unanswered =
-        vms.flatMap(vm => vm.process === 0 || vm.pausedUntil > agenda.now() ? [] : [...vm.waiting.values()])
-            .filter(({ since }) => since < agenda.now() - 2 * timing.maxWaitMs)
-            .length;
+    // While no home serves after a start, requests wait for one; else they are answered by the end of the longest wait.
+    const longestWait = ({ allowance }: SimulatedVm): number => {
+        const { settling, rate } = outlookOf(allowance, agenda.now());
+        return settling && rate === 0 ? timing.settleMs + timing.maxWaitMs : 2 * timing.maxWaitMs;
+    };
+    const unanswered = vms
+        .filter(vm => vm.process !== 0 && vm.pausedUntil <= agenda.now())
+        .flatMap(vm => [...vm.waiting.values()].filter(({ since }) => since < agenda.now() - longestWait(vm)))
+        .length;
     return { spends, refusals, faults, messages: counts.messages, unanswered };
 }
