--- a/packages/daemon/src/placement/PlacementModel.ts
+++ b/packages/daemon/src/placement/PlacementModel.ts
@@ -2,26 +2,19 @@
 
 import type { DispatchId, EndpointName, Incarnation, Millis, Refusal } from "@azureshunt/core";
 import { refusalOf } from "@azureshunt/core";
-import type { CacheFetch, Candidate, EndpointEvent, PrefixIndex } from "@azureshunt/endpoint";
+import type { CacheFetch, Candidate, EndpointEvent } from "@azureshunt/endpoint";
 import { refusalFor } from "@azureshunt/endpoint";
 import { Left, Right } from "purify-ts";
 
-import type { Placement } from "../ports/Placement.js";
-import type { PlacementOutcome } from "../ports/PlacementOutcome.js";
-import type { ChoiceLog } from "./ChoiceLog.js";
-import type { Chooser } from "./Chooser.js";
-import type { ComputingPieces } from "./ComputingPieces.js";
-import type { EndpointBook } from "./EndpointBook.js";
-import type { FetchCost } from "./FetchCost.js";
-import type { fetchPieces } from "./fetchPieces.js";
+import { makePlacement } from "./makePlacement.js";
 import type { PlacementMessage } from "./PlacementMessage.js";
-import type { placementMetrics } from "./placementMetrics.js";
-import type { shareDispatches } from "./shareDispatches.js";
+import type { PlacementParts } from "./PlacementParts.js";
 import type { Waiter } from "./Waiter.js";
-import type { WaitingCalls } from "./WaitingCalls.js";
 
 /** How long assumed entries of the index live beyond the estimated first token, until the engine's event confirms them. */
 const ASSUMED_MS = 2_000;
+/** Calls that one round of starting looks at. */
+const CHOICES_A_ROUND = 16;
 /** Bound of a fetch: some time for the connection, and this times what it is expected to take. */
 const MIN_FETCH_MS = 100;
 const FETCH_FACTOR = 3;
@@ -30,33 +23,6 @@
 /** Milliseconds a token of queued work while nothing was observed. */
 const FIRST_PACE = 0.02;
 
-/** What the model works with. */
-type PlacementParts = {
-    readonly book: EndpointBook;
-    readonly index: PrefixIndex;
-    readonly computing: ComputingPieces;
-    readonly waiting: WaitingCalls;
-    readonly chooser: Chooser;
-    readonly choices: ChoiceLog;
-    readonly metrics: ReturnType<typeof placementMetrics>;
-    readonly now: () => Millis;
-    /** Brings what happens to a placement back as a message. */
-    readonly tell: (message: PlacementMessage) => void;
-    /** Asks an endpoint for its state now. */
-    readonly probe: (endpoint: EndpointName) => void;
-    /** Starts and stops watching endpoints after a new configuration. */
-    readonly configured: (gone: readonly EndpointName[]) => void;
-    /** Asks an endpoint for its whole cache. */
-    readonly resync: (endpoint: EndpointName, isNewRun: boolean) => void;
-    /** Tells other VMs of an endpoint's observed speed. */
-    readonly shareSpeed: ReturnType<typeof shareDispatches>["shareSpeed"];
-    readonly fetches: FetchCost;
-    /** Makes an engine fetch cached pieces; gives how many leading pieces it holds then. */
-    readonly fetch: (fetch: Parameters<typeof fetchPieces>[1]) => Promise<number>;
-    /** Tells other VMs what this one sends to an endpoint. */
-    readonly announce: ReturnType<typeof shareDispatches>["announce"];
-};
-
 /** Takes the placement actor's messages one at a time: keeps what is known of endpoints, and gives waiting calls theirs. */
 export class PlacementModel {
     readonly #parts: PlacementParts;
@@ -101,12 +67,12 @@
                 break;
             case "tick":
                 this.#expire();
+                this.#drain();
                 break;
             case "sweep":
                 this.#sweep();
                 break;
         }
-        this.#drain();
     }
 
     #apply(endpoint: EndpointName, event: EndpointEvent): void {
@@ -132,29 +98,45 @@
     }
 
     #place(waiter: Waiter): void {
-        this.#parts.waiting.add(waiter);
-        this.#drain();
-        if (this.#parts.waiting.has(waiter.item.id)) {
-            this.#refuseIfLate(waiter);
+        const { waiting, chooser, now } = this.#parts;
+        const isFirst = waiting.size === 0;
+        waiting.add(waiter);
+        if (isFirst) {
+            this.#drain();
+        }
+        if (waiting.has(waiter.item.id)) {
+            const choice = chooser.choose(waiter.call, waiter.tried, now());
+            this.#refuseIfLate(waiter, Math.min(...choice?.candidates.map(each => each.estimate.wait) ?? [0]));
         }
     }
 
-    /** Starts waiting calls in the queue's order until none can start. */
+    /**
+     * Starts waiting calls in the queue's order until none can start. With many waiting, choices would take all of the
+     * daemon's time, so a round looks at some of them only; what is behind those comes later anyway.
+     */
     #drain(): void {
         const { waiting, chooser, now } = this.#parts;
+        const round = { left: CHOICES_A_ROUND };
         const started = { candidates: [] as readonly Candidate[], chosen: undefined as Candidate | undefined };
         const canStart = (waiter: Waiter): boolean => {
+            if (round.left === 0) {
+                return false;
+            }
+            round.left--;
             const choice = chooser.choose(waiter.call, waiter.tried, now());
             started.candidates = choice?.candidates ?? [];
             started.chosen = choice?.chosen;
             return choice?.startsNow === true;
         };
-        const before = now();
-        const waiter = waiting.size === 0 ? undefined : waiting.take(canStart, before);
-        if (waiter !== undefined && started.chosen !== undefined) {
-            this.#start(waiter, started.chosen, started.candidates, now() - before);
-            this.#drain();
-        }
+        const startNext = (): void => {
+            const before = now();
+            const waiter = waiting.take(canStart, before);
+            if (waiter !== undefined && started.chosen !== undefined) {
+                this.#start(waiter, started.chosen, started.candidates, now() - before);
+                startNext();
+            }
+        };
+        startNext();
     }
 
     #start(waiter: Waiter, chosen: Candidate, candidates: readonly Candidate[], choiceMs: Millis): void {
@@ -175,7 +157,16 @@
         if (state.incarnation !== undefined) {
             this.#expectPieces(waiter, chosen, dispatchId, state.incarnation);
         }
-        const placement = this.#placement(waiter, chosen, dispatchId, state.url, state.incarnation);
+        const placement = makePlacement({
+            call,
+            chosen,
+            dispatchId,
+            url: state.url,
+            incarnation: state.incarnation,
+            metrics,
+            now,
+            tell: event => this.#parts.tell({ kind: "endpoint", endpoint: chosen.endpoint, event }),
+        });
         if (chosen.fetch === undefined) {
             waiter.settle(Right(placement));
         }
@@ -228,41 +219,6 @@
         });
     }
 
-    #placement(
-        waiter: Waiter,
-        chosen: Candidate,
-        dispatchId: DispatchId,
-        url: string,
-        incarnation: Incarnation | undefined,
-    ): Placement {
-        const { metrics, now, tell } = this.#parts;
-        const { target } = waiter.call;
-        const { endpoint } = chosen;
-        const dispatchedAt = now();
-        const promptTokens = target.kind === "service" ? 0 : target.promptTokens;
-        const expectedCached = target.kind === "service"
-            ? 0
-            : (chosen.fetch?.pieces ?? chosen.matchedPieces) * target.pieceTokens;
-        const send = (event: EndpointEvent): void => tell({ kind: "endpoint", endpoint, event });
-        return {
-            dispatchId,
-            endpoint,
-            url,
-            incarnation,
-            estimate: chosen.estimate.total,
-            started: (answering, cached) => {
-                metrics.accepted(promptTokens, expectedCached, cached);
-                const prefillTokens = cached === undefined ? undefined : promptTokens - cached;
-                send({ kind: "accepted", dispatchId, incarnation: answering, prefillTokens });
-            },
-            firstToken: () => {
-                metrics.firstToken(chosen.estimate.total, now() - dispatchedAt);
-                send({ kind: "first-token", dispatchId });
-            },
-            end: (outcome: PlacementOutcome) => send({ kind: "ended", dispatchId, outcome }),
-        };
-    }
-
     /** Refuses the calls whose deadline is over. */
     #expire(): void {
         const { waiting, now } = this.#parts;
@@ -278,32 +234,31 @@
         const { computing, waiting, index, now } = this.#parts;
         computing.sweep(now());
         index.sweep(now());
-        waiting.all().forEach(waiter => this.#refuseIfLate(waiter));
+        waiting.all().forEach(waiter => this.#refuseIfLate(waiter, 0));
     }
 
-    /** Refuses a waiting call as soon as it is known that it cannot start in time. */
-    #refuseIfLate(waiter: Waiter): void {
-        const refusal = this.#refusalOf(waiter);
+    /**
+     * Refuses a waiting call as soon as it is known that it cannot start in time.
+     *
+     * @param endpointWait estimated milliseconds of queue at the best endpoint, with nothing waiting here
+     */
+    #refuseIfLate(waiter: Waiter, endpointWait: Millis): void {
+        const refusal = this.#refusalOf(waiter, endpointWait);
         if (refusal !== undefined) {
             this.#parts.waiting.remove(waiter.item.id);
             this.#refuse(waiter, refusal);
         }
     }
 
-    #refusalOf(waiter: Waiter): Refusal | undefined {
-        const { chooser, waiting, now } = this.#parts;
+    #refusalOf(waiter: Waiter, endpointWait: Millis): Refusal | undefined {
+        const { book, waiting, now } = this.#parts;
         const { call } = waiter;
-        const choice = chooser.choose(call, waiter.tried, now());
-        if (choice === undefined) {
-            const isPatient = now() < Math.min(call.deadline, waiter.item.arrivedAt + NO_ENDPOINT_MS);
-            return isPatient ? undefined : refusalOf("no-endpoint");
+        if (book.eligibleFor(call).length === 0) {
+            const until = Math.min(call.deadline, waiter.item.arrivedAt + NO_ENDPOINT_MS);
+            return now() < until ? undefined : refusalOf("no-endpoint");
         }
-        return refusalFor({
-            now: now(),
-            deadline: call.deadline,
-            queueWait: waiting.waitOf(waiter, FIRST_PACE),
-            endpointWait: Math.min(...choice.candidates.map(each => each.estimate.wait)),
-        });
+        const queueWait = waiting.waitOf(waiter, FIRST_PACE);
+        return refusalFor({ now: now(), deadline: call.deadline, queueWait, endpointWait });
     }
 
     #refuse(waiter: Waiter, refusal: Refusal): void {
