Wait for settling homes only when no home is out of reach

A home that settled kept them waiting for up to 3 s although the others were out of reach. Change: settling counts only when every home settles. The simulation's criterion of an unanswered request was twice maxWaitMs; since settleMs a request on a VM that has just started may wait 3 s by rule, so it is now settleMs and a tick. Also: rows of spec/allowance.pml in the model checks.

--- a/packages/allowance/src/Outlook.ts
+++ b/packages/allowance/src/Outlook.ts
@@ -4,7 +4,7 @@
 export type Outlook = {
     /** Whether every home has told, or failed to, lately enough to decide. */
     readonly informed: boolean;
-    /** Whether a home has just taken over and does not serve yet. */
+    /** Whether all homes have just taken over and do not serve yet, as after the start of a whole installation. */
     readonly settling: boolean;
     /** Tokens free in reachable homes' buckets by now. */
     readonly free: Tokens;
--- a/packages/allowance/src/__tests__/fleet/FleetOutcome.ts
+++ b/packages/allowance/src/__tests__/fleet/FleetOutcome.ts
@@ -7,6 +7,6 @@
     readonly refusals: readonly (Spend & { readonly reason: string; readonly waitedMs: number; })[];
     readonly faults: readonly string[];
     readonly messages: number;
-    /** Requests that were never answered while their VM lived. */
+    /** Requests that waited longer than any may, on a VM that lived: the time in which homes settle after a start. */
     readonly unanswered: number;
 };
--- a/packages/allowance/src/__tests__/fleet/simulateFleet.ts
+++ b/packages/allowance/src/__tests__/fleet/simulateFleet.ts
@@ -339,7 +339,7 @@
     agenda.run(options.lengthMs);
     const unanswered =
         vms.flatMap(vm => vm.process === 0 || vm.pausedUntil > agenda.now() ? [] : [...vm.waiting.values()])
-            .filter(({ since }) => since < agenda.now() - 2 * timing.maxWaitMs)
+            .filter(({ since }) => since < agenda.now() - timing.settleMs - TICK_MS)
             .length;
     return { spends, refusals, faults, messages: counts.messages, unanswered };
 }
--- a/packages/allowance/src/outlookOf.ts
+++ b/packages/allowance/src/outlookOf.ts
@@ -65,10 +65,11 @@
         .filter(home => home.vm === allowance.vm && allowance.servesFrom === undefined)
         .map(home => movingOutlook(home, allowance.barredSince ?? now, now));
     // Right after the start of a process no VM is known yet.
-    const known = { ...NOTHING, informed: allowance.homes.length > 0, settling: allowance.homes.length === 0 };
+    const known = { ...NOTHING, informed: allowance.homes.length > 0, settling: true };
     return [...own, ...others, ...barred].reduce((sum, one) => ({
         informed: sum.informed && one.informed,
-        settling: sum.settling || one.settling,
+        // A home out of reach has not just started: waiting for the others would not help.
+        settling: sum.settling && one.settling,
         free: sum.free + one.free,
         recallable: sum.recallable + one.recallable,
         // Requests that wait elsewhere ask several homes for the same tokens.
--- a/scripts/checkModels.mjs
+++ b/scripts/checkModels.mjs
@@ -11,6 +11,7 @@
 // One row a run: the guards removed by `defines`, and what the run must find. A row may name more options of pan,
 // such as `pan: ["-a", "-f", "-N", "claim"]` for a claim of liveness.
 const CONFIGURATION = "spec/configuration.pml";
+const ALLOWANCE = "spec/allowance.pml";
 const ROWS = [
     { file: CONFIGURATION, defines: [], expected: "clean" },
     { file: CONFIGURATION, defines: ["NO_BASE"], expected: "violation" },
@@ -19,6 +20,16 @@
     { file: CONFIGURATION, defines: ["NO_FURTHER"], expected: "violation" },
     { file: CONFIGURATION, defines: ["NO_IDS"], expected: "violation" },
     { file: CONFIGURATION, defines: ["NO_REFRESH"], expected: "violation" },
+    { file: ALLOWANCE, defines: [], expected: "clean" },
+    { file: ALLOWANCE, defines: ["NO_SEQ"], expected: "violation" },
+    { file: ALLOWANCE, defines: ["NO_PENDING"], expected: "violation" },
+    { file: ALLOWANCE, defines: ["NO_ASKED"], expected: "violation" },
+    { file: ALLOWANCE, defines: ["NO_OUTSTANDING"], expected: "violation" },
+    { file: ALLOWANCE, defines: ["NO_DEBIT"], expected: "violation" },
+    { file: ALLOWANCE, defines: ["NO_BOUND"], expected: "violation" },
+    { file: ALLOWANCE, defines: ["NO_WAIT"], expected: "violation" },
+    { file: ALLOWANCE, defines: ["NO_EMPTY"], expected: "violation" },
+    { file: ALLOWANCE, defines: ["NO_LAPSING"], expected: "violation" },
 ];
 
 const MAX_DEPTH = "1000000";
