Trace each try, settle what a thrown call to a service reserved, and let refused bodies end

Cause: azureshunt why showed no tries; a reservation was left open when a call to a service threw; the test of a body over the bound failed once with a broken pipe under load, as the answer was thrown away with the unread body; a caller that stopped reading held an engine's place for good. Ruled out: retrying that test. Change: trace entries in dispatch, settle in a catch, the rest of a body is read within bounds before the refusal goes out, a bound of 60 s on a stalled caller. Conclusion: mended as far as seen.

--- a/packages/daemon/src/dispatch/createModelAnswer.ts
+++ b/packages/daemon/src/dispatch/createModelAnswer.ts
@@ -7,6 +7,8 @@
 import type { ModelAnswer } from "./ModelAnswer.js";
 
 const MILLIS_PER_SECOND = 1_000;
+/** A caller that takes nothing for this long is taken for gone. */
+const STALLED_MS = 60_000;
 const CHAT_PATH = "/v1/chat/completions";
 
 const textOf = (chunk: EngineChunk): string => chunk.choices[0]?.delta?.content ?? chunk.choices[0]?.text ?? "";
@@ -16,6 +18,18 @@
     total_tokens: target.promptTokens + tokens,
 });
 
+/**
+ * Waits until the caller has read what was written.
+ *
+ * Failure: a caller stops reading for good while its connection stays open; it shows as streams that never end and hold
+ * an endpoint's place. Guard: after a bound the connection is destroyed, which cancels the request.
+ */
+async function untilDrained(res: ServerResponse, call: Call): Promise<void> {
+    const timer = setTimeout(() => res.destroy(), STALLED_MS);
+    await once(res, "drain", { signal: call.signal }).catch(() => undefined);
+    clearTimeout(timer);
+}
+
 /** Passes an answer on as a stream of server-sent events. */
 function streamedAnswer(call: Call, target: ModelCall, res: ServerResponse, created: number): ModelAnswer {
     const isChat = target.path === CHAT_PATH;
@@ -44,7 +58,7 @@
             ...finish === null ? {} : { usage: usageOf(target, chunk.position + 1) },
         };
         if (!res.write(`data: ${JSON.stringify(event)}\n\n`)) {
-            await once(res, "drain", { signal: call.signal }).catch(() => undefined);
+            await untilDrained(res, call);
         }
     };
     const complete = (): void => {
--- a/packages/daemon/src/dispatch/dispatchModel.ts
+++ b/packages/daemon/src/dispatch/dispatchModel.ts
@@ -13,6 +13,7 @@
 import { outcomeOfTry } from "./outcomeOfTry.js";
 import { passStream } from "./passStream.js";
 import { placeTry } from "./placeTry.js";
+import { traceTry } from "./traceTry.js";
 import type { TryEnd } from "./TryEnd.js";
 
 /** Wait for the head of an answer, in multiples of the estimated time to the first token, beyond the idle bound. */
@@ -106,11 +107,14 @@
         }
         const placement = placed.unsafeCoerce();
         tried.push(placement.endpoint);
+        traceTry(parts.trace, call.id, placement, request.next);
         const { next, failure } = await tryAndReport(parts, call, target, placement, request.next, answer);
         if (failure === undefined) {
             answer.complete();
+            parts.trace.add(call.id, "complete", { endpoint: placement.endpoint, tokens: next });
             return Right(target.promptTokens + next);
         }
+        parts.trace.add(call.id, "try failed", { endpoint: placement.endpoint, reason: failure.kind, position: next });
         const ran = next > 0 ? "yes" : request.ran;
         return afterFailure({ ...request, next, ran, tries: request.tries + 1 }, failure);
     };
--- a/packages/daemon/src/dispatch/dispatchService.ts
+++ b/packages/daemon/src/dispatch/dispatchService.ts
@@ -14,6 +14,7 @@
 import { failureOfError } from "./failureOfError.js";
 import { outcomeOfTry } from "./outcomeOfTry.js";
 import { placeTry } from "./placeTry.js";
+import { traceTry } from "./traceTry.js";
 import type { TryEnd } from "./TryEnd.js";
 
 const STATUS_TOO_MANY = 429;
@@ -106,12 +107,15 @@
             placement.end("cancelled");
             return afterFailure(state, { kind: "stopped", refusal: refusalOf("deadline-exceeded") });
         }
+        traceTry(parts.trace, call.id, placement, undefined);
         const ended = await tryOnce(parts, call, target, placement, timeoutMs);
         placement.end(ended.caseOf({ Left: outcomeOfTry, Right: () => "complete" as const }));
         if (ended.isRight()) {
+            parts.trace.add(call.id, "complete", { endpoint: placement.endpoint });
             return Right(ended.extract() as RecordedAnswer);
         }
         const end = ended.extract() as TryEnd;
+        parts.trace.add(call.id, "try failed", { endpoint: placement.endpoint, reason: end.kind });
         if (end.kind === "silent") {
             parts.connections.distrust(placement.url);
         }
--- a/packages/daemon/src/gateway/GatewayParts.ts
+++ b/packages/daemon/src/gateway/GatewayParts.ts
@@ -5,7 +5,6 @@
 import type { DispatchParts } from "../dispatch/DispatchParts.js";
 import type { AllowancePort } from "../ports/AllowancePort.js";
 import type { IntentPort } from "../ports/IntentPort.js";
-import type { TracePort } from "../ports/TracePort.js";
 import type { Caller } from "./Caller.js";
 
 /** What serving callers needs. */
@@ -13,7 +12,6 @@
     readonly dispatch: DispatchParts;
     readonly allowance: AllowancePort;
     readonly intents: IntentPort;
-    readonly trace: TracePort;
     /** Finds out whose key came with a request; Left with `missing-key`, `unknown-key` or `withdrawn-key`. */
     readonly authenticate: (cfg: Configuration, authorization: string | undefined) => Either<Refusal, Caller>;
     /** The version of a model that new requests get. */
--- a/packages/daemon/src/gateway/createCallerHandler.ts
+++ b/packages/daemon/src/gateway/createCallerHandler.ts
@@ -70,6 +70,7 @@
         const now = ctx.clock.now();
         const deadline = headerOf(req, "x-deadline-ms") ?? "";
         const priority = headerOf(req, "x-priority") ?? "";
+        parts.dispatch.trace.add(who.id, "arrived", { organisation: who.caller.organisation, target: target.kind });
         const gone = new AbortController();
         res.once("close", () => gone.abort());
         return {
@@ -136,7 +137,7 @@
     const refuse = (id: RequestId, res: ServerResponse, refused: Refusal): void => {
         const { kind } = refused;
         ctx.metrics.count("azureshunt_refusals_total", "Requests refused, by kind of error.", { kind });
-        parts.trace.add(id, "refused", { kind, ran: refused.ran, detail: refused.detail });
+        parts.dispatch.trace.add(id, "refused", { kind, ran: refused.ran, detail: refused.detail });
         logger.info({ requestId: id, kind, ran: refused.ran }, "Request refused.");
         sendRefusal(res, id, refused);
     };
--- a/packages/daemon/src/gateway/readBody.ts
+++ b/packages/daemon/src/gateway/readBody.ts
@@ -19,7 +19,7 @@
         return Left(refusalOf("body-too-large", `at most ${limit} bytes`));
     }
     try {
-        for await (const chunk of req as AsyncIterable<Buffer>) {
+        for await (const chunk of req.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
             size.bytes += chunk.length;
             if (size.bytes > limit) {
                 return Left(refusalOf("body-too-large", `at most ${limit} bytes`));
--- a/packages/daemon/src/gateway/sendRefusal.ts
+++ b/packages/daemon/src/gateway/sendRefusal.ts
@@ -3,6 +3,7 @@
 import type { Refusal, RequestId } from "@azureshunt/core";
 import { answerOf } from "@azureshunt/core";
 
+import { discardBody } from "./discardBody.js";
 import { errorBody } from "./errorBody.js";
 
 /**
@@ -20,10 +21,12 @@
     }
     res.setHeader("x-request-id", id);
     res.setHeader("content-type", "application/json");
-    // A body that was not read to its end would be taken for the next request on this connection.
-    if (!res.req.complete) {
-        res.setHeader("connection", "close");
-    }
     res.statusCode = answerOf(refused.kind).status;
-    res.end(body);
+    if (res.req.complete) {
+        res.end(body);
+        return;
+    }
+    // A body that was not read to its end would be taken for the next request on this connection.
+    res.setHeader("connection", "close");
+    discardBody(res.req, () => res.end(body));
 }
--- a/packages/daemon/src/gateway/serveService.ts
+++ b/packages/daemon/src/gateway/serveService.ts
@@ -69,11 +69,10 @@
         return Left(reserved.extract() as Refusal);
     }
     const reservation = reserved.extract() as Reservation;
-    const needsIntent = !target.repeatable && target.idempotencyKey !== undefined;
-    const answered = needsIntent
-        ? await serveUnderIntent(parts, call, target, timeoutMs, res)
-        : (await dispatchService(parts.dispatch, call, target, timeoutMs, ONE_TRY_AT_A_TIME))
-            .map(answer => send(call, res, answer, false));
+    const answered = await serveOnce(parts, call, target, timeoutMs, res).catch((err: unknown) => {
+        parts.allowance.settle(reservation, cost);
+        throw err;
+    });
     parts.allowance.settle(
         reservation,
         answered.caseOf({ Left: refused => refused.ran === "no" ? 0 : cost, Right: () => cost }),
@@ -81,6 +80,21 @@
     return answered;
 }
 
+/** Under an intent where the call may not be repeated and its caller gave a key, else as it is. */
+async function serveOnce(
+    parts: GatewayParts,
+    call: Call,
+    target: ServiceCall,
+    timeoutMs: number,
+    res: ServerResponse,
+): Promise<Either<Refusal, void>> {
+    if (!target.repeatable && target.idempotencyKey !== undefined) {
+        return await serveUnderIntent(parts, call, target, timeoutMs, res);
+    }
+    const answered = await dispatchService(parts.dispatch, call, target, timeoutMs, ONE_TRY_AT_A_TIME);
+    return answered.map(answer => send(call, res, answer, false));
+}
+
 async function serveUnderIntent(
     parts: GatewayParts,
     call: Call,
