--- a/scripts/checkModels.mjs
+++ b/scripts/checkModels.mjs
@@ -1,7 +1,7 @@
 // Checks every specification with Spin: as it stands, and with one guard removed, where the violation must be found.
 // Prints a line for each run and exits 1 when one does not end as expected. `node scripts/checkModels.mjs NAME` runs
 // the rows whose file contains NAME.
-import { spawnSync } from "node:child_process";
+import { spawn } from "node:child_process";
 import { mkdtempSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join, resolve } from "node:path";
@@ -44,33 +44,36 @@
 ];
 
 const MAX_DEPTH = "1000000";
+/** Searches that run at once; each may take as much memory as the limit below. */
+const AT_ONCE = 3;
 const MEMORY_MB = 4_096;
 const TIMEOUT_MS = 120_000;
 
-const call = (cwd, command, args) => {
-    const { status, stdout, stderr, error } = spawnSync(command, args, {
-        cwd,
-        encoding: "utf8",
-        maxBuffer: 1 << 26,
-        timeout: TIMEOUT_MS,
+/** Ends with the command's exit status and all that it said, also when it could not run or took too long. */
+const call = (cwd, command, args) =>
+    new Promise(done => {
+        const child = spawn(command, args, { cwd, timeout: TIMEOUT_MS });
+        const said = [];
+        child.stdout.on("data", data => said.push(data));
+        child.stderr.on("data", data => said.push(data));
+        child.once("error", err => said.push(Buffer.from(err.message)));
+        child.once("close", status => done({ status, text: Buffer.concat(said).toString("utf8") }));
     });
-    return { status, text: `${stdout ?? ""}${stderr ?? ""}${error?.message ?? ""}` };
-};
 
 /** Builds and runs the verifier of a row in a folder of its own. */
-function search(row, folder) {
+async function search(row, folder) {
     const defines = row.defines.map(name => `-D${name}`);
-    const generated = call(folder, "spin", ["-a", ...defines, resolve(row.file)]);
+    const generated = await call(folder, "spin", ["-a", ...defines, resolve(row.file)]);
     if (generated.status !== 0) {
         return { outcome: "spin failed", text: generated.text };
     }
     const options = [...(row.gcc ?? []), "-DCOLLAPSE", `-DMEMLIM=${MEMORY_MB}`];
     const safety = row.pan === undefined ? ["-DSAFETY"] : [];
-    const built = call(folder, "gcc", ["-O2", "-w", ...options, ...safety, "-o", "pan", "pan.c"]);
+    const built = await call(folder, "gcc", ["-O2", "-w", ...options, ...safety, "-o", "pan", "pan.c"]);
     if (built.status !== 0) {
         return { outcome: "gcc failed", text: built.text };
     }
-    const { text } = call(folder, "./pan", [`-m${MAX_DEPTH}`, ...(row.pan ?? [])]);
+    const { text } = await call(folder, "./pan", [`-m${MAX_DEPTH}`, ...(row.pan ?? [])]);
     const errors = /errors: (\d+)/.exec(text)?.[1];
     // An unfinished search proves nothing: the memory ran out or paths were cut at the greatest depth.
     if (errors === "0" && /Search not completed|max search depth too small|out of memory/.test(text)) {
@@ -80,10 +83,10 @@
 }
 
 /** Runs one row and prints its line. */
-function check(row) {
+async function check(row) {
     const folder = mkdtempSync(join(tmpdir(), "azureshunt-model-"));
     const started = Date.now();
-    const { outcome, text } = search(row, folder);
+    const { outcome, text } = await search(row, folder);
     rmSync(folder, { recursive: true, force: true });
     const seconds = ((Date.now() - started) / 1000).toFixed(1);
     const states = /([\d.e+]+) states, stored/.exec(text)?.[1] ?? "no";
@@ -100,6 +103,14 @@
 setUpModelChecker();
 const only = process.argv[2] ?? "";
 const rows = ROWS.filter(row => row.file.includes(only));
-const bad = rows.filter(row => !check(row));
-console.log(`${rows.length - bad.length} model checks as expected, ${bad.length} not`);
-process.exit(bad.length === 0 && rows.length > 0 ? 0 : 1);
+const waiting = rows.values();
+const verdicts = await Promise.all(Array.from({ length: AT_ONCE }, async () => {
+    const own = [];
+    for (const row of waiting) {
+        own.push(await check(row));
+    }
+    return own;
+}));
+const bad = verdicts.flat().filter(isAsExpected => !isAsExpected).length;
+console.log(`${rows.length - bad} model checks as expected, ${bad} not`);
+process.exit(bad === 0 && rows.length > 0 ? 0 : 1);
