--- a/packages/daemon/src/placement/pollLoad.ts
+++ b/packages/daemon/src/placement/pollLoad.ts
@@ -4,8 +4,6 @@
 
 const TIMEOUT_MS = 1_000;
 const PAUSE_MS = 150;
-/** An engine without work is asked less often: what this VM and its peers send there they count themselves. */
-const IDLE_PAUSE_MS = 500;
 const FAILED_PAUSE_MS = 500;
 /** A lag beyond this is put down to the clocks and left out. */
 const MAX_LAG_MS = 1_000;
@@ -33,8 +31,5 @@
             report: { incarnation, running, waiting, waitingTokens, measuredAt },
         });
     });
-    return answer.caseOf({
-        Left: () => FAILED_PAUSE_MS,
-        Right: ({ running, waiting }) => running + waiting === 0 ? IDLE_PAUSE_MS : PAUSE_MS,
-    });
+    return answer.isRight() ? PAUSE_MS : FAILED_PAUSE_MS;
 }
