--- a/packages/bench/src/demo/demoNote.ts
+++ b/packages/bench/src/demo/demoNote.ts
@@ -17,16 +17,25 @@
 type DemoNote = {
     readonly note: object;
     readonly organisations: readonly DemoOrganisation[];
+    /** A second key of the last organisation, to be withdrawn. */
+    readonly spareKey: { readonly id: string; readonly key: string; };
     readonly model: string;
     readonly service: string;
 };
 
-/** Writes the release note that declares all endpoints of a topology, three organisations and a key for each. */
+const keyOf = (id: string, organisation: string, key: string) => ({
+    id,
+    organisation,
+    digest: createHash("sha256").update(key).digest("hex"),
+});
+
+/** Writes the release note that declares all endpoints of a topology, three organisations and their keys. */
 export function demoNote(topology: Topology): DemoNote {
     const organisations = ORGANISATIONS.map(organisation => ({
         ...organisation,
         key: `ask_${randomBytes(32).toString("base64url")}`,
     }));
+    const spareKey = { id: "key-drivers-spare", key: `ask_${randomBytes(32).toString("base64url")}` };
     const endpoints = topology.endpoints.map(({ name, kind, failureDomain, url }) => ({
         name,
         kind,
@@ -39,11 +48,10 @@
         note: "first release",
         added: {
             organisations: ORGANISATIONS,
-            keys: organisations.map(({ id, key }) => ({
-                id: `key-${id}`,
-                organisation: id,
-                digest: createHash("sha256").update(key).digest("hex"),
-            })),
+            keys: [
+                ...organisations.map(({ id, key }) => keyOf(`key-${id}`, id, key)),
+                keyOf(spareKey.id, "drivers", spareKey.key),
+            ],
             models: [{ name: MODEL, version: "v1", pieceTokens: 256, defaultMaxTokens: 32 }],
             services: [{
                 name: SERVICE,
@@ -56,5 +64,5 @@
             endpoints,
         },
     };
-    return { note, organisations, model: MODEL, service: SERVICE };
+    return { note, organisations, spareKey, model: MODEL, service: SERVICE };
 }
--- a/packages/bench/src/demo/runSteps.ts
+++ b/packages/bench/src/demo/runSteps.ts
@@ -117,11 +117,11 @@
 
 async function withdrawKey(parts: DemoParts): Promise<void> {
     const { topology, demo, say } = parts;
-    const organisation = demo.organisations[2];
+    const { id, key } = demo.spareKey;
     const caller = topology.daemons.at(-1)?.caller ?? "";
-    const models = () => callHttp({ method: "GET", url: `${caller}/v1/models`, key: organisation?.key ?? "" });
+    const models = () => callHttp({ method: "GET", url: `${caller}/v1/models`, key });
     expectThat((await models()).status === 200, "the key to be valid before it is withdrawn", await models());
-    const note = { note: "withdraw a key", withdrawn: { keys: [`key-${organisation?.id ?? ""}`] } };
+    const note = { note: "withdraw a key", withdrawn: { keys: [id] } };
     const begun = performance.now();
     await applyNote(parts, "withdraw a key", note, 2);
     await waitUntil("the withdrawn key to be refused", IN_FORCE_BOUND_MS, async () => (await models()).status === 401);
--- /dev/null
+++ b/packages/daemon/src/__tests__/unit/loadSettings.test.ts
@@ -0,0 +1,61 @@
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+
+import test from "ava";
+
+import { loadSettings } from "../../loadSettings.js";
+
+const GOOD = `vm: vm-1
+failureDomain: fd-a
+listen:
+    caller: 127.0.0.1:1
+    admin: 127.0.0.1:2
+    peer: 127.0.0.1:3
+platform:
+    url: http://127.0.0.1:4
+peers:
+    secret: a-secret-of-enough-length
+`;
+
+const folder = mkdtempSync(join(tmpdir(), "azureshunt-settings-"));
+const file = join(folder, "settings.yaml");
+test.after.always(() => rmSync(folder, { recursive: true, force: true }));
+
+const load = (text: string) => {
+    writeFileSync(file, text);
+    return loadSettings(file).mapLeft(faults => faults.map(fault => fault.replace(`${file}:`, "")));
+};
+
+test.serial("settings: what is left out has a default", t => {
+    t.is(load(GOOD).map(settings => settings.limits.drainMs).extract(), 300_000);
+});
+
+[
+    {
+        name: "two faults",
+        text: GOOD.replace("127.0.0.1:1", "nowhere").replace("vm: vm-1", "vm: a b"),
+        faults: [/^1:1 vm: found /, /^4:5 listen\.caller: found .*; allowed: use host:port$/],
+    },
+    { name: "a field that does not exist", text: `${GOOD}colour: red\n`, faults: [/colour: found an unknown field/] },
+    { name: "no YAML", text: "vm: [", faults: [/well-formed YAML/] },
+    { name: "a missing part", text: GOOD.replace(/peers:[^]*/, ""), faults: [/peers/] },
+].forEach(({ name, text, faults }) =>
+    test.serial(`settings: ${name}`, t => {
+        const found = load(text).swap().orDefault([]);
+        t.is(found.length, faults.length, found.join("\n"));
+        faults.forEach((fault, i) => t.regex(found[i] ?? "", fault));
+    })
+);
+
+test.serial("settings: a secret that is too short is not shown", t => {
+    const faults = load(GOOD.replace("a-secret-of-enough-length", "tooshort")).swap().orDefault([]);
+    t.is(faults.length, 1);
+    t.false(faults.join().includes("tooshort"), faults.join());
+});
+
+test.serial("settings: a file that cannot be read", t => {
+    t.deepEqual(loadSettings(join(folder, "none.yaml")).swap().extract(), [
+        `${join(folder, "none.yaml")}: cannot be read`,
+    ]);
+});
