Start, use and end installations by one function, and run programs by one

Ruled out: a framework for programs; cac stays for flags. Change: withTopology, withFolder, runProgram; withTopology of the slopes is withWorkload now. Conclusion: shorter by its copies.

--- a/packages/bench/src/checkHistory/main.ts
+++ b/packages/bench/src/checkHistory/main.ts
@@ -12,6 +12,7 @@
 
 import { demoNote } from "../demo/demoNote.js";
 import { demoPlan } from "../demo/demoPlan.js";
+import { runProgram } from "../process/runProgram.js";
 import { applyRelease } from "../topology/applyRelease.js";
 import { startTopology } from "../topology/startTopology.js";
 import { seededRandom } from "../workload/seededRandom.js";
@@ -109,14 +110,9 @@
         console.error(`check-history: ${parsed.error.issues.map(issue => issue.message).join("; ")}`);
         process.exit(EXIT_USAGE);
     }
-    run(parsed.data).then(
-        passed => {
-            console.log(`check-history: ${passed ? "ok" : "failed"}`);
-            process.exit(passed ? 0 : 1);
-        },
-        (err: unknown) => {
-            console.error(`check-history: failed: ${err instanceof Error ? err.message : String(err)}`);
-            process.exit(1);
-        },
-    );
+    runProgram("check-history", async () => {
+        const passed = await run(parsed.data);
+        console.log(`check-history: ${passed ? "ok" : "failed"}`);
+        return passed ? 0 : 1;
+    });
 }
--- a/packages/bench/src/configuration/main.ts
+++ b/packages/bench/src/configuration/main.ts
@@ -9,6 +9,7 @@
 import { demoNote } from "../demo/demoNote.js";
 import { demoPlan } from "../demo/demoPlan.js";
 import { expectThat } from "../demo/expectThat.js";
+import { runProgram } from "../process/runProgram.js";
 import { applyRelease } from "../topology/applyRelease.js";
 import { callHttp } from "../topology/callHttp.js";
 import { startStandIn } from "../topology/startStandIn.js";
@@ -151,10 +152,4 @@
     }
 };
 
-run().then(
-    () => process.exit(0),
-    (err: unknown) => {
-        console.error(`configuration: failed: ${err instanceof Error ? err.message : String(err)}`);
-        process.exit(1);
-    },
-);
+runProgram("configuration", run);
--- a/packages/bench/src/faults/main.ts
+++ b/packages/bench/src/faults/main.ts
@@ -5,7 +5,7 @@
 
 import type { RunFigures } from "../analysis/RunFigures.js";
 import { measureRun } from "../measure/measureRun.js";
-import { exitOnSignals } from "../process/exitOnSignals.js";
+import { runProgram } from "../process/runProgram.js";
 import { costRows } from "../report/costRows.js";
 import { formatTable } from "../report/formatTable.js";
 import { summaryRows } from "../report/summaryRows.js";
@@ -57,12 +57,5 @@
 cli.help();
 const { options } = cli.parse();
 if (options["help"] !== true) {
-    exitOnSignals();
-    run(options as Options).then(
-        () => process.exit(0),
-        (err: unknown) => {
-            console.error(`measure:faults: failed: ${err instanceof Error ? err.stack ?? err.message : String(err)}`);
-            process.exit(1);
-        },
-    );
+    runProgram("measure:faults", () => run(options as Options));
 }
--- a/packages/bench/src/fleet/main.ts
+++ b/packages/bench/src/fleet/main.ts
@@ -1,13 +1,11 @@
 /** Measures a release of new weights on running processes: from the note accepted to every engine matching. */
-import { mkdtempSync, rmSync } from "node:fs";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-
 import { demoNote } from "../demo/demoNote.js";
 import { demoPlan } from "../demo/demoPlan.js";
+import { runProgram } from "../process/runProgram.js";
 import { applyRelease } from "../topology/applyRelease.js";
-import { startTopology } from "../topology/startTopology.js";
+import type { TopologyPlan } from "../topology/TopologyPlan.js";
 import { waitUntil } from "../topology/waitUntil.js";
+import { withTopology } from "../topology/withTopology.js";
 import { engineHoldings } from "./engineHoldings.js";
 import { startTraffic } from "./startTraffic.js";
 
@@ -20,17 +18,19 @@
 
 const seconds = (ms: number): string => `${(ms / 1_000).toFixed(2)} s`;
 
-const run = async (): Promise<void> => {
-    const folder = mkdtempSync(join(tmpdir(), "azureshunt-fleet-"));
+/** Every second engine refuses orders with an old fencing number, the others ignore it. */
+const mixedPlan = (folder: string): TopologyPlan => {
     const plan = demoPlan(folder);
-    // Every second engine refuses orders with an old fencing number, the others ignore it.
     const endpoints = plan.endpoints.map((endpoint, i) =>
         endpoint.kind === "model" && i % 2 === 0
             ? { ...endpoint, flags: { ...endpoint.flags, "checks-fencing": "" } }
             : endpoint
     );
-    const topology = await startTopology({ ...plan, endpoints });
-    try {
+    return { ...plan, endpoints };
+};
+
+const run = (): Promise<void> =>
+    withTopology("fleet", mixedPlan, async topology => {
         const demo = demoNote(topology);
         await applyRelease(topology, demo.note);
         await new Promise(resolve => setTimeout(resolve, LEASE_MS));
@@ -51,17 +51,6 @@
         console.log(`v2 held by every engine after ${seconds(inForce + loaded)}`);
         console.log(`v1 gone from every engine after ${seconds(inForce + loaded + unloaded)}`);
         console.log(`requests meanwhile: ${complete} complete, ${refused} refused, ${broken} broken`);
-    }
-    finally {
-        await topology.stop();
-        rmSync(folder, { recursive: true, force: true });
-    }
-};
+    });
 
-run().then(
-    () => process.exit(0),
-    (err: unknown) => {
-        console.error(`measure:fleet: ${err instanceof Error ? err.message : String(err)}`);
-        process.exit(1);
-    },
-);
+runProgram("measure:fleet", run);
--- a/packages/bench/src/histories/main.ts
+++ b/packages/bench/src/histories/main.ts
@@ -10,6 +10,7 @@
 import type { RequestEvent } from "@azureshunt/history";
 import { cac } from "cac";
 
+import { runProgram } from "../process/runProgram.js";
 import type { HistoryPlan } from "./HistoryPlan.js";
 import { requestFaults } from "./requestFaults.js";
 import { runRequestHistory } from "./runRequestHistory.js";
@@ -108,11 +109,5 @@
 cli.help();
 const { options } = cli.parse();
 if (options["help"] !== true) {
-    run(options as Options).then(
-        code => process.exit(code),
-        (err: unknown) => {
-            console.error(`check-request-history: failed: ${err instanceof Error ? err.message : String(err)}`);
-            process.exit(1);
-        },
-    );
+    runProgram("check-request-history", () => run(options as Options));
 }
--- a/packages/bench/src/measure/main.ts
+++ b/packages/bench/src/measure/main.ts
@@ -4,7 +4,7 @@
 import { cac } from "cac";
 
 import type { RunFigures } from "../analysis/RunFigures.js";
-import { exitOnSignals } from "../process/exitOnSignals.js";
+import { runProgram } from "../process/runProgram.js";
 import { costRows } from "../report/costRows.js";
 import { formatTable } from "../report/formatTable.js";
 import { summaryRows } from "../report/summaryRows.js";
@@ -101,12 +101,5 @@
 cli.help();
 const { options } = cli.parse();
 if (options["help"] !== true) {
-    exitOnSignals();
-    run(options as Options).then(
-        () => process.exit(0),
-        (err: unknown) => {
-            console.error(`measure: failed: ${err instanceof Error ? err.stack ?? err.message : String(err)}`);
-            process.exit(1);
-        },
-    );
+    runProgram("measure", () => run(options as Options));
 }
--- a/packages/bench/src/overhead/main.ts
+++ b/packages/bench/src/overhead/main.ts
@@ -4,7 +4,7 @@
 import { cac } from "cac";
 
 import type { Percentiles } from "../analysis/Percentiles.js";
-import { exitOnSignals } from "../process/exitOnSignals.js";
+import { runProgram } from "../process/runProgram.js";
 import { formatTable } from "../report/formatTable.js";
 import { measureOverhead } from "./measureOverhead.js";
 
@@ -39,12 +39,5 @@
 cli.help();
 const { options } = cli.parse();
 if (options["help"] !== true) {
-    exitOnSignals();
-    run(options as Options).then(
-        () => process.exit(0),
-        (err: unknown) => {
-            console.error(`measure:overhead: failed: ${err instanceof Error ? err.stack ?? err.message : String(err)}`);
-            process.exit(1);
-        },
-    );
+    runProgram("measure:overhead", () => run(options as Options));
 }
--- a/packages/bench/src/overhead/measureOverhead.ts
+++ b/packages/bench/src/overhead/measureOverhead.ts
@@ -9,7 +9,7 @@
 import { sendModelRequest } from "../load/sendModelRequest.js";
 import { historyFile } from "../measure/historyFile.js";
 import { slopeWorkload } from "../slopes/slopeWorkload.js";
-import { withTopology } from "../slopes/withTopology.js";
+import { withWorkload } from "../slopes/withWorkload.js";
 import type { Arrival } from "../workload/Arrival.js";
 import { addedTimes } from "./addedTimes.js";
 import { sendProbes } from "./sendProbes.js";
@@ -53,7 +53,7 @@
 export async function measureOverhead(streams: number): Promise<Overhead> {
     const plain = slopeWorkload({ daemons: DAEMONS, engines: ENGINES, pieces: 0, answerTokens: STREAM_TOKENS });
     const workload = { ...plain, engine: { ...plain.engine, ...ENGINE } };
-    return withTopology(workload, async (topology, target, folder) => {
+    return withWorkload(workload, async (topology, target, folder) => {
         const engines = topology.endpoints.filter(({ kind }) => kind === "model");
         const straight: LoadTarget = { ...target, daemons: [engines[0]?.url ?? ""] };
         const added = async (to: LoadTarget, round: number): Promise<Percentiles> => {
--- a/packages/bench/src/restart/main.ts
+++ b/packages/bench/src/restart/main.ts
@@ -1,17 +1,14 @@
 /** Measures the time from the start of a daemon to its first served request, with the platform up, slow and down. */
-import { mkdtempSync, rmSync } from "node:fs";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-
 import { demoNote } from "../demo/demoNote.js";
 import { demoPlan } from "../demo/demoPlan.js";
 import { streamChat } from "../demo/streamChat.js";
+import { runProgram } from "../process/runProgram.js";
 import { applyRelease } from "../topology/applyRelease.js";
 import { callHttp } from "../topology/callHttp.js";
 import type { DaemonProcess } from "../topology/DaemonProcess.js";
-import { startTopology } from "../topology/startTopology.js";
 import type { Topology } from "../topology/Topology.js";
 import { waitUntil } from "../topology/waitUntil.js";
+import { withTopology } from "../topology/withTopology.js";
 
 const SETTLE_MS = 4_000;
 const BOUND_MS = 30_000;
@@ -64,27 +61,14 @@
     );
 };
 
-const run = async (): Promise<void> => {
-    const folder = mkdtempSync(join(tmpdir(), "azureshunt-restart-"));
-    const topology = await startTopology(demoPlan(folder));
-    try {
+const run = (): Promise<void> =>
+    withTopology("restart", demoPlan, async topology => {
         const demo = demoNote(topology);
         await applyRelease(topology, demo.note);
         await SCENARIOS.reduce<Promise<void>>(
             (before, scenario) => before.then(() => measure(topology, demo, scenario)),
             Promise.resolve(),
         );
-    }
-    finally {
-        await topology.stop();
-        rmSync(folder, { recursive: true, force: true });
-    }
-};
+    });
 
-run().then(
-    () => process.exit(0),
-    (err: unknown) => {
-        console.error(`measure:restart: ${err instanceof Error ? err.message : String(err)}`);
-        process.exit(1);
-    },
-);
+runProgram("measure:restart", run);
--- a/packages/bench/src/slopes/main.ts
+++ b/packages/bench/src/slopes/main.ts
@@ -3,7 +3,7 @@
 
 import { cac } from "cac";
 
-import { exitOnSignals } from "../process/exitOnSignals.js";
+import { runProgram } from "../process/runProgram.js";
 import { formatTable } from "../report/formatTable.js";
 import { processSlopes } from "./processSlopes.js";
 import type { Slope } from "./Slope.js";
@@ -39,12 +39,5 @@
 cli.help();
 const { options } = cli.parse();
 if (options["help"] !== true) {
-    exitOnSignals();
-    run(options).then(
-        () => process.exit(0),
-        (err: unknown) => {
-            console.error(`slopes: failed: ${err instanceof Error ? err.stack ?? err.message : String(err)}`);
-            process.exit(1);
-        },
-    );
+    runProgram("slopes", () => run(options));
 }
--- a/packages/bench/src/slopes/processSlopes.ts
+++ b/packages/bench/src/slopes/processSlopes.ts
@@ -12,7 +12,7 @@
 import type { Slope } from "./Slope.js";
 import { slopeOf } from "./slopeOf.js";
 import { slopeWorkload } from "./slopeWorkload.js";
-import { withTopology } from "./withTopology.js";
+import { withWorkload } from "./withWorkload.js";
 
 const SETTLE_MS = 2_000;
 const IDLE_MS = 5_000;
@@ -46,7 +46,7 @@
 };
 
 const idleOf = (daemons: number, engines: number): Promise<IdleCost> =>
-    withTopology(slopeWorkload({ daemons, engines, pieces: 0, answerTokens: 1 }), idleCost);
+    withWorkload(slopeWorkload({ daemons, engines, pieces: 0, answerTokens: 1 }), idleCost);
 
 /** Measures one size after the other, as the machine is shared. */
 const inTurn = <T>(sizes: readonly number[], measure: (size: number) => Promise<T>): Promise<readonly T[]> =>
@@ -122,7 +122,7 @@
     const shape = { daemons: DOMAINS, engines: DOMAINS };
     const costOf = (pieces: number, answerTokens: number, daemons = DOMAINS): Promise<number> => {
         const workload = slopeWorkload({ ...shape, daemons, pieces, answerTokens });
-        return withTopology(workload, (topology, target) => requestCost(topology, target, workload));
+        return withWorkload(workload, (topology, target) => requestCost(topology, target, workload));
     };
     const pieces = [0, 4, 8];
     const byPieces = await inTurn(pieces, size => costOf(size, 1));
@@ -158,7 +158,7 @@
         pieces: 1,
         answerTokens: LONG_ANSWER_TOKENS,
     });
-    const points = await withTopology(workload, async (topology, target) => {
+    const points = await withWorkload(workload, async (topology, target) => {
         const warmUp = { ...workload, shortAnswerTokens: 1 };
         await sendMany(target, warmUp, WARM_UP_REQUESTS, 0);
         const engines = topology.endpoints.filter(({ kind }) => kind === "model");
--- a/packages/bench/src/transcript/main.ts
+++ b/packages/bench/src/transcript/main.ts
@@ -1,7 +1,6 @@
 /** Runs the command-line tool against running processes and writes what it said into a page, between two marks. */
 import { spawn } from "node:child_process";
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
-import { tmpdir } from "node:os";
+import { readFileSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 
@@ -10,7 +9,8 @@
 import { demoNote } from "../demo/demoNote.js";
 import { demoPlan } from "../demo/demoPlan.js";
 import { streamChat } from "../demo/streamChat.js";
-import { startTopology } from "../topology/startTopology.js";
+import { runProgram } from "../process/runProgram.js";
+import { withTopology } from "../topology/withTopology.js";
 
 const ROOT = fileURLToPath(new URL("../../../../", import.meta.url));
 const PAGE = `${ROOT}docs/OPERATORS.md`;
@@ -45,10 +45,8 @@
         child.once("close", code => resolve(`${said.join("").trimEnd()}\n(exit code ${code ?? "none"})`));
     });
 
-const run = async (): Promise<void> => {
-    const folder = mkdtempSync(join(tmpdir(), "azureshunt-transcript-"));
-    const topology = await startTopology(demoPlan(folder));
-    try {
+const run = (): Promise<void> =>
+    withTopology("transcript", demoPlan, async (topology, folder) => {
         const demo = demoNote(topology);
         const [daemon] = topology.daemons;
         const files = { first: join(folder, "first.yaml"), faulty: join(folder, "faulty.yaml") };
@@ -87,17 +85,6 @@
         const [, tail] = page.split(END);
         writeFileSync(PAGE, [head ?? "", BEGIN, "\n\n", [...first, ...second].join("\n"), END, tail ?? ""].join(""));
         console.log(`transcript written: ${PAGE.replace(ROOT, "")}`);
-    }
-    finally {
-        await topology.stop();
-        rmSync(folder, { recursive: true, force: true });
-    }
-};
+    });
 
-run().then(
-    () => process.exit(0),
-    (err: unknown) => {
-        console.error(`transcript: ${err instanceof Error ? err.message : String(err)}`);
-        process.exit(1);
-    },
-);
+runProgram("transcript", run);
