Drop the error kind that nothing could answer with

Cause: too-many-connections stood in the closed list, and no code gave it: a listener drops connections over its bound before a request is read. Ruled out: a second bound only to use the kind. Conclusion: every kind in the list is given.

--- a/packages/core/src/ErrorKind.ts
+++ b/packages/core/src/ErrorKind.ts
@@ -38,6 +38,5 @@
     | "no-configuration"
     | "configuration-too-old"
     | "shutting-down"
-    | "too-many-connections"
     | "caller-gone"
     | "internal";
--- a/packages/core/src/answerOf.ts
+++ b/packages/core/src/answerOf.ts
@@ -113,7 +113,6 @@
         "The configuration is older than the organisation allows.",
     ),
     "shutting-down": answer(503, "no", 1, false, "api_error", "This daemon is shutting down."),
-    "too-many-connections": answer(503, "no", 1, false, "api_error", "This daemon has too many connections."),
     "caller-gone": answer(499, "maybe", undefined, false, "api_error", "The caller closed the connection."),
     "internal": answer(500, "maybe", 1, false, "api_error", "The daemon failed."),
 };
--- a/packages/daemon/src/Settings.ts
+++ b/packages/daemon/src/Settings.ts
@@ -39,6 +39,7 @@
     limits: z.strictObject({
         bodyBytes: z.number().int().positive().default(8 * MIB),
         headerBytes: z.number().int().positive().default(16_384),
+        /** Open connections of one listener; beyond these new ones are dropped before anything is read. */
         connections: z.number().int().positive().default(4_096),
         /** Wait for a start when the caller names no deadline. */
         deadlineMs: z.number().int().positive().default(10_000),
