End the kept demonstration when what started it is gone

Ruled out: exec in place of npm's shell, which npm does not offer. Change: the demonstration also ends when its parent is another one.

--- a/packages/bench/src/demo/main.ts
+++ b/packages/bench/src/demo/main.ts
@@ -11,6 +11,8 @@
 import { demoPlan } from "./demoPlan.js";
 import { runSteps } from "./runSteps.js";
 
+const PARENT_CHECK_MS = 500;
+
 /** Options of the demonstration. */
 type Options = { readonly keep?: boolean; readonly state?: string; };
 
@@ -40,8 +42,15 @@
     writeFileSync(file, `${JSON.stringify(state, undefined, 4)}\n`, { mode: 0o600 });
 };
 
+/**
+ * Settles when this process is to end: by a signal, or because what started it is gone. `npm run` passes a signal to the
+ * shell between, which dies of it without a word to this process; that shows as another parent.
+ */
 const interrupted = (): Promise<void> =>
     new Promise(resolve => {
+        const parent = process.ppid;
+        const orphaned = setInterval(() => process.ppid === parent ? undefined : resolve(), PARENT_CHECK_MS);
+        orphaned.unref();
         process.once("SIGINT", () => resolve());
         process.once("SIGTERM", () => resolve());
     });
