Read the bearer key and repeated headers by one function each

Cause: read once more, the pattern of a bearer key stood twice (callers' and administration listeners) and the first value of a header three times; a change to one would have let the others differ. Change: bearerKey and firstValue in the gateway. Behaviour as before. Conclusion: one piece of code each.

--- a/packages/daemon/src/admin/startAdminListener.ts
+++ b/packages/daemon/src/admin/startAdminListener.ts
@@ -6,6 +6,7 @@
 import { authenticateAdmin } from "@azureshunt/organisation";
 import { EitherAsync } from "purify-ts";
 
+import { bearerKey } from "../gateway/bearerKey.js";
 import { readBody } from "../gateway/readBody.js";
 import { sendRefusal } from "../gateway/sendRefusal.js";
 import { serveHealth } from "../gateway/serveHealth.js";
@@ -16,7 +17,6 @@
 import { findRoute } from "./findRoute.js";
 import { openApi } from "./openApi.js";
 
-const BEARER = /^Bearer +([\x21-\x7e]+)$/i;
 const BASE = "http://admin";
 
 const sendJson = (res: ServerResponse, status: number, body: unknown): void => {
@@ -44,7 +44,7 @@
 
     const answer = (req: IncomingMessage, url: URL): EitherAsync<Refusal, AdminAnswer> =>
         EitherAsync(async ({ liftEither, fromPromise }) => {
-            const key = BEARER.exec(req.headers.authorization ?? "")?.[1];
+            const key = bearerKey(req.headers.authorization);
             const keyId = await liftEither(authenticateAdmin(release.current(), settings.adminKeyDigests, key));
             if (url.pathname === "/admin/v1/openapi.json") {
                 return { status: 200, body: openApi() };
--- a/packages/daemon/src/dispatch/dispatchService.ts
+++ b/packages/daemon/src/dispatch/dispatchService.ts
@@ -5,6 +5,7 @@
 import { Left, Right } from "purify-ts";
 import { request } from "undici";
 
+import { firstValue } from "../gateway/firstValue.js";
 import type { Call } from "../ports/Call.js";
 import type { Placement } from "../ports/Placement.js";
 import type { RecordedAnswer } from "../ports/RecordedAnswer.js";
@@ -19,8 +20,6 @@
 
 const STATUS_TOO_MANY = 429;
 
-const headerOf = (value: string | string[] | undefined): string | undefined => Array.isArray(value) ? value[0] : value;
-
 /**
  * Sends a call to a replica and reads its answer. What may not be repeated goes out on a connection opened for it, and
  * goes on when its caller is gone, so that its outcome is known when the caller comes back.
@@ -50,17 +49,17 @@
             },
             body: target.body.length === 0 ? undefined : target.body,
         });
-        if (headerOf(res.headers["x-dispatch-id"]) !== placement.dispatchId) {
+        if (firstValue(res.headers["x-dispatch-id"]) !== placement.dispatchId) {
             res.body.on("error", () => undefined).destroy();
             return Left({ kind: "crossed" });
         }
         const body = Buffer.from(await res.body.arrayBuffer());
-        if (headerOf(res.headers["x-not-run"]) === "1") {
+        if (firstValue(res.headers["x-not-run"]) === "1") {
             return Left({ kind: "refused", full: res.statusCode === STATUS_TOO_MANY });
         }
         return Right({
             status: res.statusCode,
-            contentType: headerOf(res.headers["content-type"]),
+            contentType: firstValue(res.headers["content-type"]),
             body: body.toString("base64"),
         });
     }
--- a/packages/daemon/src/dispatch/openEngineStream.ts
+++ b/packages/daemon/src/dispatch/openEngineStream.ts
@@ -4,6 +4,7 @@
 import { request } from "undici";
 import type { Dispatcher } from "undici";
 
+import { firstValue } from "../gateway/firstValue.js";
 import type { Call } from "../ports/Call.js";
 import type { ModelCall } from "../ports/ModelCall.js";
 import type { Placement } from "../ports/Placement.js";
@@ -35,8 +36,6 @@
     readonly signal: AbortSignal;
 };
 
-const headerOf = (value: string | string[] | undefined): string | undefined => Array.isArray(value) ? value[0] : value;
-
 /**
  * Sends a call to an engine and waits for the head of its answer. Always asks for a stream, so that an answer can be
  * resumed elsewhere, whether the caller wants a stream or not.
@@ -70,21 +69,21 @@
                 resume_from: one.resumeFrom,
             }),
         });
-        if (headerOf(res.headers["x-dispatch-id"]) !== placement.dispatchId) {
+        if (firstValue(res.headers["x-dispatch-id"]) !== placement.dispatchId) {
             res.body.on("error", () => undefined).destroy();
             return Left({ kind: "crossed" });
         }
         if (res.statusCode !== STATUS_OK) {
             await res.body.dump();
             return Left(
-                headerOf(res.headers["x-not-run"]) === "1"
+                firstValue(res.headers["x-not-run"]) === "1"
                     ? { kind: "refused", full: res.statusCode === STATUS_TOO_MANY }
                     : { kind: "failed" },
             );
         }
-        const cached = headerOf(res.headers["x-cached-tokens"]);
+        const cached = firstValue(res.headers["x-cached-tokens"]);
         return Right({
-            incarnation: headerOf(res.headers["x-incarnation"]) as Incarnation | undefined,
+            incarnation: firstValue(res.headers["x-incarnation"]) as Incarnation | undefined,
             cachedTokens: cached === undefined ? undefined : Number(cached),
             body: res.body,
         });
--- a/packages/daemon/src/gateway/authenticateCaller.ts
+++ b/packages/daemon/src/gateway/authenticateCaller.ts
@@ -3,15 +3,14 @@
 import type { Configuration } from "@azureshunt/release";
 import type { Either } from "purify-ts";
 
+import { bearerKey } from "./bearerKey.js";
 import type { Caller } from "./Caller.js";
 
-const BEARER = /^Bearer +([\x21-\x7e]+)$/i;
-
 /**
  * Finds out whose key came in an `Authorization` header.
  *
  * @returns Left with `missing-key`, `unknown-key` or `withdrawn-key`
  */
 export function authenticateCaller(cfg: Configuration, authorization: string | undefined): Either<Refusal, Caller> {
-    return authenticate(cfg, BEARER.exec(authorization ?? "")?.[1]);
+    return authenticate(cfg, bearerKey(authorization));
 }
--- a/packages/daemon/src/gateway/createCallerHandler.ts
+++ b/packages/daemon/src/gateway/createCallerHandler.ts
@@ -9,6 +9,7 @@
 
 import type { Call } from "../ports/Call.js";
 import type { Caller } from "./Caller.js";
+import { firstValue } from "./firstValue.js";
 import type { GatewayParts } from "./GatewayParts.js";
 import { listModels } from "./listModels.js";
 import { parseModelCall } from "./parseModelCall.js";
@@ -29,11 +30,6 @@
 /** A request of a caller whose key is valid. */
 type Authenticated = { readonly cfg: Configuration; readonly caller: Caller; readonly id: RequestId; };
 
-const headerOf = (req: IncomingMessage, name: string): string | undefined => {
-    const value = req.headers[name];
-    return Array.isArray(value) ? value[0] : value;
-};
-
 /**
  * Makes the function that answers callers' requests; each ends in an answer or in a refusal from the closed list.
  *
@@ -68,8 +64,8 @@
 
     const callOf = (who: Authenticated, req: IncomingMessage, res: ServerResponse, target: Call["target"]): Call => {
         const now = ctx.clock.now();
-        const deadline = headerOf(req, "x-deadline-ms") ?? "";
-        const priority = headerOf(req, "x-priority") ?? "";
+        const deadline = firstValue(req.headers["x-deadline-ms"]) ?? "";
+        const priority = firstValue(req.headers["x-priority"]) ?? "";
         parts.dispatch.trace.add(who.id, "arrived", { organisation: who.caller.organisation, target: target.kind });
         const gone = new AbortController();
         res.once("close", () => gone.abort());
