Close idle connections in a stop, read settings again on SIGHUP, and test the router's decisions

Ruled out: the grace itself; the requests that were cut had come 3.4 to 5.2 s after the SIGTERM. Change: once the balancer sends nobody new, idle connections are closed and the listener with them; SIGHUP puts new bounds in force.

--- /dev/null
+++ b/packages/router/src/__tests__/unit/allowance.test.ts
@@ -0,0 +1,116 @@
+import type { VmId } from "@azureshunt/core";
+import test from "ava";
+import fc from "fast-check";
+
+import { advanceShared } from "../../allowance/advanceShared.js";
+import { hearSpending } from "../../allowance/hearSpending.js";
+import { openSharedAllowance } from "../../allowance/openSharedAllowance.js";
+import { refundShared } from "../../allowance/refundShared.js";
+import { relimitShared } from "../../allowance/relimitShared.js";
+import type { SharedAllowance } from "../../allowance/SharedAllowance.js";
+import { spendShared } from "../../allowance/spendShared.js";
+
+const SEED = 20_261_203;
+const RATE = 1_000;
+const BURST = 1_000;
+const TICK_MS = 50;
+const BEACON_TICKS = 4;
+const VMS = 4;
+
+const spend = (allowance: SharedAllowance, tokens: number): readonly [SharedAllowance, number] => {
+    const outcome = spendShared(allowance, tokens);
+    return outcome.kind === "spent" ? [outcome.allowance, tokens] : [allowance, 0];
+};
+
+/** Runs VMs that hear each other by beacons, except over the cut; gives the tokens spent in each tick. */
+const simulate = (demand: readonly (readonly number[])[], isCut: (tick: number) => boolean): readonly number[] => {
+    const names = Array.from({ length: VMS }, (_, i) => `vm${i}` as VmId);
+    const side = (i: number): number => i < VMS / 2 ? 0 : 1;
+    const hears = (tick: number, i: number, j: number): boolean => !isCut(tick) || side(i) === side(j);
+    const lastHeard = names.map(() => names.map(() => 0));
+    const state = { all: names.map(() => openSharedAllowance(RATE, BURST, 0)) };
+    return demand.map((wants, tick) => {
+        const now = tick * TICK_MS;
+        const spent = { tokens: 0 };
+        state.all = state.all.map((allowance, i) => {
+            const unheard = names.filter((_, j) => j !== i && tick - (lastHeard[i]?.[j] ?? 0) > 3 * BEACON_TICKS);
+            const ready = advanceShared(allowance, { peers: VMS - 1, unheard }, now);
+            const [next, tokens] = spend(ready, wants[i] ?? 0);
+            spent.tokens += tokens;
+            return next;
+        });
+        if (tick % BEACON_TICKS === 0) {
+            const told = state.all.map(({ ownSpent }) => ownSpent);
+            state.all = state.all.map((allowance, i) =>
+                names.reduce((heard, vm, j) => {
+                    if (i === j || !hears(tick, i, j)) {
+                        return heard;
+                    }
+                    (lastHeard[i] ?? [])[j] = tick;
+                    return hearSpending(heard, vm, told[j] ?? 0, false);
+                }, allowance)
+            );
+        }
+        return spent.tokens;
+    });
+};
+
+/*
+ * One organisation sends several times its rate through all VMs, while the VMs are cut into halves for a while. Over any
+ * window the VMs together must let through no more than rate and burst, and what they spend before they hear of each
+ * other; else other organisations pay for it.
+ */
+test("allowance: over any window, cut or not, all VMs together keep to rate and burst and one beacon's lag", t => {
+    fc.assert(
+        fc.property(
+            fc.array(fc.array(fc.integer({ min: 0, max: 60 }), { minLength: VMS, maxLength: VMS }), {
+                minLength: 300,
+                maxLength: 300,
+            }),
+            fc.integer({ min: 0, max: 200 }),
+            fc.integer({ min: 0, max: 100 }),
+            (demand, from, length) => {
+                const spent = simulate(demand, tick => tick >= from && tick < from + length);
+                const window = 160;
+                const lag = (BEACON_TICKS + 1) * VMS * 60;
+                const unheard = 3 * BEACON_TICKS * TICK_MS / 1_000 * RATE;
+                const bound = RATE * window * TICK_MS / 1_000 + BURST + lag + 2 * unheard;
+                return spent.every((_, i) => spent.slice(i, i + window).reduce((a, b) => a + b, 0) <= bound);
+            },
+        ),
+        { seed: SEED, numRuns: 60 },
+    );
+    t.pass();
+});
+
+/*
+ * All VMs but one are gone for good. After they count as gone the one that is left must let through the whole rate, or
+ * its callers are refused though their organisation is within its share.
+ */
+test("allowance: a VM alone gets the whole rate once the others count as gone", t => {
+    const start = openSharedAllowance(RATE, BURST, 0);
+    const unheard = ["b", "c", "d"] as VmId[];
+    const alone = advanceShared(start, { peers: 3, unheard }, 1_000);
+    t.is(alone.level, RATE / 4);
+    t.is(advanceShared(alone, { peers: 0, unheard: [] }, 1_500).level, RATE / 4 + RATE / 2);
+});
+
+test("allowance: what was taken as spent out of hearing is not taken twice, and a refund reaches the others", t => {
+    const peer = "b" as VmId;
+    const opened = hearSpending(openSharedAllowance(RATE, BURST, 0), peer, 100, false);
+    const apart = advanceShared(opened, { peers: 1, unheard: [peer] }, 1_000);
+    t.is(apart.level, 500);
+    t.is(hearSpending(apart, peer, 500, false).level, 500);
+    t.is(hearSpending(apart, peer, 700, false).level, 400);
+    t.is(hearSpending(hearSpending(apart, peer, 700, false), peer, 650, false).level, 450);
+    t.is(hearSpending(apart, peer, 30, true).level, 500);
+});
+
+test("allowance: a refund gives tokens back and shrinks what is told; a lower burst binds at once", t => {
+    const full = advanceShared(openSharedAllowance(RATE, BURST, 0), { peers: 0, unheard: [] }, 5_000);
+    const [spent] = spend(full, 400);
+    t.is(spent.level, 600);
+    t.is(refundShared(spent, 400).level, 1_000);
+    t.is(refundShared(spent, 400).ownSpent, 0);
+    t.is(relimitShared(full, 10, 50).level, 50);
+});
--- /dev/null
+++ b/packages/router/src/__tests__/unit/dispatch.test.ts
@@ -0,0 +1,141 @@
+import { createServer } from "node:net";
+import type { AddressInfo, Server, Socket } from "node:net";
+
+import test from "ava";
+
+import { EndpointAgent } from "../../dispatch/EndpointAgent.js";
+import { openCall } from "../../dispatch/openCall.js";
+import { readAnswer } from "../../dispatch/readAnswer.js";
+
+const HEAD = "HTTP/1.1 200 OK\r\n";
+const WHOLE = `${HEAD}Content-Length: 2\r\n\r\nok`;
+
+/** Starts an endpoint that answers each request by writing to its socket. */
+const startEndpoint = async (
+    answer: (socket: Socket, request: number) => void,
+): Promise<{ readonly server: Server; readonly address: string; readonly connections: () => number; }> => {
+    const seen = { requests: 0, connections: 0 };
+    const server = createServer(socket => {
+        seen.connections += 1;
+        socket.on("error", () => undefined);
+        socket.on("data", () => {
+            seen.requests += 1;
+            answer(socket, seen.requests);
+        });
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    return { server, address: `127.0.0.1:${port}`, connections: () => seen.connections };
+};
+
+const call = async (agent: EndpointAgent, address: string, headMs = 2_000, keptIdleMs = 10_000): Promise<string> => {
+    const opened = await openCall(
+        agent,
+        { address, method: "GET", target: "/", headers: ["Host", "x"], body: Buffer.alloc(0), keptIdleMs, headMs },
+        new AbortController().signal,
+    );
+    if (opened.kind !== "head") {
+        return opened.kind;
+    }
+    const body = await readAnswer(opened);
+    return body === undefined ? "not whole" : body.toString();
+};
+
+type Case = {
+    readonly name: string;
+    readonly answer: (socket: Socket, request: number) => void;
+    readonly outcome: string;
+};
+
+/*
+ * Endpoints break off their answers. A caller that gets half an answer as a success acts on it, so an answer counts as
+ * whole only if its length or its clean end says so.
+ */
+const cases: readonly Case[] = [
+    { name: "an answer with a length", answer: socket => socket.write(WHOLE), outcome: "ok" },
+    {
+        name: "an answer that is shorter than its length",
+        answer: socket => socket.end(`${HEAD}Content-Length: 5\r\n\r\nok`),
+        outcome: "not whole",
+    },
+    {
+        name: "a chunked answer without its end",
+        answer: socket => socket.end(`${HEAD}Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n`),
+        outcome: "not whole",
+    },
+    {
+        name: "an answer without a length that ends with its connection",
+        answer: socket => socket.end(`${HEAD}\r\nok`),
+        outcome: "ok",
+    },
+    {
+        name: "an answer without a length whose connection is reset",
+        answer: socket => {
+            socket.write(`${HEAD}\r\nok`);
+            setTimeout(() => socket.resetAndDestroy(), 30);
+        },
+        outcome: "not whole",
+    },
+    { name: "bytes that are no answer", answer: socket => socket.write("what?\r\n\r\n"), outcome: "broken" },
+    { name: "a connection closed before the answer", answer: socket => socket.end(), outcome: "broken" },
+];
+
+cases.forEach(({ name, answer, outcome }) => {
+    test(`dispatch: ${name}`, async t => {
+        const { server, address } = await startEndpoint(answer);
+        const agent = new EndpointAgent(() => performance.now());
+        t.is(await call(agent, address), outcome);
+        agent.destroy();
+        server.close();
+    });
+});
+
+test("dispatch: an endpoint that nobody listens for was surely not reached", async t => {
+    const { server, address } = await startEndpoint(() => undefined);
+    await new Promise(resolve => server.close(resolve));
+    t.is(await call(new EndpointAgent(() => 0), address), "unreached");
+});
+
+test("dispatch: silence ends the try and its connection", async t => {
+    const { server, address } = await startEndpoint((socket, request) => request > 1 && socket.write(WHOLE));
+    const agent = new EndpointAgent(() => performance.now());
+    t.is(await call(agent, address, 50), "silent");
+    t.is(await call(agent, address), "ok");
+    agent.destroy();
+    server.close();
+});
+
+/*
+ * An endpoint answers twice. The second answer lies on the connection when the next request goes out, and its caller
+ * would get an answer that is not its own.
+ */
+test("dispatch: a connection on which more came than the answer is not used again", async t => {
+    const { server, address, connections } = await startEndpoint((socket, request) => {
+        socket.write(WHOLE);
+        if (request === 1) {
+            setTimeout(() => socket.write(`${HEAD}Content-Length: 5\r\n\r\nother`), 20);
+        }
+    });
+    const agent = new EndpointAgent(() => performance.now());
+    t.is(await call(agent, address), "ok");
+    await new Promise(resolve => setTimeout(resolve, 60));
+    t.is(await call(agent, address), "ok");
+    t.is(connections(), 2);
+    agent.destroy();
+    server.close();
+});
+
+test("dispatch: a connection that was idle for too long is not used again", async t => {
+    const { server, address, connections } = await startEndpoint(socket => socket.write(WHOLE));
+    const time = { now: 0 };
+    const agent = new EndpointAgent(() => time.now);
+    t.is(await call(agent, address, 2_000, 1_000), "ok");
+    time.now = 900;
+    t.is(await call(agent, address, 2_000, 1_000), "ok");
+    t.is(connections(), 1);
+    time.now = 2_000;
+    t.is(await call(agent, address, 2_000, 1_000), "ok");
+    t.is(connections(), 2);
+    agent.destroy();
+    server.close();
+});
--- /dev/null
+++ b/packages/router/src/__tests__/unit/knowledge.test.ts
@@ -0,0 +1,112 @@
+import type { ModelName } from "@azureshunt/core";
+import test from "ava";
+
+import { createPauseWatch } from "../../knowledge/createPauseWatch.js";
+import type { KnowledgeEvent } from "../../knowledge/KnowledgeEvent.js";
+import { noKnowledge } from "../../knowledge/noKnowledge.js";
+import { outdatedSince } from "../../knowledge/outdatedSince.js";
+import { stepKnowledge } from "../../knowledge/stepKnowledge.js";
+import { routingOf } from "../support/routingOf.js";
+
+const MODEL = "m" as ModelName;
+const configuration = (revision: number): KnowledgeEvent => ({
+    kind: "configuration",
+    configuration: routingOf(revision, []),
+});
+const confirmed = (revision: number, asOf: number): KnowledgeEvent => ({ kind: "confirmed", revision, asOf });
+
+type Case = {
+    readonly name: string;
+    readonly events: readonly KnowledgeEvent[];
+    readonly revision: number | undefined;
+    readonly heard: number;
+    readonly confirmedAt: number;
+};
+
+/*
+ * A key is withdrawn by revision 5. A read that was held up, or a VM that lags, still hands over revision 4. The caller
+ * whose key was withdrawn must not be served again, so neither may put revision 4 back in force or confirm it.
+ */
+const cases: readonly Case[] = [
+    {
+        name: "an older configuration changes nothing",
+        events: [configuration(5), configuration(4)],
+        revision: 5,
+        heard: 5,
+        confirmedAt: -Infinity,
+    },
+    {
+        name: "a lagging VM confirms nothing",
+        events: [configuration(5), confirmed(5, 100), confirmed(4, 900)],
+        revision: 5,
+        heard: 5,
+        confirmedAt: 100,
+    },
+    {
+        name: "a newer revision that was only heard of confirms nothing",
+        events: [configuration(5), confirmed(5, 100), confirmed(6, 900)],
+        revision: 5,
+        heard: 6,
+        confirmedAt: 100,
+    },
+    {
+        name: "a confirmation that was overtaken does not make knowledge older",
+        events: [configuration(5), confirmed(5, 700), confirmed(5, 200)],
+        revision: 5,
+        heard: 5,
+        confirmedAt: 700,
+    },
+    {
+        name: "a pause voids what was confirmed and keeps the configuration",
+        events: [configuration(5), confirmed(5, 700), { kind: "paused" }],
+        revision: 5,
+        heard: 5,
+        confirmedAt: -Infinity,
+    },
+];
+
+cases.forEach(({ name, events, revision, heard, confirmedAt }) => {
+    test(`knowledge: ${name}`, t => {
+        const known = events.reduce((state, event) => stepKnowledge(state, event, 1_000), noKnowledge);
+        t.is(known.configuration?.revision, revision);
+        t.is(known.heardRevision, heard);
+        t.is(known.confirmedAt, confirmedAt);
+    });
+});
+
+test("knowledge: weights are outdated since the next version after them was named, not since the last one", t => {
+    const named = [[2, 100], [3, 500], [4, 900]] as const;
+    const known = named.reduce(
+        (state, [version, at]) => stepKnowledge(state, { kind: "weights", model: MODEL, version }, at),
+        noKnowledge,
+    );
+    t.is(outdatedSince(known, MODEL, 1), 100);
+    t.is(outdatedSince(known, MODEL, 2), 500);
+    t.is(outdatedSince(known, MODEL, 3), 900);
+    t.is(outdatedSince(known, MODEL, 4), undefined);
+});
+
+/*
+ * A VM is suspended for four seconds; its monotonic clock stands still meanwhile, so all that it knows looks fresh. The
+ * time of day has moved on, and that must be noticed once, by the next check.
+ */
+const jumps = [
+    { name: "four seconds of suspension", epochMs: 4_010, nowMs: 10, pauses: 1 },
+    { name: "a time of day stepped back", epochMs: -2_400, nowMs: 10, pauses: 1 },
+    { name: "late timers", epochMs: 510, nowMs: 500, pauses: 0 },
+] as const;
+
+jumps.forEach(({ name, epochMs, nowMs, pauses }) => {
+    test(`pause watch: ${name}`, t => {
+        const time = { now: 0, epoch: 1_000_000 };
+        const seen = { pauses: 0 };
+        const watch = createPauseWatch({ now: () => time.now, epoch: () => time.epoch }, () => {
+            seen.pauses += 1;
+        });
+        time.now += nowMs;
+        time.epoch += epochMs;
+        watch.check();
+        watch.check();
+        t.is(seen.pauses, pauses);
+    });
+});
--- a/packages/router/src/fleet/startOrders.ts
+++ b/packages/router/src/fleet/startOrders.ts
@@ -26,7 +26,7 @@
     readonly logger: Logger;
     readonly checkPause: () => void;
     /** How long an engine's last order binds it to its giver. */
-    readonly leaseMs: Millis;
+    readonly leaseMs: () => Millis;
     /** How many VMs go before this one in claiming the lease, given who held it last. */
     readonly rank: (lastHolder: VmId | undefined) => number;
     /** Tells the other VMs at once which engines were ordered. */
@@ -58,7 +58,7 @@
     const reporting = new Set<EndpointName>();
 
     const tell: Orders["tell"] = event => {
-        const step = stepOrderLease(held.lease, event, parts.leaseMs, clock.now());
+        const step = stepOrderLease(held.lease, event, parts.leaseMs(), clock.now());
         held.lease = step.state;
         step.effects.forEach(effect => void perform(effect));
     };
--- a/packages/router/src/placement/createEndpointBook.ts
+++ b/packages/router/src/placement/createEndpointBook.ts
@@ -23,7 +23,7 @@
     /** What the other VMs run at an endpoint, as they last told. */
     readonly othersAt: (endpoint: EndpointName) => EndpointShare;
     /** Engines whose weights were replaced longer ago get no requests. */
-    readonly outdatedLimitMs: Millis;
+    readonly outdatedLimitMs: () => Millis;
     /** An endpoint has left, or another run of it has begun: what it held is gone. */
     readonly onGone: (endpoint: EndpointName) => void;
 };
@@ -109,7 +109,7 @@
             .map(entry => ({ entry, weights: versionAt(entry, request.model), own: dealingsWith(entry) }))
             .filter(({ entry, weights }) => orderAt(entry, weights) === undefined)
             .map(each => ({ ...each, outdatedMs: outdatedFor(request.model, each.weights) }))
-            .filter(({ outdatedMs }) => (outdatedMs ?? 0) < parts.outdatedLimitMs)
+            .filter(({ outdatedMs }) => (outdatedMs ?? 0) < parts.outdatedLimitMs())
             .map(({ entry, weights, own, outdatedMs }) => ({
                 entry,
                 weights,
--- a/packages/router/src/serve/ServeParts.ts
+++ b/packages/router/src/serve/ServeParts.ts
@@ -24,7 +24,7 @@
     readonly agent: EndpointAgent;
     readonly callerWire: CallerWire;
     readonly endpointWire: EndpointWire;
-    readonly bounds: FreshnessBounds;
+    readonly bounds: () => FreshnessBounds;
     readonly logger: Logger;
     readonly metrics: Metrics;
     /** Looks for a pause of the process, after which nothing that was known counts. */
--- a/packages/router/src/serve/createRequestHandler.ts
+++ b/packages/router/src/serve/createRequestHandler.ts
@@ -103,7 +103,7 @@
             return;
         }
         const caller = decoded.unsafeCoerce();
-        const admitted = admitRequest({ knowledge: knowledge(), request: caller, arrivedAt, bounds: parts.bounds });
+        const admitted = admitRequest({ knowledge: knowledge(), request: caller, arrivedAt, bounds: parts.bounds() });
         if (admitted.isLeft()) {
             refuse(res, admitted.extract() as Refusal, caller.id, false);
             return;
--- a/packages/router/src/serve/createRetryBudgets.ts
+++ b/packages/router/src/serve/createRetryBudgets.ts
@@ -26,11 +26,11 @@
  *
  * @param vms how many VMs share the limits
  */
-export function createRetryBudgets(limits: RetryLimits, vms: () => number): RetryBudgets {
+export function createRetryBudgets(limits: () => RetryLimits, vms: () => number): RetryBudgets {
     const budgets = new Map<ServiceName, RetryBudget>();
-    const capacity = (): number => Math.max(1, limits.slack * USED_PART / vms());
+    const capacity = (): number => Math.max(1, limits().slack * USED_PART / vms());
     const of: RetryBudgets["of"] = service => {
-        const budget = budgets.get(service) ?? fullRetryBudget(capacity(), limits.ratio * USED_PART);
+        const budget = budgets.get(service) ?? fullRetryBudget(capacity(), limits().ratio * USED_PART);
         return { ...budget, capacity: capacity(), balance: Math.min(capacity(), budget.balance) };
     };
     const set: RetryBudgets["set"] = (service, budget) => {
--- a/packages/router/src/serve/startFront.ts
+++ b/packages/router/src/serve/startFront.ts
@@ -84,16 +84,31 @@
         res.end();
     });
 
+    /**
+     * Failure: a caller keeps its connection through the stop and sends a request on it seconds later, which cannot end
+     * in time any more. It shows as an answer that is cut. Guard: each answer after the stop began ends its connection,
+     * and once the balancer sends nobody new, connections without a request are closed too; a request that crosses the
+     * close was not read and is sent again by its caller.
+     */
+    const closeIdle = (): void => {
+        if (server.listening) {
+            server.close();
+        }
+        server.closeIdleConnections();
+    };
     const drain: Front["drain"] = withinMs =>
         new Promise(resolve => {
             const startedAt = performance.now();
             const poll = setInterval(() => {
                 const passed = performance.now() - startedAt;
+                if (passed > LAST_CONNECTIONS_MS) {
+                    closeIdle();
+                }
                 const isOver = running.size === 0 && passed > LAST_CONNECTIONS_MS;
                 if (isOver || passed > withinMs - STOP_MARGIN_MS) {
                     clearInterval(poll);
                     clearInterval(timer);
-                    server.close();
+                    closeIdle();
                     server.closeAllConnections();
                     ready.close();
                     ready.closeAllConnections();
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -27,6 +27,7 @@
 import type { RouterSettings } from "./RouterSettings.js";
 import { createRequestHandler } from "./serve/createRequestHandler.js";
 import { createRetryBudgets } from "./serve/createRetryBudgets.js";
+import type { FreshnessBounds } from "./serve/FreshnessBounds.js";
 import { startFront } from "./serve/startFront.js";
 
 /** What a router needs from outside. */
@@ -40,6 +41,8 @@
 
 /** A running router. */
 type Router = {
+    /** Puts bounds and limits of new settings in force; names and addresses stay until a restart. */
+    readonly reload: (settings: RouterSettings) => void;
     /** Takes no new connections, lets requests that run finish, and ends all parts. */
     readonly shutDown: () => Promise<void>;
 };
@@ -75,6 +78,7 @@
             seeds: settings.seeds.filter(seed => seed !== settings.listen.peers),
         } as Members,
         isDraining: false,
+        settings,
     };
 
     const pauseWatch = createPauseWatch(clock, jumpMs => {
@@ -100,7 +104,7 @@
         failureDomain: settings.failureDomain,
         knowledge: knowledge.current,
         othersAt: endpoint => othersAt(held.members, endpoint, clock.now()),
-        outdatedLimitMs: settings.weightsMs - WEIGHTS_MARGIN_MS,
+        outdatedLimitMs: () => held.settings.weightsMs - WEIGHTS_MARGIN_MS,
         onGone: chains.forget,
     });
     const registry = startRegistry({ clock, store, wire: directory, book, logger: loggers("registry"), metrics });
@@ -115,7 +119,7 @@
         knowledge: knowledge.current,
         logger: loggers("fleet"),
         checkPause: pauseWatch.check,
-        leaseMs: settings.orderLeaseMs,
+        leaseMs: () => held.settings.orderLeaseMs,
         rank: lastHolder => leaseRank(held.members, lastHolder, knowledge.hasStore(), clock.now()),
         tellPeers: () => beacons.sendNow(),
     });
@@ -177,10 +181,10 @@
         },
     });
 
-    const bounds = {
-        keysMs: settings.keyWithdrawalMs - KEY_MARGIN_MS,
-        denialMs: settings.configurationMs,
-    };
+    const bounds = (): FreshnessBounds => ({
+        keysMs: held.settings.keyWithdrawalMs - KEY_MARGIN_MS,
+        denialMs: held.settings.configurationMs,
+    });
     const handler = createRequestHandler({
         clock,
         random: Math.random,
@@ -188,7 +192,7 @@
         book,
         chains,
         allowances,
-        budgets: createRetryBudgets(settings.retries, () => held.members.known.size + 1),
+        budgets: createRetryBudgets(() => held.settings.retries, () => held.members.known.size + 1),
         agent,
         callerWire: parts.callerWire,
         endpointWire: parts.endpointWire,
@@ -199,7 +203,7 @@
         isDraining: () => held.isDraining,
     });
     const isReady = (): boolean =>
-        !held.isDraining && book.isKnown() && clock.now() - knowledge.current().confirmedAt < bounds.keysMs;
+        !held.isDraining && book.isKnown() && clock.now() - knowledge.current().confirmedAt < bounds().keysMs;
     const peerListener = await startPeerListener({
         address: settings.listen.peers,
         configuration: knowledge.raw,
@@ -235,7 +239,7 @@
     const shutDown = async (): Promise<void> => {
         held.isDraining = true;
         logger.info("Stopping.");
-        await front.drain(settings.stopMs);
+        await front.drain(held.settings.stopMs);
         [beacons, orders, registry, knowledge].forEach(part => part.stop());
         clearInterval(timer);
         peerListener.close();
@@ -243,5 +247,13 @@
         agent.destroy();
         logger.info("Stopped.");
     };
-    return { shutDown };
+    const reload = (next: RouterSettings): void => {
+        const isFixed = JSON.stringify(next.listen) === JSON.stringify(settings.listen) && next.vm === settings.vm;
+        held.settings = next;
+        logger.info(
+            { isFixed },
+            isFixed ? "Settings read again." : "Settings read again; names and addresses wait for a restart.",
+        );
+    };
+    return { shutDown, reload };
 }
