See a connection's reset that comes with its last bytes

Ruled out: Node's own parser: the same reset one millisecond later is reported as an error and was caught before. Change: at the connection's end the system is asked for its peer; a reset connection has none. Test with a real socket, red before.

--- a/packages/router/src/__tests__/unit/dispatch.test.ts
+++ b/packages/router/src/__tests__/unit/dispatch.test.ts
@@ -76,6 +76,14 @@
         },
         outcome: "not whole",
     },
+    {
+        name: "an answer without a length whose connection is reset together with its last bytes",
+        answer: socket => {
+            socket.write(`${HEAD}\r\nok`);
+            socket.resetAndDestroy();
+        },
+        outcome: "not whole",
+    },
     { name: "bytes that are no answer", answer: socket => socket.write("what?\r\n\r\n"), outcome: "broken" },
     { name: "a connection closed before the answer", answer: socket => socket.end(), outcome: "broken" },
 ];
--- a/packages/router/src/dispatch/OpenedCall.ts
+++ b/packages/router/src/dispatch/OpenedCall.ts
@@ -7,5 +7,7 @@
         readonly res: IncomingMessage;
         /** Whether an error was seen on the connection; an answer that ends after one is not whole. */
         readonly isBroken: () => boolean;
+        /** Whether the connection ended by a reset, though it looked like a plain end. */
+        readonly wasReset: () => boolean;
     }
     | { readonly kind: "unreached" | "broken" | "silent" | "cancelled"; };
--- a/packages/router/src/dispatch/openCall.ts
+++ b/packages/router/src/dispatch/openCall.ts
@@ -1,4 +1,5 @@
 import { request } from "node:http";
+import type { Socket } from "node:net";
 
 import type { EndpointAgent } from "./EndpointAgent.js";
 import type { EndpointCall } from "./EndpointCall.js";
@@ -7,6 +8,14 @@
 /** Bound on opening a connection: a hundred round trips inside a region; a dead endpoint answers never. */
 const CONNECT_MS = 300;
 
+/**
+ * Failure: an endpoint crashes in mid-answer and its connection is reset together with the last bytes. libuv then reports
+ * a plain end of the stream, and an answer without a length looks whole. Guard: the system knows no peer of a connection
+ * that was reset, while it still names the peer of one that was closed. Node asks it when the address is first read, so
+ * nothing may read the address before.
+ */
+const isReset = (socket: Socket): boolean => socket.remoteAddress === undefined;
+
 /**
  * Sends a request to an endpoint and waits for the head of its answer.
  *
@@ -24,7 +33,7 @@
             resolve({ kind: "cancelled" });
             return;
         }
-        const progress = { isConnected: false, isBroken: false, isSilent: false };
+        const progress = { isConnected: false, isBroken: false, isSilent: false, wasReset: false };
         const req = request({
             agent,
             host,
@@ -55,6 +64,11 @@
         };
         signal.addEventListener("abort", abort, { once: true });
         req.once("socket", socket => {
+            const onEnd = (): void => {
+                progress.wasReset = isReset(socket);
+            };
+            socket.prependOnceListener("end", onEnd);
+            req.once("close", () => socket.removeListener("end", onEnd));
             if (!socket.connecting) {
                 progress.isConnected = true;
                 return;
@@ -64,7 +78,13 @@
                 progress.isConnected = true;
             });
         });
-        req.once("response", res => settle({ kind: "head", res, isBroken: () => progress.isBroken }));
+        req.once("response", res =>
+            settle({
+                kind: "head",
+                res,
+                isBroken: () => progress.isBroken,
+                wasReset: () => progress.wasReset,
+            }));
         req.on("error", () => {
             progress.isBroken = true;
         });
--- a/packages/router/src/dispatch/readAnswer.ts
+++ b/packages/router/src/dispatch/readAnswer.ts
@@ -1,3 +1,4 @@
+import { endsWhole } from "./endsWhole.js";
 import type { OpenedCall } from "./OpenedCall.js";
 
 /** Largest answer that is held in memory before it goes to the caller. */
@@ -11,7 +12,8 @@
  *
  * @returns undefined when the answer is not whole
  */
-export function readAnswer({ res, isBroken }: Extract<OpenedCall, { kind: "head"; }>): Promise<Buffer | undefined> {
+export function readAnswer(opened: Extract<OpenedCall, { kind: "head"; }>): Promise<Buffer | undefined> {
+    const { res } = opened;
     return new Promise(resolve => {
         const chunks: Buffer[] = [];
         const size = { bytes: 0 };
@@ -24,6 +26,6 @@
         });
         res.on("error", () => resolve(undefined));
         res.on("close", () => resolve(undefined));
-        res.on("end", () => resolve(res.complete && !isBroken() ? Buffer.concat(chunks) : undefined));
+        res.on("end", () => resolve(endsWhole(opened) ? Buffer.concat(chunks) : undefined));
     });
 }
--- a/packages/router/src/serve/passStream.ts
+++ b/packages/router/src/serve/passStream.ts
@@ -1,4 +1,5 @@
 import { createEventSplitter } from "../dispatch/createEventSplitter.js";
+import { endsWhole } from "../dispatch/endsWhole.js";
 import type { OpenedCall } from "../dispatch/OpenedCall.js";
 import type { ServedRequest } from "./ServedRequest.js";
 import type { StreamProgress } from "./StreamProgress.js";
@@ -23,7 +24,8 @@
  * stream ends as complete only if the endpoint ended it so.
  */
 export function passStream(parts: StreamParts): Promise<TryResult["kind"]> {
-    const { served, opened: { res, isBroken }, progress } = parts;
+    const { served, opened, progress } = parts;
+    const { res } = opened;
     const splitter = createEventSplitter();
     return new Promise(resolve => {
         const state = { timer: undefined as NodeJS.Timeout | undefined, isFirst: true };
@@ -66,7 +68,7 @@
         res.on("error", () => settle(served.signal.aborted ? "cancelled" : "broken"));
         res.on("close", () => settle(served.signal.aborted ? "cancelled" : "broken"));
         res.on("end", () => {
-            const isWhole = res.complete && !isBroken() && splitter.rest() === 0;
+            const isWhole = endsWhole(opened) && splitter.rest() === 0;
             settle(isWhole ? "answered" : "broken");
         });
     });
