Let as many engines take weights at once as the demand leaves over

Change: a quarter away, less where the demand (told in beacons) leaves less over, more only where a version's own time runs out.

--- /dev/null
+++ b/packages/router/src/__tests__/unit/planWave.test.ts
@@ -0,0 +1,80 @@
+import type { EndpointName } from "@azureshunt/core";
+import test from "ava";
+
+import type { EngineWeights } from "../../fleet/EngineWeights.js";
+import { planWave } from "../../fleet/planWave.js";
+
+const engine = (name: string, more: Partial<EngineWeights> = {}): EngineWeights => ({
+    endpoint: name as EndpointName,
+    version: 1,
+    outdatedMs: 0,
+    ordersTaken: 0,
+    order: undefined,
+    running: 0,
+    isUp: true,
+    ...more,
+});
+const fleet = (count: number, more: Partial<EngineWeights> = {}): readonly EngineWeights[] =>
+    Array.from({ length: count }, (_, i) => engine(`e${i}`, more));
+const order = { version: 2, sentAt: 0, isOwn: true };
+
+type Case = {
+    readonly name: string;
+    readonly engines: readonly EngineWeights[];
+    readonly demand: number;
+    readonly orders: number | readonly string[];
+};
+
+/*
+ * Thirteen engines read 80 tokens a millisecond each. At quiet times a quarter of them may be away; when callers send 600
+ * tokens a millisecond, eleven must stay, or the others drown and each answer takes seconds. However busy, all are off
+ * old weights before these serve nobody any more; engines that were replaced later have their own, later time.
+ */
+const cases: readonly Case[] = [
+    { name: "quiet: a quarter of them", engines: fleet(13), demand: 100, orders: 4 },
+    { name: "busy: what the demand leaves over", engines: fleet(13), demand: 600, orders: 4 },
+    {
+        name: "busy, and engines down",
+        engines: fleet(13).map((each, i) => ({ ...each, isUp: i > 5 })),
+        demand: 300,
+        orders: 2,
+    },
+    { name: "late: more at once", engines: fleet(12, { outdatedMs: 4_000 }), demand: 2_000, orders: 6 },
+    { name: "too late: all of them", engines: fleet(4, { outdatedMs: 7_500 }), demand: 2_000, orders: 4 },
+    {
+        name: "few are late, many were replaced just now: the late ones set the pace",
+        engines: fleet(12).map((each, i) => ({ ...each, outdatedMs: i < 3 ? 4_000 : 100 })),
+        demand: 2_000,
+        orders: 4,
+    },
+    { name: "one engine alone goes as well", engines: fleet(1), demand: 100, orders: 1 },
+    {
+        name: "those away count",
+        engines: fleet(8).map((each, i) => i < 1 ? { ...each, order } : each),
+        demand: 10,
+        orders: 1,
+    },
+    {
+        name: "the oldest weights first, then the fewest runs",
+        engines: [
+            engine("busy", { running: 9 }),
+            engine("newer", { version: 2 }),
+            engine("idle"),
+            engine("done", { version: 3 }),
+            ...fleet(4, { version: 3 }),
+        ],
+        demand: 0,
+        orders: ["idle", "busy"],
+    },
+];
+
+cases.forEach(({ name, engines, demand, orders }) => {
+    test(`planWave: ${name}`, t => {
+        const planned = planWave({ engines, version: 3, demand });
+        if (typeof orders === "number") {
+            t.is(planned.length, orders);
+            return;
+        }
+        t.deepEqual(planned as readonly string[], orders);
+    });
+});
--- a/packages/router/src/fleet/EngineWeights.ts
+++ b/packages/router/src/fleet/EngineWeights.ts
@@ -4,6 +4,8 @@
 export type EngineWeights = {
     readonly endpoint: EndpointName;
     readonly version: number;
+    /** How long ago its weights were replaced; 0 where they are the newest. */
+    readonly outdatedMs: Millis;
     /** Orders that it has accepted since its start; an order carries it, so that one carried out late is void. */
     readonly ordersTaken: number;
     /** Set while an order is being carried out, or may be. */
--- a/packages/router/src/fleet/startOrders.ts
+++ b/packages/router/src/fleet/startOrders.ts
@@ -1,4 +1,4 @@
-import type { Clock, EndpointName, Millis, ModelName, VmId } from "@azureshunt/core";
+import type { Clock, EndpointName, Millis, ModelName, Tokens, VmId } from "@azureshunt/core";
 import type { Logger } from "pino";
 
 import { callOnce } from "../dispatch/callOnce.js";
@@ -29,6 +29,8 @@
     readonly leaseMs: () => Millis;
     /** How many VMs go before this one in claiming the lease, given who held it last. */
     readonly rank: (lastHolder: VmId | undefined) => number;
+    /** Prompt tokens that callers send in a millisecond, to all VMs. */
+    readonly demand: () => Tokens;
     /** Tells the other VMs at once which engines were ordered. */
     readonly tellPeers: () => void;
 };
@@ -177,7 +179,11 @@
             return;
         }
         wanted().forEach(([model, version]) =>
-            planWave(book.engines(model), version).forEach(endpoint => void order(endpoint, model, version))
+            planWave({
+                engines: book.engines(model),
+                version,
+                demand: parts.demand(),
+            }).forEach(endpoint => void order(endpoint, model, version))
         );
     };
 
--- a/packages/router/src/peers/Beacon.ts
+++ b/packages/router/src/peers/Beacon.ts
@@ -32,6 +32,8 @@
     readonly weights: readonly (readonly [ModelName, number])[];
     readonly spent: readonly (readonly [OrganisationId, Tokens])[];
     readonly load: readonly (readonly [EndpointName, EndpointShare])[];
+    /** Prompt tokens that the sender's callers send in a millisecond. */
+    readonly demand: Tokens;
     /** Engines that carry out this VM's orders: name, version, how long ago it was given. */
     readonly ordered: readonly (readonly [EndpointName, number, Millis])[];
     /** Versions that engines are known to hold. */
--- a/packages/router/src/peers/decodeBeacon.ts
+++ b/packages/router/src/peers/decodeBeacon.ts
@@ -1,7 +1,7 @@
 import type { Beacon } from "./Beacon.js";
 
 const FORMAT = 1;
-const FIELDS = 18;
+const FIELDS = 19;
 
 type Row = readonly unknown[];
 
@@ -31,7 +31,8 @@
     && areRows(row[13], isText, isNumber, isNumber)
     && areRows(row[14], isText, isNumber)
     && isTriple(row[15], isNumber, isText, isNumber)
-    && typeof row[16] === "boolean" && typeof row[17] === "boolean";
+    && typeof row[16] === "boolean" && typeof row[17] === "boolean"
+    && isNumber(row[18]);
 
 const parse = (datagram: Buffer): unknown => {
     try {
@@ -51,7 +52,7 @@
     }
     const [, vm, incarnation, failureDomain, sequence, sentAt, echo, members, revision, confirmed, weights, spent] =
         row;
-    const [load, ordered, held, lease, hasStore, isLeaving] = row.slice(12);
+    const [load, ordered, held, lease, hasStore, isLeaving, demand] = row.slice(12);
     const loads = load as readonly [string, number, number, number][];
     // All fields were checked above; the casts give them their brands.
     return {
@@ -75,5 +76,6 @@
         lease: isRow(lease) ? { offset: lease[0], holder: lease[1], ageMs: lease[2] } : undefined,
         hasStore,
         isLeaving,
+        demand,
     } as unknown as Beacon;
 }
--- a/packages/router/src/peers/encodeBeacon.ts
+++ b/packages/router/src/peers/encodeBeacon.ts
@@ -25,5 +25,6 @@
         lease === undefined ? null : [lease.offset, lease.holder, lease.ageMs],
         beacon.hasStore,
         beacon.isLeaving,
+        beacon.demand,
     ]));
 }
--- a/packages/router/src/placement/createEndpointBook.ts
+++ b/packages/router/src/placement/createEndpointBook.ts
@@ -186,10 +186,11 @@
                 return {
                     endpoint: entry.name,
                     version,
+                    outdatedMs: outdatedFor(model, version) ?? 0,
                     ordersTaken: own.seenOrders,
                     order: orderAt(entry, version),
                     running,
-                    isUp: own.health.downUntil <= clock.now(),
+                    isUp: own.health.unreachedInRow === 0 && own.health.downUntil <= clock.now(),
                 };
             });
 
--- a/packages/router/src/serve/ServeParts.ts
+++ b/packages/router/src/serve/ServeParts.ts
@@ -6,6 +6,7 @@
 import type { EndpointAgent } from "../dispatch/EndpointAgent.js";
 import type { Knowledge } from "../knowledge/Knowledge.js";
 import type { createChainMemory } from "../placement/createChainMemory.js";
+import type { createDemand } from "../placement/createDemand.js";
 import type { EndpointBook } from "../placement/EndpointBook.js";
 import type { CallerWire } from "../ports/CallerWire.js";
 import type { EndpointWire } from "../ports/EndpointWire.js";
@@ -20,6 +21,7 @@
     readonly book: EndpointBook;
     readonly chains: ReturnType<typeof createChainMemory>;
     readonly allowances: ReturnType<typeof createAllowances>;
+    readonly demand: ReturnType<typeof createDemand>;
     readonly budgets: ReturnType<typeof createRetryBudgets>;
     readonly agent: EndpointAgent;
     readonly callerWire: CallerWire;
--- a/packages/router/src/serve/createRequestHandler.ts
+++ b/packages/router/src/serve/createRequestHandler.ts
@@ -121,6 +121,7 @@
             refuse(res, charged.extract() as Refusal, caller.id, false);
             return;
         }
+        parts.demand.note(caller.prompt?.promptTokens ?? 0);
         const endsAt = arrivedAt + Math.min(route.timeoutMs, caller.deadlineMs ?? route.timeoutMs);
         const ending = watchEnding(res, endsAt - clock.now());
         const served = { caller, body: body.unsafeCoerce(), res, route, service, organisation, arrivedAt, endsAt };
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -14,10 +14,12 @@
 import { hearingOf } from "./peers/hearingOf.js";
 import type { Members } from "./peers/Members.js";
 import { othersAt } from "./peers/othersAt.js";
+import { othersDemand } from "./peers/othersDemand.js";
 import { startBeacons } from "./peers/startBeacons.js";
 import { startPeerListener } from "./peers/startPeerListener.js";
 import { stepMembers } from "./peers/stepMembers.js";
 import { createChainMemory } from "./placement/createChainMemory.js";
+import { createDemand } from "./placement/createDemand.js";
 import { createEndpointBook } from "./placement/createEndpointBook.js";
 import type { CallerWire } from "./ports/CallerWire.js";
 import type { DirectoryWire } from "./ports/DirectoryWire.js";
@@ -108,6 +110,7 @@
         onGone: chains.forget,
     });
     const registry = startRegistry({ clock, store, wire: directory, book, logger: loggers("registry"), metrics });
+    const demand = createDemand(clock);
     const allowances = createAllowances(clock, () => hearingOf(held.members, clock.now()));
     const orders = startOrders({
         clock,
@@ -119,6 +122,7 @@
         knowledge: knowledge.current,
         logger: loggers("fleet"),
         checkPause: pauseWatch.check,
+        demand: () => demand.rate() + othersDemand(held.members, clock.now()),
         leaseMs: () => held.settings.orderLeaseMs,
         rank: lastHolder => leaseRank(held.members, lastHolder, knowledge.hasStore(), clock.now()),
         tellPeers: () => beacons.sendNow(),
@@ -168,6 +172,7 @@
                 ),
                 spent: allowances.spent(),
                 load: book.ownShares(),
+                demand: demand.rate(),
                 ordered: book.ownOrders(),
                 held: book.heldVersions(),
                 lease: leaseNews(),
@@ -192,6 +197,7 @@
         book,
         chains,
         allowances,
+        demand,
         budgets: createRetryBudgets(() => held.settings.retries, () => held.members.known.size + 1),
         agent,
         callerWire: parts.callerWire,
