Tell dark engines from busy ones, and fetch only from what can be reached

Cause: while a failure domain was cut off, engines elsewhere were told to fetch from the store there and waited for it, and connections to the other side hung; a busy engine was taken for a dark one, its work sent again elsewhere; orders to dark engines held places in the wave for 2.5 s. Change: failure domains out of hearing are known by beacons that do not come; silence counts only where nothing came from the endpoint; orders that could not be sent free their place; what may run once goes out on connections proven within 250 ms.

--- a/packages/router/src/dispatch/EndpointCall.ts
+++ b/packages/router/src/dispatch/EndpointCall.ts
@@ -11,6 +11,8 @@
     readonly body: Buffer;
     /** Longest time that a kept connection may have been idle. */
     readonly keptIdleMs: Millis;
-    /** Longest time until the head of the answer; then the try counts as silent. */
+    /** Time until the head of the answer, after which the try counts as silent unless `isAlive` says otherwise. */
     readonly headMs: Millis;
+    /** Whether the endpoint shows life by other means, so that waiting on makes sense; never where left out. */
+    readonly isAlive?: () => boolean;
 };
--- a/packages/router/src/dispatch/openCall.ts
+++ b/packages/router/src/dispatch/openCall.ts
@@ -5,8 +5,10 @@
 import type { EndpointCall } from "./EndpointCall.js";
 import type { OpenedCall } from "./OpenedCall.js";
 
-/** Bound on opening a connection: a hundred round trips inside a region; a dead endpoint answers never. */
-const CONNECT_MS = 300;
+/** Bound on opening a connection: tens of round trips inside a region; a dead endpoint answers never. */
+const CONNECT_MS = 200;
+/** Between looks at whether a quiet endpoint still shows life. */
+const ASK_AGAIN_MS = 200;
 
 /**
  * Failure: an endpoint crashes in mid-answer and its connection is reset together with the last bytes. libuv then reports
@@ -56,10 +58,18 @@
                 giveUp();
             }
         }, CONNECT_MS);
-        const headTimer = setTimeout(giveUp, call.headMs);
+        const headTimer = { current: undefined as NodeJS.Timeout | undefined };
+        const onQuiet = (): void => {
+            if (progress.isConnected && call.isAlive?.() === true) {
+                headTimer.current = setTimeout(onQuiet, ASK_AGAIN_MS);
+                return;
+            }
+            giveUp();
+        };
+        headTimer.current = setTimeout(onQuiet, call.headMs);
         const settle = (opened: OpenedCall): void => {
             clearTimeout(connectTimer);
-            clearTimeout(headTimer);
+            clearTimeout(headTimer.current);
             resolve(opened);
         };
         signal.addEventListener("abort", abort, { once: true });
--- a/packages/router/src/fleet/startOrders.ts
+++ b/packages/router/src/fleet/startOrders.ts
@@ -121,7 +121,9 @@
         const res = entry === undefined
             ? undefined
             : await callOnce(parts.agent, entry.address, parts.wire.reportCall, ORDER_ANSWER_MS);
-        const state = res?.status === HOLDS_ALREADY ? parts.wire.decodeReport(res.body) : undefined;
+        const state = res?.kind === "answer" && res.status === HOLDS_ALREADY
+            ? parts.wire.decodeReport(res.body)
+            : undefined;
         const seen = state?.versions.get(model);
         if (seen !== undefined) {
             book.sawWeights(endpoint, seen, state?.ordersTaken);
@@ -157,19 +159,23 @@
         parts.tellPeers();
         const call = parts.wire.encodeOrder({ endpoint, model, version, holder: parts.vm, fence, ordersTaken });
         const res = await callOnce(parts.agent, entry.address, call, ORDER_ANSWER_MS);
-        logger.info({ endpoint, model, version, fence, ordersTaken, status: res?.status }, "Order given.");
-        if (res?.status === HOLDS_ALREADY) {
+        const status = res.kind === "answer" ? res.status : undefined;
+        logger.info({ endpoint, model, version, fence, ordersTaken, status, answer: res.kind }, "Order given.");
+        if (status === HOLDS_ALREADY) {
             book.sawWeights(endpoint, version);
             return;
         }
-        if (res !== undefined && res.status !== ACCEPTED && res.status !== CONFLICT) {
+        if (res.kind === "unreached") {
+            book.unreached(endpoint);
+        }
+        if (res.kind === "unreached" || (status !== undefined && status !== ACCEPTED && status !== CONFLICT)) {
             book.ordered(endpoint, undefined);
             return;
         }
         if (!reporting.has(endpoint)) {
             reporting.add(endpoint);
             // After a conflict the engine's own count of orders has to be learnt before it can be ordered again.
-            const wait = res?.status === CONFLICT ? 0 : FIRST_REPORT_MS;
+            const wait = status === CONFLICT ? 0 : FIRST_REPORT_MS;
             setTimeout(() => void report(endpoint, model, version, ordersTaken), wait);
         }
     };
--- a/packages/router/src/knowledge/startKnowledge.ts
+++ b/packages/router/src/knowledge/startKnowledge.ts
@@ -133,7 +133,7 @@
         const call = { method: "GET", target: "/configuration", headers: ["Host", address], body: Buffer.alloc(0) };
         const res = await callOnce(parts.agent, address, call, FETCH_MS);
         state.isFetching = false;
-        if (res?.status === OK) {
+        if (res.kind === "answer" && res.status === OK) {
             declare("config", res.body);
         }
     };
--- a/packages/router/src/placement/Candidate.ts
+++ b/packages/router/src/placement/Candidate.ts
@@ -21,6 +21,10 @@
     readonly missingTokens: Tokens;
     /** How long newer weights than its own have been named; undefined where it holds the newest. */
     readonly outdatedMs: Millis | undefined;
-    /** How long its oldest request has waited for a sign of life beyond what is usual; 0 where all is well. */
+    /** How long it has given no sign of life beyond what is usual; 0 where all is well. */
     readonly silentMs: Millis;
+    /** How long its failure domain has been out of hearing; 0 where it is this VM's own. */
+    readonly quietMs: Millis;
+    /** Prompt tokens that it can fetch from elsewhere in place of reading them. */
+    readonly fetchedTokens: Tokens;
 };
--- a/packages/router/src/placement/EndpointBook.ts
+++ b/packages/router/src/placement/EndpointBook.ts
@@ -20,6 +20,10 @@
 type EndpointSeat = {
     /** The answer has begun. */
     readonly answering: () => void;
+    /** Something came from the endpoint. */
+    readonly sign: () => void;
+    /** Whether anything came from the endpoint lately, for whichever request. */
+    readonly isAlive: () => boolean;
     readonly end: (outcome: TryOutcome["kind"]) => void;
 };
 
@@ -32,6 +36,8 @@
         endpoint: EndpointName,
         sizes: { readonly missingTokens: Tokens; readonly memoryTokens: Tokens; readonly expectedMs: Millis; },
     ) => EndpointSeat;
+    /** A call that is no request of a caller could not reach it. */
+    readonly unreached: (endpoint: EndpointName) => void;
     /** An engine showed which weights it holds. */
     readonly sawWeights: (endpoint: EndpointName, version: number, ordersTaken?: number) => void;
     /** An order was given, by this VM or another; undefined when it is over. */
--- a/packages/router/src/placement/PlacedRequest.ts
+++ b/packages/router/src/placement/PlacedRequest.ts
@@ -1,11 +1,13 @@
 import type { EndpointName, ModelName, ServiceName, Tokens } from "@azureshunt/core";
 
+import type { PromptShare } from "./PromptShare.js";
+
 /** What the choice of an endpoint needs to know of a request. */
 export type PlacedRequest = {
     readonly service: ServiceName;
     readonly model: ModelName | undefined;
     readonly memoryTokens: Tokens;
-    /** Prompt tokens that an endpoint would have to read itself, holding these weights. */
-    readonly missingAt: (endpoint: EndpointName, weights: number | undefined) => Tokens;
+    /** Prompt tokens that an endpoint would have to read itself or could fetch, holding these weights. */
+    readonly promptAt: (endpoint: EndpointName, weights: number | undefined) => PromptShare;
     readonly avoid: ReadonlySet<EndpointName>;
 };
--- a/packages/router/src/placement/choosePlace.ts
+++ b/packages/router/src/placement/choosePlace.ts
@@ -10,6 +10,8 @@
 const FAILURE_COST_MS = 1_500;
 /** An endpoint that gives no sign of life is taken only when the others' queues are as long. */
 const SILENCE_WEIGHT = 2;
+/** A failure domain out of hearing costs so much at most: with none else in reach it is tried all the same. */
+const QUIET_LIMIT_MS = 3_000;
 /** VMs that see the same loads must not all choose the same endpoint; spread in milliseconds. */
 const JITTER_MS = 6;
 
@@ -26,6 +28,7 @@
         + (isOutdated ? OUTDATED_COST_MS : 0)
         + candidate.health.failureRate * FAILURE_COST_MS
         + candidate.silentMs * SILENCE_WEIGHT
+        + Math.min(QUIET_LIMIT_MS, candidate.quietMs * SILENCE_WEIGHT)
         + draw * JITTER_MS;
 };
 
--- a/packages/router/src/placement/createEndpointBook.ts
+++ b/packages/router/src/placement/createEndpointBook.ts
@@ -14,6 +14,7 @@
 import { healthAfterTry } from "./healthAfterTry.js";
 import type { InFlight } from "./InFlight.js";
 import { loadOf } from "./loadOf.js";
+import type { PromptShare } from "./PromptShare.js";
 import { soundHealth } from "./soundHealth.js";
 
 type BookParts = {
@@ -22,6 +23,8 @@
     readonly knowledge: () => Knowledge;
     /** What the other VMs run at an endpoint, as they last told. */
     readonly othersAt: (endpoint: EndpointName) => EndpointShare;
+    /** How long a failure domain has been out of hearing. */
+    readonly quietMs: (domain: FailureDomain) => Millis;
     /** Engines whose weights were replaced longer ago get no requests. */
     readonly outdatedLimitMs: () => Millis;
     /** An endpoint has left, or another run of it has begun: what it held is gone. */
@@ -33,15 +36,20 @@
     readonly bornAt: number;
     health: EndpointHealth;
     inFlight: readonly InFlight[];
+    lastSignAt: Millis;
     /** Version seen in answers, reports and orders; the registry's entry may lag behind it. */
     seenVersion: number;
     seenOrders: number;
     order: EngineWeights["order"];
 };
 
+/** Whatever has given a sign of life so lately is not dark, only busy. */
+const ALIVE_MS = 400;
 /** An order given for so long counts as lost; the engine is then judged by what it shows. */
 const ORDER_LOST_MS = 2_500;
 
+const NO_PROMPT: PromptShare = { missingTokens: 0, fetchedTokens: 0, source: undefined };
+
 const servicesOf = (cfg: RoutingConfiguration | undefined): RoutingConfiguration["services"] =>
     cfg?.services ?? new Map();
 
@@ -63,6 +71,7 @@
             bornAt: entry.bornAt,
             health: soundHealth,
             inFlight: [],
+            lastSignAt: -Infinity,
             seenVersion: 0,
             seenOrders: 0,
             order: undefined,
@@ -119,9 +128,10 @@
                     isNear: entry.failureDomain === parts.failureDomain,
                     slots: engine?.slots ?? entry.slots,
                     memorySize: engine?.cacheTokens ?? 0,
-                    missingTokens: engine === undefined ? 0 : request.missingAt(entry.name, weights),
+                    ...(engine === undefined ? NO_PROMPT : request.promptAt(entry.name, weights)),
                     outdatedMs,
-                    ...loadOf(own.inFlight, parts.othersAt(entry.name), now),
+                    quietMs: entry.failureDomain === parts.failureDomain ? 0 : parts.quietMs(entry.failureDomain),
+                    ...loadOf(own.inFlight, parts.othersAt(entry.name), own.lastSignAt, now),
                 },
             }));
     };
@@ -148,6 +158,12 @@
         replace(seat.current);
         return {
             answering: () => replace({ ...seat.current, isAnswering: true }),
+            sign: () => {
+                if (own !== undefined) {
+                    own.lastSignAt = clock.now();
+                }
+            },
+            isAlive: () => own !== undefined && clock.now() - own.lastSignAt < ALIVE_MS,
             end: outcome => {
                 replace(undefined);
                 if (own !== undefined) {
@@ -168,6 +184,13 @@
         }
     };
 
+    const unreached: EndpointBook["unreached"] = endpoint => {
+        const own = dealings.get(endpoint);
+        if (own !== undefined) {
+            own.health = healthAfterTry(own.health, "unreached", clock.now());
+        }
+    };
+
     const ordered: EndpointBook["ordered"] = (endpoint, order) => {
         const entry = entryOf(endpoint);
         if (entry !== undefined) {
@@ -182,7 +205,7 @@
             .map(entry => {
                 const own = dealingsWith(entry);
                 const version = versionAt(entry, model) ?? 0;
-                const { running } = loadOf(own.inFlight, parts.othersAt(entry.name), clock.now());
+                const { running } = loadOf(own.inFlight, parts.othersAt(entry.name), own.lastSignAt, clock.now());
                 return {
                     endpoint: entry.name,
                     version,
@@ -199,13 +222,19 @@
         tellRegistry,
         candidates,
         begin,
+        unreached,
         sawWeights,
         ordered,
         engines,
         entryOf,
         ownShares: () =>
             [...dealings].filter(([, own]) => own.inFlight.length > 0).map(([name, own]) => {
-                const { running, waitingTokens, memoryTokens } = loadOf(own.inFlight, undefined, clock.now());
+                const { running, waitingTokens, memoryTokens } = loadOf(
+                    own.inFlight,
+                    undefined,
+                    own.lastSignAt,
+                    clock.now(),
+                );
                 return [name, { running, waitingTokens, memoryTokens }] as const;
             }),
         ownOrders: () =>
--- a/packages/router/src/placement/estimateStart.ts
+++ b/packages/router/src/placement/estimateStart.ts
@@ -4,6 +4,8 @@
 
 /** Prompt tokens that an engine reads in a millisecond, from the deployments' sheets. */
 const TOKENS_PER_MS = 80;
+/** Tokens that are fetched in a millisecond from another engine or the store, over its link and with the waiting for it. */
+const FETCHED_PER_MS = 300;
 /** What each running request adds to the steps of an engine, in milliseconds over a prompt's reading. */
 const RUNNING_MS = 1.5;
 /** One plain request before this one: the sheets' mean of work, spread over the slots. */
@@ -13,7 +15,7 @@
 
 /** Estimates the milliseconds until an endpoint would begin its answer. */
 export function estimateStart(candidate: Candidate): Millis {
-    const { running, slots, waitingTokens, missingTokens, memorySize, memoryTokens } = candidate;
+    const { running, slots, waitingTokens, missingTokens, fetchedTokens, memorySize, memoryTokens } = candidate;
     const distance = candidate.isNear ? 0 : FAR_MS;
     if (memorySize === 0) {
         const queued = Math.max(0, running + 1 - slots);
@@ -23,5 +25,5 @@
     const reading = (waitingTokens + missingTokens) / TOKENS_PER_MS;
     const overflow = Math.max(0, memoryTokens - memorySize) / TOKENS_PER_MS;
     const queued = Math.max(0, running + 1 - slots) * RUNNING_MS * slots;
-    return distance + reading + running * RUNNING_MS + overflow + queued;
+    return distance + reading + fetchedTokens / FETCHED_PER_MS + running * RUNNING_MS + overflow + queued;
 }
--- a/packages/router/src/serve/ServeParts.ts
+++ b/packages/router/src/serve/ServeParts.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "@azureshunt/core";
+import type { Clock, FailureDomain } from "@azureshunt/core";
 import type { Metrics } from "@azureshunt/telemetry";
 import type { Logger } from "pino";
 
@@ -29,6 +29,8 @@
     readonly bounds: () => FreshnessBounds;
     readonly logger: Logger;
     readonly metrics: Metrics;
+    /** Whether a failure domain is out of hearing. */
+    readonly isQuiet: (domain: FailureDomain) => boolean;
     /** Looks for a pause of the process, after which nothing that was known counts. */
     readonly checkPause: () => void;
     readonly isDraining: () => boolean;
--- /dev/null
+++ b/packages/router/src/serve/StreamSigns.ts
@@ -0,0 +1,8 @@
+/** What a stream's passing tells of its endpoint, and asks about it. */
+export type StreamSigns = {
+    readonly onFirstEvent: () => void;
+    /** Something came from the endpoint. */
+    readonly sign: () => void;
+    /** Whether anything came from the endpoint lately, for whichever request. */
+    readonly isAlive: () => boolean;
+};
--- a/packages/router/src/serve/TryPlace.ts
+++ b/packages/router/src/serve/TryPlace.ts
@@ -8,10 +8,14 @@
     readonly entry: EndpointEntry;
     readonly weights: number | undefined;
     readonly startMs: Millis;
+    /** Requests that ran there when it was chosen. */
+    readonly running: number;
     readonly missingTokens: Tokens;
     readonly memoryTokens: Tokens;
     readonly salt: string | undefined;
     readonly chain: readonly ChainPart[];
-    /** The store of cached parts, where the configuration has one. */
+    /** `host:port` to fetch parts of the prompt from. */
+    readonly source: string | undefined;
+    /** The store of cached parts, where the configuration has one and it can be reached. */
     readonly cacheStore: string | undefined;
 };
--- a/packages/router/src/serve/passStream.ts
+++ b/packages/router/src/serve/passStream.ts
@@ -3,9 +3,13 @@
 import type { OpenedCall } from "../dispatch/OpenedCall.js";
 import type { ServedRequest } from "./ServedRequest.js";
 import type { StreamProgress } from "./StreamProgress.js";
+import type { StreamSigns } from "./StreamSigns.js";
 import type { TryResult } from "./TryResult.js";
 
-type StreamParts = {
+/** A stream that is silent for so many rounds is given up also where its endpoint lives: its connection is lost. */
+const BUSY_ROUNDS = 2;
+
+type StreamParts = StreamSigns & {
     readonly served: ServedRequest;
     readonly opened: Extract<OpenedCall, { readonly kind: "head"; }>;
     readonly progress: StreamProgress;
@@ -13,7 +17,6 @@
     readonly silenceMs: number | undefined;
     /** Sends the head of the answer, before the first event. */
     readonly sendHead: () => void;
-    readonly onFirstEvent: () => void;
 };
 
 /**
@@ -37,10 +40,20 @@
             settle(kind);
             res.destroy();
         };
+        const quiet = { rounds: 0 };
+        const onQuiet = (): void => {
+            quiet.rounds += 1;
+            if (parts.isAlive() && quiet.rounds < BUSY_ROUNDS) {
+                state.timer = setTimeout(onQuiet, parts.silenceMs);
+                return;
+            }
+            stop("silent");
+        };
         const watch = (): void => {
             clearTimeout(state.timer);
+            quiet.rounds = 0;
             if (parts.silenceMs !== undefined) {
-                state.timer = setTimeout(() => stop("silent"), parts.silenceMs);
+                state.timer = setTimeout(onQuiet, parts.silenceMs);
             }
         };
         const isNext = (id: number | undefined): boolean =>
@@ -62,6 +75,7 @@
         };
         watch();
         res.on("data", (chunk: Buffer) => {
+            parts.sign();
             watch();
             splitter.push(chunk).every(pass);
         });
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -5,19 +5,22 @@
 import { readAnswer } from "../dispatch/readAnswer.js";
 import type { EndpointHead } from "../ports/EndpointHead.js";
 import { isRepeatable } from "./isRepeatable.js";
+import { isSampled } from "./isSampled.js";
 import { passStream } from "./passStream.js";
 import type { ServedRequest } from "./ServedRequest.js";
 import type { ServeParts } from "./ServeParts.js";
 import { silenceBound } from "./silenceBound.js";
 import type { StreamProgress } from "./StreamProgress.js";
+import type { StreamSigns } from "./StreamSigns.js";
 import type { TryPlace } from "./TryPlace.js";
 import type { TryResult } from "./TryResult.js";
 
 /**
- * Longest idle time of a kept connection that carries what may run only once. An endpoint closes connections that are
- * idle for long, and one that is lost on the way shows only when it is used.
+ * Longest idle time of a kept connection that carries what may run only once. An endpoint that has gone dark, or a
+ * connection that is lost on the way, shows only when it is used, and then the request is lost; opening a new one costs a
+ * round trip and proves that the endpoint lives.
  */
-const ONCE_KEPT_MS = 1_000;
+const ONCE_KEPT_MS = 250;
 const KEPT_MS = 12_000;
 /** Least time that is given to an endpoint's first sign of life before it counts as overdue. */
 const OVERDUE_AFTER_MS = 350;
@@ -72,7 +75,7 @@
         priority: organisation?.priority ?? route.priority,
         weights: place.weights,
         cacheSalt: place.salt,
-        fetchFrom: place.cacheStore,
+        fetchFrom: place.source,
         // What the store has been given lately is not given again: each copy takes part of the link.
         saveTo: stored >= shared ? undefined : place.cacheStore,
         resumeAfter: progress.lastEventId,
@@ -92,7 +95,7 @@
 const passAnswer = async (
     tryParts: TryParts,
     opened: Extract<OpenedCall, { readonly kind: "head"; }>,
-    onFirstEvent: () => void,
+    seen: StreamSigns,
 ): Promise<TryResult> => {
     const { served, progress, isLastTry, parts } = tryParts;
     const isStream = served.route.kind === "stream" || served.route.kind === "resumable-stream";
@@ -104,7 +107,7 @@
             progress,
             silenceMs: canGoOn ? STREAM_SILENCE_MS : undefined,
             sendHead: () => sendHead(tryParts, opened),
-            onFirstEvent,
+            ...seen,
         });
         if (kind === "answered") {
             sendHead(tryParts, opened);
@@ -122,7 +125,7 @@
 
 /** Sends a request to one endpoint and, where it is a stream, passes its events on. */
 export async function runTry(tryParts: TryParts): Promise<TryResult> {
-    const { parts, served, place, isLastTry } = tryParts;
+    const { parts, served, place, progress, isLastTry } = tryParts;
     const { clock, book, chains } = parts;
     const startedAt = clock.now();
     const remainingMs = served.endsAt - startedAt;
@@ -132,8 +135,25 @@
         memoryTokens: place.memoryTokens,
         expectedMs: Math.max(OVERDUE_AFTER_MS, place.startMs + objectiveMs),
     });
+    const times = { headMs: undefined as Millis | undefined, firstEventMs: undefined as Millis | undefined };
     const finish = (result: TryResult): TryResult => {
         seat.end(result.kind);
+        if (result.kind !== "answered" || isSampled(served.caller.id)) {
+            parts.logger.info({
+                id: served.caller.id,
+                endpoint: place.entry.name,
+                outcome: result.kind,
+                status: result.answer?.status,
+                ms: Math.round(clock.now() - startedAt),
+                ...times,
+                estimatedMs: Math.round(place.startMs),
+                missingTokens: place.missingTokens,
+                running: place.running,
+                weights: place.weights,
+                events: progress.passedEvents,
+                isLastTry,
+            }, "Try ended.");
+        }
         parts.metrics.count("azureshunt_tries_total", "Tries at endpoints by how they ended.", {
             outcome: result.kind,
         });
@@ -147,10 +167,14 @@
         body: served.body,
         keptIdleMs: isRepeatable(kind) ? KEPT_MS : ONCE_KEPT_MS,
         headMs: silenceBound(kind, objectiveMs, place.startMs, remainingMs, isLastTry),
+        // A busy engine has the request in its queue; asking another one would only make both busier.
+        isAlive: served.caller.prompt === undefined ? undefined : seat.isAlive,
     }, served.signal);
     if (opened.kind !== "head") {
         return finish({ kind: opened.kind, answer: undefined });
     }
+    seat.sign();
+    times.headMs = Math.round(clock.now() - startedAt);
     const head = parts.endpointWire.decodeHead(opened.res);
     if (head.weights !== undefined) {
         book.sawWeights(place.entry.name, head.weights);
@@ -165,11 +189,14 @@
         return finish({ kind: verdict, answer: undefined });
     }
     const noteRead = (): void => {
+        times.firstEventMs = Math.round(clock.now() - startedAt);
         seat.answering();
         chains.note(place.entry.name, place.chain, clock.now());
         if (place.cacheStore !== undefined) {
             chains.note(place.cacheStore, place.chain, clock.now());
         }
     };
-    return finish(await passAnswer(tryParts, opened, noteRead));
+    return finish(
+        await passAnswer(tryParts, opened, { onFirstEvent: noteRead, sign: seat.sign, isAlive: seat.isAlive }),
+    );
 }
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -15,6 +15,8 @@
 
 /** Further tries for endpoints that did not run the request; the route's own limit counts those that may have. */
 const REFUSED_TRIES = 1;
+/** Tries left in the budget below which none is begun for mere silence. */
+const ENOUGH_BUDGET = 2;
 /** A place that frees or an endpoint that comes back is worth asking for again after so long, in seconds. */
 const COME_BACK_SECONDS = 0.25;
 
@@ -55,7 +57,9 @@
             return give(progress, refusalOf(kind, undefined, { retryAfterSeconds: COME_BACK_SECONDS, ran }));
         }
         const { request } = progress;
-        const isLastTry = request.tries + 1 >= served.route.maxTries;
+        // Where no further try may be made, silence is waited out: giving up would only lose the answer.
+        const hasBudget = parts.budgets.of(served.service).balance >= ENOUGH_BUDGET;
+        const isLastTry = request.tries + 1 >= served.route.maxTries || !hasBudget;
         const result = await runTry({ parts, served, place, progress: stream, isLastTry });
         return after(progress, place, result);
     };
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -15,6 +15,7 @@
 import type { Members } from "./peers/Members.js";
 import { othersAt } from "./peers/othersAt.js";
 import { othersDemand } from "./peers/othersDemand.js";
+import { quietMs } from "./peers/quietMs.js";
 import { startBeacons } from "./peers/startBeacons.js";
 import { startPeerListener } from "./peers/startPeerListener.js";
 import { stepMembers } from "./peers/stepMembers.js";
@@ -106,6 +107,7 @@
         failureDomain: settings.failureDomain,
         knowledge: knowledge.current,
         othersAt: endpoint => othersAt(held.members, endpoint, clock.now()),
+        quietMs: domain => quietMs(held.members, domain, clock.now()),
         outdatedLimitMs: () => held.settings.weightsMs - WEIGHTS_MARGIN_MS,
         onGone: chains.forget,
     });
@@ -205,6 +207,7 @@
         bounds,
         logger: loggers("request"),
         metrics,
+        isQuiet: domain => domain !== settings.failureDomain && quietMs(held.members, domain, clock.now()) > 0,
         checkPause: pauseWatch.check,
         isDraining: () => held.isDraining,
     });
