Tell other VMs who holds which parts of prompts, and fetch from engines first

Ruled out: the memory of the store alone (own parts flood it, but moves bound it first). Change: beacons carry short names of parts that were read or saved; the source is whoever holds most, in the same failure domain first; the store is given each chain once in 20 s by all VMs together.

--- a/packages/router/src/peers/Beacon.ts
+++ b/packages/router/src/peers/Beacon.ts
@@ -38,6 +38,8 @@
     readonly ordered: readonly (readonly [EndpointName, number, Millis])[];
     /** Versions that engines are known to hold. */
     readonly held: readonly (readonly [EndpointName, number])[];
+    /** Parts of prompts that engines have read, or the cache store has taken, since the sender's last beacon. */
+    readonly cached: readonly (readonly [string, readonly string[]])[];
     /** The newest record of the order lease, and since when it is known. */
     readonly lease: { readonly offset: number; readonly holder: VmId; readonly ageMs: Millis; } | undefined;
     /** Whether the sender reads the store itself. */
--- a/packages/router/src/peers/decodeBeacon.ts
+++ b/packages/router/src/peers/decodeBeacon.ts
@@ -1,7 +1,7 @@
 import type { Beacon } from "./Beacon.js";
 
 const FORMAT = 1;
-const FIELDS = 19;
+const FIELDS = 20;
 
 type Row = readonly unknown[];
 
@@ -32,7 +32,8 @@
     && areRows(row[14], isText, isNumber)
     && isTriple(row[15], isNumber, isText, isNumber)
     && typeof row[16] === "boolean" && typeof row[17] === "boolean"
-    && isNumber(row[18]);
+    && isNumber(row[18])
+    && areRows(row[19], isText, keys => isRow(keys) && keys.every(isText));
 
 const parse = (datagram: Buffer): unknown => {
     try {
@@ -52,7 +53,7 @@
     }
     const [, vm, incarnation, failureDomain, sequence, sentAt, echo, members, revision, confirmed, weights, spent] =
         row;
-    const [load, ordered, held, lease, hasStore, isLeaving, demand] = row.slice(12);
+    const [load, ordered, held, lease, hasStore, isLeaving, demand, cached] = row.slice(12);
     const loads = load as readonly [string, number, number, number][];
     // All fields were checked above; the casts give them their brands.
     return {
@@ -77,5 +78,6 @@
         hasStore,
         isLeaving,
         demand,
+        cached,
     } as unknown as Beacon;
 }
--- a/packages/router/src/peers/encodeBeacon.ts
+++ b/packages/router/src/peers/encodeBeacon.ts
@@ -26,5 +26,6 @@
         beacon.hasStore,
         beacon.isLeaving,
         beacon.demand,
+        beacon.cached,
     ]));
 }
--- a/packages/router/src/placement/createEndpointBook.ts
+++ b/packages/router/src/placement/createEndpointBook.ts
@@ -128,7 +128,7 @@
                     isNear: entry.failureDomain === parts.failureDomain,
                     slots: engine?.slots ?? entry.slots,
                     memorySize: engine?.cacheTokens ?? 0,
-                    ...(engine === undefined ? NO_PROMPT : request.promptAt(entry.name, weights)),
+                    ...(engine === undefined ? NO_PROMPT : request.promptAt(entry, weights)),
                     outdatedMs,
                     quietMs: entry.failureDomain === parts.failureDomain ? 0 : parts.quietMs(entry.failureDomain),
                     ...loadOf(own.inFlight, parts.othersAt(entry.name), own.lastSignAt, now),
--- a/packages/router/src/serve/TryPlace.ts
+++ b/packages/router/src/serve/TryPlace.ts
@@ -16,6 +16,6 @@
     readonly chain: readonly ChainPart[];
     /** `host:port` to fetch parts of the prompt from. */
     readonly source: string | undefined;
-    /** The store of cached parts, where the configuration has one and it can be reached. */
-    readonly cacheStore: string | undefined;
+    /** Tokens at the prompt's beginning that the cache store has, as far as is known. */
+    readonly storedTokens: Tokens;
 };
--- a/packages/router/src/serve/createPromptShares.ts
+++ b/packages/router/src/serve/createPromptShares.ts
@@ -1,62 +1,67 @@
-import type { EndpointName, Tokens } from "@azureshunt/core";
+import type { EndpointName, FailureDomain, Tokens } from "@azureshunt/core";
 
 import type { ChainPart } from "../placement/ChainPart.js";
 import type { PromptShare } from "../placement/PromptShare.js";
+import { reachableStore } from "./reachableStore.js";
 import type { ServeParts } from "./ServeParts.js";
 
-/** A holder of parts, and how much of one prompt it has. */
-type Source = { readonly address: string | undefined; readonly tokens: Tokens; };
+/** A holder of parts that can be reached, and how much of one prompt it has. */
+type Source = {
+    readonly name: string;
+    readonly address: string;
+    readonly failureDomain: FailureDomain;
+    readonly tokens: Tokens;
+};
+
+/** How the engines come by the parts of one prompt, under one salt. */
+type PromptShares = {
+    /** How one engine would come by them. */
+    readonly at: (endpoint: EndpointName, domain: FailureDomain) => PromptShare;
+    /** Tokens at the prompt's beginning that the cache store has. */
+    readonly stored: Tokens;
+};
 
 /** Fewer tokens are read sooner than fetched. */
 const WORTH_FETCHING: Tokens = 256;
-const NO_SOURCE: Source = { address: undefined, tokens: 0 };
 
-/** The address of the cache store, where there is one and it can be reached. */
-const reachableStore = (parts: ServeParts): string | undefined => {
-    const services = [...parts.knowledge().configuration?.services.values() ?? []];
-    const store = services.map(service => service.cacheStore).find(each => each !== undefined);
-    return store === undefined || parts.isQuiet(store.failureDomain) ? undefined : store.address;
-};
+const more = (best: Source | undefined, each: Source): Source =>
+    best === undefined || each.tokens > best.tokens ? each : best;
 
 /**
- * Works out, for one request, how each engine would come by the parts of its prompt.
+ * Works out how each engine would come by the parts of a prompt: what it holds itself, what it could fetch and from
+ * where, and what it would have to read.
  *
- * Load: long shared prompts on many engines. Moving cached tokens takes a fraction of reading them; the store is the
- * first source, since it keeps what engines drop, and while it cannot be reached any engine in reach that has more.
+ * Load: long shared prompts on many engines, in numbers that fill the store's link. Moving cached tokens takes a fraction
+ * of reading them, so whoever holds most is the source, an engine before the store as its link is the wider one, and one
+ * in the same failure domain before others.
  */
-export function createPromptShares(
-    parts: ServeParts,
-    promptTokens: Tokens,
-): {
-    readonly store: string | undefined;
-    readonly at: (endpoint: EndpointName, chain: readonly ChainPart[]) => PromptShare;
-} {
-    const { chains, book } = parts;
-    const now = parts.clock.now();
+export function createPromptShares(parts: ServeParts, promptTokens: Tokens, chain: readonly ChainPart[]): PromptShares {
     const store = reachableStore(parts);
+    const held = parts.chains.holders(chain, parts.clock.now());
+    const ownTokens = new Map(held.map(({ holder, tokens }) => [holder as string, tokens]));
+    const engines = held.flatMap(({ holder, tokens }): readonly Source[] => {
+        const entry = parts.book.entryOf(holder as EndpointName);
+        return entry === undefined || parts.isQuiet(entry.failureDomain)
+            ? []
+            : [{ name: entry.name, address: entry.address, failureDomain: entry.failureDomain, tokens }];
+    });
+    const stored = store === undefined ? 0 : ownTokens.get(store.address) ?? 0;
+    const sources = [...engines, ...(store === undefined ? [] : [{ ...store, name: store.address, tokens: stored }])];
+    const most = sources.reduce((tokens, each) => Math.max(tokens, each.tokens), 0);
+    const best = sources.filter(({ tokens }) => most - tokens < WORTH_FETCHING);
 
-    const engineSource = (endpoint: EndpointName, chain: readonly ChainPart[]): Source =>
-        chains.holders(chain, now)
-            .flatMap(holder => {
-                const entry = holder === endpoint ? undefined : book.entryOf(holder as EndpointName);
-                return entry === undefined || parts.isQuiet(entry.failureDomain)
-                    ? []
-                    : [{ address: entry.address, tokens: chains.heldTokens(holder, chain, now) }];
-            })
-            .reduce<Source>((best, each) => each.tokens > best.tokens ? each : best, NO_SOURCE);
-
-    const at = (endpoint: EndpointName, chain: readonly ChainPart[]): PromptShare => {
-        const own = chains.heldTokens(endpoint, chain, now);
-        const source = store === undefined
-            ? engineSource(endpoint, chain)
-            : { address: store, tokens: chains.heldTokens(store, chain, now) };
-        const fetched = source.tokens - own < WORTH_FETCHING ? 0 : source.tokens - own;
+    const at: PromptShares["at"] = (endpoint, domain) => {
+        const own = ownTokens.get(endpoint) ?? 0;
+        const others = best.filter(({ name }) => name !== endpoint);
+        const source = others.find(({ failureDomain }) => failureDomain === domain)
+            ?? others.reduce<Source | undefined>(more, undefined);
+        const fetched = source === undefined || source.tokens - own < WORTH_FETCHING ? 0 : source.tokens - own;
         return {
             missingTokens: promptTokens - own - fetched,
             fetchedTokens: fetched,
-            // The store may hold parts that other VMs had saved there.
-            source: fetched > 0 || store !== undefined ? source.address : undefined,
+            // With nothing known, the store is asked all the same: a miss costs a millisecond.
+            source: fetched > 0 ? source?.address : own > 0 ? undefined : store?.address,
         };
     };
-    return { store, at };
+    return { at, stored };
 }
--- a/packages/router/src/serve/placeRequest.ts
+++ b/packages/router/src/serve/placeRequest.ts
@@ -9,6 +9,13 @@
 import type { ServeParts } from "./ServeParts.js";
 import type { TryPlace } from "./TryPlace.js";
 
+/** The prompt under one version of the weights. */
+type PromptView = {
+    readonly salt: string | undefined;
+    readonly chain: readonly ChainPart[];
+    readonly shares: ReturnType<typeof createPromptShares>;
+};
+
 /** Chooses where the next try of a request goes; undefined when nothing serves it now. */
 export function placeRequest(
     parts: ServeParts,
@@ -16,23 +23,23 @@
     avoid: ReadonlySet<EndpointName>,
 ): TryPlace | undefined {
     const { prompt } = served.caller;
-    const shares = createPromptShares(parts, prompt?.promptTokens ?? 0);
-    const memoryTokens = prompt === undefined ? 0 : prompt.promptTokens + prompt.outputTokens;
-    const saltAt = (weights: number | undefined): string | undefined =>
-        weights === undefined ? undefined : saltOf(weights, served.organisation);
-    const chains = new Map<number | undefined, readonly ChainPart[]>();
-    const chainAt = (weights: number | undefined): readonly ChainPart[] => {
-        const salt = saltAt(weights);
-        const chain = chains.get(weights) ??
-            (prompt === undefined || salt === undefined ? [] : chainOf(salt, prompt.parts));
-        chains.set(weights, chain);
-        return chain;
+    const views = new Map<number | undefined, PromptView>();
+    const viewAt = (weights: number | undefined): PromptView => {
+        const known = views.get(weights);
+        if (known !== undefined) {
+            return known;
+        }
+        const salt = weights === undefined ? undefined : saltOf(weights, served.organisation);
+        const chain = prompt === undefined || salt === undefined ? [] : chainOf(salt, prompt.parts);
+        const shares = createPromptShares(parts, prompt?.promptTokens ?? 0, chain);
+        const view = { salt, chain, shares };
+        views.set(weights, view);
+        return view;
     };
     const found = parts.book.candidates({
         service: served.service,
         model: prompt?.model,
-        memoryTokens,
-        promptAt: (endpoint, weights) => shares.at(endpoint, chainAt(weights)),
+        promptAt: (entry, weights) => viewAt(weights).shares.at(entry.name, entry.failureDomain),
         avoid,
     });
     const place = choosePlace(found.map(({ candidate }) => candidate), parts.clock.now(), parts.random);
@@ -41,17 +48,17 @@
         return undefined;
     }
     const { entry, weights, candidate } = chosen;
-    const chain = chainAt(weights);
+    const { salt, chain, shares } = viewAt(weights);
     return {
         entry,
         weights,
         startMs: place.startMs,
         running: candidate.running,
         missingTokens: candidate.missingTokens,
-        memoryTokens,
-        salt: saltAt(weights),
+        memoryTokens: prompt === undefined ? 0 : prompt.promptTokens + prompt.outputTokens,
+        salt,
         chain,
-        source: shares.at(entry.name, chain).source,
-        cacheStore: prompt === undefined ? undefined : shares.store,
+        source: shares.at(entry.name, entry.failureDomain).source,
+        storedTokens: shares.stored,
     };
 }
--- /dev/null
+++ b/packages/router/src/serve/reachableStore.ts
@@ -0,0 +1,12 @@
+import type { FailureDomain } from "@azureshunt/core";
+
+import type { ServeParts } from "./ServeParts.js";
+
+/** Gives the store of cached parts, where the configuration has one and it can be reached. */
+export function reachableStore(
+    parts: Pick<ServeParts, "knowledge" | "isQuiet">,
+): { readonly address: string; readonly failureDomain: FailureDomain; } | undefined {
+    const services = [...parts.knowledge().configuration?.services.values() ?? []];
+    const store = services.map(service => service.cacheStore).find(each => each !== undefined);
+    return store === undefined || parts.isQuiet(store.failureDomain) ? undefined : store;
+}
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -7,6 +7,7 @@
 import { isRepeatable } from "./isRepeatable.js";
 import { isSampled } from "./isSampled.js";
 import { passStream } from "./passStream.js";
+import { reachableStore } from "./reachableStore.js";
 import type { ServedRequest } from "./ServedRequest.js";
 import type { ServeParts } from "./ServeParts.js";
 import { silenceBound } from "./silenceBound.js";
@@ -61,12 +62,18 @@
     readonly isLastTry: boolean;
 };
 
-const headersFor = ({ parts, served, place, progress }: TryParts, remainingMs: Millis): readonly string[] => {
-    const { caller, organisation, route } = served;
-    const stored = place.cacheStore === undefined
-        ? 0
-        : parts.chains.heldTokens(place.cacheStore, place.chain, parts.clock.now());
+/** What the store has been given by any VM is not given again: each copy takes part of its link. */
+const storeToSaveTo = ({ parts, place }: TryParts): string | undefined => {
     const shared = place.chain.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
+    return place.chain.length === 0 || place.storedTokens >= shared ? undefined : reachableStore(parts)?.address;
+};
+
+const headersFor = (
+    { parts, served, place, progress }: TryParts,
+    remainingMs: Millis,
+    saveTo: string | undefined,
+): readonly string[] => {
+    const { caller, organisation, route } = served;
     return parts.endpointWire.encodeHeaders({
         caller,
         endpoint: place.entry.name,
@@ -76,8 +83,7 @@
         weights: place.weights,
         cacheSalt: place.salt,
         fetchFrom: place.source,
-        // What the store has been given lately is not given again: each copy takes part of the link.
-        saveTo: stored >= shared ? undefined : place.cacheStore,
+        saveTo,
         resumeAfter: progress.lastEventId,
         bodyBytes: served.body.length,
     });
@@ -130,6 +136,7 @@
     const startedAt = clock.now();
     const remainingMs = served.endsAt - startedAt;
     const { kind, objectiveMs } = served.route;
+    const saveTo = storeToSaveTo(tryParts);
     const seat = book.begin(place.entry.name, {
         missingTokens: place.missingTokens,
         memoryTokens: place.memoryTokens,
@@ -163,7 +170,7 @@
         address: place.entry.address,
         method: served.caller.method,
         target: served.caller.target,
-        headers: headersFor(tryParts, remainingMs),
+        headers: headersFor(tryParts, remainingMs, saveTo),
         body: served.body,
         keptIdleMs: isRepeatable(kind) ? KEPT_MS : ONCE_KEPT_MS,
         headMs: silenceBound(kind, objectiveMs, place.startMs, remainingMs, isLastTry),
@@ -192,8 +199,8 @@
         times.firstEventMs = Math.round(clock.now() - startedAt);
         seat.answering();
         chains.note(place.entry.name, place.chain, clock.now());
-        if (place.cacheStore !== undefined) {
-            chains.note(place.cacheStore, place.chain, clock.now());
+        if (saveTo !== undefined) {
+            chains.note(saveTo, place.chain, clock.now());
         }
     };
     return finish(
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from "node:crypto";
 
 import { createClock } from "@azureshunt/core";
-import type { Incarnation, VmId } from "@azureshunt/core";
+import type { EndpointName, Incarnation, VmId } from "@azureshunt/core";
 import { createLoggers, createMetrics } from "@azureshunt/telemetry";
 
 import { createAllowances } from "./allowance/createAllowances.js";
@@ -54,6 +54,9 @@
 const KEY_MARGIN_MS = 600;
 /** A request may wait in the engine's queue before it begins. */
 const WEIGHTS_MARGIN_MS = 1_500;
+/** Engines drop what is not used within seconds; the store drops what was used longest ago, and is far larger. */
+const CACHED_MS = 8_000;
+const STORED_MS = 20_000;
 const PAUSE_CHECK_MS = 100;
 /** A VM that is cut off from the store serves on what its peers vouch for. */
 const MEMBERS_TOPIC = "keyed.azureshunt.members";
@@ -71,7 +74,9 @@
     const logger = loggers("router");
     const metrics = createMetrics();
     const agent = new EndpointAgent(clock.now);
-    const chains = createChainMemory();
+    const chains = createChainMemory(holder =>
+        book.entryOf(holder as EndpointName) === undefined ? STORED_MS : CACHED_MS
+    );
     const held = {
         members: {
             vm: settings.vm,
@@ -145,6 +150,7 @@
         beacon.ordered.forEach(([endpoint, version, ageMs]) =>
             book.ordered(endpoint, { version, sentAt: clock.now() - ageMs, isOwn: false })
         );
+        beacon.cached.forEach(([holder, keys]) => chains.hear(holder, keys, clock.now()));
         beacon.held.forEach(([endpoint, version]) => book.sawWeights(endpoint, version));
         if (beacon.lease !== undefined) {
             // Only what is surely that old counts: the age runs from this VM's own time stamp.
@@ -175,6 +181,7 @@
                 spent: allowances.spent(),
                 load: book.ownShares(),
                 demand: demand.rate(),
+                cached: chains.takeNews(),
                 ordered: book.ownOrders(),
                 held: book.heldVersions(),
                 lease: leaseNews(),
