--- a/packages/router/src/RouterSettings.ts
+++ b/packages/router/src/RouterSettings.ts
@@ -10,6 +10,8 @@
         readonly ready: string;
         /** Beacons over UDP; configuration and metrics over TCP. */
         readonly peers: string;
+        /** `GET /metrics`, in Prometheus' text format. */
+        readonly metrics: string;
     };
     /** Peer addresses of some VMs, which may be stale. */
     readonly seeds: readonly string[];
--- a/packages/router/src/serve/startFront.ts
+++ b/packages/router/src/serve/startFront.ts
@@ -8,6 +8,7 @@
 import type { CallerLimits } from "../configuration/CallerLimits.js";
 import type { CallerWire } from "../ports/CallerWire.js";
 import type { RouterSettings } from "../RouterSettings.js";
+import { sendRefusal } from "./sendRefusal.js";
 import { startListener } from "./startListener.js";
 import { statusOf } from "./statusOf.js";
 
@@ -47,9 +48,20 @@
 export async function startFront(parts: FrontParts): Promise<Front> {
     const { settings, callerWire } = parts;
     const running = new Set<ServerResponse>();
+    const state = { isClosing: false };
     const server = await startListener(settings.listen.callers, (req, res) => {
         running.add(res);
         res.once("close", () => running.delete(res));
+        // An answer that began before the stop does not say that its connection ends; the next request must not come.
+        res.once("finish", () => {
+            if (state.isClosing) {
+                req.socket.destroySoon();
+            }
+        });
+        if (state.isClosing) {
+            sendRefusal(callerWire, res, refusalOf("shutting-down", undefined, { retryAfterSeconds: 0 }), true);
+            return;
+        }
         void parts.handler(req, res);
     });
     /**
@@ -86,11 +98,12 @@
 
     /**
      * Failure: a caller keeps its connection through the stop and sends a request on it seconds later, which cannot end
-     * in time any more. It shows as an answer that is cut. Guard: each answer after the stop began ends its connection,
-     * and once the balancer sends nobody new, connections without a request are closed too; a request that crosses the
-     * close was not read and is sent again by its caller.
+     * in time any more. It shows as an answer that is cut. Guard: each answer after the stop began ends its connection.
+     * Once the balancer sends nobody new, connections without a request are closed, those with one after their answer, and
+     * a request that comes all the same is told that it has not run.
      */
     const closeIdle = (): void => {
+        state.isClosing = true;
         if (server.listening) {
             server.close();
         }
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -32,6 +32,7 @@
 import { createRetryBudgets } from "./serve/createRetryBudgets.js";
 import type { FreshnessBounds } from "./serve/FreshnessBounds.js";
 import { startFront } from "./serve/startFront.js";
+import { startMetricsListener } from "./startMetricsListener.js";
 
 /** What a router needs from outside. */
 type RouterParts = {
@@ -223,8 +224,8 @@
     const peerListener = await startPeerListener({
         address: settings.listen.peers,
         configuration: knowledge.raw,
-        metrics,
     });
+    const metricsListener = await startMetricsListener(settings.listen.metrics, metrics);
     const front = await startFront({
         settings,
         handler,
@@ -258,8 +259,10 @@
         await front.drain(held.settings.stopMs);
         [beacons, orders, registry, knowledge].forEach(part => part.stop());
         clearInterval(timer);
-        peerListener.close();
-        peerListener.closeAllConnections();
+        [peerListener, metricsListener].forEach(listener => {
+            listener.close();
+            listener.closeAllConnections();
+        });
         agent.destroy();
         logger.info("Stopped.");
     };
