--- a/packages/router/src/__tests__/unit/overload.test.ts
+++ b/packages/router/src/__tests__/unit/overload.test.ts
@@ -34,8 +34,8 @@
     const state = { freeAt: 0, inTime: 0, late: 0, refused: 0 };
     Array.from({ length: 2_000 }, (_, i) => i * gapMs).forEach(now => {
         const waitingTokens = Math.max(0, state.freeAt - now) * READING;
-        const startMs = estimateStart(engine(waitingTokens, 0));
-        if (mayRefuse && overloadWait({ startMs, objectiveMs: OBJECTIVE_MS, isUrgent: true }) !== undefined) {
+        const estimate = estimateStart(engine(waitingTokens, 0));
+        if (mayRefuse && overloadWait({ ...estimate, objectiveMs: OBJECTIVE_MS, isUrgent: true }) !== undefined) {
             state.refused += 1;
             return;
         }
@@ -64,13 +64,27 @@
     t.is(play(0.95, true).refused, 0);
 });
 
+/*
+ * A caller sends a prompt of 54,000 tokens, which takes an engine longer to read than the objective allows. It finds an
+ * idle engine. It must be read: turned away each time, large prompts would never be served.
+ */
+test("overload: a large prompt is not turned away by an idle engine", t => {
+    const estimate = estimateStart({ ...engine(0, 0), missingTokens: 54_000 });
+    t.true(estimate.startMs > OBJECTIVE_MS);
+    t.is(overloadWait({ ...estimate, objectiveMs: OBJECTIVE_MS, isUrgent: false }), undefined);
+});
+
 const cases = [
-    { name: "an idle engine", startMs: 90, isUrgent: true, wait: undefined },
-    { name: "at the limit of the urgent kind", startMs: 600, isUrgent: true, wait: undefined },
-    { name: "beyond it: the wait is what it is over", startMs: 850, isUrgent: true, wait: 250 },
-    { name: "a less urgent kind makes room first", startMs: 500, isUrgent: false, wait: 100 },
+    { name: "an idle engine", queueMs: 0, startMs: 90, isUrgent: true, wait: undefined },
+    { name: "at the limit of the urgent kind", queueMs: 510, startMs: 600, isUrgent: true, wait: undefined },
+    { name: "beyond it: the wait is what it is over", queueMs: 760, startMs: 850, isUrgent: true, wait: 250 },
+    { name: "a less urgent kind makes room first", queueMs: 410, startMs: 500, isUrgent: false, wait: 100 },
+    { name: "a large prompt with a short queue", queueMs: 75, startMs: 975, isUrgent: false, wait: undefined },
+    { name: "a large prompt with a long queue", queueMs: 175, startMs: 1_075, isUrgent: false, wait: 100 },
 ] as const;
 
-cases.forEach(({ name, startMs, isUrgent, wait }) => {
-    test(`overloadWait: ${name}`, t => t.is(overloadWait({ startMs, objectiveMs: OBJECTIVE_MS, isUrgent }), wait));
+cases.forEach(({ name, queueMs, startMs, isUrgent, wait }) => {
+    test(`overloadWait: ${name}`, t => {
+        t.is(overloadWait({ queueMs, startMs, objectiveMs: OBJECTIVE_MS, isUrgent }), wait);
+    });
 });
--- a/packages/router/src/placement/choosePlace.ts
+++ b/packages/router/src/placement/choosePlace.ts
@@ -2,6 +2,7 @@
 
 import type { Candidate } from "./Candidate.js";
 import { estimateStart } from "./estimateStart.js";
+import type { StartEstimate } from "./StartEstimate.js";
 
 /** From when on a request on replaced weights is worth less, and what that is weighed as. */
 const OUTDATED_AFTER_MS = 1_200;
@@ -16,11 +17,7 @@
 const JITTER_MS = 6;
 
 /** What a choice came to. */
-type Place = {
-    readonly candidate: Candidate;
-    /** Milliseconds until the answer begins there, as estimated. */
-    readonly startMs: Millis;
-};
+type Place = StartEstimate & { readonly candidate: Candidate; };
 
 const costOf = (candidate: Candidate, startMs: Millis, draw: number): number => {
     const isOutdated = candidate.outdatedMs !== undefined && candidate.outdatedMs > OUTDATED_AFTER_MS;
@@ -52,7 +49,7 @@
     const soonest = Math.min(...candidates.map(({ health }) => health.downUntil));
     const usable = up.length > 0 ? up : candidates.filter(({ health }) => health.downUntil === soonest);
     return usable
-        .map(candidate => ({ candidate, startMs: estimateStart(candidate) }))
+        .map(candidate => ({ candidate, ...estimateStart(candidate) }))
         .map(place => ({ place, cost: costOf(place.candidate, place.startMs, random()) }))
         .reduce<{ place: Place; cost: number; } | undefined>(
             (best, each) => best === undefined || each.cost < best.cost ? each : best,
--- a/packages/router/src/placement/estimateStart.ts
+++ b/packages/router/src/placement/estimateStart.ts
@@ -1,6 +1,5 @@
-import type { Millis } from "@azureshunt/core";
-
 import type { Candidate } from "./Candidate.js";
+import type { StartEstimate } from "./StartEstimate.js";
 
 /**
  * Prompt tokens that an engine reads in a millisecond: three quarters of the sheets' 82, as it reads in pieces between the
@@ -20,19 +19,20 @@
 /** A round trip to another failure domain, and the price of its bytes. */
 const FAR_MS = 4;
 
-/** Estimates the milliseconds until an endpoint would begin its answer. */
-export function estimateStart(candidate: Candidate): Millis {
+/** Estimates when an endpoint would begin its answer. */
+export function estimateStart(candidate: Candidate): StartEstimate {
     const { running, slots, waitingTokens, missingTokens, fetchedTokens, memorySize, memoryTokens } = candidate;
     const distance = candidate.isNear ? 0 : FAR_MS;
     if (memorySize === 0) {
         const queued = Math.max(0, running + 1 - slots);
         // A share of the work for each running request keeps the load even below the slots, where endpoints slow down.
-        return distance + PLAIN_WORK_MS * (queued + running / slots);
+        const queueMs = distance + PLAIN_WORK_MS * (queued + running / slots);
+        return { queueMs, startMs: queueMs };
     }
-    const reading = (waitingTokens + missingTokens) / TOKENS_PER_MS;
+    const ownReading = missingTokens / TOKENS_PER_MS + fetchedTokens / FETCHED_PER_MS;
     const excess = memoryTokens - memorySize;
     const overflow = excess > 0 ? FULL_MS + excess / TOKENS_PER_MS : 0;
     const queued = Math.max(0, running + 1 - slots) * RUNNING_MS * slots;
-    return FIRST_TOKEN_MS + distance + reading + fetchedTokens / FETCHED_PER_MS + running * RUNNING_MS + overflow +
-        queued;
+    const queueMs = distance + waitingTokens / TOKENS_PER_MS + running * RUNNING_MS + overflow + queued;
+    return { queueMs, startMs: queueMs + ownReading + FIRST_TOKEN_MS };
 }
--- a/packages/router/src/serve/TryPlace.ts
+++ b/packages/router/src/serve/TryPlace.ts
@@ -7,6 +7,8 @@
 export type TryPlace = {
     readonly entry: EndpointEntry;
     readonly weights: number | undefined;
+    /** Until it turns to the request, and until its answer begins, as estimated. */
+    readonly queueMs: Millis;
     readonly startMs: Millis;
     /** Requests that ran there when it was chosen. */
     readonly running: number;
--- a/packages/router/src/serve/placeRequest.ts
+++ b/packages/router/src/serve/placeRequest.ts
@@ -52,6 +52,7 @@
     return {
         entry,
         weights,
+        queueMs: place.queueMs,
         startMs: place.startMs,
         running: candidate.running,
         missingTokens: candidate.missingTokens,
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -68,6 +68,7 @@
         const waitMs = served.caller.prompt === undefined || stream.passedEvents > 0
             ? undefined
             : overloadWait({
+                queueMs: place.queueMs,
                 startMs: place.startMs,
                 objectiveMs: served.route.objectiveMs,
                 isUrgent: isUrgent(parts, served),
--- a/packages/router/src/serve/startFront.ts
+++ b/packages/router/src/serve/startFront.ts
@@ -32,6 +32,8 @@
 const LAST_CONNECTIONS_MS = 2_600;
 /** Left of the time to stop when what still runs is given up. */
 const STOP_MARGIN_MS = 700;
+/** A caller that takes longer to send a body holds memory for nothing; its own deadline has passed by then. */
+const BODY_MS = 30_000;
 const POLL_MS = 50;
 const LIMITS_EVERY_MS = 250;
 
@@ -87,7 +89,7 @@
         if (limits !== undefined) {
             server.headersTimeout = limits.headerTimeoutMs;
             server.keepAliveTimeout = limits.idleTimeoutMs;
-            server.requestTimeout = 0;
+            server.requestTimeout = limits.headerTimeoutMs + BODY_MS;
         }
     };
     const timer = setInterval(applyLimits, LIMITS_EVERY_MS);
--- a/packages/router/src/store/followTopic.ts
+++ b/packages/router/src/store/followTopic.ts
@@ -38,6 +38,7 @@
     const { store, clock, topic } = parts;
     const state = {
         isStopped: false,
+        isAnswering: true,
         next: undefined as number | undefined,
         timer: undefined as NodeJS.Timeout | undefined,
     };
@@ -59,7 +60,9 @@
     };
     const readOn = async (from: number): Promise<Millis> => {
         const askedAt = clock.now();
-        const page = await store.read(topic, from, parts.waitMs);
+        // While the store does not answer, a read that waits would notice its return late, and keys would wait with it.
+        const page = await store.read(topic, from, state.isAnswering ? parts.waitMs : 0);
+        state.isAnswering = page.isRight();
         return page.caseOf({
             Left: failure => {
                 state.next = failure.kind === "expired" ? undefined : from;
