Log what decided a refusal and each change of an endpoint's view

Cause: a refusal's line named its reason, not the inputs: on-call engineers could not tell a stale configuration from a small allowance, or an overload from an endpoint that was paused. Ruled out: more metrics; they do not lead from a request's id to its cause. Change: refusals carry the revision and the age of its confirmation, the allowance's level and who is out of hearing, or the best endpoint's queue; endpoints that register, leave, go or are paused have a line each.

--- a/packages/router/src/allowance/createAllowances.ts
+++ b/packages/router/src/allowance/createAllowances.ts
@@ -54,7 +54,10 @@
         const outcome = spendShared(allowance, tokens);
         if (outcome.kind === "short") {
             all.set(organisation.id, allowance);
-            return Left(refusalOf("over-rate", undefined, { retryAfterSeconds: outcome.waitMs / MS_PER_SECOND }));
+            const { peers, unheard } = hearing();
+            const detail = `${organisation.id}: level ${Math.round(allowance.level)}, rate ${allowance.ratePerSecond}, `
+                + `asked ${tokens}, ${peers} other VMs, ${unheard.length} of them out of hearing`;
+            return Left(refusalOf("over-rate", detail, { retryAfterSeconds: outcome.waitMs / MS_PER_SECOND }));
         }
         all.set(organisation.id, outcome.allowance);
         return Right(undefined);
--- a/packages/router/src/placement/createEndpointBook.ts
+++ b/packages/router/src/placement/createEndpointBook.ts
@@ -27,10 +27,15 @@
     readonly quietMs: (domain: FailureDomain) => Millis;
     /** Engines whose weights were replaced longer ago get no requests. */
     readonly outdatedLimitMs: () => Millis;
+    /** This VM's view of an endpoint changed. */
+    readonly onChange: (endpoint: EndpointName, change: EndpointChange, inputs: object) => void;
     /** An endpoint has left, or another run of it has begun: what it held is gone. */
     readonly onGone: (endpoint: EndpointName) => void;
 };
 
+/** How a view of an endpoint changes. */
+type EndpointChange = "registered" | "leaving" | "gone" | "paused";
+
 /** What this VM's own dealings with one run of an endpoint have shown. */
 type Dealings = {
     readonly bornAt: number;
@@ -105,6 +110,18 @@
         [...before.endpoints.keys()].filter(name => !book.registry.endpoints.has(name)).forEach(name => {
             dealings.delete(name);
             parts.onGone(name);
+            parts.onChange(name, "gone", { registry: event.kind });
+        });
+        [...book.registry.endpoints.values()].forEach(({ entry }) => {
+            const known = before.endpoints.get(entry.name)?.entry;
+            if (known === undefined || known.isLeaving !== entry.isLeaving) {
+                const { service, failureDomain, bornAt } = entry;
+                parts.onChange(entry.name, entry.isLeaving ? "leaving" : "registered", {
+                    service,
+                    failureDomain,
+                    bornAt,
+                });
+            }
         });
     };
 
@@ -167,7 +184,12 @@
             end: outcome => {
                 replace(undefined);
                 if (own !== undefined) {
+                    const { downUntil } = own.health;
                     own.health = healthAfterTry(own.health, outcome, clock.now());
+                    if (own.health.downUntil > downUntil) {
+                        const { failureRate, unreachedInRow } = own.health;
+                        parts.onChange(endpoint, "paused", { outcome, failureRate, unreachedInRow });
+                    }
                 }
             },
         };
--- a/packages/router/src/serve/createRequestHandler.ts
+++ b/packages/router/src/serve/createRequestHandler.ts
@@ -53,7 +53,17 @@
 
     const refuse = (res: ServerResponse, refusal: Refusal, id: string | undefined, isClosing: boolean): void => {
         metrics.count("azureshunt_refusals_total", "Requests that were refused, by reason.", { reason: refusal.kind });
-        logger.info({ id, reason: refusal.kind, ran: refusal.ran, detail: refusal.detail }, "Refused.");
+        const { configuration, confirmedAt } = knowledge();
+        logger.info({
+            id,
+            reason: refusal.kind,
+            ran: refusal.ran,
+            detail: refusal.detail,
+            retryAfterSeconds: refusal.retryAfterSeconds,
+            revision: configuration?.revision,
+            // How old the knowledge was by which it was decided; left out where nothing is confirmed.
+            confirmedMs: confirmedAt === -Infinity ? undefined : Math.round(clock.now() - confirmedAt),
+        }, "Refused.");
         sendRefusal(callerWire, res, refusal, isClosing || parts.isDraining());
     };
 
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -76,7 +76,9 @@
         if (waitMs !== undefined) {
             const retryAfterSeconds = Math.max(COME_BACK_SECONDS, waitMs / MS_PER_SECOND);
             const kind = request.ran === "no" ? "overloaded" : "endpoint-failed";
-            return give(progress, refusalOf(kind, undefined, { retryAfterSeconds, ran: request.ran }));
+            const detail = `best endpoint ${place.entry.name}: turn in ${Math.round(place.queueMs)} ms, `
+                + `first token in ${Math.round(place.startMs)} ms, objective ${served.route.objectiveMs} ms`;
+            return give(progress, refusalOf(kind, detail, { retryAfterSeconds, ran: request.ran }));
         }
         // Where no further try may be made, silence is waited out: giving up would only lose the answer.
         const hasBudget = parts.budgets.of(served.service).balance >= ENOUGH_BUDGET;
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -115,6 +115,8 @@
         othersAt: endpoint => othersAt(held.members, endpoint, clock.now()),
         quietMs: domain => quietMs(held.members, domain, clock.now()),
         outdatedLimitMs: () => held.settings.weightsMs - WEIGHTS_MARGIN_MS,
+        onChange: (endpoint, change, inputs) =>
+            loggers("endpoint").info({ endpoint, change, ...inputs }, "The view of an endpoint changed."),
         onGone: chains.forget,
     });
     const registry = startRegistry({ clock, store, wire: directory, book, logger: loggers("registry"), metrics });
