Read the lease stream where its end is not known, and leave half of the engines serving

Ruled out: the store alone (it turned one VM away, and served the others); the rank (others tried at once). Change: a record that is told of does not make an unknown end known; engines that still serve go half at a time, however late.

--- a/packages/router/src/__tests__/unit/orderLease.test.ts
+++ b/packages/router/src/__tests__/unit/orderLease.test.ts
@@ -136,6 +136,20 @@
     t.pass();
 });
 
+/*
+ * The holder renews, its append takes effect and the answer is lost; then the store turns the holder away. The others hear
+ * from it of the record before that one only. New weights wait until one of them has the lease: it must read the stream
+ * instead of claiming again and again behind a record that is not the last.
+ */
+test("order lease: another VM gets it though all are told of a record that is not the last", t => {
+    const lapsed = leaseTiming.holdMs + LEASE_MS + leaseTiming.marginMs + leaseTiming.staggerMs;
+    const told: OrderLeaseEvent = { kind: "vouched", offset: 16, holder: VMS[0] as VmId, ageMs: lapsed };
+    const tick: OrderLeaseEvent = { kind: "tick", isWanted: true, rank: 1 };
+    const failed = [told, tick, { kind: "unsure" } as const, told]
+        .reduce((state, event) => stepOrderLease(state, event, LEASE_MS, 10_000).state, newOrderLease(VMS[1] as VmId));
+    t.deepEqual(stepOrderLease(failed, tick, LEASE_MS, 10_100).effects, [{ kind: "read" }]);
+});
+
 test("order lease: with a sound store one VM holds it all the time", t => {
     const sent = run([{ kind: "answered", delayMs: 0 }], () => false);
     t.deepEqual([...new Set(sent.map(({ vm }) => vm))], [VMS[0]]);
--- a/packages/router/src/fleet/planWave.ts
+++ b/packages/router/src/fleet/planWave.ts
@@ -8,6 +8,8 @@
 const USABLE_PART = 0.7;
 /** Most engines that are away from service at once without need, finishing their runs or taking weights. */
 const AWAY_PART = 0.25;
+/** Part of the engines that is never exceeded while they still serve: with all away, nobody is served. */
+const MOST_AWAY_PART = 0.5;
 /** From the replacing of weights to the last engine off them: inside the time after which they serve nobody. */
 const DONE_WITHIN_MS = 8_000;
 /** One engine's runs to their end and its load, under load. */
@@ -19,6 +21,8 @@
     readonly engines: readonly EngineWeights[];
     /** The version that was named last. */
     readonly version: number;
+    /** Engines whose weights were replaced longer ago get no requests, so that nothing is lost by ordering them. */
+    readonly servesForMs: Millis;
     /** Prompt tokens that callers send in a millisecond, to all VMs. */
     readonly demand: Tokens;
 };
@@ -46,17 +50,20 @@
  * Load: new weights are named every few seconds under full traffic, and engines fail meanwhile. An engine first finishes
  * its runs, which takes longer than the load itself. With too many away, the others drown in prompts that they all have
  * to read anew, and their runs take ten times as long. So a quarter goes at once, less where the demand leaves less over,
- * and more only as far as it takes to be off each version before it serves nobody any more.
+ * and more only as far as it takes to be off each version before it serves nobody any more; when that is too late
+ * already, half of them goes before the other half.
  */
-export function planWave({ engines, version, demand }: WaveView): readonly EndpointName[] {
+export function planWave({ engines, version, demand, servesForMs }: WaveView): readonly EndpointName[] {
     const up = engines.filter(({ isUp }) => isUp);
     const outdated = up.filter(engine => engine.version < version);
     const away = up.filter(({ order }) => order !== undefined).length;
     const spare = Math.min(Math.ceil(up.length * AWAY_PART), up.length - neededFor(demand));
-    const atOnce = Math.max(1, spare, dueAtOnce(outdated));
-    return outdated
+    const most = Math.ceil(up.length * MOST_AWAY_PART);
+    const atOnce = Math.max(1, spare, Math.min(most, dueAtOnce(outdated)));
+    const due = outdated
         .filter(({ order }) => order === undefined)
-        .toSorted((a, b) => a.version - b.version || a.running - b.running)
-        .slice(0, Math.max(0, atOnce - away))
-        .map(({ endpoint }) => endpoint);
+        .toSorted((a, b) => a.version - b.version || a.running - b.running);
+    const idle = due.filter(({ outdatedMs }) => outdatedMs >= servesForMs);
+    const serving = due.filter(({ outdatedMs }) => outdatedMs < servesForMs).slice(0, Math.max(0, atOnce - away));
+    return [...idle, ...serving].map(({ endpoint }) => endpoint);
 }
--- a/packages/router/src/fleet/startOrders.ts
+++ b/packages/router/src/fleet/startOrders.ts
@@ -29,6 +29,8 @@
     readonly leaseMs: () => Millis;
     /** How many VMs go before this one in claiming the lease, given who held it last. */
     readonly rank: (lastHolder: VmId | undefined) => number;
+    /** Engines whose weights were replaced longer ago get no requests. */
+    readonly servesForMs: () => Millis;
     /** Prompt tokens that callers send in a millisecond, to all VMs. */
     readonly demand: () => Tokens;
     /** Tells the other VMs at once which engines were ordered. */
@@ -188,6 +190,7 @@
             planWave({
                 engines: book.engines(model),
                 version,
+                servesForMs: parts.servesForMs(),
                 demand: parts.demand(),
             }).forEach(endpoint => void order(endpoint, model, version))
         );
--- a/packages/router/src/fleet/stepOrderLease.ts
+++ b/packages/router/src/fleet/stepOrderLease.ts
@@ -39,7 +39,9 @@
     }
     const isSame = offset === state.tail?.offset;
     const knownSince = isSame ? Math.min(since, state.tail?.knownSince ?? since) : since;
-    return only({ ...state, tail: { offset, holder, knownSince }, end: Math.max(offset + 1, state.end ?? 0) });
+    // Where the end is not known, a record that is told of does not make it known: others may lie behind it.
+    const end = state.end === undefined ? undefined : Math.max(offset + 1, state.end);
+    return only({ ...state, tail: { offset, holder, knownSince }, end });
 };
 
 /**
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from "node:crypto";
 
 import { createClock } from "@azureshunt/core";
-import type { EndpointName, Incarnation, VmId } from "@azureshunt/core";
+import type { EndpointName, Incarnation, Millis, VmId } from "@azureshunt/core";
 import { createLoggers, createMetrics } from "@azureshunt/telemetry";
 
 import { createAllowances } from "./allowance/createAllowances.js";
@@ -108,13 +108,14 @@
             beacons.sendNow();
         },
     });
+    const servesForMs = (): Millis => held.settings.weightsMs - WEIGHTS_MARGIN_MS;
     const book = createEndpointBook({
         clock,
         failureDomain: settings.failureDomain,
         knowledge: knowledge.current,
         othersAt: endpoint => othersAt(held.members, endpoint, clock.now()),
         quietMs: domain => quietMs(held.members, domain, clock.now()),
-        outdatedLimitMs: () => held.settings.weightsMs - WEIGHTS_MARGIN_MS,
+        outdatedLimitMs: servesForMs,
         onChange: (endpoint, change, inputs) =>
             loggers("endpoint").info({ endpoint, change, ...inputs }, "The view of an endpoint changed."),
         onGone: chains.forget,
@@ -132,6 +133,7 @@
         knowledge: knowledge.current,
         logger: loggers("fleet"),
         checkPause: pauseWatch.check,
+        servesForMs,
         demand: () => demand.rate() + othersDemand(held.members, clock.now()),
         leaseMs: () => held.settings.orderLeaseMs,
         rank: lastHolder => leaseRank(held.members, lastHolder, knowledge.hasStore(), clock.now()),
