--- a/packages/router/src/__tests__/unit/allowance.test.ts
+++ b/packages/router/src/__tests__/unit/allowance.test.ts
@@ -114,3 +114,16 @@
     t.is(refundShared(spent, 400).ownSpent, 0);
     t.is(relimitShared(full, 10, 50).level, 50);
 });
+
+/*
+ * All six VMs start at once, and a seventh that is gone for good is still listed. Before they hear each other two large
+ * requests of one organisation come to one VM, a tenth of a second's rate together. They are within its rate and burst: a
+ * refusal halts a site.
+ */
+test("allowance: right after a start two large requests within rate and burst are not refused", t => {
+    const unheard = Array.from({ length: 6 }, (_, i) => `vm${i}` as VmId);
+    const ready = advanceShared(openSharedAllowance(RATE, BURST, 0), { peers: 6, unheard }, 100);
+    const [after, first] = spend(ready, 50);
+    const [, second] = spend(after, 50);
+    t.deepEqual([first, second], [50, 50]);
+});
