--- a/packages/daemon/src/gateway/parseJson.ts
+++ b/packages/daemon/src/gateway/parseJson.ts
@@ -1,5 +1,6 @@
 import type { Refusal } from "@azureshunt/core";
 import { refusalOf } from "@azureshunt/core";
+import { jsonOf } from "@azureshunt/http";
 import type { Either } from "purify-ts";
 import { Left, Right } from "purify-ts";
 import type { z } from "zod";
@@ -15,7 +16,7 @@
     shape: Shape,
     body: Uint8Array,
 ): Either<Refusal, z.output<Shape>> {
-    const json = parsed(body);
+    const json = jsonOf(body);
     if (json === undefined) {
         return Left(refusalOf("bad-request", "The body is not valid JSON."));
     }
@@ -26,12 +27,3 @@
     const faults = result.error.issues.slice(0, MAX_FAULTS).map(issue => `${issue.path.join(".")}: ${issue.message}`);
     return Left(refusalOf("bad-request", faults.join("; ")));
 }
-
-function parsed(body: Uint8Array): unknown {
-    try {
-        return JSON.parse(Buffer.from(body).toString("utf8")) as unknown;
-    }
-    catch {
-        return undefined;
-    }
-}
