Stop requests that crash endpoints, over all VMs, from the third death on

Cause: a request that crashes each endpoint that runs it was sent on for as long as its caller asked, through any VM. Now each VM notes which requests broke off at an endpoint where nothing listens any more, tells the others by beacons, and from the third death on the request is refused with 503 and Retry-After, not run. Ruled out: counting broken connections without asking whether the endpoint died (lost answers would stop innocent requests); deciding at the second death (an innocent one is there by chance).

--- a/packages/core/src/ErrorKind.ts
+++ b/packages/core/src/ErrorKind.ts
@@ -30,6 +30,7 @@
     | "stream-broken"
     | "answer-lost"
     | "request-crashes-endpoints"
+    | "request-quarantined"
     // Requests that may not be repeated.
     | "intent-running"
     | "intent-outcome-unknown"
--- a/packages/core/src/answerOf.ts
+++ b/packages/core/src/answerOf.ts
@@ -86,6 +86,14 @@
         INVALID,
         "This request crashed the endpoints that ran it and will not be tried again.",
     ),
+    "request-quarantined": answer(
+        503,
+        "no",
+        60,
+        false,
+        "api_error",
+        "Requests like this one crashed the endpoints that ran them; it was not run.",
+    ),
     "intent-running": answer(409, "maybe", 1, false, INVALID, "A request with this idempotency key is running."),
     "intent-outcome-unknown": answer(
         409,
--- a/packages/router/src/__tests__/unit/registry.test.ts
+++ b/packages/router/src/__tests__/unit/registry.test.ts
@@ -83,6 +83,8 @@
     test(`registry: ${name}`, t => {
         const registry = events.reduce((state, [at, event]) => stepRegistry(state, event, at), emptyRegistry);
         t.deepEqual([...registry.endpoints.keys()].toSorted() as string[], endpoints);
+        const serving = [...registry.endpoints.values()].filter(({ entry: { isLeaving } }) => !isLeaving);
+        t.deepEqual(serving.map(({ entry: { name: each } }) => each).toSorted() as string[], endpoints);
         t.true(registry.isKnown);
     });
 });
--- a/packages/router/src/peers/Beacon.ts
+++ b/packages/router/src/peers/Beacon.ts
@@ -8,6 +8,8 @@
     Tokens,
     VmId,
 } from "@azureshunt/core";
+import type { RequestFingerprint } from "@azureshunt/request";
+
 import type { EndpointShare } from "./EndpointShare.js";
 
 /** What a VM tells each of the others several times a second, in one datagram. */
@@ -42,6 +44,10 @@
     readonly cached: readonly (readonly [string, readonly string[]])[];
     /** The newest record of the order lease, and since when it is known. */
     readonly lease: { readonly offset: number; readonly holder: VmId; readonly ageMs: Millis; } | undefined;
+    /** Requests that ran on an endpoint when it died, and which run of which endpoint that was; told for some seconds. */
+    readonly deaths: readonly (readonly [RequestFingerprint, string])[];
+    /** Requests that are not run any more, as they crash endpoints, and for how much longer. */
+    readonly stopped: readonly (readonly [RequestFingerprint, Millis])[];
     /** Whether the sender reads the store itself. */
     readonly hasStore: boolean;
     /** Whether the sender is about to stop. */
--- a/packages/router/src/peers/decodeBeacon.ts
+++ b/packages/router/src/peers/decodeBeacon.ts
@@ -2,6 +2,9 @@
 
 const FORMAT = 1;
 const FIELDS = 20;
+/** Fields that came later; VMs that run an earlier version leave them out. */
+const DEATHS = 20;
+const STOPPED = 21;
 
 type Row = readonly unknown[];
 
@@ -33,7 +36,9 @@
     && isTriple(row[15], isNumber, isText, isNumber)
     && typeof row[16] === "boolean" && typeof row[17] === "boolean"
     && isNumber(row[18])
-    && areRows(row[19], isText, keys => isRow(keys) && keys.every(isText));
+    && areRows(row[19], isText, keys => isRow(keys) && keys.every(isText))
+    && areRows(row[DEATHS] ?? [], isText, isText)
+    && areRows(row[STOPPED] ?? [], isText, isNumber);
 
 const parse = (datagram: Buffer): unknown => {
     try {
@@ -79,5 +84,7 @@
         isLeaving,
         demand,
         cached,
+        deaths: row[DEATHS] ?? [],
+        stopped: row[STOPPED] ?? [],
     } as unknown as Beacon;
 }
--- a/packages/router/src/peers/encodeBeacon.ts
+++ b/packages/router/src/peers/encodeBeacon.ts
@@ -27,5 +27,7 @@
         beacon.isLeaving,
         beacon.demand,
         beacon.cached,
+        beacon.deaths,
+        beacon.stopped,
     ]));
 }
--- a/packages/router/src/serve/ServeParts.ts
+++ b/packages/router/src/serve/ServeParts.ts
@@ -10,6 +10,7 @@
 import type { EndpointBook } from "../placement/EndpointBook.js";
 import type { CallerWire } from "../ports/CallerWire.js";
 import type { EndpointWire } from "../ports/EndpointWire.js";
+import type { createQuarantine } from "../quarantine/createQuarantine.js";
 import type { createRetryBudgets } from "./createRetryBudgets.js";
 import type { FreshnessBounds } from "./FreshnessBounds.js";
 
@@ -23,6 +24,7 @@
     readonly allowances: ReturnType<typeof createAllowances>;
     readonly demand: ReturnType<typeof createDemand>;
     readonly budgets: ReturnType<typeof createRetryBudgets>;
+    readonly quarantine: Pick<ReturnType<typeof createQuarantine>, "isStopped" | "broke">;
     readonly agent: EndpointAgent;
     readonly callerWire: CallerWire;
     readonly endpointWire: EndpointWire;
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -58,6 +58,13 @@
 
     const next = async (progress: Progress): Promise<ServedEnd> => {
         parts.checkPause();
+        if (parts.quarantine.isStopped(served)) {
+            const { ran } = progress.request;
+            return give(
+                progress,
+                refusalOf(ran === "no" ? "request-quarantined" : "endpoint-failed", undefined, { ran }),
+            );
+        }
         const place = placeRequest(parts, served, progress.avoid);
         if (place === undefined) {
             const ran = progress.request.ran;
@@ -87,8 +94,11 @@
         return after(progress, place, result);
     };
 
-    const after = (progress: Progress, place: TryPlace, result: TryResult): ServedEnd | Promise<ServedEnd> => {
+    const after = async (progress: Progress, place: TryPlace, result: TryResult): Promise<ServedEnd> => {
         const { request } = progress;
+        if (result.kind === "broken") {
+            await parts.quarantine.broke(served, place.entry);
+        }
         if (result.kind === "answered") {
             return { kind: "answered", answer: result.answer };
         }
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -6,6 +6,7 @@
 
 import { createAllowances } from "./allowance/createAllowances.js";
 import { EndpointAgent } from "./dispatch/EndpointAgent.js";
+import { hasDied } from "./dispatch/hasDied.js";
 import { leaseRank } from "./fleet/leaseRank.js";
 import { startOrders } from "./fleet/startOrders.js";
 import { createPauseWatch } from "./knowledge/createPauseWatch.js";
@@ -27,6 +28,7 @@
 import type { DirectoryWire } from "./ports/DirectoryWire.js";
 import type { EndpointWire } from "./ports/EndpointWire.js";
 import type { StorePort } from "./ports/StorePort.js";
+import { createQuarantine } from "./quarantine/createQuarantine.js";
 import { startRegistry } from "./registry/startRegistry.js";
 import type { RouterSettings } from "./RouterSettings.js";
 import { createRequestHandler } from "./serve/createRequestHandler.js";
@@ -123,6 +125,7 @@
     const registry = startRegistry({ clock, store, wire: directory, book, logger: loggers("registry"), metrics });
     const demand = createDemand(clock);
     const allowances = createAllowances(clock, () => hearingOf(held.members, clock.now()));
+    const quarantine = createQuarantine({ clock, hasDied, logger: loggers("quarantine"), metrics });
     const orders = startOrders({
         clock,
         vm: settings.vm,
@@ -152,6 +155,7 @@
         }
         allowances.hear(beacon, before !== undefined && before.incarnation !== beacon.incarnation);
         knowledge.hear(beacon, heard.sentAfter, address);
+        quarantine.hear(beacon);
         beacon.ordered.forEach(([endpoint, version, ageMs]) =>
             book.ordered(endpoint, { version, sentAt: clock.now() - ageMs, isOwn: false })
         );
@@ -190,6 +194,7 @@
                 ordered: book.ownOrders(),
                 held: book.heldVersions(),
                 lease: leaseNews(),
+                ...quarantine.news(),
                 hasStore: knowledge.hasStore(),
             };
         },
@@ -213,6 +218,7 @@
         allowances,
         demand,
         budgets: createRetryBudgets(() => held.settings.retries, () => held.members.known.size + 1),
+        quarantine,
         agent,
         callerWire: parts.callerWire,
         endpointWire: parts.endpointWire,
@@ -239,6 +245,7 @@
     });
     const timer = setInterval(() => {
         pauseWatch.check();
+        quarantine.tick();
         held.members = stepMembers(held.members, { kind: "tick" }, clock.now());
     }, PAUSE_CHECK_MS);
     const stopAnnouncing = startAnnouncing({
