Let nothing that was asked before a suspension confirm keys or a lease

Cause: while a VM is suspended its clock stands still. An answer to a read, or a beacon that echoes a stamp, from before the suspension looked as new as if no time had passed; so did the answer to a claim of the order lease. A withdrawn key would have worked on, and two VMs could have given orders by turns. Ruled out: the age of answers in wall time, as the time of day may jump. Change: the time of the last pause is part of both states; what was sent before it confirms nothing; clocks are compared before answers and beacons are taken.

--- a/packages/router/src/__tests__/unit/knowledge.test.ts
+++ b/packages/router/src/__tests__/unit/knowledge.test.ts
@@ -13,7 +13,12 @@
     kind: "configuration",
     configuration: routingOf(revision, []),
 });
-const confirmed = (revision: number, asOf: number): KnowledgeEvent => ({ kind: "confirmed", revision, asOf });
+const confirmed = (revision: number, asOf: number, stampedAt: number = asOf): KnowledgeEvent => ({
+    kind: "confirmed",
+    revision,
+    asOf,
+    stampedAt,
+});
 
 type Case = {
     readonly name: string;
@@ -63,6 +68,29 @@
         heard: 5,
         confirmedAt: -Infinity,
     },
+    {
+        // The VM was suspended, and its clock stood still, while the answer lay in its buffer: it is older than it looks.
+        name: "what was asked before a pause confirms nothing, though its answer comes after it",
+        events: [configuration(5), { kind: "paused" }, confirmed(5, 1_000)],
+        revision: 5,
+        heard: 5,
+        confirmedAt: -Infinity,
+    },
+    {
+        // The peer held the stamp while this VM was suspended, so that it seems to have told of a time still to come.
+        name: "a peer that echoes a stamp from before a pause confirms nothing",
+        events: [configuration(5), { kind: "paused" }, confirmed(5, 1_400, 990)],
+        revision: 5,
+        heard: 5,
+        confirmedAt: -Infinity,
+    },
+    {
+        name: "a peer that echoes a stamp from after a pause does",
+        events: [configuration(5), { kind: "paused" }, confirmed(5, 990, 1_001)],
+        revision: 5,
+        heard: 5,
+        confirmedAt: 990,
+    },
 ];
 
 cases.forEach(({ name, events, revision, heard, confirmedAt }) => {
--- a/packages/router/src/__tests__/unit/orderLease.test.ts
+++ b/packages/router/src/__tests__/unit/orderLease.test.ts
@@ -23,11 +23,12 @@
 
 /**
  * Runs three VMs that all want to give orders, against one stream. `away` says which VM is stopped in a tick; its clock
- * stands still meanwhile, and it learns of the pause when it goes on.
+ * stands still meanwhile, it learns of the pause when it goes on, and answers that came meanwhile reach it after that.
  */
 const run = (fates: readonly Fate[], away: (vm: number, tick: number) => boolean): readonly Sent[] => {
     const stream: VmId[] = [];
     const pending: { readonly at: number; readonly act: () => void; }[] = [];
+    const answers: { readonly vm: number; readonly event: OrderLeaseEvent; }[] = [];
     const calls = { count: 0 };
     const sent: Sent[] = [];
     const vms = VMS.map(vm => ({ vm, lease: newOrderLease(vm) as OrderLease, lostMs: 0 }));
@@ -49,14 +50,17 @@
         const later = (act: () => void): void => {
             pending.push({ at: time.tick * TICK_MS + fate.delayMs, act });
         };
+        const answer = (event: OrderLeaseEvent): void => {
+            answers.push({ vm: i, event });
+        };
         if (fate.kind === "refused") {
-            later(() => tell(i, { kind: "unsure" }));
+            later(() => answer({ kind: "unsure" }));
             return;
         }
         if (effect.kind === "read") {
             const records = stream.map((holder, offset) => ({ offset, holder }));
             const event: OrderLeaseEvent = { kind: "read", records, end: stream.length };
-            later(() => tell(i, fate.kind === "lost" ? { kind: "unsure" } : event));
+            later(() => answer(fate.kind === "lost" ? { kind: "unsure" } : event));
             return;
         }
         const write = (): OrderLeaseEvent => {
@@ -72,7 +76,7 @@
             tell(i, { kind: "unsure" });
             return;
         }
-        later(() => tell(i, write()));
+        later(() => answer(write()));
     };
 
     Array.from({ length: 300 }, (_, tick) => tick).forEach(tick => {
@@ -89,6 +93,10 @@
             if (tick > 0 && away(i, tick - 1)) {
                 tell(i, { kind: "paused" });
             }
+            answers.filter(({ vm }) => vm === i).forEach(each => {
+                answers.splice(answers.indexOf(each), 1);
+                tell(i, each.event);
+            });
             vms.forEach(({ lease: { tail } }, j) => {
                 if (j !== i && !away(j, tick) && tail !== undefined && tick % VOUCH_TICKS === 0) {
                     const ageMs = clock(j) - tail.knownSince;
--- a/packages/router/src/fleet/OrderLease.ts
+++ b/packages/router/src/fleet/OrderLease.ts
@@ -16,6 +16,8 @@
     readonly tail: LeaseTail | undefined;
     /** When this VM sent the append that made it the holder; −∞ while it is not. */
     readonly confirmedAt: Millis;
+    /** When the process last noticed that it had been suspended; −∞ while it never was. */
+    readonly pausedAt: Millis;
     /** Whether a call to the store is on its way. */
     readonly isAsking: boolean;
 };
--- a/packages/router/src/fleet/startOrders.ts
+++ b/packages/router/src/fleet/startOrders.ts
@@ -91,6 +91,7 @@
         }
         const askedAt = clock.now();
         const appended = await store.appendAt(TOPIC, effect.at, Buffer.from(parts.vm));
+        parts.checkPause();
         appended.caseOf({
             Left: failure => {
                 logger.info({ failure: failure.kind, at: effect.at }, "Order lease not taken.");
--- a/packages/router/src/fleet/stepOrderLease.ts
+++ b/packages/router/src/fleet/stepOrderLease.ts
@@ -22,13 +22,18 @@
     return only({ ...state, isAsking: false, end: Math.max(event.end, state.end ?? 0), tail });
 };
 
+/**
+ * Failure: the process is suspended while the answer to its claim is on the way. Its clock stood still, so it takes itself
+ * for the holder while another VM already is. Guard: a claim that was sent before the last pause makes nobody the holder;
+ * its record stands, and the VM claims anew behind it.
+ */
 const appended = (state: OrderLease, { offset, askedAt }: EventOf<"appended">): LeaseStep =>
     only({
         ...state,
         isAsking: false,
         end: offset + 1,
         tail: { offset, holder: state.vm, knownSince: askedAt },
-        confirmedAt: askedAt,
+        confirmedAt: askedAt > state.pausedAt ? askedAt : -Infinity,
     });
 
 const vouched = (state: OrderLease, event: EventOf<"vouched">, now: Millis): LeaseStep => {
@@ -88,7 +93,7 @@
         case "vouched":
             return vouched(state, event, now);
         case "paused":
-            return only({ ...state, confirmedAt: -Infinity });
+            return only({ ...state, confirmedAt: -Infinity, pausedAt: now });
         case "tick":
             return tick(state, event, leaseMs, now);
     }
--- a/packages/router/src/knowledge/Knowledge.ts
+++ b/packages/router/src/knowledge/Knowledge.ts
@@ -16,5 +16,7 @@
     readonly heardRevision: number;
     /** Up to when `configuration` is known to have been the newest one; −∞ when that has to be confirmed anew. */
     readonly confirmedAt: Millis;
+    /** When the process last noticed that it had been suspended; −∞ while it never was. */
+    readonly pausedAt: Millis;
     readonly weights: ReadonlyMap<ModelName, WeightsHistory>;
 };
--- a/packages/router/src/knowledge/KnowledgeEvent.ts
+++ b/packages/router/src/knowledge/KnowledgeEvent.ts
@@ -7,7 +7,13 @@
     /** A configuration, from the store or from another VM. */
     | { readonly kind: "configuration"; readonly configuration: RoutingConfiguration; }
     /** At `asOf`, `revision` was the newest one. */
-    | { readonly kind: "confirmed"; readonly revision: number; readonly asOf: Millis; }
+    | {
+        readonly kind: "confirmed";
+        readonly revision: number;
+        readonly asOf: Millis;
+        /** When this VM sent what was answered: its read, or the stamp that a peer echoed. */
+        readonly stampedAt: Millis;
+    }
     | { readonly kind: "weights"; readonly model: ModelName; readonly version: number; }
     /** The process may have been suspended, or its clock stepped: nothing is known to be fresh. */
     | { readonly kind: "paused"; };
--- a/packages/router/src/knowledge/noKnowledge.ts
+++ b/packages/router/src/knowledge/noKnowledge.ts
@@ -5,6 +5,7 @@
     configuration: undefined,
     heardRevision: -1,
     confirmedAt: -Infinity,
+    pausedAt: -Infinity,
     weights: new Map(),
 };
 
--- a/packages/router/src/knowledge/startKnowledge.ts
+++ b/packages/router/src/knowledge/startKnowledge.ts
@@ -1,10 +1,10 @@
-import type { Clock, Millis } from "@azureshunt/core";
+import type { Clock } from "@azureshunt/core";
 import type { Metrics } from "@azureshunt/telemetry";
 import type { Logger } from "pino";
 
 import { callOnce } from "../dispatch/callOnce.js";
 import type { EndpointAgent } from "../dispatch/EndpointAgent.js";
-import type { Beacon } from "../peers/Beacon.js";
+import type { Heard } from "../peers/Heard.js";
 import type { DirectoryWire } from "../ports/DirectoryWire.js";
 import type { StorePort } from "../ports/StorePort.js";
 import { followTopic } from "../store/followTopic.js";
@@ -22,6 +22,8 @@
     readonly metrics: Metrics;
     /** Something was learnt that other VMs should hear at once. */
     readonly onNews: () => void;
+    /** Looks for a pause of the process, before an answer is taken as fresh. */
+    readonly checkPause: () => void;
 };
 
 /** What this VM knows of the operators' declarations. */
@@ -30,11 +32,8 @@
     /** The configuration as the store gave it. */
     readonly raw: () => Buffer | undefined;
     readonly hasStore: () => boolean;
-    /**
-     * @param sentAfter not later than when the beacon was sent, on this VM's clock
-     * @param address peer address of its sender
-     */
-    readonly hear: (beacon: Beacon, sentAfter: Millis, address: string) => void;
+    /** @param address peer address of the beacon's sender */
+    readonly hear: (heard: Heard, address: string) => void;
     readonly pause: () => void;
     readonly stop: () => void;
 };
@@ -110,11 +109,12 @@
         waitMs: WAIT_MS,
         pauseMs: () => 0,
         onNews: ({ records, askedAt }) => {
+            parts.checkPause();
             setStore(true);
             records.forEach(({ key, value }) => value === undefined ? undefined : declare(key, value));
             const revision = state.knowledge.configuration?.revision;
             if (revision !== undefined && state.isReadable) {
-                tell({ kind: "confirmed", revision, asOf: askedAt });
+                tell({ kind: "confirmed", revision, asOf: askedAt, stampedAt: askedAt });
             }
         },
         onFailure: kind => {
@@ -138,10 +138,11 @@
         }
     };
 
-    const hear: KnowledgeKeeper["hear"] = (beacon, sentAfter, address) => {
+    const hear: KnowledgeKeeper["hear"] = ({ beacon, sentAfter, stampedAt }, address) => {
         beacon.weights.forEach(([model, version]) => tell({ kind: "weights", model, version }));
         if (beacon.confirmedMs !== undefined) {
-            tell({ kind: "confirmed", revision: beacon.revision, asOf: sentAfter - beacon.confirmedMs });
+            const asOf = sentAfter - beacon.confirmedMs;
+            tell({ kind: "confirmed", revision: beacon.revision, asOf, stampedAt });
         }
         if (beacon.revision > (state.knowledge.configuration?.revision ?? -1)) {
             void fetchFrom(address);
--- a/packages/router/src/knowledge/stepKnowledge.ts
+++ b/packages/router/src/knowledge/stepKnowledge.ts
@@ -19,12 +19,17 @@
         ? { ...knowledge, configuration, heardRevision: Math.max(knowledge.heardRevision, configuration.revision) }
         : knowledge;
 
-const confirm = (knowledge: Knowledge, { revision, asOf }: EventOf<"confirmed">): Knowledge => {
+/**
+ * Failure: the process is suspended between its question and the answer. Its clock stood still meanwhile, so the answer
+ * looks as new as if no time had passed, and a key that was withdrawn in that time works on. Guard: only what was asked
+ * after the last pause confirms anything.
+ */
+const confirm = (knowledge: Knowledge, { revision, asOf, stampedAt }: EventOf<"confirmed">): Knowledge => {
     if (revision > revisionOf(knowledge)) {
         return { ...knowledge, heardRevision: Math.max(knowledge.heardRevision, revision) };
     }
     // A revision below this VM's own says only that its teller lags.
-    return revision === revisionOf(knowledge)
+    return revision === revisionOf(knowledge) && stampedAt > knowledge.pausedAt
         ? { ...knowledge, confirmedAt: Math.max(knowledge.confirmedAt, asOf) }
         : knowledge;
 };
@@ -48,6 +53,6 @@
         case "weights":
             return nameWeights(knowledge, event, now);
         case "paused":
-            return { ...knowledge, confirmedAt: -Infinity };
+            return { ...knowledge, confirmedAt: -Infinity, pausedAt: now };
     }
 }
--- a/packages/router/src/peers/Members.ts
+++ b/packages/router/src/peers/Members.ts
@@ -1,6 +1,6 @@
-import type { FailureDomain, Incarnation, Millis, VmId } from "@azureshunt/core";
+import type { Incarnation, Millis, VmId } from "@azureshunt/core";
 
-import type { Beacon } from "./Beacon.js";
+import type { Heard } from "./Heard.js";
 
 /** Another VM, as this one knows it. */
 type Member = {
@@ -8,17 +8,7 @@
     /** `host:port` for beacons. */
     readonly address: string;
     /** Undefined until its first beacon. */
-    readonly heard: {
-        readonly incarnation: Incarnation;
-        readonly failureDomain: FailureDomain;
-        readonly at: Millis;
-        readonly beacon: Beacon;
-        /**
-         * Not later than when the beacon was sent, on this VM's own clock; −∞ while the other VM has not sent back a
-         * time stamp of this process.
-         */
-        readonly sentAfter: Millis;
-    } | undefined;
+    readonly heard: Heard | undefined;
 };
 
 /** The other VMs. */
--- a/packages/router/src/peers/stepMembers.ts
+++ b/packages/router/src/peers/stepMembers.ts
@@ -1,5 +1,6 @@
 import type { Millis, VmId } from "@azureshunt/core";
 
+import type { Beacon } from "./Beacon.js";
 import type { Members } from "./Members.js";
 import type { MembersEvent } from "./MembersEvent.js";
 import { peerTiming } from "./peerTiming.js";
@@ -15,10 +16,13 @@
  * Failure: datagrams wait in a suspended VM's buffers and are read as news when it goes on; it would take a key for valid
  * that was withdrawn meanwhile. Guard: how old a beacon is follows from this VM's own time stamp that came back in it.
  */
-const sentAfter = (members: Members, event: Extract<MembersEvent, { readonly kind: "beacon"; }>): Millis => {
-    const { echo } = event.beacon;
-    return echo === undefined || echo.incarnation !== members.incarnation ? -Infinity : echo.sentAt + echo.heldMs;
-};
+const agesOf = (
+    { incarnation }: Members,
+    { echo }: Beacon,
+): { readonly sentAfter: Millis; readonly stampedAt: Millis; } =>
+    echo === undefined || echo.incarnation !== incarnation
+        ? { sentAfter: -Infinity, stampedAt: -Infinity }
+        : { sentAfter: echo.sentAt + echo.heldMs, stampedAt: echo.sentAt };
 
 const hear = (members: Members, event: Extract<MembersEvent, { readonly kind: "beacon"; }>, now: Millis): Members => {
     const { beacon, address } = event;
@@ -31,7 +35,7 @@
         return { ...members, known: new Map([...members.known].filter(([vm]) => vm !== beacon.vm)) };
     }
     const { incarnation, failureDomain } = beacon;
-    const heard = { incarnation, failureDomain, at: now, beacon, sentAfter: sentAfter(members, event) };
+    const heard = { incarnation, failureDomain, at: now, beacon, ...agesOf(members, beacon) };
     const known: Known = new Map([...members.known, [beacon.vm, { vm: beacon.vm, address, heard }]]);
     return {
         ...members,
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -96,6 +96,8 @@
         logger.warn({ jumpMs }, "The clocks moved apart: the process was suspended, or the time of day stepped.");
         knowledge.pause();
         orders.tell({ kind: "paused" });
+        // Peers vouch again only once they send back a stamp from after the pause.
+        beacons.sendNow();
     });
 
     const knowledge = startKnowledge({
@@ -105,6 +107,7 @@
         agent,
         logger: loggers("knowledge"),
         metrics,
+        checkPause: pauseWatch.check,
         onNews: () => {
             allowances.open(knowledge.current().configuration?.organisations.values() ?? []);
             beacons.sendNow();
@@ -144,6 +147,7 @@
     });
 
     const hear = (beacon: Beacon, address: string): void => {
+        pauseWatch.check();
         const before = held.members.known.get(beacon.vm)?.heard;
         held.members = stepMembers(held.members, { kind: "beacon", beacon, address }, clock.now());
         const heard = held.members.known.get(beacon.vm)?.heard;
@@ -154,7 +158,7 @@
             logger.info({ peer: beacon.vm, address, incarnation: beacon.incarnation }, "Heard a VM.");
         }
         allowances.hear(beacon, before !== undefined && before.incarnation !== beacon.incarnation);
-        knowledge.hear(beacon, heard.sentAfter, address);
+        knowledge.hear(heard, address);
         quarantine.hear(beacon);
         beacon.ordered.forEach(([endpoint, version, ageMs]) =>
             book.ordered(endpoint, { version, sentAt: clock.now() - ageMs, isOwn: false })
--- a/scripts/checkModels.mjs
+++ b/scripts/checkModels.mjs
@@ -14,6 +14,9 @@
 const INTENT = "spec/intent.pml";
 const LEASE = "spec/lease.pml";
 const ALLOWANCE = "spec/allowance.pml";
+const ORDER_LEASE = "spec/orderLease.pml";
+const LATE_ORDERS = "spec/lateOrders.pml";
+const KEY_FRESHNESS = "spec/keyFreshness.pml";
 const ROWS = [
     { file: CONFIGURATION, defines: [], expected: "clean" },
     { file: CONFIGURATION, defines: ["NO_BASE"], expected: "violation" },
@@ -41,6 +44,21 @@
     { file: LEASE, defines: ["NO_AFTER"], expected: "violation" },
     { file: LEASE, defines: ["NO_WAIT"], expected: "violation" },
     { file: LEASE, defines: ["NO_FENCING"], expected: "violation" },
+    { file: ORDER_LEASE, defines: [], expected: "clean" },
+    { file: ORDER_LEASE, defines: ["NO_WAIT"], expected: "violation" },
+    { file: ORDER_LEASE, defines: ["NO_CONDITION"], expected: "violation" },
+    { file: ORDER_LEASE, defines: ["NO_PAUSE"], expected: "violation" },
+    { file: ORDER_LEASE, defines: ["NO_ASKED"], expected: "violation" },
+    { file: ORDER_LEASE, defines: ["NO_VOID"], expected: "violation" },
+    { file: LATE_ORDERS, defines: [], expected: "clean" },
+    { file: LATE_ORDERS, defines: ["NO_EXPECT"], expected: "violation" },
+    { file: KEY_FRESHNESS, defines: [], expected: "clean" },
+    { file: KEY_FRESHNESS, defines: ["NO_ASKED"], expected: "violation" },
+    { file: KEY_FRESHNESS, defines: ["NO_ECHO"], expected: "violation" },
+    { file: KEY_FRESHNESS, defines: ["NO_AGE"], expected: "violation" },
+    { file: KEY_FRESHNESS, defines: ["NO_PAUSE"], expected: "violation" },
+    { file: KEY_FRESHNESS, defines: ["NO_LATER"], expected: "violation" },
+    { file: KEY_FRESHNESS, defines: ["NO_VOID"], expected: "violation" },
 ];
 
 const MAX_DEPTH = "1000000";
--- /dev/null
+++ b/spec/lateOrders.pml
@@ -0,0 +1,67 @@
+/*
+ * Orders that get no answer and are carried out long after they were sent, at one engine.
+ *
+ * Models `startOrders` of packages/router: each order carries the number of orders that the engine's last report showed, and
+ * goes out only for a version above the one in that report. Versions are named one after the other; orders are answered,
+ * or carried out later, after newer ones. A restarted engine has another name, which orders carry too.
+ *
+ * Holds: the engine's version never goes back.
+ * -DNO_EXPECT takes the engine's check of its count away: a late order brings old weights back.
+ */
+#define VERSIONS 3
+#define LATE 2
+#define MOST_ORDERS 8            /* more are not accepted in any run */
+
+byte named = 1;
+byte version = 0;
+byte count = 0;              /* orders that the engine has accepted */
+byte loading = 0;            /* version that it is taking; 0: none */
+
+byte lateVersion[LATE];
+byte lateExpect[LATE];
+
+#ifdef NO_EXPECT
+#define EXPECTED(expect) true
+#else
+#define EXPECTED(expect) (expect == count)
+#endif
+
+inline accept(wanted, expect) {
+    if
+    :: loading == 0 && EXPECTED(expect) -> loading = wanted; count = (count + 1) % MOST_ORDERS
+    :: else -> skip
+    fi
+}
+
+active proctype Holder() {
+    byte seenVersion = 0;
+    byte seenCount = 0;
+    do
+    :: atomic { seenVersion = version; seenCount = count }
+    :: atomic {
+        named > seenVersion ->
+        if
+        :: accept(named, seenCount)
+        :: lateVersion[0] == 0 -> lateVersion[0] = named; lateExpect[0] = seenCount
+        :: lateVersion[1] == 0 -> lateVersion[1] = named; lateExpect[1] = seenCount
+        fi
+    }
+    :: version == VERSIONS -> break
+    od
+}
+
+active proctype Engine() {
+    do
+    :: atomic { loading > 0 -> assert(loading >= version); version = loading; loading = 0 }
+    :: atomic { lateVersion[0] > 0 -> accept(lateVersion[0], lateExpect[0]); lateVersion[0] = 0; lateExpect[0] = 0 }
+    :: atomic { lateVersion[1] > 0 -> accept(lateVersion[1], lateExpect[1]); lateVersion[1] = 0; lateExpect[1] = 0 }
+    :: version == VERSIONS && loading == 0 && lateVersion[0] == 0 && lateVersion[1] == 0 -> break
+    od
+}
+
+active proctype Operators() {
+    do
+    :: named < VERSIONS -> named++
+    :: else -> break
+    od
+}
--- /dev/null
+++ b/spec/orderLease.pml
@@ -0,0 +1,195 @@
+/*
+ * The order lease on a platform whose store appends under a condition.
+ *
+ * Models `stepOrderLease` (a claim is appended only at the known end of the stream; another VM claims when the last record
+ * has lain there for the holding time and an engine's time; holding counts from when the claim was sent; a lost answer makes
+ * the end unknown; a pause voids the lease, and claims that were sent before it) and `orderFence` of packages/router. Two
+ * VMs, discrete time, appends that land late, are answered late or never, a VM that is suspended while its clock stands
+ * still.
+ *
+ * Holds: an order follows another VM's last one no sooner than an engine's time, with a higher fence; the fence never goes
+ * back.
+ * -DNO_WAIT lets a VM claim without waiting: two VMs give orders by turns.
+ * -DNO_CONDITION lets the store append at any end: two VMs claim after the same record.
+ * -DNO_PAUSE leaves a suspension unnoticed: a VM gives orders under a lease that ran out.
+ * -DNO_VOID takes the answer to a claim that was sent before a suspension: its time does not count.
+ * -DNO_ASKED counts holding from the answer: it outlasts what the others wait for.
+ */
+#define HOLD 2
+#define LEASE 1
+#define MAX_TIME 6
+#define MAX_LOG 2
+#define MAX_LOST 3
+#define NONE 7
+
+byte now = 0;
+byte logLength = 0;
+byte logHolder[MAX_LOG];
+
+byte lost[2];                /* time that each VM's clock has stood still */
+bool unnoticed[2];           /* suspended since it last looked */
+byte pausedAt[2];            /* own clock + 1 of the last suspension noticed */
+
+byte end[2] = NONE;          /* NONE: not known */
+byte tail[2] = NONE;         /* offset of the last record known */
+byte tailHolder[2];
+byte since[2];               /* known to lie there since, on the VM's own clock */
+byte confirmed[2];           /* own clock + 1 of the claim's sending; 0: not held */
+
+bool asking[2];
+byte askedAt[2];
+byte flyingAt[2] = NONE;     /* condition of the append on its way */
+byte landed[2] = NONE;       /* offset at which it landed */
+byte lateAt[2] = NONE;       /* condition of an append whose VM waits no longer */
+
+byte lastVm = NONE;
+byte lastSent = 0;
+byte lastFence = 0;
+
+#define CLOCK(vm) (now - lost[vm])
+#define HELD(vm) (confirmed[vm] > 0 && CLOCK(vm) - (confirmed[vm] - 1) < HOLD)
+
+#ifdef NO_VOID
+#define IS_VOID(vm) false
+#else
+#define IS_VOID(vm) (askedAt[vm] + 1 <= pausedAt[vm])
+#endif
+
+#ifdef NO_WAIT
+#define MAY_CLAIM(vm) true
+#else
+#define MAY_CLAIM(vm) (tail[vm] == NONE || tailHolder[vm] == vm || CLOCK(vm) >= since[vm] + HOLD + LEASE)
+#endif
+
+#ifdef NO_CONDITION
+#define AT_END(at) (logLength < MAX_LOG)
+#else
+#define AT_END(at) (at == logLength && logLength < MAX_LOG)
+#endif
+
+proctype Vm(byte self) {
+    do
+    :: now >= MAX_TIME -> break
+    /* The process looks at its clocks before it does anything that old knowledge would make wrong. */
+    :: atomic {
+        unnoticed[self] -> unnoticed[self] = false;
+#ifndef NO_PAUSE
+        confirmed[self] = 0;
+        pausedAt[self] = CLOCK(self) + 1
+#endif
+    }
+    :: atomic { !unnoticed[self] && !asking[self] && !HELD(self) && end[self] == NONE ->
+        end[self] = logLength;
+        if
+        :: logLength > 0 && (tail[self] == NONE || logLength - 1 > tail[self]) ->
+            tail[self] = logLength - 1;
+            tailHolder[self] = logHolder[logLength - 1];
+            since[self] = CLOCK(self)
+        :: else -> skip
+        fi
+    }
+    :: atomic { self == 0 && !unnoticed[self] && !asking[self] && !HELD(self) && end[self] != NONE && MAY_CLAIM(self) ->
+        asking[self] = true;
+        askedAt[self] = CLOCK(self);
+        flyingAt[self] = end[self];
+        landed[self] = NONE
+    }
+    /* The second VM's calls are answered at once, which leaves the search small; what is lost and late is the first one's. */
+    :: atomic { self == 1 && !HELD(self) && end[self] != NONE && MAY_CLAIM(self) ->
+        if
+        :: AT_END(end[self]) ->
+            logHolder[logLength] = self;
+            tail[self] = logLength;
+            tailHolder[self] = self;
+            since[self] = CLOCK(self);
+            confirmed[self] = CLOCK(self) + 1;
+            logLength++;
+            end[self] = logLength
+        :: else -> end[self] = NONE
+        fi
+    }
+    /* The answer comes. */
+    :: atomic { !unnoticed[self] && asking[self] && landed[self] != NONE ->
+        asking[self] = false;
+        end[self] = landed[self] + 1;
+        tail[self] = landed[self];
+        tailHolder[self] = self;
+        since[self] = askedAt[self];
+        if
+        :: IS_VOID(self) -> skip
+#ifdef NO_ASKED
+        :: else -> confirmed[self] = CLOCK(self) + 1
+#else
+        :: else -> confirmed[self] = askedAt[self] + 1
+#endif
+        fi;
+        landed[self] = NONE
+    }
+    /* It is lost, or the append was refused; what is still on its way may land later. */
+    :: atomic { asking[self] ->
+        asking[self] = false;
+        end[self] = NONE;
+        landed[self] = NONE;
+        if
+        :: flyingAt[self] != NONE -> lateAt[self] = flyingAt[self]; flyingAt[self] = NONE
+        :: else -> skip
+        fi
+    }
+    /* An order; its fence is asked for right before it goes out. */
+    :: atomic { !unnoticed[self] && HELD(self) && tailHolder[self] == self ->
+        assert(lastVm == NONE || tail[self] >= lastFence);
+        assert(lastVm == NONE || lastVm == self || (now - lastSent >= LEASE && tail[self] > lastFence));
+        lastVm = self;
+        lastSent = now;
+        lastFence = tail[self]
+    }
+    od
+}
+
+active proctype Store() {
+    byte who = 0;
+    do
+    :: now >= MAX_TIME -> break
+    :: atomic {
+        flyingAt[0] != NONE || flyingAt[1] != NONE ->
+        if
+        :: flyingAt[0] != NONE -> who = 0
+        :: flyingAt[1] != NONE -> who = 1
+        fi;
+        if
+        :: AT_END(flyingAt[who]) -> logHolder[logLength] = who; landed[who] = logLength; logLength++
+        :: else -> skip
+        fi;
+        flyingAt[who] = NONE;
+        who = 0
+    }
+    :: atomic {
+        lateAt[0] != NONE || lateAt[1] != NONE ->
+        if
+        :: lateAt[0] != NONE -> who = 0
+        :: lateAt[1] != NONE -> who = 1
+        fi;
+        if
+        :: AT_END(lateAt[who]) -> logHolder[logLength] = who; logLength++
+        :: else -> skip
+        fi;
+        lateAt[who] = NONE;
+        who = 0
+    }
+    od
+}
+
+active proctype World() {
+    do
+    :: atomic { now < MAX_TIME -> now++ }
+    :: atomic { now + MAX_LOST <= MAX_TIME && lost[0] == 0 -> now = now + MAX_LOST; lost[0] = MAX_LOST; unnoticed[0] = true }
+    :: now >= MAX_TIME -> break
+    od
+}
+
+init {
+    atomic {
+        run Vm(0);
+        run Vm(1)
+    }
+}
