Keep the others' load by endpoint, and split the endpoints' book

othersAt went through all beacons for each candidate of each request; now each beacon is filed once.

--- /dev/null
+++ b/packages/router/src/__tests__/unit/othersLoad.test.ts
@@ -0,0 +1,68 @@
+import type { Clock, EndpointName, VmId } from "@azureshunt/core";
+import test from "ava";
+
+import { createOthersLoad } from "../../peers/createOthersLoad.js";
+
+type Told = readonly [atMs: number, vm: string, load: readonly (readonly [string, number])[]];
+type Case = {
+    readonly name: string;
+    readonly told: readonly Told[];
+    readonly askedAt: number;
+    readonly running: number;
+};
+
+/*
+ * A VM is cut off or dies and is never heard again. What it told last would keep requests away from an endpoint for ever;
+ * so it counts for a second and a half, and each new word replaces the whole of the one before.
+ */
+const cases: readonly Case[] = [
+    { name: "nothing was told", told: [], askedAt: 0, running: 0 },
+    {
+        name: "two VMs add up",
+        told: [[0, "a", [["e", 2], ["f", 9]]], [0, "b", [["e", 3]]]],
+        askedAt: 1_000,
+        running: 5,
+    },
+    {
+        name: "a VM's new word replaces its last",
+        told: [[0, "a", [["e", 2]]], [200, "a", [["e", 1]]]],
+        askedAt: 300,
+        running: 1,
+    },
+    {
+        name: "also where it no longer names the endpoint",
+        told: [[0, "a", [["e", 2]]], [200, "a", []]],
+        askedAt: 300,
+        running: 0,
+    },
+    {
+        name: "old words do not count",
+        told: [[0, "a", [["e", 2]]], [900, "b", [["e", 4]]]],
+        askedAt: 1_500,
+        running: 4,
+    },
+];
+
+cases.forEach(({ name, told, askedAt, running }) => {
+    test(`others' load: ${name}`, t => {
+        const time = { now: 0 };
+        const clock: Clock = { now: () => time.now, epoch: () => time.now };
+        const load = createOthersLoad(clock);
+        told.forEach(([at, vm, shares]) => {
+            time.now = at;
+            load.hear({
+                vm: vm as VmId,
+                load: shares.map(([endpoint, count]) => [
+                    endpoint as EndpointName,
+                    { running: count, waitingTokens: 10 * count, memoryTokens: 100 * count },
+                ]),
+            });
+        });
+        time.now = askedAt;
+        t.deepEqual(load.at("e" as EndpointName), {
+            running,
+            waitingTokens: 10 * running,
+            memoryTokens: 100 * running,
+        });
+    });
+});
--- a/packages/router/src/placement/EndpointBook.ts
+++ b/packages/router/src/placement/EndpointBook.ts
@@ -1,11 +1,11 @@
 import type { EndpointName, Millis, ModelName, Tokens } from "@azureshunt/core";
 
-import type { TryOutcome } from "../dispatch/TryOutcome.js";
 import type { EngineWeights } from "../fleet/EngineWeights.js";
 import type { EndpointShare } from "../peers/EndpointShare.js";
 import type { EndpointEntry } from "../registry/EndpointEntry.js";
 import type { RegistryEvent } from "../registry/RegistryEvent.js";
 import type { Candidate } from "./Candidate.js";
+import type { EndpointSeat } from "./EndpointSeat.js";
 import type { PlacedRequest } from "./PlacedRequest.js";
 
 /** An endpoint that could take a request, with what is needed to send it there. */
@@ -16,17 +16,6 @@
     readonly weights: number | undefined;
 };
 
-/** A request's place at an endpoint, from sending to end. */
-type EndpointSeat = {
-    /** The answer has begun. */
-    readonly answering: () => void;
-    /** Something came from the endpoint. */
-    readonly sign: () => void;
-    /** Whether anything came from the endpoint lately, for whichever request. */
-    readonly isAlive: () => boolean;
-    readonly end: (outcome: TryOutcome["kind"]) => void;
-};
-
 /** All that a VM knows of the endpoints. */
 export type EndpointBook = {
     readonly isKnown: () => boolean;
--- a/packages/router/src/placement/createEndpointBook.ts
+++ b/packages/router/src/placement/createEndpointBook.ts
@@ -9,13 +9,12 @@
 import type { EndpointEntry } from "../registry/EndpointEntry.js";
 import type { Registry } from "../registry/Registry.js";
 import { stepRegistry } from "../registry/stepRegistry.js";
+import { createDealings } from "./createDealings.js";
 import type { EndpointBook } from "./EndpointBook.js";
-import type { EndpointHealth } from "./EndpointHealth.js";
 import { healthAfterTry } from "./healthAfterTry.js";
-import type { InFlight } from "./InFlight.js";
 import { loadOf } from "./loadOf.js";
 import type { PromptShare } from "./PromptShare.js";
-import { soundHealth } from "./soundHealth.js";
+import { takeSeat } from "./takeSeat.js";
 
 type BookParts = {
     readonly clock: Clock;
@@ -36,20 +35,6 @@
 /** How a view of an endpoint changes. */
 type EndpointChange = "registered" | "leaving" | "gone" | "paused";
 
-/** What this VM's own dealings with one run of an endpoint have shown. */
-type Dealings = {
-    readonly bornAt: number;
-    health: EndpointHealth;
-    inFlight: readonly InFlight[];
-    lastSignAt: Millis;
-    /** Version seen in answers, reports and orders; the registry's entry may lag behind it. */
-    seenVersion: number;
-    seenOrders: number;
-    order: EngineWeights["order"];
-};
-
-/** Whatever has given a sign of life so lately is not dark, only busy. */
-const ALIVE_MS = 400;
 /** An order given for so long counts as lost; the engine is then judged by what it shows. */
 const ORDER_LOST_MS = 2_500;
 
@@ -62,36 +47,15 @@
 export function createEndpointBook(parts: BookParts): EndpointBook {
     const { clock, knowledge } = parts;
     const book = { registry: emptyRegistry as Registry };
-    const dealings = new Map<EndpointName, Dealings>();
-
-    const dealingsWith = (entry: EndpointEntry): Dealings => {
-        const known = dealings.get(entry.name);
-        if (known?.bornAt === entry.bornAt) {
-            return known;
-        }
-        if (known !== undefined) {
-            parts.onGone(entry.name);
-        }
-        const made: Dealings = {
-            bornAt: entry.bornAt,
-            health: soundHealth,
-            inFlight: [],
-            lastSignAt: -Infinity,
-            seenVersion: 0,
-            seenOrders: 0,
-            order: undefined,
-        };
-        dealings.set(entry.name, made);
-        return made;
-    };
+    const dealings = createDealings(parts.onGone);
 
     const versionAt = (entry: EndpointEntry, model: ModelName | undefined): number | undefined =>
         model === undefined || !entry.versions.has(model)
             ? undefined
-            : Math.max(entry.versions.get(model) ?? 0, dealingsWith(entry).seenVersion);
+            : Math.max(entry.versions.get(model) ?? 0, dealings.of(entry).seenVersion);
 
     const orderAt = (entry: EndpointEntry, version: number | undefined): EngineWeights["order"] => {
-        const { order } = dealingsWith(entry);
+        const { order } = dealings.of(entry);
         const isOver = order === undefined || (version ?? 0) >= order.version
             || clock.now() - order.sentAt > ORDER_LOST_MS;
         return isOver ? undefined : order;
@@ -108,8 +72,7 @@
         const before = book.registry;
         book.registry = stepRegistry(before, event, clock.now());
         [...before.endpoints.keys()].filter(name => !book.registry.endpoints.has(name)).forEach(name => {
-            dealings.delete(name);
-            parts.onGone(name);
+            dealings.drop(name);
             parts.onChange(name, "gone", { registry: event.kind });
         });
         [...book.registry.endpoints.values()].forEach(({ entry }) => {
@@ -132,7 +95,7 @@
             .map(({ entry }) => entry)
             .filter(entry => entry.service === request.service && !entry.isLeaving && !request.avoid.has(entry.name))
             .filter(entry => request.model === undefined || entry.versions.has(request.model))
-            .map(entry => ({ entry, weights: versionAt(entry, request.model), own: dealingsWith(entry) }))
+            .map(entry => ({ entry, weights: versionAt(entry, request.model), own: dealings.of(entry) }))
             .filter(({ entry, weights }) => orderAt(entry, weights) === undefined)
             .map(each => ({ ...each, outdatedMs: outdatedFor(request.model, each.weights) }))
             .filter(({ outdatedMs }) => (outdatedMs ?? 0) < parts.outdatedLimitMs())
@@ -153,61 +116,27 @@
             }));
     };
 
-    const begin: EndpointBook["begin"] = (endpoint, sizes) => {
-        const own = dealings.get(endpoint);
-        const sentAt = clock.now();
-        const seat = {
-            current: {
-                sentAt,
-                expectedAt: sentAt + sizes.expectedMs,
-                missingTokens: sizes.missingTokens,
-                memoryTokens: sizes.memoryTokens,
-                isAnswering: false,
-            } as InFlight,
-        };
-        const replace = (next: InFlight | undefined): void => {
-            if (own !== undefined) {
-                const others = own.inFlight.filter(each => each !== seat.current);
-                own.inFlight = next === undefined ? others : [...others, next];
-                seat.current = next ?? seat.current;
-            }
-        };
-        replace(seat.current);
-        return {
-            answering: () => replace({ ...seat.current, isAnswering: true }),
-            sign: () => {
-                if (own !== undefined) {
-                    own.lastSignAt = clock.now();
-                }
-            },
-            isAlive: () => own !== undefined && clock.now() - own.lastSignAt < ALIVE_MS,
-            end: outcome => {
-                replace(undefined);
-                if (own !== undefined) {
-                    const { downUntil } = own.health;
-                    own.health = healthAfterTry(own.health, outcome, clock.now());
-                    if (own.health.downUntil > downUntil) {
-                        const { failureRate, unreachedInRow } = own.health;
-                        parts.onChange(endpoint, "paused", { outcome, failureRate, unreachedInRow });
-                    }
-                }
-            },
-        };
-    };
+    const begin: EndpointBook["begin"] = (endpoint, sizes) =>
+        takeSeat({
+            clock,
+            own: dealings.last(endpoint),
+            sizes,
+            onPaused: inputs => parts.onChange(endpoint, "paused", inputs),
+        });
 
     const entryOf: EndpointBook["entryOf"] = endpoint => book.registry.endpoints.get(endpoint)?.entry;
 
     const sawWeights: EndpointBook["sawWeights"] = (endpoint, version, ordersTaken) => {
         const entry = entryOf(endpoint);
         if (entry !== undefined) {
-            const own = dealingsWith(entry);
+            const own = dealings.of(entry);
             own.seenVersion = Math.max(own.seenVersion, version);
             own.seenOrders = ordersTaken ?? own.seenOrders;
         }
     };
 
     const unreached: EndpointBook["unreached"] = endpoint => {
-        const own = dealings.get(endpoint);
+        const own = dealings.last(endpoint);
         if (own !== undefined) {
             own.health = healthAfterTry(own.health, "unreached", clock.now());
         }
@@ -216,7 +145,7 @@
     const ordered: EndpointBook["ordered"] = (endpoint, order) => {
         const entry = entryOf(endpoint);
         if (entry !== undefined) {
-            dealingsWith(entry).order = order;
+            dealings.of(entry).order = order;
         }
     };
 
@@ -225,7 +154,7 @@
             .map(({ entry }) => entry)
             .filter(entry => entry.versions.has(model) && !entry.isLeaving)
             .map(entry => {
-                const own = dealingsWith(entry);
+                const own = dealings.of(entry);
                 const version = versionAt(entry, model) ?? 0;
                 const { running } = loadOf(own.inFlight, parts.othersAt(entry.name), own.lastSignAt, clock.now());
                 return {
@@ -252,7 +181,7 @@
         engines,
         entryOf,
         ownShares: () =>
-            [...dealings].filter(([, own]) => own.inFlight.length > 0).map(([name, own]) => {
+            dealings.all().filter(([, own]) => own.inFlight.length > 0).map(([name, own]) => {
                 const { running, waitingTokens, memoryTokens } = loadOf(
                     own.inFlight,
                     undefined,
@@ -262,11 +191,11 @@
                 return [name, { running, waitingTokens, memoryTokens }] as const;
             }),
         ownOrders: () =>
-            [...dealings].flatMap(([name, { order }]) =>
+            dealings.all().flatMap(([name, { order }]) =>
                 order?.isOwn === true ? [[name, order.version, clock.now() - order.sentAt] as const] : []
             ),
         heldVersions: () =>
-            [...dealings].filter(([, own]) => own.seenVersion > 0).map(([name, own]) =>
+            dealings.all().filter(([, own]) => own.seenVersion > 0).map(([name, own]) =>
                 [name, own.seenVersion] as const
             ),
     };
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -13,9 +13,9 @@
 import { createPauseWatch } from "./knowledge/createPauseWatch.js";
 import { startKnowledge } from "./knowledge/startKnowledge.js";
 import type { Beacon } from "./peers/Beacon.js";
+import { createOthersLoad } from "./peers/createOthersLoad.js";
 import { hearingOf } from "./peers/hearingOf.js";
 import type { Members } from "./peers/Members.js";
-import { othersAt } from "./peers/othersAt.js";
 import { othersDemand } from "./peers/othersDemand.js";
 import { quietMs } from "./peers/quietMs.js";
 import { startAnnouncing } from "./peers/startAnnouncing.js";
@@ -118,11 +118,12 @@
         },
     });
     const servesForMs = (): Millis => held.settings.weightsMs - WEIGHTS_MARGIN_MS;
+    const othersLoad = createOthersLoad(clock);
     const book = createEndpointBook({
         clock,
         failureDomain: settings.failureDomain,
         knowledge: knowledge.current,
-        othersAt: endpoint => othersAt(held.members, endpoint, clock.now()),
+        othersAt: othersLoad.at,
         quietMs: domain => quietMs(held.members, domain, clock.now()),
         outdatedLimitMs: servesForMs,
         onChange: (endpoint, change, inputs) =>
@@ -164,6 +165,7 @@
         allowances.hear(beacon, before !== undefined && before.incarnation !== beacon.incarnation);
         knowledge.hear(heard, address);
         quarantine.hear(beacon);
+        othersLoad.hear(beacon);
         beacon.ordered.forEach(([endpoint, version, ageMs]) =>
             book.ordered(endpoint, { version, sentAt: clock.now() - ageMs, isOwn: false })
         );
