--- a/packages/cli/src/__tests__/unit/explain.test.ts
+++ b/packages/cli/src/__tests__/unit/explain.test.ts
@@ -67,6 +67,29 @@
     ]);
 });
 
+/*
+ * Real lines of failed requests. On-call engineers have nothing but the id and the files; the cause must be in what the
+ * command says.
+ */
+const SAMPLES = new URL("../../../../../docs/samples/", import.meta.url).pathname;
+const causes: readonly (readonly [id: string, file: string, cause: RegExp])[] = [
+    [
+        "6df0efce737bb621",
+        "refused-on-old-knowledge.jsonl",
+        /configuration-too-old.*confirmedMs=5838[^]*store does not answer/,
+    ],
+    ["73e8eb5112f08405", "stream-cut.jsonl", /outcome=broken.*events=70[^]*maxTries=1[^]*An endpoint died/],
+    ["9e5b8b1d55dc9d65", "may-have-run.jsonl", /outcome=broken[^]*outcome=unreached[^]*ran=maybe[^]*An endpoint died/],
+];
+
+causes.forEach(([id, file, cause]) => {
+    test(`explain: the cause shows, ${file}`, async t => {
+        const { code, lines } = await explain(["--id", id, `${SAMPLES}${file}`], {});
+        t.is(code, 0);
+        t.regex(lines.join("\n"), cause);
+    });
+});
+
 test("explain: an id that no line names, a file that is not there, no id", async t => {
     const unknown = await explain(["--id", "none", "one.log"], logs);
     t.is(unknown.code, 7);
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -5,6 +5,7 @@
 
 import { failureOfOutcome } from "../dispatch/failureOfOutcome.js";
 import { overloadWait } from "../placement/overloadWait.js";
+import { allowedTries } from "./allowedTries.js";
 import { isRepeatable } from "./isRepeatable.js";
 import { placeRequest } from "./placeRequest.js";
 import { runTry } from "./runTry.js";
@@ -14,8 +15,6 @@
 import type { TryPlace } from "./TryPlace.js";
 import type { TryResult } from "./TryResult.js";
 
-/** Further tries for endpoints that did not run the request; the route's own limit counts those that may have. */
-const REFUSED_TRIES = 1;
 /** Tries left in the budget below which none is begun for mere silence. */
 const ENOUGH_BUDGET = 2;
 /** A place that frees or an endpoint that comes back is worth asking for again after so long, in seconds. */
@@ -37,15 +36,16 @@
 type Progress = {
     readonly request: RequestState;
     readonly avoid: ReadonlySet<EndpointName>;
+    /** Tries that surely did not run. */
+    readonly notRun: number;
     /** An endpoint's own failure; it goes to the caller if nothing better comes. */
     readonly failure: TryResult["answer"];
 };
 
-const ranAfter = (kind: TryResult["kind"], before: RequestState["ran"]): RequestState["ran"] =>
-    kind === "unreached" || kind === "refused" || kind === "elsewhere" ? before : "maybe";
+const NOT_RUN: ReadonlySet<TryResult["kind"]> = new Set(["unreached", "refused", "elsewhere"]);
 
-const maxTriesOf = (served: ServedRequest, request: RequestState): number =>
-    served.route.maxTries + (request.ran === "no" ? REFUSED_TRIES : 0);
+const ranAfter = (kind: TryResult["kind"], before: RequestState["ran"]): RequestState["ran"] =>
+    NOT_RUN.has(kind) ? before : "maybe";
 
 /** Serves a request by one try after the other, until it is answered or a further try is ruled out. */
 export async function serveTries(parts: ServeParts, served: ServedRequest): Promise<ServedEnd> {
@@ -99,7 +99,7 @@
         }
         // Where no further try may be made, silence is waited out: giving up would only lose the answer.
         const hasBudget = parts.budgets.of(served.service).balance >= ENOUGH_BUDGET;
-        const isLastTry = request.tries + 1 >= served.route.maxTries || !hasBudget;
+        const isLastTry = request.tries + 1 >= allowedTries(served.route.maxTries, progress.notRun) || !hasBudget;
         const result = await runTry({ parts, served, place, progress: stream, isLastTry });
         return after(progress, place, result);
     };
@@ -122,15 +122,17 @@
             ran: ranAfter(result.kind, request.ran),
         };
         const failure = result.answer ?? progress.failure;
+        const notRun = progress.notRun + (NOT_RUN.has(result.kind) ? 1 : 0);
+        const maxTries = allowedTries(served.route.maxTries, notRun);
         const budget = parts.budgets.of(served.service);
         const plan = planAfterFailure(tried, failureOfOutcome(result.kind), budget, parts.clock.now(), {
-            maxTries: maxTriesOf(served, tried),
+            maxTries,
         });
         served.notes.add(plan.kind === "answer" ? "No further try." : "Trying again.", {
             after: result.kind,
             ran: tried.ran,
             tries: tried.tries,
-            maxTries: maxTriesOf(served, tried),
+            maxTries,
             budget: Math.floor(budget.balance),
             passedEvents: stream.passedEvents,
             reason: plan.kind === "answer" ? plan.refusal.kind : undefined,
@@ -146,7 +148,7 @@
         parts.metrics.count("azureshunt_retries_total", "Further tries by what ended the one before.", {
             after: result.kind,
         });
-        return next({ request: tried, avoid: new Set([...progress.avoid, place.entry.name]), failure });
+        return next({ request: tried, avoid: new Set([...progress.avoid, place.entry.name]), notRun, failure });
     };
 
     return next({
@@ -158,6 +160,7 @@
             ran: "no",
         },
         avoid: new Set(),
+        notRun: 0,
         failure: undefined,
     });
 }
