--- a/packages/router/src/__tests__/unit/placement.test.ts
+++ b/packages/router/src/__tests__/unit/placement.test.ts
@@ -105,7 +105,7 @@
 });
 
 const healthCases: readonly {
-    readonly outcomes: readonly TryOutcome["kind"][];
+    readonly outcomes: readonly TryOutcome[];
     readonly down: number;
     readonly rate: number;
 }[] = [
--- a/packages/router/src/dispatch/EndpointAgent.ts
+++ b/packages/router/src/dispatch/EndpointAgent.ts
@@ -2,7 +2,7 @@
 import type { ClientRequest } from "node:http";
 import type { Socket } from "node:net";
 
-/** Kept connections to one endpoint; more are closed after their answer. */
+/** Kept connections to one endpoint where no other limit is given; more are closed after their answer. */
 const KEPT_PER_ENDPOINT = 24;
 /** Longest time that a connection is kept without a request, where the endpoint names no shorter one. */
 const KEPT_MS = 20_000;
@@ -22,12 +22,17 @@
 export class EndpointAgent extends Agent {
     private readonly idleSince = new WeakMap<Socket, number>();
 
-    constructor(private readonly now: () => number) {
+    /** @param most connections without a request that are kept to the endpoint at an address, `host:port` */
+    constructor(
+        private readonly now: () => number,
+        private readonly most: (address: string) => number = () => KEPT_PER_ENDPOINT,
+    ) {
         super({ keepAlive: true, maxFreeSockets: KEPT_PER_ENDPOINT, scheduling: "lifo", timeout: KEPT_MS });
     }
 
     /** Keeps a connection after its answer; called by Node. */
     override keepSocketAlive(socket: Socket): boolean {
+        this.maxFreeSockets = this.most(`${socket.remoteAddress}:${socket.remotePort}`);
         const isKept = super.keepSocketAlive(socket) as unknown as boolean;
         if (isKept) {
             this.idleSince.set(socket, this.now());
--- a/packages/router/src/dispatch/TryOutcome.ts
+++ b/packages/router/src/dispatch/TryOutcome.ts
@@ -11,15 +11,13 @@
  * - `garbled`: what came is not this request's answer.
  * - `cancelled`: this VM ended the try, as the caller left or the time was up.
  */
-export type TryOutcome = {
-    readonly kind:
-        | "answered"
-        | "refused"
-        | "elsewhere"
-        | "unreached"
-        | "broken"
-        | "silent"
-        | "failed"
-        | "garbled"
-        | "cancelled";
-};
+export type TryOutcome =
+    | "answered"
+    | "refused"
+    | "elsewhere"
+    | "unreached"
+    | "broken"
+    | "silent"
+    | "failed"
+    | "garbled"
+    | "cancelled";
--- a/packages/router/src/dispatch/failureOfOutcome.ts
+++ b/packages/router/src/dispatch/failureOfOutcome.ts
@@ -2,7 +2,7 @@
 
 import type { TryOutcome } from "./TryOutcome.js";
 
-type FailedKind = Exclude<TryOutcome["kind"], "answered" | "cancelled">;
+type FailedKind = Exclude<TryOutcome, "answered" | "cancelled">;
 
 const FAILURES: Readonly<Record<FailedKind, TryFailure>> = {
     refused: { kind: "refused", full: true },
--- a/packages/router/src/placement/EndpointBook.ts
+++ b/packages/router/src/placement/EndpointBook.ts
@@ -1,4 +1,4 @@
-import type { EndpointName, Millis, ModelName, Tokens } from "@azureshunt/core";
+import type { EndpointName, Millis, ModelName, ServiceName, Tokens } from "@azureshunt/core";
 
 import type { EngineWeights } from "../fleet/EngineWeights.js";
 import type { EndpointShare } from "../peers/EndpointShare.js";
@@ -36,6 +36,8 @@
     readonly ordered: (endpoint: EndpointName, order: EngineWeights["order"]) => void;
     /** Engines that hold a model. */
     readonly engines: (model: ModelName) => readonly EngineWeights[];
+    /** The service of the endpoint at an address, `host:port`. */
+    readonly serviceAt: (address: string) => ServiceName | undefined;
     readonly entryOf: (endpoint: EndpointName) => EndpointEntry | undefined;
     /** This VM's own requests at each endpoint that has any. */
     readonly ownShares: () => readonly (readonly [EndpointName, EndpointShare])[];
--- a/packages/router/src/placement/EndpointSeat.ts
+++ b/packages/router/src/placement/EndpointSeat.ts
@@ -8,5 +8,5 @@
     readonly sign: () => void;
     /** Whether anything came from the endpoint lately, for whichever request. */
     readonly isAlive: () => boolean;
-    readonly end: (outcome: TryOutcome["kind"]) => void;
+    readonly end: (outcome: TryOutcome) => void;
 };
--- a/packages/router/src/placement/createEndpointBook.ts
+++ b/packages/router/src/placement/createEndpointBook.ts
@@ -1,4 +1,4 @@
-import type { Clock, EndpointName, FailureDomain, Millis, ModelName } from "@azureshunt/core";
+import type { Clock, EndpointName, FailureDomain, Millis, ModelName, ServiceName } from "@azureshunt/core";
 
 import type { RoutingConfiguration } from "../configuration/RoutingConfiguration.js";
 import type { EngineWeights } from "../fleet/EngineWeights.js";
@@ -46,7 +46,7 @@
 /** Keeps what is known of the endpoints: the registry's entries, and this VM's own dealings with them. */
 export function createEndpointBook(parts: BookParts): EndpointBook {
     const { clock, knowledge } = parts;
-    const book = { registry: emptyRegistry as Registry };
+    const book = { registry: emptyRegistry as Registry, serviceByAddress: new Map<string, ServiceName>() };
     const dealings = createDealings(parts.onGone);
 
     const versionAt = (entry: EndpointEntry, model: ModelName | undefined): number | undefined =>
@@ -71,6 +71,8 @@
     const tellRegistry: EndpointBook["tellRegistry"] = event => {
         const before = book.registry;
         book.registry = stepRegistry(before, event, clock.now());
+        const entries = [...book.registry.endpoints.values()];
+        book.serviceByAddress = new Map(entries.map(({ entry: { address, service } }) => [address, service]));
         [...before.endpoints.keys()].filter(name => !book.registry.endpoints.has(name)).forEach(name => {
             dealings.drop(name);
             parts.onChange(name, "gone", { registry: event.kind });
@@ -179,6 +181,7 @@
         sawWeights,
         ordered,
         engines,
+        serviceAt: address => book.serviceByAddress.get(address),
         entryOf,
         ownShares: () =>
             dealings.all().filter(([, own]) => own.inFlight.length > 0).map(([name, own]) => {
--- a/packages/router/src/placement/healthAfterTry.ts
+++ b/packages/router/src/placement/healthAfterTry.ts
@@ -20,7 +20,7 @@
  * pause that doubles and is then tried by single requests; one that fails in part keeps a part of the work, as its
  * failure rate is weighed against the others' queues.
  */
-export function healthAfterTry(health: EndpointHealth, outcome: TryOutcome["kind"], now: Millis): EndpointHealth {
+export function healthAfterTry(health: EndpointHealth, outcome: TryOutcome, now: Millis): EndpointHealth {
     switch (outcome) {
         case "answered":
             return { failureRate: towards(health.failureRate, 0), unreachedInRow: 0, downUntil: health.downUntil };
--- a/packages/router/src/serve/createRequestHandler.ts
+++ b/packages/router/src/serve/createRequestHandler.ts
@@ -16,6 +16,8 @@
 
 /** Before the first configuration there is no limit to go by; nothing larger is read. */
 const FIRST_BODY_BYTES = 1024 * 1024;
+/** A colon and a space after each name, a line's end after each value. */
+const SEPARATOR_BYTES = 2;
 const OK = 200;
 const FIRST_FAILURE = 500;
 
@@ -30,6 +32,10 @@
     return prompt === undefined ? organisation?.plainTokens ?? 0 : prompt.promptTokens + prompt.outputTokens;
 };
 
+/** What the request's head takes on the wire, as far as its first line and headers show. */
+const headerBytesOf = ({ method = "", url = "", rawHeaders }: IncomingMessage): number =>
+    rawHeaders.reduce((sum, text) => sum + text.length + SEPARATOR_BYTES, method.length + url.length);
+
 const watchEnding = (res: ServerResponse, endsInMs: Millis): Ending => {
     const controller = new AbortController();
     const state = { isTimeUp: false };
@@ -114,6 +120,10 @@
         parts.checkPause();
         const decoded = callerWire.decode(req);
         const limits = knowledge().configuration?.limits;
+        if (headerBytesOf(req) > (limits?.headerBytes ?? Infinity)) {
+            refuse(res, refusalOf("headers-too-large"), undefined, true);
+            return;
+        }
         const body = await readBody(req, limits?.bodyBytes ?? FIRST_BODY_BYTES);
         if (decoded.isLeft() || body.isLeft()) {
             const refusal = body.isLeft() ? body.extract() as Refusal : decoded.extract() as Refusal;
--- /dev/null
+++ b/packages/router/src/serve/judgeHead.ts
@@ -0,0 +1,29 @@
+import type { TryOutcome } from "../dispatch/TryOutcome.js";
+import type { EndpointHead } from "../ports/EndpointHead.js";
+import type { ServedRequest } from "./ServedRequest.js";
+
+const FIRST_FAILURE = 500;
+const MISDIRECTED = 421;
+
+type HeadVerdict = "pass" | TryOutcome;
+
+/**
+ * Failure: an answer to another request arrives late on the connection, or something on the way answers for the endpoint.
+ * Guard: an answer counts only if it names this request, and a success only with the endpoint's seal.
+ */
+export function judgeHead(head: EndpointHead, served: Pick<ServedRequest, "caller">): HeadVerdict {
+    if (head.requestId !== undefined && head.requestId !== served.caller.id) {
+        return "garbled";
+    }
+    if (head.status === MISDIRECTED) {
+        return "elsewhere";
+    }
+    if (head.isNotRun) {
+        return "refused";
+    }
+    const isGenuine = head.requestId === served.caller.id && head.isSealed && !head.isEncoded;
+    if (head.status >= FIRST_FAILURE) {
+        return isGenuine ? "failed" : "garbled";
+    }
+    return isGenuine ? "pass" : "garbled";
+}
--- a/packages/router/src/serve/passStream.ts
+++ b/packages/router/src/serve/passStream.ts
@@ -1,10 +1,10 @@
 import { createEventSplitter } from "../dispatch/createEventSplitter.js";
 import { endsWhole } from "../dispatch/endsWhole.js";
 import type { OpenedCall } from "../dispatch/OpenedCall.js";
+import type { TryOutcome } from "../dispatch/TryOutcome.js";
 import type { ServedRequest } from "./ServedRequest.js";
 import type { StreamProgress } from "./StreamProgress.js";
 import type { StreamSigns } from "./StreamSigns.js";
-import type { TryResult } from "./TryResult.js";
 
 /** A stream that is silent for so many rounds is given up also where its endpoint lives: its connection is lost. */
 const BUSY_ROUNDS = 2;
@@ -26,17 +26,17 @@
  * would read a text that no endpoint wrote. Guard: only whole events pass, and each id must follow the one before; the
  * stream ends as complete only if the endpoint ended it so.
  */
-export function passStream(parts: StreamParts): Promise<TryResult["kind"]> {
+export function passStream(parts: StreamParts): Promise<TryOutcome> {
     const { served, opened, progress } = parts;
     const { res } = opened;
     const splitter = createEventSplitter();
     return new Promise(resolve => {
         const state = { timer: undefined as NodeJS.Timeout | undefined, isFirst: true };
-        const settle = (kind: TryResult["kind"]): void => {
+        const settle = (kind: TryOutcome): void => {
             clearTimeout(state.timer);
             resolve(kind);
         };
-        const stop = (kind: TryResult["kind"]): void => {
+        const stop = (kind: TryOutcome): void => {
             settle(kind);
             res.destroy();
         };
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -1,18 +1,12 @@
 import type { Millis } from "@azureshunt/core";
 
 import { openCall } from "../dispatch/openCall.js";
-import type { OpenedCall } from "../dispatch/OpenedCall.js";
-import { readAnswer } from "../dispatch/readAnswer.js";
-import type { EndpointHead } from "../ports/EndpointHead.js";
 import { isRepeatable } from "./isRepeatable.js";
-import { passStream } from "./passStream.js";
+import { judgeHead } from "./judgeHead.js";
+import { passAnswer } from "./passAnswer.js";
 import { reachableStore } from "./reachableStore.js";
-import type { ServedRequest } from "./ServedRequest.js";
-import type { ServeParts } from "./ServeParts.js";
 import { silenceBound } from "./silenceBound.js";
-import type { StreamProgress } from "./StreamProgress.js";
-import type { StreamSigns } from "./StreamSigns.js";
-import type { TryPlace } from "./TryPlace.js";
+import type { TryParts } from "./TryParts.js";
 import type { TryResult } from "./TryResult.js";
 
 /**
@@ -24,42 +18,6 @@
 const KEPT_MS = 12_000;
 /** Least time that is given to an endpoint's first sign of life before it counts as overdue. */
 const OVERDUE_AFTER_MS = 350;
-/** Silence in mid-stream after which another endpoint goes on: twice the longest usual pause between events. */
-const STREAM_SILENCE_MS = 1_000;
-const SUCCESS = 200;
-const FIRST_FAILURE = 500;
-const MISDIRECTED = 421;
-
-type HeadVerdict = "pass" | TryResult["kind"];
-
-/**
- * Failure: an answer to another request arrives late on the connection, or something on the way answers for the endpoint.
- * Guard: an answer counts only if it names this request, and a success only with the endpoint's seal.
- */
-const judgeHead = (head: EndpointHead, served: ServedRequest): HeadVerdict => {
-    if (head.requestId !== undefined && head.requestId !== served.caller.id) {
-        return "garbled";
-    }
-    if (head.status === MISDIRECTED) {
-        return "elsewhere";
-    }
-    if (head.isNotRun) {
-        return "refused";
-    }
-    const isGenuine = head.requestId === served.caller.id && head.isSealed && !head.isEncoded;
-    if (head.status >= FIRST_FAILURE) {
-        return isGenuine ? "failed" : "garbled";
-    }
-    return isGenuine ? "pass" : "garbled";
-};
-
-type TryParts = {
-    readonly parts: ServeParts;
-    readonly served: ServedRequest;
-    readonly place: TryPlace;
-    readonly progress: StreamProgress;
-    readonly isLastTry: boolean;
-};
 
 /** What the store has been given by any VM is not given again: each copy takes part of its link. */
 const storeToSaveTo = ({ parts, place }: TryParts): string | undefined => {
@@ -88,46 +46,6 @@
     });
 };
 
-const sendHead = ({ parts, served }: TryParts, { res }: Extract<OpenedCall, { readonly kind: "head"; }>): void => {
-    if (!served.res.headersSent) {
-        const headers = parts.callerWire.passAnswerHeaders(res.rawHeaders);
-        served.res.writeHead(res.statusCode ?? SUCCESS, [...headers, ...closing(parts)]);
-    }
-};
-
-const closing = (parts: ServeParts): readonly string[] => parts.isDraining() ? ["Connection", "close"] : [];
-
-const passAnswer = async (
-    tryParts: TryParts,
-    opened: Extract<OpenedCall, { readonly kind: "head"; }>,
-    seen: StreamSigns,
-): Promise<TryResult> => {
-    const { served, progress, isLastTry, parts } = tryParts;
-    const isStream = served.route.kind === "stream" || served.route.kind === "resumable-stream";
-    if (isStream && opened.res.statusCode === SUCCESS) {
-        const canGoOn = isRepeatable(served.route.kind) && !isLastTry;
-        const kind = await passStream({
-            served,
-            opened,
-            progress,
-            silenceMs: canGoOn ? STREAM_SILENCE_MS : undefined,
-            sendHead: () => sendHead(tryParts, opened),
-            ...seen,
-        });
-        if (kind === "answered") {
-            sendHead(tryParts, opened);
-        }
-        return { kind, answer: undefined };
-    }
-    const body = await readAnswer(opened);
-    if (body === undefined) {
-        return { kind: served.signal.aborted ? "cancelled" : "broken", answer: undefined };
-    }
-    const headers = parts.callerWire.passAnswerHeaders(opened.res.rawHeaders);
-    const status = opened.res.statusCode ?? SUCCESS;
-    return { kind: status >= FIRST_FAILURE ? "failed" : "answered", answer: { status, headers, body } };
-};
-
 /** Sends a request to one endpoint and, where it is a stream, passes its events on. */
 export async function runTry(tryParts: TryParts): Promise<TryResult> {
     const { parts, served, place, progress, isLastTry } = tryParts;
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -2,6 +2,7 @@
 import { refusalOf } from "@azureshunt/core";
 import { planAfterFailure } from "@azureshunt/request";
 import type { RequestState } from "@azureshunt/request";
+import type { TryOutcome } from "../dispatch/TryOutcome.js";
 
 import { failureOfOutcome } from "../dispatch/failureOfOutcome.js";
 import { overloadWait } from "../placement/overloadWait.js";
@@ -42,9 +43,9 @@
     readonly failure: TryResult["answer"];
 };
 
-const NOT_RUN: ReadonlySet<TryResult["kind"]> = new Set(["unreached", "refused", "elsewhere"]);
+const NOT_RUN: ReadonlySet<TryOutcome> = new Set(["unreached", "refused", "elsewhere"]);
 
-const ranAfter = (kind: TryResult["kind"], before: RequestState["ran"]): RequestState["ran"] =>
+const ranAfter = (kind: TryOutcome, before: RequestState["ran"]): RequestState["ran"] =>
     NOT_RUN.has(kind) ? before : "maybe";
 
 /** Serves a request by one try after the other, until it is answered or a further try is ruled out. */
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -7,6 +7,7 @@
 import { createAllowances } from "./allowance/createAllowances.js";
 import { EndpointAgent } from "./dispatch/EndpointAgent.js";
 import { hasDied } from "./dispatch/hasDied.js";
+import { keptConnections } from "./dispatch/keptConnections.js";
 import { leaseRank } from "./fleet/leaseRank.js";
 import { orderFence } from "./fleet/orderFence.js";
 import { startOrders } from "./fleet/startOrders.js";
@@ -79,7 +80,11 @@
     const logger = loggers("router");
     const metrics = createMetrics();
     const store = measureStore(parts.store, clock, metrics);
-    const agent = new EndpointAgent(clock.now);
+    const agent = new EndpointAgent(clock.now, address => {
+        const service = book.serviceAt(address);
+        const declared = service === undefined ? undefined : knowledge.current().configuration?.services.get(service);
+        return keptConnections(declared?.maxConnections, held.members.known.size + 1);
+    });
     const chains = createChainMemory(holder =>
         book.entryOf(holder as EndpointName) === undefined ? STORED_MS : CACHED_MS
     );
