Read the registry as the drain bound asks, and split the serving of a request

Cause: the registry was read every 700 ms whatever the deployment, 94 calls a second at 66 VMs. It is read after 0.35 of the time for which a leaving endpoint still takes requests: 700 ms as before where that is 2 s, 1,050 ms where it is 3. Tried and taken back: reckoning the others' spending ahead at their last pace.

--- a/packages/router/src/RouterSettings.ts
+++ b/packages/router/src/RouterSettings.ts
@@ -23,6 +23,8 @@
     readonly orderLeaseMs: Millis;
     /** After which no request may begin on weights that were replaced. */
     readonly weightsMs: Millis;
+    /** How long an endpoint that leaves still takes requests. */
+    readonly leavingMs: Millis;
     /** How long this process may take to stop. */
     readonly stopMs: Millis;
     readonly retries: {
--- a/packages/router/src/registry/startRegistry.ts
+++ b/packages/router/src/registry/startRegistry.ts
@@ -1,4 +1,4 @@
-import type { Clock, EndpointName } from "@azureshunt/core";
+import type { Clock, EndpointName, Millis } from "@azureshunt/core";
 import type { Metrics } from "@azureshunt/telemetry";
 import type { Logger } from "pino";
 
@@ -15,13 +15,16 @@
     readonly book: EndpointBook;
     readonly logger: Logger;
     readonly metrics: Metrics;
+    /** How long an endpoint that leaves still takes requests. */
+    readonly leavingMs: () => Millis;
 };
 
 /**
- * Between two reads. Endpoints write several times a second in all, so waiting for a record would cost a call each time;
- * a leaving endpoint must be known within two seconds.
+ * Part of the time for which a leaving endpoint still takes requests that passes between two reads. Endpoints write several
+ * times a second in all, so waiting for a record would cost a call each time; the rest is for a read that is repeated, and
+ * for requests on their way.
  */
-const READ_EVERY_MS = 700;
+const READ_EVERY_PART = 0.35;
 const TICK_MS = 500;
 
 /** Follows the endpoints' entries in the store. */
@@ -44,7 +47,7 @@
         clock: parts.clock,
         topic: wire.registryTopic,
         waitMs: 0,
-        pauseMs: () => READ_EVERY_MS,
+        pauseMs: () => READ_EVERY_PART * parts.leavingMs(),
         onNews: ({ records, isWhole }) => {
             const changes = records.map(({ key, value }) => ({ name: key as EndpointName, entry: decode(key, value) }));
             book.tellRegistry(
--- a/packages/router/src/serve/createRequestHandler.ts
+++ b/packages/router/src/serve/createRequestHandler.ts
@@ -1,8 +1,9 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 
-import type { Millis, Refusal, Tokens } from "@azureshunt/core";
+import type { Refusal, Tokens } from "@azureshunt/core";
 import { refusalOf } from "@azureshunt/core";
 import { readBody } from "@azureshunt/http";
+import { Left, Right } from "purify-ts";
 
 import { chooseService } from "../configuration/chooseService.js";
 import type { Organisation } from "../configuration/Organisation.js";
@@ -13,6 +14,7 @@
 import type { ServedRequest } from "./ServedRequest.js";
 import type { ServeParts } from "./ServeParts.js";
 import { serveTries } from "./serveTries.js";
+import { watchEnding } from "./watchEnding.js";
 
 /** Before the first configuration there is no limit to go by; nothing larger is read. */
 const FIRST_BODY_BYTES = 1024 * 1024;
@@ -21,8 +23,11 @@
 const OK = 200;
 const FIRST_FAILURE = 500;
 
-/** A caller's connection that was closed before the answer was whole, or time that ran out. */
-type Ending = { readonly signal: AbortSignal; readonly isTimeUp: () => boolean; readonly release: () => void; };
+/** A request that has been read whole. */
+type Received = Pick<ServedRequest, "caller" | "body" | "arrivedAt">;
+
+/** A request that is to be served, with what it takes of its organisation's allowance. */
+type Admitted = Pick<ServedRequest, "route" | "organisation" | "service" | "notes"> & { readonly tokens: Tokens; };
 
 /** What a request takes of its organisation's allowance. */
 const tokensOf = ({ prompt }: CallerRequest, organisation: Organisation | undefined): Tokens => {
@@ -36,26 +41,6 @@
 const headerBytesOf = ({ method = "", url = "", rawHeaders }: IncomingMessage): number =>
     rawHeaders.reduce((sum, text) => sum + text.length + SEPARATOR_BYTES, method.length + url.length);
 
-const watchEnding = (res: ServerResponse, endsInMs: Millis): Ending => {
-    const controller = new AbortController();
-    const state = { isTimeUp: false };
-    const timer = setTimeout(() => {
-        state.isTimeUp = true;
-        controller.abort();
-    }, endsInMs);
-    const onClose = (): void => {
-        if (!res.writableFinished) {
-            controller.abort();
-        }
-    };
-    res.once("close", onClose);
-    const release = (): void => {
-        clearTimeout(timer);
-        res.removeListener("close", onClose);
-    };
-    return { signal: controller.signal, isTimeUp: () => state.isTimeUp, release };
-};
-
 /** Makes the function that serves each request of callers. */
 export function createRequestHandler(parts: ServeParts): (req: IncomingMessage, res: ServerResponse) => Promise<void> {
     const { clock, knowledge, allowances, callerWire, metrics, logger } = parts;
@@ -76,7 +61,11 @@
         sendRefusal(callerWire, res, refusal, isClosing || parts.isDraining());
     };
 
-    const finish = async (served: ServedRequest, ending: Ending, spent: number): Promise<void> => {
+    const finish = async (
+        served: ServedRequest,
+        ending: ReturnType<typeof watchEnding>,
+        spent: number,
+    ): Promise<void> => {
         const end = await serveTries(parts, served);
         ending.release();
         const { res, caller, organisation, notes } = served;
@@ -115,67 +104,75 @@
         }
     };
 
-    const serve = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+    /** Reads a request whole; undefined where it was refused. */
+    const receive = async (req: IncomingMessage, res: ServerResponse): Promise<Received | undefined> => {
         const arrivedAt = clock.now();
-        parts.checkPause();
         const decoded = callerWire.decode(req);
         const limits = knowledge().configuration?.limits;
         if (headerBytesOf(req) > (limits?.headerBytes ?? Infinity)) {
             refuse(res, refusalOf("headers-too-large"), undefined, true);
-            return;
+            return undefined;
         }
         const body = await readBody(req, limits?.bodyBytes ?? FIRST_BODY_BYTES);
-        if (decoded.isLeft() || body.isLeft()) {
-            const refusal = body.isLeft() ? body.extract() as Refusal : decoded.extract() as Refusal;
-            refuse(res, refusal, undefined, true);
-            return;
-        }
-        const caller = decoded.unsafeCoerce();
-        const admitted = admitRequest({ knowledge: knowledge(), request: caller, arrivedAt, bounds: parts.bounds() });
-        if (admitted.isLeft()) {
-            refuse(res, admitted.extract() as Refusal, caller.id, false);
-            return;
-        }
-        const { route, organisation } = admitted.unsafeCoerce();
-        const notes = createRequestNotes(logger, clock, caller.id);
-        const service = chooseService(route, parts.random());
-        if (service === undefined) {
-            refuse(res, refusalOf("no-endpoint"), caller.id, false);
-            return;
-        }
-        parts.budgets.earn(service);
-        const tokens = tokensOf(caller, organisation);
-        const charged = organisation === undefined ? undefined : allowances.spend(organisation, tokens);
-        notes.add("Admitted.", {
-            route: route.name,
-            kind: route.kind,
-            service,
-            organisation: organisation?.id,
-            tokens,
-            deadlineMs: caller.deadlineMs,
-            revision: knowledge().configuration?.revision,
-            confirmedMs: Math.round(arrivedAt - knowledge().confirmedAt),
+        // A body over its limit is refused before a head that cannot be read.
+        return body.chain(bytes => decoded.map(caller => ({ caller, body: bytes, arrivedAt }))).caseOf({
+            Left: refusal => {
+                refuse(res, refusal, undefined, true);
+                return undefined;
+            },
+            Right: received => received,
         });
-        if (charged?.isLeft() === true) {
-            notes.tell();
-            refuse(res, charged.extract() as Refusal, caller.id, false);
+    };
+
+    /** Decides by which route, for whom and out of which allowance a request is served; undefined where it was refused. */
+    const admit = ({ caller, arrivedAt }: Received, res: ServerResponse): Admitted | undefined => {
+        const question = { knowledge: knowledge(), request: caller, arrivedAt, bounds: parts.bounds() };
+        const admission = admitRequest(question).chain<Refusal, Admitted>(({ route, organisation }) => {
+            const service = chooseService(route, parts.random());
+            const tokens = tokensOf(caller, organisation);
+            const notes = createRequestNotes(logger, clock, caller.id);
+            return service === undefined
+                ? Left(refusalOf("no-endpoint"))
+                : Right({ route, organisation, service, tokens, notes });
+        });
+        const charged = admission.chain(admitted => {
+            const { route, organisation, service, tokens, notes } = admitted;
+            parts.budgets.earn(service);
+            notes.add("Admitted.", {
+                route: route.name,
+                kind: route.kind,
+                service,
+                organisation: organisation?.id,
+                tokens,
+                deadlineMs: caller.deadlineMs,
+                revision: question.knowledge.configuration?.revision,
+                confirmedMs: Math.round(arrivedAt - question.knowledge.confirmedAt),
+            });
+            const spent = organisation === undefined ? Right(undefined) : allowances.spend(organisation, tokens);
+            return spent.map(() => admitted).ifLeft(notes.tell);
+        });
+        return charged.caseOf({
+            Left: refusal => {
+                refuse(res, refusal, caller.id, false);
+                return undefined;
+            },
+            Right: admitted => admitted,
+        });
+    };
+
+    const serve = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+        parts.checkPause();
+        const received = await receive(req, res);
+        const admitted = received === undefined ? undefined : admit(received, res);
+        if (received === undefined || admitted === undefined) {
             return;
         }
+        const { caller, arrivedAt } = received;
+        const { route, tokens } = admitted;
         parts.demand.note(caller.prompt?.promptTokens ?? 0);
         const endsAt = arrivedAt + Math.min(route.timeoutMs, caller.deadlineMs ?? route.timeoutMs);
         const ending = watchEnding(res, endsAt - clock.now());
-        const served = {
-            caller,
-            body: body.unsafeCoerce(),
-            res,
-            route,
-            service,
-            organisation,
-            notes,
-            arrivedAt,
-            endsAt,
-        };
-        await finish({ ...served, signal: ending.signal }, ending, tokens);
+        await finish({ ...received, ...admitted, res, endsAt, signal: ending.signal }, ending, tokens);
     };
 
     return async (req, res) => {
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -135,7 +135,15 @@
             loggers("endpoint").info({ endpoint, change, ...inputs }, "The view of an endpoint changed."),
         onGone: chains.forget,
     });
-    const registry = startRegistry({ clock, store, wire: directory, book, logger: loggers("registry"), metrics });
+    const registry = startRegistry({
+        clock,
+        store,
+        wire: directory,
+        book,
+        logger: loggers("registry"),
+        metrics,
+        leavingMs: () => held.settings.leavingMs,
+    });
     const demand = createDemand(clock);
     const allowances = createAllowances(clock, () => hearingOf(held.members, clock.now()));
     const quarantine = createQuarantine({ clock, hasDied, logger: loggers("quarantine"), metrics });
