See resets on kept connections again, and ask the cache store for whatever an engine lacks

The agent notes addresses itself now. Test: all cases of broken answers on a connection that was kept before; red: the one whose reset comes with the last bytes.

--- a/packages/router/src/__tests__/unit/dispatch.test.ts
+++ b/packages/router/src/__tests__/unit/dispatch.test.ts
@@ -98,6 +98,24 @@
     });
 });
 
+/*
+ * The same on a connection that has carried a request before. What the keeping of connections reads of a socket must not
+ * hide its reset: callers got half an answer as a success when the peer's address was read in between, as Node remembers it.
+ */
+cases.forEach(({ name, answer, outcome }) => {
+    test(`dispatch: on a kept connection, ${name}`, async t => {
+        const { server, address, connections } = await startEndpoint((socket, request) =>
+            request === 1 ? socket.write(WHOLE) : answer(socket, request)
+        );
+        const agent = new EndpointAgent(() => performance.now(), () => 2);
+        t.is(await call(agent, address), "ok");
+        t.is(await call(agent, address), outcome);
+        t.is(connections(), 1);
+        agent.destroy();
+        server.close();
+    });
+});
+
 test("dispatch: an endpoint that nobody listens for was surely not reached", async t => {
     const { server, address } = await startEndpoint(() => undefined);
     await new Promise(resolve => server.close(resolve));
--- a/packages/router/src/dispatch/EndpointAgent.ts
+++ b/packages/router/src/dispatch/EndpointAgent.ts
@@ -21,6 +21,11 @@
  */
 export class EndpointAgent extends Agent {
     private readonly idleSince = new WeakMap<Socket, number>();
+    /**
+     * Where each connection goes. Kept apart, since Node remembers a socket's address from its first reading on, and that
+     * a connection was reset shows by its having none any more.
+     */
+    private readonly addresses = new WeakMap<Socket, string>();
 
     /** @param most connections without a request that are kept to the endpoint at an address, `host:port` */
     constructor(
@@ -30,9 +35,14 @@
         super({ keepAlive: true, maxFreeSockets: KEPT_PER_ENDPOINT, scheduling: "lifo", timeout: KEPT_MS });
     }
 
+    /** Notes where a connection goes. */
+    noteAddress(socket: Socket, address: string): void {
+        this.addresses.set(socket, address);
+    }
+
     /** Keeps a connection after its answer; called by Node. */
     override keepSocketAlive(socket: Socket): boolean {
-        this.maxFreeSockets = this.most(`${socket.remoteAddress}:${socket.remotePort}`);
+        this.maxFreeSockets = this.most(this.addresses.get(socket) ?? "");
         const isKept = super.keepSocketAlive(socket) as unknown as boolean;
         if (isKept) {
             this.idleSince.set(socket, this.now());
--- a/packages/router/src/dispatch/openCall.ts
+++ b/packages/router/src/dispatch/openCall.ts
@@ -74,6 +74,7 @@
         };
         signal.addEventListener("abort", abort, { once: true });
         req.once("socket", socket => {
+            agent.noteAddress(socket, call.address);
             const onEnd = (): void => {
                 progress.wasReset = isReset(socket);
             };
--- a/packages/router/src/knowledge/startKnowledge.ts
+++ b/packages/router/src/knowledge/startKnowledge.ts
@@ -53,6 +53,7 @@
         raw: undefined as Buffer | undefined,
         storeAt: -Infinity,
         isStoreThere: false,
+        storeChangedAt: clock.now(),
         isFetching: false,
         isReadable: true,
     };
@@ -100,8 +101,9 @@
         const isThere = hasStore();
         if (isThere !== state.isStoreThere) {
             state.isStoreThere = isThere;
-            const sinceMs = state.storeAt === -Infinity ? undefined : Math.round(clock.now() - state.storeAt);
-            logger.info({ store: isThere, sinceMs }, isThere ? "The store answers." : "The store does not answer.");
+            const changedMs = Math.round(clock.now() - state.storeChangedAt);
+            state.storeChangedAt = clock.now();
+            logger.info({ store: isThere, changedMs }, isThere ? "The store answers." : "The store does not answer.");
         }
     };
 
--- a/packages/router/src/serve/createPromptShares.ts
+++ b/packages/router/src/serve/createPromptShares.ts
@@ -34,8 +34,16 @@
  * Load: long shared prompts on many engines, in numbers that fill the store's link. Moving cached tokens takes a fraction
  * of reading them, so whoever holds most is the source, an engine before the store as its link is the wider one, and one
  * in the same failure domain before others.
+ *
+ * Load: all VMs have restarted and know of nobody who holds anything, while the store still has nearly all of it. So where
+ * nobody is known to have more, the store is asked for whatever shared part the engine lacks: a miss costs a millisecond.
+ * Gain: with all VMs lost once in a minute, 790,000 -> 507,000 tokens of shared parts read again in that minute.
  */
-export function createPromptShares(parts: ServeParts, promptTokens: Tokens, chain: readonly ChainPart[]): PromptShares {
+export function createPromptShares(
+    parts: Pick<ServeParts, "knowledge" | "isQuiet" | "chains" | "clock" | "book">,
+    promptTokens: Tokens,
+    chain: readonly ChainPart[],
+): PromptShares {
     const store = reachableStore(parts);
     const held = parts.chains.holders(chain, parts.clock.now());
     const ownTokens = new Map(held.map(({ holder, tokens }) => [holder as string, tokens]));
@@ -50,6 +58,9 @@
     const most = sources.reduce((tokens, each) => Math.max(tokens, each.tokens), 0);
     const best = sources.filter(({ tokens }) => most - tokens < WORTH_FETCHING);
 
+    // The last part is the request's own.
+    const sharedTokens = chain.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
+
     const at: PromptShares["at"] = (endpoint, domain) => {
         const own = ownTokens.get(endpoint) ?? 0;
         const others = best.filter(({ name }) => name !== endpoint);
@@ -59,8 +70,7 @@
         return {
             missingTokens: promptTokens - own - fetched,
             fetchedTokens: fetched,
-            // With nothing known, the store is asked all the same: a miss costs a millisecond.
-            source: fetched > 0 ? source?.address : own > 0 ? undefined : store?.address,
+            source: fetched > 0 ? source?.address : own < sharedTokens ? store?.address : undefined,
         };
     };
     return { at, stored };
