--- /dev/null
+++ b/packages/daemon/src/__tests__/unit/hasDied.test.ts
@@ -0,0 +1,56 @@
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+
+import type { Incarnation } from "@azureshunt/core";
+import test from "ava";
+
+import { hasDied } from "../../suspects/hasDied.js";
+
+const RUN = "run-1" as Incarnation;
+
+type Case = {
+    readonly name: string;
+    /** Connections that the dying process still resets before it is gone. */
+    readonly resets: number;
+    /** What a process at the address then answers; undefined where there is none any more. */
+    readonly answers: Incarnation | undefined;
+    readonly hasDied: boolean;
+};
+
+/*
+ * An engine crashes under load. For some milliseconds its port still takes connections, which are reset when the process is
+ * gone. A VM that asks just then took the engine for alive, did not wait for the verdict on its request, and crashed a third
+ * engine with it.
+ */
+const cases: readonly Case[] = [
+    { name: "nothing listens any more", resets: 0, answers: undefined, hasDied: true },
+    { name: "it resets connections, then nothing listens", resets: 2, answers: undefined, hasDied: true },
+    { name: "it resets connections, then answers as the same run", resets: 2, answers: RUN, hasDied: false },
+    { name: "it answers as another run", resets: 0, answers: "run-2" as Incarnation, hasDied: true },
+    { name: "it answers as the same run", resets: 0, answers: RUN, hasDied: false },
+];
+
+cases.forEach(({ name, resets, answers, hasDied: expected }) => {
+    test(`hasDied: ${name}`, async t => {
+        const state = { left: resets };
+        const server = createServer((_req, res) => res.end(JSON.stringify({ incarnation: answers })));
+        const goOn = (): void => {
+            if (state.left === 0 && answers === undefined) {
+                server.close();
+            }
+        };
+        server.on("connection", socket => {
+            if (state.left > 0) {
+                state.left -= 1;
+                socket.resetAndDestroy();
+                goOn();
+            }
+        });
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        const { port } = server.address() as AddressInfo;
+        goOn();
+        t.is(await hasDied(`http://127.0.0.1:${port}`, RUN), expected);
+        server.close();
+        server.closeAllConnections();
+    });
+});
