Ask how many VMs follow an engine once they have heard of each other

Cause: the test, not the daemon: until the first heartbeat (250 ms) neither VM has heard of the other, and both follow, as the rule says (followsItself: one that has heard nothing yet). The test waited for one follower, which the rise to two passes through, and asked again right after; on a fast machine that is before the heartbeat.

--- a/packages/daemon/src/__tests__/unit/placement.test.ts
+++ b/packages/daemon/src/__tests__/unit/placement.test.ts
@@ -280,6 +280,9 @@
     t.is((await waiting).endpoint, first.endpoint);
 });
 
+/** Two heartbeats of those who share the news of engines, and the time to close a connection. */
+const SETTLED_MS = 700;
+
 test("placement: one daemon follows an engine for its failure domain, and another takes over when it dies", async t => {
     // The VM that forwards an engine's cache events dies. The others would go on with what they heard last, and send
     // requests to prefixes that the engine has long dropped.
@@ -300,6 +303,8 @@
     };
     engine!.publish({ seq: 1, kind: "stored", hashes: pieces(1) });
     await Promise.all(daemons.map(daemon => holds(daemon, "before", pieces(1))));
+    // Until each has heard the other's first heartbeat both follow it; from then on exactly one does, and goes on to.
+    await sleep(SETTLED_MS);
     t.is(engine!.followers(), 1);
     const first = rendezvousOrder("engine-1", ["vm-1", "vm-2"])[0] === "vm-1" ? 0 : 1;
     daemons[first]!.placement.stop();
