--- a/packages/bench/src/checkHistory/main.ts
+++ b/packages/bench/src/checkHistory/main.ts
@@ -2,10 +2,6 @@
  * Checks the history of one run of real processes: `check-history --seed N --faults LIST`. Exit codes: 0 all checks
  * passed, 1 one failed, 2 bad usage.
  */
-import { mkdtempSync, rmSync } from "node:fs";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-
 import { judgeSpending } from "@azureshunt/history";
 import { cac } from "cac";
 import { z } from "zod";
@@ -14,7 +10,7 @@
 import { demoPlan } from "../demo/demoPlan.js";
 import { runProgram } from "../process/runProgram.js";
 import { applyRelease } from "../topology/applyRelease.js";
-import { startTopology } from "../topology/startTopology.js";
+import { withTopology } from "../topology/withTopology.js";
 import { seededRandom } from "../workload/seededRandom.js";
 import type { HistoryOutcome } from "./HistoryOutcome.js";
 import { injectFaults } from "./injectFaults.js";
@@ -47,10 +43,8 @@
 
 const WANTING = ["over-rate", "allowance-unreachable", "over-burst"];
 
-const run = async (options: Options): Promise<boolean> => {
-    const folder = mkdtempSync(join(tmpdir(), "azureshunt-history-"));
-    const topology = await startTopology(demoPlan(folder));
-    try {
+const run = (options: Options): Promise<boolean> =>
+    withTopology("history", demoPlan, async topology => {
         const demo = demoNote(topology);
         await applyRelease(topology, demo.note);
         await new Promise(resolve => setTimeout(resolve, SETTLE_MS));
@@ -90,12 +84,7 @@
         console.log(`over rate and burst: ${Math.max(0, over - rate * CHARGE_TO_RUN_MS / 1_000).toFixed(0)} tokens`);
         console.log(`refused inside the rate, without faults: ${wrongful}`);
         return over <= rate * CHARGE_TO_RUN_MS / 1_000 && wrongful === 0 && runs.length > 0;
-    }
-    finally {
-        await topology.stop();
-        rmSync(folder, { recursive: true, force: true });
-    }
-};
+    });
 
 const cli = cac("check-history");
 cli.option("--seed <number>", "seed of arrivals and faults");
--- a/packages/bench/src/configuration/main.ts
+++ b/packages/bench/src/configuration/main.ts
@@ -2,10 +2,6 @@
  * Drives the configuration of running daemons through failures: a daemon cut off from the platform, lost append
  * answers, racing operators, records expired before all daemons restart. Exit codes: 0 all as it must be, 1 not.
  */
-import { mkdtempSync, rmSync } from "node:fs";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-
 import { demoNote } from "../demo/demoNote.js";
 import { demoPlan } from "../demo/demoPlan.js";
 import { expectThat } from "../demo/expectThat.js";
@@ -13,9 +9,9 @@
 import { applyRelease } from "../topology/applyRelease.js";
 import { callHttp } from "../topology/callHttp.js";
 import { startStandIn } from "../topology/startStandIn.js";
-import { startTopology } from "../topology/startTopology.js";
 import type { Topology } from "../topology/Topology.js";
 import { waitUntil } from "../topology/waitUntil.js";
+import { withTopology } from "../topology/withTopology.js";
 import { moveToLink } from "./moveToLink.js";
 import { watchRevisions } from "./watchRevisions.js";
 
@@ -125,31 +121,28 @@
         + `${revision} in force everywhere after ${seconds(took)}`;
 };
 
-const run = async (): Promise<void> => {
-    const folder = mkdtempSync(join(tmpdir(), "azureshunt-configuration-"));
-    const topology = await startTopology(demoPlan(folder));
-    const link = await startStandIn("link", "link", { route: `platform=${new URL(topology.platform.url).host}` });
-    try {
-        const demo = demoNote(topology);
-        const drivers = demo.organisations.find(organisation => organisation.id === "drivers")?.key ?? "";
-        const cut = topology.daemons.at(-1) as Daemon;
-        await moveToLink(cut, topology.platform.url, link.url);
-        console.log(`first note in force everywhere after ${seconds(await applyRelease(topology, demo.note))}`);
-        const watch = watchRevisions(topology);
-        console.log(await withdrawFromCut(topology, cut, drivers, link.url));
-        console.log(await race(topology));
-        console.log(await loseAnswer(topology));
-        console.log(await restartAll(topology));
-        watch.stop();
-        expectThat(watch.reversions().length === 0, "no revision to go back", watch.reversions());
-        console.log(`${watch.looks()} looks at revisions, none went back`);
-        console.log("configuration: ok");
-    }
-    finally {
-        link.signal("SIGTERM");
-        await topology.stop();
-        rmSync(folder, { recursive: true, force: true });
-    }
-};
+const run = (): Promise<void> =>
+    withTopology("configuration", demoPlan, async topology => {
+        const link = await startStandIn("link", "link", { route: `platform=${new URL(topology.platform.url).host}` });
+        try {
+            const demo = demoNote(topology);
+            const drivers = demo.organisations.find(organisation => organisation.id === "drivers")?.key ?? "";
+            const cut = topology.daemons.at(-1) as Daemon;
+            await moveToLink(cut, topology.platform.url, link.url);
+            console.log(`first note in force everywhere after ${seconds(await applyRelease(topology, demo.note))}`);
+            const watch = watchRevisions(topology);
+            console.log(await withdrawFromCut(topology, cut, drivers, link.url));
+            console.log(await race(topology));
+            console.log(await loseAnswer(topology));
+            console.log(await restartAll(topology));
+            watch.stop();
+            expectThat(watch.reversions().length === 0, "no revision to go back", watch.reversions());
+            console.log(`${watch.looks()} looks at revisions, none went back`);
+            console.log("configuration: ok");
+        }
+        finally {
+            link.signal("SIGTERM");
+        }
+    });
 
 runProgram("configuration", run);
--- a/packages/bench/src/histories/main.ts
+++ b/packages/bench/src/histories/main.ts
@@ -2,15 +2,14 @@
  * A history of callers' requests: `check-request-history [--seed N] [--faults LIST]`. Exit codes: 0 nothing was violated, 1
  * something was, 2 the arguments are wrong.
  */
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
+import { writeFileSync } from "node:fs";
 
 import { checkRequests } from "@azureshunt/history";
 import type { RequestEvent } from "@azureshunt/history";
 import { cac } from "cac";
 
 import { runProgram } from "../process/runProgram.js";
+import { withFolder } from "../topology/withFolder.js";
 import type { HistoryPlan } from "./HistoryPlan.js";
 import { requestFaults } from "./requestFaults.js";
 import { runRequestHistory } from "./runRequestHistory.js";
@@ -57,9 +56,8 @@
 };
 
 /** Runs and judges one history; false when something was violated. */
-const runOne = async (plan: HistoryPlan, out: string | undefined): Promise<boolean> => {
-    const folder = mkdtempSync(join(tmpdir(), "azureshunt-history-"));
-    try {
+const runOne = (plan: HistoryPlan, out: string | undefined): Promise<boolean> =>
+    withFolder("history", async folder => {
         const history = await runRequestHistory(plan, folder);
         if (out !== undefined) {
             writeFileSync(out, history.map(event => `${JSON.stringify(event)}\n`).join(""));
@@ -69,11 +67,7 @@
         violations.forEach(({ rule, detail }) => console.log(`violated: ${rule}: ${detail}`));
         console.log(`${violations.length} violations`);
         return violations.length === 0;
-    }
-    finally {
-        rmSync(folder, { recursive: true, force: true });
-    }
-};
+    });
 
 const runShort = async (): Promise<number> => {
     const results = await SHORT_SUITE.reduce<Promise<readonly boolean[]>>(
