Leave startRouter to composing, and reckon a domain's silence once a beacon

startRouter also knew who the other VMs are, what is told and taken in beacons and what the gauges show. How long a failure domain has been silent was worked out over all members for each endpoint of each request; it is kept by domain now and renewed when a beacon comes. One isServerError and one closingHeaders in place of three and two copies; notes of a request are pushed, not copied. Behaviour as before.

--- /dev/null
+++ b/packages/router/src/peers/News.ts
@@ -0,0 +1,7 @@
+import type { Beacon } from "./Beacon.js";
+
+/** What a beacon says besides who sends it and to whom. */
+export type News = Omit<
+    Beacon,
+    "vm" | "incarnation" | "failureDomain" | "sequence" | "sentAt" | "echo" | "members" | "isLeaving"
+>;
--- /dev/null
+++ b/packages/router/src/peers/NewsSources.ts
@@ -0,0 +1,23 @@
+import type { Clock } from "@azureshunt/core";
+
+import type { createAllowances } from "../allowance/createAllowances.js";
+import type { startOrders } from "../fleet/startOrders.js";
+import type { startKnowledge } from "../knowledge/startKnowledge.js";
+import type { createChainMemory } from "../placement/createChainMemory.js";
+import type { createDemand } from "../placement/createDemand.js";
+import type { EndpointBook } from "../placement/EndpointBook.js";
+import type { createQuarantine } from "../quarantine/createQuarantine.js";
+import type { createOthersLoad } from "./createOthersLoad.js";
+
+/** The parts of a router that tell the other VMs something, and learn from what these tell. */
+export type NewsSources = {
+    readonly clock: Clock;
+    readonly knowledge: ReturnType<typeof startKnowledge>;
+    readonly allowances: ReturnType<typeof createAllowances>;
+    readonly book: EndpointBook;
+    readonly chains: ReturnType<typeof createChainMemory>;
+    readonly demand: ReturnType<typeof createDemand>;
+    readonly orders: ReturnType<typeof startOrders>;
+    readonly quarantine: ReturnType<typeof createQuarantine>;
+    readonly othersLoad: ReturnType<typeof createOthersLoad>;
+};
--- /dev/null
+++ b/packages/router/src/peers/composeNews.ts
@@ -0,0 +1,31 @@
+import type { News } from "./News.js";
+import type { NewsSources } from "./NewsSources.js";
+
+const leaseNews = ({ orders, clock }: NewsSources): News["lease"] => {
+    const { tail } = orders.lease();
+    return tail === undefined
+        ? undefined
+        : { offset: tail.offset, holder: tail.holder, ageMs: clock.now() - tail.knownSince };
+};
+
+/** Gathers what this VM tells the others now. What was read or saved since the last call is told once. */
+export function composeNews(sources: NewsSources): News {
+    const { clock, knowledge, allowances, book, chains, demand, quarantine } = sources;
+    const { configuration, confirmedAt, weights } = knowledge.current();
+    return {
+        revision: configuration?.revision ?? -1,
+        confirmedMs: confirmedAt === -Infinity ? undefined : clock.now() - confirmedAt,
+        weights: [...weights].flatMap(([model, [named]]) =>
+            named === undefined ? [] : [[model, named.version] as const]
+        ),
+        spent: allowances.spent(),
+        load: book.ownShares(),
+        demand: demand.rate(),
+        cached: chains.takeNews(),
+        ordered: book.ownOrders(),
+        held: book.heldVersions(),
+        lease: leaseNews(sources),
+        ...quarantine.news(),
+        hasStore: knowledge.hasStore(),
+    };
+}
--- a/packages/router/src/peers/quietMs.ts
+++ b/packages/router/src/peers/quietMs.ts
@@ -1,7 +1,6 @@
-import type { FailureDomain, Millis } from "@azureshunt/core";
+import type { Millis } from "@azureshunt/core";
 
 import { beaconInterval } from "./beaconInterval.js";
-import type { Members } from "./Members.js";
 
 /** Beacons without which a failure domain counts as quiet; one or two may be lost. */
 const LOST_BEACONS = 3;
@@ -13,11 +12,11 @@
  * fetch from there wait some hundred milliseconds before they give up. It shows at once as beacons from all VMs there
  * that do not come.
  *
+ * @param heardAt when any VM there was last heard; undefined where none is known
+ * @param members how many other VMs there are
  * @returns 0 where a VM there is heard, or where none is known
  */
-export function quietMs(members: Members, domain: FailureDomain, now: Millis): Millis {
-    const heard = [...members.known.values()]
-        .flatMap(member => member.heard?.failureDomain === domain ? [member.heard.at] : []);
-    const usual = LOST_BEACONS * beaconInterval(members.known.size);
-    return heard.length === 0 ? 0 : Math.max(0, now - Math.max(...heard) - usual);
+export function quietMs(heardAt: Millis | undefined, members: number, now: Millis): Millis {
+    const usual = LOST_BEACONS * beaconInterval(members);
+    return heardAt === undefined ? 0 : Math.max(0, now - heardAt - usual);
 }
--- /dev/null
+++ b/packages/router/src/peers/spreadNews.ts
@@ -0,0 +1,28 @@
+import type { Heard } from "./Heard.js";
+import type { NewsSources } from "./NewsSources.js";
+
+/**
+ * Gives each part of this VM what another one told.
+ *
+ * @param address peer address of the teller
+ * @param isRestarted whether the teller is another process than before
+ */
+export function spreadNews(sources: NewsSources, heard: Heard, address: string, isRestarted: boolean): void {
+    const { clock, knowledge, allowances, book, chains, orders, quarantine, othersLoad } = sources;
+    const { beacon, sentAfter } = heard;
+    const now = clock.now();
+    allowances.hear(beacon, isRestarted);
+    knowledge.hear(heard, address);
+    quarantine.hear(beacon);
+    othersLoad.hear(beacon);
+    beacon.ordered.forEach(([endpoint, version, ageMs]) =>
+        book.ordered(endpoint, { version, sentAt: now - ageMs, isOwn: false })
+    );
+    beacon.cached.forEach(([holder, keys]) => chains.hear(holder, keys, now));
+    beacon.held.forEach(([endpoint, version]) => book.sawWeights(endpoint, version));
+    if (beacon.lease !== undefined) {
+        // Only what is surely that old counts: the age runs from this VM's own time stamp.
+        const ageMs = Math.max(0, beacon.lease.ageMs + Math.min(0, sentAfter - now));
+        orders.tell({ kind: "vouched", ...beacon.lease, ageMs });
+    }
+}
--- a/packages/router/src/peers/startBeacons.ts
+++ b/packages/router/src/peers/startBeacons.ts
@@ -8,12 +8,7 @@
 import { decodeBeacon } from "./decodeBeacon.js";
 import { encodeBeacon } from "./encodeBeacon.js";
 import type { Members } from "./Members.js";
-
-/** What a beacon says besides who sends it and to whom. */
-type News = Omit<
-    Beacon,
-    "vm" | "incarnation" | "failureDomain" | "sequence" | "sentAt" | "echo" | "members" | "isLeaving"
->;
+import type { News } from "./News.js";
 
 type BeaconParts = {
     readonly clock: Clock;
--- a/packages/router/src/placement/createEndpointBook.ts
+++ b/packages/router/src/placement/createEndpointBook.ts
@@ -22,7 +22,7 @@
     readonly knowledge: () => Knowledge;
     /** What the other VMs run at an endpoint, as they last told. */
     readonly othersAt: (endpoint: EndpointName) => EndpointShare;
-    /** How long a failure domain has been out of hearing. */
+    /** How long a failure domain has been out of hearing; 0 for this VM's own. */
     readonly quietMs: (domain: FailureDomain) => Millis;
     /** Engines whose weights were replaced longer ago get no requests. */
     readonly outdatedLimitMs: () => Millis;
@@ -112,7 +112,7 @@
                     memorySize: engine?.cacheTokens ?? 0,
                     ...(engine === undefined ? NO_PROMPT : request.promptAt(entry, weights)),
                     outdatedMs,
-                    quietMs: entry.failureDomain === parts.failureDomain ? 0 : parts.quietMs(entry.failureDomain),
+                    quietMs: parts.quietMs(entry.failureDomain),
                     ...loadOf(own.inFlight, parts.othersAt(entry.name), own.lastSignAt, now),
                 },
             }));
--- a/packages/router/src/serve/createRequestHandler.ts
+++ b/packages/router/src/serve/createRequestHandler.ts
@@ -9,7 +9,9 @@
 import type { Organisation } from "../configuration/Organisation.js";
 import type { CallerRequest } from "../ports/CallerRequest.js";
 import { admitRequest } from "./admitRequest.js";
+import { closingHeaders } from "./closingHeaders.js";
 import { createRequestNotes } from "./createRequestNotes.js";
+import { isServerError } from "./isServerError.js";
 import { sendRefusal } from "./sendRefusal.js";
 import type { ServedRequest } from "./ServedRequest.js";
 import type { ServeParts } from "./ServeParts.js";
@@ -21,7 +23,6 @@
 /** A colon and a space after each name, a line's end after each value. */
 const SEPARATOR_BYTES = 2;
 const OK = 200;
-const FIRST_FAILURE = 500;
 
 /** A request that has been read whole. */
 type Received = Pick<ServedRequest, "caller" | "body" | "arrivedAt">;
@@ -81,7 +82,7 @@
                 end: end.kind,
             },
         );
-        const isOrdinary = end.kind === "answered" && end.tries === 1 && (end.answer?.status ?? OK) < FIRST_FAILURE;
+        const isOrdinary = end.kind === "answered" && end.tries === 1 && !isServerError(end.answer?.status ?? OK);
         if (!isOrdinary) {
             notes.tell();
         }
@@ -89,8 +90,7 @@
         switch (end.kind) {
             case "answered":
                 if (end.answer !== undefined) {
-                    const closing = parts.isDraining() ? ["Connection", "close"] : [];
-                    res.writeHead(end.answer.status, [...end.answer.headers, ...closing]);
+                    res.writeHead(end.answer.status, [...end.answer.headers, ...closingHeaders(parts)]);
                 }
                 res.end(end.answer?.body);
                 return;
--- a/packages/router/src/serve/createRequestNotes.ts
+++ b/packages/router/src/serve/createRequestNotes.ts
@@ -22,7 +22,7 @@
  */
 export function createRequestNotes(logger: Logger, clock: Clock, id: RequestId): RequestNotes {
     const startedAt = clock.now();
-    const state = { isTold: isSampled(id), held: [] as readonly Note[] };
+    const state = { isTold: isSampled(id), held: [] as Note[] };
     const write = ({ what, inputs, afterMs }: Note): void => logger.info({ id, afterMs, ...inputs }, what);
     return {
         add: (what, inputs) => {
@@ -31,7 +31,7 @@
                 write(note);
                 return;
             }
-            state.held = [...state.held, note];
+            state.held.push(note);
         },
         tell: () => {
             state.isTold = true;
--- a/packages/router/src/serve/judgeHead.ts
+++ b/packages/router/src/serve/judgeHead.ts
@@ -1,8 +1,8 @@
 import type { TryOutcome } from "../dispatch/TryOutcome.js";
 import type { EndpointHead } from "../ports/EndpointHead.js";
+import { isServerError } from "./isServerError.js";
 import type { ServedRequest } from "./ServedRequest.js";
 
-const FIRST_FAILURE = 500;
 const MISDIRECTED = 421;
 
 type HeadVerdict = "pass" | TryOutcome;
@@ -22,7 +22,7 @@
         return "refused";
     }
     const isGenuine = head.requestId === served.caller.id && head.isSealed && !head.isEncoded;
-    if (head.status >= FIRST_FAILURE) {
+    if (isServerError(head.status)) {
         return isGenuine ? "failed" : "garbled";
     }
     return isGenuine ? "pass" : "garbled";
--- a/packages/router/src/serve/passAnswer.ts
+++ b/packages/router/src/serve/passAnswer.ts
@@ -1,8 +1,9 @@
 import type { OpenedCall } from "../dispatch/OpenedCall.js";
 import { readAnswer } from "../dispatch/readAnswer.js";
+import { closingHeaders } from "./closingHeaders.js";
 import { isRepeatable } from "./isRepeatable.js";
+import { isServerError } from "./isServerError.js";
 import { passStream } from "./passStream.js";
-import type { ServeParts } from "./ServeParts.js";
 import type { StreamSigns } from "./StreamSigns.js";
 import type { TryParts } from "./TryParts.js";
 import type { TryResult } from "./TryResult.js";
@@ -10,17 +11,14 @@
 /** Silence in mid-stream after which another endpoint goes on: twice the longest usual pause between events. */
 const STREAM_SILENCE_MS = 1_000;
 const SUCCESS = 200;
-const FIRST_FAILURE = 500;
 
 const sendHead = ({ parts, served }: TryParts, { res }: Extract<OpenedCall, { readonly kind: "head"; }>): void => {
     if (!served.res.headersSent) {
         const headers = parts.callerWire.passAnswerHeaders(res.rawHeaders);
-        served.res.writeHead(res.statusCode ?? SUCCESS, [...headers, ...closing(parts)]);
+        served.res.writeHead(res.statusCode ?? SUCCESS, [...headers, ...closingHeaders(parts)]);
     }
 };
 
-const closing = (parts: ServeParts): readonly string[] => parts.isDraining() ? ["Connection", "close"] : [];
-
 /** Passes a stream's events to the caller as they come, and reads any other answer whole. */
 export async function passAnswer(
     tryParts: TryParts,
@@ -50,5 +48,5 @@
     }
     const headers = parts.callerWire.passAnswerHeaders(opened.res.rawHeaders);
     const status = opened.res.statusCode ?? SUCCESS;
-    return { kind: status >= FIRST_FAILURE ? "failed" : "answered", answer: { status, headers, body } };
+    return { kind: isServerError(status) ? "failed" : "answered", answer: { status, headers, body } };
 }
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -8,21 +8,17 @@
 import { EndpointAgent } from "./dispatch/EndpointAgent.js";
 import { hasDied } from "./dispatch/hasDied.js";
 import { keptConnections } from "./dispatch/keptConnections.js";
-import { leaseRank } from "./fleet/leaseRank.js";
-import { orderFence } from "./fleet/orderFence.js";
 import { startOrders } from "./fleet/startOrders.js";
 import { createPauseWatch } from "./knowledge/createPauseWatch.js";
 import { startKnowledge } from "./knowledge/startKnowledge.js";
-import type { Beacon } from "./peers/Beacon.js";
+import { composeNews } from "./peers/composeNews.js";
+import { createMembership } from "./peers/createMembership.js";
 import { createOthersLoad } from "./peers/createOthersLoad.js";
-import { hearingOf } from "./peers/hearingOf.js";
-import type { Members } from "./peers/Members.js";
-import { othersDemand } from "./peers/othersDemand.js";
-import { quietMs } from "./peers/quietMs.js";
+import type { NewsSources } from "./peers/NewsSources.js";
+import { spreadNews } from "./peers/spreadNews.js";
 import { startAnnouncing } from "./peers/startAnnouncing.js";
 import { startBeacons } from "./peers/startBeacons.js";
 import { startPeerListener } from "./peers/startPeerListener.js";
-import { stepMembers } from "./peers/stepMembers.js";
 import { createChainMemory } from "./placement/createChainMemory.js";
 import { createDemand } from "./placement/createDemand.js";
 import { createEndpointBook } from "./placement/createEndpointBook.js";
@@ -83,23 +79,18 @@
     const agent = new EndpointAgent(clock.now, address => {
         const service = book.serviceAt(address);
         const declared = service === undefined ? undefined : knowledge.current().configuration?.services.get(service);
-        return keptConnections(declared?.maxConnections, held.members.known.size + 1);
+        return keptConnections(declared?.maxConnections, membership.vms());
     });
     const chains = createChainMemory(holder =>
         book.entryOf(holder as EndpointName) === undefined ? STORED_MS : CACHED_MS
     );
-    const held = {
-        members: {
-            vm: settings.vm,
-            incarnation,
-            startedAt: clock.now(),
-            isListed: false,
-            known: new Map(),
-            seeds: settings.seeds.filter(seed => seed !== settings.listen.peers),
-        } as Members,
-        isDraining: false,
-        settings,
-    };
+    const held = { isDraining: false, settings };
+    const membership = createMembership(clock, {
+        vm: settings.vm,
+        incarnation,
+        failureDomain: settings.failureDomain,
+        seeds: settings.seeds.filter(seed => seed !== settings.listen.peers),
+    });
 
     const pauseWatch = createPauseWatch(clock, jumpMs => {
         logger.warn({ jumpMs }, "The clocks moved apart: the process was suspended, or the time of day stepped.");
@@ -129,7 +120,7 @@
         failureDomain: settings.failureDomain,
         knowledge: knowledge.current,
         othersAt: othersLoad.at,
-        quietMs: domain => quietMs(held.members, domain, clock.now()),
+        quietMs: membership.quietMs,
         outdatedLimitMs: servesForMs,
         onChange: (endpoint, change, inputs) =>
             loggers("endpoint").info({ endpoint, change, ...inputs }, "The view of an endpoint changed."),
@@ -145,7 +136,7 @@
         leavingMs: () => held.settings.leavingMs,
     });
     const demand = createDemand(clock);
-    const allowances = createAllowances(clock, () => hearingOf(held.members, clock.now()));
+    const allowances = createAllowances(clock, membership.hearing);
     const quarantine = createQuarantine({ clock, hasDied, logger: loggers("quarantine"), metrics });
     const orders = startOrders({
         clock,
@@ -158,70 +149,41 @@
         logger: loggers("fleet"),
         checkPause: pauseWatch.check,
         servesForMs,
-        demand: () => demand.rate() + othersDemand(held.members, clock.now()),
+        demand: () => demand.rate() + membership.demand(),
         leaseMs: () => held.settings.orderLeaseMs,
-        rank: lastHolder => leaseRank(held.members, lastHolder, knowledge.hasStore(), clock.now()),
+        rank: lastHolder => membership.rank(lastHolder, knowledge.hasStore()),
         tellPeers: () => beacons.sendNow(),
     });
 
-    const hear = (beacon: Beacon, address: string): void => {
-        pauseWatch.check();
-        const before = held.members.known.get(beacon.vm)?.heard;
-        held.members = stepMembers(held.members, { kind: "beacon", beacon, address }, clock.now());
-        const heard = held.members.known.get(beacon.vm)?.heard;
-        if (heard === undefined || heard.beacon !== beacon) {
-            return;
-        }
-        if (before?.incarnation !== beacon.incarnation) {
-            logger.info({ peer: beacon.vm, address, incarnation: beacon.incarnation }, "Heard a VM.");
-        }
-        allowances.hear(beacon, before !== undefined && before.incarnation !== beacon.incarnation);
-        knowledge.hear(heard, address);
-        quarantine.hear(beacon);
-        othersLoad.hear(beacon);
-        beacon.ordered.forEach(([endpoint, version, ageMs]) =>
-            book.ordered(endpoint, { version, sentAt: clock.now() - ageMs, isOwn: false })
-        );
-        beacon.cached.forEach(([holder, keys]) => chains.hear(holder, keys, clock.now()));
-        beacon.held.forEach(([endpoint, version]) => book.sawWeights(endpoint, version));
-        if (beacon.lease !== undefined) {
-            // Only what is surely that old counts: the age runs from this VM's own time stamp.
-            const ageMs = Math.max(0, beacon.lease.ageMs + Math.min(0, heard.sentAfter - clock.now()));
-            orders.tell({ kind: "vouched", ...beacon.lease, ageMs });
-        }
-    };
-
-    const leaseNews = (): Beacon["lease"] => {
-        const tail = orders.lease().tail;
-        return tail === undefined
-            ? undefined
-            : { offset: tail.offset, holder: tail.holder, ageMs: clock.now() - tail.knownSince };
+    const sources: NewsSources = {
+        clock,
+        knowledge,
+        allowances,
+        book,
+        chains,
+        demand,
+        orders,
+        quarantine,
+        othersLoad,
     };
     const beacons = startBeacons({
         clock,
         address: settings.listen.peers,
         self: { vm: settings.vm, incarnation, failureDomain: settings.failureDomain },
-        members: () => held.members,
-        news: () => {
-            const { configuration, confirmedAt, weights } = knowledge.current();
-            return {
-                revision: configuration?.revision ?? -1,
-                confirmedMs: confirmedAt === -Infinity ? undefined : clock.now() - confirmedAt,
-                weights: [...weights].flatMap(([model, [named]]) =>
-                    named === undefined ? [] : [[model, named.version] as const]
-                ),
-                spent: allowances.spent(),
-                load: book.ownShares(),
-                demand: demand.rate(),
-                cached: chains.takeNews(),
-                ordered: book.ownOrders(),
-                held: book.heldVersions(),
-                lease: leaseNews(),
-                ...quarantine.news(),
-                hasStore: knowledge.hasStore(),
-            };
+        members: membership.current,
+        news: () => composeNews(sources),
+        onBeacon: (beacon, address) => {
+            pauseWatch.check();
+            const news = membership.hear(beacon, address);
+            if (news === undefined) {
+                return;
+            }
+            const isSame = news.before?.incarnation === beacon.incarnation;
+            if (!isSame) {
+                logger.info({ peer: beacon.vm, address, incarnation: beacon.incarnation }, "Heard a VM.");
+            }
+            spreadNews(sources, news.heard, address, news.before !== undefined && !isSame);
         },
-        onBeacon: hear,
         onFault: (what, err) => {
             metrics.count("azureshunt_beacon_faults_total", "Beacons that failed.", { what });
             logger.debug({ what, err }, "A beacon failed.");
@@ -240,7 +202,7 @@
         chains,
         allowances,
         demand,
-        budgets: createRetryBudgets(() => held.settings.retries, () => held.members.known.size + 1),
+        budgets: createRetryBudgets(() => held.settings.retries, () => membership.vms()),
         quarantine,
         agent,
         callerWire: parts.callerWire,
@@ -248,7 +210,7 @@
         bounds,
         logger: loggers("request"),
         metrics,
-        isQuiet: domain => domain !== settings.failureDomain && quietMs(held.members, domain, clock.now()) > 0,
+        isQuiet: domain => membership.quietMs(domain) > 0,
         checkPause: pauseWatch.check,
         isDraining: () => held.isDraining,
     });
@@ -258,18 +220,7 @@
         address: settings.listen.peers,
         configuration: knowledge.raw,
     });
-    const stopGauges = startGauges(metrics, {
-        revision: () => knowledge.current().configuration?.revision ?? -1,
-        confirmedMs: () => clock.now() - knowledge.current().confirmedAt,
-        registryMs: () => clock.now() - book.answeredAt(),
-        endpoints: book.size,
-        inFlight: () => book.ownShares().reduce((sum, [, { running }]) => sum + running, 0),
-        waitingTokens: () => book.ownShares().reduce((sum, [, { waitingTokens }]) => sum + waitingTokens, 0),
-        peers: () => hearingOf(held.members, clock.now()).peers,
-        unheard: () => hearingOf(held.members, clock.now()).unheard.length,
-        leastAllowance: allowances.least,
-        fence: () => orderFence(orders.lease(), clock.now()),
-    });
+    const stopGauges = startGauges(metrics, { ...sources, membership });
     const metricsListener = await startMetricsListener(settings.listen.metrics, metrics);
     const front = await startFront({
         settings,
@@ -281,15 +232,13 @@
     const timer = setInterval(() => {
         pauseWatch.check();
         quarantine.tick();
-        held.members = stepMembers(held.members, { kind: "tick" }, clock.now());
+        membership.tick();
     }, PAUSE_CHECK_MS);
     const stopAnnouncing = startAnnouncing({
         store,
         vm: settings.vm,
         address: settings.listen.peers,
-        onListed: members => {
-            held.members = stepMembers(held.members, { kind: "listed", members }, clock.now());
-        },
+        onListed: membership.list,
         logger,
     });
     logger.info({ listen: settings.listen }, "Started.");
