--- a/packages/router/src/dispatch/TryOutcome.ts
+++ b/packages/router/src/dispatch/TryOutcome.ts
@@ -9,6 +9,7 @@
  * - `silent`: nothing came within the time given.
  * - `failed`: the endpoint's own error; it may have run the request.
  * - `garbled`: what came is not this request's answer.
+ * - `moved`: this VM ended the try, to go on at another endpoint.
  * - `cancelled`: this VM ended the try, as the caller left or the time was up.
  */
 export type TryOutcome =
@@ -20,4 +21,5 @@
     | "silent"
     | "failed"
     | "garbled"
+    | "moved"
     | "cancelled";
--- a/packages/router/src/dispatch/failureOfOutcome.ts
+++ b/packages/router/src/dispatch/failureOfOutcome.ts
@@ -12,6 +12,8 @@
     silent: { kind: "silent" },
     failed: { kind: "failed" },
     garbled: { kind: "crossed" },
+    // As with silence: the endpoint ran a part, and the rest is asked for elsewhere.
+    moved: { kind: "silent" },
 };
 
 /** Gives a failed try in the terms in which the next step is decided. */
--- a/packages/router/src/placement/EndpointBook.ts
+++ b/packages/router/src/placement/EndpointBook.ts
@@ -34,6 +34,12 @@
     readonly sawWeights: (endpoint: EndpointName, version: number, ordersTaken?: number) => void;
     /** An order was given, by this VM or another; undefined when it is over. */
     readonly ordered: (endpoint: EndpointName, order: EngineWeights["order"]) => void;
+    /**
+     * Calls the listener whenever an order for new weights is given to the engine.
+     *
+     * @returns a function that ends the calls
+     */
+    readonly onOrdered: (endpoint: EndpointName, listener: () => void) => () => void;
     /** Engines that hold a model. */
     readonly engines: (model: ModelName) => readonly EngineWeights[];
     /** The service of the endpoint at an address, `host:port`. */
--- a/packages/router/src/placement/createEndpointBook.ts
+++ b/packages/router/src/placement/createEndpointBook.ts
@@ -10,6 +10,7 @@
 import type { Registry } from "../registry/Registry.js";
 import { stepRegistry } from "../registry/stepRegistry.js";
 import { createDealings } from "./createDealings.js";
+import { createListeners } from "./createListeners.js";
 import type { EndpointBook } from "./EndpointBook.js";
 import { healthAfterTry } from "./healthAfterTry.js";
 import { loadOf } from "./loadOf.js";
@@ -48,6 +49,7 @@
     const { clock, knowledge } = parts;
     const book = { registry: emptyRegistry as Registry, serviceByAddress: new Map<string, ServiceName>() };
     const dealings = createDealings(parts.onGone);
+    const orderListeners = createListeners<EndpointName>();
 
     const versionAt = (entry: EndpointEntry, model: ModelName | undefined): number | undefined =>
         model === undefined || !entry.versions.has(model)
@@ -146,8 +148,14 @@
 
     const ordered: EndpointBook["ordered"] = (endpoint, order) => {
         const entry = entryOf(endpoint);
-        if (entry !== undefined) {
-            dealings.of(entry).order = order;
+        if (entry === undefined) {
+            return;
+        }
+        const own = dealings.of(entry);
+        const isNew = order !== undefined && order.version !== own.order?.version && order.version > own.seenVersion;
+        own.order = order;
+        if (isNew) {
+            orderListeners.tell(endpoint);
         }
     };
 
@@ -180,6 +188,7 @@
         unreached,
         sawWeights,
         ordered,
+        onOrdered: orderListeners.add,
         engines,
         serviceAt: address => book.serviceByAddress.get(address),
         entryOf,
--- a/packages/router/src/placement/healthAfterTry.ts
+++ b/packages/router/src/placement/healthAfterTry.ts
@@ -27,6 +27,7 @@
         case "refused":
         case "elsewhere":
         case "cancelled":
+        case "moved":
             return { ...health, unreachedInRow: 0 };
         case "unreached": {
             const pause = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** health.unreachedInRow);
--- a/packages/router/src/serve/createRetryBudgets.ts
+++ b/packages/router/src/serve/createRetryBudgets.ts
@@ -1,5 +1,5 @@
 import type { ServiceName } from "@azureshunt/core";
-import { earnRetry, fullRetryBudget } from "@azureshunt/request";
+import { earnRetry, fullRetryBudget, spendRetry } from "@azureshunt/request";
 import type { RetryBudget } from "@azureshunt/request";
 
 /** What all VMs together may send beyond the first try of each request. */
@@ -13,6 +13,10 @@
 /** One budget for each service. */
 type RetryBudgets = {
     readonly of: (service: ServiceName) => RetryBudget;
+    /** Takes a further try ahead of the plan that uses it; false where there is none. */
+    readonly reserve: (service: ServiceName) => boolean;
+    /** Gives a try back that was taken ahead. */
+    readonly release: (service: ServiceName) => void;
     readonly set: (service: ServiceName, budget: RetryBudget) => void;
     /** A request for the service has arrived. */
     readonly earn: (service: ServiceName) => void;
@@ -36,5 +40,14 @@
     const set: RetryBudgets["set"] = (service, budget) => {
         budgets.set(service, budget);
     };
-    return { of, set, earn: service => set(service, earnRetry(of(service))) };
+    const reserve: RetryBudgets["reserve"] = service => {
+        const left = spendRetry(of(service));
+        set(service, left ?? of(service));
+        return left !== undefined;
+    };
+    const release: RetryBudgets["release"] = service => {
+        const budget = of(service);
+        set(service, { ...budget, balance: budget.balance + 1 });
+    };
+    return { of, reserve, release, set, earn: service => set(service, earnRetry(of(service))) };
 }
--- a/packages/router/src/serve/passAnswer.ts
+++ b/packages/router/src/serve/passAnswer.ts
@@ -36,6 +36,7 @@
             silenceMs: canGoOn ? STREAM_SILENCE_MS : undefined,
             sendHead: () => sendHead(tryParts, opened),
             ...seen,
+            onMove: canGoOn ? seen.onMove : () => () => undefined,
         });
         if (kind === "answered") {
             sendHead(tryParts, opened);
--- a/packages/router/src/serve/passStream.ts
+++ b/packages/router/src/serve/passStream.ts
@@ -34,12 +34,14 @@
         const state = { timer: undefined as NodeJS.Timeout | undefined, isFirst: true };
         const settle = (kind: TryOutcome): void => {
             clearTimeout(state.timer);
+            release();
             resolve(kind);
         };
         const stop = (kind: TryOutcome): void => {
             settle(kind);
             res.destroy();
         };
+        const release = parts.onMove(() => stop("moved"));
         const quiet = { rounds: 0 };
         const onQuiet = (): void => {
             quiet.rounds += 1;
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -5,6 +5,7 @@
 import { judgeHead } from "./judgeHead.js";
 import { passAnswer } from "./passAnswer.js";
 import { reachableStore } from "./reachableStore.js";
+import { shouldMove } from "./shouldMove.js";
 import { silenceBound } from "./silenceBound.js";
 import type { TryParts } from "./TryParts.js";
 import type { TryResult } from "./TryResult.js";
@@ -46,6 +47,24 @@
     });
 };
 
+/** Takes a further try for a stream that is to leave its engine; false where it stays. */
+const takeMove = ({ parts, served, place, progress }: TryParts): boolean => {
+    const { prompt } = served.caller;
+    const others = prompt === undefined
+        ? []
+        : parts.book.engines(prompt.model).filter(({ endpoint, isUp, order }) =>
+            endpoint !== place.entry.name && isUp && order === undefined
+        );
+    const isMoving = shouldMove({
+        promptTokens: prompt?.promptTokens ?? 0,
+        outputTokens: prompt?.outputTokens ?? 0,
+        passedEvents: progress.passedEvents,
+        budget: parts.budgets.of(served.service).balance,
+        others: others.length,
+    });
+    return isMoving && parts.budgets.reserve(served.service);
+};
+
 /** Sends a request to one endpoint and, where it is a stream, passes its events on. */
 export async function runTry(tryParts: TryParts): Promise<TryResult> {
     const { parts, served, place, progress, isLastTry } = tryParts;
@@ -121,6 +140,11 @@
         }
     };
     return finish(
-        await passAnswer(tryParts, opened, { onFirstEvent: noteRead, sign: seat.sign, isAlive: seat.isAlive }),
+        await passAnswer(tryParts, opened, {
+            onFirstEvent: noteRead,
+            sign: seat.sign,
+            isAlive: seat.isAlive,
+            onMove: listener => book.onOrdered(place.entry.name, () => takeMove(tryParts) ? listener() : undefined),
+        }),
     );
 }
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -122,6 +122,10 @@
             next: stream.passedEvents,
             ran: ranAfter(result.kind, request.ran),
         };
+        if (result.kind === "moved") {
+            // Its further try was taken when it left, so that many streams that leave at once do not use up the budget.
+            parts.budgets.release(served.service);
+        }
         const failure = result.answer ?? progress.failure;
         const notRun = progress.notRun + (NOT_RUN.has(result.kind) ? 1 : 0);
         const maxTries = allowedTries(served.route.maxTries, notRun);
