--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -4,6 +4,7 @@
 import { isRepeatable } from "./isRepeatable.js";
 import { judgeHead } from "./judgeHead.js";
 import { passAnswer } from "./passAnswer.js";
+import { priorityOf } from "./priorityOf.js";
 import { reachableStore } from "./reachableStore.js";
 import { shouldMove } from "./shouldMove.js";
 import { silenceBound } from "./silenceBound.js";
@@ -37,7 +38,7 @@
         endpoint: place.entry.name,
         organisation: organisation?.id,
         remainingMs,
-        priority: organisation?.priority ?? route.priority,
+        priority: priorityOf(organisation, route),
         weights: place.weights,
         cacheSalt: place.salt,
         fetchFrom: place.source,
