--- a/packages/router/src/__tests__/unit/beacon.test.ts
+++ b/packages/router/src/__tests__/unit/beacon.test.ts
@@ -25,10 +25,14 @@
     lease: undefined,
     deaths: [],
     stopped: [],
+    registry: { digest: "d1", ageMs: 40 },
     hasStore: true,
     isLeaving: false,
 };
 
+/** Place of the sizes of cached parts; fields after it came later still. */
+const CACHED_TOKENS = 22;
+
 const rowOf = (): unknown[] => JSON.parse(encodeBeacon(beacon).toString("utf8")) as unknown[];
 const decoded = (row: readonly unknown[]): Beacon | undefined => decodeBeacon(Buffer.from(JSON.stringify(row)));
 
@@ -37,7 +41,7 @@
 });
 
 test("beacon: one of an earlier version, without the sizes of cached parts, is taken with sizes of 0", t => {
-    const { cached } = decoded(rowOf().slice(0, -1)) ?? beacon;
+    const { cached } = decoded(rowOf().slice(0, CACHED_TOKENS)) ?? beacon;
     t.deepEqual(cached[0]?.[1], [{ key: "manual", tokens: 0 }, { key: "own", tokens: 0 }]);
 });
 
@@ -48,6 +52,6 @@
 ];
 faulty.forEach(({ name, sizes }) => {
     test(`beacon: faulty sizes of cached parts are no beacon: ${name}`, t => {
-        t.is(decoded([...rowOf().slice(0, -1), sizes]), undefined);
+        t.is(decoded([...rowOf().slice(0, CACHED_TOKENS), sizes]), undefined);
     });
 });
--- a/packages/router/src/knowledge/startKnowledge.ts
+++ b/packages/router/src/knowledge/startKnowledge.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "@azureshunt/core";
+import type { Clock, Millis } from "@azureshunt/core";
 import type { Metrics } from "@azureshunt/telemetry";
 import type { Logger } from "pino";
 
@@ -22,6 +22,8 @@
     readonly metrics: Metrics;
     /** Something was learnt that other VMs should hear at once. */
     readonly onNews: () => void;
+    /** Whether this VM reads the store for the others. */
+    readonly isReader: () => boolean;
     /** Looks for a pause of the process, before an answer is taken as fresh. */
     readonly checkPause: () => void;
 };
@@ -38,11 +40,13 @@
     readonly stop: () => void;
 };
 
-/** How long a read waits for a declaration: short enough that keys stay confirmed, though the next read fails. */
-const WAIT_MS = 1_200;
+/** How long a read waits for a declaration: short enough that keys stay confirmed by this VM's own reads alone. */
+const WAIT_MS: Millis = 2_000;
+/** The same where it confirms them for the other VMs: keys stay confirmed though the next read fails. */
+const READER_WAIT_MS: Millis = 1_200;
 const FETCH_MS = 1_000;
-/** The store counts as read while its last answer is no older. */
-const STORE_MS = 2_500;
+/** The store counts as read while its last answer is no older: the longest wait of a read, and its answer when slow. */
+const STORE_MS: Millis = 3_300;
 const OK = 200;
 
 /** Follows the operators' declarations in the store and through the other VMs. */
@@ -111,8 +115,8 @@
         store: parts.store,
         clock,
         topic: wire.declarationsTopic,
-        waitMs: WAIT_MS,
-        pauseMs: () => 0,
+        waitMs: () => parts.isReader() ? READER_WAIT_MS : WAIT_MS,
+        dueInMs: () => 0,
         onNews: ({ records, askedAt }) => {
             parts.checkPause();
             state.storeAt = clock.now();
--- a/packages/router/src/peers/Beacon.ts
+++ b/packages/router/src/peers/Beacon.ts
@@ -49,6 +49,8 @@
     readonly deaths: readonly (readonly [RequestFingerprint, string])[];
     /** Requests that are not run any more, as they crash endpoints, and for how much longer. */
     readonly stopped: readonly (readonly [RequestFingerprint, Millis])[];
+    /** The registry's entries that the sender knows, named by a digest, and how old that can be at most. */
+    readonly registry: { readonly digest: string; readonly ageMs: Millis; } | undefined;
     /** Whether the sender reads the store itself. */
     readonly hasStore: boolean;
     /** Whether the sender is about to stop. */
--- a/packages/router/src/peers/NewsSources.ts
+++ b/packages/router/src/peers/NewsSources.ts
@@ -7,6 +7,7 @@
 import type { createDemand } from "../placement/createDemand.js";
 import type { EndpointBook } from "../placement/EndpointBook.js";
 import type { createQuarantine } from "../quarantine/createQuarantine.js";
+import type { startRegistry } from "../registry/startRegistry.js";
 import type { createOthersLoad } from "./createOthersLoad.js";
 
 /** The parts of a router that tell the other VMs something, and learn from what these tell. */
@@ -19,5 +20,6 @@
     readonly demand: ReturnType<typeof createDemand>;
     readonly orders: ReturnType<typeof startOrders>;
     readonly quarantine: ReturnType<typeof createQuarantine>;
+    readonly registry: ReturnType<typeof startRegistry>;
     readonly othersLoad: ReturnType<typeof createOthersLoad>;
 };
--- a/packages/router/src/peers/composeNews.ts
+++ b/packages/router/src/peers/composeNews.ts
@@ -10,7 +10,7 @@
 
 /** Gathers what this VM tells the others now. What was read or saved since the last call is told once. */
 export function composeNews(sources: NewsSources): News {
-    const { clock, knowledge, allowances, book, chains, demand, quarantine } = sources;
+    const { clock, knowledge, allowances, book, chains, demand, quarantine, registry } = sources;
     const { configuration, confirmedAt, weights } = knowledge.current();
     return {
         revision: configuration?.revision ?? -1,
@@ -26,6 +26,7 @@
         held: book.heldVersions(),
         lease: leaseNews(sources),
         ...quarantine.news(),
+        registry: registry.news(),
         hasStore: knowledge.hasStore(),
     };
 }
--- a/packages/router/src/peers/createMembership.ts
+++ b/packages/router/src/peers/createMembership.ts
@@ -5,6 +5,7 @@
 import type { Beacon } from "./Beacon.js";
 import type { Heard } from "./Heard.js";
 import { hearingOf } from "./hearingOf.js";
+import { isReader } from "./isReader.js";
 import { lastHeard } from "./lastHeard.js";
 import type { Members } from "./Members.js";
 import type { MembersEvent } from "./MembersEvent.js";
@@ -29,6 +30,8 @@
     readonly quietMs: (domain: FailureDomain) => Millis;
     /** Prompt tokens that callers send to the other VMs in a millisecond. */
     readonly demand: () => Tokens;
+    /** Whether this VM reads the registry for the others. */
+    readonly isReader: () => boolean;
     /** How many VMs go before this one in claiming the order lease. */
     readonly rank: (lastHolder: VmId | undefined, hasStore: boolean) => number;
 };
@@ -64,6 +67,7 @@
                 ? 0
                 : quietMs(state.lastHeard.get(domain), state.members.known.size, clock.now()),
         demand: () => othersDemand(state.members, clock.now()),
+        isReader: () => isReader(state.members, clock.now()),
         rank: (lastHolder, hasStore) => leaseRank(state.members, lastHolder, hasStore, clock.now()),
     };
 }
--- a/packages/router/src/peers/decodeBeacon.ts
+++ b/packages/router/src/peers/decodeBeacon.ts
@@ -7,6 +7,7 @@
 const STOPPED = 21;
 /** Tokens of the parts in the field of cached ones, in the same order. */
 const CACHED_TOKENS = 22;
+const REGISTRY = 23;
 
 type Row = readonly unknown[];
 
@@ -43,7 +44,8 @@
     && areRows(row[19], isText, keys => isRow(keys) && keys.every(isText))
     && areRows(row[DEATHS] ?? [], isText, isText)
     && areRows(row[STOPPED] ?? [], isText, isNumber)
-    && (row[CACHED_TOKENS] === undefined || areNumbers(row[CACHED_TOKENS]));
+    && (row[CACHED_TOKENS] === undefined || areNumbers(row[CACHED_TOKENS]))
+    && isTriple(row[REGISTRY] ?? null, isText, isNumber);
 
 const parse = (datagram: Buffer): unknown => {
     try {
@@ -66,6 +68,7 @@
     const [load, ordered, held, lease, hasStore, isLeaving, demand, cached] = row.slice(12);
     const cachedKeys = cached as readonly [string, readonly string[]][];
     const cachedTokens = (row[CACHED_TOKENS] ?? []) as readonly (readonly number[])[];
+    const registry = row[REGISTRY];
     const loads = load as readonly [string, number, number, number][];
     // All fields were checked above; the casts give them their brands.
     return {
@@ -94,6 +97,7 @@
             holder,
             keys.map((key, k) => ({ key, tokens: cachedTokens[i]?.[k] ?? 0 })),
         ]),
+        registry: isRow(registry) ? { digest: registry[0], ageMs: registry[1] } : undefined,
         deaths: row[DEATHS] ?? [],
         stopped: row[STOPPED] ?? [],
     } as unknown as Beacon;
--- a/packages/router/src/peers/spreadNews.ts
+++ b/packages/router/src/peers/spreadNews.ts
@@ -8,12 +8,13 @@
  * @param isRestarted whether the teller is another process than before
  */
 export function spreadNews(sources: NewsSources, heard: Heard, address: string, isRestarted: boolean): void {
-    const { clock, knowledge, allowances, book, chains, orders, quarantine, othersLoad } = sources;
+    const { clock, knowledge, allowances, book, chains, orders, quarantine, registry, othersLoad } = sources;
     const { beacon, sentAfter } = heard;
     const now = clock.now();
     allowances.hear(beacon, isRestarted);
     knowledge.hear(heard, address);
     quarantine.hear(beacon);
+    registry.hear(heard);
     othersLoad.hear(beacon);
     beacon.ordered.forEach(([endpoint, version, ageMs]) =>
         book.ordered(endpoint, { version, sentAt: now - ageMs, isOwn: false })
--- a/packages/router/src/placement/EndpointBook.ts
+++ b/packages/router/src/placement/EndpointBook.ts
@@ -22,6 +22,8 @@
     readonly size: () => number;
     /** When the registry last answered; −∞ before it has. */
     readonly answeredAt: () => Millis;
+    /** Names the registry's entries as they are known here; see `digestOfRegistry`. */
+    readonly registryDigest: () => string;
     readonly tellRegistry: (event: RegistryEvent) => void;
     readonly candidates: (request: PlacedRequest) => readonly PlaceableEndpoint[];
     readonly begin: (
--- a/packages/router/src/placement/createEndpointBook.ts
+++ b/packages/router/src/placement/createEndpointBook.ts
@@ -5,6 +5,7 @@
 import type { Knowledge } from "../knowledge/Knowledge.js";
 import { outdatedSince } from "../knowledge/outdatedSince.js";
 import type { EndpointShare } from "../peers/EndpointShare.js";
+import { digestOfRegistry } from "../registry/digestOfRegistry.js";
 import { emptyRegistry } from "../registry/emptyRegistry.js";
 import type { EndpointEntry } from "../registry/EndpointEntry.js";
 import type { Registry } from "../registry/Registry.js";
@@ -47,7 +48,11 @@
 /** Keeps what is known of the endpoints: the registry's entries, and this VM's own dealings with them. */
 export function createEndpointBook(parts: BookParts): EndpointBook {
     const { clock, knowledge } = parts;
-    const book = { registry: emptyRegistry as Registry, serviceByAddress: new Map<string, ServiceName>() };
+    const book = {
+        registry: emptyRegistry as Registry,
+        digest: digestOfRegistry(emptyRegistry),
+        serviceByAddress: new Map<string, ServiceName>(),
+    };
     const dealings = createDealings(parts.onGone);
     const orderListeners = createListeners<EndpointName>();
 
@@ -73,6 +78,10 @@
     const tellRegistry: EndpointBook["tellRegistry"] = event => {
         const before = book.registry;
         book.registry = stepRegistry(before, event, clock.now());
+        if (book.registry.endpoints === before.endpoints) {
+            return;
+        }
+        book.digest = digestOfRegistry(book.registry);
         const entries = [...book.registry.endpoints.values()];
         book.serviceByAddress = new Map(entries.map(({ entry: { address, service } }) => [address, service]));
         [...before.endpoints.keys()].filter(name => !book.registry.endpoints.has(name)).forEach(name => {
@@ -182,6 +191,7 @@
         isKnown: () => book.registry.isKnown,
         size: () => book.registry.endpoints.size,
         answeredAt: () => book.registry.answeredAt,
+        registryDigest: () => book.digest,
         tellRegistry,
         candidates,
         begin,
--- a/packages/router/src/registry/RegistryEvent.ts
+++ b/packages/router/src/registry/RegistryEvent.ts
@@ -1,4 +1,4 @@
-import type { EndpointName } from "@azureshunt/core";
+import type { EndpointName, Millis } from "@azureshunt/core";
 
 import type { EndpointEntry } from "./EndpointEntry.js";
 
@@ -11,5 +11,7 @@
     | { readonly kind: "whole"; readonly entries: readonly EndpointEntry[]; }
     /** What changed since the last read, in order. */
     | { readonly kind: "changes"; readonly changes: readonly RegistryChange[]; }
+    /** The entries known here were the registry's at this moment, as another VM told. */
+    | { readonly kind: "vouched"; readonly asOf: Millis; }
     /** Time has passed. */
     | { readonly kind: "tick"; };
--- a/packages/router/src/registry/startRegistry.ts
+++ b/packages/router/src/registry/startRegistry.ts
@@ -2,11 +2,17 @@
 import type { Metrics } from "@azureshunt/telemetry";
 import type { Logger } from "pino";
 
+import type { Beacon } from "../peers/Beacon.js";
+import type { Heard } from "../peers/Heard.js";
 import type { EndpointBook } from "../placement/EndpointBook.js";
 import type { DirectoryWire } from "../ports/DirectoryWire.js";
 import type { StorePort } from "../ports/StorePort.js";
 import { followTopic } from "../store/followTopic.js";
 import type { EndpointEntry } from "./EndpointEntry.js";
+import { noEvidence } from "./noEvidence.js";
+import { registryDueIn } from "./registryDueIn.js";
+import type { RegistryEvidenceEvent } from "./RegistryEvidenceEvent.js";
+import { stepEvidence } from "./stepEvidence.js";
 
 type RegistryParts = {
     readonly clock: Clock;
@@ -17,19 +23,30 @@
     readonly metrics: Metrics;
     /** How long an endpoint that leaves still takes requests. */
     readonly leavingMs: () => Millis;
+    /** Whether this VM reads the registry for the others. */
+    readonly isReader: () => boolean;
+    /** This VM has read the registry. */
+    readonly onRead: () => void;
+};
+
+/** Follows the endpoints' entries. */
+type RegistryKeeper = {
+    /** How old what is known of the entries can be at most, and their name, for the other VMs. */
+    readonly news: () => Beacon["registry"];
+    readonly hear: (heard: Heard) => void;
+    readonly pause: () => void;
+    readonly stop: () => void;
 };
 
-/**
- * Part of the time for which a leaving endpoint still takes requests that passes between two reads. Endpoints write several
- * times a second in all, so waiting for a record would cost a call each time; the rest is for a read that is repeated, and
- * for requests on their way.
- */
-const READ_EVERY_PART = 0.35;
 const TICK_MS = 500;
 
 /** Follows the endpoints' entries in the store. */
-export function startRegistry(parts: RegistryParts): { readonly stop: () => void; } {
-    const { wire, book, logger, metrics } = parts;
+export function startRegistry(parts: RegistryParts): RegistryKeeper {
+    const { clock, wire, book, logger, metrics } = parts;
+    const held = { evidence: noEvidence };
+    const tell = (event: RegistryEvidenceEvent): void => {
+        held.evidence = stepEvidence(held.evidence, event);
+    };
 
     /** An entry that can't be read names no endpoint to use; it is counted and logged. */
     const decode = (key: string, value: Buffer | undefined): EndpointEntry | undefined =>
@@ -46,15 +63,21 @@
         store: parts.store,
         clock: parts.clock,
         topic: wire.registryTopic,
-        waitMs: 0,
-        pauseMs: () => READ_EVERY_PART * parts.leavingMs(),
-        onNews: ({ records, isWhole }) => {
+        waitMs: () => 0,
+        dueInMs: () =>
+            registryDueIn(
+                { evidence: held.evidence, isReader: parts.isReader(), leavingMs: parts.leavingMs() },
+                clock.now(),
+            ),
+        onNews: ({ records, isWhole, askedAt }) => {
             const changes = records.map(({ key, value }) => ({ name: key as EndpointName, entry: decode(key, value) }));
             book.tellRegistry(
                 isWhole
                     ? { kind: "whole", entries: changes.flatMap(({ entry }) => entry === undefined ? [] : [entry]) }
                     : { kind: "changes", changes },
             );
+            tell({ kind: "read", askedAt });
+            parts.onRead();
         },
         onFailure: kind => {
             metrics.count("azureshunt_store_failures_total", "Calls to the store that failed.", {
@@ -65,6 +88,23 @@
     });
     const timer = setInterval(() => book.tellRegistry({ kind: "tick" }), TICK_MS);
     return {
+        news: () =>
+            held.evidence.asOf === -Infinity
+                ? undefined
+                : { digest: book.registryDigest(), ageMs: clock.now() - held.evidence.asOf },
+        hear: ({ beacon, sentAfter, stampedAt }) => {
+            if (beacon.registry === undefined) {
+                return;
+            }
+            const asOf = sentAfter - beacon.registry.ageMs;
+            const isSame = beacon.registry.digest === book.registryDigest();
+            const before = held.evidence;
+            tell({ kind: "told", isSame, asOf, stampedAt });
+            if (isSame && held.evidence !== before) {
+                book.tellRegistry({ kind: "vouched", asOf });
+            }
+        },
+        pause: () => tell({ kind: "paused", now: clock.now() }),
         stop: () => {
             stopFollowing();
             clearInterval(timer);
--- a/packages/router/src/registry/stepRegistry.ts
+++ b/packages/router/src/registry/stepRegistry.ts
@@ -72,6 +72,8 @@
             );
             return dropMissing({ ...registry, endpoints }, now);
         }
+        case "vouched":
+            return event.asOf <= before.answeredAt ? before : dropMissing(heard(before, event.asOf), now);
         case "tick":
             return now - before.answeredAt > GAP_MS ? before : dropMissing(before, now);
     }
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -60,6 +60,8 @@
 const KEY_MARGIN_MS = 600;
 /** A request may wait in the engine's queue before it begins. */
 const WEIGHTS_MARGIN_MS = 1_500;
+/** Up to so many VMs beacons follow a read of the registry within a third of the time between two reads. */
+const FEW_VMS = 9;
 const PAUSE_CHECK_MS = 100;
 
 /** Starts all parts of a router. */
@@ -94,6 +96,7 @@
     const pauseWatch = createPauseWatch(clock, jumpMs => {
         logger.warn({ jumpMs }, "The clocks moved apart: the process was suspended, or the time of day stepped.");
         knowledge.pause();
+        registry.pause();
         orders.tell({ kind: "paused" });
         // Peers vouch again only once they send back a stamp from after the pause.
         beacons.sendNow();
@@ -107,6 +110,7 @@
         logger: loggers("knowledge"),
         metrics,
         checkPause: pauseWatch.check,
+        isReader: membership.isReader,
         onNews: () => {
             allowances.open(knowledge.current().configuration?.organisations.values() ?? []);
             beacons.sendNow();
@@ -133,6 +137,9 @@
         logger: loggers("registry"),
         metrics,
         leavingMs: () => held.settings.leavingMs,
+        isReader: membership.isReader,
+        // Among many VMs beacons are further apart than reads; its word would come too late for them.
+        onRead: () => membership.isReader() && membership.vms() > FEW_VMS ? beacons.sendNow() : undefined,
     });
     const demand = createDemand(clock);
     const allowances = createAllowances(clock, membership.hearing);
@@ -163,6 +170,7 @@
         demand,
         orders,
         quarantine,
+        registry,
         othersLoad,
     };
     const beacons = startBeacons({
--- a/packages/router/src/store/followTopic.ts
+++ b/packages/router/src/store/followTopic.ts
@@ -18,13 +18,15 @@
     readonly clock: Clock;
     readonly topic: string;
     /** How long a read may wait for a record. */
-    readonly waitMs: Millis;
-    /** Between the end of one read and the next. */
-    readonly pauseMs: () => Millis;
+    readonly waitMs: () => Millis;
+    /** In how many milliseconds the next read is due; 0 or less means now. Asked again and again until then. */
+    readonly dueInMs: () => Millis;
     readonly onNews: (news: TopicNews) => void;
     readonly onFailure: (kind: string) => void;
 };
 
+/** A read may become due earlier than it was said to be; so long passes at most until that is seen. */
+const LOOK_AGAIN_MS = 100;
 /** Between tries while the store does not answer; it is away for seconds, and keys wait for it. */
 const RETRY_MS = 250;
 
@@ -54,14 +56,14 @@
             Right: ({ records, end }) => {
                 state.next = end;
                 parts.onNews({ records, isWhole: true, askedAt });
-                return parts.pauseMs();
+                return 0;
             },
         });
     };
     const readOn = async (from: number): Promise<Millis> => {
         const askedAt = clock.now();
         // While the store does not answer, a read that waits would notice its return late, and keys would wait with it.
-        const page = await store.read(topic, from, state.isAnswering ? parts.waitMs : 0);
+        const page = await store.read(topic, from, state.isAnswering ? parts.waitMs() : 0);
         state.isAnswering = page.isRight();
         return page.caseOf({
             Left: failure => {
@@ -72,12 +74,15 @@
             Right: ({ records, end }) => {
                 state.next = Math.max(from, records.length === 0 ? end : (records.at(-1)?.offset ?? from) + 1);
                 parts.onNews({ records, isWhole: false, askedAt });
-                return parts.pauseMs();
+                return 0;
             },
         });
     };
     const loop = async (): Promise<void> => {
-        const pause = await (state.next === undefined ? readWhole() : readOn(state.next));
+        const dueIn = state.next === undefined ? 0 : parts.dueInMs();
+        const pause = dueIn > 0
+            ? Math.min(dueIn, LOOK_AGAIN_MS)
+            : await (state.next === undefined ? readWhole() : readOn(state.next));
         if (!state.isStopped) {
             state.timer = setTimeout(() => void loop(), pause);
         }
