--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -10,6 +10,7 @@
 import { silenceBound } from "./silenceBound.js";
 import type { TryParts } from "./TryParts.js";
 import type { TryResult } from "./TryResult.js";
+import { watchOrders } from "./watchOrders.js";
 
 /**
  * Longest idle time of a kept connection that carries what may run only once. An endpoint that has gone dark, or a
@@ -48,6 +49,11 @@
     });
 };
 
+const later = (delayMs: Millis, run: () => void): () => void => {
+    const timer = setTimeout(run, delayMs);
+    return () => clearTimeout(timer);
+};
+
 /** Takes a further try for a stream that is to leave its engine; false where it stays. */
 const takeMove = ({ parts, served, place, progress }: TryParts): boolean => {
     const { prompt } = served.caller;
@@ -145,7 +151,12 @@
             onFirstEvent: noteRead,
             sign: seat.sign,
             isAlive: seat.isAlive,
-            onMove: listener => book.onOrdered(place.entry.name, () => takeMove(tryParts) ? listener() : undefined),
+            onMove: move =>
+                watchOrders({
+                    onOrdered: listener => book.onOrdered(place.entry.name, listener),
+                    later,
+                    takesMove: () => takeMove(tryParts),
+                }, move),
         }),
     );
 }
