--- /dev/null
+++ b/packages/router/src/__tests__/support/organisationOf.ts
@@ -0,0 +1,17 @@
+import type { OrganisationId } from "@azureshunt/core";
+
+import type { Organisation } from "../../configuration/Organisation.js";
+
+/** An organisation with a rate and a burst in tokens. */
+export function organisationOf(ratePerSecond: number, burst: number, id = "org"): Organisation {
+    return {
+        id: id as OrganisationId,
+        keys: [],
+        priority: undefined,
+        isIsolated: false,
+        countsRequests: false,
+        ratePerSecond,
+        burst,
+        plainTokens: 1,
+    };
+}
--- a/packages/router/src/__tests__/unit/allowance.test.ts
+++ b/packages/router/src/__tests__/unit/allowance.test.ts
@@ -3,12 +3,15 @@
 import fc from "fast-check";
 
 import { advanceShared } from "../../allowance/advanceShared.js";
+import { createAllowances } from "../../allowance/createAllowances.js";
 import { hearSpending } from "../../allowance/hearSpending.js";
 import { openSharedAllowance } from "../../allowance/openSharedAllowance.js";
 import { refundShared } from "../../allowance/refundShared.js";
 import { relimitShared } from "../../allowance/relimitShared.js";
 import type { SharedAllowance } from "../../allowance/SharedAllowance.js";
 import { spendShared } from "../../allowance/spendShared.js";
+import type { Beacon } from "../../peers/Beacon.js";
+import { organisationOf } from "../support/organisationOf.js";
 
 const SEED = 20_261_203;
 const RATE = 1_000;
@@ -167,3 +170,46 @@
     t.is(advanceShared(start, { peers: 3, unheard: [] }, 5_000).overdraft, BURST / 16);
     t.is(advanceShared(start, { peers: 3, unheard: [] }, 10_000).overdraft, 0);
 });
+
+/*
+ * One VM restarts while the others have served for a while. The list of VMs names them before it has heard any, and when it
+ * hears the first counter, it takes all that was ever spent for spent now: organisations within their rate are refused
+ * there for seconds.
+ */
+const starts = [
+    { name: "heard at once", unheardMs: 0 },
+    { name: "listed for a while before it is heard", unheardMs: 300 },
+] as const;
+starts.forEach(({ name, unheardMs }) => {
+    test(`allowance: what another VM had spent before this one started does not count here: ${name}`, t => {
+        const other = "vm1" as VmId;
+        const opened = openSharedAllowance(RATE, BURST, 0);
+        const waited = advanceShared(opened, { peers: 1, unheard: [other] }, unheardMs);
+        const heard = hearSpending(waited, other, 50 * BURST, false);
+        t.is(heard.level, waited.level);
+        // From then on every token counts.
+        t.is(hearSpending(heard, other, 50 * BURST + 700, false).level, heard.level - 700);
+    });
+});
+
+/*
+ * The same through the allowances of a VM, beside one that started after it: of that one every token counts.
+ */
+const ages = [
+    { name: "of a VM that served long before", upMs: 60_000, counts: false },
+    { name: "of a VM whose age is not told", upMs: Infinity, counts: false },
+    { name: "of a VM that started after this one", upMs: 100, counts: true },
+] as const;
+ages.forEach(({ name, upMs, counts }) => {
+    test(`allowances: the first count ${name} ${counts ? "is" : "is not"} taken for spent now`, t => {
+        const time = { now: 0 };
+        const clock = { now: () => time.now, epoch: () => time.now };
+        const other = "vm1" as VmId;
+        const allowances = createAllowances(clock, () => ({ peers: 1, unheard: time.now < 300 ? [other] : [] }));
+        const organisation = organisationOf(RATE, BURST);
+        allowances.open([organisation]);
+        time.now = 300;
+        allowances.hear({ vm: other, upMs, spent: [[organisation.id, 50 * BURST]] } as unknown as Beacon, false);
+        t.is(allowances.spend(organisation, 1).isRight(), !counts);
+    });
+});
--- a/packages/router/src/__tests__/unit/allowanceQueue.test.ts
+++ b/packages/router/src/__tests__/unit/allowanceQueue.test.ts
@@ -1,26 +1,15 @@
-import type { OrganisationId, VmId } from "@azureshunt/core";
+import type { VmId } from "@azureshunt/core";
 import test from "ava";
 
 import { createAllowanceQueue } from "../../allowance/createAllowanceQueue.js";
 import { createAllowances } from "../../allowance/createAllowances.js";
 import { waitForAllowance } from "../../allowance/waitForAllowance.js";
-import type { Organisation } from "../../configuration/Organisation.js";
+import { organisationOf } from "../support/organisationOf.js";
 
 const RATE = 10_000;
 const TOKENS = 1_000;
 const WAIT_MS = 250;
 
-const organisationOf = (id: string): Organisation => ({
-    id: id as OrganisationId,
-    keys: [],
-    priority: undefined,
-    isIsolated: false,
-    countsRequests: false,
-    ratePerSecond: RATE,
-    burst: 2 * RATE,
-    plainTokens: 1,
-});
-
 /** A clock that a test moves on, with the functions that wait for it. */
 const createTime = () => {
     const state = { now: 0, waiting: [] as { readonly at: number; readonly run: () => void; }[] };
@@ -50,9 +39,8 @@
     const outcomes: string[] = [];
     const ask = (name: string, id: string, signal: AbortSignal = new AbortController().signal): void => {
         const waitsUntil = time.clock.now() + WAIT_MS;
-        void queue.charge({ organisation: organisationOf(id), tokens: TOKENS, waitsUntil, signal }).then(outcome =>
-            outcomes.push(`${name} ${outcome.isRight() ? "charged" : "refused"}`)
-        );
+        void queue.charge({ organisation: organisationOf(RATE, 2 * RATE, id), tokens: TOKENS, waitsUntil, signal })
+            .then(outcome => outcomes.push(`${name} ${outcome.isRight() ? "charged" : "refused"}`));
     };
     return { time, ask, outcomes };
 };
--- a/packages/router/src/__tests__/unit/beacon.test.ts
+++ b/packages/router/src/__tests__/unit/beacon.test.ts
@@ -25,6 +25,7 @@
     lease: undefined,
     deaths: [],
     stopped: [],
+    upMs: 5_000,
     registry: { digest: "d1", ageMs: 40 },
     hasStore: true,
     isLeaving: false,
--- a/packages/router/src/allowance/SharedAllowance.ts
+++ b/packages/router/src/allowance/SharedAllowance.ts
@@ -2,8 +2,8 @@
 
 /** What another VM has told of its spending for one organisation. */
 type PeerSpending = {
-    /** Tokens spent since that VM's process began. */
-    readonly spent: Tokens;
+    /** Tokens spent since that VM's process began; undefined until it has told. */
+    readonly spent: Tokens | undefined;
     /** Tokens that were taken as spent there while it was out of hearing. */
     readonly assumed: Tokens;
 };
--- a/packages/router/src/allowance/advanceShared.ts
+++ b/packages/router/src/allowance/advanceShared.ts
@@ -17,7 +17,7 @@
     const share = allowance.ratePerSecond * seconds / (hearing.peers + 1);
     const refill = share * (hearing.peers + 1 - hearing.unheard.length);
     const assume = (peers: SharedAllowance["peers"], vm: Hearing["unheard"][number]): SharedAllowance["peers"] => {
-        const known = peers.get(vm) ?? { spent: 0, assumed: 0 };
+        const known = peers.get(vm) ?? { spent: undefined, assumed: 0 };
         return new Map([...peers, [vm, { ...known, assumed: known.assumed + share }]]);
     };
     return {
--- a/packages/router/src/allowance/createAllowances.ts
+++ b/packages/router/src/allowance/createAllowances.ts
@@ -82,7 +82,9 @@
         beacon.spent.forEach(([id, tokens]) => {
             const allowance = all.get(id);
             if (allowance !== undefined) {
-                all.set(id, hearSpending(allowance, beacon.vm, tokens, isRestarted));
+                const isFirst = allowance.peers.get(beacon.vm)?.spent === undefined;
+                const isYounger = beacon.upMs <= clock.now() - allowance.openedAt;
+                all.set(id, hearSpending(allowance, beacon.vm, tokens, isRestarted || (isFirst && isYounger)));
             }
         });
     return {
--- a/packages/router/src/peers/Beacon.ts
+++ b/packages/router/src/peers/Beacon.ts
@@ -18,6 +18,8 @@
     readonly vm: VmId;
     readonly incarnation: Incarnation;
     readonly failureDomain: FailureDomain;
+    /** How long ago its process started; ∞ where it does not say. */
+    readonly upMs: Millis;
     /** Grows with each beacon of a process. */
     readonly sequence: number;
     /** When it was sent, on the sender's monotonic clock; the receiver sends it back. */
--- a/packages/router/src/peers/decodeBeacon.ts
+++ b/packages/router/src/peers/decodeBeacon.ts
@@ -8,6 +8,7 @@
 /** Tokens of the parts in the field of cached ones, in the same order. */
 const CACHED_TOKENS = 22;
 const REGISTRY = 23;
+const UP_MS = 24;
 
 type Row = readonly unknown[];
 
@@ -45,7 +46,8 @@
     && areRows(row[DEATHS] ?? [], isText, isText)
     && areRows(row[STOPPED] ?? [], isText, isNumber)
     && (row[CACHED_TOKENS] === undefined || areNumbers(row[CACHED_TOKENS]))
-    && isTriple(row[REGISTRY] ?? null, isText, isNumber);
+    && isTriple(row[REGISTRY] ?? null, isText, isNumber)
+    && (row[UP_MS] === undefined || isNumber(row[UP_MS]));
 
 const parse = (datagram: Buffer): unknown => {
     try {
@@ -100,5 +102,6 @@
         registry: isRow(registry) ? { digest: registry[0], ageMs: registry[1] } : undefined,
         deaths: row[DEATHS] ?? [],
         stopped: row[STOPPED] ?? [],
+        upMs: row[UP_MS] ?? Infinity,
     } as unknown as Beacon;
 }
--- a/packages/router/src/peers/encodeBeacon.ts
+++ b/packages/router/src/peers/encodeBeacon.ts
@@ -31,5 +31,6 @@
         beacon.stopped,
         beacon.cached.map(([, parts]) => parts.map(({ tokens }) => tokens)),
         beacon.registry === undefined ? null : [beacon.registry.digest, beacon.registry.ageMs],
+        beacon.upMs,
     ]));
 }
--- a/packages/router/src/peers/startBeacons.ts
+++ b/packages/router/src/peers/startBeacons.ts
@@ -37,6 +37,7 @@
     const socket = createSocket("udp4");
     const stamps = new Map<VmId, Stamp>();
     const count = { round: 0, sequence: 0 };
+    const startedAt = clock.now();
     const [host, port] = parts.address.split(":");
 
     const send = (isLeaving: boolean): void => {
@@ -52,7 +53,16 @@
                 ? undefined
                 : { incarnation: stamp.incarnation, sentAt: stamp.sentAt, heldMs: now - stamp.at };
             count.sequence += 1;
-            const beacon = { ...self, ...news, sequence: count.sequence, sentAt: now, echo, members: named, isLeaving };
+            const beacon = {
+                ...self,
+                ...news,
+                sequence: count.sequence,
+                sentAt: now,
+                upMs: now - startedAt,
+                echo,
+                members: named,
+                isLeaving,
+            };
             const [to, toPort] = address.split(":");
             socket.send(encodeBeacon(beacon), Number(toPort), to, err => {
                 if (err !== null) {
