--- a/packages/router/src/peers/peerTiming.ts
+++ b/packages/router/src/peers/peerTiming.ts
@@ -5,6 +5,8 @@
     /** Added to it for each VM, so that a VM sends and reads at most forty beacons a second each way. */
     perMemberMs: 25,
     longestBeaconMs: 1_000,
+    /** Up to so many VMs beacons are 225 ms apart at most, so that each knows the others' load as of a few choices ago. */
+    fewVms: 9,
     /** Beacons without which a VM counts as out of hearing; one may be lost. */
     unheardBeacons: 4,
     /**
--- a/packages/router/src/placement/sampleCandidates.ts
+++ b/packages/router/src/placement/sampleCandidates.ts
@@ -1,7 +1,6 @@
+import { peerTiming } from "../peers/peerTiming.js";
 import type { Candidate } from "./Candidate.js";
 
-/** Up to so many VMs beacons come every 225 ms: what is known of the load is from before a dozen choices at most. */
-const FEW_CHOOSERS = 9;
 /** Candidates drawn at random. Two halve the longest queue where load is known late; more also find the faster engines. */
 const DRAWN = 4;
 /** Candidates with the least to read besides, so that a prompt still comes to engines that hold its parts. */
@@ -34,7 +33,7 @@
     choosers: number,
     random: () => number,
 ): readonly Candidate[] {
-    return choosers <= FEW_CHOOSERS || candidates.length <= DRAWN
+    return choosers <= peerTiming.fewVms || candidates.length <= DRAWN
         ? candidates
         : [...new Set([...draw(candidates, DRAWN, random), ...draw(holdersOf(candidates), HOLDERS, random)])];
 }
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -16,6 +16,7 @@
 import { createMembership } from "./peers/createMembership.js";
 import { createOthersLoad } from "./peers/createOthersLoad.js";
 import type { NewsSources } from "./peers/NewsSources.js";
+import { peerTiming } from "./peers/peerTiming.js";
 import { spreadNews } from "./peers/spreadNews.js";
 import { startAnnouncing } from "./peers/startAnnouncing.js";
 import { startBeacons } from "./peers/startBeacons.js";
@@ -60,8 +61,6 @@
 const KEY_MARGIN_MS = 600;
 /** A request may wait in the engine's queue before it begins. */
 const WEIGHTS_MARGIN_MS = 1_500;
-/** Up to so many VMs beacons follow a read of the registry within a third of the time between two reads. */
-const FEW_VMS = 9;
 const PAUSE_CHECK_MS = 100;
 
 /** Starts all parts of a router. */
@@ -139,7 +138,7 @@
         leavingMs: () => held.settings.leavingMs,
         isReader: membership.isReader,
         // Among many VMs beacons are further apart than reads; its word would come too late for them.
-        onRead: () => membership.isReader() && membership.vms() > FEW_VMS ? beacons.sendNow() : undefined,
+        onRead: () => membership.isReader() && membership.vms() > peerTiming.fewVms ? beacons.sendNow() : undefined,
     });
     const demand = createDemand(clock);
     const allowances = createAllowances(clock, membership.hearing);
