--- /dev/null
+++ b/packages/router/src/__tests__/support/entryOf.ts
@@ -0,0 +1,18 @@
+import type { EndpointName, FailureDomain, ServiceName } from "@azureshunt/core";
+
+import type { EndpointEntry } from "../../registry/EndpointEntry.js";
+
+/** An endpoint's entry in the registry. */
+export function entryOf(name: string, more: Partial<EndpointEntry> = {}): EndpointEntry {
+    return {
+        name: name as EndpointName,
+        service: "desk" as ServiceName,
+        address: "10.0.0.1:80",
+        failureDomain: "fd" as FailureDomain,
+        isLeaving: false,
+        slots: 6,
+        versions: new Map(),
+        bornAt: 1,
+        ...more,
+    };
+}
--- a/packages/router/src/__tests__/unit/overload.test.ts
+++ b/packages/router/src/__tests__/unit/overload.test.ts
@@ -3,28 +3,15 @@
 import type { Candidate } from "../../placement/Candidate.js";
 import { estimateStart } from "../../placement/estimateStart.js";
 import { overloadWait } from "../../placement/overloadWait.js";
-import { soundHealth } from "../../placement/soundHealth.js";
+import { candidateOf } from "../support/candidateOf.js";
 
 const OBJECTIVE_MS = 500;
 const PROMPT = 2_400;
 /** Tokens that the engine below reads in a millisecond. */
 const READING = 60;
 
-const engine = (waitingTokens: number, running: number): Candidate => ({
-    name: "e" as Candidate["name"],
-    health: soundHealth,
-    isNear: true,
-    slots: 64,
-    running,
-    waitingTokens,
-    memoryTokens: 0,
-    memorySize: 280_000,
-    missingTokens: PROMPT,
-    fetchedTokens: 0,
-    outdatedMs: undefined,
-    silentMs: 0,
-    quietMs: 0,
-});
+const engine = (waitingTokens: number, running: number): Candidate =>
+    candidateOf("e", { running, waitingTokens, missingTokens: PROMPT });
 
 type Outcome = { readonly inTime: number; readonly late: number; readonly refused: number; };
 
--- a/packages/router/src/__tests__/unit/placement.test.ts
+++ b/packages/router/src/__tests__/unit/placement.test.ts
@@ -1,4 +1,3 @@
-import type { EndpointName } from "@azureshunt/core";
 import test from "ava";
 
 import type { TryOutcome } from "../../dispatch/TryOutcome.js";
@@ -10,23 +9,7 @@
 import type { InFlight } from "../../placement/InFlight.js";
 import { loadOf } from "../../placement/loadOf.js";
 import { soundHealth } from "../../placement/soundHealth.js";
-
-const candidate = (name: string, more: Partial<Candidate> = {}): Candidate => ({
-    name: name as EndpointName,
-    health: soundHealth,
-    isNear: true,
-    slots: 64,
-    running: 0,
-    waitingTokens: 0,
-    memoryTokens: 0,
-    memorySize: 280_000,
-    missingTokens: 6_000,
-    fetchedTokens: 0,
-    outdatedMs: undefined,
-    silentMs: 0,
-    quietMs: 0,
-    ...more,
-});
+import { candidateOf } from "../support/candidateOf.js";
 
 type Case = { readonly name: string; readonly candidates: readonly Candidate[]; readonly chosen: string | undefined; };
 
@@ -36,63 +19,70 @@
  */
 const cases: readonly Case[] = [
     { name: "nobody", candidates: [], chosen: undefined },
-    { name: "the shorter queue", candidates: [candidate("a", { waitingTokens: 9_000 }), candidate("b")], chosen: "b" },
+    {
+        name: "the shorter queue",
+        candidates: [candidateOf("a", { waitingTokens: 9_000 }), candidateOf("b")],
+        chosen: "b",
+    },
     {
         name: "less to read, though the queue is a little longer",
-        candidates: [candidate("a", { missingTokens: 600, waitingTokens: 1_000 }), candidate("b")],
+        candidates: [candidateOf("a", { missingTokens: 600, waitingTokens: 1_000 }), candidateOf("b")],
         chosen: "a",
     },
     {
         name: "a holder of the shared parts before one that would fetch them",
         candidates: [
-            candidate("a", { missingTokens: 1_000, fetchedTokens: 5_000 }),
-            candidate("b", { missingTokens: 1_000 }),
+            candidateOf("a", { missingTokens: 1_000, fetchedTokens: 5_000 }),
+            candidateOf("b", { missingTokens: 1_000 }),
         ],
         chosen: "b",
     },
     {
         name: "the newest weights, when the others were replaced a while ago",
-        candidates: [candidate("a", { outdatedMs: 2_000 }), candidate("b", { running: 5 })],
+        candidates: [candidateOf("a", { outdatedMs: 2_000 }), candidateOf("b", { running: 5 })],
         chosen: "b",
     },
     {
         name: "replaced weights, while they still count in full",
-        candidates: [candidate("a", { outdatedMs: 500 }), candidate("b", { running: 20 })],
+        candidates: [candidateOf("a", { outdatedMs: 500 }), candidateOf("b", { running: 20 })],
         chosen: "a",
     },
     {
         name: "a busy one before one that has gone silent",
-        candidates: [candidate("a", { silentMs: 400 }), candidate("b", { running: 9, waitingTokens: 9_000 })],
+        candidates: [candidateOf("a", { silentMs: 400 }), candidateOf("b", { running: 9, waitingTokens: 9_000 })],
         chosen: "b",
     },
     {
         name: "a busy one before one in a failure domain out of hearing",
-        candidates: [candidate("a", { quietMs: 500 }), candidate("b", { running: 9, waitingTokens: 9_000 })],
+        candidates: [candidateOf("a", { quietMs: 500 }), candidateOf("b", { running: 9, waitingTokens: 9_000 })],
         chosen: "b",
     },
     {
         name: "one that is paused after failures gets nothing",
-        candidates: [candidate("a", { health: { ...soundHealth, downUntil: 2_000 } }), candidate("b", { running: 50 })],
+        candidates: [
+            candidateOf("a", { health: { ...soundHealth, downUntil: 2_000 } }),
+            candidateOf("b", { running: 50 }),
+        ],
         chosen: "b",
     },
     {
         name: "where all are paused, the one whose pause ends first",
         candidates: [
-            candidate("a", { health: { ...soundHealth, downUntil: 3_000 } }),
-            candidate("b", { health: { ...soundHealth, downUntil: 2_000 } }),
+            candidateOf("a", { health: { ...soundHealth, downUntil: 3_000 } }),
+            candidateOf("b", { health: { ...soundHealth, downUntil: 2_000 } }),
         ],
         chosen: "b",
     },
     {
         name: "an engine with memory left",
-        candidates: [candidate("a", { memoryTokens: 290_000 }), candidate("b", { waitingTokens: 9_000 })],
+        candidates: [candidateOf("a", { memoryTokens: 290_000 }), candidateOf("b", { waitingTokens: 9_000 })],
         chosen: "b",
     },
     {
         name: "plain services: a free slot",
         candidates: [
-            candidate("a", { memorySize: 0, slots: 6, running: 6, missingTokens: 0 }),
-            candidate("b", { memorySize: 0, slots: 6, running: 2, missingTokens: 0, isNear: false }),
+            candidateOf("a", { memorySize: 0, slots: 6, running: 6, missingTokens: 0 }),
+            candidateOf("b", { memorySize: 0, slots: 6, running: 2, missingTokens: 0, isNear: false }),
         ],
         chosen: "b",
     },
--- a/packages/router/src/__tests__/unit/registry.test.ts
+++ b/packages/router/src/__tests__/unit/registry.test.ts
@@ -1,22 +1,12 @@
-import type { EndpointName, FailureDomain, ServiceName } from "@azureshunt/core";
+import type { EndpointName } from "@azureshunt/core";
 import test from "ava";
 
 import { emptyRegistry } from "../../registry/emptyRegistry.js";
 import type { EndpointEntry } from "../../registry/EndpointEntry.js";
 import type { RegistryEvent } from "../../registry/RegistryEvent.js";
 import { stepRegistry } from "../../registry/stepRegistry.js";
+import { entryOf } from "../support/entryOf.js";
 
-const entry = (name: string, more: Partial<EndpointEntry> = {}): EndpointEntry => ({
-    name: name as EndpointName,
-    service: "desk" as ServiceName,
-    address: "10.0.0.1:80",
-    failureDomain: "fd" as FailureDomain,
-    isLeaving: false,
-    slots: 6,
-    versions: new Map(),
-    bornAt: 1,
-    ...more,
-});
 const whole = (...entries: readonly EndpointEntry[]): RegistryEvent => ({ kind: "whole", entries });
 const put = (each: EndpointEntry): RegistryEvent => ({ kind: "changes", changes: [{ name: each.name, entry: each }] });
 const drop = (name: string): RegistryEvent => ({
@@ -39,42 +29,48 @@
 const cases: readonly Case[] = [
     {
         name: "an entry that is dropped is gone",
-        events: [[5_000, whole(entry("a"))], [5_700, nothing], [6_400, nothing], [7_100, nothing], [7_800, drop("a")]],
+        events: [[5_000, whole(entryOf("a"))], [5_700, nothing], [6_400, nothing], [7_100, nothing], [
+            7_800,
+            drop("a"),
+        ]],
         endpoints: [],
     },
     {
         name: "an entry missing right after a gap still counts",
-        events: [[0, whole(entry("a"))], [6_000, drop("a")], [7_000, nothing]],
+        events: [[0, whole(entryOf("a"))], [6_000, drop("a")], [7_000, nothing]],
         endpoints: ["a"],
     },
     {
         name: "one that comes back stays",
-        events: [[0, whole(entry("a"))], [6_000, drop("a")], [7_000, put(entry("a"))], [9_000, nothing]],
+        events: [[0, whole(entryOf("a"))], [6_000, drop("a")], [7_000, put(entryOf("a"))], [9_000, nothing]],
         endpoints: ["a"],
     },
     {
         name: "one that is still missing after two seconds is gone",
-        events: [[0, whole(entry("a"))], [6_000, drop("a")], [7_000, nothing], [8_300, nothing]],
+        events: [[0, whole(entryOf("a"))], [6_000, drop("a")], [7_000, nothing], [8_300, nothing]],
         endpoints: [],
     },
     {
         name: "one that had said that it leaves is gone at once",
-        events: [[0, whole(entry("a", { isLeaving: true }))], [6_000, drop("a")]],
+        events: [[0, whole(entryOf("a", { isLeaving: true }))], [6_000, drop("a")]],
         endpoints: [],
     },
     {
         name: "a whole list after a gap leaves out a living one",
-        events: [[0, whole(entry("a"), entry("b"))], [6_000, whole(entry("b"))]],
+        events: [[0, whole(entryOf("a"), entryOf("b"))], [6_000, whole(entryOf("b"))]],
         endpoints: ["a", "b"],
     },
     {
         name: "an earlier run does not come back",
-        events: [[5_000, whole(entry("a", { bornAt: 9 }))], [5_500, put(entry("a", { bornAt: 3, isLeaving: true }))]],
+        events: [[5_000, whole(entryOf("a", { bornAt: 9 }))], [
+            5_500,
+            put(entryOf("a", { bornAt: 3, isLeaving: true })),
+        ]],
         endpoints: ["a"],
     },
     {
         name: "time alone drops nobody while the store is away",
-        events: [[0, whole(entry("a"))], [6_000, drop("a")], [30_000, { kind: "tick" }]],
+        events: [[0, whole(entryOf("a"))], [6_000, drop("a")], [30_000, { kind: "tick" }]],
         endpoints: ["a"],
     },
 ];
--- a/packages/router/src/__tests__/unit/registryEvidence.test.ts
+++ b/packages/router/src/__tests__/unit/registryEvidence.test.ts
@@ -1,4 +1,4 @@
-import type { EndpointName, FailureDomain, Incarnation, ServiceName, VmId } from "@azureshunt/core";
+import type { FailureDomain, Incarnation, VmId } from "@azureshunt/core";
 import test from "ava";
 
 import type { Beacon } from "../../peers/Beacon.js";
@@ -10,6 +10,7 @@
 import { registryDueIn } from "../../registry/registryDueIn.js";
 import type { RegistryEvidenceEvent } from "../../registry/RegistryEvidenceEvent.js";
 import { stepEvidence } from "../../registry/stepEvidence.js";
+import { entryOf } from "../support/entryOf.js";
 
 const LEAVING_MS = 2_000;
 const READ_EVERY_MS = 700;
@@ -89,36 +90,25 @@
     });
 });
 
-const entry = (name: string, more: Partial<EndpointEntry> = {}): EndpointEntry => ({
-    name: name as EndpointName,
-    service: "desk" as ServiceName,
-    address: "10.0.0.1:80",
-    failureDomain: "fd" as FailureDomain,
-    isLeaving: false,
-    slots: 6,
-    versions: new Map(),
-    bornAt: 1,
-    ...more,
-});
 const digestOf = (...entries: readonly EndpointEntry[]): string =>
     digestOfRegistry({
         endpoints: new Map(entries.map(each => [each.name, { entry: each, missingSince: undefined }])),
     });
 
 test("registry digest: the same entries in another order have the same name", t => {
-    t.is(digestOf(entry("a"), entry("b")), digestOf(entry("b"), entry("a")));
+    t.is(digestOf(entryOf("a"), entryOf("b")), digestOf(entryOf("b"), entryOf("a")));
 });
 
 const differences = [
-    { name: "one leaves", entries: [entry("a", { isLeaving: true })] },
+    { name: "one leaves", entries: [entryOf("a", { isLeaving: true })] },
     { name: "one is gone", entries: [] },
-    { name: "another one came", entries: [entry("a"), entry("b")] },
-    { name: "it has begun another run", entries: [entry("a", { bornAt: 2 })] },
-    { name: "its address is another one", entries: [entry("a", { address: "10.0.0.2:80" })] },
+    { name: "another one came", entries: [entryOf("a"), entryOf("b")] },
+    { name: "it has begun another run", entries: [entryOf("a", { bornAt: 2 })] },
+    { name: "its address is another one", entries: [entryOf("a", { address: "10.0.0.2:80" })] },
 ] as const;
 differences.forEach(({ name, entries }) => {
     test(`registry digest: another name where ${name}`, t => {
-        t.not(digestOf(...entries), digestOf(entry("a")));
+        t.not(digestOf(...entries), digestOf(entryOf("a")));
     });
 });
 
--- a/packages/router/src/__tests__/unit/sampleCandidates.test.ts
+++ b/packages/router/src/__tests__/unit/sampleCandidates.test.ts
@@ -1,10 +1,8 @@
-import type { EndpointName } from "@azureshunt/core";
 import test from "ava";
 
-import type { Candidate } from "../../placement/Candidate.js";
 import { choosePlace } from "../../placement/choosePlace.js";
 import { sampleCandidates } from "../../placement/sampleCandidates.js";
-import { soundHealth } from "../../placement/soundHealth.js";
+import { candidateOf } from "../support/candidateOf.js";
 
 const ENGINES = 40;
 const CHOOSERS = 60;
@@ -16,23 +14,6 @@
 const READ_PER_ARRIVAL = PROMPT / (ENGINES * 0.75);
 const ARRIVALS = 4_000;
 
-const candidate = (name: string, more: Partial<Candidate> = {}): Candidate => ({
-    name: name as EndpointName,
-    health: soundHealth,
-    isNear: true,
-    slots: 64,
-    running: 0,
-    waitingTokens: 0,
-    memoryTokens: 0,
-    memorySize: 280_000,
-    missingTokens: PROMPT,
-    fetchedTokens: 0,
-    outdatedMs: undefined,
-    silentMs: 0,
-    quietMs: 0,
-    ...more,
-});
-
 /** Numbers from 0 up to 1, the same at each run. */
 const createRandom = (): () => number => {
     const state = { seed: 20_261_203 };
@@ -54,7 +35,9 @@
         if (i % (NEWS_MS / ARRIVAL_MS) === 0) {
             heard.forEach((_, j) => heard[j] = [...queues]);
         }
-        const candidates = queues.map((_, e) => candidate(`${e}`, { waitingTokens: (heard[vm] ?? known)[e] ?? 0 }));
+        const candidates = queues.map((_, e) =>
+            candidateOf(`${e}`, { missingTokens: PROMPT, waitingTokens: (heard[vm] ?? known)[e] ?? 0 })
+        );
         const chosen = Number(choosePlace(sampleCandidates(candidates, choosers, random), 0, random)?.candidate.name);
         met.tokens += queues[chosen] ?? 0;
         queues[chosen] = (queues[chosen] ?? 0) + PROMPT;
@@ -76,21 +59,21 @@
     t.true(drawn < all / 2, `${Math.round(drawn)} tokens before a prompt, ${Math.round(all)} without drawing`);
 });
 
-const some = Array.from({ length: ENGINES }, (_, i) => candidate(`e${i}`));
+const some = Array.from({ length: ENGINES }, (_, i) => candidateOf(`e${i}`));
 
 test("sampleCandidates: few VMs choose among all", t => {
     t.is(sampleCandidates(some, 6, createRandom()), some);
 });
 
 test("sampleCandidates: an engine that holds the prompt's parts is among those drawn", t => {
-    const holder = candidate("holder", { missingTokens: 100 });
+    const holder = candidateOf("holder", { missingTokens: 100 });
     const drawn = sampleCandidates([...some, holder], CHOOSERS, createRandom());
     t.true(drawn.includes(holder));
     t.true(drawn.length < some.length / 4);
 });
 
 test("sampleCandidates: one that would have to fetch them is drawn by chance only", t => {
-    const fetching = candidate("fetching", { missingTokens: 100, fetchedTokens: 5_900 });
+    const fetching = candidateOf("fetching", { missingTokens: 100, fetchedTokens: 5_900 });
     const random = createRandom();
     const draws = Array.from({ length: 20 }, () => sampleCandidates([...some, fetching], CHOOSERS, random));
     t.true(draws.filter(drawn => drawn.includes(fetching)).length < draws.length / 2);
--- a/packages/router/src/allowance/createAllowances.ts
+++ b/packages/router/src/allowance/createAllowances.ts
@@ -37,15 +37,12 @@
 export function createAllowances(clock: Clock, hearing: () => Hearing): Allowances {
     const all = new Map<OrganisationId, SharedAllowance>();
 
-    const current = (
-        { id, ratePerSecond, burst }: Organisation,
-        heard: Hearing = hearing(),
-    ): SharedAllowance | undefined => {
+    const current = ({ id, ratePerSecond, burst }: Organisation): SharedAllowance | undefined => {
         if (ratePerSecond === undefined) {
             return undefined;
         }
         const known = all.get(id) ?? openSharedAllowance(ratePerSecond, burst, clock.now());
-        return relimitShared(advanceShared(known, heard, clock.now()), ratePerSecond, burst);
+        return relimitShared(advanceShared(known, hearing(), clock.now()), ratePerSecond, burst);
     };
     const open: Allowances["open"] = organisations =>
         [...organisations].filter(({ id }) => !all.has(id)).forEach(organisation => {
@@ -54,15 +51,20 @@
                 all.set(organisation.id, opened);
             }
         });
-    const refusal: Allowances["refusal"] = (organisation, tokens) => {
+    const refusalAt = (
+        organisation: Organisation,
+        allowance: SharedAllowance | undefined,
+        tokens: Tokens,
+    ): Refusal => {
         const { peers, unheard } = hearing();
-        const allowance = current(organisation);
         const waitMs = allowance === undefined ? 0 : shortMs(allowance);
         const detail =
             `${organisation.id}: level ${Math.round(allowance?.level ?? 0)}, rate ${organisation.ratePerSecond}, `
             + `asked ${tokens}, ${peers} other VMs, ${unheard.length} of them out of hearing`;
         return refusalOf("over-rate", detail, { retryAfterSeconds: waitMs / MS_PER_SECOND });
     };
+    const refusal: Allowances["refusal"] = (organisation, tokens) =>
+        refusalAt(organisation, current(organisation), tokens);
     const spend: Allowances["spend"] = (organisation, tokens) => {
         const allowance = current(organisation);
         if (allowance === undefined) {
@@ -70,7 +72,7 @@
         }
         const spent = spendShared(allowance, tokens);
         all.set(organisation.id, spent ?? allowance);
-        return spent === undefined ? Left(refusal(organisation, tokens)) : Right(undefined);
+        return spent === undefined ? Left(refusalAt(organisation, allowance, tokens)) : Right(undefined);
     };
     const refund: Allowances["refund"] = (organisation, tokens) => {
         const allowance = current(organisation);
