--- a/packages/router/src/fleet/leaseRank.ts
+++ b/packages/router/src/fleet/leaseRank.ts
@@ -1,10 +1,8 @@
 import type { Millis, VmId } from "@azureshunt/core";
 
+import { livingReaders } from "../peers/livingReaders.js";
 import type { Members } from "../peers/Members.js";
 
-/** A VM counts as living for the order of claims when it was heard so lately. */
-const LIVING_MS = 2_000;
-
 /**
  * Says how many VMs go before this one in claiming the order lease: the last holder first, so that it stays where it is,
  * then all that read the store, by name.
@@ -13,9 +11,7 @@
     if (lastHolder === members.vm) {
         return 0;
     }
-    const living = [...members.known.values()].filter(({ heard }) =>
-        heard !== undefined && now - heard.at < LIVING_MS && heard.beacon.hasStore
-    ).map(({ vm }) => vm);
+    const living = livingReaders(members, now);
     const before = living.filter(vm => vm === lastHolder || vm < members.vm).length;
     // One that does not read the store leaves the claim to those that do.
     return before + 1 + (hasStore ? 0 : living.length);
