Show how far weights have come, what beacons weigh and where a stream's events wait

Sight for an incident at 61 VMs: engines kept their old weights for half a minute while their streams failed. The lines that were there could not tell an engine that the VM with the order lease takes for unreachable from one whose turn has not come, nor an event that came late from its engine from one that waited in this VM. No decision is changed.

--- a/packages/router/src/fleet/startOrders.ts
+++ b/packages/router/src/fleet/startOrders.ts
@@ -14,6 +14,7 @@
 import type { OrderLeaseEvent } from "./OrderLeaseEvent.js";
 import { orderTiming } from "./orderTiming.js";
 import { planWave } from "./planWave.js";
+import { rolloutOf } from "./rolloutOf.js";
 
 type OrderParts = {
     readonly clock: Clock;
@@ -47,6 +48,8 @@
 const ACCEPTED = 202;
 const HOLDS_ALREADY = 200;
 const CONFLICT = 409;
+/** Between two lines on how far new weights have come. */
+const ROLLOUT_EVERY_MS: Millis = 1_000;
 
 /** Runs the order lease and, while it is held, brings all engines to the newest named weights. */
 export function startOrders(parts: OrderParts): Orders {
@@ -118,11 +121,24 @@
         );
     };
 
+    /** Says how far the weights have come, at most once in a while. */
+    const told = { at: -Infinity };
+    const tellRollout = (): void => {
+        if (orderFence(keeper.current(), clock.now()) === undefined || clock.now() - told.at < ROLLOUT_EVERY_MS) {
+            return;
+        }
+        told.at = clock.now();
+        wanted().forEach(([model, version]) =>
+            logger.info({ model, version, ...rolloutOf(book.engines(model), version) }, "Weights are not everywhere.")
+        );
+    };
+
     const timer = setInterval(() => {
         const isWanted = wanted().length > 0;
         keeper.tell({ kind: "tick", isWanted, rank: parts.rank(keeper.current().tail?.holder) });
         if (isWanted) {
             work();
+            tellRollout();
         }
     }, orderTiming.tickMs);
     return { tell: keeper.tell, lease: keeper.current, stop: () => clearInterval(timer) };
--- a/packages/router/src/peers/startBeacons.ts
+++ b/packages/router/src/peers/startBeacons.ts
@@ -18,6 +18,8 @@
     readonly members: () => Members;
     readonly news: () => News;
     readonly onBeacon: (beacon: Beacon, address: string) => void;
+    /** A beacon of so many bytes was sent. */
+    readonly onSent: (bytes: number) => void;
     readonly onFault: (what: "unreadable" | "socket", err: Error | undefined) => void;
 };
 
@@ -64,7 +66,9 @@
                 isLeaving,
             };
             const [to, toPort] = address.split(":");
-            socket.send(encodeBeacon(beacon), Number(toPort), to, err => {
+            const datagram = encodeBeacon(beacon);
+            parts.onSent(datagram.length);
+            socket.send(datagram, Number(toPort), to, err => {
                 if (err !== null) {
                     parts.onFault("socket", err);
                 }
--- a/packages/router/src/placement/createEndpointBook.ts
+++ b/packages/router/src/placement/createEndpointBook.ts
@@ -152,6 +152,8 @@
         const own = dealings.last(endpoint);
         if (own !== undefined) {
             own.health = healthAfterTry(own.health, "unreached", clock.now());
+            const { unreachedInRow } = own.health;
+            parts.onChange(endpoint, "paused", { outcome: "unreached", unreachedInRow, by: "order" });
         }
     };
 
--- a/packages/router/src/serve/passStream.ts
+++ b/packages/router/src/serve/passStream.ts
@@ -70,7 +70,7 @@
                 parts.onFirstEvent();
                 parts.sendHead();
             }
-            served.res.write(event.bytes);
+            served.res.write(event.bytes, progress.pace.passing());
             progress.passedEvents += 1;
             progress.lastEventId = event.id ?? progress.lastEventId;
             return true;
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -102,6 +102,8 @@
             running: place.running,
             weights: place.weights,
             events: progress.passedEvents,
+            longestPauseMs: Math.round(progress.pace.longestPauseMs()),
+            longestSendMs: Math.round(progress.pace.longestSendMs()),
             isLastTry,
         });
         parts.metrics.count("azureshunt_tries_total", "Tries at endpoints by how they ended.", {
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -7,6 +7,7 @@
 import { failureOfOutcome } from "../dispatch/failureOfOutcome.js";
 import { overloadWait } from "../placement/overloadWait.js";
 import { allowedTries } from "./allowedTries.js";
+import { createStreamPace } from "./createStreamPace.js";
 import { isRepeatable } from "./isRepeatable.js";
 import { placeRequest } from "./placeRequest.js";
 import { runTry } from "./runTry.js";
@@ -50,7 +51,11 @@
 
 /** Serves a request by one try after the other, until it is answered or a further try is ruled out. */
 export async function serveTries(parts: ServeParts, served: ServedRequest): Promise<ServedEnd> {
-    const stream: StreamProgress = { passedEvents: 0, lastEventId: served.caller.lastEventId };
+    const stream: StreamProgress = {
+        passedEvents: 0,
+        lastEventId: served.caller.lastEventId,
+        pace: createStreamPace(parts.clock.now),
+    };
 
     const give = (progress: Progress, refusal: Refusal): ServedEnd =>
         progress.failure === undefined || stream.passedEvents > 0
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -190,6 +190,10 @@
             }
             spreadNews(sources, news.heard, address, news.before !== undefined && !isSame);
         },
+        onSent: bytes => {
+            metrics.count("azureshunt_beacons_total", "Beacons that were sent.");
+            metrics.count("azureshunt_beacon_bytes_total", "Bytes of the beacons that were sent.", {}, bytes);
+        },
         onFault: (what, err) => {
             metrics.count("azureshunt_beacon_faults_total", "Beacons that failed.", { what });
             logger.debug({ what, err }, "A beacon failed.");
