Order an engine again once the pause after an unreached order is over

Cause: an engine counted as up for orders only if no try of the VM with the order lease had failed to reach it since the last good one. Engines on old weights get no requests, so nothing could show that one was back: a failure that only work clears, and that keeps the work away. One second in which connections were slow took ten engines of 60 out of the plan for good. Ruled out: nobody holds the lease (it was renewed 18 times meanwhile), orders that are lost again and again (none was given), waves that are too slow (they stopped). Why it holds: after its pause, at most 2 s, each engine is tried again by an order; an unreached one doubles the pause and nothing else. Test red before (3 cases), green now.

--- a/packages/router/src/fleet/EngineWeights.ts
+++ b/packages/router/src/fleet/EngineWeights.ts
@@ -18,6 +18,6 @@
     } | undefined;
     /** Requests that run there now. */
     readonly running: number;
-    /** Whether it can be reached. */
+    /** Whether it may be tried: it is not in the pause that follows a try which did not reach it. */
     readonly isUp: boolean;
 };
--- a/packages/router/src/placement/createEndpointBook.ts
+++ b/packages/router/src/placement/createEndpointBook.ts
@@ -185,7 +185,9 @@
                     ordersTaken: own.seenOrders,
                     order: orderAt(entry, version),
                     running,
-                    isUp: own.health.unreachedInRow === 0 && own.health.downUntil <= clock.now(),
+                    // Only a try shows that an engine is back, and on old weights it gets none but an order; waiting for
+                    // another sign would leave it on them for ever. The pause after each failed one grows.
+                    isUp: own.health.downUntil <= clock.now(),
                 };
             });
 
