Let neither old news nor a void order's report end a newer order

Callers saw: engines away from service twice as long as a load takes. Cause: an order was known by its engine alone. A beacon of the VM that had held the lease before still told of its last orders, as orders that were over were never left out, and hid the holder's new one; a report on a void order ended whichever order was there. Both made the engine seem free, and it was ordered again at once, for the same weights. Why it holds: an order is known by when it was given; older news change nothing, and a report speaks of its own order. An order that is over is told no more.

--- /dev/null
+++ b/packages/router/src/__tests__/unit/engineOrders.test.ts
@@ -0,0 +1,102 @@
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+
+import test from "ava";
+
+import { EndpointAgent } from "../../dispatch/EndpointAgent.js";
+import type { EngineOrder } from "../../fleet/EngineOrder.js";
+import { followOrder } from "../../fleet/followOrder.js";
+import type { EndpointWire } from "../../ports/EndpointWire.js";
+import { bookOf } from "../support/bookOf.js";
+
+/*
+ * Engines loaded the same weights twice, and were away from callers twice as long. The lease had just gone to another VM.
+ * Its order was accepted, and then taken for over: by a beacon of the VM before it, which still told of its own last
+ * order, seconds old; or by a report on the order before, which was void. The engine was ordered again at once.
+ *
+ *   25.333 s front-bv-a-1 order i-7654bda23d fence 22: 409     25.423 s ... fence 22: 409
+ *   25.46  s front-bv-a-1 order i-7654bda23d fence 22: 202     25.526 s ... fence 22: 202
+ */
+
+const own = (givenAt: number): EngineOrder => ({ version: 2, givenAt, seenAt: givenAt, isOwn: true });
+const told = (givenAt: number, seenAt: number): EngineOrder => ({ version: 1, givenAt, seenAt, isOwn: false });
+
+type Case = {
+    readonly name: string;
+    readonly orders: readonly EngineOrder[];
+    readonly at: number;
+    readonly current: number | undefined;
+};
+
+const cases: readonly Case[] = [
+    { name: "one that was given", orders: [own(1_000)], at: 1_100, current: 1_000 },
+    { name: "one that nobody has seen for long", orders: [own(1_000)], at: 4_000, current: undefined },
+    { name: "told of an older one", orders: [own(9_000), told(1_000, 9_010)], at: 9_100, current: 9_000 },
+    {
+        name: "told of a newer one",
+        orders: [own(1_000), { ...own(9_000), isOwn: false }],
+        at: 9_100,
+        current: 9_000,
+    },
+    {
+        name: "told again of another VM's, which seems a little older",
+        orders: [{ ...own(1_000), isOwn: false }, { ...own(990), seenAt: 3_600, isOwn: false }],
+        at: 4_000,
+        current: 990,
+    },
+];
+
+cases.forEach(({ name, orders, at, current }) => {
+    test(`engine orders: ${name}`, t => {
+        const { book, time, model, engine } = bookOf();
+        orders.forEach(order => {
+            time.now = order.seenAt;
+            book.ordered(engine, order);
+        });
+        time.now = at;
+        t.is(book.engines(model)[0]?.order?.givenAt, current);
+    });
+});
+
+test("engine orders: only orders that are not over are told to the other VMs", t => {
+    const { book, time, engine } = bookOf();
+    book.ordered(engine, own(time.now));
+    t.is(book.ownOrders().length, 1);
+    book.sawWeights(engine, 2);
+    t.is(book.ownOrders().length, 0);
+});
+
+/** What a report does that shows more orders taken than the followed one expected, and nothing under way. */
+const reports = [
+    { name: "a report on a void order leaves the newer one alone", newerAt: 1_050, isOver: false },
+    { name: "a report on a void order ends it", newerAt: undefined, isOver: true },
+];
+
+reports.forEach(({ name, newerAt, isOver }) => {
+    test(`engine orders: ${name}`, async t => {
+        const server = createServer((_req, res) => res.end());
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        const { book, time, model, engine } = bookOf(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+        const agent = new EndpointAgent(() => time.now);
+        const wire = {
+            reportCall: { method: "GET", target: "/", headers: ["Host", "engine"], body: Buffer.alloc(0) },
+            decodeReport: () => ({ versions: new Map([[model, 1]]), isBusy: false, ordersTaken: 3 }),
+        } as unknown as EndpointWire;
+        book.ordered(engine, own(1_000));
+        const followed = { endpoint: engine, model, version: 2, givenAt: 1_000, ordersBefore: 0 };
+        const ended = new Promise<void>(resolve => {
+            void followOrder(
+                { clock: { now: () => time.now, epoch: () => 0 }, book, agent, wire },
+                followed,
+                () => resolve(),
+            );
+        });
+        if (newerAt !== undefined) {
+            book.ordered(engine, own(newerAt));
+        }
+        await ended;
+        t.is(book.engines(model)[0]?.order === undefined, isOver);
+        agent.destroy();
+        server.close();
+    });
+});
--- a/packages/router/src/__tests__/unit/planWave.test.ts
+++ b/packages/router/src/__tests__/unit/planWave.test.ts
@@ -16,7 +16,7 @@
 });
 const fleet = (count: number, more: Partial<EngineWeights> = {}): readonly EngineWeights[] =>
     Array.from({ length: count }, (_, i) => engine(`e${i}`, more));
-const order = { version: 2, sentAt: 0, isOwn: true };
+const order = { version: 2, givenAt: 0, seenAt: 0, isOwn: true };
 
 type Case = {
     readonly name: string;
--- a/packages/router/src/__tests__/unit/sight.test.ts
+++ b/packages/router/src/__tests__/unit/sight.test.ts
@@ -15,7 +15,7 @@
     isUp: true,
     ...more,
 });
-const order = { version: 2, sentAt: 0, isOwn: true };
+const order = { version: 2, givenAt: 0, seenAt: 0, isOwn: true };
 
 const rollouts = [
     { name: "all are there", engines: [engine({ version: 2 })], told: { outdated: 0, ordered: 0, unreachable: 0 } },
--- a/packages/router/src/__tests__/unit/unreachedOrders.test.ts
+++ b/packages/router/src/__tests__/unit/unreachedOrders.test.ts
@@ -1,11 +1,8 @@
-import type { EndpointName, FailureDomain, ModelName } from "@azureshunt/core";
+import type { EndpointName } from "@azureshunt/core";
 import test from "ava";
 
 import { planWave } from "../../fleet/planWave.js";
-import { noKnowledge } from "../../knowledge/noKnowledge.js";
-import { stepKnowledge } from "../../knowledge/stepKnowledge.js";
-import { createEndpointBook } from "../../placement/createEndpointBook.js";
-import { entryOf } from "../support/entryOf.js";
+import { bookOf } from "../support/bookOf.js";
 
 /*
  * With dozens of engines, half of them kept replaced weights for the rest of the day, and callers of the other half waited
@@ -18,9 +15,6 @@
  *   29.966 s  front-bv-a-1 POST /log-append: 200                                         (and 17 more, every 0.8 s)
  */
 
-const MODEL = "model" as ModelName;
-const ENGINE = "e" as EndpointName;
-const SERVES_FOR_MS = 10_500;
 /** Longest pause of an endpoint that cannot be reached. */
 const LONGEST_PAUSE_MS = 2_000;
 
@@ -33,36 +27,23 @@
 
 const cases: readonly Case[] = [
     { name: "once, while it still serves", unreached: 1, outdatedMs: 0 },
-    { name: "once, when it serves nobody any more", unreached: 1, outdatedMs: SERVES_FOR_MS },
-    { name: "six times", unreached: 6, outdatedMs: SERVES_FOR_MS },
+    { name: "once, when it serves nobody any more", unreached: 1, outdatedMs: 10_500 },
+    { name: "six times", unreached: 6, outdatedMs: 10_500 },
 ];
 
 cases.forEach(({ name, unreached, outdatedMs }) => {
     test(`orders: an engine that was not reached ${name} is ordered again after its pause`, t => {
-        const time = { now: 1_000 };
-        const knowledge = stepKnowledge(noKnowledge, { kind: "weights", model: MODEL, version: 2 }, time.now);
-        const book = createEndpointBook({
-            clock: { now: () => time.now, epoch: () => time.now },
-            failureDomain: "fd" as FailureDomain,
-            knowledge: () => knowledge,
-            othersAt: () => ({ running: 0, waitingTokens: 0, memoryTokens: 0 }),
-            quietMs: () => 0,
-            outdatedLimitMs: () => SERVES_FOR_MS,
-            onChange: () => undefined,
-            onGone: () => undefined,
-        });
-        const entry = entryOf(ENGINE, { versions: new Map([[MODEL, 1]]) });
-        book.tellRegistry({ kind: "whole", entries: [entry] });
+        const { book, time, model, engine, servesForMs } = bookOf();
         const planned = (): readonly EndpointName[] =>
-            planWave({ engines: book.engines(MODEL), version: 2, servesForMs: SERVES_FOR_MS, demand: 0 });
+            planWave({ engines: book.engines(model), version: 2, servesForMs, demand: 0 });
 
         time.now += outdatedMs;
-        t.deepEqual(planned(), [ENGINE]);
+        t.deepEqual(planned(), [engine]);
         Array.from({ length: unreached }).forEach(() => {
-            book.unreached(ENGINE);
+            book.unreached(engine);
             t.deepEqual(planned(), [], "it is left alone during its pause");
             time.now += LONGEST_PAUSE_MS;
         });
-        t.deepEqual(planned(), [ENGINE]);
+        t.deepEqual(planned(), [engine]);
     });
 });
--- a/packages/router/src/fleet/EngineWeights.ts
+++ b/packages/router/src/fleet/EngineWeights.ts
@@ -1,5 +1,7 @@
 import type { EndpointName, Millis } from "@azureshunt/core";
 
+import type { EngineOrder } from "./EngineOrder.js";
+
 /** What is known of the weights at one engine, for one model. */
 export type EngineWeights = {
     readonly endpoint: EndpointName;
@@ -9,13 +11,7 @@
     /** Orders that it has accepted since its start; an order carries it, so that one carried out late is void. */
     readonly ordersTaken: number;
     /** Set while an order is being carried out, or may be. */
-    readonly order: {
-        readonly version: number;
-        /** When it was given, or was last seen under way. */
-        readonly sentAt: Millis;
-        /** Whether this VM gave it. */
-        readonly isOwn: boolean;
-    } | undefined;
+    readonly order: EngineOrder | undefined;
     /** Requests that run there now. */
     readonly running: number;
     /** Whether it may be tried: it is not in the pause that follows a try which did not reach it. */
--- a/packages/router/src/fleet/startOrders.ts
+++ b/packages/router/src/fleet/startOrders.ts
@@ -54,7 +54,6 @@
 /** Runs the order lease and, while it is held, brings all engines to the newest named weights. */
 export function startOrders(parts: OrderParts): Orders {
     const { clock, book, knowledge, logger } = parts;
-    const reporting = new Set<EndpointName>();
     const keeper = createLeaseKeeper({ ...parts, onAppended: () => work() });
 
     const wanted = (): readonly (readonly [ModelName, number])[] =>
@@ -66,7 +65,6 @@
         { endpoint, model }: { readonly endpoint: EndpointName; readonly model: ModelName; },
         seen: number | undefined,
     ): void => {
-        reporting.delete(endpoint);
         logger.info({ endpoint, model, version: seen }, "Order ended.");
         parts.tellPeers();
         work();
@@ -81,7 +79,8 @@
             return;
         }
         const { ordersTaken } = engine;
-        book.ordered(endpoint, { version, sentAt: clock.now(), isOwn: true });
+        const givenAt = clock.now();
+        book.ordered(endpoint, { version, givenAt, seenAt: givenAt, isOwn: true });
         parts.tellPeers();
         const call = parts.wire.encodeOrder({ endpoint, model, version, holder: parts.vm, fence, ordersTaken });
         const res = await callOnce(parts.agent, entry.address, call, orderTiming.answerMs);
@@ -95,16 +94,13 @@
             book.unreached(endpoint);
         }
         if (res.kind === "unreached" || (status !== undefined && status !== ACCEPTED && status !== CONFLICT)) {
-            book.ordered(endpoint, undefined);
+            book.orderOver(endpoint, givenAt);
             return;
         }
-        if (!reporting.has(endpoint)) {
-            reporting.add(endpoint);
-            // After a conflict the engine's own count of orders has to be learnt before it can be ordered again.
-            const wait = status === CONFLICT ? 0 : orderTiming.firstReportMs;
-            const followed = { endpoint, model, version, ordersBefore: ordersTaken };
-            setTimeout(() => void followOrder(parts, followed, seen => ended(followed, seen)), wait);
-        }
+        // After a conflict the engine's own count of orders has to be learnt before it can be ordered again.
+        const wait = status === CONFLICT ? 0 : orderTiming.firstReportMs;
+        const followed = { endpoint, model, version, givenAt, ordersBefore: ordersTaken };
+        setTimeout(() => void followOrder(parts, followed, seen => ended(followed, seen)), wait);
     };
 
     const work = (): void => {
--- a/packages/router/src/peers/spreadNews.ts
+++ b/packages/router/src/peers/spreadNews.ts
@@ -17,7 +17,7 @@
     registry.hear(heard);
     othersLoad.hear(beacon);
     beacon.ordered.forEach(([endpoint, version, ageMs]) =>
-        book.ordered(endpoint, { version, sentAt: now - ageMs, isOwn: false })
+        book.ordered(endpoint, { version, givenAt: now - ageMs, seenAt: now, isOwn: false })
     );
     beacon.cached.forEach(([holder, parts]) => chains.hear(holder, parts, now));
     beacon.held.forEach(([endpoint, version]) => book.sawWeights(endpoint, version));
--- a/packages/router/src/placement/Dealings.ts
+++ b/packages/router/src/placement/Dealings.ts
@@ -1,6 +1,6 @@
 import type { Millis } from "@azureshunt/core";
 
-import type { EngineWeights } from "../fleet/EngineWeights.js";
+import type { EngineOrder } from "../fleet/EngineOrder.js";
 import type { EndpointHealth } from "./EndpointHealth.js";
 import type { InFlight } from "./InFlight.js";
 
@@ -13,5 +13,5 @@
     /** Version seen in answers, reports and orders; the registry's entry may lag behind it. */
     seenVersion: number;
     seenOrders: number;
-    order: EngineWeights["order"];
+    order: EngineOrder | undefined;
 };
--- a/packages/router/src/placement/EndpointBook.ts
+++ b/packages/router/src/placement/EndpointBook.ts
@@ -1,5 +1,6 @@
 import type { EndpointName, Millis, ModelName, ServiceName, Tokens } from "@azureshunt/core";
 
+import type { EngineOrder } from "../fleet/EngineOrder.js";
 import type { EngineWeights } from "../fleet/EngineWeights.js";
 import type { EndpointShare } from "../peers/EndpointShare.js";
 import type { EndpointEntry } from "../registry/EndpointEntry.js";
@@ -34,8 +35,10 @@
     readonly unreached: (endpoint: EndpointName) => void;
     /** An engine showed which weights it holds. */
     readonly sawWeights: (endpoint: EndpointName, version: number, ordersTaken?: number) => void;
-    /** An order was given, by this VM or another; undefined when it is over. */
-    readonly ordered: (endpoint: EndpointName, order: EngineWeights["order"]) => void;
+    /** An order was given, by this VM or another, or is still under way. An older one than is known changes nothing. */
+    readonly ordered: (endpoint: EndpointName, order: EngineOrder) => void;
+    /** The order that was given then is over, or was never carried out; a newer one stays. */
+    readonly orderOver: (endpoint: EndpointName, givenAt: Millis) => void;
     /**
      * Calls the listener whenever an order for new weights is given to the engine.
      *
--- a/packages/router/src/placement/createEndpointBook.ts
+++ b/packages/router/src/placement/createEndpointBook.ts
@@ -1,7 +1,7 @@
 import type { Clock, EndpointName, FailureDomain, Millis, ModelName, ServiceName } from "@azureshunt/core";
 
 import type { RoutingConfiguration } from "../configuration/RoutingConfiguration.js";
-import type { EngineWeights } from "../fleet/EngineWeights.js";
+import type { EngineOrder } from "../fleet/EngineOrder.js";
 import type { Knowledge } from "../knowledge/Knowledge.js";
 import { outdatedSince } from "../knowledge/outdatedSince.js";
 import type { EndpointShare } from "../peers/EndpointShare.js";
@@ -40,6 +40,9 @@
 /** An order given for so long counts as lost; the engine is then judged by what it shows. */
 const ORDER_LOST_MS = 2_500;
 
+/** How much older an order may seem when it is told again: a beacon that was held up on a full link. */
+const RETOLD_MS: Millis = 500;
+
 const NO_PROMPT: PromptShare = { missingTokens: 0, fetchedTokens: 0, source: undefined };
 
 const servicesOf = (cfg: RoutingConfiguration | undefined): RoutingConfiguration["services"] =>
@@ -61,10 +64,10 @@
             ? undefined
             : Math.max(entry.versions.get(model) ?? 0, dealings.of(entry).seenVersion);
 
-    const orderAt = (entry: EndpointEntry, version: number | undefined): EngineWeights["order"] => {
+    const orderAt = (entry: EndpointEntry, version: number | undefined): EngineOrder | undefined => {
         const { order } = dealings.of(entry);
         const isOver = order === undefined || (version ?? 0) >= order.version
-            || clock.now() - order.sentAt > ORDER_LOST_MS;
+            || clock.now() - order.seenAt > ORDER_LOST_MS;
         return isOver ? undefined : order;
     };
 
@@ -163,13 +166,26 @@
             return;
         }
         const own = dealings.of(entry);
-        const isNew = order !== undefined && order.version !== own.order?.version && order.version > own.seenVersion;
+        // What another VM told is reckoned from its age, so that the same order seems to be a little older or younger.
+        const toleranceMs = own.order?.isOwn === true ? 0 : RETOLD_MS;
+        // A VM that held the lease before may still tell of its last orders; they must not hide the holder's.
+        if (order.givenAt < (own.order?.givenAt ?? -Infinity) - toleranceMs) {
+            return;
+        }
+        const isNew = order.version !== own.order?.version && order.version > own.seenVersion;
         own.order = order;
         if (isNew) {
             orderListeners.tell(endpoint);
         }
     };
 
+    const orderOver: EndpointBook["orderOver"] = (endpoint, givenAt) => {
+        const own = dealings.last(endpoint);
+        if (own?.order?.givenAt === givenAt) {
+            own.order = undefined;
+        }
+    };
+
     const engines: EndpointBook["engines"] = model =>
         [...book.registry.endpoints.values()]
             .map(({ entry }) => entry)
@@ -202,6 +218,7 @@
         unreached,
         sawWeights,
         ordered,
+        orderOver,
         onOrdered: orderListeners.add,
         engines,
         serviceAt: address => book.serviceByAddress.get(address),
@@ -217,9 +234,12 @@
                 return [name, { running, waitingTokens, memoryTokens }] as const;
             }),
         ownOrders: () =>
-            dealings.all().flatMap(([name, { order }]) =>
-                order?.isOwn === true ? [[name, order.version, clock.now() - order.sentAt] as const] : []
-            ),
+            [...book.registry.endpoints.values()].flatMap(({ entry }) => {
+                const { order, seenVersion } = dealings.of(entry);
+                return order?.isOwn === true && orderAt(entry, seenVersion) !== undefined
+                    ? [[entry.name, order.version, clock.now() - order.givenAt] as const]
+                    : [];
+            }),
         heldVersions: () =>
             dealings.all().filter(([, own]) => own.seenVersion > 0).map(([name, own]) =>
                 [name, own.seenVersion] as const
