Spread what VMs tell each other over time, and tell a wave of orders in one round

Callers saw: streams late, as their events waited in the VM; and engines that were up not reached by orders, ten at once, which began the incident. Cause: a round of beacons, 60 datagrams, left at one moment, and each order given or ended began a round of its own: 7 to 12 MB in a second at the VM that gave them. Class: control traffic in bursts that grow with the number of VMs, on the link that serves callers. The same elsewhere: the last word at a stop still goes to all at once; prompts and answers are not paced.

--- a/packages/router/src/peers/beaconTargets.ts
+++ b/packages/router/src/peers/beaconTargets.ts
@@ -1,12 +1,10 @@
-import type { Millis, VmId } from "@azureshunt/core";
+import type { Millis } from "@azureshunt/core";
 
 import { beaconInterval } from "./beaconInterval.js";
+import type { BeaconTarget } from "./BeaconTarget.js";
 import type { Members } from "./Members.js";
 import { peerTiming } from "./peerTiming.js";
 
-/** Where a beacon goes, and to whom where that is known. */
-type BeaconTarget = { readonly address: string; readonly vm: VmId | undefined; };
-
 /**
  * Lists who gets a beacon now: members that were heard lately each time, silent ones and seeds more seldom.
  *
--- a/packages/router/src/peers/composeNews.ts
+++ b/packages/router/src/peers/composeNews.ts
@@ -8,9 +8,9 @@
         : { offset: tail.offset, holder: tail.holder, ageMs: clock.now() - tail.knownSince };
 };
 
-/** Gathers what this VM tells the others now. What was read or saved since the last call is told once. */
-export function composeNews(sources: NewsSources): News {
-    const { clock, knowledge, allowances, book, chains, demand, quarantine, registry } = sources;
+/** Gathers what this VM tells the others now, but for what is told only once. */
+export function composeNews(sources: NewsSources): Omit<News, "cached"> {
+    const { clock, knowledge, allowances, book, demand, quarantine, registry } = sources;
     const { configuration, confirmedAt, weights } = knowledge.current();
     return {
         revision: configuration?.revision ?? -1,
@@ -21,7 +21,6 @@
         spent: allowances.spent(),
         load: book.ownShares(),
         demand: demand.rate(),
-        cached: chains.takeNews(),
         ordered: book.ownOrders(),
         held: book.heldVersions(),
         lease: leaseNews(sources),
--- a/packages/router/src/peers/startBeacons.ts
+++ b/packages/router/src/peers/startBeacons.ts
@@ -4,7 +4,9 @@
 
 import type { Beacon } from "./Beacon.js";
 import { beaconInterval } from "./beaconInterval.js";
+import type { BeaconTarget } from "./BeaconTarget.js";
 import { beaconTargets } from "./beaconTargets.js";
+import { createBeaconPacer } from "./createBeaconPacer.js";
 import { decodeBeacon } from "./decodeBeacon.js";
 import { encodeBeacon } from "./encodeBeacon.js";
 import type { Members } from "./Members.js";
@@ -16,7 +18,9 @@
     readonly address: string;
     readonly self: Pick<Beacon, "vm" | "incarnation" | "failureDomain">;
     readonly members: () => Members;
-    readonly news: () => News;
+    readonly news: () => Omit<News, "cached">;
+    /** What was read or saved since the last call. */
+    readonly takeCached: () => News["cached"];
     readonly onBeacon: (beacon: Beacon, address: string) => void;
     /** A beacon of so many bytes was sent. */
     readonly onSent: (bytes: number) => void;
@@ -32,49 +36,55 @@
  * Sends beacons to the other VMs and takes theirs. Datagrams need no connection that could fall silent, and a lost one
  * is made up for by the next.
  *
- * @returns functions that tell at once, and that stop after a last word to all
+ * @returns functions that tell all soon, and that stop after a last word to all
  */
 export function startBeacons(parts: BeaconParts): { readonly sendNow: () => void; readonly stop: () => void; } {
     const { clock, self, members } = parts;
     const socket = createSocket("udp4");
     const stamps = new Map<VmId, Stamp>();
     const count = { round: 0, sequence: 0 };
+    /** What all beacons of a round have in common. */
+    const round = { named: [] as Beacon["members"], cached: [] as News["cached"] };
     const startedAt = clock.now();
     const [host, port] = parts.address.split(":");
 
-    const send = (isLeaving: boolean): void => {
+    const send = ({ address, vm }: BeaconTarget, news: News, isLeaving: boolean): void => {
         const now = clock.now();
-        const news = parts.news();
+        const stamp = vm === undefined ? undefined : stamps.get(vm);
+        const echo = stamp === undefined
+            ? undefined
+            : { incarnation: stamp.incarnation, sentAt: stamp.sentAt, heldMs: now - stamp.at };
+        count.sequence += 1;
+        const datagram = encodeBeacon({
+            ...self,
+            ...news,
+            sequence: count.sequence,
+            sentAt: now,
+            upMs: now - startedAt,
+            echo,
+            members: round.named,
+            isLeaving,
+        });
+        const [to, toPort] = address.split(":");
+        parts.onSent(datagram.length);
+        socket.send(datagram, Number(toPort), to, err => {
+            if (err !== null) {
+                parts.onFault("socket", err);
+            }
+        });
+    };
+    const targets = (): readonly BeaconTarget[] => {
         const known = [...members().known.values()].filter(({ heard }) => heard !== undefined);
         const offset = known.length === 0 ? 0 : count.round % known.length;
-        const named = [...known.slice(offset), ...known.slice(0, offset)].slice(0, NAMED_MEMBERS)
+        round.named = [...known.slice(offset), ...known.slice(0, offset)].slice(0, NAMED_MEMBERS)
             .map(({ vm, address }) => [vm, address] as const);
-        beaconTargets(members(), count.round, now).forEach(({ address, vm }) => {
-            const stamp = vm === undefined ? undefined : stamps.get(vm);
-            const echo = stamp === undefined
-                ? undefined
-                : { incarnation: stamp.incarnation, sentAt: stamp.sentAt, heldMs: now - stamp.at };
-            count.sequence += 1;
-            const beacon = {
-                ...self,
-                ...news,
-                sequence: count.sequence,
-                sentAt: now,
-                upMs: now - startedAt,
-                echo,
-                members: named,
-                isLeaving,
-            };
-            const [to, toPort] = address.split(":");
-            const datagram = encodeBeacon(beacon);
-            parts.onSent(datagram.length);
-            socket.send(datagram, Number(toPort), to, err => {
-                if (err !== null) {
-                    parts.onFault("socket", err);
-                }
-            });
-        });
         count.round += 1;
+        return beaconTargets(members(), count.round - 1, clock.now());
+    };
+    const tell = (batch: readonly BeaconTarget[]): void => {
+        // What ages is gathered for each batch, so that nothing passes for newer than it is.
+        const news = { ...parts.news(), cached: round.cached };
+        batch.forEach(target => send(target, news, false));
     };
 
     socket.on("error", err => parts.onFault("socket", err));
@@ -89,18 +99,29 @@
     });
     socket.bind(Number(port), host);
 
-    const timer = { current: undefined as NodeJS.Timeout | undefined };
-    const loop = (): void => {
-        send(false);
-        timer.current = setTimeout(loop, beaconInterval(members().known.size));
-    };
-    socket.once("listening", loop);
+    const pacer = { current: undefined as ReturnType<typeof createBeaconPacer<BeaconTarget>> | undefined };
+    socket.once("listening", () => {
+        pacer.current = createBeaconPacer<BeaconTarget>({
+            clock,
+            later: (delayMs, run) => {
+                const timer = setTimeout(run, delayMs);
+                return () => clearTimeout(timer);
+            },
+            targets,
+            onRound: isCut => {
+                round.cached = [...isCut ? round.cached : [], ...parts.takeCached()];
+            },
+            tell,
+            intervalMs: () => beaconInterval(members().known.size),
+        });
+    });
 
     const stop = (): void => {
-        clearTimeout(timer.current);
-        send(true);
+        pacer.current?.stop();
+        const lastWord = { ...parts.news(), cached: [] };
+        targets().forEach(target => send(target, lastWord, true));
         // The last datagrams are handed to the system at once; closing right away would drop them.
         setTimeout(() => socket.close(), 20);
     };
-    return { sendNow: () => send(false), stop };
+    return { sendNow: () => pacer.current?.hurry(), stop };
 }
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -178,6 +178,7 @@
         self: { vm: settings.vm, incarnation, failureDomain: settings.failureDomain },
         members: membership.current,
         news: () => composeNews(sources),
+        takeCached: chains.takeNews,
         onBeacon: (beacon, address) => {
             pauseWatch.check();
             const news = membership.hear(beacon, address);
