Tell of engines' versions when they change, and of a few others by turns

A change that a VM saw itself is told with each beacon for 3 s; eight others go along by turns, so that a VM that missed a change hears of it from whichever VM's turn comes first. Tests: heldNews.

--- a/packages/router/src/peers/spreadNews.ts
+++ b/packages/router/src/peers/spreadNews.ts
@@ -20,7 +20,7 @@
         book.ordered(endpoint, { version, givenAt: now - ageMs, seenAt: now, isOwn: false })
     );
     beacon.cached.forEach(([holder, parts]) => chains.hear(holder, parts, now));
-    beacon.held.forEach(([endpoint, version]) => book.sawWeights(endpoint, version));
+    beacon.held.forEach(([endpoint, version]) => book.heardWeights(endpoint, version));
     if (beacon.lease !== undefined) {
         // Only what is surely that old counts: the age runs from this VM's own time stamp.
         const ageMs = Math.max(0, beacon.lease.ageMs + Math.min(0, sentAfter - now));
--- a/packages/router/src/placement/Dealings.ts
+++ b/packages/router/src/placement/Dealings.ts
@@ -12,6 +12,8 @@
     lastSignAt: Millis;
     /** Version seen in answers, reports and orders; the registry's entry may lag behind it. */
     seenVersion: number;
+    /** When this VM itself saw that version first; −∞ where another VM told of it. */
+    seenVersionAt: Millis;
     seenOrders: number;
     order: EngineOrder | undefined;
 };
--- a/packages/router/src/placement/EndpointBook.ts
+++ b/packages/router/src/placement/EndpointBook.ts
@@ -35,6 +35,8 @@
     readonly unreached: (endpoint: EndpointName) => void;
     /** An engine showed which weights it holds. */
     readonly sawWeights: (endpoint: EndpointName, version: number, ordersTaken?: number) => void;
+    /** Another VM told which weights an engine holds. */
+    readonly heardWeights: (endpoint: EndpointName, version: number) => void;
     /** An order was given, by this VM or another, or is still under way. An older one than is known changes nothing. */
     readonly ordered: (endpoint: EndpointName, order: EngineOrder) => void;
     /** The order that was given then is over, or was never carried out; a newer one stays. */
@@ -54,6 +56,10 @@
     readonly ownShares: () => readonly (readonly [EndpointName, EndpointShare])[];
     /** Orders of this VM that are being carried out: engine, version, how long ago they were given. */
     readonly ownOrders: () => readonly (readonly [EndpointName, number, Millis])[];
-    /** Versions that engines hold, as this VM knows. */
-    readonly heldVersions: () => readonly (readonly [EndpointName, number])[];
+    /** Versions that engines hold, as this VM knows, and when it saw them itself first; −∞ where it has not. */
+    readonly heldVersions: () => readonly {
+        readonly endpoint: EndpointName;
+        readonly version: number;
+        readonly seenAt: Millis;
+    }[];
 };
--- a/packages/router/src/placement/createDealings.ts
+++ b/packages/router/src/placement/createDealings.ts
@@ -35,6 +35,7 @@
             inFlight: [],
             lastSignAt: -Infinity,
             seenVersion: 0,
+            seenVersionAt: -Infinity,
             seenOrders: 0,
             order: undefined,
         };
--- a/packages/router/src/placement/createEndpointBook.ts
+++ b/packages/router/src/placement/createEndpointBook.ts
@@ -12,6 +12,7 @@
 import { stepRegistry } from "../registry/stepRegistry.js";
 import { createDealings } from "./createDealings.js";
 import { createListeners } from "./createListeners.js";
+import type { Dealings } from "./Dealings.js";
 import type { EndpointBook } from "./EndpointBook.js";
 import { healthAfterTry } from "./healthAfterTry.js";
 import { loadOf } from "./loadOf.js";
@@ -142,14 +143,26 @@
 
     const entryOf: EndpointBook["entryOf"] = endpoint => book.registry.endpoints.get(endpoint)?.entry;
 
+    const noteVersion = (own: Dealings, version: number, seenAt: Millis): void => {
+        if (version > own.seenVersion) {
+            own.seenVersion = version;
+            own.seenVersionAt = seenAt;
+        }
+    };
     const sawWeights: EndpointBook["sawWeights"] = (endpoint, version, ordersTaken) => {
         const entry = entryOf(endpoint);
         if (entry !== undefined) {
             const own = dealings.of(entry);
-            own.seenVersion = Math.max(own.seenVersion, version);
+            noteVersion(own, version, clock.now());
             own.seenOrders = ordersTaken ?? own.seenOrders;
         }
     };
+    const heardWeights: EndpointBook["heardWeights"] = (endpoint, version) => {
+        const entry = entryOf(endpoint);
+        if (entry !== undefined) {
+            noteVersion(dealings.of(entry), version, -Infinity);
+        }
+    };
 
     const unreached: EndpointBook["unreached"] = endpoint => {
         const own = dealings.last(endpoint);
@@ -217,6 +230,7 @@
         begin,
         unreached,
         sawWeights,
+        heardWeights,
         ordered,
         orderOver,
         onOrdered: orderListeners.add,
@@ -241,8 +255,10 @@
                     : [];
             }),
         heldVersions: () =>
-            dealings.all().filter(([, own]) => own.seenVersion > 0).map(([name, own]) =>
-                [name, own.seenVersion] as const
-            ),
+            dealings.all().filter(([, own]) => own.seenVersion > 0).map(([endpoint, own]) => ({
+                endpoint,
+                version: own.seenVersion,
+                seenAt: own.seenVersionAt,
+            })),
     };
 }
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -13,6 +13,7 @@
 import { createPauseWatch } from "./knowledge/createPauseWatch.js";
 import { startKnowledge } from "./knowledge/startKnowledge.js";
 import { composeNews } from "./peers/composeNews.js";
+import { createHeldNews } from "./peers/createHeldNews.js";
 import { createMembership } from "./peers/createMembership.js";
 import { createOthersLoad } from "./peers/createOthersLoad.js";
 import type { NewsSources } from "./peers/NewsSources.js";
@@ -172,12 +173,13 @@
         registry,
         othersLoad,
     };
+    const heldNews = createHeldNews(book.heldVersions, clock.now);
     const beacons = startBeacons({
         clock,
         address: settings.listen.peers,
         self: { vm: settings.vm, incarnation, failureDomain: settings.failureDomain },
         members: membership.current,
-        news: () => composeNews(sources),
+        news: () => ({ ...composeNews(sources), held: heldNews() }),
         takeCached: chains.takeNews,
         onBeacon: (beacon, address) => {
             pauseWatch.check();
