Let one VM of each failure domain read the declarations, and the others go by its beacons

Now the first VM by name of those that read in a failure domain keeps a read waiting, the further beacons are apart the shorter. The others read when they hear of a newer revision, and when their evidence is 2.5 s old, as where their reader died or is cut off. A VM asks a peer for the configuration only where its own reads fail: dozens that ask one VM would fill its link. Test red with every VM a reader (reads a second).

--- /dev/null
+++ b/packages/router/src/__tests__/unit/declarationReaders.test.ts
@@ -0,0 +1,91 @@
+import test from "ava";
+
+import { declarationsDueIn } from "../../knowledge/declarationsDueIn.js";
+import { noKnowledge } from "../../knowledge/noKnowledge.js";
+import { evidenceFleet } from "../support/evidenceFleet.js";
+import { routingOf } from "../support/routingOf.js";
+
+/*
+ * Sixty VMs each kept a read of the declarations waiting, thirty calls a second that showed nothing. Now one VM of each
+ * failure domain reads, and the others go by its word. Keys may be served while a VM knows that its configuration was the
+ * newest one 4.4 s ago; so its evidence must stay younger, whoever dies or is cut off, or callers are refused.
+ */
+
+const KEYS_MS = 4_400;
+
+const confirmed = (confirmedAt: number, heardRevision = 1) => ({
+    ...noKnowledge,
+    configuration: routingOf(1, []),
+    heardRevision,
+    confirmedAt,
+});
+
+const due = [
+    { name: "a reader reads all the time", knowledge: confirmed(9_900), isReader: true, dueIn: 0 },
+    {
+        name: "a follower waits while its evidence is young",
+        knowledge: confirmed(9_900),
+        isReader: false,
+        dueIn: 2_400,
+    },
+    { name: "a follower whose evidence is old reads", knowledge: confirmed(7_000), isReader: false, dueIn: -500 },
+    {
+        name: "a follower that hears of a newer revision reads",
+        knowledge: confirmed(9_900, 2),
+        isReader: false,
+        dueIn: 0,
+    },
+    { name: "one that knows nothing reads", knowledge: noKnowledge, isReader: false, dueIn: -Infinity },
+];
+due.forEach(({ name, knowledge, isReader, dueIn }) => {
+    test(`declarations: ${name}`, t => {
+        t.is(declarationsDueIn({ knowledge, isReader }, 10_000), dueIn);
+    });
+});
+
+const SEED = 7;
+const randomOf = (seed: number): () => number => {
+    const state = { value: seed };
+    return () => {
+        state.value = (state.value * 48_271) % 2_147_483_647;
+        return state.value / 2_147_483_647;
+    };
+};
+
+type Case = {
+    readonly name: string;
+    readonly vms: number;
+    readonly loss: number;
+    readonly isTurnedAway: (vm: number, now: number) => boolean;
+    readonly mostReads: number;
+};
+
+/** Reads a second: each reader's wait, the followers that took over or doubted, and the tries of those turned away. */
+const cases: readonly Case[] = [
+    { name: "six VMs", vms: 6, loss: 0.02, isTurnedAway: () => false, mostReads: 4 },
+    { name: "sixty VMs", vms: 60, loss: 0.02, isTurnedAway: () => false, mostReads: 8 },
+    { name: "sixty VMs, a fifth of beacons lost", vms: 60, loss: 0.2, isTurnedAway: () => false, mostReads: 12 },
+    {
+        name: "sixty VMs, the store turns the readers of all domains away",
+        vms: 60,
+        loss: 0.02,
+        isTurnedAway: (vm, now) => vm < 3 && now > 7_000,
+        mostReads: 30,
+    },
+    {
+        name: "sixty VMs, the store turns a whole domain away",
+        vms: 60,
+        loss: 0.02,
+        isTurnedAway: (vm, now) => vm % 3 === 0 && now > 7_000,
+        mostReads: 100,
+    },
+];
+cases.forEach(({ name, vms, loss, isTurnedAway, mostReads }) => {
+    test(`declarations: evidence stays young enough for keys: ${name}`, t => {
+        const seen = evidenceFleet({ vms, domains: 3, forMs: 15_000, random: randomOf(SEED), loss, isTurnedAway });
+        t.log(seen);
+        t.true(seen.oldestMs < KEYS_MS, `${seen.oldestMs} ms`);
+        t.true(seen.oldestTurnedAwayMs < KEYS_MS, `${seen.oldestTurnedAwayMs} ms where the store turns it away`);
+        t.true(seen.readsPerSecond <= mostReads, `${seen.readsPerSecond} reads a second`);
+    });
+});
--- a/packages/router/src/knowledge/startKnowledge.ts
+++ b/packages/router/src/knowledge/startKnowledge.ts
@@ -8,6 +8,7 @@
 import type { DirectoryWire } from "../ports/DirectoryWire.js";
 import type { StorePort } from "../ports/StorePort.js";
 import { followTopic } from "../store/followTopic.js";
+import { declarationsDueIn } from "./declarationsDueIn.js";
 import type { Knowledge } from "./Knowledge.js";
 import type { KnowledgeEvent } from "./KnowledgeEvent.js";
 import { noKnowledge } from "./noKnowledge.js";
@@ -22,8 +23,10 @@
     readonly metrics: Metrics;
     /** Something was learnt that other VMs should hear at once. */
     readonly onNews: () => void;
-    /** Whether this VM reads the store for the others. */
+    /** Whether this VM reads the declarations for the others of its failure domain. */
     readonly isReader: () => boolean;
+    /** Time between two beacons to one VM. */
+    readonly newsEveryMs: () => Millis;
     /** Looks for a pause of the process, before an answer is taken as fresh. */
     readonly checkPause: () => void;
 };
@@ -40,10 +43,10 @@
     readonly stop: () => void;
 };
 
-/** How long a read waits for a declaration: short enough that keys stay confirmed by this VM's own reads alone. */
-const WAIT_MS: Millis = 2_000;
-/** The same where it confirms them for the other VMs: keys stay confirmed though the next read fails. */
+/** How long a read waits for a declaration: keys stay confirmed though the next read fails. */
 const READER_WAIT_MS: Millis = 1_200;
+/** Part of the time between two beacons by which a read waits less: its word is older when it comes to the others. */
+const NEWS_PART = 0.5;
 const FETCH_MS = 1_000;
 /** The store counts as read while its last answer is no older: the longest wait of a read, and its answer when slow. */
 const STORE_MS: Millis = 3_300;
@@ -59,6 +62,7 @@
         isStoreThere: false,
         storeChangedAt: clock.now(),
         isFetching: false,
+        isReadFailing: false,
         isReadable: true,
     };
 
@@ -115,11 +119,12 @@
         store: parts.store,
         clock,
         topic: wire.declarationsTopic,
-        waitMs: () => parts.isReader() ? READER_WAIT_MS : WAIT_MS,
-        dueInMs: () => 0,
+        waitMs: () => parts.isReader() ? READER_WAIT_MS - NEWS_PART * parts.newsEveryMs() : 0,
+        dueInMs: () => declarationsDueIn({ knowledge: state.knowledge, isReader: parts.isReader() }, clock.now()),
         onNews: ({ records, askedAt }) => {
             parts.checkPause();
             state.storeAt = clock.now();
+            state.isReadFailing = false;
             noteStore();
             records.forEach(({ key, value }) => value === undefined ? undefined : declare(key, value));
             const revision = state.knowledge.configuration?.revision;
@@ -132,6 +137,7 @@
                 topic: "declarations",
                 kind,
             });
+            state.isReadFailing = true;
             noteStore();
         },
     });
@@ -155,7 +161,8 @@
             const asOf = sentAfter - beacon.confirmedMs;
             tell({ kind: "confirmed", revision: beacon.revision, asOf, stampedAt });
         }
-        if (beacon.revision > (state.knowledge.configuration?.revision ?? -1)) {
+        // With the store in reach its own record is read; dozens of VMs that ask one peer would fill its link.
+        if (state.isReadFailing && beacon.revision > (state.knowledge.configuration?.revision ?? -1)) {
             void fetchFrom(address);
         }
     };
--- a/packages/router/src/peers/createMembership.ts
+++ b/packages/router/src/peers/createMembership.ts
@@ -3,6 +3,7 @@
 import type { Hearing } from "../allowance/Hearing.js";
 import { leaseRank } from "../fleet/leaseRank.js";
 import type { Beacon } from "./Beacon.js";
+import { beaconInterval } from "./beaconInterval.js";
 import type { Heard } from "./Heard.js";
 import { hearingOf } from "./hearingOf.js";
 import { isReader } from "./isReader.js";
@@ -32,6 +33,10 @@
     readonly demand: () => Tokens;
     /** Whether this VM reads the registry for the others. */
     readonly isReader: () => boolean;
+    /** Whether it reads the declarations for the others of its failure domain. */
+    readonly isDomainReader: () => boolean;
+    /** Time between two beacons to one VM. */
+    readonly newsEveryMs: () => Millis;
     /** How many VMs go before this one in claiming the order lease. */
     readonly rank: (lastHolder: VmId | undefined, hasStore: boolean) => number;
 };
@@ -68,6 +73,8 @@
                 : quietMs(state.lastHeard.get(domain), state.members.known.size, clock.now()),
         demand: () => othersDemand(state.members, clock.now()),
         isReader: () => isReader(state.members, clock.now()),
+        isDomainReader: () => isReader(state.members, clock.now(), failureDomain),
+        newsEveryMs: () => beaconInterval(state.members.known.size),
         rank: (lastHolder, hasStore) => leaseRank(state.members, lastHolder, hasStore, clock.now()),
     };
 }
--- a/packages/router/src/peers/isReader.ts
+++ b/packages/router/src/peers/isReader.ts
@@ -1,12 +1,14 @@
-import type { Millis } from "@azureshunt/core";
+import type { FailureDomain, Millis } from "@azureshunt/core";
 
 import { livingReaders } from "./livingReaders.js";
 import type { Members } from "./Members.js";
 
 /**
- * Says whether this VM reads the registry for the others: the first by name of those that read the store. While two think
- * so, or none, nothing but the number of reads changes.
+ * Says whether this VM reads the store for the others: the first by name of those that read it. While two think so, or
+ * none, nothing but the number of reads changes.
+ *
+ * @param domain where it reads for its own failure domain alone; undefined where it reads for all
  */
-export function isReader(members: Members, now: Millis): boolean {
-    return livingReaders(members, now).every(vm => vm > members.vm);
+export function isReader(members: Members, now: Millis, domain?: FailureDomain): boolean {
+    return livingReaders(members, now, domain).every(vm => vm > members.vm);
 }
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -110,7 +110,8 @@
         logger: loggers("knowledge"),
         metrics,
         checkPause: pauseWatch.check,
-        isReader: membership.isReader,
+        isReader: membership.isDomainReader,
+        newsEveryMs: membership.newsEveryMs,
         onNews: () => {
             allowances.open(knowledge.current().configuration?.organisations.values() ?? []);
             beacons.sendNow();
