Let one VM after the other claim the order lease where nobody has held it yet

With no record known, a VM now waits for its rank as it does after a holder, and reads only when it would claim; where nobody held it before, the first in line does not wait for a last holder. Test red before (60 of 60 asked).

--- a/packages/router/src/__tests__/unit/orderLease.test.ts
+++ b/packages/router/src/__tests__/unit/orderLease.test.ts
@@ -158,6 +158,17 @@
     t.deepEqual(stepOrderLease(failed, tick, LEASE_MS, 10_100).effects, [{ kind: "read" }]);
 });
 
+/*
+ * Sixty VMs learn of the first weights at the same moment. Each read the stream and claimed, 180 calls of which one was of use.
+ */
+test("order lease: when the first weights are named, one of sixty VMs asks the store", t => {
+    const asking = Array.from({ length: 60 }, (_, rank) => {
+        const tick: OrderLeaseEvent = { kind: "tick", isWanted: true, rank };
+        return stepOrderLease(newOrderLease(`vm-${rank}` as VmId), tick, LEASE_MS, 10_000).effects.length;
+    });
+    t.is(asking.reduce((sum, count) => sum + count, 0), 1);
+});
+
 test("order lease: with a sound store one VM holds it all the time", t => {
     const sent = run([{ kind: "answered", delayMs: 0 }], () => false);
     t.deepEqual([...new Set(sent.map(({ vm }) => vm))], [VMS[0]]);
--- a/packages/router/src/fleet/OrderLease.ts
+++ b/packages/router/src/fleet/OrderLease.ts
@@ -18,6 +18,8 @@
     readonly confirmedAt: Millis;
     /** When the process last noticed that it had been suspended; −∞ while it never was. */
     readonly pausedAt: Millis;
+    /** Since when there have been orders to give; undefined while there are none. */
+    readonly wantedAt: Millis | undefined;
     /** Whether a call to the store is on its way. */
     readonly isAsking: boolean;
 };
--- a/packages/router/src/fleet/leaseRank.ts
+++ b/packages/router/src/fleet/leaseRank.ts
@@ -12,7 +12,8 @@
         return 0;
     }
     const living = livingReaders(members, now);
-    const before = living.filter(vm => vm === lastHolder || vm < members.vm).length;
+    const before = living.filter(vm => vm !== lastHolder && vm < members.vm).length;
     // One that does not read the store leaves the claim to those that do.
-    return before + 1 + (hasStore ? 0 : living.length);
+    const last = lastHolder === undefined ? 0 : 1;
+    return last + before + (hasStore ? 0 : living.length);
 }
--- a/packages/router/src/fleet/stepOrderLease.ts
+++ b/packages/router/src/fleet/stepOrderLease.ts
@@ -54,25 +54,27 @@
  * holder claims only when the last record has lain there for longer than its writer may use it and an engine forgets
  * its orders; and the store takes the claim only right behind that record, so a renewal that came first makes it void.
  */
-const claimAt = (state: OrderLease, leaseMs: Millis, rank: number): Millis => {
-    if (state.tail === undefined || state.tail.holder === state.vm) {
+const claimAt = (state: OrderLease, wantedAt: Millis, leaseMs: Millis, rank: number): Millis => {
+    const { holdMs, marginMs, staggerMs } = leaseTiming;
+    if (state.tail === undefined) {
+        // Dozens of VMs learn of the first weights at the same moment; all but one would read and claim in vain.
+        return wantedAt + rank * staggerMs;
+    }
+    if (state.tail.holder === state.vm) {
         return -Infinity;
     }
-    const { holdMs, marginMs, staggerMs } = leaseTiming;
     return state.tail.knownSince + holdMs + leaseMs + marginMs + rank * staggerMs;
 };
 
-const tick = (state: OrderLease, event: EventOf<"tick">, leaseMs: Millis, now: Millis): LeaseStep => {
+const tick = (before: OrderLease, event: EventOf<"tick">, leaseMs: Millis, now: Millis): LeaseStep => {
+    const wantedAt = event.isWanted ? before.wantedAt ?? now : undefined;
+    const state = { ...before, wantedAt };
     const isHeld = now - state.confirmedAt < leaseTiming.holdMs * RENEW_PART;
-    if (!event.isWanted || state.isAsking || isHeld) {
+    if (wantedAt === undefined || state.isAsking || isHeld || now < claimAt(state, wantedAt, leaseMs, event.rank)) {
         return only(state);
     }
-    if (state.end === undefined) {
-        return { state: { ...state, isAsking: true }, effects: [{ kind: "read" }] };
-    }
-    return now >= claimAt(state, leaseMs, event.rank)
-        ? { state: { ...state, isAsking: true }, effects: [{ kind: "append", at: state.end }] }
-        : only(state);
+    const effect: OrderLeaseEffect = state.end === undefined ? { kind: "read" } : { kind: "append", at: state.end };
+    return { state: { ...state, isAsking: true }, effects: [effect] };
 };
 
 /**
