--- a/packages/router/src/allowance/waitForAllowance.ts
+++ b/packages/router/src/allowance/waitForAllowance.ts
@@ -23,7 +23,6 @@
  * organisations within their rate were refused, and their callers came back in crowds a moment later. A request whose
  * tokens accrue in the time that it may wait is held for them; one of an organisation far over its rate, which has more
  * waiting already than the rate brings in that time, is refused at once.
- * Gain: requests that are never served 6.2 -> 5.7% over 15 days with a restart of all VMs.
  */
 export function waitForAllowance(question: AllowanceQuestion): AllowanceDecision {
     const { shortMs, queuedTokens, ratePerSecond, leftMs } = question;
--- a/packages/router/src/placement/createChainMemory.ts
+++ b/packages/router/src/placement/createChainMemory.ts
@@ -62,7 +62,6 @@
  *
  * Load: long prompts under full traffic. Where a dozen of them fill an engine, a shared part is gone from it within three
  * seconds; counted on for longer, it is neither fetched nor saved, and the engine reads it again.
- * Gain: 54 -> 33 thousandths of worth paid for shared parts read again (15 paired days with trouble).
  *
  * @param limitsOf what a holder can keep, by its name
  */
--- a/packages/router/src/placement/overloadWait.ts
+++ b/packages/router/src/placement/overloadWait.ts
@@ -4,10 +4,7 @@
 
 /** Part of its objective within which the first token of a request of the most urgent kind has to come. */
 const URGENT_PART = 1.2;
-/**
- * The same for less urgent kinds: they make room first, so that they never push out what is more urgent. A stricter and a
- * looser limit, 0.6 and 1.2, both cost 11 to 14 thousandths of worth (15 paired days with trouble).
- */
+/** The same for less urgent kinds: they make room first, so that they never push out what is more urgent. */
 const OTHER_PART = 0.8;
 /** Part of its objective for which a request may wait for its turn, however long its own prompt takes to read. */
 const LEAST_QUEUE_PART = 0.15;
--- a/packages/router/src/placement/sampleCandidates.ts
+++ b/packages/router/src/placement/sampleCandidates.ts
@@ -24,7 +24,6 @@
  * Load: dozens of VMs hear of each other's load a second late. Each sends all that comes in that second to the engine that
  * looked idle, so that queues go to and fro between engines: half of the long prompts were late on a quiet day. Best of a
  * few drawn at random spreads the choices, and mostly avoids the long queues.
- * Gain: with 61 VMs and 48 engines worth 0.270 -> 0.333, served 0.696 -> 0.755 (one day, paired).
  *
  * @param choosers VMs that choose among these endpoints
  */
--- a/packages/router/src/serve/createPromptShares.ts
+++ b/packages/router/src/serve/createPromptShares.ts
@@ -39,8 +39,6 @@
  * engine's memory is full, and a part that it held when last heard of has made room since. So where nobody is known to have
  * more, the store is named for every prompt with shared parts: the engine fetches what it lacks, and a miss costs a
  * millisecond.
- * Gain: with all VMs lost once in a minute, 790,000 -> 507,000 tokens of shared parts read again in that minute; with full
- * engines 75 -> 54 thousandths of worth paid for them, named also where the engine was thought to hold all (15 paired days).
  */
 export function createPromptShares(
     parts: Pick<ServeParts, "knowledge" | "isQuiet" | "chains" | "clock" | "book">,
--- a/packages/router/src/serve/createRequestHandler.ts
+++ b/packages/router/src/serve/createRequestHandler.ts
@@ -23,7 +23,7 @@
 /** A colon and a space after each name, a line's end after each value. */
 const SEPARATOR_BYTES = 2;
 const OK = 200;
-/** Longest wait for an organisation's tokens. After a restart of all VMs there are some within 110 ms, as measured. */
+/** Longest wait for an organisation's tokens. After a restart of all VMs there are some within half of it. */
 const LONGEST_ALLOWANCE_MS = 250;
 /** Part of a request's time that it may spend on that wait; the rest is for its answer. */
 const ALLOWANCE_PART = 0.25;
--- a/packages/router/src/serve/priorityOf.ts
+++ b/packages/router/src/serve/priorityOf.ts
@@ -9,7 +9,6 @@
  *
  * Load: short prompts of an urgent kind wait in an engine's queue behind prompts of ten thousand tokens, each of which
  * takes 100 ms to read. Where all organisations have a rank of their own, going by that alone makes all requests alike.
- * Gain: worth 0.520 -> 0.528 over 15 days with trouble, 1.1% more of the worth served.
  */
 export function priorityOf(
     organisation: Pick<Organisation, "priority"> | undefined,
--- a/packages/router/src/serve/shouldMove.ts
+++ b/packages/router/src/serve/shouldMove.ts
@@ -25,7 +25,6 @@
  * Load: an engine finishes its runs before it takes new weights, and gets no work meanwhile. One long answer keeps it away
  * for 2.5 to 4.5 s where the load itself takes 1.3 s, while the others drown in prompts that they all read anew. A short
  * prompt with much of its answer to come is read again elsewhere in milliseconds.
- * Gain: work on replaced weights 21 -> 16 thousandths of worth, requests never served 5.7 -> 5.5% (15 paired days).
  *
  * Limit: each move takes one try of the service's budget. A stream whose next try is ruled out would be lost, so the last
  * tries stay for engines that fail; nor does it leave where no other engine takes it.
