Wait for whole milliseconds in calls: half a one ended the process

Their read waited for 1,200 ms less half the time between beacons, with 9, 11, … others that is no whole number, and the system's abort timer throws on it outside any handler. Test red before.

--- a/packages/router/src/__tests__/support/evidenceFleet.ts
+++ b/packages/router/src/__tests__/support/evidenceFleet.ts
@@ -3,6 +3,7 @@
 import { declarationsDueIn } from "../../knowledge/declarationsDueIn.js";
 import type { Knowledge } from "../../knowledge/Knowledge.js";
 import { noKnowledge } from "../../knowledge/noKnowledge.js";
+import { readerWaitMs } from "../../knowledge/readerWaitMs.js";
 import { stepKnowledge } from "../../knowledge/stepKnowledge.js";
 import type { Beacon } from "../../peers/Beacon.js";
 import { createBeaconPacer } from "../../peers/createBeaconPacer.js";
@@ -28,7 +29,6 @@
     readonly readsPerSecond: number;
 };
 
-const READER_WAIT_MS = 1_200;
 const SETTLED_MS = 6_000;
 const LOOK_MS = 100;
 const CALL_MS = 10;
@@ -109,7 +109,7 @@
                 return;
             }
             const isFirst = own.knowledge.configuration === undefined;
-            const waitMs = isReader && !isFirst ? READER_WAIT_MS - membership.newsEveryMs() / 2 : 0;
+            const waitMs = isReader && !isFirst ? readerWaitMs(membership.newsEveryMs()) : 0;
             later(CALL_MS + waitMs, () => {
                 own.storeAt = time.now;
                 const configuration = routingOf(revision, []);
--- a/packages/router/src/dispatch/callOnce.ts
+++ b/packages/router/src/dispatch/callOnce.ts
@@ -23,7 +23,8 @@
     call: Pick<EndpointCall, "method" | "target" | "headers" | "body">,
     timeoutMs: Millis,
 ): Promise<CallResult> {
-    const signal = AbortSignal.timeout(timeoutMs);
+    // A fraction of a millisecond would end the process.
+    const signal = AbortSignal.timeout(Math.ceil(timeoutMs));
     const opened = await openCall(agent, { ...call, address, keptIdleMs: KEPT_MS, headMs: timeoutMs }, signal);
     if (opened.kind !== "head") {
         return { kind: opened.kind === "unreached" ? "unreached" : "lost" };
--- a/packages/router/src/knowledge/startKnowledge.ts
+++ b/packages/router/src/knowledge/startKnowledge.ts
@@ -12,6 +12,7 @@
 import type { Knowledge } from "./Knowledge.js";
 import type { KnowledgeEvent } from "./KnowledgeEvent.js";
 import { noKnowledge } from "./noKnowledge.js";
+import { readerWaitMs } from "./readerWaitMs.js";
 import { stepKnowledge } from "./stepKnowledge.js";
 
 type KnowledgeParts = {
@@ -43,10 +44,6 @@
     readonly stop: () => void;
 };
 
-/** How long a read waits for a declaration: keys stay confirmed though the next read fails. */
-const READER_WAIT_MS: Millis = 1_200;
-/** Part of the time between two beacons by which a read waits less: its word is older when it comes to the others. */
-const NEWS_PART = 0.5;
 const FETCH_MS = 1_000;
 /** The store counts as read while its last answer is no older: the longest wait of a read, and its answer when slow. */
 const STORE_MS: Millis = 3_300;
@@ -119,7 +116,7 @@
         store: parts.store,
         clock,
         topic: wire.declarationsTopic,
-        waitMs: () => parts.isReader() ? READER_WAIT_MS - NEWS_PART * parts.newsEveryMs() : 0,
+        waitMs: () => parts.isReader() ? readerWaitMs(parts.newsEveryMs()) : 0,
         dueInMs: () => declarationsDueIn({ knowledge: state.knowledge, isReader: parts.isReader() }, clock.now()),
         onNews: ({ records, askedAt }) => {
             parts.checkPause();
