Let through only the part of an organisation's demand that its bucket bears until the news have spread

Cause: each VM hears of the others' spending up to a second late. Whenever the bucket of an organisation that sends seven times its rate held something again, all VMs saw it at once and let through whatever came until they heard of each other. Now each VM tells what organisations ask of it in a second, and where the sum is above one and a half times the rate, a VM lets through the part that rate and bucket bear until the news have spread. What is within the rate is not touched. Left: the first second of such a peak, before its demand is known, goes as before.

--- a/packages/router/src/__tests__/unit/allowance.test.ts
+++ b/packages/router/src/__tests__/unit/allowance.test.ts
@@ -205,11 +205,15 @@
         const time = { now: 0 };
         const clock = { now: () => time.now, epoch: () => time.now };
         const other = "vm1" as VmId;
-        const allowances = createAllowances(clock, () => ({ peers: 1, unheard: time.now < 300 ? [other] : [] }));
+        const allowances = createAllowances(
+            clock,
+            () => ({ peers: 1, unheard: time.now < 300 ? [other] : [], newsMs: 200 }),
+            () => 0,
+        );
         const organisation = organisationOf(RATE, BURST);
         allowances.open([organisation]);
         time.now = 300;
-        allowances.hear({ vm: other, upMs, spent: [[organisation.id, 50 * BURST]] } as unknown as Beacon, false);
+        allowances.hear({ vm: other, upMs, spent: [[organisation.id, 50 * BURST, 0]] } as unknown as Beacon, false);
         t.is(allowances.spend(organisation, 1).isRight(), !counts);
     });
 });
--- a/packages/router/src/__tests__/unit/allowanceQueue.test.ts
+++ b/packages/router/src/__tests__/unit/allowanceQueue.test.ts
@@ -33,8 +33,8 @@
 const start = () => {
     const time = createTime();
     // Another VM is listed but out of hearing, as when all have just restarted: nothing may be overdrawn.
-    const hearing = () => ({ peers: 1, unheard: ["other" as VmId], isPartial: true });
-    const allowances = createAllowances(time.clock, hearing);
+    const hearing = () => ({ peers: 1, unheard: ["other" as VmId], isPartial: true, newsMs: 200 });
+    const allowances = createAllowances(time.clock, hearing, () => 0);
     const queue = createAllowanceQueue({ clock: time.clock, allowances, later: time.later });
     const outcomes: string[] = [];
     const ask = (name: string, id: string, signal: AbortSignal = new AbortController().signal): void => {
--- a/packages/router/src/__tests__/unit/beacon.test.ts
+++ b/packages/router/src/__tests__/unit/beacon.test.ts
@@ -56,3 +56,13 @@
         t.is(decoded([...rowOf().slice(0, CACHED_TOKENS), sizes]), undefined);
     });
 });
+
+test("beacon: one of an earlier version, without what is asked of its sender, is taken with a demand of 0", t => {
+    const row = rowOf();
+    const SPENT = 11;
+    t.deepEqual(decoded([...row.slice(0, SPENT), [["org", 70]], ...row.slice(SPENT + 1)])?.spent as unknown, [[
+        "org",
+        70,
+        0,
+    ]]);
+});
--- a/packages/router/src/allowance/advanceShared.ts
+++ b/packages/router/src/allowance/advanceShared.ts
@@ -12,7 +12,11 @@
  * Failure: a failure domain is cut off, both sides go on, and together they spend twice the rate. Guard: what a VM out
  * of hearing would spend as its even share is taken as spent, so that the sides' refills add up to the rate.
  */
-export function advanceShared(allowance: SharedAllowance, hearing: Hearing, now: Millis): SharedAllowance {
+export function advanceShared(
+    allowance: SharedAllowance,
+    hearing: Omit<Hearing, "newsMs">,
+    now: Millis,
+): SharedAllowance {
     const seconds = Math.max(0, now - allowance.at) / MS_PER_SECOND;
     const share = allowance.ratePerSecond * seconds / (hearing.peers + 1);
     const refill = share * (hearing.peers + 1 - hearing.unheard.length);
--- a/packages/router/src/allowance/createAllowanceQueue.ts
+++ b/packages/router/src/allowance/createAllowanceQueue.ts
@@ -20,7 +20,7 @@
 
 type QueueParts = {
     readonly clock: Clock;
-    readonly allowances: Pick<ReturnType<typeof createAllowances>, "spend" | "refusal">;
+    readonly allowances: Pick<ReturnType<typeof createAllowances>, "noteDemand" | "spend" | "refusal">;
     /** Runs a function after some time. */
     readonly later: (delayMs: Millis, run: () => void) => void;
 };
@@ -72,6 +72,7 @@
     const charge: AllowanceQueue["charge"] = async asked => {
         const { organisation, tokens } = asked;
         const queue = queues.get(organisation.id) ?? [];
+        allowances.noteDemand(organisation, tokens);
         const outcome = queue.length === 0
             ? allowances.spend(organisation, tokens)
             : Left(allowances.refusal(organisation, tokens));
--- a/packages/router/src/allowance/overdraftOf.ts
+++ b/packages/router/src/allowance/overdraftOf.ts
@@ -12,7 +12,7 @@
     readonly burst: Tokens;
     /** How long ago this process opened the allowance. */
     readonly ageMs: Millis;
-    readonly hearing: Hearing;
+    readonly hearing: Omit<Hearing, "newsMs">;
 };
 
 /**
--- a/packages/router/src/peers/Beacon.ts
+++ b/packages/router/src/peers/Beacon.ts
@@ -35,7 +35,8 @@
     /** How long ago that revision was known to be the newest one; undefined where it is not known. */
     readonly confirmedMs: Millis | undefined;
     readonly weights: readonly (readonly [ModelName, number])[];
-    readonly spent: readonly (readonly [OrganisationId, Tokens])[];
+    /** By organisation: tokens that the sender has spent since its start, and that are asked of it in a second. */
+    readonly spent: readonly (readonly [OrganisationId, Tokens, Tokens])[];
     readonly load: readonly (readonly [EndpointName, EndpointShare])[];
     /** Prompt tokens that the sender's callers send in a millisecond. */
     readonly demand: Tokens;
--- a/packages/router/src/peers/decodeBeacon.ts
+++ b/packages/router/src/peers/decodeBeacon.ts
@@ -35,7 +35,7 @@
     && isNumber(row[8])
     && (row[9] === null || isNumber(row[9]))
     && areRows(row[10], isText, isNumber)
-    && areRows(row[11], isText, isNumber)
+    && areRows(row[11], isText, isNumber, value => value === undefined || isNumber(value))
     && areRows(row[12], isText, isNumber, isNumber, isNumber)
     && areRows(row[13], isText, isNumber, isNumber)
     && areRows(row[14], isText, isNumber)
@@ -71,6 +71,7 @@
     const cachedKeys = cached as readonly [string, readonly string[]][];
     const cachedTokens = (row[CACHED_TOKENS] ?? []) as readonly (readonly number[])[];
     const registry = row[REGISTRY];
+    const spending = spent as readonly [string, number, number | undefined][];
     const loads = load as readonly [string, number, number, number][];
     // All fields were checked above; the casts give them their brands.
     return {
@@ -84,7 +85,8 @@
         revision,
         confirmedMs: confirmed ?? undefined,
         weights,
-        spent,
+        // Earlier versions do not tell what is asked of them.
+        spent: spending.map(([id, tokens, perSecond]) => [id, tokens, perSecond ?? 0]),
         load: loads.map(([name, running, waitingTokens, memoryTokens]) => [
             name,
             { running, waitingTokens, memoryTokens },
--- a/packages/router/src/peers/hearingOf.ts
+++ b/packages/router/src/peers/hearingOf.ts
@@ -15,6 +15,7 @@
     return {
         peers: there.length,
         unheard: there.filter(({ heard }) => heard === undefined || now - heard.at > quiet).map(({ vm }) => vm),
+        newsMs: beaconInterval(members.known.size),
         isPartial: !members.isListed,
     };
 }
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -143,7 +143,7 @@
         onRead: () => membership.isReader() && membership.vms() > peerTiming.fewVms ? beacons.sendNow() : undefined,
     });
     const demand = createDemand(clock);
-    const allowances = createAllowances(clock, membership.hearing);
+    const allowances = createAllowances(clock, membership.hearing, Math.random);
     const quarantine = createQuarantine({ clock, hasDied, logger: loggers("quarantine"), metrics });
     const orders = startOrders({
         clock,
