--- a/packages/router/src/__tests__/unit/declarationReaders.test.ts
+++ b/packages/router/src/__tests__/unit/declarationReaders.test.ts
@@ -4,6 +4,7 @@
 import { noKnowledge } from "../../knowledge/noKnowledge.js";
 import { evidenceFleet } from "../support/evidenceFleet.js";
 import { routingOf } from "../support/routingOf.js";
+import { seededRandom } from "../support/seededRandom.js";
 
 /*
  * Sixty VMs each kept a read of the declarations waiting, thirty calls a second that showed nothing. Now one VM of each
@@ -44,14 +45,6 @@
 });
 
 const SEED = 7;
-const randomOf = (seed: number): () => number => {
-    const state = { value: seed };
-    return () => {
-        state.value = (state.value * 48_271) % 2_147_483_647;
-        return state.value / 2_147_483_647;
-    };
-};
-
 type Case = {
     readonly name: string;
     readonly vms: number;
@@ -82,7 +75,7 @@
 ];
 cases.forEach(({ name, vms, loss, isTurnedAway, mostReads }) => {
     test(`declarations: evidence stays young enough for keys: ${name}`, t => {
-        const seen = evidenceFleet({ vms, domains: 3, forMs: 15_000, random: randomOf(SEED), loss, isTurnedAway });
+        const seen = evidenceFleet({ vms, domains: 3, forMs: 15_000, random: seededRandom(SEED), loss, isTurnedAway });
         t.log(seen);
         t.true(seen.oldestMs < KEYS_MS, `${seen.oldestMs} ms`);
         t.true(seen.oldestTurnedAwayMs < KEYS_MS, `${seen.oldestTurnedAwayMs} ms where the store turns it away`);
--- a/packages/router/src/__tests__/unit/planWave.test.ts
+++ b/packages/router/src/__tests__/unit/planWave.test.ts
@@ -1,21 +1,11 @@
-import type { EndpointName } from "@azureshunt/core";
 import test from "ava";
 
 import type { EngineWeights } from "../../fleet/EngineWeights.js";
 import { planWave } from "../../fleet/planWave.js";
+import { engineOf } from "../support/engineOf.js";
 
-const engine = (name: string, more: Partial<EngineWeights> = {}): EngineWeights => ({
-    endpoint: name as EndpointName,
-    version: 1,
-    outdatedMs: 0,
-    ordersTaken: 0,
-    order: undefined,
-    running: 0,
-    isUp: true,
-    ...more,
-});
 const fleet = (count: number, more: Partial<EngineWeights> = {}): readonly EngineWeights[] =>
-    Array.from({ length: count }, (_, i) => engine(`e${i}`, more));
+    Array.from({ length: count }, (_, i) => engineOf(`e${i}`, more));
 const order = { version: 2, givenAt: 0, seenAt: 0, isOwn: true };
 
 type Case = {
@@ -68,10 +58,10 @@
     {
         name: "the oldest weights first, then the fewest runs",
         engines: [
-            engine("busy", { running: 9 }),
-            engine("newer", { version: 2 }),
-            engine("idle"),
-            engine("done", { version: 3 }),
+            engineOf("busy", { running: 9 }),
+            engineOf("newer", { version: 2 }),
+            engineOf("idle"),
+            engineOf("done", { version: 3 }),
             ...fleet(4, { version: 3 }),
         ],
         demand: 0,
--- a/packages/router/src/__tests__/unit/sampleCandidates.test.ts
+++ b/packages/router/src/__tests__/unit/sampleCandidates.test.ts
@@ -3,7 +3,9 @@
 import { choosePlace } from "../../placement/choosePlace.js";
 import { sampleCandidates } from "../../placement/sampleCandidates.js";
 import { candidateOf } from "../support/candidateOf.js";
+import { seededRandom } from "../support/seededRandom.js";
 
+const SEED = 20_261_203;
 const ENGINES = 40;
 const CHOOSERS = 60;
 /** Between two beacons to one VM among so many. */
@@ -14,18 +16,9 @@
 const READ_PER_ARRIVAL = PROMPT / (ENGINES * 0.75);
 const ARRIVALS = 4_000;
 
-/** Numbers from 0 up to 1, the same at each run. */
-const createRandom = (): () => number => {
-    const state = { seed: 20_261_203 };
-    return () => {
-        state.seed = (Math.imul(state.seed, 1_664_525) + 1_013_904_223) >>> 0;
-        return state.seed / 2 ** 32;
-    };
-};
-
 /** Many VMs place prompts by what they last heard and by their own choices since; gives the mean queue that prompts met. */
 const meanQueue = (choosers: number): number => {
-    const random = createRandom();
+    const random = seededRandom(SEED);
     const queues = Array.from({ length: ENGINES }, () => 0);
     const heard = Array.from({ length: CHOOSERS }, () => queues.map(() => 0));
     const met = { tokens: 0 };
@@ -62,19 +55,19 @@
 const some = Array.from({ length: ENGINES }, (_, i) => candidateOf(`e${i}`));
 
 test("sampleCandidates: few VMs choose among all", t => {
-    t.is(sampleCandidates(some, 6, createRandom()), some);
+    t.is(sampleCandidates(some, 6, seededRandom(SEED)), some);
 });
 
 test("sampleCandidates: an engine that holds the prompt's parts is among those drawn", t => {
     const holder = candidateOf("holder", { missingTokens: 100 });
-    const drawn = sampleCandidates([...some, holder], CHOOSERS, createRandom());
+    const drawn = sampleCandidates([...some, holder], CHOOSERS, seededRandom(SEED));
     t.true(drawn.includes(holder));
     t.true(drawn.length < some.length / 4);
 });
 
 test("sampleCandidates: one that would have to fetch them is drawn by chance only", t => {
     const fetching = candidateOf("fetching", { missingTokens: 100, fetchedTokens: 5_900 });
-    const random = createRandom();
+    const random = seededRandom(SEED);
     const draws = Array.from({ length: 20 }, () => sampleCandidates([...some, fetching], CHOOSERS, random));
     t.true(draws.filter(drawn => drawn.includes(fetching)).length < draws.length / 2);
 });
--- a/packages/router/src/__tests__/unit/sight.test.ts
+++ b/packages/router/src/__tests__/unit/sight.test.ts
@@ -1,29 +1,22 @@
-import type { EndpointName } from "@azureshunt/core";
 import test from "ava";
 
-import type { EngineWeights } from "../../fleet/EngineWeights.js";
 import { rolloutOf } from "../../fleet/rolloutOf.js";
 import { createStreamPace } from "../../serve/createStreamPace.js";
+import { engineOf } from "../support/engineOf.js";
 
-const engine = (more: Partial<EngineWeights>): EngineWeights => ({
-    endpoint: "e" as EndpointName,
-    version: 1,
-    outdatedMs: 0,
-    ordersTaken: 0,
-    order: undefined,
-    running: 0,
-    isUp: true,
-    ...more,
-});
 const order = { version: 2, givenAt: 0, seenAt: 0, isOwn: true };
 
 const rollouts = [
-    { name: "all are there", engines: [engine({ version: 2 })], told: { outdated: 0, ordered: 0, unreachable: 0 } },
-    { name: "one waits", engines: [engine({})], told: { outdated: 1, ordered: 0, unreachable: 0 } },
-    { name: "one takes them", engines: [engine({ order })], told: { outdated: 1, ordered: 1, unreachable: 0 } },
+    {
+        name: "all are there",
+        engines: [engineOf("e", { version: 2 })],
+        told: { outdated: 0, ordered: 0, unreachable: 0 },
+    },
+    { name: "one waits", engines: [engineOf("e", {})], told: { outdated: 1, ordered: 0, unreachable: 0 } },
+    { name: "one takes them", engines: [engineOf("e", { order })], told: { outdated: 1, ordered: 1, unreachable: 0 } },
     {
         name: "one cannot be reached, another is there",
-        engines: [engine({ isUp: false }), engine({ version: 2, isUp: false })],
+        engines: [engineOf("e", { isUp: false }), engineOf("e", { version: 2, isUp: false })],
         told: { outdated: 1, ordered: 0, unreachable: 1 },
     },
 ];
