--- a/packages/router/src/allowance/createDemandOf.ts
+++ b/packages/router/src/allowance/createDemandOf.ts
@@ -1,6 +1,6 @@
 import type { Clock, Millis, OrganisationId, Tokens, VmId } from "@azureshunt/core";
 
-import { createPace } from "./createPace.js";
+import { createDemand } from "../placement/createDemand.js";
 
 /** What organisations ask for, at this VM and at the others. */
 type OrganisationDemand = {
@@ -15,21 +15,24 @@
 
 type Told = { readonly perSecond: Tokens; readonly at: Millis; };
 
+const MS_PER_SECOND = 1_000;
+/** Short, so that a sudden peak shows before it has cost much. */
+const WINDOW_MS: Millis = 1_000;
 /** What a VM told counts for so long: two of its beacons may be lost among many VMs. */
 const TOLD_MS: Millis = 3_000;
 
 /** Keeps what organisations ask for. */
 export function createDemandOf(clock: Clock): OrganisationDemand {
-    const paces = new Map<OrganisationId, ReturnType<typeof createPace>>();
+    const owns = new Map<OrganisationId, ReturnType<typeof createDemand>>();
     const told = new Map<OrganisationId, Map<VmId, Told>>();
 
-    const own: OrganisationDemand["own"] = organisation => paces.get(organisation)?.perSecond() ?? 0;
+    const own: OrganisationDemand["own"] = organisation => MS_PER_SECOND * (owns.get(organisation)?.rate() ?? 0);
     return {
         own,
         note: (organisation, tokens) => {
-            const pace = paces.get(organisation) ?? createPace(clock);
-            paces.set(organisation, pace);
-            pace.note(tokens);
+            const demand = owns.get(organisation) ?? createDemand(clock, WINDOW_MS);
+            owns.set(organisation, demand);
+            demand.note(tokens);
         },
         hear: (vm, organisation, perSecond) => {
             const byVm = told.get(organisation) ?? new Map<VmId, Told>();
--- a/packages/router/src/allowance/hearSpending.ts
+++ b/packages/router/src/allowance/hearSpending.ts
@@ -20,12 +20,16 @@
     isNew: boolean,
 ): SharedAllowance {
     const known = allowance.peers.get(vm);
+    if (known?.spent === spent && known.assumed === 0) {
+        // Most VMs have spent nothing for most organisations since they last told.
+        return allowance;
+    }
     const before = isNew ? 0 : known?.spent ?? spent;
     const further = spent - before;
     const debit = further < 0 ? further : Math.max(0, further - (known?.assumed ?? 0));
     return {
         ...allowance,
         level: Math.min(allowance.burst, allowance.level - debit),
-        peers: new Map([...allowance.peers, [vm, { spent, assumed: 0 }]]),
+        peers: new Map(allowance.peers).set(vm, { spent, assumed: 0 }),
     };
 }
--- a/packages/router/src/fleet/startOrders.ts
+++ b/packages/router/src/fleet/startOrders.ts
@@ -59,7 +59,7 @@
     const wanted = (): readonly (readonly [ModelName, number])[] =>
         [...knowledge().weights]
             .flatMap(([model, [named]]) => named === undefined ? [] : [[model, named.version] as const])
-            .filter(([model, version]) => book.engines(model).some(engine => engine.version < version));
+            .filter(([model, version]) => book.isAnyBehind(model, version));
 
     const ended = (
         { endpoint, model }: { readonly endpoint: EndpointName; readonly model: ModelName; },
--- a/packages/router/src/peers/createOthersLoad.ts
+++ b/packages/router/src/peers/createOthersLoad.ts
@@ -13,43 +13,57 @@
 /** What a VM told of its load counts for so long; its requests are over by then, or it tells anew. */
 const LOAD_MS: Millis = 1_500;
 
-type Told = EndpointShare & { readonly at: Millis; };
+type Told = { readonly load: Beacon["load"]; readonly at: Millis; };
 
 const nothing: EndpointShare = { running: 0, waitingTokens: 0, memoryTokens: 0 };
 
-const add = (sum: EndpointShare, each: EndpointShare): EndpointShare => ({
-    running: sum.running + each.running,
-    waitingTokens: sum.waitingTokens + each.waitingTokens,
-    memoryTokens: sum.memoryTokens + each.memoryTokens,
+const add = (sum: EndpointShare, each: EndpointShare, times: 1 | -1): EndpointShare => ({
+    running: sum.running + times * each.running,
+    waitingTokens: sum.waitingTokens + times * each.waitingTokens,
+    memoryTokens: sum.memoryTokens + times * each.memoryTokens,
 });
 
 /**
- * Keeps the shares by endpoint, as beacons come.
+ * Keeps the sum by endpoint, as beacons come.
  *
  * Load: each request asks for the load of every endpoint, with dozens of VMs and endpoints; going through all beacons for
  * each of them would cost thousands of steps a request.
  */
 export function createOthersLoad(clock: Clock): OthersLoad {
-    const byEndpoint = new Map<EndpointName, Map<VmId, Told>>();
+    const sums = new Map<EndpointName, EndpointShare>();
+    /** By VM, the one heard longest ago first. */
+    const told = new Map<VmId, Told>();
 
-    const hear: OthersLoad["hear"] = ({ vm, load }) => {
-        const at = clock.now();
-        byEndpoint.forEach((shares, endpoint) => {
-            shares.delete(vm);
-            if (shares.size === 0) {
-                byEndpoint.delete(endpoint);
-            }
-        });
+    const take = (load: Beacon["load"], times: 1 | -1): void =>
         load.forEach(([endpoint, share]) => {
-            const shares = byEndpoint.get(endpoint) ?? new Map<VmId, Told>();
-            byEndpoint.set(endpoint, shares.set(vm, { ...share, at }));
+            const sum = add(sums.get(endpoint) ?? nothing, share, times);
+            if (sum.running === 0) {
+                sums.delete(endpoint);
+                return;
+            }
+            sums.set(endpoint, sum);
         });
+    const forget = (vm: VmId): void => {
+        take(told.get(vm)?.load ?? [], -1);
+        told.delete(vm);
     };
-    const at: OthersLoad["at"] = endpoint => {
+    const hear: OthersLoad["hear"] = ({ vm, load }) => {
+        forget(vm);
+        told.set(vm, { load, at: clock.now() });
+        take(load, 1);
+    };
+    const forgetOld = (): void => {
         const now = clock.now();
-        return [...byEndpoint.get(endpoint)?.values() ?? []]
-            .filter(told => now - told.at < LOAD_MS)
-            .reduce(add, nothing);
+        for (const [vm, { at }] of told) {
+            if (now - at < LOAD_MS) {
+                return;
+            }
+            forget(vm);
+        }
+    };
+    const at: OthersLoad["at"] = endpoint => {
+        forgetOld();
+        return sums.get(endpoint) ?? nothing;
     };
     return { hear, at };
 }
--- a/packages/router/src/placement/EndpointBook.ts
+++ b/packages/router/src/placement/EndpointBook.ts
@@ -47,6 +47,8 @@
      * @returns a function that ends the calls
      */
     readonly onOrdered: (endpoint: EndpointName, listener: () => void) => () => void;
+    /** Whether any engine of a model holds an older version; asked several times a second, so it looks at nothing else. */
+    readonly isAnyBehind: (model: ModelName, version: number) => boolean;
     /** Engines that hold a model. */
     readonly engines: (model: ModelName) => readonly EngineWeights[];
     /** The service of the endpoint at an address, `host:port`. */
--- a/packages/router/src/placement/createDemand.ts
+++ b/packages/router/src/placement/createDemand.ts
@@ -1,4 +1,4 @@
-import type { Clock, Tokens } from "@azureshunt/core";
+import type { Clock, Millis, Tokens } from "@azureshunt/core";
 
 /** Prompt tokens that callers send to this VM. */
 type Demand = {
@@ -7,21 +7,25 @@
     readonly rate: () => Tokens;
 };
 
-/** Over which the rate is averaged: long enough for single large prompts, short enough for a burst. */
-const WINDOW_MS = 2_000;
+/** Long enough for single large prompts, short enough for a burst. */
+const WINDOW_MS: Millis = 2_000;
 
-/** Measures the demand as a moving average that fades with time. */
-export function createDemand(clock: Clock): Demand {
+/**
+ * Measures the demand as a moving average that fades with time.
+ *
+ * @param windowMs over which it is averaged
+ */
+export function createDemand(clock: Clock, windowMs: Millis = WINDOW_MS): Demand {
     const state = { rate: 0, at: clock.now() };
     const fade = (): number => {
         const now = clock.now();
-        state.rate *= Math.exp(-(now - state.at) / WINDOW_MS);
+        state.rate *= Math.exp(-(now - state.at) / windowMs);
         state.at = now;
         return state.rate;
     };
     return {
         note: tokens => {
-            state.rate = fade() + tokens / WINDOW_MS;
+            state.rate = fade() + tokens / windowMs;
         },
         rate: fade,
     };
--- a/packages/router/src/placement/createEndpointBook.ts
+++ b/packages/router/src/placement/createEndpointBook.ts
@@ -199,10 +199,16 @@
         }
     };
 
-    const engines: EndpointBook["engines"] = model =>
+    const holdersOf = (model: ModelName): readonly EndpointEntry[] =>
         [...book.registry.endpoints.values()]
             .map(({ entry }) => entry)
-            .filter(entry => entry.versions.has(model) && !entry.isLeaving)
+            .filter(entry => entry.versions.has(model) && !entry.isLeaving);
+
+    const isAnyBehind: EndpointBook["isAnyBehind"] = (model, version) =>
+        holdersOf(model).some(entry => (versionAt(entry, model) ?? 0) < version);
+
+    const engines: EndpointBook["engines"] = model =>
+        holdersOf(model)
             .map(entry => {
                 const own = dealings.of(entry);
                 const version = versionAt(entry, model) ?? 0;
@@ -234,6 +240,7 @@
         ordered,
         orderOver,
         onOrdered: orderListeners.add,
+        isAnyBehind,
         engines,
         serviceAt: address => book.serviceByAddress.get(address),
         entryOf,
--- a/packages/router/src/serve/createPromptShares.ts
+++ b/packages/router/src/serve/createPromptShares.ts
@@ -58,15 +58,17 @@
     const sources = [...engines, ...(store === undefined ? [] : [{ ...store, name: store.address, tokens: stored }])];
     const most = sources.reduce((tokens, each) => Math.max(tokens, each.tokens), 0);
     const best = sources.filter(({ tokens }) => most - tokens < WORTH_FETCHING);
+    // Looked up for each of dozens of engines, so that it is worked out once a request.
+    const bestOfAll = best.reduce<Source | undefined>(more, undefined);
+    const bestOfDomain = new Map(best.toReversed().map(source => [source.failureDomain, source]));
 
     // The last part is the request's own.
     const sharedTokens = chain.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
 
     const at: PromptShares["at"] = (endpoint, domain) => {
         const own = ownTokens.get(endpoint) ?? 0;
-        const others = best.filter(({ name }) => name !== endpoint);
-        const source = others.find(({ failureDomain }) => failureDomain === domain)
-            ?? others.reduce<Source | undefined>(more, undefined);
+        // One of the best itself has nothing worth fetching from another.
+        const source = bestOfDomain.get(domain) ?? bestOfAll;
         const fetched = source === undefined || source.tokens - own < WORTH_FETCHING ? 0 : source.tokens - own;
         return {
             missingTokens: promptTokens - own - fetched,
