--- a/packages/router/src/allowance/createAllowances.ts
+++ b/packages/router/src/allowance/createAllowances.ts
@@ -6,7 +6,7 @@
 import type { Organisation } from "../configuration/Organisation.js";
 import type { Beacon } from "../peers/Beacon.js";
 import { advanceShared } from "./advanceShared.js";
-import { createDemandOf } from "./createDemandOf.js";
+import { createOrganisationDemand } from "./createOrganisationDemand.js";
 import { grantPart } from "./grantPart.js";
 import type { Hearing } from "./Hearing.js";
 import { hearSpending } from "./hearSpending.js";
@@ -45,7 +45,7 @@
  */
 export function createAllowances(clock: Clock, hearing: () => Hearing, random: () => number): Allowances {
     const all = new Map<OrganisationId, SharedAllowance>();
-    const demand = createDemandOf(clock);
+    const demand = createOrganisationDemand(clock);
 
     /** Whether a request is among those that the bucket can bear until all VMs have heard of each other's. */
     const isBorne = ({ id }: Organisation, { level, overdraft, ratePerSecond }: SharedAllowance): boolean =>
@@ -77,11 +77,10 @@
         waitMs: Millis,
     ): Refusal => {
         const { peers, unheard } = hearing();
+        const inDemand = Math.round(demand.total(organisation.id));
         const detail =
             `${organisation.id}: level ${Math.round(allowance?.level ?? 0)}, rate ${organisation.ratePerSecond}, `
-            + `demand ${
-                Math.round(demand.total(organisation.id))
-            }, asked ${tokens}, ${peers} other VMs, ${unheard.length} of them out of hearing`;
+            + `demand ${inDemand}, asked ${tokens}, ${peers} other VMs, ${unheard.length} of them out of hearing`;
         return refusalOf("over-rate", detail, { retryAfterSeconds: waitMs / MS_PER_SECOND });
     };
     const refusal: Allowances["refusal"] = (organisation, tokens) => {
--- a/packages/router/src/allowance/createDemandOf.ts
+++ b/packages/router/src/allowance/createOrganisationDemand.ts
@@ -22,7 +22,7 @@
 const TOLD_MS: Millis = 3_000;
 
 /** Keeps what organisations ask for. */
-export function createDemandOf(clock: Clock): OrganisationDemand {
+export function createOrganisationDemand(clock: Clock): OrganisationDemand {
     const owns = new Map<OrganisationId, ReturnType<typeof createDemand>>();
     const told = new Map<OrganisationId, Map<VmId, Told>>();
 
