Let a VM that follows ask the store for declarations four times a second at most

Found on reading: a VM that hears of a newer revision, or holds none that it can read, was due to read again at once. While the store is behind, or a declaration cannot be read, sixty VMs would ask without pause, more than the store answers. A read now comes 250 ms after the last one at the earliest, whatever makes it due. Tests red before: two cases of declarationReaders.

--- a/packages/router/src/__tests__/support/evidenceFleet.ts
+++ b/packages/router/src/__tests__/support/evidenceFleet.ts
@@ -60,7 +60,7 @@
         const incarnation = `run-${i}` as Incarnation;
         const failureDomain = `domain-${i % parts.domains}` as FailureDomain;
         const membership = createMembership(clock, { vm, incarnation, failureDomain, seeds: [] });
-        const own = { knowledge: noKnowledge as Knowledge, storeAt: -Infinity, sequence: 0 };
+        const own = { knowledge: noKnowledge as Knowledge, storeAt: -Infinity, askedAt: -Infinity, sequence: 0 };
         const stamps = new Map<
             VmId,
             { readonly incarnation: Incarnation; readonly sentAt: Millis; readonly at: Millis; }
@@ -97,7 +97,7 @@
         };
         const read = (): void => {
             const isReader = membership.isDomainReader();
-            const dueIn = declarationsDueIn({ knowledge: own.knowledge, isReader }, time.now);
+            const dueIn = declarationsDueIn({ knowledge: own.knowledge, askedAt: own.askedAt, isReader }, time.now);
             if (dueIn > 0) {
                 later(Math.min(dueIn, LOOK_MS), read);
                 return;
@@ -112,6 +112,7 @@
             const waitMs = isReader && !isFirst ? readerWaitMs(membership.newsEveryMs()) : 0;
             later(CALL_MS + waitMs, () => {
                 own.storeAt = time.now;
+                own.askedAt = askedAt;
                 const configuration = routingOf(revision, []);
                 own.knowledge = stepKnowledge(own.knowledge, { kind: "configuration", configuration }, time.now);
                 const event = { kind: "confirmed", revision, asOf: askedAt, stampedAt: askedAt } as const;
--- a/packages/router/src/__tests__/unit/declarationReaders.test.ts
+++ b/packages/router/src/__tests__/unit/declarationReaders.test.ts
@@ -22,25 +22,46 @@
 });
 
 const due = [
-    { name: "a reader reads all the time", knowledge: confirmed(9_900), isReader: true, dueIn: 0 },
+    { name: "a reader reads all the time", knowledge: confirmed(9_900), askedAt: 9_900, isReader: true, dueIn: 0 },
     {
         name: "a follower waits while its evidence is young",
         knowledge: confirmed(9_900),
+        askedAt: 1_000,
         isReader: false,
         dueIn: 2_400,
     },
-    { name: "a follower whose evidence is old reads", knowledge: confirmed(7_000), isReader: false, dueIn: -500 },
+    {
+        name: "a follower whose evidence is old reads",
+        knowledge: confirmed(7_000),
+        askedAt: 1_000,
+        isReader: false,
+        dueIn: -500,
+    },
     {
         name: "a follower that hears of a newer revision reads",
         knowledge: confirmed(9_900, 2),
+        askedAt: 1_000,
+        isReader: false,
+        dueIn: -8_750,
+    },
+    {
+        name: "one that has just read and did not find it waits: dozens would ask a store that is behind without pause",
+        knowledge: confirmed(9_900, 2),
+        askedAt: 9_990,
+        isReader: false,
+        dueIn: 240,
+    },
+    {
+        name: "one that knows nothing reads",
+        knowledge: noKnowledge,
+        askedAt: -Infinity,
         isReader: false,
-        dueIn: 0,
+        dueIn: -Infinity,
     },
-    { name: "one that knows nothing reads", knowledge: noKnowledge, isReader: false, dueIn: -Infinity },
 ];
-due.forEach(({ name, knowledge, isReader, dueIn }) => {
+due.forEach(({ name, knowledge, askedAt, isReader, dueIn }) => {
     test(`declarations: ${name}`, t => {
-        t.is(declarationsDueIn({ knowledge, isReader }, 10_000), dueIn);
+        t.is(declarationsDueIn({ knowledge, askedAt, isReader }, 10_000), dueIn);
     });
 });
 
--- a/packages/router/src/knowledge/declarationsDueIn.ts
+++ b/packages/router/src/knowledge/declarationsDueIn.ts
@@ -8,8 +8,13 @@
  */
 const FOLLOW_MS: Millis = 2_500;
 
+/** Least time between two reads: the store may be behind, or hold nothing that can be read, for seconds. */
+const AGAIN_MS: Millis = 250;
+
 type DueQuestion = {
     readonly knowledge: Knowledge;
+    /** When this VM last asked the store; −∞ before it has. */
+    readonly askedAt: Millis;
     /** Whether this VM reads the declarations for the others of its failure domain. */
     readonly isReader: boolean;
 };
@@ -21,7 +26,11 @@
  * reads, and its beacons vouch for the others' knowledge. A VM that hears of a newer revision reads it at once, and one
  * whose evidence gets old, as its reader has died or is cut off, reads for itself without anybody deciding so.
  */
-export function declarationsDueIn({ knowledge, isReader }: DueQuestion, now: Millis): Millis {
+export function declarationsDueIn({ knowledge, askedAt, isReader }: DueQuestion, now: Millis): Millis {
+    if (isReader) {
+        return 0;
+    }
     const isBehind = knowledge.heardRevision > (knowledge.configuration?.revision ?? -1);
-    return isReader || isBehind ? 0 : knowledge.confirmedAt + FOLLOW_MS - now;
+    const wantedAt = isBehind ? -Infinity : knowledge.confirmedAt + FOLLOW_MS;
+    return Math.max(wantedAt, askedAt + AGAIN_MS) - now;
 }
--- a/packages/router/src/knowledge/startKnowledge.ts
+++ b/packages/router/src/knowledge/startKnowledge.ts
@@ -56,6 +56,8 @@
         knowledge: noKnowledge,
         raw: undefined as Buffer | undefined,
         storeAt: -Infinity,
+        /** When the last read that was answered had been sent. */
+        askedAt: -Infinity,
         isStoreThere: false,
         storeChangedAt: clock.now(),
         isFetching: false,
@@ -117,10 +119,14 @@
         clock,
         topic: wire.declarationsTopic,
         waitMs: () => parts.isReader() ? readerWaitMs(parts.newsEveryMs()) : 0,
-        dueInMs: () => declarationsDueIn({ knowledge: state.knowledge, isReader: parts.isReader() }, clock.now()),
+        dueInMs: () => {
+            const { knowledge, askedAt } = state;
+            return declarationsDueIn({ knowledge, askedAt, isReader: parts.isReader() }, clock.now());
+        },
         onNews: ({ records, askedAt }) => {
             parts.checkPause();
             state.storeAt = clock.now();
+            state.askedAt = askedAt;
             state.isReadFailing = false;
             noteStore();
             records.forEach(({ key, value }) => value === undefined ? undefined : declare(key, value));
