--- a/packages/router/src/__tests__/unit/declarationReaders.test.ts
+++ b/packages/router/src/__tests__/unit/declarationReaders.test.ts
@@ -51,6 +51,13 @@
         isReader: false,
         dueIn: 240,
     },
+    {
+        name: "one that has just read and found nothing that it can read waits",
+        knowledge: noKnowledge,
+        askedAt: 9_990,
+        isReader: false,
+        dueIn: 240,
+    },
     {
         name: "one that knows nothing reads",
         knowledge: noKnowledge,
