--- a/packages/router/src/__tests__/unit/allowanceFleet.test.ts
+++ b/packages/router/src/__tests__/unit/allowanceFleet.test.ts
@@ -8,7 +8,7 @@
  * sends seven times its rate got more than its rate, its burst and the slack: each time the bucket held something
  * again, all VMs saw so at once and let through what came until they heard of each other.
  *
- *   QUOTA: 1,609,622 tokens of 1,604,936 allowed in 8 s
+ *   1,609,622 tokens ran in 8 s, 1,604,936 were allowed
  */
 
 const RATE = 100_000;
