--- a/packages/router/src/allowance/createOrganisationDemand.ts
+++ b/packages/router/src/allowance/createOrganisationDemand.ts
@@ -36,6 +36,10 @@
         },
         hear: (vm, organisation, perSecond) => {
             const byVm = told.get(organisation) ?? new Map<VmId, Told>();
+            if (perSecond === 0) {
+                byVm.delete(vm);
+                return;
+            }
             told.set(organisation, byVm.set(vm, { perSecond, at: clock.now() }));
         },
         total: organisation =>
--- a/packages/router/src/peers/createMembership.ts
+++ b/packages/router/src/peers/createMembership.ts
@@ -46,13 +46,13 @@
 /** Starts with nobody known but the seeds. */
 export function createMembership(clock: Clock, { failureDomain, ...self }: SelfInfo): Membership {
     const unknown: Members = { ...self, startedAt: clock.now(), isListed: false, known: new Map() };
-    const state = { members: unknown, lastHeard: lastHeard(unknown) };
+    const state = { members: unknown, lastHeard: undefined as ReturnType<typeof lastHeard> | undefined };
 
     const tell = (event: MembersEvent): void => {
         const before = state.members;
         state.members = stepMembers(before, event, clock.now());
-        // Asked for each endpoint of each request, while beacons come some dozens of times a second.
-        state.lastHeard = state.members === before ? state.lastHeard : lastHeard(state.members);
+        // Asked for each endpoint of each request, and for most of these in vain between two beacons.
+        state.lastHeard = state.members === before ? state.lastHeard : undefined;
     };
     const hear: Membership["hear"] = (beacon, address) => {
         const before = state.members.known.get(beacon.vm)?.heard;
@@ -60,6 +60,10 @@
         const heard = state.members.known.get(beacon.vm)?.heard;
         return heard?.beacon === beacon ? { heard, before } : undefined;
     };
+    const heardAt = (domain: FailureDomain): Millis | undefined => {
+        state.lastHeard ??= lastHeard(state.members);
+        return state.lastHeard.get(domain);
+    };
     return {
         current: () => state.members,
         vms: () => state.members.known.size + 1,
@@ -70,7 +74,7 @@
         quietMs: domain =>
             domain === failureDomain
                 ? 0
-                : quietMs(state.lastHeard.get(domain), state.members.known.size, clock.now()),
+                : quietMs(heardAt(domain), state.members.known.size, clock.now()),
         demand: () => othersDemand(state.members, clock.now()),
         isReader: () => isReader(state.members, clock.now()),
         isDomainReader: () => isReader(state.members, clock.now(), failureDomain),
--- a/packages/router/src/peers/stepMembers.ts
+++ b/packages/router/src/peers/stepMembers.ts
@@ -7,10 +7,16 @@
 
 type Known = Members["known"];
 
-const withListed = (members: Members, [vm, address]: readonly [VmId, string]): Known =>
-    vm === members.vm || members.known.has(vm)
+/** Adds those that are not known yet; the map is copied once, as beacons come dozens of times a second. */
+const withListed = (members: Members, listed: readonly (readonly [VmId, string])[]): Known => {
+    const added = listed.filter(([vm]) => vm !== members.vm && !members.known.has(vm));
+    return added.length === 0
         ? members.known
-        : new Map([...members.known, [vm, { vm, address, heard: undefined }]]);
+        : new Map([
+            ...members.known,
+            ...added.map(([vm, address]) => [vm, { vm, address, heard: undefined }] as const),
+        ]);
+};
 
 /**
  * Failure: datagrams wait in a suspended VM's buffers and are read as news when it goes on; it would take a key for valid
@@ -36,11 +42,8 @@
     }
     const { incarnation, failureDomain } = beacon;
     const heard = { incarnation, failureDomain, at: now, beacon, ...agesOf(members, beacon) };
-    const known: Known = new Map([...members.known, [beacon.vm, { vm: beacon.vm, address, heard }]]);
-    return {
-        ...members,
-        known: beacon.members.reduce((all, each) => withListed({ ...members, known: all }, each), known),
-    };
+    const known: Known = new Map(members.known).set(beacon.vm, { vm: beacon.vm, address, heard });
+    return { ...members, known: withListed({ ...members, known }, beacon.members) };
 };
 
 const forget = (members: Members, now: Millis): Members => {
@@ -56,7 +59,7 @@
             return {
                 ...members,
                 isListed: true,
-                known: event.members.reduce((all, each) => withListed({ ...members, known: all }, each), members.known),
+                known: withListed(members, event.members),
             };
         case "beacon":
             return hear(members, event, now);
