Keep virtual time in one place in the tests, and one type of a held version

Found on reading the whole change again. Two tests each had their own timers in virtual time; the type of a version that an engine holds stood in the book and beside what tells it.

--- /dev/null
+++ b/packages/router/src/__tests__/support/createVirtualTime.ts
@@ -0,0 +1,35 @@
+import type { Clock, Millis } from "@azureshunt/core";
+
+type Timer = { readonly at: Millis; readonly run: () => void; };
+
+type VirtualTime = {
+    readonly clock: Clock;
+    /** Runs a function later; gives the function that calls it off. */
+    readonly later: (delayMs: Millis, run: () => void) => () => void;
+    /** Runs all timers up to a moment, in order; those of the same moment as they were set. */
+    readonly runUntil: (end: Millis) => void;
+};
+
+/** Makes a clock that goes on from timer to timer, beginning at 0. */
+export function createVirtualTime(): VirtualTime {
+    const time = { now: 0 };
+    const timers: Timer[] = [];
+    const later: VirtualTime["later"] = (delayMs, run) => {
+        const timer = { at: time.now + delayMs, run };
+        const place = timers.findIndex(({ at }) => at > timer.at);
+        timers.splice(place < 0 ? timers.length : place, 0, timer);
+        return () => {
+            const index = timers.indexOf(timer);
+            if (index >= 0) {
+                timers.splice(index, 1);
+            }
+        };
+    };
+    const runUntil: VirtualTime["runUntil"] = end => {
+        for (let timer = timers.shift(); timer !== undefined && timer.at <= end; timer = timers.shift()) {
+            time.now = timer.at;
+            timer.run();
+        }
+    };
+    return { clock: { now: () => time.now, epoch: () => time.now }, later, runUntil };
+}
--- a/packages/router/src/__tests__/support/evidenceFleet.ts
+++ b/packages/router/src/__tests__/support/evidenceFleet.ts
@@ -8,6 +8,7 @@
 import type { Beacon } from "../../peers/Beacon.js";
 import { createBeaconPacer } from "../../peers/createBeaconPacer.js";
 import { createMembership } from "../../peers/createMembership.js";
+import { createVirtualTime } from "./createVirtualTime.js";
 import { routingOf } from "./routingOf.js";
 
 type FleetParts = {
@@ -30,28 +31,14 @@
 };
 
 const SETTLED_MS = 6_000;
-const LOOK_MS = 100;
+/** As long as the router waits until it looks again whether a read is due. */
+const LOOK_MS = 250;
 const CALL_MS = 10;
 const STORE_MS = 3_300;
 
-type Timer = { readonly at: Millis; readonly run: () => void; };
-
 /** Runs VMs in virtual time that read declarations by turns and vouch for each other; nothing new is declared. */
 export function evidenceFleet(parts: FleetParts): FleetSeen {
-    const time = { now: 0 };
-    const clock = { now: () => time.now, epoch: () => time.now };
-    const timers: Timer[] = [];
-    const later = (delayMs: Millis, run: () => void): () => void => {
-        const timer = { at: time.now + delayMs, run };
-        const place = timers.findIndex(({ at }) => at > timer.at);
-        timers.splice(place < 0 ? timers.length : place, 0, timer);
-        return () => {
-            const index = timers.indexOf(timer);
-            if (index >= 0) {
-                timers.splice(index, 1);
-            }
-        };
-    };
+    const { clock, later, runUntil } = createVirtualTime();
     const seen = { oldestMs: 0, oldestTurnedAwayMs: 0, reads: 0 };
     const revision = 1;
 
@@ -66,7 +53,7 @@
             { readonly incarnation: Incarnation; readonly sentAt: Millis; readonly at: Millis; }
         >();
         const hear = (beacon: Beacon): void => {
-            stamps.set(beacon.vm, { incarnation: beacon.incarnation, sentAt: beacon.sentAt, at: time.now });
+            stamps.set(beacon.vm, { incarnation: beacon.incarnation, sentAt: beacon.sentAt, at: clock.now() });
             const news = membership.hear(beacon, beacon.vm);
             if (news !== undefined && beacon.confirmedMs !== undefined) {
                 const { sentAfter, stampedAt } = news.heard;
@@ -74,7 +61,7 @@
                 own.knowledge = stepKnowledge(
                     own.knowledge,
                     { kind: "confirmed", revision, asOf, stampedAt },
-                    time.now,
+                    clock.now(),
                 );
             }
         };
@@ -86,37 +73,39 @@
                 incarnation,
                 failureDomain,
                 sequence: own.sequence,
-                sentAt: time.now,
-                echo: stamp === undefined ? undefined : { ...stamp, heldMs: time.now - stamp.at },
+                sentAt: clock.now(),
+                echo: stamp === undefined ? undefined : { ...stamp, heldMs: clock.now() - stamp.at },
                 members: [],
                 revision,
-                confirmedMs: own.knowledge.confirmedAt === -Infinity ? undefined : time.now - own.knowledge.confirmedAt,
-                hasStore: time.now - own.storeAt < STORE_MS,
+                confirmedMs: own.knowledge.confirmedAt === -Infinity
+                    ? undefined
+                    : clock.now() - own.knowledge.confirmedAt,
+                hasStore: clock.now() - own.storeAt < STORE_MS,
                 isLeaving: false,
             } as unknown as Beacon;
         };
         const read = (): void => {
             const isReader = membership.isDomainReader();
-            const dueIn = declarationsDueIn({ knowledge: own.knowledge, askedAt: own.askedAt, isReader }, time.now);
+            const dueIn = declarationsDueIn({ knowledge: own.knowledge, askedAt: own.askedAt, isReader }, clock.now());
             if (dueIn > 0) {
                 later(Math.min(dueIn, LOOK_MS), read);
                 return;
             }
-            const askedAt = time.now;
-            seen.reads += time.now > SETTLED_MS ? 1 : 0;
-            if (parts.isTurnedAway(i, time.now)) {
+            const askedAt = clock.now();
+            seen.reads += clock.now() > SETTLED_MS ? 1 : 0;
+            if (parts.isTurnedAway(i, clock.now())) {
                 later(250, read);
                 return;
             }
             const isFirst = own.knowledge.configuration === undefined;
             const waitMs = isReader && !isFirst ? readerWaitMs(membership.newsEveryMs()) : 0;
             later(CALL_MS + waitMs, () => {
-                own.storeAt = time.now;
+                own.storeAt = clock.now();
                 own.askedAt = askedAt;
                 const configuration = routingOf(revision, []);
-                own.knowledge = stepKnowledge(own.knowledge, { kind: "configuration", configuration }, time.now);
+                own.knowledge = stepKnowledge(own.knowledge, { kind: "configuration", configuration }, clock.now());
                 const event = { kind: "confirmed", revision, asOf: askedAt, stampedAt: askedAt } as const;
-                own.knowledge = stepKnowledge(own.knowledge, event, time.now);
+                own.knowledge = stepKnowledge(own.knowledge, event, clock.now());
                 read();
             });
         };
@@ -142,20 +131,17 @@
         });
     });
     const look = (): void => {
-        if (time.now > SETTLED_MS) {
+        if (clock.now() > SETTLED_MS) {
             vms.forEach(({ own }, i) => {
-                const ageMs = time.now - own.knowledge.confirmedAt;
-                const key = parts.isTurnedAway(i, time.now) ? "oldestTurnedAwayMs" : "oldestMs";
+                const ageMs = clock.now() - own.knowledge.confirmedAt;
+                const key = parts.isTurnedAway(i, clock.now()) ? "oldestTurnedAwayMs" : "oldestMs";
                 seen[key] = Math.max(seen[key], ageMs);
             });
         }
         later(LOOK_MS, look);
     };
     look();
-    for (let timer = timers.shift(); timer !== undefined && timer.at <= parts.forMs; timer = timers.shift()) {
-        time.now = timer.at;
-        timer.run();
-    }
+    runUntil(parts.forMs);
     const { oldestMs, oldestTurnedAwayMs, reads } = seen;
     return { oldestMs, oldestTurnedAwayMs, readsPerSecond: reads * 1_000 / (parts.forMs - SETTLED_MS) };
 }
--- a/packages/router/src/__tests__/unit/beaconPacer.test.ts
+++ b/packages/router/src/__tests__/unit/beaconPacer.test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 
 import { createBeaconPacer } from "../../peers/createBeaconPacer.js";
+import { createVirtualTime } from "../support/createVirtualTime.js";
 
 /*
  * With sixty VMs, callers' streams paused for longer than they may, though their engines made events in time, and orders to
@@ -18,33 +19,21 @@
     hurryAt: readonly number[],
     forMs: number,
 ): { readonly told: readonly Told[]; readonly cuts: number; } => {
-    const time = { now: 0 };
-    const timers = new Set<{ readonly at: number; readonly run: () => void; }>();
+    const { clock, later, runUntil } = createVirtualTime();
     const told: Told[] = [];
     const counts = { cuts: 0 };
-    const later = (delayMs: number, run: () => void): () => void => {
-        const timer = { at: time.now + delayMs, run };
-        timers.add(timer);
-        return () => timers.delete(timer);
-    };
     const pacer = createBeaconPacer<number>({
-        clock: { now: () => time.now, epoch: () => time.now },
+        clock,
         later,
         targets: () => Array.from({ length: targets }, (_, i) => i),
         onRound: isCut => {
             counts.cuts += isCut ? 1 : 0;
         },
-        tell: batch => batch.forEach(target => told.push({ at: time.now, target })),
+        tell: batch => batch.forEach(target => told.push({ at: clock.now(), target })),
         intervalMs: () => Math.min(1_000, Math.max(200, 25 * targets)),
     });
     hurryAt.forEach(at => later(at, pacer.hurry));
-    const next = (): { readonly at: number; readonly run: () => void; } | undefined =>
-        [...timers].toSorted((a, b) => a.at - b.at)[0];
-    for (let timer = next(); timer !== undefined && timer.at <= forMs; timer = next()) {
-        timers.delete(timer);
-        time.now = timer.at;
-        timer.run();
-    }
+    runUntil(forMs);
     return { told, cuts: counts.cuts };
 };
 
--- a/packages/router/src/peers/createHeldNews.ts
+++ b/packages/router/src/peers/createHeldNews.ts
@@ -1,12 +1,6 @@
 import type { EndpointName, Millis } from "@azureshunt/core";
 
-/** A version that an engine holds. */
-type HeldVersion = {
-    readonly endpoint: EndpointName;
-    readonly version: number;
-    /** When this VM itself saw that the engine had taken it; −∞ where another VM told. */
-    readonly seenAt: Millis;
-};
+import type { EndpointBook } from "../placement/EndpointBook.js";
 
 /** How long a new version is told with each beacon, so that a lost one does no harm. */
 const RECENT_MS: Millis = 3_000;
@@ -21,7 +15,7 @@
  * each beacon. A VM that missed a change hears of it all the same, from whichever VM's turn comes first.
  */
 export function createHeldNews(
-    held: () => readonly HeldVersion[],
+    held: EndpointBook["heldVersions"],
     now: () => Millis,
 ): () => readonly (readonly [EndpointName, number])[] {
     const turn = { next: 0 };
