Keep logs and histories of a request history in which a check was violated

A red run deleted what would explain it. The folder stays now and is named, with the whole history beside the VMs' logs; a clean run still leaves nothing.

--- a/packages/bench/src/histories/main.ts
+++ b/packages/bench/src/histories/main.ts
@@ -3,6 +3,7 @@
  * something was, 2 the arguments are wrong.
  */
 import { writeFileSync } from "node:fs";
+import { join } from "node:path";
 
 import { checkRequests } from "@azureshunt/history";
 import type { RequestEvent } from "@azureshunt/history";
@@ -55,19 +56,28 @@
         .join("; ");
 };
 
-/** Runs and judges one history; false when something was violated. */
-const runOne = (plan: HistoryPlan, out: string | undefined): Promise<boolean> =>
-    withFolder("history", async folder => {
+const linesOf = (history: readonly RequestEvent[]): string =>
+    history.map(event => `${JSON.stringify(event)}\n`).join("");
+
+/** Runs and judges one history; false when something was violated. Logs and endpoints' histories are kept then. */
+const runOne = (plan: HistoryPlan, out: string | undefined): Promise<boolean> => {
+    const judge = async (folder: string): Promise<boolean> => {
         const history = await runRequestHistory(plan, folder);
         if (out !== undefined) {
-            writeFileSync(out, history.map(event => `${JSON.stringify(event)}\n`).join(""));
+            writeFileSync(out, linesOf(history));
         }
         const violations = checkRequests(history);
         console.log(`seed ${plan.seed}, faults ${plan.faults.join(",") || "none"}: ${tally(history)}`);
         violations.forEach(({ rule, detail }) => console.log(`violated: ${rule}: ${detail}`));
         console.log(`${violations.length} violations`);
+        if (violations.length > 0) {
+            writeFileSync(join(folder, "history.jsonl"), linesOf(history));
+            console.log(`logs and histories: ${folder}`);
+        }
         return violations.length === 0;
-    });
+    };
+    return withFolder("history", judge, isClean => !isClean);
+};
 
 const runShort = async (): Promise<number> => {
     const results = await SHORT_SUITE.reduce<Promise<readonly boolean[]>>(
