Hold a request that was present at two deaths until these are judged

Beside it, a try that broke off before the first death was judged (300 ms) counted for nothing, so the second death passed for the first.

The bounds of what condemns a request stay as they were, and so do their tests.

Ruled out: condemning on incomplete evidence, as the request at fault may have run on the VM that is silent.

Test: suspectPort, three cases; all three fail on the code before.

--- /dev/null
+++ b/packages/daemon/src/__tests__/fakes/suspectFleet.ts
@@ -0,0 +1,82 @@
+import {
+    DispatchId,
+    EndpointName,
+    Incarnation,
+    KeyId,
+    ModelName,
+    OrganisationId,
+    RequestId,
+    VmId,
+    WeightsVersion,
+} from "@azureshunt/core";
+import type { ExecutionContext } from "ava";
+
+import type { Call } from "../../ports/Call.js";
+import type { Placement } from "../../ports/Placement.js";
+import type { SuspectPort } from "../../ports/SuspectPort.js";
+import { createSuspectPort } from "../../suspects/createSuspectPort.js";
+import { SUSPECT_TIMES } from "../../suspects/SUSPECT_TIMES.js";
+import { deadEndpoint } from "./deadEndpoint.js";
+import { fakeContext } from "./fakeContext.js";
+import { FakePeers } from "./FakePeers.js";
+
+/** Patience is short, so that a test of a VM that does not answer ends soon. */
+const TIMES = { ...SUSPECT_TIMES, askAgainMs: 20, firstDeathWaitMs: 50 };
+
+/** VMs that know of one another, with what remembers suspects on each. */
+type SuspectFleet = {
+    readonly peers: FakePeers;
+    readonly port: (vm: string) => SuspectPort;
+    /** A call with this text as its prompt, new each time as callers send it. */
+    readonly call: (prompt: string) => Call;
+    /** A place at a run of an engine whose process is gone by the time that the try breaks off. */
+    readonly place: (endpoint: string, url?: string) => Placement;
+    /** Whether the VM would run a call with this prompt. */
+    readonly mayRun: (vm: string, prompt: string) => boolean;
+};
+
+const VMS = ["vm-1", "vm-2", "vm-3"];
+
+/** Starts the suspect ports of three VMs. */
+export async function suspectFleet(t: ExecutionContext): Promise<SuspectFleet> {
+    const peers = new FakePeers();
+    const nowhere = await deadEndpoint();
+    const ports = new Map(VMS.map(vm => [vm, createSuspectPort(fakeContext(vm, peers).ctx, TIMES)] as const));
+    t.teardown(() => ports.forEach(port => port.stop()));
+    const counter = { calls: 0 };
+    const call = (prompt: string): Call => ({
+        id: RequestId.parse(`request-${counter.calls++}`),
+        organisation: OrganisationId.parse("hut"),
+        keyId: KeyId.parse("key"),
+        arrivedAt: 0,
+        deadline: Infinity,
+        priority: 5,
+        target: {
+            kind: "model",
+            path: "/v1/completions",
+            model: ModelName.parse("advisor"),
+            version: WeightsVersion.parse("v1"),
+            adapter: undefined,
+            stream: true,
+            body: { prompt },
+            pieces: [],
+            pieceTokens: 256,
+            promptTokens: 100,
+            maxTokens: 10,
+            cacheSalt: "",
+        } as Call["target"],
+        signal: new AbortController().signal,
+    });
+    const place = (endpoint: string, url = nowhere): Placement => ({
+        dispatchId: DispatchId.parse(`dispatch-${counter.calls++}`),
+        endpoint: EndpointName.parse(endpoint),
+        url,
+        incarnation: Incarnation.parse(`run-of-${endpoint}`),
+        estimate: 0,
+        started: () => undefined,
+        firstToken: () => undefined,
+        end: () => undefined,
+    });
+    const port = (vm: string): SuspectPort => ports.get(VmId.parse(vm) as string)!;
+    return { peers, port, call, place, mayRun: (vm, prompt) => port(vm).check(call(prompt)).isRight() };
+}
--- /dev/null
+++ b/packages/daemon/src/__tests__/unit/suspectPort.test.ts
@@ -0,0 +1,64 @@
+import { setTimeout as sleep } from "node:timers/promises";
+
+import { VmId } from "@azureshunt/core";
+import test from "ava";
+
+import { restartedEndpoint } from "../fakes/restartedEndpoint.js";
+import { suspectFleet } from "../fakes/suspectFleet.js";
+
+const PATIENCE_MS = 5_000;
+const LOOK_AGAIN_MS = 10;
+const SLOW_ANSWER_MS = 300;
+
+const until = async (holds: () => boolean, left = PATIENCE_MS): Promise<boolean> => {
+    if (holds() || left <= 0) {
+        return holds();
+    }
+    await sleep(LOOK_AGAIN_MS);
+    return until(holds, left - LOOK_AGAIN_MS);
+};
+
+type Fleet = Awaited<ReturnType<typeof suspectFleet>>;
+
+/** Runs a prompt on an engine that dies of it. */
+const crash = (fleet: Fleet, vm: string, prompt: string, endpoint: string, url?: string): Promise<void> =>
+    fleet.port(vm).running(fleet.call(prompt), fleet.place(endpoint, url))("died");
+
+const ALL = ["vm-1", "vm-2", "vm-3"];
+
+// A VM that answers late what it ran lets a crashing request go on to a third engine.
+test("suspects: a request present at two deaths is held while a VM has not answered", async t => {
+    const fleet = await suspectFleet(t);
+    fleet.peers.cut.add(VmId.parse("vm-3"));
+    await crash(fleet, "vm-1", "poison", "engine-1");
+    t.true(fleet.mayRun("vm-1", "poison"), "one death decides nothing");
+    await crash(fleet, "vm-1", "poison", "engine-2");
+    t.false(fleet.mayRun("vm-1", "poison"));
+    t.true(await until(() => !fleet.mayRun("vm-2", "poison")), "and on VMs that were told");
+    t.true(fleet.mayRun("vm-1", "question"));
+});
+
+// Without the late answer a held request would neither be cleared nor found guilty.
+test("suspects: a VM that answers late completes the judgement", async t => {
+    const fleet = await suspectFleet(t);
+    fleet.peers.cut.add(VmId.parse("vm-3"));
+    await crash(fleet, "vm-1", "poison", "engine-1");
+    await crash(fleet, "vm-1", "poison", "engine-2");
+    fleet.peers.cut.clear();
+    const isQuarantined = (vm: string): boolean =>
+        fleet.port(vm).check(fleet.call("poison")).caseOf({
+            Left: ({ kind }) => kind === "request-crashes-endpoints",
+            Right: () => false,
+        });
+    t.true(await until(() => ALL.every(isQuarantined)));
+});
+
+// A first death that is judged slowly passes for none, and the second one decides nothing.
+test("suspects: a request whose second try broke off goes no further until the first death is judged too", async t => {
+    const fleet = await suspectFleet(t);
+    const url = await restartedEndpoint(t, SLOW_ANSWER_MS);
+    const first = crash(fleet, "vm-1", "poison", "engine-1", url);
+    await crash(fleet, "vm-1", "poison", "engine-2");
+    t.false(fleet.mayRun("vm-1", "poison"));
+    await first;
+});
--- /dev/null
+++ b/packages/daemon/src/suspects/SuspectAggregate.ts
@@ -0,0 +1,9 @@
+import type { SuspectState } from "@azureshunt/request";
+
+import type { SuspectEvent } from "./SuspectEvent.js";
+
+/** What is known of suspects, as the parts of this folder read and change it. */
+export type SuspectAggregate = {
+    readonly state: () => SuspectState;
+    readonly tell: (event: SuspectEvent) => void;
+};
--- a/packages/daemon/src/suspects/createSuspectPort.ts
+++ b/packages/daemon/src/suspects/createSuspectPort.ts
@@ -1,16 +1,17 @@
 import { setTimeout as sleep } from "node:timers/promises";
 
-import { refusalOf } from "@azureshunt/core";
 import type { EndpointName, Millis, Step } from "@azureshunt/core";
 import {
     clearSuspect,
+    deathsOf,
+    isHeld,
     isSpreadTo,
-    isSuspect,
     mayShareEndpoint,
     noSuspects,
+    noteBreak,
     noteDeath,
     quarantine,
-    quarantinedUntil,
+    settleBreak,
 } from "@azureshunt/request";
 import type { RequestFingerprint, SuspectEffect, SuspectState } from "@azureshunt/request";
 import { Left, Right } from "purify-ts";
@@ -20,29 +21,33 @@
 import type { DaemonContext } from "../ports/DaemonContext.js";
 import type { Placement } from "../ports/Placement.js";
 import type { SuspectPort } from "../ports/SuspectPort.js";
+import { createDeathJudge } from "./createDeathJudge.js";
 import { createRunningCalls } from "./createRunningCalls.js";
+import { deathIdOf } from "./deathIdOf.js";
 import { fingerprintModel } from "./fingerprintModel.js";
-import { gatherDeath } from "./gatherDeath.js";
 import { handleSuspectMessages } from "./handleSuspectMessages.js";
-import { hasDied } from "./hasDied.js";
 import { learnQuarantines } from "./learnQuarantines.js";
+import { refuseSuspect } from "./refuseSuspect.js";
+import { SUSPECT_TIMES } from "./SUSPECT_TIMES.js";
 import type { SuspectEvent } from "./SuspectEvent.js";
+import type { SuspectTimes } from "./SuspectTimes.js";
 
-const TELL_BOUND_MS = 1_000;
-const FIRST_DEATH_WAIT_MS = 300;
-const SECOND_DEATH_WAIT_MS = 5_000;
-const MILLIS_PER_SECOND = 1_000;
+type Effect = SuspectEffect | { readonly kind: "noted"; readonly noted: () => void; };
 
-type Effect = SuspectEffect | { readonly kind: "judged"; readonly judged: () => void; };
+const calling = (noted: () => void): Effect => ({ kind: "noted", noted });
 
 const reduce = (state: SuspectState, event: SuspectEvent, now: Millis): Step<SuspectState, Effect> => {
     switch (event.kind) {
+        case "broke":
+            return { state: noteBreak(state, event.request, event.death), effects: [calling(event.noted)] };
+        case "settled":
+            return { state: settleBreak(state, event.death), effects: [calling(event.noted)] };
         case "death": {
             const step = noteDeath(state, event.report, now);
-            const { judged } = event;
+            const { noted } = event;
             return {
                 state: step.state,
-                effects: judged === undefined ? [] : [...step.effects, { kind: "judged", judged }],
+                effects: noted === undefined ? [] : [...step.effects, calling(noted)],
             };
         }
         case "quarantine":
@@ -53,20 +58,21 @@
 };
 
 /** Starts what remembers requests that were running on endpoints when these died, on this and all other VMs. */
-export function createSuspectPort(ctx: DaemonContext): SuspectPort & { readonly stop: () => void; } {
+export function createSuspectPort(
+    ctx: DaemonContext,
+    times: SuspectTimes = SUSPECT_TIMES,
+): SuspectPort & { readonly stop: () => void; } {
     const { clock, peers, metrics } = ctx;
     const logger = ctx.logger("suspects");
     const calls = createRunningCalls(clock.now);
-    const presentBefore = new WeakSet<Call["target"]>();
-    const judging = new Map<string, Promise<void>>();
 
     const tellPeers = (kind: string, body: object): void =>
-        peers.peers().forEach(peer => void peers.exchange(peer.vm, kind, body, TELL_BOUND_MS));
+        peers.peers().forEach(peer => void peers.exchange(peer.vm, kind, body, times.tellBoundMs));
 
     const perform = (effect: Effect): void => {
         switch (effect.kind) {
-            case "judged":
-                effect.judged();
+            case "noted":
+                effect.noted();
                 return;
             case "quarantine": {
                 logger.warn({ fingerprint: effect.request }, "A request crashes endpoints and is stopped.");
@@ -86,43 +92,27 @@
     });
     const { tell, state } = aggregate;
 
-    const judge = async (id: string, placement: Placement): Promise<void> => {
-        const { endpoint, url, incarnation } = placement;
-        if (state().deaths.some(death => death.id === id)) {
-            return;
-        }
-        const running = calls.lately(endpoint, clock.now()).map(fingerprintModel);
-        if (!await hasDied(url, incarnation)) {
-            return;
-        }
-        metrics.count("azureshunt_endpoint_deaths_total", "Deaths of endpoints with requests running there.");
-        const report = await gatherDeath(ctx, id, endpoint, running);
-        const { death, complete } = report;
-        tellPeers("endpointDeath", { id, endpoint, running: death.running, gathered: true, complete });
-        logger.info({ id, running: death.running.length, complete }, "An endpoint has died.");
-        await new Promise<void>(judged => tell({ kind: "death", report, judged }));
-    };
-
-    /** One death shows on all connections to the endpoint and is judged once. */
-    const judgeOnce = (placement: Placement): Promise<void> => {
-        const id = `${placement.endpoint}/${placement.incarnation ?? "unknown"}`;
-        const known = judging.get(id) ?? judge(id, placement).finally(() => judging.delete(id));
-        judging.set(id, known);
-        return known;
-    };
+    const judge = createDeathJudge({ ctx, calls, suspects: aggregate, times, tellPeers });
 
     /**
      * A request that was present at one death goes on soon even if some VM is slow to say what it ran. One that was present
-     * at an earlier death already waits for the judgement, as it may be the one that is stopped by it.
+     * at two goes no further until both are judged: it may be the cause, and would bring down a third endpoint.
      */
-    const waitForJudgement = async (call: Call, judgement: Promise<void>): Promise<void> => {
-        const bound = presentBefore.has(call.target) ? SECOND_DEATH_WAIT_MS : FIRST_DEATH_WAIT_MS;
-        presentBefore.add(call.target);
-        await Promise.race([judgement, sleep(bound, undefined, { ref: false })]);
+    const waitForJudgement = async (call: Call, placement: Placement): Promise<void> => {
+        const request = fingerprintModel(call);
+        await new Promise<void>(noted => tell({ kind: "broke", request, death: deathIdOf(placement), noted }));
+        const judgement = judge.judge(placement);
+        if (isHeld(state(), request)) {
+            logger.info({ fingerprint: request, call: call.id }, "A request waits until endpoints' deaths are judged.");
+            await Promise.all([judgement, ...judge.pending(request)]);
+        }
+        else {
+            await Promise.race([judgement, sleep(times.firstDeathWaitMs, undefined, { ref: false })]);
+        }
     };
 
     const clear = (request: RequestFingerprint): void => {
-        if (isSuspect(state(), request)) {
+        if (deathsOf(state(), request).length > 0) {
             tell({ kind: "cleared", request });
             tellPeers("suspectCleared", { fingerprint: request });
         }
@@ -134,18 +124,15 @@
         );
 
     const check: SuspectPort["check"] = call => {
-        const { quarantined } = state();
-        const until = quarantined.size === 0
+        const { quarantined, deaths, unjudged } = state();
+        const refusal = quarantined.size + deaths.length + unjudged.size === 0
             ? undefined
-            : quarantinedUntil(state(), fingerprintModel(call), clock.now());
-        const seconds = Math.ceil(((until ?? 0) - clock.now()) / MILLIS_PER_SECOND);
-        return until === undefined
-            ? Right(call)
-            : Left(refusalOf("request-crashes-endpoints", `It is stopped for ${seconds} s more.`));
+            : refuseSuspect(state(), fingerprintModel(call), clock.now());
+        return refusal === undefined ? Right(call) : Left(refusal);
     };
 
     const mayShare: SuspectPort["mayShare"] = (call, endpoint) => {
-        if (state().deaths.length === 0) {
+        if (state().deaths.length + state().unjudged.size === 0) {
             return true;
         }
         const request = fingerprintModel(call);
@@ -159,7 +146,7 @@
         return async outcome => {
             remove(outcome === "died");
             if (outcome === "died" && call.target.kind === "model") {
-                await waitForJudgement(call, judgeOnce(placement));
+                await waitForJudgement(call, placement);
             }
             if (outcome === "complete" && state().deaths.length > 0) {
                 clear(fingerprintModel(call));
@@ -178,7 +165,7 @@
         metrics.gauge(
             "azureshunt_unexplained_deaths",
             "Deaths of endpoints not explained.",
-            () => state().deaths.length,
+            () => state().deaths.filter(({ running }) => running.length > 0).length,
         ),
     ];
     return {
@@ -188,6 +175,7 @@
         stop: () => {
             endMessages();
             endLearning();
+            judge.stop();
             removeGauges.forEach(remove => remove());
             aggregate.stop();
         },
--- a/packages/daemon/src/suspects/handleSuspectMessages.ts
+++ b/packages/daemon/src/suspects/handleSuspectMessages.ts
@@ -33,7 +33,7 @@
         const endpoint = death.endpoint as EndpointName;
         if (gathered) {
             const report = { death: { id, endpoint, at: clock.now(), running }, complete };
-            tell({ kind: "death", report, judged: undefined });
+            tell({ kind: "death", report, noted: undefined });
         }
         return Promise.resolve({ running: calls.lately(endpoint, clock.now()).map(fingerprintModel) });
     };
--- a/packages/request/src/clearSuspect.ts
+++ b/packages/request/src/clearSuspect.ts
@@ -3,8 +3,14 @@
 
 /** Takes a request off all suspicion, as it has run to its end. */
 export function clearSuspect(state: SuspectState, request: RequestFingerprint): SuspectState {
-    const deaths = state.deaths
-        .map(death => ({ ...death, running: death.running.filter(other => other !== request) }))
-        .filter(death => death.running.length > 0);
+    const deaths = state.deaths.map(death =>
+        death.running.includes(request)
+            ? {
+                ...death,
+                running: death.running.filter(other => other !== request),
+                cleared: [...death.cleared, request],
+            }
+            : death
+    );
     return { ...state, deaths };
 }
--- a/packages/request/src/isSuspect.ts
+++ b/packages/request/src/isSuspect.ts
@@ -4,5 +4,5 @@
 
 /** Whether a request must not share an endpoint with another suspect. */
 export function isSuspect(state: SuspectState, request: RequestFingerprint): boolean {
-    return deathsOf(state, request).length > 0;
+    return state.unjudged.has(request) || deathsOf(state, request).length > 0;
 }
--- a/packages/request/src/quarantine.ts
+++ b/packages/request/src/quarantine.ts
@@ -16,6 +16,7 @@
     ];
     const kept = entries.sort((a, b) => b[1] - a[1]).slice(0, SUSPECT_LIMITS.quarantined);
     return {
+        ...state,
         deaths: state.deaths.filter(death => !death.running.includes(request)),
         quarantined: new Map(kept),
     };
