Tell of deaths and quarantines until each VM has taken them in

Callers saw: a third engine crashed by a prompt that had been condemned 1.5 s (once 2.6 s) before at another VM.

Cause: deaths and quarantines were told once, with a bound of a second, and a VM that is busy answers later than that. It also answered before it had taken the message in, and the request was refused without waiting for any of it, so its caller could be faster at the next VM than the news.

Change: each VM is told again until it answers or is gone (a minute at most); an answer means that it is taken in; a request that is held is refused once all know, within 2 s. The state of suspects is an actor of its own file now.

Test: suspectPort, "told in vain" and "refused once the other VMs know"; both fail on the code before.

--- a/packages/daemon/src/__tests__/fakes/FakePeers.ts
+++ b/packages/daemon/src/__tests__/fakes/FakePeers.ts
@@ -1,3 +1,5 @@
+import { setTimeout as sleep } from "node:timers/promises";
+
 import type { VmId } from "@azureshunt/core";
 import { FailureDomain } from "@azureshunt/core";
 import { Left, Right } from "purify-ts";
@@ -14,6 +16,10 @@
     readonly #handlers = new Map<VmId, Map<string, Handler>>();
     /** VMs that nobody reaches. */
     readonly cut = new Set<VmId>();
+    /** How long a message is under way. */
+    delayMs = 0;
+    /** Whether a message is lost. */
+    loses: (to: VmId, kind: string, body: object) => boolean = () => false;
 
     /** The peer port of one daemon. */
     portOf(vm: VmId): PeerPort {
@@ -26,7 +32,9 @@
                     .map(each => ({ vm: each, failureDomain: FailureDomain.parse("fd-1"), address: each })),
             exchange: async (to, kind, body) => {
                 const handler = this.#handlers.get(to)?.get(kind);
-                const isReached = handler !== undefined && !this.cut.has(to) && !this.cut.has(vm);
+                const isReached = handler !== undefined && !this.cut.has(to) && !this.cut.has(vm)
+                    && !this.loses(to, kind, body);
+                await (this.delayMs > 0 ? sleep(this.delayMs) : undefined);
                 return isReached
                     ? Right(copied(await handler(copied(body), vm)))
                     : Left(new Error("unreachable"));
--- a/packages/daemon/src/__tests__/fakes/suspectFleet.ts
+++ b/packages/daemon/src/__tests__/fakes/suspectFleet.ts
@@ -21,7 +21,7 @@
 import { FakePeers } from "./FakePeers.js";
 
 /** Patience is short, so that a test of a VM that does not answer ends soon. */
-const TIMES = { ...SUSPECT_TIMES, askAgainMs: 20, firstDeathWaitMs: 50 };
+const TIMES = { ...SUSPECT_TIMES, askAgainMs: 20, tellAgainMs: 20, toldBoundMs: 200, firstDeathWaitMs: 50 };
 
 /** VMs that know of one another, with what remembers suspects on each. */
 type SuspectFleet = {
@@ -35,9 +35,9 @@
     readonly mayRun: (vm: string, prompt: string) => boolean;
 };
 
-const VMS = ["vm-1", "vm-2", "vm-3"];
+const VMS = ["vm-1", "vm-2", "vm-3", "vm-4", "vm-5"];
 
-/** Starts the suspect ports of three VMs. */
+/** Starts the suspect ports of five VMs. */
 export async function suspectFleet(t: ExecutionContext): Promise<SuspectFleet> {
     const peers = new FakePeers();
     const nowhere = await deadEndpoint();
--- a/packages/daemon/src/__tests__/unit/suspectPort.test.ts
+++ b/packages/daemon/src/__tests__/unit/suspectPort.test.ts
@@ -9,6 +9,7 @@
 const PATIENCE_MS = 5_000;
 const LOOK_AGAIN_MS = 10;
 const SLOW_ANSWER_MS = 300;
+const SLOW_MESSAGE_MS = 100;
 
 const until = async (holds: () => boolean, left = PATIENCE_MS): Promise<boolean> => {
     if (holds() || left <= 0) {
@@ -24,7 +25,7 @@
 const crash = (fleet: Fleet, vm: string, prompt: string, endpoint: string, url?: string): Promise<void> =>
     fleet.port(vm).running(fleet.call(prompt), fleet.place(endpoint, url))("died");
 
-const ALL = ["vm-1", "vm-2", "vm-3"];
+const ALL = ["vm-1", "vm-2", "vm-3", "vm-4", "vm-5"];
 
 // A VM that answers late what it ran lets a crashing request go on to a third engine.
 test("suspects: a request present at two deaths is held while a VM has not answered", async t => {
@@ -62,3 +63,25 @@
     t.false(fleet.mayRun("vm-1", "poison"));
     await first;
 });
+
+// A VM that misses the one telling of a quarantine runs the request on one more endpoint.
+test("suspects: a VM that was told in vain is told again", async t => {
+    const fleet = await suspectFleet(t);
+    fleet.peers.loses = (to, kind, body) => to === "vm-3" && (kind === "quarantine" || "gathered" in body);
+    await crash(fleet, "vm-1", "poison", "engine-1");
+    await crash(fleet, "vm-1", "poison", "engine-2");
+    t.false(fleet.mayRun("vm-2", "poison"));
+    t.true(fleet.mayRun("vm-3", "poison"), "nothing reached it");
+    // What vm-3 itself asks after its start goes on being lost.
+    fleet.peers.loses = (to, kind) => to !== "vm-3" && kind === "quarantine";
+    t.true(await until(() => !fleet.mayRun("vm-3", "poison")));
+});
+
+// The caller of a refused request turns to a VM that is still being told of the quarantine.
+test("suspects: a crashing request is refused once the other VMs know", async t => {
+    const fleet = await suspectFleet(t);
+    fleet.peers.delayMs = SLOW_MESSAGE_MS;
+    await crash(fleet, "vm-1", "poison", "engine-1");
+    await crash(fleet, "vm-1", "poison", "engine-2");
+    t.deepEqual(ALL.filter(vm => fleet.mayRun(vm, "poison")), []);
+});
--- a/packages/daemon/src/suspects/SUSPECT_TIMES.ts
+++ b/packages/daemon/src/suspects/SUSPECT_TIMES.ts
@@ -5,7 +5,12 @@
     /** Between two askings of a VM that has not answered, and for how long it is asked. */
     askAgainMs: 500,
     askForMs: 30_000,
+    /** For a VM to take in what it is told, and until one that has not is told again. */
     tellBoundMs: 1_000,
+    tellAgainMs: 250,
+    tellForMs: 60_000,
+    /** For all VMs to be told before a request that crashes endpoints is refused, as its caller may turn to any of them. */
+    toldBoundMs: 2_000,
     /** For the judgement of a first death; the request then goes on as a suspect. */
     firstDeathWaitMs: 300,
 } as const;
--- a/packages/daemon/src/suspects/createDeathJudge.ts
+++ b/packages/daemon/src/suspects/createDeathJudge.ts
@@ -19,7 +19,7 @@
     readonly calls: RunningCalls;
     readonly suspects: SuspectAggregate;
     readonly times: SuspectTimes;
-    readonly tellPeers: (kind: string, body: object) => void;
+    readonly tellPeers: (kind: string, body: () => object | undefined) => void;
 };
 
 /** Finds out whether endpoints have died and who was there. */
@@ -38,7 +38,13 @@
     const judging = new Map<string, Promise<void>>();
     const stopped = new AbortController();
 
-    const note = (
+    /** What is still unexplained of a death, for the other VMs. */
+    const reportOf = (id: string): object | undefined =>
+        suspects.state().deaths
+            .filter(death => death.id === id)
+            .map(({ endpoint, running, complete }) => ({ id, endpoint, running, gathered: true, complete }))[0];
+
+    const note = async (
         id: string,
         endpoint: EndpointName,
         running: readonly RequestFingerprint[],
@@ -47,9 +53,9 @@
         // A daemon that has just started may not know its peers yet.
         const complete = unheard.length === 0 && peers.peers().length > 0;
         logger.info({ id, running, unheard }, "An endpoint has died.");
-        tellPeers("endpointDeath", { id, endpoint, running, gathered: true, complete });
         const death = { id, endpoint, at: clock.now(), running: [...new Set(running)] };
-        return new Promise(noted => suspects.tell({ kind: "death", report: { death, complete }, noted }));
+        await suspects.tell({ kind: "death", report: { death, complete }, gatheredHere: true });
+        tellPeers("endpointDeath", () => reportOf(id));
     };
 
     /**
@@ -102,7 +108,7 @@
         finally {
             // A try that breaks off from here on is not settled by this, so it asks for a judgement of its own.
             judging.delete(id);
-            await new Promise<void>(noted => suspects.tell({ kind: "settled", death: id, noted }));
+            await suspects.tell({ kind: "settled", death: id });
         }
     };
 
--- a/packages/daemon/src/suspects/handleSuspectMessages.ts
+++ b/packages/daemon/src/suspects/handleSuspectMessages.ts
@@ -1,12 +1,11 @@
 import type { EndpointName } from "@azureshunt/core";
 import { RequestFingerprint } from "@azureshunt/request";
-import type { SuspectState } from "@azureshunt/request";
 import { z } from "zod";
 
 import type { DaemonContext } from "../ports/DaemonContext.js";
 import { fingerprintModel } from "./fingerprintModel.js";
 import type { RunningCalls } from "./RunningCalls.js";
-import type { SuspectEvent } from "./SuspectEvent.js";
+import type { SuspectAggregate } from "./SuspectAggregate.js";
 
 const Death = z.object({
     id: z.string(),
@@ -24,31 +23,32 @@
 export function handleSuspectMessages(
     ctx: DaemonContext,
     calls: RunningCalls,
-    state: () => SuspectState,
-    tell: (event: SuspectEvent) => void,
+    suspects: SuspectAggregate,
 ): () => void {
     const { peers, clock } = ctx;
-    const onDeath = (body: object): Promise<object> => {
+    const onDeath = async (body: object): Promise<object> => {
         const { gathered, complete, id, running, ...death } = Death.parse(body);
         const endpoint = death.endpoint as EndpointName;
         if (gathered) {
             const report = { death: { id, endpoint, at: clock.now(), running }, complete };
-            tell({ kind: "death", report, noted: undefined });
+            await suspects.tell({ kind: "death", report, gatheredHere: false });
         }
-        return Promise.resolve({ running: calls.lately(endpoint, clock.now()).map(fingerprintModel) });
+        return { running: calls.lately(endpoint, clock.now()).map(fingerprintModel) };
     };
-    const onQuarantine = (body: object): Promise<object> => {
-        Quarantine.parse(body).requests.forEach(({ fingerprint, remainingMs }) =>
-            tell({ kind: "quarantine", request: fingerprint, remainingMs })
+    const onQuarantine = async (body: object): Promise<object> => {
+        await Promise.all(
+            Quarantine.parse(body).requests.map(({ fingerprint, remainingMs }) =>
+                suspects.tell({ kind: "quarantine", request: fingerprint, remainingMs })
+            ),
         );
-        const requests = [...state().quarantined]
+        const requests = [...suspects.state().quarantined]
             .map(([fingerprint, until]) => ({ fingerprint, remainingMs: Math.ceil(until - clock.now()) }))
             .filter(({ remainingMs }) => remainingMs > 0);
-        return Promise.resolve({ requests });
+        return { requests };
     };
-    const onCleared = (body: object): Promise<object> => {
-        tell({ kind: "cleared", request: Cleared.parse(body).fingerprint });
-        return Promise.resolve({});
+    const onCleared = async (body: object): Promise<object> => {
+        await suspects.tell({ kind: "cleared", request: Cleared.parse(body).fingerprint });
+        return {};
     };
     const removals = [
         peers.handle("endpointDeath", onDeath),
--- a/packages/daemon/src/suspects/learnQuarantines.ts
+++ b/packages/daemon/src/suspects/learnQuarantines.ts
@@ -2,7 +2,7 @@
 import { z } from "zod";
 
 import type { DaemonContext } from "../ports/DaemonContext.js";
-import type { SuspectEvent } from "./SuspectEvent.js";
+import type { SuspectAggregate } from "./SuspectAggregate.js";
 
 const ASK_EVERY_MS = 1_000;
 const ASK_BOUND_MS = 800;
@@ -23,7 +23,7 @@
  *
  * @returns a function that ends it
  */
-export function learnQuarantines(ctx: DaemonContext, tell: (event: SuspectEvent) => void): () => void {
+export function learnQuarantines(ctx: DaemonContext, suspects: SuspectAggregate): () => void {
     const progress = { rounds: 0, answers: 0 };
 
     const ask = async (): Promise<void> => {
@@ -33,7 +33,7 @@
         );
         const told = answers.flatMap(answer => answer.map(body => [Quarantine.parse(body)]).orDefault([]));
         told.flatMap(({ requests }) => requests).forEach(({ fingerprint, remainingMs }) =>
-            tell({ kind: "quarantine", request: fingerprint, remainingMs })
+            void suspects.tell({ kind: "quarantine", request: fingerprint, remainingMs })
         );
         progress.answers = Math.max(progress.answers, told.length);
         progress.rounds += 1;
--- /dev/null
+++ b/packages/daemon/src/suspects/startSuspectAggregate.ts
@@ -0,0 +1,54 @@
+import type { Clock, Millis, Step } from "@azureshunt/core";
+import { clearSuspect, noSuspects, noteBreak, noteDeath, quarantine, settleBreak } from "@azureshunt/request";
+import type { SuspectEffect, SuspectState } from "@azureshunt/request";
+import type { ActorSystemRef } from "nact";
+
+import { spawnAggregate } from "../actors/spawnAggregate.js";
+import type { SuspectAggregate } from "./SuspectAggregate.js";
+import type { SuspectEvent } from "./SuspectEvent.js";
+
+type Message = { readonly event: SuspectEvent; readonly noted: () => void; };
+type Effect = SuspectEffect | { readonly kind: "noted"; readonly noted: () => void; };
+
+const reduceEvent = (state: SuspectState, event: SuspectEvent, now: Millis): Step<SuspectState, SuspectEffect> => {
+    switch (event.kind) {
+        case "broke":
+            return { state: noteBreak(state, event.request, event.death), effects: [] };
+        case "settled":
+            return { state: settleBreak(state, event.death), effects: [] };
+        case "death": {
+            const step = noteDeath(state, event.report, now);
+            return event.gatheredHere ? step : { state: step.state, effects: [] };
+        }
+        case "quarantine":
+            return { state: quarantine(state, event.request, now + event.remainingMs), effects: [] };
+        case "cleared":
+            return { state: clearSuspect(state, event.request), effects: [] };
+    }
+};
+
+const reduce = (state: SuspectState, { event, noted }: Message, now: Millis): Step<SuspectState, Effect> => {
+    const step = reduceEvent(state, event, now);
+    return { state: step.state, effects: [...step.effects, { kind: "noted", noted }] };
+};
+
+/**
+ * Starts the actor that keeps what is known of suspects.
+ *
+ * @param onQuarantine told when deaths gathered here show that a request crashes endpoints
+ */
+export function startSuspectAggregate(
+    system: ActorSystemRef,
+    clock: Clock,
+    onQuarantine: (effect: SuspectEffect) => void,
+): SuspectAggregate {
+    const perform = (effect: Effect): void => effect.kind === "noted" ? effect.noted() : onQuarantine(effect);
+    const { tell, state, stop } = spawnAggregate<SuspectState, Message, Effect>(system, {
+        name: "suspects",
+        initial: noSuspects,
+        now: clock.now,
+        reduce,
+        perform,
+    });
+    return { state, stop, tell: event => new Promise<void>(noted => tell({ event, noted })) };
+}
