Let a request that was present at a death run at one VM at a time, beside no other suspect

Callers saw: a third engine crashed although both deaths had been heard from all VMs.

Cause: what was kept apart were the suspects of one VM. Other VMs' runs of the same request, and their suspects at the same endpoint, were not known, and requests went on after 300 ms whether the death was noted or not.

Of two that ask at once the first by name goes first; the other one asks again, at another endpoint where that is what stood against it. A death is noted at once with what this VM ran, before others are asked.

Cost: nothing for requests that were present at no death. A suspect waits for one exchange with all VMs, a second at most where one is silent.

--- a/packages/daemon/src/__tests__/fakes/suspectFleet.ts
+++ b/packages/daemon/src/__tests__/fakes/suspectFleet.ts
@@ -31,6 +31,8 @@
     readonly call: (prompt: string) => Call;
     /** A place at a run of an engine whose process is gone by the time that the try breaks off. */
     readonly place: (endpoint: string, url?: string) => Placement;
+    /** Whether the VM knows of a death that nothing explains yet. */
+    readonly knowsDeath: (vm: string) => boolean;
     /** Whether the VM would run a call with this prompt. */
     readonly mayRun: (vm: string, prompt: string) => boolean;
 };
@@ -41,7 +43,8 @@
 export async function suspectFleet(t: ExecutionContext): Promise<SuspectFleet> {
     const peers = new FakePeers();
     const nowhere = await deadEndpoint();
-    const ports = new Map(VMS.map(vm => [vm, createSuspectPort(fakeContext(vm, peers).ctx, TIMES)] as const));
+    const contexts = new Map(VMS.map(vm => [vm, fakeContext(vm, peers).ctx] as const));
+    const ports = new Map([...contexts].map(([vm, ctx]) => [vm, createSuspectPort(ctx, TIMES)] as const));
     t.teardown(() => ports.forEach(port => port.stop()));
     const counter = { calls: 0 };
     const call = (prompt: string): Call => ({
@@ -78,5 +81,7 @@
         end: () => undefined,
     });
     const port = (vm: string): SuspectPort => ports.get(VmId.parse(vm) as string)!;
-    return { peers, port, call, place, mayRun: (vm, prompt) => port(vm).check(call(prompt)).isRight() };
+    const knowsDeath = (vm: string): boolean =>
+        /^azureshunt_unexplained_deaths [1-9]/m.test(contexts.get(vm)?.metrics.render() ?? "");
+    return { peers, port, call, place, knowsDeath, mayRun: (vm, prompt) => port(vm).check(call(prompt)).isRight() };
 }
--- a/packages/daemon/src/__tests__/unit/suspectPort.test.ts
+++ b/packages/daemon/src/__tests__/unit/suspectPort.test.ts
@@ -23,7 +23,7 @@
 
 /** Runs a prompt on an engine that dies of it. */
 const crash = (fleet: Fleet, vm: string, prompt: string, endpoint: string, url?: string): Promise<void> =>
-    fleet.port(vm).running(fleet.call(prompt), fleet.place(endpoint, url))("died");
+    fleet.port(vm).running(fleet.call(prompt), fleet.place(endpoint, url)).end("died");
 
 const ALL = ["vm-1", "vm-2", "vm-3", "vm-4", "vm-5"];
 
@@ -85,3 +85,50 @@
     await crash(fleet, "vm-1", "poison", "engine-2");
     t.deepEqual(ALL.filter(vm => fleet.mayRun(vm, "poison")), []);
 });
+
+// Copies of a crashing request run at once, and each brings down an engine before the first death is noticed.
+test("suspects: of two VMs that run the same suspect at once, one waits", async t => {
+    const fleet = await suspectFleet(t);
+    await crash(fleet, "vm-1", "poison", "engine-1");
+    t.true(await until(() => ALL.every(fleet.knowsDeath)));
+    fleet.peers.delayMs = SLOW_MESSAGE_MS;
+    const admit = (vm: string, endpoint: string) => fleet.port(vm).admit(fleet.call("poison"), fleet.place(endpoint));
+    const admissions = await Promise.all([admit("vm-4", "engine-2"), admit("vm-2", "engine-3")]);
+    t.deepEqual(admissions, ["request-busy", "admitted"]);
+});
+
+// Two suspects meet on one engine again, and its death does not tell which of them is at fault.
+test("suspects: a suspect does not go where another one has not been answered yet", async t => {
+    const fleet = await suspectFleet(t);
+    const died = ["poison", "question"].map((prompt, i) => crash(fleet, `vm-${i + 1}`, prompt, "engine-1"));
+    await Promise.all(died);
+    t.true(await until(() => ALL.every(fleet.knowsDeath)));
+    const { port, call, place } = fleet;
+    const [poison, question] = [call("poison"), call("question")];
+    const placement = place("engine-2");
+    t.is(await port("vm-1").admit(poison, placement), "admitted");
+    const run = port("vm-1").running(poison, placement);
+    t.is(await port("vm-2").admit(question, place("engine-2")), "endpoint-busy");
+    run.answering();
+    t.is(await port("vm-2").admit(question, place("engine-2")), "admitted");
+});
+
+// A VM that no news has reached runs a request that has crashed two engines as if for the first time.
+test("suspects: a VM learns from others of a request's deaths before it runs it again", async t => {
+    const fleet = await suspectFleet(t);
+    fleet.peers.loses = (_to, kind, body) => kind === "quarantine" || "gathered" in body;
+    await crash(fleet, "vm-1", "poison", "engine-1");
+    await crash(fleet, "vm-1", "poison", "engine-2");
+    t.true(fleet.mayRun("vm-2", "poison"), "nothing reached it");
+    await crash(fleet, "vm-2", "poison", "engine-3");
+    t.not(await fleet.port("vm-2").admit(fleet.call("poison"), fleet.place("engine-4")), "admitted");
+    t.false(fleet.mayRun("vm-2", "poison"));
+});
+
+// A cut-off failure domain must go on serving the innocent that were present at a death.
+test("suspects: VMs that cannot be reached do not keep a suspect from running", async t => {
+    const fleet = await suspectFleet(t);
+    ALL.slice(1).forEach(vm => fleet.peers.cut.add(VmId.parse(vm)));
+    await crash(fleet, "vm-1", "question", "engine-1");
+    t.is(await fleet.port("vm-1").admit(fleet.call("question"), fleet.place("engine-2")), "admitted");
+});
--- a/packages/daemon/src/dispatch/dispatchModel.ts
+++ b/packages/daemon/src/dispatch/dispatchModel.ts
@@ -12,7 +12,7 @@
 import { openEngineStream } from "./openEngineStream.js";
 import { outcomeOfTry } from "./outcomeOfTry.js";
 import { passStream } from "./passStream.js";
-import { placeTry } from "./placeTry.js";
+import { placeAdmitted } from "./placeAdmitted.js";
 import { traceTry } from "./traceTry.js";
 import type { TryEnd } from "./TryEnd.js";
 
@@ -66,8 +66,12 @@
     from: number,
     answer: ModelAnswer,
 ): Promise<TryResult> {
-    const endRunning = parts.suspects.running(call, placement);
-    const result = await tryOnce(parts, call, target, placement, from, answer);
+    const run = parts.suspects.running(call, placement);
+    const piece: ModelAnswer["piece"] = chunk => {
+        run.answering();
+        return answer.piece(chunk);
+    };
+    const result = await tryOnce(parts, call, target, placement, from, { ...answer, piece });
     const { failure } = result;
     if (failure?.kind === "silent") {
         parts.connections.distrust(placement.url);
@@ -75,7 +79,7 @@
     const outcome = failure === undefined ? "complete" : outcomeOfTry(failure);
     placement.end(outcome);
     // A request that never left cannot have been the end of the endpoint.
-    await endRunning(failure?.kind === "unreached" ? "cancelled" : outcome);
+    await run.end(failure?.kind === "unreached" ? "cancelled" : outcome);
     return result;
 }
 
@@ -101,7 +105,7 @@
 
     const attempt = async (request: RequestState): Promise<Either<Refusal, Tokens>> => {
         const deadline = request.next > 0 ? parts.ctx.clock.now() + RESUME_WAIT_MS : call.deadline;
-        const placed = await placeTry(parts, { ...call, deadline }, tried);
+        const placed = await placeAdmitted(parts, { ...call, deadline }, tried);
         if (placed.isLeft()) {
             return afterFailure(request, placed.extract() as TryEnd);
         }
--- /dev/null
+++ b/packages/daemon/src/suspects/DeathMessage.ts
@@ -0,0 +1,15 @@
+import { EndpointName } from "@azureshunt/core";
+import { RequestFingerprint } from "@azureshunt/request";
+import { z } from "zod";
+
+/** A death as VMs tell it to one another; see `EndpointDeath` in `peers.proto`. */
+const DeathMessage = z.object({
+    id: z.string(),
+    endpoint: EndpointName,
+    running: z.array(RequestFingerprint).default([]),
+    gathered: z.boolean().default(false),
+    complete: z.boolean().default(false),
+});
+type DeathMessage = z.infer<typeof DeathMessage>;
+
+export { DeathMessage };
--- a/packages/daemon/src/suspects/createDeathJudge.ts
+++ b/packages/daemon/src/suspects/createDeathJudge.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 
 import type { EndpointName, VmId } from "@azureshunt/core";
+import { deathsOf } from "@azureshunt/request";
 import type { RequestFingerprint } from "@azureshunt/request";
 
 import type { DaemonContext } from "../ports/DaemonContext.js";
@@ -24,10 +25,12 @@
 
 /** Finds out whether endpoints have died and who was there. */
 type DeathJudge = {
-    /** Settles when it is known whether the endpoint of a broken try has died, and the death is noted. */
+    /** Settles when it is known whether the endpoint of a broken try has died, and who else was there. */
     readonly judge: (placement: Placement) => Promise<void>;
-    /** The judgements that a request waits for now. */
-    readonly pending: (request: RequestFingerprint) => readonly Promise<void>[];
+    /** Settles when it is known which endpoints of a request's broken tries have died. */
+    readonly probed: (request: RequestFingerprint) => Promise<void>;
+    /** Settles when all deaths that a request was present at are judged. */
+    readonly judged: (request: RequestFingerprint) => Promise<void>;
     readonly stop: () => void;
 };
 
@@ -35,26 +38,38 @@
 export function createDeathJudge({ ctx, calls, suspects, times, tellPeers }: JudgeParts): DeathJudge {
     const { clock, metrics, peers } = ctx;
     const logger = ctx.logger("suspects");
-    const judging = new Map<string, Promise<void>>();
+    const probing = new Map<string, Promise<void>>();
+    const gathering = new Map<string, Promise<void>>();
     const stopped = new AbortController();
 
+    const ranHere = (endpoint: EndpointName): readonly RequestFingerprint[] =>
+        calls.lately(endpoint, clock.now()).map(fingerprintModel);
+
+    const note = (
+        id: string,
+        endpoint: EndpointName,
+        running: readonly RequestFingerprint[],
+        complete: boolean,
+    ): Promise<void> => {
+        const death = { id, endpoint, at: clock.now(), running: [...new Set(running)] };
+        return suspects.tell({ kind: "death", report: { death, complete }, gatheredHere: true });
+    };
+
     /** What is still unexplained of a death, for the other VMs. */
     const reportOf = (id: string): object | undefined =>
         suspects.state().deaths
             .filter(death => death.id === id)
             .map(({ endpoint, running, complete }) => ({ id, endpoint, running, gathered: true, complete }))[0];
 
-    const note = async (
+    const noteAnswers = async (
         id: string,
         endpoint: EndpointName,
         running: readonly RequestFingerprint[],
         unheard: readonly VmId[],
     ): Promise<void> => {
+        logger.info({ id, running, unheard }, "VMs said what they ran on an endpoint that died.");
         // A daemon that has just started may not know its peers yet.
-        const complete = unheard.length === 0 && peers.peers().length > 0;
-        logger.info({ id, running, unheard }, "An endpoint has died.");
-        const death = { id, endpoint, at: clock.now(), running: [...new Set(running)] };
-        await suspects.tell({ kind: "death", report: { death, complete }, gatheredHere: true });
+        await note(id, endpoint, running, unheard.length === 0 && peers.peers().length > 0);
         tellPeers("endpointDeath", () => reportOf(id));
     };
 
@@ -75,50 +90,67 @@
         }
         const { running, unheard } = await gatherDeath(ctx, { id, endpoint, vms: left, boundMs: times.askBoundMs });
         if (unheard.length < left.length) {
-            await note(id, endpoint, running, [...unheard, ...vms.filter(vm => !left.includes(vm))]);
+            await noteAnswers(id, endpoint, running, [...unheard, ...vms.filter(vm => !left.includes(vm))]);
         }
         return unheard.length === 0 ? undefined : hearRest(id, endpoint, unheard, until);
     };
 
     const gather = async (id: string, endpoint: EndpointName): Promise<void> => {
-        const own = calls.lately(endpoint, clock.now()).map(fingerprintModel);
         const vms = peers.peers().map(peer => peer.vm);
         const { running, unheard } = await gatherDeath(ctx, { id, endpoint, vms, boundMs: times.askBoundMs });
-        await note(id, endpoint, [...own, ...running], unheard);
+        await noteAnswers(id, endpoint, [...ranHere(endpoint), ...running], unheard);
         if (unheard.length > 0) {
             void hearRest(id, endpoint, unheard, clock.now() + times.askForMs);
         }
     };
 
-    /** Whether another VM has told of the death, with all that this one ran there. */
+    /** Whether the death is known, with all that this VM ran there. */
     const isKnown = (id: string, endpoint: EndpointName): boolean => {
         const death = suspects.state().deaths.find(known => known.id === id);
         const told = [...death?.running ?? [], ...death?.cleared ?? []];
-        return death !== undefined
-            && calls.lately(endpoint, clock.now()).map(fingerprintModel).every(request => told.includes(request));
+        return death !== undefined && ranHere(endpoint).every(request => told.includes(request));
+    };
+
+    /** Notes a death at once with what this VM ran, so that it holds these requests while the other VMs are asked. */
+    const noteOwn = async (id: string, endpoint: EndpointName): Promise<void> => {
+        const running = ranHere(endpoint);
+        metrics.count("azureshunt_endpoint_deaths_total", "Deaths of endpoints with requests running there.");
+        logger.info({ id, running }, "An endpoint has died.");
+        await note(id, endpoint, running, false);
+        const gathered = gather(id, endpoint).finally(() => gathering.delete(id));
+        gathering.set(id, gathered);
     };
 
-    const judgeNow = async (id: string, { endpoint, url, incarnation }: Placement): Promise<void> => {
+    const probe = async (id: string, { endpoint, url, incarnation }: Placement): Promise<void> => {
         try {
             if (!isKnown(id, endpoint) && await hasDied(url, incarnation)) {
-                metrics.count("azureshunt_endpoint_deaths_total", "Deaths of endpoints with requests running there.");
-                await gather(id, endpoint);
+                await noteOwn(id, endpoint);
             }
         }
         finally {
-            // A try that breaks off from here on is not settled by this, so it asks for a judgement of its own.
-            judging.delete(id);
+            // A try that breaks off from here on is not settled by this, so it is probed for anew.
+            probing.delete(id);
             await suspects.tell({ kind: "settled", death: id });
         }
     };
 
-    const judge: DeathJudge["judge"] = placement => {
+    const judge: DeathJudge["judge"] = async placement => {
         const id = deathIdOf(placement);
-        const known = judging.get(id) ?? judgeNow(id, placement);
-        judging.set(id, known);
-        return known;
+        const known = probing.get(id) ?? probe(id, placement);
+        probing.set(id, known);
+        await known;
+        await gathering.get(id);
+    };
+    const idsOf = (request: RequestFingerprint): readonly string[] => [
+        ...suspects.state().unjudged.get(request) ?? [],
+        ...deathsOf(suspects.state(), request).map(death => death.id),
+    ];
+    const probed: DeathJudge["probed"] = async request => {
+        await Promise.all(idsOf(request).map(id => probing.get(id)));
+    };
+    const judged: DeathJudge["judged"] = async request => {
+        await probed(request);
+        await Promise.all(idsOf(request).map(id => gathering.get(id)));
     };
-    const pending: DeathJudge["pending"] = request =>
-        (suspects.state().unjudged.get(request) ?? []).flatMap(id => judging.get(id) ?? []);
-    return { judge, pending, stop: () => stopped.abort() };
+    return { judge, probed, judged, stop: () => stopped.abort() };
 }
--- a/packages/daemon/src/suspects/createSuspectPort.ts
+++ b/packages/daemon/src/suspects/createSuspectPort.ts
@@ -8,7 +8,9 @@
 import type { Call } from "../ports/Call.js";
 import type { DaemonContext } from "../ports/DaemonContext.js";
 import type { Placement } from "../ports/Placement.js";
+import type { PlacementOutcome } from "../ports/PlacementOutcome.js";
 import type { SuspectPort } from "../ports/SuspectPort.js";
+import { createAdmission } from "./createAdmission.js";
 import { createDeathJudge } from "./createDeathJudge.js";
 import { createRunningCalls } from "./createRunningCalls.js";
 import { createTeller } from "./createTeller.js";
@@ -40,6 +42,7 @@
     const suspects = startSuspectAggregate(ctx.system, clock, stopRequest);
     const { state } = suspects;
     const judge = createDeathJudge({ ctx, calls, suspects, times, tellPeers: teller.tell });
+    const admission = createAdmission({ ctx, calls, suspects, times, probed: judge.probed });
 
     /**
      * A request that was present at one death goes on soon even if some VM is slow to say what it ran. One that was present
@@ -51,7 +54,7 @@
         const judgement = judge.judge(placement);
         if (isHeld(state(), request)) {
             logger.info({ fingerprint: request, call: call.id }, "A request waits until endpoints' deaths are judged.");
-            await Promise.all([judgement, ...judge.pending(request)]);
+            await Promise.all([judgement, judge.judged(request)]);
             await teller.told();
         }
         else {
@@ -89,10 +92,11 @@
             && isSpreadTo(state(), request, endpoint, modelEndpoints(), clock.now());
     };
 
-    const running: SuspectPort["running"] = (call: Call, placement: Placement) => {
-        const remove = calls.add(call, placement.endpoint);
-        return async outcome => {
-            remove(outcome === "died");
+    const running: SuspectPort["running"] = (call, placement) => {
+        const run = calls.add(call, placement.endpoint);
+        admission.began(placement.dispatchId);
+        const end = async (outcome: PlacementOutcome): Promise<void> => {
+            run.end(outcome === "died");
             if (outcome === "died" && call.target.kind === "model") {
                 await waitForJudgement(call, placement);
             }
@@ -100,6 +104,7 @@
                 clear(fingerprintModel(call));
             }
         };
+        return { answering: run.answering, end };
     };
 
     const endMessages = handleSuspectMessages(ctx, calls, suspects);
@@ -119,10 +124,12 @@
     return {
         check,
         mayShare,
+        admit: admission.admit,
         running,
         stop: () => {
             endMessages();
             endLearning();
+            admission.stop();
             judge.stop();
             teller.stop();
             removeGauges.forEach(remove => remove());
--- a/packages/daemon/src/suspects/handleSuspectMessages.ts
+++ b/packages/daemon/src/suspects/handleSuspectMessages.ts
@@ -1,19 +1,13 @@
-import type { EndpointName } from "@azureshunt/core";
 import { RequestFingerprint } from "@azureshunt/request";
 import { z } from "zod";
 
 import type { DaemonContext } from "../ports/DaemonContext.js";
+import { DeathMessage } from "./DeathMessage.js";
 import { fingerprintModel } from "./fingerprintModel.js";
 import type { RunningCalls } from "./RunningCalls.js";
 import type { SuspectAggregate } from "./SuspectAggregate.js";
+import { takeDeath } from "./takeDeath.js";
 
-const Death = z.object({
-    id: z.string(),
-    endpoint: z.string(),
-    running: z.array(RequestFingerprint).default([]),
-    gathered: z.boolean().default(false),
-    complete: z.boolean().default(false),
-});
 const Quarantine = z.object({
     requests: z.array(z.object({ fingerprint: RequestFingerprint, remainingMs: z.coerce.number() })).default([]),
 });
@@ -27,13 +21,11 @@
 ): () => void {
     const { peers, clock } = ctx;
     const onDeath = async (body: object): Promise<object> => {
-        const { gathered, complete, id, running, ...death } = Death.parse(body);
-        const endpoint = death.endpoint as EndpointName;
-        if (gathered) {
-            const report = { death: { id, endpoint, at: clock.now(), running }, complete };
-            await suspects.tell({ kind: "death", report, gatheredHere: false });
+        const death = DeathMessage.parse(body);
+        if (death.gathered) {
+            await takeDeath(suspects, clock, death);
         }
-        return { running: calls.lately(endpoint, clock.now()).map(fingerprintModel) };
+        return { running: calls.lately(death.endpoint, clock.now()).map(fingerprintModel) };
     };
     const onQuarantine = async (body: object): Promise<object> => {
         await Promise.all(
