Ask on whether an engine has died while it does not answer

Callers may see: a request that crashes engines goes on as if its connection had merely been cut, as one probe that timed out, or twelve that were broken off within 300 ms, passed the engine for alive.

A try that fell silent is told apart from one whose connection broke: it waits 300 ms as before and is no suspect until a death is shown, since suspended and cut-off engines look like this, and the innocent there would wait for all of it. A suspect waits for its engine's probe for 2 s at most.

Test: hasDied, two cases; "it does not answer in time, then nothing listens" fails on the code before.

--- a/packages/daemon/src/__tests__/unit/hasDied.test.ts
+++ b/packages/daemon/src/__tests__/unit/hasDied.test.ts
@@ -54,3 +54,28 @@
         server.closeAllConnections();
     });
 });
+
+// A dying engine, or a busy VM, lets one asking pass without an answer, and the request goes on to a third engine.
+[
+    { name: "it does not answer in time, then nothing listens", answers: undefined, expected: true },
+    { name: "it does not answer in time, then answers as the same run", answers: RUN, expected: false },
+].forEach(({ name, answers, expected }) => {
+    test(`hasDied: ${name}`, async t => {
+        const state = { askings: 0 };
+        const server = createServer((_req, res) => {
+            state.askings += 1;
+            if (state.askings > 1) {
+                res.end(JSON.stringify({ incarnation: answers }));
+            }
+            else if (answers === undefined) {
+                server.close();
+            }
+        });
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        const { port } = server.address() as AddressInfo;
+        const bounds = { answerMs: 100, againMs: 5, allMs: 5_000 };
+        t.is(await hasDied(`http://127.0.0.1:${port}`, RUN, bounds), expected);
+        server.close();
+        server.closeAllConnections();
+    });
+});
--- a/packages/daemon/src/dispatch/dispatchModel.ts
+++ b/packages/daemon/src/dispatch/dispatchModel.ts
@@ -13,6 +13,7 @@
 import { outcomeOfTry } from "./outcomeOfTry.js";
 import { passStream } from "./passStream.js";
 import { placeAdmitted } from "./placeAdmitted.js";
+import { runEndOf } from "./runEndOf.js";
 import { traceTry } from "./traceTry.js";
 import type { TryEnd } from "./TryEnd.js";
 
@@ -76,10 +77,8 @@
     if (failure?.kind === "silent") {
         parts.connections.distrust(placement.url);
     }
-    const outcome = failure === undefined ? "complete" : outcomeOfTry(failure);
-    placement.end(outcome);
-    // A request that never left cannot have been the end of the endpoint.
-    await run.end(failure?.kind === "unreached" ? "cancelled" : outcome);
+    placement.end(failure === undefined ? "complete" : outcomeOfTry(failure));
+    await run.end(runEndOf(failure));
     return result;
 }
 
--- a/packages/daemon/src/ports/SuspectPort.ts
+++ b/packages/daemon/src/ports/SuspectPort.ts
@@ -4,7 +4,7 @@
 import type { Admission } from "./Admission.js";
 import type { Call } from "./Call.js";
 import type { Placement } from "./Placement.js";
-import type { PlacementOutcome } from "./PlacementOutcome.js";
+import type { SuspectRunEnd } from "./SuspectRunEnd.js";
 
 /** Tells how a request goes on at an endpoint. */
 type SuspectRunHandle = {
@@ -14,7 +14,7 @@
      * To be called when the try is over; settles when a death of the endpoint has been judged, and nothing may be tried
      * again before that.
      */
-    readonly end: (outcome: PlacementOutcome) => Promise<void>;
+    readonly end: (ended: SuspectRunEnd) => Promise<void>;
 };
 
 /** Remembers requests that were running on endpoints when these died. */
--- a/packages/daemon/src/suspects/SUSPECT_TIMES.ts
+++ b/packages/daemon/src/suspects/SUSPECT_TIMES.ts
@@ -13,6 +13,8 @@
     toldBoundMs: 2_000,
     /** For the judgement of a first death; the request then goes on as a suspect. */
     firstDeathWaitMs: 300,
+    /** For the endpoint of a broken try to show whether it has died, before the request runs again. */
+    probedBoundMs: 2_000,
     /** For a VM to say whether a suspect may run beside what it runs. */
     admitBoundMs: 1_000,
 } as const;
--- a/packages/daemon/src/suspects/createAdmission.ts
+++ b/packages/daemon/src/suspects/createAdmission.ts
@@ -1,3 +1,5 @@
+import { setTimeout as sleep } from "node:timers/promises";
+
 import type { DispatchId, EndpointName, VmId } from "@azureshunt/core";
 import { isSuspect, quarantinedUntil, RequestFingerprint } from "@azureshunt/request";
 import { z } from "zod";
@@ -115,7 +117,7 @@
     };
 
     const admitSuspect = async (request: RequestFingerprint, placement: Placement): Promise<Admission> => {
-        await probed(request);
+        await Promise.race([probed(request), sleep(times.probedBoundMs, undefined, { ref: false })]);
         const { endpoint, dispatchId } = placement;
         const conflict = conflictOf([...runs(), ...asks.values()], { request, endpoint }, isSuspected);
         if (conflict !== undefined) {
--- a/packages/daemon/src/suspects/createSuspectPort.ts
+++ b/packages/daemon/src/suspects/createSuspectPort.ts
@@ -8,8 +8,8 @@
 import type { Call } from "../ports/Call.js";
 import type { DaemonContext } from "../ports/DaemonContext.js";
 import type { Placement } from "../ports/Placement.js";
-import type { PlacementOutcome } from "../ports/PlacementOutcome.js";
 import type { SuspectPort } from "../ports/SuspectPort.js";
+import type { SuspectRunEnd } from "../ports/SuspectRunEnd.js";
 import { createAdmission } from "./createAdmission.js";
 import { createDeathJudge } from "./createDeathJudge.js";
 import { createRunningCalls } from "./createRunningCalls.js";
@@ -44,6 +44,10 @@
     const judge = createDeathJudge({ ctx, calls, suspects, times, tellPeers: teller.tell });
     const admission = createAdmission({ ctx, calls, suspects, times, probed: judge.probed });
 
+    const soon = async (judgement: Promise<void>): Promise<void> => {
+        await Promise.race([judgement, sleep(times.firstDeathWaitMs, undefined, { ref: false })]);
+    };
+
     /**
      * A request that was present at one death goes on soon even if some VM is slow to say what it ran. One that was present
      * at two goes no further until both are judged: it may be the cause, and would bring down a third endpoint.
@@ -58,7 +62,7 @@
             await teller.told();
         }
         else {
-            await Promise.race([judgement, sleep(times.firstDeathWaitMs, undefined, { ref: false })]);
+            await soon(judgement);
         }
     };
 
@@ -95,12 +99,15 @@
     const running: SuspectPort["running"] = (call, placement) => {
         const run = calls.add(call, placement.endpoint);
         admission.began(placement.dispatchId);
-        const end = async (outcome: PlacementOutcome): Promise<void> => {
-            run.end(outcome === "died");
-            if (outcome === "died" && call.target.kind === "model") {
+        const end = async (ended: SuspectRunEnd): Promise<void> => {
+            run.end(ended === "broke" || ended === "silent");
+            if (ended === "broke") {
                 await waitForJudgement(call, placement);
             }
-            if (outcome === "complete" && state().deaths.length > 0) {
+            if (ended === "silent") {
+                await soon(judge.judge(placement));
+            }
+            if (ended === "complete" && state().deaths.length > 0) {
                 clear(fingerprintModel(call));
             }
         };
