Remember for a minute what ran on an endpoint when it died

Callers may see: a request condemned, or another one spared, since a VM that was asked late (a probe of 2 s and a question of 2 s under load, now asked on for 30 s) said that nothing of its own had been there: it forgot after 3 s. Keeping more of it by the endpoint's name alone would have counted what died with one run of an engine as present at the death of its next.

Change: calls are remembered with the run that they were sent to, 60 s for the death of that run and 3 s for any other.

The port had no way to ask about one run before.

--- a/packages/daemon/src/suspects/createDeathJudge.ts
+++ b/packages/daemon/src/suspects/createDeathJudge.ts
@@ -42,8 +42,8 @@
     const gathering = new Map<string, Promise<void>>();
     const stopped = new AbortController();
 
-    const ranHere = (endpoint: EndpointName): readonly RequestFingerprint[] =>
-        calls.lately(endpoint, clock.now()).map(fingerprintModel);
+    const ranHere = (id: string, endpoint: EndpointName): readonly RequestFingerprint[] =>
+        calls.presentAt(id, endpoint, clock.now()).map(fingerprintModel);
 
     const note = (
         id: string,
@@ -98,7 +98,7 @@
     const gather = async (id: string, endpoint: EndpointName): Promise<void> => {
         const vms = peers.peers().map(peer => peer.vm);
         const { running, unheard } = await gatherDeath(ctx, { id, endpoint, vms, boundMs: times.askBoundMs });
-        await noteAnswers(id, endpoint, [...ranHere(endpoint), ...running], unheard);
+        await noteAnswers(id, endpoint, [...ranHere(id, endpoint), ...running], unheard);
         if (unheard.length > 0) {
             void hearRest(id, endpoint, unheard, clock.now() + times.askForMs);
         }
@@ -108,12 +108,12 @@
     const isKnown = (id: string, endpoint: EndpointName): boolean => {
         const death = suspects.state().deaths.find(known => known.id === id);
         const told = [...death?.running ?? [], ...death?.cleared ?? []];
-        return death !== undefined && ranHere(endpoint).every(request => told.includes(request));
+        return death !== undefined && ranHere(id, endpoint).every(request => told.includes(request));
     };
 
     /** Notes a death at once with what this VM ran, so that it holds these requests while the other VMs are asked. */
     const noteOwn = async (id: string, endpoint: EndpointName): Promise<void> => {
-        const running = ranHere(endpoint);
+        const running = ranHere(id, endpoint);
         metrics.count("azureshunt_endpoint_deaths_total", "Deaths of endpoints with requests running there.");
         logger.info({ id, running }, "An endpoint has died.");
         await note(id, endpoint, running, false);
--- a/packages/daemon/src/suspects/createSuspectPort.ts
+++ b/packages/daemon/src/suspects/createSuspectPort.ts
@@ -97,7 +97,7 @@
     };
 
     const running: SuspectPort["running"] = (call, placement) => {
-        const run = calls.add(call, placement.endpoint);
+        const run = calls.add(call, placement);
         admission.began(placement.dispatchId);
         const end = async (ended: SuspectRunEnd): Promise<void> => {
             run.end(ended === "broke" || ended === "silent");
--- a/packages/daemon/src/suspects/handleSuspectMessages.ts
+++ b/packages/daemon/src/suspects/handleSuspectMessages.ts
@@ -25,7 +25,7 @@
         if (death.gathered) {
             await takeDeath(suspects, clock, death);
         }
-        return { running: calls.lately(death.endpoint, clock.now()).map(fingerprintModel) };
+        return { running: calls.presentAt(death.id, death.endpoint, clock.now()).map(fingerprintModel) };
     };
     const onQuarantine = async (body: object): Promise<object> => {
         await Promise.all(
