Let a VM that starts learn of deaths that are not judged yet

Callers may see: a request that is held on all VMs, and has brought down two engines, runs on a third one at a VM that was restarted meanwhile. A VM that starts asked its peers for quarantines alone.

Change: the answer holds the unexplained deaths too; one message type and one way of taking it in for both directions.

Test: suspectPort, "a VM that is started learns which requests are held"; fails on the code before.

--- a/packages/daemon/src/__tests__/fakes/suspectFleet.ts
+++ b/packages/daemon/src/__tests__/fakes/suspectFleet.ts
@@ -26,6 +26,8 @@
 /** VMs that know of one another, with what remembers suspects on each. */
 type SuspectFleet = {
     readonly peers: FakePeers;
+    /** Starts a daemon, also anew on a VM that has one. */
+    readonly start: (vm: string) => void;
     readonly port: (vm: string) => SuspectPort;
     /** A call with this text as its prompt, new each time as callers send it. */
     readonly call: (prompt: string) => Call;
@@ -46,6 +48,7 @@
     const contexts = new Map(VMS.map(vm => [vm, fakeContext(vm, peers).ctx] as const));
     const ports = new Map([...contexts].map(([vm, ctx]) => [vm, createSuspectPort(ctx, TIMES)] as const));
     t.teardown(() => ports.forEach(port => port.stop()));
+    const start = (vm: string): void => void ports.set(vm, createSuspectPort(fakeContext(vm, peers).ctx, TIMES));
     const counter = { calls: 0 };
     const call = (prompt: string): Call => ({
         id: RequestId.parse(`request-${counter.calls++}`),
@@ -83,5 +86,13 @@
     const port = (vm: string): SuspectPort => ports.get(VmId.parse(vm) as string)!;
     const knowsDeath = (vm: string): boolean =>
         /^azureshunt_unexplained_deaths [1-9]/m.test(contexts.get(vm)?.metrics.render() ?? "");
-    return { peers, port, call, place, knowsDeath, mayRun: (vm, prompt) => port(vm).check(call(prompt)).isRight() };
+    return {
+        start,
+        peers,
+        port,
+        call,
+        place,
+        knowsDeath,
+        mayRun: (vm, prompt) => port(vm).check(call(prompt)).isRight(),
+    };
 }
--- a/packages/daemon/src/__tests__/unit/suspectPort.test.ts
+++ b/packages/daemon/src/__tests__/unit/suspectPort.test.ts
@@ -132,3 +132,13 @@
     await crash(fleet, "vm-1", "question", "engine-1");
     t.is(await fleet.port("vm-1").admit(fleet.call("question"), fleet.place("engine-2")), "admitted");
 });
+
+// A restarted VM has forgotten the deaths, and runs a held request as if for the first time.
+test("suspects: a VM that is started learns which requests are held", async t => {
+    const fleet = await suspectFleet(t);
+    fleet.peers.cut.add(VmId.parse("vm-5"));
+    await crash(fleet, "vm-1", "poison", "engine-1");
+    await crash(fleet, "vm-1", "poison", "engine-2");
+    fleet.start("vm-6");
+    t.true(await until(() => !fleet.mayRun("vm-6", "poison")));
+});
--- a/packages/daemon/src/suspects/createAdmission.ts
+++ b/packages/daemon/src/suspects/createAdmission.ts
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 
 import type { DispatchId, EndpointName, VmId } from "@azureshunt/core";
-import { isSuspect, quarantinedUntil, RequestFingerprint } from "@azureshunt/request";
+import { deathsOf, isSuspect, quarantinedUntil, RequestFingerprint } from "@azureshunt/request";
 import { z } from "zod";
 
 import type { Admission } from "../ports/Admission.js";
@@ -10,7 +10,7 @@
 import type { Placement } from "../ports/Placement.js";
 import { conflictOf } from "./conflictOf.js";
 import { DeathMessage } from "./DeathMessage.js";
-import { deathRows } from "./deathRows.js";
+import { deathRow } from "./deathRow.js";
 import { fingerprintModel } from "./fingerprintModel.js";
 import { refuseSuspect } from "./refuseSuspect.js";
 import type { RunningCalls } from "./RunningCalls.js";
@@ -88,7 +88,7 @@
         const until = quarantinedUntil(suspects.state(), fingerprint, clock.now());
         return {
             conflict: conflictHere({ request: fingerprint, endpoint }, from) ?? "",
-            deaths: deathRows(suspects.state(), fingerprint),
+            deaths: deathsOf(suspects.state(), fingerprint).map(deathRow),
             quarantinedMs: until === undefined ? 0 : Math.ceil(until - clock.now()),
         };
     };
@@ -103,7 +103,7 @@
     };
 
     const askPeers = async ({ request, endpoint }: SuspectRun): Promise<Ask["conflict"]> => {
-        const question = { fingerprint: request, endpoint, deaths: deathRows(suspects.state(), request) };
+        const question = { fingerprint: request, endpoint, deaths: deathsOf(suspects.state(), request).map(deathRow) };
         const conflicts = await Promise.all(
             peers.peers().map(async ({ vm }) => {
                 const answered = await peers.exchange(vm, "suspectRun", question, times.admitBoundMs);
--- a/packages/daemon/src/suspects/createDeathJudge.ts
+++ b/packages/daemon/src/suspects/createDeathJudge.ts
@@ -7,6 +7,7 @@
 import type { DaemonContext } from "../ports/DaemonContext.js";
 import type { Placement } from "../ports/Placement.js";
 import { deathIdOf } from "./deathIdOf.js";
+import { deathRow } from "./deathRow.js";
 import { fingerprintModel } from "./fingerprintModel.js";
 import { gatherDeath } from "./gatherDeath.js";
 import { hasDied } from "./hasDied.js";
@@ -57,9 +58,7 @@
 
     /** What is still unexplained of a death, for the other VMs. */
     const reportOf = (id: string): object | undefined =>
-        suspects.state().deaths
-            .filter(death => death.id === id)
-            .map(({ endpoint, running, complete }) => ({ id, endpoint, running, gathered: true, complete }))[0];
+        suspects.state().deaths.filter(death => death.id === id).map(deathRow)[0];
 
     const noteAnswers = async (
         id: string,
--- a/packages/daemon/src/suspects/handleSuspectMessages.ts
+++ b/packages/daemon/src/suspects/handleSuspectMessages.ts
@@ -3,14 +3,14 @@
 
 import type { DaemonContext } from "../ports/DaemonContext.js";
 import { DeathMessage } from "./DeathMessage.js";
+import { deathRow } from "./deathRow.js";
 import { fingerprintModel } from "./fingerprintModel.js";
+import { QuarantineMessage } from "./QuarantineMessage.js";
 import type { RunningCalls } from "./RunningCalls.js";
 import type { SuspectAggregate } from "./SuspectAggregate.js";
 import { takeDeath } from "./takeDeath.js";
+import { takeQuarantine } from "./takeQuarantine.js";
 
-const Quarantine = z.object({
-    requests: z.array(z.object({ fingerprint: RequestFingerprint, remainingMs: z.coerce.number() })).default([]),
-});
 const Cleared = z.object({ fingerprint: RequestFingerprint });
 
 /** Answers what other VMs tell and ask of suspects; returns the function that ends it. */
@@ -28,15 +28,12 @@
         return { running: calls.presentAt(death.id, death.endpoint, clock.now()).map(fingerprintModel) };
     };
     const onQuarantine = async (body: object): Promise<object> => {
-        await Promise.all(
-            Quarantine.parse(body).requests.map(({ fingerprint, remainingMs }) =>
-                suspects.tell({ kind: "quarantine", request: fingerprint, remainingMs })
-            ),
-        );
+        await takeQuarantine(suspects, clock, QuarantineMessage.parse(body));
         const requests = [...suspects.state().quarantined]
             .map(([fingerprint, until]) => ({ fingerprint, remainingMs: Math.ceil(until - clock.now()) }))
             .filter(({ remainingMs }) => remainingMs > 0);
-        return { requests };
+        const deaths = suspects.state().deaths.filter(({ running }) => running.length > 0).map(deathRow);
+        return { requests, deaths };
     };
     const onCleared = async (body: object): Promise<object> => {
         await suspects.tell({ kind: "cleared", request: Cleared.parse(body).fingerprint });
