Log, with each refusal for want of tokens, what the VM knew of the organisation's homes

A refusal within the rate could not be told from one above it: nothing said whether homes had not answered, had declined or were barred, or had nothing left.

--- a/packages/daemon/src/allowance/createAllowanceStore.ts
+++ b/packages/daemon/src/allowance/createAllowanceStore.ts
@@ -1,5 +1,5 @@
 import type { AllowanceEffect, AllowanceEvent } from "@azureshunt/allowance";
-import { isIdle, openAllowance, stepAllowance } from "@azureshunt/allowance";
+import { isIdle, openAllowance, stepAllowance, viewHomes } from "@azureshunt/allowance";
 import type { Millis, OrganisationId } from "@azureshunt/core";
 import { refusalOf } from "@azureshunt/core";
 import { Left, Right } from "purify-ts";
@@ -36,6 +36,7 @@
     send: (message: AllowanceMessage) => void,
 ): AllowanceStore {
     const { clock, metrics, settings } = ctx;
+    const logger = ctx.logger("allowance");
     const known = new Map<OrganisationId, OrganisationEntry>();
     const timers = new Set<NodeJS.Timeout>();
 
@@ -76,6 +77,10 @@
         metrics.count("azureshunt_allowance_refusals_total", "Requests refused for want of tokens, by reason.", {
             reason: effect.reason,
         });
+        logger.info(
+            { organisation: entry.organisation, reason: effect.reason, homes: viewHomes(entry.allowance, clock.now()) },
+            "Refused for want of tokens.",
+        );
         settle?.(Left(refusalOf(effect.reason, undefined, { retryAfterSeconds: effect.retryAfterSeconds })));
     };
 
