Wait for all verdicts on a request whose second try broke off in the router

Found by looking for the daemon's fault elsewhere: only a death that was noted made the next one wait, so a request whose tries broke off one after the other went on before the first endpoint was known to be gone.

Test: quarantinePort; fails on the code before. The third death still decides here, as before: in mass failures of endpoints an innocent request is present at two, and the callers of those would be refused.

--- a/packages/router/src/quarantine/createQuarantine.ts
+++ b/packages/router/src/quarantine/createQuarantine.ts
@@ -23,8 +23,8 @@
 type Quarantine = {
     readonly isStopped: (served: ServedRequest) => boolean;
     /**
-     * A try broke off; finds out whether its endpoint died. Ends at once, unless the request was present at a death
-     * before: then it may be the one at fault and waits for the verdict.
+     * A try broke off; finds out whether its endpoint died. Ends at once, unless an earlier try of the request broke off or
+     * was present at a death: then it may be the one at fault and waits for all verdicts.
      */
     readonly broke: (served: ServedRequest, endpoint: EndpointEntry) => Promise<void>;
     readonly hear: (beacon: Beacon) => void;
@@ -49,6 +49,8 @@
         own: [] as readonly OwnDeath[],
     };
     const asking = new Map<string, Promise<boolean>>();
+    /** By request: settles when it is known which endpoints of its broken tries have died. */
+    const pending = new Map<RequestFingerprint, Promise<void>>();
 
     const tell = (event: CrashEvent): void => {
         const before = state.notes.stopped;
@@ -81,8 +83,11 @@
 
     const broke: Quarantine["broke"] = async (served, endpoint) => {
         const request = fingerprintRequest(served);
-        const isSuspect = state.notes.deaths.has(request);
-        const verdict = judge(request, endpoint);
+        const earlier = pending.get(request);
+        const isSuspect = state.notes.deaths.has(request) || earlier !== undefined;
+        const verdict = Promise.all([earlier, judge(request, endpoint)]).then(() => undefined);
+        pending.set(request, verdict);
+        void verdict.finally(() => pending.get(request) === verdict && pending.delete(request));
         await (isSuspect ? verdict : undefined);
     };
     const hear: Quarantine["hear"] = beacon => {
