Read what has arrived before a request is refused for a home's silence

A VM's own pause counted as the others' silence. What a timer decides about waiting requests now comes after one reading of the sockets.

--- a/packages/daemon/src/allowance/createAllowanceStore.ts
+++ b/packages/daemon/src/allowance/createAllowanceStore.ts
@@ -49,6 +49,12 @@
             clock.now(),
         );
 
+    /**
+     * Does something once what has arrived is read. Failure: this VM was busy, and timers come before messages: a request
+     * is refused for a home's silence whose answer is already here.
+     */
+    const afterArrivals = (act: () => void): void => void setImmediate(act);
+
     const wake = (entry: OrganisationEntry, at: Millis): void => {
         const now = clock.now();
         if (entry.wakesAt > now && entry.wakesAt <= at) {
@@ -57,7 +63,7 @@
         entry.wakesAt = at;
         const timer = setTimeout(() => {
             timers.delete(timer);
-            tell(entry, { kind: "tick" });
+            afterArrivals(() => tell(entry, { kind: "tick" }));
         }, Math.max(1, at - now));
         timers.add(timer);
     };
@@ -150,7 +156,7 @@
     const isBarredHome = ({ allowance }: OrganisationEntry): boolean =>
         allowance.servesFrom === undefined && allowance.homes.some(home => home.vm === settings.vm);
 
-    const tick: AllowanceStore["tick"] = () =>
+    const tickAll = (): void =>
         known.forEach(entry => {
             if (isBarredHome(entry)) {
                 place(entry);
@@ -167,7 +173,7 @@
         entries: () => [...known.values()],
         tell,
         place,
-        tick,
+        tick: () => afterArrivals(tickAll),
         clear: () => {
             timers.forEach(clearTimeout);
             known.clear();
