--- a/packages/router/src/allowance/advanceShared.ts
+++ b/packages/router/src/allowance/advanceShared.ts
@@ -20,15 +20,15 @@
     const seconds = Math.max(0, now - allowance.at) / MS_PER_SECOND;
     const share = allowance.ratePerSecond * seconds / (hearing.peers + 1);
     const refill = share * (hearing.peers + 1 - hearing.unheard.length);
-    const assume = (peers: SharedAllowance["peers"], vm: Hearing["unheard"][number]): SharedAllowance["peers"] => {
-        const known = peers.get(vm) ?? { spent: undefined, assumed: 0 };
-        return new Map([...peers, [vm, { ...known, assumed: known.assumed + share }]]);
-    };
+    const assumed = hearing.unheard.map(vm => {
+        const known = allowance.peers.get(vm) ?? { spent: undefined, assumed: 0 };
+        return [vm, { ...known, assumed: known.assumed + share }] as const;
+    });
     return {
         ...allowance,
         level: Math.min(allowance.burst, allowance.level + refill),
         at: now,
         overdraft: overdraftOf({ burst: allowance.burst, ageMs: now - allowance.openedAt, hearing }),
-        peers: hearing.unheard.reduce(assume, allowance.peers),
+        peers: assumed.length === 0 ? allowance.peers : new Map([...allowance.peers, ...assumed]),
     };
 }
