--- a/packages/daemon/src/suspects/createAdmission.ts
+++ b/packages/daemon/src/suspects/createAdmission.ts
@@ -30,7 +30,7 @@
 };
 
 /** Lets suspects run one at a time over all VMs. */
-type AdmissionDesk = {
+type SuspectAdmission = {
     readonly admit: (call: Call, placement: Placement) => Promise<Admission>;
     /** A call that was admitted runs now. */
     readonly began: (dispatch: DispatchId) => void;
@@ -56,7 +56,7 @@
  * another suspect at that endpoint, runs there, and both sides learn which deaths the other one knows of. Of two VMs that ask
  * at once, the first by name goes first. A VM that does not answer is left out, so that a cut-off failure domain goes on.
  */
-export function createAdmission({ ctx, calls, suspects, times, probed }: AdmissionParts): AdmissionDesk {
+export function createAdmission({ ctx, calls, suspects, times, probed }: AdmissionParts): SuspectAdmission {
     const { clock, metrics, peers, settings } = ctx;
     const asks = new Map<DispatchId, Ask>();
 
@@ -136,7 +136,7 @@
         return found ?? "admitted";
     };
 
-    const admit: AdmissionDesk["admit"] = async (call, placement) => {
+    const admit: SuspectAdmission["admit"] = async (call, placement) => {
         const { deaths, unjudged } = suspects.state();
         if (deaths.length + unjudged.size === 0 || !isSuspected(fingerprintModel(call))) {
             return "admitted";
