--- a/packages/allowance/src/timing.ts
+++ b/packages/allowance/src/timing.ts
@@ -28,8 +28,8 @@
     /** An ask that is not answered within this time is late: its home is not counted on, but its answer still is. */
     askLateMs: 250,
     /**
-     * An ask without an answer is given up after this long, and made anew. Well above what a busy home takes: an answer to
-     * an ask that was given up is void, so that a home which always takes longer would never give anything.
+     * An ask without an answer is given up after this long, and made anew. Answers to it are void from then on, so a home
+     * that always takes longer gives nothing.
      */
     askTimeoutMs: 1_000,
     /** A home that failed to answer counts as out of reach for this long; it is asked again meanwhile. */
