Tell the caller of a held request when it may come back

A request that is held and that no VM can be asked about any more stays held until one of the deaths is forgotten, up to ten minutes, but its caller was told to come back in two seconds each time. Retry-After says two seconds while VMs are asked and the time that is left after it.

--- a/packages/daemon/src/suspects/refuseSuspect.ts
+++ b/packages/daemon/src/suspects/refuseSuspect.ts
@@ -1,23 +1,31 @@
 import { refusalOf } from "@azureshunt/core";
 import type { Millis, Refusal } from "@azureshunt/core";
-import { isHeld, quarantinedUntil } from "@azureshunt/request";
+import { deathsOf, heldUntil, quarantinedUntil } from "@azureshunt/request";
 import type { RequestFingerprint, SuspectState } from "@azureshunt/request";
 
+import { SUSPECT_TIMES } from "./SUSPECT_TIMES.js";
+
 const MILLIS_PER_SECOND = 1_000;
 
 /** Retry-After while VMs are still asked what they ran. */
 const JUDGED_IN_SECONDS = 2;
 
+const secondsUntil = (until: Millis, now: Millis): number => Math.ceil((until - now) / MILLIS_PER_SECOND);
+
+const heldRefusal = (state: SuspectState, request: RequestFingerprint, until: Millis, now: Millis): Refusal => {
+    const newest = deathsOf(state, request).at(-1);
+    const isAsked = newest === undefined || newest.at + SUSPECT_TIMES.askForMs > now;
+    return refusalOf("request-quarantined", "It ran on endpoints that died; the cause is not known yet.", {
+        retryAfterSeconds: isAsked ? JUDGED_IN_SECONDS : secondsUntil(until, now),
+    });
+};
+
 /** The refusal of a request that crashes endpoints or may be found to; undefined where it may run. */
 export function refuseSuspect(state: SuspectState, request: RequestFingerprint, now: Millis): Refusal | undefined {
     const until = quarantinedUntil(state, request, now);
     if (until !== undefined) {
-        const seconds = Math.ceil((until - now) / MILLIS_PER_SECOND);
-        return refusalOf("request-crashes-endpoints", `It is stopped for ${seconds} s more.`);
+        return refusalOf("request-crashes-endpoints", `It is stopped for ${secondsUntil(until, now)} s more.`);
     }
-    return isHeld(state, request)
-        ? refusalOf("request-quarantined", "It ran on endpoints that died; the cause is not known yet.", {
-            retryAfterSeconds: JUDGED_IN_SECONDS,
-        })
-        : undefined;
+    const held = heldUntil(state, request, now);
+    return held === undefined ? undefined : heldRefusal(state, request, held, now);
 }
--- a/packages/request/src/index.ts
+++ b/packages/request/src/index.ts
@@ -11,6 +11,7 @@
 export { fullRetryBudget } from "./fullRetryBudget.js";
 export type { HedgeDecision } from "./HedgeDecision.js";
 export type { HedgeQuestion } from "./HedgeQuestion.js";
+export { heldUntil } from "./heldUntil.js";
 export { isHeld } from "./isHeld.js";
 export { isSpreadTo } from "./isSpreadTo.js";
 export { isSuspect } from "./isSuspect.js";
