Let the test of a home's arrived answer hold whatever the machine does

Traced: the test gave the request 30 ms to reach the home before it made its VM busy. Beside load the connection was not even open by then, so no answer had arrived when the VM went on, and the refusal was right. The test stood on a premise that it did not establish.

It now waits until the home has been asked, keeps its VM busy until the home has answered, and lets the clock of the VM, not the machine's, pass the time for which a request waits. It is as strict: without the change it guards it fails, as before.

--- a/packages/daemon/src/__tests__/unit/allowanceStore.test.ts
+++ b/packages/daemon/src/__tests__/unit/allowanceStore.test.ts
@@ -1,5 +1,5 @@
+import { once } from "node:events";
 import { get } from "node:http";
-import { setTimeout as sleep } from "node:timers/promises";
 import { Worker } from "node:worker_threads";
 
 import type { GrantAnswer } from "@azureshunt/allowance";
@@ -18,15 +18,22 @@
 const HOME = VmId.parse("home");
 const NEED = 100;
 const ANSWER_MS = 60;
-const BUSY_FROM_MS = 30;
-const BUSY_MS = 1_200;
+/** Later than a request waits, and before the grant in the answer is over. */
+const AFTER_MS = 1_000;
+const PATIENCE_MS = 30_000;
 
-/** A home on a thread of its own, so that it answers while this one is busy. */
+/** A home on a thread of its own, so that it answers while this one is busy; it says when it was asked and has answered. */
 const HOME_PROGRAM = `
     const { createServer } = require("node:http");
-    const { parentPort } = require("node:worker_threads");
-    createServer((_req, res) => setTimeout(() => res.end("granted"), ${ANSWER_MS}))
-        .listen(0, "127.0.0.1", function () { parentPort.postMessage(this.address().port); });
+    const { parentPort, workerData } = require("node:worker_threads");
+    const answered = () => {
+        Atomics.store(workerData, 0, 1);
+        Atomics.notify(workerData, 0);
+    };
+    createServer((_req, res) => {
+        parentPort.postMessage("asked");
+        setTimeout(() => res.end("granted", answered), ${ANSWER_MS});
+    }).listen(0, "127.0.0.1", function () { parentPort.postMessage(this.address().port); });
 `;
 
 const configuration = {
@@ -48,7 +55,9 @@
 
 // A VM that was busy refuses a request for its home's silence, though the home's answer has come meanwhile.
 test("allowances: an answer that has arrived counts before the time for it is over", async t => {
-    const worker = new Worker(HOME_PROGRAM, { eval: true });
+    const answered = new Int32Array(new SharedArrayBuffer(4));
+    const time = { now: 0 };
+    const worker = new Worker(HOME_PROGRAM, { eval: true, workerData: answered });
     t.teardown(() => worker.terminate());
     const port = await new Promise<number>(resolve => worker.once("message", resolve));
     const { ctx } = fakeContext("vm-1", new FakePeers());
@@ -56,6 +65,7 @@
     const store = createAllowanceStore(
         {
             ...ctx,
+            clock: { ...ctx.clock, now: () => time.now },
             release: { ...ctx.release, current: () => configuration },
             membership: { ...ctx.membership, members: () => [home] },
         },
@@ -81,10 +91,13 @@
             decision => resolve(decision.caseOf({ Left: ({ kind }) => kind, Right: () => "admitted" })),
         )
     );
+    const asked = once(worker, "message");
     store.tell(entry, { kind: "reserve", id: 1, tokens: NEED, deadline: Infinity });
-    await sleep(BUSY_FROM_MS);
+    await asked;
     // From here timers come before what has arrived.
     await new Promise(resolve => setImmediate(resolve));
-    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, BUSY_MS);
+    setTimeout(store.tick, 1);
+    Atomics.wait(answered, 0, 0, PATIENCE_MS);
+    time.now = AFTER_MS;
     t.is(await decided, "admitted");
 });
