--- a/packages/allowance/src/__tests__/unit/fleet.test.ts
+++ b/packages/allowance/src/__tests__/unit/fleet.test.ts
@@ -5,9 +5,7 @@
 import { mostOver } from "../fleet/mostOver.js";
 import { simulateFleet } from "../fleet/simulateFleet.js";
 
-// What a user sees: an organisation's bill or its engines show more tokens than its rate and burst allow. Six VMs in
-// three failure domains spend at once, while grants are lost, late and repeated, VMs are killed, restarted, replaced,
-// paused and frozen, and failure domains are cut off. Cause: the same token is spent at two VMs, or accrued twice.
+// The same token is spent at two VMs or accrued twice, and an organisation gets more than its rate and burst.
 const FAULTY: readonly (Omit<FleetOptions, "seed"> & { readonly name: string; })[] = [
     {
         name: "several times the rate",
@@ -69,8 +67,7 @@
     })
 );
 
-// What a user sees: a filing refused with 429 although the organisation has sent less than it may. Cause: the tokens
-// stand at another VM.
+// Tokens stand at another VM, and an organisation is refused though it has sent less than it may.
 const CALM = { rate: 10_000, burst: 20_000, maxTokens: 2_000, leastUsed: 1, faults: 0, lengthMs: 20_000 };
 [
     { name: "at 0.7 of the rate, over all failure domains", demand: 7_000 },
--- a/packages/allowance/src/__tests__/unit/guards.test.ts
+++ b/packages/allowance/src/__tests__/unit/guards.test.ts
@@ -98,8 +98,7 @@
     t.is(third.balance, 6_000);
 });
 
-// An organisation is idle at a VM for a second, is forgotten there, and comes back. Its asks would be taken for
-// repetitions of the earlier ones, and its requests refused; or its last grant, long spent, taken for one that got lost.
+// An organisation comes back after an idle second, and its asks pass for repetitions or its spent grant for a lost one.
 test("bucket: a taker that had forgotten the organisation is served, and its spent grant stays spent", t => {
     const home = { domain: HELD.domain, vm: HELD.home, limits: LIMITS };
     const start = { vm: TAKER, run: ASK.run, domain: HELD.domain, limits: LIMITS, homes: [home], now: 0 };
@@ -154,8 +153,7 @@
     t.is(state.held[0]?.left, 40);
 });
 
-// The answer stays in a queue for most of a grant's time. Counted from the answer, the tokens would be spendable after
-// the home has forgotten them and accrued new ones.
+// A grant is counted from a late answer, and its tokens are spent after the home has accrued them anew.
 test("grant: it expires counted from when it was asked for", t => {
     const late = applyAnswer(HELD, ANSWER, 1_000 + timing.grantMs - 10);
     t.is(usableTokens(late, 1_000 + timing.grantMs - 5), 4_000);
--- a/packages/allowance/src/__tests__/unit/judgeWaiter.test.ts
+++ b/packages/allowance/src/__tests__/unit/judgeWaiter.test.ts
@@ -16,8 +16,7 @@
     unreachableRate: 0,
 };
 
-// What a user sees: a 429 that says "come back in 1 s", and another one a second later. The wait told has to be the time
-// in which the tokens accrue, behind the requests that came before.
+// A caller comes back when it was told to and is refused again, as those before it were left out of the wait.
 [
     { name: "tokens that accrue in time", missing: 400, outlook: OUTLOOK, verdict: { kind: "wait", expectedMs: 400 } },
     {
--- a/packages/bench/src/__tests__/unit/callers.test.ts
+++ b/packages/bench/src/__tests__/unit/callers.test.ts
@@ -150,8 +150,7 @@
         }).on("error", reject).end("{}");
     });
 
-// A caller reaches the booking through a path that looks like a lookup. The lookup may be repeated, so a retry of the
-// daemon would book twice. The cause: a library on the way cleans the path after its route was matched.
+// A path is cleaned after its route was matched, and a booking passes for a lookup that may be repeated.
 [
     { path: "/lookup/../bookings", status: 200, ranAt: "/bookings" },
     { path: "/lookup/%2e%2e/bookings", status: 200, ranAt: "/bookings" },
--- a/packages/bench/src/__tests__/unit/operations.test.ts
+++ b/packages/bench/src/__tests__/unit/operations.test.ts
@@ -52,8 +52,7 @@
 };
 
 test.serial("a leaving endpoint gets no new work, and its stream finishes", async t => {
-    // An operator takes an engine out of service while a driver reads a long answer from it. New requests that still go
-    // there would be cut when the engine is switched off. The cause would be a choice on an older configuration.
+    // A choice on an older configuration sends new requests to an engine that is about to be switched off.
     const topology = running.topology!;
     const engines = topology.endpoints;
     const before = await Promise.all(engines.map(engine => runsOf(engine.url)));
@@ -76,8 +75,7 @@
 });
 
 test.serial("a withdrawn key stops on a connection that was open before", async t => {
-    // A rental desk's key is withdrawn while its connection stays open. The desk would go on if a key were checked once
-    // for each connection.
+    // A key is checked once for each connection, and a withdrawn one goes on over an open connection.
     const connection = new Agent({ connections: 1 });
     const { id, key } = running.demo!.spareKey;
     const models = async (): Promise<number> => {
--- a/packages/bench/src/__tests__/unit/shutdown.test.ts
+++ b/packages/bench/src/__tests__/unit/shutdown.test.ts
@@ -18,9 +18,7 @@
 const BOUND_MS = 20_000;
 
 test("a daemon that is asked to stop finishes its streams and serves what still comes", async t => {
-    // An operator replaces a VM. Drivers read long answers over it, and the balancer sends requests there for a moment
-    // longer, over kept-open connections. A daemon that exits or refuses at once cuts these: the cause is that the
-    // balancer learns of the stop only by the next check of readiness.
+    // A daemon exits before the balancer has learnt of its stop, and requests on open connections are cut.
     const folder = mkdtempSync(join(tmpdir(), "azureshunt-shutdown-"));
     const plan = demoPlan(folder);
     const endpoints = plan.endpoints.filter(endpoint => endpoint.kind === "model").slice(0, 1);
--- a/packages/cli/src/__tests__/unit/explain.test.ts
+++ b/packages/cli/src/__tests__/unit/explain.test.ts
@@ -21,10 +21,7 @@
     return { code, lines: said };
 };
 
-/*
- * A caller complains of a stream that ended early. Its first VM saw the engine break off, another VM saw the engine leave
- * just before. On-call engineers have the files of both, with a collector's prefix in one, and lines of others between.
- */
+// Lines of one request lie in the files of several VMs among others, and its cause is not found.
 const logs = {
     "one.log": [
         line(1_000, "vm-1", "request", "request: Admitted.", { id: "12e45678", tokens: 100 }),
@@ -67,10 +64,7 @@
     ]);
 });
 
-/*
- * Real lines of failed requests. On-call engineers have nothing but the id and the files; the cause must be in what the
- * command says.
- */
+// The cause of a failed request is in no line that its id leads to.
 const SAMPLES = new URL("../../../../../docs/samples/", import.meta.url).pathname;
 const causes: readonly (readonly [id: string, file: string, cause: RegExp])[] = [
     [
--- a/packages/daemon/src/__tests__/unit/hasDied.test.ts
+++ b/packages/daemon/src/__tests__/unit/hasDied.test.ts
@@ -17,11 +17,7 @@
     readonly hasDied: boolean;
 };
 
-/*
- * An engine crashes under load. For some milliseconds its port still takes connections, which are reset when the process is
- * gone. A VM that asks just then took the engine for alive, did not wait for the verdict on its request, and crashed a third
- * engine with it.
- */
+// A dying engine still takes connections and passes for alive, and a third one is crashed.
 const cases: readonly Case[] = [
     { name: "nothing listens any more", resets: 0, answers: undefined, hasDied: true },
     { name: "it resets connections, then nothing listens", resets: 2, answers: undefined, hasDied: true },
--- a/packages/daemon/src/__tests__/unit/intentPort.test.ts
+++ b/packages/daemon/src/__tests__/unit/intentPort.test.ts
@@ -90,10 +90,7 @@
 const admitToDispatch = async (port: Port): Promise<Dispatching> =>
     (await port.admit(callOf("b1"))).unsafeCoerce() as Dispatching;
 
-/*
- * A driver's card hold is sent to several daemons, at once and again, while daemons die and the log fails. It must run
- * once, and each caller must be told what is true.
- */
+// A call that may not be repeated runs twice, or its caller is told what is not true, as daemons die and the log fails.
 const cases: readonly {
     readonly name: string;
     readonly play: (fleet: Fleet) => Promise<readonly string[]>;
--- a/packages/daemon/src/__tests__/unit/passStream.test.ts
+++ b/packages/daemon/src/__tests__/unit/passStream.test.ts
@@ -28,10 +28,7 @@
 const broken = withCode("UND_ERR_SOCKET");
 const silent = withCode("UND_ERR_BODY_TIMEOUT");
 
-/*
- * An engine streams an answer and fails in the middle of it, in each way that a connection can fail. The caller must have
- * each piece once and in order, and the answer counts as complete only after its last piece.
- */
+// A stream breaks off, and its caller misses a piece, gets one twice, or takes half an answer for a whole one.
 [
     { name: "whole", parts: [event(0), event(1, true), "data: [DONE]\n\n"], passed: [0, 1], failure: undefined },
     { name: "whole, without [DONE]", parts: [event(0, true)], passed: [0], failure: undefined },
@@ -75,10 +72,7 @@
     })
 );
 
-/*
- * A call fails before, while and after it goes out. Only an error from before a connection stood may count as "not sent";
- * a reset of a standing connection may have come after the call ran.
- */
+// A reset of a standing connection passes for a call that was never sent.
 const connectRefused = Object.assign(new Error("refused"), { code: "ECONNREFUSED", syscall: "connect" });
 const reset = Object.assign(new Error("reset"), { code: "ECONNRESET", syscall: "read" });
 
--- a/packages/daemon/src/__tests__/unit/placeTry.test.ts
+++ b/packages/daemon/src/__tests__/unit/placeTry.test.ts
@@ -44,10 +44,7 @@
 
 const call = { signal: new AbortController().signal } as Call;
 
-/*
- * A request waits in the queue for an endpoint. Its key is withdrawn meanwhile. The request must be refused, at once and
- * without a byte to any endpoint, also when the endpoint is granted in the same moment.
- */
+// A key is withdrawn while its request waits for an endpoint, and the request is sent out all the same.
 [
     { name: "valid throughout", during: (world: World) => world.grant(), refused: undefined, ended: [] },
     {
--- a/packages/daemon/src/__tests__/unit/placement.test.ts
+++ b/packages/daemon/src/__tests__/unit/placement.test.ts
@@ -108,9 +108,7 @@
 });
 
 test("placement: entries of a crashed engine's former run never count again", async t => {
-    // An engine with a hot prefix crashes and comes back at once, on the same address and with an empty cache. The
-    // stream of events held on to some of the former run's events and delivers them now. Requests that were sent there
-    // for the prefix would wait for the whole prompt to be computed.
+    // Events of an engine's former run come late, and requests go to it for a prefix that it has lost.
     const setup = await setUp(t);
     await setup.up();
     const [engine] = setup.engines;
@@ -173,8 +171,7 @@
 });
 
 test("placement: a request for pieces that are being computed waits for them", async t => {
-    // Two callers send the same new prompt one after the other. An engine does not share the computation that is under
-    // way: sent at once, the second request would compute the same pieces again and keep the engine busy twice as long.
+    // Two requests for the same new prompt are sent at once, and the engine computes its pieces twice.
     const setup = await setUp(t);
     await setup.up();
     const short = (id: string): Call => {
@@ -252,9 +249,7 @@
 });
 
 test("placement: daemons count what others have just sent, before any engine reports it", async t => {
-    // Two daemons get requests for two new prompts at the same time. The last load report shows both engines idle; both
-    // daemons would pick the same engine, and the second prompt would wait for the whole first one.
-    // Long enough that its computation does not end during the test.
+    // Two daemons choose the same idle engine at once. Its computation must not end during the test.
     const prompt = pieces(...Array.from({ length: 20 }, (_, n) => n + 1));
     const peers = new FakePeers();
     const engines = await Promise.all(["run-1", "run-2"].map(startFakeEngine));
@@ -284,8 +279,7 @@
 const SETTLED_MS = 700;
 
 test("placement: one daemon follows an engine for its failure domain, and another takes over when it dies", async t => {
-    // The VM that forwards an engine's cache events dies. The others would go on with what they heard last, and send
-    // requests to prefixes that the engine has long dropped.
+    // The VM that forwards an engine's events dies, and the others go by prefixes that the engine has dropped.
     const peers = new FakePeers();
     const engines = await Promise.all(["run-1", "run-2"].map(startFakeEngine));
     const shared = ["vm-1", "vm-2"].map(vm => ({ vm, peers, engines }));
--- a/packages/daemon/src/__tests__/unit/releasePort.test.ts
+++ b/packages/daemon/src/__tests__/unit/releasePort.test.ts
@@ -34,8 +34,7 @@
 const revisionOf = (release: Release): number => release.current()?.revision ?? 0;
 
 test("a daemon that is cut off from the platform but not from its peers learns a withdrawal", async t => {
-    // A key is withdrawn while one failure domain cannot reach the platform. Its daemons cannot read the withdrawal
-    // from the log and would serve the key on, but they still reach a daemon elsewhere that has read it.
+    // A daemon cut off from the log serves a withdrawn key on, though a peer in reach has read the withdrawal.
     const [log, peers, cut] = [new FakeLog(), new FakePeers(), { is: false }];
     const near = startDaemon("vm-1", log, peers);
     const far = startDaemon("vm-2", log, peers, () => cut.is);
@@ -49,8 +48,7 @@
 });
 
 test("a lost answer: the note is in force once, and the operator is told so", async t => {
-    // The log takes the append and its answer is lost. The daemon finds its own record; had it appended the note anew,
-    // the operator would have got a conflict with the own change.
+    // The answer to an append is lost, and the operator gets a conflict with the own change.
     const log = new FakeLog();
     const release = startDaemon("vm-1", log, new FakePeers());
     log.loseAnswers = 1;
--- a/packages/daemon/src/__tests__/unit/runningCalls.test.ts
+++ b/packages/daemon/src/__tests__/unit/runningCalls.test.ts
@@ -16,8 +16,7 @@
     readonly isPresent: boolean;
 };
 
-// A VM that is asked late says that nothing ran there, and the innocent are left as the only suspects; or calls that died with
-// an earlier run of the engine pass for present at the death of its next one.
+// A VM that is asked late says that nothing ran there, or tells of calls that died with an earlier run of the engine.
 const cases: readonly Case[] = [
     { name: "asked at once", run: "run-1", asked: "run-1", afterMs: 0, isPresent: true },
     { name: "asked long after", run: "run-1", asked: "run-1", afterMs: 20_000, isPresent: true },
--- a/packages/daemon/src/__tests__/unit/stepReader.test.ts
+++ b/packages/daemon/src/__tests__/unit/stepReader.test.ts
@@ -57,8 +57,7 @@
     );
 
 test("a restarted daemon holds back what a lagging peer told until the log has answered", t => {
-    // A daemon restarts; the first peer that answers has been cut off since before a withdrawal. Served at once, its
-    // state would let the withdrawn key work again here, until the log's answer comes.
+    // A restarted daemon takes the state of a peer that was cut off, and a withdrawn key works again.
     const { published } = drive([{ kind: "pulled", fold: AFTER_TWO }, page(0, 0, NOTES, 4), { kind: "started" }]);
     t.deepEqual(published, [4]);
 });
@@ -113,8 +112,7 @@
 });
 
 test("daemons that are cut off together do not vouch for each other", t => {
-    // Two daemons lose the log at the same time and go on exchanging gossip. Were hearing the same revision a
-    // confirmation, an organisation's bound on staleness would never take effect.
+    // Two daemons without the log confirm each other's revision, and the bound on staleness never takes effect.
     const [one, two] = [drive([page(0, 0, NOTES, 4)]).state, drive([page(0, 0, NOTES, 4)]).state];
     const hear = (own: ReaderState, other: ReaderState, now: number): ReaderState => {
         const told = gossipOf(other, now);
--- a/packages/endpoint/src/__tests__/unit/FairQueue.test.ts
+++ b/packages/endpoint/src/__tests__/unit/FairQueue.test.ts
@@ -43,8 +43,7 @@
 );
 
 test("queue: an organisation that floods the queue waits behind itself only", t => {
-    // One organisation sends five times its rate. The others' requests came later and would stand behind all of its
-    // work; their callers would see their tail times grow with somebody else's traffic.
+    // One organisation sends many times its rate, and the others' requests wait behind all of its work.
     const taken = drain(queueOf([...many("loud", 50), item("quiet", "q1", { arrivedAt: 99 })]), 3);
     t.true(taken.some(each => each.organisation === "quiet"));
 });
--- a/packages/endpoint/src/__tests__/unit/PrefixIndex.test.ts
+++ b/packages/endpoint/src/__tests__/unit/PrefixIndex.test.ts
@@ -27,8 +27,7 @@
 };
 
 test("index: late events of a crashed engine never match again", t => {
-    // The engine crashes and comes back on the same address with an empty cache. Events of the former run were held up
-    // and arrive after the new run was seen. A caller would wait for a whole prefill behind a prefix that is not there.
+    // Events of a crashed engine's former run come late, and its prefixes pass for held.
     const index = started();
     index.apply(ENGINE, event(1, "stored", [1, 2]));
     index.begin(ENGINE, RUNS[1]!);
--- a/packages/endpoint/src/__tests__/unit/stepEndpoint.test.ts
+++ b/packages/endpoint/src/__tests__/unit/stepEndpoint.test.ts
@@ -121,8 +121,7 @@
 );
 
 test("run: a late answer of the former run does not bring it back", t => {
-    // An engine is asked for its state, its answer is held up, it crashes and comes back, and is asked again. The first
-    // answer arrives last. If it counted, entries of the dead run would match until the next probe.
+    // An answer of a dead run comes last, and entries of that run match again.
     const restarted = run(FRESH, [state(0), state(20, RUN_B, 15)]);
     const late = stepEndpoint(restarted, state(30, RUN_A, 5).event, 30);
     t.is(late.state.incarnation, RUN_B);
--- a/packages/fleet/src/__tests__/unit/lease.test.ts
+++ b/packages/fleet/src/__tests__/unit/lease.test.ts
@@ -36,8 +36,7 @@
 });
 
 test("lease: of two that claim on the same view of the log only the first holds it", t => {
-    // Two operators' VMs both order an engine to load different weights. Both had read the same log and both claimed;
-    // without the comparison of offsets each would take its own claim for the valid one.
+    // Two VMs that claimed the lease each take their own claim for the valid one, and both give orders.
     const [a, b] = [tick(leaseOf("a"), "a-1", PATIENCE), tick(leaseOf("b"), "b-1", PATIENCE)];
     const log = [...logOf(a.effects), ...logOf(b.effects, 1)];
     const states = [a.state, b.state].map(state => read(state, log, PATIENCE + 10));
--- a/packages/intent/src/__tests__/unit/intents.test.ts
+++ b/packages/intent/src/__tests__/unit/intents.test.ts
@@ -54,10 +54,7 @@
         WINDOW,
     ).kind;
 
-/*
- * A driver's card hold is sent to two daemons at once, and again later. The first intent in the log owns the key; nobody
- * else runs the hold unless the owner has recorded that it sent nothing.
- */
+// A call that may not be repeated is sent to two daemons at once, and both run it.
 [
     { name: "no intent", log: logOf([]), asks: undefined, is: "free" },
     { name: "the first intent owns", log: logOf([["a", intent("vm1")], ["b", intent("vm2")]]), asks: "a", is: "owner" },
@@ -139,10 +136,7 @@
     })
 );
 
-/*
- * The log keeps records for a shorter time than a key is remembered. A driver repeats a hold after the record of it has
- * gone; without the snapshot the hold would run again or be refused.
- */
+// A call is repeated after the log has dropped the record of it, and runs again.
 test("intent: a snapshot carries an outcome past the log's retention", t => {
     const known = loadPartition(0, logOf([["a", intent("vm1"), 1], ["o", outcome("a"), 2]]), WINDOW);
     const parts = snapshotRecords(known, id("s1")).map((record, index) => ["s1-" + index, record, 3] as const);
--- a/packages/release/src/__tests__/unit/adoptState.test.ts
+++ b/packages/release/src/__tests__/unit/adoptState.test.ts
@@ -13,8 +13,7 @@
 
 const OWN = stateAt(5, 3, "a");
 
-// A daemon asks its peers at its start. One of them lags, or has gone astray after a fault of its own. Taking such a
-// state would bring a configuration back that this daemon's callers have seen replaced.
+// A starting daemon takes the state of a peer that lags or has gone astray, and brings a replaced configuration back.
 const CASES = [
     { title: "further on is taken", other: stateAt(9, 4, "b"), taken: true },
     { title: "further on at the same revision is taken", other: stateAt(9, 3, "a"), taken: true },
--- a/packages/release/src/__tests__/unit/foldRecord.test.ts
+++ b/packages/release/src/__tests__/unit/foldRecord.test.ts
@@ -44,8 +44,7 @@
 });
 
 test("racing operators: the second one gets a conflict that names what changed", t => {
-    // Two operators write against revision 1. Both appends are taken. Without the check of the base revision the second
-    // note would silently put back what the first one changed.
+    // Two operators write against the same revision, and the second note puts back what the first one changed.
     const second = foldRecord(AFTER_FIRST, recordOf(1, "a", version("v2", 1)));
     const third = foldRecord(second.state, recordOf(2, "b", version("v3", 1)));
     t.deepEqual(second.outcome, { kind: "accepted", revision: 2 });
@@ -54,8 +53,7 @@
 });
 
 test("a record that was appended twice counts once", t => {
-    // The platform takes an append and its answer is lost, so the daemon appends the record again. Between the two
-    // copies another operator sets the version back: folding the second copy would undo that.
+    // A record that was appended twice undoes what another operator changed in between.
     const records = [recordOf(1, "a", version("v2")), recordOf(2, "b", version("v1")), recordOf(3, "a", version("v2"))];
     const state = foldAll(AFTER_FIRST, records);
     t.is([...state.configuration.models.values()][0]?.version, "v1" as never);
@@ -72,8 +70,7 @@
 });
 
 test("a record behind a gap is not folded", t => {
-    // A daemon was stopped for so long that the log dropped records that it had not read, a withdrawal among them.
-    // Reading on at the log's start would skip the withdrawal for good.
+    // Reading goes on behind dropped records, and a withdrawal among them is skipped for good.
     const { state, outcome } = foldRecord(AFTER_FIRST, recordOf(5, "a", version("v2")));
     t.is(state, AFTER_FIRST);
     t.deepEqual(outcome, { kind: "gap" });
@@ -89,8 +86,7 @@
 });
 
 test("an old snapshot never takes a reader back", t => {
-    // A snapshot was written before a withdrawal and is still in the log. A daemon that folded the withdrawal reads it
-    // again behind a gap: taking it would bring the withdrawn key back into force.
+    // An old snapshot is taken behind a gap, and a withdrawn key is in force again.
     const old = snapshotRecord(AFTER_FIRST);
     const ahead = foldAll(AFTER_FIRST, [
         recordOf(1, "w", releaseRecord(noteOf({ withdrawn: { keys: ["chains-1"] } }))),
--- a/packages/request/src/__tests__/unit/retry.test.ts
+++ b/packages/request/src/__tests__/unit/retry.test.ts
@@ -36,10 +36,7 @@
     readonly ran: Ran;
 };
 
-/*
- * An endpoint fails while it has a request. The caller must get its answer from another endpoint where that is harmless,
- * and otherwise learn at once whether its request ran; "not run" must never be said of a request that went out.
- */
+// A request is tried again where that does harm, or its caller is told "not run" of one that went out.
 const cases: readonly PlanCase[] = [
     { name: "repeatable, endpoint died", request: FRESH, failure: { kind: "died" }, plan: "retry 0", ran: "maybe" },
     { name: "repeatable, silent", request: FRESH, failure: { kind: "silent" }, plan: "retry 0", ran: "maybe" },
@@ -216,10 +213,7 @@
     t.pass();
 });
 
-/*
- * A failure domain goes, and every request to it fails. If each were tried again, the load on the other domains would
- * double while they take over; the budget keeps further tries to a part of the requests.
- */
+// A failure domain goes, and tries made again double the load on the others.
 test("retry: a dead failure domain causes no retry storm", t => {
     const requests = 1_000;
     let budget = fullRetryBudget(20, 0.1);
--- a/packages/request/src/__tests__/unit/stream.test.ts
+++ b/packages/request/src/__tests__/unit/stream.test.ts
@@ -33,10 +33,7 @@
         };
     }, { state: start, passed: [], marks: [] });
 
-/*
- * A caller reads an answer while its engine dies; the answer is resumed on another engine, and pieces of the first one
- * still come in, late, twice or with one missing. The caller must read each piece once and in order.
- */
+// A stream is resumed on another engine, and late, repeated or missing pieces of the first one reach the caller.
 [
     {
         name: "pieces in order pass, and the last one completes the answer",
--- a/packages/request/src/__tests__/unit/suspects.test.ts
+++ b/packages/request/src/__tests__/unit/suspects.test.ts
@@ -34,11 +34,7 @@
         return noteDeath(state, { death, complete }, at).state;
     }, noSuspects);
 
-/*
- * One request crashes each engine that runs it, and its caller sends it again. Other callers' requests that ran on those
- * engines fail with it, some of them twice by chance. The request must be stopped after the second death, the others
- * must be served.
- */
+// A request crashes one engine after the other, or an innocent one that shared two of them is stopped for it.
 const cases: readonly {
     readonly name: string;
     readonly deaths: readonly Death[];
--- a/packages/router/src/__tests__/unit/admitRequest.test.ts
+++ b/packages/router/src/__tests__/unit/admitRequest.test.ts
@@ -22,11 +22,7 @@
     readonly outcome: string;
 };
 
-/*
- * A VM loses the store and all others. Its operators withdraw a key and add a route. Its callers with the withdrawn key
- * must be turned away within seconds, and those of the new route must not be told for good that there is none: both get
- * "come back", as the VM cannot know.
- */
+// A VM that hears nobody serves a withdrawn key on, or tells callers for good that a new route does not exist.
 const cases: readonly Case[] = [
     { name: "a key that is valid", outcome: "org" },
     { name: "no key on a public route", target: "/open/", key: undefined, outcome: "nobody" },
--- a/packages/router/src/__tests__/unit/allowance.test.ts
+++ b/packages/router/src/__tests__/unit/allowance.test.ts
@@ -58,11 +58,7 @@
     });
 };
 
-/*
- * One organisation sends several times its rate through all VMs, while the VMs are cut into halves for a while. Over any
- * window the VMs together must let through no more than rate and burst, and what they spend before they hear of each
- * other; else other organisations pay for it.
- */
+// Several VMs, cut off from each other or not, let through more than an organisation's rate and burst.
 test("allowance: over any window, cut or not, all VMs together keep to rate and burst and one beacon's lag", t => {
     fc.assert(
         fc.property(
@@ -86,10 +82,7 @@
     t.pass();
 });
 
-/*
- * All VMs but one are gone for good. After they count as gone the one that is left must let through the whole rate, or
- * its callers are refused though their organisation is within its share.
- */
+// The VM that is left refuses an organisation within its share, as VMs that are gone keep theirs.
 test("allowance: a VM alone gets the whole rate once the others count as gone", t => {
     const start = openSharedAllowance(RATE, BURST, 0);
     const unheard = ["b", "c", "d"] as VmId[];
@@ -118,11 +111,7 @@
     t.is(relimitShared(full, 10, 50).level, 50);
 });
 
-/*
- * All six VMs start at once, and a seventh that is gone for good is still listed. Before they hear each other two large
- * requests of one organisation come to one VM, a tenth of a second's rate together. They are within its rate and burst: a
- * refusal halts a site.
- */
+// VMs that have just started refuse an organisation within its rate and burst.
 test("allowance: right after a start two large requests within rate and burst are not refused", t => {
     const unheard = Array.from({ length: 6 }, (_, i) => `vm${i}` as VmId);
     const ready = advanceShared(openSharedAllowance(RATE, BURST, 0), { peers: 6, unheard }, 100);
@@ -131,11 +120,7 @@
     t.deepEqual([first, second], [50, 50]);
 });
 
-/*
- * All VMs are killed together again and again while one organisation sends several times its rate. Each time every VM may
- * overdraw its empty bucket by its share; were a share reckoned by each VM alone, or given anew with each beacon, the
- * organisation would get many times its burst.
- */
+// An organisation gets many times its burst, as each restart of all VMs lets them overdraw anew.
 test("allowance: each restart of all VMs lets through half a burst more at most", t => {
     const names = Array.from({ length: VMS }, (_, i) => `vm${i}` as VmId);
     const lifeTicks = 20;
@@ -171,11 +156,7 @@
     t.is(advanceShared(start, { peers: 3, unheard: [] }, 10_000).overdraft, 0);
 });
 
-/*
- * One VM restarts while the others have served for a while. The list of VMs names them before it has heard any, and when it
- * hears the first counter, it takes all that was ever spent for spent now: organisations within their rate are refused
- * there for seconds.
- */
+// A VM that restarts takes all that the others ever spent for spent now, and refuses organisations within their rate.
 const starts = [
     { name: "heard at once", unheardMs: 0 },
     { name: "listed for a while before it is heard", unheardMs: 300 },
@@ -192,9 +173,7 @@
     });
 });
 
-/*
- * The same through the allowances of a VM, beside one that started after it: of that one every token counts.
- */
+// A VM that started later is taken for one that started before, and what it spent does not count.
 const ages = [
     { name: "of a VM that served long before", upMs: 60_000, counts: false },
     { name: "of a VM whose age is not told", upMs: Infinity, counts: false },
--- a/packages/router/src/__tests__/unit/allowanceFleet.test.ts
+++ b/packages/router/src/__tests__/unit/allowanceFleet.test.ts
@@ -3,13 +3,7 @@
 import { allowanceFleet } from "../support/allowanceFleet.js";
 import { seededRandom } from "../support/seededRandom.js";
 
-/*
- * Sixty-six VMs share an organisation's bucket, and each hears of the others' spending a second late. An organisation that
- * sends seven times its rate got more than its rate, its burst and the slack: each time the bucket held something
- * again, all VMs saw so at once and let through what came until they heard of each other.
- *
- *   1,609,622 tokens ran in 8 s, 1,604,936 were allowed
- */
+// Dozens of VMs see at once that a bucket holds something again, and an organisation gets more than its rate and burst.
 
 const RATE = 100_000;
 const BURST = 200_000;
--- a/packages/router/src/__tests__/unit/allowanceQueue.test.ts
+++ b/packages/router/src/__tests__/unit/allowanceQueue.test.ts
@@ -47,10 +47,7 @@
 
 const settled = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
 
-/*
- * All VMs restart under full traffic, and their buckets start empty. An organisation within its rate has its requests
- * refused though there are tokens a few milliseconds later, and its callers come back in a crowd.
- */
+// All VMs restart, and an organisation within its rate is refused for tokens that come some milliseconds later.
 test("allowance queue: within the rate nobody is refused after a restart, and the first is charged first", async t => {
     const { time, ask, outcomes } = start();
     ask("a", "org");
--- a/packages/router/src/__tests__/unit/allowedTries.test.ts
+++ b/packages/router/src/__tests__/unit/allowedTries.test.ts
@@ -2,10 +2,7 @@
 
 import { allowedTries } from "../../serve/allowedTries.js";
 
-/*
- * Two engines die at once. A request's first try breaks off at one, its second does not reach the other. Its caller was
- * told that it failed, though a dozen sound engines stood by and only one had run it.
- */
+// A try that reached nobody uses up the route's tries, and a request fails though sound engines stand by.
 const cases: readonly (readonly [maxTries: number, notRun: number, allowed: number])[] = [
     [2, 0, 2],
     [2, 1, 3],
--- a/packages/router/src/__tests__/unit/beaconPacer.test.ts
+++ b/packages/router/src/__tests__/unit/beaconPacer.test.ts
@@ -3,13 +3,7 @@
 import { createBeaconPacer } from "../../peers/createBeaconPacer.js";
 import { createVirtualTime } from "../support/createVirtualTime.js";
 
-/*
- * With sixty VMs, callers' streams paused for longer than they may, though their engines made events in time, and orders to
- * engines that were up ended as unreached, ten at once. A VM told all the others at one moment, and once more for each
- * order that it gave or saw end; its answers and new connections waited on its link behind that.
- *
- *   second 20, front-bv-a-2: kb_out 7252 (others 180); 19.4783 front-bv-a-2 fleet: Order given. answer=unreached (ten times)
- */
+// Beacons to dozens of VMs go out at once and fill small links; streams pause and orders end as unreached.
 
 type Told = { readonly at: number; readonly target: number; };
 
--- a/packages/router/src/__tests__/unit/callOnce.test.ts
+++ b/packages/router/src/__tests__/unit/callOnce.test.ts
@@ -7,12 +7,7 @@
 import { EndpointAgent } from "../../dispatch/EndpointAgent.js";
 import { readerWaitMs } from "../../knowledge/readerWaitMs.js";
 
-/*
- * Seventeen VMs ended by themselves a second after their start. How long a read of the store waits follows from how many
- * VMs there are, and where that came to half a millisecond, the system's timer took it for an error that nobody caught.
- *
- *   RangeError [ERR_OUT_OF_RANGE]: The value of "delay" is out of range. It must be an integer. Received 1912.5
- */
+// A timeout that is no whole number of milliseconds ends the process.
 test("callOnce: a timeout that is no whole number of milliseconds", async t => {
     const server = createServer((_req, res) => res.end("ok"));
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
--- a/packages/router/src/__tests__/unit/declarationReaders.test.ts
+++ b/packages/router/src/__tests__/unit/declarationReaders.test.ts
@@ -6,11 +6,7 @@
 import { routingOf } from "../support/routingOf.js";
 import { seededRandom } from "../support/seededRandom.js";
 
-/*
- * Sixty VMs each kept a read of the declarations waiting, thirty calls a second that showed nothing. Now one VM of each
- * failure domain reads, and the others go by its word. Keys may be served while a VM knows that its configuration was the
- * newest one 4.4 s ago; so its evidence must stay younger, whoever dies or is cut off, or callers are refused.
- */
+// Every VM keeps a read of the declarations waiting, or the reader's end leaves the others' evidence too old to serve.
 
 const KEYS_MS = 4_400;
 
--- a/packages/router/src/__tests__/unit/dispatch.test.ts
+++ b/packages/router/src/__tests__/unit/dispatch.test.ts
@@ -47,10 +47,7 @@
     readonly outcome: string;
 };
 
-/*
- * Endpoints break off their answers. A caller that gets half an answer as a success acts on it, so an answer counts as
- * whole only if its length or its clean end says so.
- */
+// An answer that broke off passes for a whole one.
 const cases: readonly Case[] = [
     { name: "an answer with a length", answer: socket => socket.write(WHOLE), outcome: "ok" },
     {
@@ -98,10 +95,7 @@
     });
 });
 
-/*
- * The same on a connection that has carried a request before. What the keeping of connections reads of a socket must not
- * hide its reset: callers got half an answer as a success when the peer's address was read in between, as Node remembers it.
- */
+// Reading a kept connection's address hides its reset, and half an answer passes for a whole one.
 cases.forEach(({ name, answer, outcome }) => {
     test(`dispatch: on a kept connection, ${name}`, async t => {
         const { server, address, connections } = await startEndpoint((socket, request) =>
@@ -131,10 +125,7 @@
     server.close();
 });
 
-/*
- * An endpoint answers twice. The second answer lies on the connection when the next request goes out, and its caller
- * would get an answer that is not its own.
- */
+// The rest of an earlier answer on a connection goes to the next request's caller.
 test("dispatch: a connection on which more came than the answer is not used again", async t => {
     const { server, address, connections } = await startEndpoint((socket, request) => {
         socket.write(WHOLE);
--- a/packages/router/src/__tests__/unit/engineOrders.test.ts
+++ b/packages/router/src/__tests__/unit/engineOrders.test.ts
@@ -9,14 +9,7 @@
 import type { EndpointWire } from "../../ports/EndpointWire.js";
 import { bookOf } from "../support/bookOf.js";
 
-/*
- * Engines loaded the same weights twice, and were away from callers twice as long. The lease had just gone to another VM.
- * Its order was accepted, and then taken for over: by a beacon of the VM before it, which still told of its own last
- * order, seconds old; or by a report on the order before, which was void. The engine was ordered again at once.
- *
- *   25.333 s front-bv-a-1 order i-7654bda23d fence 22: 409     25.423 s ... fence 22: 409
- *   25.46  s front-bv-a-1 order i-7654bda23d fence 22: 202     25.526 s ... fence 22: 202
- */
+// A beacon or a report on an older order ends a newer one, and an engine loads the same weights twice.
 
 const own = (givenAt: number): EngineOrder => ({ version: 2, givenAt, seenAt: givenAt, isOwn: true });
 const told = (givenAt: number, seenAt: number): EngineOrder => ({ version: 1, givenAt, seenAt, isOwn: false });
--- a/packages/router/src/__tests__/unit/front.test.ts
+++ b/packages/router/src/__tests__/unit/front.test.ts
@@ -82,11 +82,7 @@
     }
 };
 
-/*
- * A VM is stopped while a stream runs whose head went out before. Its caller sends the next request on the same connection
- * as soon as the stream has ended. That request could not end in time any more: it must not be taken, and the stream must
- * end whole.
- */
+// A stopping VM takes a further request on an open connection, or cuts a running stream.
 test("front: in a stop a running stream ends whole, and its connection takes no further request", async t => {
     const { front, port, release, seen } = await start();
     const { socket, text, closed } = await open(port);
@@ -117,10 +113,7 @@
     { name: "no HTTP", text: "what is this\r\n\r\n" },
 ];
 
-/*
- * A caller sends bytes in which one parser sees one request and another parser two. If they were passed on, an endpoint
- * might run a request that nobody sent.
- */
+// Bytes in which two parsers see different requests are passed on, and an endpoint runs one that nobody sent.
 malformed.forEach(({ name, text }) => {
     test(`front: ${name} gets a 400 and the connection closes`, async t => {
         const { front, port, release } = await start();
--- a/packages/router/src/__tests__/unit/heldNews.test.ts
+++ b/packages/router/src/__tests__/unit/heldNews.test.ts
@@ -3,10 +3,7 @@
 
 import { createHeldNews } from "../../peers/createHeldNews.js";
 
-/*
- * Sixty VMs each told all the others of sixty engines' versions every second, and their beacons filled small links. A
- * change must still reach all VMs at once, and one that a VM missed in the end.
- */
+// Beacons of dozens of VMs name all versions each time and fill small links, or a VM never hears of a change.
 
 const ENGINES = 63;
 const engines = (seenAt: (i: number) => number): readonly {
--- a/packages/router/src/__tests__/unit/judgeHead.test.ts
+++ b/packages/router/src/__tests__/unit/judgeHead.test.ts
@@ -15,10 +15,7 @@
     weights: undefined,
 };
 
-/*
- * An answer comes late, on the connection of the next request, or something on the way answers for the endpoint. A caller
- * who got it would read another's answer, or a success that no endpoint vouches for.
- */
+// A late answer, or one of somebody on the way, passes for the endpoint's answer to this request.
 const cases: readonly (readonly [name: string, head: Partial<EndpointHead>, verdict: ReturnType<typeof judgeHead>])[] =
     [
         ["its own success", {}, "pass"],
--- a/packages/router/src/__tests__/unit/keptConnections.test.ts
+++ b/packages/router/src/__tests__/unit/keptConnections.test.ts
@@ -2,10 +2,7 @@
 
 import { keptConnections } from "../../dispatch/keptConnections.js";
 
-/*
- * Sixty VMs keep two dozen connections each to an endpoint that takes 430 from all of them. It resets what is beyond, and
- * bookings on those connections are lost.
- */
+// Dozens of VMs keep more connections than an endpoint takes, and bookings on those that it resets are lost.
 const cases: readonly (readonly [name: string, most: number | undefined, vms: number, kept: number])[] = [
     ["few VMs, a wide endpoint", 360, 6, 24],
     ["few VMs, a narrow one", 96, 6, 8],
--- a/packages/router/src/__tests__/unit/knowledge.test.ts
+++ b/packages/router/src/__tests__/unit/knowledge.test.ts
@@ -28,10 +28,7 @@
     readonly confirmedAt: number;
 };
 
-/*
- * A key is withdrawn by revision 5. A read that was held up, or a VM that lags, still hands over revision 4. The caller
- * whose key was withdrawn must not be served again, so neither may put revision 4 back in force or confirm it.
- */
+// An older revision is put back in force or confirmed, and a withdrawn key works again.
 const cases: readonly Case[] = [
     {
         name: "an older configuration changes nothing",
@@ -114,10 +111,7 @@
     t.is(outdatedSince(known, MODEL, 4), undefined);
 });
 
-/*
- * A VM is suspended for four seconds; its monotonic clock stands still meanwhile, so all that it knows looks fresh. The
- * time of day has moved on, and that must be noticed once, by the next check.
- */
+// What a VM knows passes for fresh after a suspension, as its monotonic clock stood still.
 const jumps = [
     { name: "four seconds of suspension", epochMs: 4_010, nowMs: 10, pauses: 1 },
     { name: "a time of day stepped back", epochMs: -2_400, nowMs: 10, pauses: 1 },
--- a/packages/router/src/__tests__/unit/orderLease.test.ts
+++ b/packages/router/src/__tests__/unit/orderLease.test.ts
@@ -119,11 +119,7 @@
 });
 const stops = fc.array(fc.record({ vm: fc.nat(2), from: fc.nat(250), length: fc.nat(80) }), { maxLength: 6 });
 
-/*
- * New weights are named while VMs are suspended and the store delays, refuses and loses calls. Two VMs that order the
- * same engine by turns would make it load old weights over new ones. Between the last order of one VM and the first of
- * the next lies more than an engine's lease, and fencing tokens never go back.
- */
+// Two VMs order the same engine by turns, and it loads old weights over new ones.
 test("order lease: no two VMs give orders by turns, whatever the store and pauses do", t => {
     fc.assert(
         fc.property(fc.array(fate, { minLength: 5, maxLength: 40 }), stops, (fates, away) => {
@@ -144,11 +140,7 @@
     t.pass();
 });
 
-/*
- * The holder renews, its append takes effect and the answer is lost; then the store turns the holder away. The others hear
- * from it of the record before that one only. New weights wait until one of them has the lease: it must read the stream
- * instead of claiming again and again behind a record that is not the last.
- */
+// No VM gets the lease, as all claim behind a record that is not the last.
 test("order lease: another VM gets it though all are told of a record that is not the last", t => {
     const lapsed = leaseTiming.holdMs + LEASE_MS + leaseTiming.marginMs + leaseTiming.staggerMs;
     const told: OrderLeaseEvent = { kind: "vouched", offset: 16, holder: VMS[0] as VmId, ageMs: lapsed };
@@ -158,9 +150,7 @@
     t.deepEqual(stepOrderLease(failed, tick, LEASE_MS, 10_100).effects, [{ kind: "read" }]);
 });
 
-/*
- * Sixty VMs learn of the first weights at the same moment. Each read the stream and claimed, 180 calls of which one was of use.
- */
+// Dozens of VMs learn of the first weights at once, and all but one read and claim in vain.
 test("order lease: when the first weights are named, one of sixty VMs asks the store", t => {
     const asking = Array.from({ length: 60 }, (_, rank) => {
         const tick: OrderLeaseEvent = { kind: "tick", isWanted: true, rank };
--- a/packages/router/src/__tests__/unit/othersLoad.test.ts
+++ b/packages/router/src/__tests__/unit/othersLoad.test.ts
@@ -11,10 +11,7 @@
     readonly running: number;
 };
 
-/*
- * A VM is cut off or dies and is never heard again. What it told last would keep requests away from an endpoint for ever;
- * so it counts for a second and a half, and each new word replaces the whole of the one before.
- */
+// What a dead VM told last keeps requests away from an endpoint for ever.
 const cases: readonly Case[] = [
     { name: "nothing was told", told: [], askedAt: 0, running: 0 },
     {
--- a/packages/router/src/__tests__/unit/overload.test.ts
+++ b/packages/router/src/__tests__/unit/overload.test.ts
@@ -33,11 +33,7 @@
     return state;
 };
 
-/*
- * Engines crash while others take new weights, and callers send half as much again as the rest can read. Without a limit
- * the queue grows, and after a second everybody's answer is late, though the engines are never idle. With it two thirds
- * are in time, and the others learn at once that they have to come back.
- */
+// More is taken in than engines can read, and everybody's answer is late.
 test("overload: with half as much again as can be read, two thirds are in time in place of a few", t => {
     const before = play(1.5, false);
     const now = play(1.5, true);
@@ -51,10 +47,7 @@
     t.is(play(0.95, true).refused, 0);
 });
 
-/*
- * A caller sends a prompt of 54,000 tokens, which takes an engine longer to read than the objective allows. It finds an
- * idle engine. It must be read: turned away each time, large prompts would never be served.
- */
+// A prompt that takes longer to read than the objective allows is turned away by idle engines for ever.
 test("overload: a large prompt is not turned away by an idle engine", t => {
     const estimate = estimateStart({ ...engine(0, 0), missingTokens: 54_000 });
     t.true(estimate.startMs > OBJECTIVE_MS);
--- a/packages/router/src/__tests__/unit/placement.test.ts
+++ b/packages/router/src/__tests__/unit/placement.test.ts
@@ -13,10 +13,7 @@
 
 type Case = { readonly name: string; readonly candidates: readonly Candidate[]; readonly chosen: string | undefined; };
 
-/*
- * Long prompts meet engines of which some hold shared parts, some have queues, some are on replaced weights, and some have
- * gone dark or stand in a failure domain that is cut off. A dark engine looks idle, and must not draw all requests.
- */
+// A dark engine looks idle and draws all requests.
 const cases: readonly Case[] = [
     { name: "nobody", candidates: [], chosen: undefined },
     {
@@ -127,10 +124,7 @@
     ...more,
 });
 
-/*
- * An engine goes dark while streams run there. Their events stop at once, long before any request is overdue, and that has
- * to show. An engine that is only slow goes on giving signs of life, and is not to be taken for dark.
- */
+// An engine that has gone dark passes for sound, or one that is only slow for dark.
 const silences = [
     { name: "nothing there", requests: [], signAt: 0, silentMs: 0 },
     { name: "a request that is not due", requests: [inFlight({ expectedAt: 5_000 })], signAt: 0, silentMs: 0 },
@@ -169,10 +163,7 @@
     t.deepEqual(other.holders(chain, 500), [{ holder: "e1", tokens: 30 }]);
 });
 
-/*
- * A dozen long prompts fill an engine. A manual that it read two seconds ago has made room for others since. Counted on all
- * the same, it is fetched from nowhere: the engine reads thousands of tokens again, and the callers behind it wait.
- */
+// A part that has left an engine's memory is counted on, fetched from nowhere and read again.
 const fillings: readonly { readonly name: string; readonly others: number; readonly held: boolean; }[] = [
     { name: "a few prompts later it still holds the manual", others: 3, held: true },
     { name: "as many as just fit beside the manual", others: 9, held: true },
--- a/packages/router/src/__tests__/unit/planWave.test.ts
+++ b/packages/router/src/__tests__/unit/planWave.test.ts
@@ -15,11 +15,7 @@
     readonly orders: number | readonly string[];
 };
 
-/*
- * Thirteen engines read 80 tokens a millisecond each. At quiet times a quarter of them may be away; when callers send 600
- * tokens a millisecond, eleven must stay, or the others drown and each answer takes seconds. However busy, all are off
- * old weights before these serve nobody any more; engines that were replaced later have their own, later time.
- */
+// Too many engines are away for new weights at once, or some stay on old ones until these serve nobody.
 const cases: readonly Case[] = [
     { name: "quiet: a quarter of them", engines: fleet(13), demand: 100, orders: 4 },
     { name: "busy: what the demand leaves over", engines: fleet(13), demand: 600, orders: 4 },
--- a/packages/router/src/__tests__/unit/priorityOf.test.ts
+++ b/packages/router/src/__tests__/unit/priorityOf.test.ts
@@ -4,10 +4,7 @@
 
 type Ranked = { readonly name: string; readonly organisation: number | undefined; readonly route: number; };
 
-/*
- * Urgent short prompts and long ones wait at the same engine, from organisations that have ranks of their own. The caller
- * of a short answer must not wait behind prompts that take a tenth of a second each, nor go before a higher organisation.
- */
+// A short urgent prompt waits behind long ones, or goes before a higher organisation.
 const ranked: readonly (readonly [first: Ranked, second: Ranked])[] = [
     [{ name: "its urgent route", organisation: 1, route: 0 }, { name: "its other route", organisation: 1, route: 1 }],
     [{ name: "the higher organisation", organisation: 0, route: 2 }, {
--- a/packages/router/src/__tests__/unit/promptShares.test.ts
+++ b/packages/router/src/__tests__/unit/promptShares.test.ts
@@ -45,10 +45,7 @@
     readonly source: string | undefined;
 };
 
-/*
- * All VMs restart under full traffic. They know of nobody who holds any part of any prompt, engines read shared parts of
- * thousands of tokens again that the store still has, and answers come late for as long as that lasts.
- */
+// After a restart of all VMs engines read parts again that the cache store still has.
 const cases: readonly Case[] = [
     { name: "nothing is known: the store is asked", held: {}, missing: 4_600, source: STORE },
     {
--- a/packages/router/src/__tests__/unit/quarantine.test.ts
+++ b/packages/router/src/__tests__/unit/quarantine.test.ts
@@ -74,11 +74,7 @@
     });
 });
 
-/*
- * A request crashes engine after engine through changing VMs, whose beacons are lost at random, while other requests run
- * beside it. However the news spread, each VM runs it no more once it knows of three deaths, and what is remembered stays
- * bounded.
- */
+// Lost and repeated news keep a VM from stopping a request that it knows three deaths of, or fill its memory.
 test("quarantine: whoever knows of three deaths stops the request, whatever else was told in between", t => {
     const deaths = ["a/1", "b/1", "c/1"];
     fc.assert(
--- a/packages/router/src/__tests__/unit/registry.test.ts
+++ b/packages/router/src/__tests__/unit/registry.test.ts
@@ -21,11 +21,7 @@
     readonly endpoints: readonly string[];
 };
 
-/*
- * The store is away for six seconds. Entries of living endpoints lapse meanwhile; at its return they are gone at first
- * and back within two seconds. Callers in that time must not be told that nothing serves them, and endpoints that really
- * left must get nothing soon after.
- */
+// Entries that lapsed while the store was away count as gone, or endpoints that left go on getting requests.
 const cases: readonly Case[] = [
     {
         name: "an entry that is dropped is gone",
--- a/packages/router/src/__tests__/unit/registryEvidence.test.ts
+++ b/packages/router/src/__tests__/unit/registryEvidence.test.ts
@@ -32,10 +32,7 @@
     readonly dueAt: number;
 };
 
-/*
- * One VM reads the registry and tells the others that it did. An endpoint says that it leaves; the reader dies, is cut off,
- * or its word is late. Every VM must have read the entry itself before the endpoint stops taking requests.
- */
+// The VM that reads the registry dies, and the others send requests to an endpoint that has left.
 const cases: readonly Case[] = [
     { name: "nothing is known: read now", events: [], isReader: false, dueAt: -Infinity },
     {
--- a/packages/router/src/__tests__/unit/requestNotes.test.ts
+++ b/packages/router/src/__tests__/unit/requestNotes.test.ts
@@ -27,10 +27,7 @@
     return lines;
 };
 
-/*
- * A request fails and its caller complains. Whether it would was not known when it was admitted, so the lines of its first
- * decisions must still be written then; those of the thousands that went well must not.
- */
+// The lines of a failed request's first decisions are missing, or those of all others are written.
 const cases = [
     { name: "one that did not go well has all its lines, in order", id: unsampled, isOrdinary: false, count: 2 },
     { name: "an ordinary one has none", id: unsampled, isOrdinary: true, count: 0 },
--- a/packages/router/src/__tests__/unit/sampleCandidates.test.ts
+++ b/packages/router/src/__tests__/unit/sampleCandidates.test.ts
@@ -42,10 +42,7 @@
     return met.tokens / ARRIVALS;
 };
 
-/*
- * Sixty VMs hear of each other's load once a second. All send what comes in that second to the engines that looked idle,
- * and callers wait in long queues at some engines while others have nothing to do.
- */
+// Dozens of VMs that hear of load late all choose the same engines, and queues grow there.
 test("sampleCandidates: with load known late, drawing among a few makes the queues that prompts meet half as long", t => {
     const all = meanQueue(1);
     const drawn = meanQueue(CHOOSERS);
--- a/packages/router/src/__tests__/unit/shouldMove.test.ts
+++ b/packages/router/src/__tests__/unit/shouldMove.test.ts
@@ -4,10 +4,7 @@
 
 const note = { promptTokens: 800, outputTokens: 150, passedEvents: 20, budget: 6, others: 5 };
 
-/*
- * An engine is ordered to take new weights and finishes its runs first. Long answers keep it away for seconds; moving them
- * takes tries of the budget, and reading their prompts again takes time of the other engines.
- */
+// A long answer keeps an engine from its new weights, or moving it costs more than it gains.
 const cases = [
     { name: "a short prompt with a long answer to come", question: note, moves: true },
     { name: "the answer is nearly over", question: { ...note, passedEvents: 147 }, moves: false },
--- a/packages/router/src/__tests__/unit/statusOf.test.ts
+++ b/packages/router/src/__tests__/unit/statusOf.test.ts
@@ -4,11 +4,7 @@
 
 import { statusOf } from "../../serve/statusOf.js";
 
-/*
- * A request was sent to an endpoint, its connection broke, and then there was no room anywhere else. Told 503, its caller
- * takes it for not run and sends it again; a booking is made twice. Only where no try can have run may a status promise
- * that.
- */
+// A status promises that a request has not run though a try may have, and its caller books twice.
 const cases: readonly (readonly [ErrorKind, Ran, number])[] = [
     ["overloaded", "no", 503],
     ["overloaded", "maybe", 502],
--- a/packages/router/src/__tests__/unit/watchOrders.test.ts
+++ b/packages/router/src/__tests__/unit/watchOrders.test.ts
@@ -41,10 +41,7 @@
     return state.moves;
 };
 
-/*
- * Two engines are ordered at once. A VM that moves a stream as soon as it hears of the first order may send it to the
- * second engine, which refuses it; the caller's answer is cut.
- */
+// A stream is moved to an engine that has been ordered too, and its answer is cut.
 const cases: readonly { readonly name: string; readonly steps: readonly Step[]; readonly moves: number; }[] = [
     { name: "not before the other orders of the wave are told", steps: ["order"], moves: 0 },
     { name: "once they are", steps: ["order", "time passes"], moves: 1 },
--- a/packages/standins/src/__tests__/unit/processes.test.ts
+++ b/packages/standins/src/__tests__/unit/processes.test.ts
@@ -36,9 +36,7 @@
 const PROMPT = "a prompt that is longer than one piece of four tokens";
 
 test("engine process: a stream cut after some tokens goes on elsewhere without a seam", async t => {
-    // A caller reads a stream whose engine breaks the connection after two tokens.
-    // The rest is asked of another engine from the next position.
-    // Both parts together must be what one engine would have sent whole.
+    // A stream that is resumed at another engine differs from the whole one.
     const one = await start(t, ...ENGINE, "--name", "one");
     const two = await start(t, ...ENGINE, "--name", "two");
     await post(`${one.url}/control`, { cutStreams: 1, cutAfterTokens: 2 });
@@ -65,8 +63,7 @@
 });
 
 test("engine process: the request that crashes it stands in its history", async t => {
-    // A caller's request makes each engine that runs it exit; other requests run.
-    // The engine must have written the request down before it died, or no check could tell who did it.
+    // A request that ends its engine is not in the engine's history.
     const folder = mkdtempSync(join(tmpdir(), "standin-"));
     t.teardown(() => rmSync(folder, { recursive: true }));
     const file = join(folder, "history.jsonl");
@@ -134,8 +131,7 @@
 });
 
 test("link process: open connections fall silent, new ones work", async t => {
-    // Something between two ends loses track of a connection: neither end hears of it, and nothing passes any more.
-    // A call on a new connection is answered; the one on the old connection gets nothing, not even an end.
+    // A connection that goes silent for good cannot be told from a slow one.
     const service = await start(t, "service");
     const link = await start(t, "link", "--route", `a=${new URL(service.url).host}`);
     const through = new URL(`http://${link.routes?.["a"]}`);
--- a/packages/standins/src/__tests__/unit/scheduler.test.ts
+++ b/packages/standins/src/__tests__/unit/scheduler.test.ts
@@ -103,8 +103,7 @@
 });
 
 test("scheduler: only requests that did not fit are reported as waiting", t => {
-    // A router takes a report of waiting requests as the sign of a full engine, and sends it no more.
-    // A request that arrives during a step waits for that step alone, and must not look like one that did not fit.
+    // A request that waits for one step looks like one that did not fit, and the engine passes for full.
     const { clock, reported, submit } = start();
     submit("a", 30, 2);
     clock.advance(10);
--- a/packages/telemetry/src/__tests__/unit/createLoggers.test.ts
+++ b/packages/telemetry/src/__tests__/unit/createLoggers.test.ts
@@ -19,10 +19,7 @@
 piece(0);
 `;
 
-/*
- * The collector that reads a VM's lines stalls. If the program waited for it, no caller would be served any more. It must
- * go on at once, with the lines that fit held in a bounded buffer and the others dropped.
- */
+// Whoever reads the lines stalls, and the process waits for it or keeps lines without bound.
 test("createLoggers: a reader that stalls holds nothing up, and what waits for it is bounded", async t => {
     const child = spawn(process.execPath, ["--input-type=module", "--eval", PROGRAM], {
         stdio: ["ignore", "pipe", "pipe"],
