Look for suspects in one place, and digest no request while there is none

A death whose suspects have all run to their end is kept for ten minutes, so that a late report accuses nobody again. Five places looked at the list of deaths, and three of these, on the way of each request, took a kept death for a suspect: each request was digested for these ten minutes to find nothing. hasSuspects and suspectedDeaths say what is meant. Waiting with a bound stood three times and is one function; services' calls never are among the running ones, so admission does not sort them out.

--- a/packages/daemon/src/suspects/createAdmission.ts
+++ b/packages/daemon/src/suspects/createAdmission.ts
@@ -1,7 +1,5 @@
-import { setTimeout as sleep } from "node:timers/promises";
-
 import type { DispatchId, EndpointName, VmId } from "@azureshunt/core";
-import { deathsOf, isSuspect, quarantinedUntil, RequestFingerprint } from "@azureshunt/request";
+import { deathsOf, hasSuspects, isSuspect, quarantinedUntil, RequestFingerprint } from "@azureshunt/request";
 import { z } from "zod";
 
 import type { Admission } from "../ports/Admission.js";
@@ -18,6 +16,7 @@
 import type { SuspectRun } from "./SuspectRun.js";
 import type { SuspectTimes } from "./SuspectTimes.js";
 import { takeDeath } from "./takeDeath.js";
+import { waitAtMost } from "./waitAtMost.js";
 
 /** What admitting suspects needs. */
 type AdmissionParts = {
@@ -62,9 +61,11 @@
 
     const isSuspected = (request: RequestFingerprint): boolean => isSuspect(suspects.state(), request);
     const runs = (): readonly SuspectRun[] =>
-        calls.now()
-            .filter(({ call }) => call.target.kind === "model")
-            .map(({ call, endpoint, isAnswering }) => ({ request: fingerprintModel(call), endpoint, isAnswering }));
+        calls.now().map(({ call, endpoint, isAnswering }) => ({
+            request: fingerprintModel(call),
+            endpoint,
+            isAnswering,
+        }));
 
     /** The conflict with what this VM runs or asks for; an ask of its own gives way to one that goes first. */
     const conflictHere = (wanted: Pick<SuspectRun, "request" | "endpoint">, asker: VmId): Ask["conflict"] => {
@@ -117,7 +118,7 @@
     };
 
     const admitSuspect = async (request: RequestFingerprint, placement: Placement): Promise<Admission> => {
-        await Promise.race([probed(request), sleep(times.probedBoundMs, undefined, { ref: false })]);
+        await waitAtMost(probed(request), times.probedBoundMs);
         const { endpoint, dispatchId } = placement;
         const conflict = conflictOf([...runs(), ...asks.values()], { request, endpoint }, isSuspected);
         if (conflict !== undefined) {
@@ -137,11 +138,11 @@
     };
 
     const admit: SuspectAdmission["admit"] = async (call, placement) => {
-        const { deaths, unjudged } = suspects.state();
-        if (deaths.length + unjudged.size === 0 || !isSuspected(fingerprintModel(call))) {
+        const request = hasSuspects(suspects.state()) ? fingerprintModel(call) : undefined;
+        if (request === undefined || !isSuspected(request)) {
             return "admitted";
         }
-        const admission = await admitSuspect(fingerprintModel(call), placement);
+        const admission = await admitSuspect(request, placement);
         metrics.count("azureshunt_suspects_admitted_total", "Suspects asked about before a run, by result.", {
             result: admission,
         });
--- a/packages/daemon/src/suspects/createSuspectPort.ts
+++ b/packages/daemon/src/suspects/createSuspectPort.ts
@@ -1,7 +1,5 @@
-import { setTimeout as sleep } from "node:timers/promises";
-
 import type { EndpointName } from "@azureshunt/core";
-import { deathsOf, isHeld, isSpreadTo, mayShareEndpoint } from "@azureshunt/request";
+import { deathsOf, hasSuspects, isHeld, isSpreadTo, mayShareEndpoint, suspectedDeaths } from "@azureshunt/request";
 import type { RequestFingerprint, SuspectEffect } from "@azureshunt/request";
 import { Left, Right } from "purify-ts";
 
@@ -22,6 +20,7 @@
 import { startSuspectAggregate } from "./startSuspectAggregate.js";
 import { SUSPECT_TIMES } from "./SUSPECT_TIMES.js";
 import type { SuspectTimes } from "./SuspectTimes.js";
+import { waitAtMost } from "./waitAtMost.js";
 
 /** Starts what remembers requests that were running on endpoints when these died, on this and all other VMs. */
 export function createSuspectPort(
@@ -44,10 +43,6 @@
     const judge = createDeathJudge({ ctx, calls, suspects, times, tellPeers: teller.tell });
     const admission = createAdmission({ ctx, calls, suspects, times, probed: judge.probed });
 
-    const soon = async (judgement: Promise<void>): Promise<void> => {
-        await Promise.race([judgement, sleep(times.firstDeathWaitMs, undefined, { ref: false })]);
-    };
-
     /**
      * A request that was present at one death goes on soon even if some VM is slow to say what it ran. One that was present
      * at two goes no further until both are judged: it may be the cause, and would bring down a third endpoint.
@@ -62,7 +57,7 @@
             await teller.told();
         }
         else {
-            await soon(judgement);
+            await waitAtMost(judgement, times.firstDeathWaitMs);
         }
     };
 
@@ -79,15 +74,13 @@
         );
 
     const check: SuspectPort["check"] = call => {
-        const { quarantined, deaths, unjudged } = state();
-        const refusal = quarantined.size + deaths.length + unjudged.size === 0
-            ? undefined
-            : refuseSuspect(state(), fingerprintModel(call), clock.now());
+        const isNobodyStopped = state().quarantined.size === 0 && !hasSuspects(state());
+        const refusal = isNobodyStopped ? undefined : refuseSuspect(state(), fingerprintModel(call), clock.now());
         return refusal === undefined ? Right(call) : Left(refusal);
     };
 
     const mayShare: SuspectPort["mayShare"] = (call, endpoint) => {
-        if (state().deaths.length + state().unjudged.size === 0) {
+        if (!hasSuspects(state())) {
             return true;
         }
         const request = fingerprintModel(call);
@@ -105,9 +98,9 @@
                 await waitForJudgement(call, placement);
             }
             if (ended === "silent") {
-                await soon(judge.judge(placement));
+                await waitAtMost(judge.judge(placement), times.firstDeathWaitMs);
             }
-            if (ended === "complete" && state().deaths.length > 0) {
+            if (ended === "complete" && hasSuspects(state())) {
                 clear(fingerprintModel(call));
             }
         };
@@ -125,7 +118,7 @@
         metrics.gauge(
             "azureshunt_unexplained_deaths",
             "Deaths of endpoints not explained.",
-            () => state().deaths.filter(({ running }) => running.length > 0).length,
+            () => suspectedDeaths(state()).length,
         ),
     ];
     return {
--- a/packages/daemon/src/suspects/createTeller.ts
+++ b/packages/daemon/src/suspects/createTeller.ts
@@ -4,6 +4,7 @@
 
 import type { DaemonContext } from "../ports/DaemonContext.js";
 import type { SuspectTimes } from "./SuspectTimes.js";
+import { waitAtMost } from "./waitAtMost.js";
 
 /** Tells other VMs what they must not miss. */
 type Teller = {
@@ -47,8 +48,6 @@
         telling.add(all);
         void all.finally(() => telling.delete(all));
     };
-    const told: Teller["told"] = async () => {
-        await Promise.race([Promise.all(telling), sleep(times.toldBoundMs, undefined, { ref: false })]);
-    };
+    const told: Teller["told"] = () => waitAtMost(Promise.all(telling), times.toldBoundMs);
     return { tell, told, stop: () => stopped.abort() };
 }
--- a/packages/daemon/src/suspects/handleSuspectMessages.ts
+++ b/packages/daemon/src/suspects/handleSuspectMessages.ts
@@ -1,4 +1,4 @@
-import { RequestFingerprint } from "@azureshunt/request";
+import { RequestFingerprint, suspectedDeaths } from "@azureshunt/request";
 import { z } from "zod";
 
 import type { DaemonContext } from "../ports/DaemonContext.js";
@@ -32,7 +32,7 @@
         const requests = [...suspects.state().quarantined]
             .map(([fingerprint, until]) => ({ fingerprint, remainingMs: Math.ceil(until - clock.now()) }))
             .filter(({ remainingMs }) => remainingMs > 0);
-        const deaths = suspects.state().deaths.filter(({ running }) => running.length > 0).map(deathRow);
+        const deaths = suspectedDeaths(suspects.state()).map(deathRow);
         return { requests, deaths };
     };
     const onCleared = async (body: object): Promise<object> => {
--- a/packages/request/src/__tests__/unit/heldRequests.test.ts
+++ b/packages/request/src/__tests__/unit/heldRequests.test.ts
@@ -3,6 +3,7 @@
 
 import { clearSuspect } from "../../clearSuspect.js";
 import { fingerprintOf } from "../../fingerprintOf.js";
+import { hasSuspects } from "../../hasSuspects.js";
 import { isHeld } from "../../isHeld.js";
 import { isSuspect } from "../../isSuspect.js";
 import { noSuspects } from "../../noSuspects.js";
@@ -102,3 +103,10 @@
     t.true(isSuspect(state, id("a")));
     t.false(isSuspect(settled("d1")(state), id("a")));
 });
+
+// Every request is digested for ten minutes after a death, though nobody is suspected any more.
+test("held requests: with the last suspect cleared there is none", t => {
+    const state = died("d1", ["a"], true)(noSuspects);
+    t.true(hasSuspects(state));
+    t.false(hasSuspects(ranToItsEnd("a")(state)));
+});
