Keep one version of the beacons' format, and no encoder that only tests call

The encoder and the decoder each held the format's version. encodeBeacon was left to the tests when beacons came to be encoded by batch; they use the batch's encoder now, with the same assertions. The bytes are the same.

--- a/packages/router/src/__tests__/unit/beacon.test.ts
+++ b/packages/router/src/__tests__/unit/beacon.test.ts
@@ -2,8 +2,8 @@
 import test from "ava";
 
 import type { Beacon } from "../../peers/Beacon.js";
+import { createBeaconEncoder } from "../../peers/createBeaconEncoder.js";
 import { decodeBeacon } from "../../peers/decodeBeacon.js";
-import { encodeBeacon } from "../../peers/encodeBeacon.js";
 
 const beacon: Beacon = {
     vm: "vm-1" as VmId,
@@ -34,11 +34,11 @@
 /** Place of the sizes of cached parts; fields after it came later still. */
 const CACHED_TOKENS = 22;
 
-const rowOf = (): unknown[] => JSON.parse(encodeBeacon(beacon).toString("utf8")) as unknown[];
+const rowOf = (): unknown[] => JSON.parse(createBeaconEncoder(beacon)(beacon).toString("utf8")) as unknown[];
 const decoded = (row: readonly unknown[]): Beacon | undefined => decodeBeacon(Buffer.from(JSON.stringify(row)));
 
 test("beacon: what is told arrives", t => {
-    t.deepEqual(decodeBeacon(encodeBeacon(beacon)), beacon);
+    t.deepEqual(decodeBeacon(createBeaconEncoder(beacon)(beacon)), beacon);
 });
 
 test("beacon: one of an earlier version, without the sizes of cached parts, is taken with sizes of 0", t => {
--- a/packages/router/src/peers/createBeaconEncoder.ts
+++ b/packages/router/src/peers/createBeaconEncoder.ts
@@ -1,7 +1,5 @@
 import type { Beacon } from "./Beacon.js";
-
-/** Version of the datagrams' format; VMs skip formats that they do not know. */
-const FORMAT = 1;
+import { BEACON_FORMAT } from "./BEACON_FORMAT.js";
 
 /** What differs between the beacons of one batch. */
 type PerTarget = Pick<Beacon, "sequence" | "sentAt" | "echo">;
@@ -15,7 +13,7 @@
  */
 export function createBeaconEncoder(common: Omit<Beacon, keyof PerTarget>): (own: PerTarget) => Buffer {
     const { lease } = common;
-    const head = withoutLast(JSON.stringify([FORMAT, common.vm, common.incarnation, common.failureDomain]));
+    const head = withoutLast(JSON.stringify([BEACON_FORMAT, common.vm, common.incarnation, common.failureDomain]));
     const tail = withoutFirst(JSON.stringify([
         common.members,
         common.revision,
--- a/packages/router/src/peers/createBeaconPacer.ts
+++ b/packages/router/src/peers/createBeaconPacer.ts
@@ -65,9 +65,8 @@
      */
     const untilNext = (): Millis => {
         const intervalMs = parts.intervalMs();
-        const waitMs = round.startedAt + intervalMs - clock.now();
         if (round.batches === 1) {
-            return Math.max(HURRY_GAP_MS, waitMs);
+            return Math.max(HURRY_GAP_MS, round.startedAt + intervalMs - clock.now());
         }
         const untilMomentMs = intervalMs - clock.epoch() % intervalMs;
         return untilMomentMs < HURRY_GAP_MS ? untilMomentMs + intervalMs : untilMomentMs;
--- a/packages/router/src/peers/decodeBeacon.ts
+++ b/packages/router/src/peers/decodeBeacon.ts
@@ -1,6 +1,6 @@
 import type { Beacon } from "./Beacon.js";
+import { BEACON_FORMAT } from "./BEACON_FORMAT.js";
 
-const FORMAT = 1;
 const FIELDS = 20;
 /** Fields that came later; VMs that run an earlier version leave them out. */
 const DEATHS = 20;
@@ -26,7 +26,7 @@
 
 /** The rows are checked by hand: a schema library would cost as much as all else that a beacon costs. */
 const isSound = (row: Row): boolean =>
-    row[0] === FORMAT
+    row[0] === BEACON_FORMAT
     && row.length >= FIELDS
     && isText(row[1]) && isText(row[2]) && isText(row[3])
     && isNumber(row[4]) && isNumber(row[5])
