--- a/packages/daemon/src/__tests__/fakes/suspectFleet.ts
+++ b/packages/daemon/src/__tests__/fakes/suspectFleet.ts
@@ -1,14 +1,4 @@
-import {
-    DispatchId,
-    EndpointName,
-    Incarnation,
-    KeyId,
-    ModelName,
-    OrganisationId,
-    RequestId,
-    VmId,
-    WeightsVersion,
-} from "@azureshunt/core";
+import { DispatchId, EndpointName, Incarnation, VmId } from "@azureshunt/core";
 import type { ExecutionContext } from "ava";
 
 import type { Call } from "../../ports/Call.js";
@@ -19,6 +9,7 @@
 import { deadEndpoint } from "./deadEndpoint.js";
 import { fakeContext } from "./fakeContext.js";
 import { FakePeers } from "./FakePeers.js";
+import { modelCall } from "./modelCall.js";
 
 /** Patience is short, so that a test of a VM that does not answer ends soon. */
 const TIMES = { ...SUSPECT_TIMES, askAgainMs: 20, tellAgainMs: 20, toldBoundMs: 200, firstDeathWaitMs: 50 };
@@ -50,29 +41,7 @@
     t.teardown(() => ports.forEach(port => port.stop()));
     const start = (vm: string): void => void ports.set(vm, createSuspectPort(fakeContext(vm, peers).ctx, TIMES));
     const counter = { calls: 0 };
-    const call = (prompt: string): Call => ({
-        id: RequestId.parse(`request-${counter.calls++}`),
-        organisation: OrganisationId.parse("hut"),
-        keyId: KeyId.parse("key"),
-        arrivedAt: 0,
-        deadline: Infinity,
-        priority: 5,
-        target: {
-            kind: "model",
-            path: "/v1/completions",
-            model: ModelName.parse("advisor"),
-            version: WeightsVersion.parse("v1"),
-            adapter: undefined,
-            stream: true,
-            body: { prompt },
-            pieces: [],
-            pieceTokens: 256,
-            promptTokens: 100,
-            maxTokens: 10,
-            cacheSalt: "",
-        } as Call["target"],
-        signal: new AbortController().signal,
-    });
+    const call = (prompt: string): Call => modelCall(`request-${counter.calls++}`, { body: { prompt } });
     const place = (endpoint: string, url = nowhere): Placement => ({
         dispatchId: DispatchId.parse(`dispatch-${counter.calls++}`),
         endpoint: EndpointName.parse(endpoint),
--- a/packages/daemon/src/__tests__/unit/placement.test.ts
+++ b/packages/daemon/src/__tests__/unit/placement.test.ts
@@ -1,17 +1,6 @@
 import { setTimeout as sleep } from "node:timers/promises";
 
-import {
-    Incarnation,
-    KeyId,
-    ModelName,
-    OrganisationId,
-    PieceHash,
-    rendezvousOrder,
-    RequestId,
-    ServiceName,
-    VmId,
-    WeightsVersion,
-} from "@azureshunt/core";
+import { Incarnation, PieceHash, rendezvousOrder, RequestId, ServiceName, VmId } from "@azureshunt/core";
 import { EndpointSpec } from "@azureshunt/release";
 import test from "ava";
 import type { ExecutionContext } from "ava";
@@ -22,8 +11,8 @@
 import { fakeContext } from "../fakes/fakeContext.js";
 import { startFakeEngine } from "../fakes/FakeEngine.js";
 import { FakePeers } from "../fakes/FakePeers.js";
+import { modelCall } from "../fakes/modelCall.js";
 
-const PIECE_TOKENS = 4_096;
 const PATIENCE_MS = 10_000;
 const pieces = (...numbers: number[]) => numbers.map(n => PieceHash.parse(n.toString(16).padStart(32, "0")));
 
@@ -48,30 +37,10 @@
     );
     declare(specs);
     const infoOf = (name: string) => placement.inspect().find(info => info.name === name);
-    const call = (id: string, hashes: readonly PieceHash[], more: Partial<Call> = {}): Call => ({
-        id: RequestId.parse(id),
-        organisation: OrganisationId.parse("hut"),
-        keyId: KeyId.parse("key"),
-        arrivedAt: ctx.clock.now(),
-        deadline: ctx.clock.now() + PATIENCE_MS,
-        priority: 5,
-        target: {
-            kind: "model",
-            path: "/v1/completions",
-            model: ModelName.parse("advisor"),
-            version: WeightsVersion.parse("v1"),
-            adapter: undefined,
-            cacheSalt: "",
-            pieces: hashes,
-            pieceTokens: PIECE_TOKENS,
-            promptTokens: hashes.length * PIECE_TOKENS + 100,
-            maxTokens: 10,
-            stream: true,
-            body: {},
-        },
-        signal: new AbortController().signal,
-        ...more,
-    });
+    const call = (id: string, hashes: readonly PieceHash[], more: Partial<Call> = {}): Call => {
+        const arrivedAt = ctx.clock.now();
+        return modelCall(id, { pieces: hashes }, { arrivedAt, deadline: arrivedAt + PATIENCE_MS, ...more });
+    };
     const place = async (one: Call) => (await placement.place(one, [])).unsafeCoerce();
     const until = async (holds: () => boolean): Promise<void> => {
         if (!holds()) {
