Drop requests whose callers left while the process ran late

Cause: on small VMs a process may be a second late. A request then waits in its socket for longer than its caller does; the caller's close waits behind it in the same socket.

Ruled out: the queue for tokens and the tries themselves; both watch the caller's close, and the requests had not been admitted before. The close of a caller that still waits inside the kernel of another machine cannot be seen.

Change: a watch notices that the tick of the router is two intervals overdue. While it is, a request that has been read waits for two turns of the event loop, after which a close behind it has been processed, and is dropped if its connection is gone. In a process that keeps up nothing changes.

--- /dev/null
+++ b/packages/router/src/__tests__/unit/hasLeft.test.ts
@@ -0,0 +1,63 @@
+import { createServer } from "node:http";
+import { connect } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
+
+import { readBody } from "@azureshunt/http";
+import test from "ava";
+
+import { createLagWatch } from "../../serve/createLagWatch.js";
+import { hasLeft } from "../../serve/hasLeft.js";
+
+const BUSY_MS = 100;
+const REQUEST = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello";
+
+const beBusy = (): void => {
+    const end = performance.now() + BUSY_MS;
+    while (performance.now() < end) { /* The process must not read anything meanwhile. */ }
+};
+
+type Case = { readonly name: string; readonly leave: (socket: Socket) => void; readonly left: boolean; };
+
+// A process that runs late reads a request after its caller has left; sent on, it would run for nobody.
+const cases: readonly Case[] = [
+    { name: "closes the connection", leave: socket => void socket.destroy(), left: true },
+    { name: "resets the connection", leave: socket => void socket.resetAndDestroy(), left: true },
+    { name: "still waits", leave: () => undefined, left: false },
+];
+cases.forEach(({ name, leave, left }) => {
+    test.serial(`hasLeft: a caller that ${name} before its request is read: ${left}`, async t => {
+        const outcome = new Promise<boolean>(resolve => {
+            const server = createServer((req, res) => {
+                req.on("error", () => undefined);
+                void readBody(req, 1_000).then(() => hasLeft(req)).then(resolve).finally(() => res.end());
+            });
+            server.listen(0, "127.0.0.1", () => {
+                const socket = connect((server.address() as AddressInfo).port, "127.0.0.1");
+                socket.on("error", () => undefined);
+                // The server has accepted the connection by then.
+                setTimeout(() => {
+                    socket.write(REQUEST, () => {
+                        leave(socket);
+                        setImmediate(beBusy);
+                    });
+                    beBusy();
+                }, BUSY_MS);
+            });
+            t.teardown(() => server.close());
+            t.teardown(() => server.closeAllConnections());
+        });
+        t.is(await outcome, left);
+    });
+});
+
+test("lag watch: late once two intervals are overdue, until the next tick", t => {
+    const time = { now: 0 };
+    const watch = createLagWatch({ now: () => time.now, epoch: () => time.now }, 100);
+    const lagAt = (now: number): boolean => {
+        time.now = now;
+        return watch.isLagging();
+    };
+    t.deepEqual([0, 100, 200, 201].map(lagAt), [false, false, false, true]);
+    watch.tick();
+    t.deepEqual([201, 300, 402].map(lagAt), [false, false, true]);
+});
--- a/packages/router/src/serve/ServeParts.ts
+++ b/packages/router/src/serve/ServeParts.ts
@@ -41,3 +41,5 @@
     readonly checkSuspension: () => void;
     readonly isDraining: () => boolean;
 };
+    /** Whether this process runs late, so that what it reads may have waited for long. */
+    readonly isLagging: () => boolean;
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -34,6 +34,7 @@
 import { createRequestHandler } from "./serve/createRequestHandler.js";
 import { createRetryBudgets } from "./serve/createRetryBudgets.js";
 import type { FreshnessBounds } from "./serve/FreshnessBounds.js";
+import { createLagWatch } from "./serve/createLagWatch.js";
 import { startCallerServer } from "./serve/startCallerServer.js";
 import { startGauges } from "./startGauges.js";
 import { startMetricsListener } from "./startMetricsListener.js";
@@ -258,6 +259,7 @@
         logger: loggers("request"),
         metrics,
         placingVms: membership.vms,
+    const lagWatch = createLagWatch(clock, TICK_MS);
         isDomainSilent: domain => membership.domainSilentMs(domain) > 0,
         checkSuspension: suspensionWatch.check,
         isDraining: () => state.isDraining,
@@ -288,6 +290,7 @@
         self: {
             vm: settings.vm,
             address: settings.listen.peers,
+        isLagging: lagWatch.isLagging,
             failureDomain: settings.failureDomain,
             capacity: settings.capacity,
         },
@@ -324,6 +327,7 @@
         logger.info(
             { isFixed },
             isFixed ? "Settings reloaded." : "Settings reloaded; changes of names and addresses need a restart.",
+        lagWatch.tick();
         );
     };
     return { shutDown, reload };
