Lead rollouts of a service's version, with a bounded trial

Cause: the contract for rollouts is in force on the shifted deployment, and nothing read `op/rollout/SERVICE`: new endpoints would have got the same share as the old ones, a bad version half of all requests.

Change: the holder of the order lease leads. Orders, phases and their ages go with beacons; VMs report their counts of answers by route to the leader, at once after a bad answer. A sequential test (cumulative sum of log-likelihood ratios, by route) compares the new version with the old one of the same moments; crashes, cut links and refusals are not counted. The trial comes in pulses that are the same on all VMs, so that its endpoints get their usual load. What may run only once goes to the old version meanwhile. A VM that has no statement of the leader for 2.5 s sends nothing to the new version. The status is written by the leader, and read by a leader that takes over.

Cost with no rollout: one empty list in each beacon; no call to the store.

--- a/packages/router/src/RouterSettings.ts
+++ b/packages/router/src/RouterSettings.ts
@@ -40,5 +40,7 @@
         /** Retries allowed in addition per window. */
         readonly slack: number;
     };
+    /** Largest fraction of a service's requests that a new version may get before it is known to be good. */
+    readonly rolloutExposure: number;
     readonly logLevel: string;
 };
--- a/packages/router/src/__tests__/support/entryOf.ts
+++ b/packages/router/src/__tests__/support/entryOf.ts
@@ -11,6 +11,7 @@
         failureDomain: "fd" as FailureDomain,
         isLeaving: false,
         slots: 6,
+        softwareVersion: undefined,
         versions: new Map(),
         bornAt: 1,
         ...more,
--- a/packages/router/src/__tests__/support/relayFleet.ts
+++ b/packages/router/src/__tests__/support/relayFleet.ts
@@ -131,6 +131,7 @@
                 lease: undefined,
                 deaths: [],
                 quarantined: [],
+                rollouts: [],
                 registry: undefined,
                 hasStore: true,
                 ...localState.current(),
--- a/packages/router/src/__tests__/unit/beacon.test.ts
+++ b/packages/router/src/__tests__/unit/beacon.test.ts
@@ -1,4 +1,4 @@
-import type { EndpointName, FailureDomain, Incarnation, VmId } from "@azureshunt/core";
+import type { EndpointName, FailureDomain, Incarnation, ServiceName, VmId } from "@azureshunt/core";
 import test from "ava";
 
 import type { Beacon } from "../../peers/Beacon.js";
@@ -38,6 +38,23 @@
     lease: undefined,
     deaths: [],
     quarantined: [],
+    rollouts: [{
+        service: "desk" as ServiceName,
+        id: 7,
+        version: "v2",
+        durationMs: 12_000,
+        ageMs: 900,
+        phase: "canary",
+        statedMs: 40,
+    }, {
+        service: "lm" as ServiceName,
+        id: 9,
+        version: "v3",
+        durationMs: 30_000,
+        ageMs: 10,
+        phase: undefined,
+        statedMs: 0,
+    }],
     upMs: 5_000,
     registry: { digest: "d1", ageMs: 40 },
     hasStore: true,
--- a/packages/router/src/__tests__/unit/peerListener.test.ts
+++ b/packages/router/src/__tests__/unit/peerListener.test.ts
@@ -32,6 +32,7 @@
         const listener = await startPeerListener({
             address: "127.0.0.1:0",
             configuration: () => undefined,
+            receiveReport: () => undefined,
             topics,
         });
         t.teardown(() => listener.close());
--- a/packages/router/src/__tests__/unit/relayAnswers.test.ts
+++ b/packages/router/src/__tests__/unit/relayAnswers.test.ts
@@ -48,6 +48,7 @@
         logger: createLoggers("silent", { vm: "vm", failureDomain: "fd", incarnation: "run" })("knowledge"),
         metrics: createMetrics(),
         onChange: () => undefined,
+        onRollout: () => undefined,
         isReader: () => true,
         beaconIntervalMs: () => 200,
         queryRelay: () => Promise.resolve(undefined),
--- a/packages/router/src/fleet/startOrders.ts
+++ b/packages/router/src/fleet/startOrders.ts
@@ -34,6 +34,8 @@
     readonly servesForMs: () => Millis;
     /** Prompt tokens per millisecond that callers send to all VMs. */
     readonly demand: () => Tokens;
+    /** Whether the lease is needed for anything but orders. */
+    readonly isLeaseWanted: () => boolean;
     /** Sends the other VMs soon, before the next round, which engines were ordered. */
     readonly sendSoon: () => void;
 };
@@ -137,9 +139,10 @@
     };
 
     const tick = (): void => {
-        const isWanted = wanted().length > 0;
+        const hasOrders = wanted().length > 0;
+        const isWanted = hasOrders || parts.isLeaseWanted();
         keeper.apply({ kind: "tick", isWanted, rank: parts.rank(keeper.current().tail?.holder) });
-        if (isWanted) {
+        if (hasOrders) {
             issueDueOrders();
             logRollout();
         }
--- a/packages/router/src/knowledge/startDeclarations.ts
+++ b/packages/router/src/knowledge/startDeclarations.ts
@@ -7,6 +7,7 @@
 import type { ReceivedBeacon } from "../peers/ReceivedBeacon.js";
 import type { DirectoryWire } from "../ports/DirectoryWire.js";
 import type { StorePort } from "../ports/StorePort.js";
+import type { VersionRollout } from "../rollout/VersionRollout.js";
 import { createTopicMirror } from "../store/createTopicMirror.js";
 import { followTopic } from "../store/followTopic.js";
 import type { TopicAnswer } from "../store/TopicAnswer.js";
@@ -26,6 +27,8 @@
     readonly metrics: Metrics;
     /** Called when this VM learned something that the other VMs should receive soon. */
     readonly onChange: () => void;
+    /** Called with each order of a rollout that was read; the same one may be read several times. */
+    readonly onRollout: (order: VersionRollout) => void;
     /** Whether this VM reads the declarations for the others of its failure domain. */
     readonly isReader: () => boolean;
     /** Time between two beacons to one VM. */
@@ -61,6 +64,8 @@
  */
 const STORE_AVAILABLE_MS: Millis = 3_300;
 const OK = 200;
+/** In place of the offset of a record that was not read from the topic. */
+const NO_OFFSET = -1;
 
 /** Follows the operators' declarations in the store and through the other VMs. */
 export function startDeclarations(parts: DeclarationParts): Declarations {
@@ -100,7 +105,7 @@
      *
      * @returns the revision if it is a configuration
      */
-    const declare = (key: string, value: Buffer): number | undefined =>
+    const declare = (key: string, value: Buffer, offset: number): number | undefined =>
         wire.decodeDeclaration(key, value).caseOf<number | undefined>({
             Left: fault => {
                 state.isReadable = false;
@@ -114,6 +119,11 @@
                 if (declaration.kind === "other") {
                     return undefined;
                 }
+                if (declaration.kind === "rollout") {
+                    const { service, version, durationMs } = declaration;
+                    parts.onRollout({ id: offset, service, version, durationMs, learnedAt: clock.now() });
+                    return undefined;
+                }
                 const revision = declaration.kind === "configuration" ? declaration.configuration.revision : undefined;
                 if (revision !== undefined) {
                     const isNewer = revision > (state.declaredState.configuration?.revision ?? -1);
@@ -157,7 +167,9 @@
             state.isReadFailing = false;
             mirror.record({ records, end, isWhole });
             logStoreAvailability();
-            const read = records.map(({ key, value }) => value === undefined ? undefined : declare(key, value));
+            const read = records.map(({ key, value, offset }) =>
+                value === undefined ? undefined : declare(key, value, offset)
+            );
             state.readRevision = Math.max(state.readRevision, ...read.map(each => each ?? -1));
             const revision = state.declaredState.configuration?.revision;
             if (revision !== undefined && state.isReadable) {
@@ -183,7 +195,7 @@
         const res = await callOnce(parts.agent, address, call, FETCH_TIMEOUT_MS);
         state.isFetching = false;
         if (res.kind === "answer" && res.status === OK) {
-            declare("config", res.body);
+            declare("config", res.body, NO_OFFSET);
         }
     };
 
--- a/packages/router/src/peers/Beacon.ts
+++ b/packages/router/src/peers/Beacon.ts
@@ -11,6 +11,7 @@
 import type { RequestFingerprint } from "@azureshunt/request";
 
 import type { PrefixPart } from "../placement/PrefixPart.js";
+import type { RolloutRow } from "../rollout/RolloutRow.js";
 import type { BeaconScope } from "./BeaconScope.js";
 import type { DomainCount } from "./DomainCount.js";
 import type { EndpointShare } from "./EndpointShare.js";
@@ -86,6 +87,8 @@
     readonly deaths: readonly (readonly [RequestFingerprint, string])[];
     /** Quarantined requests, which crash endpoints, and the remaining time of their quarantine. */
     readonly quarantined: readonly (readonly [RequestFingerprint, Millis])[];
+    /** Rollouts of software versions that the sender knows. */
+    readonly rollouts: readonly RolloutRow[];
     /** Digest of the registry entries that the sender knows, and an upper bound for their age. */
     readonly registry: { readonly digest: string; readonly ageMs: Millis; } | undefined;
     /** Whether the store has answered the sender lately, so that the sender can read it for others. */
--- a/packages/router/src/peers/LocalState.ts
+++ b/packages/router/src/peers/LocalState.ts
@@ -16,6 +16,7 @@
     | "lease"
     | "deaths"
     | "quarantined"
+    | "rollouts"
     | "registry"
     | "hasStore"
 >;
--- a/packages/router/src/peers/PeerSyncSources.ts
+++ b/packages/router/src/peers/PeerSyncSources.ts
@@ -8,6 +8,7 @@
 import type { EndpointTable } from "../placement/EndpointTable.js";
 import type { createQuarantine } from "../quarantine/createQuarantine.js";
 import type { startRegistry } from "../registry/startRegistry.js";
+import type { createRollouts } from "../rollout/createRollouts.js";
 import type { createMembership } from "./createMembership.js";
 import type { createPeerLoad } from "./createPeerLoad.js";
 import type { createRelayBuffer } from "./createRelayBuffer.js";
@@ -26,4 +27,5 @@
     readonly peerLoad: ReturnType<typeof createPeerLoad>;
     readonly membership: ReturnType<typeof createMembership>;
     readonly relayBuffer: ReturnType<typeof createRelayBuffer>;
+    readonly rollouts: ReturnType<typeof createRollouts>;
 };
--- a/packages/router/src/peers/applyBeacon.ts
+++ b/packages/router/src/peers/applyBeacon.ts
@@ -6,7 +6,7 @@
  *
  * @param address peer address of the sender
  * @param isRestarted whether the sender's process is a different one from that of its last beacon
- * @returns whether an order, or a version that an engine has loaded, was new to this VM
+ * @returns whether an order, a version that an engine has loaded, or the phase of a rollout was new to this VM
  */
 export function applyBeacon(
     sources: PeerSyncSources,
@@ -16,7 +16,7 @@
 ): boolean {
     const { clock, declarations, allowances, endpointTable, prefixIndex, orders, quarantine, registry, peerLoad } =
         sources;
-    const { membership, relayBuffer } = sources;
+    const { membership, relayBuffer, rollouts } = sources;
     const { beacon, sentAfter } = received;
     const now = clock.now();
     const role = membership.roleOf(beacon.vm);
@@ -38,5 +38,6 @@
         const ageMs = Math.max(0, beacon.lease.ageMs + Math.min(0, sentAfter - now));
         orders.applyLeaseEvent({ kind: "peer-record", ...beacon.lease, ageMs });
     }
-    return [...orderUpdates, ...weightsUpdates].includes(true);
+    const isRolloutNew = rollouts.receiveRows(beacon.rollouts, sentAfter);
+    return isRolloutNew || [...orderUpdates, ...weightsUpdates].includes(true);
 }
--- a/packages/router/src/peers/collectLocalState.ts
+++ b/packages/router/src/peers/collectLocalState.ts
@@ -10,7 +10,7 @@
 
 /** Collects this VM's own state for a beacon, except for the engine versions, which are sent in rotation. */
 export function collectLocalState(sources: PeerSyncSources): Omit<LocalState, "engineVersions"> {
-    const { clock, declarations, allowances, endpointTable, demand, quarantine, registry } = sources;
+    const { clock, declarations, allowances, endpointTable, demand, quarantine, registry, rollouts } = sources;
     const { configuration, confirmedAt, weights } = declarations.current();
     return {
         revision: configuration?.revision ?? -1,
@@ -23,6 +23,7 @@
         demand: demand.rate(),
         lease: leaseState(sources),
         ...quarantine.beaconFields(),
+        rollouts: rollouts.rows(),
         registry: registry.beaconFields(),
         hasStore: declarations.hasStore(),
     };
--- a/packages/router/src/peers/createBeaconEncoder.ts
+++ b/packages/router/src/peers/createBeaconEncoder.ts
@@ -16,6 +16,7 @@
     | "cached"
     | "deaths"
     | "quarantined"
+    | "rollouts"
     | "vms"
     | "domains"
     | "relayedSpent"
@@ -66,6 +67,18 @@
     ...rowsOf("engineVersions", common.engineVersions),
     ...rowsOf("deaths", common.deaths),
     ...rowsOf("quarantined", common.quarantined),
+    ...rowsOf(
+        "rollouts",
+        common.rollouts.map(each => [
+            each.service,
+            each.id,
+            each.version,
+            each.durationMs,
+            each.ageMs,
+            each.phase ?? null,
+            each.statedMs,
+        ]),
+    ),
     ...rowsOf(
         "vms",
         common.vms.map(each => [
@@ -116,6 +129,7 @@
         list("relayedSpent"),
         list("relayedLoad"),
         relayedDemand,
+        list("rollouts"),
     ].join(",");
 };
 
--- a/packages/router/src/peers/decodeBeacon.ts
+++ b/packages/router/src/peers/decodeBeacon.ts
@@ -16,7 +16,9 @@
 const RELAYED_SPENT = 29;
 const RELAYED_LOAD = 30;
 const RELAYED_DEMAND = 31;
+const ROLLOUTS = 32;
 
+const PHASES: readonly unknown[] = ["canary", "switching", "completed", "rolled-back"];
 const SCOPES: readonly unknown[] = ["vm", "domain", "fleet", "referral"];
 
 type Row = readonly unknown[];
@@ -24,6 +26,7 @@
 const isRow = (value: unknown): value is Row => Array.isArray(value);
 const isText = (value: unknown): value is string => typeof value === "string" && value.length > 0;
 const isFlag = (value: unknown): value is boolean => typeof value === "boolean";
+const isPhaseOrNull = (value: unknown): boolean => value === null || PHASES.includes(value);
 const isNumber = (value: unknown): value is number => typeof value === "number" && Number.isFinite(value);
 
 const areRows = (value: unknown, ...checks: readonly ((item: unknown) => boolean)[]): boolean =>
@@ -67,7 +70,8 @@
     && areRows(row[DOMAINS] ?? [], isText, isNumber, isNumber, isNumber)
     && areRows(row[RELAYED_SPENT] ?? [], isText, isNumber, isNumber)
     && areRows(row[RELAYED_LOAD] ?? [], isText, isNumber, isNumber, isNumber)
-    && isNumber(row[RELAYED_DEMAND] ?? 0);
+    && isNumber(row[RELAYED_DEMAND] ?? 0)
+    && areRows(row[ROLLOUTS] ?? [], isText, isNumber, isText, isNumber, isNumber, isPhaseOrNull, isNumber);
 
 const parse = (datagram: Buffer): unknown => {
     try {
@@ -102,6 +106,7 @@
     const spending = spent as readonly [string, number, number | undefined][];
     const loads = load as readonly LoadRow[] | null;
     const vms = (row[VMS] ?? []) as readonly (readonly unknown[])[];
+    const rollouts = (row[ROLLOUTS] ?? []) as readonly (readonly unknown[])[];
     const domains = (row[DOMAINS] ?? []) as readonly (readonly unknown[])[];
     // All fields were checked above; the casts only add the branded types.
     return {
@@ -130,6 +135,15 @@
         registry: isRow(registry) ? { digest: registry[0], ageMs: registry[1] } : undefined,
         deaths: row[DEATHS] ?? [],
         quarantined: row[QUARANTINED] ?? [],
+        rollouts: rollouts.map(([service, id, version, durationMs, ageMs, phase, statedMs]) => ({
+            service,
+            id,
+            version,
+            durationMs,
+            ageMs,
+            phase: phase ?? undefined,
+            statedMs,
+        })),
         upMs: row[UP_MS] ?? Infinity,
         capacity: row[CAPACITY] ?? 0,
         scope: row[SCOPE] ?? "vm",
--- a/packages/router/src/peers/startPeerListener.ts
+++ b/packages/router/src/peers/startPeerListener.ts
@@ -1,5 +1,8 @@
-import type { Server, ServerResponse } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 
+import { jsonOf, readBody } from "@azureshunt/http";
+
+import { CountsReport } from "../rollout/CountsReport.js";
 import { startListener } from "../serve/startListener.js";
 import { encodeTopicAnswer } from "../store/encodeTopicAnswer.js";
 import type { TopicAnswer } from "../store/TopicAnswer.js";
@@ -10,6 +13,8 @@
     /** Returns the configuration in the encoding of the store; `undefined` while there is none. */
     readonly configuration: () => Buffer | undefined;
     /** By topic: returns this VM's answer in place of the store; `undefined` if it has no fresh one. */
+    /** Applies a report on a rollout that this VM leads. */
+    readonly receiveReport: (report: CountsReport) => void;
     readonly topics: ReadonlyMap<string, (from: number | undefined) => TopicAnswer | undefined>;
 };
 
@@ -18,6 +23,9 @@
 const NOT_FOUND = 404;
 const BAD_REQUEST = 400;
 const TOPICS = "/topics/";
+const REPORTS = "/rollout-counts";
+/** A report has one row per route, of some hundred bytes. */
+const MAX_REPORT_BYTES = 256 * 1024;
 
 const fromOf = (query: URLSearchParams): number | undefined | "bad" => {
     const text = query.get("from");
@@ -25,8 +33,9 @@
 };
 
 /**
- * Starts the HTTP listener for other VMs: `GET /configuration` for those that are cut off from the store, and
- * `GET /topics/NAME?from=OFFSET`, in place of the store, for those of this VM's failure domain.
+ * Starts the HTTP listener for other VMs: `GET /configuration` for those that are cut off from the store,
+ * `GET /topics/NAME?from=OFFSET`, in place of the store, for those of this VM's failure domain, and
+ * `POST /rollout-counts` for reports to the leader of rollouts.
  */
 export function startPeerListener(parts: PeerListenerParts): Promise<Server> {
     const end = (res: ServerResponse, body: Buffer | undefined): void => {
@@ -37,6 +46,16 @@
         res.writeHead(status);
         res.end();
     };
+    const receiveReport = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+        const body = await readBody(req, MAX_REPORT_BYTES);
+        const report = CountsReport.safeParse(jsonOf(body.orDefault(Buffer.alloc(0))));
+        if (!report.success) {
+            refuse(res, BAD_REQUEST);
+            return;
+        }
+        parts.receiveReport(report.data);
+        end(res, Buffer.alloc(0));
+    };
     return startListener(parts.address, (req, res) => {
         // `URL` would throw on some request targets.
         const [path = "", query = ""] = (req.url ?? "").split("?", 2);
@@ -44,6 +63,10 @@
             end(res, parts.configuration());
             return;
         }
+        if (path === REPORTS) {
+            void receiveReport(req, res);
+            return;
+        }
         const answer = path.startsWith(TOPICS) ? parts.topics.get(path.slice(TOPICS.length)) : undefined;
         if (answer === undefined) {
             refuse(res, NOT_FOUND);
--- a/packages/router/src/placement/EndpointTable.ts
+++ b/packages/router/src/placement/EndpointTable.ts
@@ -68,6 +68,8 @@
     readonly isAnyOutdated: (model: ModelName, version: number) => boolean;
     /** Engines that serve a model and are not leaving. */
     readonly engines: (model: ModelName) => readonly EngineWeights[];
+    /** Endpoints of a service that are not leaving. */
+    readonly servingEntries: (service: ServiceName) => readonly EndpointEntry[];
     /** The service of the endpoint at an address, `host:port`. */
     readonly serviceAt: (address: string) => ServiceName | undefined;
     readonly entryOf: (endpoint: EndpointName) => EndpointEntry | undefined;
--- a/packages/router/src/placement/PlacedRequest.ts
+++ b/packages/router/src/placement/PlacedRequest.ts
@@ -9,6 +9,8 @@
     readonly model: ModelName | undefined;
     /** Prompt tokens that an endpoint with these weights would have to prefill or could fetch. */
     readonly promptAt: (entry: EndpointEntry, weights: number | undefined) => PromptShare;
+    /** Selects the endpoints of the service that may get the request; undefined if all may. */
+    readonly select: ((entries: readonly EndpointEntry[]) => readonly EndpointEntry[]) | undefined;
     /** Endpoints that must not be chosen. */
     readonly avoid: ReadonlySet<EndpointName>;
 };
--- a/packages/router/src/placement/createEndpointTable.ts
+++ b/packages/router/src/placement/createEndpointTable.ts
@@ -105,12 +105,17 @@
         });
     };
 
+    const servingEntries: EndpointTable["servingEntries"] = service =>
+        [...state.registry.endpoints.values()]
+            .map(({ entry }) => entry)
+            .filter(entry => entry.service === service && !entry.isLeaving);
+
     const candidates: EndpointTable["candidates"] = request => {
         const now = clock.now();
         const engine = servicesOf(declaredState().configuration).get(request.service)?.engine;
-        return [...state.registry.endpoints.values()]
-            .map(({ entry }) => entry)
-            .filter(entry => entry.service === request.service && !entry.isLeaving && !request.avoid.has(entry.name))
+        const serving = servingEntries(request.service);
+        return (request.select?.(serving) ?? serving)
+            .filter(entry => !request.avoid.has(entry.name))
             .filter(entry => request.model === undefined || entry.versions.has(request.model))
             .map(entry => ({ entry, weights: versionAt(entry, request.model), observed: observations.of(entry) }))
             .filter(({ entry, weights }) => orderAt(entry, weights) === undefined)
@@ -201,16 +206,16 @@
         }
     };
 
-    const servingEntries = (model: ModelName): readonly EndpointEntry[] =>
+    const enginesOf = (model: ModelName): readonly EndpointEntry[] =>
         [...state.registry.endpoints.values()]
             .map(({ entry }) => entry)
             .filter(entry => entry.versions.has(model) && !entry.isLeaving);
 
     const isAnyOutdated: EndpointTable["isAnyOutdated"] = (model, version) =>
-        servingEntries(model).some(entry => (versionAt(entry, model) ?? 0) < version);
+        enginesOf(model).some(entry => (versionAt(entry, model) ?? 0) < version);
 
     const engines: EndpointTable["engines"] = model =>
-        servingEntries(model)
+        enginesOf(model)
             .map(entry => {
                 const observed = observations.of(entry);
                 const version = versionAt(entry, model) ?? 0;
@@ -250,6 +255,7 @@
         onOrdered: orderListeners.add,
         isAnyOutdated,
         engines,
+        servingEntries,
         serviceAt: address => state.serviceByAddress.get(address),
         entryOf,
         ownShares: () =>
--- a/packages/router/src/registry/EndpointEntry.ts
+++ b/packages/router/src/registry/EndpointEntry.ts
@@ -10,6 +10,8 @@
     readonly failureDomain: FailureDomain;
     readonly isLeaving: boolean;
     readonly slots: number;
+    /** Version of its software; undefined if it states none. */
+    readonly softwareVersion: string | undefined;
     /** Versions of the weights that it holds, by model. */
     readonly versions: ReadonlyMap<ModelName, number>;
     /** Start of this incarnation, in milliseconds since the epoch; distinguishes incarnations under one name. */
--- /dev/null
+++ b/packages/router/src/rollout/CountsReport.ts
@@ -0,0 +1,33 @@
+import { ServiceName, VmId } from "@azureshunt/core";
+import { z } from "zod";
+
+import type { RouteName } from "../configuration/RouteName.js";
+import type { RouteCounts } from "./RouteCounts.js";
+
+const Count = z.number().int().nonnegative();
+
+const Row = z.object({
+    route: z.string().transform(name => name as RouteName),
+    newAnswers: Count,
+    newBad: Count,
+    oldAnswers: Count,
+    oldBad: Count,
+});
+
+/** What a VM reports to the leader of a rollout: its own totals since the order. */
+const CountsReport = z.object({
+    vm: VmId,
+    service: ServiceName,
+    /** The order's `id`. */
+    order: z.number().int(),
+    rows: z.array(Row),
+});
+
+type CountsReport = {
+    readonly vm: VmId;
+    readonly service: ServiceName;
+    readonly order: number;
+    readonly rows: readonly RouteCounts[];
+};
+
+export { CountsReport };
--- a/packages/router/src/serve/ServeParts.ts
+++ b/packages/router/src/serve/ServeParts.ts
@@ -12,6 +12,7 @@
 import type { CallerWire } from "../ports/CallerWire.js";
 import type { EndpointWire } from "../ports/EndpointWire.js";
 import type { createQuarantine } from "../quarantine/createQuarantine.js";
+import type { createRollouts } from "../rollout/createRollouts.js";
 import type { createRetryBudgets } from "./createRetryBudgets.js";
 import type { FreshnessBounds } from "./FreshnessBounds.js";
 
@@ -27,6 +28,7 @@
     readonly demand: ReturnType<typeof createDemand>;
     readonly retryBudgets: ReturnType<typeof createRetryBudgets>;
     readonly quarantine: Pick<ReturnType<typeof createQuarantine>, "isQuarantined" | "reportBrokenTry">;
+    readonly rollouts: Pick<ReturnType<typeof createRollouts>, "selectorFor" | "recordTry">;
     readonly agent: EndpointAgent;
     readonly callerWire: CallerWire;
     readonly endpointWire: EndpointWire;
@@ -40,6 +42,6 @@
     /** Checks whether the process was suspended; state received before a suspension is no longer valid. */
     readonly checkSuspension: () => void;
     readonly isDraining: () => boolean;
-};
     /** Whether this process runs late, so that what it reads may have waited for long. */
     readonly isLagging: () => boolean;
+};
--- a/packages/router/src/serve/placeRequest.ts
+++ b/packages/router/src/serve/placeRequest.ts
@@ -5,6 +5,7 @@
 import type { PrefixPart } from "../placement/PrefixPart.js";
 import { sampleCandidates } from "../placement/sampleCandidates.js";
 import { createPromptShares } from "./createPromptShares.js";
+import { isRepeatable } from "./isRepeatable.js";
 import { saltOf } from "./saltOf.js";
 import type { ServedRequest } from "./ServedRequest.js";
 import type { ServeParts } from "./ServeParts.js";
@@ -41,6 +42,7 @@
         service: served.service,
         model: prompt?.model,
         promptAt: (entry, weights) => promptUnder(weights).shares.shareOf(entry.name, entry.failureDomain),
+        select: parts.rollouts.selectorFor(served.service, isRepeatable(served.route.kind)),
         avoid,
     });
     const sampled = sampleCandidates(placeable.map(({ candidate }) => candidate), parts.placingVms(), parts.random);
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -19,6 +19,8 @@
  */
 const NOT_REPEATABLE_MAX_IDLE_MS = 250;
 const MAX_IDLE_MS = 12_000;
+/** Estimates below this are taken for as much when answers are compared with them: round trips are part of each answer. */
+const MIN_ESTIMATE_MS = 20;
 /** Minimum time that an endpoint has for its first activity before it counts as overdue. */
 const MIN_EXPECTED_MS = 350;
 
@@ -94,6 +96,13 @@
         if (result.kind !== "answered") {
             served.notes.flush();
         }
+        const startMs = times.firstEventMs ?? times.headMs;
+        parts.rollouts.recordTry(place.entry, {
+            route: served.route.name,
+            outcome: result.kind,
+            status: result.answer?.status,
+            slowness: startMs === undefined ? undefined : startMs / Math.max(MIN_ESTIMATE_MS, place.startMs),
+        });
         served.notes.add("Try ended.", {
             endpoint: place.entry.name,
             outcome: result.kind,
@@ -104,6 +113,7 @@
             missingTokens: place.missingTokens,
             running: place.running,
             weights: place.weights,
+            softwareVersion: place.entry.softwareVersion,
             events: progress.forwardedEvents,
             longestPauseMs: Math.round(progress.pace.maxGapMs()),
             longestSendMs: Math.round(progress.pace.maxSendMs()),
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -9,6 +9,7 @@
 import { EndpointAgent } from "./dispatch/EndpointAgent.js";
 import { hasDied } from "./dispatch/hasDied.js";
 import { maxIdleConnections } from "./dispatch/maxIdleConnections.js";
+import { orderFence } from "./fleet/orderFence.js";
 import { startOrders } from "./fleet/startOrders.js";
 import { createSuspensionWatch } from "./knowledge/createSuspensionWatch.js";
 import { startDeclarations } from "./knowledge/startDeclarations.js";
@@ -30,11 +31,13 @@
 import type { StorePort } from "./ports/StorePort.js";
 import { createQuarantine } from "./quarantine/createQuarantine.js";
 import { startRegistry } from "./registry/startRegistry.js";
+import { createRollouts } from "./rollout/createRollouts.js";
+import { sendReport } from "./rollout/sendReport.js";
 import type { RouterSettings } from "./RouterSettings.js";
+import { createLagWatch } from "./serve/createLagWatch.js";
 import { createRequestHandler } from "./serve/createRequestHandler.js";
 import { createRetryBudgets } from "./serve/createRetryBudgets.js";
 import type { FreshnessBounds } from "./serve/FreshnessBounds.js";
-import { createLagWatch } from "./serve/createLagWatch.js";
 import { startCallerServer } from "./serve/startCallerServer.js";
 import { startGauges } from "./startGauges.js";
 import { startMetricsListener } from "./startMetricsListener.js";
@@ -109,6 +112,7 @@
         declarations.onSuspended();
         registry.onSuspended();
         orders.applyLeaseEvent({ kind: "suspended" });
+        rollouts.onSuspended();
         // Confirmations by peers count only after they have echoed a timestamp from after the suspension, so send one
         // soon. Deferred, because the suspension may be noticed while a round of beacons is being sent.
         setImmediate(() => beacons.sendSoon());
@@ -140,6 +144,7 @@
         logger: loggers("knowledge"),
         metrics,
         checkSuspension: suspensionWatch.check,
+        onRollout: order => rollouts.order(order),
         isReader: membership.isDomainReader,
         beaconIntervalMs: membership.beaconIntervalMs,
         queryRelay: queryTopic,
@@ -207,7 +212,27 @@
         demand: () => demand.rate() + membership.demand(),
         leaseMs: () => state.settings.orderLeaseMs,
         rank: lastHolder => membership.rank(lastHolder, declarations.hasStore()),
+        isLeaseWanted: () => rollouts.isLeaderWanted(),
+        sendSoon: () => beacons.sendSoon(),
+    });
+
+    const rollouts = createRollouts({
+        clock,
+        vm: settings.vm,
+        random: Math.random,
+        store,
+        wire: directory,
+        exposure: () => state.settings.rolloutExposure,
+        isLeader: () => orderFence(orders.lease(), clock.now()) !== undefined,
+        endpointsOf: endpointTable.servingEntries,
+        report: report => {
+            const holder = orders.lease().tail?.holder;
+            const address = holder === undefined ? undefined : membership.current().known.get(holder)?.address;
+            return address === undefined ? undefined : void sendReport(agent, address, report);
+        },
         sendSoon: () => beacons.sendSoon(),
+        logger: loggers("rollout"),
+        metrics,
     });
 
     const sources: PeerSyncSources = {
@@ -223,6 +248,7 @@
         peerLoad,
         membership,
         relayBuffer,
+        rollouts,
     };
     const beacons = startPeerSync({
         sources,
@@ -233,6 +259,7 @@
         checkSuspension: suspensionWatch.check,
     });
 
+    const lagWatch = createLagWatch(clock, TICK_MS);
     const bounds = (): FreshnessBounds => ({
         maxAgeForKeysMs: state.settings.keyWithdrawalMs - KEY_MARGIN_MS,
         maxAgeForDenialMs: state.settings.configurationMs,
@@ -252,6 +279,7 @@
         demand,
         retryBudgets: createRetryBudgets(() => state.settings.retries, () => membership.vms()),
         quarantine,
+        rollouts,
         agent,
         callerWire: parts.callerWire,
         endpointWire: parts.endpointWire,
@@ -259,10 +287,10 @@
         logger: loggers("request"),
         metrics,
         placingVms: membership.vms,
-    const lagWatch = createLagWatch(clock, TICK_MS);
         isDomainSilent: domain => membership.domainSilentMs(domain) > 0,
         checkSuspension: suspensionWatch.check,
         isDraining: () => state.isDraining,
+        isLagging: lagWatch.isLagging,
     });
     const isReady = (): boolean =>
         !state.isDraining && endpointTable.isKnown() &&
@@ -270,6 +298,7 @@
     const peerListener = await startPeerListener({
         address: settings.listen.peers,
         configuration: declarations.raw,
+        receiveReport: rollouts.receiveReport,
         topics: new Map([
             [directory.declarationsTopic, declarations.answer],
             [directory.registryTopic, registry.answer],
@@ -290,7 +319,6 @@
         self: {
             vm: settings.vm,
             address: settings.listen.peers,
-        isLagging: lagWatch.isLagging,
             failureDomain: settings.failureDomain,
             capacity: settings.capacity,
         },
@@ -299,10 +327,12 @@
         logger,
     });
     const timer = setInterval(() => {
+        lagWatch.tick();
         suspensionWatch.check();
         quarantine.tick();
         membership.tick();
         orders.tick();
+        rollouts.tick();
         announcing.tick();
     }, TICK_MS);
     logger.info({ listen: settings.listen }, "Started.");
@@ -327,7 +357,6 @@
         logger.info(
             { isFixed },
             isFixed ? "Settings reloaded." : "Settings reloaded; changes of names and addresses need a restart.",
-        lagWatch.tick();
         );
     };
     return { shutDown, reload };
