Process pending closes before each try while the process is late

Cause: timers run before sockets in each turn of the event loop, so what has waited longest is read right after the late tick, when the process no longer seemed late. And a turn may read many requests and send them on one after the other, so the close comes between the reading and the sending.

Change: a process counts as late for a second after a late tick, and each try of a late process first lets three turns pass, after which its cancellation knows of the close.

Test: pendingCloses; with two turns in place of three, or without the second after the tick, it fails.

--- a/packages/router/src/__tests__/unit/hasLeft.test.ts
+++ b/packages/router/src/__tests__/unit/pendingCloses.test.ts
@@ -6,9 +6,11 @@
 import test from "ava";
 
 import { createLagWatch } from "../../serve/createLagWatch.js";
-import { hasLeft } from "../../serve/hasLeft.js";
+import { processPendingCloses } from "../../serve/processPendingCloses.js";
+import { watchCancellation } from "../../serve/watchCancellation.js";
 
 const BUSY_MS = 100;
+const DEADLINE_MS = 10_000;
 const REQUEST = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello";
 
 const beBusy = (): void => {
@@ -25,11 +27,15 @@
     { name: "still waits", leave: () => undefined, left: false },
 ];
 cases.forEach(({ name, leave, left }) => {
-    test.serial(`hasLeft: a caller that ${name} before its request is read: ${left}`, async t => {
+    test.serial(`pending closes: a caller that ${name} before its request is read: ${left ? "cancelled" : "served"}`, async t => {
         const outcome = new Promise<boolean>(resolve => {
             const server = createServer((req, res) => {
                 req.on("error", () => undefined);
-                void readBody(req, 1_000).then(() => hasLeft(req)).then(resolve).finally(() => res.end());
+                const { signal, release } = watchCancellation(res, DEADLINE_MS);
+                t.teardown(release);
+                void readBody(req, 1_000).then(processPendingCloses).then(() => resolve(signal.aborted)).finally(() =>
+                    res.end()
+                );
             });
             server.listen(0, "127.0.0.1", () => {
                 const socket = connect((server.address() as AddressInfo).port, "127.0.0.1");
@@ -50,7 +56,8 @@
     });
 });
 
-test("lag watch: late once two intervals are overdue, until the next tick", t => {
+// What has waited longest is read after the tick that comes late, so the process still counts as late then.
+test("lag watch: late once two intervals are overdue, and for a second after the tick that was", t => {
     const time = { now: 0 };
     const watch = createLagWatch({ now: () => time.now, epoch: () => time.now }, 100);
     const lagAt = (now: number): boolean => {
@@ -59,5 +66,14 @@
     };
     t.deepEqual([0, 100, 200, 201].map(lagAt), [false, false, false, true]);
     watch.tick();
-    t.deepEqual([201, 300, 402].map(lagAt), [false, false, true]);
+    t.deepEqual([202, 1_200].map(lagAt), [true, true]);
+    watch.tick();
+    time.now = 2_200;
+    watch.tick();
+    t.true(lagAt(3_100));
+    Array.from({ length: 12 }, (_, i) => 3_200 + i * 100).forEach(now => {
+        time.now = now;
+        watch.tick();
+    });
+    t.false(lagAt(4_400));
 });
--- a/packages/router/src/serve/createRequestHandler.ts
+++ b/packages/router/src/serve/createRequestHandler.ts
@@ -11,7 +11,6 @@
 import { admitRequest } from "./admitRequest.js";
 import { closingHeaders } from "./closingHeaders.js";
 import { createRequestNotes } from "./createRequestNotes.js";
-import { hasLeft } from "./hasLeft.js";
 import { isServerError } from "./isServerError.js";
 import { sendRefusal } from "./sendRefusal.js";
 import type { ServedRequest } from "./ServedRequest.js";
@@ -188,10 +187,6 @@
     const serve = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
         parts.checkSuspension();
         const request = await readRequest(req, res);
-        if (parts.isLagging() && await hasLeft(req)) {
-            metrics.count("azureshunt_left_early_total", "Requests whose callers left before they were read.");
-            return;
-        }
         const admitted = request === undefined ? undefined : admit(request, res);
         if (request === undefined || admitted === undefined) {
             return;
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -10,6 +10,7 @@
 import { createStreamPace } from "./createStreamPace.js";
 import { isRepeatable } from "./isRepeatable.js";
 import { placeRequest } from "./placeRequest.js";
+import { processPendingCloses } from "./processPendingCloses.js";
 import { runTry } from "./runTry.js";
 import type { ServedRequest } from "./ServedRequest.js";
 import type { ServeParts } from "./ServeParts.js";
@@ -71,6 +72,12 @@
                 refusalOf(ran === "no" ? "request-quarantined" : "endpoint-failed", undefined, { ran }),
             );
         }
+        if (parts.isLagging()) {
+            await processPendingCloses();
+        }
+        if (served.signal.aborted) {
+            return { kind: "cancelled", ran: progress.request.ran };
+        }
         const place = placeRequest(parts, served, progress.avoid);
         if (place === undefined) {
             const ran = progress.request.ran;
