Fetch shared parts from engines on the same weights, and divide prompts among all cache stores

Change: prompts are divided among the stores by rendezvous hashing; sources are engines that hold the prompt's weights now; where callers send more than the stores keep for five seconds, another engine that holds as much is the spare source, and prompts whose own part is the larger one are not saved. Elsewhere the store stays the spare source and all is saved.

--- a/packages/router/src/__tests__/unit/promptShares.test.ts
+++ b/packages/router/src/__tests__/unit/promptShares.test.ts
@@ -4,43 +4,59 @@
 import { initialDeclaredState } from "../../knowledge/initialDeclaredState.js";
 import { createPrefixIndex } from "../../placement/createPrefixIndex.js";
 import { createPromptShares } from "../../serve/createPromptShares.js";
+import { reachableStore } from "../../serve/reachableStore.js";
 import type { ServeParts } from "../../serve/ServeParts.js";
+import { entryOf } from "../support/entryOf.js";
 import { routingOf } from "../support/routingOf.js";
 
 const STORE = "10.9.9.9:80";
 const DOMAIN = "a" as FailureDomain;
+/** Prompt tokens per millisecond that fill the store within four seconds. */
+const CROWDING = 500;
 const chain = [{ key: "hello", tokens: 500 }, { key: "hello/manual", tokens: 4_000 }, { key: "own", tokens: 100 }];
 const addressOf = (name: string): string => `10.0.0.${name.slice(1)}:80`;
+const engineOf = (name: string) => entryOf(name, { address: addressOf(name), failureDomain: DOMAIN });
 
 /** Number of the prompt's parts that each holder is known to have. */
 type Held = Readonly<Record<string, number>>;
 
-const shareAt = (endpoint: string, held: Held, isSilent: boolean) => {
+type Situation = {
+    readonly held: Held;
+    readonly isSilent?: boolean;
+    /** Engines on the weights of the prompt; by default all that hold something. */
+    readonly peers?: readonly string[];
+    readonly stores?: readonly string[];
+    /** Prompt tokens that callers send per millisecond. */
+    readonly demand?: number;
+};
+
+const sharesOf = ({ held, isSilent = false, peers, stores = [STORE], demand = 10 }: Situation) => {
     const prefixIndex = createPrefixIndex(() => ({ expiryMs: 10_000, size: 100_000 }));
     Object.entries(held).forEach(([holder, count]) => prefixIndex.record(holder, chain.slice(0, count), 0));
-    const routing = routingOf(1, []);
-    const store = { name: "keep" as ServiceName, maxConnections: 9, engine: undefined };
-    const services = new Map([[store.name, {
-        ...store,
-        cacheStore: { address: STORE, failureDomain: DOMAIN, cacheTokens: 2_000_000 },
-    }]]);
+    const services = new Map(stores.map((address, i) => {
+        const name = `keep-${i}` as ServiceName;
+        const cacheStore = { address, failureDomain: DOMAIN, cacheTokens: 2_000_000 };
+        return [name, { name, maxConnections: 9, engine: undefined, cacheStore }];
+    }));
     const parts = {
         prefixIndex,
         clock: { now: () => 0, epoch: () => 0 },
         isDomainSilent: () => isSilent,
-        declaredState: () => ({ ...initialDeclaredState, configuration: { ...routing, services } }),
+        fleetDemand: () => demand,
+        declaredState: () => ({ ...initialDeclaredState, configuration: { ...routingOf(1, []), services } }),
         endpointTable: {
-            entryOf: (name: EndpointName) =>
-                name.startsWith("e") ? { name, address: addressOf(name), failureDomain: DOMAIN } : undefined,
+            entryOf: (name: EndpointName) => name.startsWith("e") ? engineOf(name) : undefined,
         },
     } as unknown as ServeParts;
-    return createPromptShares(parts, 4_600, chain).shareOf(endpoint as EndpointName, DOMAIN);
+    const names = peers ?? Object.keys(held).filter(name => name.startsWith("e"));
+    return createPromptShares(parts, 4_600, chain, names.map(engineOf));
 };
+const shareAt = (endpoint: string, situation: Situation) =>
+    sharesOf(situation).shareOf(endpoint as EndpointName, DOMAIN);
 
-type Case = {
+type Case = Situation & {
     readonly name: string;
-    readonly held: Held;
-    readonly isSilent?: boolean;
+    readonly at?: string;
     readonly missing: number;
     readonly source: string | undefined;
 };
@@ -85,12 +101,63 @@
         missing: 4_100,
         source: undefined,
     },
+    {
+        name:
+            "both the engine and another one held all shared parts: the store is the source, as it keeps them for longer",
+        held: { e1: 2, e2: 2 },
+        missing: 100,
+        source: STORE,
+    },
+    {
+        name: "the same with a crowded store: the other engine is the source of what was evicted",
+        held: { e1: 2, e2: 2 },
+        demand: CROWDING,
+        missing: 100,
+        source: addressOf("e2"),
+    },
+    {
+        name: "with a crowded store, and another engine that holds less: the store is the source",
+        held: { e1: 2, e2: 1 },
+        demand: CROWDING,
+        missing: 100,
+        source: STORE,
+    },
 ];
 
-cases.forEach(({ name, held, isSilent = false, missing, source }) => {
+cases.forEach(({ name, at = "e1", missing, source, ...situation }) => {
     test(`prompt shares: ${name}`, t => {
-        const share = shareAt("e1", held, isSilent);
+        const share = shareAt(at, situation);
         t.is(share.missingTokens, missing);
         t.is(share.source, source);
     });
 });
+
+// An engine drops all cached parts when it loads other weights; named as a source, it costs a second prefill each time.
+test("prompt shares: an engine that has loaded other weights is no source of what it held", t => {
+    const share = shareAt("e1", { held: { e1: 0, e2: 2 }, peers: ["e1"] });
+    t.is(share.missingTokens, 4_600);
+    t.is(share.source, STORE);
+});
+
+// One store for all parts would evict them within seconds.
+test("prompt shares: prompts are divided among several stores", t => {
+    const stores = ["10.9.9.1:80", "10.9.9.2:80", "10.9.9.3:80"];
+    const named = Array.from({ length: 60 }, (_, i) => {
+        const key = `manual ${i}`;
+        return reachableStore({
+            declaredState: () => ({
+                ...initialDeclaredState,
+                configuration: {
+                    ...routingOf(1, []),
+                    services: new Map(stores.map((address, n) => {
+                        const name = `keep-${n}` as ServiceName;
+                        const cacheStore = { address, failureDomain: DOMAIN, cacheTokens: 1 };
+                        return [name, { name, maxConnections: 9, engine: undefined, cacheStore }];
+                    })),
+                },
+            }),
+            isDomainSilent: () => false,
+        }, key)?.address;
+    });
+    t.true(stores.every(store => named.filter(each => each === store).length >= 10));
+});
--- a/packages/router/src/placement/createEndpointTable.ts
+++ b/packages/router/src/placement/createEndpointTable.ts
@@ -114,13 +114,16 @@
         const now = clock.now();
         const engine = servicesOf(declaredState().configuration).get(request.service)?.engine;
         const serving = servingEntries(request.service);
-        return (request.select?.(serving) ?? serving)
+        const placeable = (request.select?.(serving) ?? serving)
             .filter(entry => !request.avoid.has(entry.name))
             .filter(entry => request.model === undefined || entry.versions.has(request.model))
             .map(entry => ({ entry, weights: versionAt(entry, request.model), observed: observations.of(entry) }))
             .filter(({ entry, weights }) => orderAt(entry, weights) === undefined)
             .map(each => ({ ...each, outdatedMs: outdatedFor(request.model, each.weights) }))
-            .filter(({ outdatedMs }) => (outdatedMs ?? 0) < parts.outdatedLimitMs())
+            .filter(({ outdatedMs }) => (outdatedMs ?? 0) < parts.outdatedLimitMs());
+        const withWeights = (weights: number | undefined): readonly EndpointEntry[] =>
+            placeable.filter(each => each.weights === weights).map(({ entry }) => entry);
+        return placeable
             .map(({ entry, weights, observed, outdatedMs }) => ({
                 entry,
                 weights,
@@ -130,7 +133,9 @@
                     isSameDomain: entry.failureDomain === parts.failureDomain,
                     slots: engine?.slots ?? entry.slots,
                     memorySize: engine?.cacheTokens ?? 0,
-                    ...(engine === undefined ? NO_PROMPT : request.promptAt(entry, weights)),
+                    ...(engine === undefined
+                        ? NO_PROMPT
+                        : request.promptAt(entry, weights, () => withWeights(weights))),
                     outdatedMs,
                     domainSilentMs: parts.domainSilentMs(entry.failureDomain),
                     ...loadOf(observed.inFlight, parts.peerLoadAt(entry.name), observed.lastActivityAt, now),
--- a/packages/router/src/placement/limitsOfHolder.ts
+++ b/packages/router/src/placement/limitsOfHolder.ts
@@ -15,12 +15,17 @@
 /**
  * Returns what a holder of cached parts can keep.
  *
+ * @param holder name of the engine, or address of the cache store
  * @param engine entry of the engine that holds them; undefined for the cache store
  */
-export function limitsOfHolder(cfg: RoutingConfiguration | undefined, engine: EndpointEntry | undefined): HolderLimits {
-    const services = [...cfg?.services.values() ?? []];
+export function limitsOfHolder(
+    cfg: RoutingConfiguration | undefined,
+    holder: string,
+    engine: EndpointEntry | undefined,
+): HolderLimits {
     if (engine === undefined) {
-        const store = services.find(({ cacheStore }) => cacheStore !== undefined)?.cacheStore;
+        const stores = [...cfg?.services.values() ?? []].map(({ cacheStore }) => cacheStore);
+        const store = stores.find(each => each?.address === holder);
         return { expiryMs: STORE_EXPIRY_MS, size: store?.cacheTokens ?? Infinity };
     }
     return { expiryMs: ENGINE_EXPIRY_MS, size: cfg?.services.get(engine.service)?.engine?.cacheTokens ?? Infinity };
--- a/packages/router/src/serve/ServeParts.ts
+++ b/packages/router/src/serve/ServeParts.ts
@@ -1,4 +1,4 @@
-import type { Clock, FailureDomain } from "@azureshunt/core";
+import type { Clock, FailureDomain, Tokens } from "@azureshunt/core";
 import type { Metrics } from "@azureshunt/telemetry";
 import type { Logger } from "pino";
 
@@ -35,6 +35,8 @@
     readonly bounds: () => FreshnessBounds;
     readonly logger: Logger;
     readonly metrics: Metrics;
+    /** Prompt tokens that callers send to all VMs per millisecond. */
+    readonly fleetDemand: () => Tokens;
     /** Number of VMs that place requests on the endpoints, including this one. */
     readonly placingVms: () => number;
     /** Whether a failure domain is silent. */
--- a/packages/router/src/serve/placeRequest.ts
+++ b/packages/router/src/serve/placeRequest.ts
@@ -4,6 +4,7 @@
 import { choosePlace } from "../placement/choosePlace.js";
 import type { PrefixPart } from "../placement/PrefixPart.js";
 import { sampleCandidates } from "../placement/sampleCandidates.js";
+import type { EndpointEntry } from "../registry/EndpointEntry.js";
 import { createPromptShares } from "./createPromptShares.js";
 import { isRepeatable } from "./isRepeatable.js";
 import { saltOf } from "./saltOf.js";
@@ -26,14 +27,14 @@
 ): TryPlace | undefined {
     const { prompt } = served.caller;
     const promptByWeights = new Map<number | undefined, VersionedPrompt>();
-    const promptUnder = (weights: number | undefined): VersionedPrompt => {
+    const promptUnder = (weights: number | undefined, peers: () => readonly EndpointEntry[]): VersionedPrompt => {
         const known = promptByWeights.get(weights);
         if (known !== undefined) {
             return known;
         }
         const salt = weights === undefined ? undefined : saltOf(weights, served.organisation);
         const chain = prompt === undefined || salt === undefined ? [] : chainOf(salt, prompt.parts);
-        const shares = createPromptShares(parts, prompt?.promptTokens ?? 0, chain);
+        const shares = createPromptShares(parts, prompt?.promptTokens ?? 0, chain, chain.length === 0 ? [] : peers());
         const versioned = { salt, chain, shares };
         promptByWeights.set(weights, versioned);
         return versioned;
@@ -41,7 +42,8 @@
     const placeable = parts.endpointTable.candidates({
         service: served.service,
         model: prompt?.model,
-        promptAt: (entry, weights) => promptUnder(weights).shares.shareOf(entry.name, entry.failureDomain),
+        promptAt: (entry, weights, peers) =>
+            promptUnder(weights, peers).shares.shareOf(entry.name, entry.failureDomain),
         select: parts.rollouts.selectorFor(served.service, isRepeatable(served.route.kind)),
         avoid,
     });
@@ -52,7 +54,7 @@
         return undefined;
     }
     const { entry, weights, candidate } = chosen;
-    const { salt, chain, shares } = promptUnder(weights);
+    const { salt, chain, shares } = promptUnder(weights, () => []);
     return {
         entry,
         weights,
--- a/packages/router/src/serve/reachableStore.ts
+++ b/packages/router/src/serve/reachableStore.ts
@@ -1,12 +1,27 @@
 import type { FailureDomain } from "@azureshunt/core";
 
+import { hashText } from "../placement/hashText.js";
 import type { ServeParts } from "./ServeParts.js";
 
-/** Returns the cache store; `undefined` if none is configured or its failure domain is silent. */
+type CacheStore = { readonly address: string; readonly failureDomain: FailureDomain; };
+
+/**
+ * Returns the cache store that keeps a prompt prefix; `undefined` if none is configured or all are in silent failure
+ * domains. Prefixes are divided among several stores by rendezvous hashing: one store for all would evict parts within
+ * seconds, and its link would delay transfers until engines no longer start them.
+ *
+ * @param key key of the last shared part of the prompt
+ */
 export function reachableStore(
     parts: Pick<ServeParts, "declaredState" | "isDomainSilent">,
-): { readonly address: string; readonly failureDomain: FailureDomain; } | undefined {
-    const services = [...parts.declaredState().configuration?.services.values() ?? []];
-    const store = services.map(service => service.cacheStore).find(each => each !== undefined);
-    return store === undefined || parts.isDomainSilent(store.failureDomain) ? undefined : store;
+    key: string,
+): CacheStore | undefined {
+    return [...parts.declaredState().configuration?.services.values() ?? []]
+        .flatMap(({ cacheStore }) => cacheStore === undefined ? [] : [cacheStore])
+        .filter(({ failureDomain }) => !parts.isDomainSilent(failureDomain))
+        .map(store => ({ store, weight: hashText(`${key}/${store.address}`) }))
+        .reduce<{ readonly store: CacheStore; readonly weight: string; } | undefined>(
+            (first, each) => first === undefined || each.weight > first.weight ? each : first,
+            undefined,
+        )?.store;
 }
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -1,6 +1,7 @@
 import type { Millis } from "@azureshunt/core";
 
 import { openCall } from "../dispatch/openCall.js";
+import { areStoresCrowded } from "./areStoresCrowded.js";
 import { forwardAnswer } from "./forwardAnswer.js";
 import { headTimeout } from "./headTimeout.js";
 import { isRepeatable } from "./isRepeatable.js";
@@ -26,11 +27,17 @@
 
 /**
  * Returns the address of the cache store if the endpoint should save the prompt's parts there. Parts that the store
- * already has from any VM are not saved again, as each copy takes part of its link.
+ * already has from any VM are not saved again. As a prompt is saved whole, its own part, which is never read again, takes
+ * part of the store's link and evicts others. If the stores are crowded, prompts whose own part is larger than the
+ * shared ones are left to other requests.
  */
 const storeToSaveTo = ({ parts, place }: TryParts): string | undefined => {
-    const shared = place.chain.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
-    return place.chain.length === 0 || place.storedTokens >= shared ? undefined : reachableStore(parts)?.address;
+    const shared = place.chain.slice(0, -1);
+    const sharedTokens = shared.reduce((sum, { tokens }) => sum + tokens, 0);
+    const ownTokens = place.chain.at(-1)?.tokens ?? 0;
+    return place.storedTokens >= sharedTokens || (ownTokens > sharedTokens && areStoresCrowded(parts))
+        ? undefined
+        : reachableStore(parts, shared.at(-1)?.key ?? "")?.address;
 };
 
 const headersFor = (
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from "node:crypto";
 
 import { createClock } from "@azureshunt/core";
-import type { EndpointName, Incarnation, Millis } from "@azureshunt/core";
+import type { EndpointName, Incarnation, Millis, Tokens } from "@azureshunt/core";
 import { createLoggers, createMetrics } from "@azureshunt/telemetry";
 
 import { createAllowanceQueue } from "./allowance/createAllowanceQueue.js";
@@ -93,7 +93,7 @@
         return maxIdleConnections(declared?.maxConnections, membership.vms());
     });
     const prefixIndex = createPrefixIndex(holder =>
-        limitsOfHolder(declarations.current().configuration, endpointTable.entryOf(holder as EndpointName))
+        limitsOfHolder(declarations.current().configuration, holder, endpointTable.entryOf(holder as EndpointName))
     );
     const state = { isDraining: false, settings };
     const membership = createMembership(clock, {
@@ -196,6 +196,7 @@
             membership.isReader() && membership.vms() > peerTiming.fewVms ? beacons.sendSoon() : undefined,
     });
     const demand = createDemand(clock);
+    const fleetDemand = (): Tokens => demand.rate() + membership.demand();
     const allowances = createAllowances(clock, membership.liveness, Math.random);
     const quarantine = createQuarantine({ clock, hasDied, logger: loggers("quarantine"), metrics });
     const orders = startOrders({
@@ -209,7 +210,7 @@
         logger: loggers("fleet"),
         checkSuspension: suspensionWatch.check,
         servesForMs,
-        demand: () => demand.rate() + membership.demand(),
+        demand: fleetDemand,
         leaseMs: () => state.settings.orderLeaseMs,
         rank: lastHolder => membership.rank(lastHolder, declarations.hasStore()),
         isLeaseWanted: () => rollouts.isLeaderWanted(),
@@ -286,6 +287,7 @@
         bounds,
         logger: loggers("request"),
         metrics,
+        fleetDemand,
         placingVms: membership.vms,
         isDomainSilent: domain => membership.domainSilentMs(domain) > 0,
         checkSuspension: suspensionWatch.check,
