Send prefilled parts with urgent sends, not in rounds only

Cause: the parts that engines have prefilled went with rounds, half a second apart over three hops, while load and orders went at once. Dozens of VMs learned a second late which engine has a part, and had it read again elsewhere.

Change: each urgent send takes along what was prefilled since the last one; a round takes the rest.

--- a/packages/router/src/peers/createBeaconExchange.ts
+++ b/packages/router/src/peers/createBeaconExchange.ts
@@ -50,11 +50,14 @@
 
 type Stamp = { readonly incarnation: Incarnation; readonly sentAt: Millis; readonly receivedAt: Millis; };
 type Cached = RelayedRows["cached"];
+type CachedByScope = Readonly<Record<"own" | "domain" | "fleet", Cached>>;
 type Encoding = {
     readonly encode: ReturnType<typeof createBeaconEncoder>;
     readonly sumsFor: (target: VmId | undefined) => RelayedSums;
 };
 
+const noCached: CachedByScope = { own: [], domain: [], fleet: [] };
+
 const loadSums =
     (load: (target: VmId | undefined) => RelayedSums["relayedLoad"]) => (target: VmId | undefined): RelayedSums => ({
         relayedSpent: [],
@@ -68,13 +71,18 @@
     const stamps = new Map<VmId, Stamp>();
     const counters = { round: 0, sequence: 0 };
     /** Prompt parts that are sent in the current round. */
-    const roundCached: Record<"own" | "domain" | "fleet", Cached> = { own: [], domain: [], fleet: [] };
+    const roundCached = { current: noCached };
     const startedAt = clock.now();
 
-    const cachedFor = (scope: BeaconScope): Cached =>
-        scope === "domain" || scope === "fleet" ? [...roundCached.own, ...roundCached[scope]] : roundCached.own;
-    /** Encodes urgent state: revisions, weights, orders, crashes, load, and the ages of what is confirmed. */
-    const urgentEncoding = (scope: BeaconScope, localState: LocalState): Encoding => ({
+    const drainAll = (): CachedByScope => ({
+        own: parts.drainCached(),
+        domain: parts.drainRelayed("domain"),
+        fleet: parts.drainRelayed("fleet"),
+    });
+    const cachedFor = (cached: CachedByScope, scope: BeaconScope): Cached =>
+        scope === "domain" || scope === "fleet" ? [...cached.own, ...cached[scope]] : cached.own;
+    /** Encodes urgent state: revisions, weights, orders, crashes, load, cached parts, and the ages of what is confirmed. */
+    const urgentEncoding = (scope: BeaconScope, localState: LocalState, cached: CachedByScope): Encoding => ({
         encode: createBeaconEncoder({
             ...self,
             ...localState,
@@ -83,7 +91,7 @@
             domains: [],
             scope,
             ordered: parts.ordered(scope),
-            cached: [],
+            cached: cachedFor(cached, scope),
             upMs: clock.now() - startedAt,
             isLeaving: false,
         }),
@@ -96,7 +104,7 @@
             ...parts.memberFields(scope),
             scope,
             ordered: parts.ordered(scope),
-            cached: cachedFor(scope),
+            cached: cachedFor(roundCached.current, scope),
             upMs: clock.now() - startedAt,
             isLeaving,
         }),
@@ -132,7 +140,8 @@
         send: () => {
             const localState = parts.localState();
             const targets = parts.usualTargets();
-            sendEach(targets, scope => urgentEncoding(scope, localState));
+            const cached = drainAll();
+            sendEach(targets, scope => urgentEncoding(scope, localState, cached));
             return targets.length;
         },
     });
@@ -145,9 +154,7 @@
         schedule: parts.schedule,
         targets,
         onRound: () => {
-            roundCached.own = parts.drainCached();
-            roundCached.domain = parts.drainRelayed("domain");
-            roundCached.fleet = parts.drainRelayed("fleet");
+            roundCached.current = drainAll();
         },
         send: batch => sendFull(batch),
         intervalMs: parts.intervalMs,
