--- /dev/null
+++ b/packages/router/src/rollout/RolloutEntry.ts
@@ -0,0 +1,20 @@
+import type { Millis } from "@azureshunt/core";
+
+import type { createAnswerCounts } from "./createAnswerCounts.js";
+import type { createLeadership } from "./createLeadership.js";
+import type { RolloutView } from "./RolloutView.js";
+
+/** The state of one rollout at this VM; `leadership` and `status` are used while it leads. */
+export type RolloutEntry = {
+    view: RolloutView;
+    /** Answers that this VM got from both versions. */
+    readonly counts: ReturnType<typeof createAnswerCounts>;
+    leadership: ReturnType<typeof createLeadership> | undefined;
+    status: {
+        /** The status in the store as far as this leader knows it: `unread`, or `none` if there is none. */
+        known: "unread" | "none" | "running" | "completed" | "rolled-back";
+        /** Whether a call to the store has not ended. */
+        isPending: boolean;
+        retryAt: Millis;
+    };
+};
--- a/packages/router/src/rollout/createRollouts.ts
+++ b/packages/router/src/rollout/createRollouts.ts
@@ -8,13 +8,14 @@
 import type { CountsReport } from "./CountsReport.js";
 import { createAnswerCounts } from "./createAnswerCounts.js";
 import { createLeadership } from "./createLeadership.js";
+import { createStatusKeeper } from "./createStatusKeeper.js";
 import { isFinal } from "./isFinal.js";
 import { isInTrial } from "./isInTrial.js";
 import { learnPhase } from "./learnPhase.js";
+import type { RolloutEntry } from "./RolloutEntry.js";
 import type { RolloutPhase } from "./RolloutPhase.js";
 import type { RolloutRow } from "./RolloutRow.js";
 import { rolloutTiming } from "./rolloutTiming.js";
-import type { RolloutView } from "./RolloutView.js";
 import { selectByVersion } from "./selectByVersion.js";
 import { versionChoice } from "./versionChoice.js";
 import type { VersionRollout } from "./VersionRollout.js";
@@ -63,7 +64,7 @@
     readonly selectorFor: (
         service: ServiceName,
         isRepeatable: boolean,
-    ) => (<Entry extends EndpointEntry>(entries: readonly Entry[]) => readonly Entry[]) | undefined;
+    ) => (<Each extends EndpointEntry>(entries: readonly Each[]) => readonly Each[]) | undefined;
     readonly recordTry: (entry: EndpointEntry, tried: Omit<CountedTry, "isNew">) => void;
     /** Whether any rollout has not ended, or its end is not in the store yet. */
     readonly isLeaderWanted: () => boolean;
@@ -72,24 +73,10 @@
     readonly tick: () => void;
 };
 
-/** The state of one rollout at this VM; `leadership` and `status` are used while it leads. */
-type Entry = {
-    view: RolloutView;
-    readonly counts: ReturnType<typeof createAnswerCounts>;
-    leadership: ReturnType<typeof createLeadership> | undefined;
-    status: {
-        known: "unread" | "running" | "completed" | "rolled-back" | "none";
-        isPending: boolean;
-        retryAt: Millis;
-    };
-};
-
 type Status = "running" | "completed" | "rolled-back";
 
 /** Part of the exposure that is used, as the requests of the trial are drawn at random. */
 const USED_FRACTION = 0.8;
-/** Time between two tries to read or write a status while the store does not answer. */
-const STATUS_RETRY_MS: Millis = 250;
 /** Time after the end for which a completed rollout still keeps requests from the old endpoints, which are stopped. */
 const COMPLETED_FOR_MS: Millis = 10_000;
 
@@ -102,7 +89,7 @@
 /** Creates the rollouts of a VM; none is known yet. */
 export function createRollouts(parts: RolloutParts): Rollouts {
     const { clock, logger } = parts;
-    const entries = new Map<ServiceName, Entry>();
+    const entries = new Map<ServiceName, RolloutEntry>();
     const state = { reportedAt: -Infinity as Millis, reportedBad: 0 };
     const share = (): number => parts.exposure() * USED_FRACTION;
 
@@ -120,7 +107,7 @@
         parts.sendSoon();
     };
 
-    const advance = (entry: Entry, phase: RolloutPhase, statedAt: Millis, inputs: object): boolean => {
+    const advance = (entry: RolloutEntry, phase: RolloutPhase, statedAt: Millis, inputs: object): boolean => {
         const before = entry.view;
         entry.view = learnPhase(before, phase, statedAt);
         const isNew = entry.view.phase !== before.phase;
@@ -178,7 +165,7 @@
         }
     };
 
-    const reportOf = ({ view, counts }: Entry): CountsReport => ({
+    const reportOf = ({ view, counts }: RolloutEntry): CountsReport => ({
         vm: parts.vm,
         service: view.order.service,
         order: view.order.id,
@@ -191,59 +178,24 @@
         }
     };
 
-    /** Reads how far an earlier leader got, as a rollout that has ended must not begin again. */
-    const readStatus = async (entry: Entry): Promise<void> => {
-        entry.status.isPending = true;
-        const page = await parts.store.newest(parts.wire.statusTopic);
-        entry.status.isPending = false;
-        page.caseOf({
-            Left: () => {
-                entry.status.retryAt = clock.now() + STATUS_RETRY_MS;
-            },
-            Right: ({ records }) => {
-                const { service, version } = entry.view.order;
-                const found = records
-                    .map(({ key, value }) =>
-                        value === undefined ? undefined : parts.wire.decodeRolloutStatus(key, value)
-                    )
-                    .find(each => each?.service === service && each.version === version);
-                entry.status.known = found?.state ?? "none";
-                if (found !== undefined && found.state !== "running") {
-                    advance(entry, found.state, clock.now(), { by: "status" });
-                    parts.sendSoon();
-                }
-            },
-        });
-    };
-    const writeStatus = async (entry: Entry, status: Status): Promise<void> => {
-        entry.status.isPending = true;
-        const { service, version } = entry.view.order;
-        const { key, value } = parts.wire.encodeRolloutStatus({ service, version, state: status });
-        const written = await parts.store.put(parts.wire.statusTopic, key, value);
-        entry.status.isPending = false;
-        written.caseOf({
-            Left: failure => {
-                entry.status.retryAt = clock.now() + STATUS_RETRY_MS;
-                logger.info({ service, status, failure: failure.kind }, "Writing the status of a rollout failed.");
-            },
-            Right: () => {
-                entry.status.known = status;
-                logger.info({ service, version, status }, "Status of a rollout written.");
-                if (status === "completed") {
-                    advance(entry, "completed", clock.now(), { by: "status" });
-                    parts.sendSoon();
-                }
-            },
-        });
-    };
+    const statusKeeper = createStatusKeeper({
+        clock,
+        store: parts.store,
+        wire: parts.wire,
+        onEnded: (entry, phase) => {
+            advance(entry, phase, clock.now(), { by: "status" });
+            parts.sendSoon();
+        },
+        logger,
+    });
 
-    const lead = (entry: Entry): void => {
+    const lead = (entry: RolloutEntry): void => {
         const { status } = entry;
         if (status.isPending || clock.now() < status.retryAt) {
             return;
         }
         if (status.known === "unread") {
-            void readStatus(entry);
+            void statusKeeper.read(entry);
             return;
         }
         entry.leadership ??= createLeadership(clock);
@@ -266,12 +218,12 @@
         }
         const wanted = statusOf(plan.phase);
         if (status.known !== wanted) {
-            void writeStatus(entry, wanted);
+            void statusKeeper.write(entry, wanted);
         }
     };
 
     // A leader may die between the end of a rollout and its status, so the next one looks for that for a while.
-    const isOpen = ({ view, status }: Entry): boolean =>
+    const isOpen = ({ view, status }: RolloutEntry): boolean =>
         !isFinal(view.phase) || (status.known !== view.phase && clock.now() - view.statedAt < FINAL_OPEN_FOR_MS);
     const tick = (): void => {
         const open = [...entries.values()].filter(isOpen);
--- /dev/null
+++ b/packages/router/src/rollout/createStatusKeeper.ts
@@ -0,0 +1,70 @@
+import type { Clock, Millis } from "@azureshunt/core";
+import type { Logger } from "pino";
+
+import type { DirectoryWire } from "../ports/DirectoryWire.js";
+import type { StorePort } from "../ports/StorePort.js";
+import type { RolloutEntry } from "./RolloutEntry.js";
+
+type StatusParts = {
+    readonly clock: Clock;
+    readonly store: Pick<StorePort, "newest" | "put">;
+    readonly wire: Pick<DirectoryWire, "statusTopic" | "encodeRolloutStatus" | "decodeRolloutStatus">;
+    /** Called with a final phase that the store has. */
+    readonly onEnded: (entry: RolloutEntry, phase: "completed" | "rolled-back") => void;
+    readonly logger: Logger;
+};
+
+/** Reads and writes the status that operators see of a rollout. */
+type StatusKeeper = {
+    /** Reads how far an earlier leader got, as a rollout that has ended must not begin again. */
+    readonly read: (entry: RolloutEntry) => Promise<void>;
+    readonly write: (entry: RolloutEntry, status: "running" | "completed" | "rolled-back") => Promise<void>;
+};
+
+/** Time between two tries while the store does not answer. */
+const RETRY_MS: Millis = 250;
+
+/** Creates the keeper of the statuses in the store. */
+export function createStatusKeeper({ clock, store, wire, onEnded, logger }: StatusParts): StatusKeeper {
+    const read: StatusKeeper["read"] = async entry => {
+        const { service, version } = entry.view.order;
+        entry.status.isPending = true;
+        const page = await store.newest(wire.statusTopic);
+        entry.status.isPending = false;
+        page.caseOf({
+            Left: () => {
+                entry.status.retryAt = clock.now() + RETRY_MS;
+            },
+            Right: ({ records }) => {
+                const found = records
+                    .map(({ key, value }) => value === undefined ? undefined : wire.decodeRolloutStatus(key, value))
+                    .find(each => each?.service === service && each.version === version);
+                entry.status.known = found?.state ?? "none";
+                if (found !== undefined && found.state !== "running") {
+                    onEnded(entry, found.state);
+                }
+            },
+        });
+    };
+    const write: StatusKeeper["write"] = async (entry, status) => {
+        const { service, version } = entry.view.order;
+        const { key, value } = wire.encodeRolloutStatus({ service, version, state: status });
+        entry.status.isPending = true;
+        const written = await store.put(wire.statusTopic, key, value);
+        entry.status.isPending = false;
+        written.caseOf({
+            Left: failure => {
+                entry.status.retryAt = clock.now() + RETRY_MS;
+                logger.info({ service, status, failure: failure.kind }, "Writing the status of a rollout failed.");
+            },
+            Right: () => {
+                entry.status.known = status;
+                logger.info({ service, version, status }, "Status of a rollout written.");
+                if (status === "completed") {
+                    onEnded(entry, status);
+                }
+            },
+        });
+    };
+    return { read, write };
+}
