Send a finite age for a rollout statement of unknown age

Cause, found by reading: a VM whose first beacon from a peer echoes nothing knows the phase of a rollout, but not when it was stated; after a suspension too. Its own beacons then had an infinite age, which JSON writes as null, and peers dropped the whole beacon as unreadable, with its load, spending and confirmations.

Change: an unknown age is sent as one hour, which is never fresh. Test: fails without the bound.

--- a/packages/router/src/__tests__/unit/rollout.test.ts
+++ b/packages/router/src/__tests__/unit/rollout.test.ts
@@ -1,8 +1,10 @@
-import type { ServiceName } from "@azureshunt/core";
+import type { ServiceName, VmId } from "@azureshunt/core";
+import { createMetrics } from "@azureshunt/telemetry";
 import test from "ava";
 
 import type { RouteName } from "../../configuration/RouteName.js";
 import { createAnswerCounts } from "../../rollout/createAnswerCounts.js";
+import { createRollouts } from "../../rollout/createRollouts.js";
 import { initialJudgement } from "../../rollout/initialJudgement.js";
 import { isInTrial } from "../../rollout/isInTrial.js";
 import { judgeVersion } from "../../rollout/judgeVersion.js";
@@ -14,6 +16,7 @@
 import { versionChoice } from "../../rollout/versionChoice.js";
 import { entryOf } from "../support/entryOf.js";
 import { seededRandom } from "../support/seededRandom.js";
+import { silentLogger } from "../support/silentLogger.js";
 import { simulateRollout } from "../support/simulateRollout.js";
 
 const route = "r" as RouteName;
@@ -169,6 +172,35 @@
     t.deepEqual(counts.rows(), countsOf(3, 2, 20, 0));
 });
 
+// A beacon with a field that is no number is dropped whole, with all else that it says.
+test("rollout: a statement of unknown age is sent on with a finite one, and does not count as fresh", t => {
+    const time = { now: 500 };
+    const clock = { now: () => time.now, epoch: () => time.now };
+    const rollouts = createRollouts({
+        clock,
+        vm: "vm" as VmId,
+        random: () => 0,
+        store: { newest: () => Promise.reject(new Error()), put: () => Promise.reject(new Error()) },
+        wire: {
+            statusTopic: "status",
+            encodeRolloutStatus: () => ({ key: "", value: Buffer.alloc(0) }),
+            decodeRolloutStatus: () => undefined,
+        },
+        exposure: () => 0.1,
+        isLeader: () => false,
+        endpointsOf: () => [],
+        report: () => undefined,
+        sendSoon: () => undefined,
+        logger: silentLogger,
+        metrics: createMetrics(),
+    });
+    const row = { service: "desk" as ServiceName, id: 1, version: "v2", durationMs: 9_000, ageMs: 0, statedMs: 0 };
+    t.true(rollouts.receiveRows([{ ...row, phase: "canary" }], -Infinity));
+    t.true(rollouts.rows().every(({ statedMs }) => Number.isFinite(statedMs)));
+    const select = rollouts.selectorFor(row.service, true);
+    t.is(select?.([...older, ...newer]).map(({ name }) => name).join(""), "ab");
+});
+
 const BEHAVIOURS = [
     "good",
     "fails",
--- a/packages/router/src/rollout/createRollouts.ts
+++ b/packages/router/src/rollout/createRollouts.ts
@@ -83,6 +83,9 @@
 /** Time after the end for which a leader makes sure that the status says so; longer than a lease takes to change hands. */
 const FINAL_OPEN_FOR_MS: Millis = 8_000;
 
+/** Sent in place of an age that is not known, as JSON has no infinity, and a beacon with another value is unreadable. */
+const MAX_STATED_MS: Millis = 3_600_000;
+
 const statusOf = (phase: RolloutPhase | undefined): Status =>
     phase === "completed" || phase === "rolled-back" ? phase : "running";
 
@@ -136,9 +139,9 @@
             id,
             version,
             durationMs,
-            ageMs: clock.now() - learnedAt,
+            ageMs: Math.round(clock.now() - learnedAt),
             phase,
-            statedMs: phase === undefined ? 0 : clock.now() - statedAt,
+            statedMs: phase === undefined ? 0 : Math.min(MAX_STATED_MS, Math.round(clock.now() - statedAt)),
         }));
 
     const selectorFor: Rollouts["selectorFor"] = (service, isRepeatable) => {
