Use the rendezvous order of core for stores, and take reads from relays out of startRouter

With several stores a prompt may get another one of them than before; with one store nothing is hashed. - the store was chosen twice a request, when it was placed and when it was sent; the place carries it. - createPromptShares looked engines up in the endpoint table that it had just been given. - the simulation of placing saved prompts to another store than the one that the router names; it now saves to that one. - the phases of rollouts stood in three lists, their statuses in four, the report beside its schema; each stands once. - the endpoint table filtered leaving endpoints in two twins. - startRouter decided when to read from relays and to whom reports go; createRelayReads and Membership.addressOf do.

Ruled out: the comment on the age in admitRequest is the reason of a rule (from which moment an age counts), not a measurement. startRouter composes the parts and has no other job left; its length is their wiring.

Tests keep their assertions.

--- a/packages/router/src/__tests__/support/simulatePlacement.ts
+++ b/packages/router/src/__tests__/support/simulatePlacement.ts
@@ -241,7 +241,7 @@
         const { source } = share.shareOf(engine.name, engine.failureDomain);
         const sharedTokens = sumOf(parts);
         const saves = share.storedTokens < sharedTokens && run.mayBeSaved(ownTokens, sharedTokens);
-        const saveTo = saves ? stores[hashOf(chain[parts.length - 1]?.key ?? "") % stores.length] : undefined;
+        const saveTo = saves ? stores.find(({ address }) => address === share.store) : undefined;
         const holder = stores.find(({ address }) => address === source) ??
             engines.find(({ address }) => address === source);
         const cachedParts = cachedPartsAt(engine.cached, chain);
@@ -284,8 +284,6 @@
         schedule(NEWS_OF_LOAD_MS, () => load.known = known);
         schedule(NEWS_OF_LOAD_MS, tellLoad);
     };
-    const hashOf = (text: string): number =>
-        [...text].reduce((hash, char) => (hash * 31 + char.charCodeAt(0)) % 65_521, 7);
 
     KINDS.forEach(arrive);
     tellLoad();
--- a/packages/router/src/peers/createMembership.ts
+++ b/packages/router/src/peers/createMembership.ts
@@ -47,6 +47,8 @@
     readonly isAlone: () => boolean;
     /** Address of a live relay of this VM's failure domain, other than this VM; `undefined` if there is none. */
     readonly relayAddress: () => string | undefined;
+    /** Address of a peer; `undefined` if it is not known. */
+    readonly addressOf: (vm: VmId | undefined) => string | undefined;
     /** Role of a peer as seen by this VM. */
     readonly roleOf: (vm: VmId) => VmRole;
     /** Relays of this VM's failure domain, possibly including this VM. */
@@ -127,6 +129,8 @@
         return state.relays;
     };
     const ownRelays = (): readonly VmId[] => relays().get(self.failureDomain) ?? [];
+    const addressOf: Membership["addressOf"] = vm =>
+        vm === undefined ? undefined : state.members.known.get(vm)?.address;
     const isRelay = (): boolean => ownRelays().includes(self.vm);
     const role = (vm: VmId): VmRole => {
         const failureDomain = state.members.known.get(vm)?.failureDomain;
@@ -144,8 +148,9 @@
         relayAddress: () => {
             // Each VM has a preferred relay, so that the relays share the load.
             const [relay] = rendezvousOrder(self.vm, ownRelays().filter(vm => vm !== self.vm));
-            return relay === undefined ? undefined : state.members.known.get(relay)?.address;
+            return addressOf(relay);
         },
+        addressOf,
         relays: ownRelays,
         roleOf: role,
         targets: round => beaconTargets(state.members, round, clock.now()),
--- a/packages/router/src/peers/decodeBeacon.ts
+++ b/packages/router/src/peers/decodeBeacon.ts
@@ -1,3 +1,4 @@
+import { rolloutPhases } from "../rollout/rolloutPhases.js";
 import type { Beacon } from "./Beacon.js";
 import { BEACON_FORMAT } from "./BEACON_FORMAT.js";
 
@@ -18,7 +19,7 @@
 const RELAYED_DEMAND = 31;
 const ROLLOUTS = 32;
 
-const PHASES: readonly unknown[] = ["canary", "switching", "completed", "rolled-back"];
+const PHASES: readonly unknown[] = rolloutPhases;
 const SCOPES: readonly unknown[] = ["vm", "domain", "fleet", "referral"];
 
 type Row = readonly unknown[];
--- a/packages/router/src/placement/createEndpointTable.ts
+++ b/packages/router/src/placement/createEndpointTable.ts
@@ -105,10 +105,10 @@
         });
     };
 
+    const stayingEntries = (): readonly EndpointEntry[] =>
+        [...state.registry.endpoints.values()].map(({ entry }) => entry).filter(({ isLeaving }) => !isLeaving);
     const servingEntries: EndpointTable["servingEntries"] = service =>
-        [...state.registry.endpoints.values()]
-            .map(({ entry }) => entry)
-            .filter(entry => entry.service === service && !entry.isLeaving);
+        stayingEntries().filter(entry => entry.service === service);
 
     const candidates: EndpointTable["candidates"] = request => {
         const now = clock.now();
@@ -212,9 +212,7 @@
     };
 
     const enginesOf = (model: ModelName): readonly EndpointEntry[] =>
-        [...state.registry.endpoints.values()]
-            .map(({ entry }) => entry)
-            .filter(entry => entry.versions.has(model) && !entry.isLeaving);
+        stayingEntries().filter(entry => entry.versions.has(model));
 
     const isAnyOutdated: EndpointTable["isAnyOutdated"] = (model, version) =>
         enginesOf(model).some(entry => (versionAt(entry, model) ?? 0) < version);
--- a/packages/router/src/ports/DirectoryWire.ts
+++ b/packages/router/src/ports/DirectoryWire.ts
@@ -3,6 +3,7 @@
 
 import type { RoutingConfiguration } from "../configuration/RoutingConfiguration.js";
 import type { EndpointEntry } from "../registry/EndpointEntry.js";
+import type { RolloutState } from "../rollout/RolloutState.js";
 
 /** One record that the operators declared. */
 type Declaration =
@@ -18,11 +19,11 @@
     /** A key that the router does not use. */
     | { readonly kind: "other"; };
 
-/** How far a rollout has got, as operators read it. */
+/** The status of a rollout in the store. */
 type RolloutStatus = {
     readonly service: ServiceName;
     readonly version: string;
-    readonly state: "running" | "completed" | "rolled-back";
+    readonly state: RolloutState;
 };
 
 /** Topics of the operators' declarations and the endpoints' registry entries in the store, and their decoders. */
--- a/packages/router/src/rollout/CountsReport.ts
+++ b/packages/router/src/rollout/CountsReport.ts
@@ -2,7 +2,6 @@
 import { z } from "zod";
 
 import type { RouteName } from "../configuration/RouteName.js";
-import type { RouteCounts } from "./RouteCounts.js";
 
 const Count = z.number().int().nonnegative();
 
@@ -20,14 +19,9 @@
     service: ServiceName,
     /** The order's `id`. */
     order: z.number().int(),
-    rows: z.array(Row),
+    rows: z.array(Row).readonly(),
 });
 
-type CountsReport = {
-    readonly vm: VmId;
-    readonly service: ServiceName;
-    readonly order: number;
-    readonly rows: readonly RouteCounts[];
-};
+type CountsReport = z.infer<typeof CountsReport>;
 
 export { CountsReport };
--- a/packages/router/src/rollout/RolloutEntry.ts
+++ b/packages/router/src/rollout/RolloutEntry.ts
@@ -2,6 +2,7 @@
 
 import type { createAnswerCounts } from "./createAnswerCounts.js";
 import type { createLeadership } from "./createLeadership.js";
+import type { RolloutState } from "./RolloutState.js";
 import type { RolloutView } from "./RolloutView.js";
 
 /** The state of one rollout at this VM; `leadership` and `status` are used while it leads. */
@@ -12,7 +13,7 @@
     leadership: ReturnType<typeof createLeadership> | undefined;
     status: {
         /** The status in the store as far as this leader knows it: `unread`, or `none` if there is none. */
-        known: "unread" | "none" | "running" | "completed" | "rolled-back";
+        known: "unread" | "none" | RolloutState;
         /** Whether a call to the store has not ended. */
         isPending: boolean;
         retryAt: Millis;
--- a/packages/router/src/rollout/createRollouts.ts
+++ b/packages/router/src/rollout/createRollouts.ts
@@ -15,6 +15,7 @@
 import type { RolloutEntry } from "./RolloutEntry.js";
 import type { RolloutPhase } from "./RolloutPhase.js";
 import type { RolloutRow } from "./RolloutRow.js";
+import type { RolloutState } from "./RolloutState.js";
 import { rolloutTiming } from "./rolloutTiming.js";
 import { selectByVersion } from "./selectByVersion.js";
 import { versionChoice } from "./versionChoice.js";
@@ -73,8 +74,6 @@
     readonly tick: () => void;
 };
 
-type Status = "running" | "completed" | "rolled-back";
-
 /** Part of the exposure that is used, as the requests of the trial are drawn at random. */
 const USED_FRACTION = 0.8;
 /** Time after the end for which a completed rollout still keeps requests from the old endpoints, which are stopped. */
@@ -86,7 +85,7 @@
 /** Sent in place of an age that is not known, as JSON has no infinity, and a beacon with another value is unreadable. */
 const MAX_STATED_MS: Millis = 3_600_000;
 
-const statusOf = (phase: RolloutPhase | undefined): Status =>
+const statusOf = (phase: RolloutPhase | undefined): RolloutState =>
     phase === "completed" || phase === "rolled-back" ? phase : "running";
 
 /** Creates the rollouts of a VM; none is known yet. */
--- a/packages/router/src/rollout/createStatusKeeper.ts
+++ b/packages/router/src/rollout/createStatusKeeper.ts
@@ -4,13 +4,14 @@
 import type { DirectoryWire } from "../ports/DirectoryWire.js";
 import type { StorePort } from "../ports/StorePort.js";
 import type { RolloutEntry } from "./RolloutEntry.js";
+import type { RolloutState } from "./RolloutState.js";
 
 type StatusParts = {
     readonly clock: Clock;
     readonly store: Pick<StorePort, "newest" | "put">;
     readonly wire: Pick<DirectoryWire, "statusTopic" | "encodeRolloutStatus" | "decodeRolloutStatus">;
     /** Called with a final phase that the store has. */
-    readonly onEnded: (entry: RolloutEntry, phase: "completed" | "rolled-back") => void;
+    readonly onEnded: (entry: RolloutEntry, phase: Exclude<RolloutState, "running">) => void;
     readonly logger: Logger;
 };
 
@@ -18,7 +19,7 @@
 type StatusKeeper = {
     /** Reads how far an earlier leader got, as a rollout that has ended must not begin again. */
     readonly read: (entry: RolloutEntry) => Promise<void>;
-    readonly write: (entry: RolloutEntry, status: "running" | "completed" | "rolled-back") => Promise<void>;
+    readonly write: (entry: RolloutEntry, status: RolloutState) => Promise<void>;
 };
 
 /** Time between two tries while the store does not answer. */
--- a/packages/router/src/serve/TryPlace.ts
+++ b/packages/router/src/serve/TryPlace.ts
@@ -20,6 +20,8 @@
     readonly chain: readonly PrefixPart[];
     /** `host:port` from which the endpoint fetches parts of the prompt. */
     readonly source: string | undefined;
+    /** `host:port` of the cache store that keeps the prompt's shared parts. */
+    readonly store: string | undefined;
     /** Length of the prompt prefix that the cache store is known to hold. */
     readonly storedTokens: Tokens;
 };
--- a/packages/router/src/serve/createPromptShares.ts
+++ b/packages/router/src/serve/createPromptShares.ts
@@ -19,6 +19,8 @@
 type PromptShares = {
     /** How one engine would obtain them. */
     readonly shareOf: (endpoint: EndpointName, domain: FailureDomain) => PromptShare;
+    /** `host:port` of the cache store that keeps the prompt's shared parts; undefined if there is none. */
+    readonly store: string | undefined;
     /** Length of the prompt prefix that the cache store holds. */
     readonly storedTokens: Tokens;
 };
@@ -42,7 +44,7 @@
 export function createPromptShares(
     parts: Pick<
         ServeParts,
-        "declaredState" | "isDomainSilent" | "prefixIndex" | "clock" | "endpointTable" | "fleetDemand"
+        "declaredState" | "isDomainSilent" | "prefixIndex" | "clock" | "fleetDemand"
     >,
     promptTokens: Tokens,
     chain: readonly PrefixPart[],
@@ -52,14 +54,14 @@
     const shared = chain.slice(0, -1);
     const store = reachableStore(parts, shared.at(-1)?.key ?? "");
     const sharedTokens = shared.reduce((sum, { tokens }) => sum + tokens, 0);
-    const isPeer = new Set(peers.map(({ name }) => name));
+    const peerNamed = new Map(peers.map(entry => [entry.name as string, entry]));
     // An engine that has loaded other weights since has dropped all that it held.
     const holders = parts.prefixIndex.holders(chain, parts.clock.now()).filter(({ holder }) =>
-        isPeer.has(holder as EndpointName) || holder === store?.address
+        peerNamed.has(holder) || holder === store?.address
     );
     const heldTokens = new Map(holders.map(({ holder, tokens }) => [holder as string, tokens]));
     const knownSources = holders.flatMap(({ holder, tokens }): readonly Source[] => {
-        const entry = parts.endpointTable.entryOf(holder as EndpointName);
+        const entry = peerNamed.get(holder);
         return entry === undefined || parts.isDomainSilent(entry.failureDomain)
             ? []
             : [{ name: entry.name, address: entry.address, failureDomain: entry.failureDomain, tokens }];
@@ -76,14 +78,14 @@
             failureDomain === domain && name !== endpoint && name !== store?.address
         ) ?? ranked.find(({ name }) => name !== endpoint);
 
-    const isStorePreferred = !areStoresCrowded(parts);
+    const isCrowded = areStoresCrowded(parts);
     /**
      * Where an engine that seems to hold all that is known would find what it has evicted: a store that is not crowded
      * keeps parts for longer than engines. An engine that holds less could not replace them.
      */
     const spareFor = (engineTokens: Tokens, source: Source | undefined): Pick<Source, "address"> | undefined => {
         const isEnough = source !== undefined && source.tokens > 0 && source.tokens >= engineTokens;
-        return isEnough && !isStorePreferred ? source : store ?? source;
+        return isEnough && isCrowded ? source : store ?? source;
     };
     const shareOf: PromptShares["shareOf"] = (endpoint, domain) => {
         const engineTokens = heldTokens.get(endpoint) ?? 0;
@@ -97,5 +99,5 @@
             source: sharedTokens === 0 ? undefined : (fetched > 0 ? source : spareFor(engineTokens, source))?.address,
         };
     };
-    return { shareOf, storedTokens };
+    return { shareOf, store: store?.address, storedTokens };
 }
--- a/packages/router/src/serve/placeRequest.ts
+++ b/packages/router/src/serve/placeRequest.ts
@@ -67,6 +67,7 @@
         salt,
         chain,
         source: shares.shareOf(entry.name, entry.failureDomain).source,
+        store: shares.store,
         storedTokens: shares.storedTokens,
     };
 }
--- a/packages/router/src/serve/reachableStore.ts
+++ b/packages/router/src/serve/reachableStore.ts
@@ -1,6 +1,6 @@
+import { rendezvousOrder } from "@azureshunt/core";
 import type { FailureDomain } from "@azureshunt/core";
 
-import { hashText } from "../placement/hashText.js";
 import type { ServeParts } from "./ServeParts.js";
 
 type CacheStore = { readonly address: string; readonly failureDomain: FailureDomain; };
@@ -16,12 +16,9 @@
     parts: Pick<ServeParts, "declaredState" | "isDomainSilent">,
     key: string,
 ): CacheStore | undefined {
-    return [...parts.declaredState().configuration?.services.values() ?? []]
+    const stores = [...parts.declaredState().configuration?.services.values() ?? []]
         .flatMap(({ cacheStore }) => cacheStore === undefined ? [] : [cacheStore])
-        .filter(({ failureDomain }) => !parts.isDomainSilent(failureDomain))
-        .map(store => ({ store, weight: hashText(`${key}/${store.address}`) }))
-        .reduce<{ readonly store: CacheStore; readonly weight: string; } | undefined>(
-            (first, each) => first === undefined || each.weight > first.weight ? each : first,
-            undefined,
-        )?.store;
+        .filter(({ failureDomain }) => !parts.isDomainSilent(failureDomain));
+    const [first] = stores.length > 1 ? rendezvousOrder(key, stores.map(({ address }) => address)) : [];
+    return stores.find(({ address }) => address === first) ?? stores[0];
 }
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -7,7 +7,6 @@
 import { isRepeatable } from "./isRepeatable.js";
 import { judgeHead } from "./judgeHead.js";
 import { priorityOf } from "./priorityOf.js";
-import { reachableStore } from "./reachableStore.js";
 import { shouldMove } from "./shouldMove.js";
 import type { TryParts } from "./TryParts.js";
 import type { TryResult } from "./TryResult.js";
@@ -32,12 +31,11 @@
  * shared ones are left to other requests.
  */
 const storeToSaveTo = ({ parts, place }: TryParts): string | undefined => {
-    const shared = place.chain.slice(0, -1);
-    const sharedTokens = shared.reduce((sum, { tokens }) => sum + tokens, 0);
+    const sharedTokens = place.chain.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
     const ownTokens = place.chain.at(-1)?.tokens ?? 0;
     return place.storedTokens >= sharedTokens || (ownTokens > sharedTokens && areStoresCrowded(parts))
         ? undefined
-        : reachableStore(parts, shared.at(-1)?.key ?? "")?.address;
+        : place.store;
 };
 
 const headersFor = (
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -41,9 +41,8 @@
 import { startCallerServer } from "./serve/startCallerServer.js";
 import { startGauges } from "./startGauges.js";
 import { startMetricsListener } from "./startMetricsListener.js";
+import { createRelayReads } from "./store/createRelayReads.js";
 import { measureStore } from "./store/measureStore.js";
-import { queryRelay } from "./store/queryRelay.js";
-import type { TopicAnswer } from "./store/TopicAnswer.js";
 
 /** Settings and adapters that a router is built from. */
 type RouterParts = {
@@ -66,9 +65,6 @@
 const KEY_MARGIN_MS = 600;
 /** Allows for the time that a request may wait in the engine's queue before it begins. */
 const WEIGHTS_MARGIN_MS = 1_500;
-/** Time after a first start by which VMs have found the relays, and by which the relays have read the store. */
-const RELAYS_FOUND_MS: Millis = 600;
-const RELAYS_READ_MS: Millis = 1_500;
 /** Interval of the ticks of all time-driven components. They share one timer, as that wakes an idle VM least often. */
 const TICK_MS = 100;
 
@@ -118,24 +114,13 @@
         setImmediate(() => beacons.sendSoon());
     });
 
-    const startedAt = clock.now();
-    /**
-     * Returns whether this VM must still wait before its first read of the store. On a first start, all VMs start at
-     * once and would all read the store. Therefore each waits until it knows the relays, and the others until the
-     * relays have read what they will then be asked for.
-     */
-    const mustWaitForRelay = (): boolean =>
-        settings.isFirstStart && clock.now() - startedAt < (membership.isRelay() ? RELAYS_FOUND_MS : RELAYS_READ_MS);
-    const queryTopic = async (topic: string, from: number | undefined): Promise<TopicAnswer | undefined> => {
-        const address = membership.isRelay() ? undefined : membership.relayAddress();
-        const answer = address === undefined ? undefined : await queryRelay(agent, address, topic, from);
-        if (address !== undefined) {
-            const end = answer === undefined ? "none" : "answered";
-            metrics.count("azureshunt_relay_reads_total", "Reads that relays were asked for.", { topic, end });
-        }
-        return answer;
-    };
-
+    const relayReads = createRelayReads({
+        clock,
+        agent,
+        membership,
+        metrics,
+        isFirstStart: settings.isFirstStart,
+    });
     const declarations = startDeclarations({
         clock,
         store,
@@ -147,8 +132,8 @@
         onRollout: order => rollouts.order(order),
         isReader: membership.isDomainReader,
         beaconIntervalMs: membership.beaconIntervalMs,
-        queryRelay: queryTopic,
-        mustWaitForRelay,
+        queryRelay: relayReads.query,
+        mustWaitForRelay: relayReads.mustWait,
         onChange: () => {
             allowances.open(declarations.current().configuration?.organisations.values() ?? []);
             beacons.sendSoon();
@@ -187,8 +172,8 @@
         metrics,
         leavingMs: () => state.settings.leavingMs,
         isReader: membership.isReader,
-        queryRelay: queryTopic,
-        mustWaitForRelay,
+        queryRelay: relayReads.query,
+        mustWaitForRelay: relayReads.mustWait,
         checkSuspension: suspensionWatch.check,
         // With many VMs, beacons are less frequent than reads; a reader's next regular beacon would reach the others
         // too late.
@@ -226,11 +211,7 @@
         exposure: () => state.settings.rolloutExposure,
         isLeader: () => orderFence(orders.lease(), clock.now()) !== undefined,
         endpointsOf: endpointTable.servingEntries,
-        report: report => {
-            const holder = orders.lease().tail?.holder;
-            const address = holder === undefined ? undefined : membership.current().known.get(holder)?.address;
-            return address === undefined ? undefined : void sendReport(agent, address, report);
-        },
+        report: report => void sendReport(agent, membership.addressOf(orders.lease().tail?.holder), report),
         sendSoon: () => beacons.sendSoon(),
         logger: loggers("rollout"),
         metrics,
