Pass the calls to engines and the timer into the sending of orders

No behaviour changes: startOrders and followOrder get a function that makes one call and one that runs a function later, in place of the agent and setTimeout, so that a test can drive them in virtual time against engines of its own.

--- a/packages/router/src/__tests__/unit/engineOrders.test.ts
+++ b/packages/router/src/__tests__/unit/engineOrders.test.ts
@@ -3,9 +3,12 @@
 
 import test from "ava";
 
+import { callOnce } from "../../dispatch/callOnce.js";
+import type { CallResult } from "../../dispatch/CallResult.js";
 import { EndpointAgent } from "../../dispatch/EndpointAgent.js";
 import type { EngineOrder } from "../../fleet/EngineOrder.js";
 import { followOrder } from "../../fleet/followOrder.js";
+import type { EncodedCall } from "../../ports/EncodedCall.js";
 import type { EndpointWire } from "../../ports/EndpointWire.js";
 import { endpointTableOf } from "../support/endpointTableOf.js";
 
@@ -85,8 +88,13 @@
         endpointTable.recordOrder(engine, own(1_000));
         const followed = { endpoint: engine, model, version: 2, issuedAt: 1_000, ordersBefore: 0 };
         const ended = new Promise<void>(resolve => {
+            const calls = {
+                call: (address: string, call: EncodedCall, timeoutMs: number): Promise<CallResult> =>
+                    callOnce(agent, address, call, timeoutMs),
+                schedule: (delayMs: number, run: () => void): void => void setTimeout(run, delayMs),
+            };
             void followOrder(
-                { clock: { now: () => time.now, epoch: () => 0 }, endpointTable, agent, wire },
+                { clock: { now: () => time.now, epoch: () => 0 }, endpointTable, calls, wire },
                 followed,
                 () => resolve(),
             );
--- a/packages/router/src/dispatch/callOnce.ts
+++ b/packages/router/src/dispatch/callOnce.ts
@@ -1,18 +1,11 @@
 import type { Millis } from "@azureshunt/core";
 
+import type { CallResult } from "./CallResult.js";
 import type { EndpointAgent } from "./EndpointAgent.js";
 import type { EndpointCall } from "./EndpointCall.js";
 import { openCall } from "./openCall.js";
 import { readAnswer } from "./readAnswer.js";
 
-/**
- * A complete answer, or none: `unreached` if no byte of the call can have arrived, `lost` if it is unknown whether the
- * call had an effect.
- */
-type CallResult =
-    | { readonly kind: "answer"; readonly status: number; readonly body: Buffer; }
-    | { readonly kind: "unreached" | "lost"; };
-
 /** A connection that was idle for longer may have been closed by the peer. */
 const MAX_IDLE_MS = 2_000;
 
--- a/packages/router/src/fleet/followOrder.ts
+++ b/packages/router/src/fleet/followOrder.ts
@@ -1,9 +1,8 @@
 import type { Clock, EndpointName, Millis, ModelName } from "@azureshunt/core";
 
-import { callOnce } from "../dispatch/callOnce.js";
-import type { EndpointAgent } from "../dispatch/EndpointAgent.js";
 import type { EndpointTable } from "../placement/EndpointTable.js";
 import type { EndpointWire } from "../ports/EndpointWire.js";
+import type { EngineCalls } from "./EngineCalls.js";
 import type { EngineOrder } from "./EngineOrder.js";
 import { orderTiming } from "./orderTiming.js";
 
@@ -19,7 +18,7 @@
 type FollowParts = {
     readonly clock: Clock;
     readonly endpointTable: EndpointTable;
-    readonly agent: EndpointAgent;
+    readonly calls: EngineCalls;
     readonly wire: EndpointWire;
 };
 
@@ -40,12 +39,12 @@
     order: FollowedOrder,
     onEnd: (seen: number | undefined) => void,
 ): Promise<void> {
-    const { clock, endpointTable, agent, wire } = parts;
+    const { clock, endpointTable, calls, wire } = parts;
     const { endpoint, model, version, issuedAt, ordersBefore } = order;
     const entry = endpointTable.entryOf(endpoint);
     const res = entry === undefined
         ? undefined
-        : await callOnce(agent, entry.address, wire.reportCall, orderTiming.answerMs);
+        : await calls.call(entry.address, wire.reportCall, orderTiming.answerMs);
     const state = res?.kind === "answer" && res.status === OK ? wire.decodeReport(res.body) : undefined;
     const seen = state?.versions.get(model);
     const currentOrder = (): EngineOrder | undefined =>
@@ -65,5 +64,5 @@
         onEnd(seen);
         return;
     }
-    setTimeout(() => void followOrder(parts, order, onEnd), orderTiming.nextReportMs);
+    calls.schedule(orderTiming.nextReportMs, () => void followOrder(parts, order, onEnd));
 }
--- a/packages/router/src/fleet/startOrders.ts
+++ b/packages/router/src/fleet/startOrders.ts
@@ -1,13 +1,12 @@
 import type { Clock, EndpointName, Millis, ModelName, Tokens, VmId } from "@azureshunt/core";
 import type { Logger } from "pino";
 
-import { callOnce } from "../dispatch/callOnce.js";
-import type { EndpointAgent } from "../dispatch/EndpointAgent.js";
 import type { DeclaredState } from "../knowledge/DeclaredState.js";
 import type { EndpointTable } from "../placement/EndpointTable.js";
 import type { EndpointWire } from "../ports/EndpointWire.js";
 import type { StorePort } from "../ports/StorePort.js";
 import { createLeaseKeeper } from "./createLeaseKeeper.js";
+import type { EngineCalls } from "./EngineCalls.js";
 import { followOrder } from "./followOrder.js";
 import { orderFence } from "./orderFence.js";
 import type { OrderLease } from "./OrderLease.js";
@@ -21,7 +20,7 @@
     readonly vm: VmId;
     readonly store: StorePort;
     readonly endpointTable: EndpointTable;
-    readonly agent: EndpointAgent;
+    readonly calls: EngineCalls;
     readonly wire: EndpointWire;
     readonly declaredState: () => DeclaredState;
     readonly logger: Logger;
@@ -86,7 +85,7 @@
         endpointTable.recordOrder(endpoint, { version, issuedAt, seenAt: issuedAt, isOwn: true });
         parts.sendSoon();
         const call = parts.wire.encodeOrder({ endpoint, model, version, holder: parts.vm, fence, ordersTaken });
-        const res = await callOnce(parts.agent, entry.address, call, orderTiming.answerMs);
+        const res = await parts.calls.call(entry.address, call, orderTiming.answerMs);
         const status = res.kind === "answer" ? res.status : undefined;
         logger.info({ endpoint, model, version, fence, ordersTaken, status, answer: res.kind }, "Order issued.");
         if (status === ALREADY_LOADED) {
@@ -103,7 +102,7 @@
         // After a conflict, the engine's own number of accepted orders must be read before it can be ordered again.
         const delayMs = status === CONFLICT ? 0 : orderTiming.firstReportMs;
         const followed = { endpoint, model, version, issuedAt, ordersBefore: ordersTaken };
-        setTimeout(() => void followOrder(parts, followed, seen => onOrderEnded(followed, seen)), delayMs);
+        parts.calls.schedule(delayMs, () => void followOrder(parts, followed, seen => onOrderEnded(followed, seen)));
     };
 
     const issueDueOrders = (): void => {
--- a/packages/router/src/ports/EndpointWire.ts
+++ b/packages/router/src/ports/EndpointWire.ts
@@ -1,18 +1,11 @@
 import type { IncomingMessage } from "node:http";
 
+import type { EncodedCall } from "./EncodedCall.js";
 import type { EndpointHead } from "./EndpointHead.js";
 import type { EndpointRequest } from "./EndpointRequest.js";
 import type { EngineReport } from "./EngineReport.js";
 import type { WeightsOrder } from "./WeightsOrder.js";
 
-/** One encoded HTTP call. */
-type EncodedCall = {
-    readonly method: string;
-    readonly target: string;
-    readonly headers: readonly string[];
-    readonly body: Buffer;
-};
-
 /** Codec for requests, orders and reports between this VM and endpoints. */
 export type EndpointWire = {
     readonly encodeHeaders: (request: EndpointRequest) => readonly string[];
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -6,6 +6,7 @@
 
 import { createAllowanceQueue } from "./allowance/createAllowanceQueue.js";
 import { createAllowances } from "./allowance/createAllowances.js";
+import { callOnce } from "./dispatch/callOnce.js";
 import { EndpointAgent } from "./dispatch/EndpointAgent.js";
 import { hasDied } from "./dispatch/hasDied.js";
 import { maxIdleConnections } from "./dispatch/maxIdleConnections.js";
@@ -189,7 +190,10 @@
         vm: settings.vm,
         store,
         endpointTable,
-        agent,
+        calls: {
+            call: (address, call, timeoutMs) => callOnce(agent, address, call, timeoutMs),
+            schedule: (delayMs, run) => void setTimeout(run, delayMs),
+        },
         wire: parts.endpointWire,
         declaredState: declarations.current,
         logger: loggers("fleet"),
