Log the start of the engine that an order is meant for, and what it reports at the end

The lines of an order could not tell whether its expected count came from this start of the engine or from one before, nor when the order was sent. An order's line now has the start that the registry names and the age of the sending, and its end has the start and the count that the engine reports. No decision uses it yet.

--- a/packages/router/src/__tests__/unit/engineOrders.test.ts
+++ b/packages/router/src/__tests__/unit/engineOrders.test.ts
@@ -83,7 +83,7 @@
         const agent = new EndpointAgent(() => time.now);
         const wire = {
             reportCall: { method: "GET", target: "/", headers: ["Host", "engine"], body: Buffer.alloc(0) },
-            decodeReport: () => ({ versions: new Map([[model, 1]]), isBusy: false, ordersTaken: 3 }),
+            decodeReport: () => ({ versions: new Map([[model, 1]]), isBusy: false, ordersTaken: 3, bornAt: 1 }),
         } as unknown as EndpointWire;
         endpointTable.recordOrder(engine, own(1_000));
         const followed = { endpoint: engine, model, version: 2, issuedAt: 1_000, ordersBefore: 0 };
--- a/packages/router/src/fleet/followOrder.ts
+++ b/packages/router/src/fleet/followOrder.ts
@@ -2,6 +2,7 @@
 
 import type { EndpointTable } from "../placement/EndpointTable.js";
 import type { EndpointWire } from "../ports/EndpointWire.js";
+import type { EngineReport } from "../ports/EngineReport.js";
 import type { EngineCalls } from "./EngineCalls.js";
 import type { EngineOrder } from "./EngineOrder.js";
 import { orderTiming } from "./orderTiming.js";
@@ -32,12 +33,12 @@
  * considered ended, the engine would be ordered again and load the same weights twice. To prevent this, a report only
  * ever ends the order that it was requested for.
  *
- * @param onEnd called once, with the version that the engine last reported
+ * @param onEnd called once, with the engine's last report; `undefined` if that report was not received
  */
 export async function followOrder(
     parts: FollowParts,
     order: FollowedOrder,
-    onEnd: (seen: number | undefined) => void,
+    onEnd: (report: EngineReport | undefined) => void,
 ): Promise<void> {
     const { clock, endpointTable, calls, wire } = parts;
     const { endpoint, model, version, issuedAt, ordersBefore } = order;
@@ -61,7 +62,7 @@
         endpointTable.orderEnded(endpoint, issuedAt);
     }
     if (currentOrder()?.issuedAt !== issuedAt) {
-        onEnd(seen);
+        onEnd(state);
         return;
     }
     calls.schedule(orderTiming.nextReportMs, () => void followOrder(parts, order, onEnd));
--- a/packages/router/src/fleet/startOrders.ts
+++ b/packages/router/src/fleet/startOrders.ts
@@ -4,6 +4,7 @@
 import type { DeclaredState } from "../knowledge/DeclaredState.js";
 import type { EndpointTable } from "../placement/EndpointTable.js";
 import type { EndpointWire } from "../ports/EndpointWire.js";
+import type { EngineReport } from "../ports/EngineReport.js";
 import type { StorePort } from "../ports/StorePort.js";
 import { createLeaseKeeper } from "./createLeaseKeeper.js";
 import type { EngineCalls } from "./EngineCalls.js";
@@ -65,9 +66,10 @@
 
     const onOrderEnded = (
         { endpoint, model }: { readonly endpoint: EndpointName; readonly model: ModelName; },
-        seen: number | undefined,
+        report: EngineReport | undefined,
     ): void => {
-        logger.info({ endpoint, model, version: seen }, "Order ended.");
+        const { bornAt, ordersTaken } = report ?? {};
+        logger.info({ endpoint, model, version: report?.versions.get(model), bornAt, ordersTaken }, "Order ended.");
         parts.sendSoon();
         issueDueOrders();
     };
@@ -87,7 +89,17 @@
         const call = parts.wire.encodeOrder({ endpoint, model, version, holder: parts.vm, fence, ordersTaken });
         const res = await parts.calls.call(entry.address, call, orderTiming.answerMs);
         const status = res.kind === "answer" ? res.status : undefined;
-        logger.info({ endpoint, model, version, fence, ordersTaken, status, answer: res.kind }, "Order issued.");
+        logger.info({
+            endpoint,
+            model,
+            version,
+            fence,
+            ordersTaken,
+            bornAt: entry.bornAt,
+            status,
+            answer: res.kind,
+            sentMsAgo: clock.now() - issuedAt,
+        }, "Order issued.");
         if (status === ALREADY_LOADED) {
             endpointTable.observeWeights(endpoint, version);
             return;
@@ -102,7 +114,10 @@
         // After a conflict, the engine's own number of accepted orders must be read before it can be ordered again.
         const delayMs = status === CONFLICT ? 0 : orderTiming.firstReportMs;
         const followed = { endpoint, model, version, issuedAt, ordersBefore: ordersTaken };
-        parts.calls.schedule(delayMs, () => void followOrder(parts, followed, seen => onOrderEnded(followed, seen)));
+        parts.calls.schedule(
+            delayMs,
+            () => void followOrder(parts, followed, report => onOrderEnded(followed, report)),
+        );
     };
 
     const issueDueOrders = (): void => {
