Don't let an order bring a restarted engine to the count that a late order expects

What callers would see: an engine accepts an order with a lower fence after one with a higher one, loads older weights again, and rejects requests for the newer ones.

Cause: an order is fenced by the count of orders that the engine has accepted. That count begins anew when the engine starts again, and its name, by which the order names the engine, may stay. So an unanswered order that expects a count of the start before is void only until the new count gets there, and the order after the restart brings it there. The same count was taken from whatever engine answered a report, kept from before a restart, or assumed to be 0 by a process that had read none.

By reasoning, two orders to one start on counts that it told itself cannot do it, as counts of one start only rise.

Change: an engine's report is read before each order and gives its count and its start; a report of another start than the registry names is not used. An order is held back while it would bring the engine to a count that an unanswered order of this process to that name expects. The orders of earlier issuers are not known, so an engine that may have started since they were sent waits until they can no longer be carried out. The lease tells since when a process is the only issuer.

Why it works: for a late order to be accepted after a newer one, the count of one start has to rise to what it expects by that newer order. That step is what waits.

--- a/packages/router/src/__tests__/support/createSimulatedEngine.ts
+++ b/packages/router/src/__tests__/support/createSimulatedEngine.ts
@@ -33,6 +33,8 @@
 const ACCEPTED = 202;
 const CONFLICT = 409;
 const ROUND_TRIP_MS = 4;
+/** Start of the first process, in milliseconds before the time at which the clock starts. */
+const FIRST_START = -20_000;
 
 /**
  * Creates an engine that accepts one order at a time, checks the expected count of accepted orders, and carries out a
@@ -42,7 +44,7 @@
 export function createSimulatedEngine(parts: SimulatedEngineParts): SimulatedEngine {
     const { time, model } = parts;
     const accepted: AcceptedOrder[] = [];
-    const state = { isUp: true, bornAt: 1, count: 0, version: 1, isBusy: false };
+    const state = { isUp: true, bornAt: FIRST_START, count: 0, version: 1, isBusy: false };
     const history: (EngineReport & { readonly at: Millis; })[] = [];
 
     const current = (): EngineReport => ({
@@ -111,7 +113,7 @@
                 state.isUp = true;
                 state.isBusy = false;
                 state.count = 0;
-                state.bornAt += 1;
+                state.bornAt = Math.ceil(time.clock.epoch());
                 remember();
             });
         },
--- /dev/null
+++ b/packages/router/src/__tests__/unit/orderAllowedAt.test.ts
@@ -0,0 +1,61 @@
+import type { EndpointName } from "@azureshunt/core";
+import test from "ava";
+
+import { orderAllowedAt } from "../../fleet/orderAllowedAt.js";
+import { orderTiming } from "../../fleet/orderTiming.js";
+
+// A late order is accepted after a newer one, as the engine's count began anew and reached what it expects.
+
+type View = Parameters<typeof orderAllowedAt>[0];
+
+const { maxTransitMs } = orderTiming;
+const NOW = 100_000;
+const engine = "e" as EndpointName;
+/** An engine and an issuer that have been there for long. */
+const settled: View = { ordersTaken: 0, startedBefore: -Infinity, unanswered: [], soleIssuerSince: -Infinity };
+const unanswered = (ordersTaken: number): View["unanswered"] => [{ endpoint: engine, ordersTaken, sentAt: NOW }];
+
+type Case = { readonly name: string; readonly view: Partial<View>; readonly allowedAt: number; };
+
+const cases: readonly Case[] = [
+    { name: "is ordered at once if no order may still be carried out", view: {}, allowedAt: -Infinity },
+    {
+        name: "is ordered at once if the order would make an unanswered one void",
+        view: { ordersTaken: 2, unanswered: unanswered(2) },
+        allowedAt: -Infinity,
+    },
+    {
+        name: "is ordered at once if an unanswered order expects a count that is two orders away",
+        view: { ordersTaken: 0, unanswered: unanswered(2) },
+        allowedAt: -Infinity,
+    },
+    {
+        name: "waits if the order would bring it to the count that an unanswered one expects",
+        view: { ordersTaken: 1, unanswered: unanswered(2) },
+        allowedAt: NOW + maxTransitMs,
+    },
+    {
+        name: "waits for the last of several unanswered orders",
+        view: {
+            ordersTaken: 1,
+            unanswered: [...unanswered(2), { endpoint: engine, ordersTaken: 2, sentAt: NOW + 50 }],
+        },
+        allowedAt: NOW + 50 + maxTransitMs,
+    },
+    {
+        name: "waits for the orders of an earlier issuer if it has started since they were sent",
+        view: { startedBefore: NOW - maxTransitMs + 1, soleIssuerSince: NOW },
+        allowedAt: NOW + maxTransitMs,
+    },
+    {
+        name: "does not wait for the orders of an earlier issuer if it started before them",
+        view: { startedBefore: NOW - maxTransitMs, soleIssuerSince: NOW },
+        allowedAt: -Infinity,
+    },
+];
+
+cases.forEach(({ name, view, allowedAt }) => {
+    test(`orders: an engine ${name}`, t => {
+        t.is(orderAllowedAt({ ...settled, ...view }), allowedAt);
+    });
+});
--- a/packages/router/src/__tests__/unit/orderLease.test.ts
+++ b/packages/router/src/__tests__/unit/orderLease.test.ts
@@ -174,3 +174,32 @@
     t.is(next?.vm, VMS[1]);
     t.true((next?.at ?? Infinity) <= 100 * TICK_MS + holdMs + LEASE_MS + marginMs + staggerMs + 2 * TICK_MS);
 });
+
+const CLAIMED_AT = 10_000;
+/** The lease of a process that has appended records at these offsets, one after the other. */
+const appendedBy = (...offsets: readonly number[]): OrderLease =>
+    offsets.reduce(
+        (state, offset, i) =>
+            stepOrderLease(
+                state,
+                { kind: "appended", offset, requestedAt: CLAIMED_AT + i },
+                LEASE_MS,
+                CLAIMED_AT + i,
+            ).state,
+        newOrderLease(VMS[0] as VmId),
+    );
+
+// A process takes the unanswered orders of another one, also of an earlier one on its own VM, for its own.
+const issuers = [
+    { name: "before it has held the lease, never", offsets: [], since: Infinity },
+    { name: "with the first record of the stream, always", offsets: [0], since: -Infinity },
+    { name: "behind the record of another process, since its claim", offsets: [5], since: CLAIMED_AT },
+    { name: "with renewals, since its first claim", offsets: [5, 6, 7], since: CLAIMED_AT },
+    { name: "with a record in between, since its last claim", offsets: [5, 6, 8], since: CLAIMED_AT + 2 },
+];
+
+issuers.forEach(({ name, offsets, since }) => {
+    test(`order lease: a process is the only issuer of orders: ${name}`, t => {
+        t.is(appendedBy(...offsets).soleIssuerSince, since);
+    });
+});
--- a/packages/router/src/fleet/EngineWeights.ts
+++ b/packages/router/src/fleet/EngineWeights.ts
@@ -8,8 +8,8 @@
     readonly version: number;
     /** Time since its weights were replaced by a newer version; 0 if they are the newest. */
     readonly outdatedMs: Millis;
-    /** Orders that it has accepted since its start. An order carries this number, so that a late order is void. */
-    readonly ordersTaken: number;
+    /** When this VM learned of the engine's current incarnation. */
+    readonly knownSince: Millis;
     /** Set while an order is, or may be, in progress. */
     readonly order: EngineOrder | undefined;
     /** Requests running there. */
--- a/packages/router/src/fleet/followOrder.ts
+++ b/packages/router/src/fleet/followOrder.ts
@@ -1,14 +1,18 @@
-import type { Clock, EndpointName, Millis, ModelName } from "@azureshunt/core";
+import type { Clock, Millis, ModelName } from "@azureshunt/core";
 
 import type { EndpointTable } from "../placement/EndpointTable.js";
 import type { EndpointWire } from "../ports/EndpointWire.js";
 import type { EngineReport } from "../ports/EngineReport.js";
+import type { EndpointEntry } from "../registry/EndpointEntry.js";
 import type { EngineCalls } from "./EngineCalls.js";
 import type { EngineOrder } from "./EngineOrder.js";
+import { isReportOf } from "./isReportOf.js";
 import { orderTiming } from "./orderTiming.js";
+import { requestReport } from "./requestReport.js";
 
 type FollowedOrder = {
-    readonly endpoint: EndpointName;
+    /** Entry of the incarnation that the order was sent to. */
+    readonly entry: EndpointEntry;
     readonly model: ModelName;
     readonly version: number;
     readonly issuedAt: Millis;
@@ -23,11 +27,9 @@
     readonly wire: EndpointWire;
 };
 
-const OK = 200;
-
 /**
  * Requests an engine's report repeatedly until the engine holds the ordered weights, shows that it did not accept the
- * order, or has another order in place of this one.
+ * order or has started again, or has another order in place of this one.
  *
  * A report on a void order may arrive when the next order has already been accepted. If that next order were then
  * considered ended, the engine would be ordered again and load the same weights twice. To prevent this, a report only
@@ -41,28 +43,31 @@
     onEnd: (report: EngineReport | undefined) => void,
 ): Promise<void> {
     const { clock, endpointTable, calls, wire } = parts;
-    const { endpoint, model, version, issuedAt, ordersBefore } = order;
-    const entry = endpointTable.entryOf(endpoint);
-    const res = entry === undefined
+    const { model, version, issuedAt, ordersBefore } = order;
+    const endpoint = order.entry.name;
+    const address = endpointTable.entryOf(endpoint)?.address;
+    const report = address === undefined
         ? undefined
-        : await calls.call(entry.address, wire.reportCall, orderTiming.answerMs);
-    const state = res?.kind === "answer" && res.status === OK ? wire.decodeReport(res.body) : undefined;
+        : (await requestReport(calls, wire, address)).toMaybe().extract();
+    const isOver = report !== undefined && !isReportOf(report, order.entry);
+    const state = isOver ? undefined : report;
     const seen = state?.versions.get(model);
     const currentOrder = (): EngineOrder | undefined =>
         endpointTable.engines(model).find(engine => engine.endpoint === endpoint)?.order;
     if (seen !== undefined) {
-        endpointTable.observeWeights(endpoint, seen, state?.ordersTaken);
+        endpointTable.observeWeights(endpoint, seen);
     }
     if (state?.isBusy === true && currentOrder()?.issuedAt === issuedAt) {
         endpointTable.recordOrder(endpoint, { version, issuedAt, seenAt: clock.now(), isOwn: true });
     }
     // The engine accepted other orders than expected, and none is in progress: this order is void, and another one may
     // follow.
-    if (state !== undefined && !state.isBusy && (seen ?? 0) < version && state.ordersTaken !== ordersBefore) {
+    const isVoid = state !== undefined && !state.isBusy && (seen ?? 0) < version && state.ordersTaken !== ordersBefore;
+    if (isOver || isVoid) {
         endpointTable.orderEnded(endpoint, issuedAt);
     }
     if (currentOrder()?.issuedAt !== issuedAt) {
-        onEnd(state);
+        onEnd(report);
         return;
     }
     calls.schedule(orderTiming.nextReportMs, () => void followOrder(parts, order, onEnd));
--- a/packages/router/src/fleet/newOrderLease.ts
+++ b/packages/router/src/fleet/newOrderLease.ts
@@ -9,6 +9,8 @@
         end: undefined,
         tail: undefined,
         confirmedAt: -Infinity,
+        ownOffset: undefined,
+        soleIssuerSince: Infinity,
         suspendedAt: -Infinity,
         wantedAt: undefined,
         isCallPending: false,
--- a/packages/router/src/fleet/orderTiming.ts
+++ b/packages/router/src/fleet/orderTiming.ts
@@ -5,6 +5,12 @@
     /** Delay of the first report: loading takes at least this long, so earlier requests would be wasted. */
     firstReportMs: 650,
     nextReportMs: 120,
+    /** Delay before an engine whose report could not be used is asked again. */
+    retryReportMs: 500,
+    /** Longest time from the sending of an order until it is carried out, if it is not answered. */
+    maxTransitMs: 12_500,
+    /** How far the wall clocks of VMs and engines may be apart, also right after one was stepped. */
+    wallClockToleranceMs: 5_000,
 } as const;
 
 export { orderTiming };
--- a/packages/router/src/fleet/planWave.ts
+++ b/packages/router/src/fleet/planWave.ts
@@ -25,6 +25,8 @@
     readonly servesForMs: Millis;
     /** Prompt tokens per millisecond that callers send to all VMs. */
     readonly demand: Tokens;
+    /** Whether an engine may be ordered now; one that may not goes on serving as long as its weights do. */
+    readonly mayOrder: (endpoint: EndpointName) => boolean;
 };
 
 /** Engines needed for the requests if none of them caches a prefix of any prompt any more. */
@@ -58,7 +60,7 @@
  *
  * @returns the engines to order, in that order; those that get no requests come first and are not limited
  */
-export function planWave({ engines, version, demand, servesForMs }: WaveView): readonly EndpointName[] {
+export function planWave({ engines, version, demand, servesForMs, mayOrder }: WaveView): readonly EndpointName[] {
     const up = engines.filter(({ isUp }) => isUp);
     const outdated = up.filter(engine => engine.version < version);
     const outOfService = up.filter(({ order }) => order !== undefined).length;
@@ -66,7 +68,7 @@
     const urgentMax = Math.ceil(up.length * URGENT_MAX_OUT_OF_SERVICE_FRACTION);
     const atOnce = Math.max(1, spare, Math.min(urgentMax, minAtOnceByDeadline(outdated)));
     const due = outdated
-        .filter(({ order }) => order === undefined)
+        .filter(({ endpoint, order }) => order === undefined && mayOrder(endpoint))
         .toSorted((a, b) => a.version - b.version || a.running - b.running);
     const idle = due.filter(({ outdatedMs }) => outdatedMs >= servesForMs);
     const serving = due.filter(({ outdatedMs }) => outdatedMs < servesForMs).slice(
--- a/packages/router/src/fleet/startOrders.ts
+++ b/packages/router/src/fleet/startOrders.ts
@@ -6,14 +6,20 @@
 import type { EndpointWire } from "../ports/EndpointWire.js";
 import type { EngineReport } from "../ports/EngineReport.js";
 import type { StorePort } from "../ports/StorePort.js";
+import type { EndpointEntry } from "../registry/EndpointEntry.js";
 import { createLeaseKeeper } from "./createLeaseKeeper.js";
+import { createUnansweredOrders } from "./createUnansweredOrders.js";
 import type { EngineCalls } from "./EngineCalls.js";
+import type { EngineWeights } from "./EngineWeights.js";
 import { followOrder } from "./followOrder.js";
+import { isReportOf } from "./isReportOf.js";
+import { orderAllowedAt } from "./orderAllowedAt.js";
 import { orderFence } from "./orderFence.js";
 import type { OrderLease } from "./OrderLease.js";
 import type { OrderLeaseEvent } from "./OrderLeaseEvent.js";
 import { orderTiming } from "./orderTiming.js";
 import { planWave } from "./planWave.js";
+import { requestReport } from "./requestReport.js";
 import { rolloutOf } from "./rolloutOf.js";
 
 type OrderParts = {
@@ -65,29 +71,78 @@
             .filter(([model, version]) => endpointTable.isAnyOutdated(model, version));
 
     const onOrderEnded = (
-        { endpoint, model }: { readonly endpoint: EndpointName; readonly model: ModelName; },
+        { entry, model }: { readonly entry: EndpointEntry; readonly model: ModelName; },
         report: EngineReport | undefined,
     ): void => {
         const { bornAt, ordersTaken } = report ?? {};
+        const endpoint = entry.name;
         logger.info({ endpoint, model, version: report?.versions.get(model), bornAt, ordersTaken }, "Order ended.");
         parts.sendSoon();
         issueDueOrders();
     };
 
+    /** Engines whose report is requested for an order. */
+    const asked = new Set<EndpointName>();
+    /** Engines that are not ordered until a time. */
+    const heldUntil = new Map<EndpointName, Millis>();
+    const unanswered = createUnansweredOrders(clock);
+
+    /** Returns what an order now has to expect of the engine; `undefined` if it must not be ordered now. */
+    const readCount = async (entry: EndpointEntry, model: ModelName, version: number): Promise<number | undefined> => {
+        const endpoint = entry.name;
+        asked.add(endpoint);
+        const result = await requestReport(parts.calls, parts.wire, entry.address);
+        asked.delete(endpoint);
+        const engine = endpointTable.engines(model).find(each => each.endpoint === endpoint);
+        if (result.extract() === "unreached") {
+            endpointTable.recordUnreached(endpoint);
+            return undefined;
+        }
+        const report = result.toMaybe().extract();
+        const isSameStart = endpointTable.entryOf(endpoint)?.bornAt === entry.bornAt;
+        if (report === undefined || engine === undefined || !isSameStart || !isReportOf(report, entry)) {
+            heldUntil.set(endpoint, clock.now() + orderTiming.retryReportMs);
+            return undefined;
+        }
+        const seen = report.versions.get(model) ?? 0;
+        endpointTable.observeWeights(endpoint, seen);
+        const { ordersTaken } = report;
+        const wallAgeMs = clock.epoch() - entry.bornAt - orderTiming.wallClockToleranceMs;
+        const allowedAt = orderAllowedAt({
+            ordersTaken,
+            startedBefore: Math.min(engine.knownSince, clock.now() - wallAgeMs),
+            unanswered: unanswered.to(endpoint),
+            soleIssuerSince: keeper.current().soleIssuerSince,
+        });
+        if (allowedAt > clock.now()) {
+            heldUntil.set(endpoint, allowedAt);
+            const waitMs = allowedAt - clock.now();
+            logger.info(
+                { endpoint, model, version, ordersTaken, bornAt: entry.bornAt, waitMs },
+                "Order held back: an earlier one may still be carried out.",
+            );
+            return undefined;
+        }
+        return seen < version ? ordersTaken : undefined;
+    };
+
     const issueOrder = async (endpoint: EndpointName, model: ModelName, version: number): Promise<void> => {
         const entry = endpointTable.entryOf(endpoint);
-        const engine = endpointTable.engines(model).find(each => each.endpoint === endpoint);
+        const ordersTaken = entry === undefined ? undefined : await readCount(entry, model, version);
         parts.checkSuspension();
         const fence = orderFence(keeper.current(), clock.now());
-        if (entry === undefined || engine === undefined || fence === undefined) {
+        if (entry === undefined || ordersTaken === undefined || fence === undefined) {
             return;
         }
-        const { ordersTaken } = engine;
         const issuedAt = clock.now();
         endpointTable.recordOrder(endpoint, { version, issuedAt, seenAt: issuedAt, isOwn: true });
         parts.sendSoon();
+        const removeUnanswered = unanswered.add(endpoint, ordersTaken);
         const call = parts.wire.encodeOrder({ endpoint, model, version, holder: parts.vm, fence, ordersTaken });
         const res = await parts.calls.call(entry.address, call, orderTiming.answerMs);
+        if (res.kind !== "lost") {
+            removeUnanswered();
+        }
         const status = res.kind === "answer" ? res.status : undefined;
         logger.info({
             endpoint,
@@ -113,23 +168,32 @@
         }
         // After a conflict, the engine's own number of accepted orders must be read before it can be ordered again.
         const delayMs = status === CONFLICT ? 0 : orderTiming.firstReportMs;
-        const followed = { endpoint, model, version, issuedAt, ordersBefore: ordersTaken };
+        const followed = { entry, model, version, issuedAt, ordersBefore: ordersTaken };
         parts.calls.schedule(
             delayMs,
             () => void followOrder(parts, followed, report => onOrderEnded(followed, report)),
         );
     };
 
+    /** An engine whose report is requested counts as ordered, so that no others are ordered in its place. */
+    const enginesWithAsked = (model: ModelName, version: number): readonly EngineWeights[] =>
+        endpointTable.engines(model).map(engine =>
+            asked.has(engine.endpoint)
+                ? { ...engine, order: { version, issuedAt: clock.now(), seenAt: clock.now(), isOwn: true } }
+                : engine
+        );
+
     const issueDueOrders = (): void => {
         if (orderFence(keeper.current(), clock.now()) === undefined) {
             return;
         }
         wanted().forEach(([model, version]) =>
             planWave({
-                engines: endpointTable.engines(model),
+                engines: enginesWithAsked(model, version),
                 version,
                 servesForMs: parts.servesForMs(),
                 demand: parts.demand(),
+                mayOrder: endpoint => clock.now() >= (heldUntil.get(endpoint) ?? -Infinity),
             }).forEach(endpoint => void issueOrder(endpoint, model, version))
         );
     };
--- a/packages/router/src/fleet/stepOrderLease.ts
+++ b/packages/router/src/fleet/stepOrderLease.ts
@@ -22,19 +22,32 @@
     return only({ ...state, isCallPending: false, end: Math.max(event.end, state.end ?? 0), tail });
 };
 
+/** Returns since when only this process can have issued orders, once it has appended the record at `offset`. */
+const soleIssuerSince = (state: OrderLease, { offset, requestedAt }: EventOf<"appended">): Millis => {
+    if (offset === 0) {
+        return -Infinity;
+    }
+    // Without a record in between, no other process has held the lease since this one's last record.
+    return state.ownOffset === offset - 1 ? state.soleIssuerSince : requestedAt;
+};
+
 /**
  * If the process is suspended while the answer to its claim is in transit, its clock stands still, so it would consider
  * itself the holder when another VM already is. To prevent this, a claim sent before the last suspension does not make
  * this VM the holder; its record remains, and the VM claims again behind it.
  */
-const appended = (state: OrderLease, { offset, requestedAt }: EventOf<"appended">): LeaseStep =>
-    only({
+const appended = (state: OrderLease, event: EventOf<"appended">): LeaseStep => {
+    const { offset, requestedAt } = event;
+    return only({
         ...state,
+        ownOffset: offset,
+        soleIssuerSince: soleIssuerSince(state, event),
         isCallPending: false,
         end: offset + 1,
         tail: { offset, holder: state.vm, knownSince: requestedAt },
         confirmedAt: requestedAt > state.suspendedAt ? requestedAt : -Infinity,
     });
+};
 
 const peerRecord = (state: OrderLease, event: EventOf<"peer-record">, now: Millis): LeaseStep => {
     const { offset, holder, ageMs } = event;
--- a/packages/router/src/placement/EndpointObservations.ts
+++ b/packages/router/src/placement/EndpointObservations.ts
@@ -7,6 +7,8 @@
 /** What this VM has observed of one incarnation of an endpoint. Updated in place. */
 export type EndpointObservations = {
     readonly bornAt: number;
+    /** When this VM learned of this incarnation. */
+    readonly knownSince: Millis;
     health: EndpointHealth;
     inFlight: readonly InFlight[];
     lastActivityAt: Millis;
@@ -17,8 +19,6 @@
     knownVersion: number;
     /** When this VM learned of that version, from the engine or from a peer; `-Infinity` until then. */
     versionLearnedAt: Millis;
-    /** Weights orders that the engine had accepted, as last reported. */
-    acceptedOrders: number;
     /** The newest known weights order to the engine; it may have expired. */
     order: EngineOrder | undefined;
 };
--- a/packages/router/src/placement/EndpointTable.ts
+++ b/packages/router/src/placement/EndpointTable.ts
@@ -35,12 +35,8 @@
     ) => InFlightHandle;
     /** Records that a call other than a caller's request could not reach the endpoint. */
     readonly recordUnreached: (endpoint: EndpointName) => void;
-    /**
-     * Records the version that an engine itself reported.
-     *
-     * @param ordersTaken orders that it has accepted since its start; undefined if it did not report them
-     */
-    readonly observeWeights: (endpoint: EndpointName, version: number, ordersTaken?: number) => void;
+    /** Records the version that an engine itself reported. */
+    readonly observeWeights: (endpoint: EndpointName, version: number) => void;
     /**
      * Records the version that a peer reported for an engine.
      *
--- a/packages/router/src/placement/createEndpointTable.ts
+++ b/packages/router/src/placement/createEndpointTable.ts
@@ -57,7 +57,7 @@
         digest: digestOfRegistry(emptyRegistry),
         serviceByAddress: new Map<string, ServiceName>(),
     };
-    const observations = createObservations(parts.onGone);
+    const observations = createObservations(clock, parts.onGone);
     const orderListeners = createListeners<EndpointName>();
 
     const versionAt = (entry: EndpointEntry, model: ModelName | undefined): number | undefined =>
@@ -161,12 +161,10 @@
         }
         return isNewer;
     };
-    const observeWeights: EndpointTable["observeWeights"] = (endpoint, version, ordersTaken) => {
+    const observeWeights: EndpointTable["observeWeights"] = (endpoint, version) => {
         const entry = entryOf(endpoint);
         if (entry !== undefined) {
-            const observed = observations.of(entry);
-            recordVersion(observed, version);
-            observed.acceptedOrders = ordersTaken ?? observed.acceptedOrders;
+            recordVersion(observations.of(entry), version);
         }
     };
     const receiveWeights: EndpointTable["receiveWeights"] = (endpoint, version) => {
@@ -232,7 +230,7 @@
                     endpoint: entry.name,
                     version,
                     outdatedMs: outdatedFor(model, version) ?? 0,
-                    ordersTaken: observed.acceptedOrders,
+                    knownSince: observed.knownSince,
                     order: orderAt(entry, version),
                     running,
                     // Only a call shows that an engine is back, and on outdated weights it gets no call but an order.
--- a/packages/router/src/placement/createObservations.ts
+++ b/packages/router/src/placement/createObservations.ts
@@ -1,4 +1,4 @@
-import type { EndpointName } from "@azureshunt/core";
+import type { Clock, EndpointName } from "@azureshunt/core";
 
 import type { EndpointEntry } from "../registry/EndpointEntry.js";
 import type { EndpointObservations } from "./EndpointObservations.js";
@@ -21,7 +21,7 @@
  *
  * @param onGone called when an endpoint has left or a new incarnation of it has started, which loses what it had cached
  */
-export function createObservations(onGone: (endpoint: EndpointName) => void): Observations {
+export function createObservations(clock: Clock, onGone: (endpoint: EndpointName) => void): Observations {
     const all = new Map<EndpointName, EndpointObservations>();
     const of: Observations["of"] = entry => {
         const known = all.get(entry.name);
@@ -33,12 +33,12 @@
         }
         const created: EndpointObservations = {
             bornAt: entry.bornAt,
+            knownSince: clock.now(),
             health: initialHealth,
             inFlight: [],
             lastActivityAt: -Infinity,
             knownVersion: 0,
             versionLearnedAt: -Infinity,
-            acceptedOrders: 0,
             order: undefined,
         };
         all.set(entry.name, created);
