Believe an engine's entry over old knowledge that it is on newer weights

What callers would see: after a late order an engine serves older weights again; requests for the newer ones are rejected there, the idle engine attracts more of them, and it is not ordered until the next target.

Cause: what is known of an engine's version only ever rises, and peers repeat it to each other for good. An order that expects no accepted orders is still accepted after a restart under the same name, as nothing the router sends can make it void.

Why it works: a version that neither the engine nor a new row of a peer has confirmed for 4 s, while the registry was read, gives way to the engine's entry; rows of peers up to that version are no longer believed, so VMs cannot teach it to each other again. An engine that serves confirms its version with each answer.

--- a/packages/router/src/__tests__/support/simulateOrders.ts
+++ b/packages/router/src/__tests__/support/simulateOrders.ts
@@ -46,6 +46,9 @@
 const BEACON_MS = 200;
 const STORE_MS = 4;
 const STEP_MS = 10;
+/** Between the registry entries that an engine writes, and until the VMs have read one. */
+const HEARTBEAT_MS = 1_200;
+const ENTRY_READ_MS = 300;
 
 const wire = {
     encodeOrder: order => ({ method: "POST", target: "/order", headers: [], body: Buffer.from(JSON.stringify(order)) }),
@@ -218,6 +221,22 @@
         time.schedule(i * BEACON_MS, sendBeacons)
     );
 
+    Array.from({ length: Math.floor(run.endAt / HEARTBEAT_MS) }).forEach((_, i) =>
+        time.schedule(i * HEARTBEAT_MS, () => {
+            const changes = engines.filter(({ engine }) => engine.isUp()).map(({ name, address, engine }) => ({
+                name,
+                entry: entryNow(name, address, engine),
+            }));
+            time.schedule(
+                ENTRY_READ_MS,
+                () =>
+                    alive().forEach(({ endpointTable }) =>
+                        endpointTable.applyRegistryEvent({ kind: "changes", changes })
+                    ),
+            );
+        })
+    );
+
     await Array.from({ length: Math.floor(run.endAt / STEP_MS) }).reduce<Promise<void>>(
         async (before, _, i) => {
             await before;
--- a/packages/router/src/placement/EndpointObservations.ts
+++ b/packages/router/src/placement/EndpointObservations.ts
@@ -17,6 +17,10 @@
      * outdated.
      */
     knownVersion: number;
+    /** When the engine itself or a peer last confirmed that version; `-Infinity` until then. */
+    versionConfirmedAt: Millis;
+    /** Versions up to this one are taken from the engine itself only, as its entry contradicts its peers. */
+    distrustedVersion: number;
     /** When this VM learned of that version, from the engine or from a peer; `-Infinity` until then. */
     versionLearnedAt: Millis;
     /** The newest known weights order to the engine; it may have expired. */
--- a/packages/router/src/placement/createEndpointTable.ts
+++ b/packages/router/src/placement/createEndpointTable.ts
@@ -36,11 +36,14 @@
 };
 
 /** How a view of an endpoint changes. */
-type EndpointChange = "registered" | "leaving" | "gone" | "paused";
+type EndpointChange = "registered" | "leaving" | "gone" | "paused" | "on-older-weights";
 
 /** An order not seen for this long counts as lost; the engine is then judged by the weights that it reports. */
 const ORDER_LOST_MS = 2_500;
 
+/** Longest time until the registry shows a version that an engine has loaded. */
+const ENTRY_LAG_MS: Millis = 4_000;
+
 /** How much older an order may seem when it is received again, as a beacon may be delayed on a full link. */
 const ORDER_AGE_TOLERANCE_MS: Millis = 500;
 
@@ -79,9 +82,26 @@
         return since === undefined ? undefined : clock.now() - since;
     };
 
+    /**
+     * If an engine loads older weights again, for example by a late order after a restart, all that is known of it but
+     * its entry names the newer ones: requests for these are rejected, and no order follows. To prevent this, a version
+     * that nothing has confirmed for long enough for the registry to show it gives way to the entry.
+     */
+    const adoptStatedVersion = (entry: EndpointEntry): void => {
+        const observed = observations.of(entry);
+        const stated = Math.max(0, ...entry.versions.values());
+        const isConfirmed = state.registry.answeredAt - observed.versionConfirmedAt <= ENTRY_LAG_MS;
+        if (stated > 0 && stated < observed.knownVersion && !isConfirmed) {
+            parts.onChange(entry.name, "on-older-weights", { stated, known: observed.knownVersion });
+            observed.distrustedVersion = observed.knownVersion;
+            observed.knownVersion = stated;
+        }
+    };
+
     const applyRegistryEvent: EndpointTable["applyRegistryEvent"] = event => {
         const before = state.registry;
         state.registry = stepRegistry(before, event, clock.now());
+        [...state.registry.endpoints.values()].forEach(({ entry }) => adoptStatedVersion(entry));
         if (state.registry.endpoints === before.endpoints) {
             return;
         }
@@ -158,19 +178,25 @@
         if (isNewer) {
             observed.knownVersion = version;
             observed.versionLearnedAt = clock.now();
+            observed.versionConfirmedAt = clock.now();
         }
         return isNewer;
     };
     const observeWeights: EndpointTable["observeWeights"] = (endpoint, version) => {
         const entry = entryOf(endpoint);
         if (entry !== undefined) {
-            recordVersion(observations.of(entry), version);
+            const observed = observations.of(entry);
+            recordVersion(observed, version);
+            if (version === observed.knownVersion) {
+                observed.versionConfirmedAt = clock.now();
+            }
         }
     };
     const receiveWeights: EndpointTable["receiveWeights"] = (endpoint, version) => {
         const entry = entryOf(endpoint);
+        const observed = entry === undefined ? undefined : observations.of(entry);
         // Recorded as learned now, so that a relay sends it on to its peers promptly as well.
-        return entry !== undefined && recordVersion(observations.of(entry), version);
+        return observed !== undefined && version > observed.distrustedVersion && recordVersion(observed, version);
     };
 
     const recordUnreached: EndpointTable["recordUnreached"] = endpoint => {
--- a/packages/router/src/placement/createObservations.ts
+++ b/packages/router/src/placement/createObservations.ts
@@ -39,6 +39,8 @@
             lastActivityAt: -Infinity,
             knownVersion: 0,
             versionLearnedAt: -Infinity,
+            versionConfirmedAt: -Infinity,
+            distrustedVersion: 0,
             order: undefined,
         };
         all.set(entry.name, created);
