--- a/scripts/checkModels.mjs
+++ b/scripts/checkModels.mjs
@@ -59,6 +59,7 @@
     { file: ORDER_LEASE, defines: ["NO_VOID"], expected: "violation" },
     { file: LATE_ORDERS, defines: [], expected: "clean" },
     { file: LATE_ORDERS, defines: ["NO_EXPECT"], expected: "violation" },
+    { file: LATE_ORDERS, defines: ["NO_HOLD"], expected: "violation" },
     { file: KEY_FRESHNESS, defines: [], expected: "clean" },
     { file: KEY_FRESHNESS, defines: ["NO_ASKED"], expected: "violation" },
     { file: KEY_FRESHNESS, defines: ["NO_ECHO"], expected: "violation" },
