Ask a held-back engine again, and stay the only issuer behind an own lost renewal

An engine was held back until the last moment at which the late order could be carried out, even when its count had moved past it, and a renewal of the lease whose answer was lost made a process hold back all engines started lately, as if another one had issued orders.

--- a/packages/router/src/__tests__/unit/orderLease.test.ts
+++ b/packages/router/src/__tests__/unit/orderLease.test.ts
@@ -198,6 +198,13 @@
     { name: "with a record in between, since its last claim", offsets: [5, 6, 8], since: CLAIMED_AT + 2 },
 ];
 
+test("order lease: a process stays the only issuer of orders behind a record of its VM whose answer was lost", t => {
+    const read: OrderLeaseEvent = { kind: "read", records: [{ offset: 6, holder: VMS[0] as VmId }], end: 7 };
+    const claimed = stepOrderLease(appendedBy(5), read, LEASE_MS, CLAIMED_AT + 500).state;
+    const renewed: OrderLeaseEvent = { kind: "appended", offset: 7, requestedAt: CLAIMED_AT + 600 };
+    t.is(stepOrderLease(claimed, renewed, LEASE_MS, CLAIMED_AT + 600).state.soleIssuerSince, CLAIMED_AT);
+});
+
 issuers.forEach(({ name, offsets, since }) => {
     test(`order lease: a process is the only issuer of orders: ${name}`, t => {
         t.is(appendedBy(...offsets).soleIssuerSince, since);
--- a/packages/router/src/fleet/OrderLease.ts
+++ b/packages/router/src/fleet/OrderLease.ts
@@ -16,13 +16,13 @@
     readonly tail: LeaseTail | undefined;
     /** When this VM sent the append that made it the holder; `-Infinity` while it is not the holder. */
     readonly confirmedAt: Millis;
-    /** Offset of the newest record that this process appended; `undefined` if it has appended none. */
-    readonly ownOffset: number | undefined;
     /**
      * Since when no other process can have issued orders, one that ran on this VM before included; `Infinity` until
      * this process has held the lease.
      */
     readonly soleIssuerSince: Millis;
+    /** Offset up to which all records since then are of this VM; `undefined` if this process has appended none. */
+    readonly ownOffset: number | undefined;
     /** When the process last detected a suspension; `-Infinity` if it never did. */
     readonly suspendedAt: Millis;
     /** Since when there have been orders to issue; `undefined` while there are none. */
--- a/packages/router/src/fleet/startOrders.ts
+++ b/packages/router/src/fleet/startOrders.ts
@@ -115,7 +115,8 @@
             soleIssuerSince: keeper.current().soleIssuerSince,
         });
         if (allowedAt > clock.now()) {
-            heldUntil.set(endpoint, allowedAt);
+            // Asked again before that time, as the engine's count may have moved on.
+            heldUntil.set(endpoint, Math.min(allowedAt, clock.now() + orderTiming.recheckMs));
             const waitMs = allowedAt - clock.now();
             logger.info(
                 { endpoint, model, version, ordersTaken, bornAt: entry.bornAt, waitMs },
--- a/packages/router/src/fleet/stepOrderLease.ts
+++ b/packages/router/src/fleet/stepOrderLease.ts
@@ -18,8 +18,12 @@
     const isNewer = newest !== undefined && newest.offset > (state.tail?.offset ?? -1);
     const tail = isNewer ? { ...newest, knownSince: now } : state.tail;
     // A record that this VM did not see appended may be its own, whose answer was lost. It only counts as a claim by
-    // some VM, and this VM claims again.
-    return only({ ...state, isCallPending: false, end: Math.max(event.end, state.end ?? 0), tail });
+    // some VM, and this VM claims again. It leaves this process the only issuer, as no other one runs on the VM.
+    const ownOffset = event.records.reduce(
+        (own, { offset, holder }) => own !== undefined && offset === own + 1 && holder === state.vm ? offset : own,
+        state.ownOffset,
+    );
+    return only({ ...state, isCallPending: false, end: Math.max(event.end, state.end ?? 0), tail, ownOffset });
 };
 
 /** Returns since when only this process can have issued orders, once it has appended the record at `offset`. */
