--- a/packages/router/src/__tests__/unit/callOnce.test.ts
+++ b/packages/router/src/__tests__/unit/callOnce.test.ts
@@ -1,5 +1,6 @@
 import { createServer } from "node:http";
-import type { AddressInfo } from "node:net";
+import { createServer as createTcpServer } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 
 import test from "ava";
 
@@ -24,3 +25,50 @@
         t.true(Number.isInteger(readerWaitMs(25 * vms)));
     });
 });
+
+/** Ways in which a server ends a kept connection when the next request arrives on it. */
+const endings: readonly { readonly name: string; readonly endWith: (socket: Socket) => void; }[] = [
+    { name: "resets it", endWith: socket => socket.resetAndDestroy() },
+    { name: "closes it", endWith: socket => socket.end() },
+    {
+        name: "resets it within the answer",
+        endWith: socket => socket.write("HTTP/1.1 202 Acc", () => socket.resetAndDestroy()),
+    },
+];
+
+// An order that was lost with its kept connection would be sent again, and an engine may carry both out.
+endings.forEach(({ name, endWith }) => {
+    test(`callOnce: sends a call once when the server of its kept connection ${name} as it arrives`, async t => {
+        const arrived: string[] = [];
+        const server = createTcpServer(socket => {
+            const served = { count: 0 };
+            socket.on("error", () => undefined);
+            socket.on("data", bytes => {
+                const orders = bytes.toString("latin1").match(/(?<=X-Order: )\d+/g) ?? [];
+                arrived.push(...orders);
+                if (orders.length === 0) {
+                    return;
+                }
+                if (served.count++ > 0) {
+                    endWith(socket);
+                    return;
+                }
+                socket.write("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\nConnection: keep-alive\r\n\r\n");
+            });
+        });
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+        const agent = new EndpointAgent(() => performance.now());
+        const ids = Array.from({ length: 100 }, (_, i) => String(i));
+        const kinds = await ids.reduce(async (before: Promise<readonly string[]>, id) => {
+            const done = await before;
+            const headers = ["Host", "engine", "X-Order", id, "Content-Length", "2", "Connection", "keep-alive"];
+            const call = { method: "POST", target: "/order", headers, body: Buffer.from("{}") };
+            return [...done, (await callOnce(agent, address, call, 2_000)).kind];
+        }, Promise.resolve([]));
+        t.deepEqual(arrived, ids);
+        t.deepEqual(kinds, ids.map((_, i) => i % 2 === 0 ? "answer" : "lost"));
+        agent.destroy();
+        server.close();
+    });
+});
