Read the retained records of the order lease when older ones have expired

What callers would see: after all VMs have started again, engines stay on old weights until the whole lease topic has expired, and requests for the new ones are refused.

Cause: a VM that had read nothing, or only expired records, took the oldest retained offset for the end of the stream. Its append there was refused while newer records were retained, and it read and appended again, five times a second.

Both tests failed before this change.

Why it works: the answer to an expired read names the first retained offset, so the records from there on are read, and with them the true end and last holder.

--- a/packages/router/src/__tests__/unit/leaseKeeper.test.ts
+++ b/packages/router/src/__tests__/unit/leaseKeeper.test.ts
@@ -169,3 +169,26 @@
         t.is(sent[0]?.fence, oldRecords.length);
     });
 });
+
+// The VM claims behind the oldest retained record, is refused, and reads again until the last record has expired.
+test("lease keeper: VMs that have read nothing get the lease in the stated time when older records have expired", async t => {
+    const { sent } = await simulateLease({ ...quiet, keepMs: 26_000, records: oldRecords });
+    t.true(isTakenFrom(sent, 0));
+});
+
+// The same, for a VM that knows a record from before the oldest retained one.
+test("lease keeper: a VM that knows only an expired record gets the lease when the VMs that wrote later ones ended", async t => {
+    const endedAt = 41_000;
+    const { sent } = await simulateLease({
+        ...quiet,
+        durationMs: endedAt + TAKEOVER_MS + TICK_MS,
+        keepMs: 20_000,
+        disturbances: [
+            { kind: "idle", vm: 0, at: 1_000, forMs: endedAt - 1_000 },
+            { kind: "cut", vm: 0, at: 1_000, forMs: endedAt - 1_000 },
+            { kind: "killed", vm: 1, at: endedAt, forMs: Infinity },
+            { kind: "killed", vm: 2, at: endedAt, forMs: Infinity },
+        ],
+    });
+    t.true(sent.some(({ at, vm }) => at > endedAt && vm === VMS[0]));
+});
--- a/packages/router/src/fleet/createLeaseKeeper.ts
+++ b/packages/router/src/fleet/createLeaseKeeper.ts
@@ -1,6 +1,9 @@
 import type { Clock, VmId } from "@azureshunt/core";
 import type { Logger } from "pino";
+import type { Either } from "purify-ts";
 
+import type { StoreFailure } from "../ports/StoreFailure.js";
+import type { StorePage } from "../ports/StorePage.js";
 import type { StorePort } from "../ports/StorePort.js";
 import { newOrderLease } from "./newOrderLease.js";
 import type { OrderLease } from "./OrderLease.js";
@@ -39,18 +42,17 @@
         step.effects.forEach(effect => void perform(effect));
     };
 
+    /** Reads the records from an offset on, or the retained ones if older records have expired. */
+    const readFrom = async (from: number): Promise<Either<StoreFailure, StorePage>> => {
+        const page = await store.read(TOPIC, from, 0);
+        const failure = page.swap().toMaybe().extract();
+        return failure?.kind === "expired" ? store.read(TOPIC, failure.first, 0) : page;
+    };
+
     const read = async (): Promise<void> => {
-        const page = await store.read(TOPIC, (state.lease.tail?.offset ?? -1) + 1, 0);
+        const page = await readFrom((state.lease.tail?.offset ?? -1) + 1);
         page.caseOf({
-            Left: failure => {
-                if (failure.kind === "expired") {
-                    // Older records are deleted, so no VM holds the lease by them; the end is the offset of the oldest
-                    // retained record.
-                    apply({ kind: "read", records: [], end: failure.first });
-                    return;
-                }
-                apply({ kind: "call-failed" });
-            },
+            Left: () => apply({ kind: "call-failed" }),
             Right: ({ records, end }) => {
                 const known = records.map(({ offset, value }) => ({
                     offset,
