Reset the connection of an abandoned call

What callers saw: two orders of one VM reach an engine in the wrong order (ONE): it answers 202 to fence 29, and 0.4 s later to fence 23.

Cause: a call without an answer in time ended with its connection closed. A close still delivers what was written, so while a link was cut the kernel went on to send the order, and it arrived seconds later, when the link had healed and the engine already loaded the same version by the order that had replaced it. The engine answers such a repeat with 202 whatever count it expects, so the expected count, the guard against late orders, does not see it.

Why it works: a reset discards what has not been delivered, so no byte of an abandoned call can arrive after the call that follows it. It holds for requests to endpoints and calls to the store as well, which end in the same place: a request that was given up, refused or sent elsewhere cannot run after a cut.

--- a/packages/router/src/dispatch/openCall.ts
+++ b/packages/router/src/dispatch/openCall.ts
@@ -23,6 +23,10 @@
 /**
  * Sends a request to an endpoint and waits for the head of its answer.
  *
+ * If a link is cut, the bytes of a call are held up, and delivered once it has healed, even after the caller has closed
+ * the connection. An abandoned call would then arrive after a newer one: an order with an older fence, or a request that
+ * has been sent again or refused. To prevent this, a call is abandoned by a reset, which discards what has not arrived.
+ *
  * If the endpoint stops responding or its connection is lost, the request may be sent again only if no byte of it can
  * have arrived. Therefore the result is `unreached` only if the connection was never open. On a reused connection every
  * failure is `broken` or `silent`, neither of which guarantees that the request has not run.
@@ -48,12 +52,15 @@
             headers: call.headers as unknown as Record<string, string>,
             setHost: false,
         });
-        const abort = (): void => {
+        const abandon = (): void => {
+            if (progress.isConnected) {
+                req.socket?.resetAndDestroy();
+            }
             req.destroy();
         };
         const endAsSilent = (): void => {
             progress.isSilent = true;
-            req.destroy();
+            abandon();
         };
         const connectTimer = setTimeout(() => {
             if (!progress.isConnected) {
@@ -74,7 +81,7 @@
             clearTimeout(headTimer.current);
             resolve(opened);
         };
-        signal.addEventListener("abort", abort, { once: true });
+        signal.addEventListener("abort", abandon, { once: true });
         req.once("socket", socket => {
             agent.recordAddress(socket, call.address);
             const onEnd = (): void => {
@@ -102,7 +109,7 @@
             progress.isBroken = true;
         });
         req.once("close", () => {
-            signal.removeEventListener("abort", abort);
+            signal.removeEventListener("abort", abandon);
             if (!progress.isConnected) {
                 settle({ kind: signal.aborted ? "cancelled" : "unreached" });
                 return;
