Compare a VM's spending only with earlier values of the same process

What callers would see: after a VM restarts, the organisations that it had served get tokens far beyond their rate (QUOTA); the more the VM had spent, the more, up to the whole burst on each of the other VMs.

Cause: a receiver kept one counter a VM and was told of a restart once, with the first beacon of the new process, and only if it still knew the old one. If that beacon listed no spending (a VM lists none until it has read the configuration, and urgent beacons never do), or if the old process had sent a final beacon, the new process's counter, which begins at 0, was compared with the old one's last value and taken for a refund of the difference.

Change: receivers keep a spender's counters by incarnation, as those of relays have been kept all along, and compare each with its own earlier values. The first counter of a process is debited whole if the process is at most 3 s old, or if it is younger than the last counter of an earlier process that has not expired, so that all it spent is new here; else it is where counting begins. Counters of earlier processes are dropped after `EXPIRY_MS`; until then a delayed beacon adds only what its process had not yet sent. Nobody is told of a restart any more.

Why it works: which beacons were lost, listed nothing or were final no longer matters, as no value is ever compared with one of another process.

Two differences: an earlier version's process that does not state its age is no longer debited whole after a restart, but from its first counter on, as a VM of unknown age was already; and neither is a process older than 3 s after its predecessor's counter has expired, as its spending came through relays meanwhile. Beacons are unchanged.

--- a/packages/router/src/__tests__/support/allowanceFleet.ts
+++ b/packages/router/src/__tests__/support/allowanceFleet.ts
@@ -45,8 +45,9 @@
         vms.forEach(({ vm, allowances }, i) => {
             vms.forEach((other, j) => {
                 if (i !== j && time.now % beaconIntervalMs === phases[i]?.[j]) {
-                    const beacon = { vm, upMs: time.now, spent: allowances.spent(), relayedSpent: [] };
-                    other.allowances.applyBeacon(beacon as unknown as Beacon, "relay", false);
+                    const spent = allowances.spent();
+                    const beacon = { vm, incarnation: "run-1", upMs: time.now, spent, relayedSpent: [] };
+                    other.allowances.applyBeacon(beacon as unknown as Beacon, "relay");
                 }
             });
         });
--- a/packages/router/src/__tests__/support/relayFleet.ts
+++ b/packages/router/src/__tests__/support/relayFleet.ts
@@ -152,10 +152,8 @@
                 if (accepted === undefined) {
                     return;
                 }
-                const isRestarted = accepted.previous !== undefined &&
-                    accepted.previous.incarnation !== beacon.incarnation;
                 const role = membership.roleOf(beacon.vm);
-                allowances.applyBeacon(beacon, role, isRestarted);
+                allowances.applyBeacon(beacon, role);
                 peerLoad.applyBeacon(beacon);
                 relayBuffer.applyBeacon(beacon, role);
                 beacon.cached.forEach(([holder, rows]) =>
--- a/packages/router/src/__tests__/unit/allowance.test.ts
+++ b/packages/router/src/__tests__/unit/allowance.test.ts
@@ -1,4 +1,4 @@
-import type { VmId } from "@azureshunt/core";
+import type { Incarnation, VmId } from "@azureshunt/core";
 import test from "ava";
 import fc from "fast-check";
 
@@ -7,6 +7,7 @@
 import { openSharedAllowance } from "../../allowance/openSharedAllowance.js";
 import { receiveSpending } from "../../allowance/receiveSpending.js";
 import { refundShared } from "../../allowance/refundShared.js";
+import type { SentCounter } from "../../allowance/SentCounter.js";
 import { setSharedLimits } from "../../allowance/setSharedLimits.js";
 import type { SharedAllowance } from "../../allowance/SharedAllowance.js";
 import { spendShared } from "../../allowance/spendShared.js";
@@ -20,6 +21,14 @@
 const BEACON_TICKS = 4;
 const VMS = 4;
 
+/** The counter of a process of unknown age, unless one is given. */
+const counterOf = (vm: VmId, spent: number, run = "first", upMs = Infinity): SentCounter => ({
+    spender: vm,
+    incarnation: run as Incarnation,
+    upMs,
+    spent,
+});
+
 const spend = (allowance: SharedAllowance, tokens: number): readonly [SharedAllowance, number] => {
     const spent = spendShared(allowance, tokens);
     return spent === undefined ? [allowance, 0] : [spent, tokens];
@@ -50,7 +59,7 @@
                         return received;
                     }
                     (lastReceived[i] ?? [])[j] = tick;
-                    return receiveSpending(received, vm, counters[j] ?? 0, false);
+                    return receiveSpending(received, counterOf(vm, counters[j] ?? 0));
                 }, allowance)
             );
         }
@@ -93,13 +102,13 @@
 
 test("allowance: spending assumed during silence is not debited twice, and a refund reaches the other VMs", t => {
     const peer = "b" as VmId;
-    const opened = receiveSpending(openSharedAllowance(RATE, BURST, 0), peer, 100, false);
+    const opened = receiveSpending(openSharedAllowance(RATE, BURST, 0), counterOf(peer, 100));
     const apart = advanceShared(opened, { peers: 1, silent: [peer] }, 1_000);
     t.is(apart.level, 500);
-    t.is(receiveSpending(apart, peer, 500, false).level, 500);
-    t.is(receiveSpending(apart, peer, 700, false).level, 400);
-    t.is(receiveSpending(receiveSpending(apart, peer, 700, false), peer, 650, false).level, 450);
-    t.is(receiveSpending(apart, peer, 30, true).level, 500);
+    t.is(receiveSpending(apart, counterOf(peer, 500)).level, 500);
+    t.is(receiveSpending(apart, counterOf(peer, 700)).level, 400);
+    t.is(receiveSpending(receiveSpending(apart, counterOf(peer, 700)), counterOf(peer, 650)).level, 450);
+    t.is(receiveSpending(apart, counterOf(peer, 30, "second", 100)).level, 500);
 });
 
 test("allowance: a refund restores tokens and shrinks the sent counter; a lower burst applies at once", t => {
@@ -166,10 +175,10 @@
         const other = "vm1" as VmId;
         const opened = openSharedAllowance(RATE, BURST, 0);
         const waited = advanceShared(opened, { peers: 1, silent: [other] }, silentMs);
-        const received = receiveSpending(waited, other, 50 * BURST, false);
+        const received = receiveSpending(waited, counterOf(other, 50 * BURST));
         t.is(received.level, waited.level);
         // After the first counter, every further token is debited.
-        t.is(receiveSpending(received, other, 50 * BURST + 700, false).level, received.level - 700);
+        t.is(receiveSpending(received, counterOf(other, 50 * BURST + 700)).level, received.level - 700);
     });
 });
 
@@ -192,8 +201,14 @@
         const organisation = organisationOf(RATE, BURST);
         allowances.open([organisation]);
         time.now = 300;
-        const beacon = { vm: other, upMs, spent: [[organisation.id, 50 * BURST, 0]], relayedSpent: [] };
-        allowances.applyBeacon(beacon as unknown as Beacon, "relay", false);
+        const beacon = {
+            vm: other,
+            incarnation: "run-1",
+            upMs,
+            spent: [[organisation.id, 50 * BURST, 0]],
+            relayedSpent: [],
+        };
+        allowances.applyBeacon(beacon as unknown as Beacon, "relay");
         t.is(allowances.spend(organisation, 1).isRight(), !counts);
     });
 });
@@ -208,10 +223,88 @@
         const peer = "vm1" as VmId;
         const liveness = (silent: readonly VmId[]) => ({ peers: 1, silent });
         const filled = advanceShared(openSharedAllowance(RATE, BURST, 0), liveness([]), 1_000);
-        const received = receiveSpending(filled, peer, 100, false);
+        const received = receiveSpending(filled, counterOf(peer, 100));
         const silent = isSilent ? advanceShared(received, liveness([peer]), 1_200) : received;
         const now = 9_000;
         const after = advanceShared(silent, liveness([]), now);
-        t.is(receiveSpending(after, peer, 600, false, now).level, BURST - debit);
+        t.is(receiveSpending(after, counterOf(peer, 600), now).level, BURST - debit);
+    });
+});
+
+type Sent = readonly [at: number, run: string, upMs: number, spent: number];
+type RestartCase = {
+    readonly name: string;
+    readonly sent: readonly Sent[];
+    /** When spending begins to be assumed, as the VM is silent. */
+    readonly silentFrom?: number;
+    readonly debit: number;
+};
+
+// The counter of a restarted VM is compared with that of its process before: an organisation gets far more than its
+// rate, or is refused within it.
+const restarts: readonly RestartCase[] = [
+    {
+        name: "a new process's counter is debited whole, however much the one before had spent",
+        sent: [[1_000, "first", 60_000, 50_000], [1_500, "second", 100, 30], [1_700, "second", 300, 50]],
+        debit: 50,
+    },
+    {
+        name: "a new process that has spent as much as the one before is debited too",
+        sent: [[1_000, "first", 60_000, 300], [1_500, "second", 100, 300], [1_700, "second", 300, 310]],
+        debit: 310,
+    },
+    {
+        name: "a process that started during a long silence is debited beyond what was assumed",
+        sent: [[1_000, "first", 60_000, 500], [7_000, "second", 5_000, 900]],
+        silentFrom: 2_000,
+        debit: 900 - RATE / 2,
+    },
+    {
+        name: "a process whose spending came in other ways is debited from its first counter on",
+        sent: [[1_000, "first", 60_000, 500], [61_000, "second", 50_000, 900], [61_200, "second", 50_200, 910]],
+        debit: 10,
+    },
+    {
+        name: "a delayed counter of the process before adds what that one had not yet sent",
+        sent: [
+            [1_000, "first", 60_000, 50_000],
+            [1_500, "second", 100, 30],
+            [1_600, "first", 60_050, 50_020],
+            [1_700, "second", 300, 50],
+        ],
+        debit: 20 + 50,
+    },
+    {
+        name: "a delayed counter that comes first after the restart adds nothing",
+        sent: [[1_500, "second", 100, 30], [1_600, "first", 60_050, 50_020], [1_700, "second", 300, 50]],
+        debit: 50,
+    },
+    {
+        name: "a counter delayed until the process before is forgotten adds nothing",
+        sent: [[1_000, "first", 60_000, 500], [9_000, "second", 100, 30], [9_100, "first", 60_050, 520]],
+        debit: 30,
+    },
+];
+restarts.forEach(({ name, sent, silentFrom, debit }) => {
+    test(`allowance: ${name}`, t => {
+        const peer = "vm1" as VmId;
+        const opened = openSharedAllowance(RATE, BURST, 0);
+        const received = sent.reduce((allowance, [at, run, upMs, spent]) => {
+            const silent = silentFrom !== undefined && at > silentFrom
+                // One second of silence, at half the rate.
+                ? advanceShared({ ...allowance, at: silentFrom }, { peers: 1, silent: [peer] }, silentFrom + 1_000)
+                : allowance;
+            return receiveSpending({ ...silent, level: allowance.level }, counterOf(peer, spent, run, upMs), at);
+        }, opened);
+        t.is(received.level, -debit);
     });
 });
+
+test("allowance: the counters of earlier processes of a VM do not accumulate", t => {
+    const peer = "vm1" as VmId;
+    const received = Array.from({ length: 100 }, (_, i) => i).reduce(
+        (allowance, i) => receiveSpending(allowance, counterOf(peer, 10, `run-${i}`, 100), i * 1_000),
+        openSharedAllowance(RATE, BURST, 0),
+    );
+    t.true((received.peers.get(peer)?.counters.size ?? 0) <= 5);
+});
--- a/packages/router/src/allowance/SharedAllowance.ts
+++ b/packages/router/src/allowance/SharedAllowance.ts
@@ -1,17 +1,25 @@
-import type { Millis, Tokens } from "@azureshunt/core";
+import type { Incarnation, Millis, Tokens } from "@azureshunt/core";
 
 import type { Spender } from "./Spender.js";
 
+/** A counter as last received. */
+type ReceivedCounter = {
+    /** Tokens spent since the counter began. */
+    readonly spent: Tokens;
+    readonly receivedAt: Millis;
+};
+
 /** What was received of one spender's spending for one organisation. */
 type PeerSpending = {
-    /** Tokens spent since the counter began; `undefined` until it was received. */
-    readonly spent: Tokens | undefined;
+    /**
+     * Counters by the process that counts, each from 0; `undefined` stands for a sum that this VM adds up itself. An
+     * earlier process's counter is kept for `EXPIRY_MS`, as its last beacons may be delayed.
+     */
+    readonly counters: ReadonlyMap<Incarnation | undefined, ReceivedCounter>;
     /** Tokens assumed to be spent there while VMs were silent. */
     readonly assumed: Tokens;
     /** Since when spending has been assumed; `undefined` if none was. */
     readonly assumedFrom: Millis | undefined;
-    /** When the counter was last received; `-Infinity` until then. */
-    readonly receivedAt: Millis;
 };
 
 /** One organisation's allowance as one VM computes it: a token bucket that all VMs share and drain. */
@@ -30,6 +38,6 @@
     readonly overdraft: Tokens;
     /** Tokens spent by this process. */
     readonly ownSpent: Tokens;
-    /** Received spending by spender; a restarted VM counts from 0 again. */
+    /** Received spending by spender. */
     readonly peers: ReadonlyMap<Spender, PeerSpending>;
 };
--- a/packages/router/src/allowance/advanceShared.ts
+++ b/packages/router/src/allowance/advanceShared.ts
@@ -6,7 +6,7 @@
 
 const MS_PER_SECOND = 1_000;
 
-const neverReceived = { spent: undefined, assumed: 0, assumedFrom: undefined, receivedAt: -Infinity };
+const neverReceived = { counters: new Map<never, never>(), assumed: 0, assumedFrom: undefined };
 
 /**
  * Advances an allowance to `now`: refills it and assumes spending of silent VMs.
--- a/packages/router/src/allowance/createAllowances.ts
+++ b/packages/router/src/allowance/createAllowances.ts
@@ -6,18 +6,19 @@
 import type { Organisation } from "../configuration/Organisation.js";
 import type { Beacon } from "../peers/Beacon.js";
 import type { VmRole } from "../peers/VmRole.js";
-import { addedSpending } from "./addedSpending.js";
+import { addedByCounter } from "./addedByCounter.js";
 import { admittedFraction } from "./admittedFraction.js";
 import { advanceShared } from "./advanceShared.js";
 import { createOrganisationDemand } from "./createOrganisationDemand.js";
 import { createRelayCounters } from "./createRelayCounters.js";
 import { createRelayedSpending } from "./createRelayedSpending.js";
-import { isExpired } from "./isExpired.js";
+import { isStartedLater } from "./isStartedLater.js";
 import { openSharedAllowance } from "./openSharedAllowance.js";
 import type { PeerLiveness } from "./PeerLiveness.js";
 import { receiveSpending } from "./receiveSpending.js";
 import { refillWaitMs } from "./refillWaitMs.js";
 import { refundShared } from "./refundShared.js";
+import type { SentCounter } from "./SentCounter.js";
 import { setSharedLimits } from "./setSharedLimits.js";
 import type { SharedAllowance } from "./SharedAllowance.js";
 import type { Spender } from "./Spender.js";
@@ -43,10 +44,8 @@
      * Takes in the spending that a beacon reports.
      *
      * @param role role of the sender as seen by this VM
-     * @param isRestarted whether the sender is another process than at its previous datagram; true for the first
-     * datagram of a new process only, and false if the old process had sent a final beacon
      */
-    readonly applyBeacon: (beacon: SpendingUpdate, role: VmRole, isRestarted: boolean) => void;
+    readonly applyBeacon: (beacon: SpendingUpdate, role: VmRole) => void;
     /** Lowest level of all allowances, each as of its last use; 0 if there are none. */
     readonly minLevel: () => Tokens;
     /** By organisation: tokens spent by this process, and its demand in tokens per second. */
@@ -59,12 +58,6 @@
 };
 
 const MS_PER_SECOND = 1_000;
-/**
- * Maximum age of a process whose first counter here is debited whole: a process sends its first spending within this
- * time. The counter of an older process contains spending that was already received: its own through relays, or, if it
- * became a relay, that of others through earlier relays.
- */
-const FIRST_UPDATE_MS: Millis = 3_000;
 
 /**
  * Creates the allowances of all organisations.
@@ -145,24 +138,19 @@
      * @returns the tokens that the counter adds, including those already assumed; 0 if the organisation's allowance has
      * not been opened here
      */
-    const debit = (id: OrganisationId, spender: Spender, spent: Tokens, isNew: boolean): Tokens => {
+    const debit = (id: OrganisationId, sent: SentCounter): Tokens => {
         const allowance = all.get(id);
         if (allowance === undefined) {
             return 0;
         }
         const now = clock.now();
-        const known = allowance.peers.get(spender);
-        all.set(id, receiveSpending(allowance, spender, spent, isNew, now));
-        return addedSpending(isExpired(known, now) ? undefined : known?.spent, spent, isNew);
+        all.set(id, receiveSpending(allowance, sent, now));
+        return addedByCounter(allowance, sent, now);
     };
-    const isStartedLater = (id: OrganisationId, upMs: Millis): boolean =>
-        upMs <= Math.min(FIRST_UPDATE_MS, clock.now() - (all.get(id)?.openedAt ?? Infinity));
-
-    const receiveOwn = ({ vm, upMs, spent }: SpendingUpdate, role: VmRole, isRestarted: boolean): void =>
+    const receiveOwn = ({ vm, incarnation, upMs, spent }: SpendingUpdate, role: VmRole): void =>
         spent.forEach(([id, tokens, perSecond]) => {
             demand.receiveDemand(vm, id, perSecond);
-            const isFirst = all.get(id)?.peers.get(vm)?.spent === undefined;
-            const added = debit(id, vm, tokens, isRestarted || (isFirst && isStartedLater(id, upMs)));
+            const added = debit(id, { spender: vm, incarnation, upMs, spent: tokens });
             relayedSpending.record(id, vm, role, added);
         });
     const receiveRelayed = (beacon: SpendingUpdate, role: VmRole): void => {
@@ -175,23 +163,26 @@
             sequence,
             rows: relayedSpent.map(([id, tokens]) => [id, tokens] as const),
             assumedFrom: id => all.get(id)?.peers.get(spender)?.assumedFrom,
-            isStartedLater: id => isStartedLater(id, upMs),
+            isStartedLater: id => {
+                const allowance = all.get(id);
+                return allowance !== undefined && isStartedLater(allowance, upMs, clock.now());
+            },
         });
         // While VMs differ on which VMs are relays, spending that reaches both a relay and a VM behind it must not
         // count twice.
         const isForThisVm = role === (scope === "fleet" ? "relay" : "remote-relay");
         (isForThisVm ? added : []).forEach(([id, tokens]) => {
-            const before = all.get(id)?.peers.get(spender)?.spent;
-            debit(id, spender, (before ?? 0) + tokens, before === undefined);
+            const before = all.get(id)?.peers.get(spender)?.counters.get(undefined)?.spent ?? 0;
+            debit(id, { spender, incarnation: undefined, upMs: 0, spent: before + tokens });
             if (scope === "domain") {
                 relayedSpending.record(id, spender, "remote-relay", tokens);
             }
         });
     };
-    const applyBeacon: Allowances["applyBeacon"] = (beacon, role, isRestarted) => {
+    const applyBeacon: Allowances["applyBeacon"] = (beacon, role) => {
         // The spending of an indirect VM is also sent by its relays.
         if (role !== "indirect") {
-            receiveOwn(beacon, role, isRestarted);
+            receiveOwn(beacon, role);
         }
         if (beacon.scope === "domain" || beacon.scope === "fleet") {
             receiveRelayed(beacon, role);
--- a/packages/router/src/allowance/receiveSpending.ts
+++ b/packages/router/src/allowance/receiveSpending.ts
@@ -1,36 +1,34 @@
-import type { Millis, Tokens } from "@azureshunt/core";
+import type { Millis } from "@azureshunt/core";
 
-import { addedSpending } from "./addedSpending.js";
+import { addedByCounter } from "./addedByCounter.js";
 import { EXPIRY_MS } from "./EXPIRY_MS.js";
-import { isExpired } from "./isExpired.js";
+import type { SentCounter } from "./SentCounter.js";
 import type { SharedAllowance } from "./SharedAllowance.js";
-import type { Spender } from "./Spender.js";
 
 /**
- * Debits what a spender's counter adds. Spending that was already assumed while the spender was silent is not debited
- * twice; what was assumed beyond the counter is not given back. The counter shrinks if tokens are refunded.
- *
- * @param spent the counter: all tokens that the spender has spent
- * @param isNew whether to debit the whole counter; see `addedSpending`
+ * Debits what a counter adds; see `addedByCounter`. Spending that was already assumed while the spender was silent is
+ * not debited twice; what was assumed beyond the counter is not given back. The counter shrinks if tokens are refunded.
  */
 export function receiveSpending(
     allowance: SharedAllowance,
-    spender: Spender,
-    spent: Tokens,
-    isNew: boolean,
+    sent: SentCounter,
     now: Millis = allowance.at,
 ): SharedAllowance {
-    const known = allowance.peers.get(spender);
-    if (known?.spent === spent && known.assumed === 0 && now - known.receivedAt < EXPIRY_MS / 2) {
+    const { spender, incarnation, spent } = sent;
+    const peer = allowance.peers.get(spender);
+    const known = peer?.counters.get(incarnation);
+    if (known?.spent === spent && peer?.assumed === 0 && now - known.receivedAt < EXPIRY_MS / 2) {
         // Fast path: most VMs have spent nothing for most organisations since their last beacon. `receivedAt` stays, so
         // it must be renewed before the counter expires.
         return allowance;
     }
-    const added = addedSpending(isExpired(known, now) ? undefined : known?.spent, spent, isNew);
-    const debit = added < 0 ? added : Math.max(0, added - (known?.assumed ?? 0));
+    const added = addedByCounter(allowance, sent, now);
+    const debit = added < 0 ? added : Math.max(0, added - (peer?.assumed ?? 0));
+    const kept = [...peer?.counters ?? []].filter(([, { receivedAt }]) => now - receivedAt <= EXPIRY_MS);
+    const counters = new Map(kept).set(incarnation, { spent, receivedAt: now });
     return {
         ...allowance,
         level: Math.min(allowance.burst, allowance.level - debit),
-        peers: new Map(allowance.peers).set(spender, { spent, assumed: 0, assumedFrom: undefined, receivedAt: now }),
+        peers: new Map(allowance.peers).set(spender, { counters, assumed: 0, assumedFrom: undefined }),
     };
 }
--- a/packages/router/src/peers/applyBeacon.ts
+++ b/packages/router/src/peers/applyBeacon.ts
@@ -5,22 +5,16 @@
  * Applies a beacon of a peer to the parts of this VM.
  *
  * @param address peer address of the sender
- * @param isRestarted whether the sender's process is a different one from that of its last beacon
  * @returns whether an order, a version that an engine has loaded, or the phase of a rollout was new to this VM
  */
-export function applyBeacon(
-    sources: PeerSyncSources,
-    received: ReceivedBeacon,
-    address: string,
-    isRestarted: boolean,
-): boolean {
+export function applyBeacon(sources: PeerSyncSources, received: ReceivedBeacon, address: string): boolean {
     const { clock, declarations, allowances, endpointTable, prefixIndex, orders, quarantine, registry, peerLoad } =
         sources;
     const { membership, relayBuffer, rollouts } = sources;
     const { beacon, sentAfter } = received;
     const now = clock.now();
     const role = membership.roleOf(beacon.vm);
-    allowances.applyBeacon(beacon, role, isRestarted);
+    allowances.applyBeacon(beacon, role);
     declarations.applyBeacon(received, address);
     quarantine.applyBeacon(beacon);
     registry.applyBeacon(received);
--- a/packages/router/src/peers/startPeerSync.ts
+++ b/packages/router/src/peers/startPeerSync.ts
@@ -35,19 +35,13 @@
         if (accepted === undefined) {
             return;
         }
-        const isSameProcess = accepted.previous?.incarnation === beacon.incarnation;
-        if (!isSameProcess) {
+        if (accepted.previous?.incarnation !== beacon.incarnation) {
             logger.info(
                 { peer: beacon.vm, address, incarnation: beacon.incarnation },
                 "Received the first beacon of a VM incarnation.",
             );
         }
-        const isUrgent = applyBeacon(
-            sources,
-            accepted.received,
-            address,
-            accepted.previous !== undefined && !isSameProcess,
-        );
+        const isUrgent = applyBeacon(sources, accepted.received, address);
         if (isUrgent && membership.isRelay()) {
             beacons.sendSoon();
         }
