Count a restarted VM's answers beside those of its earlier process

What callers and operators would see: a VM that starts again during a rollout reports counts that begin at 0, and the leader writes `rolled_back` for a version each of whose answers was good; the end of a rollout is final. The log line of the phase blames a route on which the new version's failures are no more than those of the old one.

Cause: a report holds the totals of one process, but replaced all that its VM had reported before. The sums of the fleet fell, and judgeVersion scored the difference: -99 good answers are evidence for a bad version, and bad answers that are taken back hide one.

Ruled out: to leave out negative differences in judgeVersion. A new process would not be heard until it had counted more than its forerunner, and a version that turns bad meanwhile would be found late.

--- a/packages/router/src/__tests__/support/simulateRollout.ts
+++ b/packages/router/src/__tests__/support/simulateRollout.ts
@@ -1,4 +1,4 @@
-import type { EndpointName, Millis, ServiceName, VmId } from "@azureshunt/core";
+import type { EndpointName, Incarnation, Millis, ServiceName, VmId } from "@azureshunt/core";
 import { createMetrics } from "@azureshunt/telemetry";
 import { Left, Right } from "purify-ts";
 
@@ -13,7 +13,14 @@
 
 /** What an endpoint of the new version does with a request. */
 type Behaviour = "good" | "fails" | "fails-later" | "fails-under-load" | "fails-on-one-route" | "slow" | "absent";
-type Fault = "none" | "leader-killed" | "leader-frozen" | "vm-cut" | "store-away" | "endpoint-crashes";
+type Fault =
+    | "none"
+    | "leader-killed"
+    | "leader-frozen"
+    | "vm-cut"
+    | "others-restarted"
+    | "store-away"
+    | "endpoint-crashes";
 
 type RolloutRun = {
     readonly behaviour: Behaviour;
@@ -104,10 +111,11 @@
             && clock.now() >= faultAt + TAKEOVER_MS;
         return !isDown(vm) && vm === (isReplaced ? 1 : 0);
     };
-    const vms: Rollouts[] = Array.from({ length: VMS }, (_, vm) =>
+    const startVm = (vm: number, start: number): Rollouts =>
         createRollouts({
             clock,
             vm: `vm-${vm}` as VmId,
+            incarnation: `${vm}-${start}` as Incarnation,
             random,
             store,
             wire,
@@ -128,7 +136,8 @@
             sendSoon: () => void schedule(MIN_GOSSIP_GAP_MS, () => gossip(vm, MAX_URGENT_DELAY_MS)),
             logger: silentLogger,
             metrics: createMetrics(),
-        }));
+        });
+    const vms: Rollouts[] = Array.from({ length: VMS }, (_, vm) => startVm(vm, 1));
 
     const answerOf = (entry: EndpointEntry, route: RouteName) => {
         const isNew = entry.softwareVersion === VERSION;
@@ -206,6 +215,9 @@
         schedule(random() * TICK_MS, () => tick(vm));
     });
     vms[2]?.order({ id: 4, service: SERVICE, version: VERSION, durationMs, learnedAt: 0 });
+    if (fault === "others-restarted") {
+        schedule(faultAt, () => vms.forEach((_, vm) => isLeader(vm) ? undefined : vms.splice(vm, 1, startVm(vm, 2))));
+    }
     schedule(0, send);
     // Calls to the store resolve between two steps of virtual time.
     const status = { atDeadline: undefined as string | undefined };
--- a/packages/router/src/__tests__/unit/peerListener.test.ts
+++ b/packages/router/src/__tests__/unit/peerListener.test.ts
@@ -44,6 +44,40 @@
     });
 });
 
+const report = {
+    vm: "vm-1",
+    service: "desk",
+    order: 4,
+    rows: [{ route: "r", newAnswers: 3, newBad: 1, oldAnswers: 30, oldBad: 0 }],
+};
+// While a fleet is updated, VMs of both builds report to each other: one without an incarnation must be counted as well.
+const reports = [
+    { name: "of this build", sent: { ...report, incarnation: "run-1" }, received: { ...report, incarnation: "run-1" } },
+    { name: "of an earlier build, without an incarnation", sent: report, received: report },
+    { name: "of a later build, with another field", sent: { ...report, later: 1 }, received: report },
+    { name: "with an incarnation that is none", sent: { ...report, incarnation: "" }, received: undefined },
+];
+reports.forEach(({ name, sent, received }) => {
+    test(`peer listener: a report ${name} is ${received === undefined ? "refused" : "read"}`, async t => {
+        const seen: unknown[] = [];
+        const listener = await startPeerListener({
+            address: "127.0.0.1:0",
+            configuration: () => undefined,
+            receiveReport: each => void seen.push(each),
+            topics,
+        });
+        t.teardown(() => listener.close());
+        const { port } = listener.address() as AddressInfo;
+        const res = await request(`http://127.0.0.1:${port}/rollout-counts`, {
+            method: "POST",
+            body: JSON.stringify(sent),
+        });
+        await res.body.dump();
+        t.is(res.statusCode, received === undefined ? 400 : 200);
+        t.deepEqual(seen, received === undefined ? [] : [received]);
+    });
+});
+
 const listed = { address: "10.0.0.1:7600", failureDomain: "a", capacity: 0.3 };
 const values: readonly { readonly name: string; readonly value: string; readonly isRead: boolean; }[] = [
     { name: "the current format", value: JSON.stringify(listed), isRead: true },
--- a/packages/router/src/__tests__/unit/rollout.test.ts
+++ b/packages/router/src/__tests__/unit/rollout.test.ts
@@ -1,4 +1,4 @@
-import type { ServiceName, VmId } from "@azureshunt/core";
+import type { Incarnation, ServiceName, VmId } from "@azureshunt/core";
 import { createMetrics } from "@azureshunt/telemetry";
 import test from "ava";
 
@@ -179,6 +179,7 @@
     const rollouts = createRollouts({
         clock,
         vm: "vm" as VmId,
+        incarnation: "run-1" as Incarnation,
         random: () => 0,
         store: { newest: () => Promise.reject(new Error()), put: () => Promise.reject(new Error()) },
         wire: {
@@ -210,7 +211,15 @@
     "slow",
     "absent",
 ] as const;
-const FAULTS = ["none", "leader-killed", "leader-frozen", "vm-cut", "store-away", "endpoint-crashes"] as const;
+const FAULTS = [
+    "none",
+    "leader-killed",
+    "leader-frozen",
+    "vm-cut",
+    "others-restarted",
+    "store-away",
+    "endpoint-crashes",
+] as const;
 const SEEDS = Array.from({ length: 5 }, (_, i) => i + 1);
 const EXPOSURE_SHARE = 0.1;
 const EXPOSURE_SLACK = 50;
--- a/packages/router/src/rollout/CountsReport.ts
+++ b/packages/router/src/rollout/CountsReport.ts
@@ -1,4 +1,4 @@
-import { ServiceName, VmId } from "@azureshunt/core";
+import { Incarnation, ServiceName, VmId } from "@azureshunt/core";
 import { z } from "zod";
 
 import type { RouteName } from "../configuration/RouteName.js";
@@ -13,9 +13,11 @@
     oldBad: Count,
 });
 
-/** What a VM reports to the leader of a rollout: its own totals since the order. */
+/** What a VM reports to the leader of a rollout: the totals of its process since the order. */
 const CountsReport = z.object({
     vm: VmId,
+    /** The process whose totals these are; earlier builds do not send it. */
+    incarnation: Incarnation.optional(),
     service: ServiceName,
     /** The order's `id`. */
     order: z.number().int(),
--- a/packages/router/src/rollout/createRollouts.ts
+++ b/packages/router/src/rollout/createRollouts.ts
@@ -1,4 +1,4 @@
-import type { Clock, Millis, ServiceName, VmId } from "@azureshunt/core";
+import type { Clock, Incarnation, Millis, ServiceName, VmId } from "@azureshunt/core";
 import type { Metrics } from "@azureshunt/telemetry";
 import type { Logger } from "pino";
 
@@ -24,6 +24,7 @@
 type RolloutParts = {
     readonly clock: Clock;
     readonly vm: VmId;
+    readonly incarnation: Incarnation;
     /** Uniformly distributed in [0, 1). */
     readonly random: () => number;
     readonly store: Pick<StorePort, "newest" | "put">;
@@ -169,6 +170,7 @@
 
     const reportOf = ({ view, counts }: RolloutEntry): CountsReport => ({
         vm: parts.vm,
+        incarnation: parts.incarnation,
         service: view.order.service,
         order: view.order.id,
         rows: counts.rows(),
--- a/packages/router/src/rollout/judgeVersion.ts
+++ b/packages/router/src/rollout/judgeVersion.ts
@@ -27,7 +27,7 @@
  * good answers from before would hide the failures for long; so a score never falls below 0, and each route has its own.
  * Failures that the old version has as well do not count against the new one.
  *
- * @param counts totals of all VMs since the order
+ * @param counts totals of all VMs since the order; they must not shrink
  */
 export function judgeVersion(before: VersionJudgement, counts: readonly RouteCounts[]): VersionJudgement {
     const scores = new Map(counts.map(each => {
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -209,6 +209,7 @@
     const rollouts = createRollouts({
         clock,
         vm: settings.vm,
+        incarnation,
         random: Math.random,
         store,
         wire: directory,
