Ignore beacons of an earlier process of a VM

What callers would see: when a datagram of a VM's old process arrives after the first one of the new process, requests of organisations within their rate are refused with 429, as all that the VM ever spent is debited again. If it is the old process's final beacon, a VM that runs is removed from the members.

Cause: members were replaced by any beacon of another incarnation, in whichever order they came, and by any final beacon. Incarnations are random and tell no order.

Change: with the last beacon of a peer, a VM keeps an upper bound for the start of the peer's process: the lowest of the times of receipt less the stated age. A beacon of another incarnation whose bound is earlier is ignored while the later process has been received within `aliveMs`; if it is final, always.

Why it works: the bound is late by the delay of the fastest datagram only, and a new process starts after the old one has ended. So a delayed beacon is mistaken only if it was under way for longer than its process had lived and its successor had taken to start; then the running process counts again after two seconds at most. An earlier version's process that states no age is accepted as before. Beacons are unchanged.

Not covered: a delayed beacon that arrives after the final one of the same process adds the VM again until it counts as silent, and a delayed beacon still replaces the timestamp that is echoed to the VM, until the VM's next beacon.

--- a/packages/router/src/__tests__/unit/registryFreshness.test.ts
+++ b/packages/router/src/__tests__/unit/registryFreshness.test.ts
@@ -143,6 +143,7 @@
                 incarnation: "run" as Incarnation,
                 failureDomain: "fd" as FailureDomain,
                 receivedAt: beaconAt,
+                startedBefore: 0,
                 beacon: { hasStore } as Beacon,
                 sentAfter: beaconAt,
                 stampedAt: beaconAt,
--- a/packages/router/src/peers/ReceivedBeacon.ts
+++ b/packages/router/src/peers/ReceivedBeacon.ts
@@ -7,6 +7,11 @@
     readonly incarnation: Incarnation;
     readonly failureDomain: FailureDomain;
     readonly receivedAt: Millis;
+    /**
+     * Upper bound for the time at which the peer's process started, on this VM's clock; `-Infinity` if the peer does not
+     * state its age.
+     */
+    readonly startedBefore: Millis;
     readonly beacon: Beacon;
     /**
      * Lower bound for the time at which the beacon was sent, on this VM's clock; `-Infinity` until the peer has echoed
--- a/packages/router/src/peers/createMembership.ts
+++ b/packages/router/src/peers/createMembership.ts
@@ -35,8 +35,8 @@
     /** Number of VMs, including this one. */
     readonly vms: () => number;
     /**
-     * Applies a beacon; returns `undefined` if one that the same process sent over `peerTiming.reorderMs` later arrived
-     * before it, if this VM sent it, or if it is its sender's final beacon.
+     * Applies a beacon; returns `undefined` if one that the same process sent over `peerTiming.reorderMs` later, or one
+     * of a later process, arrived before it, if this VM sent it, or if it is its sender's final beacon.
      */
     readonly applyBeacon: (beacon: Beacon, address: string) => AcceptedBeacon | undefined;
     readonly list: (vms: readonly ListedVm[]) => void;
--- a/packages/router/src/peers/stepMembers.ts
+++ b/packages/router/src/peers/stepMembers.ts
@@ -1,6 +1,7 @@
 import type { Millis, VmId } from "@azureshunt/core";
 
 import type { Beacon } from "./Beacon.js";
+import { isOfEarlierProcess } from "./isOfEarlierProcess.js";
 import type { KnownVm } from "./KnownVm.js";
 import type { ListedVm } from "./ListedVm.js";
 import type { Members } from "./Members.js";
@@ -76,16 +77,18 @@
 ): Members => {
     const { beacon, address } = event;
     const previous = members.known.get(beacon.vm)?.lastReceived;
-    const isOvertaken = previous?.incarnation === beacon.incarnation
-        && previous.beacon.sentAt - beacon.sentAt > peerTiming.reorderMs;
-    if (beacon.vm === members.vm || isOvertaken) {
+    const isSameProcess = previous?.incarnation === beacon.incarnation;
+    const isOvertaken = isSameProcess && previous.beacon.sentAt - beacon.sentAt > peerTiming.reorderMs;
+    if (beacon.vm === members.vm || isOvertaken || isOfEarlierProcess(beacon, previous, now)) {
         return members;
     }
     if (beacon.isLeaving) {
         return { ...members, known: new Map([...members.known].filter(([vm]) => vm !== beacon.vm)) };
     }
     const { vm, incarnation, failureDomain, capacity, hasStore } = beacon;
-    const lastReceived = { incarnation, failureDomain, receivedAt: now, beacon, ...timesOf(members, beacon) };
+    const startedBefore = Math.min(now - beacon.upMs, isSameProcess ? previous.startedBefore : Infinity);
+    const times = { receivedAt: now, startedBefore, ...timesOf(members, beacon) };
+    const lastReceived = { incarnation, failureDomain, beacon, ...times };
     const sentAfter = lastReceived.sentAfter === -Infinity ? now : lastReceived.sentAfter;
     const known = new Map(members.known);
     known.set(vm, { vm, address, failureDomain, capacity, hasStore, lastSeenAt: now, lastReceived });
