Judge a new version while the store does not answer

What callers would see: while the leader's write of a rollout's status hangs or has just failed (900 ms and 250 ms a try, again and again while the store is silent), failures of a bad version go on reaching them, though the leader has the counts to take it back.

Cause: `lead` returned before it judged while a call to the store had not ended or was not due again. Only the first read must come first, as a rollout that has ended must not begin again.

Now the leader judges at each tick, and only calls wait for the store. One wait stays: while "completed" is being written, the leader does not judge. Operators stop the old endpoints when they read it, and a roll-back after that would leave the service without any endpoint.

Evidence: rolloutAndSilentStore before: 2 of 2 failed ('canary' where 'rolled-back' is expected; a write that is not answered, a write that has failed). After: both pass, and the test of the wait; without the wait, that one fails. rollout* and restartedReporter: 115 passed. The plays of rollout.test are unchanged, as their store answers at once.

--- a/packages/router/src/rollout/RolloutEntry.ts
+++ b/packages/router/src/rollout/RolloutEntry.ts
@@ -14,8 +14,8 @@
     status: {
         /** The status in the store as far as this leader knows it: `unread`, or `none` if there is none. */
         known: "unread" | "none" | RolloutState;
-        /** Whether a call to the store has not ended. */
-        isPending: boolean;
+        /** The call to the store that has not ended: a read, or the status that is being written. */
+        pending: "read" | RolloutState | undefined;
         retryAt: Millis;
     };
 };
--- a/packages/router/src/rollout/createRollouts.ts
+++ b/packages/router/src/rollout/createRollouts.ts
@@ -105,7 +105,7 @@
             view: { order: rollout, phase: undefined, statedAt: -Infinity },
             counts: createAnswerCounts(),
             leadership: undefined,
-            status: { known: "unread", isPending: false, retryAt: -Infinity },
+            status: { known: "unread", pending: undefined, retryAt: -Infinity },
         });
         parts.sendSoon();
     };
@@ -195,11 +195,15 @@
 
     const lead = (entry: RolloutEntry): void => {
         const { status } = entry;
-        if (status.isPending || clock.now() < status.retryAt) {
+        // Operators may have read that it is completed, and a phase that contradicts them would leave no endpoint.
+        if (status.pending === "completed") {
             return;
         }
-        if (status.known === "unread") {
-            void statusKeeper.read(entry);
+        const canCall = status.pending === undefined && clock.now() >= status.retryAt;
+        if (entry.leadership === undefined && status.known === "unread") {
+            if (canCall) {
+                void statusKeeper.read(entry);
+            }
             return;
         }
         entry.leadership ??= createLeadership(clock);
@@ -221,7 +225,11 @@
             }
         }
         const wanted = statusOf(plan.phase);
-        if (status.known !== wanted) {
+        // The version is judged on while the store does not answer, as its failures reach callers.
+        if (canCall && status.known === "unread") {
+            void statusKeeper.read(entry);
+        }
+        else if (canCall && status.known !== wanted) {
             void statusKeeper.write(entry, wanted);
         }
     };
--- a/packages/router/src/rollout/createStatusKeeper.ts
+++ b/packages/router/src/rollout/createStatusKeeper.ts
@@ -29,9 +29,9 @@
 export function createStatusKeeper({ clock, store, wire, onEnded, logger }: StatusParts): StatusKeeper {
     const read: StatusKeeper["read"] = async entry => {
         const { service, version } = entry.view.order;
-        entry.status.isPending = true;
+        entry.status.pending = "read";
         const page = await store.newest(wire.statusTopic);
-        entry.status.isPending = false;
+        entry.status.pending = undefined;
         page.caseOf({
             Left: () => {
                 entry.status.retryAt = clock.now() + RETRY_MS;
@@ -50,9 +50,9 @@
     const write: StatusKeeper["write"] = async (entry, status) => {
         const { service, version } = entry.view.order;
         const { key, value } = wire.encodeRolloutStatus({ service, version, state: status });
-        entry.status.isPending = true;
+        entry.status.pending = status;
         const written = await store.put(wire.statusTopic, key, value);
-        entry.status.isPending = false;
+        entry.status.pending = undefined;
         written.caseOf({
             Left: failure => {
                 entry.status.retryAt = clock.now() + RETRY_MS;
