Write a rollout's status only where its topic ends as the writer read it

What operators would see: `status/rollout/SERVICE` of a rollout that was taken back says `running` for good, or `completed`, at which they stop the old endpoints while all VMs send requests to these alone. VMs that start again take the rollout for running.

Cause: the store may carry out a write seconds after it was given up, and the writes of the status had no condition. No leader looks at the status again.

Now a write names the offset that it must get: the end of `keyed.status` as its writer read it, or what follows its own last write. It is the call `log-append` with `At`, as for the lease. After a final status the topic's end is beyond every offset that an earlier write named, so none of them can be carried out, whichever leader sent it and however late. A write that is refused as the topic has moved (by another service's status, another leader, or an own one without an answer) is preceded by a new read. A rollout without such a case takes one read and two writes, as before.

Between two ends "rolled-back" wins, as in phaseRank: it rests on failures that were seen, and VMs that have learned it cannot go back. A late "completed" can come only before the next leader's own write, and is then replaced.

Ruled out: to read the status again for some time after the end. A write may come later than that, a new leader that took the rollout for running could act on it meanwhile, and each rollout would cost more reads.

Left: a "completed" that was carried out unanswered before the next leader reads the status is read by operators, and "rolled-back" follows it.

--- a/packages/router/src/__tests__/support/simulateRollout.ts
+++ b/packages/router/src/__tests__/support/simulateRollout.ts
@@ -20,6 +20,7 @@
     | "vm-cut"
     | "others-restarted"
     | "store-away"
+    | "writes-late"
     | "endpoint-crashes";
 
 type RolloutRun = {
@@ -32,8 +33,9 @@
 };
 
 type RolloutResult = {
-    /** Status in the store when the duration has ended. */
+    /** Status in the store when the duration has ended, and at the end of the play. */
     readonly status: string | undefined;
+    readonly lastStatus: string | undefined;
     /** Requests to the service until then, and those of them that the new version got. */
     readonly requests: number;
     readonly exposed: number;
@@ -62,6 +64,13 @@
 const USUAL_FAILURES = 0.04;
 const BAD_FAILURES = 0.35;
 const OUTAGE_MS = 4_000;
+/** Bounds of the time after which the store carries out a write whose answer is lost. */
+const MIN_LATE_MS = 1_000;
+const MAX_LATE_MS = 6_000;
+/** Spreads the writes over that time. */
+const LATE_STEP = 7;
+/** Time that is played after the deadline; all late writes have been carried out then. */
+const AFTER_MS = 8_000;
 const LOAD_WINDOW_MS = 1_000;
 
 /** Plays one rollout in virtual time: VMs with the router's own rollouts, gossip and a store with delays, and faults. */
@@ -72,9 +81,10 @@
         entryOf(`old-${i}`, { service: SERVICE, softwareVersion: "v1" }),
         ...(behaviour === "absent" ? [] : [entryOf(`new-${i}`, { service: SERVICE, softwareVersion: VERSION })]),
     ]);
-    const faultAt = 1_000 + random() * (durationMs * 0.75);
+    // A late write of the first status matters most, so these begin with the order.
+    const faultAt = fault === "writes-late" ? 0 : 1_000 + random() * (durationMs * 0.75);
     const isFaulty = (): boolean => clock.now() >= faultAt && clock.now() < faultAt + OUTAGE_MS;
-    const written = new Map<string, Buffer>();
+    const written: { readonly key: string; readonly value: Buffer; readonly offset: number; }[] = [];
     const result = { requests: 0, exposed: 0, tooLate: 0, onceInTrial: 0, bad: 0, lastBadAt: Infinity };
     const lastSent = new Map<EndpointName, number[]>();
 
@@ -83,14 +93,23 @@
             Promise.resolve(
                 fault === "store-away" && isFaulty()
                     ? Left({ kind: "unreachable" as const })
-                    : Right({ records: [...written].map(([key, value], offset) => ({ key, value, offset })), end: 1 }),
+                    : Right({ records: written.slice(-1), end: written.length }),
             ),
-        put: (_: string, key: string, value: Buffer) => {
+        put: (_: string, key: string, value: Buffer, at?: number) => {
             if (fault === "store-away" && isFaulty()) {
                 return Promise.resolve(Left({ kind: "unreachable" as const }));
             }
-            written.set(key, value);
-            return Promise.resolve(Right(1));
+            const carryOut = (): boolean => {
+                const isApplied = at === undefined || at === written.length;
+                written.push(...(isApplied ? [{ key, value, offset: written.length }] : []));
+                return isApplied;
+            };
+            if (fault === "writes-late" && isFaulty()) {
+                // Not drawn, so that the requests are those of the play without faults.
+                schedule(MIN_LATE_MS + (clock.now() * LATE_STEP) % (MAX_LATE_MS - MIN_LATE_MS), carryOut);
+                return Promise.resolve(Left({ kind: "lost" as const }));
+            }
+            return Promise.resolve(carryOut() ? Right(written.length - 1) : Left({ kind: "moved" as const }));
         },
     };
     const wire = {
@@ -221,13 +240,14 @@
     schedule(0, send);
     // Calls to the store resolve between two steps of virtual time.
     const status = { atDeadline: undefined as string | undefined };
-    for (let end = TICK_MS; end <= durationMs + ROLLBACK_MS; end += TICK_MS) {
+    const newestStatus = (): string | undefined => written.at(-1)?.value.toString();
+    for (let end = TICK_MS; end <= durationMs + AFTER_MS; end += TICK_MS) {
         runUntil(end);
         await Promise.resolve();
         await Promise.resolve();
         await Promise.resolve();
-        status.atDeadline = end <= durationMs ? written.get(SERVICE)?.toString() : status.atDeadline;
+        status.atDeadline = end <= durationMs ? newestStatus() : status.atDeadline;
     }
     const { requests, exposed, tooLate, onceInTrial } = result;
-    return { status: status.atDeadline, requests, exposed, tooLate, onceInTrial };
+    return { status: status.atDeadline, lastStatus: newestStatus(), requests, exposed, tooLate, onceInTrial };
 }
--- a/packages/router/src/__tests__/unit/rollout.test.ts
+++ b/packages/router/src/__tests__/unit/rollout.test.ts
@@ -218,6 +218,7 @@
     "vm-cut",
     "others-restarted",
     "store-away",
+    "writes-late",
     "endpoint-crashes",
 ] as const;
 const SEEDS = Array.from({ length: 5 }, (_, i) => i + 1);
@@ -234,6 +235,7 @@
                     const result = await simulateRollout({ behaviour, fault, random: seededRandom(seed), ...load });
                     const what = `seed ${seed}: ${JSON.stringify(result)}`;
                     t.is(result.onceInTrial, 0, what);
+                    t.is(result.lastStatus, result.status, what);
                     if (behaviour === "good") {
                         t.is(result.status, "completed", what);
                     }
--- a/packages/router/src/ports/StorePort.ts
+++ b/packages/router/src/ports/StorePort.ts
@@ -11,6 +11,6 @@
     readonly read: (topic: string, from: number, waitMs: number) => Promise<Either<StoreFailure, StorePage>>;
     /** Appends one record only if it gets offset `at`; returns its offset. */
     readonly appendAt: (topic: string, at: number, value: Buffer) => Promise<Either<StoreFailure, number>>;
-    /** Writes the newest record of a key; returns its offset. */
-    readonly put: (topic: string, key: string, value: Buffer) => Promise<Either<StoreFailure, number>>;
+    /** Writes the newest record of a key, if `at` is given only if it gets that offset; returns its offset. */
+    readonly put: (topic: string, key: string, value: Buffer, at?: number) => Promise<Either<StoreFailure, number>>;
 };
--- a/packages/router/src/rollout/RolloutEntry.ts
+++ b/packages/router/src/rollout/RolloutEntry.ts
@@ -14,6 +14,8 @@
     status: {
         /** The status in the store as far as this leader knows it: `unread`, or `none` if there is none. */
         known: "unread" | "none" | RolloutState;
+        /** End of the topic up to which `known` is the newest status. */
+        end: number;
         /** The call to the store that has not ended: a read, or the status that is being written. */
         pending: "read" | RolloutState | undefined;
         retryAt: Millis;
--- a/packages/router/src/rollout/createRollouts.ts
+++ b/packages/router/src/rollout/createRollouts.ts
@@ -105,7 +105,7 @@
             view: { order: rollout, phase: undefined, statedAt: -Infinity },
             counts: createAnswerCounts(),
             leadership: undefined,
-            status: { known: "unread", pending: undefined, retryAt: -Infinity },
+            status: { known: "unread", end: 0, pending: undefined, retryAt: -Infinity },
         });
         parts.sendSoon();
     };
--- a/packages/router/src/rollout/createStatusKeeper.ts
+++ b/packages/router/src/rollout/createStatusKeeper.ts
@@ -25,7 +25,14 @@
 /** Time between two tries while the store does not answer. */
 const RETRY_MS: Millis = 250;
 
-/** Creates the keeper of the statuses in the store. */
+/**
+ * Creates the keeper of the statuses in the store.
+ *
+ * The store may carry out a write seconds after the leader gave it up. A status of before the end would then replace the
+ * final one for good, and operators would stop the old endpoints, or keep both. So a status is written only where the
+ * topic ends as it did when its writer read it: once a final status is in the store, no write of before can follow it,
+ * of whichever leader.
+ */
 export function createStatusKeeper({ clock, store, wire, onEnded, logger }: StatusParts): StatusKeeper {
     const read: StatusKeeper["read"] = async entry => {
         const { service, version } = entry.view.order;
@@ -36,11 +43,12 @@
             Left: () => {
                 entry.status.retryAt = clock.now() + RETRY_MS;
             },
-            Right: ({ records }) => {
+            Right: ({ records, end }) => {
                 const found = records
                     .map(({ key, value }) => value === undefined ? undefined : wire.decodeRolloutStatus(key, value))
                     .find(each => each?.service === service && each.version === version);
                 entry.status.known = found?.state ?? "none";
+                entry.status.end = end;
                 if (found !== undefined && found.state !== "running") {
                     onEnded(entry, found.state);
                 }
@@ -51,15 +59,22 @@
         const { service, version } = entry.view.order;
         const { key, value } = wire.encodeRolloutStatus({ service, version, state: status });
         entry.status.pending = status;
-        const written = await store.put(wire.statusTopic, key, value);
+        const written = await store.put(wire.statusTopic, key, value, entry.status.end);
         entry.status.pending = undefined;
         written.caseOf({
             Left: failure => {
-                entry.status.retryAt = clock.now() + RETRY_MS;
+                if (failure.kind === "moved") {
+                    // Another status was written meanwhile: of another service, of another leader, or one given up.
+                    entry.status.known = "unread";
+                }
+                else {
+                    entry.status.retryAt = clock.now() + RETRY_MS;
+                }
                 logger.info({ service, status, failure: failure.kind }, "Writing the status of a rollout failed.");
             },
-            Right: () => {
+            Right: offset => {
                 entry.status.known = status;
+                entry.status.end = offset + 1;
                 logger.info({ service, version, status }, "Status of a rollout written.");
                 if (status === "completed") {
                     onEnded(entry, status);
--- a/packages/router/src/store/measureStore.ts
+++ b/packages/router/src/store/measureStore.ts
@@ -26,6 +26,6 @@
         newest: topic => measured("newest", store.newest(topic)),
         read: (topic, from, waitMs) => measured(waitMs > 0 ? "wait" : "read", store.read(topic, from, waitMs)),
         appendAt: (topic, at, value) => measured("append", store.appendAt(topic, at, value)),
-        put: (topic, key, value) => measured("put", store.put(topic, key, value)),
+        put: (topic, key, value, at) => measured("put", store.put(topic, key, value, at)),
     };
 }
--- a/scripts/checkModels.mjs
+++ b/scripts/checkModels.mjs
@@ -20,11 +20,14 @@
 const RELAY_READ = "spec/relayRead.pml";
 const RELAY_COUNTS = "spec/relayCounts.pml";
 const ROLLOUT = "spec/rollout.pml";
+const ROLLOUT_STATUS = "spec/rolloutStatus.pml";
 const ROWS = [
     { file: ROLLOUT, defines: [], expected: "clean" },
     { file: ROLLOUT, defines: ["NO_RANK"], expected: "violation" },
     { file: ROLLOUT, defines: ["NO_FRESH"], expected: "violation" },
     { file: ROLLOUT, defines: ["NO_ECHO"], expected: "violation" },
+    { file: ROLLOUT_STATUS, defines: [], expected: "clean" },
+    { file: ROLLOUT_STATUS, defines: ["NO_CONDITION"], expected: "violation" },
     { file: CONFIGURATION, defines: [], expected: "clean" },
     { file: CONFIGURATION, defines: ["NO_BASE"], expected: "violation" },
     { file: CONFIGURATION, defines: ["NO_REPEAT"], expected: "violation" },
