Order engines whose clock was stepped back between starts, and hold back by the own clock alone if no start is stated

Only a report of a later start is set aside now, and an engine that states an earlier one counts as just started. A report that ends with an exception no longer leaves its engine marked as asked.

--- a/packages/router/src/__tests__/unit/planWave.test.ts
+++ b/packages/router/src/__tests__/unit/planWave.test.ts
@@ -13,6 +13,8 @@
     readonly engines: readonly EngineWeights[];
     readonly demand: number;
     readonly orders: number | readonly string[];
+    /** Engines that must not be ordered now. */
+    readonly heldBack?: readonly string[];
 };
 
 // Too many engines are out of service for new weights at once, or some stay on old weights until these no longer serve.
@@ -63,11 +65,24 @@
         demand: 0,
         orders: ["idle", "busy"],
     },
+    {
+        name: "orders another engine in place of one that is held back",
+        engines: [engineOf("held"), engineOf("other"), ...enginesOf(2, { version: 3 })],
+        demand: 0,
+        orders: ["other"],
+        heldBack: ["held"],
+    },
 ];
 
-cases.forEach(({ name, engines, demand, orders }) => {
+cases.forEach(({ name, engines, demand, orders, heldBack = [] }) => {
     test(`planWave: ${name}`, t => {
-        const planned = planWave({ engines, version: 3, demand, servesForMs: 8_500, mayOrder: () => true });
+        const planned = planWave({
+            engines,
+            version: 3,
+            demand,
+            servesForMs: 8_500,
+            mayOrder: endpoint => !heldBack.includes(endpoint),
+        });
         if (typeof orders === "number") {
             t.is(planned.length, orders);
             return;
--- a/packages/router/src/fleet/followOrder.ts
+++ b/packages/router/src/fleet/followOrder.ts
@@ -6,7 +6,7 @@
 import type { EndpointEntry } from "../registry/EndpointEntry.js";
 import type { EngineCalls } from "./EngineCalls.js";
 import type { EngineOrder } from "./EngineOrder.js";
-import { isReportOf } from "./isReportOf.js";
+import { isOfLaterStart } from "./isOfLaterStart.js";
 import { orderTiming } from "./orderTiming.js";
 import { requestReport } from "./requestReport.js";
 
@@ -49,7 +49,7 @@
     const report = address === undefined
         ? undefined
         : (await requestReport(calls, wire, address)).toMaybe().extract();
-    const isOver = report !== undefined && !isReportOf(report, order.entry);
+    const isOver = report !== undefined && isOfLaterStart(report, order.entry);
     const state = isOver ? undefined : report;
     const seen = state?.versions.get(model);
     const currentOrder = (): EngineOrder | undefined =>
--- a/packages/router/src/fleet/orderAllowedAt.ts
+++ b/packages/router/src/fleet/orderAllowedAt.ts
@@ -7,7 +7,7 @@
     /** Number of orders that the engine has accepted since its start. */
     readonly ordersTaken: number;
     /** Latest time at which the engine can have started. */
-    readonly startedBefore: Millis;
+    readonly latestStart: Millis;
     /** Orders of this process to the engine, under any of its incarnations, that may still be carried out. */
     readonly unanswered: readonly UnansweredOrder[];
     /** Since when no other process can have issued orders. */
@@ -23,11 +23,11 @@
  * carried out. The unanswered orders of other processes are unknown, but before the engine's start they cannot have
  * expected a count that it has yet to reach, so only an engine that may have started since they were sent has to wait.
  */
-export function orderAllowedAt({ ordersTaken, startedBefore, unanswered, soleIssuerSince }: OrderView): Millis {
+export function orderAllowedAt({ ordersTaken, latestStart, unanswered, soleIssuerSince }: OrderView): Millis {
     const { maxTransitMs } = orderTiming;
     const ownUntil = unanswered
         .filter(order => order.ordersTaken === ordersTaken + 1)
         .map(({ sentAt }) => sentAt + maxTransitMs);
-    const othersUntil = startedBefore > soleIssuerSince - maxTransitMs ? [soleIssuerSince + maxTransitMs] : [];
+    const othersUntil = latestStart > soleIssuerSince - maxTransitMs ? [soleIssuerSince + maxTransitMs] : [];
     return Math.max(-Infinity, ...ownUntil, ...othersUntil);
 }
--- a/packages/router/src/fleet/orderTiming.ts
+++ b/packages/router/src/fleet/orderTiming.ts
@@ -7,8 +7,6 @@
     nextReportMs: 120,
     /** Delay before an engine whose report could not be used is asked again. */
     retryReportMs: 500,
-    /** Delay before an engine that must wait for its next order is asked again. */
-    recheckMs: 1_000,
     /** Longest time from the sending of an order until it is carried out, if it is not answered. */
     maxTransitMs: 12_500,
     /** How far the wall clocks of VMs and engines may be apart, also right after one was stepped. */
--- a/packages/router/src/fleet/startOrders.ts
+++ b/packages/router/src/fleet/startOrders.ts
@@ -12,7 +12,8 @@
 import type { EngineCalls } from "./EngineCalls.js";
 import type { EngineWeights } from "./EngineWeights.js";
 import { followOrder } from "./followOrder.js";
-import { isReportOf } from "./isReportOf.js";
+import { isOfLaterStart } from "./isOfLaterStart.js";
+import { latestStart } from "./latestStart.js";
 import { orderAllowedAt } from "./orderAllowedAt.js";
 import { orderFence } from "./orderFence.js";
 import type { OrderLease } from "./OrderLease.js";
@@ -91,8 +92,9 @@
     const readCount = async (entry: EndpointEntry, model: ModelName, version: number): Promise<number | undefined> => {
         const endpoint = entry.name;
         asked.add(endpoint);
-        const result = await requestReport(parts.calls, parts.wire, entry.address);
-        asked.delete(endpoint);
+        const result = await requestReport(parts.calls, parts.wire, entry.address).finally(() =>
+            asked.delete(endpoint)
+        );
         const engine = endpointTable.engines(model).find(each => each.endpoint === endpoint);
         if (result.extract() === "unreached") {
             endpointTable.recordUnreached(endpoint);
@@ -100,23 +102,27 @@
         }
         const report = result.toMaybe().extract();
         const isSameStart = endpointTable.entryOf(endpoint)?.bornAt === entry.bornAt;
-        if (report === undefined || engine === undefined || !isSameStart || !isReportOf(report, entry)) {
+        if (report === undefined || engine === undefined || !isSameStart || isOfLaterStart(report, entry)) {
             heldUntil.set(endpoint, clock.now() + orderTiming.retryReportMs);
             return undefined;
         }
         const seen = report.versions.get(model) ?? 0;
         endpointTable.observeWeights(endpoint, seen);
         const { ordersTaken } = report;
-        const wallAgeMs = clock.epoch() - entry.bornAt - orderTiming.wallClockToleranceMs;
         const allowedAt = orderAllowedAt({
             ordersTaken,
-            startedBefore: Math.min(engine.knownSince, clock.now() - wallAgeMs),
+            latestStart: latestStart({
+                entryBornAt: entry.bornAt,
+                reportBornAt: report.bornAt,
+                knownSince: engine.knownSince,
+                epoch: clock.epoch(),
+                now: clock.now(),
+            }),
             unanswered: unanswered.to(endpoint),
             soleIssuerSince: keeper.current().soleIssuerSince,
         });
         if (allowedAt > clock.now()) {
-            // Asked again before that time, as the engine's count may have moved on.
-            heldUntil.set(endpoint, Math.min(allowedAt, clock.now() + orderTiming.recheckMs));
+            heldUntil.set(endpoint, allowedAt);
             const waitMs = allowedAt - clock.now();
             logger.info(
                 { endpoint, model, version, ordersTaken, bornAt: entry.bornAt, waitMs },
@@ -220,6 +226,7 @@
     const tick = (): void => {
         const hasOrders = wanted().length > 0;
         const isWanted = hasOrders || parts.isLeaseWanted();
+        [...heldUntil].filter(([, until]) => until <= clock.now()).forEach(([endpoint]) => heldUntil.delete(endpoint));
         keeper.apply({ kind: "tick", isWanted, rank: parts.rank(keeper.current().tail?.holder) });
         if (hasOrders) {
             issueDueOrders();
