Don't take answers within the estimate for slow ones of a new version

What operators would see: a good version of a fast service is taken back.

Cause: an answer of a new version was slow from three times what the old version usually takes, however short that is. Answers of 2 ms vary by more than that, and where the old version fails on no request, two slow answers in a row are enough.

Why it works: an answer counts as slow only if it also takes longer than the estimate by which it was placed, 20 ms at least.

--- a/packages/router/src/__tests__/unit/rollout.test.ts
+++ b/packages/router/src/__tests__/unit/rollout.test.ts
@@ -172,6 +172,16 @@
     t.deepEqual(counts.rows(), countsOf(3, 2, 20, 0));
 });
 
+// A good version is taken back, as answers of a few milliseconds vary by more than the factor of slow ones.
+test("rollout: answers within the estimate are not bad, however fast the old version answers", t => {
+    const counts = createAnswerCounts();
+    const base = { route, outcome: "answered" as const, status: 200 };
+    Array.from({ length: 30 }, () => counts.record({ ...base, isNew: false, slowness: 0.1 }));
+    Array.from({ length: 6 }, () => counts.record({ ...base, isNew: true, slowness: 0.4 }));
+    counts.record({ ...base, isNew: true, slowness: 1.2 });
+    t.deepEqual(counts.rows(), countsOf(7, 1, 30, 0));
+});
+
 // A beacon with a field that is no number is dropped whole, with all else that it says.
 test("rollout: a statement of unknown age is sent on with a finite one, and does not count as fresh", t => {
     const time = { now: 500 };
--- a/packages/router/src/rollout/createAnswerCounts.ts
+++ b/packages/router/src/rollout/createAnswerCounts.ts
@@ -21,6 +21,8 @@
 
 /** An answer is slow if it takes this many times what the old version usually takes. */
 const SLOW_FACTOR = 3;
+/** Answers within the estimate, which is some tens of milliseconds at least, are never slow: no caller notices them. */
+const MIN_SLOWNESS = 1;
 /** Weight of the newest answer in the usual time of the old version. */
 const NEWEST_WEIGHT = 0.1;
 const SERVER_ERROR = 500;
@@ -46,7 +48,7 @@
 
     const isBad = ({ route, outcome, status, slowness }: CountedTry): boolean =>
         outcome !== "answered" || (status ?? 0) >= SERVER_ERROR
-        || (slowness ?? 0) > SLOW_FACTOR * (usual.get(route) ?? Infinity);
+        || (slowness ?? 0) > Math.max(MIN_SLOWNESS, SLOW_FACTOR * (usual.get(route) ?? Infinity));
     const record: AnswerCounts["record"] = tried => {
         if (!JUDGED.has(tried.outcome)) {
             return;
