Hold back only engines that were seen to start again when the lease is taken over

Change: only an engine that this VM saw replace an earlier incarnation under its name, also across a gap in the registry, waits for the orders of earlier issuers. With it go the comparison of wall clocks and its limits.

--- a/packages/router/src/__tests__/support/engineOf.ts
+++ b/packages/router/src/__tests__/support/engineOf.ts
@@ -8,7 +8,7 @@
         endpoint: name as EndpointName,
         version: 1,
         outdatedMs: 0,
-        knownSince: -Infinity,
+        restartedAt: -Infinity,
         order: undefined,
         running: 0,
         isUp: true,
--- a/packages/router/src/fleet/EngineWeights.ts
+++ b/packages/router/src/fleet/EngineWeights.ts
@@ -8,8 +8,8 @@
     readonly version: number;
     /** Time since its weights were replaced by a newer version; 0 if they are the newest. */
     readonly outdatedMs: Millis;
-    /** When this VM learned of the engine's current incarnation. */
-    readonly knownSince: Millis;
+    /** When this VM saw its incarnation replace an earlier one under the same name; `-Infinity` if it saw none. */
+    readonly restartedAt: Millis;
     /** Set while an order is, or may be, in progress. */
     readonly order: EngineOrder | undefined;
     /** Requests running there. */
--- a/packages/router/src/fleet/orderTiming.ts
+++ b/packages/router/src/fleet/orderTiming.ts
@@ -9,8 +9,6 @@
     retryReportMs: 500,
     /** Longest time from the sending of an order until it is carried out, if it is not answered. */
     maxTransitMs: 12_500,
-    /** How far the wall clocks of VMs and engines may be apart, also right after one was stepped. */
-    wallClockToleranceMs: 5_000,
 } as const;
 
 export { orderTiming };
--- a/packages/router/src/fleet/startOrders.ts
+++ b/packages/router/src/fleet/startOrders.ts
@@ -13,7 +13,6 @@
 import type { EngineWeights } from "./EngineWeights.js";
 import { followOrder } from "./followOrder.js";
 import { isOfLaterStart } from "./isOfLaterStart.js";
-import { latestStart } from "./latestStart.js";
 import { orderAllowedAt } from "./orderAllowedAt.js";
 import { orderFence } from "./orderFence.js";
 import type { OrderLease } from "./OrderLease.js";
@@ -111,13 +110,8 @@
         const { ordersTaken } = report;
         const allowedAt = orderAllowedAt({
             ordersTaken,
-            latestStart: latestStart({
-                entryBornAt: entry.bornAt,
-                reportBornAt: report.bornAt,
-                knownSince: engine.knownSince,
-                epoch: clock.epoch(),
-                now: clock.now(),
-            }),
+            // A report of an earlier start: the engine's wall clock was stepped back between two starts.
+            restartedAt: (report.bornAt ?? entry.bornAt) < entry.bornAt ? clock.now() : engine.restartedAt,
             unanswered: unanswered.to(endpoint),
             soleIssuerSince: keeper.current().soleIssuerSince,
         });
--- a/packages/router/src/placement/EndpointObservations.ts
+++ b/packages/router/src/placement/EndpointObservations.ts
@@ -7,8 +7,8 @@
 /** What this VM has observed of one incarnation of an endpoint. Updated in place. */
 export type EndpointObservations = {
     readonly bornAt: number;
-    /** When this VM learned of this incarnation. */
-    readonly knownSince: Millis;
+    /** When this VM saw this incarnation replace an earlier one under the same name; `-Infinity` if it saw none. */
+    readonly restartedAt: Millis;
     health: EndpointHealth;
     inFlight: readonly InFlight[];
     lastActivityAt: Millis;
--- a/packages/router/src/placement/createEndpointTable.ts
+++ b/packages/router/src/placement/createEndpointTable.ts
@@ -256,7 +256,7 @@
                     endpoint: entry.name,
                     version,
                     outdatedMs: outdatedFor(model, version) ?? 0,
-                    knownSince: observed.knownSince,
+                    restartedAt: observed.restartedAt,
                     order: orderAt(entry, version),
                     running,
                     // Only a call shows that an engine is back, and on outdated weights it gets no call but an order.
--- a/packages/router/src/placement/createObservations.ts
+++ b/packages/router/src/placement/createObservations.ts
@@ -1,4 +1,4 @@
-import type { Clock, EndpointName } from "@azureshunt/core";
+import type { Clock, EndpointName, Millis } from "@azureshunt/core";
 
 import type { EndpointEntry } from "../registry/EndpointEntry.js";
 import type { EndpointObservations } from "./EndpointObservations.js";
@@ -16,6 +16,9 @@
     readonly drop: (endpoint: EndpointName) => void;
 };
 
+/** Time for which an endpoint that has left is remembered, as its entry may expire while it starts again. */
+const DEPARTED_MS: Millis = 60_000;
+
 /**
  * Creates an empty table of observations by endpoint.
  *
@@ -23,6 +26,7 @@
  */
 export function createObservations(clock: Clock, onGone: (endpoint: EndpointName) => void): Observations {
     const all = new Map<EndpointName, EndpointObservations>();
+    const departedAt = new Map<EndpointName, Millis>();
     const of: Observations["of"] = entry => {
         const known = all.get(entry.name);
         if (known?.bornAt === entry.bornAt) {
@@ -33,7 +37,7 @@
         }
         const created: EndpointObservations = {
             bornAt: entry.bornAt,
-            knownSince: clock.now(),
+            restartedAt: known === undefined && !departedAt.has(entry.name) ? -Infinity : clock.now(),
             health: initialHealth,
             inFlight: [],
             lastActivityAt: -Infinity,
@@ -49,6 +53,10 @@
     const drop: Observations["drop"] = endpoint => {
         all.delete(endpoint);
         onGone(endpoint);
+        [...departedAt]
+            .filter(([, at]) => clock.now() - at > DEPARTED_MS)
+            .forEach(([name]) => departedAt.delete(name));
+        departedAt.set(endpoint, clock.now());
     };
     return { of, last: endpoint => all.get(endpoint), all: () => [...all], drop };
 }
