Take an endpoint that returns without a new start for what it was

The start that an endpoint had when it left is now compared with the one that it returns with. The case of restartedAt failed before.

--- a/packages/router/src/placement/createObservations.ts
+++ b/packages/router/src/placement/createObservations.ts
@@ -26,7 +26,7 @@
  */
 export function createObservations(clock: Clock, onGone: (endpoint: EndpointName) => void): Observations {
     const all = new Map<EndpointName, EndpointObservations>();
-    const departedAt = new Map<EndpointName, Millis>();
+    const departed = new Map<EndpointName, { readonly bornAt: number; readonly at: Millis; }>();
     const of: Observations["of"] = entry => {
         const known = all.get(entry.name);
         if (known?.bornAt === entry.bornAt) {
@@ -37,7 +37,7 @@
         }
         const created: EndpointObservations = {
             bornAt: entry.bornAt,
-            restartedAt: known === undefined && !departedAt.has(entry.name) ? -Infinity : clock.now(),
+            restartedAt: (known ?? departed.get(entry.name) ?? entry).bornAt === entry.bornAt ? -Infinity : clock.now(),
             health: initialHealth,
             inFlight: [],
             lastActivityAt: -Infinity,
@@ -51,12 +51,15 @@
         return created;
     };
     const drop: Observations["drop"] = endpoint => {
+        const bornAt = all.get(endpoint)?.bornAt;
         all.delete(endpoint);
         onGone(endpoint);
-        [...departedAt]
-            .filter(([, at]) => clock.now() - at > DEPARTED_MS)
-            .forEach(([name]) => departedAt.delete(name));
-        departedAt.set(endpoint, clock.now());
+        [...departed]
+            .filter(([, { at }]) => clock.now() - at > DEPARTED_MS)
+            .forEach(([name]) => departed.delete(name));
+        if (bornAt !== undefined) {
+            departed.set(endpoint, { bornAt, at: clock.now() });
+        }
     };
     return { of, last: endpoint => all.get(endpoint), all: () => [...all], drop };
 }
