Build the beacons of beaconOfEarlierProcess from the common empty one

The test wrote out the fields of an empty beacon that emptyBeacon has, and needed a cast for those it left out.

--- a/packages/router/src/__tests__/unit/beaconOfEarlierProcess.test.ts
+++ b/packages/router/src/__tests__/unit/beaconOfEarlierProcess.test.ts
@@ -4,6 +4,7 @@
 import { createAllowances } from "../../allowance/createAllowances.js";
 import type { Beacon } from "../../peers/Beacon.js";
 import { createMembership } from "../../peers/createMembership.js";
+import { emptyBeacon } from "../support/emptyBeacon.js";
 import { organisationOf } from "../support/organisationOf.js";
 
 const RATE = 1_000;
@@ -13,24 +14,15 @@
 
 type Sent = { readonly run: string; readonly upMs: number; readonly spent: number; readonly isLeaving?: boolean; };
 
-const beaconOf = ({ run, upMs, spent, isLeaving }: Sent): Beacon =>
-    ({
-        vm: other,
-        incarnation: run,
-        failureDomain: "fd",
-        upMs,
-        sequence: 1,
-        sentAt: upMs,
-        echo: undefined,
-        capacity: 1,
-        scope: "vm",
-        vms: [],
-        domains: [],
-        relayedSpent: [],
-        spent: [[organisation.id, spent, 0]],
-        hasStore: true,
-        isLeaving: isLeaving ?? false,
-    }) as unknown as Beacon;
+const beaconOf = ({ run, upMs, spent, isLeaving = false }: Sent): Beacon => ({
+    ...emptyBeacon,
+    vm: other,
+    incarnation: run as Incarnation,
+    upMs,
+    sentAt: upMs,
+    spent: [[organisation.id, spent, 0]],
+    isLeaving,
+});
 
 /** Starts the membership and the allowances of a VM; `receive` takes in a beacon, 100 ms after the one before. */
 const startVm = () => {
