--- a/packages/router/src/dispatch/OpenedCall.ts
+++ b/packages/router/src/dispatch/OpenedCall.ts
@@ -1,5 +1,7 @@
 import type { IncomingMessage } from "node:http";
 
+import type { ConnectionKind } from "./ConnectionKind.js";
+
 /** A call whose answer has started, or that failed before. */
 export type OpenedCall =
     | {
@@ -9,5 +11,6 @@
         readonly isBroken: () => boolean;
         /** Whether the connection was reset, although Node reported a normal end. */
         readonly wasReset: () => boolean;
+        readonly connection: ConnectionKind;
     }
-    | { readonly kind: "unreached" | "broken" | "silent" | "cancelled"; };
+    | { readonly kind: "unreached" | "broken" | "silent" | "cancelled"; readonly connection: ConnectionKind; };
--- a/packages/router/src/dispatch/openCall.ts
+++ b/packages/router/src/dispatch/openCall.ts
@@ -1,6 +1,7 @@
 import { request } from "node:http";
 import type { Socket } from "node:net";
 
+import type { ConnectionKind } from "./ConnectionKind.js";
 import type { EndpointAgent } from "./EndpointAgent.js";
 import type { EndpointCall } from "./EndpointCall.js";
 import type { OpenedCall } from "./OpenedCall.js";
@@ -38,10 +39,16 @@
     agent.destroyIdle(call.address, call.maxIdleMs);
     return new Promise(resolve => {
         if (signal.aborted) {
-            resolve({ kind: "cancelled" });
+            resolve({ kind: "cancelled", connection: "none" });
             return;
         }
-        const progress = { isConnected: false, isBroken: false, isSilent: false, wasReset: false };
+        const progress = {
+            isConnected: false,
+            isBroken: false,
+            isSilent: false,
+            wasReset: false,
+            connection: "none" as ConnectionKind,
+        };
         const req = request({
             agent,
             host,
@@ -91,11 +98,13 @@
             req.once("close", () => socket.removeListener("end", onEnd));
             if (!socket.connecting) {
                 progress.isConnected = true;
+                progress.connection = "kept";
                 return;
             }
             socket.setNoDelay(true);
             socket.once("connect", () => {
                 progress.isConnected = true;
+                progress.connection = "new";
             });
         });
         req.once("response", res =>
@@ -104,17 +113,19 @@
                 res,
                 isBroken: () => progress.isBroken,
                 wasReset: () => progress.wasReset,
+                connection: progress.connection,
             }));
         req.on("error", () => {
             progress.isBroken = true;
         });
         req.once("close", () => {
             signal.removeEventListener("abort", abandon);
+            const { connection } = progress;
             if (!progress.isConnected) {
-                settle({ kind: signal.aborted ? "cancelled" : "unreached" });
+                settle({ kind: signal.aborted ? "cancelled" : "unreached", connection });
                 return;
             }
-            settle({ kind: signal.aborted ? "cancelled" : progress.isSilent ? "silent" : "broken" });
+            settle({ kind: signal.aborted ? "cancelled" : progress.isSilent ? "silent" : "broken", connection });
         });
         req.end(call.body);
     });
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -1,5 +1,6 @@
 import type { Millis } from "@azureshunt/core";
 
+import type { ConnectionKind } from "../dispatch/ConnectionKind.js";
 import { openCall } from "../dispatch/openCall.js";
 import { areStoresCrowded } from "./areStoresCrowded.js";
 import { forwardAnswer } from "./forwardAnswer.js";
@@ -96,6 +97,7 @@
         expectedMs: Math.max(MIN_EXPECTED_MS, place.startMs + objectiveMs),
     });
     const times = { headMs: undefined as Millis | undefined, firstEventMs: undefined as Millis | undefined };
+    const used = { connection: "none" as ConnectionKind };
     const finish = (result: TryResult): TryResult => {
         inFlight.end(result.kind);
         if (result.kind !== "answered") {
@@ -111,6 +113,7 @@
         served.notes.add("Try ended.", {
             endpoint: place.entry.name,
             outcome: result.kind,
+            connection: used.connection,
             status: result.answer?.status,
             ms: Math.round(clock.now() - startedAt),
             ...times,
@@ -126,6 +129,7 @@
         });
         parts.metrics.count("azureshunt_tries_total", "Tries at endpoints by how they ended.", {
             outcome: result.kind,
+            connection: used.connection,
         });
         return result;
     };
@@ -140,6 +144,7 @@
         // A busy engine has the request in its queue; sending it to another one would only make both busier.
         isAlive: served.caller.prompt === undefined ? undefined : inFlight.isAlive,
     }, served.signal);
+    used.connection = opened.connection;
     if (opened.kind !== "head") {
         return finish({ kind: opened.kind, answer: undefined });
     }
