--- a/packages/router/src/dispatch/EndpointAgent.ts
+++ b/packages/router/src/dispatch/EndpointAgent.ts
@@ -1,6 +1,9 @@
 import { Agent } from "node:http";
 import type { ClientRequest } from "node:http";
-import type { Socket } from "node:net";
+import { connect } from "node:net";
+import type { Socket, TcpNetConnectOpts } from "node:net";
+
+import type { OpenConnection } from "./OpenConnection.js";
 
 /** Default limit of idle connections to one endpoint. Connections beyond it are closed after their answer. */
 const MAX_IDLE_PER_ENDPOINT = 24;
@@ -30,14 +33,21 @@
     /**
      * @param now monotonic time in milliseconds
      * @param maxIdle maximum number of idle connections to the endpoint at an address, `host:port`
+     * @param open opens a connection
      */
     constructor(
         private readonly now: () => number,
         private readonly maxIdle: (address: string) => number = () => MAX_IDLE_PER_ENDPOINT,
+        private readonly open: OpenConnection = connect,
     ) {
         super({ keepAlive: true, maxFreeSockets: MAX_IDLE_PER_ENDPOINT, scheduling: "lifo", timeout: MAX_IDLE_MS });
     }
 
+    /** Opens a connection for a request; called by Node. */
+    override createConnection(options: TcpNetConnectOpts): Socket {
+        return this.open(options);
+    }
+
     recordAddress(socket: Socket, address: string): void {
         this.addresses.set(socket, address);
     }
--- /dev/null
+++ b/packages/router/src/dispatch/OpenConnection.ts
@@ -0,0 +1,4 @@
+import type { Socket, TcpNetConnectOpts } from "node:net";
+
+/** Starts to open a connection, as `connect` of `node:net` does. */
+export type OpenConnection = (options: TcpNetConnectOpts) => Socket;
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -8,6 +8,7 @@
 export type { Service } from "./configuration/Service.js";
 export { callOnce } from "./dispatch/callOnce.js";
 export { EndpointAgent } from "./dispatch/EndpointAgent.js";
+export type { OpenConnection } from "./dispatch/OpenConnection.js";
 export type { CallerRequest } from "./ports/CallerRequest.js";
 export type { CallerWire } from "./ports/CallerWire.js";
 export type { DirectoryWire } from "./ports/DirectoryWire.js";
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -10,6 +10,7 @@
 import { EndpointAgent } from "./dispatch/EndpointAgent.js";
 import { hasDied } from "./dispatch/hasDied.js";
 import { maxIdleConnections } from "./dispatch/maxIdleConnections.js";
+import type { OpenConnection } from "./dispatch/OpenConnection.js";
 import { orderFence } from "./fleet/orderFence.js";
 import { startOrders } from "./fleet/startOrders.js";
 import { createSuspensionWatch } from "./knowledge/createSuspensionWatch.js";
@@ -52,6 +53,8 @@
     readonly directory: DirectoryWire;
     readonly callerWire: CallerWire;
     readonly endpointWire: EndpointWire;
+    /** Opens connections to endpoints and peers; `connect` of `node:net` if omitted. */
+    readonly open?: OpenConnection;
 };
 
 /** A running router. */
@@ -88,7 +91,7 @@
             ? undefined
             : declarations.current().configuration?.services.get(service);
         return maxIdleConnections(declared?.maxConnections, membership.vms());
-    });
+    }, parts.open);
     const prefixIndex = createPrefixIndex(holder =>
         limitsOfHolder(declarations.current().configuration, holder, endpointTable.entryOf(holder as EndpointName))
     );
