Open connections to endpoints through peers where own links fail

Cause: the only way from a VM to an endpoint was its own link. Health is kept per endpoint and VM, so a lost link looks like a dead endpoint, and the request goes on to the next one, which cannot be reached either.

Now a peer opens the connection (HTTP CONNECT) if the own link does not within 40 ms or fails; the first that opens is used. The request with its id, tries, charge and retry budget stays with its VM. Nothing has to tell a lost link from a dead endpoint. Orders use own links only. A VM that is cut off leaves the order lease to others, and takes an endpoint for dead only if a peer does too.

--- a/packages/router/src/__tests__/support/simulateOrders.ts
+++ b/packages/router/src/__tests__/support/simulateOrders.ts
@@ -149,6 +149,7 @@
             servesForMs: () => SERVES_FOR_MS,
             demand: () => 0,
             isLeaseWanted: () => false,
+            isCutOff: () => false,
             sendSoon: () => undefined,
         });
         return { process, endpointTable, orders, vm, rank };
--- /dev/null
+++ b/packages/router/src/__tests__/support/startTunnelPeer.ts
@@ -0,0 +1,39 @@
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+
+import type { OpenConnection } from "../../dispatch/OpenConnection.js";
+import type { OpenedConnection } from "../../dispatch/OpenedConnection.js";
+import { requestTunnel } from "../../tunnel/requestTunnel.js";
+import { serveTunnels } from "../../tunnel/serveTunnels.js";
+
+type PeerParts = Partial<Parameters<typeof serveTunnels>[1]> & { readonly open?: OpenConnection; };
+
+/** Starts a peer that opens tunnels to all addresses, unless the parts say otherwise, and a way through it. */
+export async function startTunnelPeer(parts: PeerParts = {}) {
+    const server = createServer();
+    const tunnels = serveTunnels(server, {
+        isEndpoint: () => true,
+        isAvailable: () => true,
+        isBlocked: () => false,
+        onOpened: () => undefined,
+        ...parts,
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const peer = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    const openTunnel = (target: string) => requestTunnel({ peer, target, signal: new AbortController().signal });
+    return {
+        tunnels,
+        openTunnel,
+        openConnection: async (address: string): Promise<OpenedConnection> => {
+            const opened = await openTunnel(address);
+            return opened.caseOf<OpenedConnection | Promise<never>>({
+                Left: failure => Promise.reject(new Error(failure)),
+                Right: socket => ({ socket, kind: "tunnel" }),
+            });
+        },
+        stop: () => {
+            tunnels.closeAll();
+            server.close();
+        },
+    };
+}
--- a/packages/router/src/__tests__/unit/abandonedCall.test.ts
+++ b/packages/router/src/__tests__/unit/abandonedCall.test.ts
@@ -5,6 +5,7 @@
 
 import { callOnce } from "../../dispatch/callOnce.js";
 import { EndpointAgent } from "../../dispatch/EndpointAgent.js";
+import { startTunnelPeer } from "../support/startTunnelPeer.js";
 
 // Bytes of an abandoned call that a cut link holds up arrive after it has healed, and after a newer call: a connection
 // that is closed still delivers them, one that is reset does not.
@@ -25,8 +26,12 @@
     { name: "within its answer", answers: [HEAD] },
 ];
 
-cases.forEach(({ name, answers }) => {
-    test(`abandoned call: its connection is reset when it times out ${name}`, async t => {
+const ways = [{ way: "over an own link", isTunnel: false }, { way: "through a peer", isTunnel: true }];
+
+ways.flatMap(way => cases.map(each => ({ ...way, ...each }))).forEach(({ way, isTunnel, name, answers }) => {
+    test(`abandoned call: ${way}, its connection is reset when it times out ${name}`, async t => {
+        const peer = await startTunnelPeer();
+        const openConnection = isTunnel ? peer.openConnection : undefined;
         const ends: string[] = [];
         const left = [...answers];
         const ended = new Promise<void>(resolve => {
@@ -41,7 +46,7 @@
             });
             server.listen(0, "127.0.0.1", () => {
                 const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-                const agent = new EndpointAgent(() => performance.now());
+                const agent = new EndpointAgent(() => performance.now(), { openConnection });
                 const call = {
                     method: "POST",
                     target: "/order",
@@ -55,6 +60,7 @@
             });
         });
         await ended;
+        peer.stop();
         t.deepEqual(ends, ["reset"]);
     });
 });
--- a/packages/router/src/__tests__/unit/dispatch.test.ts
+++ b/packages/router/src/__tests__/unit/dispatch.test.ts
@@ -6,6 +6,7 @@
 import { EndpointAgent } from "../../dispatch/EndpointAgent.js";
 import { openCall } from "../../dispatch/openCall.js";
 import { readAnswer } from "../../dispatch/readAnswer.js";
+import { startTunnelPeer } from "../support/startTunnelPeer.js";
 
 const HEAD = "HTTP/1.1 200 OK\r\n";
 const COMPLETE = `${HEAD}Content-Length: 2\r\n\r\nok`;
@@ -102,7 +103,7 @@
         const { server, address, connections } = await startEndpoint((socket, request) =>
             request === 1 ? socket.write(COMPLETE) : answer(socket, request)
         );
-        const agent = new EndpointAgent(() => performance.now(), () => 2);
+        const agent = new EndpointAgent(() => performance.now(), { maxIdle: () => 2 });
         t.is(await call(agent, address), "ok");
         t.is(await call(agent, address), outcome);
         t.is(connections(), 1);
@@ -111,6 +112,19 @@
     });
 });
 
+// Through a peer, a reset of the endpoint's connection must not look like the end of its answer either.
+cases.forEach(({ name, answer, outcome }) => {
+    test(`dispatch: through a peer, ${name}`, async t => {
+        const { server, address } = await startEndpoint(answer);
+        const peer = await startTunnelPeer();
+        const agent = new EndpointAgent(() => performance.now(), { openConnection: peer.openConnection });
+        t.is(await call(agent, address), outcome);
+        agent.destroy();
+        server.close();
+        peer.stop();
+    });
+});
+
 test("dispatch: an address at which nothing listens is unreached", async t => {
     const { server, address } = await startEndpoint(() => undefined);
     await new Promise(resolve => server.close(resolve));
--- /dev/null
+++ b/packages/router/src/__tests__/unit/tunnels.test.ts
@@ -0,0 +1,87 @@
+import { createServer, Socket } from "node:net";
+import type { AddressInfo } from "node:net";
+
+import test from "ava";
+
+import type { OpenConnection } from "../../dispatch/OpenConnection.js";
+import { startTunnelPeer } from "../support/startTunnelPeer.js";
+
+const startEcho = async () => {
+    const server = createServer(socket => {
+        socket.on("error", () => undefined);
+        socket.pipe(socket);
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    return { server, address: `127.0.0.1:${(server.address() as AddressInfo).port}` };
+};
+
+/** Opens connections that never get connected. */
+const openSilent: OpenConnection = () => Object.assign(new Socket(), { connecting: true });
+
+type Case = {
+    readonly name: string;
+    readonly parts: Parameters<typeof startTunnelPeer>[0];
+    /** Whether something listens at the endpoint's address. */
+    readonly listens?: boolean;
+    readonly outcome: "opened" | "endpoint-refused" | "endpoint-silent" | "peer";
+};
+
+// A tunnel must lead to endpoints only, and its VM must learn whether the peer or the endpoint is at fault.
+const cases: readonly Case[] = [
+    { name: "to an endpoint that the peer reaches", parts: {}, outcome: "opened" },
+    { name: "to an address that is no endpoint's", parts: { isEndpoint: () => false }, outcome: "peer" },
+    { name: "through a peer that is cut off itself, or stops", parts: { isAvailable: () => false }, outcome: "peer" },
+    { name: "over a link that does not work", parts: { isBlocked: () => true }, outcome: "endpoint-silent" },
+    { name: "to an endpoint that does not answer", parts: { open: openSilent }, outcome: "endpoint-silent" },
+    { name: "to an endpoint where nothing listens", parts: {}, listens: false, outcome: "endpoint-refused" },
+];
+
+cases.forEach(({ name, parts, listens = true, outcome }) => {
+    test(`tunnel ${name}: ${outcome}`, async t => {
+        const { server, address } = await startEcho();
+        const peer = await startTunnelPeer(parts);
+        if (!listens) {
+            await new Promise(resolve => server.close(resolve));
+        }
+        const opened = await peer.openTunnel(address);
+        t.is(opened.map(() => "opened").extract(), outcome);
+        opened.ifRight(socket => void socket.destroy());
+        peer.stop();
+        server.close();
+    });
+});
+
+// An endpoint that is silent for one VM would otherwise hold up each further VM that asks the same peer.
+test("tunnel: a peer that found an endpoint silent says so at once when it is asked again", async t => {
+    const opens = { count: 0 };
+    const peer = await startTunnelPeer({
+        open: options => {
+            opens.count += 1;
+            return openSilent(options);
+        },
+    });
+    t.is((await peer.openTunnel("127.0.0.1:9")).extract(), "endpoint-silent");
+    t.is((await peer.openTunnel("127.0.0.1:9")).extract(), "endpoint-silent");
+    t.is(opens.count, 1);
+    peer.stop();
+});
+
+// Requests of other VMs that run while a VM stops must get their answers.
+test("tunnel: a peer that stops keeps a tunnel that is in use, and closes it once it is idle", async t => {
+    const { server, address } = await startEcho();
+    const peer = await startTunnelPeer();
+    const socket = (await peer.openTunnel(address)).unsafeCoerce() as Socket;
+    const received: string[] = [];
+    socket.on("data", data => received.push(String(data)));
+    const closed = new Promise(resolve => socket.once("close", resolve));
+    const drained = peer.tunnels.drain(60_000);
+    const timer = setInterval(() => socket.write("x"), 100);
+    await new Promise(resolve => setTimeout(resolve, 1_300));
+    t.is(peer.tunnels.size(), 1);
+    clearInterval(timer);
+    await drained;
+    await closed;
+    t.true(received.join("").length > 5);
+    server.close();
+    peer.stop();
+});
--- a/packages/router/src/dispatch/EndpointAgent.ts
+++ b/packages/router/src/dispatch/EndpointAgent.ts
@@ -1,12 +1,19 @@
 import { Agent } from "node:http";
-import type { ClientRequest } from "node:http";
+import type { ClientRequest, ClientRequestArgs } from "node:http";
 import { connect } from "node:net";
 import type { Socket, TcpNetConnectOpts } from "node:net";
+import type { Duplex } from "node:stream";
 
+import type { ConnectionKind } from "./ConnectionKind.js";
 import type { OpenConnection } from "./OpenConnection.js";
+import type { OpenedConnection } from "./OpenedConnection.js";
 
 /** Default limit of idle connections to one endpoint. Connections beyond it are closed after their answer. */
 const MAX_IDLE_PER_ENDPOINT = 24;
+/**
+ * Maximum idle time of a connection over an own link that seems not to work: one that was used later still works.
+ */
+const BLOCKED_MAX_IDLE_MS = 250;
 /** Maximum idle time of a connection, unless the endpoint announces a shorter one. */
 const MAX_IDLE_MS = 20_000;
 
@@ -16,6 +23,19 @@
 
 type IdleConnection = { readonly socket: Socket; readonly idleSince: number; };
 
+type AgentParts = {
+    /** Maximum number of idle connections to the endpoint at an address, `host:port`. */
+    readonly maxIdle?: (address: string) => number;
+    /** Opens connections; `connect` of `node:net` if omitted. */
+    readonly open?: OpenConnection;
+    /** Opens connections in place of `open`, over own links or through peers. */
+    readonly openConnection?: (address: string) => Promise<OpenedConnection>;
+    /** Whether the own link to the endpoint at an address seems not to work. */
+    readonly isBlocked?: (address: string) => boolean;
+};
+
+type OnConnection = (err: Error | null, stream: Duplex) => void;
+
 /**
  * HTTP agent for connections to endpoints.
  *
@@ -30,22 +50,31 @@
      */
     private readonly addresses = new WeakMap<Socket, string>();
 
-    /**
-     * @param now monotonic time in milliseconds
-     * @param maxIdle maximum number of idle connections to the endpoint at an address, `host:port`
-     * @param open opens a connection
-     */
-    constructor(
-        private readonly now: () => number,
-        private readonly maxIdle: (address: string) => number = () => MAX_IDLE_PER_ENDPOINT,
-        private readonly open: OpenConnection = connect,
-    ) {
+    private readonly tunnels = new WeakSet<Socket>();
+
+    /** @param now monotonic time in milliseconds */
+    constructor(private readonly now: () => number, private readonly parts: AgentParts = {}) {
         super({ keepAlive: true, maxFreeSockets: MAX_IDLE_PER_ENDPOINT, scheduling: "lifo", timeout: MAX_IDLE_MS });
     }
 
-    /** Opens a connection for a request; called by Node. */
-    override createConnection(options: TcpNetConnectOpts): Socket {
-        return this.open(options);
+    /** Opens a connection for a request; called by Node. Returns it at once, or passes it on once it is open. */
+    override createConnection(options: ClientRequestArgs, onConnection?: OnConnection): Duplex | undefined {
+        const { open = connect, openConnection } = this.parts;
+        if (openConnection === undefined) {
+            return open(options as TcpNetConnectOpts);
+        }
+        openConnection(`${options.host}:${options.port}`).then(({ socket, kind }) => {
+            if (kind === "tunnel") {
+                this.tunnels.add(socket);
+            }
+            onConnection?.(null, socket);
+        }, (err: Error) => onConnection?.(err, undefined as never));
+        return undefined;
+    }
+
+    /** Returns how the open connection came about that a request uses. */
+    connectionKindOf(socket: Socket): ConnectionKind {
+        return this.idleSince.has(socket) ? "kept" : this.tunnels.has(socket) ? "tunnel" : "new";
     }
 
     recordAddress(socket: Socket, address: string): void {
@@ -54,7 +83,7 @@
 
     /** Decides whether to keep a connection after its answer; called by Node. */
     override keepSocketAlive(socket: Socket): boolean {
-        this.maxFreeSockets = this.maxIdle(this.addresses.get(socket) ?? "");
+        this.maxFreeSockets = this.parts.maxIdle?.(this.addresses.get(socket) ?? "") ?? MAX_IDLE_PER_ENDPOINT;
         const isKept = super.keepSocketAlive(socket) as unknown as boolean;
         if (isKept) {
             this.idleSince.set(socket, this.now());
@@ -69,14 +98,21 @@
         super.reuseSocket(socket, req);
     }
 
-    /** Destroys the connections to an endpoint that have been idle for longer than `idleMs`. */
+    /**
+     * Destroys the connections to an endpoint that have been idle for longer than `idleMs`, and those over an own link
+     * that seems not to work unless they were used just before.
+     */
     destroyIdle(address: string, idleMs: number): void {
         const [host, port] = address.split(":");
         const name = this.getName({ host, port: Number(port) });
         const connections: readonly IdleConnection[] = (this.freeSockets[name] ?? [])
             .map(socket => ({ socket, idleSince: this.idleSince.get(socket) ?? -Infinity }));
-        connections.filter(({ idleSince }) => this.now() - idleSince > idleMs).forEach(({ socket }) =>
-            socket.destroy()
-        );
+        const ownLinkIdleMs = this.parts.isBlocked?.(address) === true
+            ? Math.min(idleMs, BLOCKED_MAX_IDLE_MS)
+            : idleMs;
+        const maxIdleMsOf = (socket: Socket): number => this.tunnels.has(socket) ? idleMs : ownLinkIdleMs;
+        connections
+            .filter(({ socket, idleSince }) => this.now() - idleSince > maxIdleMsOf(socket))
+            .forEach(({ socket }) => socket.destroy());
     }
 }
--- a/packages/router/src/dispatch/openCall.ts
+++ b/packages/router/src/dispatch/openCall.ts
@@ -1,26 +1,16 @@
 import { request } from "node:http";
-import type { Socket } from "node:net";
 
 import type { ConnectionKind } from "./ConnectionKind.js";
 import type { EndpointAgent } from "./EndpointAgent.js";
 import type { EndpointCall } from "./EndpointCall.js";
 import type { OpenedCall } from "./OpenedCall.js";
+import { wasReset } from "./wasReset.js";
 
 /** Time limit for opening a connection: tens of round trips inside a region. A dead endpoint never answers. */
 const CONNECT_MS = 200;
 /** Interval of checking whether a silent endpoint is still alive. */
 const RECHECK_MS = 200;
 
-/**
- * Returns whether a connection that has just ended was reset.
- *
- * If an endpoint crashes in mid-answer, its connection is reset together with the last bytes. libuv then reports a
- * normal end of the stream, and an answer without a length looks complete. To detect this: the operating system has no
- * remote address for a connection that was reset, but still has one for a connection that was closed. Node queries it
- * when the address is first read, so nothing may read the address before.
- */
-const isReset = (socket: Socket): boolean => socket.remoteAddress === undefined;
-
 /**
  * Sends a request to an endpoint and waits for the head of its answer.
  *
@@ -43,6 +33,7 @@
             return;
         }
         const progress = {
+            hasSocket: false,
             isConnected: false,
             isBroken: false,
             isSilent: false,
@@ -64,6 +55,10 @@
                 req.socket?.resetAndDestroy();
             }
             req.destroy();
+            if (!progress.hasSocket) {
+                // Node reports the end only once a connection opens. Nothing is sent on it then.
+                onClose();
+            }
         };
         const endAsSilent = (): void => {
             progress.isSilent = true;
@@ -90,15 +85,16 @@
         };
         signal.addEventListener("abort", abandon, { once: true });
         req.once("socket", socket => {
+            progress.hasSocket = true;
             agent.recordAddress(socket, call.address);
             const onEnd = (): void => {
-                progress.wasReset = isReset(socket);
+                progress.wasReset = wasReset(socket);
             };
             socket.prependOnceListener("end", onEnd);
             req.once("close", () => socket.removeListener("end", onEnd));
             if (!socket.connecting) {
                 progress.isConnected = true;
-                progress.connection = "kept";
+                progress.connection = agent.connectionKindOf(socket);
                 return;
             }
             socket.setNoDelay(true);
@@ -118,7 +114,7 @@
         req.on("error", () => {
             progress.isBroken = true;
         });
-        req.once("close", () => {
+        const onClose = (): void => {
             signal.removeEventListener("abort", abandon);
             const { connection } = progress;
             if (!progress.isConnected) {
@@ -126,7 +122,8 @@
                 return;
             }
             settle({ kind: signal.aborted ? "cancelled" : progress.isSilent ? "silent" : "broken", connection });
-        });
+        };
+        req.once("close", onClose);
         req.end(call.body);
     });
 }
--- a/packages/router/src/fleet/startOrders.ts
+++ b/packages/router/src/fleet/startOrders.ts
@@ -42,6 +42,8 @@
     readonly demand: () => Tokens;
     /** Whether the lease is needed for anything but orders. */
     readonly isLeaseWanted: () => boolean;
+    /** Whether this VM reaches no endpoints; it then leaves the lease to others. */
+    readonly isCutOff: () => boolean;
     /** Sends the other VMs soon, before the next round, which engines were ordered. */
     readonly sendSoon: () => void;
 };
@@ -219,7 +221,7 @@
 
     const tick = (): void => {
         const hasOrders = wanted().length > 0;
-        const isWanted = hasOrders || parts.isLeaseWanted();
+        const isWanted = !parts.isCutOff() && (hasOrders || parts.isLeaseWanted());
         [...heldUntil].filter(([, until]) => until <= clock.now()).forEach(([endpoint]) => heldUntil.delete(endpoint));
         keeper.apply({ kind: "tick", isWanted, rank: parts.rank(keeper.current().tail?.holder) });
         if (hasOrders) {
--- a/packages/router/src/peers/createMembership.ts
+++ b/packages/router/src/peers/createMembership.ts
@@ -1,5 +1,6 @@
 import { rendezvousOrder } from "@azureshunt/core";
 import type { Clock, FailureDomain, Millis, Tokens, VmId } from "@azureshunt/core";
+import type { Peer } from "@azureshunt/reach";
 
 import type { PeerLiveness } from "../allowance/PeerLiveness.js";
 import { leaseRank } from "../fleet/leaseRank.js";
@@ -47,6 +48,8 @@
     readonly isAlone: () => boolean;
     /** Address of a live relay of this VM's failure domain, other than this VM; `undefined` if there is none. */
     readonly relayAddress: () => string | undefined;
+    /** Peers that are alive, with the addresses of their listeners. */
+    readonly livePeers: () => readonly Peer[];
     /** Address of a peer; `undefined` if it is not known. */
     readonly addressOf: (vm: VmId | undefined) => string | undefined;
     /** Role of a peer as seen by this VM. */
@@ -150,6 +153,7 @@
             const [relay] = rendezvousOrder(self.vm, ownRelays().filter(vm => vm !== self.vm));
             return addressOf(relay);
         },
+        livePeers: () => [...state.members.known.values()].filter(member => isAlive(member, clock.now())),
         addressOf,
         relays: ownRelays,
         roleOf: role,
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -45,6 +45,8 @@
 import { startMetricsListener } from "./startMetricsListener.js";
 import { createRelayReads } from "./store/createRelayReads.js";
 import { measureStore } from "./store/measureStore.js";
+import { createConnector } from "./tunnel/createConnector.js";
+import { serveTunnels } from "./tunnel/serveTunnels.js";
 
 /** Settings and adapters that a router is built from. */
 type RouterParts = {
@@ -85,13 +87,27 @@
     const logger = loggers("router");
     const metrics = createMetrics();
     const store = measureStore(parts.store, clock, metrics);
-    const agent = new EndpointAgent(clock.now, address => {
-        const service = endpointTable.serviceAt(address);
-        const declared = service === undefined
-            ? undefined
-            : declarations.current().configuration?.services.get(service);
-        return maxIdleConnections(declared?.maxConnections, membership.vms());
-    }, parts.open);
+    // Calls to peers, and reports and orders: orders of one VM must not arrive from another one.
+    const agent = new EndpointAgent(clock.now, parts);
+    const connector = createConnector({
+        clock,
+        random: Math.random,
+        failureDomain: settings.failureDomain,
+        peers: () => membership.livePeers(),
+        logger,
+        open: parts.open,
+    });
+    const requestAgent = new EndpointAgent(clock.now, {
+        maxIdle: address => {
+            const service = endpointTable.serviceAt(address);
+            const declared = service === undefined
+                ? undefined
+                : declarations.current().configuration?.services.get(service);
+            return maxIdleConnections(declared?.maxConnections, membership.vms());
+        },
+        openConnection: connector.openConnection,
+        isBlocked: connector.isBlocked,
+    });
     const prefixIndex = createPrefixIndex(holder =>
         limitsOfHolder(declarations.current().configuration, holder, endpointTable.entryOf(holder as EndpointName))
     );
@@ -187,7 +203,12 @@
     const demand = createDemand(clock);
     const fleetDemand = (): Tokens => demand.rate() + membership.demand();
     const allowances = createAllowances(clock, membership.liveness, Math.random);
-    const quarantine = createQuarantine({ clock, hasDied, logger: loggers("quarantine"), metrics });
+    const quarantine = createQuarantine({
+        clock,
+        hasDied: async address => await hasDied(address) && connector.confirmDead(address),
+        logger: loggers("quarantine"),
+        metrics,
+    });
     const orders = startOrders({
         clock,
         vm: settings.vm,
@@ -206,6 +227,7 @@
         leaseMs: () => state.settings.orderLeaseMs,
         rank: lastHolder => membership.rank(lastHolder, declarations.hasStore()),
         isLeaseWanted: () => rollouts.isLeaderWanted(),
+        isCutOff: connector.isCutOff,
         sendSoon: () => beacons.sendSoon(),
     });
 
@@ -270,7 +292,7 @@
         retryBudgets: createRetryBudgets(() => state.settings.retries, () => membership.vms()),
         quarantine,
         rollouts,
-        agent,
+        agent: requestAgent,
         callerWire: parts.callerWire,
         endpointWire: parts.endpointWire,
         bounds,
@@ -295,6 +317,13 @@
             [directory.registryTopic, registry.answer],
         ]),
     });
+    const tunnels = serveTunnels(peerListener, {
+        isEndpoint: address => endpointTable.serviceAt(address) !== undefined,
+        isAvailable: () => !state.isDraining && !connector.isCutOff(),
+        isBlocked: connector.isBlocked,
+        onOpened: connector.recordOpened,
+        open: parts.open,
+    });
     const stopGauges = startGauges(metrics, sources);
     const metricsListener = await startMetricsListener(settings.listen.metrics, metrics);
     const callerServer = await startCallerServer({
@@ -331,7 +360,8 @@
     const shutDown = async (): Promise<void> => {
         state.isDraining = true;
         logger.info("Stopping.");
-        await callerServer.drain(state.settings.stopMs);
+        await Promise.all([callerServer, tunnels].map(part => part.drain(state.settings.stopMs)));
+        tunnels.closeAll();
         [beacons, registry, declarations].forEach(part => part.stop());
         clearInterval(timer);
         stopGauges();
@@ -339,7 +369,7 @@
             listener.close();
             listener.closeAllConnections();
         });
-        agent.destroy();
+        [agent, requestAgent].forEach(each => each.destroy());
         logger.info("Stopped.");
     };
     const reload = (next: RouterSettings): void => {
--- /dev/null
+++ b/packages/router/src/tunnel/serveTunnels.ts
@@ -0,0 +1,161 @@
+import type { IncomingMessage, Server } from "node:http";
+import { connect } from "node:net";
+import type { Socket } from "node:net";
+
+import type { Millis } from "@azureshunt/core";
+
+import type { OpenConnection } from "../dispatch/OpenConnection.js";
+import { wasReset } from "../dispatch/wasReset.js";
+import { tunnelStatus } from "./tunnelStatus.js";
+import { tunnelTiming } from "./tunnelTiming.js";
+
+type TunnelParts = {
+    /** Whether an address, `host:port`, is that of a registered endpoint. Tunnels lead nowhere else. */
+    readonly isEndpoint: (address: string) => boolean;
+    /** Whether this VM opens tunnels now: not while it is cut off itself, or stops. */
+    readonly isAvailable: () => boolean;
+    /** Whether this VM's own link to the endpoint at an address seems not to work. */
+    readonly isBlocked: (address: string) => boolean;
+    /** Called when a connection to an endpoint has opened. */
+    readonly onOpened: (address: string) => void;
+    readonly open?: OpenConnection;
+};
+
+/** The tunnels of a listener. */
+type Tunnels = {
+    readonly size: () => number;
+    /** Closes each tunnel once it carries nothing; resolves when none is left, or after the time given. */
+    readonly drain: (withinMs: Millis) => Promise<void>;
+    readonly closeAll: () => void;
+};
+
+type Tunnel = { readonly near: Socket; readonly far: Socket; lastDataAt: Millis; };
+
+/** Each tunnel takes two of the process's descriptors. */
+const MAX_TUNNELS = 600;
+const POLL_MS: Millis = 50;
+
+/**
+ * Opens connections to endpoints for peers that cannot reach them, on `CONNECT` requests to their listener, and forwards
+ * bytes both ways. A tunnel carries connections of one VM, whose requests, retries and charges stay its own, so a
+ * request crosses one tunnel at most.
+ *
+ * A reset at one end is passed on as a reset: the VM tells by it that an answer is incomplete, and the endpoint that a
+ * call was abandoned, whose bytes must not arrive later.
+ */
+export function serveTunnels(server: Server, parts: TunnelParts): Tunnels {
+    const tunnels = new Set<Tunnel>();
+    /** By address of an endpoint: until when it counts as silent. */
+    const silentUntil = new Map<string, Millis>();
+    const isSilent = (address: string): boolean =>
+        parts.isBlocked(address) || (silentUntil.get(address) ?? -Infinity) > performance.now();
+    const recordSilent = (address: string): void => {
+        const now = performance.now();
+        [...silentUntil].filter(([, until]) => until <= now).forEach(([each]) => silentUntil.delete(each));
+        silentUntil.set(address, now + tunnelTiming.silentMs);
+    };
+
+    const refuse = (near: Socket, status: number): void => {
+        near.end(`HTTP/1.1 ${status} Refused\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`);
+    };
+
+    const forward = (near: Socket, far: Socket): void => {
+        const tunnel: Tunnel = { near, far, lastDataAt: performance.now() };
+        tunnels.add(tunnel);
+        [[near, far] as const, [far, near] as const].forEach(([from, to]) => {
+            from.setNoDelay(true);
+            from.setTimeout(tunnelTiming.idleMs, () => from.resetAndDestroy());
+            from.on("data", () => {
+                tunnel.lastDataAt = performance.now();
+            });
+            from.prependOnceListener("end", () => {
+                if (wasReset(from)) {
+                    to.resetAndDestroy();
+                }
+            });
+            from.on("error", () => to.resetAndDestroy());
+            from.on("close", () => {
+                tunnels.delete(tunnel);
+                to.destroySoon();
+            });
+            from.pipe(to);
+        });
+    };
+
+    const onConnect = (req: IncomingMessage, near: Socket, head: Buffer): void => {
+        const address = req.url ?? "";
+        const onEarlyError = (): void => void near.destroy();
+        near.on("error", onEarlyError);
+        if (!parts.isEndpoint(address)) {
+            refuse(near, tunnelStatus.notAllowed);
+            return;
+        }
+        if (!parts.isAvailable() || tunnels.size >= MAX_TUNNELS || head.length > 0) {
+            refuse(near, tunnelStatus.unavailable);
+            return;
+        }
+        if (isSilent(address)) {
+            refuse(near, tunnelStatus.silent);
+            return;
+        }
+        const [host, port] = address.split(":");
+        const far = (parts.open ?? connect)({ host, port: Number(port) });
+        const fail = (status: number): void => {
+            clearTimeout(timer);
+            far.destroy();
+            refuse(near, status);
+        };
+        const timer = setTimeout(() => {
+            recordSilent(address);
+            fail(tunnelStatus.silent);
+        }, tunnelTiming.peerConnectMs);
+        const onFarError = (): void => fail(tunnelStatus.refused);
+        const onNearClose = (): void => {
+            clearTimeout(timer);
+            far.destroy();
+        };
+        near.once("close", onNearClose);
+        far.once("error", onFarError);
+        far.once("connect", () => {
+            clearTimeout(timer);
+            far.removeListener("error", onFarError);
+            near.removeListener("close", onNearClose);
+            near.removeListener("error", onEarlyError);
+            silentUntil.delete(address);
+            parts.onOpened(address);
+            forward(near, far);
+            near.write(`HTTP/1.1 ${tunnelStatus.opened} Connection established\r\n\r\n`);
+        });
+    };
+    server.on("connect", (req, near, head) => onConnect(req, near as Socket, head));
+
+    const closeIdle = (): void =>
+        tunnels.forEach(({ near, far, lastDataAt }) => {
+            if (performance.now() - lastDataAt > tunnelTiming.drainIdleMs) {
+                near.destroySoon();
+                far.destroySoon();
+            }
+        });
+    const drain: Tunnels["drain"] = withinMs =>
+        new Promise(resolve => {
+            const startedAt = performance.now();
+            const poll = (): void => {
+                closeIdle();
+                if (tunnels.size === 0 || performance.now() - startedAt > withinMs) {
+                    resolve();
+                    return;
+                }
+                setTimeout(poll, POLL_MS);
+            };
+            poll();
+        });
+    return {
+        size: () => tunnels.size,
+        drain,
+        closeAll: () =>
+            tunnels.forEach(({ near, far }) => {
+                near.resetAndDestroy();
+                far.resetAndDestroy();
+            }),
+    };
+}
--- /dev/null
+++ b/packages/router/src/tunnel/tunnelTiming.ts
@@ -0,0 +1,19 @@
+/** Time limits of tunnels, in milliseconds. */
+const tunnelTiming = {
+    /** For a connection to an endpoint, over an own link or a tunnel: tens of round trips inside a region. */
+    connectMs: 200,
+    /** For the connection that a peer opens. The rest of `connectMs` is left for another peer. */
+    peerConnectMs: 100,
+    /** How long a peer opens no more connections to an endpoint that did not answer one. */
+    silentMs: 500,
+    /** For a peer's answer. It says within `peerConnectMs` whether it reaches the endpoint. */
+    answerMs: 130,
+    /** How long a peer that could not help is not asked again. */
+    avoidMs: 1_000,
+    /** A tunnel that carries nothing for this long is closed, as its VM may be gone: longer than any pause in an answer. */
+    idleMs: 60_000,
+    /** While its VM shuts down, a tunnel that carries nothing for this long is closed: no request runs on it. */
+    drainIdleMs: 1_000,
+} as const;
+
+export { tunnelTiming };
