Keep refusals by brittle endpoints below what they bear

Endpoints may say in all answers that they are brittle (Server-Brittle): one that has to refuse more than N requests in a second, by all VMs together, falls over, and its load makes the others fall. Nothing bounded the refusals: under load each request was refused by one endpoint after the other.

Waiting room is not relied on, as it may shrink. What may not be sent is refused at once as overloaded, not run.

--- a/packages/router/src/__tests__/support/candidateOf.ts
+++ b/packages/router/src/__tests__/support/candidateOf.ts
@@ -11,6 +11,7 @@
         isSameDomain: true,
         slots: 64,
         running: 0,
+        ownRunning: 0,
         waitingTokens: 0,
         memoryTokens: 0,
         memorySize: 280_000,
--- a/packages/router/src/__tests__/unit/judgeHead.test.ts
+++ b/packages/router/src/__tests__/unit/judgeHead.test.ts
@@ -12,6 +12,7 @@
     isSealed: true,
     isNotRun: false,
     isEncoded: false,
+    maxRefusals: undefined,
     weights: undefined,
 };
 
--- a/packages/router/src/placement/Candidate.ts
+++ b/packages/router/src/placement/Candidate.ts
@@ -11,6 +11,8 @@
     readonly slots: number;
     /** Requests running or queued there: this VM's own, and those that the peers last reported. */
     readonly running: number;
+    /** Those of this VM alone. */
+    readonly ownRunning: number;
     /** Prompt tokens of requests whose answers have not started. */
     readonly waitingTokens: Tokens;
     /** Tokens that its requests occupy in the KV cache; 0 for plain services. */
--- a/packages/router/src/placement/loadOf.ts
+++ b/packages/router/src/placement/loadOf.ts
@@ -5,6 +5,8 @@
 
 /** Requests running and waiting at an endpoint. */
 type Load = EndpointShare & {
+    /** Requests there of this VM alone. */
+    readonly ownRunning: number;
     /** Time without activity beyond the usual gap, while this VM expects some. */
     readonly silentMs: Millis;
 };
@@ -42,6 +44,7 @@
 ): Load {
     const waiting = inFlight.filter(each => !each.isAnswering);
     return {
+        ownRunning: inFlight.length,
         running: inFlight.length + (others?.running ?? 0),
         waitingTokens: sumOf(waiting, each => each.missingTokens) + (others?.waitingTokens ?? 0),
         memoryTokens: sumOf(inFlight, each => each.memoryTokens) + (others?.memoryTokens ?? 0),
--- a/packages/router/src/ports/EndpointHead.ts
+++ b/packages/router/src/ports/EndpointHead.ts
@@ -9,6 +9,11 @@
     readonly isNotRun: boolean;
     /** Whether the body was encoded in transit, so that it is not the body that the endpoint sent. */
     readonly isEncoded: boolean;
+    /**
+     * Refusals in a second, caused by all VMs together, after which the endpoint falls over; undefined if it is not
+     * brittle.
+     */
+    readonly maxRefusals: number | undefined;
     /** Version of the weights that produced the answer. */
     readonly weights: number | undefined;
 };
--- a/packages/router/src/serve/ServeParts.ts
+++ b/packages/router/src/serve/ServeParts.ts
@@ -6,6 +6,7 @@
 import type { createAllowances } from "../allowance/createAllowances.js";
 import type { EndpointAgent } from "../dispatch/EndpointAgent.js";
 import type { DeclaredState } from "../knowledge/DeclaredState.js";
+import type { createBrittleServices } from "../placement/createBrittleServices.js";
 import type { createDemand } from "../placement/createDemand.js";
 import type { createPrefixIndex } from "../placement/createPrefixIndex.js";
 import type { EndpointTable } from "../placement/EndpointTable.js";
@@ -22,6 +23,7 @@
     readonly random: () => number;
     readonly declaredState: () => DeclaredState;
     readonly endpointTable: EndpointTable;
+    readonly brittleServices: ReturnType<typeof createBrittleServices>;
     readonly prefixIndex: ReturnType<typeof createPrefixIndex>;
     readonly allowances: Pick<ReturnType<typeof createAllowances>, "refund">;
     readonly allowanceQueue: ReturnType<typeof createAllowanceQueue>;
--- a/packages/router/src/serve/TryPlace.ts
+++ b/packages/router/src/serve/TryPlace.ts
@@ -14,6 +14,7 @@
     readonly candidateCount: number;
     /** Requests that were running at the endpoint when it was chosen. */
     readonly running: number;
+    readonly slots: number;
     readonly missingTokens: Tokens;
     readonly memoryTokens: Tokens;
     readonly salt: string | undefined;
--- a/packages/router/src/serve/placeRequest.ts
+++ b/packages/router/src/serve/placeRequest.ts
@@ -39,7 +39,7 @@
         promptByWeights.set(weights, versioned);
         return versioned;
     };
-    const placeable = parts.endpointTable.candidates({
+    const reachable = parts.endpointTable.candidates({
         service: served.service,
         model: prompt?.model,
         promptAt: (entry, weights, peers) =>
@@ -47,6 +47,7 @@
         select: parts.rollouts.selectorFor(served.service, isRepeatable(served.route.kind)),
         avoid,
     });
+    const placeable = parts.brittleServices.select(served.service, reachable);
     const sampled = sampleCandidates(placeable.map(({ candidate }) => candidate), parts.placingVms(), parts.random);
     const place = choosePlace(sampled, parts.clock.now(), parts.random);
     const chosen = placeable.find(({ candidate }) => candidate === place?.candidate);
@@ -62,6 +63,7 @@
         startMs: place.startMs,
         candidateCount: placeable.length,
         running: candidate.running,
+        slots: candidate.slots,
         missingTokens: candidate.missingTokens,
         memoryTokens: prompt === undefined ? 0 : prompt.promptTokens + prompt.outputTokens,
         salt,
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -88,6 +88,7 @@
     const { parts, served, place, progress, isLastTry } = tryParts;
     const { clock, endpointTable, prefixIndex } = parts;
     const startedAt = clock.now();
+    parts.brittleServices.recordTry(served.service, { ...place, endpoint: place.entry.name });
     const remainingMs = served.deadline - startedAt;
     const { kind, objectiveMs } = served.route;
     const saveTo = storeToSaveTo(tryParts);
@@ -154,7 +155,13 @@
     if (head.weights !== undefined) {
         endpointTable.observeWeights(place.entry.name, head.weights);
     }
+    if (head.maxRefusals !== undefined) {
+        parts.brittleServices.announce(served.service, head.maxRefusals);
+    }
     const verdict = judgeHead(head, served);
+    if (verdict === "refused") {
+        parts.brittleServices.recordRefused(served.service, place.entry.name);
+    }
     if (verdict === "garbled") {
         opened.res.destroy();
         return finish({ kind: verdict, answer: undefined });
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -84,7 +84,7 @@
             const kind = stream.forwardedEvents > 0
                 ? "stream-broken"
                 : ran === "no"
-                ? "no-endpoint"
+                ? parts.brittleServices.isBrittle(served.service) ? "overloaded" : "no-endpoint"
                 : "endpoint-failed";
             return giveUp(progress, refusalOf(kind, undefined, { retryAfterSeconds: RETRY_AFTER_SECONDS, ran }));
         }
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -23,6 +23,7 @@
 import { startAnnouncing } from "./peers/startAnnouncing.js";
 import { startPeerListener } from "./peers/startPeerListener.js";
 import { startPeerSync } from "./peers/startPeerSync.js";
+import { createBrittleServices } from "./placement/createBrittleServices.js";
 import { createDemand } from "./placement/createDemand.js";
 import { createEndpointTable } from "./placement/createEndpointTable.js";
 import { createPrefixIndex } from "./placement/createPrefixIndex.js";
@@ -281,6 +282,7 @@
         random: Math.random,
         declaredState: declarations.current,
         endpointTable,
+        brittleServices: createBrittleServices({ clock, random: Math.random, vms: membership.vms }),
         prefixIndex,
         allowances,
         allowanceQueue: createAllowanceQueue({
