Take an endpoint that is silent to all for a second for sound

A sound endpoint may be silent for about a second and go on. Silence raised its failure rate, which only answers lower; with two silent tries its cost was above that of endpoints with hundreds of milliseconds of queue, so it got no requests long after. A stream was resumed elsewhere after one second, while the endpoint was about to go on with it.

Silence counts as a failure only of an endpoint that sent something to this VM meanwhile; one that was silent to all gets a backoff.

--- a/packages/router/src/placement/createEndpointTable.ts
+++ b/packages/router/src/placement/createEndpointTable.ts
@@ -202,7 +202,7 @@
     const recordUnreached: EndpointTable["recordUnreached"] = endpoint => {
         const observed = observations.last(endpoint);
         if (observed !== undefined) {
-            observed.health = healthAfterTry(observed.health, "unreached", clock.now());
+            observed.health = healthAfterTry(observed.health, "unreached", clock.now(), false);
             const { unreachedInRow } = observed.health;
             parts.onChange(endpoint, "paused", { outcome: "unreached", unreachedInRow, by: "order" });
         }
--- a/packages/router/src/placement/healthAfterTry.ts
+++ b/packages/router/src/placement/healthAfterTry.ts
@@ -25,8 +25,19 @@
  * An endpoint may die or fail part of its requests while its health check passes. A dead endpoint gets no requests for
  * a backoff that doubles, and is then tried by single requests. One that fails some requests keeps part of the load, as
  * its failure rate is weighed against the queues of the others.
+ *
+ * A sound endpoint may be silent for a second and go on. If that raised its failure rate, it would get no requests long
+ * after, as only answers lower the rate. So silence counts as a failure only of an endpoint that answered others
+ * meanwhile; one that was silent to all gets a backoff.
+ *
+ * @param wasActive whether the endpoint sent anything to this VM during the try
  */
-export function healthAfterTry(health: EndpointHealth, outcome: TryOutcome, now: Millis): EndpointHealth {
+export function healthAfterTry(
+    health: EndpointHealth,
+    outcome: TryOutcome,
+    now: Millis,
+    wasActive: boolean,
+): EndpointHealth {
     switch (outcome) {
         case "answered":
             return {
@@ -47,7 +58,9 @@
         case "silent":
             return {
                 ...health,
-                failureRate: movingAverage(health.failureRate, 1),
+                failureRate: outcome === "silent" && !wasActive
+                    ? health.failureRate
+                    : movingAverage(health.failureRate, 1),
                 backoffUntil: Math.max(health.backoffUntil, now + BROKEN_BACKOFF_MS),
             };
         case "failed":
--- a/packages/router/src/placement/trackInFlight.ts
+++ b/packages/router/src/placement/trackInFlight.ts
@@ -46,7 +46,12 @@
                 return;
             }
             const { backoffUntil } = observed.health;
-            observed.health = healthAfterTry(observed.health, outcome, clock.now());
+            observed.health = healthAfterTry(
+                observed.health,
+                outcome,
+                clock.now(),
+                observed.lastActivityAt >= sentAt,
+            );
             if (observed.health.backoffUntil > backoffUntil) {
                 const { failureRate, unreachedInRow } = observed.health;
                 onBackoff({ outcome, failureRate, unreachedInRow });
--- a/packages/router/src/serve/forwardAnswer.ts
+++ b/packages/router/src/serve/forwardAnswer.ts
@@ -8,8 +8,11 @@
 import type { TryParts } from "./TryParts.js";
 import type { TryResult } from "./TryResult.js";
 
-/** Silence in mid-stream after which another endpoint continues: twice the longest usual gap between events. */
-const STREAM_SILENCE_MS = 1_000;
+/**
+ * Silence in mid-stream after which another endpoint continues. A sound endpoint may be silent for about a second, and
+ * would go on with the stream while the other one repeats its work.
+ */
+const STREAM_SILENCE_MS = 1_500;
 const SUCCESS = 200;
 
 const sendHead = ({ parts, served }: TryParts, { res }: Extract<OpenedCall, { readonly kind: "head"; }>): void => {
--- a/packages/router/src/serve/forwardStream.ts
+++ b/packages/router/src/serve/forwardStream.ts
@@ -6,8 +6,8 @@
 import type { StreamHooks } from "./StreamHooks.js";
 import type { StreamProgress } from "./StreamProgress.js";
 
-/** A stream ends after this many silent intervals even if its endpoint is alive: its connection is lost. */
-const MAX_SILENT_INTERVALS = 2;
+/** A stream ends after this much more silence even if its endpoint is alive: its connection is lost. */
+const LOST_CONNECTION_MS = 500;
 
 type StreamParts = StreamHooks & {
     readonly served: ServedRequest;
@@ -42,18 +42,15 @@
             res.destroy();
         };
         const unregister = parts.onMove(() => endTry("moved"));
-        const silence = { intervals: 0 };
         const onSilence = (): void => {
-            silence.intervals += 1;
-            if (parts.isAlive() && silence.intervals < MAX_SILENT_INTERVALS) {
-                state.timer = setTimeout(onSilence, parts.silenceMs);
+            if (parts.isAlive()) {
+                state.timer = setTimeout(() => endTry("silent"), LOST_CONNECTION_MS);
                 return;
             }
             endTry("silent");
         };
         const restartSilenceTimer = (): void => {
             clearTimeout(state.timer);
-            silence.intervals = 0;
             if (parts.silenceMs !== undefined) {
                 state.timer = setTimeout(onSilence, parts.silenceMs);
             }
