--- a/packages/router/src/tunnel/serveTunnels.ts
+++ b/packages/router/src/tunnel/serveTunnels.ts
@@ -56,7 +56,8 @@
     };
 
     const refuse = (near: Socket, status: number): void => {
-        near.end(`HTTP/1.1 ${status} Refused\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`);
+        near.write(`HTTP/1.1 ${status} Refused\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`);
+        near.destroySoon();
     };
 
     const forward = (near: Socket, far: Socket): void => {
