Split the opening of own links and tunnels out of the connector, and bound tunnels in tests by time limits of their own

Their time limits of 100 to 200 ms passed while the test process waited for a processor; under them an answer that comes late counts as none. The limits are passed in now, long where a test is not about them. openCall leaves the limit on opening a connection to an agent that has one.

--- a/packages/router/src/__tests__/support/startTunnelPeer.ts
+++ b/packages/router/src/__tests__/support/startTunnelPeer.ts
@@ -8,6 +8,9 @@
 
 type PeerParts = Partial<Parameters<typeof serveTunnels>[1]> & { readonly open?: OpenConnection; };
 
+/** Longer than a busy machine takes. */
+const LONG_MS = 30_000;
+
 /** Starts a peer that opens tunnels to all addresses, unless the parts say otherwise, and a way through it. */
 export async function startTunnelPeer(parts: PeerParts = {}) {
     const server = createServer();
@@ -16,11 +19,13 @@
         isAvailable: () => true,
         isBlocked: () => false,
         onOpened: () => undefined,
+        timing: { peerConnectMs: LONG_MS },
         ...parts,
     });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     const peer = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-    const openTunnel = (target: string) => requestTunnel({ peer, target, signal: new AbortController().signal });
+    const openTunnel = (target: string) =>
+        requestTunnel({ peer, target, signal: new AbortController().signal, answerMs: LONG_MS });
     return {
         tunnels,
         openTunnel,
--- a/packages/router/src/dispatch/EndpointAgent.ts
+++ b/packages/router/src/dispatch/EndpointAgent.ts
@@ -28,7 +28,7 @@
     readonly maxIdle?: (address: string) => number;
     /** Opens connections; `connect` of `node:net` if omitted. */
     readonly open?: OpenConnection;
-    /** Opens connections in place of `open`, over own links or through peers. */
+    /** Opens connections in place of `open`, over own links or through peers, within a time limit of its own. */
     readonly openConnection?: (address: string) => Promise<OpenedConnection>;
     /** Whether the own link to the endpoint at an address seems not to work. */
     readonly isBlocked?: (address: string) => boolean;
@@ -57,6 +57,11 @@
         super({ keepAlive: true, maxFreeSockets: MAX_IDLE_PER_ENDPOINT, scheduling: "lifo", timeout: MAX_IDLE_MS });
     }
 
+    /** Whether opening a connection has a time limit of its own. */
+    get limitsOpening(): boolean {
+        return this.parts.openConnection !== undefined;
+    }
+
     /** Opens a connection for a request; called by Node. Returns it at once, or passes it on once it is open. */
     override createConnection(options: ClientRequestArgs, onConnection?: OnConnection): Duplex | undefined {
         const { open = connect, openConnection } = this.parts;
--- a/packages/router/src/dispatch/openCall.ts
+++ b/packages/router/src/dispatch/openCall.ts
@@ -64,11 +64,12 @@
             progress.isSilent = true;
             abandon();
         };
-        const connectTimer = setTimeout(() => {
+        const endUnlessConnected = (): void => {
             if (!progress.isConnected) {
                 endAsSilent();
             }
-        }, CONNECT_MS);
+        };
+        const connectTimer = agent.limitsOpening ? undefined : setTimeout(endUnlessConnected, CONNECT_MS);
         const headTimer = { current: undefined as NodeJS.Timeout | undefined };
         const onSilence = (): void => {
             if (progress.isConnected && call.isAlive?.() === true) {
--- a/packages/router/src/tunnel/createConnector.ts
+++ b/packages/router/src/tunnel/createConnector.ts
@@ -1,15 +1,14 @@
-import { connect } from "node:net";
 import type { Socket } from "node:net";
 
-import type { Clock, FailureDomain, Millis, VmId } from "@azureshunt/core";
-import { headStartMs, initialLinks, isBlocked, isCutOff, orderPeers, stepLinks } from "@azureshunt/reach";
+import type { Clock, FailureDomain } from "@azureshunt/core";
+import { headStartMs, initialLinks, isBlocked, isCutOff, stepLinks } from "@azureshunt/reach";
 import type { LinkEvent, LinkState, Peer } from "@azureshunt/reach";
 import type { Logger } from "pino";
 
 import type { OpenConnection } from "../dispatch/OpenConnection.js";
 import type { OpenedConnection } from "../dispatch/OpenedConnection.js";
-import { requestTunnel } from "./requestTunnel.js";
-import type { TunnelFailure } from "./TunnelFailure.js";
+import { createTunnelOpener } from "./createTunnelOpener.js";
+import { openOwnLink } from "./openOwnLink.js";
 import { tunnelTiming } from "./tunnelTiming.js";
 
 type ConnectorParts = {
@@ -39,11 +38,6 @@
     readonly confirmDead: (address: string) => Promise<boolean>;
 };
 
-/** Idle time after which the operating system probes a connection, as Node's own agent has it. */
-const KEEP_ALIVE_DELAY_MS: Millis = 1_000;
-/** Peers that are asked for one connection: more answers would come too late. */
-const MAX_PEERS = 4;
-
 /**
  * Creates the connector.
  *
@@ -53,8 +47,8 @@
  */
 export function createConnector(parts: ConnectorParts): Connector {
     const { clock, logger } = parts;
-    const state = { links: initialLinks as LinkState, isCutOff: false, isOwnPending: false };
-    const avoidedUntil = new Map<VmId, Millis>();
+    const state = { links: initialLinks as LinkState, isCutOff: false, isProbing: false };
+    const openTunnel = createTunnelOpener(parts);
 
     const updateCutOff = (): boolean => {
         const cutOff = isCutOff(state.links, clock.now());
@@ -74,133 +68,88 @@
         updateCutOff();
     };
 
-    const openOwn = (address: string, signal: AbortSignal): Promise<Socket> => {
-        const [host, port] = address.split(":");
-        const keepAlive = { keepAlive: true, keepAliveInitialDelay: KEEP_ALIVE_DELAY_MS };
-        const socket = (parts.open ?? connect)({ host, port: Number(port), noDelay: true, ...keepAlive });
-        return new Promise((resolve, reject) => {
-            const onAbort = (): void => void socket.destroy(new Error("aborted"));
-            const settle = (settled: () => void): void => {
-                signal.removeEventListener("abort", onAbort);
-                socket.removeListener("error", onError);
-                settled();
-            };
-            const onError = (err: Error): void => settle(() => reject(err));
-            signal.addEventListener("abort", onAbort, { once: true });
-            socket.once("error", onError);
-            socket.once("connect", () => settle(() => resolve(socket)));
-        });
-    };
-
-    const askPeers = async (
-        target: string,
-        signal: AbortSignal,
-        peers: readonly Peer[],
-    ): Promise<Socket | TunnelFailure> => {
-        const [peer, ...others] = peers;
-        if (peer === undefined || signal.aborted) {
-            return "peer";
+    /** While cut off, one connection at a time is tried over an own link, which shows when the links are back. */
+    const tryOwnLink = async (address: string, signal: AbortSignal): Promise<Socket> => {
+        const isProbe = updateCutOff();
+        if (isProbe && state.isProbing) {
+            throw new Error("cut off");
+        }
+        state.isProbing = state.isProbing || isProbe;
+        try {
+            const socket = await openOwnLink(address, signal, parts.open);
+            apply("opened", address);
+            return socket;
+        }
+        finally {
+            state.isProbing = state.isProbing && !isProbe;
         }
-        const tunnel = await requestTunnel({ peer: peer.address, target, signal });
-        return tunnel.caseOf<Socket | TunnelFailure | Promise<Socket | TunnelFailure>>({
-            Right: socket => socket,
-            Left: async failure => {
-                if (failure === "peer" && !signal.aborted) {
-                    avoidedUntil.set(peer.vm, clock.now() + tunnelTiming.avoidMs);
-                }
-                const next = await askPeers(target, signal, others);
-                return next === "peer" ? failure : next;
-            },
-        });
-    };
-    const openTunnel = (target: string, signal: AbortSignal): Promise<Socket | TunnelFailure> => {
-        const query = { peers: parts.peers(), failureDomain: parts.failureDomain, avoidedUntil };
-        return askPeers(target, signal, orderPeers(query, clock.now(), parts.random).slice(0, MAX_PEERS));
     };
 
     const openConnection: Connector["openConnection"] = address =>
         new Promise((resolve, reject) => {
             const controller = new AbortController();
             const { signal } = controller;
-            const pending = { own: true, peers: true, isPeersAsked: false, isSettled: false };
+            const progress = { hasOwnFailed: false, arePeersAsked: false, havePeersFailed: false, isSettled: false };
             const settle = (settled: () => void): void => {
-                pending.isSettled = true;
+                progress.isSettled = true;
                 clearTimeout(limit);
                 clearTimeout(headStart);
                 controller.abort();
                 settled();
             };
-            const failIfNoneLeft = (): void => {
-                if (!pending.isSettled && !pending.own && !pending.peers) {
+            /** Uses a connection, or closes it if another one opened before. */
+            const use = (opened: OpenedConnection): void => {
+                if (progress.isSettled) {
+                    opened.socket.destroy();
+                    return;
+                }
+                if (opened.kind === "tunnel") {
+                    apply("bypassed", address);
+                }
+                settle(() => resolve(opened));
+            };
+            const rejectIfBothFailed = (): void => {
+                if (!progress.isSettled && progress.hasOwnFailed && progress.havePeersFailed) {
                     settle(() => reject(new Error("unreachable")));
                 }
             };
-            const startTunnel = (): void => {
-                if (pending.isSettled || pending.isPeersAsked) {
+            const askPeers = (): void => {
+                if (progress.isSettled || progress.arePeersAsked) {
                     return;
                 }
-                clearTimeout(headStart);
-                pending.isPeersAsked = true;
-                void openTunnel(address, signal).then(opened => {
-                    if (typeof opened === "string") {
-                        pending.peers = false;
-                        failIfNoneLeft();
-                        return;
-                    }
-                    if (pending.isSettled) {
-                        opened.destroy();
-                        return;
-                    }
-                    apply("bypassed", address);
-                    settle(() => resolve({ socket: opened, kind: "tunnel" }));
-                });
-            };
-            const startOwn = (): void => {
-                const isProbe = updateCutOff();
-                state.isOwnPending = state.isOwnPending || isProbe;
-                void openOwn(address, signal).then(
-                    socket => {
-                        apply("opened", address);
-                        if (pending.isSettled) {
-                            socket.destroy();
-                            return;
-                        }
-                        settle(() => resolve({ socket, kind: "new" }));
-                    },
-                    () => {
-                        pending.own = false;
-                        startTunnel();
-                        failIfNoneLeft();
-                    },
-                ).finally(() => {
-                    state.isOwnPending = state.isOwnPending && !isProbe;
-                });
+                progress.arePeersAsked = true;
+                void openTunnel(address, signal).then(tunnel =>
+                    tunnel.caseOf({
+                        Left: () => {
+                            progress.havePeersFailed = true;
+                            rejectIfBothFailed();
+                        },
+                        Right: socket => use({ socket, kind: "tunnel" }),
+                    })
+                );
             };
-            const limit = setTimeout(
-                () => settle(() => reject(new Error("timed out"))),
-                tunnelTiming.connectMs,
-            );
+            const limit = setTimeout(() => settle(() => reject(new Error("timed out"))), tunnelTiming.connectMs);
             const headStart = setTimeout(
                 // Connections that have opened while this process was busy are handled before.
-                () => setImmediate(startTunnel),
+                () => setImmediate(askPeers),
                 headStartMs(state.links, address, clock.now()),
             );
-            // While cut off, one own connection at a time shows when the links are back.
-            if (updateCutOff() && state.isOwnPending) {
-                pending.own = false;
-                startTunnel();
-                return;
-            }
-            startOwn();
+            tryOwnLink(address, signal).then(socket => use({ socket, kind: "new" }), () => {
+                progress.hasOwnFailed = true;
+                askPeers();
+                rejectIfBothFailed();
+            });
         });
 
     const confirmDead: Connector["confirmDead"] = async address => {
-        const opened = await openTunnel(address, AbortSignal.timeout(tunnelTiming.connectMs));
-        if (typeof opened === "string") {
-            return opened === "endpoint-refused" || !updateCutOff();
-        }
-        opened.destroy();
-        return false;
+        const tunnel = await openTunnel(address, AbortSignal.timeout(tunnelTiming.connectMs));
+        return tunnel.caseOf({
+            Left: failure => failure === "endpoint-refused" || !updateCutOff(),
+            Right: socket => {
+                socket.destroy();
+                return false;
+            },
+        });
     };
 
     return {
--- a/packages/router/src/tunnel/serveTunnels.ts
+++ b/packages/router/src/tunnel/serveTunnels.ts
@@ -19,6 +19,8 @@
     /** Called when a connection to an endpoint has opened. */
     readonly onOpened: (address: string) => void;
     readonly open?: OpenConnection;
+    /** Time limits that differ from `tunnelTiming`. */
+    readonly timing?: Partial<Record<"peerConnectMs" | "silentMs", Millis>>;
 };
 
 /** The tunnels of a listener. */
@@ -44,6 +46,7 @@
  * call was abandoned, whose bytes must not arrive later.
  */
 export function serveTunnels(server: Server, parts: TunnelParts): Tunnels {
+    const { peerConnectMs, silentMs } = { ...tunnelTiming, ...parts.timing };
     const tunnels = new Set<Tunnel>();
     /** By address of an endpoint: until when it counts as silent. */
     const silentUntil = new Map<string, Millis>();
@@ -52,7 +55,7 @@
     const recordSilent = (address: string): void => {
         const now = performance.now();
         [...silentUntil].filter(([, until]) => until <= now).forEach(([each]) => silentUntil.delete(each));
-        silentUntil.set(address, now + tunnelTiming.silentMs);
+        silentUntil.set(address, now + silentMs);
     };
 
     const refuse = (near: Socket, status: number): void => {
@@ -109,7 +112,7 @@
         const timer = setTimeout(() => {
             recordSilent(address);
             fail(tunnelStatus.silent);
-        }, tunnelTiming.peerConnectMs);
+        }, peerConnectMs);
         const onFarError = (): void => fail(tunnelStatus.refused);
         const onNearClose = (): void => {
             clearTimeout(timer);
