--- a/packages/router/src/dispatch/EndpointAgent.ts
+++ b/packages/router/src/dispatch/EndpointAgent.ts
@@ -49,7 +49,7 @@
      * first read, and `openCall` recognises a reset by the address being missing.
      */
     private readonly addresses = new WeakMap<Socket, string>();
-
+    /** Connections that peers opened. */
     private readonly tunnels = new WeakSet<Socket>();
 
     /** @param now monotonic time in milliseconds */
