Tell VMs that start again since when target weights are set

What callers saw: a VM that starts again reads the target weights from the store, which names the newest version and not when it was set, and takes the time of the reading for it. So it sends requests to engines on weights that were replaced long ago for another `servesForMs`, 8.5 s on most deployments: answers of old weights, long after the bound. As the holder of the order lease it also plans the waves as if all of that time were left.

The chain: `startDeclarations` applies the record it read, `setTargetWeights` gives it the time of the reading, `outdatedSince` returns that, `candidates` lets the engine through. Peers knew the time all along, but a beacon held model and version only.

Change: a beacon's rows of target weights carry their age, and those before the newest one while they may still matter, as a VM that starts after two targets knows nothing of the first. The earliest time known to any VM counts.

Why it works, also on the other side: a target taken for too old would leave the VM without an engine and refuse callers for nothing. A VM learns of a target only after it was set, and an age is counted from the receipt of the beacon, rounded down. So a delay, a suspension or an earlier process's beacon can only make it smaller, and the next beacon corrects that; exchanges don't add up.

Beacons of earlier builds have no age and are taken as before; earlier builds read model and version of the new rows.

Open: until the first beacon is in, and if no VM that knows the age runs, a target counts as new, as before.

--- a/packages/router/src/knowledge/DeclarationEvent.ts
+++ b/packages/router/src/knowledge/DeclarationEvent.ts
@@ -14,6 +14,12 @@
         /** When this VM sent what was answered: its read, or the timestamp that a peer echoed. */
         readonly stampedAt: Millis;
     }
-    | { readonly kind: "weights"; readonly model: ModelName; readonly version: number; }
+    | {
+        readonly kind: "weights";
+        readonly model: ModelName;
+        readonly version: number;
+        /** Since when a peer has known them; unknown if they were read from the store. */
+        readonly knownSince?: Millis | undefined;
+    }
     /** The process may have been suspended, or its clock stepped: no data is known to be fresh. */
     | { readonly kind: "suspended"; };
--- a/packages/router/src/knowledge/DeclaredState.ts
+++ b/packages/router/src/knowledge/DeclaredState.ts
@@ -2,8 +2,12 @@
 
 import type { RoutingConfiguration } from "../configuration/RoutingConfiguration.js";
 
-/** Target weights that the operators set for a model, and when this VM learned of them. */
-type TargetWeights = { readonly version: number; readonly learnedAt: Millis; };
+/** Target weights that the operators set for a model. */
+type TargetWeights = {
+    readonly version: number;
+    /** Earliest time at which a VM is known to have learned of them; never before they were set. */
+    readonly knownSince: Millis;
+};
 
 /** The last target versions of a model, newest first; never empty. */
 type WeightsHistory = readonly TargetWeights[];
--- a/packages/router/src/knowledge/startDeclarations.ts
+++ b/packages/router/src/knowledge/startDeclarations.ts
@@ -18,6 +18,8 @@
 import { readerWaitMs } from "./readerWaitMs.js";
 import { stepDeclaredState } from "./stepDeclaredState.js";
 
+type WeightsEvent = Extract<DeclarationEvent, { readonly kind: "weights"; }>;
+
 type DeclarationParts = {
     readonly clock: Clock;
     readonly store: StorePort;
@@ -63,6 +65,8 @@
  * Maximum age of the store's last answer while it counts as available: the longest wait of a read plus a slow answer.
  */
 const STORE_AVAILABLE_MS: Millis = 3_300;
+/** Corrections of a target's age up to this much are not logged, as beacons take different times. */
+const LOGGED_CORRECTION_MS: Millis = 1_000;
 const OK = 200;
 /** In place of the offset of a record that was not read from the topic. */
 const NO_OFFSET = -1;
@@ -86,6 +90,21 @@
         isReadable: true,
     };
 
+    const onWeights = (before: DeclaredState, { model, version }: WeightsEvent): void => {
+        const sinceIn = ({ weights }: DeclaredState): Millis | undefined =>
+            weights.get(model)?.find(target => target.version === version)?.knownSince;
+        const ageIn = (declaredState: DeclaredState): Millis =>
+            Math.round(clock.now() - (sinceIn(declaredState) ?? clock.now()));
+        const ageMs = ageIn(state.declaredState);
+        const ageBeforeMs = ageIn(before);
+        if (version > (before.weights.get(model)?.[0]?.version ?? 0)) {
+            logger.info({ model, version, ageMs }, "Target weights changed.");
+            parts.onChange();
+        }
+        else if (ageMs - ageBeforeMs > LOGGED_CORRECTION_MS) {
+            logger.info({ model, version, ageMs, ageBeforeMs }, "Target weights were set earlier than known so far.");
+        }
+    };
     const apply = (event: DeclarationEvent): void => {
         const before = state.declaredState;
         state.declaredState = stepDeclaredState(before, event, clock.now());
@@ -94,8 +113,7 @@
             parts.onChange();
         }
         if (state.declaredState.weights !== before.weights && event.kind === "weights") {
-            logger.info({ model: event.model, version: event.version }, "Target weights changed.");
-            parts.onChange();
+            onWeights(before, event);
         }
     };
 
@@ -199,8 +217,11 @@
         }
     };
 
-    const applyBeacon: Declarations["applyBeacon"] = ({ beacon, sentAfter, stampedAt }, address) => {
-        beacon.weights.forEach(([model, version]) => apply({ kind: "weights", model, version }));
+    const applyBeacon: Declarations["applyBeacon"] = ({ beacon, receivedAt, sentAfter, stampedAt }, address) => {
+        beacon.weights.forEach(([model, version, ageMs]) =>
+            // From the receipt: subtracted from `sentAfter`, the age would make the target older than it is.
+            apply({ kind: "weights", model, version, knownSince: ageMs === undefined ? undefined : receivedAt - ageMs })
+        );
         if (beacon.confirmedMs !== undefined) {
             const asOf = sentAfter - beacon.confirmedMs;
             apply({ kind: "confirmed", revision: beacon.revision, asOf, stampedAt });
--- a/packages/router/src/knowledge/stepDeclaredState.ts
+++ b/packages/router/src/knowledge/stepDeclaredState.ts
@@ -5,6 +5,7 @@
 
 /** Target versions of a model that are remembered: an engine more versions behind is long overdue. */
 const TARGET_HISTORY = 8;
+const FIRST_VERSION = 1;
 
 type EventOf<Kind extends DeclarationEvent["kind"]> = Extract<DeclarationEvent, { readonly kind: Kind; }>;
 
@@ -38,16 +39,26 @@
         : declaredState;
 };
 
+/**
+ * A VM that starts again reads the newest target from the store, but not when it was set. Taken for new, engines would
+ * serve on weights replaced long ago. To prevent this, the earliest time known to any VM counts; it is never before the
+ * target was set, as times are passed on as ages, which a delay or a suspension only makes smaller.
+ */
 const setTargetWeights = (
     declaredState: DeclaredState,
-    { model, version }: EventOf<"weights">,
+    { model, version, knownSince }: EventOf<"weights">,
     now: Millis,
 ): DeclaredState => {
     const before = declaredState.weights.get(model) ?? [];
-    if (version <= (before[0]?.version ?? 0)) {
+    const since = Math.min(now, knownSince ?? now);
+    const isKnown = before.some(target => target.version === version && target.knownSince <= since);
+    const oldestKept = before[TARGET_HISTORY - 1]?.version ?? FIRST_VERSION;
+    if (isKnown || version < oldestKept) {
         return declaredState;
     }
-    const history = [{ version, learnedAt: now }, ...before].slice(0, TARGET_HISTORY);
+    const history = [...before.filter(target => target.version !== version), { version, knownSince: since }]
+        .toSorted((a, b) => b.version - a.version)
+        .slice(0, TARGET_HISTORY);
     return { ...declaredState, weights: new Map([...declaredState.weights, [model, history]]) };
 };
 
--- a/packages/router/src/peers/Beacon.ts
+++ b/packages/router/src/peers/Beacon.ts
@@ -61,8 +61,11 @@
     readonly revision: number;
     /** Age of the confirmation that `revision` is the newest one; `undefined` if there was none. */
     readonly confirmedMs: Millis | undefined;
-    /** Target version of the weights, by model. */
-    readonly weights: readonly (readonly [ModelName, number])[];
+    /**
+     * Target versions of the weights, by model, newest first, and for how long a VM has known each. Earlier versions do
+     * not state that time.
+     */
+    readonly weights: readonly (readonly [ModelName, number, Millis?])[];
     /** By organisation: tokens that the sender has spent since its start, and tokens requested of it per second. */
     readonly spent: readonly (readonly [OrganisationId, Tokens, Tokens])[];
     /** Load of the sender's requests by endpoint; `undefined` if this beacon does not state it. */
--- a/packages/router/src/peers/collectLocalState.ts
+++ b/packages/router/src/peers/collectLocalState.ts
@@ -1,3 +1,4 @@
+import { targetRowsOf } from "../knowledge/targetRowsOf.js";
 import type { LocalState } from "./LocalState.js";
 import type { PeerSyncSources } from "./PeerSyncSources.js";
 
@@ -15,9 +16,7 @@
     return {
         revision: configuration?.revision ?? -1,
         confirmedMs: confirmedAt === -Infinity ? undefined : clock.now() - confirmedAt,
-        weights: [...weights].flatMap(([model, [target]]) =>
-            target === undefined ? [] : [[model, target.version] as const]
-        ),
+        weights: targetRowsOf(weights, clock.now()),
         spent: allowances.spent(),
         load: endpointTable.ownShares(),
         demand: demand.rate(),
--- a/packages/router/src/peers/decodeBeacon.ts
+++ b/packages/router/src/peers/decodeBeacon.ts
@@ -29,6 +29,7 @@
 const isFlag = (value: unknown): value is boolean => typeof value === "boolean";
 const isPhaseOrNull = (value: unknown): boolean => value === null || PHASES.includes(value);
 const isNumber = (value: unknown): value is number => typeof value === "number" && Number.isFinite(value);
+const isNumberOrAbsent = (value: unknown): boolean => value === undefined || isNumber(value);
 
 const areRows = (value: unknown, ...checks: readonly ((item: unknown) => boolean)[]): boolean =>
     isRow(value) && value.every(row => isRow(row) && checks.every((check, i) => check(row[i])));
@@ -51,8 +52,8 @@
     && areRows(row[7], isText, isText)
     && isNumber(row[8])
     && (row[9] === null || isNumber(row[9]))
-    && areRows(row[10], isText, isNumber)
-    && areRows(row[11], isText, isNumber, value => value === undefined || isNumber(value))
+    && areRows(row[10], isText, isNumber, isNumberOrAbsent)
+    && areRows(row[11], isText, isNumber, isNumberOrAbsent)
     && (row[12] === null || areRows(row[12], isText, isNumber, isNumber, isNumber))
     && areRows(row[13], isText, isNumber, isNumber)
     && areRows(row[14], isText, isNumber)
