State in the records of the order lease which orders may still be carried out

What callers saw: an engine that starts again under its name accepts an order with a lower fence after one with a higher one, loads older weights again, and rejects requests for the newer ones. After a takeover of the lease by a process that has just started.

Cause: which orders may still be carried out, and to which start of an engine they were sent, was in the memory of the process that issued them. Its successor knew the engine's present start only, so it took the engine for one that no late order can reach.

When all VMs are killed together no peer is left. So beacons were ruled out: what the next issuer needs has to come with the lease.

Change: a record of the lease states, in a second line, the engines with their starts that its writer may order until its next record, and the orders without an answer, its own and those of issuers before it. A holder orders only what its newest record states. A process that takes over reads the record it claims behind.

Why it works: every order was stated, as allowed or as unanswered, by the newest record when it was sent, and records are linearizable and never change. It needs neither peers nor a process that is old enough.

Cost: one read of the store a takeover, and a renewal at once where an engine that the record does not state has to be ordered.

Builds side by side: a record of an earlier build states nothing, and the rule of before holds then (engines that were seen to start again wait). Earlier builds take the whole record for the holder's name until the next beacon names it; a whole record in a beacon is read as the name.

--- a/packages/router/src/__tests__/support/simulateLease.ts
+++ b/packages/router/src/__tests__/support/simulateLease.ts
@@ -3,6 +3,7 @@
 import { Left, Right } from "purify-ts";
 
 import { createLeaseKeeper } from "../../fleet/createLeaseKeeper.js";
+import { createUnansweredOrders } from "../../fleet/createUnansweredOrders.js";
 import { orderFence } from "../../fleet/orderFence.js";
 import { createSuspensionWatch } from "../../knowledge/createSuspensionWatch.js";
 import type { StoreFailure } from "../../ports/StoreFailure.js";
@@ -102,7 +103,9 @@
  */
 export async function simulateLease(run: LeaseRun): Promise<LeaseResult> {
     const { clock: wall, schedule, runUntil } = createVirtualTime();
-    const stored: StoredRecord[] = [...run.records];
+    const stored: { readonly value: Buffer; readonly storedAt: Millis; }[] = run.records.map((
+        { holder, storedAt },
+    ) => ({ value: Buffer.from(holder), storedAt }));
     const counts = { calls: 0, beacons: 0, starts: 0, lateAppends: 0, expiredReads: 0, movedAppends: 0 };
     const sent: SentOrder[] = [];
     const lostMs = VMS.map(() => 0);
@@ -150,19 +153,19 @@
             counts.expiredReads++;
             return Left({ kind: "expired", first });
         }
-        const records = stored.slice(from, end).map(({ holder }, i) => ({
+        const records = stored.slice(from, end).map(({ value }, i) => ({
             offset: from + i,
             key: "",
-            value: Buffer.from(holder),
+            value,
         }));
         return Right({ records, end });
     };
-    const append = (holder: VmId, at: number): Either<StoreFailure, number> => {
+    const append = (value: Buffer, at: number): Either<StoreFailure, number> => {
         if (at !== stored.length) {
             counts.movedAppends++;
             return Left({ kind: "moved" });
         }
-        stored.push({ holder, storedAt: wall.now() });
+        stored.push({ value, storedAt: wall.now() });
         return Right(at);
     };
 
@@ -212,7 +215,7 @@
             });
         });
     };
-    const storeOf = (vm: VmId, from: () => Process): StorePort => {
+    const storeOf = (from: () => Process): StorePort => {
         const unused = (): never => {
             throw new Error("not used by the order lease");
         };
@@ -220,7 +223,7 @@
             newest: unused,
             put: unused,
             read: (_topic, first) => call(from, ({ lagMs }) => readAt(first, wall.now() - lagMs)),
-            appendAt: (_topic, at) => call(from, () => append(vm, at)),
+            appendAt: (_topic, at, value) => call(from, () => append(value, at)),
         };
     };
 
@@ -241,10 +244,12 @@
         const keeper = createLeaseKeeper({
             clock,
             vm: name,
-            store: storeOf(name, () => process),
+            store: storeOf(() => process),
             logger: silentLogger,
             checkSuspension: watch.check,
             leaseMs: () => LEASE_MS,
+            orderable: () => [],
+            unanswered: createUnansweredOrders(clock),
             onAppended: () => issueOrders(process),
         });
         const process: Process = {
--- a/packages/router/src/__tests__/unit/orderAllowedAt.test.ts
+++ b/packages/router/src/__tests__/unit/orderAllowedAt.test.ts
@@ -12,8 +12,16 @@
 const NOW = 100_000;
 const engine = "e" as EndpointName;
 /** An engine and an issuer that have been there for long. */
-const settled: View = { ordersTaken: 0, restartedAt: -Infinity, unanswered: [], soleIssuerSince: -Infinity };
-const unanswered = (ordersTaken: number): View["unanswered"] => [{ endpoint: engine, ordersTaken, sentAt: NOW }];
+const settled: View = {
+    bornAt: 9,
+    ordersTaken: 0,
+    restartedAt: -Infinity,
+    unanswered: [],
+    ordersKnownSince: -Infinity,
+};
+const unanswered = (ordersTaken: number | undefined, bornAt = 1): View["unanswered"] => [
+    { endpoint: engine, bornAt, ordersTaken, sentAt: NOW },
+];
 
 type Case = { readonly name: string; readonly view: Partial<View>; readonly allowedAt: number; };
 
@@ -38,18 +46,28 @@
         name: "waits for the last of several unanswered orders",
         view: {
             ordersTaken: 1,
-            unanswered: [...unanswered(2), { endpoint: engine, ordersTaken: 2, sentAt: NOW + 50 }],
+            unanswered: [...unanswered(2), { endpoint: engine, bornAt: 1, ordersTaken: 2, sentAt: NOW + 50 }],
         },
         allowedAt: NOW + 50 + maxTransitMs,
     },
+    {
+        name: "waits if an earlier issuer may have ordered an earlier start of it on any count",
+        view: { unanswered: unanswered(undefined, 1) },
+        allowedAt: NOW + maxTransitMs,
+    },
+    {
+        name: "is ordered at once if an earlier issuer may have ordered it since its start",
+        view: { unanswered: unanswered(undefined, 9) },
+        allowedAt: -Infinity,
+    },
     {
         name: "waits for the orders of an earlier issuer if it was seen to start again since they were sent",
-        view: { restartedAt: NOW - maxTransitMs + 1, soleIssuerSince: NOW },
+        view: { restartedAt: NOW - maxTransitMs + 1, ordersKnownSince: NOW },
         allowedAt: NOW + maxTransitMs,
     },
     {
         name: "does not wait for the orders of an earlier issuer if it started again before them",
-        view: { restartedAt: NOW - maxTransitMs, soleIssuerSince: NOW },
+        view: { restartedAt: NOW - maxTransitMs, ordersKnownSince: NOW },
         allowedAt: -Infinity,
     },
 ];
--- a/packages/router/src/__tests__/unit/orderLease.test.ts
+++ b/packages/router/src/__tests__/unit/orderLease.test.ts
@@ -202,11 +202,11 @@
     const read: OrderLeaseEvent = { kind: "read", records: [{ offset: 6, holder: VMS[0] as VmId }], end: 7 };
     const claimed = stepOrderLease(appendedBy(5), read, LEASE_MS, CLAIMED_AT + 500).state;
     const renewed: OrderLeaseEvent = { kind: "appended", offset: 7, requestedAt: CLAIMED_AT + 600 };
-    t.is(stepOrderLease(claimed, renewed, LEASE_MS, CLAIMED_AT + 600).state.soleIssuerSince, CLAIMED_AT);
+    t.is(stepOrderLease(claimed, renewed, LEASE_MS, CLAIMED_AT + 600).state.ordersKnownSince, CLAIMED_AT);
 });
 
 issuers.forEach(({ name, offsets, since }) => {
     test(`order lease: a process is the only issuer of orders: ${name}`, t => {
-        t.is(appendedBy(...offsets).soleIssuerSince, since);
+        t.is(appendedBy(...offsets).ordersKnownSince, since);
     });
 });
--- /dev/null
+++ b/packages/router/src/fleet/LeaseOrders.ts
@@ -0,0 +1,12 @@
+import type { Millis } from "@azureshunt/core";
+
+import type { EngineStart } from "./EngineStart.js";
+import type { UnansweredOrder } from "./UnansweredOrder.js";
+
+/** Orders that may still be carried out when the holder of the order lease ends, as a record of the lease states them. */
+export type LeaseOrders = {
+    /** Engines that the holder may order until its next record. */
+    readonly orderable: readonly EngineStart[];
+    /** Orders of the holder, and of issuers before it, that had no answer when the record was written. */
+    readonly unanswered: readonly (Omit<UnansweredOrder, "sentAt"> & { readonly ageMs: Millis; })[];
+};
--- a/packages/router/src/fleet/OrderLease.ts
+++ b/packages/router/src/fleet/OrderLease.ts
@@ -17,10 +17,10 @@
     /** When this VM sent the append that made it the holder; `-Infinity` while it is not the holder. */
     readonly confirmedAt: Millis;
     /**
-     * Since when no other process can have issued orders, one that ran on this VM before included; `Infinity` until
-     * this process has held the lease.
+     * Since when this process knows of all orders that may still be carried out: it issued them itself, or the last
+     * record of the issuer before it states them. `Infinity` until this process has held the lease.
      */
-    readonly soleIssuerSince: Millis;
+    readonly ordersKnownSince: Millis;
     /** Offset up to which all records since then are of this VM; `undefined` if this process has appended none. */
     readonly ownOffset: number | undefined;
     /** When the process last detected a suspension; `-Infinity` if it never did. */
--- a/packages/router/src/fleet/createLeaseKeeper.ts
+++ b/packages/router/src/fleet/createLeaseKeeper.ts
@@ -1,14 +1,23 @@
 import type { Clock, VmId } from "@azureshunt/core";
 import type { Logger } from "pino";
 import type { Either } from "purify-ts";
+import { Left, Right } from "purify-ts";
 
 import type { StoreFailure } from "../ports/StoreFailure.js";
 import type { StorePage } from "../ports/StorePage.js";
 import type { StorePort } from "../ports/StorePort.js";
+import type { createUnansweredOrders } from "./createUnansweredOrders.js";
+import { decodeLeaseRecord } from "./decodeLeaseRecord.js";
+import { encodeLeaseRecord } from "./encodeLeaseRecord.js";
+import type { EngineStart } from "./EngineStart.js";
+import { holderOf } from "./holderOf.js";
+import { isOwnBefore } from "./isOwnBefore.js";
+import type { LeaseRecord } from "./LeaseRecord.js";
 import { newOrderLease } from "./newOrderLease.js";
 import type { OrderLease } from "./OrderLease.js";
 import type { OrderLeaseEffect } from "./OrderLeaseEffect.js";
 import type { OrderLeaseEvent } from "./OrderLeaseEvent.js";
+import { orderTiming } from "./orderTiming.js";
 import { stepOrderLease } from "./stepOrderLease.js";
 
 type LeaseParts = {
@@ -19,6 +28,10 @@
     readonly checkSuspension: () => void;
     /** Time for which an engine accepts orders only from the issuer of its last one. */
     readonly leaseMs: () => number;
+    /** Engines that may be ordered until the next record. */
+    readonly orderable: () => readonly EngineStart[];
+    /** The orders that a record states, and to which those of the record before are added when it is taken over. */
+    readonly unanswered: ReturnType<typeof createUnansweredOrders>;
     /** Called when this VM has appended a record of the lease. */
     readonly onAppended: () => void;
 };
@@ -27,14 +40,30 @@
 type LeaseKeeper = {
     readonly apply: (event: OrderLeaseEvent) => void;
     readonly current: () => OrderLease;
+    /** Whether this VM's newest record states that it may order the engine. */
+    readonly mayOrder: (start: EngineStart) => boolean;
 };
 
 const TOPIC = "azureshunt.order-lease";
 
-/** Runs the state machine of the order lease: performs its reads and appends, and applies their results. */
+const keyOf = ({ endpoint, bornAt }: EngineStart): string => `${endpoint} ${bornAt}`;
+
+/**
+ * Runs the state machine of the order lease: performs its reads and appends, and applies their results.
+ *
+ * A process that takes the lease over cannot know which orders of the last holder may still be carried out, nor which
+ * engines have started again since. So a record states the engines that its writer may order until the next one, with
+ * their starts, and its orders without an answer; no other engine is ordered, and a process reads the record that it
+ * takes the lease over from. That also holds if all processes end at once.
+ */
 export function createLeaseKeeper(parts: LeaseParts): LeaseKeeper {
-    const { clock, store, logger } = parts;
-    const state = { lease: newOrderLease(parts.vm) };
+    const { clock, store, logger, unanswered } = parts;
+    const startedAt = clock.now();
+    const state = {
+        lease: newOrderLease(parts.vm),
+        /** Keys of the engines that may be ordered; `undefined` if the record states no orders: then all may. */
+        orderable: new Set() as ReadonlySet<string> | undefined,
+    };
 
     const apply: LeaseKeeper["apply"] = event => {
         const step = stepOrderLease(state.lease, event, parts.leaseMs(), clock.now());
@@ -56,24 +85,78 @@
             Right: ({ records, end }) => {
                 const known = records.map(({ offset, value }) => ({
                     offset,
-                    holder: (value?.toString("utf8") ?? "") as VmId,
+                    holder: holderOf(value?.toString("utf8") ?? ""),
                 }));
                 apply({ kind: "read", records: known, end });
             },
         });
     };
 
+    /** Reads the record at an offset; `undefined` if it is not kept any more. */
+    const readRecord = async (offset: number): Promise<Either<StoreFailure, LeaseRecord | undefined>> => {
+        const page = await store.read(TOPIC, offset, 0);
+        return page
+            .map(({ records }) => records.find(record => record.offset === offset))
+            .map(record => record && decodeLeaseRecord(record.value))
+            .chainLeft(failure => failure.kind === "expired" ? Right(undefined) : Left(failure));
+    };
+
+    /**
+     * Adds the orders that the record before `at` states to those that may still be carried out. Its writer issues no
+     * more: its claim ran out before this VM may claim, or it ran on this VM.
+     */
+    const inheritOrders = (record: LeaseRecord | undefined, at: number): void => {
+        const { tail } = state.lease;
+        const writtenBefore = tail?.offset === at - 1 ? Math.min(clock.now(), tail.knownSince) : clock.now();
+        if (record?.orders !== undefined) {
+            unanswered.inherit(record.orders, writtenBefore);
+        }
+    };
+
+    const logTakeover = (offset: number, record: LeaseRecord | undefined): void =>
+        logger.info({
+            offset,
+            lastHolder: record?.holder,
+            processMs: Math.round(clock.now() - startedAt),
+            orderable: record?.orders?.orderable.length,
+            unanswered: record?.orders?.unanswered.length,
+        }, "Order lease taken over.");
+
+    /** Appends a record that states what may be ordered, and all orders that may still be carried out if all are known. */
+    const appendRecord = async (at: number, areAllOrdersKnown: boolean): Promise<Either<StoreFailure, number>> => {
+        const orders = areAllOrdersKnown ? { orderable: parts.orderable(), unanswered: unanswered.all() } : undefined;
+        const stated = orders && new Set(orders.orderable.map(keyOf));
+        const before = state.orderable;
+        // The record may take effect whatever becomes of the call, so only what both records allow is ordered meanwhile.
+        state.orderable = before && stated ? new Set([...before].filter(key => stated.has(key))) : before ?? stated;
+        const appended = await store.appendAt(TOPIC, at, encodeLeaseRecord({ holder: parts.vm, orders }));
+        appended.ifRight(() => {
+            state.orderable = stated;
+        });
+        return appended;
+    };
+
     const append = async (at: number): Promise<void> => {
+        const isTakeover = at > 0 && !isOwnBefore(state.lease, at);
+        const before = isTakeover ? await readRecord(at - 1) : Right(undefined);
+        const record = before.toMaybe().extract();
+        inheritOrders(record, at);
         const requestedAt = clock.now();
-        const appended = await store.appendAt(TOPIC, at, Buffer.from(parts.vm));
+        const areOrdersKnown = isTakeover
+            ? record?.orders !== undefined
+            : at === 0 || requestedAt - state.lease.ordersKnownSince > orderTiming.maxTransitMs;
+        const appended = before.isLeft() ? before : await appendRecord(at, areOrdersKnown);
         parts.checkSuspension();
         appended.caseOf({
             Left: failure => {
-                logger.info({ failure: failure.kind, at }, "Order lease not acquired: the append failed.");
+                logger.info({ failure: failure.kind, at }, "Order lease not acquired: a call to the store failed.");
                 apply({ kind: "call-failed" });
             },
-            Right: offset => {
-                apply({ kind: "appended", offset, requestedAt });
+            Right: () => {
+                if (isTakeover) {
+                    logTakeover(at, record);
+                }
+                apply({ kind: "appended", offset: at, requestedAt, areOrdersStated: areOrdersKnown });
                 parts.onAppended();
             },
         });
@@ -81,5 +164,9 @@
 
     const perform = (effect: OrderLeaseEffect): Promise<void> => effect.kind === "read" ? read() : append(effect.at);
 
-    return { apply, current: () => state.lease };
+    return {
+        apply,
+        current: () => state.lease,
+        mayOrder: start => state.orderable?.has(keyOf(start)) ?? true,
+    };
 }
--- a/packages/router/src/fleet/createUnansweredOrders.ts
+++ b/packages/router/src/fleet/createUnansweredOrders.ts
@@ -1,33 +1,52 @@
-import type { Clock, EndpointName } from "@azureshunt/core";
+import type { Clock, EndpointName, Millis } from "@azureshunt/core";
 
+import type { LeaseOrders } from "./LeaseOrders.js";
+import { leaseTiming } from "./leaseTiming.js";
 import { orderTiming } from "./orderTiming.js";
 import type { UnansweredOrder } from "./UnansweredOrder.js";
 
-/** The orders of this process that may still be carried out. */
+/** The orders of this process, and of issuers before it, that may still be carried out. */
 type UnansweredOrders = {
     /** Records an order that is being sent; returns a function that removes it once it is answered. */
-    readonly add: (endpoint: EndpointName, ordersTaken: number) => () => void;
+    readonly add: (order: Omit<UnansweredOrder, "sentAt">) => () => void;
+    /**
+     * Adds the orders of a lease holder that issues no more, as its last record states them.
+     *
+     * @param writtenBefore latest time at which the record can have been written
+     */
+    readonly inherit: (orders: LeaseOrders, writtenBefore: Millis) => void;
+    readonly all: () => LeaseOrders["unanswered"];
     /** The orders to the endpoint, whichever incarnation of it they were meant for. */
     readonly to: (endpoint: EndpointName) => readonly UnansweredOrder[];
 };
 
 /** Creates an empty list of unanswered orders. They leave it once they can no longer be carried out. */
 export function createUnansweredOrders(clock: Clock): UnansweredOrders {
-    const orders = new Set<UnansweredOrder>();
-    const dropExpired = (): void =>
-        [...orders]
-            .filter(({ sentAt }) => clock.now() - sentAt > orderTiming.maxTransitMs)
-            .forEach(order => orders.delete(order));
+    const own = new Set<UnansweredOrder>();
+    const inherited = new Map<string, UnansweredOrder>();
+    const isExpired = ({ sentAt }: UnansweredOrder): boolean => clock.now() - sentAt > orderTiming.maxTransitMs;
+    const current = (): readonly UnansweredOrder[] => {
+        [...own].filter(isExpired).forEach(order => own.delete(order));
+        [...inherited].filter(([, order]) => isExpired(order)).forEach(([key]) => inherited.delete(key));
+        return [...own, ...inherited.values()];
+    };
+    const addInherited = (order: UnansweredOrder): void => {
+        const key = JSON.stringify([order.endpoint, order.bornAt, order.ordersTaken]);
+        inherited.set(key, { ...order, sentAt: Math.max(order.sentAt, inherited.get(key)?.sentAt ?? -Infinity) });
+    };
     return {
-        add: (endpoint, ordersTaken) => {
-            dropExpired();
-            const order = { endpoint, ordersTaken, sentAt: clock.now() };
-            orders.add(order);
-            return () => void orders.delete(order);
+        add: order => {
+            const added = { ...order, sentAt: clock.now() };
+            own.add(added);
+            return () => void own.delete(added);
         },
-        to: endpoint => {
-            dropExpired();
-            return [...orders].filter(order => order.endpoint === endpoint);
+        inherit: ({ orderable, unanswered }, writtenBefore) => {
+            // The holder may have issued orders until its claim ran out; which ones, only it knew.
+            const lastSentAt = Math.min(clock.now(), writtenBefore + leaseTiming.holdMs);
+            orderable.forEach(start => addInherited({ ...start, ordersTaken: undefined, sentAt: lastSentAt }));
+            unanswered.forEach(({ ageMs, ...order }) => addInherited({ ...order, sentAt: writtenBefore - ageMs }));
         },
+        all: () => current().map(({ sentAt, ...order }) => ({ ...order, ageMs: clock.now() - sentAt })),
+        to: endpoint => current().filter(order => order.endpoint === endpoint),
     };
 }
--- a/packages/router/src/fleet/newOrderLease.ts
+++ b/packages/router/src/fleet/newOrderLease.ts
@@ -10,7 +10,7 @@
         tail: undefined,
         confirmedAt: -Infinity,
         ownOffset: undefined,
-        soleIssuerSince: Infinity,
+        ordersKnownSince: Infinity,
         suspendedAt: -Infinity,
         wantedAt: undefined,
         isCallPending: false,
--- a/packages/router/src/fleet/startOrders.ts
+++ b/packages/router/src/fleet/startOrders.ts
@@ -10,6 +10,7 @@
 import { createLeaseKeeper } from "./createLeaseKeeper.js";
 import { createUnansweredOrders } from "./createUnansweredOrders.js";
 import type { EngineCalls } from "./EngineCalls.js";
+import type { EngineStart } from "./EngineStart.js";
 import type { EngineWeights } from "./EngineWeights.js";
 import { followOrder } from "./followOrder.js";
 import { isOfLaterStart } from "./isOfLaterStart.js";
@@ -65,13 +66,30 @@
 /** Maintains the order lease and, while this VM holds it, brings all engines to the newest target weights. */
 export function startOrders(parts: OrderParts): Orders {
     const { clock, endpointTable, declaredState, logger } = parts;
-    const keeper = createLeaseKeeper({ ...parts, onAppended: () => issueDueOrders() });
+    const unanswered = createUnansweredOrders(clock);
 
     const wanted = (): readonly (readonly [ModelName, number])[] =>
         [...declaredState().weights]
             .flatMap(([model, [target]]) => target === undefined ? [] : [[model, target.version] as const])
             .filter(([model, version]) => endpointTable.isAnyOutdated(model, version));
 
+    const startOf = (endpoint: EndpointName): readonly EngineStart[] => {
+        const entry = endpointTable.entryOf(endpoint);
+        return entry === undefined ? [] : [{ endpoint, bornAt: entry.bornAt }];
+    };
+    const outdatedEngines = (): readonly EngineStart[] =>
+        wanted().flatMap(([model, target]) =>
+            endpointTable.engines(model).filter(({ version }) => version < target).flatMap(({ endpoint }) =>
+                startOf(endpoint)
+            )
+        );
+    const keeper = createLeaseKeeper({
+        ...parts,
+        orderable: outdatedEngines,
+        unanswered,
+        onAppended: () => issueDueOrders(),
+    });
+
     const onOrderEnded = (
         { entry, model }: { readonly entry: EndpointEntry; readonly model: ModelName; },
         report: EngineReport | undefined,
@@ -87,7 +105,6 @@
     const asked = new Set<EndpointName>();
     /** Engines that are not ordered until a time. */
     const heldUntil = new Map<EndpointName, Millis>();
-    const unanswered = createUnansweredOrders(clock);
 
     /** Returns what an order now has to expect of the engine; `undefined` if it must not be ordered now. */
     const readCount = async (entry: EndpointEntry, model: ModelName, version: number): Promise<number | undefined> => {
@@ -109,13 +126,14 @@
         }
         const seen = report.versions.get(model) ?? 0;
         endpointTable.observeWeights(endpoint, seen);
-        const { ordersTaken } = report;
+        const { ordersTaken, bornAt = entry.bornAt } = report;
         const allowedAt = orderAllowedAt({
+            bornAt,
             ordersTaken,
             // A report of an earlier start: the engine's wall clock was stepped back between two starts.
-            restartedAt: (report.bornAt ?? entry.bornAt) < entry.bornAt ? clock.now() : engine.restartedAt,
+            restartedAt: bornAt < entry.bornAt ? clock.now() : engine.restartedAt,
             unanswered: unanswered.to(endpoint),
-            soleIssuerSince: keeper.current().soleIssuerSince,
+            ordersKnownSince: keeper.current().ordersKnownSince,
         });
         if (allowedAt > clock.now()) {
             heldUntil.set(endpoint, allowedAt);
@@ -137,10 +155,14 @@
         if (entry === undefined || ordersTaken === undefined || fence === undefined) {
             return;
         }
+        const { bornAt } = entry;
+        if (!keeper.mayOrder({ endpoint, bornAt })) {
+            return;
+        }
         const issuedAt = clock.now();
         endpointTable.recordOrder(endpoint, { version, issuedAt, seenAt: issuedAt, isOwn: true });
         parts.sendSoon();
-        const removeUnanswered = unanswered.add(endpoint, ordersTaken);
+        const removeUnanswered = unanswered.add({ endpoint, bornAt, ordersTaken });
         const call = parts.wire.encodeOrder({ endpoint, model, version, holder: parts.vm, fence, ordersTaken });
         const res = await parts.calls.call(entry.address, call, orderTiming.answerMs);
         if (res.kind !== "lost") {
@@ -196,7 +218,8 @@
                 version,
                 servesForMs: parts.servesForMs(),
                 demand: parts.demand(),
-                mayOrder: endpoint => clock.now() >= (heldUntil.get(endpoint) ?? -Infinity),
+                mayOrder: endpoint =>
+                    clock.now() >= (heldUntil.get(endpoint) ?? -Infinity) && startOf(endpoint).every(keeper.mayOrder),
             }).forEach(endpoint => void issueOrder(endpoint, model, version))
         );
     };
@@ -223,7 +246,8 @@
         const hasOrders = wanted().length > 0;
         const isWanted = !parts.isCutOff() && (hasOrders || parts.isLeaseWanted());
         [...heldUntil].filter(([, until]) => until <= clock.now()).forEach(([endpoint]) => heldUntil.delete(endpoint));
-        keeper.apply({ kind: "tick", isWanted, rank: parts.rank(keeper.current().tail?.holder) });
+        const isRenewalDue = !outdatedEngines().every(keeper.mayOrder);
+        keeper.apply({ kind: "tick", isWanted, rank: parts.rank(keeper.current().tail?.holder), isRenewalDue });
         if (hasOrders) {
             issueDueOrders();
             logRollout();
--- a/packages/router/src/fleet/stepOrderLease.ts
+++ b/packages/router/src/fleet/stepOrderLease.ts
@@ -1,5 +1,6 @@
 import type { Millis, Step } from "@azureshunt/core";
 
+import { isOwnBefore } from "./isOwnBefore.js";
 import { leaseTiming } from "./leaseTiming.js";
 import type { OrderLease } from "./OrderLease.js";
 import type { OrderLeaseEffect } from "./OrderLeaseEffect.js";
@@ -18,7 +19,7 @@
     const isNewer = newest !== undefined && newest.offset > (state.tail?.offset ?? -1);
     const tail = isNewer ? { ...newest, knownSince: now } : state.tail;
     // A record that this VM did not see appended may be its own, whose answer was lost. It only counts as a claim by
-    // some VM, and this VM claims again. It leaves this process the only issuer, as no other one runs on the VM.
+    // some VM, and this VM claims again. Its orders are this process's own, as no other one runs on the VM.
     const ownOffset = event.records.reduce(
         (own, { offset, holder }) => own !== undefined && offset === own + 1 && holder === state.vm ? offset : own,
         state.ownOffset,
@@ -26,13 +27,14 @@
     return only({ ...state, isCallPending: false, end: Math.max(event.end, state.end ?? 0), tail, ownOffset });
 };
 
-/** Returns since when only this process can have issued orders, once it has appended the record at `offset`. */
-const soleIssuerSince = (state: OrderLease, { offset, requestedAt }: EventOf<"appended">): Millis => {
-    if (offset === 0) {
-        return -Infinity;
+/** Returns since when this process knows of all orders, once it has appended the record at `offset`. */
+const ordersKnownSince = (state: OrderLease, event: EventOf<"appended">): Millis => {
+    const { offset, requestedAt } = event;
+    if (isOwnBefore(state, offset)) {
+        // No other process has held the lease since this one's last record.
+        return state.ordersKnownSince;
     }
-    // Without a record in between, no other process has held the lease since this one's last record.
-    return state.ownOffset === offset - 1 ? state.soleIssuerSince : requestedAt;
+    return offset === 0 || event.areOrdersStated === true ? -Infinity : requestedAt;
 };
 
 /**
@@ -45,7 +47,7 @@
     return only({
         ...state,
         ownOffset: offset,
-        soleIssuerSince: soleIssuerSince(state, event),
+        ordersKnownSince: ordersKnownSince(state, event),
         isCallPending: false,
         end: offset + 1,
         tail: { offset, holder: state.vm, knownSince: requestedAt },
@@ -89,7 +91,7 @@
 const tick = (before: OrderLease, event: EventOf<"tick">, leaseMs: Millis, now: Millis): LeaseStep => {
     const wantedAt = event.isWanted ? before.wantedAt ?? now : undefined;
     const state = { ...before, wantedAt };
-    const isHeld = now - state.confirmedAt < leaseTiming.holdMs * RENEW_FRACTION;
+    const isHeld = event.isRenewalDue !== true && now - state.confirmedAt < leaseTiming.holdMs * RENEW_FRACTION;
     if (
         wantedAt === undefined || state.isCallPending || isHeld || now < claimAt(state, wantedAt, leaseMs, event.rank)
     ) {
--- a/packages/router/src/peers/decodeBeacon.ts
+++ b/packages/router/src/peers/decodeBeacon.ts
@@ -1,3 +1,4 @@
+import { holderOf } from "../fleet/holderOf.js";
 import { rolloutPhases } from "../rollout/rolloutPhases.js";
 import type { Beacon } from "./Beacon.js";
 import { BEACON_FORMAT } from "./BEACON_FORMAT.js";
@@ -126,7 +127,7 @@
         load: loads?.map(loadOfRow),
         ordered,
         engineVersions,
-        lease: isRow(lease) ? { offset: lease[0], holder: lease[1], ageMs: lease[2] } : undefined,
+        lease: isRow(lease) ? { offset: lease[0], holder: holderOf(String(lease[1])), ageMs: lease[2] } : undefined,
         hasStore,
         isLeaving,
         demand,
