State the ages of target weights in the records of the order lease

Cause: the store names the newest target and no time, and what VMs know ends with their processes.

Test "a process that takes over learns since when target weights are set"; before, a record has no such rows.

Change: a record of the order lease, which is written twice a lease while engines are ordered, states the target weights with their ages as a beacon does. A process that takes over applies them, and tells its peers.

Why it works: the ages count from the latest time at which the record can have been written, so what passed since is left out and a target is never taken for older than it is. The time between the last record and the takeover is missing.

Still open: a target whose lease record is lost, or that needs no orders, counts as new if no VM knows better. The other error would leave all VMs without an engine until these are loaded.

--- a/packages/router/src/__tests__/support/simulateLease.ts
+++ b/packages/router/src/__tests__/support/simulateLease.ts
@@ -250,6 +250,8 @@
             leaseMs: () => LEASE_MS,
             orderable: () => [],
             unanswered: createUnansweredOrders(clock),
+            targets: () => [],
+            onTargets: () => undefined,
             onAppended: () => issueOrders(process),
         });
         const process: Process = {
--- a/packages/router/src/__tests__/unit/leaseRecord.test.ts
+++ b/packages/router/src/__tests__/unit/leaseRecord.test.ts
@@ -1,4 +1,4 @@
-import type { EndpointName, VmId } from "@azureshunt/core";
+import type { EndpointName, ModelName, VmId } from "@azureshunt/core";
 import test from "ava";
 
 import { decodeLeaseRecord } from "../../fleet/decodeLeaseRecord.js";
@@ -15,7 +15,7 @@
 
 const records: readonly { readonly name: string; readonly record: LeaseRecord; }[] = [
     { name: "without orders", record: { holder, orders: undefined } },
-    { name: "with no orders to wait for", record: { holder, orders: { orderable: [], unanswered: [] } } },
+    { name: "with no orders to wait for", record: { holder, orders: { orderable: [], unanswered: [], targets: [] } } },
     {
         name: "with orders on a known and on an unknown count",
         record: {
@@ -26,6 +26,7 @@
                     { endpoint: engine, bornAt: 1_771_226_237_190, ordersTaken: 2, ageMs: 700 },
                     { endpoint: engine, bornAt: 1_771_226_200_000, ordersTaken: undefined, ageMs: 0 },
                 ],
+                targets: [["model" as ModelName, 3, 1_200]],
             },
         },
     },
@@ -40,14 +41,15 @@
 const texts: readonly { readonly name: string; readonly text: string; readonly orders: LeaseRecord["orders"]; }[] = [
     { name: "of an earlier version", text: "vm-1", orders: undefined },
     { name: "with a second line that is no JSON", text: "vm-1\n[[", orders: undefined },
-    { name: "with a negative age", text: "vm-1\n[[],[[\"i-1\",5,0,-1]]]", orders: undefined },
+    { name: "with a negative age", text: "vm-1\n[[],[[\"i-1\",5,0,-1]],[]]", orders: undefined },
     { name: "with orders in another form", text: "vm-1\n{\"orders\":[]}", orders: undefined },
     {
         name: "of a later version, with more fields",
-        text: "vm-1\n[[[\"i-1\",5,\"x\"]],[[\"i-1\",5,0,9,\"x\"]],\"x\"]",
+        text: "vm-1\n[[[\"i-1\",5,\"x\"]],[[\"i-1\",5,0,9,\"x\"]],[[\"m\",2,7,\"x\"]],\"x\"]",
         orders: {
             orderable: [{ endpoint: engine, bornAt: 5 }],
             unanswered: [{ endpoint: engine, bornAt: 5, ordersTaken: 0, ageMs: 9 }],
+            targets: [["m" as ModelName, 2, 7]],
         },
     },
 ];
--- a/packages/router/src/__tests__/unit/statedOrders.test.ts
+++ b/packages/router/src/__tests__/unit/statedOrders.test.ts
@@ -1,4 +1,4 @@
-import type { EndpointName, VmId } from "@azureshunt/core";
+import type { EndpointName, Millis, ModelName, VmId } from "@azureshunt/core";
 import test from "ava";
 import type { Either } from "purify-ts";
 import { Left, Right } from "purify-ts";
@@ -13,12 +13,14 @@
 import type { StorePort } from "../../ports/StorePort.js";
 import { silentLogger } from "../support/silentLogger.js";
 
+const MODEL = "model" as ModelName;
+const START = 10_000;
 const start = (name: string): EngineStart => ({ endpoint: name as EndpointName, bornAt: 1 });
 const settle = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
 
 /** A keeper whose store answers appends when told to, and the records that it appended. */
 const keeperOver = (stored: readonly Buffer[]) => {
-    const time = { now: 10_000 };
+    const time = { now: START };
     const clock = { now: () => time.now, epoch: () => time.now };
     const view = { orderable: [] as readonly EngineStart[] };
     const records = [...stored];
@@ -35,6 +37,7 @@
         },
     } as unknown as StorePort;
     const unanswered = createUnansweredOrders(clock);
+    const learned: (readonly [ModelName, number, Millis])[] = [];
     const keeper = createLeaseKeeper({
         clock,
         vm: "vm" as VmId,
@@ -44,6 +47,9 @@
         leaseMs: () => 3_000,
         orderable: () => view.orderable,
         unanswered,
+        targets: () => [[MODEL, 2, 50]],
+        onTargets: (rows, writtenBefore) =>
+            rows.forEach(([model, version, ageMs = 0]) => learned.push([model, version, writtenBefore - ageMs])),
         onAppended: () => undefined,
     });
     const tick = async (isRenewalDue = false): Promise<void> => {
@@ -56,7 +62,7 @@
         await settle();
     };
     const newest = (): LeaseOrders | undefined => decodeLeaseRecord(records.at(-1)).orders;
-    return { time, view, keeper, unanswered, tick, answer, newest };
+    return { time, view, keeper, learned, tick, answer, newest };
 };
 
 /** Claims the lease with engine `a` stated. */
@@ -129,6 +135,7 @@
 const last: LeaseOrders = {
     orderable: [start("x")],
     unanswered: [{ ...start("y"), ordersTaken: 4, ageMs: 100 }],
+    targets: [[MODEL, 3, 6_000], [MODEL, 2, 9_000]],
 };
 const holder = "other" as VmId;
 
@@ -169,5 +176,11 @@
     kept.time.now += 13_000;
     await kept.tick();
     await kept.answer();
-    t.deepEqual(kept.newest(), { orderable: [start("a")], unanswered: [] });
+    t.deepEqual(kept.newest(), { orderable: [start("a")], unanswered: [], targets: [[MODEL, 2, 50]] });
+});
+
+// If all VMs start again, no peer tells since when target weights are set, and engines serve on replaced ones for longer.
+test("stated orders: a process that takes over learns since when target weights are set", async t => {
+    const kept = await claim([encodeLeaseRecord({ holder, orders: last })]);
+    t.deepEqual(kept.learned, [[MODEL, 3, START - 6_000], [MODEL, 2, START - 9_000]]);
 });
--- a/packages/router/src/__tests__/unit/unansweredOrders.test.ts
+++ b/packages/router/src/__tests__/unit/unansweredOrders.test.ts
@@ -8,12 +8,14 @@
 
 // A process that takes the order lease over forgets orders of the last holder, or waits for them longer than needed.
 
+type Stated = Pick<LeaseOrders, "orderable" | "unanswered">;
+
 const NOW = 100_000;
 const { holdMs } = leaseTiming;
 const { maxTransitMs } = orderTiming;
 const start = { endpoint: "e" as EndpointName, bornAt: 7 };
-const orderable: LeaseOrders = { orderable: [start], unanswered: [] };
-const unansweredOf = (ageMs: Millis): LeaseOrders => ({
+const orderable: Stated = { orderable: [start], unanswered: [] };
+const unansweredOf = (ageMs: Millis): Stated => ({
     orderable: [],
     unanswered: [{ ...start, ordersTaken: 3, ageMs }],
 });
@@ -21,7 +23,7 @@
 const cases: readonly {
     readonly name: string;
     /** Records, and the latest times at which they can have been written. */
-    readonly inherited: readonly (readonly [orders: LeaseOrders, writtenBefore: Millis])[];
+    readonly inherited: readonly (readonly [orders: Stated, writtenBefore: Millis])[];
     readonly sentAt: readonly Millis[];
 }[] = [
     {
--- a/packages/router/src/fleet/LeaseOrders.ts
+++ b/packages/router/src/fleet/LeaseOrders.ts
@@ -1,5 +1,6 @@
 import type { Millis } from "@azureshunt/core";
 
+import type { TargetRow } from "../knowledge/TargetRow.js";
 import type { EngineStart } from "./EngineStart.js";
 import type { UnansweredOrder } from "./UnansweredOrder.js";
 
@@ -9,4 +10,6 @@
     readonly orderable: readonly EngineStart[];
     /** Orders of the holder, and of issuers before it, that had no answer when the record was written. */
     readonly unanswered: readonly (Omit<UnansweredOrder, "sentAt"> & { readonly ageMs: Millis; })[];
+    /** Target weights that the orders are for. If all VMs start again, no other record tells since when they are set. */
+    readonly targets: readonly TargetRow[];
 };
--- a/packages/router/src/fleet/createLeaseKeeper.ts
+++ b/packages/router/src/fleet/createLeaseKeeper.ts
@@ -1,8 +1,9 @@
-import type { Clock, VmId } from "@azureshunt/core";
+import type { Clock, Millis, VmId } from "@azureshunt/core";
 import type { Logger } from "pino";
 import type { Either } from "purify-ts";
 import { Left, Right } from "purify-ts";
 
+import type { TargetRow } from "../knowledge/TargetRow.js";
 import type { StoreFailure } from "../ports/StoreFailure.js";
 import type { StorePage } from "../ports/StorePage.js";
 import type { StorePort } from "../ports/StorePort.js";
@@ -32,6 +33,10 @@
     readonly orderable: () => readonly EngineStart[];
     /** The orders that a record states, and to which those of the record before are added when it is taken over. */
     readonly unanswered: ReturnType<typeof createUnansweredOrders>;
+    /** The target weights that a record states. */
+    readonly targets: () => readonly TargetRow[];
+    /** Called with the target weights that the record before states, and the latest time at which it was written. */
+    readonly onTargets: (targets: readonly TargetRow[], writtenBefore: Millis) => void;
     /** Called when this VM has appended a record of the lease. */
     readonly onAppended: () => void;
 };
@@ -102,14 +107,15 @@
     };
 
     /**
-     * Adds the orders that the record before `at` states to those that may still be carried out. Its writer issues no
-     * more: its claim ran out before this VM may claim, or it ran on this VM.
+     * Learns what the record before `at` states, and adds its orders to those that may still be carried out. Its writer
+     * issues no more: its claim ran out before this VM may claim, or it ran on this VM.
      */
-    const inheritOrders = (record: LeaseRecord | undefined, at: number): void => {
+    const learnStated = (record: LeaseRecord | undefined, at: number): void => {
         const { tail } = state.lease;
         const writtenBefore = tail?.offset === at - 1 ? Math.min(clock.now(), tail.knownSince) : clock.now();
         if (record?.orders !== undefined) {
             unanswered.inherit(record.orders, writtenBefore);
+            parts.onTargets(record.orders.targets, writtenBefore);
         }
     };
 
@@ -124,7 +130,9 @@
 
     /** Appends a record that states what may be ordered, and all orders that may still be carried out if all are known. */
     const appendRecord = async (at: number, areAllOrdersKnown: boolean): Promise<Either<StoreFailure, number>> => {
-        const orders = areAllOrdersKnown ? { orderable: parts.orderable(), unanswered: unanswered.all() } : undefined;
+        const orders = areAllOrdersKnown
+            ? { orderable: parts.orderable(), unanswered: unanswered.all(), targets: parts.targets() }
+            : undefined;
         const stated = orders && new Set(orders.orderable.map(keyOf));
         const before = state.orderable;
         // The record may take effect whatever becomes of the call, so only what both records allow is ordered meanwhile.
@@ -140,7 +148,7 @@
         const isTakeover = at > 0 && !isOwnBefore(state.lease, at);
         const before = isTakeover ? await readRecord(at - 1) : Right(undefined);
         const record = before.toMaybe().extract();
-        inheritOrders(record, at);
+        learnStated(record, at);
         const requestedAt = clock.now();
         const areOrdersKnown = isTakeover
             ? record?.orders !== undefined
--- a/packages/router/src/fleet/createUnansweredOrders.ts
+++ b/packages/router/src/fleet/createUnansweredOrders.ts
@@ -14,7 +14,7 @@
      *
      * @param writtenBefore latest time at which the record can have been written
      */
-    readonly inherit: (orders: LeaseOrders, writtenBefore: Millis) => void;
+    readonly inherit: (orders: Pick<LeaseOrders, "orderable" | "unanswered">, writtenBefore: Millis) => void;
     readonly all: () => LeaseOrders["unanswered"];
     /** The orders to the endpoint, whichever incarnation of it they were meant for. */
     readonly to: (endpoint: EndpointName) => readonly UnansweredOrder[];
--- a/packages/router/src/fleet/decodeLeaseRecord.ts
+++ b/packages/router/src/fleet/decodeLeaseRecord.ts
@@ -1,4 +1,4 @@
-import type { EndpointName } from "@azureshunt/core";
+import type { EndpointName, ModelName } from "@azureshunt/core";
 import { z } from "zod";
 
 import { holderOf } from "./holderOf.js";
@@ -6,14 +6,16 @@
 import type { LeaseRecord } from "./LeaseRecord.js";
 
 const endpoint = z.string().transform(name => name as EndpointName);
+const model = z.string().transform(name => name as ModelName);
 const rows = z.tuple([
     z.array(z.tuple([endpoint, z.number()]).rest(z.unknown())),
     z.array(z.tuple([endpoint, z.number(), z.number().nullable(), z.number().nonnegative()]).rest(z.unknown())),
+    z.array(z.tuple([model, z.number(), z.number().nonnegative()]).rest(z.unknown())),
 ]).rest(z.unknown());
 
 const ordersOf = (json: string): LeaseOrders | undefined => {
     try {
-        const [orderable, unanswered] = rows.parse(JSON.parse(json));
+        const [orderable, unanswered, targets] = rows.parse(JSON.parse(json));
         return {
             orderable: orderable.map(([name, bornAt]) => ({ endpoint: name, bornAt })),
             unanswered: unanswered.map(([name, bornAt, ordersTaken, ageMs]) => ({
@@ -22,6 +24,7 @@
                 ordersTaken: ordersTaken ?? undefined,
                 ageMs,
             })),
+            targets: targets.map(([name, version, ageMs]) => [name, version, ageMs]),
         };
     }
     catch {
--- a/packages/router/src/fleet/encodeLeaseRecord.ts
+++ b/packages/router/src/fleet/encodeLeaseRecord.ts
@@ -14,6 +14,7 @@
             // Rounded down, so that an order is never taken for one that was sent earlier.
             Math.floor(ageMs),
         ]),
+        orders.targets,
     ];
     return Buffer.from(`${holder}\n${JSON.stringify(rows)}`);
 }
--- a/packages/router/src/fleet/startOrders.ts
+++ b/packages/router/src/fleet/startOrders.ts
@@ -2,6 +2,8 @@
 import type { Logger } from "pino";
 
 import type { DeclaredState } from "../knowledge/DeclaredState.js";
+import type { TargetRow } from "../knowledge/TargetRow.js";
+import { targetRowsOf } from "../knowledge/targetRowsOf.js";
 import type { EndpointTable } from "../placement/EndpointTable.js";
 import type { EndpointWire } from "../ports/EndpointWire.js";
 import type { EngineReport } from "../ports/EngineReport.js";
@@ -45,6 +47,8 @@
     readonly isLeaseWanted: () => boolean;
     /** Whether this VM reaches no endpoints; it then leaves the lease to others. */
     readonly isCutOff: () => boolean;
+    /** Called with target weights that an earlier lease holder knew, and the latest time at which their ages applied. */
+    readonly onTargets?: (targets: readonly TargetRow[], at: Millis) => void;
     /** Sends the other VMs soon, before the next round, which engines were ordered. */
     readonly sendSoon: () => void;
 };
@@ -87,6 +91,8 @@
         ...parts,
         orderable: outdatedEngines,
         unanswered,
+        targets: () => targetRowsOf(declaredState().weights, clock.now()),
+        onTargets: (targets, at) => parts.onTargets?.(targets, at),
         onAppended: () => issueDueOrders(),
     });
 
--- a/packages/router/src/knowledge/startDeclarations.ts
+++ b/packages/router/src/knowledge/startDeclarations.ts
@@ -17,6 +17,7 @@
 import { initialDeclaredState } from "./initialDeclaredState.js";
 import { readerWaitMs } from "./readerWaitMs.js";
 import { stepDeclaredState } from "./stepDeclaredState.js";
+import type { TargetRow } from "./TargetRow.js";
 
 type WeightsEvent = Extract<DeclarationEvent, { readonly kind: "weights"; }>;
 
@@ -54,6 +55,12 @@
     readonly answer: (from: number | undefined) => TopicAnswer | undefined;
     /** @param address peer address of the beacon's sender */
     readonly applyBeacon: (received: ReceivedBeacon, address: string) => void;
+    /**
+     * Applies target weights that another process knew.
+     *
+     * @param at latest time at which their ages applied
+     */
+    readonly learnTargets: (targets: readonly TargetRow[], at: Millis) => void;
     readonly onSuspended: () => void;
     readonly stop: () => void;
 };
@@ -217,11 +224,13 @@
         }
     };
 
-    const applyBeacon: Declarations["applyBeacon"] = ({ beacon, receivedAt, sentAfter, stampedAt }, address) => {
-        beacon.weights.forEach(([model, version, ageMs]) =>
-            // From the receipt: subtracted from `sentAfter`, the age would make the target older than it is.
-            apply({ kind: "weights", model, version, knownSince: ageMs === undefined ? undefined : receivedAt - ageMs })
+    const learnTargets: Declarations["learnTargets"] = (targets, at) =>
+        targets.forEach(([model, version, ageMs]) =>
+            apply({ kind: "weights", model, version, knownSince: ageMs === undefined ? undefined : at - ageMs })
         );
+    const applyBeacon: Declarations["applyBeacon"] = ({ beacon, receivedAt, sentAfter, stampedAt }, address) => {
+        // From the receipt: subtracted from `sentAfter`, the ages would make targets older than they are.
+        learnTargets(beacon.weights, receivedAt);
         if (beacon.confirmedMs !== undefined) {
             const asOf = sentAfter - beacon.confirmedMs;
             apply({ kind: "confirmed", revision: beacon.revision, asOf, stampedAt });
@@ -252,6 +261,7 @@
         raw: () => state.raw,
         hasStore,
         applyBeacon,
+        learnTargets,
         onSuspended: () => apply({ kind: "suspended" }),
         stop,
     };
--- a/packages/router/src/peers/Beacon.ts
+++ b/packages/router/src/peers/Beacon.ts
@@ -1,15 +1,7 @@
-import type {
-    EndpointName,
-    FailureDomain,
-    Incarnation,
-    Millis,
-    ModelName,
-    OrganisationId,
-    Tokens,
-    VmId,
-} from "@azureshunt/core";
+import type { EndpointName, FailureDomain, Incarnation, Millis, OrganisationId, Tokens, VmId } from "@azureshunt/core";
 import type { RequestFingerprint } from "@azureshunt/request";
 
+import type { TargetRow } from "../knowledge/TargetRow.js";
 import type { PrefixPart } from "../placement/PrefixPart.js";
 import type { RolloutRow } from "../rollout/RolloutRow.js";
 import type { BeaconScope } from "./BeaconScope.js";
@@ -61,11 +53,8 @@
     readonly revision: number;
     /** Age of the confirmation that `revision` is the newest one; `undefined` if there was none. */
     readonly confirmedMs: Millis | undefined;
-    /**
-     * Target versions of the weights, by model, newest first, and for how long a VM has known each. Earlier versions do
-     * not state that time.
-     */
-    readonly weights: readonly (readonly [ModelName, number, Millis?])[];
+    /** Target versions of the weights, by model, newest first. */
+    readonly weights: readonly TargetRow[];
     /** By organisation: tokens that the sender has spent since its start, and tokens requested of it per second. */
     readonly spent: readonly (readonly [OrganisationId, Tokens, Tokens])[];
     /** Load of the sender's requests by endpoint; `undefined` if this beacon does not state it. */
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -229,6 +229,7 @@
         rank: lastHolder => membership.rank(lastHolder, declarations.hasStore()),
         isLeaseWanted: () => rollouts.isLeaderWanted(),
         isCutOff: connector.isCutOff,
+        onTargets: declarations.learnTargets,
         sendSoon: () => beacons.sendSoon(),
     });
 
