Name what a record of the order lease states, and check for renewals at the holder only

`LeaseOrders` held target weights too and is `LeaseStatement` now. The start of an engine is a field of `EngineWeights`, so `startOrders` looks nothing up for it. Only the holder lists the engines that its record does not state; other VMs did so ten times a second during a rollout, for nothing. Decisions are as before.

--- a/packages/router/src/__tests__/support/engineOf.ts
+++ b/packages/router/src/__tests__/support/engineOf.ts
@@ -6,6 +6,7 @@
 export function engineOf(name: string, more: Partial<EngineWeights> = {}): EngineWeights {
     return {
         endpoint: name as EndpointName,
+        bornAt: 1,
         version: 1,
         outdatedMs: 0,
         restartedAt: -Infinity,
--- a/packages/router/src/__tests__/unit/leaseRecord.test.ts
+++ b/packages/router/src/__tests__/unit/leaseRecord.test.ts
@@ -14,13 +14,13 @@
 const engine = "i-1" as EndpointName;
 
 const records: readonly { readonly name: string; readonly record: LeaseRecord; }[] = [
-    { name: "without orders", record: { holder, orders: undefined } },
-    { name: "with no orders to wait for", record: { holder, orders: { orderable: [], unanswered: [], targets: [] } } },
+    { name: "without orders", record: { holder, stated: undefined } },
+    { name: "with no orders to wait for", record: { holder, stated: { orderable: [], unanswered: [], targets: [] } } },
     {
         name: "with orders on a known and on an unknown count",
         record: {
             holder,
-            orders: {
+            stated: {
                 orderable: [{ endpoint: engine, bornAt: 1_771_226_237_190 }],
                 unanswered: [
                     { endpoint: engine, bornAt: 1_771_226_237_190, ordersTaken: 2, ageMs: 700 },
@@ -38,15 +38,15 @@
     });
 });
 
-const texts: readonly { readonly name: string; readonly text: string; readonly orders: LeaseRecord["orders"]; }[] = [
-    { name: "of an earlier version", text: "vm-1", orders: undefined },
-    { name: "with a second line that is no JSON", text: "vm-1\n[[", orders: undefined },
-    { name: "with a negative age", text: "vm-1\n[[],[[\"i-1\",5,0,-1]],[]]", orders: undefined },
-    { name: "with orders in another form", text: "vm-1\n{\"orders\":[]}", orders: undefined },
+const texts: readonly { readonly name: string; readonly text: string; readonly stated: LeaseRecord["stated"]; }[] = [
+    { name: "of an earlier version", text: "vm-1", stated: undefined },
+    { name: "with a second line that is no JSON", text: "vm-1\n[[", stated: undefined },
+    { name: "with a negative age", text: "vm-1\n[[],[[\"i-1\",5,0,-1]],[]]", stated: undefined },
+    { name: "with orders in another form", text: "vm-1\n{\"orders\":[]}", stated: undefined },
     {
         name: "of a later version, with more fields",
         text: "vm-1\n[[[\"i-1\",5,\"x\"]],[[\"i-1\",5,0,9,\"x\"]],[[\"m\",2,7,\"x\"]],\"x\"]",
-        orders: {
+        stated: {
             orderable: [{ endpoint: engine, bornAt: 5 }],
             unanswered: [{ endpoint: engine, bornAt: 5, ordersTaken: 0, ageMs: 9 }],
             targets: [["m" as ModelName, 2, 7]],
@@ -54,9 +54,9 @@
     },
 ];
 
-texts.forEach(({ name, text, orders }) => {
+texts.forEach(({ name, text, stated }) => {
     test(`lease record: the holder of one ${name} is known`, t => {
-        t.deepEqual(decodeLeaseRecord(Buffer.from(text)), { holder, orders });
+        t.deepEqual(decodeLeaseRecord(Buffer.from(text)), { holder, stated });
     });
 });
 
--- a/packages/router/src/__tests__/unit/planWave.test.ts
+++ b/packages/router/src/__tests__/unit/planWave.test.ts
@@ -81,7 +81,7 @@
             version: 3,
             demand,
             servesForMs: 8_500,
-            mayOrder: endpoint => !heldBack.includes(endpoint),
+            mayOrder: ({ endpoint }) => !heldBack.includes(endpoint),
         });
         if (typeof orders === "number") {
             t.is(planned.length, orders);
--- a/packages/router/src/__tests__/unit/statedOrders.test.ts
+++ b/packages/router/src/__tests__/unit/statedOrders.test.ts
@@ -8,7 +8,7 @@
 import { decodeLeaseRecord } from "../../fleet/decodeLeaseRecord.js";
 import { encodeLeaseRecord } from "../../fleet/encodeLeaseRecord.js";
 import type { EngineStart } from "../../fleet/EngineStart.js";
-import type { LeaseOrders } from "../../fleet/LeaseOrders.js";
+import type { LeaseStatement } from "../../fleet/LeaseStatement.js";
 import type { StoreFailure } from "../../ports/StoreFailure.js";
 import type { StorePort } from "../../ports/StorePort.js";
 import { silentLogger } from "../support/silentLogger.js";
@@ -61,7 +61,7 @@
         call?.resolve(isLost ? Left({ kind: "lost" }) : Right(call.at));
         await settle();
     };
-    const newest = (): LeaseOrders | undefined => decodeLeaseRecord(records.at(-1)).orders;
+    const newest = (): LeaseStatement | undefined => decodeLeaseRecord(records.at(-1)).stated;
     return { time, view, keeper, learned, tick, answer, newest };
 };
 
@@ -132,7 +132,7 @@
     });
 });
 
-const last: LeaseOrders = {
+const last: LeaseStatement = {
     orderable: [start("x")],
     unanswered: [{ ...start("y"), ordersTaken: 4, ageMs: 100 }],
     targets: [[MODEL, 3, 6_000], [MODEL, 2, 9_000]],
@@ -148,7 +148,7 @@
     { name: "the first record of all states its own", stored: [], stated: [] },
     {
         name: "that of a process which takes over states those of the record before",
-        stored: [encodeLeaseRecord({ holder, orders: last })],
+        stored: [encodeLeaseRecord({ holder, stated: last })],
         stated: [["x", undefined], ["y", 4]],
     },
     {
@@ -181,6 +181,6 @@
 
 // If all VMs start again, no peer tells since when target weights are set, and engines serve on replaced ones for longer.
 test("stated orders: a process that takes over learns since when target weights are set", async t => {
-    const kept = await claim([encodeLeaseRecord({ holder, orders: last })]);
+    const kept = await claim([encodeLeaseRecord({ holder, stated: last })]);
     t.deepEqual(kept.learned, [[MODEL, 3, START - 6_000], [MODEL, 2, START - 9_000]]);
 });
--- a/packages/router/src/__tests__/unit/unansweredOrders.test.ts
+++ b/packages/router/src/__tests__/unit/unansweredOrders.test.ts
@@ -2,13 +2,13 @@
 import test from "ava";
 
 import { createUnansweredOrders } from "../../fleet/createUnansweredOrders.js";
-import type { LeaseOrders } from "../../fleet/LeaseOrders.js";
+import type { LeaseStatement } from "../../fleet/LeaseStatement.js";
 import { leaseTiming } from "../../fleet/leaseTiming.js";
 import { orderTiming } from "../../fleet/orderTiming.js";
 
 // A process that takes the order lease over forgets orders of the last holder, or waits for them longer than needed.
 
-type Stated = Pick<LeaseOrders, "orderable" | "unanswered">;
+type Stated = Pick<LeaseStatement, "orderable" | "unanswered">;
 
 const NOW = 100_000;
 const { holdMs } = leaseTiming;
--- a/packages/router/src/fleet/EngineWeights.ts
+++ b/packages/router/src/fleet/EngineWeights.ts
@@ -1,10 +1,10 @@
-import type { EndpointName, Millis } from "@azureshunt/core";
+import type { Millis } from "@azureshunt/core";
 
 import type { EngineOrder } from "./EngineOrder.js";
+import type { EngineStart } from "./EngineStart.js";
 
 /** What is known of one engine's weights for one model. */
-export type EngineWeights = {
-    readonly endpoint: EndpointName;
+export type EngineWeights = EngineStart & {
     readonly version: number;
     /** Time since its weights were replaced by a newer version; 0 if they are the newest. */
     readonly outdatedMs: Millis;
--- a/packages/router/src/fleet/createLeaseKeeper.ts
+++ b/packages/router/src/fleet/createLeaseKeeper.ts
@@ -66,7 +66,7 @@
     const startedAt = clock.now();
     const state = {
         lease: newOrderLease(parts.vm),
-        /** Keys of the engines that may be ordered; `undefined` if the record states no orders: then all may. */
+        /** Keys of the engines that may be ordered; `undefined` if the record states nothing: then all may. */
         orderable: new Set() as ReadonlySet<string> | undefined,
     };
 
@@ -113,9 +113,9 @@
     const learnStated = (record: LeaseRecord | undefined, at: number): void => {
         const { tail } = state.lease;
         const writtenBefore = tail?.offset === at - 1 ? Math.min(clock.now(), tail.knownSince) : clock.now();
-        if (record?.orders !== undefined) {
-            unanswered.inherit(record.orders, writtenBefore);
-            parts.onTargets(record.orders.targets, writtenBefore);
+        if (record?.stated !== undefined) {
+            unanswered.inherit(record.stated, writtenBefore);
+            parts.onTargets(record.stated.targets, writtenBefore);
         }
     };
 
@@ -124,22 +124,24 @@
             offset,
             lastHolder: record?.holder,
             processMs: Math.round(clock.now() - startedAt),
-            orderable: record?.orders?.orderable.length,
-            unanswered: record?.orders?.unanswered.length,
+            orderable: record?.stated?.orderable.length,
+            unanswered: record?.stated?.unanswered.length,
         }, "Order lease taken over.");
 
     /** Appends a record that states what may be ordered, and all orders that may still be carried out if all are known. */
     const appendRecord = async (at: number, areAllOrdersKnown: boolean): Promise<Either<StoreFailure, number>> => {
-        const orders = areAllOrdersKnown
+        const stated = areAllOrdersKnown
             ? { orderable: parts.orderable(), unanswered: unanswered.all(), targets: parts.targets() }
             : undefined;
-        const stated = orders && new Set(orders.orderable.map(keyOf));
+        const orderable = stated && new Set(stated.orderable.map(keyOf));
         const before = state.orderable;
         // The record may take effect whatever becomes of the call, so only what both records allow is ordered meanwhile.
-        state.orderable = before && stated ? new Set([...before].filter(key => stated.has(key))) : before ?? stated;
-        const appended = await store.appendAt(TOPIC, at, encodeLeaseRecord({ holder: parts.vm, orders }));
+        state.orderable = before && orderable
+            ? new Set([...before].filter(key => orderable.has(key)))
+            : before ?? orderable;
+        const appended = await store.appendAt(TOPIC, at, encodeLeaseRecord({ holder: parts.vm, stated }));
         appended.ifRight(() => {
-            state.orderable = stated;
+            state.orderable = orderable;
         });
         return appended;
     };
@@ -151,7 +153,7 @@
         learnStated(record, at);
         const requestedAt = clock.now();
         const areOrdersKnown = isTakeover
-            ? record?.orders !== undefined
+            ? record?.stated !== undefined
             : at === 0 || requestedAt - state.lease.ordersKnownSince > orderTiming.maxTransitMs;
         const appended = before.isLeft() ? before : await appendRecord(at, areOrdersKnown);
         parts.checkSuspension();
--- a/packages/router/src/fleet/createUnansweredOrders.ts
+++ b/packages/router/src/fleet/createUnansweredOrders.ts
@@ -1,6 +1,6 @@
 import type { Clock, EndpointName, Millis } from "@azureshunt/core";
 
-import type { LeaseOrders } from "./LeaseOrders.js";
+import type { LeaseStatement } from "./LeaseStatement.js";
 import { leaseTiming } from "./leaseTiming.js";
 import { orderTiming } from "./orderTiming.js";
 import type { UnansweredOrder } from "./UnansweredOrder.js";
@@ -14,8 +14,8 @@
      *
      * @param writtenBefore latest time at which the record can have been written
      */
-    readonly inherit: (orders: Pick<LeaseOrders, "orderable" | "unanswered">, writtenBefore: Millis) => void;
-    readonly all: () => LeaseOrders["unanswered"];
+    readonly inherit: (orders: Pick<LeaseStatement, "orderable" | "unanswered">, writtenBefore: Millis) => void;
+    readonly all: () => LeaseStatement["unanswered"];
     /** The orders to the endpoint, whichever incarnation of it they were meant for. */
     readonly to: (endpoint: EndpointName) => readonly UnansweredOrder[];
 };
--- a/packages/router/src/fleet/decodeLeaseRecord.ts
+++ b/packages/router/src/fleet/decodeLeaseRecord.ts
@@ -2,8 +2,8 @@
 import { z } from "zod";
 
 import { holderOf } from "./holderOf.js";
-import type { LeaseOrders } from "./LeaseOrders.js";
 import type { LeaseRecord } from "./LeaseRecord.js";
+import type { LeaseStatement } from "./LeaseStatement.js";
 
 const endpoint = z.string().transform(name => name as EndpointName);
 const model = z.string().transform(name => name as ModelName);
@@ -13,7 +13,7 @@
     z.array(z.tuple([model, z.number(), z.number().nonnegative()]).rest(z.unknown())),
 ]).rest(z.unknown());
 
-const ordersOf = (json: string): LeaseOrders | undefined => {
+const statementOf = (json: string): LeaseStatement | undefined => {
     try {
         const [orderable, unanswered, targets] = rows.parse(JSON.parse(json));
         return {
@@ -28,7 +28,7 @@
         };
     }
     catch {
-        // A record of another version: its holder counts, its orders are unknown.
+        // A record of another version: only its holder is known.
         return undefined;
     }
 };
@@ -37,5 +37,5 @@
 export function decodeLeaseRecord(value: Buffer | undefined): LeaseRecord {
     const text = value?.toString("utf8") ?? "";
     const holder = holderOf(text);
-    return { holder, orders: ordersOf(text.slice(holder.length + 1)) };
+    return { holder, stated: statementOf(text.slice(holder.length + 1)) };
 }
--- a/packages/router/src/fleet/planWave.ts
+++ b/packages/router/src/fleet/planWave.ts
@@ -26,7 +26,7 @@
     /** Prompt tokens per millisecond that callers send to all VMs. */
     readonly demand: Tokens;
     /** Whether an engine may be ordered now; one that may not goes on serving as long as its weights do. */
-    readonly mayOrder: (endpoint: EndpointName) => boolean;
+    readonly mayOrder: (engine: EngineWeights) => boolean;
 };
 
 /** Engines needed for the requests if none of them caches a prefix of any prompt any more. */
@@ -68,7 +68,7 @@
     const urgentMax = Math.ceil(up.length * URGENT_MAX_OUT_OF_SERVICE_FRACTION);
     const atOnce = Math.max(1, spare, Math.min(urgentMax, minAtOnceByDeadline(outdated)));
     const due = outdated
-        .filter(({ endpoint, order }) => order === undefined && mayOrder(endpoint))
+        .filter(engine => engine.order === undefined && mayOrder(engine))
         .toSorted((a, b) => a.version - b.version || a.running - b.running);
     const idle = due.filter(({ outdatedMs }) => outdatedMs >= servesForMs);
     const serving = due.filter(({ outdatedMs }) => outdatedMs < servesForMs).slice(
--- a/packages/router/src/fleet/startOrders.ts
+++ b/packages/router/src/fleet/startOrders.ts
@@ -77,16 +77,8 @@
             .flatMap(([model, [target]]) => target === undefined ? [] : [[model, target.version] as const])
             .filter(([model, version]) => endpointTable.isAnyOutdated(model, version));
 
-    const startOf = (endpoint: EndpointName): readonly EngineStart[] => {
-        const entry = endpointTable.entryOf(endpoint);
-        return entry === undefined ? [] : [{ endpoint, bornAt: entry.bornAt }];
-    };
     const outdatedEngines = (): readonly EngineStart[] =>
-        wanted().flatMap(([model, target]) =>
-            endpointTable.engines(model).filter(({ version }) => version < target).flatMap(({ endpoint }) =>
-                startOf(endpoint)
-            )
-        );
+        wanted().flatMap(([model, target]) => endpointTable.engines(model).filter(({ version }) => version < target));
     const keeper = createLeaseKeeper({
         ...parts,
         orderable: outdatedEngines,
@@ -158,13 +150,13 @@
         const ordersTaken = entry === undefined ? undefined : await readCount(entry, model, version);
         parts.checkSuspension();
         const fence = orderFence(keeper.current(), clock.now());
-        if (entry === undefined || ordersTaken === undefined || fence === undefined) {
+        if (
+            entry === undefined || ordersTaken === undefined || fence === undefined
+            || !keeper.mayOrder({ endpoint, bornAt: entry.bornAt })
+        ) {
             return;
         }
         const { bornAt } = entry;
-        if (!keeper.mayOrder({ endpoint, bornAt })) {
-            return;
-        }
         const issuedAt = clock.now();
         endpointTable.recordOrder(endpoint, { version, issuedAt, seenAt: issuedAt, isOwn: true });
         parts.sendSoon();
@@ -181,7 +173,7 @@
             version,
             fence,
             ordersTaken,
-            bornAt: entry.bornAt,
+            bornAt,
             status,
             answer: res.kind,
             sentMsAgo: clock.now() - issuedAt,
@@ -224,8 +216,8 @@
                 version,
                 servesForMs: parts.servesForMs(),
                 demand: parts.demand(),
-                mayOrder: endpoint =>
-                    clock.now() >= (heldUntil.get(endpoint) ?? -Infinity) && startOf(endpoint).every(keeper.mayOrder),
+                mayOrder: engine =>
+                    clock.now() >= (heldUntil.get(engine.endpoint) ?? -Infinity) && keeper.mayOrder(engine),
             }).forEach(endpoint => void issueOrder(endpoint, model, version))
         );
     };
@@ -252,7 +244,8 @@
         const hasOrders = wanted().length > 0;
         const isWanted = !parts.isCutOff() && (hasOrders || parts.isLeaseWanted());
         [...heldUntil].filter(([, until]) => until <= clock.now()).forEach(([endpoint]) => heldUntil.delete(endpoint));
-        const isRenewalDue = !outdatedEngines().every(keeper.mayOrder);
+        const isHolder = orderFence(keeper.current(), clock.now()) !== undefined;
+        const isRenewalDue = isHolder && !outdatedEngines().every(keeper.mayOrder);
         keeper.apply({ kind: "tick", isWanted, rank: parts.rank(keeper.current().tail?.holder), isRenewalDue });
         if (hasOrders) {
             issueDueOrders();
--- a/packages/router/src/placement/createEndpointTable.ts
+++ b/packages/router/src/placement/createEndpointTable.ts
@@ -254,6 +254,7 @@
                 );
                 return {
                     endpoint: entry.name,
+                    bornAt: entry.bornAt,
                     version,
                     outdatedMs: outdatedFor(model, version) ?? 0,
                     restartedAt: observed.restartedAt,
