Use one name for known orders, and a function for what two records allow

`areOrdersKnown` had three names between the keeper, the event and the step. No change of behaviour.

--- a/packages/router/src/fleet/OrderLeaseEvent.ts
+++ b/packages/router/src/fleet/OrderLeaseEvent.ts
@@ -12,8 +12,8 @@
         readonly kind: "appended";
         readonly offset: number;
         readonly requestedAt: Millis;
-        /** Whether the record before it states the orders of its writer; needed if that was another process. */
-        readonly areOrdersStated?: boolean;
+        /** Whether the orders of the writer of the record before it are known; needed if that was another process. */
+        readonly areOrdersKnown?: boolean;
     }
     /** A call failed: another record came first, or no answer came. The stream has to be read. */
     | { readonly kind: "call-failed"; }
--- a/packages/router/src/fleet/createLeaseKeeper.ts
+++ b/packages/router/src/fleet/createLeaseKeeper.ts
@@ -51,8 +51,16 @@
 
 const TOPIC = "azureshunt.order-lease";
 
+/** Keys of the engines that a record allows to order; `undefined` if it states nothing: then all may be ordered. */
+type Orderable = ReadonlySet<string> | undefined;
+
 const keyOf = ({ endpoint, bornAt }: EngineStart): string => `${endpoint} ${bornAt}`;
 
+const allowedByBoth = (before: Orderable, after: Orderable): Orderable =>
+    before === undefined || after === undefined
+        ? before ?? after
+        : new Set([...before].filter(key => after.has(key)));
+
 /**
  * Runs the state machine of the order lease: performs its reads and appends, and applies their results.
  *
@@ -66,8 +74,7 @@
     const startedAt = clock.now();
     const state = {
         lease: newOrderLease(parts.vm),
-        /** Keys of the engines that may be ordered; `undefined` if the record states nothing: then all may. */
-        orderable: new Set() as ReadonlySet<string> | undefined,
+        orderable: new Set() as Orderable,
     };
 
     const apply: LeaseKeeper["apply"] = event => {
@@ -129,16 +136,13 @@
         }, "Order lease taken over.");
 
     /** Appends a record that states what may be ordered, and all orders that may still be carried out if all are known. */
-    const appendRecord = async (at: number, areAllOrdersKnown: boolean): Promise<Either<StoreFailure, number>> => {
-        const stated = areAllOrdersKnown
+    const appendRecord = async (at: number, areOrdersKnown: boolean): Promise<Either<StoreFailure, number>> => {
+        const stated = areOrdersKnown
             ? { orderable: parts.orderable(), unanswered: unanswered.all(), targets: parts.targets() }
             : undefined;
         const orderable = stated && new Set(stated.orderable.map(keyOf));
-        const before = state.orderable;
         // The record may take effect whatever becomes of the call, so only what both records allow is ordered meanwhile.
-        state.orderable = before && orderable
-            ? new Set([...before].filter(key => orderable.has(key)))
-            : before ?? orderable;
+        state.orderable = allowedByBoth(state.orderable, orderable);
         const appended = await store.appendAt(TOPIC, at, encodeLeaseRecord({ holder: parts.vm, stated }));
         appended.ifRight(() => {
             state.orderable = orderable;
@@ -166,7 +170,7 @@
                 if (isTakeover) {
                     logTakeover(at, record);
                 }
-                apply({ kind: "appended", offset: at, requestedAt, areOrdersStated: areOrdersKnown });
+                apply({ kind: "appended", offset: at, requestedAt, areOrdersKnown });
                 parts.onAppended();
             },
         });
--- a/packages/router/src/fleet/stepOrderLease.ts
+++ b/packages/router/src/fleet/stepOrderLease.ts
@@ -34,7 +34,7 @@
         // No other process has held the lease since this one's last record.
         return state.ordersKnownSince;
     }
-    return offset === 0 || event.areOrdersStated === true ? -Infinity : requestedAt;
+    return offset === 0 || event.areOrdersKnown === true ? -Infinity : requestedAt;
 };
 
 /**
