--- a/packages/router/src/ports/CallerRequest.ts
+++ b/packages/router/src/ports/CallerRequest.ts
@@ -27,6 +27,8 @@
     readonly prompt: PromptInfo | undefined;
     /** Id of the last event that the caller received of a stream that it resumes. */
     readonly lastEventId: number | undefined;
+    /** Id of the caller's attempt that brought the first event of that stream; `undefined` if the caller names none. */
+    readonly begunBy: RequestId | undefined;
     /** Headers forwarded to the endpoint unchanged, as alternating names and values. */
     readonly forwardedHeaders: readonly string[];
 };
--- a/packages/router/src/serve/StreamProgress.ts
+++ b/packages/router/src/serve/StreamProgress.ts
@@ -1,3 +1,4 @@
+import type { EndpointEntry } from "../registry/EndpointEntry.js";
 import type { StreamPace } from "./StreamPace.js";
 
 /** How much of a stream has been forwarded to its caller, over all tries. Updated with each event. */
@@ -5,4 +6,6 @@
     forwardedEvents: number;
     lastEventId: number | undefined;
     readonly pace: StreamPace;
+    /** The endpoint that sent the stream's first event in this answer; `undefined` until then. */
+    firstEntry: EndpointEntry | undefined;
 };
--- a/packages/router/src/serve/createRequestHandler.ts
+++ b/packages/router/src/serve/createRequestHandler.ts
@@ -151,6 +151,8 @@
                 organisation: organisation?.id,
                 tokens,
                 deadlineMs: caller.deadlineMs,
+                lastEventId: caller.lastEventId,
+                begunBy: caller.begunBy,
                 revision: query.declaredState.configuration?.revision,
                 confirmedMs: Math.round(arrivedAt - query.declaredState.confirmedAt),
             });
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -83,6 +83,36 @@
     return isMoving && parts.retryBudgets.reserve(served.service);
 };
 
+/** Logs and counts a stream that goes on at the endpoint of this try. */
+const noteContinuation = ({ parts, served, place, progress }: TryParts): void => {
+    const { firstEntry } = progress;
+    const { lastEventId, begunBy } = served.caller;
+    if (firstEntry === undefined && lastEventId === undefined) {
+        return;
+    }
+    const by = firstEntry === undefined ? "caller" : "router";
+    const version = firstEntry === undefined
+        ? "unknown"
+        : firstEntry.softwareVersion === place.entry.softwareVersion
+        ? "same"
+        : "other";
+    served.notes.flush();
+    served.notes.add("Stream goes on.", {
+        by,
+        begunBy,
+        after: progress.lastEventId,
+        before: firstEntry && { endpoint: firstEntry.name, softwareVersion: firstEntry.softwareVersion },
+        endpoint: place.entry.name,
+        softwareVersion: place.entry.softwareVersion,
+        bornAt: place.entry.bornAt,
+    });
+    parts.metrics.count(
+        "azureshunt_streams_continued_total",
+        "Streams that went on after a break, by who took them up, and the software version compared with the first.",
+        { by, version },
+    );
+};
+
 /** Sends a request to one endpoint and, if it is a stream, forwards its events to the caller. */
 export async function runTry(tryParts: TryParts): Promise<TryResult> {
     const { parts, served, place, progress, isLastTry } = tryParts;
@@ -171,6 +201,8 @@
         return finish({ kind: verdict, answer: undefined });
     }
     const recordPrefill = (): void => {
+        noteContinuation(tryParts);
+        progress.firstEntry ??= place.entry;
         times.firstEventMs = Math.round(clock.now() - startedAt);
         inFlight.answerStarted();
         prefixIndex.record(place.entry.name, place.chain, clock.now());
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -56,6 +56,7 @@
         forwardedEvents: 0,
         lastEventId: served.caller.lastEventId,
         pace: createStreamPace(parts.clock.now),
+        firstEntry: undefined,
     };
 
     const giveUp = (progress: RequestProgress, refusal: Refusal): ServedEnd =>
@@ -91,6 +92,8 @@
         const { request } = progress;
         served.notes.add("Endpoint chosen.", {
             endpoint: place.entry.name,
+            softwareVersion: place.entry.softwareVersion,
+            bornAt: place.entry.bornAt,
             queueMs: Math.round(place.queueMs),
             startMs: Math.round(place.startMs),
             missingTokens: place.missingTokens,
