Let a stream go on only at the software version that began it

Cause: the version of the software was known for rollouts alone. A choice of endpoint did not look at it, and nothing connected a caller's attempt with the one that began its stream; Resumes was not read.

Now the first event of a stream fixes its origin: service, software version, run of the endpoint. Whatever goes on is placed at that version only, also moves off engines that load weights. The VM that forwards the first event remembers the origin under the organisation and the attempt's id until the caller's deadline, and tells it to other VMs before callers can come back: all in a small fleet, two of the failure domain by hash in a large one. A VM that knows nothing of a stream asks them. Nothing is told while a service has had one version for as long as a stream can last; a stream of which nothing is known goes on only then, and only if the registry is current here or at a peer. For that, a new version gets no streams until all VMs whose registry is current know it. What cannot be joined is refused at once as not run: stream-origin-unknown with Retry-After, stream-version-gone without one. A version that was taken back counts as gone.

--- /dev/null
+++ b/packages/continuation/src/createStreamKeeper.ts
@@ -0,0 +1,291 @@
+import type {
+    Clock,
+    EndpointName,
+    FailureDomain,
+    Millis,
+    OrganisationId,
+    RequestId,
+    ServiceName,
+} from "@azureshunt/core";
+
+import type { Continuation } from "./Continuation.js";
+import { createStreamOrigins } from "./createStreamOrigins.js";
+import { createVersionHistories } from "./createVersionHistories.js";
+import { decideContinuation } from "./decideContinuation.js";
+import type { EndpointRun } from "./EndpointRun.js";
+import { knowledgeJson } from "./knowledgeJson.js";
+import type { KnownOrigin } from "./KnownOrigin.js";
+import { originsDatagram } from "./originsDatagram.js";
+import type { Peer } from "./Peer.js";
+import type { RegisteredRun } from "./RegisteredRun.js";
+import { settledRuns } from "./settledRuns.js";
+import { soleVersion } from "./soleVersion.js";
+import type { StatedOrigin } from "./StatedOrigin.js";
+import { streamHomes } from "./streamHomes.js";
+import type { StreamId } from "./StreamId.js";
+import { streamIdOf } from "./streamIdOf.js";
+import type { StreamKnowledge } from "./StreamKnowledge.js";
+import type { StreamOrigin } from "./StreamOrigin.js";
+import { versionTiming } from "./versionTiming.js";
+
+type StreamKeeperParts = {
+    readonly clock: Clock;
+    readonly failureDomain: FailureDomain;
+    /** Whether all VMs start for the first time. */
+    readonly isFirstStart: boolean;
+    /** All endpoints that are registered, also those that are leaving. */
+    readonly runs: () => readonly RegisteredRun[];
+    readonly entryOf: (endpoint: EndpointName) => EndpointRun | undefined;
+    /** Endpoints of a service that take requests and may get them by the state of its rollout. */
+    readonly servingRuns: (service: ServiceName) => readonly EndpointRun[];
+    /** Maximum age of the known entries. */
+    readonly registryAgeMs: () => Millis;
+    /** Whether a peer has read other entries than this VM. */
+    readonly isRegistryContradicted: () => boolean;
+    /** Age up to which the registry counts as current. */
+    readonly currentMs: () => Millis;
+    /** Peers that are alive. */
+    readonly peers: () => readonly Peer[];
+    readonly send: (datagram: Buffer, address: string) => void;
+    /** Makes a call to a peer; resolves with `undefined` if it has no answer in time. */
+    readonly ask: (address: string, query: string) => Promise<Buffer | undefined>;
+    readonly schedule: (delayMs: Millis, run: () => void) => () => void;
+};
+
+/** A stream that a caller takes up again. */
+type ResumedStream = {
+    readonly organisation: OrganisationId | undefined;
+    /** The attempt that brought its first event; `undefined` if the caller names none. */
+    readonly begunBy: RequestId | undefined;
+    /** The service to which the request's route leads. */
+    readonly service: ServiceName;
+    readonly isTarget: (service: ServiceName) => boolean;
+};
+
+/** Where the knowledge came from that a decision rests on. */
+type Source = "here" | "peer" | "sole-version" | "none";
+
+/** Knows where streams began, and decides where they may go on. */
+type StreamKeeper = {
+    /** Decides where a stream may go on; asks peers if nothing here tells where it began. */
+    readonly resolve: (
+        stream: ResumedStream,
+    ) => Promise<{ readonly continuation: Continuation; readonly source: Source; }>;
+    /** Records the first event of a stream, and tells its homes; called before the event is forwarded. */
+    readonly recordFirst: (
+        organisation: OrganisationId | undefined,
+        attempt: RequestId,
+        origin: StreamOrigin,
+        leftMs: Millis,
+    ) => void;
+    /** Selects the endpoints of a service at which a new stream may begin. */
+    readonly selectForNew: <Run extends EndpointRun>(service: ServiceName, runs: readonly Run[]) => readonly Run[];
+    /** Adds entries that were read from the registry, also those that are gone again. */
+    readonly addEntries: (runs: readonly RegisteredRun[]) => void;
+    /** Applies a datagram of a peer; returns `false` if it is of another kind. */
+    readonly receive: (datagram: Buffer) => boolean;
+    /** Answers a peer's query. */
+    readonly answer: (query: string) => Buffer;
+    readonly tick: () => void;
+    readonly size: () => number;
+    readonly stop: () => void;
+};
+
+/** Streams that a VM knows at most; of some hundred bytes each. */
+const MAX_STREAMS = 16_384;
+/** Homes that are told of a stream in a large fleet, and those asked: more, as VMs may know different peers. */
+const TOLD_HOMES = 2;
+const ASKED_HOMES = 3;
+/** Delay in which streams that begin are collected into one datagram. */
+const COLLECT_MS: Millis = 5;
+/** Interval of looking for endpoints and gaps. */
+const CHECK_MS: Millis = 500;
+/** Time between two requests for the history of a peer, while this VM has none that goes back far enough. */
+const HISTORY_RETRY_MS: Millis = 3_000;
+/** Time after which all VMs whose registry is current know a new entry, beyond the age up to which it is current. */
+const SETTLE_MARGIN_MS: Millis = 500;
+const ID = "id=";
+
+/** Creates a keeper that knows no streams yet. */
+export function createStreamKeeper(parts: StreamKeeperParts): StreamKeeper {
+    const { clock } = parts;
+    const known = createStreamOrigins(MAX_STREAMS);
+    /** Those that began at this VM. */
+    const own = createStreamOrigins(MAX_STREAMS);
+    const histories = createVersionHistories({
+        clock,
+        isFirstStart: parts.isFirstStart,
+        runs: parts.runs,
+        isWithoutGap: () => parts.registryAgeMs() <= parts.currentMs(),
+    });
+    const state = {
+        untold: [] as StatedOrigin[],
+        cancelTelling: undefined as (() => void) | undefined,
+        checkedAt: -Infinity as Millis,
+        historyAskedAt: -Infinity as Millis,
+        /** Services whose streams nobody has to be told of. */
+        uniform: new Set<ServiceName>(),
+    };
+    const isCurrent = (): boolean => !parts.isRegistryContradicted() && parts.registryAgeMs() <= parts.currentMs();
+    const soleVersionOf = (service: ServiceName): string | undefined => soleVersion(histories.of(service), clock.now());
+
+    const tellNow = (): void => {
+        const { untold } = state;
+        state.untold = [];
+        state.cancelTelling = undefined;
+        const byAddress = new Map<string, StatedOrigin[]>();
+        const peers = parts.peers();
+        untold.forEach(stated =>
+            streamHomes(stated.id, peers, parts.failureDomain, TOLD_HOMES).forEach(({ address }) => {
+                byAddress.set(address, [...byAddress.get(address) ?? [], stated]);
+            })
+        );
+        byAddress.forEach((origins, address) =>
+            originsDatagram.encode(origins).forEach(datagram => parts.send(datagram, address))
+        );
+    };
+    const tell = (stated: readonly StatedOrigin[]): void => {
+        if (stated.length > 0) {
+            state.untold.push(...stated);
+            state.cancelTelling ??= parts.schedule(COLLECT_MS, tellNow);
+        }
+    };
+    const statedOf = (id: StreamId, { origin, expiresAt }: KnownOrigin): StatedOrigin => ({
+        id,
+        origin,
+        leftMs: expiresAt - clock.now(),
+    });
+
+    const recordFirst: StreamKeeper["recordFirst"] = (organisation, attempt, origin, leftMs) => {
+        const id = streamIdOf(organisation, attempt);
+        const now = clock.now();
+        const entry = { origin, expiresAt: now + Math.min(leftMs, versionTiming.streamMs) };
+        known.record(id, entry, now);
+        own.record(id, entry, now);
+        if (!state.uniform.has(origin.service) || soleVersionOf(origin.service) === undefined) {
+            tell([statedOf(id, entry)]);
+        }
+    };
+
+    const receiveOrigin = ({ id, origin, leftMs }: StatedOrigin): void => {
+        const now = clock.now();
+        known.record(id, { origin, expiresAt: now + Math.min(leftMs, versionTiming.streamMs) }, now);
+    };
+
+    const askPeer = async ({ address }: Peer, id: StreamId | undefined): Promise<StreamKnowledge | undefined> => {
+        const askedAt = clock.now();
+        const body = await parts.ask(address, id === undefined ? "" : `${ID}${id}`);
+        const answer = body && knowledgeJson.decode(body);
+        if (answer !== undefined) {
+            histories.applyStated(askedAt, answer.histories);
+        }
+        if (answer?.origin !== undefined && id !== undefined) {
+            receiveOrigin({ id, ...answer.origin });
+        }
+        return answer;
+    };
+
+    /** Asks the homes of a stream; resolves as soon as one knows it, else once all have answered. */
+    const askHomes = async (
+        id: StreamId | undefined,
+    ): Promise<Pick<StreamKnowledge, "origin" | "isCurrent">> => {
+        const peers = parts.peers();
+        const homes = id === undefined
+            ? peers.slice(0, ASKED_HOMES)
+            : streamHomes(id, peers, parts.failureDomain, ASKED_HOMES);
+        const answers = homes.map(home => askPeer(home, id));
+        const found = await Promise.any(
+            answers.map(async answer => (await answer)?.origin ?? Promise.reject(new Error("not known"))),
+        ).catch(() => undefined);
+        return {
+            origin: found,
+            isCurrent: found === undefined && (await Promise.all(answers)).some(answer => answer?.isCurrent === true),
+        };
+    };
+
+    const resolve: StreamKeeper["resolve"] = async stream => {
+        const id = stream.begunBy === undefined ? undefined : streamIdOf(stream.organisation, stream.begunBy);
+        const here = id === undefined ? undefined : known.find(id, clock.now())?.origin;
+        const isKnown = here !== undefined || (soleVersionOf(stream.service) !== undefined && isCurrent());
+        const asked = isKnown ? undefined : await askHomes(id);
+        const origin = here ?? asked?.origin?.origin;
+        const sole = soleVersionOf(stream.service);
+        const continuation = decideContinuation({
+            known: origin,
+            service: stream.service,
+            soleVersion: sole,
+            isCurrent: isCurrent() || asked?.isCurrent === true,
+            entryOf: parts.entryOf,
+            servingRuns: parts.servingRuns,
+            isTarget: stream.isTarget,
+        });
+        const source = here !== undefined
+            ? "here"
+            : origin !== undefined
+            ? "peer"
+            : continuation.kind === "origin-unknown"
+            ? "none"
+            : "sole-version";
+        return { continuation, source };
+    };
+
+    /** Streams begin unknown to others while one version serves; once that may no longer be so, they are told. */
+    const tellIfNoLongerUniform = (): void => {
+        const uniform = new Set(histories.services().filter(service => soleVersionOf(service) !== undefined));
+        const changed = [...state.uniform].filter(service => !uniform.has(service));
+        state.uniform = uniform;
+        if (changed.length > 0) {
+            const begun = own.all(clock.now()).filter(([, { origin }]) =>
+                origin === "ambiguous" || changed.includes(origin.service)
+            );
+            tell(begun.map(([id, entry]) => statedOf(id, entry)));
+        }
+    };
+    const addEntries: StreamKeeper["addEntries"] = runs => {
+        histories.add(runs);
+        tellIfNoLongerUniform();
+    };
+    const learnHistory = (now: Millis): void => {
+        const isLacking = histories.services().some(service =>
+            now - histories.of(service).coveredSince < versionTiming.streamMs
+        );
+        const [peer] = parts.peers();
+        if (isLacking && peer !== undefined && now - state.historyAskedAt >= HISTORY_RETRY_MS) {
+            state.historyAskedAt = now;
+            void askPeer(peer, undefined);
+        }
+    };
+    const tick = (): void => {
+        const now = clock.now();
+        if (now - state.checkedAt >= CHECK_MS) {
+            state.checkedAt = now;
+            histories.tick();
+            tellIfNoLongerUniform();
+            learnHistory(now);
+        }
+    };
+    return {
+        resolve,
+        recordFirst,
+        selectForNew: (service, runs) =>
+            settledRuns(runs, histories.of(service), parts.currentMs() + SETTLE_MARGIN_MS, clock.now()),
+        addEntries,
+        receive: datagram => {
+            const origins = originsDatagram.decode(datagram);
+            origins?.forEach(receiveOrigin);
+            return origins !== undefined;
+        },
+        answer: query => {
+            const id = query.startsWith(ID) ? query.slice(ID.length) as StreamId : undefined;
+            const found = id === undefined ? undefined : known.find(id, clock.now());
+            return knowledgeJson.encode({
+                origin: found && { origin: found.origin, leftMs: found.expiresAt - clock.now() },
+                isCurrent: isCurrent(),
+                histories: histories.stated(),
+            });
+        },
+        tick,
+        size: known.size,
+        stop: () => state.cancelTelling?.(),
+    };
+}
--- a/packages/core/src/ErrorKind.ts
+++ b/packages/core/src/ErrorKind.ts
@@ -28,6 +28,8 @@
     | "deadline-exceeded"
     | "endpoint-failed"
     | "stream-broken"
+    | "stream-origin-unknown"
+    | "stream-version-gone"
     | "answer-lost"
     | "request-crashes-endpoints"
     | "request-quarantined"
--- a/packages/core/src/answerOf.ts
+++ b/packages/core/src/answerOf.ts
@@ -70,6 +70,22 @@
         "The endpoint failed before its answer was complete.",
     ),
     "stream-broken": answer(502, "yes", 1, true, "api_error", "The stream broke off and could not be completed."),
+    "stream-origin-unknown": answer(
+        503,
+        "no",
+        0.25,
+        false,
+        "api_error",
+        "It is not known here where the stream began; take it up elsewhere, or start it anew.",
+    ),
+    "stream-version-gone": answer(
+        503,
+        "no",
+        undefined,
+        false,
+        "api_error",
+        "No endpoint that can continue the stream is left; start it anew.",
+    ),
     "answer-lost": answer(
         502,
         "maybe",
--- a/packages/router/src/__tests__/unit/peerListener.test.ts
+++ b/packages/router/src/__tests__/unit/peerListener.test.ts
@@ -33,6 +33,7 @@
             address: "127.0.0.1:0",
             configuration: () => undefined,
             receiveReport: () => undefined,
+            streams: () => Buffer.alloc(0),
             topics,
         });
         t.teardown(() => listener.close());
@@ -64,6 +65,7 @@
             address: "127.0.0.1:0",
             configuration: () => undefined,
             receiveReport: each => void seen.push(each),
+            streams: () => Buffer.alloc(0),
             topics,
         });
         t.teardown(() => listener.close());
--- a/packages/router/src/peers/startBeacons.ts
+++ b/packages/router/src/peers/startBeacons.ts
@@ -10,6 +10,8 @@
     /** Called with the size of each datagram that is sent. */
     readonly onSent: (bytes: number) => void;
     readonly onFault: (what: "unreadable" | "socket", err: Error | undefined) => void;
+    /** Applies a datagram that is no beacon; returns `false` if it is of no known kind. */
+    readonly receiveOther: (datagram: Buffer) => boolean;
 };
 
 /** Delay before the socket is closed, as closing it at once would drop the final datagrams. */
@@ -19,9 +21,14 @@
  * Starts to send beacons to other VMs, and to receive theirs. Datagrams need no connection that could hang, and the
  * next beacon makes up for a lost one.
  *
- * @returns `sendSoon` requests an urgent send, and `stop` stops after a final beacon
+ * @returns `sendSoon` requests an urgent send, `send` sends a datagram of another kind, and `stop` stops after a final
+ * beacon
  */
-export function startBeacons(parts: BeaconParts): { readonly sendSoon: () => void; readonly stop: () => void; } {
+export function startBeacons(parts: BeaconParts): {
+    readonly sendSoon: () => void;
+    readonly send: (datagram: Buffer, address: string) => void;
+    readonly stop: () => void;
+} {
     const socket = createSocket("udp4");
     const [host, port] = parts.address.split(":");
     const exchange = { current: undefined as ReturnType<typeof createBeaconExchange> | undefined };
@@ -36,7 +43,11 @@
         });
     };
     socket.on("error", err => parts.onFault("socket", err));
-    socket.on("message", (datagram, from) => exchange.current?.receive(datagram, `${from.address}:${from.port}`));
+    socket.on("message", (datagram, from) => {
+        if (!parts.receiveOther(datagram)) {
+            exchange.current?.receive(datagram, `${from.address}:${from.port}`);
+        }
+    });
     socket.bind(Number(port), host);
     socket.once("listening", () => {
         exchange.current = createBeaconExchange({
@@ -51,6 +62,7 @@
     });
     return {
         sendSoon: () => exchange.current?.sendSoon(),
+        send,
         stop: () => {
             exchange.current?.stop();
             setTimeout(() => socket.close(), CLOSE_AFTER_MS);
--- a/packages/router/src/peers/startPeerListener.ts
+++ b/packages/router/src/peers/startPeerListener.ts
@@ -12,9 +12,11 @@
     readonly address: string;
     /** Returns the configuration in the encoding of the store; `undefined` while there is none. */
     readonly configuration: () => Buffer | undefined;
-    /** By topic: returns this VM's answer in place of the store; `undefined` if it has no fresh one. */
     /** Applies a report on a rollout that this VM leads. */
     readonly receiveReport: (report: CountsReport) => void;
+    /** Returns what this VM knows of where streams began; see `createStreamKeeper`. */
+    readonly streams: (query: string) => Buffer;
+    /** By topic: returns this VM's answer in place of the store; `undefined` if it has no fresh one. */
     readonly topics: ReadonlyMap<string, (from: number | undefined) => TopicAnswer | undefined>;
 };
 
@@ -24,6 +26,7 @@
 const BAD_REQUEST = 400;
 const TOPICS = "/topics/";
 const REPORTS = "/rollout-counts";
+const STREAMS = "/streams";
 /** A report has one row per route, of some hundred bytes. */
 const MAX_REPORT_BYTES = 256 * 1024;
 
@@ -34,8 +37,9 @@
 
 /**
  * Starts the HTTP listener for other VMs: `GET /configuration` for those that are cut off from the store,
- * `GET /topics/NAME?from=OFFSET`, in place of the store, for those of this VM's failure domain, and
- * `POST /rollout-counts` for reports to the leader of rollouts.
+ * `GET /topics/NAME?from=OFFSET`, in place of the store, for those of this VM's failure domain,
+ * `POST /rollout-counts` for reports to the leader of rollouts, and `GET /streams?id=ID` for VMs that have to continue
+ * a stream.
  */
 export function startPeerListener(parts: PeerListenerParts): Promise<Server> {
     const end = (res: ServerResponse, body: Buffer | undefined): void => {
@@ -67,6 +71,10 @@
             void receiveReport(req, res);
             return;
         }
+        if (path === STREAMS) {
+            end(res, parts.streams(query));
+            return;
+        }
         const answer = path.startsWith(TOPICS) ? parts.topics.get(path.slice(TOPICS.length)) : undefined;
         if (answer === undefined) {
             refuse(res, NOT_FOUND);
--- a/packages/router/src/peers/startPeerSync.ts
+++ b/packages/router/src/peers/startPeerSync.ts
@@ -20,6 +20,8 @@
     readonly metrics: Metrics;
     /** Checks for a suspension of this process, before any state is sent or received as fresh. */
     readonly checkSuspension: () => void;
+    /** Applies a datagram that is no beacon; returns `false` if it is of no known kind. */
+    readonly receiveOther: (datagram: Buffer) => boolean;
 };
 
 /** Starts to send this VM's state to its peers, and to apply the state that they send. */
@@ -66,6 +68,7 @@
         relayedSums: scope => collectRelayedSums(sources, scope),
         relayedLoadChanges: scope => isRelayScope(scope) ? peerLoad.relayedLoadChanges(scope) : () => [],
         onBeacon: receive,
+        receiveOther: parts.receiveOther,
         onSent: bytes => {
             metrics.count("azureshunt_beacons_total", "Beacons that were sent.");
             metrics.count("azureshunt_beacon_bytes_total", "Bytes of the beacons that were sent.", {}, bytes);
--- a/packages/router/src/placement/EndpointTable.ts
+++ b/packages/router/src/placement/EndpointTable.ts
@@ -64,6 +64,8 @@
     readonly isAnyOutdated: (model: ModelName, version: number) => boolean;
     /** Engines that serve a model and are not leaving. */
     readonly engines: (model: ModelName) => readonly EngineWeights[];
+    /** All registered endpoints, also those that are leaving. */
+    readonly entries: () => readonly EndpointEntry[];
     /** Endpoints of a service that are not leaving. */
     readonly servingEntries: (service: ServiceName) => readonly EndpointEntry[];
     /** The service of the endpoint at an address, `host:port`. */
--- a/packages/router/src/placement/createEndpointTable.ts
+++ b/packages/router/src/placement/createEndpointTable.ts
@@ -125,8 +125,8 @@
         });
     };
 
-    const stayingEntries = (): readonly EndpointEntry[] =>
-        [...state.registry.endpoints.values()].map(({ entry }) => entry).filter(({ isLeaving }) => !isLeaving);
+    const allEntries = (): readonly EndpointEntry[] => [...state.registry.endpoints.values()].map(({ entry }) => entry);
+    const stayingEntries = (): readonly EndpointEntry[] => allEntries().filter(({ isLeaving }) => !isLeaving);
     const servingEntries: EndpointTable["servingEntries"] = service =>
         stayingEntries().filter(entry => entry.service === service);
 
@@ -283,6 +283,7 @@
         onOrdered: orderListeners.add,
         isAnyOutdated,
         engines,
+        entries: allEntries,
         servingEntries,
         serviceAt: address => state.serviceByAddress.get(address),
         entryOf,
--- a/packages/router/src/registry/startRegistry.ts
+++ b/packages/router/src/registry/startRegistry.ts
@@ -35,9 +35,15 @@
     readonly checkSuspension: () => void;
     /** Called when this VM has read the registry from the store itself. */
     readonly onStoreRead: () => void;
+    /** Called with all entries of a read, also those that a later record of the same read removes. */
+    readonly onEntries: (entries: readonly EndpointEntry[]) => void;
 };
 
 type RegistryKeeper = {
+    /** Upper bound for the age of the known entries; `Infinity` if none is known. */
+    readonly ageMs: () => Millis;
+    /** Whether a peer has read other entries than this VM. */
+    readonly isContradicted: () => boolean;
     /** Digest and maximum age of the known entries, to be sent to the peers; undefined until one is known. */
     readonly beaconFields: () => Beacon["registry"];
     /** Compares a peer's digest with this VM's own entries. */
@@ -93,11 +99,9 @@
             parts.checkSuspension();
             mirror.record({ records, end, isWhole });
             const changes = records.map(({ key, value }) => ({ name: key as EndpointName, entry: decode(key, value) }));
-            endpointTable.applyRegistryEvent(
-                isWhole
-                    ? { kind: "whole", entries: changes.flatMap(({ entry }) => entry === undefined ? [] : [entry]) }
-                    : { kind: "changes", changes },
-            );
+            const entries = changes.flatMap(({ entry }) => entry === undefined ? [] : [entry]);
+            endpointTable.applyRegistryEvent(isWhole ? { kind: "whole", entries } : { kind: "changes", changes });
+            parts.onEntries(entries);
             apply({ kind: "read", requestedAt, asOf });
             if (!isRelayed) {
                 parts.onStoreRead();
@@ -111,11 +115,14 @@
         },
     });
     const timer = setInterval(() => endpointTable.applyRegistryEvent({ kind: "tick" }), TICK_MS);
+    const ageMs = (): Millis => clock.now() - state.freshness.asOf;
     return {
+        ageMs,
+        isContradicted: () => state.freshness.isContradicted,
         beaconFields: () =>
             state.freshness.asOf === -Infinity
                 ? undefined
-                : { digest: endpointTable.registryDigest(), ageMs: clock.now() - state.freshness.asOf },
+                : { digest: endpointTable.registryDigest(), ageMs: ageMs() },
         applyBeacon: ({ beacon, sentAfter, stampedAt }) => {
             if (beacon.registry === undefined) {
                 return;
@@ -130,10 +137,9 @@
         },
         answer: from => {
             parts.checkSuspension();
-            const ageMs = clock.now() - state.freshness.asOf;
-            const isFresh = !state.freshness.isContradicted && ageMs < MAX_ANSWER_AGE_FRACTION * parts.leavingMs();
+            const isFresh = !state.freshness.isContradicted && ageMs() < MAX_ANSWER_AGE_FRACTION * parts.leavingMs();
             const page = isFresh ? mirror.answer(from) : undefined;
-            return page === undefined ? undefined : { ...page, ageMs };
+            return page === undefined ? undefined : { ...page, ageMs: ageMs() };
         },
         onSuspended: () => apply({ kind: "suspended", now: clock.now() }),
         stop: () => {
--- a/packages/router/src/rollout/createRollouts.ts
+++ b/packages/router/src/rollout/createRollouts.ts
@@ -67,6 +67,11 @@
         service: ServiceName,
         isRepeatable: boolean,
     ) => (<Each extends EndpointEntry>(entries: readonly Each[]) => readonly Each[]) | undefined;
+    /** Returns the endpoints of a service that may get a stream that began at their version. */
+    readonly continuableAt: <Each extends EndpointEntry>(
+        service: ServiceName,
+        entries: readonly Each[],
+    ) => readonly Each[];
     readonly recordTry: (entry: EndpointEntry, tried: Omit<CountedTry, "isNew">) => void;
     /** Whether any rollout has not ended, or its end is not in the store yet. */
     readonly isLeaderWanted: () => boolean;
@@ -75,6 +80,8 @@
     readonly tick: () => void;
 };
 
+/** Fraction of the new version's endpoints at which its streams may go on. */
+const ALL_ENDPOINTS = 1;
 /** Part of the exposure that is used, as the requests of the trial are drawn at random. */
 const USED_FRACTION = 0.8;
 /** Time after the end for which a completed rollout still keeps requests from the old endpoints, which are stopped. */
@@ -161,6 +168,23 @@
         };
     };
 
+    /**
+     * A stream goes on at its version whatever the phase, except at a new version that gets no requests now: it may have
+     * been taken back, unless there is no other one.
+     */
+    const continuableAt: Rollouts["continuableAt"] = (service, candidates) => {
+        const view = entries.get(service)?.view;
+        if (view === undefined) {
+            return candidates;
+        }
+        const { version } = view.order;
+        const isTrial = true;
+        const allowed = new Set(
+            selectByVersion(candidates, version, versionChoice(view, isTrial, clock.now()), ALL_ENDPOINTS),
+        );
+        return candidates.filter(each => each.softwareVersion !== version || allowed.has(each));
+    };
+
     const recordTry: Rollouts["recordTry"] = ({ service, softwareVersion }, tried) => {
         const entry = entries.get(service);
         if (entry !== undefined && !isFinal(entry.view.phase)) {
@@ -262,6 +286,7 @@
         rows,
         receiveReport,
         selectorFor,
+        continuableAt,
         recordTry,
         onSuspended: () =>
             [...entries.values()].filter(({ view }) => !isFinal(view.phase)).forEach(entry => {
--- a/packages/router/src/serve/ServeParts.ts
+++ b/packages/router/src/serve/ServeParts.ts
@@ -1,3 +1,4 @@
+import type { createStreamKeeper } from "@azureshunt/continuation";
 import type { Clock, FailureDomain, Tokens } from "@azureshunt/core";
 import type { Metrics } from "@azureshunt/telemetry";
 import type { Logger } from "pino";
@@ -30,7 +31,8 @@
     readonly demand: ReturnType<typeof createDemand>;
     readonly retryBudgets: ReturnType<typeof createRetryBudgets>;
     readonly quarantine: Pick<ReturnType<typeof createQuarantine>, "isQuarantined" | "reportBrokenTry">;
-    readonly rollouts: Pick<ReturnType<typeof createRollouts>, "selectorFor" | "recordTry">;
+    readonly rollouts: Pick<ReturnType<typeof createRollouts>, "selectorFor" | "continuableAt" | "recordTry">;
+    readonly streams: Pick<ReturnType<typeof createStreamKeeper>, "resolve" | "recordFirst" | "selectForNew">;
     readonly agent: EndpointAgent;
     readonly callerWire: CallerWire;
     readonly endpointWire: EndpointWire;
--- a/packages/router/src/serve/forwardAnswer.ts
+++ b/packages/router/src/serve/forwardAnswer.ts
@@ -4,6 +4,7 @@
 import { forwardStream } from "./forwardStream.js";
 import { isRepeatable } from "./isRepeatable.js";
 import { isServerError } from "./isServerError.js";
+import { isStream } from "./isStream.js";
 import type { StreamHooks } from "./StreamHooks.js";
 import type { TryParts } from "./TryParts.js";
 import type { TryResult } from "./TryResult.js";
@@ -29,8 +30,7 @@
     hooks: StreamHooks,
 ): Promise<TryResult> {
     const { served, progress, isLastTry, parts } = tryParts;
-    const isStream = served.route.kind === "stream" || served.route.kind === "resumable-stream";
-    if (isStream && opened.res.statusCode === SUCCESS) {
+    if (isStream(served.route.kind) && opened.res.statusCode === SUCCESS) {
         const canResume = isRepeatable(served.route.kind) && !isLastTry;
         const kind = await forwardStream({
             served,
--- a/packages/router/src/serve/placeRequest.ts
+++ b/packages/router/src/serve/placeRequest.ts
@@ -1,3 +1,4 @@
+import type { StreamOrigin } from "@azureshunt/continuation";
 import type { EndpointName } from "@azureshunt/core";
 
 import { chainOf } from "../placement/chainOf.js";
@@ -6,8 +7,8 @@
 import { sampleCandidates } from "../placement/sampleCandidates.js";
 import type { EndpointEntry } from "../registry/EndpointEntry.js";
 import { createPromptShares } from "./createPromptShares.js";
-import { isRepeatable } from "./isRepeatable.js";
 import { saltOf } from "./saltOf.js";
+import { selectEndpoints } from "./selectEndpoints.js";
 import type { ServedRequest } from "./ServedRequest.js";
 import type { ServeParts } from "./ServeParts.js";
 import type { TryPlace } from "./TryPlace.js";
@@ -19,11 +20,16 @@
     readonly shares: ReturnType<typeof createPromptShares>;
 };
 
-/** Chooses the endpoint for the next try of a request; `undefined` if none can take it now. */
+/**
+ * Chooses the endpoint for the next try of a request; `undefined` if none can take it now.
+ *
+ * @param origin where the stream began, if it is one that goes on
+ */
 export function placeRequest(
     parts: ServeParts,
     served: ServedRequest,
     avoid: ReadonlySet<EndpointName>,
+    origin: StreamOrigin | undefined,
 ): TryPlace | undefined {
     const { prompt } = served.caller;
     const promptByWeights = new Map<number | undefined, VersionedPrompt>();
@@ -44,7 +50,7 @@
         model: prompt?.model,
         promptAt: (entry, weights, peers) =>
             promptUnder(weights, peers).shares.shareOf(entry.name, entry.failureDomain),
-        select: parts.rollouts.selectorFor(served.service, isRepeatable(served.route.kind)),
+        select: selectEndpoints(parts, served, origin),
         avoid,
     });
     const placeable = parts.brittleServices.select(served.service, reachable);
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -1,4 +1,5 @@
-import type { Millis } from "@azureshunt/core";
+import { mayContinueAt } from "@azureshunt/continuation";
+import type { EndpointName, Millis } from "@azureshunt/core";
 
 import type { ConnectionKind } from "../dispatch/ConnectionKind.js";
 import { openCall } from "../dispatch/openCall.js";
@@ -6,8 +7,10 @@
 import { forwardAnswer } from "./forwardAnswer.js";
 import { headTimeout } from "./headTimeout.js";
 import { isRepeatable } from "./isRepeatable.js";
+import { isStream } from "./isStream.js";
 import { judgeHead } from "./judgeHead.js";
 import { priorityOf } from "./priorityOf.js";
+import { recordEvent } from "./recordEvent.js";
 import { shouldMove } from "./shouldMove.js";
 import type { TryParts } from "./TryParts.js";
 import type { TryResult } from "./TryResult.js";
@@ -68,10 +71,14 @@
 /** Reserves a retry for a stream that is to leave its engine; `false` if it stays. */
 const reserveMove = ({ parts, served, place, progress }: TryParts): boolean => {
     const { prompt } = served.caller;
+    const canContinueAt = (endpoint: EndpointName): boolean => {
+        const entry = parts.endpointTable.entryOf(endpoint);
+        return progress.origin === undefined || (entry !== undefined && mayContinueAt(progress.origin, entry));
+    };
     const others = prompt === undefined
         ? []
         : parts.endpointTable.engines(prompt.model).filter(({ endpoint, isUp, order }) =>
-            endpoint !== place.entry.name && isUp && order === undefined
+            endpoint !== place.entry.name && isUp && order === undefined && canContinueAt(endpoint)
         );
     const isMoving = shouldMove({
         promptTokens: prompt?.promptTokens ?? 0,
@@ -83,36 +90,6 @@
     return isMoving && parts.retryBudgets.reserve(served.service);
 };
 
-/** Logs and counts a stream that goes on at the endpoint of this try. */
-const noteContinuation = ({ parts, served, place, progress }: TryParts): void => {
-    const { firstEntry } = progress;
-    const { lastEventId, begunBy } = served.caller;
-    if (firstEntry === undefined && lastEventId === undefined) {
-        return;
-    }
-    const by = firstEntry === undefined ? "caller" : "router";
-    const version = firstEntry === undefined
-        ? "unknown"
-        : firstEntry.softwareVersion === place.entry.softwareVersion
-        ? "same"
-        : "other";
-    served.notes.flush();
-    served.notes.add("Stream goes on.", {
-        by,
-        begunBy,
-        after: progress.lastEventId,
-        before: firstEntry && { endpoint: firstEntry.name, softwareVersion: firstEntry.softwareVersion },
-        endpoint: place.entry.name,
-        softwareVersion: place.entry.softwareVersion,
-        bornAt: place.entry.bornAt,
-    });
-    parts.metrics.count(
-        "azureshunt_streams_continued_total",
-        "Streams that went on after a break, by who took them up, and the software version compared with the first.",
-        { by, version },
-    );
-};
-
 /** Sends a request to one endpoint and, if it is a stream, forwards its events to the caller. */
 export async function runTry(tryParts: TryParts): Promise<TryResult> {
     const { parts, served, place, progress, isLastTry } = tryParts;
@@ -201,8 +178,9 @@
         return finish({ kind: verdict, answer: undefined });
     }
     const recordPrefill = (): void => {
-        noteContinuation(tryParts);
-        progress.firstEntry ??= place.entry;
+        if (isStream(kind)) {
+            recordEvent(tryParts);
+        }
         times.firstEventMs = Math.round(clock.now() - startedAt);
         inFlight.answerStarted();
         prefixIndex.record(place.entry.name, place.chain, clock.now());
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -11,6 +11,7 @@
 import { isRepeatable } from "./isRepeatable.js";
 import { placeRequest } from "./placeRequest.js";
 import { processPendingCloses } from "./processPendingCloses.js";
+import { resolveContinuation } from "./resolveContinuation.js";
 import { runTry } from "./runTry.js";
 import type { ServedRequest } from "./ServedRequest.js";
 import type { ServeParts } from "./ServeParts.js";
@@ -51,12 +52,18 @@
     NOT_RUN_OUTCOMES.has(kind) ? before : "maybe";
 
 /** Serves a request by one try after another, until it is answered or no retry is possible. */
-export async function serveTries(parts: ServeParts, served: ServedRequest): Promise<ServedEnd> {
+export async function serveTries(parts: ServeParts, admitted: ServedRequest): Promise<ServedEnd> {
+    const continuation = await resolveContinuation(parts, admitted);
+    if (continuation.kind === "refused") {
+        return continuation;
+    }
+    const { origin } = continuation;
+    const served = { ...admitted, service: origin?.service ?? admitted.service };
     const stream: StreamProgress = {
         forwardedEvents: 0,
         lastEventId: served.caller.lastEventId,
+        origin,
         pace: createStreamPace(parts.clock.now),
-        firstEntry: undefined,
     };
 
     const giveUp = (progress: RequestProgress, refusal: Refusal): ServedEnd =>
@@ -79,7 +86,7 @@
         if (served.signal.aborted) {
             return { kind: "cancelled", ran: progress.request.ran };
         }
-        const place = placeRequest(parts, served, progress.avoid);
+        const place = placeRequest(parts, served, progress.avoid, stream.origin);
         if (place === undefined) {
             const ran = progress.request.ran;
             const kind = stream.forwardedEvents > 0
@@ -102,7 +109,7 @@
             running: place.running,
             candidates: place.candidateCount,
         });
-        const waitMs = served.caller.prompt === undefined || stream.forwardedEvents > 0
+        const waitMs = served.caller.prompt === undefined || stream.origin !== undefined
             ? undefined
             : overloadDelayMs({
                 queueMs: place.queueMs,
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from "node:crypto";
 
+import { createStreamKeeper } from "@azureshunt/continuation";
 import { createClock } from "@azureshunt/core";
 import type { EndpointName, Incarnation, Millis, Tokens } from "@azureshunt/core";
 import { createLoggers, createMetrics } from "@azureshunt/telemetry";
@@ -72,6 +73,14 @@
 const KEY_MARGIN_MS = 600;
 /** Allows for the time that a request may wait in the engine's queue before it begins. */
 const WEIGHTS_MARGIN_MS = 1_500;
+/**
+ * Age of the registry, as a fraction of the time for which a leaving endpoint still takes requests, up to which it counts
+ * as current for the software versions of streams. VMs read it more often than that.
+ */
+const CURRENT_REGISTRY_FRACTION = 0.75;
+/** Longest wait for a peer's answer about a stream; its caller holds a part of the answer and waits for the rest. */
+const PEER_ANSWER_MS = 150;
+const OK = 200;
 /** Interval of the ticks of all time-driven components. They share one timer, as that wakes an idle VM least often. */
 const TICK_MS = 100;
 
@@ -198,6 +207,7 @@
         checkSuspension: suspensionWatch.check,
         // With many VMs, beacons are less frequent than reads; a reader's next regular beacon would reach the others
         // too late.
+        onEntries: entries => streams.addEntries(entries),
         onStoreRead: () =>
             membership.isReader() && membership.vms() > peerTiming.fewVms ? beacons.sendSoon() : undefined,
     });
@@ -249,6 +259,34 @@
         metrics,
     });
 
+    const streams = createStreamKeeper({
+        clock,
+        failureDomain: settings.failureDomain,
+        isFirstStart: settings.isFirstStart,
+        runs: endpointTable.entries,
+        entryOf: endpointTable.entryOf,
+        servingRuns: service => rollouts.continuableAt(service, endpointTable.servingEntries(service)),
+        registryAgeMs: registry.ageMs,
+        isRegistryContradicted: registry.isContradicted,
+        currentMs: () => CURRENT_REGISTRY_FRACTION * state.settings.leavingMs,
+        peers: membership.livePeers,
+        send: (datagram, address) => beacons.send(datagram, address),
+        ask: async (address, query) => {
+            const call = {
+                method: "GET",
+                target: `/streams?${query}`,
+                headers: ["Host", address],
+                body: Buffer.alloc(0),
+            };
+            const res = await callOnce(agent, address, call, PEER_ANSWER_MS);
+            return res.kind === "answer" && res.status === OK ? res.body : undefined;
+        },
+        schedule: (delayMs, run) => {
+            const timer = setTimeout(run, delayMs);
+            return () => clearTimeout(timer);
+        },
+    });
+
     const sources: PeerSyncSources = {
         clock,
         declarations,
@@ -271,6 +309,7 @@
         logger,
         metrics,
         checkSuspension: suspensionWatch.check,
+        receiveOther: streams.receive,
     });
 
     const lagWatch = createLagWatch(clock, TICK_MS);
@@ -295,6 +334,7 @@
         retryBudgets: createRetryBudgets(() => state.settings.retries, () => membership.vms()),
         quarantine,
         rollouts,
+        streams,
         agent: requestAgent,
         callerWire: parts.callerWire,
         endpointWire: parts.endpointWire,
@@ -315,6 +355,7 @@
         address: settings.listen.peers,
         configuration: declarations.raw,
         receiveReport: rollouts.receiveReport,
+        streams: streams.answer,
         topics: new Map([
             [directory.declarationsTopic, declarations.answer],
             [directory.registryTopic, registry.answer],
@@ -356,6 +397,7 @@
         membership.tick();
         orders.tick();
         rollouts.tick();
+        streams.tick();
         announcing.tick();
     }, TICK_MS);
     logger.info({ listen: settings.listen }, "Started.");
@@ -365,7 +407,7 @@
         logger.info("Stopping.");
         await Promise.all([callerServer, tunnels].map(part => part.drain(state.settings.stopMs)));
         tunnels.closeAll();
-        [beacons, registry, declarations].forEach(part => part.stop());
+        [beacons, registry, declarations, streams].forEach(part => part.stop());
         clearInterval(timer);
         stopGauges();
         [peerListener, metricsListener].forEach(listener => {
