--- a/packages/continuation/src/createStreamKeeper.ts
+++ b/packages/continuation/src/createStreamKeeper.ts
@@ -123,6 +123,7 @@
         cancelTelling: undefined as (() => void) | undefined,
         checkedAt: -Infinity as Millis,
         historyAskedAt: -Infinity as Millis,
+        historyAsks: 0,
         /** Services whose streams nobody has to be told of. */
         uniform: new Set<ServiceName>(),
     };
@@ -180,7 +181,7 @@
             histories.applyStated(askedAt, answer.histories);
         }
         if (answer?.origin !== undefined && id !== undefined) {
-            receiveOrigin({ id, ...answer.origin });
+            receiveOrigin({ ...answer.origin, id });
         }
         return answer;
     };
@@ -249,9 +250,12 @@
         const isLacking = histories.services().some(service =>
             now - histories.of(service).coveredSince < versionTiming.streamMs
         );
-        const [peer] = parts.peers();
+        const peers = parts.peers();
+        // One after the other, as a peer may have started lately too.
+        const peer = peers[state.historyAsks % Math.max(1, peers.length)];
         if (isLacking && peer !== undefined && now - state.historyAskedAt >= HISTORY_RETRY_MS) {
             state.historyAskedAt = now;
+            state.historyAsks += 1;
             void askPeer(peer, undefined);
         }
     };
