--- a/packages/continuation/src/__tests__/fleet/createSimulatedVm.ts
+++ b/packages/continuation/src/__tests__/fleet/createSimulatedVm.ts
@@ -108,7 +108,6 @@
                     const delayMs = reaches(other) ? random.between(1, MAX_LINK_MS) : ASK_TIMEOUT_MS;
                     time.schedule(delayMs, () => resolve(reaches(other) ? other?.keeper()?.answer(query) : undefined));
                 }),
-            schedule: time.schedule,
             ...fleet.override,
         });
         read();
@@ -125,7 +124,6 @@
         isInTouch: forMs => clock.now() - Math.max(state.startedAt, state.disturbedAt) >= forMs,
         start,
         kill: () => {
-            state.keeper?.stop();
             state.keeper = undefined;
             state.startedAt = Infinity;
         },
--- a/packages/continuation/src/__tests__/fleet/simulateStreams.ts
+++ b/packages/continuation/src/__tests__/fleet/simulateStreams.ts
@@ -148,14 +148,15 @@
             time.schedule(random.between(5, 2_000), () => void takeUp(version, begunBy, domain, left - 1));
         }
     };
+    const isUp = ({ name }: RegisteredRun): boolean => registry.current().some(each => each.name === name);
     const begin = (): void => {
         const vm = readyVm();
         const keeper = vm?.keeper();
         if (vm === undefined || keeper === undefined) {
             return;
         }
-        const runs = options.beginsUnsettled === true ? vm.view() : keeper.selectForNew(LM, vm.view());
-        const run = random.pick(runs.filter(({ name }) => registry.current().some(each => each.name === name)));
+        const runs = options.beginsUnsettled === true ? vm.view() : keeper.selectForNew(LM, vm.view(), isUp);
+        const run = random.pick(runs.filter(isUp));
         if (run === undefined || run.softwareVersion === undefined) {
             return;
         }
--- a/packages/continuation/src/__tests__/support/startKeepers.ts
+++ b/packages/continuation/src/__tests__/support/startKeepers.ts
@@ -52,7 +52,6 @@
                     asked.push(address);
                     time.schedule(LINK_MS, () => resolve(peerAt(address)?.answer(query)));
                 }),
-            schedule: time.schedule,
         });
         const tick = (): void => {
             keeper.tick();
--- a/packages/continuation/src/__tests__/unit/streamKeeper.test.ts
+++ b/packages/continuation/src/__tests__/unit/streamKeeper.test.ts
@@ -126,3 +126,25 @@
     }
     t.true(keepers.asked.length <= 3 * names.length);
 });
+
+const starts = [
+    { name: "a version that other VMs may not know gets none", isUp: () => true, selected: ["v1", "v1"] },
+    {
+        name: "it gets some if no other one can be reached",
+        isUp: ({ softwareVersion }: { readonly softwareVersion: string | undefined; }) => softwareVersion === "v2",
+        selected: ["v1", "v1", "v2", "v2"],
+    },
+] as const;
+// Guards against new streams being refused at a new version while all endpoints of the one before are down.
+starts.forEach(({ name, isUp, selected }) => {
+    test(`stream keeper: of the new streams, ${name}`, async t => {
+        const keepers = startKeepers(["a", "b"], ONE_VERSION);
+        await keepers.time.runUntil(3_000);
+        const { keeper } = vmAt(keepers, 0);
+        keeper.addEntries(TWO_VERSIONS);
+        const early = keeper.selectForNew(LM, TWO_VERSIONS, isUp);
+        t.deepEqual(early.map(({ softwareVersion }) => softwareVersion), selected);
+        await keepers.time.runUntil(6_000);
+        t.deepEqual(keeper.selectForNew(LM, TWO_VERSIONS, isUp), TWO_VERSIONS);
+    });
+});
--- a/packages/continuation/src/__tests__/unit/versionHistory.test.ts
+++ b/packages/continuation/src/__tests__/unit/versionHistory.test.ts
@@ -122,7 +122,6 @@
 const settleCases = [
     { name: "a version that VMs may not know yet gets none", runs: [old, newer], at: 11_900, selected: [old] },
     { name: "a version that all VMs must know gets some", runs: [old, newer], at: 12_100, selected: [old, newer] },
-    { name: "a version that replaced all others gets all", runs: [newer], at: 10_100, selected: [newer] },
 ] as const;
 
 // Guards against streams that begin at a version while another VM takes all streams for ones of the version before.
--- a/packages/continuation/src/createStreamKeeper.ts
+++ b/packages/continuation/src/createStreamKeeper.ts
@@ -49,7 +49,6 @@
     readonly send: (datagram: Buffer, address: string) => void;
     /** Makes a call to a peer; resolves with `undefined` if it has no answer in time. */
     readonly ask: (address: string, query: string) => Promise<Buffer | undefined>;
-    readonly schedule: (delayMs: Millis, run: () => void) => () => void;
 };
 
 /** A stream that a caller takes up again. */
@@ -78,8 +77,12 @@
         origin: StreamOrigin,
         leftMs: Millis,
     ) => void;
-    /** Selects the endpoints of a service at which a new stream may begin. */
-    readonly selectForNew: <Run extends EndpointRun>(service: ServiceName, runs: readonly Run[]) => readonly Run[];
+    /** Selects the endpoints of a service at which a new stream may begin; `isUp` tells which this VM can reach. */
+    readonly selectForNew: <Run extends EndpointRun>(
+        service: ServiceName,
+        runs: readonly Run[],
+        isUp: (run: Run) => boolean,
+    ) => readonly Run[];
     /** Adds entries that were read from the registry, also those that are gone again. */
     readonly addEntries: (runs: readonly RegisteredRun[]) => void;
     /** Applies a datagram of a peer; returns `false` if it is of another kind. */
@@ -88,7 +91,6 @@
     readonly answer: (query: string) => Buffer;
     readonly tick: () => void;
     readonly size: () => number;
-    readonly stop: () => void;
 };
 
 /** Streams that a VM knows at most; of some hundred bytes each. */
@@ -96,8 +98,6 @@
 /** Homes that are told of a stream in a large fleet, and those asked: more, as VMs may know different peers. */
 const TOLD_HOMES = 2;
 const ASKED_HOMES = 3;
-/** Delay in which streams that begin are collected into one datagram. */
-const COLLECT_MS: Millis = 5;
 /** Interval of looking for endpoints and gaps. */
 const CHECK_MS: Millis = 500;
 /** Time between two requests for the history of a peer, while this VM has none that goes back far enough. */
@@ -119,8 +119,6 @@
         isWithoutGap: () => parts.registryAgeMs() <= parts.currentMs(),
     });
     const state = {
-        untold: [] as StatedOrigin[],
-        cancelTelling: undefined as (() => void) | undefined,
         checkedAt: -Infinity as Millis,
         historyAskedAt: -Infinity as Millis,
         historyAsks: 0,
@@ -130,27 +128,18 @@
     const isCurrent = (): boolean => !parts.isRegistryContradicted() && parts.registryAgeMs() <= parts.currentMs();
     const soleVersionOf = (service: ServiceName): string | undefined => soleVersion(histories.of(service), clock.now());
 
-    const tellNow = (): void => {
-        const { untold } = state;
-        state.untold = [];
-        state.cancelTelling = undefined;
-        const byAddress = new Map<string, StatedOrigin[]>();
+    const tell = (stated: readonly StatedOrigin[]): void => {
         const peers = parts.peers();
-        untold.forEach(stated =>
-            streamHomes(stated.id, peers, parts.failureDomain, TOLD_HOMES).forEach(({ address }) => {
-                byAddress.set(address, [...byAddress.get(address) ?? [], stated]);
+        const byAddress = new Map<string, StatedOrigin[]>();
+        stated.forEach(each =>
+            streamHomes(each.id, peers, parts.failureDomain, TOLD_HOMES).forEach(({ address }) => {
+                byAddress.set(address, [...byAddress.get(address) ?? [], each]);
             })
         );
         byAddress.forEach((origins, address) =>
             originsDatagram.encode(origins).forEach(datagram => parts.send(datagram, address))
         );
     };
-    const tell = (stated: readonly StatedOrigin[]): void => {
-        if (stated.length > 0) {
-            state.untold.push(...stated);
-            state.cancelTelling ??= parts.schedule(COLLECT_MS, tellNow);
-        }
-    };
     const statedOf = (id: StreamId, { origin, expiresAt }: KnownOrigin): StatedOrigin => ({
         id,
         origin,
@@ -271,8 +260,10 @@
     return {
         resolve,
         recordFirst,
-        selectForNew: (service, runs) =>
-            settledRuns(runs, histories.of(service), parts.currentMs() + SETTLE_MARGIN_MS, clock.now()),
+        selectForNew: (service, runs, isUp) => {
+            const settled = settledRuns(runs, histories.of(service), parts.currentMs() + SETTLE_MARGIN_MS, clock.now());
+            return settled.some(isUp) ? settled : runs;
+        },
         addEntries,
         receive: datagram => {
             const origins = originsDatagram.decode(datagram);
@@ -290,6 +281,5 @@
         },
         tick,
         size: known.size,
-        stop: () => state.cancelTelling?.(),
     };
 }
--- a/packages/continuation/src/settledRuns.ts
+++ b/packages/continuation/src/settledRuns.ts
@@ -4,10 +4,10 @@
 import type { VersionHistory } from "./VersionHistory.js";
 
 /**
- * Selects the endpoints at which a new stream may begin.
+ * Selects the endpoints of versions that all VMs whose registry is current must know.
  *
- * A VM that has not read the entry of a new version yet takes all streams for ones of the version before. So no stream
- * begins at a new version until all VMs whose registry is current must know of it, unless it has replaced all others.
+ * A VM that has not read the entry of a new version yet takes all streams for ones of the version before. So new streams
+ * begin at a new version only once it is known, or if no other one is left.
  *
  * @param settleMs longest time until VMs whose registry is current know an entry
  */
@@ -17,8 +17,5 @@
     settleMs: Millis,
     now: Millis,
 ): readonly Run[] {
-    const settled = runs.filter(({ softwareVersion }) =>
-        now - (versions.get(softwareVersion)?.firstAt ?? now) >= settleMs
-    );
-    return settled.length > 0 ? settled : runs;
+    return runs.filter(({ softwareVersion }) => now - (versions.get(softwareVersion)?.firstAt ?? now) >= settleMs);
 }
--- a/packages/router/src/placement/EndpointTable.ts
+++ b/packages/router/src/placement/EndpointTable.ts
@@ -33,6 +33,8 @@
         endpoint: EndpointName,
         sizes: { readonly missingTokens: Tokens; readonly memoryTokens: Tokens; readonly expectedMs: Millis; },
     ) => InFlightHandle;
+    /** Whether this VM sends requests to an endpoint: it is not in backoff. */
+    readonly isUp: (entry: EndpointEntry) => boolean;
     /** Records that a call other than a caller's request could not reach the endpoint. */
     readonly recordUnreached: (endpoint: EndpointName) => void;
     /** Records the version that an engine itself reported. */
--- a/packages/router/src/placement/createEndpointTable.ts
+++ b/packages/router/src/placement/createEndpointTable.ts
@@ -199,6 +199,8 @@
         return observed !== undefined && version > observed.distrustedVersion && recordVersion(observed, version);
     };
 
+    const isUp: EndpointTable["isUp"] = entry => observations.of(entry).health.backoffUntil <= clock.now();
+
     const recordUnreached: EndpointTable["recordUnreached"] = endpoint => {
         const observed = observations.last(endpoint);
         if (observed !== undefined) {
@@ -275,6 +277,7 @@
         applyRegistryEvent,
         candidates,
         beginRequest,
+        isUp,
         recordUnreached,
         observeWeights,
         receiveWeights,
--- a/packages/router/src/serve/selectEndpoints.ts
+++ b/packages/router/src/serve/selectEndpoints.ts
@@ -15,7 +15,7 @@
  * @param origin where the stream began, if it is one that goes on
  */
 export function selectEndpoints(
-    { rollouts, streams }: ServeParts,
+    { rollouts, streams, endpointTable }: ServeParts,
     { service, route }: ServedRequest,
     origin: StreamOrigin | undefined,
 ): Select | undefined {
@@ -27,7 +27,7 @@
         return selectByRollout;
     }
     return entries => {
-        const known = streams.selectForNew(service, entries);
+        const known = streams.selectForNew(service, entries, endpointTable.isUp);
         return selectByRollout?.(known) ?? known;
     };
 }
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -281,10 +281,6 @@
             const res = await callOnce(agent, address, call, PEER_ANSWER_MS);
             return res.kind === "answer" && res.status === OK ? res.body : undefined;
         },
-        schedule: (delayMs, run) => {
-            const timer = setTimeout(run, delayMs);
-            return () => clearTimeout(timer);
-        },
     });
 
     const sources: PeerSyncSources = {
@@ -407,7 +403,7 @@
         logger.info("Stopping.");
         await Promise.all([callerServer, tunnels].map(part => part.drain(state.settings.stopMs)));
         tunnels.closeAll();
-        [beacons, registry, declarations, streams].forEach(part => part.stop());
+        [beacons, registry, declarations].forEach(part => part.stop());
         clearInterval(timer);
         stopGauges();
         [peerListener, metricsListener].forEach(listener => {
