--- a/packages/router/src/__tests__/unit/rollout.test.ts
+++ b/packages/router/src/__tests__/unit/rollout.test.ts
@@ -3,6 +3,7 @@
 import test from "ava";
 
 import type { RouteName } from "../../configuration/RouteName.js";
+import type { EndpointEntry } from "../../registry/EndpointEntry.js";
 import { createAnswerCounts } from "../../rollout/createAnswerCounts.js";
 import { createRollouts } from "../../rollout/createRollouts.js";
 import { initialJudgement } from "../../rollout/initialJudgement.js";
@@ -182,12 +183,10 @@
     t.deepEqual(counts.rows(), countsOf(7, 1, 30, 0));
 });
 
-// A beacon with a field that is no number is dropped whole, with all else that it says.
-test("rollout: a statement of unknown age is sent on with a finite one, and does not count as fresh", t => {
-    const time = { now: 500 };
-    const clock = { now: () => time.now, epoch: () => time.now };
-    const rollouts = createRollouts({
-        clock,
+/** Creates the rollouts of a VM that does not lead, at a time. */
+const rolloutsAt = (now: number): ReturnType<typeof createRollouts> =>
+    createRollouts({
+        clock: { now: () => now, epoch: () => now },
         vm: "vm" as VmId,
         incarnation: "run-1" as Incarnation,
         random: () => 0,
@@ -205,11 +204,41 @@
         logger: silentLogger,
         metrics: createMetrics(),
     });
-    const row = { service: "desk" as ServiceName, id: 1, version: "v2", durationMs: 9_000, ageMs: 0, statedMs: 0 };
-    t.true(rollouts.receiveRows([{ ...row, phase: "canary" }], -Infinity));
+const statement = { service: "desk" as ServiceName, id: 1, version: "v2", durationMs: 9_000, ageMs: 0, statedMs: 0 };
+const namesOf = (entries: readonly EndpointEntry[] | undefined): string | undefined =>
+    entries?.map(({ name }) => name).join("");
+
+// A beacon with a field that is no number is dropped whole, with all else that it says.
+test("rollout: a statement of unknown age is sent on with a finite one, and does not count as fresh", t => {
+    const rollouts = rolloutsAt(500);
+    t.true(rollouts.receiveRows([{ ...statement, phase: "canary" }], -Infinity));
     t.true(rollouts.rows().every(({ statedMs }) => Number.isFinite(statedMs)));
-    const select = rollouts.selectorFor(row.service, true);
-    t.is(select?.([...older, ...newer]).map(({ name }) => name).join(""), "ab");
+    t.is(namesOf(rollouts.selectorFor(statement.service, true)?.([...older, ...newer])), "ab");
+});
+
+const continuations = [
+    { name: "without a rollout, all endpoints do", phase: undefined, ageMs: undefined, endpoints: "abcde" },
+    { name: "in the trial, all endpoints do", phase: "canary", ageMs: 0, endpoints: "abcde" },
+    { name: "while the service moves, all endpoints do", phase: "switching", ageMs: 0, endpoints: "abcde" },
+    { name: "once it is completed, all endpoints do", phase: "completed", ageMs: 60_000, endpoints: "abcde" },
+    { name: "once it was taken back, those of the old version do", phase: "rolled-back", ageMs: 0, endpoints: "ab" },
+    {
+        name: "if it may have been taken back, those of the old version do",
+        phase: "canary",
+        ageMs: 9_000,
+        endpoints: "ab",
+    },
+] as const;
+
+// Guards against streams being cut off by a rollout, and against streams that go on at a version that was taken back.
+continuations.forEach(({ name, phase, ageMs, endpoints }) => {
+    test(`rollout: of the endpoints that continue streams, ${name}`, t => {
+        const rollouts = rolloutsAt(100_000);
+        if (phase !== undefined) {
+            rollouts.receiveRows([{ ...statement, phase }], 100_000 - ageMs);
+        }
+        t.is(namesOf(rollouts.continuableAt(statement.service, [...older, ...newer])), endpoints);
+    });
 });
 
 const BEHAVIOURS = [
--- a/packages/router/src/startGauges.ts
+++ b/packages/router/src/startGauges.ts
@@ -1,20 +1,23 @@
+import type { createStreamKeeper } from "@azureshunt/continuation";
 import type { Metrics } from "@azureshunt/telemetry";
 
 import { orderFence } from "./fleet/orderFence.js";
 import type { PeerSyncSources } from "./peers/PeerSyncSources.js";
 
 /** Sources of the gauges, read on every request for `/metrics`. */
-type GaugeSources = Pick<
-    PeerSyncSources,
-    "clock" | "declarations" | "endpointTable" | "allowances" | "orders" | "membership"
->;
+type GaugeSources =
+    & Pick<
+        PeerSyncSources,
+        "clock" | "declarations" | "endpointTable" | "allowances" | "orders" | "membership"
+    >
+    & { readonly streams: Pick<ReturnType<typeof createStreamKeeper>, "size">; };
 
 /** Value of `order_fence` while this VM does not hold the lease. */
 const NO_FENCE = -1;
 
 /** Registers the gauges of a router and returns a function that unregisters them. */
 export function startGauges(metrics: Metrics, sources: GaugeSources): () => void {
-    const { clock, declarations, endpointTable, allowances, orders, membership } = sources;
+    const { clock, declarations, endpointTable, allowances, orders, membership, streams } = sources;
     const sumOf = (size: "running" | "waitingTokens"): number =>
         endpointTable.ownShares().reduce((sum, [, share]) => sum + share[size], 0);
     const rows: readonly (readonly [name: string, help: string, read: () => number])[] = [
@@ -34,6 +37,7 @@
             () => clock.now() - endpointTable.answeredAt(),
         ],
         ["endpoints", "Endpoints registered.", endpointTable.size],
+        ["known_streams", "Streams of which this VM knows where they began.", streams.size],
         ["in_flight", "This VM's requests at endpoints.", () => sumOf("running")],
         [
             "waiting_tokens",
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -364,7 +364,7 @@
         onOpened: connector.recordOpened,
         open: parts.open,
     });
-    const stopGauges = startGauges(metrics, sources);
+    const stopGauges = startGauges(metrics, { ...sources, streams });
     const metricsListener = await startMetricsListener(settings.listen.metrics, metrics);
     const callerServer = await startCallerServer({
         settings,
