--- a/packages/continuation/src/createStreamKeeper.ts
+++ b/packages/continuation/src/createStreamKeeper.ts
@@ -9,6 +9,7 @@
 } from "@azureshunt/core";
 
 import type { Continuation } from "./Continuation.js";
+import { createHomeQueries } from "./createHomeQueries.js";
 import { createStreamOrigins } from "./createStreamOrigins.js";
 import { createVersionHistories } from "./createVersionHistories.js";
 import { decideContinuation } from "./decideContinuation.js";
@@ -21,12 +22,12 @@
 import { settledRuns } from "./settledRuns.js";
 import { soleVersion } from "./soleVersion.js";
 import type { StatedOrigin } from "./StatedOrigin.js";
+import { STREAM_LIFE_MS } from "./STREAM_LIFE_MS.js";
 import { streamHomes } from "./streamHomes.js";
 import type { StreamId } from "./StreamId.js";
 import { streamIdOf } from "./streamIdOf.js";
-import type { StreamKnowledge } from "./StreamKnowledge.js";
 import type { StreamOrigin } from "./StreamOrigin.js";
-import { versionTiming } from "./versionTiming.js";
+import { streamQuery } from "./streamQuery.js";
 
 type StreamKeeperParts = {
     readonly clock: Clock;
@@ -95,16 +96,14 @@
 
 /** Streams that a VM knows at most; of some hundred bytes each. */
 const MAX_STREAMS = 16_384;
-/** Homes that are told of a stream in a large fleet, and those asked: more, as VMs may know different peers. */
+/** Homes that are told of a stream in a large fleet. */
 const TOLD_HOMES = 2;
-const ASKED_HOMES = 3;
 /** Interval of looking for endpoints and gaps. */
 const CHECK_MS: Millis = 500;
 /** Time between two requests for the history of a peer, while this VM has none that goes back far enough. */
 const HISTORY_RETRY_MS: Millis = 3_000;
 /** Time after which all VMs whose registry is current know a new entry, beyond the age up to which it is current. */
 const SETTLE_MARGIN_MS: Millis = 500;
-const ID = "id=";
 
 /** Creates a keeper that knows no streams yet. */
 export function createStreamKeeper(parts: StreamKeeperParts): StreamKeeper {
@@ -121,7 +120,6 @@
     const state = {
         checkedAt: -Infinity as Millis,
         historyAskedAt: -Infinity as Millis,
-        historyAsks: 0,
         /** Services whose streams nobody has to be told of. */
         uniform: new Set<ServiceName>(),
     };
@@ -149,7 +147,7 @@
     const recordFirst: StreamKeeper["recordFirst"] = (organisation, attempt, origin, leftMs) => {
         const id = streamIdOf(organisation, attempt);
         const now = clock.now();
-        const entry = { origin, expiresAt: now + Math.min(leftMs, versionTiming.streamMs) };
+        const entry = { origin, expiresAt: now + Math.min(leftMs, STREAM_LIFE_MS) };
         known.record(id, entry, now);
         own.record(id, entry, now);
         if (!state.uniform.has(origin.service) || soleVersionOf(origin.service) === undefined) {
@@ -159,45 +157,20 @@
 
     const receiveOrigin = ({ id, origin, leftMs }: StatedOrigin): void => {
         const now = clock.now();
-        known.record(id, { origin, expiresAt: now + Math.min(leftMs, versionTiming.streamMs) }, now);
+        known.record(id, { origin, expiresAt: now + Math.min(leftMs, STREAM_LIFE_MS) }, now);
     };
 
-    const askPeer = async ({ address }: Peer, id: StreamId | undefined): Promise<StreamKnowledge | undefined> => {
-        const askedAt = clock.now();
-        const body = await parts.ask(address, id === undefined ? "" : `${ID}${id}`);
-        const answer = body && knowledgeJson.decode(body);
-        if (answer !== undefined) {
-            histories.applyStated(askedAt, answer.histories);
-        }
-        if (answer?.origin !== undefined && id !== undefined) {
-            receiveOrigin({ ...answer.origin, id });
-        }
-        return answer;
-    };
-
-    /** Asks the homes of a stream; resolves as soon as one knows it, else once all have answered. */
-    const askHomes = async (
-        id: StreamId | undefined,
-    ): Promise<Pick<StreamKnowledge, "origin" | "isCurrent">> => {
-        const peers = parts.peers();
-        const homes = id === undefined
-            ? peers.slice(0, ASKED_HOMES)
-            : streamHomes(id, peers, parts.failureDomain, ASKED_HOMES);
-        const answers = homes.map(home => askPeer(home, id));
-        const found = await Promise.any(
-            answers.map(async answer => (await answer)?.origin ?? Promise.reject(new Error("not known"))),
-        ).catch(() => undefined);
-        return {
-            origin: found,
-            isCurrent: found === undefined && (await Promise.all(answers)).some(answer => answer?.isCurrent === true),
-        };
-    };
+    const queries = createHomeQueries({
+        ...parts,
+        onOrigin: receiveOrigin,
+        onHistories: histories.applyStated,
+    });
 
     const resolve: StreamKeeper["resolve"] = async stream => {
         const id = stream.begunBy === undefined ? undefined : streamIdOf(stream.organisation, stream.begunBy);
         const here = id === undefined ? undefined : known.find(id, clock.now())?.origin;
         const isKnown = here !== undefined || (soleVersionOf(stream.service) !== undefined && isCurrent());
-        const asked = isKnown ? undefined : await askHomes(id);
+        const asked = isKnown ? undefined : await queries.askHomes(id);
         const origin = here ?? asked?.origin?.origin;
         const sole = soleVersionOf(stream.service);
         const continuation = decideContinuation({
@@ -237,15 +210,11 @@
     };
     const learnHistory = (now: Millis): void => {
         const isLacking = histories.services().some(service =>
-            now - histories.of(service).coveredSince < versionTiming.streamMs
+            now - histories.of(service).coveredSince < STREAM_LIFE_MS
         );
-        const peers = parts.peers();
-        // One after the other, as a peer may have started lately too.
-        const peer = peers[state.historyAsks % Math.max(1, peers.length)];
-        if (isLacking && peer !== undefined && now - state.historyAskedAt >= HISTORY_RETRY_MS) {
+        if (isLacking && now - state.historyAskedAt >= HISTORY_RETRY_MS) {
             state.historyAskedAt = now;
-            state.historyAsks += 1;
-            void askPeer(peer, undefined);
+            queries.askForHistories();
         }
     };
     const tick = (): void => {
@@ -271,7 +240,7 @@
             return origins !== undefined;
         },
         answer: query => {
-            const id = query.startsWith(ID) ? query.slice(ID.length) as StreamId : undefined;
+            const id = streamQuery.decode(query);
             const found = id === undefined ? undefined : known.find(id, clock.now());
             return knowledgeJson.encode({
                 origin: found && { origin: found.origin, leftMs: found.expiresAt - clock.now() },
--- a/packages/continuation/src/stepHistory.ts
+++ b/packages/continuation/src/stepHistory.ts
@@ -1,8 +1,8 @@
 import type { Millis } from "@azureshunt/core";
 
 import type { HistoryEvent } from "./HistoryEvent.js";
+import { STREAM_LIFE_MS } from "./STREAM_LIFE_MS.js";
 import type { VersionHistory } from "./VersionHistory.js";
-import { versionTiming } from "./versionTiming.js";
 
 type Versions = VersionHistory["versions"];
 
@@ -16,7 +16,7 @@
 
 /** Versions that no stream can have begun at are forgotten, so that one that comes back counts as new. */
 const recent = (versions: Versions, now: Millis): Versions =>
-    new Map([...versions].filter(([, { lastAt }]) => now - lastAt <= versionTiming.streamMs));
+    new Map([...versions].filter(([, { lastAt }]) => now - lastAt <= STREAM_LIFE_MS));
 
 /** Applies an event to what is known of a service's software versions. */
 export function stepHistory(before: VersionHistory, event: HistoryEvent, now: Millis): VersionHistory {
--- a/packages/router/src/serve/recordEvent.ts
+++ b/packages/router/src/serve/recordOrigin.ts
@@ -12,7 +12,7 @@
  * Records where a stream began, or that it goes on, with the first event of a try. Called before that event is
  * forwarded, as its caller may take the stream up at another VM at once.
  */
-export function recordEvent(tryParts: TryParts): void {
+export function recordOrigin(tryParts: TryParts): void {
     const { parts, served, place, progress } = tryParts;
     const { id, begunBy, deadlineMs } = served.caller;
     const isContinued = progress.origin !== undefined;
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -10,7 +10,7 @@
 import { isStream } from "./isStream.js";
 import { judgeHead } from "./judgeHead.js";
 import { priorityOf } from "./priorityOf.js";
-import { recordEvent } from "./recordEvent.js";
+import { recordOrigin } from "./recordOrigin.js";
 import { shouldMove } from "./shouldMove.js";
 import type { TryParts } from "./TryParts.js";
 import type { TryResult } from "./TryResult.js";
@@ -179,7 +179,7 @@
     }
     const recordPrefill = (): void => {
         if (isStream(kind)) {
-            recordEvent(tryParts);
+            recordOrigin(tryParts);
         }
         times.firstEventMs = Math.round(clock.now() - startedAt);
         inFlight.answerStarted();
