--- a/packages/continuation/src/createVersionHistories.ts
+++ b/packages/continuation/src/createVersionHistories.ts
@@ -30,7 +30,7 @@
     readonly tick: () => void;
 };
 
-const isAnyCovered = ({ coveredSince }: VersionHistory): boolean => coveredSince !== Infinity;
+const isCovered = ({ coveredSince }: VersionHistory): boolean => coveredSince !== Infinity;
 
 /** Creates the histories of services; nothing is known yet. */
 export function createVersionHistories(parts: HistoriesParts): VersionHistories {
@@ -43,7 +43,7 @@
     };
     /** How long others can have known an entry that this VM reads now. */
     const ageOf = (service: ServiceName, bornAt: number): Millis =>
-        isAnyCovered(of(service)) ? 0 : Math.max(0, clock.epoch() - bornAt);
+        isCovered(of(service)) ? 0 : Math.max(0, clock.epoch() - bornAt);
 
     const add: VersionHistories["add"] = runs => {
         [...new Set(runs.map(({ service }) => service))].forEach(service =>
@@ -57,12 +57,13 @@
     };
     const tick = (): void => {
         add(parts.runs());
-        const isWithoutGap = parts.isWithoutGap();
+        if (!parts.isWithoutGap()) {
+            [...histories.keys()].forEach(service => apply(service, { kind: "outdated" }));
+            return;
+        }
         const since = parts.isFirstStart && state.isFirstRead ? -Infinity : clock.now();
-        state.isFirstRead &&= !isWithoutGap;
-        [...histories.keys()].forEach(service =>
-            apply(service, isWithoutGap ? { kind: "current", since } : { kind: "outdated" })
-        );
+        state.isFirstRead &&= histories.size === 0;
+        [...histories.keys()].forEach(service => apply(service, { kind: "current", since }));
     };
     return {
         of,
@@ -73,7 +74,7 @@
                 apply(service, { kind: "stated", askedAt, coveredMs, versions })
             ),
         stated: () =>
-            [...histories].filter(([, history]) => isAnyCovered(history)).map(([service, history]) => ({
+            [...histories].filter(([, history]) => isCovered(history)).map(([service, history]) => ({
                 service,
                 coveredMs: clock.now() - history.coveredSince,
                 versions: [...history.versions].map(([version, { firstAt, lastAt }]) => [
