--- a/packages/continuation/src/knowledgeJson.ts
+++ b/packages/continuation/src/knowledgeJson.ts
@@ -1,4 +1,5 @@
 import { ServiceName } from "@azureshunt/core";
+import { jsonOf } from "@azureshunt/http";
 import { z } from "zod";
 
 import { encodeOrigin } from "./encodeOrigin.js";
@@ -19,16 +20,6 @@
     })),
 });
 
-const parse = (body: Buffer): unknown => {
-    try {
-        return JSON.parse(body.toString("utf8"));
-    }
-    catch {
-        // An answer of another version.
-        return undefined;
-    }
-};
-
 /** Codec of `StreamKnowledge`. */
 const knowledgeJson = {
     encode: ({ origin, isCurrent, histories }: StreamKnowledge): Buffer =>
@@ -47,7 +38,7 @@
         })),
     /** @returns undefined if the body is not valid */
     decode: (body: Buffer): StreamKnowledge | undefined => {
-        const answer = Answer.safeParse(parse(body));
+        const answer = Answer.safeParse(jsonOf(body));
         return answer.success
             ? {
                 origin: answer.data.origin ?? undefined,
--- a/packages/continuation/src/originsDatagram.ts
+++ b/packages/continuation/src/originsDatagram.ts
@@ -1,3 +1,5 @@
+import { jsonOf } from "@azureshunt/http";
+
 import type { StatedOrigin } from "./StatedOrigin.js";
 
 import { encodeOrigin } from "./encodeOrigin.js";
@@ -8,16 +10,6 @@
 /** Rows that fit into a datagram which all usual links carry without fragmentation. */
 const ROWS = 8;
 
-const parse = (datagram: Buffer): unknown => {
-    try {
-        return JSON.parse(datagram.toString("utf8"));
-    }
-    catch {
-        // Not of this kind.
-        return undefined;
-    }
-};
-
 /** Codec of the datagrams in which VMs tell each other where streams began. */
 const originsDatagram = {
     encode: (origins: readonly StatedOrigin[]): readonly Buffer[] =>
@@ -28,7 +20,7 @@
     /** @returns undefined if it is another kind of datagram; rows that cannot be read are left out */
     decode: (datagram: Buffer): readonly StatedOrigin[] | undefined => {
         const isKind = datagram.subarray(0, KIND.length + 2).toString("latin1") === `["${KIND}`;
-        const fields = isKind ? parse(datagram) : undefined;
+        const fields = isKind ? jsonOf(datagram) : undefined;
         return Array.isArray(fields)
             ? fields.slice(1).flatMap(row => {
                 const origin = OriginRow.safeParse(row);
