Record in the store which software versions services have had lately

The VM that reads the registry for the others writes each service's versions of the last 30 s when they change; each VM reads them once at a start that is not the first one. A record stands for the history before the start, joined with what the registry holds now. It is safe as new versions get no streams for two seconds after their entry is read, in which the record is written; a VM whose history does not go back far enough only adds to a record; a late write is void, as the topic must end where its writer read it.

--- a/packages/continuation/src/__tests__/unit/streamKeeper.test.ts
+++ b/packages/continuation/src/__tests__/unit/streamKeeper.test.ts
@@ -148,3 +148,18 @@
         t.deepEqual(keeper.selectForNew(LM, TWO_VERSIONS, isUp), TWO_VERSIONS);
     });
 });
+
+const records = [
+    { name: "the version that serves", versions: ["v1"], decision: "continue at v1, sole-version" },
+    { name: "another one, too", versions: ["v0", "v1"], decision: "origin-unknown, none" },
+    { name: "another one", versions: ["v0"], decision: "origin-unknown, none" },
+] as const;
+// Guards against refusing all streams after a restart of all VMs, though there has been one version only.
+records.forEach(({ name, versions, decision }) => {
+    test(`stream keeper: after a restart of all VMs with ${name} in the store, a stream is decided ${decision}`, async t => {
+        const keepers = startKeepers(["a", "b"], ONE_VERSION, false);
+        keepers.vms.forEach(({ keeper }) => keeper.learnRecorded([{ service: LM, versions }]));
+        await keepers.time.runUntil(200);
+        t.is(await takeUp(keepers, vmAt(keepers, 0), "r1"), decision);
+    });
+});
--- a/packages/continuation/src/createStreamKeeper.ts
+++ b/packages/continuation/src/createStreamKeeper.ts
@@ -18,6 +18,7 @@
 import type { KnownOrigin } from "./KnownOrigin.js";
 import { originsDatagram } from "./originsDatagram.js";
 import type { Peer } from "./Peer.js";
+import type { RecordedVersions } from "./RecordedVersions.js";
 import type { RegisteredRun } from "./RegisteredRun.js";
 import { settledRuns } from "./settledRuns.js";
 import { soleVersion } from "./soleVersion.js";
@@ -28,6 +29,7 @@
 import { streamIdOf } from "./streamIdOf.js";
 import type { StreamOrigin } from "./StreamOrigin.js";
 import { streamQuery } from "./streamQuery.js";
+import { versionsToRecord } from "./versionsToRecord.js";
 
 type StreamKeeperParts = {
     readonly clock: Clock;
@@ -90,6 +92,13 @@
     readonly receive: (datagram: Buffer) => boolean;
     /** Answers a peer's query. */
     readonly answer: (query: string) => Buffer;
+    /**
+     * Applies the versions that the store names. They stand for the history from before the start of this process, as
+     * no stream begins at a version before the store should name it.
+     */
+    readonly learnRecorded: (recorded: readonly RecordedVersions[]) => void;
+    /** Returns the records that the store should have, if they differ from those that it has. */
+    readonly versionsToRecord: (recorded: readonly RecordedVersions[]) => readonly RecordedVersions[];
     readonly tick: () => void;
     readonly size: () => number;
 };
@@ -122,6 +131,8 @@
         historyAskedAt: -Infinity as Millis,
         /** Services whose streams nobody has to be told of. */
         uniform: new Set<ServiceName>(),
+        /** Records of the store that do not join on to a history of this VM yet. */
+        recorded: [] as readonly RecordedVersions[],
     };
     const isCurrent = (): boolean => !parts.isRegistryContradicted() && parts.registryAgeMs() <= parts.currentMs();
     const soleVersionOf = (service: ServiceName): string | undefined => soleVersion(histories.of(service), clock.now());
@@ -208,6 +219,18 @@
         histories.add(runs);
         tellIfNoLongerUniform();
     };
+    const applyRecorded = (now: Millis): void => {
+        const isCovered = ({ service }: RecordedVersions): boolean => histories.of(service).coveredSince <= now;
+        histories.applyStated(
+            now,
+            state.recorded.filter(isCovered).map(({ service, versions }) => ({
+                service,
+                coveredMs: Infinity,
+                versions: versions.map(version => [version ?? undefined, Infinity, 0]),
+            })),
+        );
+        state.recorded = state.recorded.filter(each => !isCovered(each));
+    };
     const learnHistory = (now: Millis): void => {
         const isLacking = histories.services().some(service =>
             now - histories.of(service).coveredSince < STREAM_LIFE_MS
@@ -222,6 +245,7 @@
         if (now - state.checkedAt >= CHECK_MS) {
             state.checkedAt = now;
             histories.tick();
+            applyRecorded(now);
             tellIfNoLongerUniform();
             learnHistory(now);
         }
@@ -248,6 +272,16 @@
                 histories: histories.stated(),
             });
         },
+        learnRecorded: recorded => {
+            state.recorded = recorded;
+            applyRecorded(clock.now());
+        },
+        versionsToRecord: recorded =>
+            histories.services().flatMap(service => {
+                const before = recorded.find(each => each.service === service)?.versions;
+                const versions = versionsToRecord(histories.of(service), before, clock.now());
+                return versions === undefined ? [] : [{ service, versions }];
+            }),
         tick,
         size: known.size,
     };
--- a/packages/continuation/src/index.ts
+++ b/packages/continuation/src/index.ts
@@ -3,4 +3,5 @@
 export { createStreamKeeper } from "./createStreamKeeper.js";
 export type { EndpointRun } from "./EndpointRun.js";
 export { mayContinueAt } from "./mayContinueAt.js";
+export type { RecordedVersions } from "./RecordedVersions.js";
 export type { StreamOrigin } from "./StreamOrigin.js";
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -47,6 +47,7 @@
 import { startMetricsListener } from "./startMetricsListener.js";
 import { createRelayReads } from "./store/createRelayReads.js";
 import { measureStore } from "./store/measureStore.js";
+import { createVersionRecords } from "./streams/createVersionRecords.js";
 import { createConnector } from "./tunnel/createConnector.js";
 import { serveTunnels } from "./tunnel/serveTunnels.js";
 
@@ -283,6 +284,17 @@
         },
     });
 
+    const versionRecords = createVersionRecords({
+        clock,
+        store,
+        onRead: streams.learnRecorded,
+        wanted: streams.versionsToRecord,
+        // On a first start nothing is recorded, so only the VM that writes has to know where the topic ends.
+        mayRead: () => !settings.isFirstStart || (membership.isReader() && !relayReads.mustWait()),
+        isWriter: membership.isReader,
+        logger: loggers("streams"),
+    });
+
     const sources: PeerSyncSources = {
         clock,
         declarations,
@@ -394,6 +406,7 @@
         orders.tick();
         rollouts.tick();
         streams.tick();
+        versionRecords.tick();
         announcing.tick();
     }, TICK_MS);
     logger.info({ listen: settings.listen }, "Started.");
--- /dev/null
+++ b/packages/router/src/streams/createVersionRecords.ts
@@ -0,0 +1,91 @@
+import type { RecordedVersions } from "@azureshunt/continuation";
+import type { Clock, Millis } from "@azureshunt/core";
+import type { Logger } from "pino";
+
+import type { StorePort } from "../ports/StorePort.js";
+import { decodeRecordedVersions } from "./decodeRecordedVersions.js";
+
+type VersionRecordsParts = {
+    readonly clock: Clock;
+    readonly store: Pick<StorePort, "newest" | "put">;
+    readonly onRead: (recorded: readonly RecordedVersions[]) => void;
+    /** Returns the records that the store should have, if they differ from those that it has. */
+    readonly wanted: (recorded: readonly RecordedVersions[]) => readonly RecordedVersions[];
+    /** Whether this VM needs the records. */
+    readonly mayRead: () => boolean;
+    /** Whether this VM reads the registry for the others, and so is the first to know of a version. */
+    readonly isWriter: () => boolean;
+    readonly logger: Logger;
+};
+
+/** Keeps the software versions of services in the store, as nothing else tells of them after all VMs have started again. */
+type VersionRecords = {
+    /** Reads the records once, and writes those that changed. */
+    readonly tick: () => void;
+};
+
+const TOPIC = "keyed.azureshunt.versions";
+/** Time between two calls while the store does not answer, or the topic has changed. */
+const RETRY_MS: Millis = 1_000;
+
+/** Creates the records of a VM that has not read them yet. */
+export function createVersionRecords(parts: VersionRecordsParts): VersionRecords {
+    const { clock, store, logger } = parts;
+    const state = {
+        recorded: undefined as readonly RecordedVersions[] | undefined,
+        end: 0,
+        isBusy: false,
+        triedAt: -Infinity as Millis,
+    };
+    const read = async (): Promise<void> => {
+        const page = await store.newest(TOPIC);
+        page.caseOf({
+            Left: failure => logger.info({ failure: failure.kind }, "Reading the recorded software versions failed."),
+            Right: ({ records, end }) => {
+                state.recorded = records.flatMap(({ key, value }) => decodeRecordedVersions(key, value) ?? []);
+                state.end = end;
+                parts.onRead(state.recorded);
+            },
+        });
+    };
+    /** A late write must not replace a newer record, so the topic must still end where it was read. */
+    const write = async (record: RecordedVersions, recorded: readonly RecordedVersions[]): Promise<void> => {
+        const value = Buffer.from(JSON.stringify(record.versions));
+        const written = await store.put(TOPIC, record.service, value, state.end);
+        written.caseOf({
+            Left: failure => {
+                logger.info({ failure: failure.kind }, "Recording the software versions of a service failed.");
+                state.recorded = undefined;
+            },
+            Right: offset => {
+                logger.info({ ...record }, "Software versions of a service recorded.");
+                state.end = offset + 1;
+                state.recorded = [...recorded.filter(({ service }) => service !== record.service), record];
+            },
+        });
+    };
+    const run = async (call: () => Promise<void>): Promise<void> => {
+        state.isBusy = true;
+        state.triedAt = clock.now();
+        await call();
+        state.isBusy = false;
+    };
+    return {
+        tick: () => {
+            const { recorded } = state;
+            if (state.isBusy) {
+                return;
+            }
+            if (recorded === undefined) {
+                if (parts.mayRead() && clock.now() - state.triedAt >= RETRY_MS) {
+                    void run(read);
+                }
+                return;
+            }
+            const [record] = parts.isWriter() ? parts.wanted(recorded) : [];
+            if (record !== undefined) {
+                void run(() => write(record, recorded));
+            }
+        },
+    };
+}
