Wait for the recorded versions when a caller takes a stream up right after a start

Traced: a VM was ready before its next check, up to half a second later, joined the record with the registry, and before the record was read.

--- a/packages/continuation/src/__tests__/fleet/createSimulatedVm.ts
+++ b/packages/continuation/src/__tests__/fleet/createSimulatedVm.ts
@@ -102,6 +102,7 @@
                     }
                 });
             },
+            whenRecorded: () => Promise.resolve(),
             ask: (address, query) =>
                 new Promise(resolve => {
                     const other = vmAt(address);
--- a/packages/continuation/src/__tests__/support/startKeepers.ts
+++ b/packages/continuation/src/__tests__/support/startKeepers.ts
@@ -47,6 +47,7 @@
                 told.push(address);
                 time.schedule(LINK_MS, () => peerAt(address)?.receive(datagram));
             },
+            whenRecorded: () => Promise.resolve(),
             ask: (address, query) =>
                 new Promise(resolve => {
                     asked.push(address);
--- a/packages/continuation/src/createStreamKeeper.ts
+++ b/packages/continuation/src/createStreamKeeper.ts
@@ -52,6 +52,8 @@
     readonly send: (datagram: Buffer, address: string) => void;
     /** Makes a call to a peer; resolves with `undefined` if it has no answer in time. */
     readonly ask: (address: string, query: string) => Promise<Buffer | undefined>;
+    /** Resolves once the store's record of versions has been read, or that takes too long. */
+    readonly whenRecorded: () => Promise<void>;
 };
 
 /** A stream that a caller takes up again. */
@@ -177,32 +179,6 @@
         onHistories: histories.applyStated,
     });
 
-    const resolve: StreamKeeper["resolve"] = async stream => {
-        const id = stream.begunBy === undefined ? undefined : streamIdOf(stream.organisation, stream.begunBy);
-        const here = id === undefined ? undefined : known.find(id, clock.now())?.origin;
-        const isKnown = here !== undefined || (soleVersionOf(stream.service) !== undefined && isCurrent());
-        const asked = isKnown ? undefined : await queries.askHomes(id);
-        const origin = here ?? asked?.origin?.origin;
-        const sole = soleVersionOf(stream.service);
-        const continuation = decideContinuation({
-            known: origin,
-            service: stream.service,
-            soleVersion: sole,
-            isCurrent: isCurrent() || asked?.isCurrent === true,
-            entryOf: parts.entryOf,
-            servingRuns: parts.servingRuns,
-            isTarget: stream.isTarget,
-        });
-        const source = here !== undefined
-            ? "here"
-            : origin !== undefined
-            ? "peer"
-            : continuation.kind === "origin-unknown"
-            ? "none"
-            : "sole-version";
-        return { continuation, source };
-    };
-
     /** Streams begin unknown to others while one version serves; once that may no longer be so, they are told. */
     const tellIfNoLongerUniform = (): void => {
         const uniform = new Set(histories.services().filter(service => soleVersionOf(service) !== undefined));
@@ -231,6 +207,44 @@
         );
         state.recorded = state.recorded.filter(each => !isCovered(each));
     };
+    const check = (): void => {
+        histories.tick();
+        applyRecorded(clock.now());
+        tellIfNoLongerUniform();
+    };
+    /** Asks the peers and the store, as far as that is not done yet: callers come back as soon as a VM has started. */
+    const askOthers = async (id: StreamId | undefined): ReturnType<typeof queries.askHomes> => {
+        const [answer] = await Promise.all([queries.askHomes(id), parts.whenRecorded()]);
+        check();
+        return answer;
+    };
+
+    const resolve: StreamKeeper["resolve"] = async stream => {
+        const id = stream.begunBy === undefined ? undefined : streamIdOf(stream.organisation, stream.begunBy);
+        const here = id === undefined ? undefined : known.find(id, clock.now())?.origin;
+        const isKnown = here !== undefined || (soleVersionOf(stream.service) !== undefined && isCurrent());
+        const asked = isKnown ? undefined : await askOthers(id);
+        const origin = here ?? asked?.origin?.origin;
+        const sole = soleVersionOf(stream.service);
+        const continuation = decideContinuation({
+            known: origin,
+            service: stream.service,
+            soleVersion: sole,
+            isCurrent: isCurrent() || asked?.isCurrent === true,
+            entryOf: parts.entryOf,
+            servingRuns: parts.servingRuns,
+            isTarget: stream.isTarget,
+        });
+        const source = here !== undefined
+            ? "here"
+            : origin !== undefined
+            ? "peer"
+            : continuation.kind === "origin-unknown"
+            ? "none"
+            : "sole-version";
+        return { continuation, source };
+    };
+
     const learnHistory = (now: Millis): void => {
         const isLacking = histories.services().some(service =>
             now - histories.of(service).coveredSince < STREAM_LIFE_MS
@@ -244,9 +258,7 @@
         const now = clock.now();
         if (now - state.checkedAt >= CHECK_MS) {
             state.checkedAt = now;
-            histories.tick();
-            applyRecorded(now);
-            tellIfNoLongerUniform();
+            check();
             learnHistory(now);
         }
     };
--- a/packages/router/src/registry/startRegistry.ts
+++ b/packages/router/src/registry/startRegistry.ts
@@ -101,8 +101,8 @@
             const changes = records.map(({ key, value }) => ({ name: key as EndpointName, entry: decode(key, value) }));
             const entries = changes.flatMap(({ entry }) => entry === undefined ? [] : [entry]);
             endpointTable.applyRegistryEvent(isWhole ? { kind: "whole", entries } : { kind: "changes", changes });
-            parts.onEntries(entries);
             apply({ kind: "read", requestedAt, asOf });
+            parts.onEntries(entries);
             if (!isRelayed) {
                 parts.onStoreRead();
             }
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -282,6 +282,11 @@
             const res = await callOnce(agent, address, call, PEER_ANSWER_MS);
             return res.kind === "answer" && res.status === OK ? res.body : undefined;
         },
+        whenRecorded: () =>
+            Promise.race([
+                versionRecords.whenRead(),
+                new Promise<void>(resolve => setTimeout(resolve, PEER_ANSWER_MS)),
+            ]),
     });
 
     const versionRecords = createVersionRecords({
@@ -398,6 +403,7 @@
         membership,
         logger,
     });
+    versionRecords.tick();
     const timer = setInterval(() => {
         lagWatch.tick();
         suspensionWatch.check();
--- a/packages/router/src/streams/createVersionRecords.ts
+++ b/packages/router/src/streams/createVersionRecords.ts
@@ -22,6 +22,8 @@
 type VersionRecords = {
     /** Reads the records once, and writes those that changed. */
     readonly tick: () => void;
+    /** Resolves once the records have been read, or the first read has failed; at once if this VM reads none. */
+    readonly whenRead: () => Promise<void>;
 };
 
 const TOPIC = "keyed.azureshunt.versions";
@@ -37,6 +39,10 @@
         isBusy: false,
         triedAt: -Infinity as Millis,
     };
+    const first = { resolve: (): void => undefined };
+    const firstRead = new Promise<void>(resolve => {
+        first.resolve = resolve;
+    });
     const read = async (): Promise<void> => {
         const page = await store.newest(TOPIC);
         page.caseOf({
@@ -47,6 +53,7 @@
                 parts.onRead(state.recorded);
             },
         });
+        first.resolve();
     };
     /** A late write must not replace a newer record, so the topic must still end where it was read. */
     const write = async (record: RecordedVersions, recorded: readonly RecordedVersions[]): Promise<void> => {
@@ -71,6 +78,7 @@
         state.isBusy = false;
     };
     return {
+        whenRead: () => parts.mayRead() ? firstRead : Promise.resolve(),
         tick: () => {
             const { recorded } = state;
             if (state.isBusy) {
