Share what the streams' code wrote again, and start the streams in a module of their own

No change of behaviour. The GET from another VM stood three times (queryRelay, startDeclarations, startRouter): getBody. The choice of recent versions stood three times and the length of a complete history three times in packages/continuation: recentVersions, isComplete. The age up to which the registry is recent stood twice. A peer's answer named its stream by an empty id that the asker replaced; it now states the stream's own id. Two exports that nobody used are gone.

--- a/packages/continuation/src/StreamKnowledge.ts
+++ b/packages/continuation/src/StreamKnowledge.ts
@@ -8,7 +8,7 @@
 /** A VM's answer to another one that has to continue a stream. */
 export type StreamKnowledge = {
     /** `undefined` if it knows nothing of the stream, or was not asked for one. */
-    readonly origin: Omit<StatedOrigin, "id"> | undefined;
+    readonly origin: StatedOrigin | undefined;
     /** Whether its registry is current. */
     readonly isCurrent: boolean;
     readonly histories: readonly {
--- a/packages/continuation/src/createHomeQueries.ts
+++ b/packages/continuation/src/createHomeQueries.ts
@@ -40,8 +40,8 @@
         if (answer !== undefined) {
             parts.onHistories(askedAt, answer.histories);
         }
-        if (answer?.origin !== undefined && id !== undefined) {
-            parts.onOrigin({ ...answer.origin, id });
+        if (answer?.origin !== undefined) {
+            parts.onOrigin(answer.origin);
         }
         return answer;
     };
--- a/packages/continuation/src/createStreamKeeper.ts
+++ b/packages/continuation/src/createStreamKeeper.ts
@@ -14,6 +14,7 @@
 import { createVersionHistories } from "./createVersionHistories.js";
 import { decideContinuation } from "./decideContinuation.js";
 import type { EndpointRun } from "./EndpointRun.js";
+import { isComplete } from "./isComplete.js";
 import { knowledgeJson } from "./knowledgeJson.js";
 import type { KnownOrigin } from "./KnownOrigin.js";
 import { originsDatagram } from "./originsDatagram.js";
@@ -122,11 +123,12 @@
     const known = createStreamOrigins(MAX_STREAMS);
     /** Those that began at this VM. */
     const own = createStreamOrigins(MAX_STREAMS);
+    const isRegistryRecent = (): boolean => parts.registryAgeMs() <= parts.currentMs();
     const histories = createVersionHistories({
         clock,
         isFirstStart: parts.isFirstStart,
         runs: parts.runs,
-        isWithoutGap: () => parts.registryAgeMs() <= parts.currentMs(),
+        isWithoutGap: isRegistryRecent,
     });
     const state = {
         checkedAt: -Infinity as Millis,
@@ -136,7 +138,7 @@
         /** Records of the store that do not join on to a history of this VM yet. */
         recorded: [] as readonly RecordedVersions[],
     };
-    const isCurrent = (): boolean => !parts.isRegistryContradicted() && parts.registryAgeMs() <= parts.currentMs();
+    const isCurrent = (): boolean => !parts.isRegistryContradicted() && isRegistryRecent();
     const soleVersionOf = (service: ServiceName): string | undefined => soleVersion(histories.of(service), clock.now());
 
     const tell = (stated: readonly StatedOrigin[]): void => {
@@ -246,9 +248,7 @@
     };
 
     const learnHistory = (now: Millis): void => {
-        const isLacking = histories.services().some(service =>
-            now - histories.of(service).coveredSince < STREAM_LIFE_MS
-        );
+        const isLacking = histories.services().some(service => !isComplete(histories.of(service), now));
         if (isLacking && now - state.historyAskedAt >= HISTORY_RETRY_MS) {
             state.historyAskedAt = now;
             queries.askForHistories();
@@ -277,9 +277,9 @@
         },
         answer: query => {
             const id = streamQuery.decode(query);
-            const found = id === undefined ? undefined : known.find(id, clock.now());
+            const found = id && known.find(id, clock.now());
             return knowledgeJson.encode({
-                origin: found && { origin: found.origin, leftMs: found.expiresAt - clock.now() },
+                origin: id && found && statedOf(id, found),
                 isCurrent: isCurrent(),
                 histories: histories.stated(),
             });
--- a/packages/continuation/src/index.ts
+++ b/packages/continuation/src/index.ts
@@ -1,7 +1,5 @@
 /** At which endpoints a stream that has begun may go on after a break. */
-export type { Continuation } from "./Continuation.js";
 export { createStreamKeeper } from "./createStreamKeeper.js";
-export type { EndpointRun } from "./EndpointRun.js";
 export { mayContinueAt } from "./mayContinueAt.js";
 export type { RecordedVersions } from "./RecordedVersions.js";
 export type { StreamOrigin } from "./StreamOrigin.js";
--- a/packages/continuation/src/knowledgeJson.ts
+++ b/packages/continuation/src/knowledgeJson.ts
@@ -4,7 +4,6 @@
 
 import { encodeOrigin } from "./encodeOrigin.js";
 import { OriginRow } from "./OriginRow.js";
-import type { StreamId } from "./StreamId.js";
 import type { StreamKnowledge } from "./StreamKnowledge.js";
 
 /** Sent in place of an age that has no bound, as JSON has no infinity. */
@@ -24,7 +23,7 @@
 const knowledgeJson = {
     encode: ({ origin, isCurrent, histories }: StreamKnowledge): Buffer =>
         Buffer.from(JSON.stringify({
-            origin: origin === undefined ? null : encodeOrigin({ id: "" as StreamId, ...origin }),
+            origin: origin === undefined ? null : encodeOrigin(origin),
             isCurrent,
             histories: histories.map(({ service, coveredMs, versions }) => ({
                 service,
--- a/packages/continuation/src/originsDatagram.ts
+++ b/packages/continuation/src/originsDatagram.ts
@@ -1,9 +1,8 @@
 import { jsonOf } from "@azureshunt/http";
 
-import type { StatedOrigin } from "./StatedOrigin.js";
-
 import { encodeOrigin } from "./encodeOrigin.js";
 import { OriginRow } from "./OriginRow.js";
+import type { StatedOrigin } from "./StatedOrigin.js";
 
 /** First field of a datagram; VMs that do not know it ignore the datagram. */
 const KIND = "stream-origins";
--- a/packages/continuation/src/soleVersion.ts
+++ b/packages/continuation/src/soleVersion.ts
@@ -1,6 +1,7 @@
 import type { Millis } from "@azureshunt/core";
 
-import { STREAM_LIFE_MS } from "./STREAM_LIFE_MS.js";
+import { isComplete } from "./isComplete.js";
+import { recentVersions } from "./recentVersions.js";
 import type { VersionHistory } from "./VersionHistory.js";
 
 /**
@@ -9,8 +10,7 @@
  *
  * That only one version is registered now does not show it: the endpoints of another one may just have left.
  */
-export function soleVersion({ coveredSince, versions }: VersionHistory, now: Millis): string | undefined {
-    const possible = [...versions].filter(([, { lastAt }]) => now - lastAt <= STREAM_LIFE_MS);
-    const isCovered = now - coveredSince >= STREAM_LIFE_MS;
-    return isCovered && possible.length === 1 ? possible[0]?.[0] : undefined;
+export function soleVersion(history: VersionHistory, now: Millis): string | undefined {
+    const [version, ...others] = recentVersions(history.versions, now).keys();
+    return isComplete(history, now) && others.length === 0 ? version : undefined;
 }
--- a/packages/continuation/src/stepHistory.ts
+++ b/packages/continuation/src/stepHistory.ts
@@ -1,7 +1,7 @@
 import type { Millis } from "@azureshunt/core";
 
 import type { HistoryEvent } from "./HistoryEvent.js";
-import { STREAM_LIFE_MS } from "./STREAM_LIFE_MS.js";
+import { recentVersions } from "./recentVersions.js";
 import type { VersionHistory } from "./VersionHistory.js";
 
 type Versions = VersionHistory["versions"];
@@ -14,19 +14,16 @@
     });
 };
 
-/** Versions that no stream can have begun at are forgotten, so that one that comes back counts as new. */
-const recent = (versions: Versions, now: Millis): Versions =>
-    new Map([...versions].filter(([, { lastAt }]) => now - lastAt <= STREAM_LIFE_MS));
-
 /** Applies an event to what is known of a service's software versions. */
 export function stepHistory(before: VersionHistory, event: HistoryEvent, now: Millis): VersionHistory {
     switch (event.kind) {
         case "registered":
             return {
                 ...before,
+                // The others are forgotten, so that a version that comes back counts as new.
                 versions: event.versions.reduce(
                     (versions, [version, ageMs]) => withVersion(versions, version, now - ageMs, now),
-                    recent(before.versions, now),
+                    recentVersions(before.versions, now),
                 ),
             };
         case "current":
--- a/packages/continuation/src/versionsToRecord.ts
+++ b/packages/continuation/src/versionsToRecord.ts
@@ -1,7 +1,8 @@
 import type { Millis } from "@azureshunt/core";
 
+import { isComplete } from "./isComplete.js";
+import { recentVersions } from "./recentVersions.js";
 import type { RecordedVersions } from "./RecordedVersions.js";
-import { STREAM_LIFE_MS } from "./STREAM_LIFE_MS.js";
 import type { VersionHistory } from "./VersionHistory.js";
 
 type Versions = RecordedVersions["versions"];
@@ -16,17 +17,15 @@
  * @returns undefined if the record is to stay as it is
  */
 export function versionsToRecord(
-    { coveredSince, versions }: VersionHistory,
+    history: VersionHistory,
     recorded: Versions | undefined,
     now: Millis,
 ): Versions | undefined {
-    const lately = [...versions]
-        .filter(([, { lastAt }]) => now - lastAt <= STREAM_LIFE_MS)
-        .map(([version]) => version ?? null);
-    const isComplete = now - coveredSince >= STREAM_LIFE_MS;
-    if (lately.length === 0 || (!isComplete && recorded === undefined)) {
+    const lately = [...recentVersions(history.versions, now).keys()].map(version => version ?? null);
+    const kept = isComplete(history, now) ? [] : recorded;
+    if (lately.length === 0 || kept === undefined) {
         return undefined;
     }
-    const wanted = [...new Set(isComplete ? lately : [...recorded ?? [], ...lately])].toSorted();
+    const wanted = [...new Set([...kept, ...lately])].toSorted();
     return JSON.stringify(wanted) === JSON.stringify(recorded) ? undefined : wanted;
 }
--- a/packages/router/src/knowledge/startDeclarations.ts
+++ b/packages/router/src/knowledge/startDeclarations.ts
@@ -2,8 +2,8 @@
 import type { Metrics } from "@azureshunt/telemetry";
 import type { Logger } from "pino";
 
-import { callOnce } from "../dispatch/callOnce.js";
 import type { EndpointAgent } from "../dispatch/EndpointAgent.js";
+import { getBody } from "../dispatch/getBody.js";
 import type { ReceivedBeacon } from "../peers/ReceivedBeacon.js";
 import type { DirectoryWire } from "../ports/DirectoryWire.js";
 import type { StorePort } from "../ports/StorePort.js";
@@ -74,7 +74,6 @@
 const STORE_AVAILABLE_MS: Millis = 3_300;
 /** Corrections of a target's age up to this much are not logged, as beacons take different times. */
 const LOGGED_CORRECTION_MS: Millis = 1_000;
-const OK = 200;
 /** In place of the offset of a record that was not read from the topic. */
 const NO_OFFSET = -1;
 
@@ -216,11 +215,10 @@
             return;
         }
         state.isFetching = true;
-        const call = { method: "GET", target: "/configuration", headers: ["Host", address], body: Buffer.alloc(0) };
-        const res = await callOnce(parts.agent, address, call, FETCH_TIMEOUT_MS);
+        const body = await getBody(parts.agent, address, "/configuration", FETCH_TIMEOUT_MS);
         state.isFetching = false;
-        if (res.kind === "answer" && res.status === OK) {
-            declare("config", res.body, NO_OFFSET);
+        if (body !== undefined) {
+            declare("config", body, NO_OFFSET);
         }
     };
 
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -1,6 +1,5 @@
 import { randomUUID } from "node:crypto";
 
-import { createStreamKeeper } from "@azureshunt/continuation";
 import { createClock } from "@azureshunt/core";
 import type { EndpointName, Incarnation, Millis, Tokens } from "@azureshunt/core";
 import { createLoggers, createMetrics } from "@azureshunt/telemetry";
@@ -47,7 +46,7 @@
 import { startMetricsListener } from "./startMetricsListener.js";
 import { createRelayReads } from "./store/createRelayReads.js";
 import { measureStore } from "./store/measureStore.js";
-import { createVersionRecords } from "./streams/createVersionRecords.js";
+import { startStreams } from "./streams/startStreams.js";
 import { createConnector } from "./tunnel/createConnector.js";
 import { serveTunnels } from "./tunnel/serveTunnels.js";
 
@@ -74,14 +73,6 @@
 const KEY_MARGIN_MS = 600;
 /** Allows for the time that a request may wait in the engine's queue before it begins. */
 const WEIGHTS_MARGIN_MS = 1_500;
-/**
- * Age of the registry, as a fraction of the time for which a leaving endpoint still takes requests, up to which it counts
- * as current for the software versions of streams. VMs read it more often than that.
- */
-const CURRENT_REGISTRY_FRACTION = 0.75;
-/** Longest wait for a peer's answer about a stream; its caller holds a part of the answer and waits for the rest. */
-const PEER_ANSWER_MS = 150;
-const OK = 200;
 /** Interval of the ticks of all time-driven components. They share one timer, as that wakes an idle VM least often. */
 const TICK_MS = 100;
 
@@ -206,9 +197,9 @@
         queryRelay: relayReads.query,
         mustWaitForRelay: relayReads.mustWait,
         checkSuspension: suspensionWatch.check,
+        onEntries: entries => streams.addEntries(entries),
         // With many VMs, beacons are less frequent than reads; a reader's next regular beacon would reach the others
         // too late.
-        onEntries: entries => streams.addEntries(entries),
         onStoreRead: () =>
             membership.isReader() && membership.vms() > peerTiming.fewVms ? beacons.sendSoon() : undefined,
     });
@@ -260,43 +251,18 @@
         metrics,
     });
 
-    const streams = createStreamKeeper({
-        clock,
-        failureDomain: settings.failureDomain,
-        isFirstStart: settings.isFirstStart,
-        runs: endpointTable.entries,
-        entryOf: endpointTable.entryOf,
-        servingRuns: service => rollouts.continuableAt(service, endpointTable.servingEntries(service)),
-        registryAgeMs: registry.ageMs,
-        isRegistryContradicted: registry.isContradicted,
-        currentMs: () => CURRENT_REGISTRY_FRACTION * state.settings.leavingMs,
-        peers: membership.livePeers,
-        send: (datagram, address) => beacons.send(datagram, address),
-        ask: async (address, query) => {
-            const call = {
-                method: "GET",
-                target: `/streams?${query}`,
-                headers: ["Host", address],
-                body: Buffer.alloc(0),
-            };
-            const res = await callOnce(agent, address, call, PEER_ANSWER_MS);
-            return res.kind === "answer" && res.status === OK ? res.body : undefined;
-        },
-        whenRecorded: () =>
-            Promise.race([
-                versionRecords.whenRead(),
-                new Promise<void>(resolve => setTimeout(resolve, PEER_ANSWER_MS)),
-            ]),
-    });
-
-    const versionRecords = createVersionRecords({
+    const streams = startStreams({
         clock,
+        settings,
+        agent,
         store,
-        onRead: streams.learnRecorded,
-        wanted: streams.versionsToRecord,
-        // On a first start nothing is recorded, so only the VM that writes has to know where the topic ends.
-        mayRead: () => !settings.isFirstStart || (membership.isReader() && !relayReads.mustWait()),
-        isWriter: membership.isReader,
+        endpointTable,
+        registry,
+        rollouts,
+        membership,
+        leavingMs: () => state.settings.leavingMs,
+        mustWaitForRelay: relayReads.mustWait,
+        send: (datagram, address) => beacons.send(datagram, address),
         logger: loggers("streams"),
     });
 
@@ -403,7 +369,6 @@
         membership,
         logger,
     });
-    versionRecords.tick();
     const timer = setInterval(() => {
         lagWatch.tick();
         suspensionWatch.check();
@@ -412,7 +377,6 @@
         orders.tick();
         rollouts.tick();
         streams.tick();
-        versionRecords.tick();
         announcing.tick();
     }, TICK_MS);
     logger.info({ listen: settings.listen }, "Started.");
--- a/packages/router/src/store/queryRelay.ts
+++ b/packages/router/src/store/queryRelay.ts
@@ -1,7 +1,7 @@
 import type { Millis } from "@azureshunt/core";
 
-import { callOnce } from "../dispatch/callOnce.js";
 import type { EndpointAgent } from "../dispatch/EndpointAgent.js";
+import { getBody } from "../dispatch/getBody.js";
 import { decodeTopicAnswer } from "./decodeTopicAnswer.js";
 import type { TopicAnswer } from "./TopicAnswer.js";
 
@@ -9,7 +9,6 @@
  * A relay answers within about a millisecond. One that is slow or gone must not delay a read that the store can serve.
  */
 const TIMEOUT_MS: Millis = 250;
-const OK = 200;
 
 /**
  * Reads a topic from a relay instead of from the store.
@@ -24,7 +23,6 @@
     from: number | undefined,
 ): Promise<TopicAnswer | undefined> {
     const target = `/topics/${topic}${from === undefined ? "" : `?from=${from}`}`;
-    const call = { method: "GET", target, headers: ["Host", address], body: Buffer.alloc(0) };
-    const res = await callOnce(agent, address, call, TIMEOUT_MS);
-    return res.kind === "answer" && res.status === OK ? decodeTopicAnswer(res.body) : undefined;
+    const body = await getBody(agent, address, target, TIMEOUT_MS);
+    return body && decodeTopicAnswer(body);
 }
