--- a/packages/continuation/src/__tests__/fleet/simulateStreams.ts
+++ b/packages/continuation/src/__tests__/fleet/simulateStreams.ts
@@ -21,8 +21,6 @@
     readonly releaseEveryMs: Millis;
     /** Replaces parts of each keeper, to remove a guard. */
     readonly override?: Partial<KeeperParts>;
-    /** Whether new streams may begin at a version at once, as if that guard were removed. */
-    readonly beginsUnsettled?: boolean;
 };
 
 /** What became of the streams that callers took up. */
@@ -155,8 +153,7 @@
         if (vm === undefined || keeper === undefined) {
             return;
         }
-        const runs = options.beginsUnsettled === true ? vm.view() : keeper.selectForNew(LM, vm.view(), isUp);
-        const run = random.pick(runs.filter(isUp));
+        const run = random.pick(keeper.selectForNew(LM, vm.view(), isUp).filter(isUp));
         if (run === undefined || run.softwareVersion === undefined) {
             return;
         }
--- a/packages/continuation/src/createHomeQueries.ts
+++ b/packages/continuation/src/createHomeQueries.ts
@@ -1,7 +1,6 @@
-import type { Clock, FailureDomain, Millis } from "@azureshunt/core";
+import type { Clock, FailureDomain, Millis, Peer } from "@azureshunt/core";
 
 import { knowledgeJson } from "./knowledgeJson.js";
-import type { Peer } from "./Peer.js";
 import type { StatedOrigin } from "./StatedOrigin.js";
 import { streamHomes } from "./streamHomes.js";
 import type { StreamId } from "./StreamId.js";
--- a/packages/continuation/src/createStreamKeeper.ts
+++ b/packages/continuation/src/createStreamKeeper.ts
@@ -4,6 +4,7 @@
     FailureDomain,
     Millis,
     OrganisationId,
+    Peer,
     RequestId,
     ServiceName,
 } from "@azureshunt/core";
@@ -18,7 +19,6 @@
 import { knowledgeJson } from "./knowledgeJson.js";
 import type { KnownOrigin } from "./KnownOrigin.js";
 import { originsDatagram } from "./originsDatagram.js";
-import type { Peer } from "./Peer.js";
 import type { RecordedVersions } from "./RecordedVersions.js";
 import type { RegisteredRun } from "./RegisteredRun.js";
 import { settledRuns } from "./settledRuns.js";
--- a/packages/continuation/src/streamHomes.ts
+++ b/packages/continuation/src/streamHomes.ts
@@ -1,7 +1,6 @@
-import type { FailureDomain } from "@azureshunt/core";
+import type { FailureDomain, Peer } from "@azureshunt/core";
 import { rendezvousOrder } from "@azureshunt/core";
 
-import type { Peer } from "./Peer.js";
 import type { StreamId } from "./StreamId.js";
 
 /** Up to this number of peers, all are homes of every stream. */
--- a/packages/continuation/src/Peer.ts
+++ b/packages/core/src/Peer.ts
@@ -1,6 +1,7 @@
-import type { FailureDomain, VmId } from "@azureshunt/core";
+import type { FailureDomain } from "./FailureDomain.js";
+import type { VmId } from "./VmId.js";
 
-/** A peer that may know where streams began. */
+/** Another VM that is alive. */
 export type Peer = {
     readonly vm: VmId;
     /** `host:port` of its listener for peers. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -16,6 +16,7 @@
 export type { Millis } from "./Millis.js";
 export { ModelName } from "./ModelName.js";
 export { OrganisationId } from "./OrganisationId.js";
+export type { Peer } from "./Peer.js";
 export { PieceHash } from "./PieceHash.js";
 export { pieceHashes } from "./pieceHashes.js";
 export type { Ran } from "./Ran.js";
--- a/packages/reach/src/index.ts
+++ b/packages/reach/src/index.ts
@@ -6,5 +6,4 @@
 export type { LinkEvent } from "./LinkEvent.js";
 export type { LinkState } from "./LinkState.js";
 export { orderPeers } from "./orderPeers.js";
-export type { Peer } from "./Peer.js";
 export { stepLinks } from "./stepLinks.js";
--- a/packages/reach/src/orderPeers.ts
+++ b/packages/reach/src/orderPeers.ts
@@ -1,6 +1,4 @@
-import type { FailureDomain, Millis, VmId } from "@azureshunt/core";
-
-import type { Peer } from "./Peer.js";
+import type { FailureDomain, Millis, Peer, VmId } from "@azureshunt/core";
 
 type PeerQuery = {
     readonly peers: readonly Peer[];
--- a/packages/router/src/fleet/decodeLeaseRecord.ts
+++ b/packages/router/src/fleet/decodeLeaseRecord.ts
@@ -1,4 +1,5 @@
 import type { EndpointName, ModelName } from "@azureshunt/core";
+import { jsonOf } from "@azureshunt/http";
 import { z } from "zod";
 
 import { holderOf } from "./holderOf.js";
@@ -13,24 +14,23 @@
     z.array(z.tuple([model, z.number(), z.number().nonnegative()]).rest(z.unknown())),
 ]).rest(z.unknown());
 
+/** Returns `undefined` if the text is of another version of the router; only the record's holder is known then. */
 const statementOf = (json: string): LeaseStatement | undefined => {
-    try {
-        const [orderable, unanswered, targets] = rows.parse(JSON.parse(json));
-        return {
-            orderable: orderable.map(([name, bornAt]) => ({ endpoint: name, bornAt })),
-            unanswered: unanswered.map(([name, bornAt, ordersTaken, ageMs]) => ({
-                endpoint: name,
-                bornAt,
-                ordersTaken: ordersTaken ?? undefined,
-                ageMs,
-            })),
-            targets: targets.map(([name, version, ageMs]) => [name, version, ageMs]),
-        };
-    }
-    catch {
-        // A record of another version: only its holder is known.
+    const statement = rows.safeParse(jsonOf(Buffer.from(json)));
+    if (!statement.success) {
         return undefined;
     }
+    const [orderable, unanswered, targets] = statement.data;
+    return {
+        orderable: orderable.map(([name, bornAt]) => ({ endpoint: name, bornAt })),
+        unanswered: unanswered.map(([name, bornAt, ordersTaken, ageMs]) => ({
+            endpoint: name,
+            bornAt,
+            ordersTaken: ordersTaken ?? undefined,
+            ageMs,
+        })),
+        targets: targets.map(([name, version, ageMs]) => [name, version, ageMs]),
+    };
 };
 
 /** Decodes a record of the order lease. Records of earlier versions hold the holder's name alone. */
--- a/packages/router/src/peers/createMembership.ts
+++ b/packages/router/src/peers/createMembership.ts
@@ -1,6 +1,5 @@
 import { rendezvousOrder } from "@azureshunt/core";
-import type { Clock, FailureDomain, Millis, Tokens, VmId } from "@azureshunt/core";
-import type { Peer } from "@azureshunt/reach";
+import type { Clock, FailureDomain, Millis, Peer, Tokens, VmId } from "@azureshunt/core";
 
 import type { PeerLiveness } from "../allowance/PeerLiveness.js";
 import { leaseRank } from "../fleet/leaseRank.js";
--- a/packages/router/src/peers/decodeListedVm.ts
+++ b/packages/router/src/peers/decodeListedVm.ts
@@ -1,5 +1,6 @@
 import { FailureDomain } from "@azureshunt/core";
 import type { VmId } from "@azureshunt/core";
+import { jsonOf } from "@azureshunt/http";
 import { z } from "zod";
 
 import type { ListedVm } from "./ListedVm.js";
@@ -10,17 +11,8 @@
     capacity: z.number().nonnegative(),
 });
 
-const parse = (value: Buffer): unknown => {
-    try {
-        return JSON.parse(value.toString("utf8"));
-    }
-    catch {
-        return undefined;
-    }
-};
-
 /** Decodes a VM's record of the VM list in the store; `undefined` if it is not valid. */
 export function decodeListedVm(vm: VmId, value: Buffer): ListedVm | undefined {
-    const listed = Listed.safeParse(parse(value));
+    const listed = Listed.safeParse(jsonOf(value));
     return listed.success ? { vm, ...listed.data } : undefined;
 }
--- a/packages/router/src/placement/createEndpointTable.ts
+++ b/packages/router/src/placement/createEndpointTable.ts
@@ -63,6 +63,8 @@
     const observations = createObservations(clock, parts.onGone);
     const orderListeners = createListeners<EndpointName>();
 
+    const allEntries = (): readonly EndpointEntry[] => [...state.registry.endpoints.values()].map(({ entry }) => entry);
+
     const versionAt = (entry: EndpointEntry, model: ModelName | undefined): number | undefined =>
         model === undefined || !entry.versions.has(model)
             ? undefined
@@ -101,18 +103,18 @@
     const applyRegistryEvent: EndpointTable["applyRegistryEvent"] = event => {
         const before = state.registry;
         state.registry = stepRegistry(before, event, clock.now());
-        [...state.registry.endpoints.values()].forEach(({ entry }) => adoptStatedVersion(entry));
+        const entries = allEntries();
+        entries.forEach(adoptStatedVersion);
         if (state.registry.endpoints === before.endpoints) {
             return;
         }
         state.digest = digestOfRegistry(state.registry);
-        const entries = [...state.registry.endpoints.values()];
-        state.serviceByAddress = new Map(entries.map(({ entry: { address, service } }) => [address, service]));
+        state.serviceByAddress = new Map(entries.map(({ address, service }) => [address, service]));
         [...before.endpoints.keys()].filter(name => !state.registry.endpoints.has(name)).forEach(name => {
             observations.drop(name);
             parts.onChange(name, "gone", { registry: event.kind });
         });
-        [...state.registry.endpoints.values()].forEach(({ entry }) => {
+        entries.forEach(entry => {
             const known = before.endpoints.get(entry.name)?.entry;
             if (known === undefined || known.isLeaving !== entry.isLeaving) {
                 const { service, failureDomain, bornAt } = entry;
@@ -125,7 +127,6 @@
         });
     };
 
-    const allEntries = (): readonly EndpointEntry[] => [...state.registry.endpoints.values()].map(({ entry }) => entry);
     const stayingEntries = (): readonly EndpointEntry[] => allEntries().filter(({ isLeaving }) => !isLeaving);
     const servingEntries: EndpointTable["servingEntries"] = service =>
         stayingEntries().filter(entry => entry.service === service);
@@ -265,7 +266,7 @@
                     // Only a call shows that an engine is back, and on outdated weights it gets no call but an order.
                     // Waiting for other activity would leave it on them forever. The backoff grows with each failed
                     // order.
-                    isUp: observed.health.backoffUntil <= clock.now(),
+                    isUp: isUp(entry),
                 };
             });
 
@@ -301,7 +302,7 @@
                 return [name, { running, waitingTokens, memoryTokens }] as const;
             }),
         ownOrders: () =>
-            [...state.registry.endpoints.values()].flatMap(({ entry }) => {
+            allEntries().flatMap(entry => {
                 const { order, knownVersion } = observations.of(entry);
                 return order?.isOwn === true && orderAt(entry, knownVersion) !== undefined
                     ? [[entry.name, order.version, clock.now() - order.issuedAt] as const]
--- a/packages/router/src/serve/admitRequest.ts
+++ b/packages/router/src/serve/admitRequest.ts
@@ -36,8 +36,8 @@
 /**
  * Returns the organisation that owns the request's key. If a key is withdrawn while this VM cannot learn of it, its
  * holder could continue to use it. To prevent this, a request with a key runs only if the configuration was confirmed
- * as the newest one shortly before the request arrived. The age is measured at arrival: a request that was sent before
- * a withdrawal may run.
+ * as the newest one shortly before the request arrived. How old it becomes after that does not matter: a request that
+ * was sent before a withdrawal may run.
  */
 const authenticate = (query: AdmissionQuery, cfg: RoutingConfiguration): Either<Refusal, Organisation | undefined> => {
     const { declaredState, request, arrivedAt, bounds } = query;
--- a/packages/router/src/tunnel/createConnector.ts
+++ b/packages/router/src/tunnel/createConnector.ts
@@ -1,8 +1,8 @@
 import type { Socket } from "node:net";
 
-import type { Clock, FailureDomain } from "@azureshunt/core";
+import type { Clock, FailureDomain, Peer } from "@azureshunt/core";
 import { headStartMs, initialLinks, isBlocked, isCutOff, stepLinks } from "@azureshunt/reach";
-import type { LinkEvent, LinkState, Peer } from "@azureshunt/reach";
+import type { LinkEvent, LinkState } from "@azureshunt/reach";
 import type { Logger } from "pino";
 
 import type { OpenConnection } from "../dispatch/OpenConnection.js";
--- a/packages/router/src/tunnel/createTunnelOpener.ts
+++ b/packages/router/src/tunnel/createTunnelOpener.ts
@@ -1,8 +1,7 @@
 import type { Socket } from "node:net";
 
-import type { Clock, FailureDomain, Millis, VmId } from "@azureshunt/core";
+import type { Clock, FailureDomain, Millis, Peer, VmId } from "@azureshunt/core";
 import { orderPeers } from "@azureshunt/reach";
-import type { Peer } from "@azureshunt/reach";
 import type { Either } from "purify-ts";
 import { Left, Right } from "purify-ts";
 
