Move engines' versions and orders out of the endpoint table

No change of behaviour, moved code only. The table had a second job: which weights an engine holds, and which order it is carrying out. They are createEngineVersions and createEngineOrders now; the table joins them with the registry, health and load (318 to 224 lines).

--- a/packages/router/src/placement/createEndpointTable.ts
+++ b/packages/router/src/placement/createEndpointTable.ts
@@ -1,7 +1,6 @@
 import type { Clock, EndpointName, FailureDomain, Millis, ModelName, ServiceName } from "@azureshunt/core";
 
 import type { RoutingConfiguration } from "../configuration/RoutingConfiguration.js";
-import type { EngineOrder } from "../fleet/EngineOrder.js";
 import type { DeclaredState } from "../knowledge/DeclaredState.js";
 import { outdatedSince } from "../knowledge/outdatedSince.js";
 import type { EndpointShare } from "../peers/EndpointShare.js";
@@ -10,9 +9,9 @@
 import type { EndpointEntry } from "../registry/EndpointEntry.js";
 import type { Registry } from "../registry/Registry.js";
 import { stepRegistry } from "../registry/stepRegistry.js";
-import { createListeners } from "./createListeners.js";
+import { createEngineOrders } from "./createEngineOrders.js";
+import { createEngineVersions } from "./createEngineVersions.js";
 import { createObservations } from "./createObservations.js";
-import type { EndpointObservations } from "./EndpointObservations.js";
 import type { EndpointTable } from "./EndpointTable.js";
 import { healthAfterTry } from "./healthAfterTry.js";
 import { loadOf } from "./loadOf.js";
@@ -38,15 +37,6 @@
 /** How a view of an endpoint changes. */
 type EndpointChange = "registered" | "leaving" | "gone" | "paused" | "on-older-weights";
 
-/** An order not seen for this long counts as lost; the engine is then judged by the weights that it reports. */
-const ORDER_LOST_MS = 2_500;
-
-/** Longest time until the registry shows a version that an engine has loaded. */
-const ENTRY_LAG_MS: Millis = 4_000;
-
-/** How much older an order may seem when it is received again, as a beacon may be delayed on a full link. */
-const ORDER_AGE_TOLERANCE_MS: Millis = 500;
-
 const NO_PROMPT: PromptShare = { missingTokens: 0, fetchedTokens: 0, source: undefined };
 
 const servicesOf = (cfg: RoutingConfiguration | undefined): RoutingConfiguration["services"] =>
@@ -61,21 +51,18 @@
         serviceByAddress: new Map<string, ServiceName>(),
     };
     const observations = createObservations(clock, parts.onGone);
-    const orderListeners = createListeners<EndpointName>();
 
+    const entryOf: EndpointTable["entryOf"] = endpoint => state.registry.endpoints.get(endpoint)?.entry;
     const allEntries = (): readonly EndpointEntry[] => [...state.registry.endpoints.values()].map(({ entry }) => entry);
 
-    const versionAt = (entry: EndpointEntry, model: ModelName | undefined): number | undefined =>
-        model === undefined || !entry.versions.has(model)
-            ? undefined
-            : Math.max(entry.versions.get(model) ?? 0, observations.of(entry).knownVersion);
-
-    const orderAt = (entry: EndpointEntry, version: number | undefined): EngineOrder | undefined => {
-        const { order } = observations.of(entry);
-        const isOver = order === undefined || (version ?? 0) >= order.version
-            || clock.now() - order.seenAt > ORDER_LOST_MS;
-        return isOver ? undefined : order;
-    };
+    const versions = createEngineVersions({
+        clock,
+        observations,
+        entryOf,
+        registryAnsweredAt: () => state.registry.answeredAt,
+        onOlder: (endpoint, inputs) => parts.onChange(endpoint, "on-older-weights", inputs),
+    });
+    const orders = createEngineOrders({ clock, observations, entryOf });
 
     const outdatedFor = (model: ModelName | undefined, version: number | undefined): Millis | undefined => {
         const since = model === undefined || version === undefined
@@ -84,27 +71,11 @@
         return since === undefined ? undefined : clock.now() - since;
     };
 
-    /**
-     * If an engine loads older weights again, for example by a late order after a restart, all that is known of it but
-     * its entry names the newer ones: requests for these are rejected, and no order follows. To prevent this, a version
-     * that nothing has confirmed for long enough for the registry to show it gives way to the entry.
-     */
-    const adoptStatedVersion = (entry: EndpointEntry): void => {
-        const observed = observations.of(entry);
-        const stated = Math.max(0, ...entry.versions.values());
-        const isConfirmed = state.registry.answeredAt - observed.versionConfirmedAt <= ENTRY_LAG_MS;
-        if (stated > 0 && stated < observed.knownVersion && !isConfirmed) {
-            parts.onChange(entry.name, "on-older-weights", { stated, known: observed.knownVersion });
-            observed.distrustedVersion = observed.knownVersion;
-            observed.knownVersion = stated;
-        }
-    };
-
     const applyRegistryEvent: EndpointTable["applyRegistryEvent"] = event => {
         const before = state.registry;
         state.registry = stepRegistry(before, event, clock.now());
         const entries = allEntries();
-        entries.forEach(adoptStatedVersion);
+        entries.forEach(versions.adoptStated);
         if (state.registry.endpoints === before.endpoints) {
             return;
         }
@@ -138,8 +109,8 @@
         const placeable = (request.select?.(serving) ?? serving)
             .filter(entry => !request.avoid.has(entry.name))
             .filter(entry => request.model === undefined || entry.versions.has(request.model))
-            .map(entry => ({ entry, weights: versionAt(entry, request.model), observed: observations.of(entry) }))
-            .filter(({ entry, weights }) => orderAt(entry, weights) === undefined)
+            .map(entry => ({ entry, weights: versions.at(entry, request.model), observed: observations.of(entry) }))
+            .filter(({ entry, weights }) => orders.at(entry, weights) === undefined)
             .map(each => ({ ...each, outdatedMs: outdatedFor(request.model, each.weights) }))
             .filter(({ outdatedMs }) => (outdatedMs ?? 0) < parts.outdatedLimitMs());
         const withWeights = (weights: number | undefined): readonly EndpointEntry[] =>
@@ -172,34 +143,6 @@
             onBackoff: inputs => parts.onChange(endpoint, "paused", inputs),
         });
 
-    const entryOf: EndpointTable["entryOf"] = endpoint => state.registry.endpoints.get(endpoint)?.entry;
-
-    const recordVersion = (observed: EndpointObservations, version: number): boolean => {
-        const isNewer = version > observed.knownVersion;
-        if (isNewer) {
-            observed.knownVersion = version;
-            observed.versionLearnedAt = clock.now();
-            observed.versionConfirmedAt = clock.now();
-        }
-        return isNewer;
-    };
-    const observeWeights: EndpointTable["observeWeights"] = (endpoint, version) => {
-        const entry = entryOf(endpoint);
-        if (entry !== undefined) {
-            const observed = observations.of(entry);
-            recordVersion(observed, version);
-            if (version === observed.knownVersion) {
-                observed.versionConfirmedAt = clock.now();
-            }
-        }
-    };
-    const receiveWeights: EndpointTable["receiveWeights"] = (endpoint, version) => {
-        const entry = entryOf(endpoint);
-        const observed = entry === undefined ? undefined : observations.of(entry);
-        // Recorded as learned now, so that a relay sends it on to its peers promptly as well.
-        return observed !== undefined && version > observed.distrustedVersion && recordVersion(observed, version);
-    };
-
     const isUp: EndpointTable["isUp"] = entry => observations.of(entry).health.backoffUntil <= clock.now();
 
     const recordUnreached: EndpointTable["recordUnreached"] = endpoint => {
@@ -211,44 +154,17 @@
         }
     };
 
-    const recordOrder: EndpointTable["recordOrder"] = (endpoint, order) => {
-        const entry = entryOf(endpoint);
-        if (entry === undefined) {
-            return false;
-        }
-        const observed = observations.of(entry);
-        // The time of a peer's order is computed from its age, so the same order may seem a little older or newer.
-        const toleranceMs = observed.order?.isOwn === true ? 0 : ORDER_AGE_TOLERANCE_MS;
-        // A previous lease holder may still send its last orders; they must not replace those of the current holder.
-        if (order.issuedAt < (observed.order?.issuedAt ?? -Infinity) - toleranceMs) {
-            return false;
-        }
-        const isNew = order.version !== observed.order?.version && order.version > observed.knownVersion;
-        observed.order = order;
-        if (isNew) {
-            orderListeners.notify(endpoint);
-        }
-        return isNew;
-    };
-
-    const orderEnded: EndpointTable["orderEnded"] = (endpoint, issuedAt) => {
-        const observed = observations.last(endpoint);
-        if (observed?.order?.issuedAt === issuedAt) {
-            observed.order = undefined;
-        }
-    };
-
     const enginesOf = (model: ModelName): readonly EndpointEntry[] =>
         stayingEntries().filter(entry => entry.versions.has(model));
 
     const isAnyOutdated: EndpointTable["isAnyOutdated"] = (model, version) =>
-        enginesOf(model).some(entry => (versionAt(entry, model) ?? 0) < version);
+        enginesOf(model).some(entry => (versions.at(entry, model) ?? 0) < version);
 
     const engines: EndpointTable["engines"] = model =>
         enginesOf(model)
             .map(entry => {
                 const observed = observations.of(entry);
-                const version = versionAt(entry, model) ?? 0;
+                const version = versions.at(entry, model) ?? 0;
                 const { running } = loadOf(
                     observed.inFlight,
                     parts.peerLoadAt(entry.name),
@@ -261,7 +177,7 @@
                     version,
                     outdatedMs: outdatedFor(model, version) ?? 0,
                     restartedAt: observed.restartedAt,
-                    order: orderAt(entry, version),
+                    order: orders.at(entry, version),
                     running,
                     // Only a call shows that an engine is back, and on outdated weights it gets no call but an order.
                     // Waiting for other activity would leave it on them forever. The backoff grows with each failed
@@ -280,11 +196,11 @@
         beginRequest,
         isUp,
         recordUnreached,
-        observeWeights,
-        receiveWeights,
-        recordOrder,
-        orderEnded,
-        onOrdered: orderListeners.add,
+        observeWeights: versions.observe,
+        receiveWeights: versions.receive,
+        recordOrder: orders.record,
+        orderEnded: orders.end,
+        onOrdered: orders.onOrdered,
         isAnyOutdated,
         engines,
         entries: allEntries,
@@ -301,18 +217,7 @@
                 );
                 return [name, { running, waitingTokens, memoryTokens }] as const;
             }),
-        ownOrders: () =>
-            allEntries().flatMap(entry => {
-                const { order, knownVersion } = observations.of(entry);
-                return order?.isOwn === true && orderAt(entry, knownVersion) !== undefined
-                    ? [[entry.name, order.version, clock.now() - order.issuedAt] as const]
-                    : [];
-            }),
-        engineVersions: () =>
-            observations.all().filter(([, observed]) => observed.knownVersion > 0).map(([endpoint, observed]) => ({
-                endpoint,
-                version: observed.knownVersion,
-                learnedAt: observed.versionLearnedAt,
-            })),
+        ownOrders: () => allEntries().flatMap(orders.own),
+        engineVersions: versions.all,
     };
 }
--- /dev/null
+++ b/packages/router/src/placement/createEngineVersions.ts
@@ -0,0 +1,95 @@
+import type { Clock, EndpointName, Millis, ModelName } from "@azureshunt/core";
+
+import type { EndpointEntry } from "../registry/EndpointEntry.js";
+import type { createObservations } from "./createObservations.js";
+import type { EndpointObservations } from "./EndpointObservations.js";
+import type { EndpointTable } from "./EndpointTable.js";
+
+type EngineVersionsParts = {
+    readonly clock: Clock;
+    readonly observations: ReturnType<typeof createObservations>;
+    readonly entryOf: EndpointTable["entryOf"];
+    /** When the registry last answered. */
+    readonly registryAnsweredAt: () => Millis;
+    /** Called when an engine holds older weights than it was known to hold. */
+    readonly onOlder: (
+        endpoint: EndpointName,
+        inputs: { readonly stated: number; readonly known: number; },
+    ) => void;
+};
+
+/** The versions of the weights that engines hold, as their entries, they themselves and peers say. */
+type EngineVersions = {
+    /** Returns the version that an engine holds for a model; undefined if it serves none. */
+    readonly at: (entry: EndpointEntry, model: ModelName | undefined) => number | undefined;
+    readonly adoptStated: (entry: EndpointEntry) => void;
+    readonly observe: EndpointTable["observeWeights"];
+    readonly receive: EndpointTable["receiveWeights"];
+    readonly all: EndpointTable["engineVersions"];
+};
+
+/** Longest time until the registry shows a version that an engine has loaded. */
+const ENTRY_LAG_MS: Millis = 4_000;
+
+/** Creates the versions from what is observed of endpoints. */
+export function createEngineVersions(parts: EngineVersionsParts): EngineVersions {
+    const { clock, observations, entryOf } = parts;
+    const at: EngineVersions["at"] = (entry, model) =>
+        model === undefined || !entry.versions.has(model)
+            ? undefined
+            : Math.max(entry.versions.get(model) ?? 0, observations.of(entry).knownVersion);
+
+    /**
+     * If an engine loads older weights again, for example by a late order after a restart, all that is known of it but
+     * its entry names the newer ones: requests for these are rejected, and no order follows. To prevent this, a version
+     * that nothing has confirmed for long enough for the registry to show it gives way to the entry.
+     */
+    const adoptStated: EngineVersions["adoptStated"] = entry => {
+        const observed = observations.of(entry);
+        const stated = Math.max(0, ...entry.versions.values());
+        const isConfirmed = parts.registryAnsweredAt() - observed.versionConfirmedAt <= ENTRY_LAG_MS;
+        if (stated > 0 && stated < observed.knownVersion && !isConfirmed) {
+            parts.onOlder(entry.name, { stated, known: observed.knownVersion });
+            observed.distrustedVersion = observed.knownVersion;
+            observed.knownVersion = stated;
+        }
+    };
+
+    const recordVersion = (observed: EndpointObservations, version: number): boolean => {
+        const isNewer = version > observed.knownVersion;
+        if (isNewer) {
+            observed.knownVersion = version;
+            observed.versionLearnedAt = clock.now();
+            observed.versionConfirmedAt = clock.now();
+        }
+        return isNewer;
+    };
+    const observe: EngineVersions["observe"] = (endpoint, version) => {
+        const entry = entryOf(endpoint);
+        if (entry !== undefined) {
+            const observed = observations.of(entry);
+            recordVersion(observed, version);
+            if (version === observed.knownVersion) {
+                observed.versionConfirmedAt = clock.now();
+            }
+        }
+    };
+    const receive: EngineVersions["receive"] = (endpoint, version) => {
+        const entry = entryOf(endpoint);
+        const observed = entry === undefined ? undefined : observations.of(entry);
+        // Recorded as learned now, so that a relay sends it on to its peers promptly as well.
+        return observed !== undefined && version > observed.distrustedVersion && recordVersion(observed, version);
+    };
+    return {
+        at,
+        adoptStated,
+        observe,
+        receive,
+        all: () =>
+            observations.all().filter(([, observed]) => observed.knownVersion > 0).map(([endpoint, observed]) => ({
+                endpoint,
+                version: observed.knownVersion,
+                learnedAt: observed.versionLearnedAt,
+            })),
+    };
+}
