Count the tunnels that a VM requests of its own failure domain and of others

Tries that end as unreached look the same whether no peer of another failure domain was asked or those that were asked had no room. The counter azureshunt_tunnel_requests_total tells the domain and the outcome; the gauges azureshunt_cut_off and azureshunt_tunnels tell what each side knows.

--- a/packages/router/src/startGauges.ts
+++ b/packages/router/src/startGauges.ts
@@ -3,6 +3,8 @@
 
 import { orderFence } from "./fleet/orderFence.js";
 import type { PeerSyncSources } from "./peers/PeerSyncSources.js";
+import type { createConnector } from "./tunnel/createConnector.js";
+import type { serveTunnels } from "./tunnel/serveTunnels.js";
 
 /** Sources of the gauges, read on every request for `/metrics`. */
 type GaugeSources =
@@ -10,14 +12,18 @@
         PeerSyncSources,
         "clock" | "declarations" | "endpointTable" | "allowances" | "orders" | "membership"
     >
-    & { readonly streams: Pick<ReturnType<typeof createStreamKeeper>, "size">; };
+    & {
+        readonly streams: Pick<ReturnType<typeof createStreamKeeper>, "size">;
+        readonly connector: Pick<ReturnType<typeof createConnector>, "isCutOff">;
+        readonly tunnels: Pick<ReturnType<typeof serveTunnels>, "size">;
+    };
 
 /** Value of `order_fence` while this VM does not hold the lease. */
 const NO_FENCE = -1;
 
 /** Registers the gauges of a router and returns a function that unregisters them. */
 export function startGauges(metrics: Metrics, sources: GaugeSources): () => void {
-    const { clock, declarations, endpointTable, allowances, orders, membership, streams } = sources;
+    const { clock, declarations, endpointTable, allowances, orders, membership, streams, connector, tunnels } = sources;
     const sumOf = (size: "running" | "waitingTokens"): number =>
         endpointTable.ownShares().reduce((sum, [, share]) => sum + share[size], 0);
     const rows: readonly (readonly [name: string, help: string, read: () => number])[] = [
@@ -38,6 +44,8 @@
         ],
         ["endpoints", "Endpoints registered.", endpointTable.size],
         ["known_streams", "Streams of which this VM knows where they began.", streams.size],
+        ["cut_off", "1 while own links reach no endpoints, else 0.", () => connector.isCutOff() ? 1 : 0],
+        ["tunnels", "Connections to endpoints that are open for other VMs.", tunnels.size],
         ["in_flight", "This VM's requests at endpoints.", () => sumOf("running")],
         [
             "waiting_tokens",
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -97,6 +97,7 @@
         failureDomain: settings.failureDomain,
         peers: () => membership.livePeers(),
         logger,
+        metrics,
         open: parts.open,
     });
     const requestAgent = new EndpointAgent(clock.now, {
@@ -347,7 +348,7 @@
         onOpened: connector.recordOpened,
         open: parts.open,
     });
-    const stopGauges = startGauges(metrics, { ...sources, streams });
+    const stopGauges = startGauges(metrics, { ...sources, streams, connector, tunnels });
     const metricsListener = await startMetricsListener(settings.listen.metrics, metrics);
     const callerServer = await startCallerServer({
         settings,
--- a/packages/router/src/tunnel/createConnector.ts
+++ b/packages/router/src/tunnel/createConnector.ts
@@ -3,6 +3,7 @@
 import type { Clock, FailureDomain, Peer } from "@azureshunt/core";
 import { headStartMs, initialLinks, isBlocked, isCutOff, stepLinks } from "@azureshunt/reach";
 import type { LinkEvent, LinkState } from "@azureshunt/reach";
+import type { Metrics } from "@azureshunt/telemetry";
 import type { Logger } from "pino";
 
 import type { OpenConnection } from "../dispatch/OpenConnection.js";
@@ -18,6 +19,7 @@
     /** Live peers. */
     readonly peers: () => readonly Peer[];
     readonly logger: Logger;
+    readonly metrics: Metrics;
     readonly open?: OpenConnection;
 };
 
--- a/packages/router/src/tunnel/createTunnelOpener.ts
+++ b/packages/router/src/tunnel/createTunnelOpener.ts
@@ -2,6 +2,7 @@
 
 import type { Clock, FailureDomain, Millis, Peer, VmId } from "@azureshunt/core";
 import { orderPeers } from "@azureshunt/reach";
+import type { Metrics } from "@azureshunt/telemetry";
 import type { Either } from "purify-ts";
 import { Left, Right } from "purify-ts";
 
@@ -15,6 +16,7 @@
     readonly failureDomain: FailureDomain;
     /** Live peers. */
     readonly peers: () => readonly Peer[];
+    readonly metrics: Metrics;
 };
 
 /** Opens a tunnel to the endpoint at an address, `host:port`. */
@@ -40,6 +42,10 @@
             return Left("peer");
         }
         const tunnel = await requestTunnel({ peer: peer.address, target, signal });
+        parts.metrics.count("azureshunt_tunnel_requests_total", "Requests to peers for a tunnel, by how they ended.", {
+            domain: peer.failureDomain === parts.failureDomain ? "own" : "other",
+            outcome: tunnel.caseOf({ Left: failure => signal.aborted ? "aborted" : failure, Right: () => "opened" }),
+        });
         return tunnel.caseOf<Either<TunnelFailure, Socket> | Promise<Either<TunnelFailure, Socket>>>({
             Right: socket => Right(socket),
             Left: async failure => {
