Ask peers of each failure domain for connections, and learn from their answers which domains can help

Callers of a failure domain whose VMs had all lost their links to endpoints were refused for as long as the cut lasted.

Cause: all peers of the own domain came before all others, and at most four were asked, one after the other; a failure said nothing about the rest of their domain. In a domain of six or more VMs that is cut off, no peer of another domain was ever asked. As a link counted as lost only once a peer had bypassed it, such a VM did not learn that it was cut off either, and let others wait for connections that it could not open. Ruled out: peers elsewhere without room (none was asked), retry budgets (all tries ended as unreached).

Change: choosePeer gives each failure domain a turn before any has a second one, and puts a domain last once another one has outdone it; the next peer is asked when one has failed or has not answered within 25 ms. Links that open no connection count as lost also when nobody bypasses them, unless their service answers over others; a VM may be cut off from a service or from the endpoints of a failure domain, and still reach the rest. A VM that is asked from another domain names four more of its own, so that the two relays that others know do not carry the traffic of a whole domain.

--- a/packages/reach/src/LinkEvent.ts
+++ b/packages/reach/src/LinkEvent.ts
@@ -1,2 +1,10 @@
-/** How a connection to the endpoint at an address opened: over an own link, or through a peer before the own link. */
-export type LinkEvent = { readonly kind: "opened" | "bypassed"; readonly address: string; };
+import type { LinkTarget } from "./LinkTarget.js";
+
+/**
+ * What happened to a connection to an endpoint: `opened` over an own link, `bypassed` by a peer that opened one first,
+ * `failed` to open over an own link, or `answered` over an own link that may have been open for long.
+ */
+export type LinkEvent = {
+    readonly kind: "opened" | "bypassed" | "failed" | "answered";
+    readonly target: LinkTarget;
+};
--- a/packages/reach/src/LinkState.ts
+++ b/packages/reach/src/LinkState.ts
@@ -1,12 +1,23 @@
-import type { Millis } from "@azureshunt/core";
+import type { Millis, ServiceName } from "@azureshunt/core";
 
-/** What a VM knows of its own links to endpoints, from how its connections to them opened. */
+import type { EndpointGroup } from "./EndpointGroup.js";
+import type { LinkTarget } from "./LinkTarget.js";
+
+/** An own link that did not open a connection when it was last tried. */
+type UnopenedLink = {
+    readonly target: LinkTarget;
+    /** When a connection last opened through a peer and none over the own link; `-Infinity` if none did. */
+    readonly bypassedAt: Millis;
+    /** When no connection opened, be it for the link or for the endpoint; `-Infinity` if one always did. */
+    readonly failedAt: Millis;
+};
+
+/** What a VM knows of its own links to endpoints. */
 export type LinkState = {
-    /** When a connection last opened over an own link, to any endpoint; `-Infinity` if none has. */
-    readonly openedAt: Millis;
-    /**
-     * By endpoint address, `host:port`: when a connection last opened through a peer while none opened over the own
-     * link. An address is removed once one does.
-     */
-    readonly bypassedAt: ReadonlyMap<string, Millis>;
+    /** By group: when a connection to any of its endpoints last opened over an own link. */
+    readonly openedAt: ReadonlyMap<EndpointGroup, Millis>;
+    /** When an endpoint of a service last answered over an own link; not kept while all links open connections. */
+    readonly answeredAt: ReadonlyMap<ServiceName, Millis>;
+    /** By endpoint address; a link is removed once it opens a connection. */
+    readonly unopened: ReadonlyMap<string, UnopenedLink>;
 };
--- /dev/null
+++ b/packages/reach/src/allEndpoints.ts
@@ -0,0 +1,6 @@
+import type { EndpointGroup } from "./EndpointGroup.js";
+
+/** The group of all endpoints. */
+const allEndpoints = "all" as EndpointGroup;
+
+export { allEndpoints };
--- /dev/null
+++ b/packages/reach/src/choosePeer.ts
@@ -0,0 +1,88 @@
+import type { FailureDomain, Millis, Peer } from "@azureshunt/core";
+
+import type { PeerAttempt } from "./PeerAttempt.js";
+import type { PeerHistory } from "./PeerHistory.js";
+import { peerTiming } from "./peerTiming.js";
+
+type PeerQuery = {
+    /** Live peers that this VM knows. */
+    readonly peers: readonly Peer[];
+    /** Failure domain of this VM. */
+    readonly failureDomain: FailureDomain;
+    readonly history: PeerHistory;
+    /** Peers that were asked for the same connection. */
+    readonly attempts: readonly PeerAttempt[];
+};
+
+/** Peers that are asked for one connection: further answers would come too late. */
+const MAX_PEERS = 8;
+/** Peers that must have seen an endpoint fail before no other one is asked, unless there are fewer. */
+const MIN_WITNESSES = 2;
+/**
+ * Share of the choices in which a peer that opened connections lately goes before those of its domain of which nothing
+ * is known, while some of the domain are cut off. The rest finds more peers that can help, so that they share the load.
+ */
+const PROVEN_SHARE = 0.75;
+/** Peers of one failure domain that are asked in turn before those of another one have theirs. */
+const PEERS_A_TURN = 2;
+
+const isVerdict = ({ outcome }: PeerAttempt): boolean =>
+    outcome === "endpoint-refused" || outcome === "endpoint-silent";
+
+/** A peer that only says that it cannot help answers at once; any other one takes the whole turn of its domain. */
+const turnsTaken = (attempts: readonly PeerAttempt[], domain: FailureDomain | undefined): number =>
+    Math.floor(
+        attempts
+            .filter(({ peer }) => peer.failureDomain === domain)
+            .reduce((sum, { outcome }) => sum + (outcome === "peer" ? 1 : PEERS_A_TURN), 0) / PEERS_A_TURN,
+    );
+
+const knownPeers = ({ peers, history }: PeerQuery, now: Millis): readonly Peer[] => {
+    const isLive = new Set(peers.map(({ vm }) => vm));
+    const named = [...history.named.values()].filter(({ peer, at }) =>
+        now - at < peerTiming.namedMs && !isLive.has(peer.vm)
+    );
+    return [...peers, ...named.map(({ peer }) => peer)];
+};
+
+const compare = (a: readonly number[], b: readonly number[]): number =>
+    a.map((rank, i) => rank - (b[i] ?? 0)).find(difference => difference !== 0) ?? 0;
+
+/**
+ * Returns the peer to ask next for a connection; `undefined` if no further one should be asked, as all that could help
+ * were asked, or peers of each failure domain have seen the endpoint fail.
+ *
+ * Peers of the own domain go first, as bytes between domains cost more, unless another domain has just outdone it. As
+ * the peers of a domain often fail together, no domain has a second turn before each other one has had its first.
+ *
+ * @param random uniformly distributed in [0, 1)
+ */
+export function choosePeer(query: PeerQuery, now: Millis, random: () => number): Peer | undefined {
+    const { failureDomain, history, attempts } = query;
+    const asked = new Set(attempts.map(({ peer }) => peer.vm));
+    const isAvoided = ({ vm }: Peer): boolean => (history.avoidedUntil.get(vm) ?? -Infinity) > now;
+    const known = knownPeers(query, now);
+    const candidates = known.filter(peer => !asked.has(peer.vm) && !isAvoided(peer));
+    const verdicts = attempts.filter(isVerdict);
+    const witnesses = new Set(verdicts.map(({ peer }) => peer.failureDomain));
+    const isConclusive = verdicts.length >= MIN_WITNESSES
+        && candidates.every(({ failureDomain: domain }) => witnesses.has(domain));
+    if (attempts.length >= MAX_PEERS || isConclusive) {
+        return undefined;
+    }
+    const partlyCutOff = new Set(known.filter(isAvoided).map(peer => peer.failureDomain));
+    const isProvenFirst = random() < PROVEN_SHARE;
+    const rankOf = ({ vm, failureDomain: domain }: Peer): readonly number[] => [
+        turnsTaken(attempts, domain),
+        now - (history.outdoneAt.get(domain) ?? -Infinity) < peerTiming.outdoneMs ? 1 : 0,
+        domain === failureDomain ? 0 : 1,
+        isProvenFirst && partlyCutOff.has(domain) &&
+            now - (history.openedAt.get(vm) ?? -Infinity) >= peerTiming.openedMs
+            ? 1
+            : 0,
+        random(),
+    ];
+    return candidates
+        .map(peer => ({ peer, rank: rankOf(peer) }))
+        .sort((a, b) => compare(a.rank, b.rank))[0]?.peer;
+}
--- a/packages/reach/src/index.ts
+++ b/packages/reach/src/index.ts
@@ -1,9 +1,21 @@
 /** Whether this VM's own links reach endpoints, and which peers open connections for it. */
+export { allEndpoints } from "./allEndpoints.js";
+export { choosePeer } from "./choosePeer.js";
+export { cutOffGroup } from "./cutOffGroup.js";
+export type { EndpointGroup } from "./EndpointGroup.js";
 export { headStartMs } from "./headStartMs.js";
 export { initialLinks } from "./initialLinks.js";
+export { initialPeerHistory } from "./initialPeerHistory.js";
 export { isBlocked } from "./isBlocked.js";
+export { isBypassed } from "./isBypassed.js";
 export { isCutOff } from "./isCutOff.js";
 export type { LinkEvent } from "./LinkEvent.js";
 export type { LinkState } from "./LinkState.js";
-export { orderPeers } from "./orderPeers.js";
+export type { LinkTarget } from "./LinkTarget.js";
+export type { PeerAttempt } from "./PeerAttempt.js";
+export type { PeerEvent } from "./PeerEvent.js";
+export type { PeerHistory } from "./PeerHistory.js";
+export { serviceGroup } from "./serviceGroup.js";
 export { stepLinks } from "./stepLinks.js";
+export { stepPeerHistory } from "./stepPeerHistory.js";
+export type { TunnelFailure } from "./TunnelFailure.js";
--- a/packages/reach/src/isBlocked.ts
+++ b/packages/reach/src/isBlocked.ts
@@ -1,11 +1,11 @@
 import type { Millis } from "@azureshunt/core";
 
-import { isCutOff } from "./isCutOff.js";
+import { cutOffGroup } from "./cutOffGroup.js";
+import { isBypassed } from "./isBypassed.js";
 import type { LinkState } from "./LinkState.js";
-import { linkTiming } from "./linkTiming.js";
+import type { LinkTarget } from "./LinkTarget.js";
 
-/** Returns whether the own link to the endpoint at an address, `host:port`, seems not to work. */
-export function isBlocked(state: LinkState, address: string, now: Millis): boolean {
-    const bypassedAt = state.bypassedAt.get(address) ?? -Infinity;
-    return now - bypassedAt < linkTiming.blockedMs || isCutOff(state, now);
+/** Returns whether the own link to an endpoint seems not to work. */
+export function isBlocked(state: LinkState, target: LinkTarget, now: Millis): boolean {
+    return isBypassed(state, target, now) || cutOffGroup(state, target, now) !== undefined;
 }
--- a/packages/reach/src/linkTiming.ts
+++ b/packages/reach/src/linkTiming.ts
@@ -5,7 +5,9 @@
      * region, so that a link that works is hardly ever bypassed.
      */
     headStartMs: 40,
-    /** A link counts as blocked for this long after it was last bypassed. */
+    /** The same for a link that was bypassed, while others like it work: a few round trips, as it may be back. */
+    bypassedHeadStartMs: 10,
+    /** A link counts as blocked for this long after it was last bypassed, or last failed. */
     blockedMs: 10_000,
 } as const;
 
--- a/packages/reach/src/stepLinks.ts
+++ b/packages/reach/src/stepLinks.ts
@@ -1,23 +1,40 @@
 import type { Millis } from "@azureshunt/core";
 
-import { blockedAddresses } from "./blockedAddresses.js";
+import { groupsOf } from "./groupsOf.js";
 import type { LinkEvent } from "./LinkEvent.js";
 import type { LinkState } from "./LinkState.js";
+import { linkTiming } from "./linkTiming.js";
 
-/** Applies how a connection opened. */
-export function stepLinks(state: LinkState, { kind, address }: LinkEvent, now: Millis): LinkState {
+type Unopened = LinkState["unopened"];
+
+const withoutOld = (unopened: Unopened, now: Millis): Unopened =>
+    new Map(
+        [...unopened].filter(([, link]) => now - Math.max(link.bypassedAt, link.failedAt) < linkTiming.blockedMs),
+    );
+
+/** Applies what happened to a connection. */
+export function stepLinks(state: LinkState, { kind, target }: LinkEvent, now: Millis): LinkState {
+    const before = state.unopened.get(target.address) ?? { target, bypassedAt: -Infinity, failedAt: -Infinity };
     switch (kind) {
         case "opened":
             return {
-                openedAt: now,
-                bypassedAt: state.bypassedAt.has(address)
-                    ? new Map([...state.bypassedAt].filter(([each]) => each !== address))
-                    : state.bypassedAt,
+                ...state,
+                openedAt: new Map([...state.openedAt, ...groupsOf(target).map(group => [group, now] as const)]),
+                unopened: state.unopened.has(target.address)
+                    ? new Map([...state.unopened].filter(([address]) => address !== target.address))
+                    : state.unopened,
+            };
+        case "answered":
+            return state.unopened.size === 0
+                ? state
+                : { ...state, answeredAt: new Map(state.answeredAt).set(target.service, now) };
+        case "bypassed":
+        case "failed": {
+            const link = kind === "bypassed" ? { ...before, bypassedAt: now } : { ...before, failedAt: now };
+            return {
+                ...state,
+                unopened: new Map([...withoutOld(state.unopened, now), [target.address, { ...link, target }]]),
             };
-        case "bypassed": {
-            const blocked = new Set(blockedAddresses(state, now));
-            const current = [...state.bypassedAt].filter(([each]) => blocked.has(each));
-            return { ...state, bypassedAt: new Map([...current, [address, now]]) };
         }
     }
 }
--- a/packages/router/src/__tests__/support/startTunnelPeer.ts
+++ b/packages/router/src/__tests__/support/startTunnelPeer.ts
@@ -1,6 +1,8 @@
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 
+import { FailureDomain } from "@azureshunt/core";
+
 import type { OpenConnection } from "../../dispatch/OpenConnection.js";
 import type { OpenedConnection } from "../../dispatch/OpenedConnection.js";
 import { requestTunnel } from "../../tunnel/requestTunnel.js";
@@ -19,15 +21,27 @@
         isAvailable: () => true,
         isBlocked: () => false,
         onOpened: () => undefined,
+        onFailed: () => undefined,
+        failureDomain: FailureDomain.parse("a"),
+        domainPeers: () => [],
+        random: () => 0,
         timing: { peerConnectMs: LONG_MS },
         ...parts,
     });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     const peer = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-    const openTunnel = (target: string) =>
-        requestTunnel({ peer, target, signal: new AbortController().signal, answerMs: LONG_MS });
+    const askPeer = (target: string, from = "a") =>
+        requestTunnel({
+            peer,
+            target,
+            failureDomain: FailureDomain.parse(from),
+            signal: new AbortController().signal,
+            answerMs: LONG_MS,
+        });
+    const openTunnel = async (target: string) => (await askPeer(target)).tunnel;
     return {
         tunnels,
+        askPeer,
         openTunnel,
         openConnection: async (address: string): Promise<OpenedConnection> => {
             const opened = await openTunnel(address);
--- a/packages/router/src/__tests__/unit/tunnels.test.ts
+++ b/packages/router/src/__tests__/unit/tunnels.test.ts
@@ -1,9 +1,11 @@
 import { createServer, Socket } from "node:net";
 import type { AddressInfo } from "node:net";
 
+import { VmId } from "@azureshunt/core";
 import test from "ava";
 
 import type { OpenConnection } from "../../dispatch/OpenConnection.js";
+import { decodeNamedPeers } from "../../tunnel/decodeNamedPeers.js";
 import { startTunnelPeer } from "../support/startTunnelPeer.js";
 
 const startEcho = async () => {
@@ -90,3 +92,54 @@
     server.close();
     peer.stop();
 });
+
+const domainPeers = ["vm-1", "vm-2", "vm-3", "vm-4", "vm-5"].map((vm, i) => ({
+    vm: VmId.parse(vm),
+    address: `10.0.0.${i + 1}:7600`,
+}));
+const namingCases: readonly {
+    readonly name: string;
+    readonly from: string;
+    readonly available: boolean;
+    readonly named: number;
+}[] = [
+    { name: "names further VMs to one of another failure domain", from: "b", available: true, named: 4 },
+    { name: "names them if it cannot help itself", from: "b", available: false, named: 4 },
+    { name: "names none to one of its own failure domain, which knows them", from: "a", available: true, named: 0 },
+];
+
+// Guards against the few relays that a VM knows in another failure domain having to carry the traffic of its whole domain.
+namingCases.forEach(({ name, from, available, named }) => {
+    test(`tunnel: a peer ${name}`, async t => {
+        const { server, address } = await startEcho();
+        const peer = await startTunnelPeer({ domainPeers: () => domainPeers, isAvailable: () => available });
+        const answer = await peer.askPeer(address, from);
+        t.is(answer.tunnel.isRight(), available);
+        t.is(answer.named.length, named);
+        t.true(
+            answer.named.every(each =>
+                domainPeers.some(({ vm, address: at }) => vm === each.vm && at === each.address)
+            ),
+        );
+        answer.tunnel.ifRight(socket => void socket.destroy());
+        peer.stop();
+        server.close();
+    });
+});
+
+const headerCases: readonly { readonly header: string | undefined; readonly named: readonly string[]; }[] = [
+    { header: undefined, named: [] },
+    { header: "", named: [] },
+    { header: "vm-1 10.0.0.1:7600, vm-2 10.0.0.2:7600", named: ["vm-1", "vm-2"] },
+    { header: "vm-1 10.0.0.1, vm-2 example:80, ?? 10.0.0.2:7600, vm-3, vm-4 10.0.0.4:7600", named: ["vm-4"] },
+    {
+        header: Array.from({ length: 99 }, (_, i) => `vm-${i} 10.0.0.1:7600`).join(", "),
+        named: Array.from({ length: 16 }, (_, i) => `vm-${i}`),
+    },
+];
+
+headerCases.forEach(({ header, named }, i) => {
+    test(`tunnel: header ${i + 1} that names VMs is decoded; what is not valid is left out`, t => {
+        t.deepEqual(decodeNamedPeers(header).map(({ vm }) => vm as string), [...named]);
+    });
+});
--- a/packages/router/src/dispatch/EndpointAgent.ts
+++ b/packages/router/src/dispatch/EndpointAgent.ts
@@ -32,6 +32,8 @@
     readonly openConnection?: (address: string) => Promise<OpenedConnection>;
     /** Whether the own link to the endpoint at an address seems not to work. */
     readonly isBlocked?: (address: string) => boolean;
+    /** Called when an endpoint answers on a connection over an own link. */
+    readonly onAnswer?: (address: string) => void;
 };
 
 type OnConnection = (err: Error | null, stream: Duplex) => void;
@@ -86,6 +88,13 @@
         this.addresses.set(socket, address);
     }
 
+    /** Records that an endpoint answers on a connection. */
+    recordAnswer(socket: Socket, address: string): void {
+        if (!this.tunnels.has(socket)) {
+            this.parts.onAnswer?.(address);
+        }
+    }
+
     /** Decides whether to keep a connection after its answer; called by Node. */
     override keepSocketAlive(socket: Socket): boolean {
         this.maxFreeSockets = this.parts.maxIdle?.(this.addresses.get(socket) ?? "") ?? MAX_IDLE_PER_ENDPOINT;
--- a/packages/router/src/dispatch/openCall.ts
+++ b/packages/router/src/dispatch/openCall.ts
@@ -104,14 +104,16 @@
                 progress.connection = "new";
             });
         });
-        req.once("response", res =>
+        req.once("response", res => {
+            agent.recordAnswer(res.socket, call.address);
             settle({
                 kind: "head",
                 res,
                 isBroken: () => progress.isBroken,
                 wasReset: () => progress.wasReset,
                 connection: progress.connection,
-            }));
+            });
+        });
         req.on("error", () => {
             progress.isBroken = true;
         });
--- a/packages/router/src/placement/EndpointTable.ts
+++ b/packages/router/src/placement/EndpointTable.ts
@@ -70,8 +70,8 @@
     readonly entries: () => readonly EndpointEntry[];
     /** Endpoints of a service that are not leaving. */
     readonly servingEntries: (service: ServiceName) => readonly EndpointEntry[];
-    /** The service of the endpoint at an address, `host:port`. */
-    readonly serviceAt: (address: string) => ServiceName | undefined;
+    /** Entry of the endpoint at an address, `host:port`. */
+    readonly entryAt: (address: string) => EndpointEntry | undefined;
     readonly entryOf: (endpoint: EndpointName) => EndpointEntry | undefined;
     /** This VM's own load at each endpoint where it has requests in flight. */
     readonly ownShares: () => readonly (readonly [EndpointName, EndpointShare])[];
--- a/packages/router/src/placement/createEndpointTable.ts
+++ b/packages/router/src/placement/createEndpointTable.ts
@@ -1,4 +1,4 @@
-import type { Clock, EndpointName, FailureDomain, Millis, ModelName, ServiceName } from "@azureshunt/core";
+import type { Clock, EndpointName, FailureDomain, Millis, ModelName } from "@azureshunt/core";
 
 import type { RoutingConfiguration } from "../configuration/RoutingConfiguration.js";
 import type { DeclaredState } from "../knowledge/DeclaredState.js";
@@ -48,7 +48,7 @@
     const state = {
         registry: emptyRegistry as Registry,
         digest: digestOfRegistry(emptyRegistry),
-        serviceByAddress: new Map<string, ServiceName>(),
+        entryByAddress: new Map<string, EndpointEntry>(),
     };
     const observations = createObservations(clock, parts.onGone);
 
@@ -80,7 +80,7 @@
             return;
         }
         state.digest = digestOfRegistry(state.registry);
-        state.serviceByAddress = new Map(entries.map(({ address, service }) => [address, service]));
+        state.entryByAddress = new Map(entries.map(entry => [entry.address, entry]));
         [...before.endpoints.keys()].filter(name => !state.registry.endpoints.has(name)).forEach(name => {
             observations.drop(name);
             parts.onChange(name, "gone", { registry: event.kind });
@@ -205,7 +205,7 @@
         engines,
         entries: allEntries,
         servingEntries,
-        serviceAt: address => state.serviceByAddress.get(address),
+        entryAt: address => state.entryByAddress.get(address),
         entryOf,
         ownShares: () =>
             observations.all().filter(([, observed]) => observed.inFlight.length > 0).map(([name, observed]) => {
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -96,13 +96,14 @@
         random: Math.random,
         failureDomain: settings.failureDomain,
         peers: () => membership.livePeers(),
+        targetAt: address => endpointTable.entryAt(address),
         logger,
         metrics,
         open: parts.open,
     });
     const requestAgent = new EndpointAgent(clock.now, {
         maxIdle: address => {
-            const service = endpointTable.serviceAt(address);
+            const service = endpointTable.entryAt(address)?.service;
             const declared = service === undefined
                 ? undefined
                 : declarations.current().configuration?.services.get(service);
@@ -110,6 +111,7 @@
         },
         openConnection: connector.openConnection,
         isBlocked: connector.isBlocked,
+        onAnswer: connector.recordAnswered,
     });
     const prefixIndex = createPrefixIndex(holder =>
         limitsOfHolder(declarations.current().configuration, holder, endpointTable.entryOf(holder as EndpointName))
@@ -342,10 +344,14 @@
         ]),
     });
     const tunnels = serveTunnels(peerListener, {
-        isEndpoint: address => endpointTable.serviceAt(address) !== undefined,
-        isAvailable: () => !state.isDraining && !connector.isCutOff(),
+        isEndpoint: address => endpointTable.entryAt(address) !== undefined,
+        isAvailable: address => !state.isDraining && !connector.isServiceCutOff(address),
         isBlocked: connector.isBlocked,
         onOpened: connector.recordOpened,
+        onFailed: connector.recordFailed,
+        domainPeers: () => membership.livePeers().filter(peer => peer.failureDomain === settings.failureDomain),
+        failureDomain: settings.failureDomain,
+        random: Math.random,
         open: parts.open,
     });
     const stopGauges = startGauges(metrics, { ...sources, streams, connector, tunnels });
--- a/packages/router/src/tunnel/createConnector.ts
+++ b/packages/router/src/tunnel/createConnector.ts
@@ -1,8 +1,17 @@
 import type { Socket } from "node:net";
 
 import type { Clock, FailureDomain, Peer } from "@azureshunt/core";
-import { headStartMs, initialLinks, isBlocked, isCutOff, stepLinks } from "@azureshunt/reach";
-import type { LinkEvent, LinkState } from "@azureshunt/reach";
+import {
+    allEndpoints,
+    cutOffGroup,
+    headStartMs,
+    initialLinks,
+    isBlocked,
+    isCutOff,
+    serviceGroup,
+    stepLinks,
+} from "@azureshunt/reach";
+import type { EndpointGroup, LinkEvent, LinkState, LinkTarget } from "@azureshunt/reach";
 import type { Metrics } from "@azureshunt/telemetry";
 import type { Logger } from "pino";
 
@@ -10,6 +19,8 @@
 import type { OpenedConnection } from "../dispatch/OpenedConnection.js";
 import { createTunnelOpener } from "./createTunnelOpener.js";
 import { openOwnLink } from "./openOwnLink.js";
+import { requestTunnel } from "./requestTunnel.js";
+import { scheduleTimer } from "./scheduleTimer.js";
 import { tunnelTiming } from "./tunnelTiming.js";
 
 type ConnectorParts = {
@@ -18,9 +29,13 @@
     readonly failureDomain: FailureDomain;
     /** Live peers. */
     readonly peers: () => readonly Peer[];
+    /** Returns the registered endpoint at an address, `host:port`. */
+    readonly targetAt: (address: string) => LinkTarget | undefined;
     readonly logger: Logger;
     readonly metrics: Metrics;
     readonly open?: OpenConnection;
+    /** Replaces sockets and timers, so that simulations run in virtual time. */
+    readonly ports?: Partial<typeof systemPorts>;
 };
 
 /** Opens connections to endpoints, over own links or through peers. */
@@ -31,8 +46,14 @@
     readonly isBlocked: (address: string) => boolean;
     /** Whether this VM seems to have lost its links to all endpoints. */
     readonly isCutOff: () => boolean;
+    /** Whether this VM seems to have lost its links to all endpoints of the service that has one at an address. */
+    readonly isServiceCutOff: (address: string) => boolean;
     /** Records that an own link has opened a connection for another purpose. */
     readonly recordOpened: (address: string) => void;
+    /** Records that an own link has opened no connection for another purpose. */
+    readonly recordFailed: (address: string) => void;
+    /** Records that an endpoint answers over an own link. */
+    readonly recordAnswered: (address: string) => void;
     /**
      * Returns whether a peer finds that nothing listens at an address either; without a peer that can tell, whether this
      * VM may trust its own links.
@@ -40,6 +61,15 @@
     readonly confirmDead: (address: string) => Promise<boolean>;
 };
 
+const systemPorts = {
+    openOwnLink,
+    requestTunnel,
+    /** Calls a function after a delay; returns a function that cancels it. */
+    schedule: scheduleTimer,
+    /** Calls a function once the connections are handled that have opened while this process was busy. */
+    defer: (run: () => void): void => void setImmediate(run),
+} as const;
+
 /**
  * Creates the connector.
  *
@@ -49,53 +79,75 @@
  */
 export function createConnector(parts: ConnectorParts): Connector {
     const { clock, logger } = parts;
-    const state = { links: initialLinks as LinkState, isCutOff: false, isProbing: false };
-    const openTunnel = createTunnelOpener(parts);
+    const ports = { ...systemPorts, ...parts.ports };
+    const state = { links: initialLinks as LinkState };
+    const cutOffGroups = new Set<EndpointGroup>();
+    /** Groups from which this VM is cut off, and whose links are being tried. */
+    const probing = new Set<EndpointGroup>();
+    const openTunnel = createTunnelOpener({ ...parts, ...ports });
 
-    const updateCutOff = (): boolean => {
-        const cutOff = isCutOff(state.links, clock.now());
-        if (cutOff !== state.isCutOff) {
-            state.isCutOff = cutOff;
-            logger.warn(
-                { cutOff, bypassed: state.links.bypassedAt.size },
-                cutOff
-                    ? "Own links reach no endpoints: connections are opened through peers."
-                    : "Own links reach endpoints again.",
-            );
+    const updateCutOff = (group: EndpointGroup): boolean => {
+        const cutOff = isCutOff(state.links, group, clock.now());
+        if (cutOff === cutOffGroups.has(group)) {
+            return cutOff;
+        }
+        const inputs = { cutOff, group, unopened: state.links.unopened.size };
+        if (cutOff) {
+            cutOffGroups.add(group);
+            logger.warn(inputs, "Own links reach no endpoints of a group: connections are opened through peers.");
+        }
+        else {
+            cutOffGroups.delete(group);
+            logger.warn(inputs, "Own links reach endpoints of a group again.");
         }
         return cutOff;
     };
-    const apply = (kind: LinkEvent["kind"], address: string): void => {
-        state.links = stepLinks(state.links, { kind, address }, clock.now());
-        updateCutOff();
+    const apply = (kind: LinkEvent["kind"], target: LinkTarget | undefined): void => {
+        if (target === undefined) {
+            return;
+        }
+        state.links = stepLinks(state.links, { kind, target }, clock.now());
+        [allEndpoints, serviceGroup(target.service), ...cutOffGroups].forEach(updateCutOff);
     };
+    const isTargetCutOff = (target: LinkTarget): boolean =>
+        [allEndpoints, serviceGroup(target.service)].some(updateCutOff);
 
     /** While cut off, one connection at a time is tried over an own link, which shows when the links are back. */
-    const tryOwnLink = async (address: string, signal: AbortSignal): Promise<Socket> => {
-        const isProbe = updateCutOff();
-        if (isProbe && state.isProbing) {
+    const tryOwnLink = async (target: LinkTarget, signal: AbortSignal): Promise<Socket> => {
+        const group = cutOffGroup(state.links, target, clock.now());
+        if (group !== undefined && probing.has(group)) {
             throw new Error("cut off");
         }
-        state.isProbing = state.isProbing || isProbe;
+        if (group !== undefined) {
+            probing.add(group);
+        }
         try {
-            const socket = await openOwnLink(address, signal, parts.open);
-            apply("opened", address);
+            const socket = await ports.openOwnLink(target.address, signal, parts.open);
+            apply("opened", target);
             return socket;
         }
+        catch (err) {
+            if (!signal.aborted) {
+                apply("failed", target);
+            }
+            throw err;
+        }
         finally {
-            state.isProbing = state.isProbing && !isProbe;
+            if (group !== undefined) {
+                probing.delete(group);
+            }
         }
     };
 
-    const openConnection: Connector["openConnection"] = address =>
+    const openTo = (target: LinkTarget): Promise<OpenedConnection> =>
         new Promise((resolve, reject) => {
             const controller = new AbortController();
             const { signal } = controller;
             const progress = { hasOwnFailed: false, arePeersAsked: false, havePeersFailed: false, isSettled: false };
             const settle = (settled: () => void): void => {
                 progress.isSettled = true;
-                clearTimeout(limit);
-                clearTimeout(headStart);
+                cancelLimit();
+                cancelHeadStart();
                 controller.abort();
                 settled();
             };
@@ -106,7 +158,7 @@
                     return;
                 }
                 if (opened.kind === "tunnel") {
-                    apply("bypassed", address);
+                    apply("bypassed", target);
                 }
                 settle(() => resolve(opened));
             };
@@ -120,7 +172,7 @@
                     return;
                 }
                 progress.arePeersAsked = true;
-                void openTunnel(address, signal).then(tunnel =>
+                void openTunnel(target, signal).then(tunnel =>
                     tunnel.caseOf({
                         Left: () => {
                             progress.havePeersFailed = true;
@@ -130,23 +182,38 @@
                     })
                 );
             };
-            const limit = setTimeout(() => settle(() => reject(new Error("timed out"))), tunnelTiming.connectMs);
-            const headStart = setTimeout(
-                // Connections that have opened while this process was busy are handled before.
-                () => setImmediate(askPeers),
-                headStartMs(state.links, address, clock.now()),
+            const rejectAsTimedOut = (): void => {
+                if (!progress.hasOwnFailed) {
+                    apply("failed", target);
+                }
+                settle(() => reject(new Error("timed out")));
+            };
+            const cancelLimit = ports.schedule(tunnelTiming.connectMs, rejectAsTimedOut);
+            const cancelHeadStart = ports.schedule(
+                headStartMs(state.links, target, clock.now()),
+                () => ports.defer(askPeers),
             );
-            tryOwnLink(address, signal).then(socket => use({ socket, kind: "new" }), () => {
+            tryOwnLink(target, signal).then(socket => use({ socket, kind: "new" }), () => {
                 progress.hasOwnFailed = true;
                 askPeers();
                 rejectIfBothFailed();
             });
         });
 
+    /** Opens a connection to an endpoint that has just left the registry, for which peers open none. */
+    const openUnregistered = async (address: string): Promise<OpenedConnection> => {
+        const socket = await ports.openOwnLink(address, AbortSignal.timeout(tunnelTiming.connectMs), parts.open);
+        return { socket, kind: "new" };
+    };
+
     const confirmDead: Connector["confirmDead"] = async address => {
-        const tunnel = await openTunnel(address, AbortSignal.timeout(tunnelTiming.connectMs));
+        const target = parts.targetAt(address);
+        if (target === undefined) {
+            return !updateCutOff(allEndpoints);
+        }
+        const tunnel = await openTunnel(target, AbortSignal.timeout(tunnelTiming.connectMs));
         return tunnel.caseOf({
-            Left: failure => failure === "endpoint-refused" || !updateCutOff(),
+            Left: failure => failure === "endpoint-refused" || !isTargetCutOff(target),
             Right: socket => {
                 socket.destroy();
                 return false;
@@ -154,11 +221,21 @@
         });
     };
 
+    const matches = (address: string, is: (target: LinkTarget) => boolean): boolean => {
+        const target = parts.targetAt(address);
+        return target !== undefined && is(target);
+    };
     return {
-        openConnection,
-        isBlocked: address => isBlocked(state.links, address, clock.now()),
-        isCutOff: updateCutOff,
-        recordOpened: address => apply("opened", address),
+        openConnection: address => {
+            const target = parts.targetAt(address);
+            return target === undefined ? openUnregistered(address) : openTo(target);
+        },
+        isBlocked: address => matches(address, target => isBlocked(state.links, target, clock.now())),
+        isCutOff: () => updateCutOff(allEndpoints),
+        isServiceCutOff: address => matches(address, isTargetCutOff),
+        recordOpened: address => apply("opened", parts.targetAt(address)),
+        recordFailed: address => apply("failed", parts.targetAt(address)),
+        recordAnswered: address => apply("answered", parts.targetAt(address)),
         confirmDead,
     };
 }
--- a/packages/router/src/tunnel/createTunnelOpener.ts
+++ b/packages/router/src/tunnel/createTunnelOpener.ts
@@ -1,14 +1,13 @@
 import type { Socket } from "node:net";
 
-import type { Clock, FailureDomain, Millis, Peer, VmId } from "@azureshunt/core";
-import { orderPeers } from "@azureshunt/reach";
+import type { Clock, FailureDomain, Millis, Peer, ServiceName } from "@azureshunt/core";
+import { choosePeer, initialPeerHistory, stepPeerHistory } from "@azureshunt/reach";
+import type { LinkTarget, PeerEvent, PeerHistory, TunnelFailure } from "@azureshunt/reach";
 import type { Metrics } from "@azureshunt/telemetry";
 import type { Either } from "purify-ts";
-import { Left, Right } from "purify-ts";
 
-import { requestTunnel } from "./requestTunnel.js";
-import type { TunnelFailure } from "./TunnelFailure.js";
-import { tunnelTiming } from "./tunnelTiming.js";
+import type { requestTunnel } from "./requestTunnel.js";
+import { searchPeers } from "./searchPeers.js";
 
 type TunnelOpenerParts = {
     readonly clock: Clock;
@@ -17,50 +16,62 @@
     /** Live peers. */
     readonly peers: () => readonly Peer[];
     readonly metrics: Metrics;
+    readonly requestTunnel: typeof requestTunnel;
+    /** Calls a function after a delay; returns a function that cancels it. */
+    readonly schedule: (delayMs: Millis, run: () => void) => () => void;
 };
 
-/** Opens a tunnel to the endpoint at an address, `host:port`. */
-type OpenTunnel = (target: string, signal: AbortSignal) => Promise<Either<TunnelFailure, Socket>>;
+/** Opens a tunnel to an endpoint. */
+type OpenTunnel = (target: LinkTarget, signal: AbortSignal) => Promise<Either<TunnelFailure, Socket>>;
 
-/** Peers that are asked for one connection: more answers would come too late. */
-const MAX_PEERS = 4;
-
-/**
- * Creates a function that asks one peer after the other for a tunnel. Peers that could not help for a reason of their own
- * are not asked again for a while.
- */
+/** Creates a function that asks peers for a tunnel, and learns from their answers which ones can help. */
 export function createTunnelOpener(parts: TunnelOpenerParts): OpenTunnel {
-    const { clock } = parts;
-    const avoidedUntil = new Map<VmId, Millis>();
+    const { clock, random, failureDomain } = parts;
+    /** By service, as a VM may be cut off from one and not from others. */
+    const histories = new Map<ServiceName, PeerHistory>();
+    const historyOf = (service: ServiceName): PeerHistory => histories.get(service) ?? initialPeerHistory;
+    const apply = (service: ServiceName, event: PeerEvent): void =>
+        void histories.set(service, stepPeerHistory(historyOf(service), event, clock.now()));
 
-    const askPeers = async (
-        target: string,
+    const request = async (
+        peer: Peer,
+        { address, service }: LinkTarget,
         signal: AbortSignal,
-        [peer, ...others]: readonly Peer[],
     ): Promise<Either<TunnelFailure, Socket>> => {
-        if (peer === undefined || signal.aborted) {
-            return Left("peer");
-        }
-        const tunnel = await requestTunnel({ peer: peer.address, target, signal });
-        parts.metrics.count("azureshunt_tunnel_requests_total", "Requests to peers for a tunnel, by how they ended.", {
-            domain: peer.failureDomain === parts.failureDomain ? "own" : "other",
-            outcome: tunnel.caseOf({ Left: failure => signal.aborted ? "aborted" : failure, Right: () => "opened" }),
+        const { tunnel, named } = await parts.requestTunnel({
+            peer: peer.address,
+            target: address,
+            failureDomain,
+            signal,
         });
-        return tunnel.caseOf<Either<TunnelFailure, Socket> | Promise<Either<TunnelFailure, Socket>>>({
-            Right: socket => Right(socket),
-            Left: async failure => {
-                if (failure === "peer" && !signal.aborted) {
-                    avoidedUntil.set(peer.vm, clock.now() + tunnelTiming.avoidMs);
-                }
-                const next = await askPeers(target, signal, others);
-                // What one peer saw of the endpoint says more than that another one could not be asked.
-                return next.mapLeft(nextFailure => nextFailure === "peer" ? failure : nextFailure);
-            },
+        const outcome = tunnel.caseOf({ Left: failure => failure, Right: () => "opened" as const });
+        parts.metrics.count("azureshunt_tunnel_requests_total", "Requests to peers for a tunnel, by how they ended.", {
+            domain: peer.failureDomain === failureDomain ? "own" : "other",
+            outcome: signal.aborted ? "aborted" : outcome,
         });
+        if (outcome === "peer" && !signal.aborted) {
+            apply(service, { kind: "failed", peer });
+        }
+        if (named.length > 0) {
+            apply(service, {
+                kind: "named",
+                peers: named.map(each => ({ ...each, failureDomain: peer.failureDomain })),
+            });
+        }
+        return tunnel;
     };
 
-    return (target, signal) => {
-        const query = { peers: parts.peers(), failureDomain: parts.failureDomain, avoidedUntil };
-        return askPeers(target, signal, orderPeers(query, clock.now(), parts.random).slice(0, MAX_PEERS));
-    };
+    return (target, signal) =>
+        searchPeers({
+            choose: attempts =>
+                choosePeer(
+                    { peers: parts.peers(), failureDomain, history: historyOf(target.service), attempts },
+                    clock.now(),
+                    random,
+                ),
+            request: (peer, requestSignal) => request(peer, target, requestSignal),
+            onOpened: (peer, others) => apply(target.service, { kind: "opened", peer, others }),
+            schedule: parts.schedule,
+            signal,
+        });
 }
--- a/packages/router/src/tunnel/requestTunnel.ts
+++ b/packages/router/src/tunnel/requestTunnel.ts
@@ -1,11 +1,13 @@
 import { request } from "node:http";
-import type { Socket } from "node:net";
 
-import type { Millis } from "@azureshunt/core";
-import type { Either } from "purify-ts";
+import type { FailureDomain, Millis } from "@azureshunt/core";
+import type { TunnelFailure } from "@azureshunt/reach";
 import { Left, Right } from "purify-ts";
 
-import type { TunnelFailure } from "./TunnelFailure.js";
+import { decodeNamedPeers } from "./decodeNamedPeers.js";
+import type { NamedPeer } from "./NamedPeer.js";
+import type { TunnelAnswer } from "./TunnelAnswer.js";
+import { tunnelHeaders } from "./tunnelHeaders.js";
 import { tunnelStatus } from "./tunnelStatus.js";
 import { tunnelTiming } from "./tunnelTiming.js";
 
@@ -14,6 +16,8 @@
     readonly peer: string;
     /** `host:port` of the endpoint. */
     readonly target: string;
+    /** Failure domain of this VM. */
+    readonly failureDomain: FailureDomain;
     /** Ends the request; a tunnel that was opened is kept. */
     readonly signal: AbortSignal;
     /** Time limit for the peer's answer. */
@@ -25,10 +29,10 @@
     [tunnelStatus.silent, "endpoint-silent"],
 ]);
 
-/** Asks a peer for a connection to an endpoint by HTTP `CONNECT` (RFC 9110); resolves with the open connection. */
+/** Asks a peer for a connection to an endpoint by HTTP `CONNECT` (RFC 9110). */
 export function requestTunnel(
-    { peer, target, signal, answerMs = tunnelTiming.answerMs }: TunnelRequest,
-): Promise<Either<TunnelFailure, Socket>> {
+    { peer, target, failureDomain, signal, answerMs = tunnelTiming.answerMs }: TunnelRequest,
+): Promise<TunnelAnswer> {
     const [host, port] = peer.split(":");
     return new Promise(resolve => {
         const req = request({
@@ -36,28 +40,29 @@
             port: Number(port),
             method: "CONNECT",
             path: target,
-            headers: { host: target },
+            headers: { host: target, [tunnelHeaders.failureDomain]: failureDomain },
             agent: false,
         });
-        const fail = (failure: TunnelFailure): void => {
+        const fail = (failure: TunnelFailure, named: readonly NamedPeer[] = []): void => {
             clearTimeout(timer);
             signal.removeEventListener("abort", onAbort);
             req.destroy();
-            resolve(Left(failure));
+            resolve({ tunnel: Left(failure), named });
         };
         const onAbort = (): void => fail("peer");
         const timer = setTimeout(() => fail("peer"), answerMs);
         signal.addEventListener("abort", onAbort, { once: true });
         req.once("connect", (res, socket) => {
+            const named = decodeNamedPeers(res.headers[tunnelHeaders.peers]);
             if (res.statusCode !== tunnelStatus.opened) {
                 socket.destroy();
-                fail(FAILURES.get(res.statusCode) ?? "peer");
+                fail(FAILURES.get(res.statusCode) ?? "peer", named);
                 return;
             }
             clearTimeout(timer);
             signal.removeEventListener("abort", onAbort);
             socket.setNoDelay(true);
-            resolve(Right(socket));
+            resolve({ tunnel: Right(socket), named });
         });
         req.on("error", () => fail("peer"));
         req.end();
--- a/packages/router/src/tunnel/serveTunnels.ts
+++ b/packages/router/src/tunnel/serveTunnels.ts
@@ -2,22 +2,32 @@
 import { connect } from "node:net";
 import type { Socket } from "node:net";
 
-import type { Millis } from "@azureshunt/core";
+import type { FailureDomain, Millis } from "@azureshunt/core";
 
 import type { OpenConnection } from "../dispatch/OpenConnection.js";
 import { wasReset } from "../dispatch/wasReset.js";
+import { encodeNamedPeers } from "./encodeNamedPeers.js";
+import type { NamedPeer } from "./NamedPeer.js";
+import { pickPeers } from "./pickPeers.js";
+import { tunnelHeaders } from "./tunnelHeaders.js";
 import { tunnelStatus } from "./tunnelStatus.js";
 import { tunnelTiming } from "./tunnelTiming.js";
 
 type TunnelParts = {
     /** Whether an address, `host:port`, is that of a registered endpoint. Tunnels lead nowhere else. */
     readonly isEndpoint: (address: string) => boolean;
-    /** Whether this VM opens tunnels now: not while it is cut off itself, or stops. */
-    readonly isAvailable: () => boolean;
+    /** Whether this VM opens tunnels to endpoints like the one at an address: not while it is cut off itself, or stops. */
+    readonly isAvailable: (address: string) => boolean;
     /** Whether this VM's own link to the endpoint at an address seems not to work. */
     readonly isBlocked: (address: string) => boolean;
     /** Called when a connection to an endpoint has opened. */
     readonly onOpened: (address: string) => void;
+    /** Called when a connection to an endpoint has been refused, or not answered. */
+    readonly onFailed: (address: string) => void;
+    readonly failureDomain: FailureDomain;
+    /** Live VMs of this VM's failure domain, of which some are named to VMs of other domains. */
+    readonly domainPeers: () => readonly NamedPeer[];
+    readonly random: () => number;
     readonly open?: OpenConnection;
     /** Time limits that differ from `tunnelTiming`. */
     readonly timing?: Partial<Record<"peerConnectMs" | "silentMs", Millis>>;
@@ -35,6 +45,8 @@
 
 /** Each tunnel takes two of the process's descriptors. */
 const MAX_TUNNELS = 600;
+/** VMs that are named in one answer. */
+const MAX_NAMED = 4;
 const POLL_MS: Millis = 50;
 
 /**
@@ -58,8 +70,19 @@
         silentUntil.set(address, now + silentMs);
     };
 
-    const refuse = (near: Socket, status: number): void => {
-        near.write(`HTTP/1.1 ${status} Refused\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`);
+    /**
+     * Returns the header that names further VMs to a VM of another failure domain, which knows the relays here only, so
+     * that these do not carry the traffic of a whole domain alone.
+     */
+    const namingHeader = (req: IncomingMessage): string => {
+        const named = req.headers[tunnelHeaders.failureDomain] === parts.failureDomain
+            ? []
+            : pickPeers(parts.domainPeers(), MAX_NAMED, parts.random);
+        return named.length === 0 ? "" : `${tunnelHeaders.peers}: ${encodeNamedPeers(named)}\r\n`;
+    };
+    const refuse = (req: IncomingMessage, near: Socket, status: number): void => {
+        const headers = `${namingHeader(req)}Content-Length: 0\r\nConnection: close\r\n`;
+        near.write(`HTTP/1.1 ${status} Refused\r\n${headers}\r\n`);
         near.destroySoon();
     };
 
@@ -91,15 +114,15 @@
         const onEarlyError = (): void => void near.destroy();
         near.on("error", onEarlyError);
         if (!parts.isEndpoint(address)) {
-            refuse(near, tunnelStatus.notAllowed);
+            refuse(req, near, tunnelStatus.notAllowed);
             return;
         }
-        if (!parts.isAvailable() || tunnels.size >= MAX_TUNNELS || head.length > 0) {
-            refuse(near, tunnelStatus.unavailable);
+        if (!parts.isAvailable(address) || tunnels.size >= MAX_TUNNELS || head.length > 0) {
+            refuse(req, near, tunnelStatus.unavailable);
             return;
         }
         if (isSilent(address)) {
-            refuse(near, tunnelStatus.silent);
+            refuse(req, near, tunnelStatus.silent);
             return;
         }
         const [host, port] = address.split(":");
@@ -107,7 +130,8 @@
         const fail = (status: number): void => {
             clearTimeout(timer);
             far.destroy();
-            refuse(near, status);
+            parts.onFailed(address);
+            refuse(req, near, status);
         };
         const timer = setTimeout(() => {
             recordSilent(address);
@@ -128,7 +152,7 @@
             silentUntil.delete(address);
             parts.onOpened(address);
             forward(near, far);
-            near.write(`HTTP/1.1 ${tunnelStatus.opened} Connection established\r\n\r\n`);
+            near.write(`HTTP/1.1 ${tunnelStatus.opened} Connection established\r\n${namingHeader(req)}\r\n`);
         });
     };
     server.on("connect", (req, near, head) => onConnect(req, near as Socket, head));
--- a/packages/router/src/tunnel/tunnelTiming.ts
+++ b/packages/router/src/tunnel/tunnelTiming.ts
@@ -8,8 +8,8 @@
     silentMs: 500,
     /** For a peer's answer. It says within `peerConnectMs` whether it reaches the endpoint. */
     answerMs: 130,
-    /** How long a peer that could not help is not asked again. */
-    avoidMs: 1_000,
+    /** How long a peer may take to answer before another one is asked as well: many round trips inside a region. */
+    peerHeadStartMs: 25,
     /** A tunnel that carries nothing for this long is closed, as its VM may be gone: longer than any pause in an answer. */
     idleMs: 60_000,
     /** While its VM shuts down, a tunnel that carries nothing for this long is closed: no request runs on it. */
