Let VMs that are cut off tell each other who opens connections for them

A VM that cannot help now names those that help it, and says of an endpoint that it refuses or is silent only if it reaches others of the service; else it says that it cannot help. Whether a VM is cut off from all endpoints no longer changes back and forth while it reaches one service. What peers opened for one service counts for the others too.

--- a/packages/reach/src/LinkState.ts
+++ b/packages/reach/src/LinkState.ts
@@ -16,8 +16,10 @@
 export type LinkState = {
     /** By group: when a connection to any of its endpoints last opened over an own link. */
     readonly openedAt: ReadonlyMap<EndpointGroup, Millis>;
-    /** When an endpoint of a service last answered over an own link; not kept while all links open connections. */
-    readonly answeredAt: ReadonlyMap<ServiceName, Millis>;
+    /**
+     * By service: when any of its endpoints last opened a connection or answered over an own link.
+     */
+    readonly reachedAt: ReadonlyMap<ServiceName, Millis>;
     /** By endpoint address; a link is removed once it opens a connection. */
     readonly unopened: ReadonlyMap<string, UnopenedLink>;
 };
--- a/packages/reach/src/__tests__/unit/choosePeer.test.ts
+++ b/packages/reach/src/__tests__/unit/choosePeer.test.ts
@@ -1,3 +1,4 @@
+import { ServiceName } from "@azureshunt/core";
 import type { FailureDomain, Peer, VmId } from "@azureshunt/core";
 import test from "ava";
 
@@ -7,6 +8,8 @@
 import type { PeerEvent } from "../../PeerEvent.js";
 import { stepPeerHistory } from "../../stepPeerHistory.js";
 
+const service = ServiceName.parse("lm");
+
 /** Returns the peer with a name as in `"b2"`, of failure domain `b`. */
 const peerOf = (vm: string): Peer => ({
     vm: vm as VmId,
@@ -20,9 +23,10 @@
     });
 
 const failed = (...vms: readonly string[]): readonly PeerEvent[] =>
-    vms.map(vm => ({ kind: "failed", peer: peerOf(vm) }));
+    vms.map(vm => ({ kind: "failed", service, peer: peerOf(vm) }));
 const opened = (vm: string, others = ""): PeerEvent => ({
     kind: "opened",
+    service,
     peer: peerOf(vm),
     others: attemptsOf(others),
 });
@@ -160,10 +164,24 @@
     },
     {
         name: "a limited number is asked",
-        peers: "a1 a2 a3 a4 a5 a6 a7 a8 a9",
-        attempts: "a1=peer a2=peer a3=peer a4=peer a5=peer a6=peer a7=peer a8=peer",
+        peers: "a1 a2 a3 a4 a5 a6 a7 a8 a9 b1 b2",
+        attempts: "a1=peer a2=peer a3=peer a4=peer a5=peer a6=peer a7=peer a8=peer a9=peer b1=peer",
+        expected: /^none$/,
+    },
+    {
+        name: "fewer are asked while none can help",
+        peers: "a1 a2 a3 a4",
+        events: failed(...Array.from({ length: 48 }, (_, i) => `b${i}`)),
+        attempts: "a1=peer a2=peer a3=peer",
         expected: /^none$/,
     },
+    {
+        name: "more are asked again once one can help",
+        peers: "a1 a2 a3 a4",
+        events: [...failed(...Array.from({ length: 48 }, (_, i) => `b${i}`)), opened("a1")],
+        attempts: "a1=peer a2=peer a3=peer",
+        expected: /^a4$/,
+    },
     {
         name: "a VM that was named is asked",
         peers: "b1",
@@ -190,6 +208,7 @@
                 peers: peers.split(" ").map(peerOf),
                 failureDomain: "a" as FailureDomain,
                 history,
+                service,
                 attempts: attemptsOf(attempts),
             };
             t.regex(choosePeer(query, at, () => value)?.vm ?? "none", expected);
--- a/packages/reach/src/index.ts
+++ b/packages/reach/src/index.ts
@@ -1,9 +1,11 @@
 /** Whether this VM's own links reach endpoints, and which peers open connections for it. */
 export { allEndpoints } from "./allEndpoints.js";
+export { canJudge } from "./canJudge.js";
 export { choosePeer } from "./choosePeer.js";
 export { cutOffGroup } from "./cutOffGroup.js";
 export type { EndpointGroup } from "./EndpointGroup.js";
 export { headStartMs } from "./headStartMs.js";
+export { helpersOf } from "./helpersOf.js";
 export { initialLinks } from "./initialLinks.js";
 export { initialPeerHistory } from "./initialPeerHistory.js";
 export { isBlocked } from "./isBlocked.js";
--- a/packages/reach/src/initialLinks.ts
+++ b/packages/reach/src/initialLinks.ts
@@ -1,6 +1,6 @@
 import type { LinkState } from "./LinkState.js";
 
 /** The state before any connection was opened. */
-const initialLinks: LinkState = { openedAt: new Map(), answeredAt: new Map(), unopened: new Map() };
+const initialLinks: LinkState = { openedAt: new Map(), reachedAt: new Map(), unopened: new Map() };
 
 export { initialLinks };
--- a/packages/reach/src/isCutOff.ts
+++ b/packages/reach/src/isCutOff.ts
@@ -17,18 +17,17 @@
 const lostLinks = (state: LinkState, group: EndpointGroup, now: Millis): readonly UnopenedLink[] => {
     const openedAt = state.openedAt.get(group) ?? -Infinity;
     return [...state.unopened.values()].filter(({ target, bypassedAt, failedAt }) => {
-        const answeredAt = state.answeredAt.get(target.service) ?? -Infinity;
+        const reachedAt = state.reachedAt.get(target.service) ?? -Infinity;
         // Connections from before may live on, so an answer does not refute a peer that opens new ones.
-        const lostAt = failedAt > answeredAt ? Math.max(bypassedAt, failedAt) : bypassedAt;
+        const lostAt = failedAt > reachedAt ? Math.max(bypassedAt, failedAt) : bypassedAt;
         return lostAt > openedAt && now - lostAt < linkTiming.blockedMs && groupsOf(target).includes(group);
     });
 };
 
-/** Returns whether a service to which no link is lost has answered since the first of these links was lost. */
-const doesAnotherServiceAnswer = (state: LinkState, lost: readonly UnopenedLink[]): boolean => {
+/** Returns whether a service was reached lately to which no link is lost. */
+const isAnotherServiceReached = (state: LinkState, lost: readonly UnopenedLink[], now: Millis): boolean => {
     const lostServices = new Set(lost.map(({ target }) => target.service));
-    const since = Math.min(...lost.map(({ bypassedAt, failedAt }) => Math.max(bypassedAt, failedAt)));
-    return [...state.answeredAt].some(([service, at]) => at >= since && !lostServices.has(service));
+    return [...state.reachedAt].some(([service, at]) => now - at < linkTiming.blockedMs && !lostServices.has(service));
 };
 
 /**
@@ -41,5 +40,5 @@
         return false;
     }
     const lost = lostLinks(state, group, now);
-    return lost.length >= MIN_LOST && !(group === allEndpoints && doesAnotherServiceAnswer(state, lost));
+    return lost.length >= MIN_LOST && !(group === allEndpoints && isAnotherServiceReached(state, lost, now));
 }
--- a/packages/reach/src/peerTiming.ts
+++ b/packages/reach/src/peerTiming.ts
@@ -4,8 +4,8 @@
     avoidMs: 2_000,
     /** How long the peers of a failure domain are asked after those of others once these have outdone them. */
     outdoneMs: 1_000,
-    /** How long a peer that opened a connection counts as one that reaches the endpoints. */
-    openedMs: 10_000,
+    /** How long a peer that opened a connection counts as one that reaches endpoints. */
+    helperMs: 10_000,
     /** How long a peer that was named is remembered. */
     namedMs: 10_000,
 } as const;
--- a/packages/reach/src/stepLinks.ts
+++ b/packages/reach/src/stepLinks.ts
@@ -18,16 +18,14 @@
     switch (kind) {
         case "opened":
             return {
-                ...state,
+                reachedAt: new Map(state.reachedAt).set(target.service, now),
                 openedAt: new Map([...state.openedAt, ...groupsOf(target).map(group => [group, now] as const)]),
                 unopened: state.unopened.has(target.address)
                     ? new Map([...state.unopened].filter(([address]) => address !== target.address))
                     : state.unopened,
             };
         case "answered":
-            return state.unopened.size === 0
-                ? state
-                : { ...state, answeredAt: new Map(state.answeredAt).set(target.service, now) };
+            return { ...state, reachedAt: new Map(state.reachedAt).set(target.service, now) };
         case "bypassed":
         case "failed": {
             const link = kind === "bypassed" ? { ...before, bypassedAt: now } : { ...before, failedAt: now };
--- a/packages/router/src/__tests__/support/startTunnelPeer.ts
+++ b/packages/router/src/__tests__/support/startTunnelPeer.ts
@@ -24,6 +24,8 @@
         onFailed: () => undefined,
         failureDomain: FailureDomain.parse("a"),
         domainPeers: () => [],
+        helpers: () => [],
+        canJudge: () => true,
         random: () => 0,
         timing: { peerConnectMs: LONG_MS },
         ...parts,
--- a/packages/router/src/__tests__/unit/tunnels.test.ts
+++ b/packages/router/src/__tests__/unit/tunnels.test.ts
@@ -1,7 +1,7 @@
 import { createServer, Socket } from "node:net";
 import type { AddressInfo } from "node:net";
 
-import { VmId } from "@azureshunt/core";
+import { FailureDomain, VmId } from "@azureshunt/core";
 import test from "ava";
 
 import type { OpenConnection } from "../../dispatch/OpenConnection.js";
@@ -34,6 +34,17 @@
     { name: "to an address that is no endpoint's", parts: { isEndpoint: () => false }, outcome: "peer" },
     { name: "through a peer that is cut off itself, or stops", parts: { isAvailable: () => false }, outcome: "peer" },
     { name: "over a link that does not work", parts: { isBlocked: () => true }, outcome: "endpoint-silent" },
+    {
+        name: "over a link that does not work, by a peer that reaches no other endpoint of the service",
+        parts: { isBlocked: () => true, canJudge: () => false },
+        outcome: "peer",
+    },
+    {
+        name: "to an endpoint that refuses a peer that reaches no other endpoint of the service",
+        parts: { canJudge: () => false },
+        listens: false,
+        outcome: "peer",
+    },
     {
         name: "to an endpoint that does not answer",
         parts: { open: openSilent, timing: { peerConnectMs: 20 } },
@@ -96,6 +107,7 @@
 const domainPeers = ["vm-1", "vm-2", "vm-3", "vm-4", "vm-5"].map((vm, i) => ({
     vm: VmId.parse(vm),
     address: `10.0.0.${i + 1}:7600`,
+    failureDomain: FailureDomain.parse("a"),
 }));
 const namingCases: readonly {
     readonly name: string;
@@ -130,10 +142,14 @@
 const headerCases: readonly { readonly header: string | undefined; readonly named: readonly string[]; }[] = [
     { header: undefined, named: [] },
     { header: "", named: [] },
-    { header: "vm-1 10.0.0.1:7600, vm-2 10.0.0.2:7600", named: ["vm-1", "vm-2"] },
-    { header: "vm-1 10.0.0.1, vm-2 example:80, ?? 10.0.0.2:7600, vm-3, vm-4 10.0.0.4:7600", named: ["vm-4"] },
+    { header: "vm-1 10.0.0.1:7600 a, vm-2 10.0.0.2:7600 b", named: ["vm-1", "vm-2"] },
+    {
+        header:
+            "vm-1 10.0.0.1 a, vm-2 example:80 a, ?? 10.0.0.2:7600 a, vm-3, vm-4 10.0.0.4:7600, vm-5 10.0.0.5:7600 a",
+        named: ["vm-5"],
+    },
     {
-        header: Array.from({ length: 99 }, (_, i) => `vm-${i} 10.0.0.1:7600`).join(", "),
+        header: Array.from({ length: 99 }, (_, i) => `vm-${i} 10.0.0.1:7600 a`).join(", "),
         named: Array.from({ length: 16 }, (_, i) => `vm-${i}`),
     },
 ];
@@ -143,3 +159,17 @@
         t.deepEqual(decodeNamedPeers(header).map(({ vm }) => vm as string), [...named]);
     });
 });
+
+// Guards against each VM of a cut off fleet having to find the few peers that can help by itself.
+test("tunnel: a peer that cannot help names those that help it, to VMs of its own failure domain too", async t => {
+    const { server, address } = await startEcho();
+    const isAvailable = { value: false };
+    const peer = await startTunnelPeer({ helpers: () => domainPeers, isAvailable: () => isAvailable.value });
+    t.is((await peer.askPeer(address)).helpers.length, 4);
+    isAvailable.value = true;
+    const answer = await peer.askPeer(address);
+    t.deepEqual(answer.helpers, []);
+    answer.tunnel.ifRight(socket => void socket.destroy());
+    peer.stop();
+    server.close();
+});
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -93,6 +93,7 @@
     const agent = new EndpointAgent(clock.now, parts);
     const connector = createConnector({
         clock,
+        vm: settings.vm,
         random: Math.random,
         failureDomain: settings.failureDomain,
         peers: () => membership.livePeers(),
@@ -347,6 +348,8 @@
         isEndpoint: address => endpointTable.entryAt(address) !== undefined,
         isAvailable: address => !state.isDraining && !connector.isServiceCutOff(address),
         isBlocked: connector.isBlocked,
+        canJudge: connector.canJudge,
+        helpers: connector.helpers,
         onOpened: connector.recordOpened,
         onFailed: connector.recordFailed,
         domainPeers: () => membership.livePeers().filter(peer => peer.failureDomain === settings.failureDomain),
--- a/packages/router/src/tunnel/createConnector.ts
+++ b/packages/router/src/tunnel/createConnector.ts
@@ -1,8 +1,9 @@
 import type { Socket } from "node:net";
 
-import type { Clock, FailureDomain, Peer } from "@azureshunt/core";
+import type { Clock, FailureDomain, Peer, VmId } from "@azureshunt/core";
 import {
     allEndpoints,
+    canJudge,
     cutOffGroup,
     headStartMs,
     initialLinks,
@@ -25,6 +26,7 @@
 
 type ConnectorParts = {
     readonly clock: Clock;
+    readonly vm: VmId;
     readonly random: () => number;
     readonly failureDomain: FailureDomain;
     /** Live peers. */
@@ -48,6 +50,10 @@
     readonly isCutOff: () => boolean;
     /** Whether this VM seems to have lost its links to all endpoints of the service that has one at an address. */
     readonly isServiceCutOff: (address: string) => boolean;
+    /** Whether a connection to the endpoint at an address that fails says something of the endpoint. */
+    readonly canJudge: (address: string) => boolean;
+    /** Peers that opened connections for this VM lately. */
+    readonly helpers: () => readonly Peer[];
     /** Records that an own link has opened a connection for another purpose. */
     readonly recordOpened: (address: string) => void;
     /** Records that an own link has opened no connection for another purpose. */
@@ -84,7 +90,7 @@
     const cutOffGroups = new Set<EndpointGroup>();
     /** Groups from which this VM is cut off, and whose links are being tried. */
     const probing = new Set<EndpointGroup>();
-    const openTunnel = createTunnelOpener({ ...parts, ...ports });
+    const tunnels = createTunnelOpener({ ...parts, ...ports });
 
     const updateCutOff = (group: EndpointGroup): boolean => {
         const cutOff = isCutOff(state.links, group, clock.now());
@@ -172,7 +178,7 @@
                     return;
                 }
                 progress.arePeersAsked = true;
-                void openTunnel(target, signal).then(tunnel =>
+                void tunnels.open(target, signal).then(tunnel =>
                     tunnel.caseOf({
                         Left: () => {
                             progress.havePeersFailed = true;
@@ -211,7 +217,7 @@
         if (target === undefined) {
             return !updateCutOff(allEndpoints);
         }
-        const tunnel = await openTunnel(target, AbortSignal.timeout(tunnelTiming.connectMs));
+        const tunnel = await tunnels.open(target, AbortSignal.timeout(tunnelTiming.connectMs));
         return tunnel.caseOf({
             Left: failure => failure === "endpoint-refused" || !isTargetCutOff(target),
             Right: socket => {
@@ -233,6 +239,8 @@
         isBlocked: address => matches(address, target => isBlocked(state.links, target, clock.now())),
         isCutOff: () => updateCutOff(allEndpoints),
         isServiceCutOff: address => matches(address, isTargetCutOff),
+        canJudge: address => matches(address, target => canJudge(state.links, target, clock.now())),
+        helpers: tunnels.helpers,
         recordOpened: address => apply("opened", parts.targetAt(address)),
         recordFailed: address => apply("failed", parts.targetAt(address)),
         recordAnswered: address => apply("answered", parts.targetAt(address)),
--- a/packages/router/src/tunnel/createTunnelOpener.ts
+++ b/packages/router/src/tunnel/createTunnelOpener.ts
@@ -1,7 +1,7 @@
 import type { Socket } from "node:net";
 
-import type { Clock, FailureDomain, Millis, Peer, ServiceName } from "@azureshunt/core";
-import { choosePeer, initialPeerHistory, stepPeerHistory } from "@azureshunt/reach";
+import type { Clock, FailureDomain, Millis, Peer, VmId } from "@azureshunt/core";
+import { choosePeer, helpersOf, initialPeerHistory, stepPeerHistory } from "@azureshunt/reach";
 import type { LinkTarget, PeerEvent, PeerHistory, TunnelFailure } from "@azureshunt/reach";
 import type { Metrics } from "@azureshunt/telemetry";
 import type { Either } from "purify-ts";
@@ -11,6 +11,7 @@
 
 type TunnelOpenerParts = {
     readonly clock: Clock;
+    readonly vm: VmId;
     readonly random: () => number;
     readonly failureDomain: FailureDomain;
     /** Live peers. */
@@ -21,24 +22,27 @@
     readonly schedule: (delayMs: Millis, run: () => void) => () => void;
 };
 
-/** Opens a tunnel to an endpoint. */
-type OpenTunnel = (target: LinkTarget, signal: AbortSignal) => Promise<Either<TunnelFailure, Socket>>;
+type TunnelOpener = {
+    /** Opens a tunnel to an endpoint. */
+    readonly open: (target: LinkTarget, signal: AbortSignal) => Promise<Either<TunnelFailure, Socket>>;
+    /** Peers that opened tunnels for this VM lately. */
+    readonly helpers: () => readonly Peer[];
+};
 
-/** Creates a function that asks peers for a tunnel, and learns from their answers which ones can help. */
-export function createTunnelOpener(parts: TunnelOpenerParts): OpenTunnel {
+/** Creates an opener that asks peers for tunnels, and learns from their answers which ones can help. */
+export function createTunnelOpener(parts: TunnelOpenerParts): TunnelOpener {
     const { clock, random, failureDomain } = parts;
-    /** By service, as a VM may be cut off from one and not from others. */
-    const histories = new Map<ServiceName, PeerHistory>();
-    const historyOf = (service: ServiceName): PeerHistory => histories.get(service) ?? initialPeerHistory;
-    const apply = (service: ServiceName, event: PeerEvent): void =>
-        void histories.set(service, stepPeerHistory(historyOf(service), event, clock.now()));
+    const state = { history: initialPeerHistory as PeerHistory };
+    const apply = (event: PeerEvent): void => {
+        state.history = stepPeerHistory(state.history, event, clock.now());
+    };
 
     const request = async (
         peer: Peer,
         { address, service }: LinkTarget,
         signal: AbortSignal,
     ): Promise<Either<TunnelFailure, Socket>> => {
-        const { tunnel, named } = await parts.requestTunnel({
+        const { tunnel, named, helpers } = await parts.requestTunnel({
             peer: peer.address,
             target: address,
             failureDomain,
@@ -50,28 +54,34 @@
             outcome: signal.aborted ? "aborted" : outcome,
         });
         if (outcome === "peer" && !signal.aborted) {
-            apply(service, { kind: "failed", peer });
+            apply({ kind: "failed", service, peer });
         }
         if (named.length > 0) {
-            apply(service, {
-                kind: "named",
-                peers: named.map(each => ({ ...each, failureDomain: peer.failureDomain })),
-            });
+            apply({ kind: "named", peers: named });
+        }
+        if (helpers.length > 0) {
+            apply({ kind: "recommended", peers: helpers.filter(({ vm }) => vm !== parts.vm) });
         }
         return tunnel;
     };
 
-    return (target, signal) =>
-        searchPeers({
+    const open: TunnelOpener["open"] = (target, signal) => {
+        const { service } = target;
+        return searchPeers({
             choose: attempts =>
                 choosePeer(
-                    { peers: parts.peers(), failureDomain, history: historyOf(target.service), attempts },
+                    { peers: parts.peers(), failureDomain, history: state.history, service, attempts },
                     clock.now(),
                     random,
                 ),
             request: (peer, requestSignal) => request(peer, target, requestSignal),
-            onOpened: (peer, others) => apply(target.service, { kind: "opened", peer, others }),
+            onOpened: (peer, others) => apply({ kind: "opened", service, peer, others }),
             schedule: parts.schedule,
             signal,
         });
+    };
+    return {
+        open,
+        helpers: () => helpersOf(state.history, clock.now()),
+    };
 }
--- a/packages/router/src/tunnel/decodeNamedPeers.ts
+++ b/packages/router/src/tunnel/decodeNamedPeers.ts
@@ -1,16 +1,19 @@
-import { VmId } from "@azureshunt/core";
+import { FailureDomain, VmId } from "@azureshunt/core";
+import type { Peer } from "@azureshunt/core";
 import { z } from "zod";
 
-import type { NamedPeer } from "./NamedPeer.js";
-
 const MAX_PEERS = 16;
-const Named = z.object({ vm: VmId, address: z.string().regex(/^[0-9.]+:\d{1,5}$/) });
+const NamedPeer = z.object({
+    vm: VmId,
+    address: z.string().regex(/^[0-9.]+:\d{1,5}$/),
+    failureDomain: FailureDomain,
+});
 
 /** Decodes the VMs that a peer names in a header; leaves out what is not valid. */
-export function decodeNamedPeers(header: string | readonly string[] | undefined): readonly NamedPeer[] {
+export function decodeNamedPeers(header: string | readonly string[] | undefined): readonly Peer[] {
     return [header ?? []].flat().join(",").split(",").slice(0, MAX_PEERS).flatMap(text => {
-        const [vm, address] = text.trim().split(" ");
-        const named = Named.safeParse({ vm, address });
+        const [vm, address, failureDomain] = text.trim().split(" ");
+        const named = NamedPeer.safeParse({ vm, address, failureDomain });
         return named.success ? [named.data] : [];
     });
 }
--- a/packages/router/src/tunnel/encodeNamedPeers.ts
+++ b/packages/router/src/tunnel/encodeNamedPeers.ts
@@ -1,6 +1,6 @@
-import type { NamedPeer } from "./NamedPeer.js";
+import type { Peer } from "@azureshunt/core";
 
-/** Encodes VMs for a header: name and address of each, separated by spaces, and a comma between two. */
-export function encodeNamedPeers(peers: readonly NamedPeer[]): string {
-    return peers.map(({ vm, address }) => `${vm} ${address}`).join(", ");
+/** Encodes VMs for a header: name, address and failure domain of each, separated by spaces, and a comma between two. */
+export function encodeNamedPeers(peers: readonly Peer[]): string {
+    return peers.map(({ vm, address, failureDomain = "" }) => `${vm} ${address} ${failureDomain}`).join(", ");
 }
--- a/packages/router/src/tunnel/pickPeers.ts
+++ b/packages/router/src/tunnel/pickPeers.ts
@@ -1,11 +1,11 @@
-import type { NamedPeer } from "./NamedPeer.js";
+import type { Peer } from "@azureshunt/core";
 
 /**
  * Picks some peers at random.
  *
  * @param random uniformly distributed in [0, 1)
  */
-export function pickPeers(peers: readonly NamedPeer[], count: number, random: () => number): readonly NamedPeer[] {
+export function pickPeers(peers: readonly Peer[], count: number, random: () => number): readonly Peer[] {
     return peers
         .map(peer => ({ peer, rank: random() }))
         .sort((a, b) => a.rank - b.rank)
--- a/packages/router/src/tunnel/requestTunnel.ts
+++ b/packages/router/src/tunnel/requestTunnel.ts
@@ -5,7 +5,6 @@
 import { Left, Right } from "purify-ts";
 
 import { decodeNamedPeers } from "./decodeNamedPeers.js";
-import type { NamedPeer } from "./NamedPeer.js";
 import type { TunnelAnswer } from "./TunnelAnswer.js";
 import { tunnelHeaders } from "./tunnelHeaders.js";
 import { tunnelStatus } from "./tunnelStatus.js";
@@ -24,6 +23,8 @@
     readonly answerMs?: Millis;
 };
 
+type Names = Pick<TunnelAnswer, "named" | "helpers">;
+
 const FAILURES: ReadonlyMap<number | undefined, TunnelFailure> = new Map([
     [tunnelStatus.refused, "endpoint-refused"],
     [tunnelStatus.silent, "endpoint-silent"],
@@ -43,26 +44,29 @@
             headers: { host: target, [tunnelHeaders.failureDomain]: failureDomain },
             agent: false,
         });
-        const fail = (failure: TunnelFailure, named: readonly NamedPeer[] = []): void => {
+        const fail = (failure: TunnelFailure, names: Names = { named: [], helpers: [] }): void => {
             clearTimeout(timer);
             signal.removeEventListener("abort", onAbort);
             req.destroy();
-            resolve({ tunnel: Left(failure), named });
+            resolve({ tunnel: Left(failure), ...names });
         };
         const onAbort = (): void => fail("peer");
         const timer = setTimeout(() => fail("peer"), answerMs);
         signal.addEventListener("abort", onAbort, { once: true });
         req.once("connect", (res, socket) => {
-            const named = decodeNamedPeers(res.headers[tunnelHeaders.peers]);
+            const names = {
+                named: decodeNamedPeers(res.headers[tunnelHeaders.peers]),
+                helpers: decodeNamedPeers(res.headers[tunnelHeaders.helpers]),
+            };
             if (res.statusCode !== tunnelStatus.opened) {
                 socket.destroy();
-                fail(FAILURES.get(res.statusCode) ?? "peer", named);
+                fail(FAILURES.get(res.statusCode) ?? "peer", names);
                 return;
             }
             clearTimeout(timer);
             signal.removeEventListener("abort", onAbort);
             socket.setNoDelay(true);
-            resolve({ tunnel: Right(socket), named });
+            resolve({ tunnel: Right(socket), ...names });
         });
         req.on("error", () => fail("peer"));
         req.end();
--- a/packages/router/src/tunnel/serveTunnels.ts
+++ b/packages/router/src/tunnel/serveTunnels.ts
@@ -2,12 +2,11 @@
 import { connect } from "node:net";
 import type { Socket } from "node:net";
 
-import type { FailureDomain, Millis } from "@azureshunt/core";
+import type { FailureDomain, Millis, Peer } from "@azureshunt/core";
 
 import type { OpenConnection } from "../dispatch/OpenConnection.js";
 import { wasReset } from "../dispatch/wasReset.js";
 import { encodeNamedPeers } from "./encodeNamedPeers.js";
-import type { NamedPeer } from "./NamedPeer.js";
 import { pickPeers } from "./pickPeers.js";
 import { tunnelHeaders } from "./tunnelHeaders.js";
 import { tunnelStatus } from "./tunnelStatus.js";
@@ -20,13 +19,17 @@
     readonly isAvailable: (address: string) => boolean;
     /** Whether this VM's own link to the endpoint at an address seems not to work. */
     readonly isBlocked: (address: string) => boolean;
+    /** Whether a connection to the endpoint at an address that fails says something of the endpoint. */
+    readonly canJudge: (address: string) => boolean;
     /** Called when a connection to an endpoint has opened. */
     readonly onOpened: (address: string) => void;
     /** Called when a connection to an endpoint has been refused, or not answered. */
     readonly onFailed: (address: string) => void;
     readonly failureDomain: FailureDomain;
     /** Live VMs of this VM's failure domain, of which some are named to VMs of other domains. */
-    readonly domainPeers: () => readonly NamedPeer[];
+    readonly domainPeers: () => readonly Peer[];
+    /** VMs that open connections for this one. */
+    readonly helpers: () => readonly Peer[];
     readonly random: () => number;
     readonly open?: OpenConnection;
     /** Time limits that differ from `tunnelTiming`. */
@@ -70,18 +73,23 @@
         silentUntil.set(address, now + silentMs);
     };
 
+    const headerOf = (name: string, peers: readonly Peer[]): string =>
+        peers.length === 0
+            ? ""
+            : `${name}: ${encodeNamedPeers(pickPeers(peers, MAX_NAMED, parts.random))}\r\n`;
     /**
-     * Returns the header that names further VMs to a VM of another failure domain, which knows the relays here only, so
-     * that these do not carry the traffic of a whole domain alone.
+     * Returns the headers that name further VMs: to a VM of another failure domain, which knows the relays here only, so
+     * that these do not carry the traffic of a whole domain alone; and to one that this VM cannot help, those that help.
      */
-    const namingHeader = (req: IncomingMessage): string => {
-        const named = req.headers[tunnelHeaders.failureDomain] === parts.failureDomain
-            ? []
-            : pickPeers(parts.domainPeers(), MAX_NAMED, parts.random);
-        return named.length === 0 ? "" : `${tunnelHeaders.peers}: ${encodeNamedPeers(named)}\r\n`;
+    const namingHeaders = (req: IncomingMessage, status: number): string => {
+        const isNear = req.headers[tunnelHeaders.failureDomain] === parts.failureDomain;
+        return [
+            headerOf(tunnelHeaders.peers, isNear ? [] : parts.domainPeers()),
+            headerOf(tunnelHeaders.helpers, status === tunnelStatus.unavailable ? parts.helpers() : []),
+        ].join("");
     };
     const refuse = (req: IncomingMessage, near: Socket, status: number): void => {
-        const headers = `${namingHeader(req)}Content-Length: 0\r\nConnection: close\r\n`;
+        const headers = `${namingHeaders(req, status)}Content-Length: 0\r\nConnection: close\r\n`;
         near.write(`HTTP/1.1 ${status} Refused\r\n${headers}\r\n`);
         near.destroySoon();
     };
@@ -121,8 +129,9 @@
             refuse(req, near, tunnelStatus.unavailable);
             return;
         }
+        const failedStatus = (status: number): number => parts.canJudge(address) ? status : tunnelStatus.unavailable;
         if (isSilent(address)) {
-            refuse(req, near, tunnelStatus.silent);
+            refuse(req, near, failedStatus(tunnelStatus.silent));
             return;
         }
         const [host, port] = address.split(":");
@@ -131,7 +140,7 @@
             clearTimeout(timer);
             far.destroy();
             parts.onFailed(address);
-            refuse(req, near, status);
+            refuse(req, near, failedStatus(status));
         };
         const timer = setTimeout(() => {
             recordSilent(address);
@@ -152,7 +161,11 @@
             silentUntil.delete(address);
             parts.onOpened(address);
             forward(near, far);
-            near.write(`HTTP/1.1 ${tunnelStatus.opened} Connection established\r\n${namingHeader(req)}\r\n`);
+            near.write(
+                `HTTP/1.1 ${tunnelStatus.opened} Connection established\r\n${
+                    namingHeaders(req, tunnelStatus.opened)
+                }\r\n`,
+            );
         });
     };
     server.on("connect", (req, near, head) => onConnect(req, near as Socket, head));
