--- a/packages/reach/src/__tests__/unit/links.test.ts
+++ b/packages/reach/src/__tests__/unit/links.test.ts
@@ -7,6 +7,7 @@
 import { initialLinks } from "../../initialLinks.js";
 import { isBlocked } from "../../isBlocked.js";
 import { isCutOff } from "../../isCutOff.js";
+import { isLost } from "../../isLost.js";
 import type { LinkEvent } from "../../LinkEvent.js";
 import { serviceGroup } from "../../serviceGroup.js";
 import { stepLinks } from "../../stepLinks.js";
@@ -32,6 +33,8 @@
     readonly cutOff: readonly ("all" | "lm" | "e")[];
     /** Endpoints whose own links count as blocked. */
     readonly blocked: readonly string[];
+    /** Those of them that are not worth a try for a peer; the same ones if omitted. */
+    readonly lost?: readonly string[];
     /** Head starts of the own links to these, in milliseconds, if they differ from that of a cut off link, 0. */
     readonly headStart?: number;
 };
@@ -69,6 +72,7 @@
         at: 500,
         cutOff: [],
         blocked: [A, B, C],
+        lost: [A],
         headStart: 10,
     },
     {
@@ -77,6 +81,7 @@
         at: 4,
         cutOff: [],
         blocked: [B],
+        lost: [],
         headStart: 10,
     },
     {
@@ -142,7 +147,7 @@
     domainGroup(FailureDomain.parse("e")),
 ]] as const;
 
-cases.forEach(({ name, events, at, cutOff, blocked, headStart = 0 }) => {
+cases.forEach(({ name, events, at, cutOff, blocked, lost = blocked, headStart = 0 }) => {
     test(`links: ${name}`, t => {
         const state = events.reduce(
             (before, [text, kind, now]) => stepLinks(before, { kind, target: targetOf(text) }, now),
@@ -150,6 +155,7 @@
         );
         t.deepEqual(groups.filter(([, group]) => isCutOff(state, group, at)).map(([each]) => each), [...cutOff]);
         t.deepEqual(all.filter(text => isBlocked(state, targetOf(text), at)), [...blocked]);
+        t.deepEqual(all.filter(text => isLost(state, targetOf(text), at)), [...lost]);
         t.deepEqual(
             all.map(text => headStartMs(state, targetOf(text), at)),
             all.map(text => blocked.includes(text) ? headStart : 40),
--- a/packages/reach/src/index.ts
+++ b/packages/reach/src/index.ts
@@ -11,6 +11,7 @@
 export { isBlocked } from "./isBlocked.js";
 export { isBypassed } from "./isBypassed.js";
 export { isCutOff } from "./isCutOff.js";
+export { isLost } from "./isLost.js";
 export type { LinkEvent } from "./LinkEvent.js";
 export type { LinkState } from "./LinkState.js";
 export type { LinkTarget } from "./LinkTarget.js";
--- a/packages/router/src/__tests__/support/drawReachScenario.ts
+++ b/packages/router/src/__tests__/support/drawReachScenario.ts
@@ -11,7 +11,7 @@
 const MAX_DOMAIN = 100;
 const MIN_DOMAIN = 2;
 const MAX_DOMAINS = 5;
-const LENGTH_MS: Millis = 14_000;
+const LENGTH_MS: Millis = 17_000;
 
 /** Draws a fleet of two to five failure domains of 2 to 100 VMs, and cuts, kills and restarts that overlap. */
 export function drawReachScenario(seed: number): ReachScenario {
--- a/packages/router/src/__tests__/support/simulateReach.ts
+++ b/packages/router/src/__tests__/support/simulateReach.ts
@@ -114,7 +114,7 @@
             answer(Left("peer"));
             return;
         }
-        if (peer.connector.isBlocked(address)) {
+        if (peer.connector.isLost(address)) {
             answer(Left(peer.connector.canJudge(address) ? "endpoint-silent" : "peer"));
             return;
         }
--- a/packages/router/src/__tests__/support/startTunnelPeer.ts
+++ b/packages/router/src/__tests__/support/startTunnelPeer.ts
@@ -19,7 +19,7 @@
     const tunnels = serveTunnels(server, {
         isEndpoint: () => true,
         isAvailable: () => true,
-        isBlocked: () => false,
+        isLost: () => false,
         onOpened: () => undefined,
         onFailed: () => undefined,
         failureDomain: FailureDomain.parse("a"),
--- a/packages/router/src/__tests__/unit/tunnels.test.ts
+++ b/packages/router/src/__tests__/unit/tunnels.test.ts
@@ -33,10 +33,10 @@
     { name: "to an endpoint that the peer reaches", parts: {}, outcome: "opened" },
     { name: "to an address that is no endpoint's", parts: { isEndpoint: () => false }, outcome: "peer" },
     { name: "through a peer that is cut off itself, or stops", parts: { isAvailable: () => false }, outcome: "peer" },
-    { name: "over a link that does not work", parts: { isBlocked: () => true }, outcome: "endpoint-silent" },
+    { name: "over a link that does not work", parts: { isLost: () => true }, outcome: "endpoint-silent" },
     {
         name: "over a link that does not work, by a peer that reaches no other endpoint of the service",
-        parts: { isBlocked: () => true, canJudge: () => false },
+        parts: { isLost: () => true, canJudge: () => false },
         outcome: "peer",
     },
     {
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -347,7 +347,7 @@
     const tunnels = serveTunnels(peerListener, {
         isEndpoint: address => endpointTable.entryAt(address) !== undefined,
         isAvailable: address => !state.isDraining && !connector.isServiceCutOff(address),
-        isBlocked: connector.isBlocked,
+        isLost: connector.isLost,
         canJudge: connector.canJudge,
         helpers: connector.helpers,
         onOpened: connector.recordOpened,
--- a/packages/router/src/tunnel/createConnector.ts
+++ b/packages/router/src/tunnel/createConnector.ts
@@ -9,6 +9,7 @@
     initialLinks,
     isBlocked,
     isCutOff,
+    isLost,
     serviceGroup,
     stepLinks,
 } from "@azureshunt/reach";
@@ -46,6 +47,8 @@
     readonly openConnection: (address: string) => Promise<OpenedConnection>;
     /** Whether the own link to the endpoint at an address seems not to work. */
     readonly isBlocked: (address: string) => boolean;
+    /** Whether the own link to the endpoint at an address seems not to work, and is not worth a try. */
+    readonly isLost: (address: string) => boolean;
     /** Whether this VM seems to have lost its links to all endpoints. */
     readonly isCutOff: () => boolean;
     /** Whether this VM seems to have lost its links to all endpoints of the service that has one at an address. */
@@ -237,6 +240,7 @@
             return target === undefined ? openUnregistered(address) : openTo(target);
         },
         isBlocked: address => matches(address, target => isBlocked(state.links, target, clock.now())),
+        isLost: address => matches(address, target => isLost(state.links, target, clock.now())),
         isCutOff: () => updateCutOff(allEndpoints),
         isServiceCutOff: address => matches(address, isTargetCutOff),
         canJudge: address => matches(address, target => canJudge(state.links, target, clock.now())),
--- a/packages/router/src/tunnel/serveTunnels.ts
+++ b/packages/router/src/tunnel/serveTunnels.ts
@@ -17,8 +17,8 @@
     readonly isEndpoint: (address: string) => boolean;
     /** Whether this VM opens tunnels to endpoints like the one at an address: not while it is cut off itself, or stops. */
     readonly isAvailable: (address: string) => boolean;
-    /** Whether this VM's own link to the endpoint at an address seems not to work. */
-    readonly isBlocked: (address: string) => boolean;
+    /** Whether this VM's own link to the endpoint at an address seems not to work, and is not worth a try. */
+    readonly isLost: (address: string) => boolean;
     /** Whether a connection to the endpoint at an address that fails says something of the endpoint. */
     readonly canJudge: (address: string) => boolean;
     /** Called when a connection to an endpoint has opened. */
@@ -66,7 +66,7 @@
     /** By address of an endpoint: until when it counts as silent. */
     const silentUntil = new Map<string, Millis>();
     const isSilent = (address: string): boolean =>
-        parts.isBlocked(address) || (silentUntil.get(address) ?? -Infinity) > performance.now();
+        parts.isLost(address) || (silentUntil.get(address) ?? -Infinity) > performance.now();
     const recordSilent = (address: string): void => {
         const now = performance.now();
         [...silentUntil].filter(([, until]) => until <= now).forEach(([each]) => silentUntil.delete(each));
