--- a/packages/reach/src/choosePeer.ts
+++ b/packages/reach/src/choosePeer.ts
@@ -52,8 +52,11 @@
     return [...peers, ...[...others.values()].filter(({ vm }) => !isLive.has(vm))];
 };
 
+type RankedPeer = { readonly peer: Peer; readonly rank: readonly number[]; };
+
+/** Compares ranks by their first numbers that differ. */
 const compare = (a: readonly number[], b: readonly number[]): number =>
-    a.map((rank, i) => rank - (b[i] ?? 0)).find(difference => difference !== 0) ?? 0;
+    a.reduce((difference, rank, i) => difference === 0 ? rank - (b[i] ?? 0) : difference, 0);
 
 /**
  * Returns the peer to ask next for a connection; `undefined` if no further one should be asked, as all that could help
@@ -83,20 +86,23 @@
     const partlyCutOff = new Set(known.filter(isAvoided).map(peer => peer.failureDomain));
     const isHelper = ({ vm }: Peer): boolean => now - (history.helpers.get(vm)?.at ?? -Infinity) < peerTiming.helperMs;
     const isHelperFirst = random() < HELPER_SHARE;
+    const domainRanks = new Map(
+        [...new Set(candidates.map(peer => peer.failureDomain))].map(domain => {
+            const isOutdone = now - (outdoneAt.get(domain) ?? -Infinity) < peerTiming.outdoneMs;
+            return [domain, { turns: turnsTaken(attempts, domain), outdone: isOutdone ? 1 : 0 }] as const;
+        }),
+    );
     const rankOf = (peer: Peer): readonly number[] => {
         const domain = peer.failureDomain;
-        const isNextHelper = isHelper(peer) && attempts.length > 0;
+        const { turns = 0, outdone = 0 } = domainRanks.get(domain) ?? {};
+        const isNextHelper = attempts.length > 0 && isHelper(peer);
         const isLessLikely = isHelperFirst && partlyCutOff.has(domain) && !isHelper(peer);
-        return [
-            turnsTaken(attempts, domain),
-            now - (outdoneAt.get(domain) ?? -Infinity) < peerTiming.outdoneMs ? 1 : 0,
-            isNextHelper ? 0 : 1,
-            domain === failureDomain ? 0 : 1,
-            isLessLikely ? 1 : 0,
-            random(),
-        ];
+        return [turns, outdone, isNextHelper ? 0 : 1, domain === failureDomain ? 0 : 1, isLessLikely ? 1 : 0, random()];
     };
     return candidates
         .map(peer => ({ peer, rank: rankOf(peer) }))
-        .sort((a, b) => compare(a.rank, b.rank))[0]?.peer;
+        .reduce<RankedPeer | undefined>(
+            (first, each) => first === undefined || compare(each.rank, first.rank) < 0 ? each : first,
+            undefined,
+        )?.peer;
 }
