--- a/packages/reach/src/PeerEvent.ts
+++ b/packages/reach/src/PeerEvent.ts
@@ -14,4 +14,5 @@
         readonly peer: Peer;
         readonly others: readonly PeerAttempt[];
     }
-    | { readonly kind: "named" | "recommended"; readonly peers: readonly Peer[]; };
+    | { readonly kind: "recommended"; readonly service: ServiceName; readonly peers: readonly Peer[]; }
+    | { readonly kind: "named"; readonly peers: readonly Peer[]; };
--- a/packages/reach/src/PeerHistory.ts
+++ b/packages/reach/src/PeerHistory.ts
@@ -9,6 +9,8 @@
      * keeps one VM from an endpoint often keeps its whole domain from it. `undefined` stands for an unknown domain.
      */
     readonly outdoneAt: ReadonlyMap<FailureDomain | undefined, Millis>;
+    /** Peers that opened a connection lately, and when: for this VM (`isOwn`), or for one that could not help. */
+    readonly helpers: ReadonlyMap<VmId, { readonly peer: Peer; readonly at: Millis; readonly isOwn: boolean; }>;
     /** Attempts that failed since any peer last opened a connection. */
     readonly failedInRow: number;
 };
@@ -17,11 +19,6 @@
 export type PeerHistory = {
     /** A VM may be cut off from one service and not from others. */
     readonly services: ReadonlyMap<ServiceName, ServiceHistory>;
-    /**
-     * Peers that opened a connection to an endpoint of any service lately, and when: for this VM (`isOwn`), or for one
-     * that could not help and named them.
-     */
-    readonly helpers: ReadonlyMap<VmId, { readonly peer: Peer; readonly at: Millis; readonly isOwn: boolean; }>;
     /** Peers of other failure domains that peers there have named, and when each was last named. */
     readonly named: ReadonlyMap<VmId, { readonly peer: Peer; readonly at: Millis; }>;
 };
--- a/packages/reach/src/domainGroup.ts
+++ b/packages/reach/src/domainGroup.ts
@@ -1,8 +1,8 @@
-import type { FailureDomain } from "@azureshunt/core";
+import type { FailureDomain, ServiceName } from "@azureshunt/core";
 
 import type { EndpointGroup } from "./EndpointGroup.js";
 
-/** Returns the group of the endpoints in a failure domain. */
-export function domainGroup(failureDomain: FailureDomain): EndpointGroup {
-    return `domain ${failureDomain}` as EndpointGroup;
+/** Returns the group of the endpoints of a service in a failure domain. */
+export function domainGroup(service: ServiceName, failureDomain: FailureDomain): EndpointGroup {
+    return `service ${service} in ${failureDomain}` as EndpointGroup;
 }
--- a/packages/reach/src/groupsOf.ts
+++ b/packages/reach/src/groupsOf.ts
@@ -6,5 +6,5 @@
 
 /** Lists the groups of an endpoint, the largest first. */
 export function groupsOf({ service, failureDomain }: LinkTarget): readonly EndpointGroup[] {
-    return [allEndpoints, serviceGroup(service), domainGroup(failureDomain)];
+    return [allEndpoints, serviceGroup(service), domainGroup(service, failureDomain)];
 }
--- a/packages/reach/src/initialPeerHistory.ts
+++ b/packages/reach/src/initialPeerHistory.ts
@@ -1,6 +1,6 @@
 import type { PeerHistory } from "./PeerHistory.js";
 
 /** The state before any peer was asked. */
-const initialPeerHistory: PeerHistory = { services: new Map(), helpers: new Map(), named: new Map() };
+const initialPeerHistory: PeerHistory = { services: new Map(), named: new Map() };
 
 export { initialPeerHistory };
--- a/packages/router/src/__tests__/support/simulateReach.ts
+++ b/packages/router/src/__tests__/support/simulateReach.ts
@@ -110,12 +110,9 @@
 
     /** What the peer's listener does; see `serveTunnels`. */
     const serve = (peer: SimulatedVm, address: string, answer: (tunnel: TunnelAnswer["tunnel"]) => void): void => {
-        if (peer.connector.isServiceCutOff(address)) {
-            answer(Left("peer"));
-            return;
-        }
-        if (peer.connector.isLost(address)) {
-            answer(Left(peer.connector.canJudge(address) ? "endpoint-silent" : "peer"));
+        const admission = peer.connector.admitTunnel(address);
+        if (admission !== "try") {
+            answer(Left(admission === "silent" ? "endpoint-silent" : "peer"));
             return;
         }
         const cut = peer.cuts.get(targetAt(address)?.service ?? "");
@@ -163,7 +160,7 @@
                         );
                     serve(peer, target, tunnel => {
                         const isUnavailable = tunnel.extract() === "peer";
-                        const helpers = isUnavailable ? pickPeers(peer.connector.helpers(), NAMED, random) : [];
+                        const helpers = isUnavailable ? pickPeers(peer.connector.helpers(target), NAMED, random) : [];
                         schedule(rttMs, () => answer(tunnel, named, helpers));
                     });
                 }
--- a/packages/router/src/__tests__/support/startTunnelPeer.ts
+++ b/packages/router/src/__tests__/support/startTunnelPeer.ts
@@ -18,8 +18,7 @@
     const server = createServer();
     const tunnels = serveTunnels(server, {
         isEndpoint: () => true,
-        isAvailable: () => true,
-        isLost: () => false,
+        admit: () => "try",
         onOpened: () => undefined,
         onFailed: () => undefined,
         failureDomain: FailureDomain.parse("a"),
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -346,8 +346,7 @@
     });
     const tunnels = serveTunnels(peerListener, {
         isEndpoint: address => endpointTable.entryAt(address) !== undefined,
-        isAvailable: address => !state.isDraining && !connector.isServiceCutOff(address),
-        isLost: connector.isLost,
+        admit: address => state.isDraining ? "unavailable" : connector.admitTunnel(address),
         canJudge: connector.canJudge,
         helpers: connector.helpers,
         onOpened: connector.recordOpened,
--- a/packages/router/src/tunnel/createConnector.ts
+++ b/packages/router/src/tunnel/createConnector.ts
@@ -1,6 +1,6 @@
 import type { Socket } from "node:net";
 
-import type { Clock, FailureDomain, Peer, VmId } from "@azureshunt/core";
+import type { Clock, FailureDomain, Millis, Peer, VmId } from "@azureshunt/core";
 import {
     allEndpoints,
     canJudge,
@@ -23,6 +23,7 @@
 import { openOwnLink } from "./openOwnLink.js";
 import { requestTunnel } from "./requestTunnel.js";
 import { scheduleTimer } from "./scheduleTimer.js";
+import type { TunnelAdmission } from "./TunnelAdmission.js";
 import { tunnelTiming } from "./tunnelTiming.js";
 
 type ConnectorParts = {
@@ -47,16 +48,14 @@
     readonly openConnection: (address: string) => Promise<OpenedConnection>;
     /** Whether the own link to the endpoint at an address seems not to work. */
     readonly isBlocked: (address: string) => boolean;
-    /** Whether the own link to the endpoint at an address seems not to work, and is not worth a try. */
-    readonly isLost: (address: string) => boolean;
+    /** Returns whether this VM opens a connection to the endpoint at an address for a peer. */
+    readonly admitTunnel: (address: string) => TunnelAdmission;
     /** Whether this VM seems to have lost its links to all endpoints. */
     readonly isCutOff: () => boolean;
-    /** Whether this VM seems to have lost its links to all endpoints of the service that has one at an address. */
-    readonly isServiceCutOff: (address: string) => boolean;
     /** Whether a connection to the endpoint at an address that fails says something of the endpoint. */
     readonly canJudge: (address: string) => boolean;
-    /** Peers that opened connections for this VM lately. */
-    readonly helpers: () => readonly Peer[];
+    /** Peers that opened connections for this VM lately, to endpoints like the one at an address. */
+    readonly helpers: (address: string) => readonly Peer[];
     /** Records that an own link has opened a connection for another purpose. */
     readonly recordOpened: (address: string) => void;
     /** Records that an own link has opened no connection for another purpose. */
@@ -91,8 +90,10 @@
     const ports = { ...systemPorts, ...parts.ports };
     const state = { links: initialLinks as LinkState };
     const cutOffGroups = new Set<EndpointGroup>();
-    /** Groups from which this VM is cut off, and whose links are being tried. */
+    /** Groups from which this VM is cut off, and to which it has a connection of its own underway. */
     const probing = new Set<EndpointGroup>();
+    /** When a link of a group from which this VM is cut off was last tried for a peer. */
+    const triedForPeersAt = new Map<EndpointGroup, Millis>();
     const tunnels = createTunnelOpener({ ...parts, ...ports });
 
     const updateCutOff = (group: EndpointGroup): boolean => {
@@ -230,6 +231,27 @@
         });
     };
 
+    /**
+     * A VM whose own callers send little would go on saying that it is cut off long after its links are back. So it tries
+     * one for a peer now and then.
+     */
+    const admitTunnel: Connector["admitTunnel"] = address => {
+        const now = clock.now();
+        const target = parts.targetAt(address);
+        if (target === undefined) {
+            return "unavailable";
+        }
+        const group = cutOffGroup(state.links, target, now);
+        if (group === undefined && !isLost(state.links, target, now)) {
+            return "try";
+        }
+        if (group !== undefined && now - (triedForPeersAt.get(group) ?? -Infinity) >= tunnelTiming.tryForPeersMs) {
+            triedForPeersAt.set(group, now);
+            return "try";
+        }
+        return canJudge(state.links, target, now) ? "silent" : "unavailable";
+    };
+
     const matches = (address: string, is: (target: LinkTarget) => boolean): boolean => {
         const target = parts.targetAt(address);
         return target !== undefined && is(target);
@@ -240,11 +262,13 @@
             return target === undefined ? openUnregistered(address) : openTo(target);
         },
         isBlocked: address => matches(address, target => isBlocked(state.links, target, clock.now())),
-        isLost: address => matches(address, target => isLost(state.links, target, clock.now())),
+        admitTunnel,
         isCutOff: () => updateCutOff(allEndpoints),
-        isServiceCutOff: address => matches(address, isTargetCutOff),
         canJudge: address => matches(address, target => canJudge(state.links, target, clock.now())),
-        helpers: tunnels.helpers,
+        helpers: address => {
+            const target = parts.targetAt(address);
+            return target === undefined ? [] : tunnels.helpers(target.service);
+        },
         recordOpened: address => apply("opened", parts.targetAt(address)),
         recordFailed: address => apply("failed", parts.targetAt(address)),
         recordAnswered: address => apply("answered", parts.targetAt(address)),
--- a/packages/router/src/tunnel/createTunnelOpener.ts
+++ b/packages/router/src/tunnel/createTunnelOpener.ts
@@ -1,6 +1,6 @@
 import type { Socket } from "node:net";
 
-import type { Clock, FailureDomain, Millis, Peer, VmId } from "@azureshunt/core";
+import type { Clock, FailureDomain, Millis, Peer, ServiceName, VmId } from "@azureshunt/core";
 import { choosePeer, helpersOf, initialPeerHistory, stepPeerHistory } from "@azureshunt/reach";
 import type { LinkTarget, PeerEvent, PeerHistory, TunnelFailure } from "@azureshunt/reach";
 import type { Metrics } from "@azureshunt/telemetry";
@@ -25,8 +25,8 @@
 type TunnelOpener = {
     /** Opens a tunnel to an endpoint. */
     readonly open: (target: LinkTarget, signal: AbortSignal) => Promise<Either<TunnelFailure, Socket>>;
-    /** Peers that opened tunnels for this VM lately. */
-    readonly helpers: () => readonly Peer[];
+    /** Peers that opened tunnels to endpoints of a service for this VM lately. */
+    readonly helpers: (service: ServiceName) => readonly Peer[];
 };
 
 /** Creates an opener that asks peers for tunnels, and learns from their answers which ones can help. */
@@ -60,7 +60,7 @@
             apply({ kind: "named", peers: named });
         }
         if (helpers.length > 0) {
-            apply({ kind: "recommended", peers: helpers.filter(({ vm }) => vm !== parts.vm) });
+            apply({ kind: "recommended", service, peers: helpers.filter(({ vm }) => vm !== parts.vm) });
         }
         return tunnel;
     };
@@ -82,6 +82,6 @@
     };
     return {
         open,
-        helpers: () => helpersOf(state.history, clock.now()),
+        helpers: service => helpersOf(state.history, service, clock.now()),
     };
 }
--- a/packages/router/src/tunnel/serveTunnels.ts
+++ b/packages/router/src/tunnel/serveTunnels.ts
@@ -8,6 +8,7 @@
 import { wasReset } from "../dispatch/wasReset.js";
 import { encodeNamedPeers } from "./encodeNamedPeers.js";
 import { pickPeers } from "./pickPeers.js";
+import type { TunnelAdmission } from "./TunnelAdmission.js";
 import { tunnelHeaders } from "./tunnelHeaders.js";
 import { tunnelStatus } from "./tunnelStatus.js";
 import { tunnelTiming } from "./tunnelTiming.js";
@@ -15,10 +16,8 @@
 type TunnelParts = {
     /** Whether an address, `host:port`, is that of a registered endpoint. Tunnels lead nowhere else. */
     readonly isEndpoint: (address: string) => boolean;
-    /** Whether this VM opens tunnels to endpoints like the one at an address: not while it is cut off itself, or stops. */
-    readonly isAvailable: (address: string) => boolean;
-    /** Whether this VM's own link to the endpoint at an address seems not to work, and is not worth a try. */
-    readonly isLost: (address: string) => boolean;
+    /** Returns whether this VM opens a tunnel to the endpoint at an address: not while it is cut off itself, or stops. */
+    readonly admit: (address: string) => TunnelAdmission;
     /** Whether a connection to the endpoint at an address that fails says something of the endpoint. */
     readonly canJudge: (address: string) => boolean;
     /** Called when a connection to an endpoint has opened. */
@@ -28,8 +27,8 @@
     readonly failureDomain: FailureDomain;
     /** Live VMs of this VM's failure domain, of which some are named to VMs of other domains. */
     readonly domainPeers: () => readonly Peer[];
-    /** VMs that open connections for this one. */
-    readonly helpers: () => readonly Peer[];
+    /** VMs that open connections for this one, to endpoints like the one at an address. */
+    readonly helpers: (address: string) => readonly Peer[];
     readonly random: () => number;
     readonly open?: OpenConnection;
     /** Time limits that differ from `tunnelTiming`. */
@@ -65,8 +64,7 @@
     const tunnels = new Set<Tunnel>();
     /** By address of an endpoint: until when it counts as silent. */
     const silentUntil = new Map<string, Millis>();
-    const isSilent = (address: string): boolean =>
-        parts.isLost(address) || (silentUntil.get(address) ?? -Infinity) > performance.now();
+    const isSilent = (address: string): boolean => (silentUntil.get(address) ?? -Infinity) > performance.now();
     const recordSilent = (address: string): void => {
         const now = performance.now();
         [...silentUntil].filter(([, until]) => until <= now).forEach(([each]) => silentUntil.delete(each));
@@ -85,7 +83,7 @@
         const isNear = req.headers[tunnelHeaders.failureDomain] === parts.failureDomain;
         return [
             headerOf(tunnelHeaders.peers, isNear ? [] : parts.domainPeers()),
-            headerOf(tunnelHeaders.helpers, status === tunnelStatus.unavailable ? parts.helpers() : []),
+            headerOf(tunnelHeaders.helpers, status === tunnelStatus.unavailable ? parts.helpers(req.url ?? "") : []),
         ].join("");
     };
     const refuse = (req: IncomingMessage, near: Socket, status: number): void => {
@@ -125,10 +123,15 @@
             refuse(req, near, tunnelStatus.notAllowed);
             return;
         }
-        if (!parts.isAvailable(address) || tunnels.size >= MAX_TUNNELS || head.length > 0) {
+        if (tunnels.size >= MAX_TUNNELS || head.length > 0) {
             refuse(req, near, tunnelStatus.unavailable);
             return;
         }
+        const admission = parts.admit(address);
+        if (admission !== "try") {
+            refuse(req, near, tunnelStatus[admission]);
+            return;
+        }
         const failedStatus = (status: number): number => parts.canJudge(address) ? status : tunnelStatus.unavailable;
         if (isSilent(address)) {
             refuse(req, near, failedStatus(tunnelStatus.silent));
