Let a VM that does not reach the engines leave the order lease, also if nobody but its orders show it

A VM that holds the order lease left it only once its callers' requests had shown that it was cut off from all endpoints. One that got no requests, or still reached another service, kept it, and the engines kept replaced weights for as long as the cut lasted.

An order that is not delivered now makes the VM ask a peer whether it reaches the engine, which counts like a connection that a peer opened; and the lease is left if the VM is cut off from a service with engines. cutOffVm.test, without any request: timed out before, passes.

--- a/packages/router/src/fleet/startOrders.ts
+++ b/packages/router/src/fleet/startOrders.ts
@@ -45,7 +45,7 @@
     readonly demand: () => Tokens;
     /** Whether the lease is needed for anything but orders. */
     readonly isLeaseWanted: () => boolean;
-    /** Whether this VM reaches no endpoints; it then leaves the lease to others. */
+    /** Whether this VM reaches no engines, or none of a service; it then leaves the lease to others. */
     readonly isCutOff: () => boolean;
     /** Called with target weights that an earlier lease holder knew, and the latest time at which their ages applied. */
     readonly onTargets?: (targets: readonly TargetRow[], at: Millis) => void;
--- a/packages/router/src/placement/EndpointTable.ts
+++ b/packages/router/src/placement/EndpointTable.ts
@@ -70,6 +70,8 @@
     readonly entries: () => readonly EndpointEntry[];
     /** Endpoints of a service that are not leaving. */
     readonly servingEntries: (service: ServiceName) => readonly EndpointEntry[];
+    /** Services that have endpoints with a model. */
+    readonly engineServices: () => readonly ServiceName[];
     /** Entry of the endpoint at an address, `host:port`. */
     readonly entryAt: (address: string) => EndpointEntry | undefined;
     readonly entryOf: (endpoint: EndpointName) => EndpointEntry | undefined;
--- a/packages/router/src/placement/createEndpointTable.ts
+++ b/packages/router/src/placement/createEndpointTable.ts
@@ -1,4 +1,4 @@
-import type { Clock, EndpointName, FailureDomain, Millis, ModelName } from "@azureshunt/core";
+import type { Clock, EndpointName, FailureDomain, Millis, ModelName, ServiceName } from "@azureshunt/core";
 
 import type { RoutingConfiguration } from "../configuration/RoutingConfiguration.js";
 import type { DeclaredState } from "../knowledge/DeclaredState.js";
@@ -49,6 +49,7 @@
         registry: emptyRegistry as Registry,
         digest: digestOfRegistry(emptyRegistry),
         entryByAddress: new Map<string, EndpointEntry>(),
+        engineServices: [] as readonly ServiceName[],
     };
     const observations = createObservations(clock, parts.onGone);
 
@@ -81,6 +82,9 @@
         }
         state.digest = digestOfRegistry(state.registry);
         state.entryByAddress = new Map(entries.map(entry => [entry.address, entry]));
+        state.engineServices = [
+            ...new Set(entries.filter(({ versions }) => versions.size > 0).map(({ service }) => service)),
+        ];
         [...before.endpoints.keys()].filter(name => !state.registry.endpoints.has(name)).forEach(name => {
             observations.drop(name);
             parts.onChange(name, "gone", { registry: event.kind });
@@ -205,6 +209,7 @@
         engines,
         entries: allEntries,
         servingEntries,
+        engineServices: () => state.engineServices,
         entryAt: address => state.entryByAddress.get(address),
         entryOf,
         ownShares: () =>
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -222,7 +222,13 @@
         store,
         endpointTable,
         calls: {
-            call: (address, call, timeoutMs) => callOnce(agent, address, call, timeoutMs),
+            call: async (address, call, timeoutMs) => {
+                const result = await callOnce(agent, address, call, timeoutMs);
+                if (result.kind === "unreached") {
+                    void connector.checkLink(address);
+                }
+                return result;
+            },
             schedule: (delayMs, run) => void setTimeout(run, delayMs),
         },
         wire: parts.endpointWire,
@@ -234,7 +240,7 @@
         leaseMs: () => state.settings.orderLeaseMs,
         rank: lastHolder => membership.rank(lastHolder, declarations.hasStore()),
         isLeaseWanted: () => rollouts.isLeaderWanted(),
-        isCutOff: connector.isCutOff,
+        isCutOff: () => connector.isCutOff() || endpointTable.engineServices().some(connector.isServiceCutOff),
         onTargets: declarations.learnTargets,
         sendSoon: () => beacons.sendSoon(),
     });
--- a/packages/router/src/tunnel/createConnector.ts
+++ b/packages/router/src/tunnel/createConnector.ts
@@ -1,6 +1,6 @@
 import type { Socket } from "node:net";
 
-import type { Clock, FailureDomain, Millis, Peer, VmId } from "@azureshunt/core";
+import type { Clock, FailureDomain, Millis, Peer, ServiceName, VmId } from "@azureshunt/core";
 import {
     allEndpoints,
     canJudge,
@@ -48,6 +48,13 @@
     readonly openConnection: (address: string) => Promise<OpenedConnection>;
     /** Whether the own link to the endpoint at an address seems not to work. */
     readonly isBlocked: (address: string) => boolean;
+    /** Whether this VM seems to have lost its links to all endpoints of a service. */
+    readonly isServiceCutOff: (service: ServiceName) => boolean;
+    /**
+     * Records that an own link has opened no connection to the endpoint at an address for another purpose, and asks peers
+     * whether they reach it, which shows whose fault that is.
+     */
+    readonly checkLink: (address: string) => Promise<void>;
     /** Returns whether this VM opens a connection to the endpoint at an address for a peer. */
     readonly admitTunnel: (address: string) => TunnelAdmission;
     /** Whether this VM seems to have lost its links to all endpoints. */
@@ -216,6 +223,19 @@
         return { socket, kind: "new" };
     };
 
+    const checkLink: Connector["checkLink"] = async address => {
+        const target = parts.targetAt(address);
+        if (target === undefined) {
+            return;
+        }
+        apply("failed", target);
+        const tunnel = await tunnels.open(target, AbortSignal.timeout(tunnelTiming.connectMs));
+        tunnel.ifRight(socket => {
+            socket.destroy();
+            apply("bypassed", target);
+        });
+    };
+
     const confirmDead: Connector["confirmDead"] = async address => {
         const target = parts.targetAt(address);
         if (target === undefined) {
@@ -262,6 +282,8 @@
             return target === undefined ? openUnregistered(address) : openTo(target);
         },
         isBlocked: address => matches(address, target => isBlocked(state.links, target, clock.now())),
+        isServiceCutOff: service => updateCutOff(serviceGroup(service)),
+        checkLink,
         admitTunnel,
         isCutOff: () => updateCutOff(allEndpoints),
         canJudge: address => matches(address, target => canJudge(state.links, target, clock.now())),
