--- a/packages/router/src/tunnel/createConnector.ts
+++ b/packages/router/src/tunnel/createConnector.ts
@@ -1,24 +1,14 @@
 import type { Socket } from "node:net";
 
-import type { Clock, FailureDomain, Millis, Peer, ServiceName, VmId } from "@azureshunt/core";
-import {
-    allEndpoints,
-    canJudge,
-    cutOffGroup,
-    headStartMs,
-    initialLinks,
-    isBlocked,
-    isCutOff,
-    isLost,
-    serviceGroup,
-    stepLinks,
-} from "@azureshunt/reach";
-import type { EndpointGroup, LinkEvent, LinkState, LinkTarget } from "@azureshunt/reach";
+import type { Clock, FailureDomain, Peer, ServiceName, VmId } from "@azureshunt/core";
+import { allEndpoints, serviceGroup } from "@azureshunt/reach";
+import type { EndpointGroup, LinkTarget } from "@azureshunt/reach";
 import type { Metrics } from "@azureshunt/telemetry";
 import type { Logger } from "pino";
 
 import type { OpenConnection } from "../dispatch/OpenConnection.js";
 import type { OpenedConnection } from "../dispatch/OpenedConnection.js";
+import { createLinkMonitor } from "./createLinkMonitor.js";
 import { createTunnelOpener } from "./createTunnelOpener.js";
 import { openOwnLink } from "./openOwnLink.js";
 import { requestTunnel } from "./requestTunnel.js";
@@ -93,45 +83,18 @@
  * two has failed, link or endpoint, need not be known: a peer does not reach a dead endpoint either.
  */
 export function createConnector(parts: ConnectorParts): Connector {
-    const { clock, logger } = parts;
     const ports = { ...systemPorts, ...parts.ports };
-    const state = { links: initialLinks as LinkState };
-    const cutOffGroups = new Set<EndpointGroup>();
+    const links = createLinkMonitor(parts);
+    const tunnels = createTunnelOpener({ ...parts, ...ports });
     /** Groups from which this VM is cut off, and to which it has a connection of its own underway. */
     const probing = new Set<EndpointGroup>();
-    /** When a link of a group from which this VM is cut off was last tried for a peer. */
-    const triedForPeersAt = new Map<EndpointGroup, Millis>();
-    const tunnels = createTunnelOpener({ ...parts, ...ports });
 
-    const updateCutOff = (group: EndpointGroup): boolean => {
-        const cutOff = isCutOff(state.links, group, clock.now());
-        if (cutOff === cutOffGroups.has(group)) {
-            return cutOff;
-        }
-        const inputs = { cutOff, group, unopened: state.links.unopened.size };
-        if (cutOff) {
-            cutOffGroups.add(group);
-            logger.warn(inputs, "Own links reach no endpoints of a group: connections are opened through peers.");
-        }
-        else {
-            cutOffGroups.delete(group);
-            logger.warn(inputs, "Own links reach endpoints of a group again.");
-        }
-        return cutOff;
-    };
-    const apply = (kind: LinkEvent["kind"], target: LinkTarget | undefined): void => {
-        if (target === undefined) {
-            return;
-        }
-        state.links = stepLinks(state.links, { kind, target }, clock.now());
-        [allEndpoints, serviceGroup(target.service), ...cutOffGroups].forEach(updateCutOff);
-    };
-    const isTargetCutOff = (target: LinkTarget): boolean =>
-        [allEndpoints, serviceGroup(target.service)].some(updateCutOff);
+    const isTargetCutOff = ({ service }: LinkTarget): boolean =>
+        [allEndpoints, serviceGroup(service)].some(links.isCutOff);
 
     /** While cut off, one connection at a time is tried over an own link, which shows when the links are back. */
     const tryOwnLink = async (target: LinkTarget, signal: AbortSignal): Promise<Socket> => {
-        const group = cutOffGroup(state.links, target, clock.now());
+        const group = links.cutOffGroup(target);
         if (group !== undefined && probing.has(group)) {
             throw new Error("cut off");
         }
@@ -140,12 +103,12 @@
         }
         try {
             const socket = await ports.openOwnLink(target.address, signal, parts.open);
-            apply("opened", target);
+            links.record("opened", target);
             return socket;
         }
         catch (err) {
             if (!signal.aborted) {
-                apply("failed", target);
+                links.record("failed", target);
             }
             throw err;
         }
@@ -175,7 +138,7 @@
                     return;
                 }
                 if (opened.kind === "tunnel") {
-                    apply("bypassed", target);
+                    links.record("bypassed", target);
                 }
                 settle(() => resolve(opened));
             };
@@ -201,13 +164,13 @@
             };
             const rejectAsTimedOut = (): void => {
                 if (!progress.hasOwnFailed) {
-                    apply("failed", target);
+                    links.record("failed", target);
                 }
                 settle(() => reject(new Error("timed out")));
             };
             const cancelLimit = ports.schedule(tunnelTiming.connectMs, rejectAsTimedOut);
             const cancelHeadStart = ports.schedule(
-                headStartMs(state.links, target, clock.now()),
+                links.headStartMs(target),
                 () => ports.defer(askPeers),
             );
             tryOwnLink(target, signal).then(socket => use({ socket, kind: "new" }), () => {
@@ -228,18 +191,18 @@
         if (target === undefined) {
             return;
         }
-        apply("failed", target);
+        links.record("failed", target);
         const tunnel = await tunnels.open(target, AbortSignal.timeout(tunnelTiming.connectMs));
         tunnel.ifRight(socket => {
             socket.destroy();
-            apply("bypassed", target);
+            links.record("bypassed", target);
         });
     };
 
     const confirmDead: Connector["confirmDead"] = async address => {
         const target = parts.targetAt(address);
         if (target === undefined) {
-            return !updateCutOff(allEndpoints);
+            return !links.isCutOff(allEndpoints);
         }
         const tunnel = await tunnels.open(target, AbortSignal.timeout(tunnelTiming.connectMs));
         return tunnel.caseOf({
@@ -251,49 +214,28 @@
         });
     };
 
-    /**
-     * A VM whose own callers send little would go on saying that it is cut off long after its links are back. So it tries
-     * one for a peer now and then.
-     */
-    const admitTunnel: Connector["admitTunnel"] = address => {
-        const now = clock.now();
-        const target = parts.targetAt(address);
-        if (target === undefined) {
-            return "unavailable";
-        }
-        const group = cutOffGroup(state.links, target, now);
-        if (group === undefined && !isLost(state.links, target, now)) {
-            return "try";
-        }
-        if (group !== undefined && now - (triedForPeersAt.get(group) ?? -Infinity) >= tunnelTiming.tryForPeersMs) {
-            triedForPeersAt.set(group, now);
-            return "try";
-        }
-        return canJudge(state.links, target, now) ? "silent" : "unavailable";
-    };
-
-    const matches = (address: string, is: (target: LinkTarget) => boolean): boolean => {
+    /** Calls a function with the endpoint at an address; returns `otherwise` if none is registered there. */
+    const withTarget = <Result>(address: string, otherwise: Result, run: (target: LinkTarget) => Result): Result => {
         const target = parts.targetAt(address);
-        return target !== undefined && is(target);
+        return target === undefined ? otherwise : run(target);
     };
+    const recorderOf = (kind: "opened" | "failed" | "answered") => (address: string): void =>
+        withTarget(address, undefined, target => links.record(kind, target));
     return {
         openConnection: address => {
             const target = parts.targetAt(address);
             return target === undefined ? openUnregistered(address) : openTo(target);
         },
-        isBlocked: address => matches(address, target => isBlocked(state.links, target, clock.now())),
-        isServiceCutOff: service => updateCutOff(serviceGroup(service)),
+        isBlocked: address => withTarget(address, false, links.isBlocked),
+        isCutOff: () => links.isCutOff(allEndpoints),
+        isServiceCutOff: service => links.isCutOff(serviceGroup(service)),
         checkLink,
-        admitTunnel,
-        isCutOff: () => updateCutOff(allEndpoints),
-        canJudge: address => matches(address, target => canJudge(state.links, target, clock.now())),
-        helpers: address => {
-            const target = parts.targetAt(address);
-            return target === undefined ? [] : tunnels.helpers(target.service);
-        },
-        recordOpened: address => apply("opened", parts.targetAt(address)),
-        recordFailed: address => apply("failed", parts.targetAt(address)),
-        recordAnswered: address => apply("answered", parts.targetAt(address)),
+        admitTunnel: address => withTarget(address, "unavailable", links.admitTunnel),
+        canJudge: address => withTarget(address, false, links.canJudge),
+        helpers: address => withTarget(address, [], ({ service }) => tunnels.helpers(service)),
+        recordOpened: recorderOf("opened"),
+        recordFailed: recorderOf("failed"),
+        recordAnswered: recorderOf("answered"),
         confirmDead,
     };
 }
