--- a/packages/router/src/tunnel/createConnector.ts
+++ b/packages/router/src/tunnel/createConnector.ts
@@ -180,6 +180,27 @@
             });
         });
 
+    const probeOwnLink = (target: LinkTarget): void => {
+        const controller = new AbortController();
+        const cancelLimit = ports.schedule(tunnelTiming.connectMs, () => {
+            links.record("failed", target);
+            controller.abort();
+        });
+        void tryOwnLink(target, controller.signal)
+            .then(socket => void socket.destroy(), () => undefined)
+            .finally(cancelLimit);
+    };
+    /**
+     * A VM whose own callers send little would go on telling peers that it is cut off long after its links are back. So
+     * what peers ask for makes it probe a link now and then; they do not wait for it.
+     */
+    const admitTunnel = (target: LinkTarget): TunnelAdmission => {
+        if (links.beginProbe(target)) {
+            probeOwnLink(target);
+        }
+        return links.admitTunnel(target);
+    };
+
     /** Opens a connection to an endpoint that has just left the registry, for which peers open none. */
     const openUnregistered = async (address: string): Promise<OpenedConnection> => {
         const socket = await ports.openOwnLink(address, AbortSignal.timeout(tunnelTiming.connectMs), parts.open);
@@ -230,7 +251,7 @@
         isCutOff: () => links.isCutOff(allEndpoints),
         isServiceCutOff: service => links.isCutOff(serviceGroup(service)),
         checkLink,
-        admitTunnel: address => withTarget(address, "unavailable", links.admitTunnel),
+        admitTunnel: address => withTarget<TunnelAdmission>(address, "unavailable", admitTunnel),
         canJudge: address => withTarget(address, false, links.canJudge),
         helpers: address => withTarget(address, [], ({ service }) => tunnels.helpers(service)),
         recordOpened: recorderOf("opened"),
--- a/packages/router/src/tunnel/createLinkMonitor.ts
+++ b/packages/router/src/tunnel/createLinkMonitor.ts
@@ -31,6 +31,8 @@
     readonly canJudge: (target: LinkTarget) => boolean;
     /** Returns how long the own link may take to open a connection before a peer is asked as well. */
     readonly headStartMs: (target: LinkTarget) => Millis;
+    /** Returns whether this VM is cut off from an endpoint and its own link should be probed now; it then counts as probed. */
+    readonly beginProbe: (target: LinkTarget) => boolean;
     /** Returns whether this VM opens a connection to an endpoint for a peer. */
     readonly admitTunnel: (target: LinkTarget) => TunnelAdmission;
 };
@@ -40,8 +42,8 @@
     const state = { links: initialLinks as LinkState };
     /** Groups that were last logged as cut off. */
     const cutOffGroups = new Set<EndpointGroup>();
-    /** When a link of a group from which this VM is cut off was last tried for a peer. */
-    const triedForPeersAt = new Map<EndpointGroup, Millis>();
+    /** When a link of a group from which this VM is cut off was last probed. */
+    const probedAt = new Map<EndpointGroup, Millis>();
 
     const updateCutOff = (group: EndpointGroup): boolean => {
         const cutOff = isCutOff(state.links, group, clock.now());
@@ -62,18 +64,17 @@
     const findCutOffGroup = (target: LinkTarget): EndpointGroup | undefined =>
         cutOffGroup(state.links, target, clock.now());
 
-    /**
-     * A VM whose own callers send little would go on saying that it is cut off long after its links are back. So it tries
-     * one for a peer now and then.
-     */
-    const admitTunnel: LinkMonitor["admitTunnel"] = target => {
-        const now = clock.now();
+    const beginProbe: LinkMonitor["beginProbe"] = target => {
         const group = findCutOffGroup(target);
-        if (group === undefined && !isLost(state.links, target, now)) {
-            return "try";
+        if (group === undefined || clock.now() - (probedAt.get(group) ?? -Infinity) < tunnelTiming.probeIntervalMs) {
+            return false;
         }
-        if (group !== undefined && now - (triedForPeersAt.get(group) ?? -Infinity) >= tunnelTiming.tryForPeersMs) {
-            triedForPeersAt.set(group, now);
+        probedAt.set(group, clock.now());
+        return true;
+    };
+    const admitTunnel: LinkMonitor["admitTunnel"] = target => {
+        const now = clock.now();
+        if (!isLost(state.links, target, now)) {
             return "try";
         }
         return canJudge(state.links, target, now) ? "silent" : "unavailable";
@@ -89,6 +90,7 @@
         isBlocked: target => isBlocked(state.links, target, clock.now()),
         canJudge: target => canJudge(state.links, target, clock.now()),
         headStartMs: target => headStartMs(state.links, target, clock.now()),
+        beginProbe,
         admitTunnel,
     };
 }
--- a/packages/router/src/tunnel/tunnelTiming.ts
+++ b/packages/router/src/tunnel/tunnelTiming.ts
@@ -6,8 +6,8 @@
     peerConnectMs: 100,
     /** How long a peer opens no more connections to an endpoint that did not answer one. */
     silentMs: 500,
-    /** How often a VM that is cut off tries an own link for a peer. */
-    tryForPeersMs: 1_000,
+    /** How often a VM that is cut off probes an own link while peers ask it for connections. */
+    probeIntervalMs: 1_000,
     /** For a peer's answer. It says within `peerConnectMs` whether it reaches the endpoint. */
     answerMs: 130,
     /** How long a peer may take to answer before another one is asked as well: many round trips inside a region. */
