--- a/packages/router/src/tunnel/serveTunnels.ts
+++ b/packages/router/src/tunnel/serveTunnels.ts
@@ -6,7 +6,7 @@
 
 import type { OpenConnection } from "../dispatch/OpenConnection.js";
 import { wasReset } from "../dispatch/wasReset.js";
-import { encodeNamedPeers } from "./encodeNamedPeers.js";
+import { encodeNamingHeaders } from "./encodeNamingHeaders.js";
 import { pickPeers } from "./pickPeers.js";
 import type { TunnelAdmission } from "./TunnelAdmission.js";
 import { tunnelHeaders } from "./tunnelHeaders.js";
@@ -71,20 +71,17 @@
         silentUntil.set(address, now + silentMs);
     };
 
-    const headerOf = (name: string, peers: readonly Peer[]): string =>
-        peers.length === 0
-            ? ""
-            : `${name}: ${encodeNamedPeers(pickPeers(peers, MAX_NAMED, parts.random))}\r\n`;
     /**
      * Returns the headers that name further VMs: to a VM of another failure domain, which knows the relays here only, so
      * that these do not carry the traffic of a whole domain alone; and to one that this VM cannot help, those that help.
      */
     const namingHeaders = (req: IncomingMessage, status: number): string => {
+        const pick = (peers: readonly Peer[]): readonly Peer[] => pickPeers(peers, MAX_NAMED, parts.random);
         const isNear = req.headers[tunnelHeaders.failureDomain] === parts.failureDomain;
-        return [
-            headerOf(tunnelHeaders.peers, isNear ? [] : parts.domainPeers()),
-            headerOf(tunnelHeaders.helpers, status === tunnelStatus.unavailable ? parts.helpers(req.url ?? "") : []),
-        ].join("");
+        return encodeNamingHeaders({
+            peers: isNear ? [] : pick(parts.domainPeers()),
+            helpers: status === tunnelStatus.unavailable ? pick(parts.helpers(req.url ?? "")) : [],
+        });
     };
     const refuse = (req: IncomingMessage, near: Socket, status: number): void => {
         const headers = `${namingHeaders(req, status)}Content-Length: 0\r\nConnection: close\r\n`;
@@ -164,11 +161,8 @@
             silentUntil.delete(address);
             parts.onOpened(address);
             forward(near, far);
-            near.write(
-                `HTTP/1.1 ${tunnelStatus.opened} Connection established\r\n${
-                    namingHeaders(req, tunnelStatus.opened)
-                }\r\n`,
-            );
+            const headers = namingHeaders(req, tunnelStatus.opened);
+            near.write(`HTTP/1.1 ${tunnelStatus.opened} Connection established\r\n${headers}\r\n`);
         });
     };
     server.on("connect", (req, near, head) => onConnect(req, near as Socket, head));
