--- a/packages/reach/src/choosePeer.ts
+++ b/packages/reach/src/choosePeer.ts
@@ -35,7 +35,8 @@
  *
  * Peers of the own domain go first, as bytes between domains cost more, unless another domain has just outdone it. As
  * the peers of a domain often fail together, no domain has a second turn before each other one has had its first. Once a
- * peer has failed, those that opened connections lately go first.
+ * peer has failed, those that opened connections lately go first. Those that could not help lately come last: a pause of
+ * this process lets all that were asked seem not to answer.
  *
  * @param random uniformly distributed in [0, 1)
  */
@@ -45,8 +46,8 @@
     const asked = new Set(attempts.map(({ peer }) => peer.vm));
     const isAvoided = ({ vm }: Peer): boolean => (avoidedUntil.get(vm) ?? -Infinity) > now;
     const known = knownPeers(query, now);
-    const candidates = known.filter(peer => !asked.has(peer.vm) && !isAvoided(peer));
-    if (isSearchOver(query, candidates)) {
+    const candidates = known.filter(peer => !asked.has(peer.vm));
+    if (isSearchOver(query, candidates.filter(peer => !isAvoided(peer)))) {
         return undefined;
     }
     const partlyCutOff = new Set(known.filter(isAvoided).map(peer => peer.failureDomain));
@@ -61,6 +62,7 @@
         const domain = peer.failureDomain;
         const helper = helperRank(history, service, peer, now);
         return [
+            isAvoided(peer) ? 1 : 0,
             ...domainRanks.get(domain) ?? [],
             attempts.length > 0 ? helper : 0,
             domain === failureDomain ? 0 : 1,
