--- a/packages/reach/src/PeerHistory.ts
+++ b/packages/reach/src/PeerHistory.ts
@@ -2,7 +2,7 @@
 
 /** What a VM knows of its peers as openers of connections to the endpoints of one service. */
 type ServiceHistory = {
-    /** By VM: until when it is not asked, as it could not open connections itself. */
+    /** By VM: until when it is asked after all others, as it could not open connections itself. */
     readonly avoidedUntil: ReadonlyMap<VmId, Millis>;
     /**
      * By failure domain: when its peers last failed to open a connection that a peer of another domain opened. What
--- a/packages/reach/src/__tests__/unit/choosePeer.test.ts
+++ b/packages/reach/src/__tests__/unit/choosePeer.test.ts
@@ -86,7 +86,7 @@
         expected: /^a2$/,
     },
     {
-        name: "one that could not help is not asked for a while",
+        name: "one that could not help is not asked before the others for a while",
         peers: "a1 a2",
         events: failed("a1"),
         at: 1_999,
@@ -146,7 +146,7 @@
         expected: /^a[12]$/,
     },
     {
-        name: "one that was outrun for longer than its head start is not asked for a while",
+        name: "one that was outrun for longer than its head start is not asked before the others for a while",
         peers: "a1 a2",
         events: [opened("a2", "a1=late")],
         expected: /^a2$/,
--- a/packages/reach/src/peerTiming.ts
+++ b/packages/reach/src/peerTiming.ts
@@ -1,6 +1,6 @@
 /** Time limits of `PeerHistory`, in milliseconds. */
 const peerTiming = {
-    /** How long a peer that could not help is not asked again. */
+    /** How long a peer that could not help comes after all others. */
     avoidMs: 2_000,
     /** How long the peers of a failure domain are asked after those of others once these have outdone them. */
     outdoneMs: 1_000,
--- a/packages/router/src/__tests__/unit/reachOfFleets.test.ts
+++ b/packages/router/src/__tests__/unit/reachOfFleets.test.ts
@@ -10,16 +10,16 @@
 const CUT_AT: Millis = 1_000;
 /** From then on, each connection must open that any live VM could open. */
 const NOTICED_MS: Millis = 1_000;
-/** The same after cuts, kills and restarts that leave as little as one VM of a hundred: the users' `StableWindowMs`. */
+/** The same after cuts, kills and restarts that overlap, and leave as little as one VM of a hundred. */
 const STABLE_MS: Millis = 5_000;
-/** A VM opens connections over own links again within this time: the users' `RecoveryS`, of which a part is shown. */
+/** Time after the end of a cut by which VMs open connections over own links again. */
 const OWN_LINKS_MS: Millis = 2_000;
 const SEEDS = Number(process.env["REACH_SEEDS"] ?? 12);
 const FIRST_SEED = Number(process.env["REACH_FIRST_SEED"] ?? 1);
 
-const hamlet = { a: 2, b: 2, c: 2 };
-const town = { a: 20, b: 21, c: 20 };
-const city = { a: 39, b: 39, c: 39, d: 39, e: 39 };
+const small = { a: 2, b: 2, c: 2 };
+const medium = { a: 20, b: 21, c: 20 };
+const large = { a: 39, b: 39, c: 39, d: 39, e: 39 };
 const largest = { a: 102, b: 103, c: 102, d: 103 };
 
 const vmsOf = (domains: Scenario["domains"], domain: string, from = 1): readonly string[] =>
@@ -35,31 +35,31 @@
 };
 
 const cases: readonly Case[] = [
-    { name: "one domain of two VMs", domains: hamlet, cutOff: vmsOf(hamlet, "a") },
-    { name: "a third of a domain of 21", domains: town, cutOff: vmsOf(town, "b", 15) },
-    { name: "two thirds of a domain of 21", domains: town, cutOff: vmsOf(town, "b", 8) },
-    { name: "all but one of a domain of 21", domains: town, cutOff: vmsOf(town, "b", 2) },
-    { name: "a domain of 21", domains: town, cutOff: vmsOf(town, "b") },
-    { name: "a domain of 21 from one service", domains: town, cutOff: vmsOf(town, "b"), service: "lm" },
-    { name: "a domain of 21 from a service of three", domains: town, cutOff: vmsOf(town, "b"), service: "desk" },
-    { name: "two of three domains", domains: town, cutOff: [...vmsOf(town, "a"), ...vmsOf(town, "b")] },
+    { name: "one domain of two VMs", domains: small, cutOff: vmsOf(small, "a") },
+    { name: "a third of a domain of 21", domains: medium, cutOff: vmsOf(medium, "b", 15) },
+    { name: "two thirds of a domain of 21", domains: medium, cutOff: vmsOf(medium, "b", 8) },
+    { name: "all but one of a domain of 21", domains: medium, cutOff: vmsOf(medium, "b", 2) },
+    { name: "a domain of 21", domains: medium, cutOff: vmsOf(medium, "b") },
+    { name: "a domain of 21 from one service", domains: medium, cutOff: vmsOf(medium, "b"), service: "lm" },
+    { name: "a domain of 21 from a service of three", domains: medium, cutOff: vmsOf(medium, "b"), service: "desk" },
+    { name: "two of three domains", domains: medium, cutOff: [...vmsOf(medium, "a"), ...vmsOf(medium, "b")] },
     {
         name: "a third of each domain and one whole domain",
-        domains: town,
-        cutOff: [...vmsOf(town, "a", 14), ...vmsOf(town, "b"), ...vmsOf(town, "c", 14)],
+        domains: medium,
+        cutOff: [...vmsOf(medium, "a", 14), ...vmsOf(medium, "b"), ...vmsOf(medium, "c", 14)],
     },
     {
         name: "all VMs but one",
-        domains: town,
-        cutOff: [...vmsOf(town, "a"), ...vmsOf(town, "b"), ...vmsOf(town, "c", 2)],
+        domains: medium,
+        cutOff: [...vmsOf(medium, "a"), ...vmsOf(medium, "b"), ...vmsOf(medium, "c", 2)],
     },
     {
         name: "a domain of 21, while relays of the others are killed",
-        domains: town,
-        cutOff: vmsOf(town, "b"),
+        domains: medium,
+        cutOff: vmsOf(medium, "b"),
         killed: ["a1", "c1", "c2"],
     },
-    { name: "a domain of 39", domains: city, cutOff: vmsOf(city, "b") },
+    { name: "a domain of 39", domains: large, cutOff: vmsOf(large, "b") },
     { name: "a domain of 103", domains: largest, cutOff: vmsOf(largest, "b"), perSecond: 2 },
     { name: "all but one of a domain of 103", domains: largest, cutOff: vmsOf(largest, "b", 2), perSecond: 2 },
 ];
@@ -112,7 +112,7 @@
 
 // Guards against bytes between failure domains while VMs of the own domain could help.
 test("reach: peers of the own domain are used while some of them can help", async t => {
-    const { domains, cutOff } = { domains: town, cutOff: vmsOf(town, "b", 8) };
+    const { domains, cutOff } = { domains: medium, cutOff: vmsOf(medium, "b", 8) };
     const results = await simulateReach({
         ...scenarioOf({ name: "", domains, cutOff }, "hang"),
         lengthMs: 8_000,
@@ -124,11 +124,11 @@
 
 // Guards against callers waiting for the time limit of a connection that no VM can open.
 test("reach: a fleet that is cut off as a whole refuses most requests at once, and reaches endpoints again by itself", async t => {
-    const all = Object.keys(town).flatMap(domain => vmsOf(town, domain));
+    const all = Object.keys(medium).flatMap(domain => vmsOf(medium, domain));
     const healedAt = 8_000;
     const results = await simulateReach({
         seed: 1,
-        domains: town,
+        domains: medium,
         events: [{ at: CUT_AT, vms: all, kind: "hang" }, { at: healedAt, vms: all, kind: "heal" }],
         lengthMs: healedAt + OWN_LINKS_MS + NOTICED_MS,
         perSecond: 6,
