--- a/packages/reach/src/index.ts
+++ b/packages/reach/src/index.ts
@@ -9,7 +9,6 @@
 export { initialLinks } from "./initialLinks.js";
 export { initialPeerHistory } from "./initialPeerHistory.js";
 export { isBlocked } from "./isBlocked.js";
-export { isBypassed } from "./isBypassed.js";
 export { isCutOff } from "./isCutOff.js";
 export { isLost } from "./isLost.js";
 export type { LinkEvent } from "./LinkEvent.js";
--- a/packages/router/src/peers/decodeListedVm.ts
+++ b/packages/router/src/peers/decodeListedVm.ts
@@ -4,9 +4,10 @@
 import { z } from "zod";
 
 import type { ListedVm } from "./ListedVm.js";
+import { VmAddress } from "./VmAddress.js";
 
 const Listed = z.object({
-    address: z.string().regex(/^[0-9.]+:\d{1,5}$/),
+    address: VmAddress,
     failureDomain: FailureDomain,
     capacity: z.number().nonnegative(),
 });
--- a/packages/router/src/peers/startBeacons.ts
+++ b/packages/router/src/peers/startBeacons.ts
@@ -1,5 +1,6 @@
 import { createSocket } from "node:dgram";
 
+import { scheduleTimer } from "../scheduleTimer.js";
 import { createBeaconExchange } from "./createBeaconExchange.js";
 
 type ExchangeParts = Parameters<typeof createBeaconExchange>[0];
@@ -53,10 +54,7 @@
         exchange.current = createBeaconExchange({
             ...parts,
             send,
-            schedule: (delayMs, run) => {
-                const timer = setTimeout(run, delayMs);
-                return () => clearTimeout(timer);
-            },
+            schedule: scheduleTimer,
             onUnreadable: () => parts.onFault("unreadable", undefined),
         });
     });
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -3,6 +3,7 @@
 
 import type { ConnectionKind } from "../dispatch/ConnectionKind.js";
 import { openCall } from "../dispatch/openCall.js";
+import { scheduleTimer } from "../scheduleTimer.js";
 import { areStoresCrowded } from "./areStoresCrowded.js";
 import { forwardAnswer } from "./forwardAnswer.js";
 import { headTimeout } from "./headTimeout.js";
@@ -63,11 +64,6 @@
     });
 };
 
-const schedule = (delayMs: Millis, run: () => void): () => void => {
-    const timer = setTimeout(run, delayMs);
-    return () => clearTimeout(timer);
-};
-
 /** Reserves a retry for a stream that is to leave its engine; `false` if it stays. */
 const reserveMove = ({ parts, served, place, progress }: TryParts): boolean => {
     const { prompt } = served.caller;
@@ -196,7 +192,7 @@
             onMove: move =>
                 watchOrders({
                     onOrdered: listener => endpointTable.onOrdered(place.entry.name, listener),
-                    schedule,
+                    schedule: scheduleTimer,
                     reserveMove: () => reserveMove(tryParts),
                 }, move),
         }),
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -6,11 +6,11 @@
 
 import { createAllowanceQueue } from "./allowance/createAllowanceQueue.js";
 import { createAllowances } from "./allowance/createAllowances.js";
-import { callOnce } from "./dispatch/callOnce.js";
 import { EndpointAgent } from "./dispatch/EndpointAgent.js";
 import { hasDied } from "./dispatch/hasDied.js";
 import { maxIdleConnections } from "./dispatch/maxIdleConnections.js";
 import type { OpenConnection } from "./dispatch/OpenConnection.js";
+import { createEngineCalls } from "./fleet/createEngineCalls.js";
 import { orderFence } from "./fleet/orderFence.js";
 import { startOrders } from "./fleet/startOrders.js";
 import { createSuspensionWatch } from "./knowledge/createSuspensionWatch.js";
@@ -221,16 +221,7 @@
         vm: settings.vm,
         store,
         endpointTable,
-        calls: {
-            call: async (address, call, timeoutMs) => {
-                const result = await callOnce(agent, address, call, timeoutMs);
-                if (result.kind === "unreached") {
-                    void connector.checkLink(address);
-                }
-                return result;
-            },
-            schedule: (delayMs, run) => void setTimeout(run, delayMs),
-        },
+        calls: createEngineCalls(agent, connector.checkLink),
         wire: parts.endpointWire,
         declaredState: declarations.current,
         logger: loggers("fleet"),
--- a/packages/router/src/tunnel/createConnector.ts
+++ b/packages/router/src/tunnel/createConnector.ts
@@ -8,11 +8,11 @@
 
 import type { OpenConnection } from "../dispatch/OpenConnection.js";
 import type { OpenedConnection } from "../dispatch/OpenedConnection.js";
+import { scheduleTimer } from "../scheduleTimer.js";
 import { createLinkMonitor } from "./createLinkMonitor.js";
 import { createTunnelOpener } from "./createTunnelOpener.js";
 import { openOwnLink } from "./openOwnLink.js";
 import { requestTunnel } from "./requestTunnel.js";
-import { scheduleTimer } from "./scheduleTimer.js";
 import type { TunnelAdmission } from "./TunnelAdmission.js";
 import { tunnelTiming } from "./tunnelTiming.js";
 
--- a/packages/router/src/tunnel/decodeNamedPeers.ts
+++ b/packages/router/src/tunnel/decodeNamedPeers.ts
@@ -2,10 +2,12 @@
 import type { Peer } from "@azureshunt/core";
 import { z } from "zod";
 
+import { VmAddress } from "../peers/VmAddress.js";
+
 const MAX_PEERS = 16;
 const NamedPeer = z.object({
     vm: VmId,
-    address: z.string().regex(/^[0-9.]+:\d{1,5}$/),
+    address: VmAddress,
     failureDomain: FailureDomain,
 });
 
