Log the prompt parts and the stage of requests at endpoints that died

What requests at several deaths have in common could not be told: a log line named a digest of the whole request. It now names the prompt parts, and how far the answer was: waiting, begun, or answering. The metric azureshunt_requests_at_deaths_total counts them by stage.

--- a/packages/router/src/__tests__/unit/deathCountedTwice.test.ts
+++ b/packages/router/src/__tests__/unit/deathCountedTwice.test.ts
@@ -30,15 +30,15 @@
     };
     const settle = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
 
-    await here.reportBrokenTry(served, entryOf("e", { bornAt: 1 }));
+    await here.reportBrokenTry(served, entryOf("e", { bornAt: 1 }), "begun");
     await settle();
     exchange();
     t.false(here.isQuarantined(served), "after one death");
 
     // Another engine, which started again a moment ago, dies; this VM has read its new entry, the other one has not.
     time.now = 4_000;
-    await here.reportBrokenTry(served, entryOf("f", { bornAt: 8 }));
-    await there.reportBrokenTry(served, entryOf("f", { bornAt: 7 }));
+    await here.reportBrokenTry(served, entryOf("f", { bornAt: 8 }), "begun");
+    await there.reportBrokenTry(served, entryOf("f", { bornAt: 7 }), "begun");
     await settle();
     exchange();
     t.false(here.isQuarantined(served), "after two deaths");
--- a/packages/router/src/__tests__/unit/quarantinePort.test.ts
+++ b/packages/router/src/__tests__/unit/quarantinePort.test.ts
@@ -27,8 +27,8 @@
         logger: pino({ level: "silent" }),
         metrics: createMetrics(),
     });
-    await reportBrokenTry(served, endpoint("engine-1"));
-    const second = reportBrokenTry(served, endpoint("engine-2"));
+    await reportBrokenTry(served, endpoint("engine-1"), "begun");
+    const second = reportBrokenTry(served, endpoint("engine-2"), "begun");
     const timeout = new Promise<void>(resolve => setTimeout(resolve, 50));
     t.is(await settlesFirst(second, timeout), "second", "it waits");
     first.settleCheck?.(true);
@@ -54,3 +54,20 @@
     time.now = 3_500;
     t.is(beaconFields().deaths.length, 0);
 });
+
+// Without the parts and the stage, a log does not tell what requests at several deaths have in common.
+test("quarantine: a death is logged with the prompt parts and the stage of each request at it", async t => {
+    const lines: string[] = [];
+    const { reportBrokenTry } = createQuarantine({
+        clock: createClock(),
+        hasDied: () => Promise.resolve(true),
+        logger: pino({}, { write: line => void lines.push(line) }),
+        metrics: createMetrics(),
+    });
+    const prompt = { parts: [{ id: "aa", tokens: 1 }, { id: "own", tokens: 1 }] };
+    const caller = { ...served.caller, id: "r1", prompt };
+    await reportBrokenTry({ ...served, caller } as unknown as ServedRequest, endpoint("engine-1"), "waiting");
+    await new Promise(resolve => setImmediate(resolve));
+    const { id, stage, promptParts } = JSON.parse(lines[0] ?? "{}") as Readonly<Record<string, unknown>>;
+    t.deepEqual({ id, stage, promptParts }, { id: "r1", stage: "waiting", promptParts: ["aa", "own"] });
+});
--- a/packages/router/src/quarantine/createQuarantine.ts
+++ b/packages/router/src/quarantine/createQuarantine.ts
@@ -7,6 +7,7 @@
 import type { Beacon } from "../peers/Beacon.js";
 import type { EndpointEntry } from "../registry/EndpointEntry.js";
 import type { ServedRequest } from "../serve/ServedRequest.js";
+import type { TryStage } from "../serve/TryStage.js";
 import type { CrashEvent } from "./CrashEvent.js";
 import type { CrashHistory } from "./CrashHistory.js";
 import { stepCrashHistory } from "./stepCrashHistory.js";
@@ -27,7 +28,7 @@
      * the request broke off or the request was running at an earlier death: then it may be the cause, and all results
      * are awaited.
      */
-    readonly reportBrokenTry: (served: ServedRequest, endpoint: EndpointEntry) => Promise<void>;
+    readonly reportBrokenTry: (served: ServedRequest, endpoint: EndpointEntry, stage: TryStage) => Promise<void>;
     readonly applyBeacon: (beacon: Beacon) => void;
     readonly beaconFields: () => Pick<Beacon, "deaths" | "quarantined">;
     readonly tick: () => void;
@@ -78,20 +79,37 @@
         deathChecks.set(death, known);
         return known;
     };
-    const checkDeath = async (request: RequestFingerprint, endpoint: EndpointEntry): Promise<void> => {
+    const checkDeath = async (
+        { caller }: ServedRequest,
+        request: RequestFingerprint,
+        endpoint: EndpointEntry,
+        stage: TryStage,
+    ): Promise<void> => {
         const death = `${endpoint.name}/${endpoint.bornAt}`;
         if (!await sharedDeathCheck(death, endpoint.address)) {
             return;
         }
         recordDeath(request, death);
-        logger.info({ endpoint: endpoint.name, fingerprint: request }, "An endpoint died while it ran a request.");
+        metrics.count(
+            "azureshunt_requests_at_deaths_total",
+            "Requests that endpoints ran when they died, by how far the answer was.",
+            { stage },
+        );
+        logger.info({
+            endpoint: endpoint.name,
+            bornAt: endpoint.bornAt,
+            id: caller.id,
+            fingerprint: request,
+            stage,
+            promptParts: caller.prompt?.parts.map(({ id }) => id),
+        }, "An endpoint died while it ran a request.");
     };
 
-    const reportBrokenTry: Quarantine["reportBrokenTry"] = async (served, endpoint) => {
+    const reportBrokenTry: Quarantine["reportBrokenTry"] = async (served, endpoint, stage) => {
         const request = fingerprintRequest(served);
         const earlier = pendingResults.get(request);
         const isSuspect = state.history.deaths.has(request) || earlier !== undefined;
-        const result = Promise.all([earlier, checkDeath(request, endpoint)]).then(() => undefined);
+        const result = Promise.all([earlier, checkDeath(served, request, endpoint, stage)]).then(() => undefined);
         pendingResults.set(request, result);
         void result.finally(() => pendingResults.get(request) === result && pendingResults.delete(request));
         await (isSuspect ? result : undefined);
--- a/packages/router/src/serve/TryResult.ts
+++ b/packages/router/src/serve/TryResult.ts
@@ -1,4 +1,5 @@
 import type { TryOutcome } from "../dispatch/TryOutcome.js";
+import type { TryStage } from "./TryStage.js";
 
 /** Outcome of one try. */
 export type TryResult = {
@@ -9,4 +10,6 @@
         readonly headers: readonly string[];
         readonly body: Buffer;
     } | undefined;
+    /** How far the answer was. */
+    readonly stage: TryStage;
 };
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -15,6 +15,7 @@
 import { shouldMove } from "./shouldMove.js";
 import type { TryParts } from "./TryParts.js";
 import type { TryResult } from "./TryResult.js";
+import type { TryStage } from "./TryStage.js";
 import { watchOrders } from "./watchOrders.js";
 
 /**
@@ -28,6 +29,8 @@
 const MIN_ESTIMATE_MS = 20;
 /** Minimum time that an endpoint has for its first activity before it counts as overdue. */
 const MIN_EXPECTED_MS = 350;
+/** An endpoint that crashes on what it has begun to answer does so within this time after its first event. */
+const SETTLED_MS = 300;
 
 /**
  * Returns the address of the cache store if the endpoint should save the prompt's parts there. Parts that the store
@@ -102,7 +105,15 @@
     });
     const times = { headMs: undefined as Millis | undefined, firstEventMs: undefined as Millis | undefined };
     const used = { connection: "none" as ConnectionKind };
-    const finish = (result: TryResult): TryResult => {
+    const stageAt = (ms: Millis): TryStage => {
+        const { headMs, firstEventMs } = times;
+        if (headMs === undefined) {
+            return "waiting";
+        }
+        return firstEventMs === undefined || ms - firstEventMs < SETTLED_MS ? "begun" : "answering";
+    };
+    const finish = (ended: Omit<TryResult, "stage">): TryResult => {
+        const result = { ...ended, stage: stageAt(clock.now() - startedAt) };
         inFlight.end(result.kind);
         if (result.kind !== "answered") {
             served.notes.flush();
@@ -118,6 +129,7 @@
             endpoint: place.entry.name,
             outcome: result.kind,
             connection: used.connection,
+            stage: result.stage,
             status: result.answer?.status,
             ms: Math.round(clock.now() - startedAt),
             ...times,
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -134,7 +134,7 @@
     const afterTry = async (progress: RequestProgress, place: TryPlace, result: TryResult): Promise<ServedEnd> => {
         const { request } = progress;
         if (result.kind === "broken") {
-            await parts.quarantine.reportBrokenTry(served, place.entry);
+            await parts.quarantine.reportBrokenTry(served, place.entry, result.stage);
         }
         if (result.kind === "answered") {
             return { kind: "answered", answer: result.answer, tries: request.tries + 1 };
