Keep requests from engines that share a prompt part on which engines crash

Cause: deaths were counted by digests of whole requests. Each request was also sent to a second engine as soon as its first had died.

Change: a death has suspects, the parts (except the last) of prompts whose answer had just begun there; without such, of those that waited. Three deaths quarantine a part of one model and service; an answer by an engine that goes on serving clears it, whichever VM saw it. VMs send suspects at once and answers on request, with the beacons; both lists are empty while no engine dies. A request whose parts are suspects waits 250 ms for what other VMs have seen before its second try, and gets none if there was another death. Quarantined requests are refused before they take from an allowance. Two minutes after the last death one VM of all lets a single request through every 30 s.

The state machine moves from the router into a package of its own. Its tests keep their assertions; the events name suspects instead of running requests.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -10,6 +10,7 @@
 export { EndpointName } from "./EndpointName.js";
 export type { ErrorKind } from "./ErrorKind.js";
 export { FailureDomain } from "./FailureDomain.js";
+export { hashText } from "./hashText.js";
 export { Incarnation } from "./Incarnation.js";
 export { invariant } from "./invariant.js";
 export { KeyId } from "./KeyId.js";
--- /dev/null
+++ b/packages/quarantine/src/Accusation.ts
@@ -0,0 +1,10 @@
+import type { Millis } from "@azureshunt/core";
+
+import type { SuspectStage } from "./SuspectStage.js";
+
+/** Evidence of one death against one suspect. */
+export type Accusation = {
+    /** When this VM learned of it. */
+    readonly at: Millis;
+    readonly stage: SuspectStage;
+};
--- a/packages/router/src/__tests__/unit/quarantine.test.ts
+++ b/packages/quarantine/src/__tests__/unit/stepCrashHistory.test.ts
@@ -1,24 +1,24 @@
-import type { RequestFingerprint } from "@azureshunt/request";
 import test from "ava";
 import fc from "fast-check";
 
-import type { CrashEvent } from "../../quarantine/CrashEvent.js";
-import type { CrashHistory } from "../../quarantine/CrashHistory.js";
-import { crashLimits } from "../../quarantine/crashLimits.js";
-import { stepCrashHistory } from "../../quarantine/stepCrashHistory.js";
+import type { CrashEvent } from "../../CrashEvent.js";
+import type { CrashHistory } from "../../CrashHistory.js";
+import { crashLimits } from "../../crashLimits.js";
+import { emptyHistory } from "../../emptyHistory.js";
+import { stepCrashHistory } from "../../stepCrashHistory.js";
+import type { SuspectKey } from "../../SuspectKey.js";
 
 const SEED = 20_261_203;
-const emptyHistory: CrashHistory = { deaths: new Map(), quarantined: new Map() };
-const crashing = "crashing" as RequestFingerprint;
-const unrelated = "unrelated" as RequestFingerprint;
+const crashing = "crashing" as SuspectKey;
+const unrelated = "unrelated" as SuspectKey;
 const second = 1_000;
 
 type Timed = readonly [number, CrashEvent];
 
-const death = (name: string, ...running: readonly RequestFingerprint[]): CrashEvent => ({
+const death = (name: string, ...running: readonly SuspectKey[]): CrashEvent => ({
     kind: "death",
     death: name,
-    running,
+    suspects: running.map(key => ({ key, stage: "request" })),
 });
 
 const after = (events: readonly Timed[]): CrashHistory =>
@@ -58,19 +58,19 @@
     },
     {
         name: "a request quarantined by another VM is quarantined here for the same time",
-        events: [[0, { kind: "quarantined", request: crashing, forMs: second }], [second - 1, { kind: "tick" }]],
+        events: [[0, { kind: "quarantined", key: crashing, forMs: second }], [second - 1, { kind: "tick" }]],
         quarantined: [crashing],
     },
     {
         name: "the quarantine by another VM ends after that time",
-        events: [[0, { kind: "quarantined", request: crashing, forMs: second }], [second, { kind: "tick" }]],
+        events: [[0, { kind: "quarantined", key: crashing, forMs: second }], [second, { kind: "tick" }]],
         quarantined: [],
     },
 ];
 
 cases.forEach(({ name, events, quarantined }) => {
     test(`quarantine: ${name}`, t => {
-        t.deepEqual([...after(events).quarantined.keys()], quarantined as RequestFingerprint[]);
+        t.deepEqual([...after(events).quarantined.keys()], quarantined as SuspectKey[]);
     });
 });
 
@@ -86,7 +86,7 @@
                 const state = { history: emptyHistory };
                 return order.every((name, i) => {
                     known.add(name);
-                    const alsoRunning = others.map(n => `${n}-${i}` as RequestFingerprint);
+                    const alsoRunning = others.map(n => `${n}-${i}` as SuspectKey);
                     state.history = stepCrashHistory(state.history, death(name, ...alsoRunning, crashing), i);
                     return state.history.quarantined.has(crashing) === (known.size === deaths.length);
                 });
@@ -94,6 +94,6 @@
         ),
         { seed: SEED, numRuns: 200 },
     );
-    const many = Array.from({ length: 3 * crashLimits.requests }, (_, i) => `r${i}` as RequestFingerprint);
-    t.true(after([[0, death("a/1", ...many)]]).deaths.size <= crashLimits.requests);
+    const many = Array.from({ length: 3 * crashLimits.suspects }, (_, i) => `r${i}` as SuspectKey);
+    t.true(after([[0, death("a/1", ...many)]]).accusations.size <= crashLimits.suspects);
 });
--- /dev/null
+++ b/packages/quarantine/src/crashLimits.ts
@@ -0,0 +1,35 @@
+/** Limits for quarantining what crashes endpoints; times in milliseconds. */
+const crashLimits = {
+    /**
+     * Deaths after which a suspect is quarantined. It may be present at one death by chance, seldom at two; a third one
+     * shows that it is the cause, at the price of one more endpoint.
+     */
+    deaths: 3,
+    /**
+     * A part that was answered before is sound as far as is known, and endpoints that share a rack die at once. So deaths
+     * since its last answer count separately only if they are this far apart.
+     */
+    momentMs: 1_000,
+    /** How long a death counts. Callers that retry such a request do so within their deadline of some seconds. */
+    rememberedMs: 60_000,
+    /** How long a suspect stays quarantined after its last death. */
+    quarantineMs: 600_000,
+    /** Time after the last death from which single requests show whether endpoints still crash. */
+    probeAfterMs: 120_000,
+    /** Time between two such requests. */
+    probeGapMs: 30_000,
+    /** A part that was answered within this time is not accused. */
+    answeredWithinMs: 5_000,
+    /** How long a death or an answer is sent to the other VMs: some beacons may be lost. */
+    sendForMs: 3_000,
+    /** Suspects remembered; those recorded longest ago are dropped first. */
+    suspects: 2_000,
+    /** Deaths remembered of one suspect. */
+    deathsOfOne: 16,
+    /** Rows of each kind in one beacon; the newest are sent. */
+    rows: 40,
+    /** Parts of which the last answer is remembered, before the oldest are overwritten. */
+    answeredParts: 8_192,
+} as const;
+
+export { crashLimits };
--- /dev/null
+++ b/packages/quarantine/src/createSuspects.ts
@@ -0,0 +1,214 @@
+import type { Clock, Millis } from "@azureshunt/core";
+
+import { countedDeaths } from "./countedDeaths.js";
+import type { CrashEvent } from "./CrashEvent.js";
+import { crashLimits } from "./crashLimits.js";
+import { createAnswerMemory } from "./createAnswerMemory.js";
+import { emptyHistory } from "./emptyHistory.js";
+import { stepCrashHistory } from "./stepCrashHistory.js";
+import type { Suspect } from "./Suspect.js";
+import type { SuspectKey } from "./SuspectKey.js";
+import type { SuspectRows } from "./SuspectRows.js";
+
+type SuspectsParts = {
+    readonly clock: Clock;
+    /** Whether this VM sends on what it learns from others. */
+    readonly isRelay: () => boolean;
+    /** Whether this VM, and no other one, probes whether endpoints still crash on a suspect. */
+    readonly isProber: (key: SuspectKey) => boolean;
+    /** Called when other VMs should learn at once what this one has learned. */
+    readonly onUrgent: () => void;
+    readonly onQuarantined: (key: SuspectKey, deaths: readonly string[], source: "death" | "peer") => void;
+    readonly onReleased: (key: SuspectKey) => void;
+};
+
+/** What one VM knows of requests and prompt parts that crash endpoints. */
+type Suspects = {
+    /** Whether anything is quarantined. */
+    readonly hasQuarantined: () => boolean;
+    /** Whether a request with these keys is kept from endpoints now. */
+    readonly isRefused: (keys: readonly SuspectKey[]) => boolean;
+    /** Whether a request with these keys may be sent to an endpoint now; if it is a probe, this starts it. */
+    readonly admit: (keys: readonly SuspectKey[]) => boolean;
+    /** Whether one of these keys was at a death, and nothing shows that it was not the cause. */
+    readonly isSuspect: (keys: readonly SuspectKey[]) => boolean;
+    /** Whether one of these parts has not been answered lately, as far as this VM knows. */
+    readonly areDoubtful: (parts: readonly SuspectKey[]) => boolean;
+    /** The most deaths that count against one of these keys. */
+    readonly deathsOf: (keys: readonly SuspectKey[]) => number;
+    /** Records a death that this VM has seen. Parts that were answered lately are left out. */
+    readonly recordDeath: (death: string, suspects: readonly Suspect[]) => void;
+    /** Records that an endpoint has answered a prompt with these parts, and goes on serving. */
+    readonly recordAnswered: (parts: readonly SuspectKey[]) => void;
+    /** Applies what another VM has sent. */
+    readonly receive: (rows: SuspectRows) => void;
+    readonly rows: () => SuspectRows;
+    readonly tick: () => void;
+};
+
+type SentSuspect = Suspect & { readonly death: string; readonly at: Millis; };
+
+const isPart = ({ stage }: Suspect): boolean => stage !== "request";
+
+/** Creates the knowledge of a VM that has just started. */
+export function createSuspects(parts: SuspectsParts): Suspects {
+    const { clock } = parts;
+    const memory = createAnswerMemory(crashLimits.answeredParts);
+    const state = {
+        history: emptyHistory,
+        /** Suspects to send to the other VMs: of deaths that this VM has seen or learned of. */
+        sentSuspects: [] as readonly SentSuspect[],
+    };
+    /** Answers to send to the other VMs: when each was given, and when this VM began to send it. */
+    const sentAnswers = new Map<SuspectKey, { readonly answeredAt: Millis; readonly at: Millis; }>();
+    const probes = new Map<SuspectKey, Millis>();
+
+    const apply = (event: CrashEvent): void => {
+        const before = state.history.quarantined;
+        state.history = stepCrashHistory(state.history, event, clock.now());
+        const { quarantined, accusations } = state.history;
+        if (quarantined === before) {
+            return;
+        }
+        [...quarantined.keys()].filter(key => !before.has(key)).forEach(key => {
+            const source = event.kind === "quarantined" ? "peer" : "death";
+            parts.onQuarantined(key, [...accusations.get(key)?.keys() ?? []], source);
+        });
+        [...before.keys()].filter(key => !quarantined.has(key)).forEach(key => {
+            probes.delete(key);
+            parts.onReleased(key);
+        });
+    };
+    const isNew = (death: string, { key }: Suspect): boolean => state.history.accusations.get(key)?.has(death) !== true;
+    const send = (death: string, suspects: readonly Suspect[]): void => {
+        const at = clock.now();
+        const sent = [...state.sentSuspects, ...suspects.map(suspect => ({ ...suspect, death, at }))]
+            .filter(each => at - each.at < crashLimits.sendForMs);
+        state.sentSuspects = [
+            ...sent.filter(each => !isPart(each)).slice(-crashLimits.rows),
+            ...sent.filter(isPart).slice(-crashLimits.rows),
+        ];
+        parts.onUrgent();
+    };
+    const sendAnswer = (key: SuspectKey, answeredAt: Millis): void => {
+        sentAnswers.delete(key);
+        sentAnswers.set(key, { answeredAt, at: clock.now() });
+        [...sentAnswers.keys()].slice(0, -crashLimits.rows).forEach(each => sentAnswers.delete(each));
+    };
+    const answer = (key: SuspectKey, answeredAt: Millis): void => {
+        apply({ kind: "answered", key, at: answeredAt });
+        sendAnswer(key, answeredAt);
+    };
+    const isKnownAnswer = (key: SuspectKey, answeredAt: Millis): boolean =>
+        (state.history.answers.get(key) ?? -Infinity) > answeredAt - crashLimits.momentMs;
+    /** Uses what this VM remembers of a part's answers, and sends it to the others. */
+    const recall = ({ key }: Suspect): void => {
+        const answeredAt = memory.lastAt(key);
+        if (answeredAt !== undefined && !isKnownAnswer(key, answeredAt)) {
+            answer(key, answeredAt);
+        }
+    };
+    const accuse = (death: string, suspects: readonly Suspect[]): void => {
+        suspects.filter(isPart).forEach(recall);
+        apply({ kind: "death", death, suspects });
+    };
+
+    const isDoubtful = (key: SuspectKey): boolean =>
+        clock.now() - (memory.lastAt(key) ?? -Infinity) > crashLimits.answeredWithinMs;
+    const recordDeath: Suspects["recordDeath"] = (death, seen) => {
+        const suspects = seen
+            .filter(suspect => !isPart(suspect) || isDoubtful(suspect.key))
+            .filter(suspect => isNew(death, suspect));
+        if (suspects.length > 0) {
+            accuse(death, suspects);
+            send(death, suspects);
+        }
+    };
+    const recordAnswered: Suspects["recordAnswered"] = keys => {
+        const now = clock.now();
+        const { accusations, quarantined } = state.history;
+        keys.forEach(key => {
+            memory.record(key, now);
+            if ((accusations.has(key) || quarantined.has(key)) && !isKnownAnswer(key, now)) {
+                answer(key, now);
+                parts.onUrgent();
+            }
+        });
+    };
+    const receive: Suspects["receive"] = rows => {
+        const now = clock.now();
+        rows.answeredParts.forEach(([key, ageMs]) => {
+            if (!isKnownAnswer(key, now - ageMs)) {
+                apply({ kind: "answered", key, at: now - ageMs });
+                if (parts.isRelay()) {
+                    sendAnswer(key, now - ageMs);
+                    parts.onUrgent();
+                }
+            }
+        });
+        const suspects: readonly (Suspect & { readonly death: string; })[] = [
+            ...rows.deaths.map(([key, death]) => ({ key, death, stage: "request" as const })),
+            ...rows.suspectParts.map(([key, death, hasBegun]) => ({
+                key,
+                death,
+                stage: hasBegun ? "begun" as const : "waiting" as const,
+            })),
+        ];
+        suspects.filter(each => isNew(each.death, each)).forEach(({ death, key, stage }) => {
+            accuse(death, [{ key, stage }]);
+            if (parts.isRelay()) {
+                send(death, [{ key, stage }]);
+            }
+        });
+        rows.quarantined
+            .filter(([key]) => !state.history.quarantined.has(key))
+            .forEach(([key, forMs]) => apply({ kind: "quarantined", key, forMs }));
+    };
+    const isProbeDue = (key: SuspectKey, until: Millis): boolean =>
+        until - clock.now() < crashLimits.quarantineMs - crashLimits.probeAfterMs
+        && clock.now() - (probes.get(key) ?? -Infinity) >= crashLimits.probeGapMs
+        && parts.isProber(key);
+    const untilOf = (key: SuspectKey): Millis => state.history.quarantined.get(key) ?? -Infinity;
+    const isQuarantined = (key: SuspectKey): boolean => untilOf(key) > clock.now();
+    const isRefused: Suspects["isRefused"] = keys =>
+        keys.filter(isQuarantined).some(key => !isProbeDue(key, untilOf(key)));
+    const admit: Suspects["admit"] = keys => {
+        if (isRefused(keys)) {
+            return false;
+        }
+        keys.filter(isQuarantined).forEach(key => probes.set(key, clock.now()));
+        return true;
+    };
+    const deathsOf: Suspects["deathsOf"] = keys => Math.max(0, ...keys.map(key => countedDeaths(state.history, key)));
+    const rows: Suspects["rows"] = () => {
+        const now = clock.now();
+        const recent = state.sentSuspects.filter(({ at }) => now - at < crashLimits.sendForMs);
+        return {
+            deaths: recent.filter(each => !isPart(each)).map(({ key, death }) => [key, death]),
+            suspectParts: recent.filter(isPart).map(({ key, death, stage }) => [key, death, stage === "begun"]),
+            answeredParts: [...sentAnswers]
+                .filter(([, { at }]) => now - at < crashLimits.sendForMs)
+                .map(([key, { answeredAt }]) => [key, Math.round(now - answeredAt)]),
+            quarantined: [...state.history.quarantined].slice(-crashLimits.rows)
+                .map(([key, until]) => [key, until - now]),
+        };
+    };
+    return {
+        hasQuarantined: () => state.history.quarantined.size > 0,
+        isRefused,
+        admit,
+        isSuspect: keys => deathsOf(keys) > 0,
+        areDoubtful: keys => keys.some(isDoubtful),
+        deathsOf,
+        recordDeath,
+        recordAnswered,
+        receive,
+        rows,
+        tick: () => {
+            const { accusations, answers, quarantined } = state.history;
+            if (accusations.size + answers.size + quarantined.size > 0) {
+                apply({ kind: "tick" });
+            }
+        },
+    };
+}
--- a/packages/router/src/__tests__/support/emptyBeacon.ts
+++ b/packages/router/src/__tests__/support/emptyBeacon.ts
@@ -29,6 +29,8 @@
     cached: [],
     lease: undefined,
     deaths: [],
+    suspectParts: [],
+    answeredParts: [],
     quarantined: [],
     rollouts: [],
     registry: undefined,
--- a/packages/router/src/__tests__/support/relayFleet.ts
+++ b/packages/router/src/__tests__/support/relayFleet.ts
@@ -130,6 +130,8 @@
                 engineVersions: [],
                 lease: undefined,
                 deaths: [],
+                suspectParts: [],
+                answeredParts: [],
                 quarantined: [],
                 rollouts: [],
                 registry: undefined,
--- a/packages/router/src/__tests__/unit/beacon.test.ts
+++ b/packages/router/src/__tests__/unit/beacon.test.ts
@@ -37,6 +37,8 @@
     cached: [["e1", [{ key: "manual", tokens: 4_000 }, { key: "own", tokens: 70 }]], ["10.0.0.9:80", []]],
     lease: undefined,
     deaths: [],
+    suspectParts: [],
+    answeredParts: [],
     quarantined: [],
     rollouts: [{
         service: "desk" as ServiceName,
--- a/packages/router/src/__tests__/unit/deathCountedTwice.test.ts
+++ b/packages/router/src/__tests__/unit/deathCountedTwice.test.ts
@@ -1,11 +1,9 @@
-import { createMetrics } from "@azureshunt/telemetry";
 import test from "ava";
 
 import type { Beacon } from "../../peers/Beacon.js";
-import { createQuarantine } from "../../quarantine/createQuarantine.js";
 import type { ServedRequest } from "../../serve/ServedRequest.js";
 import { entryOf } from "../support/entryOf.js";
-import { silentLogger } from "../support/silentLogger.js";
+import { startQuarantine } from "../support/startQuarantine.js";
 
 const served = {
     caller: { key: "key", method: "POST", host: "host", target: "/v1" },
@@ -17,11 +15,9 @@
 test("death counted twice: two deaths that two VMs saw do not quarantine a request", async t => {
     const time = { now: 0 };
     const start = () =>
-        createQuarantine({
+        startQuarantine({
             clock: { now: () => time.now, epoch: () => time.now },
             hasDied: () => Promise.resolve(true),
-            logger: silentLogger,
-            metrics: createMetrics(),
         });
     const [here, there] = [start(), start()];
     const exchange = (): void => {
--- a/packages/router/src/__tests__/unit/quarantinePort.test.ts
+++ b/packages/router/src/__tests__/unit/quarantinePort.test.ts
@@ -1,12 +1,12 @@
 import { createClock } from "@azureshunt/core";
-import { createMetrics } from "@azureshunt/telemetry";
 import test from "ava";
 import { pino } from "pino";
 
 import type { Beacon } from "../../peers/Beacon.js";
-import { createQuarantine } from "../../quarantine/createQuarantine.js";
 import type { EndpointEntry } from "../../registry/EndpointEntry.js";
 import type { ServedRequest } from "../../serve/ServedRequest.js";
+import { emptyBeacon } from "../support/emptyBeacon.js";
+import { startQuarantine } from "../support/startQuarantine.js";
 
 const served = {
     caller: { key: "key", method: "POST", host: "host", target: "/v1" },
@@ -14,18 +14,16 @@
 } as unknown as ServedRequest;
 const endpoint = (name: string) => ({ name, address: name, bornAt: 1 }) as unknown as EndpointEntry;
 
-const settlesFirst = (a: Promise<void>, b: Promise<void>): Promise<"first" | "second"> =>
+const settlesFirst = (a: Promise<unknown>, b: Promise<unknown>): Promise<"first" | "second"> =>
     Promise.race([a.then(() => "first" as const), b.then(() => "second" as const)]);
 
 // A first death that is checked slowly counts as none, and the request is run by one more engine.
 test("quarantine: a request whose second try broke off waits for the result of the first one too", async t => {
     const first: { settleCheck?: (died: boolean) => void; } = {};
-    const { reportBrokenTry } = createQuarantine({
+    const { reportBrokenTry } = startQuarantine({
         clock: createClock(),
         hasDied: address =>
             address === "engine-1" ? new Promise(resolve => (first.settleCheck = resolve)) : Promise.resolve(true),
-        logger: pino({ level: "silent" }),
-        metrics: createMetrics(),
     });
     await reportBrokenTry(served, endpoint("engine-1"), "begun");
     const second = reportBrokenTry(served, endpoint("engine-2"), "begun");
@@ -39,13 +37,11 @@
 // domain.
 test("quarantine: a received death is sent on once", t => {
     const time = { now: 0 };
-    const { applyBeacon, beaconFields } = createQuarantine({
+    const { applyBeacon, beaconFields } = startQuarantine({
         clock: { now: () => time.now, epoch: () => time.now },
         hasDied: () => Promise.resolve(false),
-        logger: pino({ level: "silent" }),
-        metrics: createMetrics(),
     });
-    const beacon = { deaths: [["request", "engine-1/1"]], quarantined: [] } as unknown as Beacon;
+    const beacon = { ...emptyBeacon, deaths: [["request", "engine-1/1"]] } as unknown as Beacon;
     applyBeacon(beacon);
     t.deepEqual(beaconFields().deaths as unknown, [["request", "engine-1/1"]]);
     time.now = 2_000;
@@ -58,11 +54,10 @@
 // Without the parts and the stage, a log does not tell what requests at several deaths have in common.
 test("quarantine: a death is logged with the prompt parts and the stage of each request at it", async t => {
     const lines: string[] = [];
-    const { reportBrokenTry } = createQuarantine({
+    const { reportBrokenTry } = startQuarantine({
         clock: createClock(),
         hasDied: () => Promise.resolve(true),
         logger: pino({}, { write: line => void lines.push(line) }),
-        metrics: createMetrics(),
     });
     const prompt = { parts: [{ id: "aa", tokens: 1 }, { id: "own", tokens: 1 }] };
     const caller = { ...served.caller, id: "r1", prompt };
--- a/packages/router/src/peers/Beacon.ts
+++ b/packages/router/src/peers/Beacon.ts
@@ -1,5 +1,5 @@
 import type { EndpointName, FailureDomain, Incarnation, Millis, OrganisationId, Tokens, VmId } from "@azureshunt/core";
-import type { RequestFingerprint } from "@azureshunt/request";
+import type { SuspectRows } from "@azureshunt/quarantine";
 
 import type { TargetRow } from "../knowledge/TargetRow.js";
 import type { PrefixPart } from "../placement/PrefixPart.js";
@@ -75,10 +75,6 @@
      * long the sender has known it. `undefined` if the sender knows none.
      */
     readonly lease: { readonly offset: number; readonly holder: VmId; readonly ageMs: Millis; } | undefined;
-    /** Requests that ran on an endpoint when it died, and the endpoint with its incarnation; sent for some seconds. */
-    readonly deaths: readonly (readonly [RequestFingerprint, string])[];
-    /** Quarantined requests, which crash endpoints, and the remaining time of their quarantine. */
-    readonly quarantined: readonly (readonly [RequestFingerprint, Millis])[];
     /** Rollouts of software versions that the sender knows. */
     readonly rollouts: readonly RolloutRow[];
     /** Digest of the registry entries that the sender knows, and an upper bound for their age. */
@@ -87,4 +83,4 @@
     readonly hasStore: boolean;
     /** True in the final beacon that a VM sends on shutdown. */
     readonly isLeaving: boolean;
-};
+} & SuspectRows;
--- a/packages/router/src/peers/LocalState.ts
+++ b/packages/router/src/peers/LocalState.ts
@@ -1,3 +1,5 @@
+import type { SuspectRows } from "@azureshunt/quarantine";
+
 import type { Beacon } from "./Beacon.js";
 
 /**
@@ -14,8 +16,7 @@
     | "demand"
     | "engineVersions"
     | "lease"
-    | "deaths"
-    | "quarantined"
+    | keyof SuspectRows
     | "rollouts"
     | "registry"
     | "hasStore"
--- a/packages/router/src/peers/createBeaconEncoder.ts
+++ b/packages/router/src/peers/createBeaconEncoder.ts
@@ -15,6 +15,8 @@
     | "engineVersions"
     | "cached"
     | "deaths"
+    | "suspectParts"
+    | "answeredParts"
     | "quarantined"
     | "rollouts"
     | "vms"
@@ -66,6 +68,8 @@
     ...rowsOf("ordered", common.ordered),
     ...rowsOf("engineVersions", common.engineVersions),
     ...rowsOf("deaths", common.deaths),
+    ...rowsOf("suspectParts", common.suspectParts),
+    ...rowsOf("answeredParts", common.answeredParts),
     ...rowsOf("quarantined", common.quarantined),
     ...rowsOf(
         "rollouts",
@@ -130,6 +134,8 @@
         list("relayedLoad"),
         relayedDemand,
         list("rollouts"),
+        list("suspectParts"),
+        list("answeredParts"),
     ].join(",");
 };
 
--- a/packages/router/src/peers/decodeBeacon.ts
+++ b/packages/router/src/peers/decodeBeacon.ts
@@ -19,6 +19,8 @@
 const RELAYED_LOAD = 30;
 const RELAYED_DEMAND = 31;
 const ROLLOUTS = 32;
+const SUSPECT_PARTS = 33;
+const ANSWERED_PARTS = 34;
 
 const PHASES: readonly unknown[] = rolloutPhases;
 const SCOPES: readonly unknown[] = ["vm", "domain", "fleet", "referral"];
@@ -74,7 +76,9 @@
     && areRows(row[RELAYED_SPENT] ?? [], isText, isNumber, isNumber)
     && areRows(row[RELAYED_LOAD] ?? [], isText, isNumber, isNumber, isNumber)
     && isNumber(row[RELAYED_DEMAND] ?? 0)
-    && areRows(row[ROLLOUTS] ?? [], isText, isNumber, isText, isNumber, isNumber, isPhaseOrNull, isNumber);
+    && areRows(row[ROLLOUTS] ?? [], isText, isNumber, isText, isNumber, isNumber, isPhaseOrNull, isNumber)
+    && areRows(row[SUSPECT_PARTS] ?? [], isText, isText, isFlag)
+    && areRows(row[ANSWERED_PARTS] ?? [], isText, isNumber);
 
 const parse = (datagram: Buffer): unknown => {
     try {
@@ -138,6 +142,8 @@
         registry: isRow(registry) ? { digest: registry[0], ageMs: registry[1] } : undefined,
         deaths: row[DEATHS] ?? [],
         quarantined: row[QUARANTINED] ?? [],
+        suspectParts: row[SUSPECT_PARTS] ?? [],
+        answeredParts: row[ANSWERED_PARTS] ?? [],
         rollouts: rollouts.map(([service, id, version, durationMs, ageMs, phase, statedMs]) => ({
             service,
             id,
--- a/packages/router/src/placement/chainOf.ts
+++ b/packages/router/src/placement/chainOf.ts
@@ -1,5 +1,5 @@
+import { hashText } from "@azureshunt/core";
 import type { CallerRequest } from "../ports/CallerRequest.js";
-import { hashText } from "./hashText.js";
 import type { PrefixPart } from "./PrefixPart.js";
 
 /**
--- a/packages/router/src/quarantine/createQuarantine.ts
+++ b/packages/router/src/quarantine/createQuarantine.ts
@@ -1,77 +1,98 @@
-import type { Clock, Millis } from "@azureshunt/core";
+import type { Clock } from "@azureshunt/core";
+import { createSuspects, partKeysOf } from "@azureshunt/quarantine";
+import type { SuspectKey, SuspectRows } from "@azureshunt/quarantine";
 import { fingerprintOf } from "@azureshunt/request";
-import type { RequestFingerprint } from "@azureshunt/request";
 import type { Metrics } from "@azureshunt/telemetry";
 import type { Logger } from "pino";
 
-import type { Beacon } from "../peers/Beacon.js";
 import type { EndpointEntry } from "../registry/EndpointEntry.js";
+import { scheduleTimer } from "../scheduleTimer.js";
 import type { ServedRequest } from "../serve/ServedRequest.js";
 import type { TryStage } from "../serve/TryStage.js";
-import type { CrashEvent } from "./CrashEvent.js";
-import type { CrashHistory } from "./CrashHistory.js";
-import { stepCrashHistory } from "./stepCrashHistory.js";
 
 type QuarantineParts = {
     readonly clock: Clock;
     /** Whether nothing listens at an address any more; false if that is unknown. */
     readonly hasDied: (address: string) => Promise<boolean>;
+    /** Whether this VM sends on what it learns from others. */
+    readonly isRelay: () => boolean;
+    /** Whether this VM is the one that probes whether endpoints still crash on a suspect. */
+    readonly isProber: (key: SuspectKey) => boolean;
+    /** Sends this VM's state to the others at once. */
+    readonly sendSoon: () => void;
+    /** Calls a function after a delay. */
+    readonly schedule?: (delayMs: number, run: () => void) => unknown;
     readonly logger: Logger;
     readonly metrics: Metrics;
 };
 
-/** Keeps requests that crash endpoints from being run repeatedly. */
+/** What identifies a request and the parts of its prompt. */
+type QuarantinedRequest = Pick<ServedRequest, "caller" | "body" | "service">;
+
+/** Keeps requests, and prompt parts that requests share, from crashing one endpoint after the other. */
 type Quarantine = {
-    readonly isQuarantined: (served: ServedRequest) => boolean;
+    /** Whether a request that has arrived will be refused. */
+    readonly isQuarantined: (served: QuarantinedRequest) => boolean;
+    /** Whether a request may be sent to an endpoint now; if it is a probe, this starts it. */
+    readonly admit: (served: QuarantinedRequest) => boolean;
     /**
-     * Reports that a try broke off, and checks whether its endpoint died. Resolves at once, unless an earlier try of
-     * the request broke off or the request was running at an earlier death: then it may be the cause, and all results
-     * are awaited.
+     * Reports that a try broke off, and checks whether its endpoint died. Resolves at once, unless the request or one of
+     * its parts may be the cause: then all results are awaited, and for a part, reports of other VMs too.
+     *
+     * @returns whether the request may be tried at another endpoint
      */
-    readonly reportBrokenTry: (served: ServedRequest, endpoint: EndpointEntry, stage: TryStage) => Promise<void>;
-    readonly applyBeacon: (beacon: Beacon) => void;
-    readonly beaconFields: () => Pick<Beacon, "deaths" | "quarantined">;
+    readonly reportBrokenTry: (
+        served: QuarantinedRequest,
+        endpoint: EndpointEntry,
+        stage: TryStage,
+    ) => Promise<boolean>;
+    /** Reports that an endpoint has answered a request, and goes on serving. */
+    readonly reportAnswered: (served: QuarantinedRequest) => void;
+    readonly applyBeacon: (rows: SuspectRows) => void;
+    readonly beaconFields: () => SuspectRows;
     readonly tick: () => void;
 };
 
-/** How long a death is sent to the other VMs: some beacons may be lost. */
-const SEND_FOR_MS = 3_000;
-/** Maximum rows of each kind in one beacon, so that it fits into a datagram; the newest are sent. */
-const MAX_SENT_ROWS = 40;
+/** Time for the reports of other VMs about the parts of a request whose endpoint has just died. */
+const RETRY_PAUSE_MS = 250;
 
-type SentDeath = { readonly request: RequestFingerprint; readonly death: string; readonly at: Millis; };
+const fingerprintRequest = ({ caller, body }: QuarantinedRequest): SuspectKey =>
+    fingerprintOf([
+        caller.key ?? "",
+        caller.method,
+        caller.host,
+        caller.target,
+        body,
+    ]) as string as SuspectKey;
 
-const fingerprintRequest = ({ caller, body }: ServedRequest): RequestFingerprint =>
-    fingerprintOf([caller.key ?? "", caller.method, caller.host, caller.target, body]);
+const partsOf = ({ caller, service }: QuarantinedRequest): readonly SuspectKey[] =>
+    caller.prompt === undefined ? [] : partKeysOf({ ...caller.prompt, service });
+
+const keysOf = (served: QuarantinedRequest): readonly SuspectKey[] => [fingerprintRequest(served), ...partsOf(served)];
 
 /** Creates the quarantine, empty. */
-export function createQuarantine({ clock, hasDied, logger, metrics }: QuarantineParts): Quarantine {
-    const state = {
-        history: { deaths: new Map(), quarantined: new Map() } as CrashHistory,
-        /** Deaths to send to the other VMs: observed by this VM or received from another one. */
-        sentDeaths: [] as readonly SentDeath[],
-    };
+export function createQuarantine(parts: QuarantineParts): Quarantine {
+    const { clock, hasDied, logger, metrics, schedule = scheduleTimer } = parts;
+    const suspects = createSuspects({
+        clock,
+        isRelay: parts.isRelay,
+        isProber: parts.isProber,
+        onUrgent: parts.sendSoon,
+        onQuarantined: (key, deaths, source) => {
+            metrics.count(
+                "azureshunt_quarantines_total",
+                "Requests and prompt parts that are not run as they crash endpoints.",
+            );
+            logger.warn(
+                { fingerprint: key, deaths, told: source === "peer" },
+                "Quarantined a request or prompt part that crashes endpoints.",
+            );
+        },
+        onReleased: key => logger.warn({ fingerprint: key }, "Released a request or prompt part from quarantine."),
+    });
     const deathChecks = new Map<string, Promise<boolean>>();
     /** By request: settles when it is known which endpoints of its broken tries died. */
-    const pendingResults = new Map<RequestFingerprint, Promise<void>>();
-
-    const apply = (event: CrashEvent): void => {
-        const before = state.history.quarantined;
-        state.history = stepCrashHistory(state.history, event, clock.now());
-        [...state.history.quarantined.keys()].filter(request => !before.has(request)).forEach(request => {
-            metrics.count("azureshunt_quarantines_total", "Requests that are not run as they crash endpoints.");
-            logger.warn({
-                fingerprint: request,
-                deaths: [...state.history.deaths.get(request)?.keys() ?? []],
-                told: event.kind === "quarantined",
-            }, "Quarantined a request that crashes endpoints.");
-        });
-    };
-
-    const recordDeath = (request: RequestFingerprint, death: string): void => {
-        state.sentDeaths = [...state.sentDeaths, { request, death, at: clock.now() }].slice(-MAX_SENT_ROWS);
-        apply({ kind: "death", death, running: [request] });
-    };
+    const pendingResults = new Map<SuspectKey, Promise<unknown>>();
 
     /** Checks a death once, although it shows on all connections to the endpoint. */
     const sharedDeathCheck = (death: string, address: string): Promise<boolean> => {
@@ -80,16 +101,20 @@
         return known;
     };
     const checkDeath = async (
-        { caller }: ServedRequest,
-        request: RequestFingerprint,
+        served: QuarantinedRequest,
+        keys: readonly SuspectKey[],
         endpoint: EndpointEntry,
         stage: TryStage,
-    ): Promise<void> => {
+    ): Promise<boolean> => {
         const death = `${endpoint.name}/${endpoint.bornAt}`;
         if (!await sharedDeathCheck(death, endpoint.address)) {
-            return;
+            return false;
         }
-        recordDeath(request, death);
+        const [request, ...promptParts] = keys;
+        suspects.recordDeath(death, [
+            ...(request === undefined ? [] : [{ key: request, stage: "request" as const }]),
+            ...(stage === "answering" ? [] : promptParts.map(key => ({ key, stage }))),
+        ]);
         metrics.count(
             "azureshunt_requests_at_deaths_total",
             "Requests that endpoints ran when they died, by how far the answer was.",
@@ -98,48 +123,41 @@
         logger.info({
             endpoint: endpoint.name,
             bornAt: endpoint.bornAt,
-            id: caller.id,
+            id: served.caller.id,
             fingerprint: request,
             stage,
-            promptParts: caller.prompt?.parts.map(({ id }) => id),
+            promptParts: served.caller.prompt?.parts.map(({ id }) => id),
+            partFingerprints: promptParts,
         }, "An endpoint died while it ran a request.");
+        return true;
     };
 
     const reportBrokenTry: Quarantine["reportBrokenTry"] = async (served, endpoint, stage) => {
         const request = fingerprintRequest(served);
+        const promptParts = partsOf(served);
         const earlier = pendingResults.get(request);
-        const isSuspect = state.history.deaths.has(request) || earlier !== undefined;
-        const result = Promise.all([earlier, checkDeath(served, request, endpoint, stage)]).then(() => undefined);
+        const checked = checkDeath(served, [request, ...promptParts], endpoint, stage);
+        const result = Promise.all([earlier, checked]);
         pendingResults.set(request, result);
         void result.finally(() => pendingResults.get(request) === result && pendingResults.delete(request));
-        await (isSuspect ? result : undefined);
-    };
-    const applyBeacon: Quarantine["applyBeacon"] = beacon => {
-        beacon.deaths.forEach(([request, death]) => {
-            if (state.history.deaths.get(request)?.has(death) !== true) {
-                recordDeath(request, death);
-            }
-        });
-        beacon.quarantined.forEach(([request, forMs]) => {
-            if (!state.history.quarantined.has(request)) {
-                apply({ kind: "quarantined", request, forMs });
-            }
-        });
+        const arePartsSuspects = stage !== "answering" && suspects.areDoubtful(promptParts);
+        if (!arePartsSuspects) {
+            await (earlier !== undefined || suspects.isSuspect([request]) ? result : undefined);
+            return true;
+        }
+        await result;
+        if (await checked && suspects.isSuspect(promptParts)) {
+            await new Promise<void>(resolve => schedule(RETRY_PAUSE_MS, resolve));
+        }
+        return suspects.deathsOf(promptParts) <= 1;
     };
     return {
-        isQuarantined: served =>
-            state.history.quarantined.size > 0
-            && (state.history.quarantined.get(fingerprintRequest(served)) ?? -Infinity) > clock.now(),
+        isQuarantined: served => suspects.hasQuarantined() && suspects.isRefused(keysOf(served)),
+        admit: served => !suspects.hasQuarantined() || suspects.admit(keysOf(served)),
         reportBrokenTry,
-        applyBeacon,
-        beaconFields: () => ({
-            deaths: state.sentDeaths
-                .filter(({ at }) => clock.now() - at < SEND_FOR_MS)
-                .map(({ request, death }) => [request, death] as const),
-            quarantined: [...state.history.quarantined].slice(-MAX_SENT_ROWS).map(([request, until]) =>
-                [request, until - clock.now()] as const
-            ),
-        }),
-        tick: () => apply({ kind: "tick" }),
+        reportAnswered: served => suspects.recordAnswered(partsOf(served)),
+        applyBeacon: suspects.receive,
+        beaconFields: suspects.rows,
+        tick: suspects.tick,
     };
 }
--- a/packages/router/src/registry/digestOfRegistry.ts
+++ b/packages/router/src/registry/digestOfRegistry.ts
@@ -1,4 +1,4 @@
-import { hashText } from "../placement/hashText.js";
+import { hashText } from "@azureshunt/core";
 import type { Registry } from "./Registry.js";
 
 /**
--- a/packages/router/src/serve/ServeParts.ts
+++ b/packages/router/src/serve/ServeParts.ts
@@ -30,7 +30,10 @@
     readonly allowanceQueue: ReturnType<typeof createAllowanceQueue>;
     readonly demand: ReturnType<typeof createDemand>;
     readonly retryBudgets: ReturnType<typeof createRetryBudgets>;
-    readonly quarantine: Pick<ReturnType<typeof createQuarantine>, "isQuarantined" | "reportBrokenTry">;
+    readonly quarantine: Pick<
+        ReturnType<typeof createQuarantine>,
+        "isQuarantined" | "admit" | "reportBrokenTry" | "reportAnswered"
+    >;
     readonly rollouts: Pick<ReturnType<typeof createRollouts>, "selectorFor" | "continuableAt" | "recordTry">;
     readonly streams: Pick<ReturnType<typeof createStreamKeeper>, "resolve" | "recordFirst" | "selectForNew">;
     readonly agent: EndpointAgent;
--- a/packages/router/src/serve/createRequestHandler.ts
+++ b/packages/router/src/serve/createRequestHandler.ts
@@ -195,6 +195,10 @@
         }
         const { caller, arrivedAt } = request;
         const { route, tokens } = admitted;
+        if (parts.quarantine.isQuarantined({ ...request, service: admitted.service })) {
+            refuse(res, refusalOf("request-quarantined"), caller.id, false);
+            return;
+        }
         const deadline = arrivedAt + Math.min(route.timeoutMs, caller.deadlineMs ?? route.timeoutMs);
         const cancellation = watchCancellation(res, deadline - clock.now());
         const isCharged = await charge(request, admitted, res, { deadline, signal: cancellation.signal });
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -112,8 +112,24 @@
         }
         return firstEventMs === undefined || ms - firstEventMs < SETTLED_MS ? "begun" : "answering";
     };
+    const answered = { isReported: false };
+    const reportAnswered = (): void => {
+        if (!answered.isReported) {
+            answered.isReported = true;
+            parts.quarantine.reportAnswered(served);
+        }
+    };
+    const onActivity = (): void => {
+        inFlight.onActivity();
+        if (!answered.isReported && stageAt(clock.now() - startedAt) === "answering") {
+            reportAnswered();
+        }
+    };
     const finish = (ended: Omit<TryResult, "stage">): TryResult => {
         const result = { ...ended, stage: stageAt(clock.now() - startedAt) };
+        if (result.stage === "answering" || (result.kind === "answered" && times.firstEventMs !== undefined)) {
+            reportAnswered();
+        }
         inFlight.end(result.kind);
         if (result.kind !== "answered") {
             served.notes.flush();
@@ -199,7 +215,7 @@
     return finish(
         await forwardAnswer(tryParts, opened, {
             onFirstEvent: recordPrefill,
-            onActivity: inFlight.onActivity,
+            onActivity,
             isAlive: inFlight.isAlive,
             onMove: move =>
                 watchOrders({
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -73,7 +73,7 @@
 
     const startTry = async (progress: RequestProgress): Promise<ServedEnd> => {
         parts.checkSuspension();
-        if (parts.quarantine.isQuarantined(served)) {
+        if (!parts.quarantine.admit(served)) {
             const { ran } = progress.request;
             return giveUp(
                 progress,
@@ -133,9 +133,8 @@
 
     const afterTry = async (progress: RequestProgress, place: TryPlace, result: TryResult): Promise<ServedEnd> => {
         const { request } = progress;
-        if (result.kind === "broken") {
-            await parts.quarantine.reportBrokenTry(served, place.entry, result.stage);
-        }
+        const mayTryAgain = result.kind !== "broken"
+            || await parts.quarantine.reportBrokenTry(served, place.entry, result.stage);
         if (result.kind === "answered") {
             return { kind: "answered", answer: result.answer, tries: request.tries + 1 };
         }
@@ -153,6 +152,9 @@
             parts.retryBudgets.release(served.service);
         }
         const failure = result.answer ?? progress.failure;
+        if (!mayTryAgain) {
+            return giveUp(progress, refusalOf("endpoint-failed", "the prompt may crash endpoints", { ran: tried.ran }));
+        }
         const notRun = progress.notRun + (NOT_RUN_OUTCOMES.has(result.kind) ? 1 : 0);
         const maxTries = allowedTries(served.route.maxTries, notRun);
         const budget = parts.retryBudgets.of(served.service);
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -33,6 +33,7 @@
 import type { EndpointWire } from "./ports/EndpointWire.js";
 import type { StorePort } from "./ports/StorePort.js";
 import { createQuarantine } from "./quarantine/createQuarantine.js";
+import { isProber } from "./quarantine/isProber.js";
 import { startRegistry } from "./registry/startRegistry.js";
 import { createRollouts } from "./rollout/createRollouts.js";
 import { sendReport } from "./rollout/sendReport.js";
@@ -213,6 +214,9 @@
     const quarantine = createQuarantine({
         clock,
         hasDied: async address => await hasDied(address) && connector.confirmDead(address),
+        isRelay: membership.isRelay,
+        isProber: key => isProber(key, settings, membership.livePeers()),
+        sendSoon: () => beacons.sendSoon(),
         logger: loggers("quarantine"),
         metrics,
     });
