Count weak evidence against prompt parts once a moment, and send less of it

Cause of the first: requests that waited at engines which died together were taken for three pieces of evidence. Now only a part whose answer had its head and no event is a strong suspect. What waited, or had just had its first event, counts once for each moment of a second. Second: a suspect at 16 deaths takes no more; an answer is sent only if it changes what counts against a part; rows of parts are sent for 1 s.

crashingPart.test as before: 3 engines crash, 6 with two such parts.

--- a/packages/quarantine/src/SuspectRows.ts
+++ b/packages/quarantine/src/SuspectRows.ts
@@ -6,7 +6,7 @@
 export type SuspectRows = {
     /** Requests that ran on an endpoint when it died, and the endpoint with its incarnation; sent for some seconds. */
     readonly deaths: readonly (readonly [SuspectKey, string])[];
-    /** The same for prompt parts, and whether an answer on them had begun; sent for some seconds. */
+    /** The same for prompt parts, and whether their stage was `begun`; sent for some seconds. */
     readonly suspectParts: readonly (readonly [SuspectKey, string, boolean])[];
     /** Suspects that endpoints have answered, and how long ago; sent for some seconds. */
     readonly answeredParts: readonly (readonly [SuspectKey, Millis])[];
--- a/packages/quarantine/src/countedDeaths.ts
+++ b/packages/quarantine/src/countedDeaths.ts
@@ -4,25 +4,27 @@
 import { crashLimits } from "./crashLimits.js";
 import type { SuspectKey } from "./SuspectKey.js";
 
+const countMoments = (times: readonly Millis[]): number =>
+    times.toSorted((a, b) => a - b).reduce<{ readonly count: number; readonly last: Millis; }>(
+        ({ count, last }, at) => at - last < crashLimits.momentMs ? { count, last } : { count: count + 1, last: at },
+        { count: 0, last: -Infinity },
+    ).count;
+
 /**
  * Returns the number of deaths that count against a suspect.
  *
- * Endpoints crash on what they begin to answer. So where an answer had just begun, what waited there is no suspect; and
- * an answer shows that the deaths before it had another cause.
+ * Endpoints crash on what they have just begun to answer. So where an answer had its head and no event, what else was
+ * there is no suspect; each such death counts against a part that was never answered. Any other evidence is weak, as
+ * endpoints that share a rack die at one moment, with all that wait there: it counts once for each moment. An answer
+ * shows that the deaths before it had another cause.
  */
 export function countedDeaths({ accusations, begunDeaths, answers }: CrashHistory, key: SuspectKey): number {
     const answeredAt = answers.get(key);
-    const times = [...accusations.get(key) ?? []]
+    const counted = [...accusations.get(key) ?? []]
         .filter(([death, { at, stage }]) =>
-            at > (answeredAt ?? -Infinity) && (stage !== "waiting" || !begunDeaths.has(death))
+            at > (answeredAt ?? -Infinity) && (stage !== "unsettled" || !begunDeaths.has(death))
         )
-        .map(([, { at }]) => at)
-        .toSorted((a, b) => a - b);
-    if (answeredAt === undefined) {
-        return times.length;
-    }
-    return times.reduce<{ readonly count: number; readonly last: Millis; }>(
-        ({ count, last }, at) => at - last < crashLimits.momentMs ? { count, last } : { count: count + 1, last: at },
-        { count: 0, last: -Infinity },
-    ).count;
+        .map(([, accusation]) => accusation);
+    const strong = answeredAt === undefined ? counted.filter(({ stage }) => stage !== "unsettled").length : 0;
+    return Math.max(strong, countMoments(counted.map(({ at }) => at)));
 }
--- a/packages/quarantine/src/crashLimits.ts
+++ b/packages/quarantine/src/crashLimits.ts
@@ -5,10 +5,7 @@
      * shows that it is the cause, at the price of one more endpoint.
      */
     deaths: 3,
-    /**
-     * A part that was answered before is sound as far as is known, and endpoints that share a rack die at once. So deaths
-     * since its last answer count separately only if they are this far apart.
-     */
+    /** Deaths count as one moment if they are closer together. */
     momentMs: 1_000,
     /** How long a death counts. Callers that retry such a request do so within their deadline of some seconds. */
     rememberedMs: 60_000,
@@ -20,8 +17,10 @@
     probeGapMs: 30_000,
     /** A part that was answered within this time is not accused. */
     answeredWithinMs: 5_000,
-    /** How long a death or an answer is sent to the other VMs: some beacons may be lost. */
-    sendForMs: 3_000,
+    /** How long a request at a death is sent to the other VMs: some beacons may be lost. */
+    sendRequestsForMs: 3_000,
+    /** The same for prompt parts, of which there are more. */
+    sendPartsForMs: 1_000,
     /** Suspects remembered; those recorded longest ago are dropped first. */
     suspects: 2_000,
     /** Deaths remembered of one suspect. */
--- a/packages/quarantine/src/createSuspects.ts
+++ b/packages/quarantine/src/createSuspects.ts
@@ -80,10 +80,11 @@
         });
     };
     const isNew = (death: string, { key }: Suspect): boolean => state.history.accusations.get(key)?.has(death) !== true;
+    const isSent = (suspect: SentSuspect): boolean =>
+        clock.now() - suspect.at < (isPart(suspect) ? crashLimits.sendPartsForMs : crashLimits.sendRequestsForMs);
     const send = (death: string, suspects: readonly Suspect[]): void => {
         const at = clock.now();
-        const sent = [...state.sentSuspects, ...suspects.map(suspect => ({ ...suspect, death, at }))]
-            .filter(each => at - each.at < crashLimits.sendForMs);
+        const sent = [...state.sentSuspects, ...suspects.map(suspect => ({ ...suspect, death, at }))].filter(isSent);
         state.sentSuspects = [
             ...sent.filter(each => !isPart(each)).slice(-crashLimits.rows),
             ...sent.filter(isPart).slice(-crashLimits.rows),
@@ -95,22 +96,27 @@
         sentAnswers.set(key, { answeredAt, at: clock.now() });
         [...sentAnswers.keys()].slice(0, -crashLimits.rows).forEach(each => sentAnswers.delete(each));
     };
-    const answer = (key: SuspectKey, answeredAt: Millis): void => {
+    /** Applies an answer; returns whether it changes what counts against its part. */
+    const applyAnswer = (key: SuspectKey, answeredAt: Millis): boolean => {
+        const { history } = state;
+        if (!history.accusations.has(key) && !history.quarantined.has(key)) {
+            return false;
+        }
         apply({ kind: "answered", key, at: answeredAt });
-        sendAnswer(key, answeredAt);
+        return !history.answers.has(key)
+            || history.quarantined.has(key) !== state.history.quarantined.has(key)
+            || countedDeaths(history, key) > countedDeaths(state.history, key);
     };
-    const isKnownAnswer = (key: SuspectKey, answeredAt: Millis): boolean =>
-        (state.history.answers.get(key) ?? -Infinity) > answeredAt - crashLimits.momentMs;
-    /** Uses what this VM remembers of a part's answers, and sends it to the others. */
+    /** Uses what this VM remembers of a part's answers, and sends it to the others if they may not know it. */
     const recall = ({ key }: Suspect): void => {
         const answeredAt = memory.lastAt(key);
-        if (answeredAt !== undefined && !isKnownAnswer(key, answeredAt)) {
-            answer(key, answeredAt);
+        if (answeredAt !== undefined && applyAnswer(key, answeredAt)) {
+            sendAnswer(key, answeredAt);
         }
     };
     const accuse = (death: string, suspects: readonly Suspect[]): void => {
-        suspects.filter(isPart).forEach(recall);
         apply({ kind: "death", death, suspects });
+        suspects.filter(isPart).forEach(recall);
     };
 
     const isDoubtful = (key: SuspectKey): boolean =>
@@ -126,11 +132,10 @@
     };
     const recordAnswered: Suspects["recordAnswered"] = keys => {
         const now = clock.now();
-        const { accusations, quarantined } = state.history;
         keys.forEach(key => {
             memory.record(key, now);
-            if ((accusations.has(key) || quarantined.has(key)) && !isKnownAnswer(key, now)) {
-                answer(key, now);
+            if (applyAnswer(key, now)) {
+                sendAnswer(key, now);
                 parts.onUrgent();
             }
         });
@@ -138,12 +143,9 @@
     const receive: Suspects["receive"] = rows => {
         const now = clock.now();
         rows.answeredParts.forEach(([key, ageMs]) => {
-            if (!isKnownAnswer(key, now - ageMs)) {
-                apply({ kind: "answered", key, at: now - ageMs });
-                if (parts.isRelay()) {
-                    sendAnswer(key, now - ageMs);
-                    parts.onUrgent();
-                }
+            if (applyAnswer(key, now - ageMs) && parts.isRelay()) {
+                sendAnswer(key, now - ageMs);
+                parts.onUrgent();
             }
         });
         const suspects: readonly (Suspect & { readonly death: string; })[] = [
@@ -151,7 +153,7 @@
             ...rows.suspectParts.map(([key, death, hasBegun]) => ({
                 key,
                 death,
-                stage: hasBegun ? "begun" as const : "waiting" as const,
+                stage: hasBegun ? "begun" as const : "unsettled" as const,
             })),
         ];
         suspects.filter(each => isNew(each.death, each)).forEach(({ death, key, stage }) => {
@@ -182,12 +184,12 @@
     const deathsOf: Suspects["deathsOf"] = keys => Math.max(0, ...keys.map(key => countedDeaths(state.history, key)));
     const rows: Suspects["rows"] = () => {
         const now = clock.now();
-        const recent = state.sentSuspects.filter(({ at }) => now - at < crashLimits.sendForMs);
+        const recent = state.sentSuspects.filter(isSent);
         return {
             deaths: recent.filter(each => !isPart(each)).map(({ key, death }) => [key, death]),
             suspectParts: recent.filter(isPart).map(({ key, death, stage }) => [key, death, stage === "begun"]),
             answeredParts: [...sentAnswers]
-                .filter(([, { at }]) => now - at < crashLimits.sendForMs)
+                .filter(([, { at }]) => now - at < crashLimits.sendPartsForMs)
                 .map(([key, { answeredAt }]) => [key, Math.round(now - answeredAt)]),
             quarantined: [...state.history.quarantined].slice(-crashLimits.rows)
                 .map(([key, until]) => [key, until - now]),
--- a/packages/quarantine/src/stepCrashHistory.ts
+++ b/packages/quarantine/src/stepCrashHistory.ts
@@ -31,10 +31,10 @@
 
 const accuse = (history: CrashHistory, death: string, { key, stage }: Suspect, now: Millis): CrashHistory => {
     const before: ReadonlyMap<string, Accusation> = history.accusations.get(key) ?? new Map<string, Accusation>();
-    if (before.has(death)) {
+    if (before.has(death) || before.size >= crashLimits.deathsOfOne) {
         return history;
     }
-    const deaths = withNewest(before, death, { at: now, stage }, crashLimits.deathsOfOne);
+    const deaths = new Map([...before, [death, { at: now, stage }] as const]);
     return { ...history, accusations: withNewest(history.accusations, key, deaths, crashLimits.suspects) };
 };
 
--- a/packages/router/src/quarantine/createQuarantine.ts
+++ b/packages/router/src/quarantine/createQuarantine.ts
@@ -37,7 +37,7 @@
     readonly admit: (served: QuarantinedRequest) => boolean;
     /**
      * Reports that a try broke off, and checks whether its endpoint died. Resolves at once, unless the request or one of
-     * its parts may be the cause: then all results are awaited, and for a part, reports of other VMs too.
+     * its parts may be the cause: then all results are awaited, and if its answer had begun, reports of other VMs too.
      *
      * @returns whether the request may be tried at another endpoint
      */
@@ -113,7 +113,10 @@
         const [request, ...promptParts] = keys;
         suspects.recordDeath(death, [
             ...(request === undefined ? [] : [{ key: request, stage: "request" as const }]),
-            ...(stage === "answering" ? [] : promptParts.map(key => ({ key, stage }))),
+            ...(stage === "answering" ? [] : promptParts).map(key => ({
+                key,
+                stage: stage === "begun" ? "begun" as const : "unsettled" as const,
+            })),
         ]);
         metrics.count(
             "azureshunt_requests_at_deaths_total",
@@ -146,7 +149,7 @@
             return true;
         }
         await result;
-        if (await checked && suspects.isSuspect(promptParts)) {
+        if (stage === "begun" && await checked && suspects.isSuspect(promptParts)) {
             await new Promise<void>(resolve => schedule(RETRY_PAUSE_MS, resolve));
         }
         return suspects.deathsOf(promptParts) <= 1;
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -110,7 +110,10 @@
         if (headMs === undefined) {
             return "waiting";
         }
-        return firstEventMs === undefined || ms - firstEventMs < SETTLED_MS ? "begun" : "answering";
+        if (firstEventMs === undefined) {
+            return "begun";
+        }
+        return ms - firstEventMs < SETTLED_MS ? "unsettled" : "answering";
     };
     const answered = { isReported: false };
     const reportAnswered = (): void => {
