Let answers that VMs remember lift and prevent wrong verdicts on prompt parts

- A VM that has just started has seen no answer.
Three deaths made it quarantine the root that all prompts share, its statement spread to the others, and an answer from before the deaths did not lift the verdict.
Now a VM recalls its own answers before it counts a death, does not take over a verdict on a part that it knows to have been answered, and a verdict falls if an answer shows that the deaths behind it do not suffice.

--- a/packages/quarantine/src/Accusation.ts
+++ b/packages/quarantine/src/Accusation.ts
@@ -4,7 +4,7 @@
 
 /** Evidence of one death against one suspect. */
 export type Accusation = {
-    /** When this VM learned of it. */
+    /** When a VM saw it. */
     readonly at: Millis;
     readonly stage: SuspectStage;
 };
--- a/packages/quarantine/src/SuspectRows.ts
+++ b/packages/quarantine/src/SuspectRows.ts
@@ -6,8 +6,8 @@
 export type SuspectRows = {
     /** Requests that ran on an endpoint when it died, and the endpoint with its incarnation; sent for some seconds. */
     readonly deaths: readonly (readonly [SuspectKey, string])[];
-    /** The same for prompt parts, and whether their stage was `begun`; sent for some seconds. */
-    readonly suspectParts: readonly (readonly [SuspectKey, string, boolean])[];
+    /** The same for prompt parts, whether their stage was `begun`, and how long ago; sent for a second. */
+    readonly suspectParts: readonly (readonly [SuspectKey, string, boolean, Millis])[];
     /** Suspects that endpoints have answered, and how long ago; sent for some seconds. */
     readonly answeredParts: readonly (readonly [SuspectKey, Millis])[];
     /** Quarantined suspects, and the remaining time of their quarantine. */
--- a/packages/quarantine/src/__tests__/unit/stepCrashHistory.test.ts
+++ b/packages/quarantine/src/__tests__/unit/stepCrashHistory.test.ts
@@ -19,6 +19,7 @@
     kind: "death",
     death: name,
     suspects: running.map(key => ({ key, stage: "request" })),
+    ageMs: 0,
 });
 
 const after = (events: readonly Timed[]): CrashHistory =>
--- a/packages/quarantine/src/countedDeaths.ts
+++ b/packages/quarantine/src/countedDeaths.ts
@@ -15,8 +15,8 @@
  *
  * Endpoints crash on what they have just begun to answer. So where an answer had its head and no event, what else was
  * there is no suspect; each such death counts against a part that was never answered. Any other evidence is weak, as
- * endpoints that share a rack die at one moment, with all that wait there: it counts once for each moment. An answer
- * shows that the deaths before it had another cause.
+ * endpoints that share a rack die at one moment, with all that wait there: it counts half, or once for each moment. An
+ * answer shows that the deaths before it had another cause, and those after it count once for each moment.
  */
 export function countedDeaths({ accusations, begunDeaths, answers }: CrashHistory, key: SuspectKey): number {
     const answeredAt = answers.get(key);
@@ -25,6 +25,10 @@
             at > (answeredAt ?? -Infinity) && (stage !== "unsettled" || !begunDeaths.has(death))
         )
         .map(([, accusation]) => accusation);
-    const strong = answeredAt === undefined ? counted.filter(({ stage }) => stage !== "unsettled").length : 0;
-    return Math.max(strong, countMoments(counted.map(({ at }) => at)));
+    const moments = countMoments(counted.map(({ at }) => at));
+    if (answeredAt !== undefined) {
+        return moments;
+    }
+    const strong = counted.filter(({ stage }) => stage !== "unsettled").length;
+    return Math.max(moments, strong + Math.floor((counted.length - strong) / crashLimits.weakDeaths));
 }
--- a/packages/quarantine/src/crashLimits.ts
+++ b/packages/quarantine/src/crashLimits.ts
@@ -5,8 +5,10 @@
      * shows that it is the cause, at the price of one more endpoint.
      */
     deaths: 3,
+    /** Deaths with weak evidence that weigh as much as one with strong evidence, whenever they were. */
+    weakDeaths: 2,
     /** Deaths count as one moment if they are closer together. */
-    momentMs: 1_000,
+    momentMs: 500,
     /** How long a death counts. Callers that retry such a request do so within their deadline of some seconds. */
     rememberedMs: 60_000,
     /** How long a suspect stays quarantined after its last death. */
@@ -23,7 +25,7 @@
     sendPartsForMs: 1_000,
     /** Suspects remembered; those recorded longest ago are dropped first. */
     suspects: 2_000,
-    /** Deaths remembered of one suspect. */
+    /** Deaths remembered of one suspect, and one more for each further moment. */
     deathsOfOne: 16,
     /** Rows of each kind in one beacon; the newest are sent. */
     rows: 40,
--- a/packages/quarantine/src/createSuspects.ts
+++ b/packages/quarantine/src/createSuspects.ts
@@ -5,6 +5,7 @@
 import { crashLimits } from "./crashLimits.js";
 import { createAnswerMemory } from "./createAnswerMemory.js";
 import { emptyHistory } from "./emptyHistory.js";
+import { isRecorded } from "./isRecorded.js";
 import { stepCrashHistory } from "./stepCrashHistory.js";
 import type { Suspect } from "./Suspect.js";
 import type { SuspectKey } from "./SuspectKey.js";
@@ -46,7 +47,7 @@
     readonly tick: () => void;
 };
 
-type SentSuspect = Suspect & { readonly death: string; readonly at: Millis; };
+type SentSuspect = Suspect & { readonly death: string; readonly diedAt: Millis; readonly at: Millis; };
 
 const isPart = ({ stage }: Suspect): boolean => stage !== "request";
 
@@ -79,12 +80,14 @@
             parts.onReleased(key);
         });
     };
-    const isNew = (death: string, { key }: Suspect): boolean => state.history.accusations.get(key)?.has(death) !== true;
+    const isNew = (death: string, { key }: Suspect): boolean => !isRecorded(state.history, key, death, clock.now());
     const isSent = (suspect: SentSuspect): boolean =>
         clock.now() - suspect.at < (isPart(suspect) ? crashLimits.sendPartsForMs : crashLimits.sendRequestsForMs);
-    const send = (death: string, suspects: readonly Suspect[]): void => {
+    const send = (death: string, suspects: readonly Suspect[], diedAt: Millis): void => {
         const at = clock.now();
-        const sent = [...state.sentSuspects, ...suspects.map(suspect => ({ ...suspect, death, at }))].filter(isSent);
+        const sent = [...state.sentSuspects, ...suspects.map(suspect => ({ ...suspect, death, diedAt, at }))].filter(
+            isSent,
+        );
         state.sentSuspects = [
             ...sent.filter(each => !isPart(each)).slice(-crashLimits.rows),
             ...sent.filter(isPart).slice(-crashLimits.rows),
@@ -99,24 +102,21 @@
     /** Applies an answer; returns whether it changes what counts against its part. */
     const applyAnswer = (key: SuspectKey, answeredAt: Millis): boolean => {
         const { history } = state;
-        if (!history.accusations.has(key) && !history.quarantined.has(key)) {
-            return false;
-        }
         apply({ kind: "answered", key, at: answeredAt });
         return !history.answers.has(key)
             || history.quarantined.has(key) !== state.history.quarantined.has(key)
             || countedDeaths(history, key) > countedDeaths(state.history, key);
     };
     /** Uses what this VM remembers of a part's answers, and sends it to the others if they may not know it. */
-    const recall = ({ key }: Suspect): void => {
+    const recall = (key: SuspectKey): void => {
         const answeredAt = memory.lastAt(key);
         if (answeredAt !== undefined && applyAnswer(key, answeredAt)) {
             sendAnswer(key, answeredAt);
         }
     };
-    const accuse = (death: string, suspects: readonly Suspect[]): void => {
-        apply({ kind: "death", death, suspects });
-        suspects.filter(isPart).forEach(recall);
+    const accuse = (death: string, suspects: readonly Suspect[], ageMs: Millis): void => {
+        suspects.filter(isPart).forEach(({ key }) => recall(key));
+        apply({ kind: "death", death, suspects, ageMs });
     };
 
     const isDoubtful = (key: SuspectKey): boolean =>
@@ -126,15 +126,16 @@
             .filter(suspect => !isPart(suspect) || isDoubtful(suspect.key))
             .filter(suspect => isNew(death, suspect));
         if (suspects.length > 0) {
-            accuse(death, suspects);
-            send(death, suspects);
+            accuse(death, suspects, 0);
+            send(death, suspects, clock.now());
         }
     };
     const recordAnswered: Suspects["recordAnswered"] = keys => {
         const now = clock.now();
         keys.forEach(key => {
             memory.record(key, now);
-            if (applyAnswer(key, now)) {
+            const { accusations, quarantined } = state.history;
+            if ((accusations.has(key) || quarantined.has(key)) && applyAnswer(key, now)) {
                 sendAnswer(key, now);
                 parts.onUrgent();
             }
@@ -148,23 +149,28 @@
                 parts.onUrgent();
             }
         });
-        const suspects: readonly (Suspect & { readonly death: string; })[] = [
-            ...rows.deaths.map(([key, death]) => ({ key, death, stage: "request" as const })),
-            ...rows.suspectParts.map(([key, death, hasBegun]) => ({
+        const suspects: readonly (Suspect & { readonly death: string; readonly ageMs: Millis; })[] = [
+            ...rows.deaths.map(([key, death]) => ({ key, death, stage: "request" as const, ageMs: 0 })),
+            ...rows.suspectParts.map(([key, death, hasBegun, ageMs]) => ({
                 key,
                 death,
                 stage: hasBegun ? "begun" as const : "unsettled" as const,
+                ageMs,
             })),
         ];
-        suspects.filter(each => isNew(each.death, each)).forEach(({ death, key, stage }) => {
-            accuse(death, [{ key, stage }]);
+        suspects.filter(each => isNew(each.death, each)).forEach(({ death, key, stage, ageMs }) => {
+            accuse(death, [{ key, stage }], ageMs);
             if (parts.isRelay()) {
-                send(death, [{ key, stage }]);
+                send(death, [{ key, stage }], now - ageMs);
+            }
+        });
+        rows.quarantined.filter(([key]) => !state.history.quarantined.has(key)).forEach(([key, forMs]) => {
+            recall(key);
+            // The VM that states it may not know that the part was answered; what counts against it comes with the deaths.
+            if (!state.history.answers.has(key)) {
+                apply({ kind: "quarantined", key, forMs });
             }
         });
-        rows.quarantined
-            .filter(([key]) => !state.history.quarantined.has(key))
-            .forEach(([key, forMs]) => apply({ kind: "quarantined", key, forMs }));
     };
     const isProbeDue = (key: SuspectKey, until: Millis): boolean =>
         until - clock.now() < crashLimits.quarantineMs - crashLimits.probeAfterMs
@@ -187,7 +193,9 @@
         const recent = state.sentSuspects.filter(isSent);
         return {
             deaths: recent.filter(each => !isPart(each)).map(({ key, death }) => [key, death]),
-            suspectParts: recent.filter(isPart).map(({ key, death, stage }) => [key, death, stage === "begun"]),
+            suspectParts: recent.filter(isPart).map((
+                { key, death, stage, diedAt },
+            ) => [key, death, stage === "begun", Math.round(now - diedAt)]),
             answeredParts: [...sentAnswers]
                 .filter(([, { at }]) => now - at < crashLimits.sendPartsForMs)
                 .map(([key, { answeredAt }]) => [key, Math.round(now - answeredAt)]),
--- a/packages/quarantine/src/stepCrashHistory.ts
+++ b/packages/quarantine/src/stepCrashHistory.ts
@@ -5,6 +5,7 @@
 import type { CrashEvent } from "./CrashEvent.js";
 import type { CrashHistory } from "./CrashHistory.js";
 import { crashLimits } from "./crashLimits.js";
+import { isRecorded } from "./isRecorded.js";
 import type { Suspect } from "./Suspect.js";
 import type { SuspectKey } from "./SuspectKey.js";
 
@@ -31,20 +32,24 @@
 
 const accuse = (history: CrashHistory, death: string, { key, stage }: Suspect, now: Millis): CrashHistory => {
     const before: ReadonlyMap<string, Accusation> = history.accusations.get(key) ?? new Map<string, Accusation>();
-    if (before.has(death) || before.size >= crashLimits.deathsOfOne) {
+    if (isRecorded(history, key, death, now)) {
         return history;
     }
     const deaths = new Map([...before, [death, { at: now, stage }] as const]);
     return { ...history, accusations: withNewest(history.accusations, key, deaths, crashLimits.suspects) };
 };
 
-const recordDeath = (history: CrashHistory, { death, suspects }: EventOf<"death">, now: Millis): CrashHistory => {
+const recordDeath = (
+    history: CrashHistory,
+    { death, suspects, ageMs }: EventOf<"death">,
+    now: Millis,
+): CrashHistory => {
     const hasBegun = !history.begunDeaths.has(death) && suspects.some(({ stage }) => stage === "begun");
     const begunDeaths = hasBegun
         ? withNewest(history.begunDeaths, death, now, crashLimits.suspects)
         : history.begunDeaths;
     const recorded = suspects.reduce<CrashHistory>(
-        (all, suspect) => accuse(all, death, suspect, now),
+        (all, suspect) => accuse(all, death, suspect, now - ageMs),
         { ...history, begunDeaths },
     );
     return suspects
@@ -52,14 +57,17 @@
         .reduce((all, { key }) => quarantine(all, key, now + crashLimits.quarantineMs), recorded);
 };
 
+/** Lifts a verdict if the answer is later, or shows that the deaths behind it do not suffice. */
 const recordAnswer = (history: CrashHistory, { key, at }: EventOf<"answered">): CrashHistory => {
     const last = Math.max(at, history.answers.get(key) ?? at);
-    const answers = withNewest(history.answers, key, last, crashLimits.suspects);
+    const answered = { ...history, answers: withNewest(history.answers, key, last, crashLimits.suspects) };
     const until = history.quarantined.get(key);
-    const answered = { ...history, answers };
-    return until === undefined || !isAnsweredSince(answered, key, until)
-        ? answered
-        : { ...answered, quarantined: new Map([...history.quarantined].filter(([other]) => other !== key)) };
+    const isLifted = until !== undefined
+        && (isAnsweredSince(answered, key, until)
+            || (history.accusations.has(key) && countedDeaths(answered, key) < crashLimits.deaths));
+    return isLifted
+        ? { ...answered, quarantined: new Map([...history.quarantined].filter(([other]) => other !== key)) }
+        : answered;
 };
 
 const forget = (history: CrashHistory, now: Millis): CrashHistory => {
--- a/packages/router/src/peers/decodeBeacon.ts
+++ b/packages/router/src/peers/decodeBeacon.ts
@@ -77,7 +77,7 @@
     && areRows(row[RELAYED_LOAD] ?? [], isText, isNumber, isNumber, isNumber)
     && isNumber(row[RELAYED_DEMAND] ?? 0)
     && areRows(row[ROLLOUTS] ?? [], isText, isNumber, isText, isNumber, isNumber, isPhaseOrNull, isNumber)
-    && areRows(row[SUSPECT_PARTS] ?? [], isText, isText, isFlag)
+    && areRows(row[SUSPECT_PARTS] ?? [], isText, isText, isFlag, isNumber)
     && areRows(row[ANSWERED_PARTS] ?? [], isText, isNumber);
 
 const parse = (datagram: Buffer): unknown => {
