Accuse parts again two seconds after their last answer, and test second tries

A part that was sound and begins to crash engines, as of a new build, was not accused for five seconds after its last answer at a VM; two are enough to leave out what all prompts share. A request that gets no second try because its part is accused is told so as any other: with a Retry-After, as stream-broken if it has had events.

Tests: no second try once another death accuses the part; one at once if the part was answered lately; one prober for all VMs.

--- a/packages/quarantine/src/crashLimits.ts
+++ b/packages/quarantine/src/crashLimits.ts
@@ -18,7 +18,7 @@
     /** Time between two such requests. */
     probeGapMs: 30_000,
     /** A part that was answered within this time is not accused. */
-    answeredWithinMs: 5_000,
+    answeredWithinMs: 2_000,
     /** How long a request at a death is sent to the other VMs: some beacons may be lost. */
     sendRequestsForMs: 3_000,
     /** The same for prompt parts, of which there are more. */
--- a/packages/router/src/__tests__/unit/quarantinePort.test.ts
+++ b/packages/router/src/__tests__/unit/quarantinePort.test.ts
@@ -1,8 +1,10 @@
 import { createClock } from "@azureshunt/core";
+import type { SuspectKey } from "@azureshunt/quarantine";
 import test from "ava";
 import { pino } from "pino";
 
 import type { Beacon } from "../../peers/Beacon.js";
+import { isProber } from "../../quarantine/isProber.js";
 import type { EndpointEntry } from "../../registry/EndpointEntry.js";
 import type { ServedRequest } from "../../serve/ServedRequest.js";
 import { emptyBeacon } from "../support/emptyBeacon.js";
@@ -66,3 +68,49 @@
     const { id, stage, promptParts } = JSON.parse(lines[0] ?? "{}") as Readonly<Record<string, unknown>>;
     t.deepEqual({ id, stage, promptParts }, { id: "r1", stage: "waiting", promptParts: ["aa", "own"] });
 });
+
+type Self = Parameters<typeof isProber>[1];
+
+const withParts = (id: string): ServedRequest => {
+    const prompt = { model: "m", parts: [{ id: "crashing", tokens: 1 }, { id, tokens: 1 }] };
+    return {
+        ...served,
+        service: "lm",
+        body: Buffer.from(id),
+        caller: { ...served.caller, prompt },
+    } as unknown as ServedRequest;
+};
+
+// A second try at once kills a second engine for each request before the other VMs can say what they have seen.
+test("quarantine: a request whose part another death accuses as well gets no second try", async t => {
+    const { reportBrokenTry, admit } = startQuarantine({
+        hasDied: () => Promise.resolve(true),
+        schedule: (_, run) => setImmediate(run),
+    });
+    t.true(await reportBrokenTry(withParts("one"), endpoint("engine-1"), "begun"));
+    t.false(await reportBrokenTry(withParts("two"), endpoint("engine-2"), "begun"));
+    t.true(admit(withParts("three")));
+    t.false(await reportBrokenTry(withParts("three"), endpoint("engine-3"), "begun"));
+    t.false(admit(withParts("four")));
+});
+
+// Guards against callers of sound parts losing their further try because engines die beside them.
+test("quarantine: a request whose part was answered lately gets its second try at once", async t => {
+    const { reportBrokenTry, reportAnswered, admit } = startQuarantine({
+        hasDied: () => Promise.resolve(true),
+        schedule: () => t.fail("it waits"),
+    });
+    reportAnswered(withParts("zero"));
+    for (const name of ["one", "two", "three"]) {
+        t.true(await reportBrokenTry(withParts(name), endpoint(name), "begun"));
+    }
+    t.true(admit(withParts("four")));
+});
+
+// Probes of VMs that do not agree on one of them crash an engine each.
+test("quarantine: all VMs choose the same one to probe a suspect", t => {
+    const vms = ["a", "b", "c", "d"].map((vm, i) => ({ vm, failureDomain: `fd-${i % 2}` }) as unknown as Self);
+    const probers = (key: string): readonly Self[] =>
+        vms.filter(self => isProber(key as SuspectKey, self, vms.filter(other => other !== self)));
+    Array.from({ length: 20 }, (_, i) => `key-${i}`).forEach(key => t.is(probers(key).length, 1));
+});
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -153,7 +153,12 @@
         }
         const failure = result.answer ?? progress.failure;
         if (!mayTryAgain) {
-            return giveUp(progress, refusalOf("endpoint-failed", "the prompt may crash endpoints", { ran: tried.ran }));
+            const kind = stream.forwardedEvents > 0 ? "stream-broken" : "endpoint-failed";
+            const refusal = refusalOf(kind, "its prompt may crash endpoints", {
+                retryAfterSeconds: RETRY_AFTER_SECONDS,
+                ran: tried.ran,
+            });
+            return giveUp({ ...progress, failure }, refusal);
         }
         const notRun = progress.notRun + (NOT_RUN_OUTCOMES.has(result.kind) ? 1 : 0);
         const maxTries = allowedTries(served.route.maxTries, notRun);
