--- a/packages/quarantine/src/createSuspects.ts
+++ b/packages/quarantine/src/createSuspects.ts
@@ -4,6 +4,7 @@
 import type { CrashEvent } from "./CrashEvent.js";
 import { crashLimits } from "./crashLimits.js";
 import { createAnswerMemory } from "./createAnswerMemory.js";
+import { createSuspectOutbox } from "./createSuspectOutbox.js";
 import { emptyHistory } from "./emptyHistory.js";
 import { isRecorded } from "./isRecorded.js";
 import { stepCrashHistory } from "./stepCrashHistory.js";
@@ -47,21 +48,15 @@
     readonly tick: () => void;
 };
 
-type SentSuspect = Suspect & { readonly death: string; readonly diedAt: Millis; readonly at: Millis; };
-
 const isPart = ({ stage }: Suspect): boolean => stage !== "request";
 
 /** Creates the knowledge of a VM that has just started. */
 export function createSuspects(parts: SuspectsParts): Suspects {
     const { clock } = parts;
     const memory = createAnswerMemory(crashLimits.answeredParts);
-    const state = {
-        history: emptyHistory,
-        /** Suspects to send to the other VMs: of deaths that this VM has seen or learned of. */
-        sentSuspects: [] as readonly SentSuspect[],
-    };
-    /** Answers to send to the other VMs: when each was given, and when this VM began to send it. */
-    const sentAnswers = new Map<SuspectKey, { readonly answeredAt: Millis; readonly at: Millis; }>();
+    const outbox = createSuspectOutbox(clock);
+    const state = { history: emptyHistory };
+    /** When this VM last let a request through that has a quarantined key. */
     const probes = new Map<SuspectKey, Millis>();
 
     const apply = (event: CrashEvent): void => {
@@ -81,24 +76,6 @@
         });
     };
     const isNew = (death: string, { key }: Suspect): boolean => !isRecorded(state.history, key, death, clock.now());
-    const isSent = (suspect: SentSuspect): boolean =>
-        clock.now() - suspect.at < (isPart(suspect) ? crashLimits.sendPartsForMs : crashLimits.sendRequestsForMs);
-    const send = (death: string, suspects: readonly Suspect[], diedAt: Millis): void => {
-        const at = clock.now();
-        const sent = [...state.sentSuspects, ...suspects.map(suspect => ({ ...suspect, death, diedAt, at }))].filter(
-            isSent,
-        );
-        state.sentSuspects = [
-            ...sent.filter(each => !isPart(each)).slice(-crashLimits.rows),
-            ...sent.filter(isPart).slice(-crashLimits.rows),
-        ];
-        parts.onUrgent();
-    };
-    const sendAnswer = (key: SuspectKey, answeredAt: Millis): void => {
-        sentAnswers.delete(key);
-        sentAnswers.set(key, { answeredAt, at: clock.now() });
-        [...sentAnswers.keys()].slice(0, -crashLimits.rows).forEach(each => sentAnswers.delete(each));
-    };
     /** Applies an answer; returns whether it changes what counts against its part. */
     const applyAnswer = (key: SuspectKey, answeredAt: Millis): boolean => {
         const { history } = state;
@@ -111,7 +88,7 @@
     const recall = (key: SuspectKey): void => {
         const answeredAt = memory.lastAt(key);
         if (answeredAt !== undefined && applyAnswer(key, answeredAt)) {
-            sendAnswer(key, answeredAt);
+            outbox.addAnswer(key, answeredAt);
         }
     };
     const accuse = (death: string, suspects: readonly Suspect[], ageMs: Millis): void => {
@@ -127,7 +104,8 @@
             .filter(suspect => isNew(death, suspect));
         if (suspects.length > 0) {
             accuse(death, suspects, 0);
-            send(death, suspects, clock.now());
+            outbox.addDeath(death, suspects, clock.now());
+            parts.onUrgent();
         }
     };
     const recordAnswered: Suspects["recordAnswered"] = keys => {
@@ -136,7 +114,7 @@
             memory.record(key, now);
             const { accusations, quarantined } = state.history;
             if ((accusations.has(key) || quarantined.has(key)) && applyAnswer(key, now)) {
-                sendAnswer(key, now);
+                outbox.addAnswer(key, now);
                 parts.onUrgent();
             }
         });
@@ -145,7 +123,7 @@
         const now = clock.now();
         rows.answeredParts.forEach(([key, ageMs]) => {
             if (applyAnswer(key, now - ageMs) && parts.isRelay()) {
-                sendAnswer(key, now - ageMs);
+                outbox.addAnswer(key, now - ageMs);
                 parts.onUrgent();
             }
         });
@@ -161,7 +139,8 @@
         suspects.filter(each => isNew(each.death, each)).forEach(({ death, key, stage, ageMs }) => {
             accuse(death, [{ key, stage }], ageMs);
             if (parts.isRelay()) {
-                send(death, [{ key, stage }], now - ageMs);
+                outbox.addDeath(death, [{ key, stage }], now - ageMs);
+                parts.onUrgent();
             }
         });
         rows.quarantined.filter(([key]) => !state.history.quarantined.has(key)).forEach(([key, forMs]) => {
@@ -188,21 +167,11 @@
         return true;
     };
     const deathsOf: Suspects["deathsOf"] = keys => Math.max(0, ...keys.map(key => countedDeaths(state.history, key)));
-    const rows: Suspects["rows"] = () => {
-        const now = clock.now();
-        const recent = state.sentSuspects.filter(isSent);
-        return {
-            deaths: recent.filter(each => !isPart(each)).map(({ key, death }) => [key, death]),
-            suspectParts: recent.filter(isPart).map((
-                { key, death, stage, diedAt },
-            ) => [key, death, stage === "begun", Math.round(now - diedAt)]),
-            answeredParts: [...sentAnswers]
-                .filter(([, { at }]) => now - at < crashLimits.sendPartsForMs)
-                .map(([key, { answeredAt }]) => [key, Math.round(now - answeredAt)]),
-            quarantined: [...state.history.quarantined].slice(-crashLimits.rows)
-                .map(([key, until]) => [key, until - now]),
-        };
-    };
+    const rows: Suspects["rows"] = () => ({
+        ...outbox.rows(),
+        quarantined: [...state.history.quarantined].slice(-crashLimits.rows)
+            .map(([key, until]) => [key, until - clock.now()]),
+    });
     return {
         hasQuarantined: () => state.history.quarantined.size > 0,
         isRefused,
