--- a/packages/quarantine/src/__tests__/fleet/simulateCrashes.ts
+++ b/packages/quarantine/src/__tests__/fleet/simulateCrashes.ts
@@ -28,7 +28,7 @@
     readonly headLeadMs?: Millis;
     /** Engines that die by themselves a second. */
     readonly deathsPerSecond: number;
-    /** Share of the engines that die at one moment, every `outageEveryMs`. */
+    /** Share of the engines that die at one moment, every `everyMs`. */
     readonly outage?: { readonly share: number; readonly everyMs: Millis; };
     /** VMs that are killed, or cut off from the others for a while, each second. */
     readonly vmFaultsPerSecond: number;
--- a/packages/router/src/__tests__/unit/beacon.test.ts
+++ b/packages/router/src/__tests__/unit/beacon.test.ts
@@ -1,4 +1,5 @@
 import type { EndpointName, FailureDomain, Incarnation, ServiceName, VmId } from "@azureshunt/core";
+import type { SuspectKey } from "@azureshunt/quarantine";
 import test from "ava";
 
 import type { Beacon } from "../../peers/Beacon.js";
@@ -37,8 +38,8 @@
     cached: [["e1", [{ key: "manual", tokens: 4_000 }, { key: "own", tokens: 70 }]], ["10.0.0.9:80", []]],
     lease: undefined,
     deaths: [],
-    suspectParts: [],
-    answeredParts: [],
+    suspectParts: [["part-1" as SuspectKey, "engine/1", true, 12]],
+    answeredParts: [["part-2" as SuspectKey, 250]],
     quarantined: [],
     rollouts: [{
         service: "desk" as ServiceName,
@@ -79,6 +80,13 @@
     t.deepEqual(cached[0]?.[1], [{ key: "manual", tokens: 0 }, { key: "own", tokens: 0 }]);
 });
 
+// Builds of before run beside this one while VMs are updated.
+test("beacon: one of an earlier version, without rows about prompt parts, is decoded with none", t => {
+    const SUSPECT_PARTS = 33;
+    const { suspectParts, answeredParts } = decoded(rowOf().slice(0, SUSPECT_PARTS)) ?? beacon;
+    t.deepEqual([suspectParts, answeredParts], [[], []]);
+});
+
 const invalidSizes: readonly { readonly name: string; readonly sizes: unknown; }[] = [
     { name: "a number in place of the list", sizes: 5 },
     { name: "a text in place of a size", sizes: [["many", 70], []] },
@@ -130,6 +138,8 @@
     { name: "spending without an organisation", field: 29, rows: [[5, 5, 5]] },
     { name: "a load of three numbers", field: 30, rows: [["e1", 1, 2]] },
     { name: "an unknown scope", field: 26, rows: "all" },
+    { name: "a suspect part without an age", field: 33, rows: [["part-1", "engine/1", true]] },
+    { name: "an answered part without an age", field: 34, rows: [["part-2"]] },
 ];
 invalidRows.forEach(({ name, field, rows }) => {
     test(`beacon: one with ${name} is rejected`, t => {
