--- a/packages/quarantine/src/countedDeaths.ts
+++ b/packages/quarantine/src/countedDeaths.ts
@@ -15,8 +15,8 @@
  *
  * Endpoints crash on what they have just begun to answer. So where an answer had its head and no event, what else was
  * there is no suspect; each such death counts against a part that was never answered. Any other evidence is weak, as
- * endpoints that share a rack die at one moment, with all that wait there: it counts half, or once for each moment. An
- * answer shows that the deaths before it had another cause, and those after it count once for each moment.
+ * endpoints that share a rack die at one moment, with all that wait there: it counts once for each moment, and half at
+ * several ones. An answer shows that the deaths before it had another cause, and those after it count once for each moment.
  */
 export function countedDeaths({ accusations, begunDeaths, answers }: CrashHistory, key: SuspectKey): number {
     const answeredAt = answers.get(key);
@@ -30,5 +30,6 @@
         return moments;
     }
     const strong = counted.filter(({ stage }) => stage !== "unsettled").length;
-    return Math.max(moments, strong + Math.floor((counted.length - strong) / crashLimits.weakDeaths));
+    const weak = moments > 1 ? Math.floor((counted.length - strong) / crashLimits.weakDeaths) : 0;
+    return Math.max(moments, strong + weak);
 }
