--- a/packages/quarantine/src/__tests__/fleet/simulateCrashes.ts
+++ b/packages/quarantine/src/__tests__/fleet/simulateCrashes.ts
@@ -24,8 +24,6 @@
     readonly position: 0 | 1 | 2;
     /** Whether engines send the head of an answer before they crash on it. */
     readonly hasHead?: boolean;
-    /** Time from the head of an answer to its first event. */
-    readonly headLeadMs?: Millis;
     /** Engines that die by themselves a second. */
     readonly deathsPerSecond: number;
     /** Share of the engines that die at one moment, every `everyMs`. */
@@ -80,6 +78,8 @@
 const RELAYS = 2;
 const STABLE_MS = 3_000;
 const RESTART_MS = 3_500;
+/** Time from the head of an answer to its first event. */
+const HEAD_LEAD_MS = 1;
 const SETTLED_MS = 300;
 const RETRY_PAUSE_MS = 250;
 const MAX_TRIES = 2;
@@ -246,7 +246,7 @@
                 return;
             }
             running.stage = "begun";
-            schedule(Math.min(options.headLeadMs ?? 1, 70), () => {
+            schedule(HEAD_LEAD_MS, () => {
                 running.stage = running.stage === "begun" ? "unsettled" : running.stage;
             });
             const answerMs = random.between(80, 1_500);
