Log limits that endpoints name, and headers that the router ignores

Answers' heads are now decoded with the limit; a VM logs when one begins, changes and ends, counts tries at limited endpoints by path (first, further, resumed), and logs each header of the platform once that it does not know or cannot read. Nothing decides by it yet.

--- a/packages/router/src/__tests__/unit/judgeHead.test.ts
+++ b/packages/router/src/__tests__/unit/judgeHead.test.ts
@@ -13,6 +13,8 @@
     isNotRun: false,
     isEncoded: false,
     maxRefusals: undefined,
+    limit: undefined,
+    ignoredHeaders: [],
     weights: undefined,
 };
 
--- a/packages/router/src/ports/EndpointHead.ts
+++ b/packages/router/src/ports/EndpointHead.ts
@@ -14,6 +14,13 @@
      * brittle.
      */
     readonly maxRefusals: number | undefined;
+    /**
+     * Requests a second that the endpoint takes from all VMs together; undefined if it names no limit, `"unreadable"` if
+     * what it names is no decimal number.
+     */
+    readonly limit: number | "unreadable" | undefined;
+    /** Headers of the platform that this router does not know or whose value it cannot read, the latter with the value. */
+    readonly ignoredHeaders: readonly string[];
     /** Version of the weights that produced the answer. */
     readonly weights: number | undefined;
 };
--- a/packages/router/src/serve/ServeParts.ts
+++ b/packages/router/src/serve/ServeParts.ts
@@ -9,12 +9,14 @@
 import type { DeclaredState } from "../knowledge/DeclaredState.js";
 import type { createBrittleServices } from "../placement/createBrittleServices.js";
 import type { createDemand } from "../placement/createDemand.js";
+import type { createEndpointLimits } from "../placement/createEndpointLimits.js";
 import type { createPrefixIndex } from "../placement/createPrefixIndex.js";
 import type { EndpointTable } from "../placement/EndpointTable.js";
 import type { CallerWire } from "../ports/CallerWire.js";
 import type { EndpointWire } from "../ports/EndpointWire.js";
 import type { createQuarantine } from "../quarantine/createQuarantine.js";
 import type { createRollouts } from "../rollout/createRollouts.js";
+import type { createIgnoredHeaderLog } from "./createIgnoredHeaderLog.js";
 import type { createRetryBudgets } from "./createRetryBudgets.js";
 import type { FreshnessBounds } from "./FreshnessBounds.js";
 
@@ -25,6 +27,8 @@
     readonly declaredState: () => DeclaredState;
     readonly endpointTable: EndpointTable;
     readonly brittleServices: ReturnType<typeof createBrittleServices>;
+    readonly endpointLimits: ReturnType<typeof createEndpointLimits>;
+    readonly reportIgnoredHeaders: ReturnType<typeof createIgnoredHeaderLog>;
     readonly prefixIndex: ReturnType<typeof createPrefixIndex>;
     readonly allowances: Pick<ReturnType<typeof createAllowances>, "refund">;
     readonly allowanceQueue: ReturnType<typeof createAllowanceQueue>;
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -193,6 +193,12 @@
         parts.brittleServices.announce(served.service, head.maxRefusals);
     }
     const verdict = judgeHead(head, served);
+    if (head.ignoredHeaders.length > 0) {
+        parts.reportIgnoredHeaders(place.entry.name, head.ignoredHeaders);
+    }
+    if (verdict === "forward" || verdict === "failed" || (verdict === "refused" && head.limit !== undefined)) {
+        parts.endpointLimits.observe(place.entry, head.limit);
+    }
     if (verdict === "refused") {
         parts.brittleServices.recordRefused(served.service, place.entry.name);
     }
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -127,6 +127,8 @@
         // If no retry is possible, the try waits out silence: giving up would only lose the answer.
         const hasBudget = parts.retryBudgets.of(served.service).balance >= MIN_BUDGET_FOR_SILENCE;
         const isLastTry = request.tries + 1 >= allowedTries(served.route.maxTries, progress.notRun) || !hasBudget;
+        const path = request.tries > 0 ? "further" : served.caller.lastEventId === undefined ? "first" : "resumed";
+        parts.endpointLimits.recordTry(place.entry, path);
         const result = await runTry({ parts, served, place, progress: stream, isLastTry });
         return afterTry(progress, place, result);
     };
--- a/packages/router/src/startGauges.ts
+++ b/packages/router/src/startGauges.ts
@@ -3,6 +3,7 @@
 
 import { orderFence } from "./fleet/orderFence.js";
 import type { PeerSyncSources } from "./peers/PeerSyncSources.js";
+import type { createEndpointLimits } from "./placement/createEndpointLimits.js";
 import type { createConnector } from "./tunnel/createConnector.js";
 import type { serveTunnels } from "./tunnel/serveTunnels.js";
 
@@ -13,6 +14,7 @@
         "clock" | "declarations" | "endpointTable" | "allowances" | "orders" | "membership"
     >
     & {
+        readonly endpointLimits: Pick<ReturnType<typeof createEndpointLimits>, "size">;
         readonly streams: Pick<ReturnType<typeof createStreamKeeper>, "size">;
         readonly connector: Pick<ReturnType<typeof createConnector>, "isCutOff">;
         readonly tunnels: Pick<ReturnType<typeof serveTunnels>, "size">;
@@ -23,7 +25,8 @@
 
 /** Registers the gauges of a router and returns a function that unregisters them. */
 export function startGauges(metrics: Metrics, sources: GaugeSources): () => void {
-    const { clock, declarations, endpointTable, allowances, orders, membership, streams, connector, tunnels } = sources;
+    const { clock, declarations, endpointTable, allowances, orders, membership } = sources;
+    const { endpointLimits, streams, connector, tunnels } = sources;
     const sumOf = (size: "running" | "waitingTokens"): number =>
         endpointTable.ownShares().reduce((sum, [, share]) => sum + share[size], 0);
     const rows: readonly (readonly [name: string, help: string, read: () => number])[] = [
@@ -43,6 +46,7 @@
             () => clock.now() - endpointTable.answeredAt(),
         ],
         ["endpoints", "Endpoints registered.", endpointTable.size],
+        ["limited_endpoints", "Endpoints that name a limit.", endpointLimits.size],
         ["known_streams", "Streams of which this VM knows where they began.", streams.size],
         ["cut_off", "1 while own links reach no endpoints, else 0.", () => connector.isCutOff() ? 1 : 0],
         ["tunnels", "Connections to endpoints that are open for other VMs.", tunnels.size],
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -25,6 +25,7 @@
 import { startPeerSync } from "./peers/startPeerSync.js";
 import { createBrittleServices } from "./placement/createBrittleServices.js";
 import { createDemand } from "./placement/createDemand.js";
+import { createEndpointLimits } from "./placement/createEndpointLimits.js";
 import { createEndpointTable } from "./placement/createEndpointTable.js";
 import { createPrefixIndex } from "./placement/createPrefixIndex.js";
 import { limitsOfHolder } from "./placement/limitsOfHolder.js";
@@ -38,6 +39,7 @@
 import { createRollouts } from "./rollout/createRollouts.js";
 import { sendReport } from "./rollout/sendReport.js";
 import type { RouterSettings } from "./RouterSettings.js";
+import { createIgnoredHeaderLog } from "./serve/createIgnoredHeaderLog.js";
 import { createLagWatch } from "./serve/createLagWatch.js";
 import { createRequestHandler } from "./serve/createRequestHandler.js";
 import { createRetryBudgets } from "./serve/createRetryBudgets.js";
@@ -220,6 +222,7 @@
         logger: loggers("quarantine"),
         metrics,
     });
+    const endpointLimits = createEndpointLimits({ logger: loggers("limit"), metrics });
     const orders = startOrders({
         clock,
         vm: settings.vm,
@@ -307,6 +310,8 @@
         declaredState: declarations.current,
         endpointTable,
         brittleServices: createBrittleServices({ clock, random: Math.random, vms: membership.vms }),
+        endpointLimits,
+        reportIgnoredHeaders: createIgnoredHeaderLog({ logger: loggers("endpoint"), metrics }),
         prefixIndex,
         allowances,
         allowanceQueue: createAllowanceQueue({
@@ -357,7 +362,7 @@
         random: Math.random,
         open: parts.open,
     });
-    const stopGauges = startGauges(metrics, { ...sources, streams, connector, tunnels });
+    const stopGauges = startGauges(metrics, { ...sources, endpointLimits, streams, connector, tunnels });
     const metricsListener = await startMetricsListener(settings.listen.metrics, metrics);
     const callerServer = await startCallerServer({
         settings,
