Share the limits that endpoints name among all VMs by what each places

Cause: no VM reads the limit, and nothing that VMs tell each other could have kept it: it binds the sum of what all VMs send.

A VM now gathers a part of a turn at a limited endpoint with each request that it places: the fraction of all VMs' requests that the endpoint takes. With a whole turn a request may go there; without one, the others are chosen. VMs tell each other of limits at once and of what they place in rows of their load, which relays add up already; nothing is sent while no endpoint is limited. Turns that are not used lapse. If only limited endpoints are left, the request is refused at once, with a Retry-After that lets callers return one after the other. All ways to an engine (first, further, resumed and moved tries) go through placeRequest and ask.

--- a/packages/core/src/ErrorKind.ts
+++ b/packages/core/src/ErrorKind.ts
@@ -25,6 +25,7 @@
     // Endpoints.
     | "no-endpoint"
     | "overloaded"
+    | "endpoints-limited"
     | "deadline-exceeded"
     | "endpoint-failed"
     | "stream-broken"
--- a/packages/core/src/answerOf.ts
+++ b/packages/core/src/answerOf.ts
@@ -60,6 +60,14 @@
     ),
     "no-endpoint": answer(503, "no", 1, true, "api_error", "No endpoint that serves this is in reach."),
     "overloaded": answer(503, "no", 1, true, "api_error", "All endpoints that serve this are full."),
+    "endpoints-limited": answer(
+        503,
+        "no",
+        1,
+        true,
+        "api_error",
+        "The endpoints that serve this take no more requests now.",
+    ),
     "deadline-exceeded": answer(504, "no", 1, false, "api_error", "The request could not be started in time."),
     "endpoint-failed": answer(
         502,
--- /dev/null
+++ b/packages/limit/src/limitTiming.ts
@@ -0,0 +1,23 @@
+/** Times and fractions of the turns at limited endpoints; times are in milliseconds. */
+const limitTiming = {
+    /**
+     * Fraction of a limit that all VMs together use. The rest is for VMs that do not know of the limit yet, and for news
+     * of the others' load that is late.
+     */
+    usedFraction: 0.9,
+    /** Requests a second that an endpoint gets however low its limit is, as only an answer tells that the limit ended. */
+    minPerSecond: 0.2,
+    /** A turn that is not used within this time lapses, so that turns do not add up to a burst. */
+    turnMs: 2_000,
+    /** Turns that a VM keeps at most. */
+    maxTurns: 2,
+    /** Time until all VMs know how much the others place: three hops between VMs. */
+    settleMs: 1_500,
+    /** Requests a second that a VM counts as placing at least; callers may come to all idle VMs at once. */
+    idlePerSecond: 0.05,
+    /** Time for which VMs tell each other of a limit at once after it changed, and that a limit ended at all. */
+    newMs: 1_000,
+    endedMs: 10_000,
+} as const;
+
+export { limitTiming };
--- a/packages/router/src/__tests__/support/emptyBeacon.ts
+++ b/packages/router/src/__tests__/support/emptyBeacon.ts
@@ -32,6 +32,7 @@
     suspectParts: [],
     answeredParts: [],
     quarantined: [],
+    limits: [],
     rollouts: [],
     registry: undefined,
     hasStore: true,
--- a/packages/router/src/__tests__/support/relayFleet.ts
+++ b/packages/router/src/__tests__/support/relayFleet.ts
@@ -133,6 +133,7 @@
                 suspectParts: [],
                 answeredParts: [],
                 quarantined: [],
+                limits: [],
                 rollouts: [],
                 registry: undefined,
                 hasStore: true,
--- a/packages/router/src/__tests__/unit/beacon.test.ts
+++ b/packages/router/src/__tests__/unit/beacon.test.ts
@@ -41,6 +41,7 @@
     suspectParts: [["part-1" as SuspectKey, "engine/1", true, 12]],
     answeredParts: [["part-2" as SuspectKey, 250]],
     quarantined: [],
+    limits: [["e1" as EndpointName, 1_700, 0.2, 40], ["e2" as EndpointName, 1_800, -1, 900]],
     rollouts: [{
         service: "desk" as ServiceName,
         id: 7,
@@ -98,6 +99,12 @@
     });
 });
 
+test("beacon: one of an earlier version, without limits of endpoints, is decoded with none", t => {
+    const LIMITS = 35;
+    t.deepEqual(decoded(rowOf().slice(0, LIMITS))?.limits, []);
+    t.deepEqual(decoded(rowOf())?.limits, beacon.limits);
+});
+
 test("beacon: one of an earlier version, without the tokens requested per second, is decoded with 0 of them", t => {
     const row = rowOf();
     const SPENT = 11;
--- a/packages/router/src/peers/Beacon.ts
+++ b/packages/router/src/peers/Beacon.ts
@@ -1,4 +1,5 @@
 import type { EndpointName, FailureDomain, Incarnation, Millis, OrganisationId, Tokens, VmId } from "@azureshunt/core";
+import type { LimitRow } from "@azureshunt/limit";
 import type { SuspectRows } from "@azureshunt/quarantine";
 
 import type { TargetRow } from "../knowledge/TargetRow.js";
@@ -57,7 +58,10 @@
     readonly weights: readonly TargetRow[];
     /** By organisation: tokens that the sender has spent since its start, and tokens requested of it per second. */
     readonly spent: readonly (readonly [OrganisationId, Tokens, Tokens])[];
-    /** Load of the sender's requests by endpoint; `undefined` if this beacon does not state it. */
+    /**
+     * Load of the sender's requests by endpoint, and requests that it places in pools with limited endpoints (see
+     * `offeredName`); `undefined` if this beacon does not state it.
+     */
     readonly load: readonly (readonly [EndpointName, EndpointShare])[] | undefined;
     /** Prompt tokens that the sender's callers send per millisecond. */
     readonly demand: Tokens;
@@ -75,6 +79,8 @@
      * long the sender has known it. `undefined` if the sender knows none.
      */
     readonly lease: { readonly offset: number; readonly holder: VmId; readonly ageMs: Millis; } | undefined;
+    /** Limits that endpoints name; those that the sender has known for long in rotation. */
+    readonly limits: readonly LimitRow[];
     /** Rollouts of software versions that the sender knows. */
     readonly rollouts: readonly RolloutRow[];
     /** Digest of the registry entries that the sender knows, and an upper bound for their age. */
--- a/packages/router/src/peers/LocalState.ts
+++ b/packages/router/src/peers/LocalState.ts
@@ -16,6 +16,7 @@
     | "demand"
     | "engineVersions"
     | "lease"
+    | "limits"
     | keyof SuspectRows
     | "rollouts"
     | "registry"
--- a/packages/router/src/peers/PeerSyncSources.ts
+++ b/packages/router/src/peers/PeerSyncSources.ts
@@ -4,6 +4,7 @@
 import type { startOrders } from "../fleet/startOrders.js";
 import type { startDeclarations } from "../knowledge/startDeclarations.js";
 import type { createDemand } from "../placement/createDemand.js";
+import type { createEndpointLimits } from "../placement/createEndpointLimits.js";
 import type { createPrefixIndex } from "../placement/createPrefixIndex.js";
 import type { EndpointTable } from "../placement/EndpointTable.js";
 import type { createQuarantine } from "../quarantine/createQuarantine.js";
@@ -22,6 +23,7 @@
     readonly prefixIndex: ReturnType<typeof createPrefixIndex>;
     readonly demand: ReturnType<typeof createDemand>;
     readonly orders: ReturnType<typeof startOrders>;
+    readonly endpointLimits: ReturnType<typeof createEndpointLimits>;
     readonly quarantine: ReturnType<typeof createQuarantine>;
     readonly registry: ReturnType<typeof startRegistry>;
     readonly peerLoad: ReturnType<typeof createPeerLoad>;
--- a/packages/router/src/peers/applyBeacon.ts
+++ b/packages/router/src/peers/applyBeacon.ts
@@ -5,12 +5,13 @@
  * Applies a beacon of a peer to the parts of this VM.
  *
  * @param address peer address of the sender
- * @returns whether an order, a version that an engine has loaded, or the phase of a rollout was new to this VM
+ * @returns whether an order, a version that an engine has loaded, the limit of an endpoint, or the phase of a rollout was
+ *     new to this VM
  */
 export function applyBeacon(sources: PeerSyncSources, received: ReceivedBeacon, address: string): boolean {
     const { clock, declarations, allowances, endpointTable, prefixIndex, orders, quarantine, registry, peerLoad } =
         sources;
-    const { membership, relayBuffer, rollouts } = sources;
+    const { endpointLimits, membership, relayBuffer, rollouts } = sources;
     const { beacon, sentAfter } = received;
     const now = clock.now();
     const role = membership.roleOf(beacon.vm);
@@ -33,5 +34,6 @@
         orders.applyLeaseEvent({ kind: "peer-record", ...beacon.lease, ageMs });
     }
     const isRolloutNew = rollouts.receiveRows(beacon.rollouts, sentAfter);
-    return isRolloutNew || [...orderUpdates, ...weightsUpdates].includes(true);
+    const isLimitNew = endpointLimits.applyBeacon(beacon.limits);
+    return isRolloutNew || isLimitNew || [...orderUpdates, ...weightsUpdates].includes(true);
 }
--- a/packages/router/src/peers/collectLocalState.ts
+++ b/packages/router/src/peers/collectLocalState.ts
@@ -11,17 +11,19 @@
 
 /** Collects this VM's own state for a beacon, except for the engine versions, which are sent in rotation. */
 export function collectLocalState(sources: PeerSyncSources): Omit<LocalState, "engineVersions"> {
-    const { clock, declarations, allowances, endpointTable, demand, quarantine, registry, rollouts } = sources;
+    const { clock, declarations, allowances, endpointTable, endpointLimits, demand, quarantine, registry, rollouts } =
+        sources;
     const { configuration, confirmedAt, weights } = declarations.current();
     return {
         revision: configuration?.revision ?? -1,
         confirmedMs: confirmedAt === -Infinity ? undefined : clock.now() - confirmedAt,
         weights: targetRowsOf(weights, clock.now()),
         spent: allowances.spent(),
-        load: endpointTable.ownShares(),
+        load: [...endpointTable.ownShares(), ...endpointLimits.offered()],
         demand: demand.rate(),
         lease: leaseState(sources),
         ...quarantine.beaconFields(),
+        limits: endpointLimits.rows(),
         rollouts: rollouts.rows(),
         registry: registry.beaconFields(),
         hasStore: declarations.hasStore(),
--- a/packages/router/src/peers/createBeaconEncoder.ts
+++ b/packages/router/src/peers/createBeaconEncoder.ts
@@ -18,6 +18,7 @@
     | "suspectParts"
     | "answeredParts"
     | "quarantined"
+    | "limits"
     | "rollouts"
     | "vms"
     | "domains"
@@ -71,6 +72,7 @@
     ...rowsOf("suspectParts", common.suspectParts),
     ...rowsOf("answeredParts", common.answeredParts),
     ...rowsOf("quarantined", common.quarantined),
+    ...rowsOf("limits", common.limits),
     ...rowsOf(
         "rollouts",
         common.rollouts.map(each => [
@@ -136,6 +138,7 @@
         list("rollouts"),
         list("suspectParts"),
         list("answeredParts"),
+        list("limits"),
     ].join(",");
 };
 
--- a/packages/router/src/peers/decodeBeacon.ts
+++ b/packages/router/src/peers/decodeBeacon.ts
@@ -21,6 +21,7 @@
 const ROLLOUTS = 32;
 const SUSPECT_PARTS = 33;
 const ANSWERED_PARTS = 34;
+const LIMITS = 35;
 
 const PHASES: readonly unknown[] = rolloutPhases;
 const SCOPES: readonly unknown[] = ["vm", "domain", "fleet", "referral"];
@@ -78,7 +79,8 @@
     && isNumber(row[RELAYED_DEMAND] ?? 0)
     && areRows(row[ROLLOUTS] ?? [], isText, isNumber, isText, isNumber, isNumber, isPhaseOrNull, isNumber)
     && areRows(row[SUSPECT_PARTS] ?? [], isText, isText, isFlag, isNumber)
-    && areRows(row[ANSWERED_PARTS] ?? [], isText, isNumber);
+    && areRows(row[ANSWERED_PARTS] ?? [], isText, isNumber)
+    && areRows(row[LIMITS] ?? [], isText, isNumber, isNumber, isNumber);
 
 const parse = (datagram: Buffer): unknown => {
     try {
@@ -144,6 +146,7 @@
         quarantined: row[QUARANTINED] ?? [],
         suspectParts: row[SUSPECT_PARTS] ?? [],
         answeredParts: row[ANSWERED_PARTS] ?? [],
+        limits: row[LIMITS] ?? [],
         rollouts: rollouts.map(([service, id, version, durationMs, ageMs, phase, statedMs]) => ({
             service,
             id,
--- a/packages/router/src/serve/placeRequest.ts
+++ b/packages/router/src/serve/placeRequest.ts
@@ -2,7 +2,7 @@
 import type { EndpointName } from "@azureshunt/core";
 
 import { chainOf } from "../placement/chainOf.js";
-import { choosePlace } from "../placement/choosePlace.js";
+import { choosePlaceOrTurn } from "../placement/choosePlaceOrTurn.js";
 import type { PrefixPart } from "../placement/PrefixPart.js";
 import { sampleCandidates } from "../placement/sampleCandidates.js";
 import type { EndpointEntry } from "../registry/EndpointEntry.js";
@@ -13,6 +13,9 @@
 import type { ServeParts } from "./ServeParts.js";
 import type { TryPlace } from "./TryPlace.js";
 
+/** Fraction of a request's objective by which a limited endpoint may be slower and still gets its turn. */
+const TURN_TOLERANCE = 0.25;
+
 /** A prompt as it is cached under one version of the weights. */
 type VersionedPrompt = {
     readonly salt: string | undefined;
@@ -53,9 +56,24 @@
         select: selectEndpoints(parts, served, origin),
         avoid,
     });
-    const placeable = parts.brittleServices.select(served.service, reachable);
-    const sampled = sampleCandidates(placeable.map(({ candidate }) => candidate), parts.placingVms(), parts.random);
-    const place = choosePlace(sampled, parts.clock.now(), parts.random);
+    const { unlimited, turns } = parts.endpointLimits.select(
+        { service: served.service, model: prompt?.model },
+        parts.brittleServices.select(served.service, reachable),
+    );
+    const placeable = [...unlimited, ...turns];
+    const place = choosePlaceOrTurn(
+        {
+            unlimited: sampleCandidates(
+                unlimited.map(({ candidate }) => candidate),
+                parts.placingVms(),
+                parts.random,
+            ),
+            turns: turns.map(({ candidate }) => candidate),
+            toleranceMs: served.route.objectiveMs * TURN_TOLERANCE,
+        },
+        parts.clock.now(),
+        parts.random,
+    );
     const chosen = placeable.find(({ candidate }) => candidate === place?.candidate);
     if (place === undefined || chosen === undefined) {
         return undefined;
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -72,7 +72,8 @@
     const { prompt } = served.caller;
     const canContinueAt = (endpoint: EndpointName): boolean => {
         const entry = parts.endpointTable.entryOf(endpoint);
-        return progress.origin === undefined || (entry !== undefined && mayContinueAt(progress.origin, entry));
+        return entry !== undefined && !parts.endpointLimits.isLimited(entry)
+            && (progress.origin === undefined || mayContinueAt(progress.origin, entry));
     };
     const others = prompt === undefined
         ? []
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -24,6 +24,8 @@
 /** After this time a caller may retry: an endpoint may have room or be back by then. */
 const RETRY_AFTER_SECONDS = 0.25;
 const MS_PER_SECOND = 1_000;
+/** Limited endpoints that the detail of a refusal names. */
+const MAX_NAMED = 5;
 
 /** How serving a request ended. */
 type ServedEnd =
@@ -89,6 +91,15 @@
         const place = placeRequest(parts, served, progress.avoid, stream.origin);
         if (place === undefined) {
             const ran = progress.request.ran;
+            const limited = ran === "no"
+                ? parts.endpointLimits.refuse({ service: served.service, model: served.caller.prompt?.model })
+                : undefined;
+            if (limited !== undefined) {
+                const { endpoints, retryAfterSeconds } = limited;
+                const detail = `limited: ${endpoints.slice(0, MAX_NAMED).join(", ")}`
+                    + (endpoints.length > MAX_NAMED ? ` and ${endpoints.length - MAX_NAMED} more` : "");
+                return giveUp(progress, refusalOf("endpoints-limited", detail, { retryAfterSeconds, ran }));
+            }
             const kind = stream.forwardedEvents > 0
                 ? "stream-broken"
                 : ran === "no"
--- a/packages/router/src/startGauges.ts
+++ b/packages/router/src/startGauges.ts
@@ -3,7 +3,6 @@
 
 import { orderFence } from "./fleet/orderFence.js";
 import type { PeerSyncSources } from "./peers/PeerSyncSources.js";
-import type { createEndpointLimits } from "./placement/createEndpointLimits.js";
 import type { createConnector } from "./tunnel/createConnector.js";
 import type { serveTunnels } from "./tunnel/serveTunnels.js";
 
@@ -11,10 +10,9 @@
 type GaugeSources =
     & Pick<
         PeerSyncSources,
-        "clock" | "declarations" | "endpointTable" | "allowances" | "orders" | "membership"
+        "clock" | "declarations" | "endpointTable" | "endpointLimits" | "allowances" | "orders" | "membership"
     >
     & {
-        readonly endpointLimits: Pick<ReturnType<typeof createEndpointLimits>, "size">;
         readonly streams: Pick<ReturnType<typeof createStreamKeeper>, "size">;
         readonly connector: Pick<ReturnType<typeof createConnector>, "isCutOff">;
         readonly tunnels: Pick<ReturnType<typeof serveTunnels>, "size">;
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -222,7 +222,19 @@
         logger: loggers("quarantine"),
         metrics,
     });
-    const endpointLimits = createEndpointLimits({ logger: loggers("limit"), metrics });
+    const endpointLimits = createEndpointLimits({
+        clock,
+        random: Math.random,
+        entryOf: endpointTable.entryOf,
+        othersOffered: name => peerLoad.at(name).running,
+        vms: () => {
+            const { peers, silent } = membership.liveness();
+            return { vms: peers + 1, heardVms: peers + 1 - silent.length };
+        },
+        sendSoon: () => beacons.sendSoon(),
+        logger: loggers("limit"),
+        metrics,
+    });
     const orders = startOrders({
         clock,
         vm: settings.vm,
@@ -282,6 +294,7 @@
         prefixIndex,
         demand,
         orders,
+        endpointLimits,
         quarantine,
         registry,
         peerLoad,
@@ -362,7 +375,7 @@
         random: Math.random,
         open: parts.open,
     });
-    const stopGauges = startGauges(metrics, { ...sources, endpointLimits, streams, connector, tunnels });
+    const stopGauges = startGauges(metrics, { ...sources, streams, connector, tunnels });
     const metricsListener = await startMetricsListener(settings.listen.metrics, metrics);
     const callerServer = await startCallerServer({
         settings,
