Bound what all VMs send to a limited endpoint when their load changes at a moment

VMs now also tell each other, in rows of their load, what they have sent to each limited endpoint in two seconds. While that is more than the limit takes, no turns are gathered, and whole ones are dropped: kept, all VMs used them at the moment in which they might. A VM whose own load has grown takes the others' to have grown as much, and counts each VM as placing 0.4 requests a second at least.

Mends targetAgeAfterRestart, which had broken: its stub of the state to send lacked the limits.

--- a/packages/limit/src/EndpointLimit.ts
+++ b/packages/limit/src/EndpointLimit.ts
@@ -14,4 +14,6 @@
     readonly turns: number;
     /** When `turns` last reached 1. */
     readonly turnSince: Millis;
+    /** When this VM sent its latest requests there, within `limitTiming.sentMs`. */
+    readonly sentAt: readonly Millis[];
 };
--- a/packages/limit/src/OfferedLoad.ts
+++ b/packages/limit/src/OfferedLoad.ts
@@ -2,6 +2,8 @@
 export type OfferedLoad = {
     /** Requests a second that this VM places. */
     readonly ownPerSecond: number;
+    /** The same some seconds ago. */
+    readonly ownEarlier: number;
     /** Requests a second that the other VMs place, as they said last. */
     readonly othersPerSecond: number;
     /** VMs, including this one, and those of them that were heard of lately. */
--- a/packages/limit/src/learnLimit.ts
+++ b/packages/limit/src/learnLimit.ts
@@ -19,7 +19,7 @@
     if (known === undefined || known.bornAt < bornAt) {
         return known === undefined && perSecond === undefined
             ? undefined
-            : { bornAt, perSecond, seenAt, changedAt: now, turns: phase, turnSince: now };
+            : { bornAt, perSecond, seenAt, changedAt: now, turns: phase, turnSince: now, sentAt: [] };
     }
     if (known.bornAt > bornAt || known.seenAt >= seenAt) {
         return known;
--- a/packages/limit/src/limitTiming.ts
+++ b/packages/limit/src/limitTiming.ts
@@ -14,7 +14,15 @@
     /** Time until all VMs know how much the others place: three hops between VMs. */
     settleMs: 1_500,
     /** Requests a second that a VM counts as placing at least; callers may come to all idle VMs at once. */
-    idlePerSecond: 0.05,
+    idlePerSecond: 0.4,
+    /** Time constants over which a VM measures its load, and how much that has grown. */
+    loadMs: 1_000,
+    earlierLoadMs: 4_000,
+    /** Time for which VMs count what they have sent to a limited endpoint. */
+    sentMs: 2_000,
+    /** In that time all VMs send at most so many times what the limit takes, and some more. */
+    maxSentRatio: 1.1,
+    maxSentExtra: 1.5,
     /** Time for which VMs tell each other of a limit at once after it changed, and that a limit ended at all. */
     newMs: 1_000,
     endedMs: 10_000,
--- a/packages/limit/src/turnsPerRequest.ts
+++ b/packages/limit/src/turnsPerRequest.ts
@@ -6,18 +6,17 @@
  * VMs' requests that the endpoint takes. As each request counts alike, VMs share the limit by their load without asking
  * each other, and a VM without requests holds no turns.
  *
- * Of a limit, VMs that are not heard of keep an even share: they may be cut off and place requests as well.
+ * Callers may come to many VMs at a moment: if this VM's load has grown, the others' is taken to have grown as much, as they
+ * may not have told yet. Of a limit, VMs that are not heard of keep an even share: they may be cut off and place requests
+ * as well.
  *
  * @param perSecond the endpoint's limit
  */
 export function turnsPerRequest(perSecond: number, load: OfferedLoad): number {
-    const { ownPerSecond, othersPerSecond, vms, heardVms, isSettling } = load;
+    const { ownPerSecond, ownEarlier, othersPerSecond, vms, heardVms, isSettling } = load;
     const { usedFraction, minPerSecond, idlePerSecond } = limitTiming;
     const room = usedFraction * Math.max(minPerSecond, perSecond) * heardVms / vms;
-    const offered = Math.max(
-        ownPerSecond + othersPerSecond,
-        vms * idlePerSecond,
-        isSettling ? vms * ownPerSecond : 0,
-    );
-    return Math.min(1, room / offered);
+    const growth = Math.max(1, ownPerSecond / (ownEarlier + idlePerSecond));
+    const told = Math.max(ownPerSecond + othersPerSecond, vms * idlePerSecond) * growth;
+    return Math.min(1, room / Math.max(told, isSettling ? vms * ownPerSecond : 0));
 }
--- a/packages/router/src/__tests__/unit/targetAgeAfterRestart.test.ts
+++ b/packages/router/src/__tests__/unit/targetAgeAfterRestart.test.ts
@@ -30,6 +30,7 @@
         endpointTable: { ownShares: () => [] },
         demand: { rate: () => 0 },
         quarantine: { beaconFields: () => ({ deaths: [], quarantined: [] }) },
+        endpointLimits: { rows: () => [], loadRows: () => [], applyBeacon: () => false },
         registry: { beaconFields: () => undefined },
         rollouts: { rows: () => [] },
         orders: { lease: () => ({ tail: undefined }) },
--- a/packages/router/src/peers/Beacon.ts
+++ b/packages/router/src/peers/Beacon.ts
@@ -60,7 +60,7 @@
     readonly spent: readonly (readonly [OrganisationId, Tokens, Tokens])[];
     /**
      * Load of the sender's requests by endpoint, and requests that it places in pools with limited endpoints (see
-     * `offeredName`); `undefined` if this beacon does not state it.
+     * `limitRowNames`); `undefined` if this beacon does not state it.
      */
     readonly load: readonly (readonly [EndpointName, EndpointShare])[] | undefined;
     /** Prompt tokens that the sender's callers send per millisecond. */
--- a/packages/router/src/peers/collectLocalState.ts
+++ b/packages/router/src/peers/collectLocalState.ts
@@ -19,7 +19,7 @@
         confirmedMs: confirmedAt === -Infinity ? undefined : clock.now() - confirmedAt,
         weights: targetRowsOf(weights, clock.now()),
         spent: allowances.spent(),
-        load: [...endpointTable.ownShares(), ...endpointLimits.offered()],
+        load: [...endpointTable.ownShares(), ...endpointLimits.loadRows()],
         demand: demand.rate(),
         lease: leaseState(sources),
         ...quarantine.beaconFields(),
--- a/packages/router/src/placement/createEndpointLimits.ts
+++ b/packages/router/src/placement/createEndpointLimits.ts
@@ -1,11 +1,14 @@
-import type { Clock, EndpointName, ModelName, ServiceName } from "@azureshunt/core";
+import type { Clock, EndpointName } from "@azureshunt/core";
 import {
     gatherTurns,
     hasTurn,
+    isExhausted,
+    lapseTurns,
     learnLimit,
     limitTiming,
     nextReturn,
     NO_LIMIT,
+    sentLately,
     turnsPerRequest,
     useTurn,
 } from "@azureshunt/limit";
@@ -17,17 +20,14 @@
 import type { EndpointHead } from "../ports/EndpointHead.js";
 import type { EndpointEntry } from "../registry/EndpointEntry.js";
 import { createDemand } from "./createDemand.js";
-import { offeredName } from "./offeredName.js";
-
-/** The endpoints that could serve a request: those of a service, with a model if the request names one. */
-type Pool = { readonly service: ServiceName; readonly model: ModelName | undefined; };
+import { limitRowNames } from "./limitRowNames.js";
 
 type LimitParts = {
     readonly clock: Clock;
     readonly random: () => number;
     readonly entryOf: (endpoint: EndpointName) => EndpointEntry | undefined;
-    /** Requests in 1,000 s that the other VMs place, by the name of a pool. */
-    readonly othersOffered: (name: EndpointName) => number;
+    /** Number in the rows with a name that the other VMs sent with their load, added up. */
+    readonly sumOfOthers: (row: EndpointName) => number;
     /** Number of VMs, including this one, and of those that were heard of lately. */
     readonly vms: () => Pick<OfferedLoad, "vms" | "heardVms">;
     /** Sends this VM's state to the others at once. */
@@ -66,8 +66,8 @@
     readonly applyBeacon: (rows: readonly LimitRow[]) => boolean;
     /** What a beacon says of limits. */
     readonly rows: () => readonly LimitRow[];
-    /** Requests in 1,000 s that this VM places in pools with limited endpoints, as rows of its load. */
-    readonly offered: () => NonNullable<Beacon["load"]>;
+    /** Requests that this VM places in pools with limited endpoints, and sends to these, as rows of its load. */
+    readonly loadRows: () => NonNullable<Beacon["load"]>;
     /** Number of endpoints that are limited. */
     readonly size: () => number;
 };
@@ -81,6 +81,11 @@
 /** An endpoint that is not registered any more is forgotten after this time: its entry may expire while it serves. */
 const UNREGISTERED_MS = 60_000;
 
+/** Requests that this VM places in a pool, now and some seconds ago. */
+type PoolDemand = Readonly<Record<"now" | "earlier", ReturnType<typeof createDemand>>>;
+
+type Pool = Parameters<typeof limitRowNames.offered>[0];
+
 const poolsOf = ({ service, versions }: EndpointEntry): readonly Pool[] =>
     versions.size === 0 ? [{ service, model: undefined }] : [...versions.keys()].map(model => ({ service, model }));
 
@@ -88,7 +93,7 @@
 export function createEndpointLimits(parts: LimitParts): EndpointLimits {
     const { clock, random, entryOf, sendSoon, logger, metrics } = parts;
     const limits = new Map<EndpointName, EndpointLimit>();
-    const demands = new Map<EndpointName, ReturnType<typeof createDemand>>();
+    const demands = new Map<EndpointName, PoolDemand>();
     const lastReturns = new Map<EndpointName, number>();
     const phase = { next: random() };
     const rotation = { next: 0 };
@@ -97,8 +102,11 @@
         const limit = limits.get(name);
         return limit?.bornAt === bornAt && limit.perSecond !== undefined ? limit : undefined;
     };
-    const demandOf = (name: EndpointName): ReturnType<typeof createDemand> => {
-        const known = demands.get(name) ?? createDemand(clock);
+    const demandOf = (name: EndpointName): PoolDemand => {
+        const known = demands.get(name) ?? {
+            now: createDemand(clock, limitTiming.loadMs),
+            earlier: createDemand(clock, limitTiming.earlierLoadMs),
+        };
         demands.set(name, known);
         return known;
     };
@@ -141,26 +149,37 @@
                 : [];
         });
     const loadOf = (pool: Pool): OfferedLoad => {
-        const name = offeredName(pool);
+        const name = limitRowNames.offered(pool);
+        const demand = demandOf(name);
         const knownSince = Math.min(...limitedIn(pool).map(({ changedAt }) => changedAt));
         return {
-            ownPerSecond: demandOf(name).rate() * MS_PER_SECOND,
-            othersPerSecond: parts.othersOffered(name) / SECONDS_COUNTED,
+            ownPerSecond: demand.now.rate() * MS_PER_SECOND,
+            ownEarlier: demand.earlier.rate() * MS_PER_SECOND,
+            othersPerSecond: parts.sumOfOthers(name) / SECONDS_COUNTED,
             ...parts.vms(),
             isSettling: clock.now() - knownSince < limitTiming.settleMs,
         };
     };
     const select: EndpointLimits["select"] = (pool, placeable) => {
-        demandOf(offeredName(pool)).record(1);
+        const demand = demandOf(limitRowNames.offered(pool));
         const limited = placeable.filter(({ entry }) => limitOf(entry) !== undefined);
-        if (limited.length === 0) {
+        // Without this request, which would count for much of a small load.
+        const load = limited.length === 0 ? undefined : loadOf(pool);
+        [demand.now, demand.earlier].forEach(each => each.record(1));
+        if (load === undefined) {
             return { unlimited: placeable, turns: [] };
         }
-        const load = loadOf(pool);
-        limited.forEach(({ entry }) => {
-            const limit = limitOf(entry);
+        const now = clock.now();
+        limited.forEach(({ entry: { name } }) => {
+            const limit = limits.get(name);
             if (limit?.perSecond !== undefined) {
-                limits.set(entry.name, gatherTurns(limit, turnsPerRequest(limit.perSecond, load), clock.now()));
+                const sent = sentLately(limit, now) + parts.sumOfOthers(limitRowNames.sent(name));
+                limits.set(
+                    name,
+                    isExhausted(limit.perSecond, sent)
+                        ? lapseTurns(limit)
+                        : gatherTurns(limit, turnsPerRequest(limit.perSecond, load), now),
+                );
             }
         });
         return {
@@ -183,7 +202,7 @@
         }
     };
     const refuse: EndpointLimits["refuse"] = pool => {
-        const name = offeredName(pool);
+        const name = limitRowNames.offered(pool);
         const endpoints = [...limits.keys()].filter(endpoint => {
             const entry = entryOf(endpoint);
             return entry?.service === pool.service && limitOf(entry) !== undefined;
@@ -228,13 +247,20 @@
             [endpoint, bornAt, perSecond, Math.round(now - seenAt)] as const
         );
     };
-    const offered: EndpointLimits["offered"] = () => {
-        const pools = [...limits.keys()].flatMap(endpoint => {
+    const loadRows: EndpointLimits["loadRows"] = () => {
+        const now = clock.now();
+        const limited = [...limits.keys()].flatMap(endpoint => {
             const entry = entryOf(endpoint);
-            return entry === undefined || limitOf(entry) === undefined ? [] : poolsOf(entry);
+            const limit = entry === undefined ? undefined : limitOf(entry);
+            return entry === undefined || limit === undefined ? [] : [{ entry, limit }];
         });
-        return [...new Set(pools.map(offeredName))]
-            .map(name => [name, Math.round(demandOf(name).rate() * MS_PER_SECOND * SECONDS_COUNTED)] as const)
+        const offered = new Set(limited.flatMap(({ entry }) => poolsOf(entry)).map(limitRowNames.offered));
+        return [
+            ...[...offered].map(name =>
+                [name, Math.round(demandOf(name).now.rate() * MS_PER_SECOND * SECONDS_COUNTED)] as const
+            ),
+            ...limited.map(({ entry, limit }) => [limitRowNames.sent(entry.name), sentLately(limit, now)] as const),
+        ]
             .filter(([, running]) => running > 0)
             .map(([name, running]) => [name, { running, waitingTokens: 0, memoryTokens: 0 }] as const);
     };
@@ -257,7 +283,7 @@
                 .includes(true);
         },
         rows,
-        offered,
+        loadRows,
         size: () => [...limits.values()].filter(({ perSecond }) => perSecond !== undefined).length,
     };
 }
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -226,7 +226,7 @@
         clock,
         random: Math.random,
         entryOf: endpointTable.entryOf,
-        othersOffered: name => peerLoad.at(name).running,
+        sumOfOthers: row => peerLoad.at(row).running,
         vms: () => {
             const { peers, silent } = membership.liveness();
             return { vms: peers + 1, heardVms: peers + 1 - silent.length };
