--- a/packages/limit/src/__tests__/unit/limitedFleet.test.ts
+++ b/packages/limit/src/__tests__/unit/limitedFleet.test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 
 import { createLoadPlacer } from "../fleet/createLoadPlacer.js";
+import { drawScenario } from "../fleet/drawScenario.js";
 import type { LimitScenario } from "../fleet/LimitScenario.js";
 import { simulateLimits } from "../fleet/simulateLimits.js";
 
@@ -69,3 +70,16 @@
         });
     });
 });
+
+const SEEDS = Number(process.env["LIMIT_SEEDS"] ?? 8);
+const FIRST_SEED = Number(process.env["LIMIT_FIRST_SEED"] ?? 1);
+
+// The same for drawn fleets whose load, limits, VMs and links change in series and overlap.
+Array.from({ length: SEEDS }, (_, i) => FIRST_SEED + i).forEach(seed => {
+    test(`limited fleet: drawn, seed ${seed}`, t => {
+        const scenario = drawScenario(seed);
+        const { over, used, refused } = simulateLimits({ ...scenario, createPlacer: createLoadPlacer });
+        t.log(JSON.stringify({ seed, vms: scenario.vms, limited: scenario.limited, over, used, refused }));
+        t.true(over <= 0);
+    });
+});
--- a/packages/router/src/__tests__/unit/endpointLimits.test.ts
+++ b/packages/router/src/__tests__/unit/endpointLimits.test.ts
@@ -98,6 +98,7 @@
         Array.from({ length: 400 }, (_, i) => i).filter(i => {
             clock.now = 5_000 + i * 50;
             const { unlimited, turns } = each.select(pool, placeable);
+            each.recordPlaced(pool);
             t.deepEqual(namesOf(unlimited), ["e2"]);
             turns.forEach(({ entry }) => each.recordTry(entry, "first"));
             return turns.length > 0;
@@ -110,7 +111,7 @@
 test("endpoint limits: VMs state what they place and have sent while an endpoint is limited", t => {
     const { limits } = startLimits();
     limits.observe(e1, 1);
-    limits.select(pool, placeable);
+    limits.recordPlaced(pool);
     limits.recordTry(e1, "first");
     limits.recordTry(e2, "first");
     const rows = new Map(limits.loadRows());
@@ -122,7 +123,7 @@
 test("endpoint limits: a refusal names the limited endpoints, and callers come back one after the other", t => {
     const { limits } = startLimits();
     [e1, e2].forEach(entry => limits.observe(entry, 5));
-    Array.from({ length: 20 }).forEach(() => limits.select(pool, placeable));
+    Array.from({ length: 20 }).forEach(() => limits.recordPlaced(pool));
     const refusals = Array.from({ length: 3 }, () => limits.refuse(pool));
     t.deepEqual(refusals[0]?.endpoints, [e1.name, e2.name]);
     const times = refusals.map(each => each?.retryAfterSeconds ?? 0);
--- a/packages/router/src/__tests__/unit/rollout.test.ts
+++ b/packages/router/src/__tests__/unit/rollout.test.ts
@@ -62,6 +62,22 @@
     });
 });
 
+// Guards against requests that are refused for a limited new version, or sent to one on trial for a limited old one.
+const limitedSelections = [
+    { choice: "new", full: "cde", selected: "ab" },
+    { choice: "new", full: "cd", selected: "e" },
+    { choice: "canary", full: "c", selected: "ab" },
+    { choice: "old", full: "ab", selected: "ab" },
+    { choice: "only-old", full: "ab", selected: "ab" },
+] as const;
+limitedSelections.forEach(({ choice, full, selected }) => {
+    test(`rollout: endpoints for ${choice} while ${full} have no room: ${selected}`, t => {
+        const hasRoom = ({ name }: { readonly name: string; }): boolean => !full.includes(name);
+        const names = selectByVersion([...older, ...newer], "v2", choice, 0.08, hasRoom).map(({ name }) => name);
+        t.is(names.join(""), selected);
+    });
+});
+
 // A statement that was delayed on its way must not undo a newer one.
 const learned = [
     { before: "canary", statement: "canary", phase: "canary", statedAt: 20 },
--- a/packages/router/src/placement/createEndpointLimits.ts
+++ b/packages/router/src/placement/createEndpointLimits.ts
@@ -45,7 +45,7 @@
     readonly observe: (entry: EndpointEntry, limit: EndpointHead["limit"]) => void;
     readonly isLimited: (entry: EndpointEntry) => boolean;
     /**
-     * Records a request that is about to be placed, and divides the endpoints that could take it.
+     * Divides the endpoints that could take a request, which gathers a part of a turn at each limited one.
      *
      * @returns the endpoints without a limit, and the limited ones where this VM has a turn
      */
@@ -53,6 +53,8 @@
         pool: Pool,
         placeable: readonly T[],
     ) => { readonly unlimited: readonly T[]; readonly turns: readonly T[]; };
+    /** Records a request that has been placed, or could not be; after `select`, as it counts for much of a small load. */
+    readonly recordPlaced: (pool: Pool) => void;
     /** Records that a request is sent to an endpoint. */
     readonly recordTry: (entry: EndpointEntry, path: TryPath) => void;
     /**
@@ -161,14 +163,11 @@
         };
     };
     const select: EndpointLimits["select"] = (pool, placeable) => {
-        const demand = demandOf(limitRowNames.offered(pool));
-        const limited = placeable.filter(({ entry }) => limitOf(entry) !== undefined);
-        // Without this request, which would count for much of a small load.
-        const load = limited.length === 0 ? undefined : loadOf(pool);
-        [demand.now, demand.earlier].forEach(each => each.record(1));
-        if (load === undefined) {
+        const limited = limits.size === 0 ? [] : placeable.filter(({ entry }) => limitOf(entry) !== undefined);
+        if (limited.length === 0) {
             return { unlimited: placeable, turns: [] };
         }
+        const load = loadOf(pool);
         const now = clock.now();
         limited.forEach(({ entry: { name } }) => {
             const limit = limits.get(name);
@@ -268,6 +267,10 @@
         observe,
         isLimited: entry => limitOf(entry) !== undefined,
         select,
+        recordPlaced: pool => {
+            const demand = demandOf(limitRowNames.offered(pool));
+            [demand.now, demand.earlier].forEach(each => each.record(1));
+        },
         recordTry,
         refuse,
         applyBeacon: received => {
--- a/packages/router/src/rollout/createRollouts.ts
+++ b/packages/router/src/rollout/createRollouts.ts
@@ -61,12 +61,18 @@
     /**
      * Draws the version for a request to a service.
      *
-     * @returns a function that selects the endpoints that may get it; undefined if there is no rollout
+     * @returns a function that selects the endpoints that may get it, of the new version only such that have room;
+     *     undefined if there is no rollout
      */
     readonly selectorFor: (
         service: ServiceName,
         isRepeatable: boolean,
-    ) => (<Each extends EndpointEntry>(entries: readonly Each[]) => readonly Each[]) | undefined;
+    ) =>
+        | (<Each extends EndpointEntry>(
+            entries: readonly Each[],
+            hasRoom?: (entry: EndpointEntry) => boolean,
+        ) => readonly Each[])
+        | undefined;
     /** Returns the endpoints of a service that may get a stream that began at their version. */
     readonly continuableAt: <Each extends EndpointEntry>(
         service: ServiceName,
@@ -158,13 +164,13 @@
             return undefined;
         }
         const draw = parts.random();
-        return candidates => {
+        return (candidates, hasRoom) => {
             const { version } = view.order;
             const newEndpoints = candidates.filter(({ softwareVersion }) => softwareVersion === version).length;
             // A request that may run only once would be lost with a bad answer.
             const isCanary = isRepeatable
                 && isInTrial({ share: share(), newEndpoints, epochMs: clock.epoch(), draw });
-            return selectByVersion(candidates, version, versionChoice(view, isCanary, clock.now()), share());
+            return selectByVersion(candidates, version, versionChoice(view, isCanary, clock.now()), share(), hasRoom);
         };
     };
 
--- a/packages/router/src/rollout/selectByVersion.ts
+++ b/packages/router/src/rollout/selectByVersion.ts
@@ -13,12 +13,15 @@
  * The requests that try a new version go to the same share of its endpoints, so that these get their usual load.
  *
  * @param share fraction of the requests that try the new version
+ * @param hasRoom whether an endpoint of the new version may get the request; one of the old version may in any case, as
+ *     its requests must not go to a version that is on trial
  */
 export function selectByVersion<Entry extends Versioned>(
     entries: readonly Entry[],
     version: string,
     choice: ReturnType<typeof versionChoice>,
     share: number,
+    hasRoom: (entry: Entry) => boolean = () => true,
 ): readonly Entry[] {
     const isNew = ({ softwareVersion }: Entry): boolean => softwareVersion === version;
     const newer = entries.filter(isNew);
@@ -27,9 +30,9 @@
         wanted.length > 0 ? wanted : other;
     switch (choice) {
         case "new":
-            return orElse(newer, older);
+            return orElse(newer.filter(hasRoom), older);
         case "canary":
-            return orElse(firstOf(newer, share), older);
+            return orElse(firstOf(newer, share).filter(hasRoom), older);
         case "old":
             return orElse(older, newer);
         case "only-old":
--- a/packages/router/src/serve/placeRequest.ts
+++ b/packages/router/src/serve/placeRequest.ts
@@ -48,44 +48,55 @@
         promptByWeights.set(weights, versioned);
         return versioned;
     };
-    const reachable = parts.endpointTable.candidates({
-        service: served.service,
-        model: prompt?.model,
-        promptAt: (entry, weights, peers) =>
-            promptUnder(weights, peers).shares.shareOf(entry.name, entry.failureDomain),
-        select: selectEndpoints(parts, served, origin),
-        avoid,
-    });
-    const { unlimited, turns } = parts.endpointLimits.select(
-        { service: served.service, model: prompt?.model },
-        parts.brittleServices.select(served.service, reachable),
-    );
-    const placeable = [...unlimited, ...turns];
-    const place = choosePlaceOrTurn(
-        {
-            unlimited: sampleCandidates(
-                unlimited.map(({ candidate }) => candidate),
-                parts.placingVms(),
-                parts.random,
-            ),
-            turns: turns.map(({ candidate }) => candidate),
-            toleranceMs: served.route.objectiveMs * TURN_TOLERANCE,
-        },
-        parts.clock.now(),
-        parts.random,
+    const pool = { service: served.service, model: prompt?.model };
+    const select = selectEndpoints(parts, served, origin);
+    const chooseFrom = (hasRoom?: (entry: EndpointEntry) => boolean) => {
+        const reachable = parts.endpointTable.candidates({
+            ...pool,
+            promptAt: (entry, weights, peers) =>
+                promptUnder(weights, peers).shares.shareOf(entry.name, entry.failureDomain),
+            select: select === undefined ? undefined : entries => select(entries, hasRoom),
+            avoid,
+        });
+        const { unlimited, turns } = parts.endpointLimits.select(
+            pool,
+            parts.brittleServices.select(served.service, reachable),
+        );
+        const place = choosePlaceOrTurn(
+            {
+                unlimited: sampleCandidates(
+                    unlimited.map(({ candidate }) => candidate),
+                    parts.placingVms(),
+                    parts.random,
+                ),
+                turns: turns.map(({ candidate }) => candidate),
+                toleranceMs: served.route.objectiveMs * TURN_TOLERANCE,
+            },
+            parts.clock.now(),
+            parts.random,
+        );
+        const placeable = [...unlimited, ...turns];
+        const chosen = placeable.find(({ candidate }) => candidate === place?.candidate);
+        return place === undefined || chosen === undefined
+            ? undefined
+            : { ...chosen, place, candidateCount: placeable.length };
+    };
+    // A request that was to try a new version whose endpoints are limited goes to the old one.
+    const chosen = chooseFrom() ?? (
+        parts.endpointLimits.size() === 0 ? undefined : chooseFrom(entry => !parts.endpointLimits.isLimited(entry))
     );
-    const chosen = placeable.find(({ candidate }) => candidate === place?.candidate);
-    if (place === undefined || chosen === undefined) {
+    parts.endpointLimits.recordPlaced(pool);
+    if (chosen === undefined) {
         return undefined;
     }
-    const { entry, weights, candidate } = chosen;
+    const { entry, weights, candidate, place, candidateCount } = chosen;
     const { salt, chain, shares } = promptUnder(weights, () => []);
     return {
         entry,
         weights,
         queueMs: place.queueMs,
         startMs: place.startMs,
-        candidateCount: placeable.length,
+        candidateCount,
         running: candidate.running,
         slots: candidate.slots,
         missingTokens: candidate.missingTokens,
--- a/packages/router/src/serve/selectEndpoints.ts
+++ b/packages/router/src/serve/selectEndpoints.ts
@@ -7,10 +7,14 @@
 import type { ServedRequest } from "./ServedRequest.js";
 import type { ServeParts } from "./ServeParts.js";
 
-type Select = (entries: readonly EndpointEntry[]) => readonly EndpointEntry[];
+type Select = (
+    entries: readonly EndpointEntry[],
+    hasRoom?: (entry: EndpointEntry) => boolean,
+) => readonly EndpointEntry[];
 
 /**
- * Returns a function that selects the endpoints of a service that may get a request, by their software versions.
+ * Returns a function that selects the endpoints of a service that may get a request, by their software versions; in a
+ * rollout those of the new version only if they have room.
  *
  * @param origin where the stream began, if it is one that goes on
  */
@@ -26,8 +30,8 @@
     if (!isStream(route.kind)) {
         return selectByRollout;
     }
-    return entries => {
+    return (entries, hasRoom) => {
         const known = streams.selectForNew(service, entries, endpointTable.isUp);
-        return selectByRollout?.(known) ?? known;
+        return selectByRollout?.(known, hasRoom) ?? known;
     };
 }
