--- a/packages/limit/src/__tests__/unit/limitedFleet.test.ts
+++ b/packages/limit/src/__tests__/unit/limitedFleet.test.ts
@@ -1,5 +1,8 @@
 import test from "ava";
 
+import { createCounterPlacer } from "../fleet/createCounterPlacer.js";
+import { createEvenPlacer } from "../fleet/createEvenPlacer.js";
+import { createHolderPlacer } from "../fleet/createHolderPlacer.js";
 import { createLoadPlacer } from "../fleet/createLoadPlacer.js";
 import { drawScenario } from "../fleet/drawScenario.js";
 import type { LimitScenario } from "../fleet/LimitScenario.js";
@@ -83,3 +86,17 @@
         t.true(over <= 0);
     });
 });
+
+// The ways that were weighed, so that they can be compared again.
+const ways = [
+    { name: "even shares", createPlacer: createEvenPlacer, isKept: true },
+    { name: "a holder for each endpoint", createPlacer: createHolderPlacer, isKept: true },
+    { name: "a common counter", createPlacer: createCounterPlacer, isKept: false },
+];
+ways.forEach(({ name, createPlacer, isKept }) => {
+    test(`limited fleet: with ${name}, 61 VMs ${isKept ? "keep" : "do not keep"} to a limit`, t => {
+        const { over, used } = simulateLimits({ ...usual, ...sizes[1], createPlacer });
+        t.log(JSON.stringify({ over, used }));
+        t.is(over <= 0, isKept);
+    });
+});
--- a/packages/router/src/placement/createEndpointLimits.ts
+++ b/packages/router/src/placement/createEndpointLimits.ts
@@ -4,22 +4,20 @@
     hasTurn,
     isExhausted,
     lapseTurns,
-    learnLimit,
     limitTiming,
     nextReturn,
-    NO_LIMIT,
     sentLately,
     turnsPerRequest,
     useTurn,
 } from "@azureshunt/limit";
-import type { EndpointLimit, LimitRow, OfferedLoad } from "@azureshunt/limit";
+import type { OfferedLoad } from "@azureshunt/limit";
 import type { Metrics } from "@azureshunt/telemetry";
 import type { Logger } from "pino";
 
 import type { Beacon } from "../peers/Beacon.js";
-import type { EndpointHead } from "../ports/EndpointHead.js";
 import type { EndpointEntry } from "../registry/EndpointEntry.js";
 import { createDemand } from "./createDemand.js";
+import { createLimitKnowledge } from "./createLimitKnowledge.js";
 import { limitRowNames } from "./limitRowNames.js";
 
 type LimitParts = {
@@ -40,9 +38,7 @@
 type TryPath = "first" | "further" | "resumed";
 
 /** Keeps the requests of all VMs within the limits that endpoints name in their answers. */
-type EndpointLimits = {
-    /** Records what an answer of an endpoint says of its limit. */
-    readonly observe: (entry: EndpointEntry, limit: EndpointHead["limit"]) => void;
+type EndpointLimits = Pick<ReturnType<typeof createLimitKnowledge>, "observe" | "applyBeacon" | "rows"> & {
     readonly isLimited: (entry: EndpointEntry) => boolean;
     /**
      * Divides the endpoints that could take a request, which gathers a part of a turn at each limited one.
@@ -64,10 +60,6 @@
     readonly refuse: (
         pool: Pool,
     ) => { readonly endpoints: readonly EndpointName[]; readonly retryAfterSeconds: number; } | undefined;
-    /** Applies what a peer knows; returns whether a limit was new to this VM, or has changed. */
-    readonly applyBeacon: (rows: readonly LimitRow[]) => boolean;
-    /** What a beacon says of limits. */
-    readonly rows: () => readonly LimitRow[];
     /** Requests that this VM places in pools with limited endpoints, and sends to these, as rows of its load. */
     readonly loadRows: () => NonNullable<Beacon["load"]>;
     /** Number of endpoints that are limited. */
@@ -76,12 +68,6 @@
 
 const MS_PER_SECOND = 1_000;
 const SECONDS_COUNTED = 1_000;
-/** Fraction of the golden ratio: multiples of it are spread evenly, so that turns at several endpoints alternate. */
-const PHASE_STEP = 0.618;
-/** Rows of limits known for longer that are sent at a time; they are sent in rotation. */
-const ROWS_AT_A_TIME = 8;
-/** An endpoint that is not registered any more is forgotten after this time: its entry may expire while it serves. */
-const UNREGISTERED_MS = 60_000;
 
 /** Requests that this VM places in a pool, now and some seconds ago. */
 type PoolDemand = Readonly<Record<"now" | "earlier", ReturnType<typeof createDemand>>>;
@@ -93,17 +79,10 @@
 
 /** Creates the state in which no endpoint is limited. */
 export function createEndpointLimits(parts: LimitParts): EndpointLimits {
-    const { clock, random, entryOf, sendSoon, logger, metrics } = parts;
-    const limits = new Map<EndpointName, EndpointLimit>();
+    const { clock, random, metrics } = parts;
+    const limits = createLimitKnowledge(parts);
     const demands = new Map<EndpointName, PoolDemand>();
     const lastReturns = new Map<EndpointName, number>();
-    const phase = { next: random() };
-    const rotation = { next: 0 };
-
-    const limitOf = ({ name, bornAt }: EndpointEntry): EndpointLimit | undefined => {
-        const limit = limits.get(name);
-        return limit?.bornAt === bornAt && limit.perSecond !== undefined ? limit : undefined;
-    };
     const demandOf = (name: EndpointName): PoolDemand => {
         const known = demands.get(name) ?? {
             now: createDemand(clock, limitTiming.loadMs),
@@ -112,48 +91,14 @@
         demands.set(name, known);
         return known;
     };
-    const learn = (
-        endpoint: EndpointName,
-        statement: Parameters<typeof learnLimit>[1],
-        source: "endpoint" | "peer",
-    ): boolean => {
-        const before = limits.get(endpoint);
-        const after = learnLimit(before, statement, phase.next, clock.now());
-        if (after === undefined || after === before) {
-            return false;
-        }
-        limits.set(endpoint, after);
-        if (before?.perSecond === after.perSecond) {
-            return false;
-        }
-        phase.next = (phase.next + PHASE_STEP) % 1;
-        const { bornAt, perSecond } = after;
-        logger.info(
-            { endpoint, bornAt, perSecond, before: before?.perSecond, source },
-            perSecond === undefined ? "An endpoint is no longer limited." : "An endpoint is limited.",
+    const limitedIn = ({ service, model }: Pool): ReturnType<typeof limits.limited> =>
+        limits.limited().filter(({ entry }) =>
+            entry.service === service && (model === undefined || entry.versions.has(model))
         );
-        return true;
-    };
-    const observe: EndpointLimits["observe"] = ({ name, bornAt }, limit) => {
-        if (limit === "unreadable" || (limit === undefined && !limits.has(name))) {
-            return;
-        }
-        if (learn(name, { bornAt, perSecond: limit, seenAt: clock.now() }, "endpoint")) {
-            sendSoon();
-        }
-    };
-    const limitedIn = ({ service, model }: Pool): readonly EndpointLimit[] =>
-        [...limits].flatMap(([endpoint, limit]) => {
-            const entry = entryOf(endpoint);
-            return entry !== undefined && entry.service === service && limitOf(entry) !== undefined &&
-                    (model === undefined || entry.versions.has(model))
-                ? [limit]
-                : [];
-        });
     const loadOf = (pool: Pool): OfferedLoad => {
         const name = limitRowNames.offered(pool);
         const demand = demandOf(name);
-        const knownSince = Math.min(...limitedIn(pool).map(({ changedAt }) => changedAt));
+        const knownSince = Math.min(...limitedIn(pool).map(({ limit }) => limit.changedAt));
         return {
             ownPerSecond: demand.now.rate() * MS_PER_SECOND,
             ownEarlier: demand.earlier.rate() * MS_PER_SECOND,
@@ -163,36 +108,30 @@
         };
     };
     const select: EndpointLimits["select"] = (pool, placeable) => {
-        const limited = limits.size === 0 ? [] : placeable.filter(({ entry }) => limitOf(entry) !== undefined);
+        const limited = placeable.filter(({ entry }) => limits.of(entry) !== undefined);
         if (limited.length === 0) {
             return { unlimited: placeable, turns: [] };
         }
         const load = loadOf(pool);
         const now = clock.now();
-        limited.forEach(({ entry: { name } }) => {
-            const limit = limits.get(name);
-            if (limit?.perSecond !== undefined) {
-                const sent = sentLately(limit, now) + parts.sumOfOthers(limitRowNames.sent(name));
-                limits.set(
-                    name,
-                    isExhausted(limit.perSecond, sent)
-                        ? lapseTurns(limit)
-                        : gatherTurns(limit, turnsPerRequest(limit.perSecond, load), now),
-                );
+        const turns = limited.filter(({ entry }) => {
+            const limit = limits.of(entry);
+            if (limit?.perSecond === undefined) {
+                return false;
             }
+            const sent = sentLately(limit, now) + parts.sumOfOthers(limitRowNames.sent(entry.name));
+            const next = isExhausted(limit.perSecond, sent)
+                ? lapseTurns(limit)
+                : gatherTurns(limit, turnsPerRequest(limit.perSecond, load), now);
+            limits.update(entry.name, next);
+            return hasTurn(next);
         });
-        return {
-            unlimited: placeable.filter(({ entry }) => limitOf(entry) === undefined),
-            turns: limited.filter(({ entry }) => {
-                const limit = limitOf(entry);
-                return limit !== undefined && hasTurn(limit);
-            }),
-        };
+        return { unlimited: placeable.filter(({ entry }) => limits.of(entry) === undefined), turns };
     };
     const recordTry: EndpointLimits["recordTry"] = (entry, path) => {
-        const limit = limitOf(entry);
+        const limit = limits.of(entry);
         if (limit !== undefined) {
-            limits.set(entry.name, useTurn(limit, clock.now()));
+            limits.update(entry.name, useTurn(limit, clock.now()));
             metrics.count(
                 "azureshunt_tries_at_limited_total",
                 "Tries at endpoints that name a limit, by how the request came there.",
@@ -202,18 +141,12 @@
     };
     const refuse: EndpointLimits["refuse"] = pool => {
         const name = limitRowNames.offered(pool);
-        const endpoints = [...limits.keys()].filter(endpoint => {
-            const entry = entryOf(endpoint);
-            return entry?.service === pool.service && limitOf(entry) !== undefined;
-        });
-        if (endpoints.length === 0) {
+        const limited = limitedIn(pool);
+        if (limited.length === 0) {
             return undefined;
         }
         const load = loadOf(pool);
-        const perRequest = limitedIn(pool).reduce(
-            (sum, { perSecond = 0 }) => sum + turnsPerRequest(perSecond, load),
-            0,
-        );
+        const perRequest = limited.reduce((sum, { limit }) => sum + turnsPerRequest(limit.perSecond ?? 0, load), 0);
         const now = clock.now();
         const returnsAt = nextReturn({
             lastAt: lastReturns.get(name) ?? -Infinity,
@@ -221,38 +154,14 @@
             random: random(),
         }, now);
         lastReturns.set(name, returnsAt);
-        return { endpoints, retryAfterSeconds: (returnsAt - now) / MS_PER_SECOND };
-    };
-    const forgetOld = (): void => {
-        const now = clock.now();
-        [...limits]
-            .filter(([endpoint, { perSecond, changedAt, seenAt }]) =>
-                perSecond === undefined
-                    ? now - changedAt >= limitTiming.endedMs
-                    : entryOf(endpoint) === undefined && now - seenAt >= UNREGISTERED_MS
-            )
-            .forEach(([endpoint]) => limits.delete(endpoint));
-    };
-    const rows: EndpointLimits["rows"] = () => {
-        forgetOld();
-        const now = clock.now();
-        const all = [...limits];
-        const isNew = ([, { changedAt }]: (typeof all)[number]): boolean => now - changedAt < limitTiming.newMs;
-        const older = all.filter(each => !isNew(each));
-        const start = older.length === 0 ? 0 : rotation.next % older.length;
-        rotation.next = start + ROWS_AT_A_TIME;
-        const inTurn = [...older.slice(start), ...older.slice(0, start)].slice(0, ROWS_AT_A_TIME);
-        return [...all.filter(isNew), ...inTurn].map(([endpoint, { bornAt, perSecond = NO_LIMIT, seenAt }]) =>
-            [endpoint, bornAt, perSecond, Math.round(now - seenAt)] as const
-        );
+        return {
+            endpoints: limited.map(({ entry }) => entry.name),
+            retryAfterSeconds: (returnsAt - now) / MS_PER_SECOND,
+        };
     };
     const loadRows: EndpointLimits["loadRows"] = () => {
         const now = clock.now();
-        const limited = [...limits.keys()].flatMap(endpoint => {
-            const entry = entryOf(endpoint);
-            const limit = entry === undefined ? undefined : limitOf(entry);
-            return entry === undefined || limit === undefined ? [] : [{ entry, limit }];
-        });
+        const limited = limits.limited();
         const offered = new Set(limited.flatMap(({ entry }) => poolsOf(entry)).map(limitRowNames.offered));
         return [
             ...[...offered].map(name =>
@@ -264,8 +173,10 @@
             .map(([name, running]) => [name, { running, waitingTokens: 0, memoryTokens: 0 }] as const);
     };
     return {
-        observe,
-        isLimited: entry => limitOf(entry) !== undefined,
+        observe: limits.observe,
+        applyBeacon: limits.applyBeacon,
+        rows: limits.rows,
+        isLimited: entry => limits.of(entry) !== undefined,
         select,
         recordPlaced: pool => {
             const demand = demandOf(limitRowNames.offered(pool));
@@ -273,20 +184,7 @@
         },
         recordTry,
         refuse,
-        applyBeacon: received => {
-            const now = clock.now();
-            return received
-                .map(([endpoint, bornAt, perSecond, ageMs]) =>
-                    learn(
-                        endpoint,
-                        { bornAt, perSecond: perSecond < 0 ? undefined : perSecond, seenAt: now - ageMs },
-                        "peer",
-                    )
-                )
-                .includes(true);
-        },
-        rows,
         loadRows,
-        size: () => [...limits.values()].filter(({ perSecond }) => perSecond !== undefined).length,
+        size: () => limits.limited().length,
     };
 }
