Count a request once at each limited endpoint, also if none has room for it

Found by reading the change: while no endpoint has room, placeRequest chooses a second time, for requests of a rollout's trial, and passed the limited endpoints to the limits again. Each request that was refused gathered its part of a turn twice, and the candidates were computed twice for nothing. Only the bound on what all VMs send kept to the limit then.

--- a/packages/router/src/serve/placeRequest.ts
+++ b/packages/router/src/serve/placeRequest.ts
@@ -50,12 +50,12 @@
     };
     const pool = { service: served.service, model: prompt?.model };
     const select = selectEndpoints(parts, served, origin);
-    const chooseFrom = (hasRoom?: (entry: EndpointEntry) => boolean) => {
+    const chooseFrom = (hasRoom: (entry: EndpointEntry) => boolean) => {
         const reachable = parts.endpointTable.candidates({
             ...pool,
             promptAt: (entry, weights, peers) =>
                 promptUnder(weights, peers).shares.shareOf(entry.name, entry.failureDomain),
-            select: select === undefined ? undefined : entries => select(entries, hasRoom),
+            select: entries => (select?.(entries, hasRoom) ?? entries).filter(hasRoom),
             avoid,
         });
         const { unlimited, turns } = parts.endpointLimits.select(
@@ -81,8 +81,9 @@
             ? undefined
             : { ...chosen, place, candidateCount: placeable.length };
     };
-    // A request that was to try a new version whose endpoints are limited goes to the old one.
-    const chosen = chooseFrom() ?? (
+    // A request that was to try a new version whose endpoints are limited goes to the old one. It has gathered its part of
+    // a turn at limited endpoints by then, so these are left out.
+    const chosen = chooseFrom(() => true) ?? (
         parts.endpointLimits.size() === 0 ? undefined : chooseFrom(entry => !parts.endpointLimits.isLimited(entry))
     );
     parts.endpointLimits.recordPlaced(pool);
