--- a/packages/limit/src/OfferedLoad.ts
+++ b/packages/limit/src/OfferedLoad.ts
@@ -4,11 +4,11 @@
     readonly ownPerSecond: number;
     /** The same some seconds ago. */
     readonly ownEarlier: number;
-    /** Requests a second that the other VMs place, as they said last. */
+    /** Requests a second that the other VMs place, as they last stated. */
     readonly othersPerSecond: number;
-    /** VMs, including this one, and those of them that were heard of lately. */
+    /** Number of VMs, including this one, and of those that are silent. */
     readonly vms: number;
-    readonly heardVms: number;
-    /** Whether the other VMs may not have said yet how much they place. */
+    readonly silentVms: number;
+    /** Whether the other VMs may not have stated yet how much they place. */
     readonly isSettling: boolean;
 };
--- a/packages/limit/src/__tests__/fleet/Placer.ts
+++ b/packages/limit/src/__tests__/fleet/Placer.ts
@@ -7,8 +7,8 @@
     /** Returns the limited endpoints of which one may get a request of this VM now; called once a request. */
     readonly turns: (endpoints: readonly number[], now: Millis) => readonly number[];
     readonly recordSent: (endpoint: number, now: Millis) => void;
-    /** What this VM tells the others; read a few times a second. */
+    /** What this VM sends to the others; read a few times a second. */
     readonly published: (now: Millis) => readonly number[];
-    /** Sum of what the others tell, as it has arrived. */
+    /** Applies the sum of what was received from the others. */
     readonly receive: (others: readonly number[], now: Millis) => void;
 };
--- a/packages/limit/src/__tests__/fleet/createLoadPlacer.ts
+++ b/packages/limit/src/__tests__/fleet/createLoadPlacer.ts
@@ -17,7 +17,7 @@
 const PHASE_STEP = 0.618;
 
 /** The way that VMs use: turns by the requests that each VM places, with the code that runs. */
-export function createLoadPlacer({ vms, heardVms, random }: PlacerParts): Placer {
+export function createLoadPlacer({ vms, silentVms, random }: PlacerParts): Placer {
     const limits = new Map<number, EndpointLimit>();
     const own = createRate(limitTiming.loadMs);
     const earlier = createRate(limitTiming.earlierLoadMs);
@@ -40,7 +40,7 @@
                 ownEarlier,
                 othersPerSecond: state.others[0] ?? 0,
                 vms: vms(),
-                heardVms: heardVms(),
+                silentVms: silentVms(),
                 isSettling: now - knownSince < limitTiming.settleMs,
             };
             return endpoints.filter(endpoint => {
--- a/packages/limit/src/__tests__/fleet/simulateLimits.ts
+++ b/packages/limit/src/__tests__/fleet/simulateLimits.ts
@@ -20,8 +20,8 @@
 const SEND_MS: Millis = 200;
 const EXPIRY_MS: Millis = 1_500;
 const GONE_MS: Millis = 8_000;
-/** From a limit's first answer until all VMs have heard of it. */
-const NEWS_MS: Millis = 300;
+/** From a limit's first answer until all VMs have received it. */
+const SPREAD_MS: Millis = 300;
 const RESTART_MS: Millis = 1_000;
 const STABLE_MS: Millis = 3_000;
 const WINDOW_MS: Millis = 4_000;
@@ -64,23 +64,23 @@
         holder.tokens -= 1;
         return true;
     };
-    const heardBy = (vm: number, now: Millis): number =>
-        vms.filter((other, i) =>
-            i === vm ||
-            (isCut(i, now) === isCut(vm, now) && !(isCut(i, now) && i !== vm) && now - other.publishedAt < EXPIRY_MS)
-        ).length;
-    const heard = { at: -Infinity, calm: count };
+    const countSilent = (vm: number, now: Millis): number =>
+        vms.filter((other, i) => i !== vm && (isCut(i, now) || isCut(vm, now) || now - other.publishedAt >= EXPIRY_MS))
+            .length;
+    /** VMs that are silent to those that are not cut off, counted again with each send. */
+    const silent = { at: -Infinity, count: 0 };
+    const isAlone = (vm: number): boolean => isCut(vm, clock.now) && clock.now - (scenario.cut?.from ?? 0) > GONE_MS;
     const partsOf = (vm: number): PlacerParts => ({
-        vms: () => isCut(vm, clock.now) && clock.now - (scenario.cut?.from ?? 0) > GONE_MS ? 1 : count,
-        heardVms: () => {
+        vms: () => isAlone(vm) ? 1 : count,
+        silentVms: () => {
             if (isCut(vm, clock.now)) {
-                return heardBy(vm, clock.now);
+                return isAlone(vm) ? 0 : countSilent(vm, clock.now);
             }
-            if (clock.now - heard.at >= SEND_MS) {
-                heard.at = clock.now;
-                heard.calm = heardBy(vm, clock.now);
+            if (clock.now - silent.at >= SEND_MS) {
+                silent.at = clock.now;
+                silent.count = countSilent(vm, clock.now);
             }
-            return heard.calm;
+            return silent.count;
         },
         random: random.next,
         askHolder: askHolder(vm),
@@ -96,14 +96,14 @@
     });
     const vms: Vm[] = indices.map(newVm);
     const sendPhase = indices.map(() => random.between(0, SEND_MS));
-    const news = { firstAt: Infinity, limit: scenario.limitAt(0) };
+    const announced = { at: Infinity, limit: scenario.limitAt(0) };
     const restarts: { at: Millis; vm: number; }[] = [];
 
     const learn = (vm: Vm, now: Millis): void => {
         const limit = scenario.limitAt(now);
         Array.from({ length: limited }, (_, endpoint) => vm.placer.learn(endpoint, limit, now));
         vm.learnedAt = Math.min(vm.learnedAt, now);
-        news.firstAt = Math.min(news.firstAt, now);
+        announced.at = Math.min(announced.at, now);
     };
     const domainSums = { sent: new Map<number, readonly number[]>(), fleet: [] as readonly number[] };
     /** Sends the load: to all VMs of a small fleet, by relays in a large one, so that it is up to three sends old. */
@@ -161,10 +161,10 @@
     };
     const spread = (now: Millis): void => {
         const limit = scenario.limitAt(now);
-        const hasChanged = limit !== news.limit;
-        news.limit = limit;
-        vms.filter(vm => vm.isUp && (hasChanged || (vm.learnedAt === Infinity && news.firstAt < now)))
-            .filter(() => hasChanged || random.chance(TICK_MS / NEWS_MS))
+        const hasChanged = limit !== announced.limit;
+        announced.limit = limit;
+        vms.filter(vm => vm.isUp && (hasChanged || (vm.learnedAt === Infinity && announced.at < now)))
+            .filter(() => hasChanged || random.chance(TICK_MS / SPREAD_MS))
             .forEach(vm => learn(vm, now));
     };
     const pickVm = (): number => {
@@ -186,8 +186,8 @@
         const turns = vm.placer.turns(all, now);
         const free = endpoints - limited;
         // A VM that does not know of the limits takes any endpoint; one with a turn uses it.
-        const isUntold = vm.learnedAt === Infinity;
-        const endpoint = isUntold
+        const isUnaware = vm.learnedAt === Infinity;
+        const endpoint = isUnaware
             ? Math.floor(random.between(0, endpoints))
             : random.pick(turns) ?? (free > 0 ? limited : -1);
         if (endpoint < 0) {
@@ -205,7 +205,7 @@
         if (isBound) {
             arrivals[endpoint]?.push({ at: now, limit: scenario.limitAt(now) });
         }
-        if (isUntold) {
+        if (isUnaware) {
             learn(vm, now);
         }
     };
--- a/packages/limit/src/__tests__/unit/learnLimit.test.ts
+++ b/packages/limit/src/__tests__/unit/learnLimit.test.ts
@@ -21,17 +21,17 @@
     perSecond: number | undefined,
 ];
 
-// Guards against news of a limit that overtakes newer news: of its end, of another limit, of the endpoint's restart.
+// Guards against an older statement of a limit that replaces a newer one: of its end, of another limit, of a restart.
 const cases: readonly Case[] = [
     ["the first limit", undefined, { bornAt: 5, perSecond: 3, seenAt: 900 }, 3],
     ["no limit where none was", undefined, { bornAt: 5, perSecond: undefined, seenAt: 900 }, undefined],
     ["another limit", known, { bornAt: 5, perSecond: 3, seenAt: 900 }, 3],
     ["the end of the limit", known, { bornAt: 5, perSecond: undefined, seenAt: 900 }, undefined],
     ["a limit of 0", known, { bornAt: 5, perSecond: 0, seenAt: 900 }, 0],
-    ["older news of another limit", known, { bornAt: 5, perSecond: 3, seenAt: 400 }, 2],
-    ["older news of its end", known, { bornAt: 5, perSecond: undefined, seenAt: 400 }, 2],
-    ["news of an earlier incarnation", known, { bornAt: 4, perSecond: 3, seenAt: 900 }, 2],
-    ["older news of a later incarnation", known, { bornAt: 6, perSecond: 3, seenAt: 400 }, 3],
+    ["an older statement of another limit", known, { bornAt: 5, perSecond: 3, seenAt: 400 }, 2],
+    ["an older statement of its end", known, { bornAt: 5, perSecond: undefined, seenAt: 400 }, 2],
+    ["a statement of an earlier incarnation", known, { bornAt: 4, perSecond: 3, seenAt: 900 }, 2],
+    ["an older statement of a later incarnation", known, { bornAt: 6, perSecond: 3, seenAt: 400 }, 3],
     ["a later incarnation without a limit", known, { bornAt: 6, perSecond: undefined, seenAt: 900 }, undefined],
 ];
 cases.forEach(([name, before, statement, perSecond]) => {
@@ -40,6 +40,6 @@
     });
 });
 
-test("endpoint limit: repeated news change its age only", t => {
+test("endpoint limit: a repeated statement changes its age only", t => {
     t.deepEqual(learnLimit(known, { bornAt: 5, perSecond: 2, seenAt: 900 }, 0.5, NOW), { ...known, seenAt: 900 });
 });
--- a/packages/limit/src/__tests__/unit/turns.test.ts
+++ b/packages/limit/src/__tests__/unit/turns.test.ts
@@ -23,7 +23,7 @@
     ownEarlier: 10,
     othersPerSecond: 50,
     vms: 6,
-    heardVms: 6,
+    silentVms: 0,
     isSettling: false,
 };
 
@@ -31,8 +31,8 @@
     [
         ["a part of all VMs' requests", 6, {}, 0.09],
         ["at most one", 1_000, {}, 1],
-        ["an even share while the others have not told", 6, { othersPerSecond: 0, isSettling: true }, 0.09],
-        ["half if half of the VMs are not heard of", 6, { heardVms: 3 }, 0.045],
+        ["an even share while the others have not stated theirs", 6, { othersPerSecond: 0, isSettling: true }, 0.09],
+        ["half if half of the VMs are silent", 6, { silentVms: 3 }, 0.045],
         ["a third if its load is three times that of before", 6, { ownPerSecond: 31.2, othersPerSecond: 28.8 }, 0.03],
         ["of a limit of 0, so much that it gets a request every few seconds", 0, {}, 0.003],
         [
--- a/packages/limit/src/isExhausted.ts
+++ b/packages/limit/src/isExhausted.ts
@@ -3,8 +3,8 @@
 const MS_PER_SECOND = 1_000;
 
 /**
- * Returns whether an endpoint got more requests lately than its limit takes. Turns follow the load that VMs know of each
- * other, and as callers come to many VMs at a moment that is too low until they have told.
+ * Returns whether an endpoint got more requests lately than its limit allows. Turns follow the last received loads of the
+ * other VMs, which are too low for a moment when the callers of many VMs send more.
  *
  * @param sent requests that all VMs have sent there within `limitTiming.sentMs`, as far as this VM knows
  */
--- a/packages/limit/src/limitTiming.ts
+++ b/packages/limit/src/limitTiming.ts
@@ -1,11 +1,11 @@
 /** Times and fractions of the turns at limited endpoints; times are in milliseconds. */
 const limitTiming = {
     /**
-     * Fraction of a limit that all VMs together use. The rest is for VMs that do not know of the limit yet, and for news
-     * of the others' load that is late.
+     * Fraction of a limit that all VMs together use. The rest is for VMs that have not received the limit yet, and for
+     * outdated loads of the others.
      */
     usedFraction: 0.9,
-    /** Requests a second that an endpoint gets however low its limit is, as only an answer tells that the limit ended. */
+    /** Requests a second that an endpoint gets however low its limit is, as only an answer shows that the limit has ended. */
     minPerSecond: 0.2,
     /** A turn that is not used within this time lapses, so that turns do not add up to a burst. */
     turnMs: 2_000,
@@ -23,7 +23,7 @@
     /** In that time all VMs send at most so many times what the limit takes, and some more. */
     maxSentRatio: 1.1,
     maxSentExtra: 1.5,
-    /** Time for which VMs tell each other of a limit at once after it changed, and that a limit ended at all. */
+    /** Time for which a limit that has changed is in each beacon, and for which beacons state that one has ended. */
     newMs: 1_000,
     endedMs: 10_000,
 } as const;
--- a/packages/limit/src/nextReturn.ts
+++ b/packages/limit/src/nextReturn.ts
@@ -2,7 +2,7 @@
 
 /** When callers that a VM refused may come back, one after the other. */
 type ReturnQuery = {
-    /** When the last of them was told to come back. */
+    /** When the last of them may come back. */
     readonly lastAt: Millis;
     /** Requests a second of this VM that the limited endpoints take. */
     readonly perSecond: number;
--- a/packages/limit/src/turnsPerRequest.ts
+++ b/packages/limit/src/turnsPerRequest.ts
@@ -6,17 +6,16 @@
  * VMs' requests that the endpoint takes. As each request counts alike, VMs share the limit by their load without asking
  * each other, and a VM without requests holds no turns.
  *
- * Callers may come to many VMs at a moment: if this VM's load has grown, the others' is taken to have grown as much, as they
- * may not have told yet. Of a limit, VMs that are not heard of keep an even share: they may be cut off and place requests
- * as well.
+ * Callers of many VMs may send more at the same moment: if this VM's load has grown, the others' is taken to have grown as
+ * much, before they state it. Of a limit, silent VMs keep an even share: they may be cut off and place requests as well.
  *
  * @param perSecond the endpoint's limit
  */
 export function turnsPerRequest(perSecond: number, load: OfferedLoad): number {
-    const { ownPerSecond, ownEarlier, othersPerSecond, vms, heardVms, isSettling } = load;
+    const { ownPerSecond, ownEarlier, othersPerSecond, vms, silentVms, isSettling } = load;
     const { usedFraction, minPerSecond, idlePerSecond } = limitTiming;
-    const room = usedFraction * Math.max(minPerSecond, perSecond) * heardVms / vms;
+    const room = usedFraction * Math.max(minPerSecond, perSecond) * (vms - silentVms) / vms;
     const growth = Math.max(1, ownPerSecond / (ownEarlier + idlePerSecond));
-    const told = Math.max(ownPerSecond + othersPerSecond, vms * idlePerSecond) * growth;
-    return Math.min(1, room / Math.max(told, isSettling ? vms * ownPerSecond : 0));
+    const stated = Math.max(ownPerSecond + othersPerSecond, vms * idlePerSecond) * growth;
+    return Math.min(1, room / Math.max(stated, isSettling ? vms * ownPerSecond : 0));
 }
--- a/packages/router/src/__tests__/unit/endpointLimits.test.ts
+++ b/packages/router/src/__tests__/unit/endpointLimits.test.ts
@@ -34,7 +34,7 @@
         random: () => 0,
         entryOf: name => entries.find(entry => entry.name === name),
         sumOfOthers: row => others[row] ?? 0,
-        vms: () => ({ vms: 2, heardVms: 2 }),
+        vms: () => ({ vms: 2, silentVms: 0 }),
         sendSoon: () => {
             sends.count += 1;
         },
--- a/packages/router/src/placement/choosePlaceOrTurn.ts
+++ b/packages/router/src/placement/choosePlaceOrTurn.ts
@@ -13,7 +13,7 @@
 };
 
 /**
- * Chooses an endpoint, a limited one if its turn is worth using: its few answers tell whether the limit still holds, and
+ * Chooses an endpoint, a limited one if its turn is worth using: its few answers show whether the limit still holds, and
  * what it takes relieves the others.
  *
  * @returns undefined if no endpoint may get the request
--- a/packages/router/src/placement/createEndpointLimits.ts
+++ b/packages/router/src/placement/createEndpointLimits.ts
@@ -26,8 +26,8 @@
     readonly entryOf: (endpoint: EndpointName) => EndpointEntry | undefined;
     /** Number in the rows with a name that the other VMs sent with their load, added up. */
     readonly sumOfOthers: (row: EndpointName) => number;
-    /** Number of VMs, including this one, and of those that were heard of lately. */
-    readonly vms: () => Pick<OfferedLoad, "vms" | "heardVms">;
+    /** Number of VMs, including this one, and of those that are silent. */
+    readonly vms: () => Pick<OfferedLoad, "vms" | "silentVms">;
     /** Sends this VM's state to the others at once. */
     readonly sendSoon: () => void;
     readonly logger: Logger;
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -229,7 +229,7 @@
         sumOfOthers: row => peerLoad.at(row).running,
         vms: () => {
             const { peers, silent } = membership.liveness();
-            return { vms: peers + 1, heardVms: peers + 1 - silent.length };
+            return { vms: peers + 1, silentVms: silent.length };
         },
         sendSoon: () => beacons.sendSoon(),
         logger: loggers("limit"),
