--- a/packages/router/src/quarantine/createQuarantine.ts
+++ b/packages/router/src/quarantine/createQuarantine.ts
@@ -102,7 +102,7 @@
     };
     const checkDeath = async (
         served: QuarantinedRequest,
-        keys: readonly SuspectKey[],
+        { request, promptParts }: { readonly request: SuspectKey; readonly promptParts: readonly SuspectKey[]; },
         endpoint: EndpointEntry,
         stage: TryStage,
     ): Promise<boolean> => {
@@ -110,9 +110,8 @@
         if (!await sharedDeathCheck(death, endpoint.address)) {
             return false;
         }
-        const [request, ...promptParts] = keys;
         suspects.recordDeath(death, [
-            ...(request === undefined ? [] : [{ key: request, stage: "request" as const }]),
+            { key: request, stage: "request" as const },
             ...(stage === "answering" ? [] : promptParts).map(key => ({
                 key,
                 stage: stage === "begun" ? "begun" as const : "unsettled" as const,
@@ -139,7 +138,7 @@
         const request = fingerprintRequest(served);
         const promptParts = partsOf(served);
         const earlier = pendingResults.get(request);
-        const checked = checkDeath(served, [request, ...promptParts], endpoint, stage);
+        const checked = checkDeath(served, { request, promptParts }, endpoint, stage);
         const result = Promise.all([earlier, checked]);
         pendingResults.set(request, result);
         void result.finally(() => pendingResults.get(request) === result && pendingResults.delete(request));
