Decide the refusal of a request without an endpoint in a module of its own

serveTries held it as nested conditions beside the text of the detail. Requests that may have run are told from those that have not first; a stream that has forwarded events may always have run. Behaviour stays. A line says why a refusal without a limit does not end one.

--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -197,6 +197,7 @@
     if (head.ignoredHeaders.length > 0) {
         parts.reportIgnoredHeaders(place.entry.name, head.ignoredHeaders);
     }
+    // An endpoint may refuse before it states its limit, so a refusal without one does not end it.
     if (verdict === "forward" || verdict === "failed" || (verdict === "refused" && head.limit !== undefined)) {
         parts.endpointLimits.observe(place.entry, head.limit);
     }
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -11,7 +11,9 @@
 import { isRepeatable } from "./isRepeatable.js";
 import { placeRequest } from "./placeRequest.js";
 import { processPendingCloses } from "./processPendingCloses.js";
+import { refusalWithoutPlace } from "./refusalWithoutPlace.js";
 import { resolveContinuation } from "./resolveContinuation.js";
+import { RETRY_AFTER_SECONDS } from "./RETRY_AFTER_SECONDS.js";
 import { runTry } from "./runTry.js";
 import type { ServedRequest } from "./ServedRequest.js";
 import type { ServeParts } from "./ServeParts.js";
@@ -21,11 +23,7 @@
 
 /** Retries left in the budget below which silence alone does not start one. */
 const MIN_BUDGET_FOR_SILENCE = 2;
-/** After this time a caller may retry: an endpoint may have room or be back by then. */
-const RETRY_AFTER_SECONDS = 0.25;
 const MS_PER_SECOND = 1_000;
-/** Limited endpoints that the detail of a refusal names. */
-const MAX_NAMED = 5;
 
 /** How serving a request ended. */
 type ServedEnd =
@@ -90,22 +88,7 @@
         }
         const place = placeRequest(parts, served, progress.avoid, stream.origin);
         if (place === undefined) {
-            const ran = progress.request.ran;
-            const limited = ran === "no"
-                ? parts.endpointLimits.refuse({ service: served.service, model: served.caller.prompt?.model })
-                : undefined;
-            if (limited !== undefined) {
-                const { endpoints, retryAfterSeconds } = limited;
-                const detail = `limited: ${endpoints.slice(0, MAX_NAMED).join(", ")}`
-                    + (endpoints.length > MAX_NAMED ? ` and ${endpoints.length - MAX_NAMED} more` : "");
-                return giveUp(progress, refusalOf("endpoints-limited", detail, { retryAfterSeconds, ran }));
-            }
-            const kind = stream.forwardedEvents > 0
-                ? "stream-broken"
-                : ran === "no"
-                ? parts.brittleServices.isBrittle(served.service) ? "overloaded" : "no-endpoint"
-                : "endpoint-failed";
-            return giveUp(progress, refusalOf(kind, undefined, { retryAfterSeconds: RETRY_AFTER_SECONDS, ran }));
+            return giveUp(progress, refusalWithoutPlace(parts, served, progress.request.ran, stream));
         }
         const { request } = progress;
         served.notes.add("Endpoint chosen.", {
