--- a/packages/limit/src/index.ts
+++ b/packages/limit/src/index.ts
@@ -6,6 +6,7 @@
 export { lapseTurns } from "./lapseTurns.js";
 export { learnLimit } from "./learnLimit.js";
 export type { LimitRow } from "./LimitRow.js";
+export type { LimitStatement } from "./LimitStatement.js";
 export { limitTiming } from "./limitTiming.js";
 export { nextReturn } from "./nextReturn.js";
 export { NO_LIMIT } from "./NO_LIMIT.js";
--- a/packages/router/src/placement/createEndpointLimits.ts
+++ b/packages/router/src/placement/createEndpointLimits.ts
@@ -95,10 +95,10 @@
         limits.limited().filter(({ entry }) =>
             entry.service === service && (model === undefined || entry.versions.has(model))
         );
-    const loadOf = (pool: Pool): OfferedLoad => {
+    const loadOf = (pool: Pool, limited: ReturnType<typeof limitedIn>): OfferedLoad => {
         const name = limitRowNames.offered(pool);
         const demand = demandOf(name);
-        const knownSince = Math.min(...limitedIn(pool).map(({ limit }) => limit.changedAt));
+        const knownSince = Math.min(...limited.map(({ limit }) => limit.changedAt));
         return {
             ownPerSecond: demand.now.rate() * MS_PER_SECOND,
             ownEarlier: demand.earlier.rate() * MS_PER_SECOND,
@@ -112,11 +112,11 @@
         if (limited.length === 0) {
             return { unlimited: placeable, turns: [] };
         }
-        const load = loadOf(pool);
+        const load = loadOf(pool, limitedIn(pool));
         const now = clock.now();
         const turns = limited.filter(({ entry }) => {
             const limit = limits.of(entry);
-            if (limit?.perSecond === undefined) {
+            if (limit === undefined) {
                 return false;
             }
             const sent = sentLately(limit, now) + parts.sumOfOthers(limitRowNames.sent(entry.name));
@@ -145,8 +145,8 @@
         if (limited.length === 0) {
             return undefined;
         }
-        const load = loadOf(pool);
-        const perRequest = limited.reduce((sum, { limit }) => sum + turnsPerRequest(limit.perSecond ?? 0, load), 0);
+        const load = loadOf(pool, limited);
+        const perRequest = limited.reduce((sum, { limit }) => sum + turnsPerRequest(limit.perSecond, load), 0);
         const now = clock.now();
         const returnsAt = nextReturn({
             lastAt: lastReturns.get(name) ?? -Infinity,
--- a/packages/router/src/placement/createLimitKnowledge.ts
+++ b/packages/router/src/placement/createLimitKnowledge.ts
@@ -1,6 +1,6 @@
 import type { Clock, EndpointName } from "@azureshunt/core";
 import { learnLimit, limitTiming, NO_LIMIT } from "@azureshunt/limit";
-import type { EndpointLimit, LimitRow } from "@azureshunt/limit";
+import type { EndpointLimit, LimitRow, LimitStatement } from "@azureshunt/limit";
 import type { Logger } from "pino";
 
 import type { EndpointHead } from "../ports/EndpointHead.js";
@@ -15,12 +15,15 @@
     readonly logger: Logger;
 };
 
+/** A limit that is in force. */
+type ActiveLimit = EndpointLimit & { readonly perSecond: number; };
+
 /** What this VM knows of the limits of all endpoints, from its own answers and from the others. */
 type LimitKnowledge = {
     /** The limit of the endpoint's current incarnation; undefined if it has none. */
-    readonly of: (entry: EndpointEntry) => EndpointLimit | undefined;
+    readonly of: (entry: EndpointEntry) => ActiveLimit | undefined;
     /** Registered endpoints that are limited. */
-    readonly limited: () => readonly { readonly entry: EndpointEntry; readonly limit: EndpointLimit; }[];
+    readonly limited: () => readonly { readonly entry: EndpointEntry; readonly limit: ActiveLimit; }[];
     /** Replaces what is known of an endpoint, as its turns have changed. */
     readonly update: (endpoint: EndpointName, limit: EndpointLimit) => void;
     /** Records what an answer of an endpoint says of its limit. */
@@ -38,6 +41,8 @@
 /** An endpoint that is not registered any more is forgotten after this time: its entry may expire while it serves. */
 const UNREGISTERED_MS = 60_000;
 
+const isActive = (limit: EndpointLimit): limit is ActiveLimit => limit.perSecond !== undefined;
+
 /** Creates the state in which no endpoint is limited. */
 export function createLimitKnowledge(parts: KnowledgeParts): LimitKnowledge {
     const { clock, entryOf, sendSoon, logger } = parts;
@@ -47,11 +52,11 @@
 
     const of: LimitKnowledge["of"] = ({ name, bornAt }) => {
         const limit = limits.get(name);
-        return limit?.bornAt === bornAt && limit.perSecond !== undefined ? limit : undefined;
+        return limit?.bornAt === bornAt && isActive(limit) ? limit : undefined;
     };
     const learn = (
         endpoint: EndpointName,
-        statement: Parameters<typeof learnLimit>[1],
+        statement: LimitStatement,
         source: "endpoint" | "peer",
     ): boolean => {
         const before = limits.get(endpoint);
