Share the random numbers of simulations between packages

seededRandom stood three times, letter for letter, in the tests of continuation, quarantine and limit, as there was no package for what tests share. There is one now, testing, on which only tests depend.

--- a/packages/continuation/src/__tests__/fleet/createSimulatedVm.ts
+++ b/packages/continuation/src/__tests__/fleet/createSimulatedVm.ts
@@ -1,11 +1,11 @@
 import type { Millis, VmId } from "@azureshunt/core";
 import { FailureDomain } from "@azureshunt/core";
+import type { seededRandom } from "@azureshunt/testing";
 
 import { createStreamKeeper } from "../../createStreamKeeper.js";
 import type { RegisteredRun } from "../../RegisteredRun.js";
 import type { createRegistryLog } from "./createRegistryLog.js";
 import type { createVirtualTime } from "./createVirtualTime.js";
-import type { seededRandom } from "./seededRandom.js";
 import type { SimulatedVm } from "./SimulatedVm.js";
 
 type Keeper = ReturnType<typeof createStreamKeeper>;
--- a/packages/continuation/src/__tests__/fleet/simulateStreams.ts
+++ b/packages/continuation/src/__tests__/fleet/simulateStreams.ts
@@ -1,5 +1,6 @@
 import { EndpointName, OrganisationId, RequestId, ServiceName, VmId } from "@azureshunt/core";
 import type { Millis } from "@azureshunt/core";
+import { seededRandom } from "@azureshunt/testing";
 
 import type { createStreamKeeper } from "../../createStreamKeeper.js";
 import { mayContinueAt } from "../../mayContinueAt.js";
@@ -7,7 +8,6 @@
 import { createRegistryLog } from "./createRegistryLog.js";
 import { createSimulatedVm } from "./createSimulatedVm.js";
 import { createVirtualTime } from "./createVirtualTime.js";
-import { seededRandom } from "./seededRandom.js";
 import type { SimulatedVm } from "./SimulatedVm.js";
 
 type KeeperParts = Parameters<typeof createStreamKeeper>[0];
--- a/packages/limit/src/__tests__/fleet/drawScenario.ts
+++ b/packages/limit/src/__tests__/fleet/drawScenario.ts
@@ -1,7 +1,7 @@
 import type { Millis } from "@azureshunt/core";
+import { seededRandom } from "@azureshunt/testing";
 
 import type { LimitScenario } from "./LimitScenario.js";
-import { seededRandom } from "./seededRandom.js";
 
 const DURATION_MS: Millis = 30_000;
 const STEP_MS: Millis = 4_000;
--- a/packages/limit/src/__tests__/fleet/simulateLimits.ts
+++ b/packages/limit/src/__tests__/fleet/simulateLimits.ts
@@ -1,10 +1,10 @@
 import type { Millis } from "@azureshunt/core";
+import { seededRandom } from "@azureshunt/testing";
 
 import type { LimitOutcome } from "./LimitOutcome.js";
 import type { LimitScenario } from "./LimitScenario.js";
 import type { Placer } from "./Placer.js";
 import type { PlacerParts } from "./PlacerParts.js";
-import { seededRandom } from "./seededRandom.js";
 
 type Vm = {
     placer: Placer;
--- a/packages/quarantine/src/__tests__/fleet/simulateCrashes.ts
+++ b/packages/quarantine/src/__tests__/fleet/simulateCrashes.ts
@@ -1,11 +1,11 @@
 import type { Millis, ModelName, ServiceName } from "@azureshunt/core";
+import { seededRandom } from "@azureshunt/testing";
 
 import { createSuspects } from "../../createSuspects.js";
 import { partKeysOf } from "../../partKeysOf.js";
 import type { SuspectKey } from "../../SuspectKey.js";
 import type { SuspectRows } from "../../SuspectRows.js";
 import { createEventQueue } from "./createEventQueue.js";
-import { seededRandom } from "./seededRandom.js";
 
 type Suspects = ReturnType<typeof createSuspects>;
 
--- /dev/null
+++ b/packages/testing/src/index.ts
@@ -0,0 +1,2 @@
+/** What the tests of several packages share. */
+export { seededRandom } from "./seededRandom.js";
