--- a/scripts/checkModels.mjs
+++ b/scripts/checkModels.mjs
@@ -87,7 +87,8 @@
 /** Number of searches that run at once; each may use up to the memory limit below. */
 const MAX_CONCURRENT = 3;
 const MEMORY_MB = 4_096;
-const TIMEOUT_MS = 120_000;
+/** Ends a verifier that hangs. The largest search takes two minutes beside other work. */
+const TIMEOUT_MS = 600_000;
 
 /** Runs a command; resolves with its exit status and output, also if it could not be started or timed out. */
 const call = (cwd, command, args) =>
