Predict starts by what was learned of each endpoint

Cause: estimateStart used the constants of one deployment for all endpoints.

Change: runTry records when answers start; candidates carry the model; the estimates of placement, overload and head timeouts follow it. Rollouts keep comparing with the constants' estimate (usualMs), as a slower version would otherwise be expected to be slow. Observations are dropped while a 100 ms tick is late. Metrics azureshunt_start_error_ratio and azureshunt_endpoint_speed_ratio. The estimated start of a plain request now includes its own work, the same at all endpoints of like speed.

243 unit tests of the router's touched modules and 22 of wholePath pass.

--- a/packages/router/src/__tests__/unit/overload.test.ts
+++ b/packages/router/src/__tests__/unit/overload.test.ts
@@ -25,7 +25,7 @@
     const state = { freeAt: 0, inTime: 0, late: 0, refused: 0 };
     Array.from({ length: 2_000 }, (_, i) => i * gapMs).forEach(now => {
         const waitingTokens = Math.max(0, state.freeAt - now) * PREFILL_PER_MS;
-        const estimate = estimateStart(engine(waitingTokens, 0));
+        const estimate = estimateStart(engine(waitingTokens, 0), 0);
         if (mayRefuse && overloadDelayMs({ ...estimate, objectiveMs: OBJECTIVE_MS, isUrgent: true }) !== undefined) {
             state.refused += 1;
             return;
@@ -53,7 +53,7 @@
 
 // A prompt whose prefill takes longer than its objective allows is refused by idle engines every time.
 test("overload: a large prompt is not refused by an idle engine", t => {
-    const estimate = estimateStart({ ...engine(0, 0), missingTokens: 54_000 });
+    const estimate = estimateStart({ ...engine(0, 0), missingTokens: 54_000 }, 0);
     t.true(estimate.startMs > OBJECTIVE_MS);
     t.is(overloadDelayMs({ ...estimate, objectiveMs: OBJECTIVE_MS, isUrgent: false }), undefined);
 });
--- a/packages/router/src/placement/Candidate.ts
+++ b/packages/router/src/placement/Candidate.ts
@@ -1,4 +1,5 @@
 import type { EndpointName, Millis, Tokens } from "@azureshunt/core";
+import type { PerformanceModel } from "@azureshunt/performance";
 
 import type { EndpointHealth } from "./EndpointHealth.js";
 
@@ -29,4 +30,8 @@
     readonly domainSilentMs: Millis;
     /** Prompt tokens that it can fetch from another engine or the cache store instead of prefilling them. */
     readonly fetchedTokens: Tokens;
+    /** What is known of its speed; undefined while nothing was observed of its service. */
+    readonly performance?: PerformanceModel | undefined;
+    /** By what factor this VM's unanswered tries there have outlasted their predictions. */
+    readonly overdue?: number;
 };
--- a/packages/router/src/placement/EndpointTable.ts
+++ b/packages/router/src/placement/EndpointTable.ts
@@ -6,6 +6,7 @@
 import type { EndpointEntry } from "../registry/EndpointEntry.js";
 import type { RegistryEvent } from "../registry/RegistryEvent.js";
 import type { Candidate } from "./Candidate.js";
+import type { createPerformance } from "./createPerformance.js";
 import type { InFlightHandle } from "./InFlightHandle.js";
 import type { PlacedRequest } from "./PlacedRequest.js";
 
@@ -31,8 +32,15 @@
     /** Starts tracking a request that is sent to the endpoint. */
     readonly beginRequest: (
         endpoint: EndpointName,
-        sizes: { readonly missingTokens: Tokens; readonly memoryTokens: Tokens; readonly expectedMs: Millis; },
+        sizes: {
+            readonly missingTokens: Tokens;
+            readonly memoryTokens: Tokens;
+            readonly expectedMs: Millis;
+            readonly predictedMs?: Millis;
+        },
     ) => InFlightHandle;
+    /** Records when the answer of a try started, or that the try ended before that. */
+    readonly recordStart: ReturnType<typeof createPerformance>["observe"];
     /** Whether this VM sends requests to an endpoint: it is not in backoff. */
     readonly isUp: (entry: EndpointEntry) => boolean;
     /** Records that a call other than a caller's request could not reach the endpoint. */
--- a/packages/router/src/placement/InFlight.ts
+++ b/packages/router/src/placement/InFlight.ts
@@ -5,6 +5,8 @@
     readonly sentAt: Millis;
     /** When the endpoint should have shown activity at the latest. */
     readonly expectedAt: Millis;
+    /** Time from sending to the start of the answer, as predicted; undefined for what is no try of a request. */
+    readonly predictedMs?: Millis;
     readonly missingTokens: Tokens;
     /** Tokens of prompt and answer that the request will occupy in the KV cache. */
     readonly memoryTokens: Tokens;
--- a/packages/router/src/placement/StartEstimate.ts
+++ b/packages/router/src/placement/StartEstimate.ts
@@ -6,4 +6,9 @@
     readonly queueMs: Millis;
     /** Until its answer would start; includes `queueMs`. */
     readonly startMs: Millis;
+    /**
+     * Estimate by the constants alone, whatever was learned of the endpoint. Answers of two software versions are compared
+     * by it: if they were compared by `startMs`, a slower version would be expected to be slow, and not be noticed.
+     */
+    readonly usualMs: Millis;
 };
--- a/packages/router/src/placement/choosePlace.ts
+++ b/packages/router/src/placement/choosePlace.ts
@@ -53,7 +53,7 @@
         ? available
         : candidates.filter(({ health }) => health.backoffUntil === earliestEnd);
     return usable
-        .map(candidate => ({ candidate, ...estimateStart(candidate) }))
+        .map(candidate => ({ candidate, ...estimateStart(candidate, now) }))
         .map(place => ({ place, cost: costOf(place.candidate, place.startMs, random()) }))
         .reduce<{ place: Place; cost: number; } | undefined>(
             (best, each) => best === undefined || each.cost < best.cost ? each : best,
--- a/packages/router/src/placement/createEndpointTable.ts
+++ b/packages/router/src/placement/createEndpointTable.ts
@@ -12,6 +12,7 @@
 import { createEngineOrders } from "./createEngineOrders.js";
 import { createEngineVersions } from "./createEngineVersions.js";
 import { createObservations } from "./createObservations.js";
+import type { createPerformance } from "./createPerformance.js";
 import type { EndpointTable } from "./EndpointTable.js";
 import { healthAfterTry } from "./healthAfterTry.js";
 import { loadOf } from "./loadOf.js";
@@ -32,6 +33,8 @@
     readonly onChange: (endpoint: EndpointName, change: EndpointChange, inputs: object) => void;
     /** Called when an endpoint has left or a new incarnation of it has started, which loses what it had cached. */
     readonly onGone: (endpoint: EndpointName) => void;
+    /** How fast endpoints are; without it, all are taken to be as fast as the constants say. */
+    readonly performance?: ReturnType<typeof createPerformance>;
 };
 
 /** How a view of an endpoint changes. */
@@ -51,7 +54,10 @@
         entryByAddress: new Map<string, EndpointEntry>(),
         engineServices: [] as readonly ServiceName[],
     };
-    const observations = createObservations(clock, parts.onGone);
+    const observations = createObservations(clock, endpoint => {
+        parts.performance?.forget(endpoint);
+        parts.onGone(endpoint);
+    });
 
     const entryOf: EndpointTable["entryOf"] = endpoint => state.registry.endpoints.get(endpoint)?.entry;
     const allEntries = (): readonly EndpointEntry[] => [...state.registry.endpoints.values()].map(({ entry }) => entry);
@@ -134,6 +140,7 @@
                         : request.promptAt(entry, weights, () => withWeights(weights))),
                     outdatedMs,
                     domainSilentMs: parts.domainSilentMs(entry.failureDomain),
+                    ...parts.performance?.at(entry, observed.inFlight),
                     ...loadOf(observed.inFlight, parts.peerLoadAt(entry.name), observed.lastActivityAt, now),
                 },
             }));
@@ -198,6 +205,8 @@
         applyRegistryEvent,
         candidates,
         beginRequest,
+        recordStart: (entry, start) =>
+            entryOf(entry.name)?.bornAt === entry.bornAt ? parts.performance?.observe(entry, start) : undefined,
         isUp,
         recordUnreached,
         observeWeights: versions.observe,
--- a/packages/router/src/placement/trackInFlight.ts
+++ b/packages/router/src/placement/trackInFlight.ts
@@ -1,6 +1,7 @@
-import type { Clock, Millis, Tokens } from "@azureshunt/core";
+import type { Clock, Millis } from "@azureshunt/core";
 
 import type { EndpointObservations } from "./EndpointObservations.js";
+import type { EndpointTable } from "./EndpointTable.js";
 import { healthAfterTry } from "./healthAfterTry.js";
 import type { InFlight } from "./InFlight.js";
 import type { InFlightHandle } from "./InFlightHandle.js";
@@ -9,7 +10,7 @@
     readonly clock: Clock;
     /** Undefined if the endpoint has left since it was chosen. */
     readonly observed: EndpointObservations | undefined;
-    readonly sizes: { readonly missingTokens: Tokens; readonly memoryTokens: Tokens; readonly expectedMs: Millis; };
+    readonly sizes: Parameters<EndpointTable["beginRequest"]>[1];
     /** Called when the outcome of the try starts or extends the endpoint's backoff, with the values to log. */
     readonly onBackoff: (inputs: object) => void;
 };
--- a/packages/router/src/serve/TryPlace.ts
+++ b/packages/router/src/serve/TryPlace.ts
@@ -1,5 +1,6 @@
 import type { Millis, Tokens } from "@azureshunt/core";
 
+import type { Candidate } from "../placement/Candidate.js";
 import type { PrefixPart } from "../placement/PrefixPart.js";
 import type { EndpointEntry } from "../registry/EndpointEntry.js";
 
@@ -10,6 +11,10 @@
     /** Estimated time until the endpoint turns to the request, and until its answer begins. */
     readonly queueMs: Millis;
     readonly startMs: Millis;
+    /** Estimated start by the constants alone; see `StartEstimate`. */
+    readonly usualMs: Millis;
+    /** The endpoint as it was when it was chosen. */
+    readonly candidate: Candidate;
     /** Number of endpoints that could have taken the request. */
     readonly candidateCount: number;
     /** Requests that were running at the endpoint when it was chosen. */
--- a/packages/router/src/serve/placeRequest.ts
+++ b/packages/router/src/serve/placeRequest.ts
@@ -97,6 +97,8 @@
         weights,
         queueMs: place.queueMs,
         startMs: place.startMs,
+        usualMs: place.usualMs,
+        candidate,
         candidateCount,
         running: candidate.running,
         slots: candidate.slots,
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -103,6 +103,7 @@
         missingTokens: place.missingTokens,
         memoryTokens: place.memoryTokens,
         expectedMs: Math.max(MIN_EXPECTED_MS, place.startMs + objectiveMs),
+        predictedMs: place.startMs,
     });
     const times = { headMs: undefined as Millis | undefined, firstEventMs: undefined as Millis | undefined };
     const used = { connection: "none" as ConnectionKind };
@@ -129,6 +130,14 @@
             reportAnswered();
         }
     };
+    const recordStart = (startMs: Millis, outcome: "started" | "waited"): void =>
+        endpointTable.recordStart(place.entry, {
+            candidate: place.candidate,
+            predictedMs: place.startMs,
+            sentAt: startedAt,
+            startMs,
+            outcome,
+        });
     const finish = (ended: Omit<TryResult, "stage">): TryResult => {
         const result = { ...ended, stage: stageAt(clock.now() - startedAt) };
         if (result.stage === "answering" || (result.kind === "answered" && times.firstEventMs !== undefined)) {
@@ -138,12 +147,15 @@
         if (result.kind !== "answered") {
             served.notes.flush();
         }
+        if (times.headMs === undefined && (result.kind === "silent" || result.kind === "cancelled")) {
+            recordStart(clock.now() - startedAt, "waited");
+        }
         const startMs = times.firstEventMs ?? times.headMs;
         parts.rollouts.recordTry(place.entry, {
             route: served.route.name,
             outcome: result.kind,
             status: result.answer?.status,
-            slowness: startMs === undefined ? undefined : startMs / Math.max(MIN_ESTIMATE_MS, place.startMs),
+            slowness: startMs === undefined ? undefined : startMs / Math.max(MIN_ESTIMATE_MS, place.usualMs),
         });
         served.notes.add("Try ended.", {
             endpoint: place.entry.name,
@@ -212,7 +224,14 @@
         opened.res.resume();
         return finish({ kind: verdict, answer: undefined });
     }
+    // A plain answer starts with its head; the first event of a stream follows later.
+    if (verdict === "forward" && served.caller.prompt === undefined) {
+        recordStart(clock.now() - startedAt, "started");
+    }
     const recordPrefill = (): void => {
+        if (served.caller.prompt !== undefined) {
+            recordStart(clock.now() - startedAt, "started");
+        }
         if (isStream(kind)) {
             recordOrigin(tryParts);
         }
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -27,6 +27,7 @@
 import { createDemand } from "./placement/createDemand.js";
 import { createEndpointLimits } from "./placement/createEndpointLimits.js";
 import { createEndpointTable } from "./placement/createEndpointTable.js";
+import { createPerformance } from "./placement/createPerformance.js";
 import { createPrefixIndex } from "./placement/createPrefixIndex.js";
 import { limitsOfHolder } from "./placement/limitsOfHolder.js";
 import type { CallerWire } from "./ports/CallerWire.js";
@@ -43,6 +44,7 @@
 import { createLagWatch } from "./serve/createLagWatch.js";
 import { createRequestHandler } from "./serve/createRequestHandler.js";
 import { createRetryBudgets } from "./serve/createRetryBudgets.js";
+import { createTickLag } from "./serve/createTickLag.js";
 import type { FreshnessBounds } from "./serve/FreshnessBounds.js";
 import { startCallerServer } from "./serve/startCallerServer.js";
 import { startGauges } from "./startGauges.js";
@@ -181,6 +183,7 @@
         relays: membership.relays,
         beaconIntervalMs: membership.beaconIntervalMs,
     });
+    const tickLag = createTickLag(clock, TICK_MS);
     const endpointTable = createEndpointTable({
         clock,
         failureDomain: settings.failureDomain,
@@ -191,6 +194,7 @@
         onChange: (endpoint, change, inputs) =>
             loggers("endpoint").info({ endpoint, change, ...inputs }, "The view of an endpoint changed."),
         onGone: prefixIndex.forget,
+        performance: createPerformance({ clock, lagMs: tickLag.lagMs, metrics }),
     });
     const registry = startRegistry({
         clock,
@@ -399,6 +403,7 @@
     });
     const timer = setInterval(() => {
         lagWatch.tick();
+        tickLag.tick();
         suspensionWatch.check();
         quarantine.tick();
         membership.tick();
