Test placement, rollouts and lag with learned speeds

Cause: the wiring of the learned figures was covered by no test.

Change: tests of the choice, the gauges, the estimate that versions are compared by, the lag of this process and overdue tries; 5 pass.

--- /dev/null
+++ b/packages/router/src/__tests__/unit/endpointPerformance.test.ts
@@ -0,0 +1,86 @@
+import type { EndpointName } from "@azureshunt/core";
+import { createMetrics } from "@azureshunt/telemetry";
+import test from "ava";
+
+import { choosePlace } from "../../placement/choosePlace.js";
+import { createPerformance } from "../../placement/createPerformance.js";
+import { estimateStart } from "../../placement/estimateStart.js";
+import { createTickLag } from "../../serve/createTickLag.js";
+import { candidateOf } from "../support/candidateOf.js";
+import { entryOf } from "../support/entryOf.js";
+
+const start = (lagMs = 0) => {
+    const time = { now: 1_000 };
+    const clock = { now: () => time.now, epoch: () => time.now };
+    const metrics = createMetrics();
+    const performance = createPerformance({ clock, lagMs: () => lagMs, metrics });
+    const entries = ["fast", "usual", "slow"].map(name => entryOf(name as EndpointName));
+    const candidates = () => entries.map(entry => candidateOf(entry.name, performance.at(entry, [])));
+    const observe = (speeds: readonly number[]): void =>
+        entries.forEach((entry, i) => {
+            const candidate = candidateOf(entry.name);
+            const predictedMs = estimateStart(candidate, time.now).startMs;
+            const startMs = predictedMs / (speeds[i] ?? 1);
+            performance.observe(entry, { candidate, predictedMs, startMs, sentAt: time.now, outcome: "started" });
+            time.now += 100;
+        });
+    Array.from({ length: 10 }).forEach(() => observe([1.7, 1, 0.6]));
+    return { time, performance, metrics, entries, candidates };
+};
+
+// Guards against placement by one figure for all endpoints.
+test("endpoint performance: the fastest endpoint is chosen, and operators see which differ", t => {
+    const { time, performance, metrics, entries, candidates } = start();
+    t.is(choosePlace(candidates(), time.now, () => 0.5)?.candidate.name, "fast" as EndpointName);
+    t.regex(metrics.render(), /azureshunt_endpoint_speed_ratio\{endpoint="fast"\} 1\.[5-7]/);
+    t.notRegex(metrics.render(), /speed_ratio\{endpoint="usual"\}/);
+    entries.forEach(({ name }) => performance.forget(name));
+    t.notRegex(metrics.render(), /speed_ratio\{/);
+});
+
+// Guards against a rollout that takes a slower version for as good, because its slowness is expected.
+test("endpoint performance: the estimate that versions are compared by does not follow it", t => {
+    const { time, candidates } = start();
+    const estimates = candidates().map(candidate => estimateStart(candidate, time.now));
+    t.is(new Set(estimates.map(({ usualMs }) => usualMs)).size, 1);
+    t.true((estimates[2]?.startMs ?? 0) > 1.4 * (estimates[2]?.usualMs ?? 0));
+});
+
+// Guards against a VM that takes its own lag for slow endpoints.
+test("endpoint performance: nothing is learned while this process runs late", t => {
+    const { time, candidates } = start(100);
+    t.true(candidates().every(each => estimateStart(each, time.now).startMs === estimateStart(each, time.now).usualMs));
+});
+
+test("endpoint performance: an endpoint with an overdue try gets no further request", t => {
+    const { time, performance, entries, candidates } = start();
+    const [fast] = entries;
+    const tried = { sentAt: time.now, expectedAt: time.now + 900, predictedMs: 90, missingTokens: 0, memoryTokens: 0 };
+    time.now += 600;
+    const overdue = fast === undefined ? {} : performance.at(fast, [{ ...tried, isAnswering: false }]);
+    const [first, ...others] = candidates();
+    t.not(
+        choosePlace([...first === undefined ? [] : [{ ...first, ...overdue }], ...others], time.now, () => 0.5)
+            ?.candidate.name,
+        "fast" as EndpointName,
+    );
+});
+
+test("tick lag: a late tick counts for a second, an overdue one at once", t => {
+    const time = { now: 0 };
+    const { tick, lagMs } = createTickLag({ now: () => time.now, epoch: () => time.now }, 100);
+    const after = (ms: number, isTick: boolean): number => {
+        time.now += ms;
+        if (isTick) {
+            tick();
+        }
+        return lagMs();
+    };
+    t.deepEqual(
+        [[100, true], [150, false], [10, true], [100, true], [1_001, false]].map(([ms, isTick]) =>
+            after(Number(ms), isTick === true)
+        ),
+        [0, 50, 60, 60, 901],
+    );
+    t.deepEqual([after(0, true), after(100, true)], [901, 901]);
+});
