Refuse the least urgent requests of a VM that is short of CPU time

Cause: a VM with a tenth of a core reads everything and works in order of arrival, so the kind with the tightest objective misses it first, and requests go out after their callers have left.

Change: packages/overload derives, from the lateness of the timer that runs anyway, the fraction of each kind to refuse, least urgent first. Heads read late in one turn go on by urgency. The time that a request has waited unread counts towards its deadline, and nothing is sent if no endpoint can answer in the time left; openCall asks again once the connection is open.

--- a/packages/core/src/ErrorKind.ts
+++ b/packages/core/src/ErrorKind.ts
@@ -26,6 +26,8 @@
     | "no-endpoint"
     | "overloaded"
     | "endpoints-limited"
+    | "vm-overloaded"
+    | "too-late"
     | "deadline-exceeded"
     | "endpoint-failed"
     | "stream-broken"
--- a/packages/core/src/answerOf.ts
+++ b/packages/core/src/answerOf.ts
@@ -68,6 +68,8 @@
         "api_error",
         "The endpoints that serve this take no more requests now.",
     ),
+    "vm-overloaded": answer(503, "no", 1, false, "api_error", "This VM has more requests than it can process in time."),
+    "too-late": answer(503, "no", 1, false, "api_error", "No endpoint can answer in the time left; it was not run."),
     "deadline-exceeded": answer(504, "no", 1, false, "api_error", "The request could not be started in time."),
     "endpoint-failed": answer(
         502,
--- /dev/null
+++ b/packages/overload/src/LoadState.ts
@@ -0,0 +1,16 @@
+import type { Millis } from "@azureshunt/core";
+
+import type { KindLoad } from "./KindLoad.js";
+
+/** What a VM knows of its own CPU time. */
+export type LoadState = {
+    readonly tickAt: Millis;
+    readonly previousTickAt: Millis;
+    /** How late the last tick was. */
+    readonly lagMs: Millis;
+    /** Highest recent lag, which fades. */
+    readonly peakLagMs: Millis;
+    /** Fraction of all requests to refuse. */
+    readonly shedFraction: number;
+    readonly kinds: ReadonlyMap<string, KindLoad>;
+};
--- /dev/null
+++ b/packages/overload/src/__tests__/unit/decisions.test.ts
@@ -0,0 +1,65 @@
+import test from "ava";
+
+import { admits } from "../../admits.js";
+import { divideShed } from "../../divideShed.js";
+import { initialLoad } from "../../initialLoad.js";
+import { recordAnswer } from "../../recordAnswer.js";
+import { shortestAnswer } from "../../shortestAnswer.js";
+import { stepLoad } from "../../stepLoad.js";
+import { waitedMs } from "../../waitedMs.js";
+
+const urgent = { name: "urgent", priority: 0, objectiveMs: 800 };
+const other = { name: "other", priority: 2, objectiveMs: 2_000 };
+const load = (kind: typeof urgent, recent: number) => ({ kind, recent, refusedFraction: 0 });
+
+const divisions = [
+    { name: "only the least urgent kind, while it is enough", shed: 0.3, refused: [0, 0.6] },
+    { name: "the urgent kind too, once 5% of the other are left", shed: 0.6, refused: [0.25, 0.95] },
+    { name: "never more than three quarters of the urgent kind", shed: 1, refused: [0.75, 0.95] },
+];
+divisions.forEach(({ name, shed, refused }) => {
+    test(`divideShed: ${name}`, t => {
+        const fractions = divideShed([load(urgent, 10), load(other, 10)], shed).map(each => each.refusedFraction);
+        fractions.forEach((fraction, i) => t.true(Math.abs(fraction - (refused[i] ?? 0)) < 1e-9));
+    });
+});
+
+// A process that was suspended once has no shortage of CPU time.
+test("stepLoad: one long pause refuses at most a tenth of the requests, and none a second later", t => {
+    const arrivals = [{ kind: urgent, count: 5 }, { kind: other, count: 5 }];
+    const tick = (state: ReturnType<typeof initialLoad>, now: number) =>
+        stepLoad(state, { kind: "tick", intervalMs: 100, arrivals }, now);
+    const paused = tick(tick(initialLoad(0), 100), 5_000);
+    t.true(paused.shedFraction > 0 && paused.shedFraction <= 0.1);
+    const later = Array.from({ length: 10 }, (_, i) => 5_100 + i * 100).reduce(tick, paused);
+    t.is(later.shedFraction, 0);
+    t.true(admits(later, { kind: other, waitedMs: 5_000, draw: 0 }));
+});
+
+const waits = [
+    { name: "ticks in time", lagMs: 10, acceptedAt: 500, now: 1_050, waited: { least: 0, most: 0 } },
+    { name: "a tick overdue", lagMs: 0, acceptedAt: undefined, now: 1_900, waited: { least: 800, most: 1_000 } },
+    { name: "accepted in the turn before", lagMs: 700, acceptedAt: 950, now: 1_050, waited: { least: 100, most: 150 } },
+    { name: "a connection opened ahead", lagMs: 700, acceptedAt: 5, now: 1_050, waited: { least: 150, most: 150 } },
+];
+// A request that waited unread has less time left than its head says; sent after that, it runs for nobody.
+waits.forEach(({ name, lagMs, acceptedAt, now, waited }) => {
+    test(`waitedMs: ${name}`, t => {
+        const state = { ...initialLoad(1_000), previousTickAt: 900, lagMs };
+        t.deepEqual(waitedMs(state, 100, acceptedAt, now), waited);
+    });
+});
+
+// A bound from one slow answer, or from long ago, would refuse requests that can be served.
+test("shortestAnswer: from five answers on, of the last two windows", t => {
+    const after = (...times: readonly (readonly [ms: number, now: number])[]) =>
+        times.reduce<ReturnType<typeof recordAnswer> | undefined>(
+            (all, [ms, now]) => recordAnswer(all, ms, now),
+            undefined,
+        );
+    const five = after([90, 0], [70, 1], [80, 2], [100, 3], [90, 4]);
+    t.is(shortestAnswer(undefined, 0), 0);
+    t.is(shortestAnswer(after([90, 0], [70, 1]), 5), 0);
+    t.is(shortestAnswer(five, 5), 70);
+    t.is(shortestAnswer(five, 20_000), 0);
+});
--- /dev/null
+++ b/packages/overload/src/index.ts
@@ -0,0 +1,11 @@
+/** Which requests a VM refuses while it is short of CPU time, and when refused callers may return. */
+export { admits } from "./admits.js";
+export type { AnswerTimes } from "./AnswerTimes.js";
+export { initialLoad } from "./initialLoad.js";
+export type { KindArrivals } from "./KindArrivals.js";
+export type { LoadKind } from "./LoadKind.js";
+export type { LoadState } from "./LoadState.js";
+export { recordAnswer } from "./recordAnswer.js";
+export { shortestAnswer } from "./shortestAnswer.js";
+export { stepLoad } from "./stepLoad.js";
+export { waitedMs } from "./waitedMs.js";
--- /dev/null
+++ b/packages/overload/src/loadTiming.ts
@@ -0,0 +1,31 @@
+/** Constants of load shedding. */
+const loadTiming = {
+    /**
+     * Fraction of the most urgent kind's objective that a tick may be late. A request needs about five turns of the event
+     * loop in a VM (accept, head, body, connection, response), and a turn is longer than a tick is late.
+     */
+    lagFraction: 0.05,
+    /** Least lag that counts: collections of garbage and short throttling by the operating system make ticks as late. */
+    minLagMs: 25,
+    /** Growth of the refused fraction per second, for each multiple of the limit by which the lag exceeds it. */
+    growthPerSecond: 0.5,
+    maxExcess: 3,
+    /** Largest growth in one tick. */
+    maxGrowth: 0.35,
+    /** The same if no tick before was late: one long pause is no overload. */
+    maxFirstGrowth: 0.1,
+    /** Decrease of the refused fraction per second while ticks are in time. */
+    decreasePerSecond: 0.3,
+    /** The same once no tick has been late for about a second. */
+    quietDecreasePerSecond: 1,
+    /** Factor by which the highest lag fades at each tick. */
+    peakDecay: 0.8,
+    /** Time constant of the counts of requests by kind. */
+    recentMs: 2_000,
+    /** Part of a kind that is always admitted, so that no kind starves and its recovery shows. */
+    minAdmitted: 0.05,
+    /** The same for the most urgent kind. */
+    minAdmittedUrgent: 0.25,
+} as const;
+
+export { loadTiming };
--- /dev/null
+++ b/packages/overload/src/stepLoad.ts
@@ -0,0 +1,72 @@
+import type { Millis } from "@azureshunt/core";
+
+import { divideShed } from "./divideShed.js";
+import type { KindArrivals } from "./KindArrivals.js";
+import type { KindLoad } from "./KindLoad.js";
+import { lagLimitMs } from "./lagLimitMs.js";
+import type { LoadEvent } from "./LoadEvent.js";
+import type { LoadState } from "./LoadState.js";
+import { loadTiming } from "./loadTiming.js";
+
+const MS_PER_SECOND = 1_000;
+/** Below this, a kind counts as not requested any more, and a lag as none. */
+const NEGLIGIBLE = 0.05;
+/** Longest time that one tick stands for. */
+const MAX_ELAPSED_MS = 500;
+const QUIET_FRACTION = 0.5;
+
+const kindsAfter = (
+    before: LoadState["kinds"],
+    arrivals: readonly KindArrivals[],
+    elapsedMs: Millis,
+): readonly KindLoad[] => {
+    const decay = Math.exp(-elapsedMs / loadTiming.recentMs);
+    const counts = new Map(arrivals.map(({ kind, count }) => [kind.name, count]));
+    const known = [...before.values()].map(load => ({
+        ...load,
+        recent: load.recent * decay + (counts.get(load.kind.name) ?? 0),
+    }));
+    const added = arrivals.filter(({ kind }) => !before.has(kind.name))
+        .map(({ kind, count }) => ({ kind, recent: count, refusedFraction: 0 }));
+    return [...known, ...added].filter(({ recent }) => recent > NEGLIGIBLE);
+};
+
+const shedAfter = (
+    { shedFraction, peakLagMs }: LoadState,
+    { lagMs, elapsedMs, limitMs }: { readonly lagMs: Millis; readonly elapsedMs: Millis; readonly limitMs: Millis; },
+): number => {
+    const seconds = Math.min(MAX_ELAPSED_MS, elapsedMs) / MS_PER_SECOND;
+    if (lagMs > limitMs) {
+        const excess = Math.min(loadTiming.maxExcess, lagMs / limitMs - 1);
+        const isFirst = shedFraction === 0 && peakLagMs < limitMs * QUIET_FRACTION;
+        const growth = seconds * loadTiming.growthPerSecond * excess;
+        return Math.min(1, shedFraction + Math.min(isFirst ? loadTiming.maxFirstGrowth : loadTiming.maxGrowth, growth));
+    }
+    const isQuiet = Math.max(lagMs, peakLagMs) < limitMs * QUIET_FRACTION;
+    const decrease = isQuiet ? loadTiming.quietDecreasePerSecond : loadTiming.decreasePerSecond;
+    return lagMs > limitMs * QUIET_FRACTION ? shedFraction : Math.max(0, shedFraction - seconds * decrease);
+};
+
+/**
+ * Returns the state after a tick. Load: a VM with a tenth of a core gets more requests than it has CPU time for.
+ *
+ * The lag is taken from a timer that runs anyway, so it costs an idle VM nothing. While the lag endangers the
+ * objectives of the most urgent kind, the fraction of requests to refuse grows; it shrinks again once ticks are in time.
+ */
+export function stepLoad(state: LoadState, { intervalMs, arrivals }: LoadEvent, now: Millis): LoadState {
+    const elapsedMs = now - state.tickAt;
+    const lagMs = Math.max(0, elapsedMs - intervalMs);
+    const ticked = {
+        tickAt: now,
+        previousTickAt: state.tickAt,
+        lagMs,
+        peakLagMs: Math.max(lagMs, state.peakLagMs * loadTiming.peakDecay),
+    };
+    if (arrivals.length === 0 && state.kinds.size === 0) {
+        return { ...ticked, shedFraction: 0, kinds: state.kinds };
+    }
+    const kinds = kindsAfter(state.kinds, arrivals, elapsedMs);
+    const shedFraction = shedAfter(state, { lagMs, elapsedMs, limitMs: lagLimitMs(kinds) });
+    const divided = shedFraction > 0 ? divideShed(kinds, shedFraction) : kinds;
+    return { ...ticked, shedFraction, kinds: new Map(divided.map(load => [load.kind.name, load])) };
+}
--- a/packages/router/src/dispatch/EndpointCall.ts
+++ b/packages/router/src/dispatch/EndpointCall.ts
@@ -17,4 +17,9 @@
      * Whether other activity shows that the endpoint is alive, so that it is worth waiting longer. Defaults to false.
      */
     readonly isAlive?: () => boolean;
+    /**
+     * Whether the call may still be sent, asked right before its bytes go out, as opening a connection may have taken
+     * long. If not, the call ends as cancelled. Defaults to true.
+     */
+    readonly maySend?: () => boolean;
 };
--- a/packages/router/src/dispatch/openCall.ts
+++ b/packages/router/src/dispatch/openCall.ts
@@ -38,6 +38,7 @@
             isBroken: false,
             isSilent: false,
             wasReset: false,
+            isWithheld: false,
             connection: "none" as ConnectionKind,
         };
         const req = request({
@@ -69,6 +70,13 @@
                 endAsSilent();
             }
         };
+        /** Ends the call before its bytes go out; a connection that is being opened has not been written to yet. */
+        const withholdIfLate = (): void => {
+            if (call.maySend?.() === false) {
+                progress.isWithheld = true;
+                req.destroy();
+            }
+        };
         const connectTimer = agent.limitsOpening ? undefined : setTimeout(endUnlessConnected, CONNECT_MS);
         const headTimer = { current: undefined as NodeJS.Timeout | undefined };
         const onSilence = (): void => {
@@ -96,12 +104,14 @@
             if (!socket.connecting) {
                 progress.isConnected = true;
                 progress.connection = agent.connectionKindOf(socket);
+                withholdIfLate();
                 return;
             }
             socket.setNoDelay(true);
             socket.once("connect", () => {
                 progress.isConnected = true;
                 progress.connection = "new";
+                withholdIfLate();
             });
         });
         req.once("response", res => {
@@ -120,6 +130,10 @@
         const onClose = (): void => {
             signal.removeEventListener("abort", abandon);
             const { connection } = progress;
+            if (progress.isWithheld) {
+                settle({ kind: "cancelled", connection });
+                return;
+            }
             if (!progress.isConnected) {
                 settle({ kind: signal.aborted ? "cancelled" : "unreached", connection });
                 return;
--- a/packages/router/src/serve/ServeParts.ts
+++ b/packages/router/src/serve/ServeParts.ts
@@ -17,6 +17,7 @@
 import type { createQuarantine } from "../quarantine/createQuarantine.js";
 import type { createRollouts } from "../rollout/createRollouts.js";
 import type { createIgnoredHeaderLog } from "./createIgnoredHeaderLog.js";
+import type { createOverloadGuard } from "./createOverloadGuard.js";
 import type { createRetryBudgets } from "./createRetryBudgets.js";
 import type { FreshnessBounds } from "./FreshnessBounds.js";
 
@@ -57,4 +58,8 @@
     readonly isDraining: () => boolean;
     /** Whether this process runs late, so that what it reads may have waited for long. */
     readonly isLagging: () => boolean;
+    readonly overload: Pick<
+        ReturnType<typeof createOverloadGuard>,
+        "enter" | "admits" | "recordAnswer" | "shortestAnswerMs" | "lagMs"
+    >;
 };
--- a/packages/router/src/serve/ServedRequest.ts
+++ b/packages/router/src/serve/ServedRequest.ts
@@ -19,6 +19,8 @@
     readonly arrivedAt: Millis;
     /** The earlier of the caller's deadline and the route's timeout. */
     readonly deadline: Millis;
+    /** The same if the request has waited unread in this VM for as long as it can have; then nothing is sent any more. */
+    readonly sendBefore: Millis;
     /** Aborted when the caller disconnects or the deadline passes. */
     readonly signal: AbortSignal;
 };
--- /dev/null
+++ b/packages/router/src/serve/createOverloadGuard.ts
@@ -0,0 +1,103 @@
+import type { IncomingMessage } from "node:http";
+import type { Duplex } from "node:stream";
+
+import type { Clock, Millis } from "@azureshunt/core";
+import { admits, initialLoad, recordAnswer, shortestAnswer, stepLoad, waitedMs } from "@azureshunt/overload";
+import type { AnswerTimes, KindArrivals } from "@azureshunt/overload";
+
+import type { Route } from "../configuration/Route.js";
+
+type RouteKind = Pick<Route, "name" | "priority" | "objectiveMs">;
+
+/** What is known at a request's head. */
+type Head = {
+    /** Bounds of the time for which it has waited unread. */
+    readonly waited: ReturnType<typeof waitedMs>;
+    /** Resolves when it is the request's turn; `undefined` if that is at once. */
+    readonly turn: Promise<void> | undefined;
+};
+
+type GuardParts = {
+    readonly clock: Clock;
+    readonly random: () => number;
+    readonly intervalMs: Millis;
+};
+
+type Waiting = { readonly priority: number; readonly start: () => void; };
+
+/** Decides which requests this VM reads while it is short of CPU time. */
+type OverloadGuard = {
+    /** To be called at every interval. */
+    readonly tick: () => void;
+    /** To be called for each connection that a caller opens. */
+    readonly recordAccepted: (connection: Duplex) => void;
+    /** To be called once for each request's head. */
+    readonly enter: (req: IncomingMessage, route: RouteKind | undefined) => Head;
+    readonly admits: (route: RouteKind | undefined, head: Head) => boolean;
+    /** Records the time from the sending of a request to an endpoint until its answer began. */
+    readonly recordAnswer: (route: Pick<Route, "name">, answerMs: Millis) => void;
+    /** Shortest time in which an endpoint has lately answered a request of this kind; 0 if none has. */
+    readonly shortestAnswerMs: (route: Pick<Route, "name">) => Millis;
+    readonly lagMs: () => Millis;
+    readonly shedFraction: () => number;
+};
+
+/** Creates the guard of a VM against overload. */
+export function createOverloadGuard({ clock, random, intervalMs }: GuardParts): OverloadGuard {
+    const state = { load: initialLoad(clock.now()), arrivals: [] as KindArrivals[], waiting: [] as Waiting[] };
+    const acceptedAt = new WeakMap<Duplex, Millis>();
+    const answers = new Map<string, AnswerTimes>();
+    const kindOf = ({ name, priority, objectiveMs }: RouteKind) => ({ name, priority, objectiveMs });
+
+    const startWaiting = (): void => {
+        const ready = state.waiting.sort((a, b) => a.priority - b.priority);
+        state.waiting = [];
+        ready.forEach(({ start }) => start());
+    };
+    /** Heads that are read in one turn of the event loop go on in the order of their urgency once all are read. */
+    const waitForTurn = (priority: number): Promise<void> =>
+        new Promise(resolve => {
+            if (state.waiting.length === 0) {
+                setImmediate(startWaiting);
+            }
+            state.waiting.push({ priority, start: resolve });
+        });
+    const recordArrival = (route: RouteKind): void => {
+        const index = state.arrivals.findIndex(({ kind }) => kind.name === route.name);
+        const known = state.arrivals[index];
+        if (known === undefined) {
+            state.arrivals.push({ kind: kindOf(route), count: 1 });
+        }
+        else {
+            state.arrivals[index] = { ...known, count: known.count + 1 };
+        }
+    };
+
+    return {
+        tick: () => {
+            state.load = stepLoad(state.load, { kind: "tick", intervalMs, arrivals: state.arrivals }, clock.now());
+            if (state.arrivals.length > 0) {
+                state.arrivals = [];
+            }
+        },
+        recordAccepted: connection => void acceptedAt.set(connection, clock.now()),
+        enter: (req, route) => {
+            const { socket } = req;
+            const waited = waitedMs(state.load, intervalMs, acceptedAt.get(socket), clock.now());
+            acceptedAt.delete(socket);
+            if (route === undefined) {
+                return { waited, turn: undefined };
+            }
+            recordArrival(route);
+            const isLate = waited.most > 0 || state.load.shedFraction > 0;
+            return { waited, turn: isLate ? waitForTurn(route.priority) : undefined };
+        },
+        admits: (route, { waited }) =>
+            route === undefined || admits(state.load, { kind: route, waitedMs: waited.least, draw: random() }),
+        recordAnswer: ({ name }, answerMs) =>
+            void answers.set(name, recordAnswer(answers.get(name), answerMs, clock.now())),
+        shortestAnswerMs: ({ name }) => shortestAnswer(answers.get(name), clock.now()),
+        lagMs: () => state.load.lagMs,
+        shedFraction: () => state.load.shedFraction,
+    };
+}
--- a/packages/router/src/serve/createRequestHandler.ts
+++ b/packages/router/src/serve/createRequestHandler.ts
@@ -1,17 +1,19 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 
-import type { Refusal, Tokens } from "@azureshunt/core";
+import type { Millis, Refusal, Tokens } from "@azureshunt/core";
 import { refusalOf } from "@azureshunt/core";
 import { readBody } from "@azureshunt/http";
 import { Left, Right } from "purify-ts";
 
 import { chooseService } from "../configuration/chooseService.js";
+import { findRoute } from "../configuration/findRoute.js";
 import type { Organisation } from "../configuration/Organisation.js";
 import type { CallerRequest } from "../ports/CallerRequest.js";
 import { admitRequest } from "./admitRequest.js";
 import { closingHeaders } from "./closingHeaders.js";
 import { createRequestNotes } from "./createRequestNotes.js";
 import { isServerError } from "./isServerError.js";
+import { RETRY_AFTER_SECONDS } from "./RETRY_AFTER_SECONDS.js";
 import { sendRefusal } from "./sendRefusal.js";
 import type { ServedRequest } from "./ServedRequest.js";
 import type { ServeParts } from "./ServeParts.js";
@@ -29,7 +31,10 @@
 const ALLOWANCE_WAIT_FRACTION = 0.25;
 
 /** A request that has been read completely. */
-type CompleteRequest = Pick<ServedRequest, "caller" | "body" | "arrivedAt">;
+type CompleteRequest = Pick<ServedRequest, "caller" | "body" | "arrivedAt"> & {
+    /** Bounds of the time for which it had waited unread in this VM by then. */
+    readonly waited: { readonly least: Millis; readonly most: Millis; };
+};
 
 /** An admitted request, with what it takes from its organisation's allowance. */
 type AdmittedRequest = Pick<ServedRequest, "route" | "organisation" | "service" | "notes"> & {
@@ -114,14 +119,29 @@
     const readRequest = async (req: IncomingMessage, res: ServerResponse): Promise<CompleteRequest | undefined> => {
         const arrivedAt = clock.now();
         const decoded = callerWire.decode(req);
-        const limits = declaredState().configuration?.limits;
+        const { limits, routes = [] } = declaredState().configuration ?? {};
+        const route = decoded.map(({ host, target }) => findRoute(routes, host, target)).toMaybe().extractNullable();
+        const head = parts.overload.enter(req, route ?? undefined);
+        if (head.turn !== undefined) {
+            await head.turn;
+        }
+        const { waited } = head;
+        if (!parts.overload.admits(route ?? undefined, head)) {
+            const detail = `event loop lag ${Math.round(parts.overload.lagMs())} ms, waited unread `
+                + `${Math.round(waited.least)} to ${Math.round(waited.most)} ms`;
+            const labels = { reason: "vm-overloaded", priority: String(route?.priority) };
+            metrics.count("azureshunt_overload_refusals_total", "Requests refused for overload.", labels);
+            const id = decoded.toMaybe().extractNullable()?.id;
+            refuse(res, refusalOf("vm-overloaded", detail, { retryAfterSeconds: RETRY_AFTER_SECONDS }), id, false);
+            return undefined;
+        }
         if (headerBytesOf(req) > (limits?.headerBytes ?? Infinity)) {
             refuse(res, refusalOf("headers-too-large"), undefined, true);
             return undefined;
         }
         const body = await readBody(req, limits?.bodyBytes ?? DEFAULT_MAX_BODY_BYTES);
         // If the body is over its limit and the head is malformed too, the body is the reason given.
-        return body.chain(bytes => decoded.map(caller => ({ caller, body: bytes, arrivedAt }))).caseOf({
+        return body.chain(bytes => decoded.map(caller => ({ caller, body: bytes, arrivedAt, waited }))).caseOf({
             Left: refusal => {
                 refuse(res, refusal, undefined, true);
                 return undefined;
@@ -193,13 +213,15 @@
         if (request === undefined || admitted === undefined) {
             return;
         }
-        const { caller, arrivedAt } = request;
+        const { caller, arrivedAt, waited } = request;
         const { route, tokens } = admitted;
         if (parts.quarantine.isQuarantined({ ...request, service: admitted.service })) {
             refuse(res, refusalOf("request-quarantined"), caller.id, false);
             return;
         }
-        const deadline = arrivedAt + Math.min(route.timeoutMs, caller.deadlineMs ?? route.timeoutMs);
+        const timeMs = Math.min(route.timeoutMs, caller.deadlineMs ?? route.timeoutMs);
+        const deadline = arrivedAt - waited.least + timeMs;
+        const sendBefore = arrivedAt - waited.most + timeMs;
         const cancellation = watchCancellation(res, deadline - clock.now());
         const isCharged = await charge(request, admitted, res, { deadline, signal: cancellation.signal });
         if (!isCharged) {
@@ -207,7 +229,11 @@
             return;
         }
         parts.demand.record(caller.prompt?.promptTokens ?? 0);
-        await finish({ ...request, ...admitted, res, deadline, signal: cancellation.signal }, cancellation, tokens);
+        await finish(
+            { ...request, ...admitted, res, deadline, sendBefore, signal: cancellation.signal },
+            cancellation,
+            tokens,
+        );
     };
 
     return async (req, res) => {
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -9,6 +9,7 @@
 import { headTimeout } from "./headTimeout.js";
 import { isRepeatable } from "./isRepeatable.js";
 import { isStream } from "./isStream.js";
+import { isTooLate } from "./isTooLate.js";
 import { judgeHead } from "./judgeHead.js";
 import { priorityOf } from "./priorityOf.js";
 import { recordOrigin } from "./recordOrigin.js";
@@ -139,6 +140,9 @@
             served.notes.flush();
         }
         const startMs = times.firstEventMs ?? times.headMs;
+        if (result.kind === "answered" && times.headMs !== undefined) {
+            parts.overload.recordAnswer(served.route, times.headMs);
+        }
         parts.rollouts.recordTry(place.entry, {
             route: served.route.name,
             outcome: result.kind,
@@ -179,6 +183,7 @@
         headMs: headTimeout(kind, objectiveMs, place.startMs, remainingMs, isLastTry),
         // A busy engine has the request in its queue; sending it to another one would only make both busier.
         isAlive: served.caller.prompt === undefined ? undefined : inFlight.isAlive,
+        maySend: () => !isTooLate(parts, served),
     }, served.signal);
     used.connection = opened.connection;
     if (opened.kind !== "head") {
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -9,8 +9,10 @@
 import { allowedTries } from "./allowedTries.js";
 import { createStreamPace } from "./createStreamPace.js";
 import { isRepeatable } from "./isRepeatable.js";
+import { isTooLate } from "./isTooLate.js";
 import { placeRequest } from "./placeRequest.js";
 import { processPendingCloses } from "./processPendingCloses.js";
+import { refusalAsTooLate } from "./refusalAsTooLate.js";
 import { refusalWithoutPlace } from "./refusalWithoutPlace.js";
 import { resolveContinuation } from "./resolveContinuation.js";
 import { RETRY_AFTER_SECONDS } from "./RETRY_AFTER_SECONDS.js";
@@ -86,6 +88,9 @@
         if (served.signal.aborted) {
             return { kind: "cancelled", ran: progress.request.ran };
         }
+        if (isTooLate(parts, served)) {
+            return giveUp(progress, refusalAsTooLate(parts, served, progress.request.ran, stream));
+        }
         const place = placeRequest(parts, served, progress.avoid, stream.origin);
         if (place === undefined) {
             return giveUp(progress, refusalWithoutPlace(parts, served, progress.request.ran, stream));
@@ -134,6 +139,9 @@
         if (result.kind === "answered") {
             return { kind: "answered", answer: result.answer, tries: request.tries + 1 };
         }
+        if (result.kind === "cancelled" && !served.signal.aborted) {
+            return giveUp(progress, refusalAsTooLate(parts, served, request.ran, stream));
+        }
         if (result.kind === "cancelled" || served.signal.aborted) {
             return { kind: "cancelled", ran: ranAfter(result.kind, request.ran) };
         }
--- a/packages/router/src/serve/startCallerServer.ts
+++ b/packages/router/src/serve/startCallerServer.ts
@@ -18,6 +18,8 @@
     readonly callerWire: CallerWire;
     readonly limits: () => CallerLimits | undefined;
     readonly isReady: () => boolean;
+    /** Called for each connection that a caller opens. */
+    readonly onConnection?: (connection: Duplex) => void;
 };
 
 /** The running listeners for callers and for the balancer. */
@@ -84,6 +86,9 @@
             ),
         );
     });
+    if (parts.onConnection !== undefined) {
+        server.on("connection", parts.onConnection);
+    }
     const applyLimits = (): void => {
         const limits = parts.limits();
         if (limits !== undefined) {
--- a/packages/router/src/startGauges.ts
+++ b/packages/router/src/startGauges.ts
@@ -3,6 +3,7 @@
 
 import { orderFence } from "./fleet/orderFence.js";
 import type { PeerSyncSources } from "./peers/PeerSyncSources.js";
+import type { createOverloadGuard } from "./serve/createOverloadGuard.js";
 import type { createConnector } from "./tunnel/createConnector.js";
 import type { serveTunnels } from "./tunnel/serveTunnels.js";
 
@@ -16,6 +17,7 @@
         readonly streams: Pick<ReturnType<typeof createStreamKeeper>, "size">;
         readonly connector: Pick<ReturnType<typeof createConnector>, "isCutOff">;
         readonly tunnels: Pick<ReturnType<typeof serveTunnels>, "size">;
+        readonly overload: Pick<ReturnType<typeof createOverloadGuard>, "lagMs" | "shedFraction">;
     };
 
 /** Value of `order_fence` while this VM does not hold the lease. */
@@ -24,7 +26,7 @@
 /** Registers the gauges of a router and returns a function that unregisters them. */
 export function startGauges(metrics: Metrics, sources: GaugeSources): () => void {
     const { clock, declarations, endpointTable, allowances, orders, membership } = sources;
-    const { endpointLimits, streams, connector, tunnels } = sources;
+    const { endpointLimits, streams, connector, tunnels, overload } = sources;
     const sumOf = (size: "running" | "waitingTokens"): number =>
         endpointTable.ownShares().reduce((sum, [, share]) => sum + share[size], 0);
     const rows: readonly (readonly [name: string, help: string, read: () => number])[] = [
@@ -54,6 +56,12 @@
             "Prompt tokens of this VM's requests that endpoints have not begun to answer.",
             () => sumOf("waitingTokens"),
         ],
+        ["event_loop_lag_ms", "How late the last tick of the shared timer was.", overload.lagMs],
+        [
+            "overload_shed_fraction",
+            "Fraction of requests that this VM refuses for lack of CPU time.",
+            overload.shedFraction,
+        ],
         ["peers", "Other VMs that are reckoned with.", () => membership.liveness().peers],
         ["unheard_peers", "Of these, VMs out of hearing.", () => membership.liveness().silent.length],
         [
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -41,6 +41,7 @@
 import type { RouterSettings } from "./RouterSettings.js";
 import { createIgnoredHeaderLog } from "./serve/createIgnoredHeaderLog.js";
 import { createLagWatch } from "./serve/createLagWatch.js";
+import { createOverloadGuard } from "./serve/createOverloadGuard.js";
 import { createRequestHandler } from "./serve/createRequestHandler.js";
 import { createRetryBudgets } from "./serve/createRetryBudgets.js";
 import type { FreshnessBounds } from "./serve/FreshnessBounds.js";
@@ -313,6 +314,7 @@
     });
 
     const lagWatch = createLagWatch(clock, TICK_MS);
+    const overload = createOverloadGuard({ clock, random: Math.random, intervalMs: TICK_MS });
     const bounds = (): FreshnessBounds => ({
         maxAgeForKeysMs: state.settings.keyWithdrawalMs - KEY_MARGIN_MS,
         maxAgeForDenialMs: state.settings.configurationMs,
@@ -349,6 +351,7 @@
         checkSuspension: suspensionWatch.check,
         isDraining: () => state.isDraining,
         isLagging: lagWatch.isLagging,
+        overload,
     });
     const isReady = (): boolean =>
         !state.isDraining && endpointTable.isKnown() &&
@@ -375,7 +378,7 @@
         random: Math.random,
         open: parts.open,
     });
-    const stopGauges = startGauges(metrics, { ...sources, streams, connector, tunnels });
+    const stopGauges = startGauges(metrics, { ...sources, streams, connector, tunnels, overload });
     const metricsListener = await startMetricsListener(settings.listen.metrics, metrics);
     const callerServer = await startCallerServer({
         settings,
@@ -383,6 +386,7 @@
         callerWire: parts.callerWire,
         limits: () => declarations.current().configuration?.limits,
         isReady,
+        onConnection: overload.recordAccepted,
     });
     const announcing = startAnnouncing({
         clock,
@@ -399,6 +403,7 @@
     });
     const timer = setInterval(() => {
         lagWatch.tick();
+        overload.tick();
         suspensionWatch.check();
         quarantine.tick();
         membership.tick();
