Tell refused callers to come back by turns, and describe overload

Cause: Retry-After was 0.25 s at any load, so callers returned together and in any order, also later than a third of their time; and a machine busy with other processes made a VM refuse some of its few requests (wholePath.test at a load of 18).

Change: a refused caller's turn follows the forecast delay and the callers that are as urgent or more urgent, at a part of the rate sent, within a third of its time left and 0.2 of its objective. With fewer than ten recent requests nothing is refused for lag.

--- /dev/null
+++ b/packages/overload/src/RoomForecast.ts
@@ -0,0 +1,11 @@
+import type { Millis } from "@azureshunt/core";
+
+/** When there will be room for a request. */
+export type RoomForecast = {
+    /** Time until there is room, if the load stays the same. */
+    readonly roomInMs: Millis;
+    /** Callers of as urgent or more urgent kinds that are to come back before. */
+    readonly ahead: number;
+    /** Returning callers that can be served per second. */
+    readonly perSecond: number;
+};
--- a/packages/overload/src/__tests__/unit/decisions.test.ts
+++ b/packages/overload/src/__tests__/unit/decisions.test.ts
@@ -36,6 +36,15 @@
     t.true(admits(later, { kind: other, waitedMs: 5_000, draw: 0 }));
 });
 
+// A machine that is busy with other processes makes ticks late; refusing its few requests would not change that.
+test("stepLoad: nothing is refused while there are few requests, however late the ticks are", t => {
+    const late = Array.from({ length: 20 }, (_, i) => i * 500).reduce(
+        (state, now) => stepLoad(state, { kind: "tick", intervalMs: 100, arrivals: [{ kind: urgent, count: 1 }] }, now),
+        initialLoad(0),
+    );
+    t.is(late.shedFraction, 0);
+});
+
 const waits = [
     { name: "ticks in time", lagMs: 10, acceptedAt: 500, now: 1_050, waited: { least: 0, most: 0 } },
     { name: "a tick overdue", lagMs: 0, acceptedAt: undefined, now: 1_900, waited: { least: 800, most: 1_000 } },
--- a/packages/overload/src/loadTiming.ts
+++ b/packages/overload/src/loadTiming.ts
@@ -22,6 +22,8 @@
     peakDecay: 0.8,
     /** Time constant of the counts of requests by kind. */
     recentMs: 2_000,
+    /** Recent requests below which a lag has another cause, so that refusals would not shorten it. */
+    minRecent: 10,
     /** Part of a kind that is always admitted, so that no kind starves and its recovery shows. */
     minAdmitted: 0.05,
     /** The same for the most urgent kind. */
--- a/packages/overload/src/stepLoad.ts
+++ b/packages/overload/src/stepLoad.ts
@@ -33,10 +33,16 @@
 
 const shedAfter = (
     { shedFraction, peakLagMs }: LoadState,
-    { lagMs, elapsedMs, limitMs }: { readonly lagMs: Millis; readonly elapsedMs: Millis; readonly limitMs: Millis; },
+    { lagMs, elapsedMs, kinds }: {
+        readonly lagMs: Millis;
+        readonly elapsedMs: Millis;
+        readonly kinds: readonly KindLoad[];
+    },
 ): number => {
+    const recent = kinds.reduce((sum, load) => sum + load.recent, 0);
+    const limitMs = lagLimitMs(kinds);
     const seconds = Math.min(MAX_ELAPSED_MS, elapsedMs) / MS_PER_SECOND;
-    if (lagMs > limitMs) {
+    if (lagMs > limitMs && recent >= loadTiming.minRecent) {
         const excess = Math.min(loadTiming.maxExcess, lagMs / limitMs - 1);
         const isFirst = shedFraction === 0 && peakLagMs < limitMs * QUIET_FRACTION;
         const growth = seconds * loadTiming.growthPerSecond * excess;
@@ -66,7 +72,7 @@
         return { ...ticked, shedFraction: 0, kinds: state.kinds };
     }
     const kinds = kindsAfter(state.kinds, arrivals, elapsedMs);
-    const shedFraction = shedAfter(state, { lagMs, elapsedMs, limitMs: lagLimitMs(kinds) });
+    const shedFraction = shedAfter(state, { lagMs, elapsedMs, kinds });
     const divided = shedFraction > 0 ? divideShed(kinds, shedFraction) : kinds;
     return { ...ticked, shedFraction, kinds: new Map(divided.map(load => [load.kind.name, load])) };
 }
--- a/packages/router/src/serve/ServeParts.ts
+++ b/packages/router/src/serve/ServeParts.ts
@@ -60,6 +60,6 @@
     readonly isLagging: () => boolean;
     readonly overload: Pick<
         ReturnType<typeof createOverloadGuard>,
-        "enter" | "admits" | "recordAnswer" | "shortestAnswerMs" | "lagMs"
+        "enter" | "admits" | "recordAnswer" | "shortestAnswerMs" | "recordSent" | "retryAfterSeconds" | "lagMs"
     >;
 };
--- a/packages/router/src/serve/createOverloadGuard.ts
+++ b/packages/router/src/serve/createOverloadGuard.ts
@@ -1,9 +1,20 @@
 import type { IncomingMessage } from "node:http";
 import type { Duplex } from "node:stream";
 
-import type { Clock, Millis } from "@azureshunt/core";
-import { admits, initialLoad, recordAnswer, shortestAnswer, stepLoad, waitedMs } from "@azureshunt/overload";
-import type { AnswerTimes, KindArrivals } from "@azureshunt/overload";
+import type { Clock, Millis, ServiceName } from "@azureshunt/core";
+import {
+    admits,
+    forecastRoom,
+    initialLoad,
+    initialReturns,
+    recordAnswer,
+    retryAfterOf,
+    shortestAnswer,
+    stepLoad,
+    stepReturns,
+    waitedMs,
+} from "@azureshunt/overload";
+import type { AnswerTimes, KindArrivals, ReturnSchedule } from "@azureshunt/overload";
 
 import type { Route } from "../configuration/Route.js";
 
@@ -25,6 +36,14 @@
 
 type Waiting = { readonly priority: number; readonly start: () => void; };
 
+type RefusedRequest = {
+    readonly service: ServiceName | undefined;
+    readonly route: Pick<Route, "priority" | "objectiveMs">;
+    readonly timeLeftMs: Millis;
+    /** Time until there is room, if the load stays the same; 0 if that is not known. */
+    readonly roomInMs: Millis;
+};
+
 /** Decides which requests this VM reads while it is short of CPU time. */
 type OverloadGuard = {
     /** To be called at every interval. */
@@ -38,6 +57,10 @@
     readonly recordAnswer: (route: Pick<Route, "name">, answerMs: Millis) => void;
     /** Shortest time in which an endpoint has lately answered a request of this kind; 0 if none has. */
     readonly shortestAnswerMs: (route: Pick<Route, "name">) => Millis;
+    /** Records that a request is sent to an endpoint of a service. */
+    readonly recordSent: (service: ServiceName) => void;
+    /** Returns after how many seconds the caller of a refused request is to come back, and records that it will. */
+    readonly retryAfterSeconds: (refused: RefusedRequest) => number;
     readonly lagMs: () => Millis;
     readonly shedFraction: () => number;
 };
@@ -47,6 +70,9 @@
     const state = { load: initialLoad(clock.now()), arrivals: [] as KindArrivals[], waiting: [] as Waiting[] };
     const acceptedAt = new WeakMap<Duplex, Millis>();
     const answers = new Map<string, AnswerTimes>();
+    const returns = new Map<ServiceName | undefined, ReturnSchedule>();
+    const returnsOf = (service: ServiceName | undefined): ReturnSchedule =>
+        returns.get(service) ?? initialReturns(clock.now());
     const kindOf = ({ name, priority, objectiveMs }: RouteKind) => ({ name, priority, objectiveMs });
 
     const startWaiting = (): void => {
@@ -97,6 +123,16 @@
         recordAnswer: ({ name }, answerMs) =>
             void answers.set(name, recordAnswer(answers.get(name), answerMs, clock.now())),
         shortestAnswerMs: ({ name }) => shortestAnswer(answers.get(name), clock.now()),
+        recordSent: service =>
+            void returns.set(service, stepReturns(returnsOf(service), { kind: "sent" }, clock.now())),
+        retryAfterSeconds: ({ service, route, timeLeftMs, roomInMs }) => {
+            const { priority, objectiveMs } = route;
+            // The refused caller is counted after its own turn is computed.
+            const schedule = returnsOf(service);
+            const forecast = forecastRoom(schedule, priority, roomInMs);
+            returns.set(service, stepReturns(schedule, { kind: "refused", priority }, clock.now()));
+            return retryAfterOf(forecast, { timeLeftMs, objectiveMs }, random());
+        },
         lagMs: () => state.load.lagMs,
         shedFraction: () => state.load.shedFraction,
     };
--- a/packages/router/src/serve/createRequestHandler.ts
+++ b/packages/router/src/serve/createRequestHandler.ts
@@ -13,7 +13,6 @@
 import { closingHeaders } from "./closingHeaders.js";
 import { createRequestNotes } from "./createRequestNotes.js";
 import { isServerError } from "./isServerError.js";
-import { RETRY_AFTER_SECONDS } from "./RETRY_AFTER_SECONDS.js";
 import { sendRefusal } from "./sendRefusal.js";
 import type { ServedRequest } from "./ServedRequest.js";
 import type { ServeParts } from "./ServeParts.js";
@@ -59,6 +58,10 @@
 
     const refuse = (res: ServerResponse, refusal: Refusal, id: string | undefined, isClosing: boolean): void => {
         metrics.count("azureshunt_refusals_total", "Requests that were refused, by reason.", { reason: refusal.kind });
+        if (refusal.retryAfterSeconds !== undefined) {
+            const help = "Seconds after which refused callers are to come back.";
+            metrics.record("azureshunt_retry_after_seconds", help, refusal.retryAfterSeconds);
+        }
         const { configuration, confirmedAt } = declaredState();
         logger.info({
             id,
@@ -126,13 +129,19 @@
             await head.turn;
         }
         const { waited } = head;
-        if (!parts.overload.admits(route ?? undefined, head)) {
+        if (route !== null && route !== undefined && !parts.overload.admits(route, head)) {
             const detail = `event loop lag ${Math.round(parts.overload.lagMs())} ms, waited unread `
                 + `${Math.round(waited.least)} to ${Math.round(waited.most)} ms`;
-            const labels = { reason: "vm-overloaded", priority: String(route?.priority) };
+            const caller = decoded.toMaybe().extractNullable();
+            const retryAfterSeconds = parts.overload.retryAfterSeconds({
+                service: route.targets[0]?.service,
+                route,
+                timeLeftMs: Math.min(route.timeoutMs, caller?.deadlineMs ?? route.timeoutMs) - waited.most,
+                roomInMs: 0,
+            });
+            const labels = { reason: "vm-overloaded", priority: String(route.priority) };
             metrics.count("azureshunt_overload_refusals_total", "Requests refused for overload.", labels);
-            const id = decoded.toMaybe().extractNullable()?.id;
-            refuse(res, refusalOf("vm-overloaded", detail, { retryAfterSeconds: RETRY_AFTER_SECONDS }), id, false);
+            refuse(res, refusalOf("vm-overloaded", detail, { retryAfterSeconds }), caller?.id, false);
             return undefined;
         }
         if (headerBytesOf(req) > (limits?.headerBytes ?? Infinity)) {
--- a/packages/router/src/serve/refusalAsTooLate.ts
+++ b/packages/router/src/serve/refusalAsTooLate.ts
@@ -1,6 +1,7 @@
 import { refusalOf } from "@azureshunt/core";
 import type { Ran, Refusal } from "@azureshunt/core";
 
+import { retryAfterSeconds } from "./retryAfterSeconds.js";
 import type { ServedRequest } from "./ServedRequest.js";
 import type { ServeParts } from "./ServeParts.js";
 import type { StreamProgress } from "./StreamProgress.js";
@@ -12,10 +13,11 @@
  */
 export function refusalAsTooLate(
     { clock, overload, metrics }: Pick<ServeParts, "clock" | "overload" | "metrics">,
-    { route, sendBefore }: Pick<ServedRequest, "route" | "sendBefore">,
+    served: Pick<ServedRequest, "service" | "route" | "deadline" | "sendBefore">,
     ran: Ran,
     { forwardedEvents }: Pick<StreamProgress, "forwardedEvents">,
 ): Refusal {
+    const { route, sendBefore } = served;
     metrics.count("azureshunt_overload_refusals_total", "Requests refused for overload.", {
         reason: "too-late",
         priority: String(route.priority),
@@ -24,5 +26,5 @@
         Math.round(overload.shortestAnswerMs(route))
     } ms, event loop lag ${Math.round(overload.lagMs())} ms`;
     const kind = ran === "no" ? "too-late" : forwardedEvents > 0 ? "stream-broken" : "endpoint-failed";
-    return refusalOf(kind, detail, { ran });
+    return refusalOf(kind, detail, { retryAfterSeconds: retryAfterSeconds({ clock, overload }, served), ran });
 }
--- a/packages/router/src/serve/refusalWithoutPlace.ts
+++ b/packages/router/src/serve/refusalWithoutPlace.ts
@@ -1,7 +1,7 @@
 import { refusalOf } from "@azureshunt/core";
 import type { ErrorKind, Ran, Refusal } from "@azureshunt/core";
 
-import { RETRY_AFTER_SECONDS } from "./RETRY_AFTER_SECONDS.js";
+import { retryAfterSeconds as retryAfterOfRefused } from "./retryAfterSeconds.js";
 import type { ServedRequest } from "./ServedRequest.js";
 import type { ServeParts } from "./ServeParts.js";
 import type { StreamProgress } from "./StreamProgress.js";
@@ -15,13 +15,15 @@
  * @param ran whether an earlier try of it may have run
  */
 export function refusalWithoutPlace(
-    { endpointLimits, brittleServices }: Pick<ServeParts, "endpointLimits" | "brittleServices">,
-    { service, caller }: Pick<ServedRequest, "service" | "caller">,
+    parts: Pick<ServeParts, "endpointLimits" | "brittleServices" | "overload" | "clock">,
+    served: Pick<ServedRequest, "service" | "caller" | "route" | "deadline">,
     ran: Ran,
     { forwardedEvents }: Pick<StreamProgress, "forwardedEvents">,
 ): Refusal {
+    const { endpointLimits, brittleServices } = parts;
+    const { service, caller } = served;
     const refuse = (kind: ErrorKind): Refusal =>
-        refusalOf(kind, undefined, { retryAfterSeconds: RETRY_AFTER_SECONDS, ran });
+        refusalOf(kind, undefined, { retryAfterSeconds: retryAfterOfRefused(parts, served), ran });
     if (ran !== "no") {
         return refuse(forwardedEvents > 0 ? "stream-broken" : "endpoint-failed");
     }
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -15,7 +15,7 @@
 import { refusalAsTooLate } from "./refusalAsTooLate.js";
 import { refusalWithoutPlace } from "./refusalWithoutPlace.js";
 import { resolveContinuation } from "./resolveContinuation.js";
-import { RETRY_AFTER_SECONDS } from "./RETRY_AFTER_SECONDS.js";
+import { retryAfterSeconds } from "./retryAfterSeconds.js";
 import { runTry } from "./runTry.js";
 import type { ServedRequest } from "./ServedRequest.js";
 import type { ServeParts } from "./ServeParts.js";
@@ -25,7 +25,6 @@
 
 /** Retries left in the budget below which silence alone does not start one. */
 const MIN_BUDGET_FOR_SILENCE = 2;
-const MS_PER_SECOND = 1_000;
 
 /** How serving a request ended. */
 type ServedEnd =
@@ -117,17 +116,23 @@
                 isUrgent: isUrgent(parts, served),
             });
         if (waitMs !== undefined) {
-            const retryAfterSeconds = Math.max(RETRY_AFTER_SECONDS, waitMs / MS_PER_SECOND);
             const kind = request.ran === "no" ? "overloaded" : "endpoint-failed";
             const detail = `best endpoint ${place.entry.name}: turn in ${Math.round(place.queueMs)} ms, `
                 + `first token in ${Math.round(place.startMs)} ms, objective ${served.route.objectiveMs} ms`;
-            return giveUp(progress, refusalOf(kind, detail, { retryAfterSeconds, ran: request.ran }));
+            return giveUp(
+                progress,
+                refusalOf(kind, detail, {
+                    retryAfterSeconds: retryAfterSeconds(parts, served, waitMs),
+                    ran: request.ran,
+                }),
+            );
         }
         // If no retry is possible, the try waits out silence: giving up would only lose the answer.
         const hasBudget = parts.retryBudgets.of(served.service).balance >= MIN_BUDGET_FOR_SILENCE;
         const isLastTry = request.tries + 1 >= allowedTries(served.route.maxTries, progress.notRun) || !hasBudget;
         const path = request.tries > 0 ? "further" : served.caller.lastEventId === undefined ? "first" : "resumed";
         parts.endpointLimits.recordTry(place.entry, path);
+        parts.overload.recordSent(served.service);
         const result = await runTry({ parts, served, place, progress: stream, isLastTry });
         return afterTry(progress, place, result);
     };
@@ -159,7 +164,7 @@
         if (!mayTryAgain) {
             const kind = stream.forwardedEvents > 0 ? "stream-broken" : "endpoint-failed";
             const refusal = refusalOf(kind, "its prompt may crash endpoints", {
-                retryAfterSeconds: RETRY_AFTER_SECONDS,
+                retryAfterSeconds: retryAfterSeconds(parts, served),
                 ran: tried.ran,
             });
             return giveUp({ ...progress, failure }, refusal);
@@ -183,7 +188,7 @@
             return giveUp({ ...progress, failure }, {
                 ...plan.refusal,
                 ran: tried.ran,
-                retryAfterSeconds: RETRY_AFTER_SECONDS,
+                retryAfterSeconds: retryAfterSeconds(parts, served),
             });
         }
         parts.retryBudgets.set(served.service, plan.budget);
