--- a/packages/bench/src/__tests__/unit/requestCost.test.ts
+++ b/packages/bench/src/__tests__/unit/requestCost.test.ts
@@ -29,8 +29,7 @@
             { id: 4, ...frame("writev", "") },
             { id: 5, ...frame("count", "file:///packages/telemetry/dist/createMetrics.js") },
         ],
-        samples: [2, 3, 4, 5],
-        timeDeltas: [1_000, 10, 20, 10],
+        samples: [2, 2, 2, 3, 4, 4, 5],
     });
     t.deepEqual(shares, { accept: 0, admit: 0, place: 0, forward: 0.75, account: 0.25, log: 0, other: 0 });
 });
--- a/packages/bench/src/requestCost/CpuProfile.ts
+++ b/packages/bench/src/requestCost/CpuProfile.ts
@@ -5,7 +5,6 @@
         readonly callFrame: { readonly functionName: string; readonly url: string; };
         readonly children?: readonly number[];
     }[];
+    /** Ids of nodes, one per interval of time. */
     readonly samples: readonly number[];
-    /** Microseconds before each sample. */
-    readonly timeDeltas: readonly number[];
 };
--- a/packages/bench/src/requestCost/stageShares.ts
+++ b/packages/bench/src/requestCost/stageShares.ts
@@ -27,34 +27,41 @@
     [/router\/dist\//, "other"],
 ];
 
-const IDLE = new Set(["(idle)"]);
+/** Frames whose time is no work on requests: waiting, and loading modules at the start. */
+const NO_WORK = /:\(idle\)$|node:internal\/(modules|main|bootstrap)\//;
 
 const stageOfFrame = ({ url, functionName }: CpuProfile["nodes"][number]["callFrame"]): CostStage | undefined =>
     RULES.find(([pattern]) => pattern.test(`${url}:${functionName}`))?.[1];
 
-/** Returns which share of the time in which a profiled process was busy went to each stage. */
-export function stageShares({ nodes, samples, timeDeltas }: CpuProfile): Readonly<Record<CostStage, number>> {
+/**
+ * Returns which share of the work of a profiled process went to each stage. Samples are counted, not the time between
+ * them, in which a process on a busy machine may have been waiting for a processor.
+ */
+export function stageShares({ nodes, samples }: CpuProfile): Readonly<Record<CostStage, number>> {
     const byId = new Map(nodes.map(node => [node.id, node]));
-    const stageOf = new Map<number, CostStage | undefined>();
+    const stageOf = new Map<number, CostStage>();
     const visit = (id: number, ofCaller: CostStage): void => {
         const node = byId.get(id);
         if (node !== undefined) {
-            const isIdle = IDLE.has(node.callFrame.functionName);
+            const { url, functionName } = node.callFrame;
+            if (NO_WORK.test(`${url}:${functionName}`)) {
+                return;
+            }
             const stage = stageOfFrame(node.callFrame) ?? ofCaller;
-            stageOf.set(id, isIdle ? undefined : stage);
+            stageOf.set(id, stage);
             node.children?.forEach(child => visit(child, stage));
         }
     };
     visit(nodes[0]?.id ?? 0, "other");
-    const micros = { accept: 0, admit: 0, place: 0, forward: 0, account: 0, log: 0, other: 0 };
-    samples.forEach((id, i) => {
+    const counts = { accept: 0, admit: 0, place: 0, forward: 0, account: 0, log: 0, other: 0 };
+    samples.forEach(id => {
         const stage = stageOf.get(id);
         if (stage !== undefined) {
-            micros[stage] += timeDeltas[i] ?? 0;
+            counts[stage] += 1;
         }
     });
-    const total = Object.values(micros).reduce((sum, each) => sum + each, 0);
-    const shareOf = (stage: CostStage): number => total === 0 ? 0 : micros[stage] / total;
+    const total = Object.values(counts).reduce((sum, each) => sum + each, 0);
+    const shareOf = (stage: CostStage): number => total === 0 ? 0 : counts[stage] / total;
     return {
         accept: shareOf("accept"),
         admit: shareOf("admit"),
