Spend less around each call to an endpoint and each sample

Cause: Node's agent asks several times per call for the name of the endpoint's connections, which it builds from options that are never set; the idle connections were copied into a list of objects before each call; every listener of events that come once was wrapped; labels of samples were built through lists of names and values. Change: the agent's name is the address; idle connections are filtered in place; listeners are added without wrappers; label texts are concatenated.

--- a/packages/router/src/dispatch/EndpointAgent.ts
+++ b/packages/router/src/dispatch/EndpointAgent.ts
@@ -21,8 +21,6 @@
     this.destroy();
 };
 
-type IdleConnection = { readonly socket: Socket; readonly idleSince: number; };
-
 type AgentParts = {
     /** Maximum number of idle connections to the endpoint at an address, `host:port`. */
     readonly maxIdle?: (address: string) => number;
@@ -36,6 +34,7 @@
     readonly onAnswer?: (address: string) => void;
 };
 
+type AgentNameOptions = NonNullable<Parameters<Agent["getName"]>[0]>;
 type OnConnection = (err: Error | null, stream: Duplex) => void;
 
 /**
@@ -59,6 +58,14 @@
         super({ keepAlive: true, maxFreeSockets: MAX_IDLE_PER_ENDPOINT, scheduling: "lifo", timeout: MAX_IDLE_MS });
     }
 
+    /**
+     * Returns the name under which Node keeps the connections to an endpoint: its address. Node's own name also holds
+     * options that calls to endpoints never set, and Node asks for the name several times per call.
+     */
+    override getName({ host, port }: AgentNameOptions): string {
+        return `${host}:${port}`;
+    }
+
     /** Whether opening a connection has a time limit of its own. */
     get limitsOpening(): boolean {
         return this.parts.openConnection !== undefined;
@@ -117,16 +124,17 @@
      * that seems not to work unless they were used just before.
      */
     destroyIdle(address: string, idleMs: number): void {
-        const [host, port] = address.split(":");
-        const name = this.getName({ host, port: Number(port) });
-        const connections: readonly IdleConnection[] = (this.freeSockets[name] ?? [])
-            .map(socket => ({ socket, idleSince: this.idleSince.get(socket) ?? -Infinity }));
+        const idle = this.freeSockets[address];
+        if (idle === undefined) {
+            return;
+        }
         const ownLinkIdleMs = this.parts.isBlocked?.(address) === true
             ? Math.min(idleMs, BLOCKED_MAX_IDLE_MS)
             : idleMs;
         const maxIdleMsOf = (socket: Socket): number => this.tunnels.has(socket) ? idleMs : ownLinkIdleMs;
-        connections
-            .filter(({ socket, idleSince }) => this.now() - idleSince > maxIdleMsOf(socket))
-            .forEach(({ socket }) => socket.destroy());
+        const now = this.now();
+        // Destroying a connection changes the list, so those to destroy are selected first.
+        idle.filter(socket => now - (this.idleSince.get(socket) ?? -Infinity) > maxIdleMsOf(socket))
+            .forEach(socket => socket.destroy());
     }
 }
--- a/packages/router/src/dispatch/openCall.ts
+++ b/packages/router/src/dispatch/openCall.ts
@@ -25,7 +25,7 @@
  * @param signal ends the call and its connection
  */
 export function openCall(agent: EndpointAgent, call: EndpointCall, signal: AbortSignal): Promise<OpenedCall> {
-    const [host, port] = call.address.split(":");
+    const portAt = call.address.lastIndexOf(":");
     agent.destroyIdle(call.address, call.maxIdleMs);
     return new Promise(resolve => {
         if (signal.aborted) {
@@ -42,8 +42,8 @@
         };
         const req = request({
             agent,
-            host,
-            port: Number(port),
+            host: call.address.slice(0, portAt),
+            port: Number(call.address.slice(portAt + 1)),
             method: call.method,
             path: call.target,
             // Node accepts alternating names and values, although its types do not say so.
@@ -85,14 +85,15 @@
             resolve(opened);
         };
         signal.addEventListener("abort", abandon, { once: true });
-        req.once("socket", socket => {
+        // `on` instead of `once`: a request emits each of these events once, and `once` would wrap every listener.
+        req.on("socket", socket => {
             progress.hasSocket = true;
             agent.recordAddress(socket, call.address);
             const onEnd = (): void => {
                 progress.wasReset = wasReset(socket);
             };
-            socket.prependOnceListener("end", onEnd);
-            req.once("close", () => socket.removeListener("end", onEnd));
+            socket.prependListener("end", onEnd);
+            req.on("close", () => socket.removeListener("end", onEnd));
             if (!socket.connecting) {
                 progress.isConnected = true;
                 progress.connection = agent.connectionKindOf(socket);
@@ -104,7 +105,7 @@
                 progress.connection = "new";
             });
         });
-        req.once("response", res => {
+        req.on("response", res => {
             agent.recordAnswer(res.socket, call.address);
             settle({
                 kind: "head",
@@ -126,7 +127,7 @@
             }
             settle({ kind: signal.aborted ? "cancelled" : progress.isSilent ? "silent" : "broken", connection });
         };
-        req.once("close", onClose);
+        req.on("close", onClose);
         req.end(call.body);
     });
 }
--- a/packages/router/src/serve/isSampled.ts
+++ b/packages/router/src/serve/isSampled.ts
@@ -8,5 +8,9 @@
  * Returns whether a request's ordinary decisions are logged. Depends on the id only, so that all VMs log the same ones.
  */
 export function isSampled(id: RequestId): boolean {
-    return [...id].reduce((hash, char) => (hash * HASH_MULTIPLIER + char.charCodeAt(0)) % SAMPLE_INTERVAL, 0) === 0;
+    let hash = 0;
+    for (const char of id) {
+        hash = (hash * HASH_MULTIPLIER + char.charCodeAt(0)) % SAMPLE_INTERVAL;
+    }
+    return hash === 0;
 }
--- a/packages/router/src/serve/startCallerServer.ts
+++ b/packages/router/src/serve/startCallerServer.ts
@@ -53,9 +53,9 @@
     const state = { isClosing: false };
     const server = await startListener(settings.listen.callers, (req, res) => {
         running.add(res);
-        res.once("close", () => running.delete(res));
+        res.on("close", () => running.delete(res));
         // An answer that began before the shutdown has no `Connection: close`; no further request may follow on it.
-        res.once("finish", () => {
+        res.on("finish", () => {
             if (state.isClosing) {
                 req.socket.destroySoon();
             }
--- a/packages/telemetry/src/createMetrics.ts
+++ b/packages/telemetry/src/createMetrics.ts
@@ -13,10 +13,18 @@
 const QUANTILES: readonly number[] = [0.5, 0.95, 0.99, 0.999];
 const PERCENT = 100;
 
-const escapeLabel = (value: string): string => value.replace(/[\\"\n]/g, c => c === "\n" ? "\\n" : `\\${c}`);
+const SPECIAL = /[\\"\n]/;
+const escapeLabel = (value: string): string =>
+    !SPECIAL.test(value) ? value : value.replace(/[\\"\n]/g, c => c === "\n" ? "\\n" : `\\${c}`);
 
-const labelText = (labels: Labels): string =>
-    Object.entries(labels).map(([name, value]) => `${name}="${escapeLabel(value)}"`).join(",");
+/** Built for every count and record, so without lists of names and values. */
+const labelText = (labels: Labels): string => {
+    let text = "";
+    for (const name in labels) {
+        text += `${text === "" ? "" : ","}${name}="${escapeLabel(labels[name] ?? "")}"`;
+    }
+    return text;
+};
 
 const seriesName = (name: string, labels: string): string => labels === "" ? name : `${name}{${labels}}`;
 
@@ -56,13 +64,15 @@
     const record: Metrics["record"] = (name, help, ms, labels = {}) => {
         const values = familyOf(histograms, name, { type: "summary", help });
         const key = labelText(labels);
-        const histogram = values.get(key)
-            ?? build({
-                lowestDiscernibleValue: 1,
-                highestTrackableValue: MAX_MS * MICROS_PER_MS,
-                numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
-            });
-        values.set(key, histogram);
+        const known = values.get(key);
+        const histogram = known ?? build({
+            lowestDiscernibleValue: 1,
+            highestTrackableValue: MAX_MS * MICROS_PER_MS,
+            numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
+        });
+        if (known === undefined) {
+            values.set(key, histogram);
+        }
         histogram.recordValue(Math.min(Math.max(0, Math.round(ms * MICROS_PER_MS)), MAX_MS * MICROS_PER_MS));
     };
 
