Derive placement state from the registry only when an entry changes

Equal entries now keep the map, a record is decoded once, only engines ahead of their entry are looked at, and the entries of a service are kept between requests. A relay lists the demands of its VMs once per batch, the first page of a beacon is kept while the relayed demand is the same, and datagrams need no call of the resolver, as all addresses are numbers.

--- a/packages/router/src/__tests__/unit/beacon.test.ts
+++ b/packages/router/src/__tests__/unit/beacon.test.ts
@@ -154,3 +154,14 @@
         t.is(decoded([...row.slice(0, field), rows, ...row.slice(field + 1)]), undefined);
     });
 });
+
+// The first page is kept between receivers, and one with another demand must not get that of the receiver before it.
+test("each receiver gets its own relayed demand, also after another one", t => {
+    const { sequence, sentAt, echo, relayedSpent, relayedLoad, relayedDemand: first, ...common } = beacon;
+    const encode = createBeaconEncoder(common);
+    const demands = [first, first, 40, first].map(relayedDemand => {
+        const [first = Buffer.alloc(0)] = encode({ sequence, sentAt, echo, relayedSpent, relayedLoad, relayedDemand });
+        return decodeBeacon(first)?.relayedDemand;
+    });
+    t.deepEqual(demands, [90, 90, 40, 90]);
+});
--- a/packages/router/src/__tests__/unit/registry.test.ts
+++ b/packages/router/src/__tests__/unit/registry.test.ts
@@ -1,4 +1,4 @@
-import type { EndpointName } from "@azureshunt/core";
+import type { EndpointName, ModelName } from "@azureshunt/core";
 import test from "ava";
 
 import { emptyRegistry } from "../../registry/emptyRegistry.js";
@@ -80,3 +80,17 @@
         t.true(registry.isKnown);
     });
 });
+
+// Heartbeats would otherwise have the digest and all that is derived from the entries computed anew several times a second.
+test("a heartbeat that says nothing new leaves the endpoints as they are, and a change replaces the entry", t => {
+    const model = "m" as ModelName;
+    const holding = (version: number) => entryOf("a", { versions: new Map([[model, version]]) });
+    const first = stepRegistry(emptyRegistry, whole(holding(1)), 0);
+    const again = stepRegistry(first, put(holding(1)), 700);
+    t.is(again.endpoints, first.endpoints);
+    t.is(again.answeredAt, 700);
+    const newer = stepRegistry(again, put(holding(2)), 1_400);
+    t.is(newer.endpoints.get("a" as EndpointName)?.entry.versions.get(model), 2);
+    const leaving = stepRegistry(newer, put(entryOf("a", { isLeaving: true })), 2_100);
+    t.true(leaving.endpoints.get("a" as EndpointName)?.entry.isLeaving);
+});
--- a/packages/router/src/__tests__/unit/topicMirror.test.ts
+++ b/packages/router/src/__tests__/unit/topicMirror.test.ts
@@ -8,7 +8,7 @@
 type TopicRecord = Parameters<Mirror["record"]>[0]["records"][number];
 
 /** Values are equivalent if their first letters are equal. */
-const mirrorOf = (): Mirror => createTopicMirror((before, now) => before[0] === now[0]);
+const mirrorOf = (): Mirror => createTopicMirror((_, before, now) => before[0] === now[0]);
 const recordOf = (offset: number, key: string, value?: string): TopicRecord => ({
     offset,
     key,
--- a/packages/router/src/knowledge/startDeclarations.ts
+++ b/packages/router/src/knowledge/startDeclarations.ts
@@ -80,7 +80,7 @@
 /** Follows the operators' declarations in the store and through the other VMs. */
 export function startDeclarations(parts: DeclarationParts): Declarations {
     const { clock, wire, logger, metrics } = parts;
-    const mirror = createTopicMirror((before, now) => before.equals(now));
+    const mirror = createTopicMirror((_, before, now) => before.equals(now));
     const state = {
         declaredState: initialDeclaredState,
         raw: undefined as Buffer | undefined,
--- a/packages/router/src/peers/collectRelayedSums.ts
+++ b/packages/router/src/peers/collectRelayedSums.ts
@@ -20,9 +20,10 @@
     }
     const spent = allowances.relayedSpent(scope);
     const load = peerLoad.relayedLoad(scope);
+    const demand = membership.relayedDemand(scope);
     return target => ({
         relayedSpent: spent(target),
         relayedLoad: load(target),
-        relayedDemand: membership.relayedDemand(scope, target),
+        relayedDemand: demand(target),
     });
 }
--- a/packages/router/src/peers/createBeaconEncoder.ts
+++ b/packages/router/src/peers/createBeaconEncoder.ts
@@ -154,7 +154,16 @@
     const load = JSON.stringify(common.load?.map(loadRow) ?? null);
     const pages = packRows(commonRows(common), limit);
     const relayedDemandOf = common.scope === "vm" ? () => 0 : ({ relayedDemand }: PerTarget) => relayedDemand;
-    const firstPage = (own: PerTarget): string => encodePage(common, pages[0] ?? new Map(), load, relayedDemandOf(own));
+    const first = { demand: undefined as number | undefined, text: "" };
+    /** The first page is the same for all receivers with the same relayed demand, which are nearly all. */
+    const firstPage = (own: PerTarget): string => {
+        const demand = relayedDemandOf(own);
+        if (demand !== first.demand) {
+            first.demand = demand;
+            first.text = encodePage(common, pages[0] ?? new Map(), load, demand);
+        }
+        return first.text;
+    };
     const otherPages = pages.slice(1).map(page => encodePage(common, page, "null", 0));
 
     return own => {
--- a/packages/router/src/peers/createMembership.ts
+++ b/packages/router/src/peers/createMembership.ts
@@ -70,7 +70,7 @@
      * Demand that a relay sends to a target, in prompt tokens per millisecond. Received demand counts for `goneMs`,
      * longer than in `demand`.
      */
-    readonly relayedDemand: (scope: "domain" | "fleet", target: VmId | undefined) => Tokens;
+    readonly relayedDemand: (scope: "domain" | "fleet") => (target: VmId | undefined) => Tokens;
     /** Whether this VM reads the registry for all VMs. */
     readonly isReader: () => boolean;
     /** Whether this VM reads the declarations for its failure domain. */
@@ -165,7 +165,7 @@
                 ? 0
                 : domainSilentMs(lastSeenAt(domain), state.members.known.size, clock.now()),
         demand: () => peerDemand(state.members, isRelay(), clock.now()),
-        relayedDemand: (scope, target) => relayedDemand(state.members, scope, role, target, clock.now()),
+        relayedDemand: scope => relayedDemand(state.members, scope, role, clock.now()),
         isReader: () => isReader(state.members, clock.now()),
         isDomainReader: () => isReader(state.members, clock.now(), self.failureDomain),
         beaconIntervalMs: () => beaconInterval(state.members.known.size),
--- a/packages/router/src/peers/startBeacons.ts
+++ b/packages/router/src/peers/startBeacons.ts
@@ -17,6 +17,7 @@
 
 /** Delay before the socket is closed, as closing it at once would drop the final datagrams. */
 const CLOSE_AFTER_MS = 20;
+const IP_VERSION = 4;
 
 /**
  * Starts to send beacons to other VMs, and to receive theirs. Datagrams need no connection that could hang, and the
@@ -30,7 +31,11 @@
     readonly send: (datagram: Buffer, address: string) => void;
     readonly stop: () => void;
 } {
-    const socket = createSocket("udp4");
+    // All addresses are numbers. Without this, each datagram costs a call of the resolver and a turn of the event loop.
+    const socket = createSocket({
+        type: "udp4",
+        lookup: (address, _, callback) => callback(null, address, IP_VERSION),
+    });
     const [host, port] = parts.address.split(":");
     const exchange = { current: undefined as ReturnType<typeof createBeaconExchange> | undefined };
 
@@ -49,15 +54,17 @@
             exchange.current?.receive(datagram, `${from.address}:${from.port}`);
         }
     });
-    socket.bind(Number(port), host);
-    socket.once("listening", () => {
+    const begin = (): void => {
         exchange.current = createBeaconExchange({
             ...parts,
             send,
             schedule: scheduleTimer,
             onUnreadable: () => parts.onFault("unreadable", undefined),
         });
-    });
+    };
+    // With this lookup, the socket may be bound within the call; the first round begins after the caller has the result.
+    socket.once("listening", () => setImmediate(begin));
+    socket.bind(Number(port), host);
     return {
         sendSoon: () => exchange.current?.sendSoon(),
         send,
--- a/packages/router/src/placement/createEndpointTable.ts
+++ b/packages/router/src/placement/createEndpointTable.ts
@@ -49,12 +49,16 @@
         registry: emptyRegistry as Registry,
         digest: digestOfRegistry(emptyRegistry),
         entryByAddress: new Map<string, EndpointEntry>(),
+        /** All entries, kept until one changes, as requests and ticks look through them. */
+        entries: [] as readonly EndpointEntry[],
+        /** By service: the endpoints that are not leaving, collected when they are first needed after a change. */
+        serving: new Map<ServiceName, readonly EndpointEntry[]>(),
         engineServices: [] as readonly ServiceName[],
     };
     const observations = createObservations(clock, parts.onGone);
 
     const entryOf: EndpointTable["entryOf"] = endpoint => state.registry.endpoints.get(endpoint)?.entry;
-    const allEntries = (): readonly EndpointEntry[] => [...state.registry.endpoints.values()].map(({ entry }) => entry);
+    const allEntries = (): readonly EndpointEntry[] => state.entries;
 
     const versions = createEngineVersions({
         clock,
@@ -75,11 +79,14 @@
     const applyRegistryEvent: EndpointTable["applyRegistryEvent"] = event => {
         const before = state.registry;
         state.registry = stepRegistry(before, event, clock.now());
-        const entries = allEntries();
-        entries.forEach(versions.adoptStated);
         if (state.registry.endpoints === before.endpoints) {
+            versions.adoptAllStated();
             return;
         }
+        const entries = [...state.registry.endpoints.values()].map(({ entry }) => entry);
+        state.entries = entries;
+        state.serving = new Map();
+        entries.forEach(versions.adoptStated);
         state.digest = digestOfRegistry(state.registry);
         state.entryByAddress = new Map(entries.map(entry => [entry.address, entry]));
         state.engineServices = [
@@ -103,8 +110,11 @@
     };
 
     const stayingEntries = (): readonly EndpointEntry[] => allEntries().filter(({ isLeaving }) => !isLeaving);
-    const servingEntries: EndpointTable["servingEntries"] = service =>
-        stayingEntries().filter(entry => entry.service === service);
+    const servingEntries: EndpointTable["servingEntries"] = service => {
+        const serving = state.serving.get(service) ?? stayingEntries().filter(entry => entry.service === service);
+        state.serving.set(service, serving);
+        return serving;
+    };
 
     const candidates: EndpointTable["candidates"] = request => {
         const now = clock.now();
--- a/packages/router/src/placement/createEngineVersions.ts
+++ b/packages/router/src/placement/createEngineVersions.ts
@@ -23,6 +23,8 @@
     /** Returns the version that an engine holds for a model; undefined if it serves none. */
     readonly at: (entry: EndpointEntry, model: ModelName | undefined) => number | undefined;
     readonly adoptStated: (entry: EndpointEntry) => void;
+    /** As `adoptStated`, for all entries; only for use while these have not changed since the last call. */
+    readonly adoptAllStated: () => void;
     readonly observe: EndpointTable["observeWeights"];
     readonly receive: EndpointTable["receiveWeights"];
     readonly all: EndpointTable["engineVersions"];
@@ -34,6 +36,11 @@
 /** Creates the versions from what is observed of endpoints. */
 export function createEngineVersions(parts: EngineVersionsParts): EngineVersions {
     const { clock, observations, entryOf } = parts;
+    /**
+     * Engines that may hold a later version than their entry states. Beacons confirm the entries dozens of times a
+     * second, and all others need no look then.
+     */
+    const ahead = new Set<EndpointName>();
     const at: EngineVersions["at"] = (entry, model) =>
         model === undefined || !entry.versions.has(model)
             ? undefined
@@ -53,11 +60,31 @@
             observed.distrustedVersion = observed.knownVersion;
             observed.knownVersion = stated;
         }
+        if (stated > 0 && stated < observed.knownVersion) {
+            ahead.add(entry.name);
+        }
+        else {
+            ahead.delete(entry.name);
+        }
     };
+    const adoptAllStated: EngineVersions["adoptAllStated"] = () =>
+        [...ahead].forEach(endpoint => {
+            const entry = entryOf(endpoint);
+            if (entry === undefined) {
+                ahead.delete(endpoint);
+                return;
+            }
+            adoptStated(entry);
+        });
 
-    const recordVersion = (observed: EndpointObservations, version: number): boolean => {
+    const recordVersion = (
+        { name }: EndpointEntry,
+        observed: EndpointObservations,
+        version: number,
+    ): boolean => {
         const isNewer = version > observed.knownVersion;
         if (isNewer) {
+            ahead.add(name);
             observed.knownVersion = version;
             observed.versionLearnedAt = clock.now();
             observed.versionConfirmedAt = clock.now();
@@ -68,7 +95,7 @@
         const entry = entryOf(endpoint);
         if (entry !== undefined) {
             const observed = observations.of(entry);
-            recordVersion(observed, version);
+            recordVersion(entry, observed, version);
             if (version === observed.knownVersion) {
                 observed.versionConfirmedAt = clock.now();
             }
@@ -76,13 +103,17 @@
     };
     const receive: EngineVersions["receive"] = (endpoint, version) => {
         const entry = entryOf(endpoint);
-        const observed = entry === undefined ? undefined : observations.of(entry);
+        if (entry === undefined) {
+            return false;
+        }
+        const observed = observations.of(entry);
         // Recorded as learned now, so that a relay sends it on to its peers promptly as well.
-        return observed !== undefined && version > observed.distrustedVersion && recordVersion(observed, version);
+        return version > observed.distrustedVersion && recordVersion(entry, observed, version);
     };
     return {
         at,
         adoptStated,
+        adoptAllStated,
         observe,
         receive,
         all: () =>
--- a/packages/router/src/registry/startRegistry.ts
+++ b/packages/router/src/registry/startRegistry.ts
@@ -67,9 +67,16 @@
         state.freshness = stepRegistryFreshness(state.freshness, event);
     };
 
+    /** What a record says; each is decoded once, though it is compared with those before and after it. */
+    const decoded = new WeakMap<Buffer, ReturnType<DirectoryWire["decodeEntry"]>>();
+    const decodeOnce = (key: string, value: Buffer): ReturnType<DirectoryWire["decodeEntry"]> => {
+        const result = decoded.get(value) ?? wire.decodeEntry(key, value);
+        decoded.set(value, result);
+        return result;
+    };
     /** An entry that cannot be decoded is counted, logged and treated as absent. */
     const decode = (key: string, value: Buffer | undefined): EndpointEntry | undefined =>
-        value === undefined ? undefined : wire.decodeEntry(key, value).caseOf({
+        value === undefined ? undefined : decodeOnce(key, value).caseOf({
             Left: fault => {
                 metrics.count("azureshunt_unreadable_total", "Records that could not be read.", { what: "entry" });
                 logger.warn({ key, fault }, "Decoding an endpoint's registry entry failed.");
@@ -79,9 +86,9 @@
         });
 
     /** Endpoints rewrite their entries as heartbeats; only a change of the decoded entry counts. */
-    const isSameEntry = (before: Buffer, now: Buffer): boolean =>
-        JSON.stringify(wire.decodeEntry("", before).extract()) === JSON.stringify(wire.decodeEntry("", now).extract());
-    const mirror = createTopicMirror(isSameEntry);
+    const isSame = (key: string, before: Buffer, now: Buffer): boolean =>
+        JSON.stringify(decodeOnce(key, before).extract()) === JSON.stringify(decodeOnce(key, now).extract());
+    const mirror = createTopicMirror(isSame);
 
     const stopFollowing = followTopic({
         store: parts.store,
--- a/packages/router/src/registry/stepRegistry.ts
+++ b/packages/router/src/registry/stepRegistry.ts
@@ -1,6 +1,7 @@
 import type { EndpointName, Millis } from "@azureshunt/core";
 
 import type { EndpointEntry } from "./EndpointEntry.js";
+import { isSameEntry } from "./isSameEntry.js";
 import type { Registry } from "./Registry.js";
 import type { RegistryEvent } from "./RegistryEvent.js";
 
@@ -21,12 +22,16 @@
     answeringSince: now - registry.answeredAt > MAX_ANSWER_GAP_MS ? now : registry.answeringSince,
 });
 
+/**
+ * Adds or replaces an entry. Endpoints rewrite their entries as heartbeats several times a second; the map stays the same
+ * if all of them say what is known, so that nothing is derived from it again.
+ */
 const put = (endpoints: Endpoints, entry: EndpointEntry): Endpoints => {
-    const known = endpoints.get(entry.name)?.entry;
+    const known = endpoints.get(entry.name);
     // A delayed record must not bring back an earlier incarnation of the endpoint.
-    return known !== undefined && known.bornAt > entry.bornAt
-        ? endpoints
-        : new Map([...endpoints, [entry.name, { entry, missingSince: undefined }]]);
+    const isOlder = known !== undefined && known.entry.bornAt > entry.bornAt;
+    const isKnown = known !== undefined && known.missingSince === undefined && isSameEntry(known.entry, entry);
+    return isOlder || isKnown ? endpoints : new Map(endpoints).set(entry.name, { entry, missingSince: undefined });
 };
 
 /**
--- a/packages/router/src/store/createTopicMirror.ts
+++ b/packages/router/src/store/createTopicMirror.ts
@@ -16,16 +16,16 @@
 /**
  * Creates an empty mirror. It keeps the newest record of each key, or a record without a value if the key was deleted.
  *
- * @param isSame whether two values of a key are equivalent to readers, so that the second need not be sent to them
+ * @param isSame whether two values of the key are equivalent to readers, so that the second need not be sent to them
  */
-export function createTopicMirror(isSame: (before: Buffer, now: Buffer) => boolean): TopicMirror {
+export function createTopicMirror(isSame: (key: string, before: Buffer, now: Buffer) => boolean): TopicMirror {
     const state = { records: new Map<string, TopicRecord>(), end: undefined as number | undefined };
 
     const isNewer = ({ offset, key, value }: TopicRecord): boolean => {
         const before = state.records.get(key);
         return before === undefined
             || (offset > before.offset
-                && (value === undefined || before.value === undefined || !isSame(before.value, value)));
+                && (value === undefined || before.value === undefined || !isSame(key, before.value, value)));
     };
     const record: TopicMirror["record"] = ({ records, end, isWhole }) => {
         const keys = new Set(records.map(({ key }) => key));
