Encode relayed rows once, and skip counters that did not change

A relay packed and encoded the spending rows anew for each receiver, though they are the same for all that contributed nothing; each organisation in each beacon had its counter compared twice and new maps made; each confirming beacon searched all endpoints for missing entries.

--- a/packages/router/src/__tests__/unit/beacon.test.ts
+++ b/packages/router/src/__tests__/unit/beacon.test.ts
@@ -1,4 +1,4 @@
-import type { EndpointName, FailureDomain, Incarnation, ServiceName, VmId } from "@azureshunt/core";
+import type { EndpointName, FailureDomain, Incarnation, OrganisationId, ServiceName, VmId } from "@azureshunt/core";
 import type { SuspectKey } from "@azureshunt/quarantine";
 import test from "ava";
 
@@ -165,3 +165,17 @@
     });
     t.deepEqual(demands, [90, 90, 40, 90]);
 });
+
+// Encoded relayed rows are kept between receivers, and one must not get those of the receiver before it.
+test("each receiver gets its own relayed rows, also after another one", t => {
+    const { sequence, sentAt, echo, relayedSpent: none, relayedLoad, relayedDemand, ...common } = beacon;
+    const encode = createBeaconEncoder(common);
+    const sums = [10, 10, 4, 0, 10];
+    const received = sums.map(tokens => {
+        const relayedSpent = tokens === 0 ? none : [["org" as OrganisationId, tokens, 1] as const];
+        return encode({ sequence, sentAt, echo, relayedSpent, relayedLoad, relayedDemand })
+            .flatMap(datagram => decodeBeacon(datagram)?.relayedSpent ?? [])
+            .map(([, spent]) => spent);
+    });
+    t.deepEqual(received, [[10], [10], [4], [], [10]]);
+});
--- a/packages/router/src/allowance/createAllowances.ts
+++ b/packages/router/src/allowance/createAllowances.ts
@@ -144,7 +144,12 @@
             return 0;
         }
         const now = clock.now();
-        all.set(id, receiveSpending(allowance, sent, now));
+        const received = receiveSpending(allowance, sent, now);
+        if (received === allowance) {
+            // The counter is the known one, so it adds nothing: the usual case, for each organisation in each beacon.
+            return 0;
+        }
+        all.set(id, received);
         return addedByCounter(allowance, sent, now);
     };
     const receiveOwn = ({ vm, incarnation, upMs, spent }: SpendingUpdate, role: VmRole): void =>
--- a/packages/router/src/allowance/createOrganisationDemand.ts
+++ b/packages/router/src/allowance/createOrganisationDemand.ts
@@ -42,11 +42,11 @@
             demand.record(tokens);
         },
         receiveDemand: (spender, organisation, perSecond) => {
-            const bySpender = received.get(organisation) ?? new Map<Spender, ReceivedDemand>();
             if (perSecond === 0) {
-                bySpender.delete(spender);
+                received.get(organisation)?.delete(spender);
                 return;
             }
+            const bySpender = received.get(organisation) ?? new Map<Spender, ReceivedDemand>();
             received.set(organisation, bySpender.set(spender, { perSecond, receivedAt: clock.now() }));
         },
         others,
--- a/packages/router/src/allowance/createRelayedSpending.ts
+++ b/packages/router/src/allowance/createRelayedSpending.ts
@@ -39,6 +39,9 @@
 
     const record: RelayedSpending["record"] = (organisation, spender, role, tokens) => {
         roles.set(spender, role);
+        if (tokens === 0) {
+            return;
+        }
         const own = bySpender.get(spender) ?? { domain: new Map(), fleet: new Map() };
         bySpender.set(spender, own);
         scopesOf(role).forEach(scope => {
--- a/packages/router/src/peers/createBeaconEncoder.ts
+++ b/packages/router/src/peers/createBeaconEncoder.ts
@@ -166,12 +166,23 @@
     };
     const otherPages = pages.slice(1).map(page => encodePage(common, page, "null", 0));
 
+    const relayed = { key: "", tails: [] as readonly string[] };
+    /** The relayed rows are the same for all receivers that contributed nothing to them. */
+    const relayedTails = (rows: readonly Row[]): readonly string[] => {
+        const key = rows.map(({ list, json }) => `${list}${json}`).join();
+        if (key !== relayed.key) {
+            relayed.key = key;
+            relayed.tails = rows.length === 0
+                ? []
+                : packRows(rows, limit).map(page => encodePage(common, page, "null", 0));
+        }
+        return relayed.tails;
+    };
+
     return own => {
         const { sequence, sentAt, echo } = own;
         const echoed = JSON.stringify(echo === undefined ? null : [echo.incarnation, echo.sentAt, echo.heldMs]);
-        const rows = targetRows(own);
-        const relayed = rows.length === 0 ? [] : packRows(rows, limit);
-        return [firstPage(own), ...otherPages, ...relayed.map(page => encodePage(common, page, "null", 0))].map(tail =>
+        return [firstPage(own), ...otherPages, ...relayedTails(targetRows(own))].map(tail =>
             Buffer.from(`${head},${sequence},${sentAt},${echoed},${tail}]`)
         );
     };
--- a/packages/router/src/peers/createVersionSelector.ts
+++ b/packages/router/src/peers/createVersionSelector.ts
@@ -21,8 +21,9 @@
     const rotation = { next: 0 };
     return () => {
         const all = versions();
-        const recent = all.filter(({ learnedAt }) => now() - learnedAt < RECENT_MS);
-        const others = all.filter(each => !recent.includes(each));
+        const since = now() - RECENT_MS;
+        const recent = all.filter(({ learnedAt }) => learnedAt > since);
+        const others = all.filter(({ learnedAt }) => learnedAt <= since);
         const from = others.length === 0 ? 0 : rotation.next % others.length;
         const repeated = [...others.slice(from), ...others.slice(0, from)].slice(0, MAX_REPEATED);
         rotation.next = from + repeated.length;
--- a/packages/router/src/registry/stepRegistry.ts
+++ b/packages/router/src/registry/stepRegistry.ts
@@ -54,7 +54,18 @@
     return new Map([...endpoints].filter(([each]) => each !== name));
 };
 
+/** Whether any entry is missing, by map, as each beacon that confirms the entries asks for it. */
+const missingIn = new WeakMap<Endpoints, boolean>();
+const hasMissing = (endpoints: Endpoints): boolean => {
+    const known = missingIn.get(endpoints) ?? [...endpoints.values()].some(each => each.missingSince !== undefined);
+    missingIn.set(endpoints, known);
+    return known;
+};
+
 const dropMissing = (registry: Registry, now: Millis): Registry => {
+    if (!hasMissing(registry.endpoints)) {
+        return registry;
+    }
     const isExpired = ({ missingSince }: Registered): boolean =>
         missingSince !== undefined && now - registry.answeringSince >= REREGISTRATION_MS;
     return [...registry.endpoints.values()].some(isExpired)
