--- a/packages/router/src/peers/createBeaconEncoder.ts
+++ b/packages/router/src/peers/createBeaconEncoder.ts
@@ -154,15 +154,35 @@
     const load = JSON.stringify(common.load?.map(loadRow) ?? null);
     const pages = packRows(commonRows(common), limit);
     const relayedDemandOf = common.scope === "vm" ? () => 0 : ({ relayedDemand }: PerTarget) => relayedDemand;
-    const firstPage = (own: PerTarget): string => encodePage(common, pages[0] ?? new Map(), load, relayedDemandOf(own));
+    const first = { demand: undefined as number | undefined, text: "" };
+    /** The first page is the same for all receivers with the same relayed demand, which are nearly all. */
+    const firstPage = (own: PerTarget): string => {
+        const demand = relayedDemandOf(own);
+        if (demand !== first.demand) {
+            first.demand = demand;
+            first.text = encodePage(common, pages[0] ?? new Map(), load, demand);
+        }
+        return first.text;
+    };
     const otherPages = pages.slice(1).map(page => encodePage(common, page, "null", 0));
 
+    const relayed = { key: "", tails: [] as readonly string[] };
+    /** The relayed rows are the same for all receivers that contributed nothing to them. */
+    const relayedTails = (rows: readonly Row[]): readonly string[] => {
+        const key = rows.map(({ list, json }) => `${list}${json}`).join();
+        if (key !== relayed.key) {
+            relayed.key = key;
+            relayed.tails = rows.length === 0
+                ? []
+                : packRows(rows, limit).map(page => encodePage(common, page, "null", 0));
+        }
+        return relayed.tails;
+    };
+
     return own => {
         const { sequence, sentAt, echo } = own;
         const echoed = JSON.stringify(echo === undefined ? null : [echo.incarnation, echo.sentAt, echo.heldMs]);
-        const rows = targetRows(own);
-        const relayed = rows.length === 0 ? [] : packRows(rows, limit);
-        return [firstPage(own), ...otherPages, ...relayed.map(page => encodePage(common, page, "null", 0))].map(tail =>
+        return [firstPage(own), ...otherPages, ...relayedTails(targetRows(own))].map(tail =>
             Buffer.from(`${head},${sequence},${sentAt},${echoed},${tail}]`)
         );
     };
--- a/packages/router/src/registry/stepRegistry.ts
+++ b/packages/router/src/registry/stepRegistry.ts
@@ -1,6 +1,7 @@
 import type { EndpointName, Millis } from "@azureshunt/core";
 
 import type { EndpointEntry } from "./EndpointEntry.js";
+import { isSameEntry } from "./isSameEntry.js";
 import type { Registry } from "./Registry.js";
 import type { RegistryEvent } from "./RegistryEvent.js";
 
@@ -21,12 +22,16 @@
     answeringSince: now - registry.answeredAt > MAX_ANSWER_GAP_MS ? now : registry.answeringSince,
 });
 
+/**
+ * Adds or replaces an entry. Endpoints rewrite their entries as heartbeats several times a second; the map stays the same
+ * if all of them say what is known, so that nothing is derived from it again.
+ */
 const put = (endpoints: Endpoints, entry: EndpointEntry): Endpoints => {
-    const known = endpoints.get(entry.name)?.entry;
+    const known = endpoints.get(entry.name);
     // A delayed record must not bring back an earlier incarnation of the endpoint.
-    return known !== undefined && known.bornAt > entry.bornAt
-        ? endpoints
-        : new Map([...endpoints, [entry.name, { entry, missingSince: undefined }]]);
+    const isOlder = known !== undefined && known.entry.bornAt > entry.bornAt;
+    const isKnown = known !== undefined && known.missingSince === undefined && isSameEntry(known.entry, entry);
+    return isOlder || isKnown ? endpoints : new Map(endpoints).set(entry.name, { entry, missingSince: undefined });
 };
 
 /**
@@ -49,7 +54,18 @@
     return new Map([...endpoints].filter(([each]) => each !== name));
 };
 
+/** Whether any entry is missing, by map, as each beacon that confirms the entries asks for it. */
+const missingIn = new WeakMap<Endpoints, boolean>();
+const hasMissing = (endpoints: Endpoints): boolean => {
+    const known = missingIn.get(endpoints) ?? [...endpoints.values()].some(each => each.missingSince !== undefined);
+    missingIn.set(endpoints, known);
+    return known;
+};
+
 const dropMissing = (registry: Registry, now: Millis): Registry => {
+    if (!hasMissing(registry.endpoints)) {
+        return registry;
+    }
     const isExpired = ({ missingSince }: Registered): boolean =>
         missingSince !== undefined && now - registry.answeringSince >= REREGISTRATION_MS;
     return [...registry.endpoints.values()].some(isExpired)
