Decide in a package what is cut off or refused for want of memory

Cause: what callers have not read is buffered without a bound on the sum; 40 callers that read nothing take 400 MB.

packages/flow holds the decisions as pure functions: the byte budget of a VM, which requests are cut off when it is used up, when a new one is refused, how much of an answer may wait for a slow caller, and when an answer makes no progress. Nothing uses it yet.

Ruled out: cutting off the largest first (a caller that reads a large answer would go before those that read nothing).

--- /dev/null
+++ b/packages/flow/src/HeldRequest.ts
@@ -0,0 +1,10 @@
+import type { Millis } from "@azureshunt/core";
+
+/** What a VM buffers for one request. */
+export type HeldRequest = {
+    readonly bytes: number;
+    /** Since when its caller has read nothing although there is something to read; `undefined` if nothing waits for it. */
+    readonly unreadSince: Millis | undefined;
+    /** Whether the request may run again, so that its answer may be cut off. */
+    readonly isRepeatable: boolean;
+};
--- /dev/null
+++ b/packages/flow/src/__tests__/unit/flow.test.ts
@@ -0,0 +1,59 @@
+import test from "ava";
+
+import { budgetOf } from "../../budgetOf.js";
+import { chooseCuts } from "../../chooseCuts.js";
+import type { HeldRequest } from "../../HeldRequest.js";
+import { isStalled } from "../../isStalled.js";
+import { readAheadOf } from "../../readAheadOf.js";
+
+const NOW = 10_000;
+const held = (bytes: number, unreadMs: number | undefined, isRepeatable = true): HeldRequest => ({
+    bytes,
+    unreadSince: unreadMs === undefined ? undefined : NOW - unreadMs,
+    isRepeatable,
+});
+
+const old = held(30, 2_000);
+const older = held(30, 3_000);
+const fresh = held(30, 10);
+const once = held(60, 9_000, false);
+const waiting = held(60, undefined);
+
+// Guards against callers that read nothing taking the memory of those that read, and against the loss of answers to
+// requests that may not be repeated.
+const cases = [
+    { name: "below the high level nothing is cut off", held: [old, older], cut: [] },
+    { name: "the one unread for longest goes first", held: [old, older, fresh], cut: [older, old] },
+    { name: "within the budget, what is being read stays", held: [fresh, fresh, fresh], cut: [] },
+    { name: "beyond the budget, any unread answer may go", held: [fresh, fresh, fresh, old], cut: [old, fresh, fresh] },
+    { name: "what may not be repeated goes last", held: [once, old, fresh], cut: [old, fresh] },
+    { name: "what may not be repeated stays within the budget", held: [once, held(30, 20, false)], cut: [] },
+    {
+        name: "it goes beyond the budget if nothing else is left",
+        held: [once, held(60, 20, false), held(0, 9, true)],
+        cut: [once],
+    },
+    { name: "what no caller could read stays", held: [waiting, held(30, 9_000, false)], cut: [] },
+];
+cases.forEach(({ name, held: all, cut }) => {
+    test(`flow: ${name}`, t => t.deepEqual(chooseCuts(all, 100, NOW), cut));
+});
+
+test("flow: without a size there is no bound on the sum, and a VM of 250 MB has less than a tenth of it", t => {
+    t.is(budgetOf(undefined), Infinity);
+    t.true(budgetOf(250) < 26_300_000);
+    t.deepEqual(chooseCuts([older, old], budgetOf(undefined), NOW), []);
+});
+
+test("flow: an answer that may not be repeated is read whole while there is room", t => {
+    const query = { heldBytes: 0, budget: 1_000_000, holders: 1, isReadWhole: true };
+    t.is(readAheadOf(query), Infinity);
+    t.true(readAheadOf({ ...query, heldBytes: 800_000 }) < 500_000);
+    t.true(readAheadOf({ ...query, holders: 1_000, isReadWhole: false }) <= 65_536);
+});
+
+test("flow: a body that grows by a byte now and then is stalled, one on a slow link is not", t => {
+    t.true(isStalled({ since: 0, bytes: 100 }, 5_000, 5_000));
+    t.false(isStalled({ since: 0, bytes: 100 }, 5_000, 4_999));
+    t.false(isStalled({ since: 0, bytes: 40_000 }, 5_000, 5_000));
+});
