Add the error kind memory-exhausted, and report a body's size as it is read

A VM whose memory for answers is used up refuses new requests with 503: they have not run and never will. readBody calls back with the size of each part, so that bodies that arrive slowly can be counted, and does not copy a body that came in one part.

--- a/packages/core/src/ErrorKind.ts
+++ b/packages/core/src/ErrorKind.ts
@@ -43,6 +43,7 @@
     // The daemon.
     | "no-configuration"
     | "configuration-too-old"
+    | "memory-exhausted"
     | "shutting-down"
     | "caller-gone"
     | "internal";
--- a/packages/core/src/answerOf.ts
+++ b/packages/core/src/answerOf.ts
@@ -153,6 +153,7 @@
         "api_error",
         "The configuration is older than the organisation allows.",
     ),
+    "memory-exhausted": answer(503, "no", 1, true, "api_error", "The memory for answers is used up here."),
     "shutting-down": answer(503, "no", 1, false, "api_error", "This daemon is shutting down."),
     "caller-gone": answer(499, "maybe", undefined, false, "api_error", "The caller closed the connection."),
     "internal": answer(500, "maybe", 1, false, "api_error", "The daemon failed."),
--- a/packages/http/src/readBody.ts
+++ b/packages/http/src/readBody.ts
@@ -9,9 +9,14 @@
  * Reads a request's body.
  *
  * @param limit maximum size in bytes
+ * @param onBytes called with the size of each part that has been read
  * @returns Left with `body-too-large`, or with `caller-gone` if the caller disconnected
  */
-export async function readBody(req: IncomingMessage, limit: number): Promise<Either<Refusal, Buffer>> {
+export async function readBody(
+    req: IncomingMessage,
+    limit: number,
+    onBytes?: (bytes: number) => void,
+): Promise<Either<Refusal, Buffer>> {
     const chunks: Buffer[] = [];
     const size = { bytes: 0 };
     if (Number(req.headers["content-length"] ?? 0) > limit) {
@@ -20,6 +25,7 @@
     try {
         for await (const chunk of req.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
             size.bytes += chunk.length;
+            onBytes?.(chunk.length);
             if (size.bytes > limit) {
                 return Left(refusalOf("body-too-large", `at most ${limit} bytes`));
             }
@@ -29,5 +35,5 @@
     catch {
         return Left(refusalOf("caller-gone", undefined, { ran: "no" }));
     }
-    return Right(Buffer.concat(chunks));
+    return Right(chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks));
 }
