Bound what a VM buffers for callers and endpoints

Cause: what callers do not read, and what endpoints send without end, was buffered without a bound on the sum; the event splitter copied and searched its whole buffer on every read.

Answers go out in slices as their callers read; an endpoint is not read while more waits than the request's share. The sum is kept within a budget that follows from memoryMb: unread repeatable answers are cut off first, then new requests are refused with 503 memory-exhausted. Answers that are read whole, to at-most-once requests and all plain ones, wait for room instead of being cut off. Heads, bodies, events and blank lines that do not become an answer end by size or by time without progress. An endpoint that leaves 1 MB of bodies unread gets no more requests. Events that one read completes go out as one write; the silence timer is no longer set anew with each read; each byte is searched once.

The test of the stream's pace measured the wait in the pace itself; the output measures it now, and callerOutput.test checks it with the same values.

--- a/packages/router/src/RouterSettings.ts
+++ b/packages/router/src/RouterSettings.ts
@@ -1,4 +1,5 @@
 import type { FailureDomain, Millis, VmId } from "@azureshunt/core";
+import type { FlowBounds } from "@azureshunt/flow";
 
 /** Validated settings of one VM's router. Addresses are `host:port`. */
 export type RouterSettings = {
@@ -42,5 +43,9 @@
     };
     /** Largest fraction of a service's requests that a new version may get before it is known to be good. */
     readonly rolloutExposure: number;
+    /** Memory of this VM, from which the byte budget follows; without it the sum of what is buffered has no bound. */
+    readonly memoryMb?: number;
+    /** Bounds on answers that differ from the defaults. */
+    readonly flow?: Partial<FlowBounds>;
     readonly logLevel: string;
 };
--- /dev/null
+++ b/packages/router/src/__tests__/unit/callerOutput.test.ts
@@ -0,0 +1,69 @@
+import type { ServerResponse } from "node:http";
+import { Writable } from "node:stream";
+
+import type { Clock } from "@azureshunt/core";
+import { createMetrics } from "@azureshunt/telemetry";
+import test from "ava";
+
+import { createByteBudget } from "../../flow/createByteBudget.js";
+import { createCallerOutput } from "../../serve/createCallerOutput.js";
+import { silentLogger } from "../support/silentLogger.js";
+
+/** A caller that reads `take` bytes when told, and a budget of `budget` bytes. */
+const open = (budget: number) => {
+    const clock = { now: () => state.now } as unknown as Clock;
+    const state = { now: 0, taken: [] as (() => void)[], received: [] as Buffer[] };
+    const res = new Writable({
+        write: (chunk: Buffer, _encoding, done) => {
+            state.received.push(chunk);
+            state.taken.push(done);
+        },
+    });
+    const byteBudget = createByteBudget({
+        clock,
+        budget: () => budget,
+        logger: silentLogger,
+        metrics: createMetrics(),
+    });
+    const account = byteBudget.open(res as unknown as ServerResponse);
+    const read = async (ms: number): Promise<void> => {
+        state.now += ms;
+        state.taken.shift()?.();
+        await new Promise(resolve => setImmediate(resolve));
+    };
+    return { state, res, byteBudget, account, output: createCallerOutput(clock, account), read };
+};
+
+// Guards against memory that is not counted, and against a slow caller passing for one that does not read.
+test("caller output: what is not read is counted, and each slice that is read shows", async t => {
+    const { state, byteBudget, account, output, read } = open(Infinity);
+    const bytes = Buffer.alloc(300_000, "a");
+    output.write(bytes);
+    t.is(byteBudget.heldBytes(), bytes.length);
+    t.is(account.unreadSince, 0);
+    await read(350);
+    t.is(account.unreadSince, 350);
+    t.is(output.maxWaitMs(), 350);
+    t.true(byteBudget.heldBytes() < bytes.length);
+    while (state.taken.length > 0) {
+        await read(1);
+    }
+    t.is(Buffer.concat(state.received).length, bytes.length);
+    t.is(byteBudget.heldBytes(), 0);
+    t.is(account.unreadSince, undefined);
+});
+
+// Guards against a request that may not be repeated losing its answer, and against a budget that is not kept.
+[true, false].forEach(isRepeatable => {
+    test(`caller output: beyond the budget an answer is cut off only if it may be repeated: ${isRepeatable}`, async t => {
+        const { state, res, byteBudget, account, output } = open(200_000);
+        account.isRepeatable = isRepeatable;
+        output.write(Buffer.alloc(190_000));
+        state.now = 300;
+        byteBudget.tick();
+        await new Promise(resolve => setImmediate(resolve));
+        t.is(res.destroyed, isRepeatable);
+        t.is(byteBudget.heldBytes(), isRepeatable ? 0 : 190_000);
+        t.true(account.readAhead() < 200_000);
+    });
+});
--- a/packages/router/src/__tests__/unit/placeRequest.test.ts
+++ b/packages/router/src/__tests__/unit/placeRequest.test.ts
@@ -34,6 +34,7 @@
         random: () => 0.5,
         endpointTable,
         placingVms: () => 3,
+        unreadBodies: { isSlowReader: () => false },
         rollouts: { selectorFor: () => undefined },
         brittleServices: { select: (_: ServiceName, placeable: readonly unknown[]) => placeable },
         endpointLimits: {
--- a/packages/router/src/dispatch/EndpointCall.ts
+++ b/packages/router/src/dispatch/EndpointCall.ts
@@ -1,4 +1,5 @@
 import type { Millis } from "@azureshunt/core";
+import type { FlowBounds } from "@azureshunt/flow";
 
 /** One request to one endpoint, ready to be sent. */
 export type EndpointCall = {
@@ -17,4 +18,8 @@
      * Whether other activity shows that the endpoint is alive, so that it is worth waiting longer. Defaults to false.
      */
     readonly isAlive?: () => boolean;
+    /** Bounds on the head of the answer; those of `defaultBounds` if omitted. */
+    readonly bounds?: Pick<FlowBounds, "headBytes" | "progressMs">;
+    /** Called when the body is given to Node; returns a function that is called when the system has taken it. */
+    readonly onBody?: (address: string, bytes: number) => () => void;
 };
--- a/packages/router/src/dispatch/callOnce.ts
+++ b/packages/router/src/dispatch/callOnce.ts
@@ -23,5 +23,7 @@
         return { kind: opened.kind === "unreached" ? "unreached" : "lost" };
     }
     const body = await readAnswer(opened);
-    return body === undefined ? { kind: "lost" } : { kind: "answer", status: opened.res.statusCode ?? 0, body };
+    return body === undefined
+        ? { kind: "lost" }
+        : { kind: "answer", status: opened.res.statusCode ?? 0, body: Buffer.concat(body) };
 }
--- a/packages/router/src/dispatch/openCall.ts
+++ b/packages/router/src/dispatch/openCall.ts
@@ -1,5 +1,7 @@
 import { request } from "node:http";
 
+import { defaultBounds } from "@azureshunt/flow";
+
 import type { ConnectionKind } from "./ConnectionKind.js";
 import type { EndpointAgent } from "./EndpointAgent.js";
 import type { EndpointCall } from "./EndpointCall.js";
@@ -71,14 +73,41 @@
         };
         const connectTimer = agent.limitsOpening ? undefined : setTimeout(endUnlessConnected, CONNECT_MS);
         const headTimer = { current: undefined as NodeJS.Timeout | undefined };
+        const { headBytes, progressMs } = call.bounds ?? defaultBounds;
+        const head = { startBytes: 0, since: undefined as number | undefined };
+        /**
+         * Whether bytes arrive that do not become a head: blank lines, 1xx answers, a header that goes on. Node has a bound
+         * on the headers of one answer alone.
+         */
+        const isHeadStalled = (): boolean => {
+            const bytes = (req.socket?.bytesRead ?? 0) - head.startBytes;
+            if (!progress.isConnected || bytes === 0) {
+                return false;
+            }
+            head.since ??= performance.now();
+            return bytes > headBytes || performance.now() - head.since >= progressMs;
+        };
+        const headDueAt = performance.now() + call.headMs;
+        const checkHead = (): void => {
+            if (isHeadStalled()) {
+                abandon();
+                return;
+            }
+            const leftMs = headDueAt - performance.now();
+            if (leftMs < 1) {
+                onSilence();
+                return;
+            }
+            headTimer.current = setTimeout(checkHead, Math.min(leftMs, RECHECK_MS));
+        };
         const onSilence = (): void => {
             if (progress.isConnected && call.isAlive?.() === true) {
-                headTimer.current = setTimeout(onSilence, RECHECK_MS);
+                headTimer.current = setTimeout(checkHead, RECHECK_MS);
                 return;
             }
             endAsSilent();
         };
-        headTimer.current = setTimeout(onSilence, call.headMs);
+        headTimer.current = setTimeout(checkHead, Math.min(call.headMs, RECHECK_MS));
         const settle = (opened: OpenedCall): void => {
             clearTimeout(connectTimer);
             clearTimeout(headTimer.current);
@@ -93,6 +122,7 @@
             };
             socket.prependOnceListener("end", onEnd);
             req.once("close", () => socket.removeListener("end", onEnd));
+            head.startBytes = socket.bytesRead;
             if (!socket.connecting) {
                 progress.isConnected = true;
                 progress.connection = agent.connectionKindOf(socket);
@@ -127,6 +157,18 @@
             settle({ kind: signal.aborted ? "cancelled" : progress.isSilent ? "silent" : "broken", connection });
         };
         req.once("close", onClose);
+        if (call.body.length > 0 && call.onBody !== undefined) {
+            const onTaken = call.onBody(call.address, call.body.length);
+            const state = { isTaken: false };
+            const taken = (): void => {
+                if (!state.isTaken) {
+                    state.isTaken = true;
+                    onTaken();
+                }
+            };
+            req.once("finish", taken);
+            req.once("close", taken);
+        }
         req.end(call.body);
     });
 }
--- a/packages/router/src/dispatch/readAnswer.ts
+++ b/packages/router/src/dispatch/readAnswer.ts
@@ -1,8 +1,22 @@
+import type { Clock } from "@azureshunt/core";
+import type { FlowBounds } from "@azureshunt/flow";
+import { defaultBounds, isStalled } from "@azureshunt/flow";
+
+import type { HeldAccount } from "../flow/HeldAccount.js";
 import { isComplete } from "./isComplete.js";
 import type { OpenedCall } from "./OpenedCall.js";
 
-/** Size limit of an answer that is buffered in memory before it goes to the caller. */
-const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+type ReadParts = {
+    readonly bounds: FlowBounds;
+    readonly clock: Pick<Clock, "now">;
+    /** Account of the request whose caller gets the answer, if one does. */
+    readonly account?: Pick<
+        HeldAccount,
+        "add" | "readAhead" | "waitForRoom" | "onBudgetRoom" | "source" | "answerSince"
+    >;
+};
+
+const DEFAULTS: ReadParts = { bounds: defaultBounds, clock: { now: () => performance.now() } };
 
 /**
  * Reads an answer to its end.
@@ -11,22 +25,85 @@
  * would get half of the answer as a success. To prevent this, an answer counts as complete only if it ended without an
  * error.
  *
- * @returns undefined if the answer is incomplete or too large
+ * An endpoint may send bytes for as long as they are read. To prevent this, the answer has a bound on its size, and on
+ * the time in which it must end or grow.
+ *
+ * @returns the answer's parts, or undefined if it is incomplete, too large or stalled
  */
-export function readAnswer(opened: Extract<OpenedCall, { kind: "head"; }>): Promise<Buffer | undefined> {
+export function readAnswer(
+    opened: Extract<OpenedCall, { kind: "head"; }>,
+    { bounds, clock, account }: ReadParts = DEFAULTS,
+): Promise<readonly Buffer[] | undefined> {
     const { res } = opened;
     return new Promise(resolve => {
         const chunks: Buffer[] = [];
-        const size = { bytes: 0 };
+        const state = { bytes: 0, isSettled: false, growth: { since: clock.now(), bytes: 0 } };
+        const settle = (body: readonly Buffer[] | undefined): void => {
+            if (state.isSettled) {
+                return;
+            }
+            state.isSettled = true;
+            clearTimeout(timer);
+            if (account !== undefined) {
+                account.onBudgetRoom = undefined;
+                account.source = undefined;
+            }
+            if (body === undefined && account !== undefined) {
+                account.add(-state.bytes);
+                account.answerSince = undefined;
+            }
+            resolve(body);
+        };
+        const fail = (): void => {
+            settle(undefined);
+            res.destroy();
+        };
+        const checkGrowth = (): void => {
+            const now = clock.now();
+            if (res.isPaused()) {
+                state.growth = { since: now, bytes: 0 };
+            }
+            // A timer may fire a fraction of a millisecond early.
+            if (isStalled(state.growth, bounds.progressMs, now + 1)) {
+                fail();
+                return;
+            }
+            state.growth = { since: now, bytes: 0 };
+            timer.refresh();
+        };
+        const timer = setTimeout(checkGrowth, bounds.progressMs);
+        if (account !== undefined) {
+            account.onBudgetRoom = () => {
+                account.source = undefined;
+                res.resume();
+            };
+        }
+        const pauseWithoutRoom = (): void => {
+            if (account !== undefined && state.bytes > account.readAhead(true)) {
+                res.pause();
+                account.waitForRoom();
+                account.source = res;
+            }
+        };
         res.on("data", (chunk: Buffer) => {
-            size.bytes += chunk.length;
+            if (state.isSettled) {
+                return;
+            }
+            state.bytes += chunk.length;
+            state.growth.bytes += chunk.length;
             chunks.push(chunk);
-            if (size.bytes > MAX_ANSWER_BYTES) {
-                res.destroy();
+            if (account !== undefined) {
+                account.answerSince ??= clock.now();
+                account.add(chunk.length);
+            }
+            if (state.bytes > bounds.answerBytes) {
+                fail();
+                return;
             }
+            pauseWithoutRoom();
         });
-        res.on("error", () => resolve(undefined));
-        res.on("close", () => resolve(undefined));
-        res.on("end", () => resolve(isComplete(opened) ? Buffer.concat(chunks) : undefined));
+        res.on("error", () => settle(undefined));
+        res.on("close", () => settle(undefined));
+        res.on("end", () => settle(isComplete(opened) ? chunks : undefined));
     });
 }
--- /dev/null
+++ b/packages/router/src/flow/createByteBudget.ts
@@ -0,0 +1,191 @@
+import type { ServerResponse } from "node:http";
+
+import type { Clock, Millis } from "@azureshunt/core";
+import { chooseCuts, flowLevels, isExhausted, readAheadOf } from "@azureshunt/flow";
+import type { Metrics } from "@azureshunt/telemetry";
+import type { Logger } from "pino";
+
+import type { HeldAccount } from "./HeldAccount.js";
+
+type BudgetParts = {
+    readonly clock: Clock;
+    /** In bytes; `Infinity` if the sum has no bound. */
+    readonly budget: () => number;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+};
+
+/** The bytes that this VM buffers for requests. */
+type ByteBudget = {
+    /** Opens the account of a request; it is closed with its response. */
+    readonly open: (res: ServerResponse) => HeldAccount;
+    /** Whether a new request is refused. */
+    readonly isExhausted: () => boolean;
+    /** Adds bytes that are held for no single request, such as those of tunnels. */
+    readonly addSource: (read: () => number) => void;
+    readonly tick: () => void;
+    readonly heldBytes: () => number;
+    readonly oldestUnreadMs: () => Millis;
+};
+
+/** Searches below the budget are at least this far apart; each one reads all accounts. */
+const SEARCH_MS = 50;
+/** An answer that does not end in this time lets another one go on: its endpoint may have stopped. */
+const FAVOURED_MS = 500;
+
+/** Keeps the sum of what this VM buffers for requests, and cuts requests off when it exceeds the budget. */
+export function createByteBudget({ clock, budget, logger, metrics }: BudgetParts): ByteBudget {
+    const accounts = new Set<HeldAccount>();
+    const waiting = new Set<HeldAccount>();
+    const sources: (() => number)[] = [];
+    const state = {
+        requestBytes: 0,
+        otherBytes: 0,
+        searchedAt: -Infinity,
+        isSearching: false,
+        /** The account that may use the rest of the budget. */
+        favoured: undefined as HeldAccount | undefined,
+        favouredAt: -Infinity,
+    };
+    const heldBytes = (): number => state.requestBytes + state.otherBytes;
+
+    const cut = (account: HeldAccount, reason: "memory" | "unread-at-deadline"): void => {
+        metrics.count("azureshunt_flow_cuts_total", "Requests cut off because of unread bytes.", { reason });
+        const { bytes, unreadSince } = account;
+        logger.info({
+            reason,
+            bytes,
+            unreadMs: unreadSince === undefined ? undefined : Math.round(clock.now() - unreadSince),
+            heldBytes: heldBytes(),
+        }, "Request cut off.");
+        account.cut(reason);
+        close(account);
+    };
+    const search = (): void => {
+        const now = clock.now();
+        if (state.isSearching || (heldBytes() <= budget() && now - state.searchedAt < SEARCH_MS)) {
+            return;
+        }
+        state.isSearching = true;
+        state.searchedAt = now;
+        accounts.forEach(account => account.measure());
+        // What is held for no single request is no request's fault, but leaves less to all of them.
+        chooseCuts([...accounts], budget() - state.otherBytes, now).forEach(account => cut(account, "memory"));
+        state.isSearching = false;
+    };
+    const wake = (): void => {
+        if (waiting.size > 0 && heldBytes() < flowLevels.low * budget()) {
+            const woken = [...waiting];
+            waiting.clear();
+            woken.forEach(account => account.onBudgetRoom?.());
+        }
+    };
+    /**
+     * If all answers that are read whole stop at the same level, none of them ends. To prevent this, the one that has
+     * waited for longest goes on until it is whole.
+     */
+    const favourOldest = (): void => {
+        const { favoured } = state;
+        const isOver = favoured === undefined || !accounts.has(favoured) || favoured.onBudgetRoom === undefined;
+        if (isOver || clock.now() - state.favouredAt > FAVOURED_MS) {
+            const [oldest] = waiting;
+            state.favoured = oldest;
+            state.favouredAt = clock.now();
+            if (oldest !== undefined) {
+                waiting.delete(oldest);
+                oldest.onBudgetRoom?.();
+            }
+        }
+    };
+    const close = (account: HeldAccount): void => {
+        if (accounts.delete(account)) {
+            waiting.delete(account);
+            state.requestBytes -= account.bytes;
+            wake();
+        }
+    };
+
+    const open: ByteBudget["open"] = res => {
+        const counted = { total: 0, inNode: 0 };
+        const account: HeldAccount = {
+            get bytes() {
+                return counted.total;
+            },
+            answerSince: undefined,
+            sentSince: undefined,
+            get unreadSince() {
+                return account.answerSince ?? account.sentSince;
+            },
+            isRepeatable: true,
+            deadline: Infinity,
+            source: undefined,
+            onBudgetRoom: undefined,
+            cut: () => res.destroy(),
+            add: bytes => {
+                if (bytes === 0 || !accounts.has(account)) {
+                    return;
+                }
+                counted.total += bytes;
+                state.requestBytes += bytes;
+                if (bytes > 0 && heldBytes() > flowLevels.high * budget()) {
+                    search();
+                }
+                else if (bytes < 0) {
+                    wake();
+                }
+            },
+            measure: () => {
+                const inNode = res.writableLength + (account.source?.readableLength ?? 0);
+                const change = inNode - counted.inNode;
+                counted.inNode = inNode;
+                if (res.writableLength === 0) {
+                    account.sentSince = undefined;
+                }
+                account.add(change);
+            },
+            readAhead: (isReadWhole = !account.isRepeatable) => {
+                if (account === state.favoured && heldBytes() < flowLevels.favoured * budget()) {
+                    return Infinity;
+                }
+                return readAheadOf({
+                    heldBytes: heldBytes(),
+                    budget: budget(),
+                    holders: accounts.size,
+                    isReadWhole,
+                });
+            },
+            waitForRoom: () => void waiting.add(account),
+            res,
+        };
+        accounts.add(account);
+        res.once("close", () => close(account));
+        return account;
+    };
+    const tick = (): void => {
+        const now = clock.now();
+        state.otherBytes = sources.reduce((sum, read) => sum + read(), 0);
+        accounts.forEach(account => {
+            account.measure();
+            const { unreadSince, deadline } = account;
+            if (now > deadline && unreadSince !== undefined && now - unreadSince >= flowLevels.unreadMs) {
+                cut(account, "unread-at-deadline");
+            }
+        });
+        if (heldBytes() > flowLevels.high * budget()) {
+            search();
+        }
+        wake();
+        favourOldest();
+    };
+    return {
+        open,
+        isExhausted: () => isExhausted(heldBytes(), budget()),
+        addSource: read => void sources.push(read),
+        tick,
+        heldBytes,
+        oldestUnreadMs: () => {
+            const now = clock.now();
+            return [...accounts].reduce((oldest, { unreadSince = now }) => Math.max(oldest, now - unreadSince), 0);
+        },
+    };
+}
--- a/packages/router/src/serve/ServeParts.ts
+++ b/packages/router/src/serve/ServeParts.ts
@@ -1,11 +1,14 @@
 import type { createStreamKeeper } from "@azureshunt/continuation";
 import type { Clock, FailureDomain, Tokens } from "@azureshunt/core";
+import type { FlowBounds } from "@azureshunt/flow";
 import type { Metrics } from "@azureshunt/telemetry";
 import type { Logger } from "pino";
 
 import type { createAllowanceQueue } from "../allowance/createAllowanceQueue.js";
 import type { createAllowances } from "../allowance/createAllowances.js";
 import type { EndpointAgent } from "../dispatch/EndpointAgent.js";
+import type { createByteBudget } from "../flow/createByteBudget.js";
+import type { createUnreadBodies } from "../flow/createUnreadBodies.js";
 import type { DeclaredState } from "../knowledge/DeclaredState.js";
 import type { createBrittleServices } from "../placement/createBrittleServices.js";
 import type { createDemand } from "../placement/createDemand.js";
@@ -41,6 +44,9 @@
     readonly rollouts: Pick<ReturnType<typeof createRollouts>, "selectorFor" | "continuableAt" | "recordTry">;
     readonly streams: Pick<ReturnType<typeof createStreamKeeper>, "resolve" | "recordFirst" | "selectForNew">;
     readonly agent: EndpointAgent;
+    readonly byteBudget: Pick<ReturnType<typeof createByteBudget>, "open" | "isExhausted">;
+    readonly unreadBodies: ReturnType<typeof createUnreadBodies>;
+    readonly flowBounds: () => FlowBounds;
     readonly callerWire: CallerWire;
     readonly endpointWire: EndpointWire;
     readonly bounds: () => FreshnessBounds;
--- a/packages/router/src/serve/ServedRequest.ts
+++ b/packages/router/src/serve/ServedRequest.ts
@@ -4,7 +4,9 @@
 
 import type { Organisation } from "../configuration/Organisation.js";
 import type { Route } from "../configuration/Route.js";
+import type { HeldAccount } from "../flow/HeldAccount.js";
 import type { CallerRequest } from "../ports/CallerRequest.js";
+import type { CallerOutput } from "./CallerOutput.js";
 import type { createRequestNotes } from "./createRequestNotes.js";
 
 /** A request that is being served. */
@@ -12,6 +14,9 @@
     readonly caller: CallerRequest;
     readonly body: Buffer;
     readonly res: ServerResponse;
+    readonly output: CallerOutput;
+    /** What this VM buffers for the request. */
+    readonly account: HeldAccount;
     readonly route: Route;
     readonly service: ServiceName;
     readonly organisation: Organisation | undefined;
--- a/packages/router/src/serve/StreamPace.ts
+++ b/packages/router/src/serve/StreamPace.ts
@@ -2,10 +2,8 @@
 
 /** Timing of a stream's events, over all its tries. */
 export type StreamPace = {
-    /**
-     * Records an event that is written to the caller's connection; returns a function to call once it has been sent.
-     */
-    readonly startSend: () => () => void;
+    /** Records that events have arrived. */
+    readonly recordEvents: (at: Millis) => void;
     /** Longest time between two events from an endpoint. */
     readonly maxGapMs: () => Millis;
     /**
--- a/packages/router/src/serve/TryResult.ts
+++ b/packages/router/src/serve/TryResult.ts
@@ -8,7 +8,7 @@
     readonly answer: {
         readonly status: number;
         readonly headers: readonly string[];
-        readonly body: Buffer;
+        readonly body: readonly Buffer[];
     } | undefined;
     /** How far the answer was. */
     readonly stage: TryStage;
--- a/packages/router/src/serve/createRequestHandler.ts
+++ b/packages/router/src/serve/createRequestHandler.ts
@@ -10,8 +10,11 @@
 import type { CallerRequest } from "../ports/CallerRequest.js";
 import { admitRequest } from "./admitRequest.js";
 import { closingHeaders } from "./closingHeaders.js";
+import { createCallerOutput } from "./createCallerOutput.js";
 import { createRequestNotes } from "./createRequestNotes.js";
+import { isRepeatable } from "./isRepeatable.js";
 import { isServerError } from "./isServerError.js";
+import { RETRY_AFTER_SECONDS } from "./RETRY_AFTER_SECONDS.js";
 import { sendRefusal } from "./sendRefusal.js";
 import type { ServedRequest } from "./ServedRequest.js";
 import type { ServeParts } from "./ServeParts.js";
@@ -29,7 +32,7 @@
 const ALLOWANCE_WAIT_FRACTION = 0.25;
 
 /** A request that has been read completely. */
-type CompleteRequest = Pick<ServedRequest, "caller" | "body" | "arrivedAt">;
+type CompleteRequest = Pick<ServedRequest, "caller" | "body" | "arrivedAt" | "account">;
 
 /** An admitted request, with what it takes from its organisation's allowance. */
 type AdmittedRequest = Pick<ServedRequest, "route" | "organisation" | "service" | "notes"> & {
@@ -68,6 +71,26 @@
         sendRefusal(callerWire, res, refusal, isClosing || parts.isDraining());
     };
 
+    /** Cuts a request off: its connection is reset, or, if nothing was sent yet, the caller is told. */
+    const cutOff = (res: ServerResponse, id: string | undefined, cancel: () => void): void => {
+        if (res.headersSent) {
+            res.socket?.resetAndDestroy();
+            res.destroy();
+        }
+        else {
+            refuse(
+                res,
+                refusalOf("memory-exhausted", "its answer was not read", {
+                    ran: "maybe",
+                    retryAfterSeconds: RETRY_AFTER_SECONDS,
+                }),
+                id,
+                true,
+            );
+        }
+        cancel();
+    };
+
     const finish = async (
         served: ServedRequest,
         cancellation: ReturnType<typeof watchCancellation>,
@@ -95,10 +118,17 @@
         notes.add("Ended.", { end: end.kind, status: end.kind === "answered" ? end.answer?.status : undefined, ran });
         switch (end.kind) {
             case "answered":
+                if (res.destroyed || (end.answer !== undefined && res.headersSent)) {
+                    // It was cut off while the last bytes arrived.
+                    return;
+                }
                 if (end.answer !== undefined) {
                     res.writeHead(end.answer.status, [...end.answer.headers, ...closingHeaders(parts)]);
+                    // From here on the output counts what is left of it.
+                    served.account.add(-end.answer.body.reduce((sum, { length }) => sum + length, 0));
+                    served.account.answerSince = undefined;
                 }
-                res.end(end.answer?.body);
+                served.output.end(end.answer?.body ?? []);
                 return;
             case "refused":
                 refuse(res, end.refusal, caller.id, false);
@@ -119,9 +149,20 @@
             refuse(res, refusalOf("headers-too-large"), undefined, true);
             return undefined;
         }
-        const body = await readBody(req, limits?.bodyBytes ?? DEFAULT_MAX_BODY_BYTES);
+        if (parts.byteBudget.isExhausted()) {
+            const retryAfterSeconds = RETRY_AFTER_SECONDS;
+            refuse(
+                res,
+                refusalOf("memory-exhausted", undefined, { retryAfterSeconds }),
+                decoded.toMaybe().extract()?.id,
+                true,
+            );
+            return undefined;
+        }
+        const account = parts.byteBudget.open(res);
+        const body = await readBody(req, limits?.bodyBytes ?? DEFAULT_MAX_BODY_BYTES, account.add);
         // If the body is over its limit and the head is malformed too, the body is the reason given.
-        return body.chain(bytes => decoded.map(caller => ({ caller, body: bytes, arrivedAt }))).caseOf({
+        return body.chain(bytes => decoded.map(caller => ({ caller, body: bytes, arrivedAt, account }))).caseOf({
             Left: refusal => {
                 refuse(res, refusal, undefined, true);
                 return undefined;
@@ -201,13 +242,19 @@
         }
         const deadline = arrivedAt + Math.min(route.timeoutMs, caller.deadlineMs ?? route.timeoutMs);
         const cancellation = watchCancellation(res, deadline - clock.now());
+        const { account } = request;
+        account.isRepeatable = isRepeatable(route.kind);
+        account.deadline = deadline;
+        account.cut = () => cutOff(res, caller.id, cancellation.cancel);
         const isCharged = await charge(request, admitted, res, { deadline, signal: cancellation.signal });
         if (!isCharged) {
             cancellation.release();
             return;
         }
         parts.demand.record(caller.prompt?.promptTokens ?? 0);
-        await finish({ ...request, ...admitted, res, deadline, signal: cancellation.signal }, cancellation, tokens);
+        const output = createCallerOutput(clock, account);
+        const served = { ...request, ...admitted, res, output, deadline, signal: cancellation.signal };
+        await finish(served, cancellation, tokens);
     };
 
     return async (req, res) => {
--- a/packages/router/src/serve/forwardAnswer.ts
+++ b/packages/router/src/serve/forwardAnswer.ts
@@ -36,6 +36,8 @@
             served,
             opened,
             progress,
+            clock: parts.clock,
+            bounds: parts.flowBounds(),
             silenceMs: canResume ? STREAM_SILENCE_MS : undefined,
             sendHead: () => sendHead(tryParts, opened),
             ...hooks,
@@ -46,7 +48,7 @@
         }
         return { kind, answer: undefined };
     }
-    const body = await readAnswer(opened);
+    const body = await readAnswer(opened, { bounds: parts.flowBounds(), clock: parts.clock, account: served.account });
     if (body === undefined) {
         return { kind: served.signal.aborted ? "cancelled" : "broken", answer: undefined };
     }
--- a/packages/router/src/serve/forwardStream.ts
+++ b/packages/router/src/serve/forwardStream.ts
@@ -1,3 +1,7 @@
+import type { Clock } from "@azureshunt/core";
+import type { FlowBounds } from "@azureshunt/flow";
+import { isStalled } from "@azureshunt/flow";
+
 import { createEventSplitter } from "../dispatch/createEventSplitter.js";
 import { isComplete } from "../dispatch/isComplete.js";
 import type { OpenedCall } from "../dispatch/OpenedCall.js";
@@ -8,11 +12,15 @@
 
 /** A stream ends after this much more silence even if its endpoint is alive: its connection is lost. */
 const LOST_CONNECTION_MS = 500;
+/** Events that are larger than one read wait in this VM until they are complete. */
+const LARGE_EVENT_BYTES = 64 * 1024;
 
 type StreamParts = StreamHooks & {
     readonly served: ServedRequest;
     readonly opened: Extract<OpenedCall, { readonly kind: "head"; }>;
     readonly progress: StreamProgress;
+    readonly clock: Clock;
+    readonly bounds: FlowBounds;
     /** Silence after which the stream continues at another endpoint; `undefined` if it cannot. */
     readonly silenceMs: number | undefined;
     /** Sends the head of the answer, before the first event. */
@@ -25,16 +33,42 @@
  * If an endpoint stops in mid-event, or another one continues the stream and repeats or omits an event, the caller
  * would read a text that no endpoint generated. To prevent this, only complete events are forwarded, and each id must
  * follow the one before; the stream ends as complete only if the endpoint ended it as such.
+ *
+ * If the caller does not read, what the endpoint sends would fill the memory. To prevent this, the endpoint is not read
+ * while more waits for the caller than `readAhead` allows; its silence during that time says nothing of it.
  */
 export function forwardStream(parts: StreamParts): Promise<TryOutcome> {
-    const { served, opened, progress } = parts;
+    const { served, opened, progress, clock, bounds } = parts;
     const { res } = opened;
+    const { output, account } = served;
     const splitter = createEventSplitter();
     return new Promise(resolve => {
-        const state = { timer: undefined as NodeJS.Timeout | undefined, isFirst: true };
+        const state = {
+            timer: undefined as NodeJS.Timeout | undefined,
+            isFirst: true,
+            isPaused: false,
+            isSettled: false,
+            lastDataAt: clock.now(),
+            /** Since when the endpoint is taken for silent, although it is alive. */
+            silentAt: undefined as number | undefined,
+            /** Growth of an incomplete event. */
+            growth: { since: 0, bytes: 0 },
+            /** Blank lines since the last event. */
+            blank: { since: 0, bytes: 0 },
+            countedBytes: 0,
+        };
         const settle = (kind: TryOutcome): void => {
+            if (state.isSettled) {
+                return;
+            }
+            state.isSettled = true;
             clearTimeout(state.timer);
             unregister();
+            output.onRead(undefined);
+            account.onBudgetRoom = undefined;
+            account.source = undefined;
+            account.answerSince = undefined;
+            account.add(-state.countedBytes);
             resolve(kind);
         };
         const endTry = (kind: TryOutcome): void => {
@@ -42,44 +76,137 @@
             res.destroy();
         };
         const unregister = parts.onMove(() => endTry("moved"));
-        const onSilence = (): void => {
-            if (parts.isAlive()) {
-                state.timer = setTimeout(() => endTry("silent"), LOST_CONNECTION_MS);
+
+        // The timer is not set anew with each read; when it fires, it waits for what is left of the silence.
+        const { silenceMs } = parts;
+        const checkSilence = (allowedMs: number): void => {
+            const silentMs = clock.now() - state.lastDataAt;
+            if (state.isPaused || silentMs < allowedMs) {
+                const leftMs = state.isPaused ? allowedMs : allowedMs - silentMs;
+                state.timer = setTimeout(checkSilence, leftMs, allowedMs);
+                return;
+            }
+            if (state.silentAt !== state.lastDataAt && parts.isAlive()) {
+                state.silentAt = state.lastDataAt;
+                state.timer = setTimeout(checkSilence, LOST_CONNECTION_MS, allowedMs);
                 return;
             }
             endTry("silent");
         };
-        const restartSilenceTimer = (): void => {
-            clearTimeout(state.timer);
-            if (parts.silenceMs !== undefined) {
-                state.timer = setTimeout(onSilence, parts.silenceMs);
+        if (silenceMs !== undefined) {
+            state.timer = setTimeout(checkSilence, silenceMs, silenceMs);
+        }
+
+        const mustWait = (): boolean => {
+            const waitingBytes = output.pendingBytes();
+            return (waitingBytes > 0 && waitingBytes > account.readAhead())
+                // An event is sent only once it is whole, so a large one waits only while memory is short.
+                || (state.countedBytes > LARGE_EVENT_BYTES && state.countedBytes > account.readAhead(true));
+        };
+        const waitForRoom = (): void => {
+            if (!account.isRepeatable || state.countedBytes > LARGE_EVENT_BYTES) {
+                account.waitForRoom();
             }
         };
-        const isNext = (id: number | undefined): boolean =>
-            id === undefined || progress.lastEventId === undefined || id === progress.lastEventId + 1;
-        const forward = (event: { readonly bytes: Buffer; readonly id: number | undefined; }): boolean => {
-            if (!isNext(event.id)) {
-                endTry("garbled");
-                return false;
+        const resume = (): void => {
+            if (state.isPaused && mustWait()) {
+                waitForRoom();
+            }
+            else if (state.isPaused) {
+                state.isPaused = false;
+                state.lastDataAt = clock.now();
+                state.growth = { since: state.lastDataAt, bytes: 0 };
+                account.source = undefined;
+                res.resume();
+            }
+        };
+        const pauseIfUnread = (): void => {
+            if (!state.isPaused && mustWait()) {
+                state.isPaused = true;
+                account.source = res;
+                waitForRoom();
+                res.pause();
+            }
+        };
+        output.onRead(resume);
+        account.onBudgetRoom = resume;
+
+        const accept = (id: number | undefined): boolean => {
+            if (id === undefined) {
+                return true;
             }
-            if (state.isFirst) {
-                state.isFirst = false;
-                parts.onFirstEvent();
-                parts.sendHead();
+            if (progress.lastEventId !== undefined && id !== progress.lastEventId + 1) {
+                return false;
             }
-            served.res.write(event.bytes, progress.pace.startSend());
-            progress.forwardedEvents += 1;
-            progress.lastEventId = event.id ?? progress.lastEventId;
+            progress.lastEventId = id;
             return true;
         };
-        restartSilenceTimer();
+        // Blank lines are no progress, however many they are.
+        const hasStalled = (done: ReturnType<typeof splitter.push>, bytes: number, now: number): boolean => {
+            const { growth, blank } = state;
+            if (done.hasContent) {
+                growth.bytes = 0;
+                blank.bytes = 0;
+                return false;
+            }
+            const counted = done.events > 0 ? blank : growth;
+            counted.since = counted.bytes === 0 ? now : counted.since;
+            counted.bytes += bytes;
+            if (done.events > 0) {
+                return blank.bytes > bounds.headBytes || now - blank.since >= bounds.progressMs;
+            }
+            if (isStalled(growth, bounds.progressMs, now)) {
+                return true;
+            }
+            if (now - growth.since >= bounds.progressMs) {
+                growth.since = now;
+                growth.bytes = bytes;
+            }
+            return false;
+        };
+        const countIncomplete = (): void => {
+            const bytes = splitter.bufferedBytes();
+            if (bytes !== state.countedBytes) {
+                account.add(bytes - state.countedBytes);
+                state.countedBytes = bytes;
+                // A caller cannot read an event that is not complete; a large one counts as unread meanwhile.
+                account.answerSince = bytes > LARGE_EVENT_BYTES ? account.answerSince ?? clock.now() : undefined;
+            }
+        };
         res.on("data", (chunk: Buffer) => {
+            if (state.isSettled) {
+                return;
+            }
+            const now = clock.now();
+            state.lastDataAt = now;
             parts.onActivity();
-            restartSilenceTimer();
-            splitter.push(chunk).every(forward);
+            const done = splitter.push(chunk, accept);
+            if (done.events > 0) {
+                if (state.isFirst) {
+                    state.isFirst = false;
+                    parts.onFirstEvent();
+                    parts.sendHead();
+                }
+                progress.pace.recordEvents(now);
+                progress.forwardedEvents += done.events;
+                for (const part of done.parts) {
+                    output.write(part);
+                }
+            }
+            if (done.isRejected) {
+                endTry("garbled");
+                return;
+            }
+            countIncomplete();
+            if (splitter.bufferedBytes() > bounds.eventBytes || hasStalled(done, chunk.length, now)) {
+                endTry("broken");
+                return;
+            }
+            pauseIfUnread();
         });
-        res.on("error", () => settle(served.signal.aborted ? "cancelled" : "broken"));
-        res.on("close", () => settle(served.signal.aborted ? "cancelled" : "broken"));
+        const endBroken = (): void => settle(served.signal.aborted ? "cancelled" : "broken");
+        res.on("error", endBroken);
+        res.on("close", endBroken);
         res.on("end", () => {
             const isAnswerComplete = isComplete(opened) && splitter.bufferedBytes() === 0;
             settle(isAnswerComplete ? "answered" : "broken");
--- a/packages/router/src/serve/placeRequest.ts
+++ b/packages/router/src/serve/placeRequest.ts
@@ -55,7 +55,10 @@
             ...pool,
             promptAt: (entry, weights, peers) =>
                 promptUnder(weights, peers).shares.shareOf(entry.name, entry.failureDomain),
-            select: entries => (select?.(entries, hasRoom) ?? entries).filter(hasRoom),
+            select: entries =>
+                (select?.(entries, hasRoom) ?? entries).filter(entry =>
+                    hasRoom(entry) && !parts.unreadBodies.isSlowReader(entry.address)
+                ),
             avoid,
         });
         const { unlimited, turns } = parts.endpointLimits.select(
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -179,6 +179,8 @@
         headMs: headTimeout(kind, objectiveMs, place.startMs, remainingMs, isLastTry),
         // A busy engine has the request in its queue; sending it to another one would only make both busier.
         isAlive: served.caller.prompt === undefined ? undefined : inFlight.isAlive,
+        bounds: parts.flowBounds(),
+        onBody: parts.unreadBodies.begin,
     }, served.signal);
     used.connection = opened.connection;
     if (opened.kind !== "head") {
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -63,7 +63,7 @@
         forwardedEvents: 0,
         lastEventId: served.caller.lastEventId,
         origin,
-        pace: createStreamPace(parts.clock.now),
+        pace: createStreamPace(admitted.output),
     };
 
     const giveUp = (progress: RequestProgress, refusal: Refusal): ServedEnd =>
--- a/packages/router/src/serve/watchCancellation.ts
+++ b/packages/router/src/serve/watchCancellation.ts
@@ -7,6 +7,8 @@
     readonly signal: AbortSignal;
     readonly isDeadlineExceeded: () => boolean;
     readonly release: () => void;
+    /** Cancels the request for another reason. */
+    readonly cancel: () => void;
 };
 
 /** Watches whether a request is cancelled before its answer ends, as its caller disconnects or its deadline passes. */
@@ -27,5 +29,10 @@
         clearTimeout(timer);
         res.removeListener("close", onClose);
     };
-    return { signal: controller.signal, isDeadlineExceeded: () => state.isDeadlineExceeded, release };
+    return {
+        signal: controller.signal,
+        isDeadlineExceeded: () => state.isDeadlineExceeded,
+        release,
+        cancel: () => controller.abort(),
+    };
 }
--- a/packages/router/src/startGauges.ts
+++ b/packages/router/src/startGauges.ts
@@ -2,6 +2,8 @@
 import type { Metrics } from "@azureshunt/telemetry";
 
 import { orderFence } from "./fleet/orderFence.js";
+import type { createByteBudget } from "./flow/createByteBudget.js";
+import type { createUnreadBodies } from "./flow/createUnreadBodies.js";
 import type { PeerSyncSources } from "./peers/PeerSyncSources.js";
 import type { createConnector } from "./tunnel/createConnector.js";
 import type { serveTunnels } from "./tunnel/serveTunnels.js";
@@ -16,6 +18,8 @@
         readonly streams: Pick<ReturnType<typeof createStreamKeeper>, "size">;
         readonly connector: Pick<ReturnType<typeof createConnector>, "isCutOff">;
         readonly tunnels: Pick<ReturnType<typeof serveTunnels>, "size">;
+        readonly byteBudget: Pick<ReturnType<typeof createByteBudget>, "heldBytes" | "oldestUnreadMs">;
+        readonly unreadBodies: Pick<ReturnType<typeof createUnreadBodies>, "heldBytes">;
     };
 
 /** Value of `order_fence` while this VM does not hold the lease. */
@@ -24,7 +28,7 @@
 /** Registers the gauges of a router and returns a function that unregisters them. */
 export function startGauges(metrics: Metrics, sources: GaugeSources): () => void {
     const { clock, declarations, endpointTable, allowances, orders, membership } = sources;
-    const { endpointLimits, streams, connector, tunnels } = sources;
+    const { endpointLimits, streams, connector, tunnels, byteBudget, unreadBodies } = sources;
     const sumOf = (size: "running" | "waitingTokens"): number =>
         endpointTable.ownShares().reduce((sum, [, share]) => sum + share[size], 0);
     const rows: readonly (readonly [name: string, help: string, read: () => number])[] = [
@@ -48,6 +52,7 @@
         ["known_streams", "Streams of which this VM knows where they began.", streams.size],
         ["cut_off", "1 while own links reach no endpoints, else 0.", () => connector.isCutOff() ? 1 : 0],
         ["tunnels", "Connections to endpoints that are open for other VMs.", tunnels.size],
+        ["oldest_unread_ms", "Longest time that an answer waits unread for its caller.", byteBudget.oldestUnreadMs],
         ["in_flight", "This VM's requests at endpoints.", () => sumOf("running")],
         [
             "waiting_tokens",
@@ -69,5 +74,10 @@
         ],
     ];
     const gauges = rows.map(([name, help, read]) => metrics.gauge(`azureshunt_${name}`, help, read));
+    const held = "Bytes that are buffered because they have not been read.";
+    gauges.push(
+        metrics.gauge("azureshunt_held_bytes", held, byteBudget.heldBytes, { for: "callers" }),
+        metrics.gauge("azureshunt_held_bytes", held, unreadBodies.heldBytes, { for: "endpoints" }),
+    );
     return () => gauges.forEach(unregister => unregister());
 }
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -2,6 +2,7 @@
 
 import { createClock } from "@azureshunt/core";
 import type { EndpointName, Incarnation, Millis, Tokens } from "@azureshunt/core";
+import { budgetOf, defaultBounds } from "@azureshunt/flow";
 import { createLoggers, createMetrics } from "@azureshunt/telemetry";
 
 import { createAllowanceQueue } from "./allowance/createAllowanceQueue.js";
@@ -13,6 +14,8 @@
 import { createEngineCalls } from "./fleet/createEngineCalls.js";
 import { orderFence } from "./fleet/orderFence.js";
 import { startOrders } from "./fleet/startOrders.js";
+import { createByteBudget } from "./flow/createByteBudget.js";
+import { createUnreadBodies } from "./flow/createUnreadBodies.js";
 import { createSuspensionWatch } from "./knowledge/createSuspensionWatch.js";
 import { startDeclarations } from "./knowledge/startDeclarations.js";
 import { createMembership } from "./peers/createMembership.js";
@@ -317,7 +320,17 @@
         maxAgeForKeysMs: state.settings.keyWithdrawalMs - KEY_MARGIN_MS,
         maxAgeForDenialMs: state.settings.configurationMs,
     });
+    const byteBudget = createByteBudget({
+        clock,
+        budget: () => budgetOf(state.settings.memoryMb),
+        logger: loggers("flow"),
+        metrics,
+    });
+    const unreadBodies = createUnreadBodies(clock);
     const handler = createRequestHandler({
+        byteBudget,
+        unreadBodies,
+        flowBounds: () => ({ ...defaultBounds, ...state.settings.flow }),
         clock,
         random: Math.random,
         declaredState: declarations.current,
@@ -365,7 +378,7 @@
     });
     const tunnels = serveTunnels(peerListener, {
         isEndpoint: address => endpointTable.entryAt(address) !== undefined,
-        admit: address => state.isDraining ? "unavailable" : connector.admitTunnel(address),
+        admit: address => state.isDraining || byteBudget.isExhausted() ? "unavailable" : connector.admitTunnel(address),
         canJudge: connector.canJudge,
         helpers: connector.helpers,
         onOpened: connector.recordOpened,
@@ -375,7 +388,8 @@
         random: Math.random,
         open: parts.open,
     });
-    const stopGauges = startGauges(metrics, { ...sources, streams, connector, tunnels });
+    byteBudget.addSource(tunnels.heldBytes);
+    const stopGauges = startGauges(metrics, { ...sources, streams, connector, tunnels, byteBudget, unreadBodies });
     const metricsListener = await startMetricsListener(settings.listen.metrics, metrics);
     const callerServer = await startCallerServer({
         settings,
@@ -399,6 +413,7 @@
     });
     const timer = setInterval(() => {
         lagWatch.tick();
+        byteBudget.tick();
         suspensionWatch.check();
         quarantine.tick();
         membership.tick();
--- a/packages/router/src/tunnel/serveTunnels.ts
+++ b/packages/router/src/tunnel/serveTunnels.ts
@@ -38,6 +38,8 @@
 /** The tunnels of a listener. */
 type Tunnels = {
     readonly size: () => number;
+    /** Bytes that Node has buffered for the tunnels' ends. */
+    readonly heldBytes: () => number;
     /** Closes each tunnel once it carries nothing; resolves when none is left, or after the time given. */
     readonly drain: (withinMs: Millis) => Promise<void>;
     readonly closeAll: () => void;
@@ -189,6 +191,11 @@
         });
     return {
         size: () => tunnels.size,
+        heldBytes: () =>
+            [...tunnels].flatMap(({ near, far }) => [near, far]).reduce(
+                (sum, { writableLength, readableLength }) => sum + writableLength + readableLength,
+                0,
+            ),
         drain,
         closeAll: () =>
             tunnels.forEach(({ near, far }) => {
