--- a/packages/flow/src/readAheadOf.ts
+++ b/packages/flow/src/readAheadOf.ts
@@ -28,5 +28,6 @@
     if (isReadWhole && heldBytes < flowLevels.low * budget) {
         return Infinity;
     }
-    return Math.max(MIN_BYTES, Math.min(MAX_BYTES, flowLevels.low * budget / Math.max(1, holders)));
+    const share = (flowLevels.high - flowLevels.low) * budget / Math.max(1, holders);
+    return Math.max(MIN_BYTES, Math.min(MAX_BYTES, share));
 }
--- a/packages/router/src/serve/CallerOutput.ts
+++ b/packages/router/src/serve/CallerOutput.ts
@@ -7,6 +7,8 @@
     readonly end: (chunks: readonly Buffer[]) => void;
     /** Longest time that bytes have waited for the caller's connection. */
     readonly maxWaitMs: () => Millis;
+    /** Whether the caller has yet to read what was sent. */
+    readonly isBlocked: () => boolean;
     readonly pendingBytes: () => number;
     /** Calls the listener, instead of the one before, each time that the caller has read something. */
     readonly onRead: (listener: (() => void) | undefined) => void;
--- a/packages/router/src/serve/createCallerOutput.ts
+++ b/packages/router/src/serve/createCallerOutput.ts
@@ -36,10 +36,11 @@
             account.sentSince = now;
         }
         recordWait(now);
+        // What Node takes without being blocked is little, and counted at the next tick.
         if (!res.write(bytes)) {
             state.isBlocked = true;
+            account.measure();
         }
-        account.measure();
     };
     const enqueue = (bytes: Buffer): void => {
         state.queue.push(bytes);
@@ -99,6 +100,7 @@
             flush();
         },
         maxWaitMs: () => state.waitMs,
+        isBlocked: () => state.isBlocked,
         pendingBytes: () => state.queuedBytes + res.writableLength,
         onRead: listener => {
             state.onRead = listener;
--- a/packages/router/src/serve/forwardStream.ts
+++ b/packages/router/src/serve/forwardStream.ts
@@ -98,8 +98,7 @@
         }
 
         const mustWait = (): boolean => {
-            const waitingBytes = output.pendingBytes();
-            return (waitingBytes > 0 && waitingBytes > account.readAhead())
+            return (output.isBlocked() && output.pendingBytes() > account.readAhead())
                 // An event is sent only once it is whole, so a large one waits only while memory is short.
                 || (state.countedBytes > LARGE_EVENT_BYTES && state.countedBytes > account.readAhead(true));
         };
