--- a/packages/router/src/dispatch/EndpointCall.ts
+++ b/packages/router/src/dispatch/EndpointCall.ts
@@ -1,4 +1,5 @@
 import type { Millis } from "@azureshunt/core";
+import type { FlowBounds } from "@azureshunt/flow";
 
 /** One request to one endpoint, ready to be sent. */
 export type EndpointCall = {
@@ -22,4 +23,8 @@
      * long. If not, the call ends as cancelled. Defaults to true.
      */
     readonly maySend?: () => boolean;
+    /** Bounds on the head of the answer; those of `defaultBounds` if omitted. */
+    readonly bounds?: Pick<FlowBounds, "headBytes" | "progressMs">;
+    /** Called when the body is given to Node; returns a function that is called when the system has taken it. */
+    readonly onBody?: (address: string, bytes: number) => () => void;
 };
--- a/packages/router/src/serve/createRequestHandler.ts
+++ b/packages/router/src/serve/createRequestHandler.ts
@@ -11,7 +11,9 @@
 import type { CallerRequest } from "../ports/CallerRequest.js";
 import { admitRequest } from "./admitRequest.js";
 import { closingHeaders } from "./closingHeaders.js";
+import { createCallerOutput } from "./createCallerOutput.js";
 import { createRequestNotes } from "./createRequestNotes.js";
+import { isRepeatable } from "./isRepeatable.js";
 import { isServerError } from "./isServerError.js";
 import { sendRefusal } from "./sendRefusal.js";
 import type { ServedRequest } from "./ServedRequest.js";
@@ -29,8 +31,11 @@
 /** Fraction of a request's time that it may spend on that wait; the rest is for its answer. */
 const ALLOWANCE_WAIT_FRACTION = 0.25;
 
+/** Time after which answers that stay unread are cut off if the memory is used up, so that there may be room. */
+const MEMORY_RETRY_AFTER_SECONDS = 0.25;
+
 /** A request that has been read completely. */
-type CompleteRequest = Pick<ServedRequest, "caller" | "body" | "arrivedAt"> & {
+type CompleteRequest = Pick<ServedRequest, "caller" | "body" | "arrivedAt" | "account"> & {
     /** Bounds of the time for which it had waited unread in this VM by then. */
     readonly waited: { readonly least: Millis; readonly most: Millis; };
 };
@@ -76,6 +81,26 @@
         sendRefusal(callerWire, res, refusal, isClosing || parts.isDraining());
     };
 
+    /** Cuts a request off: its connection is reset, or, if nothing was sent yet, the caller is told. */
+    const cutOff = (res: ServerResponse, id: string | undefined, cancel: () => void): void => {
+        if (res.headersSent) {
+            res.socket?.resetAndDestroy();
+            res.destroy();
+        }
+        else {
+            refuse(
+                res,
+                refusalOf("memory-exhausted", "its answer was not read", {
+                    ran: "maybe",
+                    retryAfterSeconds: MEMORY_RETRY_AFTER_SECONDS,
+                }),
+                id,
+                true,
+            );
+        }
+        cancel();
+    };
+
     const finish = async (
         served: ServedRequest,
         cancellation: ReturnType<typeof watchCancellation>,
@@ -103,10 +128,17 @@
         notes.add("Ended.", { end: end.kind, status: end.kind === "answered" ? end.answer?.status : undefined, ran });
         switch (end.kind) {
             case "answered":
+                if (res.destroyed || (end.answer !== undefined && res.headersSent)) {
+                    // It was cut off while the last bytes arrived.
+                    return;
+                }
                 if (end.answer !== undefined) {
                     res.writeHead(end.answer.status, [...end.answer.headers, ...closingHeaders(parts)]);
+                    // From here on the output counts what is left of it.
+                    served.account.add(-end.answer.body.reduce((sum, { length }) => sum + length, 0));
+                    served.account.answerSince = undefined;
                 }
-                res.end(end.answer?.body);
+                served.output.end(end.answer?.body ?? []);
                 return;
             case "refused":
                 refuse(res, end.refusal, caller.id, false);
@@ -148,15 +180,27 @@
             refuse(res, refusalOf("headers-too-large"), undefined, true);
             return undefined;
         }
-        const body = await readBody(req, limits?.bodyBytes ?? DEFAULT_MAX_BODY_BYTES);
+        if (parts.byteBudget.isExhausted()) {
+            refuse(
+                res,
+                refusalOf("memory-exhausted", undefined, { retryAfterSeconds: MEMORY_RETRY_AFTER_SECONDS }),
+                decoded.toMaybe().extract()?.id,
+                true,
+            );
+            return undefined;
+        }
+        const account = parts.byteBudget.open(res);
+        const body = await readBody(req, limits?.bodyBytes ?? DEFAULT_MAX_BODY_BYTES, account.add);
         // If the body is over its limit and the head is malformed too, the body is the reason given.
-        return body.chain(bytes => decoded.map(caller => ({ caller, body: bytes, arrivedAt, waited }))).caseOf({
-            Left: refusal => {
-                refuse(res, refusal, undefined, true);
-                return undefined;
+        return body.chain(bytes => decoded.map(caller => ({ caller, body: bytes, arrivedAt, waited, account }))).caseOf(
+            {
+                Left: refusal => {
+                    refuse(res, refusal, undefined, true);
+                    return undefined;
+                },
+                Right: request => request,
             },
-            Right: request => request,
-        });
+        );
     };
 
     /** Selects the route, organisation and service of a request; `undefined` if it was refused. */
@@ -232,6 +276,10 @@
         const deadline = arrivedAt - waited.least + timeMs;
         const sendBefore = arrivedAt - waited.most + timeMs;
         const cancellation = watchCancellation(res, deadline - clock.now());
+        const { account } = request;
+        account.isRepeatable = isRepeatable(route.kind);
+        account.deadline = deadline;
+        account.cut = () => cutOff(res, caller.id, cancellation.cancel);
         const isCharged = await charge(request, admitted, res, { deadline, signal: cancellation.signal });
         if (!isCharged) {
             cancellation.release();
@@ -243,6 +291,8 @@
             caller,
             body: request.body,
             res,
+            account,
+            output: createCallerOutput(clock, account),
             route,
             service,
             organisation,
--- a/packages/router/src/startGauges.ts
+++ b/packages/router/src/startGauges.ts
@@ -2,6 +2,8 @@
 import type { Metrics } from "@azureshunt/telemetry";
 
 import { orderFence } from "./fleet/orderFence.js";
+import type { createByteBudget } from "./flow/createByteBudget.js";
+import type { createUnreadBodies } from "./flow/createUnreadBodies.js";
 import type { PeerSyncSources } from "./peers/PeerSyncSources.js";
 import type { createOverloadGuard } from "./serve/createOverloadGuard.js";
 import type { createConnector } from "./tunnel/createConnector.js";
@@ -18,6 +20,8 @@
         readonly connector: Pick<ReturnType<typeof createConnector>, "isCutOff">;
         readonly tunnels: Pick<ReturnType<typeof serveTunnels>, "size">;
         readonly overload: Pick<ReturnType<typeof createOverloadGuard>, "lagMs" | "shedFraction">;
+        readonly byteBudget: Pick<ReturnType<typeof createByteBudget>, "heldBytes" | "oldestUnreadMs">;
+        readonly unreadBodies: Pick<ReturnType<typeof createUnreadBodies>, "heldBytes">;
     };
 
 /** Value of `order_fence` while this VM does not hold the lease. */
@@ -26,7 +30,7 @@
 /** Registers the gauges of a router and returns a function that unregisters them. */
 export function startGauges(metrics: Metrics, sources: GaugeSources): () => void {
     const { clock, declarations, endpointTable, allowances, orders, membership } = sources;
-    const { endpointLimits, streams, connector, tunnels, overload } = sources;
+    const { endpointLimits, streams, connector, tunnels, overload, byteBudget, unreadBodies } = sources;
     const sumOf = (size: "running" | "waitingTokens"): number =>
         endpointTable.ownShares().reduce((sum, [, share]) => sum + share[size], 0);
     const rows: readonly (readonly [name: string, help: string, read: () => number])[] = [
@@ -50,6 +54,7 @@
         ["known_streams", "Streams of which this VM knows where they began.", streams.size],
         ["cut_off", "1 while own links reach no endpoints, else 0.", () => connector.isCutOff() ? 1 : 0],
         ["tunnels", "Connections to endpoints that are open for other VMs.", tunnels.size],
+        ["oldest_unread_ms", "Longest time that an answer waits unread for its caller.", byteBudget.oldestUnreadMs],
         ["in_flight", "This VM's requests at endpoints.", () => sumOf("running")],
         [
             "waiting_tokens",
@@ -77,5 +82,10 @@
         ],
     ];
     const gauges = rows.map(([name, help, read]) => metrics.gauge(`azureshunt_${name}`, help, read));
+    const held = "Bytes that are buffered because they have not been read.";
+    gauges.push(
+        metrics.gauge("azureshunt_held_bytes", held, byteBudget.heldBytes, { for: "callers" }),
+        metrics.gauge("azureshunt_held_bytes", held, unreadBodies.heldBytes, { for: "endpoints" }),
+    );
     return () => gauges.forEach(unregister => unregister());
 }
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -2,6 +2,7 @@
 
 import { createClock } from "@azureshunt/core";
 import type { EndpointName, Incarnation, Millis, Tokens } from "@azureshunt/core";
+import { budgetOf, defaultBounds } from "@azureshunt/flow";
 import { createLoggers, createMetrics } from "@azureshunt/telemetry";
 
 import { createAllowanceQueue } from "./allowance/createAllowanceQueue.js";
@@ -13,6 +14,8 @@
 import { createEngineCalls } from "./fleet/createEngineCalls.js";
 import { orderFence } from "./fleet/orderFence.js";
 import { startOrders } from "./fleet/startOrders.js";
+import { createByteBudget } from "./flow/createByteBudget.js";
+import { createUnreadBodies } from "./flow/createUnreadBodies.js";
 import { createSuspensionWatch } from "./knowledge/createSuspensionWatch.js";
 import { startDeclarations } from "./knowledge/startDeclarations.js";
 import { createMembership } from "./peers/createMembership.js";
@@ -323,7 +326,17 @@
         maxAgeForKeysMs: state.settings.keyWithdrawalMs - KEY_MARGIN_MS,
         maxAgeForDenialMs: state.settings.configurationMs,
     });
+    const byteBudget = createByteBudget({
+        clock,
+        budget: () => budgetOf(state.settings.memoryMb),
+        logger: loggers("flow"),
+        metrics,
+    });
+    const unreadBodies = createUnreadBodies(clock);
     const handler = createRequestHandler({
+        byteBudget,
+        unreadBodies,
+        flowBounds: () => ({ ...defaultBounds, ...state.settings.flow }),
         clock,
         random: Math.random,
         declaredState: declarations.current,
@@ -372,7 +385,7 @@
     });
     const tunnels = serveTunnels(peerListener, {
         isEndpoint: address => endpointTable.entryAt(address) !== undefined,
-        admit: address => state.isDraining ? "unavailable" : connector.admitTunnel(address),
+        admit: address => state.isDraining || byteBudget.isExhausted() ? "unavailable" : connector.admitTunnel(address),
         canJudge: connector.canJudge,
         helpers: connector.helpers,
         onOpened: connector.recordOpened,
@@ -382,7 +395,16 @@
         random: Math.random,
         open: parts.open,
     });
-    const stopGauges = startGauges(metrics, { ...sources, streams, connector, tunnels, overload });
+    byteBudget.addSource(tunnels.heldBytes);
+    const stopGauges = startGauges(metrics, {
+        ...sources,
+        streams,
+        connector,
+        tunnels,
+        overload,
+        byteBudget,
+        unreadBodies,
+    });
     const metricsListener = await startMetricsListener(settings.listen.metrics, metrics);
     const callerServer = await startCallerServer({
         settings,
@@ -409,6 +431,7 @@
         lagWatch.tick();
         overload.tick();
         tickLag.tick();
+        byteBudget.tick();
         suspensionWatch.check();
         quarantine.tick();
         membership.tick();
