Read bodies by listeners instead of an async iterator

An iterator creates promises and listeners for each body. Plain listeners read the same parts; answers and reasons stay.

--- a/packages/http/src/readBody.ts
+++ b/packages/http/src/readBody.ts
@@ -5,6 +5,8 @@
 import type { Either } from "purify-ts";
 import { Left, Right } from "purify-ts";
 
+const ignore = (): void => undefined;
+
 /**
  * Reads a request's body.
  *
@@ -12,28 +14,44 @@
  * @param onBytes called with the size of each part that has been read
  * @returns Left with `body-too-large`, or with `caller-gone` if the caller disconnected
  */
-export async function readBody(
+export function readBody(
     req: IncomingMessage,
     limit: number,
     onBytes?: (bytes: number) => void,
 ): Promise<Either<Refusal, Buffer>> {
-    const chunks: Buffer[] = [];
-    const size = { bytes: 0 };
     if (Number(req.headers["content-length"] ?? 0) > limit) {
-        return Left(refusalOf("body-too-large", `at most ${limit} bytes`));
+        return Promise.resolve(Left(refusalOf("body-too-large", `at most ${limit} bytes`)));
     }
-    try {
-        for await (const chunk of req.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
+    return new Promise(resolve => {
+        const chunks: Buffer[] = [];
+        const size = { bytes: 0 };
+        const settle = (body: Either<Refusal, Buffer>): void => {
+            req.removeListener("data", onData);
+            req.removeListener("end", onEnd);
+            req.removeListener("close", onGone);
+            resolve(body);
+        };
+        const onData = (chunk: Buffer): void => {
             size.bytes += chunk.length;
             onBytes?.(chunk.length);
             if (size.bytes > limit) {
-                return Left(refusalOf("body-too-large", `at most ${limit} bytes`));
+                req.pause();
+                settle(Left(refusalOf("body-too-large", `at most ${limit} bytes`)));
+                return;
             }
             chunks.push(chunk);
+        };
+        const onEnd = (): void =>
+            settle(Right(chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks)));
+        const onGone = (): void => settle(Left(refusalOf("caller-gone", undefined, { ran: "no" })));
+        if (req.readableEnded || req.destroyed) {
+            (req.readableEnded ? onEnd : onGone)();
+            return;
         }
-    }
-    catch {
-        return Left(refusalOf("caller-gone", undefined, { ran: "no" }));
-    }
-    return Right(chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks));
+        req.on("data", onData);
+        req.on("end", onEnd);
+        req.on("close", onGone);
+        // A close follows each error. The listener stays, since an error without one would end the process.
+        req.on("error", ignore);
+    });
 }
