Count the VMs at most every 100 ms for retry budgets and idle connections

Both asked for the count several times per request, and each count visits all known VMs. Members change within seconds.

Larger fleets were not measured.

--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -46,6 +46,7 @@
 import { createIgnoredHeaderLog } from "./serve/createIgnoredHeaderLog.js";
 import { createLagWatch } from "./serve/createLagWatch.js";
 import { createOverloadGuard } from "./serve/createOverloadGuard.js";
+import { createRecentCount } from "./serve/createRecentCount.js";
 import { createRequestHandler } from "./serve/createRequestHandler.js";
 import { createRetryBudgets } from "./serve/createRetryBudgets.js";
 import { createTickLag } from "./serve/createTickLag.js";
@@ -111,13 +112,14 @@
         metrics,
         open: parts.open,
     });
+    const recentVms = createRecentCount(clock, () => membership.vms());
     const requestAgent = new EndpointAgent(clock.now, {
         maxIdle: address => {
             const service = endpointTable.entryAt(address)?.service;
             const declared = service === undefined
                 ? undefined
                 : declarations.current().configuration?.services.get(service);
-            return maxIdleConnections(declared?.maxConnections, membership.vms());
+            return maxIdleConnections(declared?.maxConnections, recentVms());
         },
         openConnection: connector.openConnection,
         isBlocked: connector.isBlocked,
@@ -352,7 +354,7 @@
             schedule: (delayMs, run) => void setTimeout(run, delayMs),
         }),
         demand,
-        retryBudgets: createRetryBudgets(() => state.settings.retries, () => membership.vms()),
+        retryBudgets: createRetryBudgets(() => state.settings.retries, recentVms),
         quarantine,
         rollouts,
         streams,
