Use one reading of the clock for each read of a stream

The time at which bytes arrived was read again for the endpoint's activity and the stage of the try. Saves one reading of the clock per read, and a second one until the answer counts as settled; not measured in the router, where it is below the spread.

--- a/packages/router/src/placement/InFlightHandle.ts
+++ b/packages/router/src/placement/InFlightHandle.ts
@@ -1,3 +1,5 @@
+import type { Millis } from "@azureshunt/core";
+
 import type { TryOutcome } from "../dispatch/TryOutcome.js";
 
 /** Reports the progress of one in-flight request, from sending to end. */
@@ -5,7 +7,7 @@
     /** Records that the answer has started. */
     readonly answerStarted: () => void;
     /** Records that bytes arrived from the endpoint. */
-    readonly onActivity: () => void;
+    readonly onActivity: (now: Millis) => void;
     /** Whether the endpoint was active recently, on any request of this VM. */
     readonly isAlive: () => boolean;
     /** Ends the request and updates the endpoint's health. */
--- a/packages/router/src/placement/trackInFlight.ts
+++ b/packages/router/src/placement/trackInFlight.ts
@@ -35,9 +35,9 @@
     replace(request.current);
     return {
         answerStarted: () => replace({ ...request.current, isAnswering: true }),
-        onActivity: () => {
+        onActivity: now => {
             if (observed !== undefined) {
-                observed.lastActivityAt = clock.now();
+                observed.lastActivityAt = now;
             }
         },
         isAlive: () => observed !== undefined && clock.now() - observed.lastActivityAt < ACTIVE_WITHIN_MS,
--- a/packages/router/src/serve/forwardStream.ts
+++ b/packages/router/src/serve/forwardStream.ts
@@ -178,7 +178,7 @@
             }
             const now = clock.now();
             state.lastDataAt = now;
-            parts.onActivity();
+            parts.onActivity(now);
             const done = splitter.push(chunk, accept);
             if (done.events > 0) {
                 if (state.isFirst) {
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -126,9 +126,9 @@
             parts.quarantine.reportAnswered(served);
         }
     };
-    const onActivity = (): void => {
-        inFlight.onActivity();
-        if (!answered.isReported && stageAt(clock.now() - startedAt) === "answering") {
+    const onActivity = (now: Millis): void => {
+        inFlight.onActivity(now);
+        if (!answered.isReported && stageAt(now - startedAt) === "answering") {
             reportAnswered();
         }
     };
@@ -206,7 +206,7 @@
     if (opened.kind !== "head") {
         return finish({ kind: opened.kind, answer: undefined });
     }
-    inFlight.onActivity();
+    inFlight.onActivity(clock.now());
     times.headMs = Math.round(clock.now() - startedAt);
     const head = parts.endpointWire.decodeHead(opened.res);
     if (head.weights !== undefined) {
