Fill the last page of a beacon with the relayed rows

The rows that a relay relays began a datagram of their own, though the last page of the common rows had room: a tenth of a relay's CPU time goes to the system calls that send datagrams. They now begin on that page. Rows, their order within a list and the size bound of a datagram stay; only which rows share a datagram changes.

--- a/packages/router/src/__tests__/unit/beacon.test.ts
+++ b/packages/router/src/__tests__/unit/beacon.test.ts
@@ -179,3 +179,32 @@
     });
     t.deepEqual(received, [[10], [10], [4], [], [10]]);
 });
+
+// Relayed rows fill up the last page, which must keep its own rows, and the first page its load and relayed demand.
+[0, 30].forEach(versions => {
+    test(`relayed rows share the last page of a beacon with ${versions} versions, and replace none of its rows`, t => {
+        const engineVersions = Array.from(
+            { length: versions },
+            (_, i) => [`engine-with-a-long-name-${i}` as EndpointName, 3] as const,
+        );
+        const { sequence, sentAt, echo, relayedSpent: none, relayedLoad, relayedDemand, ...common } = beacon;
+        const encode = createBeaconEncoder({ ...common, engineVersions });
+        const organisations = Array.from({ length: 4 }, (_, i) => `org-${i}` as OrganisationId);
+        const plain = encode({ sequence, sentAt, echo, relayedSpent: none, relayedLoad, relayedDemand });
+        [1, 2, 1].forEach(tokens => {
+            const relayedSpent = organisations.map(id => [id, tokens, 0] as const);
+            const datagrams = encode({ sequence, sentAt, echo, relayedSpent, relayedLoad, relayedDemand });
+            const received = datagrams.map(decodeBeacon);
+            t.is(datagrams.length, plain.length);
+            t.true(datagrams.every(({ length }) => length <= 1_200));
+            t.deepEqual(received.flatMap(each => each?.relayedSpent ?? []), relayedSpent);
+            t.deepEqual(received.flatMap(each => each?.engineVersions ?? []), engineVersions);
+            t.deepEqual(received.flatMap(each => each?.vms ?? []), beacon.vms);
+            t.deepEqual(received.map(each => each?.load), datagrams.map((_, i) => i === 0 ? beacon.load : undefined));
+            t.deepEqual(
+                received.map(each => each?.relayedDemand),
+                datagrams.map((_, i) => i === 0 ? relayedDemand : 0),
+            );
+        });
+    });
+});
--- a/packages/router/src/peers/createBeaconEncoder.ts
+++ b/packages/router/src/peers/createBeaconEncoder.ts
@@ -154,27 +154,38 @@
     const load = JSON.stringify(common.load?.map(loadRow) ?? null);
     const pages = packRows(commonRows(common), limit);
     const relayedDemandOf = common.scope === "vm" ? () => 0 : ({ relayedDemand }: PerTarget) => relayedDemand;
-    const first = { demand: undefined as number | undefined, text: "" };
+    const isOnePage = pages.length === 1;
+    const lastRows = [...pages.at(-1)?.values() ?? []].flat();
+    const kept = { demand: undefined as number | undefined, text: "" };
     /** The first page is the same for all receivers with the same relayed demand, which are nearly all. */
     const firstPage = (own: PerTarget): string => {
         const demand = relayedDemandOf(own);
-        if (demand !== first.demand) {
-            first.demand = demand;
-            first.text = encodePage(common, pages[0] ?? new Map(), load, demand);
+        if (demand !== kept.demand) {
+            kept.demand = demand;
+            kept.text = encodePage(common, pages[0] ?? new Map(), load, demand);
         }
-        return first.text;
+        return kept.text;
     };
-    const otherPages = pages.slice(1).map(page => encodePage(common, page, "null", 0));
+    const middlePages = pages.slice(1, -1).map(page => encodePage(common, page, "null", 0));
 
-    const relayed = { key: "", tails: [] as readonly string[] };
-    /** The relayed rows are the same for all receivers that contributed nothing to them. */
-    const relayedTails = (rows: readonly Row[]): readonly string[] => {
-        const key = rows.map(({ list, json }) => `${list}${json}`).join();
+    const relayed = { key: undefined as string | undefined, tails: [] as readonly string[] };
+    /**
+     * Encodes the last page together with the relayed rows, which fill it up before they take a page of their own: each
+     * datagram costs its sender and its receiver a system call. The result is the same for all receivers that contributed
+     * nothing to these rows.
+     */
+    const lastPages = (own: PerTarget): readonly string[] => {
+        const rows = targetRows(own);
+        if (isOnePage && rows.length === 0) {
+            return [firstPage(own)];
+        }
+        const demand = isOnePage ? relayedDemandOf(own) : 0;
+        const key = `${demand} ${rows.map(({ list, json }) => `${list}${json}`).join()}`;
         if (key !== relayed.key) {
             relayed.key = key;
-            relayed.tails = rows.length === 0
-                ? []
-                : packRows(rows, limit).map(page => encodePage(common, page, "null", 0));
+            relayed.tails = packRows([...lastRows, ...rows], limit).map((page, i) =>
+                isOnePage && i === 0 ? encodePage(common, page, load, demand) : encodePage(common, page, "null", 0)
+            );
         }
         return relayed.tails;
     };
@@ -182,8 +193,7 @@
     return own => {
         const { sequence, sentAt, echo } = own;
         const echoed = JSON.stringify(echo === undefined ? null : [echo.incarnation, echo.sentAt, echo.heldMs]);
-        return [firstPage(own), ...otherPages, ...relayedTails(targetRows(own))].map(tail =>
-            Buffer.from(`${head},${sequence},${sentAt},${echoed},${tail}]`)
-        );
+        const tails = [...(isOnePage ? [] : [firstPage(own)]), ...middlePages, ...lastPages(own)];
+        return tails.map(tail => Buffer.from(`${head},${sequence},${sentAt},${echoed},${tail}]`));
     };
 }
