Keep the number of VMs for 0.1 s

Each request asks several times how many VMs there are, and each call looked through all members. The number is now kept for 0.1 s, as the relays are, or until a VM is added or removed.

--- a/packages/router/src/peers/createMembership.ts
+++ b/packages/router/src/peers/createMembership.ts
@@ -84,7 +84,7 @@
 type SelfInfo = Pick<Members, "vm" | "incarnation" | "failureDomain" | "capacity" | "seeds">;
 
 /** Time for which the relays are cached, unless the set of known VMs changes: they are needed for each beacon. */
-const RELAYS_RECHECK_MS: Millis = 100;
+const RECHECK_MS: Millis = 100;
 
 /** Creates a membership that knows no peer yet, only the addresses of the seeds. */
 export function createMembership(clock: Clock, self: SelfInfo): Membership {
@@ -101,6 +101,8 @@
         lastSeenByDomain: undefined as ReturnType<typeof lastSeenByDomain> | undefined,
         relays: new Map<FailureDomain, readonly VmId[]>(),
         relaysAt: -Infinity as Millis,
+        vms: 1,
+        vmsAt: -Infinity as Millis,
     };
 
     const apply = (event: MembersEvent): void => {
@@ -108,7 +110,10 @@
         state.members = stepMembers(before, event, clock.now());
         // Cached until the members change, as it is needed for each endpoint of each request.
         state.lastSeenByDomain = state.members === before ? state.lastSeenByDomain : undefined;
-        state.relaysAt = state.members.known.size === before.known.size ? state.relaysAt : -Infinity;
+        if (state.members.known.size !== before.known.size) {
+            state.relaysAt = -Infinity;
+            state.vmsAt = -Infinity;
+        }
     };
     const applyBeacon: Membership["applyBeacon"] = (beacon, address) => {
         const previous = state.members.known.get(beacon.vm)?.lastReceived;
@@ -122,7 +127,7 @@
     };
     const relays = (): ReadonlyMap<FailureDomain, readonly VmId[]> => {
         const now = clock.now();
-        if (now - state.relaysAt >= RELAYS_RECHECK_MS) {
+        if (now - state.relaysAt >= RECHECK_MS) {
             state.relays = new Map(
                 domainsOf(state.members).map(domain => [domain, relaysOf(state.members, domain, now)] as const),
             );
@@ -139,9 +144,17 @@
         return roleOf({ vm, failureDomain, self, relays: relays() });
     };
     const liveness = (): PeerLiveness => livenessOf(state.members, isRelay(), clock.now());
+    const vms = (): number => {
+        const now = clock.now();
+        if (now - state.vmsAt >= RECHECK_MS) {
+            state.vms = liveness().peers + 1;
+            state.vmsAt = now;
+        }
+        return state.vms;
+    };
     return {
         current: () => state.members,
-        vms: () => liveness().peers + 1,
+        vms,
         applyBeacon,
         list: vms => apply({ kind: "listed", vms }),
         tick: () => apply({ kind: "tick" }),
