--- a/packages/router/src/serve/createRetryBudgets.ts
+++ b/packages/router/src/serve/createRetryBudgets.ts
@@ -34,9 +34,8 @@
     const budgets = new Map<ServiceName, RetryBudget>();
     const capacity = (): number => Math.max(1, limits().slack * USED_FRACTION / vms());
     const of: RetryBudgets["of"] = service => {
-        const most = capacity();
-        const budget = budgets.get(service) ?? fullRetryBudget(most, limits().ratio * USED_FRACTION);
-        return { ...budget, capacity: most, balance: Math.min(most, budget.balance) };
+        const budget = budgets.get(service) ?? fullRetryBudget(capacity(), limits().ratio * USED_FRACTION);
+        return { ...budget, capacity: capacity(), balance: Math.min(capacity(), budget.balance) };
     };
     const set: RetryBudgets["set"] = (service, budget) => {
         budgets.set(service, budget);
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -46,7 +46,6 @@
 import { createIgnoredHeaderLog } from "./serve/createIgnoredHeaderLog.js";
 import { createLagWatch } from "./serve/createLagWatch.js";
 import { createOverloadGuard } from "./serve/createOverloadGuard.js";
-import { createRecentCount } from "./serve/createRecentCount.js";
 import { createRequestHandler } from "./serve/createRequestHandler.js";
 import { createRetryBudgets } from "./serve/createRetryBudgets.js";
 import { createTickLag } from "./serve/createTickLag.js";
@@ -112,14 +111,13 @@
         metrics,
         open: parts.open,
     });
-    const recentVms = createRecentCount(clock, () => membership.vms());
     const requestAgent = new EndpointAgent(clock.now, {
         maxIdle: address => {
             const service = endpointTable.entryAt(address)?.service;
             const declared = service === undefined
                 ? undefined
                 : declarations.current().configuration?.services.get(service);
-            return maxIdleConnections(declared?.maxConnections, recentVms());
+            return maxIdleConnections(declared?.maxConnections, membership.vms());
         },
         openConnection: connector.openConnection,
         isBlocked: connector.isBlocked,
@@ -354,7 +352,7 @@
             schedule: (delayMs, run) => void setTimeout(run, delayMs),
         }),
         demand,
-        retryBudgets: createRetryBudgets(() => state.settings.retries, recentVms),
+        retryBudgets: createRetryBudgets(() => state.settings.retries, () => membership.vms()),
         quarantine,
         rollouts,
         streams,
