--- a/packages/overload/src/__tests__/support/simulateVm.ts
+++ b/packages/overload/src/__tests__/support/simulateVm.ts
@@ -15,6 +15,7 @@
     /** Part of the requests whose first endpoint is silent, so that they cost a second try. */
     readonly silentShare?: number;
     readonly pauseAt?: number;
+    readonly seed?: number;
 };
 type KindOutcome = { readonly sent: number; readonly inTime: number; readonly refused: number; };
 
@@ -36,9 +37,9 @@
 
 /** Simulates the event loop of one VM that has a part of a core. Each turn processes what was readable as it began. */
 export function simulateVm(
-    { cores, kinds, sheds, silentShare = 0, ...load }: VmLoad,
+    { cores, kinds, sheds, silentShare = 0, seed = 7, ...load }: VmLoad,
 ): ReadonlyMap<string, KindOutcome> {
-    const random = seededRandom(7).next;
+    const random = seededRandom(seed).next;
     const outcomes = new Map(kinds.map(kind => [kind.name, { sent: 0, inTime: 0, refused: 0 }]));
     const arrivals = kinds.flatMap(kind => {
         const jobs: Job[] = [];
--- a/packages/overload/src/__tests__/unit/decisions.test.ts
+++ b/packages/overload/src/__tests__/unit/decisions.test.ts
@@ -24,6 +24,28 @@
     });
 });
 
+const plain = { name: "plain", priority: 1, objectiveMs: 149 };
+const heads = [
+    { name: "while a less urgent kind is admitted", kind: plain, others: 0.08, draw: 0.5, isAdmitted: true },
+    { name: "once less urgent kinds are at their floor", kind: plain, others: 0.95, draw: 0.5, isAdmitted: false },
+    { name: "once they are, for its own floor", kind: plain, others: 0.95, draw: 0.96, isAdmitted: true },
+    { name: "as the least urgent kind", kind: other, others: 0.08, draw: 0.5, isAdmitted: false },
+    { name: "as the least urgent kind, for its floor", kind: other, others: 0.08, draw: 0.96, isAdmitted: true },
+    { name: "as the most urgent kind", kind: urgent, others: 0.95, draw: 0.5, isAdmitted: true },
+];
+// A kind with a tight objective would be refused whole before a less urgent kind with a wide one.
+heads.forEach(({ name, kind, others, draw, isAdmitted }) => {
+    test(`admits: a request that has waited beyond its objective, ${name}`, t => {
+        const kinds = [load(urgent, 10), load(plain, 10), { ...load(other, 10), refusedFraction: others }];
+        const state = {
+            ...initialLoad(0),
+            shedFraction: 0.05,
+            kinds: new Map(kinds.map(each => [each.kind.name, each])),
+        };
+        t.is(admits(state, { kind, waitedMs: 3_000, draw }), isAdmitted);
+    });
+});
+
 // A process that was suspended once has no shortage of CPU time.
 test("stepLoad: one long pause refuses at most a tenth of the requests, and none a second later", t => {
     const arrivals = [{ kind: urgent, count: 5 }, { kind: other, count: 5 }];
--- a/packages/overload/src/loadTiming.ts
+++ b/packages/overload/src/loadTiming.ts
@@ -16,8 +16,11 @@
     maxFirstGrowth: 0.1,
     /** Decrease of the refused fraction per second while ticks are in time. */
     decreasePerSecond: 0.3,
-    /** The same once no tick has been late for about a second. */
-    quietDecreasePerSecond: 1,
+    /**
+     * The same once no tick has been late for about a second. At 1 the fraction falls to zero and grows again within each
+     * second of a lasting overload, which costs the most urgent kind a tenth of its share.
+     */
+    quietDecreasePerSecond: 0.4,
     /** Factor by which the highest lag fades at each tick. */
     peakDecay: 0.8,
     /** Time constant of the counts of requests by kind. */
