Keep the bound of too late requests from locking a route out

Cause: the count of answers was never reset, so one answer per window was enough for a bound; the times include this VM's own lag, so after a long overload the shortest one approached the deadline, every request was refused as too late, and none was answered that would have shown otherwise.

Change: answers count per pair of windows; those that arrive within a late tick, or while the recent lag is 25 ms or more, are not recorded; one request in twenty is a probe, which is too late only once its caller has left.

--- a/packages/overload/src/AnswerTimes.ts
+++ b/packages/overload/src/AnswerTimes.ts
@@ -1,10 +1,10 @@
 import type { Millis } from "@azureshunt/core";
 
-/** Shortest times to answer in the current window and in the one before; infinite if there was none. */
+/** Answers in the current window and in the one before: how many, and the shortest time, which is infinite if none. */
 export type AnswerTimes = {
     readonly since: Millis;
     readonly current: Millis;
+    readonly currentCount: number;
     readonly previous: Millis;
-    /** Answers since the first window. */
-    readonly count: number;
+    readonly previousCount: number;
 };
--- a/packages/overload/src/__tests__/unit/decisions.test.ts
+++ b/packages/overload/src/__tests__/unit/decisions.test.ts
@@ -93,4 +93,8 @@
     t.is(shortestAnswer(after([90, 0], [70, 1]), 5), 0);
     t.is(shortestAnswer(five, 5), 70);
     t.is(shortestAnswer(five, 20_000), 0);
+    // A bound from one answer in a window would last for as long as the answers become slower.
+    t.is(shortestAnswer(after([90, 0], [70, 1], [80, 2], [100, 3], [90, 4], [900, 10_000]), 10_001), 70);
+    t.is(shortestAnswer(recordAnswer(recordAnswer(five, 900, 10_000), 900, 20_001), 20_002), 0);
+    t.is(shortestAnswer(recordAnswer(five, 900, 30_000), 30_001), 0);
 });
--- /dev/null
+++ b/packages/router/src/__tests__/unit/overloadGuard.test.ts
@@ -0,0 +1,51 @@
+import test from "ava";
+
+import type { Route } from "../../configuration/Route.js";
+import type { RouteName } from "../../configuration/RouteName.js";
+
+import { createOverloadGuard } from "../../serve/createOverloadGuard.js";
+import { isTooLate } from "../../serve/isTooLate.js";
+
+const INTERVAL_MS = 100;
+const route = { name: "plain" as RouteName, priority: 1, objectiveMs: 149 };
+
+const start = () => {
+    const time = { now: 0 };
+    const clock = { now: () => time.now, epoch: () => time.now };
+    const overload = createOverloadGuard({ clock, random: () => 0.5, intervalMs: INTERVAL_MS });
+    const tickAfter = (ms: number): void => {
+        time.now += ms;
+        overload.tick();
+    };
+    const record = (): void => Array.from({ length: 5 }).forEach(() => overload.recordAnswer(route, 900));
+    return { time, clock, overload, tickAfter, record };
+};
+
+// A time that includes this VM's own lag would make requests look too late that endpoints answer at once.
+test("overload guard: answers do not count while ticks are late or overdue", t => {
+    const { time, overload, tickAfter, record } = start();
+    tickAfter(500);
+    record();
+    t.is(overload.shortestAnswerMs(route), 0);
+    Array.from({ length: 20 }).forEach(() => tickAfter(INTERVAL_MS));
+    time.now += 200;
+    record();
+    t.is(overload.shortestAnswerMs(route), 0);
+    time.now -= 200;
+    record();
+    t.is(overload.shortestAnswerMs(route), 900);
+});
+
+// A route whose requests all look too late would get no answer that shows otherwise.
+test("isTooLate: a probe is sent although answers have taken too long, unless its caller has left", t => {
+    const { clock, overload, record } = start();
+    record();
+    const isLate = (sendBefore: number, isProbe: boolean): boolean =>
+        isTooLate({ clock, overload }, { route: route as Route, sendBefore, isProbe });
+    t.deepEqual([isLate(1_000, false), isLate(800, false), isLate(800, true), isLate(0, true)], [
+        false,
+        true,
+        false,
+        true,
+    ]);
+});
--- a/packages/router/src/serve/ServedRequest.ts
+++ b/packages/router/src/serve/ServedRequest.ts
@@ -26,6 +26,8 @@
     readonly deadline: Millis;
     /** The same if the request has waited unread in this VM for as long as it can have; then nothing is sent any more. */
     readonly sendBefore: Millis;
+    /** Whether it is sent although recent answers have taken longer than the time left. */
+    readonly isProbe: boolean;
     /** Aborted when the caller disconnects or the deadline passes. */
     readonly signal: AbortSignal;
 };
--- a/packages/router/src/serve/createOverloadGuard.ts
+++ b/packages/router/src/serve/createOverloadGuard.ts
@@ -53,7 +53,7 @@
     /** To be called once for each request's head. */
     readonly enter: (req: IncomingMessage, route: RouteKind | undefined) => Head;
     readonly admits: (route: RouteKind | undefined, head: Head) => boolean;
-    /** Records the time from the sending of a request to an endpoint until its answer began. */
+    /** Records the time from the sending of a request until its answer began, unless this VM has run late. */
     readonly recordAnswer: (route: Pick<Route, "name">, answerMs: Millis) => void;
     /** Shortest time in which an endpoint has lately answered a request of this kind; 0 if none has. */
     readonly shortestAnswerMs: (route: Pick<Route, "name">) => Millis;
@@ -65,6 +65,9 @@
     readonly shedFraction: () => number;
 };
 
+/** Recent lag from which an answer may have waited unread, so that it says nothing of the endpoint. */
+const MAX_ANSWER_LAG_MS: Millis = 25;
+
 /** Creates the guard of a VM against overload. */
 export function createOverloadGuard({ clock, random, intervalMs }: GuardParts): OverloadGuard {
     const state = { load: initialLoad(clock.now()), arrivals: [] as KindArrivals[], waiting: [] as Waiting[] };
@@ -120,8 +123,13 @@
         },
         admits: (route, { waited }) =>
             route === undefined || admits(state.load, { kind: route, waitedMs: waited.least, draw: random() }),
-        recordAnswer: ({ name }, answerMs) =>
-            void answers.set(name, recordAnswer(answers.get(name), answerMs, clock.now())),
+        recordAnswer: ({ name }, answerMs) => {
+            const now = clock.now();
+            const { peakLagMs, tickAt } = state.load;
+            if (Math.max(peakLagMs, now - tickAt - intervalMs) < MAX_ANSWER_LAG_MS) {
+                answers.set(name, recordAnswer(answers.get(name), answerMs, now));
+            }
+        },
         shortestAnswerMs: ({ name }) => shortestAnswer(answers.get(name), clock.now()),
         recordSent: service =>
             void returns.set(service, stepReturns(returnsOf(service), { kind: "sent" }, clock.now())),
--- a/packages/router/src/serve/createRequestHandler.ts
+++ b/packages/router/src/serve/createRequestHandler.ts
@@ -25,6 +25,8 @@
 const DEFAULT_MAX_BODY_BYTES = 1024 * 1024;
 /** A colon and a space after each name, a line ending after each value. */
 const SEPARATOR_BYTES = 2;
+/** Share of requests that are sent although recent answers have taken too long; most of them may run for nobody. */
+const PROBE_SHARE = 0.05;
 const OK = 200;
 /** Longest wait for an organisation's tokens. After a restart of all VMs, some are available within half of it. */
 const MAX_ALLOWANCE_WAIT_MS = 250;
@@ -300,6 +302,7 @@
             arrivedAt,
             deadline,
             sendBefore,
+            isProbe: parts.random() < PROBE_SHARE,
             signal: cancellation.signal,
         };
         await finish(served, cancellation, tokens);
