--- a/packages/overload/src/__tests__/support/simulateVm.ts
+++ b/packages/overload/src/__tests__/support/simulateVm.ts
@@ -48,7 +48,7 @@
         }
         return jobs;
     });
-    const sim = { now: 0, cpuAt: 0, jobs: arrivals, load: initialLoad(0), counts: new Map<string, number>() };
+    const sim = { now: 0, cpuAt: 0, jobs: arrivals, load: initialLoad(0), counts: new Map<string, number>(), turns: 0 };
     const spend = (cpuMs: number): void => {
         sim.now += cpuMs / cores;
     };
@@ -69,7 +69,8 @@
         if (job.stage === "head") {
             sim.counts.set(job.kind.name, (sim.counts.get(job.kind.name) ?? 0) + 1);
             spend(CPU_MS.head);
-            const { least } = waitedMs(sim.load, TICK_MS, job.acceptedAt, sim.now);
+            const head = { acceptedAt: job.acceptedAt, isAfterTick: sim.turns <= 2 };
+            const { least } = waitedMs(sim.load, TICK_MS, head, sim.now);
             if (sheds && !admits(sim.load, { kind: job.kind, waitedMs: least, draw: random() })) {
                 spend(CPU_MS.refusal);
                 outcome.refused += 1;
@@ -107,7 +108,9 @@
             } as const;
             sim.load = stepLoad(sim.load, event, sim.now);
             sim.counts.clear();
+            sim.turns = 0;
         }
+        sim.turns += 1;
         const ready = sim.jobs.filter(job => job.at <= sim.now).sort((a, b) => a.at - b.at);
         sim.jobs = sim.jobs.filter(job => job.at > sim.now);
         const isSorted = sheds && isLagging();
--- a/packages/router/src/__tests__/unit/overloadGuard.test.ts
+++ b/packages/router/src/__tests__/unit/overloadGuard.test.ts
@@ -1,3 +1,6 @@
+import type { IncomingMessage } from "node:http";
+import { Duplex } from "node:stream";
+
 import test from "ava";
 
 import type { Route } from "../../configuration/Route.js";
@@ -49,3 +52,18 @@
         true,
     ]);
 });
+
+// A pause of 1.4 s would otherwise make all requests of the next interval look as if they had waited for so long.
+test("overload guard: a late tick counts for the two turns of the event loop that read what has waited", async t => {
+    const { overload, tickAfter } = start();
+    const nextTurn = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
+    const mostMs = (): number =>
+        overload.enter({ socket: new Duplex() } as unknown as IncomingMessage, undefined).waited.most;
+    tickAfter(1_400);
+    const waits = [mostMs()];
+    await nextTurn();
+    waits.push(mostMs());
+    await nextTurn();
+    waits.push(mostMs());
+    t.deepEqual(waits, [1_400, 1_400, 0]);
+});
--- a/packages/router/src/serve/createOverloadGuard.ts
+++ b/packages/router/src/serve/createOverloadGuard.ts
@@ -70,7 +70,12 @@
 
 /** Creates the guard of a VM against overload. */
 export function createOverloadGuard({ clock, random, intervalMs }: GuardParts): OverloadGuard {
-    const state = { load: initialLoad(clock.now()), arrivals: [] as KindArrivals[], waiting: [] as Waiting[] };
+    const state = {
+        load: initialLoad(clock.now()),
+        isAfterTick: false,
+        arrivals: [] as KindArrivals[],
+        waiting: [] as Waiting[],
+    };
     const acceptedAt = new WeakMap<Duplex, Millis>();
     const answers = new Map<string, AnswerTimes>();
     const returns = new Map<ServiceName | undefined, ReturnSchedule>();
@@ -78,6 +83,15 @@
         returns.get(service) ?? initialReturns(clock.now());
     const kindOf = ({ name, priority, objectiveMs }: RouteKind) => ({ name, priority, objectiveMs });
 
+    /** Marks the two turns of the event loop after a late tick, in which what has waited during it is read. */
+    const markTurns = (): void => {
+        const { tickAt } = state.load;
+        const unmark = (): void => {
+            state.isAfterTick &&= state.load.tickAt !== tickAt;
+        };
+        state.isAfterTick = true;
+        setImmediate(() => setImmediate(unmark));
+    };
     const startWaiting = (): void => {
         const ready = state.waiting.sort((a, b) => a.priority - b.priority);
         state.waiting = [];
@@ -108,11 +122,16 @@
             if (state.arrivals.length > 0) {
                 state.arrivals = [];
             }
+            state.isAfterTick = false;
+            if (state.load.lagMs >= intervalMs) {
+                markTurns();
+            }
         },
         recordAccepted: connection => void acceptedAt.set(connection, clock.now()),
         enter: (req, route) => {
             const { socket } = req;
-            const waited = waitedMs(state.load, intervalMs, acceptedAt.get(socket), clock.now());
+            const read = { acceptedAt: acceptedAt.get(socket), isAfterTick: state.isAfterTick };
+            const waited = waitedMs(state.load, intervalMs, read, clock.now());
             acceptedAt.delete(socket);
             if (route === undefined) {
                 return { waited, turn: undefined };
