Tell unknown room from room now in Retry-After

Cause: a time of 0 until there is room meant both. Without a known time, the first refused callers were to return after 0 to 11 ms and met endpoints that were still in backoff. Callers without time left took turns of those that return.

Change: the time is undefined where it is not known, and counts as 250 ms (minSpreadMs) then, within the cap; where the cap is not above that, callers spread over its later half as before. A VM that sheds load uses the time until its refused fraction has fallen to zero. The time left is that of sendBefore. Callers without time left are not counted.

--- a/packages/overload/src/__tests__/unit/decisions.test.ts
+++ b/packages/overload/src/__tests__/unit/decisions.test.ts
@@ -4,6 +4,7 @@
 import { divideShed } from "../../divideShed.js";
 import { initialLoad } from "../../initialLoad.js";
 import { recordAnswer } from "../../recordAnswer.js";
+import { shedEndsInMs } from "../../shedEndsInMs.js";
 import { shortestAnswer } from "../../shortestAnswer.js";
 import { stepLoad } from "../../stepLoad.js";
 import { waitedMs } from "../../waitedMs.js";
@@ -58,6 +59,11 @@
     t.true(admits(later, { kind: other, waitedMs: 5_000, draw: 0 }));
 });
 
+// Callers that come back while the VM still refuses requests are refused again.
+test("shedEndsInMs: the time until the refused fraction has fallen to zero", t => {
+    t.deepEqual([0, 0.3, 0.6].map(shedFraction => shedEndsInMs({ shedFraction })), [0, 1_000, 2_000]);
+});
+
 // A machine that is busy with other processes makes ticks late; refusing its few requests would not change that.
 test("stepLoad: nothing is refused while there are few requests, however late the ticks are", t => {
     const late = Array.from({ length: 20 }, (_, i) => i * 500).reduce(
--- a/packages/overload/src/__tests__/unit/retryAfter.test.ts
+++ b/packages/overload/src/__tests__/unit/retryAfter.test.ts
@@ -17,6 +17,21 @@
         seconds: 0.225,
     },
     { name: "no room in time", forecast: { roomInMs: 900, ahead: 0, perSecond: 10 }, kind, draw: 0.5, seconds: 0.3 },
+    // Endpoints that are in backoff would still be so when the first refused callers are back.
+    {
+        name: "not before the floor if the time is not known",
+        forecast: { roomInMs: undefined, ahead: 0, perSecond: 50 },
+        kind,
+        draw: 0.5,
+        seconds: 0.26,
+    },
+    {
+        name: "spread over the later half if the floor is the cap",
+        forecast: { roomInMs: undefined, ahead: 0, perSecond: 50 },
+        kind: { timeLeftMs: 1_050, objectiveMs: 149 },
+        draw: 0.5,
+        seconds: 0.1875,
+    },
     {
         name: "never more than a third of the time left",
         forecast: { roomInMs: 900, ahead: 0, perSecond: 10 },
--- a/packages/overload/src/index.ts
+++ b/packages/overload/src/index.ts
@@ -10,6 +10,7 @@
 export { recordAnswer } from "./recordAnswer.js";
 export { retryAfterOf } from "./retryAfterOf.js";
 export type { ReturnSchedule } from "./ReturnSchedule.js";
+export { shedEndsInMs } from "./shedEndsInMs.js";
 export { shortestAnswer } from "./shortestAnswer.js";
 export { stepLoad } from "./stepLoad.js";
 export { stepReturns } from "./stepReturns.js";
--- a/packages/router/src/__tests__/unit/overloadGuard.test.ts
+++ b/packages/router/src/__tests__/unit/overloadGuard.test.ts
@@ -53,6 +53,19 @@
     ]);
 });
 
+// Callers that do not come back would delay those that do.
+test("overload guard: a refused caller without time left takes no turn of those that return", t => {
+    const { overload } = start();
+    const secondsOf = (timeLeftMs: number): number =>
+        overload.retryAfterSeconds({
+            service: undefined,
+            route: { priority: 1, objectiveMs: 5_000 },
+            timeLeftMs,
+            roomInMs: 0,
+        });
+    t.deepEqual([secondsOf(0), secondsOf(30_000)], [0, 0.5]);
+});
+
 // A pause of 1.4 s would otherwise make all requests of the next interval look as if they had waited for so long.
 test("overload guard: a late tick counts for the two turns of the event loop that read what has waited", async t => {
     const { overload, tickAfter } = start();
--- a/packages/router/src/serve/ServeParts.ts
+++ b/packages/router/src/serve/ServeParts.ts
@@ -66,6 +66,13 @@
     readonly isLagging: () => boolean;
     readonly overload: Pick<
         ReturnType<typeof createOverloadGuard>,
-        "enter" | "admits" | "recordAnswer" | "shortestAnswerMs" | "recordSent" | "retryAfterSeconds" | "lagMs"
+        | "enter"
+        | "admits"
+        | "recordAnswer"
+        | "shortestAnswerMs"
+        | "recordSent"
+        | "retryAfterSeconds"
+        | "shedEndsInMs"
+        | "lagMs"
     >;
 };
--- a/packages/router/src/serve/createOverloadGuard.ts
+++ b/packages/router/src/serve/createOverloadGuard.ts
@@ -9,6 +9,7 @@
     initialReturns,
     recordAnswer,
     retryAfterOf,
+    shedEndsInMs,
     shortestAnswer,
     stepLoad,
     stepReturns,
@@ -40,8 +41,8 @@
     readonly service: ServiceName | undefined;
     readonly route: Pick<Route, "priority" | "objectiveMs">;
     readonly timeLeftMs: Millis;
-    /** Time until there is room, if the load stays the same; 0 if that is not known. */
-    readonly roomInMs: Millis;
+    /** Time until there is room, if the load stays the same; `undefined` if that is not known. */
+    readonly roomInMs: Millis | undefined;
 };
 
 /** Decides which requests this VM reads while it is short of CPU time. */
@@ -61,6 +62,8 @@
     readonly recordSent: (service: ServiceName) => void;
     /** Returns after how many seconds the caller of a refused request is to come back, and records that it will. */
     readonly retryAfterSeconds: (refused: RefusedRequest) => number;
+    /** In what time this VM refuses nothing any more if it has enough CPU time from now on. */
+    readonly shedEndsInMs: () => Millis;
     readonly lagMs: () => Millis;
     readonly shedFraction: () => number;
 };
@@ -157,9 +160,13 @@
             // The refused caller is counted after its own turn is computed.
             const schedule = returnsOf(service);
             const forecast = forecastRoom(schedule, priority, roomInMs);
-            returns.set(service, stepReturns(schedule, { kind: "refused", priority }, clock.now()));
+            // One without time left does not come back.
+            if (timeLeftMs > 0) {
+                returns.set(service, stepReturns(schedule, { kind: "refused", priority }, clock.now()));
+            }
             return retryAfterOf(forecast, { timeLeftMs, objectiveMs }, random());
         },
+        shedEndsInMs: () => shedEndsInMs(state.load),
         lagMs: () => state.load.lagMs,
         shedFraction: () => state.load.shedFraction,
     };
--- a/packages/router/src/serve/createRequestHandler.ts
+++ b/packages/router/src/serve/createRequestHandler.ts
@@ -167,11 +167,13 @@
             const detail = `event loop lag ${Math.round(parts.overload.lagMs())} ms, waited unread `
                 + `${Math.round(waited.least)} to ${Math.round(waited.most)} ms`;
             const caller = decoded.toMaybe().extractNullable();
+            const sendBefore = arrivedAt - waited.most +
+                Math.min(route.timeoutMs, caller?.deadlineMs ?? route.timeoutMs);
             const retryAfterSeconds = parts.overload.retryAfterSeconds({
                 service: route.targets[0]?.service,
                 route,
-                timeLeftMs: Math.min(route.timeoutMs, caller?.deadlineMs ?? route.timeoutMs) - waited.most,
-                roomInMs: 0,
+                timeLeftMs: sendBefore - clock.now(),
+                roomInMs: parts.overload.shedEndsInMs(),
             });
             const labels = { reason: "vm-overloaded", priority: String(route.priority) };
             metrics.count("azureshunt_overload_refusals_total", "Requests refused for overload.", labels);
--- a/packages/router/src/serve/refusalAsTooLate.ts
+++ b/packages/router/src/serve/refusalAsTooLate.ts
@@ -13,7 +13,7 @@
  */
 export function refusalAsTooLate(
     { clock, overload, metrics }: Pick<ServeParts, "clock" | "overload" | "metrics">,
-    served: Pick<ServedRequest, "service" | "route" | "deadline" | "sendBefore">,
+    served: Pick<ServedRequest, "service" | "route" | "sendBefore">,
     ran: Ran,
     { forwardedEvents }: Pick<StreamProgress, "forwardedEvents">,
 ): Refusal {
--- a/packages/router/src/serve/refusalWithoutPlace.ts
+++ b/packages/router/src/serve/refusalWithoutPlace.ts
@@ -16,7 +16,7 @@
  */
 export function refusalWithoutPlace(
     parts: Pick<ServeParts, "endpointLimits" | "brittleServices" | "overload" | "clock">,
-    served: Pick<ServedRequest, "service" | "caller" | "route" | "deadline">,
+    served: Pick<ServedRequest, "service" | "caller" | "route" | "sendBefore">,
     ran: Ran,
     { forwardedEvents }: Pick<StreamProgress, "forwardedEvents">,
 ): Refusal {
