Count overdue tries for the choice of an endpoint only

Cause: an overdue try scaled the whole estimate, so one slow answer made overloadDelayMs refuse a request with most slots free. Calls that were withheld, or cancelled while connecting, were observed as waited, although the endpoint had not seen them.

Change: the choice uses rankMs, which includes overdue tries; queueMs and startMs do not. runTry observes a try as waited only if it was sent on an open connection. The test of the first fails without the change; the second has no test of its own.

--- a/packages/router/src/__tests__/unit/endpointPerformance.test.ts
+++ b/packages/router/src/__tests__/unit/endpointPerformance.test.ts
@@ -5,6 +5,7 @@
 import { choosePlace } from "../../placement/choosePlace.js";
 import { createPerformance } from "../../placement/createPerformance.js";
 import { estimateStart } from "../../placement/estimateStart.js";
+import { overloadDelayMs } from "../../placement/overloadDelayMs.js";
 import { createTickLag } from "../../serve/createTickLag.js";
 import { candidateOf } from "../support/candidateOf.js";
 import { entryOf } from "../support/entryOf.js";
@@ -66,6 +67,21 @@
     );
 });
 
+// One slow answer would refuse requests of an endpoint with most slots free.
+test("endpoint performance: an overdue try does not refuse requests", t => {
+    const { time, performance, entries, candidates } = start();
+    const [fast] = entries;
+    const [candidate] = candidates();
+    const tried = { sentAt: time.now, expectedAt: time.now + 900, predictedMs: 9, missingTokens: 0, memoryTokens: 0 };
+    time.now += 600;
+    const { overdue } = performance.at(fast!, [{ ...tried, isAnswering: false }]);
+    const load = { ...candidate!, running: 4, slots: 16, missingTokens: 600 };
+    const estimate = estimateStart({ ...load, overdue }, time.now);
+    t.true((overdue ?? 1) > 10 && estimate.rankMs > 5 * estimate.startMs);
+    t.is(overloadDelayMs({ ...estimate, objectiveMs: 200, isUrgent: true }), undefined);
+    t.is(estimate.startMs, estimateStart(load, time.now).startMs);
+});
+
 test("tick lag: a late tick counts for a second, an overdue one at once", t => {
     const time = { now: 0 };
     const { tick, lagMs } = createTickLag({ now: () => time.now, epoch: () => time.now }, 100);
--- a/packages/router/src/placement/StartEstimate.ts
+++ b/packages/router/src/placement/StartEstimate.ts
@@ -6,6 +6,8 @@
     readonly queueMs: Millis;
     /** Until its answer would start; includes `queueMs`. */
     readonly startMs: Millis;
+    /** `startMs` with tries counted that are overdue at the endpoint; only for the choice among endpoints. */
+    readonly rankMs: Millis;
     /**
      * Estimate by the constants alone, whatever was learned of the endpoint. Answers of two software versions are compared
      * by it: if they were compared by `startMs`, a slower version would be expected to be slow, and not be noticed.
--- a/packages/router/src/placement/choosePlace.ts
+++ b/packages/router/src/placement/choosePlace.ts
@@ -54,7 +54,7 @@
         : candidates.filter(({ health }) => health.backoffUntil === earliestEnd);
     return usable
         .map(candidate => ({ candidate, ...estimateStart(candidate, now) }))
-        .map(place => ({ place, cost: costOf(place.candidate, place.startMs, random()) }))
+        .map(place => ({ place, cost: costOf(place.candidate, place.rankMs, random()) }))
         .reduce<{ place: Place; cost: number; } | undefined>(
             (best, each) => best === undefined || each.cost < best.cost ? each : best,
             undefined,
--- a/packages/router/src/placement/overloadDelayMs.ts
+++ b/packages/router/src/placement/overloadDelayMs.ts
@@ -9,7 +9,7 @@
 /** Fraction of its objective that a request may always spend in the queue, however long its own prefill takes. */
 const MIN_QUEUE_FRACTION = 0.15;
 
-type OverloadInputs = Omit<StartEstimate, "usualMs"> & {
+type OverloadInputs = Pick<StartEstimate, "queueMs" | "startMs"> & {
     readonly objectiveMs: Millis;
     /** Whether no other kind of request of the service is more urgent. */
     readonly isUrgent: boolean;
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -108,7 +108,7 @@
         predictedMs: place.startMs,
     });
     const times = { headMs: undefined as Millis | undefined, firstEventMs: undefined as Millis | undefined };
-    const used = { connection: "none" as ConnectionKind };
+    const used = { connection: "none" as ConnectionKind, isSent: false };
     const stageAt = (ms: Millis): TryStage => {
         const { headMs, firstEventMs } = times;
         if (headMs === undefined) {
@@ -150,7 +150,8 @@
         if (result.kind !== "answered") {
             served.notes.flush();
         }
-        if (times.headMs === undefined && (result.kind === "silent" || result.kind === "cancelled")) {
+        // A call that was withheld, or cancelled while its connection opened, says nothing of the endpoint's speed.
+        if (used.isSent && times.headMs === undefined && (result.kind === "silent" || result.kind === "cancelled")) {
             recordStart(clock.now() - startedAt, "waited");
         }
         const startMs = times.firstEventMs ?? times.headMs;
@@ -198,7 +199,11 @@
         headMs: headTimeout(kind, objectiveMs, place.startMs, remainingMs, isLastTry),
         // A busy engine has the request in its queue; sending it to another one would only make both busier.
         isAlive: served.caller.prompt === undefined ? undefined : inFlight.isAlive,
-        maySend: () => !isTooLate(parts, served),
+        // Asked once a connection is open.
+        maySend: () => {
+            used.isSent = !isTooLate(parts, served);
+            return used.isSent;
+        },
         bounds: parts.flowBounds(),
         onBody: parts.unreadBodies.begin,
     }, served.signal);
