--- a/packages/overload/src/loadTiming.ts
+++ b/packages/overload/src/loadTiming.ts
@@ -7,23 +7,27 @@
     lagFraction: 0.05,
     /** Least lag that counts: collections of garbage and short throttling by the operating system make ticks as late. */
     minLagMs: 25,
-    /** Growth of the refused fraction per second, for each multiple of the limit by which the lag exceeds it. */
+    /**
+     * Growth of the refused fraction per second, for each multiple of the limit by which the lag exceeds it: at twice the
+     * limit, half of the requests are refused after a second, before most deadlines pass.
+     */
     growthPerSecond: 0.5,
+    /** Largest such multiple: a long pause says little of the load. */
     maxExcess: 3,
-    /** Largest growth in one tick. */
+    /** Largest growth in one tick, so that the effect of a tick shows before all requests are refused. */
     maxGrowth: 0.35,
     /** The same if no tick before was late: one long pause is no overload. */
     maxFirstGrowth: 0.1,
-    /** Decrease of the refused fraction per second while ticks are in time. */
+    /** Decrease of the refused fraction per second while ticks are in time: slower than its growth, so that it settles. */
     decreasePerSecond: 0.3,
     /**
      * The same once no tick has been late for about a second. At 1 the fraction falls to zero and grows again within each
      * second of a lasting overload, which costs the most urgent kind a tenth of its share.
      */
     quietDecreasePerSecond: 0.4,
-    /** Factor by which the highest lag fades at each tick. */
+    /** Factor by which the highest lag fades at each tick: to a tenth within a second of ticks in time. */
     peakDecay: 0.8,
-    /** Time constant of the counts of requests by kind. */
+    /** Time constant of the counts of requests by kind: long enough to count some of a rare kind, short beside a burst. */
     recentMs: 2_000,
     /** Recent requests below which a lag has another cause, so that refusals would not shorten it. */
     minRecent: 10,
--- a/packages/overload/src/retryAfterOf.ts
+++ b/packages/overload/src/retryAfterOf.ts
@@ -4,7 +4,7 @@
 import type { RoomForecast } from "./RoomForecast.js";
 
 const MS_PER_SECOND = 1_000;
-/** Part of the longest possible delay over which callers are spread for which there is no room in time. */
+/** Part of the longest possible delay over which callers are spread for which there is no room in time: half keeps most from returning early. */
 const SPREAD = 0.5;
 
 /**
--- a/packages/overload/src/returnTiming.ts
+++ b/packages/overload/src/returnTiming.ts
@@ -1,6 +1,6 @@
 /** Constants of `Retry-After`. */
 const returnTiming = {
-    /** Time constant of the count of requests sent. */
+    /** Time constant of the count of requests sent: as that of the counts of requests by kind. */
     recentMs: 2_000,
     /** Part of what a service takes that is left for returning callers; most of it goes to new requests. */
     returningShare: 0.3,
@@ -17,7 +17,7 @@
     objectiveShare: 0.2,
     /** Least time over which callers are spread: an endpoint may have room or be back by then. */
     minSpreadMs: 250,
-    /** Priorities that are distinguished; less urgent ones count as the last. */
+    /** Priorities that are distinguished; less urgent ones count as the last. It bounds the memory of a schedule. */
     priorities: 10,
 } as const;
 
--- a/packages/overload/src/stepLoad.ts
+++ b/packages/overload/src/stepLoad.ts
@@ -11,8 +11,9 @@
 const MS_PER_SECOND = 1_000;
 /** Below this, a kind counts as not requested any more, and a lag as none. */
 const NEGLIGIBLE = 0.05;
-/** Longest time that one tick stands for. */
+/** Longest time that one tick stands for: what a longer pause says of the load is no more. */
 const MAX_ELAPSED_MS = 500;
+/** Fraction of the lag limit below which ticks count as in time; between the two, the refused fraction is kept. */
 const QUIET_FRACTION = 0.5;
 
 const kindsAfter = (
--- a/packages/performance/src/partsOf.ts
+++ b/packages/performance/src/partsOf.ts
@@ -29,7 +29,7 @@
 /** Delay by one plain request ahead: the mean work from the deployment specification, spread over the slots. */
 const PLAIN_WORK_MS = 21;
 
-/** Splits the start of a request into the parts whose figures are learned, at today's constants. */
+/** Splits the start of a request into the parts whose figures are learned, by the constants. */
 export function partsOf(load: StartLoad): Parts {
     const { running, slots, waitingTokens, missingTokens, fetchedTokens, memorySize, memoryTokens } = load;
     const queued = Math.max(0, running + 1 - slots);
--- a/packages/performance/src/scaleFactors.ts
+++ b/packages/performance/src/scaleFactors.ts
@@ -2,6 +2,7 @@
 import type { ServiceFigures } from "./ServiceFigures.js";
 import type { Weights } from "./Weights.js";
 
+/** Weight of a new sample in the mean distribution of the parts, which so follows the last fifty samples. */
 const MIX_GAIN = 0.02;
 
 /** Scales the factors of a service so that they are 1 in the mean over its usual start. */
--- a/packages/performance/src/slownessAt.ts
+++ b/packages/performance/src/slownessAt.ts
@@ -4,7 +4,7 @@
 
 /** Half-life of a sudden change: an endpoint that has become slow gets few requests, so no answer shows its recovery. */
 const EXCURSION_HALF_LIFE_MS = 2_000;
-/** Half-life of a lasting difference from the service's median. */
+/** Half-life of a lasting difference from the service's median: an endpoint without answers for minutes may have changed. */
 const BASE_HALF_LIFE_MS = 60_000;
 
 /** The logarithm of an endpoint's slowness at a time: what it was, drawn towards the median by age and lack of evidence. */
--- a/packages/performance/src/stepEndpoint.ts
+++ b/packages/performance/src/stepEndpoint.ts
@@ -5,6 +5,7 @@
 
 type NewSample = Pick<EndpointFigures, "bornAt" | "sentAt"> & EndpointFigures["samples"][number];
 
+/** Samples of the window: seven odd ones do not move the median beyond the others. */
 const WINDOW = 15;
 /** Samples in a row, all far off in one direction, after which the endpoint has changed. One or two may be chance. */
 const CHANGE_SAMPLES = 3;
--- a/packages/performance/src/stepFactors.ts
+++ b/packages/performance/src/stepFactors.ts
@@ -6,6 +6,7 @@
 const DRIFT = 1e-5;
 /** Largest relative error that is taken for evidence; larger ones are queues that were not known. */
 const MAX_ERROR = 0.25;
+/** Bounds of the factors: a part of the start that few samples show must not become zero or take all of it. */
 const MIN_FACTOR = 0.2;
 const MAX_FACTOR = 5;
 
--- a/packages/performance/src/stepModel.ts
+++ b/packages/performance/src/stepModel.ts
@@ -17,7 +17,9 @@
 const QUEUE_NOISE = 0.6;
 /** Share of the start in the queue up to which an observation shows how long the parts take. */
 const MAX_QUEUE_SHARE = 0.5;
+/** Weight of a new deviation in the noise, which so follows the last thirty samples. */
 const NOISE_GAIN = 0.03;
+/** Bounds of the noise: with less, samples with a queue would count for nothing; with more, as much as others. */
 const MIN_NOISE = 0.08;
 const MAX_NOISE = 0.8;
 /** Largest deviation that counts towards the noise; larger ones are changes. */
--- a/packages/performance/src/stepSpread.ts
+++ b/packages/performance/src/stepSpread.ts
@@ -1,8 +1,10 @@
 import type { EndpointFigures } from "./EndpointFigures.js";
 import type { ServiceFigures } from "./ServiceFigures.js";
 
+/** Bounds of what the median counts for: it must neither vanish nor outweigh the window of an endpoint. */
 const MIN_PRIOR_SAMPLES = 0.2;
 const MAX_PRIOR_SAMPLES = 6;
+/** Least variance between endpoints; keeps the quotient finite where all are alike. */
 const MIN_VARIANCE = 1e-4;
 
 /**
