--- a/packages/overload/src/__tests__/support/simulateVm.ts
+++ b/packages/overload/src/__tests__/support/simulateVm.ts
@@ -15,6 +15,7 @@
     /** Part of the requests whose first endpoint is silent, so that they cost a second try. */
     readonly silentShare?: number;
     readonly pauseAt?: number;
+    readonly seed?: number;
 };
 type KindOutcome = { readonly sent: number; readonly inTime: number; readonly refused: number; };
 
@@ -36,9 +37,9 @@
 
 /** Simulates the event loop of one VM that has a part of a core. Each turn processes what was readable as it began. */
 export function simulateVm(
-    { cores, kinds, sheds, silentShare = 0, ...load }: VmLoad,
+    { cores, kinds, sheds, silentShare = 0, seed = 7, ...load }: VmLoad,
 ): ReadonlyMap<string, KindOutcome> {
-    const random = seededRandom(7).next;
+    const random = seededRandom(seed).next;
     const outcomes = new Map(kinds.map(kind => [kind.name, { sent: 0, inTime: 0, refused: 0 }]));
     const arrivals = kinds.flatMap(kind => {
         const jobs: Job[] = [];
@@ -47,7 +48,7 @@
         }
         return jobs;
     });
-    const sim = { now: 0, cpuAt: 0, jobs: arrivals, load: initialLoad(0), counts: new Map<string, number>() };
+    const sim = { now: 0, cpuAt: 0, jobs: arrivals, load: initialLoad(0), counts: new Map<string, number>(), turns: 0 };
     const spend = (cpuMs: number): void => {
         sim.now += cpuMs / cores;
     };
@@ -68,7 +69,8 @@
         if (job.stage === "head") {
             sim.counts.set(job.kind.name, (sim.counts.get(job.kind.name) ?? 0) + 1);
             spend(CPU_MS.head);
-            const { least } = waitedMs(sim.load, TICK_MS, job.acceptedAt, sim.now);
+            const head = { acceptedAt: job.acceptedAt, isAfterTick: sim.turns <= 2 };
+            const { least } = waitedMs(sim.load, TICK_MS, head, sim.now);
             if (sheds && !admits(sim.load, { kind: job.kind, waitedMs: least, draw: random() })) {
                 spend(CPU_MS.refusal);
                 outcome.refused += 1;
@@ -106,7 +108,9 @@
             } as const;
             sim.load = stepLoad(sim.load, event, sim.now);
             sim.counts.clear();
+            sim.turns = 0;
         }
+        sim.turns += 1;
         const ready = sim.jobs.filter(job => job.at <= sim.now).sort((a, b) => a.at - b.at);
         sim.jobs = sim.jobs.filter(job => job.at > sim.now);
         const isSorted = sheds && isLagging();
--- /dev/null
+++ b/packages/router/src/__tests__/unit/overloadGuard.test.ts
@@ -0,0 +1,82 @@
+import type { IncomingMessage } from "node:http";
+import { Duplex } from "node:stream";
+
+import test from "ava";
+
+import type { Route } from "../../configuration/Route.js";
+import type { RouteName } from "../../configuration/RouteName.js";
+
+import { createOverloadGuard } from "../../serve/createOverloadGuard.js";
+import { isTooLate } from "../../serve/isTooLate.js";
+
+const INTERVAL_MS = 100;
+const route = { name: "plain" as RouteName, priority: 1, objectiveMs: 149 };
+
+const start = () => {
+    const time = { now: 0 };
+    const clock = { now: () => time.now, epoch: () => time.now };
+    const overload = createOverloadGuard({ clock, random: () => 0.5, intervalMs: INTERVAL_MS });
+    const tickAfter = (ms: number): void => {
+        time.now += ms;
+        overload.tick();
+    };
+    const record = (): void => Array.from({ length: 5 }).forEach(() => overload.recordAnswer(route, 900));
+    return { time, clock, overload, tickAfter, record };
+};
+
+// A time that includes this VM's own lag would make requests look too late that endpoints answer at once.
+test("overload guard: answers do not count while ticks are late or overdue", t => {
+    const { time, overload, tickAfter, record } = start();
+    tickAfter(500);
+    record();
+    t.is(overload.shortestAnswerMs(route), 0);
+    Array.from({ length: 20 }).forEach(() => tickAfter(INTERVAL_MS));
+    time.now += 200;
+    record();
+    t.is(overload.shortestAnswerMs(route), 0);
+    time.now -= 200;
+    record();
+    t.is(overload.shortestAnswerMs(route), 900);
+});
+
+// A route whose requests all look too late would get no answer that shows otherwise.
+test("isTooLate: a probe is sent although answers have taken too long, unless its caller has left", t => {
+    const { clock, overload, record } = start();
+    record();
+    const isLate = (sendBefore: number, isProbe: boolean): boolean =>
+        isTooLate({ clock, overload }, { route: route as Route, sendBefore, isProbe });
+    t.deepEqual([isLate(1_000, false), isLate(800, false), isLate(800, true), isLate(0, true)], [
+        false,
+        true,
+        false,
+        true,
+    ]);
+});
+
+// Callers that do not come back would delay those that do.
+test("overload guard: a refused caller without time left takes no turn of those that return", t => {
+    const { overload } = start();
+    const secondsOf = (timeLeftMs: number): number =>
+        overload.retryAfterSeconds({
+            service: undefined,
+            route: { priority: 1, objectiveMs: 5_000 },
+            timeLeftMs,
+            roomInMs: 0,
+        });
+    t.deepEqual([secondsOf(0), secondsOf(30_000)], [0, 0.5]);
+});
+
+// A pause of 1.4 s would otherwise make all requests of the next interval look as if they had waited for so long.
+test("overload guard: a late tick counts for the two turns of the event loop that read what has waited", async t => {
+    const { overload, tickAfter } = start();
+    const nextTurn = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
+    const mostMs = (): number =>
+        overload.enter({ socket: new Duplex() } as unknown as IncomingMessage, undefined).waited.most;
+    tickAfter(1_400);
+    const waits = [mostMs()];
+    await nextTurn();
+    waits.push(mostMs());
+    await nextTurn();
+    waits.push(mostMs());
+    t.deepEqual(waits, [1_400, 1_400, 0]);
+});
--- a/packages/router/src/serve/createOverloadGuard.ts
+++ b/packages/router/src/serve/createOverloadGuard.ts
@@ -9,6 +9,7 @@
     initialReturns,
     recordAnswer,
     retryAfterOf,
+    shedEndsInMs,
     shortestAnswer,
     stepLoad,
     stepReturns,
@@ -40,8 +41,8 @@
     readonly service: ServiceName | undefined;
     readonly route: Pick<Route, "priority" | "objectiveMs">;
     readonly timeLeftMs: Millis;
-    /** Time until there is room, if the load stays the same; 0 if that is not known. */
-    readonly roomInMs: Millis;
+    /** Time until there is room, if the load stays the same; `undefined` if that is not known. */
+    readonly roomInMs: Millis | undefined;
 };
 
 /** Decides which requests this VM reads while it is short of CPU time. */
@@ -53,7 +54,7 @@
     /** To be called once for each request's head. */
     readonly enter: (req: IncomingMessage, route: RouteKind | undefined) => Head;
     readonly admits: (route: RouteKind | undefined, head: Head) => boolean;
-    /** Records the time from the sending of a request to an endpoint until its answer began. */
+    /** Records the time from the sending of a request until its answer began, unless this VM has run late. */
     readonly recordAnswer: (route: Pick<Route, "name">, answerMs: Millis) => void;
     /** Shortest time in which an endpoint has lately answered a request of this kind; 0 if none has. */
     readonly shortestAnswerMs: (route: Pick<Route, "name">) => Millis;
@@ -61,13 +62,23 @@
     readonly recordSent: (service: ServiceName) => void;
     /** Returns after how many seconds the caller of a refused request is to come back, and records that it will. */
     readonly retryAfterSeconds: (refused: RefusedRequest) => number;
+    /** In what time this VM refuses nothing any more if it has enough CPU time from now on. */
+    readonly shedEndsInMs: () => Millis;
     readonly lagMs: () => Millis;
     readonly shedFraction: () => number;
 };
 
+/** Recent lag from which an answer may have waited unread, so that it says nothing of the endpoint. */
+const MAX_ANSWER_LAG_MS: Millis = 25;
+
 /** Creates the guard of a VM against overload. */
 export function createOverloadGuard({ clock, random, intervalMs }: GuardParts): OverloadGuard {
-    const state = { load: initialLoad(clock.now()), arrivals: [] as KindArrivals[], waiting: [] as Waiting[] };
+    const state = {
+        load: initialLoad(clock.now()),
+        isAfterTick: false,
+        arrivals: [] as KindArrivals[],
+        waiting: [] as Waiting[],
+    };
     const acceptedAt = new WeakMap<Duplex, Millis>();
     const answers = new Map<string, AnswerTimes>();
     const returns = new Map<ServiceName | undefined, ReturnSchedule>();
@@ -75,6 +86,15 @@
         returns.get(service) ?? initialReturns(clock.now());
     const kindOf = ({ name, priority, objectiveMs }: RouteKind) => ({ name, priority, objectiveMs });
 
+    /** Marks the two turns of the event loop after a late tick, in which what has waited during it is read. */
+    const markTurns = (): void => {
+        const { tickAt } = state.load;
+        const unmark = (): void => {
+            state.isAfterTick &&= state.load.tickAt !== tickAt;
+        };
+        state.isAfterTick = true;
+        setImmediate(() => setImmediate(unmark));
+    };
     const startWaiting = (): void => {
         const ready = state.waiting.sort((a, b) => a.priority - b.priority);
         state.waiting = [];
@@ -105,11 +125,16 @@
             if (state.arrivals.length > 0) {
                 state.arrivals = [];
             }
+            state.isAfterTick = false;
+            if (state.load.lagMs >= intervalMs) {
+                markTurns();
+            }
         },
         recordAccepted: connection => void acceptedAt.set(connection, clock.now()),
         enter: (req, route) => {
             const { socket } = req;
-            const waited = waitedMs(state.load, intervalMs, acceptedAt.get(socket), clock.now());
+            const read = { acceptedAt: acceptedAt.get(socket), isAfterTick: state.isAfterTick };
+            const waited = waitedMs(state.load, intervalMs, read, clock.now());
             acceptedAt.delete(socket);
             if (route === undefined) {
                 return { waited, turn: undefined };
@@ -120,8 +145,13 @@
         },
         admits: (route, { waited }) =>
             route === undefined || admits(state.load, { kind: route, waitedMs: waited.least, draw: random() }),
-        recordAnswer: ({ name }, answerMs) =>
-            void answers.set(name, recordAnswer(answers.get(name), answerMs, clock.now())),
+        recordAnswer: ({ name }, answerMs) => {
+            const now = clock.now();
+            const { peakLagMs, tickAt } = state.load;
+            if (Math.max(peakLagMs, now - tickAt - intervalMs) < MAX_ANSWER_LAG_MS) {
+                answers.set(name, recordAnswer(answers.get(name), answerMs, now));
+            }
+        },
         shortestAnswerMs: ({ name }) => shortestAnswer(answers.get(name), clock.now()),
         recordSent: service =>
             void returns.set(service, stepReturns(returnsOf(service), { kind: "sent" }, clock.now())),
@@ -130,9 +160,13 @@
             // The refused caller is counted after its own turn is computed.
             const schedule = returnsOf(service);
             const forecast = forecastRoom(schedule, priority, roomInMs);
-            returns.set(service, stepReturns(schedule, { kind: "refused", priority }, clock.now()));
+            // One without time left does not come back.
+            if (timeLeftMs > 0) {
+                returns.set(service, stepReturns(schedule, { kind: "refused", priority }, clock.now()));
+            }
             return retryAfterOf(forecast, { timeLeftMs, objectiveMs }, random());
         },
+        shedEndsInMs: () => shedEndsInMs(state.load),
         lagMs: () => state.load.lagMs,
         shedFraction: () => state.load.shedFraction,
     };
