Reset the growth window of an answer when there is room again

Cause: the check of an answer's growth may fire while the answer is paused for lack of room, and starts a new window. If room came back just before the next check, that check saw fewer than 4,096 bytes and failed the answer; one to an at-most-once request was lost.

Change: the window starts anew when reading goes on, as in forwardStream. The test fails without it.

--- a/packages/router/src/dispatch/readAnswer.ts
+++ b/packages/router/src/dispatch/readAnswer.ts
@@ -75,6 +75,8 @@
         if (account !== undefined) {
             account.onBudgetRoom = () => {
                 account.source = undefined;
+                // The endpoint could send nothing during the pause.
+                state.growth = { since: clock.now(), bytes: 0 };
                 res.resume();
             };
         }
