Close accounts of pipelined requests with their connection

Cause: Node emits close for the response that it is sending, not for those queued behind it. A caller that sent two requests at once and left while the first ran left the account of the second open for good, and its request ran until its deadline.

Change: the budget listens once per connection, and closes the queued responses when it closes; watchCancellation listens to the same event. An account that is opened after the connection closed stays empty, and the request is cancelled at once.

--- a/packages/router/src/__tests__/unit/callerOutput.test.ts
+++ b/packages/router/src/__tests__/unit/callerOutput.test.ts
@@ -1,5 +1,5 @@
 import type { ServerResponse } from "node:http";
-import { Writable } from "node:stream";
+import { PassThrough, Writable } from "node:stream";
 
 import type { Clock } from "@azureshunt/core";
 import { createMetrics } from "@azureshunt/telemetry";
@@ -13,12 +13,15 @@
 const open = (budget: number) => {
     const clock = { now: () => state.now } as unknown as Clock;
     const state = { now: 0, taken: [] as (() => void)[], received: [] as Buffer[] };
-    const res = new Writable({
-        write: (chunk: Buffer, _encoding, done) => {
-            state.received.push(chunk);
-            state.taken.push(done);
-        },
-    });
+    const res = Object.assign(
+        new Writable({
+            write: (chunk: Buffer, _encoding, done) => {
+                state.received.push(chunk);
+                state.taken.push(done);
+            },
+        }),
+        { req: { socket: new PassThrough() } },
+    );
     const byteBudget = createByteBudget({
         clock,
         budget: () => budget,
--- a/packages/router/src/flow/createByteBudget.ts
+++ b/packages/router/src/flow/createByteBudget.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 
 import type { Clock, Millis } from "@azureshunt/core";
 import { chooseCuts, flowLevels, isExhausted, readAheadOf } from "@azureshunt/flow";
@@ -37,6 +38,8 @@
 export function createByteBudget({ clock, budget, logger, metrics }: BudgetParts): ByteBudget {
     const accounts = new Set<HeldAccount>();
     const waiting = new Set<HeldAccount>();
+    /** Responses whose accounts are open, by connection. */
+    const responses = new WeakMap<Socket, Set<ServerResponse>>();
     const sources: (() => number)[] = [];
     const state = {
         requestBytes: 0,
@@ -105,6 +108,26 @@
         }
     };
 
+    /**
+     * Node emits `close` for the response that it is sending, not for those queued behind it. To prevent that their
+     * accounts stay open and their requests go on, they are closed with their connection.
+     */
+    const responsesOf = (socket: Socket): Set<ServerResponse> => {
+        const known = responses.get(socket);
+        if (known !== undefined) {
+            return known;
+        }
+        const added = new Set<ServerResponse>();
+        responses.set(socket, added);
+        socket.once("close", () => {
+            [...added].filter(res => res.socket === null).forEach(res => {
+                res.destroy();
+                res.emit("close");
+            });
+        });
+        return added;
+    };
+
     const open: ByteBudget["open"] = res => {
         const counted = { total: 0, inNode: 0 };
         const account: HeldAccount = {
@@ -157,8 +180,16 @@
             waitForRoom: () => void waiting.add(account),
             res,
         };
+        const { socket } = res.req;
+        if (socket.destroyed) {
+            return account;
+        }
         accounts.add(account);
-        res.once("close", () => close(account));
+        const ofSocket = responsesOf(socket).add(res);
+        res.once("close", () => {
+            ofSocket.delete(res);
+            close(account);
+        });
         return account;
     };
     const tick = (): void => {
--- a/packages/router/src/serve/watchCancellation.ts
+++ b/packages/router/src/serve/watchCancellation.ts
@@ -25,6 +25,10 @@
         }
     };
     res.on("close", onClose);
+    if (res.req.socket.destroyed) {
+        // The connection closed while the request was read; `close` is not emitted again.
+        onClose();
+    }
     const release = (): void => {
         clearTimeout(timer);
         res.removeListener("close", onClose);
