Bound request bodies by the byte budget while they are read

Cause: the budget was asked before a body was read only. Callers that opened together while nothing was held were all let in, and each body was read to its limit; a caller that sent half a body and stopped held it for up to 30 s.

Change: the budget is asked again at each part of a body, which is refused as memory-exhausted and not run.

--- a/packages/http/src/readBody.ts
+++ b/packages/http/src/readBody.ts
@@ -9,13 +9,13 @@
  * Reads a request's body.
  *
  * @param limit maximum size in bytes
- * @param onBytes called with the size of each part that has been read
- * @returns Left with `body-too-large`, or with `caller-gone` if the caller disconnected
+ * @param onBytes called with the size of each part that has been read; the body is refused if it returns a refusal
+ * @returns Left with `body-too-large`, with the refusal of `onBytes`, or with `caller-gone` if the caller disconnected
  */
 export async function readBody(
     req: IncomingMessage,
     limit: number,
-    onBytes?: (bytes: number) => void,
+    onBytes?: (bytes: number) => Refusal | undefined,
 ): Promise<Either<Refusal, Buffer>> {
     const chunks: Buffer[] = [];
     const size = { bytes: 0 };
@@ -25,7 +25,10 @@
     try {
         for await (const chunk of req.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
             size.bytes += chunk.length;
-            onBytes?.(chunk.length);
+            const refusal = onBytes?.(chunk.length);
+            if (refusal !== undefined) {
+                return Left(refusal);
+            }
             if (size.bytes > limit) {
                 return Left(refusalOf("body-too-large", `at most ${limit} bytes`));
             }
--- a/packages/router/src/serve/createRequestHandler.ts
+++ b/packages/router/src/serve/createRequestHandler.ts
@@ -2,7 +2,9 @@
 
 import type { Millis, Refusal, Tokens } from "@azureshunt/core";
 import { refusalOf } from "@azureshunt/core";
+import { isStalled } from "@azureshunt/flow";
 import { readBody } from "@azureshunt/http";
+import type { Either } from "purify-ts";
 import { Left, Right } from "purify-ts";
 
 import { chooseService } from "../configuration/chooseService.js";
@@ -150,6 +152,46 @@
         }
     };
 
+    /**
+     * Reads a body within the byte budget.
+     *
+     * Bodies that arrive together are all let in while there is room, and a body that stops half-way holds what was read
+     * of it. To prevent that they use up the memory, a body is refused when the budget is exhausted, and when it neither
+     * ends nor grows within the bound on progress.
+     */
+    const readHeldBody = (
+        req: IncomingMessage,
+        limit: number,
+        add: (bytes: number) => void,
+        withoutMemory: () => Refusal,
+    ): Promise<Either<Refusal, Buffer>> =>
+        new Promise((resolve, reject) => {
+            const { progressMs } = parts.flowBounds();
+            const state = { isOver: false, growth: { since: clock.now(), bytes: 0 } };
+            const end = (result: Either<Refusal, Buffer>): void => {
+                state.isOver = true;
+                clearTimeout(timer);
+                resolve(result);
+            };
+            const checkGrowth = (): void => {
+                const now = clock.now();
+                // A timer may fire a fraction of a millisecond early.
+                if (isStalled(state.growth, progressMs, now + 1)) {
+                    end(Left(refusalOf("headers-too-slow", "its body makes no progress", { ran: "no" })));
+                    return;
+                }
+                state.growth = { since: now, bytes: 0 };
+                timer.refresh();
+            };
+            const timer = setTimeout(checkGrowth, progressMs);
+            const onBytes = (bytes: number): Refusal | undefined => {
+                state.growth.bytes += bytes;
+                add(bytes);
+                return state.isOver || parts.byteBudget.isExhausted() ? withoutMemory() : undefined;
+            };
+            void readBody(req, limit, onBytes).then(end, reject);
+        });
+
     /** Reads a complete request; resolves with `undefined` if it was refused. */
     const readRequest = async (req: IncomingMessage, res: ServerResponse): Promise<CompleteRequest | undefined> => {
         const arrivedAt = clock.now();
@@ -180,17 +222,14 @@
             refuse(res, refusalOf("headers-too-large"), undefined, true);
             return undefined;
         }
+        const withoutMemory = (): Refusal =>
+            refusalOf("memory-exhausted", undefined, { retryAfterSeconds: MEMORY_RETRY_AFTER_SECONDS });
         if (parts.byteBudget.isExhausted()) {
-            refuse(
-                res,
-                refusalOf("memory-exhausted", undefined, { retryAfterSeconds: MEMORY_RETRY_AFTER_SECONDS }),
-                decoded.toMaybe().extract()?.id,
-                true,
-            );
+            refuse(res, withoutMemory(), decoded.toMaybe().extract()?.id, true);
             return undefined;
         }
         const account = parts.byteBudget.open(res);
-        const body = await readBody(req, limits?.bodyBytes ?? DEFAULT_MAX_BODY_BYTES, account.add);
+        const body = await readHeldBody(req, limits?.bodyBytes ?? DEFAULT_MAX_BODY_BYTES, account.add, withoutMemory);
         // If the body is over its limit and the head is malformed too, the body is the reason given.
         return body.chain(bytes => decoded.map(caller => ({ caller, body: bytes, arrivedAt, waited, account }))).caseOf(
             {
