Let tunnels take at most half of the byte budget

Cause: what tunnels hold was subtracted from the budget for requests, which could become negative: the VM cut all its own callers' answers off and refused new requests, which did not free what tunnels hold.

Change: tunnels count up to half of the budget. The levels apply to what is left, so that paused answers go on when it has room. The gauge shows all that is held. The test fails without it.

--- a/packages/router/src/__tests__/unit/callerOutput.test.ts
+++ b/packages/router/src/__tests__/unit/callerOutput.test.ts
@@ -70,3 +70,15 @@
         t.true(account.readAhead() < 200_000);
     });
 });
+
+// Guards against a VM that cuts its own callers' answers off because tunnels hold more than its budget.
+test("byte budget: tunnels take at most half of it from answers", t => {
+    const { state, res, byteBudget, output } = open(200_000);
+    byteBudget.addSource(() => 1_000_000);
+    output.write(Buffer.alloc(40_000));
+    state.now = 300;
+    byteBudget.tick();
+    t.false(res.destroyed);
+    t.false(byteBudget.isExhausted());
+    t.is(byteBudget.heldBytes(), 1_040_000);
+});
--- a/packages/router/src/flow/createByteBudget.ts
+++ b/packages/router/src/flow/createByteBudget.ts
@@ -33,6 +33,8 @@
 const SEARCH_MS = 50;
 /** An answer that does not end in this time lets another one go on: its endpoint may have stopped. */
 const FAVOURED_MS = 500;
+/** Part of the budget that tunnels may take from requests. Beyond it, cutting requests off would not free enough. */
+const OTHER_FRACTION = 0.5;
 
 /** Keeps the sum of what this VM buffers for requests, and cuts requests off when it exceeds the budget. */
 export function createByteBudget({ clock, budget, logger, metrics }: BudgetParts): ByteBudget {
@@ -50,6 +52,8 @@
         favoured: undefined as HeldAccount | undefined,
         favouredAt: -Infinity,
     };
+    // What is held for no single request is no request's fault, but leaves less to all of them.
+    const requestBudget = (): number => budget() - Math.min(state.otherBytes, OTHER_FRACTION * budget());
     const heldBytes = (): number => state.requestBytes + state.otherBytes;
 
     const cut = (account: HeldAccount, reason: "memory" | "unread-at-deadline"): void => {
@@ -66,18 +70,17 @@
     };
     const search = (): void => {
         const now = clock.now();
-        if (state.isSearching || (heldBytes() <= budget() && now - state.searchedAt < SEARCH_MS)) {
+        if (state.isSearching || (state.requestBytes <= requestBudget() && now - state.searchedAt < SEARCH_MS)) {
             return;
         }
         state.isSearching = true;
         state.searchedAt = now;
         accounts.forEach(account => account.measure());
-        // What is held for no single request is no request's fault, but leaves less to all of them.
-        chooseCuts([...accounts], budget() - state.otherBytes, now).forEach(account => cut(account, "memory"));
+        chooseCuts([...accounts], requestBudget(), now).forEach(account => cut(account, "memory"));
         state.isSearching = false;
     };
     const wake = (): void => {
-        if (waiting.size > 0 && heldBytes() < flowLevels.low * budget()) {
+        if (waiting.size > 0 && state.requestBytes < flowLevels.low * requestBudget()) {
             const woken = [...waiting];
             waiting.clear();
             woken.forEach(account => account.onBudgetRoom?.());
@@ -150,7 +153,7 @@
                 }
                 counted.total += bytes;
                 state.requestBytes += bytes;
-                if (bytes > 0 && heldBytes() > flowLevels.high * budget()) {
+                if (bytes > 0 && state.requestBytes > flowLevels.high * requestBudget()) {
                     search();
                 }
                 else if (bytes < 0) {
@@ -167,12 +170,12 @@
                 account.add(change);
             },
             readAhead: (isReadWhole = !account.isRepeatable) => {
-                if (account === state.favoured && heldBytes() < flowLevels.favoured * budget()) {
+                if (account === state.favoured && state.requestBytes < flowLevels.favoured * requestBudget()) {
                     return Infinity;
                 }
                 return readAheadOf({
-                    heldBytes: heldBytes(),
-                    budget: budget(),
+                    heldBytes: state.requestBytes,
+                    budget: requestBudget(),
                     holders: accounts.size,
                     isReadWhole,
                 });
@@ -202,7 +205,7 @@
                 cut(account, "unread-at-deadline");
             }
         });
-        if (heldBytes() > flowLevels.high * budget()) {
+        if (state.requestBytes > flowLevels.high * requestBudget()) {
             search();
         }
         wake();
@@ -210,7 +213,7 @@
     };
     return {
         open,
-        isExhausted: () => isExhausted(heldBytes(), budget()),
+        isExhausted: () => isExhausted(state.requestBytes, requestBudget()),
         addSource: read => void sources.push(read),
         tick,
         heldBytes,
