Count only what waits for the caller as unread

Cause: the time since an answer began to arrive counted as time unread, so an answer that arrives slowly was cut off as not read, before those whose callers read nothing.

Change: unreadSince is the time of what was sent to the caller. An answer that is still being read is cut off only if the budget is still exceeded after all that waits for callers was cut off: repeatable ones, then at-most-once ones that have been read for a second.

--- a/packages/flow/src/__tests__/unit/flow.test.ts
+++ b/packages/flow/src/__tests__/unit/flow.test.ts
@@ -10,14 +10,23 @@
 const held = (bytes: number, unreadMs: number | undefined, isRepeatable = true): HeldRequest => ({
     bytes,
     unreadSince: unreadMs === undefined ? undefined : NOW - unreadMs,
+    answerSince: undefined,
     isRepeatable,
 });
+/** A request whose answer is being read, and of which nothing waits for the caller. */
+const arriving = (bytes: number, forMs: number, isRepeatable = true): HeldRequest => ({
+    ...held(bytes, undefined, isRepeatable),
+    answerSince: NOW - forMs,
+});
 
 const old = held(30, 2_000);
 const older = held(30, 3_000);
 const fresh = held(30, 10);
 const once = held(60, 9_000, false);
 const waiting = held(60, undefined);
+const slow = arriving(60, 9_000);
+const larger = arriving(70, 10);
+const slowOnce = arriving(60, 9_000, false);
 
 // Guards against callers that read nothing taking the memory of those that read, and against the loss of answers to
 // requests that may not be repeated.
@@ -33,6 +42,11 @@
         held: [once, held(60, 20, false), held(0, 9, true)],
         cut: [once],
     },
+    { name: "what only arrives slowly stays within the budget", held: [slow, arriving(30, 9_000)], cut: [] },
+    { name: "beyond it, what waits for its caller goes before", held: [slow, old, older, fresh], cut: [older, old, fresh] },
+    { name: "it goes if nothing that waits is left", held: [slow, larger, old], cut: [old, larger] },
+    { name: "it goes last if it may not be repeated", held: [slowOnce, slow], cut: [slow] },
+    { name: "it goes if nothing else is left", held: [slowOnce, arriving(60, 20, false)], cut: [slowOnce] },
     { name: "what no caller could read stays", held: [waiting, held(30, 9_000, false)], cut: [] },
 ];
 cases.forEach(({ name, held: all, cut }) => {
--- a/packages/flow/src/chooseCuts.ts
+++ b/packages/flow/src/chooseCuts.ts
@@ -12,6 +12,9 @@
  * Answers to requests that may not be repeated would be lost. They are cut off only beyond the budget, after all
  * others, and if they have been unread for longer: the process would run out of memory, and lose all answers.
  *
+ * An answer that is still being read is its endpoint's matter, not its caller's. It is cut off only if the rest exceeds
+ * the budget after all that waits for callers was cut off; the largest first, so that few are.
+ *
  * @param budget in bytes
  */
 export function chooseCuts<Held extends HeldRequest>(
@@ -37,8 +40,18 @@
             state.left -= isCut ? bytes : 0;
             return isCut;
         });
-    return [
+    const cut = [
         ...take(unread.filter(({ isRepeatable }) => isRepeatable), flowLevels.low),
         ...take(total > budget ? unread.filter(({ isRepeatable }) => !isRepeatable) : [], flowLevels.high),
     ];
+    if (state.left <= budget) {
+        return cut;
+    }
+    const incomplete = held
+        .filter(({ bytes, unreadSince, answerSince, isRepeatable }) =>
+            bytes > 0 && unreadSince === undefined && answerSince !== undefined
+            && (isRepeatable || now - answerSince >= flowLevels.onceUnreadMs)
+        )
+        .sort((a, b) => Number(b.isRepeatable) - Number(a.isRepeatable) || b.bytes - a.bytes);
+    return [...cut, ...take(incomplete, flowLevels.high)];
 }
--- a/packages/router/src/__tests__/unit/callerOutput.test.ts
+++ b/packages/router/src/__tests__/unit/callerOutput.test.ts
@@ -82,3 +82,14 @@
     t.false(byteBudget.isExhausted());
     t.is(byteBudget.heldBytes(), 1_040_000);
 });
+
+// Guards against cutting off answers as not read that only arrive slowly.
+test("byte budget: an answer that is being read is not unread", t => {
+    const { state, res, byteBudget, account } = open(200_000);
+    account.answerSince = 0;
+    account.add(190_000);
+    state.now = 2_000;
+    byteBudget.tick();
+    t.false(res.destroyed);
+    t.is(byteBudget.oldestUnreadMs(), 0);
+});
--- a/packages/router/src/flow/HeldAccount.ts
+++ b/packages/router/src/flow/HeldAccount.ts
@@ -8,7 +8,7 @@
 
 /** What this VM buffers for one request. */
 export type HeldAccount = HeldRequest & {
-    /** Since when a complete or incomplete answer waits that is sent only once it is whole. */
+    /** Since when an answer or a large event has been read that is sent only once it is whole. */
     answerSince: Millis | undefined;
     /** Since when something waits that was sent to the caller. */
     sentSince: Millis | undefined;
--- a/packages/router/src/flow/createByteBudget.ts
+++ b/packages/router/src/flow/createByteBudget.ts
@@ -140,7 +140,7 @@
             answerSince: undefined,
             sentSince: undefined,
             get unreadSince() {
-                return account.answerSince ?? account.sentSince;
+                return account.sentSince;
             },
             isRepeatable: true,
             deadline: Infinity,
--- a/packages/router/src/serve/createRequestHandler.ts
+++ b/packages/router/src/serve/createRequestHandler.ts
@@ -84,7 +84,11 @@
     };
 
     /** Cuts a request off: its connection is reset, or, if nothing was sent yet, the caller is told. */
-    const cutOff = (res: ServerResponse, id: string | undefined, cancel: () => void): void => {
+    const cutOff = (
+        { res, unreadSince }: ServedRequest["account"],
+        id: string | undefined,
+        cancel: () => void,
+    ): void => {
         if (res.headersSent) {
             res.socket?.resetAndDestroy();
             res.destroy();
@@ -92,7 +96,7 @@
         else {
             refuse(
                 res,
-                refusalOf("memory-exhausted", "its answer was not read", {
+                refusalOf("memory-exhausted", unreadSince === undefined ? undefined : "its answer was not read", {
                     ran: "maybe",
                     retryAfterSeconds: MEMORY_RETRY_AFTER_SECONDS,
                 }),
@@ -318,7 +322,7 @@
         const { account } = request;
         account.isRepeatable = isRepeatable(route.kind);
         account.deadline = deadline;
-        account.cut = () => cutOff(res, caller.id, cancellation.cancel);
+        account.cut = () => cutOff(account, caller.id, cancellation.cancel);
         const isCharged = await charge(request, admitted, res, { deadline, signal: cancellation.signal });
         if (!isCharged) {
             cancellation.release();
--- a/packages/router/src/serve/forwardStream.ts
+++ b/packages/router/src/serve/forwardStream.ts
@@ -168,7 +168,7 @@
             if (bytes !== state.countedBytes) {
                 account.add(bytes - state.countedBytes);
                 state.countedBytes = bytes;
-                // A caller cannot read an event that is not complete; a large one counts as unread meanwhile.
+                // A large event that is not complete may be cut off, although its caller cannot read it yet.
                 account.answerSince = bytes > LARGE_EVENT_BYTES ? account.answerSince ?? clock.now() : undefined;
             }
         };
