Leave endpoints that are silent to the deadline

Cause: silence counted as growth without completion. An endpoint that sent its head, a 102 or a 103, worked silently for more than progressMs and then answered was cut off.

Change: the bound on progress applies to a body if bytes came in the window, and to a head while bytes keep coming. Silence ends at the deadline, as before the bound.

--- a/packages/router/src/__tests__/unit/readAnswer.test.ts
+++ b/packages/router/src/__tests__/unit/readAnswer.test.ts
@@ -49,3 +49,25 @@
     res.end("the end");
     t.is(sizeOf(await body), 10_018);
 });
+
+// Guards against cutting off an endpoint that sends its head at once, and its body after work without a word.
+test("read answer: an endpoint that is silent for longer than the bound on progress is left to the deadline", async t => {
+    const { time, account, res, body } = start();
+    account.room = Infinity;
+    time.now = PROGRESS_MS;
+    await delay(PROGRESS_MS * 2);
+    time.now = 3 * PROGRESS_MS;
+    await delay(PROGRESS_MS * 2);
+    res.end("the end");
+    t.is(sizeOf(await body), 7);
+});
+
+// Guards against reading an answer until its deadline that grows by a byte now and then.
+test("read answer: an answer that arrives by a few bytes in the time of the bound on progress has failed", async t => {
+    const { time, account, res, body } = start();
+    account.room = Infinity;
+    res.write("a");
+    time.now = PROGRESS_MS;
+    t.is(await body, undefined);
+    t.true(res.destroyed);
+});
--- a/packages/router/src/dispatch/openCall.ts
+++ b/packages/router/src/dispatch/openCall.ts
@@ -82,18 +82,22 @@
         const connectTimer = agent.limitsOpening ? undefined : setTimeout(endUnlessConnected, CONNECT_MS);
         const headTimer = { current: undefined as NodeJS.Timeout | undefined };
         const { headBytes, progressMs } = call.bounds ?? defaultBounds;
-        const head = { startBytes: 0, since: undefined as number | undefined };
+        const head = { startBytes: 0, bytes: 0, since: 0, lastAt: -Infinity };
         /**
          * Whether bytes arrive that do not become a head: blank lines, 1xx answers, a header that goes on. Node has a bound
-         * on the headers of one answer alone.
+         * on the headers of one answer alone. Silence is no such case: after a 102 the endpoint may be at work until the
+         * deadline, so the time runs only while bytes come.
          */
         const isHeadStalled = (): boolean => {
             const bytes = (req.socket?.bytesRead ?? 0) - head.startBytes;
-            if (!progress.isConnected || bytes === 0) {
+            if (!progress.isConnected || bytes === head.bytes) {
                 return false;
             }
-            head.since ??= performance.now();
-            return bytes > headBytes || performance.now() - head.since >= progressMs;
+            const now = performance.now();
+            head.since = now - head.lastAt >= progressMs ? now : head.since;
+            head.lastAt = now;
+            head.bytes = bytes;
+            return bytes > headBytes || now - head.since >= progressMs;
         };
         const headDueAt = performance.now() + call.headMs;
         const checkHead = (): void => {
--- a/packages/router/src/dispatch/readAnswer.ts
+++ b/packages/router/src/dispatch/readAnswer.ts
@@ -26,7 +26,7 @@
  * error.
  *
  * An endpoint may send bytes for as long as they are read. To prevent this, the answer has a bound on its size, and on
- * the time in which it must end or grow.
+ * the time in which it must end or grow once bytes come. An endpoint that sends none may be at work until the deadline.
  *
  * @returns the answer's parts, or undefined if it is incomplete, too large or stalled
  */
@@ -64,7 +64,7 @@
                 state.growth = { since: now, bytes: 0 };
             }
             // A timer may fire a fraction of a millisecond early.
-            if (isStalled(state.growth, bounds.progressMs, now + 1)) {
+            if (state.growth.bytes > 0 && isStalled(state.growth, bounds.progressMs, now + 1)) {
                 fail();
                 return;
             }
