Cap Retry-After of refusals for memory by the time left

Cause: the fixed 0.25 s was more than a third of the time that some callers had left, who then came back too late for an answer.

Change: at most a third of the time left, as for other refusals. The test fails without it.

--- a/packages/router/src/__tests__/unit/requestMemory.test.ts
+++ b/packages/router/src/__tests__/unit/requestMemory.test.ts
@@ -19,11 +19,9 @@
 const clock = { now: () => performance.now(), epoch: () => Date.now() };
 
 /** Sends a request whose body stops after some bytes; resolves with its refusal. */
-const refusalOfBody = async (sentBytes: number, heldBytes = 0): Promise<Refusal | undefined> => {
+const refusalOfBody = async (sentBytes: number): Promise<Refusal | undefined> => {
     const metrics = createMetrics();
     const byteBudget = createByteBudget({ clock, budget: () => BUDGET, logger: silentLogger, metrics });
-    byteBudget.addSource(() => heldBytes);
-    byteBudget.tick();
     const refusals: Refusal[] = [];
     const parts = {
         clock,
@@ -71,3 +69,10 @@
     t.is(refusal?.kind, "headers-too-slow");
     t.is(refusal?.ran, "no");
 });
+
+// Guards against callers that come back when the time that is left to them no longer suffices.
+test("request memory: a refused caller may come back within a third of the time that it has left", async t => {
+    const refusal = await refusalOfBody(2 * BUDGET);
+    t.is(refusal?.kind, "memory-exhausted");
+    t.true((refusal?.retryAfterSeconds ?? Infinity) <= TIME_LEFT_MS / 3_000);
+});
--- a/packages/router/src/serve/createRequestHandler.ts
+++ b/packages/router/src/serve/createRequestHandler.ts
@@ -35,6 +35,13 @@
 
 /** Time after which answers that stay unread are cut off if the memory is used up, so that there may be room. */
 const MEMORY_RETRY_AFTER_SECONDS = 0.25;
+/** A caller that came back later than this fraction of its time would have too little left for its answer. */
+const RETRY_TIME_FRACTION = 1 / 3;
+const MS_PER_SECOND = 1_000;
+
+/** Returns after how many seconds the caller of a request that is refused for memory is to come back. */
+const memoryRetryAfterSeconds = (timeLeftMs: Millis): number =>
+    Math.min(MEMORY_RETRY_AFTER_SECONDS, Math.max(0, timeLeftMs) * RETRY_TIME_FRACTION / MS_PER_SECOND);
 
 /** A request that has been read completely. */
 type CompleteRequest = Pick<ServedRequest, "caller" | "body" | "arrivedAt" | "account"> & {
@@ -85,7 +92,7 @@
 
     /** Cuts a request off: its connection is reset, or, if nothing was sent yet, the caller is told. */
     const cutOff = (
-        { res, unreadSince }: ServedRequest["account"],
+        { res, unreadSince, deadline }: ServedRequest["account"],
         id: string | undefined,
         cancel: () => void,
     ): void => {
@@ -98,7 +105,7 @@
                 res,
                 refusalOf("memory-exhausted", unreadSince === undefined ? undefined : "its answer was not read", {
                     ran: "maybe",
-                    retryAfterSeconds: MEMORY_RETRY_AFTER_SECONDS,
+                    retryAfterSeconds: memoryRetryAfterSeconds(deadline - clock.now()),
                 }),
                 id,
                 true,
@@ -226,8 +233,12 @@
             refuse(res, refusalOf("headers-too-large"), undefined, true);
             return undefined;
         }
-        const withoutMemory = (): Refusal =>
-            refusalOf("memory-exhausted", undefined, { retryAfterSeconds: MEMORY_RETRY_AFTER_SECONDS });
+        const withoutMemory = (): Refusal => {
+            const deadlineMs = decoded.toMaybe().extract()?.deadlineMs ?? Infinity;
+            const timeMs = Math.min(route?.timeoutMs ?? Infinity, deadlineMs) - waited.most;
+            const retryAfterSeconds = memoryRetryAfterSeconds(arrivedAt + timeMs - clock.now());
+            return refusalOf("memory-exhausted", undefined, { retryAfterSeconds });
+        };
         if (parts.byteBudget.isExhausted()) {
             refuse(res, withoutMemory(), decoded.toMaybe().extract()?.id, true);
             return undefined;
