Search again only after 10 ms if nothing could be cut

Cause: beyond the budget, every add searched all accounts, also if nothing could be cut off.

Change: after a search that cut nothing the next one is at least 10 ms later. The test fails without it.

--- a/packages/router/src/__tests__/unit/callerOutput.test.ts
+++ b/packages/router/src/__tests__/unit/callerOutput.test.ts
@@ -93,3 +93,17 @@
     t.false(res.destroyed);
     t.is(byteBudget.oldestUnreadMs(), 0);
 });
+
+// Guards against CPU time spent on searches: beyond the budget, each read would search all accounts in vain.
+test("byte budget: a search that cut nothing is not repeated at once", t => {
+    const { state, byteBudget, account } = open(1_000);
+    const searches = { count: 0 };
+    Object.assign(account, { measure: () => (searches.count += 1) });
+    const countAt = (now: number): number => {
+        state.now = now;
+        account.add(1_000);
+        return searches.count;
+    };
+    t.deepEqual([100, 101, 109, 110, 119].map(countAt), [1, 1, 1, 2, 2]);
+    t.is(byteBudget.heldBytes(), 5_000);
+});
--- a/packages/router/src/flow/createByteBudget.ts
+++ b/packages/router/src/flow/createByteBudget.ts
@@ -31,6 +31,8 @@
 
 /** Searches below the budget are at least this far apart; each one reads all accounts. */
 const SEARCH_MS = 50;
+/** The same beyond the budget, after a search that cut nothing. */
+const VAIN_SEARCH_MS = 10;
 /** An answer that does not end in this time lets another one go on: its endpoint may have stopped. */
 const FAVOURED_MS = 500;
 /** Part of the budget that tunnels may take from requests. Beyond it, cutting requests off would not free enough. */
@@ -47,6 +49,7 @@
         requestBytes: 0,
         otherBytes: 0,
         searchedAt: -Infinity,
+        hasCut: false,
         isSearching: false,
         /** The account that may use the rest of the budget. */
         favoured: undefined as HeldAccount | undefined,
@@ -70,13 +73,16 @@
     };
     const search = (): void => {
         const now = clock.now();
-        if (state.isSearching || (state.requestBytes <= requestBudget() && now - state.searchedAt < SEARCH_MS)) {
+        const intervalMs = state.requestBytes <= requestBudget() ? SEARCH_MS : state.hasCut ? 0 : VAIN_SEARCH_MS;
+        if (state.isSearching || now - state.searchedAt < intervalMs) {
             return;
         }
         state.isSearching = true;
         state.searchedAt = now;
         accounts.forEach(account => account.measure());
-        chooseCuts([...accounts], requestBudget(), now).forEach(account => cut(account, "memory"));
+        const cuts = chooseCuts([...accounts], requestBudget(), now);
+        cuts.forEach(account => cut(account, "memory"));
+        state.hasCut = cuts.length > 0;
         state.isSearching = false;
     };
     const wake = (): void => {
