--- a/packages/flow/src/__tests__/unit/flow.test.ts
+++ b/packages/flow/src/__tests__/unit/flow.test.ts
@@ -43,7 +43,11 @@
         cut: [once],
     },
     { name: "what only arrives slowly stays within the budget", held: [slow, arriving(30, 9_000)], cut: [] },
-    { name: "beyond it, what waits for its caller goes before", held: [slow, old, older, fresh], cut: [older, old, fresh] },
+    {
+        name: "beyond it, what waits for its caller goes before",
+        held: [slow, old, older, fresh],
+        cut: [older, old, fresh],
+    },
     { name: "it goes if nothing that waits is left", held: [slow, larger, old], cut: [old, larger] },
     { name: "it goes last if it may not be repeated", held: [slowOnce, slow], cut: [slow] },
     { name: "it goes if nothing else is left", held: [slowOnce, arriving(60, 20, false)], cut: [slowOnce] },
