--- a/packages/http/src/readBody.ts
+++ b/packages/http/src/readBody.ts
@@ -11,13 +11,13 @@
  * Reads a request's body.
  *
  * @param limit maximum size in bytes
- * @param onBytes called with the size of each part that has been read
- * @returns Left with `body-too-large`, or with `caller-gone` if the caller disconnected
+ * @param onBytes called with the size of each part that has been read; the body is refused if it returns a refusal
+ * @returns Left with `body-too-large`, with the refusal of `onBytes`, or with `caller-gone` if the caller disconnected
  */
 export function readBody(
     req: IncomingMessage,
     limit: number,
-    onBytes?: (bytes: number) => void,
+    onBytes?: (bytes: number) => Refusal | undefined,
 ): Promise<Either<Refusal, Buffer>> {
     if (Number(req.headers["content-length"] ?? 0) > limit) {
         return Promise.resolve(Left(refusalOf("body-too-large", `at most ${limit} bytes`)));
@@ -33,7 +33,10 @@
         };
         const onData = (chunk: Buffer): void => {
             size.bytes += chunk.length;
-            onBytes?.(chunk.length);
+            const refusal = onBytes?.(chunk.length);
+            if (refusal !== undefined) {
+                return Left(refusal);
+            }
             if (size.bytes > limit) {
                 req.pause();
                 settle(Left(refusalOf("body-too-large", `at most ${limit} bytes`)));
--- a/packages/router/src/__tests__/unit/callerOutput.test.ts
+++ b/packages/router/src/__tests__/unit/callerOutput.test.ts
@@ -1,5 +1,5 @@
 import type { ServerResponse } from "node:http";
-import { Writable } from "node:stream";
+import { PassThrough, Writable } from "node:stream";
 
 import type { Clock } from "@azureshunt/core";
 import { createMetrics } from "@azureshunt/telemetry";
@@ -13,12 +13,15 @@
 const open = (budget: number) => {
     const clock = { now: () => state.now } as unknown as Clock;
     const state = { now: 0, taken: [] as (() => void)[], received: [] as Buffer[] };
-    const res = new Writable({
-        write: (chunk: Buffer, _encoding, done) => {
-            state.received.push(chunk);
-            state.taken.push(done);
-        },
-    });
+    const res = Object.assign(
+        new Writable({
+            write: (chunk: Buffer, _encoding, done) => {
+                state.received.push(chunk);
+                state.taken.push(done);
+            },
+        }),
+        { req: { socket: new PassThrough() } },
+    );
     const byteBudget = createByteBudget({
         clock,
         budget: () => budget,
@@ -67,3 +70,40 @@
         t.true(account.readAhead() < 200_000);
     });
 });
+
+// Guards against a VM that cuts its own callers' answers off because tunnels hold more than its budget.
+test("byte budget: tunnels take at most half of it from answers", t => {
+    const { state, res, byteBudget, output } = open(200_000);
+    byteBudget.addSource(() => 1_000_000);
+    output.write(Buffer.alloc(40_000));
+    state.now = 300;
+    byteBudget.tick();
+    t.false(res.destroyed);
+    t.false(byteBudget.isExhausted());
+    t.is(byteBudget.heldBytes(), 1_040_000);
+});
+
+// Guards against cutting off answers as not read that only arrive slowly.
+test("byte budget: an answer that is being read is not unread", t => {
+    const { state, res, byteBudget, account } = open(200_000);
+    account.answerSince = 0;
+    account.add(190_000);
+    state.now = 2_000;
+    byteBudget.tick();
+    t.false(res.destroyed);
+    t.is(byteBudget.oldestUnreadMs(), 0);
+});
+
+// Guards against CPU time spent on searches: beyond the budget, each read would search all accounts in vain.
+test("byte budget: a search that cut nothing is not repeated at once", t => {
+    const { state, byteBudget, account } = open(1_000);
+    const searches = { count: 0 };
+    Object.assign(account, { measure: () => (searches.count += 1) });
+    const countAt = (now: number): number => {
+        state.now = now;
+        account.add(1_000);
+        return searches.count;
+    };
+    t.deepEqual([100, 101, 109, 110, 119].map(countAt), [1, 1, 1, 2, 2]);
+    t.is(byteBudget.heldBytes(), 5_000);
+});
--- a/packages/router/src/flow/createByteBudget.ts
+++ b/packages/router/src/flow/createByteBudget.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 
 import type { Clock, Millis } from "@azureshunt/core";
 import { chooseCuts, flowLevels, isExhausted, readAheadOf } from "@azureshunt/flow";
@@ -30,23 +31,32 @@
 
 /** Searches below the budget are at least this far apart; each one reads all accounts. */
 const SEARCH_MS = 50;
+/** The same beyond the budget, after a search that cut nothing. */
+const VAIN_SEARCH_MS = 10;
 /** An answer that does not end in this time lets another one go on: its endpoint may have stopped. */
 const FAVOURED_MS = 500;
+/** Part of the budget that tunnels may take from requests. Beyond it, cutting requests off would not free enough. */
+const OTHER_FRACTION = 0.5;
 
 /** Keeps the sum of what this VM buffers for requests, and cuts requests off when it exceeds the budget. */
 export function createByteBudget({ clock, budget, logger, metrics }: BudgetParts): ByteBudget {
     const accounts = new Set<HeldAccount>();
     const waiting = new Set<HeldAccount>();
+    /** Responses whose accounts are open, by connection. */
+    const responses = new WeakMap<Socket, Set<ServerResponse>>();
     const sources: (() => number)[] = [];
     const state = {
         requestBytes: 0,
         otherBytes: 0,
         searchedAt: -Infinity,
+        hasCut: false,
         isSearching: false,
         /** The account that may use the rest of the budget. */
         favoured: undefined as HeldAccount | undefined,
         favouredAt: -Infinity,
     };
+    // What is held for no single request is no request's fault, but leaves less to all of them.
+    const requestBudget = (): number => budget() - Math.min(state.otherBytes, OTHER_FRACTION * budget());
     const heldBytes = (): number => state.requestBytes + state.otherBytes;
 
     const cut = (account: HeldAccount, reason: "memory" | "unread-at-deadline"): void => {
@@ -63,18 +73,20 @@
     };
     const search = (): void => {
         const now = clock.now();
-        if (state.isSearching || (heldBytes() <= budget() && now - state.searchedAt < SEARCH_MS)) {
+        const intervalMs = state.requestBytes <= requestBudget() ? SEARCH_MS : state.hasCut ? 0 : VAIN_SEARCH_MS;
+        if (state.isSearching || now - state.searchedAt < intervalMs) {
             return;
         }
         state.isSearching = true;
         state.searchedAt = now;
         accounts.forEach(account => account.measure());
-        // What is held for no single request is no request's fault, but leaves less to all of them.
-        chooseCuts([...accounts], budget() - state.otherBytes, now).forEach(account => cut(account, "memory"));
+        const cuts = chooseCuts([...accounts], requestBudget(), now);
+        cuts.forEach(account => cut(account, "memory"));
+        state.hasCut = cuts.length > 0;
         state.isSearching = false;
     };
     const wake = (): void => {
-        if (waiting.size > 0 && heldBytes() < flowLevels.low * budget()) {
+        if (waiting.size > 0 && state.requestBytes < flowLevels.low * requestBudget()) {
             const woken = [...waiting];
             waiting.clear();
             woken.forEach(account => account.onBudgetRoom?.());
@@ -105,6 +117,26 @@
         }
     };
 
+    /**
+     * Node emits `close` for the response that it is sending, not for those queued behind it. To prevent that their
+     * accounts stay open and their requests go on, they are closed with their connection.
+     */
+    const responsesOf = (socket: Socket): Set<ServerResponse> => {
+        const known = responses.get(socket);
+        if (known !== undefined) {
+            return known;
+        }
+        const added = new Set<ServerResponse>();
+        responses.set(socket, added);
+        socket.once("close", () => {
+            [...added].filter(res => res.socket === null).forEach(res => {
+                res.destroy();
+                res.emit("close");
+            });
+        });
+        return added;
+    };
+
     const open: ByteBudget["open"] = res => {
         const counted = { total: 0, inNode: 0 };
         const account: HeldAccount = {
@@ -114,7 +146,7 @@
             answerSince: undefined,
             sentSince: undefined,
             get unreadSince() {
-                return account.answerSince ?? account.sentSince;
+                return account.sentSince;
             },
             isRepeatable: true,
             deadline: Infinity,
@@ -127,7 +159,7 @@
                 }
                 counted.total += bytes;
                 state.requestBytes += bytes;
-                if (bytes > 0 && heldBytes() > flowLevels.high * budget()) {
+                if (bytes > 0 && state.requestBytes > flowLevels.high * requestBudget()) {
                     search();
                 }
                 else if (bytes < 0) {
@@ -144,12 +176,12 @@
                 account.add(change);
             },
             readAhead: (isReadWhole = !account.isRepeatable) => {
-                if (account === state.favoured && heldBytes() < flowLevels.favoured * budget()) {
+                if (account === state.favoured && state.requestBytes < flowLevels.favoured * requestBudget()) {
                     return Infinity;
                 }
                 return readAheadOf({
-                    heldBytes: heldBytes(),
-                    budget: budget(),
+                    heldBytes: state.requestBytes,
+                    budget: requestBudget(),
                     holders: accounts.size,
                     isReadWhole,
                 });
@@ -157,8 +189,16 @@
             waitForRoom: () => void waiting.add(account),
             res,
         };
+        const { socket } = res.req;
+        if (socket.destroyed) {
+            return account;
+        }
         accounts.add(account);
-        res.once("close", () => close(account));
+        const ofSocket = responsesOf(socket).add(res);
+        res.once("close", () => {
+            ofSocket.delete(res);
+            close(account);
+        });
         return account;
     };
     const tick = (): void => {
@@ -171,7 +211,7 @@
                 cut(account, "unread-at-deadline");
             }
         });
-        if (heldBytes() > flowLevels.high * budget()) {
+        if (state.requestBytes > flowLevels.high * requestBudget()) {
             search();
         }
         wake();
@@ -179,7 +219,7 @@
     };
     return {
         open,
-        isExhausted: () => isExhausted(heldBytes(), budget()),
+        isExhausted: () => isExhausted(state.requestBytes, requestBudget()),
         addSource: read => void sources.push(read),
         tick,
         heldBytes,
--- a/packages/router/src/serve/createRequestHandler.ts
+++ b/packages/router/src/serve/createRequestHandler.ts
@@ -2,7 +2,9 @@
 
 import type { Millis, Refusal, Tokens } from "@azureshunt/core";
 import { refusalOf } from "@azureshunt/core";
+import { isStalled } from "@azureshunt/flow";
 import { readBody } from "@azureshunt/http";
+import type { Either } from "purify-ts";
 import { Left, Right } from "purify-ts";
 
 import { chooseService } from "../configuration/chooseService.js";
@@ -35,6 +37,13 @@
 
 /** Time after which answers that stay unread are cut off if the memory is used up, so that there may be room. */
 const MEMORY_RETRY_AFTER_SECONDS = 0.25;
+/** A caller that came back later than this fraction of its time would have too little left for its answer. */
+const RETRY_TIME_FRACTION = 1 / 3;
+const MS_PER_SECOND = 1_000;
+
+/** Returns after how many seconds the caller of a request that is refused for memory is to come back. */
+const memoryRetryAfterSeconds = (timeLeftMs: Millis): number =>
+    Math.min(MEMORY_RETRY_AFTER_SECONDS, Math.max(0, timeLeftMs) * RETRY_TIME_FRACTION / MS_PER_SECOND);
 
 /** A request that has been read completely. */
 type CompleteRequest = Pick<ServedRequest, "caller" | "body" | "arrivedAt" | "account"> & {
@@ -84,7 +93,11 @@
     };
 
     /** Cuts a request off: its connection is reset, or, if nothing was sent yet, the caller is told. */
-    const cutOff = (res: ServerResponse, id: string | undefined, cancel: () => void): void => {
+    const cutOff = (
+        { res, unreadSince, deadline }: ServedRequest["account"],
+        id: string | undefined,
+        cancel: () => void,
+    ): void => {
         if (res.headersSent) {
             res.socket?.resetAndDestroy();
             res.destroy();
@@ -92,9 +105,9 @@
         else {
             refuse(
                 res,
-                refusalOf("memory-exhausted", "its answer was not read", {
+                refusalOf("memory-exhausted", unreadSince === undefined ? undefined : "its answer was not read", {
                     ran: "maybe",
-                    retryAfterSeconds: MEMORY_RETRY_AFTER_SECONDS,
+                    retryAfterSeconds: memoryRetryAfterSeconds(deadline - clock.now()),
                 }),
                 id,
                 true,
@@ -152,6 +165,46 @@
         }
     };
 
+    /**
+     * Reads a body within the byte budget.
+     *
+     * Bodies that arrive together are all let in while there is room, and a body that stops half-way holds what was read
+     * of it. To prevent that they use up the memory, a body is refused when the budget is exhausted, and when it neither
+     * ends nor grows within the bound on progress.
+     */
+    const readHeldBody = (
+        req: IncomingMessage,
+        limit: number,
+        add: (bytes: number) => void,
+        withoutMemory: () => Refusal,
+    ): Promise<Either<Refusal, Buffer>> =>
+        new Promise((resolve, reject) => {
+            const { progressMs } = parts.flowBounds();
+            const state = { isOver: false, growth: { since: clock.now(), bytes: 0 } };
+            const end = (result: Either<Refusal, Buffer>): void => {
+                state.isOver = true;
+                clearTimeout(timer);
+                resolve(result);
+            };
+            const checkGrowth = (): void => {
+                const now = clock.now();
+                // A timer may fire a fraction of a millisecond early.
+                if (isStalled(state.growth, progressMs, now + 1)) {
+                    end(Left(refusalOf("headers-too-slow", "its body makes no progress", { ran: "no" })));
+                    return;
+                }
+                state.growth = { since: now, bytes: 0 };
+                timer.refresh();
+            };
+            const timer = setTimeout(checkGrowth, progressMs);
+            const onBytes = (bytes: number): Refusal | undefined => {
+                state.growth.bytes += bytes;
+                add(bytes);
+                return state.isOver || parts.byteBudget.isExhausted() ? withoutMemory() : undefined;
+            };
+            void readBody(req, limit, onBytes).then(end, reject);
+        });
+
     /** Reads a complete request; resolves with `undefined` if it was refused. */
     const readRequest = async (req: IncomingMessage, res: ServerResponse): Promise<CompleteRequest | undefined> => {
         const arrivedAt = clock.now();
@@ -184,17 +237,18 @@
             refuse(res, refusalOf("headers-too-large"), undefined, true);
             return undefined;
         }
+        const withoutMemory = (): Refusal => {
+            const deadlineMs = decoded.toMaybe().extract()?.deadlineMs ?? Infinity;
+            const timeMs = Math.min(route?.timeoutMs ?? Infinity, deadlineMs) - waited.most;
+            const retryAfterSeconds = memoryRetryAfterSeconds(arrivedAt + timeMs - clock.now());
+            return refusalOf("memory-exhausted", undefined, { retryAfterSeconds });
+        };
         if (parts.byteBudget.isExhausted()) {
-            refuse(
-                res,
-                refusalOf("memory-exhausted", undefined, { retryAfterSeconds: MEMORY_RETRY_AFTER_SECONDS }),
-                decoded.toMaybe().extract()?.id,
-                true,
-            );
+            refuse(res, withoutMemory(), decoded.toMaybe().extract()?.id, true);
             return undefined;
         }
         const account = parts.byteBudget.open(res);
-        const body = await readBody(req, limits?.bodyBytes ?? DEFAULT_MAX_BODY_BYTES, account.add);
+        const body = await readHeldBody(req, limits?.bodyBytes ?? DEFAULT_MAX_BODY_BYTES, account.add, withoutMemory);
         // If the body is over its limit and the head is malformed too, the body is the reason given.
         return body.chain(bytes => decoded.map(caller => ({ caller, body: bytes, arrivedAt, waited, account }))).caseOf(
             {
@@ -283,7 +337,7 @@
         const { account } = request;
         account.isRepeatable = isRepeatable(route.kind);
         account.deadline = deadline;
-        account.cut = () => cutOff(res, caller.id, cancellation.cancel);
+        account.cut = () => cutOff(account, caller.id, cancellation.cancel);
         const isCharged = await charge(request, admitted, res, { deadline, signal: cancellation.signal });
         if (!isCharged) {
             cancellation.release();
