--- a/packages/http/src/readBody.ts
+++ b/packages/http/src/readBody.ts
@@ -33,13 +33,11 @@
         };
         const onData = (chunk: Buffer): void => {
             size.bytes += chunk.length;
-            const refusal = onBytes?.(chunk.length);
+            const refusal = onBytes?.(chunk.length)
+                ?? (size.bytes > limit ? refusalOf("body-too-large", `at most ${limit} bytes`) : undefined);
             if (refusal !== undefined) {
-                return Left(refusal);
-            }
-            if (size.bytes > limit) {
                 req.pause();
-                settle(Left(refusalOf("body-too-large", `at most ${limit} bytes`)));
+                settle(Left(refusal));
                 return;
             }
             chunks.push(chunk);
--- a/packages/router/src/__tests__/unit/readBody.test.ts
+++ b/packages/router/src/__tests__/unit/readBody.test.ts
@@ -19,7 +19,7 @@
     const sizes: number[] = [];
     const serve = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
         await new Promise(resolve => setImmediate(resolve));
-        const body = await readBody(req, LIMIT, bytes => sizes.push(bytes));
+        const body = await readBody(req, LIMIT, bytes => void sizes.push(bytes));
         const counted = sizes.reduce((sum, size) => sum + size, 0);
         state.settle?.(body.caseOf({
             Left: ({ kind }) => kind,
