--- a/packages/bench/src/idleCost/simulatedVms.ts
+++ b/packages/bench/src/idleCost/simulatedVms.ts
@@ -7,7 +7,7 @@
 const HOST_BYTE = 250;
 
 /**
- * Lists the VMs beside the measured one, which is the first VM of the first failure domain. The first two VMs of a domain
+ * Lists the VMs beside the VM under test, which is the first VM of the first failure domain. The first two VMs of a domain
  * are its relays, except that a leaf takes its place after them.
  *
  * @param network second byte of the addresses, so that several fleets can be simulated at the same time
--- a/packages/bench/src/idleCost/startSimulatedPeers.ts
+++ b/packages/bench/src/idleCost/startSimulatedPeers.ts
@@ -32,7 +32,7 @@
 const PHASE_STEP = 0.618;
 
 /**
- * Starts the VMs that send to the measured one, on sockets of their own, with the fields, the sizes and the intervals of
+ * Starts the VMs that send to the VM under test, on sockets of their own, with the fields, the sizes and the intervals of
  * the router's beacons. All other VMs exist only in what these state.
  */
 export async function startSimulatedPeers(parts: PeerParts): Promise<SimulatedPeers> {
--- a/packages/bench/src/requestCost/measureRequestCost.ts
+++ b/packages/bench/src/requestCost/measureRequestCost.ts
@@ -3,6 +3,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 
+import { directoryWire } from "@azureshunt/platform/dist/directoryWire.js";
 import { startStore } from "@azureshunt/platform/dist/standins/startStore.js";
 
 import { readProcessUsage } from "../process/readProcessUsage.js";
@@ -93,13 +94,14 @@
 
 /** Measures the CPU time per request of a router that is the only VM, beside that of a bare proxy. */
 export async function measureRequestCost(plan: CostPlan): Promise<RequestCost> {
+    const { declarationsTopic, registryTopic } = directoryWire;
     const store = await startStore();
     const [plain, stream] = await Promise.all([startCostEndpoint("plain"), startCostEndpoint("stream")]);
     const register = (): void => {
-        store.write("keyed.servers", "d1", plain.entry());
-        store.write("keyed.servers", "e1", stream.entry());
+        store.write(registryTopic, "d1", plain.entry());
+        store.write(registryTopic, "e1", stream.entry());
     };
-    store.write("keyed.op", "config", costConfiguration);
+    store.write(declarationsTopic, "config", costConfiguration);
     register();
     const heartbeats = setInterval(register, HEARTBEAT_MS);
     const proxyProcess = startCostProcess([PROXY, "127.0.0.1", plain.address, stream.address]);
--- /dev/null
+++ b/packages/router/src/serve/CompleteRequest.ts
@@ -0,0 +1,9 @@
+import type { Millis } from "@azureshunt/core";
+
+import type { ServedRequest } from "./ServedRequest.js";
+
+/** A request that has been read completely. */
+export type CompleteRequest = Pick<ServedRequest, "caller" | "body" | "arrivedAt" | "account"> & {
+    /** Bounds of the time for which it had waited unread in this VM by then. */
+    readonly waited: { readonly least: Millis; readonly most: Millis; };
+};
--- a/packages/router/src/serve/createRequestHandler.ts
+++ b/packages/router/src/serve/createRequestHandler.ts
@@ -1,32 +1,27 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 
-import type { Millis, Refusal, Tokens } from "@azureshunt/core";
+import type { Refusal, Tokens } from "@azureshunt/core";
 import { refusalOf } from "@azureshunt/core";
-import { isStalled } from "@azureshunt/flow";
-import { readBody } from "@azureshunt/http";
-import type { Either } from "purify-ts";
 import { Left, Right } from "purify-ts";
 
 import { chooseService } from "../configuration/chooseService.js";
-import { findRoute } from "../configuration/findRoute.js";
 import type { Organisation } from "../configuration/Organisation.js";
 import type { CallerRequest } from "../ports/CallerRequest.js";
 import { admitRequest } from "./admitRequest.js";
 import { closingHeaders } from "./closingHeaders.js";
+import type { CompleteRequest } from "./CompleteRequest.js";
 import { createCallerOutput } from "./createCallerOutput.js";
 import { createRequestNotes } from "./createRequestNotes.js";
+import { createRequestReader } from "./createRequestReader.js";
 import { isRepeatable } from "./isRepeatable.js";
 import { isServerError } from "./isServerError.js";
+import { memoryRetryAfterSeconds } from "./memoryRetryAfterSeconds.js";
 import { sendRefusal } from "./sendRefusal.js";
 import type { ServedRequest } from "./ServedRequest.js";
 import type { ServeParts } from "./ServeParts.js";
 import { serveTries } from "./serveTries.js";
 import { watchCancellation } from "./watchCancellation.js";
 
-/** Limit on bodies until the first configuration is known. */
-const DEFAULT_MAX_BODY_BYTES = 1024 * 1024;
-/** A colon and a space after each name, a line ending after each value. */
-const SEPARATOR_BYTES = 2;
 /** Share of requests that are sent although recent answers have taken too long; most of them may run for nobody. */
 const PROBE_SHARE = 0.05;
 const OK = 200;
@@ -35,22 +30,6 @@
 /** Fraction of a request's time that it may spend on that wait; the rest is for its answer. */
 const ALLOWANCE_WAIT_FRACTION = 0.25;
 
-/** Time after which answers that stay unread are cut off if the memory is used up, so that there may be room. */
-const MEMORY_RETRY_AFTER_SECONDS = 0.25;
-/** A caller that came back later than this fraction of its time would have too little left for its answer. */
-const RETRY_TIME_FRACTION = 1 / 3;
-const MS_PER_SECOND = 1_000;
-
-/** Returns after how many seconds the caller of a request that is refused for memory is to come back. */
-const memoryRetryAfterSeconds = (timeLeftMs: Millis): number =>
-    Math.min(MEMORY_RETRY_AFTER_SECONDS, Math.max(0, timeLeftMs) * RETRY_TIME_FRACTION / MS_PER_SECOND);
-
-/** A request that has been read completely. */
-type CompleteRequest = Pick<ServedRequest, "caller" | "body" | "arrivedAt" | "account"> & {
-    /** Bounds of the time for which it had waited unread in this VM by then. */
-    readonly waited: { readonly least: Millis; readonly most: Millis; };
-};
-
 /** An admitted request, with what it takes from its organisation's allowance. */
 type AdmittedRequest = Pick<ServedRequest, "route" | "organisation" | "service" | "notes"> & {
     readonly tokens: Tokens;
@@ -64,10 +43,6 @@
     return prompt === undefined ? organisation?.defaultTokens ?? 0 : prompt.promptTokens + prompt.outputTokens;
 };
 
-/** Returns the size of a request's head on the wire, computed from its first line and headers. */
-const headerBytesOf = ({ method = "", url = "", rawHeaders }: IncomingMessage): number =>
-    rawHeaders.reduce((sum, text) => sum + text.length + SEPARATOR_BYTES, method.length + url.length);
-
 /** Creates the handler of callers' requests. */
 export function createRequestHandler(parts: ServeParts): (req: IncomingMessage, res: ServerResponse) => Promise<void> {
     const { clock, declaredState, allowances, callerWire, metrics, logger } = parts;
@@ -92,6 +67,8 @@
         sendRefusal(callerWire, res, refusal, isClosing || parts.isDraining());
     };
 
+    const readRequest = createRequestReader(parts, refuse);
+
     /** Cuts a request off: its connection is reset, or, if nothing was sent yet, the caller is told. */
     const cutOff = (
         { res, unreadSince, deadline }: ServedRequest["account"],
@@ -165,102 +142,6 @@
         }
     };
 
-    /**
-     * Reads a body within the byte budget.
-     *
-     * Bodies that arrive together are all let in while there is room, and a body that stops half-way holds what was read
-     * of it. To prevent that they use up the memory, a body is refused when the budget is exhausted, and when it neither
-     * ends nor grows within the bound on progress.
-     */
-    const readHeldBody = (
-        req: IncomingMessage,
-        limit: number,
-        add: (bytes: number) => void,
-        withoutMemory: () => Refusal,
-    ): Promise<Either<Refusal, Buffer>> =>
-        new Promise((resolve, reject) => {
-            const { progressMs } = parts.flowBounds();
-            const state = { isOver: false, growth: { since: clock.now(), bytes: 0 } };
-            const end = (result: Either<Refusal, Buffer>): void => {
-                state.isOver = true;
-                clearTimeout(timer);
-                resolve(result);
-            };
-            const checkGrowth = (): void => {
-                const now = clock.now();
-                // A timer may fire a fraction of a millisecond early.
-                if (isStalled(state.growth, progressMs, now + 1)) {
-                    end(Left(refusalOf("headers-too-slow", "its body makes no progress", { ran: "no" })));
-                    return;
-                }
-                state.growth = { since: now, bytes: 0 };
-                timer.refresh();
-            };
-            const timer = setTimeout(checkGrowth, progressMs);
-            const onBytes = (bytes: number): Refusal | undefined => {
-                state.growth.bytes += bytes;
-                add(bytes);
-                return state.isOver || parts.byteBudget.isExhausted() ? withoutMemory() : undefined;
-            };
-            void readBody(req, limit, onBytes).then(end, reject);
-        });
-
-    /** Reads a complete request; resolves with `undefined` if it was refused. */
-    const readRequest = async (req: IncomingMessage, res: ServerResponse): Promise<CompleteRequest | undefined> => {
-        const arrivedAt = clock.now();
-        const decoded = callerWire.decode(req);
-        const { limits, routes = [] } = declaredState().configuration ?? {};
-        const route = decoded.map(({ host, target }) => findRoute(routes, host, target)).toMaybe().extractNullable();
-        const head = parts.overload.enter(req, route ?? undefined);
-        if (head.turn !== undefined) {
-            await head.turn;
-        }
-        const { waited } = head;
-        if (route !== null && route !== undefined && !parts.overload.admits(route, head)) {
-            const detail = `event loop lag ${Math.round(parts.overload.lagMs())} ms, waited unread `
-                + `${Math.round(waited.least)} to ${Math.round(waited.most)} ms`;
-            const caller = decoded.toMaybe().extractNullable();
-            const sendBefore = arrivedAt - waited.most +
-                Math.min(route.timeoutMs, caller?.deadlineMs ?? route.timeoutMs);
-            const retryAfterSeconds = parts.overload.retryAfterSeconds({
-                service: route.targets[0]?.service,
-                route,
-                timeLeftMs: sendBefore - clock.now(),
-                roomInMs: parts.overload.shedEndsInMs(),
-            });
-            const labels = { reason: "vm-overloaded", priority: String(route.priority) };
-            metrics.count("azureshunt_overload_refusals_total", "Requests refused for overload.", labels);
-            refuse(res, refusalOf("vm-overloaded", detail, { retryAfterSeconds }), caller?.id, false);
-            return undefined;
-        }
-        if (headerBytesOf(req) > (limits?.headerBytes ?? Infinity)) {
-            refuse(res, refusalOf("headers-too-large"), undefined, true);
-            return undefined;
-        }
-        const withoutMemory = (): Refusal => {
-            const deadlineMs = decoded.toMaybe().extract()?.deadlineMs ?? Infinity;
-            const timeMs = Math.min(route?.timeoutMs ?? Infinity, deadlineMs) - waited.most;
-            const retryAfterSeconds = memoryRetryAfterSeconds(arrivedAt + timeMs - clock.now());
-            return refusalOf("memory-exhausted", undefined, { retryAfterSeconds });
-        };
-        if (parts.byteBudget.isExhausted()) {
-            refuse(res, withoutMemory(), decoded.toMaybe().extract()?.id, true);
-            return undefined;
-        }
-        const account = parts.byteBudget.open(res);
-        const body = await readHeldBody(req, limits?.bodyBytes ?? DEFAULT_MAX_BODY_BYTES, account.add, withoutMemory);
-        // If the body is over its limit and the head is malformed too, the body is the reason given.
-        return body.chain(bytes => decoded.map(caller => ({ caller, body: bytes, arrivedAt, waited, account }))).caseOf(
-            {
-                Left: refusal => {
-                    refuse(res, refusal, undefined, true);
-                    return undefined;
-                },
-                Right: request => request,
-            },
-        );
-    };
-
     /** Selects the route, organisation and service of a request; `undefined` if it was refused. */
     const admit = ({ caller, arrivedAt }: CompleteRequest, res: ServerResponse): AdmittedRequest | undefined => {
         const query = { declaredState: declaredState(), request: caller, arrivedAt, bounds: parts.bounds() };
--- /dev/null
+++ b/packages/router/src/serve/createRequestReader.ts
@@ -0,0 +1,128 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+
+import type { Refusal } from "@azureshunt/core";
+import { refusalOf } from "@azureshunt/core";
+import { isStalled } from "@azureshunt/flow";
+import { readBody } from "@azureshunt/http";
+import type { Either } from "purify-ts";
+import { Left } from "purify-ts";
+
+import { findRoute } from "../configuration/findRoute.js";
+import type { CompleteRequest } from "./CompleteRequest.js";
+import { memoryRetryAfterSeconds } from "./memoryRetryAfterSeconds.js";
+import type { ServeParts } from "./ServeParts.js";
+
+type Refuse = (res: ServerResponse, refusal: Refusal, id: string | undefined, isClosing: boolean) => void;
+type RequestReader = (req: IncomingMessage, res: ServerResponse) => Promise<CompleteRequest | undefined>;
+
+/** Limit on bodies until the first configuration is known. */
+const DEFAULT_MAX_BODY_BYTES = 1024 * 1024;
+/** A colon and a space after each name, a line ending after each value. */
+const SEPARATOR_BYTES = 2;
+
+/** Returns the size of a request's head on the wire, computed from its first line and headers. */
+const headerBytesOf = ({ method = "", url = "", rawHeaders }: IncomingMessage): number =>
+    rawHeaders.reduce((sum, text) => sum + text.length + SEPARATOR_BYTES, method.length + url.length);
+
+/**
+ * Creates the reader of callers' requests. It refuses what this VM has no CPU time or memory for, before the body is read
+ * where it can; the reader then resolves with `undefined`.
+ */
+export function createRequestReader(parts: ServeParts, refuse: Refuse): RequestReader {
+    const { clock, declaredState, callerWire, metrics } = parts;
+
+    /**
+     * Reads a body within the byte budget.
+     *
+     * Bodies that arrive together are all let in while there is room, and a body that stops half-way holds what was read
+     * of it. To prevent that they use up the memory, a body is refused when the budget is exhausted, and when it neither
+     * ends nor grows within the bound on progress.
+     */
+    const readHeldBody = (
+        req: IncomingMessage,
+        limit: number,
+        add: (bytes: number) => void,
+        withoutMemory: () => Refusal,
+    ): Promise<Either<Refusal, Buffer>> =>
+        new Promise((resolve, reject) => {
+            const { progressMs } = parts.flowBounds();
+            const state = { isOver: false, growth: { since: clock.now(), bytes: 0 } };
+            const end = (result: Either<Refusal, Buffer>): void => {
+                state.isOver = true;
+                clearTimeout(timer);
+                resolve(result);
+            };
+            const checkGrowth = (): void => {
+                const now = clock.now();
+                // A timer may fire a fraction of a millisecond early.
+                if (isStalled(state.growth, progressMs, now + 1)) {
+                    end(Left(refusalOf("headers-too-slow", "its body makes no progress", { ran: "no" })));
+                    return;
+                }
+                state.growth = { since: now, bytes: 0 };
+                timer.refresh();
+            };
+            const timer = setTimeout(checkGrowth, progressMs);
+            const onBytes = (bytes: number): Refusal | undefined => {
+                state.growth.bytes += bytes;
+                add(bytes);
+                return state.isOver || parts.byteBudget.isExhausted() ? withoutMemory() : undefined;
+            };
+            void readBody(req, limit, onBytes).then(end, reject);
+        });
+
+    return async (req, res) => {
+        const arrivedAt = clock.now();
+        const decoded = callerWire.decode(req);
+        const { limits, routes = [] } = declaredState().configuration ?? {};
+        const route = decoded.map(({ host, target }) => findRoute(routes, host, target)).toMaybe().extractNullable();
+        const head = parts.overload.enter(req, route ?? undefined);
+        if (head.turn !== undefined) {
+            await head.turn;
+        }
+        const { waited } = head;
+        if (route !== null && route !== undefined && !parts.overload.admits(route, head)) {
+            const detail = `event loop lag ${Math.round(parts.overload.lagMs())} ms, waited unread `
+                + `${Math.round(waited.least)} to ${Math.round(waited.most)} ms`;
+            const caller = decoded.toMaybe().extractNullable();
+            const sendBefore = arrivedAt - waited.most +
+                Math.min(route.timeoutMs, caller?.deadlineMs ?? route.timeoutMs);
+            const retryAfterSeconds = parts.overload.retryAfterSeconds({
+                service: route.targets[0]?.service,
+                route,
+                timeLeftMs: sendBefore - clock.now(),
+                roomInMs: parts.overload.shedEndsInMs(),
+            });
+            const labels = { reason: "vm-overloaded", priority: String(route.priority) };
+            metrics.count("azureshunt_overload_refusals_total", "Requests refused for overload.", labels);
+            refuse(res, refusalOf("vm-overloaded", detail, { retryAfterSeconds }), caller?.id, false);
+            return undefined;
+        }
+        if (headerBytesOf(req) > (limits?.headerBytes ?? Infinity)) {
+            refuse(res, refusalOf("headers-too-large"), undefined, true);
+            return undefined;
+        }
+        const withoutMemory = (): Refusal => {
+            const deadlineMs = decoded.toMaybe().extract()?.deadlineMs ?? Infinity;
+            const timeMs = Math.min(route?.timeoutMs ?? Infinity, deadlineMs) - waited.most;
+            const retryAfterSeconds = memoryRetryAfterSeconds(arrivedAt + timeMs - clock.now());
+            return refusalOf("memory-exhausted", undefined, { retryAfterSeconds });
+        };
+        if (parts.byteBudget.isExhausted()) {
+            refuse(res, withoutMemory(), decoded.toMaybe().extract()?.id, true);
+            return undefined;
+        }
+        const account = parts.byteBudget.open(res);
+        const body = await readHeldBody(req, limits?.bodyBytes ?? DEFAULT_MAX_BODY_BYTES, account.add, withoutMemory);
+        // If the body is over its limit and the head is malformed too, the body is the reason given.
+        return body.chain(bytes => decoded.map(caller => ({ caller, body: bytes, arrivedAt, waited, account }))).caseOf(
+            {
+                Left: refusal => {
+                    refuse(res, refusal, undefined, true);
+                    return undefined;
+                },
+                Right: request => request,
+            },
+        );
+    };
+}
