--- a/packages/flow/src/chooseCuts.ts
+++ b/packages/flow/src/chooseCuts.ts
@@ -12,7 +12,7 @@
  * Answers to requests that may not be repeated would be lost. They are cut off only beyond the budget, after all
  * others, and if they have been unread for longer: the process would run out of memory, and lose all answers.
  *
- * An answer that is still being read is its endpoint's matter, not its caller's. It is cut off only if the rest exceeds
+ * An answer that is still being read waits for its endpoint, not for its caller. It is cut off only if the rest exceeds
  * the budget after all that waits for callers was cut off; the largest first, so that few are.
  *
  * @param budget in bytes
--- a/packages/router/src/flow/createByteBudget.ts
+++ b/packages/router/src/flow/createByteBudget.ts
@@ -32,9 +32,9 @@
 /** Searches below the budget are at least this far apart; each one reads all accounts. */
 const SEARCH_MS = 50;
 /** The same beyond the budget, after a search that cut nothing. */
-const VAIN_SEARCH_MS = 10;
+const SEARCH_WITHOUT_CUT_MS = 10;
 /** An answer that does not end in this time lets another one go on: its endpoint may have stopped. */
-const FAVOURED_MS = 500;
+const READ_TO_END_MS = 500;
 /** Part of the budget that tunnels may take from requests. Beyond it, cutting requests off would not free enough. */
 const OTHER_FRACTION = 0.5;
 
@@ -52,8 +52,8 @@
         hasCut: false,
         isSearching: false,
         /** The account that may use the rest of the budget. */
-        favoured: undefined as HeldAccount | undefined,
-        favouredAt: -Infinity,
+        readToEnd: undefined as HeldAccount | undefined,
+        readToEndAt: -Infinity,
     };
     // What is held for no single request is no request's fault, but leaves less to all of them.
     const requestBudget = (): number => budget() - Math.min(state.otherBytes, OTHER_FRACTION * budget());
@@ -73,7 +73,7 @@
     };
     const search = (): void => {
         const now = clock.now();
-        const intervalMs = state.requestBytes <= requestBudget() ? SEARCH_MS : state.hasCut ? 0 : VAIN_SEARCH_MS;
+        const intervalMs = state.requestBytes <= requestBudget() ? SEARCH_MS : state.hasCut ? 0 : SEARCH_WITHOUT_CUT_MS;
         if (state.isSearching || now - state.searchedAt < intervalMs) {
             return;
         }
@@ -96,13 +96,13 @@
      * If all answers that are read whole stop at the same level, none of them ends. To prevent this, the one that has
      * waited for longest goes on until it is whole.
      */
-    const favourOldest = (): void => {
-        const { favoured } = state;
-        const isOver = favoured === undefined || !accounts.has(favoured) || favoured.onBudgetRoom === undefined;
-        if (isOver || clock.now() - state.favouredAt > FAVOURED_MS) {
+    const letOldestReadToEnd = (): void => {
+        const { readToEnd } = state;
+        const isOver = readToEnd === undefined || !accounts.has(readToEnd) || readToEnd.onBudgetRoom === undefined;
+        if (isOver || clock.now() - state.readToEndAt > READ_TO_END_MS) {
             const [oldest] = waiting;
-            state.favoured = oldest;
-            state.favouredAt = clock.now();
+            state.readToEnd = oldest;
+            state.readToEndAt = clock.now();
             if (oldest !== undefined) {
                 waiting.delete(oldest);
                 oldest.onBudgetRoom?.();
@@ -176,7 +176,7 @@
                 account.add(change);
             },
             readAhead: (isReadWhole = !account.isRepeatable) => {
-                if (account === state.favoured && state.requestBytes < flowLevels.favoured * requestBudget()) {
+                if (account === state.readToEnd && state.requestBytes < flowLevels.readToEnd * requestBudget()) {
                     return Infinity;
                 }
                 return readAheadOf({
@@ -215,7 +215,7 @@
             search();
         }
         wake();
-        favourOldest();
+        letOldestReadToEnd();
     };
     return {
         open,
--- a/packages/router/src/flow/createUnreadBodies.ts
+++ b/packages/router/src/flow/createUnreadBodies.ts
@@ -21,20 +21,20 @@
     const unread = new Map<string, Unread>();
     return {
         begin: (address, bytes) => {
-            const of = unread.get(address) ?? { bytes: 0, since: now() };
-            of.bytes += bytes;
-            unread.set(address, of);
+            const pending = unread.get(address) ?? { bytes: 0, since: now() };
+            pending.bytes += bytes;
+            unread.set(address, pending);
             return () => {
-                of.bytes -= bytes;
-                of.since = now();
-                if (of.bytes === 0) {
+                pending.bytes -= bytes;
+                pending.since = now();
+                if (pending.bytes === 0) {
                     unread.delete(address);
                 }
             };
         },
         isSlowReader: address => {
-            const of = unread.get(address);
-            return of !== undefined && of.bytes > MAX_BYTES && now() - of.since > SLOW_MS;
+            const pending = unread.get(address);
+            return pending !== undefined && pending.bytes > MAX_BYTES && now() - pending.since > SLOW_MS;
         },
         heldBytes: () => [...unread.values()].reduce((sum, { bytes }) => sum + bytes, 0),
     };
