Measure the lag of the shared timer once for its three users

Cause: `createLagWatch`, `createTickLag` and `createOverloadGuard` each kept the time of the last tick of the same timer. Change: `createTickLag` is the only measure. The overload guard reads its times, requests are checked for pending closes by its `isLagging`, and the performance model reads its `recentMs`. `stepLoad` gets the times instead of keeping them; `stepTicks` derives them. One measure starts where the lag watch and the guard did, so the performance model no longer counts the time that the components before it take to start.

--- a/packages/overload/src/LoadEvent.ts
+++ b/packages/overload/src/LoadEvent.ts
@@ -1,10 +1,10 @@
-import type { Millis } from "@azureshunt/core";
-
 import type { KindArrivals } from "./KindArrivals.js";
+import type { TickTimes } from "./TickTimes.js";
 
 /** The timer that is due at every interval has run. */
 export type LoadEvent = {
     readonly kind: "tick";
-    readonly intervalMs: Millis;
+    /** Times of the timer, this tick included. */
+    readonly ticks: TickTimes;
     readonly arrivals: readonly KindArrivals[];
 };
--- a/packages/overload/src/LoadState.ts
+++ b/packages/overload/src/LoadState.ts
@@ -4,10 +4,6 @@
 
 /** What a VM knows of its own CPU time. */
 export type LoadState = {
-    readonly tickAt: Millis;
-    readonly previousTickAt: Millis;
-    /** How late the last tick was. */
-    readonly lagMs: Millis;
     /** Highest recent lag, which fades. */
     readonly peakLagMs: Millis;
     /** Fraction of all requests to refuse. */
--- /dev/null
+++ b/packages/overload/src/TickTimes.ts
@@ -0,0 +1,9 @@
+import type { Millis } from "@azureshunt/core";
+
+/** Last two ticks of a timer that is due at every interval. */
+export type TickTimes = {
+    readonly tickAt: Millis;
+    readonly previousTickAt: Millis;
+    /** How late the last tick was. */
+    readonly lagMs: Millis;
+};
--- a/packages/overload/src/__tests__/support/simulateVm.ts
+++ b/packages/overload/src/__tests__/support/simulateVm.ts
@@ -2,7 +2,9 @@
 
 import { admits } from "../../admits.js";
 import { initialLoad } from "../../initialLoad.js";
+import { initialTicks } from "../../initialTicks.js";
 import { stepLoad } from "../../stepLoad.js";
+import { stepTicks } from "../../stepTicks.js";
 import { waitedMs } from "../../waitedMs.js";
 import type { SimulatedKind } from "./SimulatedKind.js";
 
@@ -48,7 +50,15 @@
         }
         return jobs;
     });
-    const sim = { now: 0, cpuAt: 0, jobs: arrivals, load: initialLoad(0), counts: new Map<string, number>(), turns: 0 };
+    const sim = {
+        now: 0,
+        cpuAt: 0,
+        jobs: arrivals,
+        ticks: initialTicks(0),
+        load: initialLoad(),
+        counts: new Map<string, number>(),
+        turns: 0,
+    };
     const spend = (cpuMs: number): void => {
         sim.now += cpuMs / cores;
     };
@@ -70,7 +80,7 @@
             sim.counts.set(job.kind.name, (sim.counts.get(job.kind.name) ?? 0) + 1);
             spend(CPU_MS.head);
             const head = { acceptedAt: job.acceptedAt, isAfterTick: sim.turns <= 2 };
-            const { least } = waitedMs(sim.load, TICK_MS, head, sim.now);
+            const { least } = waitedMs(sim.ticks, TICK_MS, head, sim.now);
             if (sheds && !admits(sim.load, { kind: job.kind, waitedMs: least, draw: random() })) {
                 spend(CPU_MS.refusal);
                 outcome.refused += 1;
@@ -96,17 +106,18 @@
     };
     arrivals.forEach(({ kind }) => outcomes.get(kind.name)!.sent += 1);
     while (sim.now < DURATION_MS + 4_000) {
-        if (load.pauseAt !== undefined && sim.now >= load.pauseAt && sim.load.tickAt < load.pauseAt) {
+        if (load.pauseAt !== undefined && sim.now >= load.pauseAt && sim.ticks.tickAt < load.pauseAt) {
             sim.now = Math.max(sim.now, load.pauseAt + 3_000);
         }
-        if (sim.now - sim.load.tickAt >= TICK_MS) {
+        if (sim.now - sim.ticks.tickAt >= TICK_MS) {
             const counted = kinds.filter(kind => sim.counts.has(kind.name));
+            sim.ticks = stepTicks(sim.ticks, TICK_MS, sim.now);
             const event = {
                 kind: "tick",
-                intervalMs: TICK_MS,
+                ticks: sim.ticks,
                 arrivals: counted.map(kind => ({ kind, count: sim.counts.get(kind.name)! })),
             } as const;
-            sim.load = stepLoad(sim.load, event, sim.now);
+            sim.load = stepLoad(sim.load, event);
             sim.counts.clear();
             sim.turns = 0;
         }
@@ -121,7 +132,7 @@
         ordered.forEach(run);
         if (ready.length === 0) {
             const nextJobAt = sim.jobs.reduce((least, job) => Math.min(least, job.at), Infinity);
-            sim.now = Math.max(sim.now, Math.min(nextJobAt, sim.load.tickAt + TICK_MS)) + CLOCK_STEP_MS;
+            sim.now = Math.max(sim.now, Math.min(nextJobAt, sim.ticks.tickAt + TICK_MS)) + CLOCK_STEP_MS;
         }
     }
     return outcomes;
--- a/packages/overload/src/__tests__/unit/decisions.test.ts
+++ b/packages/overload/src/__tests__/unit/decisions.test.ts
@@ -3,10 +3,13 @@
 import { admits } from "../../admits.js";
 import { divideShed } from "../../divideShed.js";
 import { initialLoad } from "../../initialLoad.js";
+import { initialTicks } from "../../initialTicks.js";
+import type { KindArrivals } from "../../KindArrivals.js";
 import { recordAnswer } from "../../recordAnswer.js";
 import { shedEndsInMs } from "../../shedEndsInMs.js";
 import { shortestAnswer } from "../../shortestAnswer.js";
 import { stepLoad } from "../../stepLoad.js";
+import { stepTicks } from "../../stepTicks.js";
 import { waitedMs } from "../../waitedMs.js";
 
 const urgent = { name: "urgent", priority: 0, objectiveMs: 800 };
@@ -39,7 +42,7 @@
     test(`admits: a request that has waited beyond its objective, ${name}`, t => {
         const kinds = [load(urgent, 10), load(plain, 10), { ...load(other, 10), refusedFraction: others }];
         const state = {
-            ...initialLoad(0),
+            ...initialLoad(),
             shedFraction: 0.05,
             kinds: new Map(kinds.map(each => [each.kind.name, each])),
         };
@@ -47,14 +50,19 @@
     });
 });
 
+const initial = { ...initialLoad(), ticks: initialTicks(0) };
+const loadAt = (state: typeof initial, times: readonly number[], arrivals: readonly KindArrivals[]) =>
+    times.reduce((before, now) => {
+        const ticks = stepTicks(before.ticks, 100, now);
+        return { ...stepLoad(before, { kind: "tick", ticks, arrivals }), ticks };
+    }, state);
+
 // A process that was suspended once has no shortage of CPU time.
 test("stepLoad: one long pause refuses at most a tenth of the requests, and none a second later", t => {
     const arrivals = [{ kind: urgent, count: 5 }, { kind: other, count: 5 }];
-    const tick = (state: ReturnType<typeof initialLoad>, now: number) =>
-        stepLoad(state, { kind: "tick", intervalMs: 100, arrivals }, now);
-    const paused = tick(tick(initialLoad(0), 100), 5_000);
+    const paused = loadAt(initial, [100, 5_000], arrivals);
     t.true(paused.shedFraction > 0 && paused.shedFraction <= 0.1);
-    const later = Array.from({ length: 10 }, (_, i) => 5_100 + i * 100).reduce(tick, paused);
+    const later = loadAt(paused, Array.from({ length: 10 }, (_, i) => 5_100 + i * 100), arrivals);
     t.is(later.shedFraction, 0);
     t.true(admits(later, { kind: other, waitedMs: 5_000, draw: 0 }));
 });
@@ -66,10 +74,7 @@
 
 // A machine that is busy with other processes makes ticks late; refusing its few requests would not change that.
 test("stepLoad: nothing is refused while there are few requests, however late the ticks are", t => {
-    const late = Array.from({ length: 20 }, (_, i) => i * 500).reduce(
-        (state, now) => stepLoad(state, { kind: "tick", intervalMs: 100, arrivals: [{ kind: urgent, count: 1 }] }, now),
-        initialLoad(0),
-    );
+    const late = loadAt(initial, Array.from({ length: 20 }, (_, i) => i * 500), [{ kind: urgent, count: 1 }]);
     t.is(late.shedFraction, 0);
 });
 
@@ -102,8 +107,10 @@
 // not wait would be refused as too late, or end before its time is up.
 waits.forEach(({ name, lagMs, isAfterTick, acceptedAt, now, least, most }) => {
     test(`waitedMs: ${name}`, t => {
-        const state = { ...initialLoad(1_000), previousTickAt: 200, lagMs };
-        t.deepEqual(waitedMs(state, 100, { acceptedAt, isAfterTick }, now), { least, most });
+        t.deepEqual(waitedMs({ tickAt: 1_000, previousTickAt: 200, lagMs }, 100, { acceptedAt, isAfterTick }, now), {
+            least,
+            most,
+        });
     });
 });
 
--- a/packages/overload/src/stepLoad.ts
+++ b/packages/overload/src/stepLoad.ts
@@ -60,20 +60,15 @@
  * The lag is taken from a timer that runs anyway, so it costs an idle VM nothing. While the lag endangers the
  * objectives of the most urgent kind, the fraction of requests to refuse grows; it shrinks again once ticks are in time.
  */
-export function stepLoad(state: LoadState, { intervalMs, arrivals }: LoadEvent, now: Millis): LoadState {
-    const elapsedMs = now - state.tickAt;
-    const lagMs = Math.max(0, elapsedMs - intervalMs);
-    const ticked = {
-        tickAt: now,
-        previousTickAt: state.tickAt,
-        lagMs,
-        peakLagMs: Math.max(lagMs, state.peakLagMs * loadTiming.peakDecay),
-    };
+export function stepLoad(state: LoadState, { ticks, arrivals }: LoadEvent): LoadState {
+    const { lagMs } = ticks;
+    const elapsedMs = ticks.tickAt - ticks.previousTickAt;
+    const peakLagMs = Math.max(lagMs, state.peakLagMs * loadTiming.peakDecay);
     if (arrivals.length === 0 && state.kinds.size === 0) {
-        return { ...ticked, shedFraction: 0, kinds: state.kinds };
+        return { peakLagMs, shedFraction: 0, kinds: state.kinds };
     }
     const kinds = kindsAfter(state.kinds, arrivals, elapsedMs);
     const shedFraction = shedAfter(state, { lagMs, elapsedMs, kinds });
     const divided = shedFraction > 0 ? divideShed(kinds, shedFraction) : kinds;
-    return { ...ticked, shedFraction, kinds: new Map(divided.map(load => [load.kind.name, load])) };
+    return { peakLagMs, shedFraction, kinds: new Map(divided.map(load => [load.kind.name, load])) };
 }
--- a/packages/overload/src/waitedMs.ts
+++ b/packages/overload/src/waitedMs.ts
@@ -1,6 +1,6 @@
 import type { Millis } from "@azureshunt/core";
 
-import type { LoadState } from "./LoadState.js";
+import type { TickTimes } from "./TickTimes.js";
 
 /** Bounds of the time for which a request that is read now has waited unread. */
 type Waited = { readonly least: Millis; readonly most: Millis; };
@@ -23,7 +23,7 @@
  * connection was accepted earlier is no lower bound, as it may have been opened ahead of its request.
  */
 export function waitedMs(
-    { tickAt, previousTickAt, lagMs }: LoadState,
+    { tickAt, previousTickAt, lagMs }: TickTimes,
     intervalMs: Millis,
     { acceptedAt, isAfterTick }: HeadRead,
     now: Millis,
--- a/packages/router/src/__tests__/unit/endpointPerformance.test.ts
+++ b/packages/router/src/__tests__/unit/endpointPerformance.test.ts
@@ -84,13 +84,13 @@
 
 test("tick lag: a late tick counts for a second, an overdue one at once", t => {
     const time = { now: 0 };
-    const { tick, lagMs } = createTickLag({ now: () => time.now, epoch: () => time.now }, 100);
+    const { tick, recentMs } = createTickLag({ now: () => time.now, epoch: () => time.now }, 100);
     const after = (ms: number, isTick: boolean): number => {
         time.now += ms;
         if (isTick) {
             tick();
         }
-        return lagMs();
+        return recentMs();
     };
     t.deepEqual(
         [[100, true], [150, false], [10, true], [100, true], [1_001, false]].map(([ms, isTick]) =>
--- a/packages/router/src/__tests__/unit/overloadGuard.test.ts
+++ b/packages/router/src/__tests__/unit/overloadGuard.test.ts
@@ -7,6 +7,7 @@
 import type { RouteName } from "../../configuration/RouteName.js";
 
 import { createOverloadGuard } from "../../serve/createOverloadGuard.js";
+import { createTickLag } from "../../serve/createTickLag.js";
 import { isTooLate } from "../../serve/isTooLate.js";
 
 const INTERVAL_MS = 100;
@@ -15,9 +16,11 @@
 const start = () => {
     const time = { now: 0 };
     const clock = { now: () => time.now, epoch: () => time.now };
-    const overload = createOverloadGuard({ clock, random: () => 0.5, intervalMs: INTERVAL_MS });
+    const lag = createTickLag(clock, INTERVAL_MS);
+    const overload = createOverloadGuard({ clock, random: () => 0.5, lag });
     const tickAfter = (ms: number): void => {
         time.now += ms;
+        lag.tick();
         overload.tick();
     };
     const record = (): void => Array.from({ length: 5 }).forEach(() => overload.recordAnswer(route, 900));
--- a/packages/router/src/__tests__/unit/pendingCloses.test.ts
+++ b/packages/router/src/__tests__/unit/pendingCloses.test.ts
@@ -5,7 +5,7 @@
 import { readBody } from "@azureshunt/http";
 import test from "ava";
 
-import { createLagWatch } from "../../serve/createLagWatch.js";
+import { createTickLag } from "../../serve/createTickLag.js";
 import { processPendingCloses } from "../../serve/processPendingCloses.js";
 import { watchCancellation } from "../../serve/watchCancellation.js";
 
@@ -57,9 +57,9 @@
 });
 
 // What has waited longest is read after the tick that comes late, so the process still counts as late then.
-test("lag watch: late once two intervals are overdue, and for a second after the tick that was", t => {
+test("tick lag: late once two intervals are overdue, and for a second after the tick that was", t => {
     const time = { now: 0 };
-    const watch = createLagWatch({ now: () => time.now, epoch: () => time.now }, 100);
+    const watch = createTickLag({ now: () => time.now, epoch: () => time.now }, 100);
     const lagAt = (now: number): boolean => {
         time.now = now;
         return watch.isLagging();
--- a/packages/router/src/serve/createOverloadGuard.ts
+++ b/packages/router/src/serve/createOverloadGuard.ts
@@ -18,6 +18,7 @@
 import type { AnswerTimes, KindArrivals, ReturnSchedule } from "@azureshunt/overload";
 
 import type { Route } from "../configuration/Route.js";
+import type { createTickLag } from "./createTickLag.js";
 
 type RouteKind = Pick<Route, "name" | "priority" | "objectiveMs">;
 
@@ -32,7 +33,8 @@
 type GuardParts = {
     readonly clock: Clock;
     readonly random: () => number;
-    readonly intervalMs: Millis;
+    /** Lag of the shared timer; it ticks before the guard does. */
+    readonly lag: Pick<ReturnType<typeof createTickLag>, "intervalMs" | "times" | "overdueMs">;
 };
 
 type Waiting = { readonly priority: number; readonly start: () => void; };
@@ -72,9 +74,10 @@
 const MAX_ANSWER_LAG_MS: Millis = 25;
 
 /** Creates the guard of a VM against overload. */
-export function createOverloadGuard({ clock, random, intervalMs }: GuardParts): OverloadGuard {
+export function createOverloadGuard({ clock, random, lag }: GuardParts): OverloadGuard {
+    const { intervalMs } = lag;
     const state = {
-        load: initialLoad(clock.now()),
+        load: initialLoad(),
         isAfterTick: false,
         arrivals: [] as KindArrivals[],
         waiting: [] as Waiting[],
@@ -88,9 +91,9 @@
 
     /** Marks the two turns of the event loop after a late tick, in which what has waited during it is read. */
     const markTurns = (): void => {
-        const { tickAt } = state.load;
+        const { tickAt } = lag.times();
         const unmark = (): void => {
-            state.isAfterTick &&= state.load.tickAt !== tickAt;
+            state.isAfterTick &&= lag.times().tickAt !== tickAt;
         };
         state.isAfterTick = true;
         setImmediate(() => setImmediate(unmark));
@@ -121,12 +124,13 @@
 
     return {
         tick: () => {
-            state.load = stepLoad(state.load, { kind: "tick", intervalMs, arrivals: state.arrivals }, clock.now());
+            const ticks = lag.times();
+            state.load = stepLoad(state.load, { kind: "tick", ticks, arrivals: state.arrivals });
             if (state.arrivals.length > 0) {
                 state.arrivals = [];
             }
             state.isAfterTick = false;
-            if (state.load.lagMs >= intervalMs) {
+            if (ticks.lagMs >= intervalMs) {
                 markTurns();
             }
         },
@@ -134,7 +138,7 @@
         enter: (req, route) => {
             const { socket } = req;
             const read = { acceptedAt: acceptedAt.get(socket), isAfterTick: state.isAfterTick };
-            const waited = waitedMs(state.load, intervalMs, read, clock.now());
+            const waited = waitedMs(lag.times(), intervalMs, read, clock.now());
             acceptedAt.delete(socket);
             if (route === undefined) {
                 return { waited, turn: undefined };
@@ -146,10 +150,8 @@
         admits: (route, { waited }) =>
             route === undefined || admits(state.load, { kind: route, waitedMs: waited.least, draw: random() }),
         recordAnswer: ({ name }, answerMs) => {
-            const now = clock.now();
-            const { peakLagMs, tickAt } = state.load;
-            if (Math.max(peakLagMs, now - tickAt - intervalMs) < MAX_ANSWER_LAG_MS) {
-                answers.set(name, recordAnswer(answers.get(name), answerMs, now));
+            if (Math.max(state.load.peakLagMs, lag.overdueMs()) < MAX_ANSWER_LAG_MS) {
+                answers.set(name, recordAnswer(answers.get(name), answerMs, clock.now()));
             }
         },
         shortestAnswerMs: ({ name }) => shortestAnswer(answers.get(name), clock.now()),
@@ -167,7 +169,7 @@
             return retryAfterOf(forecast, { timeLeftMs, objectiveMs }, random());
         },
         shedEndsInMs: () => shedEndsInMs(state.load),
-        lagMs: () => state.load.lagMs,
+        lagMs: () => lag.times().lagMs,
         shedFraction: () => state.load.shedFraction,
     };
 }
--- a/packages/router/src/serve/createTickLag.ts
+++ b/packages/router/src/serve/createTickLag.ts
@@ -1,30 +1,56 @@
 import type { Clock, Millis } from "@azureshunt/core";
+import { initialTicks, stepTicks } from "@azureshunt/overload";
+import type { TickTimes } from "@azureshunt/overload";
 
-/** How late this process runs. */
+/** How late the shared timer of this process is. */
 type TickLag = {
-    /** To be called at every interval. */
+    /** To be called at every interval, before the users of the measure. */
     readonly tick: () => void;
+    readonly intervalMs: Millis;
+    readonly times: () => TickTimes;
+    /** How late the next tick is by now; negative before it is due. */
+    readonly overdueMs: () => Millis;
     /** The longest delay of a tick within the last second, and of the next one if it is overdue. */
-    readonly lagMs: () => Millis;
+    readonly recentMs: () => Millis;
+    /** Whether what is read now may have waited for long. */
+    readonly isLagging: () => boolean;
 };
 
-/** Time for which a late tick counts: answers that were read late are recorded after it. */
+/**
+ * Time for which a late tick counts: timers run before sockets in each turn of the event loop, so what has waited longest
+ * is read after the tick.
+ */
 const REMEMBERED_MS: Millis = 1_000;
+/** Lag in intervals from which the process counts as late. */
+const MAX_LAG_INTERVALS = 1;
 
-/** Creates a measure of the delay of a tick that is expected at every interval. */
+/** Creates the measure of the delay of a tick that is expected at every interval. */
 export function createTickLag(clock: Clock, intervalMs: Millis): TickLag {
-    const state = { tickAt: clock.now(), lateMs: 0, lateAt: -Infinity as Millis };
-    const overdueMs = (): Millis => Math.max(0, clock.now() - state.tickAt - intervalMs);
+    const state = {
+        times: initialTicks(clock.now()),
+        peakMs: 0,
+        peakAt: -Infinity as Millis,
+        lateUntil: -Infinity as Millis,
+    };
+    const overdueMs = (): Millis => clock.now() - state.times.tickAt - intervalMs;
+    const isLate = (lagMs: Millis): boolean => lagMs > MAX_LAG_INTERVALS * intervalMs;
     return {
         tick: () => {
             const now = clock.now();
-            const lateMs = overdueMs();
-            if (lateMs >= state.lateMs || now - state.lateAt > REMEMBERED_MS) {
-                state.lateMs = lateMs;
-                state.lateAt = now;
+            state.times = stepTicks(state.times, intervalMs, now);
+            const { lagMs } = state.times;
+            if (lagMs >= state.peakMs || now - state.peakAt > REMEMBERED_MS) {
+                state.peakMs = lagMs;
+                state.peakAt = now;
+            }
+            if (isLate(lagMs)) {
+                state.lateUntil = now + REMEMBERED_MS;
             }
-            state.tickAt = now;
         },
-        lagMs: () => Math.max(overdueMs(), clock.now() - state.lateAt > REMEMBERED_MS ? 0 : state.lateMs),
+        intervalMs,
+        times: () => state.times,
+        overdueMs,
+        recentMs: () => Math.max(0, overdueMs(), clock.now() - state.peakAt > REMEMBERED_MS ? 0 : state.peakMs),
+        isLagging: () => isLate(overdueMs()) || clock.now() < state.lateUntil,
     };
 }
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -44,7 +44,6 @@
 import { sendReport } from "./rollout/sendReport.js";
 import type { RouterSettings } from "./RouterSettings.js";
 import { createIgnoredHeaderLog } from "./serve/createIgnoredHeaderLog.js";
-import { createLagWatch } from "./serve/createLagWatch.js";
 import { createOverloadGuard } from "./serve/createOverloadGuard.js";
 import { createRequestHandler } from "./serve/createRequestHandler.js";
 import { createRetryBudgets } from "./serve/createRetryBudgets.js";
@@ -187,7 +186,6 @@
         relays: membership.relays,
         beaconIntervalMs: membership.beaconIntervalMs,
     });
-    const tickLag = createTickLag(clock, TICK_MS);
     const endpointTable = createEndpointTable({
         clock,
         failureDomain: settings.failureDomain,
@@ -198,7 +196,7 @@
         onChange: (endpoint, change, inputs) =>
             loggers("endpoint").info({ endpoint, change, ...inputs }, "The view of an endpoint changed."),
         onGone: prefixIndex.forget,
-        performance: createPerformance({ clock, lagMs: tickLag.lagMs, metrics }),
+        performance: createPerformance({ clock, lagMs: () => tickLag.recentMs(), metrics }),
     });
     const registry = startRegistry({
         clock,
@@ -320,8 +318,8 @@
         receiveOther: streams.receive,
     });
 
-    const lagWatch = createLagWatch(clock, TICK_MS);
-    const overload = createOverloadGuard({ clock, random: Math.random, intervalMs: TICK_MS });
+    const tickLag = createTickLag(clock, TICK_MS);
+    const overload = createOverloadGuard({ clock, random: Math.random, lag: tickLag });
     const bounds = (): FreshnessBounds => ({
         maxAgeForKeysMs: state.settings.keyWithdrawalMs - KEY_MARGIN_MS,
         maxAgeForDenialMs: state.settings.configurationMs,
@@ -367,7 +365,7 @@
         isDomainSilent: domain => membership.domainSilentMs(domain) > 0,
         checkSuspension: suspensionWatch.check,
         isDraining: () => state.isDraining,
-        isLagging: lagWatch.isLagging,
+        isLagging: tickLag.isLagging,
         overload,
     });
     const isReady = (): boolean =>
@@ -428,9 +426,8 @@
         logger,
     });
     const timer = setInterval(() => {
-        lagWatch.tick();
-        overload.tick();
         tickLag.tick();
+        overload.tick();
         byteBudget.tick();
         suspensionWatch.check();
         quarantine.tick();
