Decode an endpoint's entry only when more than its heartbeat count changes

Cause: endpoints rewrite their entries several times a second, and each record was parsed, checked against the schema and compared as JSON text, although only `Sequence` differed, which the decoder ignores. Change: the wire compares the texts of two records without that count; a repeated one gives the entry decoded before.

--- a/packages/router/src/ports/DirectoryWire.ts
+++ b/packages/router/src/ports/DirectoryWire.ts
@@ -38,4 +38,6 @@
     /** Both decoders return Left with the fault if the record cannot be decoded. */
     readonly decodeDeclaration: (key: string, value: Buffer) => Either<string, Declaration>;
     readonly decodeEntry: (key: string, value: Buffer) => Either<string, EndpointEntry>;
+    /** Returns whether two records of one key surely decode to the same entry, for less than it costs to decode one. */
+    readonly isRepeatedEntry: (before: Buffer, now: Buffer) => boolean;
 };
--- a/packages/router/src/registry/startRegistry.ts
+++ b/packages/router/src/registry/startRegistry.ts
@@ -55,6 +55,8 @@
     readonly stop: () => void;
 };
 
+type Decoded = ReturnType<DirectoryWire["decodeEntry"]>;
+
 const TICK_MS = 500;
 /** Age up to which a relay answers, as a fraction of the time for which a leaving endpoint still takes requests. */
 const MAX_ANSWER_AGE_FRACTION = 0.35;
@@ -68,15 +70,28 @@
     };
 
     /** What a record says; each is decoded once, though it is compared with those before and after it. */
-    const decoded = new WeakMap<Buffer, ReturnType<DirectoryWire["decodeEntry"]>>();
-    const decodeOnce = (key: string, value: Buffer): ReturnType<DirectoryWire["decodeEntry"]> => {
-        const result = decoded.get(value) ?? wire.decodeEntry(key, value);
+    const decoded = new WeakMap<Buffer, Decoded>();
+    /** The newest record of each key that was decoded: heartbeats repeat it several times a second. */
+    const newest = new Map<string, { readonly value: Buffer; readonly result: Decoded; }>();
+    const decodeOnce = (key: string, value: Buffer): Decoded => {
+        const known = decoded.get(value);
+        if (known !== undefined) {
+            return known;
+        }
+        const before = newest.get(key);
+        const result = before !== undefined && wire.isRepeatedEntry(before.value, value)
+            ? before.result
+            : wire.decodeEntry(key, value);
         decoded.set(value, result);
+        newest.set(key, { value, result });
         return result;
     };
+    const forget = (key: string): undefined => {
+        newest.delete(key);
+    };
     /** An entry that cannot be decoded is counted, logged and treated as absent. */
     const decode = (key: string, value: Buffer | undefined): EndpointEntry | undefined =>
-        value === undefined ? undefined : decodeOnce(key, value).caseOf({
+        value === undefined ? forget(key) : decodeOnce(key, value).caseOf({
             Left: fault => {
                 metrics.count("azureshunt_unreadable_total", "Records that could not be read.", { what: "entry" });
                 logger.warn({ key, fault }, "Decoding an endpoint's registry entry failed.");
@@ -86,8 +101,10 @@
         });
 
     /** Endpoints rewrite their entries as heartbeats; only a change of the decoded entry counts. */
-    const isSame = (key: string, before: Buffer, now: Buffer): boolean =>
-        JSON.stringify(decodeOnce(key, before).extract()) === JSON.stringify(decodeOnce(key, now).extract());
+    const isSame = (key: string, before: Buffer, now: Buffer): boolean => {
+        const [known, repeated] = [decodeOnce(key, before), decodeOnce(key, now)];
+        return known === repeated || JSON.stringify(known.extract()) === JSON.stringify(repeated.extract());
+    };
     const mirror = createTopicMirror(isSame);
 
     const stopFollowing = followTopic({
