Give at-most-once answers a part of the byte budget

Cause: answers that may not be cut off filled the whole budget. The first of 20 such streams was read up to 0.7 of it, each further one added 120 to 350 KB that it holds before its endpoint is not read any more, and from the 14th on all requests were refused until the first had been unread for a second. Ruled out: lower levels for reading ahead. What an answer holds at least grows with the number of callers. Change: at-most-once requests may hold 0.75 of the budget together; beyond it only they are refused, as not run. While they are, at-most-once answers that have been unread for a second are cut off within the budget too. Not measured: how many healthy at-most-once requests are served beside callers that read nothing.

--- a/packages/flow/src/__tests__/unit/flow.test.ts
+++ b/packages/flow/src/__tests__/unit/flow.test.ts
@@ -3,6 +3,7 @@
 import { budgetOf } from "../../budgetOf.js";
 import { chooseCuts } from "../../chooseCuts.js";
 import type { HeldRequest } from "../../HeldRequest.js";
+import { isOnceExhausted } from "../../isOnceExhausted.js";
 import { isStalled } from "../../isStalled.js";
 import { readAheadOf } from "../../readAheadOf.js";
 
@@ -23,6 +24,7 @@
 const older = held(30, 3_000);
 const fresh = held(30, 10);
 const once = held(60, 9_000, false);
+const oldOnce = held(30, 2_000, false);
 const waiting = held(60, undefined);
 const slow = arriving(60, 9_000);
 const larger = arriving(70, 10);
@@ -30,7 +32,12 @@
 
 // Guards against callers that read nothing taking the memory of those that read, and against the loss of answers to
 // requests that may not be repeated.
-const cases = [
+const cases: readonly {
+    readonly name: string;
+    readonly held: readonly HeldRequest[];
+    readonly cut: readonly HeldRequest[];
+    readonly isOnceWanted?: boolean;
+}[] = [
     { name: "below the high level nothing is cut off", held: [old, older], cut: [] },
     { name: "the one unread for longest goes first", held: [old, older, fresh], cut: [older, old] },
     { name: "within the budget, what is being read stays", held: [fresh, fresh, fresh], cut: [] },
@@ -51,16 +58,43 @@
     { name: "it goes if nothing that waits is left", held: [slow, larger, old], cut: [old, larger] },
     { name: "it goes last if it may not be repeated", held: [slowOnce, slow], cut: [slow] },
     { name: "it goes if nothing else is left", held: [slowOnce, arriving(60, 20, false)], cut: [slowOnce] },
+    {
+        name: "what may not be repeated goes within the budget if others like it are refused",
+        held: [once, held(30, 20, false)],
+        cut: [once],
+        isOnceWanted: true,
+    },
+    {
+        name: "what is repeatable stays below the high level if others are refused",
+        held: [older, oldOnce],
+        cut: [oldOnce],
+        isOnceWanted: true,
+    },
     { name: "what no caller could read stays", held: [waiting, held(30, 9_000, false)], cut: [] },
 ];
-cases.forEach(({ name, held: all, cut }) => {
-    test(`flow: ${name}`, t => t.deepEqual(chooseCuts(all, 100, NOW), cut));
+cases.forEach(({ name, held: all, cut, isOnceWanted }) => {
+    test(`flow: ${name}`, t => t.deepEqual(chooseCuts(all, { budget: 100, isOnceWanted, now: NOW }), cut));
+});
+
+const KB = 1024;
+// Guards against answers that may not be cut off and take the whole budget, and against refusing such requests while
+// their callers read.
+const onceCases = [
+    { name: "nothing is held", held: [], isRefused: false },
+    { name: "many that hold nothing", held: Array.from({ length: 1_000 }, () => 0), isRefused: false },
+    { name: "one that holds up to the high level", held: [750 * KB], isRefused: false },
+    { name: "one that holds more", held: [751 * KB], isRefused: true },
+    { name: "one that holds half, and two that have just arrived", held: [510 * KB, 0, 0], isRefused: true },
+    { name: "no bound on the sum", held: [10_000 * KB], budget: Infinity, isRefused: false },
+];
+onceCases.forEach(({ name, held: bytes, budget = 1_000 * KB, isRefused }) => {
+    test(`flow: a request that may not be repeated: ${name}`, t => t.is(isOnceExhausted(bytes, budget), isRefused));
 });
 
 test("flow: without a size there is no bound on the sum, and a VM of 250 MB has less than a tenth of it", t => {
     t.is(budgetOf(undefined), Infinity);
     t.true(budgetOf(250) < 26_300_000);
-    t.deepEqual(chooseCuts([older, old], budgetOf(undefined), NOW), []);
+    t.deepEqual(chooseCuts([older, old], { budget: budgetOf(undefined), now: NOW }), []);
 });
 
 test("flow: an answer that may not be repeated is read whole while there is room", t => {
--- a/packages/flow/src/index.ts
+++ b/packages/flow/src/index.ts
@@ -6,5 +6,6 @@
 export { flowLevels } from "./flowLevels.js";
 export type { HeldRequest } from "./HeldRequest.js";
 export { isExhausted } from "./isExhausted.js";
+export { isOnceExhausted } from "./isOnceExhausted.js";
 export { isStalled } from "./isStalled.js";
 export { readAheadOf } from "./readAheadOf.js";
--- a/packages/router/src/__tests__/unit/callerOutput.test.ts
+++ b/packages/router/src/__tests__/unit/callerOutput.test.ts
@@ -83,6 +83,23 @@
     t.is(byteBudget.heldBytes(), 1_040_000);
 });
 
+// Guards against answers that may not be cut off and use up what all other requests need, or keep their part for as long
+// as their callers read nothing.
+test("byte budget: answers that may not be repeated have a part, and lose it if others like them are refused", t => {
+    const { state, res, byteBudget, account, output } = open(200_000);
+    account.isRepeatable = false;
+    output.write(Buffer.alloc(160_000));
+    t.false(byteBudget.isExhausted(true));
+    state.now = 1_100;
+    byteBudget.tick();
+    t.false(res.destroyed);
+    t.true(byteBudget.isExhausted(false));
+    state.now = 1_200;
+    byteBudget.tick();
+    t.true(res.destroyed);
+    t.false(byteBudget.isExhausted(false));
+});
+
 // Guards against cutting off answers as not read that only arrive slowly.
 test("byte budget: an answer that is being read is not unread", t => {
     const { state, res, byteBudget, account } = open(200_000);
--- a/packages/router/src/flow/createByteBudget.ts
+++ b/packages/router/src/flow/createByteBudget.ts
@@ -2,7 +2,7 @@
 import type { Socket } from "node:net";
 
 import type { Clock, Millis } from "@azureshunt/core";
-import { chooseCuts, flowLevels, isExhausted, readAheadOf } from "@azureshunt/flow";
+import { chooseCuts, flowLevels, isExhausted, isOnceExhausted, readAheadOf } from "@azureshunt/flow";
 import type { Metrics } from "@azureshunt/telemetry";
 import type { Logger } from "pino";
 
@@ -20,8 +20,8 @@
 type ByteBudget = {
     /** Opens the account of a request; it is closed with its response. */
     readonly open: (res: ServerResponse) => HeldAccount;
-    /** Whether a new request is refused. */
-    readonly isExhausted: () => boolean;
+    /** Whether a new request is refused. Those that may not be repeated have a part of the budget. */
+    readonly isExhausted: (isRepeatable?: boolean) => boolean;
     /** Adds bytes that are held for no single request, such as those of tunnels. */
     readonly addSource: (read: () => number) => void;
     readonly tick: () => void;
@@ -35,6 +35,8 @@
 const SEARCH_WITHOUT_CUT_MS = 10;
 /** An answer that does not end in this time lets another one go on: its endpoint may have stopped. */
 const READ_TO_END_MS = 500;
+/** A refused request that may not be repeated is expected to come back within this time. */
+const ONCE_WANTED_MS = 1_000;
 /** Part of the budget that tunnels may take from requests. Beyond it, cutting requests off would not free enough. */
 const OTHER_FRACTION = 0.5;
 
@@ -54,6 +56,8 @@
         /** The account that may use the rest of the budget. */
         readToEnd: undefined as HeldAccount | undefined,
         readToEndAt: -Infinity,
+        /** When a request that may not be repeated was last refused for the part that others like it hold. */
+        onceRefusedAt: -Infinity,
     };
     // What is held for no single request is no request's fault, but leaves less to all of them.
     const requestBudget = (): number => budget() - Math.min(state.otherBytes, OTHER_FRACTION * budget());
@@ -80,7 +84,11 @@
         state.isSearching = true;
         state.searchedAt = now;
         accounts.forEach(account => account.measure());
-        const cuts = chooseCuts([...accounts], requestBudget(), now);
+        const cuts = chooseCuts([...accounts], {
+            budget: requestBudget(),
+            isOnceWanted: now - state.onceRefusedAt < ONCE_WANTED_MS,
+            now,
+        });
         cuts.forEach(account => cut(account, "memory"));
         state.hasCut = cuts.length > 0;
         state.isSearching = false;
@@ -201,6 +209,15 @@
         });
         return account;
     };
+    const isOnceFull = (): boolean => {
+        // Below the level, the requests that may not be repeated cannot hold as much; summing them up costs time.
+        const isFull = state.requestBytes > flowLevels.low * requestBudget() && isOnceExhausted(
+            [...accounts].filter(({ isRepeatable }) => !isRepeatable).map(({ bytes }) => bytes),
+            requestBudget(),
+        );
+        state.onceRefusedAt = isFull ? clock.now() : state.onceRefusedAt;
+        return isFull;
+    };
     const tick = (): void => {
         const now = clock.now();
         state.otherBytes = sources.reduce((sum, read) => sum + read(), 0);
@@ -211,7 +228,9 @@
                 cut(account, "unread-at-deadline");
             }
         });
-        if (state.requestBytes > flowLevels.high * requestBudget()) {
+        if (
+            state.requestBytes > flowLevels.high * requestBudget() || now - state.onceRefusedAt < ONCE_WANTED_MS
+        ) {
             search();
         }
         wake();
@@ -219,7 +238,8 @@
     };
     return {
         open,
-        isExhausted: () => isExhausted(state.requestBytes, requestBudget()),
+        isExhausted: (isRepeatable = true) =>
+            isExhausted(state.requestBytes, requestBudget()) || (!isRepeatable && isOnceFull()),
         addSource: read => void sources.push(read),
         tick,
         heldBytes,
--- a/packages/router/src/serve/createRequestReader.ts
+++ b/packages/router/src/serve/createRequestReader.ts
@@ -9,6 +9,7 @@
 
 import { findRoute } from "../configuration/findRoute.js";
 import type { CompleteRequest } from "./CompleteRequest.js";
+import { isRepeatable } from "./isRepeatable.js";
 import { memoryRetryAfterSeconds } from "./memoryRetryAfterSeconds.js";
 import type { ServeParts } from "./ServeParts.js";
 
@@ -108,7 +109,7 @@
             const retryAfterSeconds = memoryRetryAfterSeconds(arrivedAt + timeMs - clock.now());
             return refusalOf("memory-exhausted", undefined, { retryAfterSeconds });
         };
-        if (parts.byteBudget.isExhausted()) {
+        if (parts.byteBudget.isExhausted(route === null || route === undefined || isRepeatable(route.kind))) {
             refuse(res, withoutMemory(), decoded.toMaybe().extract()?.id, true);
             return undefined;
         }
