Bound the unread bodies of an endpoint by the sum of all VMs

Cause: each VM kept its own bound of 1 MB for an endpoint that reads nothing, so that 195 VMs could hold 195 MB for it; an endpoint that died of that was sent as much again. Change: VMs report unread bytes as an optional fifth number of the load rows in beacons; the sum decides. A VM that hears nobody multiplies its own bytes by the number of live VMs. VMs learn of deaths from their own checks and from the deaths that beacons already contain. Not measured: CPU time per request, and real processes with an endpoint that reads nothing.

--- a/packages/router/src/__tests__/unit/beacon.test.ts
+++ b/packages/router/src/__tests__/unit/beacon.test.ts
@@ -67,6 +67,7 @@
 
 /** Position of the sizes of cached parts; still later versions added the fields after it. */
 const CACHED_TOKENS = 22;
+const LOAD = 12;
 
 const datagramsOf = (sent: Beacon): readonly Buffer[] => createBeaconEncoder(sent)(sent);
 const rowOf = (): unknown[] => JSON.parse(datagramsOf(beacon)[0]?.toString("utf8") ?? "") as unknown[];
@@ -76,6 +77,19 @@
     t.deepEqual(datagramsOf(beacon).map(decodeBeacon), [beacon]);
 });
 
+// Guards against VMs of different versions that cannot read each other's beacons during a release.
+test("beacon: the unread bytes of a load are optional, and bytes that are no number make it invalid", t => {
+    const share = { running: 2, waitingTokens: 300, memoryTokens: 900 };
+    const name = "e1" as EndpointName;
+    const load = [[name, { ...share, unreadBytes: 70_000 }]] as const;
+    t.deepEqual(datagramsOf({ ...beacon, load, relayedLoad: load }).map(decodeBeacon), [
+        { ...beacon, load, relayedLoad: load },
+    ]);
+    t.deepEqual(decoded(rowOf().with(LOAD, [[name, 2, 300, 900]]))?.load, [[name, share]]);
+    t.deepEqual(decoded(rowOf().with(LOAD, [[name, 2, 300, 900, 0, "later"]]))?.load, [[name, share]]);
+    t.is(decoded(rowOf().with(LOAD, [[name, 2, 300, 900, "many"]])), undefined);
+});
+
 test("beacon: one of an earlier version, without the sizes of cached parts, is decoded with sizes of 0", t => {
     const { cached } = decoded(rowOf().slice(0, CACHED_TOKENS)) ?? beacon;
     t.deepEqual(cached[0]?.[1], [{ key: "manual", tokens: 0 }, { key: "own", tokens: 0 }]);
--- a/packages/router/src/__tests__/unit/peerLoad.test.ts
+++ b/packages/router/src/__tests__/unit/peerLoad.test.ts
@@ -193,3 +193,24 @@
     receive(undefined);
     t.deepEqual(changes(), [0]);
 });
+
+// Guards against unread bytes that are lost on the way over relays, or that count after they were read.
+test("peer load: unread bytes add up, are relayed, and end with the next beacon without them", t => {
+    const time = { now: 0 };
+    const clock: Clock = { now: () => time.now, epoch: () => time.now };
+    const load = createPeerLoad({ clock, failureDomain, isRelay: () => true, roleOf: vm => roles[vm] ?? "indirect" });
+    const update = { failureDomain, scope: "vm", relayedLoad: [] } as const;
+    const sent = (vm: string, unreadBytes: number) =>
+        load.applyBeacon({ ...update, vm: vm as VmId, load: [[E, { ...shareOf(1), unreadBytes }]] });
+    t.false(load.hasUnread());
+    sent("leaf", 300);
+    sent("leaf2", 400);
+    t.true(load.hasUnread());
+    t.is(load.at(E).unreadBytes, 700);
+    t.deepEqual(load.relayedLoad("fleet")("leaf" as VmId), [[E, { ...shareOf(1), unreadBytes: 400 }]]);
+    load.applyBeacon({ ...update, vm: "leaf" as VmId, load: [[E, shareOf(1)]] });
+    t.is(load.at(E).unreadBytes, 400);
+    time.now = 1_500;
+    t.is(load.at(E).unreadBytes, undefined);
+    t.false(load.hasUnread());
+});
--- a/packages/router/src/peers/EndpointShare.ts
+++ b/packages/router/src/peers/EndpointShare.ts
@@ -8,4 +8,6 @@
     readonly waitingTokens: Tokens;
     /** Tokens of prompts and answers that the requests will occupy in the KV cache. */
     readonly memoryTokens: Tokens;
+    /** Bytes of bodies that the endpoint does not read; absent if there are none. VMs of earlier versions do not send it. */
+    readonly unreadBytes?: number;
 };
--- a/packages/router/src/peers/PeerSyncSources.ts
+++ b/packages/router/src/peers/PeerSyncSources.ts
@@ -2,6 +2,7 @@
 
 import type { createAllowances } from "../allowance/createAllowances.js";
 import type { startOrders } from "../fleet/startOrders.js";
+import type { createUnreadBodies } from "../flow/createUnreadBodies.js";
 import type { startDeclarations } from "../knowledge/startDeclarations.js";
 import type { createDemand } from "../placement/createDemand.js";
 import type { createEndpointLimits } from "../placement/createEndpointLimits.js";
@@ -25,6 +26,7 @@
     readonly orders: ReturnType<typeof startOrders>;
     readonly endpointLimits: ReturnType<typeof createEndpointLimits>;
     readonly quarantine: ReturnType<typeof createQuarantine>;
+    readonly unreadBodies: Pick<ReturnType<typeof createUnreadBodies>, "stalledBytes" | "recordDeath">;
     readonly registry: ReturnType<typeof startRegistry>;
     readonly peerLoad: ReturnType<typeof createPeerLoad>;
     readonly membership: ReturnType<typeof createMembership>;
--- a/packages/router/src/peers/applyBeacon.ts
+++ b/packages/router/src/peers/applyBeacon.ts
@@ -15,6 +15,8 @@
     const { beacon, sentAfter } = received;
     const now = clock.now();
     const role = membership.roleOf(beacon.vm);
+    // Before the load: the sender's calls to a dead endpoint have ended, and it reports nothing unread any more.
+    beacon.deaths.forEach(([, death]) => sources.unreadBodies.recordDeath(death));
     allowances.applyBeacon(beacon, role);
     declarations.applyBeacon(received, address);
     quarantine.applyBeacon(beacon);
--- a/packages/router/src/peers/createBeaconEncoder.ts
+++ b/packages/router/src/peers/createBeaconEncoder.ts
@@ -60,6 +60,7 @@
     share.running,
     share.waitingTokens,
     share.memoryTokens,
+    ...(share.unreadBytes === undefined ? [] : [share.unreadBytes]),
 ];
 
 const commonRows = (common: Common): readonly Row[] => [
--- a/packages/router/src/peers/createPeerLoad.ts
+++ b/packages/router/src/peers/createPeerLoad.ts
@@ -13,6 +13,8 @@
     readonly applyBeacon: (beacon: LoadUpdate) => void;
     /** Load of all other VMs' requests at an endpoint. */
     readonly at: (endpoint: EndpointName) => EndpointShare;
+    /** Whether any VM has reported unread bytes lately. */
+    readonly hasUnread: () => boolean;
     /** What a relay sends of its peers' load, by target, without what the target itself contributed. */
     readonly relayedLoad: (scope: RelayScope) => (target: VmId | undefined) => Rows;
     /** The rows of `relayedLoad` that have changed since the last call. */
@@ -38,12 +40,17 @@
 
 const noLoad: EndpointShare = { running: 0, waitingTokens: 0, memoryTokens: 0 };
 
-const add = (sum: EndpointShare, each: EndpointShare, times: 1 | -1): EndpointShare => ({
-    running: sum.running + times * each.running,
-    waitingTokens: sum.waitingTokens + times * each.waitingTokens,
-    memoryTokens: sum.memoryTokens + times * each.memoryTokens,
-});
+const add = (sum: EndpointShare, each: EndpointShare, times: 1 | -1): EndpointShare => {
+    const unreadBytes = (sum.unreadBytes ?? 0) + times * (each.unreadBytes ?? 0);
+    const added = {
+        running: sum.running + times * each.running,
+        waitingTokens: sum.waitingTokens + times * each.waitingTokens,
+        memoryTokens: sum.memoryTokens + times * each.memoryTokens,
+    };
+    return unreadBytes > 0 ? { ...added, unreadBytes } : added;
+};
 
+// Unread bytes alone are no change: rounds tell them soon enough.
 const isSame = (a: EndpointShare, b: EndpointShare | undefined): boolean =>
     a.running === b?.running && a.waitingTokens === b.waitingTokens && a.memoryTokens === b.memoryTokens;
 
@@ -72,6 +79,12 @@
         fleet: new Map<EndpointName, EndpointShare>(),
     };
 
+    const unread = { reportedAt: -Infinity };
+    const noteUnread = (rows: Rows): void => {
+        if (rows.some(([, { unreadBytes = 0 }]) => unreadBytes > 0)) {
+            unread.reportedAt = clock.now();
+        }
+    };
     const addLoad = (load: Rows, times: 1 | -1): void => {
         addRows(sums, load, times);
         load.filter(([endpoint]) => sums.get(endpoint)?.running === 0).forEach(([endpoint]) => sums.delete(endpoint));
@@ -100,6 +113,8 @@
     const applyBeacon: PeerLoad["applyBeacon"] = update => {
         const { vm, load, relayedLoad } = update;
         const receivedAt = clock.now();
+        noteUnread(load ?? []);
+        noteUnread(relayedLoad);
         if (load !== undefined && roleOf(vm) !== "indirect") {
             forget(vm);
             received.set(vm, { load, receivedAt });
@@ -150,5 +165,6 @@
         rows.forEach(([endpoint, share]) => lastChanges[scope].set(endpoint, share));
         return withoutTarget(scope, rows);
     };
-    return { applyBeacon, at, relayedLoad, relayedLoadChanges };
+    const hasUnread = (): boolean => clock.now() - unread.reportedAt < LOAD_EXPIRY_MS;
+    return { applyBeacon, at, hasUnread, relayedLoad, relayedLoadChanges };
 }
--- a/packages/router/src/peers/decodeBeacon.ts
+++ b/packages/router/src/peers/decodeBeacon.ts
@@ -38,6 +38,9 @@
 const areRows = (value: unknown, ...checks: readonly ((item: unknown) => boolean)[]): boolean =>
     isRow(value) && value.every(row => isRow(row) && checks.every((check, i) => check(row[i])));
 
+/** VMs of earlier versions send no unread bytes. */
+const LOAD_ROW = [isText, isNumber, isNumber, isNumber, isNumberOrAbsent];
+
 const areNumbers = (value: unknown): boolean => isRow(value) && value.every(row => isRow(row) && row.every(isNumber));
 
 const isRowOrNull = (value: unknown, ...checks: readonly ((item: unknown) => boolean)[]): boolean =>
@@ -58,7 +61,7 @@
     && (row[9] === null || isNumber(row[9]))
     && areRows(row[10], isText, isNumber, isNumberOrAbsent)
     && areRows(row[11], isText, isNumber, isNumberOrAbsent)
-    && (row[12] === null || areRows(row[12], isText, isNumber, isNumber, isNumber))
+    && (row[12] === null || areRows(row[12], ...LOAD_ROW))
     && areRows(row[13], isText, isNumber, isNumber)
     && areRows(row[14], isText, isNumber)
     && isRowOrNull(row[15], isNumber, isText, isNumber)
@@ -75,7 +78,7 @@
     && areRows(row[VMS] ?? [], isText, isText, isText, isNumber, isFlag, isNumber)
     && areRows(row[DOMAINS] ?? [], isText, isNumber, isNumber, isNumber)
     && areRows(row[RELAYED_SPENT] ?? [], isText, isNumber, isNumber)
-    && areRows(row[RELAYED_LOAD] ?? [], isText, isNumber, isNumber, isNumber)
+    && areRows(row[RELAYED_LOAD] ?? [], ...LOAD_ROW)
     && isNumber(row[RELAYED_DEMAND] ?? 0)
     && areRows(row[ROLLOUTS] ?? [], isText, isNumber, isText, isNumber, isNumber, isPhaseOrNull, isNumber)
     && areRows(row[SUSPECT_PARTS] ?? [], isText, isText, isFlag, isNumber)
@@ -92,11 +95,11 @@
     }
 };
 
-type LoadRow = readonly [string, number, number, number];
+type LoadRow = readonly [string, number, number, number, number?];
 
-const loadOfRow = ([name, running, waitingTokens, memoryTokens]: LoadRow): unknown => [
+const loadOfRow = ([name, running, waitingTokens, memoryTokens, unreadBytes = 0]: LoadRow): unknown => [
     name,
-    { running, waitingTokens, memoryTokens },
+    { running, waitingTokens, memoryTokens, ...(unreadBytes > 0 ? { unreadBytes } : {}) },
 ];
 
 /**
--- a/packages/router/src/quarantine/createQuarantine.ts
+++ b/packages/router/src/quarantine/createQuarantine.ts
@@ -18,6 +18,8 @@
     readonly isRelay: () => boolean;
     /** Whether this VM is the one that probes whether endpoints still crash on a suspect. */
     readonly isProber: (key: SuspectKey) => boolean;
+    /** Called when an endpoint is found dead, with its name and the start of its incarnation. */
+    readonly onDeath?: (death: string) => void;
     /** Sends this VM's state to the others at once. */
     readonly sendSoon: () => void;
     /** Calls a function after a delay. */
@@ -110,6 +112,7 @@
         if (!await sharedDeathCheck(death, endpoint.address)) {
             return false;
         }
+        parts.onDeath?.(death);
         suspects.recordDeath(death, [
             { key: request, stage: "request" as const },
             ...(stage === "answering" ? [] : promptParts).map(key => ({
--- a/packages/router/src/serve/placeRequest.ts
+++ b/packages/router/src/serve/placeRequest.ts
@@ -57,7 +57,7 @@
                 promptUnder(weights, peers).shares.shareOf(entry.name, entry.failureDomain),
             select: entries =>
                 (select?.(entries, hasRoom) ?? entries).filter(entry =>
-                    hasRoom(entry) && !parts.unreadBodies.isSlowReader(entry.address)
+                    hasRoom(entry) && !parts.unreadBodies.isSlowReader(entry)
                 ),
             avoid,
         });
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -218,11 +218,25 @@
         onStoreRead: () =>
             membership.isReader() && membership.vms() > peerTiming.fewVms ? beacons.sendSoon() : undefined,
     });
+    const liveVms = (): { readonly vms: number; readonly silentVms: number; } => {
+        const { peers, silent } = membership.liveness();
+        return { vms: peers + 1, silentVms: silent.length };
+    };
     const demand = createDemand(clock);
     const fleetDemand = (): Tokens => demand.rate() + membership.demand();
     const allowances = createAllowances(clock, membership.liveness, Math.random);
+    const unreadBodies = createUnreadBodies({
+        clock,
+        entryOf: endpointTable.entryOf,
+        othersAt: endpoint => peerLoad.at(endpoint).unreadBytes ?? 0,
+        hasOthers: peerLoad.hasUnread,
+        vms: liveVms,
+        logger: loggers("flow"),
+        metrics,
+    });
     const quarantine = createQuarantine({
         clock,
+        onDeath: unreadBodies.recordDeath,
         hasDied: async address => await hasDied(address) && connector.confirmDead(address),
         isRelay: membership.isRelay,
         isProber: key => isProber(key, settings, membership.livePeers()),
@@ -235,10 +249,7 @@
         random: Math.random,
         entryOf: endpointTable.entryOf,
         sumOfOthers: row => peerLoad.at(row).running,
-        vms: () => {
-            const { peers, silent } = membership.liveness();
-            return { vms: peers + 1, silentVms: silent.length };
-        },
+        vms: liveVms,
         sendSoon: () => beacons.sendSoon(),
         logger: loggers("limit"),
         metrics,
@@ -304,6 +315,7 @@
         orders,
         endpointLimits,
         quarantine,
+        unreadBodies,
         registry,
         peerLoad,
         membership,
@@ -332,7 +344,6 @@
         logger: loggers("flow"),
         metrics,
     });
-    const unreadBodies = createUnreadBodies(clock);
     const handler = createRequestHandler({
         byteBudget,
         unreadBodies,
