Count the calls to the store by topic and reason

Cause: operators see that the store gets many calls, but not from which VMs or why.

Change: metric azureshunt_store_calls_total{topic,reason}. A topic that is followed names the reason of each read: first, reader, follower, changed or retry. Calls for the order lease, and reads and writes of what VMs record for each other, have reasons of their own. A read that follows the loss of kept records does not count as one of a store that does not answer, so it may wait in the store again.

--- a/packages/router/src/__tests__/support/startTargetDeclarations.ts
+++ b/packages/router/src/__tests__/support/startTargetDeclarations.ts
@@ -24,7 +24,7 @@
     } as unknown as DirectoryWire;
     const declarations = startDeclarations({
         clock,
-        store,
+        storeFor: () => store,
         wire,
         agent: new EndpointAgent(clock.now),
         logger: silentLogger,
--- a/packages/router/src/__tests__/unit/relayAnswers.test.ts
+++ b/packages/router/src/__tests__/unit/relayAnswers.test.ts
@@ -42,7 +42,7 @@
     const agent = new EndpointAgent(clock.now);
     const declarations = startDeclarations({
         clock,
-        store,
+        storeFor: () => store,
         wire,
         agent,
         logger: createLoggers("silent", { vm: "vm", failureDomain: "fd", incarnation: "run" })("knowledge"),
--- a/packages/router/src/knowledge/startDeclarations.ts
+++ b/packages/router/src/knowledge/startDeclarations.ts
@@ -10,6 +10,7 @@
 import type { VersionRollout } from "../rollout/VersionRollout.js";
 import { createTopicMirror } from "../store/createTopicMirror.js";
 import { followTopic } from "../store/followTopic.js";
+import type { StoreCallReason } from "../store/StoreCallReason.js";
 import type { TopicAnswer } from "../store/TopicAnswer.js";
 import type { DeclarationEvent } from "./DeclarationEvent.js";
 import { declarationsDueIn } from "./declarationsDueIn.js";
@@ -23,7 +24,8 @@
 
 type DeclarationParts = {
     readonly clock: Clock;
-    readonly store: StorePort;
+    /** The store, as called for a reason. */
+    readonly storeFor: (reason: StoreCallReason) => StorePort;
     readonly wire: DirectoryWire;
     readonly agent: EndpointAgent;
     readonly logger: Logger;
@@ -174,7 +176,7 @@
     };
 
     const stop = followTopic({
-        store: parts.store,
+        storeFor: parts.storeFor,
         clock,
         topic: wire.declarationsTopic,
         queryRelay: from => parts.queryRelay(wire.declarationsTopic, from),
@@ -184,6 +186,13 @@
             const { declaredState, requestedAt } = state;
             return declarationsDueIn({ declaredState, requestedAt, isReader: parts.isReader() }, clock.now());
         },
+        reasonOfRead: () => {
+            if (parts.isReader()) {
+                return "reader";
+            }
+            const { configuration, newestRevision } = state.declaredState;
+            return newestRevision > (configuration?.revision ?? -1) ? "changed" : "follower";
+        },
         onRead: ({ records, end, isWhole, asOf, requestedAt, isRelayed }) => {
             parts.checkSuspension();
             state.storeAt = isRelayed ? state.storeAt : clock.now();
--- a/packages/router/src/registry/startRegistry.ts
+++ b/packages/router/src/registry/startRegistry.ts
@@ -9,6 +9,7 @@
 import type { StorePort } from "../ports/StorePort.js";
 import { createTopicMirror } from "../store/createTopicMirror.js";
 import { followTopic } from "../store/followTopic.js";
+import type { StoreCallReason } from "../store/StoreCallReason.js";
 import type { TopicAnswer } from "../store/TopicAnswer.js";
 import type { EndpointEntry } from "./EndpointEntry.js";
 import { initialRegistryFreshness } from "./initialRegistryFreshness.js";
@@ -18,7 +19,8 @@
 
 type RegistryParts = {
     readonly clock: Clock;
-    readonly store: StorePort;
+    /** The store, as called for a reason. */
+    readonly storeFor: (reason: StoreCallReason) => StorePort;
     readonly wire: DirectoryWire;
     readonly endpointTable: EndpointTable;
     readonly logger: Logger;
@@ -91,7 +93,7 @@
     const mirror = createTopicMirror(isSame);
 
     const stopFollowing = followTopic({
-        store: parts.store,
+        storeFor: parts.storeFor,
         clock: parts.clock,
         topic: wire.registryTopic,
         waitMs: () => 0,
@@ -102,6 +104,7 @@
                 { freshness: state.freshness, isReader: parts.isReader(), leavingMs: parts.leavingMs() },
                 clock.now(),
             ),
+        reasonOfRead: () => parts.isReader() ? "reader" : state.freshness.isContradicted ? "changed" : "follower",
         onRead: ({ records, end, isWhole, asOf, requestedAt, isRelayed }) => {
             parts.checkSuspension();
             mirror.record({ records, end, isWhole });
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -53,8 +53,10 @@
 import { startCallerServer } from "./serve/startCallerServer.js";
 import { startGauges } from "./startGauges.js";
 import { startMetricsListener } from "./startMetricsListener.js";
+import { countStoreCalls } from "./store/countStoreCalls.js";
 import { createRelayReads } from "./store/createRelayReads.js";
 import { measureStore } from "./store/measureStore.js";
+import type { StoreCallReason } from "./store/StoreCallReason.js";
 import { startStreams } from "./streams/startStreams.js";
 import { createConnector } from "./tunnel/createConnector.js";
 import { serveTunnels } from "./tunnel/serveTunnels.js";
@@ -98,6 +100,9 @@
     const logger = loggers("router");
     const metrics = createMetrics();
     const store = measureStore(parts.store, clock, metrics);
+    const countCalls = (topic: string, reads: StoreCallReason, writes?: StoreCallReason): StorePort =>
+        countStoreCalls({ store, metrics, topic, reads, writes });
+    const storeFor = (topic: string) => (reason: StoreCallReason): StorePort => countCalls(topic, reason);
     // Calls to peers, and reports and orders: orders of one VM must not arrive from another one.
     const agent = new EndpointAgent(clock.now, parts);
     const connector = createConnector({
@@ -158,7 +163,7 @@
     });
     const declarations = startDeclarations({
         clock,
-        store,
+        storeFor: storeFor("declarations"),
         wire: directory,
         agent,
         logger: loggers("knowledge"),
@@ -202,7 +207,7 @@
     });
     const registry = startRegistry({
         clock,
-        store,
+        storeFor: storeFor("registry"),
         wire: directory,
         endpointTable,
         logger: loggers("registry"),
@@ -246,7 +251,7 @@
     const orders = startOrders({
         clock,
         vm: settings.vm,
-        store,
+        store: countCalls("lease", "lease"),
         endpointTable,
         calls: createEngineCalls(agent, connector.checkLink),
         wire: parts.endpointWire,
@@ -268,7 +273,7 @@
         vm: settings.vm,
         incarnation,
         random: Math.random,
-        store,
+        store: countCalls("rollouts", "recorded", "record"),
         wire: directory,
         exposure: () => state.settings.rolloutExposure,
         isLeader: () => orderFence(orders.lease(), clock.now()) !== undefined,
@@ -283,7 +288,7 @@
         clock,
         settings,
         agent,
-        store,
+        store: countCalls("versions", "recorded", "record"),
         endpointTable,
         registry,
         rollouts,
@@ -416,7 +421,7 @@
     });
     const announcing = startAnnouncing({
         clock,
-        store,
+        store: countCalls("vms", "recorded", "record"),
         self: {
             vm: settings.vm,
             address: settings.listen.peers,
--- a/packages/router/src/store/followTopic.ts
+++ b/packages/router/src/store/followTopic.ts
@@ -2,6 +2,7 @@
 
 import type { StorePage } from "../ports/StorePage.js";
 import type { StorePort } from "../ports/StorePort.js";
+import type { StoreCallReason } from "./StoreCallReason.js";
 import type { TopicAnswer } from "./TopicAnswer.js";
 
 /** Result of one read of a topic. */
@@ -20,13 +21,16 @@
 };
 
 type FollowTopicParts = {
-    readonly store: StorePort;
+    /** The store, as called for a reason. */
+    readonly storeFor: (reason: StoreCallReason) => StorePort;
     readonly clock: Clock;
     readonly topic: string;
     /** How long a read may wait in the store for a record. */
     readonly waitMs: () => Millis;
     /** Time until the next read is due; 0 or less means now. Called repeatedly until then. */
     readonly dueInMs: () => Millis;
+    /** Why a read after the first is due. */
+    readonly reasonOfRead: () => StoreCallReason;
     /** Queries a relay from an offset on, or for all keys; `undefined` if there is no relay or it has no fresh copy. */
     readonly queryRelay: (from: number | undefined) => Promise<TopicAnswer | undefined>;
     /** Whether the first read must still wait, because a relay that can answer it may yet be found. */
@@ -55,7 +59,7 @@
  * @returns a function that stops following the topic
  */
 export function followTopic(parts: FollowTopicParts): () => void {
-    const { store, clock, topic } = parts;
+    const { storeFor, clock, topic } = parts;
     const state = {
         isStopped: false,
         isStoreAnswering: true,
@@ -65,7 +69,8 @@
 
     const readNewest = async (): Promise<Millis> => {
         const requestedAt = clock.now();
-        const page = await store.newest(topic);
+        const page = await storeFor(state.isStoreAnswering ? "first" : "retry").newest(topic);
+        state.isStoreAnswering = page.isRight();
         return page.caseOf({
             Left: failure => {
                 parts.onFailure(failure.kind);
@@ -81,8 +86,11 @@
     const readFrom = async (from: number): Promise<Millis> => {
         const requestedAt = clock.now();
         // While the store does not answer, a waiting read would notice its return late and delay requests with keys.
-        const page = await store.read(topic, from, state.isStoreAnswering ? parts.waitMs() : 0);
-        state.isStoreAnswering = page.isRight();
+        const page = state.isStoreAnswering
+            ? await storeFor(parts.reasonOfRead()).read(topic, from, parts.waitMs())
+            : await storeFor("retry").read(topic, from, 0);
+        // A store that does not keep the records any more answers.
+        state.isStoreAnswering = page.caseOf({ Left: ({ kind }) => kind === "expired", Right: () => true });
         return page.caseOf({
             Left: failure => {
                 state.next = failure.kind === "expired" ? undefined : from;
