Let one VM read the declarations for all failure domains that hear each other

Cause: one VM of each failure domain kept a waiting read of the declarations open, though beacons between the relays of domains already confirm the declared state across them.

Change: the reader of all VMs (the one that reads the registry) reads the declarations, and sends beacons after each read. The reader of another domain reads when its last confirmation is 2.2 s old, before the VMs that follow it, which still read at 2.5 s. A domain that hears no other has its own reader of all VMs, as before. Over several domains a read waits at most 950 ms, so that two reads, a slow answer and a lost beacon stay below 2.2 s. A VM that takes over from another reader waits less by the excess age of its confirmation.

Withdrawal of keys: a VM accepts a key only while its revision is confirmed as of at most 4.4 s ago. A confirmation states when a read was sent to the store, less the age that each VM adds in passing it on, measured from the receiver's own echoed timestamp (spec/keyFreshness.pml, spec/relayRead.pml). Neither the messages nor these rules change, and neither depends on which VM reads, on the number of hops, or on the reader being alive; so the bound holds as before for a reader that is killed, frozen or cut off. What changes is when a VM without a confirmation reads; tests withdraw a key while the reader is killed, refused by the store, or its domain or all domains are cut off.

The test of whole milliseconds in callOnce.test.ts passes the inputs that readerWaitMs now has, and checks more of them.

--- a/packages/router/src/__tests__/support/simulateFreshness.ts
+++ b/packages/router/src/__tests__/support/simulateFreshness.ts
@@ -5,6 +5,7 @@
 import { initialDeclaredState } from "../../knowledge/initialDeclaredState.js";
 import { readerWaitMs } from "../../knowledge/readerWaitMs.js";
 import { stepDeclaredState } from "../../knowledge/stepDeclaredState.js";
+import { listedVm } from "./listedVm.js";
 import { relayFleet } from "./relayFleet.js";
 import { routingOf } from "./routingOf.js";
 
@@ -17,6 +18,14 @@
     readonly loss: number;
     /** Whether the store refuses a VM; VMs are numbered across the failure domains in rotation. */
     readonly isRefused: (vm: number, now: Millis) => boolean;
+    /** Whether beacons arrive between two failure domains, given by number; always if omitted. */
+    readonly isOpen?: (from: number, to: number, now: Millis) => boolean;
+    /** When VM 0, which reads for the others, is killed; never if omitted. */
+    readonly killAt?: Millis;
+    /** When the store gets a newer revision, which withdraws a key; never if omitted. */
+    readonly withdrawAt?: Millis;
+    /** Age of a confirmation up to which keys are accepted. */
+    readonly keysMs: Millis;
 };
 
 /** What was measured after the VMs had settled. */
@@ -26,6 +35,8 @@
     /** The same on any VM that the store refuses. */
     readonly oldestRefusedMs: Millis;
     readonly readsPerSecond: number;
+    /** Time after the withdrawal at which a VM accepted the key for the last time. */
+    readonly acceptedForMs: Millis;
 };
 
 type SimulatedVm = ReturnType<ReturnType<typeof relayFleet>["vm"]>;
@@ -37,11 +48,19 @@
 const CALL_MS = 10;
 const RETRY_MS = 250;
 const STORE_SEEN_MS = 3_300;
+/** Time between two samples of all VMs. */
+const SAMPLE_MS = 50;
 const REVISION = 1;
 
-/** Runs VMs in virtual time that read declarations in rotation and confirm them to each other; none is new. */
+/** The first VM by name, which reads for the others. */
+const READER = listedVm(0, 0).vm;
+
+const domainOf = (vm: VmId): number => Number(vm.split("-")[1]);
+
+/** Runs VMs in virtual time that read declarations and confirm them to each other. */
 export function simulateFreshness(parts: SimulationParts): SimulationResult {
-    const measured = { oldestMs: 0, oldestRefusedMs: 0, reads: 0 };
+    const { isOpen = () => true, killAt = Infinity, withdrawAt = Infinity } = parts;
+    const measured = { oldestMs: 0, oldestRefusedMs: 0, reads: 0, acceptedForMs: 0 };
     const states = new Map<VmId, VmState>();
 
     const fleet = relayFleet({
@@ -49,12 +68,13 @@
         vmsPerDomain: parts.vms / parts.domains,
         random: parts.random,
         loss: parts.loss,
+        isOpen: (from, to) => isOpen(domainOf(from.vm), domainOf(to.vm), clock.now()),
         onStart: vm => startReading(vm),
         onReceived: (vm, { beacon, sentAfter, stampedAt }) => {
             const state = states.get(vm);
             if (state !== undefined && beacon.confirmedMs !== undefined) {
                 const asOf = sentAfter - beacon.confirmedMs;
-                apply(state, { kind: "confirmed", revision: REVISION, asOf, stampedAt });
+                apply(state, { kind: "confirmed", revision: beacon.revision, asOf, stampedAt });
             }
         },
     });
@@ -62,9 +82,9 @@
     const apply = (state: VmState, event: Parameters<typeof stepDeclaredState>[1]): void => {
         state.declaredState = stepDeclaredState(state.declaredState, event, clock.now());
     };
-    const startReading = ({ listed, membership, localState }: SimulatedVm): void => {
-        const [, domain, place] = listed.vm.split("-");
-        const number = Number(place) * parts.domains + Number(domain);
+    const startReading = ({ listed, membership, localState, exchange }: SimulatedVm): void => {
+        const [, , place] = listed.vm.split("-");
+        const number = Number(place) * parts.domains + domainOf(listed.vm);
         const state: VmState = {
             declaredState: initialDeclaredState,
             storeAt: -Infinity,
@@ -73,18 +93,18 @@
         };
         states.set(listed.vm, state);
         localState.current = () => ({
-            revision: REVISION,
+            revision: state.declaredState.configuration?.revision ?? -1,
             confirmedMs: state.declaredState.confirmedAt === -Infinity
                 ? undefined
                 : clock.now() - state.declaredState.confirmedAt,
             hasStore: clock.now() - state.storeAt < STORE_SEEN_MS,
         });
         const read = (): void => {
-            const isReader = membership.isDomainReader();
-            const dueIn = declarationsDueIn(
-                { declaredState: state.declaredState, requestedAt: state.requestedAt, isReader },
-                clock.now(),
-            );
+            if (states.get(listed.vm) !== state) {
+                return;
+            }
+            const scope = membership.readerScope();
+            const dueIn = declarationsDueIn({ ...state, scope }, clock.now());
             if (dueIn > 0) {
                 schedule(Math.min(dueIn, RECHECK_MS), read);
                 return;
@@ -96,12 +116,23 @@
                 return;
             }
             const isFirst = state.declaredState.configuration === undefined;
-            const waitMs = isReader && !isFirst ? readerWaitMs(membership.beaconIntervalMs()) : 0;
-            schedule(CALL_MS + waitMs, () => {
+            const wait = {
+                ...state,
+                beaconIntervalMs: membership.beaconIntervalMs(),
+                isForDomains: membership.hearsOtherDomains(),
+            };
+            const until = requestedAt + (scope === "fleet" && !isFirst ? readerWaitMs(wait, requestedAt) : 0);
+            const answeredAt = requestedAt < withdrawAt && withdrawAt < until ? withdrawAt : until;
+            const revision = answeredAt < withdrawAt ? REVISION : REVISION + 1;
+            schedule(CALL_MS + answeredAt - requestedAt, () => {
+                const before = state.declaredState.configuration;
                 state.storeAt = clock.now();
                 state.requestedAt = requestedAt;
-                apply(state, { kind: "configuration", configuration: routingOf(REVISION, []) });
-                apply(state, { kind: "confirmed", revision: REVISION, asOf: requestedAt, stampedAt: requestedAt });
+                apply(state, { kind: "configuration", configuration: routingOf(revision, []) });
+                apply(state, { kind: "confirmed", revision, asOf: requestedAt, stampedAt: requestedAt });
+                if (scope === "fleet" || state.declaredState.configuration !== before) {
+                    exchange.sendSoon();
+                }
                 read();
             });
         };
@@ -113,16 +144,26 @@
                 const ageMs = clock.now() - declaredState.confirmedAt;
                 const key = parts.isRefused(number, clock.now()) ? "oldestRefusedMs" : "oldestMs";
                 measured[key] = Math.max(measured[key], ageMs);
+                if (ageMs <= parts.keysMs && declaredState.configuration?.revision === REVISION) {
+                    measured.acceptedForMs = Math.max(measured.acceptedForMs, clock.now() - withdrawAt);
+                }
             });
         }
-        schedule(RECHECK_MS, measure);
+        schedule(SAMPLE_MS, measure);
     };
     measure();
+    if (killAt < parts.forMs) {
+        schedule(killAt, () => {
+            fleet.kill(READER);
+            states.delete(READER);
+        });
+    }
     fleet.runUntil(parts.forMs);
-    const { oldestMs, oldestRefusedMs, reads } = measured;
+    const { oldestMs, oldestRefusedMs, reads, acceptedForMs } = measured;
     return {
         oldestMs,
         oldestRefusedMs,
+        acceptedForMs,
         readsPerSecond: reads * 1_000 / (parts.forMs - SETTLED_MS),
     };
 }
--- a/packages/router/src/__tests__/unit/callOnce.test.ts
+++ b/packages/router/src/__tests__/unit/callOnce.test.ts
@@ -6,6 +6,7 @@
 
 import { callOnce } from "../../dispatch/callOnce.js";
 import { EndpointAgent } from "../../dispatch/EndpointAgent.js";
+import { initialDeclaredState } from "../../knowledge/initialDeclaredState.js";
 import { readerWaitMs } from "../../knowledge/readerWaitMs.js";
 
 // A timeout with a fraction of a millisecond would throw and end the process.
@@ -22,7 +23,10 @@
 
 [6, 15, 40, 66].forEach(vms => {
     test(`declarations: a reader among ${vms} VMs waits an integral number of milliseconds`, t => {
-        t.true(Number.isInteger(readerWaitMs(25 * vms)));
+        const inputs = { declaredState: initialDeclaredState, requestedAt: 0, beaconIntervalMs: 25 * vms };
+        [true, false].forEach(isForDomains => t.true(Number.isInteger(readerWaitMs({ ...inputs, isForDomains }, 0.5))));
+        const declaredState = { ...initialDeclaredState, confirmedAt: 0.3 };
+        t.true(Number.isInteger(readerWaitMs({ ...inputs, declaredState, isForDomains: true }, 1_500.8)));
     });
 });
 
--- a/packages/router/src/__tests__/unit/declarationReaders.test.ts
+++ b/packages/router/src/__tests__/unit/declarationReaders.test.ts
@@ -2,6 +2,7 @@
 
 import { declarationsDueIn } from "../../knowledge/declarationsDueIn.js";
 import { initialDeclaredState } from "../../knowledge/initialDeclaredState.js";
+import { readerWaitMs } from "../../knowledge/readerWaitMs.js";
 import { routingOf } from "../support/routingOf.js";
 import { seededRandom } from "../support/seededRandom.js";
 import { simulateFreshness } from "../support/simulateFreshness.js";
@@ -18,54 +19,98 @@
     confirmedAt,
 });
 
-const due = [
-    { name: "a reader always reads", declaredState: confirmed(9_900), requestedAt: 9_900, isReader: true, dueIn: 0 },
+type DueCase = Parameters<typeof declarationsDueIn>[0] & { readonly name: string; readonly dueIn: number; };
+
+const due: readonly DueCase[] = [
+    { name: "a reader always reads", declaredState: confirmed(9_900), requestedAt: 9_900, scope: "fleet", dueIn: 0 },
     {
         name: "a follower waits while its confirmation is recent",
         declaredState: confirmed(9_900),
         requestedAt: 1_000,
-        isReader: false,
+        scope: "none",
         dueIn: 2_400,
     },
+    {
+        name: "the reader of a failure domain waits longer than two reads of the reader of all VMs take",
+        declaredState: confirmed(9_900),
+        requestedAt: 1_000,
+        scope: "domain",
+        dueIn: 2_100,
+    },
+    {
+        name: "the reader of a failure domain reads before the others of its domain",
+        declaredState: confirmed(7_700),
+        requestedAt: 1_000,
+        scope: "domain",
+        dueIn: -100,
+    },
     {
         name: "a follower whose confirmation is old reads",
         declaredState: confirmed(7_000),
         requestedAt: 1_000,
-        isReader: false,
+        scope: "none",
         dueIn: -500,
     },
     {
         name: "a follower that receives a newer revision number reads",
         declaredState: confirmed(9_900, 2),
         requestedAt: 1_000,
-        isReader: false,
+        scope: "none",
         dueIn: -8_750,
     },
     {
         name: "a follower that just read and did not find it waits, or dozens would read an outdated store in a loop",
         declaredState: confirmed(9_900, 2),
         requestedAt: 9_990,
-        isReader: false,
+        scope: "none",
         dueIn: 240,
     },
     {
         name: "a VM that just read and found no readable record waits",
         declaredState: initialDeclaredState,
         requestedAt: 9_990,
-        isReader: false,
+        scope: "none",
         dueIn: 240,
     },
     {
         name: "a VM without a configuration reads",
         declaredState: initialDeclaredState,
         requestedAt: -Infinity,
-        isReader: false,
+        scope: "none",
         dueIn: -Infinity,
     },
 ];
-due.forEach(({ name, declaredState, requestedAt, isReader, dueIn }) => {
+due.forEach(({ name, declaredState, requestedAt, scope, dueIn }) => {
     test(`declarations: ${name}`, t => {
-        t.is(declarationsDueIn({ declaredState, requestedAt, isReader }, 10_000), dueIn);
+        t.is(declarationsDueIn({ declaredState, requestedAt, scope }, 10_000), dueIn);
+    });
+});
+
+type WaitCase = Partial<Parameters<typeof readerWaitMs>[0]> & { readonly name: string; readonly waitMs: number; };
+
+const waits: readonly WaitCase[] = [
+    { name: "few VMs of one failure domain", isForDomains: false, waitMs: 1_100 },
+    { name: "many VMs of one failure domain", isForDomains: false, beaconIntervalMs: 500, waitMs: 950 },
+    { name: "few VMs of several failure domains", waitMs: 950 },
+    { name: "it takes over from a reader that died", declaredState: confirmed(8_400), waitMs: 300 },
+    { name: "it takes over when confirmations have become too old", declaredState: confirmed(7_000), waitMs: 0 },
+    {
+        name: "no read has confirmed anything, and must not be repeated in a loop",
+        declaredState: confirmed(7_000),
+        requestedAt: 9_900,
+        waitMs: 950,
+    },
+    { name: "the process was suspended", declaredState: initialDeclaredState, requestedAt: 9_900, waitMs: 950 },
+];
+waits.forEach(({ name, waitMs, ...inputs }) => {
+    test(`declarations: wait of a reader: ${name}`, t => {
+        const usual = {
+            declaredState: confirmed(9_990),
+            requestedAt: 1_000,
+            beaconIntervalMs: 200,
+            isForDomains: true,
+        };
+        t.is(readerWaitMs({ ...usual, ...inputs }, 10_000), waitMs);
     });
 });
 
@@ -103,10 +148,65 @@
 ];
 cases.forEach(({ name, vms, loss, isRefused, maxReads }) => {
     test(`declarations: confirmations stay recent enough for keys: ${name}`, t => {
-        const seen = simulateFreshness({ vms, domains: 3, forMs: 15_000, random: seededRandom(SEED), loss, isRefused });
+        const seen = simulateFreshness({
+            vms,
+            domains: 3,
+            forMs: 15_000,
+            random: seededRandom(SEED),
+            loss,
+            isRefused,
+            keysMs: KEYS_MS,
+        });
         t.log(seen);
         t.true(seen.oldestMs < KEYS_MS, `${seen.oldestMs} ms`);
         t.true(seen.oldestRefusedMs < KEYS_MS, `${seen.oldestRefusedMs} ms on VMs that the store refuses`);
         t.true(seen.readsPerSecond <= maxReads, `${seen.readsPerSecond} reads per second`);
     });
 });
+
+type Withdrawal = {
+    readonly name: string;
+    readonly loss?: number;
+    readonly killAt?: number;
+    readonly isRefused?: Case["isRefused"];
+    readonly isOpen?: NonNullable<Parameters<typeof simulateFreshness>[0]["isOpen"]>;
+};
+
+// A key is withdrawn while the one VM that reads for all is not heard, and a VM accepts it for longer than allowed, or all
+// VMs refuse valid keys.
+const FAILED_AT = 9_000;
+const withdrawals: readonly Withdrawal[] = [
+    { name: "the reader reads" },
+    { name: "a fifth of the beacons are lost", loss: 0.2 },
+    { name: "the reader is killed or frozen", killAt: FAILED_AT },
+    { name: "the reader is killed or frozen, a fifth of the beacons are lost", killAt: FAILED_AT, loss: 0.2 },
+    { name: "the store does not answer the reader", isRefused: (vm, now) => vm === 0 && now > FAILED_AT },
+    { name: "the reader's domain is cut off", isOpen: (a, b, now) => now < FAILED_AT || (a === 0) === (b === 0) },
+    { name: "all domains are cut off", isOpen: (a, b, now) => now < FAILED_AT || a === b },
+    {
+        name: "the reader's domain hears the others, but not they it",
+        isOpen: (a, b, now) => now < FAILED_AT || a !== 0 || b === 0,
+    },
+];
+withdrawals.forEach(({ name, loss = 0.02, isRefused = () => false, ...failure }) => {
+    test(`declarations: a withdrawal takes effect in time: ${name}`, t => {
+        const seen = [9_100, 9_900, 11_000].map((withdrawAt, i) =>
+            simulateFreshness({
+                vms: 20,
+                domains: 4,
+                forMs: 17_000,
+                random: seededRandom(SEED + i),
+                loss,
+                isRefused,
+                keysMs: KEYS_MS,
+                withdrawAt,
+                ...failure,
+            })
+        );
+        t.log(seen);
+        seen.forEach(({ oldestMs, acceptedForMs }) => {
+            t.true(oldestMs < KEYS_MS, `${oldestMs} ms`);
+            t.true(acceptedForMs < KEYS_MS, `accepted for ${acceptedForMs} ms`);
+        });
+    });
+});
--- a/packages/router/src/knowledge/declarationsDueIn.ts
+++ b/packages/router/src/knowledge/declarationsDueIn.ts
@@ -1,5 +1,6 @@
 import type { Millis } from "@azureshunt/core";
 
+import type { ReaderScope } from "../peers/ReaderScope.js";
 import type { DeclaredState } from "./DeclaredState.js";
 
 /**
@@ -7,6 +8,12 @@
  * second read before keys are refused, and late enough for one or two beacons to be lost.
  */
 const FOLLOWER_READ_AGE_MS: Millis = 2_500;
+/**
+ * The same for the reader of a failure domain while another VM reads for all. Earlier, so that its beacon reaches the
+ * other VMs of the domain before they read for themselves. Later than twice the wait of a read by the reader of all VMs
+ * (`readerWaitMs`), a slow answer and one lost beacon.
+ */
+const DOMAIN_READ_AGE_MS: Millis = 2_200;
 
 /** Minimum time between two reads: the store may be outdated, or hold no readable record, for seconds. */
 const MIN_READ_INTERVAL_MS: Millis = 250;
@@ -15,23 +22,24 @@
     readonly declaredState: DeclaredState;
     /** When this VM last sent a read to the store; `-Infinity` until then. */
     readonly requestedAt: Millis;
-    /** Whether this VM reads the declarations for the others of its failure domain. */
-    readonly isReader: boolean;
+    /** For which VMs this VM reads the declarations. */
+    readonly scope: ReaderScope;
 };
 
 /**
  * Returns in how many milliseconds a VM has to read the operators' declarations; 0 or less means now.
  *
  * With dozens of VMs that each keep a long-polling read open, nearly all of these reads would return nothing. So one VM
- * of each failure domain reads, and its beacons confirm the declared state of the others. A VM that receives a newer
- * revision number reads at once. A VM whose last confirmation gets old, since its reader died or is cut off, reads for
- * itself; this needs no agreement between VMs.
+ * reads for all that hear each other, and beacons confirm the declared state of the others. A VM that receives a newer
+ * revision number reads at once. A VM whose last confirmation gets old, since the reader died or is cut off, reads for
+ * itself, first the reader of its failure domain; this needs no agreement between VMs.
  */
-export function declarationsDueIn({ declaredState, requestedAt, isReader }: DueInputs, now: Millis): Millis {
-    if (isReader) {
+export function declarationsDueIn({ declaredState, requestedAt, scope }: DueInputs, now: Millis): Millis {
+    if (scope === "fleet") {
         return 0;
     }
     const isOutdated = declaredState.newestRevision > (declaredState.configuration?.revision ?? -1);
-    const dueAt = isOutdated ? -Infinity : declaredState.confirmedAt + FOLLOWER_READ_AGE_MS;
+    const readAgeMs = scope === "domain" ? DOMAIN_READ_AGE_MS : FOLLOWER_READ_AGE_MS;
+    const dueAt = isOutdated ? -Infinity : declaredState.confirmedAt + readAgeMs;
     return Math.max(dueAt, requestedAt + MIN_READ_INTERVAL_MS) - now;
 }
--- a/packages/router/src/knowledge/readerWaitMs.ts
+++ b/packages/router/src/knowledge/readerWaitMs.ts
@@ -1,17 +1,45 @@
 import type { Millis } from "@azureshunt/core";
 
+import type { DeclaredState } from "./DeclaredState.js";
+
 /** Longest time that a read waits for a declaration: short enough for keys to stay confirmed if the next read fails. */
 const WAIT_MS: Millis = 1_200;
 /**
  * Fraction of the beacon interval by which the wait is shorter, since confirmations are older when others receive them.
  */
 const BEACON_INTERVAL_FRACTION = 0.5;
+/**
+ * Longest wait of a VM that reads for several failure domains. A confirmation is up to twice as old when the next one
+ * arrives, and the readers of the other domains read from 2.2 s on (`declarationsDueIn`).
+ */
+const DOMAINS_WAIT_MS: Millis = 950;
+
+type WaitInputs = {
+    readonly declaredState: DeclaredState;
+    /** When this VM sent its last answered read; `-Infinity` until then. */
+    readonly requestedAt: Millis;
+    /** Time between two beacons to one VM. */
+    readonly beaconIntervalMs: Millis;
+    /** Whether VMs of other failure domains rely on the read. */
+    readonly isForDomains: boolean;
+};
 
 /**
  * Returns how long a read waits for a declaration on the VM that reads for the others, in whole milliseconds.
  *
- * @param beaconIntervalMs time between two beacons to one VM
+ * A VM that takes over from another reader has an old confirmation. If its first read waited for long, the others'
+ * confirmations would get too old meanwhile, and all of them would read. So the wait is shorter by the excess age.
  */
-export function readerWaitMs(beaconIntervalMs: Millis): Millis {
-    return Math.round(WAIT_MS - BEACON_INTERVAL_FRACTION * beaconIntervalMs);
+export function readerWaitMs(
+    { declaredState, requestedAt, beaconIntervalMs, isForDomains }: WaitInputs,
+    now: Millis,
+): Millis {
+    const usualMs = Math.round(
+        Math.min(WAIT_MS - BEACON_INTERVAL_FRACTION * beaconIntervalMs, isForDomains ? DOMAINS_WAIT_MS : Infinity),
+    );
+    const { confirmedAt } = declaredState;
+    // A read that confirmed nothing does not make the next one shorter, or an unreadable record would be read in a loop.
+    return confirmedAt <= requestedAt
+        ? usualMs
+        : Math.max(0, Math.min(usualMs, Math.round(2 * usualMs - (now - confirmedAt))));
 }
--- a/packages/router/src/knowledge/startDeclarations.ts
+++ b/packages/router/src/knowledge/startDeclarations.ts
@@ -4,6 +4,7 @@
 
 import type { EndpointAgent } from "../dispatch/EndpointAgent.js";
 import { getBody } from "../dispatch/getBody.js";
+import type { ReaderScope } from "../peers/ReaderScope.js";
 import type { ReceivedBeacon } from "../peers/ReceivedBeacon.js";
 import type { DirectoryWire } from "../ports/DirectoryWire.js";
 import type { StorePort } from "../ports/StorePort.js";
@@ -32,10 +33,14 @@
     readonly metrics: Metrics;
     /** Called when this VM learned something that the other VMs should receive soon. */
     readonly onChange: () => void;
+    /** Called when this VM has read the store for all VMs, so that they receive the confirmation soon. */
+    readonly onFleetRead: () => void;
     /** Called with each order of a rollout that was read; the same one may be read several times. */
     readonly onRollout: (order: VersionRollout) => void;
-    /** Whether this VM reads the declarations for the others of its failure domain. */
-    readonly isReader: () => boolean;
+    /** For which VMs this VM reads the declarations. */
+    readonly readerScope: () => ReaderScope;
+    /** Whether VMs of other failure domains rely on the reads of the reader of all VMs. */
+    readonly isForDomains: () => boolean;
     /** Time between two beacons to one VM. */
     readonly beaconIntervalMs: () => Millis;
     /** Queries a relay for a topic; see `followTopic`. */
@@ -181,13 +186,19 @@
         topic: wire.declarationsTopic,
         queryRelay: from => parts.queryRelay(wire.declarationsTopic, from),
         mustWaitForRelay: parts.mustWaitForRelay,
-        waitMs: () => parts.isReader() ? readerWaitMs(parts.beaconIntervalMs()) : 0,
+        waitMs: () => {
+            const { declaredState, requestedAt } = state;
+            const [beaconIntervalMs, isForDomains] = [parts.beaconIntervalMs(), parts.isForDomains()];
+            return parts.readerScope() === "fleet"
+                ? readerWaitMs({ declaredState, requestedAt, beaconIntervalMs, isForDomains }, clock.now())
+                : 0;
+        },
         dueInMs: () => {
             const { declaredState, requestedAt } = state;
-            return declarationsDueIn({ declaredState, requestedAt, isReader: parts.isReader() }, clock.now());
+            return declarationsDueIn({ declaredState, requestedAt, scope: parts.readerScope() }, clock.now());
         },
         reasonOfRead: () => {
-            if (parts.isReader()) {
+            if (parts.readerScope() === "fleet") {
                 return "reader";
             }
             const { configuration, newestRevision } = state.declaredState;
@@ -208,6 +219,9 @@
             if (revision !== undefined && state.isReadable) {
                 apply({ kind: "confirmed", revision, asOf, stampedAt: requestedAt });
             }
+            if (!isRelayed && parts.readerScope() === "fleet") {
+                parts.onFleetRead();
+            }
         },
         onFailure: kind => {
             metrics.count("azureshunt_store_failures_total", "Calls to the store that failed.", {
--- a/packages/router/src/peers/createMembership.ts
+++ b/packages/router/src/peers/createMembership.ts
@@ -18,6 +18,8 @@
 import type { Members } from "./Members.js";
 import type { MembersEvent } from "./MembersEvent.js";
 import { peerDemand } from "./peerDemand.js";
+import type { ReaderScope } from "./ReaderScope.js";
+import { readerScopeOf } from "./readerScopeOf.js";
 import type { ReceivedBeacon } from "./ReceivedBeacon.js";
 import { relayedDemand } from "./relayedDemand.js";
 import { relaysOf } from "./relaysOf.js";
@@ -73,8 +75,10 @@
     readonly relayedDemand: (scope: "domain" | "fleet") => (target: VmId | undefined) => Tokens;
     /** Whether this VM reads the registry for all VMs. */
     readonly isReader: () => boolean;
-    /** Whether this VM reads the declarations for its failure domain. */
-    readonly isDomainReader: () => boolean;
+    /** For which VMs this VM reads the declarations. */
+    readonly readerScope: () => ReaderScope;
+    /** Whether a VM of another failure domain is alive. */
+    readonly hearsOtherDomains: () => boolean;
     /** Time between two beacons to one VM. */
     readonly beaconIntervalMs: () => Millis;
     /** Number of VMs that may claim the order lease before this one. */
@@ -180,7 +184,13 @@
         demand: () => peerDemand(state.members, isRelay(), clock.now()),
         relayedDemand: scope => relayedDemand(state.members, scope, role, clock.now()),
         isReader: () => isReader(state.members, clock.now()),
-        isDomainReader: () => isReader(state.members, clock.now(), self.failureDomain),
+        readerScope: () => readerScopeOf(state.members, clock.now()),
+        hearsOtherDomains: () =>
+            [...state.members.known.values()].some(member =>
+                member.failureDomain !== undefined
+                && member.failureDomain !== self.failureDomain
+                && isAlive(member, clock.now())
+            ),
         beaconIntervalMs: () => beaconInterval(state.members.known.size),
         rank: (lastHolder, hasStore) => leaseRank(state.members, lastHolder, hasStore, clock.now()),
     };
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -170,7 +170,10 @@
         metrics,
         checkSuspension: suspensionWatch.check,
         onRollout: order => rollouts.order(order),
-        isReader: membership.isDomainReader,
+        readerScope: membership.readerScope,
+        isForDomains: membership.hearsOtherDomains,
+        // The relays of other failure domains pass the confirmation on, so it must not wait for a round here.
+        onFleetRead: () => membership.hearsOtherDomains() ? beacons.sendSoon() : undefined,
         beaconIntervalMs: membership.beaconIntervalMs,
         queryRelay: relayReads.query,
         mustWaitForRelay: relayReads.mustWait,
