--- a/packages/router/src/__tests__/support/startTargetDeclarations.ts
+++ b/packages/router/src/__tests__/support/startTargetDeclarations.ts
@@ -24,14 +24,16 @@
     } as unknown as DirectoryWire;
     const declarations = startDeclarations({
         clock,
-        store,
+        storeFor: () => store,
         wire,
         agent: new EndpointAgent(clock.now),
         logger: silentLogger,
         metrics: createMetrics(),
         onChange: () => undefined,
         onRollout: () => undefined,
-        isReader: () => false,
+        readerScope: () => "none",
+        isForDomains: () => false,
+        onFleetRead: () => undefined,
         beaconIntervalMs: () => 200,
         queryRelay: () => Promise.resolve(undefined),
         mustWaitForRelay: () => false,
--- a/packages/router/src/__tests__/unit/relayAnswers.test.ts
+++ b/packages/router/src/__tests__/unit/relayAnswers.test.ts
@@ -42,14 +42,16 @@
     const agent = new EndpointAgent(clock.now);
     const declarations = startDeclarations({
         clock,
-        store,
+        storeFor: () => store,
         wire,
         agent,
         logger: createLoggers("silent", { vm: "vm", failureDomain: "fd", incarnation: "run" })("knowledge"),
         metrics: createMetrics(),
         onChange: () => undefined,
         onRollout: () => undefined,
-        isReader: () => true,
+        readerScope: () => "fleet",
+        isForDomains: () => false,
+        onFleetRead: () => undefined,
         beaconIntervalMs: () => 200,
         queryRelay: () => Promise.resolve(undefined),
         mustWaitForRelay: () => false,
