Divide what an overloaded VM refuses between organisations

Cause: load shedding refused the requests of all organisations alike, so one that sends at 6 times its rate took the others' places; the same where engines are full.

The organisation is looked up by its key at the head. Where engines are full, createServiceShares counts this VM's requests in progress by service and organisation; one over an equal share gets the smaller bound of overloadDelayMs while the service refuses. An organisation that is alone gets the fraction of its kind itself.

--- a/packages/overload/src/KindArrivals.ts
+++ b/packages/overload/src/KindArrivals.ts
@@ -1,4 +1,11 @@
+import type { OrganisationId } from "@azureshunt/core";
+
 import type { LoadKind } from "./LoadKind.js";
 
-/** Requests of one kind whose heads were read since the last tick. */
-export type KindArrivals = { readonly kind: LoadKind; readonly count: number; };
+/** Requests of one kind and organisation whose heads were read since the last tick. */
+export type KindArrivals = {
+    readonly kind: LoadKind;
+    /** `undefined` for callers without a valid key. */
+    readonly organisation?: OrganisationId | undefined;
+    readonly count: number;
+};
--- a/packages/overload/src/__tests__/unit/decisions.test.ts
+++ b/packages/overload/src/__tests__/unit/decisions.test.ts
@@ -20,7 +20,8 @@
 ];
 divisions.forEach(({ name, shed, refused }) => {
     test(`divideShed: ${name}`, t => {
-        const fractions = divideShed([load(urgent, 10), load(other, 10)], shed).map(each => each.refusedFraction);
+        const fractions = divideShed([load(urgent, 10), load(other, 10)], new Map(), shed).kinds
+            .map(each => each.refusedFraction);
         fractions.forEach((fraction, i) => t.true(Math.abs(fraction - (refused[i] ?? 0)) < 1e-9));
     });
 });
--- a/packages/overload/src/admits.ts
+++ b/packages/overload/src/admits.ts
@@ -1,11 +1,14 @@
-import type { Millis } from "@azureshunt/core";
+import type { Millis, OrganisationId } from "@azureshunt/core";
 
 import type { LoadKind } from "./LoadKind.js";
 import type { LoadState } from "./LoadState.js";
 import { loadTiming } from "./loadTiming.js";
+import { refusedFractionOf } from "./refusedFractionOf.js";
 
 type HeadInputs = {
     readonly kind: LoadKind;
+    /** Whose key the request has; `undefined` if none is valid. */
+    readonly organisation?: OrganisationId | undefined;
     /** How long the request has waited unread at least. */
     readonly waitedMs: Millis;
     /** Random number, uniform in [0, 1). */
@@ -23,12 +26,12 @@
  * floor, and leaves the kind its own floor; otherwise a kind with a tight objective would be refused before less urgent
  * ones.
  */
-export function admits(state: LoadState, { kind, waitedMs, draw }: HeadInputs): boolean {
+export function admits(state: LoadState, { kind, organisation, waitedMs, draw }: HeadInputs): boolean {
     if (state.shedFraction === 0 || draw >= 1 - loadTiming.minAdmitted) {
         return true;
     }
     const loads = [...state.kinds.values()];
-    if (draw < (state.kinds.get(kind.name)?.refusedFraction ?? 0)) {
+    if (draw < refusedFractionOf(state, kind, organisation)) {
         return false;
     }
     const isMostUrgent = loads.every(other => other.kind.priority >= kind.priority);
--- a/packages/overload/src/stepLoad.ts
+++ b/packages/overload/src/stepLoad.ts
@@ -5,8 +5,10 @@
 import type { KindLoad } from "./KindLoad.js";
 import { lagLimitMs } from "./lagLimitMs.js";
 import type { LoadEvent } from "./LoadEvent.js";
+import type { LoadKind } from "./LoadKind.js";
 import type { LoadState } from "./LoadState.js";
 import { loadTiming } from "./loadTiming.js";
+import { stepRecents } from "./stepRecents.js";
 
 const MS_PER_SECOND = 1_000;
 /** Below this, a kind counts as not requested any more, and a lag as none. */
@@ -16,22 +18,42 @@
 /** Fraction of the lag limit below which ticks count as in time; between the two, the refused fraction is kept. */
 const QUIET_FRACTION = 0.5;
 
+const NO_PRIORITIES: LoadState["priorities"] = new Map();
+
 const kindsAfter = (
     before: LoadState["kinds"],
     arrivals: readonly KindArrivals[],
     elapsedMs: Millis,
 ): readonly KindLoad[] => {
     const decay = Math.exp(-elapsedMs / loadTiming.recentMs);
-    const counts = new Map(arrivals.map(({ kind, count }) => [kind.name, count]));
+    const arrived = new Map<string, { readonly kind: LoadKind; readonly count: number; }>();
+    arrivals.forEach(({ kind, count }) =>
+        arrived.set(kind.name, { kind, count: (arrived.get(kind.name)?.count ?? 0) + count })
+    );
     const known = [...before.values()].map(load => ({
         ...load,
-        recent: load.recent * decay + (counts.get(load.kind.name) ?? 0),
+        recent: load.recent * decay + (arrived.get(load.kind.name)?.count ?? 0),
     }));
-    const added = arrivals.filter(({ kind }) => !before.has(kind.name))
+    const added = [...arrived.values()].filter(({ kind }) => !before.has(kind.name))
         .map(({ kind, count }) => ({ kind, recent: count, refusedFraction: 0 }));
     return [...known, ...added].filter(({ recent }) => recent > NEGLIGIBLE);
 };
 
+const prioritiesAfter = (
+    before: LoadState["priorities"],
+    arrivals: readonly KindArrivals[],
+    elapsedMs: Millis,
+): LoadState["priorities"] => {
+    const priorities = [...new Set([...before.keys(), ...arrivals.map(({ kind }) => kind.priority)])];
+    return new Map(
+        priorities.map(priority => {
+            const ofPriority = arrivals.filter(({ kind }) => kind.priority === priority);
+            const recents = stepRecents(before.get(priority)?.recents ?? new Map(), ofPriority, elapsedMs);
+            return [priority, { recents, share: undefined }] as const;
+        }).filter(([, { recents }]) => recents.size > 0),
+    );
+};
+
 const shedAfter = (
     { shedFraction, peakLagMs }: LoadState,
     { lagMs, elapsedMs, kinds }: {
@@ -70,10 +92,16 @@
         peakLagMs: Math.max(lagMs, state.peakLagMs * loadTiming.peakDecay),
     };
     if (arrivals.length === 0 && state.kinds.size === 0) {
-        return { ...ticked, shedFraction: 0, kinds: state.kinds };
+        return { ...ticked, shedFraction: 0, kinds: state.kinds, priorities: NO_PRIORITIES };
     }
     const kinds = kindsAfter(state.kinds, arrivals, elapsedMs);
     const shedFraction = shedAfter(state, { lagMs, elapsedMs, kinds });
-    const divided = shedFraction > 0 ? divideShed(kinds, shedFraction) : kinds;
-    return { ...ticked, shedFraction, kinds: new Map(divided.map(load => [load.kind.name, load])) };
+    const priorities = prioritiesAfter(state.priorities, arrivals, elapsedMs);
+    const divided = shedFraction > 0 ? divideShed(kinds, priorities, shedFraction) : { kinds, priorities };
+    return {
+        ...ticked,
+        shedFraction,
+        kinds: new Map(divided.kinds.map(load => [load.kind.name, load])),
+        priorities: divided.priorities,
+    };
 }
--- a/packages/router/src/__tests__/unit/overload.test.ts
+++ b/packages/router/src/__tests__/unit/overload.test.ts
@@ -85,6 +85,18 @@
     },
 ] as const;
 
+const shared = [
+    { name: "the urgent kind: the limit of less urgent ones", isUrgent: true, delayMs: 50 },
+    { name: "a less urgent kind: a lower limit than that", isUrgent: false, delayMs: 183 },
+] as const;
+// Guards against refusing an organisation within its share before one that is over it.
+shared.forEach(({ name, isUrgent, delayMs }) => {
+    test(`overloadDelayMs: over its share, ${name}`, t => {
+        const inputs = { queueMs: 360, startMs: 450, objectiveMs: OBJECTIVE_MS, isUrgent };
+        t.is(Math.round(overloadDelayMs({ ...inputs, isOverShare: true }) ?? 0), delayMs);
+    });
+});
+
 cases.forEach(({ name, queueMs, startMs, isUrgent, delayMs }) => {
     test(`overloadDelayMs: ${name}`, t => {
         t.is(overloadDelayMs({ queueMs, startMs, objectiveMs: OBJECTIVE_MS, isUrgent }), delayMs);
--- a/packages/router/src/__tests__/unit/overloadGuard.test.ts
+++ b/packages/router/src/__tests__/unit/overloadGuard.test.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from "node:http";
 import { Duplex } from "node:stream";
 
+import type { OrganisationId } from "@azureshunt/core";
 import test from "ava";
 
 import type { Route } from "../../configuration/Route.js";
@@ -80,3 +81,25 @@
     waits.push(mostMs());
     t.deepEqual(waits, [1_400, 1_400, 0]);
 });
+
+// Guards against requests that are counted for the wrong organisation, so that all are refused alike.
+test("overload guard: the organisation that sends most is refused, the others are not", t => {
+    const { overload, tickAfter } = start();
+    const req = { socket: new Duplex() } as unknown as IncomingMessage;
+    const [heavy, light] = ["heavy" as OrganisationId, "light" as OrganisationId];
+    const send = (organisation: OrganisationId | undefined, count: number): void =>
+        Array.from({ length: count }).forEach(() => overload.enter(req, route, organisation));
+    Array.from({ length: 20 }).forEach(() => {
+        send(heavy, 12);
+        send(light, 2);
+        send(undefined, 2);
+        tickAfter(2 * INTERVAL_MS);
+    });
+    t.is(overload.groups(), 3);
+    const fractions = [heavy, light, undefined].map(id => overload.refusedFractions(route, id));
+    t.true(fractions.every(({ ofKind }) => ofKind > 0.3));
+    t.true((fractions[0]?.ofOrganisation ?? 0) > (fractions[0]?.ofKind ?? 1));
+    t.true(fractions.slice(1).every(({ ofOrganisation, ofKind }) => ofOrganisation < ofKind));
+    const head = overload.enter(req, route, heavy);
+    t.false(overload.admits(route, head));
+});
--- a/packages/router/src/serve/ServeParts.ts
+++ b/packages/router/src/serve/ServeParts.ts
@@ -22,6 +22,7 @@
 import type { createIgnoredHeaderLog } from "./createIgnoredHeaderLog.js";
 import type { createOverloadGuard } from "./createOverloadGuard.js";
 import type { createRetryBudgets } from "./createRetryBudgets.js";
+import type { createServiceShares } from "./createServiceShares.js";
 import type { FreshnessBounds } from "./FreshnessBounds.js";
 
 /** Dependencies of request handling. */
@@ -64,10 +65,12 @@
     readonly isDraining: () => boolean;
     /** Whether this process runs late, so that what it reads may have waited for long. */
     readonly isLagging: () => boolean;
+    readonly serviceShares: ReturnType<typeof createServiceShares>;
     readonly overload: Pick<
         ReturnType<typeof createOverloadGuard>,
         | "enter"
         | "admits"
+        | "refusedFractions"
         | "recordAnswer"
         | "shortestAnswerMs"
         | "recordSent"
--- a/packages/router/src/serve/createOverloadGuard.ts
+++ b/packages/router/src/serve/createOverloadGuard.ts
@@ -1,13 +1,14 @@
 import type { IncomingMessage } from "node:http";
 import type { Duplex } from "node:stream";
 
-import type { Clock, Millis, ServiceName } from "@azureshunt/core";
+import type { Clock, Millis, OrganisationId, ServiceName } from "@azureshunt/core";
 import {
     admits,
     forecastRoom,
     initialLoad,
     initialReturns,
     recordAnswer,
+    refusedFractionOf,
     retryAfterOf,
     shedEndsInMs,
     shortestAnswer,
@@ -27,8 +28,13 @@
     readonly waited: ReturnType<typeof waitedMs>;
     /** Resolves when it is the request's turn; `undefined` if that is at once. */
     readonly turn: Promise<void> | undefined;
+    /** Whose key it has; `undefined` if none is valid. */
+    readonly organisation: OrganisationId | undefined;
 };
 
+/** Fractions of requests that are refused for lack of CPU time. */
+type RefusedFractions = { readonly ofOrganisation: number; readonly ofKind: number; };
+
 type GuardParts = {
     readonly clock: Clock;
     readonly random: () => number;
@@ -52,8 +58,17 @@
     /** To be called for each connection that a caller opens. */
     readonly recordAccepted: (connection: Duplex) => void;
     /** To be called once for each request's head. */
-    readonly enter: (req: IncomingMessage, route: RouteKind | undefined) => Head;
+    readonly enter: (
+        req: IncomingMessage,
+        route: RouteKind | undefined,
+        organisation?: OrganisationId,
+    ) => Head;
     readonly admits: (route: RouteKind | undefined, head: Head) => boolean;
+    /** Returns what is refused of the requests of a kind, and of those of one organisation among them. */
+    readonly refusedFractions: (
+        route: Pick<Route, "name" | "priority">,
+        organisation: OrganisationId | undefined,
+    ) => RefusedFractions;
     /** Records the time from the sending of a request until its answer began, unless this VM has run late. */
     readonly recordAnswer: (route: Pick<Route, "name">, answerMs: Millis) => void;
     /** Shortest time in which an endpoint has lately answered a request of this kind; 0 if none has. */
@@ -66,6 +81,8 @@
     readonly shedEndsInMs: () => Millis;
     readonly lagMs: () => Millis;
     readonly shedFraction: () => number;
+    /** Most organisations, or callers without a valid key, between which one priority is divided. */
+    readonly groups: () => number;
 };
 
 /** Recent lag from which an answer may have waited unread, so that it says nothing of the endpoint. */
@@ -76,7 +93,8 @@
     const state = {
         load: initialLoad(clock.now()),
         isAfterTick: false,
-        arrivals: [] as KindArrivals[],
+        /** By the names of kinds, and by organisations. */
+        arrivals: new Map<string, Map<OrganisationId | undefined, KindArrivals>>(),
         waiting: [] as Waiting[],
     };
     const acceptedAt = new WeakMap<Duplex, Millis>();
@@ -108,43 +126,50 @@
             }
             state.waiting.push({ priority, start: resolve });
         });
-    const recordArrival = (route: RouteKind): void => {
-        const index = state.arrivals.findIndex(({ kind }) => kind.name === route.name);
-        const known = state.arrivals[index];
+    const recordArrival = (route: RouteKind, organisation: OrganisationId | undefined): void => {
+        const ofKind = state.arrivals.get(route.name) ?? new Map<OrganisationId | undefined, KindArrivals>();
+        const known = ofKind.get(organisation);
+        ofKind.set(
+            organisation,
+            known === undefined
+                ? { kind: kindOf(route), organisation, count: 1 }
+                : { kind: known.kind, organisation, count: known.count + 1 },
+        );
         if (known === undefined) {
-            state.arrivals.push({ kind: kindOf(route), count: 1 });
-        }
-        else {
-            state.arrivals[index] = { ...known, count: known.count + 1 };
+            state.arrivals.set(route.name, ofKind);
         }
     };
 
     return {
         tick: () => {
-            state.load = stepLoad(state.load, { kind: "tick", intervalMs, arrivals: state.arrivals }, clock.now());
-            if (state.arrivals.length > 0) {
-                state.arrivals = [];
-            }
+            const arrivals = [...state.arrivals.values()].flatMap(ofKind => [...ofKind.values()]);
+            state.load = stepLoad(state.load, { kind: "tick", intervalMs, arrivals }, clock.now());
+            state.arrivals.clear();
             state.isAfterTick = false;
             if (state.load.lagMs >= intervalMs) {
                 markTurns();
             }
         },
         recordAccepted: connection => void acceptedAt.set(connection, clock.now()),
-        enter: (req, route) => {
+        enter: (req, route, organisation) => {
             const { socket } = req;
             const read = { acceptedAt: acceptedAt.get(socket), isAfterTick: state.isAfterTick };
             const waited = waitedMs(state.load, intervalMs, read, clock.now());
             acceptedAt.delete(socket);
             if (route === undefined) {
-                return { waited, turn: undefined };
+                return { waited, turn: undefined, organisation };
             }
-            recordArrival(route);
+            recordArrival(route, organisation);
             const isLate = waited.most > 0 || state.load.shedFraction > 0;
-            return { waited, turn: isLate ? waitForTurn(route.priority) : undefined };
+            return { waited, turn: isLate ? waitForTurn(route.priority) : undefined, organisation };
         },
-        admits: (route, { waited }) =>
-            route === undefined || admits(state.load, { kind: route, waitedMs: waited.least, draw: random() }),
+        admits: (route, { waited, organisation }) =>
+            route === undefined ||
+            admits(state.load, { kind: route, organisation, waitedMs: waited.least, draw: random() }),
+        refusedFractions: (route, organisation) => ({
+            ofOrganisation: refusedFractionOf(state.load, route, organisation),
+            ofKind: state.load.kinds.get(route.name)?.refusedFraction ?? 0,
+        }),
         recordAnswer: ({ name }, answerMs) => {
             const now = clock.now();
             const { peakLagMs, tickAt } = state.load;
@@ -169,5 +194,6 @@
         shedEndsInMs: () => shedEndsInMs(state.load),
         lagMs: () => state.load.lagMs,
         shedFraction: () => state.load.shedFraction,
+        groups: () => Math.max(0, ...[...state.load.priorities.values()].map(({ recents }) => recents.size)),
     };
 }
--- a/packages/router/src/serve/createRequestReader.ts
+++ b/packages/router/src/serve/createRequestReader.ts
@@ -9,6 +9,7 @@
 
 import { findRoute } from "../configuration/findRoute.js";
 import type { CompleteRequest } from "./CompleteRequest.js";
+import { countSharedRefusal } from "./countSharedRefusal.js";
 import { memoryRetryAfterSeconds } from "./memoryRetryAfterSeconds.js";
 import type { ServeParts } from "./ServeParts.js";
 
@@ -74,16 +75,25 @@
     return async (req, res) => {
         const arrivedAt = clock.now();
         const decoded = callerWire.decode(req);
-        const { limits, routes = [] } = declaredState().configuration ?? {};
+        const { limits, routes = [], ownerOfKey } = declaredState().configuration ?? {};
         const route = decoded.map(({ host, target }) => findRoute(routes, host, target)).toMaybe().extractNullable();
-        const head = parts.overload.enter(req, route ?? undefined);
+        const key = decoded.toMaybe().extract()?.key;
+        const organisation = key === undefined ? undefined : ownerOfKey?.get(key);
+        const head = parts.overload.enter(req, route ?? undefined, organisation);
         if (head.turn !== undefined) {
             await head.turn;
         }
         const { waited } = head;
         if (route !== null && route !== undefined && !parts.overload.admits(route, head)) {
+            const { ofOrganisation, ofKind } = parts.overload.refusedFractions(route, organisation);
+            const share = ofOrganisation === ofKind
+                ? ""
+                : `, refused fraction ${ofOrganisation.toFixed(2)} of ${
+                    organisation ?? "callers without a valid key"
+                }, `
+                    + `${ofKind.toFixed(2)} of all`;
             const detail = `event loop lag ${Math.round(parts.overload.lagMs())} ms, waited unread `
-                + `${Math.round(waited.least)} to ${Math.round(waited.most)} ms`;
+                + `${Math.round(waited.least)} to ${Math.round(waited.most)} ms${share}`;
             const caller = decoded.toMaybe().extractNullable();
             const sendBefore = arrivedAt - waited.most +
                 Math.min(route.timeoutMs, caller?.deadlineMs ?? route.timeoutMs);
@@ -95,6 +105,7 @@
             });
             const labels = { reason: "vm-overloaded", priority: String(route.priority) };
             metrics.count("azureshunt_overload_refusals_total", "Requests refused for overload.", labels);
+            countSharedRefusal(metrics, "vm-overloaded", ofOrganisation > ofKind);
             refuse(res, refusalOf("vm-overloaded", detail, { retryAfterSeconds }), caller?.id, false);
             return undefined;
         }
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -7,6 +7,7 @@
 import { failureOfOutcome } from "../dispatch/failureOfOutcome.js";
 import { overloadDelayMs } from "../placement/overloadDelayMs.js";
 import { allowedTries } from "./allowedTries.js";
+import { countSharedRefusal } from "./countSharedRefusal.js";
 import { createStreamPace } from "./createStreamPace.js";
 import { isRepeatable } from "./isRepeatable.js";
 import { isTooLate } from "./isTooLate.js";
@@ -107,6 +108,7 @@
             running: place.running,
             candidates: place.candidateCount,
         });
+        const isOverShare = parts.serviceShares.isOver(served);
         const waitMs = served.caller.prompt === undefined || stream.origin !== undefined
             ? undefined
             : overloadDelayMs({
@@ -114,11 +116,15 @@
                 startMs: place.startMs,
                 objectiveMs: served.route.objectiveMs,
                 isUrgent: isUrgent(parts, served),
+                isOverShare,
             });
         if (waitMs !== undefined) {
+            parts.serviceShares.recordRefused(served);
+            countSharedRefusal(parts.metrics, "overloaded", isOverShare);
             const kind = request.ran === "no" ? "overloaded" : "endpoint-failed";
             const detail = `best endpoint ${place.entry.name}: turn in ${Math.round(place.queueMs)} ms, `
-                + `first token in ${Math.round(place.startMs)} ms, objective ${served.route.objectiveMs} ms`;
+                + `first token in ${Math.round(place.startMs)} ms, objective ${served.route.objectiveMs} ms`
+                + (isOverShare ? `, ${served.organisation?.id ?? "callers without a key"} over their share` : "");
             return giveUp(
                 progress,
                 refusalOf(kind, detail, {
@@ -133,7 +139,8 @@
         const path = request.tries > 0 ? "further" : served.caller.lastEventId === undefined ? "first" : "resumed";
         parts.endpointLimits.recordTry(place.entry, path);
         parts.overload.recordSent(served.service);
-        const result = await runTry({ parts, served, place, progress: stream, isLastTry });
+        const endShare = parts.serviceShares.begin(served);
+        const result = await runTry({ parts, served, place, progress: stream, isLastTry }).finally(endShare);
         return afterTry(progress, place, result);
     };
 
--- a/packages/router/src/startGauges.ts
+++ b/packages/router/src/startGauges.ts
@@ -19,7 +19,7 @@
         readonly streams: Pick<ReturnType<typeof createStreamKeeper>, "size">;
         readonly connector: Pick<ReturnType<typeof createConnector>, "isCutOff">;
         readonly tunnels: Pick<ReturnType<typeof serveTunnels>, "size">;
-        readonly overload: Pick<ReturnType<typeof createOverloadGuard>, "lagMs" | "shedFraction">;
+        readonly overload: Pick<ReturnType<typeof createOverloadGuard>, "lagMs" | "shedFraction" | "groups">;
         readonly byteBudget: Pick<ReturnType<typeof createByteBudget>, "heldBytes" | "oldestUnreadMs">;
         readonly unreadBodies: Pick<ReturnType<typeof createUnreadBodies>, "heldBytes">;
     };
@@ -67,6 +67,11 @@
             "Fraction of requests that this VM refuses for lack of CPU time.",
             overload.shedFraction,
         ],
+        [
+            "overload_groups",
+            "Most organisations between which the requests of one priority are divided.",
+            overload.groups,
+        ],
         ["peers", "Other VMs that are reckoned with.", () => membership.liveness().peers],
         ["unheard_peers", "Of these, VMs out of hearing.", () => membership.liveness().silent.length],
         [
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -48,6 +48,7 @@
 import { createOverloadGuard } from "./serve/createOverloadGuard.js";
 import { createRequestHandler } from "./serve/createRequestHandler.js";
 import { createRetryBudgets } from "./serve/createRetryBudgets.js";
+import { createServiceShares } from "./serve/createServiceShares.js";
 import { createTickLag } from "./serve/createTickLag.js";
 import type { FreshnessBounds } from "./serve/FreshnessBounds.js";
 import { startCallerServer } from "./serve/startCallerServer.js";
@@ -368,6 +369,7 @@
         checkSuspension: suspensionWatch.check,
         isDraining: () => state.isDraining,
         isLagging: lagWatch.isLagging,
+        serviceShares: createServiceShares(clock, Math.random),
         overload,
     });
     const isReady = (): boolean =>
