Let prompt requests wait in the VM until an endpoint has room

Cause: a prompt request was refused if its best endpoint was full, also if the prediction had room in time. Change: such a request waits in a queue per service and is placed again when a request of this VM at the service has ended, a beacon or registry records have arrived, or its predicted delay has passed. A shutdown refuses all that waits; a caller that leaves takes its request out.

--- a/packages/router/src/peers/startPeerSync.ts
+++ b/packages/router/src/peers/startPeerSync.ts
@@ -20,6 +20,8 @@
     readonly metrics: Metrics;
     /** Checks for a suspension of this process, before any state is sent or received as fresh. */
     readonly checkSuspension: () => void;
+    /** Called after a beacon was applied. */
+    readonly onApplied?: () => void;
     /** Applies a datagram that is no beacon; returns `false` if it is of no known kind. */
     readonly receiveOther: (datagram: Buffer) => boolean;
 };
@@ -47,6 +49,7 @@
         if (isUrgent && membership.isRelay()) {
             beacons.sendSoon();
         }
+        parts.onApplied?.();
     };
     const isRelayScope = (scope: BeaconScope): scope is "domain" | "fleet" => scope === "domain" || scope === "fleet";
     const beacons = startBeacons({
--- a/packages/router/src/placement/EndpointTable.ts
+++ b/packages/router/src/placement/EndpointTable.ts
@@ -78,6 +78,8 @@
     readonly entries: () => readonly EndpointEntry[];
     /** Endpoints of a service that are not leaving. */
     readonly servingEntries: (service: ServiceName) => readonly EndpointEntry[];
+    /** Requests that the endpoints of a service can start at once, by the load that this VM knows. */
+    readonly freeSlots: (service: ServiceName) => number;
     /** Services that have endpoints with a model. */
     readonly engineServices: () => readonly ServiceName[];
     /** Entry of the endpoint at an address, `host:port`. */
--- a/packages/router/src/placement/createEndpointTable.ts
+++ b/packages/router/src/placement/createEndpointTable.ts
@@ -122,6 +122,16 @@
         return serving;
     };
 
+    const freeSlots: EndpointTable["freeSlots"] = service => {
+        const now = clock.now();
+        const slots = servicesOf(declaredState().configuration).get(service)?.engine?.slots;
+        return servingEntries(service).reduce((sum, entry) => {
+            const { health, inFlight } = observations.of(entry);
+            const running = inFlight.length + parts.peerLoadAt(entry.name).running;
+            return health.backoffUntil > now ? sum : sum + Math.max(0, (slots ?? entry.slots) - running);
+        }, 0);
+    };
+
     const candidates: EndpointTable["candidates"] = request => {
         const now = clock.now();
         const engine = servicesOf(declaredState().configuration).get(request.service)?.engine;
@@ -228,6 +238,7 @@
         engines,
         entries: allEntries,
         servingEntries,
+        freeSlots,
         engineServices: () => state.engineServices,
         entryAt: address => state.entryByAddress.get(address),
         entryOf,
--- a/packages/router/src/serve/ServeParts.ts
+++ b/packages/router/src/serve/ServeParts.ts
@@ -21,6 +21,7 @@
 import type { createRollouts } from "../rollout/createRollouts.js";
 import type { createIgnoredHeaderLog } from "./createIgnoredHeaderLog.js";
 import type { createOverloadGuard } from "./createOverloadGuard.js";
+import type { createRequestQueues } from "./createRequestQueues.js";
 import type { createRetryBudgets } from "./createRetryBudgets.js";
 import type { FreshnessBounds } from "./FreshnessBounds.js";
 
@@ -75,4 +76,5 @@
         | "shedEndsInMs"
         | "lagMs"
     >;
+    readonly requestQueues: Pick<ReturnType<typeof createRequestQueues>, "wait" | "recordEnd" | "beginTry">;
 };
--- a/packages/router/src/serve/placeRequest.ts
+++ b/packages/router/src/serve/placeRequest.ts
@@ -27,12 +27,14 @@
  * Chooses the endpoint for the next try of a request; `undefined` if none can take it now.
  *
  * @param origin where the stream began, if it is one that goes on
+ * @param isPlacedAgain whether the request has waited since it was placed for this try, and has gathered its part of a turn
  */
 export function placeRequest(
     parts: ServeParts,
     served: ServedRequest,
     avoid: ReadonlySet<EndpointName>,
     origin: StreamOrigin | undefined,
+    isPlacedAgain = false,
 ): TryPlace | undefined {
     const { prompt } = served.caller;
     const promptByWeights = new Map<number | undefined, VersionedPrompt>();
@@ -89,7 +91,9 @@
     const chosen = chooseFrom(() => true) ?? (
         parts.endpointLimits.size() === 0 ? undefined : chooseFrom(entry => !parts.endpointLimits.isLimited(entry))
     );
-    parts.endpointLimits.recordPlaced(pool);
+    if (!isPlacedAgain) {
+        parts.endpointLimits.recordPlaced(pool);
+    }
     if (chosen === undefined) {
         return undefined;
     }
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -1,5 +1,6 @@
 import type { EndpointName, Refusal } from "@azureshunt/core";
 import { refusalOf } from "@azureshunt/core";
+import type { WaitTicket } from "@azureshunt/overload";
 import { planAfterFailure } from "@azureshunt/request";
 import type { RequestState } from "@azureshunt/request";
 import type { TryOutcome } from "../dispatch/TryOutcome.js";
@@ -45,6 +46,8 @@
     readonly notRun: number;
     /** An endpoint's own error; it is sent to the caller if no better answer follows. */
     readonly failure: TryResult["answer"];
+    /** Ticket of the wait from which it was released; `undefined` if it has not waited. */
+    readonly waited: WaitTicket | undefined;
 };
 
 const NOT_RUN_OUTCOMES: ReadonlySet<TryOutcome> = new Set(["unreached", "refused", "elsewhere"]);
@@ -52,6 +55,21 @@
 const ranAfter = (kind: TryOutcome, before: RequestState["ran"]): RequestState["ran"] =>
     NOT_RUN_OUTCOMES.has(kind) ? before : "maybe";
 
+/** Notes the endpoint of a try; placements after which a request waits are left out, as there may be dozens. */
+const notePlace = (served: ServedRequest, place: TryPlace): void =>
+    served.notes.add("Endpoint chosen.", {
+        endpoint: place.entry.name,
+        softwareVersion: place.entry.softwareVersion,
+        bornAt: place.entry.bornAt,
+        queueMs: Math.round(place.queueMs),
+        startMs: Math.round(place.startMs),
+        missingTokens: place.missingTokens,
+        source: place.source,
+        weights: place.weights,
+        running: place.running,
+        candidates: place.candidateCount,
+    });
+
 /** Serves a request by one try after another, until it is answered or no retry is possible. */
 export async function serveTries(parts: ServeParts, admitted: ServedRequest): Promise<ServedEnd> {
     const continuation = await resolveContinuation(parts, admitted);
@@ -67,10 +85,16 @@
         pace: createStreamPace(admitted.output),
     };
 
-    const giveUp = (progress: RequestProgress, refusal: Refusal): ServedEnd =>
-        progress.failure === undefined || stream.forwardedEvents > 0
+    const giveUp = (progress: RequestProgress, refusal: Refusal): ServedEnd => {
+        parts.requestQueues.recordEnd(served, progress.waited, "refused");
+        return progress.failure === undefined || stream.forwardedEvents > 0
             ? { kind: "refused", refusal }
             : { kind: "answered", answer: progress.failure, tries: progress.request.tries };
+    };
+    const cancel = ({ request, waited }: RequestProgress): ServedEnd => {
+        parts.requestQueues.recordEnd(served, waited, "cancelled");
+        return { kind: "cancelled", ran: request.ran };
+    };
 
     const startTry = async (progress: RequestProgress): Promise<ServedEnd> => {
         parts.checkSuspension();
@@ -81,32 +105,21 @@
                 refusalOf(ran === "no" ? "request-quarantined" : "endpoint-failed", undefined, { ran }),
             );
         }
-        if (parts.isLagging()) {
+        // A caller may have left while its request waited.
+        if (parts.isLagging() || progress.waited !== undefined) {
             await processPendingCloses();
         }
         if (served.signal.aborted) {
-            return { kind: "cancelled", ran: progress.request.ran };
+            return cancel(progress);
         }
         if (isTooLate(parts, served)) {
             return giveUp(progress, refusalAsTooLate(parts, served, progress.request.ran, stream));
         }
-        const place = placeRequest(parts, served, progress.avoid, stream.origin);
+        const place = placeRequest(parts, served, progress.avoid, stream.origin, progress.waited !== undefined);
         if (place === undefined) {
             return giveUp(progress, refusalWithoutPlace(parts, served, progress.request.ran, stream));
         }
         const { request } = progress;
-        served.notes.add("Endpoint chosen.", {
-            endpoint: place.entry.name,
-            softwareVersion: place.entry.softwareVersion,
-            bornAt: place.entry.bornAt,
-            queueMs: Math.round(place.queueMs),
-            startMs: Math.round(place.startMs),
-            missingTokens: place.missingTokens,
-            source: place.source,
-            weights: place.weights,
-            running: place.running,
-            candidates: place.candidateCount,
-        });
         const waitMs = served.caller.prompt === undefined || stream.origin !== undefined
             ? undefined
             : overloadDelayMs({
@@ -119,22 +132,47 @@
             const kind = request.ran === "no" ? "overloaded" : "endpoint-failed";
             const detail = `best endpoint ${place.entry.name}: turn in ${Math.round(place.queueMs)} ms, `
                 + `first token in ${Math.round(place.startMs)} ms, objective ${served.route.objectiveMs} ms`;
-            return giveUp(
-                progress,
-                refusalOf(kind, detail, {
-                    retryAfterSeconds: retryAfterSeconds(parts, served, waitMs),
-                    ran: request.ran,
-                }),
-            );
+            const roomAt = parts.clock.now() + waitMs;
+            const refuse = (refused: RequestProgress): ServedEnd =>
+                giveUp(
+                    refused,
+                    refusalOf(kind, detail, {
+                        retryAfterSeconds: retryAfterSeconds(parts, served, Math.max(0, roomAt - parts.clock.now())),
+                        ran: request.ran,
+                    }),
+                );
+            const predicted = { delayMs: waitMs, ownMs: place.startMs - place.queueMs };
+            const end = request.ran === "no"
+                ? await parts.requestQueues.wait(served, predicted, progress.waited)
+                : undefined;
+            const after = end === undefined ? progress : { ...progress, waited: end.ticket };
+            switch (end?.kind) {
+                case undefined:
+                case "refused":
+                    notePlace(served, place);
+                    return refuse(after);
+                case "released":
+                    return startTry(after);
+                case "cancelled":
+                    return cancel(after);
+                case "closed":
+                    return giveUp(
+                        after,
+                        refusalOf("shutting-down", undefined, { retryAfterSeconds: 0, ran: request.ran }),
+                    );
+            }
         }
+        parts.requestQueues.recordEnd(served, progress.waited, "sent");
+        notePlace(served, place);
         // If no retry is possible, the try waits out silence: giving up would only lose the answer.
         const hasBudget = parts.retryBudgets.of(served.service).balance >= MIN_BUDGET_FOR_SILENCE;
         const isLastTry = request.tries + 1 >= allowedTries(served.route.maxTries, progress.notRun) || !hasBudget;
         const path = request.tries > 0 ? "further" : served.caller.lastEventId === undefined ? "first" : "resumed";
         parts.endpointLimits.recordTry(place.entry, path);
         parts.overload.recordSent(served.service);
-        const result = await runTry({ parts, served, place, progress: stream, isLastTry });
-        return afterTry(progress, place, result);
+        const endTry = parts.requestQueues.beginTry(served);
+        const result = await runTry({ parts, served, place, progress: stream, isLastTry }).finally(endTry);
+        return afterTry({ ...progress, waited: undefined }, place, result);
     };
 
     const afterTry = async (progress: RequestProgress, place: TryPlace, result: TryResult): Promise<ServedEnd> => {
@@ -195,7 +233,13 @@
         parts.metrics.count("azureshunt_retries_total", "Further tries by what ended the one before.", {
             after: result.kind,
         });
-        return startTry({ request: tried, avoid: new Set([...progress.avoid, place.entry.name]), notRun, failure });
+        return startTry({
+            request: tried,
+            avoid: new Set([...progress.avoid, place.entry.name]),
+            notRun,
+            failure,
+            waited: undefined,
+        });
     };
 
     return startTry({
@@ -209,5 +253,6 @@
         avoid: new Set(),
         notRun: 0,
         failure: undefined,
+        waited: undefined,
     });
 }
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -43,10 +43,12 @@
 import { createRollouts } from "./rollout/createRollouts.js";
 import { sendReport } from "./rollout/sendReport.js";
 import type { RouterSettings } from "./RouterSettings.js";
+import { scheduleTimer } from "./scheduleTimer.js";
 import { createIgnoredHeaderLog } from "./serve/createIgnoredHeaderLog.js";
 import { createLagWatch } from "./serve/createLagWatch.js";
 import { createOverloadGuard } from "./serve/createOverloadGuard.js";
 import { createRequestHandler } from "./serve/createRequestHandler.js";
+import { createRequestQueues } from "./serve/createRequestQueues.js";
 import { createRetryBudgets } from "./serve/createRetryBudgets.js";
 import { createTickLag } from "./serve/createTickLag.js";
 import type { FreshnessBounds } from "./serve/FreshnessBounds.js";
@@ -212,12 +214,23 @@
         queryRelay: relayReads.query,
         mustWaitForRelay: relayReads.mustWait,
         checkSuspension: suspensionWatch.check,
-        onEntries: entries => streams.addEntries(entries),
+        onEntries: entries => {
+            streams.addEntries(entries);
+            requestQueues.onLoadKnown();
+        },
         // With many VMs, beacons are less frequent than reads; a reader's next regular beacon would reach the others
         // too late.
         onStoreRead: () =>
             membership.isReader() && membership.vms() > peerTiming.fewVms ? beacons.sendSoon() : undefined,
     });
+    const requestQueues = createRequestQueues({
+        clock,
+        configuration: () => declarations.current().configuration,
+        placingVms: membership.vms,
+        freeSlots: endpointTable.freeSlots,
+        schedule: scheduleTimer,
+        metrics,
+    });
     const demand = createDemand(clock);
     const fleetDemand = (): Tokens => demand.rate() + membership.demand();
     const allowances = createAllowances(clock, membership.liveness, Math.random);
@@ -317,6 +330,7 @@
         logger,
         metrics,
         checkSuspension: suspensionWatch.check,
+        onApplied: requestQueues.onLoadKnown,
         receiveOther: streams.receive,
     });
 
@@ -369,6 +383,7 @@
         isDraining: () => state.isDraining,
         isLagging: lagWatch.isLagging,
         overload,
+        requestQueues,
     });
     const isReady = (): boolean =>
         !state.isDraining && endpointTable.isKnown() &&
@@ -445,11 +460,13 @@
     const shutDown = async (): Promise<void> => {
         state.isDraining = true;
         logger.info("Stopping.");
+        requestQueues.close();
         await Promise.all([callerServer, tunnels].map(part => part.drain(state.settings.stopMs)));
         tunnels.closeAll();
         [beacons, registry, declarations].forEach(part => part.stop());
         clearInterval(timer);
         stopGauges();
+        requestQueues.stop();
         [peerListener, metricsListener].forEach(listener => {
             listener.close();
             listener.closeAllConnections();
