Let less urgent requests wait behind more urgent ones

Cause: a longer objective lets less urgent requests fill engines up to a queue at which more urgent ones are refused, and waiting alone does not change that: the most urgent requests wait while others are sent past them. Requests that had waited were sent although their responses could no longer be in time. Change: while a more urgent request waits in the VM, a less urgent one has room only at engines whose queue is below 0.15 of its objective, and waits otherwise. After a wait, the predicted start counts from the beginning of the wait. Ruled out: a wait that counts in full against the limit on arrival (a less urgent request would miss room that comes as predicted).

--- a/packages/router/src/__tests__/unit/overload.test.ts
+++ b/packages/router/src/__tests__/unit/overload.test.ts
@@ -83,10 +83,42 @@
         isUrgent: false,
         delayMs: 100,
     },
+    {
+        name: "a wait that leaves the start within the objective: no delay",
+        queueMs: 260,
+        startMs: 350,
+        isUrgent: false,
+        waitedMs: 150,
+        delayMs: undefined,
+    },
+    {
+        name: "a wait that makes the start late: the delay is the excess",
+        queueMs: 260,
+        startMs: 350,
+        isUrgent: false,
+        waitedMs: 250,
+        delayMs: 100,
+    },
+    {
+        name: "more urgent requests wait: no room at an engine with a queue",
+        queueMs: 80,
+        startMs: 170,
+        isUrgent: false,
+        isBehind: true,
+        delayMs: 0,
+    },
+    {
+        name: "more urgent requests wait: an engine with a short queue has room",
+        queueMs: 70,
+        startMs: 160,
+        isUrgent: false,
+        isBehind: true,
+        delayMs: undefined,
+    },
 ] as const;
 
-cases.forEach(({ name, queueMs, startMs, isUrgent, delayMs }) => {
+cases.forEach(({ name, delayMs, ...inputs }) => {
     test(`overloadDelayMs: ${name}`, t => {
-        t.is(overloadDelayMs({ queueMs, startMs, objectiveMs: OBJECTIVE_MS, isUrgent }), delayMs);
+        t.is(overloadDelayMs({ ...inputs, objectiveMs: OBJECTIVE_MS }), delayMs);
     });
 });
--- a/packages/router/src/__tests__/unit/requestQueues.test.ts
+++ b/packages/router/src/__tests__/unit/requestQueues.test.ts
@@ -21,13 +21,15 @@
 type Setup = {
     readonly priorities?: readonly number[];
     readonly vms?: number;
+    /** Whether a more urgent request waits, for 300 ms. */
+    readonly isBehind?: boolean;
     /** Time until the engine has worked off what it holds, as this VM knows it at a time. */
     readonly queueMsAt?: (now: number) => number;
     readonly at?: Readonly<Record<number, "leave" | "shut down" | "beacon" | "end of another">>;
 };
 
 /** Serves one request with an objective of 1 s; resolves with its end, when it came, and the timers set until then. */
-const serveOne = async ({ priorities = [0, 1], vms = 3, queueMsAt = now => 1_300 - now, at = {} }: Setup) => {
+const serveOne = async ({ priorities = [1, 0], vms = 3, queueMsAt = now => 900 - now, isBehind, at = {} }: Setup) => {
     const { clock, schedule, runUntil } = createVirtualTime();
     const metrics = createMetrics();
     const routes = priorities.map(priority => ({ priority, objectiveMs: 1_000, kind: "stream" }) as Partial<Route>);
@@ -113,6 +115,9 @@
         "beacon": requestQueues.onLoadKnown,
         "end of another": () => requestQueues.beginTry(served)(),
     };
+    if (isBehind === true) {
+        void requestQueues.wait({ ...served, route: configuration.routes[1]! }, { delayMs: 300, ownMs: 45 }, undefined);
+    }
     const ended = { end: undefined as string | undefined };
     void serveTries(parts, served).then(
         end => {
@@ -139,8 +144,8 @@
 
 type Case = Setup & { readonly name: string; readonly end: string; readonly endedAt: number; readonly waits?: string; };
 
-// The predicted queue is at its limit of 1.2 times the objective, without the request's own start of 45 ms, after about
-// 145 ms.
+// The predicted queue is at the limit of a less urgent kind, 0.8 of the objective without the request's own start of 45 ms,
+// after 145 ms.
 const cases: readonly Case[] = [
     {
         name: "an engine that will have room: sent once the predicted delay has passed",
@@ -148,19 +153,33 @@
         endedAt: 150,
         waits: "sent",
     },
-    { name: "routes of one priority: refused at once, as before", priorities: [0, 0], end: "overloaded", endedAt: 0 },
+    {
+        name: "routes of one priority: refused at once, as before",
+        priorities: [0, 0],
+        queueMsAt: () => 1_300,
+        end: "overloaded",
+        endedAt: 0,
+    },
+    {
+        name: "more urgent requests wait: sent after them",
+        isBehind: true,
+        queueMsAt: () => 400,
+        end: "sent",
+        endedAt: 310,
+        waits: "sent",
+    },
     { name: "a VM that knows no other: refused at once", vms: 1, end: "overloaded", endedAt: 0 },
-    { name: "no room within the objective: refused at once", queueMsAt: () => 2_300, end: "overloaded", endedAt: 0 },
+    { name: "no room within the objective: refused at once", queueMsAt: () => 1_800, end: "overloaded", endedAt: 0 },
     {
         name: "a prediction that does not come true: refused when its response can no longer be in time",
-        queueMsAt: () => 1_300,
+        queueMsAt: () => 900,
         end: "overloaded",
-        endedAt: 900,
+        endedAt: 550,
         waits: "refused",
     },
     {
         name: "a beacon tells of room earlier: sent then",
-        queueMsAt: now => now < 50 ? 1_300 : 0,
+        queueMsAt: now => now < 50 ? 900 : 0,
         at: { 60: "beacon" },
         end: "sent",
         endedAt: 60,
@@ -168,7 +187,7 @@
     },
     {
         name: "another request of this VM ends: sent then",
-        queueMsAt: now => now < 50 ? 1_300 : 0,
+        queueMsAt: now => now < 50 ? 900 : 0,
         at: { 60: "end of another" },
         end: "sent",
         endedAt: 60,
--- a/packages/router/src/placement/overloadDelayMs.ts
+++ b/packages/router/src/placement/overloadDelayMs.ts
@@ -13,6 +13,10 @@
     readonly objectiveMs: Millis;
     /** Whether no other kind of request of the service is more urgent. */
     readonly isUrgent: boolean;
+    /** Time for which the request has waited in this VM. */
+    readonly waitedMs?: Millis;
+    /** Whether more urgent requests wait in this VM. */
+    readonly isBehind?: boolean;
 };
 
 /**
@@ -24,11 +28,21 @@
  * time and the queues drain. A large prompt is admitted by a nearly idle engine however long its prefill takes, as it
  * would otherwise be refused every time.
  *
+ * A request that has waited in this VM has to start within its objective, or within what is allowed to its kind on
+ * arrival if that is longer. While more urgent requests wait here, a less urgent one has no room at engines with a queue:
+ * its longer objective would let it fill them up to a length at which the more urgent ones are refused.
+ *
  * @returns undefined if there is room; otherwise the overload delay in milliseconds, if the load stays the same
  */
-export function overloadDelayMs({ queueMs, startMs, objectiveMs, isUrgent }: OverloadInputs): Millis | undefined {
+export function overloadDelayMs(inputs: OverloadInputs): Millis | undefined {
+    const { queueMs, startMs, objectiveMs, isUrgent, waitedMs = 0, isBehind = false } = inputs;
     const ownMs = startMs - queueMs;
-    const inTimeMs = objectiveMs * (isUrgent ? URGENT_FRACTION : OTHER_FRACTION) - ownMs;
-    const limitMs = Math.max(inTimeMs, objectiveMs * MIN_QUEUE_FRACTION);
-    return queueMs > limitMs ? queueMs - limitMs : undefined;
+    const fraction = isUrgent ? URGENT_FRACTION : OTHER_FRACTION;
+    const minQueueMs = objectiveMs * MIN_QUEUE_FRACTION;
+    const limitMs = Math.max(objectiveMs * fraction - ownMs, minQueueMs);
+    const lateMs = waitedMs > 0 ? waitedMs + startMs - objectiveMs * Math.max(1, fraction) : 0;
+    if (queueMs > limitMs || lateMs > 0) {
+        return Math.max(queueMs - limitMs, lateMs);
+    }
+    return isBehind && queueMs > minQueueMs ? 0 : undefined;
 }
--- a/packages/router/src/serve/ServeParts.ts
+++ b/packages/router/src/serve/ServeParts.ts
@@ -76,5 +76,8 @@
         | "shedEndsInMs"
         | "lagMs"
     >;
-    readonly requestQueues: Pick<ReturnType<typeof createRequestQueues>, "wait" | "recordEnd" | "beginTry">;
+    readonly requestQueues: Pick<
+        ReturnType<typeof createRequestQueues>,
+        "wait" | "hasMoreUrgent" | "recordEnd" | "beginTry"
+    >;
 };
--- a/packages/router/src/serve/createRequestQueues.ts
+++ b/packages/router/src/serve/createRequestQueues.ts
@@ -53,7 +53,9 @@
         predicted: PredictedWait,
         ticket: WaitTicket | undefined,
     ) => Promise<WaitEnd> | undefined;
-    /** Records how a request that has waited ended. */
+    /** Whether a more urgent request waits for the same service. */
+    readonly hasMoreUrgent: (served: Pick<ServedRequest, "service" | "route">) => boolean;
+    /** Records how the wait of a request ended; without a ticket, it has not waited. */
     readonly recordEnd: (
         served: WaitingServed,
         ticket: WaitTicket | undefined,
@@ -203,6 +205,8 @@
 
     return {
         wait,
+        hasMoreUrgent: ({ service, route }) =>
+            queues.get(service)?.queue.waiting.some(({ priority }) => priority < route.priority) ?? false,
         recordEnd,
         beginTry,
         onLoadKnown: () => {
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -120,6 +120,8 @@
             return giveUp(progress, refusalWithoutPlace(parts, served, progress.request.ran, stream));
         }
         const { request } = progress;
+        const isBehind = progress.waited === undefined && request.ran === "no" &&
+            parts.requestQueues.hasMoreUrgent(served);
         const waitMs = served.caller.prompt === undefined || stream.origin !== undefined
             ? undefined
             : overloadDelayMs({
@@ -127,11 +129,15 @@
                 startMs: place.startMs,
                 objectiveMs: served.route.objectiveMs,
                 isUrgent: isUrgent(parts, served),
+                waitedMs: progress.waited === undefined ? 0 : parts.clock.now() - progress.waited.since,
+                isBehind,
             });
         if (waitMs !== undefined) {
             const kind = request.ran === "no" ? "overloaded" : "endpoint-failed";
             const detail = `best endpoint ${place.entry.name}: turn in ${Math.round(place.queueMs)} ms, `
-                + `first token in ${Math.round(place.startMs)} ms, objective ${served.route.objectiveMs} ms`;
+                + `first token in ${Math.round(place.startMs)} ms, objective ${served.route.objectiveMs} ms${
+                    isBehind ? ", more urgent requests wait" : ""
+                }`;
             const roomAt = parts.clock.now() + waitMs;
             const refuse = (refused: RequestProgress): ServedEnd =>
                 giveUp(
