--- a/packages/overload/src/queueDueAt.ts
+++ b/packages/overload/src/queueDueAt.ts
@@ -9,13 +9,13 @@
  * the head, or one has to leave. `undefined` if nothing waits, so that an idle VM needs no timer.
  */
 export function queueDueAt(queue: WaitQueue, now: Millis): Millis | undefined {
-    const [head, ...others] = orderWaiting(queue, now);
-    if (head === undefined) {
+    if (queue.waiting.length === 0) {
         return undefined;
     }
+    const [head, ...others] = orderWaiting(queue, now);
     const raises = others
         .filter(({ priority }) => priority > 0)
         .map(({ since, leaveAt }) => since + (leaveAt - since) * waitTiming.raiseShare)
         .filter(raiseAt => raiseAt > now);
-    return Math.min(head.roomAt, ...raises, ...queue.waiting.map(({ leaveAt }) => leaveAt));
+    return Math.min(head?.roomAt ?? Infinity, ...raises, ...queue.waiting.map(({ leaveAt }) => leaveAt));
 }
