--- a/packages/overload/src/index.ts
+++ b/packages/overload/src/index.ts
@@ -1,8 +1,9 @@
-/** Which requests a VM refuses while it is short of CPU time, and when refused callers may return. */
+/** Which requests a VM refuses while it is short of CPU time, which wait in it, and when refused callers may return. */
 export { admits } from "./admits.js";
 export type { AnswerTimes } from "./AnswerTimes.js";
 export { forecastRoom } from "./forecastRoom.js";
 export { initialLoad } from "./initialLoad.js";
+export { initialQueue } from "./initialQueue.js";
 export { initialReturns } from "./initialReturns.js";
 export { initialTicks } from "./initialTicks.js";
 export { isOverShare } from "./isOverShare.js";
@@ -10,6 +11,7 @@
 export type { LoadGroup } from "./LoadGroup.js";
 export type { LoadKind } from "./LoadKind.js";
 export type { LoadState } from "./LoadState.js";
+export { queueDueAt } from "./queueDueAt.js";
 export { recordAnswer } from "./recordAnswer.js";
 export { refusedFractionOf } from "./refusedFractionOf.js";
 export { restGroup } from "./restGroup.js";
@@ -19,7 +21,12 @@
 export { shedEndsInMs } from "./shedEndsInMs.js";
 export { shortestAnswer } from "./shortestAnswer.js";
 export { stepLoad } from "./stepLoad.js";
+export { stepQueue } from "./stepQueue.js";
 export { stepReturns } from "./stepReturns.js";
 export { stepTicks } from "./stepTicks.js";
 export type { TickTimes } from "./TickTimes.js";
 export { waitedMs } from "./waitedMs.js";
+export type { WaitEvent } from "./WaitEvent.js";
+export type { WaitId } from "./WaitId.js";
+export type { WaitQueue } from "./WaitQueue.js";
+export type { WaitTicket } from "./WaitTicket.js";
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -43,9 +43,11 @@
 import { createRollouts } from "./rollout/createRollouts.js";
 import { sendReport } from "./rollout/sendReport.js";
 import type { RouterSettings } from "./RouterSettings.js";
+import { scheduleTimer } from "./scheduleTimer.js";
 import { createIgnoredHeaderLog } from "./serve/createIgnoredHeaderLog.js";
 import { createOverloadGuard } from "./serve/createOverloadGuard.js";
 import { createRequestHandler } from "./serve/createRequestHandler.js";
+import { createRequestQueues } from "./serve/createRequestQueues.js";
 import { createRetryBudgets } from "./serve/createRetryBudgets.js";
 import { createServiceShares } from "./serve/createServiceShares.js";
 import { createTickLag } from "./serve/createTickLag.js";
@@ -219,7 +221,10 @@
         queryRelay: relayReads.query,
         mustWaitForRelay: relayReads.mustWait,
         checkSuspension: suspensionWatch.check,
-        onEntries: entries => streams.addEntries(entries),
+        onEntries: entries => {
+            streams.addEntries(entries);
+            requestQueues.onLoadKnown();
+        },
         // With many VMs, beacons are less frequent than reads; a reader's next regular beacon would reach the others
         // too late.
         onStoreRead: () =>
@@ -229,6 +234,14 @@
         const { peers, silent } = membership.liveness();
         return { vms: peers + 1, silentVms: silent.length };
     };
+    const requestQueues = createRequestQueues({
+        clock,
+        configuration: () => declarations.current().configuration,
+        placingVms: membership.vms,
+        freeSlots: endpointTable.freeSlots,
+        schedule: scheduleTimer,
+        metrics,
+    });
     const demand = createDemand(clock);
     const fleetDemand = (): Tokens => demand.rate() + membership.demand();
     const allowances = createAllowances(clock, membership.liveness, Math.random);
@@ -336,6 +349,7 @@
         logger,
         metrics,
         checkSuspension: suspensionWatch.check,
+        onApplied: requestQueues.onLoadKnown,
         receiveOther: streams.receive,
     });
 
@@ -388,6 +402,7 @@
         isLagging: tickLag.isLagging,
         serviceShares: createServiceShares(clock, Math.random),
         overload,
+        requestQueues,
     });
     const isReady = (): boolean =>
         !state.isDraining && endpointTable.isKnown() &&
@@ -463,11 +478,13 @@
     const shutDown = async (): Promise<void> => {
         state.isDraining = true;
         logger.info("Stopping.");
+        requestQueues.close();
         await Promise.all([callerServer, tunnels].map(part => part.drain(state.settings.stopMs)));
         tunnels.closeAll();
         [beacons, registry, declarations].forEach(part => part.stop());
         clearInterval(timer);
         stopGauges();
+        requestQueues.stop();
         [peerListener, metricsListener].forEach(listener => {
             listener.close();
             listener.closeAllConnections();
