Let relays read a newer revision at once, and shorten the first read of every new reader

Cause: with one reader, the relays of other failure domains learn of a revision by beacon, up to 250 ms before their loop checks whether a read is due. A new reader that had read long ago itself waited for the full 950 ms.

Change: a beacon with a newer revision makes the reader of a failure domain check at once; the other VMs still check within 250 ms, as they query the relays. The wait of a reader is shorter by the excess age of its last confirmation, whoever read.

--- a/packages/router/src/__tests__/support/simulateFreshness.ts
+++ b/packages/router/src/__tests__/support/simulateFreshness.ts
@@ -62,6 +62,8 @@
     const { isOpen = () => true, killAt = Infinity, withdrawAt = Infinity } = parts;
     const measured = { oldestMs: 0, oldestRefusedMs: 0, reads: 0, acceptedForMs: 0 };
     const states = new Map<VmId, VmState>();
+    /** By VM: checks at once whether it has to read. */
+    const checks = new Map<VmId, () => void>();
 
     const fleet = relayFleet({
         domains: parts.domains,
@@ -74,7 +76,11 @@
             const state = states.get(vm);
             if (state !== undefined && beacon.confirmedMs !== undefined) {
                 const asOf = sentAfter - beacon.confirmedMs;
+                const { newestRevision } = state.declaredState;
                 apply(state, { kind: "confirmed", revision: beacon.revision, asOf, stampedAt });
+                if (state.declaredState.newestRevision > newestRevision) {
+                    checks.get(vm)?.();
+                }
             }
         },
     });
@@ -106,9 +112,16 @@
             const scope = membership.readerScope();
             const dueIn = declarationsDueIn({ ...state, scope }, clock.now());
             if (dueIn > 0) {
-                schedule(Math.min(dueIn, RECHECK_MS), read);
+                const cancel = schedule(Math.min(dueIn, RECHECK_MS), read);
+                checks.set(listed.vm, () => {
+                    if (membership.readerScope() !== "none") {
+                        cancel();
+                        read();
+                    }
+                });
                 return;
             }
+            checks.delete(listed.vm);
             const requestedAt = clock.now();
             measured.reads += clock.now() > SETTLED_MS ? 1 : 0;
             if (parts.isRefused(number, clock.now())) {
--- a/packages/router/src/__tests__/unit/declarationReaders.test.ts
+++ b/packages/router/src/__tests__/unit/declarationReaders.test.ts
@@ -93,6 +93,12 @@
     { name: "many VMs of one failure domain", isForDomains: false, beaconIntervalMs: 500, waitMs: 950 },
     { name: "few VMs of several failure domains", waitMs: 950 },
     { name: "it takes over from a reader that died", declaredState: confirmed(8_400), waitMs: 300 },
+    {
+        name: "it takes over, having read long ago",
+        declaredState: confirmed(8_400),
+        requestedAt: 8_400,
+        waitMs: 300,
+    },
     { name: "it takes over when confirmations have become too old", declaredState: confirmed(7_000), waitMs: 0 },
     {
         name: "no read has confirmed anything, and must not be repeated in a loop",
--- a/packages/router/src/__tests__/unit/storeCalls.test.ts
+++ b/packages/router/src/__tests__/unit/storeCalls.test.ts
@@ -39,14 +39,14 @@
             const answerNext = (reason: StoreCallReason) => {
                 const answer = answers[called.length];
                 if (answer === undefined) {
-                    stop();
+                    followed.stop();
                     resolve();
                     return new Promise<never>(() => undefined);
                 }
                 called.push(reason);
                 return Promise.resolve("kind" in answer ? Left(answer) : Right(answer));
             };
-            const stop = followTopic({
+            const followed = followTopic({
                 storeFor: reason =>
                     ({ newest: () => answerNext(reason), read: () => answerNext(reason) }) as unknown as StorePort,
                 clock: createClock(),
--- a/packages/router/src/knowledge/readerWaitMs.ts
+++ b/packages/router/src/knowledge/readerWaitMs.ts
@@ -27,8 +27,9 @@
 /**
  * Returns how long a read waits for a declaration on the VM that reads for the others, in whole milliseconds.
  *
- * A VM that takes over from another reader has an old confirmation. If its first read waited for long, the others'
- * confirmations would get too old meanwhile, and all of them would read. So the wait is shorter by the excess age.
+ * A VM that takes over from another reader has an old confirmation, its own or another's. If its first read waited for
+ * long, the others' confirmations would get too old meanwhile, and all of them would read. So the wait is shorter by the
+ * excess age.
  */
 export function readerWaitMs(
     { declaredState, requestedAt, beaconIntervalMs, isForDomains }: WaitInputs,
@@ -39,7 +40,7 @@
     );
     const { confirmedAt } = declaredState;
     // A read that confirmed nothing does not make the next one shorter, or an unreadable record would be read in a loop.
-    return confirmedAt <= requestedAt
+    return confirmedAt < requestedAt
         ? usualMs
         : Math.max(0, Math.min(usualMs, Math.round(2 * usualMs - (now - confirmedAt))));
 }
--- a/packages/router/src/knowledge/startDeclarations.ts
+++ b/packages/router/src/knowledge/startDeclarations.ts
@@ -180,7 +180,7 @@
         }
     };
 
-    const stop = followTopic({
+    const followed = followTopic({
         storeFor: parts.storeFor,
         clock,
         topic: wire.declarationsTopic,
@@ -254,7 +254,13 @@
         learnTargets(beacon.weights, receivedAt);
         if (beacon.confirmedMs !== undefined) {
             const asOf = sentAfter - beacon.confirmedMs;
+            const { newestRevision } = state.declaredState;
             apply({ kind: "confirmed", revision: beacon.revision, asOf, stampedAt });
+            // The VMs of a failure domain query its relays, so these read at once. If the others did too, their queries
+            // would reach the relays at one moment, and before they have read.
+            if (state.declaredState.newestRevision > newestRevision && parts.readerScope() !== "none") {
+                followed.check();
+            }
         }
         // While the store is available, its record is read instead: dozens of VMs fetching from one peer would saturate
         // its link.
@@ -284,6 +290,6 @@
         applyBeacon,
         learnTargets,
         onSuspended: () => apply({ kind: "suspended" }),
-        stop,
+        stop: followed.stop,
     };
 }
--- a/packages/router/src/registry/startRegistry.ts
+++ b/packages/router/src/registry/startRegistry.ts
@@ -92,7 +92,7 @@
         JSON.stringify(decodeOnce(key, before).extract()) === JSON.stringify(decodeOnce(key, now).extract());
     const mirror = createTopicMirror(isSame);
 
-    const stopFollowing = followTopic({
+    const followed = followTopic({
         storeFor: parts.storeFor,
         clock: parts.clock,
         topic: wire.registryTopic,
@@ -153,7 +153,7 @@
         },
         onSuspended: () => apply({ kind: "suspended", now: clock.now() }),
         stop: () => {
-            stopFollowing();
+            followed.stop();
             clearInterval(timer);
         },
     };
--- a/packages/router/src/store/followTopic.ts
+++ b/packages/router/src/store/followTopic.ts
@@ -20,6 +20,13 @@
     readonly isRelayed: boolean;
 };
 
+/** A topic that is followed. */
+type FollowedTopic = {
+    /** Checks at once whether a read is due, instead of up to `RECHECK_MS` later. */
+    readonly check: () => void;
+    readonly stop: () => void;
+};
+
 type FollowTopicParts = {
     /** The store, as called for a reason. */
     readonly storeFor: (reason: StoreCallReason) => StorePort;
@@ -55,10 +62,8 @@
 /**
  * Follows a topic of the store: first reads the newest record of each key, then the records appended after them. If the
  * next offset is no longer kept, the reader starts over with the newest record of each key, so that nothing is skipped.
- *
- * @returns a function that stops following the topic
  */
-export function followTopic(parts: FollowTopicParts): () => void {
+export function followTopic(parts: FollowTopicParts): FollowedTopic {
     const { storeFor, clock, topic } = parts;
     const state = {
         isStopped: false,
@@ -127,6 +132,7 @@
         return state.next === undefined ? readNewest() : readFrom(state.next);
     };
     const loop = async (): Promise<void> => {
+        state.timer = undefined;
         const firstDueInMs = parts.mustWaitForRelay() ? RECHECK_MS : 0;
         const dueInMs = state.next === undefined ? firstDueInMs : parts.dueInMs();
         const delayMs = dueInMs > 0 ? Math.min(dueInMs, RECHECK_MS) : await readNext();
@@ -135,8 +141,18 @@
         }
     };
     void loop();
-    return () => {
-        state.isStopped = true;
-        clearTimeout(state.timer);
+    return {
+        check: () => {
+            // Without a timer, a read is running, after which the loop checks anyway.
+            if (state.timer !== undefined) {
+                clearTimeout(state.timer);
+                void loop();
+            }
+        },
+        stop: () => {
+            state.isStopped = true;
+            clearTimeout(state.timer);
+            state.timer = undefined;
+        },
     };
 }
