--- a/packages/router/src/registry/startRegistry.ts
+++ b/packages/router/src/registry/startRegistry.ts
@@ -109,7 +109,7 @@
     };
     const mirror = createTopicMirror(isSame);
 
-    const stopFollowing = followTopic({
+    const followed = followTopic({
         storeFor: parts.storeFor,
         clock: parts.clock,
         topic: wire.registryTopic,
@@ -170,7 +170,7 @@
         },
         onSuspended: () => apply({ kind: "suspended", now: clock.now() }),
         stop: () => {
-            stopFollowing();
+            followed.stop();
             clearInterval(timer);
         },
     };
