Refuse the least urgent kinds in steps while endpoints are silent

Cause: when a quarter of the engines of a service become silent, the load on the others rises by a third at once. The delay bounds are fractions of each kind's own objective, so a less urgent kind with a wide objective fills the queues beyond the bound of the most urgent one, which is then refused.

Change: stepDegradation derives a step per service from the fraction of silent endpoints and the predicted queue: up one of 4 steps each 250 ms while the queue is long, down one each time it was short for a second. At the last step as much is refused as was lost, half at most. divideShed divides it, least urgent kinds first, with the same floors and by organisation. createDegradation observes a service every 100 ms while requests are placed there, and refuses first tries of prompts, as overloaded, unless the chosen endpoint has half of its places free. Metric azureshunt_degradation_step{service}.

With no engine silent, with room on the others, and with one kind alone, every decision is the same.

--- a/packages/overload/src/index.ts
+++ b/packages/overload/src/index.ts
@@ -1,7 +1,12 @@
 /** Which requests a VM refuses while it is short of CPU time, and when refused callers may return. */
 export { admits } from "./admits.js";
 export type { AnswerTimes } from "./AnswerTimes.js";
+export type { Degradation } from "./Degradation.js";
+export { degradationTiming } from "./degradationTiming.js";
+export { degradedFraction } from "./degradedFraction.js";
+export { divideShed } from "./divideShed.js";
 export { forecastRoom } from "./forecastRoom.js";
+export { initialDegradation } from "./initialDegradation.js";
 export { initialLoad } from "./initialLoad.js";
 export { initialReturns } from "./initialReturns.js";
 export { isOverShare } from "./isOverShare.js";
@@ -17,6 +22,7 @@
 export { shareTiming } from "./shareTiming.js";
 export { shedEndsInMs } from "./shedEndsInMs.js";
 export { shortestAnswer } from "./shortestAnswer.js";
+export { stepDegradation } from "./stepDegradation.js";
 export { stepLoad } from "./stepLoad.js";
 export { stepReturns } from "./stepReturns.js";
 export { waitedMs } from "./waitedMs.js";
--- a/packages/router/src/serve/ServeParts.ts
+++ b/packages/router/src/serve/ServeParts.ts
@@ -19,6 +19,7 @@
 import type { EndpointWire } from "../ports/EndpointWire.js";
 import type { createQuarantine } from "../quarantine/createQuarantine.js";
 import type { createRollouts } from "../rollout/createRollouts.js";
+import type { createDegradation } from "./createDegradation.js";
 import type { createIgnoredHeaderLog } from "./createIgnoredHeaderLog.js";
 import type { createOverloadGuard } from "./createOverloadGuard.js";
 import type { createRetryBudgets } from "./createRetryBudgets.js";
@@ -65,6 +66,7 @@
     readonly isDraining: () => boolean;
     /** Whether this process runs late, so that what it reads may have waited for long. */
     readonly isLagging: () => boolean;
+    readonly degradation: ReturnType<typeof createDegradation>;
     readonly serviceShares: ReturnType<typeof createServiceShares>;
     readonly overload: Pick<
         ReturnType<typeof createOverloadGuard>,
--- a/packages/router/src/serve/createOverloadGuard.ts
+++ b/packages/router/src/serve/createOverloadGuard.ts
@@ -4,6 +4,7 @@
 import type { Clock, Millis, OrganisationId, ServiceName } from "@azureshunt/core";
 import {
     admits,
+    divideShed,
     forecastRoom,
     initialLoad,
     initialReturns,
@@ -16,7 +17,7 @@
     stepReturns,
     waitedMs,
 } from "@azureshunt/overload";
-import type { AnswerTimes, KindArrivals, ReturnSchedule } from "@azureshunt/overload";
+import type { AnswerTimes, KindArrivals, LoadState, ReturnSchedule } from "@azureshunt/overload";
 
 import type { Route } from "../configuration/Route.js";
 
@@ -69,6 +70,8 @@
         route: Pick<Route, "name" | "priority">,
         organisation: OrganisationId | undefined,
     ) => RefusedFractions;
+    /** Divides a fraction of the recent requests of the named routes over them and their organisations. */
+    readonly divide: (names: ReadonlySet<string>, fraction: number) => Pick<LoadState, "kinds" | "priorities">;
     /** Records the time from the sending of a request until its answer began, unless this VM has run late. */
     readonly recordAnswer: (route: Pick<Route, "name">, answerMs: Millis) => void;
     /** Shortest time in which an endpoint has lately answered a request of this kind; 0 if none has. */
@@ -170,6 +173,18 @@
             ofOrganisation: refusedFractionOf(state.load, route, organisation),
             ofKind: state.load.kinds.get(route.name)?.refusedFraction ?? 0,
         }),
+        divide: (names, fraction) => {
+            const { kinds, priorities } = state.load;
+            const divided = divideShed(
+                [...kinds.values()].filter(({ kind }) => names.has(kind.name)),
+                priorities,
+                fraction,
+            );
+            return {
+                kinds: new Map(divided.kinds.map(load => [load.kind.name, load])),
+                priorities: divided.priorities,
+            };
+        },
         recordAnswer: ({ name }, answerMs) => {
             const now = clock.now();
             const { peakLagMs, tickAt } = state.load;
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -109,21 +109,25 @@
             candidates: place.candidateCount,
         });
         const isOverShare = parts.serviceShares.isOver(served);
-        const waitMs = served.caller.prompt === undefined || stream.origin !== undefined
-            ? undefined
-            : overloadDelayMs({
+        const isNew = served.caller.prompt !== undefined && stream.origin === undefined;
+        const overloadMs = isNew
+            ? overloadDelayMs({
                 queueMs: place.queueMs,
                 startMs: place.startMs,
                 objectiveMs: served.route.objectiveMs,
                 isUrgent: isUrgent(parts, served),
                 isOverShare,
-            });
+            })
+            : undefined;
+        const degradedMs = isNew && request.tries === 0 ? parts.degradation.delayMs(served, place) : undefined;
+        const waitMs = overloadMs ?? degradedMs;
         if (waitMs !== undefined) {
             parts.serviceShares.recordRefused(served);
             countSharedRefusal(parts.metrics, "overloaded", isOverShare);
             const kind = request.ran === "no" ? "overloaded" : "endpoint-failed";
             const detail = `best endpoint ${place.entry.name}: turn in ${Math.round(place.queueMs)} ms, `
                 + `first token in ${Math.round(place.startMs)} ms, objective ${served.route.objectiveMs} ms`
+                + (overloadMs === undefined ? `, degradation step ${parts.degradation.stepOf(served.service)}` : "")
                 + (isOverShare ? `, ${served.organisation?.id ?? "callers without a key"} over their share` : "");
             return giveUp(
                 progress,
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -43,6 +43,7 @@
 import { createRollouts } from "./rollout/createRollouts.js";
 import { sendReport } from "./rollout/sendReport.js";
 import type { RouterSettings } from "./RouterSettings.js";
+import { createDegradation } from "./serve/createDegradation.js";
 import { createIgnoredHeaderLog } from "./serve/createIgnoredHeaderLog.js";
 import { createLagWatch } from "./serve/createLagWatch.js";
 import { createOverloadGuard } from "./serve/createOverloadGuard.js";
@@ -370,6 +371,14 @@
         isDraining: () => state.isDraining,
         isLagging: lagWatch.isLagging,
         serviceShares: createServiceShares(clock, Math.random),
+        degradation: createDegradation({
+            clock,
+            random: Math.random,
+            routes: () => declarations.current().configuration?.routes ?? [],
+            endpointTable,
+            overload,
+            metrics,
+        }),
         overload,
     });
     const isReady = (): boolean =>
