--- a/packages/router/src/__tests__/unit/requestQueues.test.ts
+++ b/packages/router/src/__tests__/unit/requestQueues.test.ts
@@ -66,6 +66,8 @@
         isLagging: () => false,
         quarantine: { admit: () => true },
         overload: { shortestAnswerMs: () => 0, recordSent: () => undefined, retryAfterSeconds: () => 0.2 },
+        serviceShares: { isOver: () => false, recordRefused: () => undefined, begin: () => () => undefined },
+        degradation: { delayMs: () => undefined },
         unreadBodies: { isSlowReader: () => false },
         rollouts: { selectorFor: () => undefined },
         streams: { selectForNew: () => undefined },
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -124,9 +124,9 @@
         const isOverShare = parts.serviceShares.isOver(served);
         const isBehind = progress.waited === undefined && request.ran === "no" &&
             parts.requestQueues.hasMoreUrgent(served);
-        const waitMs = served.caller.prompt === undefined || stream.origin !== undefined
-            ? undefined
-            : overloadDelayMs({
+        const isNew = served.caller.prompt !== undefined && stream.origin === undefined;
+        const overloadMs = isNew
+            ? overloadDelayMs({
                 queueMs: place.queueMs,
                 startMs: place.startMs,
                 objectiveMs: served.route.objectiveMs,
@@ -134,11 +134,16 @@
                 isOverShare,
                 waitedMs: progress.waited === undefined ? 0 : parts.clock.now() - progress.waited.since,
                 isBehind,
-            });
+            })
+            : undefined;
+        const isFirst = request.tries === 0 && progress.waited === undefined;
+        const degradedMs = isNew && isFirst ? parts.degradation.delayMs(served, place) : undefined;
+        const waitMs = overloadMs ?? degradedMs;
         if (waitMs !== undefined) {
             const kind = request.ran === "no" ? "overloaded" : "endpoint-failed";
             const detail = `best endpoint ${place.entry.name}: turn in ${Math.round(place.queueMs)} ms, `
                 + `first token in ${Math.round(place.startMs)} ms, objective ${served.route.objectiveMs} ms`
+                + (overloadMs === undefined ? `, degradation step ${parts.degradation.stepOf(served.service)}` : "")
                 + (isOverShare ? `, ${served.organisation?.id ?? "callers without a key"} over their share` : "")
                 + (isBehind ? ", more urgent requests wait" : "");
             const roomAt = parts.clock.now() + waitMs;
@@ -154,7 +159,7 @@
                 );
             };
             const predicted = { delayMs: waitMs, ownMs: place.startMs - place.queueMs };
-            const end = request.ran === "no"
+            const end = request.ran === "no" && overloadMs !== undefined
                 ? await parts.requestQueues.wait(served, predicted, progress.waited)
                 : undefined;
             const after = end === undefined ? progress : { ...progress, waited: end.ticket };
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -44,6 +44,7 @@
 import { sendReport } from "./rollout/sendReport.js";
 import type { RouterSettings } from "./RouterSettings.js";
 import { scheduleTimer } from "./scheduleTimer.js";
+import { createDegradation } from "./serve/createDegradation.js";
 import { createIgnoredHeaderLog } from "./serve/createIgnoredHeaderLog.js";
 import { createOverloadGuard } from "./serve/createOverloadGuard.js";
 import { createRequestHandler } from "./serve/createRequestHandler.js";
@@ -401,6 +402,14 @@
         isDraining: () => state.isDraining,
         isLagging: tickLag.isLagging,
         serviceShares: createServiceShares(clock, Math.random),
+        degradation: createDegradation({
+            clock,
+            random: Math.random,
+            routes: () => declarations.current().configuration?.routes ?? [],
+            endpointTable,
+            overload,
+            metrics,
+        }),
         overload,
         requestQueues,
     });
