Cancel requests without an AbortController each

Cause: each request created an `AbortController`, of which calls to endpoints use a flag and one listener. Change: `createCancellation` makes a signal with these alone; `openCall` takes either. Listeners are called as by an `AbortSignal`: once, and not if they were added afterwards.

--- a/packages/router/src/__tests__/unit/pipelinedRequest.test.ts
+++ b/packages/router/src/__tests__/unit/pipelinedRequest.test.ts
@@ -6,6 +6,7 @@
 import { createMetrics } from "@azureshunt/telemetry";
 import test from "ava";
 
+import type { CancelSignal } from "../../dispatch/CancelSignal.js";
 import { createByteBudget } from "../../flow/createByteBudget.js";
 import { watchCancellation } from "../../serve/watchCancellation.js";
 import { silentLogger } from "../support/silentLogger.js";
@@ -27,7 +28,7 @@
             logger: silentLogger,
             metrics: createMetrics(),
         });
-        const signals: AbortSignal[] = [];
+        const signals: CancelSignal[] = [];
         const server = createServer((req, res) => {
             const open = (): void => {
                 byteBudget.open(res).add(BYTES);
--- a/packages/router/src/allowance/createAllowanceQueue.ts
+++ b/packages/router/src/allowance/createAllowanceQueue.ts
@@ -3,6 +3,7 @@
 import { Left } from "purify-ts";
 
 import type { Organisation } from "../configuration/Organisation.js";
+import type { CancelSignal } from "../dispatch/CancelSignal.js";
 import type { createAllowances } from "./createAllowances.js";
 import { waitForAllowance } from "./waitForAllowance.js";
 
@@ -13,7 +14,7 @@
     /** Time until which it may wait for tokens. */
     readonly waitsUntil: Millis;
     /** Aborted when the caller disconnects. */
-    readonly signal: AbortSignal;
+    readonly signal: Pick<CancelSignal, "aborted">;
 };
 
 type QueuedCharge = Charge & { readonly settle: (outcome: Either<Refusal, void>) => void; };
--- a/packages/router/src/dispatch/openCall.ts
+++ b/packages/router/src/dispatch/openCall.ts
@@ -2,6 +2,7 @@
 
 import { defaultBounds } from "@azureshunt/flow";
 
+import type { CancelSignal } from "./CancelSignal.js";
 import type { ConnectionKind } from "./ConnectionKind.js";
 import type { EndpointAgent } from "./EndpointAgent.js";
 import type { EndpointCall } from "./EndpointCall.js";
@@ -26,7 +27,7 @@
  *
  * @param signal ends the call and its connection
  */
-export function openCall(agent: EndpointAgent, call: EndpointCall, signal: AbortSignal): Promise<OpenedCall> {
+export function openCall(agent: EndpointAgent, call: EndpointCall, signal: CancelSignal): Promise<OpenedCall> {
     const portAt = call.address.lastIndexOf(":");
     agent.destroyIdle(call.address, call.maxIdleMs);
     return new Promise(resolve => {
--- a/packages/router/src/serve/ServedRequest.ts
+++ b/packages/router/src/serve/ServedRequest.ts
@@ -4,6 +4,7 @@
 
 import type { Organisation } from "../configuration/Organisation.js";
 import type { Route } from "../configuration/Route.js";
+import type { CancelSignal } from "../dispatch/CancelSignal.js";
 import type { HeldAccount } from "../flow/HeldAccount.js";
 import type { CallerRequest } from "../ports/CallerRequest.js";
 import type { CallerOutput } from "./CallerOutput.js";
@@ -29,5 +30,5 @@
     /** Whether it is sent although recent answers have taken longer than the time left. */
     readonly isProbe: boolean;
     /** Aborted when the caller disconnects or the deadline passes. */
-    readonly signal: AbortSignal;
+    readonly signal: CancelSignal;
 };
--- a/packages/router/src/serve/watchCancellation.ts
+++ b/packages/router/src/serve/watchCancellation.ts
@@ -2,9 +2,12 @@
 
 import type { Millis } from "@azureshunt/core";
 
+import type { CancelSignal } from "../dispatch/CancelSignal.js";
+import { createCancellation } from "../dispatch/createCancellation.js";
+
 /** Cancellation of a request: its caller disconnected before the answer was complete, or its deadline passed. */
 type Cancellation = {
-    readonly signal: AbortSignal;
+    readonly signal: CancelSignal;
     readonly isDeadlineExceeded: () => boolean;
     readonly release: () => void;
     /** Cancels the request for another reason. */
@@ -13,7 +16,7 @@
 
 /** Watches whether a request is cancelled before its answer ends, as its caller disconnects or its deadline passes. */
 export function watchCancellation(res: ServerResponse, endsInMs: Millis): Cancellation {
-    const controller = new AbortController();
+    const controller = createCancellation();
     const state = { isDeadlineExceeded: false };
     const timer = setTimeout(() => {
         state.isDeadlineExceeded = true;
@@ -37,6 +40,6 @@
         signal: controller.signal,
         isDeadlineExceeded: () => state.isDeadlineExceeded,
         release,
-        cancel: () => controller.abort(),
+        cancel: controller.abort,
     };
 }
