--- a/packages/router/src/serve/createRequestQueues.ts
+++ b/packages/router/src/serve/createRequestQueues.ts
@@ -174,7 +174,7 @@
                 apply(service, each, { kind: "cancelled", id });
             };
             each.settle.set(id, settle);
-            signal.addEventListener("abort", onAbort);
+            signal.addEventListener("abort", onAbort, { once: true });
         });
     };
 
