--- a/packages/router/src/__tests__/unit/requestQueues.test.ts
+++ b/packages/router/src/__tests__/unit/requestQueues.test.ts
@@ -76,6 +76,7 @@
         retryBudgets: { of: () => ({ balance: 9 }) },
         endpointTable: {
             entries: () => [],
+            withPerformance: (candidate: unknown) => candidate,
             candidates: () => [{
                 candidate: candidateOf("e", {
                     waitingTokens: Math.max(0, queueMsAt(clock.now())) * PREFILL_PER_MS,
