--- a/packages/flow/src/chooseCuts.ts
+++ b/packages/flow/src/chooseCuts.ts
@@ -6,8 +6,6 @@
 type CutQuery = {
     /** In bytes. */
     readonly budget: number;
-    /** Whether a request that may not be repeated was refused lately because others hold their part of the budget. */
-    readonly isOnceWanted?: boolean;
     readonly now: Millis;
 };
 
@@ -20,19 +18,15 @@
  * Answers to requests that may not be repeated would be lost. They are cut off only beyond the budget, after all
  * others, and if they have been unread for longer: the process would run out of memory, and lose all answers.
  *
- * If requests that may not be repeated are refused because others hold their part of the budget, those unread for longer
- * are cut off within the budget too: callers that read nothing would keep that part until their deadlines.
- *
  * An answer that is still being read waits for its endpoint, not for its caller. It is cut off only if the rest exceeds
  * the budget after all that waits for callers was cut off; the largest first, so that few are.
  */
 export function chooseCuts<Held extends HeldRequest>(
     held: readonly Held[],
-    { budget, isOnceWanted = false, now }: CutQuery,
+    { budget, now }: CutQuery,
 ): readonly Held[] {
     const total = held.reduce((sum, { bytes }) => sum + bytes, 0);
-    const isShort = total > flowLevels.high * budget;
-    if (!isShort && !isOnceWanted) {
+    if (total <= flowLevels.high * budget) {
         return [];
     }
     const unreadFor = ({ unreadSince = Infinity }: HeldRequest): Millis => now - unreadSince;
@@ -49,10 +43,9 @@
             state.left -= isCut ? bytes : 0;
             return isCut;
         });
-    const once = total > budget || isOnceWanted ? unread.filter(({ isRepeatable }) => !isRepeatable) : [];
     const cut = [
-        ...take(isShort ? unread.filter(({ isRepeatable }) => isRepeatable) : [], flowLevels.low),
-        ...take(once, isOnceWanted ? flowLevels.low : flowLevels.high),
+        ...take(unread.filter(({ isRepeatable }) => isRepeatable), flowLevels.low),
+        ...take(total > budget ? unread.filter(({ isRepeatable }) => !isRepeatable) : [], flowLevels.high),
     ];
     if (state.left <= budget) {
         return cut;
--- a/packages/router/src/__tests__/unit/overload.test.ts
+++ b/packages/router/src/__tests__/unit/overload.test.ts
@@ -95,9 +95,17 @@
         name: "a wait that makes the start late: the delay is the excess",
         queueMs: 260,
         startMs: 350,
+        isUrgent: true,
+        waitedMs: 350,
+        delayMs: 100,
+    },
+    {
+        name: "a wait that makes the start of a less urgent kind late: the delay is the queue, so that it is refused",
+        queueMs: 260,
+        startMs: 350,
         isUrgent: false,
         waitedMs: 250,
-        delayMs: 100,
+        delayMs: 260,
     },
     {
         name: "more urgent requests wait: no room at an engine with a queue",
--- a/packages/router/src/flow/createByteBudget.ts
+++ b/packages/router/src/flow/createByteBudget.ts
@@ -35,8 +35,6 @@
 const SEARCH_WITHOUT_CUT_MS = 10;
 /** An answer that does not end in this time lets another one go on: its endpoint may have stopped. */
 const READ_TO_END_MS = 500;
-/** A refused request that may not be repeated is expected to come back within this time. */
-const ONCE_WANTED_MS = 1_000;
 /** Part of the budget that tunnels may take from requests. Beyond it, cutting requests off would not free enough. */
 const OTHER_FRACTION = 0.5;
 
@@ -56,8 +54,6 @@
         /** The account that may use the rest of the budget. */
         readToEnd: undefined as HeldAccount | undefined,
         readToEndAt: -Infinity,
-        /** When a request that may not be repeated was last refused for the part that others like it hold. */
-        onceRefusedAt: -Infinity,
     };
     // What is held for no single request is no request's fault, but leaves less to all of them.
     const requestBudget = (): number => budget() - Math.min(state.otherBytes, OTHER_FRACTION * budget());
@@ -84,11 +80,7 @@
         state.isSearching = true;
         state.searchedAt = now;
         accounts.forEach(account => account.measure());
-        const cuts = chooseCuts([...accounts], {
-            budget: requestBudget(),
-            isOnceWanted: now - state.onceRefusedAt < ONCE_WANTED_MS,
-            now,
-        });
+        const cuts = chooseCuts([...accounts], { budget: requestBudget(), now });
         cuts.forEach(account => cut(account, "memory"));
         state.hasCut = cuts.length > 0;
         state.isSearching = false;
@@ -209,15 +201,12 @@
         });
         return account;
     };
-    const isOnceFull = (): boolean => {
-        // Below the level, the requests that may not be repeated cannot hold as much; summing them up costs time.
-        const isFull = state.requestBytes > flowLevels.low * requestBudget() && isOnceExhausted(
+    /** Below the level, the requests that may not be repeated cannot hold as much; summing them up costs time. */
+    const isOnceFull = (): boolean =>
+        state.requestBytes > flowLevels.low * requestBudget() && isOnceExhausted(
             [...accounts].filter(({ isRepeatable }) => !isRepeatable).map(({ bytes }) => bytes),
             requestBudget(),
         );
-        state.onceRefusedAt = isFull ? clock.now() : state.onceRefusedAt;
-        return isFull;
-    };
     const tick = (): void => {
         const now = clock.now();
         state.otherBytes = sources.reduce((sum, read) => sum + read(), 0);
@@ -228,9 +217,7 @@
                 cut(account, "unread-at-deadline");
             }
         });
-        if (
-            state.requestBytes > flowLevels.high * requestBudget() || now - state.onceRefusedAt < ONCE_WANTED_MS
-        ) {
+        if (state.requestBytes > flowLevels.high * requestBudget()) {
             search();
         }
         wake();
--- a/packages/router/src/flow/createUnreadBodies.ts
+++ b/packages/router/src/flow/createUnreadBodies.ts
@@ -38,9 +38,9 @@
 };
 
 type Unread = { bytes: number; since: Millis; };
-/** Deaths and bounds by address, as an endpoint usually has another name after a restart. */
-type Learned = { readonly bound: EndpointBound; readonly death: string; };
 
+/** Longer than beacons repeat a death, and than calls to a dead endpoint take to end. */
+const DEATH_KEPT_MS: Millis = 60_000;
 /** Bodies that an endpoint has not read for this long are not on their way any more. */
 const SLOW_MS: Millis = 250;
 
@@ -53,7 +53,10 @@
 export function createUnreadBodies(parts: UnreadParts): UnreadBodies {
     const { clock, entryOf, logger, metrics } = parts;
     const unread = new Map<string, Unread>();
-    const learned = new Map<string, Learned>();
+    /** By address, as an endpoint usually has another name after a restart. */
+    const bounds = new Map<string, EndpointBound>();
+    /** When each recent death was counted: beacons repeat it, also after the endpoint has started again. */
+    const deaths = new Map<string, Millis>();
     const slow = new Set<string>();
     const own = createRecentPeaks(clock);
     const others = createRecentPeaks(clock);
@@ -69,20 +72,23 @@
     const recordDeath: UnreadBodies["recordDeath"] = death => {
         const name = death.slice(0, death.lastIndexOf("/")) as EndpointName;
         const address = entryOf(name)?.address;
-        const before = address === undefined ? undefined : learned.get(address);
-        if (address === undefined || before?.death === death) {
+        if (address === undefined || deaths.has(death)) {
             return;
         }
+        const now = clock.now();
+        [...deaths].filter(([, at]) => now - at > DEATH_KEPT_MS).forEach(([each]) => deaths.delete(each));
+        deaths.set(death, now);
         const unreadBytes = sumOf(own.record(address, ownAt(address)), others.record(address, othersAt(name)));
         [own, others].forEach(each => each.forget(address));
-        const bound = lowerBound(before?.bound, unreadBytes, clock.now());
-        if (bound === undefined || bound === before?.bound) {
+        const before = bounds.get(address);
+        const bound = lowerBound(before, unreadBytes, now);
+        if (bound === undefined || bound === before) {
             return;
         }
-        [...learned]
-            .filter(([, known]) => boundAt(known.bound, clock.now()) === endpointLevels.initialBytes)
-            .forEach(([known]) => learned.delete(known));
-        learned.set(address, { bound, death });
+        [...bounds]
+            .filter(([, known]) => boundAt(known, now) === endpointLevels.initialBytes)
+            .forEach(([known]) => bounds.delete(known));
+        bounds.set(address, bound);
         metrics.count(
             "azureshunt_endpoint_bounds_lowered_total",
             "Endpoints that died with unread bodies, and get fewer of them at a time.",
@@ -112,7 +118,7 @@
             const othersBytes = othersAt(name);
             others.record(address, othersBytes);
             const unreadBytes = sumOf(ownBytes, othersBytes);
-            const boundBytes = unreadBytes === 0 ? Infinity : boundAt(learned.get(address)?.bound, clock.now());
+            const boundBytes = unreadBytes === 0 ? Infinity : boundAt(bounds.get(address), clock.now());
             const isSlow = unreadBytes > boundBytes;
             if (isSlow && !slow.has(address)) {
                 slow.add(address);
--- a/packages/router/src/placement/EndpointTable.ts
+++ b/packages/router/src/placement/EndpointTable.ts
@@ -46,6 +46,8 @@
     readonly recordStart: ReturnType<typeof createPerformance>["observe"];
     /** Whether this VM sends requests to an endpoint: it is not in backoff. */
     readonly isUp: (entry: EndpointEntry) => boolean;
+    /** Whether an endpoint is in backoff, or was lately and has shown no activity since. */
+    readonly isSilent: (entry: EndpointEntry) => boolean;
     /** Records that a call other than a caller's request could not reach the endpoint. */
     readonly recordUnreached: (endpoint: EndpointName) => void;
     /** Records the version that an engine itself reported. */
--- a/packages/router/src/placement/createEndpointLimits.ts
+++ b/packages/router/src/placement/createEndpointLimits.ts
@@ -43,11 +43,13 @@
     /**
      * Divides the endpoints that could take a request, which gathers a part of a turn at each limited one.
      *
+     * @param isPlacedAgain whether the request has gathered its part already, as it was placed before it waited
      * @returns the endpoints without a limit, and the limited ones where this VM has a turn
      */
     readonly select: <T extends { readonly entry: EndpointEntry; }>(
         pool: Pool,
         placeable: readonly T[],
+        isPlacedAgain?: boolean,
     ) => { readonly unlimited: readonly T[]; readonly turns: readonly T[]; };
     /** Records a request that has been placed, or could not be; after `select`, as it counts for much of a small load. */
     readonly recordPlaced: (pool: Pool) => void;
@@ -107,7 +109,7 @@
             isSettling: clock.now() - knownSince < limitTiming.settleMs,
         };
     };
-    const select: EndpointLimits["select"] = (pool, placeable) => {
+    const select: EndpointLimits["select"] = (pool, placeable, isPlacedAgain = false) => {
         const limited = placeable.filter(({ entry }) => limits.of(entry) !== undefined);
         if (limited.length === 0) {
             return { unlimited: placeable, turns: [] };
@@ -122,7 +124,7 @@
             const sent = sentLately(limit, now) + parts.sumOfOthers(limitRowNames.sent(entry.name));
             const next = isExhausted(limit.perSecond, sent)
                 ? lapseTurns(limit)
-                : gatherTurns(limit, turnsPerRequest(limit.perSecond, load), now);
+                : gatherTurns(limit, isPlacedAgain ? 0 : turnsPerRequest(limit.perSecond, load), now);
             limits.update(entry.name, next);
             return hasTurn(next);
         });
--- a/packages/router/src/placement/createEndpointTable.ts
+++ b/packages/router/src/placement/createEndpointTable.ts
@@ -40,6 +40,12 @@
 /** How a view of an endpoint changes. */
 type EndpointChange = "registered" | "leaving" | "gone" | "paused" | "on-older-weights";
 
+/**
+ * Time after its backoff for which an endpoint counts as silent until it shows activity: a VM of a large fleet tries each
+ * endpoint only every few seconds, and a first backoff lasts a fraction of a second.
+ */
+const SILENT_MS: Millis = 10_000;
+
 const NO_PROMPT: PromptShare = { missingTokens: 0, fetchedTokens: 0, source: undefined };
 
 const servicesOf = (cfg: RoutingConfiguration | undefined): RoutingConfiguration["services"] =>
@@ -191,6 +197,13 @@
 
     const isUp: EndpointTable["isUp"] = entry => observations.of(entry).health.backoffUntil <= clock.now();
 
+    const isSilent: EndpointTable["isSilent"] = entry => {
+        const { health, lastActivityAt } = observations.of(entry);
+        const { backoffUntil } = health;
+        const now = clock.now();
+        return backoffUntil > now || (lastActivityAt < backoffUntil && now - backoffUntil < SILENT_MS);
+    };
+
     const recordUnreached: EndpointTable["recordUnreached"] = endpoint => {
         const observed = observations.last(endpoint);
         if (observed !== undefined) {
@@ -244,6 +257,7 @@
         recordStart: (entry, start) =>
             entryOf(entry.name)?.bornAt === entry.bornAt ? parts.performance?.observe(entry, start) : undefined,
         isUp,
+        isSilent,
         recordUnreached,
         observeWeights: versions.observe,
         receiveWeights: versions.receive,
--- a/packages/router/src/placement/overloadDelayMs.ts
+++ b/packages/router/src/placement/overloadDelayMs.ts
@@ -52,7 +52,8 @@
     const limitMs = Math.max(objectiveMs * fraction - ownMs, minQueueMs);
     const lateMs = waitedMs > 0 ? waitedMs + startMs - objectiveMs * Math.max(1, fraction) : 0;
     if (queueMs > limitMs || lateMs > 0) {
-        return Math.max(queueMs - limitMs, lateMs);
+        // A less urgent request that is late has no room in time while the queue lasts, so it does not wait on.
+        return Math.max(queueMs - limitMs, lateMs > 0 && !isUrgent ? queueMs : lateMs);
     }
     return isBehind && queueMs > minQueueMs ? 0 : undefined;
 }
--- a/packages/router/src/serve/createDegradation.ts
+++ b/packages/router/src/serve/createDegradation.ts
@@ -19,7 +19,7 @@
     readonly clock: Pick<Clock, "now">;
     readonly random: () => number;
     readonly routes: () => readonly Route[];
-    readonly endpointTable: Pick<EndpointTable, "servingEntries" | "isUp">;
+    readonly endpointTable: Pick<EndpointTable, "servingEntries" | "isSilent">;
     readonly overload: Pick<ReturnType<typeof createOverloadGuard>, "divide">;
     readonly metrics: Pick<Metrics, "gauge">;
 };
@@ -82,7 +82,7 @@
         const isApplicable = urgent.length < routes.length && entries.length > 0;
         state.degradation = isApplicable
             ? stepDegradation(state.degradation, {
-                available: entries.filter(endpointTable.isUp).length / entries.length,
+                available: entries.filter(entry => !endpointTable.isSilent(entry)).length / entries.length,
                 queueMs: state.longestQueueMs,
                 objectiveMs: Math.min(...urgent.map(({ objectiveMs }) => objectiveMs)),
             }, now)
--- a/packages/router/src/serve/createServiceShares.ts
+++ b/packages/router/src/serve/createServiceShares.ts
@@ -17,15 +17,17 @@
     /**
      * Returns whether the service refuses and the organisation has more than its share of the requests in progress. A part
      * of its requests is treated as within the share, so that it is served at least a quarter as often as all.
+     *
+     * @param draw random number, uniform in [0, 1); the same each time that a request is placed
      */
-    readonly isOver: (request: Request) => boolean;
+    readonly isOver: (request: Request, draw: number) => boolean;
 };
 
 /**
  * Creates the shares of organisations in this VM's requests in progress. Each request costs two look-ups; the
  * organisations of a service are gone through only while it refuses.
  */
-export function createServiceShares(clock: Pick<Clock, "now">, random: () => number): ServiceShares {
+export function createServiceShares(clock: Pick<Clock, "now">): ServiceShares {
     const services = new Map<ServiceName, ServiceState>();
     const isRecent = (refusedAt: Millis): boolean => clock.now() - refusedAt < shareTiming.recentMs;
     const forgetEnded = (holders: ServiceState["holders"]): void =>
@@ -75,7 +77,7 @@
             state.refusedAt = clock.now();
             holderOf(state.holders, organisation?.id).refusedAt = state.refusedAt;
         },
-        isOver: ({ service, organisation }) => {
+        isOver: ({ service, organisation }, draw) => {
             const state = services.get(service);
             if (state === undefined || !isRecent(state.refusedAt)) {
                 return false;
@@ -85,7 +87,7 @@
             const own = (state.holders.get(organisation?.id) ?? state.holders.get(restGroup))?.inProgress ?? 0;
             const all = holders.reduce((sum, { inProgress }) => sum + inProgress, 0);
             return isOverShare({ own, all, organisations: holders.length })
-                && random() >= shareTiming.minServedRatio;
+                && draw >= shareTiming.minServedRatio;
         },
     };
 }
--- a/packages/router/src/serve/placeRequest.ts
+++ b/packages/router/src/serve/placeRequest.ts
@@ -66,6 +66,7 @@
         const { unlimited, turns } = parts.endpointLimits.select(
             pool,
             parts.brittleServices.select(served.service, reachable),
+            isPlacedAgain,
         );
         const place = choosePlaceOrTurn(
             {
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -56,6 +56,9 @@
 const ranAfter = (kind: TryOutcome, before: RequestState["ran"]): RequestState["ran"] =>
     NOT_RUN_OUTCOMES.has(kind) ? before : "maybe";
 
+const refusalAsQuarantined = ({ request: { ran } }: RequestProgress): Refusal =>
+    refusalOf(ran === "no" ? "request-quarantined" : "endpoint-failed", undefined, { ran });
+
 /** Notes the endpoint of a try; placements after which a request waits are left out, as there may be dozens. */
 const notePlace = (served: ServedRequest, place: TryPlace): void =>
     served.notes.add("Endpoint chosen.", {
@@ -97,14 +100,13 @@
         return { kind: "cancelled", ran: request.ran };
     };
 
+    // One draw per request: drawn again after each wait, every request would be treated as within the share in the end.
+    const shareDraw = parts.random();
+
     const startTry = async (progress: RequestProgress): Promise<ServedEnd> => {
         parts.checkSuspension();
-        if (!parts.quarantine.admit(served)) {
-            const { ran } = progress.request;
-            return giveUp(
-                progress,
-                refusalOf(ran === "no" ? "request-quarantined" : "endpoint-failed", undefined, { ran }),
-            );
+        if (parts.quarantine.isQuarantined(served)) {
+            return giveUp(progress, refusalAsQuarantined(progress));
         }
         // A caller may have left while its request waited.
         if (parts.isLagging() || progress.waited !== undefined) {
@@ -121,7 +123,7 @@
             return giveUp(progress, refusalWithoutPlace(parts, served, progress.request.ran, stream));
         }
         const { request } = progress;
-        const isOverShare = parts.serviceShares.isOver(served);
+        const isOverShare = parts.serviceShares.isOver(served, shareDraw);
         const isBehind = progress.waited === undefined && request.ran === "no" &&
             parts.requestQueues.hasMoreUrgent(served);
         const isNew = served.caller.prompt !== undefined && stream.origin === undefined;
@@ -143,13 +145,15 @@
             const kind = request.ran === "no" ? "overloaded" : "endpoint-failed";
             const detail = `best endpoint ${place.entry.name}: turn in ${Math.round(place.queueMs)} ms, `
                 + `first token in ${Math.round(place.startMs)} ms, objective ${served.route.objectiveMs} ms`
-                + (overloadMs === undefined ? `, degradation step ${parts.degradation.stepOf(served.service)}` : "")
+                + (degradedMs !== undefined ? `, degradation step ${parts.degradation.stepOf(served.service)}` : "")
                 + (isOverShare ? `, ${served.organisation?.id ?? "callers without a key"} over their share` : "")
                 + (isBehind ? ", more urgent requests wait" : "");
             const roomAt = parts.clock.now() + waitMs;
             const refuse = (refused: RequestProgress): ServedEnd => {
-                parts.serviceShares.recordRefused(served);
-                countSharedRefusal(parts.metrics, "overloaded", isOverShare);
+                if (kind === "overloaded") {
+                    parts.serviceShares.recordRefused(served);
+                    countSharedRefusal(parts.metrics, kind, isOverShare);
+                }
                 return giveUp(
                     refused,
                     refusalOf(kind, detail, {
@@ -159,7 +163,7 @@
                 );
             };
             const predicted = { delayMs: waitMs, ownMs: place.startMs - place.queueMs };
-            const end = request.ran === "no" && overloadMs !== undefined
+            const end = request.ran === "no" && degradedMs === undefined
                 ? await parts.requestQueues.wait(served, predicted, progress.waited)
                 : undefined;
             const after = end === undefined ? progress : { ...progress, waited: end.ticket };
@@ -179,6 +183,10 @@
                     );
             }
         }
+        // Only now, as this starts a probe: one that waited afterwards would be refused, since a probe has just run.
+        if (!parts.quarantine.admit(served)) {
+            return giveUp(progress, refusalAsQuarantined(progress));
+        }
         parts.requestQueues.recordEnd(served, progress.waited, "sent");
         notePlace(served, place);
         // If no retry is possible, the try waits out silence: giving up would only lose the answer.
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -401,7 +401,7 @@
         checkSuspension: suspensionWatch.check,
         isDraining: () => state.isDraining,
         isLagging: tickLag.isLagging,
-        serviceShares: createServiceShares(clock, Math.random),
+        serviceShares: createServiceShares(clock),
         degradation: createDegradation({
             clock,
             random: Math.random,
