Name the check for other failure domains by what it does

Cause: a comment and a name said that VMs hear each other, which is figurative. Change: the comment speaks of beacons that arrive, and hearsOtherDomains is reachesOtherDomains; no behaviour changes.

--- a/packages/router/src/__tests__/support/simulateFreshness.ts
+++ b/packages/router/src/__tests__/support/simulateFreshness.ts
@@ -132,7 +132,7 @@
             const wait = {
                 ...state,
                 beaconIntervalMs: membership.beaconIntervalMs(),
-                isForDomains: membership.hearsOtherDomains(),
+                isForDomains: membership.reachesOtherDomains(),
             };
             const until = requestedAt + (scope === "fleet" && !isFirst ? readerWaitMs(wait, requestedAt) : 0);
             const answeredAt = requestedAt < withdrawAt && withdrawAt < until ? withdrawAt : until;
--- a/packages/router/src/knowledge/declarationsDueIn.ts
+++ b/packages/router/src/knowledge/declarationsDueIn.ts
@@ -30,7 +30,7 @@
  * Returns in how many milliseconds a VM has to read the operators' declarations; 0 or less means now.
  *
  * With dozens of VMs that each keep a long-polling read open, nearly all of these reads would return nothing. So one VM
- * reads for all that hear each other, and beacons confirm the declared state of the others. A VM that receives a newer
+ * reads for all VMs whose beacons reach each other, and beacons confirm the declared state. A VM that receives a newer
  * revision number reads at once. A VM whose last confirmation gets old, since the reader died or is cut off, reads for
  * itself, first the reader of its failure domain; this needs no agreement between VMs.
  */
--- a/packages/router/src/peers/createMembership.ts
+++ b/packages/router/src/peers/createMembership.ts
@@ -78,7 +78,7 @@
     /** For which VMs this VM reads the declarations. */
     readonly readerScope: () => ReaderScope;
     /** Whether a VM of another failure domain is alive. */
-    readonly hearsOtherDomains: () => boolean;
+    readonly reachesOtherDomains: () => boolean;
     /** Time between two beacons to one VM. */
     readonly beaconIntervalMs: () => Millis;
     /** Number of VMs that may claim the order lease before this one. */
@@ -185,7 +185,7 @@
         relayedDemand: scope => relayedDemand(state.members, scope, role, clock.now()),
         isReader: () => isReader(state.members, clock.now()),
         readerScope: () => readerScopeOf(state.members, clock.now()),
-        hearsOtherDomains: () =>
+        reachesOtherDomains: () =>
             [...state.members.known.values()].some(member =>
                 member.failureDomain !== undefined
                 && member.failureDomain !== self.failureDomain
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -174,9 +174,9 @@
         checkSuspension: suspensionWatch.check,
         onRollout: order => rollouts.order(order),
         readerScope: membership.readerScope,
-        isForDomains: membership.hearsOtherDomains,
+        isForDomains: membership.reachesOtherDomains,
         // The relays of other failure domains pass the confirmation on, so it must not wait for a round here.
-        onFleetRead: () => membership.hearsOtherDomains() ? beacons.sendSoon() : undefined,
+        onFleetRead: () => membership.reachesOtherDomains() ? beacons.sendSoon() : undefined,
         beaconIntervalMs: membership.beaconIntervalMs,
         queryRelay: relayReads.query,
         mustWaitForRelay: relayReads.mustWait,
