Log endpoints that say they leave or ask for a pause, and count tries there

Neither logs nor metrics told since when a VM knew of either, or on which path requests went to such an endpoint.

Heads of answers are decoded with both. A VM logs when it first reads either, with the id of the request, and counts tries at such endpoints by path; two gauges count the endpoints. Nothing decides by it yet.

--- a/packages/router/src/__tests__/unit/judgeHead.test.ts
+++ b/packages/router/src/__tests__/unit/judgeHead.test.ts
@@ -14,6 +14,8 @@
     isEncoded: false,
     maxRefusals: undefined,
     limit: undefined,
+    isLeaving: false,
+    retryAfterMs: undefined,
     ignoredHeaders: [],
     weights: undefined,
 };
--- a/packages/router/src/ports/EndpointHead.ts
+++ b/packages/router/src/ports/EndpointHead.ts
@@ -1,3 +1,5 @@
+import type { Millis } from "@azureshunt/core";
+
 /** Decoded head of an endpoint's answer. */
 export type EndpointHead = {
     readonly status: number;
@@ -19,6 +21,13 @@
      * what it names is no decimal number.
      */
     readonly limit: number | "unreadable" | undefined;
+    /** Whether the endpoint says that it leaves. */
+    readonly isLeaving: boolean;
+    /**
+     * Time for which the endpoint asks this VM for no requests; undefined if it asks for none, `"unreadable"` if what it
+     * states is no time.
+     */
+    readonly retryAfterMs: Millis | "unreadable" | undefined;
     /** Headers of the platform that this router does not know or whose value it cannot read, the latter with the value. */
     readonly ignoredHeaders: readonly string[];
     /** Version of the weights that produced the answer. */
--- a/packages/router/src/serve/ServeParts.ts
+++ b/packages/router/src/serve/ServeParts.ts
@@ -10,6 +10,7 @@
 import type { createByteBudget } from "../flow/createByteBudget.js";
 import type { createUnreadBodies } from "../flow/createUnreadBodies.js";
 import type { DeclaredState } from "../knowledge/DeclaredState.js";
+import type { createAvailability } from "../placement/createAvailability.js";
 import type { createBrittleServices } from "../placement/createBrittleServices.js";
 import type { createDemand } from "../placement/createDemand.js";
 import type { createEndpointLimits } from "../placement/createEndpointLimits.js";
@@ -33,6 +34,7 @@
     readonly random: () => number;
     readonly declaredState: () => DeclaredState;
     readonly endpointTable: EndpointTable;
+    readonly availability: ReturnType<typeof createAvailability>;
     readonly brittleServices: ReturnType<typeof createBrittleServices>;
     readonly endpointLimits: ReturnType<typeof createEndpointLimits>;
     readonly reportIgnoredHeaders: ReturnType<typeof createIgnoredHeaderLog>;
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -224,6 +224,9 @@
     if (head.ignoredHeaders.length > 0) {
         parts.reportIgnoredHeaders(place.entry.name, head.ignoredHeaders);
     }
+    if (verdict === "forward" || verdict === "failed" || verdict === "refused") {
+        parts.availability.observe(place.entry, head);
+    }
     // An endpoint may refuse before it states its limit, so a refusal without one does not end it.
     if (verdict === "forward" || verdict === "failed" || (verdict === "refused" && head.limit !== undefined)) {
         parts.endpointLimits.observe(place.entry, head.limit);
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -194,6 +194,7 @@
         const isLastTry = request.tries + 1 >= allowedTries(served.route.maxTries, progress.notRun) || !hasBudget;
         const path = request.tries > 0 ? "further" : served.caller.lastEventId === undefined ? "first" : "resumed";
         parts.endpointLimits.recordTry(place.entry, path);
+        parts.availability.recordTry(place.entry, path);
         parts.overload.recordSent(served.service);
         const endShare = parts.serviceShares.begin(served);
         const endTry = parts.requestQueues.beginTry(served);
--- a/packages/router/src/startGauges.ts
+++ b/packages/router/src/startGauges.ts
@@ -5,6 +5,7 @@
 import type { createByteBudget } from "./flow/createByteBudget.js";
 import type { createUnreadBodies } from "./flow/createUnreadBodies.js";
 import type { PeerSyncSources } from "./peers/PeerSyncSources.js";
+import type { createAvailability } from "./placement/createAvailability.js";
 import type { createOverloadGuard } from "./serve/createOverloadGuard.js";
 import type { createConnector } from "./tunnel/createConnector.js";
 import type { serveTunnels } from "./tunnel/serveTunnels.js";
@@ -16,6 +17,7 @@
         "clock" | "declarations" | "endpointTable" | "endpointLimits" | "allowances" | "orders" | "membership"
     >
     & {
+        readonly availability: Pick<ReturnType<typeof createAvailability>, "leaving" | "paused">;
         readonly streams: Pick<ReturnType<typeof createStreamKeeper>, "size">;
         readonly connector: Pick<ReturnType<typeof createConnector>, "isCutOff">;
         readonly tunnels: Pick<ReturnType<typeof serveTunnels>, "size">;
@@ -30,7 +32,7 @@
 /** Registers the gauges of a router and returns a function that unregisters them. */
 export function startGauges(metrics: Metrics, sources: GaugeSources): () => void {
     const { clock, declarations, endpointTable, allowances, orders, membership } = sources;
-    const { endpointLimits, streams, connector, tunnels, overload, byteBudget, unreadBodies } = sources;
+    const { availability, endpointLimits, streams, connector, tunnels, overload, byteBudget, unreadBodies } = sources;
     const sumOf = (size: "running" | "waitingTokens"): number =>
         endpointTable.ownShares().reduce((sum, [, share]) => sum + share[size], 0);
     const rows: readonly (readonly [name: string, help: string, read: () => number])[] = [
@@ -51,6 +53,8 @@
         ],
         ["endpoints", "Endpoints registered.", endpointTable.size],
         ["limited_endpoints", "Endpoints that name a limit.", endpointLimits.size],
+        ["leaving_endpoints", "Endpoints that have said in an answer that they leave.", availability.leaving],
+        ["paused_endpoints", "Endpoints that want no requests of this VM now.", availability.paused],
         ["known_streams", "Streams of which this VM knows where they began.", streams.size],
         ["cut_off", "1 while own links reach no endpoints, else 0.", () => connector.isCutOff() ? 1 : 0],
         ["tunnels", "Connections to endpoints that are open for other VMs.", tunnels.size],
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -26,6 +26,7 @@
 import { startAnnouncing } from "./peers/startAnnouncing.js";
 import { startPeerListener } from "./peers/startPeerListener.js";
 import { startPeerSync } from "./peers/startPeerSync.js";
+import { createAvailability } from "./placement/createAvailability.js";
 import { createBrittleServices } from "./placement/createBrittleServices.js";
 import { createDemand } from "./placement/createDemand.js";
 import { createEndpointLimits } from "./placement/createEndpointLimits.js";
@@ -265,6 +266,7 @@
         logger: loggers("quarantine"),
         metrics,
     });
+    const availability = createAvailability({ clock, logger: loggers("endpoint"), metrics });
     const endpointLimits = createEndpointLimits({
         clock,
         random: Math.random,
@@ -374,6 +376,7 @@
         random: Math.random,
         declaredState: declarations.current,
         endpointTable,
+        availability,
         brittleServices: createBrittleServices({ clock, random: Math.random, vms: membership.vms }),
         endpointLimits,
         reportIgnoredHeaders: createIgnoredHeaderLog({ logger: loggers("endpoint"), metrics }),
@@ -441,6 +444,7 @@
     byteBudget.addSource(tunnels.heldBytes);
     const stopGauges = startGauges(metrics, {
         ...sources,
+        availability,
         streams,
         connector,
         tunnels,
