Give the view of an engine in tests the limits that beacons are applied to

Three known red tests failed on a TypeError of their support before they came to what they check. They fail on their own checks now, and stay listed.

--- a/packages/router/src/__tests__/support/engineView.ts
+++ b/packages/router/src/__tests__/support/engineView.ts
@@ -81,6 +81,7 @@
         orders: { applyLeaseEvent: () => undefined },
         quarantine: ignore,
         registry: ignore,
+        endpointLimits: ignore,
         peerLoad: ignore,
         membership: { roleOf: () => "leaf" },
         relayBuffer: ignore,
