Send nothing to endpoints that say in their answers that they leave

Leaving was known from the registry alone, and the store, which holds it, was away.

What an endpoint says of itself is kept in one place, by its incarnation (`packages/availability`), which the endpoint table asks: placing, queues, orders, moves of streams and rollouts get no endpoint that leaves. It is asked again where the bytes go out, as an answer may arrive while a connection opens; a request that is withheld there is placed again and costs no retry. It holds for the incarnation; the others learn it by an urgent beacon, and in rotation.

--- a/packages/bench/src/idleCost/peerBeacon.ts
+++ b/packages/bench/src/idleCost/peerBeacon.ts
@@ -79,6 +79,7 @@
         cached: [],
         lease: { offset: LEASE_OFFSET, holder: "vm-001" as VmId, ageMs: TARGET_AGE_MS + state.upMs },
         limits: [],
+        availability: [],
         rollouts: [],
         deaths: [],
         suspectParts: [],
--- a/packages/router/src/__tests__/support/emptyBeacon.ts
+++ b/packages/router/src/__tests__/support/emptyBeacon.ts
@@ -33,6 +33,7 @@
     answeredParts: [],
     quarantined: [],
     limits: [],
+    availability: [],
     rollouts: [],
     registry: undefined,
     hasStore: true,
--- a/packages/router/src/__tests__/support/engineView.ts
+++ b/packages/router/src/__tests__/support/engineView.ts
@@ -82,6 +82,7 @@
         quarantine: ignore,
         registry: ignore,
         endpointLimits: ignore,
+        availability: ignore,
         peerLoad: ignore,
         membership: { roleOf: () => "leaf" },
         relayBuffer: ignore,
--- a/packages/router/src/__tests__/support/relayFleet.ts
+++ b/packages/router/src/__tests__/support/relayFleet.ts
@@ -134,6 +134,7 @@
                 answeredParts: [],
                 quarantined: [],
                 limits: [],
+                availability: [],
                 rollouts: [],
                 registry: undefined,
                 hasStore: true,
--- a/packages/router/src/__tests__/unit/targetAgeAfterRestart.test.ts
+++ b/packages/router/src/__tests__/unit/targetAgeAfterRestart.test.ts
@@ -31,6 +31,7 @@
         demand: { rate: () => 0 },
         quarantine: { beaconFields: () => ({ deaths: [], quarantined: [] }) },
         endpointLimits: { rows: () => [], loadRows: () => [], applyBeacon: () => false },
+        availability: { rows: () => [], applyBeacon: () => false },
         registry: { beaconFields: () => undefined },
         rollouts: { rows: () => [] },
         orders: { lease: () => ({ tail: undefined }) },
--- a/packages/router/src/dispatch/TryOutcome.ts
+++ b/packages/router/src/dispatch/TryOutcome.ts
@@ -10,6 +10,7 @@
  * - `failed`: the endpoint answered with an error of its own; it may have run the request.
  * - `garbled`: the data received is not this request's answer.
  * - `moved`: this VM ended the try to continue at another endpoint.
+ * - `withheld`: the endpoint said while its connection opened that it wants no requests; none was sent.
  * - `cancelled`: this VM ended the try because the caller left or the time was up.
  */
 export type TryOutcome =
@@ -22,4 +23,5 @@
     | "failed"
     | "garbled"
     | "moved"
+    | "withheld"
     | "cancelled";
--- a/packages/router/src/dispatch/failureOfOutcome.ts
+++ b/packages/router/src/dispatch/failureOfOutcome.ts
@@ -8,6 +8,7 @@
     refused: { kind: "refused", full: true },
     elsewhere: { kind: "refused", full: false },
     unreached: { kind: "unreached" },
+    withheld: { kind: "unreached" },
     broken: { kind: "died" },
     silent: { kind: "silent" },
     failed: { kind: "failed" },
--- a/packages/router/src/peers/Beacon.ts
+++ b/packages/router/src/peers/Beacon.ts
@@ -1,3 +1,4 @@
+import type { AvailabilityRow } from "@azureshunt/availability";
 import type { EndpointName, FailureDomain, Incarnation, Millis, OrganisationId, Tokens, VmId } from "@azureshunt/core";
 import type { LimitRow } from "@azureshunt/limit";
 import type { SuspectRows } from "@azureshunt/quarantine";
@@ -81,6 +82,8 @@
     readonly lease: { readonly offset: number; readonly holder: VmId; readonly ageMs: Millis; } | undefined;
     /** Limits that endpoints name; those that the sender has known for long in rotation. */
     readonly limits: readonly LimitRow[];
+    /** Endpoints that want no requests; those that the sender has known to leave for long in rotation. */
+    readonly availability: readonly AvailabilityRow[];
     /** Rollouts of software versions that the sender knows. */
     readonly rollouts: readonly RolloutRow[];
     /** Digest of the registry entries that the sender knows, and an upper bound for their age. */
--- a/packages/router/src/peers/LocalState.ts
+++ b/packages/router/src/peers/LocalState.ts
@@ -17,6 +17,7 @@
     | "engineVersions"
     | "lease"
     | "limits"
+    | "availability"
     | keyof SuspectRows
     | "rollouts"
     | "registry"
--- a/packages/router/src/peers/PeerSyncSources.ts
+++ b/packages/router/src/peers/PeerSyncSources.ts
@@ -4,6 +4,7 @@
 import type { startOrders } from "../fleet/startOrders.js";
 import type { createUnreadBodies } from "../flow/createUnreadBodies.js";
 import type { startDeclarations } from "../knowledge/startDeclarations.js";
+import type { createAvailability } from "../placement/createAvailability.js";
 import type { createDemand } from "../placement/createDemand.js";
 import type { createEndpointLimits } from "../placement/createEndpointLimits.js";
 import type { createPrefixIndex } from "../placement/createPrefixIndex.js";
@@ -24,6 +25,7 @@
     readonly prefixIndex: ReturnType<typeof createPrefixIndex>;
     readonly demand: ReturnType<typeof createDemand>;
     readonly orders: ReturnType<typeof startOrders>;
+    readonly availability: Pick<ReturnType<typeof createAvailability>, "rows" | "applyBeacon">;
     readonly endpointLimits: ReturnType<typeof createEndpointLimits>;
     readonly quarantine: ReturnType<typeof createQuarantine>;
     readonly unreadBodies: Pick<ReturnType<typeof createUnreadBodies>, "stalledBytes" | "recordDeath">;
--- a/packages/router/src/peers/applyBeacon.ts
+++ b/packages/router/src/peers/applyBeacon.ts
@@ -5,8 +5,8 @@
  * Applies a beacon of a peer to the parts of this VM.
  *
  * @param address peer address of the sender
- * @returns whether an order, a version that an engine has loaded, the limit of an endpoint, or the phase of a rollout was
- *     new to this VM
+ * @returns whether an order, a version that an engine has loaded, the limit of an endpoint, that it wants no requests, or
+ *     the phase of a rollout was new to this VM
  */
 export function applyBeacon(sources: PeerSyncSources, received: ReceivedBeacon, address: string): boolean {
     const { clock, declarations, allowances, endpointTable, prefixIndex, orders, quarantine, registry, peerLoad } =
@@ -37,5 +37,6 @@
     }
     const isRolloutNew = rollouts.receiveRows(beacon.rollouts, sentAfter);
     const isLimitNew = endpointLimits.applyBeacon(beacon.limits);
-    return isRolloutNew || isLimitNew || [...orderUpdates, ...weightsUpdates].includes(true);
+    const isAvailabilityNew = sources.availability.applyBeacon(beacon.availability);
+    return isRolloutNew || isLimitNew || isAvailabilityNew || [...orderUpdates, ...weightsUpdates].includes(true);
 }
--- a/packages/router/src/peers/collectLocalState.ts
+++ b/packages/router/src/peers/collectLocalState.ts
@@ -29,6 +29,7 @@
         lease: leaseState(sources),
         ...quarantine.beaconFields(),
         limits: endpointLimits.rows(),
+        availability: sources.availability.rows(),
         rollouts: rollouts.rows(),
         registry: registry.beaconFields(),
         hasStore: declarations.hasStore(),
--- a/packages/router/src/peers/createBeaconEncoder.ts
+++ b/packages/router/src/peers/createBeaconEncoder.ts
@@ -19,6 +19,7 @@
     | "answeredParts"
     | "quarantined"
     | "limits"
+    | "availability"
     | "rollouts"
     | "vms"
     | "domains"
@@ -74,6 +75,7 @@
     ...rowsOf("answeredParts", common.answeredParts),
     ...rowsOf("quarantined", common.quarantined),
     ...rowsOf("limits", common.limits),
+    ...rowsOf("availability", common.availability),
     ...rowsOf(
         "rollouts",
         common.rollouts.map(each => [
@@ -140,6 +142,7 @@
         list("suspectParts"),
         list("answeredParts"),
         list("limits"),
+        list("availability"),
     ].join(",");
 };
 
--- a/packages/router/src/peers/decodeBeacon.ts
+++ b/packages/router/src/peers/decodeBeacon.ts
@@ -22,6 +22,7 @@
 const SUSPECT_PARTS = 33;
 const ANSWERED_PARTS = 34;
 const LIMITS = 35;
+const AVAILABILITY = 36;
 
 const PHASES: readonly unknown[] = rolloutPhases;
 const SCOPES: readonly unknown[] = ["vm", "domain", "fleet", "referral"];
@@ -83,7 +84,8 @@
     && areRows(row[ROLLOUTS] ?? [], isText, isNumber, isText, isNumber, isNumber, isPhaseOrNull, isNumber)
     && areRows(row[SUSPECT_PARTS] ?? [], isText, isText, isFlag, isNumber)
     && areRows(row[ANSWERED_PARTS] ?? [], isText, isNumber)
-    && areRows(row[LIMITS] ?? [], isText, isNumber, isNumber, isNumber);
+    && areRows(row[LIMITS] ?? [], isText, isNumber, isNumber, isNumber)
+    && areRows(row[AVAILABILITY] ?? [], isText, isNumber, isNumber);
 
 const parse = (datagram: Buffer): unknown => {
     try {
@@ -150,6 +152,7 @@
         suspectParts: row[SUSPECT_PARTS] ?? [],
         answeredParts: row[ANSWERED_PARTS] ?? [],
         limits: row[LIMITS] ?? [],
+        availability: row[AVAILABILITY] ?? [],
         rollouts: rollouts.map(([service, id, version, durationMs, ageMs, phase, statedMs]) => ({
             service,
             id,
--- a/packages/router/src/placement/createEndpointTable.ts
+++ b/packages/router/src/placement/createEndpointTable.ts
@@ -9,6 +9,7 @@
 import type { EndpointEntry } from "../registry/EndpointEntry.js";
 import type { Registry } from "../registry/Registry.js";
 import { stepRegistry } from "../registry/stepRegistry.js";
+import type { createAvailability } from "./createAvailability.js";
 import { createEngineOrders } from "./createEngineOrders.js";
 import { createEngineVersions } from "./createEngineVersions.js";
 import { createObservations } from "./createObservations.js";
@@ -35,6 +36,8 @@
     readonly onGone: (endpoint: EndpointName) => void;
     /** How fast endpoints are; without it, all are taken to be as fast as the constants say. */
     readonly performance?: ReturnType<typeof createPerformance>;
+    /** What endpoints say of themselves in their answers; without it, the registry alone says which leave. */
+    readonly availability?: Pick<ReturnType<typeof createAvailability>, "isLeaving">;
 };
 
 /** How a view of an endpoint changes. */
@@ -121,11 +124,15 @@
         });
     };
 
-    const stayingEntries = (): readonly EndpointEntry[] => allEntries().filter(({ isLeaving }) => !isLeaving);
+    const isLeaving = (entry: EndpointEntry): boolean => parts.availability?.isLeaving(entry) === true;
+    /** Endpoints that leave neither by the registry, which may be late or away, nor by their own answers. */
+    const stayingEntries = (): readonly EndpointEntry[] =>
+        allEntries().filter(entry => !entry.isLeaving && !isLeaving(entry));
     const servingEntries: EndpointTable["servingEntries"] = service => {
-        const serving = state.serving.get(service) ?? stayingEntries().filter(entry => entry.service === service);
+        const serving = state.serving.get(service)
+            ?? allEntries().filter(entry => !entry.isLeaving && entry.service === service);
         state.serving.set(service, serving);
-        return serving;
+        return serving.some(isLeaving) ? serving.filter(entry => !isLeaving(entry)) : serving;
     };
 
     const freeSlots: EndpointTable["freeSlots"] = service => {
@@ -134,7 +141,9 @@
         return servingEntries(service).reduce((sum, entry) => {
             const { health, inFlight } = observations.of(entry);
             const running = inFlight.length + parts.peerLoadAt(entry.name).running;
-            return health.backoffUntil > now ? sum : sum + Math.max(0, (slots ?? entry.slots) - running);
+            return health.backoffUntil > now
+                ? sum
+                : sum + Math.max(0, (slots ?? entry.slots) - running);
         }, 0);
     };
 
--- a/packages/router/src/placement/healthAfterTry.ts
+++ b/packages/router/src/placement/healthAfterTry.ts
@@ -45,6 +45,8 @@
                 unreachedInRow: 0,
                 backoffUntil: health.backoffUntil,
             };
+        case "withheld":
+            return health;
         case "refused":
         case "elsewhere":
         case "cancelled":
--- a/packages/router/src/serve/placeRequest.ts
+++ b/packages/router/src/serve/placeRequest.ts
@@ -65,7 +65,7 @@
         });
         const { unlimited, turns } = parts.endpointLimits.select(
             pool,
-            parts.brittleServices.select(served.service, reachable),
+            parts.brittleServices.select(served.service, parts.availability.select(reachable)),
             isPlacedAgain,
         );
         const place = choosePlaceOrTurn(
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -108,7 +108,7 @@
         predictedMs: place.startMs,
     });
     const times = { headMs: undefined as Millis | undefined, firstEventMs: undefined as Millis | undefined };
-    const used = { connection: "none" as ConnectionKind, isSent: false };
+    const used = { connection: "none" as ConnectionKind, isSent: false, isWithheld: false };
     const stageAt = (ms: Millis): TryStage => {
         const { headMs, firstEventMs } = times;
         if (headMs === undefined) {
@@ -201,7 +201,8 @@
         isAlive: served.caller.prompt === undefined ? undefined : inFlight.isAlive,
         // Asked once a connection is open.
         maySend: () => {
-            used.isSent = !isTooLate(parts, served);
+            used.isWithheld = !parts.availability.maySend(place.entry);
+            used.isSent = !used.isWithheld && !isTooLate(parts, served);
             return used.isSent;
         },
         bounds: parts.flowBounds(),
@@ -209,7 +210,7 @@
     }, served.signal);
     used.connection = opened.connection;
     if (opened.kind !== "head") {
-        return finish({ kind: opened.kind, answer: undefined });
+        return finish({ kind: used.isWithheld ? "withheld" : opened.kind, answer: undefined });
     }
     inFlight.onActivity(clock.now());
     times.headMs = Math.round(clock.now() - startedAt);
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -120,7 +120,10 @@
         }
         const place = placeRequest(parts, served, progress.avoid, stream.origin, progress.waited !== undefined);
         if (place === undefined) {
-            return giveUp(progress, refusalWithoutPlace(parts, served, progress.request.ran, stream));
+            return giveUp(
+                progress,
+                refusalWithoutPlace(parts, served, progress.request.ran, stream),
+            );
         }
         const { request } = progress;
         const isOverShare = parts.serviceShares.isOver(served, shareDraw);
@@ -207,6 +210,10 @@
 
     const afterTry = async (progress: RequestProgress, place: TryPlace, result: TryResult): Promise<ServedEnd> => {
         const { request } = progress;
+        if (result.kind === "withheld") {
+            // Nothing has reached an endpoint, so it is no try and costs no retry.
+            return startTry({ ...progress, avoid: new Set([...progress.avoid, place.entry.name]) });
+        }
         const mayTryAgain = result.kind !== "broken"
             || await parts.quarantine.reportBrokenTry(served, place.entry, result.stage);
         if (result.kind === "answered") {
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -199,6 +199,13 @@
         relays: membership.relays,
         beaconIntervalMs: membership.beaconIntervalMs,
     });
+    const availability = createAvailability({
+        clock,
+        entryOf: endpoint => endpointTable.entryOf(endpoint),
+        sendSoon: () => beacons.sendSoon(),
+        logger: loggers("endpoint"),
+        metrics,
+    });
     const endpointTable = createEndpointTable({
         clock,
         failureDomain: settings.failureDomain,
@@ -210,6 +217,7 @@
             loggers("endpoint").info({ endpoint, change, ...inputs }, "The view of an endpoint changed."),
         onGone: prefixIndex.forget,
         performance: createPerformance({ clock, lagMs: () => tickLag.recentMs(), metrics }),
+        availability,
     });
     const registry = startRegistry({
         clock,
@@ -266,7 +274,6 @@
         logger: loggers("quarantine"),
         metrics,
     });
-    const availability = createAvailability({ clock, logger: loggers("endpoint"), metrics });
     const endpointLimits = createEndpointLimits({
         clock,
         random: Math.random,
@@ -336,6 +343,7 @@
         prefixIndex,
         demand,
         orders,
+        availability,
         endpointLimits,
         quarantine,
         unreadBodies,
