Keep to the pauses that endpoints ask for, and prefer others while one refuses

The refusals used up the retries: 217 of 505 prompts were refused while nine engines had room.

A VM that was told to pause sends the endpoint nothing until the pause ends, asked again where the bytes go out; then single requests 100 ms apart show whether it has room. After any refusal, with or without a time, others are preferred for 0.1 s, doubled with each further one up to 2 s. The other VMs are told of pauses by an urgent beacon and prefer other endpoints meanwhile, but may use this one: it has asked another VM. If all endpoints of a service want a pause, requests are refused at once (`endpoints-paused`), and callers return after the first pause ends, spread over a second, the urgent kinds first. A pause of over 5 minutes counts as 5; what is no time is ignored with a line in the log.

--- a/packages/core/src/ErrorKind.ts
+++ b/packages/core/src/ErrorKind.ts
@@ -26,6 +26,7 @@
     | "no-endpoint"
     | "overloaded"
     | "endpoints-limited"
+    | "endpoints-paused"
     | "vm-overloaded"
     | "too-late"
     | "deadline-exceeded"
--- a/packages/router/src/__tests__/unit/beacon.test.ts
+++ b/packages/router/src/__tests__/unit/beacon.test.ts
@@ -42,7 +42,7 @@
     answeredParts: [["part-2" as SuspectKey, 250]],
     quarantined: [],
     limits: [["e1" as EndpointName, 1_700, 0.2, 40], ["e2" as EndpointName, 1_800, -1, 900]],
-    availability: [["e1" as EndpointName, 1_700, 900]],
+    availability: [["e1" as EndpointName, 1_700, 900, 0], ["e2" as EndpointName, 1_800, -1, 2_900]],
     rollouts: [{
         service: "desk" as ServiceName,
         id: 7,
--- a/packages/router/src/__tests__/unit/placeRequest.test.ts
+++ b/packages/router/src/__tests__/unit/placeRequest.test.ts
@@ -45,7 +45,7 @@
         placingVms: () => 3,
         unreadBodies: { isSlowReader: () => false },
         rollouts: { selectorFor: () => undefined },
-        availability: { select: (placeable: readonly unknown[]) => placeable },
+        availability: { select: (placeable: readonly unknown[]) => placeable, isPaused: () => false },
         brittleServices: { select: (_: ServiceName, placeable: readonly unknown[]) => placeable },
         ...changed,
     }) as unknown as ServeParts;
--- a/packages/router/src/__tests__/unit/requestQueues.test.ts
+++ b/packages/router/src/__tests__/unit/requestQueues.test.ts
@@ -86,7 +86,7 @@
                 weights: undefined,
             }],
         },
-        availability: { select: (placeable: unknown) => placeable, recordTry: () => undefined },
+        availability: { select: (placeable: unknown) => placeable, isPaused: () => false, recordTry: () => undefined },
         brittleServices: {
             select: (_: unknown, placeable: unknown) => placeable,
             // The first call of a try; what follows is not under test.
--- a/packages/router/src/peers/decodeBeacon.ts
+++ b/packages/router/src/peers/decodeBeacon.ts
@@ -85,7 +85,7 @@
     && areRows(row[SUSPECT_PARTS] ?? [], isText, isText, isFlag, isNumber)
     && areRows(row[ANSWERED_PARTS] ?? [], isText, isNumber)
     && areRows(row[LIMITS] ?? [], isText, isNumber, isNumber, isNumber)
-    && areRows(row[AVAILABILITY] ?? [], isText, isNumber, isNumber);
+    && areRows(row[AVAILABILITY] ?? [], isText, isNumber, isNumber, isNumber);
 
 const parse = (datagram: Buffer): unknown => {
     try {
--- a/packages/router/src/placement/createAvailability.ts
+++ b/packages/router/src/placement/createAvailability.ts
@@ -1,4 +1,15 @@
-import { availabilityAt, availabilityTiming, initialAvailability, recordLeaving } from "@azureshunt/availability";
+import {
+    availabilityAt,
+    availabilityTiming,
+    initialAvailability,
+    learnPause,
+    pauseToTell,
+    recordLeaving,
+    recordRefusal,
+    recordSent,
+    recordServed,
+    returnAfterMs,
+} from "@azureshunt/availability";
 import type { AvailabilityRow, EndpointAvailability } from "@azureshunt/availability";
 import type { Clock, EndpointName, Millis } from "@azureshunt/core";
 import type { Metrics } from "@azureshunt/telemetry";
@@ -9,6 +20,7 @@
 
 type AvailabilityParts = {
     readonly clock: Clock;
+    readonly random: () => number;
     readonly entryOf: (endpoint: EndpointName) => EndpointEntry | undefined;
     /** Sends this VM's state to the others at once. */
     readonly sendSoon: () => void;
@@ -20,7 +32,10 @@
 type TryPath = "first" | "further" | "resumed";
 
 /** A genuine answer of an endpoint to a request. */
-type Answer = Pick<EndpointHead, "isLeaving" | "requestId">;
+type Answer = Pick<EndpointHead, "isLeaving" | "retryAfterMs" | "requestId"> & {
+    readonly isRefusal: boolean;
+    readonly sentAt: Millis;
+};
 
 /** Which endpoints want no requests, by what they have said of themselves in their answers. */
 type Availability = {
@@ -28,20 +43,29 @@
     /** Records that a request is sent to an endpoint. */
     readonly recordTry: (entry: EndpointEntry, path: TryPath) => void;
     readonly isLeaving: (entry: EndpointEntry) => boolean;
+    readonly isPaused: (entry: EndpointEntry) => boolean;
     /**
      * Whether a request may be sent to an endpoint now. Asked again once its connection is open, as an answer may have
      * arrived since the endpoint was chosen.
      */
     readonly maySend: (entry: EndpointEntry) => boolean;
-    /** Selects the endpoints that may get a request. */
+    /** Selects the endpoints that may get a request: of those that do not want a pause, the ones that have not just refused. */
     readonly select: <T extends { readonly entry: EndpointEntry; }>(placeable: readonly T[]) => readonly T[];
+    /**
+     * Returns when a caller may come back whose request no endpoint can get; undefined unless all endpoints that could
+     * serve it want a pause.
+     */
+    readonly returnAfterMs: (serving: readonly EndpointEntry[], isUrgent: boolean) => Millis | undefined;
     /** Applies what a peer knows; returns whether any of it was new to this VM. */
     readonly applyBeacon: (rows: readonly AvailabilityRow[]) => boolean;
     readonly rows: () => readonly AvailabilityRow[];
     /** Number of endpoints that have said that they leave. */
     readonly leaving: () => number;
+    /** Number of endpoints that want no requests of this VM now. */
+    readonly paused: () => number;
 };
 
+const NOT_LEAVING = -1;
 /** Rows of endpoints that have left for longer that are sent at a time; they are sent in rotation. */
 const ROWS_AT_A_TIME = 8;
 /** An endpoint that is not registered any more is forgotten after this time: its entry may expire while it serves. */
@@ -51,7 +75,7 @@
 
 /** Creates the state in which no endpoint has said anything. */
 export function createAvailability(parts: AvailabilityParts): Availability {
-    const { clock, entryOf, logger, metrics } = parts;
+    const { clock, random, entryOf, logger, metrics } = parts;
     const all = new Map<EndpointName, Known>();
     const rotation = { next: 0 };
 
@@ -59,9 +83,10 @@
         const state = all.get(name);
         return state?.bornAt === bornAt ? state : undefined;
     };
-    const isLeaving = (entry: EndpointEntry): boolean => {
+    /** Whether an endpoint is in one of the states; endpoints of which nothing is known are the usual case. */
+    const isIn = (entry: EndpointEntry, ...states: readonly ReturnType<typeof availabilityAt>[]): boolean => {
         const state = known(entry);
-        return state !== undefined && availabilityAt(state) === "leaving";
+        return state !== undefined && states.includes(availabilityAt(state, clock.now()));
     };
     const update = (
         endpoint: EndpointName,
@@ -78,32 +103,68 @@
         if (after === before) {
             return false;
         }
-        all.set(endpoint, { ...after, registeredAt: clock.now() });
-        logger.info({ endpoint, bornAt, ...source }, "An endpoint says that it leaves.");
-        return true;
+        const now = clock.now();
+        all.set(endpoint, { ...after, registeredAt: now });
+        if (after.leavingSince !== before.leavingSince) {
+            logger.info({ endpoint, bornAt, ...source }, "An endpoint says that it leaves.");
+        }
+        if (after.toldUntil > before.toldUntil && before.toldUntil <= now) {
+            const pauseMs = Math.round(after.toldUntil - now);
+            logger.info({ endpoint, bornAt, pauseMs, ...source }, "An endpoint wants a pause.");
+        }
+        return after.leavingSince !== before.leavingSince || after.toldAt !== before.toldAt;
     };
 
     const observe: Availability["observe"] = ({ name, bornAt }, answer) => {
-        const { isLeaving: saysThatItLeaves, requestId } = answer;
-        // An intermediary may have answered if no request is named.
-        if (!saysThatItLeaves || requestId === undefined) {
+        const { isLeaving, retryAfterMs, requestId, isRefusal, sentAt } = answer;
+        const pauseMs = typeof retryAfterMs === "number" ? retryAfterMs : undefined;
+        const hasRefused = isRefusal || pauseMs !== undefined;
+        if (!hasRefused && !isLeaving && !all.has(name)) {
             return;
         }
-        if (update(name, bornAt, state => recordLeaving(state, clock.now()), { requestId })) {
+        const isNew = update(name, bornAt, state => {
+            const after = hasRefused
+                ? recordRefusal(state, { sentAt, retryAfterMs: pauseMs }, clock.now(), random())
+                : recordServed(state, sentAt);
+            // An intermediary may have answered if no request is named.
+            return isLeaving && requestId !== undefined ? recordLeaving(after, clock.now()) : after;
+        }, { requestId });
+        if (isNew) {
             parts.sendSoon();
         }
     };
     const recordTry: Availability["recordTry"] = (entry, path) => {
-        if (isLeaving(entry)) {
+        const state = known(entry);
+        if (state === undefined) {
+            return;
+        }
+        const now = clock.now();
+        const said = availabilityAt(state, now);
+        if (said !== "available") {
             metrics.count(
                 "azureshunt_tries_at_unavailable_total",
-                "Tries at endpoints that leave, by how the request came there.",
-                { said: "leaving", path },
+                "Tries at endpoints that leave, want a pause or have just refused, by how the request came there.",
+                { said, path },
             );
         }
+        all.set(entry.name, { ...state, ...recordSent(state, now) });
+    };
+    const select: Availability["select"] = placeable => {
+        if (all.size === 0) {
+            return placeable;
+        }
+        const sendable = placeable.filter(({ entry }) => !isIn(entry, "leaving", "paused"));
+        const preferred = sendable.filter(({ entry }) => !isIn(entry, "avoided"));
+        return preferred.length > 0 ? preferred : sendable;
+    };
+    const pausedUntil = (entry: EndpointEntry): Millis => known(entry)?.pausedUntil ?? -Infinity;
+    const returnAfter: Availability["returnAfterMs"] = (serving, isUrgent) => {
+        const now = clock.now();
+        const freeAt = Math.min(...serving.map(pausedUntil));
+        return serving.length === 0 || freeAt <= now
+            ? undefined
+            : returnAfterMs({ freeAt, isUrgent, random: random() }, now);
     };
-    const select: Availability["select"] = placeable =>
-        all.size === 0 ? placeable : placeable.filter(({ entry }) => !isLeaving(entry));
 
     const forgetOld = (): void => {
         const now = clock.now();
@@ -112,8 +173,10 @@
             if (entry !== undefined) {
                 all.set(endpoint, { ...state, registeredAt: now });
             }
+            const isOver = state.leavingSince === undefined && state.refusedInRow === 0
+                && availabilityAt(state, now) === "available" && state.toldUntil <= now;
             const isEarlier = entry !== undefined && entry.bornAt > state.bornAt;
-            if (isEarlier || (entry === undefined && now - state.registeredAt >= UNREGISTERED_MS)) {
+            if (isOver || isEarlier || (entry === undefined && now - state.registeredAt >= UNREGISTERED_MS)) {
                 all.delete(endpoint);
             }
         });
@@ -125,33 +188,43 @@
         forgetOld();
         const now = clock.now();
         const isNew = ([, state]: readonly [EndpointName, Known]): boolean =>
-            now - (state.leavingSince ?? -Infinity) < availabilityTiming.newMs;
+            pauseToTell(state, now) > 0 || now - (state.leavingSince ?? -Infinity) < availabilityTiming.newMs;
         const states = [...all];
-        const older = states.filter(each => !isNew(each));
+        const older = states.filter(each => each[1].leavingSince !== undefined && !isNew(each));
         const start = older.length === 0 ? 0 : rotation.next % older.length;
         rotation.next = start + ROWS_AT_A_TIME;
         const inTurn = [...older.slice(start), ...older.slice(0, start)].slice(0, ROWS_AT_A_TIME);
         return [...states.filter(isNew), ...inTurn].map(([endpoint, state]) => [
             endpoint,
             state.bornAt,
-            Math.round(now - (state.leavingSince ?? now)),
+            state.leavingSince === undefined ? NOT_LEAVING : Math.round(now - state.leavingSince),
+            Math.round(pauseToTell(state, now)),
         ]);
     };
     const applyBeacon: Availability["applyBeacon"] = received =>
         received
-            .map(([endpoint, bornAt, leavingAgeMs]) =>
-                update(endpoint, bornAt, state => recordLeaving(state, clock.now() - leavingAgeMs), { source: "peer" })
+            .map(([endpoint, bornAt, leavingAgeMs, pauseMs]) =>
+                update(endpoint, bornAt, state => {
+                    const now = clock.now();
+                    const after = pauseMs > 0 ? learnPause(state, pauseMs, now, random()) : state;
+                    return leavingAgeMs === NOT_LEAVING ? after : recordLeaving(after, now - leavingAgeMs);
+                }, { source: "peer" })
             )
             .includes(true);
 
+    const count = (said: ReturnType<typeof availabilityAt>): number =>
+        [...all.values()].filter(state => availabilityAt(state, clock.now()) === said).length;
     return {
         observe,
         recordTry,
-        isLeaving,
-        maySend: entry => !isLeaving(entry),
+        isLeaving: entry => all.size > 0 && isIn(entry, "leaving"),
+        isPaused: entry => all.size > 0 && isIn(entry, "paused"),
+        maySend: entry => !isIn(entry, "leaving", "paused"),
         select,
+        returnAfterMs: returnAfter,
         applyBeacon,
         rows,
-        leaving: () => [...all.values()].filter(state => availabilityAt(state) === "leaving").length,
+        leaving: () => count("leaving"),
+        paused: () => count("paused"),
     };
 }
--- a/packages/router/src/placement/createEndpointTable.ts
+++ b/packages/router/src/placement/createEndpointTable.ts
@@ -37,7 +37,7 @@
     /** How fast endpoints are; without it, all are taken to be as fast as the constants say. */
     readonly performance?: ReturnType<typeof createPerformance>;
     /** What endpoints say of themselves in their answers; without it, the registry alone says which leave. */
-    readonly availability?: Pick<ReturnType<typeof createAvailability>, "isLeaving">;
+    readonly availability?: Pick<ReturnType<typeof createAvailability>, "isLeaving" | "isPaused">;
 };
 
 /** How a view of an endpoint changes. */
@@ -125,6 +125,7 @@
     };
 
     const isLeaving = (entry: EndpointEntry): boolean => parts.availability?.isLeaving(entry) === true;
+    const isPaused = (entry: EndpointEntry): boolean => parts.availability?.isPaused(entry) === true;
     /** Endpoints that leave neither by the registry, which may be late or away, nor by their own answers. */
     const stayingEntries = (): readonly EndpointEntry[] =>
         allEntries().filter(entry => !entry.isLeaving && !isLeaving(entry));
@@ -141,7 +142,7 @@
         return servingEntries(service).reduce((sum, entry) => {
             const { health, inFlight } = observations.of(entry);
             const running = inFlight.length + parts.peerLoadAt(entry.name).running;
-            return health.backoffUntil > now
+            return health.backoffUntil > now || isPaused(entry)
                 ? sum
                 : sum + Math.max(0, (slots ?? entry.slots) - running);
         }, 0);
@@ -204,7 +205,8 @@
             onBackoff: inputs => parts.onChange(endpoint, "paused", inputs),
         });
 
-    const isUp: EndpointTable["isUp"] = entry => observations.of(entry).health.backoffUntil <= clock.now();
+    const isUp: EndpointTable["isUp"] = entry =>
+        observations.of(entry).health.backoffUntil <= clock.now() && !isPaused(entry);
 
     const isSilent: EndpointTable["isSilent"] = entry => {
         const { health, lastActivityAt } = observations.of(entry);
--- a/packages/router/src/serve/placeRequest.ts
+++ b/packages/router/src/serve/placeRequest.ts
@@ -87,10 +87,12 @@
             ? undefined
             : { ...chosen, place, candidateCount: placeable.length };
     };
-    // A request that was to try a new version whose endpoints are limited goes to the old one. It has gathered its part of
-    // a turn at limited endpoints by then, so these are left out.
+    // A request that was to try a new version whose endpoints are limited, or want a pause, goes to the old one. It has
+    // gathered its part of a turn at limited endpoints by then, so these are left out.
+    const hasRoom = (entry: EndpointEntry): boolean =>
+        !parts.endpointLimits.isLimited(entry) && !parts.availability.isPaused(entry);
     const chosen = chooseFrom(() => true) ?? (
-        parts.endpointLimits.size() === 0 ? undefined : chooseFrom(entry => !parts.endpointLimits.isLimited(entry))
+        parts.endpointTable.servingEntries(served.service).every(hasRoom) ? undefined : chooseFrom(hasRoom)
     );
     if (!isPlacedAgain) {
         parts.endpointLimits.recordPlaced(pool);
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -226,7 +226,7 @@
         parts.reportIgnoredHeaders(place.entry.name, head.ignoredHeaders);
     }
     if (verdict === "forward" || verdict === "failed" || verdict === "refused") {
-        parts.availability.observe(place.entry, head);
+        parts.availability.observe(place.entry, { ...head, isRefusal: verdict === "refused", sentAt: startedAt });
     }
     // An endpoint may refuse before it states its limit, so a refusal without one does not end it.
     if (verdict === "forward" || verdict === "failed" || (verdict === "refused" && head.limit !== undefined)) {
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -122,7 +122,12 @@
         if (place === undefined) {
             return giveUp(
                 progress,
-                refusalWithoutPlace(parts, served, progress.request.ran, stream),
+                refusalWithoutPlace(
+                    parts,
+                    served,
+                    { ran: progress.request.ran, isUrgent: isUrgent(parts, served) },
+                    stream,
+                ),
             );
         }
         const { request } = progress;
--- a/packages/router/src/startGauges.ts
+++ b/packages/router/src/startGauges.ts
@@ -17,7 +17,7 @@
         "clock" | "declarations" | "endpointTable" | "endpointLimits" | "allowances" | "orders" | "membership"
     >
     & {
-        readonly availability: Pick<ReturnType<typeof createAvailability>, "leaving">;
+        readonly availability: Pick<ReturnType<typeof createAvailability>, "leaving" | "paused">;
         readonly streams: Pick<ReturnType<typeof createStreamKeeper>, "size">;
         readonly connector: Pick<ReturnType<typeof createConnector>, "isCutOff">;
         readonly tunnels: Pick<ReturnType<typeof serveTunnels>, "size">;
@@ -54,6 +54,7 @@
         ["endpoints", "Endpoints registered.", endpointTable.size],
         ["limited_endpoints", "Endpoints that name a limit.", endpointLimits.size],
         ["leaving_endpoints", "Endpoints that have said in an answer that they leave.", availability.leaving],
+        ["paused_endpoints", "Endpoints that want no requests of this VM now.", availability.paused],
         ["known_streams", "Streams of which this VM knows where they began.", streams.size],
         ["cut_off", "1 while own links reach no endpoints, else 0.", () => connector.isCutOff() ? 1 : 0],
         ["tunnels", "Connections to endpoints that are open for other VMs.", tunnels.size],
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -201,6 +201,7 @@
     });
     const availability = createAvailability({
         clock,
+        random: Math.random,
         entryOf: endpoint => endpointTable.entryOf(endpoint),
         sendSoon: () => beacons.sendSoon(),
         logger: loggers("endpoint"),
