--- a/packages/availability/src/recordServed.ts
+++ b/packages/availability/src/recordServed.ts
@@ -9,7 +9,8 @@
  * @param sentAt when the request was sent; one that was sent before the last refusal shows nothing
  */
 export function recordServed(state: EndpointAvailability, sentAt: Millis): EndpointAvailability {
-    return state.refusedAt > sentAt || (state.refusedInRow === 0 && state.toldAt > sentAt)
+    const isOlder = state.refusedAt > sentAt || (state.refusedInRow === 0 && state.toldAt > sentAt);
+    return isOlder || state.avoidedUntil === -Infinity
         ? state
         : { ...state, refusedInRow: 0, avoidedUntil: -Infinity };
 }
--- a/packages/router/src/placement/createAvailability.ts
+++ b/packages/router/src/placement/createAvailability.ts
@@ -112,6 +112,9 @@
             const pauseMs = Math.round(after.toldUntil - now);
             logger.info({ endpoint, bornAt, pauseMs, ...source }, "An endpoint wants a pause.");
         }
+        if (before.refusedInRow > 0 && after.refusedInRow === 0) {
+            logger.info({ endpoint, bornAt, ...source }, "An endpoint that refused has served a request.");
+        }
         return after.leavingSince !== before.leavingSince || after.toldAt !== before.toldAt;
     };
 
