Read what engines say of themselves in answers to orders and calls for reports

A VM that sends an engine no requests, but holds the order lease, learned only from peers that it leaves. The heads of these answers are read as those of requests; a 421 is not, as another endpoint may have the address. They show nothing of the engine's room, so they do not end the time in which others are preferred.

--- a/packages/router/src/__tests__/unit/availability.test.ts
+++ b/packages/router/src/__tests__/unit/availability.test.ts
@@ -39,9 +39,16 @@
     const selected = (): readonly string[] => availability.select(placeable).map(({ entry }) => entry.name);
     return { availability, time, sends, selected };
 };
-const ok = { isLeaving: false, retryAfterMs: undefined, requestId: "r", isRefusal: false, sentAt: 0 };
+const ok = {
+    isLeaving: false,
+    retryAfterMs: undefined,
+    requestId: "r" as string | undefined,
+    isGenuine: true,
+    shows: "room" as "room" | "no-room" | "nothing",
+    sentAt: 0,
+};
 const leaving = { ...ok, isLeaving: true };
-const refusal = { ...ok, isRefusal: true };
+const refusal = { ...ok, shows: "no-room" as const };
 
 // Guards against an endpoint that is chosen although it has said that it wants no requests.
 test("availability: without a statement all endpoints may be chosen, and nothing is told", t => {
@@ -57,12 +64,20 @@
             ["e1 leaves", [leaving], ["e2", "e3"]],
             ["e1 leaves, and an older answer follows", [leaving, ok], ["e2", "e3"]],
             ["e1 leaves, and a refusal says so", [{ ...refusal, isLeaving: true }], ["e2", "e3"]],
-            ["an answer that names no request says so", [{ ...leaving, requestId: undefined as unknown as string }], [
+            ["an intermediary says so", [{ ...leaving, isGenuine: false }], [
                 "e1",
                 "e2",
                 "e3",
             ]],
             ["e1 refuses", [refusal], ["e2", "e3"]],
+            ["e1 refuses, and answers a call for its report", [refusal, { ...ok, shows: "nothing", sentAt: 1 }], [
+                "e2",
+                "e3",
+            ]],
+            ["an answer to an order says that e1 leaves", [{ ...leaving, shows: "nothing", requestId: undefined }], [
+                "e2",
+                "e3",
+            ]],
             ["e1 refuses, and serves a later request", [refusal, { ...ok, sentAt: 1 }], ["e1", "e2", "e3"]],
         ];
 choices.forEach(([name, answers, chosen]) => {
--- a/packages/router/src/__tests__/unit/callOnce.test.ts
+++ b/packages/router/src/__tests__/unit/callOnce.test.ts
@@ -1,4 +1,5 @@
 import { createServer } from "node:http";
+import type { IncomingMessage } from "node:http";
 import { createServer as createTcpServer } from "node:net";
 import type { AddressInfo, Socket } from "node:net";
 
@@ -16,7 +17,10 @@
     const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
     const agent = new EndpointAgent(() => performance.now());
     const call = { method: "GET", target: "/", headers: ["Host", "store"], body: Buffer.alloc(0) };
-    t.like(await callOnce(agent, address, call, 1_912.5), { kind: "answer", status: 200 });
+    const heads: (number | undefined)[] = [];
+    const onHead = ({ statusCode }: IncomingMessage): void => void heads.push(statusCode);
+    t.like(await callOnce(agent, address, call, 1_912.5, onHead), { kind: "answer", status: 200 });
+    t.deepEqual(heads, [200]);
     agent.destroy();
     server.close();
 });
--- a/packages/router/src/dispatch/callOnce.ts
+++ b/packages/router/src/dispatch/callOnce.ts
@@ -1,3 +1,5 @@
+import type { IncomingMessage } from "node:http";
+
 import type { Millis } from "@azureshunt/core";
 
 import type { CallResult } from "./CallResult.js";
@@ -9,12 +11,17 @@
 /** A connection that was idle for longer may have been closed by the peer. */
 const MAX_IDLE_MS = 2_000;
 
-/** Makes one call and reads its complete answer. */
+/**
+ * Makes one call and reads its complete answer.
+ *
+ * @param onHead called with the head of the answer
+ */
 export async function callOnce(
     agent: EndpointAgent,
     address: string,
     call: Pick<EndpointCall, "method" | "target" | "headers" | "body">,
     timeoutMs: Millis,
+    onHead?: (res: IncomingMessage) => void,
 ): Promise<CallResult> {
     // `AbortSignal.timeout` throws on a fraction of a millisecond, which would end the process.
     const signal = AbortSignal.timeout(Math.ceil(timeoutMs));
@@ -22,6 +29,7 @@
     if (opened.kind !== "head") {
         return { kind: opened.kind === "unreached" ? "unreached" : "lost" };
     }
+    onHead?.(opened.res);
     const body = await readAnswer(opened);
     return body === undefined
         ? { kind: "lost" }
--- a/packages/router/src/placement/createAvailability.ts
+++ b/packages/router/src/placement/createAvailability.ts
@@ -31,9 +31,12 @@
 /** How a request came to an endpoint. */
 type TryPath = "first" | "further" | "resumed";
 
-/** A genuine answer of an endpoint to a request. */
+/** An answer of an endpoint to a request, an order, or a call for its report. */
 type Answer = Pick<EndpointHead, "isLeaving" | "retryAfterMs" | "requestId"> & {
-    readonly isRefusal: boolean;
+    /** Whether the endpoint itself has answered, and not an intermediary. */
+    readonly isGenuine: boolean;
+    /** What it shows of the endpoint's room; nothing if it answers no request. */
+    readonly shows: "room" | "no-room" | "nothing";
     readonly sentAt: Millis;
 };
 
@@ -119,18 +122,19 @@
     };
 
     const observe: Availability["observe"] = ({ name, bornAt }, answer) => {
-        const { isLeaving, retryAfterMs, requestId, isRefusal, sentAt } = answer;
+        const { isLeaving, retryAfterMs, requestId, isGenuine, shows, sentAt } = answer;
         const pauseMs = typeof retryAfterMs === "number" ? retryAfterMs : undefined;
-        const hasRefused = isRefusal || pauseMs !== undefined;
+        const hasRefused = shows === "no-room" || pauseMs !== undefined;
         if (!hasRefused && !isLeaving && !all.has(name)) {
             return;
         }
         const isNew = update(name, bornAt, state => {
             const after = hasRefused
                 ? recordRefusal(state, { sentAt, retryAfterMs: pauseMs }, clock.now(), random())
-                : recordServed(state, sentAt);
-            // An intermediary may have answered if no request is named.
-            return isLeaving && requestId !== undefined ? recordLeaving(after, clock.now()) : after;
+                : shows === "room"
+                ? recordServed(state, sentAt)
+                : state;
+            return isLeaving && isGenuine ? recordLeaving(after, clock.now()) : after;
         }, { requestId });
         if (isNew) {
             parts.sendSoon();
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -226,7 +226,13 @@
         parts.reportIgnoredHeaders(place.entry.name, head.ignoredHeaders);
     }
     if (verdict === "forward" || verdict === "failed" || verdict === "refused") {
-        parts.availability.observe(place.entry, { ...head, isRefusal: verdict === "refused", sentAt: startedAt });
+        parts.availability.observe(place.entry, {
+            ...head,
+            // An intermediary may have refused if no request is named.
+            isGenuine: head.requestId !== undefined,
+            shows: verdict === "refused" ? "no-room" : "room",
+            sentAt: startedAt,
+        });
     }
     // An endpoint may refuse before it states its limit, so a refusal without one does not end it.
     if (verdict === "forward" || verdict === "failed" || (verdict === "refused" && head.limit !== undefined)) {
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -90,6 +90,7 @@
 const WEIGHTS_MARGIN_MS = 1_500;
 /** Interval of the ticks of all time-driven components. They share one timer, as that wakes an idle VM least often. */
 const TICK_MS = 100;
+const MISDIRECTED = 421;
 
 /** Starts all components of a router. */
 export async function startRouter(parts: RouterParts): Promise<Router> {
@@ -290,7 +291,17 @@
         vm: settings.vm,
         store: countCalls("lease", "lease"),
         endpointTable,
-        calls: createEngineCalls(agent, connector.checkLink),
+        calls: createEngineCalls(agent, {
+            onUnreached: connector.checkLink,
+            onHead: (address, res) => {
+                const entry = endpointTable.entryAt(address);
+                const head = parts.endpointWire.decodeHead(res);
+                // With 421 another endpoint may have answered.
+                if (entry !== undefined && head.status !== MISDIRECTED) {
+                    availability.observe(entry, { ...head, isGenuine: true, shows: "nothing", sentAt: clock.now() });
+                }
+            },
+        }),
         wire: parts.endpointWire,
         declaredState: declarations.current,
         logger: loggers("fleet"),
