Let a pause bind a VM through which another reaches the endpoint

A VM that opens connections for a cut off peer carries bytes and reads no answer, and the endpoint may take it for the peer. It only preferred other endpoints when it heard of the peer's pause. A told pause now binds a VM that has an open tunnel to the endpoint, and one whose own link there does not work, whose requests go through others.

--- a/packages/availability/src/__tests__/fleet/simulatePauses.ts
+++ b/packages/availability/src/__tests__/fleet/simulatePauses.ts
@@ -80,7 +80,11 @@
             states.forEach((_, vm) => {
                 if (vm !== from) {
                     count.messages += 1;
-                    update(vm, endpoint, state => way.learn(state, until - now, now, random()));
+                    update(
+                        vm,
+                        endpoint,
+                        state => way.learn(state, { pauseMs: until - now, isShared: false }, now, random()),
+                    );
                 }
             });
         }
--- a/packages/availability/src/__tests__/fleet/ways.ts
+++ b/packages/availability/src/__tests__/fleet/ways.ts
@@ -9,10 +9,12 @@
     alone: { learn: ignore, prefers: true },
     told: { learn: learnPause, prefers: true },
     all: {
-        learn: (state: EndpointAvailability, pauseMs: number, now: number, random: number): EndpointAvailability => {
-            const after = learnPause(state, pauseMs, now, random);
-            return { ...after, pausedUntil: Math.max(after.pausedUntil, after.toldUntil) };
-        },
+        learn: (
+            state: EndpointAvailability,
+            { pauseMs }: { readonly pauseMs: number; },
+            now: number,
+            random: number,
+        ): EndpointAvailability => learnPause(state, { pauseMs, isShared: true }, now, random),
         prefers: true,
     },
 } as const;
--- a/packages/availability/src/__tests__/unit/availability.test.ts
+++ b/packages/availability/src/__tests__/unit/availability.test.ts
@@ -18,7 +18,8 @@
 const served = (sentAt: number): Step => state => recordServed(state, sentAt);
 const sent = (at: number): Step => state => recordSent(state, at);
 const leaves = (at: number): Step => state => recordLeaving(state, at);
-const told = (at: number, pauseMs: number): Step => state => learnPause(state, pauseMs, at, 0);
+const told = (at: number, pauseMs: number, isShared = false): Step => state =>
+    learnPause(state, { pauseMs, isShared }, at, 0);
 
 // Guards against an endpoint that gets requests although it has said that it wants none, or none although it does.
 const cases:
@@ -54,6 +55,7 @@
             ["a request is under way after its pause", [refused(0, 200), sent(200)], 250, "avoided"],
             ["a request is under way, and nothing was refused", [sent(0)], 1, "available"],
             ["a peer was told 3 s", [told(0, 3_000)], 2_999, "avoided"],
+            ["a peer was told 3 s, and reaches it through this VM", [told(0, 3_000, true)], 2_999, "paused"],
             ["the peer's pause has ended", [told(0, 3_000)], 3_000, "available"],
             ["a peer was told an hour", [told(0, 3_600_000)], availabilityTiming.maxToldMs, "available"],
             ["a peer was told 3 s, and it has served a request since", [told(0, 3_000), served(1)], 2, "available"],
--- a/packages/router/src/__tests__/unit/availability.test.ts
+++ b/packages/router/src/__tests__/unit/availability.test.ts
@@ -22,7 +22,7 @@
 const [e1, e2, e3] = entries as [EndpointEntry, EndpointEntry, EndpointEntry];
 const placeable = entries.map(entry => ({ entry }));
 
-const startVm = (registered: readonly EndpointEntry[] = entries) => {
+const startVm = (registered: readonly EndpointEntry[] = entries, tunnelled: readonly EndpointEntry[] = []) => {
     const time = { now: 0 };
     const sends = { count: 0 };
     const clock: Clock = { now: () => time.now, epoch: () => time.now };
@@ -30,6 +30,7 @@
         clock,
         random: () => 0,
         entryOf: name => registered.find(entry => entry.name === name),
+        isReachedByTunnel: entry => tunnelled.includes(entry),
         sendSoon: () => {
             sends.count += 1;
         },
@@ -133,6 +134,15 @@
     t.deepEqual(there.selected(), ["e2", "e3"]);
 });
 
+// Guards against a VM that sends requests within a pause that another was told through its connection.
+test("availability: a pause binds the VM through which the peer reaches the endpoint", t => {
+    const here = startVm();
+    const there = startVm(entries, [e1]);
+    [e1, e2].forEach(entry => here.availability.observe(entry, { ...refusal, retryAfterMs: 3_000 as never }));
+    there.availability.applyBeacon(here.availability.rows());
+    t.deepEqual(entries.map(there.availability.maySend), [false, true, true]);
+});
+
 // Guards against statements that are kept for ever, and against one that is lost as a registry entry expires.
 test("availability: what an endpoint has said is forgotten a minute after its entry is gone", t => {
     const registered = [...entries];
--- a/packages/router/src/__tests__/unit/tunnels.test.ts
+++ b/packages/router/src/__tests__/unit/tunnels.test.ts
@@ -58,6 +58,8 @@
         }
         const opened = await peer.openTunnel(address);
         t.is(opened.map(() => "opened").extract(), outcome);
+        t.is(peer.tunnels.leadsTo(address), outcome === "opened");
+        t.false(peer.tunnels.leadsTo("127.0.0.1:1"));
         opened.ifRight(socket => void socket.destroy());
         peer.stop();
         server.close();
--- a/packages/router/src/placement/createAvailability.ts
+++ b/packages/router/src/placement/createAvailability.ts
@@ -22,6 +22,8 @@
     readonly clock: Clock;
     readonly random: () => number;
     readonly entryOf: (endpoint: EndpointName) => EndpointEntry | undefined;
+    /** Whether VMs reach the endpoint through others, of which this one is at one end. */
+    readonly isReachedByTunnel: (entry: EndpointEntry) => boolean;
     /** Sends this VM's state to the others at once. */
     readonly sendSoon: () => void;
     readonly logger: Logger;
@@ -213,7 +215,9 @@
             .map(([endpoint, bornAt, leavingAgeMs, pauseMs]) =>
                 update(endpoint, bornAt, state => {
                     const now = clock.now();
-                    const after = pauseMs > 0 ? learnPause(state, pauseMs, now, random()) : state;
+                    const entry = entryOf(endpoint);
+                    const isShared = entry !== undefined && parts.isReachedByTunnel(entry);
+                    const after = pauseMs > 0 ? learnPause(state, { pauseMs, isShared }, now, random()) : state;
                     return leavingAgeMs === NOT_LEAVING ? after : recordLeaving(after, now - leavingAgeMs);
                 }, { source: "peer" })
             )
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -136,7 +136,8 @@
     const prefixIndex = createPrefixIndex(holder =>
         limitsOfHolder(declarations.current().configuration, holder, endpointTable.entryOf(holder as EndpointName))
     );
-    const state = { isDraining: false, settings };
+    /** `hasTunnelTo` is replaced once there are tunnels; beacons are received before. */
+    const state = { isDraining: false, settings, hasTunnelTo: (() => false) as (address: string) => boolean };
     const membership = createMembership(clock, {
         vm: settings.vm,
         incarnation,
@@ -204,6 +205,7 @@
         clock,
         random: Math.random,
         entryOf: endpoint => endpointTable.entryOf(endpoint),
+        isReachedByTunnel: ({ address }) => connector.isBlocked(address) || state.hasTunnelTo(address),
         sendSoon: () => beacons.sendSoon(),
         logger: loggers("endpoint"),
         metrics,
@@ -461,6 +463,7 @@
         random: Math.random,
         open: parts.open,
     });
+    state.hasTunnelTo = tunnels.leadsTo;
     byteBudget.addSource(tunnels.heldBytes);
     const stopGauges = startGauges(metrics, {
         ...sources,
--- a/packages/router/src/tunnel/serveTunnels.ts
+++ b/packages/router/src/tunnel/serveTunnels.ts
@@ -38,6 +38,8 @@
 /** The tunnels of a listener. */
 type Tunnels = {
     readonly size: () => number;
+    /** Whether a tunnel to the endpoint at an address is open. */
+    readonly leadsTo: (address: string) => boolean;
     /** Bytes that Node has buffered for the tunnels' ends. */
     readonly heldBytes: () => number;
     /** Closes each tunnel once it carries nothing; resolves when none is left, or after the time given. */
@@ -45,7 +47,7 @@
     readonly closeAll: () => void;
 };
 
-type Tunnel = { readonly near: Socket; readonly far: Socket; lastDataAt: Millis; };
+type Tunnel = { readonly address: string; readonly near: Socket; readonly far: Socket; lastDataAt: Millis; };
 
 /** Each tunnel takes two of the process's descriptors. */
 const MAX_TUNNELS = 600;
@@ -91,8 +93,8 @@
         near.destroySoon();
     };
 
-    const forward = (near: Socket, far: Socket): void => {
-        const tunnel: Tunnel = { near, far, lastDataAt: performance.now() };
+    const forward = (address: string, near: Socket, far: Socket): void => {
+        const tunnel: Tunnel = { address, near, far, lastDataAt: performance.now() };
         tunnels.add(tunnel);
         [[near, far] as const, [far, near] as const].forEach(([from, to]) => {
             from.setNoDelay(true);
@@ -162,7 +164,7 @@
             near.removeListener("error", onEarlyError);
             silentUntil.delete(address);
             parts.onOpened(address);
-            forward(near, far);
+            forward(address, near, far);
             const headers = namingHeaders(req, tunnelStatus.opened);
             near.write(`HTTP/1.1 ${tunnelStatus.opened} Connection established\r\n${headers}\r\n`);
         });
@@ -191,6 +193,7 @@
         });
     return {
         size: () => tunnels.size,
+        leadsTo: address => [...tunnels].some(tunnel => tunnel.address === address),
         heldBytes: () =>
             [...tunnels].flatMap(({ near, far }) => [near, far]).reduce(
                 (sum, { writableLength, readableLength }) => sum + writableLength + readableLength,
