Forget endpoints that have left although peers repeat it

A VM that had forgotten an endpoint a minute after its entry was gone learned from a peer's rotation that it leaves, and kept that for another minute, as did the peer: neither forgot it. Without an entry a statement now counts as old as it is. Found by reading; the test has a peer that forgets a moment later.

--- a/packages/router/src/__tests__/unit/availability.test.ts
+++ b/packages/router/src/__tests__/unit/availability.test.ts
@@ -150,10 +150,16 @@
     availability.observe(e1, leaving);
     registered.shift();
     time.now = 59_000;
-    t.is(availability.rows().length, 1);
+    const rows = availability.rows();
+    t.is(rows.length, 1);
     time.now = 60_000;
     t.is(availability.rows().length, 0);
     t.is(availability.leaving(), 0);
+    // A peer that forgets it a moment later.
+    time.now = 60_100;
+    availability.applyBeacon(rows);
+    time.now = 61_200;
+    t.is(availability.rows().length, 0);
 });
 
 // Guards against an untrue Retry-After.
--- a/packages/router/src/placement/createAvailability.ts
+++ b/packages/router/src/placement/createAvailability.ts
@@ -76,7 +76,10 @@
 /** An endpoint that is not registered any more is forgotten after this time: its entry may expire while it serves. */
 const UNREGISTERED_MS: Millis = 60_000;
 
-type Known = EndpointAvailability & { readonly registeredAt: Millis; };
+type Known = EndpointAvailability & {
+    /** When the endpoint was last known to be registered. */
+    readonly registeredAt: Millis;
+};
 
 /** Creates the state in which no endpoint has said anything. */
 export function createAvailability(parts: AvailabilityParts): Availability {
@@ -109,7 +112,9 @@
             return false;
         }
         const now = clock.now();
-        all.set(endpoint, { ...after, registeredAt: now });
+        // Without an entry it counts as gone since the statement, so that VMs do not remind each other of it for ever.
+        const registeredAt = entryOf(endpoint) === undefined ? last?.registeredAt ?? after.leavingSince ?? now : now;
+        all.set(endpoint, { ...after, registeredAt });
         if (after.leavingSince !== before.leavingSince) {
             logger.info({ endpoint, bornAt, ...source }, "An endpoint says that it leaves.");
         }
