Give the rotation of rows and the path of a try one home

Limits and availability each turned through the rows that they repeat, and each named how a request came to an endpoint.

--- a/packages/router/src/placement/createAvailability.ts
+++ b/packages/router/src/placement/createAvailability.ts
@@ -17,6 +17,8 @@
 
 import type { EndpointHead } from "../ports/EndpointHead.js";
 import type { EndpointEntry } from "../registry/EndpointEntry.js";
+import { createRotation } from "./createRotation.js";
+import type { TryPath } from "./TryPath.js";
 
 type AvailabilityParts = {
     readonly clock: Clock;
@@ -30,9 +32,6 @@
     readonly metrics: Metrics;
 };
 
-/** How a request came to an endpoint. */
-type TryPath = "first" | "further" | "resumed";
-
 /** An answer of an endpoint to a request, an order, or a call for its report. */
 type Answer = Pick<EndpointHead, "isLeaving" | "retryAfterMs" | "requestId"> & {
     /** Whether the endpoint itself has answered, and not an intermediary. */
@@ -85,7 +84,7 @@
 export function createAvailability(parts: AvailabilityParts): Availability {
     const { clock, random, entryOf, logger, metrics } = parts;
     const all = new Map<EndpointName, Known>();
-    const rotation = { next: 0 };
+    const rotate = createRotation(ROWS_AT_A_TIME);
 
     const known = ({ name, bornAt }: EndpointEntry): Known | undefined => {
         const state = all.get(name);
@@ -205,10 +204,7 @@
             pauseToTell(state, now) > 0 || now - (state.leavingSince ?? -Infinity) < availabilityTiming.newMs;
         const states = [...all];
         const older = states.filter(each => each[1].leavingSince !== undefined && !isNew(each));
-        const start = older.length === 0 ? 0 : rotation.next % older.length;
-        rotation.next = start + ROWS_AT_A_TIME;
-        const inTurn = [...older.slice(start), ...older.slice(0, start)].slice(0, ROWS_AT_A_TIME);
-        return [...states.filter(isNew), ...inTurn].map(([endpoint, state]) => [
+        return [...states.filter(isNew), ...rotate(older)].map(([endpoint, state]) => [
             endpoint,
             state.bornAt,
             state.leavingSince === undefined ? NOT_LEAVING : Math.round(now - state.leavingSince),
--- a/packages/router/src/placement/createEndpointLimits.ts
+++ b/packages/router/src/placement/createEndpointLimits.ts
@@ -19,6 +19,7 @@
 import { createDemand } from "./createDemand.js";
 import { createLimitKnowledge } from "./createLimitKnowledge.js";
 import { limitRowNames } from "./limitRowNames.js";
+import type { TryPath } from "./TryPath.js";
 
 type LimitParts = {
     readonly clock: Clock;
@@ -34,9 +35,6 @@
     readonly metrics: Metrics;
 };
 
-/** How a request came to an endpoint. */
-type TryPath = "first" | "further" | "resumed";
-
 /** Keeps the requests of all VMs within the limits that endpoints name in their answers. */
 type EndpointLimits = Pick<ReturnType<typeof createLimitKnowledge>, "observe" | "applyBeacon" | "rows"> & {
     readonly isLimited: (entry: EndpointEntry) => boolean;
--- a/packages/router/src/placement/createLimitKnowledge.ts
+++ b/packages/router/src/placement/createLimitKnowledge.ts
@@ -5,6 +5,7 @@
 
 import type { EndpointHead } from "../ports/EndpointHead.js";
 import type { EndpointEntry } from "../registry/EndpointEntry.js";
+import { createRotation } from "./createRotation.js";
 
 type KnowledgeParts = {
     readonly clock: Clock;
@@ -48,7 +49,7 @@
     const { clock, entryOf, sendSoon, logger } = parts;
     const limits = new Map<EndpointName, EndpointLimit>();
     const phase = { next: parts.random() };
-    const rotation = { next: 0 };
+    const rotate = createRotation(ROWS_AT_A_TIME);
 
     const of: LimitKnowledge["of"] = ({ name, bornAt }) => {
         const limit = limits.get(name);
@@ -100,10 +101,7 @@
         const all = [...limits];
         const isNew = ([, { changedAt }]: (typeof all)[number]): boolean => now - changedAt < limitTiming.newMs;
         const older = all.filter(each => !isNew(each));
-        const start = older.length === 0 ? 0 : rotation.next % older.length;
-        rotation.next = start + ROWS_AT_A_TIME;
-        const inTurn = [...older.slice(start), ...older.slice(0, start)].slice(0, ROWS_AT_A_TIME);
-        return [...all.filter(isNew), ...inTurn].map(([endpoint, { bornAt, perSecond = NO_LIMIT, seenAt }]) =>
+        return [...all.filter(isNew), ...rotate(older)].map(([endpoint, { bornAt, perSecond = NO_LIMIT, seenAt }]) =>
             [endpoint, bornAt, perSecond, Math.round(now - seenAt)] as const
         );
     };
