--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -1,113 +1,95 @@
-// A machine freezes while large desired states come in quick succession, one of which takes a key away. Requests with that
-// key are sent to it once it has thawed.
-import { createMachine, freeHost, hasTrouble, keepAlive, limits, newId, openRecord, runCase, send, sleep, whenReady } from "../lib/harness.mjs";
+// New weights are named, then all processes are killed. Requests for the model come seldom.
+import { createMachine, freeHost, hasTrouble, limits, newId, openRecord, runCase, send, sleep, whenReady } from "../lib/harness.mjs";
 import { startReplica } from "../lib/replica.mjs";
 import { startStore } from "../lib/store.mjs";
 
 const record = openRecord(import.meta.url);
-const REVOKE_MS = 5000;
-const RECORD_BYTES = 262144;
-/** The routes by which the desired state has grown (`big_config`, at most 1,400). */
-const MORE_ROUTES = 850;
-/** `config_storm`: a change each 0.33 s for 4 s. */
-const [STORM_GAP_MS, STORM_COUNT] = [330, 12];
-/** The change that takes the key away. */
-const REVOKED_AT = 8;
-/** `node_freeze`: at most 7.9 s. */
-const FREEZE_MS = 7900;
-const [KEPT, REVOKED] = ["key-a-9anu6wsjnbanfqasnmgk", "key-a-wu3fexd9dnn2ctnfzs98"];
-
-const route = (name, host, prefix, timeoutMs) => ({
-    Name: name, Host: host, PathPrefix: prefix, Kind: "non_idempotent", TimeoutMs: timeoutMs, TargetLatencyMs: 100, Priority: 2,
-    Service: "kafi81c", MaxAttempts: 2, Public: false, Sticky: false, Resumable: false, GapTargetMs: 500,
-});
-const configuration = (version, keys, timeoutMs = 1500) => ({
-    Version: version,
-    Routes: [
-        route("r-served", "hulo84.example", "/fiti832/", timeoutMs),
-        ...Array.from({ length: MORE_ROUTES }, (_, i) => route(`r-more${i}`, `jepu${i}.example`, `/lepu${i}/ti23/`, 1500)),
-    ],
-    Services: [{ Name: "kafi81c", HealthPath: "/healthz", MaxConnections: 96, Protocol: "h1", Tls: false }],
+const RECOVERY_MS = 12000;
+const MODEL = "daka510000";
+/** Time between two requests to one machine. */
+const GAP_MS = 6000;
+const configuration = {
+    Version: 3,
+    Routes: [{
+        Name: "r-2", Host: "hulo84.example", PathPrefix: "/lepu270/", Kind: "stream", TimeoutMs: 3000, TargetLatencyMs: 500, Priority: 0,
+        Service: "huvo11a", MaxAttempts: 2, Public: false, Sticky: true, Resumable: true, GapTargetMs: 500,
+    }],
+    Services: [{
+        Name: "huvo11a", HealthPath: "/healthz", MaxConnections: 360, Protocol: "h1", Tls: false,
+        Engine: { Slots: 64, KvCapacity: 283555, KvTokenBytes: 18432, LinkMbps: 550000, Moves: true, Backups: true, Stride: 5,
+            MaxInFlight: 12, PinMs: 4000, HoldMs: 2000, handle_s: 5, Models: [{ Name: MODEL }] },
+    }],
     Limits: limits,
-    Tenants: [{ Name: "sese880", ApiKeys: keys, Priority: 1, Unit: "tokens", PlainTokens: 200, Isolated: false, RatePerS: 243495, Burst: 243495 }],
-});
+    Tenants: [{ Name: "sese880", ApiKeys: ["key-a-9anu6wsjnbanfqasnmgk"], Unit: "tokens", PlainTokens: 200, RatePerS: 243495, Burst: 243495 }],
+};
 
 await runCase(async () => {
     const store = await startStore();
-    store.put("keyed.op", "config", configuration(3, [KEPT, REVOKED]));
+    store.put("keyed.op", "config", configuration);
+    store.put("keyed.op", `version/${MODEL}`, { Model: MODEL, Version: 1 });
     const zones = ["hcm-a", "hcm-b", "hcm-c"];
-    const runs = [];
-    for (const zone of zones) {
-        await startReplica({ store, service: "kafi81c", zone, onRun: run => runs.push(run) });
+    const replicas = [];
+    for (const zone of [...zones, ...zones]) {
+        replicas.push(await startReplica({ store, service: "huvo11a", zone, models: [MODEL], slots: 64 }));
     }
     const hosts = [];
-    for (const zone of zones) {
-        hosts.push({ zone, host: await freeHost() });
+    for (const number of [1, 2, 3, 4, 5]) {
+        for (const zone of zones) {
+            hosts.push({ name: `front-${zone}-${number}`, zone, host: await freeHost() });
+        }
     }
-    const machines = hosts.map(({ zone, host }) =>
-        createMachine({ name: `front-${zone}-1`, zone, host, seeds: hosts.map(each => each.host), store: store.address }));
+    const machines = hosts.map(({ name, zone, host }) =>
+        createMachine({ name, zone, host, seeds: hosts.slice(0, 3).map(each => each.host), store: store.address }));
     await whenReady(machines);
-    await sleep(5000);
+    await sleep(4000);
 
-    const machine = machines[2];
-    const requests = new Map();
-    const ask = async (key, agent) => {
-        const id = newId();
-        const request = { id, key, sentAt: performance.now(), status: undefined };
-        requests.set(id, request);
+    const requests = [];
+    const load = { isOver: false, pending: [] };
+    const ask = async i => {
+        const machine = machines[i % machines.length];
+        const request = { id: newId(), machine: machine.name, sentAt: performance.now(), status: undefined };
+        requests.push(request);
         const { status, error } = await send(machine.callers, {
-            method: "POST",
-            path: "/fiti832/2f",
-            agent,
-            headers: { Host: "hulo84.example", "X-Azureshunt-Request-Id": id, "X-Azureshunt-Deadline-Ms": "1500", "X-Azureshunt-Key": key, "Content-Length": 2 },
-            body: "{}",
+            method: "POST", path: "/lepu270/2f", body: "{}",
+            headers: {
+                Host: "hulo84.example", "X-Azureshunt-Request-Id": request.id, "X-Azureshunt-Model": MODEL, "X-Azureshunt-Token-Usage": "1460,5",
+                "X-Azureshunt-Prompt-Prefix": `5c1e07a2:1200,${(0xe4400000 + i).toString(16)}:260`, "X-Azureshunt-Deadline-Ms": "3000",
+                "X-Azureshunt-Key": "key-a-9anu6wsjnbanfqasnmgk", "Content-Length": 2,
+            },
         });
         request.status = status ?? error;
-        return status;
+        record(`${request.id} sent to ${machine.name} at ${Math.round(request.sentAt)}: ${request.status}`);
     };
-    // Requesters whose connections stay open, and are idle during the freeze.
-    const agents = Array.from({ length: 150 }, keepAlive);
-    for (const agent of agents) {
-        await ask(REVOKED, agent);
-    }
-    record(`${agents.length} requesters have connections to ${machine.name}; answers ${[...new Set([...requests.values()].map(({ status }) => status))]}`);
-
-    if (hasTrouble) {
-        process.kill(machine.pid(), "SIGSTOP");
-        record(`${machine.name} freezes for ${FREEZE_MS} ms`);
-    }
-    const frozenAt = performance.now();
-    const acknowledged = { at: Infinity };
-    for (let i = 0; i < STORM_COUNT; i += 1) {
-        const isRevoked = i >= REVOKED_AT;
-        const desired = configuration(4 + i, isRevoked ? [KEPT] : [KEPT, REVOKED], 1500 + i);
-        if (JSON.stringify(desired).length > RECORD_BYTES) {
-            throw new Error("the desired state is larger than a record may be");
-        }
-        store.put("keyed.op", "config", desired);
-        if (i === REVOKED_AT) {
-            acknowledged.at = performance.now();
+    const loading = (async () => {
+        for (let i = 0; !load.isOver; i += 1) {
+            load.pending.push(ask(i));
+            await sleep(GAP_MS / machines.length);
         }
-        record(`the store acknowledges the desired state ${desired.Version}, ${JSON.stringify(desired).length} bytes${i === REVOKED_AT ? "; it takes the key away" : ""}`);
-        await sleep(Math.max(0, frozenAt + (i + 1) * STORM_GAP_MS - performance.now()));
-    }
-    await sleep(Math.max(0, frozenAt + FREEZE_MS - performance.now()));
+    })();
+    await sleep(12000);
+    const faultAt = performance.now();
     if (hasTrouble) {
-        process.kill(machine.pid(), "SIGCONT");
-        record(`${machine.name} thaws`);
+        store.put("keyed.op", `version/${MODEL}`, { Model: MODEL, Version: 2 });
+        record("the store acknowledges version 2 of the model");
+        machines.forEach(machine => process.kill(machine.pid(), "SIGKILL"));
+        record("all processes are killed");
+        await sleep(600);
     }
-    await Promise.all(agents.map(async (agent, i) => {
-        await sleep(i * 10);
-        return ask(REVOKED, agent);
-    }));
-    await sleep(2000);
-
-    const ran = new Set(runs.map(({ id }) => id));
-    const late = [...requests.values()].filter(({ key, sentAt }) => key === REVOKED && sentAt > acknowledged.at + REVOKE_MS);
-    late.forEach(({ id, sentAt, status }) =>
-        record(`${id} with the key sent ${Math.round(sentAt - acknowledged.at)} ms after the acknowledgement: answered ${status}, ${ran.has(id) ? "ran" : "not run"}`)
-    );
-    const broken = late.filter(({ id }) => ran.has(id));
-    record(`${broken.length} of ${late.length} requests that were sent more than RevokeMs after the acknowledgement ran`);
-    return broken.length > 0;
+    await whenReady(machines);
+    const backAt = performance.now();
+    record("all machines are ready");
+    await sleep(RECOVERY_MS + 30000);
+    load.isOver = true;
+    await loading;
+    await Promise.all(load.pending);
+    const shareOf = some => some.filter(({ status }) => status === 200).length / some.length;
+    const before = requests.filter(({ sentAt }) => sentAt < faultAt);
+    const after = requests.filter(({ sentAt }) => sentAt > backAt + RECOVERY_MS);
+    machines.forEach(({ name }) => {
+        const its = after.filter(({ machine }) => machine === name);
+        record(`${name}: ${its.filter(({ status }) => status === 200).length} of ${its.length} served`);
+    });
+    record(`versions of the replicas: ${replicas.map(each => each.versionOf(MODEL)).join(", ")}`);
+    record(`served before ${shareOf(before).toFixed(3)} of ${before.length}, more than RecoveryS after the machines are back ${shareOf(after).toFixed(3)} of ${after.length}`);
+    return shareOf(before) >= 0.25 && shareOf(after) < 0.25;
 });
--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -1,38 +1,44 @@
-// The desired state makes a tenant `Isolated`. Prompts of another tenant must use nothing that it has cached.
-import { createMachine, freeHost, hasTrouble, limits, newId, openRecord, runCase, send, sleep, whenReady } from "../lib/harness.mjs";
+// A machine freezes while large desired states come in quick succession, one of which takes a key away. Requests with that
+// key are sent to it once it has thawed.
+import { createMachine, freeHost, hasTrouble, keepAlive, limits, newId, openRecord, runCase, send, sleep, whenReady } from "../lib/harness.mjs";
 import { startReplica } from "../lib/replica.mjs";
 import { startStore } from "../lib/store.mjs";
 
 const record = openRecord(import.meta.url);
-const CONFIG_APPLY_MS = 2000;
-const MODEL = "daka510000";
-const tenant = (name, key, isolated) =>
-    ({ Name: name, ApiKeys: [key], Priority: 1, Unit: "tokens", PlainTokens: 200, Isolated: isolated, RatePerS: 243495, Burst: 243495 });
-const configuration = (version, isIsolated) => ({
+const REVOKE_MS = 5000;
+const RECORD_BYTES = 262144;
+/** The routes by which the desired state has grown (`big_config`, at most 1,400). */
+const MORE_ROUTES = 850;
+/** `config_storm`: a change each 0.33 s for 4 s. */
+const [STORM_GAP_MS, STORM_COUNT] = [330, 12];
+/** The change that takes the key away. */
+const REVOKED_AT = 8;
+/** `node_freeze`: at most 7.9 s. */
+const FREEZE_MS = 7900;
+const [KEPT, REVOKED] = ["key-a-9anu6wsjnbanfqasnmgk", "key-a-wu3fexd9dnn2ctnfzs98"];
+
+const route = (name, host, prefix, timeoutMs) => ({
+    Name: name, Host: host, PathPrefix: prefix, Kind: "non_idempotent", TimeoutMs: timeoutMs, TargetLatencyMs: 100, Priority: 2,
+    Service: "kafi81c", MaxAttempts: 2, Public: false, Sticky: false, Resumable: false, GapTargetMs: 500,
+});
+const configuration = (version, keys, timeoutMs = 1500) => ({
     Version: version,
-    Routes: [{
-        Name: "r-mgjqnir", Host: "hulo84.example", PathPrefix: "/xapu221/", Kind: "stream", TimeoutMs: 3000, TargetLatencyMs: 500,
-        Priority: 0, Service: "huvo11a", MaxAttempts: 2, Public: false, Sticky: true, Resumable: true, GapTargetMs: 500,
-    }],
-    Services: [{
-        Name: "huvo11a", HealthPath: "/healthz", MaxConnections: 360, Protocol: "h1", Tls: false,
-        Engine: { Slots: 64, KvCapacity: 283555, KvTokenBytes: 18432, LinkMbps: 550000, Moves: true, Backups: true, Stride: 5,
-            MaxInFlight: 12, PinMs: 4000, HoldMs: 2000, handle_s: 5, Models: [{ Name: MODEL }] },
-    }],
+    Routes: [
+        route("r-served", "hulo84.example", "/fiti832/", timeoutMs),
+        ...Array.from({ length: MORE_ROUTES }, (_, i) => route(`r-more${i}`, `jepu${i}.example`, `/lepu${i}/ti23/`, 1500)),
+    ],
+    Services: [{ Name: "kafi81c", HealthPath: "/healthz", MaxConnections: 96, Protocol: "h1", Tls: false }],
     Limits: limits,
-    Tenants: [tenant("sese880", "key-a-9anu6wsjnbanfqasnmgk", isIsolated), tenant("vuma314", "key-b-wu3fexd9dnn2ctnfzs98", false)],
+    Tenants: [{ Name: "sese880", ApiKeys: keys, Priority: 1, Unit: "tokens", PlainTokens: 200, Isolated: false, RatePerS: 243495, Burst: 243495 }],
 });
-const keyOf = { sese880: "key-a-9anu6wsjnbanfqasnmgk", vuma314: "key-b-wu3fexd9dnn2ctnfzs98" };
 
 await runCase(async () => {
     const store = await startStore();
-    let newest = configuration(3, false);
-    store.put("keyed.op", "config", newest);
-    store.put("keyed.op", `version/${MODEL}`, { Model: MODEL, Version: 1 });
-    const runs = [];
+    store.put("keyed.op", "config", configuration(3, [KEPT, REVOKED]));
     const zones = ["hcm-a", "hcm-b", "hcm-c"];
+    const runs = [];
     for (const zone of zones) {
-        await startReplica({ store, service: "huvo11a", zone, models: [MODEL], slots: 64, onRun: run => runs.push(run) });
+        await startReplica({ store, service: "kafi81c", zone, onRun: run => runs.push(run) });
     }
     const hosts = [];
     for (const zone of zones) {
@@ -41,56 +47,67 @@
     const machines = hosts.map(({ zone, host }) =>
         createMachine({ name: `front-${zone}-1`, zone, host, seeds: hosts.map(each => each.host), store: store.address }));
     await whenReady(machines);
-    await sleep(3000);
+    await sleep(5000);
 
-    const ask = async (name, own, machine) => {
+    const machine = machines[2];
+    const requests = new Map();
+    const ask = async (key, agent) => {
         const id = newId();
-        const shared = "5c1e07a2:800,91bd3f06:410";
-        const res = await send(machine.callers, {
+        const request = { id, key, sentAt: performance.now(), status: undefined };
+        requests.set(id, request);
+        const { status, error } = await send(machine.callers, {
             method: "POST",
-            path: "/xapu221/2f",
-            headers: {
-                Host: "hulo84.example",
-                "X-Azureshunt-Request-Id": id,
-                "X-Azureshunt-Model": MODEL,
-                "X-Azureshunt-Token-Usage": "1460,5",
-                "X-Azureshunt-Prompt-Prefix": `${shared},${own}:250`,
-                "X-Azureshunt-Deadline-Ms": "3000",
-                "X-Azureshunt-Key": keyOf[name],
-                "Content-Length": 2,
-            },
+            path: "/fiti832/2f",
+            agent,
+            headers: { Host: "hulo84.example", "X-Azureshunt-Request-Id": id, "X-Azureshunt-Deadline-Ms": "1500", "X-Azureshunt-Key": key, "Content-Length": 2 },
             body: "{}",
         });
-        record(`sent ${id} of ${name} to ${machine.name}: ${res.status ?? res.error}`);
-        return { id, status: res.status };
+        request.status = status ?? error;
+        return status;
     };
-    const askAll = async (name, round) => {
-        const sent = [];
-        for (let i = 0; i < 12; i += 1) {
-            sent.push(await ask(name, (0xe4402b00 + round * 256 + i).toString(16), machines[i % machines.length]));
-            await sleep(50);
+    // Requesters whose connections stay open, and are idle during the freeze.
+    const agents = Array.from({ length: 150 }, keepAlive);
+    for (const agent of agents) {
+        await ask(REVOKED, agent);
+    }
+    record(`${agents.length} requesters have connections to ${machine.name}; answers ${[...new Set([...requests.values()].map(({ status }) => status))]}`);
+
+    if (hasTrouble) {
+        process.kill(machine.pid(), "SIGSTOP");
+        record(`${machine.name} freezes for ${FREEZE_MS} ms`);
+    }
+    const frozenAt = performance.now();
+    const acknowledged = { at: Infinity };
+    for (let i = 0; i < STORM_COUNT; i += 1) {
+        const isRevoked = i >= REVOKED_AT;
+        const desired = configuration(4 + i, isRevoked ? [KEPT] : [KEPT, REVOKED], 1500 + i);
+        if (JSON.stringify(desired).length > RECORD_BYTES) {
+            throw new Error("the desired state is larger than a record may be");
         }
-        return sent;
-    };
-    // Both tenants may share parts: sese880 reads the manual first.
-    await askAll("sese880", 1);
+        store.put("keyed.op", "config", desired);
+        if (i === REVOKED_AT) {
+            acknowledged.at = performance.now();
+        }
+        record(`the store acknowledges the desired state ${desired.Version}, ${JSON.stringify(desired).length} bytes${i === REVOKED_AT ? "; it takes the key away" : ""}`);
+        await sleep(Math.max(0, frozenAt + (i + 1) * STORM_GAP_MS - performance.now()));
+    }
+    await sleep(Math.max(0, frozenAt + FREEZE_MS - performance.now()));
     if (hasTrouble) {
-        newest = configuration(9, true);
-        store.put("keyed.op", "config", newest);
-        record("the store acknowledges the desired state 9: sese880 is Isolated");
+        process.kill(machine.pid(), "SIGCONT");
+        record(`${machine.name} thaws`);
     }
-    await sleep(CONFIG_APPLY_MS + 1000);
-    record("requests after this line are sent more than ConfigApplyMs after the acknowledgement");
-    const after = new Set((await askAll("vuma314", 2)).map(({ id }) => id));
-    runs.forEach(({ id, replica, tenant: by, used }) =>
-        record(`ran ${id} of ${by} at ${replica}, used ${used.map(part => `${part.id} (salt ${part.salt}, made by ${part.madeBy})`).join(", ") || "nothing"}`)
+    await Promise.all(agents.map(async (agent, i) => {
+        await sleep(i * 10);
+        return ask(REVOKED, agent);
+    }));
+    await sleep(2000);
+
+    const ran = new Set(runs.map(({ id }) => id));
+    const late = [...requests.values()].filter(({ key, sentAt }) => key === REVOKED && sentAt > acknowledged.at + REVOKE_MS);
+    late.forEach(({ id, sentAt, status }) =>
+        record(`${id} with the key sent ${Math.round(sentAt - acknowledged.at)} ms after the acknowledgement: answered ${status}, ${ran.has(id) ? "ran" : "not run"}`)
     );
-    const foreign = runs.filter(({ id, used }) => after.has(id) && used.some(({ madeBy }) => madeBy === "sese880"));
-    const answered = runs.filter(({ id }) => after.has(id)).length;
-    if (answered === 0) {
-        throw new Error("no request of vuma314 ran");
-    }
-    const isIsolated = newest.Tenants.some(({ Name: name, Isolated: isolated }) => name === "sese880" && isolated);
-    record(`${foreign.length} of ${answered} requests of vuma314 used parts that sese880 made, which ${isIsolated ? "is" : "isn't"} Isolated`);
-    return isIsolated && foreign.length > 0;
+    const broken = late.filter(({ id }) => ran.has(id));
+    record(`${broken.length} of ${late.length} requests that were sent more than RevokeMs after the acknowledgement ran`);
+    return broken.length > 0;
 });
--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -1,43 +1,38 @@
-// A request crashes each replica that begins to run it, and comes again. All processes of the system are killed, twice.
-import { createMachine, freeHost, hasTrouble, keepAlive, limits, newId, openRecord, runCase, send, sleep, whenReady } from "../lib/harness.mjs";
+// The desired state makes a tenant `Isolated`. Prompts of another tenant must use nothing that it has cached.
+import { createMachine, freeHost, hasTrouble, limits, newId, openRecord, runCase, send, sleep, whenReady } from "../lib/harness.mjs";
 import { startReplica } from "../lib/replica.mjs";
 import { startStore } from "../lib/store.mjs";
 
 const record = openRecord(import.meta.url);
-const STABLE_WINDOW_MS = 3000;
-const KEY = "key-a-9anu6wsjnbanfqasnmgk";
-const CRASHING_BODY = JSON.stringify({ sheet: "a plan that no replica survives" });
-const GAP_MS = 4000;
-const configuration = {
-    Version: 3,
-    Routes: [{ Name: "r-1", Host: "hulo84.example", PathPrefix: "/fiti832/", Kind: "idempotent", TimeoutMs: 1500, TargetLatencyMs: 100,
-        Priority: 2, Service: "kafi81c", MaxAttempts: 2, Public: false, Sticky: false }],
-    Services: [{ Name: "kafi81c", HealthPath: "/healthz", MaxConnections: 96, Protocol: "h1", Tls: false }],
+const CONFIG_APPLY_MS = 2000;
+const MODEL = "daka510000";
+const tenant = (name, key, isolated) =>
+    ({ Name: name, ApiKeys: [key], Priority: 1, Unit: "tokens", PlainTokens: 200, Isolated: isolated, RatePerS: 243495, Burst: 243495 });
+const configuration = (version, isIsolated) => ({
+    Version: version,
+    Routes: [{
+        Name: "r-mgjqnir", Host: "hulo84.example", PathPrefix: "/xapu221/", Kind: "stream", TimeoutMs: 3000, TargetLatencyMs: 500,
+        Priority: 0, Service: "huvo11a", MaxAttempts: 2, Public: false, Sticky: true, Resumable: true, GapTargetMs: 500,
+    }],
+    Services: [{
+        Name: "huvo11a", HealthPath: "/healthz", MaxConnections: 360, Protocol: "h1", Tls: false,
+        Engine: { Slots: 64, KvCapacity: 283555, KvTokenBytes: 18432, LinkMbps: 550000, Moves: true, Backups: true, Stride: 5,
+            MaxInFlight: 12, PinMs: 4000, HoldMs: 2000, handle_s: 5, Models: [{ Name: MODEL }] },
+    }],
     Limits: limits,
-    Tenants: [{ Name: "sese880", ApiKeys: [KEY], Unit: "tokens", PlainTokens: 200, RatePerS: 243495, Burst: 243495 }],
-};
+    Tenants: [tenant("sese880", "key-a-9anu6wsjnbanfqasnmgk", isIsolated), tenant("vuma314", "key-b-wu3fexd9dnn2ctnfzs98", false)],
+});
+const keyOf = { sese880: "key-a-9anu6wsjnbanfqasnmgk", vuma314: "key-b-wu3fexd9dnn2ctnfzs98" };
 
 await runCase(async () => {
     const store = await startStore();
-    store.put("keyed.op", "config", configuration);
+    let newest = configuration(3, false);
+    store.put("keyed.op", "config", newest);
+    store.put("keyed.op", `version/${MODEL}`, { Model: MODEL, Version: 1 });
+    const runs = [];
     const zones = ["hcm-a", "hcm-b", "hcm-c"];
-    const crashing = [];
-    const crashes = [];
-    for (const zone of [...zones, ...zones]) {
-        await startReplica({
-            store, service: "kafi81c", zone,
-            crashesOn: body => body === CRASHING_BODY,
-            onRun: ({ id, replica, body, at }) => {
-                if (body === CRASHING_BODY) {
-                    crashing.push({ id, at });
-                    record(`${id} begins to run at ${replica}`);
-                }
-            },
-            onCrash: name => {
-                crashes.push(performance.now());
-                record(`${name} crashes, the ${crashes.length}. in all`);
-            },
-        });
+    for (const zone of zones) {
+        await startReplica({ store, service: "huvo11a", zone, models: [MODEL], slots: 64, onRun: run => runs.push(run) });
     }
     const hosts = [];
     for (const zone of zones) {
@@ -46,54 +41,56 @@
     const machines = hosts.map(({ zone, host }) =>
         createMachine({ name: `front-${zone}-1`, zone, host, seeds: hosts.map(each => each.host), store: store.address }));
     await whenReady(machines);
+    await sleep(3000);
 
-    const ask = (machine, body, agent) => {
+    const ask = async (name, own, machine) => {
         const id = newId();
-        return send(machine.callers, {
+        const shared = "5c1e07a2:800,91bd3f06:410";
+        const res = await send(machine.callers, {
             method: "POST",
-            path: "/fiti832/2f",
-            agent,
-            headers: { Host: "hulo84.example", "X-Azureshunt-Request-Id": id, "X-Azureshunt-Deadline-Ms": "1500", "X-Azureshunt-Key": KEY, "Content-Length": Buffer.byteLength(body) },
-            body,
-        }).then(({ status, error }) => ({ id, status: status ?? error }));
+            path: "/xapu221/2f",
+            headers: {
+                Host: "hulo84.example",
+                "X-Azureshunt-Request-Id": id,
+                "X-Azureshunt-Model": MODEL,
+                "X-Azureshunt-Token-Usage": "1460,5",
+                "X-Azureshunt-Prompt-Prefix": `${shared},${own}:250`,
+                "X-Azureshunt-Deadline-Ms": "3000",
+                "X-Azureshunt-Key": keyOf[name],
+                "Content-Length": 2,
+            },
+            body: "{}",
+        });
+        record(`sent ${id} of ${name} to ${machine.name}: ${res.status ?? res.error}`);
+        return { id, status: res.status };
     };
-    // Other requests of the same caller.
-    const others = { isOver: false, counts: new Map() };
-    const agents = machines.map(keepAlive);
-    const otherLoad = (async () => {
-        for (let i = 0; !others.isOver; i += 1) {
-            void ask(machines[i % 3], JSON.stringify({ sheet: i }), agents[i % 3]).then(({ status }) => others.counts.set(status, (others.counts.get(status) ?? 0) + 1));
+    const askAll = async (name, round) => {
+        const sent = [];
+        for (let i = 0; i < 12; i += 1) {
+            sent.push(await ask(name, (0xe4402b00 + round * 256 + i).toString(16), machines[i % machines.length]));
             await sleep(50);
         }
-    })();
-    const sendCrashing = async (times, first) => {
-        for (let i = first; i < first + times; i += 1) {
-            const { id, status } = await ask(machines[i % 3], CRASHING_BODY);
-            record(`${id} sent to ${machines[i % 3].name}, answered ${status}`);
-            await sleep(GAP_MS);
-        }
+        return sent;
     };
-    await sleep(STABLE_WINDOW_MS + 1000);
-    await sendCrashing(4, 0);
-    for (const round of [1, 2]) {
-        if (hasTrouble) {
-            machines.forEach(machine => process.kill(machine.pid(), "SIGKILL"));
-            record(`all processes of the system are killed (${round}.)`);
-            await sleep(1000);
-        }
-        await whenReady(machines);
-        record("all machines are ready");
-        await sleep(STABLE_WINDOW_MS + 1000);
-        await sendCrashing(4, 4 * round);
+    // Both tenants may share parts: sese880 reads the manual first.
+    await askAll("sese880", 1);
+    if (hasTrouble) {
+        newest = configuration(9, true);
+        store.put("keyed.op", "config", newest);
+        record("the store acknowledges the desired state 9: sese880 is Isolated");
     }
-    others.isOver = true;
-    await otherLoad;
-    await sleep(1000);
-    record(`other requests: ${[...others.counts].map(([status, count]) => `${status}: ${count}`).join(", ")}`);
-    if (crashes.length < 3) {
-        throw new Error("the request did not crash three replicas");
+    await sleep(CONFIG_APPLY_MS + 1000);
+    record("requests after this line are sent more than ConfigApplyMs after the acknowledgement");
+    const after = new Set((await askAll("vuma314", 2)).map(({ id }) => id));
+    runs.forEach(({ id, replica, tenant: by, used }) =>
+        record(`ran ${id} of ${by} at ${replica}, used ${used.map(part => `${part.id} (salt ${part.salt}, made by ${part.madeBy})`).join(", ") || "nothing"}`)
+    );
+    const foreign = runs.filter(({ id, used }) => after.has(id) && used.some(({ madeBy }) => madeBy === "sese880"));
+    const answered = runs.filter(({ id }) => after.has(id)).length;
+    if (answered === 0) {
+        throw new Error("no request of vuma314 ran");
     }
-    const retries = crashing.filter(({ at }) => at > crashes[2] + STABLE_WINDOW_MS);
-    record(`${crashes.length} replicas crashed; ${retries.length} retries reached replicas more than StableWindowMs after the third had crashed`);
-    return retries.length > 3;
+    const isIsolated = newest.Tenants.some(({ Name: name, Isolated: isolated }) => name === "sese880" && isolated);
+    record(`${foreign.length} of ${answered} requests of vuma314 used parts that sese880 made, which ${isIsolated ? "is" : "isn't"} Isolated`);
+    return isIsolated && foreign.length > 0;
 });
--- a/review/lib/replica.mjs
+++ b/review/lib/replica.mjs
@@ -16,10 +16,12 @@
  * Starts a replica on a free port and registers it in the store.
  *
  * @param parts.onRun called with what a request is and which cached parts it uses, when it begins to run
- * @param parts.crashesOn whether a request with this body crashes each replica that begins to run it
+ * @param parts.onRefused called with a request that finds no room
+ * @param parts.onEnd called when a stream ends, and whether its connection was open until then
  */
 export async function startReplica(parts) {
-    const { store, service, zone, models = [], slots = 6, crashesOn = () => false, backAfterMs = 2500, queue = 24, workMs = 20, events = 5, host = "127.0.0.1" } = parts;
+    const { store, service, zone, models = [], slots = 6, queue = 24, workMs = 20, host = "127.0.0.1" } = parts;
+    const { events = 5, eventMs = 4 } = parts;
     const name = `i-${(0x7f3a91c0 + names.next++).toString(16)}`;
     const isEngine = models.length > 0;
     /** Version of the weights by model. */
@@ -40,13 +42,13 @@
         res.writeHead(503, { "X-Azureshunt-Not-Executed": "1", "X-Azureshunt-Request-Id": id, "Content-Length": 0 });
         res.end();
     };
-    const takeSlot = async () => {
+    /** Resolves once there is a slot, with `false` if the request is refused instead. */
+    const takeSlot = () => {
         if (state.running >= slots) {
-            await new Promise(resolve => state.waiting.push(resolve));
-        }
-        else {
-            state.running += 1;
+            return new Promise(resolve => state.waiting.push(resolve));
         }
+        state.running += 1;
+        return Promise.resolve(true);
     };
     const freeSlot = () => {
         const next = state.waiting.shift();
@@ -54,8 +56,19 @@
             state.running -= 1;
         }
         else {
-            next();
+            next(true);
+        }
+    };
+    /** Carries an order for new weights out. */
+    const load = async order => {
+        while (state.running > 0) {
+            await sleep(10);
         }
+        await sleep(760);
+        versions.set(order.Model, order.Version);
+        state.isBusy = false;
+        [...cache.keys()].filter(key => key.split(" ")[1] === order.Model).forEach(key => cache.delete(key));
+        beat();
     };
     const partsOf = headers =>
         (headers["x-azureshunt-prompt-prefix"] ?? "").split(",").filter(Boolean).map(entry => entry.split(":")[0]);
@@ -105,7 +118,12 @@
             || (expectedVersion !== undefined && Number(expectedVersion) !== version)
         ) {
             await readAll(req);
-            res.writeHead(421, { "X-Azureshunt-Replica-Id": name, "X-Azureshunt-Not-Executed": "1", "Content-Length": 0 });
+            res.writeHead(421, {
+                "X-Azureshunt-Replica-Id": name,
+                "X-Azureshunt-Not-Executed": "1",
+                ...(version === undefined ? {} : { "X-Azureshunt-Weight-Versions": String(version) }),
+                "Content-Length": 0,
+            });
             res.end();
             return;
         }
@@ -120,21 +138,22 @@
             }
             state.sequence += 1;
             state.isBusy = true;
-            setTimeout(() => {
-                versions.set(order.Model, order.Version);
-                state.isBusy = false;
-                [...cache.keys()].filter(key => key.split(" ")[1] === order.Model).forEach(key => cache.delete(key));
-                beat();
-            }, 760);
+            // What has not started is refused until the order is complete; `queue`: runs finish first.
+            state.waiting.splice(0).forEach(start => start(false));
+            void load(order);
             res.writeHead(202, { "Content-Length": 0 });
             res.end();
             return;
         }
-        if (state.running >= slots && state.waiting.length >= queue) {
+        if (state.isBusy || (state.running >= slots && state.waiting.length >= queue)) {
+            parts.onRefused?.(name, id);
+            refuse(res, id);
+            return;
+        }
+        if (!await takeSlot()) {
             refuse(res, id);
             return;
         }
-        await takeSlot();
         if (res.destroyed) {
             freeSlot();
             return;
@@ -151,10 +170,6 @@
             used: isEngine ? readPrompt(headers) : [],
             at: performance.now(),
         });
-        if (crashesOn(body.toString("utf8"))) {
-            crash();
-            return;
-        }
         await sleep(workMs);
         if (!isEngine) {
             const text = JSON.stringify({ by: name, id });
@@ -167,27 +182,14 @@
         const from = Number(headers["last-event-id"] ?? 0);
         for (let event = from + 1; event <= events && !res.destroyed; event += 1) {
             res.write(`id: ${event}\ndata: token ${event}\n\n`);
-            await sleep(4);
+            await sleep(eventMs);
         }
+        parts.onEnd?.({ replica: name, id, isWhole: !res.destroyed });
         res.end();
         freeSlot();
     };
     const server = createServer((req, res) => void serve(req, res).catch(() => res.destroy()));
     server.keepAliveTimeout = 5000;
-    const sockets = new Set();
-    server.on("connection", socket => {
-        sockets.add(socket);
-        socket.once("close", () => sockets.delete(socket));
-    });
-    /** Ends as a process does that crashes: connections are reset, nothing listens, and its entry expires. */
-    const crash = () => {
-        clearInterval(timer);
-        server.close();
-        sockets.forEach(socket => socket.resetAndDestroy());
-        parts.onCrash?.(name);
-        setTimeout(() => store.put("keyed.servers", name, undefined), 3 * 1200);
-        setTimeout(() => void startReplica(parts), backAfterMs);
-    };
     await new Promise(resolve => server.listen(0, host, resolve));
     const address = `${host}:${server.address().port}`;
     const entry = () => ({
