Keep parts that an organisation made before it became isolated from the others

Cause: the salt of organisations that are not isolated was made of the version of the weights alone. It did not change when one of them became isolated, so what that one had made before stayed in use.

Change: the shared salt holds a digest of the set of isolated organisations. Only organisations outside a set ever use the salt of that set, whatever was declared before, and it follows from the configuration alone. It is decided as each try is placed, by the configuration in force then, and nothing is shared by a configuration older than keys are accepted by.

Nobody isolated: same salt as before.

--- a/packages/router/src/serve/placeRequest.ts
+++ b/packages/router/src/serve/placeRequest.ts
@@ -37,13 +37,20 @@
     isPlacedAgain = false,
 ): TryPlace | undefined {
     const { prompt } = served.caller;
+    const saltFor = (weights: number): string =>
+        saltOf({
+            weights,
+            organisation: served.organisation?.id,
+            declaredState: parts.declaredState(),
+            maxAgeMs: parts.bounds().maxAgeForKeysMs,
+        }, parts.clock.now());
     const promptByWeights = new Map<number | undefined, VersionedPrompt>();
     const promptUnder = (weights: number | undefined, peers: () => readonly EndpointEntry[]): VersionedPrompt => {
         const known = promptByWeights.get(weights);
         if (known !== undefined) {
             return known;
         }
-        const salt = weights === undefined ? undefined : saltOf(weights, served.organisation);
+        const salt = weights === undefined ? undefined : saltFor(weights);
         const chain = prompt === undefined || salt === undefined ? [] : chainOf(salt, prompt.parts);
         const shares = createPromptShares(parts, prompt?.promptTokens ?? 0, chain, chain.length === 0 ? [] : peers());
         const versioned = { salt, chain, shares };
