Move a stream off its engine only to an engine that keeps a place for it

Cause: a stream left an engine with an order if another one was up. That says nothing about room: the connection was closed first, the other engines refused what followed, and the tries were used up.

Change: the engine at which the stream would go on is asked to keep a slot and memory (hold-take), if it seems to have any; only with its answer, and a retry reserved, does the stream leave. Without, it stays. The engine alone sees the requests of all VMs, so a few places go to as many streams. The engine is chosen as for any try, so orders, pauses, limits, versions and quarantine count too.

--- a/packages/router/src/__tests__/support/engineView.ts
+++ b/packages/router/src/__tests__/support/engineView.ts
@@ -32,7 +32,7 @@
 const model = "model" as ModelName;
 const TARGET = 3;
 const SERVICE = "desk" as ServiceName;
-const ENGINE = { slots: 6, cacheTokens: 100_000 };
+const ENGINE = { slots: 6, holdMs: undefined, cacheTokens: 100_000 };
 
 const ignore = { applyBeacon: () => undefined };
 
--- a/packages/router/src/__tests__/unit/shouldMove.test.ts
+++ b/packages/router/src/__tests__/unit/shouldMove.test.ts
@@ -2,7 +2,14 @@
 
 import { shouldMove } from "../../serve/shouldMove.js";
 
-const movable = { promptTokens: 800, outputTokens: 150, forwardedEvents: 20, budget: 6, otherEngines: 5 };
+const movable = {
+    promptTokens: 800,
+    outputTokens: 150,
+    forwardedEvents: 20,
+    budget: 6,
+    freeSlots: 5,
+    freeTokens: 9_000,
+};
 
 // Guards against a long answer delaying new weights at its engine, and against moves that cost more than they gain.
 const cases = [
@@ -22,7 +29,17 @@
         conditions: { ...movable, budget: 2.9 },
         moves: false,
     },
-    { name: "a stream that no other engine accepts stays", conditions: { ...movable, otherEngines: 0 }, moves: false },
+    { name: "a stream that no other engine accepts stays", conditions: { ...movable, freeSlots: 0 }, moves: false },
+    {
+        name: "a stream stays if the other engine runs more than its slots",
+        conditions: { ...movable, freeSlots: -2 },
+        moves: false,
+    },
+    {
+        name: "a stream stays if the other engine's memory is full",
+        conditions: { ...movable, freeTokens: -1 },
+        moves: false,
+    },
 ] as const;
 
 cases.forEach(({ name, conditions, moves }) => {
--- a/packages/router/src/configuration/Service.ts
+++ b/packages/router/src/configuration/Service.ts
@@ -1,4 +1,4 @@
-import type { FailureDomain, ServiceName } from "@azureshunt/core";
+import type { FailureDomain, Millis, ServiceName } from "@azureshunt/core";
 
 /** Limits of the engines of a service. */
 type EngineLimits = {
@@ -6,6 +6,8 @@
     readonly slots: number;
     /** Tokens that fit into one engine's KV cache. */
     readonly cacheTokens: number;
+    /** Longest time for which an engine keeps a place for a request that is to come; `undefined` if it keeps none. */
+    readonly holdMs: Millis | undefined;
 };
 
 /** A KV cache store. Engines fetch cached prompt parts from it and save them there. */
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -16,6 +16,8 @@
 export type { EndpointRequest } from "./ports/EndpointRequest.js";
 export type { EndpointWire } from "./ports/EndpointWire.js";
 export type { EngineReport } from "./ports/EngineReport.js";
+export type { HoldId } from "./ports/HoldId.js";
+export type { HoldRequest } from "./ports/HoldRequest.js";
 export type { StoreFailure } from "./ports/StoreFailure.js";
 export type { StorePage } from "./ports/StorePage.js";
 export type { StorePort } from "./ports/StorePort.js";
--- a/packages/router/src/ports/EndpointRequest.ts
+++ b/packages/router/src/ports/EndpointRequest.ts
@@ -1,6 +1,7 @@
 import type { EndpointName, Millis, OrganisationId } from "@azureshunt/core";
 
 import type { CallerRequest } from "./CallerRequest.js";
+import type { HoldId } from "./HoldId.js";
 
 /** A request as sent to one endpoint. */
 export type EndpointRequest = {
@@ -22,5 +23,7 @@
     readonly saveTo: string | undefined;
     /** Id of the event after which to resume the stream. */
     readonly resumeAfter: number | undefined;
+    /** Id of the place that the endpoint keeps for this request; `undefined` if it keeps none. */
+    readonly hold: HoldId | undefined;
     readonly bodyBytes: number;
 };
--- /dev/null
+++ b/packages/router/src/serve/ReservedPlace.ts
@@ -0,0 +1,5 @@
+import type { HoldId } from "../ports/HoldId.js";
+import type { TryPlace } from "./TryPlace.js";
+
+/** An endpoint that keeps a place for the next try of a request. */
+export type ReservedPlace = { readonly place: TryPlace; readonly hold: HoldId; };
--- a/packages/router/src/serve/TryParts.ts
+++ b/packages/router/src/serve/TryParts.ts
@@ -1,3 +1,6 @@
+import type { EndpointName } from "@azureshunt/core";
+
+import type { HoldId } from "../ports/HoldId.js";
 import type { ServedRequest } from "./ServedRequest.js";
 import type { ServeParts } from "./ServeParts.js";
 import type { StreamProgress } from "./StreamProgress.js";
@@ -10,4 +13,8 @@
     readonly place: TryPlace;
     readonly progress: StreamProgress;
     readonly isLastTry: boolean;
+    /** Endpoints that earlier tries of the request have failed at. */
+    readonly avoid: ReadonlySet<EndpointName>;
+    /** Place that the endpoint keeps for this try; `undefined` if it keeps none. */
+    readonly hold: HoldId | undefined;
 };
--- a/packages/router/src/serve/TryResult.ts
+++ b/packages/router/src/serve/TryResult.ts
@@ -1,4 +1,5 @@
 import type { TryOutcome } from "../dispatch/TryOutcome.js";
+import type { ReservedPlace } from "./ReservedPlace.js";
 import type { TryStage } from "./TryStage.js";
 
 /** Outcome of one try. */
@@ -12,4 +13,6 @@
     } | undefined;
     /** How far the answer was. */
     readonly stage: TryStage;
+    /** Where a stream that this VM has moved goes on. */
+    readonly reserved: ReservedPlace | undefined;
 };
--- a/packages/router/src/serve/forwardAnswer.ts
+++ b/packages/router/src/serve/forwardAnswer.ts
@@ -28,7 +28,7 @@
     tryParts: TryParts,
     opened: Extract<OpenedCall, { readonly kind: "head"; }>,
     hooks: StreamHooks,
-): Promise<Omit<TryResult, "stage">> {
+): Promise<Pick<TryResult, "kind" | "answer">> {
     const { served, progress, isLastTry, parts } = tryParts;
     if (isStream(served.route.kind) && opened.res.statusCode === SUCCESS) {
         const canResume = isRepeatable(served.route.kind) && !isLastTry;
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -1,5 +1,4 @@
-import { mayContinueAt } from "@azureshunt/continuation";
-import type { EndpointName, Millis } from "@azureshunt/core";
+import type { Millis } from "@azureshunt/core";
 
 import type { ConnectionKind } from "../dispatch/ConnectionKind.js";
 import { openCall } from "../dispatch/openCall.js";
@@ -13,7 +12,8 @@
 import { judgeHead } from "./judgeHead.js";
 import { priorityOf } from "./priorityOf.js";
 import { recordOrigin } from "./recordOrigin.js";
-import { shouldMove } from "./shouldMove.js";
+import type { ReservedPlace } from "./ReservedPlace.js";
+import { reserveMove } from "./reserveMove.js";
 import type { TryParts } from "./TryParts.js";
 import type { TryResult } from "./TryResult.js";
 import type { TryStage } from "./TryStage.js";
@@ -48,7 +48,7 @@
 };
 
 const headersFor = (
-    { parts, served, place, progress }: TryParts,
+    { parts, served, place, progress, hold }: TryParts,
     remainingMs: Millis,
     saveTo: string | undefined,
 ): readonly string[] => {
@@ -64,33 +64,11 @@
         fetchFrom: place.source,
         saveTo,
         resumeAfter: progress.lastEventId,
+        hold,
         bodyBytes: served.body.length,
     });
 };
 
-/** Reserves a retry for a stream that is to leave its engine; `false` if it stays. */
-const reserveMove = ({ parts, served, place, progress }: TryParts): boolean => {
-    const { prompt } = served.caller;
-    const canContinueAt = (endpoint: EndpointName): boolean => {
-        const entry = parts.endpointTable.entryOf(endpoint);
-        return entry !== undefined && !parts.endpointLimits.isLimited(entry)
-            && (progress.origin === undefined || mayContinueAt(progress.origin, entry));
-    };
-    const others = prompt === undefined
-        ? []
-        : parts.endpointTable.engines(prompt.model).filter(({ endpoint, isUp, order }) =>
-            endpoint !== place.entry.name && isUp && order === undefined && canContinueAt(endpoint)
-        );
-    const isMoving = shouldMove({
-        promptTokens: prompt?.promptTokens ?? 0,
-        outputTokens: prompt?.outputTokens ?? 0,
-        forwardedEvents: progress.forwardedEvents,
-        budget: parts.retryBudgets.of(served.service).balance,
-        otherEngines: others.length,
-    });
-    return isMoving && parts.retryBudgets.reserve(served.service);
-};
-
 /** Sends a request to one endpoint and, if it is a stream, forwards its events to the caller. */
 export async function runTry(tryParts: TryParts): Promise<TryResult> {
     const { parts, served, place, progress, isLastTry } = tryParts;
@@ -140,9 +118,12 @@
             startMs,
             outcome,
         });
-    const finish = (ended: Omit<TryResult, "stage">): TryResult => {
+    const moved = { to: undefined as ReservedPlace | undefined };
+    const finish = (ended: Pick<TryResult, "kind" | "answer">): TryResult => {
         const endedMs = clock.now() - startedAt;
-        const result: TryResult = { kind: ended.kind, answer: ended.answer, stage: stageAt(endedMs) };
+        const { kind, answer } = ended;
+        const reserved = kind === "moved" ? moved.to : undefined;
+        const result: TryResult = { kind, answer, stage: stageAt(endedMs), reserved };
         if (result.stage === "answering" || (result.kind === "answered" && times.firstEventMs !== undefined)) {
             reportAnswered();
         }
@@ -276,8 +257,11 @@
                 watchOrders({
                     onOrdered: listener => endpointTable.onOrdered(place.entry.name, listener),
                     schedule: scheduleTimer,
-                    reserveMove: () => reserveMove(tryParts),
-                }, move),
+                    reserve: () => reserveMove(tryParts),
+                }, reserved => {
+                    moved.to = reserved;
+                    move();
+                }),
         }),
     );
 }
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -16,6 +16,7 @@
 import { processPendingCloses } from "./processPendingCloses.js";
 import { refusalAsTooLate } from "./refusalAsTooLate.js";
 import { refusalWithoutPlace } from "./refusalWithoutPlace.js";
+import type { ReservedPlace } from "./ReservedPlace.js";
 import { resolveContinuation } from "./resolveContinuation.js";
 import { retryAfterSeconds } from "./retryAfterSeconds.js";
 import { runTry } from "./runTry.js";
@@ -103,7 +104,7 @@
     // One draw per request: drawn again after each wait, every request would be treated as within the share in the end.
     const shareDraw = parts.random();
 
-    const startTry = async (progress: RequestProgress): Promise<ServedEnd> => {
+    const startTry = async (progress: RequestProgress, reserved?: ReservedPlace): Promise<ServedEnd> => {
         parts.checkSuspension();
         if (parts.quarantine.isQuarantined(served)) {
             return giveUp(progress, refusalAsQuarantined(progress));
@@ -118,7 +119,8 @@
         if (isTooLate(parts, served)) {
             return giveUp(progress, refusalAsTooLate(parts, served, progress.request.ran, stream));
         }
-        const place = placeRequest(parts, served, progress.avoid, stream.origin, progress.waited !== undefined);
+        const place = reserved?.place
+            ?? placeRequest(parts, served, progress.avoid, stream.origin, progress.waited !== undefined);
         if (place === undefined) {
             return giveUp(
                 progress,
@@ -134,7 +136,7 @@
         const isOverShare = parts.serviceShares.isOver(served, shareDraw);
         const isBehind = progress.waited === undefined && request.ran === "no" &&
             parts.requestQueues.hasMoreUrgent(served);
-        const isNew = served.caller.prompt !== undefined && stream.origin === undefined;
+        const isNew = served.caller.prompt !== undefined && stream.origin === undefined && reserved === undefined;
         const overloadMs = isNew
             ? overloadDelayMs({
                 queueMs: place.queueMs,
@@ -206,7 +208,9 @@
         parts.overload.recordSent(served.service);
         const endShare = parts.serviceShares.begin(served);
         const endTry = parts.requestQueues.beginTry(served);
-        const result = await runTry({ parts, served, place, progress: stream, isLastTry }).finally(() => {
+        const { avoid } = progress;
+        const hold = reserved?.hold;
+        const result = await runTry({ parts, served, place, progress: stream, isLastTry, avoid, hold }).finally(() => {
             endShare();
             endTry();
         });
@@ -281,7 +285,7 @@
             notRun,
             failure,
             waited: undefined,
-        });
+        }, result.reserved);
     };
 
     return startTry({
--- a/packages/router/src/serve/shouldMove.ts
+++ b/packages/router/src/serve/shouldMove.ts
@@ -17,8 +17,10 @@
     readonly forwardedEvents: number;
     /** Retries that the service's budget allows now. */
     readonly budget: number;
-    /** Number of other engines of the model that accept requests. */
-    readonly otherEngines: number;
+    /** Slots that seem free at the engine at which the stream would go on. */
+    readonly freeSlots: number;
+    /** Memory that seems free there beside what the stream needs. */
+    readonly freeTokens: Tokens;
 };
 
 /**
@@ -30,12 +32,13 @@
  * elsewhere in milliseconds.
  *
  * Limitation: each move takes one retry of the service's budget. A stream that cannot be retried would be lost, so the
- * last retries are left for engines that fail; and a stream stays if no other engine accepts it.
+ * last retries are left for engines that fail; and a stream stays if no other engine seems to have room, so that full
+ * engines are not asked for places by all streams of an order at once.
  */
 export function shouldMove(
-    { promptTokens, outputTokens, forwardedEvents, budget, otherEngines }: MoveConditions,
+    { promptTokens, outputTokens, forwardedEvents, budget, freeSlots, freeTokens }: MoveConditions,
 ): boolean {
     const leftTokens = outputTokens - forwardedEvents;
-    return otherEngines > 0 && budget >= MIN_BUDGET_FOR_MOVE &&
+    return freeSlots > 0 && freeTokens >= 0 && budget >= MIN_BUDGET_FOR_MOVE &&
         promptTokens < leftTokens * PREFILL_PER_GENERATED * MAX_PREFILL_FRACTION;
 }
--- a/packages/router/src/serve/watchOrders.ts
+++ b/packages/router/src/serve/watchOrders.ts
@@ -6,13 +6,13 @@
  */
 const WAVE_PROPAGATION_MS: Millis = 30;
 
-type OrderWatch = {
+type OrderWatch<Reserved> = {
     /** Calls a listener whenever the engine is ordered to load weights; returns a function that unregisters it. */
     readonly onOrdered: (listener: () => void) => () => void;
     /** Runs a function after a delay; returns a function that cancels it. */
     readonly schedule: (delayMs: Millis, run: () => void) => () => void;
-    /** Called after the delay: reserves a retry and returns whether the stream leaves. */
-    readonly reserveMove: () => boolean;
+    /** Called after the delay: reserves what the stream needs to leave; resolves with `undefined` if it stays. */
+    readonly reserve: () => Promise<Reserved | undefined>;
 };
 
 /**
@@ -20,19 +20,38 @@
  *
  * If two engines are ordered at once and a VM knows only the first order, it would send its stream to the second
  * engine, which refuses it as it has to load new weights too; the retry is used up and the stream is cut off. To
- * prevent this, a stream leaves only when all orders of the wave are known.
+ * prevent this, a stream leaves only when all orders of the wave are known, and only with a reserved place. Until then its
+ * engine goes on with it.
  *
+ * @param move called with what was reserved
  * @returns a function that stops watching
  */
-export function watchOrders({ onOrdered, schedule, reserveMove }: OrderWatch, move: () => void): () => void {
-    const pending = { cancel: (): void => undefined };
+export function watchOrders<Reserved extends { readonly release: () => void; }>(
+    { onOrdered, schedule, reserve }: OrderWatch<Reserved>,
+    move: (reserved: Reserved) => void,
+): () => void {
+    const state = { cancel: (): void => undefined, isReserving: false, isStopped: false };
+    const leave = async (): Promise<void> => {
+        state.isReserving = true;
+        const reserved = await reserve();
+        state.isReserving = false;
+        if (state.isStopped) {
+            reserved?.release();
+        }
+        else if (reserved !== undefined) {
+            move(reserved);
+        }
+    };
     const onOrder = (): void => {
-        pending.cancel();
-        pending.cancel = schedule(WAVE_PROPAGATION_MS, () => reserveMove() ? move() : undefined);
+        if (!state.isReserving) {
+            state.cancel();
+            state.cancel = schedule(WAVE_PROPAGATION_MS, () => void leave());
+        }
     };
     const unregister = onOrdered(onOrder);
     return () => {
-        pending.cancel();
+        state.isStopped = true;
+        state.cancel();
         unregister();
     };
 }
