Take the weights that entries state as of a read of the store, not of a digest

Cause: confirmations by digest, which leaves versions out, moved the time from which the old entry counted as proof that an engine had gone back to older weights. What peers said was not believed any more, and only an answer or a change of the list ended that, while engines on replaced weights get no requests. Relays made it worse: their mirror compared entries as JSON, in which the map of versions is empty, and handed on the weights before.

Change: the registry keeps as of when the store was read; only that lets an entry go before what peers say. A VM reads the entries while its decisions rest on versions that may be outdated, at most once each 0.35 of leavingMs, a relay first; a relay says when it read, and reads if asked and its copy is as old. No such reads while nothing is in doubt.

--- a/packages/router/src/__tests__/unit/peerListener.test.ts
+++ b/packages/router/src/__tests__/unit/peerListener.test.ts
@@ -9,7 +9,7 @@
 import { decodeTopicAnswer } from "../../store/decodeTopicAnswer.js";
 import type { TopicAnswer } from "../../store/TopicAnswer.js";
 
-const answered = { records: [], end: 7, isWhole: false, ageMs: 3 };
+const answered = { records: [], end: 7, isWhole: false, ageMs: 3, readAgeMs: 3 };
 
 const topics = new Map<string, () => TopicAnswer | undefined>([["known", () => answered], ["stale", () => undefined]]);
 
--- a/packages/router/src/__tests__/unit/topicMirror.test.ts
+++ b/packages/router/src/__tests__/unit/topicMirror.test.ts
@@ -84,7 +84,13 @@
 });
 
 test("topic answer: an encoded answer is decoded to the same records", t => {
-    const answer = { records: [recordOf(3, "a", "x"), recordOf(4, "b")], end: 5, isWhole: true, ageMs: 12 };
+    const answer = {
+        records: [recordOf(3, "a", "x"), recordOf(4, "b")],
+        end: 5,
+        isWhole: true,
+        ageMs: 12,
+        readAgeMs: 15,
+    };
     t.deepEqual(decodeTopicAnswer(encodeTopicAnswer(answer)), answer);
 });
 [
--- a/packages/router/src/knowledge/startDeclarations.ts
+++ b/packages/router/src/knowledge/startDeclarations.ts
@@ -280,7 +280,7 @@
         const ageMs = clock.now() - confirmedAt;
         const isRead = configuration?.revision === state.readRevision && state.isReadable;
         const page = isRead && ageMs < MAX_ANSWER_AGE_MS ? mirror.answer(from) : undefined;
-        return page === undefined ? undefined : { ...page, ageMs };
+        return page === undefined ? undefined : { ...page, ageMs, readAgeMs: ageMs };
     };
     return {
         answer,
--- a/packages/router/src/peers/startPeerListener.ts
+++ b/packages/router/src/peers/startPeerListener.ts
@@ -17,7 +17,10 @@
     /** Returns what this VM knows of where streams began; see `createStreamKeeper`. */
     readonly streams: (query: string) => Buffer;
     /** By topic: returns this VM's answer in place of the store; `undefined` if it has no fresh one. */
-    readonly topics: ReadonlyMap<string, (from: number | undefined) => TopicAnswer | undefined>;
+    readonly topics: ReadonlyMap<
+        string,
+        (from: number | undefined, isReadWanted: boolean) => TopicAnswer | undefined
+    >;
 };
 
 const OK = 200;
@@ -37,7 +40,7 @@
 
 /**
  * Starts the HTTP listener for other VMs: `GET /configuration` for those that are cut off from the store,
- * `GET /topics/NAME?from=OFFSET`, in place of the store, for those of this VM's failure domain,
+ * `GET /topics/NAME?from=OFFSET&read=wanted`, in place of the store, for those of this VM's failure domain,
  * `POST /rollout-counts` for reports to the leader of rollouts, and `GET /streams?id=ID` for VMs that have to continue
  * a stream.
  */
@@ -80,12 +83,13 @@
             refuse(res, NOT_FOUND);
             return;
         }
-        const from = fromOf(new URLSearchParams(query));
+        const search = new URLSearchParams(query);
+        const from = fromOf(search);
         if (from === "bad") {
             refuse(res, BAD_REQUEST);
             return;
         }
-        const answered = answer(from);
+        const answered = answer(from, search.get("read") === "wanted");
         end(res, answered === undefined ? undefined : encodeTopicAnswer(answered));
     });
 }
--- a/packages/router/src/placement/EndpointTable.ts
+++ b/packages/router/src/placement/EndpointTable.ts
@@ -77,6 +77,13 @@
      * Whether any engine of a model holds an older version. Called several times a second, so it checks nothing else.
      */
     readonly isAnyOutdated: (model: ModelName, version: number) => boolean;
+    /**
+     * Whether the store has to be read for the versions that entries state: one that peers have reported is no longer
+     * confirmed, or an engine seems to have been outdated for longer than entries lag behind.
+     */
+    readonly areVersionsInDoubt: () => boolean;
+    /** Upper bound on the age of the versions that entries state. */
+    readonly versionsAgeMs: () => Millis;
     /** Engines that serve a model and are not leaving. */
     readonly engines: (model: ModelName) => readonly EngineWeights[];
     /** All registered endpoints, also those that are leaving. */
--- a/packages/router/src/placement/createEndpointTable.ts
+++ b/packages/router/src/placement/createEndpointTable.ts
@@ -15,6 +15,7 @@
 import { createObservations } from "./createObservations.js";
 import type { createPerformance } from "./createPerformance.js";
 import type { EndpointTable } from "./EndpointTable.js";
+import { ENTRY_LAG_MS } from "./ENTRY_LAG_MS.js";
 import { healthAfterTry } from "./healthAfterTry.js";
 import { loadOf } from "./loadOf.js";
 import type { PromptShare } from "./PromptShare.js";
@@ -79,7 +80,7 @@
         clock,
         observations,
         entryOf,
-        registryAnsweredAt: () => state.registry.answeredAt,
+        entriesReadAsOf: () => state.registry.readAsOf,
         onOlder: (endpoint, inputs) => parts.onChange(endpoint, "on-older-weights", inputs),
     });
     const orders = createEngineOrders({ clock, observations, entryOf });
@@ -230,6 +231,13 @@
     const isAnyOutdated: EndpointTable["isAnyOutdated"] = (model, version) =>
         enginesOf(model).some(entry => (versions.at(entry, model) ?? 0) < version);
 
+    const areVersionsInDoubt: EndpointTable["areVersionsInDoubt"] = () => {
+        const isReadLately = clock.now() - state.registry.readAsOf <= ENTRY_LAG_MS;
+        const hasLongOutdated = (model: ModelName): boolean =>
+            enginesOf(model).some(entry => (outdatedFor(model, versions.at(entry, model)) ?? 0) > ENTRY_LAG_MS);
+        return versions.areUnread() || (!isReadLately && [...declaredState().weights.keys()].some(hasLongOutdated));
+    };
+
     const engines: EndpointTable["engines"] = model =>
         enginesOf(model)
             .map(entry => {
@@ -276,6 +284,8 @@
         orderEnded: orders.end,
         onOrdered: orders.onOrdered,
         isAnyOutdated,
+        areVersionsInDoubt,
+        versionsAgeMs: () => clock.now() - state.registry.readAsOf,
         engines,
         entries: allEntries,
         servingEntries,
--- a/packages/router/src/placement/createEngineVersions.ts
+++ b/packages/router/src/placement/createEngineVersions.ts
@@ -4,13 +4,14 @@
 import type { createObservations } from "./createObservations.js";
 import type { EndpointObservations } from "./EndpointObservations.js";
 import type { EndpointTable } from "./EndpointTable.js";
+import { ENTRY_LAG_MS } from "./ENTRY_LAG_MS.js";
 
 type EngineVersionsParts = {
     readonly clock: Clock;
     readonly observations: ReturnType<typeof createObservations>;
     readonly entryOf: EndpointTable["entryOf"];
-    /** When the registry last answered. */
-    readonly registryAnsweredAt: () => Millis;
+    /** As of when the store was read for the entries. */
+    readonly entriesReadAsOf: () => Millis;
     /** Called when an engine holds older weights than it was known to hold. */
     readonly onOlder: (
         endpoint: EndpointName,
@@ -25,14 +26,16 @@
     readonly adoptStated: (entry: EndpointEntry) => void;
     /** As `adoptStated`, for all entries; only for use while these have not changed since the last call. */
     readonly adoptAllStated: () => void;
+    /**
+     * Whether an engine may no longer hold the version that it is known for: nothing has confirmed it for so long that its
+     * entry shows what it holds, but the store was last read before.
+     */
+    readonly areUnread: () => boolean;
     readonly observe: EndpointTable["observeWeights"];
     readonly receive: EndpointTable["receiveWeights"];
     readonly all: EndpointTable["engineVersions"];
 };
 
-/** Longest time until the registry shows a version that an engine has loaded. */
-const ENTRY_LAG_MS: Millis = 4_000;
-
 /** Creates the versions from what is observed of endpoints. */
 export function createEngineVersions(parts: EngineVersionsParts): EngineVersions {
     const { clock, observations, entryOf } = parts;
@@ -54,7 +57,7 @@
     const adoptStated: EngineVersions["adoptStated"] = entry => {
         const observed = observations.of(entry);
         const stated = Math.max(0, ...entry.versions.values());
-        const isConfirmed = parts.registryAnsweredAt() - observed.versionConfirmedAt <= ENTRY_LAG_MS;
+        const isConfirmed = parts.entriesReadAsOf() - observed.versionConfirmedAt <= ENTRY_LAG_MS;
         if (stated > 0 && stated < observed.knownVersion && !isConfirmed) {
             parts.onOlder(entry.name, { stated, known: observed.knownVersion });
             observed.distrustedVersion = observed.knownVersion;
@@ -67,6 +70,14 @@
             ahead.delete(entry.name);
         }
     };
+    const areUnread: EngineVersions["areUnread"] = () => {
+        const dueAt = ({ versionConfirmedAt }: EndpointObservations): Millis => versionConfirmedAt + ENTRY_LAG_MS;
+        return [...ahead].some(endpoint => {
+            const observed = observations.last(endpoint);
+            return observed !== undefined && dueAt(observed) < clock.now() &&
+                dueAt(observed) >= parts.entriesReadAsOf();
+        });
+    };
     const adoptAllStated: EngineVersions["adoptAllStated"] = () =>
         [...ahead].forEach(endpoint => {
             const entry = entryOf(endpoint);
@@ -114,6 +125,7 @@
         at,
         adoptStated,
         adoptAllStated,
+        areUnread,
         observe,
         receive,
         all: () =>
--- a/packages/router/src/registry/Registry.ts
+++ b/packages/router/src/registry/Registry.ts
@@ -16,6 +16,11 @@
     readonly isKnown: boolean;
     /** When the registry last answered. */
     readonly answeredAt: Millis;
+    /**
+     * As of when the store was read for these entries. Confirmations by digest move `answeredAt` alone, as they leave the
+     * versions of weights out.
+     */
+    readonly readAsOf: Millis;
     /** Since when it has answered without a gap. */
     readonly answeringSince: Millis;
 };
--- a/packages/router/src/registry/emptyRegistry.ts
+++ b/packages/router/src/registry/emptyRegistry.ts
@@ -5,6 +5,7 @@
     endpoints: new Map(),
     isKnown: false,
     answeredAt: -Infinity,
+    readAsOf: -Infinity,
     answeringSince: -Infinity,
 };
 
--- a/packages/router/src/registry/registryDueIn.ts
+++ b/packages/router/src/registry/registryDueIn.ts
@@ -15,6 +15,8 @@
     readonly freshness: RegistryFreshness;
     /** Whether this VM reads for the others. */
     readonly isReader: boolean;
+    /** Whether the versions of weights that the entries state may be outdated, although the entries are confirmed. */
+    readonly areVersionsInDoubt?: boolean;
     /** How long a leaving endpoint still takes requests. */
     readonly leavingMs: Millis;
 };
@@ -26,10 +28,16 @@
  * digest of its entries to the others. These read only if their entries differ, or if the reader's last digest becomes
  * too old because the reader died or is cut off. A failure domain that is cut off thus starts to read without any
  * coordination.
+ *
+ * The digest leaves the versions of weights out, so that a release of weights does not make all VMs read at each engine that
+ * has loaded them. A VM whose decisions rest on a version that the store may no longer state reads for itself.
  */
-export function registryDueIn({ freshness, isReader, leavingMs }: DueInputs, now: Millis): Millis {
+export function registryDueIn(
+    { freshness, isReader, areVersionsInDoubt = false, leavingMs }: DueInputs,
+    now: Millis,
+): Millis {
     const dueByAge = freshness.asOf + (isReader ? READ_INTERVAL_FRACTION : FOLLOWER_INTERVAL_FRACTION) * leavingMs;
     // If views differ for long, for example while entries are missing, this VM reads no more often than a reader does.
     const dueIfContradicted = freshness.requestedAt + READ_INTERVAL_FRACTION * leavingMs;
-    return (freshness.isContradicted ? Math.min(dueByAge, dueIfContradicted) : dueByAge) - now;
+    return (freshness.isContradicted || areVersionsInDoubt ? Math.min(dueByAge, dueIfContradicted) : dueByAge) - now;
 }
--- a/packages/router/src/registry/startRegistry.ts
+++ b/packages/router/src/registry/startRegistry.ts
@@ -13,6 +13,7 @@
 import type { TopicAnswer } from "../store/TopicAnswer.js";
 import type { EndpointEntry } from "./EndpointEntry.js";
 import { initialRegistryFreshness } from "./initialRegistryFreshness.js";
+import { isSameEntry } from "./isSameEntry.js";
 import { registryDueIn } from "./registryDueIn.js";
 import type { RegistryFreshnessEvent } from "./RegistryFreshnessEvent.js";
 import { stepRegistryFreshness } from "./stepRegistryFreshness.js";
@@ -30,7 +31,11 @@
     /** Whether this VM reads the registry for the others. */
     readonly isReader: () => boolean;
     /** Reads a topic from a relay; see `followTopic`. */
-    readonly queryRelay: (topic: string, from: number | undefined) => Promise<TopicAnswer | undefined>;
+    readonly queryRelay: (
+        topic: string,
+        from: number | undefined,
+        isReadWanted: boolean,
+    ) => Promise<TopicAnswer | undefined>;
     /** Whether the first read still has to wait, as a relay may become available that answers it. */
     readonly mustWaitForRelay: () => boolean;
     /** Checks for a suspension of the process, before an answer is accepted as fresh or sent. */
@@ -50,8 +55,12 @@
     readonly beaconFields: () => Beacon["registry"];
     /** Compares a peer's digest with this VM's own entries. */
     readonly applyBeacon: (received: ReceivedBeacon) => void;
-    /** Returns the records that a relay sends to a peer on request; undefined if its view is not fresh. */
-    readonly answer: (from: number | undefined) => TopicAnswer | undefined;
+    /**
+     * Returns the records that a relay sends to a peer on request; undefined if its view is not fresh.
+     *
+     * @param isReadWanted whether the peer needs what the store states now, beyond what digests confirm
+     */
+    readonly answer: (from: number | undefined, isReadWanted?: boolean) => TopicAnswer | undefined;
     /** Discards the freshness of the view, as the process was suspended. */
     readonly onSuspended: () => void;
     readonly stop: () => void;
@@ -66,7 +75,12 @@
 /** Follows the endpoints' entries in the store and applies them to the endpoint table. */
 export function startRegistry(parts: RegistryParts): RegistryKeeper {
     const { clock, wire, endpointTable, logger, metrics } = parts;
-    const state = { freshness: initialRegistryFreshness };
+    const state = {
+        freshness: initialRegistryFreshness,
+        /** Whether a peer needs the versions that the store states now, and this VM has not read it lately. */
+        isReadWanted: false,
+    };
+    const areVersionsInDoubt = (): boolean => state.isReadWanted || endpointTable.areVersionsInDoubt();
     const apply = (event: RegistryFreshnessEvent): void => {
         state.freshness = stepRegistryFreshness(state.freshness, event);
     };
@@ -105,7 +119,10 @@
     /** Endpoints rewrite their entries as heartbeats; only a change of the decoded entry counts. */
     const isSame = (key: string, before: Buffer, now: Buffer): boolean => {
         const [known, repeated] = [decodeOnce(key, before), decodeOnce(key, now)];
-        return known === repeated || JSON.stringify(known.extract()) === JSON.stringify(repeated.extract());
+        return known === repeated || known.caseOf({
+            Left: fault => repeated.isLeft() && repeated.extract() === fault,
+            Right: entry => repeated.map(now => isSameEntry(entry, now)).orDefault(false),
+        });
     };
     const mirror = createTopicMirror(isSame);
 
@@ -114,23 +131,36 @@
         clock: parts.clock,
         topic: wire.registryTopic,
         waitMs: () => 0,
-        queryRelay: from => parts.queryRelay(wire.registryTopic, from),
+        queryRelay: from => parts.queryRelay(wire.registryTopic, from, endpointTable.areVersionsInDoubt()),
         mustWaitForRelay: parts.mustWaitForRelay,
         dueInMs: () =>
             registryDueIn(
-                { freshness: state.freshness, isReader: parts.isReader(), leavingMs: parts.leavingMs() },
+                {
+                    freshness: state.freshness,
+                    isReader: parts.isReader(),
+                    areVersionsInDoubt: areVersionsInDoubt(),
+                    leavingMs: parts.leavingMs(),
+                },
                 clock.now(),
             ),
-        reasonOfRead: () => parts.isReader() ? "reader" : state.freshness.isContradicted ? "changed" : "follower",
-        onRead: ({ records, end, isWhole, asOf, requestedAt, isRelayed }) => {
+        reasonOfRead: () => {
+            if (parts.isReader()) {
+                return "reader";
+            }
+            return state.freshness.isContradicted ? "changed" : areVersionsInDoubt() ? "versions" : "follower";
+        },
+        onRead: ({ records, end, isWhole, asOf, readAsOf, requestedAt, isRelayed }) => {
             parts.checkSuspension();
             mirror.record({ records, end, isWhole });
             const changes = records.map(({ key, value }) => ({ name: key as EndpointName, entry: decode(key, value) }));
             const entries = changes.flatMap(({ entry }) => entry === undefined ? [] : [entry]);
-            endpointTable.applyRegistryEvent(isWhole ? { kind: "whole", entries } : { kind: "changes", changes });
+            endpointTable.applyRegistryEvent(
+                isWhole ? { kind: "whole", entries, readAsOf } : { kind: "changes", changes, readAsOf },
+            );
             apply({ kind: "read", requestedAt, asOf });
             parts.onEntries(entries);
             if (!isRelayed) {
+                state.isReadWanted = false;
                 parts.onStoreRead();
             }
         },
@@ -162,11 +192,15 @@
                 endpointTable.applyRegistryEvent({ kind: "vouched", asOf });
             }
         },
-        answer: from => {
+        answer: (from, isReadWanted = false) => {
             parts.checkSuspension();
-            const isFresh = !state.freshness.isContradicted && ageMs() < MAX_ANSWER_AGE_FRACTION * parts.leavingMs();
+            const maxAgeMs = MAX_ANSWER_AGE_FRACTION * parts.leavingMs();
+            state.isReadWanted ||= isReadWanted && endpointTable.versionsAgeMs() > maxAgeMs;
+            const isFresh = !state.freshness.isContradicted && ageMs() < maxAgeMs;
             const page = isFresh ? mirror.answer(from) : undefined;
-            return page === undefined ? undefined : { ...page, ageMs: ageMs() };
+            return page === undefined
+                ? undefined
+                : { ...page, ageMs: ageMs(), readAgeMs: endpointTable.versionsAgeMs() };
         },
         onSuspended: () => apply({ kind: "suspended", now: clock.now() }),
         stop: () => {
--- a/packages/router/src/registry/stepRegistry.ts
+++ b/packages/router/src/registry/stepRegistry.ts
@@ -15,6 +15,11 @@
 type Registered = Registry["endpoints"] extends ReadonlyMap<EndpointName, infer Item> ? Item : never;
 type Endpoints = ReadonlyMap<EndpointName, Registered>;
 
+const withReadAsOf = (registry: Registry, readAsOf: Millis): Registry => ({
+    ...registry,
+    readAsOf: Math.max(registry.readAsOf, readAsOf),
+});
+
 const withAnswerAt = (registry: Registry, now: Millis): Registry => ({
     ...registry,
     isKnown: true,
@@ -84,9 +89,12 @@
 export function stepRegistry(before: Registry, event: RegistryEvent, now: Millis): Registry {
     switch (event.kind) {
         case "whole":
-            return dropMissing(replaceAll(withAnswerAt(before, now), event.entries, now), now);
+            return dropMissing(
+                replaceAll(withReadAsOf(withAnswerAt(before, now), event.readAsOf ?? now), event.entries, now),
+                now,
+            );
         case "changes": {
-            const registry = withAnswerAt(before, now);
+            const registry = withReadAsOf(withAnswerAt(before, now), event.readAsOf ?? now);
             const endpoints = event.changes.reduce<Endpoints>(
                 (all, { name, entry }) => entry === undefined ? remove(registry, all, name, now) : put(all, entry),
                 registry.endpoints,
--- a/packages/router/src/store/StoreCallReason.ts
+++ b/packages/router/src/store/StoreCallReason.ts
@@ -8,6 +8,8 @@
     | "follower"
     /** Another VM knows something else. */
     | "changed"
+    /** The versions of weights that it knows of engines are no longer confirmed. */
+    | "versions"
     /** Its last call failed. */
     | "retry"
     /** It takes, renews or follows the order lease. */
--- a/packages/router/src/store/createRelayReads.ts
+++ b/packages/router/src/store/createRelayReads.ts
@@ -18,7 +18,11 @@
 /** Reads of topics from relays in place of the store. */
 type RelayReads = {
     /** Reads a topic from a relay; `undefined` if this VM is one, or none has a fresh copy. */
-    readonly query: (topic: string, from: number | undefined) => Promise<TopicAnswer | undefined>;
+    readonly query: (
+        topic: string,
+        from: number | undefined,
+        isReadWanted?: boolean,
+    ) => Promise<TopicAnswer | undefined>;
     /**
      * Returns whether this VM must still wait before its first read of the store. On a first start, all VMs start at
      * once and would all read the store. Therefore each waits until it knows the relays, and the others until the
@@ -36,12 +40,12 @@
     const { clock, agent, membership, metrics, isFirstStart } = parts;
     const startedAt = clock.now();
     return {
-        query: async (topic, from) => {
+        query: async (topic, from, isReadWanted = false) => {
             const address = membership.isRelay() ? undefined : membership.relayAddress();
             if (address === undefined) {
                 return undefined;
             }
-            const answer = await queryRelay(agent, address, topic, from);
+            const answer = await queryRelay(agent, address, { topic, from, isReadWanted });
             const end = answer === undefined ? "none" : "answered";
             metrics.count("azureshunt_relay_reads_total", "Reads that relays were asked for.", { topic, end });
             return answer;
--- a/packages/router/src/store/decodeTopicAnswer.ts
+++ b/packages/router/src/store/decodeTopicAnswer.ts
@@ -7,6 +7,8 @@
     end: z.number().int().nonnegative(),
     isWhole: z.boolean(),
     ageMs: z.number().nonnegative(),
+    /** Not sent by earlier builds, nor by a relay that has not read the store since it was suspended. */
+    readAgeMs: z.number().nonnegative().nullish(),
     records: z.array(z.tuple([z.number().int(), z.string(), z.string().nullable()])),
 });
 
@@ -21,5 +23,5 @@
         key,
         value: value === null ? undefined : Buffer.from(value, "base64"),
     }));
-    return { ...answer.data, records };
+    return { ...answer.data, readAgeMs: answer.data.readAgeMs ?? Infinity, records };
 }
--- a/packages/router/src/store/followTopic.ts
+++ b/packages/router/src/store/followTopic.ts
@@ -12,6 +12,8 @@
     readonly isWhole: boolean;
     /** The records are at least as new as the store was at this time. */
     readonly asOf: Millis;
+    /** The same as far as a read of the store shows it, rather than what peers have confirmed. */
+    readonly readAsOf: Millis;
     /** When the read was sent, to the store or to a relay. */
     readonly requestedAt: Millis;
     /** The offset of the next record. */
@@ -83,7 +85,15 @@
             },
             Right: ({ records, end }) => {
                 state.next = end;
-                parts.onRead({ records, end, isWhole: true, requestedAt, asOf: requestedAt, isRelayed: false });
+                parts.onRead({
+                    records,
+                    end,
+                    isWhole: true,
+                    requestedAt,
+                    asOf: requestedAt,
+                    readAsOf: requestedAt,
+                    isRelayed: false,
+                });
                 return 0;
             },
         });
@@ -104,7 +114,15 @@
             },
             Right: ({ records, end }) => {
                 state.next = Math.max(from, records.length === 0 ? end : (records.at(-1)?.offset ?? from) + 1);
-                parts.onRead({ records, end, isWhole: false, requestedAt, asOf: requestedAt, isRelayed: false });
+                parts.onRead({
+                    records,
+                    end,
+                    isWhole: false,
+                    requestedAt,
+                    asOf: requestedAt,
+                    readAsOf: requestedAt,
+                    isRelayed: false,
+                });
                 return 0;
             },
         });
@@ -121,8 +139,9 @@
             return false;
         }
         state.next = Math.max(state.next ?? 0, answer.end);
-        const { records, end, isWhole, ageMs } = answer;
-        parts.onRead({ records, end, isWhole, requestedAt, asOf: requestedAt - ageMs, isRelayed: true });
+        const { records, end, isWhole, ageMs, readAgeMs } = answer;
+        const [asOf, readAsOf] = [requestedAt - ageMs, requestedAt - readAgeMs];
+        parts.onRead({ records, end, isWhole, requestedAt, asOf, readAsOf, isRelayed: true });
         return true;
     };
     const readNext = async (): Promise<Millis> => {
