Confirm a configuration only by a read that reached the end of the topic

Cause: a page holds 1 MB. The first page of a larger backlog was passed on as all records up to the time of the read, and its newest configuration, an old one, was confirmed as the newest. The next page followed 250 ms later.

The freeze itself had been noticed.

Change: a read has a time as of which it is current only if it reached the end; by its type there is none to pass on otherwise. The rest is read at once, without waiting: the newest record of each key for declarations, which is shorter than a backlog of large configurations, and all records for the registry. Same cause, same change: the registry's confirmation, and a relay's mirror, which said that it had read to the end of the topic.

Topics that are read in one page get the same calls as before.

--- a/packages/router/src/__tests__/unit/storeCalls.test.ts
+++ b/packages/router/src/__tests__/unit/storeCalls.test.ts
@@ -52,6 +52,7 @@
                 clock: createClock(),
                 topic: "topic",
                 waitMs: () => 0,
+                catchUp: "all",
                 dueInMs: () => 0,
                 reasonOfRead: () => "reader",
                 queryRelay: () => Promise.resolve(undefined),
--- a/packages/router/src/__tests__/unit/topicMirror.test.ts
+++ b/packages/router/src/__tests__/unit/topicMirror.test.ts
@@ -77,7 +77,7 @@
 cases.forEach(({ name, pages, from, answered: expected }) => {
     test(`topic mirror: returns ${name}`, t => {
         const mirror = mirrorOf();
-        pages.forEach(([isWhole, end, records]) => mirror.record({ isWhole, end, records }));
+        pages.forEach(([isWhole, end, records]) => mirror.record({ isWhole, readTo: end, records }));
         t.deepEqual(answered(mirror, from), expected);
         t.is(mirror.answer(from)?.end, Math.max(...pages.map(([, end]) => end)));
     });
--- a/packages/router/src/knowledge/startDeclarations.ts
+++ b/packages/router/src/knowledge/startDeclarations.ts
@@ -204,17 +204,21 @@
             const { configuration, newestRevision } = state.declaredState;
             return newestRevision > (configuration?.revision ?? -1) ? "changed" : "follower";
         },
-        onRead: ({ records, end, isWhole, asOf, requestedAt, isRelayed }) => {
+        catchUp: "newest",
+        onRead: ({ records, readTo, isWhole, asOf, requestedAt, isRelayed }) => {
             parts.checkSuspension();
             state.storeAt = isRelayed ? state.storeAt : clock.now();
             state.requestedAt = requestedAt;
             state.isReadFailing = false;
-            mirror.record({ records, end, isWhole });
+            mirror.record({ records, readTo, isWhole });
             logStoreAvailability();
             const read = records.map(({ key, value, offset }) =>
                 value === undefined ? undefined : declare(key, value, offset)
             );
             state.readRevision = Math.max(state.readRevision, ...read.map(each => each ?? -1));
+            if (asOf === undefined) {
+                return;
+            }
             const revision = state.declaredState.configuration?.revision;
             if (revision !== undefined && state.isReadable) {
                 apply({ kind: "confirmed", revision, asOf, stampedAt: requestedAt });
--- a/packages/router/src/registry/startRegistry.ts
+++ b/packages/router/src/registry/startRegistry.ts
@@ -149,16 +149,21 @@
             }
             return state.freshness.isContradicted ? "changed" : areVersionsInDoubt() ? "versions" : "follower";
         },
-        onRead: ({ records, end, isWhole, asOf, readAsOf, requestedAt, isRelayed }) => {
+        // Records in between may name versions at which streams have begun.
+        catchUp: "all",
+        onRead: ({ records, readTo, isWhole, asOf, readAsOf = -Infinity, requestedAt, isRelayed }) => {
             parts.checkSuspension();
-            mirror.record({ records, end, isWhole });
+            mirror.record({ records, readTo, isWhole });
             const changes = records.map(({ key, value }) => ({ name: key as EndpointName, entry: decode(key, value) }));
             const entries = changes.flatMap(({ entry }) => entry === undefined ? [] : [entry]);
             endpointTable.applyRegistryEvent(
                 isWhole ? { kind: "whole", entries, readAsOf } : { kind: "changes", changes, readAsOf },
             );
-            apply({ kind: "read", requestedAt, asOf });
             parts.onEntries(entries);
+            if (asOf === undefined) {
+                return;
+            }
+            apply({ kind: "read", requestedAt, asOf });
             if (!isRelayed) {
                 state.isReadWanted = false;
                 parts.onStoreRead();
--- a/packages/router/src/store/createTopicMirror.ts
+++ b/packages/router/src/store/createTopicMirror.ts
@@ -4,7 +4,13 @@
 
 /** A VM's copy of a topic, kept for VMs that query it instead of the store. */
 type TopicMirror = {
-    readonly record: (page: StorePage & { readonly isWhole: boolean; }) => void;
+    readonly record: (
+        page: Pick<StorePage, "records"> & {
+            readonly isWhole: boolean;
+            /** The offset of the first record that has not been read. */
+            readonly readTo: number;
+        },
+    ) => void;
     /**
      * Returns the newest records from an offset on, or those of all keys if `from` is `undefined`.
      *
@@ -27,12 +33,12 @@
             || (offset > before.offset
                 && (value === undefined || before.value === undefined || !isSame(key, before.value, value)));
     };
-    const record: TopicMirror["record"] = ({ records, end, isWhole }) => {
+    const record: TopicMirror["record"] = ({ records, readTo, isWhole }) => {
         const keys = new Set(records.map(({ key }) => key));
         const deletedKeys = isWhole ? [...state.records.keys()].filter(key => !keys.has(key)) : [];
-        deletedKeys.forEach(key => state.records.set(key, { key, offset: end - 1, value: undefined }));
+        deletedKeys.forEach(key => state.records.set(key, { key, offset: readTo - 1, value: undefined }));
         records.filter(isNewer).forEach(newer => state.records.set(newer.key, newer));
-        state.end = Math.max(end, state.end ?? 0);
+        state.end = Math.max(readTo, state.end ?? 0);
     };
     const answer: TopicMirror["answer"] = from => {
         const { end } = state;
--- a/packages/router/src/store/followTopic.ts
+++ b/packages/router/src/store/followTopic.ts
@@ -2,6 +2,7 @@
 
 import type { StorePage } from "../ports/StorePage.js";
 import type { StorePort } from "../ports/StorePort.js";
+import { readUpTo } from "./readUpTo.js";
 import type { StoreCallReason } from "./StoreCallReason.js";
 import type { TopicAnswer } from "./TopicAnswer.js";
 
@@ -10,14 +11,17 @@
     readonly records: StorePage["records"];
     /** Whether these are the newest records of all keys, rather than the records since the last read. */
     readonly isWhole: boolean;
-    /** The records are at least as new as the store was at this time. */
-    readonly asOf: Millis;
+    /**
+     * All records read so far are at least as new as the store was at this time; `undefined` if the page ended before the
+     * topic, so that they may be as old as its first unread record.
+     */
+    readonly asOf: Millis | undefined;
     /** The same as far as a read of the store shows it, rather than what peers have confirmed. */
-    readonly readAsOf: Millis;
+    readonly readAsOf: Millis | undefined;
     /** When the read was sent, to the store or to a relay. */
     readonly requestedAt: Millis;
-    /** The offset of the next record. */
-    readonly end: number;
+    /** The offset of the first record that has not been read. */
+    readonly readTo: number;
     /** Whether a relay answered instead of the store. */
     readonly isRelayed: boolean;
 };
@@ -34,6 +38,11 @@
     readonly storeFor: (reason: StoreCallReason) => StorePort;
     readonly clock: Clock;
     readonly topic: string;
+    /**
+     * What is read after a page that ended before the topic: all further records, or the newest one of each key, which is
+     * shorter if records are large.
+     */
+    readonly catchUp: "all" | "newest";
     /** How long a read may wait in the store for a record. */
     readonly waitMs: () => Millis;
     /** Time until the next read is due; 0 or less means now. Called repeatedly until then. */
@@ -64,6 +73,9 @@
 /**
  * Follows a topic of the store: first reads the newest record of each key, then the records appended after them. If the
  * next offset is no longer kept, the reader starts over with the newest record of each key, so that nothing is skipped.
+ *
+ * A page has a maximum size. If one that ended before the topic counted as all of it, a configuration from the middle of a
+ * backlog would be taken for the newest. Such a page confirms nothing, and the rest is read at once.
  */
 export function followTopic(parts: FollowTopicParts): FollowedTopic {
     const { storeFor, clock, topic } = parts;
@@ -71,6 +83,8 @@
         isStopped: false,
         isStoreAnswering: true,
         next: undefined as number | undefined,
+        /** Whether the last page ended before the topic. */
+        isBehind: false,
         timer: undefined as NodeJS.Timeout | undefined,
     };
 
@@ -85,24 +99,19 @@
             },
             Right: ({ records, end }) => {
                 state.next = end;
-                parts.onRead({
-                    records,
-                    end,
-                    isWhole: true,
-                    requestedAt,
-                    asOf: requestedAt,
-                    readAsOf: requestedAt,
-                    isRelayed: false,
-                });
+                state.isBehind = false;
+                const [asOf, readAsOf, readTo] = [requestedAt, requestedAt, end];
+                parts.onRead({ records, readTo, isWhole: true, requestedAt, asOf, readAsOf, isRelayed: false });
                 return 0;
             },
         });
     };
     const readFrom = async (from: number): Promise<Millis> => {
         const requestedAt = clock.now();
+        const { isBehind } = state;
         // While the store does not answer, a waiting read would notice its return late and delay requests with keys.
         const page = state.isStoreAnswering
-            ? await storeFor(parts.reasonOfRead()).read(topic, from, parts.waitMs())
+            ? await storeFor(parts.reasonOfRead()).read(topic, from, isBehind ? 0 : parts.waitMs())
             : await storeFor("retry").read(topic, from, 0);
         // A store that does not keep the records any more answers.
         state.isStoreAnswering = page.caseOf({ Left: ({ kind }) => kind === "expired", Right: () => true });
@@ -112,17 +121,15 @@
                 parts.onFailure(failure.kind);
                 return failure.kind === "expired" ? 0 : RETRY_MS;
             },
-            Right: ({ records, end }) => {
-                state.next = Math.max(from, records.length === 0 ? end : (records.at(-1)?.offset ?? from) + 1);
-                parts.onRead({
-                    records,
-                    end,
-                    isWhole: false,
-                    requestedAt,
-                    asOf: requestedAt,
-                    readAsOf: requestedAt,
-                    isRelayed: false,
-                });
+            Right: answered => {
+                const { records, end } = answered;
+                const readTo = readUpTo(answered, from);
+                state.isBehind = readTo < end;
+                state.next = state.isBehind && (parts.catchUp === "newest" || readTo === from)
+                    ? undefined
+                    : Math.max(from, readTo);
+                const asOf = state.isBehind ? undefined : requestedAt;
+                parts.onRead({ records, readTo, isWhole: false, requestedAt, asOf, readAsOf: asOf, isRelayed: false });
                 return 0;
             },
         });
@@ -139,9 +146,10 @@
             return false;
         }
         state.next = Math.max(state.next ?? 0, answer.end);
+        state.isBehind = false;
         const { records, end, isWhole, ageMs, readAgeMs } = answer;
         const [asOf, readAsOf] = [requestedAt - ageMs, requestedAt - readAgeMs];
-        parts.onRead({ records, end, isWhole, requestedAt, asOf, readAsOf, isRelayed: true });
+        parts.onRead({ records, readTo: end, isWhole, requestedAt, asOf, readAsOf, isRelayed: true });
         return true;
     };
     const readNext = async (): Promise<Millis> => {
@@ -153,7 +161,7 @@
     const loop = async (): Promise<void> => {
         state.timer = undefined;
         const firstDueInMs = parts.mustWaitForRelay() ? RECHECK_MS : 0;
-        const dueInMs = state.next === undefined ? firstDueInMs : parts.dueInMs();
+        const dueInMs = state.isBehind ? 0 : state.next === undefined ? firstDueInMs : parts.dueInMs();
         const delayMs = dueInMs > 0 ? Math.min(dueInMs, RECHECK_MS) : await readNext();
         if (!state.isStopped) {
             state.timer = setTimeout(() => void loop(), delayMs);
