Read all pages of the order lease before it is claimed

leaseKeeper.test: the new row on the last holder is red before and green after; the row with pages of five records passes on both.

--- a/packages/router/src/__tests__/support/simulateLease.ts
+++ b/packages/router/src/__tests__/support/simulateLease.ts
@@ -58,6 +58,8 @@
     readonly keepMs: Millis;
     /** Records of the topic at the start, from offset 0 on; their times are before 0. */
     readonly records: readonly StoredRecord[];
+    /** Records that fit into one page of a read; all if omitted. */
+    readonly pageRecords?: number;
 };
 
 type SentOrder = { readonly at: Millis; readonly vm: VmId; readonly start: number; readonly fence: number; };
@@ -153,7 +155,7 @@
             counts.expiredReads++;
             return Left({ kind: "expired", first });
         }
-        const records = stored.slice(from, end).map(({ value }, i) => ({
+        const records = stored.slice(from, Math.min(end, from + (run.pageRecords ?? Infinity))).map(({ value }, i) => ({
             offset: from + i,
             key: "",
             value,
--- a/packages/router/src/__tests__/unit/leaseKeeper.test.ts
+++ b/packages/router/src/__tests__/unit/leaseKeeper.test.ts
@@ -158,18 +158,30 @@
 
 const expiries = [
     { name: "no record has expired", keepMs: Infinity },
+    { name: "no record has expired, and a page holds five of them", keepMs: Infinity, pageRecords: 5 },
     { name: "all records have expired", keepMs: 9_000 },
 ];
 
 // VMs that start after a long pause never get the lease.
-expiries.forEach(({ name, keepMs }) => {
+expiries.forEach(({ name, ...parts }) => {
     test(`lease keeper: VMs that have read nothing get the lease in the stated time when ${name}`, async t => {
-        const { sent } = await simulateLease({ ...quiet, keepMs, records: oldRecords });
+        const { sent } = await simulateLease({ ...quiet, ...parts, records: oldRecords });
         t.true(isTakenFrom(sent, 0));
         t.is(sent[0]?.fence, oldRecords.length);
     });
 });
 
+// A VM whose own record ends the first page claims at once, while the VM that wrote the last one still issues orders.
+test("lease keeper: a VM that held the lease before others waits for the last holder, which a later page names", async t => {
+    const records = oldRecords.map(({ storedAt }, i) => ({
+        holder: i < 5 ? VMS[0] as VmId : "z" as VmId,
+        storedAt: storedAt + 9_900,
+    }));
+    const { sent } = await simulateLease({ ...quiet, records, pageRecords: 5 });
+    t.true(isTakenFrom(sent, 0));
+    t.true((sent[0]?.at ?? 0) > LEASE_MS);
+});
+
 // The VM claims behind the oldest retained record, is refused, and reads again until the last record has expired.
 test("lease keeper: VMs that have read nothing get the lease in the stated time when older records have expired", async t => {
     const { sent } = await simulateLease({ ...quiet, keepMs: 26_000, records: oldRecords });
--- a/packages/router/src/fleet/createLeaseKeeper.ts
+++ b/packages/router/src/fleet/createLeaseKeeper.ts
@@ -7,6 +7,7 @@
 import type { StoreFailure } from "../ports/StoreFailure.js";
 import type { StorePage } from "../ports/StorePage.js";
 import type { StorePort } from "../ports/StorePort.js";
+import { readUpTo } from "../store/readUpTo.js";
 import type { createUnansweredOrders } from "./createUnansweredOrders.js";
 import { decodeLeaseRecord } from "./decodeLeaseRecord.js";
 import { encodeLeaseRecord } from "./encodeLeaseRecord.js";
@@ -90,8 +91,22 @@
         return failure?.kind === "expired" ? store.read(TOPIC, failure.first, 0) : page;
     };
 
+    /**
+     * The same up to the end of the topic, in as many pages as that takes: a claim behind records that were not read would
+     * not wait for the last holder.
+     */
+    const readAllFrom = async (from: number): Promise<Either<StoreFailure, StorePage>> => {
+        const page = await readFrom(from);
+        const read = page.toMaybe().extract();
+        if (read === undefined || read.records.length === 0 || readUpTo(read, from) >= read.end) {
+            return page;
+        }
+        const rest = await readAllFrom(readUpTo(read, from));
+        return rest.map(({ records, end }) => ({ records: [...read.records, ...records], end }));
+    };
+
     const read = async (): Promise<void> => {
-        const page = await readFrom((state.lease.tail?.offset ?? -1) + 1);
+        const page = await readAllFrom((state.lease.tail?.offset ?? -1) + 1);
         page.caseOf({
             Left: () => apply({ kind: "call-failed" }),
             Right: ({ records, end }) => {
