Begin streams only at software versions that the store names

Cause: after a start of all VMs the versions that the store names stand for the history from before. A stream could begin at a version that it did not name: at once if no other version was up, 2 s after the version was first seen otherwise, whether the write had succeeded or not. With the version gone as the VMs start, the one that is named was taken for the only one.

Change: a VM lets new streams begin at versions that it knows the store to name, of these the settled ones first. It reads the record when it sees a version that is not named, at most twice a second; a service without a record is free. A VM that cannot read the record and reaches an unnamed version alone goes on as before. streamKeeper.test has eight rows on it.

--- a/packages/continuation/src/__tests__/support/startKeepers.ts
+++ b/packages/continuation/src/__tests__/support/startKeepers.ts
@@ -18,7 +18,12 @@
 const TICK_MS = 100;
 
 /** Starts the keepers of VMs that know each other, in virtual time, without a registry that they read. */
-export function startKeepers(names: readonly string[], runs: readonly RegisteredRun[], isFirstStart = true) {
+export function startKeepers(
+    names: readonly string[],
+    runs: readonly RegisteredRun[],
+    isFirstStart = true,
+    hasRecord = false,
+) {
     const time = createVirtualTime();
     const failureDomain = FailureDomain.parse("z");
     const asked: string[] = [];
@@ -48,6 +53,7 @@
                 time.schedule(LINK_MS, () => peerAt(address)?.receive(datagram));
             },
             whenRecorded: () => Promise.resolve(),
+            hasRecord,
             ask: (address, query) =>
                 new Promise(resolve => {
                     asked.push(address);
--- a/packages/continuation/src/__tests__/unit/streamKeeper.test.ts
+++ b/packages/continuation/src/__tests__/unit/streamKeeper.test.ts
@@ -149,6 +149,53 @@
     });
 });
 
+const isNewUp = ({ softwareVersion }: { readonly softwareVersion: string | undefined; }): boolean =>
+    softwareVersion === "v2";
+const names: readonly {
+    readonly name: string;
+    /** What the store names: not read since the change, could not be read, no record, or these versions. */
+    readonly named: "not read" | "unreadable" | "no record" | readonly string[];
+    readonly isOnlyNewUp?: boolean;
+    readonly selected: readonly string[];
+}[] = [
+    { name: "it names both", named: ["v1", "v2"], selected: ["v1", "v1", "v2", "v2"] },
+    { name: "it does not name the new one", named: ["v1"], selected: ["v1", "v1"] },
+    { name: "it does not name the new one, which alone is up", named: ["v1"], isOnlyNewUp: true, selected: [] },
+    { name: "it has no record", named: "no record", selected: ["v1", "v1", "v2", "v2"] },
+    { name: "it was not read since the new one came", named: "not read", selected: ["v1", "v1"] },
+    { name: "it was not read, and the new one alone is up", named: "not read", isOnlyNewUp: true, selected: [] },
+    { name: "it cannot be read", named: "unreadable", selected: ["v1", "v1"] },
+    {
+        name: "it cannot be read, and the new one alone is up",
+        named: "unreadable",
+        isOnlyNewUp: true,
+        selected: ["v1", "v1", "v2", "v2"],
+    },
+];
+// Guards against streams at a version that the store leaves out: after all VMs have ended, they would go on at another one.
+names.forEach(({ name, named, isOnlyNewUp = false, selected }) => {
+    test(`stream keeper: new streams begin at versions that the store names: ${name}`, async t => {
+        const keepers = startKeepers(["a", "b"], ONE_VERSION, true, true);
+        await keepers.time.runUntil(3_000);
+        const { keeper, state } = vmAt(keepers, 0);
+        state.runs = TWO_VERSIONS;
+        // Longer than it takes until streams begin at a new version.
+        await keepers.time.runUntil(8_000);
+        if (named === "unreadable") {
+            keeper.learnNamed(undefined, 8_000);
+        }
+        else if (named !== "not read") {
+            keeper.learnNamed(named === "no record" ? [] : [{ service: LM, versions: named }], 8_000);
+        }
+        const isUp = isOnlyNewUp ? isNewUp : () => true;
+        t.deepEqual(
+            keeper.selectForNew(LM, TWO_VERSIONS, isUp).map(({ softwareVersion }) => softwareVersion),
+            selected as readonly (string | undefined)[],
+        );
+        t.is(keeper.lacksNames(), !(named === "no record" || named.includes("v2")));
+    });
+});
+
 const records = [
     { name: "the version that serves", versions: ["v1"], decision: "continue at v1, sole-version" },
     { name: "another one, too", versions: ["v0", "v1"], decision: "origin-unknown, none" },
--- a/packages/continuation/src/createStreamKeeper.ts
+++ b/packages/continuation/src/createStreamKeeper.ts
@@ -19,6 +19,7 @@
 import { knowledgeJson } from "./knowledgeJson.js";
 import type { KnownOrigin } from "./KnownOrigin.js";
 import { originsDatagram } from "./originsDatagram.js";
+import { recentVersions } from "./recentVersions.js";
 import type { RecordedVersions } from "./RecordedVersions.js";
 import type { RegisteredRun } from "./RegisteredRun.js";
 import { settledRuns } from "./settledRuns.js";
@@ -55,6 +56,8 @@
     readonly ask: (address: string, query: string) => Promise<Buffer | undefined>;
     /** Resolves once the store's record of versions has been read, or that takes too long. */
     readonly whenRecorded: () => Promise<void>;
+    /** Whether the store keeps a record of versions, which `learnNamed` tells of; `false` if omitted. */
+    readonly hasRecord?: boolean;
 };
 
 /** A stream that a caller takes up again. */
@@ -100,6 +103,10 @@
      * no stream begins at a version before the store should name it.
      */
     readonly learnRecorded: (recorded: readonly RecordedVersions[]) => void;
+    /** Applies the versions that the store names as of a read or a write; `undefined` if they could not be read. */
+    readonly learnNamed: (recorded: readonly RecordedVersions[] | undefined, asOf: Millis) => void;
+    /** Whether a version has been registered lately that the store is not known to name. */
+    readonly lacksNames: () => boolean;
     /** Returns the records that the store should have, if they differ from those that it has. */
     readonly versionsToRecord: (recorded: readonly RecordedVersions[]) => readonly RecordedVersions[];
     readonly tick: () => void;
@@ -137,10 +144,31 @@
         uniform: new Set<ServiceName>(),
         /** Records of the store that do not join on to a history of this VM yet. */
         recorded: [] as readonly RecordedVersions[],
+        /** What the store names, and when that was read; nothing until then. */
+        named: [] as readonly RecordedVersions[],
+        namesReadAt: -Infinity as Millis,
+        /** Whether the last read of that failed. */
+        areNamesUnreadable: false,
     };
     const isCurrent = (): boolean => !parts.isRegistryContradicted() && isRegistryRecent();
     const soleVersionOf = (service: ServiceName): string | undefined => soleVersion(histories.of(service), clock.now());
 
+    const versionsLately = (service: ServiceName): ReturnType<typeof recentVersions> =>
+        recentVersions(histories.of(service).versions, clock.now());
+    /**
+     * Whether the store is known to name a version. Nothing is presumed of a service without a record, so nothing needs to
+     * be named. Until this VM has looked for a record since it knows the version, one may name those that were there first.
+     */
+    const isNamed = (service: ServiceName, version: string | undefined): boolean => {
+        const names = state.named.find(each => each.service === service)?.versions;
+        if (names !== undefined || parts.hasRecord !== true) {
+            return names?.includes(version ?? null) ?? true;
+        }
+        const lately = versionsLately(service);
+        const firstAt = lately.get(version)?.firstAt ?? clock.now();
+        return state.namesReadAt >= firstAt || [...lately.values()].every(each => each.firstAt >= firstAt);
+    };
+
     const tell = (stated: readonly StatedOrigin[]): void => {
         const peers = parts.peers();
         const byAddress = new Map<string, StatedOrigin[]>();
@@ -267,7 +295,12 @@
         recordFirst,
         selectForNew: (service, runs, isUp) => {
             const settled = settledRuns(runs, histories.of(service), parts.currentMs() + SETTLE_MARGIN_MS, clock.now());
-            return settled.some(isUp) ? settled : runs;
+            // A stream at a version that the store does not name would be taken for one of another version after all VMs
+            // have ended. A VM that cannot read what it names goes on without.
+            const isOpen = ({ softwareVersion }: EndpointRun): boolean => isNamed(service, softwareVersion);
+            const choices = [settled.filter(isOpen), runs.filter(isOpen)];
+            return choices.find(some => some.some(isUp)) ??
+                (state.areNamesUnreadable || runs.every(isOpen) ? runs : []);
         },
         addEntries,
         receive: datagram => {
@@ -288,6 +321,17 @@
             state.recorded = recorded;
             applyRecorded(clock.now());
         },
+        learnNamed: (recorded, asOf) => {
+            state.areNamesUnreadable = recorded === undefined;
+            if (recorded !== undefined) {
+                state.named = recorded;
+                state.namesReadAt = asOf;
+            }
+        },
+        lacksNames: () =>
+            histories.services().some(service =>
+                [...versionsLately(service).keys()].some(version => !isNamed(service, version))
+            ),
         versionsToRecord: recorded =>
             histories.services().flatMap(service => {
                 const before = recorded.find(each => each.service === service)?.versions;
--- a/packages/router/src/streams/createVersionRecords.ts
+++ b/packages/router/src/streams/createVersionRecords.ts
@@ -9,6 +9,10 @@
     readonly clock: Clock;
     readonly store: Pick<StorePort, "newest" | "put">;
     readonly onRead: (recorded: readonly RecordedVersions[]) => void;
+    /** Called with what the store names, after each read or write; with `undefined` after a read that failed. */
+    readonly onNamed: (recorded: readonly RecordedVersions[] | undefined, asOf: Millis) => void;
+    /** Whether this VM knows of a version that the store is not known to name. */
+    readonly lacksNames: () => boolean;
     /** Returns the records that the store should have, if they differ from those that it has. */
     readonly wanted: (recorded: readonly RecordedVersions[]) => readonly RecordedVersions[];
     /** Whether this VM needs the records. */
@@ -29,6 +33,8 @@
 const TOPIC = "keyed.azureshunt.versions";
 /** Time between two calls while the store does not answer, or the topic has changed. */
 const RETRY_MS: Millis = 1_000;
+/** Time between two reads while the store does not name a version that another VM is to record. */
+const UNNAMED_RETRY_MS: Millis = 500;
 
 /** Creates the records of a VM that has not read them yet. */
 export function createVersionRecords(parts: VersionRecordsParts): VersionRecords {
@@ -43,16 +49,26 @@
     const firstRead = new Promise<void>(resolve => {
         first.resolve = resolve;
     });
-    const read = async (): Promise<void> => {
+    const readNames = async (): Promise<void> => {
+        const requestedAt = clock.now();
         const page = await store.newest(TOPIC);
         page.caseOf({
-            Left: failure => logger.info({ failure: failure.kind }, "Reading the recorded software versions failed."),
+            Left: failure => {
+                logger.info({ failure: failure.kind }, "Reading the recorded software versions failed.");
+                parts.onNamed(undefined, requestedAt);
+            },
             Right: ({ records, end }) => {
                 state.recorded = records.flatMap(({ key, value }) => decodeRecordedVersions(key, value) ?? []);
                 state.end = end;
-                parts.onRead(state.recorded);
+                parts.onNamed(state.recorded, requestedAt);
             },
         });
+    };
+    const read = async (): Promise<void> => {
+        await readNames();
+        if (state.recorded !== undefined) {
+            parts.onRead(state.recorded);
+        }
         first.resolve();
     };
     /** A late write must not replace a newer record, so the topic must still end where it was read. */
@@ -68,6 +84,7 @@
                 logger.info({ ...record }, "Software versions of a service recorded.");
                 state.end = offset + 1;
                 state.recorded = [...recorded.filter(({ service }) => service !== record.service), record];
+                parts.onNamed(state.recorded, clock.now());
             },
         });
     };
@@ -85,7 +102,7 @@
                 return;
             }
             if (recorded === undefined) {
-                if (parts.mayRead() && clock.now() - state.triedAt >= RETRY_MS) {
+                if ((parts.mayRead() || parts.lacksNames()) && clock.now() - state.triedAt >= RETRY_MS) {
                     void run(read);
                 }
                 return;
@@ -94,6 +111,9 @@
             if (record !== undefined) {
                 void run(() => write(record, recorded));
             }
+            else if (parts.lacksNames() && clock.now() - state.triedAt >= UNNAMED_RETRY_MS) {
+                void run(readNames);
+            }
         },
     };
 }
--- a/packages/router/src/streams/startStreams.ts
+++ b/packages/router/src/streams/startStreams.ts
@@ -52,6 +52,7 @@
         isRegistryContradicted: registry.isContradicted,
         currentMs: () => CURRENT_REGISTRY_FRACTION * parts.leavingMs(),
         peers: membership.livePeers,
+        hasRecord: true,
         send: parts.send,
         ask: (address, query) => getBody(agent, address, `/streams?${query}`, PEER_ANSWER_MS),
         whenRecorded: () =>
@@ -64,6 +65,8 @@
         clock,
         store: parts.store,
         onRead: keeper.learnRecorded,
+        onNamed: keeper.learnNamed,
+        lacksNames: keeper.lacksNames,
         wanted: keeper.versionsToRecord,
         // On a first start nothing is recorded, so only the VM that writes has to know where the topic ends.
         mayRead: () => !settings.isFirstStart || (membership.isReader() && !parts.mustWaitForRelay()),
