Give the versions that the store names a room of their own

The keeper of streams had taken on a second state. It also looked the names up anew for each endpoint of a service, twice a placement, and built the map of recent versions each time where the store has no record; now once a placement. The decisions are the same: streamKeeper.test and streamVersionsReplaced.test pass unchanged.

--- a/packages/continuation/src/createStreamKeeper.ts
+++ b/packages/continuation/src/createStreamKeeper.ts
@@ -13,13 +13,13 @@
 import { createHomeQueries } from "./createHomeQueries.js";
 import { createStreamOrigins } from "./createStreamOrigins.js";
 import { createVersionHistories } from "./createVersionHistories.js";
+import { createVersionNames } from "./createVersionNames.js";
 import { decideContinuation } from "./decideContinuation.js";
 import type { EndpointRun } from "./EndpointRun.js";
 import { isComplete } from "./isComplete.js";
 import { knowledgeJson } from "./knowledgeJson.js";
 import type { KnownOrigin } from "./KnownOrigin.js";
 import { originsDatagram } from "./originsDatagram.js";
-import { recentVersions } from "./recentVersions.js";
 import type { RecordedVersions } from "./RecordedVersions.js";
 import type { RegisteredRun } from "./RegisteredRun.js";
 import { settledRuns } from "./settledRuns.js";
@@ -137,6 +137,7 @@
         runs: parts.runs,
         isWithoutGap: isRegistryRecent,
     });
+    const names = createVersionNames({ clock, histories, hasRecord: parts.hasRecord === true });
     const state = {
         checkedAt: -Infinity as Millis,
         historyAskedAt: -Infinity as Millis,
@@ -144,31 +145,10 @@
         uniform: new Set<ServiceName>(),
         /** Records of the store that do not join on to a history of this VM yet. */
         recorded: [] as readonly RecordedVersions[],
-        /** What the store names, and when that was read; nothing until then. */
-        named: [] as readonly RecordedVersions[],
-        namesReadAt: -Infinity as Millis,
-        /** Whether the last read of that failed. */
-        areNamesUnreadable: false,
     };
     const isCurrent = (): boolean => !parts.isRegistryContradicted() && isRegistryRecent();
     const soleVersionOf = (service: ServiceName): string | undefined => soleVersion(histories.of(service), clock.now());
 
-    const versionsLately = (service: ServiceName): ReturnType<typeof recentVersions> =>
-        recentVersions(histories.of(service).versions, clock.now());
-    /**
-     * Whether the store is known to name a version. Nothing is presumed of a service without a record, so nothing needs to
-     * be named. Until this VM has looked for a record since it knows the version, one may name those that were there first.
-     */
-    const isNamed = (service: ServiceName, version: string | undefined): boolean => {
-        const names = state.named.find(each => each.service === service)?.versions;
-        if (names !== undefined || parts.hasRecord !== true) {
-            return names?.includes(version ?? null) ?? true;
-        }
-        const lately = versionsLately(service);
-        const firstAt = lately.get(version)?.firstAt ?? clock.now();
-        return state.namesReadAt >= firstAt || [...lately.values()].every(each => each.firstAt >= firstAt);
-    };
-
     const tell = (stated: readonly StatedOrigin[]): void => {
         const peers = parts.peers();
         const byAddress = new Map<string, StatedOrigin[]>();
@@ -294,13 +274,19 @@
         resolve,
         recordFirst,
         selectForNew: (service, runs, isUp) => {
-            const settled = settledRuns(runs, histories.of(service), parts.currentMs() + SETTLE_MARGIN_MS, clock.now());
+            const isNamed = names.namedIn(service);
+            const named = runs.filter(({ softwareVersion }) => isNamed(softwareVersion));
+            const settleMs = parts.currentMs() + SETTLE_MARGIN_MS;
+            const settled = settledRuns(named, histories.of(service), settleMs, clock.now());
+            if (settled.some(isUp)) {
+                return settled;
+            }
+            if (named.length === runs.length || named.some(isUp)) {
+                return named;
+            }
             // A stream at a version that the store does not name would be taken for one of another version after all VMs
             // have ended. A VM that cannot read what it names goes on without.
-            const isOpen = ({ softwareVersion }: EndpointRun): boolean => isNamed(service, softwareVersion);
-            const choices = [settled.filter(isOpen), runs.filter(isOpen)];
-            return choices.find(some => some.some(isUp)) ??
-                (state.areNamesUnreadable || runs.every(isOpen) ? runs : []);
+            return names.areUnreadable() ? runs : [];
         },
         addEntries,
         receive: datagram => {
@@ -321,17 +307,8 @@
             state.recorded = recorded;
             applyRecorded(clock.now());
         },
-        learnNamed: (recorded, asOf) => {
-            state.areNamesUnreadable = recorded === undefined;
-            if (recorded !== undefined) {
-                state.named = recorded;
-                state.namesReadAt = asOf;
-            }
-        },
-        lacksNames: () =>
-            histories.services().some(service =>
-                [...versionsLately(service).keys()].some(version => !isNamed(service, version))
-            ),
+        learnNamed: names.learn,
+        lacksNames: names.areLacking,
         versionsToRecord: recorded =>
             histories.services().flatMap(service => {
                 const before = recorded.find(each => each.service === service)?.versions;
--- a/packages/router/src/streams/createVersionRecords.ts
+++ b/packages/router/src/streams/createVersionRecords.ts
@@ -102,7 +102,7 @@
                 return;
             }
             if (recorded === undefined) {
-                if ((parts.mayRead() || parts.lacksNames()) && clock.now() - state.triedAt >= RETRY_MS) {
+                if (clock.now() - state.triedAt >= RETRY_MS && (parts.mayRead() || parts.lacksNames())) {
                     void run(read);
                 }
                 return;
@@ -111,7 +111,7 @@
             if (record !== undefined) {
                 void run(() => write(record, recorded));
             }
-            else if (parts.lacksNames() && clock.now() - state.triedAt >= UNNAMED_RETRY_MS) {
+            else if (clock.now() - state.triedAt >= UNNAMED_RETRY_MS && parts.lacksNames()) {
                 void run(readNames);
             }
         },
