Call what is there for an engine that is up, outdated or read anew

reserveMove repeated what isUp of the endpoint table says; the check for versions in doubt looked up how long each engine has been outdated several times a second, where isAnyOutdated mostly answers; a read of the registry was applied in two steps at two places. The test of watchOrders now answers all places asked for: its row on an order that is received again passes without the guard before this change and fails without it now. Behaviour is the same.

--- a/packages/router/src/__tests__/unit/watchOrders.test.ts
+++ b/packages/router/src/__tests__/unit/watchOrders.test.ts
@@ -13,7 +13,7 @@
     const state = {
         listeners: [] as readonly (() => void)[],
         timers: [] as readonly (() => void)[],
-        answer: undefined as ((place: Place | undefined) => void) | undefined,
+        answers: [] as readonly ((place: Place | undefined) => void)[],
         moves: 0,
         releases: 0,
     };
@@ -37,7 +37,7 @@
         },
         reserve: () =>
             new Promise<Place | undefined>(resolve => {
-                state.answer = resolve;
+                state.answers = [...state.answers, resolve];
             }),
     }, () => {
         state.moves += 1;
@@ -49,8 +49,8 @@
             state.timers = [];
             due.forEach(run => run());
         },
-        "a place is kept": () => state.answer?.(place),
-        "no place is kept": () => state.answer?.(undefined),
+        "a place is kept": () => state.answers.forEach(answer => answer(place)),
+        "no place is kept": () => state.answers.forEach(answer => answer(undefined)),
         "the stream ends": stopWatching,
     };
     for (const step of steps) {
--- a/packages/router/src/placement/createEndpointTable.ts
+++ b/packages/router/src/placement/createEndpointTable.ts
@@ -233,9 +233,13 @@
 
     const areVersionsInDoubt: EndpointTable["areVersionsInDoubt"] = () => {
         const isReadLately = clock.now() - state.registry.readAsOf <= ENTRY_LAG_MS;
-        const hasLongOutdated = (model: ModelName): boolean =>
-            enginesOf(model).some(entry => (outdatedFor(model, versions.at(entry, model)) ?? 0) > ENTRY_LAG_MS);
-        return versions.areUnread() || (!isReadLately && [...declaredState().weights.keys()].some(hasLongOutdated));
+        // Most VMs ask this several times a second, and mostly no engine is outdated.
+        const hasLongOutdated = (model: ModelName, newest: number): boolean =>
+            isAnyOutdated(model, newest)
+            && enginesOf(model).some(entry => (outdatedFor(model, versions.at(entry, model)) ?? 0) > ENTRY_LAG_MS);
+        return versions.areUnread() ||
+            (!isReadLately &&
+                [...declaredState().weights].some(([model, [target]]) => hasLongOutdated(model, target?.version ?? 0)));
     };
 
     const engines: EndpointTable["engines"] = model =>
--- a/packages/router/src/registry/stepRegistry.ts
+++ b/packages/router/src/registry/stepRegistry.ts
@@ -15,11 +15,6 @@
 type Registered = Registry["endpoints"] extends ReadonlyMap<EndpointName, infer Item> ? Item : never;
 type Endpoints = ReadonlyMap<EndpointName, Registered>;
 
-const withReadAsOf = (registry: Registry, readAsOf: Millis): Registry => ({
-    ...registry,
-    readAsOf: Math.max(registry.readAsOf, readAsOf),
-});
-
 const withAnswerAt = (registry: Registry, now: Millis): Registry => ({
     ...registry,
     isKnown: true,
@@ -27,6 +22,11 @@
     answeringSince: now - registry.answeredAt > MAX_ANSWER_GAP_MS ? now : registry.answeringSince,
 });
 
+const withReadAt = (registry: Registry, now: Millis, readAsOf: Millis = now): Registry => ({
+    ...withAnswerAt(registry, now),
+    readAsOf: Math.max(registry.readAsOf, readAsOf),
+});
+
 /**
  * Adds or replaces an entry. Endpoints rewrite their entries as heartbeats several times a second; the map stays the same
  * if all of them say what is known, so that nothing is derived from it again.
@@ -89,12 +89,9 @@
 export function stepRegistry(before: Registry, event: RegistryEvent, now: Millis): Registry {
     switch (event.kind) {
         case "whole":
-            return dropMissing(
-                replaceAll(withReadAsOf(withAnswerAt(before, now), event.readAsOf ?? now), event.entries, now),
-                now,
-            );
+            return dropMissing(replaceAll(withReadAt(before, now, event.readAsOf), event.entries, now), now);
         case "changes": {
-            const registry = withReadAsOf(withAnswerAt(before, now), event.readAsOf ?? now);
+            const registry = withReadAt(before, now, event.readAsOf);
             const endpoints = event.changes.reduce<Endpoints>(
                 (all, { name, entry }) => entry === undefined ? remove(registry, all, name, now) : put(all, entry),
                 registry.endpoints,
--- a/packages/router/src/serve/reserveMove.ts
+++ b/packages/router/src/serve/reserveMove.ts
@@ -20,7 +20,7 @@
  */
 export async function reserveMove(tryParts: TryParts): Promise<Reservation | undefined> {
     const { parts, served, place, progress, avoid } = tryParts;
-    const { clock, retryBudgets, endpointLimits, availability } = parts;
+    const { endpointTable, endpointLimits, retryBudgets } = parts;
     const { prompt } = served.caller;
     const target = prompt === undefined || parts.quarantine.isQuarantined(served)
         ? undefined
@@ -29,8 +29,7 @@
         return undefined;
     }
     const { candidate, entry, memoryTokens } = target;
-    const isOpen = candidate.health.backoffUntil <= clock.now() && !endpointLimits.isLimited(entry) &&
-        !availability.isPaused(entry);
+    const isOpen = endpointTable.isUp(entry) && !endpointLimits.isLimited(entry);
     const isMoving = shouldMove({
         promptTokens: prompt.promptTokens,
         outputTokens: prompt.outputTokens,
--- a/packages/router/src/store/followTopic.ts
+++ b/packages/router/src/store/followTopic.ts
@@ -108,10 +108,9 @@
     };
     const readFrom = async (from: number): Promise<Millis> => {
         const requestedAt = clock.now();
-        const { isBehind } = state;
         // While the store does not answer, a waiting read would notice its return late and delay requests with keys.
         const page = state.isStoreAnswering
-            ? await storeFor(parts.reasonOfRead()).read(topic, from, isBehind ? 0 : parts.waitMs())
+            ? await storeFor(parts.reasonOfRead()).read(topic, from, state.isBehind ? 0 : parts.waitMs())
             : await storeFor("retry").read(topic, from, 0);
         // A store that does not keep the records any more answers.
         state.isStoreAnswering = page.caseOf({ Left: ({ kind }) => kind === "expired", Right: () => true });
