Log how the answers of endpoints are framed and how their connections end

Which of the hypotheses of docs/incidents/answers-end-early.md holds could not be told from the lines of a deployment: not whether an answer had a length or chunks, not how its connection ended, and for a kept connection not whether a peer forwards it.

`Try ended.` says so now (`framing`, `connectionEnd`, `carrier`), the lines of a request whose answer ends with its connection are always written, and azureshunt_answers_total counts answers by the three. No decision changes; a transfer coding whose last one is not `chunked` counts as unframed, as Node reads it.

--- /dev/null
+++ b/packages/completion/src/index.ts
@@ -0,0 +1,3 @@
+export type { ConnectionEnd } from "./ConnectionEnd.js";
+export type { Framing } from "./Framing.js";
+export { framingOf } from "./framingOf.js";
--- a/packages/router/src/__tests__/support/startTunnelPeer.ts
+++ b/packages/router/src/__tests__/support/startTunnelPeer.ts
@@ -1,7 +1,7 @@
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 
-import { FailureDomain } from "@azureshunt/core";
+import { FailureDomain, VmId } from "@azureshunt/core";
 
 import type { OpenConnection } from "../../dispatch/OpenConnection.js";
 import type { OpenedConnection } from "../../dispatch/OpenedConnection.js";
@@ -48,7 +48,7 @@
             const opened = await openTunnel(address);
             return opened.caseOf<OpenedConnection | Promise<never>>({
                 Left: failure => Promise.reject(new Error(failure)),
-                Right: socket => ({ socket, kind: "tunnel" }),
+                Right: socket => ({ socket, kind: "tunnel", carrier: VmId.parse("peer") }),
             });
         },
         stop: () => {
--- a/packages/router/src/dispatch/EndpointAgent.ts
+++ b/packages/router/src/dispatch/EndpointAgent.ts
@@ -4,6 +4,8 @@
 import type { Socket, TcpNetConnectOpts } from "node:net";
 import type { Duplex } from "node:stream";
 
+import type { VmId } from "@azureshunt/core";
+
 import type { ConnectionKind } from "./ConnectionKind.js";
 import type { OpenConnection } from "./OpenConnection.js";
 import type { OpenedConnection } from "./OpenedConnection.js";
@@ -50,8 +52,8 @@
      * first read, and `openCall` recognises a reset by the address being missing.
      */
     private readonly addresses = new WeakMap<Socket, string>();
-    /** Connections that peers opened. */
-    private readonly tunnels = new WeakSet<Socket>();
+    /** By connection that a peer opened: that peer. */
+    private readonly carriers = new WeakMap<Socket, VmId>();
 
     /** @param now monotonic time in milliseconds */
     constructor(private readonly now: () => number, private readonly parts: AgentParts = {}) {
@@ -77,18 +79,23 @@
         if (openConnection === undefined) {
             return open(options as TcpNetConnectOpts);
         }
-        openConnection(`${options.host}:${options.port}`).then(({ socket, kind }) => {
-            if (kind === "tunnel") {
-                this.tunnels.add(socket);
+        openConnection(`${options.host}:${options.port}`).then(opened => {
+            if (opened.kind === "tunnel") {
+                this.carriers.set(opened.socket, opened.carrier);
             }
-            onConnection?.(null, socket);
+            onConnection?.(null, opened.socket);
         }, (err: Error) => onConnection?.(err, undefined as never));
         return undefined;
     }
 
     /** Returns how the open connection came about that a request uses. */
     connectionKindOf(socket: Socket): ConnectionKind {
-        return this.idleSince.has(socket) ? "kept" : this.tunnels.has(socket) ? "tunnel" : "new";
+        return this.idleSince.has(socket) ? "kept" : this.carriers.has(socket) ? "tunnel" : "new";
+    }
+
+    /** Returns the peer that opened a connection; `undefined` on an own link. */
+    carrierOf(socket: Socket): VmId | undefined {
+        return this.carriers.get(socket);
     }
 
     recordAddress(socket: Socket, address: string): void {
@@ -97,7 +104,7 @@
 
     /** Records that an endpoint answers on a connection. */
     recordAnswer(socket: Socket, address: string): void {
-        if (!this.tunnels.has(socket)) {
+        if (!this.carriers.has(socket)) {
             this.parts.onAnswer?.(address);
         }
     }
@@ -131,7 +138,7 @@
         const ownLinkIdleMs = this.parts.isBlocked?.(address) === true
             ? Math.min(idleMs, BLOCKED_MAX_IDLE_MS)
             : idleMs;
-        const maxIdleMsOf = (socket: Socket): number => this.tunnels.has(socket) ? idleMs : ownLinkIdleMs;
+        const maxIdleMsOf = (socket: Socket): number => this.carriers.has(socket) ? idleMs : ownLinkIdleMs;
         const now = this.now();
         // Destroying a connection changes the list, so those to destroy are selected first.
         idle.filter(socket => now - (this.idleSince.get(socket) ?? -Infinity) > maxIdleMsOf(socket))
--- a/packages/router/src/dispatch/OpenedCall.ts
+++ b/packages/router/src/dispatch/OpenedCall.ts
@@ -1,5 +1,8 @@
 import type { IncomingMessage } from "node:http";
 
+import type { ConnectionEnd, Framing } from "@azureshunt/completion";
+import type { VmId } from "@azureshunt/core";
+
 import type { ConnectionKind } from "./ConnectionKind.js";
 
 /** A call whose answer has started, or that failed before. */
@@ -7,10 +10,10 @@
     | {
         readonly kind: "head";
         readonly res: IncomingMessage;
-        /** Whether the connection had an error. An answer that ends after an error is incomplete. */
-        readonly isBroken: () => boolean;
-        /** Whether the connection was reset, although Node reported a normal end. */
-        readonly wasReset: () => boolean;
+        readonly framing: Framing;
+        readonly connectionEnd: () => ConnectionEnd;
         readonly connection: ConnectionKind;
+        /** VM that forwards the connection; `undefined` on an own link. */
+        readonly carrier: VmId | undefined;
     }
     | { readonly kind: "unreached" | "broken" | "silent" | "cancelled"; readonly connection: ConnectionKind; };
--- a/packages/router/src/dispatch/openCall.ts
+++ b/packages/router/src/dispatch/openCall.ts
@@ -1,5 +1,8 @@
 import { request } from "node:http";
 
+import { framingOf } from "@azureshunt/completion";
+import type { ConnectionEnd } from "@azureshunt/completion";
+import type { VmId } from "@azureshunt/core";
 import { defaultBounds } from "@azureshunt/flow";
 
 import type { CancelSignal } from "./CancelSignal.js";
@@ -38,11 +41,11 @@
         const progress = {
             hasSocket: false,
             isConnected: false,
-            isBroken: false,
             isSilent: false,
-            wasReset: false,
             isWithheld: false,
             connection: "none" as ConnectionKind,
+            connectionEnd: "open" as ConnectionEnd,
+            carrier: undefined as VmId | undefined,
         };
         const req = request({
             agent,
@@ -132,10 +135,11 @@
             progress.hasSocket = true;
             agent.recordAddress(socket, call.address);
             const onEnd = (): void => {
-                progress.wasReset = wasReset(socket);
+                progress.connectionEnd = wasReset(socket) ? "reset" : "closed";
             };
             socket.prependListener("end", onEnd);
             req.on("close", () => socket.removeListener("end", onEnd));
+            progress.carrier = agent.carrierOf(socket);
             head.startBytes = socket.bytesRead;
             if (!socket.connecting) {
                 progress.isConnected = true;
@@ -155,13 +159,14 @@
             settle({
                 kind: "head",
                 res,
-                isBroken: () => progress.isBroken,
-                wasReset: () => progress.wasReset,
+                framing: framingOf(res.headers),
+                connectionEnd: () => progress.connectionEnd,
                 connection: progress.connection,
+                carrier: progress.carrier,
             });
         });
         req.on("error", () => {
-            progress.isBroken = true;
+            progress.connectionEnd = "failed";
         });
         const onClose = (): void => {
             signal.removeEventListener("abort", abandon);
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -1,7 +1,7 @@
 import type { Millis } from "@azureshunt/core";
 
-import type { ConnectionKind } from "../dispatch/ConnectionKind.js";
 import { openCall } from "../dispatch/openCall.js";
+import type { OpenedCall } from "../dispatch/OpenedCall.js";
 import { scheduleTimer } from "../scheduleTimer.js";
 import { areStoresCrowded } from "./areStoresCrowded.js";
 import { forwardAnswer } from "./forwardAnswer.js";
@@ -69,6 +69,12 @@
     });
 };
 
+/** Returns what was seen of an answer and its connection; `undefined` if none began. */
+const endSeen = (opened: OpenedCall | undefined) =>
+    opened?.kind === "head"
+        ? { framing: opened.framing, connectionEnd: opened.connectionEnd(), carrier: opened.carrier }
+        : undefined;
+
 /** Sends a request to one endpoint and, if it is a stream, forwards its events to the caller. */
 export async function runTry(tryParts: TryParts): Promise<TryResult> {
     const { parts, served, place, progress, isLastTry } = tryParts;
@@ -86,7 +92,7 @@
         predictedMs: place.startMs,
     });
     const times = { headMs: undefined as Millis | undefined, firstEventMs: undefined as Millis | undefined };
-    const used = { connection: "none" as ConnectionKind, isSent: false, isWithheld: false };
+    const used = { opened: undefined as OpenedCall | undefined, isSent: false, isWithheld: false };
     const stageAt = (ms: Millis): TryStage => {
         const { headMs, firstEventMs } = times;
         if (headMs === undefined) {
@@ -128,9 +134,6 @@
             reportAnswered();
         }
         inFlight.end(result.kind);
-        if (result.kind !== "answered") {
-            served.notes.flush();
-        }
         // A call that was withheld, or cancelled while its connection opened, says nothing of the endpoint's speed.
         if (used.isSent && times.headMs === undefined && (result.kind === "silent" || result.kind === "cancelled")) {
             recordStart(clock.now() - startedAt, "waited");
@@ -145,10 +148,15 @@
             status: result.answer?.status,
             slowness: startMs === undefined ? undefined : startMs / Math.max(MIN_ESTIMATE_MS, place.usualMs),
         });
+        const seen = endSeen(used.opened);
+        if (result.kind !== "answered" || seen?.framing === "connection") {
+            served.notes.flush();
+        }
         served.notes.add("Try ended.", {
             endpoint: place.entry.name,
             outcome: result.kind,
-            connection: used.connection,
+            connection: used.opened?.connection ?? "none",
+            ...seen,
             stage: result.stage,
             status: result.answer?.status,
             ms: Math.round(clock.now() - startedAt),
@@ -166,8 +174,19 @@
         });
         parts.metrics.count("azureshunt_tries_total", "Tries at endpoints by how they ended.", {
             outcome: result.kind,
-            connection: used.connection,
+            connection: used.opened?.connection ?? "none",
         });
+        if (seen !== undefined) {
+            parts.metrics.count(
+                "azureshunt_answers_total",
+                "Answers that began, by what ends them, how their connection ended and who opened it.",
+                {
+                    framing: seen.framing,
+                    connectionEnd: seen.connectionEnd,
+                    by: seen.carrier === undefined ? "own" : "peer",
+                },
+            );
+        }
         return result;
     };
     const opened = await openCall(parts.agent, {
@@ -189,7 +208,7 @@
         bounds: parts.flowBounds(),
         onBody: parts.unreadBodies.begin,
     }, served.signal);
-    used.connection = opened.connection;
+    used.opened = opened;
     if (opened.kind !== "head") {
         return finish({ kind: used.isWithheld ? "withheld" : opened.kind, answer: undefined });
     }
--- a/packages/router/src/tunnel/createConnector.ts
+++ b/packages/router/src/tunnel/createConnector.ts
@@ -158,7 +158,7 @@
                             progress.havePeersFailed = true;
                             rejectIfBothFailed();
                         },
-                        Right: socket => use({ socket, kind: "tunnel" }),
+                        Right: opened => use({ ...opened, kind: "tunnel" }),
                     })
                 );
             };
@@ -214,7 +214,7 @@
         }
         links.record("failed", target);
         const tunnel = await tunnels.open(target, AbortSignal.timeout(tunnelTiming.connectMs));
-        tunnel.ifRight(socket => {
+        tunnel.ifRight(({ socket }) => {
             socket.destroy();
             links.record("bypassed", target);
         });
@@ -228,7 +228,7 @@
         const tunnel = await tunnels.open(target, AbortSignal.timeout(tunnelTiming.connectMs));
         return tunnel.caseOf({
             Left: failure => failure === "endpoint-refused" || !isTargetCutOff(target),
-            Right: socket => {
+            Right: ({ socket }) => {
                 socket.destroy();
                 return false;
             },
--- a/packages/router/src/tunnel/createTunnelOpener.ts
+++ b/packages/router/src/tunnel/createTunnelOpener.ts
@@ -1,5 +1,3 @@
-import type { Socket } from "node:net";
-
 import type { Clock, FailureDomain, Millis, Peer, ServiceName, VmId } from "@azureshunt/core";
 import { choosePeer, helpersOf, initialPeerHistory, stepPeerHistory } from "@azureshunt/reach";
 import type { LinkTarget, PeerEvent, PeerHistory, TunnelFailure } from "@azureshunt/reach";
@@ -8,6 +6,7 @@
 
 import type { requestTunnel } from "./requestTunnel.js";
 import { searchPeers } from "./searchPeers.js";
+import type { Tunnel } from "./Tunnel.js";
 
 type TunnelOpenerParts = {
     readonly clock: Clock;
@@ -24,7 +23,7 @@
 
 type TunnelOpener = {
     /** Opens a tunnel to an endpoint. */
-    readonly open: (target: LinkTarget, signal: AbortSignal) => Promise<Either<TunnelFailure, Socket>>;
+    readonly open: (target: LinkTarget, signal: AbortSignal) => Promise<Either<TunnelFailure, Tunnel>>;
     /** Peers that opened tunnels to endpoints of a service for this VM lately. */
     readonly helpers: (service: ServiceName) => readonly Peer[];
 };
@@ -41,7 +40,7 @@
         peer: Peer,
         { address, service }: LinkTarget,
         signal: AbortSignal,
-    ): Promise<Either<TunnelFailure, Socket>> => {
+    ): Promise<Either<TunnelFailure, Tunnel>> => {
         const { tunnel, named, helpers } = await parts.requestTunnel({
             peer: peer.address,
             target: address,
@@ -62,7 +61,7 @@
         if (helpers.length > 0) {
             apply({ kind: "recommended", service, peers: helpers.filter(({ vm }) => vm !== parts.vm) });
         }
-        return tunnel;
+        return tunnel.map(socket => ({ socket, carrier: peer.vm }));
     };
 
     const open: TunnelOpener["open"] = (target, signal) => {
--- a/packages/router/src/tunnel/searchPeers.ts
+++ b/packages/router/src/tunnel/searchPeers.ts
@@ -1,17 +1,16 @@
-import type { Socket } from "node:net";
-
 import type { Millis, Peer, VmId } from "@azureshunt/core";
 import type { PeerAttempt, TunnelFailure } from "@azureshunt/reach";
 import type { Either } from "purify-ts";
 import { Left, Right } from "purify-ts";
 
+import type { Tunnel } from "./Tunnel.js";
 import { tunnelTiming } from "./tunnelTiming.js";
 
 /** One search for a peer that opens a connection to an endpoint. */
 type PeerSearch = {
     /** Returns the peer to ask next; `undefined` if no further one should be asked. */
     readonly choose: (attempts: readonly PeerAttempt[]) => Peer | undefined;
-    readonly request: (peer: Peer, signal: AbortSignal) => Promise<Either<TunnelFailure, Socket>>;
+    readonly request: (peer: Peer, signal: AbortSignal) => Promise<Either<TunnelFailure, Tunnel>>;
     /** Called when a peer opens the connection that is used, with the attempts at other peers. */
     readonly onOpened: (peer: Peer, others: readonly PeerAttempt[]) => void;
     /** Calls a function after a delay; returns a function that cancels it. */
@@ -36,14 +35,14 @@
  * Asks peers for a connection: the next one as soon as one has failed or has not answered within its head start. The
  * first connection that opens is used.
  */
-export function searchPeers(search: PeerSearch): Promise<Either<TunnelFailure, Socket>> {
+export function searchPeers(search: PeerSearch): Promise<Either<TunnelFailure, Tunnel>> {
     const controller = new AbortController();
     const attempts = new Map<VmId, PeerAttempt>();
     const state = { isSettled: false };
     const hasAny = (...outcomes: readonly PeerAttempt["outcome"][]): boolean =>
         [...attempts.values()].some(({ outcome }) => outcomes.includes(outcome));
     return new Promise(resolve => {
-        const settle = (result: Either<TunnelFailure, Socket>): void => {
+        const settle = (result: Either<TunnelFailure, Tunnel>): void => {
             state.isSettled = true;
             search.signal.removeEventListener("abort", onAbort);
             controller.abort();
@@ -59,14 +58,14 @@
             void search.request(peer, controller.signal).then(answer => {
                 cancelHeadStart();
                 if (state.isSettled) {
-                    answer.ifRight(socket => void socket.destroy());
+                    answer.ifRight(({ socket }) => void socket.destroy());
                     return;
                 }
                 answer.caseOf({
-                    Right: socket => {
+                    Right: tunnel => {
                         attempts.delete(peer.vm);
                         search.onOpened(peer, [...attempts.values()]);
-                        settle(Right(socket));
+                        settle(Right(tunnel));
                     },
                     Left: outcome => {
                         attempts.set(peer.vm, { peer, outcome });
