Believe the end of an unframed answer only if its endpoint confirms it

Callers got streams that end as complete although events were missing, and plain answers cut in two with status 200: the engines had been killed in mid-answer. An answer without length and chunks ends with its connection, and every end but a reset counted as the endpoint's own. An operating system closes the connections of a process that is killed; it does not reset them.

An end is now judged by what was seen of it (packages/completion, judgeEnd): whole by its framing, cut off, or unconfirmed. Only for the last the VM asks the endpoint, after the end, whether the process that sent the answer still runs (createEndConfirmation). If not, the try counts as broken, as after a reset: streams that may be resumed go on, what may run once is refused or cut off.

--- /dev/null
+++ b/packages/completion/src/AnswerEnd.ts
@@ -0,0 +1,10 @@
+import type { ConnectionEnd } from "./ConnectionEnd.js";
+import type { Framing } from "./Framing.js";
+
+/** What was seen of an answer that has ended. */
+export type AnswerEnd = {
+    readonly framing: Framing;
+    /** Whether the parser reached the end that the framing asks for. */
+    readonly isParsed: boolean;
+    readonly connectionEnd: ConnectionEnd;
+};
--- /dev/null
+++ b/packages/router/src/__tests__/unit/endConfirmation.test.ts
@@ -0,0 +1,140 @@
+import { createServer } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+
+import { createClock, EndpointName } from "@azureshunt/core";
+import { createMetrics } from "@azureshunt/telemetry";
+import test from "ava";
+
+import { createCancellation } from "../../dispatch/createCancellation.js";
+import { createEndConfirmation } from "../../dispatch/createEndConfirmation.js";
+import { EndpointAgent } from "../../dispatch/EndpointAgent.js";
+import { silentLogger } from "../support/silentLogger.js";
+
+const OK = 200;
+const MISDIRECTED = 421;
+const NOT_FOUND = 404;
+/** Time after which a process may have been killed and another one have started. */
+const RESTARTED_MS = 300;
+const BORN_AT = 1_700_000_000_000;
+
+type Case = {
+    readonly name: string;
+    /** What the endpoint does when it is asked, by the number of the question; nothing listens if omitted. */
+    readonly answer?: (res: ServerResponse, socket: Socket, question: number) => void;
+    readonly confirmCarrier?: () => Promise<boolean>;
+    /** Whether nobody needs the answer any more, a moment after its end. */
+    readonly isCancelled?: boolean;
+    readonly isConfirmed: boolean;
+};
+
+const report = (bornAt: number) => (res: ServerResponse): void => {
+    res.writeHead(OK);
+    res.end(JSON.stringify({ bornAt }));
+};
+const silence = (): void => undefined;
+const reset = (_res: ServerResponse, socket: Socket): void => void socket.resetAndDestroy();
+
+// Guards against an answer passing as whole whose connection was closed because a process ended.
+const cases: readonly Case[] = [
+    { name: "the endpoint runs", answer: report(BORN_AT), isConfirmed: true },
+    { name: "the endpoint was killed", isConfirmed: false },
+    {
+        name: "the endpoint was killed, and runs again",
+        answer: res => void setTimeout(report(BORN_AT + 1), RESTARTED_MS, res),
+        isConfirmed: false,
+    },
+    {
+        name: "the endpoint is suspended for a moment",
+        answer: res => void setTimeout(report(BORN_AT), RESTARTED_MS, res),
+        isConfirmed: true,
+    },
+    {
+        name: "the endpoint has no report",
+        answer: res => {
+            res.writeHead(NOT_FOUND);
+            res.end();
+        },
+        isConfirmed: true,
+    },
+    {
+        name: "another endpoint has the address",
+        answer: res => {
+            res.writeHead(MISDIRECTED);
+            res.end();
+        },
+        isConfirmed: false,
+    },
+    {
+        name: "the endpoint resets the first connection",
+        answer: (res, socket, question) => question === 1 ? reset(res, socket) : report(BORN_AT)(res),
+        isConfirmed: true,
+    },
+    { name: "the endpoint resets all connections", answer: reset, isConfirmed: false },
+    { name: "the endpoint is silent", answer: silence, isConfirmed: false },
+    { name: "the caller leaves meanwhile", answer: silence, isCancelled: true, isConfirmed: false },
+    {
+        name: "the carrier says that the endpoint closed the connection",
+        answer: report(BORN_AT),
+        confirmCarrier: () => Promise.resolve(true),
+        isConfirmed: true,
+    },
+    {
+        name: "the carrier does not say that the endpoint closed the connection",
+        answer: report(BORN_AT),
+        confirmCarrier: () => Promise.resolve(false),
+        isConfirmed: false,
+    },
+    {
+        name: "the carrier says that a killed endpoint closed the connection",
+        confirmCarrier: () => Promise.resolve(true),
+        isConfirmed: false,
+    },
+    {
+        name: "the caller leaves while the carrier is silent",
+        answer: report(BORN_AT),
+        confirmCarrier: () => new Promise(() => undefined),
+        isCancelled: true,
+        isConfirmed: false,
+    },
+];
+
+cases.forEach(({ name, answer, confirmCarrier, isCancelled = false, isConfirmed }) => {
+    test(`closed connection: ${name}: ${isConfirmed ? "confirmed" : "not confirmed"}`, async t => {
+        const questions: IncomingMessage[] = [];
+        const server = createServer((req, res) => {
+            questions.push(req);
+            answer?.(res, req.socket, questions.length);
+        });
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        const { port } = server.address() as AddressInfo;
+        if (answer === undefined) {
+            await new Promise(resolve => server.close(resolve));
+        }
+        const clock = createClock();
+        const agent = new EndpointAgent(clock.now);
+        t.teardown(() => {
+            agent.destroy();
+            server.close();
+            server.closeAllConnections();
+        });
+        const confirmEnd = createEndConfirmation({
+            agent,
+            clock,
+            encodeRunCheck: () => ({ method: "GET", target: "/", headers: ["Host", "x"], body: Buffer.alloc(0) }),
+            decodeReport: body => body.length === 0 ? undefined : JSON.parse(body.toString()),
+            logger: silentLogger,
+            metrics: createMetrics(),
+        });
+        const { signal, abort } = createCancellation();
+        const confirmed = confirmEnd({
+            entry: { name: EndpointName.parse("e1"), address: `127.0.0.1:${port}`, bornAt: BORN_AT },
+            confirmCarrier,
+            signal,
+        });
+        if (isCancelled) {
+            setTimeout(abort, 50);
+        }
+        t.is(await confirmed, isConfirmed);
+    });
+});
--- /dev/null
+++ b/packages/router/src/dispatch/askEndpoint.ts
@@ -0,0 +1,61 @@
+import type { EndpointStatement } from "@azureshunt/completion";
+import type { Clock, EndpointName, Millis } from "@azureshunt/core";
+
+import type { EncodedCall } from "../ports/EncodedCall.js";
+import type { EngineReport } from "../ports/EngineReport.js";
+import type { CancelSignal } from "./CancelSignal.js";
+import type { EndpointAgent } from "./EndpointAgent.js";
+import { openCall } from "./openCall.js";
+import { readAnswer } from "./readAnswer.js";
+
+type AskParts = {
+    readonly agent: EndpointAgent;
+    readonly clock: Clock;
+    readonly encodeRunCheck: (endpoint: EndpointName) => EncodedCall;
+    /** @returns undefined if the body is not a valid report */
+    readonly decodeReport: (body: Buffer) => EngineReport | undefined;
+};
+
+const MISDIRECTED = 421;
+/** Longer than a sound endpoint is silent. */
+const ANSWER_MS: Millis = 2_000;
+/** Maximum idle time of a connection that is used. A lost one costs an attempt. */
+const MAX_IDLE_MS: Millis = 2_000;
+/** A kept connection may be closed as it is used, and an endpoint with many connections may reset a new one. */
+const MAX_ATTEMPTS = 3;
+
+/**
+ * Asks an endpoint for its report, to learn whether it still runs after its answer has ended. Any answer shows that it
+ * does, as endpoints without a model have no report.
+ */
+export async function askEndpoint(
+    { agent, clock, encodeRunCheck, decodeReport }: AskParts,
+    { name, address }: { readonly name: EndpointName; readonly address: string; },
+    signal: CancelSignal,
+): Promise<EndpointStatement> {
+    const endedAt = clock.now();
+    const ask = async (attempt: number): Promise<EndpointStatement> => {
+        const leftMs = endedAt + ANSWER_MS - clock.now();
+        const opened = await openCall(
+            agent,
+            { ...encodeRunCheck(name), address, maxIdleMs: MAX_IDLE_MS, headMs: leftMs },
+            signal,
+        );
+        if (opened.kind === "broken" && attempt < MAX_ATTEMPTS) {
+            return ask(attempt + 1);
+        }
+        if (opened.kind !== "head") {
+            return { kind: "none" };
+        }
+        const body = await readAnswer(opened);
+        const { statusCode } = opened.res;
+        return statusCode === MISDIRECTED ? { kind: "elsewhere" } : {
+            kind: "answer",
+            bornAt: body === undefined ? undefined : decodeReport(Buffer.concat(body))?.bornAt,
+            // A later attempt may use one that was opened since.
+            isOnKeptConnection: attempt === 1 && opened.connection === "kept",
+            tookMs: clock.now() - endedAt,
+        };
+    };
+    return ask(1);
+}
--- a/packages/router/src/dispatch/openCall.ts
+++ b/packages/router/src/dispatch/openCall.ts
@@ -163,6 +163,7 @@
                 connectionEnd: () => progress.connectionEnd,
                 connection: progress.connection,
                 carrier: progress.carrier,
+                confirmCarrier: progress.carrier === undefined ? undefined : () => Promise.resolve(true),
             });
         });
         req.on("error", () => {
--- a/packages/router/src/dispatch/readAnswer.ts
+++ b/packages/router/src/dispatch/readAnswer.ts
@@ -3,8 +3,8 @@
 import { defaultBounds, isStalled } from "@azureshunt/flow";
 
 import type { HeldAccount } from "../flow/HeldAccount.js";
-import { isComplete } from "./isComplete.js";
 import type { OpenedCall } from "./OpenedCall.js";
+import { resolveEnd } from "./resolveEnd.js";
 
 type ReadParts = {
     readonly bounds: FlowBounds;
@@ -14,16 +14,22 @@
         HeldAccount,
         "add" | "readAhead" | "waitForRoom" | "onBudgetRoom" | "source" | "answerSince"
     >;
+    /** Confirms that the answer is whole if only the close of its connection ended it. */
+    readonly confirmEnd: () => Promise<boolean>;
 };
 
-const DEFAULTS: ReadParts = { bounds: defaultBounds, clock: { now: () => performance.now() } };
+/** What a reader gets that checks by the answer's content whether it is whole. */
+const DEFAULTS: ReadParts = {
+    bounds: defaultBounds,
+    clock: { now: () => performance.now() },
+    confirmEnd: () => Promise.resolve(true),
+};
 
 /**
  * Reads an answer to its end.
  *
- * An answer without a length ends with its connection, and a reset of the connection looks like that end. The caller
- * would get half of the answer as a success. To prevent this, an answer counts as complete only if it ended without an
- * error.
+ * An answer without a length ends with its connection, whatever ended that. The caller would get half of the answer as a
+ * success. To prevent this, such an end counts only if it is confirmed.
  *
  * An endpoint may send bytes for as long as they are read. To prevent this, the answer has a bound on its size, and on
  * the time in which it must end or grow once bytes come. An endpoint that sends none may be at work until the deadline.
@@ -32,12 +38,12 @@
  */
 export function readAnswer(
     opened: Extract<OpenedCall, { kind: "head"; }>,
-    { bounds, clock, account }: ReadParts = DEFAULTS,
+    { bounds, clock, account, confirmEnd }: ReadParts = DEFAULTS,
 ): Promise<readonly Buffer[] | undefined> {
     const { res } = opened;
     return new Promise(resolve => {
         const chunks: Buffer[] = [];
-        const state = { bytes: 0, isSettled: false, growth: { since: clock.now(), bytes: 0 } };
+        const state = { bytes: 0, hasEnded: false, isSettled: false, growth: { since: clock.now(), bytes: 0 } };
         const settle = (body: readonly Buffer[] | undefined): void => {
             if (state.isSettled) {
                 return;
@@ -104,8 +110,17 @@
             }
             pauseWithoutRoom();
         });
-        res.on("error", () => settle(undefined));
-        res.on("close", () => settle(undefined));
-        res.on("end", () => settle(isComplete(opened) ? chunks : undefined));
+        const settleUnlessEnded = (): void => {
+            if (!state.hasEnded) {
+                settle(undefined);
+            }
+        };
+        res.on("error", settleUnlessEnded);
+        res.on("close", settleUnlessEnded);
+        res.on("end", () => {
+            state.hasEnded = true;
+            clearTimeout(timer);
+            resolveEnd(opened, confirmEnd, isWhole => settle(isWhole ? chunks : undefined));
+        });
     });
 }
--- /dev/null
+++ b/packages/router/src/dispatch/resolveEnd.ts
@@ -0,0 +1,20 @@
+import { judgeEnd } from "@azureshunt/completion";
+
+import type { OpenedCall } from "./OpenedCall.js";
+
+/**
+ * Tells whether an answer that has just ended is whole: at once, unless that has to be confirmed. Must be called in the
+ * handler of its `end` event.
+ */
+export function resolveEnd(
+    { res, framing, connectionEnd }: Extract<OpenedCall, { readonly kind: "head"; }>,
+    confirm: () => Promise<boolean>,
+    onResolved: (isWhole: boolean) => void,
+): void {
+    const verdict = judgeEnd({ framing, isParsed: res.complete, connectionEnd: connectionEnd() });
+    if (verdict === "unconfirmed") {
+        void confirm().then(onResolved);
+        return;
+    }
+    onResolved(verdict === "whole");
+}
--- a/packages/router/src/ports/EndpointWire.ts
+++ b/packages/router/src/ports/EndpointWire.ts
@@ -20,6 +20,8 @@
     readonly decodeHold: (body: Buffer) => HoldId | undefined;
     readonly encodeHoldRelease: (endpoint: EndpointName, hold: HoldId) => EncodedCall;
     readonly reportCall: EncodedCall;
+    /** Encodes a request for a report that any other endpoint at its address rejects as misdirected. */
+    readonly encodeRunCheck: (endpoint: EndpointName) => EncodedCall;
     /** @returns undefined if the body is not a valid report */
     readonly decodeReport: (body: Buffer) => EngineReport | undefined;
 };
--- a/packages/router/src/serve/ServeParts.ts
+++ b/packages/router/src/serve/ServeParts.ts
@@ -6,6 +6,7 @@
 
 import type { createAllowanceQueue } from "../allowance/createAllowanceQueue.js";
 import type { createAllowances } from "../allowance/createAllowances.js";
+import type { createEndConfirmation } from "../dispatch/createEndConfirmation.js";
 import type { EndpointAgent } from "../dispatch/EndpointAgent.js";
 import type { createByteBudget } from "../flow/createByteBudget.js";
 import type { createUnreadBodies } from "../flow/createUnreadBodies.js";
@@ -50,6 +51,7 @@
     readonly rollouts: Pick<ReturnType<typeof createRollouts>, "selectorFor" | "continuableAt" | "recordTry">;
     readonly streams: Pick<ReturnType<typeof createStreamKeeper>, "resolve" | "recordFirst" | "selectForNew">;
     readonly agent: EndpointAgent;
+    readonly confirmEnd: ReturnType<typeof createEndConfirmation>;
     readonly byteBudget: Pick<ReturnType<typeof createByteBudget>, "open" | "isExhausted">;
     readonly unreadBodies: ReturnType<typeof createUnreadBodies>;
     readonly flowBounds: () => FlowBounds;
--- a/packages/router/src/serve/forwardAnswer.ts
+++ b/packages/router/src/serve/forwardAnswer.ts
@@ -29,7 +29,9 @@
     opened: Extract<OpenedCall, { readonly kind: "head"; }>,
     hooks: StreamHooks,
 ): Promise<Pick<TryResult, "kind" | "answer">> {
-    const { served, progress, isLastTry, parts } = tryParts;
+    const { served, place, progress, isLastTry, parts } = tryParts;
+    const confirmEnd = (): Promise<boolean> =>
+        parts.confirmEnd({ entry: place.entry, confirmCarrier: opened.confirmCarrier, signal: served.signal });
     if (isStream(served.route.kind) && opened.res.statusCode === SUCCESS) {
         const canResume = isRepeatable(served.route.kind) && !isLastTry;
         const kind = await forwardStream({
@@ -40,6 +42,7 @@
             bounds: parts.flowBounds(),
             silenceMs: canResume ? STREAM_SILENCE_MS : undefined,
             sendHead: () => sendHead(tryParts, opened),
+            confirmEnd,
             ...hooks,
             onMove: canResume ? hooks.onMove : () => () => undefined,
         });
@@ -48,7 +51,12 @@
         }
         return { kind, answer: undefined };
     }
-    const body = await readAnswer(opened, { bounds: parts.flowBounds(), clock: parts.clock, account: served.account });
+    const body = await readAnswer(opened, {
+        bounds: parts.flowBounds(),
+        clock: parts.clock,
+        account: served.account,
+        confirmEnd,
+    });
     if (body === undefined) {
         return { kind: served.signal.aborted ? "cancelled" : "broken", answer: undefined };
     }
--- a/packages/router/src/serve/forwardStream.ts
+++ b/packages/router/src/serve/forwardStream.ts
@@ -3,8 +3,8 @@
 import { isStalled } from "@azureshunt/flow";
 
 import { createEventSplitter } from "../dispatch/createEventSplitter.js";
-import { isComplete } from "../dispatch/isComplete.js";
 import type { OpenedCall } from "../dispatch/OpenedCall.js";
+import { resolveEnd } from "../dispatch/resolveEnd.js";
 import type { TryOutcome } from "../dispatch/TryOutcome.js";
 import type { ServedRequest } from "./ServedRequest.js";
 import type { StreamHooks } from "./StreamHooks.js";
@@ -25,6 +25,8 @@
     readonly silenceMs: number | undefined;
     /** Sends the head of the answer, before the first event. */
     readonly sendHead: () => void;
+    /** Confirms that the stream is whole if only the close of its connection ended it. */
+    readonly confirmEnd: () => Promise<boolean>;
 };
 
 /**
@@ -47,6 +49,7 @@
             timer: undefined as NodeJS.Timeout | undefined,
             isFirst: true,
             isPaused: false,
+            hasEnded: false,
             isSettled: false,
             lastDataAt: clock.now(),
             /** Since when the endpoint is taken for silent, although it is alive. */
@@ -62,8 +65,7 @@
                 return;
             }
             state.isSettled = true;
-            clearTimeout(state.timer);
-            unregister();
+            stopWatching();
             output.onRead(undefined);
             account.onBudgetRoom = undefined;
             account.source = undefined;
@@ -76,6 +78,10 @@
             res.destroy();
         };
         const unregister = parts.onMove(() => endTry("moved"));
+        const stopWatching = (): void => {
+            clearTimeout(state.timer);
+            unregister();
+        };
 
         // The timer is not set anew with each read; when it fires, it waits for what is left of the silence.
         const { silenceMs } = parts;
@@ -204,11 +210,21 @@
             pauseIfUnread();
         });
         const endBroken = (): void => settle(served.signal.aborted ? "cancelled" : "broken");
-        res.on("error", endBroken);
-        res.on("close", endBroken);
+        const endBrokenUnlessEnded = (): void => {
+            if (!state.hasEnded) {
+                endBroken();
+            }
+        };
+        res.on("error", endBrokenUnlessEnded);
+        res.on("close", endBrokenUnlessEnded);
         res.on("end", () => {
-            const isAnswerComplete = isComplete(opened) && splitter.bufferedBytes() === 0;
-            settle(isAnswerComplete ? "answered" : "broken");
+            state.hasEnded = true;
+            stopWatching();
+            if (splitter.bufferedBytes() > 0) {
+                endBroken();
+                return;
+            }
+            resolveEnd(opened, parts.confirmEnd, isWhole => isWhole ? settle("answered") : endBroken());
         });
     });
 }
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -7,6 +7,7 @@
 
 import { createAllowanceQueue } from "./allowance/createAllowanceQueue.js";
 import { createAllowances } from "./allowance/createAllowances.js";
+import { createEndConfirmation } from "./dispatch/createEndConfirmation.js";
 import { EndpointAgent } from "./dispatch/EndpointAgent.js";
 import { hasDied } from "./dispatch/hasDied.js";
 import { maxIdleConnections } from "./dispatch/maxIdleConnections.js";
@@ -415,6 +416,14 @@
         rollouts,
         streams,
         agent: requestAgent,
+        confirmEnd: createEndConfirmation({
+            agent: requestAgent,
+            clock,
+            encodeRunCheck: parts.endpointWire.encodeRunCheck,
+            decodeReport: parts.endpointWire.decodeReport,
+            logger: loggers("endpoint"),
+            metrics,
+        }),
         callerWire: parts.callerWire,
         endpointWire: parts.endpointWire,
         bounds,
