Believe the end of an answer through a peer only if the peer confirms it

A VM that drained closed each tunnel with a FIN after a second of silence, as if nothing ran on it; an operating system does so with the connections of a process that is killed; and the VM that used the tunnel took each FIN for the endpoint's.

- Each tunnel has an id, which the VM that asks for it chooses and sends with its own address.
The peer remembers by id how tunnels ended, for 10 s and 4,096 at most, and writes that down before it passes the end on.
`GET /tunnels/ID` answers it; `confirmEnd` of a `Tunnel`, and `confirmCarrier` of an opened call, ask once, within 300 ms.
No answer, or an id that is not known, confirms nothing, so a peer that was killed, has started again or is of an earlier build does not.
- What is no clean end of one side is a reset at the other, also for the idle time and for what is left when the time to stop is over.
- A VM that stops cannot know whether an answer runs on a tunnel without reading it, so it asks the VMs that use its tunnels, once a second, to close them (`POST /tunnel-drains`): idle ones at once, others after their answer.
`drainIdleMs` is gone.
A VM of an earlier build keeps its tunnels until they are reset.
- The peer waits for the question about an end for as long as the VM may wait for its answer, before it ends its listener; and 700 ms of the time to stop are left for resets, as for callers.

An answer with a length or chunks costs no call; a tunnel's request has two more headers.

The test of a peer that stops used a tunnel by writing to it ten times a second, which is what the rule on silence wanted. It is replaced by one whose used tunnel is silent for 1.3 s in mid-answer, and must be kept and closed after the answer, while an idle one is closed at once; and one with a VM that does not know the notice. Both need a VM that calls.

--- a/packages/router/src/__tests__/support/simulateReach.ts
+++ b/packages/router/src/__tests__/support/simulateReach.ts
@@ -170,6 +170,8 @@
         createConnector({
             clock,
             vm: vm.peer.vm,
+            address: vm.peer.address,
+            askTunnelEnd: () => Promise.resolve(false),
             random,
             failureDomain: vm.peer.failureDomain ?? FailureDomain.parse("none"),
             peers: () => knownTo(vm),
--- a/packages/router/src/__tests__/unit/admitTunnel.test.ts
+++ b/packages/router/src/__tests__/unit/admitTunnel.test.ts
@@ -58,6 +58,8 @@
         const connector = createConnector({
             clock: { now: () => time.now, epoch: () => time.now },
             vm: VmId.parse("a0"),
+            address: "10.0.0.9:7600",
+            askTunnelEnd: () => Promise.resolve(false),
             random: () => 0.5,
             failureDomain: FailureDomain.parse("a"),
             peers: () => [],
--- a/packages/router/src/__tests__/unit/confirmDead.test.ts
+++ b/packages/router/src/__tests__/unit/confirmDead.test.ts
@@ -56,6 +56,8 @@
         const connector = createConnector({
             clock: createClock(),
             vm: VmId.parse("a0"),
+            address: "10.0.0.9:7600",
+            askTunnelEnd: () => Promise.resolve(false),
             random: () => 0.5,
             failureDomain: FailureDomain.parse("a"),
             peers: () =>
--- a/packages/router/src/__tests__/unit/peerListener.test.ts
+++ b/packages/router/src/__tests__/unit/peerListener.test.ts
@@ -34,6 +34,8 @@
             configuration: () => undefined,
             receiveReport: () => undefined,
             streams: () => Buffer.alloc(0),
+            tunnelEnd: () => undefined,
+            closeTunnels: () => undefined,
             topics,
         });
         t.teardown(() => listener.close());
@@ -66,6 +68,8 @@
             configuration: () => undefined,
             receiveReport: each => void seen.push(each),
             streams: () => Buffer.alloc(0),
+            tunnelEnd: () => undefined,
+            closeTunnels: () => undefined,
             topics,
         });
         t.teardown(() => listener.close());
--- a/packages/router/src/__tests__/unit/tunnels.test.ts
+++ b/packages/router/src/__tests__/unit/tunnels.test.ts
@@ -7,7 +7,10 @@
 import type { OpenConnection } from "../../dispatch/OpenConnection.js";
 import { decodeNamedPeers } from "../../tunnel/decodeNamedPeers.js";
 import type { TunnelAdmission } from "../../tunnel/TunnelAdmission.js";
+import { startRawEndpoint } from "../support/startRawEndpoint.js";
 import { startTunnelPeer } from "../support/startTunnelPeer.js";
+import { startTunnelUser } from "../support/startTunnelUser.js";
+import { until } from "../support/until.js";
 
 const startEcho = async () => {
     const server = createServer(socket => {
@@ -82,24 +85,52 @@
     peer.stop();
 });
 
-// Requests of other VMs that run while a VM stops must get their answers.
-test("tunnel: a peer that stops keeps a tunnel that is in use, and closes it once it is idle", async t => {
-    const { server, address } = await startEcho();
-    const peer = await startTunnelPeer();
-    const socket = (await peer.openTunnel(address)).unsafeCoerce() as Socket;
-    const received: string[] = [];
-    socket.on("data", data => received.push(String(data)));
-    const closed = new Promise(resolve => socket.once("close", resolve));
-    const drained = peer.tunnels.drain(60_000);
-    const timer = setInterval(() => socket.write("x"), 100);
-    await new Promise(resolve => setTimeout(resolve, 1_300));
-    t.is(peer.tunnels.size(), 1);
-    clearInterval(timer);
-    await drained;
-    await closed;
-    t.true(received.join("").length > 5);
-    server.close();
-    peer.stop();
+const HEAD = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n";
+const drains = [
+    { name: "closes it once it is idle", knowsNotices: true },
+    { name: "resets it at the end if its VM does not close it", knowsNotices: false },
+] as const;
+
+// Requests of other VMs that run while a VM stops must get their answers, also if nothing arrives in one for long.
+drains.forEach(({ name, knowsNotices }) => {
+    test(`tunnel: a peer that stops keeps a tunnel that is in use, and ${name}`, async t => {
+        const inUse: Socket[] = [];
+        const endpoint = await startRawEndpoint((socket, text) => {
+            socket.write(HEAD);
+            if (text.endsWith("idle")) {
+                socket.write("ok");
+                return;
+            }
+            inUse.push(socket);
+        });
+        const user = await startTunnelUser({ knowsNotices, timing: { drainNoticeMs: 100 } });
+        const { tunnels } = user.peer;
+        const [used, idle] = await Promise.all(["used", "idle"].map(body => user.call(endpoint.address, body)));
+        if (used?.kind !== "head" || idle?.kind !== "head") {
+            t.fail("no answers");
+            return;
+        }
+        idle.res.resume();
+        await new Promise(resolve => idle.res.once("end", resolve));
+        t.is(tunnels.size(), 2);
+        const state = { isDrained: false };
+        const drained = tunnels.drain(knowsNotices ? 60_000 : 1_800).then(() => {
+            state.isDrained = true;
+        });
+        await until(() => knowsNotices ? tunnels.size() === 1 : user.notices() > 1);
+        await new Promise(resolve => setTimeout(resolve, 1_300));
+        t.is(tunnels.size(), knowsNotices ? 1 : 2);
+        t.false(state.isDrained);
+        inUse.forEach(socket => socket.write("ok"));
+        t.is(Buffer.concat(await used.res.toArray() as Buffer[]).toString(), "ok");
+        await drained;
+        t.is(tunnels.size(), knowsNotices ? 0 : 2);
+        tunnels.closeAll();
+        await until(() => user.peer.closed.length === 2);
+        t.deepEqual([...new Set(user.peer.closed)], [knowsNotices ? "vm-closed" : "stopped"]);
+        user.stop();
+        endpoint.stop();
+    });
 });
 
 const domainPeers = ["vm-1", "vm-2", "vm-3", "vm-4", "vm-5"].map((vm, i) => ({
--- a/packages/router/src/dispatch/EndpointAgent.ts
+++ b/packages/router/src/dispatch/EndpointAgent.ts
@@ -6,6 +6,8 @@
 
 import type { VmId } from "@azureshunt/core";
 
+import type { Tunnel } from "../tunnel/Tunnel.js";
+import type { TunnelId } from "../tunnel/TunnelId.js";
 import type { ConnectionKind } from "./ConnectionKind.js";
 import type { OpenConnection } from "./OpenConnection.js";
 import type { OpenedConnection } from "./OpenedConnection.js";
@@ -52,8 +54,10 @@
      * first read, and `openCall` recognises a reset by the address being missing.
      */
     private readonly addresses = new WeakMap<Socket, string>();
-    /** By connection that a peer opened: that peer. */
-    private readonly carriers = new WeakMap<Socket, VmId>();
+    /** By connection that a peer opened: its tunnel. */
+    private readonly tunnels = new WeakMap<Socket, Tunnel>();
+    /** Tunnels in use that are not kept after their answer. */
+    private readonly closing = new WeakSet<Socket>();
 
     /** @param now monotonic time in milliseconds */
     constructor(private readonly now: () => number, private readonly parts: AgentParts = {}) {
@@ -81,7 +85,7 @@
         }
         openConnection(`${options.host}:${options.port}`).then(opened => {
             if (opened.kind === "tunnel") {
-                this.carriers.set(opened.socket, opened.carrier);
+                this.tunnels.set(opened.socket, opened);
             }
             onConnection?.(null, opened.socket);
         }, (err: Error) => onConnection?.(err, undefined as never));
@@ -90,12 +94,28 @@
 
     /** Returns how the open connection came about that a request uses. */
     connectionKindOf(socket: Socket): ConnectionKind {
-        return this.idleSince.has(socket) ? "kept" : this.carriers.has(socket) ? "tunnel" : "new";
+        return this.idleSince.has(socket) ? "kept" : this.tunnels.has(socket) ? "tunnel" : "new";
     }
 
     /** Returns the peer that opened a connection; `undefined` on an own link. */
     carrierOf(socket: Socket): VmId | undefined {
-        return this.carriers.get(socket);
+        return this.tunnels.get(socket)?.carrier;
+    }
+
+    /** Returns the tunnel that a connection is; `undefined` on an own link. */
+    tunnelOf(socket: Socket): Tunnel | undefined {
+        return this.tunnels.get(socket);
+    }
+
+    /** Closes the tunnels with these ids as soon as they carry no request: idle ones at once, others after their answer. */
+    closeTunnels(ids: ReadonlySet<TunnelId>): void {
+        const socketsIn = (sockets: NodeJS.ReadOnlyDict<Socket[]>): readonly Socket[] =>
+            Object.values(sockets).flatMap(each => each ?? []).filter(socket => {
+                const tunnel = this.tunnels.get(socket);
+                return tunnel !== undefined && ids.has(tunnel.id);
+            });
+        socketsIn(this.sockets).forEach(socket => this.closing.add(socket));
+        socketsIn(this.freeSockets).forEach(socket => socket.destroy());
     }
 
     recordAddress(socket: Socket, address: string): void {
@@ -104,13 +124,16 @@
 
     /** Records that an endpoint answers on a connection. */
     recordAnswer(socket: Socket, address: string): void {
-        if (!this.carriers.has(socket)) {
+        if (!this.tunnels.has(socket)) {
             this.parts.onAnswer?.(address);
         }
     }
 
     /** Decides whether to keep a connection after its answer; called by Node. */
     override keepSocketAlive(socket: Socket): boolean {
+        if (this.closing.has(socket)) {
+            return false;
+        }
         this.maxFreeSockets = this.parts.maxIdle?.(this.addresses.get(socket) ?? "") ?? MAX_IDLE_PER_ENDPOINT;
         const isKept = super.keepSocketAlive(socket) as unknown as boolean;
         if (isKept) {
@@ -138,7 +161,7 @@
         const ownLinkIdleMs = this.parts.isBlocked?.(address) === true
             ? Math.min(idleMs, BLOCKED_MAX_IDLE_MS)
             : idleMs;
-        const maxIdleMsOf = (socket: Socket): number => this.carriers.has(socket) ? idleMs : ownLinkIdleMs;
+        const maxIdleMsOf = (socket: Socket): number => this.tunnels.has(socket) ? idleMs : ownLinkIdleMs;
         const now = this.now();
         // Destroying a connection changes the list, so those to destroy are selected first.
         idle.filter(socket => now - (this.idleSince.get(socket) ?? -Infinity) > maxIdleMsOf(socket))
--- a/packages/router/src/dispatch/OpenedCall.ts
+++ b/packages/router/src/dispatch/OpenedCall.ts
@@ -15,5 +15,7 @@
         readonly connection: ConnectionKind;
         /** VM that forwards the connection; `undefined` on an own link. */
         readonly carrier: VmId | undefined;
+        /** Asks that VM whether the endpoint has closed the connection; `undefined` on an own link. */
+        readonly confirmCarrier: (() => Promise<boolean>) | undefined;
     }
     | { readonly kind: "unreached" | "broken" | "silent" | "cancelled"; readonly connection: ConnectionKind; };
--- a/packages/router/src/dispatch/openCall.ts
+++ b/packages/router/src/dispatch/openCall.ts
@@ -2,9 +2,9 @@
 
 import { framingOf } from "@azureshunt/completion";
 import type { ConnectionEnd } from "@azureshunt/completion";
-import type { VmId } from "@azureshunt/core";
 import { defaultBounds } from "@azureshunt/flow";
 
+import type { Tunnel } from "../tunnel/Tunnel.js";
 import type { CancelSignal } from "./CancelSignal.js";
 import type { ConnectionKind } from "./ConnectionKind.js";
 import type { EndpointAgent } from "./EndpointAgent.js";
@@ -45,7 +45,7 @@
             isWithheld: false,
             connection: "none" as ConnectionKind,
             connectionEnd: "open" as ConnectionEnd,
-            carrier: undefined as VmId | undefined,
+            tunnel: undefined as Tunnel | undefined,
         };
         const req = request({
             agent,
@@ -139,7 +139,7 @@
             };
             socket.prependListener("end", onEnd);
             req.on("close", () => socket.removeListener("end", onEnd));
-            progress.carrier = agent.carrierOf(socket);
+            progress.tunnel = agent.tunnelOf(socket);
             head.startBytes = socket.bytesRead;
             if (!socket.connecting) {
                 progress.isConnected = true;
@@ -162,7 +162,8 @@
                 framing: framingOf(res.headers),
                 connectionEnd: () => progress.connectionEnd,
                 connection: progress.connection,
-                carrier: progress.carrier,
+                carrier: progress.tunnel?.carrier,
+                confirmCarrier: progress.tunnel?.confirmEnd,
             });
         });
         req.on("error", () => {
--- a/packages/router/src/peers/startPeerListener.ts
+++ b/packages/router/src/peers/startPeerListener.ts
@@ -1,11 +1,15 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 
+import type { TunnelEnd } from "@azureshunt/completion";
 import { jsonOf, readBody } from "@azureshunt/http";
 
 import { CountsReport } from "../rollout/CountsReport.js";
 import { startListener } from "../serve/startListener.js";
 import { encodeTopicAnswer } from "../store/encodeTopicAnswer.js";
 import type { TopicAnswer } from "../store/TopicAnswer.js";
+import { TunnelDrainNotice } from "../tunnel/TunnelDrainNotice.js";
+import type { TunnelEndAnswer } from "../tunnel/TunnelEndAnswer.js";
+import { TunnelId } from "../tunnel/TunnelId.js";
 
 /** What other VMs can request. */
 type PeerListenerParts = {
@@ -16,6 +20,10 @@
     readonly receiveReport: (report: CountsReport) => void;
     /** Returns what this VM knows of where streams began; see `createStreamKeeper`. */
     readonly streams: (query: string) => Buffer;
+    /** Returns how a tunnel ended that this VM has forwarded; `undefined` if it does not know. */
+    readonly tunnelEnd: (id: TunnelId) => TunnelEnd | undefined;
+    /** Closes tunnels that another VM forwards as soon as they carry no request. */
+    readonly closeTunnels: (ids: ReadonlySet<TunnelId>) => void;
     /** By topic: returns this VM's answer in place of the store; `undefined` if it has no fresh one. */
     readonly topics: ReadonlyMap<
         string,
@@ -30,8 +38,12 @@
 const TOPICS = "/topics/";
 const REPORTS = "/rollout-counts";
 const STREAMS = "/streams";
+const TUNNELS = "/tunnels/";
+const TUNNEL_DRAINS = "/tunnel-drains";
 /** A report has one row per route, of some hundred bytes. */
 const MAX_REPORT_BYTES = 256 * 1024;
+/** A notice has an id of 36 characters for each tunnel. */
+const MAX_NOTICE_BYTES = 64 * 1024;
 
 const fromOf = (query: URLSearchParams): number | undefined | "bad" => {
     const text = query.get("from");
@@ -41,8 +53,9 @@
 /**
  * Starts the HTTP listener for other VMs: `GET /configuration` for those that are cut off from the store,
  * `GET /topics/NAME?from=OFFSET&read=wanted`, in place of the store, for those of this VM's failure domain,
- * `POST /rollout-counts` for reports to the leader of rollouts, and `GET /streams?id=ID` for VMs that have to continue
- * a stream.
+ * `POST /rollout-counts` for reports to the leader of rollouts, `GET /streams?id=ID` for VMs that have to continue
+ * a stream, `GET /tunnels/ID` for VMs that have to know how a tunnel ended, and `POST /tunnel-drains` for VMs that stop
+ * and forward tunnels of this one.
  */
 export function startPeerListener(parts: PeerListenerParts): Promise<Server> {
     const end = (res: ServerResponse, body: Buffer | undefined): void => {
@@ -63,6 +76,26 @@
         parts.receiveReport(report.data);
         end(res, Buffer.alloc(0));
     };
+    const receiveDrain = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+        const body = await readBody(req, MAX_NOTICE_BYTES);
+        const notice = TunnelDrainNotice.safeParse(jsonOf(body.orDefault(Buffer.alloc(0))));
+        if (!notice.success) {
+            refuse(res, BAD_REQUEST);
+            return;
+        }
+        parts.closeTunnels(new Set(notice.data.tunnels));
+        end(res, Buffer.alloc(0));
+    };
+    const answerTunnelEnd = (res: ServerResponse, text: string): void => {
+        const id = TunnelId.safeParse(text);
+        const known = id.success ? parts.tunnelEnd(id.data) : undefined;
+        if (known === undefined) {
+            refuse(res, NOT_FOUND);
+            return;
+        }
+        const answer: TunnelEndAnswer = { end: known };
+        end(res, Buffer.from(JSON.stringify(answer)));
+    };
     return startListener(parts.address, (req, res) => {
         // `URL` would throw on some request targets.
         const [path = "", query = ""] = (req.url ?? "").split("?", 2);
@@ -78,6 +111,14 @@
             end(res, parts.streams(query));
             return;
         }
+        if (path === TUNNEL_DRAINS) {
+            void receiveDrain(req, res);
+            return;
+        }
+        if (path.startsWith(TUNNELS)) {
+            answerTunnelEnd(res, path.slice(TUNNELS.length));
+            return;
+        }
         const answer = path.startsWith(TOPICS) ? parts.topics.get(path.slice(TOPICS.length)) : undefined;
         if (answer === undefined) {
             refuse(res, NOT_FOUND);
--- a/packages/router/src/serve/startCallerServer.ts
+++ b/packages/router/src/serve/startCallerServer.ts
@@ -32,8 +32,6 @@
 const UNAVAILABLE = 503;
 /** The balancer probes once per second and removes a VM after two failures; until then, new connections arrive. */
 const NEW_CONNECTIONS_MS = 2_600;
-/** Part of the shutdown time that is left when requests that still run are aborted. */
-const STOP_MARGIN_MS = 700;
 /** A caller that takes longer to send a body only occupies memory: its own deadline has passed by then. */
 const BODY_TIMEOUT_MS = 30_000;
 const POLL_MS = 50;
@@ -125,7 +123,7 @@
                     closeIdleConnections();
                 }
                 const isOver = running.size === 0 && elapsedMs > NEW_CONNECTIONS_MS;
-                if (isOver || elapsedMs > withinMs - STOP_MARGIN_MS) {
+                if (isOver || elapsedMs > withinMs) {
                     clearInterval(poll);
                     clearInterval(timer);
                     closeIdleConnections();
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -55,6 +55,7 @@
 import { createTickLag } from "./serve/createTickLag.js";
 import type { FreshnessBounds } from "./serve/FreshnessBounds.js";
 import { startCallerServer } from "./serve/startCallerServer.js";
+import { stopMarginMs } from "./serve/stopMarginMs.js";
 import { startGauges } from "./startGauges.js";
 import { startMetricsListener } from "./startMetricsListener.js";
 import { countStoreCalls } from "./store/countStoreCalls.js";
@@ -62,7 +63,10 @@
 import { measureStore } from "./store/measureStore.js";
 import type { StoreCallReason } from "./store/StoreCallReason.js";
 import { startStreams } from "./streams/startStreams.js";
+import { askTunnelEnd } from "./tunnel/askTunnelEnd.js";
 import { createConnector } from "./tunnel/createConnector.js";
+import { createTunnelEnds } from "./tunnel/createTunnelEnds.js";
+import { sendDrainNotice } from "./tunnel/sendDrainNotice.js";
 import { serveTunnels } from "./tunnel/serveTunnels.js";
 
 /** Settings and adapters that a router is built from. */
@@ -113,6 +117,8 @@
     const connector = createConnector({
         clock,
         vm: settings.vm,
+        address: settings.listen.peers,
+        askTunnelEnd: (carrier, id) => askTunnelEnd(agent, carrier, id),
         random: Math.random,
         failureDomain: settings.failureDomain,
         peers: () => membership.livePeers(),
@@ -441,11 +447,14 @@
     const isReady = (): boolean =>
         !state.isDraining && endpointTable.isKnown() &&
         clock.now() - declarations.current().confirmedAt < bounds().maxAgeForKeysMs;
+    const tunnelEnds = createTunnelEnds(clock);
     const peerListener = await startPeerListener({
         address: settings.listen.peers,
         configuration: declarations.raw,
         receiveReport: rollouts.receiveReport,
         streams: streams.answer,
+        tunnelEnd: tunnelEnds.endOf,
+        closeTunnels: ids => requestAgent.closeTunnels(ids),
         topics: new Map([
             [directory.declarationsTopic, declarations.answer],
             [directory.registryTopic, registry.answer],
@@ -462,6 +471,10 @@
         failureDomain: settings.failureDomain,
         random: Math.random,
         open: parts.open,
+        ends: tunnelEnds,
+        onClosed: end =>
+            metrics.count("azureshunt_tunnel_ends_total", "Tunnels of other VMs, by how they ended.", { end }),
+        notifyDrain: (address, ids) => void sendDrainNotice(agent, address, ids),
     });
     state.hasTunnelTo = tunnels.leadsTo;
     byteBudget.addSource(tunnels.heldBytes);
@@ -515,7 +528,13 @@
         state.isDraining = true;
         logger.info("Stopping.");
         requestQueues.close();
-        await Promise.all([callerServer, tunnels].map(part => part.drain(state.settings.stopMs)));
+        await Promise.all([callerServer, tunnels].map(part => part.drain(state.settings.stopMs - stopMarginMs)));
+        if (tunnels.size() > 0) {
+            logger.warn(
+                { tunnels: tunnels.size() },
+                "Reset tunnels of other VMs: still open as the time to stop ended.",
+            );
+        }
         tunnels.closeAll();
         [beacons, registry, declarations].forEach(part => part.stop());
         clearInterval(timer);
--- a/packages/router/src/tunnel/createConnector.ts
+++ b/packages/router/src/tunnel/createConnector.ts
@@ -14,11 +14,16 @@
 import { openOwnLink } from "./openOwnLink.js";
 import { requestTunnel } from "./requestTunnel.js";
 import type { TunnelAdmission } from "./TunnelAdmission.js";
+import type { TunnelId } from "./TunnelId.js";
 import { tunnelTiming } from "./tunnelTiming.js";
 
 type ConnectorParts = {
     readonly clock: Clock;
     readonly vm: VmId;
+    /** `host:port` of this VM's listener for peers. */
+    readonly address: string;
+    /** Asks the carrier of a tunnel, at the address of its listener for peers, whether the endpoint has closed it. */
+    readonly askTunnelEnd: (carrier: string, id: TunnelId) => Promise<boolean>;
     readonly random: () => number;
     readonly failureDomain: FailureDomain;
     /** Live peers. */
--- a/packages/router/src/tunnel/createTunnelOpener.ts
+++ b/packages/router/src/tunnel/createTunnelOpener.ts
@@ -1,3 +1,5 @@
+import { randomUUID } from "node:crypto";
+
 import type { Clock, FailureDomain, Millis, Peer, ServiceName, VmId } from "@azureshunt/core";
 import { choosePeer, helpersOf, initialPeerHistory, stepPeerHistory } from "@azureshunt/reach";
 import type { LinkTarget, PeerEvent, PeerHistory, TunnelFailure } from "@azureshunt/reach";
@@ -7,6 +9,7 @@
 import type { requestTunnel } from "./requestTunnel.js";
 import { searchPeers } from "./searchPeers.js";
 import type { Tunnel } from "./Tunnel.js";
+import { TunnelId } from "./TunnelId.js";
 
 type TunnelOpenerParts = {
     readonly clock: Clock;
@@ -16,6 +19,10 @@
     /** Live peers. */
     readonly peers: () => readonly Peer[];
     readonly metrics: Metrics;
+    /** `host:port` of this VM's listener for peers. */
+    readonly address: string;
+    /** Asks the carrier of a tunnel, at the address of its listener for peers, whether the endpoint has closed it. */
+    readonly askTunnelEnd: (carrier: string, id: TunnelId) => Promise<boolean>;
     readonly requestTunnel: typeof requestTunnel;
     /** Calls a function after a delay; returns a function that cancels it. */
     readonly schedule: (delayMs: Millis, run: () => void) => () => void;
@@ -41,10 +48,12 @@
         { address, service }: LinkTarget,
         signal: AbortSignal,
     ): Promise<Either<TunnelFailure, Tunnel>> => {
+        const id = TunnelId.parse(randomUUID());
         const { tunnel, named, helpers } = await parts.requestTunnel({
             peer: peer.address,
             target: address,
             failureDomain,
+            user: { id, address: parts.address },
             signal,
         });
         const outcome = tunnel.caseOf({ Left: failure => failure, Right: () => "opened" as const });
@@ -61,7 +70,9 @@
         if (helpers.length > 0) {
             apply({ kind: "recommended", service, peers: helpers.filter(({ vm }) => vm !== parts.vm) });
         }
-        return tunnel.map(socket => ({ socket, carrier: peer.vm }));
+        const state = { confirmed: undefined as Promise<boolean> | undefined };
+        const confirmEnd = (): Promise<boolean> => state.confirmed ??= parts.askTunnelEnd(peer.address, id);
+        return tunnel.map(socket => ({ id, socket, carrier: peer.vm, confirmEnd }));
     };
 
     const open: TunnelOpener["open"] = (target, signal) => {
--- a/packages/router/src/tunnel/requestTunnel.ts
+++ b/packages/router/src/tunnel/requestTunnel.ts
@@ -9,6 +9,7 @@
 import { tunnelHeaders } from "./tunnelHeaders.js";
 import { tunnelStatus } from "./tunnelStatus.js";
 import { tunnelTiming } from "./tunnelTiming.js";
+import type { TunnelUser } from "./TunnelUser.js";
 
 type TunnelRequest = {
     /** `host:port` of the peer's listener for peers. */
@@ -17,6 +18,8 @@
     readonly target: string;
     /** Failure domain of this VM. */
     readonly failureDomain: FailureDomain;
+    /** Who uses the tunnel: its id, and the address of this VM. */
+    readonly user: TunnelUser;
     /** Ends the request; a tunnel that was opened is kept. */
     readonly signal: AbortSignal;
     /** Time limit for the peer's answer. */
@@ -32,7 +35,7 @@
 
 /** Asks a peer for a connection to an endpoint by HTTP `CONNECT` (RFC 9110). */
 export function requestTunnel(
-    { peer, target, failureDomain, signal, answerMs = tunnelTiming.answerMs }: TunnelRequest,
+    { peer, target, failureDomain, user, signal, answerMs = tunnelTiming.answerMs }: TunnelRequest,
 ): Promise<TunnelAnswer> {
     const [host, port] = peer.split(":");
     return new Promise(resolve => {
@@ -41,7 +44,12 @@
             port: Number(port),
             method: "CONNECT",
             path: target,
-            headers: { host: target, [tunnelHeaders.failureDomain]: failureDomain },
+            headers: {
+                host: target,
+                [tunnelHeaders.failureDomain]: failureDomain,
+                [tunnelHeaders.id]: user.id,
+                [tunnelHeaders.address]: user.address,
+            },
             agent: false,
         });
         const fail = (failure: TunnelFailure, names: Names = { named: [], helpers: [] }): void => {
--- a/packages/router/src/tunnel/serveTunnels.ts
+++ b/packages/router/src/tunnel/serveTunnels.ts
@@ -2,16 +2,22 @@
 import { connect } from "node:net";
 import type { Socket } from "node:net";
 
+import type { TunnelEnd } from "@azureshunt/completion";
 import type { FailureDomain, Millis, Peer } from "@azureshunt/core";
 
 import type { OpenConnection } from "../dispatch/OpenConnection.js";
-import { wasReset } from "../dispatch/wasReset.js";
+import type { createTunnelEnds } from "./createTunnelEnds.js";
+import { decodeTunnelUser } from "./decodeTunnelUser.js";
+import { drainTunnels } from "./drainTunnels.js";
 import { encodeNamingHeaders } from "./encodeNamingHeaders.js";
+import { forwardTunnel } from "./forwardTunnel.js";
 import { pickPeers } from "./pickPeers.js";
 import type { TunnelAdmission } from "./TunnelAdmission.js";
 import { tunnelHeaders } from "./tunnelHeaders.js";
+import type { TunnelId } from "./TunnelId.js";
 import { tunnelStatus } from "./tunnelStatus.js";
 import { tunnelTiming } from "./tunnelTiming.js";
+import type { TunnelUser } from "./TunnelUser.js";
 
 type TunnelParts = {
     /** Whether an address, `host:port`, is that of a registered endpoint. Tunnels lead nowhere else. */
@@ -31,8 +37,14 @@
     readonly helpers: (address: string) => readonly Peer[];
     readonly random: () => number;
     readonly open?: OpenConnection;
+    /** Records of how tunnels ended, which VMs that use them may ask for. */
+    readonly ends: Pick<ReturnType<typeof createTunnelEnds>, "record" | "isAwaitingQuestion">;
+    /** Called when a tunnel has ended and both its connections are closed. */
+    readonly onClosed: (end: TunnelEnd) => void;
+    /** Asks the VM at an address to close tunnels as soon as they carry no request. */
+    readonly notifyDrain: (address: string, tunnels: readonly TunnelId[]) => void;
     /** Time limits that differ from `tunnelTiming`. */
-    readonly timing?: Partial<Record<"peerConnectMs" | "silentMs", Millis>>;
+    readonly timing?: Partial<Record<"peerConnectMs" | "silentMs" | "idleMs" | "drainNoticeMs", Millis>>;
 };
 
 /** The tunnels of a listener. */
@@ -42,30 +54,33 @@
     readonly leadsTo: (address: string) => boolean;
     /** Bytes that Node has buffered for the tunnels' ends. */
     readonly heldBytes: () => number;
-    /** Closes each tunnel once it carries nothing; resolves when none is left, or after the time given. */
+    /** Asks for tunnels to be closed that carry no request; resolves when none is left, or after the time given. */
     readonly drain: (withinMs: Millis) => Promise<void>;
+    /** Resets the tunnels that are left, at both ends. */
     readonly closeAll: () => void;
 };
 
-type Tunnel = { readonly address: string; readonly near: Socket; readonly far: Socket; lastDataAt: Millis; };
+type ServedTunnel = {
+    readonly address: string;
+    readonly near: Socket;
+    readonly far: Socket;
+    readonly user: TunnelUser | undefined;
+    readonly giveUp: ReturnType<typeof forwardTunnel>["giveUp"];
+};
 
 /** Each tunnel takes two of the process's descriptors. */
 const MAX_TUNNELS = 600;
 /** VMs that are named in one answer. */
 const MAX_NAMED = 4;
-const POLL_MS: Millis = 50;
 
 /**
  * Opens connections to endpoints for peers that cannot reach them, on `CONNECT` requests to their listener, and forwards
  * bytes both ways. A tunnel carries connections of one VM, whose requests, retries and charges stay its own, so a
  * request crosses one tunnel at most.
- *
- * A reset at one end is passed on as a reset: the VM tells by it that an answer is incomplete, and the endpoint that a
- * call was abandoned, whose bytes must not arrive later.
  */
 export function serveTunnels(server: Server, parts: TunnelParts): Tunnels {
-    const { peerConnectMs, silentMs } = { ...tunnelTiming, ...parts.timing };
-    const tunnels = new Set<Tunnel>();
+    const { peerConnectMs, silentMs, idleMs, drainNoticeMs } = { ...tunnelTiming, ...parts.timing };
+    const tunnels = new Set<ServedTunnel>();
     /** By address of an endpoint: until when it counts as silent. */
     const silentUntil = new Map<string, Millis>();
     const isSilent = (address: string): boolean => (silentUntil.get(address) ?? -Infinity) > performance.now();
@@ -93,27 +108,19 @@
         near.destroySoon();
     };
 
-    const forward = (address: string, near: Socket, far: Socket): void => {
-        const tunnel: Tunnel = { address, near, far, lastDataAt: performance.now() };
-        tunnels.add(tunnel);
-        [[near, far] as const, [far, near] as const].forEach(([from, to]) => {
-            from.setNoDelay(true);
-            from.setTimeout(tunnelTiming.idleMs, () => from.resetAndDestroy());
-            from.on("data", () => {
-                tunnel.lastDataAt = performance.now();
-            });
-            from.prependOnceListener("end", () => {
-                if (wasReset(from)) {
-                    to.resetAndDestroy();
-                }
-            });
-            from.on("error", () => to.resetAndDestroy());
-            from.on("close", () => {
+    const forward = (address: string, user: TunnelUser | undefined, near: Socket, far: Socket): void => {
+        const { giveUp } = forwardTunnel({
+            near,
+            far,
+            idleMs,
+            onEnd: end => user === undefined ? undefined : parts.ends.record(user.id, end),
+            onClosed: end => {
                 tunnels.delete(tunnel);
-                to.destroySoon();
-            });
-            from.pipe(to);
+                parts.onClosed(end);
+            },
         });
+        const tunnel: ServedTunnel = { address, near, far, user, giveUp };
+        tunnels.add(tunnel);
     };
 
     const onConnect = (req: IncomingMessage, near: Socket, head: Buffer): void => {
@@ -164,32 +171,20 @@
             near.removeListener("error", onEarlyError);
             silentUntil.delete(address);
             parts.onOpened(address);
-            forward(address, near, far);
+            forward(address, decodeTunnelUser(req.headers), near, far);
             const headers = namingHeaders(req, tunnelStatus.opened);
             near.write(`HTTP/1.1 ${tunnelStatus.opened} Connection established\r\n${headers}\r\n`);
         });
     };
     server.on("connect", (req, near, head) => onConnect(req, near as Socket, head));
 
-    const closeIdle = (): void =>
-        tunnels.forEach(({ near, far, lastDataAt }) => {
-            if (performance.now() - lastDataAt > tunnelTiming.drainIdleMs) {
-                near.destroySoon();
-                far.destroySoon();
-            }
-        });
     const drain: Tunnels["drain"] = withinMs =>
-        new Promise(resolve => {
-            const startedAt = performance.now();
-            const poll = (): void => {
-                closeIdle();
-                if (tunnels.size === 0 || performance.now() - startedAt > withinMs) {
-                    resolve();
-                    return;
-                }
-                setTimeout(poll, POLL_MS);
-            };
-            poll();
+        drainTunnels({
+            users: () => [...tunnels].map(({ user }) => user),
+            isAwaitingQuestion: parts.ends.isAwaitingQuestion,
+            notify: parts.notifyDrain,
+            noticeMs: drainNoticeMs,
+            withinMs,
         });
     return {
         size: () => tunnels.size,
@@ -200,10 +195,6 @@
                 0,
             ),
         drain,
-        closeAll: () =>
-            tunnels.forEach(({ near, far }) => {
-                near.resetAndDestroy();
-                far.resetAndDestroy();
-            }),
+        closeAll: () => tunnels.forEach(({ giveUp }) => giveUp("stopped")),
     };
 }
--- a/packages/router/src/tunnel/tunnelTiming.ts
+++ b/packages/router/src/tunnel/tunnelTiming.ts
@@ -12,10 +12,12 @@
     answerMs: 130,
     /** How long a peer may take to answer before another one is asked as well: many round trips inside a region. */
     peerHeadStartMs: 25,
-    /** A tunnel that carries nothing for this long is closed, as its VM may be gone: longer than any pause in an answer. */
+    /** A tunnel that carries nothing for this long is reset, as its VM may be gone: longer than any pause in an answer. */
     idleMs: 60_000,
-    /** While its VM shuts down, a tunnel that carries nothing for this long is closed: no request runs on it. */
-    drainIdleMs: 1_000,
+    /** For a carrier's answer to the question how a tunnel ended, which it knows at once. */
+    confirmMs: 300,
+    /** How often a VM that stops asks the others to close the tunnels that are left. */
+    drainNoticeMs: 1_000,
 } as const;
 
 export { tunnelTiming };
