--- a/packages/completion/src/index.ts
+++ b/packages/completion/src/index.ts
@@ -7,3 +7,6 @@
 export { framingOf } from "./framingOf.js";
 export { isSameRun } from "./isSameRun.js";
 export { judgeEnd } from "./judgeEnd.js";
+export { judgeTunnelEnd } from "./judgeTunnelEnd.js";
+export type { TunnelEnd } from "./TunnelEnd.js";
+export type { TunnelEvent } from "./TunnelEvent.js";
