Cut a stream off whose rest is answered by something else than a stream

Callers of a stream that went on at another endpoint got neither its end nor an error if that endpoint answered with a sealed status below 500 other than 200: the connection stayed open, beyond the route's timeout too.

Such an answer counts as the request's own, and `finish` sends none once an answer has begun, as it takes that for one that was cut off. The request ends as `stream-broken` now, with the status in its log line, so the caller's answer is cut off as in every other end of a begun stream.

--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -225,6 +225,14 @@
         }
         const mayTryAgain = result.kind !== "broken"
             || await parts.quarantine.reportBrokenTry(served, place.entry, result.stage);
+        if (result.kind === "answered" && result.answer !== undefined && stream.forwardedEvents > 0) {
+            // The caller has the head and events of a stream, which no other answer can follow.
+            const refusal = refusalOf("stream-broken", `its rest was answered with status ${result.answer.status}`, {
+                retryAfterSeconds: retryAfterSeconds(parts, served),
+                ran: "maybe",
+            });
+            return giveUp(progress, refusal);
+        }
         if (result.kind === "answered") {
             return { kind: "answered", answer: result.answer, tries: request.tries + 1 };
         }
