--- a/packages/router/src/__tests__/unit/callerServer.test.ts
+++ b/packages/router/src/__tests__/unit/callerServer.test.ts
@@ -51,15 +51,32 @@
 
 const open = (
     port: number,
-): Promise<{ readonly socket: Socket; readonly text: () => string; readonly closed: Promise<void>; }> =>
+): Promise<{
+    readonly socket: Socket;
+    readonly text: () => string;
+    readonly isReset: () => boolean;
+    readonly closed: Promise<void>;
+}> =>
     new Promise(resolve => {
-        const answer = { text: "" };
-        const socket = connect(port, "127.0.0.1", () => resolve({ socket, text: () => answer.text, closed }));
+        const answer = { text: "", isReset: false };
+        const socket = connect(port, "127.0.0.1", () =>
+            resolve({
+                socket,
+                text: () => answer.text,
+                isReset: () => answer.isReset,
+                closed,
+            }));
         const closed = new Promise<void>(done => socket.once("close", () => done()));
         socket.on("data", (data: Buffer) => {
             answer.text += data.toString();
         });
-        socket.on("error", () => undefined);
+        socket.on("error", () => {
+            answer.isReset = true;
+        });
+        // A reset that arrives with the last bytes is reported as an end; no address is left then.
+        socket.prependListener("end", () => {
+            answer.isReset = socket.remoteAddress === undefined;
+        });
     });
 
 const until = async (holds: () => boolean): Promise<void> => {
@@ -100,6 +117,24 @@
     await drained;
 });
 
+// Guards against an answer that the end of a shutdown cuts off, and that passes as whole: with HTTP/1.0 its connection's
+// close is its end.
+[
+    { version: "1.0", isReset: true },
+    { version: "1.1", isReset: false },
+].forEach(({ version, isReset }) => {
+    test(`startCallerServer: an answer that a shutdown cuts off does not pass as whole: HTTP/${version}`, async t => {
+        const { callerServer, port } = await start();
+        const caller = await open(port);
+        caller.socket.write(`GET / HTTP/${version}\r\nHost: x\r\n\r\n`);
+        await until(() => caller.text().includes("begun"));
+        await callerServer.drain(0);
+        await caller.closed;
+        t.is(caller.isReset(), isReset);
+        t.false(caller.text().endsWith("0\r\n\r\n"));
+    });
+});
+
 const malformed = [
     { name: "two lengths", text: "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab" },
     {
