Reset the connections of answers that are cut off and whose framing cannot show it

Callers of HTTP/1.0 took streams that broke off, ran out of time or outlasted a shutdown for whole: the clean close of the connection is the end of an answer without a length.

`cutAnswer` resets the connection instead if the answer is not in chunks and not all of it has been given to the system, and serves all places that end an answer which has begun: refusals after the head, and what still runs at the end of a shutdown. Answers in chunks are closed as before, since a reset discards what the system has yet to send.

Not covered: a VM that is killed while it sends a stream to such a caller; its system closes the connection, and only a length could show that.

--- a/packages/router/src/serve/sendRefusal.ts
+++ b/packages/router/src/serve/sendRefusal.ts
@@ -3,6 +3,7 @@
 import type { Refusal } from "@azureshunt/core";
 
 import type { CallerWire } from "../ports/CallerWire.js";
+import { cutAnswer } from "./cutAnswer.js";
 import { statusOf } from "./statusOf.js";
 
 /**
@@ -12,7 +13,7 @@
  */
 export function sendRefusal(wire: CallerWire, res: ServerResponse, refusal: Refusal, isClosing: boolean): void {
     if (res.headersSent || res.destroyed) {
-        res.destroy();
+        cutAnswer(res);
         return;
     }
     const { headers, body } = wire.encodeRefusal(refusal);
--- a/packages/router/src/serve/startCallerServer.ts
+++ b/packages/router/src/serve/startCallerServer.ts
@@ -8,6 +8,7 @@
 import type { CallerLimits } from "../configuration/CallerLimits.js";
 import type { CallerWire } from "../ports/CallerWire.js";
 import type { RouterSettings } from "../RouterSettings.js";
+import { cutAnswer } from "./cutAnswer.js";
 import { sendRefusal } from "./sendRefusal.js";
 import { startListener } from "./startListener.js";
 import { statusOf } from "./statusOf.js";
@@ -129,6 +130,7 @@
                     clearInterval(poll);
                     clearInterval(timer);
                     closeIdleConnections();
+                    running.forEach(cutAnswer);
                     server.closeAllConnections();
                     ready.close();
                     ready.closeAllConnections();
