Give every plain answer a length

A plain answer whose endpoint gave no length went to a caller of HTTP/1.0 without one, and so ended with its connection: a VM that is killed while it sends it would have it pass as whole. To callers of HTTP/1.1 it went in chunks.

A plain answer is sent once it is complete, so its length is known; it is added unless the endpoint has stated it, or the answer has no body by its method or status.

--- a/packages/router/src/serve/createRequestHandler.ts
+++ b/packages/router/src/serve/createRequestHandler.ts
@@ -15,6 +15,7 @@
 import { createRequestReader } from "./createRequestReader.js";
 import { isRepeatable } from "./isRepeatable.js";
 import { isServerError } from "./isServerError.js";
+import { lengthHeaders } from "./lengthHeaders.js";
 import { memoryRetryAfterSeconds } from "./memoryRetryAfterSeconds.js";
 import { sendRefusal } from "./sendRefusal.js";
 import type { ServedRequest } from "./ServedRequest.js";
@@ -125,7 +126,11 @@
                     return;
                 }
                 if (end.answer !== undefined) {
-                    res.writeHead(end.answer.status, [...end.answer.headers, ...closingHeaders(parts)]);
+                    res.writeHead(end.answer.status, [
+                        ...end.answer.headers,
+                        ...lengthHeaders(caller.method, end.answer),
+                        ...closingHeaders(parts),
+                    ]);
                     // From here on the output counts what is left of it.
                     served.account.add(-end.answer.body.reduce((sum, { length }) => sum + length, 0));
                     served.account.answerSince = undefined;
