Send streams that may go on elsewhere without the length of their first endpoint

Callers of a resumable stream got the Content-Length of the endpoint that began it, also if another endpoint generated the rest and it was longer or shorter. On a kept connection they read a part of it as the next answer, or of the next answer as the rest: an answer that is not theirs, or not whole.

Such a stream is sent without a length, in chunks to callers of HTTP/1.1. One that may not go on elsewhere keeps its length, since all of it is of one endpoint.

--- a/packages/router/src/serve/forwardAnswer.ts
+++ b/packages/router/src/serve/forwardAnswer.ts
@@ -8,6 +8,7 @@
 import type { StreamHooks } from "./StreamHooks.js";
 import type { TryParts } from "./TryParts.js";
 import type { TryResult } from "./TryResult.js";
+import { withoutLength } from "./withoutLength.js";
 
 /**
  * Silence in mid-stream after which another endpoint continues. A sound endpoint may be silent for about a second, and
@@ -18,7 +19,8 @@
 
 const sendHead = ({ parts, served }: TryParts, { res }: Extract<OpenedCall, { readonly kind: "head"; }>): void => {
     if (!served.res.headersSent) {
-        const headers = parts.callerWire.forwardAnswerHeaders(res.rawHeaders);
+        const forwarded = parts.callerWire.forwardAnswerHeaders(res.rawHeaders);
+        const headers = isRepeatable(served.route.kind) ? withoutLength(forwarded) : forwarded;
         served.res.writeHead(res.statusCode ?? SUCCESS, [...headers, ...closingHeaders(parts)]);
     }
 };
