Close connections on which a request was refused without being named

Requests that may run only once ran at two endpoints if an endpoint, or an intermediary, sent its 421 or its "not run" twice: the late one met the next request on the connection, and as it names none, it was believed.

The connection of such a refusal is closed, so that no request follows on it. Refusals that name their request keep theirs, as a late one is recognised there. Each unnamed refusal costs a new connection; how many there are on the users' platform is not known here.

--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -246,7 +246,13 @@
         return finish({ kind: verdict, answer: undefined });
     }
     if (verdict === "refused" || verdict === "elsewhere") {
-        opened.res.resume();
+        if (head.requestId === undefined) {
+            // If it came a second time, it would be taken for an answer to the next request on the connection.
+            opened.res.destroy();
+        }
+        else {
+            opened.res.resume();
+        }
         return finish({ kind: verdict, answer: undefined });
     }
     // A plain answer starts with its head; the first event of a stream follows later.
