Open a connection for requests that run once if their endpoint answers twice

Callers of requests that may run only once got 502 `answer-lost` from endpoints that answer twice: the late second answer meets the next request on a kept connection, which has to be closed, and whether that request ran is not known.

The agent remembers for a minute which endpoints have sent bytes on an idle connection, and those whose answer named another request; a request that may run only once gets a new connection there. Others are tried again and keep theirs.

--- a/packages/router/src/dispatch/EndpointAgent.ts
+++ b/packages/router/src/dispatch/EndpointAgent.ts
@@ -18,10 +18,8 @@
 const BLOCKED_MAX_IDLE_MS = 250;
 /** Maximum idle time of a connection, unless the endpoint announces a shorter one. */
 const MAX_IDLE_MS = 20_000;
-
-const destroyOnData = function(this: Socket): void {
-    this.destroy();
-};
+/** How long an endpoint is remembered that has sent bytes which no request asked for. */
+const UNASKED_KEPT_MS = 60_000;
 
 type AgentParts = {
     /** Maximum number of idle connections to the endpoint at an address, `host:port`. */
@@ -54,10 +52,18 @@
     private readonly addresses = new WeakMap<Socket, string>();
     /** By connection that a peer opened: that peer. */
     private readonly carriers = new WeakMap<Socket, VmId>();
+    /** By address of an endpoint: when it last sent bytes that no request asked for. */
+    private readonly unaskedAt = new Map<string, number>();
+    private readonly onIdleData: (this: Socket) => void;
 
     /** @param now monotonic time in milliseconds */
     constructor(private readonly now: () => number, private readonly parts: AgentParts = {}) {
         super({ keepAlive: true, maxFreeSockets: MAX_IDLE_PER_ENDPOINT, scheduling: "lifo", timeout: MAX_IDLE_MS });
+        const recordUnasked = (socket: Socket): void => this.recordUnasked(this.addresses.get(socket) ?? "");
+        this.onIdleData = function(this: Socket): void {
+            recordUnasked(this);
+            this.destroy();
+        };
     }
 
     /**
@@ -109,20 +115,34 @@
         }
     }
 
+    /** Records that an endpoint has sent bytes that no request asked for, such as a second answer. */
+    recordUnasked(address: string): void {
+        const now = this.now();
+        [...this.unaskedAt].filter(([, at]) => now - at > UNASKED_KEPT_MS).forEach(([each]) =>
+            this.unaskedAt.delete(each)
+        );
+        this.unaskedAt.set(address, now);
+    }
+
+    /** Returns whether an endpoint has lately sent bytes that no request asked for. */
+    hasSentUnasked(address: string): boolean {
+        return this.now() - (this.unaskedAt.get(address) ?? -Infinity) <= UNASKED_KEPT_MS;
+    }
+
     /** Decides whether to keep a connection after its answer; called by Node. */
     override keepSocketAlive(socket: Socket): boolean {
         this.maxFreeSockets = this.parts.maxIdle?.(this.addresses.get(socket) ?? "") ?? MAX_IDLE_PER_ENDPOINT;
         const isKept = super.keepSocketAlive(socket) as unknown as boolean;
         if (isKept) {
             this.idleSince.set(socket, this.now());
-            socket.on("data", destroyOnData);
+            socket.on("data", this.onIdleData);
         }
         return isKept;
     }
 
     /** Reuses an idle connection for a request; called by Node. */
     override reuseSocket(socket: Socket, req: ClientRequest): void {
-        socket.removeListener("data", destroyOnData);
+        socket.removeListener("data", this.onIdleData);
         super.reuseSocket(socket, req);
     }
 
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -26,6 +26,8 @@
  */
 const NOT_REPEATABLE_MAX_IDLE_MS = 250;
 const MAX_IDLE_MS = 12_000;
+/** Closes all idle connections, so that a new one is opened. */
+const NO_IDLE_MS = -1;
 /** Estimates below this are taken for as much when answers are compared with them: round trips are part of each answer. */
 const MIN_ESTIMATE_MS = 20;
 /** Minimum time that an endpoint has for its first activity before it counts as overdue. */
@@ -69,6 +71,17 @@
     });
 };
 
+/**
+ * Returns how long a connection may have been idle that is used for a request. If an endpoint answers twice, the late
+ * answer ends the next request on the connection, which is lost if it may run only once. Such a request gets a new one.
+ */
+const maxIdleMsOf = ({ parts, served, place }: TryParts): Millis => {
+    if (isRepeatable(served.route.kind)) {
+        return MAX_IDLE_MS;
+    }
+    return parts.agent.hasSentUnasked(place.entry.address) ? NO_IDLE_MS : NOT_REPEATABLE_MAX_IDLE_MS;
+};
+
 /** Returns what was seen of an answer and its connection; `undefined` if none began. */
 const endSeen = (opened: OpenedCall | undefined) =>
     opened?.kind === "head"
@@ -195,7 +208,7 @@
         target: served.caller.target,
         headers: headersFor(tryParts, remainingMs, saveTo),
         body: served.body,
-        maxIdleMs: isRepeatable(kind) ? MAX_IDLE_MS : NOT_REPEATABLE_MAX_IDLE_MS,
+        maxIdleMs: maxIdleMsOf(tryParts),
         headMs: headTimeout(kind, objectiveMs, place.startMs, remainingMs, isLastTry),
         // A busy engine has the request in its queue; sending it to another one would only make both busier.
         isAlive: served.caller.prompt === undefined ? undefined : inFlight.isAlive,
@@ -242,6 +255,9 @@
         parts.brittleServices.recordRefused(served.service, place.entry.name);
     }
     if (verdict === "garbled") {
+        if (head.requestId !== undefined && head.requestId !== served.caller.id) {
+            parts.agent.recordUnasked(place.entry.address);
+        }
         opened.res.destroy();
         return finish({ kind: verdict, answer: undefined });
     }
