Let no answer of a service count in the daemon whose end is that of its connection

A call to a plain service got the first half of an answer as a whole one if the service gave neither a length nor chunks and its connection broke; for a call that may not be repeated that half was recorded as its outcome.

undici does not tell a reset from a close, and a close says no more than that something has ended. So such an answer counts as one that broke off: calls that may be repeated are tried again, others are answered as lost. Streams of engines have the same rule already, as only their last piece completes them. A sound service that frames no answers can no longer be used through the daemon; the stand-ins frame theirs.

--- a/packages/daemon/src/dispatch/dispatchService.ts
+++ b/packages/daemon/src/dispatch/dispatchService.ts
@@ -1,9 +1,11 @@
+import { framingOf } from "@azureshunt/completion";
 import type { EndpointName, Refusal } from "@azureshunt/core";
 import { refusalOf } from "@azureshunt/core";
 import type { RequestState } from "@azureshunt/request";
 import type { Either } from "purify-ts";
 import { Left, Right } from "purify-ts";
 import { request } from "undici";
+import type { Dispatcher } from "undici";
 
 import { firstValue } from "../gateway/firstValue.js";
 import type { Call } from "../ports/Call.js";
@@ -19,6 +21,20 @@
 import type { TryEnd } from "./TryEnd.js";
 
 const STATUS_TOO_MANY = 429;
+const STATUSES_WITHOUT_BODY: readonly number[] = [204, 304];
+
+/**
+ * Returns whether the end of an answer can be told from that of its connection.
+ *
+ * An answer without a length or chunks ends with its connection, which also ends if the service crashes or something
+ * between cuts it, and a reset shows no more than a close. Half of the answer would be sent, and recorded, as the outcome.
+ */
+const hasEnd = (method: string, { statusCode, headers }: Dispatcher.ResponseData): boolean =>
+    method === "HEAD" || STATUSES_WITHOUT_BODY.includes(statusCode)
+    || framingOf({
+            "content-length": firstValue(headers["content-length"]),
+            "transfer-encoding": firstValue(headers["transfer-encoding"]),
+        }) !== "connection";
 
 /**
  * Sends a call to a replica and reads its answer. A call that may not be repeated is sent on a connection opened for it
@@ -53,10 +69,15 @@
             res.body.on("error", () => undefined).destroy();
             return Left({ kind: "crossed" });
         }
-        const body = Buffer.from(await res.body.arrayBuffer());
         if (firstValue(res.headers["x-not-run"]) === "1") {
+            await res.body.dump();
             return Left({ kind: "refused", full: res.statusCode === STATUS_TOO_MANY });
         }
+        if (!hasEnd(target.method, res)) {
+            res.body.on("error", () => undefined).destroy();
+            return Left({ kind: "died" });
+        }
+        const body = Buffer.from(await res.body.arrayBuffer());
         return Right({
             status: res.statusCode,
             contentType: firstValue(res.headers["content-type"]),
