Take no answer for whole that its endpoint ends once its time is up

An endpoint stops at the time that it is given, and the router's own end of the time is up to a millisecond later, as whole milliseconds are sent; an end in between was believed.

An end from the last millisecond of a request's time on counts only if a length shows that nothing is missing (judgeEnd, isTimeUp). The endpoint counts its time from the request's arrival, so it cannot have stopped before. Sound answers lose that millisecond of their time.

--- a/packages/completion/src/AnswerEnd.ts
+++ b/packages/completion/src/AnswerEnd.ts
@@ -7,4 +7,6 @@
     /** Whether the parser reached the end that the framing asks for. */
     readonly isParsed: boolean;
     readonly connectionEnd: ConnectionEnd;
+    /** Whether the time is up that the endpoint was given: it stops then, and may end what it has sent so far. */
+    readonly isTimeUp: boolean;
 };
--- a/packages/completion/src/__tests__/unit/judgeEnd.test.ts
+++ b/packages/completion/src/__tests__/unit/judgeEnd.test.ts
@@ -19,11 +19,14 @@
     { framing: "connection", isParsed: true, connectionEnd: "failed", verdict: "cut-off" },
     { framing: "connection", isParsed: false, connectionEnd: "closed", verdict: "cut-off" },
     { framing: "connection", isParsed: false, connectionEnd: "open", verdict: "cut-off" },
+    { framing: "length", isParsed: true, connectionEnd: "open", isTimeUp: true, verdict: "whole" },
+    { framing: "chunks", isParsed: true, connectionEnd: "open", isTimeUp: true, verdict: "cut-off" },
+    { framing: "connection", isParsed: true, connectionEnd: "closed", isTimeUp: true, verdict: "cut-off" },
 ] as const;
 
 // Guards against a closed connection alone passing for the end of an answer.
-cases.forEach(({ verdict, ...end }) => {
-    test(`end of an answer: ${Object.values(end).join(", ")}: ${verdict}`, t => {
+cases.map(each => ({ isTimeUp: false, ...each })).forEach(({ verdict, ...end }) => {
+    test(`end of an answer: ${JSON.stringify(end)}: ${verdict}`, t => {
         t.is(judgeEnd(end), verdict);
     });
 });
--- a/packages/router/src/__tests__/unit/readAnswer.test.ts
+++ b/packages/router/src/__tests__/unit/readAnswer.test.ts
@@ -28,7 +28,7 @@
         bounds: { ...defaultBounds, progressMs: PROGRESS_MS },
         clock: { now: () => time.now },
         account,
-        confirmEnd: () => Promise.resolve(false),
+        endChecks: { confirm: () => Promise.resolve(false), isTimeUp: () => false },
     });
     return { time, account, res, body };
 };
--- a/packages/router/src/__tests__/unit/resolveEnd.test.ts
+++ b/packages/router/src/__tests__/unit/resolveEnd.test.ts
@@ -22,7 +22,7 @@
             return Promise.resolve(confirmed);
         };
         const resolved = await new Promise(resolve =>
-            resolveEnd(opened as Extract<OpenedCall, { kind: "head"; }>, confirm, resolve)
+            resolveEnd(opened as Extract<OpenedCall, { kind: "head"; }>, { confirm, isTimeUp: () => false }, resolve)
         );
         t.is(resolved, isWhole);
         t.is(asked.count, asks);
--- a/packages/router/src/dispatch/readAnswer.ts
+++ b/packages/router/src/dispatch/readAnswer.ts
@@ -3,6 +3,7 @@
 import { defaultBounds, isStalled } from "@azureshunt/flow";
 
 import type { HeldAccount } from "../flow/HeldAccount.js";
+import type { EndChecks } from "./EndChecks.js";
 import type { OpenedCall } from "./OpenedCall.js";
 import { resolveEnd } from "./resolveEnd.js";
 
@@ -14,15 +15,14 @@
         HeldAccount,
         "add" | "readAhead" | "waitForRoom" | "onBudgetRoom" | "source" | "answerSince"
     >;
-    /** Confirms that the answer is whole if only the close of its connection ended it. */
-    readonly confirmEnd: () => Promise<boolean>;
+    readonly endChecks: EndChecks;
 };
 
 /** What a reader gets that checks by the answer's content whether it is whole. */
 const DEFAULTS: ReadParts = {
     bounds: defaultBounds,
     clock: { now: () => performance.now() },
-    confirmEnd: () => Promise.resolve(true),
+    endChecks: { confirm: () => Promise.resolve(true), isTimeUp: () => false },
 };
 
 /**
@@ -38,7 +38,7 @@
  */
 export function readAnswer(
     opened: Extract<OpenedCall, { kind: "head"; }>,
-    { bounds, clock, account, confirmEnd }: ReadParts = DEFAULTS,
+    { bounds, clock, account, endChecks }: ReadParts = DEFAULTS,
 ): Promise<readonly Buffer[] | undefined> {
     const { res } = opened;
     return new Promise(resolve => {
@@ -120,7 +120,7 @@
         res.on("end", () => {
             state.hasEnded = true;
             clearTimeout(timer);
-            resolveEnd(opened, confirmEnd, isWhole => settle(isWhole ? chunks : undefined));
+            resolveEnd(opened, endChecks, isWhole => settle(isWhole ? chunks : undefined));
         });
     });
 }
--- a/packages/router/src/dispatch/resolveEnd.ts
+++ b/packages/router/src/dispatch/resolveEnd.ts
@@ -1,5 +1,6 @@
 import { judgeEnd } from "@azureshunt/completion";
 
+import type { EndChecks } from "./EndChecks.js";
 import type { OpenedCall } from "./OpenedCall.js";
 
 /**
@@ -8,10 +9,10 @@
  */
 export function resolveEnd(
     { res, framing, connectionEnd }: Extract<OpenedCall, { readonly kind: "head"; }>,
-    confirm: () => Promise<boolean>,
+    { confirm, isTimeUp }: EndChecks,
     onResolved: (isWhole: boolean) => void,
 ): void {
-    const verdict = judgeEnd({ framing, isParsed: res.complete, connectionEnd: connectionEnd() });
+    const verdict = judgeEnd({ framing, isParsed: res.complete, connectionEnd: connectionEnd(), isTimeUp: isTimeUp() });
     if (verdict === "unconfirmed") {
         void confirm().then(onResolved);
         return;
--- a/packages/router/src/serve/forwardAnswer.ts
+++ b/packages/router/src/serve/forwardAnswer.ts
@@ -1,3 +1,4 @@
+import type { EndChecks } from "../dispatch/EndChecks.js";
 import type { OpenedCall } from "../dispatch/OpenedCall.js";
 import { readAnswer } from "../dispatch/readAnswer.js";
 import { closingHeaders } from "./closingHeaders.js";
@@ -15,6 +16,8 @@
  * would go on with the stream while the other one repeats its work.
  */
 const STREAM_SILENCE_MS = 1_500;
+/** An endpoint is given whole milliseconds, so it may stop before this VM's own deadline. */
+const TIME_LEFT_UNIT_MS = 1;
 const SUCCESS = 200;
 
 const sendHead = ({ parts, served }: TryParts, { res }: Extract<OpenedCall, { readonly kind: "head"; }>): void => {
@@ -32,8 +35,11 @@
     hooks: StreamHooks,
 ): Promise<Pick<TryResult, "kind" | "answer">> {
     const { served, place, progress, isLastTry, parts } = tryParts;
-    const confirmEnd = (): Promise<boolean> =>
-        parts.confirmEnd({ entry: place.entry, confirmCarrier: opened.confirmCarrier, signal: served.signal });
+    const endChecks: EndChecks = {
+        confirm: () =>
+            parts.confirmEnd({ entry: place.entry, confirmCarrier: opened.confirmCarrier, signal: served.signal }),
+        isTimeUp: () => parts.clock.now() >= served.deadline - TIME_LEFT_UNIT_MS,
+    };
     if (isStream(served.route.kind) && opened.res.statusCode === SUCCESS) {
         const canResume = isRepeatable(served.route.kind) && !isLastTry;
         const kind = await forwardStream({
@@ -44,7 +50,7 @@
             bounds: parts.flowBounds(),
             silenceMs: canResume ? STREAM_SILENCE_MS : undefined,
             sendHead: () => sendHead(tryParts, opened),
-            confirmEnd,
+            endChecks,
             ...hooks,
             onMove: canResume ? hooks.onMove : () => () => undefined,
         });
@@ -57,7 +63,7 @@
         bounds: parts.flowBounds(),
         clock: parts.clock,
         account: served.account,
-        confirmEnd,
+        endChecks,
     });
     if (body === undefined) {
         return { kind: served.signal.aborted ? "cancelled" : "broken", answer: undefined };
--- a/packages/router/src/serve/forwardStream.ts
+++ b/packages/router/src/serve/forwardStream.ts
@@ -3,6 +3,7 @@
 import { isStalled } from "@azureshunt/flow";
 
 import { createEventSplitter } from "../dispatch/createEventSplitter.js";
+import type { EndChecks } from "../dispatch/EndChecks.js";
 import type { OpenedCall } from "../dispatch/OpenedCall.js";
 import { resolveEnd } from "../dispatch/resolveEnd.js";
 import type { TryOutcome } from "../dispatch/TryOutcome.js";
@@ -25,8 +26,7 @@
     readonly silenceMs: number | undefined;
     /** Sends the head of the answer, before the first event. */
     readonly sendHead: () => void;
-    /** Confirms that the stream is whole if only the close of its connection ended it. */
-    readonly confirmEnd: () => Promise<boolean>;
+    readonly endChecks: EndChecks;
 };
 
 /**
@@ -224,7 +224,7 @@
                 endBroken();
                 return;
             }
-            resolveEnd(opened, parts.confirmEnd, isWhole => isWhole ? settle("answered") : endBroken());
+            resolveEnd(opened, parts.endChecks, isWhole => isWhole ? settle("answered") : endBroken());
         });
     });
 }
