Ask an endpoint again if no connection to it opened in time

An endpoint that is gone refuses, which is known at once.

An attempt that ends unreached after 150 ms or more is repeated, as one that broke off is, at most three in 2 s. An answer that comes so late counts only if the endpoint states the start in its entry (endConfirmation.test, three rows).

--- a/packages/router/src/__tests__/unit/endConfirmation.test.ts
+++ b/packages/router/src/__tests__/unit/endConfirmation.test.ts
@@ -1,5 +1,7 @@
+import { once } from "node:events";
 import { createServer } from "node:http";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { connect } from "node:net";
 import type { AddressInfo, Socket } from "node:net";
 
 import { createClock, EndpointName } from "@azureshunt/core";
@@ -9,6 +11,7 @@
 import { createCancellation } from "../../dispatch/createCancellation.js";
 import { createEndConfirmation } from "../../dispatch/createEndConfirmation.js";
 import { EndpointAgent } from "../../dispatch/EndpointAgent.js";
+import type { OpenedConnection } from "../../dispatch/OpenedConnection.js";
 import { silentLogger } from "../support/silentLogger.js";
 
 const OK = 200;
@@ -16,6 +19,7 @@
 const NOT_FOUND = 404;
 /** Time after which a process may have been killed and another one have started. */
 const RESTARTED_MS = 300;
+const OPENING_LIMIT_MS = 200;
 const BORN_AT = 1_700_000_000_000;
 
 type Case = {
@@ -23,6 +27,8 @@
     /** What the endpoint does when it is asked, by the number of the question; nothing listens if omitted. */
     readonly answer?: (res: ServerResponse, socket: Socket, question: number) => void;
     readonly confirmCarrier?: () => Promise<boolean>;
+    /** Number of connections that time out before one opens. */
+    readonly lostOpenings?: number;
     /** Whether nobody needs the answer any more, a moment after its end. */
     readonly isCancelled?: boolean;
     readonly isConfirmed: boolean;
@@ -71,6 +77,14 @@
         isConfirmed: true,
     },
     { name: "the endpoint resets all connections", answer: reset, isConfirmed: false },
+    { name: "connections time out twice", answer: report(BORN_AT), lostOpenings: 2, isConfirmed: true },
+    {
+        name: "connections time out, and the endpoint runs again",
+        answer: report(BORN_AT + 1),
+        lostOpenings: 1,
+        isConfirmed: false,
+    },
+    { name: "connections time out", answer: report(BORN_AT), lostOpenings: 9, isConfirmed: false },
     { name: "the endpoint is silent", answer: silence, isConfirmed: false },
     { name: "the caller leaves meanwhile", answer: silence, isCancelled: true, isConfirmed: false },
     {
@@ -99,7 +113,7 @@
     },
 ];
 
-cases.forEach(({ name, answer, confirmCarrier, isCancelled = false, isConfirmed }) => {
+cases.forEach(({ name, answer, confirmCarrier, lostOpenings = 0, isCancelled = false, isConfirmed }) => {
     test(`closed connection: ${name}: ${isConfirmed ? "confirmed" : "not confirmed"}`, async t => {
         const questions: IncomingMessage[] = [];
         const server = createServer((req, res) => {
@@ -112,7 +126,18 @@
             await new Promise(resolve => server.close(resolve));
         }
         const clock = createClock();
-        const agent = new EndpointAgent(clock.now);
+        const openings = { count: 0 };
+        const openConnection = async (): Promise<OpenedConnection> => {
+            openings.count += 1;
+            if (openings.count <= lostOpenings) {
+                await new Promise(resolve => setTimeout(resolve, OPENING_LIMIT_MS));
+                throw new Error("timed out");
+            }
+            const socket = connect({ port, host: "127.0.0.1" });
+            await once(socket, "connect");
+            return { socket, kind: "new" };
+        };
+        const agent = new EndpointAgent(clock.now, { openConnection });
         t.teardown(() => {
             agent.destroy();
             server.close();
--- a/packages/router/src/dispatch/askEndpoint.ts
+++ b/packages/router/src/dispatch/askEndpoint.ts
@@ -23,6 +23,8 @@
 const MAX_IDLE_MS: Millis = 2_000;
 /** A kept connection may be closed as it is used, and an endpoint with many connections may reset a new one. */
 const MAX_ATTEMPTS = 3;
+/** An attempt that opens no connection for this long was not refused: the way is slow, or lost. */
+const NOT_REFUSED_MS: Millis = 150;
 
 /**
  * Asks an endpoint for its report, to learn whether it still runs after its answer has ended. Any answer shows that it
@@ -35,13 +37,16 @@
 ): Promise<EndpointStatement> {
     const endedAt = clock.now();
     const ask = async (attempt: number): Promise<EndpointStatement> => {
-        const leftMs = endedAt + ANSWER_MS - clock.now();
+        const askedAt = clock.now();
+        const leftMs = endedAt + ANSWER_MS - askedAt;
         const opened = await openCall(
             agent,
             { ...encodeRunCheck(name), address, maxIdleMs: MAX_IDLE_MS, headMs: leftMs },
             signal,
         );
-        if (opened.kind === "broken" && attempt < MAX_ATTEMPTS) {
+        const isUnclear = opened.kind === "broken"
+            || (opened.kind === "unreached" && clock.now() - askedAt >= NOT_REFUSED_MS);
+        if (isUnclear && attempt < MAX_ATTEMPTS) {
             return ask(attempt + 1);
         }
         if (opened.kind !== "head") {
