--- a/packages/router/src/dispatch/createEndConfirmation.ts
+++ b/packages/router/src/dispatch/createEndConfirmation.ts
@@ -1,4 +1,5 @@
 import { isSameRun } from "@azureshunt/completion";
+import type { EndpointStatement } from "@azureshunt/completion";
 import type { Metrics } from "@azureshunt/telemetry";
 import type { Logger } from "pino";
 
@@ -44,8 +45,11 @@
     const { metrics, logger } = parts;
     return async ({ entry, confirmCarrier, signal }) => {
         const { ended, release } = untilAborted(signal);
-        const isRunning = async (): Promise<boolean> =>
-            isSameRun(await askEndpoint(parts, entry, signal), entry.bornAt);
+        const state = { statement: undefined as EndpointStatement | undefined };
+        const isRunning = async (): Promise<boolean> => {
+            state.statement = await askEndpoint(parts, entry, signal);
+            return isSameRun(state.statement, entry.bornAt);
+        };
         const [isCarrierSure, isEndpointSure] = await Promise.all(
             [confirmCarrier?.() ?? Promise.resolve(true), isRunning()].map(asked => Promise.race([asked, ended])),
         );
@@ -64,7 +68,7 @@
         );
         if (end === "carrier" || end === "endpoint") {
             logger.warn(
-                { endpoint: entry.name, by: end },
+                { endpoint: entry.name, by: end, bornAt: entry.bornAt, statement: state.statement },
                 "An answer counts as cut off: its connection was closed, which was not confirmed.",
             );
         }
