--- a/packages/completion/src/__tests__/unit/isSameRun.test.ts
+++ b/packages/completion/src/__tests__/unit/isSameRun.test.ts
@@ -22,7 +22,8 @@
     { name: "it says nothing", statement: { kind: "none" }, isSame: false },
     { name: "another one has its address", statement: { kind: "elsewhere" }, isSame: false },
     { name: "it answers at once", statement: answer, isSame: true },
-    { name: "it answers at once, and its entry is of an earlier run", statement: born(1, 3), isSame: true },
+    { name: "it answers at once, and its entry is of an earlier run", statement: born(1, 3), isSame: false },
+    { name: "it answers at once, and its entry states no start", statement: born(0, 3), bornAt: 0, isSame: true },
     { name: "it answers late, and states no start", statement: { ...answer, tookMs: LATE_MS }, isSame: false },
     { name: "it answers late, and states the same start", statement: born(0, LATE_MS), isSame: true },
     { name: "it answers late, and states a later start", statement: born(1, LATE_MS), isSame: false },
@@ -36,7 +37,7 @@
     {
         name: "it answers late on a kept connection, and its entry is of an earlier run",
         statement: { ...born(1, LATE_MS), isOnKeptConnection: true },
-        isSame: true,
+        isSame: false,
     },
 ];
 
--- a/packages/completion/src/isSameRun.ts
+++ b/packages/completion/src/isSameRun.ts
@@ -8,14 +8,17 @@
 /**
  * Returns whether the process that sent an answer still ran after the answer's end.
  *
- * The connections of a process that ends are closed together, so an answer on one that was open before comes from the
- * same process, and so does one that comes before another process can have started. The start that a registry entry
- * states is compared last, as the entry may be older than the process.
+ * The start that it states decides if its registry entry states one, too. Otherwise it is the same process if it answers
+ * on a connection that was open before, as the connections of a process that ends are closed together, or before
+ * another process can have started. Neither shows it if the end waited to be read, so they count only without a start.
  *
  * @param bornAt start of the process, as its registry entry said when the request was sent; 0 if it said nothing
  */
 export function isSameRun(statement: EndpointStatement, bornAt: number): boolean {
-    return statement.kind === "answer"
-        && (statement.isOnKeptConnection || statement.tookMs < RESTART_MS
-            || (bornAt !== 0 && statement.bornAt === bornAt));
+    if (statement.kind !== "answer") {
+        return false;
+    }
+    return statement.bornAt === undefined || bornAt === 0
+        ? statement.isOnKeptConnection || statement.tookMs < RESTART_MS
+        : statement.bornAt === bornAt;
 }
--- a/packages/router/src/__tests__/unit/endConfirmation.test.ts
+++ b/packages/router/src/__tests__/unit/endConfirmation.test.ts
@@ -85,6 +85,19 @@
         isConfirmed: false,
     },
     { name: "connections time out", answer: report(BORN_AT), lostOpenings: 9, isConfirmed: false },
+    {
+        name: "the endpoint is silent after the head of its report",
+        answer: res => {
+            res.writeHead(OK, { "content-length": 100 });
+            res.flushHeaders();
+        },
+        isConfirmed: false,
+    },
+    {
+        name: "the endpoint was killed, and runs again before the end is read",
+        answer: report(BORN_AT + 1),
+        isConfirmed: false,
+    },
     { name: "the endpoint is silent", answer: silence, isConfirmed: false },
     { name: "the caller leaves meanwhile", answer: silence, isCancelled: true, isConfirmed: false },
     {
--- a/packages/router/src/dispatch/askEndpoint.ts
+++ b/packages/router/src/dispatch/askEndpoint.ts
@@ -52,11 +52,16 @@
         if (opened.kind !== "head") {
             return { kind: "none" };
         }
+        const { res } = opened;
+        const timer = setTimeout(() => res.destroy(), Math.max(0, endedAt + ANSWER_MS - clock.now()));
         const body = await readAnswer(opened);
-        const { statusCode } = opened.res;
-        return statusCode === MISDIRECTED ? { kind: "elsewhere" } : {
+        clearTimeout(timer);
+        if (body === undefined) {
+            return { kind: "none" };
+        }
+        return res.statusCode === MISDIRECTED ? { kind: "elsewhere" } : {
             kind: "answer",
-            bornAt: body === undefined ? undefined : decodeReport(Buffer.concat(body))?.bornAt,
+            bornAt: decodeReport(Buffer.concat(body))?.bornAt,
             // A later attempt may use one that was opened since.
             isOnKeptConnection: attempt === 1 && opened.connection === "kept",
             tookMs: clock.now() - endedAt,
--- a/packages/router/src/dispatch/resolveEnd.ts
+++ b/packages/router/src/dispatch/resolveEnd.ts
@@ -14,7 +14,7 @@
 ): void {
     const verdict = judgeEnd({ framing, isParsed: res.complete, connectionEnd: connectionEnd(), isTimeUp: isTimeUp() });
     if (verdict === "unconfirmed") {
-        void confirm().then(onResolved);
+        void confirm().catch(() => false).then(onResolved);
         return;
     }
     onResolved(verdict === "whole");
