Count how the processes of peers ended, by their final beacons

Once the output of a process is gone, nothing told from outside whether it had stopped or ended by itself. A VM says so in its final beacon; its peers now log and count it when the next process of that VM starts (azureshunt_peer_starts_total by previousEnd, and the line of the first beacon, with the time that the new process has been up).

--- a/packages/router/src/peers/startPeerSync.ts
+++ b/packages/router/src/peers/startPeerSync.ts
@@ -8,6 +8,7 @@
 import type { BeaconScope } from "./BeaconScope.js";
 import { collectLocalState } from "./collectLocalState.js";
 import { collectRelayedSums } from "./collectRelayedSums.js";
+import { createPeerEnds } from "./createPeerEnds.js";
 import { createVersionSelector } from "./createVersionSelector.js";
 import type { PeerSyncSources } from "./PeerSyncSources.js";
 import { startBeacons } from "./startBeacons.js";
@@ -33,17 +34,29 @@
     const { vm, failureDomain, capacity } = settings;
     const selectVersions = createVersionSelector(endpointTable.engineVersions, clock.now);
 
+    const peerEnds = createPeerEnds();
+
+    const countStart = (beacon: Beacon, previous: Incarnation | undefined, address: string): void => {
+        const previousEnd = peerEnds.endBefore(beacon.vm, beacon.incarnation, previous);
+        metrics.count(
+            "azureshunt_peer_starts_total",
+            "Processes of peers that have started, by how the one before ended.",
+            { previousEnd },
+        );
+        logger.info(
+            { peer: beacon.vm, address, incarnation: beacon.incarnation, upMs: beacon.upMs, previousEnd },
+            "Received the first beacon of a VM incarnation.",
+        );
+    };
     const receive = (beacon: Beacon, address: string): void => {
         checkSuspension();
+        peerEnds.observe(beacon);
         const accepted = membership.applyBeacon(beacon, address);
         if (accepted === undefined) {
             return;
         }
         if (accepted.previous?.incarnation !== beacon.incarnation) {
-            logger.info(
-                { peer: beacon.vm, address, incarnation: beacon.incarnation },
-                "Received the first beacon of a VM incarnation.",
-            );
+            countStart(beacon, accepted.previous?.incarnation, address);
         }
         const isUrgent = applyBeacon(sources, accepted.received, address);
         if (isUrgent && membership.isRelay()) {
