Handle signals from the entry point on, in each phase of a process's life

Cause: signals were handled in the steady phase only. Handlers were registered after the last component had started, and SIGTERM's was removed by its first use; the operating system's default ends the process.

A package of its own now decides what a process does about a signal in each phase (starting, serving, draining, stopped), as a table without a process, and performs it. The entry point registers the handlers before it loads the rest of the program, which is a bundle of its own. SIGHUP during the start is applied after it; SIGTERM during the start gives it up, or drains if callers may have connected; a further signal during a stop changes nothing. The ready port opens before the callers' port, and parts stop by a list, in order.

What is left is Node's own start, before the first line of the program runs.

--- /dev/null
+++ b/packages/lifecycle/src/initialLifecycle.ts
@@ -0,0 +1,11 @@
+import type { LifecycleState } from "./LifecycleState.js";
+
+/** A process that has begun to start. */
+const initialLifecycle: LifecycleState = {
+    phase: "starting",
+    cause: undefined,
+    isReloadDue: false,
+    uncaughtErrors: 0,
+};
+
+export { initialLifecycle };
--- /dev/null
+++ b/packages/lifecycle/src/runLifecycle.ts
@@ -0,0 +1,143 @@
+import type { Application } from "./Application.js";
+import { createLifecycleLog } from "./createLifecycleLog.js";
+import type { ExitCause } from "./ExitCause.js";
+import { exitCodeOf } from "./exitCodeOf.js";
+import type { HandledSignal } from "./HandledSignal.js";
+import { initialLifecycle } from "./initialLifecycle.js";
+import type { LifecycleEffect } from "./LifecycleEffect.js";
+import type { LifecycleEvent } from "./LifecycleEvent.js";
+import type { LifecyclePhase } from "./LifecyclePhase.js";
+import type { StartContext } from "./StartContext.js";
+import { StartFailure } from "./StartFailure.js";
+import { stepLifecycle } from "./stepLifecycle.js";
+
+type LifecycleParts = {
+    /**
+     * Starts the program. Rejects if it cannot be started, with a `StartFailure` if the cause is known, and also if
+     * `signal` is aborted before callers could connect; then, nothing of the program runs any more.
+     */
+    readonly start: (context: StartContext) => Promise<Application>;
+};
+
+const SIGNALS: readonly HandledSignal[] = ["SIGHUP", "SIGTERM", "SIGINT"];
+const PHASES: readonly LifecyclePhase[] = ["starting", "serving", "draining", "stopped"];
+const MS_PER_SECOND = 1_000;
+
+/**
+ * Runs a program from its first step to the end of its process. Signals are handled from this call on, in each phase as
+ * `stepLifecycle` decides.
+ */
+export function runLifecycle({ start }: LifecycleParts): void {
+    const lifecycleLog = createLifecycleLog();
+    const { log, count } = lifecycleLog;
+    const startedAtSeconds = Date.now() / MS_PER_SECOND - process.uptime();
+    const startAbort = new AbortController();
+    const state = {
+        current: initialLifecycle,
+        application: undefined as Application | undefined,
+        startMs: undefined as number | undefined,
+    };
+
+    const exit = async (cause: ExitCause): Promise<void> => {
+        const code = exitCodeOf(cause);
+        log("info", { cause, code, upMs: upMs() }, "The process ends.");
+        await lifecycleLog.flush();
+        process.exit(code);
+    };
+    const drain = (application: Application): void => {
+        setTimeout(() => apply({ kind: "drain-overdue" }), application.stopMs);
+        application.drain().then(
+            () => apply({ kind: "drained" }),
+            (err: unknown) => {
+                log("error", { err }, "Stopping the parts failed.");
+                apply({ kind: "drained" });
+            },
+        );
+    };
+    const perform = (effect: LifecycleEffect): void => {
+        const { application } = state;
+        switch (effect.kind) {
+            case "reload":
+                application?.reload();
+                return;
+            case "abort-start":
+                startAbort.abort();
+                return;
+            case "refuse":
+                application?.refuse();
+                return;
+            case "drain":
+                if (application !== undefined) {
+                    drain(application);
+                }
+                return;
+            case "exit":
+                void exit(effect.cause);
+        }
+    };
+    const upMs = (): number => Math.round(process.uptime() * MS_PER_SECOND);
+    const apply = (event: LifecycleEvent): void => {
+        const { phase } = state.current;
+        const step = stepLifecycle(state.current, event);
+        state.current = step.state;
+        if (step.state.phase !== phase) {
+            log("info", { from: phase, to: step.state.phase, event: event.kind, upMs: upMs() }, "The phase changed.");
+        }
+        step.effects.forEach(perform);
+    };
+
+    const onSignal = (signal: HandledSignal): void => {
+        const { phase } = state.current;
+        log("info", { signal, phase, upMs: upMs() }, "Received a signal.");
+        count("azureshunt_signals_total", "Signals that the process has received, by phase.", { signal, phase });
+        apply({ kind: "signal", signal });
+    };
+    SIGNALS.forEach(signal => process.on(signal, onSignal));
+
+    const context: StartContext = {
+        signal: startAbort.signal,
+        log,
+        count,
+        observe: telemetry => {
+            lifecycleLog.observe(telemetry);
+            const { metrics } = telemetry;
+            metrics.gauge(
+                "azureshunt_process_start_time_seconds",
+                "When the process was started, in seconds since the epoch.",
+                () => startedAtSeconds,
+            );
+            metrics.gauge(
+                "azureshunt_start_ms",
+                "Time from the start of the process until all its parts ran; -1 until then.",
+                () => state.startMs ?? -1,
+            );
+            PHASES.forEach(phase =>
+                metrics.gauge(
+                    "azureshunt_lifecycle_phase",
+                    "1 for the phase that the process is in.",
+                    () => state.current.phase === phase ? 1 : 0,
+                    { phase },
+                )
+            );
+        },
+    };
+    const onStartFailed = (err: unknown): void => {
+        if (startAbort.signal.aborted) {
+            log("info", {}, "The start was given up: the process was told to stop.");
+            apply({ kind: "start-failed", cause: "signal" });
+            return;
+        }
+        if (err instanceof StartFailure) {
+            log("fatal", {}, err.message);
+            apply({ kind: "start-failed", cause: err.exitCause });
+            return;
+        }
+        log("fatal", { err }, "The start failed.");
+        apply({ kind: "start-failed", cause: "start-failed" });
+    };
+    start(context).then(application => {
+        state.application = application;
+        state.startMs = upMs();
+        apply({ kind: "started" });
+    }, onStartFailed);
+}
--- a/packages/router/src/serve/startCallerServer.ts
+++ b/packages/router/src/serve/startCallerServer.ts
@@ -27,6 +27,8 @@
 type CallerServer = {
     /** Waits until no request runs and no new connections are to be expected, at most for the time given. */
     readonly drain: (withinMs: Millis) => Promise<void>;
+    /** Refuses all further requests. */
+    readonly refuse: () => void;
 };
 
 const OK = 200;
@@ -52,6 +54,11 @@
     const { settings, callerWire } = parts;
     const running = new Set<ServerResponse>();
     const state = { isClosing: false };
+    // Before the callers' listener, as a caller that has connected must be served.
+    const ready = await startListener(settings.listen.ready, (_req, res) => {
+        res.writeHead(parts.isReady() ? OK : UNAVAILABLE);
+        res.end();
+    });
     const server = await startListener(settings.listen.callers, (req, res) => {
         running.add(res);
         res.on("close", () => running.delete(res));
@@ -97,10 +104,6 @@
         }
     };
     const timer = setInterval(applyLimits, LIMITS_INTERVAL_MS);
-    const ready = await startListener(settings.listen.ready, (_req, res) => {
-        res.writeHead(parts.isReady() ? OK : UNAVAILABLE);
-        res.end();
-    });
 
     /**
      * If a caller keeps its connection open during the shutdown and sends a request on it seconds later, that request
@@ -136,5 +139,10 @@
                 }
             }, POLL_MS);
         });
-    return { drain };
+    return {
+        drain,
+        refuse: () => {
+            state.isClosing = true;
+        },
+    };
 }
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -1,8 +1,11 @@
 import { randomUUID } from "node:crypto";
+import type { Server } from "node:http";
 
 import { createClock } from "@azureshunt/core";
 import type { EndpointName, Incarnation, Millis, Tokens } from "@azureshunt/core";
 import { budgetOf, defaultBounds } from "@azureshunt/flow";
+import { stopParts } from "@azureshunt/lifecycle";
+import type { ManagedPart, StartContext } from "@azureshunt/lifecycle";
 import { createLoggers, createMetrics } from "@azureshunt/telemetry";
 
 import { createAllowanceQueue } from "./allowance/createAllowanceQueue.js";
@@ -79,12 +82,16 @@
     readonly endpointWire: EndpointWire;
     /** Opens connections to endpoints and peers; `connect` of `node:net` if omitted. */
     readonly open?: OpenConnection;
+    /** Life cycle of the process; none if omitted. */
+    readonly lifecycle?: StartContext;
 };
 
 /** A running router. */
 type Router = {
     /** Applies the time limits and other bounds of new settings. Names and addresses change only after a restart. */
     readonly reload: (settings: RouterSettings) => void;
+    /** Refuses new requests from now on, as not run. */
+    readonly refuse: () => void;
     /** Stops accepting connections, lets running requests finish, and stops all components. */
     readonly shutDown: () => Promise<void>;
 };
@@ -97,7 +104,11 @@
 const TICK_MS = 100;
 const MISDIRECTED = 421;
 
-/** Starts all components of a router. */
+/**
+ * Starts all components of a router; the listener for callers last.
+ *
+ * @throws Error if an address cannot be bound, or if the start was aborted
+ */
 export async function startRouter(parts: RouterParts): Promise<Router> {
     const { settings, directory } = parts;
     const incarnation = randomUUID() as string as Incarnation;
@@ -109,6 +120,7 @@
     });
     const logger = loggers("router");
     const metrics = createMetrics();
+    parts.lifecycle?.observe({ logger: loggers("lifecycle"), metrics, flush: loggers.flush });
     const store = measureStore(parts.store, clock, metrics);
     const countCalls = (topic: string, reads: StoreCallReason, writes?: StoreCallReason): StorePort =>
         countStoreCalls({ store, metrics, topic, reads, writes });
@@ -457,18 +469,20 @@
         !state.isDraining && endpointTable.isKnown() &&
         clock.now() - declarations.current().confirmedAt < bounds().maxAgeForKeysMs;
     const tunnelEnds = createTunnelEnds(clock);
-    const peerListener = await startPeerListener({
-        address: settings.listen.peers,
-        configuration: declarations.raw,
-        receiveReport: rollouts.receiveReport,
-        streams: streams.answer,
-        tunnelEnd: tunnelEnds.endOf,
-        closeTunnels: ids => requestAgent.closeTunnels(ids),
-        topics: new Map([
-            [directory.declarationsTopic, declarations.answer],
-            [directory.registryTopic, registry.answer],
-        ]),
-    });
+    const listenToPeers = (): Promise<Server> =>
+        startPeerListener({
+            address: settings.listen.peers,
+            configuration: declarations.raw,
+            receiveReport: rollouts.receiveReport,
+            streams: streams.answer,
+            tunnelEnd: tunnelEnds.endOf,
+            closeTunnels: ids => requestAgent.closeTunnels(ids),
+            topics: new Map([
+                [directory.declarationsTopic, declarations.answer],
+                [directory.registryTopic, registry.answer],
+            ]),
+        });
+    const peerListener = await listenToPeers();
     const tunnels = serveTunnels(peerListener, {
         isEndpoint: address => endpointTable.entryAt(address) !== undefined,
         admit: address => state.isDraining || byteBudget.isExhausted() ? "unavailable" : connector.admitTunnel(address),
@@ -498,6 +512,7 @@
         unreadBodies,
     });
     const metricsListener = await startMetricsListener(settings.listen.metrics, metrics);
+    parts.lifecycle?.signal.throwIfAborted();
     const callerServer = await startCallerServer({
         settings,
         handler,
@@ -533,11 +548,8 @@
     }, TICK_MS);
     logger.info({ listen: settings.listen }, "Started.");
 
-    const shutDown = async (): Promise<void> => {
-        state.isDraining = true;
-        logger.info("Stopping.");
-        requestQueues.close();
-        await Promise.all([callerServer, tunnels].map(part => part.drain(state.settings.stopMs - stopMarginMs)));
+    const drainMs = (): Millis => state.settings.stopMs - stopMarginMs;
+    const closeTunnels = (): void => {
         if (tunnels.size() > 0) {
             logger.warn(
                 { tunnels: tunnels.size() },
@@ -545,17 +557,39 @@
             );
         }
         tunnels.closeAll();
-        [beacons, registry, declarations].forEach(part => part.stop());
-        clearInterval(timer);
-        stopGauges();
-        requestQueues.stop();
-        [peerListener, metricsListener].forEach(listener => {
-            listener.close();
-            listener.closeAllConnections();
-        });
-        [agent, requestAgent].forEach(each => each.destroy());
+    };
+    /** In the order in which they stop. */
+    const managedParts: readonly ManagedPart[] = [
+        { name: "callers", drain: () => callerServer.drain(drainMs()) },
+        { name: "tunnels", drain: () => tunnels.drain(drainMs()), stop: closeTunnels },
+        { name: "beacons", stop: beacons.stop },
+        { name: "registry", stop: registry.stop },
+        { name: "declarations", stop: declarations.stop },
+        { name: "timer", stop: () => clearInterval(timer) },
+        { name: "gauges", stop: stopGauges },
+        { name: "queues", stop: requestQueues.stop },
+        {
+            name: "listeners",
+            stop: () =>
+                [peerListener, metricsListener].forEach(listener => {
+                    listener.close();
+                    listener.closeAllConnections();
+                }),
+        },
+        { name: "calls", stop: () => [agent, requestAgent].forEach(each => each.destroy()) },
+    ];
+    const shutDown = async (): Promise<void> => {
+        state.isDraining = true;
+        logger.info("Stopping.");
+        requestQueues.close();
+        await stopParts(managedParts, (part, err) => logger.error({ part, err }, "Stopping a part failed."));
         logger.info("Stopped.");
     };
+    const refuse = (): void => {
+        state.isDraining = true;
+        requestQueues.close();
+        callerServer.refuse();
+    };
     const reload = (next: RouterSettings): void => {
         const isFixed = JSON.stringify(next.listen) === JSON.stringify(settings.listen) && next.vm === settings.vm;
         state.settings = next;
@@ -564,5 +598,5 @@
             isFixed ? "Settings reloaded." : "Settings reloaded; changes of names and addresses need a restart.",
         );
     };
-    return { shutDown, reload };
+    return { shutDown, refuse, reload };
 }
--- a/packages/telemetry/src/createLoggers.ts
+++ b/packages/telemetry/src/createLoggers.ts
@@ -5,7 +5,10 @@
 type LogIdentity = { readonly vm: string; readonly failureDomain: string; readonly incarnation: string; };
 
 /** Returns the logger of a part of the process. */
-type Loggers = (part: string) => Logger;
+type Loggers = ((part: string) => Logger) & {
+    /** Resolves once all lines so far are written. */
+    readonly flush: () => Promise<void>;
+};
 
 /** Lines are written once this many bytes are buffered, or after `FLUSH_MS`. */
 const MIN_WRITE_BYTES = 4_096;
@@ -51,5 +54,7 @@
         }
         destination.flush();
     }, FLUSH_MS).unref();
-    return part => root.child({ part }, { msgPrefix: `${part}: ` });
+    return Object.assign((part: string) => root.child({ part }, { msgPrefix: `${part}: ` }), {
+        flush: () => new Promise<void>(resolve => destination.flush(() => resolve())),
+    });
 }
--- a/scripts/bundlePlatform.mjs
+++ b/scripts/bundlePlatform.mjs
@@ -1,6 +1,7 @@
-// Bundles the program for the users' platform from its sources into target/. One file starts in a fraction of the time
-// that hundreds of modules take.
+// Bundles the program for the users' platform from its sources into target/: an entry point that handles signals, and what
+// it loads then. A few files start in a fraction of the time that hundreds of modules take.
 import { build } from "esbuild";
+import { rmSync } from "node:fs";
 import { fileURLToPath } from "node:url";
 
 const PACKAGES = new URL("../packages/", import.meta.url);
@@ -15,9 +16,13 @@
     },
 };
 
+rmSync("target", { recursive: true, force: true });
 await build({
-    entryPoints: ["platform/src/main.ts"],
-    outfile: "target/azureshunt.mjs",
+    entryPoints: { azureshunt: "platform/src/main.ts" },
+    outdir: "target",
+    outExtension: { ".js": ".mjs" },
+    chunkNames: "azureshunt-[name]-[hash]",
+    splitting: true,
     bundle: true,
     platform: "node",
     target: "node20",
