Wait for a settings file that is missing or half written for a moment

Cause: the check every 5 s read the file outside of readSettings, whose errors are values; and a start took the first thing that it read for final.

While a process serves, a file that cannot be used is logged once and the current settings stay in force. A start waits for a file that is missing, empty or changing, 10 s at most; one that has been wrong and unchanged for a second is refused with its line and exit code 2, as before.

--- a/packages/lifecycle/src/index.ts
+++ b/packages/lifecycle/src/index.ts
@@ -1,9 +1,11 @@
 /** What a process does when it is told something, misses something or fails, in each phase of its life. */
 export type { Application } from "./Application.js";
+export { awaitSettings } from "./awaitSettings.js";
 export type { ExitCause } from "./ExitCause.js";
 export { exitCodeOf } from "./exitCodeOf.js";
 export type { HandledSignal } from "./HandledSignal.js";
 export { initialLifecycle } from "./initialLifecycle.js";
+export { judgeSettingsFault } from "./judgeSettingsFault.js";
 export type { LifecycleEffect } from "./LifecycleEffect.js";
 export type { LifecycleEvent } from "./LifecycleEvent.js";
 export type { LifecyclePhase } from "./LifecyclePhase.js";
@@ -11,6 +13,7 @@
 export type { LifecycleTelemetry } from "./LifecycleTelemetry.js";
 export type { ManagedPart } from "./ManagedPart.js";
 export { runLifecycle } from "./runLifecycle.js";
+export type { SettingsFault } from "./SettingsFault.js";
 export type { StartContext } from "./StartContext.js";
 export { StartFailure } from "./StartFailure.js";
 export { stepLifecycle } from "./stepLifecycle.js";
