Wait for addresses that the predecessor of a process still holds

A VM whose datagram port was taken served on, but neither sent nor received beacons: that error was only logged, at debug level.

Cause: each address was bound once, and each failure was final.

A process now tries again while another one holds an address of its own, for the time to stop and 2 s; it logs and counts the wait, and gives up with exit code 1. Metrics are no reason to keep callers waiting: their address is tried for as long as it takes, beside the service.

--- a/packages/lifecycle/src/index.ts
+++ b/packages/lifecycle/src/index.ts
@@ -1,6 +1,7 @@
 /** What a process does when it is told something, misses something or fails, in each phase of its life. */
 export type { Application } from "./Application.js";
 export { awaitSettings } from "./awaitSettings.js";
+export { claimAddress } from "./claimAddress.js";
 export type { ExitCause } from "./ExitCause.js";
 export { exitCodeOf } from "./exitCodeOf.js";
 export type { HandledSignal } from "./HandledSignal.js";
--- a/packages/router/src/peers/startBeacons.ts
+++ b/packages/router/src/peers/startBeacons.ts
@@ -13,6 +13,8 @@
     readonly onFault: (what: "unreadable" | "socket", err: Error | undefined) => void;
     /** Applies a datagram that is no beacon; returns `false` if it is of no known kind. */
     readonly receiveOther: (datagram: Buffer) => boolean;
+    /** Binds an address once it is free. */
+    readonly claim: (address: string, bind: () => Promise<void>) => Promise<void>;
 };
 
 /** Delay before the socket is closed, as closing it at once would drop the final datagrams. */
@@ -30,6 +32,8 @@
     readonly sendSoon: () => void;
     readonly send: (datagram: Buffer, address: string) => void;
     readonly stop: () => void;
+    /** Resolves once beacons are received; rejects if the address cannot be bound. */
+    readonly listening: Promise<void>;
 } {
     // All addresses are numbers. Without this, each datagram costs a call of the resolver and a turn of the event loop.
     const socket = createSocket({
@@ -64,8 +68,16 @@
     };
     // With this lookup, the socket may be bound within the call; the first round begins after the caller has the result.
     socket.once("listening", () => setImmediate(begin));
-    socket.bind(Number(port), host);
+    const bind = (): Promise<void> =>
+        new Promise((resolve, reject) => {
+            socket.once("error", reject);
+            socket.bind(Number(port), host, () => {
+                socket.removeListener("error", reject);
+                resolve();
+            });
+        });
     return {
+        listening: parts.claim(parts.address, bind),
         sendSoon: () => exchange.current?.sendSoon(),
         send,
         stop: () => {
--- a/packages/router/src/peers/startPeerSync.ts
+++ b/packages/router/src/peers/startPeerSync.ts
@@ -25,6 +25,8 @@
     readonly onApplied?: () => void;
     /** Applies a datagram that is no beacon; returns `false` if it is of no known kind. */
     readonly receiveOther: (datagram: Buffer) => boolean;
+    /** Binds an address once it is free. */
+    readonly claim: (address: string, bind: () => Promise<void>) => Promise<void>;
 };
 
 /** Starts to send this VM's state to its peers, and to apply the state that they send. */
@@ -85,6 +87,7 @@
         relayedLoadChanges: scope => isRelayScope(scope) ? peerLoad.relayedLoadChanges(scope) : () => [],
         onBeacon: receive,
         receiveOther: parts.receiveOther,
+        claim: parts.claim,
         onSent: bytes => {
             metrics.count("azureshunt_beacons_total", "Beacons that were sent.");
             metrics.count("azureshunt_beacon_bytes_total", "Bytes of the beacons that were sent.", {}, bytes);
--- a/packages/router/src/serve/startCallerServer.ts
+++ b/packages/router/src/serve/startCallerServer.ts
@@ -1,4 +1,4 @@
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Duplex } from "node:stream";
 
 import type { Millis } from "@azureshunt/core";
@@ -15,6 +15,8 @@
 
 type CallerServerParts = {
     readonly settings: RouterSettings;
+    /** Binds an address once it is free; at once if omitted. */
+    readonly claim?: (address: string, bind: () => Promise<Server>) => Promise<Server>;
     readonly handler: (req: IncomingMessage, res: ServerResponse) => Promise<void>;
     readonly callerWire: CallerWire;
     readonly limits: () => CallerLimits | undefined;
@@ -51,15 +53,17 @@
 
 /** Starts the listeners for callers and for the balancer. */
 export async function startCallerServer(parts: CallerServerParts): Promise<CallerServer> {
-    const { settings, callerWire } = parts;
+    const { settings, callerWire, claim = (_address, bind) => bind() } = parts;
     const running = new Set<ServerResponse>();
     const state = { isClosing: false };
+    const listen = (address: string, handler: (req: IncomingMessage, res: ServerResponse) => void): Promise<Server> =>
+        claim(address, () => startListener(address, handler));
     // Before the callers' listener, as a caller that has connected must be served.
-    const ready = await startListener(settings.listen.ready, (_req, res) => {
+    const ready = await listen(settings.listen.ready, (_req, res) => {
         res.writeHead(parts.isReady() ? OK : UNAVAILABLE);
         res.end();
     });
-    const server = await startListener(settings.listen.callers, (req, res) => {
+    const server = await listen(settings.listen.callers, (req, res) => {
         running.add(res);
         res.on("close", () => running.delete(res));
         // An answer that began before the shutdown has no `Connection: close`; no further request may follow on it.
--- a/packages/router/src/startMetricsListener.ts
+++ b/packages/router/src/startMetricsListener.ts
@@ -1,17 +1,48 @@
 import type { Server } from "node:http";
 
 import type { Metrics } from "@azureshunt/telemetry";
+import type { Logger } from "pino";
 
 import { startListener } from "./serve/startListener.js";
 
+type MetricsListenerParts = {
+    /** `host:port`. */
+    readonly address: string;
+    readonly metrics: Metrics;
+    /** Binds the address once it is free. */
+    readonly claim: (bind: () => Promise<Server>) => Promise<Server>;
+    readonly logger: Logger;
+};
+
 const OK = 200;
 const NOT_FOUND = 404;
 
-/** Starts an HTTP listener that serves `GET /metrics` in Prometheus' text format. */
-export function startMetricsListener(address: string, metrics: Metrics): Promise<Server> {
-    return startListener(address, (req, res) => {
-        const isKnown = req.url === "/metrics";
-        res.writeHead(isKnown ? OK : NOT_FOUND, { "content-type": "text/plain; version=0.0.4" });
-        res.end(isKnown ? metrics.render() : undefined);
-    });
+/**
+ * Starts an HTTP listener that serves `GET /metrics` in Prometheus' text format. Requests are served without it, so nothing
+ * waits for its address.
+ */
+export function startMetricsListener(parts: MetricsListenerParts): { readonly stop: () => void; } {
+    const { address, metrics, claim, logger } = parts;
+    const state = { server: undefined as Server | undefined, isStopped: false };
+    const listen = (): Promise<Server> =>
+        startListener(address, (req, res) => {
+            const isKnown = req.url === "/metrics";
+            res.writeHead(isKnown ? OK : NOT_FOUND, { "content-type": "text/plain; version=0.0.4" });
+            res.end(isKnown ? metrics.render() : undefined);
+        });
+    const stop = (): void => {
+        state.isStopped = true;
+        state.server?.close();
+        state.server?.closeAllConnections();
+    };
+    claim(listen).then(
+        server => {
+            state.server = server;
+            if (state.isStopped) {
+                stop();
+            }
+        },
+        (err: unknown) => logger.warn({ address, err }, "Metrics are not served: the address could not be bound."),
+    );
+    return { stop };
 }
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -4,7 +4,7 @@
 import { createClock } from "@azureshunt/core";
 import type { EndpointName, Incarnation, Millis, Tokens } from "@azureshunt/core";
 import { budgetOf, defaultBounds } from "@azureshunt/flow";
-import { stopParts } from "@azureshunt/lifecycle";
+import { claimAddress, stopParts } from "@azureshunt/lifecycle";
 import type { ManagedPart, StartContext } from "@azureshunt/lifecycle";
 import { createLoggers, createMetrics } from "@azureshunt/telemetry";
 
@@ -103,6 +103,8 @@
 /** Interval of the ticks of all time-driven components. They share one timer, as that wakes an idle VM least often. */
 const TICK_MS = 100;
 const MISDIRECTED = 421;
+/** Time that a predecessor may hold the addresses beyond its time to stop, until its supervisor has ended it. */
+const PREDECESSOR_MARGIN_MS = 2_000;
 
 /**
  * Starts all components of a router; the listener for callers last.
@@ -121,6 +123,19 @@
     const logger = loggers("router");
     const metrics = createMetrics();
     parts.lifecycle?.observe({ logger: loggers("lifecycle"), metrics, flush: loggers.flush });
+    const claim = <T>(address: string, bind: () => Promise<T>, withinMs: Millis): Promise<T> =>
+        claimAddress({
+            address,
+            bind,
+            withinMs,
+            signal: parts.lifecycle?.signal,
+            onWait: () => {
+                logger.warn({ address }, "Waiting for an address: another process holds it.");
+                metrics.count("azureshunt_address_waits_total", "Waits for an address of this VM.", { address });
+            },
+        });
+    const claimNeeded = <T>(address: string, bind: () => Promise<T>): Promise<T> =>
+        claim(address, bind, settings.stopMs + PREDECESSOR_MARGIN_MS);
     const store = measureStore(parts.store, clock, metrics);
     const countCalls = (topic: string, reads: StoreCallReason, writes?: StoreCallReason): StorePort =>
         countStoreCalls({ store, metrics, topic, reads, writes });
@@ -395,6 +410,7 @@
         checkSuspension: suspensionWatch.check,
         onApplied: requestQueues.onLoadKnown,
         receiveOther: streams.receive,
+        claim: claimNeeded,
     });
 
     const tickLag = createTickLag(clock, TICK_MS);
@@ -482,7 +498,10 @@
                 [directory.registryTopic, registry.answer],
             ]),
         });
-    const peerListener = await listenToPeers();
+    const [peerListener] = await Promise.all([
+        claimNeeded(settings.listen.peers, listenToPeers),
+        beacons.listening,
+    ]);
     const tunnels = serveTunnels(peerListener, {
         isEndpoint: address => endpointTable.entryAt(address) !== undefined,
         admit: address => state.isDraining || byteBudget.isExhausted() ? "unavailable" : connector.admitTunnel(address),
@@ -511,10 +530,16 @@
         byteBudget,
         unreadBodies,
     });
-    const metricsListener = await startMetricsListener(settings.listen.metrics, metrics);
+    const metricsListener = startMetricsListener({
+        address: settings.listen.metrics,
+        metrics,
+        claim: bind => claim(settings.listen.metrics, bind, Infinity),
+        logger,
+    });
     parts.lifecycle?.signal.throwIfAborted();
     const callerServer = await startCallerServer({
         settings,
+        claim: claimNeeded,
         handler,
         callerWire: parts.callerWire,
         limits: () => declarations.current().configuration?.limits,
@@ -569,13 +594,13 @@
         { name: "gauges", stop: stopGauges },
         { name: "queues", stop: requestQueues.stop },
         {
-            name: "listeners",
-            stop: () =>
-                [peerListener, metricsListener].forEach(listener => {
-                    listener.close();
-                    listener.closeAllConnections();
-                }),
+            name: "peers",
+            stop: () => {
+                peerListener.close();
+                peerListener.closeAllConnections();
+            },
         },
+        { name: "metrics", stop: metricsListener.stop },
         { name: "calls", stop: () => [agent, requestAgent].forEach(each => each.destroy()) },
     ];
     const shutDown = async (): Promise<void> => {
