--- a/packages/lifecycle/src/runLifecycle.ts
+++ b/packages/lifecycle/src/runLifecycle.ts
@@ -24,8 +24,8 @@
 const MS_PER_SECOND = 1_000;
 
 /**
- * Runs a program from its first step to the end of its process. Signals are handled from this call on, in each phase as
- * `stepLifecycle` decides.
+ * Runs a program from its first step to the end of its process. Signals and uncaught errors of the process are handled from
+ * this call on, in each phase as `stepLifecycle` decides.
  */
 export function runLifecycle({ start }: LifecycleParts): void {
     const lifecycleLog = createLifecycleLog();
@@ -92,7 +92,15 @@
         count("azureshunt_signals_total", "Signals that the process has received, by phase.", { signal, phase });
         apply({ kind: "signal", signal });
     };
+    const onUncaughtError = (err: unknown, origin: string): void => {
+        const { phase } = state.current;
+        log("fatal", { err, origin, phase }, "An error was not caught; its cause is a fault of this program.");
+        count("azureshunt_uncaught_errors_total", "Errors that nothing has caught, by phase.", { phase });
+        apply({ kind: "uncaught-error" });
+    };
     SIGNALS.forEach(signal => process.on(signal, onSignal));
+    // Rejected promises that nothing handles arrive here as well.
+    process.on("uncaughtException", onUncaughtError);
 
     const context: StartContext = {
         signal: startAbort.signal,
