--- a/packages/router/src/startMetricsListener.ts
+++ b/packages/router/src/startMetricsListener.ts
@@ -9,8 +9,8 @@
     /** `host:port`. */
     readonly address: string;
     readonly metrics: Metrics;
-    /** Binds the address once it is free. */
-    readonly claim: (bind: () => Promise<Server>) => Promise<Server>;
+    /** Binds an address once it is free. */
+    readonly claim: (address: string, bind: () => Promise<Server>) => Promise<Server>;
     readonly logger: Logger;
 };
 
@@ -35,7 +35,7 @@
         state.server?.close();
         state.server?.closeAllConnections();
     };
-    claim(listen).then(
+    claim(address, listen).then(
         server => {
             state.server = server;
             if (state.isStopped) {
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -4,12 +4,13 @@
 import { createClock } from "@azureshunt/core";
 import type { EndpointName, Incarnation, Millis, Tokens } from "@azureshunt/core";
 import { budgetOf, defaultBounds } from "@azureshunt/flow";
-import { claimAddress, stopParts } from "@azureshunt/lifecycle";
+import { stopParts } from "@azureshunt/lifecycle";
 import type { ManagedPart, StartContext } from "@azureshunt/lifecycle";
 import { createLoggers, createMetrics } from "@azureshunt/telemetry";
 
 import { createAllowanceQueue } from "./allowance/createAllowanceQueue.js";
 import { createAllowances } from "./allowance/createAllowances.js";
+import { createAddressClaims } from "./createAddressClaims.js";
 import { createEndConfirmation } from "./dispatch/createEndConfirmation.js";
 import { EndpointAgent } from "./dispatch/EndpointAgent.js";
 import { hasDied } from "./dispatch/hasDied.js";
@@ -103,8 +104,6 @@
 /** Interval of the ticks of all time-driven components. They share one timer, as that wakes an idle VM least often. */
 const TICK_MS = 100;
 const MISDIRECTED = 421;
-/** Time that a predecessor may hold the addresses beyond its time to stop, until its supervisor has ended it. */
-const PREDECESSOR_MARGIN_MS = 2_000;
 
 /**
  * Starts all components of a router; the listener for callers last.
@@ -123,19 +122,12 @@
     const logger = loggers("router");
     const metrics = createMetrics();
     parts.lifecycle?.observe({ logger: loggers("lifecycle"), metrics, flush: loggers.flush });
-    const claim = <T>(address: string, bind: () => Promise<T>, withinMs: Millis): Promise<T> =>
-        claimAddress({
-            address,
-            bind,
-            withinMs,
-            signal: parts.lifecycle?.signal,
-            onWait: () => {
-                logger.warn({ address }, "Waiting for an address: another process holds it.");
-                metrics.count("azureshunt_address_waits_total", "Waits for an address of this VM.", { address });
-            },
-        });
-    const claimNeeded = <T>(address: string, bind: () => Promise<T>): Promise<T> =>
-        claim(address, bind, settings.stopMs + PREDECESSOR_MARGIN_MS);
+    const claims = createAddressClaims({
+        stopMs: settings.stopMs,
+        signal: parts.lifecycle?.signal,
+        logger,
+        metrics,
+    });
     const store = measureStore(parts.store, clock, metrics);
     const countCalls = (topic: string, reads: StoreCallReason, writes?: StoreCallReason): StorePort =>
         countStoreCalls({ store, metrics, topic, reads, writes });
@@ -410,7 +402,7 @@
         checkSuspension: suspensionWatch.check,
         onApplied: requestQueues.onLoadKnown,
         receiveOther: streams.receive,
-        claim: claimNeeded,
+        claim: claims.needed,
     });
 
     const tickLag = createTickLag(clock, TICK_MS);
@@ -499,7 +491,7 @@
             ]),
         });
     const [peerListener] = await Promise.all([
-        claimNeeded(settings.listen.peers, listenToPeers),
+        claims.needed(settings.listen.peers, listenToPeers),
         beacons.listening,
     ]);
     const tunnels = serveTunnels(peerListener, {
@@ -533,13 +525,13 @@
     const metricsListener = startMetricsListener({
         address: settings.listen.metrics,
         metrics,
-        claim: bind => claim(settings.listen.metrics, bind, Infinity),
+        claim: claims.optional,
         logger,
     });
     parts.lifecycle?.signal.throwIfAborted();
     const callerServer = await startCallerServer({
         settings,
-        claim: claimNeeded,
+        claim: claims.needed,
         handler,
         callerWire: parts.callerWire,
         limits: () => declarations.current().configuration?.limits,
