--- a/packages/lifecycle/src/runLifecycle.ts
+++ b/packages/lifecycle/src/runLifecycle.ts
@@ -40,9 +40,13 @@
 
     const exit = async (cause: ExitCause): Promise<void> => {
         const code = exitCodeOf(cause);
-        log("info", { cause, code, upMs: upMs() }, "The process ends.");
-        await lifecycleLog.flush();
-        process.exit(code);
+        try {
+            log("info", { cause, code, upMs: upMs() }, "The process ends.");
+            await lifecycleLog.flush();
+        }
+        finally {
+            process.exit(code);
+        }
     };
     const drain = (application: Application): void => {
         setTimeout(() => apply({ kind: "drain-overdue" }), application.stopMs);
