Register the handler of SIGHUP after those of the other signals

Node has handlers of its own for SIGTERM and SIGINT while it starts, and they end the process. So /proc/PID/status (SigCgt) shows these two as caught long before the program's own handlers are there; only SIGHUP tells the two apart. Registered first, it showed as caught a moment before the program handled the others. Registered last, it shows from outside, without a bound on time, that the program handles all three. What a process does is not changed.

--- a/packages/lifecycle/src/runLifecycle.ts
+++ b/packages/lifecycle/src/runLifecycle.ts
@@ -19,7 +19,8 @@
     readonly start: (context: StartContext) => Promise<Application>;
 };
 
-const SIGNALS: readonly HandledSignal[] = ["SIGHUP", "SIGTERM", "SIGINT"];
+/** Node handles the first two itself while it starts; whoever sees from outside that the last one is handled knows that all are. */
+const SIGNALS: readonly HandledSignal[] = ["SIGTERM", "SIGINT", "SIGHUP"];
 const PHASES: readonly LifecyclePhase[] = ["starting", "serving", "draining", "stopped"];
 const MS_PER_SECOND = 1_000;
 
