Send nothing after the last beacon of a VM that stops

A VM that stops could end at once by an uncaught ERR_SOCKET_DGRAM_NOT_RUNNING, with whatever still ran on it; seen once as the VMs of cutOffDomain.test stopped. Besides, peers could take a VM that had said that it leaves for a running one again.

Cause: `stop` of the urgent sender cancelled what was scheduled, but `sendSoon` scheduled anew afterwards. It is called by all that may happen while a VM stops: a beacon of a peer that arrives before the socket is closed, a read of the store that ends, an endpoint that is found to be leaving. The send came up to 40 ms later, the socket is closed after 20: the datagram was sent within a timer, where a throw reaches nobody. If the send came before, it said that the VM does not leave, and a peer that had just removed the VM added it again. Streams' datagrams and a second `stop` threw in the same way.

Now `stop` of the urgent sender is final, `startBeacons` drops its exchange as it stops, and `send` does nothing once the socket is closed, as only the owner of the socket knows that. A round that would begin after a stop within the same turn does not begin.

--- a/packages/router/src/peers/createUrgentSender.ts
+++ b/packages/router/src/peers/createUrgentSender.ts
@@ -13,6 +13,7 @@
 type UrgentSender = {
     /** Requests an urgent send: at once, or as soon as the minimum gap has elapsed. */
     readonly sendSoon: () => void;
+    /** Sends nothing any more, whatever is requested. */
     readonly stop: () => void;
 };
 
@@ -34,7 +35,12 @@
  * rounds, it would be a second old, and queues would grow at some engines while others are idle.
  */
 export function createUrgentSender({ clock, schedule, send, maxGapMs }: UrgentSenderParts): UrgentSender {
-    const state = { isRequested: false, nextAllowedAt: -Infinity as Millis, cancel: (): void => undefined };
+    const state = {
+        isRequested: false,
+        isStopped: false,
+        nextAllowedAt: -Infinity as Millis,
+        cancel: (): void => undefined,
+    };
     const sendNow = (): void => {
         state.isRequested = false;
         const targets = send();
@@ -51,13 +57,16 @@
     scheduleNext();
     return {
         sendSoon: () => {
-            if (!state.isRequested) {
+            if (!state.isRequested && !state.isStopped) {
                 state.isRequested = true;
                 state.cancel();
                 // Scheduled even without a delay, so that further updates of this event loop turn are sent with it.
                 state.cancel = schedule(Math.max(0, state.nextAllowedAt - clock.now()), sendNow);
             }
         },
-        stop: () => state.cancel(),
+        stop: () => {
+            state.isStopped = true;
+            state.cancel();
+        },
     };
 }
--- a/packages/router/src/peers/startBeacons.ts
+++ b/packages/router/src/peers/startBeacons.ts
@@ -26,7 +26,8 @@
  * next beacon makes up for a lost one.
  *
  * @returns `sendSoon` requests an urgent send, `send` sends a datagram of another kind, and `stop` stops after a final
- * beacon
+ * beacon. No beacon follows that one, as peers would take this VM for a running one again, and nothing fails that is called
+ * afterwards.
  */
 export function startBeacons(parts: BeaconParts): {
     readonly sendSoon: () => void;
@@ -41,9 +42,17 @@
         lookup: (address, _, callback) => callback(null, address, IP_VERSION),
     });
     const [host, port] = parts.address.split(":");
-    const exchange = { current: undefined as ReturnType<typeof createBeaconExchange> | undefined };
+    const state = {
+        exchange: undefined as ReturnType<typeof createBeaconExchange> | undefined,
+        isStopped: false,
+        isClosed: false,
+    };
 
     const send = (datagram: Buffer, address: string): void => {
+        // Many parts of a VM send, and some of them do after it has stopped.
+        if (state.isClosed) {
+            return;
+        }
         const [to, toPort] = address.split(":");
         parts.onSent(datagram.length);
         socket.send(datagram, Number(toPort), to, err => {
@@ -55,11 +64,14 @@
     socket.on("error", err => parts.onFault("socket", err));
     socket.on("message", (datagram, from) => {
         if (!parts.receiveOther(datagram)) {
-            exchange.current?.receive(datagram, `${from.address}:${from.port}`);
+            state.exchange?.receive(datagram, `${from.address}:${from.port}`);
         }
     });
     const begin = (): void => {
-        exchange.current = createBeaconExchange({
+        if (state.isStopped) {
+            return;
+        }
+        state.exchange = createBeaconExchange({
             ...parts,
             send,
             schedule: scheduleTimer,
@@ -78,11 +90,19 @@
         });
     return {
         listening: parts.claim(parts.address, bind),
-        sendSoon: () => exchange.current?.sendSoon(),
+        sendSoon: () => state.exchange?.sendSoon(),
         send,
         stop: () => {
-            exchange.current?.stop();
-            setTimeout(() => socket.close(), CLOSE_AFTER_MS);
+            if (state.isStopped) {
+                return;
+            }
+            state.isStopped = true;
+            state.exchange?.stop();
+            state.exchange = undefined;
+            setTimeout(() => {
+                state.isClosed = true;
+                socket.close();
+            }, CLOSE_AFTER_MS);
         },
     };
 }
