Send nothing to addresses that are none

One datagram could end a VM, and with it all that ran there: a beacon that names a further VM at an address such as "x" or "10.0.0.2:99999". The address was checked for being a text only. The next round threw ERR_SOCKET_BAD_PORT within a timer, where it reaches nobody, and again in each process started later, as peers pass names of VMs on. A call to such an address throws as well, which would have ended the loop that reads a topic from a relay.

Beacons are now refused as a whole, and counted, if an address in them is none: IP number and port from 1 to 65535, the same rule for addresses in the list of VMs, in tunnels and in beacons. And as addresses come from settings too, a datagram that Node refuses is a fault of that datagram, counted like one that the system does not send; the other targets of a round get theirs.

The new rows of startBeacons.test ended the test's process before, by ERR_SOCKET_BAD_PORT for the port NaN; those of beacon.test were decoded. Now 13 and all of beacon.test pass, and 134 tests of the files around them (relays, tunnels, listener for peers).

--- a/packages/router/src/__tests__/unit/beacon.test.ts
+++ b/packages/router/src/__tests__/unit/beacon.test.ts
@@ -5,6 +5,7 @@
 import type { Beacon } from "../../peers/Beacon.js";
 import { createBeaconEncoder } from "../../peers/createBeaconEncoder.js";
 import { decodeBeacon } from "../../peers/decodeBeacon.js";
+import { VmAddress } from "../../peers/VmAddress.js";
 
 const beacon: Beacon = {
     vm: "vm-1" as VmId,
@@ -103,6 +104,19 @@
     t.deepEqual([suspectParts, answeredParts], [[], []]);
 });
 
+// Guards against a process that ends, or reads nothing any more, as it calls or sends to an address that is none.
+["", "x", "10.0.0.2", "10.0.0.2:0", "10.0.0.2:65536", "10.0.0.2:x", "10.0.0.256:7600", "10.0.0.2:7600:1", 7_600]
+    .forEach(
+        address => {
+            test(`beacon: one that names a VM at ${JSON.stringify(address)} is not valid`, t => {
+                const VMS = 27;
+                const [vm = []] = rowOf()[VMS] as unknown[][];
+                t.is(decoded(rowOf().with(VMS, [vm.with(1, address)])), undefined);
+                t.false(VmAddress.safeParse(address).success);
+            });
+        },
+    );
+
 const invalidSizes: readonly { readonly name: string; readonly sizes: unknown; }[] = [
     { name: "a number in place of the list", sizes: 5 },
     { name: "a text in place of a size", sizes: [["many", 70], []] },
--- a/packages/router/src/__tests__/unit/startBeacons.test.ts
+++ b/packages/router/src/__tests__/unit/startBeacons.test.ts
@@ -87,3 +87,16 @@
         });
     },
 );
+
+// Guards against a process that ends because a peer names a VM at an address to which nothing can be sent.
+["", "x", "127.0.0.1", "127.0.0.1:0", "127.0.0.1:99999", "127.0.0.1:x", "300.0.0.1:7600"].forEach(wrong => {
+    test(`beacons to ${JSON.stringify(wrong)}: it is a fault, and the others are sent`, async t => {
+        const { beacons, peer, faults } = await start(right => [wrong, right]);
+        t.teardown(() => {
+            beacons.stop();
+            peer.close();
+        });
+        await until(() => faults.length > 0);
+        t.true(faults[0] instanceof Error);
+    });
+});
--- a/packages/router/src/peers/VmAddress.ts
+++ b/packages/router/src/peers/VmAddress.ts
@@ -1,6 +1,8 @@
 import { z } from "zod";
 
+import { isVmAddress } from "./isVmAddress.js";
+
 /** Address of a VM's listener for peers, `host:port` with an IP number. */
-const VmAddress = z.string().regex(/^[0-9.]+:\d{1,5}$/);
+const VmAddress = z.string().refine(isVmAddress);
 
 export { VmAddress };
--- a/packages/router/src/peers/decodeBeacon.ts
+++ b/packages/router/src/peers/decodeBeacon.ts
@@ -2,6 +2,7 @@
 import { rolloutPhases } from "../rollout/rolloutPhases.js";
 import type { Beacon } from "./Beacon.js";
 import { BEACON_FORMAT } from "./BEACON_FORMAT.js";
+import { isVmAddress } from "./isVmAddress.js";
 
 const MIN_FIELDS = 20;
 /** Positions of optional fields; VMs that run an earlier version leave them out. */
@@ -76,7 +77,7 @@
     && (row[UP_MS] === undefined || isNumber(row[UP_MS]))
     && isNumber(row[CAPACITY] ?? 0)
     && SCOPES.includes(row[SCOPE] ?? "vm")
-    && areRows(row[VMS] ?? [], isText, isText, isText, isNumber, isFlag, isNumber)
+    && areRows(row[VMS] ?? [], isText, isVmAddress, isText, isNumber, isFlag, isNumber)
     && areRows(row[DOMAINS] ?? [], isText, isNumber, isNumber, isNumber)
     && areRows(row[RELAYED_SPENT] ?? [], isText, isNumber, isNumber)
     && areRows(row[RELAYED_LOAD] ?? [], ...LOAD_ROW)
--- a/packages/router/src/peers/startBeacons.ts
+++ b/packages/router/src/peers/startBeacons.ts
@@ -48,18 +48,26 @@
         isClosed: false,
     };
 
+    /**
+     * What is sent belongs to many parts of a VM, and goes to addresses that peers name. Node throws on a closed socket and on
+     * an address that is none, in a timer or in whatever has just happened; but nobody relies on a single datagram.
+     */
     const send = (datagram: Buffer, address: string): void => {
-        // Many parts of a VM send, and some of them do after it has stopped.
         if (state.isClosed) {
             return;
         }
         const [to, toPort] = address.split(":");
-        parts.onSent(datagram.length);
-        socket.send(datagram, Number(toPort), to, err => {
-            if (err !== null) {
-                parts.onFault("socket", err);
-            }
-        });
+        try {
+            socket.send(datagram, Number(toPort), to, err => {
+                if (err !== null) {
+                    parts.onFault("socket", err);
+                }
+            });
+            parts.onSent(datagram.length);
+        }
+        catch (err) {
+            parts.onFault("socket", err as Error);
+        }
     };
     socket.on("error", err => parts.onFault("socket", err));
     socket.on("message", (datagram, from) => {
