--- a/packages/bench/src/demo/demoNote.ts
+++ b/packages/bench/src/demo/demoNote.ts
@@ -30,7 +30,7 @@
 });
 
 /** Creates the release note that declares all endpoints of a topology, three organisations and their keys. */
-export function demoNote(topology: Topology): DemoNote {
+export function demoNote(topology: Pick<Topology, "endpoints">): DemoNote {
     const organisations = ORGANISATIONS.map(organisation => ({
         ...organisation,
         key: `ask_${randomBytes(32).toString("base64url")}`,
--- a/packages/bench/src/topology/applyRelease.ts
+++ b/packages/bench/src/topology/applyRelease.ts
@@ -1,9 +1,12 @@
 import { callHttp } from "./callHttp.js";
-import type { Topology } from "./Topology.js";
+import type { DaemonProcess } from "./DaemonProcess.js";
 import { waitUntil } from "./waitUntil.js";
 
 const IN_FORCE_TIMEOUT_MS = 20_000;
 
+/** Daemons on which a release note comes into force. */
+type ReleaseTarget = { readonly daemons: readonly Pick<DaemonProcess, "admin">[]; readonly adminKey: string; };
+
 const revisionOf = async (admin: string, key: string): Promise<number> => {
     const { text } = await callHttp({ method: "GET", url: `${admin}/admin/v1/status`, key });
     return (JSON.parse(text) as { readonly revision?: number; }).revision ?? 0;
@@ -15,7 +18,7 @@
  * @returns milliseconds until the note was in force on the last daemon
  * @throws Error if the note is not accepted, or not in force in time
  */
-export async function applyRelease({ daemons, adminKey }: Topology, note: object): Promise<number> {
+export async function applyRelease({ daemons, adminKey }: ReleaseTarget, note: object): Promise<number> {
     const startedAt = performance.now();
     const admin = daemons[0]?.admin ?? "";
     const { status, text } = await callHttp({
