Run the daemon in the life cycle of the router

Callers lost all requests on a daemon (3 of 3 each) by SIGHUP at any time, by a second SIGTERM while the first one let them finish, and by an error of any one part that nothing caught. SIGHUP, SIGTERM or SIGINT during the start, and a SIGTERM as the callers' port opened, ended the process.

Cause: as in the router: signals were handled in the steady phase only, once each, and SIGHUP and uncaught errors not at all; the defaults of the operating system and of Node ended the process.

The parts stop as a list, in the order in which they stopped before; the administration listener opens before the callers' one, which is the last step that a signal can abort.

--- a/packages/daemon/src/gateway/createCallerHandler.ts
+++ b/packages/daemon/src/gateway/createCallerHandler.ts
@@ -33,11 +33,11 @@
 /**
  * Creates a handler of callers' requests. Each request ends in an answer or in a refusal of a known kind.
  *
- * @param isShutDown returns whether the time to drain running requests is over
+ * @param isRefusing returns whether all requests are refused, as the daemon stops
  */
 export function createCallerHandler(
     parts: GatewayParts,
-    isShutDown: () => boolean,
+    isRefusing: () => boolean,
 ): (req: IncomingMessage, res: ServerResponse) => void {
     const { ctx } = parts.dispatch;
     const logger = ctx.logger("gateway");
@@ -50,7 +50,7 @@
 
     const authenticate = (req: IncomingMessage, id: RequestId): Either<Refusal, AuthenticatedRequest> => {
         const cfg = ctx.release.current();
-        if (isShutDown()) {
+        if (isRefusing()) {
             return Left(refusalOf("shutting-down"));
         }
         if (cfg === undefined) {
--- a/packages/daemon/src/gateway/startCallerListener.ts
+++ b/packages/daemon/src/gateway/startCallerListener.ts
@@ -20,6 +20,8 @@
      * running requests awaited.
      */
     readonly drain: () => Promise<void>;
+    /** Refuses all further requests. */
+    readonly refuse: () => void;
 };
 
 /**
@@ -30,8 +32,8 @@
 export async function startCallerListener(parts: GatewayParts): Promise<CallerListener> {
     const { ctx } = parts.dispatch;
     const { settings } = ctx;
-    const shutdown = { isDone: false };
-    const serve = createCallerHandler(parts, () => shutdown.isDone);
+    const shutdown = { isRefusing: false };
+    const serve = createCallerHandler(parts, () => shutdown.isRefusing);
     const running = { requests: 0 };
     ctx.metrics.gauge("azureshunt_requests_running", "Callers' requests that run now.", () => running.requests);
 
@@ -71,13 +73,16 @@
             }, IDLE_RECHECK_MS);
         });
 
+    const refuse = (): void => {
+        shutdown.isRefusing = true;
+    };
     const drain: CallerListener["drain"] = async () => {
         const { announceMs, drainMs } = settings.limits;
         await new Promise(resolve => setTimeout(resolve, announceMs));
         server.close();
         await waitUntilIdle(ctx.clock.now() + drainMs);
-        shutdown.isDone = true;
+        refuse();
         server.closeAllConnections();
     };
-    return { drain };
+    return { drain, refuse };
 }
--- a/packages/daemon/src/startDaemon.ts
+++ b/packages/daemon/src/startDaemon.ts
@@ -2,6 +2,8 @@
 
 import { createClock } from "@azureshunt/core";
 import type { Incarnation } from "@azureshunt/core";
+import { stopParts } from "@azureshunt/lifecycle";
+import type { ManagedPart, StartContext } from "@azureshunt/lifecycle";
 import { createLogClient } from "@azureshunt/log";
 import { createLoggers, createMetrics } from "@azureshunt/telemetry";
 import { start, stop as stopSystem } from "nact";
@@ -27,17 +29,20 @@
 
 /** A running daemon. */
 type Daemon = {
-    /** Refuses new requests, waits for running ones, hands allowances over, and stops all parts. */
+    /** Refuses new requests from now on, as not run. */
+    readonly refuse: () => void;
+    /** Stops accepting connections, waits for running requests, hands allowances over, and stops all parts. */
     readonly shutDown: () => Promise<void>;
 };
 
 /**
- * Starts all parts of a daemon.
+ * Starts all parts of a daemon; the listener for callers last.
  *
  * @param settings validated settings
- * @throws Error if a listener cannot be bound or a certificate cannot be read
+ * @param lifecycle life cycle of the process
+ * @throws Error if a listener cannot be bound, a certificate cannot be read, or the start was aborted
  */
-export async function startDaemon(settings: Settings): Promise<Daemon> {
+export async function startDaemon(settings: Settings, lifecycle: StartContext): Promise<Daemon> {
     const incarnation = randomUUID() as string as Incarnation;
     const clock = createClock();
     const logger = createLoggers(settings.logging.level, {
@@ -46,6 +51,7 @@
         incarnation,
     });
     const metrics = createMetrics();
+    lifecycle.observe({ logger: logger("lifecycle"), metrics, flush: logger.flush });
     const system = start(`azureshunt-${settings.vm}`);
     const log = createLogClient(settings.platform.url);
     const membership = createMembershipPort({
@@ -79,36 +85,64 @@
     const placement = createPlacementPort(ctx, { mayShare: suspects.mayShare });
     const draining = { is: false };
     const isDraining = (): boolean => draining.is;
-    const callers = await startCallerListener({
-        dispatch: {
-            ctx,
-            placement,
-            suspects,
-            connections,
-            tries: createRetryPolicy(clock, metrics),
-            trace,
-            recheck: createKeyCheck(release),
-        },
-        allowance,
-        intents,
-        authenticate: authenticateCaller,
-        versionOf,
-        isDraining,
+    const onFault = (part: string, err: unknown): void =>
+        logger("daemon").error({ part, err }, "Stopping a part failed.");
+    /** In the order in which they stop. */
+    const parts: readonly ManagedPart[] = [
+        { name: "fleet", stop: fleet.stop },
+        { name: "allowance", stop: allowance.stop },
+        { name: "placement", stop: placement.stop },
+        { name: "intents", stop: intents.stop },
+        { name: "suspects", stop: suspects.stop },
+        { name: "release", stop: release.stop },
+        { name: "membership", stop: membership.stop },
+        { name: "peers", stop: peers.stop },
+    ];
+    const connected: readonly ManagedPart[] = [
+        { name: "connections", stop: connections.stop },
+        { name: "log", stop: log.close },
+        { name: "actors", stop: () => stopSystem(system) },
+    ];
+    const startListeners = async () => {
+        const admin = await startAdminListener({ ctx, release, allowance, placement, trace, isDraining });
+        lifecycle.signal.throwIfAborted();
+        const callers = await startCallerListener({
+            dispatch: {
+                ctx,
+                placement,
+                suspects,
+                connections,
+                tries: createRetryPolicy(clock, metrics),
+                trace,
+                recheck: createKeyCheck(release),
+            },
+            allowance,
+            intents,
+            authenticate: authenticateCaller,
+            versionOf,
+            isDraining,
+        });
+        return { admin, callers };
+    };
+    const { admin, callers } = await startListeners().catch(async (err: unknown) => {
+        await stopParts([...parts, ...connected], onFault);
+        throw err;
     });
-    const admin = await startAdminListener({ ctx, release, allowance, placement, trace, isDraining });
     logger("daemon").info({ listen: settings.listen }, "Started.");
 
     const shutDown = async (): Promise<void> => {
         draining.is = true;
         logger("daemon").info("Draining.");
-        await callers.drain();
-        await allowance.drain();
-        [fleet, allowance, placement, intents, suspects, release, membership, peers].forEach(part => void part.stop());
-        await admin.stop();
-        await connections.stop();
-        await log.close();
-        stopSystem(system);
+        const listeners: readonly ManagedPart[] = [
+            { name: "callers", drain: callers.drain },
+            { name: "hand-over", stop: allowance.drain },
+        ];
+        await stopParts([...listeners, ...parts, { name: "admin", stop: admin.stop }, ...connected], onFault);
         logger("daemon").info("Stopped.");
     };
-    return { shutDown };
+    const refuse = (): void => {
+        draining.is = true;
+        callers.refuse();
+    };
+    return { refuse, shutDown };
 }
