Take a call that Node refuses to send for one that reached nobody

A VM could end by an error that reaches nobody as it called a peer, the store or an engine: `callOnce` rejected if Node refuses to send a request, for its target, a header value or a port out of range, and those who make such calls mostly do not wait for them (`void getBody(...)`, reports, notices, releases of held places, the loop that reads a topic). What goes into these calls is partly what others wrote: names and addresses of peers and endpoints.

Nothing has been sent then, which is what `unreached` says, and all callers know it. `openCall` itself still throws, as a caller's request that cannot be sent is no fault of its endpoint.

--- a/packages/router/src/__tests__/unit/callOnce.test.ts
+++ b/packages/router/src/__tests__/unit/callOnce.test.ts
@@ -25,6 +25,21 @@
     server.close();
 });
 
+// Guards against a process that ends as a peer's address or a record of the store makes a call that Node refuses to send.
+const refused = [
+    { name: "a target with white space", address: "127.0.0.1:9", target: "/a b", host: "store" },
+    { name: "a header with a line break", address: "127.0.0.1:9", target: "/", host: "a\nb" },
+    { name: "a port that is none", address: "127.0.0.1:99999", target: "/", host: "store" },
+] as const;
+refused.forEach(({ name, address, target, host }) => {
+    test(`callOnce: with ${name}, nobody is reached`, async t => {
+        const agent = new EndpointAgent(() => performance.now());
+        const call = { method: "GET", target, headers: ["Host", host], body: Buffer.alloc(0) };
+        t.deepEqual(await callOnce(agent, address, call, 500), { kind: "unreached" });
+        agent.destroy();
+    });
+});
+
 [6, 15, 40, 66].forEach(vms => {
     test(`declarations: a reader among ${vms} VMs waits an integral number of milliseconds`, t => {
         const inputs = { declaredState: initialDeclaredState, requestedAt: 0, beaconIntervalMs: 25 * vms };
--- a/packages/router/src/dispatch/callOnce.ts
+++ b/packages/router/src/dispatch/callOnce.ts
@@ -25,7 +25,9 @@
 ): Promise<CallResult> {
     // `AbortSignal.timeout` throws on a fraction of a millisecond, which would end the process.
     const signal = AbortSignal.timeout(Math.ceil(timeoutMs));
-    const opened = await openCall(agent, { ...call, address, maxIdleMs: MAX_IDLE_MS, headMs: timeoutMs }, signal);
+    // What Node refuses to send has reached nobody; those who make these calls mostly do not wait for them.
+    const opened = await openCall(agent, { ...call, address, maxIdleMs: MAX_IDLE_MS, headMs: timeoutMs }, signal)
+        .catch(() => ({ kind: "unreached" }) as const);
     if (opened.kind !== "head") {
         return { kind: opened.kind === "unreached" ? "unreached" : "lost" };
     }
--- a/packages/router/src/dispatch/openCall.ts
+++ b/packages/router/src/dispatch/openCall.ts
@@ -29,6 +29,7 @@
  * failure is `broken` or `silent`, neither of which guarantees that the request has not run.
  *
  * @param signal ends the call and its connection
+ * @throws Error if Node refuses to send such a request: for its target, a header, or an address that is none
  */
 export function openCall(agent: EndpointAgent, call: EndpointCall, signal: CancelSignal): Promise<OpenedCall> {
     const portAt = call.address.lastIndexOf(":");
