--- a/packages/cli/src/commands/checkSettings.ts
+++ b/packages/cli/src/commands/checkSettings.ts
@@ -13,7 +13,7 @@
     run: ({ args: [file = ""] }) =>
         EitherAsync.liftEither(
             loadSettings(file)
-                .mapLeft(faults => failure("usage", faults, { kind: "invalid", faults }))
+                .mapLeft(({ lines: faults }) => failure("usage", faults, { kind: "invalid", faults }))
                 .map(settings => ({
                     lines: [`${file}: ok, VM ${settings.vm} in failure domain ${settings.failureDomain}`],
                     json: { kind: "valid", vm: settings.vm, failureDomain: settings.failureDomain },
--- a/packages/daemon/src/__tests__/unit/loadSettings.test.ts
+++ b/packages/daemon/src/__tests__/unit/loadSettings.test.ts
@@ -24,7 +24,7 @@
 
 const load = (text: string) => {
     writeFileSync(file, text);
-    return loadSettings(file).mapLeft(faults => faults.map(fault => fault.replace(`${file}:`, "")));
+    return loadSettings(file).mapLeft(({ lines }) => lines.map(fault => fault.replace(`${file}:`, "")));
 };
 
 test.serial("settings: an omitted field has its default", t => {
@@ -55,7 +55,8 @@
 });
 
 test.serial("settings: an unreadable file gives one fault", t => {
-    t.deepEqual(loadSettings(join(folder, "none.yaml")).swap().extract(), [
-        `${join(folder, "none.yaml")}: cannot be read`,
-    ]);
+    t.deepEqual(loadSettings(join(folder, "none.yaml")).swap().extract(), {
+        text: undefined,
+        lines: [`${join(folder, "none.yaml")}: cannot be read`],
+    });
 });
--- a/packages/daemon/src/loadSettings.ts
+++ b/packages/daemon/src/loadSettings.ts
@@ -7,8 +7,13 @@
 
 import { Settings } from "./Settings.js";
 
-/** All faults of a settings file, one line each: file, line and column, field, value found, values allowed. */
-type SettingsFaults = readonly string[];
+/** A settings file that cannot be used. */
+type SettingsFaults = {
+    /** The file's text; `undefined` if it cannot be read. */
+    readonly text: string | undefined;
+    /** All faults, one line each: file, line and column, field, value found, values allowed. */
+    readonly lines: readonly string[];
+};
 
 const readText = (file: string): string | undefined => {
     try {
@@ -28,8 +33,8 @@
 export function loadSettings(file: string): Either<SettingsFaults, Settings> {
     const text = readText(file);
     if (text === undefined) {
-        return Left([`${file}: cannot be read`]);
+        return Left({ text, lines: [`${file}: cannot be read`] });
     }
     const lineOf = (fault: LocatedFault): string => `${file}:${faultText(fault)}`;
-    return parseDocument(Settings, text).bimap(faults => faults.map(lineOf), ({ value }) => value);
+    return parseDocument(Settings, text).bimap(faults => ({ text, lines: faults.map(lineOf) }), ({ value }) => value);
 }
--- a/packages/daemon/src/reportSettingsChange.ts
+++ b/packages/daemon/src/reportSettingsChange.ts
@@ -15,7 +15,7 @@
     log: StartContext["log"],
 ): void {
     read.caseOf({
-        Left: faults => log("warn", { faults }, "The settings file cannot be used: a restart would fail."),
+        Left: ({ lines }) => log("warn", { faults: lines }, "The settings file cannot be used: a restart would fail."),
         Right: next => {
             const fields = (Object.keys(current) as (keyof Settings)[])
                 .filter(field => !isEqual(current[field], next[field]));
--- a/packages/daemon/src/startProgram.ts
+++ b/packages/daemon/src/startProgram.ts
@@ -1,25 +1,22 @@
-import { StartFailure } from "@azureshunt/lifecycle";
+import { awaitSettings } from "@azureshunt/lifecycle";
 import type { Application, StartContext } from "@azureshunt/lifecycle";
 
 import { loadSettings } from "./loadSettings.js";
 import { readSettingsPath } from "./readSettingsPath.js";
 import { reportSettingsChange } from "./reportSettingsChange.js";
-import type { Settings } from "./Settings.js";
 import { startDaemon } from "./startDaemon.js";
 import { stopMsOf } from "./stopMsOf.js";
 
 /**
  * Starts the daemon with the settings file that the command line names.
  *
- * @throws StartFailure if the settings are wrong
+ * @throws StartFailure if the settings are wrong, or missing for too long
  */
 export async function startProgram(context: StartContext): Promise<Application> {
     const file = readSettingsPath(process.argv);
-    const settings = loadSettings(file).caseOf<Settings>({
-        Left: faults => {
-            throw new StartFailure("bad-settings", faults.join("; "));
-        },
-        Right: read => read,
+    const settings = await awaitSettings({
+        read: () => loadSettings(file).mapLeft(({ text, lines }) => ({ text, line: lines.join("; ") })),
+        context,
     });
     const daemon = await startDaemon(settings, context);
     return {
