Let the daemon wait for addresses that its predecessor still holds

Cause: each address was bound once, and each failure was final.

Each listener binds by claimAddress, for the time to stop and 2 s; the wait is logged and counted as azureshunt_address_waits_total, and given up with exit code 1. The error of gRPC has no code, only the text EADDRINUSE in its message, and its server keeps the failure for good: the code is added, and each try is a server of its own. gRPC writes a line for each try to standard error, so its lines go to the log, at debug level.

--- a/packages/daemon/src/__tests__/unit/admin.test.ts
+++ b/packages/daemon/src/__tests__/unit/admin.test.ts
@@ -36,6 +36,7 @@
         placement: { inspect: () => [], explain: () => undefined },
         trace: createTracePort(() => 0),
         isDraining: () => false,
+        claim: (_address, bind) => bind(),
     });
     const callAdmin = async (method: string, path: string, body?: unknown, headers: object = {}): Promise<Reply> => {
         const res = await request(`http://127.0.0.1:${listener.port}${path}`, {
--- a/packages/daemon/src/admin/AdminParts.ts
+++ b/packages/daemon/src/admin/AdminParts.ts
@@ -3,6 +3,7 @@
 import type { createReleasePort } from "../configuration/createReleasePort.js";
 import type { createPlacementPort } from "../placement/createPlacementPort.js";
 import type { AllowancePort } from "../ports/AllowancePort.js";
+import type { Claim } from "../ports/Claim.js";
 import type { DaemonContext } from "../ports/DaemonContext.js";
 import type { TracePort } from "../ports/TracePort.js";
 
@@ -17,4 +18,5 @@
     readonly placement: Pick<ReturnType<typeof createPlacementPort>, "inspect" | "explain">;
     readonly trace: TracePort;
     readonly isDraining: () => boolean;
+    readonly claim: Claim;
 };
--- a/packages/daemon/src/admin/startAdminListener.ts
+++ b/packages/daemon/src/admin/startAdminListener.ts
@@ -89,6 +89,7 @@
 
     const server = await startHttpServer({
         address: settings.listen.admin,
+        claim: parts.claim,
         tls: settings.tls.admin,
         limits: settings.limits,
         handler: (req, res) => {
--- a/packages/daemon/src/gateway/GatewayParts.ts
+++ b/packages/daemon/src/gateway/GatewayParts.ts
@@ -4,6 +4,7 @@
 
 import type { DispatchParts } from "../dispatch/DispatchParts.js";
 import type { AllowancePort } from "../ports/AllowancePort.js";
+import type { Claim } from "../ports/Claim.js";
 import type { IntentPort } from "../ports/IntentPort.js";
 import type { Caller } from "./Caller.js";
 
@@ -18,4 +19,5 @@
     readonly versionOf: (cfg: Configuration, spec: ModelSpec) => WeightsVersion;
     /** Whether this daemon is shutting down. Requests are still served, and each answer closes its connection. */
     readonly isDraining: () => boolean;
+    readonly claim: Claim;
 };
--- a/packages/daemon/src/gateway/startCallerListener.ts
+++ b/packages/daemon/src/gateway/startCallerListener.ts
@@ -57,6 +57,7 @@
     };
     const server = await startHttpServer({
         address: settings.listen.caller,
+        claim: parts.claim,
         tls: settings.tls.caller,
         limits: settings.limits,
         handler,
--- a/packages/daemon/src/gateway/startHttpServer.ts
+++ b/packages/daemon/src/gateway/startHttpServer.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createServer as createHttpsServer } from "node:https";
 
+import type { Claim } from "../ports/Claim.js";
 import type { Settings } from "../Settings.js";
 
 const HEADERS_TIMEOUT_MS = 10_000;
@@ -16,6 +17,8 @@
 type HttpServerParts = {
     /** `host:port`. */
     readonly address: string;
+    /** Binds the address once it is free. */
+    readonly claim: Claim;
     readonly tls: Settings["tls"]["caller"];
     readonly limits: Settings["limits"];
     readonly handler: HttpHandler;
@@ -37,7 +40,7 @@
  * @throws Error if the address cannot be bound or a certificate cannot be read
  */
 export async function startHttpServer(parts: HttpServerParts): Promise<Server> {
-    const { address, tls, limits, handler } = parts;
+    const { address, claim, tls, limits, handler } = parts;
     const options = { maxHeaderSize: limits.headerBytes };
     const server = tls === undefined ? createHttpServer(options, handler) : withTls(tls, options, handler);
     server.maxConnections = limits.connections;
@@ -45,9 +48,14 @@
     server.requestTimeout = REQUEST_TIMEOUT_MS;
     server.keepAliveTimeout = MAX_IDLE_MS;
     const colon = address.lastIndexOf(":");
-    await new Promise<void>((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(Number(address.slice(colon + 1)), address.slice(0, colon), resolve);
-    });
+    const bind = (): Promise<void> =>
+        new Promise((resolve, reject) => {
+            server.once("error", reject);
+            server.listen(Number(address.slice(colon + 1)), address.slice(0, colon), () => {
+                server.off("error", reject);
+                resolve();
+            });
+        });
+    await claim(address, bind);
     return server;
 }
--- a/packages/daemon/src/peers/createPeerPort.ts
+++ b/packages/daemon/src/peers/createPeerPort.ts
@@ -1,9 +1,11 @@
 import { readFileSync } from "node:fs";
 
 import type { Incarnation, VmId } from "@azureshunt/core";
-import { credentials, ServerCredentials } from "@grpc/grpc-js";
+import { credentials, ServerCredentials, setLogger } from "@grpc/grpc-js";
+import type { Logger } from "pino";
 import { Left } from "purify-ts";
 
+import type { Claim } from "../ports/Claim.js";
 import type { PeerPort } from "../ports/PeerPort.js";
 import type { Settings } from "../Settings.js";
 import { createPeerClients } from "./createPeerClients.js";
@@ -31,19 +33,26 @@
     };
 };
 
+/** Dependencies of `createPeerPort`. */
+type PeerParts = {
+    readonly settings: Settings;
+    readonly incarnation: Incarnation;
+    /** Binds the peer address once it is free. */
+    readonly claim: Claim;
+    readonly logger: Pick<Logger, "debug">;
+    /** Returns the other daemons that are currently known. */
+    readonly peers: PeerPort["peers"];
+};
+
 /**
  * Starts the server and the clients for messages between daemons.
  *
- * @param settings settings of this daemon
- * @param incarnation incarnation of this daemon
- * @param peers returns the other daemons that are currently known
  * @throws Error if the peer address cannot be bound or a certificate cannot be read
  */
-export async function createPeerPort(
-    settings: Settings,
-    incarnation: Incarnation,
-    peers: PeerPort["peers"],
-): Promise<PeerPort & { readonly stop: () => void; }> {
+export async function createPeerPort(parts: PeerParts): Promise<PeerPort & { readonly stop: () => void; }> {
+    const { settings, incarnation, claim, logger, peers } = parts;
+    const logLine = (...line: readonly unknown[]): void => logger.debug({ line: line.join(" ") }, "Line of gRPC.");
+    setLogger({ error: logLine, info: logLine, debug: logLine });
     const schema = loadPeerSchema();
     const { client, server } = credentialsOf(settings);
     const { secret } = settings.peers;
@@ -57,6 +66,7 @@
         incarnation,
         secret,
         credentials: server,
+        claim,
         answer: async (kind, body, from) => await handlers.get(kind)?.(body, from),
     });
 
--- a/packages/daemon/src/peers/startPeerServer.ts
+++ b/packages/daemon/src/peers/startPeerServer.ts
@@ -4,6 +4,7 @@
 import { Server, status } from "@grpc/grpc-js";
 import type { handleUnaryCall, Metadata, ServerCredentials } from "@grpc/grpc-js";
 
+import type { Claim } from "../ports/Claim.js";
 import type { loadPeerSchema } from "./loadPeerSchema.js";
 import { signEnvelope } from "./signEnvelope.js";
 
@@ -21,11 +22,18 @@
     readonly incarnation: string;
     readonly secret: string;
     readonly credentials: ServerCredentials;
+    /** Binds the address once it is free. */
+    readonly claim: Claim;
     readonly answer: AnswerMessage;
 };
 
+const TAKEN = "EADDRINUSE";
+
 const signatureOf = (metadata: Metadata): Buffer => Buffer.from(String(metadata.get("x-signature")[0] ?? ""), "hex");
 
+/** Adds the code of a taken address, which the error of gRPC has only in its message. */
+const bindErrorOf = (err: Error): Error => err.message.includes(TAKEN) ? Object.assign(err, { code: TAKEN }) : err;
+
 /**
  * Starts the gRPC server for messages of other daemons. A message without a valid signature is refused.
  *
@@ -34,12 +42,6 @@
  */
 export async function startPeerServer(parts: PeerServerParts): Promise<() => void> {
     const { schema, vm, incarnation, secret } = parts;
-    const server = new Server({
-        "grpc.max_receive_message_length": MAX_MESSAGE_BYTES,
-        "grpc.keepalive_time_ms": KEEPALIVE_MS,
-        "grpc.so_reuseport": 0,
-    });
-
     const isSigned = (bytes: Buffer, metadata: Metadata): boolean => {
         const expected = Buffer.from(signEnvelope(secret, vm, bytes), "hex");
         const actual = signatureOf(metadata);
@@ -66,22 +68,39 @@
         );
     };
 
-    server.addService(
-        {
-            exchange: {
-                path: schema.path,
-                requestStream: false,
-                responseStream: false,
-                requestSerialize: (bytes: Buffer) => bytes,
-                requestDeserialize: (bytes: Buffer) => bytes,
-                responseSerialize: (bytes: Buffer) => bytes,
-                responseDeserialize: (bytes: Buffer) => bytes,
+    const bind = async (): Promise<Server> => {
+        const server = new Server({
+            "grpc.max_receive_message_length": MAX_MESSAGE_BYTES,
+            "grpc.keepalive_time_ms": KEEPALIVE_MS,
+            "grpc.so_reuseport": 0,
+        });
+        server.addService(
+            {
+                exchange: {
+                    path: schema.path,
+                    requestStream: false,
+                    responseStream: false,
+                    requestSerialize: (bytes: Buffer) => bytes,
+                    requestDeserialize: (bytes: Buffer) => bytes,
+                    responseSerialize: (bytes: Buffer) => bytes,
+                    responseDeserialize: (bytes: Buffer) => bytes,
+                },
             },
-        },
-        { exchange },
-    );
-    await new Promise<void>((resolve, reject) =>
-        server.bindAsync(parts.address, parts.credentials, err => err === null ? resolve() : reject(err))
-    );
+            { exchange },
+        );
+        // A server whose address was taken once does not bind it any more.
+        await new Promise<void>((resolve, reject) =>
+            server.bindAsync(parts.address, parts.credentials, err => {
+                if (err === null) {
+                    resolve();
+                    return;
+                }
+                server.forceShutdown();
+                reject(bindErrorOf(err));
+            })
+        );
+        return server;
+    };
+    const server = await parts.claim(parts.address, bind);
     return () => server.forceShutdown();
 }
--- a/packages/daemon/src/startDaemon.ts
+++ b/packages/daemon/src/startDaemon.ts
@@ -2,7 +2,7 @@
 
 import { createClock } from "@azureshunt/core";
 import type { Incarnation } from "@azureshunt/core";
-import { stopParts } from "@azureshunt/lifecycle";
+import { claimAddress, stopParts } from "@azureshunt/lifecycle";
 import type { ManagedPart, StartContext } from "@azureshunt/lifecycle";
 import { createLogClient } from "@azureshunt/log";
 import { createLoggers, createMetrics } from "@azureshunt/telemetry";
@@ -23,8 +23,10 @@
 import { createMembershipPort } from "./membership/createMembershipPort.js";
 import { createPeerPort } from "./peers/createPeerPort.js";
 import { createPlacementPort } from "./placement/createPlacementPort.js";
+import type { Claim } from "./ports/Claim.js";
 import type { DaemonContext } from "./ports/DaemonContext.js";
 import type { Settings } from "./Settings.js";
+import { stopMsOf } from "./stopMsOf.js";
 import { createSuspectPort } from "./suspects/createSuspectPort.js";
 
 /** A running daemon. */
@@ -35,6 +37,9 @@
     readonly shutDown: () => Promise<void>;
 };
 
+/** Time that a predecessor may hold the addresses beyond its time to stop, until its supervisor has ended it. */
+const PREDECESSOR_MARGIN_MS = 2_000;
+
 /**
  * Starts all parts of a daemon; the listener for callers last.
  *
@@ -52,6 +57,17 @@
     });
     const metrics = createMetrics();
     lifecycle.observe({ logger: logger("lifecycle"), metrics, flush: logger.flush });
+    const claim: Claim = (address, bind) =>
+        claimAddress({
+            address,
+            bind,
+            withinMs: stopMsOf(settings.limits) + PREDECESSOR_MARGIN_MS,
+            signal: lifecycle.signal,
+            onWait: () => {
+                logger("daemon").warn({ address }, "Waiting for an address: another process holds it.");
+                metrics.count("azureshunt_address_waits_total", "Waits for an address of this VM.", { address });
+            },
+        });
     const system = start(`azureshunt-${settings.vm}`);
     const log = createLogClient(settings.platform.url);
     const membership = createMembershipPort({
@@ -64,10 +80,16 @@
         system,
         metrics,
     });
-    const peers = await createPeerPort(settings, incarnation, () =>
-        membership.members()
-            .filter(member => member.vm !== settings.vm)
-            .map(({ vm, failureDomain, peer }) => ({ vm, failureDomain, address: peer })));
+    const peers = await createPeerPort({
+        settings,
+        incarnation,
+        claim,
+        logger: logger("peers"),
+        peers: () =>
+            membership.members()
+                .filter(member => member.vm !== settings.vm)
+                .map(({ vm, failureDomain, peer }) => ({ vm, failureDomain, address: peer })),
+    });
     const base = { settings, incarnation, system, clock, random: Math.random, logger, metrics, membership, peers, log };
     const release = createReleasePort(base);
     const ctx: DaemonContext = { ...base, release };
@@ -104,7 +126,7 @@
         { name: "actors", stop: () => stopSystem(system) },
     ];
     const startListeners = async () => {
-        const admin = await startAdminListener({ ctx, release, allowance, placement, trace, isDraining });
+        const admin = await startAdminListener({ ctx, release, allowance, placement, trace, isDraining, claim });
         lifecycle.signal.throwIfAborted();
         const callers = await startCallerListener({
             dispatch: {
@@ -121,6 +143,7 @@
             authenticate: authenticateCaller,
             versionOf,
             isDraining,
+            claim,
         });
         return { admin, callers };
     };
