Tell what callers' connections are in as a VM stops

Whether a stop lost requests could not be told from outside: callers saw resets, and the VM logged "Stopping." and "Stopped." only.

A VM now counts and logs its callers' connections by state as it closes the port (azureshunt_port_closed_connections_total) and at the end of the drain, where the rest is cut off (azureshunt_cut_connections_total), and requests refused as too late (azureshunt_late_requests_total).

Seen with it: SIGTERM beside 60 callers that open a connection for each request. The port is closed with two connections answering and one silent, while 52 to 57 callers get a reset: nearly all of these were never accepted, and lay in the kernel's queue of the listening socket. libuv 1.46 accepts one connection in a turn of the loop (50 connections waiting, accepted one by one in 50 turns), so the queue is as long as callers make it.

--- a/packages/router/src/__tests__/unit/callerServer.test.ts
+++ b/packages/router/src/__tests__/unit/callerServer.test.ts
@@ -43,6 +43,7 @@
         callerWire,
         limits: () => undefined,
         isReady: () => true,
+        drainLog: { portClosed: () => undefined, ended: () => undefined, refused: () => undefined },
     });
     return { callerServer, port: callers, release, handled };
 };
--- a/packages/router/src/serve/startCallerServer.ts
+++ b/packages/router/src/serve/startCallerServer.ts
@@ -8,6 +8,8 @@
 import type { CallerLimits } from "../configuration/CallerLimits.js";
 import type { CallerWire } from "../ports/CallerWire.js";
 import type { RouterSettings } from "../RouterSettings.js";
+import { createCallerConnections } from "./createCallerConnections.js";
+import type { createDrainLog } from "./createDrainLog.js";
 import { cutAnswer } from "./cutAnswer.js";
 import { sendRefusal } from "./sendRefusal.js";
 import { startListener } from "./startListener.js";
@@ -23,6 +25,7 @@
     readonly isReady: () => boolean;
     /** Called for each connection that a caller opens. */
     readonly onConnection?: (connection: Duplex) => void;
+    readonly drainLog: ReturnType<typeof createDrainLog>;
 };
 
 /** The running listeners for callers and for the balancer. */
@@ -53,8 +56,8 @@
 
 /** Starts the listeners for callers and for the balancer. */
 export async function startCallerServer(parts: CallerServerParts): Promise<CallerServer> {
-    const { settings, callerWire, claim = (_address, bind) => bind() } = parts;
-    const running = new Set<ServerResponse>();
+    const { settings, callerWire, drainLog, claim = (_address, bind) => bind() } = parts;
+    const connections = createCallerConnections();
     const state = { isClosing: false };
     const listen = (address: string, handler: (req: IncomingMessage, res: ServerResponse) => void): Promise<Server> =>
         claim(address, () => startListener(address, handler));
@@ -64,8 +67,7 @@
         res.end();
     });
     const server = await listen(settings.listen.callers, (req, res) => {
-        running.add(res);
-        res.on("close", () => running.delete(res));
+        connections.begin(req, res);
         // An answer that began before the shutdown has no `Connection: close`; no further request may follow on it.
         res.on("finish", () => {
             if (state.isClosing) {
@@ -73,6 +75,7 @@
             }
         });
         if (state.isClosing) {
+            drainLog.refused();
             sendRefusal(callerWire, res, refusalOf("shutting-down", undefined, { retryAfterSeconds: 0 }), true);
             return;
         }
@@ -96,9 +99,10 @@
             ),
         );
     });
-    if (parts.onConnection !== undefined) {
-        server.on("connection", parts.onConnection);
-    }
+    server.on("connection", (socket: Duplex) => {
+        connections.open(socket);
+        parts.onConnection?.(socket);
+    });
     const applyLimits = (): void => {
         const limits = parts.limits();
         if (limits !== undefined) {
@@ -115,9 +119,10 @@
      * began closes its connection. Once the balancer sends no new connections, those without a request are closed at
      * once and those with one after their answer; a request that arrives all the same is refused as not run.
      */
-    const closeIdleConnections = (): void => {
+    const closeIdleConnections = (elapsedMs: Millis): void => {
         state.isClosing = true;
         if (server.listening) {
+            drainLog.portClosed(connections.counts(), elapsedMs);
             server.close();
         }
         server.closeIdleConnections();
@@ -128,14 +133,15 @@
             const poll = setInterval(() => {
                 const elapsedMs = performance.now() - startedAt;
                 if (elapsedMs > NEW_CONNECTIONS_MS) {
-                    closeIdleConnections();
+                    closeIdleConnections(elapsedMs);
                 }
-                const isOver = running.size === 0 && elapsedMs > NEW_CONNECTIONS_MS;
+                const isOver = connections.unanswered().size === 0 && elapsedMs > NEW_CONNECTIONS_MS;
                 if (isOver || elapsedMs > withinMs) {
                     clearInterval(poll);
                     clearInterval(timer);
-                    closeIdleConnections();
-                    running.forEach(cutAnswer);
+                    closeIdleConnections(elapsedMs);
+                    drainLog.ended(connections.counts(), elapsedMs);
+                    connections.unanswered().forEach(cutAnswer);
                     server.closeAllConnections();
                     ready.close();
                     ready.closeAllConnections();
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -51,6 +51,7 @@
 import type { RouterSettings } from "./RouterSettings.js";
 import { scheduleTimer } from "./scheduleTimer.js";
 import { createDegradation } from "./serve/createDegradation.js";
+import { createDrainLog } from "./serve/createDrainLog.js";
 import { createIgnoredHeaderLog } from "./serve/createIgnoredHeaderLog.js";
 import { createOverloadGuard } from "./serve/createOverloadGuard.js";
 import { createRequestHandler } from "./serve/createRequestHandler.js";
@@ -537,6 +538,7 @@
         limits: () => declarations.current().configuration?.limits,
         isReady,
         onConnection: overload.recordAccepted,
+        drainLog: createDrainLog(metrics, logger),
     });
     const announcing = startAnnouncing({
         clock,
