Bundle the program as CommonJS, so that signals are handled sooner

A signal that comes before the program has handlers ends the process by the default of the operating system or of Node. Most of that time is Node's own start, and a quarter of it was Node's loader of ES modules, which loads before the first line of an ES module runs.

The first file holds the entry point, the second the life cycle, which the third, the program, shares.

esbuild cannot split CommonJS into shared parts, so the life cycle is built as a file of its own and the others leave it out. In one file each, the class StartFailure would exist twice and a start that failed would not be recognised by its cause.

--- a/scripts/bundlePlatform.mjs
+++ b/scripts/bundlePlatform.mjs
@@ -1,10 +1,13 @@
-// Bundles the program for the users' platform from its sources into target/: an entry point that handles signals, and what
-// it loads then. A few files start in a fraction of the time that hundreds of modules take.
+// Bundles the program for the users' platform from its sources into target/: an entry point that handles signals, the life
+// cycle, and what it loads then. A few files start in a fraction of the time that hundreds of modules take. They are CommonJS,
+// as Node starts without its loader of ES modules then, and signals are handled sooner.
 import { build } from "esbuild";
 import { rmSync } from "node:fs";
 import { fileURLToPath } from "node:url";
 
 const PACKAGES = new URL("../packages/", import.meta.url);
+const START_PROGRAM = "azureshunt-startProgram";
+const LIFECYCLE = "azureshunt-lifecycle";
 
 /** Resolves the packages of this workspace to their sources, so that they need not be compiled first. */
 const workspacePackages = {
@@ -16,21 +19,36 @@
     },
 };
 
+/** Leaves out what has a file of its own: the entry point loads it later, or both others share it. */
+const ownFiles = {
+    name: "own-files",
+    setup(builder) {
+        builder.onResolve({ filter: /^@azureshunt\/lifecycle$/ }, () => ({
+            path: `./${LIFECYCLE}.cjs`,
+            external: true,
+        }));
+        builder.onResolve(
+            { filter: /\/startProgram\.js$/ },
+            () => ({ path: `./${START_PROGRAM}.cjs`, external: true }),
+        );
+    },
+};
+
 rmSync("target", { recursive: true, force: true });
 await build({
-    entryPoints: { azureshunt: "platform/src/main.ts" },
+    entryPoints: {
+        azureshunt: "platform/src/main.ts",
+        [LIFECYCLE]: "packages/lifecycle/src/index.ts",
+        [START_PROGRAM]: "platform/src/startProgram.ts",
+    },
     outdir: "target",
-    outExtension: { ".js": ".mjs" },
-    chunkNames: "azureshunt-[name]-[hash]",
-    splitting: true,
+    outExtension: { ".js": ".cjs" },
     bundle: true,
     platform: "node",
     target: "node20",
-    format: "esm",
+    format: "cjs",
+    // `import()` would load the loader of ES modules after all.
+    supported: { "dynamic-import": false },
     minifySyntax: true,
-    plugins: [workspacePackages],
-    // CommonJS packages call `require`, which is not defined in an ES module.
-    banner: {
-        js: "import { createRequire as $require } from \"node:module\"; const require = $require(import.meta.url);",
-    },
+    plugins: [ownFiles, workspacePackages],
 });
--- a/scripts/measureHeldBytes.mjs
+++ b/scripts/measureHeldBytes.mjs
@@ -5,7 +5,7 @@
 import { fileURLToPath } from "node:url";
 import { parseArgs } from "node:util";
 
-process.env.AZURESHUNT_PROGRAM ??= fileURLToPath(new URL("../target/azureshunt.mjs", import.meta.url));
+process.env.AZURESHUNT_PROGRAM ??= fileURLToPath(new URL("../target/azureshunt.cjs", import.meta.url));
 const { runFlowCase } = await import("../platform/dist/__tests__/support/runFlowCase.js");
 
 const MB = 1024 * 1024;
