Let a process end, and not end, whatever becomes of its lines

Two ways in which the log takes a VM down. A process whose standard output nobody reads any more served well, but did not end after SIGTERM: it stood for more than 20 s, until it was killed. With a file on a full disk (/dev/full) callers got no answer at all and the process stayed: the failed write is an error without a listener, it is logged as fatal, which fails again, and after ten of them the process stands in its exit.

Cause: pino writes what is left at the exit synchronously, and tries again without end on any error; on a pipe that is full, the main thread and one of libuv's threads, which are joined at the exit, are blocked in write(2) (seen in /proc). Errors other than EPIPE are emitted again, to nobody.

Now the lines' own trouble stays with them: a failed write is tried again with the next lines, within the bounded buffer, and those that do not fit are dropped and counted as before. Standard output is opened through `process.stdout`, which makes a pipe non-blocking, so that no thread stands in a write.

--- a/packages/telemetry/src/createLoggers.ts
+++ b/packages/telemetry/src/createLoggers.ts
@@ -6,7 +6,7 @@
 
 /** Returns the logger of a part of the process. */
 type Loggers = ((part: string) => Logger) & {
-    /** Resolves once all lines so far are written. */
+    /** Resolves once all lines so far are written, or cannot be. Until then, an exit of the process does not write them. */
     readonly flush: () => Promise<void>;
 };
 
@@ -15,7 +15,6 @@
 const FLUSH_MS = 250;
 /** Bytes buffered while the reader stalls: a few seconds of a busy VM's lines. */
 const MAX_BUFFERED_BYTES = 2 * 1024 * 1024;
-const STANDARD_OUTPUT = 1;
 
 /**
  * Creates the loggers of a process. They write JSON lines to standard output, each message prefixed with the name of
@@ -24,12 +23,17 @@
  * If the reader of the lines stalls, a process that waits for it stops serving. To prevent this, lines are written from
  * a buffer of bounded size. Lines that do not fit are dropped, and their number is logged.
  *
+ * A process must not end, or fail to end, because its lines cannot be written: their reader may stall, or the disk of their
+ * file be full. So a write that fails is tried again with the next lines, and at the exit only what a flush before has not
+ * found stalled is written, as pino would wait without end.
+ *
  * @param level lowest level that is written
  * @returns a function from a part's name to its logger
  */
 export function createLoggers(level: string, identity: LogIdentity): Loggers {
     const destination = openDestination({
-        dest: STANDARD_OUTPUT,
+        // Reading `process.stdout` makes a pipe non-blocking. A thread that is blocked in a write cannot be ended.
+        dest: process.stdout.fd,
         sync: false,
         minLength: MIN_WRITE_BYTES,
         maxLength: MAX_BUFFERED_BYTES,
@@ -38,6 +42,15 @@
     destination.on("drop", () => {
         dropped.lines += 1;
     });
+    const state = { isStalled: false };
+    destination.on("error", () => {
+        state.isStalled = true;
+    });
+    destination.on("drain", () => {
+        state.isStalled = false;
+    });
+    const flushSync = destination.flushSync.bind(destination);
+    destination.flushSync = () => state.isStalled ? undefined : flushSync();
     const root = pino({
         level,
         base: identity,
@@ -55,6 +68,13 @@
         destination.flush();
     }, FLUSH_MS).unref();
     return Object.assign((part: string) => root.child({ part }, { msgPrefix: `${part}: ` }), {
-        flush: () => new Promise<void>(resolve => destination.flush(() => resolve())),
+        flush: () =>
+            new Promise<void>(resolve => {
+                state.isStalled = true;
+                destination.flush(err => {
+                    state.isStalled = err instanceof Error;
+                    resolve();
+                });
+            }),
     });
 }
