Do not let a VM that leaves join again

The others take the second join for a member until the platform no longer lists the VM.

Cause: the aggregate did not know that the VM leaves. Reading the own leave cleared the time of the last join, so the next page read was answered with another one; the port held back ticks only. Records were also appended side by side, so that a leave could come before the join that it was to end.

The aggregate takes an event leave: it appends the leave, if a join was appended, and no join after it. Records are appended one after the other, and a VM has left once no join of it can follow.

servesFrom.test has three rows for it.

--- a/packages/daemon/src/membership/createMembershipPort.ts
+++ b/packages/daemon/src/membership/createMembershipPort.ts
@@ -6,7 +6,7 @@
 import { listVms } from "@azureshunt/log";
 import type { ListedVm, MembershipEffect, MembershipRecord } from "@azureshunt/membership";
 import { openMembership, stepMembership } from "@azureshunt/membership";
-import { dispatch, spawnStateless } from "nact";
+import { dispatch, spawn } from "nact";
 
 import { runAggregate } from "../actors/runAggregate.js";
 import type { MembershipPort } from "../ports/MembershipPort.js";
@@ -54,14 +54,21 @@
     const homeListeners: (() => void)[] = [];
     const handOverListeners: Parameters<HomePort["onHandOverDue"]>[0][] = [];
 
-    const appender = spawnStateless(parts.system, async (data: MembershipRecord) => {
-        const appended = await log.append(STREAM, [{ id: randomUUID() as string as RecordId, data }]);
-        const outcome = appended.caseOf<string>({ Left: failure => failure.kind, Right: () => "done" });
-        metrics.count("azureshunt_membership_appends_total", "Membership records written, by outcome.", {
-            kind: data.kind,
-            outcome,
-        });
-    }, "membership-appender");
+    // One record after the other, so that a leave does not come before the join that it ends.
+    const appender = spawn(
+        parts.system,
+        async (appended: number, data: MembershipRecord) => {
+            const answer = await log.append(STREAM, [{ id: randomUUID() as string as RecordId, data }]);
+            const outcome = answer.caseOf<string>({ Left: failure => failure.kind, Right: () => "done" });
+            metrics.count("azureshunt_membership_appends_total", "Membership records written, by outcome.", {
+                kind: data.kind,
+                outcome,
+            });
+            return appended + 1;
+        },
+        "membership-appender",
+        { initialState: 0 },
+    );
 
     const members = (): Members => membersOf(self, aggregate.state(), vmList.listed, settings.peers.seeds);
     const notifyListeners = (): void => {
@@ -87,7 +94,6 @@
         reduce: stepMembership,
         perform,
     });
-    const leaving = { is: false };
     const pollVmList = async (): Promise<void> => {
         const listed = await listVms(settings.platform.url).run();
         listed.ifRight(vms => {
@@ -100,7 +106,7 @@
     const timers = [
         setInterval(() => void pollVmList(), VM_LIST_POLL_MS),
         setInterval(() => {
-            if (!leaving.is) {
+            if (!aggregate.state().isLeaving) {
                 aggregate.tell({ kind: "tick" });
             }
         }, TICK_MS),
@@ -109,7 +115,11 @@
     followMembershipLog(parts, aggregate.tell, stopController.signal)
         .catch((err: unknown) => logger.error({ err }, "Following the membership log failed."));
 
-    const hasLeft = (): boolean => !aggregate.state().members.has(settings.vm);
+    /** A join that was appended and has not been read yet must not follow the leave. */
+    const hasLeft = (): boolean => {
+        const { appendedAt, members: joined } = aggregate.state();
+        return appendedAt === undefined && !joined.has(settings.vm);
+    };
     const waitUntilLeft = async (deadline: number): Promise<boolean> => {
         if (hasLeft() || clock.now() >= deadline) {
             return hasLeft();
@@ -126,8 +136,7 @@
         onHomesChanged: listener => void homeListeners.push(listener),
         onHandOverDue: listener => void handOverListeners.push(listener),
         leave: async () => {
-            leaving.is = true;
-            dispatch(appender, { ...record, kind: "leave" });
+            aggregate.tell({ kind: "leave" });
             return await waitUntilLeft(clock.now() + LEAVE_TIMEOUT_MS);
         },
         subscribe: onChange => {
--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -33,6 +33,8 @@
     readonly joinedAt: number | undefined;
     /** When the own join was last appended; undefined if it has yet to be appended. */
     readonly appendedAt: Millis | undefined;
+    /** Whether this VM's process stops. */
+    readonly isLeaving: boolean;
     /** VMs of this failure domain that joined earlier and have not handed over yet. */
     readonly awaiting: readonly VmId[];
     readonly departures: readonly Departure[];
--- a/packages/membership/src/MembershipEvent.ts
+++ b/packages/membership/src/MembershipEvent.ts
@@ -28,5 +28,7 @@
     }
     /** This VM has handed over to another VM. */
     | { readonly kind: "gave"; readonly to: Incarnation; }
+    /** This VM's process stops: it gives up its membership, and does not join again. */
+    | { readonly kind: "leave"; }
     /** Sent several times per second. */
     | { readonly kind: "tick"; };
--- a/packages/membership/src/__tests__/unit/servesFrom.test.ts
+++ b/packages/membership/src/__tests__/unit/servesFrom.test.ts
@@ -98,6 +98,25 @@
     t.is(servesFrom(dropped, MINE, 60_120), undefined);
 });
 
+// A daemon stops. If it joined again, it would be a member that does not run, and the home of organisations.
+[
+    { name: "before it has joined", start: opened, appended: [] },
+    { name: "as its join is not read yet", start: after(opened, [10, read(0)]), appended: ["leave"] },
+    { name: "as a member", start: after(opened, [10, read(0)], [20, read(0, SELF)]), appended: ["leave"] },
+].forEach(({ name, start, appended }) =>
+    test(`membership: a VM that leaves ${name} does not join again`, t => {
+        const left = { ...SELF, kind: "leave" as const };
+        const events: readonly MembershipEvent[] = [{ kind: "leave" }, read(0, SELF), read(1, left), { kind: "tick" }];
+        const state = { membership: start };
+        const effects = events.flatMap(event => {
+            const step = stepMembership(state.membership, event, 60_000);
+            state.membership = step.state;
+            return step.effects;
+        });
+        t.deepEqual(effects.flatMap(effect => effect.kind === "append" ? [effect.record.kind] : []), appended);
+    })
+);
+
 // The platform is unavailable: nothing can be read, and the known members remain.
 test("membership: while list and log are unavailable the members remain", t => {
     const later = after(withPeer, [100, { kind: "tick" }], [200, { kind: "tick" }], [300, { kind: "tick" }]);
--- a/packages/membership/src/openMembership.ts
+++ b/packages/membership/src/openMembership.ts
@@ -21,6 +21,7 @@
         hadDepartures: false,
         joinedAt: undefined,
         appendedAt: undefined,
+        isLeaving: false,
         awaiting: [],
         departures: [],
         emptyFrom: now + keepMs,
--- a/packages/membership/src/stepMembership.ts
+++ b/packages/membership/src/stepMembership.ts
@@ -19,9 +19,9 @@
         : membership.awaiting.map(of => ({ kind: "ask-hand-over", of, joinedAt: membership.joinedAt ?? 0 }));
 
 const isJoinDue = (membership: Membership, now: Millis): boolean => {
-    const { appendedAt, joinedAt } = membership;
+    const { appendedAt, isLeaving, joinedAt } = membership;
     const intervalMs = joinedAt === undefined ? timing.rejoinMs : timing.refreshMs;
-    return membership.caughtUp && (appendedAt === undefined || appendedAt + intervalMs <= now);
+    return !isLeaving && membership.caughtUp && (appendedAt === undefined || appendedAt + intervalMs <= now);
 };
 
 const read = (before: Membership, event: EventOf<"read">, now: Millis): MembershipStep => {
@@ -107,6 +107,14 @@
     return { state: { ...before, departures }, effects: [CHANGED] };
 };
 
+/** A VM that has not appended a join, or whose leave has been read, has nothing to give up. */
+const leave = (before: Membership): MembershipStep => ({
+    state: { ...before, isLeaving: true },
+    effects: before.appendedAt === undefined
+        ? []
+        : [{ kind: "append", record: { ...before.self, kind: "leave" } }],
+});
+
 /**
  * Detects a suspension of this process. A process that resumes after a suspension would still act as home, and spend in
  * addition to the VM that has become home meanwhile. To prevent this, a long time between two ticks counts as a
@@ -145,6 +153,8 @@
             return handedOver(before, event, now);
         case "gave":
             return { state: { ...before, handedTo: [...before.handedTo, event.to].slice(-256) }, effects: [] };
+        case "leave":
+            return leave(before);
         case "tick":
             return tick(before, now);
     }
