Let a daemon join only once callers and peers can connect

Cause: the membership was followed, and so joined, as the first step of the start; a start that ended at a later step did not leave.

Joining is the last step of the start, after the callers' listener, so a start that does not end has joined nothing. A wait for the peer address is not taken for a suspension of the process then either.

--- a/packages/bench/src/__tests__/support/startLoneDaemon.ts
+++ b/packages/bench/src/__tests__/support/startLoneDaemon.ts
@@ -23,6 +23,8 @@
 const DRAIN_MS = 15_000;
 const OK = 200;
 
+type MembershipPage = { readonly records: readonly { readonly data: { readonly kind: string; }; }[]; };
+
 const isOk = async (url: string): Promise<boolean> => (await callHttp({ method: "GET", url })).status === OK;
 
 const listen = (port: number, onConnection: () => void): Promise<Server> =>
@@ -133,6 +135,12 @@
             await setDelay(0);
             return { answers };
         },
+        /** Kinds of the VM's records in the membership stream, in order. */
+        membershipRecords: async (): Promise<readonly string[]> => {
+            const { text } = await callHttp({ method: "GET", url: `${platform.url}/log/membership?from=0` });
+            const { records } = JSON.parse(text) as MembershipPage;
+            return records.map(({ data }) => data.kind);
+        },
         metrics: async (): Promise<string> => (await callHttp({ method: "GET", url: `${admin}/metrics` })).text,
     };
 }
--- a/packages/bench/src/__tests__/unit/daemonEnds.test.ts
+++ b/packages/bench/src/__tests__/unit/daemonEnds.test.ts
@@ -186,6 +186,31 @@
     });
 });
 
+// Guards against a daemon that has ended and is a member yet, and so the home of organisations.
+([["waits for its callers' address", true], ["has joined", false]] as const).forEach(([name, isHeld]) => {
+    test.serial(`daemon ends: it leaves no member when told to stop as it ${name}`, async t => {
+        const vm = await startLoneDaemon(t.teardown);
+        vm.writeSettings();
+        if (isHeld) {
+            await vm.hold("caller");
+        }
+        const daemon = vm.launch();
+        if (isHeld) {
+            await waitUntil("it to wait", TIMEOUT_MS, () => daemon.output().includes("Waiting for an address"));
+            // Longer than a daemon needs until it joins.
+            await sleep(1_500);
+        }
+        else {
+            await waitUntil("it to join", TIMEOUT_MS, async () => (await vm.membershipRecords()).length > 0);
+        }
+        daemon.signal("SIGTERM");
+        t.deepEqual(await daemon.exit, STOPPED);
+        // Longer than an append takes that was sent before the end.
+        await sleep(300);
+        t.deepEqual(await vm.membershipRecords(), isHeld ? [] : ["join", "leave"]);
+    });
+});
+
 // Guards against a changed answer to how the program is called.
 ([[["--help"], STOPPED, /--settings <file>/], [["--version"], STOPPED, /azureshuntd\/\d/], [
     [],
--- a/packages/daemon/src/membership/createMembershipPort.ts
+++ b/packages/daemon/src/membership/createMembershipPort.ts
@@ -24,11 +24,15 @@
 type Members = ReturnType<MembershipPort["members"]>;
 
 /** The membership of this daemon, with the interface for allowances. */
-type DaemonMembership = MembershipPort & HomePort & { readonly stop: () => void; };
+type DaemonMembership = MembershipPort & HomePort & {
+    /** Begins to follow the members, and to be one; called once, when callers and peers can connect. */
+    readonly join: () => void;
+    readonly stop: () => void;
+};
 
 /**
- * Follows the membership stream of the log and the platform's list of VMs. While neither can be read, the last known
- * members remain.
+ * Creates the membership, which follows the membership stream of the log and the platform's list of VMs. While neither can
+ * be read, the last known members remain.
  */
 export function createMembershipPort(parts: MembershipParts): DaemonMembership {
     const { settings, incarnation, clock, log, metrics } = parts;
@@ -103,17 +107,20 @@
         });
     };
     const stopController = new AbortController();
-    const timers = [
-        setInterval(() => void pollVmList(), VM_LIST_POLL_MS),
-        setInterval(() => {
-            if (!aggregate.state().isLeaving) {
-                aggregate.tell({ kind: "tick" });
-            }
-        }, TICK_MS),
-    ];
-    void pollVmList();
-    followMembershipLog(parts, aggregate.tell, stopController.signal)
-        .catch((err: unknown) => logger.error({ err }, "Following the membership log failed."));
+    const timers: NodeJS.Timeout[] = [];
+    const join = (): void => {
+        timers.push(
+            setInterval(() => void pollVmList(), VM_LIST_POLL_MS),
+            setInterval(() => {
+                if (!aggregate.state().isLeaving) {
+                    aggregate.tell({ kind: "tick" });
+                }
+            }, TICK_MS),
+        );
+        void pollVmList();
+        followMembershipLog(parts, aggregate.tell, stopController.signal)
+            .catch((err: unknown) => logger.error({ err }, "Following the membership log failed."));
+    };
 
     /** A join that was appended and has not been read yet must not follow the leave. */
     const hasLeft = (): boolean => {
@@ -130,6 +137,7 @@
 
     return {
         self,
+        join,
         members,
         membership: aggregate.state,
         tell: aggregate.tell,
--- a/packages/daemon/src/startDaemon.ts
+++ b/packages/daemon/src/startDaemon.ts
@@ -70,16 +70,6 @@
         });
     const system = start(`azureshunt-${settings.vm}`);
     const log = createLogClient(settings.platform.url);
-    const membership = createMembershipPort({
-        settings,
-        incarnation,
-        clock,
-        random: Math.random,
-        logger,
-        log,
-        system,
-        metrics,
-    });
     const peers = await createPeerPort({
         settings,
         incarnation,
@@ -90,6 +80,16 @@
                 .filter(member => member.vm !== settings.vm)
                 .map(({ vm, failureDomain, peer }) => ({ vm, failureDomain, address: peer })),
     });
+    const membership = createMembershipPort({
+        settings,
+        incarnation,
+        clock,
+        random: Math.random,
+        logger,
+        log,
+        system,
+        metrics,
+    });
     const base = { settings, incarnation, system, clock, random: Math.random, logger, metrics, membership, peers, log };
     const release = createReleasePort(base);
     const ctx: DaemonContext = { ...base, release };
@@ -151,6 +151,8 @@
         await stopParts([...parts, ...connected], onFault);
         throw err;
     });
+    // A start that fails or is aborted before must not leave a member that does not run.
+    membership.join();
     logger("daemon").info({ listen: settings.listen }, "Started.");
 
     const shutDown = async (): Promise<void> => {
