Let a stream wait for a place when all other engines refuse it

Callers saw a stream end in the middle of its answer although they would have waited for its next event: its engine had failed, and within milliseconds two others refused it, or none was left to which it could be sent. A caller in the middle of an answer cannot be told to come back.

Cause: a request that engines refuse is given up after two refusals beyond the route's limit, or as soon as no endpoint is left, as it comes too late by then. That holds for requests that wait for their first byte. When new weights are ordered at several engines at once, these refuse requests until they have loaded them, whatever room they have, and all of them do so in the same moment.

A stream that has begun now waits up to 2 s after its last event, as long as callers wait for the next one at least. Meanwhile one engine every 100 ms is asked for a place, which is no arrival, so that refusals do not use up the retry budget; endpoints that may have run the request are not asked. The route's limit on these holds as before, and so does the budget: a place is asked for only if a retry can be reserved. Services whose engines keep no places are left as they are.

fullWhenBroken.test: the two cases in which engines have room again after 0.4 s failed before, and pass; where none has, the stream is cut off after the wait.

--- a/packages/router/src/serve/StreamPace.ts
+++ b/packages/router/src/serve/StreamPace.ts
@@ -4,6 +4,8 @@
 export type StreamPace = {
     /** Records that events have arrived. */
     readonly recordEvents: (at: Millis) => void;
+    /** When the last events arrived; `undefined` if none have. */
+    readonly lastAt: () => Millis | undefined;
     /** Longest time between two events from an endpoint. */
     readonly maxGapMs: () => Millis;
     /**
--- a/packages/router/src/serve/createStreamPace.ts
+++ b/packages/router/src/serve/createStreamPace.ts
@@ -11,6 +11,7 @@
             pace.gapMs = Math.max(pace.gapMs, at - (pace.lastAt ?? at));
             pace.lastAt = at;
         },
+        lastAt: () => pace.lastAt,
         maxGapMs: () => pace.gapMs,
         maxSendMs: maxWaitMs,
     };
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -8,6 +8,7 @@
 import { failureOfOutcome } from "../dispatch/failureOfOutcome.js";
 import { overloadDelayMs } from "../placement/overloadDelayMs.js";
 import { allowedTries } from "./allowedTries.js";
+import { awaitPlace } from "./awaitPlace.js";
 import { countSharedRefusal } from "./countSharedRefusal.js";
 import { createStreamPace } from "./createStreamPace.js";
 import { isRepeatable } from "./isRepeatable.js";
@@ -29,6 +30,9 @@
 /** Retries left in the budget below which silence alone does not start one. */
 const MIN_BUDGET_FOR_SILENCE = 2;
 
+/** Time for which callers wait for the next event of a stream at least. */
+const PATIENCE_MS = 2_000;
+
 /** How serving a request ended. */
 type ServedEnd =
     | { readonly kind: "answered"; readonly answer: TryResult["answer"]; readonly tries: number; }
@@ -44,6 +48,8 @@
 type RequestProgress = {
     readonly request: RequestState;
     readonly avoid: ReadonlySet<EndpointName>;
+    /** Those of them that may have run it. */
+    readonly ranAt: ReadonlySet<EndpointName>;
     /** Tries that certainly did not run. */
     readonly notRun: number;
     /** An endpoint's own error; it is sent to the caller if no better answer follows. */
@@ -101,6 +107,20 @@
         return { kind: "cancelled", ran: request.ran };
     };
 
+    /** Ends a request for which there is no further try now, unless it is a stream that can go on a little later. */
+    const waitOrGiveUp = async (progress: RequestProgress, refusal: Refusal): Promise<ServedEnd> => {
+        const { request, ranAt, notRun } = progress;
+        const { lastAt } = stream.pace;
+        const mayWait = stream.forwardedEvents > 0 && request.repeatable && served.caller.prompt !== undefined
+            && request.tries - notRun < served.route.maxTries;
+        const until = Math.min(served.deadline, (lastAt() ?? -Infinity) + PATIENCE_MS);
+        const reserved = mayWait ? await awaitPlace(parts, served, { ranAt, origin: stream.origin, until }) : undefined;
+        if (reserved !== undefined) {
+            return startTry({ ...progress, avoid: ranAt }, reserved);
+        }
+        return served.signal.aborted ? cancel(progress) : giveUp(progress, refusal);
+    };
+
     // One draw per request: drawn again after each wait, every request would be treated as within the share in the end.
     const shareDraw = parts.random();
 
@@ -122,7 +142,7 @@
         const place = reserved?.place
             ?? placeRequest(parts, served, progress.avoid, stream.origin, progress.waited !== undefined);
         if (place === undefined) {
-            return giveUp(
+            return waitOrGiveUp(
                 progress,
                 refusalWithoutPlace(
                     parts,
@@ -276,8 +296,13 @@
             passedEvents: stream.forwardedEvents,
             reason: plan.kind === "answer" ? plan.refusal.kind : undefined,
         });
+        const avoid = new Set([...progress.avoid, place.entry.name]);
+        const ranAt = NOT_RUN_OUTCOMES.has(result.kind)
+            ? progress.ranAt
+            : new Set([...progress.ranAt, place.entry.name]);
+        const next: RequestProgress = { request: tried, avoid, ranAt, notRun, failure, waited: undefined };
         if (plan.kind === "answer") {
-            return giveUp({ ...progress, failure }, {
+            return waitOrGiveUp(next, {
                 ...plan.refusal,
                 ran: tried.ran,
                 retryAfterSeconds: retryAfterSeconds(parts, served),
@@ -287,13 +312,7 @@
         parts.metrics.count("azureshunt_retries_total", "Further tries by what ended the one before.", {
             after: result.kind,
         });
-        return startTry({
-            request: tried,
-            avoid: new Set([...progress.avoid, place.entry.name]),
-            notRun,
-            failure,
-            waited: undefined,
-        }, result.reserved);
+        return startTry(next, result.reserved);
     };
 
     return startTry({
@@ -305,6 +324,7 @@
             ran: "no",
         },
         avoid: new Set(),
+        ranAt: new Set(),
         notRun: 0,
         failure: undefined,
         waited: undefined,
