Answer callers whose connections a stop finds open or queued

Callers that opened a connection beside a VM's SIGTERM, and had sent their request, got a reset as the VM closed its port. Callers that still sent a body, or a further request, lost the end of an answer in the same way.

Cause: the event loop accepts one connection in a turn, so connections wait in the system's queue, and closing the port resets them. What was accepted and unread was reset right after, as no request ran. And a close while bytes of the caller are unread, or arrive later, becomes a reset, which discards what the system has yet to send.

The drain has phases now, decided by `stepCallerDrain`; what each phase does with a connection is a table, `connectionActionOf`. Before the port is closed, connections are accepted until a turn finds the queue empty, for 100 ms at most. Requests that arrive meanwhile are refused once the port is closed: their callers would come back at once and fill the queue again. Silent connections may send their request for 200 ms more. A connection is half-closed after its last answer, and what still arrives is discarded until its caller closes, or for 200 ms. The drain's own poll bounds all of it, so connections need no timers.

--- /dev/null
+++ b/packages/router/src/__tests__/unit/callerDrain.test.ts
@@ -0,0 +1,47 @@
+import test from "ava";
+
+import type { CallerConnectionState } from "../../serve/CallerConnectionState.js";
+import type { CallerDrainPhase } from "../../serve/CallerDrainPhase.js";
+import { connectionActionOf } from "../../serve/connectionActionOf.js";
+import { stepCallerDrain } from "../../serve/stepCallerDrain.js";
+
+const NOTHING_OPEN = { withinMs: 9_000, hasAccepted: false, openConnections: 0 };
+
+([
+    ["announcing", 0, "the balancer may send connections still", { now: 2_600 }, "announcing"],
+    ["announcing", 0, "the balancer sends no more", { now: 2_601 }, "accepting"],
+    ["announcing", 0, "the time is up", { now: 501, withinMs: 500 }, "ended"],
+    ["accepting", 2_601, "a connection was accepted", { now: 2_602, hasAccepted: true }, "accepting"],
+    ["accepting", 2_601, "the queue is empty", { now: 2_602, openConnections: 9 }, "lingering"],
+    ["accepting", 2_601, "connections keep coming", { now: 2_702, hasAccepted: true }, "lingering"],
+    ["accepting", 2_601, "the time is up", { now: 2_602, withinMs: 2_601, hasAccepted: true }, "ended"],
+    ["lingering", 2_602, "a connection is open", { now: 8_999, openConnections: 1 }, "lingering"],
+    ["lingering", 2_602, "no connection is left", { now: 2_603 }, "ended"],
+    ["lingering", 2_602, "the time is up", { now: 9_001, openConnections: 1 }, "ended"],
+    ["ended", 2_603, "the time is up", { now: 9_001 }, "ended"],
+] as const).forEach(([phase, since, name, view, next]) => {
+    test(`drain of callers: ${phase}, ${name}: ${next}`, t => {
+        const stepped = stepCallerDrain({ phase, since }, { ...NOTHING_OPEN, ...view });
+        t.deepEqual(stepped, next === phase ? { phase, since } : { phase: next, since: view.now });
+    });
+});
+
+const STATES: readonly CallerConnectionState[] = ["silent", "reading", "answering", "idle", "half-closed"];
+
+type Action = ReturnType<typeof connectionActionOf>;
+
+/** By phase, time in it and time since the half close: the action for each of `STATES`. */
+const ACTIONS: readonly (readonly [CallerDrainPhase, number, number, readonly Action[]])[] = [
+    ["announcing", 2_000, 0, ["keep", "keep", "keep", "keep", "keep"]],
+    ["announcing", 2_000, 201, ["keep", "keep", "keep", "keep", "close"]],
+    ["accepting", 50, 0, ["keep", "keep", "keep", "keep", "keep"]],
+    ["lingering", 200, 200, ["keep", "keep", "keep", "half-close", "keep"]],
+    ["lingering", 201, 201, ["half-close", "half-close", "keep", "half-close", "close"]],
+    ["ended", 0, 0, ["close", "close", "close", "close", "close"]],
+];
+
+ACTIONS.forEach(([phase, phaseMs, halfClosedMs, actions]) => {
+    test(`drain of callers: what is done with connections: ${phase} for ${phaseMs} ms, ${halfClosedMs} ms`, t => {
+        t.deepEqual(STATES.map(state => connectionActionOf({ state, halfClosedMs, phase, phaseMs })), actions);
+    });
+});
--- a/packages/router/src/serve/createCallerConnections.ts
+++ b/packages/router/src/serve/createCallerConnections.ts
@@ -1,6 +1,8 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Duplex } from "node:stream";
 
+import type { Millis } from "@azureshunt/core";
+
 import type { CallerConnectionState } from "./CallerConnectionState.js";
 import type { ConnectionCounts } from "./ConnectionCounts.js";
 
@@ -9,14 +11,21 @@
     unanswered: number;
     /** Bytes read until the last answer was whole. */
     answeredBytes: number;
+    halfClosedAt: Millis | undefined;
 };
 
+type ConnectionVisitor = (socket: Duplex, state: CallerConnectionState, halfClosedMs: Millis) => void;
+
 /** The connections that callers have open. */
 type CallerConnections = {
     /** To be called for each connection that a caller opens. */
     readonly open: (socket: Duplex) => void;
-    /** To be called for each request. */
-    readonly begin: (req: IncomingMessage, res: ServerResponse) => void;
+    /** To be called for each request; returns `false` for one that came after this VM ended its side. */
+    readonly begin: (req: IncomingMessage, res: ServerResponse) => boolean;
+    /** Ends this VM's side of a connection. What arrives from then on is discarded. */
+    readonly halfClose: (socket: Duplex) => void;
+    readonly forEach: (visit: ConnectionVisitor) => void;
+    readonly size: () => number;
     /** Answers that are not whole yet. */
     readonly unanswered: () => ReadonlySet<ServerResponse>;
     readonly counts: () => ConnectionCounts;
@@ -24,7 +33,13 @@
 
 const bytesReadOf = (socket: Duplex): number => "bytesRead" in socket ? Number(socket.bytesRead) : 0;
 
-const stateOf = (socket: Duplex, { unanswered, answeredBytes }: Connection): CallerConnectionState => {
+const stateOf = (
+    socket: Duplex,
+    { unanswered, answeredBytes, halfClosedAt }: Connection,
+): CallerConnectionState => {
+    if (halfClosedAt !== undefined) {
+        return "half-closed";
+    }
     if (unanswered > 0) {
         return "answering";
     }
@@ -36,14 +51,23 @@
 export function createCallerConnections(): CallerConnections {
     const connections = new Map<Duplex, Connection>();
     const unanswered = new Set<ServerResponse>();
+    const forEach: CallerConnections["forEach"] = visit => {
+        const now = performance.now();
+        connections.forEach((connection, socket) =>
+            visit(socket, stateOf(socket, connection), now - (connection.halfClosedAt ?? now))
+        );
+    };
     return {
         open: socket => {
-            connections.set(socket, { unanswered: 0, answeredBytes: 0 });
+            connections.set(socket, { unanswered: 0, answeredBytes: 0, halfClosedAt: undefined });
             socket.once("close", () => connections.delete(socket));
         },
         begin: (req, res) => {
             const { socket } = req;
             const connection = connections.get(socket);
+            if (connection?.halfClosedAt !== undefined) {
+                return false;
+            }
             unanswered.add(res);
             if (connection !== undefined) {
                 connection.unanswered += 1;
@@ -55,12 +79,24 @@
                     connection.answeredBytes = bytesReadOf(socket);
                 }
             });
+            return true;
+        },
+        halfClose: socket => {
+            const connection = connections.get(socket);
+            if (connection === undefined || connection.halfClosedAt !== undefined) {
+                return;
+            }
+            connection.halfClosedAt = performance.now();
+            socket.end();
+            // With a last answer, Node has registered this to close the connection at once.
+            socket.removeListener("finish", socket.destroy);
         },
+        forEach,
+        size: () => connections.size,
         unanswered: () => unanswered,
         counts: () => {
             const counts: Partial<Record<CallerConnectionState, number>> = {};
-            connections.forEach((connection, socket) => {
-                const state = stateOf(socket, connection);
+            forEach((_socket, state) => {
                 counts[state] = (counts[state] ?? 0) + 1;
             });
             return counts;
--- /dev/null
+++ b/packages/router/src/serve/drainCallers.ts
@@ -0,0 +1,92 @@
+import type { Server } from "node:http";
+
+import type { Millis } from "@azureshunt/core";
+
+import type { CallerDrainPhase } from "./CallerDrainPhase.js";
+import type { CallerDrainState } from "./CallerDrainState.js";
+import { connectionActionOf } from "./connectionActionOf.js";
+import type { createCallerConnections } from "./createCallerConnections.js";
+import type { createDrainLog } from "./createDrainLog.js";
+import { cutAnswer } from "./cutAnswer.js";
+import { stepCallerDrain } from "./stepCallerDrain.js";
+
+type DrainParts = {
+    /** The listener for callers. */
+    readonly server: Server;
+    readonly connections: ReturnType<typeof createCallerConnections>;
+    readonly drainLog: ReturnType<typeof createDrainLog>;
+    readonly withinMs: Millis;
+    /** Called as a phase begins. */
+    readonly onPhase: (phase: CallerDrainPhase) => void;
+};
+
+const POLL_MS: Readonly<Record<Exclude<CallerDrainPhase, "accepting">, Millis>> = {
+    announcing: 50,
+    lingering: 20,
+    ended: 0,
+};
+
+/** Ends the connections of callers as `stepCallerDrain` and `connectionActionOf` decide. */
+export function drainCallers({ server, connections, drainLog, withinMs, onPhase }: DrainParts): Promise<void> {
+    const startedAt = performance.now();
+    const state = { drain: { phase: "announcing", since: 0 } as CallerDrainState, accepted: 0 };
+    const onConnection = (): void => {
+        state.accepted += 1;
+    };
+    server.on("connection", onConnection);
+
+    const enter = (phase: CallerDrainPhase, now: Millis): void => {
+        if (server.listening && (phase === "lingering" || phase === "ended")) {
+            drainLog.portClosed(connections.counts(), now);
+            server.close();
+        }
+        onPhase(phase);
+        if (phase === "ended") {
+            drainLog.ended(connections.counts(), now);
+            connections.unanswered().forEach(cutAnswer);
+            server.closeAllConnections();
+        }
+    };
+    const endConnections = (now: Millis): void => {
+        const { phase, since } = state.drain;
+        connections.forEach((socket, connectionState, halfClosedMs) => {
+            const view = { state: connectionState, halfClosedMs, phase, phaseMs: now - since };
+            const action = connectionActionOf(view);
+            if (action === "half-close") {
+                connections.halfClose(socket);
+            }
+            if (action === "close") {
+                socket.destroy();
+            }
+        });
+    };
+    return new Promise(resolve => {
+        const look = (): void => {
+            const now = performance.now() - startedAt;
+            const { phase } = state.drain;
+            const view = { now, withinMs, hasAccepted: state.accepted > 0, openConnections: connections.size() };
+            state.accepted = 0;
+            state.drain = stepCallerDrain(state.drain, view);
+            if (state.drain.phase !== phase) {
+                enter(state.drain.phase, now);
+            }
+            endConnections(now);
+            schedule(state.drain.phase !== phase);
+        };
+        const schedule = (isSoon: boolean): void => {
+            const { phase } = state.drain;
+            if (phase === "ended") {
+                server.removeListener("connection", onConnection);
+                resolve();
+                return;
+            }
+            // The queue of connections is looked at right after each turn that may have accepted one.
+            if (phase === "accepting" || isSoon) {
+                setImmediate(look);
+                return;
+            }
+            setTimeout(look, POLL_MS[phase]);
+        };
+        schedule(false);
+    });
+}
--- a/packages/router/src/serve/startCallerServer.ts
+++ b/packages/router/src/serve/startCallerServer.ts
@@ -8,9 +8,10 @@
 import type { CallerLimits } from "../configuration/CallerLimits.js";
 import type { CallerWire } from "../ports/CallerWire.js";
 import type { RouterSettings } from "../RouterSettings.js";
+import type { CallerDrainPhase } from "./CallerDrainPhase.js";
 import { createCallerConnections } from "./createCallerConnections.js";
 import type { createDrainLog } from "./createDrainLog.js";
-import { cutAnswer } from "./cutAnswer.js";
+import { drainCallers } from "./drainCallers.js";
 import { sendRefusal } from "./sendRefusal.js";
 import { startListener } from "./startListener.js";
 import { statusOf } from "./statusOf.js";
@@ -38,11 +39,8 @@
 
 const OK = 200;
 const UNAVAILABLE = 503;
-/** The balancer probes once per second and removes a VM after two failures; until then, new connections arrive. */
-const NEW_CONNECTIONS_MS = 2_600;
 /** A caller that takes longer to send a body only occupies memory: its own deadline has passed by then. */
 const BODY_TIMEOUT_MS = 30_000;
-const POLL_MS = 50;
 const LIMITS_INTERVAL_MS = 250;
 
 const ERROR_KINDS: Readonly<Record<string, ErrorKind>> = {
@@ -58,7 +56,18 @@
 export async function startCallerServer(parts: CallerServerParts): Promise<CallerServer> {
     const { settings, callerWire, drainLog, claim = (_address, bind) => bind() } = parts;
     const connections = createCallerConnections();
-    const state = { isClosing: false };
+    const state = {
+        /** Phase of the drain; `undefined` before it. */
+        phase: undefined as CallerDrainPhase | undefined,
+        isRefusing: false,
+        /** Requests that are refused once the port is closed. */
+        held: [] as ServerResponse[],
+    };
+    const isClosing = (): boolean => state.phase !== undefined && state.phase !== "announcing";
+    const refuseLate = (res: ServerResponse): void => {
+        drainLog.refused();
+        sendRefusal(callerWire, res, refusalOf("shutting-down", undefined, { retryAfterSeconds: 0 }), true);
+    };
     const listen = (address: string, handler: (req: IncomingMessage, res: ServerResponse) => void): Promise<Server> =>
         claim(address, () => startListener(address, handler));
     // Before the callers' listener, as a caller that has connected must be served.
@@ -67,16 +76,22 @@
         res.end();
     });
     const server = await listen(settings.listen.callers, (req, res) => {
-        connections.begin(req, res);
+        if (!connections.begin(req, res)) {
+            req.resume();
+            return;
+        }
         // An answer that began before the shutdown has no `Connection: close`; no further request may follow on it.
         res.on("finish", () => {
-            if (state.isClosing) {
-                req.socket.destroySoon();
+            if (isClosing() || (state.phase !== undefined && req.socket.writableEnded)) {
+                connections.halfClose(req.socket);
             }
         });
-        if (state.isClosing) {
-            drainLog.refused();
-            sendRefusal(callerWire, res, refusalOf("shutting-down", undefined, { retryAfterSeconds: 0 }), true);
+        if (state.phase === "accepting") {
+            state.held.push(res);
+            return;
+        }
+        if (isClosing() || state.isRefusing) {
+            refuseLate(res);
             return;
         }
         void parts.handler(req, res);
@@ -117,42 +132,25 @@
      * If a caller keeps its connection open during the shutdown and sends a request on it seconds later, that request
      * cannot end in time any more. Symptom: an answer that is cut off. To prevent this, each answer after the shutdown
      * began closes its connection. Once the balancer sends no new connections, those without a request are closed at
-     * once and those with one after their answer; a request that arrives all the same is refused as not run.
+     * once and those with one after their answer; a request that arrives all the same is refused as not run. It is
+     * refused once the port is closed, as its caller would come back at once.
      */
-    const closeIdleConnections = (elapsedMs: Millis): void => {
-        state.isClosing = true;
-        if (server.listening) {
-            drainLog.portClosed(connections.counts(), elapsedMs);
-            server.close();
+    const enter = (phase: CallerDrainPhase): void => {
+        state.phase = phase;
+        if (phase === "lingering" || phase === "ended") {
+            state.held.splice(0).forEach(refuseLate);
         }
-        server.closeIdleConnections();
     };
-    const drain: CallerServer["drain"] = withinMs =>
-        new Promise(resolve => {
-            const startedAt = performance.now();
-            const poll = setInterval(() => {
-                const elapsedMs = performance.now() - startedAt;
-                if (elapsedMs > NEW_CONNECTIONS_MS) {
-                    closeIdleConnections(elapsedMs);
-                }
-                const isOver = connections.unanswered().size === 0 && elapsedMs > NEW_CONNECTIONS_MS;
-                if (isOver || elapsedMs > withinMs) {
-                    clearInterval(poll);
-                    clearInterval(timer);
-                    closeIdleConnections(elapsedMs);
-                    drainLog.ended(connections.counts(), elapsedMs);
-                    connections.unanswered().forEach(cutAnswer);
-                    server.closeAllConnections();
-                    ready.close();
-                    ready.closeAllConnections();
-                    resolve();
-                }
-            }, POLL_MS);
-        });
     return {
-        drain,
+        drain: async withinMs => {
+            enter("announcing");
+            await drainCallers({ server, connections, drainLog, withinMs, onPhase: enter });
+            clearInterval(timer);
+            ready.close();
+            ready.closeAllConnections();
+        },
         refuse: () => {
-            state.isClosing = true;
+            state.isRefusing = true;
         },
     };
 }
