Keep tunnels that are being opened as a VM begins to stop

A VM that stops waits until it carries no tunnel of another VM. One whose connection to the endpoint was still being opened was not counted: with no other tunnel the wait was over at once, the tunnel opened a moment later, and it was reset with its request as soon as the stop had nothing else to wait for.

Connections that are being opened hold the drain now, for as long as a connection may take to open.

The test opens the connection 200 ms after the drain begins: the drain was over by then before, and lasts until the tunnel is closed now.

--- a/packages/router/src/__tests__/unit/tunnels.test.ts
+++ b/packages/router/src/__tests__/unit/tunnels.test.ts
@@ -91,6 +91,33 @@
     { name: "resets it at the end if its VM does not close it", knowsNotices: false },
 ] as const;
 
+// Guards against a reset of a tunnel that was asked for before its peer began to stop, and opened after.
+test("tunnel: a peer that stops keeps a tunnel that it is still opening", async t => {
+    const endpoint = await startRawEndpoint(() => undefined);
+    const opening: (() => void)[] = [];
+    const open: OpenConnection = ({ host, port }) => {
+        const socket = new Socket();
+        opening.push(() => void socket.connect({ host: host ?? "", port: Number(port) }));
+        return socket;
+    };
+    const peer = await startTunnelPeer({ open });
+    const opened = peer.openTunnel(endpoint.address);
+    await until(() => opening.length === 1);
+    const state = { isDrained: false };
+    const drained = peer.tunnels.drain(60_000).then(() => {
+        state.isDrained = true;
+    });
+    await new Promise(resolve => setTimeout(resolve, 200));
+    opening.forEach(each => each());
+    const tunnel = (await opened).unsafeCoerce();
+    t.is(peer.tunnels.size(), 1);
+    t.false(state.isDrained);
+    tunnel.destroy();
+    await drained;
+    peer.stop();
+    endpoint.stop();
+});
+
 // Requests of other VMs that run while a VM stops must get their answers, also if nothing arrives in one for long.
 drains.forEach(({ name, knowsNotices }) => {
     test(`tunnel: a peer that stops keeps a tunnel that is in use, and ${name}`, async t => {
--- a/packages/router/src/tunnel/serveTunnels.ts
+++ b/packages/router/src/tunnel/serveTunnels.ts
@@ -81,6 +81,8 @@
 export function serveTunnels(server: Server, parts: TunnelParts): Tunnels {
     const { peerConnectMs, silentMs, idleMs, drainNoticeMs } = { ...tunnelTiming, ...parts.timing };
     const tunnels = new Set<ServedTunnel>();
+    /** Connections to endpoints that are being opened. */
+    const opening = new Set<Socket>();
     /** By address of an endpoint: until when it counts as silent. */
     const silentUntil = new Map<string, Millis>();
     const isSilent = (address: string): boolean => (silentUntil.get(address) ?? -Infinity) > performance.now();
@@ -147,6 +149,8 @@
         }
         const [host, port] = address.split(":");
         const far = (parts.open ?? connect)({ host, port: Number(port) });
+        opening.add(far);
+        far.once("close", () => opening.delete(far));
         const fail = (status: number): void => {
             clearTimeout(timer);
             far.destroy();
@@ -165,6 +169,7 @@
         near.once("close", onNearClose);
         far.once("error", onFarError);
         far.once("connect", () => {
+            opening.delete(far);
             clearTimeout(timer);
             far.removeListener("error", onFarError);
             near.removeListener("close", onNearClose);
@@ -181,6 +186,7 @@
     const drain: Tunnels["drain"] = withinMs =>
         drainTunnels({
             users: () => [...tunnels].map(({ user }) => user),
+            isOpening: () => opening.size > 0,
             isAwaitingQuestion: parts.ends.isAwaitingQuestion,
             notify: parts.notifyDrain,
             noticeMs: drainNoticeMs,
