Count a peer's answer that cannot be read as no answer

A peer could end a daemon, with all requests on it: an answer whose bytes are no message, or whose fields have another shape, as a peer of another version may send, rejects an exchange that in most places nobody awaits. An own answer that cannot be encoded did the same, and left the peer without an answer.

Cause: decoding and parsing threw inside of calls whose errors are values, and in the first handler of a promise, past its second.

Answers are decoded, parsed and encoded to values: such an answer is no answer, the VM that sent it counts as silent where that matters, and a peer is told INTERNAL. Admission of a suspect still fails by such an answer, as it did: its request is awaited and answered.

--- a/packages/daemon/src/peers/createPeerPort.ts
+++ b/packages/daemon/src/peers/createPeerPort.ts
@@ -3,7 +3,7 @@
 import type { Incarnation, VmId } from "@azureshunt/core";
 import { credentials, ServerCredentials, setLogger } from "@grpc/grpc-js";
 import type { Logger } from "pino";
-import { Left } from "purify-ts";
+import { Either, Left } from "purify-ts";
 
 import type { Claim } from "../ports/Claim.js";
 import type { PeerPort } from "../ports/PeerPort.js";
@@ -77,7 +77,9 @@
         }
         const bytes = schema.encode({ fromVm: settings.vm, fromIncarnation: incarnation, [kind]: body });
         const answer = await clients.send(peer.address, bytes, signEnvelope(secret, to, bytes), timeoutMs);
-        return answer.map(reply => schema.decode(reply)[`${kind}Answer`] as object | undefined ?? {});
+        return answer.chain(reply =>
+            Either.encase(() => schema.decode(reply)[`${kind}Answer`] as object | undefined ?? {})
+        );
     };
 
     const handle: PeerPort["handle"] = (kind, answer) => {
--- a/packages/daemon/src/peers/startPeerServer.ts
+++ b/packages/daemon/src/peers/startPeerServer.ts
@@ -56,16 +56,19 @@
         const envelope = schema.decode(call.request);
         const kind = envelope.body ?? "";
         const body = envelope[kind] as object | undefined ?? {};
-        parts.answer(kind, body, envelope.fromVm as VmId).then(
-            answer =>
+        parts.answer(kind, body, envelope.fromVm as VmId)
+            .then(answer =>
                 answer === undefined
-                    ? done({ code: status.UNIMPLEMENTED, details: `no handler of ${kind}` })
-                    : done(
-                        null,
-                        schema.encode({ fromVm: vm, fromIncarnation: incarnation, [`${kind}Answer`]: answer }),
-                    ),
-            (err: unknown) => done({ code: status.INTERNAL, details: String(err) }),
-        );
+                    ? undefined
+                    : schema.encode({ fromVm: vm, fromIncarnation: incarnation, [`${kind}Answer`]: answer })
+            )
+            .then(
+                bytes =>
+                    bytes === undefined
+                        ? done({ code: status.UNIMPLEMENTED, details: `no handler of ${kind}` })
+                        : done(null, bytes),
+                (err: unknown) => done({ code: status.INTERNAL, details: String(err) }),
+            );
     };
 
     const bind = async (): Promise<Server> => {
--- a/packages/daemon/src/suspects/gatherDeath.ts
+++ b/packages/daemon/src/suspects/gatherDeath.ts
@@ -2,6 +2,7 @@
 import { RequestFingerprint } from "@azureshunt/request";
 import { z } from "zod";
 
+import { parseAnswer } from "../peers/parseAnswer.js";
 import type { DaemonContext } from "../ports/DaemonContext.js";
 
 const AnswerBody = z.object({ running: z.array(RequestFingerprint).default([]) });
@@ -26,7 +27,7 @@
     const { id, endpoint, vms, timeoutMs } = query;
     const answers = await Promise.all(vms.map(async vm => {
         const answer = await ctx.peers.exchange(vm, "endpointDeath", { id, endpoint }, timeoutMs);
-        return { vm, running: answer.map(body => AnswerBody.parse(body).running) };
+        return { vm, running: parseAnswer(AnswerBody, answer).map(({ running }) => running) };
     }));
     return {
         running: answers.flatMap(({ running }) => running.orDefault([])),
--- a/packages/daemon/src/suspects/learnQuarantines.ts
+++ b/packages/daemon/src/suspects/learnQuarantines.ts
@@ -1,3 +1,6 @@
+import { Either } from "purify-ts";
+
+import { parseAnswer } from "../peers/parseAnswer.js";
 import type { DaemonContext } from "../ports/DaemonContext.js";
 import { applyQuarantine } from "./applyQuarantine.js";
 import { QuarantineMessage } from "./QuarantineMessage.js";
@@ -26,7 +29,7 @@
         const answers = await Promise.all(
             peers.map(peer => ctx.peers.exchange(peer.vm, "quarantine", { requests: [] }, QUERY_TIMEOUT_MS)),
         );
-        const received = answers.flatMap(answer => answer.map(body => [QuarantineMessage.parse(body)]).orDefault([]));
+        const received = Either.rights(answers.map(answer => parseAnswer(QuarantineMessage, answer)));
         await Promise.all(received.map(message => applyQuarantine(suspects, ctx.clock, message)));
         progress.answers = Math.max(progress.answers, received.length);
         progress.rounds += 1;
