--- a/packages/bench/src/__tests__/unit/daemonEnds.test.ts
+++ b/packages/bench/src/__tests__/unit/daemonEnds.test.ts
@@ -93,6 +93,7 @@
     t.deepEqual(await answers, ["200", "200", "200"]);
     t.is(await vm.ask(), "200");
     t.is(daemon.ended(), undefined);
+    t.regex(await vm.metrics(), /azureshunt_signals_total\{signal="SIGHUP",phase="serving"\} 1\n/);
 });
 
 // Guards against a start that fails as the settings file is about to be written.
