Forward no answer whose head cannot be sent

An endpoint could end every VM that forwarded a stream of it, with all that ran there: by a header with a space before its colon ("X-Odd : v"). Node's parser takes it (20.19.0 on arm64), its server refuses to send it, and a stream's head is sent as its first event arrives: `writeHead` threw ERR_INVALID_HTTP_TOKEN in a listener of `data`, where it reaches nobody. Plain answers with such a header, or with a status below 100, which the parser takes too, were answered with 500 `internal`, although nothing is wrong here.

The head is now checked by Node's own rules before anything of the answer is used; one that cannot be sent is no answer that this VM can vouch for, so its try ends as `garbled`: it may run elsewhere if the request may, and is refused as `answer-lost` otherwise.

oddHeads.test (four kinds of routes, both heads): before, its process ends by the error above, in `sendHead` of `forwardStream`; after, 8 of 8.

--- a/packages/router/src/serve/sendTry.ts
+++ b/packages/router/src/serve/sendTry.ts
@@ -8,6 +8,7 @@
 import { forwardAnswer } from "./forwardAnswer.js";
 import { headTimeout } from "./headTimeout.js";
 import { isRepeatable } from "./isRepeatable.js";
+import { isSendableHead } from "./isSendableHead.js";
 import { isStream } from "./isStream.js";
 import { isTooLate } from "./isTooLate.js";
 import { judgeHead } from "./judgeHead.js";
@@ -231,7 +232,8 @@
     if (head.maxRefusals !== undefined) {
         parts.brittleServices.announce(served.service, head.maxRefusals);
     }
-    const verdict = judgeHead(head, served);
+    // Sent later, within an event, it would throw where the error reaches nobody.
+    const verdict = isSendableHead(opened.res) ? judgeHead(head, served) : "garbled";
     if (head.ignoredHeaders.length > 0) {
         parts.reportIgnoredHeaders(place.entry.name, head.ignoredHeaders);
     }
