Let callers read a refusal whose body is still on its way

Cause: such an answer closes its connection, and a close while bytes of the caller are on their way becomes a reset, as in a stop.

The connection is half-closed then, and what arrives is discarded, until the caller closes it, or for 2 s; the timer that applies the limits closes it. Connections whose request was read are closed as before.

--- a/packages/router/src/serve/connectionActionOf.ts
+++ b/packages/router/src/serve/connectionActionOf.ts
@@ -14,7 +14,7 @@
 
 /** A request that was sent as the port closed arrives within this time. */
 const LATE_REQUEST_MS = 200;
-/** Callers close a connection as soon as they have its last answer. */
+/** Callers close a connection as soon as they have its last answer. While the port is open, they have longer. */
 const LINGER_MS = 200;
 
 /**
@@ -30,7 +30,7 @@
         case "answering":
             return "keep";
         case "half-closed":
-            return halfClosedMs > LINGER_MS ? "close" : "keep";
+            return phase === "lingering" && halfClosedMs > LINGER_MS ? "close" : "keep";
         case "idle":
             return phase === "lingering" ? "half-close" : "keep";
         case "silent":
--- a/packages/router/src/serve/createCallerConnections.ts
+++ b/packages/router/src/serve/createCallerConnections.ts
@@ -24,6 +24,8 @@
     readonly begin: (req: IncomingMessage, res: ServerResponse) => boolean;
     /** Ends this VM's side of a connection. What arrives from then on is discarded. */
     readonly halfClose: (socket: Duplex) => void;
+    /** Closes the connections of which this VM has ended its side longer ago than the time given. */
+    readonly closeHalfClosed: (afterMs: Millis) => void;
     readonly forEach: (visit: ConnectionVisitor) => void;
     readonly size: () => number;
     /** Answers that are not whole yet. */
@@ -51,6 +53,7 @@
 export function createCallerConnections(): CallerConnections {
     const connections = new Map<Duplex, Connection>();
     const unanswered = new Set<ServerResponse>();
+    const halfClosed = new Set<Duplex>();
     const forEach: CallerConnections["forEach"] = visit => {
         const now = performance.now();
         connections.forEach((connection, socket) =>
@@ -87,10 +90,20 @@
                 return;
             }
             connection.halfClosedAt = performance.now();
+            halfClosed.add(socket);
+            socket.once("close", () => halfClosed.delete(socket));
             socket.end();
             // With a last answer, Node has registered this to close the connection at once.
             socket.removeListener("finish", socket.destroy);
         },
+        closeHalfClosed: afterMs => {
+            const before = performance.now() - afterMs;
+            halfClosed.forEach(socket => {
+                if ((connections.get(socket)?.halfClosedAt ?? -Infinity) < before) {
+                    socket.destroy();
+                }
+            });
+        },
         forEach,
         size: () => connections.size,
         unanswered: () => unanswered,
--- a/packages/router/src/serve/startCallerServer.ts
+++ b/packages/router/src/serve/startCallerServer.ts
@@ -42,6 +42,8 @@
 /** A caller that takes longer to send a body only occupies memory: its own deadline has passed by then. */
 const BODY_TIMEOUT_MS = 30_000;
 const LIMITS_INTERVAL_MS = 250;
+/** A caller that sends on for longer after its last answer does not read it. */
+const MAX_LINGER_MS = 2_000;
 
 const ERROR_KINDS: Readonly<Record<string, ErrorKind>> = {
     HPE_HEADER_OVERFLOW: "headers-too-large",
@@ -80,10 +82,16 @@
             req.resume();
             return;
         }
-        // An answer that began before the shutdown has no `Connection: close`; no further request may follow on it.
+        /**
+         * An answer that began before the shutdown has no `Connection: close`; no further request may follow on it. And
+         * a close while bytes of the caller are on their way, as those of a body that was refused, becomes a reset, which
+         * discards the end of the answer. To prevent this, the connection is half-closed, and what arrives is discarded.
+         */
         res.on("finish", () => {
-            if (isClosing() || (state.phase !== undefined && req.socket.writableEnded)) {
+            const isLast = req.socket.writableEnded;
+            if (isClosing() || (isLast && (state.phase !== undefined || !req.complete))) {
                 connections.halfClose(req.socket);
+                req.resume();
             }
         });
         if (state.phase === "accepting") {
@@ -126,7 +134,10 @@
             server.requestTimeout = limits.headerTimeoutMs + BODY_TIMEOUT_MS;
         }
     };
-    const timer = setInterval(applyLimits, LIMITS_INTERVAL_MS);
+    const timer = setInterval(() => {
+        applyLimits();
+        connections.closeHalfClosed(MAX_LINGER_MS);
+    }, LIMITS_INTERVAL_MS);
 
     /**
      * If a caller keeps its connection open during the shutdown and sends a request on it seconds later, that request
