Let a start notice that the process was told to stop while it was busy

Callers and supervisors saw a process that was told to stop while it started open its port, serve, and only then drain: 2.6 s and more from there on, counted from the end of the start.

Cause: loading the program, reading settings and building the parts is one piece of work without a turn of the event loop, which is where signals are received. The check for an aborted start before the callers' port came at the end of that piece, so that it could not see a signal of that time.

The start now takes two turns of the event loop before the check: the present turn may have looked for signals already, the next one has not.

--- a/packages/lifecycle/src/index.ts
+++ b/packages/lifecycle/src/index.ts
@@ -5,6 +5,7 @@
 export type { ExitCause } from "./ExitCause.js";
 export { exitCodeOf } from "./exitCodeOf.js";
 export type { HandledSignal } from "./HandledSignal.js";
+export { handlePendingSignals } from "./handlePendingSignals.js";
 export { initialLifecycle } from "./initialLifecycle.js";
 export { judgeSettingsFault } from "./judgeSettingsFault.js";
 export type { LifecycleEffect } from "./LifecycleEffect.js";
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -4,7 +4,7 @@
 import { createClock } from "@azureshunt/core";
 import type { EndpointName, Incarnation, Millis, Tokens } from "@azureshunt/core";
 import { budgetOf, defaultBounds } from "@azureshunt/flow";
-import { stopParts } from "@azureshunt/lifecycle";
+import { handlePendingSignals, stopParts } from "@azureshunt/lifecycle";
 import type { ManagedPart, StartContext } from "@azureshunt/lifecycle";
 import { createLoggers, createMetrics } from "@azureshunt/telemetry";
 
@@ -529,7 +529,9 @@
         claim: claims.optional,
         logger,
     });
-    parts.lifecycle?.signal.throwIfAborted();
+    if (parts.lifecycle !== undefined) {
+        await handlePendingSignals(parts.lifecycle.signal);
+    }
     const callerServer = await startCallerServer({
         settings,
         claim: claims.needed,
