Bound each stop by the settings in force, and cut off what it leaves

Callers lost requests of a VM whose time to stop had been raised by a reload: it ended by the time that its first settings named (a review's run: started with 3 s, reloaded with 12 s, SIGTERM, a request of 2.5 s sent 2 s later: exit after 3,017 ms, ECONNRESET). Such an end, and the one after ten uncaught errors, also skipped what marks an unfinished answer as cut off. And a process that was told to stop while it started, and then failed, ran on without end.

Cause: the life cycle took the time to stop once, at the start; it ended processes without telling the program; and only a drain had a bound.

The time to stop is asked for when the drain begins. What still runs is cut off before the process ends. A start that is given up has 5 s, and ends at once if it meets an error that nothing catches.

--- a/packages/daemon/src/gateway/startCallerListener.ts
+++ b/packages/daemon/src/gateway/startCallerListener.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 
 import type { Millis } from "@azureshunt/core";
+import { stopListening } from "@azureshunt/http";
 
 import { createCallerHandler } from "./createCallerHandler.js";
 import type { GatewayParts } from "./GatewayParts.js";
@@ -22,6 +23,8 @@
     readonly drain: () => Promise<void>;
     /** Refuses all further requests. */
     readonly refuse: () => void;
+    /** Closes all connections, also those with running requests. */
+    readonly cut: () => void;
 };
 
 /**
@@ -66,7 +69,6 @@
     const waitUntilIdle = (giveUpAt: Millis): Promise<void> =>
         new Promise(resolve => {
             const timer = setInterval(() => {
-                server.closeIdleConnections();
                 if (running.requests === 0 || ctx.clock.now() > giveUpAt) {
                     clearInterval(timer);
                     resolve();
@@ -80,10 +82,11 @@
     const drain: CallerListener["drain"] = async () => {
         const { announceMs, drainMs } = settings.limits;
         await new Promise(resolve => setTimeout(resolve, announceMs));
-        server.close();
+        stopListening(server);
         await waitUntilIdle(ctx.clock.now() + drainMs);
         refuse();
         server.closeAllConnections();
     };
-    return { drain, refuse };
+    const cut = (): void => server.closeAllConnections();
+    return { drain, refuse, cut };
 }
--- a/packages/daemon/src/startDaemon.ts
+++ b/packages/daemon/src/startDaemon.ts
@@ -33,6 +33,8 @@
 type Daemon = {
     /** Refuses new requests from now on, as not run. */
     readonly refuse: () => void;
+    /** Cuts off requests that still run. */
+    readonly cut: () => void;
     /** Stops accepting connections, waits for running requests, hands allowances over, and stops all parts. */
     readonly shutDown: () => Promise<void>;
 };
@@ -169,5 +171,5 @@
         draining.is = true;
         callers.refuse();
     };
-    return { refuse, shutDown };
+    return { refuse, cut: callers.cut, shutDown };
 }
--- a/packages/daemon/src/startProgram.ts
+++ b/packages/daemon/src/startProgram.ts
@@ -23,6 +23,7 @@
         reload: () => reportSettingsChange(settings, loadSettings(file), context.log),
         refuse: daemon.refuse,
         drain: daemon.shutDown,
-        stopMs: stopMsOf(settings.limits),
+        cut: daemon.cut,
+        stopMs: () => stopMsOf(settings.limits),
     };
 }
--- a/packages/lifecycle/src/Application.ts
+++ b/packages/lifecycle/src/Application.ts
@@ -8,6 +8,8 @@
     readonly refuse: () => void;
     /** Lets running requests finish, then stops all parts. */
     readonly drain: () => Promise<void>;
-    /** Time within which `drain` ends. */
-    readonly stopMs: Millis;
+    /** Cuts off what still runs, so that nothing of it can pass for complete. */
+    readonly cut: () => void;
+    /** Time within which `drain` ends, by the settings in force. */
+    readonly stopMs: () => Millis;
 };
--- a/packages/lifecycle/src/__tests__/unit/stepLifecycle.test.ts
+++ b/packages/lifecycle/src/__tests__/unit/stepLifecycle.test.ts
@@ -38,6 +38,7 @@
 const FAILED = ["started", "uncaught error"] as const;
 const STOPPED = ["started", "SIGTERM", "drained"] as const;
 const STOP = ["drain", "exit: signal"];
+const CUT = ["cut", "exit: uncaught-error"];
 
 const cases: readonly Case[] = [
     [["SIGHUP"], "starting", []],
@@ -53,6 +54,9 @@
     [[...ABORTED, "started"], "draining", ["abort-start", "drain"]],
     [[...ABORTED, "started", "drained"], "stopped", ["abort-start", ...STOP]],
     [[...ABORTED, "settings wrong"], "stopped", ["abort-start", "exit: signal"]],
+    [[...ABORTED, "uncaught error"], "stopped", ["abort-start", ...CUT]],
+    [[...ABORTED, "drain overdue"], "stopped", ["abort-start", "cut", "exit: signal"]],
+    [[...ABORTED, "started", "uncaught error"], "draining", ["abort-start", "drain", "refuse"]],
     [["SIGHUP", ...ABORTED, "started"], "draining", ["abort-start", "drain"]],
 
     [[...SERVING, "SIGHUP"], "serving", ["reload"]],
@@ -65,12 +69,12 @@
     [[...DRAINING, "SIGINT"], "draining", ["drain"]],
     [[...DRAINING, "SIGHUP"], "draining", ["drain"]],
     [[...DRAINING, "drained"], "stopped", STOP],
-    [[...DRAINING, "drain overdue"], "stopped", STOP],
+    [[...DRAINING, "drain overdue"], "stopped", ["drain", "cut", "exit: signal"]],
     [[...DRAINING, "uncaught error"], "draining", ["drain", "refuse"]],
     [[...DRAINING, "uncaught error", "drained"], "stopped", ["drain", "refuse", "exit: uncaught-error"]],
 
     [[...FAILED, "SIGTERM", "drained"], "stopped", ["refuse", "drain", "exit: uncaught-error"]],
-    [[...FAILED, "drain overdue"], "stopped", ["refuse", "drain", "exit: uncaught-error"]],
+    [[...FAILED, "drain overdue"], "stopped", ["refuse", "drain", ...CUT]],
 
     [[...STOPPED, "SIGTERM", "SIGHUP", "uncaught error", "drain overdue"], "stopped", STOP],
 ];
@@ -88,5 +92,5 @@
 test("life cycle: a process that keeps failing while it drains ends before its time to stop is up", t => {
     const { state, effects } = run([...SERVING, ...Array.from({ length: 10 }, () => "uncaught error" as const)]);
     t.is(state.phase, "stopped");
-    t.is(effects.at(-1), "exit: uncaught-error");
+    t.deepEqual(effects.slice(-2), CUT);
 });
--- a/packages/lifecycle/src/initialLifecycle.ts
+++ b/packages/lifecycle/src/initialLifecycle.ts
@@ -4,6 +4,7 @@
 const initialLifecycle: LifecycleState = {
     phase: "starting",
     cause: undefined,
+    hasStarted: false,
     isReloadDue: false,
     uncaughtErrors: 0,
 };
--- a/packages/lifecycle/src/runLifecycle.ts
+++ b/packages/lifecycle/src/runLifecycle.ts
@@ -1,3 +1,5 @@
+import type { Millis } from "@azureshunt/core";
+
 import type { Application } from "./Application.js";
 import { createLifecycleLog } from "./createLifecycleLog.js";
 import type { ExitCause } from "./ExitCause.js";
@@ -23,6 +25,8 @@
 const SIGNALS: readonly HandledSignal[] = ["SIGTERM", "SIGINT", "SIGHUP"];
 const PHASES: readonly LifecyclePhase[] = ["starting", "serving", "draining", "stopped"];
 const MS_PER_SECOND = 1_000;
+/** Longest time until a start that is given up has stopped what it had started. */
+const MAX_ABORT_MS = 5_000;
 
 /**
  * Runs a program from its first step to the end of its process. Signals and uncaught errors of the process are handled from
@@ -37,6 +41,7 @@
         current: initialLifecycle,
         application: undefined as Application | undefined,
         startMs: undefined as number | undefined,
+        overdue: undefined as NodeJS.Timeout | undefined,
     };
 
     const exit = async (cause: ExitCause): Promise<void> => {
@@ -49,8 +54,12 @@
             process.exit(code);
         }
     };
+    const endWithin = (ms: Millis): void => {
+        clearTimeout(state.overdue);
+        state.overdue = setTimeout(() => apply({ kind: "drain-overdue" }), ms);
+    };
     const drain = (application: Application): void => {
-        setTimeout(() => apply({ kind: "drain-overdue" }), application.stopMs);
+        endWithin(application.stopMs());
         application.drain().then(
             () => apply({ kind: "drained" }),
             (err: unknown) => {
@@ -67,6 +76,7 @@
                 return;
             case "abort-start":
                 startAbort.abort();
+                endWithin(MAX_ABORT_MS);
                 return;
             case "refuse":
                 application?.refuse();
@@ -76,6 +86,9 @@
                     drain(application);
                 }
                 return;
+            case "cut":
+                application?.cut();
+                return;
             case "exit":
                 void exit(effect.cause);
         }
--- a/packages/lifecycle/src/stepLifecycle.ts
+++ b/packages/lifecycle/src/stepLifecycle.ts
@@ -19,6 +19,12 @@
     effects: [{ kind: "exit", cause }],
 });
 
+/** Ends a process on which requests may still run. */
+const cutAndExit = (state: LifecycleState, cause: ExitCause): LifecycleStep => ({
+    state: { ...state, phase: "stopped", cause },
+    effects: [{ kind: "cut" }, { kind: "exit", cause }],
+});
+
 const drain = (state: LifecycleState, cause: ExitCause, effects: readonly LifecycleEffect[]): LifecycleStep => ({
     state: { ...state, phase: "draining", cause },
     effects,
@@ -37,7 +43,7 @@
                 : drain(state, "signal", [{ kind: "abort-start" }]);
         case "started":
             return {
-                state: { ...state, phase: "serving", isReloadDue: false },
+                state: { ...state, phase: "serving", hasStarted: true, isReloadDue: false },
                 effects: state.isReloadDue ? [{ kind: "reload" }] : [],
             };
         case "start-failed":
@@ -76,15 +82,17 @@
             return unchanged(state);
         case "started":
             // The start was past its last step when it was aborted, so callers may have connected.
-            return { state, effects: [{ kind: "drain" }] };
+            return { state: { ...state, hasStarted: true }, effects: [{ kind: "drain" }] };
         case "start-failed":
         case "drained":
-        case "drain-overdue":
             return exit(state, cause);
+        case "drain-overdue":
+            return cutAndExit(state, cause);
         case "uncaught-error": {
             const failed = { ...countError(state), cause: "uncaught-error" as const };
-            return failed.uncaughtErrors >= MAX_UNCAUGHT_ERRORS
-                ? exit(failed, "uncaught-error")
+            // A start that was given up serves nobody, and may never settle after the error.
+            return !state.hasStarted || failed.uncaughtErrors >= MAX_UNCAUGHT_ERRORS
+                ? cutAndExit(failed, "uncaught-error")
                 : { state: failed, effects: [{ kind: "refuse" }] };
         }
     }
--- a/packages/router/src/serve/startCallerServer.ts
+++ b/packages/router/src/serve/startCallerServer.ts
@@ -11,6 +11,7 @@
 import type { CallerDrainPhase } from "./CallerDrainPhase.js";
 import { createCallerConnections } from "./createCallerConnections.js";
 import type { createDrainLog } from "./createDrainLog.js";
+import { cutAnswer } from "./cutAnswer.js";
 import { drainCallers } from "./drainCallers.js";
 import { sendRefusal } from "./sendRefusal.js";
 import { startListener } from "./startListener.js";
@@ -35,6 +36,8 @@
     readonly drain: (withinMs: Millis) => Promise<void>;
     /** Refuses all further requests. */
     readonly refuse: () => void;
+    /** Cuts off the answers that are not whole. */
+    readonly cut: () => void;
 };
 
 const OK = 200;
@@ -163,5 +166,6 @@
         refuse: () => {
             state.isRefusing = true;
         },
+        cut: () => connections.unanswered().forEach(cutAnswer),
     };
 }
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -94,6 +94,10 @@
     readonly reload: (settings: RouterSettings) => void;
     /** Refuses new requests from now on, as not run. */
     readonly refuse: () => void;
+    /** Cuts off the answers that are not whole. */
+    readonly cut: () => void;
+    /** Time within which `shutDown` ends, by the settings in force. */
+    readonly stopMs: () => Millis;
     /** Stops accepting connections, lets running requests finish, and stops all components. */
     readonly shutDown: () => Promise<void>;
 };
@@ -619,5 +623,5 @@
             isFixed ? "Settings reloaded." : "Settings reloaded; changes of names and addresses need a restart.",
         );
     };
-    return { shutDown, refuse, reload };
+    return { shutDown, refuse, cut: callerServer.cut, stopMs: () => state.settings.stopMs, reload };
 }
