--- a/packages/lifecycle/src/runLifecycle.ts
+++ b/packages/lifecycle/src/runLifecycle.ts
@@ -93,6 +93,15 @@
                 void exit(effect.cause);
         }
     };
+    /** An effect that fails must not keep the others from being performed, nor end the process while it handles an error. */
+    const tryPerform = (effect: LifecycleEffect): void => {
+        try {
+            perform(effect);
+        }
+        catch (err) {
+            log("error", { err, effect: effect.kind }, "An effect of the life cycle failed.");
+        }
+    };
     const upMs = (): number => Math.round(process.uptime() * MS_PER_SECOND);
     const apply = (event: LifecycleEvent): void => {
         const { phase } = state.current;
@@ -101,7 +110,7 @@
         if (step.state.phase !== phase) {
             log("info", { from: phase, to: step.state.phase, event: event.kind, upMs: upMs() }, "The phase changed.");
         }
-        step.effects.forEach(perform);
+        step.effects.forEach(tryPerform);
     };
 
     const onSignal = (signal: HandledSignal): void => {
