Close a port without its connections

Cause: close of an HTTP server also destroys the connections without a running request, and it takes an answer for complete once it has been ended, with its last bytes still to be sent.

The port alone is closed now; the drain decides about connections.

--- a/packages/router/src/serve/drainCallers.ts
+++ b/packages/router/src/serve/drainCallers.ts
@@ -1,6 +1,7 @@
 import type { Server } from "node:http";
 
 import type { Millis } from "@azureshunt/core";
+import { stopListening } from "@azureshunt/http";
 
 import type { CallerDrainPhase } from "./CallerDrainPhase.js";
 import type { CallerDrainState } from "./CallerDrainState.js";
@@ -38,7 +39,7 @@
     const enter = (phase: CallerDrainPhase, now: Millis): void => {
         if (server.listening && (phase === "lingering" || phase === "ended")) {
             drainLog.portClosed(connections.counts(), now);
-            server.close();
+            stopListening(server);
         }
         onPhase(phase);
         if (phase === "ended") {
