Ask for a place before a retry is taken, and give both back

Streams that wait for a place took a retry from the budget for each question, up to 150 ms long, so that other failed requests of the service found none; a place that was kept for a caller who had left stayed taken until it lapsed (both by reading, in a review). The place is asked for first, as for streams that move; both are given back if the try is not made, and streams of one failed engine no longer ask at the same moments.

--- a/packages/router/src/serve/awaitPlace.ts
+++ b/packages/router/src/serve/awaitPlace.ts
@@ -15,7 +15,7 @@
     readonly until: Millis;
 };
 
-/** Time between two questions; engines that load weights are back within a second or two. */
+/** Shortest time between two questions; engines that load weights are back within a second or two. */
 const ASK_EVERY_MS: Millis = 100;
 
 /**
@@ -40,18 +40,24 @@
     const asked = new Set<EndpointName>();
     while (!signal.aborted && clock.now() < until && !parts.quarantine.isQuarantined(served)) {
         const place = placeRequest(parts, served, new Set([...ranAt, ...asked]), origin, true);
-        if (place !== undefined && retryBudgets.reserve(service)) {
-            const held = await holdPlace(parts, served, place);
-            if (held !== undefined) {
-                return { place, hold: held.id };
-            }
-            retryBudgets.release(service);
-            asked.add(place.entry.name);
+        const held = place === undefined ? undefined : await holdPlace(parts, served, place);
+        if (place === undefined) {
+            asked.clear();
         }
         else {
-            asked.clear();
+            asked.add(place.entry.name);
+        }
+        if (place !== undefined && held !== undefined) {
+            if (!signal.aborted && retryBudgets.reserve(service)) {
+                const release = (): void => {
+                    held.release();
+                    retryBudgets.release(service);
+                };
+                return { place, hold: held.id, release };
+            }
+            held.release();
         }
-        await new Promise(resolve => setTimeout(resolve, ASK_EVERY_MS));
+        await new Promise(resolve => setTimeout(resolve, ASK_EVERY_MS * (1 + parts.random())));
     }
     return undefined;
 }
--- a/packages/router/src/serve/reserveMove.ts
+++ b/packages/router/src/serve/reserveMove.ts
@@ -4,12 +4,6 @@
 import { shouldMove } from "./shouldMove.js";
 import type { TryParts } from "./TryParts.js";
 
-/** A place for a stream that may leave its engine, and the retry that this takes. */
-type Reservation = ReservedPlace & {
-    /** Gives both back, as the stream has ended. */
-    readonly release: () => void;
-};
-
 /**
  * Reserves what a stream needs to leave its engine: a place that another engine keeps for it, and a retry; resolves with
  * `undefined` if it stays.
@@ -18,7 +12,7 @@
  * its own engine would have finished it. What this VM knows of free slots is not enough either: all VMs see the same ones,
  * and an order makes all streams of an engine leave at once. Only the engine itself can keep a place.
  */
-export async function reserveMove(tryParts: TryParts): Promise<Reservation | undefined> {
+export async function reserveMove(tryParts: TryParts): Promise<ReservedPlace | undefined> {
     const { parts, served, place, progress, avoid } = tryParts;
     const { endpointTable, endpointLimits, retryBudgets } = parts;
     const { prompt } = served.caller;
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -127,6 +127,7 @@
     const startTry = async (progress: RequestProgress, reserved?: ReservedPlace): Promise<ServedEnd> => {
         parts.checkSuspension();
         if (parts.quarantine.isQuarantined(served)) {
+            reserved?.release();
             return giveUp(progress, refusalAsQuarantined(progress));
         }
         // A caller may have left while its request waited.
@@ -134,9 +135,11 @@
             await processPendingCloses();
         }
         if (served.signal.aborted) {
+            reserved?.release();
             return cancel(progress);
         }
         if (isTooLate(parts, served)) {
+            reserved?.release();
             return giveUp(progress, refusalAsTooLate(parts, served, progress.request.ran, stream));
         }
         const place = reserved?.place
@@ -215,6 +218,7 @@
         }
         // Only now, as this starts a probe: one that waited afterwards would be refused, since a probe has just run.
         if (!parts.quarantine.admit(served)) {
+            reserved?.release();
             return giveUp(progress, refusalAsQuarantined(progress));
         }
         parts.requestQueues.recordEnd(served, progress.waited, "sent");
