--- a/packages/telemetry/src/createLoggers.ts
+++ b/packages/telemetry/src/createLoggers.ts
@@ -24,8 +24,8 @@
  * a buffer of bounded size. Lines that do not fit are dropped, and their number is logged.
  *
  * A process must not end, or fail to end, because its lines cannot be written: their reader may stall, or the disk of their
- * file be full. So a write that fails is tried again with the next lines, and at the exit only what a flush before has not
- * found stalled is written, as pino would wait without end.
+ * file be full. So a write that fails is tried again with the next lines. At the exit, pino writes what is left, and waits
+ * for that without end; this is skipped if the last write failed, or a flush has not ended.
  *
  * @param level lowest level that is written
  * @returns a function from a part's name to its logger
@@ -71,10 +71,7 @@
         flush: () =>
             new Promise<void>(resolve => {
                 state.isStalled = true;
-                destination.flush(err => {
-                    state.isStalled = err instanceof Error;
-                    resolve();
-                });
+                destination.flush(() => resolve());
             }),
     });
 }
