Let an error within one request end that request alone

Three kinds of errors at a listener reached nobody and ended the process, at once before, by a drain with exit code 70 now: a handler that throws or rejects (`void parts.handler(...)`, the reports and notices of peers), a write after the end of an answer, and a second `error` of a listening server, which Node emits if it cannot accept a connection: the listener that waits for the port took the first of them, silently.

`startListener` now owns them. A handler may return its promise; what it throws fails its request, with 500 or, if the answer has begun, by cutting it off. A write after the end changes nothing for the caller, whose answer is whole. An error while accepting is one of a connection that the caller has lost in any case. All three are logged and counted (azureshunt_listener_faults_total, by listener and kind).

Why one request and not the process: handlers of callers' requests already answer each error of their own with `internal`, and keep their state by request; those of peers, of readiness and of metrics read, or replace one row. Errors in timers and in events of sockets still end the process after its running requests: nothing tells what they leave behind.

--- a/packages/router/src/peers/startPeerListener.ts
+++ b/packages/router/src/peers/startPeerListener.ts
@@ -29,6 +29,8 @@
         string,
         (from: number | undefined, isReadWanted: boolean) => TopicAnswer | undefined
     >;
+    /** Called with errors that reach nobody else; see `startListener`. */
+    readonly onFault?: Parameters<typeof startListener>[2];
 };
 
 const OK = 200;
@@ -101,36 +103,35 @@
         const [path = "", query = ""] = (req.url ?? "").split("?", 2);
         if (path === "/configuration") {
             end(res, parts.configuration());
-            return;
+            return undefined;
         }
         if (path === REPORTS) {
-            void receiveReport(req, res);
-            return;
+            return receiveReport(req, res);
         }
         if (path === STREAMS) {
             end(res, parts.streams(query));
-            return;
+            return undefined;
         }
         if (path === TUNNEL_DRAINS) {
-            void receiveDrain(req, res);
-            return;
+            return receiveDrain(req, res);
         }
         if (path.startsWith(TUNNELS)) {
             answerTunnelEnd(res, path.slice(TUNNELS.length));
-            return;
+            return undefined;
         }
         const answer = path.startsWith(TOPICS) ? parts.topics.get(path.slice(TOPICS.length)) : undefined;
         if (answer === undefined) {
             refuse(res, NOT_FOUND);
-            return;
+            return undefined;
         }
         const search = new URLSearchParams(query);
         const from = fromOf(search);
         if (from === "bad") {
             refuse(res, BAD_REQUEST);
-            return;
+            return undefined;
         }
         const answered = answer(from, search.get("read") === "wanted");
         end(res, answered === undefined ? undefined : encodeTopicAnswer(answered));
-    });
+        return undefined;
+    }, parts.onFault);
 }
--- a/packages/router/src/serve/startCallerServer.ts
+++ b/packages/router/src/serve/startCallerServer.ts
@@ -28,6 +28,8 @@
     /** Called for each connection that a caller opens. */
     readonly onConnection?: (connection: Duplex) => void;
     readonly drainLog: ReturnType<typeof createDrainLog>;
+    /** Called with errors that reach nobody else; see `startListener`. */
+    readonly onFault?: Parameters<typeof startListener>[2];
 };
 
 /** The running listeners for callers and for the balancer. */
@@ -73,8 +75,8 @@
         drainLog.refused();
         sendRefusal(callerWire, res, refusalOf("shutting-down", undefined, { retryAfterSeconds: 0 }), true);
     };
-    const listen = (address: string, handler: (req: IncomingMessage, res: ServerResponse) => void): Promise<Server> =>
-        claim(address, () => startListener(address, handler));
+    const listen = (address: string, handler: Parameters<typeof startListener>[1]): Promise<Server> =>
+        claim(address, () => startListener(address, handler, parts.onFault));
     // Before the callers' listener, as a caller that has connected must be served.
     const ready = await listen(settings.listen.ready, (_req, res) => {
         res.writeHead(parts.isReady() ? OK : UNAVAILABLE);
@@ -83,7 +85,7 @@
     const server = await listen(settings.listen.callers, (req, res) => {
         if (!connections.begin(req, res)) {
             req.resume();
-            return;
+            return undefined;
         }
         /**
          * An answer that began before the shutdown has no `Connection: close`; no further request may follow on it. And
@@ -99,13 +101,13 @@
         });
         if (state.phase === "accepting") {
             state.held.push(res);
-            return;
+            return undefined;
         }
         if (isClosing() || state.isRefusing) {
             refuseLate(res);
-            return;
+            return undefined;
         }
-        void parts.handler(req, res);
+        return parts.handler(req, res);
     });
     /**
      * Bytes that are not a valid request, or two requests merged into one by conflicting lengths, could be forwarded
--- a/packages/router/src/startMetricsListener.ts
+++ b/packages/router/src/startMetricsListener.ts
@@ -12,6 +12,8 @@
     /** Binds an address once it is free. */
     readonly claim: (address: string, bind: () => Promise<Server>) => Promise<Server>;
     readonly logger: Logger;
+    /** Called with errors that reach nobody else; see `startListener`. */
+    readonly onFault: Parameters<typeof startListener>[2];
 };
 
 const OK = 200;
@@ -29,7 +31,7 @@
             const isKnown = req.url === "/metrics";
             res.writeHead(isKnown ? OK : NOT_FOUND, { "content-type": "text/plain; version=0.0.4" });
             res.end(isKnown ? metrics.render() : undefined);
-        });
+        }, parts.onFault);
     const stop = (): void => {
         state.isStopped = true;
         state.server?.close();
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -481,6 +481,13 @@
     const isReady = (): boolean =>
         !state.isDraining && endpointTable.isKnown() &&
         clock.now() - declarations.current().confirmedAt < bounds().maxAgeForKeysMs;
+    const onListenerFault = (listener: string) => (what: string, err: unknown): void => {
+        metrics.count("azureshunt_listener_faults_total", "Errors of listeners, each of one connection or request.", {
+            listener,
+            what,
+        });
+        logger.error({ listener, what, err }, "A connection or request failed by an error.");
+    };
     const tunnelEnds = createTunnelEnds(clock);
     const listenToPeers = (): Promise<Server> =>
         startPeerListener({
@@ -494,6 +501,7 @@
                 [directory.declarationsTopic, declarations.answer],
                 [directory.registryTopic, registry.answer],
             ]),
+            onFault: onListenerFault("peers"),
         });
     const [peerListener] = await Promise.all([
         claims.needed(settings.listen.peers, listenToPeers),
@@ -532,6 +540,7 @@
         metrics,
         claim: claims.optional,
         logger,
+        onFault: onListenerFault("metrics"),
     });
     if (parts.lifecycle !== undefined) {
         await handlePendingSignals(parts.lifecycle.signal);
@@ -545,6 +554,7 @@
         isReady,
         onConnection: overload.recordAccepted,
         drainLog: createDrainLog(metrics, logger),
+        onFault: onListenerFault("callers"),
     });
     const announcing = startAnnouncing({
         clock,
