Take no beacon by which a failure domain has no possible number of VMs

One datagram could make a VM answer each request with 500 `internal` and drop its metrics: a beacon of a relay by which a failure domain has, say, 1e308 VMs. The field was checked for being a number only, and a list of as many VMs is made of it: "Invalid array length" in `livenessOf`, for every request, until the relay's next summary; a smaller wrong number would use up the memory instead.

The five new rows of beacon.test fail without the check.

--- a/packages/router/src/__tests__/unit/beacon.test.ts
+++ b/packages/router/src/__tests__/unit/beacon.test.ts
@@ -117,6 +117,15 @@
         },
     );
 
+// Guards against all requests failing, as the VMs of a failure domain cannot be listed whose number is none.
+[1e308, 2 ** 32, 65_536, -1, 0.5].forEach(count => {
+    test(`beacon: one by which a failure domain has ${count} VMs is not valid`, t => {
+        const DOMAINS = 28;
+        t.is(decoded(rowOf().with(DOMAINS, [["b", count, 1, 20]])), undefined);
+        t.is(decoded(rowOf().with(DOMAINS, [["b", 40, count, 20]])), undefined);
+    });
+});
+
 const invalidSizes: readonly { readonly name: string; readonly sizes: unknown; }[] = [
     { name: "a number in place of the list", sizes: 5 },
     { name: "a text in place of a size", sizes: [["many", 70], []] },
--- a/packages/router/src/peers/decodeBeacon.ts
+++ b/packages/router/src/peers/decodeBeacon.ts
@@ -25,6 +25,9 @@
 const LIMITS = 35;
 const AVAILABILITY = 36;
 
+/** VMs of one failure domain at most. */
+const MAX_VMS = 65_535;
+
 const PHASES: readonly unknown[] = rolloutPhases;
 const SCOPES: readonly unknown[] = ["vm", "domain", "fleet", "referral"];
 
@@ -35,6 +38,8 @@
 const isFlag = (value: unknown): value is boolean => typeof value === "boolean";
 const isPhaseOrNull = (value: unknown): boolean => value === null || PHASES.includes(value);
 const isNumber = (value: unknown): value is number => typeof value === "number" && Number.isFinite(value);
+/** A list of as many VMs is made of it, so a wrong one must not use up the memory. */
+const isCount = (value: unknown): boolean => Number.isInteger(value) && Number(value) >= 0 && Number(value) <= MAX_VMS;
 const isNumberOrAbsent = (value: unknown): boolean => value === undefined || isNumber(value);
 
 const areRows = (value: unknown, ...checks: readonly ((item: unknown) => boolean)[]): boolean =>
@@ -78,7 +83,7 @@
     && isNumber(row[CAPACITY] ?? 0)
     && SCOPES.includes(row[SCOPE] ?? "vm")
     && areRows(row[VMS] ?? [], isText, isVmAddress, isText, isNumber, isFlag, isNumber)
-    && areRows(row[DOMAINS] ?? [], isText, isNumber, isNumber, isNumber)
+    && areRows(row[DOMAINS] ?? [], isText, isCount, isCount, isNumber)
     && areRows(row[RELAYED_SPENT] ?? [], isText, isNumber, isNumber)
     && areRows(row[RELAYED_LOAD] ?? [], ...LOAD_ROW)
     && isNumber(row[RELAYED_DEMAND] ?? 0)
