Let streams leave an engine only once its wave of orders is known

Callers saw streams end in the middle of their answers 0.1 s to 0.2 s after new weights had been named, with no engine failing: their VM had taken them off an engine that was to load weights, the engine that had kept a place for them refused them, others did too, and the connection was closed.

Cause: a stream leaves 30 ms after the order to its engine is known, so that the orders to other engines are known by then. The VM that orders sends the first order at once, but those that follow 40 ms later, so they never were. An engine that has been ordered keeps places all the same and refuses the request, and each refusal takes a try and a retry.

The wait is now the gap between urgent sends and 60 ms, for the time in which the orders of a wave are issued, and for the link. Not covered: with more than ten VMs to tell, the gap grows by 4 ms each, and relays add theirs.

--- a/packages/router/src/peers/createUrgentSender.ts
+++ b/packages/router/src/peers/createUrgentSender.ts
@@ -1,5 +1,7 @@
 import type { Clock, Millis } from "@azureshunt/core";
 
+import { peerTiming } from "./peerTiming.js";
+
 type UrgentSenderParts = {
     readonly clock: Clock;
     readonly schedule: (delayMs: Millis, run: () => void) => () => void;
@@ -19,8 +21,6 @@
 
 /** Time between checks whether the number of VMs now requires urgent sends without an update. */
 const RECHECK_MS: Millis = 1_000;
-/** Minimum time between two urgent sends. */
-const MIN_GAP_MS: Millis = 40;
 /** Minimum gap per target, so that continuous urgent sends take only a part of a small link. */
 const MIN_GAP_PER_VM_MS: Millis = 4;
 
@@ -44,7 +44,7 @@
     const sendNow = (): void => {
         state.isRequested = false;
         const targets = send();
-        state.nextAllowedAt = clock.now() + Math.max(MIN_GAP_MS, targets * MIN_GAP_PER_VM_MS);
+        state.nextAllowedAt = clock.now() + Math.max(peerTiming.urgentGapMs, targets * MIN_GAP_PER_VM_MS);
         scheduleNext();
     };
     /** Schedules the next send without an update, or a check whether one is due. */
--- a/packages/router/src/peers/peerTiming.ts
+++ b/packages/router/src/peers/peerTiming.ts
@@ -18,6 +18,8 @@
      * in rounds.
      */
     loadIntervalMs: 200,
+    /** Minimum time between two sends of urgent state, with few VMs. */
+    urgentGapMs: 40,
     /** Relays per failure domain. A domain with one more VM than that still serves after two deaths. */
     relays: 2,
     /**
--- a/packages/router/src/serve/watchOrders.ts
+++ b/packages/router/src/serve/watchOrders.ts
@@ -1,10 +1,13 @@
 import type { Millis } from "@azureshunt/core";
 
+import { peerTiming } from "../peers/peerTiming.js";
+
 /**
- * Delay between receiving an order and moving streams off its engine. Orders of one wave are issued at the same moment
- * and sent one after the other, over links of a few milliseconds.
+ * Delay between receiving an order and moving streams off its engine. Orders of one wave are issued within some 30 ms, as
+ * the reports of their engines come in. The first is told at once, and those that follow it after the gap between urgent
+ * sends.
  */
-const WAVE_PROPAGATION_MS: Millis = 30;
+const WAVE_PROPAGATION_MS: Millis = peerTiming.urgentGapMs + 60;
 
 type OrderWatch<Reserved> = {
     /** Calls a listener whenever the engine is ordered to load weights; returns a function that unregisters it. */
@@ -19,9 +22,9 @@
  * Watches the orders for a stream's engine and calls `move` when the stream is to leave it.
  *
  * If two engines are ordered at once and a VM knows only the first order, it would send its stream to the second
- * engine, which refuses it as it has to load new weights too; the retry is used up and the stream is cut off. To
- * prevent this, a stream leaves only when all orders of the wave are known, and only with a reserved place. Until then its
- * engine goes on with it.
+ * engine, which keeps a place for it, but refuses it as it has to load new weights too; the retry is used up and the
+ * stream is cut off. To prevent this, a stream leaves only when all orders of the wave are known, and only with a reserved
+ * place. Until then its engine goes on with it.
  *
  * @param move called with what was reserved
  * @returns a function that stops watching
