Keep a stream that waits for a place from using up the retry budget

An engine that has been ordered to load weights keeps places and refuses the requests that name them.

--- a/packages/router/src/serve/awaitPlace.ts
+++ b/packages/router/src/serve/awaitPlace.ts
@@ -8,7 +8,9 @@
 import type { ServeParts } from "./ServeParts.js";
 
 type PlaceSearch = {
-    /** Endpoints that may have run the request. */
+    /** Endpoints that have refused the request, or may have run it. */
+    readonly tried: ReadonlySet<EndpointName>;
+    /** Those that may have run it; they are not asked at all. */
     readonly ranAt: ReadonlySet<EndpointName>;
     readonly origin: StreamOrigin | undefined;
     /** When the search ends. */
@@ -30,14 +32,15 @@
 export async function awaitPlace(
     parts: ServeParts,
     served: ServedRequest,
-    { ranAt, origin, until }: PlaceSearch,
+    { tried, ranAt, origin, until }: PlaceSearch,
 ): Promise<ReservedPlace | undefined> {
     const { clock, retryBudgets } = parts;
     const { service, signal } = served;
     if (parts.declaredState().configuration?.services.get(service)?.engine?.holdMs === undefined) {
         return undefined;
     }
-    const asked = new Set<EndpointName>();
+    // If an engine that has refused the request were asked again at once, it might keep a place and refuse it once more.
+    const asked = new Set(tried);
     while (!signal.aborted && clock.now() < until && !parts.quarantine.isQuarantined(served)) {
         const place = placeRequest(parts, served, new Set([...ranAt, ...asked]), origin, true);
         const held = place === undefined ? undefined : await holdPlace(parts, served, place);
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -32,6 +32,8 @@
 
 /** Time for which callers wait for the next event of a stream at least. */
 const PATIENCE_MS = 2_000;
+/** Refusals after which a stream waits no more: an engine may keep a place and refuse the request all the same. */
+const MAX_REFUSALS = 6;
 
 /** How serving a request ended. */
 type ServedEnd =
@@ -109,14 +111,16 @@
 
     /** Ends a request for which there is no further try now, unless it is a stream that can go on a little later. */
     const waitOrGiveUp = async (progress: RequestProgress, refusal: Refusal): Promise<ServedEnd> => {
-        const { request, ranAt, notRun } = progress;
+        const { request, avoid, ranAt, notRun } = progress;
         const { lastAt } = stream.pace;
         const mayWait = stream.forwardedEvents > 0 && request.repeatable && served.caller.prompt !== undefined
-            && request.tries - notRun < served.route.maxTries;
+            && request.tries - notRun < served.route.maxTries && notRun < MAX_REFUSALS;
         const until = Math.min(served.deadline, (lastAt() ?? -Infinity) + PATIENCE_MS);
-        const reserved = mayWait ? await awaitPlace(parts, served, { ranAt, origin: stream.origin, until }) : undefined;
+        const reserved = mayWait
+            ? await awaitPlace(parts, served, { tried: avoid, ranAt, origin: stream.origin, until })
+            : undefined;
         if (reserved !== undefined) {
-            return startTry({ ...progress, avoid: ranAt }, reserved);
+            return startTry(progress, reserved);
         }
         return served.signal.aborted ? cancel(progress) : giveUp(progress, refusal);
     };
