--- a/packages/lifecycle/src/runLifecycle.ts
+++ b/packages/lifecycle/src/runLifecycle.ts
@@ -21,7 +21,7 @@
     readonly start: (context: StartContext) => Promise<Application>;
 };
 
-/** Node handles the first two itself while it starts; whoever sees from outside that the last one is handled knows that all are. */
+/** Node handles the first two itself while it starts, so only the last one shows from outside that the program handles all. */
 const SIGNALS: readonly HandledSignal[] = ["SIGTERM", "SIGINT", "SIGHUP"];
 const PHASES: readonly LifecyclePhase[] = ["starting", "serving", "draining", "stopped"];
 const MS_PER_SECOND = 1_000;
--- a/packages/router/src/serve/CallerConnectionState.ts
+++ b/packages/router/src/serve/CallerConnectionState.ts
@@ -1,5 +1,6 @@
 /**
- * What a caller's connection is in: nothing has been read from it yet; a request is being read; at least one request
- * has no whole answer yet; its last request is answered; or this VM has ended its side and discards what still arrives.
+ * State of a caller's connection. `silent`: nothing has been read from it yet. `reading`: a request is being read.
+ * `answering`: at least one request has no whole answer yet. `idle`: its last request is answered. `half-closed`: this VM
+ * has ended its side, and discards what still arrives.
  */
 export type CallerConnectionState = "silent" | "reading" | "answering" | "idle" | "half-closed";
--- a/packages/router/src/serve/createCallerConnections.ts
+++ b/packages/router/src/serve/createCallerConnections.ts
@@ -93,7 +93,7 @@
             halfClosed.add(socket);
             socket.once("close", () => halfClosed.delete(socket));
             socket.end();
-            // With a last answer, Node has registered this to close the connection at once.
+            // After a last answer, `destroySoon` of Node has registered `destroy` for the end of the write side.
             socket.removeListener("finish", socket.destroy);
         },
         closeHalfClosed: afterMs => {
