Let the endpoint table of the queues' test count requests that run

runTry counts a try as running before anything of it is sent, so the stand-in of the table needs beginRequest; four rows ended with a TypeError since. They check as much as before.

--- a/packages/router/src/__tests__/unit/requestQueues.test.ts
+++ b/packages/router/src/__tests__/unit/requestQueues.test.ts
@@ -77,6 +77,7 @@
         endpointTable: {
             entries: () => [],
             withPerformance: (candidate: unknown) => candidate,
+            beginRequest: () => ({ end: () => undefined }),
             candidates: () => [{
                 candidate: candidateOf("e", {
                     waitingTokens: Math.max(0, queueMsAt(clock.now())) * PREFILL_PER_MS,
