Tell a pause of the process from load, whatever its clocks do

What operators saw: nothing. On Linux the monotonic clock goes on while a process is stopped, so the comparison of clocks that noticed a suspension on other platforms never saw one, and a pause looked like a busy event loop.

Change: packages/lifecycle decides from the monotonic clock, the wall clock and the CPU time whether the process did not run (stepPauses): uncounted if the clocks part, counted if a tick is overdue and the process had hardly any CPU time. Parts register for either kind. A counted pause is no load: it does not count as lag when load is shed. Ticks that judge peers and endpoints by silence run once what has arrived is read. New metrics: azureshunt_pauses_total, azureshunt_paused_ms_total, heap, resident memory and descriptors with their limits.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,6 +5,7 @@
 export { approximateTokens } from "./approximateTokens.js";
 export { cacheSalt } from "./cacheSalt.js";
 export type { Clock } from "./Clock.js";
+export { cpuTimeMs } from "./cpuTimeMs.js";
 export { createClock } from "./createClock.js";
 export { DispatchId } from "./DispatchId.js";
 export { EndpointName } from "./EndpointName.js";
--- a/packages/overload/src/TickTimes.ts
+++ b/packages/overload/src/TickTimes.ts
@@ -6,4 +6,6 @@
     readonly previousTickAt: Millis;
     /** How late the last tick was. */
     readonly lagMs: Millis;
+    /** Part of the lag in which the process did not run; it says nothing of the load. */
+    readonly pausedMs: Millis;
 };
--- a/packages/overload/src/__tests__/unit/decisions.test.ts
+++ b/packages/overload/src/__tests__/unit/decisions.test.ts
@@ -68,6 +68,14 @@
     t.true(admits(later, { kind: other, waitedMs: 5_000, draw: 0 }));
 });
 
+// Guards against refusals for a time in which the process did not run, as if it had had too much to do.
+test("stepLoad: a pause in which the process did not run refuses nothing", t => {
+    const arrivals = [{ kind: urgent, count: 5 }, { kind: other, count: 5 }];
+    const before = loadAt(initial, [100], arrivals);
+    const ticks = stepTicks(before.ticks, 100, 5_000, 4_800);
+    t.is(stepLoad(before, { kind: "tick", ticks, arrivals }).shedFraction, 0);
+});
+
 // Callers that come back while the VM still refuses requests are refused again.
 test("shedEndsInMs: the time until the refused fraction has fallen to zero", t => {
     t.deepEqual([0, 0.3, 0.6].map(shedFraction => shedEndsInMs({ shedFraction })), [0, 1_000, 2_000]);
--- a/packages/overload/src/stepLoad.ts
+++ b/packages/overload/src/stepLoad.ts
@@ -83,7 +83,7 @@
  * objectives of the most urgent kind, the fraction of requests to refuse grows; it shrinks again once ticks are in time.
  */
 export function stepLoad(state: LoadState, { ticks, arrivals }: LoadEvent): LoadState {
-    const { lagMs } = ticks;
+    const lagMs = ticks.lagMs - ticks.pausedMs;
     const elapsedMs = ticks.tickAt - ticks.previousTickAt;
     const peakLagMs = Math.max(lagMs, state.peakLagMs * loadTiming.peakDecay);
     if (arrivals.length === 0 && state.kinds.size === 0) {
--- a/packages/overload/src/waitedMs.ts
+++ b/packages/overload/src/waitedMs.ts
@@ -23,7 +23,7 @@
  * connection was accepted earlier is no lower bound, as it may have been opened ahead of its request.
  */
 export function waitedMs(
-    { tickAt, previousTickAt, lagMs }: TickTimes,
+    { tickAt, previousTickAt, lagMs }: Omit<TickTimes, "pausedMs">,
     intervalMs: Millis,
     { acceptedAt, isAfterTick }: HeadRead,
     now: Millis,
--- a/packages/router/src/__tests__/support/simulateLease.ts
+++ b/packages/router/src/__tests__/support/simulateLease.ts
@@ -5,12 +5,12 @@
 import { createLeaseKeeper } from "../../fleet/createLeaseKeeper.js";
 import { createUnansweredOrders } from "../../fleet/createUnansweredOrders.js";
 import { orderFence } from "../../fleet/orderFence.js";
-import { createSuspensionWatch } from "../../knowledge/createSuspensionWatch.js";
 import type { StoreFailure } from "../../ports/StoreFailure.js";
 import type { StorePage } from "../../ports/StorePage.js";
 import type { StorePort } from "../../ports/StorePort.js";
 import { createVirtualTime } from "./createVirtualTime.js";
 import { silentLogger } from "./silentLogger.js";
+import { watchClocks } from "./watchClocks.js";
 
 /** What the store does with one call. */
 type CallFate = {
@@ -242,13 +242,13 @@
     const start = (vm: number): void => {
         const name = VMS[vm] as VmId;
         const clock: Clock = { now: () => wall.now() - (lostMs[vm] ?? 0), epoch: wall.now };
-        const watch = createSuspensionWatch(clock, () => keeper.apply({ kind: "suspended" }));
+        const check = watchClocks(clock, () => keeper.apply({ kind: "suspended" }));
         const keeper = createLeaseKeeper({
             clock,
             vm: name,
             store: storeOf(() => process),
             logger: silentLogger,
-            checkSuspension: watch.check,
+            checkSuspension: check,
             leaseMs: () => LEASE_MS,
             orderable: () => [],
             unanswered: createUnansweredOrders(clock),
@@ -261,7 +261,7 @@
             start: counts.starts++,
             clock,
             keeper,
-            check: watch.check,
+            check,
             inbox: [],
             isAlive: true,
         };
--- a/packages/router/src/serve/createTickLag.ts
+++ b/packages/router/src/serve/createTickLag.ts
@@ -6,6 +6,8 @@
 type TickLag = {
     /** To be called at every interval, before the users of the measure. */
     readonly tick: () => void;
+    /** Records that the process did not run for a part of the time since the last tick. */
+    readonly recordPause: (ms: Millis) => void;
     readonly intervalMs: Millis;
     readonly times: () => TickTimes;
     /** How late the next tick is by now; negative before it is due. */
@@ -28,6 +30,7 @@
 export function createTickLag(clock: Clock, intervalMs: Millis): TickLag {
     const state = {
         times: initialTicks(clock.now()),
+        pausedMs: 0,
         peakMs: 0,
         peakAt: -Infinity as Millis,
         lateUntil: -Infinity as Millis,
@@ -37,7 +40,8 @@
     return {
         tick: () => {
             const now = clock.now();
-            state.times = stepTicks(state.times, intervalMs, now);
+            state.times = stepTicks(state.times, intervalMs, now, state.pausedMs);
+            state.pausedMs = 0;
             const { lagMs } = state.times;
             if (lagMs >= state.peakMs || now - state.peakAt > REMEMBERED_MS) {
                 state.peakMs = lagMs;
@@ -47,6 +51,9 @@
                 state.lateUntil = now + REMEMBERED_MS;
             }
         },
+        recordPause: ms => {
+            state.pausedMs += ms;
+        },
         intervalMs,
         times: () => state.times,
         overdueMs,
--- a/packages/router/src/startGauges.ts
+++ b/packages/router/src/startGauges.ts
@@ -1,4 +1,5 @@
 import type { createStreamKeeper } from "@azureshunt/continuation";
+import { registerProcessGauges } from "@azureshunt/telemetry";
 import type { Metrics } from "@azureshunt/telemetry";
 
 import { orderFence } from "./fleet/orderFence.js";
@@ -95,6 +96,7 @@
     gauges.push(
         metrics.gauge("azureshunt_held_bytes", held, byteBudget.heldBytes, { for: "callers" }),
         metrics.gauge("azureshunt_held_bytes", held, unreadBodies.heldBytes, { for: "endpoints" }),
+        registerProcessGauges(metrics),
     );
     return () => gauges.forEach(unregister => unregister());
 }
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -1,10 +1,10 @@
 import { randomUUID } from "node:crypto";
 import type { Server } from "node:http";
 
-import { createClock } from "@azureshunt/core";
+import { cpuTimeMs, createClock } from "@azureshunt/core";
 import type { EndpointName, Incarnation, Millis, Tokens } from "@azureshunt/core";
 import { budgetOf, defaultBounds } from "@azureshunt/flow";
-import { handlePendingSignals, stopParts } from "@azureshunt/lifecycle";
+import { afterPendingReads, createPauseWatch, handlePendingSignals, stopParts } from "@azureshunt/lifecycle";
 import type { ManagedPart, StartContext } from "@azureshunt/lifecycle";
 import { createLoggers, createMetrics } from "@azureshunt/telemetry";
 
@@ -21,7 +21,6 @@
 import { startOrders } from "./fleet/startOrders.js";
 import { createByteBudget } from "./flow/createByteBudget.js";
 import { createUnreadBodies } from "./flow/createUnreadBodies.js";
-import { createSuspensionWatch } from "./knowledge/createSuspensionWatch.js";
 import { startDeclarations } from "./knowledge/startDeclarations.js";
 import { createMembership } from "./peers/createMembership.js";
 import { createPeerLoad } from "./peers/createPeerLoad.js";
@@ -64,6 +63,7 @@
 import { stopMarginMs } from "./serve/stopMarginMs.js";
 import { startGauges } from "./startGauges.js";
 import { startMetricsListener } from "./startMetricsListener.js";
+import { startTicks } from "./startTicks.js";
 import { countStoreCalls } from "./store/countStoreCalls.js";
 import { createRelayReads } from "./store/createRelayReads.js";
 import { measureStore } from "./store/measureStore.js";
@@ -106,7 +106,7 @@
 const KEY_MARGIN_MS = 600;
 /** Allows for the time that a request may wait in the engine's queue before it begins. */
 const WEIGHTS_MARGIN_MS = 1_500;
-/** Interval of the ticks of all time-driven components. They share one timer, as that wakes an idle VM least often. */
+/** Interval of the ticks of all time-driven components. */
 const TICK_MS = 100;
 const MISDIRECTED = 421;
 
@@ -177,18 +177,12 @@
         seeds: settings.seeds.filter(seed => seed !== settings.listen.peers),
     });
 
-    const suspensionWatch = createSuspensionWatch(clock, jumpMs => {
-        logger.warn(
-            { jumpMs },
-            "Monotonic and wall clock diverged: the process was suspended or the wall clock was stepped.",
-        );
-        declarations.onSuspended();
-        registry.onSuspended();
-        orders.applyLeaseEvent({ kind: "suspended" });
-        rollouts.onSuspended();
-        // Confirmations by peers count only after they have echoed a timestamp from after the suspension, so send one
-        // soon. Deferred, because the suspension may be noticed while a round of beacons is being sent.
-        setImmediate(() => beacons.sendSoon());
+    const pauses = createPauseWatch({
+        clock,
+        cpuMs: cpuTimeMs,
+        intervalMs: TICK_MS,
+        logger: loggers("lifecycle"),
+        metrics,
     });
 
     const relayReads = createRelayReads({
@@ -205,7 +199,7 @@
         agent,
         logger: loggers("knowledge"),
         metrics,
-        checkSuspension: suspensionWatch.check,
+        checkSuspension: pauses.check,
         onRollout: order => rollouts.order(order),
         readerScope: membership.readerScope,
         isForDomains: membership.reachesOtherDomains,
@@ -219,6 +213,7 @@
             beacons.sendSoon();
         },
     });
+    pauses.register("uncounted", declarations.onSuspended);
     const servesForMs = (): Millis => state.settings.weightsMs - WEIGHTS_MARGIN_MS;
     const peerLoad = createPeerLoad({
         clock,
@@ -265,7 +260,7 @@
         isReader: membership.isReader,
         queryRelay: relayReads.query,
         mustWaitForRelay: relayReads.mustWait,
-        checkSuspension: suspensionWatch.check,
+        checkSuspension: pauses.check,
         onEntries: entries => {
             streams.addEntries(entries);
             requestQueues.onLoadKnown();
@@ -275,6 +270,7 @@
         onStoreRead: () =>
             membership.isReader() && membership.vms() > peerTiming.fewVms ? beacons.sendSoon() : undefined,
     });
+    pauses.register("uncounted", registry.onSuspended);
     const liveVms = (): { readonly vms: number; readonly silentVms: number; } => {
         const { peers, silent } = membership.liveness();
         return { vms: peers + 1, silentVms: silent.length };
@@ -338,7 +334,7 @@
         wire: parts.endpointWire,
         declaredState: declarations.current,
         logger: loggers("fleet"),
-        checkSuspension: suspensionWatch.check,
+        checkSuspension: pauses.check,
         servesForMs,
         demand: fleetDemand,
         leaseMs: () => state.settings.orderLeaseMs,
@@ -348,6 +344,7 @@
         onTargets: declarations.learnTargets,
         sendSoon: () => beacons.sendSoon(),
     });
+    pauses.register("uncounted", () => orders.applyLeaseEvent({ kind: "suspended" }));
 
     const rollouts = createRollouts({
         clock,
@@ -364,6 +361,7 @@
         logger: loggers("rollout"),
         metrics,
     });
+    pauses.register("uncounted", rollouts.onSuspended);
 
     const streams = startStreams({
         clock,
@@ -404,13 +402,19 @@
         incarnation,
         logger,
         metrics,
-        checkSuspension: suspensionWatch.check,
+        checkSuspension: pauses.check,
         onApplied: requestQueues.onLoadKnown,
         receiveOther: streams.receive,
         claim: claims.needed,
     });
+    // Confirmations by peers count only after they have echoed a timestamp from after the pause, so send one soon. Deferred,
+    // because the pause may be noticed while a round of beacons is being sent.
+    (["counted", "uncounted"] as const).forEach(kind =>
+        pauses.register(kind, () => afterPendingReads(beacons.sendSoon))
+    );
 
     const tickLag = createTickLag(clock, TICK_MS);
+    pauses.register("counted", ({ ms }) => tickLag.recordPause(ms));
     const overload = createOverloadGuard({ clock, random: Math.random, lag: tickLag });
     const bounds = (): FreshnessBounds => ({
         maxAgeForKeysMs: state.settings.keyWithdrawalMs - KEY_MARGIN_MS,
@@ -463,7 +467,7 @@
         fleetDemand,
         placingVms: membership.vms,
         isDomainSilent: domain => membership.domainSilentMs(domain) > 0,
-        checkSuspension: suspensionWatch.check,
+        checkSuspension: pauses.check,
         isDraining: () => state.isDraining,
         isLagging: tickLag.isLagging,
         serviceShares: createServiceShares(clock),
@@ -569,18 +573,11 @@
         membership,
         logger,
     });
-    const timer = setInterval(() => {
-        tickLag.tick();
-        overload.tick();
-        byteBudget.tick();
-        suspensionWatch.check();
-        quarantine.tick();
-        membership.tick();
-        orders.tick();
-        rollouts.tick();
-        streams.tick();
-        announcing.tick();
-    }, TICK_MS);
+    const stopTicks = startTicks({
+        intervalMs: TICK_MS,
+        first: [pauses, tickLag, overload, byteBudget],
+        afterReads: [quarantine, membership, orders, rollouts, streams, announcing],
+    });
     logger.info({ listen: settings.listen }, "Started.");
 
     const drainMs = (): Millis => state.settings.stopMs - stopMarginMs;
@@ -600,7 +597,7 @@
         { name: "beacons", stop: beacons.stop },
         { name: "registry", stop: registry.stop },
         { name: "declarations", stop: declarations.stop },
-        { name: "timer", stop: () => clearInterval(timer) },
+        { name: "ticks", stop: stopTicks },
         { name: "gauges", stop: stopGauges },
         { name: "queues", stop: requestQueues.stop },
         {
--- /dev/null
+++ b/packages/router/src/startTicks.ts
@@ -0,0 +1,24 @@
+import type { Millis } from "@azureshunt/core";
+import { afterPendingReads } from "@azureshunt/lifecycle";
+
+type Ticking = { readonly tick: () => void; };
+type TickParts = {
+    readonly intervalMs: Millis;
+    /** Those that tell how late this process is, or free what it holds. */
+    readonly first: readonly Ticking[];
+    /** Those that judge peers and endpoints by their silence. */
+    readonly afterReads: readonly Ticking[];
+};
+
+/** Ticks all time-driven parts by one timer, as that wakes an idle VM least often; returns a function that stops it. */
+export function startTicks({ intervalMs, first, afterReads }: TickParts): () => void {
+    const state = { cancel: (): void => undefined };
+    const timer = setInterval(() => {
+        first.forEach(part => part.tick());
+        state.cancel = afterPendingReads(() => afterReads.forEach(part => part.tick()));
+    }, intervalMs);
+    return () => {
+        clearInterval(timer);
+        state.cancel();
+    };
+}
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -2,3 +2,4 @@
 export { createLoggers } from "./createLoggers.js";
 export { createMetrics } from "./createMetrics.js";
 export type { Metrics } from "./Metrics.js";
+export { registerProcessGauges } from "./registerProcessGauges.js";
