Judge others by silence only once what they have sent is read

Cause: as a stopped process goes on, its poll is interrupted and finds its time used up, so all timers that are overdue run before anything is read.

Change: startTimeout, timeoutSignal and afterPendingReads in packages/lifecycle expire after the event loop has polled once. All timers that judge callers, endpoints, peers and the store use them, in the router and in the daemon; the idle and request timers of Node's HTTP server only ask for that judgement. azureshunt_idle_timeouts_total tells whether a request had arrived.

--- a/packages/daemon/src/admin/showRelease.ts
+++ b/packages/daemon/src/admin/showRelease.ts
@@ -1,4 +1,5 @@
 import { type Refusal, refusalOf } from "@azureshunt/core";
+import { timeoutSignal } from "@azureshunt/lifecycle";
 import { type Either, Left } from "purify-ts";
 
 import { configurationStream } from "../configuration/configurationStream.js";
@@ -16,7 +17,7 @@
     if (summary === undefined) {
         return Left(refusalOf("not-found", "no such revision, or one too long ago"));
     }
-    const page = await ctx.log.read(configurationStream, summary.offset, 1, 0, AbortSignal.timeout(READ_MS));
+    const page = await ctx.log.read(configurationStream, summary.offset, 1, 0, timeoutSignal(READ_MS));
     const data = page.map(({ records }) => records.find(record => record.id === summary.id)?.data).toMaybe().extract();
     const note = typeof data === "object" && data !== null && "note" in data ? data.note : undefined;
     return ok({ ...summary, release: note });
--- a/packages/daemon/src/fleet/createEngineClient.ts
+++ b/packages/daemon/src/fleet/createEngineClient.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from "node:crypto";
 
 import type { ObservedEngine, WeightsOrder } from "@azureshunt/fleet";
+import { timeoutSignal } from "@azureshunt/lifecycle";
 import type { EndpointSpec } from "@azureshunt/release";
 import { Agent, request } from "undici";
 
@@ -31,7 +32,7 @@
 
     const observe: EngineClient["observe"] = async spec => {
         try {
-            const res = await request(`${spec.url}/v1/state`, { dispatcher, signal: AbortSignal.timeout(timeoutMs) });
+            const res = await request(`${spec.url}/v1/state`, { dispatcher, signal: timeoutSignal(timeoutMs) });
             const { holds, loading } = EngineState.parse(await res.body.json());
             return { name: spec.name, holds, loading };
         }
@@ -46,7 +47,7 @@
             const res = await request(`${spec.url}/v1/orders`, {
                 method: "POST",
                 dispatcher,
-                signal: AbortSignal.timeout(timeoutMs),
+                signal: timeoutSignal(timeoutMs),
                 headers: { "content-type": "application/json" },
                 body: JSON.stringify({
                     orderId: randomUUID(),
--- a/packages/daemon/src/placement/fetchPieces.ts
+++ b/packages/daemon/src/placement/fetchPieces.ts
@@ -1,4 +1,5 @@
 import type { PieceHash } from "@azureshunt/core";
+import { timeoutSignal } from "@azureshunt/lifecycle";
 import { request } from "undici";
 import type { Dispatcher } from "undici";
 import { z } from "zod";
@@ -28,7 +29,7 @@
         const res = await request(`${fetch.url}/v1/kv/import`, {
             method: "POST",
             dispatcher,
-            signal: AbortSignal.timeout(fetch.timeoutMs),
+            signal: timeoutSignal(fetch.timeoutMs),
             headers: { "content-type": "application/json" },
             body: JSON.stringify({ from: fetch.from, hashes: fetch.pieces }),
         });
--- a/packages/daemon/src/placement/getJson.ts
+++ b/packages/daemon/src/placement/getJson.ts
@@ -1,3 +1,4 @@
+import { timeoutSignal } from "@azureshunt/lifecycle";
 import type { Either } from "purify-ts";
 import { Left, Right } from "purify-ts";
 import { request } from "undici";
@@ -18,7 +19,7 @@
     timeoutMs: number,
 ): Promise<Either<Error, z.output<Schema>>> {
     try {
-        const res = await request(url, { dispatcher, signal: AbortSignal.timeout(timeoutMs) });
+        const res = await request(url, { dispatcher, signal: timeoutSignal(timeoutMs) });
         if (res.statusCode !== STATUS_OK) {
             await res.body.dump();
             return Left(new Error(`status ${res.statusCode}`));
--- a/packages/daemon/src/suspects/hasDied.ts
+++ b/packages/daemon/src/suspects/hasDied.ts
@@ -1,4 +1,5 @@
 import type { Incarnation, Millis } from "@azureshunt/core";
+import { timeoutSignal } from "@azureshunt/lifecycle";
 import { probeUntilClear } from "@azureshunt/request";
 import type { ProbeResult, ProbeTiming } from "@azureshunt/request";
 import { request } from "undici";
@@ -21,7 +22,7 @@
 
 const probe = async (url: string, incarnation: Incarnation | undefined, answerMs: number): Promise<ProbeResult> => {
     try {
-        const res = await request(`${url}/v1/state`, { signal: AbortSignal.timeout(answerMs), reset: true });
+        const res = await request(`${url}/v1/state`, { signal: timeoutSignal(answerMs), reset: true });
         const state = State.safeParse(await res.body.json());
         const isOther = state.success && incarnation !== undefined && state.data.incarnation !== incarnation;
         return isOther ? "dead" : "alive";
--- a/packages/lifecycle/src/index.ts
+++ b/packages/lifecycle/src/index.ts
@@ -28,3 +28,4 @@
 export { stepLifecycle } from "./stepLifecycle.js";
 export { stepPauses } from "./stepPauses.js";
 export { stopParts } from "./stopParts.js";
+export { timeoutSignal } from "./timeoutSignal.js";
--- a/packages/log/src/createLogClient.ts
+++ b/packages/log/src/createLogClient.ts
@@ -1,4 +1,5 @@
 import { RecordId } from "@azureshunt/core";
+import { timeoutSignal } from "@azureshunt/lifecycle";
 import { Left, Right } from "purify-ts";
 import { Agent, request } from "undici";
 import { z } from "zod";
@@ -48,7 +49,7 @@
                 dispatcher,
                 headers: { "content-type": "application/json" },
                 body: JSON.stringify({ records }),
-                signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+                signal: timeoutSignal(CALL_TIMEOUT_MS),
             });
             const text = await res.body.text();
             return res.statusCode === STATUS_OK
@@ -65,7 +66,7 @@
             const res = await request(streamUrl(stream), {
                 dispatcher,
                 query: { from, limit, waitMs },
-                signal: AbortSignal.any([signal, AbortSignal.timeout(waitMs + CALL_TIMEOUT_MS)]),
+                signal: AbortSignal.any([signal, timeoutSignal(waitMs + CALL_TIMEOUT_MS)]),
             });
             const text = await res.body.text();
             if (res.statusCode === STATUS_EXPIRED) {
--- a/packages/log/src/listVms.ts
+++ b/packages/log/src/listVms.ts
@@ -1,4 +1,5 @@
 import { FailureDomain, VmId } from "@azureshunt/core";
+import { timeoutSignal } from "@azureshunt/lifecycle";
 import { EitherAsync } from "purify-ts";
 import { request } from "undici";
 import { z } from "zod";
@@ -26,7 +27,7 @@
  */
 export function listVms(url: string): EitherAsync<Error, readonly ListedVm[]> {
     return EitherAsync(async () => {
-        const res = await request(`${url}/vms`, { signal: AbortSignal.timeout(CALL_TIMEOUT_MS) });
+        const res = await request(`${url}/vms`, { signal: timeoutSignal(CALL_TIMEOUT_MS) });
         return VmList.parse(await res.body.json()).vms;
     }).mapLeft(err => err instanceof Error ? err : new Error(String(err)));
 }
--- a/packages/router/src/dispatch/askEndpoint.ts
+++ b/packages/router/src/dispatch/askEndpoint.ts
@@ -1,5 +1,6 @@
 import type { EndpointStatement } from "@azureshunt/completion";
 import type { Clock, EndpointName, Millis } from "@azureshunt/core";
+import { startTimeout } from "@azureshunt/lifecycle";
 
 import type { EncodedCall } from "../ports/EncodedCall.js";
 import type { EngineReport } from "../ports/EngineReport.js";
@@ -53,9 +54,9 @@
             return { kind: "none" };
         }
         const { res } = opened;
-        const timer = setTimeout(() => res.destroy(), Math.max(0, endedAt + ANSWER_MS - clock.now()));
+        const cancelTimeout = startTimeout(Math.max(0, endedAt + ANSWER_MS - clock.now()), () => void res.destroy());
         const body = await readAnswer(opened);
-        clearTimeout(timer);
+        cancelTimeout();
         if (body === undefined) {
             return { kind: "none" };
         }
--- a/packages/router/src/dispatch/callOnce.ts
+++ b/packages/router/src/dispatch/callOnce.ts
@@ -1,8 +1,10 @@
 import type { IncomingMessage } from "node:http";
 
 import type { Millis } from "@azureshunt/core";
+import { startTimeout } from "@azureshunt/lifecycle";
 
 import type { CallResult } from "./CallResult.js";
+import { createCancellation } from "./createCancellation.js";
 import type { EndpointAgent } from "./EndpointAgent.js";
 import type { EndpointCall } from "./EndpointCall.js";
 import { openCall } from "./openCall.js";
@@ -23,16 +25,18 @@
     timeoutMs: Millis,
     onHead?: (res: IncomingMessage) => void,
 ): Promise<CallResult> {
-    // `AbortSignal.timeout` throws on a fraction of a millisecond, which would end the process.
-    const signal = AbortSignal.timeout(Math.ceil(timeoutMs));
+    const { signal, abort } = createCancellation();
+    const cancelTimeout = startTimeout(timeoutMs, abort);
     // What Node refuses to send has reached nobody; those who make these calls mostly do not wait for them.
     const opened = await openCall(agent, { ...call, address, maxIdleMs: MAX_IDLE_MS, headMs: timeoutMs }, signal)
         .catch(() => ({ kind: "unreached" }) as const);
     if (opened.kind !== "head") {
+        cancelTimeout();
         return { kind: opened.kind === "unreached" ? "unreached" : "lost" };
     }
     onHead?.(opened.res);
     const body = await readAnswer(opened);
+    cancelTimeout();
     return body === undefined
         ? { kind: "lost" }
         : { kind: "answer", status: opened.res.statusCode ?? 0, body: Buffer.concat(body) };
--- a/packages/router/src/dispatch/hasDied.ts
+++ b/packages/router/src/dispatch/hasDied.ts
@@ -1,6 +1,7 @@
 import { connect } from "node:net";
 
 import type { Millis } from "@azureshunt/core";
+import { startTimeout } from "@azureshunt/lifecycle";
 import { probeUntilClear } from "@azureshunt/request";
 import type { ProbeResult, ProbeTiming } from "@azureshunt/request";
 
@@ -18,12 +19,17 @@
     const [host, port] = address.split(":");
     return new Promise(resolve => {
         const socket = connect({ host, port: Number(port) });
+        const state = { cancelTimeout: (): void => undefined };
         const settle = (result: ProbeResult): void => {
+            state.cancelTimeout();
             socket.destroy();
             resolve(result);
         };
-        socket.setTimeout(connectMs, () => settle(socket.connecting ? "unclear" : "alive"));
-        socket.once("connect", () => socket.setTimeout(minOpenMs));
+        state.cancelTimeout = startTimeout(connectMs, () => settle("unclear"));
+        socket.once("connect", () => {
+            state.cancelTimeout();
+            state.cancelTimeout = startTimeout(minOpenMs, () => settle("alive"));
+        });
         socket.once("close", () => settle("unclear"));
         socket.once("error", (err: NodeJS.ErrnoException) => settle(err.code === "ECONNREFUSED" ? "dead" : "unclear"));
         socket.resume();
--- a/packages/router/src/dispatch/openCall.ts
+++ b/packages/router/src/dispatch/openCall.ts
@@ -3,6 +3,7 @@
 import { framingOf } from "@azureshunt/completion";
 import type { ConnectionEnd } from "@azureshunt/completion";
 import { defaultBounds } from "@azureshunt/flow";
+import { startTimeout } from "@azureshunt/lifecycle";
 
 import type { Tunnel } from "../tunnel/Tunnel.js";
 import type { CancelSignal } from "./CancelSignal.js";
@@ -84,8 +85,8 @@
                 req.destroy();
             }
         };
-        const connectTimer = agent.limitsOpening ? undefined : setTimeout(endUnlessConnected, CONNECT_MS);
-        const headTimer = { current: undefined as NodeJS.Timeout | undefined };
+        const cancelConnectTimeout = agent.limitsOpening ? undefined : startTimeout(CONNECT_MS, endUnlessConnected);
+        const headTimeout = { cancel: (): void => undefined };
         const { headBytes, progressMs } = call.bounds ?? defaultBounds;
         const head = { startBytes: 0, bytes: 0, since: 0, lastAt: -Infinity };
         /**
@@ -115,19 +116,19 @@
                 onSilence();
                 return;
             }
-            headTimer.current = setTimeout(checkHead, Math.min(leftMs, RECHECK_MS));
+            headTimeout.cancel = startTimeout(Math.min(leftMs, RECHECK_MS), checkHead);
         };
         const onSilence = (): void => {
             if (progress.isConnected && call.isAlive?.() === true) {
-                headTimer.current = setTimeout(checkHead, RECHECK_MS);
+                headTimeout.cancel = startTimeout(RECHECK_MS, checkHead);
                 return;
             }
             endAsSilent();
         };
-        headTimer.current = setTimeout(checkHead, Math.min(call.headMs, RECHECK_MS));
+        headTimeout.cancel = startTimeout(Math.min(call.headMs, RECHECK_MS), checkHead);
         const settle = (opened: OpenedCall): void => {
-            clearTimeout(connectTimer);
-            clearTimeout(headTimer.current);
+            cancelConnectTimeout?.();
+            headTimeout.cancel();
             resolve(opened);
         };
         signal.addEventListener("abort", abandon, { once: true });
--- a/packages/router/src/dispatch/readAnswer.ts
+++ b/packages/router/src/dispatch/readAnswer.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "@azureshunt/core";
 import type { FlowBounds } from "@azureshunt/flow";
 import { defaultBounds, isStalled } from "@azureshunt/flow";
+import { startTimeout } from "@azureshunt/lifecycle";
 
 import type { HeldAccount } from "../flow/HeldAccount.js";
 import type { EndChecks } from "./EndChecks.js";
@@ -43,13 +44,19 @@
     const { res } = opened;
     return new Promise(resolve => {
         const chunks: Buffer[] = [];
-        const state = { bytes: 0, hasEnded: false, isSettled: false, growth: { since: clock.now(), bytes: 0 } };
+        const state = {
+            bytes: 0,
+            hasEnded: false,
+            isSettled: false,
+            growth: { since: clock.now(), bytes: 0 },
+            cancelTimeout: (): void => undefined,
+        };
         const settle = (body: readonly Buffer[] | undefined): void => {
             if (state.isSettled) {
                 return;
             }
             state.isSettled = true;
-            clearTimeout(timer);
+            state.cancelTimeout();
             if (account !== undefined) {
                 account.onBudgetRoom = undefined;
                 account.source = undefined;
@@ -75,9 +82,9 @@
                 return;
             }
             state.growth = { since: now, bytes: 0 };
-            timer.refresh();
+            state.cancelTimeout = startTimeout(bounds.progressMs, checkGrowth);
         };
-        const timer = setTimeout(checkGrowth, bounds.progressMs);
+        state.cancelTimeout = startTimeout(bounds.progressMs, checkGrowth);
         if (account !== undefined) {
             account.onBudgetRoom = () => {
                 account.source = undefined;
@@ -119,7 +126,7 @@
         res.on("close", settleUnlessEnded);
         res.on("end", () => {
             state.hasEnded = true;
-            clearTimeout(timer);
+            state.cancelTimeout();
             resolveEnd(opened, endChecks, isWhole => settle(isWhole ? chunks : undefined));
         });
     });
--- a/packages/router/src/fleet/createEngineCalls.ts
+++ b/packages/router/src/fleet/createEngineCalls.ts
@@ -1,5 +1,7 @@
 import type { IncomingMessage } from "node:http";
 
+import { startTimeout } from "@azureshunt/lifecycle";
+
 import { callOnce } from "../dispatch/callOnce.js";
 import type { EndpointAgent } from "../dispatch/EndpointAgent.js";
 import type { EngineCalls } from "./EngineCalls.js";
@@ -21,6 +23,6 @@
             }
             return result;
         },
-        schedule: (delayMs, run) => void setTimeout(run, delayMs),
+        schedule: startTimeout,
     };
 }
--- a/packages/router/src/peers/startBeacons.ts
+++ b/packages/router/src/peers/startBeacons.ts
@@ -1,6 +1,6 @@
+import { startTimeout } from "@azureshunt/lifecycle";
 import { createSocket } from "node:dgram";
 
-import { scheduleTimer } from "../scheduleTimer.js";
 import { createBeaconExchange } from "./createBeaconExchange.js";
 
 type ExchangeParts = Parameters<typeof createBeaconExchange>[0];
@@ -82,7 +82,7 @@
         state.exchange = createBeaconExchange({
             ...parts,
             send,
-            schedule: scheduleTimer,
+            schedule: startTimeout,
             onUnreadable: () => parts.onFault("unreadable", undefined),
         });
     };
--- a/packages/router/src/quarantine/createQuarantine.ts
+++ b/packages/router/src/quarantine/createQuarantine.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "@azureshunt/core";
+import { startTimeout } from "@azureshunt/lifecycle";
 import { createSuspects, partKeysOf } from "@azureshunt/quarantine";
 import type { SuspectKey, SuspectRows } from "@azureshunt/quarantine";
 import { fingerprintOf } from "@azureshunt/request";
@@ -6,7 +7,6 @@
 import type { Logger } from "pino";
 
 import type { EndpointEntry } from "../registry/EndpointEntry.js";
-import { scheduleTimer } from "../scheduleTimer.js";
 import type { ServedRequest } from "../serve/ServedRequest.js";
 import type { TryStage } from "../serve/TryStage.js";
 
@@ -74,7 +74,7 @@
 
 /** Creates the quarantine, empty. */
 export function createQuarantine(parts: QuarantineParts): Quarantine {
-    const { clock, hasDied, logger, metrics, schedule = scheduleTimer } = parts;
+    const { clock, hasDied, logger, metrics, schedule = startTimeout } = parts;
     const suspects = createSuspects({
         clock,
         isRelay: parts.isRelay,
--- a/packages/router/src/serve/createCallerConnections.ts
+++ b/packages/router/src/serve/createCallerConnections.ts
@@ -28,6 +28,10 @@
     readonly closeHalfClosed: (afterMs: Millis) => void;
     readonly forEach: (visit: ConnectionVisitor) => void;
     readonly size: () => number;
+    /** What has been read of a connection: whether it is between two requests, or within one that has no whole head. */
+    readonly reading: (
+        socket: Duplex,
+    ) => { readonly bytes: number; readonly isIdle: boolean; readonly isPartial: boolean; };
     /** Answers that are not whole yet. */
     readonly unanswered: () => ReadonlySet<ServerResponse>;
     readonly counts: () => ConnectionCounts;
@@ -106,6 +110,11 @@
         },
         forEach,
         size: () => connections.size,
+        reading: socket => {
+            const connection = connections.get(socket);
+            const state = connection === undefined ? undefined : stateOf(socket, connection);
+            return { bytes: bytesReadOf(socket), isIdle: state === "idle", isPartial: state === "reading" };
+        },
         unanswered: () => unanswered,
         counts: () => {
             const counts: Partial<Record<CallerConnectionState, number>> = {};
--- a/packages/router/src/serve/createRequestReader.ts
+++ b/packages/router/src/serve/createRequestReader.ts
@@ -4,6 +4,7 @@
 import { refusalOf } from "@azureshunt/core";
 import { isStalled } from "@azureshunt/flow";
 import { readBody } from "@azureshunt/http";
+import { startTimeout } from "@azureshunt/lifecycle";
 import type { Either } from "purify-ts";
 import { Left } from "purify-ts";
 
@@ -48,10 +49,10 @@
     ): Promise<Either<Refusal, Buffer>> =>
         new Promise((resolve, reject) => {
             const { progressMs } = parts.flowBounds();
-            const state = { isOver: false, growth: { since: clock.now(), bytes: 0 } };
+            const state = { isOver: false, growth: { since: clock.now(), bytes: 0 }, cancel: (): void => undefined };
             const end = (result: Either<Refusal, Buffer>): void => {
                 state.isOver = true;
-                clearTimeout(timer);
+                state.cancel();
                 resolve(result);
             };
             const checkGrowth = (): void => {
@@ -62,9 +63,9 @@
                     return;
                 }
                 state.growth = { since: now, bytes: 0 };
-                timer.refresh();
+                state.cancel = startTimeout(progressMs, checkGrowth);
             };
-            const timer = setTimeout(checkGrowth, progressMs);
+            state.cancel = startTimeout(progressMs, checkGrowth);
             const onBytes = (bytes: number): Refusal | undefined => {
                 state.growth.bytes += bytes;
                 add(bytes);
--- a/packages/router/src/serve/forwardStream.ts
+++ b/packages/router/src/serve/forwardStream.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "@azureshunt/core";
 import type { FlowBounds } from "@azureshunt/flow";
 import { isStalled } from "@azureshunt/flow";
+import { startTimeout } from "@azureshunt/lifecycle";
 
 import { createEventSplitter } from "../dispatch/createEventSplitter.js";
 import type { EndChecks } from "../dispatch/EndChecks.js";
@@ -46,7 +47,7 @@
     const splitter = createEventSplitter();
     return new Promise(resolve => {
         const state = {
-            timer: undefined as NodeJS.Timeout | undefined,
+            cancelTimeout: (): void => undefined,
             isFirst: true,
             isPaused: false,
             hasEnded: false,
@@ -79,7 +80,7 @@
         };
         const unregister = parts.onMove(() => endTry("moved"));
         const stopWatching = (): void => {
-            clearTimeout(state.timer);
+            state.cancelTimeout();
             unregister();
         };
 
@@ -89,18 +90,18 @@
             const silentMs = clock.now() - state.lastDataAt;
             if (state.isPaused || silentMs < allowedMs) {
                 const leftMs = state.isPaused ? allowedMs : allowedMs - silentMs;
-                state.timer = setTimeout(checkSilence, leftMs, allowedMs);
+                state.cancelTimeout = startTimeout(leftMs, () => checkSilence(allowedMs));
                 return;
             }
             if (state.silentAt !== state.lastDataAt && parts.isAlive()) {
                 state.silentAt = state.lastDataAt;
-                state.timer = setTimeout(checkSilence, LOST_CONNECTION_MS, allowedMs);
+                state.cancelTimeout = startTimeout(LOST_CONNECTION_MS, () => checkSilence(allowedMs));
                 return;
             }
             endTry("silent");
         };
         if (silenceMs !== undefined) {
-            state.timer = setTimeout(checkSilence, silenceMs, silenceMs);
+            state.cancelTimeout = startTimeout(silenceMs, () => checkSilence(silenceMs));
         }
 
         const mustWait = (): boolean => {
--- a/packages/router/src/serve/sendTry.ts
+++ b/packages/router/src/serve/sendTry.ts
@@ -1,9 +1,9 @@
 import type { Millis } from "@azureshunt/core";
+import { startTimeout } from "@azureshunt/lifecycle";
 
 import { openCall } from "../dispatch/openCall.js";
 import type { OpenedCall } from "../dispatch/OpenedCall.js";
 import type { InFlightHandle } from "../placement/InFlightHandle.js";
-import { scheduleTimer } from "../scheduleTimer.js";
 import { areStoresCrowded } from "./areStoresCrowded.js";
 import { forwardAnswer } from "./forwardAnswer.js";
 import { headTimeout } from "./headTimeout.js";
@@ -296,7 +296,7 @@
             onMove: move =>
                 watchOrders({
                     onOrdered: listener => endpointTable.onOrdered(place.entry.name, listener),
-                    schedule: scheduleTimer,
+                    schedule: startTimeout,
                     reserve: () => reserveMove(tryParts),
                 }, reserved => {
                     moved.to = reserved;
--- a/packages/router/src/serve/startCallerServer.ts
+++ b/packages/router/src/serve/startCallerServer.ts
@@ -4,6 +4,7 @@
 import type { Millis } from "@azureshunt/core";
 import { refusalOf } from "@azureshunt/core";
 import type { ErrorKind } from "@azureshunt/core";
+import { afterPendingReads, startTimeout } from "@azureshunt/lifecycle";
 
 import type { CallerLimits } from "../configuration/CallerLimits.js";
 import type { CallerWire } from "../ports/CallerWire.js";
@@ -27,6 +28,8 @@
     readonly isReady: () => boolean;
     /** Called for each connection that a caller opens. */
     readonly onConnection?: (connection: Duplex) => void;
+    /** Called as a connection's idle time is up; `isIdle` unless a request has arrived by then. */
+    readonly onIdleTimeout?: (isIdle: boolean) => void;
     readonly drainLog: ReturnType<typeof createDrainLog>;
     /** Called with errors that reach nobody else; see `startListener`. */
     readonly onFault?: Parameters<typeof startListener>[2];
@@ -50,9 +53,10 @@
 /** A caller that sends on for longer after its last answer does not read it. */
 const MAX_LINGER_MS = 2_000;
 
+const TIMED_OUT = "ERR_HTTP_REQUEST_TIMEOUT";
 const ERROR_KINDS: Readonly<Record<string, ErrorKind>> = {
     HPE_HEADER_OVERFLOW: "headers-too-large",
-    ERR_HTTP_REQUEST_TIMEOUT: "headers-too-slow",
+    [TIMED_OUT]: "headers-too-slow",
 };
 
 const errorKindOf = (err: NodeJS.ErrnoException): ErrorKind => ERROR_KINDS[err.code ?? ""] ?? "bad-request";
@@ -113,7 +117,7 @@
      * Bytes that are not a valid request, or two requests merged into one by conflicting lengths, could be forwarded
      * and run. To prevent this, the parser is strict, the caller gets an error, and the connection is closed.
      */
-    server.on("clientError", (err: NodeJS.ErrnoException, socket: Duplex) => {
+    const refuseBytes = (err: NodeJS.ErrnoException, socket: Duplex): void => {
         if (isReset(err) || !socket.writable) {
             socket.destroy();
             return;
@@ -126,7 +130,34 @@
                 "\r\n",
             ),
         );
-    });
+    };
+    /** A request that is not complete in time is refused, unless more of it has arrived by then. */
+    const judgeSlowRequest = (err: NodeJS.ErrnoException, socket: Duplex): void => {
+        const { bytes } = connections.reading(socket);
+        afterPendingReads(() => {
+            const now = connections.reading(socket);
+            if (now.bytes === bytes) {
+                refuseBytes(err, socket);
+            }
+            else if (now.isPartial) {
+                // Node does not watch this request any more.
+                startTimeout(server.headersTimeout, () => judgeSlowRequest(err, socket));
+            }
+        });
+    };
+    server.on(
+        "clientError",
+        (err: NodeJS.ErrnoException, socket: Duplex) =>
+            (err.code === TIMED_OUT ? judgeSlowRequest : refuseBytes)(err, socket),
+    );
+    server.on("timeout", socket =>
+        afterPendingReads(() => {
+            const isIdle = connections.reading(socket).isIdle;
+            parts.onIdleTimeout?.(isIdle);
+            if (isIdle) {
+                socket.destroy();
+            }
+        }));
     server.on("connection", (socket: Duplex) => {
         connections.open(socket);
         parts.onConnection?.(socket);
--- a/packages/router/src/serve/watchCancellation.ts
+++ b/packages/router/src/serve/watchCancellation.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from "node:http";
 
 import type { Millis } from "@azureshunt/core";
+import { startTimeout } from "@azureshunt/lifecycle";
 
 import type { CancelSignal } from "../dispatch/CancelSignal.js";
 import { createCancellation } from "../dispatch/createCancellation.js";
@@ -18,10 +19,10 @@
 export function watchCancellation(res: ServerResponse, endsInMs: Millis): Cancellation {
     const controller = createCancellation();
     const state = { isDeadlineExceeded: false };
-    const timer = setTimeout(() => {
+    const cancelTimeout = startTimeout(endsInMs, () => {
         state.isDeadlineExceeded = true;
         controller.abort();
-    }, endsInMs);
+    });
     const onClose = (): void => {
         if (!res.writableFinished) {
             controller.abort();
@@ -33,7 +34,7 @@
         onClose();
     }
     const release = (): void => {
-        clearTimeout(timer);
+        cancelTimeout();
         res.removeListener("close", onClose);
     };
     return {
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -4,7 +4,13 @@
 import { cpuTimeMs, createClock } from "@azureshunt/core";
 import type { EndpointName, Incarnation, Millis, Tokens } from "@azureshunt/core";
 import { budgetOf, defaultBounds } from "@azureshunt/flow";
-import { afterPendingReads, createPauseWatch, handlePendingSignals, stopParts } from "@azureshunt/lifecycle";
+import {
+    afterPendingReads,
+    createPauseWatch,
+    handlePendingSignals,
+    startTimeout,
+    stopParts,
+} from "@azureshunt/lifecycle";
 import type { ManagedPart, StartContext } from "@azureshunt/lifecycle";
 import { createLoggers, createMetrics } from "@azureshunt/telemetry";
 
@@ -48,7 +54,6 @@
 import { createRollouts } from "./rollout/createRollouts.js";
 import { sendReport } from "./rollout/sendReport.js";
 import type { RouterSettings } from "./RouterSettings.js";
-import { scheduleTimer } from "./scheduleTimer.js";
 import { createDegradation } from "./serve/createDegradation.js";
 import { createDrainLog } from "./serve/createDrainLog.js";
 import { createIgnoredHeaderLog } from "./serve/createIgnoredHeaderLog.js";
@@ -280,7 +285,7 @@
         configuration: () => declarations.current().configuration,
         placingVms: membership.vms,
         freeSlots: endpointTable.freeSlots,
-        schedule: scheduleTimer,
+        schedule: startTimeout,
         metrics,
     });
     const demand = createDemand(clock);
@@ -443,7 +448,7 @@
         allowanceQueue: createAllowanceQueue({
             clock,
             allowances,
-            schedule: (delayMs, run) => void setTimeout(run, delayMs),
+            schedule: startTimeout,
         }),
         demand,
         retryBudgets: createRetryBudgets(() => state.settings.retries, () => membership.vms()),
@@ -557,6 +562,10 @@
         limits: () => declarations.current().configuration?.limits,
         isReady,
         onConnection: overload.recordAccepted,
+        onIdleTimeout: isIdle =>
+            metrics.count("azureshunt_idle_timeouts_total", "Callers' connections whose idle time was up.", {
+                end: isIdle ? "closed" : "request arrived",
+            }),
         drainLog: createDrainLog(metrics, logger),
         onFault: onListenerFault("callers"),
     });
--- a/packages/router/src/tunnel/createConnector.ts
+++ b/packages/router/src/tunnel/createConnector.ts
@@ -1,6 +1,7 @@
 import type { Socket } from "node:net";
 
 import type { Clock, FailureDomain, Peer, ServiceName, VmId } from "@azureshunt/core";
+import { startTimeout, timeoutSignal } from "@azureshunt/lifecycle";
 import { allEndpoints, serviceGroup } from "@azureshunt/reach";
 import type { EndpointGroup, LinkTarget } from "@azureshunt/reach";
 import type { Metrics } from "@azureshunt/telemetry";
@@ -8,7 +9,6 @@
 
 import type { OpenConnection } from "../dispatch/OpenConnection.js";
 import type { OpenedConnection } from "../dispatch/OpenedConnection.js";
-import { scheduleTimer } from "../scheduleTimer.js";
 import { createLinkMonitor } from "./createLinkMonitor.js";
 import { createTunnelOpener } from "./createTunnelOpener.js";
 import { openOwnLink } from "./openOwnLink.js";
@@ -75,7 +75,7 @@
     openOwnLink,
     requestTunnel,
     /** Calls a function after a delay; returns a function that cancels it. */
-    schedule: scheduleTimer,
+    schedule: startTimeout,
     /** Calls a function once the connections are handled that have opened while this process was busy. */
     defer: (run: () => void): void => void setImmediate(run),
 } as const;
@@ -208,7 +208,7 @@
 
     /** Opens a connection to an endpoint that has just left the registry, for which peers open none. */
     const openUnregistered = async (address: string): Promise<OpenedConnection> => {
-        const socket = await ports.openOwnLink(address, AbortSignal.timeout(tunnelTiming.connectMs), parts.open);
+        const socket = await ports.openOwnLink(address, timeoutSignal(tunnelTiming.connectMs), parts.open);
         return { socket, kind: "new" };
     };
 
@@ -218,7 +218,7 @@
             return;
         }
         links.record("failed", target);
-        const tunnel = await tunnels.open(target, AbortSignal.timeout(tunnelTiming.connectMs));
+        const tunnel = await tunnels.open(target, timeoutSignal(tunnelTiming.connectMs));
         tunnel.ifRight(({ socket }) => {
             socket.destroy();
             links.record("bypassed", target);
@@ -230,7 +230,7 @@
         if (target === undefined) {
             return !links.isCutOff(allEndpoints);
         }
-        const tunnel = await tunnels.open(target, AbortSignal.timeout(tunnelTiming.connectMs));
+        const tunnel = await tunnels.open(target, timeoutSignal(tunnelTiming.connectMs));
         return tunnel.caseOf({
             Left: failure => failure === "endpoint-refused" || !isTargetCutOff(target),
             Right: ({ socket }) => {
--- a/packages/router/src/tunnel/forwardTunnel.ts
+++ b/packages/router/src/tunnel/forwardTunnel.ts
@@ -4,6 +4,7 @@
 import type { TunnelEnd, TunnelEvent } from "@azureshunt/completion";
 
 import type { Millis } from "@azureshunt/core";
+import { afterPendingReads } from "@azureshunt/lifecycle";
 
 import { wasReset } from "../dispatch/wasReset.js";
 
@@ -57,7 +58,13 @@
             }
         };
         from.setNoDelay(true);
-        from.setTimeout(idleMs, () => giveUp("idle"));
+        from.on("timeout", () => {
+            const { bytesRead, bytesWritten } = from;
+            afterPendingReads(() =>
+                from.bytesRead === bytesRead && from.bytesWritten === bytesWritten ? giveUp("idle") : undefined
+            );
+        });
+        from.setTimeout(idleMs);
         // Before the listener of `pipe`, which passes a clean end on.
         from.prependOnceListener("end", () => pass(wasReset(from) ? "reset" : "closed"));
         from.on("error", () => pass("failed"));
--- a/packages/router/src/tunnel/requestTunnel.ts
+++ b/packages/router/src/tunnel/requestTunnel.ts
@@ -1,6 +1,7 @@
 import { request } from "node:http";
 
 import type { FailureDomain, Millis } from "@azureshunt/core";
+import { startTimeout } from "@azureshunt/lifecycle";
 import type { TunnelFailure } from "@azureshunt/reach";
 import { Left, Right } from "purify-ts";
 
@@ -53,13 +54,13 @@
             agent: false,
         });
         const fail = (failure: TunnelFailure, names: Names = { named: [], helpers: [] }): void => {
-            clearTimeout(timer);
+            cancelTimeout();
             signal.removeEventListener("abort", onAbort);
             req.destroy();
             resolve({ tunnel: Left(failure), ...names });
         };
         const onAbort = (): void => fail("peer");
-        const timer = setTimeout(() => fail("peer"), answerMs);
+        const cancelTimeout = startTimeout(answerMs, () => fail("peer"));
         signal.addEventListener("abort", onAbort, { once: true });
         req.once("connect", (res, socket) => {
             const names = {
@@ -71,7 +72,7 @@
                 fail(FAILURES.get(res.statusCode) ?? "peer", names);
                 return;
             }
-            clearTimeout(timer);
+            cancelTimeout();
             signal.removeEventListener("abort", onAbort);
             socket.setNoDelay(true);
             resolve({ tunnel: Right(socket), ...names });
--- a/packages/router/src/tunnel/serveTunnels.ts
+++ b/packages/router/src/tunnel/serveTunnels.ts
@@ -4,6 +4,7 @@
 
 import type { TunnelEnd } from "@azureshunt/completion";
 import type { FailureDomain, Millis, Peer } from "@azureshunt/core";
+import { startTimeout } from "@azureshunt/lifecycle";
 
 import type { OpenConnection } from "../dispatch/OpenConnection.js";
 import type { createTunnelEnds } from "./createTunnelEnds.js";
@@ -152,25 +153,25 @@
         opening.add(far);
         far.once("close", () => opening.delete(far));
         const fail = (status: number): void => {
-            clearTimeout(timer);
+            cancelTimeout();
             far.destroy();
             parts.onFailed(address);
             refuse(req, near, failedStatus(status));
         };
-        const timer = setTimeout(() => {
+        const cancelTimeout = startTimeout(peerConnectMs, () => {
             recordSilent(address);
             fail(tunnelStatus.silent);
-        }, peerConnectMs);
+        });
         const onFarError = (): void => fail(tunnelStatus.refused);
         const onNearClose = (): void => {
-            clearTimeout(timer);
+            cancelTimeout();
             far.destroy();
         };
         near.once("close", onNearClose);
         far.once("error", onFarError);
         far.once("connect", () => {
             opening.delete(far);
-            clearTimeout(timer);
+            cancelTimeout();
             far.removeListener("error", onFarError);
             near.removeListener("close", onNearClose);
             near.removeListener("error", onEarlyError);
