Let requests wait for facts that are old only because the process paused

What callers saw: after a pause of 6 s a VM refused all requests with a key as configuration-too-old (20 of 20 on kept connections, 20 of 20 on new ones), though the store answered some milliseconds later.

Cause: requests that lay unread are admitted in the same turn of the event loop in which the process goes on, before any answer of the store or beacon of a peer can have come.

Change: for half a second after a pause, a request that would be refused for that reason alone waits until the configuration is confirmed, if its deadline is later than that. A VM that is cut off refuses them then; without a pause it refuses at once, as before.

--- a/packages/router/src/knowledge/startDeclarations.ts
+++ b/packages/router/src/knowledge/startDeclarations.ts
@@ -33,6 +33,8 @@
     readonly metrics: Metrics;
     /** Called when this VM learned something that the other VMs should receive soon. */
     readonly onChange: () => void;
+    /** Called when the configuration in force has been confirmed as the newest one of a later time. */
+    readonly onConfirmed?: () => void;
     /** Called when this VM has read the store for all VMs, so that they receive the confirmation soon. */
     readonly onFleetRead: () => void;
     /** Called with each order of a rollout that was read; the same one may be read several times. */
@@ -121,6 +123,9 @@
     const apply = (event: DeclarationEvent): void => {
         const before = state.declaredState;
         state.declaredState = stepDeclaredState(before, event, clock.now());
+        if (state.declaredState.confirmedAt > before.confirmedAt) {
+            parts.onConfirmed?.();
+        }
         if (state.declaredState.configuration !== before.configuration) {
             logger.info({ revision: state.declaredState.configuration?.revision }, "Configuration in force.");
             parts.onChange();
--- a/packages/router/src/serve/ServeParts.ts
+++ b/packages/router/src/serve/ServeParts.ts
@@ -22,6 +22,7 @@
 import type { createQuarantine } from "../quarantine/createQuarantine.js";
 import type { createRollouts } from "../rollout/createRollouts.js";
 import type { createDegradation } from "./createDegradation.js";
+import type { createFactsWait } from "./createFactsWait.js";
 import type { createIgnoredHeaderLog } from "./createIgnoredHeaderLog.js";
 import type { createOverloadGuard } from "./createOverloadGuard.js";
 import type { createRequestQueues } from "./createRequestQueues.js";
@@ -68,6 +69,7 @@
     readonly isDomainSilent: (domain: FailureDomain) => boolean;
     /** Checks whether the process was suspended; state received before a suspension is no longer valid. */
     readonly checkSuspension: () => void;
+    readonly factsWait: Pick<ReturnType<typeof createFactsWait>, "decide">;
     readonly isDraining: () => boolean;
     /** Whether this process runs late, so that what it reads may have waited for long. */
     readonly isLagging: () => boolean;
--- a/packages/router/src/serve/createRequestHandler.ts
+++ b/packages/router/src/serve/createRequestHandler.ts
@@ -148,16 +148,23 @@
     };
 
     /** Selects the route, organisation and service of a request; `undefined` if it was refused. */
-    const admit = ({ caller, arrivedAt }: CompleteRequest, res: ServerResponse): AdmittedRequest | undefined => {
-        const query = { declaredState: declaredState(), request: caller, arrivedAt, bounds: parts.bounds() };
-        const admission = admitRequest(query).chain<Refusal, AdmittedRequest>(({ route, organisation }) => {
-            const service = chooseService(route, parts.random());
-            const tokens = tokensOf(caller, organisation);
-            const notes = createRequestNotes(logger, clock, caller.id);
-            return service === undefined
-                ? Left(refusalOf("no-endpoint"))
-                : Right({ route, organisation, service, tokens, notes });
-        });
+    const admit = async (
+        { caller, arrivedAt, waited }: CompleteRequest,
+        res: ServerResponse,
+    ): Promise<AdmittedRequest | undefined> => {
+        const decide = () =>
+            admitRequest({ declaredState: declaredState(), request: caller, arrivedAt, bounds: parts.bounds() });
+        const decided = parts.factsWait.decide(decide, arrivedAt - waited.most + (caller.deadlineMs ?? Infinity));
+        const admission = (decided instanceof Promise ? await decided : decided).chain<Refusal, AdmittedRequest>(
+            ({ route, organisation }) => {
+                const service = chooseService(route, parts.random());
+                const tokens = tokensOf(caller, organisation);
+                const notes = createRequestNotes(logger, clock, caller.id);
+                return service === undefined
+                    ? Left(refusalOf("no-endpoint"))
+                    : Right({ route, organisation, service, tokens, notes });
+            },
+        );
         return admission.map(admitted => {
             const { route, organisation, service, tokens, notes } = admitted;
             parts.retryBudgets.earn(service);
@@ -170,8 +177,8 @@
                 deadlineMs: caller.deadlineMs,
                 lastEventId: caller.lastEventId,
                 begunBy: caller.begunBy,
-                revision: query.declaredState.configuration?.revision,
-                confirmedMs: Math.round(arrivedAt - query.declaredState.confirmedAt),
+                revision: declaredState().configuration?.revision,
+                confirmedMs: Math.round(arrivedAt - declaredState().confirmedAt),
             });
             return admitted;
         }).caseOf({
@@ -206,7 +213,7 @@
     const serve = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
         parts.checkSuspension();
         const request = await readRequest(req, res);
-        const admitted = request === undefined ? undefined : admit(request, res);
+        const admitted = request === undefined ? undefined : await admit(request, res);
         if (request === undefined || admitted === undefined) {
             return;
         }
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -56,6 +56,7 @@
 import type { RouterSettings } from "./RouterSettings.js";
 import { createDegradation } from "./serve/createDegradation.js";
 import { createDrainLog } from "./serve/createDrainLog.js";
+import { createFactsWait } from "./serve/createFactsWait.js";
 import { createIgnoredHeaderLog } from "./serve/createIgnoredHeaderLog.js";
 import { createOverloadGuard } from "./serve/createOverloadGuard.js";
 import { createRequestHandler } from "./serve/createRequestHandler.js";
@@ -197,6 +198,8 @@
         metrics,
         isFirstStart: settings.isFirstStart,
     });
+    const factsWait = createFactsWait({ clock });
+    (["counted", "uncounted"] as const).forEach(kind => pauses.register(kind, factsWait.recordPause));
     const declarations = startDeclarations({
         clock,
         storeFor: storeFor("declarations"),
@@ -213,6 +216,7 @@
         beaconIntervalMs: membership.beaconIntervalMs,
         queryRelay: relayReads.query,
         mustWaitForRelay: relayReads.mustWait,
+        onConfirmed: factsWait.recordConfirmed,
         onChange: () => {
             allowances.open(declarations.current().configuration?.organisations.values() ?? []);
             beacons.sendSoon();
@@ -473,6 +477,7 @@
         placingVms: membership.vms,
         isDomainSilent: domain => membership.domainSilentMs(domain) > 0,
         checkSuspension: pauses.check,
+        factsWait,
         isDraining: () => state.isDraining,
         isLagging: tickLag.isLagging,
         serviceShares: createServiceShares(clock),
