Let a paused process that stops read before it ends connections

What callers saw: a VM that was suspended for 3 s as it stopped closed all connections on which a request lay unread (20 of 20 closed without an answer, suspended 2.8 s after SIGTERM; none 0.2 and 1.5 s after it).

Cause: the drain looks at the connections on a timer, so the first look after a pause came before anything was read; the end of the drain, the close of half-closed connections, the look at tunnels and the cut of unread answers were judged the same way.

Change: these looks come after pending reads as well.

--- a/packages/router/src/serve/startCallerServer.ts
+++ b/packages/router/src/serve/startCallerServer.ts
@@ -172,7 +172,7 @@
     };
     const timer = setInterval(() => {
         applyLimits();
-        connections.closeHalfClosed(MAX_LINGER_MS);
+        afterPendingReads(() => connections.closeHalfClosed(MAX_LINGER_MS));
     }, LIMITS_INTERVAL_MS);
 
     /**
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -589,8 +589,8 @@
     });
     const stopTicks = startTicks({
         intervalMs: TICK_MS,
-        first: [pauses, tickLag, overload, byteBudget],
-        afterReads: [quarantine, membership, orders, rollouts, streams, announcing],
+        first: [pauses, tickLag, overload],
+        afterReads: [byteBudget, quarantine, membership, orders, rollouts, streams, announcing],
     });
     logger.info({ listen: settings.listen }, "Started.");
 
--- a/packages/router/src/startTicks.ts
+++ b/packages/router/src/startTicks.ts
@@ -4,9 +4,9 @@
 type Ticking = { readonly tick: () => void; };
 type TickParts = {
     readonly intervalMs: Millis;
-    /** Those that tell how late this process is, or free what it holds. */
+    /** Those that tell how late this process is. */
     readonly first: readonly Ticking[];
-    /** Those that judge peers and endpoints by their silence. */
+    /** Those that judge callers, peers and endpoints by their silence. */
     readonly afterReads: readonly Ticking[];
 };
 
--- a/packages/router/src/tunnel/drainTunnels.ts
+++ b/packages/router/src/tunnel/drainTunnels.ts
@@ -1,4 +1,5 @@
 import type { Millis } from "@azureshunt/core";
+import { startTimeout } from "@azureshunt/lifecycle";
 
 import type { TunnelUser } from "./TunnelUser.js";
 
@@ -44,7 +45,7 @@
                 state.notifiedAt = now;
                 notifyAll(left);
             }
-            setTimeout(poll, POLL_MS);
+            startTimeout(POLL_MS, poll);
         };
         poll();
     });
