End a stop only once what endpoints have sent is read

Cause: the timers of the drain and of the overdue stop ran before anything was read.

Change: both are timeouts that expire after the event loop has polled.

--- a/packages/lifecycle/src/runLifecycle.ts
+++ b/packages/lifecycle/src/runLifecycle.ts
@@ -11,6 +11,7 @@
 import type { LifecyclePhase } from "./LifecyclePhase.js";
 import type { StartContext } from "./StartContext.js";
 import { StartFailure } from "./StartFailure.js";
+import { startTimeout } from "./startTimeout.js";
 import { stepLifecycle } from "./stepLifecycle.js";
 
 type LifecycleParts = {
@@ -41,7 +42,7 @@
         current: initialLifecycle,
         application: undefined as Application | undefined,
         startMs: undefined as number | undefined,
-        overdue: undefined as NodeJS.Timeout | undefined,
+        cancelOverdue: (): void => undefined,
     };
 
     const exit = async (cause: ExitCause): Promise<void> => {
@@ -55,8 +56,8 @@
         }
     };
     const endWithin = (ms: Millis): void => {
-        clearTimeout(state.overdue);
-        state.overdue = setTimeout(() => apply({ kind: "drain-overdue" }), ms);
+        state.cancelOverdue();
+        state.cancelOverdue = startTimeout(ms, () => apply({ kind: "drain-overdue" }));
     };
     const drain = (application: Application): void => {
         endWithin(application.stopMs());
--- a/packages/router/src/serve/drainCallers.ts
+++ b/packages/router/src/serve/drainCallers.ts
@@ -2,6 +2,7 @@
 
 import type { Millis } from "@azureshunt/core";
 import { stopListening } from "@azureshunt/http";
+import { startTimeout } from "@azureshunt/lifecycle";
 
 import type { CallerDrainPhase } from "./CallerDrainPhase.js";
 import type { CallerDrainState } from "./CallerDrainState.js";
@@ -86,7 +87,7 @@
                 setImmediate(look);
                 return;
             }
-            setTimeout(look, POLL_MS[phase]);
+            startTimeout(POLL_MS[phase], look);
         };
         schedule(false);
     });
