--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -4,24 +4,18 @@
 import { cpuTimeMs, createClock } from "@azureshunt/core";
 import type { EndpointName, Incarnation, Millis, Tokens } from "@azureshunt/core";
 import { budgetOf, defaultBounds } from "@azureshunt/flow";
-import {
-    afterPendingReads,
-    createPauseWatch,
-    handlePendingSignals,
-    startTimeout,
-    stopParts,
-} from "@azureshunt/lifecycle";
-import type { ManagedPart, StartContext } from "@azureshunt/lifecycle";
+import { afterPendingReads, createPauseWatch, handlePendingSignals, startTimeout } from "@azureshunt/lifecycle";
+import type { ManagedPart } from "@azureshunt/lifecycle";
 import { createLoggers, createMetrics } from "@azureshunt/telemetry";
 
 import { createAllowanceQueue } from "./allowance/createAllowanceQueue.js";
 import { createAllowances } from "./allowance/createAllowances.js";
 import { createAddressClaims } from "./createAddressClaims.js";
+import { createRouter } from "./createRouter.js";
 import { createEndConfirmation } from "./dispatch/createEndConfirmation.js";
 import { EndpointAgent } from "./dispatch/EndpointAgent.js";
 import { hasDied } from "./dispatch/hasDied.js";
 import { maxIdleConnections } from "./dispatch/maxIdleConnections.js";
-import type { OpenConnection } from "./dispatch/OpenConnection.js";
 import { createEngineCalls } from "./fleet/createEngineCalls.js";
 import { orderFence } from "./fleet/orderFence.js";
 import { startOrders } from "./fleet/startOrders.js";
@@ -44,16 +38,14 @@
 import { createPerformance } from "./placement/createPerformance.js";
 import { createPrefixIndex } from "./placement/createPrefixIndex.js";
 import { limitsOfHolder } from "./placement/limitsOfHolder.js";
-import type { CallerWire } from "./ports/CallerWire.js";
-import type { DirectoryWire } from "./ports/DirectoryWire.js";
-import type { EndpointWire } from "./ports/EndpointWire.js";
 import type { StorePort } from "./ports/StorePort.js";
 import { createQuarantine } from "./quarantine/createQuarantine.js";
 import { isProber } from "./quarantine/isProber.js";
 import { startRegistry } from "./registry/startRegistry.js";
 import { createRollouts } from "./rollout/createRollouts.js";
 import { sendReport } from "./rollout/sendReport.js";
-import type { RouterSettings } from "./RouterSettings.js";
+import type { Router } from "./Router.js";
+import type { RouterParts } from "./RouterParts.js";
 import { createDegradation } from "./serve/createDegradation.js";
 import { createDrainLog } from "./serve/createDrainLog.js";
 import { createFactsWait } from "./serve/createFactsWait.js";
@@ -76,38 +68,12 @@
 import type { StoreCallReason } from "./store/StoreCallReason.js";
 import { startStreams } from "./streams/startStreams.js";
 import { askTunnelEnd } from "./tunnel/askTunnelEnd.js";
+import { closeTunnels } from "./tunnel/closeTunnels.js";
 import { createConnector } from "./tunnel/createConnector.js";
 import { createTunnelEnds } from "./tunnel/createTunnelEnds.js";
 import { sendDrainNotice } from "./tunnel/sendDrainNotice.js";
 import { serveTunnels } from "./tunnel/serveTunnels.js";
 
-/** Settings and adapters that a router is built from. */
-type RouterParts = {
-    readonly settings: RouterSettings;
-    readonly store: StorePort;
-    readonly directory: DirectoryWire;
-    readonly callerWire: CallerWire;
-    readonly endpointWire: EndpointWire;
-    /** Opens connections to endpoints and peers; `connect` of `node:net` if omitted. */
-    readonly open?: OpenConnection;
-    /** Life cycle of the process; none if omitted. */
-    readonly lifecycle?: StartContext;
-};
-
-/** A running router. */
-type Router = {
-    /** Applies the time limits and other bounds of new settings. Names and addresses change only after a restart. */
-    readonly reload: (settings: RouterSettings) => void;
-    /** Refuses new requests from now on, as not run. */
-    readonly refuse: () => void;
-    /** Cuts off the answers that are not whole. */
-    readonly cut: () => void;
-    /** Time within which `shutDown` ends, by the settings in force. */
-    readonly stopMs: () => Millis;
-    /** Stops accepting connections, lets running requests finish, and stops all components. */
-    readonly shutDown: () => Promise<void>;
-};
-
 /** Allows for late timers and for the milliseconds that a request takes to arrive. */
 const KEY_MARGIN_MS = 600;
 /** Allows for the time that a request may wait in the engine's queue before it begins. */
@@ -595,19 +561,10 @@
     logger.info({ listen: settings.listen }, "Started.");
 
     const drainMs = (): Millis => state.settings.stopMs - stopMarginMs;
-    const closeTunnels = (): void => {
-        if (tunnels.size() > 0) {
-            logger.warn(
-                { tunnels: tunnels.size() },
-                "Reset tunnels of other VMs: still open as the time to stop ended.",
-            );
-        }
-        tunnels.closeAll();
-    };
     /** In the order in which they stop. */
     const managedParts: readonly ManagedPart[] = [
         { name: "callers", drain: () => callerServer.drain(drainMs()) },
-        { name: "tunnels", drain: () => tunnels.drain(drainMs()), stop: closeTunnels },
+        { name: "tunnels", drain: () => tunnels.drain(drainMs()), stop: () => closeTunnels(tunnels, logger) },
         { name: "beacons", stop: beacons.stop },
         { name: "registry", stop: registry.stop },
         { name: "declarations", stop: declarations.stop },
@@ -624,25 +581,5 @@
         { name: "metrics", stop: metricsListener.stop },
         { name: "calls", stop: () => [agent, requestAgent].forEach(each => each.destroy()) },
     ];
-    const shutDown = async (): Promise<void> => {
-        state.isDraining = true;
-        logger.info("Stopping.");
-        requestQueues.close();
-        await stopParts(managedParts, (part, err) => logger.error({ part, err }, "Stopping a part failed."));
-        logger.info("Stopped.");
-    };
-    const refuse = (): void => {
-        state.isDraining = true;
-        requestQueues.close();
-        callerServer.refuse();
-    };
-    const reload = (next: RouterSettings): void => {
-        const isFixed = JSON.stringify(next.listen) === JSON.stringify(settings.listen) && next.vm === settings.vm;
-        state.settings = next;
-        logger.info(
-            { isFixed },
-            isFixed ? "Settings reloaded." : "Settings reloaded; changes of names and addresses need a restart.",
-        );
-    };
-    return { shutDown, refuse, cut: callerServer.cut, stopMs: () => state.settings.stopMs, reload };
+    return createRouter({ settings, state, managedParts, requestQueues, callerServer, logger });
 }
