Refuse requests whose heads would use up the heap

What callers saw: the process ended by SIGABRT, as its heap of 86 MB was used up, and all connections on it were lost. 500 requests of 16 KB, in 600 fields each, that lay unread as it was suspended for 3 s were enough, and so were 1,000 without a suspension; 3,500 of one large field.

Cause: heads read in one turn of the event loop wait for each other, so that all are decoded before any is judged. The byte budget counts bodies and answers, not heads; Node keeps each head twice until its answer is whole.

Change: the byte budget knows what the heads of unanswered requests take, by size and number of fields. Beyond a quarter of the heap a request is refused undecoded (503 memory-exhausted); large heads sooner than small ones. Once decoded, Node's copies are freed.

Not bounded yet: heads that are not complete, pipelined requests.

--- a/packages/flow/src/__tests__/unit/flow.test.ts
+++ b/packages/flow/src/__tests__/unit/flow.test.ts
@@ -2,6 +2,8 @@
 
 import { budgetOf } from "../../budgetOf.js";
 import { chooseCuts } from "../../chooseCuts.js";
+import { hasRoomForHead } from "../../hasRoomForHead.js";
+import { headCost } from "../../headCost.js";
 import type { HeldRequest } from "../../HeldRequest.js";
 import { isOnceExhausted } from "../../isOnceExhausted.js";
 import { isStalled } from "../../isStalled.js";
@@ -101,3 +103,15 @@
     t.false(isStalled({ since: 0, bytes: 100 }, 5_000, 4_999));
     t.false(isStalled({ since: 0, bytes: 40_000 }, 5_000, 5_000));
 });
+
+// Guards against heads that use up the heap, and against small ones that are refused because others are large.
+([
+    ["a large one, first", headCost(16_000, 600), 0, true],
+    ["a large one beside others", headCost(16_000, 600), 20e6, false],
+    ["a small one beside large ones", headCost(600, 15), 20e6, true],
+    ["a small one at the limit", headCost(600, 15), 21.5e6, false],
+] as const).forEach(([name, cost, heldBytes, isLetIn]) => {
+    test(`flow: a head is let in while the heap has room: ${name}`, t => {
+        t.is(hasRoomForHead(cost, heldBytes, 86e6), isLetIn);
+    });
+});
--- a/packages/flow/src/index.ts
+++ b/packages/flow/src/index.ts
@@ -7,6 +7,8 @@
 export { endpointLevels } from "./endpointLevels.js";
 export type { FlowBounds } from "./FlowBounds.js";
 export { flowLevels } from "./flowLevels.js";
+export { hasRoomForHead } from "./hasRoomForHead.js";
+export { headCost } from "./headCost.js";
 export type { HeldRequest } from "./HeldRequest.js";
 export { isExhausted } from "./isExhausted.js";
 export { isOnceExhausted } from "./isOnceExhausted.js";
--- a/packages/router/src/flow/HeldAccount.ts
+++ b/packages/router/src/flow/HeldAccount.ts
@@ -8,6 +8,8 @@
 
 /** What this VM buffers for one request. */
 export type HeldAccount = HeldRequest & {
+    /** What the request's head takes beside `bytes`. */
+    readonly headBytes: number;
     /** Since when an answer or a large event has been read that is sent only once it is whole. */
     answerSince: Millis | undefined;
     /** Since when something waits that was sent to the caller. */
--- a/packages/router/src/flow/createByteBudget.ts
+++ b/packages/router/src/flow/createByteBudget.ts
@@ -2,7 +2,7 @@
 import type { Socket } from "node:net";
 
 import type { Clock, Millis } from "@azureshunt/core";
-import { chooseCuts, flowLevels, isExhausted, isOnceExhausted, readAheadOf } from "@azureshunt/flow";
+import { chooseCuts, flowLevels, hasRoomForHead, isExhausted, isOnceExhausted, readAheadOf } from "@azureshunt/flow";
 import type { Metrics } from "@azureshunt/telemetry";
 import type { Logger } from "pino";
 
@@ -12,14 +12,18 @@
     readonly clock: Clock;
     /** In bytes; `Infinity` if the sum has no bound. */
     readonly budget: () => number;
+    /** Limit of the heap in bytes; none if omitted. */
+    readonly heapBytes?: number;
     readonly logger: Logger;
     readonly metrics: Metrics;
 };
 
 /** The bytes that this VM buffers for requests. */
 type ByteBudget = {
-    /** Opens the account of a request; it is closed with its response. */
-    readonly open: (res: ServerResponse) => HeldAccount;
+    /** Opens the account of a request, whose head takes so many bytes beside the budget; it is closed with its response. */
+    readonly open: (res: ServerResponse, headBytes?: number) => HeldAccount;
+    /** Whether a request may be read whose head takes so many bytes. */
+    readonly hasRoomForHead: (headBytes: number) => boolean;
     /** Whether a new request is refused. Those that may not be repeated have a part of the budget. */
     readonly isExhausted: (isRepeatable?: boolean) => boolean;
     /** Adds bytes that are held for no single request, such as those of tunnels. */
@@ -39,7 +43,7 @@
 const OTHER_FRACTION = 0.5;
 
 /** Keeps the sum of what this VM buffers for requests, and cuts requests off when it exceeds the budget. */
-export function createByteBudget({ clock, budget, logger, metrics }: BudgetParts): ByteBudget {
+export function createByteBudget({ clock, budget, heapBytes = Infinity, logger, metrics }: BudgetParts): ByteBudget {
     const accounts = new Set<HeldAccount>();
     const waiting = new Set<HeldAccount>();
     /** Responses whose accounts are open, by connection. */
@@ -47,6 +51,7 @@
     const sources: (() => number)[] = [];
     const state = {
         requestBytes: 0,
+        headBytes: 0,
         otherBytes: 0,
         searchedAt: -Infinity,
         hasCut: false,
@@ -113,6 +118,7 @@
         if (accounts.delete(account)) {
             waiting.delete(account);
             state.requestBytes -= account.bytes;
+            state.headBytes -= account.headBytes;
             wake();
         }
     };
@@ -137,9 +143,10 @@
         return added;
     };
 
-    const open: ByteBudget["open"] = res => {
+    const open: ByteBudget["open"] = (res, headBytes = 0) => {
         const counted = { total: 0, inNode: 0 };
         const account: HeldAccount = {
+            headBytes,
             get bytes() {
                 return counted.total;
             },
@@ -194,6 +201,7 @@
             return account;
         }
         accounts.add(account);
+        state.headBytes += headBytes;
         const ofSocket = responsesOf(socket).add(res);
         res.once("close", () => {
             ofSocket.delete(res);
@@ -225,6 +233,7 @@
     };
     return {
         open,
+        hasRoomForHead: headBytes => hasRoomForHead(headBytes, state.headBytes, heapBytes),
         isExhausted: (isRepeatable = true) =>
             isExhausted(state.requestBytes, requestBudget()) || (!isRepeatable && isOnceFull()),
         addSource: read => void sources.push(read),
--- a/packages/router/src/serve/createRequestReader.ts
+++ b/packages/router/src/serve/createRequestReader.ts
@@ -2,7 +2,7 @@
 
 import type { Refusal } from "@azureshunt/core";
 import { refusalOf } from "@azureshunt/core";
-import { isStalled } from "@azureshunt/flow";
+import { headCost, isStalled } from "@azureshunt/flow";
 import { readBody } from "@azureshunt/http";
 import { startTimeout } from "@azureshunt/lifecycle";
 import type { Either } from "purify-ts";
@@ -27,6 +27,13 @@
 const headerBytesOf = ({ method = "", url = "", rawHeaders }: IncomingMessage): number =>
     rawHeaders.reduce((sum, text) => sum + text.length + SEPARATOR_BYTES, method.length + url.length);
 
+/** Frees a request's head once it is decoded; only the length of the body is read after it. */
+const freeHead = (req: IncomingMessage): void => {
+    const { "content-length": length } = req.headers;
+    req.rawHeaders = [];
+    req.headers = length === undefined ? {} : { "content-length": length };
+};
+
 /**
  * Creates the reader of callers' requests. It refuses what this VM has no CPU time or memory for, before the body is read
  * where it can; the reader then resolves with `undefined`.
@@ -76,7 +83,21 @@
 
     return async (req, res) => {
         const arrivedAt = clock.now();
+        const headerBytes = headerBytesOf(req);
+        const headBytes = headCost(headerBytes, req.rawHeaders.length / 2);
+        /**
+         * Heads that arrive together are all decoded before the first of them is judged. To prevent that they use up the
+         * memory, those beyond its part are refused undecoded.
+         */
+        if (!parts.byteBudget.hasRoomForHead(headBytes)) {
+            freeHead(req);
+            const retryAfterSeconds = memoryRetryAfterSeconds(Infinity);
+            refuse(res, refusalOf("memory-exhausted", "its head", { retryAfterSeconds }), undefined, true);
+            return undefined;
+        }
+        const account = parts.byteBudget.open(res, headBytes);
         const decoded = callerWire.decode(req);
+        freeHead(req);
         const { limits, routes = [], ownerOfKey } = declaredState().configuration ?? {};
         const route = decoded.map(({ host, target }) => findRoute(routes, host, target)).toMaybe().extractNullable();
         const key = decoded.toMaybe().extract()?.key;
@@ -111,7 +132,7 @@
             refuse(res, refusalOf("vm-overloaded", detail, { retryAfterSeconds }), caller?.id, false);
             return undefined;
         }
-        if (headerBytesOf(req) > (limits?.headerBytes ?? Infinity)) {
+        if (headerBytes > (limits?.headerBytes ?? Infinity)) {
             refuse(res, refusalOf("headers-too-large"), undefined, true);
             return undefined;
         }
@@ -125,7 +146,6 @@
             refuse(res, withoutMemory(), decoded.toMaybe().extract()?.id, true);
             return undefined;
         }
-        const account = parts.byteBudget.open(res);
         const body = await readHeldBody(req, limits?.bodyBytes ?? DEFAULT_MAX_BODY_BYTES, account.add, withoutMemory);
         // If the body is over its limit and the head is malformed too, the body is the reason given.
         return body.chain(bytes => decoded.map(caller => ({ caller, body: bytes, arrivedAt, waited, account }))).caseOf(
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from "node:crypto";
 import type { Server } from "node:http";
+import { getHeapStatistics } from "node:v8";
 
 import { cpuTimeMs, createClock } from "@azureshunt/core";
 import type { EndpointName, Incarnation, Millis, Tokens } from "@azureshunt/core";
@@ -428,6 +429,7 @@
     const byteBudget = createByteBudget({
         clock,
         budget: () => budgetOf(state.settings.memoryMb),
+        heapBytes: getHeapStatistics().heap_size_limit,
         logger: loggers("flow"),
         metrics,
     });
