Keep calls off connections that their endpoint is about to close

What callers saw: at an endpoint that closes connections idle for 100 ms without announcing it, requests that may run once and come at about that time got 502, though none had run.

Cause: a request is put on a kept connection by a fixed longest idle time (250 ms for requests that may run once). The endpoint's close and the request cross on the way, and on a kept connection a close does not prove that the request has not run.

Change: the agent learns from closings of idle connections after how much idle time an endpoint closes them (createIdleLimits), and reuses a connection for half of that time, or for 0.8 of it if the call may be repeated. Closings have other causes too, as restarts; so one connection that is too old is kept aside, and if it stays open for twice the time, or another idle connection has done so, the limit is dropped. Endpoints without such closings get the same connections as before. A call that is lost on a kept connection teaches nothing: the endpoint may have ended it for the request.

Evidence: idleLimits.test. Without the change, calls every 97 to 102 ms (37 to 42 ms) are lost at endpoints that close after 100 ms (40 ms); with it none of 60 each. An endpoint that closed all or one of its connections at once gets at most 3 and 2 connections for 12 calls, as without the change.

--- a/packages/router/src/dispatch/EndpointAgent.ts
+++ b/packages/router/src/dispatch/EndpointAgent.ts
@@ -4,11 +4,13 @@
 import type { Socket, TcpNetConnectOpts } from "node:net";
 import type { Duplex } from "node:stream";
 
-import type { VmId } from "@azureshunt/core";
+import type { Millis, VmId } from "@azureshunt/core";
+import { afterPendingReads, startTimeout } from "@azureshunt/lifecycle";
 
 import type { Tunnel } from "../tunnel/Tunnel.js";
 import type { TunnelId } from "../tunnel/TunnelId.js";
 import type { ConnectionKind } from "./ConnectionKind.js";
+import { createIdleLimits } from "./createIdleLimits.js";
 import type { OpenConnection } from "./OpenConnection.js";
 import type { OpenedConnection } from "./OpenedConnection.js";
 
@@ -58,6 +60,9 @@
     private readonly closing = new WeakSet<Socket>();
     /** By address of an endpoint: when it last sent bytes that no request asked for. */
     private readonly unaskedAt = new Map<string, number>();
+    private readonly idleLimits = createIdleLimits();
+    /** By address of an endpoint: an idle connection that is not reused, and shows whether the limit still holds. */
+    private readonly watched = new Map<string, Socket>();
     private readonly onIdleData: (this: Socket) => void;
 
     /** @param now monotonic time in milliseconds */
@@ -157,6 +162,10 @@
         this.maxFreeSockets = this.parts.maxIdle?.(this.addresses.get(socket) ?? "") ?? MAX_IDLE_PER_ENDPOINT;
         const isKept = super.keepSocketAlive(socket) as unknown as boolean;
         if (isKept) {
+            if (!this.idleSince.has(socket)) {
+                // Before Node's own listener, after which the connection is not listed as idle any more.
+                socket.prependListener("close", () => this.recordClosedIdle(socket));
+            }
             this.idleSince.set(socket, this.now());
             socket.on("data", this.onIdleData);
         }
@@ -169,22 +178,72 @@
         super.reuseSocket(socket, req);
     }
 
+    override destroy(): void {
+        this.watched.forEach(socket => socket.destroy());
+        super.destroy();
+    }
+
     /**
-     * Destroys the connections to an endpoint that have been idle for longer than `idleMs`, and those over an own link
-     * that seems not to work unless they were used just before.
+     * Closes the connections to an endpoint that have been idle for longer than `idleMs`, or for so long that the endpoint
+     * may be about to close them, and those over an own link that seems not to work unless they were used just before.
+     *
+     * @param isRepeatable whether a call that is lost with its connection may be sent again
      */
-    destroyIdle(address: string, idleMs: number): void {
+    closeIdle(address: string, idleMs: Millis, isRepeatable: boolean): void {
         const idle = this.freeSockets[address];
         if (idle === undefined) {
             return;
         }
-        const ownLinkIdleMs = this.parts.isBlocked?.(address) === true
-            ? Math.min(idleMs, BLOCKED_MAX_IDLE_MS)
-            : idleMs;
-        const maxIdleMsOf = (socket: Socket): number => this.tunnels.has(socket) ? idleMs : ownLinkIdleMs;
-        const now = this.now();
-        // Destroying a connection changes the list, so those to destroy are selected first.
-        idle.filter(socket => now - (this.idleSince.get(socket) ?? -Infinity) > maxIdleMsOf(socket))
-            .forEach(socket => socket.destroy());
+        const reuseMs = Math.min(idleMs, this.idleLimits.maxReuseMs(address, isRepeatable));
+        const ownLinkReuseMs = this.parts.isBlocked?.(address) === true
+            ? Math.min(reuseMs, BLOCKED_MAX_IDLE_MS)
+            : reuseMs;
+        const maxIdleMsOf = (socket: Socket): number => this.tunnels.has(socket) ? reuseMs : ownLinkReuseMs;
+        // Closing a connection changes the list, so those to close are selected first.
+        idle.filter(socket => this.idleMsOf(socket) > maxIdleMsOf(socket))
+            .forEach(socket => this.closeOrWatch(socket, address));
+    }
+
+    /** Closes an idle connection at once, or later if it may show until then that the endpoint's limit does not hold. */
+    private closeOrWatch(socket: Socket, address: string): void {
+        const outlastMs = this.idleLimits.outlastMs(address);
+        if (outlastMs === undefined || this.watched.has(address) || this.tunnels.has(socket)) {
+            socket.destroy();
+            return;
+        }
+        this.watched.set(address, socket);
+        // No request gets it from now on.
+        const idle = this.freeSockets[address];
+        idle?.splice(idle.indexOf(socket), 1);
+        const cancel = startTimeout(Math.max(0, outlastMs - this.idleMsOf(socket)), () => {
+            this.idleLimits.recordOutlasted(address);
+            socket.destroy();
+        });
+        socket.once("close", () => {
+            cancel();
+            this.watched.delete(address);
+        });
+    }
+
+    private idleMsOf(socket: Socket): Millis {
+        return this.now() - (this.idleSince.get(socket) ?? -Infinity);
+    }
+
+    /** Records the idle time of a connection that has just closed, if the endpoint closed it. */
+    private recordClosedIdle(socket: Socket): void {
+        const address = this.addresses.get(socket) ?? "";
+        const isIdle = this.watched.get(address) === socket || this.freeSockets[address]?.includes(socket) === true;
+        const isClosedByEndpoint = socket.readableEnded || socket.errored !== null;
+        if (!isIdle || !isClosedByEndpoint || this.tunnels.has(socket)) {
+            return;
+        }
+        this.idleLimits.recordClosed(address, this.idleMsOf(socket));
+        // One of many connections was closed for another reason if others have been idle for much longer.
+        afterPendingReads(() => {
+            const outlastMs = this.idleLimits.outlastMs(address) ?? Infinity;
+            if (this.freeSockets[address]?.some(each => this.idleMsOf(each) >= outlastMs) === true) {
+                this.idleLimits.recordOutlasted(address);
+            }
+        });
     }
 }
--- a/packages/router/src/dispatch/EndpointCall.ts
+++ b/packages/router/src/dispatch/EndpointCall.ts
@@ -12,6 +12,8 @@
     readonly body: Buffer;
     /** Maximum idle time of a connection that may be reused for this call. */
     readonly maxIdleMs: Millis;
+    /** Whether the call may be sent again if its connection is lost. Defaults to false. */
+    readonly isRepeatable?: boolean;
     /** Time limit for the head of the answer. After it the try counts as silent, unless `isAlive` returns true. */
     readonly headMs: Millis;
     /**
--- a/packages/router/src/dispatch/askEndpoint.ts
+++ b/packages/router/src/dispatch/askEndpoint.ts
@@ -42,7 +42,7 @@
         const leftMs = endedAt + ANSWER_MS - askedAt;
         const opened = await openCall(
             agent,
-            { ...encodeRunCheck(name), address, maxIdleMs: MAX_IDLE_MS, headMs: leftMs },
+            { ...encodeRunCheck(name), address, maxIdleMs: MAX_IDLE_MS, isRepeatable: true, headMs: leftMs },
             signal,
         );
         const isUnclear = opened.kind === "broken"
--- a/packages/router/src/dispatch/openCall.ts
+++ b/packages/router/src/dispatch/openCall.ts
@@ -34,7 +34,7 @@
  */
 export function openCall(agent: EndpointAgent, call: EndpointCall, signal: CancelSignal): Promise<OpenedCall> {
     const portAt = call.address.lastIndexOf(":");
-    agent.destroyIdle(call.address, call.maxIdleMs);
+    agent.closeIdle(call.address, call.maxIdleMs, call.isRepeatable === true);
     return new Promise(resolve => {
         if (signal.aborted) {
             resolve({ kind: "cancelled", connection: "none" });
--- a/packages/router/src/serve/sendTry.ts
+++ b/packages/router/src/serve/sendTry.ts
@@ -207,6 +207,7 @@
         headers: headersFor(tryParts, remainingMs, saveTo),
         body: served.body,
         maxIdleMs: maxIdleMsOf(tryParts),
+        isRepeatable: isRepeatable(kind),
         headMs: headTimeout(kind, objectiveMs, place.startMs, remainingMs, isLastTry),
         // A busy engine has the request in its queue; sending it to another one would only make both busier.
         isAlive: served.caller.prompt === undefined ? undefined : inFlight.isAlive,
