Keep trying endpoints while none has been reached for a request

What callers saw: 503 no-endpoint beside live endpoints with room, for requests that nobody had run, as endpoints were listed at which nothing listens.

Cause: a try that opened no connection used up the route's tries beyond the second, and the retry budget. Endpoints that had not answered yet looked idle and were preferred, again after each backoff.

Change: such a try is made up for without bound and takes nothing from the budget, which counts arrivals. After two more than the route's tries, only endpoints out of backoff are tried; the backoffs are the VM's, so they bound the connections of all requests together. One that has not answered since it was listed or last refused gets one request at a time, and none that another one has refused already, as far as others are left (preferReachable). A request placed again after it was not reached gathers no second part of a turn at limited endpoints.

--- a/packages/request/src/__tests__/unit/retry.test.ts
+++ b/packages/request/src/__tests__/unit/retry.test.ts
@@ -71,6 +71,22 @@
         plan: "endpoint-failed budget",
         ran: "maybe",
     },
+    {
+        name: "budget used up, never sent",
+        request: FRESH,
+        failure: { kind: "unreached" },
+        budget: EMPTY,
+        plan: "retry 0",
+        ran: "no",
+    },
+    {
+        name: "budget used up, refused",
+        request: FRESH,
+        failure: { kind: "refused", full: true },
+        budget: EMPTY,
+        plan: "overloaded budget",
+        ran: "no",
+    },
     {
         name: "deadline passed, not run",
         request: FRESH,
--- a/packages/request/src/planAfterFailure.ts
+++ b/packages/request/src/planAfterFailure.ts
@@ -69,7 +69,8 @@
  *
  * - A request that may not be repeated must not run twice: it is retried only while no try can have run.
  * - A caller must not receive "not run" for a request of which an earlier try ran: `ran` never decreases.
- * - Retries must not multiply the load on the remaining endpoints: each one takes a token from the budget.
+ * - Retries must not multiply the load on the remaining endpoints: each one takes a token from the budget, except in
+ *   place of a try that reached no endpoint.
  * - A request that no endpoint will serve must not be kept waiting: it is answered as soon as a retry is ruled out.
  *
  * @param before state of the request when the try began
@@ -100,7 +101,7 @@
         const lateRefusal = request.ran === "no" ? refusalOf("deadline-exceeded") : refusal;
         return { kind: "answer", refusal: lateRefusal, reason: "deadline" };
     }
-    const remaining = spendRetry(budget);
+    const remaining = failure.kind === "unreached" ? budget : spendRetry(budget);
     return remaining === undefined
         ? { kind: "answer", refusal, reason: "budget" }
         : { kind: "retry", from: request.next, request, budget: remaining };
--- a/packages/router/src/__tests__/support/candidateOf.ts
+++ b/packages/router/src/__tests__/support/candidateOf.ts
@@ -8,6 +8,7 @@
     return {
         name: name as EndpointName,
         health: initialHealth,
+        hasAnswered: true,
         isSameDomain: true,
         slots: 64,
         running: 0,
--- a/packages/router/src/serve/allowedTries.ts
+++ b/packages/router/src/serve/allowedTries.ts
@@ -1,17 +1,18 @@
-/** Extra tries to make up for endpoints that certainly did not run the request. */
+/** Extra tries to make up for endpoints that have refused the request. */
 const MAX_EXTRA_TRIES = 2;
 
 /**
  * Returns how many tries a request may have in total.
  *
- * If an engine dies while it runs requests, their retries may meet another engine that has just died too. Such a try
- * has reached no endpoint, so it does not count towards the route's limit, which is on endpoints that may have run the
- * request. At most two of these tries are made up for, since a request that three endpoints refuse comes too late
- * anyway.
+ * The route's limit is on endpoints that may have run the request. If an engine dies while it runs requests, their
+ * retries may meet others that have just died, or that are listed although nothing listens there. A try that has opened
+ * no connection has cost the endpoints nothing, so all of these are made up for. A refusal costs an endpoint work: at
+ * most two are made up for, since a request that three endpoints refuse comes too late anyway.
  *
  * @param maxTries limit of the route on endpoints that may run the request
- * @param notRun tries so far that certainly did not run the request
+ * @param unreached tries so far that reached no endpoint
+ * @param refused tries so far that reached an endpoint which certainly did not run the request
  */
-export function allowedTries(maxTries: number, notRun: number): number {
-    return maxTries + Math.min(MAX_EXTRA_TRIES, notRun);
+export function allowedTries(maxTries: number, unreached: number, refused: number): number {
+    return maxTries + unreached + Math.min(MAX_EXTRA_TRIES, refused);
 }
--- a/packages/router/src/serve/placeRequest.ts
+++ b/packages/router/src/serve/placeRequest.ts
@@ -3,7 +3,9 @@
 
 import { chainOf } from "../placement/chainOf.js";
 import { choosePlaceOrTurn } from "../placement/choosePlaceOrTurn.js";
+import { preferReachable } from "../placement/preferReachable.js";
 import type { PrefixPart } from "../placement/PrefixPart.js";
+import type { ReachPreference } from "../placement/ReachPreference.js";
 import { sampleCandidates } from "../placement/sampleCandidates.js";
 import type { EndpointEntry } from "../registry/EndpointEntry.js";
 import { createPromptShares } from "./createPromptShares.js";
@@ -13,6 +15,8 @@
 import type { ServeParts } from "./ServeParts.js";
 import type { TryPlace } from "./TryPlace.js";
 
+const FIRST_TRY: ReachPreference = { isAfterUnreached: false, mayBeInBackoff: true };
+
 /** Fraction of a request's objective by which a limited endpoint may be slower and still gets its turn. */
 const TURN_TOLERANCE = 0.25;
 
@@ -27,7 +31,8 @@
  * Chooses the endpoint for the next try of a request; `undefined` if none can take it now.
  *
  * @param origin where the stream began, if it is one that goes on
- * @param isPlacedAgain whether the request has waited since it was placed for this try, and has gathered its part of a turn
+ * @param isPlacedAgain whether the request has been placed since an endpoint was last reached for it, and has gathered
+ * its part of a turn
  */
 export function placeRequest(
     parts: ServeParts,
@@ -35,6 +40,7 @@
     avoid: ReadonlySet<EndpointName>,
     origin: StreamOrigin | undefined,
     isPlacedAgain = false,
+    reachPreference = FIRST_TRY,
 ): TryPlace | undefined {
     const { prompt } = served.caller;
     const saltFor = (weights: number): string =>
@@ -70,11 +76,19 @@
                 ),
             avoid,
         });
-        const { unlimited, turns } = parts.endpointLimits.select(
+        const selected = parts.endpointLimits.select(
             pool,
             parts.brittleServices.select(served.service, parts.availability.select(reachable)),
             isPlacedAgain,
         );
+        const placeable = preferReachable(
+            [...selected.unlimited, ...selected.turns],
+            parts.clock.now(),
+            reachPreference,
+        );
+        const preferred = new Set(placeable);
+        const unlimited = selected.unlimited.filter(each => preferred.has(each));
+        const turns = selected.turns.filter(each => preferred.has(each));
         const place = choosePlaceOrTurn(
             {
                 unlimited: sampleCandidates(
@@ -88,7 +102,6 @@
             parts.clock.now(),
             parts.random,
         );
-        const placeable = [...unlimited, ...turns];
         const chosen = placeable.find(({ entry }) => entry.name === place?.candidate.name);
         return place === undefined || chosen === undefined
             ? undefined
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -32,6 +32,11 @@
 
 /** Time for which callers wait for the next event of a stream at least. */
 const PATIENCE_MS = 2_000;
+/**
+ * Tries beyond the route's that reached no endpoint, after which a request gets no endpoint in backoff. All requests of
+ * this VM share the backoffs, so these bound the connections that are tried in vain.
+ */
+const MAX_EXTRA_UNREACHED = 2;
 /** Refusals after which a stream waits no more: an engine may keep a place and refuse the request all the same. */
 const MAX_REFUSALS = 6;
 
@@ -52,12 +57,16 @@
     readonly avoid: ReadonlySet<EndpointName>;
     /** Those of them that may have run it. */
     readonly ranAt: ReadonlySet<EndpointName>;
-    /** Tries that certainly did not run. */
-    readonly notRun: number;
+    /** Tries that reached no endpoint. */
+    readonly unreached: number;
+    /** Tries that reached an endpoint, which certainly did not run the request. */
+    readonly refused: number;
     /** An endpoint's own error; it is sent to the caller if no better answer follows. */
     readonly failure: TryResult["answer"];
     /** Ticket of the wait from which it was released; `undefined` if it has not waited. */
     readonly waited: WaitTicket | undefined;
+    /** Whether it was placed for its last try, which reached no endpoint. */
+    readonly isPlacedAgain: boolean;
 };
 
 const NOT_RUN_OUTCOMES: ReadonlySet<TryOutcome> = new Set(["unreached", "refused", "elsewhere"]);
@@ -111,10 +120,10 @@
 
     /** Ends a request for which there is no further try now, unless it is a stream that can go on a little later. */
     const waitOrGiveUp = async (progress: RequestProgress, refusal: Refusal): Promise<ServedEnd> => {
-        const { request, avoid, ranAt, notRun } = progress;
+        const { request, avoid, ranAt, unreached, refused } = progress;
         const { lastAt } = stream.pace;
         const mayWait = stream.forwardedEvents > 0 && request.repeatable && served.caller.prompt !== undefined
-            && request.tries - notRun < served.route.maxTries && notRun < MAX_REFUSALS;
+            && request.tries - unreached - refused < served.route.maxTries && refused < MAX_REFUSALS;
         const until = Math.min(served.deadline, (lastAt() ?? -Infinity) + PATIENCE_MS);
         const reserved = mayWait
             ? await awaitPlace(parts, served, { tried: avoid, ranAt, origin: stream.origin, until })
@@ -147,7 +156,17 @@
             return giveUp(progress, refusalAsTooLate(parts, served, progress.request.ran, stream));
         }
         const place = reserved?.place
-            ?? placeRequest(parts, served, progress.avoid, stream.origin, progress.waited !== undefined);
+            ?? placeRequest(
+                parts,
+                served,
+                progress.avoid,
+                stream.origin,
+                progress.waited !== undefined || progress.isPlacedAgain,
+                {
+                    isAfterUnreached: progress.unreached > 0,
+                    mayBeInBackoff: progress.unreached < served.route.maxTries + MAX_EXTRA_UNREACHED,
+                },
+            );
         if (place === undefined) {
             return waitOrGiveUp(
                 progress,
@@ -229,7 +248,8 @@
         notePlace(served, place);
         // If no retry is possible, the try waits out silence: giving up would only lose the answer.
         const hasBudget = parts.retryBudgets.of(served.service).balance >= MIN_BUDGET_FOR_SILENCE;
-        const isLastTry = request.tries + 1 >= allowedTries(served.route.maxTries, progress.notRun) || !hasBudget;
+        const { unreached, refused } = progress;
+        const isLastTry = request.tries + 1 >= allowedTries(served.route.maxTries, unreached, refused) || !hasBudget;
         const path = request.tries > 0 ? "further" : served.caller.lastEventId === undefined ? "first" : "resumed";
         parts.endpointLimits.recordTry(place.entry, path);
         parts.availability.recordTry(place.entry, path);
@@ -289,8 +309,10 @@
             });
             return giveUp({ ...progress, failure }, refusal);
         }
-        const notRun = progress.notRun + (NOT_RUN_OUTCOMES.has(result.kind) ? 1 : 0);
-        const maxTries = allowedTries(served.route.maxTries, notRun);
+        const isUnreached = result.kind === "unreached";
+        const unreached = progress.unreached + (isUnreached ? 1 : 0);
+        const refused = progress.refused + (NOT_RUN_OUTCOMES.has(result.kind) && !isUnreached ? 1 : 0);
+        const maxTries = allowedTries(served.route.maxTries, unreached, refused);
         const budget = parts.retryBudgets.of(served.service);
         const plan = planAfterFailure(tried, failureOfOutcome(result.kind), budget, parts.clock.now(), {
             maxTries,
@@ -308,7 +330,16 @@
         const ranAt = NOT_RUN_OUTCOMES.has(result.kind)
             ? progress.ranAt
             : new Set([...progress.ranAt, place.entry.name]);
-        const next: RequestProgress = { request: tried, avoid, ranAt, notRun, failure, waited: undefined };
+        const next: RequestProgress = {
+            request: tried,
+            avoid,
+            ranAt,
+            unreached,
+            refused,
+            failure,
+            waited: undefined,
+            isPlacedAgain: isUnreached,
+        };
         if (plan.kind === "answer") {
             return waitOrGiveUp(next, {
                 ...plan.refusal,
@@ -333,8 +364,10 @@
         },
         avoid: new Set(),
         ranAt: new Set(),
-        notRun: 0,
+        unreached: 0,
+        refused: 0,
         failure: undefined,
         waited: undefined,
+        isPlacedAgain: false,
     });
 }
