Date a beacon before the state in it is collected

What callers saw: nothing. A peer took a confirmation for newer than it was by the whole time for which its sender did not run, so it could accept a withdrawn key for that long.

Cause: the ages in a beacon were computed first, and the time that its receiver counts them from was read after. If a process is stopped in between while its monotonic clock goes on, 5 s old data is sent as current.

Change: a batch reads the clock once, before its state is collected. Its timestamp is older than the sending by the time of the encoding, which is the safe side.

--- a/packages/router/src/peers/createBeaconExchange.ts
+++ b/packages/router/src/peers/createBeaconExchange.ts
@@ -110,38 +110,49 @@
         }),
         sumsFor: parts.relayedSums(scope),
     });
-    const sendTo = ({ address, vm }: BeaconTarget, { encode, sumsFor }: Encoding): void => {
-        const now = clock.now();
+    const sendTo = ({ address, vm }: BeaconTarget, { encode, sumsFor }: Encoding, collectedAt: Millis): void => {
         const stamp = vm === undefined ? undefined : stamps.get(vm);
         const echo = stamp === undefined
             ? undefined
-            : { incarnation: stamp.incarnation, sentAt: stamp.sentAt, heldMs: now - stamp.receivedAt };
+            : { incarnation: stamp.incarnation, sentAt: stamp.sentAt, heldMs: collectedAt - stamp.receivedAt };
         counters.sequence += 1;
-        encode({ sequence: counters.sequence, sentAt: now, echo, ...sumsFor(vm) })
+        encode({ sequence: counters.sequence, sentAt: collectedAt, echo, ...sumsFor(vm) })
             .forEach(datagram => parts.send(datagram, address));
     };
-    const sendEach = (batch: readonly BeaconTarget[], encodingFor: (scope: BeaconScope) => Encoding): void => {
+    /**
+     * Sends a batch, dated before the state in it is collected. If the process does not run for a moment in between, ages
+     * that were computed before would seem to be of the time after it, and a withdrawn key would be confirmed.
+     */
+    const sendEach = (
+        batch: readonly BeaconTarget[],
+        encodingsOf: () => (scope: BeaconScope) => Encoding,
+    ): void => {
+        const collectedAt = clock.now();
+        const encodingFor = encodingsOf();
         const encodings = new Map<BeaconScope, Encoding>();
         batch.forEach(target => {
             const encoding = encodings.get(target.scope) ?? encodingFor(target.scope);
             encodings.set(target.scope, encoding);
-            sendTo(target, encoding);
+            sendTo(target, encoding, collectedAt);
         });
     };
-    const sendFull = (batch: readonly BeaconTarget[], isLeaving = false): void => {
+    const sendFull = (batch: readonly BeaconTarget[], isLeaving = false): void =>
         // Collected again for each batch, so that no age in it is too low.
-        const localState = parts.localState();
-        sendEach(batch, scope => fullEncoding(scope, localState, isLeaving));
-    };
+        sendEach(batch, () => {
+            const localState = parts.localState();
+            return scope => fullEncoding(scope, localState, isLeaving);
+        });
     const urgentSender = createUrgentSender({
         clock,
         schedule: parts.schedule,
         maxGapMs: () => parts.intervalMs() > peerTiming.loadIntervalMs ? peerTiming.loadIntervalMs : undefined,
         send: () => {
-            const localState = parts.localState();
             const targets = parts.usualTargets();
-            const cached = drainAll();
-            sendEach(targets, scope => urgentEncoding(scope, localState, cached));
+            sendEach(targets, () => {
+                const localState = parts.localState();
+                const cached = drainAll();
+                return scope => urgentEncoding(scope, localState, cached);
+            });
             return targets.length;
         },
     });
