Count a rollout's age from the earliest time that any VM knows

What operators saw: nothing so far. A rollout may end after its deadline if its leader takes the order for newer than it is.

Cause: an order that was already known kept its first age. If that came from the store after a restart, or from a beacon that lay unread while the process did not run, it is too low, and peers that know better did not correct it.

Change: the same order from an earlier time moves its time back. Ages are sent rounded down, as they would grow with each exchange otherwise; they are never too high then.

--- a/packages/router/src/__tests__/unit/rolloutAgeAfterRestart.test.ts
+++ b/packages/router/src/__tests__/unit/rolloutAgeAfterRestart.test.ts
@@ -16,12 +16,15 @@
 };
 
 const orders = [
-    { name: "the store first", isStoreFirst: true },
-    { name: "a peer first", isStoreFirst: false },
+    { name: "the store first", sources: ["store", "peer"] },
+    { name: "a peer first", sources: ["peer", "store"] },
+    { name: "beacons that lay unread while it did not run", sources: ["earlier beacon", "peer"] },
+    { name: "beacons in another order", sources: ["peer", "earlier beacon"] },
 ] as const;
 
-// A VM that starts again reads an order as if it were new; as the leader, it ends the rollout after its deadline.
-orders.forEach(({ name, isStoreFirst }) => {
+// A VM that starts again, or did not run, reads an order as if it were new; as the leader, it ends the rollout after its
+// deadline.
+orders.forEach(({ name, sources }) => {
     test(`rollout age: a VM that starts again during a rollout knows how long ago it was ordered: from ${name}`, t => {
         const time = { now: 1_000 };
         const rollouts = createRollouts({
@@ -47,8 +50,13 @@
             const { id, service, version, durationMs } = row;
             rollouts.order({ id, service, version, durationMs, learnedAt: time.now });
         };
-        const receive = (): void => void rollouts.receiveRows([row], time.now);
-        (isStoreFirst ? [read, receive] : [receive, read]).forEach(step => step());
+        const receive = (ageMs: number): void => void rollouts.receiveRows([{ ...row, ageMs }], time.now);
+        const steps = {
+            store: read,
+            peer: () => receive(row.ageMs),
+            "earlier beacon": () => receive(row.ageMs - 5_000),
+        };
+        sources.forEach(source => steps[source]());
         t.is(rollouts.rows()[0]?.ageMs, row.ageMs);
     });
 });
--- a/packages/router/src/rollout/createRollouts.ts
+++ b/packages/router/src/rollout/createRollouts.ts
@@ -109,8 +109,24 @@
     const state = { reportedAt: -Infinity as Millis, reportedBad: 0 };
     const share = (): number => parts.exposure() * USED_FRACTION;
 
+    /**
+     * A VM that has just started, or did not run while the order lay unread, takes it for newer than it is, and as the
+     * leader would end the rollout too late. To prevent this, the earliest time known to any VM counts.
+     */
+    const correctAge = (entry: RolloutEntry, { learnedAt }: VersionRollout): void => {
+        const { view } = entry;
+        if (learnedAt < view.order.learnedAt) {
+            entry.view = { ...view, order: { ...view.order, learnedAt } };
+        }
+    };
+
     const order: Rollouts["order"] = rollout => {
-        if (rollout.id <= (entries.get(rollout.service)?.view.order.id ?? -1)) {
+        const known = entries.get(rollout.service);
+        const knownId = known?.view.order.id ?? -1;
+        if (known !== undefined && rollout.id === knownId) {
+            correctAge(known, rollout);
+        }
+        if (rollout.id <= knownId) {
             return;
         }
         logger.info({ ...rollout }, "Rollout ordered.");
@@ -152,7 +168,8 @@
             id,
             version,
             durationMs,
-            ageMs: Math.round(clock.now() - learnedAt),
+            // Rounded up, ages would grow with each exchange.
+            ageMs: Math.floor(clock.now() - learnedAt),
             phase,
             statedMs: phase === undefined ? 0 : Math.min(MAX_STATED_MS, Math.round(clock.now() - statedAt)),
         }));
