Count silence of peers only while this process runs

What callers saw: nothing measured. A VM that had not run for some seconds decided its first requests as if its peers were silent, gone or without load, and refilled organisations' rates of that time without what the others had spent of it.

Cause: a counted pause makes all that was received older by its length, before what lies unread is read.

Change: a counted pause is an event of the membership, whose peers and relays' counts are moved on by it (addPause); so are peers' load, demand and counters of spending. Ages of facts and leases are not moved: what a VM tells of third ones stays as old as it is, also if a beacon lay unread, so that a VM that has ended does not seem alive to all others again. Rounds look for a pause before they choose their targets.

--- a/packages/router/src/allowance/SharedAllowance.ts
+++ b/packages/router/src/allowance/SharedAllowance.ts
@@ -6,7 +6,10 @@
 type ReceivedCounter = {
     /** Tokens spent since the counter began. */
     readonly spent: Tokens;
+    /** Moved on by the time in which this process did not run since then. */
     readonly receivedAt: Millis;
+    /** How much earlier than `receivedAt` it was received; 0 if omitted. */
+    readonly pausedMs?: Millis;
 };
 
 /** What was received of one spender's spending for one organisation. */
--- a/packages/router/src/allowance/addedByCounter.ts
+++ b/packages/router/src/allowance/addedByCounter.ts
@@ -21,7 +21,9 @@
     const known = peer?.counters.get(incarnation);
     const before = known === undefined || expires(known.receivedAt) ? undefined : known.spent;
     /** When the VM's other processes were last received, as far as nothing came in other ways since then. */
-    const others = [...peer?.counters.values() ?? []].map(({ receivedAt }) => receivedAt).filter(at => !expires(at));
+    const others = [...peer?.counters.values() ?? []]
+        .filter(({ receivedAt }) => !expires(receivedAt))
+        .map(({ receivedAt, pausedMs = 0 }) => receivedAt - pausedMs);
     const isSuccessor = others.length > 0 && others.every(at => upMs <= now - at);
     const isNew = known === undefined && (isStartedLater(allowance, upMs, now) || isSuccessor);
     return addedSpending(before, spent, isNew);
--- a/packages/router/src/allowance/createAllowances.ts
+++ b/packages/router/src/allowance/createAllowances.ts
@@ -7,6 +7,7 @@
 import type { Beacon } from "../peers/Beacon.js";
 import type { VmRole } from "../peers/VmRole.js";
 import { addedByCounter } from "./addedByCounter.js";
+import { addPauseToCounters } from "./addPauseToCounters.js";
 import { admittedFraction } from "./admittedFraction.js";
 import { advanceShared } from "./advanceShared.js";
 import { createOrganisationDemand } from "./createOrganisationDemand.js";
@@ -46,6 +47,8 @@
      * @param role role of the sender as seen by this VM
      */
     readonly applyBeacon: (beacon: SpendingUpdate, role: VmRole) => void;
+    /** Takes a time in which this process did not run, while its clock went on, off the silence of the other VMs. */
+    readonly onPaused: (ms: Millis) => void;
     /** Lowest level of all allowances, each as of its last use; 0 if there are none. */
     readonly minLevel: () => Tokens;
     /** By organisation: tokens spent by this process, and its demand in tokens per second. */
@@ -215,6 +218,11 @@
         refusal,
         refund,
         applyBeacon,
+        onPaused: ms => {
+            demand.onPaused(ms);
+            relayCounters.onPaused(ms);
+            all.forEach((allowance, id) => all.set(id, addPauseToCounters(allowance, ms, clock.now())));
+        },
         minLevel: () => all.size === 0 ? 0 : Math.min(...[...all.values()].map(({ level }) => level)),
         relayedSpent,
         spent: () => [...all].map(([id, { ownSpent }]) => [id, ownSpent, Math.round(demand.own(id))] as const),
--- a/packages/router/src/allowance/createOrganisationDemand.ts
+++ b/packages/router/src/allowance/createOrganisationDemand.ts
@@ -10,6 +10,8 @@
     readonly own: (organisation: OrganisationId) => Tokens;
     /** Stores the demand that another spender reports, in tokens per second. */
     readonly receiveDemand: (spender: Spender, organisation: OrganisationId, perSecond: Tokens) => void;
+    /** Takes a time in which this process did not run, while its clock went on, off the age of what was received. */
+    readonly onPaused: (ms: Millis) => void;
     /** Tokens per second that an organisation requests at all VMs. */
     readonly total: (organisation: OrganisationId) => Tokens;
     /** Tokens per second that it requests at those of the others that are counted. */
@@ -49,6 +51,12 @@
             const bySpender = received.get(organisation) ?? new Map<Spender, ReceivedDemand>();
             received.set(organisation, bySpender.set(spender, { perSecond, receivedAt: clock.now() }));
         },
+        onPaused: ms =>
+            received.forEach(bySpender =>
+                bySpender.forEach((each, spender) =>
+                    bySpender.set(spender, { ...each, receivedAt: Math.min(clock.now(), each.receivedAt + ms) })
+                )
+            ),
         others,
         total: organisation => own(organisation) + others(organisation, () => true),
     };
--- a/packages/router/src/allowance/createRelayCounters.ts
+++ b/packages/router/src/allowance/createRelayCounters.ts
@@ -29,6 +29,8 @@
      * @returns the tokens it adds, by organisation; empty if the relay is not the followed one
      */
     readonly receiveUpdate: (update: RelayUpdate) => readonly (readonly [OrganisationId, Tokens])[];
+    /** Takes a time in which this process did not run, while its clock went on, off the silence of the relays. */
+    readonly onPaused: (ms: Millis) => void;
 };
 
 type Counter = {
@@ -109,5 +111,16 @@
         }
         return isFollowed ? added : [];
     };
-    return { receiveUpdate };
+    const onPaused: RelayCounters["onPaused"] = ms => {
+        const later = (at: Millis): Millis => Math.min(clock.now(), at + ms);
+        groups.forEach(group => {
+            group.receivedAt = later(group.receivedAt);
+            group.relays.forEach(counters =>
+                counters.forEach((counter, organisation) =>
+                    counters.set(organisation, { ...counter, receivedAt: later(counter.receivedAt) })
+                )
+            );
+        });
+    };
+    return { receiveUpdate, onPaused };
 }
--- a/packages/router/src/peers/Members.ts
+++ b/packages/router/src/peers/Members.ts
@@ -12,8 +12,13 @@
     readonly failureDomain: FailureDomain | undefined;
     readonly capacity: number;
     readonly hasStore: boolean;
-    /** When it was last seen, by this VM or by a relay; `-Infinity` until then. */
+    /**
+     * When it was last seen, by this VM or by a relay, moved on by the time in which this process did not run since then;
+     * `-Infinity` until it was seen.
+     */
     readonly lastSeenAt: Millis;
+    /** How much earlier than `lastSeenAt` it was seen; 0 if omitted. */
+    readonly pausedMs?: Millis;
     /** Its last beacon to this VM; `undefined` until the first. */
     readonly lastReceived: ReceivedBeacon | undefined;
 };
@@ -21,10 +26,12 @@
 /** What a relay counts of the VMs from which this VM receives nothing directly. */
 type RelaySummary = {
     /**
-     * Lower bound for the time at which it was sent; the time of receipt if the relay has not yet echoed a timestamp of
-     * this process.
+     * Lower bound for the time at which it was sent, moved on by the time in which this process did not run since then;
+     * the time of receipt if the relay has not yet echoed a timestamp of this process.
      */
     readonly at: Millis;
+    /** How much earlier than `at` that bound is; 0 if omitted. */
+    readonly pausedMs?: Millis;
     readonly domains: readonly DomainCount[];
     /** Prompt tokens per millisecond. */
     readonly demand: Tokens;
@@ -36,6 +43,7 @@
     readonly incarnation: Incarnation;
     readonly failureDomain: FailureDomain;
     readonly capacity: number;
+    /** When this process started, moved on by the time in which it did not run. */
     readonly startedAt: Millis;
     /** Whether the VM list in the store has been read. */
     readonly isListed: boolean;
--- a/packages/router/src/peers/createMembership.ts
+++ b/packages/router/src/peers/createMembership.ts
@@ -43,6 +43,8 @@
     readonly applyBeacon: (beacon: Beacon, address: string) => AcceptedBeacon | undefined;
     readonly list: (vms: readonly ListedVm[]) => void;
     readonly tick: () => void;
+    /** Takes a time in which this process did not run, while its clock went on, off the silence of the peers. */
+    readonly onPaused: (ms: Millis) => void;
     /** Whether this VM relays state for the others of its failure domain. */
     readonly isRelay: () => boolean;
     /** Whether no peer is alive. */
@@ -114,7 +116,7 @@
         state.members = stepMembers(before, event, clock.now());
         // Cached until the members change, as it is needed for each endpoint of each request.
         state.lastSeenByDomain = state.members === before ? state.lastSeenByDomain : undefined;
-        if (state.members.known.size !== before.known.size) {
+        if (state.members.known.size !== before.known.size || event.kind === "paused") {
             state.relaysAt = -Infinity;
             state.vmsAt = -Infinity;
         }
@@ -162,6 +164,7 @@
         applyBeacon,
         list: vms => apply({ kind: "listed", vms }),
         tick: () => apply({ kind: "tick" }),
+        onPaused: ms => apply({ kind: "paused", ms }),
         isRelay,
         isAlone: () => [...state.members.known.values()].every(member => !isAlive(member, clock.now())),
         relayAddress: () => {
--- a/packages/router/src/peers/createPeerLoad.ts
+++ b/packages/router/src/peers/createPeerLoad.ts
@@ -11,6 +11,8 @@
 /** Load of the other VMs' requests at the endpoints, as they or relays sent it last. */
 type PeerLoad = {
     readonly applyBeacon: (beacon: LoadUpdate) => void;
+    /** Takes a time in which this process did not run, while its clock went on, off the age of what was received. */
+    readonly onPaused: (ms: Millis) => void;
     /** Load of all other VMs' requests at an endpoint. */
     readonly at: (endpoint: EndpointName) => EndpointShare;
     /** Whether any VM has reported unread bytes lately. */
@@ -166,5 +168,14 @@
         return withoutTarget(scope, rows);
     };
     const hasUnread = (): boolean => clock.now() - unread.reportedAt < LOAD_EXPIRY_MS;
-    return { applyBeacon, at, hasUnread, relayedLoad, relayedLoadChanges };
+    const onPaused: PeerLoad["onPaused"] = ms => {
+        const later = (at: Millis): Millis => Math.min(clock.now(), at + ms);
+        // Values of known keys are replaced, so the order of the VMs stays.
+        received.forEach((each, vm) => received.set(vm, { ...each, receivedAt: later(each.receivedAt) }));
+        [...relayed.domains.values(), relayed.fleet].forEach(rows =>
+            rows.forEach((row, endpoint) => rows.set(endpoint, { ...row, receivedAt: later(row.receivedAt) }))
+        );
+        unread.reportedAt = later(unread.reportedAt);
+    };
+    return { applyBeacon, onPaused, at, hasUnread, relayedLoad, relayedLoadChanges };
 }
--- a/packages/router/src/peers/memberFieldsOf.ts
+++ b/packages/router/src/peers/memberFieldsOf.ts
@@ -13,6 +13,9 @@
 
 type Member = NonNullable<ReturnType<Members["known"]["get"]>>;
 
+/** Returns how long ago a VM was seen, pauses of this process included: to its peers it is a fact, not a silence. */
+const ageOf = ({ lastSeenAt, pausedMs = 0 }: Member, now: Millis): Millis => Math.round(now - lastSeenAt + pausedMs);
+
 /** Lists the VMs of a failure domain that are not gone. */
 const presentIn = ({ known }: Members, domain: FailureDomain, now: Millis): readonly Member[] =>
     [...known.values()].filter(({ failureDomain, lastSeenAt }) =>
@@ -23,7 +26,7 @@
     failureDomain: domain,
     vms: present.length,
     silent: present.filter(member => isSilent(members, member, now)).length,
-    ageMs: Math.min(peerTiming.goneMs, ...present.map(({ lastSeenAt }) => Math.round(now - lastSeenAt))),
+    ageMs: Math.min(peerTiming.goneMs, ...present.map(member => ageOf(member, now))),
 });
 
 /** Counts the VMs of another failure domain: its relays, and the VMs that these count. */
@@ -39,7 +42,7 @@
     const isCutOff = own.silent === own.vms;
     return {
         ...own,
-        ageMs: Math.min(own.ageMs, Math.round(now - (summary?.at ?? -Infinity))),
+        ageMs: Math.min(own.ageMs, Math.round(now - (summary?.at ?? -Infinity) + (summary?.pausedMs ?? 0))),
         vms: counted.reduce((sum, { vms }) => sum + vms, own.vms),
         silent: counted.reduce((sum, { vms, silent }) => sum + (isCutOff ? vms : silent), own.silent),
     };
@@ -51,8 +54,8 @@
         if (member === undefined || member.failureDomain === undefined || !isAlive(member, now)) {
             return [];
         }
-        const { address, failureDomain, capacity, hasStore, lastSeenAt } = member;
-        return [{ vm, address, failureDomain, capacity, hasStore, ageMs: Math.round(now - lastSeenAt) }];
+        const { address, failureDomain, capacity, hasStore } = member;
+        return [{ vm, address, failureDomain, capacity, hasStore, ageMs: ageOf(member, now) }];
     });
 
 /**
--- a/packages/router/src/peers/startPeerSync.ts
+++ b/packages/router/src/peers/startPeerSync.ts
@@ -71,7 +71,11 @@
         clock,
         address: settings.listen.peers,
         self: { vm, incarnation, failureDomain, capacity },
-        targets: membership.targets,
+        targets: round => {
+            // Before peers are taken for silent.
+            checkSuspension();
+            return membership.targets(round);
+        },
         usualTargets: membership.usualTargets,
         intervalMs: membership.beaconIntervalMs,
         memberFields: membership.memberFields,
--- a/packages/router/src/peers/stepMembers.ts
+++ b/packages/router/src/peers/stepMembers.ts
@@ -1,5 +1,6 @@
 import type { Millis, VmId } from "@azureshunt/core";
 
+import { addPause } from "./addPause.js";
 import type { Beacon } from "./Beacon.js";
 import { isOfEarlierProcess } from "./isOfEarlierProcess.js";
 import type { KnownVm } from "./KnownVm.js";
@@ -12,9 +13,10 @@
 
 const addListed = (members: Members, vms: readonly ListedVm[]): Members => {
     const added = vms.filter(({ vm }) => vm !== members.vm && !members.known.has(vm));
-    const known = added.map(each =>
-        [each.vm, { ...each, hasStore: false, lastSeenAt: -Infinity, lastReceived: undefined }] as const
-    );
+    const known = added.map((each): readonly [VmId, Member] => [
+        each.vm,
+        { ...each, hasStore: false, lastSeenAt: -Infinity, lastReceived: undefined },
+    ]);
     return { ...members, isListed: true, known: new Map([...members.known, ...known]) };
 };
 
@@ -61,11 +63,20 @@
     at: Millis,
 ): Pick<Members, "domainSummaries" | "fleetSummary"> => {
     const { domainSummaries, fleetSummary } = members;
-    const summary = { at, domains: beacon.domains, demand: beacon.relayedDemand };
     if (beacon.domains.length === 0) {
         return { domainSummaries, fleetSummary };
     }
-    return beacon.scope === "fleet"
+    const isOfFleet = beacon.scope === "fleet";
+    const before = isOfFleet ? fleetSummary : domainSummaries.get(beacon.failureDomain);
+    // One that lay unread while this process did not run makes no relay silent.
+    const countedAt = Math.max(at, before?.at ?? -Infinity);
+    const summary = {
+        at: countedAt,
+        pausedMs: countedAt - at,
+        domains: beacon.domains,
+        demand: beacon.relayedDemand,
+    };
+    return isOfFleet
         ? { domainSummaries, fleetSummary: summary }
         : { domainSummaries: new Map(domainSummaries).set(beacon.failureDomain, summary), fleetSummary };
 };
@@ -91,7 +102,9 @@
     const lastReceived = { incarnation, failureDomain, beacon, ...times };
     const sentAfter = lastReceived.sentAfter === -Infinity ? now : lastReceived.sentAfter;
     const known = new Map(members.known);
-    known.set(vm, { vm, address, failureDomain, capacity, hasStore, lastSeenAt: now, lastReceived });
+    // Told to others, a beacon that lay unread must not make a VM seem alive that has ended since.
+    const pausedMs = Math.max(0, now - sentAfter);
+    known.set(vm, { vm, address, failureDomain, capacity, hasStore, lastSeenAt: now, pausedMs, lastReceived });
     beacon.vms.filter(each => each.vm !== members.vm).forEach(each => withKnownVm(known, each, sentAfter));
     return { ...members, known, ...withRelaySummary(members, beacon, sentAfter) };
 };
@@ -113,5 +126,7 @@
             return applyBeacon(members, event, now);
         case "tick":
             return forgetSilent(members, now);
+        case "paused":
+            return addPause(members, event.ms, now);
     }
 }
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -291,6 +291,7 @@
     const demand = createDemand(clock);
     const fleetDemand = (): Tokens => demand.rate() + membership.demand();
     const allowances = createAllowances(clock, membership.liveness, Math.random);
+    pauses.register("counted", ({ ms }) => [membership, peerLoad, allowances].forEach(part => part.onPaused(ms)));
     const unreadBodies = createUnreadBodies({
         clock,
         entryOf: endpointTable.entryOf,
