Check withdrawn keys while processes do not run, in both worlds of clocks

Cause: the simulation of confirmations knew killed and cut off VMs, but none whose process does not run while datagrams and answers wait for it. The rule on withdrawn keys was shown for a clock that stands still by single steps only.

Change: simulated VMs have clocks of their own and can be paused, with a clock that goes on or stands still; what arrives meanwhile is handled afterwards, and acceptance is looked at after each of these. Two rows run the same pauses of the reader and two followers in both worlds.

Evidence: declarationReaders.test, the two new rows pass; the one in which clocks go on fails (accepted for 5,850 ms) if a confirmation is dated by its receipt. relays.test, which shares the simulated VMs, passes. No fault of the product was found by these rows.

--- a/packages/router/src/__tests__/support/relayFleet.ts
+++ b/packages/router/src/__tests__/support/relayFleet.ts
@@ -1,4 +1,5 @@
 import type { Clock, Incarnation, Millis, VmId } from "@azureshunt/core";
+import type { Pause } from "@azureshunt/lifecycle";
 
 import { createAllowances } from "../../allowance/createAllowances.js";
 import type { Organisation } from "../../configuration/Organisation.js";
@@ -19,6 +20,10 @@
 /** One simulated VM, with the parts that send beacons to peers and apply theirs. */
 type FleetVm = {
     readonly listed: ListedVm;
+    readonly clock: Clock;
+    /** Runs a function of this VM's process after a delay, or once the process runs again. */
+    readonly schedule: ReturnType<typeof createVirtualTime>["schedule"];
+    readonly isPaused: () => boolean;
     readonly membership: ReturnType<typeof createMembership>;
     readonly allowances: ReturnType<typeof createAllowances>;
     readonly peerLoad: ReturnType<typeof createPeerLoad>;
@@ -29,7 +34,19 @@
     readonly receivedParts: Set<string>;
 };
 
+/** A time in which a VM's process does not run, while its monotonic clock goes on (`counted`) or stands still. */
+type SimulatedPause = {
+    readonly vm: VmId;
+    readonly at: Millis;
+    readonly forMs: Millis;
+    readonly kind: Pause["kind"];
+};
+
 type FleetParts = {
+    readonly pauses?: readonly SimulatedPause[];
+    /** Called as a VM runs again, before it handles what has arrived meanwhile; and after each of these. */
+    readonly onResumed?: (vm: FleetVm, kind: Pause["kind"]) => void;
+    readonly onCaughtUp?: (vm: FleetVm) => void;
     readonly domains: number;
     readonly vmsPerDomain: number;
     readonly random: () => number;
@@ -68,7 +85,32 @@
  * Simulates VMs that send beacons to each other, in virtual time, with the router's own parts; all start within 0.3 s.
  */
 export function relayFleet(parts: FleetParts): RelayFleet {
-    const { clock, schedule, runUntil } = createVirtualTime();
+    const { clock: wall, schedule, runUntil } = createVirtualTime();
+    const clockStands = new Map<VmId, Millis>();
+    const unhandled = new Map<VmId, (() => void)[]>();
+    const handle = (vm: VmId, act: () => void): void => {
+        const waiting = unhandled.get(vm);
+        return waiting === undefined ? act() : void waiting.push(act);
+    };
+    const resume = ({ vm, forMs, kind }: SimulatedPause): void => {
+        const acts = unhandled.get(vm) ?? [];
+        unhandled.delete(vm);
+        if (kind === "uncounted") {
+            clockStands.set(vm, (clockStands.get(vm) ?? 0) + forMs);
+        }
+        const paused = running.get(vm);
+        if (paused === undefined) {
+            return;
+        }
+        if (kind === "counted") {
+            [paused.membership, paused.allowances, paused.peerLoad].forEach(part => part.onPaused(forMs));
+        }
+        parts.onResumed?.(paused, kind);
+        acts.forEach(act => {
+            act();
+            parts.onCaughtUp?.(paused);
+        });
+    };
     const running = new Map<VmId, FleetVm>();
     const byAddress = new Map<string, VmId>();
     const list = new Map<VmId, ListedVm>();
@@ -86,15 +128,25 @@
             return;
         }
         // Received by the process that runs when the datagram arrives.
+        const { vm } = to.listed;
         schedule(
             LATENCY_MS + parts.random(),
-            () => running.get(to.listed.vm)?.exchange.receive(datagram, from.address),
+            () => handle(vm, () => running.get(vm)?.exchange.receive(datagram, from.address)),
         );
     };
     const start = (listed: ListedVm): void => {
         const { vm, failureDomain, capacity, address } = listed;
         traffic.starts += 1;
         const incarnation = `run-${traffic.starts}` as Incarnation;
+        const clock: Clock = { now: () => wall.now() - (clockStands.get(vm) ?? 0), epoch: wall.now };
+        const scheduleOwn: FleetVm["schedule"] = (delayMs, run) => {
+            const state = { isCancelled: false };
+            const cancel = schedule(delayMs, () => handle(vm, () => state.isCancelled ? undefined : run()));
+            return () => {
+                state.isCancelled = true;
+                cancel();
+            };
+        };
         const membership = createMembership(clock, { vm, incarnation, failureDomain, capacity, seeds: [] });
         const allowances = createAllowances(clock, membership.liveness, parts.random);
         allowances.open(parts.organisations ?? []);
@@ -114,7 +166,7 @@
         const exchange = createBeaconExchange({
             clock,
             schedule: (delayMs, run) =>
-                schedule(delayMs, () => running.get(vm)?.exchange === exchange ? run() : undefined),
+                scheduleOwn(delayMs, () => running.get(vm)?.exchange === exchange ? run() : undefined),
             self: { vm, incarnation, failureDomain, capacity },
             targets: membership.targets,
             usualTargets: membership.usualTargets,
@@ -169,7 +221,18 @@
                 throw new Error("a datagram cannot be decoded");
             },
         });
-        const started = { listed, membership, allowances, peerLoad, exchange, localState, receivedParts };
+        const started: FleetVm = {
+            listed,
+            clock,
+            schedule: scheduleOwn,
+            isPaused: () => unhandled.has(vm),
+            membership,
+            allowances,
+            peerLoad,
+            exchange,
+            localState,
+            receivedParts,
+        };
         running.set(vm, started);
         parts.onStart?.(started);
     };
@@ -178,9 +241,13 @@
         (_, domain) => Array.from({ length: parts.vmsPerDomain }, (_, number) => listedVm(domain, number)),
     ).flat();
     each.forEach(listed => schedule(parts.random() * START_SPREAD_MS, () => start(listed)));
+    parts.pauses?.forEach(pause => {
+        schedule(pause.at, () => unhandled.set(pause.vm, []));
+        schedule(pause.at + pause.forMs, () => resume(pause));
+    });
 
     return {
-        clock,
+        clock: wall,
         schedule,
         runUntil,
         vms: () => [...running.values()],
--- a/packages/router/src/__tests__/support/simulateFreshness.ts
+++ b/packages/router/src/__tests__/support/simulateFreshness.ts
@@ -26,11 +26,13 @@
     readonly withdrawAt?: Millis;
     /** Age of a confirmation up to which keys are accepted. */
     readonly keysMs: Millis;
+    /** Times in which processes do not run; none if omitted. */
+    readonly pauses?: Parameters<typeof relayFleet>[0]["pauses"];
 };
 
 /** What was measured after the VMs had settled. */
 type SimulationResult = {
-    /** Maximum age of the configuration on any VM that the store does not refuse. */
+    /** Maximum age of the configuration on any VM that the store does not refuse, and that has run all the time. */
     readonly oldestMs: Millis;
     /** The same on any VM that the store refuses. */
     readonly oldestRefusedMs: Millis;
@@ -40,7 +42,13 @@
 };
 
 type SimulatedVm = ReturnType<ReturnType<typeof relayFleet>["vm"]>;
-type VmState = { declaredState: DeclaredState; storeAt: Millis; requestedAt: Millis; readonly number: number; };
+type VmState = {
+    declaredState: DeclaredState;
+    storeAt: Millis;
+    requestedAt: Millis;
+    readonly number: number;
+    readonly vm: SimulatedVm;
+};
 
 const SETTLED_MS = 6_000;
 /** Time after which the router checks again whether a read is due. */
@@ -70,7 +78,16 @@
         vmsPerDomain: parts.vms / parts.domains,
         random: parts.random,
         loss: parts.loss,
-        isOpen: (from, to) => isOpen(domainOf(from.vm), domainOf(to.vm), clock.now()),
+        isOpen: (from, to) => isOpen(domainOf(from.vm), domainOf(to.vm), wall.now()),
+        ...(parts.pauses === undefined ? {} : { pauses: parts.pauses }),
+        onResumed: (vm, kind) => {
+            const state = states.get(vm.listed.vm);
+            if (state !== undefined && kind === "uncounted") {
+                apply(state, { kind: "suspended" });
+            }
+            [state ?? []].flat().forEach(noteAcceptance);
+        },
+        onCaughtUp: ({ listed }) => [states.get(listed.vm) ?? []].flat().forEach(noteAcceptance),
         onStart: vm => startReading(vm),
         onReceived: (vm, { beacon, sentAfter, stampedAt }) => {
             const state = states.get(vm);
@@ -84,11 +101,18 @@
             }
         },
     });
-    const { clock, schedule } = fleet;
+    const { clock: wall } = fleet;
     const apply = (state: VmState, event: Parameters<typeof stepDeclaredState>[1]): void => {
-        state.declaredState = stepDeclaredState(state.declaredState, event, clock.now());
+        state.declaredState = stepDeclaredState(state.declaredState, event, state.vm.clock.now());
+    };
+    const noteAcceptance = ({ declaredState, vm }: VmState): void => {
+        const ageMs = vm.clock.now() - declaredState.confirmedAt;
+        if (!vm.isPaused() && ageMs <= parts.keysMs && declaredState.configuration?.revision === REVISION) {
+            measured.acceptedForMs = Math.max(measured.acceptedForMs, wall.now() - withdrawAt);
+        }
     };
-    const startReading = ({ listed, membership, localState, exchange }: SimulatedVm): void => {
+    const startReading = (vm: SimulatedVm): void => {
+        const { listed, membership, localState, exchange, clock, schedule } = vm;
         const [, , place] = listed.vm.split("-");
         const number = Number(place) * parts.domains + domainOf(listed.vm);
         const state: VmState = {
@@ -96,6 +120,7 @@
             storeAt: -Infinity,
             requestedAt: -Infinity,
             number,
+            vm,
         };
         states.set(listed.vm, state);
         localState.current = () => ({
@@ -123,8 +148,9 @@
             }
             checks.delete(listed.vm);
             const requestedAt = clock.now();
-            measured.reads += clock.now() > SETTLED_MS ? 1 : 0;
-            if (parts.isRefused(number, clock.now())) {
+            const sentAt = wall.now();
+            measured.reads += sentAt > SETTLED_MS ? 1 : 0;
+            if (parts.isRefused(number, sentAt)) {
                 schedule(RETRY_MS, read);
                 return;
             }
@@ -134,10 +160,10 @@
                 beaconIntervalMs: membership.beaconIntervalMs(),
                 isForDomains: membership.reachesOtherDomains(),
             };
-            const until = requestedAt + (scope === "fleet" && !isFirst ? readerWaitMs(wait, requestedAt) : 0);
-            const answeredAt = requestedAt < withdrawAt && withdrawAt < until ? withdrawAt : until;
+            const until = sentAt + (scope === "fleet" && !isFirst ? readerWaitMs(wait, requestedAt) : 0);
+            const answeredAt = sentAt < withdrawAt && withdrawAt < until ? withdrawAt : until;
             const revision = answeredAt < withdrawAt ? REVISION : REVISION + 1;
-            schedule(CALL_MS + answeredAt - requestedAt, () => {
+            schedule(CALL_MS + answeredAt - sentAt, () => {
                 const before = state.declaredState.configuration;
                 state.storeAt = clock.now();
                 state.requestedAt = requestedAt;
@@ -152,21 +178,21 @@
         read();
     };
     const measure = (): void => {
-        if (clock.now() > SETTLED_MS) {
-            states.forEach(({ declaredState, number }) => {
-                const ageMs = clock.now() - declaredState.confirmedAt;
-                const key = parts.isRefused(number, clock.now()) ? "oldestRefusedMs" : "oldestMs";
-                measured[key] = Math.max(measured[key], ageMs);
-                if (ageMs <= parts.keysMs && declaredState.configuration?.revision === REVISION) {
-                    measured.acceptedForMs = Math.max(measured.acceptedForMs, clock.now() - withdrawAt);
+        if (wall.now() > SETTLED_MS) {
+            states.forEach(state => {
+                const { declaredState, number, vm } = state;
+                const key = parts.isRefused(number, wall.now()) ? "oldestRefusedMs" : "oldestMs";
+                if (parts.pauses?.some(pause => pause.vm === vm.listed.vm) !== true) {
+                    measured[key] = Math.max(measured[key], vm.clock.now() - declaredState.confirmedAt);
                 }
+                noteAcceptance(state);
             });
         }
-        schedule(SAMPLE_MS, measure);
+        fleet.schedule(SAMPLE_MS, measure);
     };
     measure();
     if (killAt < parts.forMs) {
-        schedule(killAt, () => {
+        fleet.schedule(killAt, () => {
             fleet.kill(READER);
             states.delete(READER);
         });
--- a/packages/router/src/__tests__/unit/declarationReaders.test.ts
+++ b/packages/router/src/__tests__/unit/declarationReaders.test.ts
@@ -3,6 +3,7 @@
 import { declarationsDueIn } from "../../knowledge/declarationsDueIn.js";
 import { initialDeclaredState } from "../../knowledge/initialDeclaredState.js";
 import { readerWaitMs } from "../../knowledge/readerWaitMs.js";
+import { listedVm } from "../support/listedVm.js";
 import { routingOf } from "../support/routingOf.js";
 import { seededRandom } from "../support/seededRandom.js";
 import { simulateFreshness } from "../support/simulateFreshness.js";
@@ -176,8 +177,20 @@
     readonly killAt?: number;
     readonly isRefused?: Case["isRefused"];
     readonly isOpen?: NonNullable<Parameters<typeof simulateFreshness>[0]["isOpen"]>;
+    readonly pauses?: ReturnType<typeof pausesOf>;
 };
 
+/** The processes of the reader and of two VMs that follow it do not run for times in which the key is withdrawn. */
+const pausesOf = (kind: "counted" | "uncounted") =>
+    [[0, 0, 8_950, 6_000], [0, 1, 9_050, 4_000], [1, 2, 8_800, 2_400]].map((
+        [domain = 0, place = 0, at = 0, forMs = 0],
+    ) => ({
+        vm: listedVm(domain, place).vm,
+        at,
+        forMs,
+        kind,
+    }));
+
 // A key is withdrawn while the one VM that reads for all is not heard, and a VM accepts it for longer than allowed, or all
 // VMs refuse valid keys.
 const FAILED_AT = 9_000;
@@ -187,6 +200,8 @@
     { name: "the reader is killed or frozen", killAt: FAILED_AT },
     { name: "the reader is killed or frozen, a fifth of the beacons are lost", killAt: FAILED_AT, loss: 0.2 },
     { name: "the store does not answer the reader", isRefused: (vm, now) => vm === 0 && now > FAILED_AT },
+    { name: "the reader and two others do not run, their clocks go on", pauses: pausesOf("counted") },
+    { name: "the reader and two others do not run, their clocks stand still", pauses: pausesOf("uncounted") },
     { name: "the reader's domain is cut off", isOpen: (a, b, now) => now < FAILED_AT || (a === 0) === (b === 0) },
     { name: "all domains are cut off", isOpen: (a, b, now) => now < FAILED_AT || a === b },
     {
