Leave delays of the echo out of the ages that a VM tells of its peers

Told ages grew by up to a beacon interval at each relay, although only what lay unread for long is told as older than it looks. Three hops of half a second come near the two seconds after which a VM is not relied on. silenceOfPeers.test passes as before.

--- a/packages/router/src/peers/stepMembers.ts
+++ b/packages/router/src/peers/stepMembers.ts
@@ -102,8 +102,10 @@
     const lastReceived = { incarnation, failureDomain, beacon, ...times };
     const sentAfter = lastReceived.sentAfter === -Infinity ? now : lastReceived.sentAfter;
     const known = new Map(members.known);
-    // Told to others, a beacon that lay unread must not make a VM seem alive that has ended since.
-    const pausedMs = Math.max(0, now - sentAfter);
+    // Told to others, a beacon that lay unread must not make a VM seem alive that has ended since. Shorter delays are left out:
+    // they are those of the echo, and would add up over several relays.
+    const delayMs = now - sentAfter;
+    const pausedMs = delayMs > peerTiming.aliveMs ? delayMs : 0;
     known.set(vm, { vm, address, failureDomain, capacity, hasStore, lastSeenAt: now, pausedMs, lastReceived });
     beacon.vms.filter(each => each.vm !== members.vm).forEach(each => withKnownVm(known, each, sentAfter));
     return { ...members, known, ...withRelaySummary(members, beacon, sentAfter) };
