Refuse heads of 128 fields or more, and keep no more of incomplete ones

What callers saw: 3,500 connections with incomplete heads of 16 KB in 660 fields ended the process by SIGABRT. Heads of more than 2,000 fields were forwarded without the rest, as Node discards it.

--- a/packages/router/src/serve/createRequestReader.ts
+++ b/packages/router/src/serve/createRequestReader.ts
@@ -12,6 +12,7 @@
 import type { CompleteRequest } from "./CompleteRequest.js";
 import { countSharedRefusal } from "./countSharedRefusal.js";
 import { isRepeatable } from "./isRepeatable.js";
+import { maxHeaderFields } from "./maxHeaderFields.js";
 import { memoryRetryAfterSeconds } from "./memoryRetryAfterSeconds.js";
 import type { ServeParts } from "./ServeParts.js";
 
@@ -84,7 +85,8 @@
     return async (req, res) => {
         const arrivedAt = clock.now();
         const headerBytes = headerBytesOf(req);
-        const headBytes = headCost(headerBytes, req.rawHeaders.length / 2);
+        const fields = req.rawHeaders.length / 2;
+        const headBytes = headCost(headerBytes, fields);
         /**
          * Heads that arrive together are all decoded before the first of them is judged. To prevent that they use up the
          * memory, those beyond its part are refused undecoded.
@@ -132,7 +134,8 @@
             refuse(res, refusalOf("vm-overloaded", detail, { retryAfterSeconds }), caller?.id, false);
             return undefined;
         }
-        if (headerBytes > (limits?.headerBytes ?? Infinity)) {
+        // Node has discarded the fields beyond the limit.
+        if (fields >= maxHeaderFields || headerBytes > (limits?.headerBytes ?? Infinity)) {
             refuse(res, refusalOf("headers-too-large"), undefined, true);
             return undefined;
         }
--- a/packages/router/src/serve/startListener.ts
+++ b/packages/router/src/serve/startListener.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 
 import { cutAnswer } from "./cutAnswer.js";
+import { maxHeaderFields } from "./maxHeaderFields.js";
 
 /** Upper bound on the size of headers; the limit in the configuration may be lower. */
 const MAX_HEADER_BYTES = 64 * 1024;
@@ -57,6 +58,7 @@
         noDelay: true,
         insecureHTTPParser: false,
     }, (req, res) => void handle(req, res));
+    server.maxHeadersCount = maxHeaderFields;
     const [host, port] = address.split(":");
     await new Promise<void>((resolve, reject) => {
         server.once("error", reject);
