Place requests at endpoints that all have answered without a further pass

Change: preferReachable returns what it got if nothing is to be left out, and placeRequest then divides nothing.

--- a/packages/router/src/placement/preferReachable.ts
+++ b/packages/router/src/placement/preferReachable.ts
@@ -17,6 +17,10 @@
     now: Millis,
     { isAfterUnreached, mayBeInBackoff }: ReachPreference,
 ): readonly Placeable[] {
+    // The usual case, met by each request.
+    if (placeable.every(({ candidate }) => candidate.hasAnswered && candidate.health.backoffUntil <= now)) {
+        return placeable;
+    }
     const available = placeable.filter(({ candidate }) => candidate.health.backoffUntil <= now);
     if (available.length === 0) {
         return mayBeInBackoff ? placeable : [];
--- a/packages/router/src/serve/placeRequest.ts
+++ b/packages/router/src/serve/placeRequest.ts
@@ -81,14 +81,15 @@
             parts.brittleServices.select(served.service, parts.availability.select(reachable)),
             isPlacedAgain,
         );
-        const placeable = preferReachable(
-            [...selected.unlimited, ...selected.turns],
-            parts.clock.now(),
-            reachPreference,
-        );
-        const preferred = new Set(placeable);
-        const unlimited = selected.unlimited.filter(each => preferred.has(each));
-        const turns = selected.turns.filter(each => preferred.has(each));
+        const available = [...selected.unlimited, ...selected.turns];
+        const placeable = preferReachable(available, parts.clock.now(), reachPreference);
+        const preferred = placeable === available ? undefined : new Set(placeable);
+        const [unlimited, turns] = preferred === undefined
+            ? [selected.unlimited, selected.turns]
+            : [
+                selected.unlimited.filter(each => preferred.has(each)),
+                selected.turns.filter(each => preferred.has(each)),
+            ];
         const place = choosePlaceOrTurn(
             {
                 unlimited: sampleCandidates(
