Judge the daemon's connections only once what has arrived is read

What callers saw: a daemon that had not run for longer than its idle or request time reset kept connections with an unread request on them, and answered 408 to heads and bodies that lay unread.

Cause: Node's own idle and request timers, as in the router before. The daemon's listeners still had them.

Change: the router's judgement moves to packages/http (judgeTimeouts), and the listeners of both use it; trackReadings tells the daemon what has been read of a connection.

--- a/packages/router/src/serve/startCallerServer.ts
+++ b/packages/router/src/serve/startCallerServer.ts
@@ -4,7 +4,7 @@
 import type { Millis } from "@azureshunt/core";
 import { refusalOf } from "@azureshunt/core";
 import type { ErrorKind } from "@azureshunt/core";
-import { afterPendingReads, startTimeout } from "@azureshunt/lifecycle";
+import { judgeTimeouts } from "@azureshunt/http";
 
 import type { CallerLimits } from "../configuration/CallerLimits.js";
 import type { CallerWire } from "../ports/CallerWire.js";
@@ -53,10 +53,9 @@
 /** A caller that sends on for longer after its last answer does not read it. */
 const MAX_LINGER_MS = 2_000;
 
-const TIMED_OUT = "ERR_HTTP_REQUEST_TIMEOUT";
 const ERROR_KINDS: Readonly<Record<string, ErrorKind>> = {
     HPE_HEADER_OVERFLOW: "headers-too-large",
-    [TIMED_OUT]: "headers-too-slow",
+    ERR_HTTP_REQUEST_TIMEOUT: "headers-too-slow",
 };
 
 const errorKindOf = (err: NodeJS.ErrnoException): ErrorKind => ERROR_KINDS[err.code ?? ""] ?? "bad-request";
@@ -131,33 +130,11 @@
             ),
         );
     };
-    /** A request that is not complete in time is refused, unless more of it has arrived by then. */
-    const judgeSlowRequest = (err: NodeJS.ErrnoException, socket: Duplex): void => {
-        const { bytes } = connections.reading(socket);
-        afterPendingReads(() => {
-            const now = connections.reading(socket);
-            if (now.bytes === bytes) {
-                refuseBytes(err, socket);
-            }
-            else if (now.isPartial) {
-                // Node does not watch this request any more.
-                startTimeout(server.headersTimeout, () => judgeSlowRequest(err, socket));
-            }
-        });
-    };
-    server.on(
-        "clientError",
-        (err: NodeJS.ErrnoException, socket: Duplex) =>
-            (err.code === TIMED_OUT ? judgeSlowRequest : refuseBytes)(err, socket),
-    );
-    server.on("timeout", socket =>
-        afterPendingReads(() => {
-            const isIdle = connections.reading(socket).isIdle;
-            parts.onIdleTimeout?.(isIdle);
-            if (isIdle) {
-                socket.destroy();
-            }
-        }));
+    judgeTimeouts(server, {
+        reading: connections.reading,
+        refuse: refuseBytes,
+        onIdleTimeout: parts.onIdleTimeout,
+    });
     server.on("connection", (socket: Duplex) => {
         connections.open(socket);
         parts.onConnection?.(socket);
