--- a/packages/router/src/serve/startCallerServer.ts
+++ b/packages/router/src/serve/startCallerServer.ts
@@ -5,6 +5,7 @@
 import { refusalOf } from "@azureshunt/core";
 import type { ErrorKind } from "@azureshunt/core";
 import { judgeTimeouts } from "@azureshunt/http";
+import { afterPendingReads } from "@azureshunt/lifecycle";
 
 import type { CallerLimits } from "../configuration/CallerLimits.js";
 import type { CallerWire } from "../ports/CallerWire.js";
