Refuse callers beyond what a VM's descriptors allow, and keep the rest back

What callers saw: with 700 connections of callers at a VM with 400 descriptors, new callers were reset and readiness was unreachable.

Cause: callers' connections were accepted until the process had no descriptor left; then the system resets whatever comes next, on all ports.

Change: connectionAdmission decides on each new connection from the numbers of connections and the process's limit. 35 % of the descriptors are for callers that are served; from three quarters of these on, a connection is closed after its answer, if no other request of it is under way. Up to 25 % are for callers that are refused: 503 vm-overloaded, Connection: close, Retry-After, not run. Refused connections are ended oldest first when too many stay open; a caller that has sent nothing yet gets its answer first, and what it still sends is discarded. The rest is for readiness, store, peers and endpoints. New metric: azureshunt_crowded_connections_total.

Evidence: descriptorLimit.test (700 connections, 400 descriptors), two rows; both fail without the change: callers without an answer, and 7 of 20 readiness probes failed in the second. connectionAdmission.test, 7 rows. Not bounded: connections to endpoints and tunnels.

--- a/packages/router/src/serve/createCallerConnections.ts
+++ b/packages/router/src/serve/createCallerConnections.ts
@@ -29,9 +29,14 @@
     readonly forEach: (visit: ConnectionVisitor) => void;
     readonly size: () => number;
     /** What has been read of a connection: whether it is between two requests, or within one that has no whole head. */
-    readonly reading: (
-        socket: Duplex,
-    ) => { readonly bytes: number; readonly isIdle: boolean; readonly isPartial: boolean; };
+    readonly reading: (socket: Duplex) => {
+        readonly bytes: number;
+        readonly isIdle: boolean;
+        readonly isPartial: boolean;
+        readonly isHalfClosed: boolean;
+    };
+    /** Number of a connection's requests without a whole answer. */
+    readonly unansweredOn: (socket: Duplex) => number;
     /** Answers that are not whole yet. */
     readonly unanswered: () => ReadonlySet<ServerResponse>;
     readonly counts: () => ConnectionCounts;
@@ -113,8 +118,14 @@
         reading: socket => {
             const connection = connections.get(socket);
             const state = connection === undefined ? undefined : stateOf(socket, connection);
-            return { bytes: bytesReadOf(socket), isIdle: state === "idle", isPartial: state === "reading" };
+            return {
+                bytes: bytesReadOf(socket),
+                isIdle: state === "idle",
+                isPartial: state === "reading",
+                isHalfClosed: state === "half-closed",
+            };
         },
+        unansweredOn: socket => connections.get(socket)?.unanswered ?? 0,
         unanswered: () => unanswered,
         counts: () => {
             const counts: Partial<Record<CallerConnectionState, number>> = {};
--- a/packages/router/src/serve/startCallerServer.ts
+++ b/packages/router/src/serve/startCallerServer.ts
@@ -3,13 +3,14 @@
 
 import type { Millis } from "@azureshunt/core";
 import { refusalOf } from "@azureshunt/core";
-import type { ErrorKind } from "@azureshunt/core";
+import type { ErrorKind, Refusal } from "@azureshunt/core";
 import { afterPendingReads, startTimeout } from "@azureshunt/lifecycle";
 
 import type { CallerLimits } from "../configuration/CallerLimits.js";
 import type { CallerWire } from "../ports/CallerWire.js";
 import type { RouterSettings } from "../RouterSettings.js";
 import type { CallerDrainPhase } from "./CallerDrainPhase.js";
+import { connectionAdmission } from "./connectionAdmission.js";
 import { createCallerConnections } from "./createCallerConnections.js";
 import type { createDrainLog } from "./createDrainLog.js";
 import { cutAnswer } from "./cutAnswer.js";
@@ -26,6 +27,10 @@
     readonly callerWire: CallerWire;
     readonly limits: () => CallerLimits | undefined;
     readonly isReady: () => boolean;
+    /** Descriptors that the process may have open; `undefined` if not known. */
+    readonly maxDescriptors?: number | undefined;
+    /** Called for each connection that a caller opens while descriptors are short. */
+    readonly onCrowded?: (admission: Exclude<ReturnType<typeof connectionAdmission>, "serve">) => void;
     /** Called for each connection that a caller opens. */
     readonly onConnection?: (connection: Duplex) => void;
     /** Called as a connection's idle time is up; `isIdle` unless a request has arrived by then. */
@@ -61,12 +66,20 @@
 
 const errorKindOf = (err: NodeJS.ErrnoException): ErrorKind => ERROR_KINDS[err.code ?? ""] ?? "bad-request";
 
+const NO_DESCRIPTORS = "This VM has as many connections of callers open as its descriptors allow.";
+/** A refused caller that sends nothing for longer only occupies a descriptor. */
+const REFUSED_SILENT_MS = 2_000;
+
 const isReset = (err: NodeJS.ErrnoException): boolean => err.code === "ECONNRESET";
 
 /** Starts the listeners for callers and for the balancer. */
 export async function startCallerServer(parts: CallerServerParts): Promise<CallerServer> {
     const { settings, callerWire, drainLog, claim = (_address, bind) => bind() } = parts;
     const connections = createCallerConnections();
+    /** Connections beyond those that are served, oldest first. */
+    const refused = new Set<Duplex>();
+    /** Connections that are closed after their answer. */
+    const servedOnce = new WeakSet<Duplex>();
     const state = {
         /** Phase of the drain; `undefined` before it. */
         phase: undefined as CallerDrainPhase | undefined,
@@ -98,11 +111,20 @@
          */
         res.on("finish", () => {
             const isLast = req.socket.writableEnded;
-            if (isClosing() || (isLast && (state.phase !== undefined || !req.complete))) {
+            const isCrowded = refused.has(req.socket) || servedOnce.has(req.socket);
+            if (isClosing() || (isLast && (state.phase !== undefined || isCrowded || !req.complete))) {
                 connections.halfClose(req.socket);
                 req.resume();
             }
         });
+        if (refused.has(req.socket)) {
+            sendRefusal(callerWire, res, refusalOf("vm-overloaded", NO_DESCRIPTORS), true);
+            return undefined;
+        }
+        // With another request of the connection under way, its answer would be lost.
+        if (servedOnce.has(req.socket) && connections.unansweredOn(req.socket) === 1) {
+            res.shouldKeepAlive = false;
+        }
         if (state.phase === "accepting") {
             state.held.push(res);
             return undefined;
@@ -113,6 +135,16 @@
         }
         return parts.handler(req, res);
     });
+    /** Answers on a connection of which no request has been read, and closes it. */
+    const writeRefusal = (socket: Duplex, refusal: Refusal): void => {
+        const { headers } = callerWire.encodeRefusal(refusal);
+        const lines = headers.flatMap((name, i) => i % 2 === 0 ? [`${name}: ${headers[i + 1] ?? ""}`] : []);
+        socket.end(
+            [`HTTP/1.1 ${statusOf(refusal)} Refused`, ...lines, "Content-Length: 0", "Connection: close", "", ""].join(
+                "\r\n",
+            ),
+        );
+    };
     /**
      * Bytes that are not a valid request, or two requests merged into one by conflicting lengths, could be forwarded
      * and run. To prevent this, the parser is strict, the caller gets an error, and the connection is closed.
@@ -122,14 +154,7 @@
             socket.destroy();
             return;
         }
-        const refusal = refusalOf(errorKindOf(err));
-        const { headers } = callerWire.encodeRefusal(refusal);
-        const lines = headers.flatMap((name, i) => i % 2 === 0 ? [`${name}: ${headers[i + 1] ?? ""}`] : []);
-        socket.end(
-            [`HTTP/1.1 ${statusOf(refusal)} Refused`, ...lines, "Content-Length: 0", "Connection: close", "", ""].join(
-                "\r\n",
-            ),
-        );
+        writeRefusal(socket, refusalOf(errorKindOf(err)));
     };
     /** A request that is not complete in time is refused, unless more of it has arrived by then. */
     const judgeSlowRequest = (err: NodeJS.ErrnoException, socket: Duplex): void => {
@@ -158,7 +183,45 @@
                 socket.destroy();
             }
         }));
+    /** Closes the oldest refused connection that has its answer; without one, the oldest is answered before its request. */
+    const endRefused = (isDropped: boolean): void => {
+        const answered = [...refused].find(socket => connections.reading(socket).isHalfClosed);
+        const [oldest] = refused;
+        if (answered !== undefined) {
+            answered.destroy();
+        }
+        else if (oldest !== undefined) {
+            writeRefusal(oldest, refusalOf("vm-overloaded", NO_DESCRIPTORS));
+            // A request that still arrives is discarded.
+            connections.halfClose(oldest);
+            if (isDropped) {
+                oldest.once("finish", () => oldest.destroy());
+            }
+        }
+    };
+    const admit = (socket: Duplex): void => {
+        const view = { served: connections.size() - refused.size, refused: refused.size };
+        const admission = connectionAdmission({ ...view, maxDescriptors: parts.maxDescriptors });
+        if (admission === "serve") {
+            return;
+        }
+        parts.onCrowded?.(admission);
+        if (admission === "serve-once") {
+            servedOnce.add(socket);
+            return;
+        }
+        if (admission === "replace" || admission === "drop") {
+            endRefused(admission === "drop");
+        }
+        refused.add(socket);
+        const cancel = startTimeout(REFUSED_SILENT_MS, () => socket.destroy());
+        socket.once("close", () => {
+            cancel();
+            refused.delete(socket);
+        });
+    };
     server.on("connection", (socket: Duplex) => {
+        admit(socket);
         connections.open(socket);
         parts.onConnection?.(socket);
     });
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -12,7 +12,7 @@
     stopParts,
 } from "@azureshunt/lifecycle";
 import type { ManagedPart, StartContext } from "@azureshunt/lifecycle";
-import { createLoggers, createMetrics } from "@azureshunt/telemetry";
+import { createLoggers, createMetrics, maxDescriptors } from "@azureshunt/telemetry";
 
 import { createAllowanceQueue } from "./allowance/createAllowanceQueue.js";
 import { createAllowances } from "./allowance/createAllowances.js";
@@ -562,6 +562,13 @@
         limits: () => declarations.current().configuration?.limits,
         isReady,
         onConnection: overload.recordAccepted,
+        maxDescriptors: maxDescriptors(),
+        onCrowded: admission =>
+            metrics.count(
+                "azureshunt_crowded_connections_total",
+                "Connections that callers opened while descriptors were short.",
+                { admission },
+            ),
         onIdleTimeout: isIdle =>
             metrics.count("azureshunt_idle_timeouts_total", "Callers' connections whose idle time was up.", {
                 end: isIdle ? "closed" : "request arrived",
--- a/packages/telemetry/src/registerProcessGauges.ts
+++ b/packages/telemetry/src/registerProcessGauges.ts
@@ -1,6 +1,7 @@
-import { readdirSync, readFileSync } from "node:fs";
+import { readdirSync } from "node:fs";
 import { getHeapStatistics } from "node:v8";
 
+import { maxDescriptors } from "./maxDescriptors.js";
 import type { Metrics } from "./Metrics.js";
 
 /** In place of what the operating system does not tell. */
@@ -16,8 +17,6 @@
 };
 
 const openDescriptors = (): number => orUnknown(() => readdirSync("/proc/self/fd").length);
-const maxDescriptors = (): number =>
-    orUnknown(() => Number(/^Max open files\s+(\d+)/m.exec(readFileSync("/proc/self/limits", "utf8"))?.[1] ?? UNKNOWN));
 
 /** Registers the gauges of what a process may run out of; returns a function that unregisters them. */
 export function registerProcessGauges(metrics: Pick<Metrics, "gauge">): () => void {
@@ -26,7 +25,11 @@
         ["heap_limit_bytes", "Bytes that the JavaScript heap may use.", () => getHeapStatistics().heap_size_limit],
         ["resident_bytes", "Bytes of memory that the process holds.", () => process.memoryUsage.rss()],
         ["open_descriptors", "Descriptors that the process has open; -1 if not known.", openDescriptors],
-        ["max_descriptors", "Descriptors that the process may have open; -1 if not known.", maxDescriptors],
+        [
+            "max_descriptors",
+            "Descriptors that the process may have open; -1 if not known.",
+            () => maxDescriptors() ?? UNKNOWN,
+        ],
     ];
     const gauges = rows.map(([name, help, read]) => metrics.gauge(`azureshunt_${name}`, help, read));
     return () => gauges.forEach(unregister => unregister());
