End the wait for facts also if its timer fires early

What callers would have seen: no answer at all from a VM that is cut off after a pause.

Cause: a timer may fire a fraction of a millisecond early; the waiting requests compared the time, and waited again with no timer behind them.

Change: the timer itself ends the wait. Further pauses do not make a request wait for longer. factsWait.test fires timers early now.

--- a/packages/router/src/__tests__/unit/factsWait.test.ts
+++ b/packages/router/src/__tests__/unit/factsWait.test.ts
@@ -11,7 +11,7 @@
 
 const TOO_OLD = Left(refusalOf("configuration-too-old"));
 const SERVED = Right("served");
-const [STEPS, STEP_MS] = [200, 10] as const;
+const [STEPS, STEP_MS, EARLY_MS] = [200, 10, 0.5] as const;
 
 type Case = {
     readonly name: string;
@@ -24,7 +24,7 @@
 
 const cases: readonly Case[] = [
     { name: "facts are confirmed soon after the pause", pausedAt: 0, confirmedAt: 40, ends: [40, "served"] },
-    { name: "facts are not confirmed", pausedAt: 0, ends: [500, "configuration-too-old"] },
+    { name: "facts are not confirmed", pausedAt: 0, ends: [500 - EARLY_MS, "configuration-too-old"] },
     { name: "the pause is long over", pausedAt: -600, confirmedAt: 40, ends: [0, "configuration-too-old"] },
     { name: "no pause", confirmedAt: 40, ends: [0, "configuration-too-old"] },
     {
@@ -41,7 +41,11 @@
     test(`facts wait: ${name}`, async t => {
         const time = createVirtualTime();
         const state = { isFresh: false };
-        const wait = createFactsWait(time);
+        // Timers of a process may fire a fraction of a millisecond early.
+        const wait = createFactsWait({
+            clock: time.clock,
+            schedule: (delayMs, run) => void time.schedule(delayMs - EARLY_MS, run),
+        });
         const start = 1_000;
         if (pausedAt !== undefined) {
             time.schedule(start + pausedAt, wait.recordPause);
--- a/packages/router/src/serve/createFactsWait.ts
+++ b/packages/router/src/serve/createFactsWait.ts
@@ -33,26 +33,36 @@
  * is counted by the byte budget. A VM that is cut off refuses them then.
  */
 export function createFactsWait({ clock, schedule = startTimeout }: WaitParts): FactsWait {
-    const state = { until: -Infinity as Millis };
+    const state = { until: -Infinity as Millis, isPaused: false };
     const waiting = new Set<() => void>();
     const wake = (): void => {
         const woken = [...waiting];
         waiting.clear();
         woken.forEach(resume => resume());
     };
-    const decide: FactsWait["decide"] = (decision, deadline) => {
+    /** Further pauses must not make a request wait for longer. */
+    const decideBy = <Result>(
+        decision: () => Either<Refusal, Result>,
+        until: Millis,
+    ): Either<Refusal, Result> | Promise<Either<Refusal, Result>> => {
         const decided = decision();
         const isOutdated = decided.swap().map(({ kind }) => kind === "configuration-too-old").orDefault(false);
-        return isOutdated && clock.now() < state.until && deadline > state.until
-            ? new Promise<void>(resolve => waiting.add(resolve)).then(() => decide(decision, deadline))
+        return isOutdated && clock.now() < until && state.isPaused
+            ? new Promise<void>(resolve => waiting.add(resolve)).then(() => decideBy(decision, until))
             : decided;
     };
     return {
         recordPause: () => {
-            state.until = clock.now() + MAX_WAIT_MS;
-            schedule(MAX_WAIT_MS, wake);
+            const until = clock.now() + MAX_WAIT_MS;
+            state.until = until;
+            state.isPaused = true;
+            schedule(MAX_WAIT_MS, () => {
+                // A timer may fire a fraction of a millisecond early, so the time is not compared.
+                state.isPaused &&= state.until !== until;
+                wake();
+            });
         },
         recordConfirmed: wake,
-        decide,
+        decide: (decision, deadline) => decideBy(decision, deadline > state.until ? state.until : -Infinity),
     };
 }
