Refuse a slow request after one more period, whatever arrives in it

What callers would have seen: a VM whose connections are held by requests that are never complete.

Cause: Node forgets a request whose time is up, and one of which more had arrived was watched again only while its head was incomplete.

--- a/packages/http/src/SocketReading.ts
+++ b/packages/http/src/SocketReading.ts
@@ -3,6 +3,8 @@
     readonly bytes: number;
     /** Whether it is between two requests. */
     readonly isIdle: boolean;
-    /** Whether it is within a request that has no whole head. */
-    readonly isPartial: boolean;
+    /** Whether it is within a request whose head or body is not complete. */
+    readonly isIncomplete: boolean;
+    /** Number of its requests whose heads are complete. */
+    readonly requests: number;
 };
--- a/packages/http/src/judgeTimeouts.ts
+++ b/packages/http/src/judgeTimeouts.ts
@@ -20,17 +20,23 @@
  * it at once: after a time in which the process did not run, with a request or a body on it that lies unread.
  */
 export function judgeTimeouts(server: Server, { reading, refuse, onIdleTimeout }: TimeoutParts): void {
-    /** A request that is not complete in time is refused, unless more of it has arrived by then. */
+    /**
+     * A request that is not complete in time is refused, unless more of it has arrived by then. Node does not watch it any
+     * more, so it gets one more period, whatever arrives in that.
+     */
     const judgeSlowRequest = (err: NodeJS.ErrnoException, socket: Duplex): void => {
-        const { bytes } = reading(socket);
-        afterPendingReads(() => {
+        const { bytes, requests } = reading(socket);
+        const refuseIf = (isDue: (now: SocketReading) => boolean): void => {
             const now = reading(socket);
-            if (now.bytes === bytes) {
+            if (now.requests === requests && isDue(now)) {
                 refuse(err, socket);
             }
-            else if (now.isPartial) {
-                // Node does not watch this request any more.
-                startTimeout(server.headersTimeout, () => judgeSlowRequest(err, socket));
+        };
+        afterPendingReads(() => {
+            refuseIf(now => now.bytes === bytes);
+            const { bytes: bytesNow, isIncomplete } = reading(socket);
+            if (bytesNow !== bytes && isIncomplete && !socket.destroyed) {
+                startTimeout(server.headersTimeout, () => refuseIf(now => now.isIncomplete));
             }
         });
     };
--- a/packages/http/src/trackReadings.ts
+++ b/packages/http/src/trackReadings.ts
@@ -3,26 +3,35 @@
 
 import type { SocketReading } from "./SocketReading.js";
 
-type Answered = { unanswered: number; bytes: number; };
+type Read = { unanswered: number; requests: number; bytes: number; last: IncomingMessage | undefined; };
 
 const bytesReadOf = (socket: Duplex): number => "bytesRead" in socket ? Number(socket.bytesRead) : 0;
+const nothing = (): Read => ({ unanswered: 0, requests: 0, bytes: 0, last: undefined });
 
 /** Follows the requests of a listener; returns a function that tells what has been read of a connection. */
 export function trackReadings(server: Server): (socket: Duplex) => SocketReading {
-    const answered = new WeakMap<Duplex, Answered>();
-    server.on("request", ({ socket }: IncomingMessage, res: ServerResponse) => {
-        const connection = answered.get(socket) ?? { unanswered: 0, bytes: 0 };
-        answered.set(socket, connection);
-        connection.unanswered += 1;
+    const readings = new WeakMap<Duplex, Read>();
+    server.on("request", (req: IncomingMessage, res: ServerResponse) => {
+        const { socket } = req;
+        const read = readings.get(socket) ?? nothing();
+        readings.set(socket, read);
+        read.unanswered += 1;
+        read.requests += 1;
+        read.last = req;
         res.once("close", () => {
-            connection.unanswered -= 1;
-            connection.bytes = bytesReadOf(socket);
+            read.unanswered -= 1;
+            read.bytes = bytesReadOf(socket);
         });
     });
     return socket => {
-        const { unanswered, bytes: answeredBytes } = answered.get(socket) ?? { unanswered: 0, bytes: 0 };
+        const { unanswered, requests, bytes: answeredBytes, last } = readings.get(socket) ?? nothing();
         const bytes = bytesReadOf(socket);
         const isRead = unanswered === 0 && bytes > 0;
-        return { bytes, isIdle: isRead && bytes === answeredBytes, isPartial: isRead && bytes !== answeredBytes };
+        return {
+            bytes,
+            isIdle: isRead && bytes === answeredBytes,
+            isIncomplete: (isRead && bytes !== answeredBytes) || last?.complete === false,
+            requests,
+        };
     };
 }
--- a/packages/router/src/serve/createCallerConnections.ts
+++ b/packages/router/src/serve/createCallerConnections.ts
@@ -2,6 +2,7 @@
 import type { Duplex } from "node:stream";
 
 import type { Millis } from "@azureshunt/core";
+import type { SocketReading } from "@azureshunt/http";
 
 import type { CallerConnectionState } from "./CallerConnectionState.js";
 import type { ConnectionCounts } from "./ConnectionCounts.js";
@@ -11,6 +12,9 @@
     unanswered: number;
     /** Bytes read until the last answer was whole. */
     answeredBytes: number;
+    /** Requests so far, and the last one. */
+    requests: number;
+    last: IncomingMessage | undefined;
     halfClosedAt: Millis | undefined;
 };
 
@@ -28,13 +32,8 @@
     readonly closeHalfClosed: (afterMs: Millis) => void;
     readonly forEach: (visit: ConnectionVisitor) => void;
     readonly size: () => number;
-    /** What has been read of a connection: whether it is between two requests, or within one that has no whole head. */
-    readonly reading: (socket: Duplex) => {
-        readonly bytes: number;
-        readonly isIdle: boolean;
-        readonly isPartial: boolean;
-        readonly isHalfClosed: boolean;
-    };
+    /** What has been read of a connection, and whether this VM has ended its side. */
+    readonly reading: (socket: Duplex) => SocketReading & { readonly isHalfClosed: boolean; };
     /** Number of a connection's requests without a whole answer. */
     readonly unansweredOn: (socket: Duplex) => number;
     /** Answers that are not whole yet. */
@@ -71,7 +70,13 @@
     };
     return {
         open: socket => {
-            connections.set(socket, { unanswered: 0, answeredBytes: 0, halfClosedAt: undefined });
+            connections.set(socket, {
+                unanswered: 0,
+                answeredBytes: 0,
+                requests: 0,
+                last: undefined,
+                halfClosedAt: undefined,
+            });
             socket.once("close", () => connections.delete(socket));
         },
         begin: (req, res) => {
@@ -83,6 +88,8 @@
             unanswered.add(res);
             if (connection !== undefined) {
                 connection.unanswered += 1;
+                connection.requests += 1;
+                connection.last = req;
             }
             res.once("close", () => {
                 unanswered.delete(res);
@@ -121,7 +128,8 @@
             return {
                 bytes: bytesReadOf(socket),
                 isIdle: state === "idle",
-                isPartial: state === "reading",
+                isIncomplete: state === "reading" || connection?.last?.complete === false,
+                requests: connection?.requests ?? 0,
                 isHalfClosed: state === "half-closed",
             };
         },
