Count an endpoint as reached once a connection to it is open

What callers would have seen: after a restart or a release with long answers, one engine that has answered gets all requests while others, each with its first one running, get none.

Cause: an endpoint counted as one that may refuse connections until its first answer had come.

Change: until a connection to it has been open; that ends a series of refused ones too.

--- a/packages/router/src/__tests__/support/candidateOf.ts
+++ b/packages/router/src/__tests__/support/candidateOf.ts
@@ -8,7 +8,7 @@
     return {
         name: name as EndpointName,
         health: initialHealth,
-        hasAnswered: true,
+        hasBeenReached: true,
         isSameDomain: true,
         slots: 64,
         running: 0,
--- a/packages/router/src/__tests__/unit/preferReachable.test.ts
+++ b/packages/router/src/__tests__/unit/preferReachable.test.ts
@@ -7,8 +7,8 @@
 const NOW = 1_000;
 
 const known = candidateOf("known", { running: 9, ownRunning: 9 });
-const listed = candidateOf("listed", { hasAnswered: false });
-const tried = candidateOf("tried", { hasAnswered: false, ownRunning: 1 });
+const listed = candidateOf("listed", { hasBeenReached: false });
+const tried = candidateOf("tried", { hasBeenReached: false, ownRunning: 1 });
 const inBackoff = candidateOf("inBackoff", { health: { ...initialHealth, backoffUntil: NOW + 1 } });
 
 // Guards against endpoints at which nothing listens drawing the requests of those that answer, and against connections
--- a/packages/router/src/placement/Candidate.ts
+++ b/packages/router/src/placement/Candidate.ts
@@ -7,8 +7,8 @@
 export type Candidate = {
     readonly name: EndpointName;
     readonly health: EndpointHealth;
-    /** Whether it has answered this VM, and no try since has failed to reach it. */
-    readonly hasAnswered: boolean;
+    /** Whether this VM has opened a connection to it, and no try since has failed to reach it. */
+    readonly hasBeenReached: boolean;
     /** Whether the endpoint is in this VM's failure domain. */
     readonly isSameDomain: boolean;
     readonly slots: number;
--- a/packages/router/src/placement/EndpointObservations.ts
+++ b/packages/router/src/placement/EndpointObservations.ts
@@ -12,6 +12,8 @@
     health: EndpointHealth;
     inFlight: readonly InFlight[];
     lastActivityAt: Millis;
+    /** Whether a connection to it has been open. */
+    isReached: boolean;
     /**
      * Newest version known from answers, reports, orders and peers; 0 until one is known. The registry entry may be
      * outdated.
--- a/packages/router/src/placement/InFlightHandle.ts
+++ b/packages/router/src/placement/InFlightHandle.ts
@@ -4,6 +4,8 @@
 
 /** Reports the progress of one in-flight request, from sending to end. */
 export type InFlightHandle = {
+    /** Records that a connection to the endpoint is open. */
+    readonly onReached: () => void;
     /** Records that the answer has started. */
     readonly answerStarted: () => void;
     /** Records that bytes arrived from the endpoint. */
--- a/packages/router/src/placement/createEndpointTable.ts
+++ b/packages/router/src/placement/createEndpointTable.ts
@@ -174,7 +174,7 @@
             const candidate = {
                 name: entry.name,
                 health: observed.health,
-                hasAnswered: observed.lastActivityAt > -Infinity && observed.health.unreachedInRow === 0,
+                hasBeenReached: observed.isReached && observed.health.unreachedInRow === 0,
                 isSameDomain: entry.failureDomain === parts.failureDomain,
                 slots: engine?.slots ?? entry.slots,
                 memorySize: engine?.cacheTokens ?? 0,
--- a/packages/router/src/placement/createObservations.ts
+++ b/packages/router/src/placement/createObservations.ts
@@ -41,6 +41,7 @@
             health: initialHealth,
             inFlight: [],
             lastActivityAt: -Infinity,
+            isReached: false,
             knownVersion: 0,
             versionLearnedAt: -Infinity,
             versionConfirmedAt: -Infinity,
--- a/packages/router/src/placement/preferReachable.ts
+++ b/packages/router/src/placement/preferReachable.ts
@@ -6,9 +6,9 @@
 /**
  * Leaves out candidates that may refuse the connection, as far as others are left.
  *
- * Endpoints may be listed at which nothing listens. They look idle, so they would draw all requests. One that has not
- * answered since it was listed or last refused gets one request at a time, and none that another one has refused
- * already. So a request meets few of them, and they are noticed when they are back.
+ * Endpoints may be listed at which nothing listens. They look idle, so they would draw all requests. One to which no
+ * connection has been open since it was listed or last refused gets one request at a time, and none that another one has
+ * refused already. So a request meets few of them, and they are noticed when they are back.
  *
  * @param now determines which candidates are in backoff
  */
@@ -18,17 +18,17 @@
     { isAfterUnreached, mayBeInBackoff }: ReachPreference,
 ): readonly Placeable[] {
     // The usual case, met by each request.
-    if (placeable.every(({ candidate }) => candidate.hasAnswered && candidate.health.backoffUntil <= now)) {
+    if (placeable.every(({ candidate }) => candidate.hasBeenReached && candidate.health.backoffUntil <= now)) {
         return placeable;
     }
     const available = placeable.filter(({ candidate }) => candidate.health.backoffUntil <= now);
     if (available.length === 0) {
         return mayBeInBackoff ? placeable : [];
     }
-    if (!available.some(({ candidate }) => candidate.hasAnswered)) {
+    if (!available.some(({ candidate }) => candidate.hasBeenReached)) {
         return available;
     }
-    return available.filter(({ candidate: { hasAnswered, ownRunning } }) =>
-        hasAnswered || (!isAfterUnreached && ownRunning === 0)
+    return available.filter(({ candidate: { hasBeenReached, ownRunning } }) =>
+        hasBeenReached || (!isAfterUnreached && ownRunning === 0)
     );
 }
--- a/packages/router/src/placement/trackInFlight.ts
+++ b/packages/router/src/placement/trackInFlight.ts
@@ -34,6 +34,12 @@
     };
     replace(request.current);
     return {
+        onReached: () => {
+            if (observed !== undefined) {
+                observed.isReached = true;
+                observed.health = { ...observed.health, unreachedInRow: 0 };
+            }
+        },
         answerStarted: () => replace({ ...request.current, isAnswering: true }),
         onActivity: now => {
             if (observed !== undefined) {
--- a/packages/router/src/serve/sendTry.ts
+++ b/packages/router/src/serve/sendTry.ts
@@ -213,6 +213,7 @@
         isAlive: served.caller.prompt === undefined ? undefined : inFlight.isAlive,
         // Asked once a connection is open.
         maySend: () => {
+            inFlight.onReached();
             used.isWithheld = !parts.availability.maySend(place.entry);
             used.isSent = !used.isWithheld && !isTooLate(parts, served);
             return used.isSent;
