Count the descriptors that callers use, and free those of refused ones

Cause: each connection counted as two descriptors, whether a request ran on it or not; a refusal of bytes closed one side only.

A connection whose refusal is still being written is not chosen to be ended. The listener for readiness judges its timeouts after reads as well.

--- a/packages/router/src/serve/connectionAdmission.ts
+++ b/packages/router/src/serve/connectionAdmission.ts
@@ -1,6 +1,8 @@
 type ConnectionView = {
     /** Callers' connections that are served. */
     readonly served: number;
+    /** Requests of them without a whole answer; each takes a further connection, to an endpoint. */
+    readonly unanswered: number;
     /** Those beyond, whose requests are refused. */
     readonly refused: number;
     /** Descriptors that the process may have open; `undefined` if not known. */
@@ -8,13 +10,15 @@
 };
 
 /**
- * Fractions of the descriptors for callers that are served and that are refused. A served caller needs another one for its
- * request's connection to an endpoint; what is left beside is for the listeners, the store and peers.
+ * Fractions of the descriptors for callers that are served, with the connections to endpoints that their requests take, and for
+ * those that are refused. What is left beside is for the listeners, the store and peers.
  */
-const SERVED_FRACTION = 0.35;
+const SERVED_FRACTION = 0.7;
+/** Fraction for connections that are served, as many of them may send at the same moment. */
+const CONNECTIONS_FRACTION = 0.42;
 const REFUSED_FRACTION = 0.1;
 const MAX_REFUSED_FRACTION = 0.25;
-/** Fraction of the served connections from which on none is kept for a further request. */
+/** Fraction of those for served callers from which on no connection is kept for a further request. */
 const CROWDED_FRACTION = 0.75;
 
 /**
@@ -23,10 +27,13 @@
  * `drop`: as `replace`, without waiting for its caller.
  */
 export function connectionAdmission(view: ConnectionView): "serve" | "serve-once" | "refuse" | "replace" | "drop" {
-    const { served, refused, maxDescriptors = Infinity } = view;
-    const maxServed = SERVED_FRACTION * maxDescriptors;
-    if (served < maxServed) {
-        return served < CROWDED_FRACTION * maxServed ? "serve" : "serve-once";
+    const { served, unanswered, refused, maxDescriptors = Infinity } = view;
+    const usedFraction = Math.max(
+        (served + unanswered) / (SERVED_FRACTION * maxDescriptors),
+        served / (CONNECTIONS_FRACTION * maxDescriptors),
+    );
+    if (usedFraction < 1) {
+        return usedFraction < CROWDED_FRACTION ? "serve" : "serve-once";
     }
     if (refused < REFUSED_FRACTION * maxDescriptors) {
         return "refuse";
--- a/packages/router/src/serve/startCallerServer.ts
+++ b/packages/router/src/serve/startCallerServer.ts
@@ -4,7 +4,7 @@
 import type { Millis } from "@azureshunt/core";
 import { refusalOf } from "@azureshunt/core";
 import type { ErrorKind, Refusal } from "@azureshunt/core";
-import { judgeTimeouts } from "@azureshunt/http";
+import { judgeTimeouts, trackReadings } from "@azureshunt/http";
 import { afterPendingReads, startTimeout } from "@azureshunt/lifecycle";
 
 import type { CallerLimits } from "../configuration/CallerLimits.js";
@@ -99,6 +99,7 @@
         res.writeHead(parts.isReady() ? OK : UNAVAILABLE);
         res.end();
     });
+    judgeTimeouts(ready, { reading: trackReadings(ready), refuse: (_err, socket) => void socket.destroy() });
     const server = await listen(settings.listen.callers, (req, res) => {
         if (!connections.begin(req, res)) {
             req.resume();
@@ -155,6 +156,8 @@
             return;
         }
         writeRefusal(socket, refusalOf(errorKindOf(err)));
+        // A caller that keeps its side open must not keep a descriptor.
+        connections.halfClose(socket);
     };
     judgeTimeouts(server, {
         reading: connections.reading,
@@ -164,7 +167,7 @@
     /** Closes the oldest refused connection that has its answer; without one, the oldest is answered before its request. */
     const endRefused = (isDropped: boolean): void => {
         const answered = [...refused].find(socket => connections.reading(socket).isHalfClosed);
-        const [oldest] = refused;
+        const oldest = [...refused].find(socket => connections.unansweredOn(socket) === 0);
         if (answered !== undefined) {
             answered.destroy();
         }
@@ -178,8 +181,12 @@
         }
     };
     const admit = (socket: Duplex): void => {
-        const view = { served: connections.size() - refused.size, refused: refused.size };
-        const admission = connectionAdmission({ ...view, maxDescriptors: parts.maxDescriptors });
+        const admission = connectionAdmission({
+            served: connections.size() - refused.size,
+            unanswered: connections.unanswered().size,
+            refused: refused.size,
+            maxDescriptors: parts.maxDescriptors,
+        });
         if (admission === "serve") {
             return;
         }
