Keep an endpoint's idle limit if its close has been read

Cause: a close is reported after the timers' judgement, so after a pause a connection that the endpoint had closed counted as one that outlasted the limit.

--- a/packages/router/src/dispatch/EndpointAgent.ts
+++ b/packages/router/src/dispatch/EndpointAgent.ts
@@ -216,7 +216,10 @@
         const idle = this.freeSockets[address];
         idle?.splice(idle.indexOf(socket), 1);
         const cancel = startTimeout(Math.max(0, outlastMs - this.idleMsOf(socket)), () => {
-            this.idleLimits.recordOutlasted(address);
+            // A close that has been read is reported only after this.
+            if (!socket.readableEnded && socket.errored === null) {
+                this.idleLimits.recordOutlasted(address);
+            }
             socket.destroy();
         });
         socket.once("close", () => {
