Bound by time how long a busy event loop waits before others are judged

Ticks that wait for reads do not overlap. A pause is told from load by the most CPU time that an interval has lately taken, as one idle interval before a pause says little of a busy VM.

--- a/packages/lifecycle/src/PauseState.ts
+++ b/packages/lifecycle/src/PauseState.ts
@@ -6,7 +6,7 @@
 export type PauseState = {
     /** At the last tick. */
     readonly tick: ClockReading;
-    /** CPU time that the process used in one interval before the last tick. */
+    /** The most CPU time that the process has lately used in one interval. */
     readonly usualCpuMs: Millis;
     /** Wall clock less monotonic clock, at the last look. */
     readonly offsetMs: number;
--- a/packages/lifecycle/src/stepPauses.ts
+++ b/packages/lifecycle/src/stepPauses.ts
@@ -21,10 +21,14 @@
  */
 const MAX_CPU_FRACTION = 0.02;
 
-/** Returns the CPU time per interval up to a tick, at most what a core gives. */
-const cpuPerInterval = ({ tick }: PauseState, reading: ClockReading, intervalMs: Millis): Millis => {
+/** Fraction of the usual CPU time that is left after an interval with less. */
+const USUAL_DECAY = 0.8;
+
+/** Returns the most CPU time that an interval has lately taken, at most what a core gives. */
+const usualCpu = ({ tick, usualCpuMs }: PauseState, reading: ClockReading, intervalMs: Millis): Millis => {
     const elapsedMs = Math.max(intervalMs, reading.steadyMs - tick.steadyMs);
-    return Math.min(intervalMs, (reading.cpuMs - tick.cpuMs) * intervalMs / elapsedMs);
+    const perIntervalMs = Math.min(intervalMs, (reading.cpuMs - tick.cpuMs) * intervalMs / elapsedMs);
+    return Math.max(perIntervalMs, usualCpuMs * USUAL_DECAY);
 };
 
 const uncounted = (state: PauseState, { wallMs, steadyMs }: ClockReading): readonly Pause[] => {
@@ -47,7 +51,7 @@
     const offsetMs = reading.wallMs - reading.steadyMs;
     return {
         state: kind === "tick"
-            ? { tick: reading, usualCpuMs: cpuPerInterval(state, reading, intervalMs), offsetMs, toldMs: 0 }
+            ? { tick: reading, usualCpuMs: usualCpu(state, reading, intervalMs), offsetMs, toldMs: 0 }
             : { ...state, offsetMs, toldMs: state.toldMs + (ofSteadyClock[0]?.ms ?? 0) },
         pauses: [...uncounted(state, reading), ...ofSteadyClock],
     };
--- a/packages/router/src/startTicks.ts
+++ b/packages/router/src/startTicks.ts
@@ -12,10 +12,17 @@
 
 /** Ticks all time-driven parts by one timer, as that wakes an idle VM least often; returns a function that stops it. */
 export function startTicks({ intervalMs, first, afterReads }: TickParts): () => void {
-    const state = { cancel: (): void => undefined };
+    const state = { cancel: (): void => undefined, isWaiting: false };
     const timer = setInterval(() => {
         first.forEach(part => part.tick());
-        state.cancel = afterPendingReads(() => afterReads.forEach(part => part.tick()));
+        if (state.isWaiting) {
+            return;
+        }
+        state.isWaiting = true;
+        state.cancel = afterPendingReads(() => {
+            state.isWaiting = false;
+            afterReads.forEach(part => part.tick());
+        });
     }, intervalMs);
     return () => {
         clearInterval(timer);
--- a/packages/router/src/streams/startStreams.ts
+++ b/packages/router/src/streams/startStreams.ts
@@ -1,5 +1,6 @@
 import { createStreamKeeper } from "@azureshunt/continuation";
 import type { Clock, Millis } from "@azureshunt/core";
+import { startTimeout } from "@azureshunt/lifecycle";
 import type { Logger } from "pino";
 
 import type { EndpointAgent } from "../dispatch/EndpointAgent.js";
@@ -58,7 +59,7 @@
         whenRecorded: () =>
             Promise.race([
                 records.whenRead(),
-                new Promise<void>(resolve => setTimeout(resolve, PEER_ANSWER_MS)),
+                new Promise<void>(resolve => startTimeout(PEER_ANSWER_MS, resolve)),
             ]),
     });
     const records = createVersionRecords({
