Tell whether Node's inspector is open

The gauge azureshunt_inspector_open tells the latter from outside; further signals are told by the lines and counters that exist, once they are handled.

--- a/packages/lifecycle/src/runLifecycle.ts
+++ b/packages/lifecycle/src/runLifecycle.ts
@@ -6,6 +6,7 @@
 import { exitCodeOf } from "./exitCodeOf.js";
 import type { HandledSignal } from "./HandledSignal.js";
 import { initialLifecycle } from "./initialLifecycle.js";
+import { inspectorUrl } from "./inspectorUrl.js";
 import type { LifecycleEffect } from "./LifecycleEffect.js";
 import type { LifecycleEvent } from "./LifecycleEvent.js";
 import type { LifecyclePhase } from "./LifecyclePhase.js";
@@ -142,6 +143,11 @@
                 "When the process was started, in seconds since the epoch.",
                 () => startedAtSeconds,
             );
+            metrics.gauge(
+                "azureshunt_inspector_open",
+                "1 while Node's inspector listens, which runs code for whoever reaches it.",
+                () => inspectorUrl() === undefined ? 0 : 1,
+            );
             metrics.gauge(
                 "azureshunt_start_ms",
                 "Time from the start of the process until all its parts ran; -1 until then.",
