Decide what each signal means, so that none ends a process unasked

What callers saw: all requests on a VM without an answer (12 of 12) as its process got SIGQUIT, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO, SIGPWR, SIGSTKFLT or SIGXCPU, in any phase of its life. Cause: the life cycle handled the three signals that it had a use for; all others were left to the operating system's default, which ends the process. Why it works: a table gives each signal one of three meanings, and the decision of the life cycle asks the table only. SIGQUIT asks for a stop, as servers commonly take it; the others ask for nothing, and leave a line of level warn and a count. Handlers for SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGSYS and SIGABRT would keep a broken process alive; they stay with the operating system. Node offers no handler for real-time signals.

--- a/packages/lifecycle/src/HandledSignal.ts
+++ b/packages/lifecycle/src/HandledSignal.ts
@@ -1,2 +1,14 @@
-/** Signals that a process handles: read the settings again, or stop. */
-export type HandledSignal = "SIGHUP" | "SIGTERM" | "SIGINT";
+/** Signals that a process may handle. */
+export type HandledSignal =
+    | "SIGTERM"
+    | "SIGINT"
+    | "SIGQUIT"
+    | "SIGHUP"
+    | "SIGUSR2"
+    | "SIGALRM"
+    | "SIGVTALRM"
+    | "SIGPROF"
+    | "SIGIO"
+    | "SIGPWR"
+    | "SIGSTKFLT"
+    | "SIGXCPU";
--- a/packages/lifecycle/src/runLifecycle.ts
+++ b/packages/lifecycle/src/runLifecycle.ts
@@ -10,6 +10,7 @@
 import type { LifecycleEffect } from "./LifecycleEffect.js";
 import type { LifecycleEvent } from "./LifecycleEvent.js";
 import type { LifecyclePhase } from "./LifecyclePhase.js";
+import { signalMeanings } from "./signalMeanings.js";
 import type { StartContext } from "./StartContext.js";
 import { StartFailure } from "./StartFailure.js";
 import { startTimeout } from "./startTimeout.js";
@@ -23,8 +24,7 @@
     readonly start: (context: StartContext) => Promise<Application>;
 };
 
-/** Node handles the first two itself while it starts, so only the last one shows from outside that the program handles all. */
-const SIGNALS: readonly HandledSignal[] = ["SIGTERM", "SIGINT", "SIGHUP"];
+const SIGNALS = Object.keys(signalMeanings) as HandledSignal[];
 const PHASES: readonly LifecyclePhase[] = ["starting", "serving", "draining", "stopped"];
 const MS_PER_SECOND = 1_000;
 /** Longest time until a start that is given up has stopped what it had started. */
@@ -117,7 +117,8 @@
 
     const onSignal = (signal: HandledSignal): void => {
         const { phase } = state.current;
-        log("info", { signal, phase, upMs: upMs() }, "Received a signal.");
+        const meaning = signalMeanings[signal];
+        log(meaning === "none" ? "warn" : "info", { signal, phase, meaning, upMs: upMs() }, "Received a signal.");
         count("azureshunt_signals_total", "Signals that the process has received, by phase.", { signal, phase });
         apply({ kind: "signal", signal });
     };
--- a/packages/lifecycle/src/stepLifecycle.ts
+++ b/packages/lifecycle/src/stepLifecycle.ts
@@ -5,6 +5,7 @@
 import type { LifecycleEvent } from "./LifecycleEvent.js";
 import type { LifecyclePhase } from "./LifecyclePhase.js";
 import type { LifecycleState } from "./LifecycleState.js";
+import { signalMeanings } from "./signalMeanings.js";
 
 type LifecycleStep = Step<LifecycleState, LifecycleEffect>;
 type Handler = (state: LifecycleState, event: LifecycleEvent) => LifecycleStep;
@@ -38,9 +39,14 @@
 const whileStarting: Handler = (state, event) => {
     switch (event.kind) {
         case "signal":
-            return event.signal === "SIGHUP"
-                ? unchanged({ ...state, isReloadDue: true })
-                : drain(state, "signal", [{ kind: "abort-start" }]);
+            switch (signalMeanings[event.signal]) {
+                case "stop":
+                    return drain(state, "signal", [{ kind: "abort-start" }]);
+                case "reload":
+                    return unchanged({ ...state, isReloadDue: true });
+                case "none":
+                    return unchanged(state);
+            }
         case "started":
             return {
                 state: { ...state, phase: "serving", hasStarted: true, isReloadDue: false },
@@ -60,9 +66,14 @@
 const whileServing: Handler = (state, event) => {
     switch (event.kind) {
         case "signal":
-            return event.signal === "SIGHUP"
-                ? { state, effects: [{ kind: "reload" }] }
-                : drain(state, "signal", [{ kind: "drain" }]);
+            switch (signalMeanings[event.signal]) {
+                case "stop":
+                    return drain(state, "signal", [{ kind: "drain" }]);
+                case "reload":
+                    return { state, effects: [{ kind: "reload" }] };
+                case "none":
+                    return unchanged(state);
+            }
         case "uncaught-error":
             // The state after an unknown error is not to be trusted with new requests.
             return drain(countError(state), "uncaught-error", [{ kind: "refuse" }, { kind: "drain" }]);
