Keep Node's inspector closed whatever signals come

What operators saw: after SIGUSR1 the process listens on 127.0.0.1:9229, where whoever connects runs code in it. Cause: Node opens its inspector on SIGUSR1 unless the program handles it. The signal asks for nothing now. Before the program handles signals, while Node itself starts, it can still open the inspector; the program closes it as it builds its parts, unless a flag of the process asks for it, with a line of level warn.

--- a/packages/lifecycle/src/HandledSignal.ts
+++ b/packages/lifecycle/src/HandledSignal.ts
@@ -4,6 +4,7 @@
     | "SIGINT"
     | "SIGQUIT"
     | "SIGHUP"
+    | "SIGUSR1"
     | "SIGUSR2"
     | "SIGALRM"
     | "SIGVTALRM"
--- a/packages/lifecycle/src/runLifecycle.ts
+++ b/packages/lifecycle/src/runLifecycle.ts
@@ -1,6 +1,7 @@
 import type { Millis } from "@azureshunt/core";
 
 import type { Application } from "./Application.js";
+import { closeInspector } from "./closeInspector.js";
 import { createLifecycleLog } from "./createLifecycleLog.js";
 import type { ExitCause } from "./ExitCause.js";
 import { exitCodeOf } from "./exitCodeOf.js";
@@ -138,6 +139,9 @@
         count,
         observe: telemetry => {
             lifecycleLog.observe(telemetry);
+            if (closeInspector(process.execArgv)) {
+                log("warn", {}, "Closed Node's inspector: a signal had opened it while Node started.");
+            }
             const { metrics } = telemetry;
             metrics.gauge(
                 "azureshunt_process_start_time_seconds",
