Serve on when a process without a terminal is told to suspend itself

Cause: the operating system's default. Why it works: a process without a terminal handles them and goes on. One with a terminal keeps the default: its user may suspend it, and a handled SIGTTOU would be raised again by each line that is written there.

--- a/packages/lifecycle/src/HandledSignal.ts
+++ b/packages/lifecycle/src/HandledSignal.ts
@@ -12,4 +12,7 @@
     | "SIGIO"
     | "SIGPWR"
     | "SIGSTKFLT"
-    | "SIGXCPU";
+    | "SIGXCPU"
+    | "SIGTSTP"
+    | "SIGTTIN"
+    | "SIGTTOU";
--- a/packages/lifecycle/src/runLifecycle.ts
+++ b/packages/lifecycle/src/runLifecycle.ts
@@ -6,6 +6,8 @@
 import type { ExitCause } from "./ExitCause.js";
 import { exitCodeOf } from "./exitCodeOf.js";
 import type { HandledSignal } from "./HandledSignal.js";
+import { handledSignals } from "./handledSignals.js";
+import { hasTerminal } from "./hasTerminal.js";
 import { initialLifecycle } from "./initialLifecycle.js";
 import { inspectorUrl } from "./inspectorUrl.js";
 import type { LifecycleEffect } from "./LifecycleEffect.js";
@@ -16,6 +18,7 @@
 import { StartFailure } from "./StartFailure.js";
 import { startTimeout } from "./startTimeout.js";
 import { stepLifecycle } from "./stepLifecycle.js";
+import { terminalSignals } from "./terminalSignals.js";
 
 type LifecycleParts = {
     /**
@@ -25,7 +28,6 @@
     readonly start: (context: StartContext) => Promise<Application>;
 };
 
-const SIGNALS = Object.keys(signalMeanings) as HandledSignal[];
 const PHASES: readonly LifecyclePhase[] = ["starting", "serving", "draining", "stopped"];
 const MS_PER_SECOND = 1_000;
 /** Longest time until a start that is given up has stopped what it had started. */
@@ -129,7 +131,12 @@
         count("azureshunt_uncaught_errors_total", "Errors that nothing has caught, by phase.", { phase });
         apply({ kind: "uncaught-error" });
     };
-    SIGNALS.forEach(signal => process.on(signal, onSignal));
+    const handle = (signals: readonly HandledSignal[]): void => signals.forEach(signal => process.on(signal, onSignal));
+    handle(handledSignals());
+    // With a terminal its user may suspend the process; a handled SIGTTOU would come again with each line written there.
+    if (!hasTerminal()) {
+        handle(terminalSignals);
+    }
     // Rejected promises that nothing handles arrive here as well.
     process.on("uncaughtException", onUncaughtError);
 
--- a/packages/lifecycle/src/signalMeanings.ts
+++ b/packages/lifecycle/src/signalMeanings.ts
@@ -2,8 +2,8 @@
 import type { SignalMeaning } from "./SignalMeaning.js";
 
 /**
- * What each signal asks of a process that handles it. By default, each would end the process with the requests on it, and
- * SIGUSR1 would open Node's inspector. Not listed, so left to the operating system and to Node: what no process can handle,
+ * What each signal asks of a process that handles it. By default, each would end or suspend the process with the requests
+ * on it, and SIGUSR1 would open Node's inspector. Not listed, so left to the operating system and to Node: what no process can handle,
  * what reports a fault of the program itself, and what they ignore.
  */
 const signalMeanings: Readonly<Record<HandledSignal, SignalMeaning>> = {
@@ -20,6 +20,9 @@
     SIGPWR: "none",
     SIGSTKFLT: "none",
     SIGXCPU: "none",
+    SIGTSTP: "none",
+    SIGTTIN: "none",
+    SIGTTOU: "none",
 };
 
 export { signalMeanings };
