Serve on after SIGTRAP, with fatal errors of V8 raising SIGABRT

What callers saw: 12 of 12 requests without an answer as the process got SIGTRAP. Cause: the operating system's default. A handler alone would be worse than none: V8 ends a process by a trap instruction, to which the handler returns for ever (a trial: after a fatal error the process hung, ended by a timeout of 4 s). Without the flag SIGTRAP stays with the operating system.

--- a/packages/lifecycle/src/HandledSignal.ts
+++ b/packages/lifecycle/src/HandledSignal.ts
@@ -13,6 +13,7 @@
     | "SIGPWR"
     | "SIGSTKFLT"
     | "SIGXCPU"
+    | "SIGTRAP"
     | "SIGTSTP"
     | "SIGTTIN"
     | "SIGTTOU";
--- a/packages/lifecycle/src/handledSignals.ts
+++ b/packages/lifecycle/src/handledSignals.ts
@@ -2,7 +2,16 @@
 import { signalMeanings } from "./signalMeanings.js";
 import { terminalSignals } from "./terminalSignals.js";
 
-/** Lists the signals that each process handles, with a terminal or without. */
-export function handledSignals(): readonly HandledSignal[] {
-    return (Object.keys(signalMeanings) as HandledSignal[]).filter(signal => !terminalSignals.includes(signal));
+/** With it, a fatal error of V8 raises SIGABRT; without it, a trap, to which a handler of SIGTRAP would return for ever. */
+const ABORT_FLAG = "--no-hard-abort";
+
+/**
+ * Lists the signals that a process handles, with a terminal or without.
+ *
+ * @param execArgv flags of Node that the process was started with
+ */
+export function handledSignals(execArgv: readonly string[]): readonly HandledSignal[] {
+    return (Object.keys(signalMeanings) as HandledSignal[])
+        .filter(signal => !terminalSignals.includes(signal))
+        .filter(signal => signal !== "SIGTRAP" || execArgv.includes(ABORT_FLAG));
 }
--- a/packages/lifecycle/src/runLifecycle.ts
+++ b/packages/lifecycle/src/runLifecycle.ts
@@ -132,7 +132,7 @@
         apply({ kind: "uncaught-error" });
     };
     const handle = (signals: readonly HandledSignal[]): void => signals.forEach(signal => process.on(signal, onSignal));
-    handle(handledSignals());
+    handle(handledSignals(process.execArgv));
     // With a terminal its user may suspend the process; a handled SIGTTOU would come again with each line written there.
     if (!hasTerminal()) {
         handle(terminalSignals);
--- a/packages/lifecycle/src/signalMeanings.ts
+++ b/packages/lifecycle/src/signalMeanings.ts
@@ -20,6 +20,7 @@
     SIGPWR: "none",
     SIGSTKFLT: "none",
     SIGXCPU: "none",
+    SIGTRAP: "none",
     SIGTSTP: "none",
     SIGTTIN: "none",
     SIGTTOU: "none",
