Read a connection's next request once the one before it is answered

What callers saw: of two pipelined requests that an endpoint ran, the second got no answer: the first answer after SIGTERM closed the connection. And 20 on each of 1,500 connections ended the process by SIGABRT, as refused ones were kept until those before them were answered. Cause: Node reads all that one read of the socket holds, up to 64 KB, and queues each request with its answer. Backpressure on the socket alone does not help, as its parser can't be paused within a read. Now the parser gets at most one head at a time: bytes are cut at empty lines and at the stated length of a body, wait while a request is unanswered, and from 16 KB on the socket is not read. A caller that leaves meanwhile is seen as before below that. What follows a request that is not valid is discarded: each piece of it was refused anew, and the second refusal reset the connection. The partial head of a next request no longer counts as idleness if it came before the answer. The gate keeps the one account of what has been read, in place of trackReadings and of the one in createCallerConnections.

Ruled out: leaving out 'Connection: close' while another request has begun, which leaves the heap as it was. Not seen by this change: the time for which a request waits behind another one is not taken off its deadline. The row of largeHeads still fails: one request on each connection ends that process too, a second cause.

--- a/packages/daemon/src/gateway/startHttpServer.ts
+++ b/packages/daemon/src/gateway/startHttpServer.ts
@@ -4,7 +4,7 @@
 import { createServer as createHttpsServer } from "node:https";
 import type { Duplex } from "node:stream";
 
-import { judgeTimeouts, trackReadings } from "@azureshunt/http";
+import { createRequestGate, judgeTimeouts } from "@azureshunt/http";
 
 import type { Claim } from "../ports/Claim.js";
 import type { Settings } from "../Settings.js";
@@ -76,7 +76,9 @@
     server.headersTimeout = HEADERS_TIMEOUT_MS;
     server.requestTimeout = REQUEST_TIMEOUT_MS;
     server.keepAliveTimeout = MAX_IDLE_MS;
-    judgeTimeouts(server, { reading: trackReadings(server), refuse: refuseFaulty(server) });
+    const gate = createRequestGate();
+    gate.attach(server);
+    judgeTimeouts(server, { reading: gate.reading, refuse: refuseFaulty(server) });
     const colon = address.lastIndexOf(":");
     const bind = (): Promise<void> =>
         new Promise((resolve, reject) => {
--- a/packages/http/src/SocketReading.ts
+++ b/packages/http/src/SocketReading.ts
@@ -7,4 +7,8 @@
     readonly isIncomplete: boolean;
     /** Number of its requests whose heads are complete. */
     readonly requests: number;
+    /** Number of its requests without a whole answer. */
+    readonly unanswered: number;
+    /** Whether bytes after its last request wait for the answer to that. */
+    readonly isHeld: boolean;
 };
--- a/packages/http/src/__tests__/unit/judgeTimeouts.test.ts
+++ b/packages/http/src/__tests__/unit/judgeTimeouts.test.ts
@@ -4,8 +4,8 @@
 
 import test from "ava";
 
+import { createRequestGate } from "../../createRequestGate.js";
 import { judgeTimeouts } from "../../judgeTimeouts.js";
-import { trackReadings } from "../../trackReadings.js";
 
 const TIMEOUT_MS = 200;
 const HEAD = "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 100000\r\n";
@@ -18,9 +18,11 @@
     test(`judgeTimeouts: a ${name} that arrives byte by byte is refused in the end`, async t => {
         const times = { requestTimeout: TIMEOUT_MS, headersTimeout: TIMEOUT_MS, connectionsCheckingInterval: 20 };
         const server = createServer(times, req => req.resume());
+        const gate = createRequestGate();
+        gate.attach(server);
         const refused = new Promise<string | undefined>(resolve =>
             judgeTimeouts(server, {
-                reading: trackReadings(server),
+                reading: gate.reading,
                 refuse: (err, socket) => {
                     socket.destroy();
                     resolve(err.code);
--- /dev/null
+++ b/packages/http/src/createRequestGate.ts
@@ -0,0 +1,184 @@
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Duplex } from "node:stream";
+
+import { headEnd } from "./headEnd.js";
+import type { SocketReading } from "./SocketReading.js";
+
+type Connection = {
+    /** Passes bytes to the listener's parser. */
+    readonly parse: (bytes: Buffer) => void;
+    /** Bytes that wait for an answer, in the order of their arrival. */
+    held: Buffer[];
+    heldBytes: number;
+    parsedBytes: number;
+    /** What had been parsed when the last answer was whole. */
+    answeredBytes: number;
+    /** Bytes of the body that are still to come; 0 if its length was not stated. */
+    bodyBytes: number;
+    /** The end of what was parsed. */
+    tail: Buffer;
+    unanswered: number;
+    requests: number;
+    last: IncomingMessage | undefined;
+    isParsing: boolean;
+    isFaulty: boolean;
+};
+
+/** While more is held, the connection is not read; what its caller sends waits in the system's buffers. */
+const MAX_HELD_BYTES = 16 * 1024;
+const NOTHING = Buffer.alloc(0);
+const NOT_READ: SocketReading = {
+    bytes: 0,
+    isIdle: false,
+    isIncomplete: false,
+    requests: 0,
+    unanswered: 0,
+    isHeld: false,
+};
+
+/** Bytes that belong to no request: those after one that is not valid, or after this side has ended. */
+const isDiscarding = (socket: Duplex, { isFaulty, last }: Connection): boolean =>
+    socket.destroyed || isFaulty || (socket.writableEnded && last?.complete !== false);
+
+const isWaiting = ({ unanswered, last, bodyBytes }: Connection): boolean =>
+    unanswered > 0 && last?.complete === true && bodyBytes === 0;
+
+/** Returns how many bytes can be parsed without the beginning of a further request among them. */
+const nextBytes = ({ bodyBytes, tail }: Connection, bytes: Buffer): number =>
+    bodyBytes > 0 ? Math.min(bodyBytes, bytes.length) : headEnd(bytes, tail) ?? bytes.length;
+
+type RequestGate = {
+    /** To be called before the listener takes connections. */
+    readonly attach: (server: Server) => void;
+    /** Tells what has been read of a connection. */
+    readonly reading: (socket: Duplex) => SocketReading;
+};
+
+/**
+ * Creates a gate that lets a listener read a connection's next request once the one before it is answered.
+ *
+ * Callers may send requests without waiting for answers. Node reads them all at once, and keeps each with its answer until
+ * those before it are sent. Symptoms: hundreds of requests in one read use up the heap, and those that run behind an answer
+ * that closes the connection lose theirs. To prevent this, the parser gets at most one head at a time.
+ */
+export function createRequestGate(): RequestGate {
+    const connections = new WeakMap<Duplex, Connection>();
+
+    const parseNext = (socket: Duplex, connection: Connection): void => {
+        const [bytes = NOTHING, ...others] = connection.held;
+        const count = nextBytes(connection, bytes);
+        const part = bytes.subarray(0, count);
+        connection.held = count < bytes.length ? [bytes.subarray(count), ...others] : others;
+        connection.heldBytes -= count;
+        connection.parsedBytes += count;
+        connection.bodyBytes = Math.max(0, connection.bodyBytes - count);
+        connection.tail = part;
+        connection.isParsing = true;
+        connection.parse.call(socket, part);
+        connection.isParsing = false;
+    };
+    const parseHeld = (socket: Duplex, connection: Connection): void => {
+        while (connection.held.length > 0 && !isDiscarding(socket, connection)) {
+            if (isWaiting(connection)) {
+                if (connection.heldBytes > MAX_HELD_BYTES) {
+                    socket.pause();
+                }
+                return;
+            }
+            parseNext(socket, connection);
+        }
+        connection.parsedBytes += connection.heldBytes;
+        connection.held = [];
+        connection.heldBytes = 0;
+    };
+    const goOn = (socket: Duplex, connection: Connection): void => {
+        if (socket.isPaused() && connection.held.length > 0) {
+            socket.resume();
+        }
+        else {
+            parseHeld(socket, connection);
+        }
+    };
+
+    const open = (socket: Duplex): void => {
+        const [parse] = socket.listeners("data") as Connection["parse"][];
+        if (parse === undefined) {
+            return;
+        }
+        const connection: Connection = {
+            parse,
+            held: [],
+            heldBytes: 0,
+            parsedBytes: 0,
+            answeredBytes: 0,
+            bodyBytes: 0,
+            tail: NOTHING,
+            unanswered: 0,
+            requests: 0,
+            last: undefined,
+            isParsing: false,
+            isFaulty: false,
+        };
+        connections.set(socket, connection);
+        socket.removeListener("data", parse);
+        socket.on("data", (bytes: Buffer) => {
+            connection.held.push(bytes);
+            connection.heldBytes += bytes.length;
+            parseHeld(socket, connection);
+        });
+        socket.on("resume", () => {
+            // Node pauses a connection too, in its own listener before this one.
+            if (!socket.isPaused()) {
+                parseHeld(socket, connection);
+            }
+        });
+    };
+    const begin = (req: IncomingMessage, res: ServerResponse): void => {
+        const { socket, headers } = req;
+        const connection = connections.get(socket);
+        if (connection === undefined) {
+            return;
+        }
+        connection.unanswered += 1;
+        connection.requests += 1;
+        connection.last = req;
+        connection.bodyBytes = Number(headers["content-length"] ?? 0);
+        res.once("close", () => {
+            connection.unanswered -= 1;
+            connection.answeredBytes = connection.parsedBytes;
+            goOn(socket, connection);
+        });
+    };
+    const fail = (_err: Error, socket: Duplex): void => {
+        const connection = connections.get(socket);
+        if (connection !== undefined) {
+            connection.isFaulty ||= connection.isParsing;
+        }
+    };
+    const reading: RequestGate["reading"] = socket => {
+        const connection = connections.get(socket);
+        if (connection === undefined) {
+            return NOT_READ;
+        }
+        const { unanswered, requests, last, answeredBytes, parsedBytes, heldBytes } = connection;
+        const bytes = parsedBytes + heldBytes;
+        const isRead = unanswered === 0 && bytes > 0;
+        return {
+            bytes,
+            isIdle: isRead && bytes === answeredBytes,
+            isIncomplete: (isRead && bytes !== answeredBytes) || last?.complete === false,
+            requests,
+            unanswered,
+            isHeld: heldBytes > 0,
+        };
+    };
+    return {
+        attach: server => {
+            server.on("connection", open);
+            server.on("secureConnection", open);
+            server.prependListener("request", begin);
+            server.prependListener("clientError", fail);
+        },
+        reading,
+    };
+}
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -1,8 +1,8 @@
-/** Bounded reading of HTTP bodies, and the end of listeners. */
+/** Bounded reading of HTTP requests, and the end of listeners. */
+export { createRequestGate } from "./createRequestGate.js";
 export { discardBody } from "./discardBody.js";
 export { jsonOf } from "./jsonOf.js";
 export { judgeTimeouts } from "./judgeTimeouts.js";
 export { readBody } from "./readBody.js";
 export type { SocketReading } from "./SocketReading.js";
 export { stopListening } from "./stopListening.js";
-export { trackReadings } from "./trackReadings.js";
--- a/packages/router/src/serve/createCallerConnections.ts
+++ b/packages/router/src/serve/createCallerConnections.ts
@@ -7,16 +7,7 @@
 import type { CallerConnectionState } from "./CallerConnectionState.js";
 import type { ConnectionCounts } from "./ConnectionCounts.js";
 
-type Connection = {
-    /** Requests without a whole answer. */
-    unanswered: number;
-    /** Bytes read until the last answer was whole. */
-    answeredBytes: number;
-    /** Requests so far, and the last one. */
-    requests: number;
-    last: IncomingMessage | undefined;
-    halfClosedAt: Millis | undefined;
-};
+type Connection = { halfClosedAt: Millis | undefined; };
 
 type ConnectionVisitor = (socket: Duplex, state: CallerConnectionState, halfClosedMs: Millis) => void;
 
@@ -34,18 +25,14 @@
     readonly size: () => number;
     /** What has been read of a connection, and whether this VM has ended its side. */
     readonly reading: (socket: Duplex) => SocketReading & { readonly isHalfClosed: boolean; };
-    /** Number of a connection's requests without a whole answer. */
-    readonly unansweredOn: (socket: Duplex) => number;
     /** Answers that are not whole yet. */
     readonly unanswered: () => ReadonlySet<ServerResponse>;
     readonly counts: () => ConnectionCounts;
 };
 
-const bytesReadOf = (socket: Duplex): number => "bytesRead" in socket ? Number(socket.bytesRead) : 0;
-
 const stateOf = (
-    socket: Duplex,
-    { unanswered, answeredBytes, halfClosedAt }: Connection,
+    { unanswered, bytes, isIdle }: SocketReading,
+    { halfClosedAt }: Connection,
 ): CallerConnectionState => {
     if (halfClosedAt !== undefined) {
         return "half-closed";
@@ -53,51 +40,35 @@
     if (unanswered > 0) {
         return "answering";
     }
-    const bytes = bytesReadOf(socket);
-    return bytes === 0 ? "silent" : bytes === answeredBytes ? "idle" : "reading";
+    return bytes === 0 ? "silent" : isIdle ? "idle" : "reading";
 };
 
-/** Keeps account of the connections that callers have open, and of what they are in. */
-export function createCallerConnections(): CallerConnections {
+/**
+ * Keeps account of the connections that callers have open, and of what they are in.
+ *
+ * @param readingOf tells what has been read of a connection
+ */
+export function createCallerConnections(readingOf: (socket: Duplex) => SocketReading): CallerConnections {
     const connections = new Map<Duplex, Connection>();
     const unanswered = new Set<ServerResponse>();
     const halfClosed = new Set<Duplex>();
     const forEach: CallerConnections["forEach"] = visit => {
         const now = performance.now();
         connections.forEach((connection, socket) =>
-            visit(socket, stateOf(socket, connection), now - (connection.halfClosedAt ?? now))
+            visit(socket, stateOf(readingOf(socket), connection), now - (connection.halfClosedAt ?? now))
         );
     };
     return {
         open: socket => {
-            connections.set(socket, {
-                unanswered: 0,
-                answeredBytes: 0,
-                requests: 0,
-                last: undefined,
-                halfClosedAt: undefined,
-            });
+            connections.set(socket, { halfClosedAt: undefined });
             socket.once("close", () => connections.delete(socket));
         },
         begin: (req, res) => {
-            const { socket } = req;
-            const connection = connections.get(socket);
-            if (connection?.halfClosedAt !== undefined) {
+            if (connections.get(req.socket)?.halfClosedAt !== undefined) {
                 return false;
             }
             unanswered.add(res);
-            if (connection !== undefined) {
-                connection.unanswered += 1;
-                connection.requests += 1;
-                connection.last = req;
-            }
-            res.once("close", () => {
-                unanswered.delete(res);
-                if (connection !== undefined) {
-                    connection.unanswered -= 1;
-                    connection.answeredBytes = bytesReadOf(socket);
-                }
-            });
+            res.once("close", () => unanswered.delete(res));
             return true;
         },
         halfClose: socket => {
@@ -123,17 +94,10 @@
         forEach,
         size: () => connections.size,
         reading: socket => {
-            const connection = connections.get(socket);
-            const state = connection === undefined ? undefined : stateOf(socket, connection);
-            return {
-                bytes: bytesReadOf(socket),
-                isIdle: state === "idle",
-                isIncomplete: state === "reading" || connection?.last?.complete === false,
-                requests: connection?.requests ?? 0,
-                isHalfClosed: state === "half-closed",
-            };
+            const reading = readingOf(socket);
+            const isHalfClosed = connections.get(socket)?.halfClosedAt !== undefined;
+            return { ...reading, isIdle: reading.isIdle && !isHalfClosed, isHalfClosed };
         },
-        unansweredOn: socket => connections.get(socket)?.unanswered ?? 0,
         unanswered: () => unanswered,
         counts: () => {
             const counts: Partial<Record<CallerConnectionState, number>> = {};
--- a/packages/router/src/serve/startCallerServer.ts
+++ b/packages/router/src/serve/startCallerServer.ts
@@ -4,7 +4,7 @@
 import type { Millis } from "@azureshunt/core";
 import { refusalOf } from "@azureshunt/core";
 import type { ErrorKind, Refusal } from "@azureshunt/core";
-import { judgeTimeouts, trackReadings } from "@azureshunt/http";
+import { createRequestGate, judgeTimeouts } from "@azureshunt/http";
 import { afterPendingReads, startTimeout } from "@azureshunt/lifecycle";
 
 import type { CallerLimits } from "../configuration/CallerLimits.js";
@@ -75,7 +75,8 @@
 /** Starts the listeners for callers and for the balancer. */
 export async function startCallerServer(parts: CallerServerParts): Promise<CallerServer> {
     const { settings, callerWire, drainLog, claim = (_address, bind) => bind() } = parts;
-    const connections = createCallerConnections();
+    const gate = createRequestGate();
+    const connections = createCallerConnections(gate.reading);
     /** Connections beyond those that are served, oldest first. */
     const refused = new Set<Duplex>();
     /** Connections that are closed after their answer. */
@@ -99,7 +100,8 @@
         res.writeHead(parts.isReady() ? OK : UNAVAILABLE);
         res.end();
     });
-    judgeTimeouts(ready, { reading: trackReadings(ready), refuse: (_err, socket) => void socket.destroy() });
+    gate.attach(ready);
+    judgeTimeouts(ready, { reading: gate.reading, refuse: (_err, socket) => void socket.destroy() });
     const server = await listen(settings.listen.callers, (req, res) => {
         if (!connections.begin(req, res)) {
             req.resume();
@@ -113,7 +115,8 @@
         res.on("finish", () => {
             const isLast = req.socket.writableEnded;
             const isCrowded = refused.has(req.socket) || servedOnce.has(req.socket);
-            if (isClosing() || (isLast && (state.phase !== undefined || isCrowded || !req.complete))) {
+            const isSending = !req.complete || gate.reading(req.socket).isHeld;
+            if (isClosing() || (isLast && (state.phase !== undefined || isCrowded || isSending))) {
                 connections.halfClose(req.socket);
                 req.resume();
             }
@@ -122,8 +125,7 @@
             sendRefusal(callerWire, res, refusalOf("vm-overloaded", NO_DESCRIPTORS), true);
             return undefined;
         }
-        // With another request of the connection under way, its answer would be lost.
-        if (servedOnce.has(req.socket) && connections.unansweredOn(req.socket) === 1) {
+        if (servedOnce.has(req.socket)) {
             res.shouldKeepAlive = false;
         }
         if (state.phase === "accepting") {
@@ -136,6 +138,7 @@
         }
         return parts.handler(req, res);
     });
+    gate.attach(server);
     /** Answers on a connection of which no request has been read, and closes it. */
     const writeRefusal = (socket: Duplex, refusal: Refusal): void => {
         const { headers } = callerWire.encodeRefusal(refusal);
@@ -167,7 +170,7 @@
     /** Closes the oldest refused connection that has its answer; without one, the oldest is answered before its request. */
     const endRefused = (isDropped: boolean): void => {
         const answered = [...refused].find(socket => connections.reading(socket).isHalfClosed);
-        const oldest = [...refused].find(socket => connections.unansweredOn(socket) === 0);
+        const oldest = [...refused].find(socket => connections.reading(socket).unanswered === 0);
         if (answered !== undefined) {
             answered.destroy();
         }
