Follow a store that has begun anew

A store that lost its records numbers new ones from 0.

followTopic now reads the newest record of each key once a topic ends before the offset it waits for, and says so. The copies that relays keep start over, and give no answer to a VM that has read further: that VM then reads the store and finds out itself. A relay answers for the declarations only once it has read the configuration again. Lost entries of the registry are kept for the time that endpoints need to register again, as after an outage.

Ruled out: compaction, also 60 revisions with compaction in between: all VMs followed. Not covered: a store that has written more records than before by the first read after its loss, a configuration of a lower revision (never accepted), and the order lease, whose reader waits for its own offset.

--- a/packages/router/src/__tests__/unit/backlog.test.ts
+++ b/packages/router/src/__tests__/unit/backlog.test.ts
@@ -71,6 +71,7 @@
             reasonOfRead: () => "reader",
             queryRelay: () => Promise.resolve(undefined),
             mustWaitForRelay: () => false,
+            onRestart: () => undefined,
             onFailure: () => undefined,
             onRead: ({ records: read, readTo, isWhole, asOf }) => {
                 known.newest = Math.max(known.newest, ...read.map(({ offset }) => offset));
--- a/packages/router/src/__tests__/unit/registry.test.ts
+++ b/packages/router/src/__tests__/unit/registry.test.ts
@@ -64,6 +64,28 @@
         ]],
         endpoints: ["a"],
     },
+    {
+        name: "entries that the registry has lost stay until their endpoints have registered again",
+        events: [
+            [5_000, whole(entryOf("a"), entryOf("b"))],
+            [5_600, { kind: "restarted" }],
+            [5_601, whole()],
+            [6_200, put(entryOf("a"))],
+            [6_800, { kind: "tick" }],
+        ],
+        endpoints: ["a", "b"],
+    },
+    {
+        name: "entries that the registry has lost go if their endpoints do not register again",
+        events: [
+            [5_000, whole(entryOf("a"), entryOf("b"))],
+            [5_600, { kind: "restarted" }],
+            [5_601, whole()],
+            [7_700, put(entryOf("a"))],
+            [7_900, { kind: "tick" }],
+        ],
+        endpoints: ["a"],
+    },
     {
         name: "time alone drops no entry while the store is unavailable",
         events: [[0, whole(entryOf("a"))], [6_000, drop("a")], [30_000, { kind: "tick" }]],
--- a/packages/router/src/__tests__/unit/storeCalls.test.ts
+++ b/packages/router/src/__tests__/unit/storeCalls.test.ts
@@ -58,6 +58,7 @@
                 queryRelay: () => Promise.resolve(undefined),
                 mustWaitForRelay: () => false,
                 onRead: () => undefined,
+                onRestart: () => undefined,
                 onFailure: () => undefined,
             });
         });
--- a/packages/router/src/__tests__/unit/topicMirror.test.ts
+++ b/packages/router/src/__tests__/unit/topicMirror.test.ts
@@ -83,6 +83,23 @@
     });
 });
 
+// Guards against VMs that wait for an offset which a topic that has begun anew reaches only much later.
+test("topic mirror: returns no answer to a reader that has read further", t => {
+    const mirror = mirrorOf();
+    mirror.record({ isWhole: true, readTo: 5, records: allRecords[2] });
+    t.deepEqual(answered(mirror, 5), []);
+    t.is(mirror.answer(6), undefined);
+});
+test("topic mirror: returns only what was read since the topic has begun anew", t => {
+    const mirror = mirrorOf();
+    mirror.record({ isWhole: true, readTo: 5, records: allRecords[2] });
+    mirror.restart();
+    t.is(mirror.answer(undefined), undefined);
+    mirror.record({ isWhole: true, readTo: 1, records: [recordOf(0, "a", "x2")] });
+    t.deepEqual(answered(mirror, undefined), ["0 a x2"]);
+    t.is(mirror.answer(undefined)?.end, 1);
+});
+
 test("topic answer: an encoded answer is decoded to the same records", t => {
     const answer = {
         records: [recordOf(3, "a", "x"), recordOf(4, "b")],
--- a/packages/router/src/knowledge/startDeclarations.ts
+++ b/packages/router/src/knowledge/startDeclarations.ts
@@ -210,6 +210,11 @@
             return newestRevision > (configuration?.revision ?? -1) ? "changed" : "follower";
         },
         catchUp: "newest",
+        onRestart: () => {
+            logger.warn("The declarations' topic has begun anew.");
+            mirror.restart();
+            state.readRevision = -1;
+        },
         onRead: ({ records, readTo, isWhole, asOf, requestedAt, isRelayed }) => {
             parts.checkSuspension();
             state.storeAt = isRelayed ? state.storeAt : clock.now();
--- a/packages/router/src/registry/RegistryEvent.ts
+++ b/packages/router/src/registry/RegistryEvent.ts
@@ -16,5 +16,7 @@
     | { readonly kind: "changes"; readonly changes: readonly RegistryChange[]; readonly readAsOf?: Millis; }
     /** A peer confirmed that the entries known here were current at this time. */
     | { readonly kind: "vouched"; readonly asOf: Millis; }
+    /** The registry has lost its entries; endpoints that are alive register again. */
+    | { readonly kind: "restarted"; }
     /** Checks for entries that have expired by now. */
     | { readonly kind: "tick"; };
--- a/packages/router/src/registry/startRegistry.ts
+++ b/packages/router/src/registry/startRegistry.ts
@@ -151,6 +151,11 @@
         },
         // Records in between may name versions at which streams have begun.
         catchUp: "all",
+        onRestart: () => {
+            logger.warn("The registry's topic has begun anew.");
+            mirror.restart();
+            endpointTable.applyRegistryEvent({ kind: "restarted" });
+        },
         onRead: ({ records, readTo, isWhole, asOf, readAsOf = -Infinity, requestedAt, isRelayed }) => {
             parts.checkSuspension();
             mirror.record({ records, readTo, isWhole });
--- a/packages/router/src/registry/stepRegistry.ts
+++ b/packages/router/src/registry/stepRegistry.ts
@@ -9,7 +9,7 @@
  * Longest usual time between two answers of the registry. Reads are closer together, so a longer gap means an outage.
  */
 const MAX_ANSWER_GAP_MS = 2_500;
-/** Entries that expired while the registry was unavailable are back within two seconds of its return. */
+/** Entries that expired while the registry was unavailable, or were lost, are back within two seconds of its return. */
 const REREGISTRATION_MS = 2_200;
 
 type Registered = Registry["endpoints"] extends ReadonlyMap<EndpointName, infer Item> ? Item : never;
@@ -100,6 +100,8 @@
         }
         case "vouched":
             return event.asOf <= before.answeredAt ? before : dropMissing(withAnswerAt(before, event.asOf), now);
+        case "restarted":
+            return { ...before, answeringSince: now };
         case "tick":
             return now - before.answeredAt > MAX_ANSWER_GAP_MS ? before : dropMissing(before, now);
     }
--- a/packages/router/src/store/createTopicMirror.ts
+++ b/packages/router/src/store/createTopicMirror.ts
@@ -11,9 +11,14 @@
             readonly readTo: number;
         },
     ) => void;
+    /** Drops all records, as the topic has begun anew. */
+    readonly restart: () => void;
     /**
      * Returns the newest records from an offset on, or those of all keys if `from` is `undefined`.
      *
+     * A VM that has read further than this one gets no answer. If the topic has begun anew, that is how it finds out, as it
+     * then reads the store itself.
+     *
      * @returns undefined until the topic was read
      */
     readonly answer: (from: number | undefined) => (StorePage & { readonly isWhole: boolean; }) | undefined;
@@ -40,14 +45,18 @@
         records.filter(isNewer).forEach(newer => state.records.set(newer.key, newer));
         state.end = Math.max(readTo, state.end ?? 0);
     };
+    const restart: TopicMirror["restart"] = () => {
+        state.records = new Map();
+        state.end = undefined;
+    };
     const answer: TopicMirror["answer"] = from => {
         const { end } = state;
-        if (end === undefined) {
+        if (end === undefined || (from !== undefined && from > end)) {
             return undefined;
         }
         const records = [...state.records.values()]
             .filter(({ offset, value }) => from === undefined ? value !== undefined : offset >= from);
         return { records, end, isWhole: from === undefined };
     };
-    return { record, answer };
+    return { record, restart, answer };
 }
--- a/packages/router/src/store/followTopic.ts
+++ b/packages/router/src/store/followTopic.ts
@@ -53,6 +53,8 @@
     readonly queryRelay: (from: number | undefined) => Promise<TopicAnswer | undefined>;
     /** Whether the first read must still wait, because a relay that can answer it may yet be found. */
     readonly mustWaitForRelay: () => boolean;
+    /** Called before the first result of a topic that has begun anew: nothing that was read before is in it. */
+    readonly onRestart: () => void;
     /** Called with the result of every successful read. */
     readonly onRead: (read: TopicRead) => void;
     /** Called with the kind of failure of every failed read from the store. */
@@ -76,6 +78,9 @@
  *
  * A page has a maximum size. If one that ended before the topic counted as all of it, a configuration from the middle of a
  * backlog would be taken for the newest. Such a page confirms nothing, and the rest is read at once.
+ *
+ * A store that has lost its records numbers them from 0 again. A reader that waits for its next offset would get empty pages,
+ * and take what it knows for the newest. So a topic that ends before that offset is read anew, as one that has expired.
  */
 export function followTopic(parts: FollowTopicParts): FollowedTopic {
     const { storeFor, clock, topic } = parts;
@@ -83,6 +88,8 @@
         isStopped: false,
         isStoreAnswering: true,
         next: undefined as number | undefined,
+        /** Where the topic ended at least when it was last read. */
+        end: 0,
         /** Whether the last page ended before the topic. */
         isBehind: false,
         timer: undefined as NodeJS.Timeout | undefined,
@@ -98,7 +105,11 @@
                 return RETRY_MS;
             },
             Right: ({ records, end }) => {
+                if (end < state.end) {
+                    parts.onRestart();
+                }
                 state.next = end;
+                state.end = end;
                 state.isBehind = false;
                 const [asOf, readAsOf, readTo] = [requestedAt, requestedAt, end];
                 parts.onRead({ records, readTo, isWhole: true, requestedAt, asOf, readAsOf, isRelayed: false });
@@ -122,7 +133,12 @@
             },
             Right: answered => {
                 const { records, end } = answered;
+                if (end < from) {
+                    state.next = undefined;
+                    return 0;
+                }
                 const readTo = readUpTo(answered, from);
+                state.end = end;
                 state.isBehind = readTo < end;
                 state.next = state.isBehind && (parts.catchUp === "newest" || readTo === from)
                     ? undefined
@@ -145,6 +161,7 @@
             return false;
         }
         state.next = Math.max(state.next ?? 0, answer.end);
+        state.end = Math.max(state.end, answer.end);
         state.isBehind = false;
         const { records, end, isWhole, ageMs, readAgeMs } = answer;
         const [asOf, readAsOf] = [requestedAt - ageMs, requestedAt - readAgeMs];
