Serve on whatever is found in place of the settings file

Callers and operators saw a process that stood still for ever, deaf to SIGTERM, once its settings file had become a named pipe (an open waits for a writer) or a link to a device without an end, and one that ended by SIGABRT, out of memory, or stood still for seconds, for a file of 20 MB: the file was opened and read whole, whatever it was, in the thread that serves. The daemon did the same.

Both read it by `readSmallFile` now: opened without waiting, only a regular file, only up to 32 KB. A file that is refused is one that cannot be used, as before: the settings in force stay, a start waits and ends with 2.

--- a/packages/daemon/src/loadSettings.ts
+++ b/packages/daemon/src/loadSettings.ts
@@ -1,5 +1,4 @@
-import { readFileSync } from "node:fs";
-
+import { readSmallFile } from "@azureshunt/lifecycle";
 import type { LocatedFault } from "@azureshunt/release";
 import { faultText, parseDocument } from "@azureshunt/release";
 import type { Either } from "purify-ts";
@@ -17,7 +16,7 @@
 
 const readText = (file: string): string | undefined => {
     try {
-        return readFileSync(file, "utf8");
+        return readSmallFile(file);
     }
     catch {
         return undefined;
--- a/packages/lifecycle/src/index.ts
+++ b/packages/lifecycle/src/index.ts
@@ -20,6 +20,7 @@
 export type { ManagedPart } from "./ManagedPart.js";
 export type { Pause } from "./Pause.js";
 export type { PauseState } from "./PauseState.js";
+export { readSmallFile } from "./readSmallFile.js";
 export { runLifecycle } from "./runLifecycle.js";
 export type { SettingsFault } from "./SettingsFault.js";
 export type { StartContext } from "./StartContext.js";
