Start the daemon with fatal errors of V8 raising SIGABRT, so that it serves on after SIGTRAP

What callers saw: 3 of 3 requests on a daemon cut off (UND_ERR_SOCKET) as it got SIGTRAP. Cause: the life cycle leaves SIGTRAP to the operating system unless the process has --no-hard-abort, and nothing that starts the daemon passed it. Why it works: the first line of the program names the flag, which cannot be set at run time; a supervisor that names Node itself is told to pass it. The tests start the program by that line.

--- a/packages/bench/src/__tests__/support/launchDaemon.ts
+++ b/packages/bench/src/__tests__/support/launchDaemon.ts
@@ -15,9 +15,16 @@
 
 const PROGRAM = fileURLToPath(new URL("../../../../daemon/bin/azureshuntd.js", import.meta.url));
 
-/** Starts the daemon as a process of its own, and does not wait for anything. */
-export function launchDaemon(args: readonly string[], nodeFlags: readonly string[] = []): LaunchedDaemon {
-    const child = spawn(process.execPath, [...nodeFlags, PROGRAM, ...args], { stdio: ["ignore", "pipe", "pipe"] });
+/**
+ * Starts the daemon as a process of its own, and does not wait for anything.
+ *
+ * @param nodeFlags flags of Node; if omitted, those that the program itself names
+ */
+export function launchDaemon(args: readonly string[], nodeFlags?: readonly string[]): LaunchedDaemon {
+    const [command, commandArgs] = nodeFlags === undefined
+        ? [PROGRAM, args] as const
+        : [process.execPath, [...nodeFlags, PROGRAM, ...args]] as const;
+    const child = spawn(command, commandArgs, { stdio: ["ignore", "pipe", "pipe"] });
     const state = { output: "", ended: undefined as Exit | undefined };
     [child.stdout, child.stderr].forEach(stream =>
         stream.on("data", (chunk: Buffer) => {
--- a/packages/bench/src/__tests__/support/startLoneDaemon.ts
+++ b/packages/bench/src/__tests__/support/startLoneDaemon.ts
@@ -91,7 +91,7 @@
         ports,
         settings,
         ask,
-        launch: (nodeFlags: readonly string[] = []): ReturnType<typeof launchDaemon> => {
+        launch: (nodeFlags?: readonly string[]): ReturnType<typeof launchDaemon> => {
             const daemon = launchDaemon(["--settings", file], nodeFlags);
             launched.push(daemon);
             return daemon;
--- a/packages/bench/src/__tests__/unit/daemonEnds.test.ts
+++ b/packages/bench/src/__tests__/unit/daemonEnds.test.ts
@@ -10,12 +10,28 @@
 
 const RUNNING_MS = 2_500;
 const TIMEOUT_MS = 10_000;
+const SIGNAL_GAP_MS = 50;
+const MEANINGLESS_SIGNALS = [
+    "SIGUSR1",
+    "SIGUSR2",
+    "SIGALRM",
+    "SIGVTALRM",
+    "SIGPROF",
+    "SIGIO",
+    "SIGPWR",
+    "SIGSTKFLT",
+    "SIGXCPU",
+    "SIGTRAP",
+    "SIGTSTP",
+    "SIGTTIN",
+    "SIGTTOU",
+] as const;
 const STOPPED = { code: 0, signal: null };
 const START_FAILED = { code: 1, signal: null };
 const BAD_SETTINGS = { code: 2, signal: null };
 const UNCAUGHT_ERROR = { code: 70, signal: null };
 
-const startServingDaemon = async (t: ExecutionContext, nodeFlags: readonly string[] = []) => {
+const startServingDaemon = async (t: ExecutionContext, nodeFlags?: readonly string[]) => {
     const vm = await startLoneDaemon(t.teardown);
     vm.writeSettings();
     const daemon = vm.launch(nodeFlags);
@@ -96,6 +112,53 @@
     t.regex(await vm.metrics(), /azureshunt_signals_total\{signal="SIGHUP",phase="serving"\} 1\n/);
 });
 
+// Guards against signals that end or suspend a daemon with its requests, as the operating system does by default.
+test.serial("daemon ends: signals that ask for nothing while requests run", async t => {
+    const { vm, daemon } = await startServingDaemon(t);
+    const { answers } = await vm.startRequests(3, RUNNING_MS);
+    await MEANINGLESS_SIGNALS.reduce(async (before, signal) => {
+        await before;
+        daemon.signal(signal);
+        await sleep(SIGNAL_GAP_MS);
+    }, Promise.resolve());
+    t.deepEqual(await Promise.race([answers, sleep(2 * RUNNING_MS, [])]), ["200", "200", "200"]);
+    t.is(await vm.ask(), "200");
+    t.is(daemon.ended(), undefined);
+    const metrics = await vm.metrics();
+    t.deepEqual(
+        MEANINGLESS_SIGNALS.filter(signal =>
+            !metrics.includes(`azureshunt_signals_total{signal="${signal}",phase="serving"} 1\n`)
+        ),
+        [],
+    );
+});
+
+// Guards against a stop that cuts requests off.
+(["SIGTERM", "SIGINT", "SIGQUIT"] as const).forEach(signal => {
+    test.serial(`daemon ends: ${signal} while requests run`, async t => {
+        const { vm, daemon } = await startServingDaemon(t);
+        const { answers } = await vm.startRequests(3, RUNNING_MS);
+        daemon.signal(signal);
+        t.deepEqual(await answers, ["200", "200", "200"]);
+        t.deepEqual(await daemon.exit, STOPPED);
+    });
+});
+
+// Guards against a port that runs code for whoever reaches it.
+([["while it serves", ""], ["before its first line", `process.kill(process.pid, "SIGUSR1")`]] as const).forEach(
+    ([name, module]) => {
+        test.serial(`daemon ends: SIGUSR1 ${name} leaves no inspector open`, async t => {
+            const { vm, daemon } = await startServingDaemon(t, [
+                "--inspect-port=0",
+                `--import=data:text/javascript,${encodeURIComponent(module)}`,
+            ]);
+            daemon.signal("SIGUSR1");
+            await sleep(500);
+            t.regex(await vm.metrics(), /^azureshunt_inspector_open 0$/m);
+        });
+    },
+);
+
 // Guards against a start that fails as the settings file is about to be written.
 (["missing", "empty", "half written"] as const).forEach(state => {
     test.serial(`daemon ends: the settings file is ${state} at the start`, async t => {
--- a/packages/bench/src/topology/startDaemonProcess.ts
+++ b/packages/bench/src/topology/startDaemonProcess.ts
@@ -24,6 +24,8 @@
 };
 
 const HOST = "127.0.0.1";
+/** Those that the program names for itself. */
+const NODE_FLAGS: readonly string[] = ["--no-hard-abort"];
 
 /** Writes the settings file of a daemon and starts the daemon. */
 export function startDaemonProcess(plan: DaemonPlan): DaemonProcess {
@@ -47,6 +49,7 @@
         startProcess({
             name: plan.vm,
             script: "daemon/bin/azureshuntd.js",
+            nodeFlags: NODE_FLAGS,
             args: ["--settings", settingsFile],
             logFile,
             onLine: () => undefined,
--- a/packages/bench/src/topology/startProcess.ts
+++ b/packages/bench/src/topology/startProcess.ts
@@ -18,6 +18,8 @@
     /** Path of the script, relative to `packages/`. */
     readonly script: string;
     readonly args: readonly string[];
+    /** Flags of Node. */
+    readonly nodeFlags?: readonly string[];
     /** File to which standard output is appended; if undefined, the output is discarded. */
     readonly logFile: string | undefined;
     /** Called with each complete line of standard output. */
@@ -26,7 +28,7 @@
 
 /** Starts a script of this workspace in a Node process, which is killed when this process exits. */
 export function startProcess(plan: ProcessPlan): ManagedProcess {
-    const child = spawn(process.execPath, [`${PACKAGES}${plan.script}`, ...plan.args], {
+    const child = spawn(process.execPath, [...plan.nodeFlags ?? [], `${PACKAGES}${plan.script}`, ...plan.args], {
         stdio: ["ignore", "pipe", "pipe"],
     });
     const output = { errors: "", partialLine: "" };
--- a/packages/daemon/bin/azureshuntd.js
+++ b/packages/daemon/bin/azureshuntd.js
@@ -1,2 +1,2 @@
-#!/usr/bin/env node
+#!/usr/bin/env -S node --no-hard-abort
 import "../dist/main.js";
