Keep descriptors for the requests of callers that are served

Cause: connections are admitted by what they take then, and each takes a second descriptor with its request: 168 served, as many requests and 100 refused connections are more than 400 (398 and 400 were counted as open in runs with callers that close late, beside load; in one of these the metrics could not be read either). And a burst of ends chose the same connection again, as one that is destroyed is listed until its close is processed: 57 to 61 of 165. Why it works: from nine tenths on, a refused connection is ended for each further request or connection; one that is destroyed is not chosen again; one whose refusal is in the system's buffer is closed at once.

--- a/packages/router/src/__tests__/unit/connectionAdmission.test.ts
+++ b/packages/router/src/__tests__/unit/connectionAdmission.test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 
+import { areDescriptorsUsed } from "../../serve/areDescriptorsUsed.js";
 import { connectionAdmission } from "../../serve/connectionAdmission.js";
 
 // Guards against callers that take the descriptors which readiness, the store, peers and endpoints need.
@@ -20,3 +21,19 @@
     test(`connection admission: ${name}`, t =>
         t.is(connectionAdmission({ maxDescriptors: undefined, ...view }), expected));
 });
+
+// Guards against requests that find no descriptor, as refused connections have them.
+([
+    {
+        name: "the limit is not known",
+        served: 1e6,
+        unanswered: 1e6,
+        refused: 1e6,
+        maxDescriptors: undefined,
+        expected: false,
+    },
+    { name: "some are left", served: 140, unanswered: 140, refused: 79, maxDescriptors: 400, expected: false },
+    { name: "with those of requests", served: 140, unanswered: 140, refused: 80, maxDescriptors: 400, expected: true },
+] as const).forEach(({ name, expected, ...view }) => {
+    test(`descriptors that are for callers are used: ${name}`, t => t.is(areDescriptorsUsed(view), expected));
+});
--- a/packages/router/src/serve/connectionAdmission.ts
+++ b/packages/router/src/serve/connectionAdmission.ts
@@ -1,13 +1,4 @@
-type ConnectionView = {
-    /** Callers' connections that are served. */
-    readonly served: number;
-    /** Requests of them without a whole answer; each takes a further connection, to an endpoint. */
-    readonly unanswered: number;
-    /** Those beyond, whose requests are refused. */
-    readonly refused: number;
-    /** Descriptors that the process may have open; `undefined` if not known. */
-    readonly maxDescriptors: number | undefined;
-};
+import type { CallerDescriptors } from "./CallerDescriptors.js";
 
 /**
  * Fractions of the descriptors for callers that are served, with the connections to endpoints that their requests take, and for
@@ -26,7 +17,7 @@
  * place. `refuse`: its request is refused. `replace`: as `refuse`, and the oldest refused connection is ended for it.
  * `drop`: as `replace`, without waiting for its caller.
  */
-export function connectionAdmission(view: ConnectionView): "serve" | "serve-once" | "refuse" | "replace" | "drop" {
+export function connectionAdmission(view: CallerDescriptors): "serve" | "serve-once" | "refuse" | "replace" | "drop" {
     const { served, unanswered, refused, maxDescriptors = Infinity } = view;
     const usedFraction = Math.max(
         (served + unanswered) / (SERVED_FRACTION * maxDescriptors),
--- a/packages/router/src/serve/startCallerServer.ts
+++ b/packages/router/src/serve/startCallerServer.ts
@@ -10,6 +10,7 @@
 import type { CallerLimits } from "../configuration/CallerLimits.js";
 import type { CallerWire } from "../ports/CallerWire.js";
 import type { RouterSettings } from "../RouterSettings.js";
+import { areDescriptorsUsed } from "./areDescriptorsUsed.js";
 import type { CallerDrainPhase } from "./CallerDrainPhase.js";
 import { connectionAdmission } from "./connectionAdmission.js";
 import { createCallerConnections } from "./createCallerConnections.js";
@@ -128,6 +129,9 @@
         if (servedOnce.has(req.socket)) {
             res.shouldKeepAlive = false;
         }
+        if (areDescriptorsUsed(descriptors())) {
+            endRefused(true);
+        }
         if (state.phase === "accepting") {
             state.held.push(res);
             return undefined;
@@ -169,8 +173,9 @@
     });
     /** Closes the oldest refused connection that has its answer; without one, the oldest is answered before its request. */
     const endRefused = (isDropped: boolean): void => {
-        const answered = [...refused].find(socket => connections.reading(socket).isHalfClosed);
-        const oldest = [...refused].find(socket => connections.reading(socket).unanswered === 0);
+        const open = [...refused].filter(socket => !socket.destroyed);
+        const answered = open.find(socket => connections.reading(socket).isHalfClosed);
+        const oldest = open.find(socket => connections.reading(socket).unanswered === 0);
         if (answered !== undefined) {
             answered.destroy();
         }
@@ -178,18 +183,26 @@
             writeRefusal(oldest, refusalOf("vm-overloaded", NO_DESCRIPTORS));
             // A request that still arrives is discarded.
             connections.halfClose(oldest);
-            if (isDropped) {
+            if (isDropped && oldest.writableLength === 0) {
+                oldest.destroy();
+            }
+            else if (isDropped) {
                 oldest.once("finish", () => oldest.destroy());
             }
         }
     };
+    const descriptors = () => ({
+        served: connections.size() - refused.size,
+        unanswered: connections.unanswered().size,
+        refused: refused.size,
+        maxDescriptors: parts.maxDescriptors,
+    });
     const admit = (socket: Duplex): void => {
-        const admission = connectionAdmission({
-            served: connections.size() - refused.size,
-            unanswered: connections.unanswered().size,
-            refused: refused.size,
-            maxDescriptors: parts.maxDescriptors,
-        });
+        const admission = connectionAdmission(descriptors());
+        const isDropping = admission === "drop" || areDescriptorsUsed(descriptors());
+        if (isDropping || admission === "replace") {
+            endRefused(isDropping);
+        }
         if (admission === "serve") {
             return;
         }
@@ -198,9 +211,6 @@
             servedOnce.add(socket);
             return;
         }
-        if (admission === "replace" || admission === "drop") {
-            endRefused(admission === "drop");
-        }
         refused.add(socket);
         const cancel = startTimeout(REFUSED_SILENT_MS, () => socket.destroy());
         socket.once("close", () => {
