Retry a lost request on a connection that has just worked

Callers of calls that may be repeated and of streams that may be resumed got 504 deadline-exceeded after 3 s when the open connections to several endpoints had been lost without a sign (half-open: a device between forgot them), although new connections worked at once. The first try was silent until 0.6 of the time was up; the second one, at another endpoint, was sent on a connection that had been idle since before the loss.

A try after one that was lost now reuses only connections that were idle for at most 250 ms, as requests that may run once always do; otherwise it opens one, which shows that the endpoint is there. First tries reuse connections as before.

Ruled out: a shorter first try; silence does not show that a request has not run, and slow endpoints would get more repeats.

--- a/packages/router/src/serve/TryParts.ts
+++ b/packages/router/src/serve/TryParts.ts
@@ -13,6 +13,8 @@
     readonly place: TryPlace;
     readonly progress: StreamProgress;
     readonly isLastTry: boolean;
+    /** Whether an earlier try was lost: it may have run, and brought no whole answer. */
+    readonly isAfterLoss: boolean;
     /** Endpoints that earlier tries of the request have failed at. */
     readonly avoid: ReadonlySet<EndpointName>;
     /** Place that the endpoint keeps for this try; `undefined` if it keeps none. */
--- a/packages/router/src/serve/sendTry.ts
+++ b/packages/router/src/serve/sendTry.ts
@@ -22,11 +22,11 @@
 import { watchOrders } from "./watchOrders.js";
 
 /**
- * Longest idle time of a connection that is reused for a request that may run only once. That an endpoint has stopped
- * responding, or that a connection is lost, shows only when the connection is used, and then the request is lost.
- * Opening a new connection costs a round trip and proves that the endpoint is alive.
+ * Longest idle time of a connection that is reused for a request that may run only once, or whose last try was lost. That an
+ * endpoint has stopped responding, or that a connection is lost, shows only when the connection is used, and then the request
+ * is lost. Opening a new connection costs a round trip and proves that the endpoint is alive.
  */
-const NOT_REPEATABLE_MAX_IDLE_MS = 250;
+const PROVEN_MAX_IDLE_MS = 250;
 const MAX_IDLE_MS = 12_000;
 /** Closes all idle connections, so that a new one is opened. */
 const NO_IDLE_MS = -1;
@@ -74,12 +74,15 @@
 /**
  * Returns how long a connection may have been idle that is used for a request. If an endpoint answers twice, the late
  * answer ends the next request on the connection, which is lost if it may run only once. Such a request gets a new one.
+ *
+ * What loses one connection without a sign, such as a device between them, loses others with it. A request whose first try was
+ * lost on one of them would spend the rest of its time on another.
  */
-const maxIdleMsOf = ({ parts, served, place }: TryParts): Millis => {
+const maxIdleMsOf = ({ parts, served, place, isAfterLoss }: TryParts): Millis => {
     if (isRepeatable(served.route.kind)) {
-        return MAX_IDLE_MS;
+        return isAfterLoss ? PROVEN_MAX_IDLE_MS : MAX_IDLE_MS;
     }
-    return parts.agent.hasSentUnasked(place.entry.address) ? NO_IDLE_MS : NOT_REPEATABLE_MAX_IDLE_MS;
+    return parts.agent.hasSentUnasked(place.entry.address) ? NO_IDLE_MS : PROVEN_MAX_IDLE_MS;
 };
 
 /** Returns what was seen of an answer and its connection; `undefined` if none began. */
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -258,7 +258,9 @@
         const endTry = parts.requestQueues.beginTry(served);
         const { avoid } = progress;
         const hold = reserved?.hold;
-        const result = await runTry({ parts, served, place, progress: stream, isLastTry, avoid, hold }).finally(() => {
+        const isAfterLoss = request.ran !== "no";
+        const tryParts = { parts, served, place, progress: stream, isLastTry, isAfterLoss, avoid, hold };
+        const result = await runTry(tryParts).finally(() => {
             endShare();
             endTry();
         });
