--- a/packages/daemon/src/__tests__/unit/dispatchService.test.ts
+++ b/packages/daemon/src/__tests__/unit/dispatchService.test.ts
@@ -35,6 +35,17 @@
         write: socket => socket.write(`${HEAD}Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n`),
         isWhole: true,
     },
+    {
+        name: "a length, and bytes after it",
+        write: socket => socket.write(`${HEAD}Content-Length: 5\r\n\r\nwholeno answer\r\n\r\n`),
+        isWhole: true,
+    },
+    {
+        name: "chunks, and bytes after the last one",
+        write: socket =>
+            socket.write(`${HEAD}Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\nno answer\r\n\r\n`),
+        isWhole: true,
+    },
     {
         name: "a length that its connection does not reach",
         write: socket => socket.end(`${HEAD}Content-Length: 5\r\n\r\nwh`),
--- a/packages/daemon/src/dispatch/dispatchModel.ts
+++ b/packages/daemon/src/dispatch/dispatchModel.ts
@@ -26,18 +26,26 @@
 /** Result of a try. `next` is the position of the first piece that the caller has not received. */
 type TryResult = { readonly next: number; readonly failure: TryEnd | undefined; };
 
+/** Parameters of one try. After a silent try, it gets a connection of its own, see `dispatchService`. */
+type ModelTry = {
+    readonly call: Call;
+    readonly target: ModelCall;
+    readonly placement: Placement;
+    readonly fromPosition: number;
+    readonly answer: ModelAnswer;
+    readonly isAfterSilence: boolean;
+};
+
 async function tryOnce(
     parts: DispatchParts,
-    call: Call,
-    target: ModelCall,
-    placement: Placement,
-    fromPosition: number,
-    answer: ModelAnswer,
+    { call, target, placement, fromPosition, answer, isAfterSilence }: ModelTry,
 ): Promise<TryResult> {
     const { metrics, settings } = parts.ctx;
     const { idleMs } = settings.limits;
+    const { dedicated, pooled } = parts.connections;
+    const dispatcher = isAfterSilence ? dedicated(placement.url) : pooled(placement.url);
     const opened = await openEngineStream({
-        dispatcher: parts.connections.pooled(placement.url),
+        dispatcher,
         call,
         target,
         placement,
@@ -46,7 +54,7 @@
         idleMs,
         signal: call.signal,
     });
-    return opened.caseOf<Promise<TryResult>>({
+    const result = await opened.caseOf<Promise<TryResult>>({
         Left: failure => Promise.resolve({ next: fromPosition, failure }),
         Right: async stream => {
             placement.started(stream.incarnation, stream.cachedTokens);
@@ -57,22 +65,20 @@
             return { next: forwarded.state.next, failure: forwarded.failure };
         },
     });
+    if (isAfterSilence) {
+        void dispatcher.destroy();
+    }
+    return result;
 }
 
-async function tryAndReport(
-    parts: DispatchParts,
-    call: Call,
-    target: ModelCall,
-    placement: Placement,
-    fromPosition: number,
-    answer: ModelAnswer,
-): Promise<TryResult> {
+async function tryAndReport(parts: DispatchParts, modelTry: ModelTry): Promise<TryResult> {
+    const { call, placement, answer } = modelTry;
     const suspectRun = parts.suspects.running(call, placement);
     const write: ModelAnswer["write"] = chunk => {
         suspectRun.answering();
         return answer.write(chunk);
     };
-    const result = await tryOnce(parts, call, target, placement, fromPosition, { ...answer, write });
+    const result = await tryOnce(parts, { ...modelTry, answer: { ...answer, write } });
     const { failure } = result;
     if (failure?.kind === "silent") {
         parts.connections.retirePool(placement.url);
@@ -95,6 +101,7 @@
     answer: ModelAnswer,
 ): Promise<Either<Refusal, Tokens>> {
     const tried: EndpointName[] = [];
+    const last = { isSilent: false };
 
     const afterFailure = (request: RequestState, end: TryEnd): Promise<Either<Refusal, Tokens>> =>
         parts.tries.afterFailure(request, end).caseOf<Promise<Either<Refusal, Tokens>>>({
@@ -111,7 +118,15 @@
         const placement = placed.unsafeCoerce();
         tried.push(placement.endpoint);
         traceTry(parts.trace, call.id, placement, request.next);
-        const { next, failure } = await tryAndReport(parts, call, target, placement, request.next, answer);
+        const { next, failure } = await tryAndReport(parts, {
+            call,
+            target,
+            placement,
+            fromPosition: request.next,
+            answer,
+            isAfterSilence: last.isSilent,
+        });
+        last.isSilent = failure?.kind === "silent";
         if (failure === undefined) {
             answer.complete();
             parts.trace.add(call.id, "complete", { endpoint: placement.endpoint, tokens: next });
--- a/packages/daemon/src/dispatch/dispatchService.ts
+++ b/packages/daemon/src/dispatch/dispatchService.ts
@@ -37,8 +37,9 @@
         }) !== "connection";
 
 /**
- * Sends a call to a replica and reads its answer. A call that may not be repeated is sent on a connection opened for it
- * and continues if its caller disconnects, so that its outcome is known when the caller repeats it.
+ * Sends a call to a replica and reads its answer. A call that may not be repeated, or whose last try was silent, is sent on a
+ * connection opened for it: connections that were lost without a sign are often lost together, at several endpoints. One that
+ * may not be repeated continues if its caller disconnects, so that its outcome is known when the caller repeats it.
  */
 async function tryOnce(
     parts: DispatchParts,
@@ -46,10 +47,12 @@
     target: ServiceCall,
     placement: Placement,
     timeoutMs: number,
+    isAfterSilence: boolean,
 ): Promise<Either<TryEnd, RecordedAnswer>> {
     const { connections } = parts;
     const signal = target.repeatable ? call.signal : undefined;
-    const dispatcher = target.repeatable ? connections.pooled(placement.url) : connections.dedicated(placement.url);
+    const isPooled = target.repeatable && !isAfterSilence;
+    const dispatcher = isPooled ? connections.pooled(placement.url) : connections.dedicated(placement.url);
     try {
         const res = await request(`${placement.url}${target.path}`, {
             method: target.method as "GET",
@@ -88,7 +91,7 @@
         return Left(failureOfError(err, signal));
     }
     finally {
-        if (!target.repeatable) {
+        if (!isPooled) {
             void dispatcher.destroy();
         }
     }
@@ -109,6 +112,7 @@
     permit: DispatchPermit,
 ): Promise<Either<Refusal, RecordedAnswer>> {
     const tried: EndpointName[] = [];
+    const last = { isSilent: false };
 
     const afterFailure = (before: RequestState, end: TryEnd): Promise<Either<Refusal, RecordedAnswer>> =>
         parts.tries.afterFailure(before, end).caseOf<Promise<Either<Refusal, RecordedAnswer>>>({
@@ -128,7 +132,7 @@
             return afterFailure(state, { kind: "stopped", refusal: refusalOf("deadline-exceeded") });
         }
         traceTry(parts.trace, call.id, placement, undefined);
-        const ended = await tryOnce(parts, call, target, placement, timeoutMs);
+        const ended = await tryOnce(parts, call, target, placement, timeoutMs, last.isSilent);
         placement.end(ended.caseOf({ Left: placementOutcomeOf, Right: () => "complete" as const }));
         if (ended.isRight()) {
             parts.trace.add(call.id, "complete", { endpoint: placement.endpoint });
@@ -136,7 +140,8 @@
         }
         const end = ended.extract() as TryEnd;
         parts.trace.add(call.id, "try failed", { endpoint: placement.endpoint, reason: end.kind });
-        if (end.kind === "silent") {
+        last.isSilent = end.kind === "silent";
+        if (last.isSilent) {
             parts.connections.retirePool(placement.url);
         }
         if (end.kind === "refused" || end.kind === "unreached") {
