Keep Node's inspector closed when a signal opens it twice

Cause: for one signal Node starts the inspector by an interrupt and again by an event in its loop; the program closed it between the two ("Debugger listening" stood twice in the output, the line of the close between), or before either. It is checked again two turns of the loop later and when the start is over.

--- a/packages/lifecycle/src/closeInspector.ts
+++ b/packages/lifecycle/src/closeInspector.ts
@@ -3,7 +3,8 @@
 const INSPECTOR_FLAG = /^--inspect(-brk|-wait)?(=|$)/;
 
 /**
- * Closes Node's inspector unless a flag of the process asks for it: SIGUSR1 opens it while Node itself starts.
+ * Closes Node's inspector unless a flag of the process asks for it: SIGUSR1 opens it while Node itself starts, and so may the
+ * `NODE_OPTIONS` of the place where the process runs.
  *
  * @returns whether it was open
  */
--- a/packages/lifecycle/src/runLifecycle.ts
+++ b/packages/lifecycle/src/runLifecycle.ts
@@ -7,6 +7,7 @@
 import { exitCodeOf } from "./exitCodeOf.js";
 import type { HandledSignal } from "./HandledSignal.js";
 import { handledSignals } from "./handledSignals.js";
+import { handlePendingSignals } from "./handlePendingSignals.js";
 import { hasTerminal } from "./hasTerminal.js";
 import { initialLifecycle } from "./initialLifecycle.js";
 import { inspectorUrl } from "./inspectorUrl.js";
@@ -140,15 +141,20 @@
     // Rejected promises that nothing handles arrive here as well.
     process.on("uncaughtException", onUncaughtError);
 
+    /** Called more than once: for one signal, Node opens the inspector by an interrupt and again in the event loop. */
+    const closeOpenInspector = (): void => {
+        if (closeInspector(process.execArgv)) {
+            log("warn", {}, "Closed Node's inspector: a signal while Node started or NODE_OPTIONS had opened it.");
+        }
+    };
     const context: StartContext = {
         signal: startAbort.signal,
         log,
         count,
         observe: telemetry => {
             lifecycleLog.observe(telemetry);
-            if (closeInspector(process.execArgv)) {
-                log("warn", {}, "Closed Node's inspector: a signal had opened it while Node started.");
-            }
+            closeOpenInspector();
+            void handlePendingSignals(new AbortController().signal).then(closeOpenInspector);
             const { metrics } = telemetry;
             metrics.gauge(
                 "azureshunt_process_start_time_seconds",
@@ -192,6 +198,7 @@
     start(context).then(application => {
         state.application = application;
         state.startMs = upMs();
+        closeOpenInspector();
         apply({ kind: "started" });
     }, onStartFailed);
 }
