Stop on a rejected promise that nothing handles, whatever NODE_OPTIONS holds

Cause: the life cycle relied on Node's default, that such errors are thrown. It listens to `unhandledRejection` itself now, and takes no rejection from `uncaughtException`, so that strict does not count twice.

Test: a rejected promise in each mode; none, warn, strict failed before, all pass now (bundled program).

--- a/packages/lifecycle/src/runLifecycle.ts
+++ b/packages/lifecycle/src/runLifecycle.ts
@@ -31,6 +31,7 @@
 
 const PHASES: readonly LifecyclePhase[] = ["starting", "serving", "draining", "stopped"];
 const MS_PER_SECOND = 1_000;
+const REJECTION = "unhandledRejection";
 /** Longest time until a start that is given up has stopped what it had started. */
 const MAX_ABORT_MS = 5_000;
 
@@ -138,8 +139,14 @@
     if (!hasTerminal()) {
         handle(terminalSignals);
     }
-    // Rejected promises that nothing handles arrive here as well.
-    process.on("uncaughtException", onUncaughtError);
+    // By default, Node throws the errors of rejected promises that nothing handles; `NODE_OPTIONS` may hold that it ignores them, or
+    // does both, so they are taken here alone.
+    process.on("uncaughtException", (err, origin) => {
+        if (origin !== REJECTION) {
+            onUncaughtError(err, origin);
+        }
+    });
+    process.on(REJECTION, err => onUncaughtError(err, REJECTION));
 
     /** Called more than once: for one signal, Node opens the inspector by an interrupt and again in the event loop. */
     const closeOpenInspector = (): void => {
