Bound the heads of answers by the program, not by NODE_OPTIONS

The listeners had bounds of their own; the clients say theirs now, 16 KB as Node's default, and that heads are parsed strictly (--insecure-http-parser). The daemon's listener says that too (it did not), and its clients, of undici, which takes its bound from Node's, the same 16 KB.

--- a/packages/daemon/src/dispatch/createEndpointConnections.ts
+++ b/packages/daemon/src/dispatch/createEndpointConnections.ts
@@ -1,3 +1,4 @@
+import { maxAnswerHeadBytes } from "@azureshunt/http";
 import { Client, Pool } from "undici";
 
 import type { EndpointConnections } from "./EndpointConnections.js";
@@ -23,12 +24,13 @@
             keepAliveTimeout: MAX_IDLE_MS,
             connections: MAX_CONNECTIONS,
             pipelining: 1,
+            maxHeaderSize: maxAnswerHeadBytes,
         });
         pools.set(url, pool);
         return pool;
     };
     const dedicated: EndpointConnections["dedicated"] = url =>
-        new Client(url, { connect: { timeout: CONNECT_TIMEOUT_MS }, pipelining: 1 });
+        new Client(url, { connect: { timeout: CONNECT_TIMEOUT_MS }, pipelining: 1, maxHeaderSize: maxAnswerHeadBytes });
 
     const retirePool: EndpointConnections["retirePool"] = url => {
         const pool = pools.get(url);
--- a/packages/daemon/src/fleet/createEngineClient.ts
+++ b/packages/daemon/src/fleet/createEngineClient.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from "node:crypto";
 
 import type { ObservedEngine, WeightsOrder } from "@azureshunt/fleet";
+import { maxAnswerHeadBytes } from "@azureshunt/http";
 import { timeoutSignal } from "@azureshunt/lifecycle";
 import type { EndpointSpec } from "@azureshunt/release";
 import { Agent, request } from "undici";
@@ -28,7 +29,12 @@
  * @param timeoutMs maximum time of one call; an order has ended by then, even without an answer
  */
 export function createEngineClient(timeoutMs: number): EngineClient {
-    const dispatcher = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS }, connections: 2, pipelining: 1 });
+    const dispatcher = new Agent({
+        connect: { timeout: CONNECT_TIMEOUT_MS },
+        connections: 2,
+        pipelining: 1,
+        maxHeaderSize: maxAnswerHeadBytes,
+    });
 
     const observe: EngineClient["observe"] = async spec => {
         try {
--- a/packages/daemon/src/gateway/startHttpServer.ts
+++ b/packages/daemon/src/gateway/startHttpServer.ts
@@ -70,7 +70,11 @@
  */
 export async function startHttpServer(parts: HttpServerParts): Promise<Server> {
     const { address, claim, tls, limits, handler } = parts;
-    const options = { maxHeaderSize: limits.headerBytes, connectionsCheckingInterval: TIMEOUT_CHECK_MS };
+    const options = {
+        maxHeaderSize: limits.headerBytes,
+        connectionsCheckingInterval: TIMEOUT_CHECK_MS,
+        insecureHTTPParser: false,
+    };
     const server = tls === undefined ? createHttpServer(options, handler) : withTls(tls, options, handler);
     server.maxConnections = limits.connections;
     server.headersTimeout = HEADERS_TIMEOUT_MS;
--- a/packages/daemon/src/suspects/hasDied.ts
+++ b/packages/daemon/src/suspects/hasDied.ts
@@ -1,8 +1,9 @@
 import type { Incarnation, Millis } from "@azureshunt/core";
+import { maxAnswerHeadBytes } from "@azureshunt/http";
 import { timeoutSignal } from "@azureshunt/lifecycle";
 import { probeUntilClear } from "@azureshunt/request";
 import type { ProbeResult, ProbeTiming } from "@azureshunt/request";
-import { request } from "undici";
+import { Agent, request } from "undici";
 import { z } from "zod";
 
 /** Timeouts and intervals of probing an engine. */
@@ -15,6 +16,8 @@
 
 const State = z.object({ incarnation: z.string() });
 
+const dispatcher = new Agent({ maxHeaderSize: maxAnswerHeadBytes });
+
 const codeOf = (err: unknown): unknown => err instanceof Error && "code" in err ? err.code : undefined;
 
 /** Error of a connection to an address where nothing listens. */
@@ -22,7 +25,11 @@
 
 const probe = async (url: string, incarnation: Incarnation | undefined, answerMs: number): Promise<ProbeResult> => {
     try {
-        const res = await request(`${url}/v1/state`, { signal: timeoutSignal(answerMs), reset: true });
+        const res = await request(`${url}/v1/state`, {
+            dispatcher,
+            signal: timeoutSignal(answerMs),
+            reset: true,
+        });
         const state = State.safeParse(await res.body.json());
         const isOther = state.success && incarnation !== undefined && state.data.incarnation !== incarnation;
         return isOther ? "dead" : "alive";
--- a/packages/router/src/dispatch/openCall.ts
+++ b/packages/router/src/dispatch/openCall.ts
@@ -3,6 +3,7 @@
 import { framingOf } from "@azureshunt/completion";
 import type { ConnectionEnd } from "@azureshunt/completion";
 import { defaultBounds } from "@azureshunt/flow";
+import { maxAnswerHeadBytes } from "@azureshunt/http";
 import { startTimeout } from "@azureshunt/lifecycle";
 
 import type { Tunnel } from "../tunnel/Tunnel.js";
@@ -58,6 +59,8 @@
             // Node accepts alternating names and values, although its types do not say so.
             headers: call.headers as unknown as Record<string, string>,
             setHost: false,
+            maxHeaderSize: maxAnswerHeadBytes,
+            insecureHTTPParser: false,
         });
         const abandon = (): void => {
             if (progress.isConnected) {
--- a/packages/router/src/tunnel/requestTunnel.ts
+++ b/packages/router/src/tunnel/requestTunnel.ts
@@ -1,6 +1,7 @@
 import { request } from "node:http";
 
 import type { FailureDomain, Millis } from "@azureshunt/core";
+import { maxAnswerHeadBytes } from "@azureshunt/http";
 import { startTimeout } from "@azureshunt/lifecycle";
 import type { TunnelFailure } from "@azureshunt/reach";
 import { Left, Right } from "purify-ts";
@@ -52,6 +53,8 @@
                 [tunnelHeaders.address]: user.address,
             },
             agent: false,
+            maxHeaderSize: maxAnswerHeadBytes,
+            insecureHTTPParser: false,
         });
         const fail = (failure: TunnelFailure, names: Names = { named: [], helpers: [] }): void => {
             cancelTimeout();
