Answer callers and operators whose connections a stop of the daemon finds open or queued

Cause: the event loop accepts one connection in a turn, and closing the port resets those that wait in the system's queue; what was accepted and unread was closed as no request ran; and the operators' port was closed without a drain, after the parts that their answers need. The router has had the cure: its drain moves to packages/http with its decisions and their tests, unchanged but for the time of the announcement, which is passed in now (2.6 s in the router, limits.announceMs in the daemon), and both use it. In the daemon, requests that arrive as the queue is emptied are served once the port is closed, as it has time for them; the router refuses them as before. Operators' calls get two seconds, before the parts stop. Not covered: a TLS handshake that is under way as the last connection ends.

--- a/packages/daemon/src/admin/startAdminListener.ts
+++ b/packages/daemon/src/admin/startAdminListener.ts
@@ -10,7 +10,7 @@
 import { bearerKey } from "../gateway/bearerKey.js";
 import { sendRefusal } from "../gateway/sendRefusal.js";
 import { serveHealth } from "../gateway/serveHealth.js";
-import { startHttpServer } from "../gateway/startHttpServer.js";
+import { startDrainingServer } from "../gateway/startDrainingServer.js";
 import type { Stoppable } from "../Stoppable.js";
 import type { AdminAnswer } from "./AdminAnswer.js";
 import type { AdminParts } from "./AdminParts.js";
@@ -18,6 +18,9 @@
 import { openApi } from "./openApi.js";
 
 const BASE = "http://admin";
+/** Longest time for which a stop waits for calls that run. */
+const DRAIN_MS = 2_000;
+const ignore = (): void => undefined;
 
 const sendJson = (res: ServerResponse, status: number, body: unknown): void => {
     res.writeHead(status, { "content-type": "application/json" });
@@ -87,11 +90,12 @@
         });
     };
 
-    const server = await startHttpServer({
+    const { server, drain } = await startDrainingServer({
         address: settings.listen.admin,
         claim: parts.claim,
         tls: settings.tls.admin,
         limits: settings.limits,
+        drainLog: { portClosed: ignore, ended: ignore, refused: ignore },
         handler: (req, res) => {
             serve(req, res).catch((err: unknown) => {
                 logger.error({ err }, "Admin request failed: internal error.");
@@ -102,9 +106,6 @@
     const boundAddress = server.address();
     return {
         port: typeof boundAddress === "object" ? boundAddress?.port ?? 0 : 0,
-        stop: () => {
-            server.close();
-            server.closeAllConnections();
-        },
+        stop: () => drain(0, DRAIN_MS),
     };
 }
--- a/packages/daemon/src/gateway/startCallerListener.ts
+++ b/packages/daemon/src/gateway/startCallerListener.ts
@@ -1,24 +1,21 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 
-import type { Millis } from "@azureshunt/core";
-import { stopListening } from "@azureshunt/http";
+import { createDrainLog } from "@azureshunt/http";
 
 import { createCallerHandler } from "./createCallerHandler.js";
 import type { GatewayParts } from "./GatewayParts.js";
 import { serveHealth } from "./serveHealth.js";
-import { startHttpServer } from "./startHttpServer.js";
-
-const IDLE_RECHECK_MS = 50;
+import { startDrainingServer } from "./startDrainingServer.js";
 
 /** The listener for callers' requests. */
 type CallerListener = {
     /**
-     * Stops the listener gracefully; settles when all requests have ended or `limits.drainMs` has elapsed.
+     * Stops the listener gracefully; settles when all connections have ended or `limits.drainMs` has elapsed.
      *
      * The load balancer keeps sending requests for a moment after this daemon starts to shut down, also on idle
      * connections; they would be refused or cut off. To prevent this, `/readyz` fails first, for `limits.announceMs`,
-     * while requests are still served and each answer closes its connection. Only then are new connections refused and
-     * running requests awaited.
+     * while requests are still served and each answer closes its connection. Only then are new connections refused, and
+     * requests that were sent by then awaited.
      */
     readonly drain: () => Promise<void>;
     /** Refuses all further requests. */
@@ -49,44 +46,28 @@
         ) {
             return;
         }
-        if (parts.isDraining()) {
-            res.setHeader("connection", "close");
-        }
         running.requests += 1;
         res.once("close", () => {
             running.requests -= 1;
         });
         serve(req, res);
     };
-    const server = await startHttpServer({
+    const listener = await startDrainingServer({
         address: settings.listen.caller,
         claim: parts.claim,
         tls: settings.tls.caller,
         limits: settings.limits,
         handler,
+        drainLog: createDrainLog(ctx.metrics, ctx.logger("gateway")),
     });
 
-    const waitUntilIdle = (giveUpAt: Millis): Promise<void> =>
-        new Promise(resolve => {
-            const timer = setInterval(() => {
-                if (running.requests === 0 || ctx.clock.now() > giveUpAt) {
-                    clearInterval(timer);
-                    resolve();
-                }
-            }, IDLE_RECHECK_MS);
-        });
-
     const refuse = (): void => {
         shutdown.isRefusing = true;
     };
     const drain: CallerListener["drain"] = async () => {
         const { announceMs, drainMs } = settings.limits;
-        await new Promise(resolve => setTimeout(resolve, announceMs));
-        stopListening(server);
-        await waitUntilIdle(ctx.clock.now() + drainMs);
+        await listener.drain(announceMs, announceMs + drainMs);
         refuse();
-        server.closeAllConnections();
     };
-    const cut = (): void => server.closeAllConnections();
-    return { drain, refuse, cut };
+    return { drain, refuse, cut: listener.cut };
 }
--- a/packages/daemon/src/startDaemon.ts
+++ b/packages/daemon/src/startDaemon.ts
@@ -164,7 +164,8 @@
             { name: "callers", drain: callers.drain },
             { name: "hand-over", stop: allowance.drain },
         ];
-        await stopParts([...listeners, ...parts, { name: "admin", stop: admin.stop }, ...connected], onFault);
+        // Calls of operators need the parts for their answers.
+        await stopParts([...listeners, { name: "admin", stop: admin.stop }, ...parts, ...connected], onFault);
         logger("daemon").info("Stopped.");
     };
     const refuse = (): void => {
--- a/packages/router/src/__tests__/unit/callerDrain.test.ts
+++ b/packages/http/src/__tests__/unit/callerDrain.test.ts
@@ -1,11 +1,11 @@
 import test from "ava";
 
-import type { CallerConnectionState } from "../../serve/CallerConnectionState.js";
-import type { CallerDrainPhase } from "../../serve/CallerDrainPhase.js";
-import { connectionActionOf } from "../../serve/connectionActionOf.js";
-import { stepCallerDrain } from "../../serve/stepCallerDrain.js";
+import type { CallerConnectionState } from "../../CallerConnectionState.js";
+import type { CallerDrainPhase } from "../../CallerDrainPhase.js";
+import { connectionActionOf } from "../../connectionActionOf.js";
+import { stepCallerDrain } from "../../stepCallerDrain.js";
 
-const NOTHING_OPEN = { withinMs: 9_000, hasAccepted: false, openConnections: 0 };
+const NOTHING_OPEN = { announceMs: 2_600, withinMs: 9_000, hasAccepted: false, openConnections: 0 };
 
 ([
     ["announcing", 0, "the balancer may send connections still", { now: 2_600 }, "announcing"],
--- a/packages/router/src/serve/createCallerConnections.ts
+++ b/packages/http/src/createCallerConnections.ts
@@ -2,10 +2,10 @@
 import type { Duplex } from "node:stream";
 
 import type { Millis } from "@azureshunt/core";
-import type { SocketReading } from "@azureshunt/http";
 
 import type { CallerConnectionState } from "./CallerConnectionState.js";
 import type { ConnectionCounts } from "./ConnectionCounts.js";
+import type { SocketReading } from "./SocketReading.js";
 
 type Connection = {
     /** Requests without a whole answer. */
--- a/packages/router/src/serve/drainCallers.ts
+++ b/packages/http/src/drainCallers.ts
@@ -1,7 +1,6 @@
 import type { Server } from "node:http";
 
 import type { Millis } from "@azureshunt/core";
-import { stopListening } from "@azureshunt/http";
 import { startTimeout } from "@azureshunt/lifecycle";
 
 import type { CallerDrainPhase } from "./CallerDrainPhase.js";
@@ -11,12 +10,15 @@
 import type { createDrainLog } from "./createDrainLog.js";
 import { cutAnswer } from "./cutAnswer.js";
 import { stepCallerDrain } from "./stepCallerDrain.js";
+import { stopListening } from "./stopListening.js";
 
 type DrainParts = {
     /** The listener for callers. */
     readonly server: Server;
     readonly connections: ReturnType<typeof createCallerConnections>;
     readonly drainLog: ReturnType<typeof createDrainLog>;
+    /** Time for which the port stays open. */
+    readonly announceMs: Millis;
     readonly withinMs: Millis;
     /** Called as a phase begins. */
     readonly onPhase: (phase: CallerDrainPhase) => void;
@@ -29,7 +31,8 @@
 };
 
 /** Ends the connections of callers as `stepCallerDrain` and `connectionActionOf` decide. */
-export function drainCallers({ server, connections, drainLog, withinMs, onPhase }: DrainParts): Promise<void> {
+export function drainCallers(parts: DrainParts): Promise<void> {
+    const { server, connections, drainLog, announceMs, withinMs, onPhase } = parts;
     const startedAt = performance.now();
     const state = { drain: { phase: "announcing", since: 0 } as CallerDrainState, accepted: 0 };
     const onConnection = (): void => {
@@ -66,7 +69,13 @@
         const look = (): void => {
             const now = performance.now() - startedAt;
             const { phase } = state.drain;
-            const view = { now, withinMs, hasAccepted: state.accepted > 0, openConnections: connections.size() };
+            const view = {
+                now,
+                announceMs,
+                withinMs,
+                hasAccepted: state.accepted > 0,
+                openConnections: connections.size(),
+            };
             state.accepted = 0;
             state.drain = stepCallerDrain(state.drain, view);
             if (state.drain.phase !== phase) {
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -1,5 +1,10 @@
 /** Bounded reading of HTTP bodies, and the end of listeners. */
+export type { CallerDrainPhase } from "./CallerDrainPhase.js";
+export { createCallerConnections } from "./createCallerConnections.js";
+export { createDrainLog } from "./createDrainLog.js";
+export { cutAnswer } from "./cutAnswer.js";
 export { discardBody } from "./discardBody.js";
+export { drainCallers } from "./drainCallers.js";
 export { jsonOf } from "./jsonOf.js";
 export { judgeTimeouts } from "./judgeTimeouts.js";
 export { readBody } from "./readBody.js";
--- a/packages/router/src/serve/stepCallerDrain.ts
+++ b/packages/http/src/stepCallerDrain.ts
@@ -5,14 +5,14 @@
 type CallerDrainView = {
     /** Time since the start of the drain. */
     readonly now: Millis;
+    /** Time for which new connections are served, as the balancer learns late that they are not to be sent any more. */
+    readonly announceMs: Millis;
     readonly withinMs: Millis;
     /** Whether a connection was accepted in the last turn of the event loop. */
     readonly hasAccepted: boolean;
     readonly openConnections: number;
 };
 
-/** The balancer probes once per second and removes a VM after two failures; until then, new connections arrive. */
-const NEW_CONNECTIONS_MS = 2_600;
 /** Callers that keep opening connections must not hold the port open. */
 const MAX_ACCEPTING_MS = 100;
 
@@ -24,14 +24,14 @@
  * empty.
  */
 export function stepCallerDrain(state: CallerDrainState, view: CallerDrainView): CallerDrainState {
-    const { now, withinMs, hasAccepted, openConnections } = view;
+    const { now, announceMs, withinMs, hasAccepted, openConnections } = view;
     const enter = (phase: CallerDrainState["phase"]): CallerDrainState => ({ phase, since: now });
     if (now > withinMs) {
         return state.phase === "ended" ? state : enter("ended");
     }
     switch (state.phase) {
         case "announcing":
-            return now > NEW_CONNECTIONS_MS ? enter("accepting") : state;
+            return now > announceMs ? enter("accepting") : state;
         case "accepting":
             return !hasAccepted || now - state.since > MAX_ACCEPTING_MS ? enter("lingering") : state;
         case "lingering":
--- a/packages/router/src/serve/sendRefusal.ts
+++ b/packages/router/src/serve/sendRefusal.ts
@@ -1,9 +1,9 @@
 import type { ServerResponse } from "node:http";
 
 import type { Refusal } from "@azureshunt/core";
+import { cutAnswer } from "@azureshunt/http";
 
 import type { CallerWire } from "../ports/CallerWire.js";
-import { cutAnswer } from "./cutAnswer.js";
 import { statusOf } from "./statusOf.js";
 
 /**
--- a/packages/router/src/serve/startCallerServer.ts
+++ b/packages/router/src/serve/startCallerServer.ts
@@ -4,18 +4,14 @@
 import type { Millis } from "@azureshunt/core";
 import { refusalOf } from "@azureshunt/core";
 import type { ErrorKind, Refusal } from "@azureshunt/core";
-import { judgeTimeouts, trackReadings } from "@azureshunt/http";
+import { createCallerConnections, cutAnswer, drainCallers, judgeTimeouts, trackReadings } from "@azureshunt/http";
+import type { CallerDrainPhase, createDrainLog } from "@azureshunt/http";
 import { afterPendingReads, startTimeout } from "@azureshunt/lifecycle";
 
 import type { CallerLimits } from "../configuration/CallerLimits.js";
 import type { CallerWire } from "../ports/CallerWire.js";
 import type { RouterSettings } from "../RouterSettings.js";
-import type { CallerDrainPhase } from "./CallerDrainPhase.js";
 import { connectionAdmission } from "./connectionAdmission.js";
-import { createCallerConnections } from "./createCallerConnections.js";
-import type { createDrainLog } from "./createDrainLog.js";
-import { cutAnswer } from "./cutAnswer.js";
-import { drainCallers } from "./drainCallers.js";
 import { sendRefusal } from "./sendRefusal.js";
 import { startListener } from "./startListener.js";
 import { statusOf } from "./statusOf.js";
@@ -56,6 +52,8 @@
 /** A caller that takes longer to send a body only occupies memory: its own deadline has passed by then. */
 const BODY_TIMEOUT_MS = 30_000;
 const LIMITS_INTERVAL_MS = 250;
+/** The balancer probes once per second and removes a VM after two failures; until then, new connections arrive. */
+const ANNOUNCE_MS = 2_600;
 /** A caller that sends on for longer after its last answer does not read it. */
 const MAX_LINGER_MS = 2_000;
 
@@ -239,7 +237,14 @@
     return {
         drain: async withinMs => {
             enter("announcing");
-            await drainCallers({ server, connections, drainLog, withinMs, onPhase: enter });
+            await drainCallers({
+                server,
+                connections,
+                drainLog,
+                announceMs: ANNOUNCE_MS,
+                withinMs,
+                onPhase: enter,
+            });
             clearInterval(timer);
             ready.close();
             ready.closeAllConnections();
--- a/packages/router/src/serve/startListener.ts
+++ b/packages/router/src/serve/startListener.ts
@@ -1,7 +1,8 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 
-import { cutAnswer } from "./cutAnswer.js";
+import { cutAnswer } from "@azureshunt/http";
+
 import { maxHeaderFields } from "./maxHeaderFields.js";
 
 /** Upper bound on the size of headers; the limit in the configuration may be lower. */
