--- a/packages/daemon/src/startDaemon.ts
+++ b/packages/daemon/src/startDaemon.ts
@@ -2,7 +2,7 @@
 
 import { createClock } from "@azureshunt/core";
 import type { Incarnation } from "@azureshunt/core";
-import { claimAddress, stopParts } from "@azureshunt/lifecycle";
+import { createAddressClaims, stopParts } from "@azureshunt/lifecycle";
 import type { ManagedPart, StartContext } from "@azureshunt/lifecycle";
 import { createLogClient } from "@azureshunt/log";
 import { createLoggers, createMetrics } from "@azureshunt/telemetry";
@@ -23,7 +23,6 @@
 import { createMembershipPort } from "./membership/createMembershipPort.js";
 import { createPeerPort } from "./peers/createPeerPort.js";
 import { createPlacementPort } from "./placement/createPlacementPort.js";
-import type { Claim } from "./ports/Claim.js";
 import type { DaemonContext } from "./ports/DaemonContext.js";
 import type { Settings } from "./Settings.js";
 import { stopMsOf } from "./stopMsOf.js";
@@ -39,9 +38,6 @@
     readonly shutDown: () => Promise<void>;
 };
 
-/** Time that a predecessor may hold the addresses beyond its time to stop, until its supervisor has ended it. */
-const PREDECESSOR_MARGIN_MS = 2_000;
-
 /**
  * Starts all parts of a daemon; the listener for callers last.
  *
@@ -59,17 +55,12 @@
     });
     const metrics = createMetrics();
     lifecycle.observe({ logger: logger("lifecycle"), metrics, flush: logger.flush });
-    const claim: Claim = (address, bind) =>
-        claimAddress({
-            address,
-            bind,
-            withinMs: stopMsOf(settings.limits) + PREDECESSOR_MARGIN_MS,
-            signal: lifecycle.signal,
-            onWait: () => {
-                logger("daemon").warn({ address }, "Waiting for an address: another process holds it.");
-                metrics.count("azureshunt_address_waits_total", "Waits for an address of this VM.", { address });
-            },
-        });
+    const { needed: claim } = createAddressClaims({
+        stopMs: stopMsOf(settings.limits),
+        signal: lifecycle.signal,
+        logger: logger("daemon"),
+        metrics,
+    });
     const system = start(`azureshunt-${settings.vm}`);
     const log = createLogClient(settings.platform.url);
     const peers = await createPeerPort({
--- a/packages/router/src/createAddressClaims.ts
+++ b/packages/lifecycle/src/createAddressClaims.ts
@@ -1,15 +1,15 @@
 import type { Millis } from "@azureshunt/core";
-import { claimAddress } from "@azureshunt/lifecycle";
-import type { Metrics } from "@azureshunt/telemetry";
-import type { Logger } from "pino";
+
+import { claimAddress } from "./claimAddress.js";
+import type { LifecycleTelemetry } from "./LifecycleTelemetry.js";
 
 type ClaimParts = {
     /** Time within which a predecessor stops. */
     readonly stopMs: Millis;
     /** Aborted when this process is told to stop while it starts. */
     readonly signal: AbortSignal | undefined;
-    readonly logger: Logger;
-    readonly metrics: Metrics;
+    readonly logger: Pick<LifecycleTelemetry["logger"], "warn">;
+    readonly metrics: Pick<LifecycleTelemetry["metrics"], "count">;
 };
 
 /** Binds an address once it is free; see `claimAddress`. */
@@ -19,7 +19,7 @@
 const PREDECESSOR_MARGIN_MS: Millis = 2_000;
 
 /**
- * Creates the functions by which a router binds its addresses while its predecessor may hold them: `needed` gives up when a
+ * Creates the functions by which a program binds its addresses while its predecessor may hold them: `needed` gives up when a
  * predecessor must be gone, `optional` never does.
  */
 export function createAddressClaims(
--- a/packages/lifecycle/src/index.ts
+++ b/packages/lifecycle/src/index.ts
@@ -4,6 +4,7 @@
 export { awaitSettings } from "./awaitSettings.js";
 export { claimAddress } from "./claimAddress.js";
 export type { ClockReading } from "./ClockReading.js";
+export { createAddressClaims } from "./createAddressClaims.js";
 export { createPauseWatch } from "./createPauseWatch.js";
 export type { ExitCause } from "./ExitCause.js";
 export { exitCodeOf } from "./exitCodeOf.js";
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -6,13 +6,13 @@
 import type { EndpointName, Incarnation, Millis, Tokens } from "@azureshunt/core";
 import { budgetOf, defaultBounds } from "@azureshunt/flow";
 import { createDrainLog } from "@azureshunt/http";
-import { afterPendingReads, createPauseWatch, handlePendingSignals, startTimeout } from "@azureshunt/lifecycle";
+import { afterPendingReads, createAddressClaims, createPauseWatch } from "@azureshunt/lifecycle";
+import { handlePendingSignals, startTimeout } from "@azureshunt/lifecycle";
 import type { ManagedPart } from "@azureshunt/lifecycle";
 import { createLoggers, createMetrics, maxDescriptors } from "@azureshunt/telemetry";
 
 import { createAllowanceQueue } from "./allowance/createAllowanceQueue.js";
 import { createAllowances } from "./allowance/createAllowances.js";
-import { createAddressClaims } from "./createAddressClaims.js";
 import { createRouter } from "./createRouter.js";
 import { createEndConfirmation } from "./dispatch/createEndConfirmation.js";
 import { EndpointAgent } from "./dispatch/EndpointAgent.js";
