--- a/packages/daemon/src/__tests__/unit/stoppedListener.test.ts
+++ b/packages/daemon/src/__tests__/unit/stoppedListener.test.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { Worker } from "node:worker_threads";
 
+import { createRequestGate } from "@azureshunt/http";
 import test from "ava";
 
 import { startHttpServer } from "../../gateway/startHttpServer.js";
@@ -50,6 +51,7 @@
 cases.forEach(({ name, first, second, before, after }) => {
     test.serial(`stopped listener: what arrives while the process does not run is answered: ${name}`, async t => {
         const server = await startHttpServer({
+            gate: createRequestGate(),
             address: "127.0.0.1:0",
             claim: (_address, bind) => bind(),
             tls: undefined,
@@ -89,6 +91,7 @@
 // Guards against connections that are kept for ever, as Node closes none whose timeouts are judged.
 test.serial("stopped listener: idle connections are closed, and late requests refused", async t => {
     const server = await startHttpServer({
+        gate: createRequestGate(),
         address: "127.0.0.1:0",
         claim: (_address, bind) => bind(),
         tls: undefined,
--- a/packages/daemon/src/gateway/startHttpServer.ts
+++ b/packages/daemon/src/gateway/startHttpServer.ts
@@ -4,7 +4,8 @@
 import { createServer as createHttpsServer } from "node:https";
 import type { Duplex } from "node:stream";
 
-import { createRequestGate, judgeTimeouts } from "@azureshunt/http";
+import { judgeTimeouts } from "@azureshunt/http";
+import type { createRequestGate } from "@azureshunt/http";
 
 import type { Claim } from "../ports/Claim.js";
 import type { Settings } from "../Settings.js";
@@ -32,6 +33,8 @@
     readonly tls: Settings["tls"]["caller"];
     readonly limits: Settings["limits"];
     readonly handler: HttpHandler;
+    /** Reads its connections. */
+    readonly gate: ReturnType<typeof createRequestGate>;
 };
 
 const withTls = (tls: NonNullable<Settings["tls"]["caller"]>, options: object, handler: HttpHandler): Server =>
@@ -69,7 +72,7 @@
  * @throws Error if the address cannot be bound or a certificate cannot be read
  */
 export async function startHttpServer(parts: HttpServerParts): Promise<Server> {
-    const { address, claim, tls, limits, handler } = parts;
+    const { address, claim, tls, limits, handler, gate } = parts;
     const options = {
         maxHeaderSize: limits.headerBytes,
         connectionsCheckingInterval: TIMEOUT_CHECK_MS,
@@ -80,7 +83,6 @@
     server.headersTimeout = HEADERS_TIMEOUT_MS;
     server.requestTimeout = REQUEST_TIMEOUT_MS;
     server.keepAliveTimeout = MAX_IDLE_MS;
-    const gate = createRequestGate();
     gate.attach(server);
     judgeTimeouts(server, { reading: gate.reading, refuse: refuseFaulty(server) });
     const colon = address.lastIndexOf(":");
