--- a/packages/router/src/serve/startCallerServer.ts
+++ b/packages/router/src/serve/startCallerServer.ts
@@ -171,6 +171,16 @@
         refuse: refuseBytes,
         onIdleTimeout: parts.onIdleTimeout,
     });
+    /** Answers a refused connection before its request; one that still arrives is discarded. */
+    const refuseUnread = (socket: Duplex): void => {
+        if (socket.writable) {
+            writeRefusal(socket, refusalOf("vm-overloaded", NO_DESCRIPTORS));
+            connections.halfClose(socket);
+        }
+        else {
+            socket.destroy();
+        }
+    };
     /** Closes the oldest refused connection that has its answer; without one, the oldest is answered before its request. */
     const endRefused = (isDropped: boolean): void => {
         const open = [...refused].filter(socket => !socket.destroyed);
@@ -180,9 +190,7 @@
             answered.destroy();
         }
         else if (oldest !== undefined) {
-            writeRefusal(oldest, refusalOf("vm-overloaded", NO_DESCRIPTORS));
-            // A request that still arrives is discarded.
-            connections.halfClose(oldest);
+            refuseUnread(oldest);
             if (isDropped && oldest.writableLength === 0) {
                 oldest.destroy();
             }
@@ -212,7 +220,7 @@
             return;
         }
         refused.add(socket);
-        const cancel = startTimeout(REFUSED_SILENT_MS, () => socket.destroy());
+        const cancel = startTimeout(REFUSED_SILENT_MS, () => refuseUnread(socket));
         socket.once("close", () => {
             cancel();
             refused.delete(socket);
