Wait for a busy engine only on a connection that has just worked

Callers of streams that may be resumed got 504 after 3 s: the connection of the first try had been lost without a sign, and the try waited until the time was up as the engine was alive, seen from its answers on other connections. A request is kept waiting beyond the time for its head because a busy engine has it in its queue; that the engine is alive shows nothing of a connection that was idle since before.

A try is extended now only on a connection that was just opened, or idle for at most 250 ms before the request. Under load, when engines are busy, connections are hardly ever idle for longer. On others the try ends as silent after the time for its head, and the request goes to another endpoint on a proven connection, if budget and tries allow.

--- a/packages/router/src/dispatch/EndpointAgent.ts
+++ b/packages/router/src/dispatch/EndpointAgent.ts
@@ -13,6 +13,7 @@
 import { createIdleLimits } from "./createIdleLimits.js";
 import type { OpenConnection } from "./OpenConnection.js";
 import type { OpenedConnection } from "./OpenedConnection.js";
+import { PROVEN_MAX_IDLE_MS } from "./PROVEN_MAX_IDLE_MS.js";
 
 /** Default limit of idle connections to one endpoint. Connections beyond it are closed after their answer. */
 const MAX_IDLE_PER_ENDPOINT = 24;
@@ -108,6 +109,11 @@
         return this.idleSince.has(socket) ? "kept" : this.tunnels.has(socket) ? "tunnel" : "new";
     }
 
+    /** Returns whether a connection has just been opened, or had just been used before the request that uses it. */
+    isProven(socket: Socket): boolean {
+        return !this.idleSince.has(socket) || this.idleMsOf(socket) <= PROVEN_MAX_IDLE_MS;
+    }
+
     /** Returns the peer that opened a connection; `undefined` on an own link. */
     carrierOf(socket: Socket): VmId | undefined {
         return this.tunnels.get(socket)?.carrier;
--- a/packages/router/src/dispatch/EndpointCall.ts
+++ b/packages/router/src/dispatch/EndpointCall.ts
@@ -14,7 +14,7 @@
     readonly maxIdleMs: Millis;
     /** Whether the call may be sent again if its connection is lost. Defaults to false. */
     readonly isRepeatable?: boolean;
-    /** Time limit for the head of the answer. After it the try counts as silent, unless `isAlive` returns true. */
+    /** Time limit for the head of the answer. After it the try counts as silent, unless `isAlive` returns true and the connection is proven. */
     readonly headMs: Millis;
     /**
      * Whether other activity shows that the endpoint is alive, so that it is worth waiting longer. Defaults to false.
--- a/packages/router/src/dispatch/openCall.ts
+++ b/packages/router/src/dispatch/openCall.ts
@@ -43,6 +43,7 @@
         const progress = {
             hasSocket: false,
             isConnected: false,
+            isProven: true,
             isSilent: false,
             isWithheld: false,
             connection: "none" as ConnectionKind,
@@ -119,7 +120,8 @@
             headTimeout.cancel = startTimeout(Math.min(leftMs, RECHECK_MS), checkHead);
         };
         const onSilence = (): void => {
-            if (progress.isConnected && call.isAlive?.() === true) {
+            // That the endpoint is alive shows nothing of a connection that was idle for long: it may be lost.
+            if (progress.isConnected && progress.isProven && call.isAlive?.() === true) {
                 headTimeout.cancel = startTimeout(RECHECK_MS, checkHead);
                 return;
             }
@@ -146,6 +148,7 @@
             if (!socket.connecting) {
                 progress.isConnected = true;
                 progress.connection = agent.connectionKindOf(socket);
+                progress.isProven = agent.isProven(socket);
                 withholdIfLate();
                 return;
             }
--- a/packages/router/src/serve/sendTry.ts
+++ b/packages/router/src/serve/sendTry.ts
@@ -3,6 +3,7 @@
 
 import { openCall } from "../dispatch/openCall.js";
 import type { OpenedCall } from "../dispatch/OpenedCall.js";
+import { PROVEN_MAX_IDLE_MS } from "../dispatch/PROVEN_MAX_IDLE_MS.js";
 import type { InFlightHandle } from "../placement/InFlightHandle.js";
 import { areStoresCrowded } from "./areStoresCrowded.js";
 import { forwardAnswer } from "./forwardAnswer.js";
@@ -21,12 +22,6 @@
 import type { TryStage } from "./TryStage.js";
 import { watchOrders } from "./watchOrders.js";
 
-/**
- * Longest idle time of a connection that is reused for a request that may run only once, or whose last try was lost. That an
- * endpoint has stopped responding, or that a connection is lost, shows only when the connection is used, and then the request
- * is lost. Opening a new connection costs a round trip and proves that the endpoint is alive.
- */
-const PROVEN_MAX_IDLE_MS = 250;
 const MAX_IDLE_MS = 12_000;
 /** Closes all idle connections, so that a new one is opened. */
 const NO_IDLE_MS = -1;
@@ -72,7 +67,8 @@
 };
 
 /**
- * Returns how long a connection may have been idle that is used for a request. If an endpoint answers twice, the late
+ * Returns how long a connection may have been idle that is used for a request. One that may run only once is lost with its
+ * connection, so it gets a proven one. If an endpoint answers twice, the late
  * answer ends the next request on the connection, which is lost if it may run only once. Such a request gets a new one.
  *
  * What loses one connection without a sign, such as a device between them, loses others with it. A request whose first try was
