Serve on under a flood of signals

Under some 2,000 signals a second (SIGHUP, SIGUSR2, SIGALRM) for 2.5 s callers waited up to 2.1 s (2,091 and 2,061 ms), 2 and 4 of some 360 were refused with 503, and operators got 7,000 lines (1.6 MB). Cause: each signal wrote a line, each SIGHUP read and parsed the settings and wrote another, all in the thread that serves.

Of one signal, five lines a second are written, and then how many more came; the metric counts all. The settings are read at once, and then at most every 200 ms, the last SIGHUP never without a read after it.

--- a/packages/lifecycle/src/runLifecycle.ts
+++ b/packages/lifecycle/src/runLifecycle.ts
@@ -3,6 +3,7 @@
 import type { Application } from "./Application.js";
 import { closeInspector } from "./closeInspector.js";
 import { createLifecycleLog } from "./createLifecycleLog.js";
+import { createSignalLog } from "./createSignalLog.js";
 import type { ExitCause } from "./ExitCause.js";
 import { exitCodeOf } from "./exitCodeOf.js";
 import type { HandledSignal } from "./HandledSignal.js";
@@ -14,6 +15,7 @@
 import type { LifecycleEffect } from "./LifecycleEffect.js";
 import type { LifecycleEvent } from "./LifecycleEvent.js";
 import type { LifecyclePhase } from "./LifecyclePhase.js";
+import { runSpaced } from "./runSpaced.js";
 import { signalMeanings } from "./signalMeanings.js";
 import type { StartContext } from "./StartContext.js";
 import { StartFailure } from "./StartFailure.js";
@@ -31,6 +33,8 @@
 
 const PHASES: readonly LifecyclePhase[] = ["starting", "serving", "draining", "stopped"];
 const MS_PER_SECOND = 1_000;
+/** Shortest time between two reads of the settings, which take the time of requests. */
+const RELOAD_MS = 200;
 const REJECTION = "unhandledRejection";
 /** Longest time until a start that is given up has stopped what it had started. */
 const MAX_ABORT_MS = 5_000;
@@ -42,6 +46,7 @@
 export function runLifecycle({ start }: LifecycleParts): void {
     const lifecycleLog = createLifecycleLog();
     const { log, count } = lifecycleLog;
+    const logSignal = createSignalLog(log);
     const startedAtSeconds = Date.now() / MS_PER_SECOND - process.uptime();
     const startAbort = new AbortController();
     const state = {
@@ -65,6 +70,11 @@
         state.cancelOverdue();
         state.cancelOverdue = startTimeout(ms, () => apply({ kind: "drain-overdue" }));
     };
+    const reload = runSpaced(RELOAD_MS, () => {
+        if (state.current.phase === "serving") {
+            state.application?.reload();
+        }
+    });
     const drain = (application: Application): void => {
         endWithin(application.stopMs());
         application.drain().then(
@@ -79,7 +89,7 @@
         const { application } = state;
         switch (effect.kind) {
             case "reload":
-                application?.reload();
+                reload();
                 return;
             case "abort-start":
                 startAbort.abort();
@@ -123,7 +133,7 @@
     const onSignal = (signal: HandledSignal): void => {
         const { phase } = state.current;
         const meaning = signalMeanings[signal];
-        log(meaning === "none" ? "warn" : "info", { signal, phase, meaning, upMs: upMs() }, "Received a signal.");
+        logSignal(signal, meaning === "none" ? "warn" : "info", { phase, meaning, upMs: upMs() });
         count("azureshunt_signals_total", "Signals that the process has received, by phase.", { signal, phase });
         apply({ kind: "signal", signal });
     };
