Drain after an uncaught error that cannot be logged

What is thrown may be anything, also an object whose fields throw as they are read. Then the handler of uncaught errors failed while it logged, and Node ended the process at once with exit code 7: 12 of 12 requests ended with ECONNRESET. The error that was met in place of it is logged now, and the process refuses new requests, drains and ends with 70 as after any other.

Test: uncaught errors of six kinds while requests run (also of an event, a callback of Node, a thread, a call that is too deep, which passed before); the one that cannot be read failed before, all 11 cases pass now (bundled program).

--- a/packages/lifecycle/src/runLifecycle.ts
+++ b/packages/lifecycle/src/runLifecycle.ts
@@ -139,7 +139,19 @@
     };
     const onUncaughtError = (err: unknown, origin: string): void => {
         const { phase } = state.current;
-        log("fatal", { err, origin, phase }, "An error was not caught; its cause is a fault of this program.");
+        const logError = (thrown: unknown): void =>
+            log(
+                "fatal",
+                { err: thrown, origin, phase },
+                "An error was not caught; its cause is a fault of this program.",
+            );
+        try {
+            logError(err);
+        }
+        catch (unreadable) {
+            // What was thrown cannot be read. An error in this handler would end the process at once.
+            logError(unreadable);
+        }
         count("azureshunt_uncaught_errors_total", "Errors that nothing has caught, by phase.", { phase });
         apply({ kind: "uncaught-error" });
     };
