Accept the whole queue of a port that closes, however little CPU time there is

What callers saw: connections reset that waited in the system's queue as a VM stopped, their requests sent. Cause: the queue was accepted from for 100 ms at most, which counted the VM's own lack of CPU time against callers. The bound is the length of the queue now, 1,024 connections, which was what the time stood for: callers that keep opening connections cannot hold the port for longer. Connections that are accepted then are answered once the port is closed, as before.

--- a/packages/http/src/CallerDrainState.ts
+++ b/packages/http/src/CallerDrainState.ts
@@ -7,4 +7,6 @@
     readonly phase: CallerDrainPhase;
     /** When the phase began, since the start of the drain. */
     readonly since: Millis;
+    /** Connections accepted in the phase. */
+    readonly accepted: number;
 };
--- a/packages/http/src/__tests__/unit/callerDrain.test.ts
+++ b/packages/http/src/__tests__/unit/callerDrain.test.ts
@@ -5,24 +5,28 @@
 import { connectionActionOf } from "../../connectionActionOf.js";
 import { stepCallerDrain } from "../../stepCallerDrain.js";
 
-const NOTHING_OPEN = { announceMs: 2_600, withinMs: 9_000, hasAccepted: false, openConnections: 0 };
+const NOTHING_OPEN = { announceMs: 2_600, withinMs: 9_000, accepted: 0, openConnections: 0 };
 
 ([
     ["announcing", 0, "the balancer may send connections still", { now: 2_600 }, "announcing"],
     ["announcing", 0, "the balancer sends no more", { now: 2_601 }, "accepting"],
     ["announcing", 0, "the time is up", { now: 501, withinMs: 500 }, "ended"],
-    ["accepting", 2_601, "a connection was accepted", { now: 2_602, hasAccepted: true }, "accepting"],
+    ["accepting", 2_601, "a connection was accepted", { now: 2_702, accepted: 2 }, "accepting"],
     ["accepting", 2_601, "the queue is empty", { now: 2_602, openConnections: 9 }, "lingering"],
-    ["accepting", 2_601, "connections keep coming", { now: 2_702, hasAccepted: true }, "lingering"],
-    ["accepting", 2_601, "the time is up", { now: 2_602, withinMs: 2_601, hasAccepted: true }, "ended"],
+    ["accepting", 2_601, "more were accepted than the queue holds", { now: 2_602, accepted: 1_025 }, "lingering"],
+    ["accepting", 2_601, "the time is up", { now: 2_602, withinMs: 2_601, accepted: 1 }, "ended"],
     ["lingering", 2_602, "a connection is open", { now: 8_999, openConnections: 1 }, "lingering"],
     ["lingering", 2_602, "no connection is left", { now: 2_603 }, "ended"],
     ["lingering", 2_602, "the time is up", { now: 9_001, openConnections: 1 }, "ended"],
     ["ended", 2_603, "the time is up", { now: 9_001 }, "ended"],
 ] as const).forEach(([phase, since, name, view, next]) => {
     test(`drain of callers: ${phase}, ${name}: ${next}`, t => {
-        const stepped = stepCallerDrain({ phase, since }, { ...NOTHING_OPEN, ...view });
-        t.deepEqual(stepped, next === phase ? { phase, since } : { phase: next, since: view.now });
+        const seen = { ...NOTHING_OPEN, ...view };
+        const stepped = stepCallerDrain({ phase, since, accepted: 0 }, seen);
+        const expected = next === phase
+            ? { phase, since, accepted: phase === "accepting" ? seen.accepted : 0 }
+            : { phase: next, since: view.now, accepted: 0 };
+        t.deepEqual(stepped, expected);
     });
 });
 
--- a/packages/http/src/drainCallers.ts
+++ b/packages/http/src/drainCallers.ts
@@ -34,7 +34,7 @@
 export function drainCallers(parts: DrainParts): Promise<void> {
     const { server, connections, drainLog, announceMs, withinMs, onPhase } = parts;
     const startedAt = performance.now();
-    const state = { drain: { phase: "announcing", since: 0 } as CallerDrainState, accepted: 0 };
+    const state = { drain: { phase: "announcing", since: 0, accepted: 0 } as CallerDrainState, accepted: 0 };
     const onConnection = (): void => {
         state.accepted += 1;
     };
@@ -73,7 +73,7 @@
                 now,
                 announceMs,
                 withinMs,
-                hasAccepted: state.accepted > 0,
+                accepted: state.accepted,
                 openConnections: connections.size(),
             };
             state.accepted = 0;
--- a/packages/http/src/stepCallerDrain.ts
+++ b/packages/http/src/stepCallerDrain.ts
@@ -8,24 +8,25 @@
     /** Time for which new connections are served, as the balancer learns late that they are not to be sent any more. */
     readonly announceMs: Millis;
     readonly withinMs: Millis;
-    /** Whether a connection was accepted in the last turn of the event loop. */
-    readonly hasAccepted: boolean;
+    /** Connections accepted in the last turn of the event loop. */
+    readonly accepted: number;
     readonly openConnections: number;
 };
 
-/** Callers that keep opening connections must not hold the port open. */
-const MAX_ACCEPTING_MS = 100;
+/** Connections that the system's queue may hold. Callers that keep opening others must not hold the port open. */
+const MAX_QUEUED = 1_024;
 
 /**
  * Decides which phase a drain is in.
  *
  * Closing the port resets the connections that wait in the system's queue, whose callers have sent their requests by
  * then; the event loop accepts one in each turn. To prevent this, the port is closed after a turn that found the queue
- * empty.
+ * empty. How long that takes depends on the CPU time that the VM gets.
  */
 export function stepCallerDrain(state: CallerDrainState, view: CallerDrainView): CallerDrainState {
-    const { now, announceMs, withinMs, hasAccepted, openConnections } = view;
-    const enter = (phase: CallerDrainState["phase"]): CallerDrainState => ({ phase, since: now });
+    const { now, announceMs, withinMs, openConnections } = view;
+    const accepted = state.accepted + view.accepted;
+    const enter = (phase: CallerDrainState["phase"]): CallerDrainState => ({ phase, since: now, accepted: 0 });
     if (now > withinMs) {
         return state.phase === "ended" ? state : enter("ended");
     }
@@ -33,7 +34,7 @@
         case "announcing":
             return now > announceMs ? enter("accepting") : state;
         case "accepting":
-            return !hasAccepted || now - state.since > MAX_ACCEPTING_MS ? enter("lingering") : state;
+            return view.accepted === 0 || accepted > MAX_QUEUED ? enter("lingering") : { ...state, accepted };
         case "lingering":
             return openConnections === 0 ? enter("ended") : state;
         case "ended":
