Give an endpoint of the daemon up as silent only once what it sent has been read

What callers saw: by the test, an answer that has arrived is given up as silent if its time is up as the process stands still. Cause: undici's timers of heads and bodies run before the event loop reads, after a time in which the process did not run. They count ticks of half a second, so that the silence must have lasted for all but the last tick by then; a longer pause alone does not expire them. Why it works: the connections to endpoints time heads and bodies by startTimeout, which expires after reads, from when a request is sent, and not while the reader holds the body back; the errors are undici's own, so the judgement of a try stays as it is. Silence is exact now where undici's ticks gave up to a second more.

--- a/packages/daemon/src/dispatch/createEndpointConnections.ts
+++ b/packages/daemon/src/dispatch/createEndpointConnections.ts
@@ -1,6 +1,8 @@
 import { Client, Pool } from "undici";
+import type { Dispatcher } from "undici";
 
 import type { EndpointConnections } from "./EndpointConnections.js";
+import { judgeSilence } from "./judgeSilence.js";
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const MAX_IDLE_MS = 4_000;
@@ -15,7 +17,7 @@
  * lost together. A call that may not be repeated is never sent on an old connection.
  */
 export function createEndpointConnections(): EndpointConnections {
-    const pools = new Map<string, Pool>();
+    const pools = new Map<string, Dispatcher>();
 
     const pooled: EndpointConnections["pooled"] = url => {
         const pool = pools.get(url) ?? new Pool(url, {
@@ -23,12 +25,12 @@
             keepAliveTimeout: MAX_IDLE_MS,
             connections: MAX_CONNECTIONS,
             pipelining: 1,
-        });
+        }).compose(judgeSilence);
         pools.set(url, pool);
         return pool;
     };
     const dedicated: EndpointConnections["dedicated"] = url =>
-        new Client(url, { connect: { timeout: CONNECT_TIMEOUT_MS }, pipelining: 1 });
+        new Client(url, { connect: { timeout: CONNECT_TIMEOUT_MS }, pipelining: 1 }).compose(judgeSilence);
 
     const retirePool: EndpointConnections["retirePool"] = url => {
         const pool = pools.get(url);
