Handle SIGPROF once Node's inspector is closed

What callers saw: the connection refused, as a process that SIGUSR1 had reached while Node started ended by a later SIGPROF. Cause: Node takes no handler of SIGPROF while its inspector listens (it warns: reserved while debugging), and none was registered again once the inspector was closed. Why it works: the handler is removed and added after the inspector is closed.

--- a/packages/lifecycle/src/runLifecycle.ts
+++ b/packages/lifecycle/src/runLifecycle.ts
@@ -147,6 +147,8 @@
         observe: telemetry => {
             lifecycleLog.observe(telemetry);
             if (closeInspector(process.execArgv)) {
+                // Node takes no handler of SIGPROF while its inspector listens.
+                process.off("SIGPROF", onSignal).on("SIGPROF", onSignal);
                 log("warn", {}, "Closed Node's inspector: a signal had opened it while Node started.");
             }
             const { metrics } = telemetry;
