--- a/packages/lifecycle/src/runLifecycle.ts
+++ b/packages/lifecycle/src/runLifecycle.ts
@@ -173,6 +173,8 @@
     /** Called more than once: for one signal, Node opens the inspector by an interrupt and again in the event loop. */
     const closeOpenInspector = (): void => {
         if (closeInspector(process.execArgv)) {
+            // Node takes no handler of SIGPROF while its inspector listens.
+            process.off("SIGPROF", onSignal).on("SIGPROF", onSignal);
             log("warn", {}, "Closed Node's inspector: a signal while Node started or NODE_OPTIONS had opened it.");
         }
     };
