Bound what a connection costs that sends requests without waiting for answers

What callers saw, in a fresh review of the gate that reads requests one by one: 60 KB of empty lines in one request, or before it, kept the event loop busy for 4.5 to 10.8 s of CPU time, so that another caller's answer took 9.4 s; and a caller that left was not seen while more than 16 KB of its further requests were held (2,855 ms where Node alone takes 5), which ran one after the other once it had gone. Causes: the search for an empty line read all that was held, for each piece; and the socket was paused, so that its end was not read. Now the search ends at the first empty line, and after 64 pieces in a row that end no head the rest of a read is one piece, as without the gate. A connection is never paused: of a caller that sends more than 64 KB ahead, nothing further is run, and the present answer is the last one; what crosses that close was not passed on. The end of a head is also found if it arrives byte by byte.

--- a/packages/http/src/__tests__/unit/requestGate.test.ts
+++ b/packages/http/src/__tests__/unit/requestGate.test.ts
@@ -14,11 +14,13 @@
 const CHUNKED = "POST /c HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n5\r\n\n\r\n\r\n\r\n0\r\nx: y\r\n\r\n";
 const LAST = "GET /d HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
 const MANY = 400;
+/** Of some reads; each line as a part of its own would be thousands. */
+const MAX_PARTS = 1_000;
 
 const start = async (t: ExecutionContext) => {
     const gate = createRequestGate();
     const open: ServerResponse[] = [];
-    const seen = { most: 0, paths: [] as string[], socket: undefined as Duplex | undefined };
+    const seen = { most: 0, parts: 0, paths: [] as string[], socket: undefined as Duplex | undefined };
     const server = createServer((req, res) => {
         open.push(res);
         seen.most = Math.max(seen.most, open.length);
@@ -31,6 +33,13 @@
                 res.end(`${req.url ?? ""}${Buffer.concat(chunks).length}`);
             }));
     });
+    server.on("connection", socket => {
+        const [parse] = socket.listeners("data") as ((bytes: Buffer) => void)[];
+        socket.removeAllListeners("data").on("data", (bytes: Buffer) => {
+            seen.parts += 1;
+            parse?.call(socket, bytes);
+        });
+    });
     gate.attach(server);
     server.on("connection", socket => {
         seen.socket = socket;
@@ -119,3 +128,33 @@
     await new Promise(resolve => setTimeout(resolve, 20));
     t.is(refusals.length, 1);
 });
+
+// Guards against requests that run after their caller has left, as its end is not read behind what it sent before.
+test("request gate: of a caller that sends more than is held, nothing further runs, and its end is seen", async t => {
+    const { seen, caller, received, closed } = await start(t);
+    const body = "x".repeat(72_000);
+    const post = `POST /big HTTP/1.1\r\nhost: a\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+    caller.write(post + post + post);
+    await closed;
+    t.deepEqual(seen.paths, ["/big"]);
+    t.regex(received.text, /\/big72000/);
+});
+
+// Guards against a read full of empty lines that keeps the event loop busy for seconds.
+([
+    ["before a request", "\r\n".repeat(30_000) + LAST],
+    [
+        "within a body in chunks",
+        `POST /d HTTP/1.1\r\nhost: a\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\nea60\r\n${
+            "\n".repeat(60_000)
+        }\r\n0\r\n\r\n`,
+    ],
+] as const).forEach(([name, text]) => {
+    test(`request gate: a read of empty lines is parsed in few parts: ${name}`, async t => {
+        const { seen, caller, received, closed } = await start(t);
+        caller.write(text);
+        await closed;
+        t.regex(received.text, /\/d/);
+        t.true(seen.parts < MAX_PARTS);
+    });
+});
--- a/packages/http/src/createRequestGate.ts
+++ b/packages/http/src/createRequestGate.ts
@@ -22,10 +22,21 @@
     last: IncomingMessage | undefined;
     isParsing: boolean;
     isFaulty: boolean;
+    /** Whether more came than is held, so that the present answer is the last one. */
+    isOverfull: boolean;
+    /** Parts in a row that ended no head. */
+    vainCuts: number;
+    res: ServerResponse | undefined;
 };
 
-/** While more is held, the connection is not read; what its caller sends waits in the system's buffers. */
-const MAX_HELD_BYTES = 16 * 1024;
+/**
+ * Of a caller that sends more without waiting for an answer, nothing further is run. Its connection is read on all the same:
+ * its end would not be seen otherwise.
+ */
+const MAX_HELD_BYTES = 64 * 1024;
+/** Empty lines within a body, or before a request, cost time for each part. After so many, the rest of a read is one part. */
+const MAX_VAIN_CUTS = 64;
+const TAIL_BYTES = 2;
 const NOTHING = Buffer.alloc(0);
 const NOT_READ: SocketReading = {
     bytes: 0,
@@ -37,15 +48,19 @@
 };
 
 /** Bytes that belong to no request: those after one that is not valid, or after this side has ended. */
-const isDiscarding = (socket: Duplex, { isFaulty, last }: Connection): boolean =>
-    socket.destroyed || isFaulty || (socket.writableEnded && last?.complete !== false);
+const isDiscarding = (socket: Duplex, { isFaulty, isOverfull, last }: Connection): boolean =>
+    socket.destroyed || isFaulty || isOverfull || (socket.writableEnded && last?.complete !== false);
 
 const isWaiting = ({ unanswered, last, bodyBytes }: Connection): boolean =>
     unanswered > 0 && last?.complete === true && bodyBytes === 0;
 
 /** Returns how many bytes can be parsed without the beginning of a further request among them. */
-const nextBytes = ({ bodyBytes, tail }: Connection, bytes: Buffer): number =>
-    bodyBytes > 0 ? Math.min(bodyBytes, bytes.length) : headEnd(bytes, tail) ?? bytes.length;
+const nextBytes = ({ bodyBytes, tail, vainCuts }: Connection, bytes: Buffer): number => {
+    if (bodyBytes > 0) {
+        return Math.min(bodyBytes, bytes.length);
+    }
+    return vainCuts > MAX_VAIN_CUTS ? bytes.length : headEnd(bytes, tail) ?? bytes.length;
+};
 
 type RequestGate = {
     /** To be called before the listener takes connections. */
@@ -72,18 +87,27 @@
         connection.heldBytes -= count;
         connection.parsedBytes += count;
         connection.bodyBytes = Math.max(0, connection.bodyBytes - count);
-        connection.tail = part;
+        connection.tail = Buffer.concat([connection.tail, part.subarray(-TAIL_BYTES)]).subarray(-TAIL_BYTES);
+        const { requests } = connection;
         connection.isParsing = true;
         connection.parse.call(socket, part);
         connection.isParsing = false;
+        connection.vainCuts = connection.requests > requests ? 0 : connection.vainCuts + 1;
+    };
+    const endAfterAnswer = (connection: Connection): void => {
+        connection.isOverfull = true;
+        if (connection.res?.headersSent === false) {
+            connection.res.shouldKeepAlive = false;
+        }
     };
     const parseHeld = (socket: Duplex, connection: Connection): void => {
         while (connection.held.length > 0 && !isDiscarding(socket, connection)) {
             if (isWaiting(connection)) {
-                if (connection.heldBytes > MAX_HELD_BYTES) {
-                    socket.pause();
+                if (connection.heldBytes <= MAX_HELD_BYTES) {
+                    return;
                 }
-                return;
+                endAfterAnswer(connection);
+                break;
             }
             parseNext(socket, connection);
         }
@@ -118,12 +142,16 @@
             last: undefined,
             isParsing: false,
             isFaulty: false,
+            isOverfull: false,
+            vainCuts: 0,
+            res: undefined,
         };
         connections.set(socket, connection);
         socket.removeListener("data", parse);
         socket.on("data", (bytes: Buffer) => {
             connection.held.push(bytes);
             connection.heldBytes += bytes.length;
+            connection.vainCuts = 0;
             parseHeld(socket, connection);
         });
         socket.on("resume", () => {
@@ -142,11 +170,15 @@
         connection.unanswered += 1;
         connection.requests += 1;
         connection.last = req;
+        connection.res = res;
         connection.bodyBytes = Number(headers["content-length"] ?? 0);
         res.once("close", () => {
             connection.unanswered -= 1;
             connection.answeredBytes = connection.parsedBytes;
             goOn(socket, connection);
+            if (connection.isOverfull && !socket.writableEnded) {
+                socket.end();
+            }
         });
     };
     const fail = (_err: Error, socket: Duplex): void => {
@@ -160,7 +192,7 @@
         if (connection === undefined) {
             return NOT_READ;
         }
-        const { unanswered, requests, last, answeredBytes, parsedBytes, heldBytes } = connection;
+        const { unanswered, requests, last, answeredBytes, parsedBytes, heldBytes, isOverfull } = connection;
         const bytes = parsedBytes + heldBytes;
         const isRead = unanswered === 0 && bytes > 0;
         return {
@@ -169,7 +201,7 @@
             isIncomplete: (isRead && bytes !== answeredBytes) || last?.complete === false,
             requests,
             unanswered,
-            isHeld: heldBytes > 0,
+            isHeld: heldBytes > 0 || isOverfull,
         };
     };
     return {
--- a/packages/router/src/store/followTopic.ts
+++ b/packages/router/src/store/followTopic.ts
@@ -90,6 +90,8 @@
         next: undefined as number | undefined,
         /** Where the topic ended at least when it was last read. */
         end: 0,
+        /** Whether the store ended before the next offset, which relays may not know yet. */
+        mustReadStore: false,
         /** Whether the last page ended before the topic. */
         isBehind: false,
         timer: undefined as NodeJS.Timeout | undefined,
@@ -110,6 +112,7 @@
                 }
                 state.next = end;
                 state.end = end;
+                state.mustReadStore = false;
                 state.isBehind = false;
                 const [asOf, readAsOf, readTo] = [requestedAt, requestedAt, end];
                 parts.onRead({ records, readTo, isWhole: true, requestedAt, asOf, readAsOf, isRelayed: false });
@@ -135,7 +138,8 @@
                 const { records, end } = answered;
                 if (end < from) {
                     state.next = undefined;
-                    return 0;
+                    state.mustReadStore = true;
+                    return RETRY_MS;
                 }
                 const readTo = readUpTo(answered, from);
                 state.end = end;
@@ -169,7 +173,7 @@
         return true;
     };
     const readNext = async (): Promise<Millis> => {
-        if (await readFromRelay()) {
+        if (!state.mustReadStore && await readFromRelay()) {
             return 0;
         }
         return state.next === undefined ? readNewest() : readFrom(state.next);
