--- a/packages/http/src/createRequestGate.ts
+++ b/packages/http/src/createRequestGate.ts
@@ -33,7 +33,7 @@
  * Of a caller that sends more without waiting for an answer, nothing further is run. Its connection is read on all the same:
  * its end would not be seen otherwise.
  */
-const MAX_HELD_BYTES = 64 * 1024;
+const MAX_HELD_BYTES = 16 * 1024;
 /** Empty lines within a body, or before a request, cost time for each part. After so many, the rest of a read is one part. */
 const MAX_VAIN_CUTS = 64;
 const TAIL_BYTES = 2;
