Close an inspector that a signal opened as the program's first step

Cause: Node takes no handler of SIGPROF while its inspector listens, and the inspector was closed only as the program built its parts. Why it works: the inspector is closed as soon as signals are handled, and SIGPROF is handled then; what is left are the milliseconds before.

--- a/packages/lifecycle/src/runLifecycle.ts
+++ b/packages/lifecycle/src/runLifecycle.ts
@@ -161,6 +161,17 @@
     if (!hasTerminal()) {
         handle(terminalSignals);
     }
+    /**
+     * Called at once, as Node takes no handler of SIGPROF while the inspector listens, and again later: for one signal, Node opens
+     * the inspector by an interrupt and again in the event loop.
+     */
+    const closeOpenInspector = (): void => {
+        if (closeInspector(process.execArgv)) {
+            process.off("SIGPROF", onSignal).on("SIGPROF", onSignal);
+            log("warn", {}, "Closed Node's inspector: a signal while Node started or NODE_OPTIONS had opened it.");
+        }
+    };
+    closeOpenInspector();
     // By default, Node throws the errors of rejected promises that nothing handles; `NODE_OPTIONS` may hold that it ignores them, or
     // does both, so they are taken here alone.
     process.on("uncaughtException", (err, origin) => {
@@ -170,14 +181,6 @@
     });
     process.on(REJECTION, err => onUncaughtError(err, REJECTION));
 
-    /** Called more than once: for one signal, Node opens the inspector by an interrupt and again in the event loop. */
-    const closeOpenInspector = (): void => {
-        if (closeInspector(process.execArgv)) {
-            // Node takes no handler of SIGPROF while its inspector listens.
-            process.off("SIGPROF", onSignal).on("SIGPROF", onSignal);
-            log("warn", {}, "Closed Node's inspector: a signal while Node started or NODE_OPTIONS had opened it.");
-        }
-    };
     const context: StartContext = {
         signal: startAbort.signal,
         log,
