--- a/packages/http/src/createRequestGate.ts
+++ b/packages/http/src/createRequestGate.ts
@@ -36,6 +36,7 @@
 const MAX_HELD_BYTES = 16 * 1024;
 /** Empty lines within a body, or before a request, cost time for each part. After so many, the rest of a read is one part. */
 const MAX_VAIN_CUTS = 64;
+/** Bytes of an empty line, with the end of the line before it, that may lie in earlier parts. */
 const TAIL_BYTES = 2;
 const NOTHING = Buffer.alloc(0);
 const NOT_READ: SocketReading = {
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -1,9 +1,8 @@
 /** Bounded reading of HTTP requests, and the end of listeners. */
-export { createRequestGate } from "./createRequestGate.js";
-/** Bounded reading of HTTP bodies, and the end of listeners. */
 export type { CallerDrainPhase } from "./CallerDrainPhase.js";
 export { createCallerConnections } from "./createCallerConnections.js";
 export { createDrainLog } from "./createDrainLog.js";
+export { createRequestGate } from "./createRequestGate.js";
 export { cutAnswer } from "./cutAnswer.js";
 export { discardBody } from "./discardBody.js";
 export { drainCallers } from "./drainCallers.js";
