Close a model call's own connection also if its stream fails by an error

Read once more, and seen by a review: after a silent try the daemon opens a connection for the next one, and left it open if the call ended by an exception; its twin dispatchService closes it in any case.

--- a/packages/daemon/src/dispatch/dispatchModel.ts
+++ b/packages/daemon/src/dispatch/dispatchModel.ts
@@ -44,31 +44,34 @@
     const { idleMs } = settings.limits;
     const { dedicated, pooled } = parts.connections;
     const dispatcher = isAfterSilence ? dedicated(placement.url) : pooled(placement.url);
-    const opened = await openEngineStream({
-        dispatcher,
-        call,
-        target,
-        placement,
-        resumeFrom: fromPosition,
-        headTimeoutMs: idleMs + HEAD_WAIT_FACTOR * placement.estimate,
-        idleMs,
-        signal: call.signal,
-    });
-    const result = await opened.caseOf<Promise<TryResult>>({
-        Left: failure => Promise.resolve({ next: fromPosition, failure }),
-        Right: async stream => {
-            placement.started(stream.incarnation, stream.cachedTokens);
-            const forwarded = await forwardStream(
-                { body: stream.body, call, answer, metrics },
-                openStream(placement.dispatchId, fromPosition),
-            );
-            return { next: forwarded.state.next, failure: forwarded.failure };
-        },
-    });
-    if (isAfterSilence) {
-        void dispatcher.destroy();
+    try {
+        const opened = await openEngineStream({
+            dispatcher,
+            call,
+            target,
+            placement,
+            resumeFrom: fromPosition,
+            headTimeoutMs: idleMs + HEAD_WAIT_FACTOR * placement.estimate,
+            idleMs,
+            signal: call.signal,
+        });
+        return await opened.caseOf<Promise<TryResult>>({
+            Left: failure => Promise.resolve({ next: fromPosition, failure }),
+            Right: async stream => {
+                placement.started(stream.incarnation, stream.cachedTokens);
+                const forwarded = await forwardStream(
+                    { body: stream.body, call, answer, metrics },
+                    openStream(placement.dispatchId, fromPosition),
+                );
+                return { next: forwarded.state.next, failure: forwarded.failure };
+            },
+        });
+    }
+    finally {
+        if (isAfterSilence) {
+            void dispatcher.destroy();
+        }
     }
-    return result;
 }
 
 async function tryAndReport(parts: DispatchParts, modelTry: ModelTry): Promise<TryResult> {
