End a try that its engine has overtaken, as its connection may be lost

Cause: the try waits as long as its engine answers others, since a busy engine has the request in its queue. That shows nothing of the connection; that of one idle for longer is distrusted, of one used just before it is not.

It is then tried elsewhere like any silent one: only if it may be repeated, and within the retry budget.

--- a/packages/router/src/placement/EndpointTable.ts
+++ b/packages/router/src/placement/EndpointTable.ts
@@ -40,6 +40,8 @@
             readonly memoryTokens: Tokens;
             readonly expectedMs: Millis;
             readonly predictedMs?: Millis;
+            /** Rank at the endpoint, 0 first. */
+            readonly priority?: number;
         },
     ) => InFlightHandle;
     /** Records when the answer of a try started, or that the try ended before that. */
--- a/packages/router/src/placement/InFlight.ts
+++ b/packages/router/src/placement/InFlight.ts
@@ -12,4 +12,8 @@
     readonly memoryTokens: Tokens;
     /** Whether the answer has started. */
     readonly isAnswering: boolean;
+    /** Rank at the endpoint, 0 first; undefined for what is no try of a request. */
+    readonly priority?: number;
+    /** Whether the endpoint has begun to answer a later request first. Set in place, and shared by all copies of the entry. */
+    readonly order?: { isOvertaken: boolean; };
 };
--- a/packages/router/src/placement/InFlightHandle.ts
+++ b/packages/router/src/placement/InFlightHandle.ts
@@ -12,6 +12,8 @@
     readonly onActivity: (now: Millis) => void;
     /** Whether the endpoint was active recently, on any request of this VM. */
     readonly isAlive: () => boolean;
+    /** Whether the endpoint has begun to answer a later request that it would serve after this one. */
+    readonly isOvertaken: () => boolean;
     /** Ends the request and updates the endpoint's health. */
     readonly end: (outcome: TryOutcome) => void;
 };
--- a/packages/router/src/placement/trackInFlight.ts
+++ b/packages/router/src/placement/trackInFlight.ts
@@ -5,6 +5,7 @@
 import { healthAfterTry } from "./healthAfterTry.js";
 import type { InFlight } from "./InFlight.js";
 import type { InFlightHandle } from "./InFlightHandle.js";
+import { isOvertakenBy } from "./isOvertakenBy.js";
 
 type TrackingParts = {
     readonly clock: Clock;
@@ -22,8 +23,9 @@
 export function trackInFlight({ clock, observed, sizes, onBackoff }: TrackingParts): InFlightHandle {
     const sentAt = clock.now();
     const { expectedMs, ...tokens } = sizes;
+    const order = { isOvertaken: false };
     const request: { current: InFlight; } = {
-        current: { sentAt, expectedAt: sentAt + expectedMs, ...tokens, isAnswering: false },
+        current: { sentAt, expectedAt: sentAt + expectedMs, ...tokens, isAnswering: false, order },
     };
     const replace = (next: InFlight | undefined): void => {
         if (observed !== undefined) {
@@ -40,12 +42,20 @@
                 observed.health = { ...observed.health, unreachedInRow: 0 };
             }
         },
-        answerStarted: () => replace({ ...request.current, isAnswering: true }),
+        answerStarted: () => {
+            replace({ ...request.current, isAnswering: true });
+            observed?.inFlight.filter(each => isOvertakenBy(each, request.current)).forEach(each => {
+                if (each.order !== undefined) {
+                    each.order.isOvertaken = true;
+                }
+            });
+        },
         onActivity: now => {
             if (observed !== undefined) {
                 observed.lastActivityAt = now;
             }
         },
+        isOvertaken: () => order.isOvertaken,
         isAlive: () => observed !== undefined && clock.now() - observed.lastActivityAt < ACTIVE_WITHIN_MS,
         end: outcome => {
             replace(undefined);
--- a/packages/router/src/serve/runTry.ts
+++ b/packages/router/src/serve/runTry.ts
@@ -1,3 +1,4 @@
+import { priorityOf } from "./priorityOf.js";
 import { sendTry } from "./sendTry.js";
 import type { TryParts } from "./TryParts.js";
 import type { TryResult } from "./TryResult.js";
@@ -17,6 +18,7 @@
         memoryTokens: place.memoryTokens,
         expectedMs: Math.max(MIN_EXPECTED_MS, place.startMs + served.route.objectiveMs),
         predictedMs: place.startMs,
+        priority: priorityOf(served.organisation, served.route),
     });
     try {
         return await sendTry(tryParts, inFlight);
--- a/packages/router/src/serve/sendTry.ts
+++ b/packages/router/src/serve/sendTry.ts
@@ -208,8 +208,9 @@
         maxIdleMs: maxIdleMsOf(tryParts),
         isRepeatable: isRepeatable(kind),
         headMs: headTimeout(kind, objectiveMs, place.startMs, remainingMs, isLastTry),
-        // A busy engine has the request in its queue; sending it to another one would only make both busier.
-        isAlive: served.caller.prompt === undefined ? undefined : inFlight.isAlive,
+        // A busy engine has the request in its queue; sending it to another one would only make both busier. One that answers
+        // later requests first has not got it, as its connection was lost without a sign, or has lost it.
+        isAlive: served.caller.prompt === undefined ? undefined : () => inFlight.isAlive() && !inFlight.isOvertaken(),
         // Asked once a connection is open.
         maySend: () => {
             inFlight.onReached();
