Answer the requests that have no answer yet as the time to stop is up

Callers saw: a request that a VM had read within 3 s after SIGTERM, and passed on, was reset without any answer as the time to stop ended.

Cause: the end of a drain destroys each answer that is not whole, also those of which nothing has been sent.

Now a caller whose answer has not begun gets 502, which says that the request may have run, and the close of its connection follows it; answers that have begun are cut off as before, so that they cannot pass for complete. The same holds where a stop is overdue or an error ends the process.

The daemon's listener (startDrainingServer) ends answers in the same way, and is as before.

--- a/packages/router/src/serve/startCallerServer.ts
+++ b/packages/router/src/serve/startCallerServer.ts
@@ -4,7 +4,7 @@
 import type { Millis } from "@azureshunt/core";
 import { refusalOf } from "@azureshunt/core";
 import type { ErrorKind, Refusal } from "@azureshunt/core";
-import { createCallerConnections, createRequestGate, cutAnswer, drainCallers, judgeTimeouts } from "@azureshunt/http";
+import { createCallerConnections, createRequestGate, drainCallers, judgeTimeouts } from "@azureshunt/http";
 import type { CallerDrainPhase, createDrainLog } from "@azureshunt/http";
 import { afterPendingReads, startTimeout } from "@azureshunt/lifecycle";
 
@@ -237,6 +237,9 @@
             server.requestTimeout = limits.headerTimeoutMs + BODY_TIMEOUT_MS;
         }
     };
+    /** Cuts off answers that have begun. Callers of the others are told that their request may have run. */
+    const endAnswers = (): void =>
+        connections.unanswered().forEach(res => sendRefusal(callerWire, res, refusalOf("answer-lost"), true));
     const timer = setInterval(() => {
         applyLimits();
         afterPendingReads(() => connections.closeHalfClosed(MAX_LINGER_MS));
@@ -254,6 +257,9 @@
         if (phase === "lingering" || phase === "ended") {
             state.held.splice(0).forEach(refuseLate);
         }
+        if (phase === "ended") {
+            endAnswers();
+        }
     };
     return {
         drain: async withinMs => {
@@ -273,6 +279,6 @@
         refuse: () => {
             state.isRefusing = true;
         },
-        cut: () => connections.unanswered().forEach(cutAnswer),
+        cut: endAnswers,
     };
 }
