--- a/packages/daemon/src/gateway/startDrainingServer.ts
+++ b/packages/daemon/src/gateway/startDrainingServer.ts
@@ -1,9 +1,10 @@
 import type { Server } from "node:http";
 
 import type { Millis } from "@azureshunt/core";
-import { createCallerConnections, createRequestGate, cutAnswer, drainCallers } from "@azureshunt/http";
+import { createCallerConnections, createRequestGate, drainCallers } from "@azureshunt/http";
 import type { CallerDrainPhase, createDrainLog } from "@azureshunt/http";
 
+import { endAnswer } from "./endAnswer.js";
 import { startHttpServer } from "./startHttpServer.js";
 
 /** Inputs of `startDrainingServer`. */
@@ -21,7 +22,7 @@
      * @param withinMs time for all of it
      */
     readonly drain: (announceMs: Millis, withinMs: Millis) => Promise<void>;
-    /** Cuts off the answers that are not whole. */
+    /** Ends the answers that are not whole, see `endAnswer`. */
     readonly cut: () => void;
 };
 
@@ -67,11 +68,15 @@
         },
     });
     server.on(tls === undefined ? "connection" : "secureConnection", connections.open);
+    const endAnswers = (): void => connections.unanswered().forEach(endAnswer);
     const enter = (phase: CallerDrainPhase): void => {
         state.phase = phase;
         if (phase === "lingering" || phase === "ended") {
             state.held.splice(0).forEach(serve => serve());
         }
+        if (phase === "ended") {
+            endAnswers();
+        }
     };
     return {
         server,
@@ -79,6 +84,6 @@
             enter("announcing");
             return drainCallers({ server, connections, drainLog, announceMs, withinMs, onPhase: enter });
         },
-        cut: () => connections.unanswered().forEach(cutAnswer),
+        cut: endAnswers,
     };
 }
--- a/packages/router/src/serve/startCallerServer.ts
+++ b/packages/router/src/serve/startCallerServer.ts
@@ -44,7 +44,7 @@
     readonly drain: (withinMs: Millis) => Promise<void>;
     /** Refuses all further requests. */
     readonly refuse: () => void;
-    /** Cuts off the answers that are not whole. */
+    /** Cuts off the answers that have begun and are not whole, and refuses the others as lost. */
     readonly cut: () => void;
 };
 
