Let a place be kept over a connection that a peer opens

Streams that may be resumed were cut off at a VM that had lost its links: once its other engines have been tried, the VM asks engines to keep a place, gave each question 150 ms, and got "refused" three times in two seconds although a peer reached the engines.

Cause: those 150 ms were meant for the engine's answer, but the connection is opened within them, and opening one over peers has 200 ms. And the question took a connection that had been idle for up to two seconds, which may have been lost with the one of the stream.

The question now has the time of both, 350 ms, and a connection that worked within 250 ms, as the tries after a loss have. An engine that never answers costs a search of two seconds two or three questions of six or seven; one that refuses costs what it did.

holdPlace.test: 2 of 3 cases failed before, 3 of 3 pass. fullWhenBroken and fullEngines pass. The pause in all processes is not ruled out as a further cause of those streams.

--- a/packages/router/src/dispatch/callOnce.ts
+++ b/packages/router/src/dispatch/callOnce.ts
@@ -21,14 +21,14 @@
 export async function callOnce(
     agent: EndpointAgent,
     address: string,
-    call: Pick<EndpointCall, "method" | "target" | "headers" | "body">,
+    call: Pick<EndpointCall, "method" | "target" | "headers" | "body"> & Partial<Pick<EndpointCall, "maxIdleMs">>,
     timeoutMs: Millis,
     onHead?: (res: IncomingMessage) => void,
 ): Promise<CallResult> {
     const { signal, abort } = createCancellation();
     const cancelTimeout = startTimeout(timeoutMs, abort);
     // What Node refuses to send has reached nobody; those who make these calls mostly do not wait for them.
-    const opened = await openCall(agent, { ...call, address, maxIdleMs: MAX_IDLE_MS, headMs: timeoutMs }, signal)
+    const opened = await openCall(agent, { maxIdleMs: MAX_IDLE_MS, ...call, address, headMs: timeoutMs }, signal)
         .catch(() => ({ kind: "unreached" }) as const);
     if (opened.kind !== "head") {
         cancelTimeout();
--- a/packages/router/src/serve/holdPlace.ts
+++ b/packages/router/src/serve/holdPlace.ts
@@ -1,7 +1,9 @@
 import type { Millis } from "@azureshunt/core";
 
 import { callOnce } from "../dispatch/callOnce.js";
+import { PROVEN_MAX_IDLE_MS } from "../dispatch/PROVEN_MAX_IDLE_MS.js";
 import type { HoldId } from "../ports/HoldId.js";
+import { tunnelTiming } from "../tunnel/tunnelTiming.js";
 import type { ServedRequest } from "./ServedRequest.js";
 import type { ServeParts } from "./ServeParts.js";
 import type { TryPlace } from "./TryPlace.js";
@@ -17,6 +19,11 @@
 const HOLD_MS: Millis = 500;
 /** An engine that takes longer to answer would not take the stream over in time either. */
 const ANSWER_TIMEOUT_MS: Millis = 150;
+/**
+ * Whoever loses a stream may have lost its links to engines with it. The connection is then opened by a peer, or a peer's peer, and
+ * the answer comes after that.
+ */
+const CALL_TIMEOUT_MS: Millis = tunnelTiming.connectMs + ANSWER_TIMEOUT_MS;
 const OK = 200;
 
 /** Asks an engine to keep a slot and memory for a request; resolves with `undefined` if it does not. */
@@ -35,7 +42,13 @@
         tokens: memoryTokens,
         ttlMs: Math.min(holdMs, HOLD_MS),
     });
-    const res = await callOnce(agent, entry.address, call, ANSWER_TIMEOUT_MS);
+    // What lost the stream may have lost other connections without a sign.
+    const res = await callOnce(
+        agent,
+        entry.address,
+        { ...call, maxIdleMs: PROVEN_MAX_IDLE_MS },
+        CALL_TIMEOUT_MS,
+    );
     const id = res.kind === "answer" && res.status === OK ? endpointWire.decodeHold(res.body) : undefined;
     const end = id === undefined ? "refused" : "kept";
     parts.metrics.count("azureshunt_holds_total", "Places that engines were asked to keep for streams.", { end });
@@ -43,6 +56,6 @@
     return id === undefined ? undefined : {
         id,
         release: () =>
-            void callOnce(agent, entry.address, endpointWire.encodeHoldRelease(entry.name, id), ANSWER_TIMEOUT_MS),
+            void callOnce(agent, entry.address, endpointWire.encodeHoldRelease(entry.name, id), CALL_TIMEOUT_MS),
     };
 }
