Age a daemon's configuration by pauses while it was asked for

After a pause of the process, a daemon took what the log had answered before it for what the log says now: a key withdrawn meanwhile was accepted for up to the organisation's bound longer, by the length of the pause. After a suspension in which the clock stood still, the configuration kept the age of before.

The daemon now has the watch for pauses that the router has. An answer counts as of its receipt less the pauses since the read was sent, so a long poll that takes its second ages nothing, which dating it by its sending would. After an uncounted pause nothing is confirmed until the log is read anew. Peers' confirmations were dated by the question already.

Still open in the daemon: the lease of orders after an uncounted pause, membership's tick, gRPC's and undici's timers.

--- a/packages/daemon/src/__tests__/fakes/fakeContext.ts
+++ b/packages/daemon/src/__tests__/fakes/fakeContext.ts
@@ -56,6 +56,7 @@
         random: () => 0.5,
         logger: () => pino({ level: "silent" }),
         metrics: createMetrics(),
+        pauses: { check: () => undefined, register: () => () => undefined },
         release: {
             current: () => current,
             subscribe: onChange => {
--- a/packages/daemon/src/__tests__/unit/stepReader.test.ts
+++ b/packages/daemon/src/__tests__/unit/stepReader.test.ts
@@ -40,6 +40,7 @@
     start,
     end,
     records,
+    pausedMs: 0,
 });
 
 /** Applies events, one per millisecond, and collects the published revisions and the offsets of the reads. */
--- a/packages/daemon/src/configuration/ReaderEvent.ts
+++ b/packages/daemon/src/configuration/ReaderEvent.ts
@@ -10,7 +10,11 @@
         readonly start: number;
         readonly end: number;
         readonly records: readonly ConfigurationRecord[];
+        /** How long this process did not run while the answer was on its way; the answer may have waited for as long. */
+        readonly pausedMs: Millis;
     }
+    /** The clock stood still for a time of unknown length. */
+    | { readonly kind: "suspended"; }
     /** The log no longer keeps the requested records; `start` is the oldest one that it keeps. */
     | { readonly kind: "expired"; readonly start: number; }
     /** The log did not answer. */
--- a/packages/daemon/src/configuration/createReleasePort.ts
+++ b/packages/daemon/src/configuration/createReleasePort.ts
@@ -40,19 +40,38 @@
  * @param ctx the daemon's context without the port created here
  */
 export function createReleasePort(ctx: Omit<DaemonContext, "release">): Release {
-    const { clock, log, random, metrics } = ctx;
+    const { clock, log, pauses, random, metrics } = ctx;
     const logger = ctx.logger("configuration");
     const listeners = new Set<Listener>();
     const waiters = new Set<Waiter>();
     const stopController = new AbortController();
 
+    /** Times in which this process did not run. */
+    const paused = { pausedMs: 0, suspensions: 0 };
+    const unregister = [
+        pauses.register("counted", ({ ms }) => {
+            paused.pausedMs += ms;
+        }),
+        pauses.register("uncounted", () => {
+            paused.suspensions += 1;
+            reader.tell({ kind: "suspended" });
+        }),
+    ];
+
     const read = async (effect: Extract<ReaderEffect, { kind: "read"; }>): Promise<ReaderEvent> => {
         const { from, waitMs, failures } = effect;
         if (failures > 0) {
             const backoff = Math.min(MAX_BACKOFF_MS, BACKOFF_MS * 2 ** Math.min(failures, 10));
             await new Promise(resolve => setTimeout(resolve, backoff * (0.5 + random() / 2)));
         }
+        pauses.check();
+        const { pausedMs, suspensions } = paused;
         const page = await log.read(configurationStream, from, PAGE_RECORDS, waitMs, stopController.signal);
+        // What was answered before a pause is read after it.
+        pauses.check();
+        if (paused.suspensions > suspensions) {
+            return { kind: "failed" };
+        }
         return page.caseOf<ReaderEvent>({
             Left: failure =>
                 failure.kind === "expired" ? { kind: "expired", start: failure.start } : { kind: "failed" },
@@ -62,6 +81,7 @@
                 start,
                 end,
                 records: records.map(record => ({ ...record, data: record.data })),
+                pausedMs: paused.pausedMs - pausedMs,
             }),
         });
     };
@@ -133,6 +153,7 @@
         return isStarting || fold.configuration.revision === 0 ? undefined : fold.configuration;
     };
     const staleness = (): number => {
+        pauses.check();
         const { confirmedAt } = reader.state();
         return confirmedAt === undefined ? Number.POSITIVE_INFINITY : clock.now() - confirmedAt;
     };
@@ -151,6 +172,7 @@
         },
         stop: () => {
             clearTimeout(startTimer);
+            unregister.forEach(each => each());
             stopController.abort();
             void gossip.stop();
             void snapshots.stop();
--- a/packages/daemon/src/configuration/stepReader.ts
+++ b/packages/daemon/src/configuration/stepReader.ts
@@ -58,7 +58,7 @@
         fold,
         cursor,
         failures: isStuck ? state.failures + 1 : 0,
-        confirmedAt: isAtEnd ? now : state.confirmedAt,
+        confirmedAt: isAtEnd ? now - event.pausedMs : state.confirmedAt,
         isStarting: state.isStarting && !isAtEnd,
         logStart: start,
     };
@@ -98,6 +98,8 @@
         }
         case "confirmed":
             return onConfirmed(state, event);
+        case "suspended":
+            return { state: { ...state, confirmedAt: undefined }, effects: [] };
         case "started": {
             const next = { ...state, isStarting: false };
             return { state: next, effects: changeEffects(state, next) };
--- a/packages/daemon/src/ports/DaemonContext.ts
+++ b/packages/daemon/src/ports/DaemonContext.ts
@@ -1,4 +1,5 @@
 import type { Incarnation } from "@azureshunt/core";
+import type { createPauseWatch } from "@azureshunt/lifecycle";
 import type { ActorSystemRef } from "nact";
 import type { Logger } from "pino";
 
@@ -22,6 +23,8 @@
     /** Returns the logger of a part, whose name prefixes each line. */
     readonly logger: (part: string) => Logger;
     readonly metrics: Metrics;
+    /** Tells when this process did not run for some time. */
+    readonly pauses: Pick<ReturnType<typeof createPauseWatch>, "check" | "register">;
     readonly release: ReleasePort;
     readonly membership: MembershipPort;
     readonly peers: PeerPort;
--- a/packages/daemon/src/startDaemon.ts
+++ b/packages/daemon/src/startDaemon.ts
@@ -1,8 +1,8 @@
 import { randomUUID } from "node:crypto";
 
-import { createClock } from "@azureshunt/core";
+import { cpuTimeMs, createClock } from "@azureshunt/core";
 import type { Incarnation } from "@azureshunt/core";
-import { createAddressClaims, stopParts } from "@azureshunt/lifecycle";
+import { createAddressClaims, createPauseWatch, stopParts } from "@azureshunt/lifecycle";
 import type { ManagedPart, StartContext } from "@azureshunt/lifecycle";
 import { createLogClient } from "@azureshunt/log";
 import { createLoggers, createMetrics } from "@azureshunt/telemetry";
@@ -28,6 +28,9 @@
 import { stopMsOf } from "./stopMsOf.js";
 import { createSuspectPort } from "./suspects/createSuspectPort.js";
 
+/** Interval at which the process looks whether it did not run for some time. */
+const TICK_MS = 100;
+
 /** A running daemon. */
 type Daemon = {
     /** Refuses new requests from now on, as not run. */
@@ -61,6 +64,14 @@
         logger: logger("daemon"),
         metrics,
     });
+    const pauses = createPauseWatch({
+        clock,
+        cpuMs: cpuTimeMs,
+        intervalMs: TICK_MS,
+        logger: logger("lifecycle"),
+        metrics,
+    });
+    const tickTimer = setInterval(pauses.tick, TICK_MS);
     const system = start(`azureshunt-${settings.vm}`);
     const log = createLogClient(settings.platform.url);
     const peers = await createPeerPort({
@@ -83,7 +94,10 @@
         system,
         metrics,
     });
-    const base = { settings, incarnation, system, clock, random: Math.random, logger, metrics, membership, peers, log };
+    const base = {
+        ...{ settings, incarnation, system, clock, random: Math.random, logger, metrics, pauses },
+        ...{ membership, peers, log },
+    };
     const release = createReleasePort(base);
     const ctx: DaemonContext = { ...base, release };
 
@@ -116,6 +130,7 @@
     const connected: readonly ManagedPart[] = [
         { name: "connections", stop: connections.stop },
         { name: "log", stop: log.close },
+        { name: "pauses", stop: () => clearInterval(tickTimer) },
         { name: "actors", stop: () => stopSystem(system) },
     ];
     const startListeners = async () => {
