Leave SIGPROF to V8's profiler where a flag has started it

What was seen: requestCost "a short run of the request cost" and idleCost "a measured VM knows the simulated VMs" fail on each run. The profiles of the measured processes have no samples of the program, and each writes lines "Received a signal" for SIGPROF.

Cause: V8's profiler takes a sample as it handles SIGPROF. Since the life cycle handles all signals, its handler takes the place of that one.

Both flags are refused in NODE_OPTIONS ("not allowed in NODE_OPTIONS", tried), so the flags of the command are all there is. A profiler that is started later, by an inspector, installs its own handler and puts ours back.

--- a/packages/lifecycle/src/handledSignals.ts
+++ b/packages/lifecycle/src/handledSignals.ts
@@ -4,6 +4,8 @@
 
 /** With it, a fatal error of V8 raises SIGABRT; without it, a trap, to which a handler of SIGTRAP would return for ever. */
 const ABORT_FLAG = "--no-hard-abort";
+/** With one of them, V8's profiler runs from the start on, which takes its samples as it handles SIGPROF. */
+const PROFILER_FLAG = /^--(cpu[-_])?prof$/;
 
 /**
  * Lists the signals that a process handles, with a terminal or without.
@@ -13,5 +15,6 @@
 export function handledSignals(execArgv: readonly string[]): readonly HandledSignal[] {
     return (Object.keys(signalMeanings) as HandledSignal[])
         .filter(signal => !terminalSignals.includes(signal))
-        .filter(signal => signal !== "SIGTRAP" || execArgv.includes(ABORT_FLAG));
+        .filter(signal => signal !== "SIGTRAP" || execArgv.includes(ABORT_FLAG))
+        .filter(signal => signal !== "SIGPROF" || !execArgv.some(flag => PROFILER_FLAG.test(flag)));
 }
--- a/packages/lifecycle/src/runLifecycle.ts
+++ b/packages/lifecycle/src/runLifecycle.ts
@@ -156,7 +156,8 @@
         apply({ kind: "uncaught-error" });
     };
     const handle = (signals: readonly HandledSignal[]): void => signals.forEach(signal => process.on(signal, onSignal));
-    handle(handledSignals(process.execArgv));
+    const signals = handledSignals(process.execArgv);
+    handle(signals);
     // With a terminal its user may suspend the process; a handled SIGTTOU would come again with each line written there.
     if (!hasTerminal()) {
         handle(terminalSignals);
@@ -167,7 +168,9 @@
      */
     const closeOpenInspector = (): void => {
         if (closeInspector(process.execArgv)) {
-            process.off("SIGPROF", onSignal).on("SIGPROF", onSignal);
+            if (signals.includes("SIGPROF")) {
+                process.off("SIGPROF", onSignal).on("SIGPROF", onSignal);
+            }
             log("warn", {}, "Closed Node's inspector: a signal while Node started or NODE_OPTIONS had opened it.");
         }
     };
