Handle signals before anything else of the program is loaded

What callers and operators saw: a signal that reaches a process while it loads the life cycle ends it, or suspends it (SIGTSTP, SIGTTIN, SIGTTOU), as the operating system does by default. With the daemon the same, for longer.

Cause: the handlers were registered by the life cycle, so its 22 KB, node:fs and node:timers/promises came first; those of the terminal's signals came after node:tty too, which loads node:net and the streams. The daemon read 19 modules before.

Change: the entry point holds the signals (holdSignals: the keys of signalMeanings, so there is no second list), then loads the life cycle, which takes those that have come, in their order. With a terminal its signals are left to it again, once that is known.

Left: the daemon's entry point is an ES module, whose loader is Node's and comes before its first line.

--- a/packages/bench/src/__tests__/unit/daemonEnds.test.ts
+++ b/packages/bench/src/__tests__/unit/daemonEnds.test.ts
@@ -75,6 +75,30 @@
     });
 });
 
+// Guards against signals that end or suspend a daemon while it loads what it does not need to handle them.
+(["SIGHUP", "SIGTSTP"] as const).forEach(signal => {
+    test.serial(`daemon ends: ${signal} as it loads the life cycle`, async t => {
+        const hook = `export async function resolve(specifier, context, next) {
+            if (specifier.startsWith("@azureshunt/lifecycle/run")) {
+                process.kill(process.pid, "${signal}");
+            }
+            return next(specifier, context);
+        }`;
+        const module = `
+            import { register } from "node:module";
+            register("data:text/javascript," + ${JSON.stringify(encodeURIComponent(hook))});`;
+        const vm = await startLoneDaemon(t.teardown);
+        vm.writeSettings();
+        const daemon = vm.launch([`--import=data:text/javascript,${encodeURIComponent(module)}`]);
+        await vm.waitUntilListening();
+        t.is(daemon.ended(), undefined);
+        t.regex(
+            await vm.metrics(),
+            new RegExp(`azureshunt_signals_total\\{signal="${signal}",phase="starting"\\} 1\n`),
+        );
+    });
+});
+
 // Guards against requests lost by a stop that comes as soon as callers can connect.
 test.serial("daemon ends: SIGTERM as the callers' port takes its first connection", async t => {
     const vm = await startLoneDaemon(t.teardown);
--- /dev/null
+++ b/packages/lifecycle/src/HeldSignals.ts
@@ -0,0 +1,11 @@
+import type { HandledSignal } from "./HandledSignal.js";
+
+/** Signals of a process that are handled, and kept until something takes them. */
+export type HeldSignals = {
+    /** Takes the signals that have come so far, in their order, and each one that comes from now on. */
+    readonly take: (onSignal: (signal: HandledSignal) => void) => void;
+    /** Leaves signals to the operating system and to Node again. */
+    readonly release: (signals: readonly HandledSignal[]) => void;
+    /** Registers the handler of a signal again, after Node has taken it for itself. Does nothing if it is not handled. */
+    readonly renew: (signal: HandledSignal) => void;
+};
--- a/packages/lifecycle/src/handledSignals.ts
+++ b/packages/lifecycle/src/handledSignals.ts
@@ -1,6 +1,5 @@
 import type { HandledSignal } from "./HandledSignal.js";
 import { signalMeanings } from "./signalMeanings.js";
-import { terminalSignals } from "./terminalSignals.js";
 
 /** With it, a fatal error of V8 raises SIGABRT; without it, a trap, to which a handler of SIGTRAP would return for ever. */
 const ABORT_FLAG = "--no-hard-abort";
@@ -8,13 +7,12 @@
 const PROFILER_FLAG = /^--(cpu[-_])?prof$/;
 
 /**
- * Lists the signals that a process handles, with a terminal or without.
+ * Lists the signals that a process handles. With a terminal, it leaves the `terminalSignals` to it.
  *
  * @param execArgv flags of Node that the process was started with
  */
 export function handledSignals(execArgv: readonly string[]): readonly HandledSignal[] {
     return (Object.keys(signalMeanings) as HandledSignal[])
-        .filter(signal => !terminalSignals.includes(signal))
         .filter(signal => signal !== "SIGTRAP" || execArgv.includes(ABORT_FLAG))
         .filter(signal => signal !== "SIGPROF" || !execArgv.some(flag => PROFILER_FLAG.test(flag)));
 }
--- a/packages/lifecycle/src/index.ts
+++ b/packages/lifecycle/src/index.ts
@@ -10,6 +10,8 @@
 export { exitCodeOf } from "./exitCodeOf.js";
 export type { HandledSignal } from "./HandledSignal.js";
 export { handlePendingSignals } from "./handlePendingSignals.js";
+export type { HeldSignals } from "./HeldSignals.js";
+export { holdSignals } from "./holdSignals.js";
 export { initialLifecycle } from "./initialLifecycle.js";
 export { initialPauses } from "./initialPauses.js";
 export { judgeSettingsFault } from "./judgeSettingsFault.js";
--- a/packages/lifecycle/src/runLifecycle.ts
+++ b/packages/lifecycle/src/runLifecycle.ts
@@ -7,9 +7,9 @@
 import type { ExitCause } from "./ExitCause.js";
 import { exitCodeOf } from "./exitCodeOf.js";
 import type { HandledSignal } from "./HandledSignal.js";
-import { handledSignals } from "./handledSignals.js";
 import { handlePendingSignals } from "./handlePendingSignals.js";
 import { hasTerminal } from "./hasTerminal.js";
+import type { HeldSignals } from "./HeldSignals.js";
 import { initialLifecycle } from "./initialLifecycle.js";
 import { inspectorUrl } from "./inspectorUrl.js";
 import type { LifecycleEffect } from "./LifecycleEffect.js";
@@ -24,6 +24,8 @@
 import { terminalSignals } from "./terminalSignals.js";
 
 type LifecycleParts = {
+    /** The signals of the process, which its entry point handles before it loads the life cycle. */
+    readonly signals: HeldSignals;
     /**
      * Starts the program. Rejects if it cannot be started, with a `StartFailure` if the cause is known, and also if
      * `signal` is aborted before callers could connect; then, nothing of the program runs any more.
@@ -40,10 +42,10 @@
 const MAX_ABORT_MS = 5_000;
 
 /**
- * Runs a program from its first step to the end of its process. Signals and uncaught errors of the process are handled from
- * this call on, in each phase as `stepLifecycle` decides.
+ * Runs a program from its first step to the end of its process. Signals that came before this call, and signals and
+ * uncaught errors of the process from now on, are handled as `stepLifecycle` decides in each phase.
  */
-export function runLifecycle({ start }: LifecycleParts): void {
+export function runLifecycle({ signals, start }: LifecycleParts): void {
     const lifecycleLog = createLifecycleLog();
     const { log, count } = lifecycleLog;
     const logSignal = createSignalLog(log);
@@ -155,12 +157,9 @@
         count("azureshunt_uncaught_errors_total", "Errors that nothing has caught, by phase.", { phase });
         apply({ kind: "uncaught-error" });
     };
-    const handle = (signals: readonly HandledSignal[]): void => signals.forEach(signal => process.on(signal, onSignal));
-    const signals = handledSignals(process.execArgv);
-    handle(signals);
     // With a terminal its user may suspend the process; a handled SIGTTOU would come again with each line written there.
-    if (!hasTerminal()) {
-        handle(terminalSignals);
+    if (hasTerminal()) {
+        signals.release(terminalSignals);
     }
     /**
      * Called at once, as Node takes no handler of SIGPROF while the inspector listens, and again later: for one signal, Node opens
@@ -168,9 +167,7 @@
      */
     const closeOpenInspector = (): void => {
         if (closeInspector(process.execArgv)) {
-            if (signals.includes("SIGPROF")) {
-                process.off("SIGPROF", onSignal).on("SIGPROF", onSignal);
-            }
+            signals.renew("SIGPROF");
             log("warn", {}, "Closed Node's inspector: a signal while Node started or NODE_OPTIONS had opened it.");
         }
     };
@@ -232,6 +229,7 @@
         log("fatal", { err }, "The start failed.");
         apply({ kind: "start-failed", cause: "start-failed" });
     };
+    signals.take(onSignal);
     start(context).then(application => {
         state.application = application;
         state.startMs = upMs();
--- a/scripts/bundlePlatform.mjs
+++ b/scripts/bundlePlatform.mjs
@@ -1,5 +1,5 @@
-// Bundles the program for the users' platform from its sources into target/: an entry point that handles signals, the life
-// cycle, and what it loads then. A few files start in a fraction of the time that hundreds of modules take. They are CommonJS,
+// Bundles the program for the users' platform from its sources into target/: an entry point that handles signals, then loads
+// the life cycle, and what that loads. A few files start in a fraction of the time that hundreds of modules take. They are CommonJS,
 // as Node starts without its loader of ES modules then, and signals are handled sooner.
 import { build } from "esbuild";
 import { rmSync } from "node:fs";
@@ -13,9 +13,10 @@
 const workspacePackages = {
     name: "own-packages",
     setup(builder) {
-        builder.onResolve({ filter: /^@azureshunt\// }, ({ path }) => ({
-            path: fileURLToPath(new URL(`${path.slice("@azureshunt/".length)}/src/index.ts`, PACKAGES)),
-        }));
+        builder.onResolve({ filter: /^@azureshunt\// }, ({ path }) => {
+            const [, name, module = "index"] = path.split("/");
+            return { path: fileURLToPath(new URL(`${name}/src/${module}.ts`, PACKAGES)) };
+        });
     },
 };
 
