Count an endpoint's silence from when the process went on

After a pause of the process, an endpoint with requests of this VM counted as silent for as long as the pause, and its tries as overdue, until its answers were read: requests placed before the first reads avoided an endpoint that had answered (row "open" of the table of timers, found by reading).

The endpoint table now takes note of a counted pause, and silence and overdue tries count from its end, which is the safe side: still there. An endpoint that stays silent is noticed as long after the pause as it would have been without one.

--- a/packages/router/src/__tests__/support/endpointTableOf.ts
+++ b/packages/router/src/__tests__/support/endpointTableOf.ts
@@ -19,7 +19,10 @@
  * Creates an endpoint table with one engine on version 1 of a model whose target has just become version 2. The test
  * sets the clock through `time`.
  */
-export function endpointTableOf(address = "10.0.0.1:80"): OneEngineTable {
+export function endpointTableOf(
+    address = "10.0.0.1:80",
+    more: Partial<Parameters<typeof createEndpointTable>[0]> = {},
+): OneEngineTable {
     const model = "model" as ModelName;
     const engine = "e" as EndpointName;
     const servesForMs = 10_500;
@@ -34,6 +37,7 @@
         outdatedLimitMs: () => servesForMs,
         onChange: () => undefined,
         onGone: () => undefined,
+        ...more,
     });
     endpointTable.applyRegistryEvent({
         kind: "whole",
--- a/packages/router/src/placement/EndpointTable.ts
+++ b/packages/router/src/placement/EndpointTable.ts
@@ -30,6 +30,11 @@
     readonly applyRegistryEvent: (event: RegistryEvent) => void;
     /** Returns the endpoints that could take a request, without what is known of their speed. */
     readonly candidates: (request: PlacedRequest) => readonly PlaceableEndpoint[];
+    /**
+     * Takes note that this process did not run until now: what endpoints sent meanwhile is not read yet, so their silence counts
+     * from now on.
+     */
+    readonly onPaused: () => void;
     /** Adds what is known of an endpoint's speed, which only the few candidates that are sampled need. */
     readonly withPerformance: (candidate: Candidate) => Candidate;
     /** Starts tracking a request that is sent to the endpoint. */
--- a/packages/router/src/placement/createEndpointTable.ts
+++ b/packages/router/src/placement/createEndpointTable.ts
@@ -67,6 +67,8 @@
         /** By service: the endpoints that are not leaving, collected when they are first needed after a change. */
         serving: new Map<ServiceName, readonly EndpointEntry[]>(),
         engineServices: [] as readonly ServiceName[],
+        /** When this process last went on after a pause. */
+        resumedAt: -Infinity as Millis,
     };
     const observations = createObservations(clock, endpoint => {
         parts.performance?.forget(endpoint);
@@ -169,7 +171,8 @@
             const prompt = engine === undefined
                 ? NO_PROMPT
                 : request.promptAt(entry, weights, () => withWeights(weights));
-            const load = loadOf(observed.inFlight, parts.peerLoadAt(entry.name), observed.lastActivityAt, now);
+            const lastActivityAt = Math.max(observed.lastActivityAt, state.resumedAt);
+            const load = loadOf(observed.inFlight, parts.peerLoadAt(entry.name), lastActivityAt, now);
             // Written out, since copying the properties of objects is slow, and there are dozens of endpoints.
             const candidate = {
                 name: entry.name,
@@ -194,9 +197,15 @@
 
     const withPerformance: EndpointTable["withPerformance"] = candidate => {
         const entry = parts.performance === undefined ? undefined : entryOf(candidate.name);
-        return entry === undefined
-            ? candidate
-            : { ...candidate, ...parts.performance?.at(entry, observations.of(entry).inFlight) };
+        if (entry === undefined) {
+            return candidate;
+        }
+        const { inFlight } = observations.of(entry);
+        const isUnread = inFlight.some(({ sentAt }) => sentAt < state.resumedAt);
+        const tries = isUnread
+            ? inFlight.map(each => ({ ...each, sentAt: Math.max(each.sentAt, state.resumedAt) }))
+            : inFlight;
+        return { ...candidate, ...parts.performance?.at(entry, tries) };
     };
 
     const beginRequest: EndpointTable["beginRequest"] = (endpoint, sizes) =>
@@ -276,6 +285,9 @@
         registryDigest: () => state.digest,
         applyRegistryEvent,
         candidates,
+        onPaused: () => {
+            state.resumedAt = clock.now();
+        },
         withPerformance,
         beginRequest,
         recordStart: (entry, start) =>
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -391,7 +391,7 @@
     );
 
     const tickLag = createTickLag(clock, TICK_MS);
-    pauses.register("counted", ({ ms }) => tickLag.recordPause(ms));
+    pauses.register("counted", ({ ms }) => [tickLag.recordPause, endpointTable.onPaused].forEach(tell => tell(ms)));
     const overload = createOverloadGuard({ clock, random: Math.random, lag: tickLag });
     const bounds = (): FreshnessBounds => ({
         maxAgeForKeysMs: state.settings.keyWithdrawalMs - KEY_MARGIN_MS,
