Let large bodies be read by turns, each with room for its whole length

Bodies were let in while there was room, so that all were read in part and none ended. A refused body is read too, to be discarded: refusing costs as much as serving. The buffers of reads take many MB before V8 collects young ones, whatever its heap's size: a forced minor collection freed 16 to 30 of 48 to 57 MB of buffers.

Bodies beyond 128 KB reserve their length (half of the budget together, one always), the others wait unread by turns of their organisations. Those that cannot end in time are refused with the time in which the queue is served. A body's room is free once its answer is whole.

--- a/packages/flow/src/index.ts
+++ b/packages/flow/src/index.ts
@@ -1,4 +1,5 @@
 /** Which requests are cut off or refused for the bytes that a VM buffers, and which answers make no progress. */
+export { bodyLevels } from "./bodyLevels.js";
 export { boundAt } from "./boundAt.js";
 export { budgetOf } from "./budgetOf.js";
 export { chooseCuts } from "./chooseCuts.js";
@@ -7,12 +8,17 @@
 export { endpointLevels } from "./endpointLevels.js";
 export type { FlowBounds } from "./FlowBounds.js";
 export { flowLevels } from "./flowLevels.js";
+export { hasRoomForBody } from "./hasRoomForBody.js";
 export { hasRoomForHead } from "./hasRoomForHead.js";
 export { headCost } from "./headCost.js";
 export type { HeldRequest } from "./HeldRequest.js";
 export { isExhausted } from "./isExhausted.js";
 export { isOnceExhausted } from "./isOnceExhausted.js";
 export { isStalled } from "./isStalled.js";
+export { lateBodies } from "./lateBodies.js";
 export { lowerBound } from "./lowerBound.js";
+export { orderBodies } from "./orderBodies.js";
+export { pledgedBytes } from "./pledgedBytes.js";
 export { readAheadOf } from "./readAheadOf.js";
 export { unreadByAll } from "./unreadByAll.js";
+export type { WaitingBody } from "./WaitingBody.js";
--- a/packages/router/src/flow/HeldAccount.ts
+++ b/packages/router/src/flow/HeldAccount.ts
@@ -26,6 +26,11 @@
     /** Says that the answer is not read until the budget has room, or its turn has come. */
     readonly waitForRoom: () => void;
     readonly add: (bytes: number) => void;
+    /** What has come of the request's body and is held. */
+    readonly bodyBytes: number;
+    readonly addBody: (bytes: number) => void;
+    /** Frees the body once no further try can need it. */
+    readonly releaseBody: () => void;
     /** Counts anew what Node has buffered; the system takes it without an event. */
     readonly measure: () => void;
     /**
--- a/packages/router/src/flow/createByteBudget.ts
+++ b/packages/router/src/flow/createByteBudget.ts
@@ -3,9 +3,13 @@
 
 import type { Clock, Millis } from "@azureshunt/core";
 import { chooseCuts, flowLevels, hasRoomForHead, isExhausted, isOnceExhausted, readAheadOf } from "@azureshunt/flow";
+import type { WaitingBody } from "@azureshunt/flow";
 import type { Metrics } from "@azureshunt/telemetry";
 import type { Logger } from "pino";
 
+import type { BodyTurn } from "./BodyTurn.js";
+import { createBodyQueue } from "./createBodyQueue.js";
+import { createCollector } from "./createCollector.js";
 import type { HeldAccount } from "./HeldAccount.js";
 
 type BudgetParts = {
@@ -14,6 +18,10 @@
     readonly budget: () => number;
     /** Limit of the heap in bytes; none if omitted. */
     readonly heapBytes?: number;
+    /** Bytes of all buffers, also of those that are not collected yet. */
+    readonly bufferBytes?: () => number;
+    /** Collects young objects; that of Node's flag `--expose-gc` if omitted. */
+    readonly collect?: () => void;
     readonly logger: Logger;
     readonly metrics: Metrics;
 };
@@ -26,6 +34,15 @@
     readonly hasRoomForHead: (headBytes: number) => boolean;
     /** Whether a new request is refused. Those that may not be repeated have a part of the budget. */
     readonly isExhausted: (isRepeatable?: boolean) => boolean;
+    /** Records what has been read of a large body, also of one that is discarded. */
+    readonly recordRead: (bytes: number) => void;
+    /** Waits for the turn of a large body. */
+    readonly enterBody: (account: HeldAccount, body: WaitingBody) => BodyTurn | Promise<BodyTurn>;
+    /** Records that a body is whole. */
+    readonly completeBody: (account: HeldAccount) => void;
+    readonly waitingBodies: () => number;
+    /** Time after which the large bodies that wait now have been served; `undefined` if it is not known. */
+    readonly bodyRoomInMs: () => Millis | undefined;
     /** Adds bytes that are held for no single request, such as those of tunnels. */
     readonly addSource: (read: () => number) => void;
     readonly tick: () => void;
@@ -42,8 +59,20 @@
 /** Part of the budget that tunnels may take from requests. Beyond it, cutting requests off would not free enough. */
 const OTHER_FRACTION = 0.5;
 
+/** What Node's flag `--expose-gc` adds. */
+const exposed = globalThis as { readonly gc?: (options: { readonly type: "minor"; }) => void; };
+const collectYoung = exposed.gc === undefined ? undefined : (): void => exposed.gc?.({ type: "minor" });
+
 /** Keeps the sum of what this VM buffers for requests, and cuts requests off when it exceeds the budget. */
-export function createByteBudget({ clock, budget, heapBytes = Infinity, logger, metrics }: BudgetParts): ByteBudget {
+export function createByteBudget({
+    clock,
+    budget,
+    heapBytes = Infinity,
+    bufferBytes = () => process.memoryUsage().arrayBuffers,
+    collect = collectYoung,
+    logger,
+    metrics,
+}: BudgetParts): ByteBudget {
     const accounts = new Set<HeldAccount>();
     const waiting = new Set<HeldAccount>();
     /** Responses whose accounts are open, by connection. */
@@ -62,6 +91,13 @@
     };
     // What is held for no single request is no request's fault, but leaves less to all of them.
     const requestBudget = (): number => budget() - Math.min(state.otherBytes, OTHER_FRACTION * budget());
+    const bodies = createBodyQueue({
+        clock,
+        budget: requestBudget,
+        heldBytes: () => state.requestBytes,
+        bufferBytes,
+    });
+    const recordRead = createCollector({ bufferBytes, limit: budget, collect });
     const heldBytes = (): number => state.requestBytes + state.otherBytes;
 
     const cut = (account: HeldAccount, reason: "memory" | "unread-at-deadline"): void => {
@@ -119,6 +155,7 @@
             waiting.delete(account);
             state.requestBytes -= account.bytes;
             state.headBytes -= account.headBytes;
+            bodies.release(account);
             wake();
         }
     };
@@ -144,7 +181,7 @@
     };
 
     const open: ByteBudget["open"] = (res, headBytes = 0) => {
-        const counted = { total: 0, inNode: 0 };
+        const counted = { total: 0, inNode: 0, body: 0 };
         const account: HeldAccount = {
             headBytes,
             get bytes() {
@@ -173,6 +210,20 @@
                     wake();
                 }
             },
+            get bodyBytes() {
+                return counted.body;
+            },
+            addBody: bytes => {
+                counted.body += bytes;
+                bodies.record(account, bytes);
+                account.add(bytes);
+            },
+            releaseBody: () => {
+                const { body } = counted;
+                counted.body = 0;
+                account.add(-body);
+                bodies.release(account);
+            },
             measure: () => {
                 const inNode = res.writableLength + (account.source?.readableLength ?? 0);
                 const change = inNode - counted.inNode;
@@ -230,12 +281,18 @@
         }
         wake();
         letOldestReadToEnd();
+        bodies.tick();
     };
     return {
         open,
         hasRoomForHead: headBytes => hasRoomForHead(headBytes, state.headBytes, heapBytes),
         isExhausted: (isRepeatable = true) =>
             isExhausted(state.requestBytes, requestBudget()) || (!isRepeatable && isOnceFull()),
+        recordRead,
+        enterBody: bodies.enter,
+        completeBody: bodies.complete,
+        waitingBodies: bodies.waiting,
+        bodyRoomInMs: bodies.roomInMs,
         addSource: read => void sources.push(read),
         tick,
         heldBytes,
--- a/packages/router/src/serve/ServeParts.ts
+++ b/packages/router/src/serve/ServeParts.ts
@@ -53,7 +53,10 @@
     readonly streams: Pick<ReturnType<typeof createStreamKeeper>, "resolve" | "recordFirst" | "selectForNew">;
     readonly agent: EndpointAgent;
     readonly confirmEnd: ReturnType<typeof createEndConfirmation>;
-    readonly byteBudget: Pick<ReturnType<typeof createByteBudget>, "open" | "hasRoomForHead" | "isExhausted">;
+    readonly byteBudget: Pick<
+        ReturnType<typeof createByteBudget>,
+        "open" | "hasRoomForHead" | "isExhausted" | "enterBody" | "completeBody" | "bodyRoomInMs" | "recordRead"
+    >;
     readonly unreadBodies: ReturnType<typeof createUnreadBodies>;
     readonly flowBounds: () => FlowBounds;
     readonly callerWire: CallerWire;
--- a/packages/router/src/serve/createRequestHandler.ts
+++ b/packages/router/src/serve/createRequestHandler.ts
@@ -125,6 +125,7 @@
                     // It was cut off while the last bytes arrived.
                     return;
                 }
+                served.account.releaseBody();
                 if (end.answer !== undefined) {
                     res.writeHead(end.answer.status, [
                         ...end.answer.headers,
--- a/packages/router/src/serve/createRequestReader.ts
+++ b/packages/router/src/serve/createRequestReader.ts
@@ -1,14 +1,16 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 
-import type { Refusal } from "@azureshunt/core";
+import type { Millis, Refusal } from "@azureshunt/core";
 import { refusalOf } from "@azureshunt/core";
-import { headCost, isStalled } from "@azureshunt/flow";
+import { bodyLevels, headCost, isStalled } from "@azureshunt/flow";
 import { readBody } from "@azureshunt/http";
 import { startTimeout } from "@azureshunt/lifecycle";
 import type { Either } from "purify-ts";
 import { Left } from "purify-ts";
 
 import { findRoute } from "../configuration/findRoute.js";
+import type { BodyTurn } from "../flow/BodyTurn.js";
+import type { HeldAccount } from "../flow/HeldAccount.js";
 import type { CompleteRequest } from "./CompleteRequest.js";
 import { countSharedRefusal } from "./countSharedRefusal.js";
 import { isRepeatable } from "./isRepeatable.js";
@@ -24,6 +26,12 @@
 /** A colon and a space after each name, a line ending after each value. */
 const SEPARATOR_BYTES = 2;
 
+/** Which bound refused a request for memory; without a detail it is the budget of all bytes that are held. */
+const BOUND_DETAILS: Readonly<Record<string, string>> = {
+    crowded: "too many large bodies wait to be read",
+    late: "its body cannot be read in time, as others are read before it",
+};
+
 /** Returns the size of a request's head on the wire, computed from its first line and headers. */
 const headerBytesOf = ({ method = "", url = "", rawHeaders }: IncomingMessage): number =>
     rawHeaders.reduce((sum, text) => sum + text.length + SEPARATOR_BYTES, method.length + url.length);
@@ -45,19 +53,26 @@
     /**
      * Reads a body within the byte budget.
      *
-     * Bodies that arrive together are all let in while there is room, and a body that stops half-way holds what was read
-     * of it. To prevent that they use up the memory, a body is refused when the budget is exhausted, and when it neither
-     * ends nor grows within the bound on progress.
+     * A body that stops half-way holds what was read of it. To prevent that such bodies use up the memory, a body is
+     * refused when the budget is exhausted, and when it neither ends nor grows within the bound on progress. A large one
+     * waits unread for its turn, one whose length is not stated once it has become large.
      */
     const readHeldBody = (
         req: IncomingMessage,
         limit: number,
-        add: (bytes: number) => void,
+        account: HeldAccount,
+        waitForTurn: (bytes: number) => Refusal | undefined | Promise<Refusal | undefined>,
         withoutMemory: () => Refusal,
     ): Promise<Either<Refusal, Buffer>> =>
         new Promise((resolve, reject) => {
             const { progressMs } = parts.flowBounds();
-            const state = { isOver: false, growth: { since: clock.now(), bytes: 0 }, cancel: (): void => undefined };
+            const state = {
+                isOver: false,
+                isWaiting: false,
+                hasTurn: req.headers["content-length"] !== undefined,
+                growth: { since: clock.now(), bytes: 0 },
+                cancel: (): void => undefined,
+            };
             const end = (result: Either<Refusal, Buffer>): void => {
                 state.isOver = true;
                 state.cancel();
@@ -66,7 +81,7 @@
             const checkGrowth = (): void => {
                 const now = clock.now();
                 // A timer may fire a fraction of a millisecond early.
-                if (isStalled(state.growth, progressMs, now + 1)) {
+                if (!state.isWaiting && isStalled(state.growth, progressMs, now + 1)) {
                     end(Left(refusalOf("headers-too-slow", "its body makes no progress", { ran: "no" })));
                     return;
                 }
@@ -74,10 +89,28 @@
                 state.cancel = startTimeout(progressMs, checkGrowth);
             };
             state.cancel = startTimeout(progressMs, checkGrowth);
-            const onBytes = (bytes: number): Refusal | undefined => {
+            const wait = async (turn: Promise<Refusal | undefined>): Promise<Refusal | undefined> => {
+                state.isWaiting = true;
+                const refusal = await turn;
+                state.isWaiting = false;
+                state.growth = { since: clock.now(), bytes: 0 };
+                return refusal;
+            };
+            const onBytes = (bytes: number): Refusal | undefined | Promise<Refusal | undefined> => {
                 state.growth.bytes += bytes;
-                add(bytes);
-                return state.isOver || parts.byteBudget.isExhausted() ? withoutMemory() : undefined;
+                account.addBody(bytes);
+                if (account.bodyBytes > bodyLevels.unreservedBytes) {
+                    parts.byteBudget.recordRead(bytes);
+                }
+                if (state.isOver || parts.byteBudget.isExhausted()) {
+                    return withoutMemory();
+                }
+                if (state.hasTurn || account.bodyBytes <= bodyLevels.unreservedBytes) {
+                    return undefined;
+                }
+                state.hasTurn = true;
+                const turn = waitForTurn(Math.min(limit, bodyLevels.unstatedBytes));
+                return turn instanceof Promise ? wait(turn) : turn;
             };
             void readBody(req, limit, onBytes).then(end, reject);
         });
@@ -139,22 +172,55 @@
             refuse(res, refusalOf("headers-too-large"), undefined, true);
             return undefined;
         }
-        const withoutMemory = (): Refusal => {
-            const deadlineMs = decoded.toMaybe().extract()?.deadlineMs ?? Infinity;
-            const timeMs = Math.min(route?.timeoutMs ?? Infinity, deadlineMs) - waited.most;
-            const retryAfterSeconds = memoryRetryAfterSeconds(arrivedAt + timeMs - clock.now());
-            return refusalOf("memory-exhausted", undefined, { retryAfterSeconds });
+        const decodedCaller = decoded.toMaybe().extract();
+        const timeMs = Math.min(route?.timeoutMs ?? Infinity, decodedCaller?.deadlineMs ?? Infinity) - waited.most;
+        const withoutMemory = (bound = "budget", roomInMs?: Millis): Refusal => {
+            metrics.count("azureshunt_memory_refusals_total", "Requests refused for memory, by the bound.", { bound });
+            const retryAfterSeconds = memoryRetryAfterSeconds(arrivedAt + timeMs - clock.now(), roomInMs);
+            return refusalOf("memory-exhausted", BOUND_DETAILS[bound], { retryAfterSeconds });
         };
         if (parts.byteBudget.isExhausted(route === null || route === undefined || isRepeatable(route.kind))) {
-            refuse(res, withoutMemory(), decoded.toMaybe().extract()?.id, true);
+            refuse(res, withoutMemory(), decodedCaller?.id, true);
+            return undefined;
+        }
+        const refusalOfTurn = (turn: BodyTurn): Refusal | undefined => {
+            switch (turn) {
+                case "read":
+                    return undefined;
+                case "gone":
+                    return refusalOf("caller-gone", undefined, { ran: "no" });
+                case "crowded":
+                case "late":
+                    return withoutMemory(turn, parts.byteBudget.bodyRoomInMs());
+            }
+        };
+        const waitForTurn = (bytes: number): Refusal | undefined | Promise<Refusal | undefined> => {
+            parts.byteBudget.recordRead(bodyLevels.waitingBytes);
+            const turn = parts.byteBudget.enterBody(account, { bytes, organisation, deadline: arrivedAt + timeMs });
+            return turn instanceof Promise ? turn.then(refusalOfTurn) : refusalOfTurn(turn);
+        };
+        const limit = limits?.bodyBytes ?? DEFAULT_MAX_BODY_BYTES;
+        const length = Number(req.headers["content-length"] ?? 0);
+        const refuseBody = (refusal: Refusal): void => {
+            refuse(res, refusal, decodedCaller?.id, true);
+            // What is discarded takes as much memory as what is kept, until it is collected.
+            if (!req.complete && Math.max(length, account.bodyBytes) > bodyLevels.unreservedBytes) {
+                req.on("data", (part: Buffer) => parts.byteBudget.recordRead(part.length));
+            }
+        };
+        const waiting = length > bodyLevels.unreservedBytes && length <= limit ? waitForTurn(length) : undefined;
+        const refusal = waiting instanceof Promise ? await waiting : waiting;
+        if (refusal !== undefined) {
+            refuseBody(refusal);
             return undefined;
         }
-        const body = await readHeldBody(req, limits?.bodyBytes ?? DEFAULT_MAX_BODY_BYTES, account.add, withoutMemory);
+        const body = await readHeldBody(req, limit, account, waitForTurn, withoutMemory);
+        body.ifRight(() => parts.byteBudget.completeBody(account));
         // If the body is over its limit and the head is malformed too, the body is the reason given.
         return body.chain(bytes => decoded.map(caller => ({ caller, body: bytes, arrivedAt, waited, account }))).caseOf(
             {
-                Left: refusal => {
-                    refuse(res, refusal, undefined, true);
+                Left: left => {
+                    refuseBody(left);
                     return undefined;
                 },
                 Right: request => request,
