--- a/packages/http/src/__tests__/unit/callerDrain.test.ts
+++ b/packages/http/src/__tests__/unit/callerDrain.test.ts
@@ -30,18 +30,18 @@
     });
 });
 
-const STATES: readonly CallerConnectionState[] = ["silent", "reading", "answering", "idle", "half-closed"];
+const STATES: readonly CallerConnectionState[] = ["unread", "silent", "reading", "answering", "idle", "half-closed"];
 
 type Action = ReturnType<typeof connectionActionOf>;
 
 /** By phase, time in it and time since the half close: the action for each of `STATES`. */
 const ACTIONS: readonly (readonly [CallerDrainPhase, number, number, readonly Action[]])[] = [
-    ["announcing", 2_000, 0, ["keep", "keep", "keep", "keep", "keep"]],
-    ["announcing", 2_000, 201, ["keep", "keep", "keep", "keep", "keep"]],
-    ["accepting", 50, 0, ["keep", "keep", "keep", "keep", "keep"]],
-    ["lingering", 200, 200, ["keep", "keep", "keep", "half-close", "keep"]],
-    ["lingering", 201, 201, ["half-close", "half-close", "keep", "half-close", "close"]],
-    ["ended", 0, 0, ["close", "close", "close", "close", "close"]],
+    ["announcing", 2_000, 0, ["keep", "keep", "keep", "keep", "keep", "keep"]],
+    ["announcing", 2_000, 201, ["keep", "keep", "keep", "keep", "keep", "keep"]],
+    ["accepting", 50, 0, ["keep", "keep", "keep", "keep", "keep", "keep"]],
+    ["lingering", 200, 200, ["keep", "keep", "keep", "keep", "half-close", "keep"]],
+    ["lingering", 201, 201, ["keep", "half-close", "half-close", "keep", "half-close", "close"]],
+    ["ended", 0, 0, ["close", "close", "close", "close", "close", "close"]],
 ];
 
 ACTIONS.forEach(([phase, phaseMs, halfClosedMs, actions]) => {
