--- a/packages/http/src/readBody.ts
+++ b/packages/http/src/readBody.ts
@@ -75,6 +75,10 @@
         };
         const onData = (chunk: Buffer): void => {
             size.bytes += chunk.length;
+            if (size.bytes > limit) {
+                refuse(refusalOf("body-too-large", `at most ${limit} bytes`));
+                return;
+            }
             const verdict = onBytes?.(chunk.length);
             if (verdict instanceof Promise) {
                 req.pause();
@@ -82,10 +86,8 @@
                 void verdict.then(refusal => refusal === undefined ? void req.resume() : refuse(refusal));
                 return;
             }
-            const refusal = verdict
-                ?? (size.bytes > limit ? refusalOf("body-too-large", `at most ${limit} bytes`) : undefined);
-            if (refusal !== undefined) {
-                refuse(refusal);
+            if (verdict !== undefined) {
+                refuse(verdict);
                 return;
             }
             parts.add(chunk);
--- a/packages/router/src/__tests__/unit/readBody.test.ts
+++ b/packages/router/src/__tests__/unit/readBody.test.ts
@@ -11,7 +11,7 @@
 const CLOSE = "Connection: close\r\n";
 
 /** Sends bytes to a server that reads the body after a turn of the event loop, and returns what it read. */
-const read = async (requestParts: readonly string[], isCutOff: boolean): Promise<string> => {
+const read = async (requestParts: readonly string[], isCutOff: boolean, waits: boolean): Promise<string> => {
     const state = { settle: undefined as ((text: string) => void) | undefined };
     const result = new Promise<string>(resolve => {
         state.settle = resolve;
@@ -19,7 +19,10 @@
     const sizes: number[] = [];
     const serve = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
         await new Promise(resolve => setImmediate(resolve));
-        const body = await readBody(req, LIMIT, bytes => void sizes.push(bytes));
+        const body = await readBody(req, LIMIT, bytes => {
+            sizes.push(bytes);
+            return waits ? Promise.resolve(undefined) : undefined;
+        });
         const counted = sizes.reduce((sum, size) => sum + size, 0);
         state.settle?.(body.caseOf({
             Left: ({ kind }) => kind,
@@ -70,9 +73,15 @@
         parts: [chunked, chunk(LIMIT - 1), chunk(2_000), chunk(2_000)],
         expected: "body-too-large",
     },
+    {
+        name: "a last chunk over the limit, each waiting for its turn",
+        parts: [chunked, chunk(LIMIT - 1), `${chunk(2_000)}0\r\n\r\n`],
+        waits: true,
+        expected: "body-too-large",
+    },
     { name: "a caller that leaves", parts: [head(800), "b"], isCutOff: true, expected: "caller-gone" },
-].forEach(({ name, parts, isCutOff = false, expected }) => {
+].forEach(({ name, parts, isCutOff = false, waits = false, expected }) => {
     test(`read body: ${name}`, async t => {
-        t.is(await read(parts, isCutOff), expected);
+        t.is(await read(parts, isCutOff, waits), expected);
     });
 });
