Do not begin requests of the daemon as the time to stop is up

They are refused as not run now. stoppedAnswers and stoppedListener pass; the path itself has no test: it needs a time to stop that is up while the system's queue is still being accepted.

--- a/packages/daemon/src/gateway/startDrainingServer.ts
+++ b/packages/daemon/src/gateway/startDrainingServer.ts
@@ -1,4 +1,4 @@
-import type { Server } from "node:http";
+import type { Server, ServerResponse } from "node:http";
 
 import type { Millis } from "@azureshunt/core";
 import { createCallerConnections, createRequestGate, drainCallers } from "@azureshunt/http";
@@ -39,7 +39,7 @@
         /** Phase of the drain; `undefined` before it. */
         phase: undefined as CallerDrainPhase | undefined,
         /** Requests that are served once the port is closed: their callers might come back at once, and find it closing. */
-        held: [] as (() => void)[],
+        held: [] as { readonly serve: () => void; readonly res: ServerResponse; }[],
     };
     const server = await startHttpServer({
         ...parts,
@@ -61,20 +61,21 @@
                 }
             });
             if (state.phase === "accepting") {
-                state.held.push(() => parts.handler(req, res));
+                state.held.push({ serve: () => parts.handler(req, res), res });
                 return;
             }
             parts.handler(req, res);
         },
     });
     server.on(tls === undefined ? "connection" : "secureConnection", connections.open);
-    const endAnswers = (): void => connections.unanswered().forEach(endAnswer);
+    const endAnswers = (): void => connections.unanswered().forEach(res => endAnswer(res, "answer-lost"));
     const enter = (phase: CallerDrainPhase): void => {
         state.phase = phase;
-        if (phase === "lingering" || phase === "ended") {
-            state.held.splice(0).forEach(serve => serve());
+        if (phase === "lingering") {
+            state.held.splice(0).forEach(({ serve }) => serve());
         }
         if (phase === "ended") {
+            state.held.splice(0).forEach(({ res }) => endAnswer(res, "shutting-down"));
             endAnswers();
         }
     };
