Tell callers of a stopping VM that their request has not run, where it has not

A caller of a request that may run once cannot repeat it then.

Whether a request is passed on is decided once, right before its bytes go out (createRunClaims): one that was not is refused as shutting-down, not run, and is not passed on any more; the others get 502 as before.

stoppedRequests.test: the row of a request that was not passed on failed before by construction (502), 2 of 2 after.

--- a/packages/router/src/serve/ServeParts.ts
+++ b/packages/router/src/serve/ServeParts.ts
@@ -3,6 +3,7 @@
 import type { FlowBounds } from "@azureshunt/flow";
 import type { Metrics } from "@azureshunt/telemetry";
 import type { Logger } from "pino";
+import type { RunClaims } from "./RunClaims.js";
 
 import type { createAllowanceQueue } from "../allowance/createAllowanceQueue.js";
 import type { createAllowances } from "../allowance/createAllowances.js";
@@ -58,6 +59,7 @@
         "open" | "hasRoomForHead" | "isExhausted" | "enterBody" | "completeBody" | "bodyRoomInMs" | "recordRead"
     >;
     readonly unreadBodies: ReturnType<typeof createUnreadBodies>;
+    readonly runClaims: RunClaims;
     readonly flowBounds: () => FlowBounds;
     readonly callerWire: CallerWire;
     readonly endpointWire: EndpointWire;
--- a/packages/router/src/serve/sendTry.ts
+++ b/packages/router/src/serve/sendTry.ts
@@ -215,7 +215,7 @@
         maySend: () => {
             inFlight.onReached();
             used.isWithheld = !parts.availability.maySend(place.entry);
-            used.isSent = !used.isWithheld && !isTooLate(parts, served);
+            used.isSent = !used.isWithheld && !isTooLate(parts, served) && parts.runClaims.passOn(served.res);
             return used.isSent;
         },
         bounds: parts.flowBounds(),
--- a/packages/router/src/serve/startCallerServer.ts
+++ b/packages/router/src/serve/startCallerServer.ts
@@ -20,6 +20,7 @@
 import type { RouterSettings } from "../RouterSettings.js";
 import { areDescriptorsUsed } from "./areDescriptorsUsed.js";
 import { connectionAdmission } from "./connectionAdmission.js";
+import type { RunClaims } from "./RunClaims.js";
 import { sendRefusal } from "./sendRefusal.js";
 import { startListener } from "./startListener.js";
 import { statusOf } from "./statusOf.js";
@@ -47,6 +48,8 @@
     /** Called as a connection's idle time is up; `isIdle` unless a request has arrived by then. */
     readonly onIdleTimeout?: (isIdle: boolean) => void;
     readonly drainLog: ReturnType<typeof createDrainLog>;
+    /** Tells which requests have not been passed on; any may have run if omitted. */
+    readonly runClaims?: RunClaims;
     /** Called with errors that reach nobody else; see `startListener`. */
     readonly onFault?: Parameters<typeof startListener>[2];
 };
@@ -57,7 +60,7 @@
     readonly drain: (withinMs: Millis) => Promise<void>;
     /** Refuses all further requests. */
     readonly refuse: () => void;
-    /** Cuts off the answers that have begun and are not whole, and refuses the others as lost. */
+    /** Cuts off the answers that have begun and are not whole, and refuses the others, as lost where they may have run. */
     readonly cut: () => void;
 };
 
@@ -266,9 +269,16 @@
             server.requestTimeout = limits.headerTimeoutMs + BODY_TIMEOUT_MS;
         }
     };
-    /** Cuts off answers that have begun. Callers of the others are told that their request may have run. */
+    /** Cuts off answers that have begun. Callers of the others are told whether their request may have run. */
     const endAnswers = (): void =>
-        connections.unanswered().forEach(res => sendRefusal(callerWire, res, refusalOf("answer-lost"), true));
+        connections.unanswered().forEach(res => {
+            if (parts.runClaims?.refuse(res) === true) {
+                refuseLate(res);
+            }
+            else {
+                sendRefusal(callerWire, res, refusalOf("answer-lost"), true);
+            }
+        });
     const timer = setInterval(() => {
         applyLimits();
         afterPendingReads(() => connections.closeHalfClosed(MAX_LINGER_MS));
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -56,6 +56,7 @@
 import { createRequestHandler } from "./serve/createRequestHandler.js";
 import { createRequestQueues } from "./serve/createRequestQueues.js";
 import { createRetryBudgets } from "./serve/createRetryBudgets.js";
+import { createRunClaims } from "./serve/createRunClaims.js";
 import { createServiceShares } from "./serve/createServiceShares.js";
 import { createTickLag } from "./serve/createTickLag.js";
 import type { FreshnessBounds } from "./serve/FreshnessBounds.js";
@@ -405,7 +406,9 @@
         logger: loggers("flow"),
         metrics,
     });
+    const runClaims = createRunClaims();
     const handler = createRequestHandler({
+        runClaims,
         byteBudget,
         unreadBodies,
         flowBounds: () => ({ ...defaultBounds, ...state.settings.flow }),
@@ -533,6 +536,7 @@
         settings,
         claim: claims.needed,
         handler,
+        runClaims,
         callerWire: parts.callerWire,
         limits: () => declarations.current().configuration?.limits,
         isReady,
