--- a/packages/router/src/serve/ServeParts.ts
+++ b/packages/router/src/serve/ServeParts.ts
@@ -3,7 +3,6 @@
 import type { FlowBounds } from "@azureshunt/flow";
 import type { Metrics } from "@azureshunt/telemetry";
 import type { Logger } from "pino";
-import type { RunClaims } from "./RunClaims.js";
 
 import type { createAllowanceQueue } from "../allowance/createAllowanceQueue.js";
 import type { createAllowances } from "../allowance/createAllowances.js";
@@ -30,6 +29,7 @@
 import type { createRetryBudgets } from "./createRetryBudgets.js";
 import type { createServiceShares } from "./createServiceShares.js";
 import type { FreshnessBounds } from "./FreshnessBounds.js";
+import type { RunClaims } from "./RunClaims.js";
 
 /** Dependencies of request handling. */
 export type ServeParts = {
