--- a/packages/flow/src/__tests__/unit/bodies.test.ts
+++ b/packages/flow/src/__tests__/unit/bodies.test.ts
@@ -50,9 +50,9 @@
 
 // Guards against a few slow callers that keep the room for bodies until their deadlines.
 test("bodies: a slow one reserves what it will take soon, a whole one what it holds", t => {
-    const slow = { bytes: 4 * MB, readBytes: MB, isWhole: false, readSince: 0, lateBytes: 200_000 };
+    const slow = { bytes: 4 * MB, readBytes: MB, isWhole: false, readSince: 0, recentBytes: 200_000 };
     t.is(pledgedBytes(slow, bodyLevels.paceMs - 1), 4 * MB);
     t.is(pledgedBytes(slow, bodyLevels.paceMs), MB + 200_000);
-    t.is(pledgedBytes({ ...slow, lateBytes: 0 }, bodyLevels.paceMs), MB + bodyLevels.minAheadBytes);
+    t.is(pledgedBytes({ ...slow, recentBytes: 0 }, bodyLevels.paceMs), MB + bodyLevels.minAheadBytes);
     t.is(pledgedBytes({ ...slow, isWhole: true }, 0), MB);
 });
--- a/packages/flow/src/pledgedBytes.ts
+++ b/packages/flow/src/pledgedBytes.ts
@@ -10,7 +10,7 @@
     readonly isWhole: boolean;
     readonly readSince: Millis;
     /** Bytes that came within the last `paceMs`. */
-    readonly lateBytes: number;
+    readonly recentBytes: number;
 };
 
 /**
@@ -18,11 +18,11 @@
  * a few of them would keep out all others until their deadlines.
  */
 export function pledgedBytes(body: ReservedBody, now: Millis): number {
-    const { bytes, readBytes, isWhole, readSince, lateBytes } = body;
+    const { bytes, readBytes, isWhole, readSince, recentBytes } = body;
     if (isWhole) {
         return readBytes;
     }
     return now - readSince < bodyLevels.paceMs
         ? Math.max(bytes, readBytes)
-        : Math.max(readBytes, Math.min(bytes, readBytes + Math.max(bodyLevels.minAheadBytes, lateBytes)));
+        : Math.max(readBytes, Math.min(bytes, readBytes + Math.max(bodyLevels.minAheadBytes, recentBytes)));
 }
--- a/packages/router/src/flow/createBodyQueue.ts
+++ b/packages/router/src/flow/createBodyQueue.ts
@@ -23,7 +23,7 @@
     readonly readSince: Millis;
     readBytes: number;
     isWhole: boolean;
-    lateBytes: number;
+    recentBytes: number;
     windowBytes: number;
     windowAt: Millis;
 };
@@ -68,7 +68,7 @@
         [...reservations.values()].reduce((sum, reservation) => sum + count(reservation), 0);
     const pledgeOf = (reservation: Reservation): number =>
         pledgedBytes(
-            { ...reservation, lateBytes: Math.max(reservation.lateBytes, reservation.windowBytes) },
+            { ...reservation, recentBytes: Math.max(reservation.recentBytes, reservation.windowBytes) },
             clock.now(),
         );
     const reservedBytes = (): number => sumOf(pledgeOf);
@@ -101,7 +101,7 @@
             readSince: now,
             readBytes: account.bodyBytes,
             isWhole: false,
-            lateBytes: 0,
+            recentBytes: 0,
             windowBytes: 0,
             windowAt: now,
         });
@@ -185,7 +185,7 @@
             state.tickedAt = now;
             reservations.forEach(reservation => {
                 if (now - reservation.windowAt >= bodyLevels.paceMs) {
-                    reservation.lateBytes = reservation.windowBytes;
+                    reservation.recentBytes = reservation.windowBytes;
                     reservation.windowBytes = 0;
                     reservation.windowAt = now;
                 }
--- a/packages/router/src/flow/createCollector.ts
+++ b/packages/router/src/flow/createCollector.ts
@@ -17,7 +17,7 @@
 
 /**
  * Creates the collector. Load: large bodies that are read, or refused and discarded, at full speed. V8 collects young
- * buffers only once they take 32 MB, whatever the size of its heap is, which is half of what a VM's memory may grow by.
+ * buffers only once they take many MB, whatever the size of its heap is, which is a large part of what a VM's memory may grow by.
  */
 export function createCollector({ bufferBytes, limit, collect }: CollectorParts): Collector {
     const state = { readBytes: 0, dueBytes: CHECK_BYTES };
