--- a/packages/router/src/flow/createBodyQueue.ts
+++ b/packages/router/src/flow/createBodyQueue.ts
@@ -15,7 +15,7 @@
     readonly bufferBytes: () => number;
 };
 
-type Waiter = WaitingBody & { readonly resolve: (turn: BodyTurn) => void; };
+type Waiter = WaitingBody & { readonly account: HeldAccount; readonly resolve: (turn: BodyTurn) => void; };
 
 type Reservation = {
     readonly organisation: string | undefined;
@@ -113,17 +113,11 @@
             waiter.resolve(turn);
         }
     };
-    const accountOf = (waiter: Waiter): HeldAccount | undefined =>
-        [...waiters].find(([, each]) => each === waiter)?.[0];
     const readNext = (): void => {
-        if (waiters.size === 0) {
-            return;
-        }
         const [first] = ordered();
-        const account = first === undefined ? undefined : accountOf(first);
-        if (first !== undefined && account !== undefined && hasRoom(first.bytes)) {
-            reserve(account, first);
-            end(account, "read");
+        if (first !== undefined && hasRoom(first.bytes)) {
+            reserve(first.account, first);
+            end(first.account, "read");
             readNext();
         }
     };
@@ -146,7 +140,7 @@
                 return "crowded";
             }
             return new Promise(resolve => {
-                const waiter = { ...body, resolve };
+                const waiter = { ...body, account, resolve };
                 waiters.set(account, waiter);
                 recheckLater();
                 const query = { reservedBytes: reservedBytes(), bytesPerMs: bytesPerMs(), now: clock.now() };
@@ -199,12 +193,8 @@
             state.busySince ??= now;
             state.freedBytes *= kept;
             state.busyMs = state.busyMs * kept + passedMs;
-            lateBodies(ordered(), { reservedBytes: reservedBytes(), bytesPerMs: bytesPerMs(), now }).forEach(waiter => {
-                const account = accountOf(waiter);
-                if (account !== undefined) {
-                    end(account, "late");
-                }
-            });
+            lateBodies(ordered(), { reservedBytes: reservedBytes(), bytesPerMs: bytesPerMs(), now })
+                .forEach(({ account }) => end(account, "late"));
             readNext();
         },
         waiting: () => waiters.size,
