--- a/packages/router/src/flow/createByteBudget.ts
+++ b/packages/router/src/flow/createByteBudget.ts
@@ -47,6 +47,8 @@
     readonly addSource: (read: () => number) => void;
     readonly tick: () => void;
     readonly heldBytes: () => number;
+    /** Whether new connections are read; above the level, unread answers are cut off to make room. */
+    readonly hasRoom: () => boolean;
     readonly oldestUnreadMs: () => Millis;
 };
 
@@ -296,6 +298,7 @@
         addSource: read => void sources.push(read),
         tick,
         heldBytes,
+        hasRoom: () => heldBytes() < flowLevels.high * budget(),
         oldestUnreadMs: () => {
             const now = clock.now();
             return [...accounts].reduce((oldest, { unreadSince = now }) => Math.max(oldest, now - unreadSince), 0);
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -4,7 +4,7 @@
 
 import { cpuTimeMs, createClock } from "@azureshunt/core";
 import type { EndpointName, Incarnation, Millis, Tokens } from "@azureshunt/core";
-import { budgetOf, defaultBounds, flowLevels } from "@azureshunt/flow";
+import { budgetOf, defaultBounds } from "@azureshunt/flow";
 import { createDrainLog } from "@azureshunt/http";
 import { afterPendingReads, createAddressClaims, createPauseWatch } from "@azureshunt/lifecycle";
 import { handlePendingSignals, startTimeout } from "@azureshunt/lifecycle";
@@ -544,7 +544,7 @@
         maxDescriptors: maxDescriptors(),
         ...connectionCounters(metrics),
         memoryMb: () => state.settings.memoryMb,
-        hasRoom: () => byteBudget.heldBytes() < flowLevels.high * budgetOf(state.settings.memoryMb),
+        hasRoom: byteBudget.hasRoom,
         drainLog: createDrainLog(metrics, logger),
         onFault: onListenerFault("callers"),
     });
