Log where a revision was read, who confirmed it and when, and whose reads fail

Admitted and Refused now state confirmedBy and newestRevision, a configuration in force its origin, and a failed read, a newer revision that a peer has and a changed scope of reads get a line each, once per change. The log of the declarations is a module of its own.

--- a/packages/router/src/__tests__/support/simulateFreshness.ts
+++ b/packages/router/src/__tests__/support/simulateFreshness.ts
@@ -94,7 +94,7 @@
             if (state !== undefined && beacon.confirmedMs !== undefined) {
                 const asOf = sentAfter - beacon.confirmedMs;
                 const { newestRevision } = state.declaredState;
-                apply(state, { kind: "confirmed", revision: beacon.revision, asOf, stampedAt });
+                apply(state, { kind: "confirmed", revision: beacon.revision, asOf, stampedAt, by: beacon.vm });
                 if (state.declaredState.newestRevision > newestRevision) {
                     checks.get(vm)?.();
                 }
@@ -168,7 +168,7 @@
                 state.storeAt = clock.now();
                 state.requestedAt = requestedAt;
                 apply(state, { kind: "configuration", configuration: routingOf(revision, []) });
-                apply(state, { kind: "confirmed", revision, asOf: requestedAt, stampedAt: requestedAt });
+                apply(state, { kind: "confirmed", revision, asOf: requestedAt, stampedAt: requestedAt, by: "store" });
                 if (scope === "fleet" || state.declaredState.configuration !== before) {
                     exchange.sendSoon();
                 }
--- a/packages/router/src/__tests__/unit/declaredState.test.ts
+++ b/packages/router/src/__tests__/unit/declaredState.test.ts
@@ -18,6 +18,7 @@
     revision,
     asOf,
     stampedAt,
+    by: "store",
 });
 
 type Case = {
--- a/packages/router/src/knowledge/DeclarationEvent.ts
+++ b/packages/router/src/knowledge/DeclarationEvent.ts
@@ -1,6 +1,7 @@
 import type { Millis, ModelName } from "@azureshunt/core";
 
 import type { RoutingConfiguration } from "../configuration/RoutingConfiguration.js";
+import type { ConfirmationSource } from "./ConfirmationSource.js";
 
 /** What a VM learns of the operators' declarations. */
 export type DeclarationEvent =
@@ -13,6 +14,7 @@
         readonly asOf: Millis;
         /** When this VM sent what was answered: its read, or the timestamp that a peer echoed. */
         readonly stampedAt: Millis;
+        readonly by: ConfirmationSource;
     }
     | {
         readonly kind: "weights";
--- a/packages/router/src/knowledge/DeclaredState.ts
+++ b/packages/router/src/knowledge/DeclaredState.ts
@@ -1,6 +1,7 @@
 import type { Millis, ModelName } from "@azureshunt/core";
 
 import type { RoutingConfiguration } from "../configuration/RoutingConfiguration.js";
+import type { ConfirmationSource } from "./ConfirmationSource.js";
 
 /** Target weights that the operators set for a model. */
 type TargetWeights = {
@@ -22,6 +23,8 @@
     readonly newestRevision: number;
     /** Time as of which `configuration` was known to be the newest; `-Infinity` until that is confirmed. */
     readonly confirmedAt: Millis;
+    /** Who confirmed it as of then; `undefined` until that is confirmed. */
+    readonly confirmedBy: ConfirmationSource | undefined;
     /** When the process last detected a suspension; `-Infinity` if it never did. */
     readonly suspendedAt: Millis;
     readonly weights: ReadonlyMap<ModelName, WeightsHistory>;
--- a/packages/router/src/knowledge/initialDeclaredState.ts
+++ b/packages/router/src/knowledge/initialDeclaredState.ts
@@ -5,6 +5,7 @@
     configuration: undefined,
     newestRevision: -1,
     confirmedAt: -Infinity,
+    confirmedBy: undefined,
     suspendedAt: -Infinity,
     weights: new Map(),
 };
--- a/packages/router/src/knowledge/startDeclarations.ts
+++ b/packages/router/src/knowledge/startDeclarations.ts
@@ -14,11 +14,13 @@
 import { followTopic } from "../store/followTopic.js";
 import type { StoreCallReason } from "../store/StoreCallReason.js";
 import type { TopicAnswer } from "../store/TopicAnswer.js";
+import { createDeclarationLog } from "./createDeclarationLog.js";
 import type { DeclarationEvent } from "./DeclarationEvent.js";
 import { declarationsDueIn } from "./declarationsDueIn.js";
 import type { DeclaredState } from "./DeclaredState.js";
 import { initialDeclaredState } from "./initialDeclaredState.js";
 import { readerWaitMs } from "./readerWaitMs.js";
+import type { ReadOrigin } from "./ReadOrigin.js";
 import { stepDeclaredState } from "./stepDeclaredState.js";
 import type { TargetRow } from "./TargetRow.js";
 
@@ -84,14 +86,13 @@
  * Maximum age of the store's last answer while it counts as available: the longest wait of a read plus a slow answer.
  */
 const STORE_AVAILABLE_MS: Millis = 3_300;
-/** Corrections of a target's age up to this much are not logged, as beacons take different times. */
-const LOGGED_CORRECTION_MS: Millis = 1_000;
 /** In place of the offset of a record that was not read from the topic. */
 const NO_OFFSET = -1;
 
 /** Follows the operators' declarations in the store and through the other VMs. */
 export function startDeclarations(parts: DeclarationParts): Declarations {
     const { clock, wire, logger, metrics } = parts;
+    const log = createDeclarationLog(logger, clock);
     const mirror = createTopicMirror((_, before, now) => before.equals(now));
     const state = {
         declaredState: initialDeclaredState,
@@ -101,41 +102,25 @@
         storeAt: -Infinity,
         /** When the last answered read was sent. */
         requestedAt: -Infinity,
-        isStoreAvailable: false,
-        storeChangedAt: clock.now(),
         isFetching: false,
         isReadFailing: false,
         isReadable: true,
     };
 
-    const onWeights = (before: DeclaredState, { model, version }: WeightsEvent): void => {
-        const sinceIn = ({ weights }: DeclaredState): Millis | undefined =>
-            weights.get(model)?.find(target => target.version === version)?.knownSince;
-        const ageIn = (declaredState: DeclaredState): Millis =>
-            Math.round(clock.now() - (sinceIn(declaredState) ?? clock.now()));
-        const ageMs = ageIn(state.declaredState);
-        const ageBeforeMs = ageIn(before);
-        if (version > (before.weights.get(model)?.[0]?.version ?? 0)) {
-            logger.info({ model, version, ageMs }, "Target weights changed.");
-            parts.onChange();
-        }
-        else if (ageMs - ageBeforeMs > LOGGED_CORRECTION_MS) {
-            logger.info({ model, version, ageMs, ageBeforeMs }, "Target weights were set earlier than known so far.");
-        }
-    };
-    const apply = (event: DeclarationEvent): void => {
+    const apply = (event: DeclarationEvent, origin?: ReadOrigin): void => {
         const before = state.declaredState;
-        state.declaredState = stepDeclaredState(before, event, clock.now());
-        if (state.declaredState.confirmedAt > before.confirmedAt) {
+        const after = stepDeclaredState(before, event, clock.now());
+        state.declaredState = after;
+        log.recordEvent(event, before, after, origin);
+        if (after.confirmedAt > before.confirmedAt) {
             parts.onConfirmed?.();
         }
-        if (state.declaredState.configuration !== before.configuration) {
-            logger.info({ revision: state.declaredState.configuration?.revision }, "Configuration in force.");
+        const newestWeights = (declaredState: DeclaredState, { model }: WeightsEvent): number =>
+            declaredState.weights.get(model)?.[0]?.version ?? 0;
+        const hasNewWeights = event.kind === "weights" && newestWeights(after, event) > newestWeights(before, event);
+        if (after.configuration !== before.configuration || hasNewWeights) {
             parts.onChange();
         }
-        if (state.declaredState.weights !== before.weights && event.kind === "weights") {
-            onWeights(before, event);
-        }
     };
 
     /**
@@ -144,14 +129,17 @@
      *
      * @returns the revision if it is a configuration
      */
-    const declare = (key: string, value: Buffer, offset: number): number | undefined =>
+    const declare = (key: string, value: Buffer, origin: ReadOrigin): number | undefined =>
         wire.decodeDeclaration(key, value).caseOf<number | undefined>({
             Left: fault => {
                 state.isReadable = false;
                 metrics.count("azureshunt_unreadable_total", "Records that could not be read.", {
                     what: "declaration",
                 });
-                logger.warn({ key, fault }, "Decoding a declaration failed; the last valid one stays in force.");
+                logger.warn(
+                    { key, fault, ...origin },
+                    "Decoding a declaration failed; the last valid one stays in force.",
+                );
                 return undefined;
             },
             Right: declaration => {
@@ -160,7 +148,13 @@
                 }
                 if (declaration.kind === "rollout") {
                     const { service, version, durationMs } = declaration;
-                    parts.onRollout({ id: offset, service, version, durationMs, learnedAt: clock.now() });
+                    parts.onRollout({
+                        id: origin.offset ?? NO_OFFSET,
+                        service,
+                        version,
+                        durationMs,
+                        learnedAt: clock.now(),
+                    });
                     return undefined;
                 }
                 const revision = declaration.kind === "configuration" ? declaration.configuration.revision : undefined;
@@ -169,23 +163,16 @@
                     state.raw = isNewer ? value : state.raw;
                     state.isReadable = true;
                 }
-                apply(declaration);
+                apply(declaration, origin);
                 return revision;
             },
         });
 
     const hasStore = (): boolean => clock.now() - state.storeAt < STORE_AVAILABLE_MS;
-    const logStoreAvailability = (): void => {
-        const isAvailable = hasStore();
-        if (isAvailable !== state.isStoreAvailable) {
-            state.isStoreAvailable = isAvailable;
-            const changedMs = Math.round(clock.now() - state.storeChangedAt);
-            state.storeChangedAt = clock.now();
-            logger.info(
-                { store: isAvailable, changedMs },
-                isAvailable ? "The store answers." : "The store does not answer.",
-            );
-        }
+    const readerScope = (): ReaderScope => {
+        const scope = parts.readerScope();
+        log.recordScope(scope);
+        return scope;
     };
 
     const followed = followTopic({
@@ -203,7 +190,7 @@
         },
         dueInMs: () => {
             const { declaredState, requestedAt } = state;
-            return declarationsDueIn({ declaredState, requestedAt, scope: parts.readerScope() }, clock.now());
+            return declarationsDueIn({ declaredState, requestedAt, scope: readerScope() }, clock.now());
         },
         reasonOfRead: () => {
             if (parts.readerScope() === "fleet") {
@@ -224,9 +211,11 @@
             state.requestedAt = requestedAt;
             state.isReadFailing = false;
             mirror.record({ records, readTo, isWhole });
-            logStoreAvailability();
+            log.recordRead(undefined, state.declaredState);
+            log.recordStore(hasStore());
+            const [from, readMs] = [isRelayed ? "relay" : "store", Math.round(clock.now() - requestedAt)] as const;
             const read = records.map(({ key, value, offset }) =>
-                value === undefined ? undefined : declare(key, value, offset)
+                value === undefined ? undefined : declare(key, value, { from, offset, readMs })
             );
             state.readRevision = Math.max(state.readRevision, ...read.map(each => each ?? -1));
             if (asOf === undefined) {
@@ -234,7 +223,7 @@
             }
             const revision = state.declaredState.configuration?.revision;
             if (revision !== undefined && state.isReadable) {
-                apply({ kind: "confirmed", revision, asOf, stampedAt: requestedAt });
+                apply({ kind: "confirmed", revision, asOf, stampedAt: requestedAt, by: from });
             }
             if (!isRelayed && parts.readerScope() === "fleet") {
                 parts.onFleetRead();
@@ -246,7 +235,8 @@
                 kind,
             });
             state.isReadFailing = true;
-            logStoreAvailability();
+            log.recordRead(kind, state.declaredState);
+            log.recordStore(hasStore());
         },
     });
 
@@ -255,10 +245,11 @@
             return;
         }
         state.isFetching = true;
+        const requestedAt = clock.now();
         const body = await getBody(parts.agent, address, "/configuration", FETCH_TIMEOUT_MS);
         state.isFetching = false;
         if (body !== undefined) {
-            declare("config", body, NO_OFFSET);
+            declare("config", body, { from: "peer", address, readMs: Math.round(clock.now() - requestedAt) });
         }
     };
 
@@ -272,7 +263,7 @@
         if (beacon.confirmedMs !== undefined) {
             const asOf = sentAfter - beacon.confirmedMs;
             const { newestRevision } = state.declaredState;
-            apply({ kind: "confirmed", revision: beacon.revision, asOf, stampedAt });
+            apply({ kind: "confirmed", revision: beacon.revision, asOf, stampedAt, by: beacon.vm });
             // The VMs of a failure domain query its relays, so these read at once. If the others did too, their queries
             // would reach the relays at one moment, and before they have read.
             if (state.declaredState.newestRevision > newestRevision && parts.readerScope() !== "none") {
--- a/packages/router/src/knowledge/stepDeclaredState.ts
+++ b/packages/router/src/knowledge/stepDeclaredState.ts
@@ -29,13 +29,17 @@
  * if no time had elapsed, and a key withdrawn in that time would continue to work. To prevent this, only answers to
  * queries sent after the last suspension confirm anything.
  */
-const confirm = (declaredState: DeclaredState, { revision, asOf, stampedAt }: EventOf<"confirmed">): DeclaredState => {
+const confirm = (
+    declaredState: DeclaredState,
+    { revision, asOf, stampedAt, by }: EventOf<"confirmed">,
+): DeclaredState => {
     if (revision > revisionOf(declaredState)) {
         return { ...declaredState, newestRevision: Math.max(declaredState.newestRevision, revision) };
     }
     // A revision below this VM's own only shows that its sender is outdated.
-    return revision === revisionOf(declaredState) && stampedAt > declaredState.suspendedAt
-        ? { ...declaredState, confirmedAt: Math.max(declaredState.confirmedAt, asOf) }
+    const isConfirmed = revision === revisionOf(declaredState) && stampedAt > declaredState.suspendedAt;
+    return isConfirmed && asOf > declaredState.confirmedAt
+        ? { ...declaredState, confirmedAt: asOf, confirmedBy: by }
         : declaredState;
 };
 
@@ -72,6 +76,6 @@
         case "weights":
             return setTargetWeights(declaredState, event, now);
         case "suspended":
-            return { ...declaredState, confirmedAt: -Infinity, suspendedAt: now };
+            return { ...declaredState, confirmedAt: -Infinity, confirmedBy: undefined, suspendedAt: now };
     }
 }
--- a/packages/router/src/serve/createRequestHandler.ts
+++ b/packages/router/src/serve/createRequestHandler.ts
@@ -6,6 +6,7 @@
 
 import { chooseService } from "../configuration/chooseService.js";
 import type { Organisation } from "../configuration/Organisation.js";
+import { describeConfirmation } from "../knowledge/describeConfirmation.js";
 import type { CallerRequest } from "../ports/CallerRequest.js";
 import { admitRequest } from "./admitRequest.js";
 import { closingHeaders } from "./closingHeaders.js";
@@ -56,16 +57,13 @@
             const help = "Seconds after which refused callers are to come back.";
             metrics.record("azureshunt_retry_after_seconds", help, refusal.retryAfterSeconds);
         }
-        const { configuration, confirmedAt } = declaredState();
         logger.info({
             id,
             reason: refusal.kind,
             ran: refusal.ran,
             detail: refusal.detail,
             retryAfterSeconds: refusal.retryAfterSeconds,
-            revision: configuration?.revision,
-            // Age of the declared state that the decision used; omitted if none is confirmed.
-            confirmedMs: confirmedAt === -Infinity ? undefined : Math.round(clock.now() - confirmedAt),
+            ...describeConfirmation(declaredState(), clock.now()),
         }, "Refused.");
         sendRefusal(callerWire, res, refusal, isClosing || parts.isDraining());
     };
@@ -180,8 +178,7 @@
                 deadlineMs: caller.deadlineMs,
                 lastEventId: caller.lastEventId,
                 begunBy: caller.begunBy,
-                revision: declaredState().configuration?.revision,
-                confirmedMs: Math.round(arrivedAt - declaredState().confirmedAt),
+                ...describeConfirmation(declaredState(), arrivedAt),
             });
             return admitted;
         }).caseOf({
