Reproduce changes that come into force late while the reader fails

The simulation lets a read that waits in the store fail as the store begins to refuse its VM; before, it was answered.

--- a/packages/router/src/__tests__/support/simulateFreshness.ts
+++ b/packages/router/src/__tests__/support/simulateFreshness.ts
@@ -18,12 +18,16 @@
     readonly loss: number;
     /** Whether the store refuses a VM; VMs are numbered across the failure domains in rotation. */
     readonly isRefused: (vm: number, now: Millis) => boolean;
+    /** Whether the store leaves the reads of a VM that it refuses unanswered. */
+    readonly isSilent?: boolean;
     /** Whether beacons arrive between two failure domains, given by number; always if omitted. */
     readonly isOpen?: (from: number, to: number, now: Millis) => boolean;
     /** When VM 0, which reads for the others, is killed; never if omitted. */
     readonly killAt?: Millis;
     /** When the store gets a newer revision, which withdraws a key; never if omitted. */
     readonly withdrawAt?: Millis;
+    /** When the store got the revision before that one; the first one if omitted. */
+    readonly changeAt?: Millis;
     /** Age of a confirmation up to which keys are accepted. */
     readonly keysMs: Millis;
     /** Times in which processes do not run; none if omitted. */
@@ -39,6 +43,8 @@
     readonly readsPerSecond: number;
     /** Time after the withdrawal at which a VM accepted the key for the last time. */
     readonly acceptedForMs: Millis;
+    /** The same on VMs that the store serves at that time, and that have run all the time. */
+    readonly acceptedWithStoreForMs: Millis;
 };
 
 type SimulatedVm = ReturnType<ReturnType<typeof relayFleet>["vm"]>;
@@ -55,6 +61,8 @@
 const RECHECK_MS = 250;
 const CALL_MS = 10;
 const RETRY_MS = 250;
+/** Time after which a read fails that the store leaves unanswered, in addition to its wait. */
+const CALL_LIMIT_MS = 900;
 const STORE_SEEN_MS = 3_300;
 /** Time between two samples of all VMs. */
 const SAMPLE_MS = 50;
@@ -68,7 +76,11 @@
 /** Runs VMs in virtual time that read declarations and confirm them to each other. */
 export function simulateFreshness(parts: SimulationParts): SimulationResult {
     const { isOpen = () => true, killAt = Infinity, withdrawAt = Infinity } = parts;
-    const measured = { oldestMs: 0, oldestRefusedMs: 0, reads: 0, acceptedForMs: 0 };
+    const changes = [parts.changeAt ?? [], withdrawAt].flat();
+    const revisionAt = (at: Millis): number => REVISION + changes.filter(change => change <= at).length;
+    const measured = { oldestMs: 0, oldestRefusedMs: 0, reads: 0, acceptedForMs: 0, acceptedWithStoreForMs: 0 };
+    const hasRunAlways = ({ listed }: SimulatedVm): boolean =>
+        parts.pauses?.some(pause => pause.vm === listed.vm) !== true;
     const states = new Map<VmId, VmState>();
     /** By VM: checks at once whether it has to read. */
     const checks = new Map<VmId, () => void>();
@@ -105,10 +117,15 @@
     const apply = (state: VmState, event: Parameters<typeof stepDeclaredState>[1]): void => {
         state.declaredState = stepDeclaredState(state.declaredState, event, state.vm.clock.now());
     };
-    const noteAcceptance = ({ declaredState, vm }: VmState): void => {
+    const noteAcceptance = ({ declaredState, number, vm }: VmState): void => {
         const ageMs = vm.clock.now() - declaredState.confirmedAt;
-        if (!vm.isPaused() && ageMs <= parts.keysMs && declaredState.configuration?.revision === REVISION) {
-            measured.acceptedForMs = Math.max(measured.acceptedForMs, wall.now() - withdrawAt);
+        const isOutdated = (declaredState.configuration?.revision ?? Infinity) < revisionAt(Infinity);
+        if (!vm.isPaused() && ageMs <= parts.keysMs && isOutdated) {
+            const forMs = wall.now() - withdrawAt;
+            measured.acceptedForMs = Math.max(measured.acceptedForMs, forMs);
+            if (hasRunAlways(vm) && !parts.isRefused(number, wall.now())) {
+                measured.acceptedWithStoreForMs = Math.max(measured.acceptedWithStoreForMs, forMs);
+            }
         }
     };
     const startReading = (vm: SimulatedVm): void => {
@@ -150,19 +167,21 @@
             const requestedAt = clock.now();
             const sentAt = wall.now();
             measured.reads += sentAt > SETTLED_MS ? 1 : 0;
-            if (parts.isRefused(number, sentAt)) {
-                schedule(RETRY_MS, read);
-                return;
-            }
             const isFirst = state.declaredState.configuration === undefined;
             const wait = {
                 ...state,
                 beaconIntervalMs: membership.beaconIntervalMs(),
                 isForDomains: membership.reachesOtherDomains(),
             };
-            const until = sentAt + (scope === "fleet" && !isFirst ? readerWaitMs(wait, requestedAt) : 0);
-            const answeredAt = sentAt < withdrawAt && withdrawAt < until ? withdrawAt : until;
-            const revision = answeredAt < withdrawAt ? REVISION : REVISION + 1;
+            const isRetry = parts.isRefused(number, sentAt);
+            const until = sentAt + (scope === "fleet" && !isFirst && !isRetry ? readerWaitMs(wait, requestedAt) : 0);
+            const answeredAt = Math.min(until, ...changes.filter(change => sentAt < change));
+            if (parts.isRefused(number, answeredAt)) {
+                const failedAt = parts.isSilent === true ? until + CALL_LIMIT_MS : answeredAt;
+                schedule(failedAt - sentAt + RETRY_MS, read);
+                return;
+            }
+            const revision = revisionAt(answeredAt);
             schedule(CALL_MS + answeredAt - sentAt, () => {
                 const before = state.declaredState.configuration;
                 state.storeAt = clock.now();
@@ -182,7 +201,7 @@
             states.forEach(state => {
                 const { declaredState, number, vm } = state;
                 const key = parts.isRefused(number, wall.now()) ? "oldestRefusedMs" : "oldestMs";
-                if (parts.pauses?.some(pause => pause.vm === vm.listed.vm) !== true) {
+                if (hasRunAlways(vm)) {
                     measured[key] = Math.max(measured[key], vm.clock.now() - declaredState.confirmedAt);
                 }
                 noteAcceptance(state);
@@ -198,11 +217,9 @@
         });
     }
     fleet.runUntil(parts.forMs);
-    const { oldestMs, oldestRefusedMs, reads, acceptedForMs } = measured;
+    const { reads, ...ages } = measured;
     return {
-        oldestMs,
-        oldestRefusedMs,
-        acceptedForMs,
+        ...ages,
         readsPerSecond: reads * 1_000 / (parts.forMs - SETTLED_MS),
     };
 }
