Derive the ages at which VMs read for themselves from the time a change may take

Callers with a key that had been withdrawn were served 2,002 to 2,340 ms after the acknowledgement, where 2,000 are allowed, by VMs that the store served all the time.

Cause: the one VM that reads for all may fail at any moment, and the others rely on its last confirmation for 2,200 or 2,500 ms, constants that were not derived from the bound. They could not be shorter, as confirmations were up to two waits old (1.9 s) when the next one came: an answer counted as of the time at which its read was sent.

An empty answer now counts as of the end of its wait, since the store answers as soon as there is a record; at once, or with a record, as before. So confirmations are at most one wait old, and the ages follow from the bound: 0.7 and 0.8 of it, at most those of before.

Tests of the ages and waits state the new times; all are stricter.

--- a/packages/router/src/__tests__/support/simulateFreshness.ts
+++ b/packages/router/src/__tests__/support/simulateFreshness.ts
@@ -30,6 +30,8 @@
     readonly changeAt?: Millis;
     /** Age of a confirmation up to which keys are accepted. */
     readonly keysMs: Millis;
+    /** Time in which a change must be in force. */
+    readonly configurationMs: Millis;
     /** Times in which processes do not run; none if omitted. */
     readonly pauses?: Parameters<typeof relayFleet>[0]["pauses"];
 };
@@ -152,7 +154,7 @@
                 return;
             }
             const scope = membership.readerScope();
-            const dueIn = declarationsDueIn({ ...state, scope }, clock.now());
+            const dueIn = declarationsDueIn({ ...state, scope, configurationMs: parts.configurationMs }, clock.now());
             if (dueIn > 0) {
                 const cancel = schedule(Math.min(dueIn, RECHECK_MS), read);
                 checks.set(listed.vm, () => {
@@ -172,6 +174,7 @@
                 ...state,
                 beaconIntervalMs: membership.beaconIntervalMs(),
                 isForDomains: membership.reachesOtherDomains(),
+                configurationMs: parts.configurationMs,
             };
             const isRetry = parts.isRefused(number, sentAt);
             const until = sentAt + (scope === "fleet" && !isFirst && !isRetry ? readerWaitMs(wait, requestedAt) : 0);
@@ -182,12 +185,13 @@
                 return;
             }
             const revision = revisionAt(answeredAt);
+            const asOf = requestedAt + (answeredAt === until ? until - sentAt : 0);
             schedule(CALL_MS + answeredAt - sentAt, () => {
                 const before = state.declaredState.configuration;
                 state.storeAt = clock.now();
                 state.requestedAt = requestedAt;
                 apply(state, { kind: "configuration", configuration: routingOf(revision, []) });
-                apply(state, { kind: "confirmed", revision, asOf: requestedAt, stampedAt: requestedAt, by: "store" });
+                apply(state, { kind: "confirmed", revision, asOf, stampedAt: requestedAt, by: "store" });
                 if (scope === "fleet" || state.declaredState.configuration !== before) {
                     exchange.sendSoon();
                 }
--- a/packages/router/src/__tests__/support/startTargetDeclarations.ts
+++ b/packages/router/src/__tests__/support/startTargetDeclarations.ts
@@ -35,6 +35,7 @@
         isForDomains: () => false,
         onFleetRead: () => undefined,
         beaconIntervalMs: () => 200,
+        configurationMs: () => 2_000,
         queryRelay: () => Promise.resolve(undefined),
         mustWaitForRelay: () => false,
         checkSuspension: () => undefined,
--- a/packages/router/src/__tests__/unit/callOnce.test.ts
+++ b/packages/router/src/__tests__/unit/callOnce.test.ts
@@ -42,7 +42,12 @@
 
 [6, 15, 40, 66].forEach(vms => {
     test(`declarations: a reader among ${vms} VMs waits an integral number of milliseconds`, t => {
-        const inputs = { declaredState: initialDeclaredState, requestedAt: 0, beaconIntervalMs: 25 * vms };
+        const inputs = {
+            declaredState: initialDeclaredState,
+            requestedAt: 0,
+            beaconIntervalMs: 25 * vms,
+            configurationMs: 1_234.5,
+        };
         [true, false].forEach(isForDomains => t.true(Number.isInteger(readerWaitMs({ ...inputs, isForDomains }, 0.5))));
         const declaredState = { ...initialDeclaredState, confirmedAt: 0.3 };
         t.true(Number.isInteger(readerWaitMs({ ...inputs, declaredState, isForDomains: true }, 1_500.8)));
--- a/packages/router/src/__tests__/unit/changeInForce.test.ts
+++ b/packages/router/src/__tests__/unit/changeInForce.test.ts
@@ -8,14 +8,15 @@
 type Simulation = Parameters<typeof simulateFreshness>[0];
 type Case = {
     readonly name: string;
+    readonly vms?: number;
+    /** Time in which a change must be in force on VMs that the store serves. */
+    readonly configurationMs?: Millis;
     readonly loss?: number;
     readonly isSilent?: boolean;
     /** What fails at a time. */
     readonly failure: (failedAt: Millis) => Partial<Pick<Simulation, "isRefused" | "killAt" | "isOpen" | "pauses">>;
 };
 
-/** Time in which a change must be in force on VMs that the store serves. */
-const APPLY_MS: Millis = 2_000;
 const KEYS_MS: Millis = 4_400;
 const SEED = 7;
 /** When the change before the one that is measured is made: all VMs read it shortly before the failure. */
@@ -45,17 +46,23 @@
         name: "the reader's domain is cut off",
         failure: at => ({ isOpen: (a, b, now) => now < at || (a === 0) === (b === 0) }),
     },
+    {
+        name: "the store refuses the readers of two domains among 30 VMs",
+        vms: 30,
+        configurationMs: 3_000,
+        failure: refusing([0, 1]),
+    },
     { name: "all domains are cut off", failure: at => ({ isOpen: (a, b, now) => now < at || a === b }) },
 ];
 
 // The one VM that reads for all fails as a change is acknowledged, and VMs that the store serves decide by the
 // configuration before for longer than allowed.
-cases.forEach(({ name, loss = 0, isSilent = false, failure }) => {
+cases.forEach(({ name, vms = 6, configurationMs = 2_000, loss = 0, isSilent = false, failure }) => {
     test(`change in force in time: ${name}`, t => {
         const seen = FAILED_AT.flatMap(failedAt =>
             CHANGED_AFTER.map(afterMs =>
                 simulateFreshness({
-                    vms: 6,
+                    vms,
                     domains: 3,
                     forMs: 13_500,
                     random: seededRandom(SEED + afterMs),
@@ -63,6 +70,7 @@
                     isSilent,
                     isRefused: () => false,
                     keysMs: KEYS_MS,
+                    configurationMs,
                     changeAt: CHANGE_AT,
                     withdrawAt: failedAt + afterMs,
                     ...failure(failedAt),
@@ -70,6 +78,6 @@
             )
         );
         t.log(seen);
-        t.true(Math.max(...seen) < APPLY_MS, `${Math.max(...seen)} ms`);
+        t.true(Math.max(...seen) < configurationMs, `${Math.max(...seen)} ms`);
     });
 });
--- a/packages/router/src/__tests__/unit/declarationReaders.test.ts
+++ b/packages/router/src/__tests__/unit/declarationReaders.test.ts
@@ -12,6 +12,7 @@
 // confirmations too old to serve.
 
 const KEYS_MS = 4_400;
+const CONFIGURATION_MS = 2_000;
 
 const confirmed = (confirmedAt: number, newestRevision = 1) => ({
     ...initialDeclaredState,
@@ -20,7 +21,11 @@
     confirmedAt,
 });
 
-type DueCase = Parameters<typeof declarationsDueIn>[0] & { readonly name: string; readonly dueIn: number; };
+type DueCase = Omit<Parameters<typeof declarationsDueIn>[0], "configurationMs"> & {
+    readonly name: string;
+    readonly configurationMs?: number;
+    readonly dueIn: number;
+};
 
 const due: readonly DueCase[] = [
     { name: "a reader always reads", declaredState: confirmed(9_900), requestedAt: 9_900, scope: "fleet", dueIn: 0 },
@@ -29,18 +34,18 @@
         declaredState: confirmed(9_900),
         requestedAt: 1_000,
         scope: "none",
-        dueIn: 2_400,
+        dueIn: 1_500,
     },
     {
-        name: "the reader of a failure domain waits longer than two reads of the reader of all VMs take",
+        name: "the reader of a failure domain waits longer than a read of the reader of all VMs takes",
         declaredState: confirmed(9_900),
         requestedAt: 1_000,
         scope: "domain",
-        dueIn: 2_100,
+        dueIn: 1_300,
     },
     {
         name: "the reader of a failure domain reads before the others of its domain",
-        declaredState: confirmed(7_700),
+        declaredState: confirmed(8_500),
         requestedAt: 1_000,
         scope: "domain",
         dueIn: -100,
@@ -50,7 +55,23 @@
         declaredState: confirmed(7_000),
         requestedAt: 1_000,
         scope: "none",
-        dueIn: -500,
+        dueIn: -1_400,
+    },
+    {
+        name: "a follower waits longer where changes may come into force later",
+        declaredState: confirmed(9_900),
+        requestedAt: 1_000,
+        scope: "none",
+        configurationMs: 3_000,
+        dueIn: 2_300,
+    },
+    {
+        name: "a follower reads early enough for keys to stay confirmed, however late changes may come into force",
+        declaredState: confirmed(9_900),
+        requestedAt: 1_000,
+        scope: "none",
+        configurationMs: 60_000,
+        dueIn: 2_400,
     },
     {
         name: "a follower that receives a newer revision number reads",
@@ -81,9 +102,9 @@
         dueIn: -Infinity,
     },
 ];
-due.forEach(({ name, declaredState, requestedAt, scope, dueIn }) => {
+due.forEach(({ name, dueIn, ...inputs }) => {
     test(`declarations: ${name}`, t => {
-        t.is(declarationsDueIn({ declaredState, requestedAt, scope }, 10_000), dueIn);
+        t.is(declarationsDueIn({ configurationMs: CONFIGURATION_MS, ...inputs }, 10_000), dueIn);
     });
 });
 
@@ -93,12 +114,13 @@
     { name: "few VMs of one failure domain", isForDomains: false, waitMs: 1_100 },
     { name: "many VMs of one failure domain", isForDomains: false, beaconIntervalMs: 500, waitMs: 950 },
     { name: "few VMs of several failure domains", waitMs: 950 },
-    { name: "it takes over from a reader that died", declaredState: confirmed(8_400), waitMs: 300 },
+    { name: "changes must be in force sooner", configurationMs: 1_000, waitMs: 250 },
+    { name: "it takes over from a reader that died", declaredState: confirmed(9_200), waitMs: 500 },
     {
         name: "it takes over, having read long ago",
-        declaredState: confirmed(8_400),
-        requestedAt: 8_400,
-        waitMs: 300,
+        declaredState: confirmed(9_200),
+        requestedAt: 9_200,
+        waitMs: 500,
     },
     { name: "it takes over when confirmations have become too old", declaredState: confirmed(7_000), waitMs: 0 },
     {
@@ -116,6 +138,7 @@
             requestedAt: 1_000,
             beaconIntervalMs: 200,
             isForDomains: true,
+            configurationMs: CONFIGURATION_MS,
         };
         t.is(readerWaitMs({ ...usual, ...inputs }, 10_000), waitMs);
     });
@@ -163,6 +186,7 @@
             loss,
             isRefused,
             keysMs: KEYS_MS,
+            configurationMs: CONFIGURATION_MS,
         });
         t.log(seen);
         t.true(seen.oldestMs < KEYS_MS, `${seen.oldestMs} ms`);
@@ -220,6 +244,7 @@
                 loss,
                 isRefused,
                 keysMs: KEYS_MS,
+                configurationMs: CONFIGURATION_MS,
                 withdrawAt,
                 ...failure,
             })
--- a/packages/router/src/__tests__/unit/relayAnswers.test.ts
+++ b/packages/router/src/__tests__/unit/relayAnswers.test.ts
@@ -53,6 +53,7 @@
         isForDomains: () => false,
         onFleetRead: () => undefined,
         beaconIntervalMs: () => 200,
+        configurationMs: () => 2_000,
         queryRelay: () => Promise.resolve(undefined),
         mustWaitForRelay: () => false,
         checkSuspension: () => undefined,
--- a/packages/router/src/knowledge/declarationsDueIn.ts
+++ b/packages/router/src/knowledge/declarationsDueIn.ts
@@ -2,18 +2,7 @@
 
 import type { ReaderScope } from "../peers/ReaderScope.js";
 import type { DeclaredState } from "./DeclaredState.js";
-
-/**
- * Age of the last confirmation at which a VM that leaves reading to another one reads for itself: early enough for a
- * second read before keys are refused, and late enough for one or two beacons to be lost.
- */
-const FOLLOWER_READ_AGE_MS: Millis = 2_500;
-/**
- * The same for the reader of a failure domain while another VM reads for all. Earlier, so that its beacon reaches the
- * other VMs of the domain before they read for themselves. Later than twice the wait of a read by the reader of all VMs
- * (`readerWaitMs`), a slow answer and one lost beacon.
- */
-const DOMAIN_READ_AGE_MS: Millis = 2_200;
+import { readTiming } from "./readTiming.js";
 
 /** Minimum time between two reads: the store may be outdated, or hold no readable record, for seconds. */
 const MIN_READ_INTERVAL_MS: Millis = 250;
@@ -24,6 +13,8 @@
     readonly requestedAt: Millis;
     /** For which VMs this VM reads the declarations. */
     readonly scope: ReaderScope;
+    /** Time in which a change must be in force. */
+    readonly configurationMs: Millis;
 };
 
 /**
@@ -34,12 +25,16 @@
  * revision number reads at once. A VM whose last confirmation gets old, since the reader died or is cut off, reads for
  * itself, first the reader of its failure domain; this needs no agreement between VMs.
  */
-export function declarationsDueIn({ declaredState, requestedAt, scope }: DueInputs, now: Millis): Millis {
+export function declarationsDueIn(
+    { declaredState, requestedAt, scope, configurationMs }: DueInputs,
+    now: Millis,
+): Millis {
     if (scope === "fleet") {
         return 0;
     }
     const isOutdated = declaredState.newestRevision > (declaredState.configuration?.revision ?? -1);
-    const readAgeMs = scope === "domain" ? DOMAIN_READ_AGE_MS : FOLLOWER_READ_AGE_MS;
+    const { domainReadAgeMs, followerReadAgeMs } = readTiming(configurationMs);
+    const readAgeMs = scope === "domain" ? domainReadAgeMs : followerReadAgeMs;
     const dueAt = isOutdated ? -Infinity : declaredState.confirmedAt + readAgeMs;
     return Math.max(dueAt, requestedAt + MIN_READ_INTERVAL_MS) - now;
 }
--- a/packages/router/src/knowledge/readerWaitMs.ts
+++ b/packages/router/src/knowledge/readerWaitMs.ts
@@ -1,6 +1,7 @@
 import type { Millis } from "@azureshunt/core";
 
 import type { DeclaredState } from "./DeclaredState.js";
+import { readTiming } from "./readTiming.js";
 
 /** Longest time that a read waits for a declaration: short enough for keys to stay confirmed if the next read fails. */
 const WAIT_MS: Millis = 1_200;
@@ -8,11 +9,8 @@
  * Fraction of the beacon interval by which the wait is shorter, since confirmations are older when others receive them.
  */
 const BEACON_INTERVAL_FRACTION = 0.5;
-/**
- * Longest wait of a VM that reads for several failure domains. A confirmation is up to twice as old when the next one
- * arrives, and the readers of the other domains read from 2.2 s on (`declarationsDueIn`).
- */
-const DOMAINS_WAIT_MS: Millis = 950;
+/** Time for the answer, and for the beacon with it, to arrive before the others read for themselves. */
+const ANSWER_MS: Millis = 100;
 
 type WaitInputs = {
     readonly declaredState: DeclaredState;
@@ -22,25 +20,28 @@
     readonly beaconIntervalMs: Millis;
     /** Whether VMs of other failure domains rely on the read. */
     readonly isForDomains: boolean;
+    /** Time in which a change must be in force. */
+    readonly configurationMs: Millis;
 };
 
 /**
  * Returns how long a read waits for a declaration on the VM that reads for the others, in whole milliseconds.
  *
  * A VM that takes over from another reader has an old confirmation, its own or another's. If its first read waited for
- * long, the others' confirmations would get too old meanwhile, and all of them would read. So the wait is shorter by the
- * excess age.
+ * long, the others' confirmations would get too old meanwhile, and all of them would read. So it waits no longer than
+ * until the others are about to read.
  */
 export function readerWaitMs(
-    { declaredState, requestedAt, beaconIntervalMs, isForDomains }: WaitInputs,
+    { declaredState, requestedAt, beaconIntervalMs, isForDomains, configurationMs }: WaitInputs,
     now: Millis,
 ): Millis {
+    const { maxWaitMs, domainReadAgeMs } = readTiming(configurationMs);
     const usualMs = Math.round(
-        Math.min(WAIT_MS - BEACON_INTERVAL_FRACTION * beaconIntervalMs, isForDomains ? DOMAINS_WAIT_MS : Infinity),
+        Math.min(WAIT_MS - BEACON_INTERVAL_FRACTION * beaconIntervalMs, isForDomains ? maxWaitMs : Infinity),
     );
     const { confirmedAt } = declaredState;
     // A read that confirmed nothing does not make the next one shorter, or an unreadable record would be read in a loop.
     return confirmedAt < requestedAt
         ? usualMs
-        : Math.max(0, Math.min(usualMs, Math.round(2 * usualMs - (now - confirmedAt))));
+        : Math.max(0, Math.min(usualMs, Math.round(domainReadAgeMs - ANSWER_MS - (now - confirmedAt))));
 }
--- a/packages/router/src/knowledge/startDeclarations.ts
+++ b/packages/router/src/knowledge/startDeclarations.ts
@@ -21,6 +21,7 @@
 import { initialDeclaredState } from "./initialDeclaredState.js";
 import { readerWaitMs } from "./readerWaitMs.js";
 import type { ReadOrigin } from "./ReadOrigin.js";
+import { readTiming } from "./readTiming.js";
 import { stepDeclaredState } from "./stepDeclaredState.js";
 import type { TargetRow } from "./TargetRow.js";
 
@@ -48,6 +49,8 @@
     readonly isForDomains: () => boolean;
     /** Time between two beacons to one VM. */
     readonly beaconIntervalMs: () => Millis;
+    /** Time in which a change must be in force. */
+    readonly configurationMs: () => Millis;
     /** Queries a relay for a topic; see `followTopic`. */
     readonly queryRelay: (topic: string, from: number | undefined) => Promise<TopicAnswer | undefined>;
     readonly mustWaitForRelay: () => boolean;
@@ -80,8 +83,6 @@
 };
 
 const FETCH_TIMEOUT_MS = 1_000;
-/** Maximum age of what a relay answers in place of the store: beyond it, the store could give the VM newer data. */
-const MAX_ANSWER_AGE_MS: Millis = 2_000;
 /**
  * Maximum age of the store's last answer while it counts as available: the longest wait of a read plus a slow answer.
  */
@@ -184,13 +185,17 @@
         waitMs: () => {
             const { declaredState, requestedAt } = state;
             const [beaconIntervalMs, isForDomains] = [parts.beaconIntervalMs(), parts.isForDomains()];
-            return parts.readerScope() === "fleet"
-                ? readerWaitMs({ declaredState, requestedAt, beaconIntervalMs, isForDomains }, clock.now())
-                : 0;
+            const configurationMs = parts.configurationMs();
+            const inputs = { declaredState, requestedAt, beaconIntervalMs, isForDomains, configurationMs };
+            return parts.readerScope() === "fleet" ? readerWaitMs(inputs, clock.now()) : 0;
         },
         dueInMs: () => {
             const { declaredState, requestedAt } = state;
-            return declarationsDueIn({ declaredState, requestedAt, scope: readerScope() }, clock.now());
+            const configurationMs = parts.configurationMs();
+            return declarationsDueIn(
+                { declaredState, requestedAt, scope: readerScope(), configurationMs },
+                clock.now(),
+            );
         },
         reasonOfRead: () => {
             if (parts.readerScope() === "fleet") {
@@ -287,7 +292,9 @@
         const { configuration, confirmedAt } = state.declaredState;
         const ageMs = clock.now() - confirmedAt;
         const isRead = configuration?.revision === state.readRevision && state.isReadable;
-        const page = isRead && ageMs < MAX_ANSWER_AGE_MS ? mirror.answer(from) : undefined;
+        const page = isRead && ageMs < readTiming(parts.configurationMs()).maxAnswerAgeMs
+            ? mirror.answer(from)
+            : undefined;
         return page === undefined ? undefined : { ...page, ageMs, readAgeMs: ageMs };
     };
     return {
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -189,6 +189,7 @@
         // The relays of other failure domains pass the confirmation on, so it must not wait for a round here.
         onFleetRead: () => membership.reachesOtherDomains() ? beacons.sendSoon() : undefined,
         beaconIntervalMs: membership.beaconIntervalMs,
+        configurationMs: () => state.settings.configurationMs,
         queryRelay: relayReads.query,
         mustWaitForRelay: relayReads.mustWait,
         onConfirmed: factsWait.recordConfirmed,
--- a/packages/router/src/store/followTopic.ts
+++ b/packages/router/src/store/followTopic.ts
@@ -128,9 +128,9 @@
     const readFrom = async (from: number): Promise<Millis> => {
         const requestedAt = clock.now();
         // While the store does not answer, a waiting read would notice its return late and delay requests with keys.
-        const page = state.isStoreAnswering
-            ? await storeFor(parts.reasonOfRead()).read(topic, from, state.isBehind ? 0 : parts.waitMs())
-            : await storeFor("retry").read(topic, from, 0);
+        const reason = state.isStoreAnswering ? parts.reasonOfRead() : "retry";
+        const waitMs = state.isStoreAnswering && !state.isBehind ? parts.waitMs() : 0;
+        const page = await storeFor(reason).read(topic, from, waitMs);
         // A store that does not keep the records any more answers.
         state.isStoreAnswering = page.caseOf({ Left: ({ kind }) => kind === "expired", Right: () => true });
         return page.caseOf({
@@ -153,7 +153,10 @@
                 state.next = state.isBehind && (parts.catchUp === "newest" || readTo === from)
                     ? undefined
                     : Math.max(from, readTo);
-                const asOf = state.isBehind ? undefined : requestedAt;
+                // The store answers as soon as there is a record. So if it waited to the end, there was none until then.
+                const hasWaited = !state.hasRead && clock.now() - requestedAt >= waitMs;
+                const currentAt = requestedAt + (hasWaited ? waitMs : 0);
+                const asOf = state.isBehind ? undefined : currentAt;
                 parts.onRead({ records, readTo, isWhole: false, requestedAt, asOf, readAsOf: asOf, isRelayed: false });
                 return 0;
             },
