Confirm a configuration although another declaration cannot be decoded

A record of target weights or of a rollout that could not be decoded kept every VM from confirming its configuration until the next configuration came, so that requests with keys would be refused everywhere after 4.4 s: one flag stood for all records.

What cannot be decoded is now kept by key, and only the configuration's own record counts.

--- a/packages/router/src/knowledge/startDeclarations.ts
+++ b/packages/router/src/knowledge/startDeclarations.ts
@@ -105,8 +105,14 @@
         requestedAt: -Infinity,
         isFetching: false,
         isReadFailing: false,
-        isReadable: true,
+        /** Key of the configuration, once one was read. */
+        configurationKey: undefined as string | undefined,
     };
+    /** Keys whose newest record in the topic cannot be decoded. */
+    const unreadableKeys = new Set<string>();
+    /** Whether the newest configuration could be decoded; records of other declarations say nothing about it. */
+    const isConfigurationReadable = (): boolean =>
+        state.configurationKey !== undefined && !unreadableKeys.has(state.configurationKey);
 
     const apply = (event: DeclarationEvent, origin?: ReadOrigin): void => {
         const before = state.declaredState;
@@ -133,7 +139,9 @@
     const declare = (key: string, value: Buffer, origin: ReadOrigin): number | undefined =>
         wire.decodeDeclaration(key, value).caseOf<number | undefined>({
             Left: fault => {
-                state.isReadable = false;
+                if (origin.from !== "peer") {
+                    unreadableKeys.add(key);
+                }
                 metrics.count("azureshunt_unreadable_total", "Records that could not be read.", {
                     what: "declaration",
                 });
@@ -144,6 +152,9 @@
                 return undefined;
             },
             Right: declaration => {
+                if (origin.from !== "peer") {
+                    unreadableKeys.delete(key);
+                }
                 if (declaration.kind === "other") {
                     return undefined;
                 }
@@ -162,7 +173,7 @@
                 if (revision !== undefined) {
                     const isNewer = revision > (state.declaredState.configuration?.revision ?? -1);
                     state.raw = isNewer ? value : state.raw;
-                    state.isReadable = true;
+                    state.configurationKey = key;
                 }
                 apply(declaration, origin);
                 return revision;
@@ -227,7 +238,7 @@
                 return;
             }
             const revision = state.declaredState.configuration?.revision;
-            if (revision !== undefined && state.isReadable) {
+            if (revision !== undefined && isConfigurationReadable()) {
                 apply({ kind: "confirmed", revision, asOf, stampedAt: requestedAt, by: from });
             }
             if (!isRelayed && parts.readerScope() === "fleet") {
@@ -291,7 +302,7 @@
         parts.checkSuspension();
         const { configuration, confirmedAt } = state.declaredState;
         const ageMs = clock.now() - confirmedAt;
-        const isRead = configuration?.revision === state.readRevision && state.isReadable;
+        const isRead = configuration?.revision === state.readRevision && isConfigurationReadable();
         const page = isRead && ageMs < readTiming(parts.configurationMs()).maxAnswerAgeMs
             ? mirror.answer(from)
             : undefined;
