Model reads that wait in the store, and let the bound of withdrawn keys bind reads too

keyFreshness.pml confirmed a read as of its sending only. With NO_HELD, a store that answers at once and a VM that counts the wait all the same, the withdrawn key is served too long, as it must be.

The ages at which VMs read follow from the shorter of the two bounds, as keys are refused everywhere if their confirmation is not renewed in time.

--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -189,7 +189,8 @@
         // The relays of other failure domains pass the confirmation on, so it must not wait for a round here.
         onFleetRead: () => membership.reachesOtherDomains() ? beacons.sendSoon() : undefined,
         beaconIntervalMs: membership.beaconIntervalMs,
-        configurationMs: () => state.settings.configurationMs,
+        // A withdrawn key is a change too, and keys that are not confirmed in time are refused.
+        configurationMs: () => Math.min(state.settings.configurationMs, state.settings.keyWithdrawalMs),
         queryRelay: relayReads.query,
         mustWaitForRelay: relayReads.mustWait,
         onConfirmed: factsWait.recordConfirmed,
--- a/scripts/checkModels.mjs
+++ b/scripts/checkModels.mjs
@@ -67,6 +67,7 @@
     { file: LATE_ORDERS, defines: ["NO_PERMIT"], expected: "violation" },
     { file: LATE_ORDERS, defines: ["NO_INHERIT"], expected: "violation" },
     { file: KEY_FRESHNESS, defines: [], expected: "clean" },
+    { file: KEY_FRESHNESS, defines: ["NO_HELD"], expected: "violation" },
     { file: KEY_FRESHNESS, defines: ["NO_ASKED"], expected: "violation" },
     { file: KEY_FRESHNESS, defines: ["NO_ECHO"], expected: "violation" },
     { file: KEY_FRESHNESS, defines: ["NO_AGE"], expected: "violation" },
--- a/spec/keyFreshness.pml
+++ b/spec/keyFreshness.pml
@@ -3,8 +3,8 @@
  * ago.
  *
  * Models `stepDeclaredState` (a process adopts only later revisions; a revision is confirmed as of the sending of a read,
- * or of the beacon that confirms it, whose sending time follows from the receiver's own timestamp echoed in it; a
- * suspension voids the confirmation and everything sent before it) and the check of `admitRequest` of packages/router.
+ * or of the end of its wait in the store if that brought nothing, or of the beacon that confirms it, whose sending time
+ * follows from the receiver's own timestamp echoed in it; a suspension voids the confirmation and everything sent before it) and the check of `admitRequest` of packages/router.
  * Revision 2 withdraws the key. Two VMs, discrete time, reads that are answered late, beacons that wait in a buffer,
  * and VMs that are suspended while their clocks stand still.
  *
@@ -12,6 +12,7 @@
  * back.
  *
  * Each of these removes one guard:
+ * -DNO_HELD counts the wait of a read that the store answered at once.
  * -DNO_ASKED measures from the answer to a read, so a delayed answer counts as fresh.
  * -DNO_ECHO measures from the reading of a beacon, so a beacon from the buffer of a suspended VM counts as fresh.
  * -DNO_AGE ignores the age that the sender states, so two VMs confirm each other forever.
@@ -20,6 +21,7 @@
  * -DNO_LATER adopts any revision, so a late answer brings the key back.
  */
 #define KEYS 1
+#define WAIT 1
 #define MAX_TIME 5
 #define MAX_LOST 2
 #define NEVER 0
@@ -36,9 +38,14 @@
 
 #define CLOCK(vm) (now - lost[vm])
 
-/* One read of each VM: when it was sent by the VM's own clock, and the store's answer (0: not yet). */
+/*
+ * One read of the first VM, which waits in the store: when it was sent by the VM's own clock and by the store's, the
+ * revision that the VM had read, and the store's answer (0: not yet). The second VM's reads do not wait.
+ */
 bool reading[2];
 byte readSent[2];
+byte readSentAt;
+byte readFrom;
 byte readAnswer[2];
 
 /* The newest timestamp of each VM that the other has received: the VM's own clock, and when it was received. */
@@ -95,13 +102,25 @@
         suspendedAt[self] = CLOCK(self)
 #endif
     }
-    :: atomic { self == 0 && !unnoticed[self] && !reading[self] -> reading[self] = true; readSent[self] = CLOCK(self); readAnswer[self] = 0 }
+    :: atomic { self == 0 && !unnoticed[self] && !reading[self] -> 
+        reading[self] = true;
+        readSent[self] = CLOCK(self);
+        readSentAt = now;
+        readFrom = revision[self];
+        readAnswer[self] = 0
+    }
     /* Reads of the second VM are answered at once, to keep the search small; only reads of the first are late. */
     :: atomic { self == 1 && (revision[self] != newest || confirmed[self] != CLOCK(self)) ->
         revision[self] = newest;
         confirmed[self] = CLOCK(self)
     }
+#ifdef NO_HELD
     :: atomic { reading[self] && readAnswer[self] == 0 -> readAnswer[self] = newest }
+#else
+    :: atomic { reading[self] && readAnswer[self] == 0 && (newest != readFrom || now >= readSentAt + WAIT) ->
+        readAnswer[self] = newest
+    }
+#endif
     :: atomic { !unnoticed[self] && reading[self] && readAnswer[self] != 0 ->
         adopt(self, readAnswer[self]);
         if
@@ -109,11 +128,22 @@
 #ifdef NO_ASKED
         :: else -> confirm(self, readAnswer[self], CLOCK(self))
 #else
-        :: else -> confirm(self, readAnswer[self], readSent[self])
+#ifdef NO_HELD
+        :: else -> confirm(self, readAnswer[self], readSent[self] + WAIT)
+#else
+        :: else ->
+            if
+            :: readAnswer[self] == readFrom && CLOCK(self) >= readSent[self] + WAIT ->
+                confirm(self, readAnswer[self], readSent[self] + WAIT)
+            :: else -> confirm(self, readAnswer[self], readSent[self])
+            fi
+#endif
 #endif
         fi;
         reading[self] = false;
         readSent[self] = 0;
+        readSentAt = 0;
+        readFrom = 0;
         readAnswer[self] = 0
     }
     :: atomic { self == 0 && !unnoticed[self] && stamp[self] != CLOCK(self) -> stamp[self] = CLOCK(self); stampAt[self] = now }
