Charge the tokens that a request states, with or without a model

A request that names a model and no token counts took nothing from its organisation's share, and one with counts and no model the organisation's default, so that an organisation could exceed its quota without a bound.

The counts were part of the prompt, which only requests with a model have.

--- a/packages/router/src/ports/CallerRequest.ts
+++ b/packages/router/src/ports/CallerRequest.ts
@@ -25,6 +25,8 @@
     readonly deadlineMs: Millis | undefined;
     /** `undefined` for services without a model. */
     readonly prompt: PromptInfo | undefined;
+    /** Tokens of prompt and answer that the request states, with or without a model; `undefined` if it states none. */
+    readonly statedTokens: Tokens | undefined;
     /** Id of the last event that the caller received of a stream that it resumes. */
     readonly lastEventId: number | undefined;
     /** Id of the caller's attempt that brought the first event of that stream; `undefined` if the caller names none. */
--- a/packages/router/src/serve/createRequestHandler.ts
+++ b/packages/router/src/serve/createRequestHandler.ts
@@ -5,10 +5,9 @@
 import { Left, Right } from "purify-ts";
 
 import { chooseService } from "../configuration/chooseService.js";
-import type { Organisation } from "../configuration/Organisation.js";
 import { describeConfirmation } from "../knowledge/describeConfirmation.js";
-import type { CallerRequest } from "../ports/CallerRequest.js";
 import { admitRequest } from "./admitRequest.js";
+import { chargedTokens } from "./chargedTokens.js";
 import { closingHeaders } from "./closingHeaders.js";
 import type { CompleteRequest } from "./CompleteRequest.js";
 import { countRefusal } from "./countRefusal.js";
@@ -39,14 +38,6 @@
     readonly tokens: Tokens;
 };
 
-/** Returns what a request takes from its organisation's allowance. */
-const tokensOf = ({ prompt }: CallerRequest, organisation: Organisation | undefined): Tokens => {
-    if (organisation?.countsRequests === true) {
-        return 1;
-    }
-    return prompt === undefined ? organisation?.defaultTokens ?? 0 : prompt.promptTokens + prompt.outputTokens;
-};
-
 /** Creates the handler of callers' requests. */
 export function createRequestHandler(parts: ServeParts): (req: IncomingMessage, res: ServerResponse) => Promise<void> {
     const { clock, declaredState, allowances, callerWire, metrics, logger } = parts;
@@ -159,7 +150,7 @@
         const admission = (decided instanceof Promise ? await decided : decided).chain<Refusal, AdmittedRequest>(
             ({ route, organisation }) => {
                 const service = chooseService(route, parts.random());
-                const tokens = tokensOf(caller, organisation);
+                const tokens = chargedTokens(caller, organisation);
                 const notes = createRequestNotes(logger, clock, caller.id);
                 return service === undefined
                     ? Left(refusalOf("no-endpoint"))
