--- a/packages/router/src/__tests__/unit/relayAnswers.test.ts
+++ b/packages/router/src/__tests__/unit/relayAnswers.test.ts
@@ -2,15 +2,13 @@
 import type { AddressInfo } from "node:net";
 
 import { createClock } from "@azureshunt/core";
-import { createLoggers, createMetrics } from "@azureshunt/telemetry";
 import test from "ava";
 import { Left, Right } from "purify-ts";
 
 import { EndpointAgent } from "../../dispatch/EndpointAgent.js";
 import { startDeclarations } from "../../knowledge/startDeclarations.js";
 import type { ReceivedBeacon } from "../../peers/ReceivedBeacon.js";
-import type { DirectoryWire } from "../../ports/DirectoryWire.js";
-import type { StorePort } from "../../ports/StorePort.js";
+import { declarationParts } from "../support/declarationParts.js";
 import { routingOf } from "../support/routingOf.js";
 
 const waitUntil = async (isDone: () => boolean): Promise<void> => {
@@ -32,32 +30,12 @@
     const noRecords = { records: [], end: 1 };
     const store = {
         newest: () => Promise.resolve(Right(page)),
-        read: () => Promise.resolve(state.isDown ? Left({ kind: "unreachable" }) : Right(noRecords)),
-    } as unknown as StorePort;
-    const wire = {
-        declarationsTopic: "declarations",
-        decodeDeclaration: (_: string, value: Buffer) =>
-            Right({ kind: "configuration", configuration: routingOf(Number(value.toString()), []) }),
-    } as unknown as DirectoryWire;
+        read: () => Promise.resolve(state.isDown ? Left({ kind: "unreachable" } as const) : Right(noRecords)),
+    };
+    const decodeDeclaration = (_: string, value: Buffer) =>
+        Right({ kind: "configuration", configuration: routingOf(Number(value.toString()), []) });
     const agent = new EndpointAgent(clock.now);
-    const declarations = startDeclarations({
-        clock,
-        storeFor: () => store,
-        wire,
-        agent,
-        logger: createLoggers("silent", { vm: "vm", failureDomain: "fd", incarnation: "run" })("knowledge"),
-        metrics: createMetrics(),
-        onChange: () => undefined,
-        onRollout: () => undefined,
-        readerScope: () => "fleet",
-        isForDomains: () => false,
-        onFleetRead: () => undefined,
-        beaconIntervalMs: () => 200,
-        configurationMs: () => 2_000,
-        queryRelay: () => Promise.resolve(undefined),
-        mustWaitForRelay: () => false,
-        checkSuspension: () => undefined,
-    });
+    const declarations = startDeclarations(declarationParts({ clock, agent, store, decodeDeclaration }));
     await waitUntil(() => declarations.current().configuration !== undefined);
     const confirm = (): void => {
         const now = clock.now();
--- a/packages/router/src/__tests__/unit/unreadableDeclarations.test.ts
+++ b/packages/router/src/__tests__/unit/unreadableDeclarations.test.ts
@@ -1,14 +1,11 @@
 import { createClock } from "@azureshunt/core";
-import { createMetrics } from "@azureshunt/telemetry";
 import test from "ava";
 import { Left, Right } from "purify-ts";
 
 import { EndpointAgent } from "../../dispatch/EndpointAgent.js";
 import { startDeclarations } from "../../knowledge/startDeclarations.js";
-import type { DirectoryWire } from "../../ports/DirectoryWire.js";
-import type { StorePort } from "../../ports/StorePort.js";
+import { declarationParts } from "../support/declarationParts.js";
 import { routingOf } from "../support/routingOf.js";
-import { silentLogger } from "../support/silentLogger.js";
 
 type Case = {
     readonly name: string;
@@ -60,35 +57,15 @@
                 const page = pages[from - 1] ?? { records: [] };
                 return Promise.resolve(Right({ ...page, end: Math.min(1 + records.length, from + 1) }));
             },
-        } as unknown as StorePort;
+        };
         const decode = (key: string, value: string) =>
             key === "config"
                 ? { kind: "configuration", configuration: routingOf(Number(value), []) }
                 : { kind: "weights", model: "m", version: Number(value) };
-        const wire = {
-            declarationsTopic: "declarations",
-            decodeDeclaration: (key: string, value: Buffer) =>
-                value.toString() === "bad" ? Left("not JSON") : Right(decode(key, value.toString())),
-        } as unknown as DirectoryWire;
         const agent = new EndpointAgent(clock.now);
-        const declarations = startDeclarations({
-            clock,
-            storeFor: () => store,
-            wire,
-            agent,
-            logger: silentLogger,
-            metrics: createMetrics(),
-            onChange: () => undefined,
-            onRollout: () => undefined,
-            readerScope: () => "fleet",
-            isForDomains: () => false,
-            onFleetRead: () => undefined,
-            beaconIntervalMs: () => 200,
-            configurationMs: () => 2_000,
-            queryRelay: () => Promise.resolve(undefined),
-            mustWaitForRelay: () => false,
-            checkSuspension: () => undefined,
-        });
+        const decodeDeclaration = (key: string, value: Buffer) =>
+            value.toString() === "bad" ? Left("not JSON") : Right(decode(key, value.toString()));
+        const declarations = startDeclarations(declarationParts({ clock, agent, store, decodeDeclaration }));
         t.teardown(() => {
             declarations.stop();
             agent.destroy();
--- a/packages/router/src/knowledge/startDeclarations.ts
+++ b/packages/router/src/knowledge/startDeclarations.ts
@@ -14,6 +14,7 @@
 import { followTopic } from "../store/followTopic.js";
 import type { StoreCallReason } from "../store/StoreCallReason.js";
 import type { TopicAnswer } from "../store/TopicAnswer.js";
+import { createDeclarationDecoder } from "./createDeclarationDecoder.js";
 import { createDeclarationLog } from "./createDeclarationLog.js";
 import type { DeclarationEvent } from "./DeclarationEvent.js";
 import { declarationsDueIn } from "./declarationsDueIn.js";
@@ -94,6 +95,7 @@
 export function startDeclarations(parts: DeclarationParts): Declarations {
     const { clock, wire, logger, metrics } = parts;
     const log = createDeclarationLog(logger, clock);
+    const decoder = createDeclarationDecoder(parts);
     const mirror = createTopicMirror((_, before, now) => before.equals(now));
     const state = {
         declaredState: initialDeclaredState,
@@ -105,14 +107,7 @@
         requestedAt: -Infinity,
         isFetching: false,
         isReadFailing: false,
-        /** Key of the configuration, once one was read. */
-        configurationKey: undefined as string | undefined,
     };
-    /** Keys whose newest record in the topic cannot be decoded. */
-    const unreadableKeys = new Set<string>();
-    /** Whether the newest configuration could be decoded; records of other declarations say nothing about it. */
-    const isConfigurationReadable = (): boolean =>
-        state.configurationKey !== undefined && !unreadableKeys.has(state.configurationKey);
 
     const apply = (event: DeclarationEvent, origin?: ReadOrigin): void => {
         const before = state.declaredState;
@@ -131,54 +126,34 @@
     };
 
     /**
-     * Decodes and applies a declaration. One that cannot be decoded is counted and logged, and the last valid one stays
-     * in force.
+     * Decodes and applies a declaration. If it cannot be decoded, the last valid one stays in force.
      *
      * @returns the revision if it is a configuration
      */
-    const declare = (key: string, value: Buffer, origin: ReadOrigin): number | undefined =>
-        wire.decodeDeclaration(key, value).caseOf<number | undefined>({
-            Left: fault => {
-                if (origin.from !== "peer") {
-                    unreadableKeys.add(key);
-                }
-                metrics.count("azureshunt_unreadable_total", "Records that could not be read.", {
-                    what: "declaration",
-                });
-                logger.warn(
-                    { key, fault, ...origin },
-                    "Decoding a declaration failed; the last valid one stays in force.",
-                );
+    const declare = (key: string, value: Buffer, origin: ReadOrigin): number | undefined => {
+        const declaration = decoder.decode(key, value, origin);
+        switch (declaration?.kind) {
+            case undefined:
+            case "other":
                 return undefined;
-            },
-            Right: declaration => {
-                if (origin.from !== "peer") {
-                    unreadableKeys.delete(key);
-                }
-                if (declaration.kind === "other") {
-                    return undefined;
-                }
-                if (declaration.kind === "rollout") {
-                    const { service, version, durationMs } = declaration;
-                    parts.onRollout({
-                        id: origin.offset ?? NO_OFFSET,
-                        service,
-                        version,
-                        durationMs,
-                        learnedAt: clock.now(),
-                    });
-                    return undefined;
-                }
-                const revision = declaration.kind === "configuration" ? declaration.configuration.revision : undefined;
-                if (revision !== undefined) {
-                    const isNewer = revision > (state.declaredState.configuration?.revision ?? -1);
-                    state.raw = isNewer ? value : state.raw;
-                    state.configurationKey = key;
-                }
+            case "rollout": {
+                const { service, version, durationMs } = declaration;
+                const id = origin.offset ?? NO_OFFSET;
+                parts.onRollout({ id, service, version, durationMs, learnedAt: clock.now() });
+                return undefined;
+            }
+            case "weights":
+                apply(declaration, origin);
+                return undefined;
+            case "configuration": {
+                const { revision } = declaration.configuration;
+                const isNewer = revision > (state.declaredState.configuration?.revision ?? -1);
+                state.raw = isNewer ? value : state.raw;
                 apply(declaration, origin);
                 return revision;
-            },
-        });
+            }
+        }
+    };
 
     const hasStore = (): boolean => clock.now() - state.storeAt < STORE_AVAILABLE_MS;
     const readerScope = (): ReaderScope => {
@@ -238,7 +213,7 @@
                 return;
             }
             const revision = state.declaredState.configuration?.revision;
-            if (revision !== undefined && isConfigurationReadable()) {
+            if (revision !== undefined && decoder.isConfigurationReadable()) {
                 apply({ kind: "confirmed", revision, asOf, stampedAt: requestedAt, by: from });
             }
             if (!isRelayed && parts.readerScope() === "fleet") {
@@ -302,7 +277,7 @@
         parts.checkSuspension();
         const { configuration, confirmedAt } = state.declaredState;
         const ageMs = clock.now() - confirmedAt;
-        const isRead = configuration?.revision === state.readRevision && isConfigurationReadable();
+        const isRead = configuration?.revision === state.readRevision && decoder.isConfigurationReadable();
         const page = isRead && ageMs < readTiming(parts.configurationMs()).maxAnswerAgeMs
             ? mirror.answer(from)
             : undefined;
