--- a/review/lib-2/startEngine.mjs
+++ b/review/lib-2/startEngine.mjs
@@ -19,6 +19,8 @@
 ) => {
     const born = Date.now();
     const state = { sequence: 0, isBusy: false, running: new Set(), holds: new Map(), nextHold: 0, isStopped: false };
+    /** Cached parts: by salt, model and id of the part, the tenant whose request made it. Nothing is evicted. */
+    const cache = new Map();
     const models = () => Object.entries(weights).map(([Name, Version]) => ({ Name, Version, Adapters: [] }));
     const answer = (res, status, body, headers = {}) => {
         res.writeHead(status, { "Content-Type": "application/json", ...headers });
@@ -34,6 +36,7 @@
         }
         await sleep(loadMs);
         weights[Model] = Version;
+        [...cache.keys()].filter(key => JSON.parse(key)[1] === Model).forEach(key => cache.delete(key));
         state.isBusy = false;
         record({ event: "loaded", replica: name, model: Model, version: Version });
         beat();
@@ -67,12 +70,24 @@
         state.holds.set(hold, Date.now() + TtlMs);
         answer(res, 200, { Hold: hold });
     };
+    /** Uses the parts at the start of the prompt that are cached, and makes the others. */
+    const prefill = ({ headers }, id, model) => {
+        const tenant = headers["x-azureshunt-tenant"];
+        const salt = headers["x-azureshunt-cache-salt"] ?? "";
+        const parts = (headers["x-azureshunt-prompt-prefix"] ?? "").split(",").map(part => part.split(":")[0]);
+        const keys = parts.map(part => JSON.stringify([salt, model, part]));
+        const missing = keys.findIndex(key => !cache.has(key));
+        const used = missing < 0 ? keys : keys.slice(0, missing);
+        record({ event: "prefill", replica: name, id, tenant, salt, used: used.map((key, i) => ({ part: parts[i], madeBy: cache.get(key) })) });
+        keys.slice(used.length).forEach(key => cache.set(key, tenant));
+    };
     const run = async (req, res, id, model) => {
         const from = Number(req.headers["last-event-id"] ?? -1) + 1;
         const total = events(id);
         const current = { id };
         state.running.add(current);
         record({ event: "run", replica: name, id, model, version: weights[model], from });
+        prefill(req, id, model);
         res.on("close", () => {
             if (!res.writableFinished) {
                 record({ event: "connection closed", replica: name, id });
