Log which model's version decided a rejection or a refusal

Cause: the lines of one VM named a version of weights, but neither the model for which it was expected nor that for which it had been stated, nor by whom and when. With engines that serve two models they could not tell why requests are rejected.

Change: a try that is answered 421 and a request that no endpoint can take have a line with the model, the version that the engine is taken to hold, who stated it, for which model, how long ago it was confirmed, what the entry states and what is ordered. The lines on endpoints chosen and tries name the model. `azureshunt_outdated_engines{model}` shows a rollout that does not go on.

--- a/packages/router/src/__tests__/support/simulateOrders.ts
+++ b/packages/router/src/__tests__/support/simulateOrders.ts
@@ -206,7 +206,7 @@
                     to.endpointTable.recordOrder(endpoint, { version, issuedAt, seenAt: clock.now(), isOwn: false });
                 });
                 from.endpointTable.engineVersions().forEach(({ endpoint, version }) =>
-                    to.endpointTable.receiveWeights(endpoint, version)
+                    to.endpointTable.receiveWeights(endpoint, version, from.vm)
                 );
                 if (tail !== undefined) {
                     const { offset, holder, knownSince } = tail;
--- a/packages/router/src/__tests__/unit/engineOnOlderWeights.test.ts
+++ b/packages/router/src/__tests__/unit/engineOnOlderWeights.test.ts
@@ -1,4 +1,4 @@
-import type { ModelName } from "@azureshunt/core";
+import type { ModelName, VmId } from "@azureshunt/core";
 import test from "ava";
 
 import { endpointTableOf } from "../support/endpointTableOf.js";
@@ -106,10 +106,10 @@
                 endpointTable.applyRegistryEvent({ kind: "vouched", asOf: time.now });
             }
             else if (event.kind === "answer") {
-                endpointTable.observeWeights(engine, event.version);
+                endpointTable.observeWeights(engine, { model, version: event.version });
             }
             else {
-                endpointTable.receiveWeights(engine, event.version);
+                endpointTable.receiveWeights(engine, event.version, "peer" as VmId);
             }
         });
         t.is(endpointTable.engines(model)[0]?.version, version);
--- a/packages/router/src/__tests__/unit/engineOrders.test.ts
+++ b/packages/router/src/__tests__/unit/engineOrders.test.ts
@@ -61,10 +61,10 @@
 });
 
 test("engine orders: only orders that have not ended are sent to the other VMs", t => {
-    const { endpointTable, time, engine } = endpointTableOf();
+    const { endpointTable, time, model, engine } = endpointTableOf();
     endpointTable.recordOrder(engine, own(time.now));
     t.is(endpointTable.ownOrders().length, 1);
-    endpointTable.observeWeights(engine, 2);
+    endpointTable.observeWeights(engine, { model, version: 2 });
     t.is(endpointTable.ownOrders().length, 0);
 });
 
--- a/packages/router/src/fleet/followOrder.ts
+++ b/packages/router/src/fleet/followOrder.ts
@@ -55,7 +55,7 @@
     const currentOrder = (): EngineOrder | undefined =>
         endpointTable.engines(model).find(engine => engine.endpoint === endpoint)?.order;
     if (seen !== undefined) {
-        endpointTable.observeWeights(endpoint, seen);
+        endpointTable.observeWeights(endpoint, { model, version: seen });
     }
     if (state?.isBusy === true && currentOrder()?.issuedAt === issuedAt) {
         endpointTable.recordOrder(endpoint, { version, issuedAt, seenAt: clock.now(), isOwn: true });
--- a/packages/router/src/fleet/startOrders.ts
+++ b/packages/router/src/fleet/startOrders.ts
@@ -123,7 +123,7 @@
             return undefined;
         }
         const seen = report.versions.get(model) ?? 0;
-        endpointTable.observeWeights(endpoint, seen);
+        endpointTable.observeWeights(endpoint, { model, version: seen });
         const { ordersTaken, bornAt = entry.bornAt } = report;
         const allowedAt = orderAllowedAt({
             bornAt,
@@ -179,7 +179,7 @@
             sentMsAgo: clock.now() - issuedAt,
         }, "Order issued.");
         if (status === ALREADY_LOADED) {
-            endpointTable.observeWeights(endpoint, version);
+            endpointTable.observeWeights(endpoint, { model, version });
             return;
         }
         if (res.kind === "unreached") {
--- a/packages/router/src/peers/applyBeacon.ts
+++ b/packages/router/src/peers/applyBeacon.ts
@@ -28,7 +28,7 @@
     );
     beacon.cached.forEach(([holder, parts]) => prefixIndex.receiveParts(holder, parts, now));
     const weightsUpdates = beacon.engineVersions.map(([endpoint, version]) =>
-        endpointTable.receiveWeights(endpoint, version)
+        endpointTable.receiveWeights(endpoint, version, beacon.vm)
     );
     if (beacon.lease !== undefined) {
         // At least the age since this VM's own echoed timestamp, however long the beacon was delayed.
--- a/packages/router/src/placement/EndpointObservations.ts
+++ b/packages/router/src/placement/EndpointObservations.ts
@@ -3,6 +3,7 @@
 import type { EngineOrder } from "../fleet/EngineOrder.js";
 import type { EndpointHealth } from "./EndpointHealth.js";
 import type { InFlight } from "./InFlight.js";
+import type { VersionSource } from "./VersionSource.js";
 
 /** What this VM has observed of one incarnation of an endpoint. Updated in place. */
 export type EndpointObservations = {
@@ -19,6 +20,8 @@
      * outdated.
      */
     knownVersion: number;
+    /** Who stated that version last; `undefined` until one is known. */
+    versionSource: VersionSource | undefined;
     /** When the engine itself or a peer last confirmed that version; `-Infinity` until then. */
     versionConfirmedAt: Millis;
     /** Versions up to this one are taken from the engine itself only, as its entry contradicts its peers. */
--- a/packages/router/src/placement/EndpointTable.ts
+++ b/packages/router/src/placement/EndpointTable.ts
@@ -1,7 +1,8 @@
-import type { EndpointName, Millis, ModelName, ServiceName, Tokens } from "@azureshunt/core";
+import type { EndpointName, Millis, ModelName, ServiceName, Tokens, VmId } from "@azureshunt/core";
 
 import type { EngineOrder } from "../fleet/EngineOrder.js";
 import type { EngineWeights } from "../fleet/EngineWeights.js";
+import type { ModelVersion } from "../fleet/ModelVersion.js";
 import type { EndpointShare } from "../peers/EndpointShare.js";
 import type { EndpointEntry } from "../registry/EndpointEntry.js";
 import type { RegistryEvent } from "../registry/RegistryEvent.js";
@@ -9,6 +10,7 @@
 import type { createPerformance } from "./createPerformance.js";
 import type { InFlightHandle } from "./InFlightHandle.js";
 import type { PlacedRequest } from "./PlacedRequest.js";
+import type { WeightsBasis } from "./WeightsBasis.js";
 
 /** An endpoint that could take a request, with what is needed to send the request there. */
 type PlaceableEndpoint = {
@@ -58,13 +60,16 @@
     /** Records that a call other than a caller's request could not reach the endpoint. */
     readonly recordUnreached: (endpoint: EndpointName) => void;
     /** Records the version that an engine itself reported. */
-    readonly observeWeights: (endpoint: EndpointName, version: number) => void;
+    readonly observeWeights: (endpoint: EndpointName, weights: ModelVersion) => void;
     /**
      * Records the version that a peer reported for an engine.
      *
+     * @param by the peer
      * @returns whether the version was new to this VM
      */
-    readonly receiveWeights: (endpoint: EndpointName, version: number) => boolean;
+    readonly receiveWeights: (endpoint: EndpointName, version: number, by: VmId) => boolean;
+    /** On what this VM decides about an engine's weights for a model. */
+    readonly weightsBasis: (entry: EndpointEntry, model: ModelName) => WeightsBasis;
     /**
      * Records a weights order that this VM or a peer issued, or that is still being carried out. An order older than
      * the known one is ignored.
--- a/packages/router/src/placement/createEndpointTable.ts
+++ b/packages/router/src/placement/createEndpointTable.ts
@@ -297,6 +297,18 @@
         recordUnreached,
         observeWeights: versions.observe,
         receiveWeights: versions.receive,
+        weightsBasis: (entry, model) => {
+            const version = versions.at(entry, model);
+            const outdatedMs = outdatedFor(model, version);
+            return {
+                endpoint: entry.name,
+                version,
+                ...versions.sourceAt(entry, model),
+                entryVersion: entry.versions.get(model),
+                ordered: orders.at(entry, version)?.version,
+                outdatedMs: outdatedMs === undefined ? undefined : Math.round(outdatedMs),
+            };
+        },
         recordOrder: orders.record,
         orderEnded: orders.end,
         onOrdered: orders.onOrdered,
--- a/packages/router/src/placement/createEngineVersions.ts
+++ b/packages/router/src/placement/createEngineVersions.ts
@@ -5,6 +5,7 @@
 import type { EndpointObservations } from "./EndpointObservations.js";
 import type { EndpointTable } from "./EndpointTable.js";
 import { ENTRY_LAG_MS } from "./ENTRY_LAG_MS.js";
+import type { VersionSource } from "./VersionSource.js";
 
 type EngineVersionsParts = {
     readonly clock: Clock;
@@ -23,6 +24,11 @@
 type EngineVersions = {
     /** Returns the version that an engine holds for a model; undefined if it serves none. */
     readonly at: (entry: EndpointEntry, model: ModelName | undefined) => number | undefined;
+    /** Who stated that version, and for how long nothing has confirmed it. */
+    readonly sourceAt: (
+        entry: EndpointEntry,
+        model: ModelName | undefined,
+    ) => { readonly by: string; readonly statedFor: ModelName | undefined; readonly ageMs: Millis; };
     readonly adoptStated: (entry: EndpointEntry) => void;
     /** As `adoptStated`, for all entries; only for use while these have not changed since the last call. */
     readonly adoptAllStated: () => void;
@@ -92,37 +98,54 @@
         { name }: EndpointEntry,
         observed: EndpointObservations,
         version: number,
+        source: VersionSource,
     ): boolean => {
         const isNewer = version > observed.knownVersion;
         if (isNewer) {
             ahead.add(name);
             observed.knownVersion = version;
+            observed.versionSource = source;
             observed.versionLearnedAt = clock.now();
             observed.versionConfirmedAt = clock.now();
         }
         return isNewer;
     };
-    const observe: EngineVersions["observe"] = (endpoint, version) => {
+    const observe: EngineVersions["observe"] = (endpoint, { model, version }) => {
         const entry = entryOf(endpoint);
         if (entry !== undefined) {
             const observed = observations.of(entry);
-            recordVersion(entry, observed, version);
+            const source: VersionSource = { by: "engine", model };
+            recordVersion(entry, observed, version, source);
             if (version === observed.knownVersion) {
+                observed.versionSource = source;
                 observed.versionConfirmedAt = clock.now();
             }
         }
     };
-    const receive: EngineVersions["receive"] = (endpoint, version) => {
+    const receive: EngineVersions["receive"] = (endpoint, version, by) => {
         const entry = entryOf(endpoint);
         if (entry === undefined) {
             return false;
         }
         const observed = observations.of(entry);
         // Recorded as learned now, so that a relay sends it on to its peers promptly as well.
-        return version > observed.distrustedVersion && recordVersion(entry, observed, version);
+        return version > observed.distrustedVersion &&
+            recordVersion(entry, observed, version, { by, model: undefined });
+    };
+    const sourceAt: EngineVersions["sourceAt"] = (entry, model) => {
+        const { knownVersion, versionSource, versionConfirmedAt } = observations.of(entry);
+        const stated = model === undefined ? 0 : entry.versions.get(model) ?? 0;
+        return versionSource === undefined || knownVersion < stated
+            ? { by: "entry", statedFor: model, ageMs: Math.round(clock.now() - parts.entriesReadAsOf()) }
+            : {
+                by: versionSource.by,
+                statedFor: versionSource.model,
+                ageMs: Math.round(clock.now() - versionConfirmedAt),
+            };
     };
     return {
         at,
+        sourceAt,
         adoptStated,
         adoptAllStated,
         areUnread,
--- a/packages/router/src/placement/createObservations.ts
+++ b/packages/router/src/placement/createObservations.ts
@@ -43,6 +43,7 @@
             lastActivityAt: -Infinity,
             isReached: false,
             knownVersion: 0,
+            versionSource: undefined,
             versionLearnedAt: -Infinity,
             versionConfirmedAt: -Infinity,
             distrustedVersion: 0,
--- a/packages/router/src/serve/sendTry.ts
+++ b/packages/router/src/serve/sendTry.ts
@@ -175,6 +175,7 @@
             estimatedMs: Math.round(place.startMs),
             missingTokens: place.missingTokens,
             running: place.running,
+            model: served.caller.prompt?.model,
             weights: place.weights,
             softwareVersion: place.entry.softwareVersion,
             events: progress.forwardedEvents,
@@ -228,8 +229,9 @@
     inFlight.onActivity(clock.now());
     times.headMs = Math.round(clock.now() - startedAt);
     const head = parts.endpointWire.decodeHead(opened.res);
-    if (head.weights !== undefined) {
-        endpointTable.observeWeights(place.entry.name, head.weights);
+    const model = served.caller.prompt?.model;
+    if (head.weights !== undefined && model !== undefined) {
+        endpointTable.observeWeights(place.entry.name, { model, version: head.weights });
     }
     if (head.maxRefusals !== undefined) {
         parts.brittleServices.announce(served.service, head.maxRefusals);
@@ -262,6 +264,12 @@
         opened.res.destroy();
         return finish({ kind: verdict, answer: undefined });
     }
+    if (verdict === "elsewhere" && model !== undefined) {
+        served.notes.add("Rejected as misdirected.", {
+            expected: place.weights,
+            ...endpointTable.weightsBasis(place.entry, model),
+        });
+    }
     if (verdict === "refused" || verdict === "elsewhere") {
         if (head.requestId === undefined) {
             // If it came a second time, it would be taken for an answer to the next request on the connection.
--- a/packages/router/src/serve/serveTries.ts
+++ b/packages/router/src/serve/serveTries.ts
@@ -13,6 +13,7 @@
 import { createStreamPace } from "./createStreamPace.js";
 import { isRepeatable } from "./isRepeatable.js";
 import { isTooLate } from "./isTooLate.js";
+import { noteWeights } from "./noteWeights.js";
 import { placeRequest } from "./placeRequest.js";
 import { processPendingCloses } from "./processPendingCloses.js";
 import { refusalAsTooLate } from "./refusalAsTooLate.js";
@@ -87,6 +88,7 @@
         startMs: Math.round(place.startMs),
         missingTokens: place.missingTokens,
         source: place.source,
+        model: served.caller.prompt?.model,
         weights: place.weights,
         running: place.running,
         candidates: place.candidateCount,
@@ -168,6 +170,7 @@
                 },
             );
         if (place === undefined) {
+            noteWeights(parts, served);
             return waitOrGiveUp(
                 progress,
                 refusalWithoutPlace(
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -18,6 +18,7 @@
 import { hasDied } from "./dispatch/hasDied.js";
 import { maxIdleConnections } from "./dispatch/maxIdleConnections.js";
 import { createEngineCalls } from "./fleet/createEngineCalls.js";
+import { createOutdatedGauges } from "./fleet/createOutdatedGauges.js";
 import { orderFence } from "./fleet/orderFence.js";
 import { startOrders } from "./fleet/startOrders.js";
 import { createByteBudget } from "./flow/createByteBudget.js";
@@ -520,6 +521,7 @@
     byteBudget.addSource(tunnels.heldBytes);
     const observed = { ...sources, availability, streams, connector, tunnels, overload, byteBudget, unreadBodies };
     const stopGauges = startGauges(metrics, observed);
+    const outdatedGauges = createOutdatedGauges({ metrics, declaredState: declarations.current, endpointTable });
     const metricsListener = startMetricsListener({
         address: settings.listen.metrics,
         metrics,
@@ -565,7 +567,17 @@
     const stopTicks = startTicks({
         intervalMs: TICK_MS,
         first: [pauses, tickLag, overload, heapWatch],
-        afterReads: [byteBudget, heapBudget, quarantine, membership, orders, rollouts, streams, announcing],
+        afterReads: [
+            byteBudget,
+            heapBudget,
+            quarantine,
+            membership,
+            orders,
+            outdatedGauges,
+            rollouts,
+            streams,
+            announcing,
+        ],
     });
     logger.info({ listen: settings.listen }, "Started.");
 
@@ -578,7 +590,7 @@
         { name: "registry", stop: registry.stop },
         { name: "declarations", stop: declarations.stop },
         { name: "ticks", stop: stopTicks },
-        { name: "gauges", stop: stopGauges },
+        { name: "gauges", stop: () => [stopGauges, outdatedGauges.stop].forEach(stop => stop()) },
         { name: "queues", stop: requestQueues.stop },
         {
             name: "peers",
