Know the weights of an engine by model

Cause: a VM kept one version for an engine, whichever model had been answered for, and took the larger one of it and the entry's for every model. Version 2 of alpha counted as one of beta: requests expected it, which engines reject with 421, and as no engine seemed outdated, none was ordered. The line of the commit before shows it: expected=2 by=engine statedFor=alpha entryVersion=1, in a rejected request for beta. Beacons told it to VMs that had seen no answer, the comparison with the entry took the largest version of all models, so that older weights of one were hidden by newer ones of another, and a confirmation of one confirmed the other.

Ruled out: the lease and the orders themselves.

Change: versions are kept, confirmed, distrusted and reported by engine and model. `ModelVersion` goes where a number went, so that a version cannot be recorded without its model. A row of a beacon names the model of an engine that serves several; of one that serves one, it is the two values of before. A row without a model, from an earlier version, is of the only model, and ignored if there are several: the entry and the engine's own answers tell then.

--- a/packages/router/src/__tests__/support/simulateOrders.ts
+++ b/packages/router/src/__tests__/support/simulateOrders.ts
@@ -205,8 +205,8 @@
                     const issuedAt = clock.now() - ageMs;
                     to.endpointTable.recordOrder(endpoint, { version, issuedAt, seenAt: clock.now(), isOwn: false });
                 });
-                from.endpointTable.engineVersions().forEach(({ endpoint, version }) =>
-                    to.endpointTable.receiveWeights(endpoint, version, from.vm)
+                from.endpointTable.engineVersions().forEach(({ endpoint, weights }) =>
+                    to.endpointTable.receiveWeights(endpoint, weights, from.vm)
                 );
                 if (tail !== undefined) {
                     const { offset, holder, knownSince } = tail;
--- a/packages/router/src/__tests__/unit/engineOnOlderWeights.test.ts
+++ b/packages/router/src/__tests__/unit/engineOnOlderWeights.test.ts
@@ -109,7 +109,7 @@
                 endpointTable.observeWeights(engine, { model, version: event.version });
             }
             else {
-                endpointTable.receiveWeights(engine, event.version, "peer" as VmId);
+                endpointTable.receiveWeights(engine, { model, version: event.version }, "peer" as VmId);
             }
         });
         t.is(endpointTable.engines(model)[0]?.version, version);
--- a/packages/router/src/__tests__/unit/versionSelector.test.ts
+++ b/packages/router/src/__tests__/unit/versionSelector.test.ts
@@ -1,21 +1,23 @@
-import type { EndpointName } from "@azureshunt/core";
+import type { EndpointName, ModelName } from "@azureshunt/core";
 import test from "ava";
 
 import { createVersionSelector } from "../../peers/createVersionSelector.js";
+import type { EndpointTable } from "../../placement/EndpointTable.js";
+import { entryOf } from "../support/entryOf.js";
 
 // If each beacon lists all versions, beacons of dozens of VMs fill small links; if it omits too many, a VM misses a
 // change.
 
 const ENGINES = 63;
-const engines = (learnedAt: (i: number) => number): readonly {
-    readonly endpoint: EndpointName;
-    readonly version: number;
-    readonly learnedAt: number;
-}[] =>
+const model = "model" as ModelName;
+const other = "other" as ModelName;
+const engines = (learnedAt: (i: number) => number): ReturnType<EndpointTable["engineVersions"]> =>
     Array.from(
         { length: ENGINES },
-        (_, i) => ({ endpoint: `e${i}` as EndpointName, version: 2, learnedAt: learnedAt(i) }),
+        (_, i) => ({ endpoint: `e${i}` as EndpointName, weights: { model, version: 2 }, learnedAt: learnedAt(i) }),
     );
+const entryWith = (...models: readonly ModelName[]): EndpointTable["entryOf"] => endpoint =>
+    entryOf(endpoint, { versions: new Map(models.map(each => [each, 1])) });
 
 const cases = [
     { name: "nothing changed: a few in rotation", learnedAt: () => -Infinity, most: 8, always: [] },
@@ -30,7 +32,10 @@
 
 cases.forEach(({ name, learnedAt, most, always }) => {
     test(`engine versions: ${name}`, t => {
-        const select = createVersionSelector(() => engines(learnedAt), () => 10_000);
+        const select = createVersionSelector(
+            { engineVersions: () => engines(learnedAt), entryOf: entryWith(model) },
+            () => 10_000,
+        );
         const sent = Array.from({ length: Math.ceil(ENGINES / 8) }, () => select().map(([endpoint]) => `${endpoint}`));
         sent.forEach(names => {
             t.true(names.length <= most);
@@ -41,5 +46,18 @@
 });
 
 test("engine versions: none if none are known", t => {
-    t.deepEqual(createVersionSelector(() => [], () => 0)(), []);
+    t.deepEqual(createVersionSelector({ engineVersions: () => [], entryOf: entryWith(model) }, () => 0)(), []);
+});
+
+// Guards against versions that are taken for those of another model, and against rows that name a model without need.
+const rows = [
+    { name: "the only model that an engine serves is not named", models: [model], row: ["e0", 2] },
+    { name: "one of several models is named", models: [model, other], row: ["e0", 2, model] },
+    { name: "a model that the entry does not state is named", models: [other], row: ["e0", 2, model] },
+];
+rows.forEach(({ name, models, row }) => {
+    test(`engine versions: ${name}`, t => {
+        const table = { engineVersions: () => engines(() => 0).slice(0, 1), entryOf: entryWith(...models) };
+        t.deepEqual(createVersionSelector(table, () => 0)() as unknown, [row]);
+    });
 });
--- a/packages/router/src/peers/Beacon.ts
+++ b/packages/router/src/peers/Beacon.ts
@@ -9,6 +9,7 @@
 import type { BeaconScope } from "./BeaconScope.js";
 import type { DomainCount } from "./DomainCount.js";
 import type { EndpointShare } from "./EndpointShare.js";
+import type { EngineVersionRow } from "./EngineVersionRow.js";
 import type { KnownVm } from "./KnownVm.js";
 
 /**
@@ -69,7 +70,7 @@
     /** Engines that execute orders of the sender, or of VMs whose state is relayed: name, version, age of the order. */
     readonly ordered: readonly (readonly [EndpointName, number, Millis])[];
     /** Versions of the weights that engines are known to have loaded. */
-    readonly engineVersions: readonly (readonly [EndpointName, number])[];
+    readonly engineVersions: readonly EngineVersionRow[];
     /**
      * Prompt parts that engines have prefilled, or the cache store has stored, since the sender's last round, by
      * holder: the engine or the cache store.
--- a/packages/router/src/peers/applyBeacon.ts
+++ b/packages/router/src/peers/applyBeacon.ts
@@ -27,8 +27,8 @@
         endpointTable.recordOrder(endpoint, { version, issuedAt: now - ageMs, seenAt: now, isOwn: false })
     );
     beacon.cached.forEach(([holder, parts]) => prefixIndex.receiveParts(holder, parts, now));
-    const weightsUpdates = beacon.engineVersions.map(([endpoint, version]) =>
-        endpointTable.receiveWeights(endpoint, version, beacon.vm)
+    const weightsUpdates = beacon.engineVersions.map(([endpoint, version, model]) =>
+        endpointTable.receiveWeights(endpoint, { model, version }, beacon.vm)
     );
     if (beacon.lease !== undefined) {
         // At least the age since this VM's own echoed timestamp, however long the beacon was delayed.
--- a/packages/router/src/peers/createVersionSelector.ts
+++ b/packages/router/src/peers/createVersionSelector.ts
@@ -1,6 +1,10 @@
-import type { EndpointName, Millis } from "@azureshunt/core";
+import type { Millis } from "@azureshunt/core";
 
 import type { EndpointTable } from "../placement/EndpointTable.js";
+import { onlyModelOf } from "../placement/onlyModelOf.js";
+import type { EngineVersionRow } from "./EngineVersionRow.js";
+
+type Versions = ReturnType<EndpointTable["engineVersions"]>;
 
 /** Time for which each beacon lists a new version, so that a lost beacon does no harm. */
 const RECENT_MS: Millis = 3_000;
@@ -15,18 +19,22 @@
  * each beacon. A VM that missed a change still receives it from whichever peer's rotation reaches it first.
  */
 export function createVersionSelector(
-    versions: EndpointTable["engineVersions"],
+    { engineVersions, entryOf }: Pick<EndpointTable, "engineVersions" | "entryOf">,
     now: () => Millis,
-): () => readonly (readonly [EndpointName, number])[] {
+): () => readonly EngineVersionRow[] {
+    const rowOf = ({ endpoint, weights: { model, version } }: Versions[number]): EngineVersionRow => {
+        const entry = entryOf(endpoint);
+        return entry !== undefined && onlyModelOf(entry) === model ? [endpoint, version] : [endpoint, version, model];
+    };
     const rotation = { next: 0 };
     return () => {
-        const all = versions();
+        const all = engineVersions();
         const since = now() - RECENT_MS;
         const recent = all.filter(({ learnedAt }) => learnedAt > since);
         const others = all.filter(({ learnedAt }) => learnedAt <= since);
         const from = others.length === 0 ? 0 : rotation.next % others.length;
         const repeated = [...others.slice(from), ...others.slice(0, from)].slice(0, MAX_REPEATED);
         rotation.next = from + repeated.length;
-        return [...recent, ...repeated].map(({ endpoint, version }) => [endpoint, version] as const);
+        return [...recent, ...repeated].map(rowOf);
     };
 }
--- a/packages/router/src/peers/decodeBeacon.ts
+++ b/packages/router/src/peers/decodeBeacon.ts
@@ -40,6 +40,7 @@
 const isNumber = (value: unknown): value is number => typeof value === "number" && Number.isFinite(value);
 /** A list of as many VMs is made of it, so a wrong one must not use up the memory. */
 const isCount = (value: unknown): boolean => Number.isInteger(value) && Number(value) >= 0 && Number(value) <= MAX_VMS;
+const isTextOrAbsent = (value: unknown): boolean => value === undefined || isText(value);
 const isNumberOrAbsent = (value: unknown): boolean => value === undefined || isNumber(value);
 
 const areRows = (value: unknown, ...checks: readonly ((item: unknown) => boolean)[]): boolean =>
@@ -70,7 +71,7 @@
     && areRows(row[11], isText, isNumber, isNumberOrAbsent)
     && (row[12] === null || areRows(row[12], ...LOAD_ROW))
     && areRows(row[13], isText, isNumber, isNumber)
-    && areRows(row[14], isText, isNumber)
+    && areRows(row[14], isText, isNumber, isTextOrAbsent)
     && isRowOrNull(row[15], isNumber, isText, isNumber)
     && typeof row[16] === "boolean" && typeof row[17] === "boolean"
     && isNumber(row[18])
--- a/packages/router/src/peers/startPeerSync.ts
+++ b/packages/router/src/peers/startPeerSync.ts
@@ -34,7 +34,7 @@
     const { sources, settings, incarnation, logger, metrics, checkSuspension } = parts;
     const { clock, endpointTable, prefixIndex, membership, peerLoad, relayBuffer } = sources;
     const { vm, failureDomain, capacity } = settings;
-    const selectVersions = createVersionSelector(endpointTable.engineVersions, clock.now);
+    const selectVersions = createVersionSelector(endpointTable, clock.now);
 
     const peerEnds = createPeerEnds();
 
--- a/packages/router/src/placement/EndpointTable.ts
+++ b/packages/router/src/placement/EndpointTable.ts
@@ -64,10 +64,15 @@
     /**
      * Records the version that a peer reported for an engine.
      *
+     * @param reported without a model, it is of the only one that the engine serves; if that serves several, it is ignored
      * @param by the peer
      * @returns whether the version was new to this VM
      */
-    readonly receiveWeights: (endpoint: EndpointName, version: number, by: VmId) => boolean;
+    readonly receiveWeights: (
+        endpoint: EndpointName,
+        reported: Pick<ModelVersion, "version"> & { readonly model: ModelName | undefined; },
+        by: VmId,
+    ) => boolean;
     /** On what this VM decides about an engine's weights for a model. */
     readonly weightsBasis: (entry: EndpointEntry, model: ModelName) => WeightsBasis;
     /**
@@ -116,7 +121,7 @@
     /** Versions that engines are known to hold, and when this VM learned of them, from the engine or from a peer. */
     readonly engineVersions: () => readonly {
         readonly endpoint: EndpointName;
-        readonly version: number;
+        readonly weights: ModelVersion;
         readonly learnedAt: Millis;
     }[];
 };
--- a/packages/router/src/placement/createEndpointTable.ts
+++ b/packages/router/src/placement/createEndpointTable.ts
@@ -302,6 +302,7 @@
             const outdatedMs = outdatedFor(model, version);
             return {
                 endpoint: entry.name,
+                model,
                 version,
                 ...versions.sourceAt(entry, model),
                 entryVersion: entry.versions.get(model),
--- a/packages/router/src/placement/createEngineOrders.ts
+++ b/packages/router/src/placement/createEngineOrders.ts
@@ -4,6 +4,7 @@
 import type { EndpointEntry } from "../registry/EndpointEntry.js";
 import { createListeners } from "./createListeners.js";
 import type { createObservations } from "./createObservations.js";
+import type { EndpointObservations } from "./EndpointObservations.js";
 import type { EndpointTable } from "./EndpointTable.js";
 
 type EngineOrdersParts = {
@@ -29,6 +30,9 @@
 /** How much older an order may seem when it is received again, as a beacon may be delayed on a full link. */
 const ORDER_AGE_TOLERANCE_MS: Millis = 500;
 
+const newestOf = ({ versions }: EndpointObservations): number =>
+    Math.max(0, ...[...versions.values()].map(({ version }) => version));
+
 /** Creates the orders from what is observed of endpoints. */
 export function createEngineOrders({ clock, observations, entryOf }: EngineOrdersParts): EngineOrders {
     const listeners = createListeners<EndpointName>();
@@ -51,7 +55,7 @@
         if (order.issuedAt < (observed.order?.issuedAt ?? -Infinity) - toleranceMs) {
             return false;
         }
-        const isNew = order.version !== observed.order?.version && order.version > observed.knownVersion;
+        const isNew = order.version !== observed.order?.version && order.version > newestOf(observed);
         observed.order = order;
         if (isNew) {
             listeners.notify(endpoint);
@@ -67,8 +71,9 @@
     };
 
     const own: EngineOrders["own"] = entry => {
-        const { order, knownVersion } = observations.of(entry);
-        return order?.isOwn === true && at(entry, knownVersion) !== undefined
+        const observed = observations.of(entry);
+        const { order } = observed;
+        return order?.isOwn === true && at(entry, newestOf(observed)) !== undefined
             ? [[entry.name, order.version, clock.now() - order.issuedAt]]
             : [];
     };
--- a/packages/router/src/placement/createEngineVersions.ts
+++ b/packages/router/src/placement/createEngineVersions.ts
@@ -2,10 +2,10 @@
 
 import type { EndpointEntry } from "../registry/EndpointEntry.js";
 import type { createObservations } from "./createObservations.js";
-import type { EndpointObservations } from "./EndpointObservations.js";
 import type { EndpointTable } from "./EndpointTable.js";
 import { ENTRY_LAG_MS } from "./ENTRY_LAG_MS.js";
-import type { VersionSource } from "./VersionSource.js";
+import type { KnownVersion } from "./KnownVersion.js";
+import { onlyModelOf } from "./onlyModelOf.js";
 
 type EngineVersionsParts = {
     readonly clock: Clock;
@@ -13,27 +13,24 @@
     readonly entryOf: EndpointTable["entryOf"];
     /** As of when the store was read for the entries. */
     readonly entriesReadAsOf: () => Millis;
-    /** Called when an engine holds older weights than it was known to hold. */
+    /** Called when an engine holds older weights of a model than it was known to hold. */
     readonly onOlder: (
         endpoint: EndpointName,
-        inputs: { readonly stated: number; readonly known: number; },
+        inputs: { readonly model: ModelName; readonly stated: number; readonly known: number; },
     ) => void;
 };
 
-/** The versions of the weights that engines hold, as their entries, they themselves and peers say. */
+/** The versions of the weights that engines hold for each model, as their entries, they themselves and peers say. */
 type EngineVersions = {
-    /** Returns the version that an engine holds for a model; undefined if it serves none. */
+    /** Returns the version that an engine holds for a model; undefined if it does not serve the model. */
     readonly at: (entry: EndpointEntry, model: ModelName | undefined) => number | undefined;
     /** Who stated that version, and for how long nothing has confirmed it. */
-    readonly sourceAt: (
-        entry: EndpointEntry,
-        model: ModelName | undefined,
-    ) => { readonly by: string; readonly statedFor: ModelName | undefined; readonly ageMs: Millis; };
+    readonly sourceAt: (entry: EndpointEntry, model: ModelName) => { readonly by: string; readonly ageMs: Millis; };
     readonly adoptStated: (entry: EndpointEntry) => void;
     /** As `adoptStated`, for all entries; only for use while these have not changed since the last call. */
     readonly adoptAllStated: () => void;
     /**
-     * Whether an engine may no longer hold the version that it is known for: nothing has confirmed it for so long that its
+     * Whether an engine may no longer hold a version that it is known for: nothing has confirmed it for so long that its
      * entry shows what it holds, but the store was last read before.
      */
     readonly areUnread: () => boolean;
@@ -42,48 +39,70 @@
     readonly all: EndpointTable["engineVersions"];
 };
 
+const newKnownVersion = (): KnownVersion => ({
+    version: 0,
+    by: "entry",
+    confirmedAt: -Infinity,
+    learnedAt: -Infinity,
+    distrusted: 0,
+});
+
 /** Creates the versions from what is observed of endpoints. */
 export function createEngineVersions(parts: EngineVersionsParts): EngineVersions {
     const { clock, observations, entryOf } = parts;
     /**
-     * Engines that may hold a later version than their entry states. Beacons confirm the entries dozens of times a
-     * second, and all others need no look then.
+     * Engines that may hold a later version of a model than their entry states. Beacons confirm the entries dozens of
+     * times a second, and all others need no look then.
      */
     const ahead = new Set<EndpointName>();
+    const statedBy = (entry: EndpointEntry, model: ModelName): number => entry.versions.get(model) ?? 0;
+    const knownOf = (entry: EndpointEntry, model: ModelName): KnownVersion => {
+        const { versions } = observations.of(entry);
+        const known = versions.get(model) ?? newKnownVersion();
+        versions.set(model, known);
+        return known;
+    };
+    const isAhead = (entry: EndpointEntry): boolean =>
+        [...observations.of(entry).versions].some(([model, { version }]) => statedBy(entry, model) < version);
     const at: EngineVersions["at"] = (entry, model) =>
         model === undefined || !entry.versions.has(model)
             ? undefined
-            : Math.max(entry.versions.get(model) ?? 0, observations.of(entry).knownVersion);
+            : Math.max(statedBy(entry, model), observations.of(entry).versions.get(model)?.version ?? 0);
 
     /**
      * If an engine loads older weights again, for example by a late order after a restart, all that is known of it but
      * its entry names the newer ones: requests for these are rejected, and no order follows. To prevent this, a version
-     * that nothing has confirmed for long enough for the registry to show it gives way to the entry.
+     * that nothing has confirmed for long enough for the registry to show it gives way to the entry. A model that the
+     * entry no longer names is no longer served.
      */
     const adoptStated: EngineVersions["adoptStated"] = entry => {
-        const observed = observations.of(entry);
-        const stated = Math.max(0, ...entry.versions.values());
-        const isConfirmed = parts.entriesReadAsOf() - observed.versionConfirmedAt <= ENTRY_LAG_MS;
-        if (stated > 0 && stated < observed.knownVersion && !isConfirmed) {
-            parts.onOlder(entry.name, { stated, known: observed.knownVersion });
-            observed.distrustedVersion = observed.knownVersion;
-            observed.knownVersion = stated;
-        }
-        if (stated > 0 && stated < observed.knownVersion) {
+        observations.of(entry).versions.forEach((known, model) => {
+            const stated = statedBy(entry, model);
+            const isConfirmed = parts.entriesReadAsOf() - known.confirmedAt <= ENTRY_LAG_MS;
+            if (stated < known.version && !isConfirmed) {
+                parts.onOlder(entry.name, { model, stated, known: known.version });
+                known.distrusted = known.version;
+                known.version = stated;
+                known.by = "entry";
+            }
+        });
+        if (isAhead(entry)) {
             ahead.add(entry.name);
         }
         else {
             ahead.delete(entry.name);
         }
     };
-    const areUnread: EngineVersions["areUnread"] = () => {
-        const dueAt = ({ versionConfirmedAt }: EndpointObservations): Millis => versionConfirmedAt + ENTRY_LAG_MS;
-        return [...ahead].some(endpoint => {
-            const observed = observations.last(endpoint);
-            return observed !== undefined && dueAt(observed) < clock.now() &&
-                dueAt(observed) >= parts.entriesReadAsOf();
+    const isUnread = (entry: EndpointEntry): boolean =>
+        [...observations.of(entry).versions].some(([model, { version, confirmedAt }]) => {
+            const dueAt = confirmedAt + ENTRY_LAG_MS;
+            return statedBy(entry, model) < version && dueAt < clock.now() && dueAt >= parts.entriesReadAsOf();
+        });
+    const areUnread: EngineVersions["areUnread"] = () =>
+        [...ahead].some(endpoint => {
+            const entry = entryOf(endpoint);
+            return entry !== undefined && isUnread(entry);
         });
-    };
     const adoptAllStated: EngineVersions["adoptAllStated"] = () =>
         [...ahead].forEach(endpoint => {
             const entry = entryOf(endpoint);
@@ -94,68 +113,52 @@
             adoptStated(entry);
         });
 
-    const recordVersion = (
-        { name }: EndpointEntry,
-        observed: EndpointObservations,
-        version: number,
-        source: VersionSource,
-    ): boolean => {
-        const isNewer = version > observed.knownVersion;
+    const recordNewer = ({ name }: EndpointEntry, known: KnownVersion, version: number, by: KnownVersion["by"]) => {
+        const isNewer = version > known.version;
         if (isNewer) {
             ahead.add(name);
-            observed.knownVersion = version;
-            observed.versionSource = source;
-            observed.versionLearnedAt = clock.now();
-            observed.versionConfirmedAt = clock.now();
+            known.version = version;
+            known.by = by;
+            known.learnedAt = clock.now();
+            known.confirmedAt = clock.now();
         }
         return isNewer;
     };
     const observe: EngineVersions["observe"] = (endpoint, { model, version }) => {
         const entry = entryOf(endpoint);
-        if (entry !== undefined) {
-            const observed = observations.of(entry);
-            const source: VersionSource = { by: "engine", model };
-            recordVersion(entry, observed, version, source);
-            if (version === observed.knownVersion) {
-                observed.versionSource = source;
-                observed.versionConfirmedAt = clock.now();
-            }
+        if (entry === undefined) {
+            return;
+        }
+        const known = knownOf(entry, model);
+        recordNewer(entry, known, version, "engine");
+        if (version === known.version) {
+            known.by = "engine";
+            known.confirmedAt = clock.now();
         }
     };
-    const receive: EngineVersions["receive"] = (endpoint, version, by) => {
+    const receive: EngineVersions["receive"] = (endpoint, { model: named, version }, by) => {
         const entry = entryOf(endpoint);
-        if (entry === undefined) {
+        const model = named ?? (entry === undefined ? undefined : onlyModelOf(entry));
+        if (entry === undefined || model === undefined) {
             return false;
         }
-        const observed = observations.of(entry);
+        const known = knownOf(entry, model);
         // Recorded as learned now, so that a relay sends it on to its peers promptly as well.
-        return version > observed.distrustedVersion &&
-            recordVersion(entry, observed, version, { by, model: undefined });
+        return version > known.distrusted && recordNewer(entry, known, version, by);
     };
     const sourceAt: EngineVersions["sourceAt"] = (entry, model) => {
-        const { knownVersion, versionSource, versionConfirmedAt } = observations.of(entry);
-        const stated = model === undefined ? 0 : entry.versions.get(model) ?? 0;
-        return versionSource === undefined || knownVersion < stated
-            ? { by: "entry", statedFor: model, ageMs: Math.round(clock.now() - parts.entriesReadAsOf()) }
-            : {
-                by: versionSource.by,
-                statedFor: versionSource.model,
-                ageMs: Math.round(clock.now() - versionConfirmedAt),
-            };
+        const known = observations.of(entry).versions.get(model);
+        return known === undefined || known.by === "entry" || known.version < statedBy(entry, model)
+            ? { by: "entry", ageMs: Math.round(clock.now() - parts.entriesReadAsOf()) }
+            : { by: known.by, ageMs: Math.round(clock.now() - known.confirmedAt) };
     };
-    return {
-        at,
-        sourceAt,
-        adoptStated,
-        adoptAllStated,
-        areUnread,
-        observe,
-        receive,
-        all: () =>
-            observations.all().filter(([, observed]) => observed.knownVersion > 0).map(([endpoint, observed]) => ({
+    const all: EngineVersions["all"] = () =>
+        observations.all().flatMap(([endpoint, { versions }]) =>
+            [...versions].filter(([, { version }]) => version > 0).map(([model, { version, learnedAt }]) => ({
                 endpoint,
-                version: observed.knownVersion,
-                learnedAt: observed.versionLearnedAt,
-            })),
-    };
+                weights: { model, version },
+                learnedAt,
+            }))
+        );
+    return { at, sourceAt, adoptStated, adoptAllStated, areUnread, observe, receive, all };
 }
--- a/packages/router/src/placement/createObservations.ts
+++ b/packages/router/src/placement/createObservations.ts
@@ -42,11 +42,7 @@
             inFlight: [],
             lastActivityAt: -Infinity,
             isReached: false,
-            knownVersion: 0,
-            versionSource: undefined,
-            versionLearnedAt: -Infinity,
-            versionConfirmedAt: -Infinity,
-            distrustedVersion: 0,
+            versions: new Map(),
             order: undefined,
         };
         all.set(entry.name, created);
