Name the model of an order for new weights

What callers saw: while an engine loads new weights of one model, and for up to 2.5 s after, requests for its other models are kept from it; with all engines ordered one after the other they are refused with 503. Their streams leave the engine although it would have gone on with them, or stay where the model's own order is taken for over. New weights of the other model wait.

Change: an order names its model, with this VM, in beacons, in what relays send on and for the streams that watch it. An engine still carries out one order at a time, so one in progress for another model keeps it from being ordered, but does not count as out of service: each model has its own wave, and no more than half of the engines carry out orders at once. An engine of several models that is busy, or answers 409, may carry out another model's order, which neither answer names: its report is read again, in place of taking that order for this model's. A report tells the versions of all models. The lines on a rollout count engines that are ordered for another model apart.

With one model an engine, waves are planned as before.

--- a/packages/router/src/__tests__/support/createSimulatedEngine.ts
+++ b/packages/router/src/__tests__/support/createSimulatedEngine.ts
@@ -14,7 +14,7 @@
 
 type SimulatedEngineParts = {
     readonly time: ReturnType<typeof createVirtualTime>;
-    readonly model: ModelName;
+    readonly models: readonly ModelName[];
     readonly loadMs: Millis;
     readonly reportLagMs: Millis;
     readonly fateOf: (order: WeightsOrder) => OrderFate;
@@ -27,6 +27,8 @@
     readonly report: () => EngineReport;
     readonly isUp: () => boolean;
     readonly accepted: readonly AcceptedOrder[];
+    /** Orders that were answered as another one was in progress, or more had been accepted than expected. */
+    readonly conflicts: () => number;
 };
 
 const OK = 200;
@@ -42,13 +44,14 @@
  * of the rows of `EngineReport`.
  */
 export function createSimulatedEngine(parts: SimulatedEngineParts): SimulatedEngine {
-    const { time, model } = parts;
+    const { time } = parts;
     const accepted: AcceptedOrder[] = [];
-    const state = { isUp: true, bornAt: FIRST_START, count: 0, version: 1, isBusy: false };
+    const state = { isUp: true, bornAt: FIRST_START, count: 0, isBusy: false, conflicts: 0 };
+    const versions = new Map(parts.models.map(model => [model, 1]));
     const history: (EngineReport & { readonly at: Millis; })[] = [];
 
     const current = (): EngineReport => ({
-        versions: new Map([[model, state.version]]),
+        versions: new Map(versions),
         isBusy: state.isBusy,
         ordersTaken: state.count,
         bornAt: state.bornAt,
@@ -66,17 +69,18 @@
         if (state.isBusy || order.ordersTaken !== state.count) {
             return CONFLICT;
         }
-        if (order.version === state.version) {
+        const before = versions.get(order.model) ?? 0;
+        if (order.version === before) {
             return OK;
         }
-        accepted.push({ ...order, at: time.clock.now(), bornAt: state.bornAt, before: state.version });
+        accepted.push({ ...order, at: time.clock.now(), bornAt: state.bornAt, before });
         state.count += 1;
         state.isBusy = true;
         remember();
         const { bornAt } = state;
         time.schedule(parts.loadMs, () => {
             if (state.bornAt === bornAt && state.isUp) {
-                state.version = order.version;
+                versions.set(order.model, order.version);
                 state.isBusy = false;
                 remember();
             }
@@ -96,7 +100,9 @@
             time.schedule(fate.delayMs, () => state.isUp ? carryOut(order) : undefined);
             return { kind: "lost" };
         }
-        return { kind: "answer", status: carryOut(order), body: Buffer.alloc(0) };
+        const status = carryOut(order);
+        state.conflicts += status === CONFLICT ? 1 : 0;
+        return { kind: "answer", status, body: Buffer.alloc(0) };
     };
 
     return {
@@ -120,5 +126,6 @@
         report: current,
         isUp: () => state.isUp,
         accepted,
+        conflicts: () => state.conflicts,
     };
 }
--- a/packages/router/src/__tests__/support/simulateOrders.ts
+++ b/packages/router/src/__tests__/support/simulateOrders.ts
@@ -20,6 +20,10 @@
     readonly endAt: Millis;
     /** When the target versions 2, 3 and so on are set. */
     readonly targetsAt: readonly Millis[];
+    /** The same for further models that the engines serve. */
+    readonly moreTargetsAt?: Readonly<Record<string, readonly Millis[]>>;
+    /** Models that an engine with an index serves; all if omitted. */
+    readonly modelsOf?: (engine: number) => readonly string[];
     readonly restarts: readonly { readonly engine: number; readonly at: Millis; readonly downMs: Millis; }[];
     /** Ends a VM's process; another one starts under its name after `downMs`. */
     readonly kills: readonly { readonly vm: number; readonly at: Millis; readonly downMs: Millis; }[];
@@ -34,9 +38,13 @@
     readonly fencesBack: readonly string[];
     /** Orders that replaced weights by older ones. */
     readonly versionsBack: readonly string[];
-    /** Engines that are not on the newest version at the end. */
+    /** Engines that are not on the newest version of one of their models at the end. */
     readonly outdated: number;
     readonly accepted: number;
+    /** Orders that engines refused as another one was in progress. */
+    readonly conflicts: number;
+    /** When all engines were first on the newest versions; `undefined` if they were not. */
+    readonly doneAt: Millis | undefined;
 };
 
 const MODEL = "model" as ModelName;
@@ -66,6 +74,10 @@
 export async function simulateOrders(run: OrdersRun): Promise<OrdersResult> {
     const time = createVirtualTime();
     const { clock } = time;
+    const targets = new Map([
+        [MODEL, run.targetsAt],
+        ...Object.entries(run.moreTargetsAt ?? {}) as [ModelName, readonly Millis[]][],
+    ]);
     const answered = <Value>(value: Value): Promise<Value> =>
         new Promise(resolve => void time.schedule(STORE_MS, () => resolve(value)));
 
@@ -89,7 +101,7 @@
     const engines = Array.from({ length: run.engines }, (_, i) => {
         const engine = createSimulatedEngine({
             time,
-            model: MODEL,
+            models: (run.modelsOf?.(i) ?? [...targets.keys()]) as ModelName[],
             loadMs: 760,
             reportLagMs: 200,
             fateOf: () => {
@@ -160,15 +172,17 @@
         (_, i) => startProcess(`vm-${i}` as VmId, i),
     );
     const alive = (): readonly Process[] => vms.filter(each => each !== undefined);
-    const declare = (each: Process, version: number): void => {
+    const declare = (each: Process, model: ModelName, version: number): void => {
         each.process.declared = stepDeclaredState(
             each.process.declared,
-            { kind: "weights", model: MODEL, version },
+            { kind: "weights", model, version },
             clock.now(),
         );
     };
 
-    run.targetsAt.forEach((at, i) => time.schedule(at, () => alive().forEach(each => declare(each, i + 2))));
+    targets.forEach((targetsAt, model) =>
+        targetsAt.forEach((at, i) => time.schedule(at, () => alive().forEach(each => declare(each, model, i + 2))))
+    );
     run.restarts.forEach(({ engine: i, at, downMs }) => {
         const { name, address, engine } = engines[i % engines.length] ?? engines[0] as typeof engines[number];
         time.schedule(at, () => {
@@ -192,7 +206,9 @@
             time.schedule(downMs, () => {
                 const started = startProcess(killed.vm, killed.rank);
                 vms[i] = started;
-                declare(started, 1 + run.targetsAt.filter(target => target <= clock.now()).length);
+                targets.forEach((targetsAt, model) =>
+                    declare(started, model, 1 + targetsAt.filter(target => target <= clock.now()).length)
+                );
             });
         })
     );
@@ -201,9 +217,10 @@
         alive().forEach(from => {
             const { tail } = from.orders.lease();
             alive().filter(to => to !== from).forEach(to => {
-                from.endpointTable.ownOrders().forEach(([endpoint, version, ageMs]) => {
-                    const issuedAt = clock.now() - ageMs;
-                    to.endpointTable.recordOrder(endpoint, { version, issuedAt, seenAt: clock.now(), isOwn: false });
+                from.endpointTable.ownOrders().forEach(([endpoint, version, ageMs, model]) => {
+                    const seenAt = clock.now();
+                    const order = { model, version, issuedAt: seenAt - ageMs, seenAt, isOwn: false };
+                    to.endpointTable.recordOrder(endpoint, order);
                 });
                 from.endpointTable.engineVersions().forEach(({ endpoint, weights }) =>
                     to.endpointTable.receiveWeights(endpoint, weights, from.vm)
@@ -238,10 +255,14 @@
         })
     );
 
+    const isOutdated = (engine: SimulatedEngine): boolean =>
+        [...engine.report().versions].some(([model, version]) => version < (targets.get(model)?.length ?? 0) + 1);
+    const done = { at: undefined as Millis | undefined };
     await Array.from({ length: Math.floor(run.endAt / STEP_MS) }).reduce<Promise<void>>(
         async (before, _, i) => {
             await before;
             time.runUntil(i * STEP_MS);
+            done.at ??= engines.some(({ engine }) => isOutdated(engine)) ? undefined : clock.now();
             // Lets what the timers resolved go on before time does.
             await new Promise(resolve => setImmediate(resolve));
         },
@@ -266,8 +287,9 @@
                 `${name} at ${at}: ${before} to ${version}`
             )
         ),
-        outdated: engines.filter(({ engine }) => (engine.report().versions.get(MODEL) ?? 0) < run.targetsAt.length + 1)
-            .length,
+        outdated: engines.filter(({ engine }) => isOutdated(engine)).length,
         accepted: engines.reduce((sum, { engine }) => sum + engine.accepted.length, 0),
+        conflicts: engines.reduce((sum, { engine }) => sum + engine.conflicts(), 0),
+        doneAt: done.at,
     };
 }
--- a/packages/router/src/__tests__/unit/engineOrders.test.ts
+++ b/packages/router/src/__tests__/unit/engineOrders.test.ts
@@ -1,6 +1,7 @@
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 
+import type { ModelName } from "@azureshunt/core";
 import test from "ava";
 
 import { callOnce } from "../../dispatch/callOnce.js";
@@ -15,8 +16,15 @@
 
 // A beacon or a report about an older order ends a newer one, and an engine loads the same weights twice.
 
-const own = (issuedAt: number): EngineOrder => ({ version: 2, issuedAt, seenAt: issuedAt, isOwn: true });
-const received = (issuedAt: number, seenAt: number): EngineOrder => ({ version: 1, issuedAt, seenAt, isOwn: false });
+const model = "model" as ModelName;
+const own = (issuedAt: number): EngineOrder => ({ model, version: 2, issuedAt, seenAt: issuedAt, isOwn: true });
+const received = (issuedAt: number, seenAt: number): EngineOrder => ({
+    model,
+    version: 1,
+    issuedAt,
+    seenAt,
+    isOwn: false,
+});
 
 type Case = {
     readonly name: string;
@@ -50,7 +58,7 @@
 
 cases.forEach(({ name, orders, at, current }) => {
     test(`engine orders: ${name}`, t => {
-        const { endpointTable, time, model, engine } = endpointTableOf();
+        const { endpointTable, time, engine } = endpointTableOf();
         orders.forEach(order => {
             time.now = order.seenAt;
             endpointTable.recordOrder(engine, order);
@@ -61,7 +69,7 @@
 });
 
 test("engine orders: only orders that have not ended are sent to the other VMs", t => {
-    const { endpointTable, time, model, engine } = endpointTableOf();
+    const { endpointTable, time, engine } = endpointTableOf();
     endpointTable.recordOrder(engine, own(time.now));
     t.is(endpointTable.ownOrders().length, 1);
     endpointTable.observeWeights(engine, { model, version: 2 });
@@ -95,7 +103,7 @@
     test(`engine orders: ${name}`, async t => {
         const server = createServer((_req, res) => res.end());
         await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-        const { endpointTable, time, model, engine } = endpointTableOf(
+        const { endpointTable, time, engine } = endpointTableOf(
             `127.0.0.1:${(server.address() as AddressInfo).port}`,
         );
         const agent = new EndpointAgent(() => time.now);
--- a/packages/router/src/__tests__/unit/planWave.test.ts
+++ b/packages/router/src/__tests__/unit/planWave.test.ts
@@ -1,3 +1,4 @@
+import type { ModelName } from "@azureshunt/core";
 import test from "ava";
 
 import type { EngineWeights } from "../../fleet/EngineWeights.js";
@@ -6,7 +7,9 @@
 
 const enginesOf = (count: number, more: Partial<EngineWeights> = {}): readonly EngineWeights[] =>
     Array.from({ length: count }, (_, i) => engineOf(`e${i}`, more));
-const order = { version: 2, issuedAt: 0, seenAt: 0, isOwn: true };
+const model = "model" as ModelName;
+const order = { model, version: 2, issuedAt: 0, seenAt: 0, isOwn: true };
+const otherOrder = { ...order, model: "other" as ModelName };
 
 type Case = {
     readonly name: string;
@@ -72,12 +75,37 @@
         orders: ["other"],
         heldBack: ["held"],
     },
+    {
+        name: "orders other engines than those that load weights of another model",
+        engines: enginesOf(8).map((each, i) => i < 2 ? { ...each, order: otherOrder } : each),
+        demand: 10,
+        orders: ["e2", "e3"],
+    },
+    {
+        name: "does not count an engine as out of service that loads weights of another model",
+        engines: enginesOf(3).map((each, i) => i < 1 ? { ...each, order: otherOrder } : each),
+        demand: 10,
+        orders: ["e1"],
+    },
+    {
+        name: "orders none while one half load weights, of whichever model",
+        engines: enginesOf(8).map((each, i) => i < 4 ? { ...each, order: i < 1 ? order : otherOrder } : each),
+        demand: 10,
+        orders: 0,
+    },
+    {
+        name: "counts an order whose model is not known",
+        engines: enginesOf(8).map((each, i) => i < 2 ? { ...each, order: { ...order, model: undefined } } : each),
+        demand: 10,
+        orders: 0,
+    },
 ];
 
 cases.forEach(({ name, engines, demand, orders, heldBack = [] }) => {
     test(`planWave: ${name}`, t => {
         const planned = planWave({
             engines,
+            model,
             version: 3,
             demand,
             servesForMs: 8_500,
--- a/packages/router/src/__tests__/unit/unreachedOrders.test.ts
+++ b/packages/router/src/__tests__/unit/unreachedOrders.test.ts
@@ -28,6 +28,7 @@
         const planned = (): readonly EndpointName[] =>
             planWave({
                 engines: endpointTable.engines(model),
+                model,
                 version: 2,
                 servesForMs,
                 demand: 0,
--- a/packages/router/src/fleet/EngineWeights.ts
+++ b/packages/router/src/fleet/EngineWeights.ts
@@ -10,7 +10,7 @@
     readonly outdatedMs: Millis;
     /** When this VM saw its incarnation replace an earlier one under the same name; `-Infinity` if it saw none. */
     readonly restartedAt: Millis;
-    /** Set while an order is, or may be, in progress. */
+    /** Set while an order is, or may be, in progress, for whichever model: an engine carries out one at a time. */
     readonly order: EngineOrder | undefined;
     /** Requests running there. */
     readonly running: number;
--- a/packages/router/src/fleet/followOrder.ts
+++ b/packages/router/src/fleet/followOrder.ts
@@ -54,11 +54,9 @@
     const seen = state?.versions.get(model);
     const currentOrder = (): EngineOrder | undefined =>
         endpointTable.engines(model).find(engine => engine.endpoint === endpoint)?.order;
-    if (seen !== undefined) {
-        endpointTable.observeWeights(endpoint, { model, version: seen });
-    }
+    state?.versions.forEach((version, model) => endpointTable.observeWeights(endpoint, { model, version }));
     if (state?.isBusy === true && currentOrder()?.issuedAt === issuedAt) {
-        endpointTable.recordOrder(endpoint, { version, issuedAt, seenAt: clock.now(), isOwn: true });
+        endpointTable.recordOrder(endpoint, { model, version, issuedAt, seenAt: clock.now(), isOwn: true });
     }
     // The engine accepted other orders than expected, and none is in progress: this order is void, and another one may
     // follow.
--- a/packages/router/src/fleet/planWave.ts
+++ b/packages/router/src/fleet/planWave.ts
@@ -1,6 +1,7 @@
-import type { EndpointName, Millis, Tokens } from "@azureshunt/core";
+import type { EndpointName, Millis, ModelName, Tokens } from "@azureshunt/core";
 
 import type { EngineWeights } from "./EngineWeights.js";
+import { isOrderOf } from "./isOrderOf.js";
 
 /** Prompt tokens that an engine prefills per millisecond, from the deployment specification. */
 const PREFILL_TOKENS_PER_MS = 80;
@@ -17,9 +18,10 @@
 
 /** State from which a wave is planned. */
 type WaveView = {
+    readonly model: ModelName;
     /** All engines of the model. */
     readonly engines: readonly EngineWeights[];
-    /** The newest target version. */
+    /** The newest target version of the model. */
     readonly version: number;
     /** Engines whose weights were replaced longer ago get no requests, so ordering them costs no capacity. */
     readonly servesForMs: Millis;
@@ -58,12 +60,18 @@
  * ordered at once, fewer if the demand leaves fewer to spare, and more only as far as needed to get all engines off a
  * version before it no longer serves; if that is already too late, one half is ordered before the other.
  *
+ * An engine that carries out an order for another model goes on serving this one, so it is not out of service here, but it
+ * takes no other order meanwhile. With new weights of several models, no more than one half carry out orders at once.
+ *
  * @returns the engines to order, in that order; those that get no requests come first and are not limited
  */
-export function planWave({ engines, version, demand, servesForMs, mayOrder }: WaveView): readonly EndpointName[] {
+export function planWave(
+    { engines, model, version, demand, servesForMs, mayOrder }: WaveView,
+): readonly EndpointName[] {
     const up = engines.filter(({ isUp }) => isUp);
     const outdated = up.filter(engine => engine.version < version);
-    const outOfService = up.filter(({ order }) => order !== undefined).length;
+    const outOfService = up.filter(({ order }) => isOrderOf(order, model)).length;
+    const ordered = up.filter(({ order }) => order !== undefined).length;
     const spare = Math.min(Math.ceil(up.length * MAX_OUT_OF_SERVICE_FRACTION), up.length - enginesNeeded(demand));
     const urgentMax = Math.ceil(up.length * URGENT_MAX_OUT_OF_SERVICE_FRACTION);
     const atOnce = Math.max(1, spare, Math.min(urgentMax, minAtOnceByDeadline(outdated)));
@@ -73,7 +81,7 @@
     const idle = due.filter(({ outdatedMs }) => outdatedMs >= servesForMs);
     const serving = due.filter(({ outdatedMs }) => outdatedMs < servesForMs).slice(
         0,
-        Math.max(0, atOnce - outOfService),
+        Math.max(0, Math.min(atOnce - outOfService, urgentMax - ordered)),
     );
     return [...idle, ...serving].map(({ endpoint }) => endpoint);
 }
--- a/packages/router/src/fleet/startOrders.ts
+++ b/packages/router/src/fleet/startOrders.ts
@@ -67,6 +67,13 @@
 /** Minimum time between two log lines on the progress of a rollout. */
 const ROLLOUT_LOG_INTERVAL_MS: Millis = 1_000;
 
+/**
+ * Whether an engine may carry out an order for another model than this one. It takes one at a time, and neither its report
+ * nor its refusal of another one names the model. Requests for this model go on there meanwhile.
+ */
+const isOneOfSeveral = ({ versions }: EndpointEntry, model: ModelName): boolean =>
+    [...versions.keys()].some(each => each !== model);
+
 /** Maintains the order lease and, while this VM holds it, brings all engines to the newest target weights. */
 export function startOrders(parts: OrderParts): Orders {
     const { clock, endpointTable, declaredState, logger } = parts;
@@ -77,8 +84,13 @@
             .flatMap(([model, [target]]) => target === undefined ? [] : [[model, target.version] as const])
             .filter(([model, version]) => endpointTable.isAnyOutdated(model, version));
 
-    const outdatedEngines = (): readonly EngineStart[] =>
-        wanted().flatMap(([model, target]) => endpointTable.engines(model).filter(({ version }) => version < target));
+    /** Engines on replaced weights, each once. */
+    const outdatedEngines = (): readonly EngineStart[] => {
+        const outdated = wanted().flatMap(([model, target]) =>
+            endpointTable.engines(model).filter(({ version }) => version < target)
+        );
+        return [...new Map(outdated.map(engine => [engine.endpoint, engine])).values()];
+    };
     const keeper = createLeaseKeeper({
         ...parts,
         orderable: outdatedEngines,
@@ -123,7 +135,11 @@
             return undefined;
         }
         const seen = report.versions.get(model) ?? 0;
-        endpointTable.observeWeights(endpoint, { model, version: seen });
+        report.versions.forEach((each, of) => endpointTable.observeWeights(endpoint, { model: of, version: each }));
+        if (report.isBusy && isOneOfSeveral(entry, model)) {
+            heldUntil.set(endpoint, clock.now() + orderTiming.nextReportMs);
+            return undefined;
+        }
         const { ordersTaken, bornAt = entry.bornAt } = report;
         const allowedAt = orderAllowedAt({
             bornAt,
@@ -158,7 +174,7 @@
         }
         const { bornAt } = entry;
         const issuedAt = clock.now();
-        endpointTable.recordOrder(endpoint, { version, issuedAt, seenAt: issuedAt, isOwn: true });
+        endpointTable.recordOrder(endpoint, { model, version, issuedAt, seenAt: issuedAt, isOwn: true });
         parts.sendSoon();
         const removeUnanswered = unanswered.add({ endpoint, bornAt, ordersTaken });
         const call = parts.wire.encodeOrder({ endpoint, model, version, holder: parts.vm, fence, ordersTaken });
@@ -185,7 +201,9 @@
         if (res.kind === "unreached") {
             endpointTable.recordUnreached(endpoint);
         }
-        if (res.kind === "unreached" || (status !== undefined && status !== ACCEPTED && status !== CONFLICT)) {
+        const isOtherInProgress = status === CONFLICT && isOneOfSeveral(entry, model);
+        const isRefused = status !== undefined && status !== ACCEPTED && status !== CONFLICT;
+        if (res.kind === "unreached" || isRefused || isOtherInProgress) {
             endpointTable.orderEnded(endpoint, issuedAt);
             return;
         }
@@ -202,7 +220,7 @@
     const enginesWithAsked = (model: ModelName, version: number): readonly EngineWeights[] =>
         endpointTable.engines(model).map(engine =>
             asked.has(engine.endpoint)
-                ? { ...engine, order: { version, issuedAt: clock.now(), seenAt: clock.now(), isOwn: true } }
+                ? { ...engine, order: { model, version, issuedAt: clock.now(), seenAt: clock.now(), isOwn: true } }
                 : engine
         );
 
@@ -213,6 +231,7 @@
         wanted().forEach(([model, version]) =>
             planWave({
                 engines: enginesWithAsked(model, version),
+                model,
                 version,
                 servesForMs: parts.servesForMs(),
                 demand: parts.demand(),
@@ -234,7 +253,7 @@
         lastLogged.at = clock.now();
         wanted().forEach(([model, version]) =>
             logger.info(
-                { model, version, ...rolloutOf(endpointTable.engines(model), version) },
+                { model, version, ...rolloutOf(endpointTable.engines(model), { model, version }) },
                 "Rollout of weights in progress.",
             )
         );
--- a/packages/router/src/peers/Beacon.ts
+++ b/packages/router/src/peers/Beacon.ts
@@ -11,6 +11,7 @@
 import type { EndpointShare } from "./EndpointShare.js";
 import type { EngineVersionRow } from "./EngineVersionRow.js";
 import type { KnownVm } from "./KnownVm.js";
+import type { OrderedRow } from "./OrderedRow.js";
 
 /**
  * State that a VM sends to its peers several times a second. State that does not fit into one datagram is sent as
@@ -67,8 +68,8 @@
     readonly load: readonly (readonly [EndpointName, EndpointShare])[] | undefined;
     /** Prompt tokens that the sender's callers send per millisecond. */
     readonly demand: Tokens;
-    /** Engines that execute orders of the sender, or of VMs whose state is relayed: name, version, age of the order. */
-    readonly ordered: readonly (readonly [EndpointName, number, Millis])[];
+    /** Engines that execute orders of the sender, or of VMs whose state is relayed. */
+    readonly ordered: readonly OrderedRow[];
     /** Versions of the weights that engines are known to have loaded. */
     readonly engineVersions: readonly EngineVersionRow[];
     /**
--- a/packages/router/src/peers/applyBeacon.ts
+++ b/packages/router/src/peers/applyBeacon.ts
@@ -23,8 +23,8 @@
     registry.applyBeacon(received);
     peerLoad.applyBeacon(beacon);
     relayBuffer.applyBeacon(beacon, role);
-    const orderUpdates = beacon.ordered.map(([endpoint, version, ageMs]) =>
-        endpointTable.recordOrder(endpoint, { version, issuedAt: now - ageMs, seenAt: now, isOwn: false })
+    const orderUpdates = beacon.ordered.map(([endpoint, version, ageMs, model]) =>
+        endpointTable.recordOrder(endpoint, { model, version, issuedAt: now - ageMs, seenAt: now, isOwn: false })
     );
     beacon.cached.forEach(([holder, parts]) => prefixIndex.receiveParts(holder, parts, now));
     const weightsUpdates = beacon.engineVersions.map(([endpoint, version, model]) =>
--- a/packages/router/src/peers/createRelayBuffer.ts
+++ b/packages/router/src/peers/createRelayBuffer.ts
@@ -1,4 +1,4 @@
-import type { Clock, EndpointName, Millis, Tokens, VmId } from "@azureshunt/core";
+import type { Clock, EndpointName, Millis, ModelName, Tokens, VmId } from "@azureshunt/core";
 import { rendezvousOrder } from "@azureshunt/core";
 
 import type { PrefixPart } from "../placement/PrefixPart.js";
@@ -8,9 +8,16 @@
 
 type RelayScope = "domain" | "fleet";
 type RowUpdate = Pick<Beacon, "cached" | "ordered">;
-type Order = { readonly version: number; readonly issuedAt: Millis; readonly receivedAt: Millis; };
+type Order = {
+    readonly version: number;
+    readonly issuedAt: Millis;
+    readonly receivedAt: Millis;
+    /** The model as the received row names it. */
+    readonly model: readonly [ModelName?];
+};
 type Buffered = {
     readonly cached: Map<string, Map<string, Tokens>>;
+    /** One of each engine, as it carries out one at a time. */
     readonly orders: Map<EndpointName, Order>;
     /** Number of rows of `cached`, each time it is received. */
     received: number;
@@ -91,9 +98,9 @@
             }
         });
         const receivedAt = clock.now();
-        ordered.forEach(([endpoint, version, ageMs]) => {
+        ordered.forEach(([endpoint, version, ageMs, ...model]) => {
             orders.delete(endpoint);
-            orders.set(endpoint, { version, issuedAt: receivedAt - ageMs, receivedAt });
+            orders.set(endpoint, { version, issuedAt: receivedAt - ageMs, receivedAt, model });
         });
         // Where this relay sends to nobody, nothing asks for the orders.
         forgetExpired(orders);
@@ -116,8 +123,8 @@
     const ordered: RelayBuffer["ordered"] = scope => {
         const { orders } = buffered[scope];
         forgetExpired(orders);
-        return [...orders].map(([endpoint, { version, issuedAt }]) =>
-            [endpoint, version, Math.round(clock.now() - issuedAt)] as const
+        return [...orders].map(([endpoint, { version, issuedAt, model }]) =>
+            [endpoint, version, Math.round(clock.now() - issuedAt), ...model] as const
         );
     };
     const size: RelayBuffer["size"] = () =>
--- a/packages/router/src/peers/createVersionSelector.ts
+++ b/packages/router/src/peers/createVersionSelector.ts
@@ -1,7 +1,7 @@
 import type { Millis } from "@azureshunt/core";
 
 import type { EndpointTable } from "../placement/EndpointTable.js";
-import { onlyModelOf } from "../placement/onlyModelOf.js";
+import { modelInRow } from "../placement/modelInRow.js";
 import type { EngineVersionRow } from "./EngineVersionRow.js";
 
 type Versions = ReturnType<EndpointTable["engineVersions"]>;
@@ -22,10 +22,9 @@
     { engineVersions, entryOf }: Pick<EndpointTable, "engineVersions" | "entryOf">,
     now: () => Millis,
 ): () => readonly EngineVersionRow[] {
-    const rowOf = ({ endpoint, weights: { model, version } }: Versions[number]): EngineVersionRow => {
-        const entry = entryOf(endpoint);
-        return entry !== undefined && onlyModelOf(entry) === model ? [endpoint, version] : [endpoint, version, model];
-    };
+    const rowOf = (
+        { endpoint, weights: { model, version } }: Versions[number],
+    ): EngineVersionRow => [endpoint, version, ...modelInRow(entryOf(endpoint), model)];
     const rotation = { next: 0 };
     return () => {
         const all = engineVersions();
--- a/packages/router/src/peers/decodeBeacon.ts
+++ b/packages/router/src/peers/decodeBeacon.ts
@@ -70,7 +70,7 @@
     && areRows(row[10], isText, isNumber, isNumberOrAbsent)
     && areRows(row[11], isText, isNumber, isNumberOrAbsent)
     && (row[12] === null || areRows(row[12], ...LOAD_ROW))
-    && areRows(row[13], isText, isNumber, isNumber)
+    && areRows(row[13], isText, isNumber, isNumber, isTextOrAbsent)
     && areRows(row[14], isText, isNumber, isTextOrAbsent)
     && isRowOrNull(row[15], isNumber, isText, isNumber)
     && typeof row[16] === "boolean" && typeof row[17] === "boolean"
--- a/packages/router/src/placement/EndpointTable.ts
+++ b/packages/router/src/placement/EndpointTable.ts
@@ -4,6 +4,7 @@
 import type { EngineWeights } from "../fleet/EngineWeights.js";
 import type { ModelVersion } from "../fleet/ModelVersion.js";
 import type { EndpointShare } from "../peers/EndpointShare.js";
+import type { OrderedRow } from "../peers/OrderedRow.js";
 import type { EndpointEntry } from "../registry/EndpointEntry.js";
 import type { RegistryEvent } from "../registry/RegistryEvent.js";
 import type { Candidate } from "./Candidate.js";
@@ -85,11 +86,11 @@
     /** Removes the order issued at that time, as it has ended or was never carried out; a newer order stays. */
     readonly orderEnded: (endpoint: EndpointName, issuedAt: Millis) => void;
     /**
-     * Calls the listener whenever this VM learns of an order for new weights to the engine.
+     * Calls the listener whenever this VM learns of an order for new weights of the model to the engine.
      *
      * @returns a function that removes the listener
      */
-    readonly onOrdered: (endpoint: EndpointName, listener: () => void) => () => void;
+    readonly onOrdered: (endpoint: EndpointName, model: ModelName, listener: () => void) => () => void;
     /**
      * Whether any engine of a model holds an older version. Called several times a second, so it checks nothing else.
      */
@@ -116,8 +117,8 @@
     readonly entryOf: (endpoint: EndpointName) => EndpointEntry | undefined;
     /** This VM's own load at each endpoint where it has requests in flight. */
     readonly ownShares: () => readonly (readonly [EndpointName, EndpointShare])[];
-    /** Orders of this VM that are being carried out: engine, version, age in milliseconds. */
-    readonly ownOrders: () => readonly (readonly [EndpointName, number, Millis])[];
+    /** Orders of this VM that are being carried out. */
+    readonly ownOrders: () => readonly OrderedRow[];
     /** Versions that engines are known to hold, and when this VM learned of them, from the engine or from a peer. */
     readonly engineVersions: () => readonly {
         readonly endpoint: EndpointName;
--- a/packages/router/src/placement/createEndpointTable.ts
+++ b/packages/router/src/placement/createEndpointTable.ts
@@ -85,7 +85,7 @@
         entriesReadAsOf: () => state.registry.readAsOf,
         onOlder: (endpoint, inputs) => parts.onChange(endpoint, "on-older-weights", inputs),
     });
-    const orders = createEngineOrders({ clock, observations, entryOf });
+    const orders = createEngineOrders({ clock, observations, entryOf, versionAt: versions.at });
 
     const outdatedFor = (model: ModelName | undefined, version: number | undefined): Millis | undefined => {
         const since = model === undefined || version === undefined
@@ -163,7 +163,7 @@
                 const outdatedMs = outdatedFor(request.model, weights);
                 return { entry, weights, observed: observations.of(entry), outdatedMs };
             })
-            .filter(({ entry, weights }) => orders.at(entry, weights) === undefined)
+            .filter(({ entry }) => orders.at(entry, request.model) === undefined)
             .filter(({ outdatedMs }) => (outdatedMs ?? 0) < parts.outdatedLimitMs());
         const withWeights = (weights: number | undefined): readonly EndpointEntry[] =>
             placeable.filter(each => each.weights === weights).map(({ entry }) => entry);
@@ -269,7 +269,7 @@
                     version,
                     outdatedMs: outdatedFor(model, version) ?? 0,
                     restartedAt: observed.restartedAt,
-                    order: orders.at(entry, version),
+                    order: orders.inProgress(entry),
                     running,
                     // Only a call shows that an engine is back, and on outdated weights it gets no call but an order.
                     // Waiting for other activity would leave it on them forever. The backoff grows with each failed
@@ -306,7 +306,7 @@
                 version,
                 ...versions.sourceAt(entry, model),
                 entryVersion: entry.versions.get(model),
-                ordered: orders.at(entry, version)?.version,
+                ordered: orders.at(entry, model)?.version,
                 outdatedMs: outdatedMs === undefined ? undefined : Math.round(outdatedMs),
             };
         },
--- a/packages/router/src/serve/sendTry.ts
+++ b/packages/router/src/serve/sendTry.ts
@@ -306,8 +306,8 @@
             onActivity,
             isAlive: inFlight.isAlive,
             onMove: move =>
-                watchOrders({
-                    onOrdered: listener => endpointTable.onOrdered(place.entry.name, listener),
+                model === undefined ? () => undefined : watchOrders({
+                    onOrdered: listener => endpointTable.onOrdered(place.entry.name, model, listener),
                     schedule: startTimeout,
                     reserve: () => reserveMove(tryParts),
                 }, reserved => {
--- a/packages/router/src/serve/watchOrders.ts
+++ b/packages/router/src/serve/watchOrders.ts
@@ -10,7 +10,7 @@
 const WAVE_PROPAGATION_MS: Millis = peerTiming.urgentGapMs + 60;
 
 type OrderWatch<Reserved> = {
-    /** Calls a listener whenever the engine is ordered to load weights; returns a function that unregisters it. */
+    /** Calls a listener whenever the engine is ordered to load weights of the stream's model; returns a function that unregisters it. */
     readonly onOrdered: (listener: () => void) => () => void;
     /** Runs a function after a delay; returns a function that cancels it. */
     readonly schedule: (delayMs: Millis, run: () => void) => () => void;
@@ -19,7 +19,7 @@
 };
 
 /**
- * Watches the orders for a stream's engine and calls `move` when the stream is to leave it.
+ * Watches the orders for a stream's engine and model and calls `move` when the stream is to leave it.
  *
  * If two engines are ordered at once and a VM knows only the first order, it would send its stream to the second
  * engine, which keeps a place for it, but refuses it as it has to load new weights too; the retry is used up and the
