Take no weights from an answer to another request

Cause, by reading: the version in an answer's head was recorded before it was judged whether the answer is to this request. An answer may arrive late, at the point where the next one on the connection is expected. With one model an engine it states the same version; now that versions are kept by model, it would have stated a version of the request's model that belongs to another one. Requests for that model would be rejected until the entry is read again, some 4 s later.

Change: `statedWeights` says whose weights a head states: those of the request's model, none if it names another request.

--- a/packages/router/src/serve/sendTry.ts
+++ b/packages/router/src/serve/sendTry.ts
@@ -18,6 +18,7 @@
 import { recordOrigin } from "./recordOrigin.js";
 import type { ReservedPlace } from "./ReservedPlace.js";
 import { reserveMove } from "./reserveMove.js";
+import { statedWeights } from "./statedWeights.js";
 import type { TryParts } from "./TryParts.js";
 import type { TryResult } from "./TryResult.js";
 import type { TryStage } from "./TryStage.js";
@@ -230,8 +231,9 @@
     times.headMs = Math.round(clock.now() - startedAt);
     const head = parts.endpointWire.decodeHead(opened.res);
     const model = served.caller.prompt?.model;
-    if (head.weights !== undefined && model !== undefined) {
-        endpointTable.observeWeights(place.entry.name, { model, version: head.weights });
+    const weights = statedWeights(head, served);
+    if (weights !== undefined) {
+        endpointTable.observeWeights(place.entry.name, weights);
     }
     if (head.maxRefusals !== undefined) {
         parts.brittleServices.announce(served.service, head.maxRefusals);
