Keep cached parts of prompts apart by model

What callers saw: a prompt for one model goes to an engine that has read its parts for another one, or is told to fetch them there, and is read whole all the same, later than it was predicted.

Cause: the key of a cached part named the salt, which holds the version of the weights, and the parts, but not the model. At equal versions the parts of two models had the same keys. Engines keep them apart, so nothing wrong is read; the index of VMs did not.

Change: the key names the model. It is a digest, so beacons are as long as before, and the salt that engines see stays as it was: parts that were read before a VM is replaced are found after it.

Keys of crashing parts (`partKeysOf`) named the model already.

--- a/packages/router/src/__tests__/unit/placement.test.ts
+++ b/packages/router/src/__tests__/unit/placement.test.ts
@@ -1,3 +1,4 @@
+import type { ModelName } from "@azureshunt/core";
 import test from "ava";
 
 import type { TryOutcome } from "../../dispatch/TryOutcome.js";
@@ -11,6 +12,8 @@
 import { loadOf } from "../../placement/loadOf.js";
 import { candidateOf } from "../support/candidateOf.js";
 
+const model = "alpha" as ModelName;
+
 type Case = { readonly name: string; readonly candidates: readonly Candidate[]; readonly chosen: string | undefined; };
 
 // An engine that has stopped responding looks idle and attracts all requests.
@@ -146,21 +149,22 @@
     test(`loadOf: silence, ${name}`, t => t.is(loadOf(requests, undefined, activityAt, 2_000).silentMs, silentMs));
 });
 
-test("prefix index: a part counts only if all parts before it are cached, under the same salt, until it expires", t => {
+test("prefix index: a part counts only if all parts before it are cached, for the same model and salt, until it expires", t => {
     const parts = [{ id: "a", tokens: 10 }, { id: "b", tokens: 20 }, { id: "c", tokens: 30 }];
     const index = createPrefixIndex(() => ({ expiryMs: 1_000, size: 1_000 }));
-    const chain = chainOf("w1", parts);
+    const chain = chainOf("w1", { model, parts });
     index.record("e1", chain.slice(0, 2), 0);
     index.record("e2", chain.slice(1), 0);
     t.deepEqual(index.holders(chain, 500), [{ holder: "e1", tokens: 30 }]);
-    t.deepEqual(index.holders(chainOf("w2", parts), 500), []);
+    t.deepEqual(index.holders(chainOf("w2", { model, parts }), 500), []);
+    t.deepEqual(index.holders(chainOf("w1", { model: "other" as ModelName, parts }), 500), []);
     t.deepEqual(index.holders(chain, 1_500), []);
     index.forget("e1");
     t.deepEqual(index.holders(chain, 500), []);
 });
 
 test("prefix index: an update to the peers lists each part once, all parts included as all take up room", t => {
-    const chain = chainOf("w1", [{ id: "a", tokens: 10 }, { id: "b", tokens: 20 }]);
+    const chain = chainOf("w1", { model, parts: [{ id: "a", tokens: 10 }, { id: "b", tokens: 20 }] });
     const index = createPrefixIndex(() => ({ expiryMs: 1_000, size: 1_000 }));
     index.record("e1", chain, 0);
     index.record("e1", chain, 0);
@@ -180,9 +184,9 @@
 fillings.forEach(({ name, others, isHeld }) => {
     test(`prefix index of a full engine: ${name}`, t => {
         const index = createPrefixIndex(() => ({ expiryMs: 8_000, size: 100_000 }));
-        const manual = chainOf("w1", [{ id: "manual", tokens: 10_000 }]);
+        const manual = chainOf("w1", { model, parts: [{ id: "manual", tokens: 10_000 }] });
         index.record("e1", manual, 0);
-        Array.from({ length: others }, (_, i) => chainOf("w1", [{ id: `own${i}`, tokens: 10_000 }]))
+        Array.from({ length: others }, (_, i) => chainOf("w1", { model, parts: [{ id: `own${i}`, tokens: 10_000 }] }))
             .forEach((own, i) => index.record("e1", own, 10 * i));
         t.is(index.holders(manual, 2_000).length === 1, isHeld);
     });
@@ -190,10 +194,10 @@
 
 test("prefix index of a full engine: reused parts stay, and the end of a prompt is evicted before its beginning", t => {
     const index = createPrefixIndex(() => ({ expiryMs: 8_000, size: 30 }));
-    const first = chainOf("w1", [{ id: "a", tokens: 10 }, { id: "b", tokens: 10 }]);
+    const first = chainOf("w1", { model, parts: [{ id: "a", tokens: 10 }, { id: "b", tokens: 10 }] });
     index.record("e1", first, 0);
-    index.record("e1", chainOf("w1", [{ id: "c", tokens: 10 }]), 1);
+    index.record("e1", chainOf("w1", { model, parts: [{ id: "c", tokens: 10 }] }), 1);
     index.record("e1", first, 2);
-    index.record("e1", chainOf("w1", [{ id: "d", tokens: 20 }]), 3);
+    index.record("e1", chainOf("w1", { model, parts: [{ id: "d", tokens: 20 }] }), 3);
     t.deepEqual(index.holders(first, 4), [{ holder: "e1", tokens: 10 }]);
 });
--- a/packages/router/src/serve/placeRequest.ts
+++ b/packages/router/src/serve/placeRequest.ts
@@ -57,7 +57,7 @@
             return known;
         }
         const salt = weights === undefined ? undefined : saltFor(weights);
-        const chain = prompt === undefined || salt === undefined ? [] : chainOf(salt, prompt.parts);
+        const chain = prompt === undefined || salt === undefined ? [] : chainOf(salt, prompt);
         const shares = createPromptShares(parts, prompt?.promptTokens ?? 0, chain, chain.length === 0 ? [] : peers());
         const versioned = { salt, chain, shares };
         promptByWeights.set(weights, versioned);
--- a/packages/router/src/serve/sendTry.ts
+++ b/packages/router/src/serve/sendTry.ts
@@ -296,7 +296,8 @@
         times.firstEventMs = Math.round(clock.now() - startedAt);
         inFlight.answerStarted();
         // Computed again, as it takes as much memory as the prompt's parts while the request waits.
-        const chain = place.salt === undefined ? [] : chainOf(place.salt, served.caller.prompt?.parts ?? []);
+        const { prompt } = served.caller;
+        const chain = place.salt === undefined || prompt === undefined ? [] : chainOf(place.salt, prompt);
         prefixIndex.record(place.entry.name, chain, clock.now());
         if (saveTo !== undefined) {
             prefixIndex.record(saveTo, chain, clock.now());
