Tell VMs that an engine serves other models than before

Cause, by reading: one VM reads the registry and sends the others a digest of the entries, which left out what engines serve. An engine that begins to serve a further model, or no longer serves one, does not start again for it, so VMs that do not read the registry themselves went on with its old entry: they know of no engine for the new model and refuse its requests, for as long as nothing else changes.

Change: the digest names the models of engines that serve several.

Left: an engine that serves one model and then another one in its place, without a start, is still noticed only by the next read for another reason.

--- a/packages/router/src/__tests__/unit/registryFreshness.test.ts
+++ b/packages/router/src/__tests__/unit/registryFreshness.test.ts
@@ -1,4 +1,4 @@
-import type { FailureDomain, Incarnation, VmId } from "@azureshunt/core";
+import type { FailureDomain, Incarnation, ModelName, VmId } from "@azureshunt/core";
 import test from "ava";
 
 import type { Beacon } from "../../peers/Beacon.js";
@@ -118,6 +118,36 @@
     });
 });
 
+const engineWith = (...versions: readonly (readonly [string, number])[]): EndpointEntry =>
+    entryOf("a", { versions: new Map(versions as readonly (readonly [ModelName, number])[]) });
+const models = [
+    { name: "a further model has appeared", before: engineWith(["m", 1]), after: engineWith(["m", 1], ["n", 1]) },
+    { name: "one of two models has left", before: engineWith(["m", 1], ["n", 1]), after: engineWith(["n", 1]) },
+    {
+        name: "one of two models was replaced",
+        before: engineWith(["m", 1], ["n", 1]),
+        after: engineWith(["m", 1], ["o", 1]),
+    },
+    {
+        name: "the weights of one of two models were replaced",
+        before: engineWith(["m", 1], ["n", 1]),
+        after: engineWith(["n", 2], ["m", 1]),
+        isSame: true,
+    },
+    {
+        name: "an engine states one model, as an earlier version's digest leaves it out",
+        before: entryOf("a"),
+        after: engineWith(["m", 1]),
+        isSame: true,
+    },
+];
+// Guards against VMs that don't know of an engine which has begun to serve a further model, and refuse its requests.
+models.forEach(({ name, before, after, isSame = false }) => {
+    test(`registry digest: ${isSame ? "is the same" : "differs"} if ${name}`, t => {
+        t.is(digestOf(before) === digestOf(after), isSame);
+    });
+});
+
 const membersOf = (
     others: readonly { readonly vm: string; readonly beaconAt: number; readonly hasStore: boolean; }[],
 ): Members => ({
