Learn how fast endpoints are by model

What callers saw, by reading and in a unit test: with engines that serve a fast and a slow model, starts are predicted for something in between. Requests for the faster one wait or are refused as too late though they are not, those for the slower one go where they will be late.

Cause: figures were kept by service and endpoint; how long a prompt takes is a fact of the model as well. It cannot be one speed of the engine times figures of the model: the level of the figures is carried by the endpoints, as they are scaled to a mean of one.

Change: figures are kept by service and model. Which tries are overdue stays a fact of the engine: one for any of its models that was sent later and is answered shows that it is not silent. With one model a service, all is as before.

--- a/packages/performance/src/overdueOf.ts
+++ b/packages/performance/src/overdueOf.ts
@@ -17,7 +17,7 @@
  */
 export function overdueOf(
     pending: readonly PendingTry[],
-    endpoint: EndpointFigures | undefined,
+    endpoint: Pick<EndpointFigures, "sentAt"> | undefined,
     now: Millis,
 ): number {
     const newestAnswered = endpoint?.sentAt ?? -Infinity;
--- a/packages/router/src/__tests__/unit/endpointPerformance.test.ts
+++ b/packages/router/src/__tests__/unit/endpointPerformance.test.ts
@@ -1,4 +1,4 @@
-import type { EndpointName } from "@azureshunt/core";
+import type { EndpointName, ModelName } from "@azureshunt/core";
 import { createMetrics } from "@azureshunt/telemetry";
 import test from "ava";
 
@@ -10,19 +10,29 @@
 import { candidateOf } from "../support/candidateOf.js";
 import { entryOf } from "../support/entryOf.js";
 
+/** Median error of a predicted start that is asked for, see `weighedWays.test`. */
+const MAX_ERROR = 0.15;
+
 const start = (lagMs = 0) => {
     const time = { now: 1_000 };
     const clock = { now: () => time.now, epoch: () => time.now };
     const metrics = createMetrics();
     const performance = createPerformance({ clock, lagMs: () => lagMs, metrics });
     const entries = ["fast", "usual", "slow"].map(name => entryOf(name as EndpointName));
-    const candidates = () => entries.map(entry => candidateOf(entry.name, performance.at(entry, [])));
+    const candidates = () => entries.map(entry => candidateOf(entry.name, performance.at(entry, undefined, [])));
     const observe = (speeds: readonly number[]): void =>
         entries.forEach((entry, i) => {
             const candidate = candidateOf(entry.name);
             const predictedMs = estimateStart(candidate, time.now).startMs;
             const startMs = predictedMs / (speeds[i] ?? 1);
-            performance.observe(entry, { candidate, predictedMs, startMs, sentAt: time.now, outcome: "started" });
+            performance.observe(entry, {
+                candidate,
+                model: undefined,
+                predictedMs,
+                startMs,
+                sentAt: time.now,
+                outcome: "started",
+            });
             time.now += 100;
         });
     Array.from({ length: 10 }).forEach(() => observe([1.7, 1, 0.6]));
@@ -58,7 +68,7 @@
     const [fast] = entries;
     const tried = { sentAt: time.now, expectedAt: time.now + 900, predictedMs: 90, missingTokens: 0, memoryTokens: 0 };
     time.now += 600;
-    const overdue = fast === undefined ? {} : performance.at(fast, [{ ...tried, isAnswering: false }]);
+    const overdue = fast === undefined ? {} : performance.at(fast, undefined, [{ ...tried, isAnswering: false }]);
     const [first, ...others] = candidates();
     t.not(
         choosePlace([...first === undefined ? [] : [{ ...first, ...overdue }], ...others], time.now, () => 0.5)
@@ -74,7 +84,7 @@
     const [candidate] = candidates();
     const tried = { sentAt: time.now, expectedAt: time.now + 900, predictedMs: 9, missingTokens: 0, memoryTokens: 0 };
     time.now += 600;
-    const { overdue } = performance.at(fast!, [{ ...tried, isAnswering: false }]);
+    const { overdue } = performance.at(fast!, undefined, [{ ...tried, isAnswering: false }]);
     const load = { ...candidate!, running: 4, slots: 16, missingTokens: 600 };
     const estimate = estimateStart({ ...load, overdue }, time.now);
     t.true((overdue ?? 1) > 10 && estimate.rankMs > 5 * estimate.startMs);
@@ -82,6 +92,69 @@
     t.is(estimate.startMs, estimateStart(load, time.now).startMs);
 });
 
+const alpha = "alpha" as ModelName;
+const beta = "beta" as ModelName;
+const models = [
+    { name: "as fast", startMs: { alpha: 200, beta: 200 } },
+    { name: "four times as slow", startMs: { alpha: 200, beta: 800 } },
+    { name: "a quarter as slow", startMs: { alpha: 800, beta: 200 } },
+];
+
+// Guards against starts that are predicted for no model of an engine, but for something between them: requests for the faster
+// one wait or are refused, and those for the slower one are late.
+models.forEach(({ name, startMs }) => {
+    test(`endpoint performance: the starts of two models of an engine are predicted apart: one is ${name}`, t => {
+        const time = { now: 1_000 };
+        const clock = { now: () => time.now, epoch: () => time.now };
+        const performance = createPerformance({ clock, lagMs: () => 0, metrics: createMetrics() });
+        const entry = entryOf("e", { versions: new Map([[alpha, 1], [beta, 1]]) });
+        const candidate = (model: ModelName) =>
+            candidateOf("e", { missingTokens: 4_000, ...performance.at(entry, model, []) });
+        const predicted = (model: ModelName): number => estimateStart(candidate(model), time.now).startMs;
+        Array.from({ length: 40 }).forEach(() =>
+            ([["alpha", alpha], ["beta", beta]] as const).forEach(([key, model]) => {
+                time.now += 100;
+                performance.observe(entry, {
+                    candidate: candidate(model),
+                    model,
+                    predictedMs: predicted(model),
+                    startMs: startMs[key],
+                    sentAt: time.now,
+                    outcome: "started",
+                });
+            })
+        );
+        const errors = ([["alpha", alpha], ["beta", beta]] as const).map(([key, model]) =>
+            Math.abs(predicted(model) / startMs[key] - 1)
+        );
+        t.true(errors.every(error => error < MAX_ERROR), errors.join(", "));
+    });
+});
+
+// Guards against an endpoint that is taken for silent as it answers requests for one model before those for another.
+test("endpoint performance: a try for one model is not overdue once a later one for another is answered", t => {
+    const time = { now: 1_000 };
+    const clock = { now: () => time.now, epoch: () => time.now };
+    const performance = createPerformance({ clock, lagMs: () => 0, metrics: createMetrics() });
+    const entry = entryOf("e", { versions: new Map([[alpha, 1], [beta, 1]]) });
+    const answer = (model: ModelName, sentAt: number): void =>
+        performance.observe(entry, {
+            candidate: candidateOf("e"),
+            model,
+            predictedMs: 20,
+            startMs: 20,
+            sentAt,
+            outcome: "started",
+        });
+    answer(beta, 900);
+    const pending = { sentAt: 1_000, expectedAt: 2_000, predictedMs: 20, missingTokens: 0, memoryTokens: 0 };
+    time.now = 1_500;
+    const overdue = () => performance.at(entry, beta, [{ ...pending, isAnswering: false }]).overdue;
+    t.true((overdue() ?? 1) > 10);
+    answer(alpha, 1_200);
+    t.is(overdue(), 1);
+});
+
 test("tick lag: a late tick counts for a second, an overdue one at once", t => {
     const time = { now: 0 };
     const { tick, recentMs } = createTickLag({ now: () => time.now, epoch: () => time.now }, 100);
--- a/packages/router/src/__tests__/unit/pausedTries.test.ts
+++ b/packages/router/src/__tests__/unit/pausedTries.test.ts
@@ -21,7 +21,7 @@
     test(`paused tries: how long an endpoint counts as silent ${name}`, t => {
         const sent: { at: readonly Millis[]; } = { at: [] };
         const performance = {
-            at: (_entry: unknown, inFlight: readonly { readonly sentAt: Millis; }[]) => {
+            at: (_entry: unknown, _model: unknown, inFlight: readonly { readonly sentAt: Millis; }[]) => {
                 sent.at = inFlight.map(({ sentAt }) => sentAt);
                 return {};
             },
@@ -47,7 +47,7 @@
             avoid: new Set(),
         });
         t.is(placeable?.candidate.silentMs, silentMs);
-        endpointTable.withPerformance(placeable!.candidate as never);
+        endpointTable.withPerformance(placeable!.candidate as never, undefined);
         t.deepEqual(sent.at.map(at => time.now - at), [triedMs]);
     });
 });
--- a/packages/router/src/placement/EndpointTable.ts
+++ b/packages/router/src/placement/EndpointTable.ts
@@ -39,7 +39,7 @@
      */
     readonly onPaused: () => void;
     /** Adds what is known of an endpoint's speed, which only the few candidates that are sampled need. */
-    readonly withPerformance: (candidate: Candidate) => Candidate;
+    readonly withPerformance: (candidate: Candidate, model: ModelName | undefined) => Candidate;
     /** Starts tracking a request that is sent to the endpoint. */
     readonly beginRequest: (
         endpoint: EndpointName,
--- a/packages/router/src/placement/createEndpointTable.ts
+++ b/packages/router/src/placement/createEndpointTable.ts
@@ -195,7 +195,7 @@
         });
     };
 
-    const withPerformance: EndpointTable["withPerformance"] = candidate => {
+    const withPerformance: EndpointTable["withPerformance"] = (candidate, model) => {
         const entry = parts.performance === undefined ? undefined : entryOf(candidate.name);
         if (entry === undefined) {
             return candidate;
@@ -205,7 +205,7 @@
         const tries = isUnread
             ? inFlight.map(each => ({ ...each, sentAt: Math.max(each.sentAt, state.resumedAt) }))
             : inFlight;
-        return { ...candidate, ...parts.performance?.at(entry, tries) };
+        return { ...candidate, ...parts.performance?.at(entry, model, tries) };
     };
 
     const beginRequest: EndpointTable["beginRequest"] = (endpoint, sizes) =>
--- a/packages/router/src/placement/createPerformance.ts
+++ b/packages/router/src/placement/createPerformance.ts
@@ -1,4 +1,4 @@
-import type { Clock, EndpointName, Millis, ServiceName } from "@azureshunt/core";
+import type { Clock, EndpointName, Millis, ModelName } from "@azureshunt/core";
 import { initialService, overdueOf, speedOf, stepModel, stepSpread } from "@azureshunt/performance";
 import type { EndpointFigures, Observation, PerformanceModel, ServiceFigures } from "@azureshunt/performance";
 import type { Metrics } from "@azureshunt/telemetry";
@@ -17,6 +17,8 @@
 
 /** The start of a try's answer, or its end before that. */
 type ObservedStart = Pick<Observation, "startMs" | "sentAt" | "outcome"> & {
+    /** `undefined` for services without a model. */
+    readonly model: ModelName | undefined;
     /** The endpoint as it was when the request was placed there. */
     readonly candidate: Candidate;
     readonly predictedMs: Millis;
@@ -25,13 +27,18 @@
 /** How fast endpoints are, as this VM has learned from its own tries. */
 type Performance = {
     /** What predicts the start of a request at an endpoint. */
-    readonly at: (entry: EndpointEntry, inFlight: readonly InFlight[]) => Pick<Candidate, "performance" | "overdue">;
+    readonly at: (
+        entry: EndpointEntry,
+        model: ModelName | undefined,
+        inFlight: readonly InFlight[],
+    ) => Pick<Candidate, "performance" | "overdue">;
     readonly observe: (entry: EndpointEntry, start: ObservedStart) => void;
     /** Forgets an endpoint that has left or whose incarnation was replaced. */
     readonly forget: (endpoint: EndpointName) => void;
 };
 
-type KnownService = {
+/** The endpoints of a service that serve a model: how long a prompt takes differs between models as much as between services. */
+type KnownPool = {
     figures: ServiceFigures;
     spreadAt: Millis;
     readonly endpoints: Map<EndpointName, EndpointFigures>;
@@ -44,57 +51,71 @@
 /** Difference from the median of its service from which an endpoint is shown to operators. */
 const SHOWN_DIFFERENCE = 0.25;
 
+/** Names contain no space. */
+const poolOf = ({ service }: EndpointEntry, model: ModelName | undefined): string => `${service} ${model ?? ""}`;
+
 /** Creates the figures of all endpoints; nothing is known yet. */
 export function createPerformance({ clock, lagMs, metrics }: PerformanceParts): Performance {
-    const services = new Map<ServiceName, KnownService>();
-    const gauges = new Map<EndpointName, () => void>();
+    const pools = new Map<string, KnownPool>();
+    const gauges = new Map<EndpointName, Map<ModelName | undefined, () => void>>();
 
-    const modelOf = (entry: EndpointEntry): PerformanceModel | undefined => {
-        const known = services.get(entry.service);
-        const endpoint = known?.endpoints.get(entry.name);
-        return known === undefined
-            ? undefined
-            : { service: known.figures, endpoint: endpoint?.bornAt === entry.bornAt ? endpoint : undefined };
+    const figuresAt = (entry: EndpointEntry, model: ModelName | undefined): EndpointFigures | undefined => {
+        const endpoint = pools.get(poolOf(entry, model))?.endpoints.get(entry.name);
+        return endpoint?.bornAt === entry.bornAt ? endpoint : undefined;
+    };
+    const performanceOf = (entry: EndpointEntry, model: ModelName | undefined): PerformanceModel | undefined => {
+        const pool = pools.get(poolOf(entry, model));
+        return pool === undefined ? undefined : { service: pool.figures, endpoint: figuresAt(entry, model) };
     };
-    const speedAt = (entry: EndpointEntry): number => {
-        const model = modelOf(entry);
-        return model === undefined ? 1 : speedOf(model, clock.now());
+    /** When the newest try was sent that the endpoint has answered, for whichever of its models. */
+    const newestAnswered = (entry: EndpointEntry): Millis =>
+        Math.max(
+            ...[undefined, ...entry.versions.keys()].map(model => figuresAt(entry, model)?.sentAt ?? -Infinity),
+        );
+    const speedAt = (entry: EndpointEntry, model: ModelName | undefined): number => {
+        const performance = performanceOf(entry, model);
+        return performance === undefined ? 1 : speedOf(performance, clock.now());
     };
-    const hide = (endpoint: EndpointName): void => {
-        gauges.get(endpoint)?.();
-        gauges.delete(endpoint);
+    const hide = (endpoint: EndpointName, model: ModelName | undefined): void => {
+        const shown = gauges.get(endpoint);
+        shown?.get(model)?.();
+        shown?.delete(model);
+        if (shown?.size === 0) {
+            gauges.delete(endpoint);
+        }
     };
-    const show = (entry: EndpointEntry): void => {
-        const isShown = Math.abs(speedAt(entry) - 1) >= SHOWN_DIFFERENCE;
-        if (!isShown) {
-            hide(entry.name);
+    const show = (entry: EndpointEntry, model: ModelName | undefined): void => {
+        const shown = gauges.get(entry.name) ?? new Map<ModelName | undefined, () => void>();
+        if (Math.abs(speedAt(entry, model) - 1) < SHOWN_DIFFERENCE) {
+            hide(entry.name, model);
         }
-        else if (!gauges.has(entry.name)) {
+        else if (!shown.has(model)) {
             const unregister = metrics.gauge(
                 "azureshunt_endpoint_speed_ratio",
                 "Speed of an endpoint that differs from its service's median by a quarter or more, relative to that.",
-                () => speedAt(entry),
-                { endpoint: entry.name },
+                () => speedAt(entry, model),
+                { endpoint: entry.name, ...(entry.versions.size > 1 && model !== undefined ? { model } : {}) },
             );
-            gauges.set(entry.name, unregister);
+            gauges.set(entry.name, shown.set(model, unregister));
         }
     };
 
-    const at: Performance["at"] = (entry, inFlight) => {
-        const performance = modelOf(entry);
+    const at: Performance["at"] = (entry, model, inFlight) => {
+        const performance = performanceOf(entry, model);
         const pending = performance === undefined || inFlight.length === 0 || lagMs() > MAX_LAG_MS
             ? []
             : inFlight.flatMap(({ isAnswering, sentAt, predictedMs }) =>
                 isAnswering || predictedMs === undefined ? [] : [{ sentAt, predictedMs }]
             );
-        return { performance, overdue: overdueOf(pending, performance?.endpoint, clock.now()) };
+        return { performance, overdue: overdueOf(pending, { sentAt: newestAnswered(entry) }, clock.now()) };
     };
 
-    const observe: Performance["observe"] = (entry, { candidate, predictedMs, ...start }) => {
+    const observe: Performance["observe"] = (entry, { candidate, model, predictedMs, ...start }) => {
         const now = clock.now();
-        const known = services.get(entry.service)
+        const key = poolOf(entry, model);
+        const known = pools.get(key)
             ?? { figures: initialService, spreadAt: now, endpoints: new Map<EndpointName, EndpointFigures>() };
-        services.set(entry.service, known);
+        pools.set(key, known);
         const { service, endpoint } = stepModel(
             { service: known.figures, endpoint: known.endpoints.get(entry.name) },
             {
@@ -114,7 +135,7 @@
             known.figures = stepSpread(service, [...known.endpoints.values()]);
             known.spreadAt = now;
         }
-        show(entry);
+        show(entry, model);
         if (start.outcome === "started") {
             metrics.record(
                 "azureshunt_start_error_ratio",
@@ -126,8 +147,8 @@
     };
 
     const forget: Performance["forget"] = endpoint => {
-        hide(endpoint);
-        services.forEach(({ endpoints }) => endpoints.delete(endpoint));
+        [...gauges.get(endpoint)?.keys() ?? []].forEach(model => hide(endpoint, model));
+        pools.forEach(({ endpoints }) => endpoints.delete(endpoint));
     };
 
     return { at, observe, forget };
--- a/packages/router/src/serve/placeRequest.ts
+++ b/packages/router/src/serve/placeRequest.ts
@@ -1,6 +1,7 @@
 import type { StreamOrigin } from "@azureshunt/continuation";
 import type { EndpointName } from "@azureshunt/core";
 
+import type { Candidate } from "../placement/Candidate.js";
 import { chainOf } from "../placement/chainOf.js";
 import { choosePlaceOrTurn } from "../placement/choosePlaceOrTurn.js";
 import { preferReachable } from "../placement/preferReachable.js";
@@ -65,6 +66,8 @@
     };
     const pool = { service: served.service, model: prompt?.model };
     const select = selectEndpoints(parts, served, origin);
+    const withPerformance = (candidate: Candidate): Candidate =>
+        parts.endpointTable.withPerformance(candidate, prompt?.model);
     const chooseFrom = (hasRoom: (entry: EndpointEntry) => boolean) => {
         const reachable = parts.endpointTable.candidates({
             ...pool,
@@ -96,8 +99,8 @@
                     unlimited.map(({ candidate }) => candidate),
                     parts.placingVms(),
                     parts.random,
-                ).map(parts.endpointTable.withPerformance),
-                turns: turns.map(({ candidate }) => parts.endpointTable.withPerformance(candidate)),
+                ).map(withPerformance),
+                turns: turns.map(({ candidate }) => withPerformance(candidate)),
                 toleranceMs: served.route.objectiveMs * TURN_TOLERANCE,
             },
             parts.clock.now(),
--- a/packages/router/src/serve/sendTry.ts
+++ b/packages/router/src/serve/sendTry.ts
@@ -130,6 +130,7 @@
     const recordStart = (startMs: Millis, outcome: "started" | "waited"): void =>
         endpointTable.recordStart(place.entry, {
             candidate: place.candidate,
+            model: served.caller.prompt?.model,
             predictedMs: place.startMs,
             sentAt: startedAt,
             startMs,
