--- a/packages/router/src/__tests__/support/engineView.ts
+++ b/packages/router/src/__tests__/support/engineView.ts
@@ -25,6 +25,8 @@
     readonly read: (...entries: readonly Partial<EndpointEntry>[]) => void;
     /** Applies the rows that another VM sends, encoded and decoded as on the wire. */
     readonly receive: (rows: Rows) => void;
+    /** Applies a beacon as it is on the wire. */
+    readonly receiveDatagram: (datagram: Buffer) => void;
     /** Engines that may get a request now, and the weights that they are taken to hold. */
     readonly placeable: () => readonly (readonly [EndpointName, number | undefined])[];
 };
@@ -88,26 +90,28 @@
         relayBuffer: ignore,
         rollouts: { receiveRows: () => false },
     } as unknown as PeerSyncSources;
+    const receiveDatagram: EngineView["receiveDatagram"] = datagram => {
+        const beacon = decodeBeacon(datagram);
+        if (beacon === undefined) {
+            throw new Error("a beacon cannot be decoded");
+        }
+        const { incarnation, failureDomain } = beacon;
+        const received = {
+            incarnation,
+            failureDomain,
+            receivedAt: time.now,
+            beacon,
+            sentAfter: 0,
+            stampedAt: 0,
+            startedBefore: 0,
+        };
+        applyBeacon(sources, received, "10.0.0.9:1");
+    };
     const receive: EngineView["receive"] = rows => {
         const sent = { ...emptyBeacon, ...rows };
-        createBeaconEncoder(sent)(sent).map(decodeBeacon).forEach(beacon => {
-            if (beacon === undefined) {
-                throw new Error("a beacon cannot be decoded");
-            }
-            const { incarnation, failureDomain } = beacon;
-            const received = {
-                incarnation,
-                failureDomain,
-                receivedAt: time.now,
-                beacon,
-                sentAfter: 0,
-                stampedAt: 0,
-                startedBefore: 0,
-            };
-            applyBeacon(sources, received, "10.0.0.9:1");
-        });
+        createBeaconEncoder(sent)(sent).forEach(receiveDatagram);
     };
     read({});
     placeable();
-    return { endpointTable, prefixIndex, read, receive, placeable };
+    return { endpointTable, prefixIndex, read, receive, receiveDatagram, placeable };
 }
