--- a/packages/router/src/placement/createEngineVersions.ts
+++ b/packages/router/src/placement/createEngineVersions.ts
@@ -62,8 +62,15 @@
         versions.set(model, known);
         return known;
     };
-    const isAhead = (entry: EndpointEntry): boolean =>
-        [...observations.of(entry).versions].some(([model, { version }]) => statedBy(entry, model) < version);
+    /** Whether any version that is later than the entry's passes a test. Loops without copies, as beacons call it often. */
+    const isAnyAhead = (entry: EndpointEntry, passes: (known: KnownVersion) => boolean): boolean => {
+        for (const [model, known] of observations.of(entry).versions) {
+            if (statedBy(entry, model) < known.version && passes(known)) {
+                return true;
+            }
+        }
+        return false;
+    };
     const at: EngineVersions["at"] = (entry, model) =>
         model === undefined || !entry.versions.has(model)
             ? undefined
@@ -86,23 +93,25 @@
                 known.by = "entry";
             }
         });
-        if (isAhead(entry)) {
+        if (isAnyAhead(entry, () => true)) {
             ahead.add(entry.name);
         }
         else {
             ahead.delete(entry.name);
         }
     };
-    const isUnread = (entry: EndpointEntry): boolean =>
-        [...observations.of(entry).versions].some(([model, { version, confirmedAt }]) => {
+    const areUnread: EngineVersions["areUnread"] = () => {
+        const now = clock.now();
+        const readAsOf = parts.entriesReadAsOf();
+        const isUnread = ({ confirmedAt }: KnownVersion): boolean => {
             const dueAt = confirmedAt + ENTRY_LAG_MS;
-            return statedBy(entry, model) < version && dueAt < clock.now() && dueAt >= parts.entriesReadAsOf();
-        });
-    const areUnread: EngineVersions["areUnread"] = () =>
-        [...ahead].some(endpoint => {
+            return dueAt < now && dueAt >= readAsOf;
+        };
+        return [...ahead].some(endpoint => {
             const entry = entryOf(endpoint);
-            return entry !== undefined && isUnread(entry);
+            return entry !== undefined && isAnyAhead(entry, isUnread);
         });
+    };
     const adoptAllStated: EngineVersions["adoptAllStated"] = () =>
         [...ahead].forEach(endpoint => {
             const entry = entryOf(endpoint);
@@ -152,13 +161,16 @@
             ? { by: "entry", ageMs: Math.round(clock.now() - parts.entriesReadAsOf()) }
             : { by: known.by, ageMs: Math.round(clock.now() - known.confirmedAt) };
     };
-    const all: EngineVersions["all"] = () =>
-        observations.all().flatMap(([endpoint, { versions }]) =>
-            [...versions].filter(([, { version }]) => version > 0).map(([model, { version, learnedAt }]) => ({
-                endpoint,
-                weights: { model, version },
-                learnedAt,
-            }))
+    const all: EngineVersions["all"] = () => {
+        const rows: ReturnType<EngineVersions["all"]>[number][] = [];
+        observations.all().forEach(([endpoint, { versions }]) =>
+            versions.forEach(({ version, learnedAt }, model) => {
+                if (version > 0) {
+                    rows.push({ endpoint, weights: { model, version }, learnedAt });
+                }
+            })
         );
+        return rows;
+    };
     return { at, sourceAt, adoptStated, adoptAllStated, areUnread, observe, receive, all };
 }
