--- a/packages/router/src/fleet/followOrder.ts
+++ b/packages/router/src/fleet/followOrder.ts
@@ -7,6 +7,7 @@
 import type { EngineCalls } from "./EngineCalls.js";
 import type { EngineOrder } from "./EngineOrder.js";
 import { isOfLaterStart } from "./isOfLaterStart.js";
+import { observeReport } from "./observeReport.js";
 import { orderTiming } from "./orderTiming.js";
 import { requestReport } from "./requestReport.js";
 
@@ -54,7 +55,9 @@
     const seen = state?.versions.get(model);
     const currentOrder = (): EngineOrder | undefined =>
         endpointTable.engines(model).find(engine => engine.endpoint === endpoint)?.order;
-    state?.versions.forEach((version, model) => endpointTable.observeWeights(endpoint, { model, version }));
+    if (state !== undefined) {
+        observeReport(endpointTable, endpoint, state);
+    }
     if (state?.isBusy === true && currentOrder()?.issuedAt === issuedAt) {
         endpointTable.recordOrder(endpoint, { model, version, issuedAt, seenAt: clock.now(), isOwn: true });
     }
--- a/packages/router/src/fleet/startOrders.ts
+++ b/packages/router/src/fleet/startOrders.ts
@@ -16,6 +16,7 @@
 import type { EngineWeights } from "./EngineWeights.js";
 import { followOrder } from "./followOrder.js";
 import { isOfLaterStart } from "./isOfLaterStart.js";
+import { observeReport } from "./observeReport.js";
 import { orderAllowedAt } from "./orderAllowedAt.js";
 import { orderFence } from "./orderFence.js";
 import type { OrderLease } from "./OrderLease.js";
@@ -68,8 +69,8 @@
 const ROLLOUT_LOG_INTERVAL_MS: Millis = 1_000;
 
 /**
- * Whether an engine may carry out an order for another model than this one. It takes one at a time, and neither its report
- * nor its refusal of another one names the model. Requests for this model go on there meanwhile.
+ * Whether a busy engine may carry out an order for another model than this one: it takes one at a time, and neither its
+ * report nor a refusal names the model. If that order counted as this model's, its requests would be kept away.
  */
 const isOneOfSeveral = ({ versions }: EndpointEntry, model: ModelName): boolean =>
     [...versions.keys()].some(each => each !== model);
@@ -135,7 +136,7 @@
             return undefined;
         }
         const seen = report.versions.get(model) ?? 0;
-        report.versions.forEach((each, of) => endpointTable.observeWeights(endpoint, { model: of, version: each }));
+        observeReport(endpointTable, endpoint, report);
         if (report.isBusy && isOneOfSeveral(entry, model)) {
             heldUntil.set(endpoint, clock.now() + orderTiming.nextReportMs);
             return undefined;
--- a/packages/router/src/placement/createPerformance.ts
+++ b/packages/router/src/placement/createPerformance.ts
@@ -37,7 +37,7 @@
     readonly forget: (endpoint: EndpointName) => void;
 };
 
-/** The endpoints of a service that serve a model: how long a prompt takes differs between models as much as between services. */
+/** The endpoints of a service that serve a model; how long a prompt takes differs between models. */
 type KnownPool = {
     figures: ServiceFigures;
     spreadAt: Millis;
@@ -107,7 +107,8 @@
             : inFlight.flatMap(({ isAnswering, sentAt, predictedMs }) =>
                 isAnswering || predictedMs === undefined ? [] : [{ sentAt, predictedMs }]
             );
-        return { performance, overdue: overdueOf(pending, { sentAt: newestAnswered(entry) }, clock.now()) };
+        const answered = pending.length === 0 ? undefined : { sentAt: newestAnswered(entry) };
+        return { performance, overdue: overdueOf(pending, answered, clock.now()) };
     };
 
     const observe: Performance["observe"] = (entry, { candidate, model, predictedMs, ...start }) => {
--- a/packages/router/src/serve/watchOrders.ts
+++ b/packages/router/src/serve/watchOrders.ts
@@ -10,7 +10,10 @@
 const WAVE_PROPAGATION_MS: Millis = peerTiming.urgentGapMs + 60;
 
 type OrderWatch<Reserved> = {
-    /** Calls a listener whenever the engine is ordered to load weights of the stream's model; returns a function that unregisters it. */
+    /**
+     * Calls a listener whenever the engine is ordered to load weights of the stream's model; returns a function that
+     * unregisters it.
+     */
     readonly onOrdered: (listener: () => void) => () => void;
     /** Runs a function after a delay; returns a function that cancels it. */
     readonly schedule: (delayMs: Millis, run: () => void) => () => void;
