--- a/packages/router/src/fleet/createOutdatedGauges.ts
+++ b/packages/router/src/fleet/createOutdatedGauges.ts
@@ -3,6 +3,7 @@
 
 import type { DeclaredState } from "../knowledge/DeclaredState.js";
 import type { EndpointTable } from "../placement/EndpointTable.js";
+import { rolloutOf } from "./rolloutOf.js";
 
 type GaugeParts = {
     readonly metrics: Pick<Metrics, "gauge">;
@@ -20,8 +21,8 @@
 export function createOutdatedGauges({ metrics, declaredState, endpointTable }: GaugeParts): OutdatedGauges {
     const registered = new Map<ModelName, () => void>();
     const outdated = (model: ModelName): number => {
-        const target = declaredState().weights.get(model)?.[0]?.version ?? 0;
-        return endpointTable.engines(model).filter(({ version }) => version < target).length;
+        const version = declaredState().weights.get(model)?.[0]?.version ?? 0;
+        return rolloutOf(endpointTable.engines(model), { model, version }).outdated;
     };
     return {
         tick: () =>
